--- a/src/bin/sumacknot-benchlink.rs
+++ b/src/bin/pathbank-wirehost.rs
@@ -5,9 +5,9 @@
 use std::io::{self, ErrorKind, Read, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
-use sumacknot::Policy;
-use sumacknot::interface::Action;
-use sumacknot::wire::{Decoder, FrameError, LENGTH_BYTES, Record, Reply};
+use pathbank::Policy;
+use pathbank::interface::Action;
+use pathbank::wire::{Decoder, FrameError, LENGTH_BYTES, Record, Reply};
 
 /// An instance whose settings could not be read, or whose module panicked, stays in place but silent.
 type Instances = BTreeMap<u16, Option<Policy>>;
@@ -16,7 +16,7 @@
     match run(&mut io::stdin().lock(), &mut io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
-            eprintln!("sumacknot-benchlink: {problem}");
+            eprintln!("pathbank-wirehost: {problem}");
             ExitCode::FAILURE
         }
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A small world for tests of the module alone: settings, a list of nodes, and a recorder of actions.
 #![allow(dead_code)] // each test file uses its own part
 
-use sumacknot::interface::*;
-use sumacknot::{Action, Event, Policy};
+use pathbank::interface::*;
+use pathbank::{Action, Event, Policy};
 
 pub const MS: Micros = 1_000;
 pub const S: Micros = 1_000_000;
--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use sumacknot::interface::*;
-use sumacknot::{Action, Event, Policy};
+use pathbank::interface::*;
+use pathbank::{Action, Event, Policy};
 
 const HOSTS: u32 = 250;
 
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use sumacknot::Event;
-use sumacknot::interface::*;
+use pathbank::Event;
+use pathbank::interface::*;
 
 fn plain() -> Host {
     Host::new(settings(vec![class(Repeats::Safe)]), vec![node(10, 1)])
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use sumacknot::interface::*;
-use sumacknot::{Action, Event};
+use pathbank::interface::*;
+use pathbank::{Action, Event};
 
 fn draining(id: NodeId, shard: u16) -> Event {
     let nodes = vec![NodeEntry { state: NodeState::Draining, ..node(id, shard) }];
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,8 +1,8 @@
 //! The wire page's worked frames, and what malformed input gets.
 
-use sumacknot::interface::*;
-use sumacknot::wire::{Decoder, Record, Reply, settings};
-use sumacknot::{Action, Event};
+use pathbank::interface::*;
+use pathbank::wire::{Decoder, Record, Reply, settings};
+use pathbank::{Action, Event};
 
 fn bytes(hex: &str) -> Vec<u8> {
     let digits: String = hex.split_whitespace().collect();
