--- a/src/bin/pathbank-wirehost.rs
+++ b/src/bin/pathbank-wirehost.rs
@@ -1,13 +1,13 @@
 //! The bench adapter: reads batches from standard input, routes each record to its instance's `Policy`, and
 //! writes one flushed reply for each batch. It decides nothing.
 
+use pathbank::Policy;
+use pathbank::interface::Action;
+use pathbank::wire::{Decoder, FrameError, LENGTH_BYTES, Record, Reply};
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind, Read, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
-use pathbank::Policy;
-use pathbank::interface::Action;
-use pathbank::wire::{Decoder, FrameError, LENGTH_BYTES, Record, Reply};
 
 /// An instance whose settings could not be read, or whose module panicked, stays in place but silent.
 type Instances = BTreeMap<u16, Option<Policy>>;
--- /dev/null
+++ b/src/clock.rs
@@ -0,0 +1,46 @@
+//! The module's one clock: Unix microseconds at the start plus monotonic time, so that a node's `started_ms`
+//! fits it and a step of the system's clock never takes it back.
+
+use crate::interface::Micros;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::time::{Duration, Instant};
+
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    unix: Micros,
+    start: Instant,
+}
+
+impl Clock {
+    pub fn start() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { unix: micros(unix), start: Instant::now() }
+    }
+
+    pub fn now(&self) -> Micros {
+        self.unix + micros(self.start.elapsed())
+    }
+
+    pub fn instant(&self, at: Micros) -> Instant {
+        self.start + Duration::from_micros(at.saturating_sub(self.unix))
+    }
+}
+
+pub fn micros(time: Duration) -> Micros {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_clock_is_unix_time_and_turns_back_into_the_same_instant() {
+        let clock = Clock::start();
+        let unix = micros(SystemTime::now().duration_since(UNIX_EPOCH).unwrap());
+        assert!(clock.now().abs_diff(unix) < 60_000_000);
+        let at = clock.now();
+        assert_eq!(clock.instant(at + 5) - clock.instant(at), Duration::from_micros(5));
+        assert!(clock.now() >= at);
+    }
+}
--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,258 @@
+//! The only place that reads the environment, JSON and TOML: checks, defaults, and errors that name the key.
+
+pub mod settings;
+
+use crate::interface::{Micros, Settings};
+use serde::Deserialize;
+use settings::{Pairs, SettingsError};
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// Time kept back from each request's own: for its way in, which nobody times for us, and its answer's way out.
+const ANSWER_MARGIN: Duration = Duration::from_millis(5);
+/// Idle connections to nodes go after this part of the time after which a node may close them.
+const IDLE_PART: f64 = 0.4;
+/// The part of the descriptors that clients may hold; the rest is for nodes, discovery and the log.
+const CLIENT_PART: f64 = 0.55;
+const SECOND_FRONT: &str = "deploy/sftp.toml";
+
+#[derive(Debug)]
+pub enum ConfigError {
+    Missing(&'static str),
+    Unreadable { what: String, why: String },
+    Settings(SettingsError),
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ConfigError::Missing(key) => write!(f, "{key} is missing"),
+            ConfigError::Unreadable { what, why } => write!(f, "{what} is unreadable: {why}"),
+            ConfigError::Settings(error) => error.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+impl From<SettingsError> for ConfigError {
+    fn from(error: SettingsError) -> Self {
+        ConfigError::Settings(error)
+    }
+}
+
+fn unreadable(what: impl Into<String>, why: impl ToString) -> ConfigError {
+    ConfigError::Unreadable { what: what.into(), why: why.to_string() }
+}
+
+/// All that a head is told.
+#[derive(Debug)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    /// Connections that clients may hold together.
+    pub clients: usize,
+    pub known: NodeList,
+    pub settings: Settings,
+    pub names: Names,
+    pub connect_timeout: Duration,
+    /// How long a connection to a node may stand idle.
+    pub idle: Duration,
+    /// Requests that may be open at once.
+    pub max_open: usize,
+    pub answer_margin: Duration,
+    pub log_level: log::LevelFilter,
+    pub syslog: Option<SocketAddr>,
+}
+
+/// What the settings call the things that the module knows by number.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    pub classes: Vec<String>,
+    pub plans: Vec<String>,
+}
+
+/// The list of nodes in discovery's form.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+pub struct NodeList {
+    #[serde(default)]
+    pub version: u64,
+    #[serde(default)]
+    pub full: bool,
+    #[serde(default)]
+    pub servers: Vec<ListedNode>,
+}
+
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct ListedNode {
+    pub id: String,
+    pub addr: String,
+    #[serde(default)]
+    pub zone: String,
+    pub cell: u16,
+    pub state: ListedState,
+    #[serde(default)]
+    pub started_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ListedState {
+    InService,
+    Terminating,
+    Terminated,
+}
+
+/// The object in the file that `GW_CONFIG` names, as it is written; keys unknown here are ignored.
+#[derive(Deserialize)]
+struct File {
+    name: Option<String>,
+    listen: Option<SocketAddr>,
+    discovery: Option<SocketAddr>,
+    #[serde(default)]
+    seed: String,
+    #[serde(default)]
+    limits: Limits,
+    #[serde(default)]
+    known: NodeList,
+    settings: serde_json::Value,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Limits {
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { sockets: 1024 }
+    }
+}
+
+impl Config {
+    pub fn from_environment() -> Result<Config, ConfigError> {
+        let env = |key: &str| std::env::var(key).ok().filter(|value| !value.is_empty());
+        let path = env("GW_CONFIG").ok_or(ConfigError::Missing("GW_CONFIG"))?;
+        let text = std::fs::read_to_string(&path).map_err(|e| unreadable(format!("GW_CONFIG={path}"), e))?;
+        Config::read(&text, env)
+    }
+
+    /// The JSON's own keys come before the environment's.
+    pub fn read(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+        let file: File = json(text)?;
+        let address = |given: Option<SocketAddr>, key: &'static str| match (given, env(key)) {
+            (Some(address), _) => Ok(address),
+            (None, Some(text)) => text.parse().map_err(|e| unreadable(key, e)),
+            (None, None) => Err(ConfigError::Missing(key)),
+        };
+        let pairs = Pairs::from_json(&file.settings);
+        let settings = settings::read(&pairs)?;
+        let time = |key: &str, default: u64| {
+            Ok::<_, ConfigError>(match pairs.time(key)? {
+                0 => Duration::from_micros(default),
+                micros => Duration::from_micros(micros),
+            })
+        };
+        let names = Names { classes: pairs.names("profiles"), plans: pairs.names("plans") };
+        let log_level = match env("PATHBANK_LOG") {
+            None => log::LevelFilter::Info,
+            Some(text) => text.parse().map_err(|e| unreadable("PATHBANK_LOG", e))?,
+        };
+        let syslog = match env("PATHBANK_SYSLOG") {
+            None => None,
+            Some(text) => Some(text.parse().map_err(|e| unreadable("PATHBANK_SYSLOG", e))?),
+        };
+        Ok(Config {
+            name: file.name.or_else(|| env("GW_NAME")).unwrap_or_else(|| "pathbank".to_string()),
+            listen: address(file.listen, "GW_LISTEN")?,
+            discovery: address(file.discovery, "GW_DISCOVERY")?,
+            seed: seed(&file.seed),
+            clients: ((file.limits.sockets as f64 * CLIENT_PART) as usize).max(1),
+            known: file.known,
+            names,
+            connect_timeout: time("policy_limits.connect_timeout", 250_000)?,
+            idle: time("policy_limits.keepalive", 30_000_000)?.mul_f64(IDLE_PART),
+            max_open: match pairs.number("policy_limits.max_open")? as usize {
+                0 => 20_000,
+                most => most,
+            },
+            answer_margin: ANSWER_MARGIN,
+            log_level,
+            syslog,
+            settings,
+        })
+    }
+
+    /// The longest that any class's client waits.
+    pub fn longest_deadline(&self) -> Duration {
+        let longest: Micros = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+        Duration::from_micros(longest)
+    }
+}
+
+/// Hex, as the platform writes it; anything else still gives every text its own seed.
+fn seed(text: &str) -> u64 {
+    u64::from_str_radix(text, 16).unwrap_or_else(|_| fnv(text.as_bytes()))
+}
+
+/// FNV-1a: the same number for the same bytes at every head and in every build.
+pub fn fnv(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    })
+}
+
+/// An error names the key by its path.
+fn json<'a, T: Deserialize<'a>>(text: &'a str) -> Result<T, ConfigError> {
+    let mut reader = serde_json::Deserializer::from_str(text);
+    serde_path_to_error::deserialize(&mut reader)
+        .map_err(|error| unreadable(format!("key {} of the configuration", error.path()), error.inner()))
+}
+
+/// Where the second front's file is.
+pub fn second_front_path() -> PathBuf {
+    std::env::var_os("PATHBANK_SFTP").map_or_else(|| Path::new(SECOND_FRONT).to_path_buf(), PathBuf::from)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = r#"{"name":"n3","listen":"127.0.0.1:7070","discovery":"127.0.0.1:8500",
+        "seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1000},"odd":[1],
+        "known":{"version":41,"full":true,"servers":[{"id":"s-1","addr":"127.0.0.2:7070","zone":"a","kind":"m2",
+          "cell":3,"state":"in_service","weight":1.0,"started_ms":7}]},
+        "settings":{"balancers":3,"position":0,"membership_mode":"subscribe","odd":{"x":[]},
+          "policy_limits":{"send_cap":3.0,"keepalive":30000000,"connect_timeout":250000},
+          "profiles":[{"name":"r","target":400000.0,"hard_limit":3000000,"worth":2.0,"idempotency":"idempotent"}],
+          "plans":[{"name":"p","nominal":2.7}]}}"#;
+
+    #[test]
+    fn a_whole_configuration_is_read_and_what_is_unknown_ignored() {
+        let config = Config::read(GOOD, |_| None).unwrap();
+        assert_eq!((config.seed, config.clients), (0x8c1f_30d2_7a5b_e964, 550));
+        assert_eq!(config.idle, Duration::from_secs(12));
+        assert_eq!(config.names.classes, ["r"]);
+        assert_eq!((config.settings.max_attempts, config.settings.plans[0].rate), (3, 2.7));
+        assert_eq!(config.known.servers[0].state, ListedState::InService);
+    }
+
+    #[test]
+    fn errors_name_the_key_at_fault() {
+        for (from, to, key) in [
+            ("\"127.0.0.1:7070\"", "7", "key listen of the configuration"),
+            ("\"listen\"", "\"lisen\"", "GW_LISTEN is missing"),
+            ("\"cell\":3", "\"cell\":-3", "known.servers[0].cell"),
+            ("\"position\":0,", "", "position is missing"),
+            ("\"send_cap\":3.0", "\"send_cap\":\"x\"", "policy_limits.send_cap is unreadable"),
+        ] {
+            let error = Config::read(&GOOD.replace(from, to), |_| None).unwrap_err().to_string();
+            assert!(error.contains(key), "{error}");
+        }
+    }
+}
--- /dev/null
+++ b/src/config/settings.rs
@@ -0,0 +1,200 @@
+//! The module's settings: read the same way from the simulator's text and from a head's JSON.
+
+use crate::interface::*;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::fmt;
+
+#[derive(Debug, PartialEq, Eq)]
+pub struct SettingsError(pub String);
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "settings: {}", self.0)
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+/// The settings text: `path=value`, one a line.
+#[derive(Debug)]
+pub struct Pairs(BTreeMap<String, String>);
+
+impl Pairs {
+    pub fn from_text(text: &str) -> Pairs {
+        let pairs = text.lines().filter_map(|line| line.split_once('='));
+        Pairs(pairs.map(|(key, value)| (key.to_string(), value.to_string())).collect())
+    }
+
+    /// The same object as nested JSON: an inner key follows a dot, a list of objects has its length under
+    /// `.count`, a list of plain values is joined by commas.
+    pub fn from_json(value: &Value) -> Pairs {
+        let mut pairs = BTreeMap::new();
+        flatten(String::new(), value, &mut pairs);
+        Pairs(pairs)
+    }
+
+    /// The names of a list of objects, in order.
+    pub fn names(&self, list: &str) -> Vec<String> {
+        let name = |i| self.0.get(&format!("{list}.{i}.name")).cloned();
+        (0..).map_while(name).collect()
+    }
+
+    /// A list of plain values.
+    pub fn list(&self, key: &str) -> Vec<String> {
+        self.0.get(key).map(|text| text.split(',').map(str::to_string).collect()).unwrap_or_default()
+    }
+
+    fn parse<T: std::str::FromStr>(&self, key: &str) -> Result<Option<T>, SettingsError> {
+        match self.0.get(key) {
+            None => Ok(None),
+            Some(text) => match text.parse() {
+                Ok(value) => Ok(Some(value)),
+                Err(_) => Err(SettingsError(format!("{key} is unreadable: {text:?}"))),
+            },
+        }
+    }
+
+    pub fn need<T: std::str::FromStr>(&self, key: &str) -> Result<T, SettingsError> {
+        self.parse(key)?.ok_or_else(|| SettingsError(format!("{key} is missing")))
+    }
+
+    pub fn number(&self, key: &str) -> Result<f64, SettingsError> {
+        let value: f64 = self.parse(key)?.unwrap_or(0.0);
+        if value.is_finite() { Ok(value) } else { Err(SettingsError(format!("{key} is not finite"))) }
+    }
+
+    pub fn time(&self, key: &str) -> Result<Micros, SettingsError> {
+        Ok(self.number(key)?.max(0.0) as Micros)
+    }
+
+    fn flag(&self, key: &str) -> Result<bool, SettingsError> {
+        Ok(self.parse(key)?.unwrap_or(false))
+    }
+
+    fn word<T: Copy>(&self, key: &str, words: &[(&str, T)]) -> Result<T, SettingsError> {
+        let text: String = self.need(key)?;
+        let found = words.iter().find(|(word, _)| *word == text).map(|(_, value)| *value);
+        found.ok_or_else(|| SettingsError(format!("{key} is unreadable: {text:?}")))
+    }
+}
+
+/// Reads the settings that came with an instance's start; unknown keys are skipped.
+pub fn settings(text: &str) -> Result<Settings, SettingsError> {
+    read(&Pairs::from_text(text))
+}
+
+pub fn read(pairs: &Pairs) -> Result<Settings, SettingsError> {
+    let mut classes = Vec::new();
+    for i in 0..pairs.need::<usize>("profiles.count")? {
+        let key = |name: &str| format!("profiles.{i}.{name}");
+        let repeats = [
+            ("idempotent", Repeats::Safe),
+            ("deduplicated", Repeats::Keyed),
+            ("at_most_once", Repeats::Unsafe),
+        ];
+        let repeats = pairs.word(&key("idempotency"), &repeats)?;
+        let scopes = [("all", Scope::All), ("zone", Scope::Zone), ("cell", Scope::Shard)];
+        let scope = match repeats {
+            Repeats::Keyed => pairs.word(&key("dedup_scope"), &scopes)?,
+            _ => Scope::All,
+        };
+        classes.push(Class {
+            aim: pairs.need::<f64>(&key("target"))? as Micros,
+            deadline: pairs.need::<f64>(&key("hard_limit"))? as Micros,
+            worth: pairs.need(&key("worth"))?,
+            late_worth: pairs.number(&key("late_value"))?,
+            repeats,
+            window: pairs.time(&key("window"))?,
+            scope,
+            streamed: pairs.flag(&key("streamed"))?,
+            in_order: pairs.flag(&key("fifo_by_key"))?,
+        });
+    }
+    let mut plans = Vec::new();
+    for i in 0..pairs.parse::<usize>("plans.count")?.unwrap_or(0) {
+        let number = |name: &str| pairs.number(&format!("plans.{i}.{name}"));
+        plans.push(Plan {
+            rate: number("nominal")?,
+            reserve: number("floor_rate")?,
+            weight: number("proportion")?,
+            price: number("worth_factor")?,
+            limit: number("limit")?,
+            limit_burst: number("burst")?,
+        });
+    }
+    let budget = match pairs.parse::<f64>("contract.counted_over")? {
+        Some(window) => Some(AttemptBudget {
+            floor: pairs.number("contract.extra_floor")?,
+            ratio: pairs.number("contract.repeat_ratio")?,
+            window: window as Micros,
+        }),
+        None => None,
+    };
+    Ok(Settings {
+        hosts: pairs.need("balancers")?,
+        position: pairs.need("position")?,
+        classes,
+        plans,
+        must_subscribe: pairs.word("membership_mode", &[("automatic", false), ("subscribe", true)])?,
+        tick: pairs.time("tick")?,
+        answer_slack: pairs.time("contract.answer_slack")?,
+        max_attempts: pairs.need::<f64>("policy_limits.send_cap")? as u32,
+        second_copies: pairs.flag("policy_limits.second_copies")?,
+        cancel: pairs.flag("policy_limits.cancel")?,
+        peers: pairs.flag("policy_limits.peers")?,
+        probing: pairs.flag("policy_limits.probing")?,
+        max_retry_after: match pairs.flag("policy_limits.retry_after")? {
+            true => Some(pairs.time("policy_limits.max_retry_after")?),
+            false => None,
+        },
+        cold_from: pairs.number("contract.cold_from")?,
+        cold: pairs.time("contract.cold")?,
+        fall: pairs.time("contract.fall")?,
+        fall_multiple: pairs.number("contract.fall_multiple")?,
+        cold_units: pairs.number("domain.young_limit")?,
+        order_settle: pairs.time("contract.order_settle")?,
+        budget,
+        most_units: pairs.number("domain.max_units")?,
+        mean_units: pairs.number("domain.usual_units")?,
+        share_worth: pairs.number("domain.share_worth")?,
+        spare_worth: pairs.number("domain.idle_worth")?,
+        use_period: pairs.time("domain.use_period")?,
+        reports: match pairs.0.get("report.how").map(String::as_str) {
+            Some("piggyback") => Reports::Answers,
+            Some("pull") => Reports::Probes,
+            _ => Reports::None,
+        },
+    })
+}
+
+fn flatten(path: String, value: &Value, pairs: &mut BTreeMap<String, String>) {
+    let under = |name: &str| if path.is_empty() { name.to_string() } else { format!("{path}.{name}") };
+    match value {
+        Value::Object(fields) => fields.iter().for_each(|(name, v)| flatten(under(name), v, pairs)),
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            pairs.insert(under("count"), items.len().to_string());
+            items.iter().enumerate().for_each(|(i, v)| flatten(under(&i.to_string()), v, pairs));
+        }
+        Value::Array(items) => {
+            if items.is_empty() {
+                pairs.insert(under("count"), "0".to_string());
+            }
+            let plain: Vec<String> = items.iter().map(plain).collect();
+            pairs.insert(path, plain.join(","));
+        }
+        _ => drop(pairs.insert(path, plain(value))),
+    }
+}
+
+/// A whole number that JSON writes as `8.0` reads as `8` here, like on the simulator's wire.
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Number(number) => match number.as_f64() {
+            Some(n) if number.is_f64() && n.fract() == 0.0 && n.abs() < 9e15 => (n as i64).to_string(),
+            _ => number.to_string(),
+        },
+        other => other.to_string(),
+    }
+}
--- /dev/null
+++ b/src/core.rs
@@ -0,0 +1,591 @@
+//! One task owns the module, its timers and the open requests; all else reaches it through a queue. It deals in
+//! requests, attempts and outcomes, whatever wire they come by.
+
+use crate::clock::{Clock, micros};
+use crate::config::{ListedNode, ListedState, fnv};
+use crate::ending::End;
+use crate::interface::*;
+use crate::policy::Policy;
+use bytes::Bytes;
+use futures_util::FutureExt;
+use log::{debug, error, info, warn};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::future::Future;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::task::{Context, Poll};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
+use tokio::time::{Duration, Instant};
+
+/// What a front knows of a request, in the module's terms.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Arrival {
+    pub volume: VolumeId,
+    pub key: u64,
+    pub class: usize,
+    pub plan: usize,
+    pub units: f64,
+    pub volume_hosts: f64,
+    pub repeat: bool,
+    pub shard: Option<u16>,
+    /// When the final answer must be on its way.
+    pub answer_by: Instant,
+}
+
+/// The one final answer.
+#[derive(Debug, PartialEq)]
+pub enum Answer {
+    Served(Bytes),
+    /// Trying again does no harm, after that time.
+    Refused(Duration),
+    /// Nothing is promised.
+    Failed,
+}
+
+/// What an attempt came to.
+#[derive(Debug)]
+pub struct Report {
+    pub end: End,
+    pub body: Bytes,
+    pub load: Load,
+    pub used: Option<f64>,
+}
+
+impl From<End> for Report {
+    fn from(end: End) -> Self {
+        Report { end, body: Bytes::new(), load: Load::default(), used: None }
+    }
+}
+
+/// Told by the backend as soon as a byte of the attempt may be on the wire.
+#[derive(Debug, Default)]
+pub struct Begun(AtomicBool);
+
+impl Begun {
+    pub fn set(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    pub fn get(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// One attempt to carry a request out at a node.
+#[derive(Debug)]
+pub struct Try {
+    pub address: String,
+    pub answer_by: Instant,
+    pub begun: Arc<Begun>,
+}
+
+pub type Attempt = Pin<Box<dyn Future<Output = Report> + Send>>;
+
+/// What a front wants done: starts attempts at nodes. Dropping the future gives the attempt up; a request of
+/// which no byte was written by then is never written.
+pub trait Work: Send {
+    fn attempt(&self, a_try: Try) -> Attempt;
+}
+
+pub enum Input {
+    Request {
+        id: RequestId,
+        arrival: Arrival,
+        work: Box<dyn Work>,
+        answer: oneshot::Sender<Answer>,
+    },
+    Left {
+        id: RequestId,
+    },
+    Report {
+        id: RequestId,
+        attempt: u32,
+        report: Report,
+    },
+    Nodes {
+        news: News,
+        nodes: Vec<ListedNode>,
+    },
+    /// The program ends: whatever is still open gets its answer now.
+    Finish,
+}
+
+/// How fronts and discovery reach the core.
+#[derive(Clone)]
+pub struct Handle {
+    queue: mpsc::UnboundedSender<Input>,
+    last: Arc<AtomicU64>,
+    open: Arc<AtomicUsize>,
+    max_open: usize,
+}
+
+impl Handle {
+    /// `None`: too many are open, nothing was taken.
+    pub fn submit(&self, arrival: Arrival, work: Box<dyn Work>) -> Option<Pending> {
+        if self.open.load(Ordering::Relaxed) >= self.max_open {
+            return None;
+        }
+        self.open.fetch_add(1, Ordering::Relaxed);
+        // Not the client's own id: the module's tokens for timers share these numbers.
+        let id = self.last.fetch_add(1, Ordering::Relaxed) + 1;
+        let (answer, pending) = oneshot::channel();
+        self.send(Input::Request { id, arrival, work, answer });
+        Some(Pending { id, answer: pending, answered: false, handle: self.clone() })
+    }
+
+    pub fn send(&self, input: Input) {
+        // The core is gone only when the program ends.
+        let _ = self.queue.send(input);
+    }
+
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+}
+
+/// The answer to come. Dropped before that, the client has left.
+pub struct Pending {
+    id: RequestId,
+    answer: oneshot::Receiver<Answer>,
+    answered: bool,
+    handle: Handle,
+}
+
+impl Future for Pending {
+    type Output = Answer;
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Answer> {
+        let answer = std::task::ready!(self.answer.poll_unpin(cx));
+        self.answered = true;
+        Poll::Ready(answer.unwrap_or(Answer::Failed))
+    }
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        self.handle.open.fetch_sub(1, Ordering::Relaxed);
+        if !self.answered {
+            self.handle.send(Input::Left { id: self.id });
+        }
+    }
+}
+
+struct Out {
+    node: NodeId,
+    sent: Micros,
+    begun: Arc<Begun>,
+    task: AbortHandle,
+}
+
+struct Open {
+    work: Box<dyn Work>,
+    answer: Option<oneshot::Sender<Answer>>,
+    answer_by: Micros,
+    /// Each attempt by its number; `None` once its outcome is told.
+    attempts: Vec<Option<Out>>,
+}
+
+impl Open {
+    fn over(&self) -> bool {
+        self.answer.is_none()
+    }
+}
+
+struct Node {
+    address: String,
+    ready: bool,
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Timer(u64),
+    Deadline(RequestId),
+}
+
+pub struct Core {
+    policy: Policy,
+    settings: Settings,
+    seed: u64,
+    clock: Clock,
+    handle: Handle,
+    inputs: mpsc::UnboundedReceiver<Input>,
+    subscribe: mpsc::UnboundedSender<()>,
+    requests: BTreeMap<RequestId, Open>,
+    nodes: BTreeMap<NodeId, Node>,
+    ids: NodeIds,
+    zones: Vec<String>,
+    known: Vec<NodeEntry>,
+    due: BinaryHeap<Reverse<(Micros, u64, Due)>>,
+    serial: u64,
+    /// Events that follow from the module's own actions; told after those are all carried out.
+    events: VecDeque<Event>,
+}
+
+impl Core {
+    /// Whoever holds the receiver watches discovery when told to.
+    pub fn new(
+        settings: Settings,
+        seed: u64,
+        max_open: usize,
+        clock: Clock,
+    ) -> (Core, mpsc::UnboundedReceiver<()>) {
+        let (queue, inputs) = mpsc::unbounded_channel();
+        let (subscribe, wanted) = mpsc::unbounded_channel();
+        let handle = Handle { queue, last: Arc::default(), open: Arc::default(), max_open };
+        let policy = Policy::new(settings.clone(), seed);
+        let core = Core {
+            policy,
+            settings,
+            seed,
+            clock,
+            handle,
+            inputs,
+            subscribe,
+            requests: BTreeMap::new(),
+            nodes: BTreeMap::new(),
+            ids: NodeIds::default(),
+            zones: Vec::new(),
+            known: Vec::new(),
+            due: BinaryHeap::new(),
+            serial: 0,
+            events: VecDeque::new(),
+        };
+        (core, wanted)
+    }
+
+    pub fn handle(&self) -> Handle {
+        self.handle.clone()
+    }
+
+    pub async fn run(mut self) {
+        loop {
+            let next = self.due.peek().map(|Reverse((at, ..))| self.clock.instant(*at));
+            let asleep = async {
+                match next {
+                    Some(at) => tokio::time::sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            // What has come in goes first: an answer beats the time-out of its attempt.
+            tokio::select! {
+                biased;
+                input = self.inputs.recv() => match input {
+                    Some(input) => self.take(input),
+                    None => return,
+                },
+                () = asleep => {}
+            }
+            while let Ok(input) = self.inputs.try_recv() {
+                self.take(input);
+            }
+            self.fire();
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Request { id, arrival, work, answer } => self.request(id, arrival, work, answer),
+            Input::Left { id } => {
+                if let Some(open) = self.requests.get_mut(&id)
+                    && open.answer.take().is_some()
+                {
+                    self.tell(Event::ClientLeft { request: id });
+                    self.drop_unsent(|request, _| request == id);
+                    self.forget(id);
+                }
+            }
+            Input::Report { id, attempt, report } => self.outcome(id, attempt, report),
+            Input::Nodes { news, nodes } => self.on_nodes(news, nodes),
+            Input::Finish => {
+                let open: Vec<RequestId> = self.requests.keys().copied().collect();
+                open.into_iter().for_each(|id| self.answer(id, Answer::Failed));
+            }
+        }
+    }
+
+    fn request(
+        &mut self,
+        id: RequestId,
+        arrival: Arrival,
+        work: Box<dyn Work>,
+        answer: oneshot::Sender<Answer>,
+    ) {
+        let now = self.clock.now();
+        let time_left = micros(arrival.answer_by.saturating_duration_since(Instant::now()));
+        let answer_by = now + time_left;
+        let open = Open { work, answer: Some(answer), answer_by, attempts: Vec::new() };
+        self.requests.insert(id, open);
+        self.wake(answer_by, Due::Deadline(id));
+        let Arrival { volume, key, class, plan, units, volume_hosts, repeat, shard, .. } = arrival;
+        self.tell(Event::Request(Request {
+            id,
+            volume,
+            key,
+            class,
+            plan,
+            units,
+            volume_hosts,
+            time_left,
+            repeat,
+            shard,
+        }));
+    }
+
+    fn outcome(&mut self, id: RequestId, attempt: u32, report: Report) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        // A report that crossed with the attempt's time-out or cancel is of no use any more.
+        let Some(out) = open.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
+        let took = self.clock.now().saturating_sub(out.sent);
+        debug!(request = id, attempt, node = out.node, took, end:? = report.end; "attempt ended");
+        if report.end == End::Answered
+            && let Some(answer) = open.answer.take()
+        {
+            let _ = answer.send(Answer::Served(report.body));
+        }
+        let over = open.over();
+        self.tell(Event::Outcome(Outcome {
+            request: id,
+            attempt,
+            node: out.node,
+            ending: report.end.ending(),
+            took,
+            over,
+            used: report.used,
+            load: report.load,
+        }));
+        if over {
+            self.drop_unsent(|request, _| request == id);
+        }
+        self.forget(id);
+    }
+
+    fn on_nodes(&mut self, news: News, listed: Vec<ListedNode>) {
+        let mut entries = Vec::with_capacity(listed.len());
+        for node in &listed {
+            let id = self.ids.of(&node.id);
+            let zone = self.zones.iter().position(|zone| *zone == node.zone).unwrap_or_else(|| {
+                self.zones.push(node.zone.clone());
+                self.zones.len() - 1
+            });
+            let state = match node.state {
+                ListedState::InService => NodeState::Ready,
+                ListedState::Terminating => NodeState::Draining,
+                ListedState::Terminated => NodeState::Gone,
+            };
+            let started = node.started_ms.saturating_mul(1000);
+            entries.push(NodeEntry { node: id, zone: zone as u16, shard: node.cell, state, started });
+        }
+        if matches!(news, News::Full | News::Cached) {
+            self.nodes.values_mut().for_each(|node| node.ready = false);
+            self.known.clear();
+        }
+        for (entry, node) in entries.iter().zip(&listed) {
+            let ready = entry.state == NodeState::Ready;
+            info!(node = node.id, number = entry.node, shard = entry.shard, state:? = entry.state; "node listed");
+            self.nodes.insert(entry.node, Node { address: node.addr.clone(), ready });
+            self.known.retain(|known| known.node != entry.node);
+            self.known.push(*entry);
+        }
+        self.tell(Event::Nodes { news, nodes: entries });
+        let left: Vec<NodeId> = self.nodes.iter().filter(|(_, n)| !n.ready).map(|(id, _)| *id).collect();
+        self.drop_unsent(|_, out| left.contains(&out.node));
+    }
+
+    /// Gives up attempts of which nothing was written yet, so that they never will be.
+    fn drop_unsent(&mut self, which: impl Fn(RequestId, &Out) -> bool) {
+        let mut dropped = Vec::new();
+        for (id, open) in &self.requests {
+            for (attempt, out) in open.attempts.iter().enumerate() {
+                if let Some(out) = out.as_ref().filter(|out| which(*id, out) && !out.begun.get()) {
+                    out.task.abort();
+                    dropped.push((*id, attempt as u32));
+                }
+            }
+        }
+        for (id, attempt) in dropped {
+            self.outcome(id, attempt, End::Unsent.into());
+        }
+    }
+
+    fn fire(&mut self) {
+        loop {
+            let now = self.clock.now();
+            match self.due.peek() {
+                Some(Reverse((at, ..))) if *at <= now => {}
+                _ => return,
+            }
+            match self.due.pop() {
+                Some(Reverse((_, _, Due::Timer(token)))) => self.tell(Event::Timer { token }),
+                Some(Reverse((_, _, Due::Deadline(id)))) => self.deadline(id),
+                None => return,
+            }
+        }
+    }
+
+    fn deadline(&mut self, id: RequestId) {
+        let Some(open) = self.requests.get(&id) else { return };
+        for attempt in 0..open.attempts.len() as u32 {
+            self.stop(id, attempt, End::TimedOut);
+        }
+        if self.requests.get(&id).is_some_and(|open| !open.over()) {
+            // The module answers on the time-out; should it ever not, the client is not left without.
+            warn!(request = id; "no answer by the deadline");
+            self.tell(Event::ClientLeft { request: id });
+            self.answer(id, Answer::Failed);
+        }
+    }
+
+    fn stop(&mut self, id: RequestId, attempt: u32, end: End) {
+        let out = self.requests.get(&id).and_then(|open| open.attempts.get(attempt as usize)?.as_ref());
+        if let Some(out) = out {
+            out.task.abort();
+            self.outcome(id, attempt, end.into());
+        }
+    }
+
+    fn answer(&mut self, id: RequestId, answer: Answer) {
+        if let Some(sender) = self.requests.get_mut(&id).and_then(|open| open.answer.take()) {
+            let _ = sender.send(answer);
+        }
+        self.drop_unsent(|request, _| request == id);
+        self.forget(id);
+    }
+
+    fn forget(&mut self, id: RequestId) {
+        if self.requests.get(&id).is_some_and(|open| open.over() && open.attempts.iter().all(Option::is_none))
+        {
+            self.requests.remove(&id);
+        }
+    }
+
+    /// Tells the module, carries out what it asks for, then tells it what followed from that.
+    fn tell(&mut self, event: Event) {
+        self.events.push_back(event);
+        if self.events.len() > 1 {
+            return; // the loop below, further up the stack, comes to it in turn
+        }
+        let mut actions = Vec::new();
+        while let Some(event) = self.events.front().cloned() {
+            let now = self.clock.now();
+            let done = catch_unwind(AssertUnwindSafe(|| self.policy.handle(now, event, &mut actions)));
+            if done.is_err() {
+                actions.clear();
+                self.restart_module();
+            }
+            for action in std::mem::take(&mut actions) {
+                self.act(now, action);
+            }
+            self.events.pop_front();
+        }
+    }
+
+    /// A module that panicked knows nothing for certain: all that it held fails, a new one starts from the list.
+    fn restart_module(&mut self) {
+        error!(open = self.requests.len(); "the module panicked; it starts anew");
+        self.policy = Policy::new(self.settings.clone(), self.seed);
+        self.events.truncate(1);
+        for (_, mut open) in std::mem::take(&mut self.requests) {
+            open.attempts.iter().flatten().for_each(|out| out.task.abort());
+            if let Some(answer) = open.answer.take() {
+                let _ = answer.send(Answer::Failed);
+            }
+        }
+        self.due.clear();
+        self.events.push_back(Event::Nodes { news: News::Cached, nodes: self.known.clone() });
+    }
+
+    fn act(&mut self, now: Micros, action: Action) {
+        match action {
+            Action::Send { request, node, time_out } => self.start(now, request, node, time_out),
+            Action::Refuse { request, retry_in } => {
+                self.answer(request, Answer::Refused(Duration::from_micros(retry_in)));
+            }
+            Action::Fail { request } => self.answer(request, Answer::Failed),
+            Action::Cancel { request, attempt } => self.stop(request, attempt, End::CalledOff),
+            Action::Timer { after, token } => self.wake(now + after, Due::Timer(token)),
+            Action::Subscribe => {
+                let _ = self.subscribe.send(());
+            }
+            Action::Log(text) => info!("{text}"),
+            // The settings forbid both here; the module asks for neither then.
+            Action::Probe { .. } | Action::Tell { .. } => debug!("no probes and no peers on this platform"),
+        }
+    }
+
+    fn start(&mut self, now: Micros, id: RequestId, node: NodeId, time_out: Micros) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let attempt = open.attempts.len() as u32;
+        let until = if time_out > 0 { open.answer_by.min(now + time_out) } else { open.answer_by };
+        let address = self.nodes.get(&node).map(|node| node.address.clone());
+        let able = !open.over() && until > now && attempt < self.settings.max_attempts;
+        let (true, Some(address)) = (able, address) else {
+            let load = Load::default();
+            let over = open.over();
+            let ending = End::NotStarted.ending();
+            let moot = Outcome { request: id, attempt, node, ending, took: 0, over, used: None, load };
+            open.attempts.push(None);
+            return self.tell(Event::Outcome(moot));
+        };
+        let begun = Arc::new(Begun::default());
+        let answer_by = self.clock.instant(until);
+        let work = open.work.attempt(Try { address, answer_by, begun: begun.clone() });
+        let handle = self.handle.clone();
+        let task = tokio::spawn(async move {
+            let timed = tokio::time::timeout_at(answer_by, AssertUnwindSafe(work).catch_unwind());
+            let report = match timed.await {
+                Ok(Ok(report)) => report,
+                Ok(Err(_)) => End::Broke.into(),
+                Err(_) => End::TimedOut.into(),
+            };
+            handle.send(Input::Report { id, attempt, report });
+        });
+        open.attempts.push(Some(Out { node, sent: now, begun, task: task.abort_handle() }));
+    }
+
+    fn wake(&mut self, at: Micros, due: Due) {
+        self.serial += 1;
+        self.due.push(Reverse((at, self.serial, due)));
+    }
+}
+
+/// Node ids are texts in discovery and numbers in the module: the same number at every head for the same text.
+#[derive(Debug, Default)]
+struct NodeIds {
+    texts: BTreeMap<NodeId, String>,
+}
+
+impl NodeIds {
+    /// Two texts of one hash: the later one takes the next free number.
+    fn of(&mut self, text: &str) -> NodeId {
+        let mut id = fnv(text.as_bytes()) as NodeId;
+        loop {
+            match self.texts.get(&id) {
+                None => break,
+                Some(known) if known == text => return id,
+                Some(_) => id = id.wrapping_add(1),
+            }
+        }
+        self.texts.insert(id, text.to_string());
+        id
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn node_ids_are_stable_and_survive_a_collision() {
+        let mut ids = NodeIds::default();
+        let first = ids.of("s-5be2a07c");
+        assert_eq!(first, NodeIds::default().of("s-5be2a07c"));
+        ids.texts.insert(fnv(b"s-2") as NodeId, "another".to_string());
+        let moved = ids.of("s-2");
+        assert_eq!(moved, (fnv(b"s-2") as NodeId).wrapping_add(1));
+        assert_eq!((ids.of("s-2"), ids.of("s-5be2a07c")), (moved, first));
+    }
+}
--- /dev/null
+++ b/src/ending.rs
@@ -0,0 +1,45 @@
+//! Every way in which a connection or an attempt can end, and what the module is told of it.
+
+use crate::interface::Ending;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// A whole good answer.
+    Answered,
+    /// The node said that it failed, or answered in a way that promises nothing.
+    ErrorAnswer,
+    /// The node said that the request never ran.
+    TurnedAway,
+    /// No connection came up: refused, unreachable, or not in time.
+    NoConnection,
+    /// The connection broke before the request's last byte was written to it.
+    BrokeUnsent,
+    /// The connection broke after that, or inside the answer.
+    Broke,
+    /// The answer is longer than any may be, or no answer of the protocol.
+    BadAnswer,
+    /// The head stopped waiting.
+    TimedOut,
+    /// The module called the attempt off.
+    CalledOff,
+    /// Given up before a byte of it was written: its node leaves or its request is over.
+    Unsent,
+    /// Never started: the request is over, has had its attempts, or the node is unknown.
+    NotStarted,
+}
+
+impl End {
+    /// The only place that says what an end means to the module.
+    pub fn ending(self) -> Ending {
+        match self {
+            End::Answered => Ending::Served,
+            End::ErrorAnswer | End::BadAnswer => Ending::Error,
+            End::TurnedAway => Ending::Full,
+            End::NoConnection | End::BrokeUnsent => Ending::ConnectFailed,
+            End::Broke => Ending::Reset,
+            End::TimedOut => Ending::TimedOut,
+            End::CalledOff => Ending::Cancelled,
+            End::Unsent | End::NotStarted => Ending::Moot,
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,13 @@
 #![doc = include_str!("../README.md")]
 
+pub mod clock;
+pub mod config;
+pub mod core;
+pub mod ending;
 pub mod interface;
+pub mod logging;
 mod message;
+pub mod net;
 pub mod policy;
 mod state;
 pub mod wire;
--- /dev/null
+++ b/src/net/front.rs
@@ -0,0 +1,289 @@
+//! The platform's front: clients' HTTP/1.1 requests become the core's, and its answers theirs.
+
+use crate::config::Names;
+use crate::core::{Answer, Arrival, Handle};
+use crate::net::back::{Back, Forward, ForwardWork, IDEMPOTENCY_KEY, MOST_BODY, REQUEST_ID, TIMEOUT};
+use axum::Router;
+use axum::body::{Body, to_bytes};
+use axum::extract::{Request, State};
+use axum::http::request::Parts;
+use axum::http::{HeaderMap, HeaderValue, Method, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use futures_util::FutureExt;
+use hyper::server::conn::http1;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use log::{debug, error, warn};
+use std::fmt;
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::time::{Duration, Instant};
+
+const CLASS: &str = "x-priority-class";
+const PLAN: &str = "x-storage-class";
+const EXTENT: &str = "x-extent";
+const RETRIED: &str = "x-retried";
+/// What a connection may hold of a request's head.
+const MOST_HEAD: usize = 32 * 1024;
+/// A client whose request head stays incomplete for so long is let go, as is one that has been idle.
+const HEAD_TIME: Duration = Duration::from_secs(60);
+/// When a client that found no room is asked to come again.
+const NO_ROOM: Duration = Duration::from_secs(1);
+
+/// How far the program's end has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    Serving,
+    /// Still accepting; each answer is its connection's last.
+    Leaving,
+    /// No new connections; idle ones are closed.
+    Closing,
+}
+
+#[derive(Clone)]
+pub struct Front {
+    pub handle: Handle,
+    pub back: Back,
+    pub names: Arc<Names>,
+    pub answer_margin: Duration,
+    pub phase: watch::Receiver<Phase>,
+}
+
+/// Accepts until the phase is `Closing`. `room` bounds the connections.
+pub async fn serve(listener: TcpListener, front: Front, room: Arc<Semaphore>) {
+    let mut phase = front.phase.clone();
+    let router = Router::new().route("/up", get(|| async { "up" })).fallback(take).with_state(front.clone());
+    loop {
+        let accepted = tokio::select! {
+            () = closing(&mut phase) => return,
+            accepted = accept(&listener, &room) => accepted,
+        };
+        let Some((stream, permit)) = accepted else { continue };
+        tokio::spawn(connection(stream, permit, router.clone(), front.phase.clone()));
+    }
+}
+
+/// One accepted connection and its place. With no descriptor left it waits a moment rather than spin.
+pub async fn accept(
+    listener: &TcpListener,
+    room: &Arc<Semaphore>,
+) -> Option<(TcpStream, OwnedSemaphorePermit)> {
+    let permit = room.clone().acquire_owned().await.ok()?;
+    match listener.accept().await {
+        Ok((stream, _)) => Some((stream, permit)),
+        Err(problem) => {
+            warn!("accept: {problem}");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            None
+        }
+    }
+}
+
+pub async fn closing(phase: &mut watch::Receiver<Phase>) {
+    // An error says that the sender is gone: the program ends.
+    let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
+}
+
+async fn connection(
+    stream: TcpStream,
+    _place: OwnedSemaphorePermit,
+    router: Router,
+    mut phase: watch::Receiver<Phase>,
+) {
+    if let Err(problem) = stream.set_nodelay(true) {
+        debug!("nodelay: {problem}");
+    }
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIME).max_buf_size(MOST_HEAD);
+    let served = builder.serve_connection(TokioIo::new(stream), TowerToHyperService::new(router));
+    tokio::pin!(served);
+    let ended = tokio::select! {
+        ended = served.as_mut() => ended,
+        () = closing(&mut phase) => {
+            served.as_mut().graceful_shutdown();
+            served.await
+        }
+    };
+    if let Err(problem) = ended {
+        debug!("a client's connection ended: {problem}");
+    }
+}
+
+/// Whatever happens inside, a request gets one answer; a panic is one of the things that may.
+async fn take(State(front): State<Front>, request: Request) -> Response {
+    let received = Instant::now();
+    let leaving = front.phase.clone();
+    let answered = AssertUnwindSafe(answer(&front, request, received)).catch_unwind().await;
+    let mut response = answered.unwrap_or_else(|_| {
+        error!("a request's handler panicked");
+        StatusCode::INTERNAL_SERVER_ERROR.into_response()
+    });
+    if *leaving.borrow() != Phase::Serving {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn answer(front: &Front, request: Request, received: Instant) -> Response {
+    let (head, body) = request.into_parts();
+    let arrival = match read(&head, &front.names, received, front.answer_margin) {
+        Ok(arrival) => arrival,
+        Err(malformed) => return (StatusCode::BAD_REQUEST, malformed.to_string()).into_response(),
+    };
+    let Ok(body) = to_bytes(body, MOST_BODY).await else {
+        return StatusCode::PAYLOAD_TOO_LARGE.into_response();
+    };
+    let Some(id) = head.headers.get(REQUEST_ID).cloned() else {
+        return (StatusCode::BAD_REQUEST, Malformed(REQUEST_ID).to_string()).into_response();
+    };
+    let forward = Arc::new(Forward {
+        method: head.method,
+        path_and_query: head.uri.path_and_query().map_or("/", |p| p.as_str()).to_string(),
+        id,
+        key: head.headers.get(IDEMPOTENCY_KEY).cloned(),
+        body,
+    });
+    let work = Box::new(ForwardWork { back: front.back.clone(), forward });
+    match front.handle.submit(arrival, work) {
+        None => refused(NO_ROOM),
+        Some(pending) => match pending.await {
+            Answer::Served(body) => Response::new(Body::from(body)),
+            Answer::Refused(after) => refused(after),
+            Answer::Failed => StatusCode::BAD_GATEWAY.into_response(),
+        },
+    }
+}
+
+fn refused(after: Duration) -> Response {
+    let mut response = StatusCode::SERVICE_UNAVAILABLE.into_response();
+    if let Ok(seconds) = HeaderValue::try_from(format!("{:.3}", after.as_secs_f64())) {
+        response.headers_mut().insert(header::RETRY_AFTER, seconds);
+    }
+    response
+}
+
+/// The part of a request that is not as the protocol has it.
+#[derive(Debug, PartialEq)]
+struct Malformed(&'static str);
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} is missing or malformed", self.0)
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<&'a str, Malformed> {
+    headers.get(name).and_then(|value| value.to_str().ok()).ok_or(Malformed(name))
+}
+
+fn hex(part: Option<&str>) -> Option<u64> {
+    let digits = part.filter(|p| p.len() == 16 && p.bytes().all(|b| b.is_ascii_hexdigit()))?;
+    u64::from_str_radix(digits, 16).ok()
+}
+
+fn read(head: &Parts, names: &Names, received: Instant, margin: Duration) -> Result<Arrival, Malformed> {
+    if head.method != Method::GET && head.method != Method::PUT {
+        return Err(Malformed("method"));
+    }
+    let mut parts = head.uri.path().rsplit('/');
+    let (key, volume) = (hex(parts.next()), hex(parts.next()));
+    let (Some(key), Some(volume)) = (key, volume) else { return Err(Malformed("path")) };
+    let place = |list: &[String], header| {
+        let name = text(&head.headers, header)?;
+        list.iter().position(|known| known == name).ok_or(Malformed(header))
+    };
+    let (class, plan) = (place(&names.classes, CLASS)?, place(&names.plans, PLAN)?);
+    if text(&head.headers, REQUEST_ID)?.is_empty() {
+        return Err(Malformed(REQUEST_ID));
+    }
+    let wait: u64 = text(&head.headers, TIMEOUT)?.parse().map_err(|_| Malformed(TIMEOUT))?;
+    let (units, shard, volume_hosts) = extent(text(&head.headers, EXTENT)?).ok_or(Malformed(EXTENT))?;
+    // An hour is more than any client waits, and no sum overflows.
+    let wait = Duration::from_millis(wait).min(Duration::from_secs(3600));
+    Ok(Arrival {
+        volume,
+        key,
+        class,
+        plan,
+        units,
+        volume_hosts,
+        repeat: head.headers.get(RETRIED).is_some_and(|value| value == "1"),
+        shard,
+        answer_by: received + wait.saturating_sub(margin),
+    })
+}
+
+/// `units=2,shard=5,hosts=3`, in any order; shard -1 is a new object.
+fn extent(text: &str) -> Option<(f64, Option<u16>, f64)> {
+    let (mut units, mut shard, mut hosts) = (None, None, None);
+    for field in text.split(',') {
+        let (name, value) = field.trim().split_once('=')?;
+        let value: f64 = value.parse().ok().filter(|v: &f64| v.is_finite())?;
+        match name {
+            "units" if value >= 0.0 => units = Some(value),
+            "hosts" if value >= 1.0 => hosts = Some(value),
+            "shard" if value == -1.0 => shard = Some(None),
+            "shard" if value.fract() == 0.0 && (0.0..=65535.0).contains(&value) => {
+                shard = Some(Some(value as u16))
+            }
+            "units" | "hosts" | "shard" => return None,
+            _ => {}
+        }
+    }
+    Some((units?, shard?, hosts?))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: [(&str, &str); 5] = [
+        ("x-request-id", "9b1f03aa5c7e2d41"),
+        (CLASS, "checkout"),
+        (PLAN, "gold"),
+        ("x-timeout-ms", "480"),
+        (EXTENT, "units=2,shard=5,hosts=3"),
+    ];
+
+    fn parse(path: &str, change: Option<(&str, &str)>) -> Result<Arrival, Malformed> {
+        let mut request = axum::http::Request::builder().method("PUT").uri(path);
+        for (name, value) in GOOD {
+            let value = change.filter(|(changed, _)| *changed == name).map_or(value, |(_, to)| to);
+            request = request.header(name, value);
+        }
+        let names = Names { classes: vec!["checkout".into()], plans: vec!["free".into(), "gold".into()] };
+        let (head, ()) = request.body(()).unwrap().into_parts();
+        read(&head, &names, Instant::now(), Duration::from_millis(5))
+    }
+
+    #[test]
+    fn a_request_as_the_protocol_has_it_is_read_whole() {
+        let got = parse("/api/00000003b4d60021/7f3a9c21e0b4d655", None).unwrap();
+        assert_eq!((got.volume, got.key), (0x3_b4d6_0021, 0x7f3a_9c21_e0b4_d655));
+        assert_eq!((got.class, got.plan, got.units, got.shard, got.volume_hosts), (0, 1, 2.0, Some(5), 3.0));
+        assert!(got.answer_by <= Instant::now() + Duration::from_millis(475));
+    }
+
+    #[test]
+    fn what_is_malformed_is_named() {
+        let path = "/api/00000003b4d60021/7f3a9c21e0b4d655";
+        for (path, change, fault) in [
+            ("/api/3/7f3a9c21e0b4d655", None, "path"),
+            ("/api/00000003b4d60021/7f3a9c21e0b4d6zz", None, "path"),
+            (path, Some((CLASS, "none")), CLASS),
+            (path, Some((PLAN, "")), PLAN),
+            (path, Some(("x-timeout-ms", "-4")), "x-timeout-ms"),
+            (path, Some(("x-request-id", "")), "x-request-id"),
+            (path, Some((EXTENT, "units=2,hosts=3")), EXTENT),
+            (path, Some((EXTENT, "units=2,shard=-2,hosts=3")), EXTENT),
+            (path, Some((EXTENT, "units=inf,shard=1,hosts=3")), EXTENT),
+        ] {
+            assert_eq!(parse(path, change), Err(Malformed(fault)), "{path} {change:?}");
+        }
+        assert_eq!(extent("hosts=1,units=0.5,shard=-1,later=x9").map(|e| e.1), None);
+        assert_eq!(extent("hosts=1,units=0.5,shard=-1"), Some((0.5, None, 1.0)));
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,5 @@
+//! All that knows sockets: the two fronts, what is behind them, and discovery.
+
+pub mod back;
+pub mod discovery;
+pub mod front;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,5 +1,6 @@
 //! The bench's binary wire: frames, records and the settings text. Codes and names here, decisions nowhere.
 
+use crate::config::settings::{SettingsError, settings};
 use crate::interface::*;
 use std::collections::BTreeMap;
 use std::fmt;
@@ -27,17 +28,6 @@
     Event { instance: u16, event: Event },
 }
 
-#[derive(Debug, PartialEq, Eq)]
-pub struct SettingsError(pub String);
-
-impl fmt::Display for SettingsError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "settings: {}", self.0)
-    }
-}
-
-impl std::error::Error for SettingsError {}
-
 /// Bytes of a frame's length field, and of a batch's header.
 pub const LENGTH_BYTES: usize = 4;
 const HEADER_BYTES: usize = 12;
@@ -336,127 +326,3 @@
 fn micros(time: Micros) -> [u8; 4] {
     u32::try_from(time).unwrap_or(u32::MAX).to_be_bytes()
 }
-
-/// The settings text: `path=value`, one a line.
-struct Pairs<'a>(BTreeMap<&'a str, &'a str>);
-
-impl Pairs<'_> {
-    fn parse<T: std::str::FromStr>(&self, key: &str) -> Result<Option<T>, SettingsError> {
-        match self.0.get(key) {
-            None => Ok(None),
-            Some(text) => match text.parse() {
-                Ok(value) => Ok(Some(value)),
-                Err(_) => Err(SettingsError(format!("{key} is unreadable: {text:?}"))),
-            },
-        }
-    }
-
-    fn need<T: std::str::FromStr>(&self, key: &str) -> Result<T, SettingsError> {
-        self.parse(key)?.ok_or_else(|| SettingsError(format!("{key} is missing")))
-    }
-
-    fn number(&self, key: &str) -> Result<f64, SettingsError> {
-        let value: f64 = self.parse(key)?.unwrap_or(0.0);
-        if value.is_finite() { Ok(value) } else { Err(SettingsError(format!("{key} is not finite"))) }
-    }
-
-    fn time(&self, key: &str) -> Result<Micros, SettingsError> {
-        Ok(self.number(key)?.max(0.0) as Micros)
-    }
-
-    fn flag(&self, key: &str) -> Result<bool, SettingsError> {
-        Ok(self.parse(key)?.unwrap_or(false))
-    }
-
-    fn word<T: Copy>(&self, key: &str, words: &[(&str, T)]) -> Result<T, SettingsError> {
-        let text: String = self.need(key)?;
-        let found = words.iter().find(|(word, _)| *word == text).map(|(_, value)| *value);
-        found.ok_or_else(|| SettingsError(format!("{key} is unreadable: {text:?}")))
-    }
-}
-
-/// Reads the settings that came with an instance's start; unknown keys are skipped.
-pub fn settings(text: &str) -> Result<Settings, SettingsError> {
-    let pairs = Pairs(text.lines().filter_map(|line| line.split_once('=')).collect());
-    let mut classes = Vec::new();
-    for i in 0..pairs.need::<usize>("profiles.count")? {
-        let key = |name: &str| format!("profiles.{i}.{name}");
-        let repeats = [
-            ("idempotent", Repeats::Safe),
-            ("deduplicated", Repeats::Keyed),
-            ("at_most_once", Repeats::Unsafe),
-        ];
-        let repeats = pairs.word(&key("idempotency"), &repeats)?;
-        let scopes = [("all", Scope::All), ("zone", Scope::Zone), ("cell", Scope::Shard)];
-        let scope = match repeats {
-            Repeats::Keyed => pairs.word(&key("dedup_scope"), &scopes)?,
-            _ => Scope::All,
-        };
-        classes.push(Class {
-            aim: pairs.need::<f64>(&key("target"))? as Micros,
-            deadline: pairs.need::<f64>(&key("hard_limit"))? as Micros,
-            worth: pairs.need(&key("worth"))?,
-            late_worth: pairs.number(&key("late_value"))?,
-            repeats,
-            window: pairs.time(&key("window"))?,
-            scope,
-            streamed: pairs.flag(&key("streamed"))?,
-            in_order: pairs.flag(&key("fifo_by_key"))?,
-        });
-    }
-    let mut plans = Vec::new();
-    for i in 0..pairs.parse::<usize>("plans.count")?.unwrap_or(0) {
-        let number = |name: &str| pairs.number(&format!("plans.{i}.{name}"));
-        plans.push(Plan {
-            rate: number("nominal")?,
-            reserve: number("floor_rate")?,
-            weight: number("proportion")?,
-            price: number("worth_factor")?,
-            limit: number("limit")?,
-            limit_burst: number("burst")?,
-        });
-    }
-    let budget = match pairs.parse::<f64>("contract.counted_over")? {
-        Some(window) => Some(AttemptBudget {
-            floor: pairs.number("contract.extra_floor")?,
-            ratio: pairs.number("contract.repeat_ratio")?,
-            window: window as Micros,
-        }),
-        None => None,
-    };
-    Ok(Settings {
-        hosts: pairs.need("balancers")?,
-        position: pairs.need("position")?,
-        classes,
-        plans,
-        must_subscribe: pairs.word("membership_mode", &[("automatic", false), ("subscribe", true)])?,
-        tick: pairs.time("tick")?,
-        answer_slack: pairs.time("contract.answer_slack")?,
-        max_attempts: pairs.need::<f64>("policy_limits.send_cap")? as u32,
-        second_copies: pairs.flag("policy_limits.second_copies")?,
-        cancel: pairs.flag("policy_limits.cancel")?,
-        peers: pairs.flag("policy_limits.peers")?,
-        probing: pairs.flag("policy_limits.probing")?,
-        max_retry_after: match pairs.flag("policy_limits.retry_after")? {
-            true => Some(pairs.time("policy_limits.max_retry_after")?),
-            false => None,
-        },
-        cold_from: pairs.number("contract.cold_from")?,
-        cold: pairs.time("contract.cold")?,
-        fall: pairs.time("contract.fall")?,
-        fall_multiple: pairs.number("contract.fall_multiple")?,
-        cold_units: pairs.number("domain.young_limit")?,
-        order_settle: pairs.time("contract.order_settle")?,
-        budget,
-        most_units: pairs.number("domain.max_units")?,
-        mean_units: pairs.number("domain.usual_units")?,
-        share_worth: pairs.number("domain.share_worth")?,
-        spare_worth: pairs.number("domain.idle_worth")?,
-        use_period: pairs.time("domain.use_period")?,
-        reports: match pairs.0.get("report.how") {
-            Some(&"piggyback") => Reports::Answers,
-            Some(&"pull") => Reports::Probes,
-            _ => Reports::None,
-        },
-    })
-}
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,7 +1,8 @@
 //! The wire page's worked frames, and what malformed input gets.
 
+use pathbank::config::settings::settings;
 use pathbank::interface::*;
-use pathbank::wire::{Decoder, Record, Reply, settings};
+use pathbank::wire::{Decoder, Record, Reply};
 use pathbank::{Action, Event};
 
 fn bytes(hex: &str) -> Vec<u8> {
