Give up early what finds no turn, and read every connection that the kernel took

Checked: descriptors stood at 608, the bound on clients (550) plus those to nodes; the lost requests never reached the log of any head, so they lay in connections that the kernel had accepted and no task read. Ruled out: the margin of the answers (0.3 to 0.6 ms from a node's answer to the client) and the memory (14 MB). At fault: CLIENT_PART in src/config/mod.rs, and Policy::on_deadline, which kept a request without a turn until its client's last moment, so that hundreds of connections stood open and its refusal came too late to be of use.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -15,7 +15,10 @@
 /// Idle connections to nodes go after this part of the time after which a node may close them.
 const IDLE_PART: f64 = 0.4;
 /// The part of the descriptors that clients may hold; the rest is for nodes, discovery and the log.
-const CLIENT_PART: f64 = 0.55;
+const CLIENT_PART: f64 = 0.85;
+/// The part of the descriptors that may hold open requests. Beyond it a request is turned away at once: were the
+/// clients' places all taken, the kernel would go on taking requests that nobody reads.
+const OPEN_PART: f64 = 0.6;
 const SECOND_FRONT: &str = "deploy/sftp.toml";
 
 #[derive(Debug)]
@@ -158,6 +161,7 @@
                 micros => Duration::from_micros(micros),
             })
         };
+        let part = |part: f64| ((file.limits.sockets as f64 * part) as usize).max(1);
         let names = Names { classes: pairs.names("profiles"), plans: pairs.names("plans") };
         let log_level = match env("PATHBANK_LOG") {
             None => log::LevelFilter::Info,
@@ -172,7 +176,7 @@
             listen: address(file.listen, "GW_LISTEN")?,
             discovery: address(file.discovery, "GW_DISCOVERY")?,
             seed: seed(&file.seed),
-            clients: ((file.limits.sockets as f64 * CLIENT_PART) as usize).max(1),
+            clients: part(CLIENT_PART),
             known: file.known,
             names,
             connect_timeout: time("policy_limits.connect_timeout", 250_000)?,
@@ -180,7 +184,8 @@
             max_open: match pairs.number("policy_limits.max_open")? as usize {
                 0 => 20_000,
                 most => most,
-            },
+            }
+            .min(part(OPEN_PART)),
             answer_margin: ANSWER_MARGIN,
             log_level,
             syslog,
@@ -235,7 +240,8 @@
     #[test]
     fn a_whole_configuration_is_read_and_what_is_unknown_ignored() {
         let config = Config::read(GOOD, |_| None).unwrap();
-        assert_eq!((config.seed, config.clients), (0x8c1f_30d2_7a5b_e964, 550));
+        assert_eq!((config.seed, config.clients), (0x8c1f_30d2_7a5b_e964, 850));
+        assert_eq!(config.max_open, 600);
         assert_eq!(config.idle, Duration::from_secs(12));
         assert_eq!(config.names.classes, ["r"]);
         assert_eq!((config.settings.max_attempts, config.settings.plans[0].rate), (3, 2.7));
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -122,11 +122,16 @@
         StatusCode::INTERNAL_SERVER_ERROR.into_response()
     });
     if *leaving.borrow() != Phase::Serving {
-        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        response = last_on_its_connection(response);
     }
     response
 }
 
+fn last_on_its_connection(mut response: Response) -> Response {
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
 async fn answer(front: &Front, request: Request, received: Instant) -> Response {
     let (head, body) = request.into_parts();
     let arrival = match read(&head, &front.names, received, front.answer_margin) {
@@ -148,7 +153,8 @@
     });
     let work = Box::new(ForwardWork { back: front.back.clone(), forward });
     match front.handle.submit(arrival, work) {
-        None => refused(NO_ROOM),
+        // The connection goes with it, so that its place is free for the next one.
+        None => last_on_its_connection(refused(NO_ROOM)),
         Some(pending) => match pending.await {
             Answer::Served(body) => Response::new(Body::from(body)),
             Answer::Refused(after) => refused(after),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -70,6 +70,10 @@
 const LEND: f64 = 0.5;
 const ASK_ALL: Micros = 5_000_000;
 
+/// A request that no node got is given up after this part of its client's time, about when its aim is past and
+/// while asking again still helps.
+const GIVE_UP: f64 = 0.15;
+
 const RECHECK_TOKEN: u64 = u64::MAX;
 const SUBSCRIBE_TOKEN: u64 = u64::MAX - 1;
 
@@ -266,6 +270,7 @@
             serial: self.serial,
             aim_at,
             answer_by: now + request.time_left.saturating_sub(margin),
+            give_up_at: now + (GIVE_UP * request.time_left as f64) as Micros,
             reserved,
             drawn: false,
             streaming: false,
@@ -280,6 +285,7 @@
             forget(&mut self.taken, now, budget.window);
         }
         actions.push(Action::Timer { after: request.time_left.saturating_sub(margin), token: request.id });
+        actions.push(Action::Timer { after: held.give_up_at - now, token: request.id });
         if !reserved || request.shard.is_none() {
             self.ask(now, request.shard, actions);
         }
@@ -433,13 +439,12 @@
         }
     }
 
-    /// The client's time is all but up: what has nothing out gets its final answer, the rest its time-out.
+    /// What never got a turn in the first part of its client's time is given up: late, it would earn little. When
+    /// all that time is all but up, what has nothing out gets its final answer, the rest its time-out.
     fn on_deadline(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
-        if let Some(held) = self.requests.get(&id)
-            && now >= held.answer_by
-            && !held.over
-            && !held.out()
-        {
+        let Some(held) = self.requests.get(&id).filter(|held| !held.over && !held.out()) else { return };
+        let unsent = held.attempts.iter().all(|a| a.fate == Fate::NeverRan);
+        if now >= held.answer_by || unsent && now >= held.give_up_at {
             self.finish(now, id, actions);
         }
     }
@@ -451,13 +456,19 @@
             || class.repeats == Repeats::Safe
             || class.repeats == Repeats::Keyed && class.scope == Scope::All;
         actions.push(if harmless {
-            Action::Refuse { request: id, retry_in: 0 }
+            Action::Refuse { request: id, retry_in: self.retry_in() }
         } else {
             Action::Fail { request: id }
         });
         self.end(now, id);
     }
 
+    /// When a client that was turned away may come again: as late as clients honour, for what was given up found
+    /// no turn in many answer times.
+    fn retry_in(&self) -> Micros {
+        self.settings.max_retry_after.unwrap_or(0)
+    }
+
     /// The request is over; it is forgotten once nothing of it is out.
     fn end(&mut self, now: Micros, id: RequestId) {
         self.dequeue(now, id);
--- a/src/state.rs
+++ b/src/state.rs
@@ -74,6 +74,8 @@
     pub serial: u64,
     pub aim_at: Micros,
     pub answer_by: Micros,
+    /// Without any attempt that may have run by then, it is given up.
+    pub give_up_at: Micros,
     pub reserved: bool,
     pub drawn: bool,
     pub streaming: bool,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -29,6 +29,21 @@
     assert_eq!(host.actions.iter().filter(|a| matches!(a, Action::Refuse { .. })).count(), 1);
 }
 
+#[test]
+fn what_found_no_turn_is_given_up_early_and_told_when_to_come_back() {
+    let with_hint = Settings { max_retry_after: Some(S), ..settings(vec![class(Repeats::Unsafe)]) };
+    let mut host = Host::new(with_hint, vec![node(10, 1)]);
+    host.arrive(1, |r| r.shard = Some(2));
+    host.arrive(2, |_| {});
+    host.now += 700 * MS;
+    for id in [1, 2] {
+        host.event(Event::Timer { token: id });
+    }
+    assert!(host.actions.contains(&Action::Refuse { request: 1, retry_in: S }));
+    assert_eq!(host.sent(2), 1);
+    assert!(!host.refused(2) && !host.failed(2), "a node has it");
+}
+
 #[test]
 fn what_is_out_at_the_deadline_fails_on_its_time_out() {
     let mut host = Host::new(settings(vec![class(Repeats::Unsafe)]), vec![node(10, 1)]);
