Add the second front: SFTP version 3 file commands on the same core

Clients in front, store nodes behind, both without SSH. A handle is the head's own and a node holds nothing between attempts, so an open file outlives its node's drain. deploy/sftp.toml says where it listens and what paths mean; it is off there. What makes, empties or adds to a file goes by a class of its own that is never repeated.

--- a/src/bin/pathbank.rs
+++ b/src/bin/pathbank.rs
@@ -3,11 +3,13 @@
 use log::{error, info};
 use pathbank::clock::Clock;
 use pathbank::config::Config;
+use pathbank::config::sftp::SecondFront;
 use pathbank::core::{Core, Handle, Input};
 use pathbank::logging;
 use pathbank::net::back::Back;
 use pathbank::net::discovery::Discovery;
 use pathbank::net::front::{self, Front, Phase};
+use pathbank::net::sftp;
 use std::error::Error;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -23,6 +25,9 @@
 const LAST_ANSWERS: Duration = Duration::from_millis(350);
 const LAST_BYTES: Duration = Duration::from_millis(150);
 
+/// The places for a front's connections, and how many there are.
+type Room = (Arc<Semaphore>, usize);
+
 fn main() -> ExitCode {
     let done = Config::from_environment().map_err(Into::into).and_then(run);
     match done {
@@ -38,7 +43,8 @@
     tokio::runtime::Builder::new_current_thread().enable_all().build()?.block_on(head(config))
 }
 
-async fn head(config: Config) -> Result<(), Box<dyn Error>> {
+async fn head(mut config: Config) -> Result<(), Box<dyn Error>> {
+    let second = SecondFront::from_environment(&mut config.settings, &config.names)?;
     logging::start(&config.name, config.log_level, config.syslog)?;
     let mut terminate = signal(SignalKind::terminate())?;
     let (core, wanted) = Core::new(config.settings.clone(), config.seed, config.max_open, Clock::start());
@@ -58,12 +64,27 @@
         back: back.clone(),
         names: Arc::new(config.names.clone()),
         answer_margin: config.answer_margin,
-        phase: watched,
+        phase: watched.clone(),
     };
     let room = Arc::new(Semaphore::new(config.clients));
     let listener = TcpListener::bind(config.listen).await?;
-    info!(name = config.name, listen:% = config.listen; "up");
+    info!(name = config.name, listen:% = listener.local_addr()?; "up");
     tokio::spawn(front::serve(listener, front, room.clone()));
+    let mut rooms = vec![(room.clone(), config.clients)];
+    if let Some(second) = second {
+        let listener = TcpListener::bind(second.listen).await?;
+        info!(listen:% = listener.local_addr()?; "file commands are up");
+        let front = sftp::front::Front {
+            handle: handle.clone(),
+            stores: sftp::back::Stores::new(&config, second.node_port),
+            answer_margin: config.answer_margin,
+            phase: watched,
+            config: Arc::new(second),
+        };
+        let places = Arc::new(Semaphore::new(front.config.clients));
+        rooms.push((places.clone(), front.config.clients));
+        tokio::spawn(sftp::front::serve(listener, front, places));
+    }
     tokio::select! {
         _ = terminate.recv() => {}
         ended = core => {
@@ -71,14 +92,14 @@
             return Err("the core ended".into());
         }
     }
-    leave(&config, &phase, &handle, &room).await;
+    leave(&config, &phase, &handle, &rooms).await;
     let (opened, attempts) = back.counts();
     info!(opened, attempts; "left");
     Ok(())
 }
 
 /// Accepts for a while longer, finishes what is held, and closes connections between requests.
-async fn leave(config: &Config, phase: &watch::Sender<Phase>, handle: &Handle, room: &Arc<Semaphore>) {
+async fn leave(config: &Config, phase: &watch::Sender<Phase>, handle: &Handle, rooms: &[Room]) {
     let told = Instant::now();
     info!(open = handle.open(); "leaving");
     phase.send_replace(Phase::Leaving);
@@ -86,8 +107,14 @@
     phase.send_replace(Phase::Closing);
     // Each connection holds a place: with all places free, all answers are out.
     let last = told + config.longest_deadline().min(LONGEST) + LAST_ANSWERS;
-    let all = u32::try_from(config.clients).unwrap_or(u32::MAX);
-    if timeout_at(last, room.acquire_many(all)).await.is_err() {
+    let answered = async {
+        for (room, places) in rooms {
+            let all = u32::try_from(*places).unwrap_or(u32::MAX);
+            // An error would say that the room is closed, which it never is.
+            let _ = room.acquire_many(all).await;
+        }
+    };
+    if timeout_at(last, answered).await.is_err() {
         handle.send(Input::Finish);
         sleep_until(last + LAST_BYTES).await;
     }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,13 +1,13 @@
 //! The only place that reads the environment, JSON and TOML: checks, defaults, and errors that name the key.
 
 pub mod settings;
+pub mod sftp;
 
 use crate::interface::{Micros, Settings};
 use serde::Deserialize;
 use settings::{Pairs, SettingsError};
 use std::fmt;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 /// Time kept back from each request's own: for its way in, which nobody times for us, and its answer's way out.
@@ -19,7 +19,6 @@
 /// The part of the descriptors that may hold open requests. Beyond it a request is turned away at once: were the
 /// clients' places all taken, the kernel would go on taking requests that nobody reads.
 const OPEN_PART: f64 = 0.6;
-const SECOND_FRONT: &str = "deploy/sftp.toml";
 
 #[derive(Debug)]
 pub enum ConfigError {
@@ -219,11 +218,6 @@
         .map_err(|error| unreadable(format!("key {} of the configuration", error.path()), error.inner()))
 }
 
-/// Where the second front's file is.
-pub fn second_front_path() -> PathBuf {
-    std::env::var_os("PATHBANK_SFTP").map_or_else(|| Path::new(SECOND_FRONT).to_path_buf(), PathBuf::from)
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/src/config/sftp.rs
@@ -0,0 +1,245 @@
+//! The second front's file: whether it is on, where it listens, and what paths mean.
+
+use super::{ConfigError, Names, fnv, unreadable};
+use crate::interface::{Class, Repeats, Settings, VolumeId};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const PATH: &str = "deploy/sftp.toml";
+const CLIENTS: usize = 32;
+/// Descriptors are shared with the first front; more clients than this would eat into its part.
+const MOST_CLIENTS: usize = 64;
+
+#[derive(Debug, PartialEq)]
+pub struct SecondFront {
+    pub listen: SocketAddr,
+    pub node_port: Option<u16>,
+    pub clients: usize,
+    pub rules: Vec<PathRule>,
+}
+
+/// What the files under a prefix are to the module.
+#[derive(Debug, PartialEq)]
+pub struct PathRule {
+    pub prefix: String,
+    pub plan: usize,
+    /// The shards that hold the files; a file's own is picked by its path.
+    pub shards: Vec<u16>,
+    pub unit_bytes: u64,
+    pub hosts: f64,
+    pub most_units: f64,
+    pub read: Use,
+    pub write: Use,
+    /// For what must not be done twice: making or emptying a file, adding to its end.
+    pub once: Use,
+}
+
+/// A class, and how long its clients wait.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Use {
+    pub class: usize,
+    pub wait: Duration,
+}
+
+/// Where a path leads.
+#[derive(Debug, PartialEq)]
+pub struct Place<'a> {
+    pub rule: &'a PathRule,
+    pub volume: VolumeId,
+    pub key: u64,
+    pub shard: u16,
+}
+
+#[derive(Debug, PartialEq, Eq)]
+pub enum NoPlace {
+    /// Relative, or with parts that climb or say nothing.
+    Unsound,
+    Unmapped,
+}
+
+#[derive(Deserialize)]
+struct File {
+    #[serde(default)]
+    enabled: bool,
+    listen: Option<SocketAddr>,
+    node_port: Option<u16>,
+    #[serde(default)]
+    clients: usize,
+    #[serde(default)]
+    paths: Vec<Rule>,
+}
+
+#[derive(Deserialize)]
+struct Rule {
+    prefix: String,
+    plan: String,
+    shards: Vec<u16>,
+    read_class: String,
+    write_class: String,
+    #[serde(default)]
+    unit_bytes: u64,
+    #[serde(default)]
+    hosts: f64,
+}
+
+impl SecondFront {
+    /// The file that `PATHBANK_SFTP` names, which must be there, or the one under `deploy/`. `None`: off.
+    pub fn from_environment(
+        settings: &mut Settings,
+        names: &Names,
+    ) -> Result<Option<SecondFront>, ConfigError> {
+        let named = std::env::var("PATHBANK_SFTP").ok();
+        let path = named.as_deref().unwrap_or(PATH);
+        match std::fs::read_to_string(path) {
+            Ok(text) => SecondFront::read(&text, settings, names),
+            Err(error) if named.is_none() && error.kind() == std::io::ErrorKind::NotFound => Ok(None),
+            Err(error) => Err(unreadable(path, error)),
+        }
+    }
+
+    /// Adds to the settings one class for each rule: its writes' class, but never to be repeated.
+    pub fn read(
+        text: &str,
+        settings: &mut Settings,
+        names: &Names,
+    ) -> Result<Option<SecondFront>, ConfigError> {
+        let reader = toml::Deserializer::parse(text).map_err(|e| unreadable("the second front's file", e))?;
+        let file: File = serde_path_to_error::deserialize(reader).map_err(|error| {
+            unreadable(format!("key {} of the second front's file", error.path()), error.inner().message())
+        })?;
+        if !file.enabled {
+            return Ok(None);
+        }
+        let mut rules = Vec::new();
+        for (i, rule) in file.paths.into_iter().enumerate() {
+            rules.push(rule.check(i, settings, names)?);
+        }
+        if rules.is_empty() {
+            return Err(ConfigError::Missing("paths of the second front's file"));
+        }
+        // The longest prefix decides.
+        rules.sort_by_key(|rule| std::cmp::Reverse(rule.prefix.len()));
+        Ok(Some(SecondFront {
+            listen: file.listen.ok_or(ConfigError::Missing("listen of the second front's file"))?,
+            node_port: file.node_port,
+            clients: if file.clients == 0 { CLIENTS } else { file.clients.min(MOST_CLIENTS) },
+            rules,
+        }))
+    }
+
+    pub fn place(&self, path: &str) -> Result<Place<'_>, NoPlace> {
+        let climbs_or_empty = |part: &str| matches!(part, "" | "." | "..");
+        let below = path.strip_prefix('/');
+        let sound =
+            below.is_some_and(|below| !below.split('/').any(climbs_or_empty) && !below.contains('\0'));
+        if !sound {
+            return Err(NoPlace::Unsound);
+        }
+        let rule = self.rules.iter().find(|rule| path.starts_with(&rule.prefix)).ok_or(NoPlace::Unmapped)?;
+        let rest = &path[rule.prefix.len()..];
+        // The first part below the prefix is the customer: all of its files are one volume.
+        let owner = rest.split('/').next().unwrap_or("");
+        let key = fnv(path.as_bytes());
+        let shard = rule.shards[(key % rule.shards.len() as u64) as usize];
+        Ok(Place { rule, volume: fnv(format!("{}{owner}", rule.prefix).as_bytes()), key, shard })
+    }
+}
+
+impl Rule {
+    fn check(self, i: usize, settings: &mut Settings, names: &Names) -> Result<PathRule, ConfigError> {
+        let key = |name: &str| format!("key paths[{i}].{name} of the second front's file");
+        let place = |list: &[String], name: &str, value: &str| {
+            let found = list.iter().position(|known| known == value);
+            found.ok_or_else(|| unreadable(key(name), format!("the settings have no {value:?}")))
+        };
+        if !(self.prefix.starts_with('/') && self.prefix.ends_with('/')) {
+            return Err(unreadable(key("prefix"), "it must begin and end with /"));
+        }
+        if self.shards.is_empty() {
+            return Err(unreadable(key("shards"), "one is needed at least"));
+        }
+        if !(self.hosts.is_finite() && self.hosts >= 0.0) {
+            return Err(unreadable(key("hosts"), "no number of hosts"));
+        }
+        let plan = place(&names.plans, "plan", &self.plan)?;
+        let read = place(&names.classes, "read_class", &self.read_class)?;
+        let write = place(&names.classes, "write_class", &self.write_class)?;
+        let once = settings.classes.len();
+        settings.classes.push(Class { repeats: Repeats::Unsafe, ..settings.classes[write].clone() });
+        let use_of =
+            |class: usize| Use { class, wait: Duration::from_micros(settings.classes[class].deadline) };
+        Ok(PathRule {
+            prefix: self.prefix,
+            plan,
+            shards: self.shards,
+            unit_bytes: if self.unit_bytes == 0 { 8192 } else { self.unit_bytes },
+            hosts: self.hosts.max(1.0),
+            most_units: settings.most_units.max(1.0),
+            read: use_of(read),
+            write: use_of(write),
+            once: use_of(once),
+        })
+    }
+}
+
+impl PathRule {
+    pub fn units(&self, bytes: usize) -> f64 {
+        (bytes as u64).div_ceil(self.unit_bytes).max(1).min(self.most_units as u64) as f64
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = "enabled = true\nlisten = \"127.0.0.1:0\"\n[[paths]]\nprefix = \"/a/\"\nplan = \"p\"\n\
+        shards = [3, 4]\nread_class = \"r\"\nwrite_class = \"w\"\n[[paths]]\nprefix = \"/a/b/\"\nplan = \"p\"\n\
+        shards = [5]\nread_class = \"r\"\nwrite_class = \"w\"\nunit_bytes = 10\n";
+
+    fn read(text: &str) -> (Settings, Result<Option<SecondFront>, ConfigError>) {
+        let class = |repeats| Class { deadline: 3_000_000, repeats, ..Class::default() };
+        let classes = vec![class(Repeats::Safe), class(Repeats::Keyed)];
+        let mut settings = Settings { classes, most_units: 8.0, ..Settings::default() };
+        let names = Names { classes: vec!["r".into(), "w".into()], plans: vec!["p".into()] };
+        let front = SecondFront::read(text, &mut settings, &names);
+        (settings, front)
+    }
+
+    #[test]
+    fn paths_lead_to_the_longest_prefix_and_a_customer_is_one_volume() {
+        let (settings, front) = read(GOOD);
+        let front = front.unwrap().unwrap();
+        let (x, y) = (front.place("/a/c1/x").unwrap(), front.place("/a/c1/d/y").unwrap());
+        assert_eq!(x.volume, y.volume);
+        assert_ne!(x.key, y.key);
+        assert_ne!(x.volume, front.place("/a/c2/x").unwrap().volume);
+        let deep = front.place("/a/b/c1/x").unwrap();
+        assert_eq!(
+            (deep.shard, deep.rule.units(0), deep.rule.units(21), deep.rule.units(999)),
+            (5, 1.0, 3.0, 8.0)
+        );
+        assert_eq!(settings.classes[deep.rule.once.class].repeats, Repeats::Unsafe);
+        assert_eq!(deep.rule.write.wait, Duration::from_secs(3));
+        for path in ["", "a/c1/x", "/a/../x", "/a//x", "/a/./x", "/a/c1/\0"] {
+            assert_eq!(front.place(path), Err(NoPlace::Unsound), "{path:?}");
+        }
+        assert_eq!(front.place("/z/x"), Err(NoPlace::Unmapped));
+    }
+
+    #[test]
+    fn the_file_may_be_off_and_its_faults_are_named() {
+        assert_eq!(read("enabled = false\nlisten = \"127.0.0.1:0\"\n").1.unwrap(), None);
+        assert_eq!(read("").1.unwrap(), None);
+        for (from, to, fault) in [
+            ("shards = [5]", "shards = []", "paths[1].shards"),
+            ("plan = \"p\"", "plan = \"q\"", "paths[0].plan"),
+            ("\"/a/b/\"", "\"/a/b\"", "paths[1].prefix"),
+            ("unit_bytes = 10", "unit_bytes = -1", "paths[1].unit_bytes"),
+            ("listen = \"127.0.0.1:0\"\n", "", "listen"),
+        ] {
+            let error = read(&GOOD.replace(from, to)).1.unwrap_err().to_string();
+            assert!(error.contains(fault), "{error}");
+        }
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,3 +3,4 @@
 pub mod back;
 pub mod discovery;
 pub mod front;
+pub mod sftp;
--- /dev/null
+++ b/src/net/sftp/back.rs
@@ -0,0 +1,238 @@
+//! Store nodes behind the second front. Each attempt opens the file at its node, does one thing and closes it
+//! again, so that a node holds nothing between attempts: a file outlives its node's drain, and a client that goes
+//! leaves nothing open.
+
+use super::packet::{self, Attrs, Command, Encoded, Reply, Request, Response, Status, VERSION};
+use crate::config::Config;
+use crate::core::{Attempt, Report, Try, Work};
+use crate::ending::End;
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use tokio::net::TcpStream;
+use tokio::time::{Duration, Instant, timeout};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+/// A node's way to say that a command never ran, as `X-Not-Processed` does over HTTP: FAILURE with this text.
+pub const NOT_PROCESSED: &str = "not processed";
+/// Idle connections kept for a node.
+const MOST_IDLE: usize = 8;
+
+/// One thing to do with a file.
+#[derive(Clone, Debug)]
+pub enum Deed {
+    Open { flags: u32, attrs: Attrs },
+    Read { offset: u64, length: u32 },
+    Write { offset: u64, data: Bytes, append: bool },
+    Stat { follow: bool },
+}
+
+struct Connection {
+    packets: Framed<TcpStream, LengthDelimitedCodec>,
+    next_id: u32,
+}
+
+type Idle = BTreeMap<String, Vec<(Instant, Connection)>>;
+
+#[derive(Clone)]
+pub struct Stores {
+    idle: Arc<Mutex<Idle>>,
+    connect_timeout: Duration,
+    keep: Duration,
+    /// Where nodes listen for file commands; without it at the address that discovery gives.
+    port: Option<u16>,
+}
+
+/// How a step failed, and whether the command it led to may have run.
+enum Fault {
+    Before(End),
+    After(End),
+}
+
+impl Fault {
+    fn end(self) -> End {
+        match self {
+            Fault::Before(end) | Fault::After(end) => end,
+        }
+    }
+}
+
+impl Stores {
+    pub fn new(config: &Config, port: Option<u16>) -> Stores {
+        let (connect_timeout, keep) = (config.connect_timeout, config.idle);
+        let stores = Stores { idle: Arc::default(), connect_timeout, keep, port };
+        tokio::spawn(sweep(stores.clone()));
+        stores
+    }
+
+    fn with_idle<T>(&self, f: impl FnOnce(&mut Idle) -> T) -> T {
+        f(&mut self.idle.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn address(&self, listed: &str) -> String {
+        match (self.port, listed.rsplit_once(':')) {
+            (Some(port), Some((host, _))) => format!("{host}:{port}"),
+            _ => listed.to_string(),
+        }
+    }
+
+    async fn connect(&self, address: &str) -> Result<Connection, End> {
+        let stream = timeout(self.connect_timeout, TcpStream::connect(address)).await;
+        let Ok(Ok(stream)) = stream else { return Err(End::NoConnection) };
+        let _ = stream.set_nodelay(true); // only a matter of speed
+        let mut connection = Connection { packets: Framed::new(stream, packet::frames()), next_id: 0 };
+        connection.send(Request::Init { version: VERSION }).await.map_err(|()| End::NoConnection)?;
+        match connection.receive().await {
+            Ok(Response::Version(VERSION)) => Ok(connection),
+            _ => Err(End::NoConnection),
+        }
+    }
+
+    async fn attempt(self, job: Job, a_try: Try) -> Report {
+        let address = self.address(&a_try.address);
+        let pooled = self.with_idle(|idle| idle.get_mut(&address).and_then(Vec::pop));
+        if let Some((since, connection)) = pooled
+            && since.elapsed() < self.keep
+        {
+            match self.on(&address, connection, &job, &a_try).await {
+                // It had been closed in the meantime; what the command does was not begun.
+                Err(Fault::Before(End::BrokeUnsent)) => {}
+                Err(fault) => return fault.end().into(),
+                Ok(report) => return report,
+            }
+        }
+        match self.connect(&address).await {
+            Err(end) => end.into(),
+            Ok(connection) => {
+                self.on(&address, connection, &job, &a_try).await.unwrap_or_else(|fault| fault.end().into())
+            }
+        }
+    }
+
+    async fn on(
+        &self,
+        address: &str,
+        mut connection: Connection,
+        job: &Job,
+        a_try: &Try,
+    ) -> Result<Report, Fault> {
+        a_try.begun.set();
+        let reply = connection.carry_out(job).await?;
+        self.with_idle(|idle| {
+            let kept = idle.entry(address.to_string()).or_default();
+            if kept.len() < MOST_IDLE {
+                kept.push((Instant::now(), connection));
+            }
+        });
+        let end = match &reply {
+            Reply::Status { code: Status::Failure, text } if text == NOT_PROCESSED => End::TurnedAway,
+            Reply::Status { code: Status::Failure | Status::BadMessage, .. } => End::ErrorAnswer,
+            _ => End::Answered,
+        };
+        Ok(Report { body: Encoded::new(&reply).into_bytes(), ..end.into() })
+    }
+}
+
+/// Closes what has been idle for long, well before a node would.
+async fn sweep(stores: Stores) {
+    loop {
+        tokio::time::sleep(stores.keep / 2).await;
+        stores.with_idle(|idle| {
+            idle.values_mut().for_each(|kept| kept.retain(|(since, _)| since.elapsed() < stores.keep));
+            idle.retain(|_, kept| !kept.is_empty());
+        });
+    }
+}
+
+impl Connection {
+    async fn send(&mut self, request: Request) -> Result<(), ()> {
+        self.packets.send(request.encode()).await.map_err(|_| ())
+    }
+
+    async fn receive(&mut self) -> Result<Response, End> {
+        match self.packets.next().await {
+            Some(Ok(packet)) => Response::decode(packet.freeze()).map_err(|_| End::BadAnswer),
+            _ => Err(End::Broke),
+        }
+    }
+
+    async fn ask(&mut self, command: Command) -> Result<Reply, Fault> {
+        let id = self.next_id;
+        self.next_id = self.next_id.wrapping_add(1);
+        // A packet of which the last byte was not written is never carried out.
+        self.send(Request::Command { id, command }).await.map_err(|()| Fault::Before(End::BrokeUnsent))?;
+        match self.receive().await {
+            Ok(Response::Reply { id: answered, reply }) if answered == id => Ok(reply),
+            Ok(_) => Err(Fault::After(End::BadAnswer)),
+            Err(end) => Err(Fault::After(end)),
+        }
+    }
+
+    async fn carry_out(&mut self, job: &Job) -> Result<Reply, Fault> {
+        let path = job.path.clone();
+        let (flags, attrs) = match &job.deed {
+            Deed::Stat { follow } => return self.ask(Command::Stat { path, follow: *follow }).await,
+            Deed::Open { flags, attrs } => (*flags, *attrs),
+            Deed::Read { .. } => (packet::READ, Attrs::default()),
+            Deed::Write { append, .. } => {
+                (packet::WRITE | if *append { packet::APPEND } else { 0 }, Attrs::default())
+            }
+        };
+        let opened = self.ask(Command::Open { path, flags, attrs }).await.map_err(|fault| {
+            match (&job.deed, fault) {
+                // Opening is what the command does.
+                (Deed::Open { .. }, fault) => fault,
+                // The file was not touched yet: the command itself never ran.
+                (_, fault) => Fault::Before(match fault.end() {
+                    End::Broke => End::BrokeUnsent,
+                    end => end,
+                }),
+            }
+        })?;
+        let handle = match opened {
+            Reply::Handle(handle) => handle,
+            Reply::Status { code: Status::Ok, .. } | Reply::Data(_) | Reply::Attrs(_) => {
+                return Err(Fault::Before(End::BadAnswer));
+            }
+            refusal => return Ok(refusal),
+        };
+        let reply = match &job.deed {
+            Deed::Read { offset, length } => {
+                let (handle, offset, length) = (handle.clone(), *offset, *length);
+                self.ask(Command::Read { handle, offset, length }).await?
+            }
+            Deed::Write { offset, data, .. } => {
+                let (handle, offset, data) = (handle.clone(), *offset, data.clone());
+                self.ask(Command::Write { handle, offset, data }).await?
+            }
+            Deed::Open { .. } | Deed::Stat { .. } => Reply::Handle(handle.clone()),
+        };
+        match self.ask(Command::Close { handle }).await {
+            Ok(Reply::Status { code: Status::Ok, .. }) => Ok(reply),
+            // What was written may not have been kept.
+            Ok(_) => Err(Fault::After(End::ErrorAnswer)),
+            Err(fault) => Err(Fault::After(match fault.end() {
+                End::BrokeUnsent => End::Broke,
+                end => end,
+            })),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub path: String,
+    pub deed: Deed,
+}
+
+pub struct FileWork {
+    pub stores: Stores,
+    pub job: Job,
+}
+
+impl Work for FileWork {
+    fn attempt(&self, a_try: Try) -> Attempt {
+        Box::pin(self.stores.clone().attempt(self.job.clone(), a_try))
+    }
+}
