--- a/src/core.rs
+++ b/src/core.rs
@@ -385,7 +385,7 @@
         }
         for (entry, node) in entries.iter().zip(&listed) {
             let ready = entry.state == NodeState::Ready;
-            info!(node = node.id, number = entry.node, shard = entry.shard, state:? = entry.state; "node listed");
+            info!(node = node.id, address = node.addr, number = entry.node, shard = entry.shard, state:? = entry.state; "node listed");
             self.nodes.insert(entry.node, Node { address: node.addr.clone(), ready });
             self.known.retain(|known| known.node != entry.node);
             self.known.push(*entry);
@@ -578,6 +578,131 @@
 mod tests {
     use super::*;
 
+    /// Attempts that end as told, or never, and that note when they are dropped.
+    struct Told {
+        end: Option<End>,
+        panics: bool,
+        begins: bool,
+        dropped: mpsc::UnboundedSender<()>,
+    }
+
+    struct Dropped(mpsc::UnboundedSender<()>);
+
+    impl Drop for Dropped {
+        fn drop(&mut self) {
+            let _ = self.0.send(());
+        }
+    }
+
+    impl Work for Told {
+        fn attempt(&self, a_try: Try) -> Attempt {
+            let (end, panics, dropped) = (self.end, self.panics, Dropped(self.dropped.clone()));
+            if self.begins {
+                a_try.begun.set();
+            }
+            Box::pin(async move {
+                let _dropped = dropped;
+                assert!(!panics, "the attempt was told to panic");
+                match end {
+                    Some(end) => end.into(),
+                    None => std::future::pending().await,
+                }
+            })
+        }
+    }
+
+    fn with_core<T>(play: impl AsyncFnOnce(Handle) -> T) -> T {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let class = Class { aim: 5_000_000, deadline: 10_000_000, worth: 1.0, ..Class::default() };
+        let settings = Settings { hosts: 1, classes: vec![class], max_attempts: 3, ..Settings::default() };
+        runtime.block_on(async {
+            let (core, _wanted) = Core::new(settings, 7, 10, Clock::start());
+            let handle = core.handle();
+            tokio::spawn(core.run());
+            handle.send(nodes(ListedState::InService));
+            play(handle).await
+        })
+    }
+
+    fn nodes(state: ListedState) -> Input {
+        let (id, addr) = ("s-1".to_string(), "127.0.0.1:1".to_string());
+        let node = ListedNode { id, addr, zone: "a".into(), cell: 0, state, started_ms: 0 };
+        Input::Nodes { news: News::Changes, nodes: vec![node] }
+    }
+
+    fn arrival(wait: Duration) -> Arrival {
+        let answer_by = Instant::now() + wait;
+        let (volume, key, class, plan) = (1, 1, 0, 0);
+        Arrival {
+            volume,
+            key,
+            class,
+            plan,
+            units: 1.0,
+            volume_hosts: 1.0,
+            repeat: false,
+            shard: Some(0),
+            answer_by,
+        }
+    }
+
+    const LONG: Duration = Duration::from_secs(3600);
+
+    /// The answer to a request whose attempts end so.
+    fn answer_to(end: Option<End>, panics: bool, wait: Duration) -> Answer {
+        with_core(async |handle| {
+            let (dropped, _kept) = mpsc::unbounded_channel();
+            let work = Box::new(Told { end, panics, begins: true, dropped });
+            handle.submit(arrival(wait), work).unwrap().await
+        })
+    }
+
+    #[test]
+    fn every_request_gets_its_one_answer_whatever_becomes_of_its_attempt() {
+        let served = Answer::Served(Bytes::new());
+        assert_eq!(answer_to(Some(End::Answered), false, LONG), served);
+        // The class forbids a repeat: what may have run fails.
+        assert_eq!(answer_to(Some(End::Broke), false, LONG), Answer::Failed);
+        assert_eq!(answer_to(None, true, LONG), Answer::Failed);
+        assert_eq!(answer_to(None, false, Duration::from_millis(50)), Answer::Failed);
+        assert!(matches!(answer_to(Some(End::TurnedAway), false, LONG), Answer::Refused(_)));
+    }
+
+    #[test]
+    fn an_attempt_that_nothing_was_written_of_goes_with_its_client_or_its_node() {
+        for node_leaves in [false, true] {
+            with_core(async |handle| {
+                let (dropped, mut drops) = mpsc::unbounded_channel();
+                let work = Box::new(Told { end: None, panics: false, begins: false, dropped });
+                let pending = handle.submit(arrival(LONG), work).unwrap();
+                tokio::task::yield_now().await;
+                if node_leaves {
+                    handle.send(nodes(ListedState::Terminating));
+                    assert_eq!(drops.recv().await, Some(()), "dropped while its client still waits");
+                }
+                drop(pending);
+                // Once the request is forgotten nothing holds its work, so that no further attempt can follow.
+                while drops.recv().await.is_some() {}
+                assert_eq!(handle.open(), 0);
+            });
+        }
+    }
+
+    #[test]
+    fn beyond_the_bound_on_open_requests_nothing_is_taken() {
+        with_core(async |handle| {
+            let (dropped, _kept) = mpsc::unbounded_channel();
+            let submit = || {
+                let work = Told { end: None, panics: false, begins: true, dropped: dropped.clone() };
+                handle.submit(arrival(LONG), Box::new(work))
+            };
+            let mut held: Vec<_> = (0..10).map(|_| submit().unwrap()).collect();
+            assert!(submit().is_none());
+            held.pop();
+            assert!(submit().is_some());
+        });
+    }
+
     #[test]
     fn node_ids_are_stable_and_survive_a_collision() {
         let mut ids = NodeIds::default();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 mod message;
 pub mod net;
 pub mod policy;
+pub mod rehearsal;
 mod state;
 pub mod wire;
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -9,7 +9,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
-use log::warn;
+use log::{info, warn};
 use std::fmt;
 use std::net::SocketAddr;
 use tokio::sync::mpsc;
@@ -98,6 +98,7 @@
     }
     let mut body = answer.into_body();
     lines.torn.clear();
+    let mut stands = false;
     loop {
         let frame = timeout(SILENCE, body.frame()).await.map_err(|_| Broken::Silent)?;
         let Some(Ok(frame)) = frame else { return Err(Broken::Ended) };
@@ -106,6 +107,10 @@
         }
         while let Some((news, list)) = lines.next()? {
             handle.send(Input::Nodes { news, nodes: list.servers });
+            if !stands {
+                info!(version = lines.version; "the watch stands");
+                stands = true;
+            }
         }
     }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -70,8 +70,8 @@
 const LEND: f64 = 0.5;
 const ASK_ALL: Micros = 5_000_000;
 
-/// A request that no node got is given up after this part of its client's time, about when its aim is past and
-/// while asking again still helps.
+/// A request that no node got is given up after this part of its client's time: about when its aim is past,
+/// and while asking again still helps.
 const GIVE_UP: f64 = 0.15;
 
 const RECHECK_TOKEN: u64 = u64::MAX;
@@ -439,8 +439,8 @@
         }
     }
 
-    /// What never got a turn in the first part of its client's time is given up: late, it would earn little. When
-    /// all that time is all but up, what has nothing out gets its final answer, the rest its time-out.
+    /// What never got a turn in the first part of its client's time is given up: late, it would earn little.
+    /// When that time is all but up, what has nothing out gets its final answer, the rest its time-out.
     fn on_deadline(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
         let Some(held) = self.requests.get(&id).filter(|held| !held.over && !held.out()) else { return };
         let unsent = held.attempts.iter().all(|a| a.fate == Fate::NeverRan);
@@ -463,8 +463,8 @@
         self.end(now, id);
     }
 
-    /// When a client that was turned away may come again: as late as clients honour, for what was given up found
-    /// no turn in many answer times.
+    /// When a client that was turned away may come again: as late as clients honour, for what was given up
+    /// found no turn in many answer times.
     fn retry_in(&self) -> Micros {
         self.settings.max_retry_after.unwrap_or(0)
     }
--- /dev/null
+++ b/src/rehearsal/mod.rs
@@ -0,0 +1,108 @@
+//! The rehearsal kit: stand-ins for what a head meets (clients, store nodes, bricks, discovery, a syslog
+//! receiver), a stage that starts the real program among them, and named cases that say what must come of it.
+//! All of it is on loopback, at ports from the system, and waits on events.
+
+pub mod brick;
+pub mod cases;
+pub mod client;
+pub mod stage;
+pub mod store;
+pub mod syslog;
+
+use std::fmt;
+use std::io::{self, Read, Write};
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::time::Duration;
+
+/// How long anything may take before a rehearsal is called stuck. No case passes or fails by being quick.
+pub const STUCK: Duration = Duration::from_secs(20);
+
+#[derive(Debug)]
+pub enum Failure {
+    Unmet(String),
+    Io(io::Error),
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Failure::Unmet(what) => f.write_str(what),
+            Failure::Io(error) => write!(f, "input or output: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for Failure {}
+
+impl From<io::Error> for Failure {
+    fn from(error: io::Error) -> Self {
+        Failure::Io(error)
+    }
+}
+
+pub type Outcome<T = ()> = Result<T, Failure>;
+
+pub fn check(met: bool, what: impl Into<String>) -> Outcome {
+    if met { Ok(()) } else { Err(Failure::Unmet(what.into())) }
+}
+
+pub fn expect<T: PartialEq + fmt::Debug>(got: T, wanted: T, what: &str) -> Outcome {
+    check(got == wanted, format!("{what}: wanted {wanted:?}, got {got:?}"))
+}
+
+/// The next event that fits; others before it are passed over.
+pub fn wait_for<T>(events: &Receiver<T>, what: &str, fits: impl Fn(&T) -> bool) -> Outcome<T> {
+    loop {
+        match events.recv_timeout(STUCK) {
+            Ok(event) if fits(&event) => return Ok(event),
+            Ok(_) => {}
+            Err(RecvTimeoutError::Timeout) => return Err(Failure::Unmet(format!("never came: {what}"))),
+            Err(RecvTimeoutError::Disconnected) => {
+                return Err(Failure::Unmet(format!("ended before: {what}")));
+            }
+        }
+    }
+}
+
+/// One packet with its length before it; `None` at the end of the stream.
+fn read_packet(stream: &mut impl Read) -> io::Result<Option<Vec<u8>>> {
+    let mut length = [0; 4];
+    if stream.read(&mut length[..1])? == 0 {
+        return Ok(None);
+    }
+    stream.read_exact(&mut length[1..])?;
+    let length = u32::from_be_bytes(length) as usize;
+    if length > crate::net::sftp::packet::MOST_PACKET {
+        return Err(io::Error::new(io::ErrorKind::InvalidData, "a packet is too long"));
+    }
+    let mut packet = vec![0; length];
+    stream.read_exact(&mut packet)?;
+    Ok(Some(packet))
+}
+
+fn write_packet(stream: &mut impl Write, packet: &[u8]) -> io::Result<()> {
+    let mut framed = (packet.len() as u32).to_be_bytes().to_vec();
+    framed.extend_from_slice(packet);
+    stream.write_all(&framed)
+}
+
+/// An HTTP/1.1 message: its head and its body, by Content-Length. `None` at the end of the stream.
+fn read_http(stream: &mut impl Read) -> io::Result<Option<(String, Vec<u8>)>> {
+    let (mut head, mut byte) = (Vec::new(), [0]);
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte)? == 0 {
+            return if head.is_empty() { Ok(None) } else { Err(io::ErrorKind::UnexpectedEof.into()) };
+        }
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8_lossy(&head).into_owned();
+    let length = header(&head, "content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body)?;
+    Ok(Some((head, body)))
+}
+
+pub fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let fields = head.lines().filter_map(|line| line.split_once(':'));
+    fields.into_iter().find(|(field, _)| field.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim())
+}
--- /dev/null
+++ b/src/rehearsal/stage.rs
@@ -0,0 +1,271 @@
+//! The stage: discovery, and the real program as a process of its own.
+
+use super::{Failure, Outcome, STUCK, header, read_http, wait_for};
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+const LOOPBACK: &str = "127.0.0.1:0";
+
+/// One entry of the list of nodes.
+pub fn entry(id: &str, address: SocketAddr, shard: u16, state: &str) -> Value {
+    json!({"id": id, "addr": address.to_string(), "zone": "a", "kind": "k", "cell": shard, "state": state,
+        "weight": 1.0, "started_ms": 0})
+}
+
+#[derive(Default)]
+struct List {
+    version: u64,
+    watches: Vec<Sender<Value>>,
+}
+
+/// Discovery's stand-in: a watch begins with the whole list, then has each change as it is told.
+pub struct Discovery {
+    pub address: SocketAddr,
+    list: Arc<Mutex<List>>,
+    mute: Arc<AtomicBool>,
+    /// One for each watch that was opened.
+    pub watches: Receiver<()>,
+}
+
+impl Discovery {
+    pub fn start(nodes: Vec<Value>) -> Outcome<Discovery> {
+        let listener = TcpListener::bind(LOOPBACK)?;
+        let address = listener.local_addr()?;
+        let (list, mute) = (Arc::new(Mutex::new(List { version: 1, ..List::default() })), Arc::default());
+        let (opened, watches) = channel();
+        let discovery = Discovery { address, list: list.clone(), mute: Arc::clone(&mute), watches };
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (list, mute, opened, nodes) = (list.clone(), mute.clone(), opened.clone(), nodes.clone());
+                // A head that ends breaks its watch; that is the end of this thread, and no fault.
+                thread::spawn(move || watch(stream, &list, &mute, &opened, nodes));
+            }
+        });
+        Ok(discovery)
+    }
+
+    pub fn tell(&self, node: Value) -> Outcome {
+        let mut list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
+        list.version += 1;
+        let change = json!({"version": list.version, "full": false, "servers": [node]});
+        list.watches.retain(|watch| watch.send(change.clone()).is_ok());
+        super::check(!list.watches.is_empty(), "no head watches the list")
+    }
+
+    /// Says nothing any more, not even its beat, on connections that stay open.
+    pub fn fall_silent(&self) {
+        self.mute.store(true, Ordering::Relaxed);
+    }
+}
+
+fn watch(
+    mut stream: TcpStream,
+    list: &Mutex<List>,
+    mute: &AtomicBool,
+    opened: &Sender<()>,
+    nodes: Vec<Value>,
+) -> std::io::Result<()> {
+    if read_http(&mut stream)?.is_none() {
+        return Ok(());
+    }
+    let (sender, changes) = channel();
+    let whole = {
+        let mut list = list.lock().unwrap_or_else(PoisonError::into_inner);
+        list.watches.push(sender);
+        json!({"version": list.version, "full": true, "servers": nodes})
+    };
+    stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+    let mut chunk = |text: String| write!(stream, "{:x}\r\n{text}\r\n", text.len());
+    chunk(format!("{whole}\n"))?;
+    let _ = opened.send(());
+    loop {
+        match changes.recv_timeout(Duration::from_secs(2)) {
+            Ok(change) => chunk(format!("{change}\n"))?,
+            Err(RecvTimeoutError::Timeout) if mute.load(Ordering::Relaxed) => {}
+            Err(RecvTimeoutError::Timeout) => chunk("\n".to_string())?,
+            Err(RecvTimeoutError::Disconnected) => return Ok(()),
+        }
+    }
+}
+
+/// How the head is set up.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Every class's deadline.
+    pub deadline: Duration,
+    pub sockets: usize,
+    pub files: bool,
+    pub syslog: Option<SocketAddr>,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        Setup { deadline: STUCK, sockets: 1024, files: false, syslog: None }
+    }
+}
+
+/// A running head. It is ended with the stage.
+pub struct Head {
+    child: Child,
+    config: PathBuf,
+    paths: PathBuf,
+    pub http: SocketAddr,
+    /// Where the second front listens, if it is on.
+    pub files: Option<SocketAddr>,
+    pub log: Receiver<String>,
+}
+
+impl Head {
+    pub fn start(program: &Path, setup: &Setup, discovery: SocketAddr, known: Vec<Value>) -> Outcome<Head> {
+        static SERIAL: AtomicU64 = AtomicU64::new(0);
+        let name = format!("pathbank-{}-{}", std::process::id(), SERIAL.fetch_add(1, Ordering::Relaxed));
+        let config = std::env::temp_dir().join(format!("{name}.json"));
+        let paths = std::env::temp_dir().join(format!("{name}.toml"));
+        let file = json!({"name": "n0", "listen": LOOPBACK, "discovery": discovery, "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": setup.sockets},
+            "known": {"version": 1, "full": true, "servers": known}, "settings": settings(setup)});
+        std::fs::write(&config, file.to_string())?;
+        std::fs::write(&paths, PATHS.replace("OFF", if setup.files { "true" } else { "false" }))?;
+        let mut command = Command::new(program);
+        command.env("GW_CONFIG", &config).env("PATHBANK_SFTP", &paths).env("PATHBANK_LOG", "info");
+        match setup.syslog {
+            Some(receiver) => command.env("PATHBANK_SYSLOG", receiver.to_string()),
+            None => command.env_remove("PATHBANK_SYSLOG"),
+        };
+        let mut child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).spawn()?;
+        let (line, log) = channel();
+        let errors = child.stderr.take().ok_or_else(|| Failure::Unmet("no standard error".into()))?;
+        thread::spawn(move || {
+            for text in BufReader::new(errors).lines().map_while(Result::ok) {
+                let _ = line.send(text); // read on all the same: a full pipe would stop the head
+            }
+        });
+        let http = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut head = Head { child, config, paths, http, files: None, log };
+        // In whatever order these come; the watch has told the whole list, so that from here on changes arrive.
+        let mut waits = vec!["] up", "the watch stands"];
+        waits.extend(setup.files.then_some("file commands are up"));
+        while !waits.is_empty() {
+            let fits = |line: &String| waits.iter().any(|text| line.contains(text));
+            let line = wait_for(&head.log, &waits.join(" and "), fits)?;
+            waits.retain(|text| !line.contains(text));
+            if line.contains("] up") {
+                head.http = address_in(&line)?;
+            } else if line.contains("file commands are up") {
+                head.files = Some(address_in(&line)?);
+            }
+        }
+        Ok(head)
+    }
+
+    /// The next line of the log that contains the text.
+    pub fn logged(&self, text: &str) -> Outcome<String> {
+        wait_for(&self.log, text, |line| line.contains(text))
+    }
+
+    pub fn files(&self) -> Outcome<SocketAddr> {
+        self.files.ok_or_else(|| Failure::Unmet("the second front is off".into()))
+    }
+
+    pub fn terminate(&self) -> Outcome {
+        let kill = format!("kill -TERM {}", self.child.id());
+        let done = Command::new("/bin/sh").args(["-c", &kill]).status()?;
+        super::check(done.success(), "the signal was not sent")
+    }
+
+    pub fn ended(&mut self) -> Outcome<ExitStatus> {
+        Ok(self.child.wait()?)
+    }
+}
+
+fn address_in(line: &str) -> Outcome<SocketAddr> {
+    let quoted = line.split("listen=\"").nth(1).and_then(|rest| rest.split('"').next());
+    let address = quoted.and_then(|address| address.parse().ok());
+    address.ok_or_else(|| Failure::Unmet(format!("no address in {line}")))
+}
+
+impl Drop for Head {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+        let _ = std::fs::remove_file(&self.paths);
+    }
+}
+
+const PATHS: &str = "enabled = OFF\nlisten = \"127.0.0.1:0\"\nclients = 1\n[[paths]]\nprefix = \"/bundles/\"\n\
+    plan = \"starter\"\nshards = [0]\nread_class = \"token-read\"\nwrite_class = \"receipt-write\"\n";
+
+fn settings(setup: &Setup) -> Value {
+    let deadline = setup.deadline.as_micros() as u64;
+    let class = |name: &str, effect: &str| {
+        json!({"name": name, "target": deadline / 2, "hard_limit": deadline, "worth": 2.0, "late_value": 0.2,
+            "idempotency": effect, "dedup_scope": "cell", "window": 60_000_000, "streamed": false})
+    };
+    json!({"balancers": 1, "position": 0, "membership_mode": "subscribe", "tick": 2000,
+        "profiles": [class("token-read", "idempotent"), class("receipt-write", "deduplicated"),
+            class("once", "at_most_once")],
+        "plans": [{"name": "starter", "nominal": 100.0, "floor_rate": 100.0, "proportion": 1.0,
+            "worth_factor": 1.0, "limit": 0.0, "burst": 0.0}],
+        "policy_limits": {"send_cap": 3, "cancel": true, "second_copies": true, "retry_after": true,
+            "max_retry_after": 1_000_000, "connect_timeout": 250_000, "keepalive": 30_000_000},
+        "contract": {"answer_slack": 8000, "cold": 15_000_000, "cold_from": 0.18, "fall": 1_000_000,
+            "fall_multiple": 2.5},
+        "domain": {"young_limit": 4.0, "max_units": 8, "usual_units": 2.0, "share_worth": 0.4,
+            "idle_worth": 0.08, "use_period": 2_000_000},
+        "report": {"fields": ["backlog", "outstanding"], "how": "piggyback"}})
+}
+
+/// A client of the platform's protocol: one request at a time on a connection that it keeps.
+pub struct HttpClient {
+    pub stream: TcpStream,
+}
+
+impl HttpClient {
+    pub fn connect(address: SocketAddr) -> Outcome<HttpClient> {
+        let stream = TcpStream::connect(address)?;
+        stream.set_read_timeout(Some(STUCK))?;
+        Ok(HttpClient { stream })
+    }
+
+    /// A request for shard 0 with a deadline far away; `more` adds headers or, being later, has no say.
+    pub fn send(&mut self, class: &str, timeout_ms: u64, more: &str, body: &[u8]) -> Outcome {
+        let method = if body.is_empty() { "GET" } else { "PUT" };
+        let head = format!(
+            "{method} /api/00000003b4d60021/7f3a9c21e0b4d655?q=1 HTTP/1.1\r\nHost: app.svc\r\n\
+             X-Request-ID: 9b1f03aa5c7e2d41\r\nX-Priority-Class: {class}\r\nX-Storage-Class: starter\r\n\
+             X-Timeout-Ms: {timeout_ms}\r\nX-Extent: units=1,shard=0,hosts=1\r\n{more}\
+             Content-Length: {}\r\n\r\n",
+            body.len()
+        );
+        self.stream.write_all(&[head.as_bytes(), body].concat())?;
+        Ok(())
+    }
+
+    /// Status, head and body of the next answer.
+    pub fn receive(&mut self) -> Outcome<(u16, String, Vec<u8>)> {
+        let answer = read_http(&mut self.stream)?;
+        let (head, body) = answer.ok_or_else(|| Failure::Unmet("closed without an answer".into()))?;
+        let status = head.split(' ').nth(1).and_then(|status| status.parse().ok());
+        Ok((status.ok_or_else(|| Failure::Unmet(format!("no status in {head}")))?, head, body))
+    }
+
+    pub fn ask(&mut self, class: &str, timeout_ms: u64, body: &[u8]) -> Outcome<(u16, String, Vec<u8>)> {
+        self.send(class, timeout_ms, "", body)?;
+        self.receive()
+    }
+
+    /// Seconds after which the last answer's client may come again.
+    pub fn retry_after(head: &str) -> Option<f64> {
+        header(head, "retry-after")?.parse().ok()
+    }
+}
--- /dev/null
+++ b/tests/head.rs
@@ -0,0 +1,189 @@
+//! The built head on real sockets: one test for each rule of the platform's protocol.
+
+use pathbank::rehearsal::brick::{Act, Brick, Seen, answer};
+use pathbank::rehearsal::stage::{Discovery, Head, HttpClient, Setup, entry};
+use pathbank::rehearsal::{header, wait_for};
+use std::io::Write;
+use std::path::Path;
+use std::sync::mpsc::channel;
+
+struct Stage {
+    brick: Brick,
+    discovery: Discovery,
+    head: Head,
+}
+
+/// Far more than a test takes, in milliseconds.
+const LONG: u64 = 3_600_000;
+
+fn stage(sockets: usize) -> Stage {
+    let brick = Brick::start("b-1").unwrap();
+    let nodes = vec![entry("s-1", brick.address, 0, "in_service")];
+    let discovery = Discovery::start(nodes.clone()).unwrap();
+    let setup = Setup { sockets, ..Setup::default() };
+    let head =
+        Head::start(Path::new(env!("CARGO_BIN_EXE_pathbank")), &setup, discovery.address, nodes).unwrap();
+    Stage { brick, discovery, head }
+}
+
+impl Stage {
+    fn client(&self) -> HttpClient {
+        HttpClient::connect(self.head.http).unwrap()
+    }
+
+    /// The next request that came whole to the brick.
+    fn taken(&self) -> (String, Vec<u8>) {
+        match wait_for(&self.brick.seen, "a request", |s| matches!(s, Seen::Request { .. })).unwrap() {
+            Seen::Request { head, body } => (head, body),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn count(&self, fits: impl Fn(&Seen) -> bool) -> usize {
+        self.brick.seen.try_iter().filter(|seen| fits(seen)).count()
+    }
+
+    fn requests(&self) -> usize {
+        self.count(|seen| matches!(seen, Seen::Request { .. }))
+    }
+}
+
+#[test]
+fn a_request_passes_on_unchanged_and_so_does_its_answer() {
+    let stage = stage(1024);
+    let mut client = stage.client();
+    stage.brick.next(Act::Answer(answer(
+        "200 OK",
+        "X-Server-Load: inflight=7,queue=2\r\nX-Meter: 85\r\n",
+        "a body",
+    )));
+    client.send("receipt-write", LONG, "Idempotency-Key: k-1\r\n", b"data").unwrap();
+    let (status, _, body) = client.receive().unwrap();
+    assert_eq!((status, &body[..]), (200, &b"a body"[..]));
+    let (head, body) = stage.taken();
+    assert!(head.starts_with("PUT /api/00000003b4d60021/7f3a9c21e0b4d655?q=1 HTTP/1.1\r\n"), "{head}");
+    assert_eq!(header(&head, "x-request-id"), Some("9b1f03aa5c7e2d41"));
+    assert_eq!(header(&head, "idempotency-key"), Some("k-1"));
+    assert_eq!(body, b"data");
+    let wait: u64 = header(&head, "x-timeout-ms").unwrap().parse().unwrap();
+    assert!((1..LONG).contains(&wait));
+}
+
+#[test]
+fn requests_one_after_another_share_one_connection_to_the_brick() {
+    let stage = stage(1024);
+    let mut client = stage.client();
+    for _ in 0..5 {
+        assert_eq!(client.ask("token-read", LONG, b"").unwrap().0, 200);
+    }
+    assert_eq!(stage.count(|seen| *seen == Seen::Connected), 1);
+}
+
+#[test]
+fn what_is_malformed_or_too_long_is_answered_without_a_brick() {
+    let stage = stage(1024);
+    let long = vec![b'x'; 64 * 1024 + 1];
+    for (class, body, status) in [("none", &b""[..], 400), ("token-read", &long, 413)] {
+        assert_eq!(stage.client().ask(class, LONG, body).unwrap().0, status);
+    }
+    let mut client = stage.client();
+    client.stream.write_all(b"GET /api/x HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
+    assert_eq!(client.receive().unwrap().0, 400);
+    let mut up = stage.client();
+    up.stream.write_all(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
+    assert_eq!(up.receive().unwrap().0, 200);
+    assert_eq!(stage.requests(), 0);
+}
+
+#[test]
+fn a_broken_attempt_is_repeated_only_as_its_class_allows() {
+    let half = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf";
+    let never = answer("503 Service Unavailable", "X-Not-Processed: 1\r\n", "");
+    for (class, act, status, sent) in [
+        ("token-read", Act::Cut(String::new()), 200, 2),
+        ("receipt-write", Act::Cut(String::new()), 200, 2),
+        ("once", Act::Cut(String::new()), 502, 1),
+        ("once", Act::Cut(half.to_string()), 502, 1),
+        ("once", Act::Answer(answer("500 Internal Server Error", "", "")), 502, 1),
+        ("once", Act::Answer(never), 200, 2),
+    ] {
+        let stage = stage(1024);
+        stage.brick.next(act);
+        assert_eq!(stage.client().ask(class, LONG, b"data").unwrap().0, status, "{class}");
+        assert_eq!(stage.requests(), sent, "{class}");
+    }
+}
+
+#[test]
+fn a_draining_brick_gets_nothing_new_and_the_refusal_says_when_to_come_back() {
+    let stage = stage(1024);
+    stage.discovery.tell(entry("s-1", stage.brick.address, 0, "terminating")).unwrap();
+    stage.head.logged("state=\"Draining\"").unwrap();
+    let (status, head, _) = stage.client().ask("token-read", 1000, b"").unwrap();
+    assert_eq!(status, 503);
+    assert!(HttpClient::retry_after(&head).unwrap() > 0.0, "{head}");
+    assert_eq!(stage.requests(), 0);
+}
+
+#[test]
+fn a_silent_brick_means_an_answer_from_the_head() {
+    let stage = stage(1024);
+    let (release, held) = channel();
+    stage.brick.next(Act::Hold(held));
+    assert_eq!(stage.client().ask("once", 2000, b"data").unwrap().0, 502);
+    stage.taken();
+    // The brick comes to its answer now, and finds that the head has closed the connection.
+    drop(release);
+    wait_for(&stage.brick.seen, "the attempt given up", |seen| *seen == Seen::Closed).unwrap();
+    assert_eq!(stage.requests(), 0);
+}
+
+#[test]
+fn beyond_its_room_the_head_refuses_at_once_and_lets_the_connection_go() {
+    let stage = stage(20);
+    let mut releases = Vec::new();
+    for _ in 0..4 {
+        let (release, held) = channel();
+        stage.brick.next(Act::Hold(held));
+        releases.push(release);
+    }
+    // Room for twelve: of thirteen requests that no brick answers, one is refused, whichever came last.
+    let (sender, answers) = channel();
+    for _ in 0..13 {
+        let (mut client, sender) = (stage.client(), sender.clone());
+        std::thread::spawn(move || sender.send(client.ask("token-read", LONG, b"").unwrap()));
+    }
+    let (status, head, _) = wait_for(&answers, "the refusal", |_| true).unwrap();
+    assert_eq!((status, header(&head, "connection")), (503, Some("close")));
+    assert!(HttpClient::retry_after(&head).unwrap() > 0.0);
+    releases.clear();
+    for _ in 0..12 {
+        assert_eq!(wait_for(&answers, "an answer", |_| true).unwrap().0, 200);
+    }
+}
+
+#[test]
+fn a_silent_watch_is_broken_and_asked_for_again() {
+    let stage = stage(1024);
+    stage.discovery.watches.recv().unwrap();
+    stage.discovery.fall_silent();
+    stage.head.logged("silent past its beat").unwrap();
+    wait_for(&stage.discovery.watches, "a second watch", |()| true).unwrap();
+}
+
+#[test]
+fn after_sigterm_what_is_held_is_finished_and_the_program_exits_in_order() {
+    let mut stage = stage(1024);
+    let (release, held) = channel();
+    stage.brick.next(Act::Hold(held));
+    let (mut client, _idle) = (stage.client(), stage.client());
+    client.send("token-read", LONG, "", b"").unwrap();
+    stage.taken();
+    stage.head.terminate().unwrap();
+    stage.head.logged("leaving").unwrap();
+    drop(release);
+    let (status, head, _) = client.receive().unwrap();
+    assert_eq!(status, 200);
+    assert_eq!(header(&head, "connection"), Some("close"));
+    assert_eq!(stage.head.ended().unwrap().code(), Some(0));
+}
