--- a/src/bin/pathbank.rs
+++ b/src/bin/pathbank.rs
@@ -58,7 +58,7 @@
     };
     tokio::spawn(discovery.run(wanted));
     let (phase, watched) = watch::channel(Phase::Serving);
-    let back = Back::new(&config);
+    let back = Back::new(config.connect_timeout, config.idle);
     let front = Front {
         handle: handle.clone(),
         back: back.clone(),
--- a/src/core.rs
+++ b/src/core.rs
@@ -620,7 +620,8 @@
             let handle = core.handle();
             tokio::spawn(core.run());
             handle.send(nodes(ListedState::InService));
-            play(handle).await
+            // Only a test that would never end is ended by this.
+            tokio::time::timeout(Duration::from_secs(60), play(handle)).await.expect("stuck")
         })
     }
 
--- a/src/net/back.rs
+++ b/src/net/back.rs
@@ -3,7 +3,6 @@
 //! The client's own resending is off (each resend would be an attempt that the module did not ask for), and what
 //! of a request was written is counted where it is written: in the connection's IO.
 
-use crate::config::Config;
 use crate::core::{Attempt, Begun, Report, Try, Work};
 use crate::ending::End;
 use crate::interface::Load;
@@ -24,7 +23,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 use tokio::net::TcpStream;
-use tokio::time::Instant;
+use tokio::time::{Duration, Instant};
 use tower_service::Service;
 
 /// A body holds this much at most, either way.
@@ -44,14 +43,14 @@
 }
 
 impl Back {
-    pub fn new(config: &Config) -> Back {
+    pub fn new(connect_timeout: Duration, idle: Duration) -> Back {
         let mut http = HttpConnector::new();
         http.set_nodelay(true);
-        http.set_connect_timeout(Some(config.connect_timeout));
+        http.set_connect_timeout(Some(connect_timeout));
         let opened = Arc::new(AtomicU64::new(0));
         let client = Client::builder(TokioExecutor::new())
             .retry_canceled_requests(false)
-            .pool_idle_timeout(config.idle)
+            .pool_idle_timeout(idle)
             .pool_timer(TokioTimer::new())
             .build(Connector { http, opened: opened.clone() });
         Back { client, opened, asked: Arc::default() }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -245,6 +245,42 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::clock::Clock;
+    use crate::core::Core;
+    use crate::interface::Settings;
+
+    #[test]
+    fn while_leaving_each_answer_is_its_connections_last_and_then_nobody_is_taken() {
+        use tokio::io::{AsyncReadExt, AsyncWriteExt};
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            let (core, _wanted) = Core::new(Settings::default(), 7, 10, Clock::start());
+            let (phase, watched) = watch::channel(Phase::Serving);
+            let (times, names) = (Duration::from_secs(1), Arc::default());
+            let back = Back::new(times, times);
+            let front = Front { handle: core.handle(), back, names, answer_margin: times, phase: watched };
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let room = Arc::new(Semaphore::new(4));
+            let serving = tokio::spawn(serve(listener, front, room.clone()));
+            let mut idle = TcpStream::connect(address).await.unwrap();
+            idle.write_all(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n").await.unwrap();
+            let mut seen = [0; 12];
+            idle.read_exact(&mut seen).await.unwrap();
+            assert_eq!(&seen, b"HTTP/1.1 200");
+            phase.send_replace(Phase::Leaving);
+            let mut late = TcpStream::connect(address).await.unwrap();
+            late.write_all(b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n").await.unwrap();
+            let mut answer = String::new();
+            late.read_to_string(&mut answer).await.unwrap();
+            assert!(answer.starts_with("HTTP/1.1 400") && answer.contains("connection: close"), "{answer}");
+            phase.send_replace(Phase::Closing);
+            serving.await.unwrap();
+            idle.read_to_end(&mut Vec::new()).await.unwrap();
+            assert!(TcpStream::connect(address).await.is_err());
+            drop(room.acquire_many(4).await.unwrap());
+        });
+    }
 
     const GOOD: [(&str, &str); 5] = [
         ("x-request-id", "9b1f03aa5c7e2d41"),
--- a/src/rehearsal/cases.rs
+++ b/src/rehearsal/cases.rs
@@ -10,8 +10,8 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::PoisonError;
 use std::sync::mpsc::channel;
-use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
 pub struct Case {
@@ -48,7 +48,11 @@
         about: "a node that cannot be reached: refused, harmless to repeat",
         play: unreachable,
     },
-    Case { name: "pipelined", about: "many commands at once, each answered once", play: pipelined },
+    Case {
+        name: "pipelined",
+        about: "many commands at once, each answered once and in turn",
+        play: pipelined,
+    },
     Case { name: "syslog", about: "log lines reach a syslog receiver as RFC 5424 has them", play: syslog },
 ];
 
@@ -266,8 +270,8 @@
 }
 
 fn pipelined(program: &Path) -> Outcome {
-    let files: Files = Arc::default();
-    let store = Store::start(files)?;
+    let files = Files::default();
+    let store = Store::start(files.clone())?;
     let stage = Stage::start(program, Setup::default(), &store)?;
     let mut client = stage.client()?;
     let sent = (0..60).map(|_| client.send(stat(PATH))).collect::<Outcome<BTreeSet<u32>>>()?;
@@ -277,7 +281,18 @@
         check(is(&reply, Status::NoSuchFile), format!("STAT got {reply:?}"))?;
         check(answered.insert(id), format!("{id} was answered twice"))?;
     }
-    expect(answered, sent, "the commands answered")
+    expect(answered, sent, "the commands answered")?;
+    // Commands on one file are carried out in the order in which they came.
+    let handle = client.open(PATH, WRITE_NEW)?;
+    for value in 0..40 {
+        let (handle, data) = (handle.clone(), Bytes::from(vec![value; 4]));
+        client.send(Command::Write { handle, offset: 0, data })?;
+    }
+    for _ in 0..40 {
+        let (id, reply) = client.receive()?;
+        check(is(&reply, Status::Ok), format!("WRITE {id} got {reply:?}"))?;
+    }
+    expect(kept(&files), vec![39; 4], "the file after writes to one place")
 }
 
 fn syslog(program: &Path) -> Outcome {
--- a/src/rehearsal/stage.rs
+++ b/src/rehearsal/stage.rs
@@ -104,11 +104,16 @@
     pub sockets: usize,
     pub files: bool,
     pub syslog: Option<SocketAddr>,
+    /// How long a node keeps an idle connection.
+    pub keepalive: Duration,
+    /// Discovery answers: the stage is set once its watch stands.
+    pub watched: bool,
 }
 
 impl Default for Setup {
     fn default() -> Self {
-        Setup { deadline: STUCK, sockets: 1024, files: false, syslog: None }
+        let keepalive = Duration::from_secs(30);
+        Setup { deadline: STUCK, sockets: 1024, files: false, syslog: None, keepalive, watched: true }
     }
 }
 
@@ -151,7 +156,8 @@
         let http = SocketAddr::from(([127, 0, 0, 1], 0));
         let mut head = Head { child, config, paths, http, files: None, log };
         // In whatever order these come; the watch has told the whole list, so that from here on changes arrive.
-        let mut waits = vec!["] up", "the watch stands"];
+        let mut waits = vec!["] up"];
+        waits.extend(setup.watched.then_some("the watch stands"));
         waits.extend(setup.files.then_some("file commands are up"));
         while !waits.is_empty() {
             let fits = |line: &String| waits.iter().any(|text| line.contains(text));
@@ -217,7 +223,8 @@
         "plans": [{"name": "starter", "nominal": 100.0, "floor_rate": 100.0, "proportion": 1.0,
             "worth_factor": 1.0, "limit": 0.0, "burst": 0.0}],
         "policy_limits": {"send_cap": 3, "cancel": true, "second_copies": true, "retry_after": true,
-            "max_retry_after": 1_000_000, "connect_timeout": 250_000, "keepalive": 30_000_000},
+            "max_retry_after": 1_000_000, "connect_timeout": 250_000,
+            "keepalive": setup.keepalive.as_micros() as u64},
         "contract": {"answer_slack": 8000, "cold": 15_000_000, "cold_from": 0.18, "fall": 1_000_000,
             "fall_multiple": 2.5},
         "domain": {"young_limit": 4.0, "max_units": 8, "usual_units": 2.0, "share_worth": 0.4,
--- a/tests/head.rs
+++ b/tests/head.rs
@@ -4,8 +4,10 @@
 use pathbank::rehearsal::stage::{Discovery, Head, HttpClient, Setup, entry};
 use pathbank::rehearsal::{header, wait_for};
 use std::io::Write;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::mpsc::channel;
+use std::time::Duration;
 
 struct Stage {
     brick: Brick,
@@ -17,12 +19,16 @@
 const LONG: u64 = 3_600_000;
 
 fn stage(sockets: usize) -> Stage {
+    stage_with(Setup { sockets, ..Setup::default() })
+}
+
+fn stage_with(setup: Setup) -> Stage {
     let brick = Brick::start("b-1").unwrap();
     let nodes = vec![entry("s-1", brick.address, 0, "in_service")];
     let discovery = Discovery::start(nodes.clone()).unwrap();
-    let setup = Setup { sockets, ..Setup::default() };
-    let head =
-        Head::start(Path::new(env!("CARGO_BIN_EXE_pathbank")), &setup, discovery.address, nodes).unwrap();
+    // A port where nothing listens, and that the system gives to nobody.
+    let address = if setup.watched { discovery.address } else { SocketAddr::from(([127, 0, 0, 1], 1)) };
+    let head = Head::start(Path::new(env!("CARGO_BIN_EXE_pathbank")), &setup, address, nodes).unwrap();
     Stage { brick, discovery, head }
 }
 
@@ -105,6 +111,8 @@
         ("once", Act::Cut(String::new()), 502, 1),
         ("once", Act::Cut(half.to_string()), 502, 1),
         ("once", Act::Answer(answer("500 Internal Server Error", "", "")), 502, 1),
+        ("once", Act::Answer(answer("503 Service Unavailable", "", "")), 502, 1),
+        ("once", Act::Answer(answer("200 OK", "", &"x".repeat(64 * 1024 + 1))), 502, 1),
         ("once", Act::Answer(never), 200, 2),
     ] {
         let stage = stage(1024);
@@ -114,6 +122,19 @@
     }
 }
 
+#[test]
+fn a_connection_closed_while_idle_never_makes_a_second_attempt() {
+    let stage = stage(1024);
+    for _ in 0..20 {
+        stage.brick.next(Act::Cut(answer("200 OK", "", "")));
+        assert_eq!(stage.client().ask("token-read", LONG, b"").unwrap().0, 200);
+        assert_eq!(stage.requests(), 1);
+        // The close may cross the next request: then it may have run, and fails; else it goes to a new connection.
+        let (status, ..) = stage.client().ask("once", LONG, b"data").unwrap();
+        assert_eq!(stage.requests(), usize::from(status == 200), "{status}");
+    }
+}
+
 #[test]
 fn a_draining_brick_gets_nothing_new_and_the_refusal_says_when_to_come_back() {
     let stage = stage(1024);
@@ -162,6 +183,37 @@
     }
 }
 
+#[test]
+fn clients_that_leave_free_their_places() {
+    let stage = stage(20);
+    let (release, held) = channel();
+    stage.brick.next(Act::Hold(held));
+    let mut clients: Vec<HttpClient> = (0..12).map(|_| stage.client()).collect();
+    for client in &mut clients {
+        client.send("token-read", LONG, "", b"").unwrap();
+    }
+    stage.taken();
+    drop(clients);
+    drop(release);
+    // Until the head has seen that they are gone it may refuse.
+    let served = (0..10_000).any(|_| stage.client().ask("token-read", LONG, b"").unwrap().0 == 200);
+    assert!(served);
+}
+
+#[test]
+fn an_idle_connection_is_dropped_by_the_head_before_the_brick_would() {
+    let stage = stage_with(Setup { keepalive: Duration::from_secs(1), ..Setup::default() });
+    assert_eq!(stage.client().ask("token-read", LONG, b"").unwrap().0, 200);
+    wait_for(&stage.brick.seen, "the idle connection's end", |seen| *seen == Seen::Closed).unwrap();
+}
+
+#[test]
+fn without_discovery_the_list_that_was_known_serves() {
+    let stage = stage_with(Setup { watched: false, ..Setup::default() });
+    assert_eq!(stage.client().ask("token-read", LONG, b"").unwrap().0, 200);
+    stage.head.logged("the watch on the node list broke").unwrap();
+}
+
 #[test]
 fn a_silent_watch_is_broken_and_asked_for_again() {
     let stage = stage(1024);
