Make the rehearsal catch overtaking writes and appends that never began

Seen by breaking the code on purpose: without the turns of a file's commands, and with a cut OPEN counted as a begun append, all cases still passed. Now `pipelined` holds a write and looks for one that overtakes it, and `no-repeat` cuts the OPEN before an append. Both fail on the broken code and pass on this.

--- a/src/core.rs
+++ b/src/core.rs
@@ -621,7 +621,7 @@
             tokio::spawn(core.run());
             handle.send(nodes(ListedState::InService));
             // Only a test that would never end is ended by this.
-            tokio::time::timeout(Duration::from_secs(60), play(handle)).await.expect("stuck")
+            tokio::time::timeout(Duration::from_secs(20), play(handle)).await.expect("stuck")
         })
     }
 
--- a/src/rehearsal/cases.rs
+++ b/src/rehearsal/cases.rs
@@ -246,6 +246,10 @@
     store.fail(Verb::Write, Fault::NotProcessed);
     check(is(&client.ask(append())?, Status::Ok), "an append that never ran is sent again")?;
     expect(kept(&files), b"onceonce".to_vec(), "after an append that was turned away once")?;
+    // Cut off while it opened the file, before the append itself went out.
+    store.fail(Verb::Open, Fault::Cut);
+    check(is(&client.ask(append())?, Status::Ok), "an append that was never begun is sent again")?;
+    expect(kept(&files), b"onceonceonce".to_vec(), "after an append that was cut off before it began")?;
     client.close(handle)?;
     // In its place and within its class's window a WRITE may be repeated, and a READ always.
     let handle = client.open(PATH, packet::WRITE)?;
@@ -253,7 +257,7 @@
     client.write(&handle, 0, b"ONCE")?;
     store.fail(Verb::Read, Fault::Cut);
     store.fail(Verb::Read, Fault::HalfReply);
-    expect(client.get(PATH, 100)?, b"ONCEonce".to_vec(), "what READ gets after two broken replies")
+    expect(client.get(PATH, 100)?, b"ONCEonceonce".to_vec(), "what READ gets after two broken replies")
 }
 
 fn unreachable(program: &Path) -> Outcome {
@@ -284,15 +288,20 @@
     expect(answered, sent, "the commands answered")?;
     // Commands on one file are carried out in the order in which they came.
     let handle = client.open(PATH, WRITE_NEW)?;
-    for value in 0..40 {
-        let (handle, data) = (handle.clone(), Bytes::from(vec![value; 4]));
-        client.send(Command::Write { handle, offset: 0, data })?;
-    }
-    for _ in 0..40 {
-        let (id, reply) = client.receive()?;
-        check(is(&reply, Status::Ok), format!("WRITE {id} got {reply:?}"))?;
-    }
-    expect(kept(&files), vec![39; 4], "the file after writes to one place")
+    let (release, held) = channel();
+    store.fail(Verb::Write, Fault::Hold(held));
+    let (a, b) = (Bytes::from_static(b"a"), Bytes::from_static(b"b"));
+    let first = client.send(Command::Write { handle: handle.clone(), offset: 0, data: a })?;
+    let second = client.send(Command::Write { handle, offset: 0, data: b })?;
+    wait_for(&store.seen, "the first write", |seen| matches!(seen, Seen::Write { .. }))?;
+    // Another file's commands pass the held one; the second write, sent before them, must not.
+    check(is(&client.ask(stat("/bundles/other/x"))?, Status::NoSuchFile), "STAT beside a held WRITE")?;
+    let early = store.seen.try_iter().any(|seen| matches!(seen, Seen::Write { .. }));
+    check(!early, "a WRITE overtook one to the same file")?;
+    drop(release);
+    let replies = (client.receive()?.0, client.receive()?.0);
+    expect(replies, (first, second), "the order of the replies")?;
+    expect(kept(&files), b"b".to_vec(), "the file after two writes to one place")
 }
 
 fn syslog(program: &Path) -> Outcome {
