--- a/src/net/sftp/front.rs
+++ b/src/net/sftp/front.rs
@@ -44,8 +44,9 @@
     turn: Mutex<()>,
 }
 
-type Reply4 = (u32, Result<Bytes, Reply>, Option<File>);
-type InFlight = Pin<Box<dyn Future<Output = Reply4> + Send>>;
+/// The request's id; its answer, encoded or of the head's own; and, where that is a handle, the file to keep for it.
+type Done = (u32, Result<Bytes, Reply>, Option<File>);
+type InFlight = Pin<Box<dyn Future<Output = Done> + Send>>;
 
 pub async fn serve(listener: TcpListener, front: Front, room: Arc<Semaphore>) {
     let mut phase = front.phase.clone();
