Handle SIGHUP by moving the watch; let idle and silent clients go when places run short

The log had no error. Ruled out: memory (5 of 32 MB) and the nodes' side (72 connections at once). At fault: HEAD_TIME of 60 s in net/front, the only bound on an idle connection, and a plain semaphore for places, so that silent connections kept out all others.

Now net/places knows what each connection is at, lets those over a limit go, and frees a place for whoever comes. SIGHUP reads the configuration again and moves the watch; the old one stays until the new one stands.

--- a/src/bin/pathbank.rs
+++ b/src/bin/pathbank.rs
@@ -1,6 +1,6 @@
 //! One head: clients in front, nodes behind, the module between them.
 
-use log::{error, info};
+use log::{error, info, warn};
 use pathbank::clock::Clock;
 use pathbank::config::Config;
 use pathbank::config::sftp::SecondFront;
@@ -9,13 +9,15 @@
 use pathbank::net::back::Back;
 use pathbank::net::discovery::Discovery;
 use pathbank::net::front::{self, Front, Phase};
+use pathbank::net::places::Places;
 use pathbank::net::sftp;
 use std::error::Error;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Semaphore, watch};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::watch;
 use tokio::time::{Duration, Instant, sleep, sleep_until, timeout_at};
 
 /// After SIGTERM: new connections keep coming for up to 0.4 s.
@@ -25,9 +27,6 @@
 const LAST_ANSWERS: Duration = Duration::from_millis(350);
 const LAST_BYTES: Duration = Duration::from_millis(150);
 
-/// The places for a front's connections, and how many there are.
-type Room = (Arc<Semaphore>, usize);
-
 fn main() -> ExitCode {
     let done = Config::from_environment().map_err(Into::into).and_then(run);
     match done {
@@ -44,14 +43,20 @@
 }
 
 async fn head(mut config: Config) -> Result<(), Box<dyn Error>> {
-    let second = SecondFront::from_environment(&mut config.settings, &config.names)?;
+    // Before all else: unhandled, either signal would end the program where it stands.
+    let (mut terminate, hangup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
+    let mut second = SecondFront::from_environment(&mut config.settings, &config.names)?;
+    if let Some(second) = &mut second {
+        config.share_places(second);
+    }
     logging::start(&config.name, config.log_level, config.syslog)?;
-    let mut terminate = signal(SignalKind::terminate())?;
     let (core, wanted) = Core::new(config.settings.clone(), config.seed, config.max_open, Clock::start());
     let handle = core.handle();
     let core = tokio::spawn(core.run());
+    let (place, address) = watch::channel(config.discovery);
+    tokio::spawn(reload(hangup, place));
     let discovery = Discovery {
-        address: config.discovery,
+        address,
         known: config.known.clone(),
         handle: handle.clone(),
         on_demand: config.settings.must_subscribe,
@@ -66,11 +71,12 @@
         answer_margin: config.answer_margin,
         phase: watched.clone(),
     };
-    let room = Arc::new(Semaphore::new(config.clients));
+    let places = Places::new(config.clients);
+    tokio::spawn(places.clone().watch());
     let listener = TcpListener::bind(config.listen).await?;
     info!(name = config.name, listen:% = listener.local_addr()?; "up");
-    tokio::spawn(front::serve(listener, front, room.clone()));
-    let mut rooms = vec![(room.clone(), config.clients)];
+    tokio::spawn(front::serve(listener, front, places.clone()));
+    let mut rooms = vec![places];
     if let Some(second) = second {
         let listener = TcpListener::bind(second.listen).await?;
         info!(listen:% = listener.local_addr()?; "file commands are up");
@@ -81,8 +87,9 @@
             phase: watched,
             config: Arc::new(second),
         };
-        let places = Arc::new(Semaphore::new(front.config.clients));
-        rooms.push((places.clone(), front.config.clients));
+        let places = Places::new(front.config.clients);
+        tokio::spawn(places.clone().watch());
+        rooms.push(places.clone());
         tokio::spawn(sftp::front::serve(listener, front, places));
     }
     tokio::select! {
@@ -98,20 +105,32 @@
     Ok(())
 }
 
+/// Reads the configuration again with each SIGHUP, for as long as the program runs. What a running head can change
+/// is where discovery is; all else waits for its next start.
+async fn reload(mut hangup: Signal, place: watch::Sender<SocketAddr>) {
+    while hangup.recv().await.is_some() {
+        match Config::from_environment() {
+            Ok(config) => {
+                info!(discovery:% = config.discovery; "the configuration is read again");
+                place.send_if_modified(|now| std::mem::replace(now, config.discovery) != config.discovery);
+            }
+            Err(problem) => warn!("the old configuration stays in force: {problem}"),
+        }
+    }
+}
+
 /// Accepts for a while longer, finishes what is held, and closes connections between requests.
-async fn leave(config: &Config, phase: &watch::Sender<Phase>, handle: &Handle, rooms: &[Room]) {
+async fn leave(config: &Config, phase: &watch::Sender<Phase>, handle: &Handle, rooms: &[Places]) {
     let told = Instant::now();
     info!(open = handle.open(); "leaving");
     phase.send_replace(Phase::Leaving);
     sleep(ACCEPT_ON).await;
     phase.send_replace(Phase::Closing);
-    // Each connection holds a place: with all places free, all answers are out.
+    // Each connection holds a place: with no place held, all answers are out.
     let last = told + config.longest_deadline().min(LONGEST) + LAST_ANSWERS;
     let answered = async {
-        for (room, places) in rooms {
-            let all = u32::try_from(*places).unwrap_or(u32::MAX);
-            // An error would say that the room is closed, which it never is.
-            let _ = room.acquire_many(all).await;
+        for places in rooms {
+            places.empty().await;
         }
     };
     if timeout_at(last, answered).await.is_err() {
--- a/src/config/sftp.rs
+++ b/src/config/sftp.rs
@@ -1,6 +1,6 @@
 //! The second front's file: whether it is on, where it listens, and what paths mean.
 
-use super::{ConfigError, Names, fnv, unreadable};
+use super::{ClientLimits, ConfigError, Names, fnv, unreadable};
 use crate::interface::{Class, Repeats, Settings, VolumeId};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -10,12 +10,17 @@
 const CLIENTS: usize = 32;
 /// Descriptors are shared with the first front; more clients than this would eat into its part.
 const MOST_CLIENTS: usize = 64;
+/// INIT, the first packet, must come within this.
+const INIT_TIME: Duration = Duration::from_secs(5);
+/// A person may look at a listing for a while; those that wait for a place come first.
+const IDLE: Duration = Duration::from_secs(600);
+const IDLE_IF_MANY: Duration = Duration::from_secs(60);
 
 #[derive(Debug, PartialEq)]
 pub struct SecondFront {
     pub listen: SocketAddr,
     pub node_port: Option<u16>,
-    pub clients: usize,
+    pub clients: ClientLimits,
     pub rules: Vec<PathRule>,
 }
 
@@ -123,7 +128,12 @@
         Ok(Some(SecondFront {
             listen: file.listen.ok_or(ConfigError::Missing("listen of the second front's file"))?,
             node_port: file.node_port,
-            clients: if file.clients == 0 { CLIENTS } else { file.clients.min(MOST_CLIENTS) },
+            clients: ClientLimits {
+                most: if file.clients == 0 { CLIENTS } else { file.clients.min(MOST_CLIENTS) },
+                request: INIT_TIME,
+                idle: IDLE,
+                idle_if_many: IDLE_IF_MANY,
+            },
             rules,
         }))
     }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -3,6 +3,8 @@
 use crate::config::Names;
 use crate::core::{Answer, Arrival, Handle};
 use crate::net::back::{Back, Forward, ForwardWork, IDEMPOTENCY_KEY, MOST_BODY, REQUEST_ID, TIMEOUT};
+use crate::net::places::{Places, Seat};
+use axum::Extension;
 use axum::Router;
 use axum::body::{Body, to_bytes};
 use axum::extract::{Request, State};
@@ -11,25 +13,29 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
 use futures_util::FutureExt;
+use hyper::body::Incoming;
+use hyper::rt::ReadBufCursor;
 use hyper::server::conn::http1;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::service::TowerToHyperService;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
 use log::{debug, error, warn};
 use std::fmt;
+use std::io;
 use std::panic::AssertUnwindSafe;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::sync::watch;
 use tokio::time::{Duration, Instant};
+use tower_service::Service;
 
 const CLASS: &str = "x-priority-class";
 const PLAN: &str = "x-storage-class";
 const EXTENT: &str = "x-extent";
 const RETRIED: &str = "x-retried";
 /// What a connection may hold of a request's head.
-const MOST_HEAD: usize = 32 * 1024;
-/// A client whose request head stays incomplete for so long is let go, as is one that has been idle.
-const HEAD_TIME: Duration = Duration::from_secs(60);
+const MOST_HEAD: usize = 16 * 1024;
 /// When a client that found no room is asked to come again.
 const NO_ROOM: Duration = Duration::from_secs(1);
 
@@ -52,28 +58,24 @@
     pub phase: watch::Receiver<Phase>,
 }
 
-/// Accepts until the phase is `Closing`. `room` bounds the connections.
-pub async fn serve(listener: TcpListener, front: Front, room: Arc<Semaphore>) {
+/// Accepts until the phase is `Closing`.
+pub async fn serve(listener: TcpListener, front: Front, places: Places) {
     let mut phase = front.phase.clone();
     let router = Router::new().route("/up", get(|| async { "up" })).fallback(take).with_state(front.clone());
     loop {
         let accepted = tokio::select! {
             () = closing(&mut phase) => return,
-            accepted = accept(&listener, &room) => accepted,
+            accepted = accept(&listener, &places) => accepted,
         };
-        let Some((stream, permit)) = accepted else { continue };
-        tokio::spawn(connection(stream, permit, router.clone(), front.phase.clone()));
+        let Some((stream, seat)) = accepted else { continue };
+        tokio::spawn(connection(stream, seat, router.clone(), front.phase.clone()));
     }
 }
 
 /// One accepted connection and its place. With no descriptor left it waits a moment rather than spin.
-pub async fn accept(
-    listener: &TcpListener,
-    room: &Arc<Semaphore>,
-) -> Option<(TcpStream, OwnedSemaphorePermit)> {
-    let permit = room.clone().acquire_owned().await.ok()?;
+pub async fn accept(listener: &TcpListener, places: &Places) -> Option<(TcpStream, Seat)> {
     match listener.accept().await {
-        Ok((stream, _)) => Some((stream, permit)),
+        Ok((stream, _)) => Some((stream, places.take().await)),
         Err(problem) => {
             warn!("accept: {problem}");
             tokio::time::sleep(Duration::from_millis(10)).await;
@@ -87,24 +89,37 @@
     let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
 }
 
-async fn connection(
-    stream: TcpStream,
-    _place: OwnedSemaphorePermit,
-    router: Router,
-    mut phase: watch::Receiver<Phase>,
-) {
+async fn connection(stream: TcpStream, seat: Seat, router: Router, mut phase: watch::Receiver<Phase>) {
     if let Err(problem) = stream.set_nodelay(true) {
         debug!("nodelay: {problem}");
     }
-    let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIME).max_buf_size(MOST_HEAD);
-    let served = builder.serve_connection(TokioIo::new(stream), TowerToHyperService::new(router));
+    let io = Watched { io: TokioIo::new(stream), seat: seat.clone() };
+    let of_request = seat.clone();
+    let service = service_fn(move |mut request: hyper::Request<Incoming>| {
+        of_request.asking();
+        request.extensions_mut().insert(of_request.clone());
+        router.clone().call(request)
+    });
+    let served = http1::Builder::new().max_buf_size(MOST_HEAD).serve_connection(io, service);
     tokio::pin!(served);
-    let ended = tokio::select! {
-        ended = served.as_mut() => ended,
-        () = closing(&mut phase) => {
-            served.as_mut().graceful_shutdown();
-            served.await
+    let (mut told, mut ends) = (false, false);
+    let ended = loop {
+        // What has come is read before the connection is told to go.
+        tokio::select! {
+            biased;
+            ended = served.as_mut() => break ended,
+            () = closing(&mut phase), if !ends => {
+                ends = true;
+                served.as_mut().graceful_shutdown();
+            }
+            orderly = seat.told_to_leave() => {
+                if told || !orderly {
+                    debug!("a client's connection is cut off");
+                    return;
+                }
+                told = true;
+                served.as_mut().graceful_shutdown();
+            }
         }
     };
     if let Err(problem) = ended {
@@ -112,11 +127,46 @@
     }
 }
 
+/// A client's connection that tells its place when bytes come.
+struct Watched {
+    io: TokioIo<TcpStream>,
+    seat: Seat,
+}
+
+impl hyper::rt::Read for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let read = Pin::new(&mut self.io).poll_read(cx, buf);
+        if matches!(read, Poll::Ready(Ok(()))) {
+            self.seat.byte_came();
+        }
+        read
+    }
+}
+
+impl hyper::rt::Write for Watched {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(cx)
+    }
+}
+
 /// Whatever happens inside, a request gets one answer; a panic is one of the things that may.
-async fn take(State(front): State<Front>, request: Request) -> Response {
+async fn take(State(front): State<Front>, Extension(seat): Extension<Seat>, request: Request) -> Response {
     let received = Instant::now();
     let leaving = front.phase.clone();
-    let answered = AssertUnwindSafe(answer(&front, request, received)).catch_unwind().await;
+    let answered = AssertUnwindSafe(answer(&front, &seat, request, received)).catch_unwind().await;
+    seat.answered();
     let mut response = answered.unwrap_or_else(|_| {
         error!("a request's handler panicked");
         StatusCode::INTERNAL_SERVER_ERROR.into_response()
@@ -132,7 +182,7 @@
     response
 }
 
-async fn answer(front: &Front, request: Request, received: Instant) -> Response {
+async fn answer(front: &Front, seat: &Seat, request: Request, received: Instant) -> Response {
     let (head, body) = request.into_parts();
     let arrival = match read(&head, &front.names, received, front.answer_margin) {
         Ok(arrival) => arrival,
@@ -151,6 +201,7 @@
         key: head.headers.get(IDEMPOTENCY_KEY).cloned(),
         body,
     });
+    seat.waiting();
     let work = Box::new(ForwardWork { back: front.back.clone(), forward });
     match front.handle.submit(arrival, work) {
         // The connection goes with it, so that its place is free for the next one.
@@ -246,6 +297,7 @@
 mod tests {
     use super::*;
     use crate::clock::Clock;
+    use crate::config::ClientLimits;
     use crate::core::Core;
     use crate::interface::Settings;
 
@@ -261,8 +313,9 @@
             let front = Front { handle: core.handle(), back, names, answer_margin: times, phase: watched };
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let address = listener.local_addr().unwrap();
-            let room = Arc::new(Semaphore::new(4));
-            let serving = tokio::spawn(serve(listener, front, room.clone()));
+            let places =
+                Places::new(ClientLimits { most: 4, request: times, idle: times, idle_if_many: times });
+            let serving = tokio::spawn(serve(listener, front, places.clone()));
             let mut idle = TcpStream::connect(address).await.unwrap();
             idle.write_all(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n").await.unwrap();
             let mut seen = [0; 12];
@@ -278,7 +331,7 @@
             serving.await.unwrap();
             idle.read_to_end(&mut Vec::new()).await.unwrap();
             assert!(TcpStream::connect(address).await.is_err());
-            drop(room.acquire_many(4).await.unwrap());
+            places.empty().await;
         });
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,4 +3,5 @@
 pub mod back;
 pub mod discovery;
 pub mod front;
+pub mod places;
 pub mod sftp;
--- /dev/null
+++ b/src/net/places.rs
@@ -0,0 +1,268 @@
+//! The places for a front's connections: how many there are, what each connection is at, and who has to go when
+//! none is left or a limit has passed. Shared by both fronts.
+
+use crate::config::ClientLimits;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::Notify;
+use tokio::time::{Duration, Instant, sleep, timeout};
+
+/// How often connections are looked at, and the wait for one told to go before the next one is told.
+const LOOK: Duration = Duration::from_millis(200);
+const NEXT_VICTIM: Duration = Duration::from_millis(10);
+/// What was told to go in order and has nothing open any more, but does not take its last bytes, is cut off after this.
+const LAST_BYTES: Duration = Duration::from_millis(2_500);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Doing {
+    /// Connected, or in the middle of a request that has not come whole.
+    Asking,
+    /// Its request is open.
+    Waiting,
+    Idle,
+}
+
+struct State {
+    doing: Doing,
+    since: Instant,
+    /// It has had an answer before.
+    known: bool,
+    told: Option<Instant>,
+    leave: Arc<Notify>,
+}
+
+impl State {
+    fn tell(&mut self, now: Instant) {
+        self.told = Some(now);
+        self.leave.notify_one();
+    }
+}
+
+#[derive(Default)]
+struct Taken {
+    seats: BTreeMap<u64, State>,
+    last: u64,
+}
+
+#[derive(Clone)]
+pub struct Places {
+    limits: ClientLimits,
+    taken: Arc<Mutex<Taken>>,
+    freed: Arc<Notify>,
+}
+
+impl Places {
+    pub fn new(limits: ClientLimits) -> Places {
+        Places { limits, taken: Arc::default(), freed: Arc::default() }
+    }
+
+    fn taken(&self) -> MutexGuard<'_, Taken> {
+        self.taken.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn held(&self) -> usize {
+        self.taken().seats.len()
+    }
+
+    /// A place for a connection that has come. Where none is left, one without an open request goes: first of all
+    /// the oldest that never had an answer, so that a flood of such costs nobody else; then the longest idle.
+    pub async fn take(&self) -> Seat {
+        let seat = self.sit();
+        while self.held() > self.limits.most {
+            let freed = self.freed.notified();
+            self.tell_one(seat.0.id);
+            let _ = timeout(NEXT_VICTIM, freed).await; // then the next one is told
+        }
+        seat
+    }
+
+    fn tell_one(&self, but: u64) {
+        let mut taken = self.taken();
+        let others = taken.seats.iter_mut().filter(|(id, _)| **id != but).map(|(_, state)| state);
+        let able = others.filter(|s| s.doing != Doing::Waiting && s.told.is_none());
+        if let Some(state) = able.min_by_key(|s| (s.known, s.doing != Doing::Idle, s.since)) {
+            state.tell(Instant::now());
+        }
+    }
+
+    fn sit(&self) -> Seat {
+        let (mut taken, leave) = (self.taken(), Arc::new(Notify::new()));
+        taken.last += 1;
+        let (id, since) = (taken.last, Instant::now());
+        let state = State { doing: Doing::Asking, since, known: false, told: None, leave: leave.clone() };
+        taken.seats.insert(id, state);
+        Seat(Arc::new(Held { id, places: self.clone(), leave }))
+    }
+
+    /// Waits until all connections are gone.
+    pub async fn empty(&self) {
+        while self.held() > 0 {
+            let freed = self.freed.notified();
+            let _ = timeout(NEXT_VICTIM, freed).await; // looked at again either way
+        }
+    }
+
+    /// Tells those to go that are over a limit, for as long as the program runs.
+    pub async fn watch(self) {
+        loop {
+            sleep(LOOK).await;
+            self.look(Instant::now());
+        }
+    }
+
+    fn look(&self, now: Instant) {
+        let (limits, mut taken) = (self.limits, self.taken());
+        let many = taken.seats.len() > limits.most / 2;
+        for seat in taken.seats.values_mut() {
+            let limit = match (seat.doing, seat.told) {
+                (Doing::Waiting, _) => continue,
+                (_, Some(told)) if now > told + LAST_BYTES => Duration::ZERO,
+                (_, Some(_)) => continue,
+                (Doing::Asking, None) => limits.request,
+                (Doing::Idle, None) => {
+                    if many {
+                        limits.idle_if_many
+                    } else {
+                        limits.idle
+                    }
+                }
+            };
+            if now >= seat.since + limit {
+                seat.tell(now);
+            }
+        }
+    }
+}
+
+/// A connection's place; free again when the last of its clones is dropped.
+#[derive(Clone)]
+pub struct Seat(Arc<Held>);
+
+struct Held {
+    id: u64,
+    places: Places,
+    leave: Arc<Notify>,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.places.taken().seats.remove(&self.id);
+        self.places.freed.notify_waiters();
+    }
+}
+
+impl Seat {
+    fn with<T>(&self, f: impl FnOnce(&mut State) -> T) -> Option<T> {
+        self.0.places.taken().seats.get_mut(&self.0.id).map(f)
+    }
+
+    fn set(&self, doing: Doing) {
+        self.with(|seat| {
+            if seat.doing != doing {
+                (seat.doing, seat.since) = (doing, Instant::now());
+            }
+        });
+    }
+
+    /// A byte has come. Inside an open request that changes nothing.
+    pub fn byte_came(&self) {
+        if self.with(|seat| seat.doing) == Some(Doing::Idle) {
+            self.set(Doing::Asking);
+        }
+    }
+
+    /// A request's head has come.
+    pub fn asking(&self) {
+        self.set(Doing::Asking);
+    }
+
+    /// A whole request has come: the connection is not cut off before its answer.
+    pub fn waiting(&self) {
+        self.set(Doing::Waiting);
+    }
+
+    pub fn answered(&self) {
+        self.with(|seat| seat.known = true);
+        self.set(Doing::Idle);
+    }
+
+    /// Told to go: true while a request is open or an answer is on its way, which go first.
+    pub async fn told_to_leave(&self) -> bool {
+        self.0.leave.notified().await;
+        self.with(|seat| seat.doing != Doing::Asking).unwrap_or(false)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use futures_util::FutureExt;
+
+    const REQUEST: Duration = Duration::from_secs(2);
+    const IDLE: Duration = Duration::from_secs(10);
+
+    fn places(most: usize) -> Places {
+        Places::new(ClientLimits { most, request: REQUEST, idle: IDLE, idle_if_many: IDLE / 5 })
+    }
+
+    fn told(place: &Seat) -> Option<bool> {
+        place.told_to_leave().now_or_never()
+    }
+
+    #[test]
+    fn whoever_is_over_a_limit_is_told_to_go_and_an_open_request_never() {
+        for (others, after, gone) in [
+            (0, REQUEST / 2, [false, false, false]),
+            (0, REQUEST, [true, false, false]),
+            (0, IDLE, [true, false, true]),
+            // More than half of the places taken: idle ones go earlier.
+            (3, IDLE / 5, [true, false, true]),
+        ] {
+            let places = places(10);
+            let held: Vec<Seat> = (0..3 + others).map(|_| places.sit()).collect();
+            held[1].waiting();
+            held[2].answered();
+            held[3..].iter().for_each(Seat::waiting);
+            places.look(Instant::now() + after);
+            assert_eq!([&held[0], &held[1], &held[2]].map(|seat| told(seat).is_some()), gone, "{after:?}");
+        }
+    }
+
+    #[test]
+    fn what_was_told_to_go_and_lingers_is_cut_off() {
+        let places = places(10);
+        let place = places.sit();
+        place.answered();
+        let now = Instant::now();
+        places.look(now + IDLE);
+        assert_eq!(told(&place), Some(true));
+        places.look(now + IDLE + LAST_BYTES);
+        assert_eq!(told(&place), None);
+        places.look(now + IDLE + 2 * LAST_BYTES);
+        assert!(told(&place).is_some());
+    }
+
+    #[test]
+    fn a_full_house_first_sends_those_away_that_never_had_an_answer() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            let places = places(4);
+            let mut open_ones = vec![places.sit()];
+            let idle = places.sit();
+            idle.answered();
+            let (silent, later) = (places.sit(), places.sit());
+            open_ones[0].waiting();
+            for victim in [silent, later, idle] {
+                // The place comes with the victim's end and with nobody else's; an open request takes it.
+                let goes = async {
+                    victim.told_to_leave().await;
+                    drop(victim);
+                };
+                let (next, ()) = tokio::join!(places.take(), goes);
+                next.waiting();
+                open_ones.push(next);
+            }
+            assert!(open_ones.iter().all(|seat| told(seat).is_none()));
+        });
+    }
+}
--- a/src/net/sftp/front.rs
+++ b/src/net/sftp/front.rs
@@ -8,6 +8,7 @@
 use crate::config::sftp::{NoPlace, Place, SecondFront, Use};
 use crate::core::{Answer, Arrival, Handle};
 use crate::net::front::{Phase, accept, closing};
+use crate::net::places::{Places, Seat};
 use bytes::Bytes;
 use futures_util::stream::FuturesUnordered;
 use futures_util::{FutureExt, SinkExt, StreamExt};
@@ -17,14 +18,14 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Mutex, OwnedSemaphorePermit, Semaphore, watch};
+use tokio::sync::{Mutex, watch};
 use tokio::time::{Duration, Instant, timeout, timeout_at};
 use tokio_util::codec::Framed;
 
 /// Files that a client may have open, and its commands in flight: beyond that it is not read from.
 const MOST_HANDLES: usize = 64;
 const MOST_IN_FLIGHT: usize = 16;
-/// The first packet, INIT, must come within this; a client that takes no replies is let go after as long.
+/// A client that takes no replies is let go after this.
 const PATIENCE: Duration = Duration::from_secs(20);
 
 #[derive(Clone)]
@@ -48,24 +49,25 @@
 type Done = (u32, Result<Bytes, Reply>, Option<File>);
 type InFlight = Pin<Box<dyn Future<Output = Done> + Send>>;
 
-pub async fn serve(listener: TcpListener, front: Front, room: Arc<Semaphore>) {
+pub async fn serve(listener: TcpListener, front: Front, places: Places) {
     let mut phase = front.phase.clone();
     loop {
         let accepted = tokio::select! {
             () = closing(&mut phase) => return,
-            accepted = accept(&listener, &room) => accepted,
+            accepted = accept(&listener, &places) => accepted,
         };
-        if let Some((stream, place)) = accepted {
-            tokio::spawn(client(stream, place, front.clone()));
+        if let Some((stream, seat)) = accepted {
+            tokio::spawn(client(stream, seat, front.clone()));
         }
     }
 }
 
-async fn client(stream: TcpStream, _place: OwnedSemaphorePermit, front: Front) {
+async fn client(stream: TcpStream, seat: Seat, front: Front) {
     let _ = stream.set_nodelay(true); // only a matter of speed
     let mut session = Session {
         packets: Framed::new(stream, packet::frames()),
         front,
+        seat,
         files: BTreeMap::new(),
         last: 0,
         in_flight: FuturesUnordered::new(),
@@ -77,6 +79,7 @@
 struct Session {
     packets: Framed<TcpStream, tokio_util::codec::LengthDelimitedCodec>,
     front: Front,
+    seat: Seat,
     files: BTreeMap<u64, Arc<File>>,
     last: u64,
     in_flight: FuturesUnordered<InFlight>,
@@ -85,8 +88,13 @@
 impl Session {
     /// Serves until the connection ends; returns why.
     async fn run(&mut self) -> &'static str {
-        match timeout(PATIENCE, self.packets.next()).await {
-            Ok(Some(Ok(first))) => match Request::decode(first.freeze()) {
+        let first = tokio::select! {
+            biased;
+            first = self.packets.next() => first,
+            _ = self.seat.told_to_leave() => None,
+        };
+        match first {
+            Some(Ok(first)) => match Request::decode(first.freeze()) {
                 Ok(Request::Init { version }) if version >= VERSION => {}
                 _ => return "no INIT of version 3 or later",
             },
@@ -96,7 +104,16 @@
             return "the connection broke";
         }
         let mut phase = self.front.phase.clone();
+        let mut wanted = false;
         loop {
+            if self.in_flight.is_empty() {
+                self.seat.answered();
+                if wanted {
+                    return "its place was wanted";
+                }
+            } else {
+                self.seat.waiting();
+            }
             let full = self.in_flight.len() >= MOST_IN_FLIGHT;
             tokio::select! {
                 biased;
@@ -110,8 +127,9 @@
                         return "it takes no replies";
                     }
                 }
+                _ = self.seat.told_to_leave() => wanted = true,
                 () = closing(&mut phase), if self.in_flight.is_empty() => return "the head leaves",
-                packet = self.packets.next(), if !full => {
+                packet = self.packets.next(), if !full && !wanted => {
                     let received = Instant::now();
                     let packet = match packet {
                         Some(Ok(packet)) => packet.freeze(),
--- a/src/rehearsal/stage.rs
+++ b/src/rehearsal/stage.rs
@@ -121,6 +121,7 @@
 pub struct Head {
     child: Child,
     config: PathBuf,
+    file: Value,
     paths: PathBuf,
     pub http: SocketAddr,
     /// Where the second front listens, if it is on.
@@ -154,7 +155,7 @@
             }
         });
         let http = SocketAddr::from(([127, 0, 0, 1], 0));
-        let mut head = Head { child, config, paths, http, files: None, log };
+        let mut head = Head { child, config, file, paths, http, files: None, log };
         // In whatever order these come; the watch has told the whole list, so that from here on changes arrive.
         let mut waits = vec!["] up"];
         waits.extend(setup.watched.then_some("the watch stands"));
@@ -181,8 +182,20 @@
         self.files.ok_or_else(|| Failure::Unmet("the second front is off".into()))
     }
 
+    /// Sends SIGHUP with another value for one key of the configuration.
+    pub fn reload(&self, key: &str, value: Value) -> Outcome {
+        let mut file = self.file.clone();
+        file[key] = value;
+        std::fs::write(&self.config, file.to_string())?;
+        self.signal("HUP")
+    }
+
     pub fn terminate(&self) -> Outcome {
-        let kill = format!("kill -TERM {}", self.child.id());
+        self.signal("TERM")
+    }
+
+    fn signal(&self, name: &str) -> Outcome {
+        let kill = format!("kill -{name} {}", self.child.id());
         let done = Command::new("/bin/sh").args(["-c", &kill]).status()?;
         super::check(done.success(), "the signal was not sent")
     }
