Own each connection to a node for one exchange; refuse what bad clients send

Checked with the new tests on the old code: an answer that stops halfway (a length that is too long, a head without end) held its request until the client's deadline, and the errors of hyper's parser became Reset, on which the module rests a healthy node. Ruled out: a second copy right behind an answer; the pooled client passes that test. At fault: broken() and read_answer() in net/back, which knew neither BadAnswer for unreadable heads nor a time for an answer once begun; answer() in net/front, which looked at no id and let a length beside a coding pass.

Now an exchange owns its connection (hyper's client::conn), an answer is bounded in bytes and in time from its first byte, framing must be told in exactly one way, and idle connections are asked of the system before use. The second front's pool is the same one; its connect is bounded as a whole.

--- a/src/bin/pathbank.rs
+++ b/src/bin/pathbank.rs
@@ -9,6 +9,7 @@
 use pathbank::net::back::Back;
 use pathbank::net::discovery::Discovery;
 use pathbank::net::front::{self, Front, Phase};
+use pathbank::net::ids::Ids;
 use pathbank::net::places::Places;
 use pathbank::net::sftp;
 use std::error::Error;
@@ -17,7 +18,7 @@
 use std::sync::Arc;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use tokio::time::{Duration, Instant, sleep, sleep_until, timeout_at};
 
 /// After SIGTERM: new connections keep coming for up to 0.4 s.
@@ -63,13 +64,16 @@
     };
     tokio::spawn(discovery.run(wanted));
     let (phase, watched) = watch::channel(Phase::Serving);
-    let back = Back::new(config.connect_timeout, config.idle);
+    let back = Back::new(config.node_connections);
+    tokio::spawn(back.watch());
     let front = Front {
         handle: handle.clone(),
         back: back.clone(),
         names: Arc::new(config.names.clone()),
         answer_margin: config.answer_margin,
         phase: watched.clone(),
+        bodies: Arc::new(Semaphore::new(config.most_held)),
+        ids: Ids::new(config.most_ids, config.longest_deadline() + LONGEST),
     };
     let places = Places::new(config.clients);
     tokio::spawn(places.clone().watch());
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -21,6 +21,9 @@
 /// The part of the descriptors that may hold open requests. Beyond it a request is turned away at once: were the
 /// clients' places all taken, the kernel would go on taking requests that nobody reads.
 const OPEN_PART: f64 = 0.55;
+/// One part in so many of the memory may hold bodies of requests; and for each MB some ids are remembered.
+const BODIES_PART: usize = 8;
+const IDS_PER_MB: usize = 512;
 /// A client has so long from connecting, or from a later request's first byte, until the request has come whole.
 const REQUEST_TIME: Duration = Duration::from_millis(2_200);
 /// How long a client's connection may be idle, and how long where more than half of the places are taken.
@@ -64,14 +67,14 @@
     pub discovery: SocketAddr,
     pub seed: u64,
     pub clients: ClientLimits,
-    /// Connections to nodes, in use and idle.
-    pub node_connections: usize,
+    pub node_connections: NodeLimits,
+    /// Bytes of requests' bodies that may be held at once.
+    pub most_held: usize,
+    /// Ids of requests that are remembered at once.
+    pub most_ids: usize,
     pub known: NodeList,
     pub settings: Settings,
     pub names: Names,
-    pub connect_timeout: Duration,
-    /// How long a connection to a node may stand idle.
-    pub idle: Duration,
     /// Requests that may be open at once.
     pub max_open: usize,
     pub answer_margin: Duration,
@@ -90,11 +93,23 @@
     pub idle_if_many: Duration,
 }
 
+/// What bounds connections to nodes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct NodeLimits {
+    /// In use and idle together.
+    pub most: usize,
+    pub idle: Duration,
+    /// For a connection to come up.
+    pub connect: Duration,
+}
+
 /// What the settings call the things that the module knows by number.
 #[derive(Clone, Debug, Default)]
 pub struct Names {
     pub classes: Vec<String>,
     pub plans: Vec<String>,
+    /// How long the clients of each class wait at most.
+    pub deadlines: Vec<Duration>,
 }
 
 /// The list of nodes in discovery's form.
@@ -143,15 +158,17 @@
     settings: serde_json::Value,
 }
 
+/// Without a word of them, the least that the platform gives.
 #[derive(Deserialize)]
 #[serde(default)]
 struct Limits {
     sockets: usize,
+    memory_mb: usize,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1024 }
+        Limits { sockets: 256, memory_mb: 32 }
     }
 }
 
@@ -180,7 +197,8 @@
             })
         };
         let part = |part: f64| ((file.limits.sockets as f64 * part) as usize).max(1);
-        let names = Names { classes: pairs.names("profiles"), plans: pairs.names("plans") };
+        let deadlines = settings.classes.iter().map(|class| Duration::from_micros(class.deadline)).collect();
+        let names = Names { classes: pairs.names("profiles"), plans: pairs.names("plans"), deadlines };
         let log_level = match env("PATHBANK_LOG") {
             None => log::LevelFilter::Info,
             Some(text) => text.parse().map_err(|e| unreadable("PATHBANK_LOG", e))?,
@@ -200,11 +218,15 @@
                 idle: CLIENT_IDLE,
                 idle_if_many: CLIENT_IDLE_IF_MANY,
             },
-            node_connections: part(NODE_PART),
+            node_connections: NodeLimits {
+                most: part(NODE_PART),
+                idle: time("policy_limits.keepalive", 30_000_000)?.mul_f64(IDLE_PART),
+                connect: time("policy_limits.connect_timeout", 250_000)?,
+            },
+            most_held: file.limits.memory_mb * (1024 * 1024 / BODIES_PART),
+            most_ids: file.limits.memory_mb * IDS_PER_MB,
             known: file.known,
             names,
-            connect_timeout: time("policy_limits.connect_timeout", 250_000)?,
-            idle: time("policy_limits.keepalive", 30_000_000)?.mul_f64(IDLE_PART),
             max_open: match pairs.number("policy_limits.max_open")? as usize {
                 0 => 20_000,
                 most => most,
@@ -267,8 +289,9 @@
     fn a_whole_configuration_is_read_and_what_is_unknown_ignored() {
         let config = Config::read(GOOD, |_| None).unwrap();
         assert_eq!((config.seed, config.clients.most), (0x8c1f_30d2_7a5b_e964, 650));
-        assert_eq!((config.max_open, config.node_connections), (550, 250));
-        assert_eq!(config.idle, Duration::from_secs(12));
+        assert_eq!((config.max_open, config.node_connections.most), (550, 250));
+        assert_eq!((config.most_held, config.most_ids), (24 * 1024 * 1024, 98_304));
+        assert_eq!(config.node_connections.idle, Duration::from_secs(12));
         assert_eq!(config.names.classes, ["r"]);
         assert_eq!((config.settings.max_attempts, config.settings.plans[0].rate), (3, 2.7));
         assert_eq!(config.known.servers[0].state, ListedState::InService);
--- a/src/config/sftp.rs
+++ b/src/config/sftp.rs
@@ -211,7 +211,8 @@
         let class = |repeats| Class { deadline: 3_000_000, repeats, ..Class::default() };
         let classes = vec![class(Repeats::Safe), class(Repeats::Keyed)];
         let mut settings = Settings { classes, most_units: 8.0, ..Settings::default() };
-        let names = Names { classes: vec!["r".into(), "w".into()], plans: vec!["p".into()] };
+        let names =
+            Names { classes: vec!["r".into(), "w".into()], plans: vec!["p".into()], ..Names::default() };
         let front = SecondFront::read(text, &mut settings, &names);
         (settings, front)
     }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -3,13 +3,14 @@
 use crate::config::Names;
 use crate::core::{Answer, Arrival, Handle};
 use crate::net::back::{Back, Forward, ForwardWork, IDEMPOTENCY_KEY, MOST_BODY, REQUEST_ID, TIMEOUT};
+use crate::net::ids::Ids;
 use crate::net::places::{Places, Seat};
 use axum::Extension;
 use axum::Router;
-use axum::body::{Body, to_bytes};
+use axum::body::{Body, HttpBody, to_bytes};
 use axum::extract::{Request, State};
 use axum::http::request::Parts;
-use axum::http::{HeaderMap, HeaderValue, Method, StatusCode, header};
+use axum::http::{HeaderMap, HeaderValue, Method, StatusCode, Uri, header};
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
 use futures_util::FutureExt;
@@ -26,7 +27,7 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use tokio::time::{Duration, Instant};
 use tower_service::Service;
 
@@ -36,6 +37,9 @@
 const RETRIED: &str = "x-retried";
 /// What a connection may hold of a request's head.
 const MOST_HEAD: usize = 16 * 1024;
+/// The most that ids and keys may hold, and paths with their queries.
+const MOST_TOKEN: usize = 128;
+const MOST_TARGET: usize = 1024;
 /// When a client that found no room is asked to come again.
 const NO_ROOM: Duration = Duration::from_secs(1);
 
@@ -56,6 +60,9 @@
     pub names: Arc<Names>,
     pub answer_margin: Duration,
     pub phase: watch::Receiver<Phase>,
+    /// The memory for bodies, in bytes.
+    pub bodies: Arc<Semaphore>,
+    pub ids: Ids,
 }
 
 /// Accepts until the phase is `Closing`.
@@ -186,20 +193,36 @@
     let (head, body) = request.into_parts();
     let arrival = match read(&head, &front.names, received, front.answer_margin) {
         Ok(arrival) => arrival,
-        Err(malformed) => return (StatusCode::BAD_REQUEST, malformed.to_string()).into_response(),
+        Err(malformed) => return denied(StatusCode::BAD_REQUEST, &malformed.to_string()),
+    };
+    // hyper passes over a length that stands beside a coding, and so hides that the body may hold another request.
+    // The protocol's bodies have a length: any coding is refused.
+    if head.headers.contains_key(header::TRANSFER_ENCODING) {
+        return denied(StatusCode::LENGTH_REQUIRED, "a body needs a Content-Length");
+    }
+    let length = body.size_hint().exact().unwrap_or(u64::MAX);
+    let Some(length) = u32::try_from(length).ok().filter(|length| *length as usize <= MOST_BODY) else {
+        return denied(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
+    };
+    let Ok(held) = front.bodies.clone().try_acquire_many_owned(length) else {
+        return last_on_its_connection(refused(NO_ROOM));
     };
     let Ok(body) = to_bytes(body, MOST_BODY).await else {
-        return StatusCode::PAYLOAD_TOO_LARGE.into_response();
+        return denied(StatusCode::BAD_REQUEST, "the body did not come whole");
     };
     let Some(id) = head.headers.get(REQUEST_ID).cloned() else {
-        return (StatusCode::BAD_REQUEST, Malformed(REQUEST_ID).to_string()).into_response();
+        return denied(StatusCode::BAD_REQUEST, &Malformed(REQUEST_ID).to_string());
     };
+    if !front.ids.first_time(id.as_bytes(), received) {
+        return denied(StatusCode::CONFLICT, "this id has been used");
+    }
     let forward = Arc::new(Forward {
         method: head.method,
-        path_and_query: head.uri.path_and_query().map_or("/", |p| p.as_str()).to_string(),
+        target: head.uri.path_and_query().map_or_else(Uri::default, |target| target.clone().into()),
         id,
         key: head.headers.get(IDEMPOTENCY_KEY).cloned(),
         body,
+        held: Some(held),
     });
     seat.waiting();
     let work = Box::new(ForwardWork { back: front.back.clone(), forward });
@@ -214,6 +237,11 @@
     }
 }
 
+/// What is not as the protocol has it is the last that is read on its connection.
+fn denied(status: StatusCode, why: &str) -> Response {
+    last_on_its_connection((status, why.to_string()).into_response())
+}
+
 fn refused(after: Duration) -> Response {
     let mut response = StatusCode::SERVICE_UNAVAILABLE.into_response();
     if let Ok(seconds) = HeaderValue::try_from(format!("{:.3}", after.as_secs_f64())) {
@@ -232,8 +260,18 @@
     }
 }
 
+/// The only value of that name: of two it could not be said which one holds.
 fn text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<&'a str, Malformed> {
-    headers.get(name).and_then(|value| value.to_str().ok()).ok_or(Malformed(name))
+    let mut values = headers.get_all(name).iter();
+    let (Some(value), None) = (values.next(), values.next()) else { return Err(Malformed(name)) };
+    value.to_str().map_err(|_| Malformed(name))
+}
+
+/// Short and without spaces, so that it means the same to whoever reads it.
+fn token<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<&'a str, Malformed> {
+    let sound =
+        |text: &&str| (1..=MOST_TOKEN).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_graphic());
+    text(headers, name).ok().filter(sound).ok_or(Malformed(name))
 }
 
 fn hex(part: Option<&str>) -> Option<u64> {
@@ -245,6 +283,9 @@
     if head.method != Method::GET && head.method != Method::PUT {
         return Err(Malformed("method"));
     }
+    if head.uri.path_and_query().is_none_or(|target| target.as_str().len() > MOST_TARGET) {
+        return Err(Malformed("path"));
+    }
     let mut parts = head.uri.path().rsplit('/');
     let (key, volume) = (hex(parts.next()), hex(parts.next()));
     let (Some(key), Some(volume)) = (key, volume) else { return Err(Malformed("path")) };
@@ -253,13 +294,14 @@
         list.iter().position(|known| known == name).ok_or(Malformed(header))
     };
     let (class, plan) = (place(&names.classes, CLASS)?, place(&names.plans, PLAN)?);
-    if text(&head.headers, REQUEST_ID)?.is_empty() {
-        return Err(Malformed(REQUEST_ID));
+    token(&head.headers, REQUEST_ID)?;
+    if head.headers.contains_key(IDEMPOTENCY_KEY) {
+        token(&head.headers, IDEMPOTENCY_KEY)?;
     }
     let wait: u64 = text(&head.headers, TIMEOUT)?.parse().map_err(|_| Malformed(TIMEOUT))?;
     let (units, shard, volume_hosts) = extent(text(&head.headers, EXTENT)?).ok_or(Malformed(EXTENT))?;
-    // An hour is more than any client waits, and no sum overflows.
-    let wait = Duration::from_millis(wait).min(Duration::from_secs(3600));
+    // No client of a class waits longer than that.
+    let wait = Duration::from_millis(wait).min(names.deadlines.get(class).copied().unwrap_or_default());
     Ok(Arrival {
         volume,
         key,
@@ -297,7 +339,7 @@
 mod tests {
     use super::*;
     use crate::clock::Clock;
-    use crate::config::ClientLimits;
+    use crate::config::{ClientLimits, NodeLimits};
     use crate::core::Core;
     use crate::interface::Settings;
 
@@ -309,8 +351,15 @@
             let (core, _wanted) = Core::new(Settings::default(), 7, 10, Clock::start());
             let (phase, watched) = watch::channel(Phase::Serving);
             let (times, names) = (Duration::from_secs(1), Arc::default());
-            let back = Back::new(times, times);
-            let front = Front { handle: core.handle(), back, names, answer_margin: times, phase: watched };
+            let front = Front {
+                handle: core.handle(),
+                back: Back::new(NodeLimits { most: 4, idle: times, connect: times }),
+                names,
+                answer_margin: times,
+                phase: watched,
+                bodies: Arc::new(Semaphore::new(0)),
+                ids: Ids::new(4, times),
+            };
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let address = listener.local_addr().unwrap();
             let places =
@@ -349,7 +398,8 @@
             let value = change.filter(|(changed, _)| *changed == name).map_or(value, |(_, to)| to);
             request = request.header(name, value);
         }
-        let names = Names { classes: vec!["checkout".into()], plans: vec!["free".into(), "gold".into()] };
+        let (classes, plans) = (vec!["checkout".into()], vec!["free".into(), "gold".into()]);
+        let names = Names { classes, plans, deadlines: vec![Duration::from_secs(3)] };
         let (head, ()) = request.body(()).unwrap().into_parts();
         read(&head, &names, Instant::now(), Duration::from_millis(5))
     }
@@ -372,6 +422,7 @@
             (path, Some((PLAN, "")), PLAN),
             (path, Some(("x-timeout-ms", "-4")), "x-timeout-ms"),
             (path, Some(("x-request-id", "")), "x-request-id"),
+            (path, Some(("x-request-id", "a b")), "x-request-id"),
             (path, Some((EXTENT, "units=2,hosts=3")), EXTENT),
             (path, Some((EXTENT, "units=2,shard=-2,hosts=3")), EXTENT),
             (path, Some((EXTENT, "units=inf,shard=1,hosts=3")), EXTENT),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,5 +3,7 @@
 pub mod back;
 pub mod discovery;
 pub mod front;
+pub mod ids;
 pub mod places;
+pub mod pool;
 pub mod sftp;
--- /dev/null
+++ b/src/net/pool.rs
@@ -0,0 +1,225 @@
+//! Idle connections to nodes, for whichever wire. One is given out only if nothing has come on it since its last
+//! answer: bytes would be taken for the next one, and an end or a reset means that it is gone.
+
+use crate::config::NodeLimits;
+use socket2::SockRef;
+use std::collections::BTreeMap;
+use std::io::ErrorKind;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::net::TcpStream;
+use tokio::time::{Duration, Instant};
+
+/// How often idle connections are looked through.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// A connection that can say whether nothing has come on it.
+pub trait Quiet {
+    fn quiet(&self) -> bool;
+}
+
+impl Quiet for TcpStream {
+    /// Asks the system itself: what the runtime knows of a socket is as old as its last look.
+    fn quiet(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        SockRef::from(self).peek(&mut byte).is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+    }
+}
+
+struct Kept<C> {
+    connection: C,
+    since: Instant,
+}
+
+struct Idle<C> {
+    kept: BTreeMap<SocketAddr, Vec<Kept<C>>>,
+    count: usize,
+    used: usize,
+}
+
+/// Counts one connection in use, or about to be opened.
+pub struct InUse<C>(Arc<Mutex<Idle<C>>>);
+
+impl<C> Drop for InUse<C> {
+    fn drop(&mut self) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).used -= 1;
+    }
+}
+
+pub struct Pool<C> {
+    idle: Arc<Mutex<Idle<C>>>,
+    pub limits: NodeLimits,
+}
+
+impl<C> Clone for Pool<C> {
+    fn clone(&self) -> Self {
+        Pool { idle: self.idle.clone(), limits: self.limits }
+    }
+}
+
+impl<C: Quiet> Pool<C> {
+    pub fn new(limits: NodeLimits) -> Pool<C> {
+        Pool { idle: Arc::new(Mutex::new(Idle { kept: BTreeMap::new(), count: 0, used: 0 })), limits }
+    }
+
+    fn idle(&self) -> MutexGuard<'_, Idle<C>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The connection to that address that was used last, if it is still good.
+    pub fn take(&self, address: SocketAddr) -> Option<C> {
+        let mut idle = self.idle();
+        loop {
+            let kept = idle.kept.get_mut(&address)?.pop()?;
+            idle.count -= 1;
+            if kept.since.elapsed() < self.limits.idle && kept.connection.quiet() {
+                return Some(kept.connection);
+            }
+        }
+    }
+
+    /// Keeps a connection that is not in use any more.
+    pub fn put(&self, address: SocketAddr, connection: C) {
+        let mut idle = self.idle();
+        idle.count += 1;
+        idle.kept.entry(address).or_default().push(Kept { connection, since: Instant::now() });
+        idle.fit(self.limits.most);
+    }
+
+    /// Announces one more in use. Idle ones make room for it; an attempt goes on even where there are none.
+    pub fn begin(&self) -> InUse<C> {
+        let mut idle = self.idle();
+        idle.used += 1;
+        idle.fit(self.limits.most);
+        InUse(self.idle.clone())
+    }
+
+    /// Drops what is idle at that address: something that was written there was lost without a word.
+    pub fn distrust(&self, address: SocketAddr) {
+        let mut idle = self.idle();
+        idle.count -= idle.kept.remove(&address).map_or(0, |kept| kept.len());
+    }
+
+    pub fn held(&self) -> usize {
+        self.idle().count
+    }
+
+    /// Drops what has been idle for long, well before a node would, or is gone; for as long as the program runs.
+    pub async fn watch(self) {
+        loop {
+            tokio::time::sleep(LOOK).await;
+            self.look();
+        }
+    }
+
+    fn look(&self) {
+        let mut idle = self.idle();
+        let Idle { kept, count, .. } = &mut *idle;
+        kept.retain(|_, kept| {
+            let before = kept.len();
+            kept.retain(|kept| kept.since.elapsed() < self.limits.idle && kept.connection.quiet());
+            *count -= before - kept.len();
+            !kept.is_empty()
+        });
+    }
+}
+
+impl<C> Idle<C> {
+    fn fit(&mut self, most: usize) {
+        while self.count > 0 && self.count + self.used > most {
+            self.drop_oldest();
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        let first = |kept: &Vec<Kept<C>>| kept.first().map(|kept| kept.since);
+        let oldest = self.kept.iter().filter_map(|(address, kept)| Some((first(kept)?, *address))).min();
+        if let Some((_, address)) = oldest
+            && let Some(kept) = self.kept.get_mut(&address)
+        {
+            kept.remove(0);
+            self.count -= 1;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::cell::Cell;
+    use std::rc::Rc;
+
+    struct Fake(u32, Rc<Cell<bool>>);
+
+    impl Quiet for Fake {
+        fn quiet(&self) -> bool {
+            self.1.get()
+        }
+    }
+
+    fn pool(most: usize, idle: Duration) -> Pool<Fake> {
+        Pool::new(NodeLimits { most, idle, connect: Duration::from_secs(1) })
+    }
+
+    fn at(port: u16) -> SocketAddr {
+        SocketAddr::from(([127, 0, 0, 1], port))
+    }
+
+    #[test]
+    fn the_latest_good_connection_is_given_and_no_other() {
+        let (pool, quiet) = (pool(3, Duration::from_secs(3600)), Rc::new(Cell::new(true)));
+        for (port, number) in [(1, 1), (1, 2), (2, 3), (1, 4)] {
+            pool.put(at(port), Fake(number, quiet.clone()));
+        }
+        // Three are kept at most: the oldest went.
+        assert_eq!(pool.take(at(1)).map(|fake| fake.0), Some(4));
+        pool.put(at(1), Fake(5, Rc::new(Cell::new(false))));
+        assert_eq!(pool.take(at(1)).map(|fake| fake.0), Some(2));
+        assert!(pool.take(at(1)).is_none());
+        pool.put(at(1), Fake(6, quiet.clone()));
+        pool.distrust(at(1));
+        assert!(pool.take(at(1)).is_none());
+        assert_eq!(pool.held(), 1);
+        let _in_use = [pool.begin(), pool.begin()];
+        assert_eq!(pool.held(), 1);
+        let third = pool.begin();
+        assert_eq!(pool.held(), 0);
+        drop(third);
+        pool.put(at(1), Fake(7, quiet.clone()));
+        quiet.set(false);
+        pool.look();
+        assert_eq!(pool.held(), 0);
+    }
+
+    #[test]
+    fn what_has_been_idle_for_too_long_is_not_given() {
+        let (pool, quiet) = (pool(3, Duration::ZERO), Rc::new(Cell::new(true)));
+        pool.put(at(1), Fake(1, quiet.clone()));
+        assert!(pool.take(at(1)).is_none());
+        pool.put(at(1), Fake(2, quiet));
+        pool.look();
+        assert_eq!(pool.held(), 0);
+    }
+
+    #[test]
+    fn a_connection_is_quiet_until_something_comes_or_it_ends() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            use tokio::io::AsyncWriteExt;
+            for ends in [false, true] {
+                let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+                let ours = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+                let (mut theirs, _) = listener.accept().await.unwrap();
+                assert!(ours.quiet());
+                if ends {
+                    drop(theirs);
+                } else {
+                    theirs.write_all(b"x").await.unwrap();
+                }
+                ours.readable().await.unwrap();
+                assert!(!ours.quiet());
+            }
+        });
+    }
+}
--- a/src/net/sftp/back.rs
+++ b/src/net/sftp/back.rs
@@ -3,21 +3,19 @@
 //! leaves nothing open.
 
 use super::packet::{self, Attrs, Command, Encoded, Reply, Request, Response, Status, VERSION};
-use crate::config::Config;
+use crate::config::{Config, NodeLimits};
 use crate::core::{Attempt, Report, Try, Work};
 use crate::ending::End;
+use crate::net::pool::{Pool, Quiet};
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
-use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::net::SocketAddr;
 use tokio::net::TcpStream;
-use tokio::time::{Duration, Instant, timeout};
+use tokio::time::{Instant, timeout_at};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 /// A node's way to say that a command never ran, as `X-Not-Processed` does over HTTP: FAILURE with this text.
 pub const NOT_PROCESSED: &str = "not processed";
-/// Idle connections kept for a node.
-const MOST_IDLE: usize = 8;
 
 /// One thing to do with a file.
 #[derive(Clone, Debug)]
@@ -33,13 +31,15 @@
     next_id: u32,
 }
 
-type Idle = BTreeMap<String, Vec<(Instant, Connection)>>;
+impl Quiet for Connection {
+    fn quiet(&self) -> bool {
+        self.packets.read_buffer().is_empty() && self.packets.get_ref().quiet()
+    }
+}
 
 #[derive(Clone)]
 pub struct Stores {
-    idle: Arc<Mutex<Idle>>,
-    connect_timeout: Duration,
-    keep: Duration,
+    pool: Pool<Connection>,
     /// Where nodes listen for file commands; without it at the address that discovery gives.
     port: Option<u16>,
 }
@@ -60,71 +60,61 @@
 
 impl Stores {
     pub fn new(config: &Config, port: Option<u16>) -> Stores {
-        let (connect_timeout, keep) = (config.connect_timeout, config.idle);
-        let stores = Stores { idle: Arc::default(), connect_timeout, keep, port };
-        tokio::spawn(sweep(stores.clone()));
-        stores
+        // The first front's connections to nodes share the descriptors with these.
+        let limits = NodeLimits { most: config.clients.most / 4, ..config.node_connections };
+        let pool = Pool::new(limits);
+        tokio::spawn(pool.clone().watch());
+        Stores { pool, port }
     }
 
-    fn with_idle<T>(&self, f: impl FnOnce(&mut Idle) -> T) -> T {
-        f(&mut self.idle.lock().unwrap_or_else(PoisonError::into_inner))
-    }
-
-    fn address(&self, listed: &str) -> String {
-        match (self.port, listed.rsplit_once(':')) {
-            (Some(port), Some((host, _))) => format!("{host}:{port}"),
-            _ => listed.to_string(),
-        }
+    fn address(&self, listed: &str) -> Option<SocketAddr> {
+        let listed: SocketAddr = listed.parse().ok()?;
+        Some(SocketAddr::new(listed.ip(), self.port.unwrap_or(listed.port())))
     }
 
-    async fn connect(&self, address: &str) -> Result<Connection, End> {
-        let stream = timeout(self.connect_timeout, TcpStream::connect(address)).await;
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, End> {
+        let until = Instant::now() + self.pool.limits.connect;
+        let stream = timeout_at(until, TcpStream::connect(address)).await;
         let Ok(Ok(stream)) = stream else { return Err(End::NoConnection) };
         let _ = stream.set_nodelay(true); // only a matter of speed
         let mut connection = Connection { packets: Framed::new(stream, packet::frames()), next_id: 0 };
         connection.send(Request::Init { version: VERSION }).await.map_err(|()| End::NoConnection)?;
-        match connection.receive().await {
-            Ok(Response::Version(VERSION)) => Ok(connection),
+        // It is not up before its version is known.
+        match timeout_at(until, connection.receive()).await {
+            Ok(Ok(Response::Version(VERSION))) => Ok(connection),
             _ => Err(End::NoConnection),
         }
     }
 
     async fn attempt(self, job: Job, a_try: Try) -> Report {
-        let address = self.address(&a_try.address);
-        let pooled = self.with_idle(|idle| idle.get_mut(&address).and_then(Vec::pop));
-        if let Some((since, connection)) = pooled
-            && since.elapsed() < self.keep
-        {
-            match self.on(&address, connection, &job, &a_try).await {
+        let Some(address) = self.address(&a_try.address) else { return End::NotStarted.into() };
+        let _in_use = self.pool.begin();
+        if let Some(connection) = self.pool.take(address) {
+            match self.on(address, connection, &job, &a_try).await {
                 // It had been closed in the meantime; what the command does was not begun.
                 Err(Fault::Before(End::BrokeUnsent)) => {}
                 Err(fault) => return fault.end().into(),
                 Ok(report) => return report,
             }
         }
-        match self.connect(&address).await {
+        match self.connect(address).await {
             Err(end) => end.into(),
             Ok(connection) => {
-                self.on(&address, connection, &job, &a_try).await.unwrap_or_else(|fault| fault.end().into())
+                self.on(address, connection, &job, &a_try).await.unwrap_or_else(|fault| fault.end().into())
             }
         }
     }
 
     async fn on(
         &self,
-        address: &str,
+        address: SocketAddr,
         mut connection: Connection,
         job: &Job,
         a_try: &Try,
     ) -> Result<Report, Fault> {
         a_try.begun.set();
         let reply = connection.carry_out(job).await?;
-        self.with_idle(|idle| {
-            let kept = idle.entry(address.to_string()).or_default();
-            if kept.len() < MOST_IDLE {
-                kept.push((Instant::now(), connection));
-            }
-        });
+        self.pool.put(address, connection);
         let end = match &reply {
             Reply::Status { code: Status::Failure, text } if text == NOT_PROCESSED => End::TurnedAway,
             Reply::Status { code: Status::Failure | Status::BadMessage, .. } => End::ErrorAnswer,
@@ -134,17 +124,6 @@
     }
 }
 
-/// Closes what has been idle for long, well before a node would.
-async fn sweep(stores: Stores) {
-    loop {
-        tokio::time::sleep(stores.keep / 2).await;
-        stores.with_idle(|idle| {
-            idle.values_mut().for_each(|kept| kept.retain(|(since, _)| since.elapsed() < stores.keep));
-            idle.retain(|_, kept| !kept.is_empty());
-        });
-    }
-}
-
 impl Connection {
     async fn send(&mut self, request: Request) -> Result<(), ()> {
         self.packets.send(request.encode()).await.map_err(|_| ())
--- a/src/rehearsal/stage.rs
+++ b/src/rehearsal/stage.rs
@@ -248,24 +248,32 @@
 /// A client of the platform's protocol: one request at a time on a connection that it keeps.
 pub struct HttpClient {
     pub stream: TcpStream,
+    /// The id of the last request.
+    pub id: String,
 }
 
 impl HttpClient {
     pub fn connect(address: SocketAddr) -> Outcome<HttpClient> {
         let stream = TcpStream::connect(address)?;
         stream.set_read_timeout(Some(STUCK))?;
-        Ok(HttpClient { stream })
+        Ok(HttpClient { stream, id: String::new() })
     }
 
-    /// A request for shard 0 with a deadline far away; `more` adds headers or, being later, has no say.
+    /// A request for shard 0 under a new id; `more` adds headers.
     pub fn send(&mut self, class: &str, timeout_ms: u64, more: &str, body: &[u8]) -> Outcome {
+        static SERIAL: AtomicU64 = AtomicU64::new(1);
+        self.id = format!("{:016x}", SERIAL.fetch_add(1, Ordering::Relaxed));
+        let more = format!("X-Request-ID: {}\r\nContent-Length: {}\r\n{more}", self.id, body.len());
+        self.send_bare(class, timeout_ms, &more, body)
+    }
+
+    /// The same with no id and no length but those that `more` gives.
+    pub fn send_bare(&mut self, class: &str, timeout_ms: u64, more: &str, body: &[u8]) -> Outcome {
         let method = if body.is_empty() { "GET" } else { "PUT" };
         let head = format!(
             "{method} /api/00000003b4d60021/7f3a9c21e0b4d655?q=1 HTTP/1.1\r\nHost: app.svc\r\n\
-             X-Request-ID: 9b1f03aa5c7e2d41\r\nX-Priority-Class: {class}\r\nX-Storage-Class: starter\r\n\
-             X-Timeout-Ms: {timeout_ms}\r\nX-Extent: units=1,shard=0,hosts=1\r\n{more}\
-             Content-Length: {}\r\n\r\n",
-            body.len()
+             X-Priority-Class: {class}\r\nX-Storage-Class: starter\r\n\
+             X-Timeout-Ms: {timeout_ms}\r\nX-Extent: units=1,shard=0,hosts=1\r\n{more}\r\n"
         );
         self.stream.write_all(&[head.as_bytes(), body].concat())?;
         Ok(())
--- a/tests/head.rs
+++ b/tests/head.rs
@@ -69,13 +69,104 @@
     assert_eq!((status, &body[..]), (200, &b"a body"[..]));
     let (head, body) = stage.taken();
     assert!(head.starts_with("PUT /api/00000003b4d60021/7f3a9c21e0b4d655?q=1 HTTP/1.1\r\n"), "{head}");
-    assert_eq!(header(&head, "x-request-id"), Some("9b1f03aa5c7e2d41"));
+    assert_eq!(header(&head, "x-request-id"), Some(&client.id[..]));
     assert_eq!(header(&head, "idempotency-key"), Some("k-1"));
     assert_eq!(body, b"data");
     let wait: u64 = header(&head, "x-timeout-ms").unwrap().parse().unwrap();
     assert!((1..LONG).contains(&wait));
 }
 
+#[test]
+fn bad_clients_get_an_error_or_a_close_and_no_brick_hears_of_them() {
+    let stage = stage(1024);
+    let (release, held) = channel();
+    stage.brick.next(Act::Hold(held));
+    let mut usual = stage.client();
+    usual.send("token-read", LONG, "", b"").unwrap();
+    stage.taken();
+    let open = format!("X-Request-ID: {}\r\n", usual.id);
+    let other = "X-Request-ID: x\r\n";
+    let hidden = b"1\r\nx\r\n0\r\n\r\nGET /api/1 HTTP/1.1\r\n\r\n";
+    for (headers, body, status) in [
+        ("", &b""[..], 400),
+        (&open, b"", 409),
+        (&format!("{open}{other}"), b"", 400),
+        (&format!("{other}X-Timeout-Ms: 5\r\n"), b"", 400),
+        (&format!("{other}Content-Length: 5\r\nTransfer-Encoding: chunked\r\n"), hidden, 411),
+        (&format!("{other}Transfer-Encoding: chunked\r\nContent-Length: 5\r\n"), hidden, 411),
+        (&format!("{other}Content-Length: 1\r\nContent-Length: 2\r\n"), b"xx", 400),
+        (&format!("{other}Content-Length: -1\r\n"), b"xx", 400),
+        (&format!("{other}Content-Length: 60000000\r\n"), b"xx", 413),
+        (&format!("{other}Content-Length: 99999999999999999999\r\n"), b"xx", 400),
+        (&"X-Fill: 0123456789abcdef\r\n".repeat(1000), b"", 431),
+    ] {
+        let mut client = stage.client();
+        client.send_bare("token-read", LONG, headers, body).unwrap();
+        // What is refused with something unread behind it may end in a reset instead.
+        if let Ok((got, head, _)) = client.receive() {
+            assert_eq!((got, header(&head, "connection")), (status, Some("close")), "{headers}");
+        }
+        assert!(!matches!(client.stream.read(&mut [0]), Ok(1..)), "{headers}");
+    }
+    drop(release);
+    assert_eq!(usual.receive().unwrap().0, 200);
+    assert_eq!(stage.requests(), 0);
+}
+
+#[test]
+fn a_spoilt_answer_has_failed_and_its_connection_is_done_with() {
+    let good = answer("200 OK", "", "good");
+    let with = |headers: &str| format!("HTTP/1.1 200 OK\r\n{headers}\r\ngood");
+    let endless = "X-Fill: 0123456789abcdef\r\n".repeat(2000);
+    for text in [
+        "noise\0\r\n\r\n".to_string(),
+        "HTTP/1.1 200 OK\r\nno field\r\n\r\n".to_string(),
+        format!("HTTP/1.1 200 OK\r\n{endless}"),
+        "HTTP/1.1 200 OK\r\nX-Never: ending".to_string(),
+        with(""),
+        with("Content-Length: 9\r\n"),
+        with("Content-Length: -4\r\n"),
+        with("Content-Length: 4\r\nContent-Length: 5\r\n"),
+        with("Content-Length: 4\r\nTransfer-Encoding: chunked\r\n"),
+        with("Transfer-Encoding: chunked\r\n"),
+        with("Content-Length: 3221225472\r\n"),
+        answer("503 Service Unavailable", "X-Not-Processed: 1\r\n", "x")
+            .replace(": 1\r\n\r\n", ": 9\r\n\r\n"),
+        "HTTP/1.1 100 Continue\r\n\r\n".repeat(10_000) + &good,
+    ] {
+        let stage = stage(1024);
+        let shown = &text[..text.len().min(60)];
+        stage.brick.next(Act::Answer(text.clone()));
+        // It may have run: the class decides whether it is repeated, on a new connection.
+        let mut client = stage.client();
+        assert_eq!(client.ask("once", LONG, b"data").unwrap().0, 502, "{shown}");
+        assert_eq!(client.ask("once", LONG, b"data").unwrap().2, b"b-1", "{shown}");
+        stage.brick.next(Act::Answer(text.clone()));
+        assert_eq!(client.ask("token-read", LONG, b"").unwrap().2, b"b-1", "{shown}");
+        assert_eq!(stage.count(|seen| *seen == Seen::Connected), 3, "{shown}");
+    }
+}
+
+#[test]
+fn what_belongs_to_no_answer_is_left_out_and_the_answer_kept() {
+    let good = answer("200 OK", "", "good");
+    for (text, connections) in [
+        (format!("{good}{good}"), 2),
+        (format!("{good}noise"), 2),
+        (format!("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n{good}"), 1),
+        (answer("200 OK", "X-Server-Load: \u{fc}=,queue=x\r\nX-Meter: lots\r\n", "good"), 1),
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n".to_string(), 1),
+        (answer("200 OK", "Connection: close\r\n", "good"), 2),
+    ] {
+        let stage = stage(1024);
+        stage.brick.next(Act::Answer(text.clone()));
+        let mut client = stage.client();
+        assert_eq!(client.ask("once", LONG, b"data").unwrap().2, b"good", "{text}");
+        assert_eq!(client.ask("once", LONG, b"data").unwrap().2, b"b-1", "{text}");
+        assert_eq!(stage.count(|seen| *seen == Seen::Connected), connections, "{text}");
+    }
+}
+
 #[test]
 fn requests_one_after_another_share_one_connection_to_the_brick() {
     let stage = stage(1024);
