Forget nodes, volumes and keys that are gone, in the core and in the module

Now a node is released with its number once it is off the list and nothing is out there; the module does the same, and forgets a volume after 30 s of silence where a new flow would know as much: nothing out, not ahead of the others, a full limit. An attempt keeps its node's zone and shard, for the node may be gone before the request.

--- a/src/core.rs
+++ b/src/core.rs
@@ -196,8 +196,12 @@
 }
 
 struct Node {
+    id: String,
     address: String,
     ready: bool,
+    /// Off the list: released, with its number, once nothing is out there that could still name it.
+    gone: bool,
+    out: usize,
 }
 
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
@@ -339,6 +343,9 @@
         let Some(open) = self.requests.get_mut(&id) else { return };
         // A report that crossed with the attempt's time-out or cancel is of no use any more.
         let Some(out) = open.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
+        if let Some(node) = self.nodes.get_mut(&out.node) {
+            node.out -= 1;
+        }
         let took = self.clock.now().saturating_sub(out.sent);
         debug!(request = id, attempt, node = out.node, took, end:? = report.end; "attempt ended");
         if report.end == End::Answered
@@ -361,6 +368,9 @@
             self.drop_unsent(|request, _| request == id);
         }
         self.forget(id);
+        if self.nodes.get(&out.node).is_some_and(|node| node.gone && node.out == 0) {
+            self.release_nodes();
+        }
     }
 
     fn on_nodes(&mut self, news: News, listed: Vec<ListedNode>) {
@@ -380,19 +390,36 @@
             entries.push(NodeEntry { node: id, zone: zone as u16, shard: node.cell, state, started });
         }
         if matches!(news, News::Full | News::Cached) {
-            self.nodes.values_mut().for_each(|node| node.ready = false);
+            self.nodes.values_mut().for_each(|node| (node.ready, node.gone) = (false, true));
             self.known.clear();
         }
         for (entry, node) in entries.iter().zip(&listed) {
-            let ready = entry.state == NodeState::Ready;
+            let (ready, gone) = (entry.state == NodeState::Ready, entry.state == NodeState::Gone);
             info!(node = node.id, address = node.addr, number = entry.node, shard = entry.shard, state:? = entry.state; "node listed");
-            self.nodes.insert(entry.node, Node { address: node.addr.clone(), ready });
+            let out = self.nodes.get(&entry.node).map_or(0, |known| known.out);
+            let (id, address) = (node.id.clone(), node.addr.clone());
+            self.nodes.insert(entry.node, Node { id, address, ready, gone, out });
             self.known.retain(|known| known.node != entry.node);
-            self.known.push(*entry);
+            if !gone {
+                self.known.push(*entry);
+            }
         }
         self.tell(Event::Nodes { news, nodes: entries });
         let left: Vec<NodeId> = self.nodes.iter().filter(|(_, n)| !n.ready).map(|(id, _)| *id).collect();
         self.drop_unsent(|_, out| left.contains(&out.node));
+        self.release_nodes();
+    }
+
+    fn release_nodes(&mut self) {
+        let ids = &mut self.ids;
+        self.nodes.retain(|number, node| {
+            let stays = !node.gone || node.out > 0;
+            if !stays {
+                debug!(node = node.id, number; "node released");
+                ids.texts.remove(number);
+            }
+            stays
+        });
     }
 
     /// Gives up attempts of which nothing was written yet, so that they never will be.
@@ -495,6 +522,7 @@
             }
         }
         self.due.clear();
+        self.nodes.values_mut().for_each(|node| node.out = 0);
         self.events.push_back(Event::Nodes { news: News::Cached, nodes: self.known.clone() });
     }
 
@@ -544,6 +572,9 @@
             handle.send(Input::Report { id, attempt, report });
         });
         open.attempts.push(Some(Out { node, sent: now, begun, task: task.abort_handle() }));
+        if let Some(node) = self.nodes.get_mut(&node) {
+            node.out += 1;
+        }
     }
 
     fn wake(&mut self, at: Micros, due: Due) {
@@ -704,6 +735,36 @@
         });
     }
 
+    #[test]
+    fn a_node_that_is_gone_is_released_with_its_number_once_nothing_is_out_there() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            let class = Class { deadline: 10_000_000, worth: 1.0, ..Class::default() };
+            let settings =
+                Settings { hosts: 1, classes: vec![class], max_attempts: 3, ..Settings::default() };
+            let (mut core, _wanted) = Core::new(settings, 7, 10, Clock::start());
+            let node = |i: u32, state| {
+                let (id, addr) = (format!("s-{i}"), "127.0.0.1:1".to_string());
+                ListedNode { id, addr, zone: "a".into(), cell: 0, state, started_ms: 0 }
+            };
+            let (dropped, _kept) = mpsc::unbounded_channel();
+            let work = Box::new(Told { end: None, panics: false, begins: true, dropped });
+            core.take(Input::Nodes { news: News::Full, nodes: vec![node(0, ListedState::InService)] });
+            core.request(1, arrival(LONG), work, oneshot::channel().0);
+            for i in 1..100 {
+                let nodes = vec![node(i - 1, ListedState::Terminated), node(i, ListedState::InService)];
+                core.take(Input::Nodes { news: News::Changes, nodes });
+            }
+            // The first one still has an attempt out, the last one is in service.
+            let held = |core: &Core| (core.nodes.len(), core.ids.texts.len(), core.known.len());
+            assert_eq!(held(&core), (2, 2, 1));
+            core.take(Input::Report { id: 1, attempt: 0, report: End::Broke.into() });
+            assert_eq!(held(&core), (1, 1, 1));
+            core.take(Input::Nodes { news: News::Full, nodes: Vec::new() });
+            assert_eq!(held(&core), (0, 0, 0));
+        });
+    }
+
     #[test]
     fn node_ids_are_stable_and_survive_a_collision() {
         let mut ids = NodeIds::default();
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -74,6 +74,10 @@
 /// and while asking again still helps.
 const GIVE_UP: f64 = 0.15;
 
+/// What is of no use any more is looked for this often; a volume is forgotten after this long a silence at least.
+const TIDY: Micros = 1_000_000;
+const FORGET: Micros = 30_000_000;
+
 const RECHECK_TOKEN: u64 = u64::MAX;
 const SUBSCRIBE_TOKEN: u64 = u64::MAX - 1;
 
@@ -160,6 +164,8 @@
     /// The flows' queues, one for each place, oldest request first.
     queues: Queues,
     flows: Vec<Flow>,
+    /// Places in `flows` that no volume has any more.
+    free_flows: Vec<FlowIx>,
     flow_of: BTreeMap<VolumeId, FlowIx>,
     global_vt: f64,
     nodes: BTreeMap<NodeId, Node>,
@@ -171,6 +177,8 @@
     recheck_due: Option<Micros>,
     resumed: Micros,
     started: Micros,
+    /// When what is of no use any more was last looked for.
+    tidied: Micros,
     /// Flows with work that waits for units of their limit.
     short: BTreeSet<FlowIx>,
     list_failures: u32,
@@ -207,6 +215,7 @@
             // What waits looks at the news with the next recheck.
             Event::Peer { from, bytes } => return self.on_peer(now, from, &bytes, actions),
         }
+        self.tidy(now);
         self.dispatch(now, actions);
     }
 
@@ -225,15 +234,18 @@
         }
         if news == News::Full {
             let listed: BTreeSet<NodeId> = entries.iter().map(|e| e.node).collect();
-            self.nodes.iter_mut().filter(|(id, _)| !listed.contains(id)).for_each(|(_, n)| n.ready = false);
+            let missing = self.nodes.iter_mut().filter(|(id, _)| !listed.contains(id));
+            missing.for_each(|(_, n)| (n.ready, n.gone) = (false, true));
         }
+        // A number may come again for another node.
+        self.forget_nodes();
         let most_depth = self.most_depth();
         for entry in entries {
             let fresh = !self.nodes.contains_key(&entry.node);
             let depth = (most_depth / 2.0).max(DEPTH_LEAST);
             let node = self.nodes.entry(entry.node).or_insert_with(|| Node::new(&entry, now, depth));
             (node.zone, node.shard) = (entry.zone, entry.shard);
-            node.ready = entry.state == NodeState::Ready;
+            (node.ready, node.gone) = (entry.state == NodeState::Ready, entry.state == NodeState::Gone);
             if (fresh || entry.started != node.started) && entry.started > 0 {
                 node.cold_since = Some(entry.started.min(now));
                 node.mute_since = None;
@@ -312,7 +324,8 @@
 
     /// The flow of a request's volume, awake and its arrival noted.
     fn flow(&mut self, now: Micros, request: &Request) -> FlowIx {
-        let (plans, next) = (&self.settings.plans, self.flows.len());
+        let plans = &self.settings.plans;
+        let next = self.free_flows.last().copied().unwrap_or(self.flows.len());
         let plan =
             plans.get(request.plan).copied().unwrap_or(Plan { weight: 1.0, price: 1.0, ..Plan::default() });
         let ix = *self.flow_of.entry(request.volume).or_insert(next);
@@ -322,7 +335,11 @@
             let reserve = Store { level: plan.reserve, at: now };
             let (volume, vt) = (request.volume, self.global_vt);
             let times = Flow { emptied: now, arrived: now, own_use_at: now, ..Flow::default() };
-            self.flows.push(Flow { plan, volume, hosts: 1.0, vt, limit, reserve, ..times });
+            let flow = Flow { plan, volume, hosts: 1.0, vt, limit, reserve, ..times };
+            match self.free_flows.pop() {
+                Some(free) => self.flows[free] = flow,
+                None => self.flows.push(flow),
+            }
         }
         let global_vt = self.global_vt(now);
         let flow = &mut self.flows[ix];
@@ -340,6 +357,33 @@
         ix
     }
 
+    fn forget_nodes(&mut self) {
+        self.nodes.retain(|_, node| !node.gone || !node.out.is_empty());
+    }
+
+    /// Forgets nodes that are gone, keys at rest, and volumes of which a new flow would know as much: long silent,
+    /// with nothing out, not ahead of the others, and with a full limit.
+    fn tidy(&mut self, now: Micros) {
+        if now < self.tidied + TIDY {
+            return;
+        }
+        self.tidied = now;
+        self.forget_nodes();
+        self.keys.retain(|_, key| !key.line.is_empty() || key.rest_until > now);
+        let (flows, free, global_vt) = (&mut self.flows, &mut self.free_flows, self.global_vt);
+        self.flow_of.retain(|_, ix| {
+            let flow = &mut flows[*ix];
+            let silent = now > flow.arrived + FORGET && flow.queued == 0 && flow.in_flight == 0;
+            let stays =
+                !silent || flow.vt > global_vt || flow.limit_room(now) < flow.plan.limit_burst / flow.hosts;
+            if !stays {
+                *flow = Flow::default();
+                free.push(*ix);
+            }
+            stays
+        });
+    }
+
     fn on_outcome(&mut self, now: Micros, outcome: Outcome, actions: &mut Vec<Action>) {
         let id = outcome.request;
         let Some(held) = self.requests.get_mut(&id) else { return };
@@ -667,7 +711,8 @@
             self.extras.push_back(now);
             forget(&mut self.extras, now, budget.window);
         }
-        held.attempts.push(Attempt { node: node_id, sent: now, fate: Fate::Out });
+        let (zone, shard) = (node.zone, node.shard);
+        held.attempts.push(Attempt { node: node_id, zone, shard, sent: now, fate: Fate::Out });
         node.out.insert((now, id), OutMark::default());
         if node.cold_since.is_some() {
             node.cold_sends.push_back((now, held.units));
@@ -734,15 +779,15 @@
 
     fn may_send(&self, now: Micros, id: RequestId, held: &Held, node_id: NodeId) -> bool {
         let node = &self.nodes[&node_id];
-        let same_group = |other: &Node, scope| match scope {
+        let same_group = |other: &Attempt, scope| match scope {
             Scope::All => true,
             Scope::Zone => other.zone == node.zone,
             Scope::Shard => other.shard == node.shard,
         };
         let class = &self.settings.classes[held.class];
-        let repeat_fits = held.first_that_may_have_run().is_none_or(|first| {
-            class.repeats != Repeats::Keyed || same_group(&self.nodes[&first.node], class.scope)
-        });
+        let repeat_fits = held
+            .first_that_may_have_run()
+            .is_none_or(|first| class.repeats != Repeats::Keyed || same_group(first, class.scope));
         let in_turn = self.keys.get(&held.key).is_none_or(|k| {
             k.line.front() == Some(&id) && (k.rest_until <= now || !held.attempts.is_empty())
         });
--- a/src/state.rs
+++ b/src/state.rs
@@ -58,7 +58,10 @@
 
 #[derive(Debug)]
 pub struct Attempt {
+    /// The node, and where it stands: it may be gone before the request is.
     pub node: NodeId,
+    pub zone: u16,
+    pub shard: u16,
     pub sent: Micros,
     pub fate: Fate,
 }
@@ -105,6 +108,8 @@
     pub zone: u16,
     pub shard: u16,
     pub ready: bool,
+    /// Off the list: forgotten once nothing is out there.
+    pub gone: bool,
     pub started: Micros,
     pub depth: f64,
     /// What is out, oldest first.
@@ -140,6 +145,7 @@
             zone: entry.zone,
             shard: entry.shard,
             ready: false,
+            gone: false,
             started: entry.started,
             depth,
             out: BTreeMap::new(),
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -158,3 +158,37 @@
     host.arrive(3, |r| r.shard = None);
     assert_eq!(host.sends().last(), Some(&(3, 11)));
 }
+
+#[test]
+fn what_is_gone_is_forgotten() {
+    let mut host = Host::new(settings(vec![Class { in_order: true, ..class(Repeats::Safe) }]), vec![]);
+    let mut sizes = Vec::new();
+    for round in 0..40 {
+        let (id, node_id) = (u64::from(round), round);
+        host.event(Event::Nodes { news: News::Full, nodes: vec![node(node_id, 1)] });
+        for (plan, request) in [(0, 2 * id), (1, 2 * id + 1)] {
+            host.arrive(request, |r| (r.volume, r.key, r.plan) = (request, request + 1, plan));
+            host.wait(S);
+            host.outcome(request, 0, node_id, Ending::Served);
+        }
+        host.wait(40 * S);
+        sizes.push(format!("{:?}", host.policy).len());
+    }
+    assert_eq!(host.sends().len(), 80);
+    assert!(sizes[39] < sizes[1] + 200, "{sizes:?}");
+}
+
+#[test]
+fn a_volume_that_is_ahead_of_the_others_is_not_forgotten() {
+    let mut host = plain();
+    for id in 1..=20 {
+        host.arrive(id, |r| r.volume = 1);
+    }
+    for served in 0..20 {
+        let (id, node) = host.sends()[served];
+        host.outcome(id, 0, node, Ending::Served);
+    }
+    let ahead = format!("{:?}", host.policy).contains("volume: 1,");
+    host.wait(40 * S);
+    assert!(ahead && format!("{:?}", host.policy).contains("volume: 1,"));
+}
