After SIGTERM go on serving the connections that stand, and close them late

At fault: leave() in bin/pathbank and take() in net/front, which made each answer its connection's last from SIGTERM on. Ruled out: lost requests (none) and the nodes' side. On the way: /up was never noted as answered, so its connection would have been cut off; and hyper throws half a request away when told to shut down, so a connection in the middle of one is only told by its answer's header.

--- a/src/bin/pathbank.rs
+++ b/src/bin/pathbank.rs
@@ -19,14 +19,17 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Semaphore, watch};
-use tokio::time::{Duration, Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Duration, Instant, sleep_until, timeout_at};
 
 /// After SIGTERM: new connections keep coming for up to 0.4 s.
 const ACCEPT_ON: Duration = Duration::from_millis(600);
 /// SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s: be gone well before.
 const LONGEST: Duration = Duration::from_secs(3);
-const LAST_ANSWERS: Duration = Duration::from_millis(350);
-const LAST_BYTES: Duration = Duration::from_millis(150);
+const LAST_ANSWERS: Duration = Duration::from_millis(400);
+/// So long before the last answers connections begin to close: until then their clients go on using them, and have
+/// nowhere else to go.
+const CLOSE: Duration = Duration::from_millis(400);
+const LAST_BYTES: Duration = Duration::from_millis(100);
 
 fn main() -> ExitCode {
     let done = Config::from_environment().map_err(Into::into).and_then(run);
@@ -123,21 +126,23 @@
     }
 }
 
-/// Accepts for a while longer, finishes what is held, and closes connections between requests.
+/// Accepts for a while longer, serves the connections that there are for as long as that can be, and then closes
+/// them between requests.
 async fn leave(config: &Config, phase: &watch::Sender<Phase>, handle: &Handle, rooms: &[Places]) {
     let told = Instant::now();
     info!(open = handle.open(); "leaving");
-    phase.send_replace(Phase::Leaving);
-    sleep(ACCEPT_ON).await;
-    phase.send_replace(Phase::Closing);
-    // Each connection holds a place: with no place held, all answers are out.
     let last = told + config.longest_deadline().min(LONGEST) + LAST_ANSWERS;
-    let answered = async {
+    // Each connection holds a place: with no place held, all answers are out.
+    let gone = || async {
         for places in rooms {
             places.empty().await;
         }
     };
-    if timeout_at(last, answered).await.is_err() {
+    sleep_until((told + ACCEPT_ON).min(last - CLOSE)).await;
+    phase.send_replace(Phase::Staying);
+    let _ = timeout_at(last - CLOSE, gone()).await; // closed either way
+    phase.send_replace(Phase::Closing);
+    if timeout_at(last, gone()).await.is_err() {
         handle.send(Input::Finish);
         sleep_until(last + LAST_BYTES).await;
     }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -47,9 +47,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
     Serving,
-    /// Still accepting; each answer is its connection's last.
-    Leaving,
-    /// No new connections; idle ones are closed.
+    /// No new connections; those that there are go on being served.
+    Staying,
+    /// Each answer is its connection's last; idle ones are closed.
     Closing,
 }
 
@@ -65,13 +65,13 @@
     pub ids: Ids,
 }
 
-/// Accepts until the phase is `Closing`.
+/// Accepts for as long as the phase is `Serving`.
 pub async fn serve(listener: TcpListener, front: Front, places: Places) {
     let mut phase = front.phase.clone();
     let router = Router::new().route("/up", get(|| async { "up" })).fallback(take).with_state(front.clone());
     loop {
         let accepted = tokio::select! {
-            () = closing(&mut phase) => return,
+            () = reached(&mut phase, Phase::Staying) => return,
             accepted = accept(&listener, &places) => accepted,
         };
         let Some((stream, seat)) = accepted else { continue };
@@ -91,9 +91,9 @@
     }
 }
 
-pub async fn closing(phase: &mut watch::Receiver<Phase>) {
+pub async fn reached(phase: &mut watch::Receiver<Phase>, wanted: Phase) {
     // An error says that the sender is gone: the program ends.
-    let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
+    let _ = phase.wait_for(|phase| *phase >= wanted).await;
 }
 
 async fn connection(stream: TcpStream, seat: Seat, router: Router, mut phase: watch::Receiver<Phase>) {
@@ -105,7 +105,8 @@
     let service = service_fn(move |mut request: hyper::Request<Incoming>| {
         of_request.asking();
         request.extensions_mut().insert(of_request.clone());
-        router.clone().call(request)
+        let (answer, seat) = (router.clone().call(request), of_request.clone());
+        async move { answer.await.inspect(|_| seat.answered()) }
     });
     let served = http1::Builder::new().max_buf_size(MOST_HEAD).serve_connection(io, service);
     tokio::pin!(served);
@@ -115,9 +116,12 @@
         tokio::select! {
             biased;
             ended = served.as_mut() => break ended,
-            () = closing(&mut phase), if !ends => {
+            () = reached(&mut phase, Phase::Closing), if !ends => {
                 ends = true;
-                served.as_mut().graceful_shutdown();
+                // hyper would throw half a request away; that one's answer says by itself that it is the last.
+                if !seat.is_asking() {
+                    served.as_mut().graceful_shutdown();
+                }
             }
             orderly = seat.told_to_leave() => {
                 if told || !orderly {
@@ -173,12 +177,11 @@
     let received = Instant::now();
     let leaving = front.phase.clone();
     let answered = AssertUnwindSafe(answer(&front, &seat, request, received)).catch_unwind().await;
-    seat.answered();
     let mut response = answered.unwrap_or_else(|_| {
         error!("a request's handler panicked");
         StatusCode::INTERNAL_SERVER_ERROR.into_response()
     });
-    if *leaving.borrow() != Phase::Serving {
+    if *leaving.borrow() == Phase::Closing {
         response = last_on_its_connection(response);
     }
     response
@@ -344,7 +347,7 @@
     use crate::interface::Settings;
 
     #[test]
-    fn while_leaving_each_answer_is_its_connections_last_and_then_nobody_is_taken() {
+    fn while_it_leaves_the_head_takes_nobody_new_and_serves_who_is_there_until_it_closes() {
         use tokio::io::{AsyncReadExt, AsyncWriteExt};
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         runtime.block_on(async {
@@ -370,16 +373,29 @@
             let mut seen = [0; 12];
             idle.read_exact(&mut seen).await.unwrap();
             assert_eq!(&seen, b"HTTP/1.1 200");
-            phase.send_replace(Phase::Leaving);
-            let mut late = TcpStream::connect(address).await.unwrap();
-            late.write_all(b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n").await.unwrap();
-            let mut answer = String::new();
-            late.read_to_string(&mut answer).await.unwrap();
-            assert!(answer.starts_with("HTTP/1.1 400") && answer.contains("connection: close"), "{answer}");
-            phase.send_replace(Phase::Closing);
+            let mut busy = TcpStream::connect(address).await.unwrap();
+            busy.write_all(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n").await.unwrap();
+            busy.read_exact(&mut seen).await.unwrap();
+            phase.send_replace(Phase::Staying);
             serving.await.unwrap();
-            idle.read_to_end(&mut Vec::new()).await.unwrap();
             assert!(TcpStream::connect(address).await.is_err());
+            let mut rest = [0; 512];
+            let ok = |n: usize, rest: &[u8]| String::from_utf8_lossy(&rest[..n]).contains("HTTP/1.1 200");
+            let _ = busy.read(&mut rest).await.unwrap();
+            busy.write_all(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n").await.unwrap();
+            let n = busy.read(&mut rest).await.unwrap();
+            assert!(ok(n, &rest));
+            // Half a request crosses the end: it is still read, and its answer is the last.
+            busy.write_all(b"GET /x HTTP/1.1\r\n").await.unwrap();
+            while places.idle() > 1 {
+                tokio::task::yield_now().await;
+            }
+            phase.send_replace(Phase::Closing);
+            idle.read_to_end(&mut Vec::new()).await.unwrap();
+            busy.write_all(b"Host: x\r\n\r\n").await.unwrap();
+            let mut answer = String::new();
+            busy.read_to_string(&mut answer).await.unwrap();
+            assert!(answer.starts_with("HTTP/1.1 400") && answer.contains("connection: close"), "{answer}");
             places.empty().await;
         });
     }
--- a/src/net/places.rs
+++ b/src/net/places.rs
@@ -64,6 +64,10 @@
         self.taken().seats.len()
     }
 
+    pub fn idle(&self) -> usize {
+        self.taken().seats.values().filter(|state| state.doing == Doing::Idle).count()
+    }
+
     /// A place for a connection that has come. Where none is left, one without an open request goes: first of all
     /// the oldest that never had an answer, so that a flood of such costs nobody else; then the longest idle.
     pub async fn take(&self) -> Seat {
@@ -186,6 +190,10 @@
         self.set(Doing::Idle);
     }
 
+    pub fn is_asking(&self) -> bool {
+        self.with(|state| state.doing) == Some(Doing::Asking)
+    }
+
     /// Told to go: true while a request is open or an answer is on its way, which go first.
     pub async fn told_to_leave(&self) -> bool {
         self.0.leave.notified().await;
--- a/src/net/sftp/front.rs
+++ b/src/net/sftp/front.rs
@@ -7,7 +7,7 @@
 };
 use crate::config::sftp::{NoPlace, Place, SecondFront, Use};
 use crate::core::{Answer, Arrival, Handle};
-use crate::net::front::{Phase, accept, closing};
+use crate::net::front::{Phase, accept, reached};
 use crate::net::places::{Places, Seat};
 use bytes::Bytes;
 use futures_util::stream::FuturesUnordered;
@@ -53,7 +53,7 @@
     let mut phase = front.phase.clone();
     loop {
         let accepted = tokio::select! {
-            () = closing(&mut phase) => return,
+            () = reached(&mut phase, Phase::Staying) => return,
             accepted = accept(&listener, &places) => accepted,
         };
         if let Some((stream, seat)) = accepted {
@@ -128,7 +128,7 @@
                     }
                 }
                 _ = self.seat.told_to_leave() => wanted = true,
-                () = closing(&mut phase), if self.in_flight.is_empty() => return "the head leaves",
+                () = reached(&mut phase, Phase::Closing), if self.in_flight.is_empty() => return "the head leaves",
                 packet = self.packets.next(), if !full && !wanted => {
                     let received = Instant::now();
                     let packet = match packet {
