--- a/src/bin/pathbank.rs
+++ b/src/bin/pathbank.rs
@@ -25,11 +25,11 @@
 const ACCEPT_ON: Duration = Duration::from_millis(600);
 /// SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s: be gone well before.
 const LONGEST: Duration = Duration::from_secs(3);
-const LAST_ANSWERS: Duration = Duration::from_millis(400);
+const LAST_ANSWERS: Duration = Duration::from_millis(500);
 /// So long before the last answers connections begin to close: until then their clients go on using them, and have
 /// nowhere else to go.
-const CLOSE: Duration = Duration::from_millis(400);
-const LAST_BYTES: Duration = Duration::from_millis(100);
+const CLOSE: Duration = Duration::from_millis(250);
+const LAST_BYTES: Duration = Duration::from_millis(80);
 
 fn main() -> ExitCode {
     let done = Config::from_environment().map_err(Into::into).and_then(run);
