Let a silent connection hold no token for long, and single breaks not mute a node

Now three breaks in a row tell of the node, a request out for longer than a silence holds no token at a mute node, only failed connections hint at a restart, and an answer counts eight usual times at most.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -29,8 +29,12 @@
 const BEST_FORGETS: f64 = 0.005;
 /// A node's held work is under pressure when it would take longer than this part of the shortest aim.
 const PRESSURE: f64 = 0.15;
-/// A node is mute when its oldest request is out for this many usual answer times, and `fall` at least.
+/// A node is mute when its oldest request is out for this many usual answer times, and for this part of `fall`
+/// at least, which is more than a node's pause.
 const MUTE_ANSWERS: f64 = 4.0;
+const MUTE_LEAST: f64 = 0.5;
+/// So many connections that broke in a row, with no answer between them, tell of the node; fewer of themselves.
+const BREAKS: u32 = 3;
 /// A request is lost when this many later ones of its node were answered, more than its cores can mix up.
 const OVERTAKEN: u32 = 6;
 /// This host itself stood still when its recheck came this many times too late.
@@ -142,13 +146,22 @@
         (self.wait, self.wait_at) = (queue * each, now);
     }
 
-    /// Free tokens. A mute node gets one request at a time; what is lost holds no token.
-    fn free(&self, now: Micros) -> usize {
-        let depth = if self.mute_since.is_some() { DEPTH_LEAST } else { self.depth };
-        let held = self.out.iter().filter(|((sent, _), mark)| !self.lost(now, *sent, mark)).count();
+    /// Free tokens. A mute node gets one request at a time; what is lost holds no token, and at a mute node nor
+    /// does what has been out for too long: it may be its connection that fell silent, and not the node.
+    fn free(&self, now: Micros, fall: f64) -> usize {
+        let (mute, silence) = (self.mute_since.is_some(), self.silence(fall));
+        let depth = if mute { DEPTH_LEAST } else { self.depth };
+        let holds =
+            |sent: Micros, mark| !(self.lost(now, sent, mark) || mute && (now - sent) as f64 > silence);
+        let held = self.out.iter().filter(|((sent, _), mark)| holds(*sent, mark)).count();
         (depth as usize).saturating_sub(held)
     }
 
+    /// Hearing nothing for longer than this makes a node mute.
+    fn silence(&self, fall: f64) -> f64 {
+        (MUTE_ANSWERS * self.took).max(MUTE_LEAST * fall)
+    }
+
     /// The node takes requests in turn: one that many later ones overtook and that is long overdue is lost.
     fn lost(&self, now: Micros, sent: Micros, mark: &OutMark) -> bool {
         mark.overtaken >= OVERTAKEN && (now - sent) as f64 > MUTE_ANSWERS * self.took
@@ -557,16 +570,16 @@
         }
         self.watch_silence(now, actions);
         let waits = |place| self.queues.at(place).next().is_some();
-        let new_objects = waits(None);
+        let (new_objects, fall) = (waits(None), self.settings.fall as f64);
         let open = self.nodes.iter().filter(|(_, n)| {
-            n.ready && n.rest_until <= now && (new_objects || waits(Some(n.shard))) && n.free(now) > 0
+            n.ready && n.rest_until <= now && (new_objects || waits(Some(n.shard))) && n.free(now, fall) > 0
         });
         let mut order: Vec<_> =
-            open.map(|(id, n)| (std::cmp::Reverse(n.free(now)), self.rank(now, *id, n), *id)).collect();
+            open.map(|(id, n)| (std::cmp::Reverse(n.free(now, fall)), self.rank(now, *id, n), *id)).collect();
         order.sort_unstable();
         let mut global_vt = self.global_vt(now);
         for (_, _, node) in order {
-            while self.nodes[&node].free(now) > 0 {
+            while self.nodes[&node].free(now, fall) > 0 {
                 let Some(id) = self.choose(now, node, global_vt) else { break };
                 self.send(now, id, node, actions);
                 global_vt = self.global_vt(now);
@@ -858,7 +871,7 @@
             let waits = node.out.iter().find(|((sent, _), mark)| !node.lost(now, *sent, mark));
             if let (Some(((sent, _), _)), None) = (waits, node.mute_since) {
                 let since = (*sent).max(node.heard).max(self.resumed);
-                if (now - since) as f64 > (MUTE_ANSWERS * node.took).max(fall) {
+                if (now - since) as f64 > node.silence(fall) {
                     node.mute_since = Some(since);
                     actions.push(Action::Log(format!("node {id} is mute")));
                 }
@@ -906,13 +919,17 @@
                 node.out.range_mut(..sent).for_each(|(_, mark)| mark.overtaken += 1);
                 if let Some(since) = node.mute_since.take() {
                     news = Some(format!("node {id} answers again"));
-                    // It may have restarted unannounced, unless it still knew a request from before. In a
-                    // crowd of hosts the few answers that one gets do not tell that from a deep queue.
-                    if sent.0 > since && now > since + fall && !crowded {
+                    // It may have restarted unannounced where connections failed, unless it still knew a request
+                    // from before. In a crowd of hosts the few answers that one gets do not tell that from a
+                    // deep queue; mere silence may be that of a connection.
+                    if sent.0 > since && now > since + fall && !crowded && node.breaks >= BREAKS {
                         node.cold_since = Some(now);
                     }
                 }
-                let took = outcome.took as f64;
+                node.breaks = 0;
+                // An answer that its connection held back tells little of the node.
+                let most = if node.took > 0.0 { 2.0 * MUTE_ANSWERS * node.took } else { f64::INFINITY };
+                let took = (outcome.took as f64).min(most);
                 let usual = if self.usual_took > 0.0 { self.usual_took } else { took };
                 self.usual_took = usual + LEARN * (took - usual);
                 if node.took <= 0.0 {
@@ -935,7 +952,13 @@
             }
             // At a node that has answered since, one attempt was lost, not the node.
             Ending::TimedOut if node.heard > sent.0 => {}
+            Ending::Reset if node.breaks + 1 < BREAKS => node.breaks += 1,
+            Ending::ConnectFailed if node.breaks + 1 < BREAKS => {
+                node.breaks += 1;
+                node.rest_until = now + ((FULL_REST * node.took) as Micros).max(RECHECK);
+            }
             Ending::ConnectFailed | Ending::TimedOut | Ending::Reset => {
+                node.breaks += 1;
                 node.mute_since.get_or_insert(sent.0);
                 node.rest_until = now + rest as Micros;
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -122,6 +122,8 @@
     pub best: f64,
     pub rest_until: Micros,
     pub mute_since: Option<Micros>,
+    /// Connections that broke or did not come up since its last answer.
+    pub breaks: u32,
     pub cold_since: Option<Micros>,
     pub cold_sends: VecDeque<(Micros, f64)>,
     /// Where this host's part of what a cold node bears is less than one request: what it has saved up.
@@ -155,6 +157,7 @@
             best: 0.0,
             rest_until: 0,
             mute_since: None,
+            breaks: 0,
             cold_since: None,
             cold_sends: VecDeque::new(),
             cold_credit: Store::default(),
