--- a/src/policy.rs
+++ b/src/policy.rs
@@ -146,15 +146,16 @@
         (self.wait, self.wait_at) = (queue * each, now);
     }
 
-    /// Free tokens. A mute node gets one request at a time; what is lost holds no token, and at a mute node nor
-    /// does what has been out for too long: it may be its connection that fell silent, and not the node.
+    /// Free tokens. A mute node gets one request at a time; what is lost holds no token, nor does what has been out
+    /// for too long at a mute node or while a later one was answered: it may be its connection that fell silent.
     fn free(&self, now: Micros, fall: f64) -> usize {
         let (mute, silence) = (self.mute_since.is_some(), self.silence(fall));
         let depth = if mute { DEPTH_LEAST } else { self.depth };
-        let holds =
-            |sent: Micros, mark| !(self.lost(now, sent, mark) || mute && (now - sent) as f64 > silence);
-        let held = self.out.iter().filter(|((sent, _), mark)| holds(*sent, mark)).count();
-        (depth as usize).saturating_sub(held)
+        let held = self.out.iter().filter(|((sent, _), mark)| {
+            let silent = (now - *sent) as f64 > silence && (mute || mark.overtaken > 0);
+            !silent && !self.lost(now, *sent, mark)
+        });
+        (depth as usize).saturating_sub(held.count())
     }
 
     /// Hearing nothing for longer than this makes a node mute.
@@ -916,17 +917,17 @@
         match outcome.ending {
             Ending::Served => {
                 node.heard = now;
+                let broke = std::mem::take(&mut node.breaks) > 0;
                 node.out.range_mut(..sent).for_each(|(_, mark)| mark.overtaken += 1);
                 if let Some(since) = node.mute_since.take() {
                     news = Some(format!("node {id} answers again"));
                     // It may have restarted unannounced where connections failed, unless it still knew a request
                     // from before. In a crowd of hosts the few answers that one gets do not tell that from a
                     // deep queue; mere silence may be that of a connection.
-                    if sent.0 > since && now > since + fall && !crowded && node.breaks >= BREAKS {
+                    if sent.0 > since && now > since + fall && !crowded && broke {
                         node.cold_since = Some(now);
                     }
                 }
-                node.breaks = 0;
                 // An answer that its connection held back tells little of the node.
                 let most = if node.took > 0.0 { 2.0 * MUTE_ANSWERS * node.took } else { f64::INFINITY };
                 let took = (outcome.took as f64).min(most);
@@ -953,8 +954,9 @@
             // At a node that has answered since, one attempt was lost, not the node.
             Ending::TimedOut if node.heard > sent.0 => {}
             Ending::Reset if node.breaks + 1 < BREAKS => node.breaks += 1,
-            Ending::ConnectFailed if node.breaks + 1 < BREAKS => {
-                node.breaks += 1;
+            // It answered just now, and one connection did not come up.
+            Ending::ConnectFailed if node.breaks == 0 && now < node.heard + rest as Micros => {
+                node.breaks = 1;
                 node.rest_until = now + ((FULL_REST * node.took) as Micros).max(RECHECK);
             }
             Ending::ConnectFailed | Ending::TimedOut | Ending::Reset => {
