--- a/src/bin/pathbank.rs
+++ b/src/bin/pathbank.rs
@@ -10,7 +10,7 @@
 use pathbank::net::discovery::Discovery;
 use pathbank::net::front::{self, Front, Phase};
 use pathbank::net::ids::Ids;
-use pathbank::net::places::Places;
+use pathbank::net::places::{Counts, Places};
 use pathbank::net::sftp;
 use std::error::Error;
 use std::net::SocketAddr;
@@ -108,7 +108,11 @@
     }
     leave(&config, &phase, &handle, &rooms).await;
     let (opened, attempts) = back.counts();
-    info!(opened, attempts; "left");
+    for places in &rooms {
+        let Counts { taken, over_limit, for_others } = places.counts();
+        info!(taken, over_limit, for_others; "clients' connections");
+    }
+    info!(opened, attempts, no_room = handle.no_room(); "left");
     Ok(())
 }
 
--- a/src/core.rs
+++ b/src/core.rs
@@ -121,12 +121,19 @@
     last: Arc<AtomicU64>,
     open: Arc<AtomicUsize>,
     max_open: usize,
+    no_room: Arc<AtomicU64>,
 }
 
 impl Handle {
+    /// Requests that came when as many as may be were open.
+    pub fn no_room(&self) -> u64 {
+        self.no_room.load(Ordering::Relaxed)
+    }
+
     /// `None`: too many are open, nothing was taken.
     pub fn submit(&self, arrival: Arrival, work: Box<dyn Work>) -> Option<Pending> {
         if self.open.load(Ordering::Relaxed) >= self.max_open {
+            self.no_room.fetch_add(1, Ordering::Relaxed);
             return None;
         }
         self.open.fetch_add(1, Ordering::Relaxed);
@@ -239,7 +246,8 @@
     ) -> (Core, mpsc::UnboundedReceiver<()>) {
         let (queue, inputs) = mpsc::unbounded_channel();
         let (subscribe, wanted) = mpsc::unbounded_channel();
-        let handle = Handle { queue, last: Arc::default(), open: Arc::default(), max_open };
+        let handle =
+            Handle { queue, last: Arc::default(), open: Arc::default(), max_open, no_room: Arc::default() };
         let policy = Policy::new(settings.clone(), seed);
         let core = Core {
             policy,
--- a/src/net/places.rs
+++ b/src/net/places.rs
@@ -42,6 +42,15 @@
 struct Taken {
     seats: BTreeMap<u64, State>,
     last: u64,
+    counts: Counts,
+}
+
+/// Connections so far: taken, told to go over a limit, and told to go because another wanted the place.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    pub taken: u64,
+    pub over_limit: u64,
+    pub for_others: u64,
 }
 
 #[derive(Clone)]
@@ -64,6 +73,10 @@
         self.taken().seats.len()
     }
 
+    pub fn counts(&self) -> Counts {
+        self.taken().counts
+    }
+
     pub fn idle(&self) -> usize {
         self.taken().seats.values().filter(|state| state.doing == Doing::Idle).count()
     }
@@ -86,12 +99,14 @@
         let able = others.filter(|s| s.doing != Doing::Waiting && s.told.is_none());
         if let Some(state) = able.min_by_key(|s| (s.known, s.doing != Doing::Idle, s.since)) {
             state.tell(Instant::now());
+            taken.counts.for_others += 1;
         }
     }
 
     fn sit(&self) -> Seat {
         let (mut taken, leave) = (self.taken(), Arc::new(Notify::new()));
         taken.last += 1;
+        taken.counts.taken += 1;
         let (id, since) = (taken.last, Instant::now());
         let state = State { doing: Doing::Asking, since, known: false, told: None, leave: leave.clone() };
         taken.seats.insert(id, state);
