--- a/src/policy.rs
+++ b/src/policy.rs
@@ -29,11 +29,11 @@
 const BEST_FORGETS: f64 = 0.005;
 /// A node's held work is under pressure when it would take longer than this part of the shortest aim.
 const PRESSURE: f64 = 0.15;
-/// A node is mute when its oldest request is out for this many usual answer times, and for this part of `fall`
-/// at least, which is more than a node's pause.
+/// A node is mute when its oldest request is out for this many usual answer times, and for this part of
+/// `fall` at least, which is more than a node's pause.
 const MUTE_ANSWERS: f64 = 4.0;
 const MUTE_LEAST: f64 = 0.5;
-/// So many connections that broke in a row, with no answer between them, tell of the node; fewer of themselves.
+/// So many connections broken in a row, with no answer between them, tell of the node; fewer of themselves.
 const BREAKS: u32 = 3;
 /// A request is lost when this many later ones of its node were answered, more than its cores can mix up.
 const OVERTAKEN: u32 = 6;
@@ -78,7 +78,7 @@
 /// and while asking again still helps.
 const GIVE_UP: f64 = 0.15;
 
-/// What is of no use any more is looked for this often; a volume is forgotten after this long a silence at least.
+/// What is of no use any more is looked for this often; a volume is forgotten after so long a silence.
 const TIDY: Micros = 1_000_000;
 const FORGET: Micros = 30_000_000;
 
@@ -146,8 +146,8 @@
         (self.wait, self.wait_at) = (queue * each, now);
     }
 
-    /// Free tokens. A mute node gets one request at a time; what is lost holds no token, nor does what has been out
-    /// for too long at a mute node or while a later one was answered: it may be its connection that fell silent.
+    /// Free tokens. A mute node gets one request at a time; what is lost holds no token, nor does what has
+    /// been out for too long at a mute node or while a later one was answered: its connection may be silent.
     fn free(&self, now: Micros, fall: f64) -> usize {
         let (mute, silence) = (self.mute_since.is_some(), self.silence(fall));
         let depth = if mute { DEPTH_LEAST } else { self.depth };
@@ -375,8 +375,8 @@
         self.nodes.retain(|_, node| !node.gone || !node.out.is_empty());
     }
 
-    /// Forgets nodes that are gone, keys at rest, and volumes of which a new flow would know as much: long silent,
-    /// with nothing out, not ahead of the others, and with a full limit.
+    /// Forgets nodes that are gone, keys at rest, and volumes of which a new flow would know as much: long
+    /// silent, with nothing out, not ahead of the others, and with a full limit.
     fn tidy(&mut self, now: Micros) {
         if now < self.tidied + TIDY {
             return;
@@ -921,9 +921,9 @@
                 node.out.range_mut(..sent).for_each(|(_, mark)| mark.overtaken += 1);
                 if let Some(since) = node.mute_since.take() {
                     news = Some(format!("node {id} answers again"));
-                    // It may have restarted unannounced where connections failed, unless it still knew a request
-                    // from before. In a crowd of hosts the few answers that one gets do not tell that from a
-                    // deep queue; mere silence may be that of a connection.
+                    // It may have restarted unannounced where connections failed, unless it still knew a
+                    // request from before. In a crowd of hosts the few answers that one gets do not tell that
+                    // from a deep queue; mere silence may be that of a connection.
                     if sent.0 > since && now > since + fall && !crowded && broke {
                         node.cold_since = Some(now);
                     }
