Decide gRPC's routes, statuses, holding, channels and guards without I/O

Operators want a third front that carries gRPC. What it decides stands in modules of its own under src/grpc that are told the time and know no socket: a radix trie of routes beside a plain scan, the table between statuses and ends, what is held of a request so that it can be sent again, connections to nodes with many streams, and what a client's connection may cost. Nothing uses them yet.

--- /dev/null
+++ b/src/grpc/channels.rs
@@ -0,0 +1,381 @@
+//! Connections to nodes, each with many streams: when another one opens, which one takes a stream, and when one goes.
+//! No I/O: told what happens and when, it says what is to be done. One for all nodes, so that its bounds hold over
+//! all of them.
+
+use crate::interface::Micros;
+use std::collections::BTreeMap;
+
+pub type ChannelId = u64;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    /// Channels to all nodes together, connecting ones included.
+    pub most: usize,
+    pub per_node: usize,
+    /// Streams on one channel, where its peer allows as many.
+    pub streams: usize,
+    /// A channel without streams goes after this.
+    pub idle: Micros,
+    /// A channel on which nothing came for that long, with streams open, is asked for a sign of life, and given up
+    /// when none comes within `patience`.
+    pub keepalive: Micros,
+    pub patience: Micros,
+    /// After a failed connection none is tried at that node for this long, doubled up to `most_backoff`.
+    pub backoff: Micros,
+    pub most_backoff: Micros,
+}
+
+/// What a call that wants a stream is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Grant {
+    /// One stream on this channel is its own until `released`.
+    Use(ChannelId),
+    /// It has to open this one, and to say how that went; then it asks again. `close`: an idle channel goes for it.
+    Open { id: ChannelId, close: Option<ChannelId> },
+    /// To ask again when something has changed at its node.
+    Wait,
+    /// Nothing can be had there now.
+    Refuse,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Duty {
+    /// Without streams: close it.
+    Close(ChannelId),
+    /// Ask it for a sign of life.
+    Ping(ChannelId),
+    /// It said nothing for too long: all streams on it are broken.
+    Break(ChannelId),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Connecting,
+    Up,
+    /// Its peer takes no new streams; those that there are finish.
+    Draining,
+}
+
+#[derive(Debug)]
+struct Channel<N> {
+    node: N,
+    state: State,
+    streams: usize,
+    /// What its peer allows at the moment.
+    allowed: usize,
+    idle_since: Micros,
+    heard: Micros,
+    pinged: Option<Micros>,
+}
+
+#[derive(Debug, Default)]
+struct Backoff {
+    failures: u32,
+    until: Micros,
+}
+
+#[derive(Debug)]
+pub struct Channels<N> {
+    limits: Limits,
+    channels: BTreeMap<ChannelId, Channel<N>>,
+    backoffs: BTreeMap<N, Backoff>,
+    last: ChannelId,
+}
+
+impl<N: Ord + Clone> Channels<N> {
+    pub fn new(limits: Limits) -> Channels<N> {
+        Channels { limits, channels: BTreeMap::new(), backoffs: BTreeMap::new(), last: 0 }
+    }
+
+    pub fn limits(&self) -> Limits {
+        self.limits
+    }
+
+    pub fn len(&self) -> usize {
+        self.channels.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.channels.is_empty()
+    }
+
+    pub fn streams(&self) -> usize {
+        self.channels.values().map(|channel| channel.streams).sum()
+    }
+
+    /// A call wants a stream to this node. The channel with the fewest takes it: a stalled stream then holds up the
+    /// fewest others. Another channel opens only when all are full.
+    pub fn want(&mut self, now: Micros, node: &N) -> Grant {
+        let own = self.limits.streams;
+        let mut at_node = self.channels.iter_mut().filter(|(_, channel)| channel.node == *node);
+        let (mut here, mut connecting) = (0, false);
+        let mut best: Option<(&ChannelId, &mut Channel<N>)> = None;
+        for (id, channel) in &mut at_node {
+            here += 1;
+            connecting |= channel.state == State::Connecting;
+            let takes = channel.state == State::Up && channel.streams < channel.allowed.min(own);
+            if takes && best.as_ref().is_none_or(|(_, known)| channel.streams < known.streams) {
+                best = Some((id, channel));
+            }
+        }
+        if let Some((id, channel)) = best {
+            channel.streams += 1;
+            return Grant::Use(*id);
+        }
+        if connecting {
+            return Grant::Wait;
+        }
+        if self.backoffs.get(node).is_some_and(|backoff| now < backoff.until) {
+            // What there is may still get free; without any, waiting would only hide that the node is not there.
+            return if here > 0 { Grant::Wait } else { Grant::Refuse };
+        }
+        if here >= self.limits.per_node {
+            return Grant::Wait;
+        }
+        let mut close = None;
+        if self.channels.len() >= self.limits.most {
+            close = self.longest_idle();
+            let Some(id) = close else { return if here > 0 { Grant::Wait } else { Grant::Refuse } };
+            self.channels.remove(&id);
+        }
+        self.last += 1;
+        let channel = Channel {
+            node: node.clone(),
+            state: State::Connecting,
+            streams: 0,
+            allowed: 0,
+            idle_since: now,
+            heard: now,
+            pinged: None,
+        };
+        self.channels.insert(self.last, channel);
+        Grant::Open { id: self.last, close }
+    }
+
+    fn longest_idle(&self) -> Option<ChannelId> {
+        let idle = self.channels.iter().filter(|(_, c)| c.streams == 0 && c.state != State::Connecting);
+        idle.min_by_key(|(id, channel)| (channel.idle_since, **id)).map(|(id, _)| *id)
+    }
+
+    /// The connection stands; its peer allows so many streams.
+    pub fn connected(&mut self, now: Micros, id: ChannelId, allowed: usize) {
+        if let Some(channel) = self.channels.get_mut(&id) {
+            (channel.state, channel.allowed) = (State::Up, allowed);
+            (channel.heard, channel.idle_since) = (now, now);
+            self.backoffs.remove(&channel.node);
+        }
+    }
+
+    /// It did not come up.
+    pub fn failed(&mut self, now: Micros, id: ChannelId) {
+        let Some(channel) = self.channels.remove(&id) else { return };
+        let Limits { backoff, most_backoff, .. } = self.limits;
+        let known = self.backoffs.entry(channel.node).or_default();
+        known.until = now + (backoff << known.failures.min(16)).min(most_backoff);
+        known.failures += 1;
+    }
+
+    /// The peer allows another number of streams; those beyond it that run go on.
+    pub fn allowed(&mut self, id: ChannelId, allowed: usize) {
+        if let Some(channel) = self.channels.get_mut(&id) {
+            channel.allowed = allowed;
+        }
+    }
+
+    /// The peer has said GOAWAY. True where the channel can be closed at once.
+    pub fn goaway(&mut self, id: ChannelId) -> bool {
+        match self.channels.get_mut(&id) {
+            Some(channel) => {
+                channel.state = State::Draining;
+                if channel.streams == 0 {
+                    self.channels.remove(&id);
+                    return true;
+                }
+                false
+            }
+            None => false,
+        }
+    }
+
+    /// A stream that was granted is over. True where the channel is to be closed with it.
+    pub fn released(&mut self, now: Micros, id: ChannelId) -> bool {
+        let Some(channel) = self.channels.get_mut(&id) else { return false };
+        channel.streams = channel.streams.saturating_sub(1);
+        channel.idle_since = now;
+        let over = channel.streams == 0 && channel.state == State::Draining;
+        if over {
+            self.channels.remove(&id);
+        }
+        over
+    }
+
+    /// The connection is gone.
+    pub fn broke(&mut self, id: ChannelId) {
+        self.channels.remove(&id);
+    }
+
+    /// Bytes came on it.
+    pub fn heard(&mut self, now: Micros, id: ChannelId) {
+        if let Some(channel) = self.channels.get_mut(&id) {
+            (channel.heard, channel.pinged) = (now, None);
+        }
+    }
+
+    /// All that time alone brings about.
+    pub fn tick(&mut self, now: Micros) -> Vec<Duty> {
+        let Limits { idle, keepalive, patience, most_backoff, .. } = self.limits;
+        let mut duties = Vec::new();
+        for (id, channel) in &mut self.channels {
+            let quiet = now.saturating_sub(channel.heard);
+            if channel.state == State::Connecting {
+                continue;
+            }
+            if channel.streams == 0 {
+                if now.saturating_sub(channel.idle_since) >= idle {
+                    duties.push(Duty::Close(*id));
+                }
+            } else if channel.pinged.is_some_and(|at| now.saturating_sub(at) >= patience) {
+                duties.push(Duty::Break(*id));
+            } else if quiet >= keepalive && channel.pinged.is_none() {
+                channel.pinged = Some(now);
+                duties.push(Duty::Ping(*id));
+            }
+        }
+        for duty in &duties {
+            if let Duty::Close(id) | Duty::Break(id) = duty {
+                self.channels.remove(id);
+            }
+        }
+        // A node that nobody has asked for in so long is as good as a new one.
+        self.backoffs.retain(|_, backoff| now < backoff.until + most_backoff);
+        duties
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MS: Micros = 1_000;
+    const LIMITS: Limits = Limits {
+        most: 4,
+        per_node: 2,
+        streams: 3,
+        idle: 1_000 * MS,
+        keepalive: 200 * MS,
+        patience: 100 * MS,
+        backoff: 50 * MS,
+        most_backoff: 400 * MS,
+    };
+
+    fn opened(channels: &mut Channels<u8>, now: Micros, node: u8, allowed: usize) -> ChannelId {
+        let Grant::Open { id, .. } = channels.want(now, &node) else { panic!("no channel for {node}") };
+        channels.connected(now, id, allowed);
+        id
+    }
+
+    #[test]
+    fn streams_fill_one_channel_then_another_opens_and_then_calls_wait() {
+        let mut channels = Channels::new(LIMITS);
+        let Grant::Open { id: first, close: None } = channels.want(0, &1) else { panic!() };
+        assert_eq!(channels.want(0, &1), Grant::Wait, "one that connects is waited for");
+        channels.connected(0, first, 100);
+        (0..3).for_each(|_| assert_eq!(channels.want(0, &1), Grant::Use(first)));
+        let second = opened(&mut channels, 0, 1, 2);
+        (0..2).for_each(|_| assert_eq!(channels.want(0, &1), Grant::Use(second)));
+        assert_eq!(channels.want(0, &1), Grant::Wait, "the peer's bound is less than ours");
+        channels.released(5, first);
+        channels.released(5, first);
+        assert_eq!(channels.want(5, &1), Grant::Use(first), "the one with the fewest streams");
+        assert_eq!(channels.streams(), 4);
+    }
+
+    #[test]
+    fn a_peer_that_lowers_its_bound_gets_no_more_until_enough_have_ended() {
+        let mut channels = Channels::new(Limits { per_node: 1, ..LIMITS });
+        let id = opened(&mut channels, 0, 1, 3);
+        (0..3).for_each(|_| assert_eq!(channels.want(0, &1), Grant::Use(id)));
+        channels.allowed(id, 1);
+        for _ in 0..2 {
+            assert_eq!(channels.want(0, &1), Grant::Wait);
+            channels.released(0, id);
+        }
+        assert_eq!(channels.want(0, &1), Grant::Wait, "one runs, one is allowed");
+        channels.released(0, id);
+        assert_eq!(channels.want(0, &1), Grant::Use(id));
+        channels.allowed(id, 0);
+        channels.released(0, id);
+        assert_eq!(channels.want(0, &1), Grant::Wait);
+        channels.allowed(id, 1);
+        assert_eq!(channels.want(0, &1), Grant::Use(id));
+    }
+
+    #[test]
+    fn the_bound_on_all_channels_takes_the_longest_idle_and_never_one_in_use() {
+        let mut channels = Channels::new(LIMITS);
+        let ids: Vec<ChannelId> =
+            (1..=4).map(|node| opened(&mut channels, u64::from(node), node, 9)).collect();
+        assert_eq!(channels.want(10, &1), Grant::Use(ids[0]));
+        let Grant::Open { id, close } = channels.want(11, &5) else { panic!() };
+        assert_eq!(close, Some(ids[1]));
+        channels.connected(11, id, 9);
+        for node in [3, 4, 5] {
+            assert!(matches!(channels.want(12, &node), Grant::Use(_)));
+        }
+        assert_eq!(channels.want(13, &6), Grant::Refuse, "all are in use, and none is at that node");
+        assert_eq!((channels.len(), channels.streams()), (4, 4));
+    }
+
+    #[test]
+    fn a_goaway_lets_streams_finish_and_new_ones_go_elsewhere() {
+        let mut channels = Channels::new(LIMITS);
+        let first = opened(&mut channels, 0, 1, 9);
+        assert_eq!(channels.want(0, &1), Grant::Use(first));
+        assert_eq!(channels.want(0, &1), Grant::Use(first));
+        assert!(!channels.goaway(first));
+        let second = opened(&mut channels, 1, 1, 9);
+        assert_eq!(channels.want(1, &1), Grant::Use(second));
+        assert!(!channels.released(2, first));
+        assert!(channels.released(2, first), "with its last stream it goes");
+        assert!(!channels.released(2, first), "once");
+        channels.released(3, second);
+        assert!(channels.goaway(second), "without streams at once");
+        assert!(channels.is_empty());
+    }
+
+    #[test]
+    fn failed_connections_are_tried_again_after_longer_and_longer() {
+        let (mut channels, mut now) = (Channels::new(LIMITS), 0);
+        for wait in [50, 100, 200, 400, 400] {
+            let Grant::Open { id, .. } = channels.want(now, &1) else { panic!("not tried at {now}") };
+            channels.failed(now, id);
+            assert_eq!(channels.want(now + wait * MS - 1, &1), Grant::Refuse);
+            now += wait * MS;
+        }
+        let id = opened(&mut channels, now, 1, 9);
+        channels.broke(id);
+        let Grant::Open { id, .. } = channels.want(now, &1) else {
+            panic!("one that had come up is no failure")
+        };
+        channels.failed(now, id);
+        assert!(matches!(channels.want(now + 50 * MS, &1), Grant::Open { .. }), "and the wait begins anew");
+    }
+
+    #[test]
+    fn idle_channels_go_and_silent_ones_are_asked_and_then_given_up() {
+        let mut channels = Channels::new(LIMITS);
+        let (idle, silent) = (opened(&mut channels, 0, 1, 9), opened(&mut channels, 0, 2, 9));
+        assert_eq!(channels.want(0, &2), Grant::Use(silent));
+        assert_eq!(channels.tick(199 * MS), []);
+        assert_eq!(channels.tick(200 * MS), [Duty::Ping(silent)]);
+        assert_eq!(channels.tick(250 * MS), [], "asked once");
+        channels.heard(260 * MS, silent);
+        assert_eq!(channels.tick(300 * MS), []);
+        assert_eq!(channels.tick(460 * MS), [Duty::Ping(silent)]);
+        assert_eq!(channels.tick(560 * MS), [Duty::Break(silent)]);
+        assert_eq!(channels.tick(999 * MS), []);
+        assert_eq!(channels.tick(1_000 * MS), [Duty::Close(idle)]);
+        assert!(channels.is_empty());
+        assert!(!channels.released(1_001 * MS, silent), "a stream of a channel that is gone");
+    }
+}
--- /dev/null
+++ b/src/grpc/guard.rs
@@ -0,0 +1,219 @@
+//! What a client's connection may cost. Each limit is a store of frames that fills with time; who overdraws one has
+//! its connection closed, and nobody else notices. Legitimate clients stay far below all of them.
+
+use super::frames::{Frame, Kind, Seen};
+use crate::interface::Micros;
+
+/// RST_STREAM with CANCEL: what `rapid reset` sends by the thousand.
+const RESETS: (f64, f64) = (200.0, 50.0);
+const SETTINGS: (f64, f64) = (20.0, 1.0);
+const PINGS: (f64, f64) = (50.0, 5.0);
+/// DATA without a byte or an end, PRIORITY, and frames of kinds that nobody knows: each costs a turn, none does
+/// anything.
+const EMPTY: (f64, f64) = (200.0, 100.0);
+/// A window's updates go with bytes that were read; these are for more than 60,000 of them a second.
+const UPDATES: (f64, f64) = (20_000.0, 60_000.0);
+/// CONTINUATIONs and bytes of one header block.
+const BLOCK_FRAMES: usize = 16;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Offence {
+    RapidReset,
+    SettingsFlood,
+    PingFlood,
+    EmptyFlood,
+    UpdateFlood,
+    Continuations,
+    HeaderBytes,
+    /// A request did not come whole in time.
+    Slow,
+    /// It takes nothing of what is sent to it.
+    Stalled,
+    /// More streams at once than it may have.
+    Streams,
+    /// No preface, or frames that break the protocol.
+    Protocol,
+}
+
+impl Offence {
+    pub const ALL: [Offence; 11] = [
+        Offence::RapidReset,
+        Offence::SettingsFlood,
+        Offence::PingFlood,
+        Offence::EmptyFlood,
+        Offence::UpdateFlood,
+        Offence::Continuations,
+        Offence::HeaderBytes,
+        Offence::Slow,
+        Offence::Stalled,
+        Offence::Streams,
+        Offence::Protocol,
+    ];
+
+    /// Its name in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Offence::RapidReset => "rapid_reset",
+            Offence::SettingsFlood => "settings_flood",
+            Offence::PingFlood => "ping_flood",
+            Offence::EmptyFlood => "empty_flood",
+            Offence::UpdateFlood => "update_flood",
+            Offence::Continuations => "continuations",
+            Offence::HeaderBytes => "header_bytes",
+            Offence::Slow => "slow_request",
+            Offence::Stalled => "stalled",
+            Offence::Streams => "streams",
+            Offence::Protocol => "protocol",
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Store {
+    level: f64,
+    at: Micros,
+    cap: f64,
+    rate: f64,
+}
+
+impl Store {
+    fn new((cap, rate): (f64, f64)) -> Store {
+        Store { level: cap, at: 0, cap, rate }
+    }
+
+    fn draw(&mut self, now: Micros) -> bool {
+        let filled = self.rate * now.saturating_sub(self.at) as f64 / 1e6;
+        (self.level, self.at) = ((self.level + filled).min(self.cap), now);
+        let drawn = self.level >= 1.0;
+        if drawn {
+            self.level -= 1.0;
+        }
+        drawn
+    }
+}
+
+/// One client's connection, as its frames come in.
+#[derive(Debug)]
+pub struct Guard {
+    resets: Store,
+    settings: Store,
+    pings: Store,
+    empty: Store,
+    updates: Store,
+    most_block: usize,
+    block_frames: usize,
+    block_bytes: usize,
+}
+
+impl Guard {
+    /// `most_block`: the bytes of one header block, as sent.
+    pub fn new(most_block: usize) -> Guard {
+        Guard {
+            resets: Store::new(RESETS),
+            settings: Store::new(SETTINGS),
+            pings: Store::new(PINGS),
+            empty: Store::new(EMPTY),
+            updates: Store::new(UPDATES),
+            most_block,
+            block_frames: 0,
+            block_bytes: 0,
+        }
+    }
+
+    /// Frames are judged as they begin: what they announce need not be waited for.
+    pub fn frame(&mut self, now: Micros, seen: Seen) -> Option<Offence> {
+        let Seen::Begins(frame) = seen else { return None };
+        match frame.kind {
+            Kind::Reset => Self::over(&mut self.resets, now, Offence::RapidReset),
+            Kind::Settings => Self::over(&mut self.settings, now, Offence::SettingsFlood),
+            Kind::Ping if !frame.is_ack() => Self::over(&mut self.pings, now, Offence::PingFlood),
+            Kind::Ping => Self::over(&mut self.empty, now, Offence::PingFlood),
+            Kind::Data if frame.length > 0 || frame.ends_stream() => None,
+            Kind::Data | Kind::Priority | Kind::Other => {
+                Self::over(&mut self.empty, now, Offence::EmptyFlood)
+            }
+            Kind::WindowUpdate => Self::over(&mut self.updates, now, Offence::UpdateFlood),
+            Kind::Headers | Kind::Continuation => self.block(&frame),
+            Kind::PushPromise | Kind::GoAway => None,
+        }
+    }
+
+    fn over(store: &mut Store, now: Micros, offence: Offence) -> Option<Offence> {
+        if store.draw(now) { None } else { Some(offence) }
+    }
+
+    fn block(&mut self, frame: &Frame) -> Option<Offence> {
+        if frame.kind == Kind::Headers {
+            (self.block_frames, self.block_bytes) = (0, 0);
+        }
+        self.block_frames += 1;
+        self.block_bytes += frame.length;
+        if self.block_bytes > self.most_block {
+            return Some(Offence::HeaderBytes);
+        }
+        (self.block_frames > BLOCK_FRAMES).then_some(Offence::Continuations)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const S: Micros = 1_000_000;
+
+    fn frame(kind: Kind, flags: u8, length: usize) -> Seen {
+        Seen::Begins(Frame { kind, flags, stream: 1, length, start: [0; 8] })
+    }
+
+    /// How many of these, `gap` apart, are let pass out of `most`.
+    fn passed(frame: Seen, gap: Micros, most: usize) -> (usize, Option<Offence>) {
+        let mut guard = Guard::new(16 * 1024);
+        for i in 0..most {
+            if let Some(offence) = guard.frame(S + i as Micros * gap, frame) {
+                return (i, Some(offence));
+            }
+        }
+        (most, None)
+    }
+
+    #[test]
+    fn floods_are_told_by_their_kind_and_an_ordinary_pace_never() {
+        for (kind, flags, length, burst, ordinary, offence) in [
+            (Kind::Reset, 0, 4, 200, S / 20, Offence::RapidReset),
+            (Kind::Settings, 0, 6, 20, 2 * S, Offence::SettingsFlood),
+            (Kind::Ping, 0, 8, 50, S, Offence::PingFlood),
+            (Kind::Ping, 1, 8, 200, S / 50, Offence::PingFlood),
+            (Kind::Data, 0, 0, 200, S / 50, Offence::EmptyFlood),
+            (Kind::Priority, 0, 5, 200, S / 50, Offence::EmptyFlood),
+            (Kind::Other, 0, 5, 200, S / 50, Offence::EmptyFlood),
+            (Kind::WindowUpdate, 0, 4, 20_000, S / 10_000, Offence::UpdateFlood),
+            (Kind::Continuation, 0, 1, 16, S, Offence::Continuations),
+            (Kind::Continuation, 0, 2_000, 8, S, Offence::HeaderBytes),
+        ] {
+            let frame = frame(kind, flags, length);
+            assert_eq!(passed(frame, 0, 100_000), (burst, Some(offence)), "{kind:?}");
+            if kind != Kind::Continuation {
+                assert_eq!(passed(frame, ordinary, 30_000), (30_000, None), "{kind:?}");
+            }
+        }
+        for harmless in [frame(Kind::Data, 0, 1), frame(Kind::Data, 1, 0), frame(Kind::Headers, 4, 200)] {
+            assert_eq!(passed(harmless, 0, 100_000).1, None);
+        }
+    }
+
+    #[test]
+    fn each_header_block_counts_anew() {
+        let mut guard = Guard::new(1000);
+        for _ in 0..50 {
+            assert_eq!(guard.frame(S, frame(Kind::Headers, 0, 600)), None);
+            assert_eq!(guard.frame(S, frame(Kind::Continuation, 4, 400)), None);
+        }
+        assert_eq!(guard.frame(S, frame(Kind::Headers, 4, 1001)), Some(Offence::HeaderBytes));
+    }
+
+    #[test]
+    fn names_are_apart() {
+        let names: std::collections::BTreeSet<_> = Offence::ALL.iter().map(|o| o.name()).collect();
+        assert_eq!(names.len(), Offence::ALL.len());
+    }
+}
--- /dev/null
+++ b/src/grpc/holding.rs
@@ -0,0 +1,198 @@
+//! What is held of a call's request so that it can be sent again. A request is held from its first byte until it is
+//! all there or as much as may be; from then on it can only go on at one attempt, to which it must be bound first:
+//! what that attempt has sent is dropped, and no other can follow.
+
+use bytes::Bytes;
+use std::collections::VecDeque;
+
+/// Beyond what is held, so much may wait for the attempt to send it.
+pub const WINDOW: usize = 16 * 1024;
+
+/// How a request's stream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Over {
+    Whole,
+    /// The client reset it or went: there is nothing more to do for it.
+    Cut,
+}
+
+#[derive(Debug, PartialEq, Eq)]
+pub enum Next {
+    Piece(Bytes),
+    /// More will come.
+    Wait,
+    /// Nothing more can be taken from the client before the call is bound to this attempt.
+    Bind,
+    End(Over),
+    /// The call is bound to another attempt, or what this one would begin with is no longer held.
+    Lost,
+}
+
+#[derive(Debug)]
+pub struct Holding {
+    pieces: VecDeque<Bytes>,
+    /// Pieces dropped in front of those.
+    dropped: usize,
+    bytes: usize,
+    most: usize,
+    /// No memory was left for another piece.
+    pinched: bool,
+    over: Option<Over>,
+    bound: Option<u32>,
+}
+
+impl Holding {
+    pub fn new(most: usize) -> Holding {
+        Holding {
+            pieces: VecDeque::new(),
+            dropped: 0,
+            bytes: 0,
+            most,
+            pinched: false,
+            over: None,
+            bound: None,
+        }
+    }
+
+    /// Whether the client's next piece may be read.
+    pub fn room(&self) -> bool {
+        self.over.is_none()
+            && match self.bound {
+                None => self.bytes < self.most && !self.pinched,
+                Some(_) => self.bytes < WINDOW,
+            }
+    }
+
+    /// A piece that was read although it may go beyond the bound by itself: one piece at most does.
+    pub fn push(&mut self, piece: Bytes) {
+        if !piece.is_empty() {
+            self.bytes += piece.len();
+            self.pieces.push_back(piece);
+        }
+    }
+
+    /// The memory for all calls is used up.
+    pub fn pinch(&mut self) {
+        self.pinched = true;
+    }
+
+    pub fn end(&mut self, over: Over) {
+        self.over.get_or_insert(over);
+    }
+
+    pub fn over(&self) -> Option<Over> {
+        self.over
+    }
+
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// More has come, or will, than can be sent again.
+    pub fn outgrown(&self) -> bool {
+        self.over.is_none() && self.bound.is_none() && !self.room()
+    }
+
+    /// What the attempt that has sent `sent` pieces sends next.
+    pub fn next(&self, attempt: u32, sent: usize) -> Next {
+        if sent < self.dropped || self.bound.is_some_and(|bound| bound != attempt) {
+            return Next::Lost;
+        }
+        match self.pieces.get(sent - self.dropped) {
+            Some(piece) => Next::Piece(piece.clone()),
+            None => match self.over {
+                Some(over) => Next::End(over),
+                None if self.outgrown() => Next::Bind,
+                None => Next::Wait,
+            },
+        }
+    }
+
+    /// The call goes on at this attempt only. Returns the bytes that need not be held any more.
+    pub fn bind(&mut self, attempt: u32, sent: usize) -> usize {
+        self.bound = Some(attempt);
+        self.drop_sent(sent)
+    }
+
+    /// The attempt has sent so many pieces. Returns the bytes that need not be held any more.
+    pub fn sent(&mut self, attempt: u32, sent: usize) -> usize {
+        if self.bound == Some(attempt) { self.drop_sent(sent) } else { 0 }
+    }
+
+    fn drop_sent(&mut self, sent: usize) -> usize {
+        let before = self.bytes;
+        while self.dropped < sent {
+            let Some(piece) = self.pieces.pop_front() else { break };
+            self.bytes -= piece.len();
+            self.dropped += 1;
+        }
+        before - self.bytes
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn piece(length: usize) -> Bytes {
+        Bytes::from(vec![7; length])
+    }
+
+    #[test]
+    fn all_that_is_held_can_be_sent_by_one_attempt_after_another() {
+        let mut holding = Holding::new(100);
+        holding.push(piece(40));
+        holding.push(Bytes::new());
+        holding.push(piece(30));
+        for attempt in 0..2 {
+            assert_eq!(holding.next(attempt, 0), Next::Piece(piece(40)));
+            assert_eq!(holding.next(attempt, 1), Next::Piece(piece(30)));
+            assert_eq!(holding.next(attempt, 2), Next::Wait);
+            assert_eq!(holding.sent(attempt, 2), 0, "not bound, nothing is dropped");
+        }
+        holding.end(Over::Whole);
+        holding.end(Over::Cut);
+        assert_eq!(holding.next(2, 2), Next::End(Over::Whole));
+        assert!(!holding.room() && !holding.outgrown());
+    }
+
+    #[test]
+    fn what_outgrows_its_bound_goes_on_at_one_attempt_only() {
+        for pinched in [false, true] {
+            let mut holding = Holding::new(100);
+            holding.push(piece(60));
+            assert!(holding.room());
+            if pinched {
+                holding.pinch();
+            } else {
+                holding.push(piece(60));
+            }
+            assert!(!holding.room() && holding.outgrown());
+            let sent = if pinched { 1 } else { 2 };
+            assert_eq!(holding.next(0, sent), Next::Bind);
+            assert_eq!(holding.bind(0, sent), 60 * sent);
+            assert!(holding.room() && holding.bytes() == 0);
+            assert_eq!(holding.next(1, 0), Next::Lost);
+            assert_eq!(holding.next(1, sent), Next::Lost, "another attempt, whatever it has sent");
+            holding.push(piece(WINDOW));
+            assert!(!holding.room() && !holding.outgrown());
+            assert_eq!(holding.next(0, sent), Next::Piece(piece(WINDOW)));
+            assert_eq!(holding.sent(1, sent + 1), 0);
+            assert_eq!(holding.sent(0, sent + 1), WINDOW);
+            assert!(holding.room());
+            holding.end(Over::Cut);
+            assert_eq!(holding.next(0, sent + 1), Next::End(Over::Cut));
+        }
+    }
+
+    #[test]
+    fn a_call_bound_early_keeps_what_its_attempt_has_yet_to_send() {
+        let mut holding = Holding::new(1000);
+        (1..=3).for_each(|length| holding.push(piece(length)));
+        assert_eq!(holding.bind(4, 1), 1);
+        assert_eq!(holding.next(4, 1), Next::Piece(piece(2)));
+        assert_eq!(holding.next(4, 0), Next::Lost);
+        assert_eq!(holding.sent(4, 3), 5);
+        assert_eq!(holding.next(4, 3), Next::Wait);
+    }
+}
--- /dev/null
+++ b/src/grpc/status.rs
@@ -0,0 +1,218 @@
+//! The one table between gRPC's statuses and the ends of attempts and calls, both ways. `ending` then says what an
+//! end means to the module; `docs/operators/grpc.md` tells operators the same.
+
+use crate::ending::End;
+use std::time::Duration;
+
+pub const OK: u32 = 0;
+pub const CANCELLED: u32 = 1;
+pub const UNKNOWN: u32 = 2;
+pub const INVALID_ARGUMENT: u32 = 3;
+pub const DEADLINE_EXCEEDED: u32 = 4;
+pub const RESOURCE_EXHAUSTED: u32 = 8;
+pub const UNIMPLEMENTED: u32 = 12;
+pub const INTERNAL: u32 = 13;
+pub const UNAVAILABLE: u32 = 14;
+pub const DATA_LOSS: u32 = 15;
+const LAST: u32 = 16;
+
+/// What a node's trailers come to. `None`: it sent no status, or none that is a number of the table.
+pub fn read(text: Option<&[u8]>) -> Option<u32> {
+    let text = text?;
+    let digits = (1..=2).contains(&text.len()) && text.iter().all(u8::is_ascii_digit);
+    let code = std::str::from_utf8(text).ok().filter(|_| digits)?.parse().ok()?;
+    (code <= LAST).then_some(code)
+}
+
+/// How an attempt ended at which the node gave this status. The program's own answers, whatever they say, have been
+/// given by a node that ran the call: they are served. `not_processed` is the node's word that it never ran.
+pub fn attempt(code: Option<u32>, not_processed: bool) -> End {
+    match code {
+        None => End::BadAnswer,
+        Some(UNAVAILABLE | RESOURCE_EXHAUSTED | DEADLINE_EXCEEDED) if not_processed => End::TurnedAway,
+        Some(CANCELLED | UNKNOWN | DEADLINE_EXCEEDED | RESOURCE_EXHAUSTED) => End::ErrorAnswer,
+        Some(INTERNAL | UNAVAILABLE | DATA_LOSS) => End::ErrorAnswer,
+        Some(_) => End::Answered,
+    }
+}
+
+/// How a call ends for its client where the head itself words the status.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Final {
+    /// Nothing was done, or repeating is harmless.
+    Refused(Duration),
+    /// The head holds as many calls, or as much of them, as it may.
+    NoRoom(Duration),
+    /// It may have been done; with the node's own status, where one came.
+    Failed(Option<u32>),
+    OutOfTime,
+    /// It says more before its end than may be held, and could not be sent again.
+    TooLong,
+    NoRoute,
+    Malformed(&'static str),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pushback {
+    /// `grpc-retry-pushback-ms`, and the same as RetryInfo in the status's details.
+    After(Duration),
+    /// -1: the client's own retries are to stop.
+    Never,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Status {
+    pub code: u32,
+    pub message: &'static str,
+    pub pushback: Pushback,
+}
+
+impl Final {
+    /// `begun`: some of the answer has reached the client, so that nothing may be tried again, whatever the class.
+    pub fn status(&self, begun: bool) -> Status {
+        let (code, message, pushback) = match *self {
+            Final::Refused(_) | Final::Failed(_) if begun => {
+                (UNKNOWN, "the answer was cut off; it may have been done", Pushback::Never)
+            }
+            Final::Refused(after) => {
+                (UNAVAILABLE, "refused; trying again is harmless", Pushback::After(after))
+            }
+            Final::NoRoom(after) => {
+                (RESOURCE_EXHAUSTED, "no room; trying again is harmless", Pushback::After(after))
+            }
+            // Clients may retry on UNAVAILABLE and RESOURCE_EXHAUSTED by themselves: those never pass on.
+            Final::Failed(Some(code @ (CANCELLED | DEADLINE_EXCEEDED | INTERNAL | DATA_LOSS))) => {
+                (code, "failed at the node; it may have been done", Pushback::Never)
+            }
+            Final::Failed(_) => (UNKNOWN, "failed; it may have been done", Pushback::Never),
+            Final::OutOfTime => (DEADLINE_EXCEEDED, "out of time; it may have been done", Pushback::Never),
+            Final::TooLong => (RESOURCE_EXHAUSTED, "the request is too long", Pushback::Never),
+            Final::NoRoute => (UNIMPLEMENTED, "not served here", Pushback::Never),
+            Final::Malformed(what) => (INVALID_ARGUMENT, what, Pushback::Never),
+        };
+        Status { code, message, pushback }
+    }
+}
+
+/// google.rpc.Status with one RetryInfo, as `grpc-status-details-bin` carries it.
+pub mod details {
+    use prost::Message;
+    use std::time::Duration;
+
+    const RETRY_INFO: &str = "type.googleapis.com/google.rpc.RetryInfo";
+
+    #[derive(Clone, PartialEq, Message)]
+    pub struct Status {
+        #[prost(int32, tag = "1")]
+        pub code: i32,
+        #[prost(string, tag = "2")]
+        pub message: String,
+        #[prost(message, repeated, tag = "3")]
+        pub details: Vec<Any>,
+    }
+
+    #[derive(Clone, PartialEq, Message)]
+    pub struct Any {
+        #[prost(string, tag = "1")]
+        pub type_url: String,
+        #[prost(bytes = "vec", tag = "2")]
+        pub value: Vec<u8>,
+    }
+
+    #[derive(Clone, PartialEq, Message)]
+    pub struct RetryInfo {
+        #[prost(message, optional, tag = "1")]
+        pub retry_delay: Option<Span>,
+    }
+
+    /// google.protobuf.Duration.
+    #[derive(Clone, PartialEq, Message)]
+    pub struct Span {
+        #[prost(int64, tag = "1")]
+        pub seconds: i64,
+        #[prost(int32, tag = "2")]
+        pub nanos: i32,
+    }
+
+    pub fn encode(code: u32, message: &str, after: Duration) -> Vec<u8> {
+        let span = Span {
+            seconds: i64::try_from(after.as_secs()).unwrap_or(i64::MAX),
+            nanos: after.subsec_nanos() as i32,
+        };
+        let info = RetryInfo { retry_delay: Some(span) };
+        let any = Any { type_url: RETRY_INFO.to_string(), value: info.encode_to_vec() };
+        Status { code: code as i32, message: message.to_string(), details: vec![any] }.encode_to_vec()
+    }
+
+    /// The delay that a client reads from it.
+    pub fn retry_delay(bytes: &[u8]) -> Option<Duration> {
+        let status = Status::decode(bytes).ok()?;
+        let any = status.details.iter().find(|any| any.type_url == RETRY_INFO)?;
+        let span = RetryInfo::decode(&any.value[..]).ok()?.retry_delay?;
+        Some(Duration::new(span.seconds.try_into().ok()?, span.nanos.try_into().ok()?))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::interface::Ending;
+
+    #[test]
+    fn each_status_of_a_node_has_its_end_and_what_is_no_status_has_its_own() {
+        let full = Ending::Full;
+        for (text, not_processed, wanted) in [
+            ("0", false, Ending::Served),
+            ("5", false, Ending::Served),
+            ("12", false, Ending::Served),
+            ("16", false, Ending::Served),
+            ("1", false, Ending::Error),
+            ("2", true, Ending::Error),
+            ("4", false, Ending::Error),
+            ("4", true, full),
+            ("8", false, Ending::Error),
+            ("8", true, full),
+            ("13", false, Ending::Error),
+            ("14", false, Ending::Error),
+            ("14", true, full),
+            ("15", false, Ending::Error),
+            ("17", false, Ending::Error),
+            ("-1", false, Ending::Error),
+            ("+1", false, Ending::Error),
+            ("007", false, Ending::Error),
+            ("", false, Ending::Error),
+            ("OK", false, Ending::Error),
+        ] {
+            assert_eq!(attempt(read(Some(text.as_bytes())), not_processed).ending(), wanted, "{text:?}");
+        }
+        assert_eq!(attempt(read(None), true), End::BadAnswer);
+    }
+
+    #[test]
+    fn what_may_have_run_never_gets_a_status_that_clients_retry_on() {
+        let retried = [UNAVAILABLE, RESOURCE_EXHAUSTED];
+        for code in (0..=LAST).map(Some).chain([None]) {
+            for begun in [false, true] {
+                let status = Final::Failed(code).status(begun);
+                assert!(!retried.contains(&status.code) && status.code != OK, "{code:?}");
+                assert_eq!(status.pushback, Pushback::Never);
+            }
+        }
+        let after = Duration::from_millis(300);
+        assert_eq!(Final::Refused(after).status(false).code, UNAVAILABLE);
+        assert_eq!(Final::Refused(after).status(false).pushback, Pushback::After(after));
+        // The class may allow a repeat, but some of the answer is out.
+        assert_eq!(Final::Refused(after).status(true).code, UNKNOWN);
+        assert_eq!(Final::Refused(after).status(true).pushback, Pushback::Never);
+        assert_eq!(Final::OutOfTime.status(true).code, DEADLINE_EXCEEDED);
+    }
+
+    #[test]
+    fn details_tell_the_delay_again() {
+        let after = Duration::from_millis(2_345);
+        let bytes = details::encode(UNAVAILABLE, "refused", after);
+        assert_eq!(details::retry_delay(&bytes), Some(after));
+        assert_eq!(&bytes[..2], [8, 14], "the first field is the code");
+        assert_eq!(details::retry_delay(b"\xff"), None);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod config;
 pub mod core;
 pub mod ending;
+pub mod grpc;
 pub mod interface;
 pub mod logging;
 mod message;
