--- a/src/config/grpc.rs
+++ b/src/config/grpc.rs
@@ -26,6 +26,7 @@
 const STREAM_WINDOW: usize = 16 * 1024;
 const MOST_STREAM_WINDOW: usize = 64 * 1024;
 const MOST_CLIENT_WINDOW: usize = 1024 * 1024;
+const PATIENCE_MS: u64 = 10_000;
 const HOLD: usize = 64 * 1024;
 /// Metadata's most bytes, encoded, either way.
 const HEADER_BYTES: usize = 16 * 1024;
@@ -47,6 +48,8 @@
     pub client_window: u32,
     pub header_bytes: usize,
     pub request_time: Duration,
+    /// A client whose socket takes nothing for so long is let go.
+    pub patience: Duration,
     pub channels: Limits,
     /// The same on a stream from a node; on a channel it is as much for each stream.
     pub node_window: u32,
@@ -109,6 +112,7 @@
     streams: Option<Spanned<usize>>,
     calls: Option<Spanned<usize>>,
     hold_bytes: Option<Spanned<usize>>,
+    patience_ms: Option<Spanned<u64>>,
     #[serde(default)]
     channels: ChannelKeys,
     #[serde(default)]
@@ -227,6 +231,12 @@
             client_window: client_window as u32,
             header_bytes: HEADER_BYTES,
             request_time: REQUEST_TIME,
+            patience: Duration::from_millis(faults.bounded(
+                "patience_ms",
+                file.patience_ms.as_ref(),
+                PATIENCE_MS,
+                1..=86_400_000,
+            )?),
             channels,
             node_window: node_window as u32,
             sources: faults.sources(file.metadata, &config.settings)?,
--- a/src/net/grpc/front.rs
+++ b/src/net/grpc/front.rs
@@ -22,7 +22,7 @@
 use h2::{Reason, RecvStream, SendStream};
 use hyper::header::{CONTENT_TYPE as TYPE, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
-use log::{debug, info, warn};
+use log::{debug, error, info, warn};
 use std::future::poll_fn;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -32,15 +32,17 @@
 use tokio::task::JoinSet;
 use tokio::time::{Duration, Instant, timeout as within, timeout_at};
 
-/// A client whose socket takes nothing for so long is let go.
-const PATIENCE: Duration = Duration::from_secs(10);
-const LOOK: Duration = Duration::from_secs(1);
+/// How often it is looked whether a client's socket takes what is sent.
+const LOOK: Duration = Duration::from_millis(250);
 /// For the last frames of a connection that is cut off.
 const LAST_FRAMES: Duration = Duration::from_millis(200);
 /// When a client that found no room is asked to come again.
 const NO_ROOM: Duration = Duration::from_secs(1);
 /// A client that takes no more of an answer that is there has so long after the call's time.
 const LAST_BYTES: Duration = Duration::from_millis(100);
+/// Parts of an answer on their way from its attempt to its client: enough for headers, one message and trailers, which
+/// then go out together.
+const PASSED_ON: usize = 4;
 /// Streams that a client may reset before they are even looked at, and those that h2 resets for their faults.
 const PENDING_RESETS: usize = 200;
 
@@ -143,9 +145,9 @@
         }
     }
 
-    fn look(&self) {
+    fn look(&self, patience: Duration) {
         self.judge(|noted| {
-            noted.blocked.filter(|since| since.elapsed() >= PATIENCE).map(|_| Offence::Stalled)
+            noted.blocked.filter(|since| since.elapsed() >= patience).map(|_| Offence::Stalled)
         });
     }
 
@@ -240,7 +242,11 @@
                 let _ = within(LAST_FRAMES, poll_fn(|cx| connection.poll_closed(cx))).await;
                 break "it broke a bound";
             }
-            Some(_) = calls.join_next(), if !calls.is_empty() => {
+            Some(ended) = calls.join_next(), if !calls.is_empty() => {
+                // Its stream was reset when it went: that is its one end.
+                if ended.is_err() {
+                    error!("a gRPC call's task panicked");
+                }
                 if calls.is_empty() {
                     seat.answered();
                     if told {
@@ -259,7 +265,7 @@
                 told = true;
                 connection.graceful_shutdown();
             }
-            _ = look.tick() => notes.look(),
+            _ = look.tick() => notes.look(config.patience),
             accepted = connection.accept() => match accepted {
                 Some(Ok((request, respond))) => {
                     front.counters.calls.fetch_add(1, Ordering::Relaxed);
@@ -403,7 +409,7 @@
         Ok(read) => read,
         Err(last) => return out.finish(&last),
     };
-    let (down, passed) = mpsc::channel(1);
+    let (down, passed) = mpsc::channel(PASSED_ON);
     let (streams, answer_by) = (route.streams, arrival.answer_by);
     let call =
         Arc::new(Call::new(head.uri, head.headers, route, front.config.hold, front.bodies.clone(), down));
--- a/src/rehearsal/grpc/cases.rs
+++ b/src/rehearsal/grpc/cases.rs
@@ -601,6 +601,7 @@
         check(line.contains(&format!("offence=\"{offence}\"")), format!("{offence}: {line}"))?;
         status_is(&client.call(&Ask::new("/kit.Safe/Unary"))?, status::OK, "another client's call")?;
     }
+    never_reads(program, &node)?;
     // No preface at all.
     let mut silent = HttpClient::connect(address)?;
     silent.send("token-read", 1000, "", b"")?;
@@ -625,6 +626,27 @@
     check(line.contains("refused=\"2\""), line)
 }
 
+/// A client with the widest of windows that reads none of what it asked for.
+fn never_reads(program: &Path, node: &Node) -> Outcome {
+    let stage = Stage::start(program, Setup::default(), node.address, "patience_ms = 300")?;
+    let mut raw = Raw::connect(stage.head.grpc()?)?;
+    let widest = 0x3fff_0000u32.to_be_bytes();
+    raw.send(raw::SETTINGS, 0, 0, &[&[0, 4][..], &widest].concat())?;
+    raw.send(raw::WINDOW_UPDATE, 0, 0, &widest)?;
+    // Until the head has opened its own window, it takes less than this sends.
+    while raw.receive().is_some_and(|frame| frame.kind != raw::WINDOW_UPDATE) {}
+    let body = super::message(vec![b'y'; 16_000]);
+    // Each brings 400 times its size: together far more than sockets take.
+    for i in 0..10 {
+        raw.ask(2 * i + 1, "/kit.Safe/Flood", raw::END_HEADERS)?;
+        raw.send(raw::DATA, raw::END_STREAM, 2 * i + 1, &body)?;
+    }
+    let line = stage.head.logged("a gRPC client's connection is cut off")?;
+    check(line.contains("offence=\"stalled\""), line)?;
+    let call = stage.client()?.call(&Ask::new("/kit.Safe/Unary"))?;
+    status_is(&call, status::OK, "another client's call")
+}
+
 fn silent_node(program: &Path) -> Outcome {
     // It takes the connection and the request, and then says nothing: not even the answer to a PING.
     let (address, _told) = peer(100, |mut raw| {
--- a/src/rehearsal/grpc/node.rs
+++ b/src/rehearsal/grpc/node.rs
@@ -20,6 +20,8 @@
 
 /// What a server stream says.
 pub const PARTS: usize = 5;
+/// And a flood.
+const FLOOD: usize = 400;
 
 #[derive(Debug)]
 pub enum Fault {
@@ -390,6 +392,7 @@
         "Unary" => vec![all],
         "ClientStream" => vec![count.to_string().into_bytes()],
         "ServerStream" => (0..PARTS).map(|_| all.clone()).collect(),
+        "Flood" => (0..FLOOD).map(|_| all.clone()).collect(),
         _ => Vec::new(),
     };
     for answer in answers.iter().take(most) {
