Name what cuts a gRPC client off by our own bounds; share the accept loop of all fronts

Under load a flood of CONTINUATIONs was at times cut off by h2 before our own bound and then counted as rapid resets. The bound on a header block's frames now lies below the library's, and what the library finds by itself has a counter of its own. The three fronts accept by one loop.

--- a/src/grpc/guard.rs
+++ b/src/grpc/guard.rs
@@ -15,8 +15,8 @@
 const UPDATES: (f64, f64) = (20_000.0, 60_000.0);
 /// Requests that did not come whole in time.
 const SLOW: (f64, f64) = (8.0, 1.0);
-/// CONTINUATIONs and bytes of one header block.
-const BLOCK_FRAMES: usize = 16;
+/// Frames of one header block. h2 gives up with its sixth CONTINUATION, and would not say why.
+const BLOCK_FRAMES: usize = 5;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Offence {
@@ -33,12 +33,14 @@
     Stalled,
     /// More streams at once than it may have.
     Streams,
+    /// Too much of something that h2 counts by itself.
+    Other,
     /// No preface, or frames that break the protocol.
     Protocol,
 }
 
 impl Offence {
-    pub const ALL: [Offence; 11] = [
+    pub const ALL: [Offence; 12] = [
         Offence::RapidReset,
         Offence::SettingsFlood,
         Offence::PingFlood,
@@ -49,6 +51,7 @@
         Offence::Slow,
         Offence::Stalled,
         Offence::Streams,
+        Offence::Other,
         Offence::Protocol,
     ];
 
@@ -65,6 +68,7 @@
             Offence::Slow => "slow_request",
             Offence::Stalled => "stalled",
             Offence::Streams => "streams",
+            Offence::Other => "other_flood",
             Offence::Protocol => "protocol",
         }
     }
@@ -196,8 +200,8 @@
             (Kind::Priority, 0, 5, 50, S / 40, Offence::EmptyFlood),
             (Kind::Other, 0, 5, 50, S / 40, Offence::EmptyFlood),
             (Kind::WindowUpdate, 0, 4, 20_000, S / 10_000, Offence::UpdateFlood),
-            (Kind::Continuation, 0, 1, 16, S, Offence::Continuations),
-            (Kind::Continuation, 0, 2_000, 8, S, Offence::HeaderBytes),
+            (Kind::Continuation, 0, 1, 5, S, Offence::Continuations),
+            (Kind::Continuation, 0, 4_000, 4, S, Offence::HeaderBytes),
         ] {
             let frame = frame(kind, flags, length);
             assert_eq!(passed(frame, 0, 100_000), (burst, Some(offence)), "{kind:?}");
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -21,6 +21,7 @@
 use hyper_util::rt::TokioIo;
 use log::{debug, error, warn};
 use std::fmt;
+use std::future::Future;
 use std::io;
 use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
@@ -65,22 +66,35 @@
     pub ids: Ids,
 }
 
-/// Accepts for as long as the phase is `Serving`.
 pub async fn serve(listener: TcpListener, front: Front, places: Places) {
-    let mut phase = front.phase.clone();
-    let router = Router::new().route("/up", get(|| async { "up" })).fallback(take).with_state(front.clone());
+    let phase = front.phase.clone();
+    let router = Router::new().route("/up", get(|| async { "up" })).fallback(take).with_state(front);
+    let connection = |stream, seat, phase: &watch::Receiver<Phase>| {
+        connection(stream, seat, router.clone(), phase.clone())
+    };
+    accept_all(listener, places, phase, connection).await;
+}
+
+/// Accepts for as long as the phase is `Serving`; each connection is a task of its own.
+pub async fn accept_all<C: Future<Output = ()> + Send + 'static>(
+    listener: TcpListener,
+    places: Places,
+    mut phase: watch::Receiver<Phase>,
+    connection: impl Fn(TcpStream, Seat, &watch::Receiver<Phase>) -> C,
+) {
     loop {
         let accepted = tokio::select! {
             () = reached(&mut phase, Phase::Staying) => return,
             accepted = accept(&listener, &places) => accepted,
         };
-        let Some((stream, seat)) = accepted else { continue };
-        tokio::spawn(connection(stream, seat, router.clone(), front.phase.clone()));
+        if let Some((stream, seat)) = accepted {
+            tokio::spawn(connection(stream, seat, &phase));
+        }
     }
 }
 
 /// One accepted connection and its place. With no descriptor left it waits a moment rather than spin.
-pub async fn accept(listener: &TcpListener, places: &Places) -> Option<(TcpStream, Seat)> {
+async fn accept(listener: &TcpListener, places: &Places) -> Option<(TcpStream, Seat)> {
     match listener.accept().await {
         Ok((stream, _)) => Some((stream, places.take().await)),
         Err(problem) => {
--- a/src/net/grpc/front.rs
+++ b/src/net/grpc/front.rs
@@ -13,7 +13,7 @@
 use crate::grpc::holding::Over;
 use crate::grpc::status::{Final, Pushback, details};
 use crate::grpc::timeout;
-use crate::net::front::{Phase, accept, reached};
+use crate::net::front::{Phase, accept_all, reached};
 use crate::net::places::{Places, Seat};
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD_NO_PAD;
@@ -82,16 +82,8 @@
 }
 
 pub async fn serve(listener: TcpListener, front: Front, places: Places) {
-    let mut phase = front.phase.clone();
-    loop {
-        let accepted = tokio::select! {
-            () = reached(&mut phase, Phase::Staying) => return,
-            accepted = accept(&listener, &places) => accepted,
-        };
-        if let Some((stream, seat)) = accepted {
-            tokio::spawn(client(stream, seat, front.clone()));
-        }
-    }
+    let phase = front.phase.clone();
+    accept_all(listener, places, phase, |stream, seat, _| client(stream, seat, front.clone())).await;
 }
 
 /// What is noted of a client's connection as its frames pass.
@@ -276,7 +268,7 @@
                     if !error.is_io() {
                         debug!("a gRPC client's connection ended: {error}");
                         let offence = match error.reason() {
-                            Some(Reason::ENHANCE_YOUR_CALM) => Offence::RapidReset,
+                            Some(Reason::ENHANCE_YOUR_CALM) => Offence::Other,
                             _ => Offence::Protocol,
                         };
                         notes.judge(|_| Some(offence));
--- a/src/net/sftp/front.rs
+++ b/src/net/sftp/front.rs
@@ -7,7 +7,7 @@
 };
 use crate::config::sftp::{NoPlace, Place, SecondFront, Use};
 use crate::core::{Answer, Arrival, Handle};
-use crate::net::front::{Phase, accept, reached};
+use crate::net::front::{Phase, accept_all, reached};
 use crate::net::places::{Places, Seat};
 use bytes::Bytes;
 use futures_util::stream::FuturesUnordered;
@@ -50,16 +50,8 @@
 type InFlight = Pin<Box<dyn Future<Output = Done> + Send>>;
 
 pub async fn serve(listener: TcpListener, front: Front, places: Places) {
-    let mut phase = front.phase.clone();
-    loop {
-        let accepted = tokio::select! {
-            () = reached(&mut phase, Phase::Staying) => return,
-            accepted = accept(&listener, &places) => accepted,
-        };
-        if let Some((stream, seat)) = accepted {
-            tokio::spawn(client(stream, seat, front.clone()));
-        }
-    }
+    let phase = front.phase.clone();
+    accept_all(listener, places, phase, |stream, seat, _| client(stream, seat, front.clone())).await;
 }
 
 async fn client(stream: TcpStream, seat: Seat, front: Front) {
