--- a/src/bin/pathbank.rs
+++ b/src/bin/pathbank.rs
@@ -1,12 +1,13 @@
 //! One head: clients in front, nodes behind, the module between them.
 
-use log::{error, info, warn};
 use pathbank::clock::Clock;
 use pathbank::config::Config;
 use pathbank::config::grpc::GrpcFront;
 use pathbank::config::sftp::SecondFront;
+use pathbank::config::syslog::Log;
 use pathbank::core::{Core, Handle, Input};
-use pathbank::logging;
+use pathbank::event;
+use pathbank::logging::{self, Logging};
 use pathbank::net::back::Back;
 use pathbank::net::discovery::Discovery;
 use pathbank::net::front::{self, Front, Phase};
@@ -33,6 +34,8 @@
 /// nowhere else to go.
 const CLOSE: Duration = Duration::from_millis(250);
 const LAST_BYTES: Duration = Duration::from_millis(80);
+/// For lines of the log that are on their way when the program ends.
+const LAST_LINES: Duration = Duration::from_millis(40);
 
 fn main() -> ExitCode {
     let done = Config::from_environment().map_err(Into::into).and_then(run);
@@ -57,12 +60,17 @@
         config.share_places(&mut second.clients);
     }
     let third = GrpcFront::from_environment(&mut config)?;
-    logging::start(&config.name, config.log_level, config.syslog)?;
-    let (core, wanted) = Core::new(config.settings.clone(), config.seed, config.max_open, Clock::start());
+    let log = Log::from_environment(&config.names, config.memory, config.syslog)?;
+    let telling = log.telling.clone();
+    let logging = Arc::new(logging::start(&config.name, config.log_level, log)?);
+    let (mut core, wanted) = Core::new(config.settings.clone(), config.seed, config.max_open, Clock::start());
+    if let Some(telling) = telling {
+        core.tell_requests(telling);
+    }
     let handle = core.handle();
     let core = tokio::spawn(core.run());
     let (place, address) = watch::channel(config.discovery);
-    tokio::spawn(reload(hangup, place));
+    tokio::spawn(reload(hangup, place, logging.clone()));
     let discovery = Discovery {
         address,
         known: config.known.clone(),
@@ -86,12 +94,12 @@
     let places = Places::new(config.clients);
     tokio::spawn(places.clone().watch());
     let listener = TcpListener::bind(config.listen).await?;
-    info!(name = config.name, listen:% = listener.local_addr()?; "up");
+    event!(UP, name = config.name, listen:% = listener.local_addr()?);
     tokio::spawn(front::serve(listener, front, places.clone()));
     let mut rooms = vec![places];
     if let Some(second) = second {
         let listener = TcpListener::bind(second.listen).await?;
-        info!(listen:% = listener.local_addr()?; "file commands are up");
+        event!(FILES_UP, listen:% = listener.local_addr()?);
         let front = sftp::front::Front {
             handle: handle.clone(),
             stores: sftp::back::Stores::new(&config, second.node_port),
@@ -108,7 +116,8 @@
         None => None,
         Some(third) => {
             let listener = TcpListener::bind(third.listen).await?;
-            info!(listen:% = listener.local_addr()?, calls = third.calls, channels = third.channels.most; "gRPC is up");
+            let (calls, channels) = (third.calls, third.channels.most);
+            event!(GRPC_UP, listen:% = listener.local_addr()?, calls, channels);
             let front = grpc::front::Front {
                 handle: handle.with_room_for(third.calls),
                 nodes: grpc::back::Nodes::new(&third, config.node_connections.connect),
@@ -129,7 +138,8 @@
     tokio::select! {
         _ = terminate.recv() => {}
         ended = core => {
-            error!("the core ended: {ended:?}");
+            event!(CORE_ENDED, reason:? = ended);
+            logging.finish(LAST_LINES);
             return Err("the core ended".into());
         }
     }
@@ -137,27 +147,34 @@
     let (opened, attempts) = back.counts();
     for places in &rooms {
         let Counts { taken, over_limit, for_others } = places.counts();
-        info!(taken, over_limit, for_others; "clients' connections");
+        event!(CLIENTS, taken, over_limit, for_others);
     }
     if let Some(front) = third {
         let ((opened, attempts), no_room) = (front.nodes.counts(), front.handle.no_room());
         let calls = front.counters.calls.load(Ordering::Relaxed);
-        info!(calls, attempts, opened, no_room, offences = front.counters.tell(); "gRPC's counts");
+        event!(GRPC_COUNTS, calls, attempts, opened, no_room, offences = front.counters.tell());
     }
-    info!(opened, attempts, no_room = handle.no_room(); "left");
+    event!(LEFT, opened, attempts, no_room = handle.no_room());
+    logging.finish(LAST_LINES);
     Ok(())
 }
 
 /// Reads the configuration again with each SIGHUP, for as long as the program runs. What a running head can change
-/// is where discovery is; all else waits for its next start.
-async fn reload(mut hangup: Signal, place: watch::Sender<SocketAddr>) {
+/// is where discovery is, and the collectors of its log with their certificates; all else waits for its next start.
+async fn reload(mut hangup: Signal, place: watch::Sender<SocketAddr>, logging: Arc<Logging>) {
     while hangup.recv().await.is_some() {
-        match Config::from_environment() {
-            Ok(config) => {
-                info!(discovery:% = config.discovery; "the configuration is read again");
+        // Both files or neither.
+        let read = Config::from_environment().and_then(|config| {
+            let log = Log::from_environment(&config.names, config.memory, config.syslog)?;
+            Ok((config, log))
+        });
+        match read {
+            Ok((config, log)) => {
+                logging.reload(log);
+                event!(RELOADED, discovery:% = config.discovery);
                 place.send_if_modified(|now| std::mem::replace(now, config.discovery) != config.discovery);
             }
-            Err(problem) => warn!("the old configuration stays in force: {problem}"),
+            Err(problem) => event!(RELOAD_FAILED, problem:%),
         }
     }
 }
@@ -166,7 +183,7 @@
 /// them between requests.
 async fn leave(config: &Config, phase: &watch::Sender<Phase>, handle: &Handle, rooms: &[Places]) {
     let told = Instant::now();
-    info!(open = handle.open(); "leaving");
+    event!(LEAVING, open = handle.open());
     let last = told + config.longest_deadline().min(LONGEST) + LAST_ANSWERS;
     // Each connection holds a place: with no place held, all answers are out.
     let gone = || async {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -3,6 +3,7 @@
 pub mod grpc;
 pub mod settings;
 pub mod sftp;
+pub mod syslog;
 
 use crate::interface::{Micros, Settings};
 use serde::Deserialize;
--- a/src/core.rs
+++ b/src/core.rs
@@ -4,11 +4,14 @@
 use crate::clock::{Clock, micros};
 use crate::config::{ListedNode, ListedState, fnv};
 use crate::ending::End;
+use crate::event;
+use crate::events::pressure::Pressure;
+use crate::events::requests::{Finish, Telling, Tried, Volume, Why, ending_name};
 use crate::interface::*;
 use crate::policy::Policy;
 use bytes::Bytes;
 use futures_util::FutureExt;
-use log::{debug, error, info, warn};
+use log::{debug, info};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::future::Future;
@@ -231,12 +234,53 @@
     attempts: Vec<Option<Out>>,
     /// The attempt that the request goes on with, whatever comes of it.
     bound: Option<u32>,
+    /// Where requests are told.
+    noted: Option<Box<Noted>>,
 }
 
+/// What is told of a request at its end.
+struct Noted {
+    volume: VolumeId,
+    plan: usize,
+    class: usize,
+    units: f64,
+    arrived: Micros,
+    /// By their numbers, those that never started too.
+    tried: Vec<Tried>,
+}
+
+/// Requests by their ends, since when.
+#[derive(Default)]
+struct Ends {
+    counts: [u64; 4],
+    no_room: u64,
+    since: Micros,
+}
+
+/// How often requests that were not served are summed up.
+const SUM_UP: Micros = 10_000_000;
+
 impl Open {
     fn over(&self) -> bool {
         self.answer.is_none()
     }
+
+    fn note(&mut self, sent: Micros, attempt: u32, node: String, ending: Option<Ending>) {
+        let Some(noted) = &mut self.noted else { return };
+        let why = match noted.tried.last() {
+            None => Why::First,
+            _ if self.attempts.iter().any(Option::is_some) => Why::Copy,
+            Some(before) => Why::Another(before.ending.unwrap_or(Ending::Moot)),
+        };
+        noted.tried.resize_with(attempt as usize, || Tried {
+            node: String::new(),
+            why,
+            ending: Some(Ending::Moot),
+            sent,
+            took: 0,
+        });
+        noted.tried.push(Tried { node, why, ending, sent, took: 0 });
+    }
 }
 
 struct Node {
@@ -271,6 +315,9 @@
     serial: u64,
     /// Events that follow from the module's own actions; told after those are all carried out.
     events: VecDeque<Event>,
+    telling: Option<Telling>,
+    pressure: Pressure,
+    ends: Ends,
 }
 
 impl Core {
@@ -302,6 +349,9 @@
             due: BinaryHeap::new(),
             serial: 0,
             events: VecDeque::new(),
+            telling: None,
+            pressure: Pressure::default(),
+            ends: Ends::default(),
         };
         (core, wanted)
     }
@@ -310,6 +360,11 @@
         self.handle.clone()
     }
 
+    /// Tells requests at their ends, as events.
+    pub fn tell_requests(&mut self, telling: Telling) {
+        self.telling = Some(telling);
+    }
+
     pub async fn run(mut self) {
         loop {
             let next = self.due.peek().map(|Reverse((at, ..))| self.clock.instant(*at));
@@ -342,6 +397,7 @@
                 if let Some(open) = self.requests.get_mut(&id)
                     && open.answer.take().is_some()
                 {
+                    self.finish(id, Finish::Left);
                     self.tell(Event::ClientLeft { request: id });
                     self.drop_unsent(|request, _| request == id);
                     self.forget(id);
@@ -370,7 +426,11 @@
         let now = self.clock.now();
         let time_left = micros(arrival.answer_by.saturating_duration_since(Instant::now()));
         let answer_by = now + time_left;
-        let open = Open { work, answer: Some(answer), answer_by, attempts: Vec::new(), bound: None };
+        let noted = self.telling.as_ref().map(|_| {
+            let Arrival { volume, plan, class, units, .. } = arrival;
+            Box::new(Noted { volume, plan, class, units, arrived: now, tried: Vec::new() })
+        });
+        let open = Open { work, answer: Some(answer), answer_by, attempts: Vec::new(), bound: None, noted };
         self.requests.insert(id, open);
         self.wake(answer_by, Due::Deadline(id));
         let Arrival { volume, key, class, plan, units, volume_hosts, repeat, shard, .. } = arrival;
@@ -412,12 +472,16 @@
         }
         let took = self.clock.now().saturating_sub(out.sent);
         debug!(request = id, attempt, node = out.node, took, end:? = report.end; "attempt ended");
+        if let Some(tried) = open.noted.as_mut().and_then(|noted| noted.tried.get_mut(attempt as usize)) {
+            (tried.ending, tried.took) = (Some(report.end.ending()), took);
+        }
         if report.end == End::Answered
             && let Some(answer) = open.answer.take()
         {
             let _ = answer.send(Answer::Served(report.body));
+            self.finish(id, Finish::Served);
         }
-        let over = open.over();
+        let over = self.requests.get(&id).is_none_or(Open::over);
         self.tell(Event::Outcome(Outcome {
             request: id,
             attempt,
@@ -459,7 +523,7 @@
         }
         for (entry, node) in entries.iter().zip(&listed) {
             let (ready, gone) = (entry.state == NodeState::Ready, entry.state == NodeState::Gone);
-            info!(node = node.id, address = node.addr, number = entry.node, shard = entry.shard, state:? = entry.state; "node listed");
+            event!(NODE, node = node.id, address = node.addr, number = entry.node, shard = entry.shard, state:? = entry.state);
             let out = self.nodes.get(&entry.node).map_or(0, |known| known.out);
             let (id, address) = (node.id.clone(), node.addr.clone());
             self.nodes.insert(entry.node, Node { id, address, ready, gone, out });
@@ -524,7 +588,7 @@
         }
         if self.requests.get(&id).is_some_and(|open| !open.over()) {
             // The module answers on the time-out; should it ever not, the client is not left without.
-            warn!(request = id; "no answer by the deadline");
+            event!(NO_ANSWER, request = id);
             self.tell(Event::ClientLeft { request: id });
             self.answer(id, Answer::Failed);
         }
@@ -540,12 +604,61 @@
 
     fn answer(&mut self, id: RequestId, answer: Answer) {
         if let Some(sender) = self.requests.get_mut(&id).and_then(|open| open.answer.take()) {
+            let finish = if matches!(answer, Answer::Refused(_)) { Finish::Refused } else { Finish::Failed };
             let _ = sender.send(answer);
+            self.finish(id, finish);
         }
         self.drop_unsent(|request, _| request == id);
         self.forget(id);
     }
 
+    /// A request has its end: counted, and told where that is wanted. Attempts that are out are told as they stand.
+    fn finish(&mut self, id: RequestId, finish: Finish) {
+        let now = self.clock.now();
+        self.ends.counts[finish as usize] += 1;
+        self.note_pressure(now);
+        let noted = self.requests.get_mut(&id).and_then(|open| open.noted.take());
+        let (Some(telling), Some(noted)) = (&mut self.telling, noted) else { return };
+        let Noted { volume, plan, class, units, arrived, tried } = *noted;
+        let aim = self.settings.classes.get(class).map_or(0, |class| class.aim);
+        let late = finish == Finish::Served && now > arrived + aim;
+        let Some(one_in) = telling.told(plan, class, finish, tried.len(), late) else { return };
+        let volume = Volume(volume);
+        for (attempt, Tried { node, why, ending, sent, took }) in tried.iter().enumerate() {
+            let (ending, took_us) = match ending {
+                Some(ending) => (ending_name(*ending), *took),
+                None => ("out", now.saturating_sub(*sent)),
+            };
+            event!(ATTEMPT, request = id, volume:%, attempt, why:%, node = node.as_str(), ending, took_us);
+        }
+        let first = tried.first().map_or(now, |first| first.sent);
+        let (held_us, out_us) = (first.saturating_sub(arrived), now.saturating_sub(first));
+        let (plan, class) = (telling.plan(plan), telling.class(class));
+        let (outcome, late, attempts) = (finish.name(), if late { "yes" } else { "no" }, tried.len());
+        event!(REQUEST, request = id, volume:%, plan, class, units, attempts, held_us, out_us, outcome, late, one_in);
+    }
+
+    fn note_pressure(&mut self, now: Micros) {
+        let (open, most) = (self.handle.open(), self.handle.max_open);
+        if let Some((was, level)) = self.pressure.note(now, open, most) {
+            event!(PRESSURE, level = level.name(), was = was.name(), open, most);
+        }
+        if self.ends.since == 0 {
+            self.ends.since = now;
+        }
+        if now < self.ends.since + SUM_UP {
+            return;
+        }
+        let [served, refused, failed, left] = self.ends.counts;
+        let no_room = self.handle.no_room();
+        let turned_away = no_room - self.ends.no_room;
+        if refused + failed + left + turned_away > 0 {
+            let period_ms = (now - self.ends.since) / 1000;
+            event!(REFUSALS, refused, failed, no_room = turned_away, left, served, period_ms);
+        }
+        self.ends = Ends { counts: [0; 4], no_room, since: now };
+    }
+
     fn forget(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(|open| open.over() && open.attempts.iter().all(Option::is_none))
         {
@@ -576,13 +689,14 @@
 
     /// A module that panicked knows nothing for certain: all that it held fails, a new one starts from the list.
     fn restart_module(&mut self) {
-        error!(open = self.requests.len(); "the module panicked; it starts anew");
+        event!(MODULE_PANIC, open = self.requests.len());
         self.policy = Policy::new(self.settings.clone(), self.seed);
         self.events.truncate(1);
         for (_, mut open) in std::mem::take(&mut self.requests) {
             open.attempts.iter().flatten().for_each(|out| out.task.abort());
             if let Some(answer) = open.answer.take() {
                 let _ = answer.send(Answer::Failed);
+                self.ends.counts[Finish::Failed as usize] += 1;
             }
         }
         self.due.clear();
@@ -620,11 +734,16 @@
             let over = open.over();
             let ending = End::NotStarted.ending();
             let moot = Outcome { request: id, attempt, node, ending, took: 0, over, used: None, load };
+            open.note(now, attempt, String::new(), Some(ending));
             open.attempts.push(None);
             return self.tell(Event::Outcome(moot));
         };
         let begun = Arc::new(Begun::default());
         let answer_by = self.clock.instant(until);
+        if open.noted.is_some() {
+            let name = self.nodes.get(&node).map_or(String::new(), |node| node.id.clone());
+            open.note(now, attempt, name, None);
+        }
         let binder = Binder { handle: self.handle.clone(), id, attempt };
         let work = open.work.attempt(Try { address, answer_by, begun: begun.clone(), binder });
         let handle = self.handle.clone();
--- /dev/null
+++ b/src/events/mod.rs
@@ -0,0 +1,228 @@
+//! The catalogue of events: each with its MSGID, severity and the structured data that it always carries. Code tells
+//! one by `event!`, which goes through the log crate; `docs/operators/events.md` is made from here.
+
+pub mod pressure;
+pub mod requests;
+
+use crate::syslog::Severity;
+use std::collections::HashMap;
+use std::fmt::Write;
+use std::sync::OnceLock;
+
+/// Log records with such a target are events; the rest of it is the MSGID.
+pub const TARGET: &str = "pathbank::event::";
+
+#[derive(Debug, PartialEq, Eq)]
+pub struct Entry {
+    pub id: &'static str,
+    pub target: &'static str,
+    /// The SD-ID of its own element.
+    pub element: &'static str,
+    pub severity: Severity,
+    pub about: &'static str,
+    /// Names and meanings, in order.
+    pub parameters: &'static [(&'static str, &'static str)],
+    /// It also says who speaks and how good its clock is (`origin`, `timeQuality`).
+    pub identity: bool,
+}
+
+impl Entry {
+    /// The log crate's level, by which an event is let through or not.
+    pub const fn level(&self) -> log::Level {
+        match self.severity {
+            Severity::Emergency | Severity::Alert | Severity::Critical | Severity::Error => log::Level::Error,
+            Severity::Warning => log::Level::Warn,
+            Severity::Notice | Severity::Informational => log::Level::Info,
+            Severity::Debug => log::Level::Debug,
+        }
+    }
+}
+
+macro_rules! catalogue {
+    ($($name:ident $element:literal $severity:ident $identity:literal $about:literal
+        { $($parameter:literal: $meaning:literal),* $(,)? })*) => {
+        $(pub const $name: Entry = Entry {
+            id: stringify!($name),
+            target: concat!("pathbank::event::", stringify!($name)),
+            element: concat!($element, "@32473"),
+            severity: Severity::$severity,
+            about: $about,
+            parameters: &[$(($parameter, $meaning)),*],
+            identity: $identity,
+        };)*
+        pub const ALL: &[&Entry] = &[$(&$name),*];
+    };
+}
+
+catalogue! {
+    UP "head" Notice true "The head serves." {
+        "name": "its name", "listen": "where clients connect"
+    }
+    FILES_UP "head" Notice false "The front for file commands serves." {
+        "listen": "where clients connect"
+    }
+    GRPC_UP "head" Notice false "The front for gRPC serves." {
+        "listen": "where clients connect", "calls": "calls at once at most",
+        "channels": "connections to nodes at most"
+    }
+    RELOADED "head" Notice true "The configuration was read again." {
+        "discovery": "where the list of nodes is asked for"
+    }
+    RELOAD_FAILED "head" Warning false "A configuration could not be read; the old one stays in force." {
+        "problem": "what is wrong with it"
+    }
+    LEAVING "head" Notice true "SIGTERM came; the head finishes what it has." {
+        "open": "requests that are open"
+    }
+    CLIENTS "head" Informational false "A front's connections, told at the end." {
+        "taken": "connections", "over_limit": "told to go over a limit",
+        "for_others": "told to go because another wanted the place"
+    }
+    GRPC_COUNTS "head" Informational false "The gRPC front's counts, told at the end." {
+        "calls": "calls", "attempts": "streams at nodes", "opened": "connections to nodes",
+        "no_room": "calls turned away for want of room", "offences": "bounds that clients broke, by name"
+    }
+    LEFT "head" Notice true "The head ends." {
+        "opened": "connections to nodes", "attempts": "attempts", "no_room": "requests turned away for want of room"
+    }
+    CORE_ENDED "head" Critical false "The core's task ended; the head ends with it." {
+        "reason": "why"
+    }
+    MODULE_PANIC "head" Critical false "The decision module panicked and starts anew; what it held has failed." {
+        "open": "requests that have failed by it"
+    }
+    HANDLER_PANIC "head" Error false "A request's handler panicked; its client got a failure." {
+        "front": "which front"
+    }
+    ACCEPT_FAILED "head" Warning false "A connection could not be accepted." {
+        "problem": "the system's word"
+    }
+    PRESSURE "head" Notice false "The part of the places for requests that is taken went over or under a bound." {
+        "level": "calm, busy or full", "was": "the level before", "open": "requests that are open",
+        "most": "as many as may be"
+    }
+    REFUSALS "head" Informational false "Requests that were not served, by cause, in a period with any." {
+        "refused": "by the module: repeating is harmless", "failed": "no promise", "no_room": "too many were open",
+        "left": "their clients went", "served": "and those that were served", "period_ms": "the period"
+    }
+    NO_ANSWER "request" Error false "The module had no answer by a request's deadline; it has failed." {
+        "request": "the request"
+    }
+    ATTEMPT "request" Informational false "An attempt to carry a request out, told with its request." {
+        "request": "the request's number at this head", "volume": "the app store",
+        "attempt": "its number, from 0", "why": "first, another (after the ending named), or copy (while one is out)",
+        "node": "the store node", "ending": "how it ended", "took_us": "from its start to its end"
+    }
+    REQUEST "request" Informational false "A request's end: each that was refused, failed, tried again or late, and of those served one in as many as is set." {
+        "request": "its number at this head", "volume": "the app store", "plan": "its plan", "class": "its class",
+        "units": "its size", "attempts": "attempts made", "held_us": "from its arrival to its first attempt",
+        "out_us": "from its first attempt to its end", "outcome": "served, refused, failed or left",
+        "late": "yes: after its class's aim", "one_in": "how many of its kind it stands for"
+    }
+    NODE "node" Informational false "A node on the list is new or has changed." {
+        "node": "its id", "address": "where it listens", "number": "its number in the module",
+        "shard": "the shard that it holds", "state": "Ready, Draining or Gone"
+    }
+    WATCH "node" Informational false "The watch on the list of nodes stands." {
+        "version": "the list's version", "address": "discovery"
+    }
+    WATCH_MOVES "node" Informational false "The watch moves to another address." {
+        "address": "discovery"
+    }
+    WATCH_BROKE "node" Warning false "The watch on the list of nodes broke." {
+        "version": "the list's version", "reason": "why"
+    }
+    CHANNEL_LEAVES "node" Informational false "A node takes no new streams on a channel; those that run go on." {
+        "channel": "the channel's number", "last": "the last stream that the node may have looked at"
+    }
+    CHANNEL_STALLED "node" Warning false "A node does not read what streams on a channel send; others go elsewhere." {
+        "channel": "the channel's number"
+    }
+    FILE_CLIENT_GONE "client" Informational false "A client of file commands has gone." {
+        "reason": "why", "handles": "files it had open", "in_flight": "commands without an answer"
+    }
+    GRPC_CLIENT_GONE "client" Informational false "A gRPC client has gone." {
+        "reason": "why", "calls": "calls without an end", "refused": "streams turned away over its bound"
+    }
+    GRPC_CLIENT_CUT "client" Warning false "A gRPC client broke a bound; its connection is cut off." {
+        "offence": "which bound", "so_far": "how often any client did so", "calls": "its calls without an end"
+    }
+    DROPPED "log" Warning false "Lines were dropped for want of room." {
+        "where": "stderr, queue or spool", "msgid": "which events", "count": "how many", "from": "the first one's time",
+        "until": "the last one's"
+    }
+    COLLECTOR "log" Notice false "A collector of these lines was reached, or is gone." {
+        "collector": "its place in the order, from 0", "address": "where it listens", "state": "up, down or failed",
+        "reason": "why", "given_up": "lines that may be lost"
+    }
+    SPOOL "log" Error false "The spool on disk cannot be used as it should." {
+        "problem": "what is wrong", "lines": "lines that wait in it"
+    }
+}
+
+/// The entry of a log record's target.
+pub fn entry(target: &str) -> Option<&'static Entry> {
+    static BY_ID: OnceLock<HashMap<&str, &Entry>> = OnceLock::new();
+    let id = target.strip_prefix(TARGET)?;
+    BY_ID.get_or_init(|| ALL.iter().map(|entry| (entry.id, *entry)).collect()).get(id).copied()
+}
+
+/// Tells an event of the catalogue, with all of its parameters as the log crate's key-values.
+#[macro_export]
+macro_rules! event {
+    ($entry:ident, $($pairs:tt)+) => {
+        ::log::log!(target: $crate::events::$entry.target, $crate::events::$entry.level(), $($pairs)+; "")
+    };
+}
+
+/// `docs/operators/events.md`.
+pub fn page() -> String {
+    let mut page = String::from(
+        "# Events\n\nMade from the catalogue in `src/events/mod.rs` by `pathbank-log events`; a test holds it to that. \
+         Each line is an RFC 5424\nmessage with the MSGID and severity below, one element of its own with all the \
+         parameters named, and `meta` with\n`sequenceId`. Events marked * also carry `origin` and `timeQuality`. \
+         Where a value was cut, the element says how many by\n`cut`. Lines with no entry here have the MSGID `-`, the \
+         element `pathbank@32473` and a text.\n",
+    );
+    for entry in ALL {
+        let star = if entry.identity { " *" } else { "" };
+        let _ = write!(
+            page,
+            "\n## {}{star}\n\n{} Severity {}, element `{}`.\n\n| parameter | meaning |\n| --- | --- |\n",
+            entry.id,
+            entry.about,
+            entry.severity.name(),
+            entry.element
+        );
+        for (name, meaning) in entry.parameters {
+            let _ = writeln!(page, "| `{name}` | {meaning} |");
+        }
+    }
+    page
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_catalogue_is_sound_and_entries_are_found_by_their_target() {
+        for one in ALL {
+            assert_eq!(entry(one.target), Some(*one));
+            assert!(one.id.len() <= 32 && one.element.len() <= 32, "{}", one.id);
+            let names: std::collections::BTreeSet<&str> = one.parameters.iter().map(|p| p.0).collect();
+            assert_eq!(names.len(), one.parameters.len(), "{}", one.id);
+        }
+        let ids: std::collections::BTreeSet<&str> = ALL.iter().map(|entry| entry.id).collect();
+        assert_eq!(ids.len(), ALL.len());
+        assert_eq!(entry("pathbank::event::NOTHING"), None);
+        assert_eq!(entry("pathbank::core"), None);
+    }
+
+    #[test]
+    fn the_operators_page_is_the_catalogues() {
+        let path = concat!(env!("CARGO_MANIFEST_DIR"), "/docs/operators/events.md");
+        let written = std::fs::read_to_string(path).unwrap_or_default();
+        assert_eq!(written, page(), "pathbank-log events > docs/operators/events.md");
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,14 +4,17 @@
 pub mod config;
 pub mod core;
 pub mod ending;
+pub mod events;
 pub mod grpc;
 pub mod interface;
+pub mod logbook;
 pub mod logging;
 mod message;
 pub mod net;
 pub mod policy;
 pub mod rehearsal;
 mod state;
+pub mod syslog;
 pub mod wire;
 
 pub use interface::{Action, Event, Settings};
--- /dev/null
+++ b/src/logging/mod.rs
@@ -0,0 +1,459 @@
+//! The log's way out. Emitting a line never waits: it is encoded into a buffer that is used again and put on bounded
+//! queues, one for standard error and one for collectors, each emptied by a thread of its own.
+
+pub mod send;
+pub mod spool;
+pub mod tls;
+mod transport;
+
+use crate::config::syslog::{Format, Log as Setup};
+use crate::event;
+use crate::events;
+use crate::interface::Micros;
+use crate::syslog::Severity;
+use crate::syslog::encode::{Head, Limits, Line, MOST_SEQUENCE};
+use crate::syslog::queue::{Dropped, Queue};
+use log::kv::{Key, Value, VisitSource};
+use log::{Level, LevelFilter, Log, Metadata, Record};
+use send::Sending;
+use serde::ser::{SerializeMap, Serializer as _};
+use spool::Spool;
+use std::cell::RefCell;
+use std::fmt;
+use std::io::{self, Write};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+use tokio::sync::{Notify, watch};
+
+/// The element of lines that the catalogue does not have; 32473 is set aside for examples (RFC 5612).
+const PLAIN: &str = "pathbank@32473";
+/// Bytes that go to standard error at once.
+const BATCH: usize = 32 * 1024;
+/// How often it is looked for lines that were dropped.
+const LOOK: Duration = Duration::from_secs(1);
+
+/// A queue and those who wait for lines on it.
+pub struct Pipe {
+    queue: Mutex<Queue>,
+    filled: Condvar,
+    notify: Notify,
+    /// Lines were taken that are not out yet.
+    busy: AtomicBool,
+}
+
+impl Pipe {
+    pub fn new(bytes: usize) -> Arc<Pipe> {
+        Arc::new(Pipe {
+            queue: Mutex::new(Queue::new(bytes)),
+            filled: Condvar::new(),
+            notify: Notify::new(),
+            busy: AtomicBool::new(false),
+        })
+    }
+
+    fn queue(&self) -> MutexGuard<'_, Queue> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn push(&self, now: Micros, severity: Severity, id: &'static str, line: &[u8]) {
+        self.queue().push(now, severity, id, line);
+        self.filled.notify_one();
+        self.notify.notify_one();
+    }
+
+    pub fn pop(&self, line: &mut Vec<u8>) -> Option<(Severity, &'static str)> {
+        self.queue().pop(line)
+    }
+
+    /// Waits on this thread for a line, for so long at most.
+    fn wait(&self, most: Duration) {
+        let queue = self.queue();
+        if queue.is_empty() {
+            // Woken or not, the caller looks.
+            drop(self.filled.wait_timeout(queue, most));
+        }
+    }
+
+    pub async fn filled(&self) {
+        self.notify.notified().await;
+    }
+
+    fn idle(&self) -> bool {
+        self.queue().is_empty() && !self.busy.load(Ordering::Acquire)
+    }
+
+    fn tell_dropped(&self, place: &str) {
+        let dropped = self.queue().dropped();
+        for Dropped { id, count, from, until } in dropped {
+            event!(DROPPED, where = place, msgid = id, count, from:% = Time(from), until:% = Time(until));
+        }
+    }
+}
+
+/// Unix microseconds as RFC 3339 writes them.
+pub struct Time(pub Micros);
+
+impl fmt::Display for Time {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let time = i64::try_from(self.0).ok().and_then(|at| jiff::Timestamp::from_microsecond(at).ok());
+        write!(f, "{:.6}", time.unwrap_or(jiff::Timestamp::UNIX_EPOCH))
+    }
+}
+
+struct Logger {
+    host: String,
+    level: LevelFilter,
+    process: u32,
+    limits: Limits,
+    sequence: AtomicU32,
+    stderr: Format,
+    to_stderr: Arc<Pipe>,
+    to_collectors: Option<Arc<Pipe>>,
+}
+
+thread_local! {
+    static BUFFERS: RefCell<(String, Vec<u8>)> = const { RefCell::new((String::new(), Vec::new())) };
+}
+
+impl Log for Logger {
+    fn enabled(&self, metadata: &Metadata) -> bool {
+        metadata.level() <= self.level && metadata.target().starts_with("pathbank")
+    }
+
+    fn log(&self, record: &Record) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        BUFFERS.with(|buffers| {
+            // A value that logs while it is written would come here again; its line is left out.
+            let Ok(mut buffers) = buffers.try_borrow_mut() else { return };
+            let (line, json) = &mut *buffers;
+            let at = jiff::Timestamp::now();
+            let now = Micros::try_from(at.as_microsecond()).unwrap_or(0);
+            let entry = events::entry(record.target());
+            let (severity, id) = match entry {
+                Some(entry) => (entry.severity, entry.id),
+                None => (plain(record.level()), "-"),
+            };
+            if self.stderr == Format::Syslog || self.to_collectors.is_some() {
+                let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) % MOST_SEQUENCE + 1;
+                self.encode(line, at, severity, id, sequence, entry, record);
+            }
+            match self.stderr {
+                Format::Syslog => self.to_stderr.push(now, severity, id, line.as_bytes()),
+                Format::Json => {
+                    json.clear();
+                    // A value that cannot be told ends its line there, which is then left out.
+                    if self.json(json, at, severity, id, record).is_ok() {
+                        self.to_stderr.push(now, severity, id, json);
+                    }
+                }
+                Format::Off => {}
+            }
+            if let Some(pipe) = &self.to_collectors {
+                pipe.push(now, severity, id, line.as_bytes());
+            }
+        });
+    }
+
+    fn flush(&self) {}
+}
+
+fn plain(level: Level) -> Severity {
+    match level {
+        Level::Error => Severity::Error,
+        Level::Warn => Severity::Warning,
+        Level::Info => Severity::Informational,
+        Level::Debug | Level::Trace => Severity::Debug,
+    }
+}
+
+impl Logger {
+    #[allow(clippy::too_many_arguments)] // what stands in a line
+    fn encode(
+        &self,
+        buffer: &mut String,
+        at: jiff::Timestamp,
+        severity: Severity,
+        id: &str,
+        sequence: u32,
+        entry: Option<&events::Entry>,
+        record: &Record,
+    ) {
+        let time = format_args!("{at:.6}");
+        let head =
+            Head { severity, timestamp: &time, host: &self.host, app: "pathbank", process: self.process, id };
+        let mut line = Line::begin(buffer, self.limits, &head);
+        if entry.is_some() || record.key_values().count() > 0 {
+            line.element(entry.map_or(PLAIN, |entry| entry.element));
+            let _ = record.key_values().visit(&mut Parameters(&mut line)); // it stops for nothing
+        }
+        line.element("meta");
+        line.parameter("sequenceId", &sequence);
+        if entry.is_some_and(|entry| entry.identity) {
+            line.element("origin");
+            line.parameter("software", &env!("CARGO_PKG_NAME"));
+            line.parameter("swVersion", &env!("CARGO_PKG_VERSION"));
+            line.element("timeQuality");
+            line.parameter("tzKnown", &"1");
+            line.parameter("isSynced", &"0");
+        }
+        line.end(record.args());
+    }
+
+    /// One object a line, with the same names.
+    fn json(
+        &self,
+        buffer: &mut Vec<u8>,
+        at: jiff::Timestamp,
+        severity: Severity,
+        id: &str,
+        record: &Record,
+    ) -> Result<(), serde_json::Error> {
+        let mut writer = serde_json::Serializer::new(buffer);
+        let mut map = writer.serialize_map(None)?;
+        map.serialize_entry("time", &format_args!("{at:.6}"))?;
+        map.serialize_entry("severity", severity.name())?;
+        map.serialize_entry("host", &self.host)?;
+        map.serialize_entry("msgid", id)?;
+        let text = record.args().to_string();
+        if !text.is_empty() {
+            map.serialize_entry("text", &text)?;
+        }
+        let mut fields = Fields { map: &mut map, broken: None };
+        let _ = record.key_values().visit(&mut fields); // told below
+        match fields.broken {
+            Some(error) => Err(error),
+            None => map.end(),
+        }
+    }
+}
+
+struct Parameters<'a, 'b>(&'a mut Line<'b>);
+
+impl<'kvs> VisitSource<'kvs> for Parameters<'_, '_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        self.0.parameter(key.as_str(), &value);
+        Ok(())
+    }
+}
+
+struct Fields<'a, M> {
+    map: &'a mut M,
+    broken: Option<serde_json::Error>,
+}
+
+impl<'kvs, M: SerializeMap<Error = serde_json::Error>> VisitSource<'kvs> for Fields<'_, M> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        let done = match (value.to_u64(), value.to_f64()) {
+            (Some(number), _) => self.map.serialize_entry(key.as_str(), &number),
+            (None, Some(number)) if number.is_finite() => self.map.serialize_entry(key.as_str(), &number),
+            _ => self.map.serialize_entry(key.as_str(), &format_args!("{value}")),
+        };
+        self.broken = self.broken.take().or(done.err());
+        Ok(())
+    }
+}
+
+/// A running log.
+pub struct Logging {
+    to_stderr: Arc<Pipe>,
+    to_collectors: Option<(Arc<Pipe>, watch::Sender<Setup>, Arc<AtomicBool>)>,
+}
+
+impl Logging {
+    /// Takes over collectors and their certificates; what is on its way goes on.
+    pub fn reload(&self, setup: Setup) {
+        if let Some((_, sender, _)) = &self.to_collectors {
+            sender.send_replace(setup);
+        }
+    }
+
+    /// Waits until what was told is out, for so long at most. True: it is.
+    pub fn finish(&self, most: Duration) -> bool {
+        let until = Instant::now() + most;
+        loop {
+            let collected = match &self.to_collectors {
+                Some((pipe, _, out)) => pipe.idle() && out.load(Ordering::Acquire),
+                None => true,
+            };
+            if self.to_stderr.idle() && collected {
+                return true;
+            }
+            if Instant::now() >= until {
+                return false;
+            }
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+}
+
+/// Starts the log for the whole program.
+pub fn start(host: &str, level: LevelFilter, setup: Setup) -> io::Result<Logging> {
+    let to_stderr = Pipe::new(setup.stderr_queue);
+    let to_collectors = (!setup.collectors.is_empty()).then(|| Pipe::new(setup.queue));
+    let logger = Logger {
+        host: host.to_string(),
+        level,
+        process: std::process::id(),
+        limits: setup.limits,
+        sequence: AtomicU32::new(0),
+        stderr: setup.stderr,
+        to_stderr: to_stderr.clone(),
+        to_collectors: to_collectors.clone(),
+    };
+    log::set_boxed_logger(Box::new(logger)).map_err(io::Error::other)?;
+    log::set_max_level(level);
+    let pipe = to_stderr.clone();
+    thread::Builder::new().name("stderr".into()).spawn(move || write_out(&pipe, &mut io::stderr()))?;
+    let to_collectors = match to_collectors {
+        None => None,
+        Some(pipe) => {
+            let (sender, watched) = watch::channel(setup.clone());
+            let out = Arc::new(AtomicBool::new(true));
+            let spool = setup.spool.as_ref().map(|limits| Arc::new(Spool::open(limits)));
+            if let Some(spool) = &spool {
+                let (pipe, spool) = (pipe.clone(), spool.clone());
+                thread::Builder::new().name("spool".into()).spawn(move || take_in(&pipe, &spool))?;
+            }
+            let sending = Sending::new(pipe.clone(), spool, watched, out.clone());
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+            thread::Builder::new()
+                .name("collectors".into())
+                .spawn(move || runtime.block_on(sending.run()))?;
+            Some((pipe, sender, out))
+        }
+    };
+    Ok(Logging { to_stderr, to_collectors })
+}
+
+/// Only this thread waits for whoever reads standard error; with nobody there, lines are dropped and counted.
+fn write_out(pipe: &Pipe, out: &mut impl Write) {
+    let (mut line, mut batch, mut looked) = (Vec::new(), Vec::new(), Instant::now());
+    loop {
+        pipe.wait(LOOK);
+        pipe.busy.store(true, Ordering::Release);
+        batch.clear();
+        while batch.len() < BATCH && pipe.pop(&mut line).is_some() {
+            batch.extend_from_slice(&line);
+            batch.push(b'\n');
+        }
+        // A closed standard error must not stop the head.
+        let _ = out.write_all(&batch);
+        pipe.busy.store(false, Ordering::Release);
+        if looked.elapsed() >= LOOK {
+            looked = Instant::now();
+            pipe.tell_dropped("stderr");
+        }
+    }
+}
+
+/// From memory to disk, as many lines at a time as have come.
+fn take_in(pipe: &Pipe, spool: &Spool) {
+    loop {
+        pipe.wait(LOOK);
+        pipe.busy.store(true, Ordering::Release);
+        let mut batch = Vec::new();
+        let (mut line, mut bytes) = (Vec::new(), 0);
+        while bytes < spool::BATCH
+            && let Some((severity, id)) = pipe.pop(&mut line)
+        {
+            bytes += line.len();
+            batch.push((severity, id, line.clone()));
+        }
+        spool.append(batch);
+        pipe.busy.store(false, Ordering::Release);
+        for problem in spool.problems() {
+            event!(SPOOL, problem:% = problem, lines = spool.lines());
+        }
+        for Dropped { id, count, from, until } in spool.dropped() {
+            event!(DROPPED, where = "spool", msgid = id, count, from:% = Time(from), until:% = Time(until));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::syslog::encode::shown;
+    use crate::syslog::parse::parse;
+    use proptest::prelude::*;
+
+    fn logger(stderr: Format) -> Logger {
+        let pipe = Pipe::new(1024 * 1024);
+        Logger {
+            host: "n3".into(),
+            level: LevelFilter::Info,
+            process: 7,
+            limits: Limits { line: 60_000, value: 20_000 },
+            sequence: AtomicU32::new(0),
+            stderr,
+            to_stderr: pipe,
+            to_collectors: None,
+        }
+    }
+
+    fn told(logger: &Logger, target: &str, pairs: &[(&str, &str)], text: &str) -> Option<Vec<u8>> {
+        let pairs: &dyn log::kv::Source = &pairs;
+        logger.log(
+            &Record::builder()
+                .level(Level::Info)
+                .target(target)
+                .args(format_args!("{text}"))
+                .key_values(pairs)
+                .build(),
+        );
+        let mut line = Vec::new();
+        logger.to_stderr.pop(&mut line).map(|_| line)
+    }
+
+    #[test]
+    fn an_event_carries_its_entrys_id_severity_and_element() {
+        let logger = logger(Format::Syslog);
+        let line = told(&logger, events::UP.target, &[("name", "n3"), ("listen", "x")], "").unwrap();
+        let message = parse(&line).unwrap();
+        assert_eq!((message.facility, message.severity, message.id), (3, Severity::Notice, Some("UP")));
+        assert_eq!(message.parameter("head@32473", "listen").map(|v| &**v), Some("x"));
+        assert_eq!(message.parameter("meta", "sequenceId").map(|v| &**v), Some("1"));
+        assert_eq!(message.parameter("origin", "software").map(|v| &**v), Some("pathbank"));
+        assert_eq!(
+            (message.parameter("timeQuality", "tzKnown").map(|v| &**v), message.text.as_deref()),
+            (Some("1"), None)
+        );
+        let line = told(&logger, "pathbank::core", &[], "two\nlines").unwrap();
+        let message = parse(&line).unwrap();
+        assert_eq!((message.id, message.text.as_deref()), (None, Some("two\u{240a}lines")));
+        assert_eq!(message.parameter("meta", "sequenceId").map(|v| &**v), Some("2"));
+        assert_eq!(told(&logger, "h2::proto", &[], "of others"), None);
+    }
+
+    #[test]
+    fn lines_in_json_hold_the_same() {
+        let logger = logger(Format::Json);
+        let line = told(&logger, events::NODE.target, &[("node", "s\"1"), ("shard", "3")], "").unwrap();
+        let value: serde_json::Value = serde_json::from_slice(&line).unwrap();
+        assert_eq!((&value["msgid"], &value["node"]), (&"NODE".into(), &"s\"1".into()));
+        assert_eq!(value["severity"], "informational");
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig::with_cases(256))]
+
+        /// Whatever goes into an event comes out of the strict parser equal, but for the pictures of controls.
+        #[test]
+        fn values_come_out_as_they_went_in(values in proptest::collection::vec("\\PC{0,40}|[\"\\\\\\]\\x00-\\xff]{0,20}", 1..6), text in "\\PC{0,60}") {
+            let logger = logger(Format::Syslog);
+            let names = ["a", "b", "c", "d", "e"];
+            let pairs: Vec<(&str, &str)> = names.into_iter().zip(values.iter().map(String::as_str)).collect();
+            let line = told(&logger, events::REQUEST.target, &pairs, &text).unwrap();
+            let message = parse(&line).map_err(|e| TestCaseError::fail(e.to_string()))?;
+            for (name, value) in pairs {
+                let got = message.parameter("request@32473", name).map(|value| value.to_string());
+                prop_assert_eq!(got, Some(shown(value)));
+            }
+            prop_assert_eq!(message.text.as_deref().unwrap_or_default(), shown(&text));
+        }
+    }
+}
--- /dev/null
+++ b/src/logging/tls.rs
@@ -0,0 +1,153 @@
+//! TLS towards collectors (RFC 5425): certificates checked by an authority or by their fingerprints.
+
+use rustls::client::WebPkiServerVerifier;
+use rustls::client::danger::{HandshakeSignatureValid, ServerCertVerified, ServerCertVerifier};
+use rustls::crypto::{CryptoProvider, verify_tls12_signature, verify_tls13_signature};
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName, UnixTime};
+use rustls::{CertificateError, ClientConfig, DigitallySignedStruct, Error, RootCertStore, SignatureScheme};
+use std::sync::Arc;
+
+/// SHA-256 of a certificate, as RFC 5425 writes it: `sha-256:4A:...`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Fingerprint([u8; 32]);
+
+impl Fingerprint {
+    pub fn parse(text: &str) -> Option<Fingerprint> {
+        let (method, hex) = text.split_once(':')?;
+        let mut parts = hex.split(':');
+        let mut print = [0; 32];
+        for byte in &mut print {
+            let part = parts.next().filter(|part| part.len() == 2)?;
+            *byte = u8::from_str_radix(part, 16).ok().filter(|_| !part.starts_with('+'))?;
+        }
+        (method.eq_ignore_ascii_case("sha-256") && parts.next().is_none()).then_some(Fingerprint(print))
+    }
+
+    pub fn of(certificate: &[u8]) -> Fingerprint {
+        let mut print = [0; 32];
+        print.copy_from_slice(ring::digest::digest(&ring::digest::SHA256, certificate).as_ref());
+        Fingerprint(print)
+    }
+}
+
+impl std::fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("sha-256")?;
+        self.0.iter().try_for_each(|byte| write!(f, ":{byte:02X}"))
+    }
+}
+
+/// A certificate and its key, in PEM.
+pub type Identity = (Vec<u8>, Vec<u8>);
+
+/// A client's settings. An error names the key at fault.
+pub fn client(
+    ca: Option<&[u8]>,
+    prints: Vec<Fingerprint>,
+    identity: Option<Identity>,
+) -> Result<Arc<ClientConfig>, (&'static str, String)> {
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let authority = match ca {
+        None => None,
+        Some(pem) => {
+            let mut roots = RootCertStore::empty();
+            for certificate in certificates(pem).map_err(|why| ("ca", why))? {
+                roots.add(certificate).map_err(|e| ("ca", e.to_string()))?;
+            }
+            let verifier =
+                WebPkiServerVerifier::builder_with_provider(Arc::new(roots), provider.clone()).build();
+            Some(verifier.map_err(|e| ("ca", e.to_string()))?)
+        }
+    };
+    let verifier = Arc::new(Pinned { prints, authority, provider: provider.clone() });
+    let builder = ClientConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()
+        .map_err(|e| ("transport", e.to_string()))?
+        .dangerous()
+        .with_custom_certificate_verifier(verifier);
+    let config = match identity {
+        None => builder.with_no_client_auth(),
+        Some((certificate, key)) => {
+            let chain = certificates(&certificate).map_err(|why| ("certificate", why))?;
+            let key = PrivateKeyDer::from_pem_slice(&key).map_err(|e| ("key", e.to_string()))?;
+            builder.with_client_auth_cert(chain, key).map_err(|e| ("certificate", e.to_string()))?
+        }
+    };
+    Ok(Arc::new(config))
+}
+
+pub fn certificates(pem: &[u8]) -> Result<Vec<CertificateDer<'static>>, String> {
+    let all: Result<Vec<_>, _> = CertificateDer::pem_slice_iter(pem).collect();
+    let all = all.map_err(|error| error.to_string())?;
+    if all.is_empty() { Err("it holds no certificate".into()) } else { Ok(all) }
+}
+
+/// Accepts a certificate by its fingerprint, or by an authority where one is set.
+#[derive(Debug)]
+struct Pinned {
+    prints: Vec<Fingerprint>,
+    authority: Option<Arc<WebPkiServerVerifier>>,
+    provider: Arc<CryptoProvider>,
+}
+
+impl ServerCertVerifier for Pinned {
+    fn verify_server_cert(
+        &self,
+        end_entity: &CertificateDer<'_>,
+        intermediates: &[CertificateDer<'_>],
+        server_name: &ServerName<'_>,
+        ocsp: &[u8],
+        now: UnixTime,
+    ) -> Result<ServerCertVerified, Error> {
+        if self.prints.contains(&Fingerprint::of(end_entity)) {
+            return Ok(ServerCertVerified::assertion());
+        }
+        match &self.authority {
+            Some(authority) => {
+                authority.verify_server_cert(end_entity, intermediates, server_name, ocsp, now)
+            }
+            None => Err(CertificateError::ApplicationVerificationFailure.into()),
+        }
+    }
+
+    fn verify_tls12_signature(
+        &self,
+        message: &[u8],
+        cert: &CertificateDer<'_>,
+        dss: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, Error> {
+        verify_tls12_signature(message, cert, dss, &self.provider.signature_verification_algorithms)
+    }
+
+    fn verify_tls13_signature(
+        &self,
+        message: &[u8],
+        cert: &CertificateDer<'_>,
+        dss: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, Error> {
+        verify_tls13_signature(message, cert, dss, &self.provider.signature_verification_algorithms)
+    }
+
+    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
+        self.provider.signature_verification_algorithms.supported_schemes()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn fingerprints_are_read_as_they_are_written() {
+        let print = Fingerprint::of(b"certificate");
+        let text = print.to_string();
+        assert_eq!(Fingerprint::parse(&text), Some(print));
+        assert_eq!(Fingerprint::parse(&text.to_lowercase()), Some(print));
+        for wrong in ["", "sha-256", "sha-256:00", &text[..text.len() - 1], &format!("{text}:00"), &text[8..]]
+        {
+            assert_eq!(Fingerprint::parse(wrong), None, "{wrong}");
+        }
+        assert_eq!(Fingerprint::parse(&text.replace("sha-256", "sha-1")), None);
+    }
+}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -2,6 +2,7 @@
 
 use crate::config::NodeList;
 use crate::core::{Handle, Input};
+use crate::event;
 use crate::interface::News;
 use bytes::{Buf, Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty};
@@ -10,7 +11,6 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
-use log::{info, warn};
 use std::fmt;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -77,7 +77,7 @@
                         return;
                     }
                     address = *place.borrow_and_update();
-                    info!(address:%; "the watch moves");
+                    event!(WATCH_MOVES, address:%);
                     moving = true;
                     opening = Some(open(address, version, Duration::ZERO));
                     continue;
@@ -95,7 +95,7 @@
                     opening = None;
                     match opened {
                         Some(Ok(watch)) => {
-                            info!(version, address:%; "the watch stands");
+                            event!(WATCH, version, address:%);
                             (stands, moving) = (Some(watch), false);
                             continue;
                         }
@@ -117,7 +117,7 @@
                     None => continue,
                 },
             };
-            warn!(version, reason:% = broken; "the watch on the node list broke");
+            event!(WATCH_BROKE, version, reason:% = broken);
             if opening.is_none() && (moving || !on_demand) {
                 opening = Some(open(address, version, RENEW));
             }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -2,6 +2,7 @@
 
 use crate::config::Names;
 use crate::core::{Answer, Arrival, Handle};
+use crate::event;
 use crate::net::back::{Back, Forward, ForwardWork, IDEMPOTENCY_KEY, MOST_BODY, REQUEST_ID, TIMEOUT};
 use crate::net::ids::Ids;
 use crate::net::places::{Places, Seat};
@@ -19,7 +20,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use log::{debug, error, warn};
+use log::debug;
 use std::fmt;
 use std::future::Future;
 use std::io;
@@ -98,7 +99,7 @@
     match listener.accept().await {
         Ok((stream, _)) => Some((stream, places.take().await)),
         Err(problem) => {
-            warn!("accept: {problem}");
+            event!(ACCEPT_FAILED, problem:%);
             tokio::time::sleep(Duration::from_millis(10)).await;
             None
         }
@@ -199,7 +200,7 @@
     let leaving = front.phase.clone();
     let answered = AssertUnwindSafe(answer(&front, &seat, request, received)).catch_unwind().await;
     let mut response = answered.unwrap_or_else(|_| {
-        error!("a request's handler panicked");
+        event!(HANDLER_PANIC, front = "HTTP/1.1");
         StatusCode::INTERNAL_SERVER_ERROR.into_response()
     });
     if *leaving.borrow() == Phase::Closing {
--- a/src/net/grpc/back.rs
+++ b/src/net/grpc/back.rs
@@ -8,6 +8,7 @@
 use crate::config::grpc::GrpcFront;
 use crate::core::{Attempt, Begun, Binder, Report, Try, Work};
 use crate::ending::End;
+use crate::event;
 use crate::grpc::channels::{ChannelId, Channels, Duty, Grant};
 use crate::grpc::frames::{Kind, PREFACE, Scanner, Seen};
 use crate::grpc::holding::{Next, Over};
@@ -19,7 +20,7 @@
 use h2::{Ping, PingPong, Reason, SendStream};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, StatusCode, Uri};
-use log::{debug, info, warn};
+use log::debug;
 use std::collections::BTreeMap;
 use std::future::{pending, poll_fn};
 use std::net::SocketAddr;
@@ -120,7 +121,7 @@
                 match duty {
                     Duty::Ping(id) => self.hub.order(id, Order::Ping),
                     Duty::Stalled(id) => {
-                        warn!(channel = id; "a node does not read what streams on a channel send")
+                        event!(CHANNEL_STALLED, channel = id)
                     }
                     Duty::Close(id) | Duty::Break(id) => {
                         debug!(channel = id; "a channel goes: {duty:?}");
@@ -397,7 +398,7 @@
             leaves.is_some() && state.channels.goaway(id)
         });
         if let Some(last) = leaves {
-            info!(channel = id, last; "a node takes no new streams on a channel");
+            event!(CHANNEL_LEAVES, channel = id, last);
             if close {
                 // Its own task lets go of the line: this one is inside of h2.
                 self.hub.order(id, Order::Close);
--- a/src/net/grpc/front.rs
+++ b/src/net/grpc/front.rs
@@ -8,6 +8,7 @@
 use crate::clock::micros;
 use crate::config::grpc::GrpcFront;
 use crate::core::{Answer, Arrival, Handle, Pending};
+use crate::event;
 use crate::grpc::frames::{Kind, PREFACE, Scanner, Seen};
 use crate::grpc::guard::{Guard, Offence};
 use crate::grpc::holding::Over;
@@ -22,7 +23,7 @@
 use h2::{Reason, RecvStream, SendStream};
 use hyper::header::{CONTENT_TYPE as TYPE, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
-use log::{debug, error, info, warn};
+use log::debug;
 use std::future::poll_fn;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -193,9 +194,9 @@
     front.counters.count(Offence::Streams, refused);
     if let Some(offence) = notes.with(|noted| noted.offence) {
         let so_far = front.counters.count(offence, 1);
-        warn!(offence = offence.name(), so_far, calls; "a gRPC client's connection is cut off");
+        event!(GRPC_CLIENT_CUT, offence = offence.name(), so_far, calls);
     }
-    info!(reason, calls, refused; "a gRPC client has gone");
+    event!(GRPC_CLIENT_GONE, reason, calls, refused);
 }
 
 /// Serves until the connection ends; returns the calls that still were open, and why.
@@ -237,7 +238,7 @@
             Some(ended) = calls.join_next(), if !calls.is_empty() => {
                 // Its stream was reset when it went: that is its one end.
                 if ended.is_err() {
-                    error!("a gRPC call's task panicked");
+                    event!(HANDLER_PANIC, front = "gRPC");
                 }
                 if calls.is_empty() {
                     seat.answered();
--- a/src/net/sftp/front.rs
+++ b/src/net/sftp/front.rs
@@ -7,12 +7,13 @@
 };
 use crate::config::sftp::{NoPlace, Place, SecondFront, Use};
 use crate::core::{Answer, Arrival, Handle};
+use crate::event;
 use crate::net::front::{Phase, accept_all, reached};
 use crate::net::places::{Places, Seat};
 use bytes::Bytes;
 use futures_util::stream::FuturesUnordered;
 use futures_util::{FutureExt, SinkExt, StreamExt};
-use log::{debug, error, info};
+use log::debug;
 use std::collections::BTreeMap;
 use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
@@ -65,7 +66,8 @@
         in_flight: FuturesUnordered::new(),
     };
     let reason = session.run().await;
-    info!(reason, handles = session.files.len(), in_flight = session.in_flight.len(); "a file client has gone");
+    let (handles, in_flight) = (session.files.len(), session.in_flight.len());
+    event!(FILE_CLIENT_GONE, reason, handles, in_flight);
 }
 
 struct Session {
@@ -170,7 +172,7 @@
                 self.in_flight.push(Box::pin(async move {
                     let done = AssertUnwindSafe(carry_out(&front, path, deed, file, received)).catch_unwind();
                     let reply = done.await.unwrap_or_else(|_| {
-                        error!("a file command's handler panicked");
+                        event!(HANDLER_PANIC, front = "file commands");
                         Err(Reply::status(Status::Failure, "failed; it may have been done"))
                     });
                     match reply {
--- a/src/rehearsal/cases.rs
+++ b/src/rehearsal/cases.rs
@@ -6,6 +6,7 @@
 use super::syslog::Syslog;
 use super::{Outcome, check, expect, wait_for};
 use crate::net::sftp::packet::{self, Attrs, Command, Reply, Status};
+use crate::syslog::Severity;
 use bytes::Bytes;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -161,7 +162,7 @@
     client.send(Command::Write { handle, offset: 0, data: Bytes::from_static(b"first") })?;
     wait_for(&store.seen, "the write at the store", |seen| matches!(seen, Seen::Write { .. }))?;
     client.leave()?;
-    let line = stage.head.logged("a file client has gone")?;
+    let line = stage.head.logged(" FILE_CLIENT_GONE ")?;
     check(line.contains("handles=\"1\"") && line.contains("in_flight=\"1\""), line)?;
     // The head has one place for clients here: the next one is served because the last one's is free again.
     let mut client = stage.client()?;
@@ -172,7 +173,7 @@
     half.extend([6, 0, 0, 0, 9]);
     client.send_raw(&half)?;
     client.leave()?;
-    let line = stage.head.logged("a file client has gone")?;
+    let line = stage.head.logged(" FILE_CLIENT_GONE ")?;
     check(line.contains("handles=\"1\"") && line.contains("in_flight=\"0\""), line)?;
     let mut client = stage.client()?;
     check(
@@ -313,12 +314,15 @@
     let (receiver, store) = (Syslog::start()?, Store::start(Files::default())?);
     let setup = Setup { syslog: Some(receiver.address), ..Setup::default() };
     let stage = Stage::start(program, setup, &store)?;
-    let up = wait_for(&receiver.messages, "the line `up`", |message| match message {
-        Ok(message) => message.text == "up",
+    let up = wait_for(&receiver.messages, "the event UP", |message| match message {
+        Ok(message) => message.id == "UP",
         Err(_) => true, // unreadable: fail at once rather than wait
     })?;
-    let up = up.map_err(|line| super::Failure::Unmet(format!("no RFC 5424 line: {line}")))?;
-    let listen = up.data.get("pathbank@32473").and_then(|data| data.get("listen"));
-    expect(listen, Some(&stage.head.http.to_string()), "the address in the structured data")?;
-    expect((up.facility, up.severity, up.app.as_str()), (3, 6, "pathbank"), "the head of the line")
+    let up = up.map_err(super::Failure::Unmet)?;
+    expect(up.get("listen"), stage.head.http.to_string().as_str(), "the address in the structured data")?;
+    expect(
+        (up.facility, up.severity, up.app.as_str()),
+        (3, Severity::Notice, "pathbank"),
+        "the head of the line",
+    )
 }
--- a/src/rehearsal/grpc/cases.rs
+++ b/src/rehearsal/grpc/cases.rs
@@ -229,7 +229,7 @@
         status_is(&got, status::OK, "a call about a GOAWAY")?;
         expect(got.messages.len(), PARTS, "its messages")?;
     }
-    stage.head.logged("a node takes no new streams on a channel")?;
+    stage.head.logged(" CHANNEL_LEAVES ")?;
     let seen: Vec<Seen> = node.seen.try_iter().collect();
     let wholes = seen.iter().filter(|seen| matches!(seen, Seen::Whole { .. })).count();
     expect(wholes, 20, "calls that ran")?;
@@ -394,7 +394,7 @@
     }
     wait_whole(&node)?;
     gone.vanish();
-    let line = stage.head.logged("a gRPC client has gone")?;
+    let line = stage.head.logged(" GRPC_CLIENT_GONE ")?;
     check(line.contains("calls="), line)?;
     wait_for(&node.seen, "the reset at the node", |seen| matches!(seen, Seen::Reset { .. }))?;
     drop(releases);
@@ -533,7 +533,7 @@
         |seen| matches!(seen, Seen::Began { call, .. } if *call == id),
     )?;
     // Those that were on its channel already would wait with it; what comes now goes elsewhere.
-    stage.head.logged("a node does not read what streams on a channel send")?;
+    stage.head.logged(" CHANNEL_STALLED ")?;
     for _ in 0..20 {
         let ask = Ask::new("/kit.Once/ClientStream").messages(vec![vec![2; 30_000]; 3]);
         status_is(&client.call(&ask)?, status::OK, "a neighbour of a stalled request")?;
@@ -597,7 +597,7 @@
         // The head may have closed the connection before the flood is over.
         let _ = flood(&mut raw);
         raw.until_closed();
-        let line = stage.head.logged("a gRPC client's connection is cut off")?;
+        let line = stage.head.logged(" GRPC_CLIENT_CUT ")?;
         check(line.contains(&format!("offence=\"{offence}\"")), format!("{offence}: {line}"))?;
         status_is(&client.call(&Ask::new("/kit.Safe/Unary"))?, status::OK, "another client's call")?;
     }
@@ -622,7 +622,7 @@
     }
     expect(refused, vec![5, 7], "streams that were turned away")?;
     drop(raw);
-    let line = few.head.logged("a gRPC client has gone")?;
+    let line = few.head.logged(" GRPC_CLIENT_GONE ")?;
     check(line.contains("refused=\"2\""), line)
 }
 
@@ -641,7 +641,7 @@
         raw.ask(2 * i + 1, "/kit.Safe/Flood", raw::END_HEADERS)?;
         raw.send(raw::DATA, raw::END_STREAM, 2 * i + 1, &body)?;
     }
-    let line = stage.head.logged("a gRPC client's connection is cut off")?;
+    let line = stage.head.logged(" GRPC_CLIENT_CUT ")?;
     check(line.contains("offence=\"stalled\""), line)?;
     let call = stage.client()?.call(&Ask::new("/kit.Safe/Unary"))?;
     status_is(&call, status::OK, "another client's call")
@@ -702,7 +702,7 @@
     let got = ended(running)?;
     status_is(&got, status::OK, "a call that was open")?;
     expect(got.messages.len(), PARTS, "its messages")?;
-    let line = stage.head.logged("gRPC's counts")?;
+    let line = stage.head.logged(" GRPC_COUNTS ")?;
     check(line.contains("calls=\"1\""), line)?;
     expect(stage.head.ended()?.code(), Some(0), "the exit code")
 }
--- a/src/rehearsal/stage.rs
+++ b/src/rehearsal/stage.rs
@@ -175,19 +175,19 @@
         let http = SocketAddr::from(([127, 0, 0, 1], 0));
         let mut head = Head { child, config, file, paths, calls, http, files: None, grpc: None, log };
         // In whatever order these come; the watch has told the whole list, so that from here on changes arrive.
-        let mut waits = vec!["] up"];
-        waits.extend(setup.watched.then_some("the watch stands"));
-        waits.extend(setup.files.then_some("file commands are up"));
-        waits.extend(setup.grpc.is_some().then_some("gRPC is up"));
+        let mut waits = vec![" UP "];
+        waits.extend(setup.watched.then_some(" WATCH "));
+        waits.extend(setup.files.then_some(" FILES_UP "));
+        waits.extend(setup.grpc.is_some().then_some(" GRPC_UP "));
         while !waits.is_empty() {
             let fits = |line: &String| waits.iter().any(|text| line.contains(text));
             let line = wait_for(&head.log, &waits.join(" and "), fits)?;
             waits.retain(|text| !line.contains(text));
-            if line.contains("] up") {
+            if line.contains(" UP ") {
                 head.http = address_in(&line)?;
-            } else if line.contains("file commands are up") {
+            } else if line.contains(" FILES_UP ") {
                 head.files = Some(address_in(&line)?);
-            } else if line.contains("gRPC is up") {
+            } else if line.contains(" GRPC_UP ") {
                 head.grpc = Some(address_in(&line)?);
             }
         }
--- a/src/rehearsal/syslog.rs
+++ b/src/rehearsal/syslog.rs
@@ -1,118 +1,254 @@
-//! A syslog receiver's stand-in: RFC 5424 messages over TCP, framed as RFC 6587 counts octets.
+//! Collectors' stand-ins, one for each transport. Each is strict: a frame that is not as its specification has it, or
+//! a message that is not RFC 5424, is told as an error.
 
 use super::Outcome;
+use crate::events;
+use crate::syslog::Severity;
+use crate::syslog::parse::parse;
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread;
+use std::time::Duration;
 
-#[derive(Clone, Debug, Default, PartialEq)]
+/// The most that a frame's length may say.
+const MOST_FRAME: usize = 1_000_000;
+
+#[derive(Clone, Debug, PartialEq)]
 pub struct Message {
     pub facility: u8,
-    pub severity: u8,
-    pub timestamp: String,
-    pub host: String,
+    pub severity: Severity,
     pub app: String,
-    pub process: String,
     pub id: String,
+    pub sequence: u64,
     /// Parameters by the id of their element.
     pub data: BTreeMap<String, BTreeMap<String, String>>,
     pub text: String,
+    pub bytes: usize,
+}
+
+impl Message {
+    pub fn get(&self, name: &str) -> &str {
+        self.data.values().find_map(|parameters| parameters.get(name)).map_or("", String::as_str)
+    }
+}
+
+pub type Received = Result<Message, String>;
+
+/// How a collector goes about its connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Manner {
+    #[default]
+    Good,
+    /// Closes each connection after one frame.
+    OneFrame,
+    /// Reads this many bytes and then nothing until it is let go on.
+    StopsAfter(usize),
+    /// Takes so many lines a second at most.
+    Slow(u64),
+}
+
+#[derive(Default)]
+struct Gate {
+    open: Mutex<bool>,
+    changed: Condvar,
+}
+
+impl Gate {
+    fn pass(&self) {
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        while !*open {
+            open = self.changed.wait(open).unwrap_or_else(PoisonError::into_inner);
+        }
+    }
 }
 
 pub struct Syslog {
     pub address: SocketAddr,
-    /// Each message as it came: read, or the text that could not be.
-    pub messages: Receiver<Result<Message, String>>,
+    /// Each message as it came: read, or what is wrong with it.
+    pub messages: Receiver<Received>,
+    gate: Arc<Gate>,
+    /// Nothing new is accepted any more.
+    gone: Arc<AtomicBool>,
+}
+
+impl Drop for Syslog {
+    fn drop(&mut self) {
+        self.gone.store(true, Ordering::Relaxed);
+        self.go_on();
+        // Wakes the thread that accepts, so that the port is free again.
+        let _ = TcpStream::connect(self.address);
+    }
 }
 
 impl Syslog {
     pub fn start() -> Outcome<Syslog> {
+        Syslog::at(([127, 0, 0, 1], 0).into(), Manner::Good)
+    }
+
+    pub fn with(manner: Manner) -> Outcome<Syslog> {
+        Syslog::at(([127, 0, 0, 1], 0).into(), manner)
+    }
+
+    /// At an address that was another's before.
+    pub fn at(address: SocketAddr, manner: Manner) -> Outcome<Syslog> {
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
+        let (sender, messages) = channel();
+        let (gate, gone) = (Arc::new(Gate::default()), Arc::new(AtomicBool::new(false)));
+        let (passes, ends) = (gate.clone(), gone.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if ends.load(Ordering::Relaxed) {
+                    return;
+                }
+                let (sender, passes) = (sender.clone(), passes.clone());
+                thread::spawn(move || receive(stream, &sender, manner, &passes));
+            }
+        });
+        Ok(Syslog { address, messages, gate, gone })
+    }
+
+    /// One message a datagram.
+    pub fn udp() -> Outcome<Syslog> {
+        let socket = UdpSocket::bind("127.0.0.1:0")?;
+        let address = socket.local_addr()?;
+        let (sender, messages) = channel();
+        thread::spawn(move || {
+            let mut bytes = vec![0; 65_536];
+            while let Ok(length) = socket.recv(&mut bytes) {
+                if sender.send(read(&bytes[..length])).is_err() {
+                    return;
+                }
+            }
+        });
+        Ok(Syslog { address, messages, gate: Arc::default(), gone: Arc::default() })
+    }
+
+    /// Over TLS, with that certificate; clients need one that their authority has signed, where one is given.
+    pub fn tls(config: Arc<rustls::ServerConfig>) -> Outcome<Syslog> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let (sender, messages) = channel();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let sender = sender.clone();
-                thread::spawn(move || receive(stream, &sender));
+                let (sender, config) = (sender.clone(), config.clone());
+                thread::spawn(move || {
+                    let Ok(connection) = rustls::ServerConnection::new(config) else { return };
+                    frames(
+                        rustls::StreamOwned::new(connection, stream),
+                        &sender,
+                        Manner::Good,
+                        &Gate::default(),
+                    );
+                });
             }
         });
-        Ok(Syslog { address, messages })
+        Ok(Syslog { address, messages, gate: Arc::default(), gone: Arc::default() })
+    }
+
+    /// A collector that had stopped reads on.
+    pub fn go_on(&self) {
+        *self.gate.open.lock().unwrap_or_else(PoisonError::into_inner) = true;
+        self.gate.changed.notify_all();
+    }
+}
+
+/// Reads so many bytes of a stream and then waits at the gate.
+struct Stops<'a, R> {
+    inner: R,
+    left: usize,
+    gate: &'a Gate,
+}
+
+impl<R: Read> Read for Stops<'_, R> {
+    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
+        if self.left == 0 {
+            self.gate.pass();
+            return self.inner.read(buffer);
+        }
+        let most = self.left.min(buffer.len());
+        let count = self.inner.read(&mut buffer[..most])?;
+        self.left -= count;
+        Ok(count)
     }
 }
 
-/// Reads until the connection ends or its framing is lost.
-fn receive(stream: TcpStream, messages: &Sender<Result<Message, String>>) {
-    let mut stream = BufReader::new(stream);
+fn receive(stream: TcpStream, messages: &Sender<Received>, manner: Manner, gate: &Gate) {
+    match manner {
+        Manner::StopsAfter(left) => frames(Stops { inner: stream, left, gate }, messages, manner, gate),
+        _ => frames(stream, messages, manner, gate),
+    }
+}
+
+/// Reads frames by octet counting until the connection ends or its framing is lost.
+fn frames(stream: impl Read, messages: &Sender<Received>, manner: Manner, _gate: &Gate) {
+    let mut stream = BufReader::with_capacity(if manner == Manner::OneFrame { 1 } else { 8192 }, stream);
     loop {
-        let mut length = Vec::new();
-        // No message is longer than its length in seven digits.
-        let count = stream.by_ref().take(8).read_until(b' ', &mut length);
-        let length = String::from_utf8_lossy(&length).trim_end().parse::<usize>();
-        let (Ok(1..), Ok(length)) = (count, length) else { return };
+        let mut digits = Vec::new();
+        match stream.by_ref().take(8).read_until(b' ', &mut digits) {
+            Ok(0) | Err(_) => return,
+            Ok(_) => {}
+        }
+        let length = digits
+            .strip_suffix(b" ")
+            .filter(|digits| !digits.is_empty() && digits[0] != b'0' && digits.iter().all(u8::is_ascii_digit))
+            .and_then(|digits| std::str::from_utf8(digits).ok()?.parse::<usize>().ok())
+            .filter(|length| *length <= MOST_FRAME);
+        let Some(length) = length else {
+            // The rehearsal may be over.
+            let _ =
+                messages.send(Err(format!("no frame begins with {:?}", String::from_utf8_lossy(&digits))));
+            return;
+        };
         let mut bytes = vec![0; length];
         if stream.read_exact(&mut bytes).is_err() {
-            return;
+            return; // cut off in the middle: nothing that was handed over
         }
-        let text = String::from_utf8_lossy(&bytes).into_owned();
-        if messages.send(read(&text).ok_or(text)).is_err() {
+        if messages.send(read(&bytes)).is_err() || manner == Manner::OneFrame {
             return;
         }
+        if let Manner::Slow(rate) = manner {
+            thread::sleep(Duration::from_micros(1_000_000 / rate));
+        }
     }
 }
 
-/// `None`: not as RFC 5424 has it.
-pub fn read(line: &str) -> Option<Message> {
-    let (priority, rest) = line.strip_prefix('<')?.split_once('>')?;
-    let priority: u8 = priority.parse().ok().filter(|p| *p < 192)?;
-    let mut fields = rest.splitn(7, ' ');
-    if fields.next()? != "1" {
-        return None;
-    }
-    let mut field = || fields.next().filter(|f| !f.is_empty()).map(str::to_string);
-    let (timestamp, host, app) = (field()?, field()?, field()?);
-    let (process, id, rest) = (field()?, field()?, field()?);
-    let (data, text) = match rest.strip_prefix('-') {
-        Some(text) => (BTreeMap::new(), text),
-        None => elements(&rest)?,
-    };
-    let text = if text.is_empty() { "" } else { text.strip_prefix(' ')? };
-    let (facility, severity, text) = (priority / 8, priority % 8, text.to_string());
-    Some(Message { facility, severity, timestamp, host, app, process, id, data, text })
-}
-
-type Elements = BTreeMap<String, BTreeMap<String, String>>;
-
-/// `[id name="value" ...][...]`, then what follows.
-fn elements(mut rest: &str) -> Option<(Elements, &str)> {
-    let mut all = Elements::new();
-    while let Some(inside) = rest.strip_prefix('[') {
-        let end = inside.find([' ', ']'])?;
-        let id = inside[..end].to_string();
-        let mut parameters = BTreeMap::new();
-        rest = &inside[end..];
-        while let Some(parameter) = rest.strip_prefix(' ') {
-            let (name, quoted) = parameter.split_once("=\"")?;
-            let (mut value, mut characters) = (String::new(), quoted.char_indices());
-            let end = loop {
-                match characters.next()? {
-                    (at, '"') => break at,
-                    (_, '\\') => match characters.next()?.1 {
-                        escaped @ ('"' | '\\' | ']') => value.push(escaped),
-                        other => value.extend(['\\', other]),
-                    },
-                    (_, ']') => return None,
-                    (_, other) => value.push(other),
-                }
-            };
-            parameters.insert(name.to_string(), value);
-            rest = &quoted[end + 1..];
+/// A message that is as RFC 5424 has it, and, where its MSGID is the catalogue's, as the catalogue has it.
+pub fn read(bytes: &[u8]) -> Received {
+    let text = || String::from_utf8_lossy(bytes).into_owned();
+    let message = parse(bytes).map_err(|error| format!("{error} in {}", text()))?;
+    let id = message.id.unwrap_or("-");
+    if let Some(entry) = events::ALL.iter().find(|entry| entry.id == id) {
+        let names: Vec<&str> = message
+            .element(entry.element)
+            .map(|element| element.parameters.iter().map(|(name, _)| *name).filter(|n| *n != "cut").collect())
+            .unwrap_or_default();
+        let wanted: Vec<&str> = entry.parameters.iter().map(|(name, _)| *name).collect();
+        if names != wanted || message.severity != entry.severity {
+            return Err(format!("not as the catalogue has {id}: {}", text()));
         }
-        rest = rest.strip_prefix(']')?;
-        all.insert(id, parameters);
+    } else if id != "-" {
+        return Err(format!("the catalogue has no {id}: {}", text()));
     }
-    (!all.is_empty()).then_some((all, rest))
+    let sequence = message.parameter("meta", "sequenceId").and_then(|value| value.parse().ok());
+    let data = message.elements.iter().map(|element| {
+        let parameters = element.parameters.iter().map(|(name, value)| (name.to_string(), value.to_string()));
+        (element.id.to_string(), parameters.collect())
+    });
+    Ok(Message {
+        facility: message.facility,
+        severity: message.severity,
+        app: message.app.unwrap_or("-").to_string(),
+        id: id.to_string(),
+        sequence: sequence.ok_or_else(|| format!("no sequenceId in {}", text()))?,
+        data: data.collect(),
+        text: message.text.unwrap_or_default().into_owned(),
+        bytes: bytes.len(),
+    })
 }
 
 #[cfg(test)]
@@ -120,31 +256,19 @@
     use super::*;
 
     #[test]
-    fn messages_are_read_with_their_structured_data_unescaped() {
-        let got =
-            read(r#"<28>1 2026-01-02T03:04:05.000006Z n3 app 7 core [a@1 x="1" y="\"\]\\\n"][b] hi there"#)
-                .unwrap();
-        assert_eq!(
-            (got.facility, got.severity, got.host.as_str(), got.text.as_str()),
-            (3, 4, "n3", "hi there")
-        );
-        assert_eq!(got.data["a@1"]["y"], r#""]\\n"#);
-        assert!(got.data["b"].is_empty());
-        assert_eq!(read("<30>1 - - - - - -").unwrap().text, "");
-    }
-
-    #[test]
-    fn what_is_no_message_is_not_read() {
-        for line in [
-            "",
-            "<192>1 - - - - - -",
-            "<30>2 - - - - - -",
-            "<30>1 - - - - -",
-            "<30>1 - - - - - [a x=\"1\" text",
-            "<30>1 - - - - - [a x=\"]\"] text",
-            "<30>1 - - - - - nothing",
+    fn what_is_not_as_the_catalogue_has_it_is_rejected() {
+        let start = "<30>1 2026-12-01T00:00:00Z n3 pathbank 7";
+        for (rest, sound) in [
+            (r#"WATCH [node@32473 version="1" address="x"][meta sequenceId="1"]"#, true),
+            (r#"- [pathbank@32473 a="1"][meta sequenceId="1"] text"#, true),
+            (r#"WATCH [node@32473 address="x" version="1"][meta sequenceId="1"]"#, false),
+            (r#"WATCH [node@32473 version="1"][meta sequenceId="1"]"#, false),
+            (r#"WATCH_BROKE [node@32473 version="1" reason="x"][meta sequenceId="1"]"#, false),
+            (r#"NOTHING [meta sequenceId="1"]"#, false),
+            (r#"WATCH [node@32473 version="1" address="x"]"#, false),
+            (r#"- [a"#, false),
         ] {
-            assert_eq!(read(line), None, "{line}");
+            assert_eq!(read(format!("{start} {rest}").as_bytes()).is_ok(), sound, "{rest}");
         }
     }
 }
--- /dev/null
+++ b/src/syslog/delivery.rs
@@ -0,0 +1,366 @@
+//! Which collector gets the lines, when one that failed is tried again, and which lines have been handed over.
+//!
+//! Syslog has no acknowledgement: a connection that breaks may have swallowed what was written to it last. So a line
+//! counts as handed over only when it has stood written for a while on a connection that still stands; what is younger
+//! is sent once more on the next connection. A collector may so get a line twice, with the same sequence id, but loses
+//! none of those that one repeat can save. Where connections end after a few lines, lines go one at a time, each with
+//! a moment in which the collector may close: an orderly end after a single line means that it was read.
+
+use crate::interface::Micros;
+use std::collections::VecDeque;
+
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// After a failure a collector rests for this long, doubled up to `most_rest`, and up to a half more by chance.
+    pub rest: Micros,
+    pub most_rest: Micros,
+    /// While a collector of less preference is used, a better one is tried again after this.
+    pub come_back: Micros,
+    /// A written line counts as handed over after this.
+    pub settle: Micros,
+    /// Bytes that may wait for that.
+    pub most_unsettled: usize,
+    /// Lines a second, so that one that returns is not flooded.
+    pub lines_per_second: f64,
+    /// A connection that ends within this many lines makes the next one careful.
+    pub few: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            rest: 200_000,
+            most_rest: 30_000_000,
+            come_back: 10_000_000,
+            settle: 1_000_000,
+            most_unsettled: 64 * 1024,
+            lines_per_second: 5_000.0,
+            few: 8,
+        }
+    }
+}
+
+#[derive(Debug, Default, Clone, Copy)]
+struct Collector {
+    failures: u32,
+    rests_until: Micros,
+}
+
+/// What is to be done next about connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Open one to this collector. If another is in use it stays so until this one stands.
+    Connect(usize),
+    /// Lines may be sent.
+    Send,
+    /// Nothing before that time.
+    Rest(Micros),
+}
+
+#[derive(Debug)]
+pub struct Delivery {
+    limits: Limits,
+    collectors: Vec<Collector>,
+    active: Option<usize>,
+    come_back_at: Micros,
+    lines_on_connection: u64,
+    careful: bool,
+    random: fastrand::Rng,
+    allowance: f64,
+    allowance_at: Micros,
+}
+
+impl Delivery {
+    pub fn new(collectors: usize, limits: Limits, seed: u64) -> Delivery {
+        Delivery {
+            limits,
+            collectors: vec![Collector::default(); collectors],
+            active: None,
+            come_back_at: 0,
+            lines_on_connection: 0,
+            careful: false,
+            random: fastrand::Rng::with_seed(seed),
+            allowance: limits.lines_per_second / 10.0,
+            allowance_at: 0,
+        }
+    }
+
+    pub fn active(&self) -> Option<usize> {
+        self.active
+    }
+
+    /// One line at a time, each with a moment for the collector to close.
+    pub fn careful(&self) -> bool {
+        self.careful
+    }
+
+    /// The first collector in order that does not rest.
+    pub fn step(&self, now: Micros) -> Step {
+        let rested = self.collectors.iter().position(|collector| now >= collector.rests_until);
+        match (self.active, rested) {
+            (Some(active), Some(better)) if better < active && now >= self.come_back_at => {
+                Step::Connect(better)
+            }
+            (Some(_), _) => Step::Send,
+            (None, Some(first)) => Step::Connect(first),
+            (None, None) => {
+                Step::Rest(self.collectors.iter().map(|collector| collector.rests_until).min().unwrap_or(now))
+            }
+        }
+    }
+
+    pub fn connected(&mut self, now: Micros, collector: usize) {
+        self.active = Some(collector);
+        self.lines_on_connection = 0;
+        self.come_back_at = now + self.limits.come_back;
+    }
+
+    /// It did not come up.
+    pub fn failed(&mut self, now: Micros, collector: usize) {
+        self.rest(now, collector);
+        self.come_back_at = now + self.limits.come_back;
+    }
+
+    /// The connection in use has ended. True: orderly.
+    pub fn ended(&mut self, now: Micros, orderly: bool) {
+        let Some(active) = self.active.take() else { return };
+        self.careful = self.lines_on_connection <= self.limits.few;
+        // One that takes lines and then closes is there: it is asked again at once.
+        if !orderly || self.lines_on_connection == 0 {
+            self.rest(now, active);
+        }
+    }
+
+    fn rest(&mut self, now: Micros, collector: usize) {
+        let Limits { rest, most_rest, .. } = self.limits;
+        let known = &mut self.collectors[collector];
+        let rest = (rest << known.failures.min(20)).min(most_rest);
+        known.failures += 1;
+        known.rests_until = now + rest + self.random.u64(0..=rest / 2);
+    }
+
+    /// A line is on its way.
+    pub fn wrote(&mut self) {
+        self.lines_on_connection += 1;
+        self.allowance -= 1.0;
+    }
+
+    /// Lines have stood long enough: the collector is well.
+    pub fn settled(&mut self) {
+        if let Some(active) = self.active {
+            self.collectors[active].failures = 0;
+        }
+        self.careful &= self.lines_on_connection <= self.limits.few;
+    }
+
+    /// `None`: a line may go now. Otherwise when.
+    pub fn pace(&mut self, now: Micros) -> Option<Micros> {
+        let rate = self.limits.lines_per_second;
+        let filled = rate * now.saturating_sub(self.allowance_at) as f64 / 1e6;
+        (self.allowance, self.allowance_at) = ((self.allowance + filled).min((rate / 10.0).max(1.0)), now);
+        let short = 1.0 - self.allowance;
+        (short > 0.0).then(|| now + (short / rate * 1e6).ceil() as Micros)
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Written {
+    key: u64,
+    at: Micros,
+    length: usize,
+    again: bool,
+}
+
+/// Lines that were written, but may be lost with their connection.
+#[derive(Debug, Default)]
+pub struct Unsettled {
+    written: VecDeque<Written>,
+    bytes: VecDeque<u8>,
+    /// Those of an ended connection that are to be sent once more.
+    again: VecDeque<(u64, Vec<u8>)>,
+}
+
+impl Unsettled {
+    pub fn is_empty(&self) -> bool {
+        self.written.is_empty() && self.again.is_empty()
+    }
+
+    pub fn wrote(&mut self, now: Micros, key: u64, line: &[u8], again: bool) {
+        self.written.push_back(Written { key, at: now, length: line.len(), again });
+        self.bytes.extend(line);
+    }
+
+    /// The greatest key that has been handed over with this, if any has.
+    pub fn settle(&mut self, now: Micros, limits: &Limits) -> Option<u64> {
+        let mut greatest = None;
+        while let Some(first) = self.written.front() {
+            let old = now >= first.at + limits.settle;
+            if !old && self.bytes.len() <= limits.most_unsettled {
+                break;
+            }
+            greatest = greatest.max(Some(first.key));
+            self.drop_first();
+        }
+        greatest
+    }
+
+    /// All that is written has been read.
+    pub fn settle_all(&mut self) -> Option<u64> {
+        let greatest = self.written.iter().map(|written| written.key).max();
+        self.written.clear();
+        self.bytes.clear();
+        greatest
+    }
+
+    fn drop_first(&mut self) {
+        if let Some(first) = self.written.pop_front() {
+            self.bytes.drain(..first.length);
+        }
+    }
+
+    /// The connection is gone: what was sent once is sent again, what was sent twice is given up. Returns how many of
+    /// those there were.
+    pub fn ended(&mut self) -> usize {
+        let mut given_up = 0;
+        let mut back = Vec::new();
+        while let Some(first) = self.written.pop_front() {
+            let line: Vec<u8> = self.bytes.drain(..first.length).collect();
+            if first.again {
+                given_up += 1;
+            } else {
+                back.push((first.key, line));
+            }
+        }
+        // In front of those that had no turn yet.
+        back.into_iter().rev().for_each(|line| self.again.push_front(line));
+        given_up
+    }
+
+    pub fn next_again(&mut self) -> Option<(u64, Vec<u8>)> {
+        self.again.pop_front()
+    }
+
+    pub fn put_back(&mut self, key: u64, line: Vec<u8>) {
+        self.again.push_front((key, line));
+    }
+
+    /// When the next line settles.
+    pub fn next_settles(&self, limits: &Limits) -> Option<Micros> {
+        self.written.front().map(|first| first.at + limits.settle)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const S: Micros = 1_000_000;
+
+    fn two() -> Delivery {
+        Delivery::new(2, Limits::default(), 7)
+    }
+
+    #[test]
+    fn the_first_in_order_is_used_and_its_second_while_it_rests() {
+        let mut delivery = two();
+        assert_eq!(delivery.step(S), Step::Connect(0));
+        delivery.failed(S, 0);
+        assert_eq!(delivery.step(S), Step::Connect(1));
+        delivery.connected(S, 1);
+        assert_eq!(delivery.step(S), Step::Send);
+        assert_eq!(delivery.step(10 * S), Step::Send, "not before it may come back");
+        assert_eq!(delivery.step(11 * S), Step::Connect(0));
+        delivery.failed(11 * S, 0);
+        assert_eq!((delivery.step(12 * S), delivery.active()), (Step::Send, Some(1)));
+        assert_eq!(delivery.step(21 * S), Step::Connect(0));
+        delivery.connected(21 * S, 0);
+        assert_eq!((delivery.step(40 * S), delivery.active()), (Step::Send, Some(0)));
+    }
+
+    #[test]
+    fn rests_grow_and_differ_and_end_with_lines_that_were_handed_over() {
+        let mut delivery = Delivery::new(1, Limits::default(), 7);
+        let (mut now, mut rests) = (S, Vec::new());
+        for _ in 0..12 {
+            assert_eq!(delivery.step(now), Step::Connect(0));
+            delivery.failed(now, 0);
+            let Step::Rest(until) = delivery.step(now) else { panic!() };
+            rests.push(until - now);
+            now = until;
+        }
+        for (i, rest) in rests.iter().enumerate() {
+            let least = (200_000u64 << i).min(30 * S);
+            assert!((least..=least + least / 2).contains(rest), "{rests:?}");
+        }
+        delivery.connected(now, 0);
+        delivery.wrote();
+        delivery.settled();
+        delivery.ended(now, false);
+        let Step::Rest(until) = delivery.step(now) else { panic!() };
+        assert!(until - now <= 300_000, "it was well in between");
+        let other = Delivery::new(1, Limits::default(), 8);
+        let mut other = other;
+        other.failed(S, 0);
+        assert_ne!(other.step(S), Step::Rest(S + rests[0]), "heads do not come all at once");
+    }
+
+    #[test]
+    fn one_that_closes_after_few_lines_gets_them_one_at_a_time() {
+        let mut delivery = two();
+        delivery.connected(S, 0);
+        (0..3).for_each(|_| delivery.wrote());
+        assert!(!delivery.careful());
+        delivery.ended(S, true);
+        assert!(delivery.careful());
+        assert_eq!(delivery.step(S), Step::Connect(0), "it is there, and asked again at once");
+        delivery.connected(S, 0);
+        delivery.ended(S, true);
+        assert_eq!(delivery.step(S), Step::Connect(1), "it took no line");
+        delivery.connected(S, 1);
+        (0..9).for_each(|_| delivery.wrote());
+        delivery.settled();
+        assert!(!delivery.careful(), "this one takes many");
+    }
+
+    #[test]
+    fn lines_keep_to_the_pace() {
+        let limits = Limits { lines_per_second: 100.0, ..Limits::default() };
+        let mut delivery = Delivery::new(1, limits, 7);
+        let (mut now, mut sent) = (S, 0);
+        while now < 11 * S {
+            match delivery.pace(now) {
+                None => {
+                    delivery.wrote();
+                    sent += 1;
+                }
+                Some(until) => {
+                    assert!(until > now);
+                    now = until;
+                }
+            }
+        }
+        assert!((990..=1_011).contains(&sent), "{sent} lines in ten seconds");
+    }
+
+    #[test]
+    fn what_a_broken_connection_may_have_swallowed_is_sent_once_more_and_no_further() {
+        let limits = Limits { most_unsettled: 10, ..Limits::default() };
+        let mut unsettled = Unsettled::default();
+        for key in 1..=4 {
+            unsettled.wrote(key * 100_000, key, b"line", false);
+        }
+        assert_eq!(unsettled.settle(400_000, &limits), Some(2), "more than may wait");
+        assert_eq!(unsettled.settle(1_300_000, &limits), Some(3), "old enough");
+        assert_eq!(unsettled.next_settles(&limits), Some(1_400_000));
+        unsettled.wrote(1_310_000, 5, b"five", false);
+        assert_eq!(unsettled.ended(), 0);
+        assert_eq!(unsettled.next_again(), Some((4, b"line".to_vec())));
+        unsettled.wrote(1_400_000, 4, b"line", true);
+        // 5 had no turn yet; 4 has had both of its own.
+        assert_eq!(unsettled.ended(), 1);
+        assert_eq!(unsettled.next_again(), Some((5, b"five".to_vec())));
+        assert_eq!((unsettled.next_again(), unsettled.is_empty()), (None, true));
+        unsettled.wrote(S, 6, b"six", true);
+        assert_eq!((unsettled.settle_all(), unsettled.is_empty()), (Some(6), true));
+    }
+}
--- /dev/null
+++ b/src/syslog/parse.rs
@@ -0,0 +1,354 @@
+//! A strict reader of RFC 5424: all that the grammar allows and nothing else, with the byte at which it went wrong.
+
+use super::Severity;
+use std::borrow::Cow;
+use std::fmt;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Malformed {
+    pub at: usize,
+    pub what: &'static str,
+}
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "byte {}: {}", self.at, self.what)
+    }
+}
+
+impl std::error::Error for Malformed {}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Message<'a> {
+    pub facility: u8,
+    pub severity: Severity,
+    /// `None`: NILVALUE, as for the others.
+    pub timestamp: Option<&'a str>,
+    pub host: Option<&'a str>,
+    pub app: Option<&'a str>,
+    pub process: Option<&'a str>,
+    pub id: Option<&'a str>,
+    pub elements: Vec<Element<'a>>,
+    /// Without its BOM; `None`: there is no MSG.
+    pub text: Option<Cow<'a, str>>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Element<'a> {
+    pub id: &'a str,
+    pub parameters: Vec<(&'a str, Cow<'a, str>)>,
+}
+
+impl<'a> Message<'a> {
+    pub fn element(&self, id: &str) -> Option<&Element<'a>> {
+        self.elements.iter().find(|element| element.id == id)
+    }
+
+    pub fn parameter(&self, element: &str, name: &str) -> Option<&Cow<'a, str>> {
+        self.element(element)?.parameter(name)
+    }
+
+    /// The first of that name in any element.
+    pub fn any(&self, name: &str) -> Option<&Cow<'a, str>> {
+        self.elements.iter().find_map(|element| element.parameter(name))
+    }
+}
+
+impl<'a> Element<'a> {
+    pub fn parameter(&self, name: &str) -> Option<&Cow<'a, str>> {
+        self.parameters.iter().find(|(known, _)| *known == name).map(|(_, value)| value)
+    }
+}
+
+struct Reader<'a> {
+    bytes: &'a [u8],
+    at: usize,
+}
+
+type Read<T> = Result<T, Malformed>;
+
+impl<'a> Reader<'a> {
+    fn wrong<T>(&self, what: &'static str) -> Read<T> {
+        Err(Malformed { at: self.at, what })
+    }
+
+    fn peek(&self) -> Option<u8> {
+        self.bytes.get(self.at).copied()
+    }
+
+    fn expect(&mut self, byte: u8, what: &'static str) -> Read<()> {
+        if self.peek() != Some(byte) {
+            return self.wrong(what);
+        }
+        self.at += 1;
+        Ok(())
+    }
+
+    fn digits(&mut self, most: usize) -> &'a [u8] {
+        let rest = &self.bytes[self.at..];
+        let count = rest.iter().take(most).take_while(|byte| byte.is_ascii_digit()).count();
+        self.at += count;
+        &rest[..count]
+    }
+
+    /// Exactly so many digits with a value in the range.
+    fn figure(
+        &mut self,
+        count: usize,
+        range: std::ops::RangeInclusive<u32>,
+        what: &'static str,
+    ) -> Read<u32> {
+        let start = self.at;
+        let digits = self.digits(count);
+        let value = digits.iter().fold(0u32, |value, digit| value * 10 + u32::from(digit - b'0'));
+        if digits.len() != count || !range.contains(&value) {
+            self.at = start;
+            return self.wrong(what);
+        }
+        Ok(value)
+    }
+
+    /// PRINTUSASCII up to a space.
+    fn field(&mut self, most: usize, what: &'static str) -> Read<Option<&'a str>> {
+        let rest = &self.bytes[self.at..];
+        let length = rest.iter().take_while(|byte| (33..=126).contains(*byte)).count();
+        if length == 0 || length > most {
+            return self.wrong(what);
+        }
+        let text = std::str::from_utf8(&rest[..length]).or_else(|_| self.wrong(what))?;
+        self.at += length;
+        self.expect(b' ', what)?;
+        Ok((text != "-").then_some(text))
+    }
+
+    fn timestamp(&mut self) -> Read<Option<&'a str>> {
+        let start = self.at;
+        if self.bytes[self.at..].starts_with(b"- ") {
+            self.at += 2;
+            return Ok(None);
+        }
+        let year = self.figure(4, 0..=9999, "a year of four digits is due")?;
+        self.expect(b'-', "a - is due after the year")?;
+        let month = self.figure(2, 1..=12, "a month from 01 to 12 is due")?;
+        self.expect(b'-', "a - is due after the month")?;
+        let leap = year % 4 == 0 && (year % 100 != 0 || year % 400 == 0);
+        let days = match month {
+            4 | 6 | 9 | 11 => 30,
+            2 => 28 + u32::from(leap),
+            _ => 31,
+        };
+        self.figure(2, 1..=days, "a day of its month is due")?;
+        self.expect(b'T', "a T is due after the date")?;
+        self.figure(2, 0..=23, "an hour from 00 to 23 is due")?;
+        self.expect(b':', "a : is due after the hour")?;
+        self.figure(2, 0..=59, "a minute from 00 to 59 is due")?;
+        self.expect(b':', "a : is due after the minute")?;
+        self.figure(2, 0..=59, "a second from 00 to 59 is due")?;
+        if self.peek() == Some(b'.') {
+            self.at += 1;
+            if self.digits(6).is_empty() {
+                return self.wrong("one to six digits are due after the point");
+            }
+        }
+        match self.peek() {
+            Some(b'Z') => self.at += 1,
+            Some(b'+' | b'-') => {
+                self.at += 1;
+                self.figure(2, 0..=23, "an offset's hours are due")?;
+                self.expect(b':', "a : is due in an offset")?;
+                self.figure(2, 0..=59, "an offset's minutes are due")?;
+            }
+            _ => return self.wrong("Z or an offset is due after the time"),
+        }
+        let text = std::str::from_utf8(&self.bytes[start..self.at]).or_else(|_| self.wrong("no time"))?;
+        self.expect(b' ', "a space is due after the time")?;
+        Ok(Some(text))
+    }
+
+    /// SD-NAME.
+    fn name(&mut self, what: &'static str) -> Read<&'a str> {
+        let rest = &self.bytes[self.at..];
+        let fits = |byte: &&u8| (33..=126).contains(*byte) && !matches!(**byte, b'=' | b']' | b'"');
+        let length = rest.iter().take_while(fits).count();
+        if !(1..=32).contains(&length) {
+            return self.wrong(what);
+        }
+        let text = std::str::from_utf8(&rest[..length]).or_else(|_| self.wrong(what))?;
+        self.at += length;
+        Ok(text)
+    }
+
+    fn value(&mut self) -> Read<Cow<'a, str>> {
+        self.expect(b'"', "a value's opening quote is due")?;
+        let start = self.at;
+        let (mut from, mut unescaped) = (start, String::new());
+        loop {
+            match self.peek() {
+                None => return self.wrong("a value has no closing quote"),
+                Some(b'"') => break,
+                Some(b']') => return self.wrong("a ] in a value is not escaped"),
+                Some(b'\\') => {
+                    if let Some(b'"' | b'\\' | b']') = self.bytes.get(self.at + 1) {
+                        unescaped.push_str(self.text(from, self.at)?);
+                        from = self.at + 1;
+                        self.at += 2;
+                    } else {
+                        self.at += 1; // a backslash like any other character
+                    }
+                }
+                Some(_) => self.at += 1,
+            }
+        }
+        let last = self.text(from, self.at)?;
+        self.at += 1;
+        Ok(if from == start {
+            Cow::Borrowed(last)
+        } else {
+            unescaped.push_str(last);
+            Cow::Owned(unescaped)
+        })
+    }
+
+    fn text(&self, from: usize, to: usize) -> Read<&'a str> {
+        std::str::from_utf8(&self.bytes[from..to])
+            .map_err(|error| Malformed { at: from + error.valid_up_to(), what: "no UTF-8" })
+    }
+
+    fn elements(&mut self) -> Read<Vec<Element<'a>>> {
+        let mut elements: Vec<Element> = Vec::new();
+        if self.peek() == Some(b'-') {
+            self.at += 1;
+            return Ok(elements);
+        }
+        while self.peek() == Some(b'[') {
+            self.at += 1;
+            let at = self.at;
+            let id = self.name("an element's id is due")?;
+            if elements.iter().any(|known| known.id == id) {
+                return Err(Malformed { at, what: "an element's id is there twice" });
+            }
+            let mut parameters = Vec::new();
+            while self.peek() == Some(b' ') {
+                self.at += 1;
+                let name = self.name("a parameter's name is due")?;
+                self.expect(b'=', "a = is due after a parameter's name")?;
+                parameters.push((name, self.value()?));
+            }
+            self.expect(b']', "a ] is due after an element")?;
+            elements.push(Element { id, parameters });
+        }
+        if elements.is_empty() { self.wrong("structured data or - is due") } else { Ok(elements) }
+    }
+}
+
+pub fn parse(bytes: &[u8]) -> Result<Message<'_>, Malformed> {
+    let mut reader = Reader { bytes, at: 0 };
+    reader.expect(b'<', "a < is due first")?;
+    let digits = reader.digits(3);
+    let leading_zero = digits.len() > 1 && digits[0] == b'0';
+    let priority = digits.iter().fold(0u32, |value, digit| value * 10 + u32::from(digit - b'0'));
+    if digits.is_empty() || leading_zero || priority > 191 {
+        return Err(Malformed { at: 1, what: "a priority from 0 to 191 is due" });
+    }
+    reader.expect(b'>', "a > is due after the priority")?;
+    reader.expect(b'1', "version 1 is due")?;
+    reader.expect(b' ', "version 1 and a space are due")?;
+    let timestamp = reader.timestamp()?;
+    let host = reader.field(255, "a host of 1 to 255 printable characters is due")?;
+    let app = reader.field(48, "an application's name of 1 to 48 printable characters is due")?;
+    let process = reader.field(128, "a process's id of 1 to 128 printable characters is due")?;
+    let id = reader.field(32, "a message's id of 1 to 32 printable characters is due")?;
+    let elements = reader.elements()?;
+    let text = match reader.peek() {
+        None => None,
+        Some(b' ') => {
+            let from = reader.at + 1;
+            let rest = &bytes[from..];
+            Some(match rest.strip_prefix("\u{feff}".as_bytes()) {
+                // With a BOM it says that it is UTF-8, and has to be.
+                Some(_) => Cow::Borrowed(reader.text(from + 3, bytes.len())?),
+                None => String::from_utf8_lossy(rest),
+            })
+        }
+        Some(_) => return reader.wrong("a space or the end is due after structured data"),
+    };
+    let severity = Severity::ALL[(priority % 8) as usize];
+    Ok(Message {
+        facility: (priority / 8) as u8,
+        severity,
+        timestamp,
+        host,
+        app,
+        process,
+        id,
+        elements,
+        text,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_specifications_own_examples_are_read() {
+        let with_text =
+            "<34>1 2003-10-11T22:14:15.003Z mymachine.example.com su - ID47 - \u{feff}'su root' failed";
+        let message = parse(with_text.as_bytes()).unwrap();
+        assert_eq!((message.facility, message.severity), (4, Severity::Critical));
+        assert_eq!((message.process, message.id), (None, Some("ID47")));
+        assert_eq!(message.text.as_deref(), Some("'su root' failed"));
+        let data = r#"<165>1 2003-08-24T05:14:15.000003-07:00 192.0.2.1 myproc 8710 - [exampleSDID@32473 iut="3" eventSource="Application" eventID="1011"][examplePriority@32473 class="high"]"#;
+        let message = parse(data.as_bytes()).unwrap();
+        assert_eq!(message.parameter("exampleSDID@32473", "iut").map(|v| &**v), Some("3"));
+        assert_eq!(message.any("class").map(|v| &**v), Some("high"));
+        assert_eq!(message.text, None);
+        let odd = r#"<0>1 - - - - - [x a="\a\"\\\]" a="2"] "#;
+        let message = parse(odd.as_bytes()).unwrap();
+        assert_eq!(message.elements[0].parameters[0].1, r#"\a"\]"#);
+        assert_eq!((message.text.as_deref(), message.elements[0].parameters.len()), (Some(""), 2));
+        assert_eq!(parse(b"<30>1 - - - - - - \xff").unwrap().text.as_deref(), Some("\u{fffd}"));
+    }
+
+    #[test]
+    fn what_is_no_message_is_told_with_the_byte_at_fault() {
+        let long = "x".repeat(33);
+        for (line, at) in [
+            ("", 0),
+            ("34>1", 0),
+            ("<>1", 1),
+            ("<192>1 - - - - - -", 1),
+            ("<034>1 - - - - - -", 1),
+            ("<1234>1 - - - - - -", 4),
+            ("<30>2 - - - - - -", 4),
+            ("<30>12 - - - - - -", 5),
+            ("<30>1  - - - - -", 6),
+            ("<30>1 2026-13-01T00:00:00Z - - - - -", 11),
+            ("<30>1 2026-02-29T00:00:00Z - - - - -", 14),
+            ("<30>1 2026-12-01t00:00:00Z - - - - -", 16),
+            ("<30>1 2026-12-01T24:00:00Z - - - - -", 17),
+            ("<30>1 2026-12-01T00:00:60Z - - - - -", 23),
+            ("<30>1 2026-12-01T00:00:00.Z - - - - -", 26),
+            ("<30>1 2026-12-01T00:00:00.1234567Z - - - - -", 32),
+            ("<30>1 2026-12-01T00:00:00 - - - - -", 25),
+            ("<30>1 2026-12-01T00:00:00z - - - - -", 25),
+            ("<30>1 - - - - -", 15),
+            ("<30>1 - h\u{e9} - - - -", 9),
+            ("<30>1 - - - - - nothing", 16),
+            ("<30>1 - - - - - [", 17),
+            ("<30>1 - - - - - [a x=\"1\" text", 29),
+            ("<30>1 - - - - - [a x=1]", 21),
+            ("<30>1 - - - - - [a x=\"]\"] text", 22),
+            ("<30>1 - - - - - [a x=\"1] text", 23),
+            ("<30>1 - - - - - [a x=\"1\"][a]", 26),
+            ("<30>1 - - - - - [a]x", 19),
+            ("<30>1 - - - - - -x", 17),
+            (&format!("<30>1 - - - - - [{long}]"), 17),
+            (&format!("<30>1 - - - - {long} -"), 14),
+        ] {
+            assert_eq!(parse(line.as_bytes()).map_err(|e| e.at), Err(at), "{line}");
+        }
+        assert_eq!(parse(b"<30>1 - - - - - [a x=\"\xc3\"]").unwrap_err().at, 22);
+        assert_eq!(parse(b"<30>1 - - - - - - \xef\xbb\xbfab\xff").unwrap_err().at, 23);
+    }
+}
--- /dev/null
+++ b/src/syslog/queue.rs
@@ -0,0 +1,194 @@
+//! Lines that wait: a ring bounded in bytes. What does not fit is dropped by severity, the least first and of those
+//! the oldest, and counted so that it can be told.
+//!
+//! One ring of bytes for each severity, so that a line goes without a search and no line is an allocation of its own
+//! in the steady state: O(1) for push, pop and each drop. A plain list of lines would search for the least severe.
+
+use super::Severity;
+use crate::interface::Micros;
+use std::collections::VecDeque;
+
+/// What each line costs besides its bytes.
+const OVERHEAD: usize = size_of::<Mark>();
+
+#[derive(Clone, Copy, Debug)]
+struct Mark {
+    serial: u64,
+    at: Micros,
+    length: u32,
+    id: &'static str,
+}
+
+#[derive(Debug, Default)]
+struct Ring {
+    bytes: VecDeque<u8>,
+    marks: VecDeque<Mark>,
+}
+
+/// Lines of one MSGID that were dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Dropped {
+    pub id: &'static str,
+    pub count: u64,
+    pub from: Micros,
+    pub until: Micros,
+}
+
+#[derive(Debug)]
+pub struct Queue {
+    rings: [Ring; 8],
+    most: usize,
+    held: usize,
+    lines: usize,
+    serial: u64,
+    dropped: Vec<Dropped>,
+}
+
+impl Queue {
+    /// `most`: in bytes, with what each line costs besides.
+    pub fn new(most: usize) -> Queue {
+        Queue { rings: Default::default(), most, held: 0, lines: 0, serial: 0, dropped: Vec::new() }
+    }
+
+    pub fn lines(&self) -> usize {
+        self.lines
+    }
+
+    pub fn bytes(&self) -> usize {
+        self.held
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.lines == 0
+    }
+
+    /// False: it was dropped itself, for nothing of less weight was left.
+    pub fn push(&mut self, now: Micros, severity: Severity, id: &'static str, line: &[u8]) -> bool {
+        let cost = line.len() + OVERHEAD;
+        while self.held + cost > self.most {
+            let least = Severity::ALL.into_iter().rev().find(|s| !self.rings[*s as usize].marks.is_empty());
+            match least.filter(|least| *least >= severity) {
+                Some(least) => {
+                    if let Some(mark) = self.take(least, |_| {}) {
+                        self.note(mark.id, mark.at);
+                    }
+                }
+                None => {
+                    self.note(id, now);
+                    return false;
+                }
+            }
+        }
+        self.serial += 1;
+        let ring = &mut self.rings[severity as usize];
+        ring.bytes.extend(line);
+        ring.marks.push_back(Mark { serial: self.serial, at: now, length: line.len() as u32, id });
+        self.held += cost;
+        self.lines += 1;
+        true
+    }
+
+    /// The oldest line goes into the buffer. `None`: there is none.
+    pub fn pop(&mut self, line: &mut Vec<u8>) -> Option<(Severity, &'static str)> {
+        let oldest = Severity::ALL
+            .into_iter()
+            .filter_map(|s| Some((self.rings[s as usize].marks.front()?.serial, s)))
+            .min()?;
+        line.clear();
+        let mark = self.take(oldest.1, |bytes| line.extend(bytes))?;
+        Some((oldest.1, mark.id))
+    }
+
+    fn take(
+        &mut self,
+        severity: Severity,
+        with: impl FnOnce(std::collections::vec_deque::Drain<'_, u8>),
+    ) -> Option<Mark> {
+        let ring = &mut self.rings[severity as usize];
+        let mark = ring.marks.pop_front()?;
+        with(ring.bytes.drain(..mark.length as usize));
+        self.held -= mark.length as usize + OVERHEAD;
+        self.lines -= 1;
+        Some(mark)
+    }
+
+    fn note(&mut self, id: &'static str, at: Micros) {
+        match self.dropped.iter_mut().find(|dropped| dropped.id == id) {
+            Some(known) => {
+                known.count += 1;
+                (known.from, known.until) = (known.from.min(at), known.until.max(at));
+            }
+            None => self.dropped.push(Dropped { id, count: 1, from: at, until: at }),
+        }
+    }
+
+    /// What was dropped since this was asked last.
+    pub fn dropped(&mut self) -> Vec<Dropped> {
+        std::mem::take(&mut self.dropped)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn popped(queue: &mut Queue) -> Vec<String> {
+        let (mut line, mut all) = (Vec::new(), Vec::new());
+        while queue.pop(&mut line).is_some() {
+            all.push(String::from_utf8(line.clone()).unwrap());
+        }
+        all
+    }
+
+    #[test]
+    fn lines_come_out_in_the_order_in_which_they_went_in() {
+        let mut queue = Queue::new(10_000);
+        for (i, severity) in [6, 3, 6, 4, 3, 7].into_iter().enumerate() {
+            assert!(queue.push(i as u64, Severity::ALL[severity], "X", format!("l{i}").as_bytes()));
+        }
+        assert_eq!(queue.lines(), 6);
+        assert_eq!(popped(&mut queue), ["l0", "l1", "l2", "l3", "l4", "l5"]);
+        assert_eq!((queue.bytes(), queue.lines(), queue.dropped()), (0, 0, vec![]));
+    }
+
+    #[test]
+    fn the_least_severe_and_oldest_go_first_and_are_told() {
+        let mut queue = Queue::new(4 * (2 + OVERHEAD));
+        let info = Severity::Informational;
+        queue.push(1, info, "A", b"a1");
+        queue.push(2, Severity::Error, "E", b"e1");
+        queue.push(3, info, "B", b"b1");
+        queue.push(4, Severity::Warning, "W", b"w1");
+        assert!(queue.push(5, Severity::Error, "E", b"e2"));
+        assert!(queue.push(6, info, "A", b"a2"), "of the same weight, the older one goes");
+        assert!(queue.push(7, Severity::Error, "E", b"e3"));
+        assert!(queue.push(8, Severity::Error, "E", b"e4"));
+        assert!(!queue.push(9, info, "A", b"a3"), "all that is held weighs more");
+        assert!(queue.push(10, Severity::Error, "E", b"e5"));
+        assert_eq!(popped(&mut queue), ["e2", "e3", "e4", "e5"]);
+        let dropped = |id, count, from, until| Dropped { id, count, from, until };
+        let wanted =
+            [dropped("A", 3, 1, 9), dropped("B", 1, 3, 3), dropped("W", 1, 4, 4), dropped("E", 1, 2, 2)];
+        assert_eq!(queue.dropped(), wanted);
+        assert_eq!(queue.dropped(), []);
+    }
+
+    #[test]
+    fn a_line_longer_than_the_bound_is_dropped_and_the_bound_always_holds() {
+        let mut queue = Queue::new(500);
+        assert!(!queue.push(0, Severity::Emergency, "L", &[b'x'; 500]));
+        let mut random = fastrand::Rng::with_seed(3);
+        let (mut pushed, mut out, mut line) = (1, 0, Vec::new());
+        for i in 0..5_000 {
+            let severity = Severity::ALL[random.usize(0..8)];
+            queue.push(i, severity, "R", &vec![b'y'; random.usize(0..120)]);
+            pushed += 1;
+            if random.u8(0..4) == 0 {
+                out += u64::from(queue.pop(&mut line).is_some());
+            }
+            assert!(queue.bytes() <= 500);
+        }
+        let dropped: u64 = queue.dropped().iter().map(|dropped| dropped.count).sum();
+        assert_eq!(out + dropped + queue.lines() as u64, pushed);
+    }
+}
--- a/tests/head.rs
+++ b/tests/head.rs
@@ -303,7 +303,7 @@
 fn without_discovery_the_list_that_was_known_serves() {
     let stage = stage_with(Setup { watched: false, ..Setup::default() });
     assert_eq!(stage.client().ask("token-read", LONG, b"").unwrap().0, 200);
-    stage.head.logged("the watch on the node list broke").unwrap();
+    stage.head.logged(" WATCH_BROKE ").unwrap();
 }
 
 #[test]
@@ -324,7 +324,7 @@
     client.send("token-read", LONG, "", b"").unwrap();
     stage.taken();
     stage.head.terminate().unwrap();
-    stage.head.logged("leaving").unwrap();
+    stage.head.logged(" LEAVING ").unwrap();
     drop(release);
     assert_eq!(client.receive().unwrap().0, 200);
     // The clients that there are go on being served, in as many requests as they like.
@@ -348,7 +348,7 @@
         let place = Discovery::start(vec![node()]).unwrap();
         stage.head.reload("discovery", json!(place.address)).unwrap();
         wait_for(&place.watches, "the watch at the new address", |()| true).unwrap();
-        stage.head.logged("the watch stands").unwrap();
+        stage.head.logged(" WATCH ").unwrap();
         places.push(place);
     }
     // What the last one tells is heard, and what was open all the while is answered.
@@ -364,7 +364,7 @@
     let stage = stage(1024);
     for (key, fault) in [("discovery", "key discovery of the configuration"), ("settings", "settings")] {
         stage.head.reload(key, json!("nonsense")).unwrap();
-        let line = stage.head.logged("the old configuration stays in force").unwrap();
+        let line = stage.head.logged(" RELOAD_FAILED ").unwrap();
         assert!(line.contains(fault), "{line}");
     }
     stage.discovery.tell(entry("s-1", stage.brick.address, 0, "terminating")).unwrap();
@@ -380,9 +380,9 @@
     client.send("token-read", LONG, "", b"").unwrap();
     stage.taken();
     stage.head.terminate().unwrap();
-    stage.head.logged("leaving").unwrap();
+    stage.head.logged(" LEAVING ").unwrap();
     stage.head.reload("discovery", json!("127.0.0.1:1")).unwrap();
-    stage.head.logged("the configuration is read again").unwrap();
+    stage.head.logged(" RELOADED ").unwrap();
     drop(release);
     assert_eq!(client.receive().unwrap().0, 200);
     assert_eq!(stage.head.ended().unwrap().code(), Some(0));
