Play collectors that stall, close, vanish and change, and a spool that outlives a kill

Each hard case of the log is now caused on real sockets: a collector that stops inside a frame, one that closes after every frame, wrong certificates, fail-over and return, reload of certificates, a head that is killed, a standard error that nobody reads, drops told to the line. The cases found two faults: lines took their sequence ids before their place on the queue, and a system's send buffer held megabytes in doubt; both are bounded now.

--- a/src/logging/mod.rs
+++ b/src/logging/mod.rs
@@ -21,7 +21,7 @@
 use std::cell::RefCell;
 use std::fmt;
 use std::io::{self, Write};
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -107,7 +107,8 @@
     level: LevelFilter,
     process: u32,
     limits: Limits,
-    sequence: AtomicU32,
+    /// Held until a line is on its queues: their order is that of the ids.
+    sequence: Mutex<u32>,
     stderr: Format,
     to_stderr: Arc<Pipe>,
     to_collectors: Option<Arc<Pipe>>,
@@ -130,6 +131,7 @@
             // A value that logs while it is written would come here again; its line is left out.
             let Ok(mut buffers) = buffers.try_borrow_mut() else { return };
             let (line, json) = &mut *buffers;
+            let mut sequence = self.sequence.lock().unwrap_or_else(PoisonError::into_inner);
             let at = jiff::Timestamp::now();
             let now = Micros::try_from(at.as_microsecond()).unwrap_or(0);
             let entry = events::entry(record.target());
@@ -138,8 +140,8 @@
                 None => (plain(record.level()), "-"),
             };
             if self.stderr == Format::Syslog || self.to_collectors.is_some() {
-                let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) % MOST_SEQUENCE + 1;
-                self.encode(line, at, severity, id, sequence, entry, record);
+                *sequence = *sequence % MOST_SEQUENCE + 1;
+                self.encode(line, at, severity, id, *sequence, entry, record);
             }
             match self.stderr {
                 Format::Syslog => self.to_stderr.push(now, severity, id, line.as_bytes()),
@@ -299,7 +301,7 @@
         level,
         process: std::process::id(),
         limits: setup.limits,
-        sequence: AtomicU32::new(0),
+        sequence: Mutex::new(0),
         stderr: setup.stderr,
         to_stderr: to_stderr.clone(),
         to_collectors: to_collectors.clone(),
@@ -388,7 +390,7 @@
             level: LevelFilter::Info,
             process: 7,
             limits: Limits { line: 60_000, value: 20_000 },
-            sequence: AtomicU32::new(0),
+            sequence: Mutex::new(0),
             stderr,
             to_stderr: pipe,
             to_collectors: None,
--- a/src/logging/spool.rs
+++ b/src/logging/spool.rs
@@ -34,7 +34,11 @@
     limits: SpoolLimits,
 }
 
+type Opener = Box<dyn Fn() -> Result<Database, redb::DatabaseError> + Send>;
+
 struct State {
+    /// A store that has failed takes nothing more before it is opened anew.
+    opener: Opener,
     database: Option<Database>,
     /// Lines on disk, by severity: serial and size of each, oldest first.
     index: [VecDeque<(u64, u32)>; 8],
@@ -68,18 +72,18 @@
 
 impl Spool {
     pub fn open(limits: &SpoolLimits) -> Spool {
-        let mut state = State::empty();
-        state.open(&limits.directory.join(FILE));
+        let path = limits.directory.join(FILE);
+        let create = move || redb::Builder::new().set_cache_size(CACHE).create(&path);
+        let mut state = State::empty(Box::new(create));
+        state.open(Some(&limits.directory.join(FILE)));
         Spool { state: Mutex::new(state), notify: Notify::new(), limits: limits.clone() }
     }
 
     /// On something else than a file of its own.
-    pub fn on(backend: impl StorageBackend, limits: &SpoolLimits) -> Spool {
-        let mut state = State::empty();
-        match redb::Builder::new().set_cache_size(CACHE).create_with_backend(backend) {
-            Ok(database) => state.take(database),
-            Err(problem) => state.problems.push(problem.to_string()),
-        }
+    pub fn on<B: StorageBackend>(backend: impl Fn() -> B + Send + 'static, limits: &SpoolLimits) -> Spool {
+        let create = move || redb::Builder::new().set_cache_size(CACHE).create_with_backend(backend());
+        let mut state = State::empty(Box::new(create));
+        state.open(None);
         Spool { state: Mutex::new(state), notify: Notify::new(), limits: limits.clone() }
     }
 
@@ -120,7 +124,7 @@
                 state.drop_pending(id);
             }
         }
-        state.write(&self.limits);
+        state.write();
         state.keep_bounds(&self.limits, at);
         drop(state);
         if any {
@@ -138,6 +142,11 @@
                 Vec::new()
             }
         };
+        // Lines on a disk that cannot be read at the moment are safe there, and come before all that waits here.
+        let last = lines.last().map_or(after, |(key, _)| *key);
+        if state.index.iter().any(|ring| ring.back().is_some_and(|(key, _)| *key > last)) {
+            return lines;
+        }
         let room = most - lines.len().min(most);
         let pending = state.pending.iter().filter(|(key, ..)| *key > after);
         lines.extend(pending.take(room).map(|(key, _, _, line)| (*key, line.clone())));
@@ -152,8 +161,9 @@
 }
 
 impl State {
-    fn empty() -> State {
+    fn empty(opener: Opener) -> State {
         State {
+            opener,
             database: None,
             index: Default::default(),
             bytes: 0,
@@ -167,19 +177,23 @@
         }
     }
 
-    fn open(&mut self, path: &std::path::Path) {
-        let open = || redb::Builder::new().set_cache_size(CACHE).create(path);
-        let database = open().or_else(|problem| {
+    /// A file that is no store is set aside.
+    fn open(&mut self, path: Option<&std::path::Path>) {
+        let database = (self.opener)().or_else(|problem| {
+            let Some(path) = path else { return Err(problem) };
             let stamp = now();
             let aside = PathBuf::from(format!("{}.unreadable-{stamp}", path.display()));
             self.problems.push(format!("{problem}; the file is set aside as {}", aside.display()));
             // Where even that cannot be done, the next open says why.
             let _ = std::fs::rename(path, aside);
-            open()
+            (self.opener)()
         });
         match database {
             Ok(database) => self.take(database),
-            Err(problem) => self.problems.push(format!("{problem}; lines wait in memory")),
+            Err(problem) => {
+                self.failing = true;
+                self.problems.push(format!("{problem}; lines wait in memory"));
+            }
         }
     }
 
@@ -216,20 +230,14 @@
         }
     }
 
-    fn write(&mut self, limits: &SpoolLimits) {
+    fn write(&mut self) {
         if self.pending.is_empty() {
             return;
         }
-        // A store that has failed once has to be opened anew before it takes anything.
-        if self.failing && self.database.is_some() && limits.directory.join(FILE).exists() {
-            let held = std::mem::take(&mut self.index);
+        if self.failing {
+            // Its file must be let go of before it can be opened again. Why it cannot has been told.
             self.database = None;
-            let path = limits.directory.join(FILE);
-            match redb::Builder::new().set_cache_size(CACHE).create(&path) {
-                Ok(database) => self.database = Some(database),
-                Err(problem) => self.problems.push(problem.to_string()),
-            }
-            self.index = held;
+            self.database = (self.opener)().ok();
         }
         match self.commit() {
             Ok(()) => {
@@ -372,3 +380,224 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io;
+    use std::sync::Arc;
+
+    /// A disk in memory that may die after so many bytes, or be full.
+    #[derive(Clone, Debug, Default)]
+    struct Disk(Arc<Mutex<Image>>);
+
+    #[derive(Debug, Default)]
+    struct Image {
+        bytes: Vec<u8>,
+        /// As it stood when it was last synced.
+        synced: Vec<u8>,
+        /// Bytes that may still be written; with none left it is dead.
+        left: Option<usize>,
+        full: bool,
+    }
+
+    impl Disk {
+        fn image(&self) -> MutexGuard<'_, Image> {
+            self.0.lock().unwrap()
+        }
+
+        fn of(bytes: Vec<u8>) -> Disk {
+            Disk(Arc::new(Mutex::new(Image { synced: bytes.clone(), bytes, ..Image::default() })))
+        }
+
+        fn spool(&self, limits: &SpoolLimits) -> Spool {
+            let disk = self.clone();
+            Spool::on(move || disk.clone(), limits)
+        }
+    }
+
+    impl StorageBackend for Disk {
+        fn len(&self) -> io::Result<u64> {
+            Ok(self.image().bytes.len() as u64)
+        }
+
+        fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()> {
+            let (image, from) = (self.image(), offset as usize);
+            let bytes = image.bytes.get(from..from + out.len());
+            out.copy_from_slice(bytes.ok_or(io::ErrorKind::UnexpectedEof)?);
+            Ok(())
+        }
+
+        fn set_len(&self, length: u64) -> io::Result<()> {
+            let mut image = self.image();
+            if image.left == Some(0) || image.full && length as usize > image.bytes.len() {
+                return Err(io::ErrorKind::StorageFull.into());
+            }
+            image.bytes.resize(length as usize, 0);
+            Ok(())
+        }
+
+        fn sync_data(&self) -> io::Result<()> {
+            let mut image = self.image();
+            if image.left == Some(0) {
+                return Err(io::Error::other("the machine is off"));
+            }
+            image.synced = image.bytes.clone();
+            Ok(())
+        }
+
+        fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+            let mut image = self.image();
+            if image.full {
+                return Err(io::ErrorKind::StorageFull.into());
+            }
+            let taken = image.left.map_or(data.len(), |left| left.min(data.len()));
+            let from = offset as usize;
+            if image.bytes.len() < from + taken {
+                image.bytes.resize(from + taken, 0);
+            }
+            image.bytes[from..from + taken].copy_from_slice(&data[..taken]);
+            image.left = image.left.map(|left| left - taken);
+            if taken < data.len() { Err(io::Error::other("the machine is off")) } else { Ok(()) }
+        }
+    }
+
+    fn limits(bytes: u64) -> SpoolLimits {
+        SpoolLimits { directory: "/nowhere".into(), bytes, age: Duration::from_secs(3600) }
+    }
+
+    fn line(i: u64) -> Vec<u8> {
+        format!("line {i} {}", "x".repeat((i * 37 % 200) as usize)).into_bytes()
+    }
+
+    fn batch(severity: Severity, numbers: std::ops::Range<u64>) -> Vec<(Severity, &'static str, Vec<u8>)> {
+        numbers.map(|i| (severity, "X", line(i))).collect()
+    }
+
+    fn lines(spool: &Spool) -> Vec<Vec<u8>> {
+        spool.read(0, usize::MAX).into_iter().map(|(_, line)| line).collect()
+    }
+
+    const INFO: Severity = Severity::Informational;
+
+    #[test]
+    fn lines_are_kept_in_order_until_they_are_released_and_outlive_the_program() {
+        let disk = Disk::default();
+        let spool = disk.spool(&limits(1 << 20));
+        spool.append(batch(INFO, 0..5));
+        spool.append(batch(Severity::Error, 5..8));
+        assert_eq!(lines(&spool), (0..8).map(line).collect::<Vec<_>>());
+        let keys: Vec<u64> = spool.read(2, 3).into_iter().map(|(key, _)| key).collect();
+        assert_eq!(keys, [3, 4, 5]);
+        spool.release(3);
+        assert_eq!((spool.lines(), lines(&spool).len()), (5, 5));
+        spool.append(batch(INFO, 8..9));
+        drop(spool);
+        let spool = disk.spool(&limits(1 << 20));
+        assert_eq!(lines(&spool), (3..9).map(line).collect::<Vec<_>>());
+        spool.append(batch(INFO, 9..10));
+        assert_eq!(lines(&spool).last(), Some(&line(9)));
+        assert!(spool.problems().is_empty());
+    }
+
+    #[test]
+    fn a_crash_at_any_byte_loses_no_line_that_was_taken() {
+        let taken = |disk: &Disk| {
+            let spool = disk.spool(&limits(1 << 20));
+            let mut safe = 0;
+            for i in 0..8 {
+                spool.append(batch(INFO, i * 10..i * 10 + 10));
+                if !spool.state().pending.is_empty() {
+                    break;
+                }
+                safe = i * 10 + 10;
+            }
+            safe
+        };
+        let whole = Disk::default();
+        whole.image().left = Some(usize::MAX);
+        assert_eq!(taken(&whole), 80);
+        let written = usize::MAX - whole.image().left.unwrap();
+        let (mut runs, mut kept) = (0, std::collections::BTreeSet::new());
+        for left in (0..written).step_by(written / 150) {
+            let disk = Disk::default();
+            disk.image().left = Some(left);
+            let safe = taken(&disk);
+            let image = disk.image();
+            // What was written since the last sync is there, or is not.
+            for bytes in [image.bytes.clone(), image.synced.clone()] {
+                let again = Disk::of(bytes).spool(&limits(1 << 20));
+                let all = lines(&again);
+                assert!(all.len() as u64 >= safe, "{} of {safe} lines after {left} bytes", all.len());
+                assert_eq!(all, (0..all.len() as u64).map(line).collect::<Vec<_>>(), "after {left} bytes");
+            }
+            runs += 1;
+            kept.insert(safe);
+        }
+        assert!(runs >= 150 && kept.len() >= 8, "{runs} crashes, {kept:?}");
+    }
+
+    #[test]
+    fn a_full_disk_is_told_once_lines_wait_in_memory_and_go_on_in_order() {
+        let disk = Disk::default();
+        let spool = disk.spool(&limits(1 << 20));
+        spool.append(batch(INFO, 0..3));
+        disk.image().full = true;
+        spool.append(batch(INFO, 3..5));
+        spool.append(batch(INFO, 5..6));
+        assert_eq!(spool.problems().len(), 1);
+        assert_eq!(spool.lines(), 6);
+        assert!([0, 3].contains(&lines(&spool).len()), "what is on the disk comes first");
+        disk.image().full = false;
+        spool.append(batch(INFO, 6..7));
+        assert!(spool.state().pending.is_empty());
+        assert_eq!(lines(&spool), (0..7).map(line).collect::<Vec<_>>());
+        drop(spool);
+        assert_eq!(lines(&disk.spool(&limits(1 << 20))).len(), 7);
+        // With the disk full for long, memory is bounded too, and the least severe go.
+        let spool = disk.spool(&limits(1 << 20));
+        spool.release(7);
+        disk.image().full = true;
+        spool.append(vec![(Severity::Error, "E", vec![b'e'; 1000])]);
+        for _ in 0..MOST_PENDING / 1000 + 10 {
+            spool.append(vec![(INFO, "X", vec![b'x'; 1000])]);
+        }
+        assert!(spool.state().pending_bytes <= MOST_PENDING);
+        let dropped: u64 = spool.dropped().iter().map(|dropped| dropped.count).sum();
+        assert!((10..=20).contains(&dropped), "{dropped}");
+        assert!(lines(&spool).contains(&vec![b'e'; 1000]));
+    }
+
+    #[test]
+    fn over_its_bound_the_least_severe_and_oldest_go_and_are_told() {
+        let disk = Disk::default();
+        let spool = disk.spool(&limits(2_000));
+        spool.append(vec![(Severity::Error, "E", vec![b'e'; 400])]);
+        for i in 0..10u8 {
+            spool.append(vec![(INFO, "X", vec![i; 400])]);
+        }
+        let kept: Vec<u8> = lines(&spool).iter().map(|line| line[0]).collect();
+        assert_eq!(kept, [b'e', 7, 8, 9]);
+        assert_eq!(spool.dropped().iter().map(|dropped| dropped.count).sum::<u64>(), 7);
+        assert_eq!(spool.lines(), 4);
+    }
+
+    #[test]
+    fn a_file_that_is_no_store_is_set_aside_and_told() {
+        let directory = std::env::temp_dir().join(format!("pathbank-spool-{}", std::process::id()));
+        std::fs::create_dir_all(&directory).unwrap();
+        let limits = SpoolLimits { directory: directory.clone(), ..limits(1 << 20) };
+        std::fs::write(directory.join(FILE), "no store at all".repeat(1000)).unwrap();
+        let spool = Spool::open(&limits);
+        assert_eq!(spool.problems().len(), 1);
+        spool.append(batch(INFO, 0..2));
+        assert_eq!(lines(&spool).len(), 2);
+        drop(spool);
+        assert_eq!(lines(&Spool::open(&limits)).len(), 2);
+        let names = std::fs::read_dir(&directory).unwrap();
+        let aside =
+            names.filter(|name| name.as_ref().unwrap().file_name().to_string_lossy().contains("unreadable"));
+        assert_eq!(aside.count(), 1);
+        std::fs::remove_dir_all(&directory).unwrap();
+    }
+}
--- a/src/logging/transport.rs
+++ b/src/logging/transport.rs
@@ -2,6 +2,7 @@
 
 use crate::config::syslog::{Collector, Transport};
 use crate::syslog::encode::frame;
+use socket2::SockRef;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -49,6 +50,15 @@
     }
 }
 
+/// What the system may hold of what was written: with the connection all of it is in doubt.
+const SEND_BUFFER: usize = 32 * 1024;
+
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(address).await?;
+    SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER)?;
+    Ok(stream)
+}
+
 impl Connection {
     pub async fn open(collector: &Collector) -> io::Result<Connection> {
         let opening = async {
@@ -63,9 +73,9 @@
                     socket.connect(collector.address).await?;
                     Connection::Udp(socket)
                 }
-                Transport::Tcp => Connection::Tcp(TcpStream::connect(collector.address).await?),
+                Transport::Tcp => Connection::Tcp(connect(collector.address).await?),
                 Transport::Tls { name, config } => {
-                    let stream = TcpStream::connect(collector.address).await?;
+                    let stream = connect(collector.address).await?;
                     let connector = TlsConnector::from(config.clone());
                     Connection::Tls(Box::new(connector.connect(name.clone(), stream).await?))
                 }
--- a/src/rehearsal/cases.rs
+++ b/src/rehearsal/cases.rs
@@ -59,7 +59,7 @@
 ];
 
 pub fn all() -> impl Iterator<Item = &'static Case> {
-    CASES.iter().chain(super::grpc::cases::CASES)
+    CASES.iter().chain(super::grpc::cases::CASES).chain(super::syslog_cases::CASES)
 }
 
 const PATH: &str = "/bundles/acme/certs.pem";
--- a/src/rehearsal/mod.rs
+++ b/src/rehearsal/mod.rs
@@ -9,6 +9,7 @@
 pub mod stage;
 pub mod store;
 pub mod syslog;
+pub mod syslog_cases;
 
 use std::fmt;
 use std::io::{self, Read, Write};
--- a/src/rehearsal/stage.rs
+++ b/src/rehearsal/stage.rs
@@ -106,6 +106,8 @@
     /// The gRPC front's file, where it is on.
     pub grpc: Option<String>,
     pub memory_mb: usize,
+    /// The log's file.
+    pub log: String,
     pub syslog: Option<SocketAddr>,
     /// How long a node keeps an idle connection.
     pub keepalive: Duration,
@@ -122,6 +124,7 @@
             files: false,
             grpc: None,
             memory_mb: 192,
+            log: String::new(),
             syslog: None,
             keepalive,
             watched: true,
@@ -136,6 +139,8 @@
     file: Value,
     paths: PathBuf,
     calls: PathBuf,
+    logs: PathBuf,
+    reading: Arc<AtomicBool>,
     pub http: SocketAddr,
     /// Where the second front listens, if it is on.
     pub files: Option<SocketAddr>,
@@ -157,7 +162,10 @@
         std::fs::write(&config, file.to_string())?;
         std::fs::write(&paths, PATHS.replace("OFF", if setup.files { "true" } else { "false" }))?;
         std::fs::write(&calls, setup.grpc.as_deref().unwrap_or("enabled = false\n"))?;
+        let logs = std::env::temp_dir().join(format!("{name}.log.toml"));
+        std::fs::write(&logs, &setup.log)?;
         let mut command = Command::new(program);
+        command.env("PATHBANK_SYSLOG_FILE", &logs);
         command.env("GW_CONFIG", &config).env("PATHBANK_SFTP", &paths).env("PATHBANK_LOG", "info");
         command.env("PATHBANK_GRPC", &calls);
         match setup.syslog {
@@ -167,13 +175,19 @@
         let mut child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).spawn()?;
         let (line, log) = channel();
         let errors = child.stderr.take().ok_or_else(|| Failure::Unmet("no standard error".into()))?;
+        let reading = Arc::new(AtomicBool::new(true));
+        let reads = reading.clone();
         thread::spawn(move || {
             for text in BufReader::new(errors).lines().map_while(Result::ok) {
+                if !reads.load(Ordering::Relaxed) {
+                    thread::park(); // for good: the pipe stays open, and fills
+                }
                 let _ = line.send(text); // read on all the same: a full pipe would stop the head
             }
         });
         let http = SocketAddr::from(([127, 0, 0, 1], 0));
-        let mut head = Head { child, config, file, paths, calls, http, files: None, grpc: None, log };
+        let mut head =
+            Head { child, config, file, paths, calls, logs, reading, http, files: None, grpc: None, log };
         // In whatever order these come; the watch has told the whole list, so that from here on changes arrive.
         let mut waits = vec![" UP "];
         waits.extend(setup.watched.then_some(" WATCH "));
@@ -211,6 +225,17 @@
         self.child.id()
     }
 
+    /// Nobody reads its standard error any more.
+    pub fn deaf(&self) {
+        self.reading.store(false, Ordering::Relaxed);
+    }
+
+    /// Sends SIGHUP with another file for the log.
+    pub fn reload_log(&self, text: &str) -> Outcome {
+        std::fs::write(&self.logs, text)?;
+        self.signal("HUP")
+    }
+
     /// Sends SIGHUP with another value for one key of the configuration.
     pub fn reload(&self, key: &str, value: Value) -> Outcome {
         let mut file = self.file.clone();
@@ -248,6 +273,7 @@
         let _ = std::fs::remove_file(&self.config);
         let _ = std::fs::remove_file(&self.paths);
         let _ = std::fs::remove_file(&self.calls);
+        let _ = std::fs::remove_file(&self.logs);
     }
 }
 
--- a/src/rehearsal/syslog.rs
+++ b/src/rehearsal/syslog.rs
@@ -5,6 +5,7 @@
 use crate::events;
 use crate::syslog::Severity;
 use crate::syslog::parse::parse;
+use socket2::SockRef;
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
@@ -96,6 +97,10 @@
     /// At an address that was another's before.
     pub fn at(address: SocketAddr, manner: Manner) -> Outcome<Syslog> {
         let listener = TcpListener::bind(address)?;
+        if matches!(manner, Manner::StopsAfter(_)) {
+            // So that little fits between the head and one that does not read.
+            SockRef::from(&listener).set_recv_buffer_size(8 * 1024)?;
+        }
         let address = listener.local_addr()?;
         let (sender, messages) = channel();
         let (gate, gone) = (Arc::new(Gate::default()), Arc::new(AtomicBool::new(false)));
--- a/tests/rehearsal.rs
+++ b/tests/rehearsal.rs
@@ -46,6 +46,17 @@
     a_draining_node_keeps_its_grpc_streams "grpc-drain"
     sigterm_finishes_grpc_calls "grpc-leave"
     random_faults_break_no_rule_of_grpc "grpc-random"
+    requests_are_told_with_their_attempts "syslog-requests"
+    odd_names_are_escaped_and_cut "syslog-odd-names"
+    each_transport_reaches_a_strict_collector "syslog-transports"
+    a_wrong_certificate_is_refused "syslog-tls-refused"
+    the_next_collector_takes_over_and_hands_back "syslog-failover"
+    a_frozen_collector_harms_nobody "syslog-frozen"
+    a_collector_of_single_frames_gets_all "syslog-one-frame"
+    what_is_dropped_is_told_to_the_line "syslog-dropped"
+    spooled_lines_outlive_a_kill "syslog-spool"
+    an_unread_standard_error_stops_nothing "syslog-stderr"
+    a_reload_of_certificates_loses_no_line "syslog-reload"
 }
 
 #[test]
