--- a/src/rehearsal/syslog.rs
+++ b/src/rehearsal/syslog.rs
@@ -155,6 +155,11 @@
         Ok(Syslog { address, messages, gate: Arc::default(), gone: Arc::default() })
     }
 
+    /// The messages, for another thread to read.
+    pub fn take(&mut self) -> Receiver<Received> {
+        std::mem::replace(&mut self.messages, channel().1)
+    }
+
     /// A collector that had stopped reads on.
     pub fn go_on(&self) {
         *self.gate.open.lock().unwrap_or_else(PoisonError::into_inner) = true;
--- a/src/syslog/queue.rs
+++ b/src/syslog/queue.rs
@@ -69,7 +69,7 @@
             let least = Severity::ALL.into_iter().rev().find(|s| !self.rings[*s as usize].marks.is_empty());
             match least.filter(|least| *least >= severity) {
                 Some(least) => {
-                    if let Some(mark) = self.take(least, |_| {}) {
+                    if let Some(mark) = self.take(least, |_, _| {}) {
                         self.note(mark.id, mark.at);
                     }
                 }
@@ -95,18 +95,20 @@
             .filter_map(|s| Some((self.rings[s as usize].marks.front()?.serial, s)))
             .min()?;
         line.clear();
-        let mark = self.take(oldest.1, |bytes| line.extend(bytes))?;
+        let mark = self.take(oldest.1, |bytes, length| {
+            // Two runs of bytes at most, each copied as a whole.
+            let (first, second) = bytes.as_slices();
+            line.extend_from_slice(&first[..length.min(first.len())]);
+            line.extend_from_slice(&second[..length - line.len()]);
+        })?;
         Some((oldest.1, mark.id))
     }
 
-    fn take(
-        &mut self,
-        severity: Severity,
-        with: impl FnOnce(std::collections::vec_deque::Drain<'_, u8>),
-    ) -> Option<Mark> {
+    fn take(&mut self, severity: Severity, with: impl FnOnce(&VecDeque<u8>, usize)) -> Option<Mark> {
         let ring = &mut self.rings[severity as usize];
         let mark = ring.marks.pop_front()?;
-        with(ring.bytes.drain(..mark.length as usize));
+        with(&ring.bytes, mark.length as usize);
+        ring.bytes.drain(..mark.length as usize);
         self.held -= mark.length as usize + OVERHEAD;
         self.lines -= 1;
         Some(mark)
