--- a/src/config/grpc.rs
+++ b/src/config/grpc.rs
@@ -491,6 +491,20 @@
         assert!(GrpcFront::read("", &mut config).unwrap().is_none());
     }
 
+    #[test]
+    fn the_file_as_shipped_is_sound_and_off() {
+        let shipped = include_str!("../../deploy/grpc.toml");
+        let mut config = config();
+        assert!(GrpcFront::read(shipped, &mut config).unwrap().is_none());
+        config.names.classes = ["token-read", "receipt-write"].map(String::from).to_vec();
+        config.names.plans = ["starter", "business", "enterprise"].map(String::from).to_vec();
+        let on =
+            shipped.replacen("enabled = false", "enabled = true", 1).replace("report-export", "token-read");
+        let front = GrpcFront::read(&on, &mut config).unwrap().unwrap();
+        assert!(front.routes.find("/push.store.v1.Receipts/Upload").unwrap().streams);
+        assert!(!front.routes.find("/push.store.v1.Receipts/Put").unwrap().streams);
+    }
+
     #[test]
     fn faults_name_the_key_and_the_line() {
         for (from, to, key, line) in [
--- a/src/config/syslog.rs
+++ b/src/config/syslog.rs
@@ -304,6 +304,13 @@
         assert!(log.collectors.is_empty() && log.spool.is_none() && log.telling.is_none());
     }
 
+    #[test]
+    fn the_file_as_shipped_is_the_platforms() {
+        let log = Log::read(include_str!("../../deploy/syslog.toml"), &names(), MEMORY).unwrap();
+        let empty = Log::read("", &names(), MEMORY).unwrap();
+        assert_eq!(format!("{log:?}"), format!("{empty:?}"), "what it names are the defaults");
+    }
+
     #[test]
     fn faults_name_the_key() {
         for (from, to, key) in [
--- a/src/logging/spool.rs
+++ b/src/logging/spool.rs
@@ -113,8 +113,12 @@
     /// Returns once they are on disk, or where the disk takes none, in memory. An empty batch only tries again what
     /// waits there.
     pub fn append(&self, batch: Vec<(Severity, &'static str, Vec<u8>)>) {
+        self.append_at(now(), batch);
+    }
+
+    fn append_at(&self, at: Micros, batch: Vec<(Severity, &'static str, Vec<u8>)>) {
         let mut state = self.state();
-        let (at, any) = (now(), !batch.is_empty());
+        let any = !batch.is_empty();
         for (severity, id, line) in batch {
             let key = state.next;
             state.next += 1;
@@ -582,6 +586,26 @@
         assert_eq!(spool.lines(), 4);
     }
 
+    #[test]
+    fn lines_go_with_their_age_and_a_clock_that_is_set_back_loses_none() {
+        const HOUR: Micros = 3_600_000_000;
+        let disk = Disk::default();
+        let spool = disk.spool(&limits(1 << 20));
+        spool.append_at(100 * HOUR, batch(INFO, 0..2));
+        spool.append_at(90 * HOUR, batch(INFO, 2..4));
+        spool.append_at(90 * HOUR + 1, batch(INFO, 4..5));
+        assert_eq!(lines(&spool), (0..5).map(line).collect::<Vec<_>>(), "in the order in which they came");
+        assert!(spool.dropped().is_empty());
+        drop(spool);
+        let spool = disk.spool(&limits(1 << 20));
+        assert_eq!(lines(&spool).len(), 5);
+        spool.append_at(101 * HOUR - 1, batch(INFO, 5..6));
+        assert_eq!(spool.lines(), 6, "an hour is their age");
+        spool.append_at(101 * HOUR + 1, batch(INFO, 6..7));
+        assert_eq!(lines(&spool), (5..7).map(line).collect::<Vec<_>>());
+        assert_eq!(spool.dropped().iter().map(|dropped| dropped.count).sum::<u64>(), 5);
+    }
+
     #[test]
     fn a_file_that_is_no_store_is_set_aside_and_told() {
         let directory = std::env::temp_dir().join(format!("pathbank-spool-{}", std::process::id()));
--- a/src/rehearsal/syslog.rs
+++ b/src/rehearsal/syslog.rs
@@ -143,12 +143,7 @@
                 let (sender, config) = (sender.clone(), config.clone());
                 thread::spawn(move || {
                     let Ok(connection) = rustls::ServerConnection::new(config) else { return };
-                    frames(
-                        rustls::StreamOwned::new(connection, stream),
-                        &sender,
-                        Manner::Good,
-                        &Gate::default(),
-                    );
+                    frames(rustls::StreamOwned::new(connection, stream), &sender, Manner::Good);
                 });
             }
         });
@@ -189,14 +184,23 @@
 
 fn receive(stream: TcpStream, messages: &Sender<Received>, manner: Manner, gate: &Gate) {
     match manner {
-        Manner::StopsAfter(left) => frames(Stops { inner: stream, left, gate }, messages, manner, gate),
-        _ => frames(stream, messages, manner, gate),
+        Manner::StopsAfter(left) => frames(Stops { inner: stream, left, gate }, messages, manner),
+        _ => frames(stream, messages, manner),
     }
 }
 
-/// Reads frames by octet counting until the connection ends or its framing is lost.
-fn frames(stream: impl Read, messages: &Sender<Received>, manner: Manner, _gate: &Gate) {
+/// Reads frames until the connection ends or its framing is lost: by octet counting, or where the first byte is a
+/// message's own, by line ends (RFC 6587, 3.4.2).
+fn frames(stream: impl Read, messages: &Sender<Received>, manner: Manner) {
     let mut stream = BufReader::with_capacity(if manner == Manner::OneFrame { 1 } else { 8192 }, stream);
+    if stream.fill_buf().is_ok_and(|bytes| bytes.first() == Some(&b'<')) {
+        for line in stream.split(b'\n').map_while(Result::ok) {
+            if messages.send(read(&line)).is_err() {
+                return;
+            }
+        }
+        return;
+    }
     loop {
         let mut digits = Vec::new();
         match stream.by_ref().take(8).read_until(b' ', &mut digits) {
@@ -265,6 +269,24 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn both_framings_are_read_and_a_lost_one_is_told() {
+        let line = r#"<30>1 2026-12-01T00:00:00Z n3 pathbank 7 - [meta sequenceId="1"]"#;
+        let got = |bytes: String| {
+            let (sender, messages) = channel();
+            frames(bytes.as_bytes(), &sender, Manner::Good);
+            drop(sender);
+            messages.iter().map(|message| message.is_ok()).collect::<Vec<_>>()
+        };
+        let length = line.len();
+        assert_eq!(got(format!("{line}\n{line}\n")), [true, true]);
+        assert_eq!(got(format!("{length} {line}{length} {line}")), [true, true]);
+        assert_eq!(got(format!("{length} {line}{length} <30>")), [true], "a cut one is none");
+        assert_eq!(got(format!("{length} {line}\n{length} {line}")), [true, false]);
+        assert_eq!(got(format!("0{length} {line}")), [false]);
+        assert_eq!(got(format!("{} {line}", length - 1))[0], false);
+    }
+
     #[test]
     fn what_is_not_as_the_catalogue_has_it_is_rejected() {
         let start = "<30>1 2026-12-01T00:00:00Z n3 pathbank 7";
--- a/src/syslog/queue.rs
+++ b/src/syslog/queue.rs
@@ -175,6 +175,16 @@
         assert_eq!(queue.dropped(), []);
     }
 
+    #[test]
+    fn a_clock_that_is_set_back_changes_no_order_and_is_told_as_it_was() {
+        let mut queue = Queue::new(2 * (2 + OVERHEAD));
+        for (i, at) in [50, 20, 30, 10].into_iter().enumerate() {
+            queue.push(at, Severity::Notice, "N", format!("n{i}").as_bytes());
+        }
+        assert_eq!(popped(&mut queue), ["n2", "n3"]);
+        assert_eq!(queue.dropped(), [Dropped { id: "N", count: 2, from: 20, until: 50 }]);
+    }
+
     #[test]
     fn a_line_longer_than_the_bound_is_dropped_and_the_bound_always_holds() {
         let mut queue = Queue::new(500);
