--- a/src/bin/pathbank-log.rs
+++ b/src/bin/pathbank-log.rs
@@ -1,6 +1,6 @@
 //! Reads a head's log: strict RFC 5424 lines, from files or standard input.
 
-use clap::{Parser, Subcommand, ValueEnum};
+use clap::{Parser, Subcommand};
 use pathbank::events;
 use pathbank::logbook::{By, Condition, Once, Sums, as_grave_as, follow, message};
 use pathbank::syslog::Severity;
@@ -36,7 +36,7 @@
     /// Sums up requests or attempts, with latencies
     Sum {
         #[arg(value_enum)]
-        by: Kind,
+        by: By,
         #[command(flatten)]
         which: Which,
     },
@@ -49,17 +49,6 @@
     Events,
 }
 
-#[derive(Clone, Copy, ValueEnum)]
-enum Kind {
-    Volume,
-    Plan,
-    Class,
-    Outcome,
-    Node,
-    Ending,
-    Why,
-}
-
 #[derive(clap::Args)]
 struct Which {
     /// NAME=VALUE, NAME!=VALUE, NAME~PART, NAME>=N or NAME<=N, of msgid, host, process, severity, time, text or any
@@ -113,15 +102,7 @@
             })?;
         }
         Command::Sum { by, which } => {
-            let mut sums = Sums::new(match by {
-                Kind::Volume => By::Volume,
-                Kind::Plan => By::Plan,
-                Kind::Class => By::Class,
-                Kind::Outcome => By::Outcome,
-                Kind::Node => By::Node,
-                Kind::Ending => By::Ending,
-                Kind::Why => By::Why,
-            });
+            let mut sums = Sums::new(by);
             malformed = each(&which, &mut once, |_, message| {
                 sums.add(message);
                 Ok(())
--- a/src/logbook.rs
+++ b/src/logbook.rs
@@ -145,7 +145,7 @@
 }
 
 /// What requests are summed up by.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, clap::ValueEnum)]
 pub enum By {
     Volume,
     Plan,
