Keep the core's deadlines in a timing wheel, from which they go with their requests

The heap kept each deadline until it was due, long after its request was answered, and could give none up. The wheel holds what is open, in the exact order of time and insertion, so that no event changes its place.

--- a/src/core.rs
+++ b/src/core.rs
@@ -7,13 +7,13 @@
 use crate::event;
 use crate::events::pressure::Pressure;
 use crate::events::requests::{Finish, Telling, Tried, Volume, Why, ending_name};
+use crate::index::wheel::{Key, Wheel};
 use crate::interface::*;
 use crate::policy::Policy;
 use bytes::Bytes;
 use futures_util::FutureExt;
 use log::{debug, info};
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::future::Future;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::pin::Pin;
@@ -236,6 +236,7 @@
     bound: Option<u32>,
     /// Where requests are told.
     noted: Option<Box<Noted>>,
+    deadline: Key,
 }
 
 /// What is told of a request at its end.
@@ -292,7 +293,6 @@
     out: usize,
 }
 
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Timer(u64),
     Deadline(RequestId),
@@ -311,8 +311,7 @@
     ids: NodeIds,
     zones: Vec<String>,
     known: Vec<NodeEntry>,
-    due: BinaryHeap<Reverse<(Micros, u64, Due)>>,
-    serial: u64,
+    due: Wheel<Due>,
     /// Events that follow from the module's own actions; told after those are all carried out.
     events: VecDeque<Event>,
     /// The module is being told, further up the stack.
@@ -350,8 +349,7 @@
             ids: NodeIds::default(),
             zones: Vec::new(),
             known: Vec::new(),
-            due: BinaryHeap::new(),
-            serial: 0,
+            due: Wheel::new(clock.now()),
             events: VecDeque::new(),
             told: false,
             actions: Vec::new(),
@@ -373,7 +371,7 @@
 
     pub async fn run(mut self) {
         loop {
-            let next = self.due.peek().map(|Reverse((at, ..))| self.clock.instant(*at));
+            let next = self.due.next_due().map(|at| self.clock.instant(at));
             let asleep = async {
                 match next {
                     Some(at) => tokio::time::sleep_until(at).await,
@@ -432,13 +430,21 @@
         let now = self.clock.now();
         let time_left = micros(arrival.answer_by.saturating_duration_since(Instant::now()));
         let answer_by = now + time_left;
+        let deadline = self.due.insert(answer_by, Due::Deadline(id));
         let noted = self.telling.as_ref().map(|_| {
             let Arrival { volume, plan, class, units, .. } = arrival;
             Box::new(Noted { volume, plan, class, units, arrived: now, tried: Vec::new() })
         });
-        let open = Open { work, answer: Some(answer), answer_by, attempts: Vec::new(), bound: None, noted };
+        let open = Open {
+            work,
+            answer: Some(answer),
+            answer_by,
+            attempts: Vec::new(),
+            bound: None,
+            noted,
+            deadline,
+        };
         self.requests.insert(id, open);
-        self.wake(answer_by, Due::Deadline(id));
         let Arrival { volume, key, class, plan, units, volume_hosts, repeat, shard, .. } = arrival;
         self.tell(Event::Request(Request {
             id,
@@ -576,16 +582,10 @@
     }
 
     fn fire(&mut self) {
-        loop {
-            let now = self.clock.now();
-            match self.due.peek() {
-                Some(Reverse((at, ..))) if *at <= now => {}
-                _ => return,
-            }
-            match self.due.pop() {
-                Some(Reverse((_, _, Due::Timer(token)))) => self.tell(Event::Timer { token }),
-                Some(Reverse((_, _, Due::Deadline(id)))) => self.deadline(id),
-                None => return,
+        while let Some((_, due)) = self.due.pop(self.clock.now()) {
+            match due {
+                Due::Timer(token) => self.tell(Event::Timer { token }),
+                Due::Deadline(id) => self.deadline(id),
             }
         }
     }
@@ -670,8 +670,9 @@
 
     fn forget(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(|open| open.over() && open.attempts.iter().all(Option::is_none))
+            && let Some(open) = self.requests.remove(&id)
         {
-            self.requests.remove(&id);
+            self.due.remove(open.deadline);
         }
     }
 
@@ -708,7 +709,7 @@
                 self.ends.counts[Finish::Failed as usize] += 1;
             }
         }
-        self.due.clear();
+        self.due = Wheel::new(self.clock.now());
         self.nodes.values_mut().for_each(|node| node.out = 0);
         self.events.push_back(Event::Nodes { news: News::Cached, nodes: self.known.clone() });
     }
@@ -721,7 +722,10 @@
             }
             Action::Fail { request } => self.answer(request, Answer::Failed),
             Action::Cancel { request, attempt } => self.stop(request, attempt, End::CalledOff),
-            Action::Timer { after, token } => self.wake(now + after, Due::Timer(token)),
+            Action::Timer { after, token } => {
+                // The module never takes one back.
+                self.due.insert(now + after, Due::Timer(token));
+            }
             Action::Subscribe => {
                 let _ = self.subscribe.send(());
             }
@@ -770,11 +774,6 @@
             node.out += 1;
         }
     }
-
-    fn wake(&mut self, at: Micros, due: Due) {
-        self.serial += 1;
-        self.due.push(Reverse((at, self.serial, due)));
-    }
 }
 
 /// Node ids are texts in discovery and numbers in the module: the same number at every head for the same text.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod ending;
 pub mod events;
 pub mod grpc;
+pub mod index;
 pub mod interface;
 pub mod logbook;
 pub mod logging;
