--- a/src/logging/mod.rs
+++ b/src/logging/mod.rs
@@ -382,6 +382,7 @@
     use crate::syslog::encode::shown;
     use crate::syslog::parse::parse;
     use proptest::prelude::*;
+    use proptest::test_runner::RngSeed;
 
     fn logger(stderr: Format) -> Logger {
         let pipe = Pipe::new(1024 * 1024);
@@ -441,7 +442,13 @@
     }
 
     proptest! {
-        #![proptest_config(ProptestConfig::with_cases(256))]
+        // The same cases at each run.
+        #![proptest_config(ProptestConfig {
+            cases: 256,
+            rng_seed: RngSeed::Fixed(20_261_201),
+            failure_persistence: None,
+            ..ProptestConfig::default()
+        })]
 
         /// Whatever goes into an event comes out of the strict parser equal, but for the pictures of controls.
         #[test]
