Draw a crowd's calls to discovery over a time that grows with the number of heads

Ruled out: that the service serves no more (spread over 3 s all 100 heads have their watch in 5 s, 20 a second, evenly; at one moment it serves 16 and loses the rest); that a growing wait is needed (flat 0.5 to 4 s did as well). Change: hosts times 35 ms is the window from which a crowd's first call and its renewals are drawn. Fleets of 12 heads or fewer ask at once as before. Test: 250 instances on a virtual clock ask at most 12 times in any tenth of a second, at the start and after 1 or 4 failures.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -47,6 +47,8 @@
 const RECHECK: Micros = 10_000;
 /// Wait before the next call to the node list after a failed one, doubled each time up to 16 times this.
 const RESUBSCRIBE: Micros = 500_000;
+/// A crowd's calls to the node list are drawn evenly over so long for each host.
+const CALLS_APART: Micros = 35_000;
 /// Weight of one report of use in the estimate of what a volume gets elsewhere, and the time over which this
 /// host's own part is averaged, in use periods.
 const USE_LEARN: f64 = 0.3;
@@ -242,14 +244,19 @@
 
     fn on_nodes(&mut self, now: Micros, news: News, entries: Vec<NodeEntry>, actions: &mut Vec<Action>) {
         self.list_failures = if news == News::Failed { (self.list_failures + 1).min(5) } else { 0 };
-        // A fresh start asks at once. A failed call is renewed after a while that grows and differs by host.
-        let wait = (RESUBSCRIBE << self.list_failures) >> 1;
-        match news {
-            News::Failed if self.settings.must_subscribe => {
-                actions.push(Action::Timer { after: wait + (self.seed ^ now) % wait, token: SUBSCRIBE_TOKEN })
-            }
-            News::Cached if self.settings.must_subscribe => actions.push(Action::Subscribe),
-            _ => {}
+        // A fresh start of few hosts asks at once; a crowd's calls at one moment would fill the list's one service
+        // until each has waited too long, again and again. A failed call is renewed after a while that grows.
+        let apart = if self.crowded() { CALLS_APART * u64::from(self.settings.hosts) } else { 0 };
+        let failed =
+            if news == News::Failed { ((RESUBSCRIBE << self.list_failures) >> 1).max(apart / 2) } else { 0 };
+        if self.settings.must_subscribe && matches!(news, News::Cached | News::Failed) {
+            let draw = share_of_one(self.seed, now) * apart.max(failed) as f64;
+            let after = failed + draw as Micros;
+            actions.push(if after > 0 {
+                Action::Timer { after, token: SUBSCRIBE_TOKEN }
+            } else {
+                Action::Subscribe
+            });
         }
         if news == News::Full {
             let listed: BTreeSet<NodeId> = entries.iter().map(|e| e.node).collect();
@@ -526,19 +533,14 @@
             || class.repeats == Repeats::Safe
             || class.repeats == Repeats::Keyed && class.scope == Scope::All;
         actions.push(if harmless {
-            Action::Refuse { request: id, retry_in: self.retry_in() }
+            // As late as clients honour: what was given up found no turn in many answer times.
+            Action::Refuse { request: id, retry_in: self.settings.max_retry_after.unwrap_or(0) }
         } else {
             Action::Fail { request: id }
         });
         self.end(now, id);
     }
 
-    /// When a client that was turned away may come again: as late as clients honour, for what was given up
-    /// found no turn in many answer times.
-    fn retry_in(&self) -> Micros {
-        self.settings.max_retry_after.unwrap_or(0)
-    }
-
     /// The request is over; it is forgotten once nothing of it is out.
     fn end(&mut self, now: Micros, id: RequestId) {
         self.dequeue(now, id);
--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -117,6 +117,46 @@
     }
 }
 
+/// When each of a crowd asks for the list next, after such news at the same moment; by its own timers.
+fn asks_after(hosts: u32, failures: usize) -> Vec<Micros> {
+    let ask = |position: u32| {
+        let settings = Settings { hosts, position, must_subscribe: true, ..crowd_settings() };
+        let seed = u64::from(position).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let mut host = Host { policy: Policy::new(settings, seed), now: 100 * S, actions: Vec::new() };
+        let mut next = |news| {
+            host.event(Event::Nodes { news, nodes: Vec::new() });
+            let asked = host.actions.drain(..).filter_map(|a| match a {
+                Action::Timer { after, token } => Some((after, Some(token))),
+                Action::Subscribe => Some((0, None)),
+                _ => None,
+            });
+            let (after, Some(token)) = asked.last().expect("a call") else { return 0 };
+            host.now += after;
+            host.event(Event::Timer { token });
+            assert_eq!(host.actions.drain(..).filter(|a| *a == Action::Subscribe).count(), 1);
+            after
+        };
+        let first = next(News::Cached);
+        (0..failures).map(|_| next(News::Failed)).last().unwrap_or(first)
+    };
+    (0..hosts).map(ask).collect()
+}
+
+#[test]
+fn a_crowd_spreads_its_calls_for_the_list_and_few_hosts_ask_at_once() {
+    for failures in [0, 1, 4] {
+        let asks = asks_after(HOSTS, failures);
+        for tenth in 0..200 {
+            let within = |after: &&Micros| (**after / (100 * MS)) == tenth;
+            let calls = asks.iter().filter(within).count();
+            assert!(calls <= 12, "{calls} calls in tenth {tenth} of a second after {failures} failures");
+        }
+        assert!(asks.iter().all(|after| *after <= 20 * S), "nobody waits for ever");
+    }
+    assert_eq!(asks_after(3, 0), [0, 0, 0]);
+    assert!(asks_after(3, 1).iter().all(|after| (500 * MS..=S).contains(after)));
+}
+
 #[test]
 fn an_answer_that_tells_of_a_deep_queue_is_told_to_all_once() {
     let mut host = crowded(|_| {}, vec![node(10, 1)]);
