--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -125,12 +125,12 @@
         let mut host = Host { policy: Policy::new(settings, seed), now: 100 * S, actions: Vec::new() };
         let mut next = |news| {
             host.event(Event::Nodes { news, nodes: Vec::new() });
-            let asked = host.actions.drain(..).filter_map(|a| match a {
+            let mut asked = host.actions.drain(..).filter_map(|a| match a {
                 Action::Timer { after, token } => Some((after, Some(token))),
                 Action::Subscribe => Some((0, None)),
                 _ => None,
             });
-            let (after, Some(token)) = asked.last().expect("a call") else { return 0 };
+            let (after, Some(token)) = asked.next_back().expect("a call") else { return 0 };
             host.now += after;
             host.event(Event::Timer { token });
             assert_eq!(host.actions.drain(..).filter(|a| *a == Action::Subscribe).count(), 1);
