Let a crowd's heads have the design's four tokens at a node, and one at a cold one

Cause: most_depth shared 12 tokens among all heads, so that each of 100 had one at every node, although some 30 heads have work for one node and two requests are out there at a time. Change: a crowd's most is DEPTH_MOST, from which delay takes away as before.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -223,9 +223,7 @@
             Event::Nodes { news, nodes } => self.on_nodes(now, news, nodes, actions),
             Event::Request(request) => self.on_request(now, request, actions),
             Event::AnswerBegan { request, .. } => {
-                if let Some(held) = self.requests.get_mut(&request) {
-                    held.streaming = true;
-                }
+                self.requests.get_mut(&request).into_iter().for_each(|held| held.streaming = true)
             }
             Event::Outcome(outcome) => self.on_outcome(now, outcome, actions),
             Event::ClientLeft { request } => self.end(now, request),
@@ -265,7 +263,7 @@
         }
         // A number may come again for another node.
         self.forget_nodes();
-        let most_depth = self.most_depth();
+        let (most_depth, crowded) = (self.most_depth(), self.crowded());
         for entry in entries {
             let fresh = !self.nodes.contains_key(&entry.node);
             let depth = (most_depth / 2.0).max(DEPTH_LEAST);
@@ -283,6 +281,7 @@
                 let draw = share_of_one(self.seed ^ entry.started, entry.node.into());
                 let level = if draw < at_once { 1.0 } else { (draw - at_once) / (1.0 - at_once) };
                 node.cold_credit = Store { level: level * s.mean_units, at: now };
+                node.depth = if crowded { DEPTH_LEAST } else { node.depth };
             }
             node.started = entry.started;
         }
@@ -711,9 +710,7 @@
             let serial = self.requests[id].serial;
             let queue = queues.entry(*flow).or_insert((0, serial, *id));
             queue.0 += 1;
-            if serial < queue.1 {
-                (queue.1, queue.2) = (serial, *id);
-            }
+            (queue.1, queue.2) = (queue.1, queue.2).min((serial, *id));
         }
         let eligible = queues.iter().filter(|(flow, _)| self.flows[**flow].vt <= throttle);
         let longest = eligible.max_by_key(|(flow, (length, serial, _))| {
@@ -884,6 +881,9 @@
     }
 
     fn most_depth(&self) -> f64 {
+        if self.crowded() {
+            return DEPTH_MOST;
+        }
         (DEPTH_ALL_HOSTS / f64::from(self.settings.hosts.max(1))).clamp(DEPTH_LEAST, DEPTH_MOST)
     }
 
