Give cold nodes more of what is asked for their shard, work inside the reserve first

COLD_PART held the sum to 0.9 of what the rule allows a node that carries no more than it is asked, but nodes carry more; and cold_room gave a turn to whichever came first. Change: COLD_PART 1.5; what is outside the reserve waits until one and a half mean requests are saved up.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -76,16 +76,18 @@
 const LEND: f64 = 0.5;
 const ASK_ALL: Micros = 5_000_000;
 
-/// A request that no node got is given up after this part of its client's time: about when its aim is past,
-/// and while asking again still helps.
+/// A request that no node got is given up after this part of its client's time, about when its aim is past.
 const GIVE_UP: f64 = 0.15;
 
 /// What is of no use any more is looked for this often; a volume is forgotten after so long a silence.
 const TIDY: Micros = 1_000_000;
 const FORGET: Micros = 30_000_000;
 
-/// A crowd gives a cold node this part of what the rule allows one that carries, when warm, just what it is asked.
-const COLD_PART: f64 = 0.9;
+/// What is asked of a shard is taken to be two thirds of what its node carries when warm: a crowd gives a cold
+/// one so much of what the rule allows one that carries just that. What is outside the reserve waits until so
+/// many mean requests are saved up.
+const COLD_PART: f64 = 1.5;
+const COLD_SPARE: f64 = 1.5;
 
 const RECHECK_TOKEN: u64 = u64::MAX;
 const SUBSCRIBE_TOKEN: u64 = u64::MAX - 1;
@@ -454,9 +456,7 @@
         let aim = self.shortest_aim();
         let Some(node) = self.nodes.get_mut(&id) else { return };
         node.asked = None;
-        if let Some(queue) = load.queue {
-            node.note_queue(now, queue, None, self.usual_drain);
-        }
+        load.queue.into_iter().for_each(|queue| node.note_queue(now, queue, None, self.usual_drain));
         // A probe that waits in the node's queue tells that by its time.
         node.note_word(now, None, took as f64, aim, self.usual_drain);
     }
@@ -817,7 +817,7 @@
             k.line.front() == Some(&id) && (k.rest_until <= now || !held.attempts.is_empty())
         });
         let in_budget = held.attempts.is_empty() || self.may_repeat(now, held) && self.budget_allows(now);
-        now < held.answer_by && repeat_fits && in_turn && in_budget && self.cold_room(now, node, held.units)
+        now < held.answer_by && repeat_fits && in_turn && in_budget && self.cold_room(now, node, held)
     }
 
     /// Whether a further attempt of the request can be allowed at all.
@@ -842,7 +842,7 @@
 
     /// Whether this host may send that many units now to a node that may be cold: its part of what such a
     /// node always bears, growing as the node warms; in a crowd, what it has saved up of its part.
-    fn cold_room(&self, now: Micros, node: &Node, units: f64) -> bool {
+    fn cold_room(&self, now: Micros, node: &Node, held: &Held) -> bool {
         let s = &self.settings;
         if node.cold_since.is_none_or(|since| now >= since + s.cold) {
             return true;
@@ -850,11 +850,11 @@
             return node.out.is_empty();
         }
         if self.crowded() {
-            return node.cold_credit.level >= s.mean_units;
+            return node.cold_credit.level >= s.mean_units * if held.reserved { 1.0 } else { COLD_SPARE };
         }
         let part = able(s, now, node) / s.cold_from * s.cold_units / f64::from(s.hosts.max(1));
         let sends = node.cold_sends.iter().filter(|(t, _)| *t + s.fall >= now);
-        part - sends.map(|(_, units)| units).sum::<f64>() >= units
+        part - sends.map(|(_, units)| units).sum::<f64>() >= held.units
     }
 
     /// In a crowd an even part of what a cold node always bears is less than any request, and is due to hosts
@@ -869,7 +869,7 @@
                 able / s.cold_from * s.cold_units * SECOND / (s.fall.max(1) as f64 * f64::from(s.hosts));
             let asked = self.asked.get(&node.shard).map_or(0.0, |rate| rate.before(now, self.started));
             let part = even.max(COLD_PART * s.fall_multiple * able * asked);
-            node.cold_credit.fill(now, part, s.mean_units);
+            node.cold_credit.fill(now, part, COLD_SPARE * s.mean_units);
         }
     }
 
