Name settings out of range, bound a crowd's wait for the list and a request's told hosts

Need: a fleet's figures may be missing or absurd. Seen by reading and with the new test: the wait for the first call grew with hosts without bound; a request that tells 1e30 hosts would have left its volume no part of its limit for good, as the largest figure told is kept; young_limit and cold_from were taken as they came. Change: calls are drawn over 10 s at most; more hosts told than there are heads count as all heads; balancers, young_limit and cold_from out of range end the program with a message that names the key. Tests: bad lists, starts in the future, 40 failures in a row, figures of zero, NaN, 1e30.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -339,6 +339,16 @@
             ("\"listen\"", "\"lisen\"", "GW_LISTEN is missing"),
             ("\"cell\":3", "\"cell\":-3", "known.servers[0].cell"),
             ("\"position\":0,", "", "position is missing"),
+            ("\"balancers\":3", "\"balancers\":0", "balancers is out of range: 0 (1 to 65535)"),
+            ("\"balancers\":3", "\"balancers\":4e9", "balancers is out of range"),
+            ("\"balancers\":3,", "", "balancers is missing"),
+            (
+                "\"odd\":{\"x\":[]}",
+                "\"domain\":{\"young_limit\":-3}",
+                "domain.young_limit is out of range: -3",
+            ),
+            ("\"odd\":{\"x\":[]}", "\"domain\":{\"young_limit\":1e30}", "domain.young_limit is out of range"),
+            ("\"odd\":{\"x\":[]}", "\"contract\":{\"cold_from\":2}", "contract.cold_from is out of range"),
             ("\"send_cap\":3.0", "\"send_cap\":\"x\"", "policy_limits.send_cap is unreadable"),
         ] {
             let error = Config::read(&GOOD.replace(from, to), |_| None).unwrap_err().to_string();
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -5,6 +5,11 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
+/// A head is named by 16 bits on the simulator's wire.
+const MOST_HOSTS: f64 = 65_535.0;
+/// Units that a node could bear at once: far more than any does, far less than would make a guard void.
+const MOST_UNITS: f64 = 1e6;
+
 #[derive(Debug, PartialEq, Eq)]
 pub struct SettingsError(pub String);
 
@@ -68,6 +73,14 @@
         Ok(self.number(key)?.max(0.0) as Micros)
     }
 
+    /// A number that has to lie between two bounds: the module divides by it, or shares it out.
+    fn within(&self, key: &str, value: f64, least: f64, most: f64) -> Result<f64, SettingsError> {
+        match (least..=most).contains(&value) {
+            true => Ok(value),
+            false => Err(SettingsError(format!("{key} is out of range: {value} ({least} to {most})"))),
+        }
+    }
+
     fn flag(&self, key: &str) -> Result<bool, SettingsError> {
         Ok(self.parse(key)?.unwrap_or(false))
     }
@@ -132,7 +145,7 @@
         None => None,
     };
     Ok(Settings {
-        hosts: pairs.need("balancers")?,
+        hosts: pairs.within("balancers", pairs.need("balancers")?, 1.0, MOST_HOSTS)? as u32,
         position: pairs.need("position")?,
         classes,
         plans,
@@ -148,11 +161,16 @@
             true => Some(pairs.time("policy_limits.max_retry_after")?),
             false => None,
         },
-        cold_from: pairs.number("contract.cold_from")?,
+        cold_from: pairs.within("contract.cold_from", pairs.number("contract.cold_from")?, 0.0, 1.0)?,
         cold: pairs.time("contract.cold")?,
         fall: pairs.time("contract.fall")?,
         fall_multiple: pairs.number("contract.fall_multiple")?,
-        cold_units: pairs.number("domain.young_limit")?,
+        cold_units: pairs.within(
+            "domain.young_limit",
+            pairs.number("domain.young_limit")?,
+            0.0,
+            MOST_UNITS,
+        )?,
         order_settle: pairs.time("contract.order_settle")?,
         budget,
         most_units: pairs.number("domain.max_units")?,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -47,7 +47,7 @@
 const RECHECK: Micros = 10_000;
 /// Wait before the next call to the node list after a failed one, doubled each time up to 16 times this.
 const RESUBSCRIBE: Micros = 500_000;
-/// A crowd's calls to the node list are drawn evenly over so long for each host.
+/// A crowd's calls to the node list are drawn evenly over so long for each host, 10 s in all at most.
 const CALLS_APART: Micros = 35_000;
 /// Weight of one report of use in the estimate of what a volume gets elsewhere, and the time over which this
 /// host's own part is averaged, in use periods.
@@ -246,7 +246,8 @@
         self.list_failures = if news == News::Failed { (self.list_failures + 1).min(5) } else { 0 };
         // A fresh start of few hosts asks at once; a crowd's calls at one moment would fill the list's one service
         // until each has waited too long, again and again. A failed call is renewed after a while that grows.
-        let apart = if self.crowded() { CALLS_APART * u64::from(self.settings.hosts) } else { 0 };
+        let hosts = if self.crowded() { u64::from(self.settings.hosts) } else { 0 };
+        let apart = (CALLS_APART * hosts).min(20 * RESUBSCRIBE);
         let failed =
             if news == News::Failed { ((RESUBSCRIBE << self.list_failures) >> 1).max(apart / 2) } else { 0 };
         if self.settings.must_subscribe && matches!(news, News::Cached | News::Failed) {
@@ -297,8 +298,7 @@
         let aim_at = now + class.aim.min(request.time_left);
         let in_line = class.in_order && request.key != 0;
         let units = if request.units.is_finite() { request.units.max(0.0) } else { self.settings.most_units };
-        let margin = 2 * self.settings.tick;
-        let flow_ix = self.flow(now, &request);
+        let (margin, flow_ix) = (2 * self.settings.tick, self.flow(now, &request));
         let (most, flow) = (self.settings.most_units, &mut self.flows[flow_ix]);
         let rate = flow.reserve_rate();
         let reserved = flow.reserve.fill(now, rate, rate + most) >= units && rate > 0.0;
@@ -377,8 +377,8 @@
         }
         let global_vt = self.global_vt(now);
         let flow = &mut self.flows[ix];
-        let told = request.volume_hosts >= 1.0 && request.volume_hosts.is_finite();
-        let hosts = if told { request.volume_hosts } else { f64::from(self.settings.hosts) };
+        let all = f64::from(self.settings.hosts.max(1));
+        let hosts = if (1.0..=all).contains(&request.volume_hosts) { request.volume_hosts } else { all };
         flow.hosts = flow.hosts.max(hosts);
         if !flow.active(now) {
             flow.vt = flow.vt.max(global_vt);
--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -356,3 +356,43 @@
     assert!(tried_again(3, S), "a quarter of the fall time has passed");
     assert!(!tried_again(HOSTS, 2 * S), "250 hosts that try every half second are 500 requests a second");
 }
+
+#[test]
+fn a_crowd_survives_bad_news_and_absurd_figures() {
+    let full = |nodes: Vec<NodeEntry>| Event::Nodes { news: News::Full, nodes };
+    let mut host = crowded(|s| s.must_subscribe = true, vec![node(10, 1)]);
+    host.event(full(Vec::new()));
+    host.arrive(1, |_| {});
+    assert_eq!(host.sent(1), 0, "an empty list has no node");
+    // The list goes back to what it was, with a start from the future: cold from now on, not warm by a wrapped time.
+    host.event(full(vec![NodeEntry { started: host.now + 3600 * S, ..node(10, 1) }]));
+    host.wait(10 * MS);
+    assert_eq!(host.sent(1), 0, "cold, and nothing is known of what its shard is asked");
+    host.event(full(vec![node(10, 1)]));
+    for _ in 0..40 {
+        host.event(Event::Nodes { news: News::Failed, nodes: Vec::new() });
+    }
+    host.arrive(2, |_| {});
+    host.outcome(1, 0, 10, Ending::Served);
+    assert!(host.actions.iter().all(|a| !matches!(a, Action::Timer { after, .. } if *after > 20 * S)));
+    // Figures that say nothing, or too much: one request at a time at a cold node, and a limit that still flows.
+    for (cold_units, cold_from, volume_hosts) in
+        [(0.0, 0.25, 0.0), (8.0, 0.0, f64::NAN), (0.0, 0.0, 1e30), (0.0, 0.25, f64::INFINITY)]
+    {
+        let cold = NodeEntry { started: 100 * S, ..node(10, 1) };
+        let mut host =
+            crowded(|s| (s.cold_units, s.cold_from, s.fall) = (cold_units, cold_from, 0), vec![cold]);
+        for id in 1..=5 {
+            host.arrive(id, |r| r.volume_hosts = volume_hosts);
+        }
+        assert_eq!(host.sends().len(), 1, "{cold_units} {cold_from}");
+        let mut warm = crowded(|_| {}, vec![node(10, 1)]);
+        warm.arrive(1, |r| (r.plan, r.units, r.volume_hosts) = (1, 0.05, volume_hosts));
+        warm.wait(2 * S);
+        assert_eq!(
+            warm.sent(1),
+            1,
+            "one host's part of 10 units a second over all 250 hosts: {volume_hosts}"
+        );
+    }
+}
