Measure a request's CPU against the version before the events, in one run

Need: the syslog issue asks for CPU a request against the version before; so far the two were measured in runs of their own. Change: the syslog bench plays the head that PATHBANK_TWIN names beside this build's; the stage knows the old line by which a head tells that it is up.

--- a/benches/syslog.rs
+++ b/benches/syslog.rs
@@ -1,6 +1,6 @@
 //! The log beside requests: their latency with a collector that lives, is frozen, is gone or is slow, in one run; and
 //! minutes of traffic with a strict collector. `cargo bench --bench syslog`; or `-- latency`, `-- flood`,
-//! `-- soak SECONDS`.
+//! `-- soak SECONDS`. `PATHBANK_TWIN` names another build's head that `latency` plays beside this one's.
 
 use hdrhistogram::Histogram;
 use pathbank::rehearsal::brick::Brick;
@@ -42,12 +42,16 @@
 }
 
 fn stage(log: &str) -> Outcome<Stage> {
+    staged(HEAD, log, Setup::default().watched)
+}
+
+fn staged(head: &str, log: &str, watched: bool) -> Outcome<Stage> {
     let brick = Brick::start("b")?;
     let nodes = vec![entry("s-1", brick.address, 0, "in_service")];
     let discovery = Discovery::start(nodes.clone())?;
     let head = Head::start(
-        Path::new(HEAD),
-        &Setup { log: log.into(), ..Setup::default() },
+        Path::new(head),
+        &Setup { log: log.into(), watched, ..Setup::default() },
         discovery.address,
         nodes,
     )?;
@@ -107,14 +111,19 @@
     let gone_is = collector(&gone);
     drop(gone);
     let spool = format!("[spool]\ndirectory = \"{}\"\n", directory.display());
-    let stages = [
+    let twin = std::env::var("PATHBANK_TWIN").ok();
+    let mut stages: Vec<(&str, Stage)> = Vec::new();
+    if let Some(twin) = &twin {
+        stages.push(("twin, its own log", staged(twin, "", false)?));
+    }
+    stages.extend([
         ("none, requests untold", stage("")?),
         ("none", stage(ALL)?),
         ("live", stage(&format!("{}{ALL}", collector(&live)))?),
         ("live, with spool", stage(&format!("{}{spool}{ALL}", collector(&spooled)))?),
         ("frozen", stage(&format!("{}{ALL}", collector(&frozen)))?),
         ("gone", stage(&format!("{gone_is}{ALL}"))?),
-    ];
+    ]);
     for (_, stage) in &stages {
         ask(stage, 2_000)?;
     }
--- a/src/rehearsal/stage.rs
+++ b/src/rehearsal/stage.rs
@@ -194,10 +194,10 @@
         waits.extend(setup.files.then_some(" FILES_UP "));
         waits.extend(setup.grpc.is_some().then_some(" GRPC_UP "));
         while !waits.is_empty() {
-            let fits = |line: &String| waits.iter().any(|text| line.contains(text));
+            let fits = |line: &String| is_up(line) || waits.iter().any(|text| line.contains(text));
             let line = wait_for(&head.log, &waits.join(" and "), fits)?;
-            waits.retain(|text| !line.contains(text));
-            if line.contains(" UP ") {
+            waits.retain(|text| !(line.contains(text) || *text == " UP " && is_up(&line)));
+            if is_up(&line) {
                 head.http = address_in(&line)?;
             } else if line.contains(" FILES_UP ") {
                 head.files = Some(address_in(&line)?);
@@ -259,6 +259,11 @@
     }
 }
 
+/// Before the events had a catalogue the line had no MSGID; benches play such a build as a twin.
+fn is_up(line: &str) -> bool {
+    line.contains(" UP ") || line.contains("] up")
+}
+
 fn address_in(line: &str) -> Outcome<SocketAddr> {
     let quoted = line.split("listen=\"").nth(1).and_then(|rest| rest.split('"').next());
     let address = quoted.and_then(|address| address.parse().ok());
