Forget shards that are not asked for, and keep the module's lines within 110 columns

Cause: the running means of what is asked of a shard stayed for good, one for each shard that any client names, and the draw at a cold node's start took one long faded for knowledge. Change: tidy drops a mean after 30 s without a request; comments rewrapped, one action built in fewer lines. Test: after 31 s of silence a crowd's first requests at a cold node go by the even part (at most 4 of 250), after 1 s more than 100 go at once.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -14,8 +14,9 @@
 const ANTICIPATION_GAPS: f64 = 1.0;
 /// Anticipation before a second arrival has told a gap (the design's figure), microseconds.
 const FIRST_ANTICIPATION: Micros = 1_000_000;
-/// D, tokens at one node. The design's four is the most; every host fills its tokens at the same node, so a
-/// host keeps to its part of what three of them would hold there, starts at half of that and goes by delay.
+/// D, tokens at one node. The design's four is the most. Few hosts all fill their tokens at the same node:
+/// each keeps to its part of what three would hold. Of a crowd few have work there. Half at first, then by
+/// delay.
 const DEPTH_MOST: f64 = 4.0;
 const DEPTH_ALL_HOSTS: f64 = 12.0;
 const DEPTH_LEAST: f64 = 1.0;
@@ -83,9 +84,9 @@
 const TIDY: Micros = 1_000_000;
 const FORGET: Micros = 30_000_000;
 
-/// What is asked of a shard is taken to be two thirds of what its node carries when warm: a crowd gives a cold
-/// one so much of what the rule allows one that carries just that. What is outside the reserve waits until so
-/// many mean requests are saved up.
+/// What is asked of a shard is taken to be two thirds of what its node carries when warm: a crowd gives a
+/// cold one so much of what the rule allows one that carries just that. What is outside the reserve waits
+/// until so many mean requests are saved up.
 const COLD_PART: f64 = 1.5;
 const COLD_SPARE: f64 = 1.5;
 
@@ -244,8 +245,8 @@
 
     fn on_nodes(&mut self, now: Micros, news: News, entries: Vec<NodeEntry>, actions: &mut Vec<Action>) {
         self.list_failures = if news == News::Failed { (self.list_failures + 1).min(5) } else { 0 };
-        // A fresh start of few hosts asks at once; a crowd's calls at one moment would fill the list's one service
-        // until each has waited too long, again and again. A failed call is renewed after a while that grows.
+        // A fresh start of few hosts asks at once; a crowd's calls at one moment would wait too long at the
+        // list's one service, again and again. A failed call is renewed after a while that grows.
         let hosts = if self.crowded() { u64::from(self.settings.hosts) } else { 0 };
         let apart = (CALLS_APART * hosts).min(20 * RESUBSCRIBE);
         let failed =
@@ -253,11 +254,8 @@
         if self.settings.must_subscribe && matches!(news, News::Cached | News::Failed) {
             let draw = share_of_one(self.seed, now) * apart.max(failed) as f64;
             let after = failed + draw as Micros;
-            actions.push(if after > 0 {
-                Action::Timer { after, token: SUBSCRIBE_TOKEN }
-            } else {
-                Action::Subscribe
-            });
+            let later = Action::Timer { after, token: SUBSCRIBE_TOKEN };
+            actions.push(if after > 0 { later } else { Action::Subscribe });
         }
         if news == News::Full {
             let listed: BTreeSet<NodeId> = entries.iter().map(|e| e.node).collect();
@@ -395,8 +393,8 @@
         self.nodes.retain(|_, node| !node.gone || !node.out.is_empty());
     }
 
-    /// Forgets nodes that are gone, keys at rest, and volumes of which a new flow would know as much: long
-    /// silent, with nothing out, not ahead of the others, and with a full limit.
+    /// Forgets nodes that are gone, keys at rest, shards not asked for, and volumes of which a new flow would
+    /// know as much: long silent, with nothing out, not ahead of the others, and with a full limit.
     fn tidy(&mut self, now: Micros) {
         if now < self.tidied + TIDY {
             return;
@@ -404,6 +402,7 @@
         self.tidied = now;
         self.forget_nodes();
         self.keys.retain(|_, key| !key.line.is_empty() || key.rest_until > now);
+        self.asked.retain(|_, rate| now < rate.at + FORGET);
         let (flows, free, global_vt) = (&mut self.flows, &mut self.free_flows, self.global_vt);
         self.flow_of.retain(|_, ix| {
             let flow = &mut flows[*ix];
@@ -858,8 +857,8 @@
     }
 
     /// In a crowd an even part of what a cold node always bears is less than any request, and is due to hosts
-    /// that never use it. A node that is warm carries what all hosts ask of its shard: a host keeps to the part
-    /// of its own asking that the node bears cold, or to the even part, and saves up for one mean request.
+    /// that never use it. A node that is warm carries what all hosts ask of its shard: a host keeps to the
+    /// part of its own asking that the node bears cold, or to the even part, and saves up for its turns.
     fn save_for_cold(&mut self, now: Micros) {
         let (crowded, s) = (self.crowded(), &self.settings);
         let cold = |n: &Node| crowded && n.cold_since.is_some_and(|since| now < since + s.cold);
--- a/src/state.rs
+++ b/src/state.rs
@@ -30,7 +30,8 @@
 pub struct Rate {
     sum: f64,
     latest: f64,
-    at: Micros,
+    /// When the latest came.
+    pub at: Micros,
 }
 
 impl Rate {
--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -396,3 +396,24 @@
         );
     }
 }
+
+#[test]
+fn a_shard_that_is_not_asked_for_is_long_forgotten_and_its_cold_node_gets_the_even_part() {
+    let sent_cold = |silence: Micros| {
+        let mut crowd = hosts(&[node(10, 1)]);
+        for (host, id) in crowd.iter_mut().zip(1..) {
+            for request in 0..8 {
+                host.arrive(10 * id + request, |_| {});
+                host.outcome(10 * id + request, 0, 10, Ending::Served);
+                host.now += S;
+            }
+            host.wait(silence);
+            let nodes = vec![NodeEntry { started: host.now, ..node(10, 1) }];
+            host.event(Event::Nodes { news: News::Changes, nodes });
+            host.arrive(10 * id + 9, |_| {});
+        }
+        crowd.iter().filter(|host| host.sends().len() > 8).count()
+    };
+    assert!(sent_cold(S) > 100, "more than half of what is asked is borne at once");
+    assert!(sent_cold(31 * S) <= 4, "nothing is known of the shard any more");
+}
