--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -166,6 +166,7 @@
         }
         assert!(asks.iter().all(|after| *after <= 20 * S), "nobody waits for ever");
     }
+    assert!(asks_after(3_000, 0).iter().all(|after| *after <= 10 * S), "however many there are");
     assert_eq!(asks_after(3, 0), [0, 0, 0]);
     assert!(asks_after(3, 1).iter().all(|after| (500 * MS..=S).contains(after)));
 }
@@ -397,23 +398,43 @@
     }
 }
 
+/// A crowd that has asked a node for 8 s, that node started anew after a silence, and then some last requests.
+fn asked_then_cold(silence: Micros, last: impl Fn(&mut Host, RequestId)) -> Vec<Host> {
+    let mut crowd = hosts(&[node(10, 1)]);
+    for (host, id) in crowd.iter_mut().zip(1..) {
+        for request in 0..8 {
+            host.arrive(10 * id + request, |_| {});
+            host.outcome(10 * id + request, 0, 10, Ending::Served);
+            host.now += S;
+        }
+        host.wait(silence);
+        let nodes = vec![NodeEntry { started: host.now, ..node(10, 1) }];
+        host.event(Event::Nodes { news: News::Changes, nodes });
+        last(host, 10 * id + 8);
+    }
+    crowd
+}
+
 #[test]
 fn a_shard_that_is_not_asked_for_is_long_forgotten_and_its_cold_node_gets_the_even_part() {
     let sent_cold = |silence: Micros| {
-        let mut crowd = hosts(&[node(10, 1)]);
-        for (host, id) in crowd.iter_mut().zip(1..) {
-            for request in 0..8 {
-                host.arrive(10 * id + request, |_| {});
-                host.outcome(10 * id + request, 0, 10, Ending::Served);
-                host.now += S;
-            }
-            host.wait(silence);
-            let nodes = vec![NodeEntry { started: host.now, ..node(10, 1) }];
-            host.event(Event::Nodes { news: News::Changes, nodes });
-            host.arrive(10 * id + 9, |_| {});
-        }
+        let crowd = asked_then_cold(silence, |host, id| host.arrive(id, |_| {}));
         crowd.iter().filter(|host| host.sends().len() > 8).count()
     };
     assert!(sent_cold(S) > 100, "more than half of what is asked is borne at once");
     assert!(sent_cold(31 * S) <= 4, "nothing is known of the shard any more");
 }
+
+#[test]
+fn at_a_cold_node_a_crowd_sends_what_is_inside_the_reserve_first_though_it_came_last() {
+    let crowd = asked_then_cold(S, |host, id| {
+        host.arrive(id, |r| r.plan = 1);
+        host.arrive(id + 1, |_| {});
+    });
+    let sent = |which: u64| {
+        let went = |host: &&Host| host.sends().iter().any(|(id, _)| id % 10 == which);
+        crowd.iter().filter(went).count()
+    };
+    assert_eq!(sent(8), 0, "outside the reserve, more has to be saved up");
+    assert!(sent(9) > 100, "{} inside it", sent(9));
+}
