Test that a node under a new address without a new start is reached there alone

Change: a test that moves a node by a change, by a whole list and by a cached one, and asks for it each time.

--- a/src/core.rs
+++ b/src/core.rs
@@ -855,6 +855,34 @@
         Input::Nodes { news: News::Changes, nodes: vec![node] }
     }
 
+    /// Tells the address that it was started at.
+    struct Addressed(mpsc::UnboundedSender<String>);
+
+    impl Work for Addressed {
+        fn attempt(&self, a_try: Try) -> Attempt {
+            let _ = self.0.send(a_try.address);
+            Box::pin(async { End::Answered.into() })
+        }
+    }
+
+    #[test]
+    fn a_node_under_a_new_address_without_a_new_start_is_reached_there_alone() {
+        with_core(async |handle| {
+            let (tell, mut told) = mpsc::unbounded_channel();
+            for (news, address) in
+                [(News::Changes, "127.0.0.1:2"), (News::Full, "127.0.0.1:3"), (News::Cached, "127.0.0.1:4")]
+            {
+                let Input::Nodes { mut nodes, .. } = nodes(ListedState::InService) else { unreachable!() };
+                nodes[0].addr = address.to_string();
+                handle.send(Input::Nodes { news, nodes });
+                let pending = handle.submit(arrival(LONG), Box::new(Addressed(tell.clone()))).unwrap();
+                assert!(matches!(pending.await, Answer::Served(_)), "{news:?}");
+                assert_eq!(told.recv().await.as_deref(), Some(address), "{news:?}");
+            }
+            assert!(told.try_recv().is_err(), "one attempt each");
+        });
+    }
+
     fn arrival(wait: Duration) -> Arrival {
         let answer_by = Instant::now() + wait;
         let (volume, key, class, plan) = (1, 1, 0, 0);
