--- a/src/bin/pathbank.rs
+++ b/src/bin/pathbank.rs
@@ -7,12 +7,15 @@
 use pathbank::config::syslog::Log;
 use pathbank::core::{Core, Handle, Input};
 use pathbank::event;
+use pathbank::life::Phase;
 use pathbank::logging::{self, Logging};
 use pathbank::net::back::Back;
 use pathbank::net::discovery::Discovery;
-use pathbank::net::front::{self, Front, Phase};
+use pathbank::net::front::{self, Front};
 use pathbank::net::grpc;
+use pathbank::net::helm::{Helm, until};
 use pathbank::net::ids::Ids;
+use pathbank::net::ops::{self, Desk};
 use pathbank::net::places::{Counts, Places};
 use pathbank::net::sftp;
 use std::error::Error;
@@ -23,16 +26,10 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Semaphore, watch};
-use tokio::time::{Duration, Instant, sleep_until, timeout_at};
+use tokio::time::{Duration, sleep_until, timeout_at};
 
-/// After SIGTERM: new connections keep coming for up to 0.4 s.
-const ACCEPT_ON: Duration = Duration::from_millis(600);
-/// SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s: be gone well before.
-const LONGEST: Duration = Duration::from_secs(3);
-const LAST_ANSWERS: Duration = Duration::from_millis(500);
-/// So long before the last answers connections begin to close: until then their clients go on using them, and have
-/// nowhere else to go.
-const CLOSE: Duration = Duration::from_millis(250);
+/// An id is remembered for so long after the longest deadline.
+const IDS_KEPT: Duration = Duration::from_secs(3);
 const LAST_BYTES: Duration = Duration::from_millis(80);
 /// For lines of the log that are on their way when the program ends.
 const LAST_LINES: Duration = Duration::from_millis(40);
@@ -68,6 +65,12 @@
         core.tell_requests(telling);
     }
     let handle = core.handle();
+    handle.figures().name_classes(&config.names.classes);
+    let (helm, watched) = Helm::new(config.longest_deadline());
+    tokio::spawn(helm.clone().run());
+    if config.ops.is_some() {
+        core.keep_figures();
+    }
     let core = tokio::spawn(core.run());
     let (place, address) = watch::channel(config.discovery);
     tokio::spawn(reload(hangup, place, logging.clone()));
@@ -78,7 +81,6 @@
         on_demand: config.settings.must_subscribe,
     };
     tokio::spawn(discovery.run(wanted));
-    let (phase, watched) = watch::channel(Phase::Serving);
     let back = Back::new(config.node_connections);
     tokio::spawn(back.watch());
     let bodies = Arc::new(Semaphore::new(config.most_held));
@@ -89,13 +91,18 @@
         answer_margin: config.answer_margin,
         phase: watched.clone(),
         bodies: bodies.clone(),
-        ids: Ids::new(config.most_ids, config.longest_deadline() + LONGEST),
+        ids: Ids::new(config.most_ids, config.longest_deadline() + IDS_KEPT),
     };
     let places = Places::new(config.clients);
     tokio::spawn(places.clone().watch());
     let listener = TcpListener::bind(config.listen).await?;
     event!(UP, name = config.name, listen:% = listener.local_addr()?);
     tokio::spawn(front::serve(listener, front, places.clone()));
+    if let Some(address) = config.ops {
+        let desk = Desk { figures: handle.figures().clone(), helm: helm.clone() };
+        let callers = config.ops_callers;
+        event!(OPS_UP, listen:% = ops::start(address, callers, desk)?, callers);
+    }
     let mut rooms = vec![places];
     if let Some(second) = second {
         let listener = TcpListener::bind(second.listen).await?;
@@ -123,7 +130,7 @@
                 nodes: grpc::back::Nodes::new(&third, config.node_connections.connect),
                 config: Arc::new(third),
                 answer_margin: config.answer_margin,
-                phase: watched,
+                phase: watched.clone(),
                 bodies,
                 counters: Arc::default(),
             };
@@ -143,7 +150,7 @@
             return Err("the core ended".into());
         }
     }
-    leave(&config, &phase, &handle, &rooms).await;
+    leave(&helm, watched, &handle, &rooms).await;
     let (opened, attempts) = back.counts();
     for places in &rooms {
         let Counts { taken, over_limit, for_others } = places.counts();
@@ -179,23 +186,20 @@
     }
 }
 
-/// Accepts for a while longer, serves the connections that there are for as long as that can be, and then closes
-/// them between requests.
-async fn leave(config: &Config, phase: &watch::Sender<Phase>, handle: &Handle, rooms: &[Places]) {
-    let told = Instant::now();
+/// Serves as `life` has it until nobody is connected any more, or until the last answers are due: then what is open
+/// fails.
+async fn leave(helm: &Helm, mut phase: watch::Receiver<Phase>, handle: &Handle, rooms: &[Places]) {
     event!(LEAVING, open = handle.open());
-    let last = told + config.longest_deadline().min(LONGEST) + LAST_ANSWERS;
+    helm.end(false);
+    let Some(last) = helm.last() else { return };
     // Each connection holds a place: with no place held, all answers are out.
-    let gone = || async {
+    let gone = async {
+        until(&mut phase, |phase| !phase.accept).await;
         for places in rooms {
             places.empty().await;
         }
     };
-    sleep_until((told + ACCEPT_ON).min(last - CLOSE)).await;
-    phase.send_replace(Phase::Staying);
-    let _ = timeout_at(last - CLOSE, gone()).await; // closed either way
-    phase.send_replace(Phase::Closing);
-    if timeout_at(last, gone()).await.is_err() {
+    if timeout_at(last, gone).await.is_err() {
         handle.send(Input::Finish);
         sleep_until(last + LAST_BYTES).await;
     }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -23,6 +23,9 @@
 const NODE_PART: f64 = 0.22;
 /// The part for clients that have come while others are still on their way out.
 const SPARE_PART: f64 = 0.12;
+/// The part for operators' calls, set aside from all others, and as many as there are in any case.
+const OPS_PART: f64 = 0.02;
+const LEAST_CALLERS: usize = 4;
 /// The part that idle clients may hold before they are asked to go: clients hold a third for their requests.
 const IDLE_CLIENTS_PART: f64 = 0.22;
 /// The part of the descriptors that may hold open requests. Beyond it a request is turned away at once: were the
@@ -84,6 +87,9 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators call, and how many may at once. `None`: off.
+    pub ops: Option<SocketAddr>,
+    pub ops_callers: usize,
     pub seed: u64,
     pub clients: ClientLimits,
     pub node_connections: NodeLimits,
@@ -174,6 +180,7 @@
     name: Option<String>,
     listen: Option<SocketAddr>,
     discovery: Option<SocketAddr>,
+    ops: Option<SocketAddr>,
     #[serde(default)]
     seed: String,
     #[serde(default)]
@@ -232,7 +239,14 @@
             None => None,
             Some(text) => Some(text.parse().map_err(|e| unreadable("PATHBANK_SYSLOG", e))?),
         };
+        let ops = match (file.ops, env("GW_OPS")) {
+            (Some(address), _) => Some(address),
+            (None, Some(text)) => Some(text.parse().map_err(|e| unreadable("GW_OPS", e))?),
+            (None, None) => None,
+        };
         Ok(Config {
+            ops,
+            ops_callers: part(OPS_PART).max(LEAST_CALLERS),
             name: file.name.or_else(|| env("GW_NAME")).unwrap_or_else(|| "pathbank".to_string()),
             listen: address(file.listen, "GW_LISTEN")?,
             discovery: address(file.discovery, "GW_DISCOVERY")?,
@@ -338,6 +352,7 @@
             ("\"127.0.0.1:7070\"", "7", "key listen of the configuration"),
             ("\"listen\"", "\"lisen\"", "GW_LISTEN is missing"),
             ("\"cell\":3", "\"cell\":-3", "known.servers[0].cell"),
+            ("\"seed\"", "\"ops\":\"7\",\"seed\"", "key ops of the configuration"),
             ("\"position\":0,", "", "position is missing"),
             ("\"balancers\":3", "\"balancers\":0", "balancers is out of range: 0 (1 to 65535)"),
             ("\"balancers\":3", "\"balancers\":4e9", "balancers is out of range"),
--- a/src/core.rs
+++ b/src/core.rs
@@ -7,6 +7,7 @@
 use crate::event;
 use crate::events::pressure::Pressure;
 use crate::events::requests::{Finish, Telling, Tried, Volume, Why, ending_name};
+use crate::figures::{Count, Figures, InProgress};
 use crate::index::wheel::{Key, Wheel};
 use crate::interface::*;
 use crate::policy::Policy;
@@ -64,17 +65,29 @@
     }
 }
 
-/// Told by the backend as soon as a byte of the attempt may be on the wire.
+/// Told by the backend as soon as a byte of the attempt may be on the wire, and when its last one is.
 #[derive(Debug, Default)]
-pub struct Begun(AtomicBool);
+pub struct Begun {
+    begun: AtomicBool,
+    whole: AtomicBool,
+    class: usize,
+    figures: Figures,
+}
 
 impl Begun {
     pub fn set(&self) {
-        self.0.store(true, Ordering::Relaxed);
+        self.begun.store(true, Ordering::Relaxed);
     }
 
     pub fn get(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+        self.begun.load(Ordering::Relaxed)
+    }
+
+    /// All of it is written: the attempt counts, once.
+    pub fn set_whole(&self) {
+        if !self.whole.swap(true, Ordering::Relaxed) {
+            self.figures.count(self.class, Count::Tries);
+        }
     }
 }
 
@@ -155,9 +168,14 @@
     open: Arc<AtomicUsize>,
     max_open: usize,
     no_room: Arc<AtomicU64>,
+    figures: Figures,
 }
 
 impl Handle {
+    pub fn figures(&self) -> &Figures {
+        &self.figures
+    }
+
     /// Requests that came when as many as may be were open.
     pub fn no_room(&self) -> u64 {
         self.no_room.load(Ordering::Relaxed)
@@ -167,6 +185,7 @@
     pub fn submit(&self, arrival: Arrival, work: Box<dyn Work>) -> Option<Pending> {
         if self.open.load(Ordering::Relaxed) >= self.max_open {
             self.no_room.fetch_add(1, Ordering::Relaxed);
+            self.figures.count(arrival.class, Count::Dropped);
             return None;
         }
         self.open.fetch_add(1, Ordering::Relaxed);
@@ -174,7 +193,8 @@
         let id = self.last.fetch_add(1, Ordering::Relaxed) + 1;
         let (answer, pending) = oneshot::channel();
         self.send(Input::Request { id, arrival, work, answer });
-        Some(Pending { id, answer: pending, answered: false, handle: self.clone() })
+        let open = self.figures.taken();
+        Some(Pending { id, answer: pending, answered: false, handle: self.clone(), _open: open })
     }
 
     pub fn send(&self, input: Input) {
@@ -198,6 +218,7 @@
     answer: oneshot::Receiver<Answer>,
     answered: bool,
     handle: Handle,
+    _open: InProgress,
 }
 
 impl Future for Pending {
@@ -237,6 +258,7 @@
     /// Where requests are told.
     noted: Option<Box<Noted>>,
     deadline: Key,
+    class: usize,
 }
 
 /// What is told of a request at its end.
@@ -258,6 +280,9 @@
     since: Micros,
 }
 
+/// The module's view of nodes is copied into the figures so often at most, and so often where nothing happens.
+const COPY_APART: Micros = 50_000;
+const COPY_IDLE: Micros = 100_000;
 /// How often requests that were not served are summed up.
 const SUM_UP: Micros = 10_000_000;
 
@@ -321,6 +346,9 @@
     telling: Option<Telling>,
     pressure: Pressure,
     ends: Ends,
+    figures: Figures,
+    /// Somebody reads the figures: those that are copied are copied again and again, last at this time.
+    copied: Option<Micros>,
 }
 
 impl Core {
@@ -333,8 +361,9 @@
     ) -> (Core, mpsc::UnboundedReceiver<()>) {
         let (queue, inputs) = mpsc::unbounded_channel();
         let (subscribe, wanted) = mpsc::unbounded_channel();
-        let handle =
-            Handle { queue, last: Arc::default(), open: Arc::default(), max_open, no_room: Arc::default() };
+        let (last, open, no_room, figures) =
+            (Arc::default(), Arc::default(), Arc::default(), Figures::default());
+        let handle = Handle { queue, last, open, max_open, no_room, figures: figures.clone() };
         let policy = Policy::new(settings.clone(), seed);
         let core = Core {
             policy,
@@ -356,6 +385,8 @@
             telling: None,
             pressure: Pressure::default(),
             ends: Ends::default(),
+            figures,
+            copied: None,
         };
         (core, wanted)
     }
@@ -369,9 +400,26 @@
         self.telling = Some(telling);
     }
 
+    /// Keeps the figures that are copied fresh, and says that it runs.
+    pub fn keep_figures(&mut self) {
+        self.copied = Some(0);
+    }
+
+    fn copy_figures(&mut self) {
+        let now = self.clock.now();
+        if self.copied.is_some_and(|at| now >= at + COPY_APART) {
+            self.copied = Some(now);
+            let (known, skipped) = self.policy.bricks(now);
+            self.figures.bricks(known, skipped);
+            self.figures.beat(Instant::now());
+        }
+    }
+
     pub async fn run(mut self) {
         loop {
-            let next = self.due.next_due().map(|at| self.clock.instant(at));
+            self.copy_figures();
+            let copy = self.copied.map(|at| at.max(self.clock.now()) + COPY_IDLE);
+            let next = self.due.next_due().into_iter().chain(copy).min().map(|at| self.clock.instant(at));
             let asleep = async {
                 match next {
                     Some(at) => tokio::time::sleep_until(at).await,
@@ -443,6 +491,7 @@
             bound: None,
             noted,
             deadline,
+            class: arrival.class,
         };
         self.requests.insert(id, open);
         let Arrival { volume, key, class, plan, units, volume_hosts, repeat, shard, .. } = arrival;
@@ -624,7 +673,7 @@
     /// A request has its end: counted, and told where that is wanted. Attempts that are out are told as they stand.
     fn finish(&mut self, id: RequestId, finish: Finish) {
         let now = self.clock.now();
-        self.ends.counts[finish as usize] += 1;
+        self.count(finish, id);
         self.note_pressure(now);
         let noted = self.requests.get_mut(&id).and_then(|open| open.noted.take());
         let (Some(telling), Some(noted)) = (&mut self.telling, noted) else { return };
@@ -647,6 +696,17 @@
         event!(REQUEST, request = id, volume:%, plan, class, units, attempts, held_us, out_us, outcome, late, one_in);
     }
 
+    fn count(&mut self, finish: Finish, id: RequestId) {
+        self.ends.counts[finish as usize] += 1;
+        let count = match finish {
+            Finish::Served => Count::Passed,
+            Finish::Refused => Count::Dropped,
+            Finish::Failed => Count::BadGateway,
+            Finish::Left => return,
+        };
+        self.requests.get(&id).into_iter().for_each(|open| self.figures.count(open.class, count));
+    }
+
     fn note_pressure(&mut self, now: Micros) {
         let (open, most) = (self.handle.open(), self.handle.max_open);
         if let Some((was, level)) = self.pressure.note(now, open, most) {
@@ -707,6 +767,7 @@
             if let Some(answer) = open.answer.take() {
                 let _ = answer.send(Answer::Failed);
                 self.ends.counts[Finish::Failed as usize] += 1;
+                self.figures.count(open.class, Count::BadGateway);
             }
         }
         self.due = Wheel::new(self.clock.now());
@@ -751,7 +812,7 @@
             open.attempts.push(None);
             return self.tell(Event::Outcome(moot));
         };
-        let begun = Arc::new(Begun::default());
+        let begun = Arc::new(Begun { class: open.class, figures: self.figures.clone(), ..Begun::default() });
         let answer_by = self.clock.instant(until);
         if open.noted.is_some() {
             let name = self.nodes.get(&node).map_or(String::new(), |node| node.id.clone());
--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -71,6 +71,12 @@
     RELOAD_FAILED "head" Warning false "A configuration could not be read; the old one stays in force." {
         "problem": "what is wrong with it"
     }
+    DRAIN "head" Notice true "An operator's drain began or is over." {
+        "on": "yes or no"
+    }
+    OPS_UP "head" Notice false "The operators' line is open." {
+        "listen": "where operators call", "callers": "callers at once at most"
+    }
     LEAVING "head" Notice true "SIGTERM came; the head finishes what it has." {
         "open": "requests that are open"
     }
--- /dev/null
+++ b/src/figures.rs
@@ -0,0 +1,204 @@
+//! The figures that operators read: counted where things end, once, from 0 at the program's start.
+
+use std::fmt::Write;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::time::{Duration, Instant};
+
+/// What is counted for each class.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Count {
+    Passed,
+    Dropped,
+    BadGateway,
+    /// Attempts written whole to bricks.
+    Tries,
+}
+
+/// The ends of requests, as their label says them.
+const OUTCOMES: [(Count, &str); 3] =
+    [(Count::Passed, "passed"), (Count::Dropped, "dropped"), (Count::BadGateway, "bad_gateway")];
+
+#[derive(Debug, Default)]
+struct Classes {
+    /// In the order in which their names were first heard; none ever goes.
+    rows: Vec<(String, [u64; 4])>,
+    /// The row of each class number.
+    row_of: Vec<usize>,
+}
+
+#[derive(Debug, Default)]
+struct All {
+    classes: Mutex<Classes>,
+    in_progress: AtomicUsize,
+    known: AtomicUsize,
+    skipped: AtomicUsize,
+    loads: AtomicU64,
+    load_errors: AtomicU64,
+    /// When the core last said that it runs.
+    beat: Mutex<Option<Instant>>,
+}
+
+/// One registry, whoever holds it.
+#[derive(Clone, Debug, Default)]
+pub struct Figures(Arc<All>);
+
+impl Figures {
+    fn classes(&self) -> MutexGuard<'_, Classes> {
+        self.0.classes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The names of the class numbers. A name that was there before keeps what it counted, under any number.
+    pub fn name_classes(&self, names: &[String]) {
+        let mut classes = self.classes();
+        let Classes { rows, row_of } = &mut *classes;
+        let row = |name: &String| {
+            rows.iter().position(|(known, _)| known == name).unwrap_or_else(|| {
+                rows.push((name.clone(), [0; 4]));
+                rows.len() - 1
+            })
+        };
+        *row_of = names.iter().map(row).collect();
+    }
+
+    /// A class without a name (another front's own) is counted nowhere.
+    pub fn count(&self, class: usize, what: Count) {
+        let mut classes = self.classes();
+        if let Some(row) = classes.row_of.get(class).copied() {
+            classes.rows[row].1[what as usize] += 1;
+        }
+    }
+
+    /// A request is taken; it counts as in progress until the value is dropped.
+    pub fn taken(&self) -> InProgress {
+        self.0.in_progress.fetch_add(1, Ordering::Relaxed);
+        InProgress(self.clone())
+    }
+
+    pub fn in_progress(&self) -> usize {
+        self.0.in_progress.load(Ordering::Relaxed)
+    }
+
+    /// Bricks on the list, and those of them that are avoided now.
+    pub fn bricks(&self, known: usize, skipped: usize) {
+        self.0.known.store(known, Ordering::Relaxed);
+        self.0.skipped.store(skipped, Ordering::Relaxed);
+    }
+
+    pub fn known_bricks(&self) -> usize {
+        self.0.known.load(Ordering::Relaxed)
+    }
+
+    /// A configuration was read again.
+    pub fn loaded(&self, taken: bool) {
+        let count = if taken { &self.0.loads } else { &self.0.load_errors };
+        count.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// The core runs, and has told its figures.
+    pub fn beat(&self, now: Instant) {
+        *self.0.beat.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
+    }
+
+    pub fn silent_for(&self, now: Instant) -> Duration {
+        let beat = *self.0.beat.lock().unwrap_or_else(PoisonError::into_inner);
+        beat.map_or(Duration::MAX, |beat| now.saturating_duration_since(beat))
+    }
+
+    /// One figure a line.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        let mut line = |name: &str, labels: &str, value: u64| {
+            // Writing to a string cannot fail.
+            let _ = writeln!(text, "edge_gw_{name}{labels} {value}");
+        };
+        for (name, counts) in &self.classes().rows {
+            let name = name.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n");
+            for (count, outcome) in OUTCOMES {
+                let labels = format!("{{category=\"{name}\",outcome=\"{outcome}\"}}");
+                line("handled", &labels, counts[count as usize]);
+            }
+            line("upstream_tries", &format!("{{category=\"{name}\"}}"), counts[Count::Tries as usize]);
+        }
+        let all = &self.0;
+        for (name, value) in [
+            ("in_progress", all.in_progress.load(Ordering::Relaxed) as u64),
+            ("known_bricks", all.known.load(Ordering::Relaxed) as u64),
+            ("skipped_bricks", all.skipped.load(Ordering::Relaxed) as u64),
+            ("loads", all.loads.load(Ordering::Relaxed)),
+            ("load_errors", all.load_errors.load(Ordering::Relaxed)),
+        ] {
+            line(name, "", value);
+        }
+        text
+    }
+}
+
+#[derive(Debug)]
+pub struct InProgress(Figures);
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.0.in_progress.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn names(names: &[&str]) -> Vec<String> {
+        names.iter().map(|name| name.to_string()).collect()
+    }
+
+    #[test]
+    fn each_figure_has_its_line_and_counts_what_it_says() {
+        let figures = Figures::default();
+        figures.name_classes(&names(&["read", "write"]));
+        for (class, what) in [
+            (0, Count::Passed),
+            (0, Count::Passed),
+            (1, Count::Dropped),
+            (0, Count::BadGateway),
+            (1, Count::Tries),
+        ] {
+            figures.count(class, what);
+        }
+        figures.count(7, Count::Passed);
+        figures.bricks(9, 2);
+        figures.loaded(true);
+        figures.loaded(false);
+        figures.loaded(false);
+        let open = figures.taken();
+        let wanted = "edge_gw_handled{category=\"read\",outcome=\"passed\"} 2\n\
+            edge_gw_handled{category=\"read\",outcome=\"dropped\"} 0\n\
+            edge_gw_handled{category=\"read\",outcome=\"bad_gateway\"} 1\n\
+            edge_gw_upstream_tries{category=\"read\"} 0\n\
+            edge_gw_handled{category=\"write\",outcome=\"passed\"} 0\n\
+            edge_gw_handled{category=\"write\",outcome=\"dropped\"} 1\n\
+            edge_gw_handled{category=\"write\",outcome=\"bad_gateway\"} 0\n\
+            edge_gw_upstream_tries{category=\"write\"} 1\n\
+            edge_gw_in_progress 1\nedge_gw_known_bricks 9\nedge_gw_skipped_bricks 2\n\
+            edge_gw_loads 1\nedge_gw_load_errors 2\n";
+        assert_eq!(figures.text(), wanted);
+        drop(open);
+        assert_eq!(figures.in_progress(), 0);
+    }
+
+    #[test]
+    fn a_class_that_goes_and_comes_back_keeps_its_count() {
+        let figures = Figures::default();
+        figures.name_classes(&names(&["a", "b"]));
+        figures.count(1, Count::Passed);
+        // `a` has new rules under number 2; `b` has gone, but what is open there still ends; `c` is new.
+        figures.name_classes(&names(&["a", "b", "a", "c"]));
+        for class in [0, 1, 2, 3] {
+            figures.count(class, Count::Passed);
+        }
+        let text = figures.text();
+        for line in ["{category=\"a\",outcome=\"passed\"} 2\n", "{category=\"b\",outcome=\"passed\"} 2\n"] {
+            assert!(text.contains(line), "{text}");
+        }
+        assert_eq!(text.matches("outcome=\"passed\"").count(), 3);
+    }
+}
--- /dev/null
+++ b/src/life.rs
@@ -0,0 +1,223 @@
+//! What the program is doing: serving, draining and back, ending. Decides which phase that is at any time and when the
+//! next one begins; knows nothing of sockets, tasks or signals.
+
+use std::fmt;
+use std::time::{Duration, Instant};
+
+/// In a drain the front still sends new connections for 0.2 s after it heard that the head says no, and asks every 0.1 s.
+const KEEP_ON: Duration = Duration::from_millis(500);
+/// From then on idle connections are closed, and nobody new stays: 4 s after the call nothing of the last 2 s is there.
+const EMPTY: Duration = Duration::from_millis(1_700);
+/// After SIGTERM: new connections keep coming for up to 0.4 s.
+const ACCEPT_ON: Duration = Duration::from_millis(600);
+/// SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s: be gone well before.
+const LONGEST: Duration = Duration::from_secs(3);
+const LAST_ANSWERS: Duration = Duration::from_millis(500);
+/// So long before the last answers connections begin to close: until then their clients go on using them, and have
+/// nowhere else to go.
+const CLOSE: Duration = Duration::from_millis(250);
+
+/// What fronts go by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Phase {
+    /// `/up` says yes.
+    pub up: bool,
+    /// New connections are taken.
+    pub accept: bool,
+    /// Each answer is its connection's last.
+    pub last: bool,
+    /// Idle connections are closed.
+    pub close: bool,
+    /// The program ends.
+    pub ends: bool,
+}
+
+pub const SERVING: Phase = Phase { up: true, accept: true, last: false, close: false, ends: false };
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Doing {
+    Serving,
+    Draining { since: Instant },
+    Ending { since: Instant, shared: bool },
+}
+
+/// Why a call is turned down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ends;
+
+impl fmt::Display for Ends {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the head is ending")
+    }
+}
+
+#[derive(Debug)]
+pub struct Life {
+    doing: Doing,
+    longest: Duration,
+}
+
+impl Life {
+    /// `longest`: what a class's client waits at most.
+    pub fn new(longest: Duration) -> Life {
+        Life { doing: Doing::Serving, longest }
+    }
+
+    pub fn set_longest(&mut self, longest: Duration) {
+        self.longest = longest;
+    }
+
+    /// A drain begins; one that has begun goes on.
+    pub fn drain(&mut self, now: Instant) -> Result<(), Ends> {
+        match self.doing {
+            Doing::Serving => self.doing = Doing::Draining { since: now },
+            Doing::Draining { .. } => {}
+            Doing::Ending { .. } => return Err(Ends),
+        }
+        Ok(())
+    }
+
+    /// The drain is over, however far it has come; without one there is nothing to do.
+    pub fn undrain(&mut self) -> Result<(), Ends> {
+        match self.doing {
+            Doing::Ending { .. } => return Err(Ends),
+            _ => self.doing = Doing::Serving,
+        }
+        Ok(())
+    }
+
+    /// The program ends. `shared`: another process listens on the same socket, so that nobody is left at the door.
+    pub fn end(&mut self, now: Instant, shared: bool) {
+        if !matches!(self.doing, Doing::Ending { .. }) {
+            self.doing = Doing::Ending { since: now, shared };
+        }
+    }
+
+    pub fn phase(&self, now: Instant) -> Phase {
+        match self.doing {
+            Doing::Serving => SERVING,
+            Doing::Draining { since } => {
+                Phase { up: false, last: now >= since + KEEP_ON, close: now >= since + EMPTY, ..SERVING }
+            }
+            Doing::Ending { since, shared } => {
+                let closing = now + CLOSE >= self.last_answers(since);
+                Phase {
+                    up: !shared,
+                    accept: !shared && now < since + ACCEPT_ON && !closing,
+                    last: shared || closing,
+                    close: closing,
+                    ends: true,
+                }
+            }
+        }
+    }
+
+    /// When the phase changes by itself, if it does.
+    pub fn next_change(&self, now: Instant) -> Option<Instant> {
+        let times = match self.doing {
+            Doing::Serving => [None, None],
+            Doing::Draining { since } => [Some(since + KEEP_ON), Some(since + EMPTY)],
+            Doing::Ending { since, .. } => {
+                [Some(since + ACCEPT_ON), self.last_answers(since).checked_sub(CLOSE)]
+            }
+        };
+        times.into_iter().flatten().filter(|at| *at > now).min()
+    }
+
+    /// While the program ends: when what is still open has to fail.
+    pub fn last(&self) -> Option<Instant> {
+        match self.doing {
+            Doing::Ending { since, .. } => Some(self.last_answers(since)),
+            _ => None,
+        }
+    }
+
+    fn last_answers(&self, since: Instant) -> Instant {
+        since + self.longest.min(LONGEST) + LAST_ANSWERS
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MS: Duration = Duration::from_millis(1);
+
+    /// up, accept, last, close, ends
+    fn flags(phase: Phase) -> [bool; 5] {
+        [phase.up, phase.accept, phase.last, phase.close, phase.ends]
+    }
+
+    fn word(flags: [bool; 5]) -> String {
+        let letter = |(on, letter): (bool, char)| if on { letter } else { '-' };
+        flags.into_iter().zip("ualce".chars()).map(letter).collect()
+    }
+
+    #[test]
+    fn every_call_in_every_state_brings_its_phases() {
+        // Calls and looks by the millisecond; D drain, U undrain, T SIGTERM, S SIGTERM with the socket shared.
+        for (name, steps) in [
+            (
+                "a drain",
+                &[(0, "D", "-a---"), (499, "", "-a---"), (500, "", "-al--"), (1_700, "", "-alc-")][..],
+            ),
+            ("stays drained", &[(0, "D", "-a---"), (60_000, "", "-alc-")]),
+            ("back at once", &[(0, "D", "-a---"), (1, "U", "ua---"), (9_000, "", "ua---")]),
+            ("back half way", &[(0, "D", "-a---"), (1_000, "U", "ua---")]),
+            ("twice", &[(0, "D", "-a---"), (400, "D", "-a---"), (500, "", "-al--")]),
+            (
+                "again",
+                &[(0, "D", "-a---"), (2_000, "U", "ua---"), (2_001, "D", "-a---"), (2_400, "", "-a---")],
+            ),
+            ("without a drain", &[(0, "U", "ua---")]),
+            ("the end", &[(0, "T", "ua--e"), (600, "", "u---e"), (3_249, "", "u---e"), (3_250, "", "u-lce")]),
+            ("the end twice", &[(0, "T", "ua--e"), (600, "T", "u---e"), (3_250, "T", "u-lce")]),
+            ("the end in a drain", &[(0, "D", "-a---"), (600, "T", "ua--e"), (1_200, "", "u---e")]),
+            ("no way back", &[(0, "T", "ua--e"), (1, "U!", "ua--e"), (2, "D!", "ua--e")]),
+            ("a shared end", &[(0, "S", "--l-e"), (3_250, "", "--lce")]),
+        ] {
+            let (start, mut life) = (Instant::now(), Life::new(Duration::from_secs(5)));
+            for (at, call, wanted) in steps {
+                let now = start + *at * MS;
+                let done = match call.trim_end_matches('!') {
+                    "D" => life.drain(now),
+                    "U" => life.undrain(),
+                    "T" | "S" => {
+                        life.end(now, *call == "S");
+                        Ok(())
+                    }
+                    _ => Ok(()),
+                };
+                assert_eq!(done.is_err(), call.ends_with('!'), "{name} at {at}");
+                assert_eq!(word(flags(life.phase(now))), *wanted, "{name} at {at}");
+            }
+        }
+    }
+
+    #[test]
+    fn each_change_is_announced_and_nothing_else() {
+        for call in ["D", "T", "S"] {
+            let (start, mut life) = (Instant::now(), Life::new(Duration::from_secs(1)));
+            match call {
+                "D" => life.drain(start).unwrap(),
+                _ => life.end(start, call == "S"),
+            }
+            let (mut now, mut seen) = (start, life.phase(start));
+            while let Some(next) = life.next_change(now) {
+                assert!(next > now);
+                assert_eq!(life.phase(next - MS / 1000), seen, "{call}: nothing changes unannounced");
+                (now, seen) = (next, life.phase(next));
+            }
+            assert_eq!(life.phase(now + Duration::from_secs(60)), seen, "{call}");
+        }
+    }
+
+    #[test]
+    fn four_seconds_after_a_drain_nothing_of_the_last_two_can_be_there() {
+        assert!(EMPTY < Duration::from_secs(2));
+        let (start, mut life) = (Instant::now(), Life::new(Duration::from_secs(5)));
+        life.drain(start).unwrap();
+        assert!(life.phase(start + Duration::from_secs(2)).close);
+        assert_eq!(life.last(), None, "what was taken before is not cut off");
+    }
+}
--- a/src/net/back.rs
+++ b/src/net/back.rs
@@ -342,6 +342,9 @@
                 self.matched = usize::from(*byte == HEAD_END[0]);
             }
         }
+        if self.whole() {
+            self.begun.set_whole();
+        }
     }
 
     /// The request's last byte was written.
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -3,7 +3,10 @@
 use crate::config::Names;
 use crate::core::{Answer, Arrival, Handle};
 use crate::event;
+use crate::figures::Count;
+use crate::life::Phase;
 use crate::net::back::{Back, Forward, ForwardWork, IDEMPOTENCY_KEY, MOST_BODY, REQUEST_ID, TIMEOUT};
+use crate::net::helm::until;
 use crate::net::ids::Ids;
 use crate::net::places::{Places, Seat};
 use axum::Extension;
@@ -45,16 +48,6 @@
 /// When a client that found no room is asked to come again.
 const NO_ROOM: Duration = Duration::from_secs(1);
 
-/// How far the program's end has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Phase {
-    Serving,
-    /// No new connections; those that there are go on being served.
-    Staying,
-    /// Each answer is its connection's last; idle ones are closed.
-    Closing,
-}
-
 #[derive(Clone)]
 pub struct Front {
     pub handle: Handle,
@@ -69,14 +62,14 @@
 
 pub async fn serve(listener: TcpListener, front: Front, places: Places) {
     let phase = front.phase.clone();
-    let router = Router::new().route("/up", get(|| async { "up" })).fallback(take).with_state(front);
+    let router = Router::new().route("/up", get(up)).fallback(take).with_state(front);
     let connection = |stream, seat, phase: &watch::Receiver<Phase>| {
         connection(stream, seat, router.clone(), phase.clone())
     };
     accept_all(listener, places, phase, connection).await;
 }
 
-/// Accepts for as long as the phase is `Serving`; each connection is a task of its own.
+/// Accepts for as long as the phase has it; each connection is a task of its own.
 pub async fn accept_all<C: Future<Output = ()> + Send + 'static>(
     listener: TcpListener,
     places: Places,
@@ -85,7 +78,7 @@
 ) {
     loop {
         let accepted = tokio::select! {
-            () = reached(&mut phase, Phase::Staying) => return,
+            () = until(&mut phase, |phase| !phase.accept) => return,
             accepted = accept(&listener, &places) => accepted,
         };
         if let Some((stream, seat)) = accepted {
@@ -106,9 +99,13 @@
     }
 }
 
-pub async fn reached(phase: &mut watch::Receiver<Phase>, wanted: Phase) {
-    // An error says that the sender is gone: the program ends.
-    let _ = phase.wait_for(|phase| *phase >= wanted).await;
+async fn up(State(front): State<Front>) -> Response {
+    let phase = *front.phase.borrow();
+    let response = match phase.up {
+        true => "up".into_response(),
+        false => (StatusCode::SERVICE_UNAVAILABLE, "draining").into_response(),
+    };
+    if phase.last { last_on_its_connection(response) } else { response }
 }
 
 async fn connection(stream: TcpStream, seat: Seat, router: Router, mut phase: watch::Receiver<Phase>) {
@@ -138,7 +135,7 @@
         tokio::select! {
             biased;
             ended = served.as_mut() => break ended,
-            () = reached(&mut phase, Phase::Closing), if !ends => {
+            () = until(&mut phase, |phase| phase.close), if !ends => {
                 ends = true;
                 // hyper would throw half a request away; that one's answer says by itself that it is the last.
                 if !seat.is_asking() {
@@ -203,7 +200,7 @@
         event!(HANDLER_PANIC, front = "HTTP/1.1");
         StatusCode::INTERNAL_SERVER_ERROR.into_response()
     });
-    if *leaving.borrow() == Phase::Closing {
+    if leaving.borrow().last {
         response = last_on_its_connection(response);
     }
     response
@@ -230,6 +227,7 @@
         return denied(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
     };
     let Ok(held) = front.bodies.clone().try_acquire_many_owned(length) else {
+        front.handle.figures().count(arrival.class, Count::Dropped);
         return last_on_its_connection(refused(NO_ROOM));
     };
     let Ok(body) = to_bytes(body, MOST_BODY).await else {
@@ -367,6 +365,7 @@
     use crate::config::{ClientLimits, NodeLimits};
     use crate::core::Core;
     use crate::interface::Settings;
+    use crate::life::SERVING;
 
     #[test]
     fn while_it_leaves_the_head_takes_nobody_new_and_serves_who_is_there_until_it_closes() {
@@ -374,7 +373,7 @@
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         runtime.block_on(async {
             let (core, _wanted) = Core::new(Settings::default(), 7, 10, Clock::start());
-            let (phase, watched) = watch::channel(Phase::Serving);
+            let (phase, watched) = watch::channel(SERVING);
             let (times, names) = (Duration::from_secs(1), Arc::default());
             let front = Front {
                 handle: core.handle(),
@@ -404,7 +403,7 @@
             let mut busy = TcpStream::connect(address).await.unwrap();
             busy.write_all(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n").await.unwrap();
             busy.read_exact(&mut seen).await.unwrap();
-            phase.send_replace(Phase::Staying);
+            phase.send_replace(Phase { accept: false, ..SERVING });
             serving.await.unwrap();
             assert!(TcpStream::connect(address).await.is_err());
             let mut rest = [0; 512];
@@ -418,7 +417,7 @@
             while places.idle() > 1 {
                 tokio::task::yield_now().await;
             }
-            phase.send_replace(Phase::Closing);
+            phase.send_replace(Phase { accept: false, last: true, close: true, ..SERVING });
             idle.read_to_end(&mut Vec::new()).await.unwrap();
             busy.write_all(b"Host: x\r\n\r\n").await.unwrap();
             let mut answer = String::new();
--- a/src/net/grpc/back.rs
+++ b/src/net/grpc/back.rs
@@ -422,6 +422,9 @@
                         // HEADERS that end a stream may go on in CONTINUATIONs.
                         progress.whole |=
                             progress.ending && (frame.kind == Kind::Data || frame.ends_headers());
+                        if progress.whole {
+                            progress.begun.set_whole();
+                        }
                     }
                 }
             });
--- a/src/net/grpc/front.rs
+++ b/src/net/grpc/front.rs
@@ -14,7 +14,9 @@
 use crate::grpc::holding::Over;
 use crate::grpc::status::{Final, Pushback, details};
 use crate::grpc::timeout;
-use crate::net::front::{Phase, accept_all, reached};
+use crate::life::Phase;
+use crate::net::front::accept_all;
+use crate::net::helm::until;
 use crate::net::places::{Places, Seat};
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD_NO_PAD;
@@ -247,7 +249,7 @@
                     }
                 }
             }
-            () = reached(&mut phase, Phase::Staying), if !leaving => {
+            () = until(&mut phase, |phase| phase.last || !phase.accept), if !leaving => {
                 leaving = true;
                 connection.graceful_shutdown();
             }
--- /dev/null
+++ b/src/net/ops.rs
@@ -0,0 +1,251 @@
+//! The operators' line: one line in, one answer out, on a thread and a runtime of its own, so that an answer waits for
+//! no client's request.
+
+use crate::event;
+use crate::figures::Figures;
+use crate::net::helm::Helm;
+use std::collections::VecDeque;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::thread;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+use tokio::time::{Duration, Instant, sleep, timeout};
+
+/// A line holds this much at most, its end included.
+const MOST_LINE: usize = 64;
+/// A caller has so long for its line, and so long to take the answer.
+const LINE_TIME: Duration = Duration::from_secs(5);
+const ANSWER_TIME: Duration = Duration::from_secs(2);
+/// What comes behind the line is read for so long after the answer, or a reset could overtake it.
+const LINGER: Duration = Duration::from_millis(200);
+/// The core notes that it runs every 0.1 s; silent for so long, it decides nothing.
+const CORE_SILENT: Duration = Duration::from_secs(1);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Command {
+    Ready,
+    Stats,
+    Drain,
+    Undrain,
+}
+
+/// Why a line is no command.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BadLine {
+    Empty,
+    TooLong,
+    NoEnd,
+    NoText,
+    Unknown,
+}
+
+impl fmt::Display for BadLine {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            BadLine::Empty => "the line is empty",
+            BadLine::TooLong => "the line is too long",
+            BadLine::NoEnd => "the line has no end",
+            BadLine::NoText => "the line is no UTF-8",
+            BadLine::Unknown => "no such command; there are READY, STATS, DRAIN and UNDRAIN",
+        })
+    }
+}
+
+impl Command {
+    /// What has come so far. `None`: the line goes on.
+    fn read(bytes: &[u8], ended: bool) -> Option<Result<Command, BadLine>> {
+        let Some(end) = bytes.iter().position(|byte| *byte == b'\n') else {
+            return match bytes.len() >= MOST_LINE {
+                true => Some(Err(BadLine::TooLong)),
+                false => ended.then_some(Err(BadLine::NoEnd)),
+            };
+        };
+        let Ok(line) = std::str::from_utf8(&bytes[..end]) else { return Some(Err(BadLine::NoText)) };
+        // Callers end their line with LF or with CR LF.
+        Some(match line.strip_suffix('\r').unwrap_or(line) {
+            _ if end >= MOST_LINE => Err(BadLine::TooLong),
+            "READY" => Ok(Command::Ready),
+            "STATS" => Ok(Command::Stats),
+            "DRAIN" => Ok(Command::Drain),
+            "UNDRAIN" => Ok(Command::Undrain),
+            "" => Err(BadLine::Empty),
+            _ => Err(BadLine::Unknown),
+        })
+    }
+}
+
+/// What the line reads and what it may do.
+#[derive(Clone)]
+pub struct Desk {
+    pub figures: Figures,
+    pub helm: Helm,
+}
+
+impl Desk {
+    fn answer(&self, command: Result<Command, BadLine>) -> String {
+        let said = match command {
+            Ok(Command::Stats) => return format!("{}END\n", self.figures.text()),
+            Ok(Command::Ready) => self.ready().map(|()| "ready"),
+            Ok(Command::Drain) => self.helm.drain().map(|()| "draining").map_err(|ends| ends.to_string()),
+            Ok(Command::Undrain) => self.helm.undrain().map(|()| "serving").map_err(|ends| ends.to_string()),
+            Err(bad) => Err(bad.to_string()),
+        };
+        match said {
+            Ok(word) => format!("OK {word}\n"),
+            Err(reason) => format!("ERR {reason}\n"),
+        }
+    }
+
+    /// Whether a request that came now would be decided on.
+    fn ready(&self) -> Result<(), String> {
+        let phase = self.helm.phase();
+        let faults = [
+            (phase.ends, "the head is ending"),
+            (!phase.up, "the head is draining"),
+            (self.figures.known_bricks() == 0, "no brick is known yet"),
+            (self.figures.silent_for(Instant::now()) > CORE_SILENT, "the core does not run"),
+        ];
+        match faults.iter().find(|(fault, _)| *fault) {
+            Some((_, reason)) => Err(reason.to_string()),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Listens; the thread serves for as long as the program runs. `most` callers are there at once.
+pub fn start(address: SocketAddr, most: usize, desk: Desk) -> io::Result<SocketAddr> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    // Bound here, so that a bad address ends the program; on the runtime only within its own thread.
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    let bound = listener.local_addr()?;
+    let serving = async move {
+        match TcpListener::from_std(listener) {
+            Ok(listener) => serve(listener, most, desk).await,
+            Err(problem) => event!(ACCEPT_FAILED, problem:%),
+        }
+    };
+    thread::Builder::new().name("ops".to_string()).spawn(move || runtime.block_on(serving))?;
+    Ok(bound)
+}
+
+async fn serve(listener: TcpListener, most: usize, desk: Desk) {
+    let mut callers: VecDeque<JoinHandle<()>> = VecDeque::new();
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                callers.retain(|caller| !caller.is_finished());
+                // The oldest has had the most time to say its line.
+                while callers.len() >= most {
+                    callers.pop_front().into_iter().for_each(|caller| caller.abort());
+                }
+                callers.push_back(tokio::spawn(call(stream, desk.clone())));
+            }
+            Err(problem) => {
+                event!(ACCEPT_FAILED, problem:%);
+                sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+}
+
+async fn call(mut stream: TcpStream, desk: Desk) {
+    // Whatever goes wrong on the way, the caller sees its connection closed, and calls again.
+    let Ok(Some(command)) = timeout(LINE_TIME, line(&mut stream)).await else { return };
+    let answer = desk.answer(command);
+    let told = async {
+        stream.write_all(answer.as_bytes()).await?;
+        stream.shutdown().await
+    };
+    if let Ok(Ok(())) = timeout(ANSWER_TIME, told).await {
+        let mut rest = [0; MOST_LINE];
+        let _ = timeout(LINGER, async { while matches!(stream.read(&mut rest).await, Ok(1..)) {} }).await;
+    }
+}
+
+/// `None`: the caller has gone without a byte.
+async fn line(stream: &mut TcpStream) -> Option<Result<Command, BadLine>> {
+    let (mut bytes, mut used) = ([0; MOST_LINE], 0);
+    loop {
+        let read = stream.read(&mut bytes[used..]).await.ok()?;
+        used += read;
+        match Command::read(&bytes[..used], read == 0) {
+            Some(_) if used == 0 => return None,
+            Some(command) => return Some(command),
+            None => {}
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_line_is_one_command_or_a_reason() {
+        let long = [b'x'; MOST_LINE];
+        for (bytes, ended, wanted) in [
+            (&b"READY\n"[..], false, Some(Ok(Command::Ready))),
+            (b"STATS\n", false, Some(Ok(Command::Stats))),
+            (b"DRAIN\n", false, Some(Ok(Command::Drain))),
+            (b"UNDRAIN\nmore", true, Some(Ok(Command::Undrain))),
+            (b"REA", false, None),
+            (b"", false, None),
+            (b"READY", true, Some(Err(BadLine::NoEnd))),
+            (b"\n", false, Some(Err(BadLine::Empty))),
+            (b"READY\r\n", false, Some(Ok(Command::Ready))),
+            (b"\r\n", false, Some(Err(BadLine::Empty))),
+            (b"READY\r\r\n", false, Some(Err(BadLine::Unknown))),
+            (b"ready\n", false, Some(Err(BadLine::Unknown))),
+            (b"READY now\n", false, Some(Err(BadLine::Unknown))),
+            (b"\xff\xfe\n", false, Some(Err(BadLine::NoText))),
+            (&long, false, Some(Err(BadLine::TooLong))),
+            (&long[1..], false, None),
+        ] {
+            assert_eq!(Command::read(bytes, ended), wanted, "{bytes:?}");
+        }
+    }
+
+    #[test]
+    fn ready_says_what_is_missing_and_a_drain_is_told_at_once() {
+        let (helm, phase) = Helm::new(Duration::from_secs(1));
+        let desk = Desk { figures: Figures::default(), helm };
+        let ask = |line: &[u8]| desk.answer(Command::read(line, true).unwrap());
+        assert_eq!(ask(b"READY\n"), "ERR no brick is known yet\n");
+        desk.figures.bricks(2, 0);
+        assert_eq!(ask(b"READY\n"), "ERR the core does not run\n");
+        desk.figures.beat(Instant::now());
+        assert_eq!(ask(b"READY\n"), "OK ready\n");
+        assert_eq!(ask(b"DRAIN\n"), "OK draining\n");
+        assert!(!phase.borrow().up);
+        assert_eq!(ask(b"READY\n"), "ERR the head is draining\n");
+        assert_eq!(ask(b"UNDRAIN\n"), "OK serving\n");
+        assert!(phase.borrow().up);
+        desk.helm.end(false);
+        for line in [&b"READY\n"[..], b"DRAIN\n", b"UNDRAIN\n"] {
+            assert_eq!(ask(line), "ERR the head is ending\n");
+        }
+        assert!(ask(b"STATS\n").ends_with("edge_gw_load_errors 0\nEND\n"));
+    }
+
+    #[test]
+    fn callers_who_never_finish_do_not_keep_out_the_next() {
+        use std::io::{Read, Write};
+        let (helm, _phase) = Helm::new(Duration::from_secs(1));
+        let desk = Desk { figures: Figures::default(), helm };
+        let address = start(SocketAddr::from(([127, 0, 0, 1], 0)), 2, desk).unwrap();
+        let connect = || std::net::TcpStream::connect(address).unwrap();
+        let mut slow: Vec<_> = (0..10).map(|_| connect()).collect();
+        slow.iter_mut().for_each(|stream| stream.write_all(b"REA").unwrap());
+        let mut caller = connect();
+        caller.write_all(b"STATS\n").unwrap();
+        let mut answer = String::new();
+        caller.read_to_string(&mut answer).unwrap();
+        assert!(answer.ends_with("END\n"), "{answer}");
+        // The oldest of the slow ones has lost its place.
+        assert!(!matches!(slow[0].read(&mut [0]), Ok(1..)));
+    }
+}
--- a/src/net/sftp/back.rs
+++ b/src/net/sftp/back.rs
@@ -113,7 +113,12 @@
         a_try: &Try,
     ) -> Result<Report, Fault> {
         a_try.begun.set();
-        let reply = connection.carry_out(job).await?;
+        let reply = connection.carry_out(job).await;
+        // What its node may have carried out was written whole.
+        if !matches!(reply, Err(Fault::Before(_))) {
+            a_try.begun.set_whole();
+        }
+        let reply = reply?;
         self.pool.put(address, connection);
         let end = match &reply {
             Reply::Status { code: Status::Failure, text } if text == NOT_PROCESSED => End::TurnedAway,
--- a/src/net/sftp/front.rs
+++ b/src/net/sftp/front.rs
@@ -8,7 +8,9 @@
 use crate::config::sftp::{NoPlace, Place, SecondFront, Use};
 use crate::core::{Answer, Arrival, Handle};
 use crate::event;
-use crate::net::front::{Phase, accept_all, reached};
+use crate::life::Phase;
+use crate::net::front::accept_all;
+use crate::net::helm::until;
 use crate::net::places::{Places, Seat};
 use bytes::Bytes;
 use futures_util::stream::FuturesUnordered;
@@ -122,7 +124,7 @@
                     }
                 }
                 _ = self.seat.told_to_leave() => wanted = true,
-                () = reached(&mut phase, Phase::Closing), if self.in_flight.is_empty() => return "the head leaves",
+                () = until(&mut phase, |phase| phase.close), if self.in_flight.is_empty() => return "the head leaves",
                 packet = self.packets.next(), if !full && !wanted => {
                     let received = Instant::now();
                     let packet = match packet {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -72,11 +72,6 @@
 /// others come after these.
 const SAMPLE: f64 = 4.0;
 const UNDRAWN: f64 = 1e12;
-/// Units of a limit: what a host that needs none of them lends at one asking, as a part of its store, and how
-/// long one that is short keeps to the hosts that it knows to share the volume before it asks all again.
-const LEND: f64 = 0.5;
-const ASK_ALL: Micros = 5_000_000;
-
 /// A request that no node got is given up after this part of its client's time, about when its aim is past.
 const GIVE_UP: f64 = 0.15;
 
@@ -201,8 +196,6 @@
     started: Micros,
     /// When what is of no use any more was last looked for.
     tidied: Micros,
-    /// Flows with work that waits for units of their limit.
-    short: BTreeSet<FlowIx>,
     list_failures: u32,
     /// Units a second that this host's clients ask of each shard at first.
     asked: BTreeMap<u16, Rate>,
@@ -217,6 +210,12 @@
         Policy { settings, seed, ..Policy::default() }
     }
 
+    /// Nodes on the list, and those of them that are avoided now.
+    pub fn bricks(&self, now: Micros) -> (usize, usize) {
+        let listed = self.nodes.values().filter(|n| !n.gone);
+        (listed.clone().count(), listed.filter(|n| n.avoided(now)).count())
+    }
+
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         if self.recheck_due.is_some_and(|due| now > due + STALL_RECHECKS * RECHECK) {
             self.resumed = now;
@@ -235,7 +234,7 @@
             Event::Timer { token } => self.on_deadline(now, token, actions),
             Event::Probed { node, took, load, .. } => self.on_probed(now, node, took, load),
             // What waits looks at the news with the next recheck.
-            Event::Peer { from, bytes } => return self.on_peer(now, from, &bytes, actions),
+            Event::Peer { from, bytes } => return self.on_peer(now, from, &bytes),
         }
         self.tidy(now);
         self.dispatch(now, actions);
@@ -365,9 +364,9 @@
             // The limit's store is empty at this host's start: what it spent before that is not known.
             let limit = Store { level: 0.0, at: self.started };
             let reserve = Store { level: plan.reserve, at: now };
-            let (volume, vt) = (request.volume, self.global_vt);
+            let vt = self.global_vt;
             let times = Flow { emptied: now, arrived: now, own_use_at: now, ..Flow::default() };
-            let flow = Flow { plan, volume, hosts: 1.0, vt, limit, reserve, ..times };
+            let flow = Flow { plan, hosts: 1.0, vt, limit, reserve, ..times };
             match self.free_flows.pop() {
                 Some(free) => self.flows[free] = flow,
                 None => self.flows.push(flow),
@@ -460,60 +459,24 @@
         node.note_word(now, None, took as f64, aim, self.usual_drain);
     }
 
-    fn on_peer(&mut self, now: Micros, from: u32, bytes: &[u8], actions: &mut Vec<Action>) {
-        let Some(message) = Message::read(bytes).filter(|_| from < self.settings.hosts) else { return };
+    fn on_peer(&mut self, now: Micros, from: u32, bytes: &[u8]) {
+        let Some(Message { shard, queue, took }) =
+            Message::read(bytes).filter(|_| from < self.settings.hosts)
+        else {
+            return;
+        };
         let aim = self.shortest_aim();
-        match message {
-            Message::Queue { shard, queue, took } => {
-                let Some(node) = self.nodes.values_mut().find(|n| n.ready && n.shard == shard) else {
-                    return;
-                };
-                node.note_word(now, queue, took as f64, aim, self.usual_drain);
-                node.view_at = now;
-                if queue.is_some() {
-                    node.heard = now;
-                    if node.mute_since.take().is_some() {
-                        node.rest_until = now;
-                    }
-                }
-            }
-            Message::Want { volume, units } | Message::Lend { volume, units } => {
-                let Some(flow) = self.flow_of.get(&volume).map(|ix| &mut self.flows[*ix]) else { return };
-                flow.sharers.insert(from);
-                let lent = (LEND * flow.limit_room(now)).min(units);
-                if matches!(message, Message::Lend { .. }) {
-                    // What goes over this host's part of the burst is lost with the next look: nobody hoards.
-                    flow.limit.level += units;
-                } else if flow.queued == 0 && lent >= 1.0 {
-                    // Taken off first: a message that gets lost loses units, it never makes any.
-                    flow.limit.level -= lent;
-                    let bytes = Message::Lend { volume, units: lent }.bytes();
-                    actions.push(Action::Tell { peer: Some(from), bytes });
-                }
+        let Some(node) = self.nodes.values_mut().find(|n| n.ready && n.shard == shard) else { return };
+        node.note_word(now, queue, took as f64, aim, self.usual_drain);
+        node.view_at = now;
+        if queue.is_some() {
+            node.heard = now;
+            if node.mute_since.take().is_some() {
+                node.rest_until = now;
             }
         }
     }
 
-    /// A host whose part of a volume's limit does not last asks those that share the volume for units.
-    fn borrow(&mut self, now: Micros, ix: FlowIx, actions: &mut Vec<Action>) {
-        let age = VIEW_AGE * self.shortest_aim();
-        let flow = &mut self.flows[ix];
-        if !self.settings.peers || ((now - flow.asked) as f64) < age {
-            return;
-        }
-        flow.asked = now;
-        let queues = self.queues.iter().filter(|(_, flow, _)| *flow == ix).flat_map(|(.., queue)| queue);
-        let units = queues.map(|(_, id)| self.requests[id].units).sum();
-        let bytes = Message::Want { volume: flow.volume, units }.bytes();
-        if flow.sharers.is_empty() || now > flow.asked_all + ASK_ALL {
-            flow.asked_all = now;
-            actions.push(Action::Tell { peer: None, bytes });
-        } else {
-            let tell = |peer: &u32| Action::Tell { peer: Some(*peer), bytes: bytes.clone() };
-            actions.extend(flow.sharers.iter().map(tell));
-        }
-    }
-
     /// What never got a turn in the first part of its client's time is given up: late, it would earn little.
     /// When that time is all but up, what has nothing out gets its final answer, the rest its time-out.
     fn on_deadline(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
@@ -599,9 +562,6 @@
                 global_vt = self.global_vt(now);
             }
         }
-        for flow in std::mem::take(&mut self.short) {
-            self.borrow(now, flow, actions);
-        }
         if !self.queues.is_empty() && self.recheck_due.is_none() {
             self.recheck_due = Some(now + RECHECK);
             actions.push(Action::Timer { after: RECHECK, token: RECHECK_TOKEN });
@@ -646,7 +606,7 @@
         let deep = node.wait.max(before) > HOLD / 2.0 * aim;
         if crowded && self.settings.peers && deep && (now - node.view_at) as f64 > VIEW_AGE * aim {
             node.view_at = now;
-            let bytes = Message::Queue { shard: node.shard, queue, took: took as Micros }.bytes();
+            let bytes = Message { shard: node.shard, queue, took: took as Micros }.bytes();
             actions.push(Action::Tell { peer: None, bytes });
         }
     }
@@ -693,11 +653,7 @@
             for (_, id) in queue {
                 let held = &self.requests[id];
                 let calm = held.reserved && held.place.is_some() || !deep && !unsure;
-                if !held.drawn && held.units > room {
-                    self.short.insert(flow_ix);
-                    continue;
-                }
-                if calm && self.may_send(now, *id, held, node) {
+                if calm && (held.drawn || held.units <= room) && self.may_send(now, *id, held, node) {
                     waiting.push((self.worth(now, held, node, flow.vt > throttle), flow_ix, *id));
                 }
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -55,7 +55,6 @@
 #[derive(Debug, Default)]
 pub struct Flow {
     pub plan: Plan,
-    pub volume: VolumeId,
     pub hosts: f64,
     pub vt: f64,
     pub queued: usize,
@@ -64,10 +63,6 @@
     pub arrived: Micros,
     pub mean_gap: Option<f64>,
     pub limit: Store,
-    /// Hosts that were heard to share the volume; when they, and all, were last asked for units of its limit.
-    pub sharers: BTreeSet<u32>,
-    pub asked: Micros,
-    pub asked_all: Micros,
     pub reserve: Store,
     /// Units a second served here, and by the reports elsewhere.
     pub own_use: f64,
@@ -198,6 +193,13 @@
     }
 }
 
+impl Node {
+    /// It gets no work now, or one request at a time.
+    pub fn avoided(&self, now: Micros) -> bool {
+        !self.ready || self.mute_since.is_some() || self.rest_until > now
+    }
+}
+
 /// The flows' queues, one for each place; in each the requests by their order of arrival.
 #[derive(Debug, Default)]
 pub struct Queues(BTreeMap<(Place, FlowIx), BTreeSet<(u64, RequestId)>>);
