--- a/src/bin/pathbank.rs
+++ b/src/bin/pathbank.rs
@@ -16,6 +16,7 @@
 use pathbank::net::helm::{Helm, until};
 use pathbank::net::ids::Ids;
 use pathbank::net::ops::{self, Desk};
+use pathbank::net::passed;
 use pathbank::net::places::{Counts, Places};
 use pathbank::net::sftp;
 use std::error::Error;
@@ -95,7 +96,14 @@
     };
     let places = Places::new(config.clients);
     tokio::spawn(places.clone().watch());
-    let listener = TcpListener::bind(config.listen).await?;
+    let listener = match config.passed_socket {
+        Some(descriptor) => {
+            let listener = passed::take(descriptor, config.listen)
+                .map_err(|problem| format!("GW_PASSED_SOCKET={descriptor}: {problem}"))?;
+            TcpListener::from_std(listener)?
+        }
+        None => TcpListener::bind(config.listen).await?,
+    };
     event!(UP, name = config.name, listen:% = listener.local_addr()?);
     tokio::spawn(front::serve(listener, front, places.clone()));
     if let Some(address) = config.ops {
@@ -150,7 +158,7 @@
             return Err("the core ended".into());
         }
     }
-    leave(&helm, watched, &handle, &rooms).await;
+    leave(&helm, config.passed_socket.is_some(), watched, &handle, &rooms).await;
     let (opened, attempts) = back.counts();
     for places in &rooms {
         let Counts { taken, over_limit, for_others } = places.counts();
@@ -188,9 +196,15 @@
 
 /// Serves as `life` has it until nobody is connected any more, or until the last answers are due: then what is open
 /// fails.
-async fn leave(helm: &Helm, mut phase: watch::Receiver<Phase>, handle: &Handle, rooms: &[Places]) {
+async fn leave(
+    helm: &Helm,
+    shared: bool,
+    mut phase: watch::Receiver<Phase>,
+    handle: &Handle,
+    rooms: &[Places],
+) {
     event!(LEAVING, open = handle.open());
-    helm.end(false);
+    helm.end(shared);
     let Some(last) = helm.last() else { return };
     // Each connection holds a place: with no place held, all answers are out.
     let gone = async {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -90,6 +90,8 @@
     /// Where operators call, and how many may at once. `None`: off.
     pub ops: Option<SocketAddr>,
     pub ops_callers: usize,
+    /// The descriptor of the clients' listening socket, where the platform holds it.
+    pub passed_socket: Option<i32>,
     pub seed: u64,
     pub clients: ClientLimits,
     pub node_connections: NodeLimits,
@@ -244,7 +246,12 @@
             (None, Some(text)) => Some(text.parse().map_err(|e| unreadable("GW_OPS", e))?),
             (None, None) => None,
         };
+        let passed_socket = match env("GW_PASSED_SOCKET") {
+            Some(text) => Some(text.parse().map_err(|e| unreadable("GW_PASSED_SOCKET", e))?),
+            None => None,
+        };
         Ok(Config {
+            passed_socket,
             ops,
             ops_callers: part(OPS_PART).max(LEAST_CALLERS),
             name: file.name.or_else(|| env("GW_NAME")).unwrap_or_else(|| "pathbank".to_string()),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 pub mod helm;
 pub mod ids;
 pub mod ops;
+pub mod passed;
 pub mod places;
 pub mod pool;
 pub mod sftp;
