Halve what is the head's while two processes of an upgrade live

The logs have SIGTERM 0.1 s after the new one is ready, so the overlap is the old one's end.

Each process holds a lock in $TMPDIR while it lives and another while it keeps to half (src/handover.rs decides, src/net/twins.rs holds the files); the new one accepts only when the old one's half is seen. The module hears of it by one event: stores, cold parts and tokens are halved, unknown stores begin empty. With a shared socket SIGTERM closes idle connections at once: clients come back to the new process, where they used to have no connection left.

--- a/src/bin/pathbank.rs
+++ b/src/bin/pathbank.rs
@@ -19,6 +19,7 @@
 use pathbank::net::passed;
 use pathbank::net::places::{Counts, Places};
 use pathbank::net::sftp;
+use pathbank::net::twins::{self, Twins};
 use std::error::Error;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -27,7 +28,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Semaphore, watch};
-use tokio::time::{Duration, sleep_until, timeout_at};
+use tokio::time::{Duration, sleep, sleep_until, timeout_at};
 
 /// An id is remembered for so long after the longest deadline.
 const IDS_KEPT: Duration = Duration::from_secs(3);
@@ -82,7 +83,7 @@
         on_demand: config.settings.must_subscribe,
     };
     tokio::spawn(discovery.run(wanted));
-    let back = Back::new(config.node_connections);
+    let back = Back::new(config.node_connections, handle.part());
     tokio::spawn(back.watch());
     let bodies = Arc::new(Semaphore::new(config.most_held));
     let front = Front {
@@ -94,7 +95,7 @@
         bodies: bodies.clone(),
         ids: Ids::new(config.most_ids, config.longest_deadline() + IDS_KEPT),
     };
-    let places = Places::new(config.clients);
+    let places = Places::new(config.clients).shared(handle.part());
     tokio::spawn(places.clone().watch());
     let listener = match config.passed_socket {
         Some(descriptor) => {
@@ -105,6 +106,9 @@
         None => TcpListener::bind(config.listen).await?,
     };
     event!(UP, name = config.name, listen:% = listener.local_addr()?);
+    if config.passed_socket.is_some() {
+        meet(&config.name, &handle).await;
+    }
     tokio::spawn(front::serve(listener, front, places.clone()));
     if let Some(address) = config.ops {
         let desk = Desk { figures: handle.figures().clone(), helm: helm.clone() };
@@ -174,6 +178,26 @@
     Ok(())
 }
 
+/// Where the platform holds the clients' socket, another process of this head may live: nothing is accepted before it
+/// has been seen to keep to its half, or to be gone.
+async fn meet(head: &str, handle: &Handle) {
+    let mut tell = twins::teller(handle.part(), handle.clone());
+    let Some(mut twins) = Twins::join(&std::env::temp_dir(), head).await else {
+        // Whatever the cause: half is safe beside one other, and says so in the log.
+        event!(NO_TWINS, folder = std::env::temp_dir().display().to_string());
+        return tell(true);
+    };
+    let halved = loop {
+        match twins.look(&mut tell) {
+            stand if stand.accept => break stand.halved,
+            _ => sleep(twins::SOON).await,
+        }
+    };
+    // Until now the other one may have spent all: what this one has to spend grows from here on.
+    handle.send(Input::Part { halved });
+    tokio::spawn(twins::watch(twins, tell));
+}
+
 /// Reads the configuration again with each SIGHUP, for as long as the program runs. What a running head can change
 /// is where discovery is, and the collectors of its log with their certificates; all else waits for its next start.
 async fn reload(mut hangup: Signal, place: watch::Sender<SocketAddr>, logging: Arc<Logging>) {
--- a/src/core.rs
+++ b/src/core.rs
@@ -8,6 +8,7 @@
 use crate::events::pressure::Pressure;
 use crate::events::requests::{Finish, Telling, Tried, Volume, Why, ending_name};
 use crate::figures::{Count, Figures, InProgress};
+use crate::handover::Part;
 use crate::index::wheel::{Key, Wheel};
 use crate::interface::*;
 use crate::policy::Policy;
@@ -156,6 +157,10 @@
         news: News,
         nodes: Vec<ListedNode>,
     },
+    /// Another process of this head lives, or no longer does.
+    Part {
+        halved: bool,
+    },
     /// The program ends: whatever is still open gets its answer now.
     Finish,
 }
@@ -169,9 +174,15 @@
     max_open: usize,
     no_room: Arc<AtomicU64>,
     figures: Figures,
+    part: Part,
 }
 
 impl Handle {
+    /// By which its bounds are halved while another process of this head lives.
+    pub fn part(&self) -> Part {
+        self.part.clone()
+    }
+
     pub fn figures(&self) -> &Figures {
         &self.figures
     }
@@ -183,7 +194,7 @@
 
     /// `None`: too many are open, nothing was taken.
     pub fn submit(&self, arrival: Arrival, work: Box<dyn Work>) -> Option<Pending> {
-        if self.open.load(Ordering::Relaxed) >= self.max_open {
+        if self.open.load(Ordering::Relaxed) >= self.part.of(self.max_open) {
             self.no_room.fetch_add(1, Ordering::Relaxed);
             self.figures.count(arrival.class, Count::Dropped);
             return None;
@@ -349,6 +360,8 @@
     figures: Figures,
     /// Somebody reads the figures: those that are copied are copied again and again, last at this time.
     copied: Option<Micros>,
+    /// What the module was told of this process's part of the head.
+    part: f64,
 }
 
 impl Core {
@@ -363,7 +376,8 @@
         let (subscribe, wanted) = mpsc::unbounded_channel();
         let (last, open, no_room, figures) =
             (Arc::default(), Arc::default(), Arc::default(), Figures::default());
-        let handle = Handle { queue, last, open, max_open, no_room, figures: figures.clone() };
+        let (part, counted) = (Part::default(), figures.clone());
+        let handle = Handle { queue, last, open, max_open, no_room, figures: counted, part };
         let policy = Policy::new(settings.clone(), seed);
         let core = Core {
             policy,
@@ -387,6 +401,7 @@
             ends: Ends::default(),
             figures,
             copied: None,
+            part: 1.0,
         };
         (core, wanted)
     }
@@ -461,6 +476,10 @@
                 let _ = granted.send(self.bind(id, attempt));
             }
             Input::Nodes { news, nodes } => self.on_nodes(news, nodes),
+            Input::Part { halved } => {
+                self.part = if halved { 0.5 } else { 1.0 };
+                self.tell(Event::Part { part: self.part });
+            }
             Input::Finish => {
                 let open: Vec<RequestId> = self.requests.keys().copied().collect();
                 open.into_iter().for_each(|id| self.answer(id, Answer::Failed));
@@ -772,6 +791,7 @@
         }
         self.due = Wheel::new(self.clock.now());
         self.nodes.values_mut().for_each(|node| node.out = 0);
+        self.events.push_back(Event::Part { part: self.part });
         self.events.push_back(Event::Nodes { news: News::Cached, nodes: self.known.clone() });
     }
 
--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -74,6 +74,12 @@
     DRAIN "head" Notice true "An operator's drain began or is over." {
         "on": "yes or no"
     }
+    TWIN "head" Notice true "Another process of this head lives, and each keeps to half; or this one is alone again." {
+        "here": "yes or no"
+    }
+    NO_TWINS "head" Warning false "Another process of this head cannot be looked for: this one keeps to half." {
+        "folder": "where their files should be"
+    }
     OPS_UP "head" Notice false "The operators' line is open." {
         "listen": "where operators call", "callers": "callers at once at most"
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -118,14 +118,36 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
-    Nodes { news: News, nodes: Vec<NodeEntry> },
+    Nodes {
+        news: News,
+        nodes: Vec<NodeEntry>,
+    },
     Request(Request),
-    AnswerBegan { request: RequestId, attempt: u32 },
+    AnswerBegan {
+        request: RequestId,
+        attempt: u32,
+    },
     Outcome(Outcome),
-    ClientLeft { request: RequestId },
-    Timer { token: u64 },
-    Probed { node: NodeId, ending: Ending, took: Micros, load: Load },
-    Peer { from: u32, bytes: Vec<u8> },
+    ClientLeft {
+        request: RequestId,
+    },
+    Timer {
+        token: u64,
+    },
+    /// The part of what is this host's that this instance may use: half while another one of the host lives.
+    Part {
+        part: f64,
+    },
+    Probed {
+        node: NodeId,
+        ending: Ending,
+        took: Micros,
+        load: Load,
+    },
+    Peer {
+        from: u32,
+        bytes: Vec<u8>,
+    },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod events;
 pub mod figures;
 pub mod grpc;
+pub mod handover;
 pub mod index;
 pub mod interface;
 pub mod life;
--- a/src/life.rs
+++ b/src/life.rs
@@ -105,7 +105,8 @@
                     up: !shared,
                     accept: !shared && now < since + ACCEPT_ON && !closing,
                     last: shared || closing,
-                    close: closing,
+                    // Its client comes back to the other process at once.
+                    close: shared || closing,
                     ends: true,
                 }
             }
@@ -174,7 +175,7 @@
             ("the end twice", &[(0, "T", "ua--e"), (600, "T", "u---e"), (3_250, "T", "u-lce")]),
             ("the end in a drain", &[(0, "D", "-a---"), (600, "T", "ua--e"), (1_200, "", "u---e")]),
             ("no way back", &[(0, "T", "ua--e"), (1, "U!", "ua--e"), (2, "D!", "ua--e")]),
-            ("a shared end", &[(0, "S", "--l-e"), (3_250, "", "--lce")]),
+            ("a shared end", &[(0, "S", "--lce"), (3_250, "", "--lce")]),
         ] {
             let (start, mut life) = (Instant::now(), Life::new(Duration::from_secs(5)));
             for (at, call, wanted) in steps {
--- a/src/net/back.rs
+++ b/src/net/back.rs
@@ -10,6 +10,7 @@
 use crate::config::NodeLimits;
 use crate::core::{Attempt, Begun, Report, Try, Work};
 use crate::ending::End;
+use crate::handover::Part;
 use crate::interface::Load;
 use crate::net::pool::Pool;
 use bytes::Bytes;
@@ -58,8 +59,8 @@
 }
 
 impl Back {
-    pub fn new(limits: NodeLimits) -> Back {
-        Back { pool: Pool::new(limits), opened: Arc::default(), asked: Arc::default() }
+    pub fn new(limits: NodeLimits, part: Part) -> Back {
+        Back { pool: Pool::shared(limits, part), opened: Arc::default(), asked: Arc::default() }
     }
 
     /// Drops idle connections in time, for as long as the program runs.
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -377,7 +377,7 @@
             let (times, names) = (Duration::from_secs(1), Arc::default());
             let front = Front {
                 handle: core.handle(),
-                back: Back::new(NodeLimits { most: 4, idle: times, connect: times }),
+                back: Back::new(NodeLimits { most: 4, idle: times, connect: times }, core.handle().part()),
                 names,
                 answer_margin: times,
                 phase: watched,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,3 +11,4 @@
 pub mod places;
 pub mod pool;
 pub mod sftp;
+pub mod twins;
--- a/src/net/places.rs
+++ b/src/net/places.rs
@@ -2,6 +2,7 @@
 //! none is left or a limit has passed. Shared by both fronts.
 
 use crate::config::ClientLimits;
+use crate::handover::Part;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::Notify;
@@ -58,11 +59,18 @@
     limits: ClientLimits,
     taken: Arc<Mutex<Taken>>,
     freed: Arc<Notify>,
+    part: Part,
 }
 
 impl Places {
     pub fn new(limits: ClientLimits) -> Places {
-        Places { limits, taken: Arc::default(), freed: Arc::default() }
+        Places { limits, taken: Arc::default(), freed: Arc::default(), part: Part::default() }
+    }
+
+    /// While another process of this head lives, half of the places are its own.
+    pub fn shared(mut self, part: Part) -> Places {
+        self.part = part;
+        self
     }
 
     fn taken(&self) -> MutexGuard<'_, Taken> {
@@ -87,10 +95,10 @@
     /// in the system's queue, whose time runs already.
     pub async fn take(&self) -> Seat {
         let seat = self.sit();
-        if self.held() > self.limits.most {
+        if self.held() > self.part.of(self.limits.most) {
             self.tell_one(seat.0.id);
         }
-        while self.held() > self.limits.most + self.limits.spare {
+        while self.held() > self.part.of(self.limits.most + self.limits.spare) {
             let freed = self.freed.notified();
             if timeout(NEXT_VICTIM, freed).await.is_err() {
                 self.tell_one(seat.0.id);
@@ -138,7 +146,7 @@
     fn look(&self, now: Instant) {
         let (limits, mut taken) = (self.limits, self.taken());
         let Taken { seats, counts, .. } = &mut *taken;
-        let many = seats.len() > limits.most / 2;
+        let many = seats.len() > self.part.of(limits.most) / 2;
         for state in seats.values_mut() {
             let limit = match (state.doing, state.told) {
                 (Doing::Waiting, _) => continue,
@@ -214,7 +222,8 @@
     pub fn answered(&self) -> bool {
         self.set(Doing::Idle);
         let known = self.with(|state| std::mem::replace(&mut state.known, true)).unwrap_or(false);
-        let (idle, most) = (self.0.places.idle(), self.0.places.limits.most_idle);
+        let places = &self.0.places;
+        let (idle, most) = (places.idle(), places.part.of(places.limits.most_idle));
         idle > if known { most + most / 3 } else { most }
     }
 
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -2,6 +2,7 @@
 //! answer: bytes would be taken for the next one, and an end or a reset means that it is gone.
 
 use crate::config::NodeLimits;
+use crate::handover::Part;
 use socket2::SockRef;
 use std::collections::BTreeMap;
 use std::io::ErrorKind;
@@ -50,17 +51,23 @@
 pub struct Pool<C> {
     idle: Arc<Mutex<Idle<C>>>,
     pub limits: NodeLimits,
+    part: Part,
 }
 
 impl<C> Clone for Pool<C> {
     fn clone(&self) -> Self {
-        Pool { idle: self.idle.clone(), limits: self.limits }
+        Pool { idle: self.idle.clone(), limits: self.limits, part: self.part.clone() }
     }
 }
 
 impl<C: Quiet> Pool<C> {
     pub fn new(limits: NodeLimits) -> Pool<C> {
-        Pool { idle: Arc::new(Mutex::new(Idle { kept: BTreeMap::new(), count: 0, used: 0 })), limits }
+        Pool::shared(limits, Part::default())
+    }
+
+    /// While another process of this head lives, half of the connections are its own.
+    pub fn shared(limits: NodeLimits, part: Part) -> Pool<C> {
+        Pool { idle: Arc::new(Mutex::new(Idle { kept: BTreeMap::new(), count: 0, used: 0 })), limits, part }
     }
 
     fn idle(&self) -> MutexGuard<'_, Idle<C>> {
@@ -84,14 +91,14 @@
         let mut idle = self.idle();
         idle.count += 1;
         idle.kept.entry(address).or_default().push(Kept { connection, since: Instant::now() });
-        idle.fit(self.limits.most);
+        idle.fit(self.part.of(self.limits.most));
     }
 
     /// Announces one more in use. Idle ones make room for it; an attempt goes on even where there are none.
     pub fn begin(&self) -> InUse<C> {
         let mut idle = self.idle();
         idle.used += 1;
-        idle.fit(self.limits.most);
+        idle.fit(self.part.of(self.limits.most));
         InUse(self.idle.clone())
     }
 
--- /dev/null
+++ b/src/net/twins.rs
@@ -0,0 +1,146 @@
+//! The two processes of one upgrade see each other by locks on files in `$TMPDIR`: the system lets go of a lock when
+//! its holder ends, however it ends. What the files hold is of no meaning, so that nothing in them can mislead.
+
+use crate::core::{Handle, Input};
+use crate::event;
+use crate::handover::{LOOK, Pair, Part, Seen, Stand};
+use std::fs::{File, OpenOptions, TryLockError};
+use std::io;
+use std::path::{Path, PathBuf};
+use tokio::time::{Duration, Instant, sleep};
+
+/// A process that has only just come looks so often.
+pub const SOON: Duration = Duration::from_millis(10);
+/// A look by the other one holds a lock for a moment.
+const AGAIN: Duration = Duration::from_millis(5);
+const TIMES: usize = 20;
+
+/// The files of one of the two.
+struct Place {
+    lives: File,
+    halved: File,
+}
+
+impl Place {
+    fn open(folder: &Path, head: &str, number: u32) -> io::Result<Place> {
+        let open = |what: &str| {
+            let path: PathBuf = folder.join(format!("pathbank.{head}.{number}.{what}"));
+            OpenOptions::new().create(true).truncate(false).read(true).write(true).open(path)
+        };
+        Ok(Place { lives: open("lives")?, halved: open("halved")? })
+    }
+}
+
+fn held(file: &File) -> bool {
+    match file.try_lock_shared() {
+        // Nobody has it; given back at once.
+        Ok(()) => file.unlock().is_err(),
+        Err(_) => true,
+    }
+}
+
+/// This process's place, and the other one's.
+pub struct Twins {
+    ours: Place,
+    other: Place,
+    pair: Pair,
+    said: bool,
+}
+
+impl Twins {
+    /// `None`: both places are taken, or the folder cannot be used.
+    pub async fn join(folder: &Path, head: &str) -> Option<Twins> {
+        let places = (Place::open(folder, head, 0), Place::open(folder, head, 1));
+        let (Ok(first), Ok(second)) = places else { return None };
+        let mut places = [Some(first), Some(second)];
+        for _ in 0..TIMES {
+            for number in 0..2 {
+                let lock = places[number].as_ref().map(|place| place.lives.try_lock());
+                match lock {
+                    Some(Ok(())) => {
+                        let (ours, other) = (places[number].take()?, places[1 - number].take()?);
+                        return Some(Twins { ours, other, pair: Pair::new(now()), said: false });
+                    }
+                    Some(Err(TryLockError::Error(_))) => return None,
+                    _ => {}
+                }
+            }
+            sleep(AGAIN).await;
+        }
+        None
+    }
+
+    fn seen(&self) -> Seen {
+        Seen { lives: held(&self.other.lives), halved: held(&self.other.halved) }
+    }
+
+    /// Says that it keeps to its half only after `tell` was told so, and takes more only after it has ceased to say it:
+    /// one that came meanwhile either sees that, or is seen.
+    pub fn look(&mut self, mut tell: impl FnMut(bool)) -> Stand {
+        let mut stand = self.pair.look(now(), self.seen());
+        if self.said && !stand.halved {
+            self.said = self.ours.halved.unlock().is_err();
+            stand = self.pair.look(now(), self.seen());
+        }
+        tell(stand.halved);
+        if stand.halved && !self.said {
+            self.said = self.ours.halved.try_lock().is_ok();
+        }
+        stand
+    }
+}
+
+fn now() -> std::time::Instant {
+    Instant::now().into_std()
+}
+
+/// Looks for the other process for as long as the program runs; tells each change of the half before it is said.
+pub async fn watch(mut twins: Twins, mut tell: impl FnMut(bool)) {
+    loop {
+        twins.look(&mut tell);
+        sleep(LOOK).await;
+    }
+}
+
+/// Tells the core and the bounds of connections each change.
+pub fn teller(part: Part, handle: Handle) -> impl FnMut(bool) {
+    let mut told = None;
+    move |halved| {
+        if told.replace(halved) != Some(halved) {
+            part.halve(halved);
+            handle.send(Input::Part { halved });
+            event!(TWIN, here = if halved { "yes" } else { "no" });
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::cell::Cell;
+
+    #[test]
+    fn two_processes_share_and_a_third_finds_no_place() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let folder = std::env::temp_dir().join(format!("pathbank-twins-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        // Rubbish that somebody left means nothing.
+        std::fs::write(folder.join("pathbank.n0.0.lives"), b"\xff\0 rubbish").unwrap();
+        let join = || runtime.block_on(Twins::join(&folder, "n0"));
+        let (mut old, halved) = (join().unwrap(), Cell::new(None));
+        let tell = |now| halved.set(Some(now));
+        while !old.look(tell).accept {}
+        assert_eq!(halved.get(), Some(false), "alone it has all");
+        let mut new = join().unwrap();
+        assert!(join().is_none(), "two are all that there can be");
+        assert!(!new.look(|_| {}).accept, "the old one has not said its half yet");
+        assert!(old.look(tell).halved);
+        assert_eq!(halved.get(), Some(true));
+        assert_eq!(new.look(|_| {}), Stand { accept: true, halved: true });
+        drop(old);
+        while new.look(|_| {}).halved {}
+        assert!(join().is_some());
+        std::fs::remove_dir_all(&folder).unwrap();
+        assert!(join().is_none(), "no folder, no place");
+    }
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -96,8 +96,9 @@
     }
 
     /// Units of the volume's limit that this host may draw now: it keeps an even part of rate and burst.
-    fn limit_room(&mut self, now: Micros) -> f64 {
-        self.limit.fill(now, self.plan.limit / self.hosts, self.plan.limit_burst / self.hosts)
+    fn limit_room(&mut self, now: Micros, part: f64) -> f64 {
+        let hosts = self.hosts / part;
+        self.limit.fill(now, self.plan.limit / hosts, self.plan.limit_burst / hosts)
     }
 
     /// The part of the volume's reserve that is this host's to use: what the others leave by the reports of
@@ -177,6 +178,8 @@
     settings: Settings,
     seed: u64,
     serial: u64,
+    /// The part of what is this host's that may be used here.
+    part: f64,
     requests: BTreeMap<RequestId, Held>,
     /// The flows' queues, one for each place, oldest request first.
     queues: Queues,
@@ -207,7 +210,7 @@
 
 impl Policy {
     pub fn new(settings: Settings, seed: u64) -> Self {
-        Policy { settings, seed, ..Policy::default() }
+        Policy { settings, seed, part: 1.0, ..Policy::default() }
     }
 
     /// Nodes on the list, and those of them that are avoided now.
@@ -232,6 +235,7 @@
             Event::Timer { token: RECHECK_TOKEN } => self.recheck_due = None,
             Event::Timer { token: SUBSCRIBE_TOKEN } => actions.push(Action::Subscribe),
             Event::Timer { token } => self.on_deadline(now, token, actions),
+            Event::Part { part } => self.on_part(now, part),
             Event::Probed { node, took, load, .. } => self.on_probed(now, node, took, load),
             // What waits looks at the news with the next recheck.
             Event::Peer { from, bytes } => return self.on_peer(now, from, &bytes),
@@ -402,12 +406,14 @@
         self.forget_nodes();
         self.keys.retain(|_, key| !key.line.is_empty() || key.rest_until > now);
         self.asked.retain(|_, rate| now < rate.at + FORGET);
-        let (flows, free, global_vt) = (&mut self.flows, &mut self.free_flows, self.global_vt);
+        let (flows, free, global_vt, part) =
+            (&mut self.flows, &mut self.free_flows, self.global_vt, self.part);
         self.flow_of.retain(|_, ix| {
             let flow = &mut flows[*ix];
             let silent = now > flow.arrived + FORGET && flow.queued == 0 && flow.in_flight == 0;
-            let stays =
-                !silent || flow.vt > global_vt || flow.limit_room(now) < flow.plan.limit_burst / flow.hosts;
+            let stays = !silent
+                || flow.vt > global_vt
+                || flow.limit_room(now, part) < flow.plan.limit_burst / flow.hosts;
             if !stays {
                 *flow = Flow::default();
                 free.push(*ix);
@@ -450,6 +456,19 @@
         }
     }
 
+    /// Another instance of this host comes or has gone. Stores fill at the rate of before until now, and are cut to
+    /// what they may hold now. One for a volume not seen here yet begins empty: the other one may have spent it.
+    fn on_part(&mut self, now: Micros, part: f64) {
+        for flow in &mut self.flows {
+            flow.limit_room(now, self.part);
+            flow.limit_room(now, part);
+        }
+        self.started = if part >= self.part || self.flows.is_empty() { now } else { self.started };
+        self.part = part;
+        let most = self.most_depth();
+        self.nodes.values_mut().for_each(|node| node.depth = node.depth.min(most));
+    }
+
     fn on_probed(&mut self, now: Micros, id: NodeId, took: Micros, load: Load) {
         let aim = self.shortest_aim();
         let Some(node) = self.nodes.get_mut(&id) else { return };
@@ -648,7 +667,7 @@
         let queues = places.iter().flat_map(|p| self.queues.at(*p));
         for (flow_ix, queue) in queues {
             let flow = &mut self.flows[flow_ix];
-            let room = if flow.plan.limit > 0.0 { flow.limit_room(now) } else { f64::INFINITY };
+            let room = if flow.plan.limit > 0.0 { flow.limit_room(now, self.part) } else { f64::INFINITY };
             let flow = &self.flows[flow_ix];
             for (_, id) in queue {
                 let held = &self.requests[id];
@@ -807,7 +826,7 @@
         if self.crowded() {
             return node.cold_credit.level >= s.mean_units * if held.reserved { 1.0 } else { COLD_SPARE };
         }
-        let part = able(s, now, node) / s.cold_from * s.cold_units / f64::from(s.hosts.max(1));
+        let part = self.part * able(s, now, node) / s.cold_from * s.cold_units / f64::from(s.hosts.max(1));
         let sends = node.cold_sends.iter().filter(|(t, _)| *t + s.fall >= now);
         part - sends.map(|(_, units)| units).sum::<f64>() >= held.units
     }
@@ -816,12 +835,12 @@
     /// that never use it. A node that is warm carries what all hosts ask of its shard: a host keeps to the
     /// part of its own asking that the node bears cold, or to the even part, and saves up for its turns.
     fn save_for_cold(&mut self, now: Micros) {
-        let (crowded, s) = (self.crowded(), &self.settings);
+        let (crowded, s, of_host) = (self.crowded(), &self.settings, self.part);
         let cold = |n: &Node| crowded && n.cold_since.is_some_and(|since| now < since + s.cold);
         for node in self.nodes.values_mut().filter(|n| cold(n)) {
             let able = able(s, now, node);
-            let even =
-                able / s.cold_from * s.cold_units * SECOND / (s.fall.max(1) as f64 * f64::from(s.hosts));
+            let even = of_host * able / s.cold_from * s.cold_units * SECOND
+                / (s.fall.max(1) as f64 * f64::from(s.hosts));
             let asked = self.asked.get(&node.shard).map_or(0.0, |rate| rate.before(now, self.started));
             let part = even.max(COLD_PART * s.fall_multiple * able * asked);
             node.cold_credit.fill(now, part, COLD_SPARE * s.mean_units);
@@ -839,7 +858,8 @@
         if self.crowded() {
             return DEPTH_MOST;
         }
-        (DEPTH_ALL_HOSTS / f64::from(self.settings.hosts.max(1))).clamp(DEPTH_LEAST, DEPTH_MOST)
+        let most = (DEPTH_ALL_HOSTS / f64::from(self.settings.hosts.max(1))).min(DEPTH_MOST);
+        (most * self.part).max(DEPTH_LEAST)
     }
 
     /// A node is mute when it has answered nothing for far longer than usual while a request is out. It then
