Take settings over at SIGHUP whole or not at all, under class numbers that keep their meaning

Need: a reload took discovery's address only, so that requests of a new class got 400 from the reload on.

src/classes.rs interns a number for each name with its rules; the module and the core get the whole table by one event, and an open request keeps its class and its number of attempts. A plan keeps its number and its flows' stores. A later file that lacks a key of the running one, or in which a time or the attempts are no positive number, changes nothing; the log names the key and load_errors counts it. Table of broken files in src/config/mod.rs, cut at every byte.

Ruled out before: late reloads (RELOADED within 1 ms of the signal in the log).

--- a/src/bin/pathbank.rs
+++ b/src/bin/pathbank.rs
@@ -1,5 +1,6 @@
 //! One head: clients in front, nodes behind, the module between them.
 
+use pathbank::classes::{Directory, Numbers};
 use pathbank::clock::Clock;
 use pathbank::config::Config;
 use pathbank::config::grpc::GrpcFront;
@@ -75,7 +76,22 @@
     }
     let core = tokio::spawn(core.run());
     let (place, address) = watch::channel(config.discovery);
-    tokio::spawn(reload(hangup, place, logging.clone()));
+    let others = second.is_some() || third.is_some();
+    let mut numbers = Numbers::new(&config.names, &config.settings, others);
+    let (_, directory) = numbers.adopt(&config.names, &config.settings);
+    let (names, names_now) = watch::channel(Arc::new(directory));
+    let running = Arc::new(config);
+    let config = running.clone();
+    let reload = Reload {
+        running,
+        numbers,
+        names,
+        place,
+        logging: logging.clone(),
+        handle: handle.clone(),
+        helm: helm.clone(),
+    };
+    tokio::spawn(reload.run(hangup));
     let discovery = Discovery {
         address,
         known: config.known.clone(),
@@ -89,7 +105,7 @@
     let front = Front {
         handle: handle.clone(),
         back: back.clone(),
-        names: Arc::new(config.names.clone()),
+        names: names_now,
         answer_margin: config.answer_margin,
         phase: watched.clone(),
         bodies: bodies.clone(),
@@ -199,23 +215,47 @@
 }
 
 /// Reads the configuration again with each SIGHUP, for as long as the program runs. What a running head can change
-/// is where discovery is, and the collectors of its log with their certificates; all else waits for its next start.
-async fn reload(mut hangup: Signal, place: watch::Sender<SocketAddr>, logging: Arc<Logging>) {
-    while hangup.recv().await.is_some() {
-        // Both files or neither.
-        let read = Config::from_environment().and_then(|config| {
-            let log = Log::from_environment(&config.names, config.memory, config.syslog)?;
-            Ok((config, log))
-        });
-        match read {
-            Ok((config, log)) => {
-                logging.reload(log);
-                event!(RELOADED, discovery:% = config.discovery);
-                place.send_if_modified(|now| std::mem::replace(now, config.discovery) != config.discovery);
+/// are its settings, where discovery is, and the collectors of its log with their certificates; all else waits for its
+/// next start.
+struct Reload {
+    running: Arc<Config>,
+    numbers: Numbers,
+    names: watch::Sender<Arc<Directory>>,
+    place: watch::Sender<SocketAddr>,
+    logging: Arc<Logging>,
+    handle: Handle,
+    helm: Helm,
+}
+
+impl Reload {
+    /// One file after the other: signals that come while one is taken over are one more reload.
+    async fn run(mut self, mut hangup: Signal) {
+        while hangup.recv().await.is_some() {
+            // Both files or neither.
+            let read = self.running.again().and_then(|config| {
+                let log = Log::from_environment(&config.names, config.memory, config.syslog)?;
+                Ok((config, log))
+            });
+            self.handle.figures().loaded(read.is_ok());
+            match read {
+                Ok((config, log)) => self.take(config, log),
+                Err(problem) => event!(RELOAD_FAILED, problem:%),
             }
-            Err(problem) => event!(RELOAD_FAILED, problem:%),
         }
     }
+
+    fn take(&mut self, config: Config, log: Log) {
+        self.logging.reload(log);
+        let classes = config.names.classes.join(" ");
+        event!(RELOADED, discovery:% = config.discovery, classes);
+        let (settings, directory) = self.numbers.adopt(&config.names, &config.settings);
+        let classes = self.numbers.names();
+        // The core knows a number before any front can give it one.
+        self.handle.send(Input::Settings { settings: Box::new(settings), classes });
+        self.names.send_replace(Arc::new(directory));
+        self.helm.set_longest(config.longest_deadline());
+        self.place.send_if_modified(|now| std::mem::replace(now, config.discovery) != config.discovery);
+    }
 }
 
 /// Serves as `life` has it until nobody is connected any more, or until the last answers are due: then what is open
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -8,6 +8,7 @@
 use crate::interface::{Micros, Settings};
 use serde::Deserialize;
 use settings::{Pairs, SettingsError};
+use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -43,7 +44,12 @@
 #[derive(Debug)]
 pub enum ConfigError {
     Missing(&'static str),
-    Unreadable { what: String, why: String },
+    /// A key that the running configuration has.
+    Gone(String),
+    Unreadable {
+        what: String,
+        why: String,
+    },
     Settings(SettingsError),
 }
 
@@ -51,6 +57,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             ConfigError::Missing(key) => write!(f, "{key} is missing"),
+            ConfigError::Gone(key) => write!(f, "{key} is missing, the running configuration has it"),
             ConfigError::Unreadable { what, why } => write!(f, "{what} is unreadable: {why}"),
             ConfigError::Settings(error) => error.fmt(f),
         }
@@ -92,6 +99,8 @@
     pub ops_callers: usize,
     /// The descriptor of the clients' listening socket, where the platform holds it.
     pub passed_socket: Option<i32>,
+    /// Every key that its file has; in a list those that all entries have.
+    keys: BTreeSet<String>,
     pub seed: u64,
     pub clients: ClientLimits,
     pub node_connections: NodeLimits,
@@ -214,9 +223,24 @@
         Config::read(&text, env)
     }
 
+    /// The same file, changed: a key that the running configuration had is not missing from it.
+    pub fn again(&self) -> Result<Config, ConfigError> {
+        let config = Config::from_environment()?;
+        self.complete(&config)?;
+        Ok(config)
+    }
+
+    fn complete(&self, later: &Config) -> Result<(), ConfigError> {
+        match self.keys.difference(&later.keys).next() {
+            Some(key) => Err(ConfigError::Gone(key.clone())),
+            None => Ok(()),
+        }
+    }
+
     /// The JSON's own keys come before the environment's.
     pub fn read(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
         let file: File = json(text)?;
+        let keys = keys(&json(text)?);
         let address = |given: Option<SocketAddr>, key: &'static str| match (given, env(key)) {
             (Some(address), _) => Ok(address),
             (None, Some(text)) => text.parse().map_err(|e| unreadable(key, e)),
@@ -232,7 +256,7 @@
         };
         let part = |part: f64| ((file.limits.sockets as f64 * part) as usize).max(1);
         let deadlines = settings.classes.iter().map(|class| Duration::from_micros(class.deadline)).collect();
-        let names = Names { classes: pairs.names("profiles"), plans: pairs.names("plans"), deadlines };
+        let names = Names { classes: pairs.names("profiles")?, plans: pairs.names("plans")?, deadlines };
         let log_level = match env("PATHBANK_LOG") {
             None => log::LevelFilter::Info,
             Some(text) => text.parse().map_err(|e| unreadable("PATHBANK_LOG", e))?,
@@ -251,6 +275,7 @@
             None => None,
         };
         Ok(Config {
+            keys,
             passed_socket,
             ops,
             ops_callers: part(OPS_PART).max(LEAST_CALLERS),
@@ -309,6 +334,29 @@
     }
 }
 
+/// The paths of all keys but those of the list of nodes. Entries of a list share a path, with `*` for their number: it
+/// stands for the keys that every one of them has.
+fn keys(file: &serde_json::Value) -> BTreeSet<String> {
+    use serde_json::Value;
+    fn walk(value: &Value) -> BTreeSet<String> {
+        match value {
+            Value::Object(fields) => {
+                let under = |(name, inner): (&String, &Value)| {
+                    let deeper = walk(inner).into_iter().map(move |path| format!("{name}.{path}"));
+                    deeper.chain([name.clone()]).collect::<Vec<_>>()
+                };
+                fields.iter().flat_map(under).collect()
+            }
+            Value::Array(items) => {
+                let shared = items.iter().map(walk).reduce(|a, b| a.intersection(&b).cloned().collect());
+                shared.unwrap_or_default().into_iter().map(|path| format!("*.{path}")).collect()
+            }
+            _ => BTreeSet::new(),
+        }
+    }
+    walk(file).into_iter().filter(|path| !path.starts_with("known.")).collect()
+}
+
 /// Hex, as the platform writes it; anything else still gives every text its own seed.
 fn seed(text: &str) -> u64 {
     u64::from_str_radix(text, 16).unwrap_or_else(|_| fnv(text.as_bytes()))
@@ -353,6 +401,55 @@
         assert_eq!(config.known.servers[0].state, ListedState::InService);
     }
 
+    #[test]
+    fn a_later_file_is_taken_whole_or_not_at_all() {
+        let running = Config::read(GOOD, |_| None).unwrap();
+        // What the file lacks is not taken from the environment.
+        let env = |key: &str| key.starts_with("GW_L").then(|| "127.0.0.1:1".to_string());
+        let again = |text: &str| Config::read(text, env).and_then(|later| running.complete(&later));
+        assert!(again(GOOD).is_ok());
+        // Cut at any byte but its last blanks, it is no file.
+        for end in 0..GOOD.len() {
+            assert!(again(&GOOD[..end]).is_err(), "cut at {end}");
+        }
+        let second = r#"{"name":"w","target":9,"hard_limit":10,"worth":1.0,"idempotency":"at_most_once"}"#;
+        for (from, to, key) in [
+            ("\"idempotent\"}", &format!("\"idempotent\"}},{second}")[..], ""),
+            ("\"known\":", "\"knows\":", "known is missing"),
+            ("\"discovery\":\"127.0.0.1:8500\",", "", "GW_DISCOVERY is missing"),
+            ("\"listen\":\"127.0.0.1:7070\",", "", "listen is missing"),
+            ("\"seed\":\"8c1f30d27a5be964\",", "", "seed is missing"),
+            ("\"sockets\":1000", "\"sockts\":1000", "limits.sockets is missing"),
+            ("\"keepalive\":30000000,", "", "settings.policy_limits.keepalive is missing"),
+            ("\"nominal\":2.7", "\"nominel\":2.7", "settings.plans.*.nominal is missing"),
+            ("\"worth\":2.0,", "", "profiles.0.worth is missing"),
+            ("\"name\":\"r\",", "", "profiles.0.name is missing"),
+            ("\"name\":\"r\",", "\"name\":\"\",", "profiles.0.name is empty"),
+            ("\"hard_limit\":3000000,", "", "profiles.0.hard_limit is missing"),
+            ("\"hard_limit\":3000000", "\"hard_limit\":0", "profiles.0.hard_limit is out of range"),
+            ("\"hard_limit\":3000000", "\"hard_limit\":-1", "profiles.0.hard_limit is out of range"),
+            ("\"hard_limit\":3000000", "\"hard_limit\":\"soon\"", "profiles.0.hard_limit is unreadable"),
+            ("\"hard_limit\":3000000", "\"hard_limit\":\"NaN\"", "profiles.0.hard_limit is out of range"),
+            ("\"hard_limit\":3000000", "\"hard_limit\":null", "profiles.0.hard_limit is unreadable"),
+            ("\"hard_limit\":3000000", "\"hard_limit\":1e300", "profiles.0.hard_limit is out of range"),
+            ("\"target\":400000.0", "\"target\":0", "profiles.0.target is out of range"),
+            ("\"send_cap\":3.0", "\"send_cap\":0", "send_cap is out of range"),
+            ("\"send_cap\":3.0", "\"send_cap\":0.5", "send_cap is out of range"),
+            ("\"send_cap\":3.0", "\"send_cap\":-3", "send_cap is out of range"),
+            ("\"send_cap\":3.0", "\"send_cap\":true", "send_cap is unreadable"),
+            ("\"send_cap\":3.0,", "", "send_cap is missing"),
+            ("\"idempotent\"", "\"maybe\"", "profiles.0.idempotency is unreadable"),
+            ("[{\"name\":\"r\"", "[{\"name\":\"r\"},{\"name\":\"q\"", "profiles.0.idempotency is missing"),
+        ] {
+            assert!(GOOD.contains(from), "{from}");
+            let done = again(&GOOD.replace(from, to)).map_err(|error| error.to_string());
+            match key {
+                "" => assert_eq!(done, Ok(())),
+                _ => assert!(done.as_ref().is_err_and(|e| e.contains(key)), "{to}: {done:?}"),
+            }
+        }
+    }
+
     #[test]
     fn errors_name_the_key_at_fault() {
         for (from, to, key) in [
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -7,6 +7,9 @@
 
 /// A head is named by 16 bits on the simulator's wire.
 const MOST_HOSTS: f64 = 65_535.0;
+/// Microseconds in a day; and more attempts than any request can have in its time.
+const LONGEST_SPAN: f64 = 86_400e6;
+const MOST_ATTEMPTS: f64 = 1_000.0;
 /// Units that a node could bear at once: far more than any does, far less than would make a guard void.
 const MOST_UNITS: f64 = 1e6;
 
@@ -39,10 +42,19 @@
         Pairs(pairs)
     }
 
-    /// The names of a list of objects, in order.
-    pub fn names(&self, list: &str) -> Vec<String> {
-        let name = |i| self.0.get(&format!("{list}.{i}.name")).cloned();
-        (0..).map_while(name).collect()
+    /// The names of a list of objects, in order. Each entry has one of its own.
+    pub fn names(&self, list: &str) -> Result<Vec<String>, SettingsError> {
+        let mut names: Vec<String> = Vec::new();
+        for i in 0..self.parse::<usize>(&format!("{list}.count"))?.unwrap_or(0) {
+            let key = format!("{list}.{i}.name");
+            let name: String = self.need(&key)?;
+            if name.is_empty() || names.contains(&name) {
+                let fault = if name.is_empty() { "empty" } else { "there twice" };
+                return Err(SettingsError(format!("{key} is {fault}")));
+            }
+            names.push(name);
+        }
+        Ok(names)
     }
 
     /// A list of plain values.
@@ -99,6 +111,9 @@
 
 pub fn read(pairs: &Pairs) -> Result<Settings, SettingsError> {
     let mut classes = Vec::new();
+    // A time that is due has to be one: more than nothing, and no more than a day.
+    let span =
+        |key: &str| Ok::<_, SettingsError>(pairs.within(key, pairs.need(key)?, 1.0, LONGEST_SPAN)? as Micros);
     for i in 0..pairs.need::<usize>("profiles.count")? {
         let key = |name: &str| format!("profiles.{i}.{name}");
         let repeats = [
@@ -113,8 +128,8 @@
             _ => Scope::All,
         };
         classes.push(Class {
-            aim: pairs.need::<f64>(&key("target"))? as Micros,
-            deadline: pairs.need::<f64>(&key("hard_limit"))? as Micros,
+            aim: span(&key("target"))?,
+            deadline: span(&key("hard_limit"))?,
             worth: pairs.need(&key("worth"))?,
             late_worth: pairs.number(&key("late_value"))?,
             repeats,
@@ -152,7 +167,12 @@
         must_subscribe: pairs.word("membership_mode", &[("automatic", false), ("subscribe", true)])?,
         tick: pairs.time("tick")?,
         answer_slack: pairs.time("contract.answer_slack")?,
-        max_attempts: pairs.need::<f64>("policy_limits.send_cap")? as u32,
+        max_attempts: pairs.within(
+            "policy_limits.send_cap",
+            pairs.need("policy_limits.send_cap")?,
+            1.0,
+            MOST_ATTEMPTS,
+        )? as u32,
         second_copies: pairs.flag("policy_limits.second_copies")?,
         cancel: pairs.flag("policy_limits.cancel")?,
         peers: pairs.flag("policy_limits.peers")?,
--- a/src/core.rs
+++ b/src/core.rs
@@ -157,6 +157,11 @@
         news: News,
         nodes: Vec<ListedNode>,
     },
+    /// Other settings, in the same numbers: what is open keeps the rules that it came under.
+    Settings {
+        settings: Box<Settings>,
+        classes: Vec<String>,
+    },
     /// Another process of this head lives, or no longer does.
     Part {
         halved: bool,
@@ -270,6 +275,7 @@
     noted: Option<Box<Noted>>,
     deadline: Key,
     class: usize,
+    max_attempts: u32,
 }
 
 /// What is told of a request at its end.
@@ -476,6 +482,12 @@
                 let _ = granted.send(self.bind(id, attempt));
             }
             Input::Nodes { news, nodes } => self.on_nodes(news, nodes),
+            Input::Settings { settings, classes } => {
+                self.figures.name_classes(&classes);
+                self.telling.iter_mut().for_each(|telling| telling.classes.clone_from(&classes));
+                self.settings = (*settings).clone();
+                self.tell(Event::Settings(settings));
+            }
             Input::Part { halved } => {
                 self.part = if halved { 0.5 } else { 1.0 };
                 self.tell(Event::Part { part: self.part });
@@ -511,6 +523,7 @@
             noted,
             deadline,
             class: arrival.class,
+            max_attempts: self.settings.max_attempts,
         };
         self.requests.insert(id, open);
         let Arrival { volume, key, class, plan, units, volume_hosts, repeat, shard, .. } = arrival;
@@ -821,8 +834,7 @@
         let attempt = open.attempts.len() as u32;
         let until = if time_out > 0 { open.answer_by.min(now + time_out) } else { open.answer_by };
         let address = self.nodes.get(&node).map(|node| node.address.clone());
-        let able =
-            !open.over() && open.bound.is_none() && until > now && attempt < self.settings.max_attempts;
+        let able = !open.over() && open.bound.is_none() && until > now && attempt < open.max_attempts;
         let (true, Some(address)) = (able, address) else {
             let load = Load::default();
             let over = open.over();
--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -66,7 +66,7 @@
         "channels": "connections to nodes at most"
     }
     RELOADED "head" Notice true "The configuration was read again." {
-        "discovery": "where the list of nodes is asked for"
+        "discovery": "where the list of nodes is asked for", "classes": "the classes in force, by name"
     }
     RELOAD_FAILED "head" Warning false "A configuration could not be read; the old one stays in force." {
         "problem": "what is wrong with it"
--- a/src/events/requests.rs
+++ b/src/events/requests.rs
@@ -74,6 +74,8 @@
         if finish != Finish::Served || attempts > 1 || late {
             return Some(1);
         }
+        // A class has another number for each of its rules, and is sampled by the first one.
+        let class = self.classes.iter().position(|name| name == self.class(class)).unwrap_or(class);
         let one_in = self.sampling.one_in(plan, class);
         let place = plan * self.classes.len().max(class + 1) + class;
         if self.seen.len() <= place {
@@ -90,7 +92,7 @@
 
     /// Classes that a front added of its own have no name in the settings.
     pub fn class(&self, class: usize) -> &str {
-        self.classes.get(class).map_or("-", String::as_str)
+        self.classes.get(class).filter(|name| !name.is_empty()).map_or("-", String::as_str)
     }
 }
 
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -52,7 +52,11 @@
     pub fn name_classes(&self, names: &[String]) {
         let mut classes = self.classes();
         let Classes { rows, row_of } = &mut *classes;
+        // A front's own class has no name, and counts nowhere.
         let row = |name: &String| {
+            if name.is_empty() {
+                return usize::MAX;
+            }
             rows.iter().position(|(known, _)| known == name).unwrap_or_else(|| {
                 rows.push((name.clone(), [0; 4]));
                 rows.len() - 1
@@ -64,8 +68,9 @@
     /// A class without a name (another front's own) is counted nowhere.
     pub fn count(&self, class: usize, what: Count) {
         let mut classes = self.classes();
-        if let Some(row) = classes.row_of.get(class).copied() {
-            classes.rows[row].1[what as usize] += 1;
+        let row = classes.row_of.get(class).copied().unwrap_or(usize::MAX);
+        if let Some((_, counts)) = classes.rows.get_mut(row) {
+            counts[what as usize] += 1;
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -134,6 +134,8 @@
     Timer {
         token: u64,
     },
+    /// Other settings. Numbers of classes and plans keep their meaning, and what is open its rules.
+    Settings(Box<Settings>),
     /// The part of what is this host's that this instance may use: half while another one of the host lives.
     Part {
         part: f64,
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,6 +1,6 @@
 //! The platform's front: clients' HTTP/1.1 requests become the core's, and its answers theirs.
 
-use crate::config::Names;
+use crate::classes::Directory;
 use crate::core::{Answer, Arrival, Handle};
 use crate::event;
 use crate::figures::Count;
@@ -52,7 +52,8 @@
 pub struct Front {
     pub handle: Handle,
     pub back: Back,
-    pub names: Arc<Names>,
+    /// The names that are in force; a reload changes them.
+    pub names: watch::Receiver<Arc<Directory>>,
     pub answer_margin: Duration,
     pub phase: watch::Receiver<Phase>,
     /// The memory for bodies, in bytes.
@@ -213,7 +214,8 @@
 
 async fn answer(front: &Front, seat: &Seat, request: Request, received: Instant) -> Response {
     let (head, body) = request.into_parts();
-    let arrival = match read(&head, &front.names, received, front.answer_margin) {
+    let names = front.names.borrow().clone();
+    let arrival = match read(&head, &names, received, front.answer_margin) {
         Ok(arrival) => arrival,
         Err(malformed) => return denied(StatusCode::BAD_REQUEST, &malformed.to_string()),
     };
@@ -302,7 +304,7 @@
     u64::from_str_radix(digits, 16).ok()
 }
 
-fn read(head: &Parts, names: &Names, received: Instant, margin: Duration) -> Result<Arrival, Malformed> {
+fn read(head: &Parts, names: &Directory, received: Instant, margin: Duration) -> Result<Arrival, Malformed> {
     if head.method != Method::GET && head.method != Method::PUT {
         return Err(Malformed("method"));
     }
@@ -312,11 +314,8 @@
     let mut parts = head.uri.path().rsplit('/');
     let (key, volume) = (hex(parts.next()), hex(parts.next()));
     let (Some(key), Some(volume)) = (key, volume) else { return Err(Malformed("path")) };
-    let place = |list: &[String], header| {
-        let name = text(&head.headers, header)?;
-        list.iter().position(|known| known == name).ok_or(Malformed(header))
-    };
-    let (class, plan) = (place(&names.classes, CLASS)?, place(&names.plans, PLAN)?);
+    let (class, longest) = names.class(text(&head.headers, CLASS)?).ok_or(Malformed(CLASS))?;
+    let plan = names.plan(text(&head.headers, PLAN)?).ok_or(Malformed(PLAN))?;
     token(&head.headers, REQUEST_ID)?;
     if head.headers.contains_key(IDEMPOTENCY_KEY) {
         token(&head.headers, IDEMPOTENCY_KEY)?;
@@ -324,7 +323,7 @@
     let wait: u64 = text(&head.headers, TIMEOUT)?.parse().map_err(|_| Malformed(TIMEOUT))?;
     let (units, shard, volume_hosts) = extent(text(&head.headers, EXTENT)?).ok_or(Malformed(EXTENT))?;
     // No client of a class waits longer than that.
-    let wait = Duration::from_millis(wait).min(names.deadlines.get(class).copied().unwrap_or_default());
+    let wait = Duration::from_millis(wait).min(longest);
     Ok(Arrival {
         volume,
         key,
@@ -361,8 +360,9 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::classes::Numbers;
     use crate::clock::Clock;
-    use crate::config::{ClientLimits, NodeLimits};
+    use crate::config::{ClientLimits, Names, NodeLimits};
     use crate::core::Core;
     use crate::interface::Settings;
     use crate::life::SERVING;
@@ -374,7 +374,7 @@
         runtime.block_on(async {
             let (core, _wanted) = Core::new(Settings::default(), 7, 10, Clock::start());
             let (phase, watched) = watch::channel(SERVING);
-            let (times, names) = (Duration::from_secs(1), Arc::default());
+            let (times, (_names, names)) = (Duration::from_secs(1), watch::channel(Arc::default()));
             let front = Front {
                 handle: core.handle(),
                 back: Back::new(NodeLimits { most: 4, idle: times, connect: times }, core.handle().part()),
@@ -442,7 +442,11 @@
             request = request.header(name, value);
         }
         let (classes, plans) = (vec!["checkout".into()], vec!["free".into(), "gold".into()]);
-        let names = Names { classes, plans, deadlines: vec![Duration::from_secs(3)] };
+        let names = Names { classes, plans, ..Names::default() };
+        let class = crate::interface::Class { deadline: 3_000_000, ..Default::default() };
+        let settings =
+            Settings { classes: vec![class], plans: vec![Default::default(); 2], ..Settings::default() };
+        let (_, names) = Numbers::new(&names, &settings, false).adopt(&names, &settings);
         let (head, ()) = request.body(()).unwrap().into_parts();
         read(&head, &names, Instant::now(), Duration::from_millis(5))
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -235,6 +235,7 @@
             Event::Timer { token: RECHECK_TOKEN } => self.recheck_due = None,
             Event::Timer { token: SUBSCRIBE_TOKEN } => actions.push(Action::Subscribe),
             Event::Timer { token } => self.on_deadline(now, token, actions),
+            Event::Settings(settings) => self.settings = *settings,
             Event::Part { part } => self.on_part(now, part),
             Event::Probed { node, took, load, .. } => self.on_probed(now, node, took, load),
             // What waits looks at the news with the next recheck.
@@ -321,6 +322,7 @@
             reserved,
             drawn: false,
             streaming: false,
+            max_attempts: self.settings.max_attempts,
             over: false,
             attempts: Vec::new(),
         };
@@ -378,6 +380,11 @@
         }
         let global_vt = self.global_vt(now);
         let flow = &mut self.flows[ix];
+        if flow.plan != plan {
+            // What it has saved up by its old figures stays, as far as the new ones let it.
+            flow.limit_room(now, self.part);
+            flow.plan = plan;
+        }
         let all = f64::from(self.settings.hosts.max(1));
         let hosts = if (1.0..=all).contains(&request.volume_hosts) { request.volume_hosts } else { all };
         flow.hosts = flow.hosts.max(hosts);
@@ -802,7 +809,7 @@
             Repeats::Keyed => now < first.sent + class.window,
             Repeats::Unsafe => false,
         });
-        kind && !held.streaming && held.attempts.len() < self.settings.max_attempts as usize
+        kind && !held.streaming && held.attempts.len() < held.max_attempts as usize
     }
 
     fn budget_allows(&self, now: Micros) -> bool {
--- a/src/state.rs
+++ b/src/state.rs
@@ -103,6 +103,8 @@
     pub reserved: bool,
     pub drawn: bool,
     pub streaming: bool,
+    /// As it was when it came.
+    pub max_attempts: u32,
     pub over: bool,
     pub attempts: Vec<Attempt>,
 }
