--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -35,8 +35,9 @@
 /// One part in so many of the memory may hold bodies of requests; and for each MB some ids are remembered.
 const BODIES_PART: usize = 8;
 const IDS_PER_MB: usize = 512;
-/// A client has so long from connecting, or from a later request's first byte, until the request has come whole.
-const REQUEST_TIME: Duration = Duration::from_millis(2_200);
+/// A client has so long from connecting, or from a later request's first byte, until the request's head has come: it
+/// may take 2 s over that.
+const REQUEST_TIME: Duration = Duration::from_millis(2_500);
 /// How long a client's connection may be idle, and how long where more than half of the places are taken.
 const CLIENT_IDLE: Duration = Duration::from_secs(10);
 const CLIENT_IDLE_IF_MANY: Duration = Duration::from_millis(2_050);
--- a/src/core.rs
+++ b/src/core.rs
@@ -19,8 +19,8 @@
 use std::future::Future;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
@@ -39,6 +39,8 @@
     pub shard: Option<u16>,
     /// When the final answer must be on its way.
     pub answer_by: Instant,
+    /// The request's last byte is yet to come: its time runs from then on, and is this long.
+    pub coming: Option<Duration>,
 }
 
 /// The one final answer.
@@ -70,7 +72,7 @@
 #[derive(Debug, Default)]
 pub struct Begun {
     begun: AtomicBool,
-    whole: AtomicBool,
+    whole: OnceLock<Instant>,
     class: usize,
     figures: Figures,
 }
@@ -86,7 +88,7 @@
 
     /// All of it is written: the attempt counts, once.
     pub fn set_whole(&self) {
-        if !self.whole.swap(true, Ordering::Relaxed) {
+        if self.whole.set(Instant::now()).is_ok() {
             self.figures.count(self.class, Count::Tries);
         }
     }
@@ -122,6 +124,14 @@
         self.handle.send(Input::Bind { id: self.id, attempt: self.attempt, granted });
         answer.await.unwrap_or(false)
     }
+
+    /// The same, with an answer that is good as far as it goes and longer than can be held: it counts as the node's
+    /// from here on, whatever becomes of the rest, and has no time-out any more.
+    pub async fn begin(&self, load: Load, used: Option<f64>) -> bool {
+        let (granted, answer) = oneshot::channel();
+        self.handle.send(Input::Begin { id: self.id, attempt: self.attempt, load, used, granted });
+        answer.await.unwrap_or(false)
+    }
 }
 
 pub type Attempt = Pin<Box<dyn Future<Output = Report> + Send>>;
@@ -153,6 +163,18 @@
         attempt: u32,
         granted: oneshot::Sender<bool>,
     },
+    /// An attempt has begun to pass an answer on.
+    Begin {
+        id: RequestId,
+        attempt: u32,
+        load: Load,
+        used: Option<f64>,
+        granted: oneshot::Sender<bool>,
+    },
+    /// The last byte of a request has come that was taken before: its time begins.
+    Whole {
+        id: RequestId,
+    },
     Nodes {
         news: News,
         nodes: Vec<ListedNode>,
@@ -247,6 +269,29 @@
     }
 }
 
+impl Pending {
+    /// By which the core is told that the request's last byte has come.
+    pub fn teller(&self) -> Teller {
+        Teller { id: self.id, handle: self.handle.clone() }
+    }
+
+    /// Its client has all of the answer: dropped before the core's word, it has not left.
+    pub fn delivered(&mut self) {
+        self.answered = true;
+    }
+}
+
+pub struct Teller {
+    id: RequestId,
+    handle: Handle,
+}
+
+impl Teller {
+    pub fn whole(&self) {
+        self.handle.send(Input::Whole { id: self.id });
+    }
+}
+
 impl Drop for Pending {
     fn drop(&mut self) {
         self.handle.open.fetch_sub(1, Ordering::Relaxed);
@@ -263,6 +308,16 @@
     task: AbortHandle,
 }
 
+impl Out {
+    /// A node begins a request with its last byte: what a slow client takes to send it is no part of the answer's time.
+    fn took(&self, clock: Clock, coming: bool) -> Micros {
+        match self.begun.whole.get().filter(|_| coming) {
+            Some(whole) => micros(whole.elapsed()),
+            None => clock.now().saturating_sub(self.sent),
+        }
+    }
+}
+
 struct Open {
     work: Box<dyn Work>,
     answer: Option<oneshot::Sender<Answer>>,
@@ -273,7 +328,14 @@
     bound: Option<u32>,
     /// Where requests are told.
     noted: Option<Box<Noted>>,
-    deadline: Key,
+    /// `None`: its time does not run yet, or no longer.
+    deadline: Option<Key>,
+    /// Its time, where that begins with its last byte.
+    coming: Option<Micros>,
+    /// It was taken before its last byte came.
+    came: bool,
+    /// The module has its outcome, and the rest of the answer is being passed on.
+    passing: bool,
     class: usize,
     max_attempts: u32,
 }
@@ -300,6 +362,8 @@
 /// The module's view of nodes is copied into the figures so often at most, and so often where nothing happens.
 const COPY_APART: Micros = 50_000;
 const COPY_IDLE: Micros = 100_000;
+/// Longer than any request is open.
+const DAY: Micros = 86_400_000_000;
 /// How often requests that were not served are summed up.
 const SUM_UP: Micros = 10_000_000;
 
@@ -471,6 +535,9 @@
                     && open.answer.take().is_some()
                 {
                     self.finish(id, Finish::Left);
+                    if self.requests.get(&id).is_some_and(|open| open.passing) {
+                        return self.stop_all(id, End::CalledOff);
+                    }
                     self.tell(Event::ClientLeft { request: id });
                     self.drop_unsent(id, |_| true);
                     self.forget(id);
@@ -481,6 +548,10 @@
                 // Whoever asked may have been given up meanwhile; then nobody hears of it.
                 let _ = granted.send(self.bind(id, attempt));
             }
+            Input::Begin { id, attempt, load, used, granted } => {
+                let _ = granted.send(self.begin(id, attempt, load, used)); // nobody hears of it, likewise
+            }
+            Input::Whole { id } => self.whole(id),
             Input::Nodes { news, nodes } => self.on_nodes(news, nodes),
             Input::Settings { settings, classes } => {
                 self.figures.name_classes(&classes);
@@ -507,9 +578,13 @@
         answer: oneshot::Sender<Answer>,
     ) {
         let now = self.clock.now();
+        let coming = arrival.coming.map(micros);
         let time_left = micros(arrival.answer_by.saturating_duration_since(Instant::now()));
-        let answer_by = now + time_left;
-        let deadline = self.due.insert(answer_by, Due::Deadline(id));
+        let (answer_by, deadline) = match coming {
+            // Whoever sends it sees to it that it comes.
+            Some(_) => (now + DAY, None),
+            None => (now + time_left, Some(self.due.insert(now + time_left, Due::Deadline(id)))),
+        };
         let noted = self.telling.as_ref().map(|_| {
             let Arrival { volume, plan, class, units, .. } = arrival;
             Box::new(Noted { volume, plan, class, units, arrived: now, tried: Vec::new() })
@@ -522,6 +597,9 @@
             bound: None,
             noted,
             deadline,
+            coming,
+            came: coming.is_some(),
+            passing: false,
             class: arrival.class,
             max_attempts: self.settings.max_attempts,
         };
@@ -556,14 +634,64 @@
         true
     }
 
+    /// The module hears of a good answer with its beginning: what a slow client takes of the rest keeps no token and
+    /// tells nothing of the node.
+    fn begin(&mut self, id: RequestId, attempt: u32, load: Load, used: Option<f64>) -> bool {
+        if !self.bind(id, attempt) {
+            return false;
+        }
+        let Some(open) = self.requests.get_mut(&id).filter(|open| !open.passing) else { return false };
+        let Some(Some(out)) = open.attempts.get(attempt as usize) else { return false };
+        open.passing = true;
+        let (node, took) = (out.node, out.took(self.clock, open.came));
+        if let Some(key) = open.deadline.take() {
+            self.due.remove(key);
+        }
+        let (ending, over) = (Ending::Served, true);
+        self.tell(Event::Outcome(Outcome { request: id, attempt, node, ending, took, over, used, load }));
+        true
+    }
+
+    fn whole(&mut self, id: RequestId) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        if let Some(time) = open.coming.take().filter(|_| !open.passing && !open.over()) {
+            open.answer_by = self.clock.now() + time;
+            open.deadline = Some(self.due.insert(open.answer_by, Due::Deadline(id)));
+        }
+    }
+
+    /// The rest of an answer has come to its end, good or bad, or its client has gone.
+    fn passed(&mut self, id: RequestId, attempt: u32, end: End) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let Some(out) = open.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
+        out.task.abort();
+        if let Some(tried) = open.noted.as_mut().and_then(|noted| noted.tried.get_mut(attempt as usize)) {
+            (tried.ending, tried.took) = (Some(end.ending()), self.clock.now().saturating_sub(out.sent));
+        }
+        let answer = open.answer.take();
+        if let Some(node) = self.nodes.get_mut(&out.node) {
+            node.out -= 1;
+        }
+        if let Some(answer) = answer {
+            let good = end == End::Answered;
+            let _ = answer.send(if good { Answer::Served(Bytes::new()) } else { Answer::Failed });
+            self.finish(id, if good { Finish::Served } else { Finish::Failed });
+        }
+        self.forget(id);
+        self.release_nodes();
+    }
+
     fn outcome(&mut self, id: RequestId, attempt: u32, report: Report) {
+        if self.requests.get(&id).is_some_and(|open| open.passing) {
+            return self.passed(id, attempt, report.end);
+        }
         let Some(open) = self.requests.get_mut(&id) else { return };
         // A report that crossed with the attempt's time-out or cancel is of no use any more.
         let Some(out) = open.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
         if let Some(node) = self.nodes.get_mut(&out.node) {
             node.out -= 1;
         }
-        let took = self.clock.now().saturating_sub(out.sent);
+        let took = out.took(self.clock, open.came);
         debug!(request = id, attempt, node = out.node, took, end:? = report.end; "attempt ended");
         if let Some(tried) = open.noted.as_mut().and_then(|noted| noted.tried.get_mut(attempt as usize)) {
             (tried.ending, tried.took) = (Some(report.end.ending()), took);
@@ -672,10 +800,7 @@
     }
 
     fn deadline(&mut self, id: RequestId) {
-        let Some(open) = self.requests.get(&id) else { return };
-        for attempt in 0..open.attempts.len() as u32 {
-            self.stop(id, attempt, End::TimedOut);
-        }
+        self.stop_all(id, End::TimedOut);
         if self.requests.get(&id).is_some_and(|open| !open.over()) {
             // The module answers on the time-out; should it ever not, the client is not left without.
             event!(NO_ANSWER, request = id);
@@ -684,6 +809,11 @@
         }
     }
 
+    fn stop_all(&mut self, id: RequestId, end: End) {
+        let attempts = self.requests.get(&id).map_or(0, |open| open.attempts.len() as u32);
+        (0..attempts).for_each(|attempt| self.stop(id, attempt, end));
+    }
+
     fn stop(&mut self, id: RequestId, attempt: u32, end: End) {
         let out = self.requests.get(&id).and_then(|open| open.attempts.get(attempt as usize)?.as_ref());
         if let Some(out) = out {
@@ -764,7 +894,7 @@
         if self.requests.get(&id).is_some_and(|open| open.over() && open.attempts.iter().all(Option::is_none))
             && let Some(open) = self.requests.remove(&id)
         {
-            self.due.remove(open.deadline);
+            open.deadline.into_iter().for_each(|key| drop(self.due.remove(key)));
         }
     }
 
@@ -854,8 +984,13 @@
         let work = open.work.attempt(Try { address, answer_by, begun: begun.clone(), binder });
         let handle = self.handle.clone();
         let task = tokio::spawn(async move {
-            let timed = tokio::time::timeout_at(answer_by, AssertUnwindSafe(work).catch_unwind());
-            let report = match timed.await {
+            let work = AssertUnwindSafe(work).catch_unwind();
+            // Without a time of its own it ends with its request's, which may come later than was known here.
+            let done = match time_out {
+                0 => Ok(work.await),
+                _ => tokio::time::timeout_at(answer_by, work).await,
+            };
+            let report = match done {
                 Ok(Ok(report)) => report,
                 Ok(Err(_)) => End::Broke.into(),
                 Err(_) => End::TimedOut.into(),
@@ -989,6 +1124,7 @@
             repeat: false,
             shard: Some(0),
             answer_by,
+            coming: None,
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod figures;
 pub mod grpc;
 pub mod handover;
+pub mod holding;
 pub mod index;
 pub mod interface;
 pub mod life;
--- a/src/net/back.rs
+++ b/src/net/back.rs
@@ -11,16 +11,20 @@
 use crate::core::{Attempt, Begun, Report, Try, Work};
 use crate::ending::End;
 use crate::handover::Part;
+use crate::holding::{Next, Over};
 use crate::interface::Load;
 use crate::net::pool::Pool;
+use crate::net::source::Source;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use futures_util::stream::{BoxStream, unfold};
+use http_body_util::{BodyExt, Either, Full, StreamBody};
+use hyper::body::{Body, Frame, Incoming};
 use hyper::client::conn::http1;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::rt::ReadBufCursor;
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 use hyper_util::rt::TokioIo;
+use std::collections::VecDeque;
 use std::error::Error;
 use std::future::{Future, poll_fn};
 use std::io;
@@ -30,24 +34,29 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 use tokio::net::TcpStream;
-use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 use tokio::time::{Duration, Instant, sleep_until, timeout};
 
-/// A body holds this much at most, either way.
+/// A body is held up to this, either way, and is passed on as it comes beyond it.
 pub const MOST_BODY: usize = 64 * 1024;
+/// No body is longer.
+pub const MOST_LARGE: u64 = 32 * 1024 * 1024;
 pub const REQUEST_ID: &str = "x-request-id";
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 pub const TIMEOUT: &str = "x-timeout-ms";
 pub(super) const NOT_PROCESSED: &str = "x-not-processed";
 pub(super) const LOAD: &str = "x-server-load";
 pub(super) const METER: &str = "x-meter";
-/// The most that an answer's head may hold, and all that may come for one answer: 1xx answers in front and the
-/// framing of a chunked body count.
+/// The most that an answer's head may hold, and all that may come for an answer that is held: 1xx answers in front and
+/// the framing of a chunked body count, of which each byte may be a chunk.
 const MOST_HEAD: usize = 16 * 1024;
-const MOST_ANSWER: usize = MOST_HEAD + 2 * MOST_BODY;
-/// From an answer's first byte to its last. A node sends its answer when it is done: one that stops halfway has a
-/// length that does not fit, or no end.
+const MOST_ANSWER: usize = MOST_HEAD + 8 * MOST_BODY;
+/// An answer that is held and of which nothing more came for so long has a length that does not fit, or no end.
 const ANSWER_TIME: Duration = Duration::from_millis(600);
+/// A node or a client that gives or takes nothing for so long, in the middle of what is passed on, is cut off.
+const PASS_TIME: Duration = Duration::from_secs(10);
+/// Pieces between a node and its client. The node's pace is the client's beyond them.
+const PIECES: usize = 2;
 /// Figures in reports beyond this are none.
 const MOST_FIGURE: f64 = 1e6;
 
@@ -75,6 +84,7 @@
 
     /// A kept connection that turns out closed before a byte went out is replaced once: that is no attempt yet.
     async fn attempt(self, forward: Arc<Forward>, a_try: Try) -> Report {
+        let a_try = Arc::new(a_try);
         self.asked.fetch_add(1, Ordering::Relaxed);
         let Ok(address) = a_try.address.parse() else { return End::NotStarted.into() };
         let _in_use = self.pool.begin();
@@ -100,22 +110,23 @@
         stream: TcpStream,
         address: SocketAddr,
         forward: &Forward,
-        a_try: &Try,
+        a_try: &Arc<Try>,
     ) -> Report {
-        let Some(mut request) = forward.request(a_try) else { return End::NotStarted.into() };
-        let wire = Wire::new(a_try.begun.clone(), forward.body.len());
+        let wire = Wire::new(a_try.begun.clone(), forward.payload.length());
+        let Some(mut request) = forward.request(a_try, &wire) else { return End::NotStarted.into() };
         // A 1xx answer is none yet: the time for one begins anew behind it.
         let interim = wire.clone();
-        hyper::ext::on_informational(&mut request, move |_| interim.with(|p| p.first_byte = None));
+        hyper::ext::on_informational(&mut request, move |_| interim.with(|p| p.last_byte = None));
         let watched = Watched { io: TokioIo::new(stream), wire: wire.clone() };
         let handshake = http1::Builder::new().max_buf_size(MOST_HEAD).handshake(watched).await;
         let Ok((mut sender, mut connection)) = handshake else { return End::BrokeUnsent.into() };
+        let read = wire.clone();
         let unanswered = Unanswered { pool: &self.pool, address, wire: &wire };
         let mut ended = false;
         let got = {
             let mut answer = pin!(async move {
                 match sender.send_request(request).await {
-                    Ok(response) => read_answer(response).await,
+                    Ok(response) => read_answer(response, forward, a_try, &read).await,
                     Err(error) => Err(Spoilt::Broken(error)),
                 }
             });
@@ -126,10 +137,10 @@
                 if let Poll::Ready(got) = answer.as_mut().poll(cx) {
                     return Poll::Ready(Some(got));
                 }
-                let first_byte = wire.with(|p| p.first_byte);
-                if late_set != first_byte {
-                    late_set = first_byte;
-                    late.as_mut().reset(first_byte.unwrap_or_else(Instant::now) + ANSWER_TIME);
+                let (patience, since) = wire.with(|p| p.patience());
+                if late_set != since {
+                    late_set = since;
+                    late.as_mut().reset(since.unwrap_or_else(Instant::now) + patience);
                 }
                 if late_set.is_some() && late.as_mut().poll(cx).is_ready() {
                     return Poll::Ready(None);
@@ -145,7 +156,9 @@
             Some(Ok((report, _))) if !whole && report.end == End::Answered => (End::BadAnswer.into(), false),
             Some(Ok(done)) => done,
             Some(Err(spoilt)) => (wire.with(|p| spoilt.end(p)).into(), false),
-            None => (End::BadAnswer.into(), false),
+            None if wire.with(|p| p.whole()) => (End::BadAnswer.into(), false),
+            // Its node takes nothing of the request any more.
+            None => (End::BrokeUnsent.into(), false),
         };
         if reusable && whole && !ended {
             let parts = connection.into_parts();
@@ -179,6 +192,8 @@
     Broken(hyper::Error),
     /// Its length is told in no way or in two, it is too long, or its chunks cannot be read.
     Framing,
+    /// Some of it is with the client, and no more came, or no more was taken.
+    Stopped(End),
 }
 
 impl Spoilt {
@@ -186,6 +201,7 @@
         match self {
             _ if progress.overrun => End::BadAnswer,
             Spoilt::Framing => End::BadAnswer,
+            Spoilt::Stopped(end) => *end,
             Spoilt::Broken(error) if error.is_parse() || unreadable(error) => End::BadAnswer,
             Spoilt::Broken(_) if progress.whole() => End::Broke,
             Spoilt::Broken(_) => End::BrokeUnsent,
@@ -200,8 +216,13 @@
 }
 
 /// The report, and whether another request may follow on the connection.
-async fn read_answer(response: Response<Incoming>) -> Result<(Report, bool), Spoilt> {
-    let (head, body) = response.into_parts();
+async fn read_answer(
+    response: Response<Incoming>,
+    forward: &Forward,
+    a_try: &Try,
+    wire: &Wire,
+) -> Result<(Report, bool), Spoilt> {
+    let (head, mut body) = response.into_parts();
     if !framed(&head.headers) {
         return Err(Spoilt::Framing);
     }
@@ -215,11 +236,22 @@
         _ => End::ErrorAnswer,
     };
     let (load, used) = (load(&head.headers), used(&head.headers));
-    let body = match Limited::new(body, MOST_BODY).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => return Err(Spoilt::Framing),
-        Err(error) => {
-            return Err(error.downcast().map_or(Spoilt::Framing, |error| Spoilt::Broken(*error)));
+    let length = body.size_hint().exact();
+    let held = match length {
+        Some(length) if length > MOST_BODY as u64 => Held::More(first(&mut body).await?),
+        _ => hold(&mut body).await?,
+    };
+    let body = match held {
+        Held::Whole(body) => body,
+        // What is not to be passed on is of no use at that length.
+        Held::More(_) if end != End::Answered || !wire.with(|p| p.whole()) => return Err(Spoilt::Framing),
+        Held::More(pieces) => {
+            if !a_try.binder.begin(load, used).await {
+                return Err(Spoilt::Stopped(End::CalledOff));
+            }
+            wire.with(|p| p.passing = true);
+            pass(pieces, body, length, forward).await?;
+            Bytes::new()
         }
     };
     let last = head.headers.get_all(CONNECTION).iter().any(|value| {
@@ -228,17 +260,94 @@
     Ok((Report { end, body, load, used }, head.version == Version::HTTP_11 && !last))
 }
 
+/// A body that is held, or what has come of one that is longer.
+enum Held {
+    Whole(Bytes),
+    More(Vec<Bytes>),
+}
+
+async fn first(body: &mut Incoming) -> Result<Vec<Bytes>, Spoilt> {
+    Ok(next(body).await?.into_iter().collect())
+}
+
+async fn next(body: &mut Incoming) -> Result<Option<Bytes>, Spoilt> {
+    while let Some(frame) = body.frame().await {
+        match frame.map_err(Spoilt::Broken)?.into_data() {
+            Ok(data) if !data.is_empty() => return Ok(Some(data)),
+            // Trailers tell a client nothing that it was promised.
+            _ => {}
+        }
+    }
+    Ok(None)
+}
+
+async fn hold(body: &mut Incoming) -> Result<Held, Spoilt> {
+    let (mut pieces, mut bytes) = (Vec::new(), 0);
+    while let Some(piece) = next(body).await? {
+        bytes += piece.len();
+        pieces.push(piece);
+        if bytes > MOST_BODY {
+            return Ok(Held::More(pieces));
+        }
+    }
+    Ok(Held::Whole(if pieces.len() == 1 { pieces.swap_remove(0) } else { pieces.concat().into() }))
+}
+
+/// Gives a long answer to its client piece by piece, at the pace of the slower of the two.
+async fn pass(
+    pieces: Vec<Bytes>,
+    mut body: Incoming,
+    length: Option<u64>,
+    forward: &Forward,
+) -> Result<(), Spoilt> {
+    let Some(begins) = forward.begins.lock().unwrap_or_else(PoisonError::into_inner).take() else {
+        return Err(Spoilt::Stopped(End::CalledOff));
+    };
+    let (down, taken) = mpsc::channel(PIECES);
+    let gone = || Spoilt::Stopped(End::CalledOff);
+    begins.send(Passing { length, pieces: taken }).map_err(|_| gone())?;
+    let mut bytes = 0;
+    let mut pieces = VecDeque::from(pieces);
+    loop {
+        let piece = match pieces.pop_front() {
+            Some(piece) => piece,
+            None => match timeout(PASS_TIME, next(&mut body)).await {
+                Ok(piece) => match piece? {
+                    Some(piece) => piece,
+                    None => return Ok(()),
+                },
+                Err(_) => return Err(Spoilt::Stopped(End::Broke)),
+            },
+        };
+        bytes += piece.len() as u64;
+        if bytes > MOST_LARGE {
+            return Err(Spoilt::Framing);
+        }
+        timeout(PASS_TIME, down.send(piece)).await.map_err(|_| gone())?.map_err(|_| gone())?;
+    }
+}
+
 /// Whether the head says in exactly one way how long the body is, and no longer than any may be. Up to the
 /// connection's end is no way: that end comes as well when a node dies.
 fn framed(headers: &HeaderMap) -> bool {
-    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
-    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
-    match (lengths.next(), lengths.next(), codings.next(), codings.next()) {
-        (Some(length), None, None, None) => {
-            let digits = length.to_str().ok().filter(|text| text.bytes().all(|byte| byte.is_ascii_digit()));
-            digits.and_then(|text| text.parse().ok()).is_some_and(|length: usize| length <= MOST_BODY)
+    // The same length several times is one length (RFC 9110, 8.6); empty elements of a list are none (5.6.1).
+    let elements = |name| {
+        let mut all = Vec::new();
+        for value in headers.get_all(name) {
+            all.extend(value.to_str().ok()?.split(',').map(str::trim).filter(|element| !element.is_empty()));
+        }
+        Some(all)
+    };
+    let (Some(lengths), Some(codings)) = (elements(CONTENT_LENGTH), elements(TRANSFER_ENCODING)) else {
+        return false;
+    };
+    match (&lengths[..], &codings[..]) {
+        ([length, others @ ..], []) => {
+            let digits = length.bytes().all(|byte| byte.is_ascii_digit());
+            let fits = length.parse().is_ok_and(|length: u64| length <= MOST_LARGE);
+            digits && fits && others.iter().all(|other| other == length)
         }
-        (None, None, Some(coding), None) => coding.as_bytes().eq_ignore_ascii_case(b"chunked"),
+        ([], [coding]) => coding.eq_ignore_ascii_case("chunked"),
         _ => false,
     }
 }
@@ -265,23 +374,89 @@
     pub target: Uri,
     pub id: HeaderValue,
     pub key: Option<HeaderValue>,
-    pub body: Bytes,
-    /// The body's part of the memory for bodies.
-    pub held: Option<OwnedSemaphorePermit>,
+    pub payload: Payload,
+    /// How long the client waits.
+    pub wait: Duration,
+    /// Takes what begins to be passed on of a long answer.
+    pub begins: Mutex<Option<oneshot::Sender<Passing>>>,
+}
+
+/// A request's body.
+#[derive(Debug)]
+pub enum Payload {
+    /// Whole, with its part of the memory for bodies.
+    Held { body: Bytes, _memory: Option<OwnedSemaphorePermit> },
+    /// Still on its way from the client.
+    Coming { source: Arc<Source>, length: Option<u64> },
+}
+
+impl Payload {
+    fn length(&self) -> Option<u64> {
+        match self {
+            Payload::Held { body, .. } => Some(body.len() as u64),
+            Payload::Coming { length, .. } => *length,
+        }
+    }
+}
+
+/// A long answer on its way to the client.
+#[derive(Debug)]
+pub struct Passing {
+    pub length: Option<u64>,
+    pub pieces: mpsc::Receiver<Bytes>,
+}
+
+type Upload = StreamBody<BoxStream<'static, io::Result<Frame<Bytes>>>>;
+
+/// A body that still comes, as one attempt sends it: bound to that attempt before what is held of it is let go of.
+fn upload(source: Arc<Source>, a_try: Arc<Try>, wire: Wire) -> Upload {
+    let over = || io::Error::from(io::ErrorKind::BrokenPipe);
+    StreamBody::new(Box::pin(unfold(
+        (source, a_try, wire, 0),
+        move |(source, a_try, wire, sent)| async move {
+            let attempt = a_try.binder.attempt();
+            source.sent(attempt, sent);
+            loop {
+                match source.next(attempt, sent).await {
+                    Next::Piece(piece) => {
+                        return Some((Ok(Frame::data(piece)), (source, a_try, wire, sent + 1)));
+                    }
+                    Next::Bind if a_try.binder.bind().await => source.bind(attempt, sent),
+                    Next::Wait => {}
+                    Next::End(Over::Whole) => {
+                        wire.with(|p| p.all_given = true);
+                        return None;
+                    }
+                    Next::Bind | Next::End(Over::Cut) | Next::Lost => {
+                        return Some((Err(over()), (source, a_try, wire, sent)));
+                    }
+                }
+            }
+        },
+    )))
 }
 
 impl Forward {
     /// `None`: the address is none.
-    fn request(&self, a_try: &Try) -> Option<Request<Full<Bytes>>> {
+    fn request(&self, a_try: &Arc<Try>, wire: &Wire) -> Option<Request<Either<Full<Bytes>, Upload>>> {
         let host = HeaderValue::try_from(&a_try.address).ok()?;
-        let left = a_try.answer_by.saturating_duration_since(Instant::now()).as_millis() as u64;
-        let mut request = Request::new(Full::new(self.body.clone()));
+        let left = a_try.answer_by.saturating_duration_since(Instant::now()).min(self.wait);
+        let body = match &self.payload {
+            Payload::Held { body, .. } => Either::Left(Full::new(body.clone())),
+            Payload::Coming { source, .. } => {
+                Either::Right(upload(source.clone(), a_try.clone(), wire.clone()))
+            }
+        };
+        let mut request = Request::new(body);
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.target.clone();
         let headers = request.headers_mut();
         headers.insert(HOST, host);
         headers.insert(REQUEST_ID, self.id.clone());
-        headers.insert(TIMEOUT, HeaderValue::from(left.max(1)));
+        headers.insert(TIMEOUT, HeaderValue::from((left.as_millis() as u64).max(1)));
+        if let Payload::Coming { length: Some(length), .. } = &self.payload {
+            headers.insert(CONTENT_LENGTH, HeaderValue::from(*length));
+        }
         if let Some(key) = &self.key {
             headers.insert(IDEMPOTENCY_KEY, key.clone());
         }
@@ -310,18 +485,28 @@
     begun: Arc<Begun>,
     /// How much of the empty line that ends the head has been seen.
     matched: usize,
-    body_left: usize,
+    /// `None`: it goes out in chunks, and is whole with the last one.
+    body_left: Option<u64>,
+    /// All of a body in chunks is given to the connection; what it wrote last.
+    all_given: bool,
+    tail: [u8; 5],
     read: usize,
-    first_byte: Option<Instant>,
+    /// Since which the answer is waited for: its last byte so far.
+    last_byte: Option<Instant>,
+    /// The last byte of a request that went out.
+    wrote_at: Option<Instant>,
+    /// Some of the answer is with the client: how long it may be, and take, is judged there.
+    passing: bool,
     /// More came than any answer holds.
     overrun: bool,
 }
 
 const HEAD_END: &[u8] = b"\r\n\r\n";
+const LAST_CHUNK: &[u8; 5] = b"0\r\n\r\n";
 
 impl Wire {
-    fn new(begun: Arc<Begun>, body: usize) -> Wire {
-        Wire(Arc::new(Mutex::new(Progress { begun, body_left: body, ..Progress::default() })))
+    fn new(begun: Arc<Begun>, body_left: Option<u64>) -> Wire {
+        Wire(Arc::new(Mutex::new(Progress { begun, body_left, ..Progress::default() })))
     }
 
     fn with<T>(&self, f: impl FnOnce(&mut Progress) -> T) -> T {
@@ -334,15 +519,27 @@
         if !bytes.is_empty() {
             self.begun.set();
         }
-        for byte in bytes {
-            if self.matched == HEAD_END.len() {
-                self.body_left = self.body_left.saturating_sub(1);
-            } else if *byte == HEAD_END[self.matched] {
-                self.matched += 1;
+        let mut rest = bytes.iter();
+        while self.matched < HEAD_END.len()
+            && let Some(byte) = rest.next()
+        {
+            self.matched = if *byte == HEAD_END[self.matched] {
+                self.matched + 1
             } else {
-                self.matched = usize::from(*byte == HEAD_END[0]);
+                usize::from(*byte == HEAD_END[0])
+            };
+        }
+        let body = rest.as_slice();
+        match &mut self.body_left {
+            Some(left) => *left = left.saturating_sub(body.len() as u64),
+            None => {
+                for byte in &body[body.len().saturating_sub(self.tail.len())..] {
+                    self.tail.rotate_left(1);
+                    self.tail[4] = *byte;
+                }
             }
         }
+        self.wrote_at = Some(Instant::now());
         if self.whole() {
             self.begun.set_whole();
         }
@@ -350,16 +547,28 @@
 
     /// The request's last byte was written.
     fn whole(&self) -> bool {
-        self.matched == HEAD_END.len() && self.body_left == 0
+        let body = match self.body_left {
+            Some(left) => left == 0,
+            None => self.all_given && self.tail == *LAST_CHUNK,
+        };
+        self.matched == HEAD_END.len() && body
+    }
+
+    /// For how long, and since when, something has to happen; since never: no time but the request's own.
+    fn patience(&self) -> (Duration, Option<Instant>) {
+        match self.last_byte.filter(|_| !self.passing) {
+            None if self.wrote_at.is_some() && !self.whole() => (PASS_TIME, self.wrote_at),
+            since => (ANSWER_TIME, since),
+        }
     }
 
     /// Whether so many more bytes are still within an answer's bounds.
     fn got(&mut self, bytes: usize) -> bool {
         self.read += bytes;
         if bytes > 0 {
-            self.first_byte.get_or_insert_with(Instant::now);
+            self.last_byte = Some(Instant::now());
         }
-        self.overrun = self.read > MOST_ANSWER;
+        self.overrun = !self.passing && self.read > MOST_ANSWER;
         !self.overrun
     }
 }
@@ -377,7 +586,7 @@
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         // Read aside first: how much went into the cursor could not be told afterwards.
-        let mut part = [0; 4096];
+        let mut part = [0; 8192];
         let most = part.len().min(buf.remaining());
         let mut own = tokio::io::ReadBuf::new(&mut part[..most]);
         std::task::ready!(tokio::io::AsyncRead::poll_read(Pin::new(self.io.inner_mut()), cx, &mut own))?;
@@ -420,7 +629,7 @@
             (&["PUT / HTTP/1.1\r\n\r\n"], 3, false),
             (&[], 0, false),
         ] {
-            let mut progress = Progress { body_left: body, ..Progress::default() };
+            let mut progress = Progress { body_left: Some(body), ..Progress::default() };
             parts.iter().for_each(|part| progress.wrote(part.as_bytes()));
             assert_eq!((progress.whole(), progress.begun.get()), (whole, !parts.is_empty()), "{parts:?}");
         }
@@ -455,12 +664,18 @@
             (&[("transfer-encoding", "chunked")], true),
             (&[], false),
             (&[("content-length", "3"), ("transfer-encoding", "chunked")], false),
-            (&[("content-length", "3"), ("content-length", "3")], false),
-            (&[("content-length", "3, 3")], false),
+            (&[("content-length", "3"), ("content-length", "3")], true),
+            (&[("content-length", "3, 3")], true),
+            (&[("content-length", "3, 4")], false),
+            (&[("content-length", "3"), ("content-length", "4")], false),
+            (&[("transfer-encoding", ", chunked,")], true),
+            (&[("transfer-encoding", "chunked, chunked")], false),
             (&[("content-length", "-3")], false),
             (&[("content-length", "+3")], false),
             (&[("content-length", "")], false),
-            (&[("content-length", "65537")], false),
+            (&[("content-length", "65537")], true),
+            (&[("content-length", "33554432")], true),
+            (&[("content-length", "33554433")], false),
             (&[("content-length", "3221225472")], false),
             (&[("transfer-encoding", "gzip, chunked")], false),
         ] {
--- /dev/null
+++ b/src/net/body.rs
@@ -0,0 +1,143 @@
+//! Clients' bodies as they come: read piece by piece for as long as they make progress. A slow client is told from one
+//! that has stopped by its bytes, not by its total time.
+
+use axum::body::{Body, HttpBody};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use tokio::time::{Duration, Instant, timeout};
+
+/// No client is silent for longer in the middle of a body.
+const SILENCE: Duration = Duration::from_millis(2_200);
+/// A body comes at 64 kB a second at least; one at a third of that on the whole, beyond its first moments, holds its
+/// place for nothing.
+const FIRST_MOMENTS: Duration = Duration::from_millis(2_500);
+const LEAST_RATE: f64 = 21_000.0;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// It stopped, or comes too slowly.
+    Slow,
+    /// It broke off, or its framing cannot be read.
+    Broken,
+    TooLong,
+}
+
+/// Whether a body may go on: time that was spent waiting for its client, and bytes that came.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pace {
+    waited: Duration,
+    bytes: u64,
+}
+
+impl Pace {
+    fn too_slow(&self) -> bool {
+        let due = self.waited.saturating_sub(FIRST_MOMENTS).as_secs_f64() * LEAST_RATE;
+        due > self.bytes as f64
+    }
+}
+
+pub struct Reading {
+    body: Body,
+    pace: Pace,
+    most: u64,
+}
+
+impl Reading {
+    pub fn new(body: Body, most: u64) -> Reading {
+        Reading { body, pace: Pace::default(), most }
+    }
+
+    /// What the head says of its length; `None`: it comes in chunks.
+    pub fn length(&self) -> Option<u64> {
+        self.body.size_hint().exact()
+    }
+
+    /// The next bytes; `None`: it is whole. Trailers say nothing that a node would need.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, Fault> {
+        loop {
+            let begun = Instant::now();
+            let frame = timeout(SILENCE, self.body.frame()).await.map_err(|_| Fault::Slow)?;
+            self.pace.waited += begun.elapsed();
+            let Some(frame) = frame else { return Ok(None) };
+            let Ok(data) = frame.map_err(|_| Fault::Broken)?.into_data() else { continue };
+            self.pace.bytes += data.len() as u64;
+            if self.pace.bytes > self.most {
+                return Err(Fault::TooLong);
+            }
+            if self.pace.too_slow() {
+                return Err(Fault::Slow);
+            }
+            if !data.is_empty() {
+                return Ok(Some(data));
+            }
+        }
+    }
+
+    /// All of it if it is no longer than that; what has come of a longer one.
+    pub async fn up_to(&mut self, most: usize) -> Result<Beginning, Fault> {
+        let mut pieces = Vec::new();
+        let mut bytes = 0;
+        while bytes <= most {
+            match self.next().await? {
+                None => return Ok(Beginning::Whole(joined(pieces))),
+                Some(piece) => {
+                    bytes += piece.len();
+                    pieces.push(piece);
+                }
+            }
+        }
+        Ok(Beginning::Part(pieces))
+    }
+}
+
+pub enum Beginning {
+    Whole(Bytes),
+    Part(Vec<Bytes>),
+}
+
+fn joined(mut pieces: Vec<Bytes>) -> Bytes {
+    match pieces.len() {
+        0 => Bytes::new(),
+        1 => pieces.swap_remove(0),
+        _ => pieces.concat().into(),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn slow_is_by_the_bytes_that_came_for_the_time_that_was_waited() {
+        for (waited_ms, bytes, slow) in [
+            (0, 0, false),
+            (2_500, 0, false),
+            (2_600, 1, true),
+            (3_500, 22_000, false),
+            (3_500, 20_000, true),
+            // 64 kB a second, for half a minute.
+            (30_000, 30 * 64_000, false),
+            // A byte every two seconds.
+            (60_000, 30, true),
+        ] {
+            let pace = Pace { waited: Duration::from_millis(waited_ms), bytes };
+            assert_eq!(pace.too_slow(), slow, "{waited_ms} ms, {bytes} bytes");
+        }
+    }
+
+    #[test]
+    fn a_body_is_whole_or_a_part_by_what_may_be_held() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            for (length, most, whole) in [(0, 10, true), (10, 10, true), (11, 10, false)] {
+                let mut reading = Reading::new(Body::from(vec![7; length]), 100);
+                match reading.up_to(most).await.unwrap() {
+                    Beginning::Whole(bytes) => assert_eq!((bytes.len(), whole), (length, true)),
+                    Beginning::Part(pieces) => assert_eq!((pieces.concat().len(), whole), (length, false)),
+                }
+            }
+            let mut long = Reading::new(Body::from(vec![7; 101]), 100);
+            assert!(matches!(long.up_to(1_000).await, Err(Fault::TooLong)));
+        });
+    }
+}
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,24 +1,30 @@
 //! The platform's front: clients' HTTP/1.1 requests become the core's, and its answers theirs.
 
 use crate::classes::Directory;
-use crate::core::{Answer, Arrival, Handle};
+use crate::core::{Answer, Arrival, Handle, Pending};
 use crate::event;
 use crate::figures::Count;
+use crate::holding::Over;
 use crate::life::Phase;
-use crate::net::back::{Back, Forward, ForwardWork, IDEMPOTENCY_KEY, MOST_BODY, REQUEST_ID, TIMEOUT};
+use crate::net::back::{
+    Back, Forward, ForwardWork, IDEMPOTENCY_KEY, MOST_BODY, MOST_LARGE, Passing, Payload, REQUEST_ID, TIMEOUT,
+};
+use crate::net::body::{Beginning, Fault, Reading};
 use crate::net::helm::until;
 use crate::net::ids::Ids;
 use crate::net::places::{Places, Seat};
+use crate::net::source::Source;
 use axum::Extension;
 use axum::Router;
-use axum::body::{Body, HttpBody, to_bytes};
+use axum::body::{Body, HttpBody};
 use axum::extract::{Request, State};
 use axum::http::request::Parts;
 use axum::http::{HeaderMap, HeaderValue, Method, StatusCode, Uri, header};
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
+use bytes::Bytes;
 use futures_util::FutureExt;
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming};
 use hyper::rt::ReadBufCursor;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -29,13 +35,15 @@
 use std::io;
 use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
-use tokio::time::{Duration, Instant};
+use tokio::sync::{Semaphore, oneshot, watch};
+use tokio::time::{Duration, Instant, Sleep};
 use tower_service::Service;
 
+const METHOD: &str = "method";
 const CLASS: &str = "x-priority-class";
 const PLAN: &str = "x-storage-class";
 const EXTENT: &str = "x-extent";
@@ -113,7 +121,7 @@
     if let Err(problem) = stream.set_nodelay(true) {
         debug!("nodelay: {problem}");
     }
-    let io = Watched { io: TokioIo::new(stream), seat: seat.clone() };
+    let io = Watched { io: TokioIo::new(stream), seat: seat.clone(), linger: None };
     let of_request = seat.clone();
     let service = service_fn(move |mut request: hyper::Request<Incoming>| {
         of_request.asking();
@@ -121,11 +129,9 @@
         let (answer, seat) = (router.clone().call(request), of_request.clone());
         async move {
             let response = answer.await?;
-            Ok::<_, std::convert::Infallible>(if seat.answered() {
-                last_on_its_connection(response)
-            } else {
-                response
-            })
+            let still_out = response.extensions().get::<StillOut>().is_some();
+            let last = if still_out { seat.had_better_go() } else { seat.answered() };
+            Ok::<_, std::convert::Infallible>(if last { last_on_its_connection(response) } else { response })
         }
     });
     let served = http1::Builder::new().max_buf_size(MOST_HEAD).serve_connection(io, service);
@@ -158,23 +164,51 @@
     }
 }
 
-/// A client's connection that tells its place when bytes come.
+/// A client's connection that tells its place what comes, and that reads on for a while behind a last answer to a
+/// request that had not come whole: closed at once, a reset could overtake the answer.
 struct Watched {
     io: TokioIo<TcpStream>,
     seat: Seat,
+    linger: Option<Pin<Box<Sleep>>>,
+}
+
+/// For so long at most; and so many reads before others have their turn.
+const LINGER: Duration = Duration::from_millis(1_500);
+const READS: usize = 16;
+
+impl Watched {
+    fn poll_linger(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let linger = self.linger.get_or_insert_with(|| Box::pin(tokio::time::sleep(LINGER)));
+        if linger.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(());
+        }
+        let mut scratch = [0; 8192];
+        for _ in 0..READS {
+            let mut unread = ReadBuf::new(&mut scratch);
+            match std::task::ready!(Pin::new(self.io.inner_mut()).poll_read(cx, &mut unread)) {
+                Ok(()) if !unread.filled().is_empty() => {}
+                _ => return Poll::Ready(()),
+            }
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    }
 }
 
 impl hyper::rt::Read for Watched {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        buf: ReadBufCursor<'_>,
+        mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let read = Pin::new(&mut self.io).poll_read(cx, buf);
-        if matches!(read, Poll::Ready(Ok(()))) {
-            self.seat.byte_came();
-        }
-        read
+        // Read aside first: what went into the cursor could not be seen afterwards.
+        let mut part = [0; 8192];
+        let most = part.len().min(buf.remaining());
+        let mut own = ReadBuf::new(&mut part[..most]);
+        std::task::ready!(Pin::new(self.io.inner_mut()).poll_read(cx, &mut own))?;
+        self.seat.bytes_came(own.filled(), MOST_HEAD);
+        buf.put_slice(own.filled());
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -188,7 +222,13 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(cx)
+        if self.linger.is_none() {
+            std::task::ready!(Pin::new(&mut self.io).poll_shutdown(cx))?;
+        }
+        if self.seat.has_unread() {
+            std::task::ready!(self.poll_linger(cx));
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -217,51 +257,215 @@
     let names = front.names.borrow().clone();
     let arrival = match read(&head, &names, received, front.answer_margin) {
         Ok(arrival) => arrival,
+        Err(Malformed(METHOD)) => return not_allowed(),
         Err(malformed) => return denied(StatusCode::BAD_REQUEST, &malformed.to_string()),
     };
-    // hyper passes over a length that stands beside a coding, and so hides that the body may hold another request.
-    // The protocol's bodies have a length: any coding is refused.
-    if head.headers.contains_key(header::TRANSFER_ENCODING) {
-        return denied(StatusCode::LENGTH_REQUIRED, "a body needs a Content-Length");
+    // A length beside a coding may hide another request in the body (RFC 9112, 6.3). hyper passes over a length that
+    // comes behind a coding: that is looked for in what was read.
+    let coded = head.headers.contains_key(header::TRANSFER_ENCODING);
+    if coded
+        && (head.headers.contains_key(header::CONTENT_LENGTH)
+            || seat.head_has(header::CONTENT_LENGTH.as_str()))
+    {
+        return denied(StatusCode::BAD_REQUEST, "a body with a length and a coding");
     }
-    let length = body.size_hint().exact().unwrap_or(u64::MAX);
-    let Some(length) = u32::try_from(length).ok().filter(|length| *length as usize <= MOST_BODY) else {
+    let mut reading = Reading::new(body, MOST_LARGE);
+    let length = reading.length();
+    if length.is_some_and(|length| length > MOST_LARGE) {
         return denied(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
+    }
+    let Some(id) = head.headers.get(REQUEST_ID).cloned() else {
+        return denied(StatusCode::BAD_REQUEST, &Malformed(REQUEST_ID).to_string());
     };
-    let Ok(held) = front.bodies.clone().try_acquire_many_owned(length) else {
+    let forward = |payload, wait| {
+        let (begins, begun) = oneshot::channel();
+        let forward = Forward {
+            method: head.method.clone(),
+            target: head.uri.path_and_query().map_or_else(Uri::default, |target| target.clone().into()),
+            id: id.clone(),
+            key: head.headers.get(IDEMPOTENCY_KEY).cloned(),
+            payload,
+            wait,
+            begins: Mutex::new(Some(begins)),
+        };
+        (Box::new(ForwardWork { back: front.back.clone(), forward: Arc::new(forward) }), begun)
+    };
+    let wait = arrival.answer_by.saturating_duration_since(received);
+    let held = length.map_or(MOST_BODY, |length| MOST_BODY.min(length as usize));
+    let Ok(memory) = front.bodies.clone().try_acquire_many_owned(held as u32) else {
         front.handle.figures().count(arrival.class, Count::Dropped);
         return last_on_its_connection(refused(NO_ROOM));
     };
-    let Ok(body) = to_bytes(body, MOST_BODY).await else {
-        return denied(StatusCode::BAD_REQUEST, "the body did not come whole");
+    seat.reading();
+    let beginning = match length {
+        Some(length) if length > MOST_BODY as u64 => Ok(Beginning::Part(Vec::new())),
+        _ => reading.up_to(MOST_BODY).await,
     };
-    let Some(id) = head.headers.get(REQUEST_ID).cloned() else {
-        return denied(StatusCode::BAD_REQUEST, &Malformed(REQUEST_ID).to_string());
+    let beginning = match beginning {
+        Ok(beginning) => beginning,
+        Err(fault) => return faulty(fault),
     };
     if !front.ids.first_time(id.as_bytes(), received) {
         return denied(StatusCode::CONFLICT, "this id has been used");
     }
-    let forward = Arc::new(Forward {
-        method: head.method,
-        target: head.uri.path_and_query().map_or_else(Uri::default, |target| target.clone().into()),
-        id,
-        key: head.headers.get(IDEMPOTENCY_KEY).cloned(),
-        body,
-        held: Some(held),
-    });
     seat.waiting();
-    let work = Box::new(ForwardWork { back: front.back.clone(), forward });
-    match front.handle.submit(arrival, work) {
-        // The connection goes with it, so that its place is free for the next one.
-        None => last_on_its_connection(refused(NO_ROOM)),
-        Some(pending) => match pending.await {
-            Answer::Served(body) => Response::new(Body::from(body)),
-            Answer::Refused(after) => refused(after),
-            Answer::Failed => StatusCode::BAD_GATEWAY.into_response(),
+    match beginning {
+        Beginning::Whole(body) => {
+            // A request's time counts from its last byte.
+            let answer_by = Instant::now() + wait;
+            let (work, begun) = forward(Payload::Held { body, _memory: Some(memory) }, wait);
+            match front.handle.submit(Arrival { answer_by, ..arrival }, work) {
+                // The connection goes with it, so that its place is free for the next one.
+                None => last_on_its_connection(refused(NO_ROOM)),
+                Some(pending) => result(pending, begun, seat).await,
+            }
+        }
+        Beginning::Part(pieces) => {
+            let source = Arc::new(Source::new(MOST_BODY, front.bodies.clone()));
+            drop(memory);
+            for piece in pieces {
+                source.push(piece, false);
+            }
+            let (work, begun) = forward(Payload::Coming { source: source.clone(), length }, wait);
+            match front.handle.submit(Arrival { coming: Some(wait), ..arrival }, work) {
+                None => unread(seat, last_on_its_connection(refused(NO_ROOM))),
+                Some(pending) => coming(reading, &source, pending, begun, seat).await,
+            }
+        }
+    }
+}
+
+/// A request that is still being read: its answer may come before its end, and is its connection's last then.
+async fn coming(
+    mut reading: Reading,
+    source: &Source,
+    pending: Pending,
+    begun: oneshot::Receiver<Passing>,
+    seat: &Seat,
+) -> Response {
+    let whole = pending.teller();
+    let fault = async {
+        loop {
+            source.room().await;
+            match reading.next().await {
+                Ok(Some(piece)) => {
+                    source.push(piece, source.is_bound());
+                }
+                Ok(None) => {
+                    source.end(Over::Whole);
+                    whole.whole();
+                    return std::future::pending().await;
+                }
+                Err(fault) => {
+                    source.end(Over::Cut);
+                    return fault;
+                }
+            }
+        }
+    };
+    tokio::select! {
+        biased;
+        response = result(pending, begun, seat) => match source.is_over() {
+            true => response,
+            false => unread(seat, last_on_its_connection(response)),
         },
+        // Dropped with it, the request is its client's that has gone.
+        fault = fault => unread(seat, faulty(fault)),
+    }
+}
+
+/// The one answer, whole or as it comes.
+async fn result(mut pending: Pending, mut begun: oneshot::Receiver<Passing>, seat: &Seat) -> Response {
+    let mut may_begin = true;
+    loop {
+        tokio::select! {
+            biased;
+            began = &mut begun, if may_begin => match began {
+                Ok(passing) => return passed_on(passing, pending, seat),
+                // No attempt will: the request is over.
+                Err(_) => may_begin = false,
+            },
+            answer = &mut pending => return match answer {
+                Answer::Served(body) => Response::new(Body::from(body)),
+                Answer::Refused(after) => refused(after),
+                Answer::Failed => StatusCode::BAD_GATEWAY.into_response(),
+            },
+        }
+    }
+}
+
+fn passed_on(passing: Passing, pending: Pending, seat: &Seat) -> Response {
+    let length = passing.length;
+    let body = PassedOn { passing, pending, given: 0, seat: seat.clone() };
+    let mut response = Response::new(Body::new(body));
+    if let Some(length) = length {
+        response.headers_mut().insert(header::CONTENT_LENGTH, HeaderValue::from(length));
+    }
+    response.extensions_mut().insert(StillOut);
+    response
+}
+
+/// Marks an answer whose body holds its connection's seat until its end.
+#[derive(Clone)]
+struct StillOut;
+
+/// The body of a long answer. Its end is good only with the core's word that the node's was; otherwise the connection
+/// breaks off, and the client can tell.
+struct PassedOn {
+    passing: Passing,
+    pending: Pending,
+    given: u64,
+    seat: Seat,
+}
+
+impl HttpBody for PassedOn {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        if let Some(piece) = std::task::ready!(self.passing.pieces.poll_recv(cx)) {
+            self.given += piece.len() as u64;
+            if self.passing.length.is_some_and(|length| self.given >= length) {
+                self.pending.delivered();
+            }
+            return Poll::Ready(Some(Ok(Frame::data(piece))));
+        }
+        Poll::Ready(match std::task::ready!(Pin::new(&mut self.pending).poll(cx)) {
+            Answer::Served(_) => None,
+            _ => Some(Err(io::ErrorKind::ConnectionAborted.into())),
+        })
     }
 }
 
+impl Drop for PassedOn {
+    fn drop(&mut self) {
+        self.seat.answered();
+    }
+}
+
+/// Some of the request is still to come: it is read for a while behind the answer, or a reset could overtake that.
+fn unread(seat: &Seat, response: Response) -> Response {
+    seat.leave_unread();
+    response
+}
+
+fn faulty(fault: Fault) -> Response {
+    match fault {
+        Fault::Slow => denied(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
+        Fault::Broken => denied(StatusCode::BAD_REQUEST, "the body did not come whole"),
+        Fault::TooLong => denied(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long"),
+    }
+}
+
+fn not_allowed() -> Response {
+    let mut response = denied(StatusCode::METHOD_NOT_ALLOWED, "GET and PUT are served");
+    response.headers_mut().insert(header::ALLOW, HeaderValue::from_static("GET, PUT"));
+    response
+}
+
 /// What is not as the protocol has it is the last that is read on its connection.
 fn denied(status: StatusCode, why: &str) -> Response {
     last_on_its_connection((status, why.to_string()).into_response())
@@ -306,7 +510,7 @@
 
 fn read(head: &Parts, names: &Directory, received: Instant, margin: Duration) -> Result<Arrival, Malformed> {
     if head.method != Method::GET && head.method != Method::PUT {
-        return Err(Malformed("method"));
+        return Err(Malformed(METHOD));
     }
     if head.uri.path_and_query().is_none_or(|target| target.as_str().len() > MOST_TARGET) {
         return Err(Malformed("path"));
@@ -325,6 +529,7 @@
     // No client of a class waits longer than that.
     let wait = Duration::from_millis(wait).min(longest);
     Ok(Arrival {
+        coming: None,
         volume,
         key,
         class,
@@ -340,8 +545,9 @@
 /// `units=2,shard=5,hosts=3`, in any order; shard -1 is a new object.
 fn extent(text: &str) -> Option<(f64, Option<u16>, f64)> {
     let (mut units, mut shard, mut hosts) = (None, None, None);
-    for field in text.split(',') {
-        let (name, value) = field.trim().split_once('=')?;
+    // Empty elements of a list are none (RFC 9110, 5.6.1).
+    for field in text.split(',').map(str::trim).filter(|field| !field.is_empty()) {
+        let (name, value) = field.split_once('=')?;
         let value: f64 = value.parse().ok().filter(|v: &f64| v.is_finite())?;
         match name {
             "units" if value >= 0.0 => units = Some(value),
--- a/src/net/grpc/call.rs
+++ b/src/net/grpc/call.rs
@@ -2,12 +2,13 @@
 //! speaks to its node. What passes between them is here.
 
 use crate::config::grpc::Route;
-use crate::grpc::holding::{Holding, Next, Over};
+use crate::net::source::Source;
 use bytes::Bytes;
 use hyper::Uri;
 use hyper::header::HeaderMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc};
+use std::ops::Deref;
+use std::sync::{Arc, Mutex, PoisonError};
+use tokio::sync::{Semaphore, mpsc};
 use tokio_util::sync::CancellationToken;
 
 /// What the one attempt that is bound to the call passes to the client.
@@ -26,18 +27,9 @@
     /// Cancelled when nobody waits for the call any more.
     pub left: CancellationToken,
     pub down: mpsc::Sender<Down>,
-    state: Mutex<State>,
-    /// For the memory of all calls.
-    memory: Arc<Semaphore>,
-    more: Notify,
-    room: Notify,
-}
-
-struct State {
-    holding: Holding,
-    held: Option<OwnedSemaphorePermit>,
+    source: Source,
     /// The last status by which a node said that it failed.
-    status: Option<u32>,
+    status: Mutex<Option<u32>>,
 }
 
 impl Call {
@@ -55,107 +47,25 @@
             route,
             left: CancellationToken::new(),
             down,
-            state: Mutex::new(State { holding: Holding::new(hold), held: None, status: None }),
-            memory,
-            more: Notify::new(),
-            room: Notify::new(),
-        }
-    }
-
-    fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    // ---- for the client's task ----
-
-    /// Waits until another piece may be read from the client.
-    pub async fn room(&self) {
-        loop {
-            let changed = self.room.notified();
-            if self.state().holding.room() {
-                return;
-            }
-            changed.await;
+            source: Source::new(hold, memory),
+            status: Mutex::default(),
         }
     }
 
-    /// False: more than may be held has come.
-    pub fn push(&self, piece: Bytes, bound: bool) -> bool {
-        let mut state = self.state();
-        if !bound {
-            let length = u32::try_from(piece.len()).unwrap_or(u32::MAX);
-            match (self.memory.clone().try_acquire_many_owned(length), &mut state.held) {
-                (Ok(permit), Some(held)) => held.merge(permit),
-                (Ok(permit), none) => *none = Some(permit),
-                (Err(_), _) => state.holding.pinch(),
-            }
-        }
-        state.holding.push(piece);
-        let whole = !state.holding.outgrown();
-        drop(state);
-        self.more.notify_waiters();
-        whole
-    }
-
-    pub fn end(&self, over: Over) {
-        self.state().holding.end(over);
-        self.more.notify_waiters();
-    }
-
-    /// The client has reset the request, or gone.
-    pub fn cut(&self) -> bool {
-        self.state().holding.over() == Some(Over::Cut)
-    }
-
-    pub fn bytes(&self) -> usize {
-        self.state().holding.bytes()
-    }
-
-    pub fn is_bound(&self) -> bool {
-        self.state().holding.is_bound()
-    }
-
     pub fn status(&self) -> Option<u32> {
-        self.state().status
-    }
-
-    // ---- for attempts ----
-
-    /// What this attempt sends next; waits while that is yet to come.
-    pub async fn next(&self, attempt: u32, sent: usize) -> Next {
-        loop {
-            let mut changed = std::pin::pin!(self.more.notified());
-            changed.as_mut().enable();
-            match self.state().holding.next(attempt, sent) {
-                Next::Wait => {}
-                next => return next,
-            }
-            changed.await;
-        }
+        *self.status.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Whether the request is whole with so many pieces.
-    pub fn whole_with(&self, attempt: u32, sent: usize) -> bool {
-        self.state().holding.next(attempt, sent) == Next::End(Over::Whole)
+    pub fn note_status(&self, code: Option<u32>) {
+        let mut status = self.status.lock().unwrap_or_else(PoisonError::into_inner);
+        *status = code.or(*status);
     }
+}
 
-    /// Must have been granted by the core.
-    pub fn bind(&self, attempt: u32, sent: usize) {
-        let mut state = self.state();
-        state.holding.bind(attempt, sent);
-        state.held = None;
-        drop(state);
-        self.room.notify_one();
-    }
+impl Deref for Call {
+    type Target = Source;
 
-    pub fn sent(&self, attempt: u32, sent: usize) {
-        if self.state().holding.sent(attempt, sent) > 0 {
-            self.room.notify_one();
-        }
-    }
-
-    pub fn note_status(&self, code: Option<u32>) {
-        let mut state = self.state();
-        state.status = code.or(state.status);
+    fn deref(&self) -> &Source {
+        &self.source
     }
 }
--- a/src/net/grpc/front.rs
+++ b/src/net/grpc/front.rs
@@ -11,9 +11,9 @@
 use crate::event;
 use crate::grpc::frames::{Kind, PREFACE, Scanner, Seen};
 use crate::grpc::guard::{Guard, Offence};
-use crate::grpc::holding::Over;
 use crate::grpc::status::{Final, Pushback, details};
 use crate::grpc::timeout;
+use crate::holding::Over;
 use crate::life::Phase;
 use crate::net::front::accept_all;
 use crate::net::helm::until;
@@ -583,6 +583,7 @@
     };
     let told = front.config.sources.told(&route, uri.path(), metadata).map_err(Final::Malformed)?;
     let arrival = Arrival {
+        coming: None,
         volume: told.volume,
         key: told.key,
         class: route.class,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! All that knows sockets: the three fronts, what is behind them, and discovery.
 
 pub mod back;
+pub mod body;
 pub mod discovery;
 pub mod front;
 pub mod grpc;
@@ -11,4 +12,5 @@
 pub mod places;
 pub mod pool;
 pub mod sftp;
+pub mod source;
 pub mod twins;
--- a/src/net/places.rs
+++ b/src/net/places.rs
@@ -16,8 +16,10 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Doing {
-    /// Connected, or in the middle of a request that has not come whole.
+    /// Connected, or in the middle of a request's head.
     Asking,
+    /// In the middle of a request's body, which whoever reads it watches.
+    Reading,
     /// Its request is open.
     Waiting,
     Idle,
@@ -30,6 +32,10 @@
     known: bool,
     told: Option<Instant>,
     leave: Arc<Notify>,
+    /// The bytes of the request's head, as far as they were read, and what came in the same piece behind it.
+    head: Vec<u8>,
+    /// Some of its request will not be read before its last answer.
+    unread: bool,
 }
 
 impl State {
@@ -122,7 +128,9 @@
         taken.last += 1;
         taken.counts.taken += 1;
         let (id, since) = (taken.last, Instant::now());
-        let state = State { doing: Doing::Asking, since, known: false, told: None, leave: leave.clone() };
+        let (head, unread, leave_too) = (Vec::new(), false, leave.clone());
+        let state =
+            State { doing: Doing::Asking, since, known: false, told: None, leave: leave_too, head, unread };
         taken.seats.insert(id, state);
         Seat(Arc::new(Held { id, places: self.clone(), leave }))
     }
@@ -149,7 +157,7 @@
         let many = seats.len() > self.part.of(limits.most) / 2;
         for state in seats.values_mut() {
             let limit = match (state.doing, state.told) {
-                (Doing::Waiting, _) => continue,
+                (Doing::Waiting | Doing::Reading, _) => continue,
                 (_, Some(told)) if now > told + LAST_BYTES => Duration::ZERO,
                 (_, Some(_)) => continue,
                 (Doing::Asking, None) => limits.request,
@@ -201,9 +209,51 @@
 
     /// A byte has come. Inside an open request that changes nothing.
     pub fn byte_came(&self) {
-        if self.with(|seat| seat.doing) == Some(Doing::Idle) {
-            self.set(Doing::Asking);
-        }
+        self.bytes_came(&[], 0);
+    }
+
+    /// The same; a request's head is kept, up to so many bytes.
+    pub fn bytes_came(&self, bytes: &[u8], most: usize) {
+        self.with(|seat| {
+            if seat.doing == Doing::Idle {
+                (seat.doing, seat.since) = (Doing::Asking, Instant::now());
+                seat.head.clear();
+            }
+            if seat.doing == Doing::Asking {
+                let room = most.saturating_sub(seat.head.len());
+                seat.head.extend_from_slice(&bytes[..room.min(bytes.len())]);
+            }
+        });
+    }
+
+    /// Whether the head of the request has a field of that name, as it was read. Of requests that came in one piece
+    /// behind another only the first one's is known.
+    pub fn head_has(&self, name: &str) -> bool {
+        let found = self.with(|seat| {
+            let lines = seat.head.split(|byte| *byte == b'\n').map(|line| line.trim_ascii_end()).skip(1);
+            let mut fields = lines.take_while(|line| !line.is_empty());
+            fields.any(|line| {
+                line.split(|byte| *byte == b':')
+                    .next()
+                    .is_some_and(|field| field.trim_ascii().eq_ignore_ascii_case(name.as_bytes()))
+            })
+        });
+        found.unwrap_or(false)
+    }
+
+    /// Its head is read, its body is not.
+    pub fn reading(&self) {
+        self.with(|seat| seat.head = Vec::new());
+        self.set(Doing::Reading);
+    }
+
+    /// Its last answer goes out before the request has come whole.
+    pub fn leave_unread(&self) {
+        self.with(|seat| seat.unread = true);
+    }
+
+    pub fn has_unread(&self) -> bool {
+        self.with(|seat| seat.unread).unwrap_or(false)
     }
 
     /// A request's head has come.
@@ -222,19 +272,28 @@
     pub fn answered(&self) -> bool {
         self.set(Doing::Idle);
         let known = self.with(|state| std::mem::replace(&mut state.known, true)).unwrap_or(false);
+        self.too_many_idle(known)
+    }
+
+    /// The same of an answer that is still going out.
+    pub fn had_better_go(&self) -> bool {
+        self.too_many_idle(self.with(|state| state.known).unwrap_or(false))
+    }
+
+    fn too_many_idle(&self, known: bool) -> bool {
         let places = &self.0.places;
         let (idle, most) = (places.idle(), places.part.of(places.limits.most_idle));
         idle > if known { most + most / 3 } else { most }
     }
 
     pub fn is_asking(&self) -> bool {
-        self.with(|state| state.doing) == Some(Doing::Asking)
+        matches!(self.with(|state| state.doing), Some(Doing::Asking | Doing::Reading))
     }
 
     /// Told to go: true while a request is open or an answer is on its way, which go first.
     pub async fn told_to_leave(&self) -> bool {
         self.0.leave.notified().await;
-        self.with(|seat| seat.doing != Doing::Asking).unwrap_or(false)
+        self.with(|seat| !matches!(seat.doing, Doing::Asking | Doing::Reading)).unwrap_or(false)
     }
 }
 
--- a/src/net/sftp/front.rs
+++ b/src/net/sftp/front.rs
@@ -287,6 +287,7 @@
         return Err(Reply::status(Status::Failure, "no turn in time; nothing was done"));
     };
     let arrival = Arrival {
+        coming: None,
         volume: place.volume,
         key: place.key,
         class: use_of.class,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -227,9 +227,7 @@
         match event {
             Event::Nodes { news, nodes } => self.on_nodes(now, news, nodes, actions),
             Event::Request(request) => self.on_request(now, request, actions),
-            Event::AnswerBegan { request, .. } => {
-                self.requests.get_mut(&request).into_iter().for_each(|held| held.streaming = true)
-            }
+            Event::AnswerBegan { request, attempt } => self.on_began(request, attempt as usize),
             Event::Outcome(outcome) => self.on_outcome(now, outcome, actions),
             Event::ClientLeft { request } => self.end(now, request),
             Event::Timer { token: RECHECK_TOKEN } => self.recheck_due = None,
@@ -463,6 +461,16 @@
         }
     }
 
+    /// The request goes on at this attempt only, whose silence tells nothing of its node any more.
+    fn on_began(&mut self, id: RequestId, attempt: usize) {
+        let Some(held) = self.requests.get_mut(&id) else { return };
+        held.streaming = true;
+        let Some(Attempt { node, sent, .. }) = held.attempts.get(attempt) else { return };
+        if let Some(mark) = self.nodes.get_mut(node).and_then(|node| node.out.get_mut(&(*sent, id))) {
+            mark.streaming = true;
+        }
+    }
+
     /// Another instance of this host comes or has gone. Stores fill at the rate of before until now, and are cut to
     /// what they may hold now. One for a volume not seen here yet begins empty: the other one may have spent it.
     fn on_part(&mut self, now: Micros, part: f64) {
@@ -877,7 +885,8 @@
         let fall = self.settings.fall as f64;
         let mut lost = Vec::new();
         for (id, node) in &mut self.nodes {
-            let waits = node.out.iter().find(|((sent, _), mark)| !node.lost(now, *sent, mark));
+            let waits =
+                node.out.iter().find(|((sent, _), mark)| !mark.streaming && !node.lost(now, *sent, mark));
             if let (Some(((sent, _), _)), None) = (waits, node.mute_since) {
                 let since = (*sent).max(node.heard).max(self.resumed);
                 if (now - since) as f64 > node.silence(fall) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -124,6 +124,8 @@
 pub struct OutMark {
     pub overtaken: u32,
     pub called_off: bool,
+    /// Some of its request or answer is on its way: it may take as long as it does.
+    pub streaming: bool,
 }
 
 #[derive(Debug)]
