--- a/src/bin/pathbank.rs
+++ b/src/bin/pathbank.rs
@@ -109,6 +109,7 @@
         answer_margin: config.answer_margin,
         phase: watched.clone(),
         bodies: bodies.clone(),
+        uploads: Arc::new(Semaphore::new(config.most_held)),
         ids: Ids::new(config.most_ids, config.longest_deadline() + IDS_KEPT),
     };
     let places = Places::new(config.clients).shared(handle.part());
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -9,7 +9,7 @@
 use crate::net::back::{
     Back, Forward, ForwardWork, IDEMPOTENCY_KEY, MOST_BODY, MOST_LARGE, Passing, Payload, REQUEST_ID, TIMEOUT,
 };
-use crate::net::body::{Beginning, Fault, Reading};
+use crate::net::body::{Fault, Reading};
 use crate::net::helm::until;
 use crate::net::ids::Ids;
 use crate::net::places::{Places, Seat};
@@ -40,7 +40,7 @@
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, oneshot, watch};
-use tokio::time::{Duration, Instant, Sleep};
+use tokio::time::{Duration, Instant};
 use tower_service::Service;
 
 const METHOD: &str = "method";
@@ -53,6 +53,8 @@
 /// The most that ids and keys may hold, and paths with their queries.
 const MOST_TOKEN: usize = 128;
 const MOST_TARGET: usize = 1024;
+/// A body beyond 64 KiB, or of no told length, is held up to this before it is sent on.
+const MOST_UPLOAD: usize = 1024 * 1024;
 /// When a client that found no room is asked to come again.
 const NO_ROOM: Duration = Duration::from_secs(1);
 
@@ -66,6 +68,8 @@
     pub phase: watch::Receiver<Phase>,
     /// The memory for bodies, in bytes.
     pub bodies: Arc<Semaphore>,
+    /// The memory for those beyond 64 KiB and those of no told length.
+    pub uploads: Arc<Semaphore>,
     pub ids: Ids,
 }
 
@@ -121,7 +125,7 @@
     if let Err(problem) = stream.set_nodelay(true) {
         debug!("nodelay: {problem}");
     }
-    let io = Watched { io: TokioIo::new(stream), seat: seat.clone(), linger: None };
+    let io = Watched { io: TokioIo::new(stream), seat: seat.clone() };
     let of_request = seat.clone();
     let service = service_fn(move |mut request: hyper::Request<Incoming>| {
         of_request.asking();
@@ -164,35 +168,10 @@
     }
 }
 
-/// A client's connection that tells its place what comes, and that reads on for a while behind a last answer to a
-/// request that had not come whole: closed at once, a reset could overtake the answer.
+/// A client's connection that tells its place what comes.
 struct Watched {
     io: TokioIo<TcpStream>,
     seat: Seat,
-    linger: Option<Pin<Box<Sleep>>>,
-}
-
-/// For so long at most; and so many reads before others have their turn.
-const LINGER: Duration = Duration::from_millis(1_500);
-const READS: usize = 16;
-
-impl Watched {
-    fn poll_linger(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        let linger = self.linger.get_or_insert_with(|| Box::pin(tokio::time::sleep(LINGER)));
-        if linger.as_mut().poll(cx).is_ready() {
-            return Poll::Ready(());
-        }
-        let mut scratch = [0; 8192];
-        for _ in 0..READS {
-            let mut unread = ReadBuf::new(&mut scratch);
-            match std::task::ready!(Pin::new(self.io.inner_mut()).poll_read(cx, &mut unread)) {
-                Ok(()) if !unread.filled().is_empty() => {}
-                _ => return Poll::Ready(()),
-            }
-        }
-        cx.waker().wake_by_ref();
-        Poll::Pending
-    }
 }
 
 impl hyper::rt::Read for Watched {
@@ -222,13 +201,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.linger.is_none() {
-            std::task::ready!(Pin::new(&mut self.io).poll_shutdown(cx))?;
-        }
-        if self.seat.has_unread() {
-            std::task::ready!(self.poll_linger(cx));
-        }
-        Poll::Ready(Ok(()))
+        Pin::new(&mut self.io).poll_shutdown(cx)
     }
 }
 
@@ -291,51 +264,62 @@
         (Box::new(ForwardWork { back: front.back.clone(), forward: Arc::new(forward) }), begun)
     };
     let wait = arrival.answer_by.saturating_duration_since(received);
-    let held = length.map_or(MOST_BODY, |length| MOST_BODY.min(length as usize));
-    let Ok(memory) = front.bodies.clone().try_acquire_many_owned(held as u32) else {
+    let held = length.unwrap_or(0).min(MOST_BODY as u64) as u32;
+    let Ok(memory) = front.bodies.clone().try_acquire_many_owned(held) else {
         front.handle.figures().count(arrival.class, Count::Dropped);
-        return last_on_its_connection(refused(NO_ROOM));
+        return behind(reading, seat, refused(NO_ROOM));
     };
     seat.reading();
-    let beginning = match length {
-        Some(length) if length > MOST_BODY as u64 => Ok(Beginning::Part(Vec::new())),
-        _ => reading.up_to(MOST_BODY).await,
-    };
-    let beginning = match beginning {
-        Ok(beginning) => beginning,
-        Err(fault) => return faulty(fault),
+    let body = if length.is_some_and(|length| length <= MOST_BODY as u64) {
+        match reading.whole().await {
+            Ok(body) => Payload::Held { body, _memory: Some(memory) },
+            Err(fault) => return faulty(fault),
+        }
+    } else {
+        // Sent on only when it is whole or can no longer be held: a slow client keeps no token and no connection.
+        let source = Arc::new(Source::new(MOST_UPLOAD, front.uploads.clone()));
+        if let Err(fault) = pump(&mut reading, &source).await {
+            return faulty(fault);
+        }
+        Payload::Coming { source, length }
     };
     if !front.ids.first_time(id.as_bytes(), received) {
         return denied(StatusCode::CONFLICT, "this id has been used");
     }
     seat.waiting();
-    match beginning {
-        Beginning::Whole(body) => {
-            // A request's time counts from its last byte.
-            let answer_by = Instant::now() + wait;
-            let (work, begun) = forward(Payload::Held { body, _memory: Some(memory) }, wait);
-            match front.handle.submit(Arrival { answer_by, ..arrival }, work) {
-                // The connection goes with it, so that its place is free for the next one.
-                None => last_on_its_connection(refused(NO_ROOM)),
-                Some(pending) => result(pending, begun, seat).await,
-            }
-        }
-        Beginning::Part(pieces) => {
-            let source = Arc::new(Source::new(MOST_BODY, front.bodies.clone()));
-            drop(memory);
-            for piece in pieces {
-                source.push(piece, false);
-            }
-            let (work, begun) = forward(Payload::Coming { source: source.clone(), length }, wait);
-            match front.handle.submit(Arrival { coming: Some(wait), ..arrival }, work) {
-                None => unread(seat, last_on_its_connection(refused(NO_ROOM))),
-                Some(pending) => coming(reading, &source, pending, begun, seat).await,
-            }
+    // A request's time counts from its last byte.
+    let answer_by = Instant::now() + wait;
+    let source = match &body {
+        Payload::Coming { source, .. } if !source.is_over() => Some(source.clone()),
+        _ => None,
+    };
+    let arrival = Arrival { answer_by, coming: source.as_ref().map(|_| wait), ..arrival };
+    let (work, begun) = forward(body, wait);
+    let Some(pending) = front.handle.submit(arrival, work) else {
+        return match source {
+            // The connection goes with it, so that its place is free for the next one.
+            None => last_on_its_connection(refused(NO_ROOM)),
+            Some(_) => behind(reading, seat, refused(NO_ROOM)),
+        };
+    };
+    match source {
+        None => result(pending, begun, seat).await,
+        Some(source) => coming(reading, &source, pending, begun, seat).await,
+    }
+}
+
+/// Reads on while there is room to hold it.
+async fn pump(reading: &mut Reading, source: &Source) -> Result<(), Fault> {
+    while source.has_room() {
+        match reading.next().await? {
+            Some(piece) => drop(source.push(piece, source.is_bound())),
+            None => source.end(Over::Whole),
         }
     }
+    Ok(())
 }
 
-/// A request that is still being read: its answer may come before its end, and is its connection's last then.
+/// A request that is still being read while it is decided on and sent on. Its answer may come before its end.
 async fn coming(
     mut reading: Reading,
     source: &Source,
@@ -343,35 +327,41 @@
     begun: oneshot::Receiver<Passing>,
     seat: &Seat,
 ) -> Response {
-    let whole = pending.teller();
-    let fault = async {
-        loop {
-            source.room().await;
-            match reading.next().await {
-                Ok(Some(piece)) => {
-                    source.push(piece, source.is_bound());
-                }
-                Ok(None) => {
-                    source.end(Over::Whole);
-                    whole.whole();
-                    return std::future::pending().await;
-                }
-                Err(fault) => {
+    let teller = pending.teller();
+    let response = {
+        let fault = async {
+            while !source.is_over() {
+                source.room().await;
+                if let Err(fault) = pump(&mut reading, source).await {
                     source.end(Over::Cut);
                     return fault;
                 }
             }
+            teller.whole();
+            std::future::pending().await
+        };
+        tokio::select! {
+            biased;
+            response = result(pending, begun, seat) => response,
+            // Dropped with it, the request is its client's that has gone.
+            fault = fault => return faulty(fault),
         }
     };
-    tokio::select! {
-        biased;
-        response = result(pending, begun, seat) => match source.is_over() {
-            true => response,
-            false => unread(seat, last_on_its_connection(response)),
-        },
-        // Dropped with it, the request is its client's that has gone.
-        fault = fault => unread(seat, faulty(fault)),
-    }
+    if source.is_over() { response } else { behind(reading, seat, response) }
+}
+
+/// An answer before its request's end. What is still to come is read behind it: closed at once, a reset could overtake
+/// the answer, and a client that goes on writing would hear of none.
+fn behind(mut reading: Reading, seat: &Seat, mut response: Response) -> Response {
+    let seat = seat.clone();
+    response.extensions_mut().insert(StillOut);
+    tokio::spawn(async move {
+        seat.reading();
+        // Whatever is wrong with it, hyper closes the connection when the body is dropped unread.
+        while let Ok(Some(_)) = reading.next().await {}
+        seat.answered();
+    });
+    response
 }
 
 /// The one answer, whole or as it comes.
@@ -446,12 +436,6 @@
     }
 }
 
-/// Some of the request is still to come: it is read for a while behind the answer, or a reset could overtake that.
-fn unread(seat: &Seat, response: Response) -> Response {
-    seat.leave_unread();
-    response
-}
-
 fn faulty(fault: Fault) -> Response {
     match fault {
         Fault::Slow => denied(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
@@ -588,6 +572,7 @@
                 answer_margin: times,
                 phase: watched,
                 bodies: Arc::new(Semaphore::new(0)),
+                uploads: Arc::new(Semaphore::new(0)),
                 ids: Ids::new(4, times),
             };
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/src/net/places.rs
+++ b/src/net/places.rs
@@ -34,8 +34,6 @@
     leave: Arc<Notify>,
     /// The bytes of the request's head, as far as they were read, and what came in the same piece behind it.
     head: Vec<u8>,
-    /// Some of its request will not be read before its last answer.
-    unread: bool,
 }
 
 impl State {
@@ -128,9 +126,8 @@
         taken.last += 1;
         taken.counts.taken += 1;
         let (id, since) = (taken.last, Instant::now());
-        let (head, unread, leave_too) = (Vec::new(), false, leave.clone());
-        let state =
-            State { doing: Doing::Asking, since, known: false, told: None, leave: leave_too, head, unread };
+        let (head, leave_too) = (Vec::new(), leave.clone());
+        let state = State { doing: Doing::Asking, since, known: false, told: None, leave: leave_too, head };
         taken.seats.insert(id, state);
         Seat(Arc::new(Held { id, places: self.clone(), leave }))
     }
@@ -247,15 +244,6 @@
         self.set(Doing::Reading);
     }
 
-    /// Its last answer goes out before the request has come whole.
-    pub fn leave_unread(&self) {
-        self.with(|seat| seat.unread = true);
-    }
-
-    pub fn has_unread(&self) -> bool {
-        self.with(|seat| seat.unread).unwrap_or(false)
-    }
-
     /// A request's head has come.
     pub fn asking(&self) {
         self.set(Doing::Asking);
--- a/src/net/source.rs
+++ b/src/net/source.rs
@@ -73,6 +73,11 @@
         self.state().holding.over() == Some(Over::Cut)
     }
 
+    /// Another piece may be read from the client.
+    pub fn has_room(&self) -> bool {
+        self.state().holding.room()
+    }
+
     /// All of it has come, or nothing more will.
     pub fn is_over(&self) -> bool {
         self.state().holding.over().is_some()
