--- a/src/core.rs
+++ b/src/core.rs
@@ -754,6 +754,7 @@
             }
         }
         self.tell(Event::Nodes { news, nodes: entries });
+        self.copied = self.copied.map(|_| 0);
         let left: BTreeSet<NodeId> = self.nodes.iter().filter(|(_, n)| !n.ready).map(|(id, _)| *id).collect();
         let open: Vec<RequestId> = self.requests.keys().copied().collect();
         for id in open {
@@ -894,7 +895,9 @@
         if self.requests.get(&id).is_some_and(|open| open.over() && open.attempts.iter().all(Option::is_none))
             && let Some(open) = self.requests.remove(&id)
         {
-            open.deadline.into_iter().for_each(|key| drop(self.due.remove(key)));
+            if let Some(key) = open.deadline {
+                self.due.remove(key);
+            }
         }
     }
 
--- a/src/rehearsal/cases.rs
+++ b/src/rehearsal/cases.rs
@@ -59,7 +59,8 @@
 ];
 
 pub fn all() -> impl Iterator<Item = &'static Case> {
-    CASES.iter().chain(super::grpc::cases::CASES).chain(super::syslog_cases::CASES)
+    let others = super::grpc::cases::CASES.iter().chain(super::syslog_cases::CASES);
+    CASES.iter().chain(others).chain(super::daily_cases::CASES)
 }
 
 const PATH: &str = "/bundles/acme/certs.pem";
--- a/src/rehearsal/mod.rs
+++ b/src/rehearsal/mod.rs
@@ -5,6 +5,7 @@
 pub mod brick;
 pub mod cases;
 pub mod client;
+pub mod daily_cases;
 pub mod grpc;
 pub mod stage;
 pub mod store;
@@ -98,12 +99,33 @@
         head.push(byte[0]);
     }
     let head = String::from_utf8_lossy(&head).into_owned();
-    let length = header(&head, "content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
-    let mut body = vec![0; length];
-    stream.read_exact(&mut body)?;
+    let mut body = Vec::new();
+    if header(&head, "transfer-encoding").is_some() {
+        while read_chunk(stream, &mut body)? > 0 {}
+    } else {
+        let length = header(&head, "content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
+        body.resize(length, 0);
+        stream.read_exact(&mut body)?;
+    }
     Ok(Some((head, body)))
 }
 
+/// One chunk with its end; no trailers come behind the last one.
+fn read_chunk(stream: &mut impl Read, body: &mut Vec<u8>) -> io::Result<usize> {
+    let (mut line, mut byte) = (Vec::new(), [0]);
+    while !line.ends_with(b"\r\n") {
+        stream.read_exact(&mut byte)?;
+        line.push(byte[0]);
+    }
+    let digits = String::from_utf8_lossy(&line);
+    let length = usize::from_str_radix(digits.trim(), 16).map_err(|_| io::ErrorKind::InvalidData)?;
+    let begun = body.len();
+    body.resize(begun + length + 2, 0);
+    stream.read_exact(&mut body[begun..])?;
+    body.truncate(begun + length);
+    Ok(length)
+}
+
 pub fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
     let fields = head.lines().filter_map(|line| line.split_once(':'));
     fields.into_iter().find(|(field, _)| field.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim())
--- a/src/rehearsal/stage.rs
+++ b/src/rehearsal/stage.rs
@@ -4,6 +4,7 @@
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -111,6 +112,13 @@
     pub syslog: Option<SocketAddr>,
     /// How long a node keeps an idle connection.
     pub keepalive: Duration,
+    /// The operators' line is open.
+    pub ops: bool,
+    /// The clients' socket is held here, and passed to every process.
+    pub shared: Option<Arc<Shared>>,
+    /// The plan's limit on each volume: units a second, and at once. 0: none.
+    pub limit: f64,
+    pub burst: f64,
     /// Discovery answers: the stage is set once its watch stands.
     pub watched: bool,
 }
@@ -127,11 +135,49 @@
             log: String::new(),
             syslog: None,
             keepalive,
+            ops: false,
+            shared: None,
+            limit: 0.0,
+            burst: 0.0,
             watched: true,
         }
     }
 }
 
+/// A listening socket and a folder that the processes of one head share.
+#[derive(Debug)]
+pub struct Shared {
+    listener: TcpListener,
+    pub folder: PathBuf,
+    /// Where the processes are told that it listens.
+    pub address: SocketAddr,
+}
+
+impl Shared {
+    pub fn new() -> Outcome<Shared> {
+        static SERIAL: AtomicU64 = AtomicU64::new(0);
+        let name =
+            format!("pathbank-shared-{}-{}", std::process::id(), SERIAL.fetch_add(1, Ordering::Relaxed));
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder)?;
+        let listener = TcpListener::bind(LOOPBACK)?;
+        let address = listener.local_addr()?;
+        Ok(Shared { listener, folder, address })
+    }
+
+    /// The same, said to listen elsewhere.
+    pub fn at(mut self, address: SocketAddr) -> Shared {
+        self.address = address;
+        self
+    }
+}
+
+impl Drop for Shared {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
 /// A running head. It is ended with the stage.
 pub struct Head {
     child: Child,
@@ -146,6 +192,8 @@
     pub files: Option<SocketAddr>,
     /// Where the gRPC front listens, likewise.
     pub grpc: Option<SocketAddr>,
+    /// Where operators call, likewise.
+    pub ops: Option<SocketAddr>,
     pub log: Receiver<String>,
 }
 
@@ -156,9 +204,13 @@
         let config = std::env::temp_dir().join(format!("{name}.json"));
         let paths = std::env::temp_dir().join(format!("{name}.toml"));
         let calls = std::env::temp_dir().join(format!("{name}.grpc.toml"));
-        let file = json!({"name": "n0", "listen": LOOPBACK, "discovery": discovery, "seed": "8c1f30d27a5be964",
+        let listen = setup.shared.as_ref().map_or(LOOPBACK.to_string(), |shared| shared.address.to_string());
+        let mut file = json!({"name": "n0", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": setup.memory_mb, "sockets": setup.sockets},
             "known": {"version": 1, "full": true, "servers": known}, "settings": settings(setup)});
+        if setup.ops {
+            file["ops"] = json!(LOOPBACK);
+        }
         std::fs::write(&config, file.to_string())?;
         std::fs::write(&paths, PATHS.replace("OFF", if setup.files { "true" } else { "false" }))?;
         std::fs::write(&calls, setup.grpc.as_deref().unwrap_or("enabled = false\n"))?;
@@ -172,7 +224,13 @@
             Some(receiver) => command.env("PATHBANK_SYSLOG", receiver.to_string()),
             None => command.env_remove("PATHBANK_SYSLOG"),
         };
-        let mut child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).spawn()?;
+        command.stdin(Stdio::null());
+        if let Some(shared) = &setup.shared {
+            // Descriptor 0 is the one that every child can be given without unsafe code.
+            command.stdin(OwnedFd::from(shared.listener.try_clone()?)).env("GW_PASSED_SOCKET", "0");
+            command.env("TMPDIR", &shared.folder);
+        }
+        let mut child = command.stdout(Stdio::null()).stderr(Stdio::piped()).spawn()?;
         let (line, log) = channel();
         let errors = child.stderr.take().ok_or_else(|| Failure::Unmet("no standard error".into()))?;
         let reading = Arc::new(AtomicBool::new(true));
@@ -186,11 +244,24 @@
             }
         });
         let http = SocketAddr::from(([127, 0, 0, 1], 0));
-        let mut head =
-            Head { child, config, file, paths, calls, logs, reading, http, files: None, grpc: None, log };
+        let mut head = Head {
+            child,
+            config,
+            file,
+            paths,
+            calls,
+            logs,
+            reading,
+            http,
+            files: None,
+            grpc: None,
+            ops: None,
+            log,
+        };
         // In whatever order these come; the watch has told the whole list, so that from here on changes arrive.
         let mut waits = vec![" UP "];
         waits.extend(setup.watched.then_some(" WATCH "));
+        waits.extend(setup.ops.then_some(" OPS_UP "));
         waits.extend(setup.files.then_some(" FILES_UP "));
         waits.extend(setup.grpc.is_some().then_some(" GRPC_UP "));
         while !waits.is_empty() {
@@ -201,6 +272,8 @@
                 head.http = address_in(&line)?;
             } else if line.contains(" FILES_UP ") {
                 head.files = Some(address_in(&line)?);
+            } else if line.contains(" OPS_UP ") {
+                head.ops = Some(address_in(&line)?);
             } else if line.contains(" GRPC_UP ") {
                 head.grpc = Some(address_in(&line)?);
             }
@@ -221,6 +294,10 @@
         self.grpc.ok_or_else(|| Failure::Unmet("the gRPC front is off".into()))
     }
 
+    pub fn ops(&self) -> Outcome<SocketAddr> {
+        self.ops.ok_or_else(|| Failure::Unmet("the operators' line is off".into()))
+    }
+
     pub fn process(&self) -> u32 {
         self.child.id()
     }
@@ -285,17 +362,19 @@
 const PATHS: &str = "enabled = OFF\nlisten = \"127.0.0.1:0\"\nclients = 1\n[[paths]]\nprefix = \"/bundles/\"\n\
     plan = \"starter\"\nshards = [0]\nread_class = \"token-read\"\nwrite_class = \"receipt-write\"\n";
 
-fn settings(setup: &Setup) -> Value {
+pub fn class(setup: &Setup, name: &str, effect: &str) -> Value {
     let deadline = setup.deadline.as_micros() as u64;
-    let class = |name: &str, effect: &str| {
-        json!({"name": name, "target": deadline / 2, "hard_limit": deadline, "worth": 2.0, "late_value": 0.2,
-            "idempotency": effect, "dedup_scope": "cell", "window": 60_000_000, "streamed": false})
-    };
+    json!({"name": name, "target": deadline / 2, "hard_limit": deadline, "worth": 2.0, "late_value": 0.2,
+        "idempotency": effect, "dedup_scope": "cell", "window": 60_000_000, "streamed": false})
+}
+
+pub fn settings(setup: &Setup) -> Value {
+    let class = |name: &str, effect: &str| class(setup, name, effect);
     json!({"balancers": 1, "position": 0, "membership_mode": "subscribe", "tick": 2000,
         "profiles": [class("token-read", "idempotent"), class("receipt-write", "deduplicated"),
             class("once", "at_most_once")],
         "plans": [{"name": "starter", "nominal": 100.0, "floor_rate": 100.0, "proportion": 1.0,
-            "worth_factor": 1.0, "limit": 0.0, "burst": 0.0}],
+            "worth_factor": 1.0, "limit": setup.limit, "burst": setup.burst}],
         "policy_limits": {"send_cap": 3, "cancel": true, "second_copies": true, "retry_after": true,
             "max_retry_after": 1_000_000, "connect_timeout": 250_000,
             "keepalive": setup.keepalive.as_micros() as u64},
--- a/tests/rehearsal.rs
+++ b/tests/rehearsal.rs
@@ -57,6 +57,16 @@
     spooled_lines_outlive_a_kill "syslog-spool"
     an_unread_standard_error_stops_nothing "syslog-stderr"
     a_reload_of_certificates_loses_no_line "syslog-reload"
+    operators_are_answered_whoever_else_calls "ops-line"
+    a_mixed_run_adds_up "figures"
+    a_drain_empties_the_head_and_comes_back "drain"
+    sigterm_in_a_drain_ends_the_head "drain-then-end"
+    classes_change_and_what_is_open_keeps_its_rules "reload-classes"
+    an_upgrade_loses_nothing_and_keeps_one_limit "upgrade"
+    a_new_process_that_dies_harms_nobody "upgrade-cut-off"
+    long_bodies_pass_whole_or_visibly_not "long-bodies"
+    slow_uploads_cost_no_token_and_no_close "slow-bodies"
+    every_form_of_http_is_served_refused_or_closed "http-forms"
 }
 
 #[test]
