Share tokens out anew when a process of an upgrade comes or goes

Seen, by a probe on upgrade: after the old process has gone the new one began with one token a node and learned each tenth of one by an answer; up to 113 requests waited at one head. What was learned of a node is now scaled with the part, both ways.

--- a/src/core.rs
+++ b/src/core.rs
@@ -893,11 +893,9 @@
 
     fn forget(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(|open| open.over() && open.attempts.iter().all(Option::is_none))
-            && let Some(open) = self.requests.remove(&id)
+            && let Some(key) = self.requests.remove(&id).and_then(|open| open.deadline)
         {
-            if let Some(key) = open.deadline {
-                self.due.remove(key);
-            }
+            self.due.remove(key);
         }
     }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -479,9 +479,11 @@
             flow.limit_room(now, part);
         }
         self.started = if part >= self.part || self.flows.is_empty() { now } else { self.started };
-        self.part = part;
+        // What was learned of a node holds for the host: its tokens are shared out anew.
+        let shared_out = part / std::mem::replace(&mut self.part, part);
         let most = self.most_depth();
-        self.nodes.values_mut().for_each(|node| node.depth = node.depth.min(most));
+        let depth = |node: &mut Node| node.depth = (node.depth * shared_out).clamp(DEPTH_LEAST, most);
+        self.nodes.values_mut().for_each(depth);
     }
 
     fn on_probed(&mut self, now: Micros, id: NodeId, took: Micros, load: Load) {
