--- a/src/policy.rs
+++ b/src/policy.rs
@@ -338,6 +338,21 @@
         }
         self.requests.insert(request.id, held);
         self.enqueue(request.id);
+        // What a limit cannot let through in time is refused at once: to wait would only hold its client.
+        if self.over_limit(now, request.id) {
+            self.finish(now, request.id, actions);
+        }
+    }
+
+    /// Whether what waits of the request's flow takes more than its limit gives before it is given up.
+    fn over_limit(&mut self, now: Micros, id: RequestId) -> bool {
+        let (ix, time) = (self.requests[&id].flow, (self.requests[&id].give_up_at - now) as f64 / SECOND);
+        let (flow, part) = (&mut self.flows[ix], self.part);
+        let room = flow.limit_room(now, part) + part * flow.plan.limit / flow.hosts * time;
+        let queues = self.queues.iter().filter(|(_, flow, _)| *flow == ix).flat_map(|(.., queue)| queue);
+        let units =
+            queues.map(|(_, id)| &self.requests[id]).filter(|held| !held.drawn).map(|held| held.units);
+        flow.plan.limit > 0.0 && units.sum::<f64>() > room
     }
 
     /// In a crowd where reports come only with probes: asks the node that a request is for how long its queue
@@ -378,11 +393,9 @@
         }
         let global_vt = self.global_vt(now);
         let flow = &mut self.flows[ix];
-        if flow.plan != plan {
-            // What it has saved up by its old figures stays, as far as the new ones let it.
-            flow.limit_room(now, self.part);
-            flow.plan = plan;
-        }
+        // Under other figures of its plan it keeps what it has saved up, as far as they let it.
+        flow.limit_room(now, self.part);
+        flow.plan = plan;
         let all = f64::from(self.settings.hosts.max(1));
         let hosts = if (1.0..=all).contains(&request.volume_hosts) { request.volume_hosts } else { all };
         flow.hosts = flow.hosts.max(hosts);
@@ -466,13 +479,12 @@
         let Some(held) = self.requests.get_mut(&id) else { return };
         held.streaming = true;
         let Some(Attempt { node, sent, .. }) = held.attempts.get(attempt) else { return };
-        if let Some(mark) = self.nodes.get_mut(node).and_then(|node| node.out.get_mut(&(*sent, id))) {
-            mark.streaming = true;
-        }
+        let mark = self.nodes.get_mut(node).and_then(|node| node.out.get_mut(&(*sent, id)));
+        mark.into_iter().for_each(|mark| mark.streaming = true);
     }
 
-    /// Another instance of this host comes or has gone. Stores fill at the rate of before until now, and are cut to
-    /// what they may hold now. One for a volume not seen here yet begins empty: the other one may have spent it.
+    /// Another instance of this host comes or has gone. Stores fill as before until now, and are cut to what
+    /// they may hold now. One for a volume not seen here yet begins empty: the other one may have spent it.
     fn on_part(&mut self, now: Micros, part: f64) {
         for flow in &mut self.flows {
             flow.limit_room(now, self.part);
@@ -872,11 +884,8 @@
     }
 
     fn most_depth(&self) -> f64 {
-        if self.crowded() {
-            return DEPTH_MOST;
-        }
-        let most = (DEPTH_ALL_HOSTS / f64::from(self.settings.hosts.max(1))).min(DEPTH_MOST);
-        (most * self.part).max(DEPTH_LEAST)
+        let hosts = if self.crowded() { 1.0 } else { f64::from(self.settings.hosts.max(1)) };
+        ((DEPTH_ALL_HOSTS / hosts).min(DEPTH_MOST) * self.part).max(DEPTH_LEAST)
     }
 
     /// A node is mute when it has answered nothing for far longer than usual while a request is out. It then
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -229,3 +229,93 @@
     host.arrive(12, |_| {});
     assert_eq!((host.sent(11), host.sent(12)), (3, 0));
 }
+
+/// One limited volume: 10 units a second, 20 at once, at one of two hosts: an even part is 5 and 10.
+fn limited(host: &mut Host, ids: std::ops::Range<u64>) {
+    for id in ids {
+        host.arrive(id, |r| (r.volume, r.plan, r.units) = (1, 1, 2.0));
+    }
+}
+
+#[test]
+fn what_a_limit_cannot_let_through_in_time_is_refused_at_once() {
+    let mut host = Host::new(settings(vec![class(Repeats::Safe)]), vec![node(10, 1), node(11, 2)]);
+    host.wait(10 * S);
+    // Ten units are saved up, three more come before the rest would be given up.
+    limited(&mut host, 1..12);
+    let refused: Vec<u64> = (1..12).filter(|id| host.refused(*id)).collect();
+    assert_eq!(refused, (7..12).collect::<Vec<_>>(), "{:?}", host.sends());
+    // A volume without a limit waits for its turn.
+    for id in 20..40 {
+        host.arrive(id, |r| (r.volume, r.plan) = (2, 0));
+        assert!(!host.refused(id));
+    }
+}
+
+#[test]
+fn two_instances_of_a_host_have_one_hosts_part_of_a_limit() {
+    let fresh = || Host::new(settings(vec![class(Repeats::Safe)]), vec![node(10, 1)]);
+    let (mut old, mut new) = (fresh(), fresh());
+    let mut sent = Vec::new();
+    for step in 0..200 {
+        // The old one's store is full when the new one comes, after 10 s; 3 s later the old one has gone.
+        match step {
+            100 => [&mut old, &mut new].into_iter().for_each(|host| host.event(Event::Part { part: 0.5 })),
+            130 => new.event(Event::Part { part: 1.0 }),
+            _ => {}
+        }
+        for (host, lives) in [(&mut old, (95..130).contains(&step)), (&mut new, step >= 100)] {
+            host.wait(100 * MS);
+            if lives {
+                limited(host, 10 * step..10 * step + 4);
+                let seen = host.sends();
+                for (request, node) in seen {
+                    host.outcome(request, 0, node, Ending::Served);
+                }
+            }
+        }
+        sent.push(2.0 * (old.sends().len() + new.sends().len()) as f64);
+    }
+    // Within any time: the even part of the burst, and of the rate, and one request.
+    for (from, to) in (90..200).flat_map(|from| (from + 1..200).map(move |to| (from, to))) {
+        let most = 10.0 + 5.0 * (to - from) as f64 / 10.0 + 2.0;
+        assert!(sent[to] - sent[from] <= most, "{} units from {from} to {to}", sent[to] - sent[from]);
+    }
+    assert!(sent[199] - sent[130] > 25.0, "the one that is left has all again: {}", sent[199] - sent[130]);
+}
+
+#[test]
+fn other_settings_hold_for_what_comes_and_not_for_what_is_open() {
+    let mut host = Host::new(settings(vec![class(Repeats::Safe)]), vec![node(10, 1)]);
+    host.arrive(1, |_| {});
+    let changed =
+        Settings { max_attempts: 1, ..settings(vec![class(Repeats::Safe), class(Repeats::Unsafe)]) };
+    host.event(Event::Settings(Box::new(changed)));
+    host.arrive(2, |r| (r.volume, r.class) = (2, 0));
+    host.arrive(3, |r| (r.volume, r.class) = (3, 1));
+    for (id, tries, refused, failed) in [(1, 2, false, false), (2, 1, true, false), (3, 1, false, true)] {
+        host.outcome(id, 0, 10, Ending::Error);
+        host.wait(S / 100);
+        assert_eq!((host.sent(id), host.refused(id), host.failed(id)), (tries, refused, failed), "{id}");
+    }
+}
+
+#[test]
+fn what_is_passed_on_may_take_as_long_as_it_does() {
+    for began in [false, true] {
+        let mut host = Host::new(settings(vec![class(Repeats::Safe)]), vec![node(10, 1)]);
+        // More than the node has tokens for: the others wait.
+        for id in 1..10 {
+            host.arrive(id, |r| r.time_left = 60 * S);
+        }
+        for (request, _) in host.sends().into_iter().filter(|_| began) {
+            host.event(Event::AnswerBegan { request, attempt: 0 });
+        }
+        // In steps that are no stall of the host's own.
+        for _ in 0..100 {
+            host.wait(40 * MS);
+        }
+        let mute = host.actions.iter().any(|a| matches!(a, Action::Log(text) if text.contains("mute")));
+        assert_eq!((mute, host.policy.bricks(host.now)), (!began, (1, usize::from(!began))));
+    }
+}
