--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -22,6 +22,9 @@
 /// and what is being closed.
 const CLIENT_PART: f64 = 0.58;
 const NODE_PART: f64 = 0.22;
+/// Descriptors that are held whatever comes: standard streams, listeners, runtimes, the watch and the one that it moves
+/// to, the log's collector, and the locks and the passed socket of an upgrade.
+const FIXED: usize = 24;
 /// The part for clients that have come while others are still on their way out.
 const SPARE_PART: f64 = 0.12;
 /// The part for operators' calls, set aside from all others, and as many as there are in any case.
@@ -275,18 +278,20 @@
             Some(text) => Some(text.parse().map_err(|e| unreadable("GW_PASSED_SOCKET", e))?),
             None => None,
         };
+        let callers = part(OPS_PART).max(LEAST_CALLERS);
+        let others = part(CLIENT_PART) + part(NODE_PART) + callers + FIXED;
         Ok(Config {
             keys,
             passed_socket,
             ops,
-            ops_callers: part(OPS_PART).max(LEAST_CALLERS),
+            ops_callers: callers,
             name: file.name.or_else(|| env("GW_NAME")).unwrap_or_else(|| "pathbank".to_string()),
             listen: address(file.listen, "GW_LISTEN")?,
             discovery: address(file.discovery, "GW_DISCOVERY")?,
             seed: seed(&file.seed),
             clients: ClientLimits {
                 most: part(CLIENT_PART),
-                spare: part(SPARE_PART),
+                spare: part(SPARE_PART).min(file.limits.sockets.saturating_sub(others)).max(1),
                 most_idle: part(IDLE_CLIENTS_PART),
                 request: REQUEST_TIME,
                 idle: CLIENT_IDLE,
@@ -451,6 +456,23 @@
         }
     }
 
+    #[test]
+    fn the_parts_of_descriptors_and_memory_fit_into_the_limits() {
+        for (sockets, memory_mb) in [(256, 32), (256, 192), (384, 48), (576, 64), (1000, 192), (1024, 32)] {
+            let limits = format!("\"memory_mb\":{memory_mb},\"sockets\":{sockets}");
+            let text = GOOD.replace("\"memory_mb\":192,\"sockets\":1000", &limits);
+            let config = Config::read(&text, |_| None).unwrap();
+            let clients = config.clients.most + config.clients.spare;
+            let all = clients + config.node_connections.most + config.ops_callers + FIXED;
+            assert!(all <= sockets, "{all} of {sockets} descriptors");
+            // A client's place for every open request, and more than the third that clients hold for them.
+            assert!(config.max_open < config.clients.most && config.clients.most > sockets / 3);
+            // Requests' bodies, uploads, and 64 bytes an id.
+            let held = 2 * config.most_held + 64 * config.most_ids;
+            assert!(held < config.memory / 3, "{held} of {} bytes", config.memory);
+        }
+    }
+
     #[test]
     fn errors_name_the_key_at_fault() {
         for (from, to, key) in [
