--- a/src/rehearsal/daily_cases.rs
+++ b/src/rehearsal/daily_cases.rs
@@ -311,7 +311,9 @@
         };
         check(matches!(status, 200 | 503), format!("status {status}"))?;
         // A new connection now and then, so that both processes have their part.
-        if answered.fetch_add(1, Ordering::Relaxed) % 8 == 0 || header(&head, "connection") == Some("close") {
+        if answered.fetch_add(1, Ordering::Relaxed).is_multiple_of(8)
+            || header(&head, "connection") == Some("close")
+        {
             client = HttpClient::connect(http)?;
         }
         thread::sleep(Duration::from_millis(2));
