Make an id that either process of an upgrade took known to both

Seen with the program before this, in the new case: an id was served twice in the overlap (during-0-5), and again after the old one's end.

Change: beside its locks each process has a ring of the ids it took (`idlog`: numbered, dated, summed records under a key of the file's own). Whoever takes an id writes it down and then reads what the other one wrote, so that of two takers at one moment one at least sees the other; a process that takes over a place goes on with what its file holds. A torn or foreign file means nothing. Not taken: a lock held over each request, which a stopped process would keep.

Result: rehearsal `upgrade-ids` passes, three upgrades in a row, 33 ids, one request each at the brick; all tests pass.

--- a/src/bin/pathbank.rs
+++ b/src/bin/pathbank.rs
@@ -124,7 +124,7 @@
     };
     event!(UP, name = config.name, listen:% = listener.local_addr()?);
     if config.passed_socket.is_some() {
-        meet(&config.name, &handle).await;
+        meet(&config.name, &handle, &front.ids).await;
     }
     tokio::spawn(front::serve(listener, front, places.clone()));
     if let Some(address) = config.ops {
@@ -197,7 +197,7 @@
 
 /// Where the platform holds the clients' socket, another process of this head may live: nothing is accepted before it
 /// has been seen to keep to its half, or to be gone.
-async fn meet(head: &str, handle: &Handle) {
+async fn meet(head: &str, handle: &Handle, ids: &Ids) {
     let mut tell = twins::teller(handle.part(), handle.clone());
     let Some(mut twins) = Twins::join(&std::env::temp_dir(), head).await else {
         // Whatever the cause: half is safe beside one other, and says so in the log.
@@ -210,6 +210,9 @@
             _ => sleep(twins::SOON).await,
         }
     };
+    if let Err(problem) = ids.share(twins.ids()) {
+        event!(IDS_UNWRITTEN, problem:%);
+    }
     // Until now the other one may have spent all: what this one has to spend grows from here on.
     handle.send(Input::Part { halved });
     tokio::spawn(twins::watch(twins, tell));
--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -80,6 +80,9 @@
     NO_TWINS "head" Warning false "Another process of this head cannot be looked for: this one keeps to half." {
         "folder": "where their files should be"
     }
+    IDS_UNWRITTEN "head" Warning false "Ids cannot be written down for the other process of an upgrade: it will not know them." {
+        "problem": "why"
+    }
     OPS_UP "head" Notice false "The operators' line is open." {
         "listen": "where operators call", "callers": "callers at once at most"
     }
--- /dev/null
+++ b/src/idlog.rs
@@ -0,0 +1,288 @@
+//! The ids of requests that one process of a head took, as the other process of an upgrade reads them: a ring of
+//! records in a file, its form, and what a reader makes of it. Knows no files; bytes and times are passed in.
+//!
+//! Whoever takes an id writes it down first and looks at what the other one wrote after that. So of two that take one
+//! id at the same moment at least one sees the other's: never do both pass it on. Both may turn it down, which costs
+//! only a client that used an id twice.
+
+use ring::hmac;
+use std::collections::{BTreeMap, HashMap};
+
+const MAGIC: [u8; 8] = *b"pb-ids-1";
+pub const HEADER: usize = 40;
+pub const RECORD: usize = 32;
+/// A file says by itself how long its ring is; no head remembers more.
+const MOST_RECORDS: u64 = 1 << 20;
+
+/// What a file begins with: how many records its ring has, and the key of its hashes, which nobody outside the head's
+/// private folder knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Header {
+    pub records: u64,
+    pub key: [u8; 16],
+}
+
+impl Header {
+    pub fn encode(&self) -> [u8; HEADER] {
+        let mut bytes = [0; HEADER];
+        bytes[..8].copy_from_slice(&MAGIC);
+        bytes[8..16].copy_from_slice(&self.records.to_be_bytes());
+        bytes[16..32].copy_from_slice(&self.key);
+        let check = sum(&bytes[..32]);
+        bytes[32..].copy_from_slice(&check.to_be_bytes());
+        bytes
+    }
+
+    /// `None`: another version's, damaged, or no such file at all.
+    pub fn decode(bytes: &[u8]) -> Option<Header> {
+        let (head, check) = bytes.get(..HEADER)?.split_at(32);
+        let records = number(&head[8..16]);
+        let sound = head[..8] == MAGIC && number(check) == sum(head) && (1..=MOST_RECORDS).contains(&records);
+        sound.then_some(Header { records, key: head[16..32].try_into().ok()? })
+    }
+
+    pub fn hash(&self, id: &[u8]) -> u64 {
+        number(&hmac::sign(&hmac::Key::new(hmac::HMAC_SHA256, &self.key), id).as_ref()[..8])
+    }
+
+    /// Where the record of that number lies; numbers begin at 1 and never come again.
+    pub fn place(&self, number: u64) -> u64 {
+        HEADER as u64 + number % self.records * RECORD as u64
+    }
+}
+
+/// One id taken: its number in the file, its hash, and when that was, in Unix milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Record {
+    pub number: u64,
+    pub hash: u64,
+    pub at_ms: u64,
+}
+
+impl Record {
+    pub fn encode(&self) -> [u8; RECORD] {
+        let mut bytes = [0; RECORD];
+        for (place, value) in [self.number, self.hash, self.at_ms].into_iter().enumerate() {
+            bytes[8 * place..8 * place + 8].copy_from_slice(&value.to_be_bytes());
+        }
+        let check = sum(&bytes[..24]);
+        bytes[24..].copy_from_slice(&check.to_be_bytes());
+        bytes
+    }
+
+    /// `None`: never written, half written, or rubbish.
+    pub fn decode(bytes: &[u8]) -> Option<Record> {
+        let (values, check) = bytes.get(..RECORD)?.split_at(24);
+        let record = Record {
+            number: number(&values[..8]),
+            hash: number(&values[8..16]),
+            at_ms: number(&values[16..]),
+        };
+        (number(check) == sum(values) && record.number > 0).then_some(record)
+    }
+}
+
+fn number(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0, |value, byte| value << 8 | u64::from(*byte))
+}
+
+/// FNV-1a: against torn and foreign bytes, not against anybody.
+fn sum(bytes: &[u8]) -> u64 {
+    bytes
+        .iter()
+        .fold(0xcbf2_9ce4_8422_2325, |sum, byte| (sum ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3))
+}
+
+/// Bytes at a place of a file; as many as there are.
+pub trait Bytes {
+    fn at(&self, place: u64, buffer: &mut [u8]) -> usize;
+}
+
+/// What is known of a file: which ids were taken by whoever writes it.
+#[derive(Debug, Default)]
+pub struct Reader {
+    header: Option<Header>,
+    /// The number of the record that comes next.
+    next: u64,
+    /// By their hashes: the latest record of each, and when it was taken.
+    taken: HashMap<u64, (u64, u64)>,
+    by_number: BTreeMap<u64, u64>,
+}
+
+impl Reader {
+    /// Reads what has come since the last look.
+    pub fn look(&mut self, file: &impl Bytes) {
+        let mut head = [0; HEADER];
+        let got = file.at(0, &mut head);
+        let header = Header::decode(&head[..got]);
+        if header != self.header {
+            // Another one has begun the file anew.
+            *self = Reader { header, ..Reader::default() };
+            self.look_through(file);
+        }
+        let Some(header) = self.header else { return };
+        let mut bytes = [0; RECORD];
+        loop {
+            let got = file.at(header.place(self.next), &mut bytes);
+            match Record::decode(&bytes[..got]) {
+                Some(record) if record.number == self.next => self.note(header, record),
+                // It went once round since the last look: what is missing stands elsewhere in the ring.
+                Some(record) if record.number > self.next => return self.look_through(file),
+                _ => return,
+            }
+        }
+    }
+
+    fn look_through(&mut self, file: &impl Bytes) {
+        let Some(header) = self.header else { return };
+        let mut ring = vec![0; header.records as usize * RECORD];
+        let got = file.at(HEADER as u64, &mut ring);
+        let mut records: Vec<Record> = ring[..got].chunks(RECORD).filter_map(Record::decode).collect();
+        records.sort_unstable_by_key(|record| record.number);
+        self.next = self.next.max(1);
+        for record in records {
+            if record.number >= self.next {
+                self.note(header, record);
+            }
+        }
+    }
+
+    fn note(&mut self, header: Header, record: Record) {
+        self.taken.insert(record.hash, (record.number, record.at_ms));
+        self.by_number.insert(record.number, record.hash);
+        self.next = record.number + 1;
+        while self.by_number.len() as u64 > header.records {
+            if let Some((number, hash)) = self.by_number.pop_first()
+                && self.taken.get(&hash).is_some_and(|(latest, _)| *latest == number)
+            {
+                self.taken.remove(&hash);
+            }
+        }
+    }
+
+    pub fn header(&self) -> Option<Header> {
+        self.header
+    }
+
+    /// The number for what is written next.
+    pub fn next(&self) -> u64 {
+        self.next.max(1)
+    }
+
+    /// Whether that id was taken since then, in Unix milliseconds.
+    pub fn has(&self, id: &[u8], since_ms: u64) -> bool {
+        let taken = self.header.and_then(|header| self.taken.get(&header.hash(id)));
+        taken.is_some_and(|(_, at)| *at >= since_ms)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::cell::RefCell;
+
+    #[derive(Default)]
+    struct Memory(RefCell<Vec<u8>>);
+
+    impl Memory {
+        fn write(&self, place: u64, bytes: &[u8]) {
+            let (mut file, end) = (self.0.borrow_mut(), place as usize + bytes.len());
+            let length = file.len().max(end);
+            file.resize(length, 0);
+            file[place as usize..end].copy_from_slice(bytes);
+        }
+    }
+
+    impl Bytes for Memory {
+        fn at(&self, place: u64, buffer: &mut [u8]) -> usize {
+            let file = self.0.borrow();
+            let rest = file.get(place as usize..).unwrap_or(&[]);
+            let got = rest.len().min(buffer.len());
+            buffer[..got].copy_from_slice(&rest[..got]);
+            got
+        }
+    }
+
+    const HEAD: Header = Header { records: 4, key: [7; 16] };
+
+    fn take(file: &Memory, number: u64, id: &str, at_ms: u64) {
+        let record = Record { number, hash: HEAD.hash(id.as_bytes()), at_ms };
+        file.write(HEAD.place(number), &record.encode());
+    }
+
+    fn known(reader: &Reader, ids: &[&str]) -> String {
+        ids.iter().map(|id| if reader.has(id.as_bytes(), 10) { *id } else { "-" }).collect()
+    }
+
+    #[test]
+    fn a_reader_knows_what_was_taken_whenever_it_looks() {
+        let ids = ["a", "b", "c", "d", "e", "f"];
+        for looks in 0..1u32 << ids.len() {
+            let (file, mut reader) = (Memory::default(), Reader::default());
+            file.write(0, &HEAD.encode());
+            for (place, id) in ids.iter().enumerate() {
+                if looks >> place & 1 == 1 {
+                    reader.look(&file);
+                }
+                take(&file, place as u64 + 1, id, 10);
+            }
+            reader.look(&file);
+            assert_eq!(known(&reader, &ids), "--cdef", "{looks:b}: the ring holds four");
+            assert!(!reader.has(b"f", 11), "it was taken before that");
+            assert_eq!(reader.next(), 7);
+        }
+    }
+
+    #[test]
+    fn what_is_torn_foreign_or_rubbish_is_not_known_and_hides_nothing_that_is() {
+        let (file, mut reader) = (Memory::default(), Reader::default());
+        reader.look(&file);
+        assert_eq!((known(&reader, &["a"]), reader.header()), ("-".into(), None), "no file yet");
+        for rubbish in [&b"\xff\0 rubbish"[..], &[0xff; 512], &[0; 512], &HEAD.encode()[..39]] {
+            *file.0.borrow_mut() = rubbish.to_vec();
+            reader.look(&file);
+            assert_eq!(reader.header(), None);
+        }
+        file.write(0, &HEAD.encode());
+        take(&file, 1, "a", 10);
+        // The second is half written, and is there with its end.
+        let whole = Record { number: 2, hash: HEAD.hash(b"b"), at_ms: 10 }.encode();
+        for cut in 0..RECORD {
+            file.write(HEAD.place(2), &[&whole[..cut], &vec![0x5a; RECORD - cut][..]].concat());
+            reader.look(&file);
+            assert_eq!(known(&reader, &["a", "b"]), "a-", "{cut}");
+        }
+        file.write(HEAD.place(2), &whole);
+        reader.look(&file);
+        assert_eq!(known(&reader, &["a", "b"]), "ab");
+        // Whoever begins the file anew has another key: nothing of before means anything.
+        file.write(0, &Header { key: [8; 16], ..HEAD }.encode());
+        reader.look(&file);
+        assert_eq!(known(&reader, &["a", "b"]), "--");
+        for changed in 0..HEADER {
+            let mut bytes = HEAD.encode();
+            bytes[changed] ^= 1;
+            assert_eq!(Header::decode(&bytes), None, "{changed}");
+        }
+    }
+
+    #[test]
+    fn of_two_that_take_one_id_in_any_order_of_steps_never_do_both_pass_it_on() {
+        // Each writes, then looks at the other's: every order of the four steps.
+        for order in ["AABB", "ABAB", "ABBA", "BAAB", "BABA", "BBAA"] {
+            let files = [Memory::default(), Memory::default()];
+            files.iter().for_each(|file| file.write(0, &HEAD.encode()));
+            let (mut wrote, mut passed) = ([false; 2], [false; 2]);
+            for who in order.bytes().map(|who| usize::from(who - b'A')) {
+                if !std::mem::replace(&mut wrote[who], true) {
+                    take(&files[who], 1, "a", 10);
+                } else {
+                    let mut other = Reader::default();
+                    other.look(&files[1 - who]);
+                    passed[who] = !other.has(b"a", 0);
+                }
+            }
+            assert!(!(passed[0] && passed[1]), "{order}");
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod grpc;
 pub mod handover;
 pub mod holding;
+pub mod idlog;
 pub mod index;
 pub mod interface;
 pub mod life;
--- a/src/net/ids.rs
+++ b/src/net/ids.rs
@@ -1,10 +1,17 @@
 //! The ids of requests that were taken of late. Every request has its own: a second one with the same id is not
-//! passed on, for to a node it would be a further attempt of the first.
+//! passed on, for to a node it would be a further attempt of the first. Two processes of an upgrade are one head: what
+//! the other one took is known here as well.
 
+use crate::event;
+use crate::idlog::{Bytes, Header, Reader, Record};
 use std::collections::hash_map::RandomState;
 use std::collections::{HashSet, VecDeque};
+use std::fs::File;
 use std::hash::BuildHasher;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::io;
+use std::os::unix::fs::FileExt;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::time::{Duration, Instant};
 
 #[derive(Clone)]
@@ -17,18 +24,97 @@
     hasher: RandomState,
     most: usize,
     time: Duration,
+    shared: Option<Shared>,
+}
+
+impl Bytes for File {
+    /// What cannot be read is not known.
+    fn at(&self, place: u64, buffer: &mut [u8]) -> usize {
+        let mut got = 0;
+        while got < buffer.len() {
+            match self.read_at(&mut buffer[got..], place + got as u64) {
+                Ok(more @ 1..) => got += more,
+                Err(problem) if problem.kind() == io::ErrorKind::Interrupted => {}
+                _ => break,
+            }
+        }
+        got
+    }
+}
+
+/// What both processes of a head took, each in a file of its own.
+struct Shared {
+    file: Arc<File>,
+    header: Header,
+    /// What an earlier process took that had this one's place.
+    before: Reader,
+    next: u64,
+    other: (Arc<File>, Reader),
+    /// The last write failed: told once, until one succeeds.
+    failing: bool,
+}
+
+impl Shared {
+    fn new(ours: Arc<File>, other: Arc<File>, records: u64, key: [u8; 16]) -> io::Result<Shared> {
+        let mut before = Reader::default();
+        before.look(&*ours);
+        let header = match before.header().filter(|header| header.records == records) {
+            Some(header) => header,
+            None => {
+                let header = Header { records, key };
+                before = Reader::default();
+                ours.set_len(0)?;
+                ours.write_all_at(&header.encode(), 0)?;
+                header
+            }
+        };
+        let next = before.next();
+        Ok(Shared { file: ours, header, before, next, other: (other, Reader::default()), failing: false })
+    }
+
+    /// Writes it down, then looks whether the other one, or one before, took it.
+    fn first_time(&mut self, id: &[u8], time: Duration) -> bool {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let (at_ms, since_ms) = (now.as_millis() as u64, now.saturating_sub(time).as_millis() as u64);
+        let record = Record { number: self.next, hash: self.header.hash(id), at_ms };
+        match self.file.write_all_at(&record.encode(), self.header.place(self.next)) {
+            Ok(()) => {
+                self.next += 1;
+                self.failing = false;
+            }
+            Err(problem) if !std::mem::replace(&mut self.failing, true) => event!(IDS_UNWRITTEN, problem:%),
+            Err(_) => {}
+        }
+        let (file, other) = &mut self.other;
+        other.look(&**file);
+        !other.has(id, since_ms) && !self.before.has(id, since_ms)
+    }
 }
 
 impl Ids {
     /// Each id is known for that time, but never more of them than `most`.
     pub fn new(most: usize, time: Duration) -> Ids {
         let (hashes, by_age, hasher) = (HashSet::new(), VecDeque::new(), RandomState::new());
-        Ids(Arc::new(Mutex::new(Known { hashes, by_age, hasher, most, time })))
+        Ids(Arc::new(Mutex::new(Known { hashes, by_age, hasher, most, time, shared: None })))
+    }
+
+    fn known(&self) -> MutexGuard<'_, Known> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// From here on ids are written to that file, and the other one's are known too.
+    pub fn share(&self, (ours, other): (Arc<File>, Arc<File>)) -> io::Result<()> {
+        let mut known = self.known();
+        let key =
+            [known.hasher.hash_one(0u8).to_be_bytes(), known.hasher.hash_one(1u8).to_be_bytes()].concat();
+        let key = key.try_into().map_err(|_| io::ErrorKind::InvalidData)?;
+        known.shared = Some(Shared::new(ours, other, known.most as u64, key)?);
+        Ok(())
     }
 
     /// Notes the id; false if it is known already.
     pub fn first_time(&self, id: &[u8], now: Instant) -> bool {
-        let mut known = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut known = self.known();
         let known = &mut *known;
         while known
             .by_age
@@ -44,7 +130,7 @@
         if first {
             known.by_age.push_back((now, hash));
         }
-        first
+        first && known.shared.as_mut().is_none_or(|shared| shared.first_time(id, known.time))
     }
 }
 
@@ -69,4 +155,34 @@
             assert_eq!(ids.first_time(id.as_bytes(), now), first, "{second} {id}");
         }
     }
+
+    #[test]
+    fn what_another_process_of_the_head_took_is_known_also_after_it_is_gone() {
+        let folder = std::env::temp_dir().join(format!("pathbank-ids-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let file = |name: &str| {
+            let path = folder.join(name);
+            let options = File::options().create(true).truncate(false).read(true).write(true).clone();
+            Arc::new(options.open(path).unwrap())
+        };
+        std::fs::write(folder.join("0"), b"\xff\0 left by somebody").unwrap();
+        let start = |ours: &str, other: &str, time| {
+            let ids = Ids::new(3, Duration::from_secs(time));
+            ids.share((file(ours), file(other))).unwrap();
+            ids
+        };
+        let (old, now) = (start("0", "1", 60), Instant::now());
+        assert!(old.first_time(b"a", now) && old.first_time(b"b", now));
+        let new = start("1", "0", 60);
+        assert!(!new.first_time(b"a", now) && new.first_time(b"c", now));
+        assert!(!old.first_time(b"c", now), "both ways");
+        drop(old);
+        // The next one takes the old one's place, and the files as they were left.
+        let next = start("0", "1", 60);
+        assert!(!next.first_time(b"b", now) && !next.first_time(b"c", now) && next.first_time(b"d", now));
+        let much_later = start("0", "1", 0);
+        std::thread::sleep(Duration::from_millis(2));
+        assert!(much_later.first_time(b"b", now), "its time is over");
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
 }
--- a/src/net/twins.rs
+++ b/src/net/twins.rs
@@ -1,5 +1,6 @@
 //! The two processes of one upgrade see each other by locks on files in `$TMPDIR`: the system lets go of a lock when
-//! its holder ends, however it ends. What the files hold is of no meaning, so that nothing in them can mislead.
+//! its holder ends, however it ends. What those files hold is of no meaning, so that nothing in them can mislead. Beside
+//! them each has a file of the ids that it took (`idlog`), which the other one reads.
 
 use crate::core::{Handle, Input};
 use crate::event;
@@ -7,6 +8,7 @@
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 use tokio::time::{Duration, Instant, sleep};
 
 /// A process that has only just come looks so often.
@@ -19,6 +21,8 @@
 struct Place {
     lives: File,
     halved: File,
+    /// The ids that it takes (`idlog`).
+    ids: Arc<File>,
 }
 
 impl Place {
@@ -27,7 +31,7 @@
             let path: PathBuf = folder.join(format!("pathbank.{head}.{number}.{what}"));
             OpenOptions::new().create(true).truncate(false).read(true).write(true).open(path)
         };
-        Ok(Place { lives: open("lives")?, halved: open("halved")? })
+        Ok(Place { lives: open("lives")?, halved: open("halved")?, ids: Arc::new(open("ids")?) })
     }
 }
 
@@ -70,6 +74,11 @@
         None
     }
 
+    /// The files of the ids that this process takes, and the other one.
+    pub fn ids(&self) -> (Arc<File>, Arc<File>) {
+        (self.ours.ids.clone(), self.other.ids.clone())
+    }
+
     fn seen(&self) -> Seen {
         Seen { lives: held(&self.other.lives), halved: held(&self.other.halved) }
     }
--- a/src/rehearsal/daily_cases.rs
+++ b/src/rehearsal/daily_cases.rs
@@ -36,6 +36,11 @@
         about: "two processes on one socket lose nothing and keep one limit",
         play: upgrade,
     },
+    Case {
+        name: "upgrade-ids",
+        about: "an id that one process of an upgrade took is not taken by the other, nor by one after both",
+        play: upgrade_ids,
+    },
     Case {
         name: "upgrade-cut-off",
         about: "a new process that dies early harms nobody",
@@ -377,6 +382,53 @@
     check(units > 0, "none came to the brick")
 }
 
+/// One request under that id on a connection of its own: whether it was served, or turned down as one used before.
+fn under_id(http: SocketAddr, id: &str) -> Outcome<bool> {
+    let mut client = HttpClient::connect(http)?;
+    client.send_bare("token-read", LONG, &format!("X-Request-ID: {id}\r\n"), b"")?;
+    match client.receive()?.0 {
+        200 => Ok(true),
+        409 => Ok(false),
+        status => Err(Failure::Unmet(format!("{id}: answered {status}"))),
+    }
+}
+
+fn upgrade_ids(program: &Path) -> Outcome {
+    let brick = Brick::start("b-1")?;
+    let nodes = vec![entry("s-1", brick.address, 0, "in_service")];
+    let discovery = Discovery::start(nodes.clone())?;
+    let shared = Arc::new(Shared::new()?);
+    std::fs::write(shared.folder.join("pathbank.n0.0.ids"), [0xff; 512])?; // left by somebody
+    let setup = Setup { ops: true, shared: Some(shared.clone()), ..Setup::default() };
+    let mut running = Head::start(program, &setup, discovery.address, nodes.clone())?;
+    ready(running.ops()?)?;
+    let mut taken: Vec<String> = Vec::new();
+    for round in 0..3 {
+        let before = format!("before-{round}");
+        check(under_id(shared.address, &before)?, "an id is taken")?;
+        let new = Head::start(program, &setup, discovery.address, nodes.clone())?;
+        ready(new.ops()?)?;
+        taken.push(before);
+        // Whichever process each connection comes to.
+        for number in 0..10 {
+            let id = format!("during-{round}-{number}");
+            check(under_id(shared.address, &id)?, "an id is taken in the overlap")?;
+            for _ in 0..3 {
+                check(!under_id(shared.address, &id)?, format!("{id} is taken twice in the overlap"))?;
+            }
+            taken.push(id);
+        }
+        let mut gone = std::mem::replace(&mut running, new);
+        gone.terminate()?;
+        check(gone.ended()?.success(), "the old process ends well")?;
+        for id in &taken {
+            check(!under_id(shared.address, id)?, format!("{id} is taken again after its process is gone"))?;
+        }
+    }
+    let passed = brick.seen.try_iter().filter(|seen| matches!(seen, Seen::Request { .. })).count();
+    expect(passed, taken.len(), "requests at the brick")
+}
+
 fn upgrade_cut_off(program: &Path) -> Outcome {
     let brick = Brick::start("b-1")?;
     let nodes = vec![entry("s-1", brick.address, 0, "in_service")];
--- a/tests/rehearsal.rs
+++ b/tests/rehearsal.rs
@@ -63,6 +63,7 @@
     sigterm_in_a_drain_ends_the_head "drain-then-end"
     classes_change_and_what_is_open_keeps_its_rules "reload-classes"
     an_upgrade_loses_nothing_and_keeps_one_limit "upgrade"
+    an_id_is_taken_once_by_both_processes_of_an_upgrade "upgrade-ids"
     a_new_process_that_dies_harms_nobody "upgrade-cut-off"
     long_bodies_pass_whole_or_visibly_not "long-bodies"
     slow_uploads_cost_no_token_and_no_close "slow-bodies"
