Carry the module's probes and messages between heads out, where the settings allow them

Need: the second deployment allows both. The module asks for them among many heads; the core dropped them, since the first site forbids both.

Change: `peers` judges who may say how much (heads of the list, 1 to 256 bytes, 100 a second each), `net/peers` carries datagrams, the core passes on what is heard and said; probes are GET /alive, or /metrics/load where reports come only so, on the pool's connections, under no client's id. An address that is taken turns talk off, not the head.

Result: tests with real sockets for strangers, cut, over-long, repeated and flooding datagrams, and for a probe's form.

--- a/src/bin/pathbank.rs
+++ b/src/bin/pathbank.rs
@@ -2,15 +2,16 @@
 
 use pathbank::classes::{Directory, Numbers};
 use pathbank::clock::Clock;
-use pathbank::config::Config;
 use pathbank::config::grpc::GrpcFront;
 use pathbank::config::sftp::SecondFront;
 use pathbank::config::syslog::Log;
+use pathbank::config::{Config, Talking};
 use pathbank::core::{Core, Handle, Input};
 use pathbank::event;
+use pathbank::interface::Reports;
 use pathbank::life::Phase;
 use pathbank::logging::{self, Logging};
-use pathbank::net::back::Back;
+use pathbank::net::back::{Back, ProbeWork};
 use pathbank::net::discovery::Discovery;
 use pathbank::net::front::{self, Front};
 use pathbank::net::grpc;
@@ -18,9 +19,11 @@
 use pathbank::net::ids::Ids;
 use pathbank::net::ops::{self, Desk};
 use pathbank::net::passed;
+use pathbank::net::peers::Talk;
 use pathbank::net::places::{Counts, Places};
 use pathbank::net::sftp;
 use pathbank::net::twins::{self, Twins};
+use pathbank::peers::Peers;
 use std::error::Error;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -74,6 +77,23 @@
     if config.ops.is_some() {
         core.keep_figures();
     }
+    let back = Back::new(config.node_connections, handle.part());
+    if config.settings.probing {
+        let load = config.settings.reports == Reports::Probes;
+        core.probe_by(Box::new(ProbeWork { back: back.clone(), load }));
+    }
+    if let Some(Talking { listen, peers, all }) = config.talk.clone() {
+        let (number, heads) = (config.settings.position, peers.len());
+        // Another process of this head may have the address: what is said here is never needed.
+        match Talk::open(listen, Peers::new(peers, all, number, std::time::Instant::now())).await {
+            Ok((talk, mouth)) => {
+                event!(TALK, listen:% = talk.address()?, peers = heads);
+                core.talk_by(mouth);
+                tokio::spawn(talk.run(handle.clone()));
+            }
+            Err(problem) => event!(TALK_OFF, listen:%, problem:%),
+        }
+    }
     let core = tokio::spawn(core.run());
     let (place, address) = watch::channel(config.discovery);
     let others = second.is_some() || third.is_some();
@@ -99,7 +119,6 @@
         on_demand: config.settings.must_subscribe,
     };
     tokio::spawn(discovery.run(wanted));
-    let back = Back::new(config.node_connections, handle.part());
     tokio::spawn(back.watch());
     let bodies = Arc::new(Semaphore::new(config.most_held));
     let front = Front {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -101,6 +101,8 @@
     /// Where operators call, and how many may at once. `None`: off.
     pub ops: Option<SocketAddr>,
     pub ops_callers: usize,
+    /// Where datagrams of other heads come, and who they are. `None`: off, or not allowed.
+    pub talk: Option<Talking>,
     /// The descriptor of the clients' listening socket, where the platform holds it.
     pub passed_socket: Option<i32>,
     /// Every key that its file has; in a list those that all entries have.
@@ -124,6 +126,14 @@
     pub syslog: Option<SocketAddr>,
 }
 
+/// How heads reach each other.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Talking {
+    pub listen: SocketAddr,
+    pub peers: Vec<SocketAddr>,
+    pub all: Option<SocketAddr>,
+}
+
 /// What bounds a front's connections.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ClientLimits {
@@ -196,6 +206,9 @@
     listen: Option<SocketAddr>,
     discovery: Option<SocketAddr>,
     ops: Option<SocketAddr>,
+    peer_listen: Option<SocketAddr>,
+    peers: Option<Vec<SocketAddr>>,
+    peers_all: Option<SocketAddr>,
     #[serde(default)]
     seed: String,
     #[serde(default)]
@@ -278,10 +291,15 @@
             Some(text) => Some(text.parse().map_err(|e| unreadable("GW_PASSED_SOCKET", e))?),
             None => None,
         };
+        let talk = file.peer_listen.filter(|_| settings.peers).map(|listen| {
+            let (peers, all) = (file.peers.unwrap_or_default(), file.peers_all);
+            Talking { listen, peers, all }
+        });
         let callers = part(OPS_PART).max(LEAST_CALLERS);
         let others = part(CLIENT_PART) + part(NODE_PART) + callers + FIXED;
         Ok(Config {
             keys,
+            talk,
             passed_socket,
             ops,
             ops_callers: callers,
--- a/src/core.rs
+++ b/src/core.rs
@@ -190,6 +190,17 @@
         settings: Box<Settings>,
         classes: Vec<String>,
     },
+    /// Another head said something.
+    Peer {
+        from: u32,
+        bytes: Vec<u8>,
+    },
+    /// A probe has ended.
+    Probed {
+        node: NodeId,
+        took: Micros,
+        report: Report,
+    },
     /// Another process of this head lives, or no longer does.
     Part {
         halved: bool,
@@ -250,12 +261,44 @@
         self.open.load(Ordering::Relaxed)
     }
 
+    /// One whose inputs go to a test.
+    #[cfg(test)]
+    pub fn overheard(&self) -> (Handle, mpsc::UnboundedReceiver<Input>) {
+        let (queue, inputs) = mpsc::unbounded_channel();
+        (Handle { queue, ..self.clone() }, inputs)
+    }
+
     /// The same core with a bound of its own on open requests, for a front whose requests hold no descriptor each.
     pub fn with_room_for(&self, max_open: usize) -> Handle {
         Handle { open: Arc::default(), max_open, no_room: Arc::default(), ..self.clone() }
     }
 }
 
+/// Something that the module says to one other head, or to all.
+#[derive(Debug)]
+pub struct Message {
+    pub to: Option<u32>,
+    pub bytes: Vec<u8>,
+}
+
+/// By which the core says it.
+#[derive(Clone, Debug)]
+pub struct Mouth(mpsc::Sender<Message>);
+
+impl Mouth {
+    pub fn new() -> (Mouth, mpsc::Receiver<Message>) {
+        let (mouth, messages) = mpsc::channel(MESSAGES);
+        (Mouth(mouth), messages)
+    }
+
+    /// Never waits: what finds no room is lost, as the network may lose any.
+    pub fn say(&self, to: Option<u32>, bytes: Vec<u8>) {
+        if self.0.try_send(Message { to, bytes }).is_err() {
+            debug!("a message to other heads found no room");
+        }
+    }
+}
+
 /// The answer to come. Dropped before that, the client has left.
 pub struct Pending {
     id: RequestId,
@@ -366,6 +409,10 @@
 }
 
 const MARGIN_PART: u32 = 10;
+/// Messages to other heads that wait to be sent.
+const MESSAGES: usize = 64;
+/// A probe is answered beside the queue, or tells that the queue is long; later it tells nothing.
+const PROBE_TIME: Duration = Duration::from_secs(1);
 /// The module's view of nodes is copied into the figures so often at most, and so often where nothing happens.
 const COPY_APART: Micros = 50_000;
 const COPY_IDLE: Micros = 100_000;
@@ -432,6 +479,9 @@
     /// Room for its actions, used again.
     actions: Vec<Action>,
     telling: Option<Telling>,
+    /// How other heads are told something, and how a node is probed, where the settings allow it.
+    mouth: Option<Mouth>,
+    probes: Option<Box<dyn Work>>,
     pressure: Pressure,
     ends: Ends,
     figures: Figures,
@@ -474,6 +524,8 @@
             told: false,
             actions: Vec::new(),
             telling: None,
+            mouth: None,
+            probes: None,
             pressure: Pressure::default(),
             ends: Ends::default(),
             figures,
@@ -492,6 +544,16 @@
         self.telling = Some(telling);
     }
 
+    /// From here on other heads can be told something.
+    pub fn talk_by(&mut self, mouth: Mouth) {
+        self.mouth = Some(mouth);
+    }
+
+    /// From here on nodes can be probed.
+    pub fn probe_by(&mut self, probes: Box<dyn Work>) {
+        self.probes = Some(probes);
+    }
+
     /// Keeps the figures that are copied fresh, and says that it runs.
     pub fn keep_figures(&mut self) {
         self.copied = Some(0);
@@ -570,6 +632,11 @@
                 self.part = if halved { 0.5 } else { 1.0 };
                 self.tell(Event::Part { part: self.part });
             }
+            Input::Peer { from, bytes } => self.tell(Event::Peer { from, bytes }),
+            Input::Probed { node, took, report } => {
+                let (ending, load) = (report.end.ending(), report.load);
+                self.tell(Event::Probed { node, ending, took, load });
+            }
             Input::Finish => {
                 let open: Vec<RequestId> = self.requests.keys().copied().collect();
                 open.into_iter().for_each(|id| self.answer(id, Answer::Failed));
@@ -962,11 +1029,35 @@
                 let _ = self.subscribe.send(());
             }
             Action::Log(text) => info!("{text}"),
-            // The settings forbid both here; the module asks for neither then.
-            Action::Probe { .. } | Action::Tell { .. } => debug!("no probes and no peers on this platform"),
+            Action::Probe { node } => self.probe(node),
+            Action::Tell { peer, bytes } => match &self.mouth {
+                Some(mouth) => mouth.say(peer, bytes),
+                None => debug!("there is nobody to tell"),
+            },
         }
     }
 
+    /// A probe is no request's: it has no id, nothing is counted of it, and its only end is its time-out.
+    fn probe(&mut self, node: NodeId) {
+        let (Some(probes), Some(at)) = (&self.probes, self.nodes.get(&node).filter(|node| node.ready)) else {
+            return;
+        };
+        let (begun, answer_by) = (Instant::now(), Instant::now() + PROBE_TIME);
+        let binder = Binder { handle: self.handle.clone(), id: 0, attempt: 0 };
+        let begins = Arc::new(Begun { class: usize::MAX, ..Begun::default() });
+        let work = probes.attempt(Try { address: at.address.clone(), answer_by, begun: begins, binder });
+        let handle = self.handle.clone();
+        tokio::spawn(async move {
+            let done = tokio::time::timeout_at(answer_by, AssertUnwindSafe(work).catch_unwind()).await;
+            let report = match done {
+                Ok(Ok(report)) => report,
+                Ok(Err(_)) => End::Broke.into(),
+                Err(_) => End::TimedOut.into(),
+            };
+            handle.send(Input::Probed { node, took: micros(begun.elapsed()), report });
+        });
+    }
+
     fn start(&mut self, now: Micros, id: RequestId, node: NodeId, time_out: Micros) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let attempt = open.attempts.len() as u32;
@@ -1231,6 +1322,51 @@
         });
     }
 
+    #[test]
+    fn what_the_module_asks_of_nodes_and_says_to_heads_is_carried_out() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            for probing in [true, false] {
+                // Heads of a crowd: each sees too little of a node by itself.
+                let class = Class { aim: 1_000_000, deadline: 10_000_000, worth: 1.0, ..Class::default() };
+                let settings = Settings {
+                    hosts: 40,
+                    classes: vec![class],
+                    max_attempts: 3,
+                    peers: true,
+                    probing,
+                    reports: Reports::Probes,
+                    ..Settings::default()
+                };
+                let (mut core, _wanted) = Core::new(settings, 7, 10, Clock::start());
+                let ((mouth, mut said), (tell, mut probed)) = (Mouth::new(), mpsc::unbounded_channel());
+                core.talk_by(mouth);
+                core.probe_by(Box::new(Addressed(tell)));
+                core.take(nodes(ListedState::InService));
+                let (dropped, _kept) = mpsc::unbounded_channel();
+                let work = Box::new(Told { end: None, panics: false, begins: true, dropped });
+                core.request(1, arrival(LONG), work, oneshot::channel().0);
+                if probing {
+                    assert_eq!(probed.try_recv().as_deref(), Ok("127.0.0.1:1"));
+                    let Some(Input::Probed { node, report, .. }) = core.inputs.recv().await else {
+                        panic!("a probe tells its end")
+                    };
+                    core.take(Input::Probed { node, took: 1, report });
+                    assert!(probed.try_recv().is_err(), "one is enough");
+                } else {
+                    assert!(probed.try_recv().is_err(), "the settings forbid it");
+                    core.take(Input::Report { id: 1, attempt: 0, report: End::TurnedAway.into() });
+                    let Message { to, bytes } = said.try_recv().unwrap();
+                    assert_eq!(to, None);
+                    // It is heard as it was said; cut, repeated and foreign ones change nothing that shows.
+                    for bytes in [&bytes[..], &bytes, &bytes[..2], &[], &[0xff; 256]] {
+                        core.take(Input::Peer { from: 3, bytes: bytes.to_vec() });
+                    }
+                }
+            }
+        });
+    }
+
     #[test]
     fn a_request_that_is_bound_to_its_attempt_goes_nowhere_else() {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -83,6 +83,16 @@
     IDS_UNWRITTEN "head" Warning false "Ids cannot be written down for the other process of an upgrade: it will not know them." {
         "problem": "why"
     }
+    TALK "head" Notice false "Datagrams of other heads are heard." {
+        "listen": "where they come", "peers": "heads that are listened to"
+    }
+    TALK_OFF "head" Warning false "Datagrams of other heads cannot be heard: the head goes on without." {
+        "listen": "where they should come", "problem": "why"
+    }
+    PEERS "head" Notice true "Datagrams were turned away since the last minute." {
+        "sent": "messages sent, so far", "heard": "passed on", "strangers": "from nobody of the list",
+        "malformed": "empty or over 256 bytes", "too_many": "beyond what one head may say"
+    }
     OPS_UP "head" Notice false "The operators' line is open." {
         "listen": "where operators call", "callers": "callers at once at most"
     }
--- a/src/idlog.rs
+++ b/src/idlog.rs
@@ -5,6 +5,7 @@
 //! id at the same moment at least one sees the other's: never do both pass it on. Both may turn it down, which costs
 //! only a client that used an id twice.
 
+use crate::config::fnv;
 use ring::hmac;
 use std::collections::{BTreeMap, HashMap};
 
@@ -28,7 +29,7 @@
         bytes[..8].copy_from_slice(&MAGIC);
         bytes[8..16].copy_from_slice(&self.records.to_be_bytes());
         bytes[16..32].copy_from_slice(&self.key);
-        let check = sum(&bytes[..32]);
+        let check = fnv(&bytes[..32]);
         bytes[32..].copy_from_slice(&check.to_be_bytes());
         bytes
     }
@@ -37,7 +38,7 @@
     pub fn decode(bytes: &[u8]) -> Option<Header> {
         let (head, check) = bytes.get(..HEADER)?.split_at(32);
         let records = number(&head[8..16]);
-        let sound = head[..8] == MAGIC && number(check) == sum(head) && (1..=MOST_RECORDS).contains(&records);
+        let sound = head[..8] == MAGIC && number(check) == fnv(head) && (1..=MOST_RECORDS).contains(&records);
         sound.then_some(Header { records, key: head[16..32].try_into().ok()? })
     }
 
@@ -65,7 +66,7 @@
         for (place, value) in [self.number, self.hash, self.at_ms].into_iter().enumerate() {
             bytes[8 * place..8 * place + 8].copy_from_slice(&value.to_be_bytes());
         }
-        let check = sum(&bytes[..24]);
+        let check = fnv(&bytes[..24]);
         bytes[24..].copy_from_slice(&check.to_be_bytes());
         bytes
     }
@@ -78,7 +79,7 @@
             hash: number(&values[8..16]),
             at_ms: number(&values[16..]),
         };
-        (number(check) == sum(values) && record.number > 0).then_some(record)
+        (number(check) == fnv(values) && record.number > 0).then_some(record)
     }
 }
 
@@ -86,13 +87,6 @@
     bytes.iter().fold(0, |value, byte| value << 8 | u64::from(*byte))
 }
 
-/// FNV-1a: against torn and foreign bytes, not against anybody.
-fn sum(bytes: &[u8]) -> u64 {
-    bytes
-        .iter()
-        .fold(0xcbf2_9ce4_8422_2325, |sum, byte| (sum ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3))
-}
-
 /// Bytes at a place of a file; as many as there are.
 pub trait Bytes {
     fn at(&self, place: u64, buffer: &mut [u8]) -> usize;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod logging;
 mod message;
 pub mod net;
+pub mod peers;
 pub mod policy;
 pub mod rehearsal;
 mod state;
--- a/src/net/back.rs
+++ b/src/net/back.rs
@@ -362,7 +362,10 @@
 
 /// `X-Server-Load: inflight=7,queue=2`; a value that is no number of requests tells nothing.
 pub(super) fn load(headers: &HeaderMap) -> Load {
-    let text = headers.get(LOAD).and_then(|value| value.to_str().ok()).unwrap_or("");
+    read_load(headers.get(LOAD).and_then(|value| value.to_str().ok()).unwrap_or(""))
+}
+
+fn read_load(text: &str) -> Load {
     let fields = text.split(',').filter_map(|field| field.trim().split_once('='));
     let mut queues = fields.filter(|(name, _)| matches!(*name, "queue" | "backlog"));
     let queue = queues.next().and_then(|(_, value)| value.parse::<f64>().ok());
@@ -380,7 +383,8 @@
 pub struct Forward {
     pub method: Method,
     pub target: Uri,
-    pub id: HeaderValue,
+    /// `None`: a probe, which is no client's request.
+    pub id: Option<HeaderValue>,
     pub key: Option<HeaderValue>,
     pub payload: Payload,
     /// How long the client waits.
@@ -460,7 +464,9 @@
         *request.uri_mut() = self.target.clone();
         let headers = request.headers_mut();
         headers.insert(HOST, host);
-        headers.insert(REQUEST_ID, self.id.clone());
+        if let Some(id) = &self.id {
+            headers.insert(REQUEST_ID, id.clone());
+        }
         headers.insert(TIMEOUT, HeaderValue::from((left.as_millis() as u64).max(1)));
         if let Payload::Coming { length: Some(length), .. } = &self.payload {
             headers.insert(CONTENT_LENGTH, HeaderValue::from(*length));
@@ -484,6 +490,30 @@
     }
 }
 
+/// Probes of nodes: whether one answers, and where reports come only so, its load.
+pub struct ProbeWork {
+    pub back: Back,
+    pub load: bool,
+}
+
+impl Work for ProbeWork {
+    fn attempt(&self, a_try: Try) -> Attempt {
+        let (back, load) = (self.back.clone(), self.load);
+        let target = Uri::from_static(if load { "/metrics/load" } else { "/alive" });
+        let payload = Payload::Held { body: Bytes::new(), _memory: None };
+        let wait = a_try.answer_by.saturating_duration_since(Instant::now());
+        let (method, begins) = (Method::GET, Mutex::new(None));
+        let forward = Forward { method, target, id: None, key: None, payload, wait, begins };
+        Box::pin(async move {
+            let report = back.attempt(Arc::new(forward), a_try).await;
+            match std::str::from_utf8(&report.body) {
+                Ok(text) if load && report.end == End::Answered => Report { load: read_load(text), ..report },
+                _ => report,
+            }
+        })
+    }
+}
+
 /// What one exchange has written to and read from its socket.
 #[derive(Clone, Debug)]
 struct Wire(Arc<Mutex<Progress>>);
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -255,7 +255,7 @@
         let forward = Forward {
             method: head.method.clone(),
             target: head.uri.path_and_query().map_or_else(Uri::default, |target| target.clone().into()),
-            id: id.clone(),
+            id: Some(id.clone()),
             key: head.headers.get(IDEMPOTENCY_KEY).cloned(),
             payload,
             wait,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,7 @@
 pub mod ids;
 pub mod ops;
 pub mod passed;
+pub mod peers;
 pub mod places;
 pub mod pool;
 pub mod sftp;
--- a/src/rehearsal/stage.rs
+++ b/src/rehearsal/stage.rs
@@ -133,6 +133,8 @@
 #[derive(Clone, Debug)]
 pub struct Setup {
     pub site: Site,
+    /// One of 40 heads, which may probe nodes and hear of their load only so; nothing is reserved.
+    pub crowd: bool,
     /// Every class's deadline.
     pub deadline: Duration,
     pub sockets: usize,
@@ -161,6 +163,7 @@
         let keepalive = Duration::from_secs(30);
         Setup {
             site: SITE.get(),
+            crowd: false,
             deadline: STUCK,
             sockets: 1024,
             files: false,
@@ -434,6 +437,12 @@
         settings["contract"]["stop_sending_within"] = json!(250_000);
         settings["domain"]["use_period"] = json!(0);
     }
+    if setup.crowd {
+        settings["balancers"] = json!(40);
+        settings["report"] = json!({"fields": ["backlog"], "how": "pull"});
+        settings["policy_limits"]["probing"] = json!(true);
+        settings["plans"][0]["floor_rate"] = json!(0);
+    }
     settings
 }
 
--- a/tests/head.rs
+++ b/tests/head.rs
@@ -288,6 +288,18 @@
     assert!(served);
 }
 
+#[test]
+fn a_probe_asks_a_brick_for_its_load_under_no_clients_id() {
+    let stage = stage_with(Setup { crowd: true, ..Setup::default() });
+    let mut client = stage.client();
+    assert_eq!(client.ask("token-read", LONG, b"").unwrap().0, 200);
+    let mut heads = [stage.taken().0, stage.taken().0];
+    heads.sort_by_key(|head| head.starts_with("GET /metrics/load HTTP/1.1\r\n"));
+    assert_eq!(header(&heads[0], "x-request-id"), Some(&client.id[..]));
+    assert!(heads[1].starts_with("GET /metrics/load "), "{heads:?}");
+    assert_eq!(header(&heads[1], "x-request-id"), None);
+}
+
 #[test]
 fn an_idle_connection_is_dropped_by_the_head_before_the_brick_would() {
     let stage = stage_with(Setup { keepalive: Duration::from_secs(1), ..Setup::default() });
