--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -25,6 +25,9 @@
 /// Descriptors that are held whatever comes: standard streams, listeners, runtimes, the watch and the one that it moves
 /// to, the log's collector, and the locks and the passed socket of an upgrade.
 const FIXED: usize = 24;
+/// And the files of ids that both processes of an upgrade read, and the socket for other heads' datagrams.
+const ID_FILES: usize = 2;
+const TALK_SOCKET: usize = 1;
 /// The part for clients that have come while others are still on their way out.
 const SPARE_PART: f64 = 0.12;
 /// The part for operators' calls, set aside from all others, and as many as there are in any case.
@@ -296,7 +299,8 @@
             Talking { listen, peers, all }
         });
         let callers = part(OPS_PART).max(LEAST_CALLERS);
-        let others = part(CLIENT_PART) + part(NODE_PART) + callers + FIXED;
+        let files = passed_socket.map_or(0, |_| ID_FILES) + talk.as_ref().map_or(0, |_| TALK_SOCKET);
+        let others = part(CLIENT_PART) + part(NODE_PART) + callers + FIXED + files;
         Ok(Config {
             keys,
             talk,
@@ -479,9 +483,14 @@
         for (sockets, memory_mb) in [(256, 32), (256, 192), (384, 48), (576, 64), (1000, 192), (1024, 32)] {
             let limits = format!("\"memory_mb\":{memory_mb},\"sockets\":{sockets}");
             let text = GOOD.replace("\"memory_mb\":192,\"sockets\":1000", &limits);
-            let config = Config::read(&text, |_| None).unwrap();
+            let text = text.replace("\"odd\":[1]", "\"peer_listen\":\"127.0.0.1:1\"");
+            let text = text.replace("\"policy_limits\":{", "\"policy_limits\":{\"peers\":true,");
+            let passed = |key: &str| (key == "GW_PASSED_SOCKET").then(|| "7".to_string());
+            let config = Config::read(&text, passed).unwrap();
+            assert!(config.talk.is_some() && config.passed_socket.is_some());
             let clients = config.clients.most + config.clients.spare;
-            let all = clients + config.node_connections.most + config.ops_callers + FIXED;
+            let held = FIXED + ID_FILES + TALK_SOCKET;
+            let all = clients + config.node_connections.most + config.ops_callers + held;
             assert!(all <= sockets, "{all} of {sockets} descriptors");
             // A client's place for every open request, and more than the third that clients hold for them.
             assert!(config.max_open < config.clients.most && config.clients.most > sockets / 3);
--- a/tests/head.rs
+++ b/tests/head.rs
@@ -1,7 +1,7 @@
 //! The built head on real sockets: one test for each rule of the platform's protocol.
 
 use pathbank::rehearsal::brick::{Act, Brick, Seen, answer};
-use pathbank::rehearsal::stage::{Discovery, Head, HttpClient, Setup, entry};
+use pathbank::rehearsal::stage::{Discovery, Head, HttpClient, Setup, Site, entry};
 use pathbank::rehearsal::{header, wait_for};
 use serde_json::json;
 use std::io::{Read, Write};
@@ -316,11 +316,16 @@
 
 #[test]
 fn a_silent_watch_is_broken_and_asked_for_again() {
-    let stage = stage(1024);
-    stage.discovery.watches.recv().unwrap();
-    stage.discovery.fall_silent();
-    stage.head.logged("silent past its beat").unwrap();
-    wait_for(&stage.discovery.watches, "a second watch", |()| true).unwrap();
+    // Asked for by the module where discovery is asked, kept up unasked where lists are pushed.
+    let stages = Site::ALL.map(|site| stage_with(Setup { site, ..Setup::default() }));
+    for stage in &stages {
+        stage.discovery.watches.recv().unwrap();
+        stage.discovery.fall_silent();
+    }
+    for stage in &stages {
+        stage.head.logged("silent past its beat").unwrap();
+        wait_for(&stage.discovery.watches, "a second watch", |()| true).unwrap();
+    }
 }
 
 #[test]
@@ -344,7 +349,12 @@
 
 #[test]
 fn each_sighup_moves_the_watch_and_loses_nothing() {
-    let stage = stage(1024);
+    for site in Site::ALL {
+        sighups_move_the_watch(stage_with(Setup { site, ..Setup::default() }));
+    }
+}
+
+fn sighups_move_the_watch(stage: Stage) {
     let (release, held) = channel();
     stage.brick.next(Act::Hold(held));
     let mut client = stage.client();
