Agreement on disk: one file of redb, whole batches, digests of all before, and settings that count at once

A voter has to remember what it said. Its disk is one redb file, synced before a word leaves; entries stay with the digest of all before them; verify finds the first that was changed and names gaps; an empty, cut, foreign or later file is refused, and a new disk is a new voter.

--- a/src/agree/ledger.rs
+++ b/src/agree/ledger.rs
@@ -6,7 +6,7 @@
 use super::{Command, Entry, Index};
 use ring::digest;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 /// So many edits are told apart from those that come a second time; an older one that comes again meets its own base.
@@ -188,6 +188,13 @@
         Ok((Pending { index: self.read, after, voters: false, long }, weight))
     }
 
+    /// The names of a document's fields, in force or prepared.
+    pub fn fields(&self, document: &str) -> BTreeSet<&str> {
+        let pending = self.pending.iter().filter_map(|pending| pending.after.get(document));
+        let documents = self.in_force.get(document).into_iter().chain(pending);
+        documents.flat_map(|document| document.fields.keys()).map(String::as_str).collect()
+    }
+
     /// What a head acts on that knows this much: what is in force, and nothing that a prepared edit forbids.
     pub fn acting(&self, document: &str, field: &str) -> Option<Value> {
         let pending = self.pending.iter().filter_map(|pending| pending.after.get(document));
--- a/src/agree/voter.rs
+++ b/src/agree/voter.rs
@@ -49,11 +49,12 @@
     /// The log ends here.
     Cut(Index),
     Put(Index, Entry),
-    /// All up to there came to this. `whole`: it came from another voter, and is in place of what the log holds.
+    /// All up to there came to this. `whole`: it came from another voter, and is in place of what the log holds; of that,
+    /// so many entries were for good.
     Snapshot {
         ledger: Box<Ledger>,
         term: Term,
-        whole: bool,
+        whole: Option<Index>,
     },
 }
 
@@ -70,7 +71,7 @@
                 self.log.push(entry.clone());
             }
             Save::Snapshot { ledger, term, whole } => {
-                if *whole {
+                if whole.is_some() {
                     (self.first, self.first_term) = (ledger.read(), *term);
                     self.log.clear();
                 }
@@ -279,7 +280,7 @@
 
     fn save(&mut self, save: Save, out: &mut Output) {
         self.saved.keep(&save);
-        if matches!(save, Save::Cut(_) | Save::Snapshot { whole: true, .. })
+        if matches!(save, Save::Cut(_) | Save::Snapshot { whole: Some(_), .. })
             || matches!(&save, Save::Put(_, Entry { command: Command::Voters(_), .. }))
         {
             self.read_voters();
@@ -424,8 +425,9 @@
                 if self.follows(now, draw, from, term, out) {
                     (yes, matched) = (true, ledger.read());
                     if ledger.read() > self.commit {
+                        let whole = Some(self.commit);
                         (self.commit, self.ledger) = (ledger.read(), (*ledger).clone());
-                        self.save(Save::Snapshot { ledger, term: last_term, whole: true }, out);
+                        self.save(Save::Snapshot { ledger, term: last_term, whole }, out);
                         self.keep_barrier(out);
                     }
                 }
@@ -599,7 +601,7 @@
         }
         let term = self.saved.term_at(self.commit).unwrap_or(0);
         let ledger = Box::new(self.ledger.clone());
-        self.save(Save::Snapshot { ledger, term, whole: false }, out);
+        self.save(Save::Snapshot { ledger, term, whole: None }, out);
         let gone = if bytes > KEPT_BYTES { counted } else { counted - self.times.kept.min(counted) };
         let first = self.saved.first + gone as Index;
         self.saved.first_term = self.saved.term_at(first).unwrap_or(0);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -46,6 +46,14 @@
     pub reports: Reports,
 }
 
+impl Settings {
+    /// A plan's figures; those of one that nobody knows weigh and are worth as much as any.
+    pub fn plan(&self, number: usize) -> Plan {
+        let unknown = Plan { weight: 1.0, price: 1.0, ..Plan::default() };
+        self.plans.get(number).copied().unwrap_or(unknown)
+    }
+}
+
 /// With what nodes send reports of their load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Reports {
--- a/src/logging/spool.rs
+++ b/src/logging/spool.rs
@@ -388,82 +388,11 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use std::io;
-    use std::sync::Arc;
-
-    /// A disk in memory that may die after so many bytes, or be full.
-    #[derive(Clone, Debug, Default)]
-    struct Disk(Arc<Mutex<Image>>);
-
-    #[derive(Debug, Default)]
-    struct Image {
-        bytes: Vec<u8>,
-        /// As it stood when it was last synced.
-        synced: Vec<u8>,
-        /// Bytes that may still be written; with none left it is dead.
-        left: Option<usize>,
-        full: bool,
-    }
-
-    impl Disk {
-        fn image(&self) -> MutexGuard<'_, Image> {
-            self.0.lock().unwrap()
-        }
-
-        fn of(bytes: Vec<u8>) -> Disk {
-            Disk(Arc::new(Mutex::new(Image { synced: bytes.clone(), bytes, ..Image::default() })))
-        }
-
-        fn spool(&self, limits: &SpoolLimits) -> Spool {
-            let disk = self.clone();
-            Spool::on(move || disk.clone(), limits)
-        }
-    }
-
-    impl StorageBackend for Disk {
-        fn len(&self) -> io::Result<u64> {
-            Ok(self.image().bytes.len() as u64)
-        }
-
-        fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()> {
-            let (image, from) = (self.image(), offset as usize);
-            let bytes = image.bytes.get(from..from + out.len());
-            out.copy_from_slice(bytes.ok_or(io::ErrorKind::UnexpectedEof)?);
-            Ok(())
-        }
+    use crate::rehearsal::disk::Disk;
 
-        fn set_len(&self, length: u64) -> io::Result<()> {
-            let mut image = self.image();
-            if image.left == Some(0) || image.full && length as usize > image.bytes.len() {
-                return Err(io::ErrorKind::StorageFull.into());
-            }
-            image.bytes.resize(length as usize, 0);
-            Ok(())
-        }
-
-        fn sync_data(&self) -> io::Result<()> {
-            let mut image = self.image();
-            if image.left == Some(0) {
-                return Err(io::Error::other("the machine is off"));
-            }
-            image.synced = image.bytes.clone();
-            Ok(())
-        }
-
-        fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
-            let mut image = self.image();
-            if image.full {
-                return Err(io::ErrorKind::StorageFull.into());
-            }
-            let taken = image.left.map_or(data.len(), |left| left.min(data.len()));
-            let from = offset as usize;
-            if image.bytes.len() < from + taken {
-                image.bytes.resize(from + taken, 0);
-            }
-            image.bytes[from..from + taken].copy_from_slice(&data[..taken]);
-            image.left = image.left.map(|left| left - taken);
-            if taken < data.len() { Err(io::Error::other("the machine is off")) } else { Ok(()) }
-        }
+    fn opened(disk: &Disk, limits: &SpoolLimits) -> Spool {
+        let disk = disk.clone();
+        Spool::on(move || disk.clone(), limits)
     }
 
     fn limits(bytes: u64) -> SpoolLimits {
@@ -487,7 +416,7 @@
     #[test]
     fn lines_are_kept_in_order_until_they_are_released_and_outlive_the_program() {
         let disk = Disk::default();
-        let spool = disk.spool(&limits(1 << 20));
+        let spool = opened(&disk, &limits(1 << 20));
         spool.append(batch(INFO, 0..5));
         spool.append(batch(Severity::Error, 5..8));
         assert_eq!(lines(&spool), (0..8).map(line).collect::<Vec<_>>());
@@ -497,7 +426,7 @@
         assert_eq!((spool.lines(), lines(&spool).len()), (5, 5));
         spool.append(batch(INFO, 8..9));
         drop(spool);
-        let spool = disk.spool(&limits(1 << 20));
+        let spool = opened(&disk, &limits(1 << 20));
         assert_eq!(lines(&spool), (3..9).map(line).collect::<Vec<_>>());
         spool.append(batch(INFO, 9..10));
         assert_eq!(lines(&spool).last(), Some(&line(9)));
@@ -507,7 +436,7 @@
     #[test]
     fn a_crash_at_any_byte_loses_no_line_that_was_taken() {
         let taken = |disk: &Disk| {
-            let spool = disk.spool(&limits(1 << 20));
+            let spool = opened(&disk, &limits(1 << 20));
             let mut safe = 0;
             for i in 0..8 {
                 spool.append(batch(INFO, i * 10..i * 10 + 10));
@@ -530,7 +459,7 @@
             let image = disk.image();
             // What was written since the last sync is there, or is not.
             for bytes in [image.bytes.clone(), image.synced.clone()] {
-                let again = Disk::of(bytes).spool(&limits(1 << 20));
+                let again = opened(&Disk::of(bytes), &limits(1 << 20));
                 let all = lines(&again);
                 assert!(all.len() as u64 >= safe, "{} of {safe} lines after {left} bytes", all.len());
                 assert_eq!(all, (0..all.len() as u64).map(line).collect::<Vec<_>>(), "after {left} bytes");
@@ -544,7 +473,7 @@
     #[test]
     fn a_full_disk_is_told_once_lines_wait_in_memory_and_go_on_in_order() {
         let disk = Disk::default();
-        let spool = disk.spool(&limits(1 << 20));
+        let spool = opened(&disk, &limits(1 << 20));
         spool.append(batch(INFO, 0..3));
         disk.image().full = true;
         spool.append(batch(INFO, 3..5));
@@ -557,9 +486,9 @@
         assert!(spool.state().pending.is_empty());
         assert_eq!(lines(&spool), (0..7).map(line).collect::<Vec<_>>());
         drop(spool);
-        assert_eq!(lines(&disk.spool(&limits(1 << 20))).len(), 7);
+        assert_eq!(lines(&opened(&disk, &limits(1 << 20))).len(), 7);
         // With the disk full for long, memory is bounded too, and the least severe go.
-        let spool = disk.spool(&limits(1 << 20));
+        let spool = opened(&disk, &limits(1 << 20));
         spool.release(7);
         disk.image().full = true;
         spool.append(vec![(Severity::Error, "E", vec![b'e'; 1000])]);
@@ -575,7 +504,7 @@
     #[test]
     fn over_its_bound_the_least_severe_and_oldest_go_and_are_told() {
         let disk = Disk::default();
-        let spool = disk.spool(&limits(2_000));
+        let spool = opened(&disk, &limits(2_000));
         spool.append(vec![(Severity::Error, "E", vec![b'e'; 400])]);
         for i in 0..10u8 {
             spool.append(vec![(INFO, "X", vec![i; 400])]);
@@ -590,14 +519,14 @@
     fn lines_go_with_their_age_and_a_clock_that_is_set_back_loses_none() {
         const HOUR: Micros = 3_600_000_000;
         let disk = Disk::default();
-        let spool = disk.spool(&limits(1 << 20));
+        let spool = opened(&disk, &limits(1 << 20));
         spool.append_at(100 * HOUR, batch(INFO, 0..2));
         spool.append_at(90 * HOUR, batch(INFO, 2..4));
         spool.append_at(90 * HOUR + 1, batch(INFO, 4..5));
         assert_eq!(lines(&spool), (0..5).map(line).collect::<Vec<_>>(), "in the order in which they came");
         assert!(spool.dropped().is_empty());
         drop(spool);
-        let spool = disk.spool(&limits(1 << 20));
+        let spool = opened(&disk, &limits(1 << 20));
         assert_eq!(lines(&spool).len(), 5);
         spool.append_at(101 * HOUR - 1, batch(INFO, 5..6));
         assert_eq!(spool.lines(), 6, "an hour is their age");
--- /dev/null
+++ b/src/net/agree/disk.rs
@@ -0,0 +1,577 @@
+//! A voter's disk: one file of redb, where a batch is whole or not there at all after a crash at any byte, and is synced
+//! before `save` returns. The log's entries stay, each with the digest of all before it, so that a changed past shows;
+//! the ledger beside them spares reading them all at a start.
+
+use crate::agree::ledger::{Digest, Ledger, digest_after};
+use crate::agree::voter::{Save, Saved, Starts};
+use crate::agree::{Entry, Index, Term, VoterId};
+use redb::{Database, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition, WriteTransaction};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::fs::OpenOptions;
+use std::path::{Path, PathBuf};
+
+const LOG: TableDefinition<u64, &[u8]> = TableDefinition::new("log");
+const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
+/// The other voters' last known starts.
+const KNOWN: TableDefinition<u64, u64> = TableDefinition::new("known");
+/// Where a part of the log begins that came without what was before it.
+const BASES: TableDefinition<u64, &[u8]> = TableDefinition::new("bases");
+const FILE: &str = "agree.redb";
+/// What the file holds, in this form.
+const SCHEMA: u64 = 1;
+const CACHE: usize = 4 * 1024 * 1024;
+
+#[derive(Debug)]
+pub enum DiskError {
+    /// A voter that has lost its disk is not this voter any more.
+    Absent(PathBuf),
+    /// A new disk is never made over an old one.
+    There(PathBuf),
+    /// It is not what it should be.
+    Foreign {
+        what: String,
+    },
+    Schema(u64),
+    Store(redb::Error),
+    Io(std::io::Error),
+}
+
+impl fmt::Display for DiskError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            DiskError::Absent(path) => {
+                write!(
+                    f,
+                    "{}: no voter's disk is there; `pathbank agree init` makes a new voter",
+                    path.display()
+                )
+            }
+            DiskError::There(path) => write!(f, "{}: a voter's disk is there already", path.display()),
+            DiskError::Foreign { what } => write!(f, "the disk is foreign or damaged: {what}"),
+            DiskError::Schema(found) => write!(f, "the disk has form {found}, this program knows {SCHEMA}"),
+            DiskError::Store(problem) => write!(f, "{problem}"),
+            DiskError::Io(problem) => write!(f, "{problem}"),
+        }
+    }
+}
+
+impl std::error::Error for DiskError {}
+
+impl<E: Into<redb::Error>> From<E> for DiskError {
+    fn from(problem: E) -> Self {
+        DiskError::Store(problem.into())
+    }
+}
+
+fn foreign(what: impl fmt::Display) -> DiskError {
+    DiskError::Foreign { what: what.to_string() }
+}
+
+#[derive(Serialize, Deserialize)]
+struct Vote {
+    term: Term,
+    voted: Option<VoterId>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Snapshot {
+    ledger: Ledger,
+    term: Term,
+}
+
+/// What a check of the whole log found.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Verified {
+    pub entries: u64,
+    pub last: Index,
+    /// Entries that are not here, from and to: all that they came to was taken over from another voter.
+    pub gaps: Vec<(Index, Index)>,
+    /// The first entry that is not what was written.
+    pub wrong: Option<Index>,
+}
+
+/// An entry as others are told it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    pub index: Index,
+    /// Of this entry and all before it, in hexadecimal digits.
+    pub digest: String,
+    pub entry: Entry,
+}
+
+pub fn hex(digest: &Digest) -> String {
+    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+#[derive(Debug)]
+pub struct Disk {
+    database: Database,
+    id: VoterId,
+    /// The last entry, and the digest up to it.
+    last: Index,
+    digest: Digest,
+    /// The ledger's on disk: where the log begins if there are no entries behind it.
+    base: (Index, Digest),
+}
+
+/// Bounds the file: what would make it grow beyond that finds no room.
+#[derive(Debug)]
+struct Bounded<B> {
+    inner: B,
+    most: u64,
+}
+
+impl<B: StorageBackend> StorageBackend for Bounded<B> {
+    fn len(&self) -> std::io::Result<u64> {
+        self.inner.len()
+    }
+    fn read(&self, offset: u64, out: &mut [u8]) -> std::io::Result<()> {
+        self.inner.read(offset, out)
+    }
+    fn set_len(&self, len: u64) -> std::io::Result<()> {
+        if len > self.most && len > self.inner.len()? {
+            return Err(std::io::Error::new(
+                std::io::ErrorKind::StorageFull,
+                "the voter's disk has its most bytes",
+            ));
+        }
+        self.inner.set_len(len)
+    }
+    fn sync_data(&self) -> std::io::Result<()> {
+        self.inner.sync_data()
+    }
+    fn write(&self, offset: u64, data: &[u8]) -> std::io::Result<()> {
+        self.inner.write(offset, data)
+    }
+    fn close(&self) -> std::io::Result<()> {
+        self.inner.close()
+    }
+}
+
+pub fn path(folder: &Path) -> PathBuf {
+    folder.join(FILE)
+}
+
+impl Disk {
+    /// Makes a new voter's disk.
+    pub fn create(folder: &Path, id: VoterId) -> Result<(), DiskError> {
+        let path = path(folder);
+        std::fs::create_dir_all(folder).map_err(DiskError::Io)?;
+        match OpenOptions::new().read(true).write(true).create_new(true).open(&path) {
+            Ok(file) => {
+                let database = redb::Builder::new()
+                    .set_cache_size(CACHE)
+                    .create_with_backend(redb::backends::FileBackend::new(file)?)?;
+                Disk::begin(&database, id)?;
+                drop(database);
+                // The folder too has to know the file after a crash.
+                std::fs::File::open(folder).and_then(|folder| folder.sync_all()).map_err(DiskError::Io)
+            }
+            Err(problem) if problem.kind() == std::io::ErrorKind::AlreadyExists => {
+                Err(DiskError::There(path))
+            }
+            Err(problem) => Err(DiskError::Io(problem)),
+        }
+    }
+
+    fn begin(database: &Database, id: VoterId) -> Result<(), DiskError> {
+        let write = database.begin_write()?;
+        {
+            let mut meta = write.open_table(META)?;
+            put(&mut meta, "schema", &SCHEMA)?;
+            put(&mut meta, "id", &id)?;
+            write.open_table(LOG)?;
+            write.open_table(KNOWN)?;
+            write.open_table(BASES)?;
+        }
+        write.commit()?;
+        Ok(())
+    }
+
+    /// Opens a voter's disk for one more start. `most`: bytes that the file may have.
+    pub fn open(folder: &Path, most: u64) -> Result<(Disk, Saved), DiskError> {
+        let path = path(folder);
+        let file = match OpenOptions::new().read(true).write(true).open(&path) {
+            Ok(file) => file,
+            Err(problem) if problem.kind() == std::io::ErrorKind::NotFound => {
+                return Err(DiskError::Absent(path));
+            }
+            Err(problem) => return Err(DiskError::Io(problem)),
+        };
+        // An empty file would be taken for a new one.
+        if file.metadata().map_err(DiskError::Io)?.len() == 0 {
+            return Err(foreign("the file is empty"));
+        }
+        // One process at a time, for as long as the file is open.
+        file.try_lock().map_err(|_| foreign("another process has it"))?;
+        Disk::on(Bounded { inner: redb::backends::FileBackend::new(file)?, most })
+    }
+
+    /// On anything that holds bytes.
+    pub fn on(backend: impl StorageBackend) -> Result<(Disk, Saved), DiskError> {
+        let database = redb::Builder::new().set_cache_size(CACHE).create_with_backend(backend)?;
+        let mut disk =
+            Disk { database, id: 0, last: 0, digest: Digest::default(), base: (0, Digest::default()) };
+        let saved = disk.load()?;
+        Ok((disk, saved))
+    }
+
+    pub fn id(&self) -> VoterId {
+        self.id
+    }
+
+    fn load(&mut self) -> Result<Saved, DiskError> {
+        let read = self.database.begin_read()?;
+        let meta = read.open_table(META).map_err(|_| foreign("it is no voter's"))?;
+        let schema: u64 = get(&meta, "schema")?.ok_or_else(|| foreign("it has no form"))?;
+        if schema != SCHEMA {
+            return Err(DiskError::Schema(schema));
+        }
+        self.id = get(&meta, "id")?.ok_or_else(|| foreign("it has no number"))?;
+        let mut saved =
+            Saved { starts: get::<Starts>(&meta, "starts")?.unwrap_or(0) + 1, ..Saved::default() };
+        if let Some(Vote { term, voted }) = get(&meta, "vote")? {
+            (saved.term, saved.voted) = (term, voted);
+        }
+        saved.barrier = get(&meta, "barrier")?.unwrap_or(0);
+        if let Some(Snapshot { ledger, term }) = get(&meta, "snapshot")? {
+            (saved.first, saved.first_term, saved.ledger_term) = (ledger.read(), term, term);
+            saved.ledger = ledger;
+        }
+        for entry in read.open_table(KNOWN)?.iter()? {
+            let (id, starts) = entry?;
+            saved.known.insert(id.value(), starts.value());
+        }
+        self.base = (saved.first, *saved.ledger.digest());
+        (self.last, self.digest) = self.base;
+        let log = read.open_table(LOG)?;
+        for row in log.range(saved.first + 1..)? {
+            let (index, value) = row?;
+            let (digest, entry) = split(index.value(), value.value())?;
+            if index.value() != self.last + 1 || digest != digest_after(&self.digest, &entry) {
+                return Err(foreign(format!("entry {} does not follow on {}", index.value(), self.last)));
+            }
+            (self.last, self.digest) = (index.value(), digest);
+            saved.log.push(entry);
+        }
+        drop(read);
+        // Before anything is said in this start: it is one more.
+        let write = self.database.begin_write()?;
+        put(&mut write.open_table(META)?, "starts", &saved.starts)?;
+        write.commit()?;
+        Ok(saved)
+    }
+
+    /// All of it, or nothing; on disk when this returns. After an error the disk is to be opened anew.
+    pub fn save(&mut self, saves: &[Save]) -> Result<(), DiskError> {
+        if saves.is_empty() {
+            return Ok(());
+        }
+        let write = self.database.begin_write()?;
+        for save in saves {
+            self.put(&write, save)?;
+        }
+        write.commit()?;
+        Ok(())
+    }
+
+    fn put(&mut self, write: &WriteTransaction, save: &Save) -> Result<(), DiskError> {
+        let mut meta = write.open_table(META)?;
+        match save {
+            Save::Vote { term, voted } => put(&mut meta, "vote", &Vote { term: *term, voted: *voted })?,
+            Save::Barrier(to) => put(&mut meta, "barrier", to)?,
+            Save::Known(id, starts) => drop(write.open_table(KNOWN)?.insert(id, starts)?),
+            Save::Cut(at) => self.cut(write, *at)?,
+            Save::Put(at, entry) => {
+                if *at <= self.last {
+                    self.cut(write, at - 1)?;
+                }
+                self.digest = digest_after(&self.digest, entry);
+                let mut value = self.digest.to_vec();
+                serde_json::to_writer(&mut value, entry).map_err(foreign)?;
+                write.open_table(LOG)?.insert(at, value.as_slice())?;
+                self.last = *at;
+            }
+            Save::Snapshot { ledger, term, whole } => {
+                let (read, digest) = (ledger.read(), *ledger.digest());
+                put(&mut meta, "snapshot", &Snapshot { ledger: (**ledger).clone(), term: *term })?;
+                if let Some(kept) = whole {
+                    self.cut(write, *kept)?;
+                    if *kept < read {
+                        put(&mut write.open_table(BASES)?, read, &hex(&digest))?;
+                    }
+                    (self.last, self.digest) = (read, digest);
+                }
+                self.base = (read, digest);
+            }
+        }
+        Ok(())
+    }
+
+    fn cut(&mut self, write: &WriteTransaction, at: Index) -> Result<(), DiskError> {
+        let mut log = write.open_table(LOG)?;
+        log.retain_in(at + 1.., |_, _| false)?;
+        (self.last, self.digest) = match log.get(at)? {
+            Some(value) => (at, split(at, value.value())?.0),
+            None if at == self.base.0 => self.base,
+            None => (at, Digest::default()),
+        };
+        Ok(())
+    }
+
+    /// Entries after that one: so many at most, as others are told them.
+    pub fn records(&self, after: Index, most: usize) -> Result<Vec<Record>, DiskError> {
+        let log = self.database.begin_read()?.open_table(LOG)?;
+        let record = |row: Result<_, redb::StorageError>| {
+            let (index, value): (redb::AccessGuard<u64>, redb::AccessGuard<&[u8]>) = row?;
+            let (digest, entry) = split(index.value(), value.value())?;
+            Ok(Record { index: index.value(), digest: hex(&digest), entry })
+        };
+        log.range(after + 1..)?.take(most).map(record).collect()
+    }
+
+    /// Follows every entry's digest from the first one on, and the ledger's with them.
+    pub fn verify(&self) -> Result<Verified, DiskError> {
+        let read = self.database.begin_read()?;
+        let (log, bases) = (read.open_table(LOG)?, read.open_table(BASES)?);
+        let (mut found, mut digest) = (Verified::default(), Digest::default());
+        for row in log.iter()? {
+            let (index, value) = row?;
+            let index = index.value();
+            if index != found.last + 1 {
+                found.gaps.push((found.last + 1, index - 1));
+                let base = bases.get(index - 1)?.map(|base| serde_json::from_slice::<String>(base.value()));
+                match base.and_then(Result::ok).as_deref().and_then(digest_of) {
+                    Some(base) => digest = base,
+                    None => {
+                        found.wrong = Some(index);
+                        return Ok(found);
+                    }
+                }
+            }
+            let sound = split(index, value.value())
+                .ok()
+                .filter(|(told, entry)| *told == digest_after(&digest, entry));
+            let Some((told, _)) = sound else {
+                found.wrong = Some(index);
+                return Ok(found);
+            };
+            (digest, found.last, found.entries) = (told, index, found.entries + 1);
+            if index == self.base.0 && digest != self.base.1 {
+                found.wrong = Some(index);
+                return Ok(found);
+            }
+        }
+        Ok(found)
+    }
+}
+
+fn digest_of(text: &str) -> Option<Digest> {
+    let mut digest = Digest::default();
+    for (place, byte) in digest.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(text.get(2 * place..2 * place + 2)?, 16).ok()?;
+    }
+    Some(digest)
+}
+
+fn split(index: Index, value: &[u8]) -> Result<(Digest, Entry), DiskError> {
+    let whole = value
+        .split_first_chunk::<32>()
+        .and_then(|(digest, entry)| Some((*digest, serde_json::from_slice(entry).ok()?)));
+    whole.ok_or_else(|| foreign(format!("entry {index} is unreadable")))
+}
+
+fn get<T: DeserializeOwned>(
+    table: &impl ReadableTable<&'static str, &'static [u8]>,
+    key: &str,
+) -> Result<Option<T>, DiskError> {
+    let value = table.get(key)?;
+    value
+        .map(|value| serde_json::from_slice(value.value()))
+        .transpose()
+        .map_err(|problem| foreign(format!("{key}: {problem}")))
+}
+
+fn put<'k, K: redb::Key + 'static>(
+    table: &mut redb::Table<K, &'static [u8]>,
+    key: impl std::borrow::Borrow<K::SelfType<'k>>,
+    value: &impl Serialize,
+) -> Result<(), DiskError> {
+    table.insert(key, serde_json::to_vec(value).map_err(foreign)?.as_slice())?;
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::agree::Command;
+    use crate::agree::document::{Edit, Part, Value};
+    use crate::rehearsal::disk::Disk as Paper;
+    use std::collections::BTreeMap;
+
+    fn entry(i: u64) -> Entry {
+        let changes = BTreeMap::from([("x".to_string(), Some(Value::Plain(format!("{i}"))))]);
+        let parts = BTreeMap::from([("d".to_string(), Part { base: 0, changes })]);
+        let edit = Edit { id: i, parts, who: "ops".into(), why: "a test".into(), at_ms: i };
+        Entry { term: 1, command: Command::Edit(edit) }
+    }
+
+    fn ledger(to: u64) -> Box<Ledger> {
+        let mut ledger = Ledger::default();
+        (1..=to).for_each(|i| ledger.apply(&entry(i)));
+        Box::new(ledger)
+    }
+
+    fn new_paper() -> Paper {
+        let paper = Paper::default();
+        let database = redb::Builder::new().create_with_backend(paper.clone()).unwrap();
+        Disk::begin(&database, 77).unwrap();
+        drop(database);
+        paper
+    }
+
+    /// Batches as a voter writes them: votes, entries, cuts, snapshots of its own and of others.
+    fn batches() -> Vec<Vec<Save>> {
+        vec![
+            vec![Save::Vote { term: 3, voted: Some(9) }, Save::Known(9, 4)],
+            (1..=4).map(|i| Save::Put(i, entry(i))).collect(),
+            vec![Save::Cut(2), Save::Put(3, entry(3)), Save::Barrier(3)],
+            vec![Save::Snapshot { ledger: ledger(2), term: 1, whole: None }],
+            vec![Save::Put(3, entry(3)), Save::Put(4, entry(4)), Save::Vote { term: 4, voted: None }],
+            vec![Save::Snapshot { ledger: ledger(9), term: 2, whole: Some(3) }, Save::Barrier(9)],
+            vec![Save::Put(10, entry(10))],
+        ]
+    }
+
+    /// What is loaded is as if it had been kept in memory, but that memory may hold entries from before the ledger.
+    fn same(loaded: &Saved, kept: &Saved) -> bool {
+        let cut = (loaded.first - kept.first) as usize;
+        let rest = kept.log.get(cut..).unwrap_or_default();
+        (loaded.term, loaded.voted, loaded.barrier, &loaded.known)
+            == (kept.term, kept.voted, kept.barrier, &kept.known)
+            && loaded.ledger == kept.ledger
+            && loaded.log == rest
+    }
+
+    #[test]
+    fn a_machine_that_dies_at_any_byte_comes_back_with_all_of_a_batch_or_nothing() {
+        let batches = batches();
+        let mut states = vec![Saved::default()];
+        for batch in &batches {
+            let mut next = states[states.len() - 1].clone();
+            batch.iter().for_each(|save| next.keep(save));
+            states.push(next);
+        }
+        let written = |left: usize| -> (Paper, usize, usize) {
+            let paper = new_paper();
+            let (mut disk, _) = Disk::on(paper.clone()).unwrap();
+            paper.image().left = Some(left);
+            let done = batches.iter().take_while(|batch| disk.save(batch).is_ok()).count();
+            let used = left - paper.image().left.unwrap();
+            (paper, done, used)
+        };
+        let (_, done, whole) = written(usize::MAX);
+        assert_eq!(done, batches.len());
+        let (mut before, mut after) = (0, 0);
+        for left in (0..whole).step_by(whole / 100) {
+            let (paper, done, _) = written(left);
+            let images = {
+                let image = paper.image();
+                [image.bytes.clone(), image.synced.clone()]
+            };
+            for bytes in images {
+                let (disk, loaded) =
+                    Disk::on(Paper::of(bytes)).unwrap_or_else(|problem| panic!("{left}: {problem}"));
+                // What was said to be on disk is; the batch that it died in is there whole, or not at all.
+                let is = (done..=(done + 1).min(batches.len())).find(|state| same(&loaded, &states[*state]));
+                assert!(is.is_some(), "died after {left} of {whole} bytes, {done} batches done: {loaded:?}");
+                if is == Some(done) {
+                    before += 1
+                } else {
+                    after += 1
+                }
+                assert_eq!(disk.verify().unwrap().wrong, None, "{left}");
+            }
+        }
+        assert!(before > 0 && before + after > 190, "{before} {after}");
+    }
+
+    #[test]
+    fn a_full_disk_says_so_and_loses_nothing_that_it_had() {
+        let paper = new_paper();
+        let (mut disk, _) = Disk::on(paper.clone()).unwrap();
+        disk.save(&[Save::Put(1, entry(1)), Save::Vote { term: 2, voted: Some(1) }]).unwrap();
+        paper.image().full = true;
+        let snapshot = Save::Snapshot { ledger: ledger(1), term: 1, whole: None };
+        assert!(disk.save(&[snapshot]).is_err());
+        drop(disk);
+        paper.image().full = false;
+        let (disk, saved) = Disk::on(paper).unwrap();
+        assert_eq!((saved.term, saved.voted, saved.log.len(), saved.starts), (2, Some(1), 1, 2));
+        assert_eq!(disk.verify().unwrap(), Verified { entries: 1, last: 1, ..Verified::default() });
+    }
+
+    #[test]
+    fn a_changed_past_is_found_and_named_and_gaps_are_told() {
+        let paper = new_paper();
+        let (mut disk, _) = Disk::on(paper.clone()).unwrap();
+        batches().iter().for_each(|batch| disk.save(batch).unwrap());
+        let found = disk.verify().unwrap();
+        assert_eq!(found, Verified { entries: 4, last: 10, gaps: vec![(4, 9)], wrong: None });
+        drop(disk);
+        let database = redb::Builder::new().create_with_backend(paper.clone()).unwrap();
+        let write = database.begin_write().unwrap();
+        {
+            let mut log = write.open_table(LOG).unwrap();
+            let value = log.get(2).unwrap().unwrap().value().to_vec();
+            let forged = String::from_utf8_lossy(&value[32..]).replace("a test", "a lie!");
+            let value = [&value[..32], forged.as_bytes()].concat();
+            log.insert(2, value.as_slice()).unwrap();
+        }
+        write.commit().unwrap();
+        drop(database);
+        let (disk, _) = Disk::on(paper).unwrap();
+        assert_eq!(disk.verify().unwrap().wrong, Some(2));
+    }
+
+    #[test]
+    fn what_is_no_voters_disk_is_named_and_never_voted_on() {
+        let folder = std::env::temp_dir().join(format!("pathbank-disk-{}", std::process::id()));
+        let open = || Disk::open(&folder, 1 << 30);
+        assert!(matches!(open(), Err(DiskError::Absent(_))));
+        Disk::create(&folder, 5).unwrap();
+        assert!(matches!(Disk::create(&folder, 6), Err(DiskError::There(_))));
+        let (disk, saved) = open().unwrap();
+        assert_eq!((disk.id(), saved.starts), (5, 1));
+        assert!(matches!(open(), Err(DiskError::Foreign { .. })), "two processes have it");
+        drop(disk);
+        assert_eq!(open().unwrap().1.starts, 2);
+        let whole = std::fs::read(path(&folder)).unwrap();
+        let of = |bytes: &[u8]| {
+            std::fs::write(path(&folder), bytes).unwrap();
+            open().map(|(disk, _)| disk.id())
+        };
+        for (what, bytes) in [
+            ("empty", &b""[..]),
+            ("a text", b"not a database"),
+            ("cut", &whole[..whole.len() / 3]),
+            ("zeroes", &[0; 9000]),
+        ] {
+            assert!(of(bytes).is_err(), "{what}");
+        }
+        // Another database, and one of a later form.
+        for (key, value) in [("other", "1"), ("schema", "9")] {
+            std::fs::remove_file(path(&folder)).unwrap();
+            let database = Database::create(path(&folder)).unwrap();
+            let write = database.begin_write().unwrap();
+            put(&mut write.open_table(META).unwrap(), key, &serde_json::from_str::<u64>(value).unwrap())
+                .unwrap();
+            write.commit().unwrap();
+            drop(database);
+            assert!(matches!(open(), Err(DiskError::Foreign { .. } | DiskError::Schema(9))), "{key}");
+        }
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+}
--- /dev/null
+++ b/src/net/agree/mod.rs
@@ -0,0 +1,3 @@
+//! Agreement on real sockets and disks.
+
+pub mod disk;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,7 @@
-//! All that knows sockets: the three fronts, what is behind them, and discovery.
+//! All that knows sockets: the three fronts, what is behind them, discovery, and
+//! what heads say to each other.
 
+pub mod agree;
 pub mod back;
 pub mod body;
 pub mod discovery;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -234,7 +234,10 @@
             Event::Timer { token: RECHECK_TOKEN } => self.recheck_due = None,
             Event::Timer { token: SUBSCRIBE_TOKEN } => actions.push(Action::Subscribe),
             Event::Timer { token } => self.on_deadline(now, token, actions),
-            Event::Settings(settings) => self.settings = *settings,
+            Event::Settings(settings) => {
+                self.settings = *settings;
+                self.rescale(now, self.part);
+            }
             Event::Part { part } => self.on_part(now, part),
             Event::Probed { node, took, load, .. } => self.on_probed(now, node, took, load),
             // What waits looks at the news with the next recheck.
@@ -293,8 +296,7 @@
 
     fn on_request(&mut self, now: Micros, request: Request, actions: &mut Vec<Action>) {
         let Some(class) = self.settings.classes.get(request.class) else {
-            actions.push(Action::Fail { request: request.id });
-            return;
+            return actions.push(Action::Fail { request: request.id });
         };
         let aim_at = now + class.aim.min(request.time_left);
         let in_line = class.in_order && request.key != 0;
@@ -373,10 +375,8 @@
 
     /// The flow of a request's volume, awake and its arrival noted.
     fn flow(&mut self, now: Micros, request: &Request) -> FlowIx {
-        let plans = &self.settings.plans;
         let next = self.free_flows.last().copied().unwrap_or(self.flows.len());
-        let plan =
-            plans.get(request.plan).copied().unwrap_or(Plan { weight: 1.0, price: 1.0, ..Plan::default() });
+        let plan = self.settings.plan(request.plan);
         let ix = *self.flow_of.entry(request.volume).or_insert(next);
         if ix == next {
             // The limit's store is empty at this host's start: what it spent before that is not known.
@@ -393,7 +393,7 @@
         let flow = &mut self.flows[ix];
         // Under other figures of its plan it keeps what it has saved up, as far as they let it.
         flow.limit_room(now, self.part);
-        flow.plan = plan;
+        (flow.plan, flow.plan_number) = (plan, request.plan);
         let all = f64::from(self.settings.hosts.max(1));
         let hosts = if (1.0..=all).contains(&request.volume_hosts) { request.volume_hosts } else { all };
         flow.hosts = flow.hosts.max(hosts);
@@ -484,10 +484,7 @@
     /// Another instance of this host comes or has gone. Stores fill as before until now, and are cut to what
     /// they may hold now. One for a volume not seen here yet begins empty: the other one may have spent it.
     fn on_part(&mut self, now: Micros, part: f64) {
-        for flow in &mut self.flows {
-            flow.limit_room(now, self.part);
-            flow.limit_room(now, part);
-        }
+        self.rescale(now, part);
         self.started = if part >= self.part || self.flows.is_empty() { now } else { self.started };
         // What was learned of a node holds for the host: its tokens are shared out anew.
         let shared_out = part / std::mem::replace(&mut self.part, part);
@@ -496,6 +493,16 @@
         self.nodes.values_mut().for_each(depth);
     }
 
+    /// Other figures count at once, for what waits too: stores fill by the old ones up to now, and hold no
+    /// more than the new ones let them.
+    fn rescale(&mut self, now: Micros, part: f64) {
+        for flow in &mut self.flows {
+            flow.limit_room(now, self.part);
+            flow.plan = self.settings.plan(flow.plan_number);
+            flow.limit_room(now, part);
+        }
+    }
+
     fn on_probed(&mut self, now: Micros, id: NodeId, took: Micros, load: Load) {
         let aim = self.shortest_aim();
         let Some(node) = self.nodes.get_mut(&id) else { return };
@@ -506,11 +513,8 @@
     }
 
     fn on_peer(&mut self, now: Micros, from: u32, bytes: &[u8]) {
-        let Some(Message { shard, queue, took }) =
-            Message::read(bytes).filter(|_| from < self.settings.hosts)
-        else {
-            return;
-        };
+        let heard = Message::read(bytes).filter(|_| from < self.settings.hosts);
+        let Some(Message { shard, queue, took }) = heard else { return };
         let aim = self.shortest_aim();
         let Some(node) = self.nodes.values_mut().find(|n| n.ready && n.shard == shard) else { return };
         node.note_word(now, queue, took as f64, aim, self.usual_drain);
@@ -671,9 +675,7 @@
         let waiting = waiting.map(|(_, flow, _)| self.flows[flow].vt);
         let expected = self.flows.iter().filter(|f| f.queued == 0 && f.active(now)).map(|f| f.vt);
         let lowest = waiting.chain(expected).fold(f64::INFINITY, f64::min);
-        if lowest.is_finite() {
-            self.global_vt = lowest;
-        }
+        self.global_vt = if lowest.is_finite() { lowest } else { self.global_vt };
         self.global_vt
     }
 
@@ -724,9 +726,8 @@
 
     fn send(&mut self, now: Micros, id: RequestId, node_id: NodeId, actions: &mut Vec<Action>) {
         self.dequeue(now, id);
-        let (Some(held), Some(node)) = (self.requests.get_mut(&id), self.nodes.get_mut(&node_id)) else {
-            return;
-        };
+        let found = (self.requests.get_mut(&id), self.nodes.get_mut(&node_id));
+        let (Some(held), Some(node)) = found else { return };
         let flow = &mut self.flows[held.flow];
         flow.vt += held.units / if flow.plan.weight > 0.0 { flow.plan.weight } else { 1.0 };
         flow.in_flight += 1;
--- a/src/rehearsal/mod.rs
+++ b/src/rehearsal/mod.rs
@@ -6,6 +6,7 @@
 pub mod cases;
 pub mod client;
 pub mod daily_cases;
+pub mod disk;
 pub mod grpc;
 pub mod stage;
 pub mod store;
--- a/src/state.rs
+++ b/src/state.rs
@@ -55,6 +55,7 @@
 #[derive(Debug, Default)]
 pub struct Flow {
     pub plan: Plan,
+    pub plan_number: usize,
     pub hosts: f64,
     pub vt: f64,
     pub queued: usize,
