--- a/src/agree/mod.rs
+++ b/src/agree/mod.rs
@@ -5,6 +5,7 @@
 pub mod document;
 pub mod holder;
 pub mod ledger;
+pub mod report;
 pub mod rules;
 pub mod voter;
 
--- /dev/null
+++ b/src/agree/report.rs
@@ -0,0 +1,211 @@
+//! Documents and their history as people read and write them. No I/O.
+
+use super::document::{Document, Edit, Part, Repeats, Value};
+use super::{Command, Entry, Index};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+/// `limit:RATE[,LEAST]`, `attempts:N`, `repeats:never|keyed|always`, `node:in|out`, `plain:TEXT`; `none` takes a plain
+/// field out.
+pub fn parse_value(text: &str) -> Result<Option<Value>, String> {
+    let bad = || {
+        format!(
+            "{text:?} is no value: limit:RATE[,LEAST], attempts:N, repeats:never|keyed|always, node:in|out, plain:TEXT or none is due"
+        )
+    };
+    if text == "none" {
+        return Ok(None);
+    }
+    let (kind, rest) = text.split_once(':').ok_or_else(bad)?;
+    let number = |text: &str| text.parse::<f64>().ok().filter(|number| number.is_finite()).ok_or_else(bad);
+    Ok(Some(match (kind, rest) {
+        ("limit", rest) => {
+            let (rate, least) = rest.split_once(',').unwrap_or((rest, "0"));
+            Value::Limit { rate: number(rate)?, least: number(least)? }
+        }
+        ("attempts", rest) => Value::Attempts(rest.parse().map_err(|_| bad())?),
+        ("repeats", "never") => Value::Repeats(Repeats::Never),
+        ("repeats", "keyed") => Value::Repeats(Repeats::Keyed),
+        ("repeats", "always") => Value::Repeats(Repeats::Always),
+        ("node", "in") => Value::Node(true),
+        ("node", "out") => Value::Node(false),
+        ("plain", rest) => Value::Plain(rest.to_string()),
+        _ => return Err(bad()),
+    }))
+}
+
+pub fn value(value: &Value) -> String {
+    match value {
+        Value::Limit { rate, least } => format!("limit:{rate},{least}"),
+        Value::Attempts(most) => format!("attempts:{most}"),
+        Value::Repeats(Repeats::Never) => "repeats:never".into(),
+        Value::Repeats(Repeats::Keyed) => "repeats:keyed".into(),
+        Value::Repeats(Repeats::Always) => "repeats:always".into(),
+        Value::Node(true) => "node:in".into(),
+        Value::Node(false) => "node:out".into(),
+        Value::Plain(text) => format!("plain:{text}"),
+    }
+}
+
+/// One field and its value: `FIELD=VALUE`.
+pub fn parse_change(text: &str) -> Result<(String, Option<Value>), String> {
+    let (field, value) = text.split_once('=').ok_or_else(|| format!("{text:?}: FIELD=VALUE is due"))?;
+    if field.is_empty() || field.chars().any(char::is_control) {
+        return Err(format!("{text:?}: the field has no name that can be printed"));
+    }
+    Ok((field.to_string(), parse_value(value)?))
+}
+
+pub fn document(name: &str, document: &Document, note: &str) -> String {
+    let mut text = format!("{name} version {}{note}\n", document.version);
+    for (field, at) in &document.fields {
+        let _ = writeln!(text, "  {field}={} (since version {})", value(at), document.changed(field));
+    }
+    text
+}
+
+/// What an entry did, for a history of one document or of all.
+pub fn entry(index: Index, entry: &Entry, only: Option<&str>) -> Option<String> {
+    match &entry.command {
+        Command::Begin => None,
+        Command::Activate(to) => only.is_none().then(|| format!("{index}: in force up to {to}\n")),
+        Command::Voters(voters) => only.is_none().then(|| {
+            let voters: Vec<String> = voters.iter().map(|(id, at)| format!("{id} at {at}")).collect();
+            format!("{index}: voters {}\n", voters.join(", "))
+        }),
+        Command::Edit(edit) => {
+            let parts: Vec<(&String, &Part)> =
+                edit.parts.iter().filter(|(name, _)| only.is_none_or(|only| only == *name)).collect();
+            if parts.is_empty() {
+                return None;
+            }
+            let mut text =
+                format!("{index}: edit {} by {} at {}: {}\n", edit.id, edit.who, time(edit.at_ms), edit.why);
+            for (name, part) in parts {
+                for (field, change) in &part.changes {
+                    let to = change.as_ref().map_or("none".to_string(), value);
+                    let _ = writeln!(text, "  {name}.{field}={to} (on version {})", part.base);
+                }
+            }
+            Some(text)
+        }
+    }
+}
+
+fn time(at_ms: u64) -> String {
+    match jiff::Timestamp::from_millisecond(i64::try_from(at_ms).unwrap_or(i64::MAX)) {
+        Ok(time) => time.to_string(),
+        Err(_) => format!("{at_ms} ms"),
+    }
+}
+
+/// Every version of one document, from the log's beginning on. Edits that were refused made none.
+pub fn versions<'a>(entries: impl Iterator<Item = &'a Entry>, name: &str) -> Vec<Document> {
+    let (mut ledger, mut versions) = (super::ledger::Ledger::default(), vec![Document::default()]);
+    for entry in entries {
+        ledger.apply(entry);
+        if let Some(document) = ledger.latest(name)
+            && versions.last().is_some_and(|last| last.version < document.version)
+        {
+            versions.push(document.clone());
+        }
+    }
+    versions
+}
+
+/// The fields in which two versions differ.
+pub fn diff(before: &Document, after: &Document) -> String {
+    let mut text = String::new();
+    let fields: BTreeMap<&String, ()> =
+        before.fields.keys().chain(after.fields.keys()).map(|field| (field, ())).collect();
+    for field in fields.into_keys() {
+        let (was, is) = (before.fields.get(field), after.fields.get(field));
+        if was != is {
+            let told = |at: Option<&Value>| at.map_or("none".to_string(), value);
+            let _ = writeln!(text, "{field}: {} -> {}", told(was), told(is));
+        }
+    }
+    text
+}
+
+/// An edit of one document.
+pub fn edit(
+    id: u64,
+    name: &str,
+    base: u64,
+    changes: &[String],
+    (who, why, at_ms): (&str, &str, u64),
+) -> Result<Edit, String> {
+    let changes = changes.iter().map(|change| parse_change(change)).collect::<Result<_, _>>()?;
+    let parts = BTreeMap::from([(name.to_string(), Part { base, changes })]);
+    Ok(Edit { id, parts, who: who.into(), why: why.into(), at_ms })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn values_are_read_as_they_are_written_and_nothing_else_is() {
+        for text in [
+            "limit:10,2",
+            "limit:0.5,0",
+            "attempts:3",
+            "repeats:never",
+            "repeats:keyed",
+            "repeats:always",
+            "node:in",
+            "node:out",
+            "plain:a=b, c",
+            "plain:",
+        ] {
+            assert_eq!(parse_value(text).unwrap().as_ref().map(value).as_deref(), Some(text));
+        }
+        assert_eq!(parse_value("limit:10").unwrap().map(|at| value(&at)).as_deref(), Some("limit:10,0"));
+        assert_eq!(parse_value("none").unwrap(), None);
+        for text in [
+            "",
+            "10",
+            "limit:",
+            "limit:x",
+            "limit:inf",
+            "attempts:-1",
+            "attempts:1.5",
+            "repeats:often",
+            "node:maybe",
+            "colour:red",
+        ] {
+            assert!(parse_value(text).unwrap_err().contains("is due"), "{text}");
+        }
+        for text in ["limit:1", "=limit:1", "a\nb=limit:1"] {
+            assert!(parse_change(text).is_err(), "{text}");
+        }
+    }
+
+    #[test]
+    fn a_history_tells_each_version_and_what_changed_between_two() {
+        let edit = |id, base, change: &str| {
+            let edit = edit(id, "plan/gold", base, &[change.to_string()], ("ops", "less", 1_000)).unwrap();
+            Entry { term: 1, command: Command::Edit(edit) }
+        };
+        let entries =
+            [edit(1, 0, "limit=limit:9,1"), edit(2, 0, "limit=limit:5"), edit(3, 1, "limit=limit:4,1")];
+        let versions = versions(entries.iter(), "plan/gold");
+        assert_eq!(
+            versions.iter().map(|at| at.version).collect::<Vec<_>>(),
+            [0, 1, 2],
+            "the second was refused"
+        );
+        assert_eq!(diff(&versions[1], &versions[2]), "limit: limit:9,1 -> limit:4,1\n");
+        let told = entry(7, &entries[2], None).unwrap();
+        assert_eq!(
+            told,
+            "7: edit 3 by ops at 1970-01-01T00:00:01Z: less\n  plan/gold.limit=limit:4,1 (on version 1)\n"
+        );
+        assert_eq!(entry(7, &entries[2], Some("nodes")), None);
+        assert_eq!(
+            document("plan/gold", &versions[1], ""),
+            "plan/gold version 1\n  limit=limit:9,1 (since version 1)\n"
+        );
+    }
+}
--- a/src/bin/pathbank.rs
+++ b/src/bin/pathbank.rs
@@ -1,16 +1,19 @@
 //! One head: clients in front, nodes behind, the module between them.
 
+use pathbank::agree::rules::Rules;
 use pathbank::classes::{Directory, Numbers};
-use pathbank::clock::Clock;
+use pathbank::clock::{Clock, Pace};
+use pathbank::config::agree::Agreement;
 use pathbank::config::grpc::GrpcFront;
 use pathbank::config::sftp::SecondFront;
 use pathbank::config::syslog::Log;
 use pathbank::config::{Config, Talking};
-use pathbank::core::{Core, Handle, Input};
+use pathbank::core::{Agreed, Core, Handle, Input};
 use pathbank::event;
 use pathbank::interface::Reports;
 use pathbank::life::Phase;
 use pathbank::logging::{self, Logging};
+use pathbank::net::agree::{command, office};
 use pathbank::net::back::{Back, ProbeWork};
 use pathbank::net::discovery::Discovery;
 use pathbank::net::front::{self, Front};
@@ -41,6 +44,11 @@
 const LAST_LINES: Duration = Duration::from_millis(40);
 
 fn main() -> ExitCode {
+    // Operators' own words go first; a head is started with none.
+    let mut args = std::env::args();
+    if args.nth(1).as_deref() == Some("agree") {
+        return command::run(std::iter::once("pathbank agree".to_string()).chain(args));
+    }
     let done = Config::from_environment().map_err(Into::into).and_then(run);
     match done {
         Ok(()) => ExitCode::SUCCESS,
@@ -63,6 +71,10 @@
         config.share_places(&mut second.clients);
     }
     let third = GrpcFront::from_environment(&mut config)?;
+    let mut agreement = Agreement::from_environment()?;
+    if let Some(agreement) = &mut agreement {
+        config.share_with_agreement(agreement);
+    }
     let log = Log::from_environment(&config.names, config.memory, config.syslog)?;
     let telling = log.telling.clone();
     let logging = Arc::new(logging::start(&config.name, config.log_level, log)?);
@@ -94,11 +106,17 @@
             Err(problem) => event!(TALK_OFF, listen:%, problem:%),
         }
     }
-    let core = tokio::spawn(core.run());
     let (place, address) = watch::channel(config.discovery);
     let others = second.is_some() || third.is_some();
     let mut numbers = Numbers::new(&config.names, &config.settings, others);
-    let (_, directory) = numbers.adopt(&config.names, &config.settings);
+    let (settings, directory) = numbers.adopt(&config.names, &config.settings);
+    if let Some(agreement) = agreement {
+        let pace = Pace::new(agreement.clock_ahead, agreement.clock_ppm);
+        let view = office::start(agreement, &config.name, handle.clone(), pace)?;
+        let known = view.lock().map(|view| view.clone()).map_err(|_| "the agreement's thread failed")?;
+        core.agree_by(Agreed { rules: Rules::new(settings, numbers.rule_names(), known), view, pace });
+    }
+    let core = tokio::spawn(core.run());
     let (names, names_now) = watch::channel(Arc::new(directory));
     let running = Arc::new(config);
     let config = running.clone();
@@ -272,9 +290,9 @@
         let classes = config.names.classes.join(" ");
         event!(RELOADED, discovery:% = config.discovery, classes);
         let (settings, directory) = self.numbers.adopt(&config.names, &config.settings);
-        let classes = self.numbers.names();
+        let names = self.numbers.rule_names();
         // The core knows a number before any front can give it one.
-        self.handle.send(Input::Settings { settings: Box::new(settings), classes });
+        self.handle.send(Input::Settings { settings: Box::new(settings), names });
         self.names.send_replace(Arc::new(directory));
         self.helm.set_longest(config.longest_deadline());
         self.place.send_if_modified(|now| std::mem::replace(now, config.discovery) != config.discovery);
--- a/src/classes.rs
+++ b/src/classes.rs
@@ -89,6 +89,12 @@
         (Settings { classes: classes.collect(), plans, ..settings.clone() }, directory)
     }
 
+    /// The same with plans.
+    pub fn rule_names(&self) -> crate::agree::rules::Names {
+        let plans = self.plans.iter().map(|(name, _)| name.clone()).collect();
+        crate::agree::rules::Names { classes: self.names(), plans }
+    }
+
     /// Every number's name, for figures and the log; another front's own has none.
     pub fn names(&self) -> Vec<String> {
         self.rows.iter().map(|row| row.name.clone().unwrap_or_default()).collect()
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -26,6 +26,27 @@
     }
 }
 
+/// The time of leases: monotonic, from any beginning. What is set off is for rehearsals with clocks that differ.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    start: Instant,
+    ahead: Micros,
+    ppm: i64,
+}
+
+impl Pace {
+    pub fn new(ahead: Micros, ppm: i64) -> Pace {
+        Pace { start: Instant::now(), ahead, ppm }
+    }
+
+    pub fn now(&self) -> Micros {
+        let passed = i128::from(micros(self.start.elapsed()));
+        let set = passed + passed * i128::from(self.ppm) / 1_000_000;
+        // It begins at 1: a time of 0 is none.
+        self.ahead + 1 + u64::try_from(set).unwrap_or(0)
+    }
+}
+
 pub fn micros(time: Duration) -> Micros {
     u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
--- /dev/null
+++ b/src/config/agree.rs
@@ -0,0 +1,200 @@
+//! The agreement's file: whether it is on, who votes, where this head's voter has its disk, and the times that the
+//! promise rests on. Errors name the key.
+
+use super::{ConfigError, operators_file, unreadable};
+use crate::agree::voter::Voters;
+use crate::agree::{Micros, Times, VoterId};
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+const PATH: &str = "deploy/agree.toml";
+const MOST_VOTERS: usize = 9;
+const DAY_MS: u64 = 86_400_000;
+const DISK_MB: u64 = 4_096;
+/// Descriptors of a head's own: two for each voter, and its runtime, listener and disk.
+pub const FIXED: usize = 2 * MOST_VOTERS + 8;
+/// Others that ask at once, each by a connection.
+const CALLERS: usize = 512;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Agreement {
+    /// Only heads of one name talk to each other.
+    pub cluster: String,
+    /// `None`: this head has no voter.
+    pub seat: Option<Seat>,
+    /// Who votes while the log says nothing else, and where they are reached from here, whatever the log says.
+    pub voters: Voters,
+    pub times: Times,
+    /// For rehearsals: what this process's clock is ahead, and how much faster it runs in parts of a million.
+    pub clock_ahead: Micros,
+    pub clock_ppm: i64,
+}
+
+/// A voter of this head.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Seat {
+    pub listen: SocketAddr,
+    pub directory: PathBuf,
+    pub most_bytes: u64,
+    pub callers: usize,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    #[serde(default)]
+    enabled: bool,
+    #[serde(default)]
+    cluster: String,
+    listen: Option<SocketAddr>,
+    directory: Option<PathBuf>,
+    disk_mb: Option<u64>,
+    callers: Option<usize>,
+    #[serde(default)]
+    voters: BTreeMap<String, SocketAddr>,
+    #[serde(default)]
+    times: TimeKeys,
+    #[serde(default)]
+    rehearsal: RehearsalKeys,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TimeKeys {
+    lease_ms: Option<u64>,
+    long_lease_ms: Option<u64>,
+    drift_ppm: Option<u64>,
+    election_ms: Option<u64>,
+    beat_ms: Option<u64>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RehearsalKeys {
+    #[serde(default)]
+    clock_ahead_ms: u64,
+    #[serde(default)]
+    clock_ppm: i64,
+    kept: Option<usize>,
+}
+
+impl Agreement {
+    /// `None`: it is off, as on the platform.
+    pub fn from_environment() -> Result<Option<Agreement>, ConfigError> {
+        match operators_file("PATHBANK_AGREE", PATH)? {
+            Some(text) => Agreement::read(&text),
+            None => Ok(None),
+        }
+    }
+
+    pub fn read(text: &str) -> Result<Option<Agreement>, ConfigError> {
+        let file: File = toml::from_str(text).map_err(|problem| unreadable("agreement", problem))?;
+        if !file.enabled {
+            return Ok(None);
+        }
+        let bad = |key: &str, why: &str| Err(unreadable(format!("agreement: {key}"), why));
+        if file.cluster.is_empty()
+            || !file.cluster.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
+        {
+            return bad("cluster", "a name of letters, digits and -_. is due");
+        }
+        let mut voters = Voters::new();
+        for (number, address) in &file.voters {
+            let number: VoterId =
+                number.parse().map_err(|e| unreadable(format!("agreement: voters.{number}"), e))?;
+            voters.insert(number, address.to_string());
+        }
+        if voters.is_empty() || voters.len() > MOST_VOTERS || voters.len() < file.voters.len() {
+            return bad("voters", "1 to 9 of different numbers are due");
+        }
+        let (usual, keys) = (Times::default(), &file.times);
+        let ms = |key: Option<u64>, usual: Micros| key.map_or(usual, |ms| ms.min(DAY_MS) * 1_000);
+        let times = Times {
+            lease: ms(keys.lease_ms, usual.lease),
+            long_lease: ms(keys.long_lease_ms, usual.long_lease),
+            drift_ppm: keys.drift_ppm.unwrap_or(usual.drift_ppm),
+            election: ms(keys.election_ms, usual.election),
+            beat: ms(keys.beat_ms, usual.beat),
+            kept: file.rehearsal.kept.unwrap_or(usual.kept),
+        };
+        for (key, good, why) in [
+            ("times.beat_ms", times.beat >= 10_000, "10 is the least"),
+            ("times.election_ms", times.election >= 3 * times.beat, "at least three beats are due"),
+            ("times.lease_ms", times.lease >= 200_000, "200 is the least"),
+            ("times.long_lease_ms", times.long_lease >= times.lease, "at least the lease is due"),
+            ("times.drift_ppm", times.drift_ppm <= 200_000, "200000 is the most"),
+            (
+                "rehearsal.clock_ppm",
+                file.rehearsal.clock_ppm.abs() <= 200_000,
+                "200000 is the most, either way",
+            ),
+        ] {
+            if !good {
+                return bad(key, why);
+            }
+        }
+        let seat = match (file.listen, file.directory) {
+            (Some(listen), Some(directory)) => Some(Seat {
+                listen,
+                directory,
+                most_bytes: file.disk_mb.unwrap_or(DISK_MB).max(1) * 1024 * 1024,
+                callers: file.callers.unwrap_or(CALLERS).max(2 * MOST_VOTERS),
+            }),
+            (None, None) => None,
+            (None, Some(_)) => return bad("listen", "a voter needs it beside its directory"),
+            (Some(_), None) => return bad("directory", "a voter needs it beside its address"),
+        };
+        let (clock_ahead, clock_ppm) = (file.rehearsal.clock_ahead_ms * 1_000, file.rehearsal.clock_ppm);
+        Ok(Some(Agreement { cluster: file.cluster, seat, voters, times, clock_ahead, clock_ppm }))
+    }
+
+    /// Where a voter is reached from here.
+    pub fn address(&self, id: VoterId, told: &Voters) -> Option<String> {
+        self.voters.get(&id).or(told.get(&id)).cloned()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = "enabled = true\ncluster = \"kandy\"\n[voters]\n7 = \"127.0.0.1:7100\"\n";
+
+    #[test]
+    fn a_file_is_read_whole_or_refused_by_its_key() {
+        assert_eq!(Agreement::read("").unwrap(), None);
+        assert_eq!(Agreement::read(&GOOD.replace("true", "false")).unwrap(), None);
+        let read = Agreement::read(GOOD).unwrap().unwrap();
+        assert_eq!((read.times, read.seat.clone()), (Times::default(), None));
+        let told = Voters::from([(7, "127.0.0.1:1".to_string()), (8, "127.0.0.1:2".to_string())]);
+        let at = |id| read.address(id, &told);
+        assert_eq!(
+            (at(7).as_deref(), at(8).as_deref(), at(9)),
+            (Some("127.0.0.1:7100"), Some("127.0.0.1:2"), None)
+        );
+        let seated = format!("listen = \"127.0.0.1:7100\"\ndirectory = \"/tmp/x\"\ndisk_mb = 2\n{GOOD}");
+        let seat = Agreement::read(&seated).unwrap().unwrap().seat.unwrap();
+        assert_eq!((seat.most_bytes, seat.callers), (2 << 20, CALLERS));
+        for (change, key) in [
+            (GOOD.replace("kandy", ""), "cluster"),
+            (GOOD.replace("kandy", "a b"), "cluster"),
+            (GOOD.replace("7 =", "x ="), "voters.x"),
+            (GOOD.replace("7 =", "\"07\" = \"127.0.0.1:1\"\n7 ="), "voters"),
+            (GOOD.replace("7 = \"127.0.0.1:7100\"\n", ""), "voters"),
+            (GOOD.replace("127.0.0.1:7100", "nowhere"), "agreement"),
+            (format!("listen = \"127.0.0.1:1\"\n{GOOD}"), "directory"),
+            (format!("directory = \"/tmp\"\n{GOOD}"), "listen"),
+            (format!("{GOOD}[times]\nlease_ms = 1\n"), "lease_ms"),
+            (format!("{GOOD}[times]\nlong_lease_ms = 900\n"), "long_lease_ms"),
+            (format!("{GOOD}[times]\nelection_ms = 200\n"), "election_ms"),
+            (format!("{GOOD}[times]\nbeat_ms = 0\n"), "beat_ms"),
+            (format!("{GOOD}[times]\ndrift_ppm = 900000\n"), "drift_ppm"),
+            (format!("{GOOD}[times]\nleas_ms = 1000\n"), "leas_ms"),
+        ] {
+            let problem = Agreement::read(&change).expect_err(&change).to_string();
+            assert!(problem.contains(key), "{key}: {problem}");
+        }
+    }
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,5 +1,6 @@
 //! The only place that reads the environment, JSON and TOML: checks, defaults, and errors that name the key.
 
+pub mod agree;
 pub mod grpc;
 pub mod settings;
 pub mod sftp;
@@ -348,6 +349,17 @@
         self.max_open = self.max_open.min(self.clients.most.saturating_sub(1)).max(1);
     }
 
+    /// Those who ask a voter here, and this head's own asking, take theirs likewise.
+    pub fn share_with_agreement(&mut self, agreement: &mut agree::Agreement) {
+        let mut taken = agree::FIXED;
+        if let Some(seat) = &mut agreement.seat {
+            seat.callers = seat.callers.min(self.clients.most / 2).max(1);
+            taken += seat.callers;
+        }
+        self.clients.most = self.clients.most.saturating_sub(taken).max(1);
+        self.max_open = self.max_open.min(self.clients.most.saturating_sub(1)).max(1);
+    }
+
     /// Its connections to nodes take theirs from the first front's, likewise.
     pub fn share_node_connections(&mut self, wanted: usize) -> usize {
         let shared = wanted.min(self.node_connections.most / 4).max(1);
--- a/src/core.rs
+++ b/src/core.rs
@@ -1,7 +1,10 @@
 //! One task owns the module, its timers and the open requests; all else reaches it through a queue. It deals in
 //! requests, attempts and outcomes, whatever wire they come by.
 
-use crate::clock::{Clock, micros};
+use crate::agree::document::Level;
+use crate::agree::holder::View;
+use crate::agree::rules::{Came, Names, Reading, Rules};
+use crate::clock::{Clock, Pace, micros};
 use crate::config::{ListedNode, ListedState, fnv};
 use crate::ending::End;
 use crate::event;
@@ -20,7 +23,7 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::task::{Context, Poll};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
@@ -188,8 +191,10 @@
     /// Other settings, in the same numbers: what is open keeps the rules that it came under.
     Settings {
         settings: Box<Settings>,
-        classes: Vec<String>,
+        names: Names,
     },
+    /// What the heads agree on may have changed, or a lease ended.
+    Look,
     /// Another head said something.
     Peer {
         from: u32,
@@ -350,6 +355,21 @@
     }
 }
 
+/// By which the core acts on what the heads agree on.
+#[derive(Debug)]
+pub struct Agreed {
+    pub rules: Rules,
+    /// What this head knows, as it is at this moment.
+    pub view: Arc<Mutex<View>>,
+    pub pace: Pace,
+}
+
+impl Agreed {
+    fn view(&self) -> View {
+        self.view.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
 struct Out {
     node: NodeId,
     sent: Micros,
@@ -387,6 +407,10 @@
     passing: bool,
     class: usize,
     max_attempts: u32,
+    /// The agreed rules that it came under.
+    under: Option<Came>,
+    /// An attempt may have run.
+    ran: bool,
 }
 
 /// What is told of a request at its end.
@@ -418,6 +442,8 @@
 const COPY_IDLE: Micros = 100_000;
 /// Longer than any request is open.
 const DAY: Micros = 86_400_000_000;
+/// From the look at the rules to the act: beyond this it is told.
+const LATE_ACT: Micros = 100_000;
 /// How often requests that were not served are summed up.
 const SUM_UP: Micros = 10_000_000;
 
@@ -447,6 +473,8 @@
 struct Node {
     id: String,
     address: String,
+    /// In service by the list; and not taken out by what the heads agree on.
+    listed: bool,
     ready: bool,
     /// Off the list: released, with its number, once nothing is out there that could still name it.
     gone: bool,
@@ -489,6 +517,7 @@
     copied: Option<Micros>,
     /// What the module was told of this process's part of the head.
     part: f64,
+    agreed: Option<Agreed>,
 }
 
 impl Core {
@@ -531,6 +560,7 @@
             figures,
             copied: None,
             part: 1.0,
+            agreed: None,
         };
         (core, wanted)
     }
@@ -554,6 +584,13 @@
         self.probes = Some(probes);
     }
 
+    /// From here on the head acts by what the heads agree on, and before it knows of that, not at all.
+    pub fn agree_by(&mut self, agreed: Agreed) {
+        self.settings = agreed.rules.settings();
+        self.agreed = Some(agreed);
+        self.tell(Event::Settings(Box::new(self.settings.clone())));
+    }
+
     /// Keeps the figures that are copied fresh, and says that it runs.
     pub fn keep_figures(&mut self) {
         self.copied = Some(0);
@@ -622,12 +659,19 @@
             }
             Input::Whole { id } => self.whole(id),
             Input::Nodes { news, nodes } => self.on_nodes(news, nodes),
-            Input::Settings { settings, classes } => {
-                self.figures.name_classes(&classes);
-                self.telling.iter_mut().for_each(|telling| telling.classes.clone_from(&classes));
-                self.settings = (*settings).clone();
-                self.tell(Event::Settings(settings));
+            Input::Settings { settings, names } => {
+                self.figures.name_classes(&names.classes);
+                self.telling.iter_mut().for_each(|telling| telling.classes.clone_from(&names.classes));
+                self.settings = match &mut self.agreed {
+                    Some(agreed) => {
+                        agreed.rules.rebase(*settings, names);
+                        agreed.rules.settings()
+                    }
+                    None => *settings,
+                };
+                self.tell(Event::Settings(Box::new(self.settings.clone())));
             }
+            Input::Look => self.look_first(),
             Input::Part { halved } => {
                 self.part = if halved { 0.5 } else { 1.0 };
                 self.tell(Event::Part { part: self.part });
@@ -651,7 +695,11 @@
         work: Box<dyn Work>,
         answer: oneshot::Sender<Answer>,
     ) {
+        self.look_first();
         let now = self.clock.now();
+        let under = self.agreed.as_ref().map(|agreed| agreed.rules.came(arrival.class));
+        let agreed_plan = self.agreed.as_ref().and_then(|agreed| agreed.rules.plan(arrival.volume));
+        let arrival = Arrival { plan: agreed_plan.unwrap_or(arrival.plan), ..arrival };
         let coming = arrival.coming.map(micros);
         let time_left = micros(arrival.answer_by.saturating_duration_since(Instant::now()));
         let (answer_by, deadline) = match coming {
@@ -676,6 +724,8 @@
             passing: false,
             class: arrival.class,
             max_attempts: self.settings.max_attempts,
+            under,
+            ran: false,
         };
         self.requests.insert(id, open);
         let Arrival { volume, key, class, plan, units, volume_hosts, repeat, shard, .. } = arrival;
@@ -767,6 +817,8 @@
         }
         let took = out.took(self.clock, open.came);
         debug!(request = id, attempt, node = out.node, took, end:? = report.end; "attempt ended");
+        let idle = matches!(report.end.ending(), Ending::Full | Ending::ConnectFailed | Ending::Moot);
+        open.ran |= !idle;
         if let Some(tried) = open.noted.as_mut().and_then(|noted| noted.tried.get_mut(attempt as usize)) {
             (tried.ending, tried.took) = (Some(report.end.ending()), took);
         }
@@ -797,6 +849,7 @@
     }
 
     fn on_nodes(&mut self, news: News, listed: Vec<ListedNode>) {
+        self.look_first();
         let mut entries = Vec::with_capacity(listed.len());
         for node in &listed {
             let id = self.ids.of(&node.id);
@@ -805,7 +858,8 @@
                 self.zones.len() - 1
             });
             let state = match node.state {
-                ListedState::InService => NodeState::Ready,
+                ListedState::InService if self.takes(&node.id) => NodeState::Ready,
+                ListedState::InService => NodeState::Draining,
                 ListedState::Terminating => NodeState::Draining,
                 ListedState::Terminated => NodeState::Gone,
             };
@@ -813,7 +867,8 @@
             entries.push(NodeEntry { node: id, zone: zone as u16, shard: node.cell, state, started });
         }
         if matches!(news, News::Full | News::Cached) {
-            self.nodes.values_mut().for_each(|node| (node.ready, node.gone) = (false, true));
+            let off = |node: &mut Node| (node.listed, node.ready, node.gone) = (false, false, true);
+            self.nodes.values_mut().for_each(off);
             self.known.clear();
         }
         for (entry, node) in entries.iter().zip(&listed) {
@@ -821,7 +876,8 @@
             event!(NODE, node = node.id, address = node.addr, number = entry.node, shard = entry.shard, state:? = entry.state);
             let out = self.nodes.get(&entry.node).map_or(0, |known| known.out);
             let (id, address) = (node.id.clone(), node.addr.clone());
-            self.nodes.insert(entry.node, Node { id, address, ready, gone, out });
+            let listed = node.state == ListedState::InService;
+            self.nodes.insert(entry.node, Node { id, address, listed, ready, gone, out });
             self.known.retain(|known| known.node != entry.node);
             if !gone {
                 self.known.push(*entry);
@@ -829,12 +885,71 @@
         }
         self.tell(Event::Nodes { news, nodes: entries });
         self.copied = self.copied.map(|_| 0);
+        self.drop_where_left();
+        self.release_nodes();
+    }
+
+    /// Nothing that was not begun begins at a node that takes none any more.
+    fn drop_where_left(&mut self) {
         let left: BTreeSet<NodeId> = self.nodes.iter().filter(|(_, n)| !n.ready).map(|(id, _)| *id).collect();
         let open: Vec<RequestId> = self.requests.keys().copied().collect();
         for id in open {
             self.drop_unsent(id, |out| left.contains(&out.node));
         }
-        self.release_nodes();
+    }
+
+    fn takes(&self, node: &str) -> bool {
+        self.agreed.as_ref().is_none_or(|agreed| agreed.rules.takes(node))
+    }
+
+    /// Looks at what the heads agree on, and under which lease: what has changed the module is told before all else.
+    fn look(&mut self) -> Vec<Event> {
+        let Some(agreed) = &mut self.agreed else { return Vec::new() };
+        let view = agreed.view();
+        let Some(Reading { level, was, revised }) = agreed.rules.look(agreed.pace.now(), &view) else {
+            return Vec::new();
+        };
+        let ledger = agreed.rules.ledger();
+        let (read, prepared, active) = (ledger.read(), ledger.prepared(), ledger.active());
+        let ignored = agreed.rules.ignored().join(" ");
+        let (level, was, revised) = (name_of(level), name_of(was), if revised { "yes" } else { "no" });
+        event!(READING, level, was, revised, read, prepared, active, ignored);
+        self.settings = agreed.rules.settings();
+        let mut changed = Vec::new();
+        for (number, node) in self.nodes.iter_mut().filter(|(_, node)| !node.gone) {
+            let ready = node.listed && agreed.rules.takes(&node.id);
+            if std::mem::replace(&mut node.ready, ready) != ready
+                && let Some(entry) = self.known.iter_mut().find(|entry| entry.node == *number)
+            {
+                entry.state = if ready { NodeState::Ready } else { NodeState::Draining };
+                changed.push(*entry);
+            }
+        }
+        let mut events = vec![Event::Settings(Box::new(self.settings.clone()))];
+        if !changed.is_empty() {
+            events.push(Event::Nodes { news: News::Changes, nodes: changed });
+        }
+        events
+    }
+
+    fn look_first(&mut self) {
+        for event in self.look() {
+            let nodes = matches!(event, Event::Nodes { .. });
+            self.tell(event);
+            if nodes {
+                self.drop_where_left();
+            }
+        }
+    }
+
+    /// The look at the act itself: `None` where the attempt may not start, as things stand now; otherwise when it was.
+    fn may_start(&self, open: &Open, attempt: u32, node: NodeId) -> Option<Micros> {
+        let Some(agreed) = &self.agreed else { return Some(0) };
+        let (now, node) = (agreed.pace.now(), self.nodes.get(&node)?);
+        let fresh = agreed.rules.fresh(now, &agreed.view());
+        let came =
+            open.under.unwrap_or(Came { attempts: 0, repeats: crate::agree::document::Repeats::Never });
+        (fresh && agreed.rules.allows(open.class, came, attempt, open.ran, &node.id)).then_some(now)
     }
 
     fn release_nodes(&mut self) {
@@ -981,6 +1096,12 @@
         }
         let mut actions = std::mem::take(&mut self.actions);
         while let Some(event) = self.events.pop_front() {
+            let before = self.look();
+            if !before.is_empty() {
+                self.events.push_front(event);
+                before.into_iter().rev().for_each(|event| self.events.push_front(event));
+                continue;
+            }
             let now = self.clock.now();
             let done = catch_unwind(AssertUnwindSafe(|| self.policy.handle(now, event, &mut actions)));
             if done.is_err() {
@@ -1064,7 +1185,10 @@
         let until = if time_out > 0 { open.answer_by.min(now + time_out) } else { open.answer_by };
         let address = self.nodes.get(&node).map(|node| node.address.clone());
         let able = !open.over() && open.bound.is_none() && until > now && attempt < open.max_attempts;
-        let (true, Some(address)) = (able, address) else {
+        let Some(open) = self.requests.get(&id) else { return };
+        let looked = self.may_start(open, attempt, node).filter(|_| able);
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let (Some(looked), Some(address)) = (looked, address) else {
             let load = Load::default();
             let over = open.over();
             let ending = End::NotStarted.ending();
@@ -1097,9 +1221,37 @@
             handle.send(Input::Report { id, attempt, report });
         });
         open.attempts.push(Some(Out { node, sent: now, begun, task: task.abort_handle() }));
+        let class = open.class;
         if let Some(node) = self.nodes.get_mut(&node) {
             node.out += 1;
         }
+        self.note_act(id, class, attempt, node, looked);
+    }
+
+    /// An attempt has been started by the agreed rules: how long after the look at them, and for rehearsals what they were.
+    fn note_act(&self, request: RequestId, class: usize, attempt: u32, node: NodeId, looked: Micros) {
+        let Some(agreed) = &self.agreed else { return };
+        let late_us = agreed.pace.now().saturating_sub(looked);
+        if late_us > LATE_ACT {
+            event!(LATE_ACT, late_us, request);
+        }
+        if log::log_enabled!(log::Level::Debug) {
+            let (ledger, level) = (agreed.rules.ledger(), name_of(agreed.rules.level()));
+            let (read, active, at_us) = (ledger.read(), ledger.active(), self.clock.now());
+            let node = self.nodes.get(&node).map_or("", |node| node.id.as_str());
+            let (class, attempts) = (class as u64, agreed.rules.attempts(class));
+            let limits: Vec<String> = self.settings.plans.iter().map(|plan| plan.limit.to_string()).collect();
+            let limits = limits.join(" ");
+            event!(ACT, at_us, late_us, request, class, attempt, attempts, node, level, read, active, limits);
+        }
+    }
+}
+
+fn name_of(level: Level) -> &'static str {
+    match level {
+        Level::Bottom => "bottom",
+        Level::Loose => "loose",
+        Level::Held => "held",
     }
 }
 
--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -93,6 +93,38 @@
         "sent": "messages sent, so far", "heard": "passed on", "strangers": "from nobody of the list",
         "malformed": "empty or over 256 bytes", "too_many": "beyond what one head may say"
     }
+    AGREE "agree" Notice true "The head acts by what the heads agree on." {
+        "cluster": "whose heads", "listen": "where other voters and heads ask, or none", "voter": "this voter's number, or none"
+    }
+    READING "agree" Notice true "What the head acts on has changed: another revision, or another lease." {
+        "level": "held (both leases run), loose (the long one does) or bottom (neither does: nothing is sent)",
+        "was": "the level before", "revised": "yes: the documents say something else", "read": "the last entry known",
+        "prepared": "the last edit prepared for", "active": "the last edit in force",
+        "ignored": "fields of documents that mean nothing to this head"
+    }
+    LEADER "agree" Notice true "A voter sees another leader, or none." {
+        "leader": "its number, or none", "term": "its term", "commit": "the last entry that counts", "own": "yes: it is this voter"
+    }
+    REVISION "agree" Notice true "An edit that this voter knows of came into force, and all before it." {
+        "entry": "its entry", "commit": "the last entry that counts", "digest": "of all up to that", "at_us": "Unix microseconds"
+    }
+    VOTER_ILL "agree" Error false "The voter's disk cannot be used: it votes and grants nothing until it can." {
+        "problem": "what is wrong with it"
+    }
+    VOTER_BACK "agree" Notice false "The voter's disk can be used." {
+        "voter": "its number", "starts": "how often it was started", "last": "its last entry"
+    }
+    OLD_DISK "agree" Error false "A voter spoke from an older copy of its disk, and is not heard." {
+        "voter": "its number"
+    }
+    LATE_ACT "agree" Warning true "An attempt started long after the look at what the heads agree on." {
+        "late_us": "how long", "request": "the request"
+    }
+    ACT "agree" Debug false "An attempt started, and by which rules." {
+        "at_us": "Unix microseconds", "late_us": "since the look at the rules", "request": "the request", "class": "its class's number",
+        "attempt": "its number, from 0", "attempts": "as many as its class may have", "node": "the store node", "level": "as in READING",
+        "read": "as in READING", "active": "as in READING", "limits": "the plans' limits, in their order"
+    }
     OPS_UP "head" Notice false "The operators' line is open." {
         "listen": "where operators call", "callers": "callers at once at most"
     }
--- /dev/null
+++ b/src/net/agree/command.rs
@@ -0,0 +1,587 @@
+//! `pathbank agree`: what operators ask voters, and what they do with a voter's disk while it is stopped.
+
+use super::call::{CallError, Caller};
+use super::disk::{Disk, DiskError, Record, Verified};
+use super::wire::{
+    LEDGER, LedgerAsked, LedgerTold, PROPOSE, Proposed, RECORDS, RecordsAsked, RecordsTold, STATUS, Status,
+    VERIFY, VOTERS,
+};
+use crate::agree::document::Edit;
+use crate::agree::ledger::Ledger;
+use crate::agree::voter::{Save, Voters};
+use crate::agree::{Command as Entered, Entry, Index, VoterId, report};
+use crate::config::agree::Agreement;
+use clap::{Parser, Subcommand};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use std::fmt;
+use std::io::{BufRead, Write};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::time::{Duration, Instant, sleep};
+
+/// One call to one voter, and how long a leader is looked for.
+const CALL_TIME: Duration = Duration::from_secs(8);
+const LEADER_TIME: Duration = Duration::from_secs(10);
+const AGAIN: Duration = Duration::from_millis(100);
+const AT_ONCE: usize = 1_000;
+/// The most that a restored disk may hold.
+const MOST_DISK: u64 = 1 << 40;
+const BACKUP_FORM: u64 = 1;
+
+/// What the heads agree on. Voters are those of the file that PATHBANK_AGREE names (deploy/agree.toml), or of `--at`.
+#[derive(Parser)]
+#[command(name = "pathbank agree")]
+struct Line {
+    #[command(subcommand)]
+    what: What,
+    /// Voters to ask, in place of the file's: ADDRESS, several times.
+    #[arg(long, global = true)]
+    at: Vec<String>,
+    /// The fleet's name, with `--at`.
+    #[arg(long, global = true)]
+    cluster: Option<String>,
+    /// One JSON object a line.
+    #[arg(long, global = true)]
+    json: bool,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Makes a new voter's disk and prints its number.
+    Init {
+        #[arg(long)]
+        directory: PathBuf,
+    },
+    /// How each voter stands.
+    Status,
+    /// Documents in force, or one of them, with what is prepared; as the leader has it, or as any voter does.
+    Show {
+        document: Option<String>,
+        /// As the first voter that answers has it, maybe old.
+        #[arg(long)]
+        any: bool,
+    },
+    /// Edits and what came into force, from the first on.
+    History {
+        document: Option<String>,
+        #[arg(long, default_value_t = 0)]
+        after: Index,
+    },
+    /// What changed between two versions of a document.
+    Diff { document: String, before: u64, after: u64 },
+    /// Changes fields of one document, or of several by a file of JSON.
+    Propose {
+        document: Option<String>,
+        /// FIELD=VALUE: limit:RATE[,LEAST], attempts:N, repeats:never|keyed|always, node:in|out, plain:TEXT, none.
+        changes: Vec<String>,
+        /// The version that was seen; without it the one that is read now.
+        #[arg(long)]
+        base: Option<u64>,
+        #[arg(long)]
+        why: String,
+        #[arg(long)]
+        who: Option<String>,
+        /// Parts of an edit: {"DOCUMENT": {"base": N, "changes": {"FIELD": VALUE}}}.
+        #[arg(long)]
+        file: Option<PathBuf>,
+        /// The same number as before, where it is not known what became of an edit.
+        #[arg(long)]
+        id: Option<u64>,
+        /// Returns once it is in force, not once it counts.
+        #[arg(long)]
+        wait: bool,
+    },
+    /// Tells each entry as it counts.
+    Watch {
+        #[arg(long)]
+        after: Option<Index>,
+    },
+    /// Follows the digests of the whole log, at each voter or on a stopped one's disk.
+    Verify {
+        #[arg(long)]
+        directory: Option<PathBuf>,
+    },
+    /// Adds or removes a voter.
+    Voters {
+        /// NUMBER=ADDRESS.
+        #[arg(long)]
+        add: Option<String>,
+        #[arg(long)]
+        remove: Option<VoterId>,
+    },
+    /// Writes all that counts to a file.
+    Backup {
+        #[arg(long)]
+        to: PathBuf,
+    },
+    /// Makes a new voter's disk from a backup, as the only voter of a new cluster.
+    Restore {
+        #[arg(long)]
+        from: PathBuf,
+        #[arg(long)]
+        directory: PathBuf,
+        /// Where the others will reach it.
+        #[arg(long)]
+        address: String,
+    },
+}
+
+#[derive(Debug)]
+enum Problem {
+    Said(String),
+    Call(String, CallError),
+    Disk(DiskError),
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Problem::Said(what) => f.write_str(what),
+            Problem::Call(address, problem) => write!(f, "{address}: {problem}"),
+            Problem::Disk(problem) => write!(f, "{problem}"),
+        }
+    }
+}
+
+impl From<DiskError> for Problem {
+    fn from(problem: DiskError) -> Self {
+        Problem::Disk(problem)
+    }
+}
+
+fn said(what: impl fmt::Display) -> Problem {
+    Problem::Said(what.to_string())
+}
+
+type Done<T = ()> = Result<T, Problem>;
+
+/// `args` begin with the program's name.
+pub fn run(args: impl IntoIterator<Item = String>) -> ExitCode {
+    let line = match Line::try_parse_from(args) {
+        Ok(line) => line,
+        Err(problem) => {
+            let _ = problem.print();
+            return ExitCode::from(if problem.use_stderr() { 2 } else { 0 });
+        }
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let done = runtime.map_err(said).and_then(|runtime| runtime.block_on(carry_out(line)));
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("pathbank agree: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn carry_out(line: Line) -> Done {
+    match &line.what {
+        What::Init { directory } => {
+            // A few digits are easier to read out; two of one number are refused by the file that lists them.
+            let id = fastrand::u64(1..1 << 48);
+            Disk::create(directory, id)?;
+            say(&line, &id.to_string(), &json!({"voter": id}))
+        }
+        What::Verify { directory: Some(directory) } => {
+            let (disk, _) = Disk::open(directory, MOST_DISK)?;
+            tell_verified(&line, &directory.display().to_string(), &disk.verify()?)
+        }
+        What::Restore { from, directory, address } => restore(&line, from, directory, address),
+        _ => Desk::new(&line)?.carry_out(&line).await,
+    }
+}
+
+fn say(line: &Line, text: &str, value: &impl Serialize) -> Done {
+    let out =
+        if line.json { serde_json::to_string(value).map_err(said)? } else { text.trim_end().to_string() };
+    let mut stdout = std::io::stdout().lock();
+    // Whoever has read enough closes the pipe: that is no fault.
+    match writeln!(stdout, "{out}").and_then(|()| stdout.flush()) {
+        Err(problem) if problem.kind() == std::io::ErrorKind::BrokenPipe => std::process::exit(0),
+        done => done.map_err(said),
+    }
+}
+
+fn tell_verified(line: &Line, at: &str, found: &Verified) -> Done {
+    let gaps: Vec<String> = found.gaps.iter().map(|(from, to)| format!("{from} to {to}")).collect();
+    let gaps = if gaps.is_empty() { String::new() } else { format!(", without {}", gaps.join(", ")) };
+    let word = match found.wrong {
+        Some(wrong) => format!("entry {wrong} is not what was written"),
+        None => "sound".to_string(),
+    };
+    say(
+        line,
+        &format!("{at}: {} entries up to {}{gaps}: {word}", found.entries, found.last),
+        &json!({"at": at, "found": found}),
+    )?;
+    match found.wrong {
+        Some(wrong) => Err(said(format!("{at}: entry {wrong} is not what was written"))),
+        None => Ok(()),
+    }
+}
+
+fn now_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+/// The first line of a backup; its records follow, one a line.
+#[derive(Serialize, Deserialize)]
+struct Backup {
+    form: u64,
+    cluster: String,
+    ledger: Ledger,
+    term: u64,
+}
+
+struct Desk {
+    caller: Caller,
+    cluster: String,
+    addresses: Vec<String>,
+}
+
+impl Desk {
+    fn new(line: &Line) -> Done<Desk> {
+        let file = || match Agreement::from_environment() {
+            Ok(Some(agreement)) => Ok(agreement),
+            Ok(None) => Err(said("the agreement's file is off; name voters with --at and --cluster")),
+            Err(problem) => Err(said(problem)),
+        };
+        let (cluster, addresses) = match (&line.cluster, &line.at[..]) {
+            (Some(cluster), [_, ..]) => (cluster.clone(), line.at.clone()),
+            (None, []) => {
+                let file = file()?;
+                (file.cluster, file.voters.into_values().collect())
+            }
+            (None, at) => (file()?.cluster, at.to_vec()),
+            (Some(_), []) => return Err(said("--cluster goes with --at")),
+        };
+        Ok(Desk { caller: Caller::new(&cluster), cluster, addresses })
+    }
+
+    async fn carry_out(&self, line: &Line) -> Done {
+        match &line.what {
+            What::Status => self.status(line).await,
+            What::Show { document, any } => self.show(line, document.as_deref(), *any).await,
+            What::History { document, after } => {
+                let (records, _) = self.records(*after).await?;
+                self.tell_records(line, &records, document.as_deref())
+            }
+            What::Diff { document, before, after } => {
+                let (records, _) = self.records(0).await?;
+                if records.first().is_some_and(|record| record.index != 1) {
+                    return Err(said("this voter has no entries from before it came; ask another one"));
+                }
+                let versions = report::versions(records.iter().map(|record| &record.entry), document);
+                let of = |version: &u64| {
+                    let found = versions.iter().find(|document| document.version == *version);
+                    found.ok_or_else(|| said(format!("{document} has no version {version}")))
+                };
+                let (before, after) = (of(before)?, of(after)?);
+                say(line, &report::diff(before, after), &json!({"before": before, "after": after}))
+            }
+            What::Propose { .. } => self.propose(line).await,
+            What::Watch { after } => self.watch(line, *after).await,
+            What::Verify { .. } => {
+                let mut wrong = None;
+                for address in &self.addresses {
+                    match self.call::<Verified>(address, VERIFY, &()).await {
+                        Ok(found) => {
+                            wrong = tell_verified(line, address, &found).err().or(wrong);
+                        }
+                        Err(problem) => wrong = Some(problem),
+                    }
+                }
+                wrong.map_or(Ok(()), Err)
+            }
+            What::Voters { add, remove } => self.voters(line, add.as_deref(), *remove).await,
+            What::Backup { to } => self.backup(line, to).await,
+            What::Init { .. } | What::Restore { .. } => Ok(()),
+        }
+    }
+
+    async fn call<A: serde::de::DeserializeOwned>(
+        &self,
+        address: &str,
+        path: &str,
+        asked: &impl Serialize,
+    ) -> Done<A> {
+        let told = self.caller.call(address, path, asked, CALL_TIME).await;
+        told.map_err(|problem| Problem::Call(address.to_string(), problem))
+    }
+
+    async fn statuses(&self) -> Vec<(String, Done<Status>)> {
+        let asked = self
+            .addresses
+            .iter()
+            .map(|address| async { (address.clone(), self.call::<Status>(address, STATUS, &()).await) });
+        futures_util::future::join_all(asked).await
+    }
+
+    async fn status(&self, line: &Line) -> Done {
+        let mut fault = None;
+        for (address, status) in self.statuses().await {
+            match status {
+                Ok(status) => {
+                    let leader = status.leader.map_or("none".to_string(), |id| id.to_string());
+                    let text = format!(
+                        "{address}: voter {} start {} term {} leader {leader} last {} counts {} prepared {} in force {} disk {} bytes of {} voters",
+                        status.id,
+                        status.starts,
+                        status.term,
+                        status.last,
+                        status.commit,
+                        status.prepared,
+                        status.active,
+                        status.disk_bytes,
+                        status.voters.len()
+                    );
+                    say(line, &text, &json!({"at": address, "status": status}))?;
+                }
+                Err(problem) => {
+                    say(line, &problem.to_string(), &json!({"at": address, "problem": problem.to_string()}))?;
+                    fault = Some(said("not every voter answers"));
+                }
+            }
+        }
+        fault.map_or(Ok(()), Err)
+    }
+
+    /// Asks whoever leads. `none`: the one asked does not, and may know who does.
+    async fn of_leader<A>(&self, path: &str, asked: &impl Serialize, none: impl Fn(&A) -> bool) -> Done<A>
+    where
+        A: serde::de::DeserializeOwned,
+    {
+        let (until, mut last) = (Instant::now() + LEADER_TIME, said("no voter answers"));
+        loop {
+            for address in &self.addresses {
+                match self.call::<A>(address, path, asked).await {
+                    Ok(told) if none(&told) => last = said("no voter leads now: ask again, or see `status`"),
+                    Ok(told) => return Ok(told),
+                    Err(problem) => last = problem,
+                }
+            }
+            if Instant::now() >= until {
+                return Err(last);
+            }
+            sleep(AGAIN).await;
+        }
+    }
+
+    async fn ledger(&self, sure: bool) -> Done<Ledger> {
+        let none = |told: &LedgerTold| !matches!(told, LedgerTold::Ledger(_));
+        match self.of_leader(LEDGER, &LedgerAsked { sure }, none).await? {
+            LedgerTold::Ledger(ledger) => Ok(*ledger),
+            _ => Err(said("no voter leads now")),
+        }
+    }
+
+    async fn show(&self, line: &Line, only: Option<&str>, any: bool) -> Done {
+        let ledger = self.ledger(!any).await?;
+        let mut names: Vec<&str> =
+            ledger.names().filter(|name| only.is_none_or(|only| only == *name)).collect();
+        names.sort_unstable();
+        names.dedup();
+        if let (Some(only), []) = (only, &names[..]) {
+            return Err(said(format!("there is no document {only}")));
+        }
+        for name in names {
+            let in_force = ledger.document(name);
+            let latest =
+                ledger.latest(name).filter(|latest| in_force.is_none_or(|now| now.version < latest.version));
+            if let Some(document) = in_force {
+                let told = json!({"name": name, "state": "in force", "document": document});
+                say(line, &report::document(name, document, ", in force"), &told)?;
+            }
+            if let Some(document) = latest {
+                let told = json!({"name": name, "state": "prepared", "document": document});
+                say(line, &report::document(name, document, ", prepared"), &told)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// All records after one, from the first voter that answers.
+    async fn records(&self, after: Index) -> Done<(Vec<Record>, Index)> {
+        let mut last = said("no voter answers");
+        'voters: for address in &self.addresses {
+            let (mut records, mut at) = (Vec::<Record>::new(), after);
+            loop {
+                match self
+                    .call::<RecordsTold>(address, RECORDS, &RecordsAsked { after: at, most: AT_ONCE })
+                    .await
+                {
+                    Ok(told) if told.records.is_empty() => return Ok((records, told.commit)),
+                    Ok(told) => {
+                        at = told.records.last().map_or(at, |record| record.index);
+                        records.extend(told.records);
+                    }
+                    Err(problem) => {
+                        last = problem;
+                        continue 'voters;
+                    }
+                }
+            }
+        }
+        Err(last)
+    }
+
+    fn tell_records(&self, line: &Line, records: &[Record], only: Option<&str>) -> Done {
+        for record in records {
+            if let Some(text) = report::entry(record.index, &record.entry, only) {
+                say(line, &text, record)?;
+            }
+        }
+        Ok(())
+    }
+
+    async fn watch(&self, line: &Line, after: Option<Index>) -> Done {
+        let mut at = match after {
+            Some(after) => after,
+            None => self.ledger(false).await?.read(),
+        };
+        loop {
+            // A voter that is gone for a while is no end of the watch.
+            if let Ok((records, _)) = self.records(at).await {
+                at = records.last().map_or(at, |record| record.index);
+                self.tell_records(line, &records, None)?;
+            }
+            sleep(AGAIN).await;
+        }
+    }
+
+    async fn propose(&self, line: &Line) -> Done {
+        let What::Propose { document, changes, base, why, who, file, id, wait } = &line.what else {
+            return Ok(());
+        };
+        let who = who.clone().or_else(|| std::env::var("USER").ok()).unwrap_or_else(|| "unknown".to_string());
+        let id = id.unwrap_or_else(|| fastrand::u64(1..));
+        let edit = match (document, file) {
+            (None, Some(file)) => {
+                let text =
+                    std::fs::read_to_string(file).map_err(|e| said(format!("{}: {e}", file.display())))?;
+                let parts =
+                    serde_json::from_str(&text).map_err(|e| said(format!("{}: {e}", file.display())))?;
+                Edit { id, parts, who, why: why.clone(), at_ms: now_ms() }
+            }
+            (Some(name), None) => {
+                let base = match base {
+                    Some(base) => *base,
+                    None => self.ledger(true).await?.latest(name).map_or(0, |document| document.version),
+                };
+                report::edit(id, name, base, changes, (&who, why, now_ms())).map_err(said)?
+            }
+            _ => return Err(said("either a document with its changes is due, or --file")),
+        };
+        let none = |told: &Proposed| matches!(told, Proposed::NotLeader(_));
+        let told = self.of_leader(PROPOSE, &edit, none).await;
+        let entry = match told {
+            Ok(Proposed::Entry(entry)) => entry,
+            Ok(Proposed::Rejected(rejected)) => return Err(said(format!("refused: {rejected}"))),
+            // It may have been taken by a voter that was lost before it could say so.
+            Ok(_) | Err(Problem::Call(..)) => {
+                return Err(said(format!(
+                    "it is not known whether it counts: send the same again with --id {id}"
+                )));
+            }
+            Err(problem) => return Err(problem),
+        };
+        if *wait {
+            while self.ledger(false).await?.active() < entry {
+                sleep(AGAIN).await;
+            }
+        }
+        let state = if *wait { "in force" } else { "counts" };
+        say(line, &format!("entry {entry} {state}"), &json!({"entry": entry, "id": id, "state": state}))
+    }
+
+    async fn voters(&self, line: &Line, add: Option<&str>, remove: Option<VoterId>) -> Done {
+        let known = self.statuses().await.into_iter().find_map(|(_, status)| {
+            status.ok().filter(|status| status.leader == Some(status.id)).map(|status| status.voters)
+        });
+        let Some(mut voters) = known else { return Err(said("no voter leads now")) };
+        match (add, remove) {
+            (Some(add), None) => {
+                let (number, address) =
+                    add.split_once('=').ok_or_else(|| said("--add NUMBER=ADDRESS is due"))?;
+                let number = number.parse().map_err(|_| said(format!("{number} is no voter's number")))?;
+                voters.insert(number, address.to_string());
+            }
+            (None, Some(remove)) => {
+                if voters.remove(&remove).is_none() {
+                    return Err(said(format!("{remove} is no voter")));
+                }
+            }
+            (None, None) => {
+                let text: String = voters.iter().map(|(id, at)| format!("{id} at {at}\n")).collect();
+                return say(line, &text, &voters);
+            }
+            _ => return Err(said("one change at a time")),
+        }
+        let none = |told: &Proposed| matches!(told, Proposed::NotLeader(_));
+        match self.of_leader(VOTERS, &voters, none).await? {
+            Proposed::Entry(entry) => say(line, &format!("entry {entry} counts"), &json!({"entry": entry})),
+            Proposed::NotNow(why) => Err(said(why)),
+            _ => Err(said("it is not known whether it counts: see `voters`")),
+        }
+    }
+
+    async fn backup(&self, line: &Line, to: &PathBuf) -> Done {
+        let ledger = self.ledger(true).await?;
+        let (records, _) = self.records(0).await?;
+        let term = records.last().map_or(0, |record| record.entry.term);
+        let at = |problem: std::io::Error| said(format!("{}: {problem}", to.display()));
+        let mut file = std::io::BufWriter::new(std::fs::File::create_new(to).map_err(at)?);
+        let (read, count) = (ledger.read(), records.len());
+        let first = Backup { form: BACKUP_FORM, cluster: self.cluster.clone(), ledger, term };
+        writeln!(file, "{}", serde_json::to_string(&first).map_err(said)?).map_err(at)?;
+        for record in records.iter().filter(|record| record.index <= read) {
+            writeln!(file, "{}", serde_json::to_string(record).map_err(said)?).map_err(at)?;
+        }
+        file.into_inner().map_err(|problem| at(problem.into_error()))?.sync_all().map_err(at)?;
+        say(line, &format!("up to entry {read}, {count} entries"), &json!({"entry": read, "entries": count}))
+    }
+}
+
+fn restore(line: &Line, from: &PathBuf, directory: &std::path::Path, address: &str) -> Done {
+    let at = |problem: String| said(format!("{}: {problem}", from.display()));
+    let file = std::fs::File::open(from).map_err(|problem| at(problem.to_string()))?;
+    let mut lines = std::io::BufReader::new(file).lines();
+    let first =
+        lines.next().ok_or_else(|| at("it is empty".into()))?.map_err(|problem| at(problem.to_string()))?;
+    let backup: Backup = serde_json::from_str(&first).map_err(|problem| at(format!("line 1: {problem}")))?;
+    if backup.form != BACKUP_FORM {
+        return Err(at(format!("it has form {}, this program knows {BACKUP_FORM}", backup.form)));
+    }
+    let mut entries: Vec<Entry> = Vec::new();
+    let mut ledger = Ledger::default();
+    for (number, text) in lines.enumerate() {
+        let text = text.map_err(|problem| at(problem.to_string()))?;
+        let record: Record =
+            serde_json::from_str(&text).map_err(|problem| at(format!("line {}: {problem}", number + 2)))?;
+        ledger.apply(&record.entry);
+        if record.index != ledger.read() || record.digest != super::disk::hex(ledger.digest()) {
+            return Err(at(format!("line {}: entry {} is not what was written", number + 2, record.index)));
+        }
+        entries.push(record.entry);
+    }
+    if ledger.read() != backup.ledger.read() || ledger.digest() != backup.ledger.digest() {
+        return Err(at("its entries are not all there, or not those that its first line is of".into()));
+    }
+    let id = fastrand::u64(1..1 << 48);
+    Disk::create(directory, id)?;
+    let (mut disk, _) = Disk::open(directory, MOST_DISK)?;
+    let term = backup.term + 1;
+    let voters = Voters::from([(id, address.to_string())]);
+    entries.push(Entry { term, command: Entered::Voters(voters) });
+    let saves: Vec<Save> = (1..).zip(entries).map(|(index, entry)| Save::Put(index, entry)).collect();
+    let last = saves.len() as Index;
+    disk.save(&saves)?;
+    // Whoever comes has to have read all of it.
+    disk.save(&[Save::Vote { term, voted: None }, Save::Barrier(last)])?;
+    let text =
+        format!("voter {id} with {last} entries; give the cluster another name than {}", backup.cluster);
+    say(line, &text, &json!({"voter": id, "entries": last}))
+}
--- a/src/net/agree/mod.rs
+++ b/src/net/agree/mod.rs
@@ -1,3 +1,8 @@
 //! Agreement on real sockets and disks.
 
+pub mod call;
+pub mod command;
 pub mod disk;
+pub mod office;
+mod serve;
+pub mod wire;
--- /dev/null
+++ b/src/net/agree/office.rs
@@ -0,0 +1,494 @@
+//! A head's part in the agreement, on a thread and a runtime of its own, so that no client's request waits for a disk:
+//! its voter, where it has one, with the links to the others, and its leases.
+
+use super::call::{CallError, Caller};
+use super::disk::{Disk, DiskError, hex};
+use super::wire::{HEAR, Heard, LedgerTold, Proposed, RENEW, RecordsTold, Said, Status};
+use super::{disk, serve};
+use crate::agree::document::Edit;
+use crate::agree::holder::{Holder, View};
+use crate::agree::voter::{NotLeader, NotNow, Output, To, Voter, Voters};
+use crate::agree::{HolderId, Index, Message, Micros, VoterId};
+use crate::clock::Pace;
+use crate::config::agree::Agreement;
+use crate::core::{Handle, Input};
+use crate::event;
+use log::debug;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Duration, Instant, sleep, timeout_at};
+
+/// A voter looks at its times so often at least.
+const LOOK: Duration = Duration::from_millis(100);
+/// A disk that cannot be used is tried again so often.
+const DISK_AGAIN: Duration = Duration::from_secs(1);
+/// Messages to one voter that wait for the one on its way; of these the last says all.
+const WAITING: usize = 8;
+/// A link that does not answer is tried again after a beat, then after twice as long each time, up to this.
+const MOST_APART: Duration = Duration::from_secs(1);
+/// So many leases' renewals in each lease.
+const RENEWALS: u32 = 4;
+/// Between two questions of a head that is behind.
+const CATCH_UP: Duration = Duration::from_millis(5);
+/// Whoever proposes hears so long after that what became of it, or that it is not known.
+const PROPOSED: Duration = Duration::from_secs(5);
+
+/// The voter with its disk, while that can be used.
+struct Seat {
+    voter: Voter,
+    disk: Disk,
+    told: (Option<VoterId>, u64, Index),
+}
+
+pub struct Office {
+    config: Agreement,
+    pace: Pace,
+    seat: Mutex<Option<Seat>>,
+    holder: Mutex<Holder>,
+    /// What the core looks at.
+    view: Arc<Mutex<View>>,
+    handle: Handle,
+    links: Mutex<BTreeMap<VoterId, mpsc::Sender<Message>>>,
+    caller: Caller,
+    /// What counts, for those who wait for it.
+    commits: watch::Sender<Index>,
+    grown: watch::Sender<()>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn within(time: Micros) -> Duration {
+    Duration::from_micros(time)
+}
+
+/// Starts it. What this head may act by is in the view from then on; the core is told to look when it changes.
+pub fn start(
+    config: Agreement,
+    head: &str,
+    handle: Handle,
+    pace: Pace,
+) -> Result<Arc<Mutex<View>>, DiskError> {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
+    // Two processes of a head hold leases of their own.
+    let id = HolderId { head: head.to_string(), start: unix ^ (u64::from(std::process::id()) << 44) };
+    let holder = Holder::new(id, &config.voters, config.times);
+    let view = Arc::new(Mutex::new(holder.view().clone()));
+    let listener = match &config.seat {
+        Some(seat) => {
+            let listener = std::net::TcpListener::bind(seat.listen).map_err(DiskError::Io)?;
+            listener.set_nonblocking(true).map_err(DiskError::Io)?;
+            Some(listener)
+        }
+        None => None,
+    };
+    let office = Arc::new(Office {
+        caller: Caller::new(&config.cluster),
+        pace,
+        seat: Mutex::new(None),
+        holder: Mutex::new(holder),
+        view: view.clone(),
+        handle,
+        links: Mutex::default(),
+        commits: watch::Sender::new(0),
+        grown: watch::Sender::new(()),
+        config,
+    });
+    let address = listener.as_ref().and_then(|listener| listener.local_addr().ok());
+    // A disk that cannot be used at the start is told of, and tried again: the head serves meanwhile.
+    office.open();
+    office.say_up(address);
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(DiskError::Io)?;
+    let work = async move {
+        if let Some(listener) = listener {
+            match TcpListener::from_std(listener) {
+                Ok(listener) => {
+                    tokio::spawn(serve::serve(listener, office.clone()));
+                    tokio::spawn(office.clone().keep_time());
+                }
+                Err(problem) => event!(ACCEPT_FAILED, problem:%),
+            }
+        }
+        office.hold().await;
+    };
+    thread::Builder::new()
+        .name("agree".to_string())
+        .spawn(move || runtime.block_on(work))
+        .map_err(DiskError::Io)?;
+    Ok(view)
+}
+
+impl Office {
+    pub fn config(&self) -> &Agreement {
+        &self.config
+    }
+
+    fn say_up(&self, address: Option<SocketAddr>) {
+        let voter = lock(&self.seat).as_ref().map_or("none".to_string(), |seat| seat.disk.id().to_string());
+        let listen = address.map_or("none".to_string(), |address| address.to_string());
+        event!(AGREE, cluster = self.config.cluster, listen, voter);
+    }
+
+    /// Opens the voter's disk, where there is none open.
+    fn open(&self) {
+        let (Some(config), mut seat) = (&self.config.seat, lock(&self.seat)) else { return };
+        if seat.is_some() {
+            return;
+        }
+        match Disk::open(&config.directory, config.most_bytes) {
+            Ok((disk, saved)) => {
+                let (id, last) = (disk.id(), saved.first + saved.log.len() as Index);
+                event!(VOTER_BACK, voter = id, starts = saved.starts, last);
+                let (times, now) = (self.config.times, self.pace.now());
+                let voter = Voter::new(id, &self.config.voters, times, saved, now, fastrand::u64(..));
+                let told = (None, 0, voter.ledger().active());
+                *seat = Some(Seat { voter, disk, told });
+            }
+            Err(problem) => event!(VOTER_ILL, problem:%),
+        }
+    }
+
+    /// Has the voter do something; what it says goes out once what it must not forget is on disk. `None`: it cannot.
+    fn act<T>(
+        self: &Arc<Self>,
+        act: impl FnOnce(&mut Voter, Micros) -> (T, Output),
+    ) -> Option<(T, Vec<(To, Message)>)> {
+        let mut place = lock(&self.seat);
+        let seat = place.as_mut()?;
+        let (done, out) = act(&mut seat.voter, self.pace.now());
+        if let Some(voter) = out.stranger {
+            event!(OLD_DISK, voter);
+        }
+        if let Err(problem) = seat.disk.save(&out.save) {
+            // What it said to itself it may not have kept: it is read from its disk again before it says a word.
+            event!(VOTER_ILL, problem:%);
+            *place = None;
+            return None;
+        }
+        seat.tell_changes();
+        let commit = seat.voter.commit();
+        self.commits.send_if_modified(|known| std::mem::replace(known, commit) != commit);
+        Some((done, out.send))
+    }
+
+    /// Sends what is for other voters by their links, and gives back what answers `asker`.
+    fn send(self: &Arc<Self>, messages: Vec<(To, Message)>, asker: Option<VoterId>) -> Vec<Message> {
+        let mut answers = Vec::new();
+        for (to, message) in messages {
+            match to {
+                To::Voter(id) if Some(id) == asker => answers.push(message),
+                To::Voter(id) => {
+                    let mut links = lock(&self.links);
+                    let link = links.entry(id).or_insert_with(|| {
+                        let (sender, receiver) = mpsc::channel(WAITING);
+                        tokio::spawn(self.clone().link(id, receiver));
+                        sender
+                    });
+                    // One that finds no room is lost, as the network may lose any: the next beat says it again.
+                    let _ = link.try_send(message);
+                }
+                To::Holder(_) => answers.push(message),
+            }
+        }
+        answers
+    }
+
+    /// Asks the voter for its times, and opens its disk anew where it was lost.
+    async fn keep_time(self: Arc<Self>) {
+        let mut ill = Instant::now() + DISK_AGAIN;
+        loop {
+            let next = lock(&self.seat).as_ref().map(|seat| seat.voter.next());
+            let Some(next) = next else {
+                tokio::time::sleep_until(ill).await;
+                ill = Instant::now() + DISK_AGAIN;
+                self.open();
+                continue;
+            };
+            sleep(within(next.saturating_sub(self.pace.now())).clamp(Duration::from_millis(1), LOOK)).await;
+            if let Some(((), messages)) = self.act(|voter, now| ((), voter.tick(now, fastrand::u64(..)))) {
+                self.send(messages, None);
+            }
+        }
+    }
+
+    /// Carries messages to one other voter, one at a time, and its answers back.
+    async fn link(self: Arc<Self>, to: VoterId, mut messages: mpsc::Receiver<Message>) {
+        let mut failures: u32 = 0;
+        while let Some(mut message) = messages.recv().await {
+            // What waited longer is in the last one.
+            while let Ok(later) = messages.try_recv() {
+                message = later;
+            }
+            let place = lock(&self.seat).as_ref().map(|seat| {
+                (seat.voter.starts(), seat.disk.id(), self.config.address(to, seat.voter.voters()))
+            });
+            let Some((starts, from, Some(address))) = place else { continue };
+            let said = Said { from, starts, message };
+            match self.caller.call::<Heard>(&address, HEAR, &said, within(self.config.times.election)).await {
+                Ok(Heard { starts, messages }) => {
+                    failures = 0;
+                    for message in messages {
+                        let answer = |voter: &mut Voter, now| {
+                            ((), voter.hear(now, fastrand::u64(..), (to, starts), message))
+                        };
+                        if let Some(((), more)) = self.act(answer) {
+                            self.send(more, None);
+                        }
+                    }
+                }
+                Err(problem) => {
+                    debug!("voter {to} at {address}: {problem}");
+                    failures = (failures + 1).min(8);
+                    let apart = within(self.config.times.beat * (1 << failures) / 2).min(MOST_APART);
+                    sleep(apart.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
+                }
+            }
+        }
+    }
+
+    /// Another voter's message, and what answers it.
+    pub fn hear(self: &Arc<Self>, Said { from, starts, message }: Said) -> Option<Heard> {
+        let hear = |voter: &mut Voter, now| {
+            let out = voter.hear(now, fastrand::u64(..), (from, starts), message);
+            (voter.starts(), out)
+        };
+        let (starts, messages) = self.act(hear)?;
+        Some(Heard { starts, messages: self.send(messages, Some(from)) })
+    }
+
+    /// A head asks for its lease.
+    pub fn renew(self: &Arc<Self>, message: Message) -> Option<Message> {
+        let Message::Renew { holder, asked, prepared } = message else { return None };
+        let ((), messages) = self.act(|voter, now| ((), voter.renew(now, holder, asked, prepared)))?;
+        self.send(messages, None).pop()
+    }
+
+    pub async fn propose(self: &Arc<Self>, edit: Edit) -> Option<Proposed> {
+        let (id, mut commits) = (edit.id, self.commits.subscribe());
+        let propose = |voter: &mut Voter, now| match voter.propose(now, edit) {
+            Ok(out) => (Ok(voter.term()), out),
+            Err(NotLeader(leader)) => (Err(leader), Output::default()),
+        };
+        let (done, messages) = self.act(propose)?;
+        self.send(messages, None);
+        let term = match done {
+            Ok(term) => term,
+            Err(leader) => return Some(Proposed::NotLeader(leader)),
+        };
+        let result = |voter: &Voter| match voter.ledger().result(id) {
+            Some(Ok(entry)) => Some(Proposed::Entry(*entry)),
+            Some(Err(rejected)) => Some(Proposed::Rejected(rejected.clone())),
+            None => (voter.term() != term).then_some(Proposed::Unknown),
+        };
+        self.wait(&mut commits, result).await
+    }
+
+    pub async fn change(self: &Arc<Self>, voters: Voters) -> Option<Proposed> {
+        let (wanted, mut commits) = (voters.clone(), self.commits.subscribe());
+        let change = |voter: &mut Voter, now| match voter.change(now, voters) {
+            Ok(out) => (Ok(voter.term()), out),
+            Err(no) => (Err(no), Output::default()),
+        };
+        let (done, messages) = self.act(change)?;
+        self.send(messages, None);
+        let term = match done {
+            Ok(term) => term,
+            Err(NotNow::NotLeader(leader)) => return Some(Proposed::NotLeader(leader)),
+            Err(NotNow::OneAtATime) => {
+                return Some(Proposed::NotNow(
+                    "one voter is added, removed or moved at a time, and one stays".into(),
+                ));
+            }
+            Err(NotNow::Unsettled) => {
+                return Some(Proposed::NotNow(
+                    "some head may not know of the last change yet, or the leader is new".into(),
+                ));
+            }
+        };
+        let result = |voter: &Voter| match voter.ledger().latest_voters() == Some(&wanted) {
+            true => Some(Proposed::Entry(voter.ledger().voters_at())),
+            false => (voter.term() != term).then_some(Proposed::Unknown),
+        };
+        self.wait(&mut commits, result).await
+    }
+
+    /// Looks after each entry that counts, for so long.
+    async fn wait(
+        &self,
+        commits: &mut watch::Receiver<Index>,
+        result: impl Fn(&Voter) -> Option<Proposed>,
+    ) -> Option<Proposed> {
+        let until = Instant::now() + PROPOSED;
+        loop {
+            if let Some(result) = lock(&self.seat).as_ref().and_then(|seat| result(&seat.voter)) {
+                return Some(result);
+            }
+            // A voter that leads no more may see nothing count for long.
+            let look = (Instant::now() + LOOK).min(until);
+            if timeout_at(look, commits.changed()).await.is_err() && Instant::now() >= until {
+                return Some(Proposed::Unknown);
+            }
+        }
+    }
+
+    /// The ledger: as this voter has it, or with all that counted before the question.
+    pub async fn ledger(self: &Arc<Self>, sure: bool) -> Option<LedgerTold> {
+        let told = |seat: &Seat| LedgerTold::Ledger(Box::new(seat.voter.ledger().clone()));
+        if !sure {
+            return lock(&self.seat).as_ref().map(told);
+        }
+        let mut commits = self.commits.subscribe();
+        let ask = |voter: &mut Voter, now| match voter.ask(now) {
+            Ok((index, out)) => (Ok((index, voter.term())), out),
+            Err(NotLeader(leader)) => (Err(leader), Output::default()),
+        };
+        let (asked, messages) = self.act(ask)?;
+        self.send(messages, None);
+        let (index, term) = match asked {
+            Ok(asked) => asked,
+            Err(leader) => return Some(LedgerTold::NotLeader(leader)),
+        };
+        let result = |voter: &Voter| match voter.term() == term && voter.leads() {
+            true => (voter.commit() >= index).then_some(Proposed::Entry(index)),
+            false => Some(Proposed::Unknown),
+        };
+        match self.wait(&mut commits, result).await? {
+            Proposed::Entry(_) => lock(&self.seat).as_ref().map(told),
+            _ => Some(LedgerTold::Unknown),
+        }
+    }
+
+    pub fn status(&self) -> Option<Status> {
+        let (place, config) = (lock(&self.seat), self.config.seat.as_ref()?);
+        let Seat { voter, disk, .. } = place.as_ref()?;
+        let disk_bytes = std::fs::metadata(disk::path(&config.directory)).map_or(0, |file| file.len());
+        let (ledger, id) = (voter.ledger(), disk.id());
+        Some(Status {
+            id,
+            starts: voter.starts(),
+            term: voter.term(),
+            leader: voter.leader(),
+            last: voter.last(),
+            commit: voter.commit(),
+            prepared: ledger.prepared(),
+            active: ledger.active(),
+            digest: hex(ledger.digest()),
+            voters: voter.voters().clone(),
+            disk_bytes,
+        })
+    }
+
+    /// Only what counts is told.
+    pub fn records(&self, after: Index, most: usize) -> Option<Result<RecordsTold, DiskError>> {
+        let place = lock(&self.seat);
+        let Seat { voter, disk, .. } = place.as_ref()?;
+        let commit = voter.commit();
+        Some(disk.records(after, most).map(|mut records| {
+            records.retain(|record| record.index <= commit);
+            RecordsTold { records, commit }
+        }))
+    }
+
+    pub fn verify(&self) -> Option<Result<disk::Verified, DiskError>> {
+        lock(&self.seat).as_ref().map(|seat| seat.disk.verify())
+    }
+
+    /// Keeps the head's leases: one task for each voter, as the log names them.
+    async fn hold(self: Arc<Self>) {
+        let mut grown = self.grown.subscribe();
+        let mut asked: BTreeMap<VoterId, tokio::task::JoinHandle<()>> = BTreeMap::new();
+        loop {
+            let voters = lock(&self.holder).voters().clone();
+            asked.retain(|id, task| {
+                voters.contains_key(id) || {
+                    task.abort();
+                    false
+                }
+            });
+            for id in voters.into_keys() {
+                asked.entry(id).or_insert_with(|| tokio::spawn(self.clone().ask(id)));
+            }
+            if grown.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Asks one voter for its grant, again and again.
+    async fn ask(self: Arc<Self>, id: VoterId) {
+        let (lease, mut failures) = (within(self.config.times.lease), 0u32);
+        loop {
+            let (message, address) = {
+                // The core sees this view since it was heard: what is said here to be prepared for it keeps to.
+                let holder = lock(&self.holder);
+                (holder.renew(self.pace.now()), self.config.address(id, holder.voters()))
+            };
+            let told = match address {
+                Some(address) => self.caller.call::<Message>(&address, RENEW, &message, lease / 2).await,
+                None => Err(CallError::Broke("it has no address".into())),
+            };
+            let wait = match told {
+                Ok(message) => {
+                    failures = 0;
+                    if self.granted(id, message) { CATCH_UP } else { lease / RENEWALS }
+                }
+                Err(problem) => {
+                    debug!("voter {id}: {problem}");
+                    failures = (failures + 1).min(6);
+                    (lease / RENEWALS).mul_f64(f64::from(failures).sqrt()).min(MOST_APART)
+                }
+            };
+            sleep(wait.mul_f64(0.8 + 0.2 * fastrand::f64())).await;
+        }
+    }
+
+    /// True: there is more to learn at once.
+    fn granted(&self, from: VoterId, message: Message) -> bool {
+        let behind = matches!(&message, Message::Granted { entries, snapshot, .. } if !entries.is_empty() || snapshot.is_some());
+        let mut holder = lock(&self.holder);
+        let (before, voters) = (holder.view().clone(), holder.voters().clone());
+        holder.hear(from, message);
+        let now = self.pace.now();
+        let changed = before.ledger().read() != holder.view().ledger().read()
+            || before.level(now) != holder.view().level(now);
+        *lock(&self.view) = holder.view().clone();
+        if *holder.voters() != voters {
+            self.grown.send_replace(());
+        }
+        drop(holder);
+        if changed {
+            self.handle.send(Input::Look);
+        }
+        behind
+    }
+}
+
+impl Seat {
+    fn tell_changes(&mut self) {
+        let (voter, (leader, term, active)) = (&self.voter, self.told);
+        let ledger = voter.ledger();
+        if (voter.leader(), voter.term()) != (leader, term) {
+            let name = voter.leader().map_or("none".to_string(), |id| id.to_string());
+            let own = if voter.leads() { "yes" } else { "no" };
+            event!(LEADER, leader = name, term = voter.term(), commit = voter.commit(), own);
+        }
+        if ledger.active() != active {
+            let at_us = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
+            event!(
+                REVISION,
+                entry = ledger.active(),
+                commit = voter.commit(),
+                digest = hex(ledger.digest()),
+                at_us
+            );
+        }
+        self.told = (voter.leader(), voter.term(), ledger.active());
+    }
+}
--- /dev/null
+++ b/src/net/agree/wire.rs
@@ -0,0 +1,95 @@
+//! What voters, heads and operators say to a voter. Every call is a POST with a JSON body; the path has the form's number.
+
+use super::disk::Record;
+use crate::agree::document::{Edit, Rejected};
+use crate::agree::ledger::Ledger;
+use crate::agree::voter::{Starts, Voters};
+use crate::agree::{Index, Message, Term, VoterId};
+use serde::{Deserialize, Serialize};
+
+/// The header that names the fleet: a voter of another one says no.
+pub const CLUSTER: &str = "x-pathbank-cluster";
+/// A message's most bytes: a whole ledger fits, and what is larger is nobody's.
+pub const MOST_BYTES: usize = 16 * 1024 * 1024;
+
+pub const HEAR: &str = "/agree/1/hear";
+pub const RENEW: &str = "/agree/1/renew";
+pub const PROPOSE: &str = "/agree/1/propose";
+pub const VOTERS: &str = "/agree/1/voters";
+pub const STATUS: &str = "/agree/1/status";
+pub const LEDGER: &str = "/agree/1/ledger";
+pub const RECORDS: &str = "/agree/1/records";
+pub const VERIFY: &str = "/agree/1/verify";
+
+/// From one voter to another.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Said {
+    pub from: VoterId,
+    pub starts: Starts,
+    pub message: Message,
+}
+
+/// What the other one answers at once.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub struct Heard {
+    pub starts: Starts,
+    pub messages: Vec<Message>,
+}
+
+/// What became of a proposal.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Proposed {
+    /// It counts, by this entry, and comes into force when no head can act against it.
+    Entry(Index),
+    Rejected(Rejected),
+    /// That voter may know better, or nobody leads now.
+    NotLeader(Option<VoterId>),
+    /// The leader changed, or the time ran out: it may count yet. The same edit can be sent again.
+    Unknown,
+    /// Voters change one at a time, when all know of the last change.
+    NotNow(String),
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    pub id: VoterId,
+    pub starts: Starts,
+    pub term: Term,
+    pub leader: Option<VoterId>,
+    pub last: Index,
+    pub commit: Index,
+    pub prepared: Index,
+    pub active: Index,
+    /// Of all up to `commit`.
+    pub digest: String,
+    pub voters: Voters,
+    pub disk_bytes: u64,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct LedgerAsked {
+    /// Nothing that counted before the question may be missing; only the leader can answer.
+    pub sure: bool,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub enum LedgerTold {
+    Ledger(Box<Ledger>),
+    NotLeader(Option<VoterId>),
+    Unknown,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct RecordsAsked {
+    pub after: Index,
+    pub most: usize,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct RecordsTold {
+    pub records: Vec<Record>,
+    pub commit: Index,
+}
+
+/// An edit, as it is proposed.
+pub type EditAsked = Edit;
