The rig: many heads, links that break, faults by a seed, and an audit of all acts

What several processes do while parts break could not be played. pathbank-rehearse fleet starts real heads, leads every link to a voter through one of its own (cut both ways or one, held back, slow), kills, stops, empties, damages and replaces disks by a schedule from a seed, edits and reads all the while, and judges acts, edits, reads, logs and the joint limit from what the processes tell.

--- a/src/agree/rules.rs
+++ b/src/agree/rules.rs
@@ -52,15 +52,22 @@
     price: Option<f64>,
 }
 
-/// A change that the module has to be told.
+/// What has changed since the last look.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Reading {
     pub level: Level,
     pub was: Level,
-    /// Another revision came into force, was prepared, or is known now that was not.
+    /// The documents say something else to a head.
     pub revised: bool,
 }
 
+impl Reading {
+    /// The module has to be told.
+    pub fn matters(&self) -> bool {
+        self.revised || self.level != self.was
+    }
+}
+
 #[derive(Debug)]
 pub struct Rules {
     base: Settings,
@@ -102,17 +109,20 @@
         view.ledger().read() == self.read && view.level(now) == self.level
     }
 
-    /// The look before each act. What has changed since the last one, if anything that a head acts on has.
+    /// The look before each act. What has changed since the last one, if a lease has, or an edit was prepared or came into
+    /// force.
     pub fn look(&mut self, now: Micros, view: &View) -> Option<Reading> {
         if self.fresh(now, view) {
             return None;
         }
         let (was, level) = (self.level, view.level(now));
+        let edits = |view: &View| (view.ledger().prepared(), view.ledger().active());
+        let moved = edits(&self.view) != edits(view);
         (self.level, self.read, self.view) = (level, view.ledger().read(), view.clone());
         let acting = self.compile();
         let revised = acting != self.acting;
         self.acting = acting;
-        (revised || level != was).then_some(Reading { level, was, revised })
+        (moved || level != was).then_some(Reading { level, was, revised })
     }
 
     fn compile(&self) -> Acting {
--- a/src/agree/voter.rs
+++ b/src/agree/voter.rs
@@ -16,9 +16,19 @@
 
 /// The voters, and where each is reached.
 pub type Voters = BTreeMap<VoterId, String>;
-/// How often a voter was started on its disk: a copy of the disk from before a start shows by it.
+/// How often a voter was started on its disk (the upper half), and a draw at each start: a copy of the disk from before
+/// its last start shows by it, for a second start of one count draws another number.
 pub type Starts = u64;
 
+pub fn next_start(before: Starts, draw: u64) -> Starts {
+    ((before >> 32) + 1) << 32 | draw & 0xffff_ffff
+}
+
+/// Whether somebody speaks from an older disk than was heard of.
+fn is_older(starts: Starts, known: Starts) -> bool {
+    starts != known && starts >> 32 <= known >> 32
+}
+
 /// What a voter must never forget.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Saved {
@@ -166,6 +176,9 @@
     votes: BTreeSet<VoterId>,
     known: BTreeMap<VoterId, Other>,
     grants: BTreeMap<HolderId, Grant>,
+    /// In this start it has seen all that counted for some leader: until then its disk may be an old one, which does not
+    /// know what it has to wait for.
+    caught_up: bool,
     /// Grants of before are not known: it is as if one had been given to somebody who knew nothing.
     started: Micros,
     election_at: Micros,
@@ -190,6 +203,7 @@
             votes: BTreeSet::new(),
             known: BTreeMap::new(),
             grants: BTreeMap::new(),
+            caught_up: false,
             started: now,
             election_at: 0,
             beat_at: now,
@@ -362,12 +376,12 @@
             return out;
         }
         let known = self.saved.known.get(&from).copied().unwrap_or(0);
-        if starts < known {
+        if is_older(starts, known) {
             // A copy of its disk: what it voted and granted since then it does not know.
             out.stranger = Some(from);
             return out;
         }
-        if starts > known {
+        if starts != known {
             self.save(Save::Known(from, starts), &mut out);
         }
         let led = self.leads();
@@ -416,6 +430,7 @@
                     if yes {
                         matched = self.take(before, entries, out);
                         self.commit_to(commit.min(matched), out);
+                        self.caught_up |= matched >= commit;
                     }
                 }
                 self.say_matched(now, from, yes, matched, out);
@@ -423,7 +438,7 @@
             Message::Snapshot { term, last_term, ledger } => {
                 let (mut yes, mut matched) = (false, 0);
                 if self.follows(now, draw, from, term, out) {
-                    (yes, matched) = (true, ledger.read());
+                    (yes, matched, self.caught_up) = (true, ledger.read(), true);
                     if ledger.read() > self.commit {
                         let whole = Some(self.commit);
                         (self.commit, self.ledger) = (ledger.read(), (*ledger).clone());
@@ -482,6 +497,7 @@
     fn lead(&mut self, now: Micros, out: &mut Output) {
         (self.role, self.leader, self.led_at, self.beat_at) = (Role::Leader, Some(self.id), Some(now), now);
         self.known.clear();
+        self.caught_up = true;
         self.read_voters();
         self.put(Command::Begin, out);
         self.advance(now, out);
@@ -630,8 +646,7 @@
         let over = self.times.surely_over(self.times.long_lease);
         self.grants.retain(|_, grant| now.saturating_sub(grant.at) <= over);
         let room = self.grants.len() < MOST_GRANTS || self.grants.contains_key(&holder);
-        // With no log at all it may be one that has lost its disk, and with that what it has to wait for.
-        let yes = prepared >= self.saved.barrier && room && self.last() > 0;
+        let yes = prepared >= self.saved.barrier && room && self.caught_up;
         if yes {
             let grant = self.grants.entry(holder.clone()).or_insert(Grant { prepared, at: now });
             // What it knows it knows for good; late messages of its own do not undo that.
--- a/src/bin/pathbank-rehearse.rs
+++ b/src/bin/pathbank-rehearse.rs
@@ -1,14 +1,104 @@
 //! Plays the rehearsal's named cases against the daemon that is built beside this program.
 //!
 //! `pathbank-rehearse` plays all, `pathbank-rehearse NAME ...` those named, `pathbank-rehearse --list` tells them. Each is
-//! played in every kind of deployment that the kit knows.
+//! played in every kind of deployment that the kit knows. `pathbank-rehearse fleet` plays the rig of many heads with faults
+//! between them; its own `--help` tells how.
 
+use clap::Parser;
 use pathbank::rehearsal::cases::{Case, all};
+use pathbank::rehearsal::fleet::run;
+use pathbank::rehearsal::fleet::schedule::{KINDS, Kind, drawn, shortest};
 use pathbank::rehearsal::stage::{Site, play_in};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+/// Many heads, faults between them by a seed, and an audit of what they did.
+#[derive(Parser)]
+#[command(name = "pathbank-rehearse fleet")]
+struct FleetLine {
+    /// The first seed, and how many from there on.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    #[arg(long, default_value_t = 5)]
+    heads: usize,
+    /// Which faults may be drawn, with commas between them; all by default, `none` for none.
+    #[arg(long)]
+    faults: Option<String>,
+    /// For how long faults begin.
+    #[arg(long, default_value_t = 6)]
+    seconds: u64,
+    /// Some heads take their leases for far longer than the voters count: the audit has to find that.
+    #[arg(long)]
+    long_leases: bool,
+    /// No clients, no nodes that answer, no edits but those that are timed.
+    #[arg(long)]
+    quiet: bool,
+    /// Looks for the least of a failed schedule that still fails, in so many runs at most.
+    #[arg(long, default_value_t = 0)]
+    shrink: usize,
+}
+
+fn fleet(daemon: &Path, args: Vec<String>) -> ExitCode {
+    let line =
+        match FleetLine::try_parse_from(std::iter::once("pathbank-rehearse fleet".to_string()).chain(args)) {
+            Ok(line) => line,
+            Err(problem) => {
+                let _ = problem.print();
+                return ExitCode::from(if problem.use_stderr() { 2 } else { 0 });
+            }
+        };
+    let kinds = match line.faults.as_deref() {
+        None => Ok(KINDS.iter().map(|(kind, _)| *kind).collect::<Vec<Kind>>()),
+        Some("none") => Ok(Vec::new()),
+        Some(names) => names.split(',').map(str::parse).collect(),
+    };
+    let kinds = match kinds {
+        Ok(kinds) if line.heads >= 3 => kinds,
+        Ok(_) => {
+            eprintln!("pathbank-rehearse fleet: three heads at least are due");
+            return ExitCode::from(2);
+        }
+        Err(problem) => {
+            eprintln!("pathbank-rehearse fleet: {problem}");
+            return ExitCode::from(2);
+        }
+    };
+    let (mut passed, mut failed) = (0, 0);
+    for seed in line.seed..line.seed + line.seeds {
+        let plan = run::Plan { seed, heads: line.heads, long_leases: line.long_leases, traffic: !line.quiet };
+        let faults = drawn(seed, line.heads, 3, &kinds, line.seconds * 1_000);
+        let played = run::play(daemon, &plan, &faults);
+        let problems = match &played {
+            Ok(played) => played.verdict.problems.clone(),
+            Err(failure) => vec![failure.to_string()],
+        };
+        if problems.is_empty() {
+            passed += 1;
+            played.iter().for_each(|played| println!("ok      {}", run::line(&plan, played)));
+            continue;
+        }
+        failed += 1;
+        println!("FAILED  seed {seed}: {}", problems.join("; "));
+        let fails = |faults: &[_]| {
+            run::play(daemon, &plan, faults).map_or(true, |played| !played.verdict.problems.is_empty())
+        };
+        let least = shortest(faults, line.shrink, fails);
+        least.iter().for_each(|fault| println!("        {fault}"));
+    }
+    println!("{passed} passed, {failed} failed");
+    if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
 fn main() -> ExitCode {
+    let daemon = match std::env::current_exe() {
+        Ok(own) => own.with_file_name("pathbank"),
+        Err(_) => PathBuf::from("target/release/pathbank"),
+    };
+    if std::env::args().nth(1).as_deref() == Some("fleet") {
+        return fleet(&daemon, std::env::args().skip(2).collect());
+    }
     let names: Vec<String> = std::env::args().skip(1).collect();
     if names.iter().any(|name| name == "--list") {
         all().for_each(|case| println!("{:<18} {}", case.name, case.about));
@@ -18,10 +108,6 @@
         eprintln!("pathbank-rehearse: no case {unknown}; --list tells them");
         return ExitCode::from(2);
     }
-    let daemon = match std::env::current_exe() {
-        Ok(own) => own.with_file_name("pathbank"),
-        Err(_) => PathBuf::from("target/release/pathbank"),
-    };
     let chosen = all().filter(|case| names.is_empty() || names.iter().any(|name| name == case.name));
     let (mut passed, mut failed) = (0, 0);
     for Case { name, about, play } in chosen {
--- a/src/core.rs
+++ b/src/core.rs
@@ -906,14 +906,16 @@
     fn look(&mut self) -> Vec<Event> {
         let Some(agreed) = &mut self.agreed else { return Vec::new() };
         let view = agreed.view();
-        let Some(Reading { level, was, revised }) = agreed.rules.look(agreed.pace.now(), &view) else {
-            return Vec::new();
-        };
+        let Some(reading) = agreed.rules.look(agreed.pace.now(), &view) else { return Vec::new() };
+        let Reading { level, was, revised } = reading;
         let ledger = agreed.rules.ledger();
         let (read, prepared, active) = (ledger.read(), ledger.prepared(), ledger.active());
         let ignored = agreed.rules.ignored().join(" ");
         let (level, was, revised) = (name_of(level), name_of(was), if revised { "yes" } else { "no" });
         event!(READING, level, was, revised, read, prepared, active, ignored);
+        if !reading.matters() {
+            return Vec::new();
+        }
         self.settings = agreed.rules.settings();
         let mut changed = Vec::new();
         for (number, node) in self.nodes.iter_mut().filter(|(_, node)| !node.gone) {
--- a/src/net/agree/disk.rs
+++ b/src/net/agree/disk.rs
@@ -3,7 +3,7 @@
 //! the ledger beside them spares reading them all at a start.
 
 use crate::agree::ledger::{Digest, Ledger, digest_after};
-use crate::agree::voter::{Save, Saved, Starts};
+use crate::agree::voter::{Save, Saved, Starts, next_start};
 use crate::agree::{Entry, Index, Term, VoterId};
 use redb::{Database, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition, WriteTransaction};
 use serde::de::DeserializeOwned;
@@ -230,8 +230,8 @@
             return Err(DiskError::Schema(schema));
         }
         self.id = get(&meta, "id")?.ok_or_else(|| foreign("it has no number"))?;
-        let mut saved =
-            Saved { starts: get::<Starts>(&meta, "starts")?.unwrap_or(0) + 1, ..Saved::default() };
+        let starts = next_start(get::<Starts>(&meta, "starts")?.unwrap_or(0), fastrand::u64(..));
+        let mut saved = Saved { starts, ..Saved::default() };
         if let Some(Vote { term, voted }) = get(&meta, "vote")? {
             (saved.term, saved.voted) = (term, voted);
         }
@@ -509,7 +509,7 @@
         drop(disk);
         paper.image().full = false;
         let (disk, saved) = Disk::on(paper).unwrap();
-        assert_eq!((saved.term, saved.voted, saved.log.len(), saved.starts), (2, Some(1), 1, 2));
+        assert_eq!((saved.term, saved.voted, saved.log.len(), saved.starts >> 32), (2, Some(1), 1, 2));
         assert_eq!(disk.verify().unwrap(), Verified { entries: 1, last: 1, ..Verified::default() });
     }
 
@@ -544,10 +544,10 @@
         Disk::create(&folder, 5).unwrap();
         assert!(matches!(Disk::create(&folder, 6), Err(DiskError::There(_))));
         let (disk, saved) = open().unwrap();
-        assert_eq!((disk.id(), saved.starts), (5, 1));
+        assert_eq!((disk.id(), saved.starts >> 32), (5, 1));
         assert!(matches!(open(), Err(DiskError::Foreign { .. })), "two processes have it");
         drop(disk);
-        assert_eq!(open().unwrap().1.starts, 2);
+        assert_eq!(open().unwrap().1.starts >> 32, 2);
         let whole = std::fs::read(path(&folder)).unwrap();
         let of = |bytes: &[u8]| {
             std::fs::write(path(&folder), bytes).unwrap();
--- a/src/net/agree/office.rs
+++ b/src/net/agree/office.rs
@@ -145,7 +145,7 @@
         match Disk::open(&config.directory, config.most_bytes) {
             Ok((disk, saved)) => {
                 let (id, last) = (disk.id(), saved.first + saved.log.len() as Index);
-                event!(VOTER_BACK, voter = id, starts = saved.starts, last);
+                event!(VOTER_BACK, voter = id, starts = saved.starts >> 32, last);
                 let (times, now) = (self.config.times, self.pace.now());
                 let voter = Voter::new(id, &self.config.voters, times, saved, now, fastrand::u64(..));
                 let told = (None, 0, voter.ledger().active());
@@ -372,7 +372,7 @@
         let (ledger, id) = (voter.ledger(), disk.id());
         Some(Status {
             id,
-            starts: voter.starts(),
+            starts: voter.starts() >> 32,
             term: voter.term(),
             leader: voter.leader(),
             last: voter.last(),
--- /dev/null
+++ b/src/rehearsal/fleet/run.rs
@@ -0,0 +1,702 @@
+//! One run: starts the fleet, breaks it by the schedule, edits and reads all the while, waits until all heads know the
+//! same again, and gives what was told to the auditor.
+
+use super::audit::{Acknowledged, Act, History, Read, Verdict, judge};
+use super::link::Link;
+use super::schedule::{Draw, Fault, Kind};
+use crate::agree::document::{Edit, Part, Value};
+use crate::agree::voter::Voters;
+use crate::agree::{Index, VoterId, report};
+use crate::net::agree::call::Caller;
+use crate::net::agree::disk::{Disk, path};
+use crate::net::agree::wire::{
+    LEDGER, LedgerAsked, LedgerTold, PROPOSE, Proposed, RECORDS, RecordsAsked, RecordsTold, STATUS, Status,
+    VOTERS,
+};
+use crate::rehearsal::brick::{Act as Answered, Brick, Seen, answer};
+use crate::rehearsal::stage::{Discovery, Head, Setup, Site, entry};
+use crate::rehearsal::{Failure, Outcome, STUCK, check, header};
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{Read as _, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const CLUSTER: &str = "rehearsal";
+const VOTERS_AT_FIRST: usize = 3;
+const NODES: usize = 3;
+/// A client asks again after this; its request waits for so long at most.
+const CLIENT_APART: Duration = Duration::from_millis(15);
+const DEADLINE: Duration = Duration::from_millis(600);
+const EDITS_APART: Duration = Duration::from_millis(250);
+const LOOK: Duration = Duration::from_millis(20);
+/// Edits that are timed while nothing breaks.
+const MARKS: u64 = 3;
+
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub seed: u64,
+    pub heads: usize,
+    /// A deliberate break: some heads are told that their leases last far longer than the voters count.
+    pub long_leases: bool,
+    /// Clients and nodes are there: without, only the heads among themselves.
+    pub traffic: bool,
+}
+
+/// What came of it.
+#[derive(Clone, Debug)]
+pub struct Played {
+    pub verdict: Verdict,
+    /// Edits from their proposal until the last head had them in force, in milliseconds.
+    pub edit_ms: Vec<u64>,
+    pub served: u64,
+    pub answered: u64,
+    /// What links carried in all.
+    pub bytes: u64,
+}
+
+pub fn now_us() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// What a head told last of what it acts on.
+#[derive(Clone, Debug, Default)]
+struct Reading {
+    level: String,
+    active: Index,
+}
+
+/// What all threads write down.
+#[derive(Default)]
+struct Notes {
+    history: Mutex<History>,
+    readings: Mutex<BTreeMap<usize, Reading>>,
+    old_disks: AtomicU64,
+    over: AtomicBool,
+    served: AtomicU64,
+    answered: AtomicU64,
+}
+
+struct Member {
+    setup: Setup,
+    head: Option<Head>,
+    directory: Option<PathBuf>,
+    /// To each voter of the start.
+    links: Vec<Link>,
+    /// Where clients connect now.
+    http: Arc<Mutex<Option<SocketAddr>>>,
+}
+
+/// A voter, and the head that it is at.
+#[derive(Clone, Debug)]
+struct Seat {
+    id: VoterId,
+    member: usize,
+    /// Where operators ask it, past all links.
+    address: Option<SocketAddr>,
+}
+
+struct Fleet<'a> {
+    daemon: &'a Path,
+    folder: PathBuf,
+    members: Vec<Member>,
+    seats: Arc<Mutex<Vec<Seat>>>,
+    discovery: Discovery,
+    known: Vec<serde_json::Value>,
+    notes: Arc<Notes>,
+    /// Links to voters that came later, which all heads share.
+    later: Vec<(usize, Link)>,
+    replaced: u64,
+}
+
+fn parameter<'l>(line: &'l str, name: &str) -> Option<&'l str> {
+    let (_, rest) = line.split_once(&format!(" {name}=\""))?;
+    rest.split('"').next()
+}
+
+fn number<T: std::str::FromStr>(line: &str, name: &str) -> Option<T> {
+    parameter(line, name)?.parse().ok()
+}
+
+/// What a line of a head's log tells the auditor.
+fn note(notes: &Notes, head: usize, line: &str) {
+    if line.contains(" ACT ") {
+        let act = || {
+            Some(Act {
+                head,
+                at_us: number(line, "at_us")?,
+                late_us: number(line, "late_us")?,
+                class: number(line, "class")?,
+                attempt: number(line, "attempt")?,
+                node: parameter(line, "node")?.to_string(),
+                limit: number(line, "limits")?,
+            })
+        };
+        lock(&notes.history).acts.extend(act());
+    } else if line.contains(" REVISION ") {
+        if let (Some(entry), Some(at)) = (number(line, "entry"), number::<u64>(line, "at_us")) {
+            let mut history = lock(&notes.history);
+            let known = history.in_force.entry(entry).or_insert(at);
+            *known = at.min(*known);
+        }
+    } else if line.contains(" READING ") {
+        if let (Some(level), Some(active)) = (parameter(line, "level"), number(line, "active")) {
+            lock(&notes.readings).insert(head, Reading { level: level.to_string(), active });
+        }
+    } else if line.contains(" OLD_DISK ") {
+        notes.old_disks.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+impl Fleet<'_> {
+    fn start<'a>(daemon: &'a Path, plan: &Plan, bricks: &[Brick]) -> Outcome<Fleet<'a>> {
+        static SERIAL: AtomicU64 = AtomicU64::new(0);
+        let name =
+            format!("pathbank-fleet-{}-{}", std::process::id(), SERIAL.fetch_add(1, Ordering::Relaxed));
+        let folder = std::env::temp_dir().join(name);
+        let mut draw = Draw(plan.seed);
+        let place = |(number, brick): (usize, &Brick)| {
+            entry(&format!("s-{number}"), brick.address, number as u16, "in_service")
+        };
+        let known: Vec<serde_json::Value> = bricks.iter().enumerate().map(place).collect();
+        let discovery = Discovery::start(known.clone())?;
+        let mut fleet = Fleet {
+            daemon,
+            folder,
+            members: Vec::new(),
+            seats: Arc::default(),
+            discovery,
+            known,
+            notes: Arc::default(),
+            later: Vec::new(),
+            replaced: 0,
+        };
+        for member in 0..VOTERS_AT_FIRST {
+            let id = draw.next() >> 16;
+            Disk::create(&fleet.folder.join(format!("v{member}")), id).map_err(unmet)?;
+            lock(&fleet.seats).push(Seat { id, member, address: None });
+        }
+        for number in 0..plan.heads {
+            let links = (0..VOTERS_AT_FIRST).map(|_| Link::open()).collect::<Outcome<Vec<Link>>>()?;
+            let directory = (number < VOTERS_AT_FIRST).then(|| fleet.folder.join(format!("v{number}")));
+            // Clocks are up to an hour apart and run up to 1% apart; leases are shorter than usual, so that they end.
+            let lease = if plan.long_leases && number >= VOTERS_AT_FIRST { 30_000 } else { 1_000 };
+            let voters: String = lock(&fleet.seats)
+                .iter()
+                .zip(&links)
+                .map(|(seat, link)| format!("{} = \"{}\"\n", seat.id, link.address))
+                .collect();
+            let agree = format!(
+                "enabled = true\ncluster = \"{CLUSTER}\"\nSEAT\n[voters]\n{voters}[times]\nlease_ms = {lease}\n\
+                 long_lease_ms = {}\n[rehearsal]\nclock_ahead_ms = {}\nclock_ppm = {}\nkept = 16\n",
+                3 * lease,
+                draw.below(3_600_000),
+                draw.below(9_000) as i64 - 4_500
+            );
+            let setup = Setup {
+                site: Site::Asked,
+                name: format!("n{number}"),
+                number: number as u32,
+                heads: plan.heads as u32,
+                agree: Some(agree),
+                level: "debug",
+                deadline: DEADLINE,
+                watched: false,
+                ..Setup::default()
+            };
+            let http = Arc::default();
+            fleet.members.push(Member { setup, head: None, directory, links, http });
+            fleet.begin(number)?;
+        }
+        Ok(fleet)
+    }
+
+    /// Starts a head's process, on whatever its disk is now.
+    fn begin(&mut self, number: usize) -> Outcome {
+        let member = &mut self.members[number];
+        let seat = match &member.directory {
+            Some(directory) => format!("listen = \"127.0.0.1:0\"\ndirectory = \"{}\"", directory.display()),
+            None => String::new(),
+        };
+        let agree = member.setup.agree.as_deref().map(|text| text.replace("SEAT", &seat));
+        let setup = Setup { agree, ..member.setup.clone() };
+        let mut head = Head::start(self.daemon, &setup, self.discovery.address, self.known.clone())?;
+        let lines = std::mem::replace(&mut head.log, channel().1);
+        let notes = self.notes.clone();
+        thread::spawn(move || lines.iter().for_each(|line| note(&notes, number, &line)));
+        *lock(&member.http) = Some(head.http);
+        let voter = head.voter;
+        member.head = Some(head);
+        let known: Vec<(usize, Option<SocketAddr>)> =
+            lock(&self.seats).iter().map(|seat| (seat.member, seat.address)).collect();
+        for ((seated, address), link) in known.iter().zip(&self.members[number].links) {
+            if *seated != number && self.later.iter().all(|(member, _)| member != seated) {
+                link.lead_to(*address);
+            }
+        }
+        let place = known.iter().position(|(seated, _)| *seated == number);
+        if let Some(place) = place {
+            lock(&self.seats)[place].address = voter;
+            if place < VOTERS_AT_FIRST && self.later.iter().all(|(member, _)| *member != number) {
+                self.members.iter().for_each(|member| member.links[place].lead_to(voter));
+            }
+            self.later
+                .iter()
+                .filter(|(member, _)| *member == number)
+                .for_each(|(_, link)| link.lead_to(voter));
+        }
+        Ok(())
+    }
+
+    fn kill(&mut self, number: usize) -> Outcome {
+        let member = &mut self.members[number];
+        *lock(&member.http) = None;
+        lock(&self.notes.readings).remove(&number);
+        if let Some(mut head) = member.head.take() {
+            head.kill()?;
+        }
+        Ok(())
+    }
+
+    /// Links between two heads, from the first to the second one's voter; none where that has none.
+    fn link(&self, from: usize, to: usize) -> Option<&Link> {
+        self.members[from].links.get(to)
+    }
+
+    fn isolate(&self, number: usize, on: bool) {
+        for other in 0..self.members.len() {
+            self.link(other, number).into_iter().for_each(|link| link.cut(on, on));
+            self.link(number, other).into_iter().for_each(|link| link.cut(on, on));
+        }
+        self.later.iter().filter(|(member, _)| *member == number).for_each(|(_, link)| link.cut(on, on));
+    }
+
+    /// It hears nobody while all hear it.
+    fn deafen(&self, number: usize, on: bool) {
+        for other in (0..self.members.len()).filter(|other| *other != number) {
+            self.link(other, number).into_iter().for_each(|link| link.cut(on, false));
+            self.link(number, other).into_iter().for_each(|link| link.cut(false, on));
+        }
+    }
+
+    fn break_it(&mut self, fault: &Fault) -> Outcome {
+        let Fault { kind, head, voter, lasts_ms, .. } = *fault;
+        match kind {
+            Kind::Cut => self.link(head, voter).into_iter().for_each(|link| link.cut(true, true)),
+            Kind::CutOneWay => {
+                let forth = lasts_ms % 2 == 0;
+                self.link(head, voter).into_iter().for_each(|link| link.cut(forth, !forth));
+            }
+            Kind::Isolate => self.isolate(head, true),
+            Kind::DeafLeader => self.deafen(voter, true),
+            Kind::Slow => {
+                let links = &self.members[head].links;
+                links.iter().for_each(|link| link.slow(20 + lasts_ms % 200, 20 + lasts_ms % 100));
+            }
+            Kind::Kill | Kind::Empty | Kind::Damaged | Kind::Old => self.kill(head)?,
+            Kind::Stop => self.members[head].head.iter().try_for_each(|head| head.stop(true))?,
+            Kind::Half => {
+                let count = self.members.len() / 2 + 1;
+                (self.members.len() - count..self.members.len()).try_for_each(|number| self.kill(number))?;
+            }
+        }
+        Ok(())
+    }
+
+    fn heal(&mut self, fault: &Fault) -> Outcome {
+        let Fault { kind, head, voter, .. } = *fault;
+        match kind {
+            Kind::Cut | Kind::CutOneWay => {
+                self.link(head, voter).into_iter().for_each(|link| link.cut(false, false));
+            }
+            Kind::Isolate => self.isolate(head, false),
+            Kind::DeafLeader => self.deafen(voter, false),
+            Kind::Slow => self.members[head].links.iter().for_each(|link| link.slow(0, 0)),
+            Kind::Kill => self.begin_if_ended(head)?,
+            Kind::Stop => self.members[head].head.iter().try_for_each(|head| head.stop(false))?,
+            Kind::Half => (0..self.members.len()).try_for_each(|number| self.begin_if_ended(number))?,
+            Kind::Empty | Kind::Damaged | Kind::Old => {
+                self.kill(head)?;
+                let Some(directory) = self.members[head].directory.clone() else { return Ok(()) };
+                self.spoil(head, kind, &directory)?;
+                self.begin(head)?;
+                self.replace(head)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn begin_if_ended(&mut self, number: usize) -> Outcome {
+        if self.members[number].head.is_none() { self.begin(number) } else { Ok(()) }
+    }
+
+    /// Does to a stopped voter's disk what the fault is.
+    fn spoil(&mut self, number: usize, kind: Kind, directory: &Path) -> Outcome {
+        let file = path(directory);
+        match kind {
+            Kind::Empty => std::fs::remove_file(&file)?,
+            Kind::Damaged => {
+                let mut bytes = std::fs::read(&file)?;
+                let third = bytes.len() / 3;
+                bytes[..third].iter_mut().step_by(7).for_each(|byte| *byte ^= 0x55);
+                std::fs::write(&file, bytes)?;
+            }
+            _ => {
+                // A copy from before its last start, which the others have heard of.
+                let copy = std::fs::read(&file)?;
+                self.begin(number)?;
+                self.wait_for("the others to hear of its start", |fleet| {
+                    let Some(address) = lock(&fleet.seats).iter().find(|seat| seat.member == number)?.address
+                    else {
+                        return None;
+                    };
+                    call::<Status>(address, STATUS, &())
+                        .ok()
+                        .filter(|status| status.leader.is_some())
+                        .map(drop)
+                })?;
+                self.kill(number)?;
+                std::fs::write(&file, copy)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// A new voter at the same head takes the lost one's place: first the lost one goes, then the new one comes.
+    fn replace(&mut self, number: usize) -> Outcome {
+        self.kill(number)?;
+        self.replaced += 1;
+        let (directory, id) =
+            (self.folder.join(format!("v{number}-{}", self.replaced)), now_us() & 0xffff_ffff_ffff);
+        Disk::create(&directory, id).map_err(unmet)?;
+        self.members[number].directory = Some(directory);
+        let link = Link::open()?;
+        let address = link.address.to_string();
+        self.later.push((number, link));
+        let place = lock(&self.seats).iter().position(|seat| seat.member == number);
+        let Some(place) = place else { return Ok(()) };
+        let lost = std::mem::replace(&mut lock(&self.seats)[place].id, id);
+        // Nobody is at the lost one's place any more.
+        self.members.iter().for_each(|member| member.links[place].lead_to(None));
+        self.begin(number)?;
+        let seats = self.seats.clone();
+        let notes = self.notes.clone();
+        thread::spawn(move || change_voters(&seats, &notes, lost, id, &address));
+        Ok(())
+    }
+
+    fn wait_for<T>(&self, what: &str, mut done: impl FnMut(&Self) -> Option<T>) -> Outcome<T> {
+        let until = Instant::now() + STUCK;
+        while Instant::now() < until {
+            if let Some(done) = done(self) {
+                return Ok(done);
+            }
+            thread::sleep(LOOK);
+        }
+        let readings = lock(&self.notes.readings).clone();
+        let seats: Vec<String> = lock(&self.seats)
+            .iter()
+            .map(|seat| match seat.address.map(|address| call::<Status>(address, STATUS, &())) {
+                Some(Ok(s)) => format!(
+                    "{}: term {} leader {:?} counts {} of {} {:?}",
+                    s.id,
+                    s.term,
+                    s.leader,
+                    s.commit,
+                    s.last,
+                    s.voters.keys()
+                ),
+                other => format!("{}: {:?}", seat.id, other.map(|told| told.map(drop))),
+            })
+            .collect();
+        Err(Failure::Unmet(format!("never came: {what}; heads {readings:?}; voters {seats:?}")))
+    }
+
+    /// All heads hold their leases and have that edit in force.
+    fn know(&self, entry: Index) -> Option<()> {
+        let readings = lock(&self.notes.readings);
+        let knows =
+            |head: &usize| readings.get(head).is_some_and(|at| at.level == "held" && at.active >= entry);
+        (0..self.members.len()).all(|head| knows(&head)).then_some(())
+    }
+
+    /// An edit that changes no rule, and how long it took until all heads had it in force.
+    fn mark(&self) -> Outcome<u64> {
+        let (begun, id) = (Instant::now(), now_us());
+        let entry = self.wait_for("an edit that counts", |fleet| {
+            let text = format!("mark=plain:{id}");
+            let base =
+                read_ledger(&fleet.seats, false)?.latest("marks").map_or(0, |document| document.version);
+            let edit = report::edit(id, "marks", base, &[text], ("rehearsal", "a mark", 0)).ok()?;
+            match propose(&fleet.seats, &edit) {
+                Some(Proposed::Entry(entry)) => Some(entry),
+                _ => None,
+            }
+        })?;
+        self.wait_for("all heads to have an edit in force", |fleet| fleet.know(entry))?;
+        Ok(begun.elapsed().as_millis() as u64)
+    }
+}
+
+impl Drop for Fleet<'_> {
+    fn drop(&mut self) {
+        self.notes.over.store(true, Ordering::Relaxed);
+        // A process that stands still goes on to its end.
+        self.members.iter().filter_map(|member| member.head.as_ref()).for_each(|head| drop(head.stop(false)));
+        self.members.clear();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn unmet(problem: impl std::fmt::Display) -> Failure {
+    Failure::Unmet(problem.to_string())
+}
+
+/// One call, past all links.
+fn call<A: DeserializeOwned>(address: SocketAddr, path: &str, asked: &impl serde::Serialize) -> Outcome<A> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let caller = Caller::new(CLUSTER);
+    let done = runtime.block_on(caller.call(&address.to_string(), path, asked, Duration::from_secs(2)));
+    done.map_err(unmet)
+}
+
+fn addresses(seats: &Mutex<Vec<Seat>>) -> Vec<SocketAddr> {
+    lock(seats).iter().filter_map(|seat| seat.address).collect()
+}
+
+/// `None`: nobody who leads answered.
+fn propose(seats: &Mutex<Vec<Seat>>, edit: &Edit) -> Option<Proposed> {
+    addresses(seats).into_iter().find_map(|address| match call::<Proposed>(address, PROPOSE, edit) {
+        Ok(Proposed::NotLeader(_) | Proposed::Unknown) | Err(_) => None,
+        Ok(told) => Some(told),
+    })
+}
+
+fn read_ledger(seats: &Mutex<Vec<Seat>>, sure: bool) -> Option<Box<crate::agree::ledger::Ledger>> {
+    addresses(seats).into_iter().find_map(|address| {
+        match call::<LedgerTold>(address, LEDGER, &LedgerAsked { sure }) {
+            Ok(LedgerTold::Ledger(ledger)) => Some(ledger),
+            _ => None,
+        }
+    })
+}
+
+/// Asks whoever leads, until both changes are made.
+fn change_voters(seats: &Mutex<Vec<Seat>>, notes: &Notes, lost: VoterId, new: VoterId, address: &str) {
+    while !notes.over.load(Ordering::Relaxed) {
+        for at in addresses(seats) {
+            let Ok(status) = call::<Status>(at, STATUS, &()) else { continue };
+            if status.leader != Some(status.id) {
+                continue;
+            }
+            let mut voters: Voters = status.voters;
+            if voters.remove(&lost).is_none() && voters.insert(new, address.to_string()).is_some() {
+                return;
+            }
+            let _ = call::<Proposed>(at, VOTERS, &voters); // whatever it says, the next look tells
+        }
+        thread::sleep(LOOK);
+    }
+}
+
+/// Edits rules and reads them, as operators do, for as long as the run lasts.
+fn operate(seats: &Mutex<Vec<Seat>>, notes: &Notes, mut draw: Draw) {
+    let mut id = 1_000_000 + draw.below(1_000_000) * 1_000;
+    while !notes.over.load(Ordering::Relaxed) {
+        thread::sleep(EDITS_APART);
+        let asked_us = now_us();
+        let Some(ledger) = read_ledger(seats, true) else { continue };
+        lock(&notes.history).reads.push(Read { asked_us, told_us: now_us(), up_to: ledger.read() });
+        let (document, field, value) = match draw.below(4) {
+            0 => (
+                "plan/starter",
+                "limit",
+                Value::Limit { rate: [12.0, 40.0, 80.0][draw.below(3) as usize], least: 4.0 },
+            ),
+            1 => ("class/token-read", "attempts", Value::Attempts(1 + draw.below(3) as u32)),
+            2 => ("nodes", "s-1", Value::Node(draw.below(2) == 0)),
+            _ => ("plan/starter", "weight", Value::Plain(format!("{}", 1 + draw.below(4)))),
+        };
+        let base = ledger.latest(document).map_or(0, |document| document.version);
+        // Now and then two at once on one base: one of them at most is taken.
+        let both = draw.below(4) == 0;
+        let edits: Vec<Edit> = (0..if both { 2 } else { 1 })
+            .map(|_| {
+                id += 1;
+                let changes = BTreeMap::from([(field.to_string(), Some(value.clone()))]);
+                let parts = BTreeMap::from([(document.to_string(), Part { base, changes })]);
+                Edit { id, parts, who: "rehearsal".into(), why: "a change".into(), at_ms: now_us() / 1_000 }
+            })
+            .collect();
+        let asked_us = now_us();
+        let done: Vec<(u64, Option<Proposed>)> = thread::scope(|scope| {
+            let asked: Vec<_> =
+                edits.iter().map(|edit| scope.spawn(move || (edit.id, propose(seats, edit)))).collect();
+            asked.into_iter().filter_map(|asked| asked.join().ok()).collect()
+        });
+        for (id, told) in done {
+            if let Some(Proposed::Entry(entry)) = told {
+                let told_us = now_us();
+                lock(&notes.history).acknowledged.push(Acknowledged { asked_us, told_us, entry, id });
+            }
+        }
+    }
+}
+
+/// A client of one head: a request after the other, each with its one answer while the head lives.
+fn ask(http: &Mutex<Option<SocketAddr>>, notes: &Notes, number: usize, heads: usize) {
+    let (mut stream, mut at, mut serial) = (None::<TcpStream>, None, 0u64);
+    while !notes.over.load(Ordering::Relaxed) {
+        thread::sleep(CLIENT_APART);
+        let now = *lock(http);
+        if stream.is_none() || at != now {
+            at = now;
+            stream = now.and_then(|address| TcpStream::connect(address).ok());
+        }
+        let Some(open) = &mut stream else { continue };
+        serial += 1;
+        let class = ["token-read", "receipt-write", "once"][serial as usize % 3];
+        let request = format!(
+            "GET /api/00000003b4d60021/{serial:016x} HTTP/1.1\r\nHost: app.svc\r\nX-Priority-Class: {class}\r\n\
+             X-Storage-Class: starter\r\nX-Timeout-Ms: {}\r\nX-Extent: units=1,shard={},hosts={heads}\r\n\
+             X-Request-ID: {number}-{serial}\r\nContent-Length: 0\r\n\r\n",
+            DEADLINE.as_millis(),
+            serial as usize % NODES
+        );
+        let _ = open.set_read_timeout(Some(4 * DEADLINE));
+        let mut status = [0; 12];
+        let answered = open.write_all(request.as_bytes()).and_then(|()| open.read_exact(&mut status)).is_ok();
+        if !answered || !rest_of_answer(open) {
+            stream = None;
+            continue;
+        }
+        notes.answered.fetch_add(1, Ordering::Relaxed);
+        if status.ends_with(b"200") {
+            notes.served.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Reads an answer's head and body to their end.
+fn rest_of_answer(stream: &mut TcpStream) -> bool {
+    let (mut head, mut byte) = (Vec::new(), [0]);
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read_exact(&mut byte).is_err() {
+            return false;
+        }
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8_lossy(&head).into_owned();
+    let length = header(&head, "content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+    let closes = header(&head, "connection").is_some_and(|word| word.eq_ignore_ascii_case("close"));
+    stream.read_exact(&mut vec![0; length]).is_ok() && !closes
+}
+
+/// Notes when each request is first seen by any node.
+fn watch(brick: Brick, notes: Arc<Notes>, known: Arc<Mutex<BTreeSet<String>>>) {
+    for seen in brick.seen.iter() {
+        if let Seen::Request { head, .. } = seen
+            && let Some(id) = header(&head, "x-request-id")
+            && lock(&known).insert(id.to_string())
+        {
+            lock(&notes.history).seen.push(now_us());
+        }
+    }
+}
+
+/// Plays one run. `Err`: it could not be played, or never came to rest.
+pub fn play(daemon: &Path, plan: &Plan, faults: &[Fault]) -> Outcome<Played> {
+    let bricks =
+        (0..NODES).map(|number| Brick::start(&format!("b-{number}"))).collect::<Outcome<Vec<Brick>>>()?;
+    for brick in &bricks {
+        // One in four breaks off, so that there are second attempts.
+        for number in 0..20_000 {
+            brick.next(match number % 4 {
+                3 => Answered::Cut(String::new()),
+                _ => Answered::Answer(answer("200 OK", "", "ok")),
+            });
+        }
+    }
+    let mut fleet = Fleet::start(daemon, plan, &bricks)?;
+    let (seats, notes) = (fleet.seats.clone(), fleet.notes.clone());
+    let known: Arc<Mutex<BTreeSet<String>>> = Arc::default();
+    for brick in bricks {
+        let (notes, known) = (notes.clone(), known.clone());
+        thread::spawn(move || watch(brick, notes, known));
+    }
+    fleet.mark()?;
+    if plan.traffic {
+        for (number, member) in fleet.members.iter().enumerate() {
+            let (http, notes, heads) = (member.http.clone(), notes.clone(), plan.heads);
+            thread::spawn(move || ask(&http, &notes, number, heads));
+        }
+        let (seats, notes, draw) = (seats.clone(), notes.clone(), Draw(plan.seed ^ 0xed17));
+        thread::spawn(move || operate(&seats, &notes, draw));
+    }
+    let mut events: Vec<(u64, bool, &Fault)> = Vec::new();
+    for fault in faults {
+        events.push((fault.at_ms, true, fault));
+        events.push((fault.at_ms + fault.lasts_ms, false, fault));
+    }
+    events.sort_by_key(|(at, begins, _)| (*at, *begins));
+    let begun = Instant::now();
+    for (at, begins, fault) in events {
+        thread::sleep((begun + Duration::from_millis(at)).saturating_duration_since(Instant::now()));
+        if begins { fleet.break_it(fault)? } else { fleet.heal(fault)? }
+    }
+    // Two faults of one head may have overlapped: whatever is still broken is mended now.
+    for number in 0..fleet.members.len() {
+        fleet.isolate(number, false);
+        fleet.members[number].links.iter().for_each(|link| link.slow(0, 0));
+        fleet.begin_if_ended(number)?;
+        fleet.members[number].head.iter().try_for_each(|head| head.stop(false))?;
+    }
+    let edit_ms = (0..MARKS).map(|_| fleet.mark()).collect::<Outcome<Vec<u64>>>()?;
+    notes.over.store(true, Ordering::Relaxed);
+    fleet
+        .wait_for("the voters to be those that should be", |fleet| {
+            let wanted: BTreeSet<VoterId> = lock(&fleet.seats).iter().map(|seat| seat.id).collect();
+            let voters = read_ledger(&fleet.seats, false)?.latest_voters().cloned();
+            let voters = voters.map_or(wanted.clone(), |voters| voters.into_keys().collect());
+            (voters == wanted).then_some(())
+        })
+        .or_else(|problem| if fleet.replaced > 0 { Err(problem) } else { Ok(()) })?;
+    let mut history = lock(&notes.history).clone();
+    history.heads = plan.heads;
+    let at: Vec<Seat> = lock(&seats).clone();
+    for seat in at {
+        let Some(address) = seat.address else { continue };
+        let (mut log, mut after) = (BTreeMap::new(), 0);
+        loop {
+            let told: RecordsTold = call(address, RECORDS, &RecordsAsked { after, most: 1_000 })?;
+            let Some(last) = told.records.last() else { break };
+            after = last.index;
+            log.extend(told.records.into_iter().map(|record| (record.index, record.entry)));
+        }
+        history.logs.push((seat.id, log));
+    }
+    check(history.logs.len() == VOTERS_AT_FIRST, "a voter has no log")?;
+    let bytes = fleet.members.iter().flat_map(|member| &member.links).map(Link::bytes).sum();
+    let verdict = judge(&history);
+    let (served, answered) = (notes.served.load(Ordering::Relaxed), notes.answered.load(Ordering::Relaxed));
+    Ok(Played { verdict, edit_ms, served, answered, bytes })
+}
+
+/// A run's figures in one line.
+pub fn line(plan: &Plan, played: &Played) -> String {
+    let Played { verdict, edit_ms, served, answered, bytes } = played;
+    json!({"seed": plan.seed, "heads": plan.heads, "acts": verdict.acts, "edits": verdict.edits,
+        "in_force": verdict.revisions, "reads": verdict.reads, "longest_us": verdict.longest_us,
+        "late_us": verdict.latest_us, "edit_ms": edit_ms, "served": served, "answered": answered, "bytes": bytes})
+    .to_string()
+}
--- a/src/rehearsal/mod.rs
+++ b/src/rehearsal/mod.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod daily_cases;
 pub mod disk;
+pub mod fleet;
 pub mod grpc;
 pub mod stage;
 pub mod store;
--- a/src/rehearsal/stage.rs
+++ b/src/rehearsal/stage.rs
@@ -156,6 +156,14 @@
     pub burst: f64,
     /// Discovery answers: the stage is set once its watch stands.
     pub watched: bool,
+    /// The head's name and number, and how many heads there are.
+    pub name: String,
+    pub number: u32,
+    pub heads: u32,
+    /// The agreement's file, where it is on.
+    pub agree: Option<String>,
+    /// What its log tells.
+    pub level: &'static str,
 }
 
 impl Default for Setup {
@@ -177,6 +185,11 @@
             limit: 0.0,
             burst: 0.0,
             watched: true,
+            name: "n0".into(),
+            number: 0,
+            heads: 1,
+            agree: None,
+            level: "info",
         }
     }
 }
@@ -223,6 +236,7 @@
     paths: PathBuf,
     calls: PathBuf,
     logs: PathBuf,
+    agreement: PathBuf,
     reading: Arc<AtomicBool>,
     pub http: SocketAddr,
     /// Where the second front listens, if it is on.
@@ -231,6 +245,8 @@
     pub grpc: Option<SocketAddr>,
     /// Where operators call, likewise.
     pub ops: Option<SocketAddr>,
+    /// Where its voter is asked, likewise.
+    pub voter: Option<SocketAddr>,
     pub log: Receiver<String>,
 }
 
@@ -242,7 +258,7 @@
         let paths = std::env::temp_dir().join(format!("{name}.toml"));
         let calls = std::env::temp_dir().join(format!("{name}.grpc.toml"));
         let listen = setup.shared.as_ref().map_or(LOOPBACK.to_string(), |shared| shared.address.to_string());
-        let mut file = json!({"name": "n0", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
+        let mut file = json!({"name": setup.name, "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": setup.memory_mb, "sockets": setup.sockets},
             "known": {"version": 1, "full": true, "servers": known}, "settings": settings(setup)});
         if setup.ops {
@@ -253,9 +269,12 @@
         std::fs::write(&calls, setup.grpc.as_deref().unwrap_or("enabled = false\n"))?;
         let logs = std::env::temp_dir().join(format!("{name}.log.toml"));
         std::fs::write(&logs, &setup.log)?;
+        let agreement = std::env::temp_dir().join(format!("{name}.agree.toml"));
+        std::fs::write(&agreement, setup.agree.as_deref().unwrap_or("enabled = false\n"))?;
         let mut command = Command::new(program);
         command.env("PATHBANK_SYSLOG_FILE", &logs);
-        command.env("GW_CONFIG", &config).env("PATHBANK_SFTP", &paths).env("PATHBANK_LOG", "info");
+        command.env("GW_CONFIG", &config).env("PATHBANK_SFTP", &paths).env("PATHBANK_LOG", setup.level);
+        command.env("PATHBANK_AGREE", &agreement);
         command.env("PATHBANK_GRPC", &calls);
         match setup.syslog {
             Some(receiver) => command.env("PATHBANK_SYSLOG", receiver.to_string()),
@@ -288,11 +307,13 @@
             paths,
             calls,
             logs,
+            agreement,
             reading,
             http,
             files: None,
             grpc: None,
             ops: None,
+            voter: None,
             log,
         };
         // In whatever order these come; the watch has told the whole list, so that from here on changes arrive.
@@ -301,6 +322,7 @@
         waits.extend(setup.ops.then_some(" OPS_UP "));
         waits.extend(setup.files.then_some(" FILES_UP "));
         waits.extend(setup.grpc.is_some().then_some(" GRPC_UP "));
+        waits.extend(setup.agree.is_some().then_some(" AGREE "));
         while !waits.is_empty() {
             let fits = |line: &String| is_up(line) || waits.iter().any(|text| line.contains(text));
             let line = wait_for(&head.log, &waits.join(" and "), fits)?;
@@ -311,6 +333,8 @@
                 head.files = Some(address_in(&line)?);
             } else if line.contains(" OPS_UP ") {
                 head.ops = Some(address_in(&line)?);
+            } else if line.contains(" AGREE ") {
+                head.voter = address_in(&line).ok();
             } else if line.contains(" GRPC_UP ") {
                 head.grpc = Some(address_in(&line)?);
             }
@@ -362,6 +386,18 @@
         self.signal("TERM")
     }
 
+    /// Stands still, and goes on.
+    pub fn stop(&self, stop: bool) -> Outcome {
+        self.signal(if stop { "STOP" } else { "CONT" })
+    }
+
+    /// Ends at once, wherever it is.
+    pub fn kill(&mut self) -> Outcome {
+        self.child.kill()?;
+        self.child.wait()?;
+        Ok(())
+    }
+
     fn signal(&self, name: &str) -> Outcome {
         let kill = format!("kill -{name} {}", self.child.id());
         let done = Command::new("/bin/sh").args(["-c", &kill]).status()?;
@@ -393,6 +429,7 @@
         let _ = std::fs::remove_file(&self.paths);
         let _ = std::fs::remove_file(&self.calls);
         let _ = std::fs::remove_file(&self.logs);
+        let _ = std::fs::remove_file(&self.agreement);
     }
 }
 
@@ -437,6 +474,10 @@
         settings["contract"]["stop_sending_within"] = json!(250_000);
         settings["domain"]["use_period"] = json!(0);
     }
+    if setup.heads > 1 {
+        settings["balancers"] = json!(setup.heads);
+        settings["position"] = json!(setup.number);
+    }
     if setup.crowd {
         settings["balancers"] = json!(40);
         settings["report"] = json!({"fields": ["backlog"], "how": "pull"});
--- a/tests/agree.rs
+++ b/tests/agree.rs
@@ -4,7 +4,7 @@
 use pathbank::agree::document::{Edit, Level, Part, Value};
 use pathbank::agree::holder::Holder;
 use pathbank::agree::ledger::Ledger;
-use pathbank::agree::voter::{Output, Save, Saved, Starts, To, Voter, Voters};
+use pathbank::agree::voter::{Output, Save, Saved, Starts, To, Voter, Voters, next_start};
 use pathbank::agree::{Entry, HolderId, Index, Message, Micros, Term, Times, VoterId};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -484,7 +484,8 @@
                     let starts = self.disks[id as usize].starts;
                     self.disks[id as usize] = Saved { starts, ..Saved::default() };
                 }
-                self.disks[id as usize].starts += 1;
+                let next = next_start(self.disks[id as usize].starts, self.draw.next());
+                self.disks[id as usize].starts = next;
                 self.voters[id as usize] = Some(self.voter(id));
                 self.after(0, Event::Tick(id));
             }
