--- a/src/agree/holder.rs
+++ b/src/agree/holder.rs
@@ -16,7 +16,7 @@
     since: Option<Micros>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Holder {
     id: HolderId,
     /// Those of the start, while the log says nothing of them.
--- a/src/agree/voter.rs
+++ b/src/agree/voter.rs
@@ -160,7 +160,7 @@
     Unsettled,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Voter {
     id: VoterId,
     times: Times,
