--- a/src/rehearsal/fleet/run.rs
+++ b/src/rehearsal/fleet/run.rs
@@ -432,11 +432,13 @@
 
     /// An edit that changes no rule, and how long it took until all heads had it in force.
     fn mark(&self) -> Outcome<u64> {
-        let (begun, id) = (Instant::now(), now_us());
+        let begun = Instant::now();
         let entry = self.wait_for("an edit that counts", |fleet| {
+            // One that was refused stays refused: each try is another edit.
+            let id = now_us();
             let text = format!("mark=plain:{id}");
             let base =
-                read_ledger(&fleet.seats, false)?.latest("marks").map_or(0, |document| document.version);
+                read_ledger(&fleet.seats, true)?.latest("marks").map_or(0, |document| document.version);
             let edit = report::edit(id, "marks", base, &[text], ("rehearsal", "a mark", 0)).ok()?;
             match propose(&fleet.seats, &edit) {
                 Some(Proposed::Entry(entry)) => Some(entry),
