--- a/src/logging/spool.rs
+++ b/src/logging/spool.rs
@@ -436,7 +436,7 @@
     #[test]
     fn a_crash_at_any_byte_loses_no_line_that_was_taken() {
         let taken = |disk: &Disk| {
-            let spool = opened(&disk, &limits(1 << 20));
+            let spool = opened(disk, &limits(1 << 20));
             let mut safe = 0;
             for i in 0..8 {
                 spool.append(batch(INFO, i * 10..i * 10 + 10));
--- a/src/net/agree/serve.rs
+++ b/src/net/agree/serve.rs
@@ -81,9 +81,8 @@
     }
 }
 
-fn read<T: DeserializeOwned>(body: &Bytes) -> Result<T, Response> {
-    serde_json::from_slice(body)
-        .map_err(|problem| (StatusCode::BAD_REQUEST, problem.to_string()).into_response())
+fn read<T: DeserializeOwned>(body: &Bytes) -> Result<T, (StatusCode, String)> {
+    serde_json::from_slice(body).map_err(|problem| (StatusCode::BAD_REQUEST, problem.to_string()))
 }
 
 /// `None`: the voter's disk cannot be used.
@@ -95,24 +94,24 @@
 }
 
 async fn hear(State(office): Desk, body: Bytes) -> Response {
-    read::<Said>(&body).map_or_else(|bad| bad, |said| tell(office.hear(said)))
+    read::<Said>(&body).map_or_else(|bad| bad.into_response(), |said| tell(office.hear(said)))
 }
 
 async fn renew(State(office): Desk, body: Bytes) -> Response {
-    read::<Message>(&body).map_or_else(|bad| bad, |message| tell(office.renew(message)))
+    read::<Message>(&body).map_or_else(|bad| bad.into_response(), |message| tell(office.renew(message)))
 }
 
 async fn propose(State(office): Desk, body: Bytes) -> Response {
     match read::<Edit>(&body) {
         Ok(edit) => tell(office.propose(edit).await),
-        Err(bad) => bad,
+        Err(bad) => bad.into_response(),
     }
 }
 
 async fn voters(State(office): Desk, body: Bytes) -> Response {
     match read::<Voters>(&body) {
         Ok(voters) => tell(office.change(voters).await),
-        Err(bad) => bad,
+        Err(bad) => bad.into_response(),
     }
 }
 
@@ -123,14 +122,14 @@
 async fn ledger(State(office): Desk, body: Bytes) -> Response {
     match read::<LedgerAsked>(&body) {
         Ok(asked) => tell(office.ledger(asked.sure).await),
-        Err(bad) => bad,
+        Err(bad) => bad.into_response(),
     }
 }
 
 async fn records(State(office): Desk, body: Bytes) -> Response {
     match read::<RecordsAsked>(&body) {
         Ok(asked) => from_disk(office.records(asked.after, asked.most.min(MOST_RECORDS))),
-        Err(bad) => bad,
+        Err(bad) => bad.into_response(),
     }
 }
 
--- a/src/rehearsal/fleet/schedule.rs
+++ b/src/rehearsal/fleet/schedule.rs
@@ -78,7 +78,7 @@
 pub struct Draw(pub u64);
 
 impl Draw {
-    pub fn next(&mut self) -> u64 {
+    pub fn draw(&mut self) -> u64 {
         self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
         let mixed = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
         let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
@@ -86,7 +86,7 @@
     }
 
     pub fn below(&mut self, most: u64) -> u64 {
-        self.next() % most.max(1)
+        self.draw() % most.max(1)
     }
 }
 
