--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -336,6 +336,31 @@
     }
 }
 
+#[test]
+fn a_limit_that_is_lowered_holds_for_what_waits_and_saves_nothing_up_twice() {
+    for lowered in [false, true] {
+        let mut host = Host::new(settings(vec![class(Repeats::Safe)]), vec![node(10, 1)]);
+        host.wait(10 * S);
+        let tokens = fill(&mut host);
+        // Ten units are saved up for them, and no token is free.
+        for id in 1..5 {
+            host.arrive(id, |r| (r.volume, r.plan) = (9, 1));
+        }
+        if lowered {
+            let mut changed = settings(vec![class(Repeats::Safe)]);
+            (changed.plans[1].limit, changed.plans[1].limit_burst) = (f64::MIN_POSITIVE, 0.0);
+            host.event(Event::Settings(Box::new(changed)));
+            // Raised again at once: what was cut is gone, and is earned anew by the rate.
+            host.event(Event::Settings(Box::new(settings(vec![class(Repeats::Safe)]))));
+        }
+        for id in 0..tokens {
+            host.outcome(1000 + id, 0, 10, Ending::Served);
+        }
+        let sent: usize = (1..5).map(|id| host.sent(id)).sum();
+        assert_eq!(sent as u64, if lowered { 0 } else { tokens });
+    }
+}
+
 #[test]
 fn what_is_passed_on_may_take_as_long_as_it_does() {
     for began in [false, true] {
