--- a/src/bin/pathbank-rehearse.rs
+++ b/src/bin/pathbank-rehearse.rs
@@ -35,6 +35,9 @@
     /// No clients, no nodes that answer, no edits but those that are timed.
     #[arg(long)]
     quiet: bool,
+    /// Measures what agreement costs, in place of breaking things.
+    #[arg(long)]
+    measure: bool,
     /// Looks for the least of a failed schedule that still fails, in so many runs at most.
     #[arg(long, default_value_t = 0)]
     shrink: usize,
@@ -65,6 +68,19 @@
             return ExitCode::from(2);
         }
     };
+    if line.measure {
+        let plan = run::Plan { seed: line.seed, heads: line.heads, long_leases: false, traffic: false };
+        return match run::measure(daemon, &plan) {
+            Ok(told) => {
+                told.iter().for_each(|line| println!("{line}"));
+                ExitCode::SUCCESS
+            }
+            Err(failure) => {
+                eprintln!("pathbank-rehearse fleet: {failure}");
+                ExitCode::FAILURE
+            }
+        };
+    }
     let (mut passed, mut failed) = (0, 0);
     for seed in line.seed..line.seed + line.seeds {
         let plan = run::Plan { seed, heads: line.heads, long_leases: line.long_leases, traffic: !line.quiet };
--- a/src/rehearsal/fleet/run.rs
+++ b/src/rehearsal/fleet/run.rs
@@ -84,6 +84,8 @@
     history: Mutex<History>,
     readings: Mutex<BTreeMap<usize, Reading>>,
     old_disks: AtomicU64,
+    /// No process may panic, whatever breaks.
+    panics: Mutex<Vec<String>>,
     over: AtomicBool,
     served: AtomicU64,
     answered: AtomicU64,
@@ -155,6 +157,8 @@
         if let (Some(level), Some(active)) = (parameter(line, "level"), number(line, "active")) {
             lock(&notes.readings).insert(head, Reading { level: level.to_string(), active });
         }
+    } else if line.contains("panicked at") {
+        lock(&notes.panics).push(format!("head {head}: {line}"));
     } else if line.contains(" OLD_DISK ") {
         notes.old_disks.fetch_add(1, Ordering::Relaxed);
     }
@@ -425,7 +429,10 @@
                 other => format!("{}: {:?}", seat.id, other.map(|told| told.map(drop))),
             })
             .collect();
-        Err(Failure::Unmet(format!("never came: {what}; heads {readings:?}; voters {seats:?}")))
+        let panics = lock(&self.notes.panics).clone();
+        Err(Failure::Unmet(format!(
+            "never came: {what}; panics {panics:?}; heads {readings:?}; voters {seats:?}"
+        )))
     }
 
     /// All heads hold their leases and have that edit in force.
@@ -695,7 +702,8 @@
     }
     check(history.logs.len() == VOTERS_AT_FIRST, "a voter has no log")?;
     let bytes = fleet.members.iter().flat_map(|member| &member.links).map(Link::bytes).sum();
-    let verdict = judge(&history);
+    let mut verdict = judge(&history);
+    verdict.problems.extend(lock(&notes.panics).iter().cloned());
     let (served, answered) = (notes.served.load(Ordering::Relaxed), notes.answered.load(Ordering::Relaxed));
     Ok(Played { verdict, edit_ms, served, answered, bytes })
 }
@@ -708,3 +716,112 @@
         "late_us": verdict.latest_us, "edit_ms": edit_ms, "served": served, "answered": answered, "bytes": bytes})
     .to_string()
 }
+
+/// What agreement costs and how fast it is, with nothing broken but a leader that is killed now and then.
+pub fn measure(daemon: &Path, plan: &Plan) -> Outcome<Vec<String>> {
+    let bricks =
+        (0..NODES).map(|number| Brick::start(&format!("b-{number}"))).collect::<Outcome<Vec<Brick>>>()?;
+    let mut fleet = Fleet::start(daemon, plan, &bricks)?;
+    fleet.mark()?;
+    let mut told = Vec::new();
+    let mut marks = (0..MEASURED).map(|_| fleet.mark()).collect::<Outcome<Vec<u64>>>()?;
+    marks.sort_unstable();
+    told.push(format!("edit to the last of {} heads, ms: {marks:?}", plan.heads));
+    // Nobody does anything.
+    let processes: Vec<u32> =
+        fleet.members.iter().filter_map(|member| member.head.as_ref().map(Head::process)).collect();
+    let used = |fleet: &Fleet| -> (u64, Vec<u64>) {
+        let bytes = fleet.members.iter().flat_map(|member| &member.links).map(Link::bytes).sum();
+        (bytes, processes.iter().map(|process| cpu_ticks(*process)).collect())
+    };
+    let (bytes, cpu) = used(&fleet);
+    thread::sleep(IDLE);
+    let (bytes_after, cpu_after) = used(&fleet);
+    let ms: Vec<u64> =
+        cpu.iter().zip(&cpu_after).map(|(before, after)| (after - before) * 10 / IDLE.as_secs()).collect();
+    let each = (bytes_after - bytes) / IDLE.as_secs() / plan.heads as u64;
+    told.push(format!(
+        "idle: {each} bytes a second and head (voters' own included); CPU ms a second: {ms:?}"
+    ));
+    // Edits of documents of their own, from several operators.
+    let (begun, seats, counted) = (Instant::now(), fleet.seats.clone(), AtomicU64::new(0));
+    thread::scope(|scope| {
+        for operator in 0..OPERATORS {
+            let (seats, counted) = (&seats, &counted);
+            scope.spawn(move || {
+                let (name, mut base) = (format!("measured-{operator}"), 0);
+                while begun.elapsed() < EDITING {
+                    let id = now_us() * OPERATORS + operator;
+                    let text = [format!("x=plain:{id}")];
+                    let Ok(edit) = report::edit(id, &name, base, &text, ("rehearsal", "measured", 0)) else {
+                        return;
+                    };
+                    if let Some(Proposed::Entry(_)) = propose(seats, &edit) {
+                        counted.fetch_add(1, Ordering::Relaxed);
+                        base += 1;
+                    }
+                }
+            });
+        }
+    });
+    let counted = counted.load(Ordering::Relaxed) as f64 / begun.elapsed().as_secs_f64();
+    told.push(format!("edits a second from {OPERATORS} operators: {counted:.0}"));
+    // The leader is killed, and an edit tried again and again until it counts.
+    let mut gaps = Vec::new();
+    for _ in 0..KILLS {
+        let leader = fleet.wait_for("a leader", |fleet| {
+            let seats = lock(&fleet.seats).clone();
+            seats.into_iter().find_map(|seat| {
+                let status = call::<Status>(seat.address?, STATUS, &()).ok()?;
+                (status.leader == Some(seat.id)).then_some(seat.member)
+            })
+        })?;
+        fleet.kill(leader)?;
+        let begun = Instant::now();
+        fleet.wait_for("another leader's word", |fleet| read_ledger(&fleet.seats, true))?;
+        gaps.push(begun.elapsed().as_millis() as u64);
+        fleet.begin(leader)?;
+        fleet.mark()?;
+    }
+    gaps.sort_unstable();
+    told.push(format!("from the leader's kill to the next one's word, ms: {gaps:?}"));
+    // Requests in turn through a head with agreement and one without, which share nodes.
+    let plain = Setup { agree: None, level: "info", ..fleet.members[plan.heads - 1].setup.clone() };
+    let other = Head::start(daemon, &plain, fleet.discovery.address, fleet.known.clone())?;
+    let with = fleet.members[plan.heads - 1].head.as_ref().map(|head| head.http);
+    let Some(with) = with else { return Ok(told) };
+    let mut took: [Vec<u64>; 2] = [Vec::new(), Vec::new()];
+    let mut streams = [TcpStream::connect(with)?, TcpStream::connect(other.http)?];
+    for number in 0..2 * ASKED {
+        let (way, begun) = (number % 2, Instant::now());
+        let request = format!(
+            "GET /api/00000003b4d60021/{number:016x} HTTP/1.1\r\nHost: app.svc\r\nX-Priority-Class: token-read\r\n\
+             X-Storage-Class: starter\r\nX-Timeout-Ms: 600\r\nX-Extent: units=1,shard=0,hosts=1\r\n\
+             X-Request-ID: m-{number}\r\nContent-Length: 0\r\n\r\n"
+        );
+        streams[way].write_all(request.as_bytes())?;
+        check(rest_of_answer(&mut streams[way]), "an answer that leaves the connection open")?;
+        took[way].push(begun.elapsed().as_micros() as u64);
+    }
+    let [on, off] = took.map(|mut took| {
+        took.sort_unstable();
+        (took[took.len() / 2], took[took.len() * 99 / 100])
+    });
+    told.push(format!("a request's time in turn, {ASKED} each, us (median, 99th): on {on:?}, off {off:?}"));
+    Ok(told)
+}
+
+const MEASURED: usize = 9;
+const IDLE: Duration = Duration::from_secs(5);
+const EDITING: Duration = Duration::from_secs(4);
+const OPERATORS: u64 = 4;
+const KILLS: usize = 9;
+const ASKED: usize = 2_000;
+
+/// Hundredths of a second that a process has used.
+fn cpu_ticks(process: u32) -> u64 {
+    let text = std::fs::read_to_string(format!("/proc/{process}/stat")).unwrap_or_default();
+    let fields: Vec<&str> = text.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+    let ticks = |place: usize| fields.get(place).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+    ticks(11) + ticks(12)
+}
