Both processes of an upgrade keep their leases, and the later one takes the voter over

A head whose voter's place was taken by its earlier process did not start at all. It now serves with its leases, tells VOTER_ILL, and tries again each second; the test upgrades a voter's head and finds its edit in force at the later process.

--- a/src/net/agree/office.rs
+++ b/src/net/agree/office.rs
@@ -15,7 +15,6 @@
 use crate::event;
 use log::debug;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -80,14 +79,6 @@
     let id = HolderId { head: head.to_string(), start: unix ^ (u64::from(std::process::id()) << 44) };
     let holder = Holder::new(id, &config.voters, config.times);
     let view = Arc::new(Mutex::new(holder.view().clone()));
-    let listener = match &config.seat {
-        Some(seat) => {
-            let listener = std::net::TcpListener::bind(seat.listen).map_err(DiskError::Io)?;
-            listener.set_nonblocking(true).map_err(DiskError::Io)?;
-            Some(listener)
-        }
-        None => None,
-    };
     let office = Arc::new(Office {
         caller: Caller::new(&config.cluster),
         pace,
@@ -100,21 +91,17 @@
         grown: watch::Sender::new(()),
         config,
     });
-    let address = listener.as_ref().and_then(|listener| listener.local_addr().ok());
-    // A disk that cannot be used at the start is told of, and tried again: the head serves meanwhile.
-    office.open();
-    office.say_up(address);
+    // What cannot be had at the start is told of, and tried again: another process of this head may have it until it
+    // ends, and the head serves meanwhile.
+    let listener = office.bind();
+    if office.config.seat.is_none() || listener.is_some() {
+        office.say_up(listener.as_ref());
+    }
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(DiskError::Io)?;
     let work = async move {
-        if let Some(listener) = listener {
-            match TcpListener::from_std(listener) {
-                Ok(listener) => {
-                    tokio::spawn(serve::serve(listener, office.clone()));
-                    tokio::spawn(office.clone().keep_time());
-                }
-                Err(problem) => event!(ACCEPT_FAILED, problem:%),
-            }
+        if office.config.seat.is_some() {
+            tokio::spawn(office.clone().sit(listener));
         }
         office.hold().await;
     };
@@ -130,12 +117,49 @@
         &self.config
     }
 
-    fn say_up(&self, address: Option<SocketAddr>) {
+    fn say_up(&self, listener: Option<&std::net::TcpListener>) {
         let voter = lock(&self.seat).as_ref().map_or("none".to_string(), |seat| seat.disk.id().to_string());
+        let address = listener.and_then(|listener| listener.local_addr().ok());
         let listen = address.map_or("none".to_string(), |address| address.to_string());
         event!(AGREE, cluster = self.config.cluster, listen, voter);
     }
 
+    /// The voter's place to listen, and with it its disk.
+    fn bind(&self) -> Option<std::net::TcpListener> {
+        let bound = std::net::TcpListener::bind(self.config.seat.as_ref()?.listen);
+        match bound.and_then(|listener| listener.set_nonblocking(true).map(|()| listener)) {
+            Ok(listener) => {
+                self.open();
+                Some(listener)
+            }
+            Err(problem) => {
+                event!(VOTER_ILL, problem:%);
+                None
+            }
+        }
+    }
+
+    /// The voter's work, from when it can listen.
+    async fn sit(self: Arc<Self>, mut listener: Option<std::net::TcpListener>) {
+        let listener = loop {
+            match listener.take() {
+                Some(listener) => break listener,
+                None => {
+                    sleep(DISK_AGAIN).await;
+                    listener = self.bind();
+                    listener.iter().for_each(|listener| self.say_up(Some(listener)));
+                }
+            }
+        };
+        match TcpListener::from_std(listener) {
+            Ok(listener) => {
+                tokio::spawn(self.clone().keep_time());
+                serve::serve(listener, self).await;
+            }
+            Err(problem) => event!(ACCEPT_FAILED, problem:%),
+        }
+    }
+
     /// Opens the voter's disk, where there is none open.
     fn open(&self) {
         let (Some(config), mut seat) = (&self.config.seat, lock(&self.seat)) else { return };
--- a/src/rehearsal/fleet/run.rs
+++ b/src/rehearsal/fleet/run.rs
@@ -215,7 +215,8 @@
                 number: number as u32,
                 heads: plan.heads as u32,
                 agree: Some(agree),
-                level: "debug",
+                // Acts are told for the auditor only.
+                level: if plan.traffic { "debug" } else { "info" },
                 deadline: DEADLINE,
                 watched: false,
                 ..Setup::default()
--- a/src/rehearsal/stage.rs
+++ b/src/rehearsal/stage.rs
@@ -162,6 +162,8 @@
     pub heads: u32,
     /// The agreement's file, where it is on.
     pub agree: Option<String>,
+    /// Another process of it runs, and has the voter.
+    pub second: bool,
     /// What its log tells.
     pub level: &'static str,
 }
@@ -189,6 +191,7 @@
             number: 0,
             heads: 1,
             agree: None,
+            second: false,
             level: "info",
         }
     }
@@ -322,7 +325,7 @@
         waits.extend(setup.ops.then_some(" OPS_UP "));
         waits.extend(setup.files.then_some(" FILES_UP "));
         waits.extend(setup.grpc.is_some().then_some(" GRPC_UP "));
-        waits.extend(setup.agree.is_some().then_some(" AGREE "));
+        waits.extend((setup.agree.is_some() && !setup.second).then_some(" AGREE "));
         while !waits.is_empty() {
             let fits = |line: &String| is_up(line) || waits.iter().any(|text| line.contains(text));
             let line = wait_for(&head.log, &waits.join(" and "), fits)?;
--- a/tests/agree.rs
+++ b/tests/agree.rs
@@ -640,6 +640,37 @@
     World::new(seed, 5, brk).run()
 }
 
+/// From an edit's proposal until the last of so many heads has it in force, with nothing broken but what messages suffer.
+fn reach(seed: u64, heads: usize) -> Option<Micros> {
+    let mut world = World::new(seed, heads, Break::None);
+    world.events.retain(|_, event| matches!(event, Event::Tick(_) | Event::Renew(_)));
+    world.after(5 * S, Event::Edit(1));
+    while let Some(((at, _), event)) = world.events.pop_first() {
+        world.now = at;
+        world.step(event);
+        let there = |head: &Holder| head.ledger().active() > 0;
+        if at > 5 * S && world.heads.iter().all(there) {
+            return Some(at - 5 * S);
+        }
+        if at > END {
+            break;
+        }
+    }
+    None
+}
+
+#[test]
+fn an_edit_reaches_every_head_however_many_there_are() {
+    let many = std::env::var("AGREE_HEADS").ok().and_then(|text| text.parse().ok()).unwrap_or(30);
+    for heads in [3, many] {
+        let mut took: Vec<Micros> =
+            (0..5).filter_map(|seed| reach(seed, heads)).map(|took| took / MS).collect();
+        took.sort_unstable();
+        println!("{heads} heads, ms from proposal to the last: {took:?}");
+        assert_eq!(took.len(), 5, "{heads} heads: some edit never came into force");
+    }
+}
+
 /// How many seeds: `AGREE_SEEDS` for a long run.
 fn seeds(usual: u64) -> u64 {
     std::env::var("AGREE_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(usual)
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -1,9 +1,17 @@
 //! Real heads with faults between them, and the audit of what they did: fixed seeds, each hard case, and a deliberate
 //! break that the audit has to find. Judged by what the processes tell, never by how long anything took.
 
+use pathbank::agree::report;
+use pathbank::net::agree::call::Caller;
+use pathbank::net::agree::disk::Disk;
+use pathbank::net::agree::wire::{PROPOSE, Proposed, STATUS, Status};
 use pathbank::rehearsal::fleet::run::{Plan, Played, play};
 use pathbank::rehearsal::fleet::schedule::{Fault, KINDS, Kind, drawn};
+use pathbank::rehearsal::stage::{Head, Setup, Shared};
+use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
 
 fn played(plan: &Plan, faults: &[Fault]) -> Played {
     let daemon = Path::new(env!("CARGO_BIN_EXE_pathbank"));
@@ -91,3 +99,52 @@
     let verdict = played(&plan, &faults).verdict;
     assert!(!verdict.problems.is_empty() && verdict.longest_us > 0, "{verdict:?}");
 }
+
+/// One voter's head, alone in its cluster, and its next process: the old one keeps the voter until it ends.
+#[test]
+fn the_two_processes_of_an_upgrade_are_one_voter_and_the_later_one_takes_it_over() {
+    let folder = std::env::temp_dir().join(format!("pathbank-upgrade-agree-{}", std::process::id()));
+    Disk::create(&folder, 77).unwrap();
+    // A port from the system, given back: both processes are to listen there, one after the other.
+    let listen: SocketAddr = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let agree = format!(
+        "enabled = true\ncluster = \"up\"\nlisten = \"{listen}\"\ndirectory = \"{}\"\n[voters]\n77 = \"{listen}\"\n\
+         [times]\nlong_lease_ms = 1000\n",
+        folder.display()
+    );
+    let shared = Some(Arc::new(Shared::new().unwrap()));
+    let setup = Setup { agree: Some(agree), shared, watched: false, ..Setup::default() };
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+    let start =
+        |setup: &Setup| Head::start(Path::new(env!("CARGO_BIN_EXE_pathbank")), setup, nowhere, Vec::new());
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let caller = Caller::new("up");
+    let long = Duration::from_secs(15);
+    let mut old = start(&setup).unwrap();
+    let edit = report::edit(1, "plan/starter", 0, &["limit=limit:9,1".into()], ("ops", "a test", 0)).unwrap();
+    // Nobody leads in its first moments.
+    let entry = loop {
+        match runtime.block_on(caller.call::<Proposed>(&listen.to_string(), PROPOSE, &edit, long)).unwrap() {
+            Proposed::Entry(entry) => break entry,
+            Proposed::NotLeader(_) | Proposed::Unknown => {}
+            other => panic!("{other:?}"),
+        }
+    };
+    old.logged(&format!("active=\"{entry}\"")).unwrap();
+    // The later process has no voter, and its leases all the same: from the one that the old process keeps.
+    let later = Setup { second: true, ..setup.clone() };
+    let new = start(&later).unwrap();
+    old.terminate().unwrap();
+    old.ended().unwrap();
+    new.logged(" AGREE ").unwrap();
+    let status = loop {
+        if let Ok(status) = runtime.block_on(caller.call::<Status>(&listen.to_string(), STATUS, &(), long))
+            && status.leader == Some(77)
+        {
+            break status;
+        }
+    };
+    assert_eq!((status.id, status.starts, status.active >= entry), (77, 2, true));
+    drop(new);
+    std::fs::remove_dir_all(&folder).unwrap();
+}
