--- a/tests/agree.rs
+++ b/tests/agree.rs
@@ -631,7 +631,7 @@
         }
         let lost = self.proposed.keys().filter(|id| self.truth.result(**id).is_some()).count();
         if lost == 0 || self.brk != Break::ReadAtOnce && self.read == 0 {
-            self.problem("no edit was ever committed, or nothing ever read".into());
+            self.problem(format!("{lost} edits committed, {} reads answered", self.read));
         }
     }
 }
