--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -10,10 +10,32 @@
 use pathbank::rehearsal::stage::{Head, Setup, Shared};
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
-use std::sync::Arc;
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
+/// So many fleets at once: each is five processes and all that is between them.
+static PLACES: (Mutex<u32>, Condvar) = (Mutex::new(2), Condvar::new());
+
+struct InPlace;
+
+impl InPlace {
+    fn take() -> InPlace {
+        let free = PLACES.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut free = PLACES.1.wait_while(free, |free| *free == 0).unwrap_or_else(PoisonError::into_inner);
+        *free -= 1;
+        InPlace
+    }
+}
+
+impl Drop for InPlace {
+    fn drop(&mut self) {
+        *PLACES.0.lock().unwrap_or_else(PoisonError::into_inner) += 1;
+        PLACES.1.notify_one();
+    }
+}
+
 fn played(plan: &Plan, faults: &[Fault]) -> Played {
+    let _place = InPlace::take();
     let daemon = Path::new(env!("CARGO_BIN_EXE_pathbank"));
     play(daemon, plan, faults).unwrap_or_else(|failure| panic!("seed {}: {failure}\n{faults:?}", plan.seed))
 }
