A list of nodes that may be out of date gives no work, and a silent watch is renewed in time

listing.rs holds until when a list is good (silence, a move, no watch, a start; asked and pushed); the module gives no node work beyond that and draws a crowd's calls over the time that is left; the core drops what has not begun. Lists may come indented.

--- a/src/bin/pathbank.rs
+++ b/src/bin/pathbank.rs
@@ -135,6 +135,7 @@
         known: config.known.clone(),
         handle: handle.clone(),
         on_demand: config.settings.must_subscribe,
+        stop_within: Duration::from_micros(config.settings.stop_within),
     };
     tokio::spawn(discovery.run(wanted));
     tokio::spawn(back.watch());
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -165,6 +165,8 @@
         classes,
         plans,
         must_subscribe: pairs.word("membership_mode", &[("automatic", false), ("subscribe", true)])?,
+        ask_within: pairs.time("contract.ask_within")?,
+        stop_within: pairs.time("contract.stop_sending_within")?,
         tick: pairs.time("tick")?,
         answer_slack: pairs.time("contract.answer_slack")?,
         max_attempts: pairs.within(
--- a/src/core.rs
+++ b/src/core.rs
@@ -484,6 +484,8 @@
 enum Due {
     Timer(u64),
     Deadline(RequestId),
+    /// The list of nodes may be rested on no longer.
+    Overdue,
 }
 
 pub struct Core {
@@ -518,6 +520,9 @@
     /// What the module was told of this process's part of the head.
     part: f64,
     agreed: Option<Agreed>,
+    /// When the list is overdue, and since when it has been.
+    overdue: Option<Key>,
+    overdue_since: Option<Micros>,
 }
 
 impl Core {
@@ -561,6 +566,8 @@
             copied: None,
             part: 1.0,
             agreed: None,
+            overdue: None,
+            overdue_since: None,
         };
         (core, wanted)
     }
@@ -850,6 +857,10 @@
 
     fn on_nodes(&mut self, news: News, listed: Vec<ListedNode>) {
         self.look_first();
+        if matches!(news, News::Watched | News::Beat | News::Silent | News::Moved) {
+            self.tell(Event::Nodes { news, nodes: Vec::new() });
+            return self.watch_list();
+        }
         let mut entries = Vec::with_capacity(listed.len());
         for node in &listed {
             let id = self.ids.of(&node.id);
@@ -887,6 +898,33 @@
         self.copied = self.copied.map(|_| 0);
         self.drop_where_left();
         self.release_nodes();
+        self.watch_list();
+    }
+
+    /// Sees to it that nothing begins any more once the list may be rested on no longer.
+    fn watch_list(&mut self) {
+        let until = self.policy.list_good_until();
+        if let Some(key) = self.overdue.take() {
+            self.due.remove(key);
+        }
+        let (now, good) = (self.clock.now(), self.clock.now() < until);
+        if good && until < now + DAY {
+            self.overdue = Some(self.due.insert(until, Due::Overdue));
+        }
+        let since = self.overdue_since;
+        match (good, since) {
+            (true, Some(since)) => {
+                event!(LIST_RENEWED, overdue_ms = (now - since) / 1000);
+                self.overdue_since = None;
+            }
+            (false, None) => {
+                event!(LIST_OVERDUE, open = self.requests.len());
+                self.overdue_since = Some(now);
+                let open: Vec<RequestId> = self.requests.keys().copied().collect();
+                open.into_iter().for_each(|id| self.drop_unsent(id, |_| true));
+            }
+            _ => {}
+        }
     }
 
     /// Nothing that was not begun begins at a node that takes none any more.
@@ -987,6 +1025,10 @@
             match due {
                 Due::Timer(token) => self.tell(Event::Timer { token }),
                 Due::Deadline(id) => self.deadline(id),
+                Due::Overdue => {
+                    self.overdue = None;
+                    self.watch_list();
+                }
             }
         }
     }
@@ -1130,7 +1172,7 @@
                 self.figures.count(open.class, Count::BadGateway);
             }
         }
-        self.due = Wheel::new(self.clock.now());
+        (self.due, self.overdue) = (Wheel::new(self.clock.now()), None);
         self.nodes.values_mut().for_each(|node| node.out = 0);
         self.events.push_back(Event::Part { part: self.part });
         self.events.push_back(Event::Nodes { news: News::Cached, nodes: self.known.clone() });
--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -189,6 +189,12 @@
     WATCH_BROKE "node" Warning false "The watch on the list of nodes broke." {
         "version": "the list's version", "reason": "why"
     }
+    LIST_OVERDUE "node" Warning false "The list of nodes may be out of date for longer than the settings allow: no node gets new work." {
+        "open": "requests that are open"
+    }
+    LIST_RENEWED "node" Notice false "The list of nodes is good again." {
+        "overdue_ms": "for how long no node got new work, milliseconds"
+    }
     CHANNEL_LEAVES "node" Informational false "A node takes no new streams on a channel; those that run go on." {
         "channel": "the channel's number", "last": "the last stream that the node may have looked at"
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -16,6 +16,10 @@
     pub plans: Vec<Plan>,
     /// Changes of the node list come only to those who subscribe.
     pub must_subscribe: bool,
+    /// Where one must subscribe: how long a list without a subscription may be rested on, from the last call.
+    pub ask_within: Micros,
+    /// How long after a node is told to drain or to be gone sends to it may go on. 0: no such rule.
+    pub stop_within: Micros,
     pub tick: Micros,
     pub answer_slack: Micros,
     pub max_attempts: u32,
@@ -170,6 +174,14 @@
     Cached,
     /// A call to the list failed or the subscription broke.
     Failed,
+    /// The subscription stands from now on: what was missed comes right behind.
+    Watched,
+    /// Nothing has changed: the subscription's beat.
+    Beat,
+    /// The subscription has fallen silent, past its beat.
+    Silent,
+    /// The list is kept elsewhere from now on; where it was, it will not be told much longer.
+    Moved,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod index;
 pub mod interface;
 pub mod life;
+pub mod listing;
 pub mod logbook;
 pub mod logging;
 mod message;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -4,6 +4,7 @@
 use crate::core::{Handle, Input};
 use crate::event;
 use crate::interface::News;
+use crate::listing::BEAT;
 use bytes::{Buf, Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
@@ -15,25 +16,29 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Duration, sleep, timeout};
+use tokio::time::{Duration, Instant, sleep, timeout, timeout_at};
 
-/// An empty line comes every 2 s: a watch that is silent for so long is broken, though its connection stands.
-const SILENCE: Duration = Duration::from_millis(5_500);
-/// The service works through its calls in turn and fails those that waited too long by itself.
-const CALL: Duration = Duration::from_secs(6);
+/// A watch that is silent for longer than its beat and a quarter of it is broken, though its connection stands.
+const SILENCE: Duration = Duration::from_micros(BEAT * 5 / 4);
+/// From the call to the watch's first list. The service works through its calls in turn and fails those that waited
+/// too long by itself: a call without any answer is taken to be a watch that has fallen silent.
+const CALL: Duration = Duration::from_micros(BEAT * 3 / 2);
 const CONNECT: Duration = Duration::from_secs(2);
-/// No line of a list is longer; a head has little memory.
-const MOST_LINE: usize = 1024 * 1024;
-/// Where changes come unasked for, a broken watch is renewed after this; so is one that has to move.
-const RENEW: Duration = Duration::from_millis(700);
+/// No list is longer; a head has little memory, and 1,024 nodes take 300 kB, indented.
+const MOST_LIST: usize = 1024 * 1024;
+/// Where lists are pushed, what the agent has counts as told at once, and the agent answers at once: a broken watch is
+/// renewed after a part of the time in which sends to a node have to end, and a call waits for its answer for another.
+const RENEW_PART: u32 = 10;
+const CALL_PARTS: u32 = 4;
+const RENEW_MOST: Duration = Duration::from_millis(700);
 
 #[derive(Debug, PartialEq)]
 enum Broken {
     Call(String),
     Status(StatusCode),
     Silent,
-    LongLine,
-    BadLine(String),
+    LongList,
+    BadList(String),
     Ended,
 }
 
@@ -43,8 +48,8 @@
             Broken::Call(why) => write!(f, "the call failed: {why}"),
             Broken::Status(status) => write!(f, "answered {status}"),
             Broken::Silent => write!(f, "silent past its beat"),
-            Broken::LongLine => write!(f, "a line is too long"),
-            Broken::BadLine(why) => write!(f, "a line is unreadable: {why}"),
+            Broken::LongList => write!(f, "a list is too long"),
+            Broken::BadList(why) => write!(f, "a list is unreadable: {why}"),
             Broken::Ended => write!(f, "the watch ended"),
         }
     }
@@ -57,20 +62,26 @@
     pub handle: Handle,
     /// The module asks for the watch; otherwise it is kept up unasked.
     pub on_demand: bool,
+    /// How long sends to a node may go on that is to get none.
+    pub stop_within: Duration,
 }
 
 type Opening = Pin<Box<dyn Future<Output = Result<Watch, Broken>> + Send>>;
 
 impl Discovery {
     pub async fn run(self, mut wanted: mpsc::UnboundedReceiver<()>) {
-        let Discovery { address: mut place, known, handle, on_demand } = self;
+        let Discovery { address: mut place, known, handle, on_demand, stop_within } = self;
         let mut version = known.version;
         handle.send(Input::Nodes { news: News::Cached, nodes: known.servers });
+        let tell = |news| handle.send(Input::Nodes { news, nodes: Vec::new() });
+        let renew = if stop_within.is_zero() { RENEW_MOST } else { RENEW_MOST.min(stop_within / RENEW_PART) };
+        let call = if on_demand || stop_within.is_zero() { CALL } else { renew * CALL_PARTS };
         let mut address = *place.borrow_and_update();
         // The watch that stands stays until the one at the new address does, so that no change is missed between.
         let (mut stands, mut moving): (Option<Watch>, bool) = (None, false);
-        let mut opening = (!on_demand).then(|| open(address, version, Duration::ZERO));
+        let mut opening = (!on_demand).then(|| open(address, version, Duration::ZERO, call));
         loop {
+            let stood = stands.is_some();
             let broken = tokio::select! {
                 moved = place.changed() => {
                     if moved.is_err() {
@@ -78,15 +89,15 @@
                     }
                     address = *place.borrow_and_update();
                     event!(WATCH_MOVES, address:%);
-                    moving = true;
-                    opening = Some(open(address, version, Duration::ZERO));
+                    (moving, opening) = (true, (!on_demand).then(|| open(address, version, Duration::ZERO, call)));
+                    tell(News::Moved);
                     continue;
                 }
                 asked = wanted.recv() => match asked {
                     None => return,
                     Some(()) => {
-                        if stands.is_none() && opening.is_none() {
-                            opening = Some(open(address, version, Duration::ZERO));
+                        if (moving || stands.is_none()) && opening.is_none() {
+                            opening = Some(open(address, version, Duration::ZERO, call));
                         }
                         continue;
                     }
@@ -97,6 +108,7 @@
                         Some(Ok(watch)) => {
                             event!(WATCH, version, address:%);
                             (stands, moving) = (Some(watch), false);
+                            tell(News::Watched);
                             continue;
                         }
                         Some(Err(broken)) => broken,
@@ -104,12 +116,16 @@
                     }
                 }
                 line = async { stands.as_mut()?.next().await.into() }, if stands.is_some() => match line {
-                    Some(Ok(list)) => {
+                    Some(Ok(Some(list))) => {
                         if let Some(news) = news(&mut version, &list) {
                             handle.send(Input::Nodes { news, nodes: list.servers });
                         }
                         continue;
                     }
+                    Some(Ok(None)) => {
+                        tell(News::Beat);
+                        continue;
+                    }
                     Some(Err(broken)) => {
                         stands = None;
                         broken
@@ -118,62 +134,77 @@
                 },
             };
             event!(WATCH_BROKE, version, reason:% = broken);
-            if opening.is_none() && (moving || !on_demand) {
-                opening = Some(open(address, version, RENEW));
+            // An agent that gives no answer at once has none.
+            let silent = broken == Broken::Silent && (on_demand || stood);
+            if opening.is_none() && !on_demand {
+                let wait = if silent { Duration::ZERO } else { renew };
+                opening = Some(open(address, version, wait, call));
             }
-            if stands.is_none() && !moving {
+            if opening.is_none() {
                 // Whatever was asked while the watch stood is answered by this failure.
                 while wanted.try_recv().is_ok() {}
-                handle.send(Input::Nodes { news: News::Failed, nodes: Vec::new() });
+            }
+            if stands.is_none() || moving {
+                tell(if silent { News::Silent } else { News::Failed });
             }
         }
     }
 }
 
 /// A watch stands once its first line has come.
-fn open(address: SocketAddr, after: u64, wait: Duration) -> Opening {
+fn open(address: SocketAddr, after: u64, wait: Duration, most: Duration) -> Opening {
     Box::pin(async move {
         sleep(wait).await;
-        let mut http = HttpConnector::new();
-        http.set_connect_timeout(Some(CONNECT));
-        // A client of its own for each watch: dropped with it, so that no connection outlives a broken one.
-        let client: Client<_, Empty<Bytes>> =
-            Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build(http);
-        let call = |why: &dyn fmt::Display| Broken::Call(why.to_string());
-        let uri: Uri = format!("http://{address}/discovery/hosts?watch=1&after={after}")
-            .parse()
-            .map_err(|e| call(&e))?;
-        let answer = timeout(CALL, client.get(uri)).await.map_err(|e| call(&e))?;
-        let answer = answer.map_err(|e| call(&e))?;
-        if answer.status() != StatusCode::OK {
-            return Err(Broken::Status(answer.status()));
-        }
-        let mut watch = Watch { body: answer.into_body(), lines: Lines::default(), first: None };
-        watch.first = Some(watch.next().await?);
-        Ok(watch)
+        timeout(most, call(address, after)).await.map_err(|_| Broken::Silent)?
     })
 }
 
+async fn call(address: SocketAddr, after: u64) -> Result<Watch, Broken> {
+    let mut http = HttpConnector::new();
+    http.set_connect_timeout(Some(CONNECT));
+    // A client of its own for each watch: dropped with it, so that no connection outlives a broken one.
+    let client: Client<_, Empty<Bytes>> =
+        Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build(http);
+    let failed = |why: &dyn fmt::Display| Broken::Call(why.to_string());
+    let uri: Uri =
+        format!("http://{address}/discovery/hosts?watch=1&after={after}").parse().map_err(|e| failed(&e))?;
+    let answer = client.get(uri).await.map_err(|e| failed(&e))?;
+    if answer.status() != StatusCode::OK {
+        return Err(Broken::Status(answer.status()));
+    }
+    let heard = Instant::now();
+    let mut watch = Watch { body: answer.into_body(), texts: Texts::default(), heard, first: None };
+    while watch.first.is_none() {
+        watch.first = watch.next().await?;
+    }
+    Ok(watch)
+}
+
 struct Watch {
     body: Incoming,
-    lines: Lines,
+    texts: Texts,
+    /// When a byte last came.
+    heard: Instant,
     first: Option<NodeList>,
 }
 
 impl Watch {
-    /// The next list. May be dropped while it waits, and loses nothing.
-    async fn next(&mut self) -> Result<NodeList, Broken> {
+    /// The next list, or `None` for a beat. May be dropped while it waits, and loses nothing.
+    async fn next(&mut self) -> Result<Option<NodeList>, Broken> {
         if let Some(first) = self.first.take() {
-            return Ok(first);
+            return Ok(Some(first));
         }
         loop {
-            if let Some(list) = self.lines.next()? {
-                return Ok(list);
+            match self.texts.next()? {
+                Next::List(list) => return Ok(Some(list)),
+                Next::Beat => return Ok(None),
+                Next::Torn => {}
             }
-            let frame = timeout(SILENCE, self.body.frame()).await.map_err(|_| Broken::Silent)?;
-            let Some(Ok(frame)) = frame else { return Err(Broken::Ended) };
+            let frame = timeout_at(self.heard + SILENCE, self.body.frame()).await;
+            let Some(Ok(frame)) = frame.map_err(|_| Broken::Silent)? else { return Err(Broken::Ended) };
+            self.heard = Instant::now();
             if let Ok(data) = frame.into_data() {
-                self.lines.add(&data)?;
+                self.texts.add(&data)?;
             }
         }
     }
@@ -190,30 +221,70 @@
     newer.then_some(News::Changes)
 }
 
-/// Cuts what comes into lines.
+/// Cuts what comes into lists: JSON objects, on one line or over many, with empty lines between them as beats.
 #[derive(Debug, Default)]
-struct Lines {
+struct Texts {
     torn: BytesMut,
+    /// How far `torn` has been looked at; braces and brackets that are open there, and whether a string is.
+    seen: usize,
+    open: usize,
+    string: bool,
+    escaped: bool,
+    /// Something else than white space has come since the last list or beat.
+    begun: bool,
+}
+
+#[derive(Debug)]
+enum Next {
+    List(NodeList),
+    Beat,
+    /// What has come is not whole yet.
+    Torn,
 }
 
-impl Lines {
+impl Texts {
     fn add(&mut self, data: &[u8]) -> Result<(), Broken> {
         self.torn.extend_from_slice(data);
-        let unfinished = self.torn.iter().rev().take_while(|byte| **byte != b'\n').count();
-        if unfinished > MOST_LINE { Err(Broken::LongLine) } else { Ok(()) }
+        if self.torn.len() > MOST_LIST { Err(Broken::LongList) } else { Ok(()) }
     }
 
-    /// The next list; a line without its end is none yet, and an empty one only a beat.
-    fn next(&mut self) -> Result<Option<NodeList>, Broken> {
-        while let Some(end) = self.torn.iter().position(|byte| *byte == b'\n') {
-            let line = self.torn.split_to(end);
-            self.torn.advance(1);
-            if !line.trim_ascii().is_empty() {
-                let list = serde_json::from_slice(&line);
-                return list.map(Some).map_err(|error| Broken::BadLine(error.to_string()));
+    fn next(&mut self) -> Result<Next, Broken> {
+        while let Some(byte) = self.torn.get(self.seen) {
+            self.seen += 1;
+            match byte {
+                _ if self.escaped => self.escaped = false,
+                b'\\' if self.string => self.escaped = true,
+                b'"' => self.string = !self.string,
+                _ if self.string => {}
+                b'{' | b'[' => self.open += 1,
+                b'}' | b']' => {
+                    self.open = self.open.saturating_sub(1);
+                    if self.open == 0 {
+                        return self.cut().map(Next::List);
+                    }
+                }
+                // Outside of an object a line's end ends what stands on it.
+                b'\n' if self.open == 0 && self.begun => return self.cut().map(Next::List),
+                b'\n' if self.open == 0 => {
+                    self.torn.advance(self.seen);
+                    self.seen = 0;
+                    return Ok(Next::Beat);
+                }
+                _ => {}
             }
+            self.begun |= !byte.is_ascii_whitespace();
         }
-        Ok(None)
+        Ok(Next::Torn)
+    }
+
+    fn cut(&mut self) -> Result<NodeList, Broken> {
+        let text = self.torn.split_to(self.seen);
+        // What is left of its line is no beat.
+        let rest = self.torn.iter().take_while(|byte| matches!(byte, b' ' | b'\t' | b'\r')).count();
+        let line = rest + usize::from(self.torn.get(rest) == Some(&b'\n'));
+        self.torn.advance(line);
+        *self = Texts { torn: std::mem::take(&mut self.torn), ..Texts::default() };
+        serde_json::from_slice(&text).map_err(|error| Broken::BadList(error.to_string()))
     }
 }
 
@@ -221,23 +292,33 @@
 mod tests {
     use super::*;
 
-    fn told(lines: &mut Lines, version: &mut u64, text: &str) -> Vec<(News, u64, usize)> {
-        lines.add(text.as_bytes()).unwrap();
+    fn told(texts: &mut Texts, version: &mut u64, text: &str) -> Vec<(News, u64, usize)> {
+        texts.add(text.as_bytes()).unwrap();
         let mut all = Vec::new();
-        while let Some(list) = lines.next().unwrap() {
-            all.extend(news(version, &list).map(|news| (news, list.version, list.servers.len())));
+        loop {
+            match texts.next().unwrap() {
+                Next::List(list) => {
+                    all.extend(news(version, &list).map(|news| (news, list.version, list.servers.len())));
+                }
+                Next::Beat => all.push(BEAT),
+                Next::Torn => return all,
+            }
         }
-        all
     }
 
+    const BEAT: (News, u64, usize) = (News::Beat, 0, 0);
+
     #[test]
     fn changes_are_told_in_version_order_and_torn_lines_are_none() {
-        let entry = r#"{"id":"s-1","addr":"127.0.0.1:1","cell":3,"state":"terminating"}"#;
+        let entry = r#"{"id":"s-{1}\\","addr":"127.0.0.1:1","cell":3,"state":"terminating"}"#;
         let line =
             |version, full| format!("{{\"version\":{version},\"full\":{full},\"servers\":[{entry}]}}\n");
-        let (mut lines, mut version) = (Lines::default(), 41);
-        let mut news = |text: &str| told(&mut lines, &mut version, text);
-        assert_eq!(news(&format!("\n{}\r\n\n", line(42, false).trim())), [(News::Changes, 42, 1)]);
+        let (mut texts, mut version) = (Texts::default(), 41);
+        let mut news = |text: &str| told(&mut texts, &mut version, text);
+        assert_eq!(
+            news(&format!("\n{}\r\n\n", line(42, false).trim())),
+            [BEAT, (News::Changes, 42, 1), BEAT]
+        );
         assert_eq!(news(&line(42, false)), []);
         assert_eq!(news(&line(41, false)), []);
         let (a, b) = (line(44, false), line(45, true));
@@ -248,10 +329,31 @@
     }
 
     #[test]
-    fn lines_that_are_unreadable_or_endless_break_the_watch() {
-        let mut lines = Lines::default();
-        lines.add(b"{\"version\":\n").unwrap();
-        assert!(matches!(lines.next(), Err(Broken::BadLine(_))));
-        assert_eq!(lines.add(&vec![b'x'; MOST_LINE + 1]), Err(Broken::LongLine));
+    fn a_list_may_come_indented_and_cut_anywhere() {
+        let servers: Vec<_> = (0..1024)
+            .map(|n| serde_json::json!({"id": format!("s-{n}\"}}]"), "addr": "127.0.0.1:1", "cell": n, "state": "in_service"}))
+            .collect();
+        let list = serde_json::json!({"version": 7, "full": true, "servers": servers});
+        let text = format!("{}\n\n", serde_json::to_string_pretty(&list).unwrap());
+        assert!(text.len() < MOST_LIST / 4);
+        for piece in [1, 7, 4096, text.len()] {
+            let (mut texts, mut version, mut all) = (Texts::default(), 0, Vec::new());
+            for piece in text.as_bytes().chunks(piece) {
+                all.extend(told(&mut texts, &mut version, std::str::from_utf8(piece).unwrap()));
+            }
+            // The end of its own line may come by itself, and looks like a beat then: nothing has changed since.
+            assert_eq!(all[..2], [(News::Full, 7, 1024), BEAT], "{piece}");
+        }
+    }
+
+    #[test]
+    fn lists_that_are_unreadable_or_endless_break_the_watch() {
+        for text in ["{\"version\":}", "nonsense\n", "]\n", "\"version\"\n", "{\"version\":1]"] {
+            let mut texts = Texts::default();
+            texts.add(text.as_bytes()).unwrap();
+            assert!(matches!(texts.next(), Err(Broken::BadList(_))), "{text}");
+        }
+        let mut texts = Texts::default();
+        assert_eq!(texts.add(&vec![b'x'; MOST_LIST + 1]), Err(Broken::LongList));
     }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -3,6 +3,7 @@
 //! `handle` down: events, then `dispatch` (the ordinary path), then the guards, then what is learned.
 
 use crate::interface::*;
+use crate::listing::Listing;
 use crate::message::Message;
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -51,10 +52,8 @@
 const RESUBSCRIBE: Micros = 500_000;
 /// A crowd's calls to the node list are drawn evenly over so long for each host, 10 s in all at most.
 const CALLS_APART: Micros = 35_000;
-/// Weight of one report of use in the estimate of what a volume gets elsewhere, and the time over which this
-/// host's own part is averaged, in use periods.
-const USE_LEARN: f64 = 0.3;
-const USE_PERIODS: f64 = 1.5;
+/// And over no more than this part of the time for which the list is still good.
+const CALLS_IN: f64 = 0.9;
 /// In a crowd of hosts a node's own queue should take no longer than this part of the shortest aim.
 const HOLD: f64 = 0.3;
 /// Pace: the part of a crowd's hosts that may send a node work outside the reserve, drawn anew in each slot.
@@ -201,6 +200,8 @@
     /// When what is of no use any more was last looked for.
     tidied: Micros,
     list_failures: u32,
+    /// Until when the list may be rested on: beyond that no node gets new work.
+    list: Listing,
     /// Units a second that this host's clients ask of each shard at first.
     asked: BTreeMap<u16, Rate>,
     /// Running mean of an answer's time over all nodes.
@@ -220,6 +221,10 @@
         (listed.clone().count(), listed.filter(|n| n.avoided(now)).count())
     }
 
+    pub fn list_good_until(&self) -> Micros {
+        self.list.good_until(&self.settings)
+    }
+
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         if self.recheck_due.is_some_and(|due| now > due + STALL_RECHECKS * RECHECK) {
             self.resumed = now;
@@ -250,16 +255,18 @@
     // ---- events ----
 
     fn on_nodes(&mut self, now: Micros, news: News, entries: Vec<NodeEntry>, actions: &mut Vec<Action>) {
+        self.list.note(now, news, &self.settings);
         self.list_failures = if news == News::Failed { (self.list_failures + 1).min(5) } else { 0 };
-        // A fresh start of few hosts asks at once; a crowd's calls at one moment would wait too long at the
-        // list's one service, again and again. A failed call is renewed after a while that grows.
-        let hosts = if self.crowded() { u64::from(self.settings.hosts) } else { 0 };
-        let apart = (CALLS_APART * hosts).min(20 * RESUBSCRIBE);
-        let failed =
-            if news == News::Failed { ((RESUBSCRIBE << self.list_failures) >> 1).max(apart / 2) } else { 0 };
-        if self.settings.must_subscribe && matches!(news, News::Cached | News::Failed) {
-            let draw = share_of_one(self.seed, now) * apart.max(failed) as f64;
-            let after = failed + draw as Micros;
+        let asks = matches!(news, News::Cached | News::Failed | News::Silent | News::Moved);
+        if self.settings.must_subscribe && asks {
+            // Few hosts ask at once; a crowd's calls at one moment would wait too long at the list's one service,
+            // again and again: they are drawn over a while, in the time that is left.
+            let hosts = if self.crowded() { u64::from(self.settings.hosts) } else { 0 };
+            let left = (CALLS_IN * self.list_good_until().saturating_sub(now) as f64) as Micros;
+            let apart = (CALLS_APART * hosts).min(20 * RESUBSCRIBE).min(left);
+            let failed = RESUBSCRIBE * ((1 << self.list_failures) / 2);
+            let after = failed + (share_of_one(self.seed, now) * apart.max(failed) as f64) as Micros;
+            self.list.call(now + after);
             let later = Action::Timer { after, token: SUBSCRIBE_TOKEN };
             actions.push(if after > 0 { later } else { Action::Subscribe });
         }
@@ -451,7 +458,7 @@
         let flow = &mut self.flows[held.flow];
         flow.in_flight -= 1;
         if outcome.ending == Ending::Served {
-            note_use(flow, now, units, outcome.used, self.settings.use_period as f64);
+            flow.note_use(now, units, outcome.used, self.settings.use_period as f64);
         }
         if let Some(line) = self.keys.get_mut(&key)
             && matches!(outcome.ending, Ending::TimedOut | Ending::Reset | Ending::Cancelled)
@@ -598,7 +605,8 @@
         self.save_for_cold(now);
         let waits = |place| self.queues.at(place).next().is_some();
         let (new_objects, least) = (waits(None), self.least_silence());
-        let open = self.nodes.iter().filter(|(_, n)| {
+        let good = now < self.list_good_until();
+        let open = self.nodes.iter().filter(|_| good).filter(|(_, n)| {
             n.ready && n.rest_until <= now && (new_objects || waits(Some(n.shard))) && n.free(now, least) > 0
         });
         let mut order: Vec<_> = open
@@ -999,16 +1007,3 @@
     let warm = (now - node.cold_since.unwrap_or(0)) as f64 / s.cold.max(1) as f64;
     s.cold_from + (1.0 - s.cold_from) * warm.min(1.0)
 }
-
-/// Notes what a volume got here and, where the answer tells its whole use, what it gets elsewhere.
-fn note_use(flow: &mut Flow, now: Micros, units: f64, used: Option<f64>, period: f64) {
-    let span = USE_PERIODS * if period > 0.0 { period } else { SECOND };
-    let faded = (-((now - flow.own_use_at) as f64) / span).exp();
-    flow.own_use = flow.own_use * faded + units * SECOND / span;
-    flow.own_use_at = now;
-    if let Some(used) = used {
-        let elsewhere = (used * flow.plan.rate - flow.own_use).max(0.0);
-        let before = flow.elsewhere.unwrap_or(elsewhere);
-        flow.elsewhere = Some(before + USE_LEARN * (elsewhere - before));
-    }
-}
--- a/src/rehearsal/stage.rs
+++ b/src/rehearsal/stage.rs
@@ -33,6 +33,7 @@
     pub address: SocketAddr,
     list: Arc<Mutex<List>>,
     mute: Arc<AtomicBool>,
+    deaf: Arc<AtomicBool>,
     /// One for each watch that was opened.
     pub watches: Receiver<()>,
 }
@@ -43,9 +44,17 @@
         let address = listener.local_addr()?;
         let (list, mute) = (Arc::new(Mutex::new(List { version: 1, ..List::default() })), Arc::default());
         let (opened, watches) = channel();
-        let discovery = Discovery { address, list: list.clone(), mute: Arc::clone(&mute), watches };
+        let deaf: Arc<AtomicBool> = Arc::default();
+        let discovery =
+            Discovery { address, list: list.clone(), mute: Arc::clone(&mute), deaf: deaf.clone(), watches };
         thread::spawn(move || {
+            let mut unheard = Vec::new();
             for stream in listener.incoming().flatten() {
+                if deaf.load(Ordering::Relaxed) {
+                    unheard.push(stream);
+                    continue;
+                }
+                unheard.clear();
                 let (list, mute, opened, nodes) = (list.clone(), mute.clone(), opened.clone(), nodes.clone());
                 // A head that ends breaks its watch; that is the end of this thread, and no fault.
                 thread::spawn(move || watch(stream, &list, &mute, &opened, nodes));
@@ -66,6 +75,11 @@
     pub fn fall_silent(&self) {
         self.mute.store(true, Ordering::Relaxed);
     }
+
+    /// Gives calls no answer any more, or again, to those that come then.
+    pub fn fall_deaf(&self, deaf: bool) {
+        self.deaf.store(deaf, Ordering::Relaxed);
+    }
 }
 
 fn watch(
@@ -459,7 +473,7 @@
         "policy_limits": {"send_cap": 3, "cancel": true, "second_copies": true, "retry_after": true,
             "max_retry_after": 1_000_000, "connect_timeout": 250_000,
             "keepalive": setup.keepalive.as_micros() as u64},
-        "contract": {"answer_slack": 8000, "cold": 15_000_000, "cold_from": 0.18, "fall": 1_000_000,
+        "contract": {"ask_within": 10_000_000, "stop_sending_within": 1_000_000, "answer_slack": 8000, "cold": 15_000_000, "cold_from": 0.18, "fall": 1_000_000,
             "fall_multiple": 2.5},
         "domain": {"young_limit": 4.0, "max_units": 8, "usual_units": 2.0, "share_worth": 0.4,
             "idle_worth": 0.08, "use_period": 2_000_000},
--- a/src/state.rs
+++ b/src/state.rs
@@ -71,6 +71,26 @@
     pub elsewhere: Option<f64>,
 }
 
+impl Flow {
+    /// Weight of one report of use in the estimate of what the volume gets elsewhere, and the time over which this
+    /// host's own part is averaged, in use periods.
+    const USE_LEARN: f64 = 0.3;
+    const USE_PERIODS: f64 = 1.5;
+
+    /// Notes what the volume got here and, where the answer tells its whole use, what it gets elsewhere.
+    pub fn note_use(&mut self, now: Micros, units: f64, used: Option<f64>, period: f64) {
+        let span = Self::USE_PERIODS * if period > 0.0 { period } else { SECOND };
+        let faded = (-((now - self.own_use_at) as f64) / span).exp();
+        self.own_use = self.own_use * faded + units * SECOND / span;
+        self.own_use_at = now;
+        if let Some(used) = used {
+            let elsewhere = (used * self.plan.rate - self.own_use).max(0.0);
+            let before = self.elsewhere.unwrap_or(elsewhere);
+            self.elsewhere = Some(before + Self::USE_LEARN * (elsewhere - before));
+        }
+    }
+}
+
 #[derive(Debug, PartialEq, Clone, Copy)]
 pub enum Fate {
     Out,
--- a/tests/head.rs
+++ b/tests/head.rs
@@ -314,6 +314,27 @@
     stage.head.logged(" WATCH_BROKE ").unwrap();
 }
 
+/// What a silent watch misses counts as told 6 s after it fell silent, heard of or not; sends may go on for 1 s then.
+#[test]
+fn an_overdue_list_gives_no_node_work_until_it_is_renewed() {
+    let stage = stage_with(Setup { site: Site::Asked, ..Setup::default() });
+    let mut client = stage.client();
+    assert_eq!(client.ask("token-read", LONG, b"").unwrap().0, 200);
+    stage.discovery.fall_silent();
+    stage.discovery.fall_deaf(true);
+    stage.head.logged("silent past its beat").unwrap();
+    assert_eq!(client.ask("token-read", LONG, b"").unwrap().0, 200, "the list is still good");
+    stage.head.logged(" LIST_OVERDUE ").unwrap();
+    assert_eq!(stage.requests(), 2);
+    let (status, head, _) = client.ask("token-read", 2_000, b"").unwrap();
+    assert_eq!(status, 503, "{head}");
+    assert!(HttpClient::retry_after(&head).is_some(), "{head}");
+    assert_eq!(stage.requests(), 0, "a node got work by an overdue list");
+    stage.discovery.fall_deaf(false);
+    stage.head.logged(" LIST_RENEWED ").unwrap();
+    assert_eq!(client.ask("token-read", LONG, b"").unwrap().0, 200);
+}
+
 #[test]
 fn a_silent_watch_is_broken_and_asked_for_again() {
     // Asked for by the module where discovery is asked, kept up unasked where lists are pushed.
