--- a/src/interface.rs
+++ b/src/interface.rs
@@ -174,7 +174,7 @@
     Cached,
     /// A call to the list failed or the subscription broke.
     Failed,
-    /// The subscription stands from now on: what was missed comes right behind.
+    /// The subscription stands from now on: what was missed has been told.
     Watched,
     /// Nothing has changed: the subscription's beat.
     Beat,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -66,7 +66,7 @@
     pub stop_within: Duration,
 }
 
-type Opening = Pin<Box<dyn Future<Output = Result<Watch, Broken>> + Send>>;
+type Opening = Pin<Box<dyn Future<Output = Result<(Watch, NodeList), Broken>> + Send>>;
 
 impl Discovery {
     pub async fn run(self, mut wanted: mpsc::UnboundedReceiver<()>) {
@@ -74,6 +74,10 @@
         let mut version = known.version;
         handle.send(Input::Nodes { news: News::Cached, nodes: known.servers });
         let tell = |news| handle.send(Input::Nodes { news, nodes: Vec::new() });
+        if !on_demand {
+            // The agent may know more from the first moment on.
+            tell(News::Failed);
+        }
         let renew = if stop_within.is_zero() { RENEW_MOST } else { RENEW_MOST.min(stop_within / RENEW_PART) };
         let call = if on_demand || stop_within.is_zero() { CALL } else { renew * CALL_PARTS };
         let mut address = *place.borrow_and_update();
@@ -105,9 +109,13 @@
                 opened = async { opening.as_mut()?.await.into() }, if opening.is_some() => {
                     opening = None;
                     match opened {
-                        Some(Ok(watch)) => {
+                        Some(Ok((watch, list))) => {
                             event!(WATCH, version, address:%);
                             (stands, moving) = (Some(watch), false);
+                            // What was missed comes first: with the watch the list is whole.
+                            if let Some(news) = news(&mut version, &list) {
+                                handle.send(Input::Nodes { news, nodes: list.servers });
+                            }
                             tell(News::Watched);
                             continue;
                         }
@@ -159,7 +167,7 @@
     })
 }
 
-async fn call(address: SocketAddr, after: u64) -> Result<Watch, Broken> {
+async fn call(address: SocketAddr, after: u64) -> Result<(Watch, NodeList), Broken> {
     let mut http = HttpConnector::new();
     http.set_connect_timeout(Some(CONNECT));
     // A client of its own for each watch: dropped with it, so that no connection outlives a broken one.
@@ -173,11 +181,12 @@
         return Err(Broken::Status(answer.status()));
     }
     let heard = Instant::now();
-    let mut watch = Watch { body: answer.into_body(), texts: Texts::default(), heard, first: None };
-    while watch.first.is_none() {
-        watch.first = watch.next().await?;
+    let mut watch = Watch { body: answer.into_body(), texts: Texts::default(), heard };
+    loop {
+        if let Some(list) = watch.next().await? {
+            return Ok((watch, list));
+        }
     }
-    Ok(watch)
 }
 
 struct Watch {
@@ -185,15 +194,11 @@
     texts: Texts,
     /// When a byte last came.
     heard: Instant,
-    first: Option<NodeList>,
 }
 
 impl Watch {
     /// The next list, or `None` for a beat. May be dropped while it waits, and loses nothing.
     async fn next(&mut self) -> Result<Option<NodeList>, Broken> {
-        if let Some(first) = self.first.take() {
-            return Ok(Some(first));
-        }
         loop {
             match self.texts.next()? {
                 Next::List(list) => return Ok(Some(list)),
