--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -363,13 +363,11 @@
                 let ignored = self.broken == Break::UnansweredIsNothing;
                 self.news(n, if ignored { News::Failed } else { News::Silent }, Vec::new());
             }
-            Ev::Beat(n, number) if self.heads[n].watch == Some(number) => {
-                if self.heads[n].silent.is_none() {
-                    self.heads[n].last = self.now;
-                    self.news(n, News::Beat, Vec::new());
-                    self.at(BEAT, Ev::Beat(n, number));
-                    self.at(SILENCE, Ev::Quiet(n, number));
-                }
+            Ev::Beat(n, number) if self.heads[n].watch == Some(number) && self.heads[n].silent.is_none() => {
+                self.heads[n].last = self.now;
+                self.news(n, News::Beat, Vec::new());
+                self.at(BEAT, Ev::Beat(n, number));
+                self.at(SILENCE, Ev::Quiet(n, number));
             }
             Ev::Quiet(n, number) if self.heads[n].watch == Some(number) => {
                 let silence = if self.broken == Break::BeatIgnored { 5_500 * MS } else { SILENCE };
