--- a/src/config/agree.rs
+++ b/src/config/agree.rs
@@ -16,7 +16,7 @@
 /// Descriptors of a head's own: two for each voter, and its runtime, listener and disk.
 pub const FIXED: usize = 2 * MOST_VOTERS + 8;
 /// Others that ask at once, each by a connection.
-const CALLERS: usize = 512;
+const CALLERS: usize = 1_152;
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Agreement {
--- a/src/core.rs
+++ b/src/core.rs
@@ -858,6 +858,9 @@
     fn on_nodes(&mut self, news: News, listed: Vec<ListedNode>) {
         self.look_first();
         if matches!(news, News::Watched | News::Beat | News::Silent | News::Moved) {
+            if news == News::Silent {
+                self.figures.silence();
+            }
             self.tell(Event::Nodes { news, nodes: Vec::new() });
             return self.watch_list();
         }
@@ -914,11 +917,14 @@
         let since = self.overdue_since;
         match (good, since) {
             (true, Some(since)) => {
-                event!(LIST_RENEWED, overdue_ms = (now - since) / 1000);
+                let overdue_ms = (now - since) / 1000;
+                event!(LIST_RENEWED, overdue_ms);
+                self.figures.list(Some(overdue_ms));
                 self.overdue_since = None;
             }
             (false, None) => {
                 event!(LIST_OVERDUE, open = self.requests.len());
+                self.figures.list(None);
                 self.overdue_since = Some(now);
                 let open: Vec<RequestId> = self.requests.keys().copied().collect();
                 open.into_iter().for_each(|id| self.drop_unsent(id, |_| true));
@@ -1359,14 +1365,18 @@
     }
 
     fn with_core<T>(play: impl AsyncFnOnce(Handle) -> T) -> T {
+        with_core_of(Settings::default(), nodes(ListedState::InService), play)
+    }
+
+    fn with_core_of<T>(settings: Settings, list: Input, play: impl AsyncFnOnce(Handle) -> T) -> T {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         let class = Class { aim: 5_000_000, deadline: 10_000_000, worth: 1.0, ..Class::default() };
-        let settings = Settings { hosts: 1, classes: vec![class], max_attempts: 3, ..Settings::default() };
+        let settings = Settings { hosts: 1, classes: vec![class], max_attempts: 3, ..settings };
         runtime.block_on(async {
             let (core, _wanted) = Core::new(settings, 7, 10, Clock::start());
             let handle = core.handle();
             tokio::spawn(core.run());
-            handle.send(nodes(ListedState::InService));
+            handle.send(list);
             // Only a test that would never end is ended by this.
             tokio::time::timeout(Duration::from_secs(20), play(handle)).await.expect("stuck")
         })
@@ -1386,6 +1396,29 @@
         Input::Nodes { news: News::Changes, nodes: vec![node] }
     }
 
+    /// As where a connection to a node is still coming up when the list becomes overdue.
+    #[test]
+    fn what_has_not_begun_never_does_once_the_list_is_overdue() {
+        let asked = Settings {
+            must_subscribe: true,
+            ask_within: 100_000,
+            stop_within: 50_000,
+            ..Settings::default()
+        };
+        let Input::Nodes { nodes: known, .. } = nodes(ListedState::InService) else { unreachable!() };
+        with_core_of(asked, Input::Nodes { news: News::Cached, nodes: known }, async |handle| {
+            let (tell, mut dropped) = mpsc::unbounded_channel();
+            let (begun_tell, mut begun_dropped) = mpsc::unbounded_channel();
+            let work = |begins, dropped| Box::new(Told { end: None, panics: false, begins, dropped });
+            let _begun = handle.submit(arrival(LONG), work(true, begun_tell)).unwrap();
+            let waits = handle.submit(arrival(Duration::from_secs(1)), work(false, tell)).unwrap();
+            dropped.recv().await.expect("the attempt was dropped");
+            assert!(matches!(waits.await, Answer::Refused(_)));
+            assert!(begun_dropped.try_recv().is_err(), "what has begun goes on");
+            assert!(dropped.try_recv().is_err(), "no other attempt was made");
+        });
+    }
+
     /// Tells the address that it was started at.
     struct Addressed(mpsc::UnboundedSender<String>);
 
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -35,6 +35,9 @@
     skipped: AtomicUsize,
     loads: AtomicU64,
     load_errors: AtomicU64,
+    silences: AtomicU64,
+    overdue: AtomicU64,
+    overdue_ms: AtomicU64,
     /// When the core last said that it runs.
     beat: Mutex<Option<Instant>>,
 }
@@ -100,6 +103,17 @@
         count.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// A watch on the list of bricks has fallen silent.
+    pub fn silence(&self) {
+        self.0.silences.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// The list is overdue now, or has been for so many milliseconds and is good again.
+    pub fn list(&self, good_after_ms: Option<u64>) {
+        self.0.overdue.store(u64::from(good_after_ms.is_none()), Ordering::Relaxed);
+        self.0.overdue_ms.fetch_add(good_after_ms.unwrap_or(0), Ordering::Relaxed);
+    }
+
     /// The core runs, and has told its figures.
     pub fn beat(&self, now: Instant) {
         *self.0.beat.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
@@ -132,6 +146,9 @@
             ("skipped_bricks", all.skipped.load(Ordering::Relaxed) as u64),
             ("loads", all.loads.load(Ordering::Relaxed)),
             ("load_errors", all.load_errors.load(Ordering::Relaxed)),
+            ("list_silences", all.silences.load(Ordering::Relaxed)),
+            ("list_overdue", all.overdue.load(Ordering::Relaxed)),
+            ("list_overdue_ms", all.overdue_ms.load(Ordering::Relaxed)),
         ] {
             line(name, "", value);
         }
@@ -174,6 +191,10 @@
         figures.loaded(true);
         figures.loaded(false);
         figures.loaded(false);
+        figures.silence();
+        figures.list(None);
+        figures.list(Some(700));
+        figures.list(None);
         let open = figures.taken();
         let wanted = "edge_gw_handled{category=\"read\",outcome=\"passed\"} 2\n\
             edge_gw_handled{category=\"read\",outcome=\"dropped\"} 0\n\
@@ -184,7 +205,8 @@
             edge_gw_handled{category=\"write\",outcome=\"bad_gateway\"} 0\n\
             edge_gw_upstream_tries{category=\"write\"} 1\n\
             edge_gw_in_progress 1\nedge_gw_known_bricks 9\nedge_gw_skipped_bricks 2\n\
-            edge_gw_loads 1\nedge_gw_load_errors 2\n";
+            edge_gw_loads 1\nedge_gw_load_errors 2\n\
+            edge_gw_list_silences 1\nedge_gw_list_overdue 1\nedge_gw_list_overdue_ms 700\n";
         assert_eq!(figures.text(), wanted);
         drop(open);
         assert_eq!(figures.in_progress(), 0);
