A rehearsal case of many heads whose watches fall silent before nodes leave

Eight real heads on one list, in both kinds of deployment: the watches fall silent, a node leaves, and no head gives it work once its own watch is renewed; then nobody answers any more, and where discovery is asked each head refuses at once with a time to come back and sends nothing, until discovery answers. The stand-in of discovery keeps its list current and silences the watches that stand. A call without an answer has a reason of its own in WATCH_BROKE, told once in a row where lists are pushed (an outage of 8 s was 60 lines a head).

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -37,6 +37,8 @@
     Call(String),
     Status(StatusCode),
     Silent,
+    /// A call has got no answer, or none that came to a list.
+    Unanswered,
     LongList,
     BadList(String),
     Ended,
@@ -48,6 +50,7 @@
             Broken::Call(why) => write!(f, "the call failed: {why}"),
             Broken::Status(status) => write!(f, "answered {status}"),
             Broken::Silent => write!(f, "silent past its beat"),
+            Broken::Unanswered => write!(f, "a call got no list in time"),
             Broken::LongList => write!(f, "a list is too long"),
             Broken::BadList(why) => write!(f, "a list is unreadable: {why}"),
             Broken::Ended => write!(f, "the watch ended"),
@@ -83,6 +86,7 @@
         let mut address = *place.borrow_and_update();
         // The watch that stands stays until the one at the new address does, so that no change is missed between.
         let (mut stands, mut moving): (Option<Watch>, bool) = (None, false);
+        let mut told: Option<Broken> = None;
         let mut opening = (!on_demand).then(|| open(address, version, Duration::ZERO, call));
         loop {
             let stood = stands.is_some();
@@ -111,7 +115,7 @@
                     match opened {
                         Some(Ok((watch, list))) => {
                             event!(WATCH, version, address:%);
-                            (stands, moving) = (Some(watch), false);
+                            (stands, moving, told) = (Some(watch), false, None);
                             // What was missed comes first: with the watch the list is whole.
                             if let Some(news) = news(&mut version, &list) {
                                 handle.send(Input::Nodes { news, nodes: list.servers });
@@ -141,9 +145,13 @@
                     None => continue,
                 },
             };
-            event!(WATCH_BROKE, version, reason:% = broken);
             // An agent that gives no answer at once has none.
-            let silent = broken == Broken::Silent && (on_demand || stood);
+            let silent = broken == Broken::Silent || on_demand && broken == Broken::Unanswered;
+            // Calls that go on to fail in the same way are told once.
+            if stood || on_demand || told.as_ref() != Some(&broken) {
+                event!(WATCH_BROKE, version, reason:% = broken);
+            }
+            told = Some(broken);
             if opening.is_none() && !on_demand {
                 let wait = if silent { Duration::ZERO } else { renew };
                 opening = Some(open(address, version, wait, call));
@@ -163,7 +171,10 @@
 fn open(address: SocketAddr, after: u64, wait: Duration, most: Duration) -> Opening {
     Box::pin(async move {
         sleep(wait).await;
-        timeout(most, call(address, after)).await.map_err(|_| Broken::Silent)?
+        match timeout(most, call(address, after)).await {
+            Ok(Err(Broken::Silent)) | Err(_) => Err(Broken::Unanswered),
+            Ok(done) => done,
+        }
     })
 }
 
--- a/src/rehearsal/cases.rs
+++ b/src/rehearsal/cases.rs
@@ -60,7 +60,7 @@
 
 pub fn all() -> impl Iterator<Item = &'static Case> {
     let others = super::grpc::cases::CASES.iter().chain(super::syslog_cases::CASES);
-    CASES.iter().chain(others).chain(super::daily_cases::CASES)
+    CASES.iter().chain(others).chain(super::daily_cases::CASES).chain(super::leaving::CASES)
 }
 
 const PATH: &str = "/bundles/acme/certs.pem";
--- a/src/rehearsal/mod.rs
+++ b/src/rehearsal/mod.rs
@@ -9,6 +9,7 @@
 pub mod disk;
 pub mod fleet;
 pub mod grpc;
+pub mod leaving;
 pub mod stage;
 pub mod store;
 pub mod syslog;
--- a/src/rehearsal/stage.rs
+++ b/src/rehearsal/stage.rs
@@ -10,7 +10,7 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Duration;
 
@@ -22,17 +22,18 @@
         "weight": 1.0, "started_ms": 0})
 }
 
-#[derive(Default)]
 struct List {
     version: u64,
+    nodes: Vec<Value>,
     watches: Vec<Sender<Value>>,
+    /// Watches that were opened before have fallen silent so often.
+    silences: u64,
 }
 
 /// Discovery's stand-in: a watch begins with the whole list, then has each change as it is told.
 pub struct Discovery {
     pub address: SocketAddr,
     list: Arc<Mutex<List>>,
-    mute: Arc<AtomicBool>,
     deaf: Arc<AtomicBool>,
     /// One for each watch that was opened.
     pub watches: Receiver<()>,
@@ -42,11 +43,10 @@
     pub fn start(nodes: Vec<Value>) -> Outcome<Discovery> {
         let listener = TcpListener::bind(LOOPBACK)?;
         let address = listener.local_addr()?;
-        let (list, mute) = (Arc::new(Mutex::new(List { version: 1, ..List::default() })), Arc::default());
+        let list = Arc::new(Mutex::new(List { version: 1, nodes, watches: Vec::new(), silences: 0 }));
         let (opened, watches) = channel();
         let deaf: Arc<AtomicBool> = Arc::default();
-        let discovery =
-            Discovery { address, list: list.clone(), mute: Arc::clone(&mute), deaf: deaf.clone(), watches };
+        let discovery = Discovery { address, list: list.clone(), deaf: deaf.clone(), watches };
         thread::spawn(move || {
             let mut unheard = Vec::new();
             for stream in listener.incoming().flatten() {
@@ -55,25 +55,36 @@
                     continue;
                 }
                 unheard.clear();
-                let (list, mute, opened, nodes) = (list.clone(), mute.clone(), opened.clone(), nodes.clone());
+                let (list, opened) = (list.clone(), opened.clone());
                 // A head that ends breaks its watch; that is the end of this thread, and no fault.
-                thread::spawn(move || watch(stream, &list, &mute, &opened, nodes));
+                thread::spawn(move || watch(stream, &list, &opened));
             }
         });
         Ok(discovery)
     }
 
+    fn list(&self) -> MutexGuard<'_, List> {
+        self.list.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub fn tell(&self, node: Value) -> Outcome {
-        let mut list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
+        self.change(node);
+        super::check(!self.list().watches.is_empty(), "no head watches the list")
+    }
+
+    /// The same, whether or not any head watches.
+    pub fn change(&self, node: Value) {
+        let mut list = self.list();
         list.version += 1;
+        list.nodes.retain(|known| known["id"] != node["id"]);
+        list.nodes.push(node.clone());
         let change = json!({"version": list.version, "full": false, "servers": [node]});
         list.watches.retain(|watch| watch.send(change.clone()).is_ok());
-        super::check(!list.watches.is_empty(), "no head watches the list")
     }
 
-    /// Says nothing any more, not even its beat, on connections that stay open.
+    /// Says nothing any more, not even its beat, on the watches that stand; those that are opened later are served.
     pub fn fall_silent(&self) {
-        self.mute.store(true, Ordering::Relaxed);
+        self.list().silences += 1;
     }
 
     /// Gives calls no answer any more, or again, to those that come then.
@@ -82,30 +93,28 @@
     }
 }
 
-fn watch(
-    mut stream: TcpStream,
-    list: &Mutex<List>,
-    mute: &AtomicBool,
-    opened: &Sender<()>,
-    nodes: Vec<Value>,
-) -> std::io::Result<()> {
+fn watch(mut stream: TcpStream, list: &Mutex<List>, opened: &Sender<()>) -> std::io::Result<()> {
+    let lock = || list.lock().unwrap_or_else(PoisonError::into_inner);
     if read_http(&mut stream)?.is_none() {
         return Ok(());
     }
     let (sender, changes) = channel();
-    let whole = {
-        let mut list = list.lock().unwrap_or_else(PoisonError::into_inner);
+    let (whole, silences) = {
+        let mut list = lock();
         list.watches.push(sender);
-        json!({"version": list.version, "full": true, "servers": nodes})
+        (json!({"version": list.version, "full": true, "servers": list.nodes}), list.silences)
     };
     stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
     let mut chunk = |text: String| write!(stream, "{:x}\r\n{text}\r\n", text.len());
     chunk(format!("{whole}\n"))?;
     let _ = opened.send(());
     loop {
-        match changes.recv_timeout(Duration::from_secs(2)) {
+        let change = changes.recv_timeout(Duration::from_secs(2));
+        if lock().silences > silences {
+            continue;
+        }
+        match change {
             Ok(change) => chunk(format!("{change}\n"))?,
-            Err(RecvTimeoutError::Timeout) if mute.load(Ordering::Relaxed) => {}
             Err(RecvTimeoutError::Timeout) => chunk("\n".to_string())?,
             Err(RecvTimeoutError::Disconnected) => return Ok(()),
         }
--- a/tests/rehearsal.rs
+++ b/tests/rehearsal.rs
@@ -73,6 +73,7 @@
     long_bodies_pass_whole_or_visibly_not "long-bodies"
     slow_uploads_cost_no_token_and_no_close "slow-bodies"
     every_form_of_http_is_served_refused_or_closed "http-forms"
+    heads_without_their_list_give_leaving_nodes_no_work "leaving"
 }
 
 #[test]
