One of 1,024 heads on 1,024 indented nodes, and lists that cannot be read, on real sockets

Cause: the issue names a list of 1,024 nodes, settings of 1,024 heads, a list beyond any bound and an answer that begins and stalls; only the reader of lists had them as a test. Change: one test of a real head that causes all four: it serves by the indented list, tells 'a list is too long' and 'a call got no list in time', and goes on by the list in force.

--- a/tests/head.rs
+++ b/tests/head.rs
@@ -5,7 +5,7 @@
 use pathbank::rehearsal::{header, wait_for};
 use serde_json::json;
 use std::io::{Read, Write};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 use std::sync::mpsc::channel;
 use std::time::Duration;
@@ -453,3 +453,41 @@
     }
     assert_eq!(stage.requests(), 0);
 }
+
+/// One of 1,024 heads, on a list of 1,024 nodes that comes indented; then a list beyond any bound, and one that stalls.
+#[test]
+fn a_long_indented_list_is_served_and_what_cannot_be_read_leaves_it_in_force() {
+    let brick = Brick::start("b-1").unwrap();
+    let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+    let place = discovery.local_addr().unwrap();
+    let setup = Setup { site: Site::Asked, watched: false, heads: 1024, ..Setup::default() };
+    let head = Head::start(Path::new(env!("CARGO_BIN_EXE_pathbank")), &setup, place, Vec::new()).unwrap();
+    let called = || {
+        let mut watch = discovery.accept().unwrap().0;
+        let (mut asked, mut byte) = (Vec::new(), [0]);
+        while !asked.ends_with(b"\r\n\r\n") {
+            watch.read_exact(&mut byte).unwrap();
+            asked.push(byte[0]);
+        }
+        watch.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+        watch
+    };
+    let nodes: Vec<_> = (0..1024).map(|n| entry(&format!("s-{n}"), brick.address, n, "in_service")).collect();
+    let list = json!({"version": 7, "full": true, "servers": nodes});
+    let text = format!("{}\n", serde_json::to_string_pretty(&list).unwrap());
+    // A client of its own each time: an idle one is asked to go while the head waits for its turn to call.
+    let ask = || HttpClient::connect(head.http).unwrap().ask("token-read", LONG, b"").unwrap().0;
+    let mut watch = called();
+    write!(watch, "{:x}\r\n{text}\r\n", text.len()).unwrap();
+    head.logged(" WATCH ").unwrap();
+    assert_eq!(ask(), 200);
+    let endless = format!("{{\"version\":{}", "8".repeat(1024 * 1024));
+    // The head may break it before all is written.
+    let _ = write!(watch, "{:x}\r\n{endless}\r\n", endless.len());
+    head.logged("a list is too long").unwrap();
+    assert_eq!(ask(), 200);
+    let mut watch = called();
+    write!(watch, "{:x}\r\n{}\r\n", 1000, &text[..1000]).unwrap();
+    head.logged("a call got no list in time").unwrap();
+    assert_eq!(ask(), 200);
+}
