What the old watch tells while the new one opens counts: a test on real sockets

Cause: the last hard case that the issue names and no test caused on sockets. Change: a head is moved to an address that takes its call and says nothing; a node's leaving comes on the old watch. Measured: the head hears of it and refuses at once.

--- a/tests/head.rs
+++ b/tests/head.rs
@@ -5,7 +5,7 @@
 use pathbank::rehearsal::{header, wait_for};
 use serde_json::json;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::sync::mpsc::channel;
 use std::time::Duration;
@@ -462,16 +462,7 @@
     let place = discovery.local_addr().unwrap();
     let setup = Setup { site: Site::Asked, watched: false, heads: 1024, ..Setup::default() };
     let head = Head::start(Path::new(env!("CARGO_BIN_EXE_pathbank")), &setup, place, Vec::new()).unwrap();
-    let called = || {
-        let mut watch = discovery.accept().unwrap().0;
-        let (mut asked, mut byte) = (Vec::new(), [0]);
-        while !asked.ends_with(b"\r\n\r\n") {
-            watch.read_exact(&mut byte).unwrap();
-            asked.push(byte[0]);
-        }
-        watch.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
-        watch
-    };
+    let called = || called(&discovery);
     let nodes: Vec<_> = (0..1024).map(|n| entry(&format!("s-{n}"), brick.address, n, "in_service")).collect();
     let list = json!({"version": 7, "full": true, "servers": nodes});
     let text = format!("{}\n", serde_json::to_string_pretty(&list).unwrap());
@@ -491,3 +482,40 @@
     head.logged("a call got no list in time").unwrap();
     assert_eq!(ask(), 200);
 }
+
+/// The next watch that is asked for, before its first list.
+fn called(discovery: &TcpListener) -> TcpStream {
+    let mut watch = discovery.accept().unwrap().0;
+    let (mut asked, mut byte) = (Vec::new(), [0]);
+    while !asked.ends_with(b"\r\n\r\n") {
+        watch.read_exact(&mut byte).unwrap();
+        asked.push(byte[0]);
+    }
+    watch.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+    watch
+}
+
+#[test]
+fn what_the_old_watch_tells_while_the_new_one_opens_counts() {
+    let brick = Brick::start("b-1").unwrap();
+    let places = [(); 2].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
+    let place = |n: usize| places[n].local_addr().unwrap();
+    let setup = Setup { site: Site::Asked, watched: false, ..Setup::default() };
+    let head = Head::start(Path::new(env!("CARGO_BIN_EXE_pathbank")), &setup, place(0), Vec::new()).unwrap();
+    let tell = |watch: &mut TcpStream, full: bool, state: &str| {
+        let nodes = [entry("s-1", brick.address, 0, state)];
+        let text =
+            format!("{}\n", json!({"version": if full { 1 } else { 2 }, "full": full, "servers": nodes}));
+        write!(watch, "{:x}\r\n{text}\r\n", text.len()).unwrap();
+    };
+    let mut old = called(&places[0]);
+    tell(&mut old, true, "in_service");
+    head.logged(" WATCH ").unwrap();
+    let ask = |wait| HttpClient::connect(head.http).unwrap().ask("token-read", wait, b"").unwrap().0;
+    assert_eq!(ask(LONG), 200);
+    head.reload("discovery", json!(place(1))).unwrap();
+    let _opens = called(&places[1]);
+    tell(&mut old, false, "terminating");
+    head.logged("state=\"Draining\"").unwrap();
+    assert_eq!(ask(500), 503);
+}
