--- a/src/policy.rs
+++ b/src/policy.rs
@@ -48,8 +48,8 @@
 const FULL_REST: f64 = 0.5;
 /// Requests that wait for time to pass (a store, a key's rest, a cold node) are looked at this often.
 const RECHECK: Micros = 10_000;
-/// Wait before the next call to the node list after a failed one, doubled each time up to 16 times this, or what
-/// all of a crowd take one after the other.
+/// Wait before the next call to the node list after a failed one, doubled each time up to 16 times this, or
+/// what all of a crowd take one after the other.
 const RESUBSCRIBE: Micros = 500_000;
 /// A crowd's calls to the node list are drawn evenly over so long for each host, 10 s in all at most.
 const CALLS_APART: Micros = 35_000;
@@ -260,8 +260,8 @@
         self.list_failures = if news == News::Failed { (self.list_failures + 1).min(8) } else { 0 };
         let asks = matches!(news, News::Cached | News::Failed | News::Silent | News::Moved);
         if self.settings.must_subscribe && asks {
-            // Few hosts ask at once; a crowd's calls at one moment would wait too long at the list's one service,
-            // again and again: they are drawn over a while, in the time that is left.
+            // Few hosts ask at once; a crowd's calls at one moment would wait too long at the list's one
+            // service, again and again: they are drawn over a while, in the time that is left.
             let hosts = if self.crowded() { u64::from(self.settings.hosts) } else { 0 };
             let left = (CALLS_IN * self.list_good_until().saturating_sub(now) as f64) as Micros;
             let apart = (CALLS_APART * hosts).min(20 * RESUBSCRIBE).min(left);
