A repeat is written within its window or never: a late connection carried it past

The module looked at the window when it sent; a third of the connections there come up late, and the repeat was written when they did. Ruled out: another group, and a first attempt that counts as never run though it was whole (none in 3,400 repeats). Change: the module says until when an attempt has to be written (policy::send); the core looks at that before each of the attempt's steps and gives it up (core::written_by), so that the request is answered then.

--- a/src/core.rs
+++ b/src/core.rs
@@ -1186,7 +1186,9 @@
 
     fn act(&mut self, now: Micros, action: Action) {
         match action {
-            Action::Send { request, node, time_out } => self.start(now, request, node, time_out),
+            Action::Send { request, node, time_out, write_by } => {
+                self.start(now, request, node, time_out, write_by);
+            }
             Action::Refuse { request, retry_in } => {
                 self.answer(request, Answer::Refused(Duration::from_micros(retry_in)));
             }
@@ -1229,7 +1231,7 @@
         });
     }
 
-    fn start(&mut self, now: Micros, id: RequestId, node: NodeId, time_out: Micros) {
+    fn start(&mut self, now: Micros, id: RequestId, node: NodeId, time_out: Micros, write_by: Micros) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let attempt = open.attempts.len() as u32;
         let until = if time_out > 0 { open.answer_by.min(now + time_out) } else { open.answer_by };
@@ -1256,8 +1258,10 @@
         let binder = Binder { handle: self.handle.clone(), id, attempt };
         let work = open.work.attempt(Try { address, answer_by, begun: begun.clone(), binder });
         let handle = self.handle.clone();
+        let write_by = (write_by < Micros::MAX).then(|| self.clock.instant(write_by));
+        let written = begun.clone();
         let task = tokio::spawn(async move {
-            let work = AssertUnwindSafe(work).catch_unwind();
+            let work = AssertUnwindSafe(written_by(work, written, write_by)).catch_unwind();
             // Without a time of its own it ends with its request's, which may come later than was known here.
             let done = match time_out {
                 0 => Ok(work.await),
@@ -1297,6 +1301,22 @@
     }
 }
 
+/// Gives an attempt up that is not written whole by then. Looked at before each of its steps, so that none of them writes
+/// later, however late its turn comes.
+async fn written_by(work: Attempt, begun: Arc<Begun>, by: Option<Instant>) -> Report {
+    let Some(by) = by else { return work.await };
+    let (mut work, mut over) = (work, std::pin::pin!(tokio::time::sleep_until(by)));
+    std::future::poll_fn(|cx| {
+        let whole = begun.whole.get().is_some();
+        if !whole && (over.as_mut().poll(cx).is_ready() || Instant::now() >= by) {
+            let end = if begun.get() { End::CalledOff } else { End::Unsent };
+            return Poll::Ready(end.into());
+        }
+        work.as_mut().poll(cx)
+    })
+    .await
+}
+
 fn name_of(level: Level) -> &'static str {
     match level {
         Level::Bottom => "bottom",
@@ -1506,6 +1526,70 @@
         }
     }
 
+    /// Breaks at once, then answers behind the window for repeats, with so much written by then.
+    struct Late {
+        written: Written,
+        tried: AtomicBool,
+    }
+
+    #[derive(Clone, Copy, Debug)]
+    enum Written {
+        Nothing,
+        Some,
+        All,
+    }
+
+    const WINDOW: Duration = Duration::from_secs(1);
+
+    impl Work for Late {
+        fn attempt(&self, a_try: Try) -> Attempt {
+            let (written, again) = (self.written, self.tried.swap(true, Ordering::Relaxed));
+            Box::pin(async move {
+                if !again {
+                    a_try.begun.set();
+                    a_try.begun.set_whole();
+                    return End::Broke.into();
+                }
+                if !matches!(written, Written::Nothing) {
+                    a_try.begun.set();
+                }
+                if matches!(written, Written::All) {
+                    a_try.begun.set_whole();
+                }
+                tokio::time::sleep(WINDOW).await;
+                End::Answered.into()
+            })
+        }
+    }
+
+    /// As where a repeat's connection comes up so late that its node would carry it out once more.
+    #[test]
+    fn a_repeat_that_is_not_written_within_its_window_never_is() {
+        for written in [Written::Nothing, Written::Some, Written::All] {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+            let answer = runtime.block_on(async {
+                let class = Class {
+                    aim: 5_000_000,
+                    deadline: 10_000_000,
+                    worth: 1.0,
+                    repeats: Repeats::Keyed,
+                    window: micros(WINDOW),
+                    ..Class::default()
+                };
+                let settings =
+                    Settings { hosts: 1, classes: vec![class], max_attempts: 3, ..Settings::default() };
+                let (core, _wanted) = Core::new(settings, 7, 10, Clock::start());
+                let handle = core.handle();
+                tokio::spawn(core.run());
+                handle.send(nodes(ListedState::InService));
+                let work = Box::new(Late { written, tried: AtomicBool::new(false) });
+                handle.submit(arrival(LONG), work).unwrap().await
+            });
+            let served = answer == Answer::Served(Bytes::new());
+            assert_eq!(served, matches!(written, Written::All), "{written:?}: {answer:?}");
+        }
+    }
+
     #[test]
     fn beyond_the_bound_on_open_requests_nothing_is_taken() {
         with_core(async |handle| {
--- a/src/ending.rs
+++ b/src/ending.rs
@@ -22,7 +22,7 @@
     TimedOut,
     /// The module called the attempt off.
     CalledOff,
-    /// Given up before a byte of it was written: its node leaves or its request is over.
+    /// Given up before a byte of it was written: its node leaves, its request is over, or it is too late for it.
     Unsent,
     /// Never started: the request is over, has had its attempts, or the node is unknown.
     NotStarted,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -247,11 +247,13 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Start an attempt; `time_out` 0: until the client stops waiting.
+    /// Start an attempt; `time_out` 0: until the client stops waiting. What is not written whole before `write_by`
+    /// is given up; `Micros::MAX`: there is no such time.
     Send {
         request: RequestId,
         node: NodeId,
         time_out: Micros,
+        write_by: Micros,
     },
     /// Final: turned away, a retry is harmless.
     Refuse {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -749,14 +749,17 @@
             self.extras.push_back(now);
             forget(&mut self.extras, now, budget.window);
         }
-        let (zone, shard) = (node.zone, node.shard);
+        let (zone, shard, class) = (node.zone, node.shard, &self.settings.classes[held.class]);
+        // A repeat whose connection comes up late would reach its node when that no longer drops it.
+        let first = held.first_that_may_have_run().filter(|_| class.repeats == Repeats::Keyed);
+        let write_by = first.map_or(Micros::MAX, |first| first.sent + class.window);
         held.attempts.push(Attempt { node: node_id, zone, shard, sent: now, fate: Fate::Out });
         node.out.insert((now, id), OutMark::default());
         if node.cold_since.is_some() {
             node.cold_sends.push_back((now, held.units));
             node.cold_credit.level -= held.units;
         }
-        actions.push(Action::Send { request: id, node: node_id, time_out: 0 });
+        actions.push(Action::Send { request: id, node: node_id, time_out: 0, write_by });
     }
 
     // ---- worth and pressure ----
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -281,7 +281,7 @@
 
     pub fn action(&mut self, instance: u16, action: &Action) {
         match action {
-            Action::Send { request, node, time_out } => {
+            Action::Send { request, node, time_out, .. } => {
                 let out = self.record(instance, 16);
                 out.extend(request.to_be_bytes());
                 out.extend(node.to_be_bytes());
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -54,7 +54,7 @@
     assert!(records.into_iter().map(|(_, record)| record).eq(expected));
 
     let mut reply = Reply::default();
-    let send = Action::Send { request: 0xd41b15d3a91c4, node: 0x3124a07, time_out: 80_000 };
+    let send = Action::Send { request: 0xd41b15d3a91c4, node: 0x3124a07, time_out: 80_000, write_by: 0 };
     reply.action(3, &send);
     reply.action(3, &Action::Timer { after: 500_000, token: 77 });
     reply.action(5, &Action::Log("two servers known".into()));
