Old entries of the agreement leave a voter's disk for an archive that is checked with it

Change: agree/archive decides which leave and follows digests over segments and log; net/agree/archive writes a segment whole and synced before its entries are dropped; history, diff, backup and verify read both; restore takes a backup that begins later; the rig keeps 24 entries on disk and plays fleets side by side (--at-once). Measured: a machine that dies at any 997th byte loses no entry; cut, changed and moved segments are named; all tests of the library, agreement and fleet pass.

--- a/benches/agree.rs
+++ b/benches/agree.rs
@@ -3,10 +3,12 @@
 //!
 //! `cargo bench --bench agree`
 
+use pathbank::agree::archive::Chain;
 use pathbank::agree::document::{Edit, Part, Value};
 use pathbank::agree::ledger::Ledger;
 use pathbank::agree::voter::{Save, Voter, Voters};
 use pathbank::agree::{Command, Entry, Times};
+use pathbank::net::agree::archive::Archive;
 use pathbank::net::agree::disk::{Disk, path};
 use std::collections::BTreeMap;
 use std::time::Instant;
@@ -75,7 +77,25 @@
     println!("on disk: {bytes} bytes, {} a revision", bytes / revisions.max(1));
     let (disk, saved) = told("a start on it", || Disk::open(&folder, 1 << 40).expect("it opens"));
     println!("entries read at the start: {}", saved.log.len());
-    let found = told("a check of every digest", || disk.verify().expect("it is read"));
+    let found = told("a check of every digest", || disk.verify(Chain::default()).expect("it is read").done());
+    println!("{found:?}");
+    let (mut disk, archive, keep) = (disk, Archive::beside(&folder), 100_000);
+    let mut longest = 0.0_f64;
+    told(&format!("all but the last {keep} entries to the archive"), || {
+        loop {
+            let begun = Instant::now();
+            if disk.archive(&archive, Some(keep)).expect("they leave").is_none() {
+                return;
+            }
+            longest = longest.max(begun.elapsed().as_secs_f64());
+        }
+    });
+    println!("the longest segment: {longest:.3} s");
+    let found = told("a check of both", || {
+        let mut chain = Chain::default();
+        archive.follow(&mut chain).expect("it is read");
+        disk.verify(chain).expect("it is read").done()
+    });
     println!("{found:?}");
     drop(disk);
     std::fs::remove_dir_all(&folder).expect("it goes");
--- /dev/null
+++ b/src/agree/archive.rs
@@ -0,0 +1,188 @@
+//! Which old entries leave a voter's log for its archive, and whether what is left, here and there, is what was written.
+//! No I/O: whoever holds the files says what is in them.
+
+use super::ledger::{Digest, digest_after};
+use super::{Entry, Index};
+use serde::{Deserialize, Serialize};
+
+/// So many entries at the most leave at once, and no further one beyond so many bytes: a voter stands still meanwhile.
+pub const SEGMENT: u64 = 4_096;
+pub const SEGMENT_BYTES: usize = 4 * 1024 * 1024;
+/// Digits of an index in a segment's name: names are in the entries' order.
+const DIGITS: usize = 20;
+const ENDING: &str = ".jsonl";
+
+/// Entries that lie together in one segment, the first and the last one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Span {
+    pub from: Index,
+    pub to: Index,
+}
+
+impl Span {
+    pub fn name(&self) -> String {
+        format!("{:0DIGITS$}-{:0DIGITS$}{ENDING}", self.from, self.to)
+    }
+
+    /// `None`: that is no segment's name.
+    pub fn of(name: &str) -> Option<Span> {
+        let (from, to) = name.strip_suffix(ENDING)?.split_once('-')?;
+        let index = |text: &str| (text.len() == DIGITS).then(|| text.parse().ok()).flatten();
+        let (from, to): (Index, Index) = (index(from)?, index(to)?);
+        (from >= 1 && from <= to).then_some(Span { from, to })
+    }
+}
+
+/// Entries that may leave a log which begins with `first`: those that the ledger up to `base` stands for, but for the last
+/// `keep` of them, and only where they fill a segment. `None`: all stay.
+pub fn leaves(first: Index, base: Index, keep: u64) -> Option<Span> {
+    let to = first + SEGMENT.min(keep.max(1)) - 1;
+    (first >= 1 && to.saturating_add(keep) <= base).then_some(Span { from: first, to })
+}
+
+/// What a check of all entries found.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Verified {
+    pub entries: u64,
+    pub last: Index,
+    /// Entries that are not here, from and to: all that they came to was taken over from another voter, or their segment was
+    /// moved away.
+    pub gaps: Vec<(Index, Index)>,
+    /// The first entry that is not what was written.
+    pub wrong: Option<Index>,
+}
+
+/// Follows the digest of each entry and all before it, over segments and log.
+#[derive(Debug, Default)]
+pub struct Chain {
+    found: Verified,
+    digest: Digest,
+}
+
+impl Chain {
+    pub fn done(self) -> Verified {
+        self.found
+    }
+
+    pub fn last(&self) -> Index {
+        self.found.last
+    }
+
+    /// The digest of all up to the last entry.
+    pub fn digest(&self) -> &Digest {
+        &self.digest
+    }
+
+    /// From here on there is nothing to follow: that entry is not what was written.
+    pub fn fail(&mut self, index: Index) {
+        self.found.wrong.get_or_insert(index);
+    }
+
+    /// The next entry with the digest that is told of it; `None`: it cannot be read. `before`: the digest of all in front of
+    /// it, for where that is not here. False: it is not what was written, and no other needs to be looked at. One that was
+    /// followed already is passed over: a voter may die between the copy and the end of an old entry.
+    pub fn follow(
+        &mut self,
+        index: Index,
+        told: Option<(&Digest, &Entry)>,
+        before: impl FnOnce() -> Option<Digest>,
+    ) -> bool {
+        if self.found.wrong.is_some() {
+            return false;
+        }
+        if index <= self.found.last {
+            return true;
+        }
+        if index != self.found.last + 1 {
+            self.found.gaps.push((self.found.last + 1, index - 1));
+            match before() {
+                Some(before) => self.digest = before,
+                None => {
+                    self.fail(index);
+                    return false;
+                }
+            }
+        }
+        let sound = told.filter(|(digest, entry)| **digest == digest_after(&self.digest, entry));
+        let Some((digest, _)) = sound else {
+            self.fail(index);
+            return false;
+        };
+        (self.digest, self.found.last) = (*digest, index);
+        self.found.entries += 1;
+        true
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::agree::Command;
+
+    #[test]
+    fn old_entries_leave_in_whole_segments_and_the_last_ones_stay() {
+        let span = |from, to| Some(Span { from, to });
+        for (first, base, keep, due) in [
+            (1, 100, 50, span(1, 50)),
+            (1, 99, 50, None),
+            (51, 150, 50, span(51, 100)),
+            (51, 149, 50, None),
+            (1, 10_000, 5_000, span(1, 4_096)),
+            (4_097, 10_000, 5_000, None),
+            (1, 2, 1, span(1, 1)),
+            // Never all: the ledger's own entry is what the next one follows on.
+            (1, 1, 1, None),
+            (0, 100, 1, None),
+            (1, 100, u64::MAX, None),
+        ] {
+            assert_eq!(leaves(first, base, keep), due, "{first} {base} {keep}");
+        }
+    }
+
+    #[test]
+    fn names_are_read_back_in_order_and_others_are_none() {
+        let spans = [Span { from: 1, to: 9 }, Span { from: 10, to: 99 }, Span { from: 100, to: u64::MAX }];
+        let names = spans.map(|span| span.name());
+        assert!(names.is_sorted());
+        assert_eq!(names.each_ref().map(|name| Span::of(name)), spans.map(Some));
+        let name = &names[0];
+        for other in [
+            "",
+            "agree.redb",
+            &name.replace(".jsonl", ".tmp"),
+            &name.replace('-', ""),
+            &name[1..],
+            &name.replacen("01-", "00-", 1),
+            &name.replacen("01-", "0x-", 1),
+            &Span { from: 5, to: 4 }.name(),
+        ] {
+            assert_eq!(Span::of(other), None, "{other}");
+        }
+    }
+
+    #[test]
+    fn a_chain_names_the_first_entry_that_is_not_what_was_written() {
+        let entry = |term| Entry { term, command: Command::Begin };
+        let mut digests = vec![Digest::default()];
+        (1..=9).for_each(|i| digests.push(digest_after(&digests[i - 1], &entry(i as u64))));
+        // Entries as they are told, those of a pair with another term than was written; and what is found.
+        type Row = (&'static [(u64, u64)], bool, u64, &'static [(u64, u64)], Option<u64>);
+        let rows: &[Row] = &[
+            (&[(1, 1), (2, 2), (3, 3)], true, 3, &[], None),
+            (&[(1, 1), (2, 7), (3, 3)], true, 1, &[], Some(2)),
+            (&[(1, 1), (2, 2), (2, 9), (3, 3)], true, 3, &[], None),
+            (&[(4, 4), (5, 5)], true, 2, &[(1, 3)], None),
+            (&[(4, 4), (5, 5)], false, 0, &[(1, 3)], Some(4)),
+            (&[(1, 1), (4, 5)], true, 1, &[(2, 3)], Some(4)),
+        ];
+        for (told, known, entries, gaps, wrong) in rows {
+            let mut chain = Chain::default();
+            for (index, term) in *told {
+                let before = || known.then(|| digests[*index as usize - 1]);
+                chain.follow(*index, Some((&digests[*index as usize], &entry(*term))), before);
+            }
+            let found = chain.done();
+            assert_eq!((found.entries, &found.gaps[..], found.wrong), (*entries, *gaps, *wrong), "{told:?}");
+        }
+    }
+}
--- a/src/agree/mod.rs
+++ b/src/agree/mod.rs
@@ -2,6 +2,7 @@
 //! under leases. No I/O and no clock: messages, times and draws are passed in, what is to be saved and sent comes out.
 //! `docs/design/agreement.md` has the promise and why it holds.
 
+pub mod archive;
 pub mod document;
 pub mod holder;
 pub mod ledger;
--- a/src/bin/pathbank-rehearse.rs
+++ b/src/bin/pathbank-rehearse.rs
@@ -11,6 +11,8 @@
 use pathbank::rehearsal::stage::{Site, play_in};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
 
 /// Many heads, faults between them by a seed, and an audit of what they did.
 #[derive(Parser)]
@@ -23,6 +25,9 @@
     seeds: u64,
     #[arg(long, default_value_t = 5)]
     heads: usize,
+    /// So many fleets side by side.
+    #[arg(long, default_value_t = 1)]
+    at_once: usize,
     /// Which faults may be drawn, with commas between them; all by default, `none` for none.
     #[arg(long)]
     faults: Option<String>,
@@ -87,36 +92,48 @@
             }
         };
     }
-    let (mut passed, mut failed) = (0, 0);
-    for seed in line.seed..line.seed + line.seeds {
-        let plan = run::Plan {
-            seed,
-            heads: line.heads,
-            long_leases: line.long_leases,
-            lowers: false,
-            traffic: !line.quiet,
-        };
-        let faults = drawn(seed, line.heads, 3, &kinds, line.seconds * 1_000);
-        let played = run::play(daemon, &plan, &faults);
-        let problems = match &played {
-            Ok(played) => played.verdict.problems.clone(),
-            Err(failure) => vec![failure.to_string()],
-        };
-        if problems.is_empty() {
-            passed += 1;
-            played.iter().for_each(|played| println!("ok      {}", run::line(&plan, played)));
-            continue;
+    let (next, passed) = (AtomicU64::new(line.seed), AtomicU64::new(0));
+    let one_after_another = || {
+        loop {
+            let seed = next.fetch_add(1, Ordering::Relaxed);
+            if seed >= line.seed + line.seeds {
+                return;
+            }
+            passed.fetch_add(u64::from(one(daemon, &line, &kinds, seed)), Ordering::Relaxed);
         }
-        failed += 1;
-        println!("FAILED  seed {seed}: {}", problems.join("; "));
-        let fails = |faults: &[_]| {
-            run::play(daemon, &plan, faults).map_or(true, |played| !played.verdict.problems.is_empty())
-        };
-        let least = shortest(faults, line.shrink, fails);
-        least.iter().for_each(|fault| println!("        {fault}"));
+    };
+    thread::scope(|fleets| (0..line.at_once.max(1)).for_each(|_| drop(fleets.spawn(one_after_another))));
+    let passed = passed.into_inner();
+    println!("{passed} passed, {} failed", line.seeds - passed);
+    if passed == line.seeds { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+/// Whether a seed's fleet kept all that it promises.
+fn one(daemon: &Path, line: &FleetLine, kinds: &[Kind], seed: u64) -> bool {
+    let plan = run::Plan {
+        seed,
+        heads: line.heads,
+        long_leases: line.long_leases,
+        lowers: false,
+        traffic: !line.quiet,
+    };
+    let faults = drawn(seed, line.heads, 3, kinds, line.seconds * 1_000);
+    let played = run::play(daemon, &plan, &faults);
+    let problems = match &played {
+        Ok(played) => played.verdict.problems.clone(),
+        Err(failure) => vec![failure.to_string()],
+    };
+    if problems.is_empty() {
+        played.iter().for_each(|played| println!("ok      {}", run::line(&plan, played)));
+        return true;
     }
-    println!("{passed} passed, {failed} failed");
-    if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    println!("FAILED  seed {seed}: {}", problems.join("; "));
+    let fails = |faults: &[_]| {
+        run::play(daemon, &plan, faults).map_or(true, |played| !played.verdict.problems.is_empty())
+    };
+    let least = shortest(faults, line.shrink, fails);
+    least.iter().for_each(|fault| println!("        {fault}"));
+    false
 }
 
 fn main() -> ExitCode {
--- a/src/config/agree.rs
+++ b/src/config/agree.rs
@@ -13,6 +13,8 @@
 const MOST_VOTERS: usize = 9;
 const DAY_MS: u64 = 86_400_000;
 const DISK_MB: u64 = 4_096;
+/// About 40 MB, and months of edits by hand.
+const KEEP_ENTRIES: u64 = 100_000;
 /// Descriptors of a head's own: two for each voter, and its runtime, listener and disk.
 pub const FIXED: usize = 2 * MOST_VOTERS + 8;
 /// Others that ask at once, each by a connection.
@@ -38,6 +40,8 @@
     pub listen: SocketAddr,
     pub directory: PathBuf,
     pub most_bytes: u64,
+    /// So many old entries stay on the disk at least, the others leave for the archive; `None`: all stay.
+    pub keep_entries: Option<u64>,
     pub callers: usize,
 }
 
@@ -51,6 +55,7 @@
     listen: Option<SocketAddr>,
     directory: Option<PathBuf>,
     disk_mb: Option<u64>,
+    keep_entries: Option<u64>,
     callers: Option<usize>,
     #[serde(default)]
     voters: BTreeMap<String, SocketAddr>,
@@ -140,6 +145,7 @@
                 listen,
                 directory,
                 most_bytes: file.disk_mb.unwrap_or(DISK_MB).max(1) * 1024 * 1024,
+                keep_entries: Some(file.keep_entries.unwrap_or(KEEP_ENTRIES)).filter(|keep| *keep > 0),
                 callers: file.callers.unwrap_or(CALLERS).max(2 * MOST_VOTERS),
             }),
             (None, None) => None,
@@ -177,6 +183,12 @@
         let seated = format!("listen = \"127.0.0.1:7100\"\ndirectory = \"/tmp/x\"\ndisk_mb = 2\n{GOOD}");
         let seat = Agreement::read(&seated).unwrap().unwrap().seat.unwrap();
         assert_eq!((seat.most_bytes, seat.callers), (2 << 20, CALLERS));
+        for (keep, kept) in
+            [("", Some(KEEP_ENTRIES)), ("keep_entries = 5\n", Some(5)), ("keep_entries = 0\n", None)]
+        {
+            let seat = Agreement::read(&format!("{keep}{seated}")).unwrap().unwrap().seat.unwrap();
+            assert_eq!(seat.keep_entries, kept, "{keep}");
+        }
         for (change, key) in [
             (GOOD.replace("fleet-a", ""), "cluster"),
             (GOOD.replace("fleet-a", "a b"), "cluster"),
@@ -186,6 +198,7 @@
             (GOOD.replace("127.0.0.1:7100", "nowhere"), "agreement"),
             (format!("listen = \"127.0.0.1:1\"\n{GOOD}"), "directory"),
             (format!("directory = \"/tmp\"\n{GOOD}"), "listen"),
+            (format!("keep_entries = -1\n{GOOD}"), "keep_entries"),
             (format!("{GOOD}[times]\nlease_ms = 1\n"), "lease_ms"),
             (format!("{GOOD}[times]\nlong_lease_ms = 900\n"), "long_lease_ms"),
             (format!("{GOOD}[times]\nelection_ms = 200\n"), "election_ms"),
--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -117,6 +117,12 @@
     OLD_DISK "agree" Error false "A voter spoke from an older copy of its disk, and is not heard." {
         "voter": "its number"
     }
+    ARCHIVED "agree" Notice false "Old entries left the voter's disk for its archive." {
+        "from": "the first of them", "to": "the last"
+    }
+    ARCHIVE_ILL "agree" Error false "Old entries could not leave the voter's disk; they stay there until they can." {
+        "problem": "what is wrong"
+    }
     LATE_ACT "agree" Warning true "An attempt started long after the look at what the heads agree on." {
         "late_us": "how long", "request": "the request"
     }
--- /dev/null
+++ b/src/net/agree/archive.rs
@@ -0,0 +1,134 @@
+//! A voter's archive: old entries in segments, one JSON object a line, each with the digest of all before it. A segment is
+//! written once, whole, and synced before its entries leave the log; whoever wants the room moves the oldest ones away.
+
+use super::disk::{DiskError, Record, digest_of, foreign, hex};
+use crate::agree::Index;
+use crate::agree::archive::{Chain, Span};
+use crate::agree::ledger::Digest;
+use serde::{Deserialize, Serialize};
+use std::fs::{self, File};
+use std::io::{BufRead, BufReader, BufWriter, ErrorKind, Write};
+use std::path::{Path, PathBuf};
+
+const FOLDER: &str = "archive";
+/// A segment that is not whole yet; one that is left is written over.
+const UNFINISHED: &str = "unfinished";
+const FORM: u64 = 1;
+
+/// A segment's first line.
+#[derive(Debug, Serialize, Deserialize)]
+struct Head {
+    form: u64,
+    #[serde(flatten)]
+    span: Span,
+    /// Of all in front of it, in hexadecimal digits.
+    before: String,
+}
+
+#[derive(Clone, Debug)]
+pub struct Archive {
+    folder: PathBuf,
+}
+
+impl Archive {
+    /// Beside the voter's disk.
+    pub fn beside(directory: &Path) -> Archive {
+        Archive { folder: directory.join(FOLDER) }
+    }
+
+    /// In the entries' order. A folder that is not there holds none.
+    pub fn segments(&self) -> Result<Vec<Span>, DiskError> {
+        let files = match fs::read_dir(&self.folder) {
+            Ok(files) => files,
+            Err(problem) if problem.kind() == ErrorKind::NotFound => return Ok(Vec::new()),
+            Err(problem) => return Err(DiskError::Io(problem)),
+        };
+        let mut spans = Vec::new();
+        for file in files {
+            spans.extend(file.map_err(DiskError::Io)?.file_name().to_str().and_then(Span::of));
+        }
+        spans.sort_unstable();
+        Ok(spans)
+    }
+
+    /// On disk, whole, when this returns; once more does no harm.
+    pub fn keep(&self, before: &Digest, records: &[Record]) -> Result<(), DiskError> {
+        let (Some(first), Some(last)) = (records.first(), records.last()) else { return Ok(()) };
+        let span = Span { from: first.index, to: last.index };
+        let write = || -> std::io::Result<()> {
+            fs::create_dir_all(&self.folder)?;
+            let unfinished = self.folder.join(UNFINISHED);
+            let mut file = BufWriter::new(File::create(&unfinished)?);
+            let head = Head { form: FORM, span, before: hex(before) };
+            writeln!(file, "{}", serde_json::to_string(&head)?)?;
+            for record in records {
+                writeln!(file, "{}", serde_json::to_string(record)?)?;
+            }
+            file.into_inner().map_err(|problem| problem.into_error())?.sync_all()?;
+            fs::rename(&unfinished, self.folder.join(span.name()))?;
+            // Both folders too have to know it after a crash.
+            File::open(&self.folder)?.sync_all()?;
+            self.folder.parent().map_or(Ok(()), |parent| File::open(parent)?.sync_all())
+        };
+        write().map_err(DiskError::Io)
+    }
+
+    /// The lines of a segment behind its first one, and the digest of all in front of it.
+    fn open(
+        &self,
+        span: Span,
+    ) -> Result<(Digest, impl Iterator<Item = Result<Record, DiskError>>), DiskError> {
+        let name = span.name();
+        let file = File::open(self.folder.join(&name)).map_err(DiskError::Io)?;
+        let mut lines = BufReader::new(file).lines();
+        let first = lines.next().ok_or_else(|| foreign(format!("{name}: it is empty")))?;
+        let head: Option<Head> = serde_json::from_str(&first.map_err(DiskError::Io)?).ok();
+        let sound = head.filter(|head| head.form == FORM && head.span == span);
+        let before = sound.and_then(|head| digest_of(&head.before));
+        let before = before.ok_or_else(|| foreign(format!("{name}: line 1 is no segment's")))?;
+        let records = lines.zip(2..).map(move |(line, number)| {
+            let read = |line: String| serde_json::from_str(&line).ok();
+            line.map_err(DiskError::Io)
+                .and_then(|line| read(line).ok_or_else(|| foreign(format!("{name}: line {number}"))))
+        });
+        Ok((before, records))
+    }
+
+    /// Entries after that one, so many at most, of the first segment that has any. None where the log has to go on.
+    pub fn records(&self, after: Index, most: usize) -> Result<Vec<Record>, DiskError> {
+        let Some(span) = self.segments()?.into_iter().find(|span| span.to > after) else {
+            return Ok(Vec::new());
+        };
+        let (_, records) = self.open(span)?;
+        let later = |record: &Result<Record, _>| record.as_ref().map_or(true, |record| record.index > after);
+        records.filter(later).take(most).collect()
+    }
+
+    /// Follows every segment's entries behind those that were followed. What is unreadable is told as the entry that it should have been.
+    pub fn follow(&self, chain: &mut Chain) -> Result<(), DiskError> {
+        // What has been followed is not read again.
+        let last = chain.last();
+        for span in self.segments()?.into_iter().filter(|span| span.to > last) {
+            let Ok((before, records)) = self.open(span) else {
+                chain.fail(span.from);
+                return Ok(());
+            };
+            let mut next = span.from;
+            for record in records {
+                let record = record.ok().filter(|record| record.index == next);
+                let told =
+                    record.as_ref().and_then(|record| Some((digest_of(&record.digest)?, &record.entry)));
+                let told = told.as_ref().map(|(digest, entry)| (digest, *entry));
+                if !chain.follow(next, told, || Some(before)) {
+                    return Ok(());
+                }
+                next += 1;
+            }
+            if next != span.to + 1 {
+                chain.fail(next);
+                return Ok(());
+            }
+        }
+        Ok(())
+    }
+}
--- a/src/net/agree/command.rs
+++ b/src/net/agree/command.rs
@@ -1,11 +1,13 @@
 //! `pathbank agree`: what operators ask voters, and what they do with a voter's disk while it is stopped.
 
+use super::archive::Archive;
 use super::call::{CallError, Caller};
-use super::disk::{Disk, DiskError, Record, Verified};
+use super::disk::{Disk, DiskError, Record, digest_of};
 use super::wire::{
     LEDGER, LedgerAsked, LedgerTold, PROPOSE, Proposed, RECORDS, RecordsAsked, RecordsTold, STATUS, Status,
     VERIFY, VOTERS,
 };
+use crate::agree::archive::{Chain, Verified};
 use crate::agree::document::Edit;
 use crate::agree::ledger::Ledger;
 use crate::agree::voter::{Save, Voters};
@@ -187,7 +189,9 @@
         }
         What::Verify { directory: Some(directory) } => {
             let (disk, _) = Disk::open(directory, MOST_DISK)?;
-            tell_verified(&line, &directory.display().to_string(), &disk.verify()?)
+            let mut chain = Chain::default();
+            Archive::beside(directory).follow(&mut chain)?;
+            tell_verified(&line, &directory.display().to_string(), &disk.verify(chain)?.done())
         }
         What::Restore { from, directory, address } => restore(&line, from, directory, address),
         _ => Desk::new(&line)?.carry_out(&line).await,
@@ -267,12 +271,21 @@
             What::Show { document, any } => self.show(line, document.as_deref(), *any).await,
             What::History { document, after } => {
                 let (records, _) = self.records(*after).await?;
+                if let Some(first) = records.first().filter(|first| first.index != after + 1) {
+                    eprintln!(
+                        "pathbank agree: entries {} to {} are not at this voter",
+                        after + 1,
+                        first.index - 1
+                    );
+                }
                 self.tell_records(line, &records, document.as_deref())
             }
             What::Diff { document, before, after } => {
                 let (records, _) = self.records(0).await?;
                 if records.first().is_some_and(|record| record.index != 1) {
-                    return Err(said("this voter has no entries from before it came; ask another one"));
+                    return Err(said(
+                        "this voter has no entries from before it came, or they were moved away; ask another one",
+                    ));
                 }
                 let versions = report::versions(records.iter().map(|record| &record.entry), document);
                 let of = |version: &u64| {
@@ -556,18 +569,33 @@
         return Err(at(format!("it has form {}, this program knows {BACKUP_FORM}", backup.form)));
     }
     let mut entries: Vec<Entry> = Vec::new();
-    let mut ledger = Ledger::default();
+    let (mut ledger, mut chain, mut first) = (Ledger::default(), Chain::default(), None);
     for (number, text) in lines.enumerate() {
         let text = text.map_err(|problem| at(problem.to_string()))?;
         let record: Record =
             serde_json::from_str(&text).map_err(|problem| at(format!("line {}: {problem}", number + 2)))?;
-        ledger.apply(&record.entry);
-        if record.index != ledger.read() || record.digest != super::disk::hex(ledger.digest()) {
+        let digest = digest_of(&record.digest);
+        // Where the oldest ones had been moved away, the first one is what the others follow on.
+        if number == 0 && record.index > 1 {
+            first = digest.map(|digest| (record.index, digest));
+            if first.is_some() {
+                continue;
+            }
+        }
+        let (begins, told) = (first, digest.as_ref().map(|digest| (digest, &record.entry)));
+        let base = || begins.filter(|(index, _)| index + 1 == record.index).map(|(_, digest)| digest);
+        if !chain.follow(record.index, told, base) {
             return Err(at(format!("line {}: entry {} is not what was written", number + 2, record.index)));
         }
+        if first.is_none() {
+            ledger.apply(&record.entry);
+        }
         entries.push(record.entry);
     }
-    if ledger.read() != backup.ledger.read() || ledger.digest() != backup.ledger.digest() {
+    // Documents that no entries here tell of are taken as the file's first line has them.
+    let ledger = if first.is_some() { backup.ledger.clone() } else { ledger };
+    let last = first.filter(|_| entries.is_empty()).unwrap_or((chain.last(), *chain.digest()));
+    if last != (backup.ledger.read(), *backup.ledger.digest()) {
         return Err(at("its entries are not all there, or not those that its first line is of".into()));
     }
     let id = fastrand::u64(1..1 << 48);
@@ -575,10 +603,20 @@
     let (mut disk, _) = Disk::open(directory, MOST_DISK)?;
     let term = backup.term + 1;
     let voters = Voters::from([(id, address.to_string())]);
-    entries.push(Entry { term, command: Entered::Voters(voters) });
-    let saves: Vec<Save> = (1..).zip(entries).map(|(index, entry)| Save::Put(index, entry)).collect();
-    let last = saves.len() as Index;
+    let begins = first.map_or(0, |(index, _)| index);
+    if let Some((index, digest)) = first {
+        disk.begin_behind(index, digest)?;
+    }
+    let of_last = entries.last().map_or(backup.term, |entry| entry.term);
+    let saves: Vec<Save> =
+        (begins + 1..).zip(entries).map(|(index, entry)| Save::Put(index, entry)).collect();
     disk.save(&saves)?;
+    let last = ledger.read() + 1;
+    let ledger = Box::new(ledger);
+    disk.save(&[
+        Save::Snapshot { ledger, term: of_last, whole: None },
+        Save::Put(last, Entry { term, command: Entered::Voters(voters) }),
+    ])?;
     // Whoever comes has to have read all of it.
     disk.save(&[Save::Vote { term, voted: None }, Save::Barrier(last)])?;
     let text =
--- a/src/net/agree/disk.rs
+++ b/src/net/agree/disk.rs
@@ -1,7 +1,9 @@
 //! A voter's disk: one file of redb, where a batch is whole or not there at all after a crash at any byte, and is synced
-//! before `save` returns. The log's entries stay, each with the digest of all before it, so that a changed past shows;
-//! the ledger beside them spares reading them all at a start.
+//! before `save` returns. Each of the log's entries is kept with the digest of all before it, so that a changed past shows;
+//! the ledger beside them spares reading them all at a start. Old entries leave for the archive, where that is wanted.
 
+use super::archive::Archive;
+use crate::agree::archive::{self, Chain, SEGMENT_BYTES, Span};
 use crate::agree::ledger::{Digest, Ledger, digest_after};
 use crate::agree::voter::{Save, Saved, Starts, next_start};
 use crate::agree::{Entry, Index, Term, VoterId};
@@ -65,7 +67,7 @@
     }
 }
 
-fn foreign(what: impl fmt::Display) -> DiskError {
+pub(super) fn foreign(what: impl fmt::Display) -> DiskError {
     DiskError::Foreign { what: what.to_string() }
 }
 
@@ -81,17 +83,6 @@
     term: Term,
 }
 
-/// What a check of the whole log found.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Verified {
-    pub entries: u64,
-    pub last: Index,
-    /// Entries that are not here, from and to: all that they came to was taken over from another voter.
-    pub gaps: Vec<(Index, Index)>,
-    /// The first entry that is not what was written.
-    pub wrong: Option<Index>,
-}
-
 /// An entry as others are told it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Record {
@@ -336,43 +327,87 @@
         log.range(after + 1..)?.take(most).map(record).collect()
     }
 
-    /// Follows every entry's digest from the first one on, and the ledger's with them.
-    pub fn verify(&self) -> Result<Verified, DiskError> {
+    /// Follows every entry's digest from where the archive ended, and the ledger's with them.
+    pub fn verify(&self, mut chain: Chain) -> Result<Chain, DiskError> {
         let read = self.database.begin_read()?;
         let (log, bases) = (read.open_table(LOG)?, read.open_table(BASES)?);
-        let (mut found, mut digest) = (Verified::default(), Digest::default());
         for row in log.iter()? {
             let (index, value) = row?;
             let index = index.value();
-            if index != found.last + 1 {
-                found.gaps.push((found.last + 1, index - 1));
-                let base = bases.get(index - 1)?.map(|base| serde_json::from_slice::<String>(base.value()));
-                match base.and_then(Result::ok).as_deref().and_then(digest_of) {
-                    Some(base) => digest = base,
-                    None => {
-                        found.wrong = Some(index);
-                        return Ok(found);
-                    }
-                }
+            let base = if index == chain.last() + 1 { None } else { base_at(&bases, index - 1)? };
+            let told = split(index, value.value()).ok();
+            let told = told.as_ref().map(|(digest, entry)| (digest, entry));
+            if !chain.follow(index, told, || base) {
+                break;
             }
-            let sound = split(index, value.value())
-                .ok()
-                .filter(|(told, entry)| *told == digest_after(&digest, entry));
-            let Some((told, _)) = sound else {
-                found.wrong = Some(index);
-                return Ok(found);
-            };
-            (digest, found.last, found.entries) = (told, index, found.entries + 1);
-            if index == self.base.0 && digest != self.base.1 {
-                found.wrong = Some(index);
-                return Ok(found);
+            if chain.last() == self.base.0 && *chain.digest() != self.base.1 {
+                chain.fail(index);
+                break;
             }
         }
-        Ok(found)
+        Ok(chain)
     }
+
+    /// Copies old entries to the archive, a segment at a time, and drops them here once they are there. `keep`: so many of
+    /// those that the ledger stands for stay; `None`: all.
+    pub fn archive(&mut self, archive: &Archive, keep: Option<u64>) -> Result<Option<Span>, DiskError> {
+        let Some((first, keep)) = self.first()?.zip(keep) else { return Ok(None) };
+        let Some(due) = archive::leaves(first, self.base.0, keep) else { return Ok(None) };
+        let (before, records) = self.oldest(due)?;
+        let Some(last) = records.last() else { return Ok(None) };
+        let span = Span { from: first, to: last.index };
+        archive.keep(&before, &records)?;
+        let write = self.database.begin_write()?;
+        write.open_table(LOG)?.retain_in(..=span.to, |_, _| false)?;
+        put(&mut write.open_table(BASES)?, span.to, &last.digest)?;
+        write.commit()?;
+        Ok(Some(span))
+    }
+
+    /// The first entry that is here.
+    fn first(&self) -> Result<Option<Index>, DiskError> {
+        Ok(self.database.begin_read()?.open_table(LOG)?.first()?.map(|(index, _)| index.value()))
+    }
+
+    /// The log's first entries, as far as they follow on one another and fit into a segment, and the digest before them.
+    fn oldest(&self, due: Span) -> Result<(Digest, Vec<Record>), DiskError> {
+        let read = self.database.begin_read()?;
+        let (log, bases) = (read.open_table(LOG)?, read.open_table(BASES)?);
+        let before = if due.from == 1 { Some(Digest::default()) } else { base_at(&bases, due.from - 1)? };
+        let before = before.ok_or_else(|| foreign(format!("nothing is known before entry {}", due.from)))?;
+        let (mut records, mut bytes) = (Vec::new(), 0);
+        for (row, next) in log.range(due.from..=due.to)?.zip(due.from..) {
+            let (index, value) = row?;
+            if index.value() != next || bytes >= SEGMENT_BYTES {
+                break;
+            }
+            bytes += value.value().len();
+            let (digest, entry) = split(next, value.value())?;
+            records.push(Record { index: next, digest: hex(&digest), entry });
+        }
+        Ok((before, records))
+    }
+
+    /// For a disk that holds nothing yet: its log begins behind that entry, whose digest is this.
+    pub fn begin_behind(&mut self, index: Index, digest: Digest) -> Result<(), DiskError> {
+        let write = self.database.begin_write()?;
+        put(&mut write.open_table(BASES)?, index, &hex(&digest))?;
+        write.commit()?;
+        (self.last, self.digest) = (index, digest);
+        Ok(())
+    }
+}
+
+/// The digest of all up to there, where that was noted.
+fn base_at(
+    bases: &impl ReadableTable<u64, &'static [u8]>,
+    index: Index,
+) -> Result<Option<Digest>, DiskError> {
+    let base = bases.get(index)?.map(|base| serde_json::from_slice::<String>(base.value()));
+    Ok(base.and_then(Result::ok).as_deref().and_then(digest_of))
 }
 
-fn digest_of(text: &str) -> Option<Digest> {
+pub(super) fn digest_of(text: &str) -> Option<Digest> {
     let mut digest = Digest::default();
     for (place, byte) in digest.iter_mut().enumerate() {
         *byte = u8::from_str_radix(text.get(2 * place..2 * place + 2)?, 16).ok()?;
@@ -411,6 +446,7 @@
 mod tests {
     use super::*;
     use crate::agree::Command;
+    use crate::agree::archive::Verified;
     use crate::agree::document::{Edit, Part, Value};
     use crate::rehearsal::disk::Disk as Paper;
     use std::collections::BTreeMap;
@@ -436,6 +472,10 @@
         paper
     }
 
+    fn found(disk: &Disk) -> Verified {
+        disk.verify(Chain::default()).unwrap().done()
+    }
+
     /// Batches as a voter writes them: votes, entries, cuts, snapshots of its own and of others.
     fn batches() -> Vec<Vec<Save>> {
         vec![
@@ -496,7 +536,7 @@
                 } else {
                     after += 1
                 }
-                assert_eq!(disk.verify().unwrap().wrong, None, "{left}");
+                assert_eq!(found(&disk).wrong, None, "{left}");
             }
         }
         assert!(before > 0 && before + after > 190, "{before} {after}");
@@ -514,7 +554,7 @@
         paper.image().full = false;
         let (disk, saved) = Disk::on(paper).unwrap();
         assert_eq!((saved.term, saved.voted, saved.log.len(), saved.starts >> 32), (2, Some(1), 1, 2));
-        assert_eq!(disk.verify().unwrap(), Verified { entries: 1, last: 1, ..Verified::default() });
+        assert_eq!(found(&disk), Verified { entries: 1, last: 1, ..Verified::default() });
     }
 
     #[test]
@@ -522,8 +562,7 @@
         let paper = new_paper();
         let (mut disk, _) = Disk::on(paper.clone()).unwrap();
         batches().iter().for_each(|batch| disk.save(batch).unwrap());
-        let found = disk.verify().unwrap();
-        assert_eq!(found, Verified { entries: 4, last: 10, gaps: vec![(4, 9)], wrong: None });
+        assert_eq!(found(&disk), Verified { entries: 4, last: 10, gaps: vec![(4, 9)], wrong: None });
         drop(disk);
         let database = redb::Builder::new().create_with_backend(paper.clone()).unwrap();
         let write = database.begin_write().unwrap();
@@ -537,7 +576,124 @@
         write.commit().unwrap();
         drop(database);
         let (disk, _) = Disk::on(paper).unwrap();
-        assert_eq!(disk.verify().unwrap().wrong, Some(2));
+        assert_eq!(found(&disk).wrong, Some(2));
+    }
+
+    /// Twenty entries on disk that a ledger stands for, and two more; an archive that is empty.
+    fn twenty(name: &str) -> (Paper, Disk, Archive, PathBuf) {
+        let (paper, folder) =
+            (new_paper(), std::env::temp_dir().join(format!("pathbank-{name}-{}", std::process::id())));
+        let _ = std::fs::remove_dir_all(&folder);
+        let (mut disk, _) = Disk::on(paper.clone()).unwrap();
+        let entries: Vec<Save> = (1..=20).map(|i| Save::Put(i, entry(i))).collect();
+        disk.save(&entries).unwrap();
+        disk.save(&[Save::Snapshot { ledger: ledger(20), term: 1, whole: None }]).unwrap();
+        disk.save(&[Save::Put(21, entry(21)), Save::Put(22, entry(22))]).unwrap();
+        (paper, disk, Archive::beside(&folder), folder)
+    }
+
+    /// What is in the archive and behind it on disk, as a check of both finds it, and by reading one record after another.
+    fn both(disk: &Disk, archive: &Archive) -> (Verified, Vec<Index>) {
+        let mut chain = Chain::default();
+        archive.follow(&mut chain).unwrap();
+        let (mut all, mut at) = (Vec::new(), 0);
+        loop {
+            let old = archive.records(at, 3).unwrap();
+            let records = if old.is_empty() { disk.records(at, 3).unwrap() } else { old };
+            let Some(last) = records.last() else { break };
+            at = last.index;
+            for record in records {
+                let Command::Edit(edit) = &record.entry.command else { panic!("{record:?}") };
+                assert_eq!(edit.id, record.index);
+                all.push(record.index);
+            }
+        }
+        (disk.verify(chain).unwrap().done(), all)
+    }
+
+    const WHOLE: Verified = Verified { entries: 22, last: 22, gaps: Vec::new(), wrong: None };
+
+    #[test]
+    fn old_entries_leave_for_the_archive_and_none_is_lost_wherever_the_machine_dies() {
+        let span = |from, to| Some(Span { from, to });
+        let (paper, mut disk, archive, folder) = twenty("archive");
+        assert_eq!(disk.archive(&archive, None).unwrap(), None);
+        for due in [span(1, 6), span(7, 12), None] {
+            assert_eq!(disk.archive(&archive, Some(6)).unwrap(), due);
+            assert_eq!(both(&disk, &archive), (WHOLE, (1..=22).collect()), "{due:?}");
+        }
+        drop(disk);
+        let (mut disk, saved) = Disk::on(paper).unwrap();
+        assert_eq!((saved.first, saved.log.len()), (20, 2));
+        disk.save(&[Save::Put(23, entry(23))]).unwrap();
+        assert_eq!(both(&disk, &archive).0, Verified { entries: 23, last: 23, ..WHOLE });
+        std::fs::remove_dir_all(&folder).unwrap();
+        let mut lefts = (0, 0);
+        for left in (0..).step_by(997) {
+            let (paper, mut disk, archive, folder) = twenty(&format!("archive-{left}"));
+            paper.image().left = Some(left);
+            let done = disk.archive(&archive, Some(6)).is_ok();
+            let images = {
+                let image = paper.image();
+                [image.bytes.clone(), image.synced.clone()]
+            };
+            for bytes in images {
+                let (mut disk, _) = Disk::on(Paper::of(bytes)).unwrap_or_else(|e| panic!("{left}: {e}"));
+                assert_eq!(both(&disk, &archive), (WHOLE, (1..=22).collect()), "{left}");
+                // It goes on where it stopped.
+                while disk.archive(&archive, Some(6)).unwrap().is_some() {}
+                assert_eq!(both(&disk, &archive), (WHOLE, (1..=22).collect()), "{left}");
+                assert_eq!(archive.segments().unwrap().len(), 2, "{left}");
+            }
+            std::fs::remove_dir_all(&folder).unwrap();
+            lefts = if done { (lefts.0, lefts.1 + 1) } else { (lefts.0 + 1, 0) };
+            if done {
+                break;
+            }
+        }
+        assert!(lefts.0 > 3 && lefts.1 == 1, "{lefts:?}");
+    }
+
+    #[test]
+    fn an_archive_that_is_changed_cut_or_moved_away_is_found_and_named() {
+        let (_paper, mut disk, archive, folder) = twenty("changed");
+        while disk.archive(&archive, Some(6)).unwrap().is_some() {}
+        let at = |span: Span| folder.join("archive").join(span.name());
+        let spans = archive.segments().unwrap();
+        let texts: Vec<String> =
+            spans.iter().map(|span| std::fs::read_to_string(at(*span)).unwrap()).collect();
+        let gap = |entries, gap| Verified { entries, gaps: vec![gap], ..WHOLE };
+        let wrong = |entries, gaps, wrong| Verified { entries, last: wrong - 1, gaps, wrong: Some(wrong) };
+        let lines = |text: &str, count: usize| {
+            text.lines().take(count).map(|line| format!("{line}\n")).collect::<String>()
+        };
+        let forged = texts[0].replacen("a test", "a lie!", 3).replacen("a lie!", "a test", 2);
+        // Which segment, what is in its place (`None`: it was moved away), and what is found.
+        for (segment, text, due) in [
+            (0, None, gap(16, (1, 6))),
+            (1, None, gap(16, (7, 12))),
+            (0, Some(forged), wrong(2, vec![], 3)),
+            (1, Some(lines(&texts[1], 4)), wrong(9, vec![], 10)),
+            (1, Some(lines(&texts[1], 4) + "{\"index\":"), wrong(9, vec![], 10)),
+            (1, Some(String::new()), wrong(6, vec![], 7)),
+            (1, Some(texts[0].clone()), wrong(6, vec![], 7)),
+        ] {
+            match &text {
+                Some(text) => std::fs::write(at(spans[segment]), text).unwrap(),
+                None => std::fs::remove_file(at(spans[segment])).unwrap(),
+            }
+            let mut chain = Chain::default();
+            archive.follow(&mut chain).unwrap();
+            assert_eq!(disk.verify(chain).unwrap().done(), due, "{text:?}");
+            std::fs::write(at(spans[segment]), &texts[segment]).unwrap();
+        }
+        assert_eq!(both(&disk, &archive).0, WHOLE);
+        // A file in the folder's place: nothing leaves, and what is here stays.
+        std::fs::remove_dir_all(folder.join("archive")).unwrap();
+        std::fs::write(folder.join("archive"), "").unwrap();
+        assert!(matches!(disk.archive(&archive, Some(2)), Err(DiskError::Io(_))));
+        assert_eq!(found(&disk), gap(10, (1, 12)));
+        std::fs::remove_dir_all(&folder).unwrap();
     }
 
     #[test]
--- a/src/net/agree/mod.rs
+++ b/src/net/agree/mod.rs
@@ -1,5 +1,6 @@
 //! Agreement on real sockets and disks.
 
+pub mod archive;
 pub mod call;
 pub mod command;
 pub mod disk;
--- a/src/net/agree/office.rs
+++ b/src/net/agree/office.rs
@@ -1,13 +1,15 @@
 //! A head's part in the agreement, on a thread and a runtime of its own, so that no client's request waits for a disk:
 //! its voter, where it has one, with the links to the others, and its leases.
 
+use super::archive::Archive;
 use super::call::{CallError, Caller};
 use super::disk::{Disk, DiskError, hex};
 use super::wire::{HEAR, Heard, LedgerTold, Proposed, RENEW, RecordsTold, Said, Status};
 use super::{disk, serve};
+use crate::agree::archive::{Chain, Verified};
 use crate::agree::document::Edit;
 use crate::agree::holder::{Holder, View};
-use crate::agree::voter::{NotLeader, NotNow, Output, To, Voter, Voters};
+use crate::agree::voter::{NotLeader, NotNow, Output, Save, To, Voter, Voters};
 use crate::agree::{HolderId, Index, Message, Micros, VoterId};
 use crate::clock::Pace;
 use crate::config::agree::Agreement;
@@ -199,12 +201,26 @@
             *place = None;
             return None;
         }
+        if out.save.iter().any(|save| matches!(save, Save::Snapshot { .. })) {
+            self.archive(seat);
+        }
         seat.tell_changes();
         let commit = seat.voter.commit();
         self.commits.send_if_modified(|known| std::mem::replace(known, commit) != commit);
         Some((done, out.send))
     }
 
+    /// Old entries leave the disk, a segment at most each time. What fails is told, and tried again with the next ledger:
+    /// nothing leaves that is not in the archive.
+    fn archive(&self, seat: &mut Seat) {
+        let Some(config) = &self.config.seat else { return };
+        match seat.disk.archive(&Archive::beside(&config.directory), config.keep_entries) {
+            Ok(None) => {}
+            Ok(Some(span)) => event!(ARCHIVED, from = span.from, to = span.to),
+            Err(problem) => event!(ARCHIVE_ILL, problem:%),
+        }
+    }
+
     /// Sends what is for other voters by their links, and gives back what answers `asker`.
     fn send(self: &Arc<Self>, messages: Vec<(To, Message)>, asker: Option<VoterId>) -> Vec<Message> {
         let mut answers = Vec::new();
@@ -410,19 +426,40 @@
         })
     }
 
-    /// Only what counts is told.
-    pub fn records(&self, after: Index, most: usize) -> Option<Result<RecordsTold, DiskError>> {
+    /// Only what counts is told: from the archive as far as that goes, then from the log.
+    pub async fn records(&self, after: Index, most: usize) -> Option<Result<RecordsTold, DiskError>> {
+        let archive = Archive::beside(&self.config.seat.as_ref()?.directory);
+        let old = match aside(move || archive.records(after, most)).await {
+            Ok(old) => old,
+            Err(problem) => return Some(Err(problem)),
+        };
         let place = lock(&self.seat);
         let Seat { voter, disk, .. } = place.as_ref()?;
         let commit = voter.commit();
+        if !old.is_empty() {
+            return Some(Ok(RecordsTold { records: old, commit }));
+        }
         Some(disk.records(after, most).map(|mut records| {
             records.retain(|record| record.index <= commit);
             RecordsTold { records, commit }
         }))
     }
 
-    pub fn verify(&self) -> Option<Result<disk::Verified, DiskError>> {
-        lock(&self.seat).as_ref().map(|seat| seat.disk.verify())
+    /// The archive is read beside the voter's work. A segment that comes meanwhile is read with the log.
+    pub async fn verify(&self) -> Option<Result<Verified, DiskError>> {
+        let archive = Archive::beside(&self.config.seat.as_ref()?.directory);
+        let old = archive.clone();
+        let follow = move || {
+            let mut chain = Chain::default();
+            old.follow(&mut chain).map(|()| chain)
+        };
+        let mut chain = match aside(follow).await {
+            Ok(chain) => chain,
+            Err(problem) => return Some(Err(problem)),
+        };
+        let place = lock(&self.seat);
+        let disk = &place.as_ref()?.disk;
+        Some(archive.follow(&mut chain).and_then(|()| disk.verify(chain)).map(Chain::done))
     }
 
     /// Keeps the head's leases: one task for each voter, as the log names them.
@@ -495,6 +532,13 @@
     }
 }
 
+/// Reads files on a thread of their own, so that the voter's times go on.
+async fn aside<T: Send + 'static>(
+    read: impl FnOnce() -> Result<T, DiskError> + Send + 'static,
+) -> Result<T, DiskError> {
+    tokio::task::spawn_blocking(read).await.unwrap_or_else(|problem| Err(disk::foreign(problem)))
+}
+
 impl Seat {
     fn tell_changes(&mut self) {
         let (voter, (leader, term, active)) = (&self.voter, self.told);
--- a/src/net/agree/serve.rs
+++ b/src/net/agree/serve.rs
@@ -128,13 +128,13 @@
 
 async fn records(State(office): Desk, body: Bytes) -> Response {
     match read::<RecordsAsked>(&body) {
-        Ok(asked) => from_disk(office.records(asked.after, asked.most.min(MOST_RECORDS))),
+        Ok(asked) => from_disk(office.records(asked.after, asked.most.min(MOST_RECORDS)).await),
         Err(bad) => bad.into_response(),
     }
 }
 
 async fn verify(State(office): Desk) -> Response {
-    from_disk(office.verify())
+    from_disk(office.verify().await)
 }
 
 fn from_disk<T: Serialize>(told: Option<Result<T, super::disk::DiskError>>) -> Response {
--- a/src/rehearsal/fleet/run.rs
+++ b/src/rehearsal/fleet/run.rs
@@ -245,7 +245,12 @@
     fn begin(&mut self, number: usize) -> Outcome {
         let member = &mut self.members[number];
         let seat = match &member.directory {
-            Some(directory) => format!("listen = \"127.0.0.1:0\"\ndirectory = \"{}\"", directory.display()),
+            Some(directory) => {
+                format!(
+                    "listen = \"127.0.0.1:0\"\ndirectory = \"{}\"\nkeep_entries = 24",
+                    directory.display()
+                )
+            }
             None => String::new(),
         };
         let agree = member.setup.agree.as_deref().map(|text| text.replace("SEAT", &seat));
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -183,10 +183,15 @@
     }
 
     fn start(&self, id: u64, listed: &[u64], disk_mb: u64) -> Head {
+        self.start_with(id, listed, &format!("disk_mb = {disk_mb}"), "")
+    }
+
+    /// With keys of its own, those of the voter and those at the file's end.
+    fn start_with(&self, id: u64, listed: &[u64], seat: &str, end: &str) -> Head {
         let voters: String = listed.iter().map(|id| format!("{id} = \"{}\"\n", self.address(*id))).collect();
         let agree = format!(
-            "enabled = true\ncluster = \"few\"\nlisten = \"{}\"\ndirectory = \"{}\"\ndisk_mb = {disk_mb}\n\
-             [voters]\n{voters}[times]\nlong_lease_ms = 1000\n",
+            "enabled = true\ncluster = \"few\"\nlisten = \"{}\"\ndirectory = \"{}\"\n{seat}\n\
+             [voters]\n{voters}[times]\nlong_lease_ms = 1000\n{end}",
             self.address(id),
             self.directory(id).display()
         );
@@ -338,6 +343,82 @@
     assert!(shown.contains("plan/p0 version 2, in force"), "{shown}");
 }
 
+/// A voter that keeps few entries: the old ones are told from its archive, and where that was moved away, as missing. A
+/// backup from then still begins a cluster.
+#[test]
+fn old_entries_are_told_from_the_archive_and_a_backup_does_without_those_that_were_moved_away() {
+    let mut few = Few::new("archive", 1);
+    let (ids, first) = ([71], few.voters[0].1.to_string());
+    let head = few.start_with(71, &ids, "keep_entries = 8", "[rehearsal]\nkept = 4\n");
+    let edits = (1..=40).map(|i| few.propose(&ids, &all(i, 1, i - 1, &format!("w{i}"))).unwrap()).last();
+    few.in_force(71, edits.unwrap());
+    head.logged(" ARCHIVED ").unwrap();
+    let folder = few.directory(71).join("archive");
+    let segments = || std::fs::read_dir(&folder).map_or(0, Iterator::count);
+    assert!(segments() > 1, "{}", segments());
+    let history = few.command(&ids, &["history"]).unwrap();
+    for i in 1..=40 {
+        assert!(
+            history.contains(&format!("w{i}\n")) || history.contains(&format!("w{i} ")),
+            "w{i}: {history}"
+        );
+    }
+    assert!(few.command(&ids, &["diff", "plan/p0", "1", "40"]).unwrap().contains("w40"));
+    let verified = few.command(&ids, &["verify"]).unwrap();
+    assert!(verified.contains(": sound") && !verified.contains("without"), "{verified}");
+    let whole = few.folder.join("whole");
+    few.command(&ids, &["backup", "--to", whole.to_str().unwrap()]).unwrap();
+    // The operators move the archive away while the voter runs; it goes on, and so does its archive.
+    let moved = few.folder.join("moved");
+    std::fs::rename(&folder, &moved).unwrap();
+    let verified = few.command(&ids, &["verify"]).unwrap();
+    assert!(verified.contains("without 1 to") && verified.contains(": sound"), "{verified}");
+    assert!(few.command(&ids, &["diff", "plan/p0", "1", "40"]).unwrap_err().contains("moved away"));
+    let last =
+        (41..=60).map(|i| few.propose(&ids, &all(i, 1, i - 1, &format!("w{i}"))).unwrap()).last().unwrap();
+    few.in_force(71, last);
+    let part = few.folder.join("part");
+    few.command(&ids, &["backup", "--to", part.to_str().unwrap()]).unwrap();
+    drop(head);
+    // On the stopped one's disk, with its archive back in place: all of it.
+    for segment in std::fs::read_dir(&moved).unwrap() {
+        let name = segment.unwrap().file_name();
+        std::fs::rename(moved.join(&name), folder.join(&name)).unwrap();
+    }
+    let directory = few.directory(71);
+    let verified = few.command(&[], &["verify", "--directory", directory.to_str().unwrap()]);
+    assert!(
+        verified.as_ref().is_ok_and(|told| told.contains(": sound") && !told.contains("without")),
+        "{verified:?}"
+    );
+    let restore = |few: &Few, file: &Path, to: &Path| {
+        let (file, to) = (file.to_str().unwrap(), to.to_str().unwrap());
+        few.command(&ids, &["restore", "--from", file, "--directory", to, "--address", &first])
+    };
+    let (lie, nowhere) = (few.folder.join("lie"), few.folder.join("nowhere"));
+    let text = std::fs::read_to_string(&part).unwrap();
+    let forged = text.replacen("all of them", "none at all", 9).replacen("none at all", "all of them", 8);
+    let cut: String = text.lines().take(text.lines().count() - 1).map(|line| format!("{line}\n")).collect();
+    for (changed, why) in [(forged, "is not what was written"), (cut, "are not all there")] {
+        std::fs::write(&lie, changed).unwrap();
+        let said = restore(&few, &lie, &nowhere).unwrap_err();
+        assert!(said.contains(why), "{said}");
+    }
+    for (file, version) in [(&whole, 40), (&part, 60)] {
+        let new = few.folder.join(format!("new-{version}"));
+        let said = restore(&few, file, &new).unwrap();
+        let id: u64 = said.split(' ').nth(1).and_then(|id| id.parse().ok()).unwrap();
+        few.voters.push((id, TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()));
+        std::fs::rename(&new, few.directory(id)).unwrap();
+        let _alone = few.start(id, &[id], 64);
+        let entry = few.propose(&[id], &all(900 + version, 1, version, "after")).unwrap();
+        few.in_force(id, entry);
+        let shown = few.command(&[id], &["show", "plan/p0"]).unwrap();
+        assert!(shown.contains(&format!("plan/p0 version {}, in force", version + 1)), "{shown}");
+        assert!(few.command(&[id], &["verify"]).unwrap().contains(": sound"));
+    }
+}
+
 /// One voter's head, alone in its cluster, and its next process: the old one keeps the voter until it ends.
 #[test]
 fn the_two_processes_of_an_upgrade_are_one_voter_and_the_later_one_takes_it_over() {
