A view of the fleet kept by the heads: lives, suspicion, repair by digests, in virtual time

Cause: heads know nothing of each other; operators want a view that settles again within a stated time. Wired to nothing.

--- /dev/null
+++ b/src/fleet/datagram.rs
@@ -0,0 +1,247 @@
+//! What heads say to each other about the fleet, and its bytes, big-endian: a form, a check, then the figures. Decoded
+//! once; whatever is cut, foreign, changed or of a later form is none.
+
+use super::view::BLOCKS;
+use super::{About, Life, Number, Record, State};
+use ring::digest;
+
+/// No datagram is longer.
+pub const MOST_BYTES: usize = 256;
+/// Its first byte, by which it is told from what the module says.
+pub const FORM: u8 = 0xf1;
+const HEAD: usize = 40;
+const ENTRY: usize = 9;
+/// Records in one datagram.
+pub const ENTRIES: usize = (MOST_BYTES - HEAD) / ENTRY;
+const CHECK: usize = 4;
+
+/// By which the heads of one fleet know each other: against accidents, not against whoever wants to be heard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Key([u8; 16]);
+
+impl Key {
+    /// Of what all heads of a fleet are given alike.
+    pub fn of(text: &str) -> Key {
+        let mut key = [0; 16];
+        key.copy_from_slice(&digest::digest(&digest::SHA256, text.as_bytes()).as_ref()[..16]);
+        Key(key)
+    }
+
+    fn check(&self, bytes: &[u8]) -> [u8; CHECK] {
+        let mut context = digest::Context::new(&digest::SHA256);
+        context.update(&self.0);
+        context.update(bytes);
+        let mut check = [0; CHECK];
+        check.copy_from_slice(&context.finish().as_ref()[..CHECK]);
+        check
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Say {
+    /// To be answered under the same serial.
+    Ask(Vec<(Number, Record)>),
+    /// `of`: who answered, maybe by way of the sender.
+    Answer { of: Number, records: Vec<(Number, Record)> },
+    /// To be passed on as a question of the sender's, and its answer back.
+    AskFor { whom: Number, records: Vec<(Number, Record)> },
+    /// Digests of the parts of a view that differs from the receiver's.
+    Blocks(Vec<u32>),
+    /// Records of parts that differ.
+    Records(Vec<(Number, Record)>),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Datagram {
+    pub from: Number,
+    pub to: Number,
+    pub life: Life,
+    pub serial: u32,
+    /// Of the sender's whole view.
+    pub digest: u64,
+    pub about: About,
+    pub say: Say,
+}
+
+/// Why bytes are no datagram.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Bad {
+    /// Of a form that is not known here.
+    Form,
+    Cut,
+    /// Of another fleet, or changed on the way.
+    Foreign,
+    /// Its figures fit nothing.
+    Figures,
+}
+
+impl Datagram {
+    pub fn bytes(&self, key: &Key) -> Vec<u8> {
+        let nobody = Number::MAX;
+        let (kind, subject) = match &self.say {
+            Say::Ask(_) => (1, nobody),
+            Say::Answer { of, .. } => (2, *of),
+            Say::AskFor { whom, .. } => (3, *whom),
+            Say::Blocks(_) => (4, nobody),
+            Say::Records(_) => (5, nobody),
+        };
+        let mut out = vec![FORM, 0, 0, 0, 0, kind];
+        for number in [self.to, self.from, subject] {
+            out.extend(number.to_be_bytes());
+        }
+        out.extend(&self.life.bits().to_be_bytes()[2..]);
+        out.extend(self.serial.to_be_bytes());
+        out.extend(self.digest.to_be_bytes());
+        out.extend(self.about.list.to_be_bytes());
+        out.extend(self.about.revision.to_be_bytes());
+        out.push(u8::from(self.about.draining) << 7 | self.about.pressure.min(3));
+        match &self.say {
+            Say::Ask(records)
+            | Say::Answer { records, .. }
+            | Say::AskFor { records, .. }
+            | Say::Records(records) => {
+                let records = &records[..records.len().min(ENTRIES)];
+                out.push(records.len() as u8);
+                for (member, record) in records {
+                    out.extend(member.to_be_bytes());
+                    out.extend(&record.life.bits().to_be_bytes()[2..]);
+                    out.push(record.state as u8);
+                }
+            }
+            Say::Blocks(blocks) => {
+                let blocks = &blocks[..blocks.len().min(BLOCKS)];
+                out.push(blocks.len() as u8);
+                blocks.iter().for_each(|block| out.extend(&block.to_be_bytes()[1..]));
+            }
+        }
+        let check = key.check(&out[1 + CHECK..]);
+        out[1..=CHECK].copy_from_slice(&check);
+        out
+    }
+
+    pub fn read(bytes: &[u8], key: &Key) -> Result<Datagram, Bad> {
+        let (form, rest) = bytes.split_first().ok_or(Bad::Cut)?;
+        if *form != FORM {
+            return Err(Bad::Form);
+        }
+        if bytes.len() < HEAD || bytes.len() > MOST_BYTES {
+            return Err(Bad::Cut);
+        }
+        let (check, told) = rest.split_at(CHECK);
+        if check != key.check(told) {
+            return Err(Bad::Foreign);
+        }
+        let mut told = Figures(told);
+        let (kind, to, from, subject) =
+            (told.take(1) as u8, told.take(2) as Number, told.take(2) as Number, told.take(2) as Number);
+        let (life, serial, digest) = (Life::of(told.take(6)), told.take(4) as u32, told.take(8));
+        let (list, revision, flags) = (told.take(4) as u32, told.take(4) as u32, told.take(1) as u8);
+        let about = About { list, revision, draining: flags >> 7 == 1, pressure: flags & 3 };
+        let count = told.take(1) as usize;
+        let size = if kind == 4 { 3 } else { ENTRY };
+        if told.0.len() != count * size || life.none() {
+            return Err(Bad::Figures);
+        }
+        let say = if kind == 4 {
+            Say::Blocks((0..count).map(|_| told.take(3) as u32).collect())
+        } else {
+            let mut records = Vec::with_capacity(count);
+            for _ in 0..count {
+                let (member, life) = (told.take(2) as Number, Life::of(told.take(6)));
+                let state = State::ALL.get(told.take(1) as usize).copied().ok_or(Bad::Figures)?;
+                records.push((member, Record { life, state }));
+            }
+            match kind {
+                1 => Say::Ask(records),
+                2 => Say::Answer { of: subject, records },
+                3 => Say::AskFor { whom: subject, records },
+                5 => Say::Records(records),
+                _ => return Err(Bad::Figures),
+            }
+        };
+        Ok(Datagram { from, to, life, serial, digest, about, say })
+    }
+}
+
+/// Bytes whose number was checked before; beyond their end there are zeroes.
+struct Figures<'a>(&'a [u8]);
+
+impl Figures<'_> {
+    fn take(&mut self, bytes: usize) -> u64 {
+        let (these, rest) = self.0.split_at(bytes.min(self.0.len()));
+        self.0 = rest;
+        these.iter().fold(0, |all, byte| all << 8 | u64::from(*byte))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn every_kind() -> Vec<Datagram> {
+        let record =
+            |n: u64| (n as Number, Record { life: Life::of(n << 20 | 7), state: State::ALL[n as usize % 5] });
+        let few: Vec<_> = (1..4).map(record).collect();
+        let full: Vec<_> = (1..=ENTRIES as u64).map(record).collect();
+        let says = [
+            Say::Ask(few.clone()),
+            Say::Ask(Vec::new()),
+            Say::Answer { of: 9, records: full.clone() },
+            Say::AskFor { whom: 1_023, records: few.clone() },
+            Say::Blocks((0..BLOCKS as u32).map(|n| n * 0x03_0201).collect()),
+            Say::Records(full),
+        ];
+        let about = About { list: 77, revision: 1 << 30, draining: true, pressure: 3 };
+        let told = |say| Datagram {
+            from: 5,
+            to: 1_000,
+            life: Life::began(1_700_000_000),
+            serial: u32::MAX - 1,
+            digest: u64::MAX / 3,
+            about,
+            say,
+        };
+        says.into_iter().map(told).collect()
+    }
+
+    #[test]
+    fn what_is_said_is_read_back_and_is_never_too_long() {
+        let key = Key::of("fleet-a");
+        for said in every_kind() {
+            let bytes = said.bytes(&key);
+            assert!(bytes.len() <= MOST_BYTES, "{} {said:?}", bytes.len());
+            assert_eq!(Datagram::read(&bytes, &key), Ok(said));
+        }
+    }
+
+    #[test]
+    fn what_is_cut_foreign_changed_or_of_a_later_form_is_none() {
+        let key = Key::of("fleet-a");
+        for said in every_kind() {
+            let bytes = said.bytes(&key);
+            assert_eq!(Datagram::read(&bytes, &Key::of("fleet-b")), Err(Bad::Foreign));
+            for cut in 0..bytes.len() {
+                assert!(Datagram::read(&bytes[..cut], &key).is_err(), "{cut} {said:?}");
+            }
+            assert!(Datagram::read(&[&bytes[..], &[0]].concat(), &key).is_err());
+            for place in 0..bytes.len() {
+                let mut changed = bytes.clone();
+                changed[place] ^= 0x10;
+                let bad = if place == 0 { Bad::Form } else { Bad::Foreign };
+                assert_eq!(Datagram::read(&changed, &key), Err(bad), "{place}");
+            }
+        }
+        // Sound as to its check, and of a kind or a state that this version has not.
+        for (place, value, count) in [(5, 9, 0), (HEAD + 8, 5, 1), (HEAD - 1, 2, 1)] {
+            let record = (1, Record { life: Life::of(1), state: State::Alive });
+            let said = Datagram { say: Say::Ask(vec![record; count]), ..every_kind()[0].clone() };
+            let mut bytes = said.bytes(&key);
+            bytes[place] = value;
+            let check = key.check(&bytes[1 + CHECK..]);
+            bytes[1..=CHECK].copy_from_slice(&check);
+            assert_eq!(Datagram::read(&bytes, &key), Err(Bad::Figures), "{place}");
+        }
+        assert_eq!(Datagram::read(&[], &key), Err(Bad::Cut));
+        assert_eq!(Datagram::read(&[1, 0, 0, 3, 0, 9], &key), Err(Bad::Form), "what the module says");
+    }
+}
