--- a/tests/fleet_view.rs
+++ b/tests/fleet_view.rs
@@ -401,7 +401,7 @@
     let three = [&ids[..third], &ids[third..2 * third], &ids[2 * third..]];
     let old = |to: usize| {
         let record = Record { life: Life::began(1_600_000_000), state: State::Dead };
-        let said = Datagram {
+        Datagram {
             from: last as Number,
             to: to as Number,
             life: Life::began(1_600_000_000),
@@ -409,8 +409,7 @@
             digest: 9,
             about: Default::default(),
             say: Say::Records((0..heads.min(20) as Number).map(|member| (member, record)).collect()),
-        };
-        said
+        }
     };
     let key = Key::of("a fleet");
     let mut cases = vec![
