--- a/src/bin/pathbank.rs
+++ b/src/bin/pathbank.rs
@@ -4,6 +4,7 @@
 use pathbank::classes::{Directory, Numbers};
 use pathbank::clock::{Clock, Pace};
 use pathbank::config::agree::Agreement;
+use pathbank::config::fleet::FleetView;
 use pathbank::config::grpc::GrpcFront;
 use pathbank::config::sftp::SecondFront;
 use pathbank::config::syslog::Log;
@@ -16,6 +17,7 @@
 use pathbank::net::agree::{command, office};
 use pathbank::net::back::{Back, ProbeWork};
 use pathbank::net::discovery::Discovery;
+use pathbank::net::fleet::{self, Fleet};
 use pathbank::net::front::{self, Front};
 use pathbank::net::grpc;
 use pathbank::net::helm::{Helm, until};
@@ -49,6 +51,10 @@
     if args.nth(1).as_deref() == Some("agree") {
         return command::run(std::iter::once("pathbank agree".to_string()).chain(args));
     }
+    let mut args = std::env::args();
+    if args.nth(1).as_deref() == Some("fleet") {
+        return fleet::command::run(std::iter::once("pathbank fleet".to_string()).chain(args));
+    }
     let done = Config::from_environment().map_err(Into::into).and_then(run);
     match done {
         Ok(()) => ExitCode::SUCCESS,
@@ -59,6 +65,22 @@
     }
 }
 
+/// Where the fleet's file wants it and the settings let heads talk.
+fn keep_view(config: &Config) -> Result<Option<Fleet>, Box<dyn Error>> {
+    let Some(view) = FleetView::from_environment()? else { return Ok(None) };
+    let heads = config.talk.as_ref().map_or(0, |talk| talk.peers.len());
+    let own = config.settings.position;
+    let fleet = Fleet::new(&view, own, heads, config.seed ^ u64::from(std::process::id()));
+    match &fleet {
+        Some(_) => event!(FLEET, own, heads, period_ms = view.times.period / 1_000),
+        None => event!(
+            FLEET_OFF,
+            problem = format!("head {own} of {heads} `peers` with which the settings let it talk")
+        ),
+    }
+    Ok(fleet)
+}
+
 fn run(config: Config) -> Result<(), Box<dyn Error>> {
     tokio::runtime::Builder::new_current_thread().enable_all().build()?.block_on(head(config))
 }
@@ -94,14 +116,18 @@
         let load = config.settings.reports == Reports::Probes;
         core.probe_by(Box::new(ProbeWork { back: back.clone(), load }));
     }
+    let fleet = keep_view(&config)?;
     if let Some(Talking { listen, peers, all }) = config.talk.clone() {
         let (number, heads) = (config.settings.position, peers.len());
         // Another process of this head may have the address: what is said here is never needed.
         match Talk::open(listen, Peers::new(peers, all, number, std::time::Instant::now())).await {
-            Ok((talk, mouth)) => {
+            Ok((mut talk, mouth)) => {
                 event!(TALK, listen:% = talk.address()?, peers = heads);
                 core.talk_by(mouth);
-                tokio::spawn(talk.run(handle.clone()));
+                if let Some(fleet) = &fleet {
+                    talk.keep(fleet.clone());
+                }
+                tokio::spawn(talk.run(handle.clone(), watched.clone()));
             }
             Err(problem) => event!(TALK_OFF, listen:%, problem:%),
         }
@@ -166,7 +192,7 @@
     }
     tokio::spawn(front::serve(listener, front, places.clone()));
     if let Some(address) = config.ops {
-        let desk = Desk { figures: handle.figures().clone(), helm: helm.clone() };
+        let desk = Desk { figures: handle.figures().clone(), helm: helm.clone(), fleet };
         let callers = config.ops_callers;
         event!(OPS_UP, listen:% = ops::start(address, callers, desk)?, callers);
     }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,6 +1,7 @@
 //! The only place that reads the environment, JSON and TOML: checks, defaults, and errors that name the key.
 
 pub mod agree;
+pub mod fleet;
 pub mod grpc;
 pub mod settings;
 pub mod sftp;
--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -89,6 +89,18 @@
     TALK_OFF "head" Warning false "Datagrams of other heads cannot be heard: the head goes on without." {
         "listen": "where they should come", "problem": "why"
     }
+    FLEET "fleet" Notice false "This head takes part in the view of the fleet that the heads keep." {
+        "own": "its place among the heads", "heads": "how many there are", "period_ms": "each asks one other so often"
+    }
+    FLEET_OFF "fleet" Warning false "This head cannot take part in the view of the fleet: it goes on without." {
+        "problem": "why"
+    }
+    MEMBER "fleet" Notice false "What is thought of a head has changed." {
+        "member": "its place among the heads", "state": "joining, alive, dead or left", "was": "what it was thought to be", "start": "its start, in seconds of its clock", "spoke_up": "how often it has spoken up against a verdict", "why": "heard: it spoke; silent: it was suspect for too long; told-by-N: head N says so"
+    }
+    DOUBT "fleet" Informational false "A head does not answer; unless it speaks up it will be thought dead." {
+        "member": "its place among the heads", "start": "its start, in seconds of its clock", "spoke_up": "how often it has spoken up against a verdict", "why": "unanswered: this head and others asked it in vain; told-by-N: head N says so"
+    }
     PEERS "head" Notice true "Datagrams were turned away since the last minute." {
         "sent": "messages sent, so far", "heard": "passed on", "strangers": "from nobody of the list",
         "malformed": "empty or over 256 bytes", "too_many": "beyond what one head may say"
--- a/src/fleet/datagram.rs
+++ b/src/fleet/datagram.rs
@@ -56,6 +56,8 @@
     pub from: Number,
     pub to: Number,
     pub life: Life,
+    /// The sender has heard all that others know.
+    pub joined: bool,
     pub serial: u32,
     /// Of the sender's whole view.
     pub digest: u64,
@@ -94,7 +96,9 @@
         out.extend(self.digest.to_be_bytes());
         out.extend(self.about.list.to_be_bytes());
         out.extend(self.about.revision.to_be_bytes());
-        out.push(u8::from(self.about.draining) << 7 | self.about.pressure.min(3));
+        out.push(
+            u8::from(self.about.draining) << 7 | u8::from(self.joined) << 6 | self.about.pressure.min(3),
+        );
         match &self.say {
             Say::Ask(records)
             | Say::Answer { records, .. }
@@ -137,6 +141,7 @@
         let (life, serial, digest) = (Life::of(told.take(6)), told.take(4) as u32, told.take(8));
         let (list, revision, flags) = (told.take(4) as u32, told.take(4) as u32, told.take(1) as u8);
         let about = About { list, revision, draining: flags >> 7 == 1, pressure: flags & 3 };
+        let joined = flags >> 6 & 1 == 1;
         let count = told.take(1) as usize;
         let size = if kind == 4 { 3 } else { ENTRY };
         if told.0.len() != count * size || life.none() {
@@ -159,7 +164,7 @@
                 _ => return Err(Bad::Figures),
             }
         };
-        Ok(Datagram { from, to, life, serial, digest, about, say })
+        Ok(Datagram { from, to, life, joined, serial, digest, about, say })
     }
 }
 
@@ -196,6 +201,7 @@
             from: 5,
             to: 1_000,
             life: Life::began(1_700_000_000),
+            joined: true,
             serial: u32::MAX - 1,
             digest: u64::MAX / 3,
             about,
--- a/src/fleet/member.rs
+++ b/src/fleet/member.rs
@@ -330,7 +330,7 @@
 
     fn say(&mut self, to: Number, serial: u32, say: Say, out: &mut Output) {
         let (from, life, digest, about) = (self.own, self.life, self.view.digest(), self.about);
-        out.send.push(Datagram { from, to, life, serial, digest, about, say });
+        out.send.push(Datagram { from, to, life, joined: self.joined, serial, digest, about, say });
     }
 
     /// Takes a record that is greater than what is known, and passes it on.
@@ -373,16 +373,16 @@
     /// What another head says. Whoever carries it out has seen to it that the sender is who it says it is, by its address.
     pub fn hear(&mut self, now: Micros, said: Datagram) -> Output {
         let mut out = Output::default();
-        let Datagram { from, to, life, serial, digest, about, say } = said;
+        let Datagram { from, to, life, joined, serial, digest, about, say } = said;
         // What was meant for whoever had this address before, and what this head said itself.
         if to != self.own || from == self.own || usize::from(from) >= self.view.heads() {
             return out;
         }
         self.heard_at = now;
         let known = self.view.record(from).unwrap_or_default();
-        if life > known.life {
-            self.learn(now, from, Record { life, state: State::Joining }, Why::Heard, &mut out);
-        }
+        // A verdict on this life weighs more: it has to speak up against that in a later one.
+        let state = if joined { State::Alive } else { State::Joining };
+        self.learn(now, from, Record { life, state }, Why::Heard, &mut out);
         // What a former life said late tells nothing of this one.
         if life >= known.life {
             self.heard.insert(from, Heard { at: now, about, digest });
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 pub mod back;
 pub mod body;
 pub mod discovery;
+pub mod fleet;
 pub mod front;
 pub mod grpc;
 pub mod helm;
--- a/src/net/ops.rs
+++ b/src/net/ops.rs
@@ -3,6 +3,7 @@
 
 use crate::event;
 use crate::figures::Figures;
+use crate::net::fleet::Fleet;
 use crate::net::helm::Helm;
 use std::collections::VecDeque;
 use std::fmt;
@@ -30,6 +31,8 @@
     Stats,
     Drain,
     Undrain,
+    /// The view of the fleet, or what is known of one head.
+    Fleet(Option<u16>),
 }
 
 /// Why a line is no command.
@@ -71,8 +74,12 @@
             "STATS" => Ok(Command::Stats),
             "DRAIN" => Ok(Command::Drain),
             "UNDRAIN" => Ok(Command::Undrain),
+            "FLEET" => Ok(Command::Fleet(None)),
             "" => Err(BadLine::Empty),
-            _ => Err(BadLine::Unknown),
+            line => {
+                let head = line.strip_prefix("FLEET ").and_then(|head| head.parse().ok());
+                head.map(|head| Command::Fleet(Some(head))).ok_or(BadLine::Unknown)
+            }
         })
     }
 }
@@ -82,12 +89,21 @@
 pub struct Desk {
     pub figures: Figures,
     pub helm: Helm,
+    /// `None`: this head keeps no view, and the line knows no such command.
+    pub fleet: Option<Fleet>,
 }
 
 impl Desk {
     fn answer(&self, command: Result<Command, BadLine>) -> String {
         let said = match command {
             Ok(Command::Stats) => return format!("{}END\n", self.figures.text()),
+            Ok(Command::Fleet(only)) => match &self.fleet {
+                Some(fleet) => match fleet.text(only) {
+                    Ok(text) => return text,
+                    Err(reason) => Err(reason),
+                },
+                None => Err(BadLine::Unknown.to_string()),
+            },
             Ok(Command::Ready) => self.ready().map(|()| "ready"),
             Ok(Command::Drain) => self.helm.drain().map(|()| "draining").map_err(|ends| ends.to_string()),
             Ok(Command::Undrain) => self.helm.undrain().map(|()| "serving").map_err(|ends| ends.to_string()),
@@ -212,7 +228,7 @@
     #[test]
     fn ready_says_what_is_missing_and_a_drain_is_told_at_once() {
         let (helm, phase) = Helm::new(Duration::from_secs(1));
-        let desk = Desk { figures: Figures::default(), helm };
+        let desk = Desk { figures: Figures::default(), helm, fleet: None };
         let ask = |line: &[u8]| desk.answer(Command::read(line, true).unwrap());
         assert_eq!(ask(b"READY\n"), "ERR no brick is known yet\n");
         desk.figures.bricks(2, 0);
@@ -235,7 +251,7 @@
     fn callers_who_never_finish_do_not_keep_out_the_next() {
         use std::io::{Read, Write};
         let (helm, _phase) = Helm::new(Duration::from_secs(1));
-        let desk = Desk { figures: Figures::default(), helm };
+        let desk = Desk { figures: Figures::default(), helm, fleet: None };
         let address = start(SocketAddr::from(([127, 0, 0, 1], 0)), 2, desk).unwrap();
         let connect = || std::net::TcpStream::connect(address).unwrap();
         let mut slow: Vec<_> = (0..10).map(|_| connect()).collect();
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -2,13 +2,15 @@
 
 use crate::core::{Handle, Input, Message, Mouth};
 use crate::event;
+use crate::life::Phase;
+use crate::net::fleet::{Fleet, Sends};
 use crate::peers::{Counts, MOST_BYTES, Peers};
 use log::debug;
 use std::io;
 use std::net::SocketAddr;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
-use tokio::time::{Duration, Instant, interval};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Duration, Instant, interval, sleep_until};
 
 /// How often what was turned away is told, where anything was.
 const SUM_UP: Duration = Duration::from_secs(60);
@@ -19,40 +21,82 @@
     socket: UdpSocket,
     peers: Peers,
     messages: mpsc::Receiver<Message>,
+    fleet: Option<Fleet>,
 }
 
+/// Without a view of the fleet there is nothing to wait for.
+const NEVER: Duration = Duration::from_secs(86_400);
+
 impl Talk {
     pub async fn open(listen: SocketAddr, peers: Peers) -> io::Result<(Talk, Mouth)> {
         let socket = UdpSocket::bind(listen).await?;
         let (mouth, messages) = Mouth::new();
-        Ok((Talk { socket, peers, messages }, mouth))
+        Ok((Talk { socket, peers, messages, fleet: None }, mouth))
     }
 
     pub fn address(&self) -> io::Result<SocketAddr> {
         self.socket.local_addr()
     }
 
-    /// For as long as the program runs.
-    pub async fn run(mut self, handle: Handle) {
+    /// From here on the view of the fleet is kept by these datagrams.
+    pub fn keep(&mut self, fleet: Fleet) {
+        self.fleet = Some(fleet);
+    }
+
+    fn send(&mut self, to: Option<u32>, bytes: &[u8]) {
+        match self.peers.tell(Instant::now().into_std(), to, bytes.len()) {
+            Ok(targets) => {
+                for target in targets {
+                    if let Err(problem) = self.socket.try_send_to(bytes, target) {
+                        debug!("to {target}: {problem}");
+                    }
+                }
+            }
+            Err(turned) => debug!("a message to {to:?} is not sent: {turned:?}"),
+        }
+    }
+
+    fn send_all(&mut self, sends: Sends) {
+        sends.iter().for_each(|(to, bytes)| self.send(Some(*to), bytes));
+    }
+
+    fn heard(&mut self, from: u32, bytes: &[u8], handle: &Handle) {
+        match &self.fleet {
+            Some(fleet) if Fleet::takes(bytes) => match fleet.hear(from, bytes) {
+                Some(sends) => self.send_all(sends),
+                None => self.peers.counts.malformed += 1,
+            },
+            _ => handle.send(Input::Peer { from, bytes: bytes.to_vec() }),
+        }
+    }
+
+    /// For as long as the program runs. With its end the head leaves the view.
+    pub async fn run(mut self, handle: Handle, mut phase: watch::Receiver<Phase>) {
         // One byte more than any may have: what is longer shows.
         let mut buffer = [0; MOST_BYTES + 1];
-        let (mut sums, mut told) = (interval(SUM_UP), Counts::default());
+        let (mut sums, mut told, mut left) = (interval(SUM_UP), Counts::default(), false);
         loop {
+            let next = self.fleet.as_ref().map_or_else(|| Instant::now() + NEVER, Fleet::next);
             tokio::select! {
                 message = self.messages.recv() => {
                     let Some(Message { to, bytes }) = message else { return };
-                    match self.peers.tell(Instant::now().into_std(), to, bytes.len()) {
-                        Ok(targets) => for target in targets {
-                            if let Err(problem) = self.socket.try_send_to(&bytes, target) {
-                                debug!("to {target}: {problem}");
-                            }
-                        },
-                        Err(turned) => debug!("a message to {to:?} is not sent: {turned:?}"),
+                    self.send(to, &bytes);
+                }
+                () = sleep_until(next) => {
+                    let sends = self.fleet.as_ref().map(Fleet::tick);
+                    self.send_all(sends.unwrap_or_default());
+                }
+                Ok(()) = phase.changed() => {
+                    let Phase { up, ends, .. } = *phase.borrow_and_update();
+                    let Some(fleet) = self.fleet.clone() else { continue };
+                    fleet.drains(!up);
+                    if ends && !std::mem::replace(&mut left, true) {
+                        self.send_all(fleet.leave());
                     }
                 }
                 got = self.socket.recv_from(&mut buffer) => match got {
                     Ok((length, from)) => match self.peers.hear(Instant::now().into_std(), from, length) {
-                        Ok(from) => handle.send(Input::Peer { from, bytes: buffer[..length].to_vec() }),
+                        Ok(from) => self.heard(from, &buffer[..length], &handle),
                         Err(turned) => debug!("{length} bytes from {from} are not heard: {turned:?}"),
                     },
                     Err(problem) => {
@@ -93,10 +137,12 @@
             let list = vec![own, other.local_addr().unwrap()];
             let peers = Peers::new(list, None, 0, Instant::now().into_std());
             let (talk, mouth) = Talk::open(any, peers).await.unwrap();
+            let serves = Phase { up: true, accept: true, last: false, close: false, ends: false };
+            let phase = watch::channel(serves);
             let here = talk.address().unwrap();
             let (core, _wanted) = Core::new(Settings::default(), 7, 10, Clock::start());
             let (handle, mut inputs) = core.handle().overheard();
-            tokio::spawn(talk.run(handle));
+            tokio::spawn(talk.run(handle, phase.1.clone()));
             stranger.send_to(b"stranger", here).await.unwrap();
             for bytes in [&b""[..], &[7; 257], b"said", &[9; 256]] {
                 other.send_to(bytes, here).await.unwrap();
--- a/src/rehearsal/stage.rs
+++ b/src/rehearsal/stage.rs
@@ -185,6 +185,10 @@
     pub heads: u32,
     /// The agreement's file, where it is on.
     pub agree: Option<String>,
+    /// Where each head hears datagrams, by its number; none: heads do not talk.
+    pub peers: Vec<SocketAddr>,
+    /// The file of the fleet's view, where it is on.
+    pub fleet: Option<String>,
     /// Another process of it runs, and has the voter.
     pub second: bool,
     /// What its log tells.
@@ -214,6 +218,8 @@
             number: 0,
             heads: 1,
             agree: None,
+            peers: Vec::new(),
+            fleet: None,
             second: false,
             level: "info",
         }
@@ -263,6 +269,7 @@
     calls: PathBuf,
     logs: PathBuf,
     agreement: PathBuf,
+    view: PathBuf,
     reading: Arc<AtomicBool>,
     pub http: SocketAddr,
     /// Where the second front listens, if it is on.
@@ -290,6 +297,10 @@
         if setup.ops {
             file["ops"] = json!(LOOPBACK);
         }
+        if let Some(own) = setup.peers.get(setup.number as usize) {
+            file["peer_listen"] = json!(own);
+            file["peers"] = json!(setup.peers);
+        }
         std::fs::write(&config, file.to_string())?;
         std::fs::write(&paths, PATHS.replace("OFF", if setup.files { "true" } else { "false" }))?;
         std::fs::write(&calls, setup.grpc.as_deref().unwrap_or("enabled = false\n"))?;
@@ -300,7 +311,9 @@
         let mut command = Command::new(program);
         command.env("PATHBANK_SYSLOG_FILE", &logs);
         command.env("GW_CONFIG", &config).env("PATHBANK_SFTP", &paths).env("PATHBANK_LOG", setup.level);
-        command.env("PATHBANK_AGREE", &agreement);
+        let view = std::env::temp_dir().join(format!("{name}.fleet.toml"));
+        std::fs::write(&view, setup.fleet.as_deref().unwrap_or("enabled = false\n"))?;
+        command.env("PATHBANK_AGREE", &agreement).env("PATHBANK_FLEET", &view);
         command.env("PATHBANK_GRPC", &calls);
         match setup.syslog {
             Some(receiver) => command.env("PATHBANK_SYSLOG", receiver.to_string()),
@@ -334,6 +347,7 @@
             calls,
             logs,
             agreement,
+            view,
             reading,
             http,
             files: None,
@@ -456,6 +470,7 @@
         let _ = std::fs::remove_file(&self.calls);
         let _ = std::fs::remove_file(&self.logs);
         let _ = std::fs::remove_file(&self.agreement);
+        let _ = std::fs::remove_file(&self.view);
     }
 }
 
@@ -500,6 +515,9 @@
         settings["contract"]["stop_sending_within"] = json!(250_000);
         settings["domain"]["use_period"] = json!(0);
     }
+    if !setup.peers.is_empty() {
+        settings["policy_limits"]["peers"] = json!(true);
+    }
     if setup.heads > 1 {
         settings["balancers"] = json!(setup.heads);
         settings["position"] = json!(setup.number);
--- a/tests/fleet_view.rs
+++ b/tests/fleet_view.rs
@@ -405,6 +405,7 @@
             from: last as Number,
             to: to as Number,
             life: Life::began(1_600_000_000),
+            joined: true,
             serial: 1,
             digest: 9,
             about: Default::default(),
