A rig of datagrams: the fleet's view on many real heads with losses and faults by a seed

Cause: the view was seen on five real heads without losses, against the rig that its issue asks for. Change: rehearsal/fleet/mesh loses, delays, repeats, reorders and cuts datagrams between heads; rehearsal/fleet/view plays deaths, returns, cuts, a standstill and a departure; pathbank-rehearse view.

--- a/src/bin/pathbank-rehearse.rs
+++ b/src/bin/pathbank-rehearse.rs
@@ -6,8 +6,8 @@
 
 use clap::Parser;
 use pathbank::rehearsal::cases::{Case, all};
-use pathbank::rehearsal::fleet::run;
 use pathbank::rehearsal::fleet::schedule::{KINDS, Kind, drawn, shortest};
+use pathbank::rehearsal::fleet::{run, view};
 use pathbank::rehearsal::stage::{Site, play_in};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -108,6 +108,62 @@
     if passed == line.seeds { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
+/// Many heads that keep a view of which of them run, with faults between them, over datagrams that get lost.
+#[derive(Parser)]
+#[command(name = "pathbank-rehearse view")]
+struct ViewLine {
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    #[arg(long, default_value_t = 5)]
+    heads: usize,
+    /// Datagrams lost, of a hundred.
+    #[arg(long, default_value_t = 10)]
+    loss: u32,
+}
+
+fn view(daemon: &Path, args: Vec<String>) -> ExitCode {
+    let line =
+        match ViewLine::try_parse_from(std::iter::once("pathbank-rehearse view".to_string()).chain(args)) {
+            Ok(line) if line.heads >= 3 => line,
+            Ok(_) => {
+                eprintln!("pathbank-rehearse view: three heads at least are due");
+                return ExitCode::from(2);
+            }
+            Err(problem) => {
+                let _ = problem.print();
+                return ExitCode::from(if problem.use_stderr() { 2 } else { 0 });
+            }
+        };
+    let promised = view::promised(line.heads);
+    let (mut passed, mut failed) = (0, 0);
+    for seed in line.seed..line.seed + line.seeds {
+        match view::play(daemon, &view::Plan { seed, heads: line.heads, loss: line.loss }) {
+            Ok(played) => {
+                let late = played.settled.iter().any(|settled| settled.took > promised);
+                (passed, failed) = if late { (passed, failed + 1) } else { (passed + 1, failed) };
+                let word = if late { "LATE" } else { "ok" };
+                for view::Settled { what, took } in &played.settled {
+                    println!("{word:<7} seed {seed}: {what}: settled after {} ms", took.as_millis());
+                }
+                println!(
+                    "{word:<7} seed {seed}: at rest {} bytes a second and head, {} ms of CPU in 5 s at the most",
+                    played.bytes,
+                    10 * played.ticks
+                );
+            }
+            Err(failure) => {
+                failed += 1;
+                println!("FAILED  seed {seed}: {failure}");
+            }
+        }
+    }
+    println!("promised within {} ms", promised.as_millis());
+    println!("{passed} passed, {failed} failed");
+    if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
 /// Whether a seed's fleet kept all that it promises.
 fn one(daemon: &Path, line: &FleetLine, kinds: &[Kind], seed: u64) -> bool {
     let plan = run::Plan {
@@ -144,6 +200,9 @@
     if std::env::args().nth(1).as_deref() == Some("fleet") {
         return fleet(&daemon, std::env::args().skip(2).collect());
     }
+    if std::env::args().nth(1).as_deref() == Some("view") {
+        return view(&daemon, std::env::args().skip(2).collect());
+    }
     let names: Vec<String> = std::env::args().skip(1).collect();
     if names.iter().any(|name| name == "--list") {
         all().for_each(|case| println!("{:<18} {}", case.name, case.about));
--- a/src/net/fleet/command.rs
+++ b/src/net/fleet/command.rs
@@ -85,7 +85,7 @@
 }
 
 /// The answer's lines, without its end.
-fn ask(at: SocketAddr, words: &str) -> Done<Vec<String>> {
+pub fn ask(at: SocketAddr, words: &str) -> Done<Vec<String>> {
     let told = |problem: std::io::Error| format!("{at}: {problem}");
     let mut stream = TcpStream::connect_timeout(&at, CALL_TIME).map_err(told)?;
     stream.set_read_timeout(Some(CALL_TIME)).map_err(told)?;
--- a/src/rehearsal/fleet/mod.rs
+++ b/src/rehearsal/fleet/mod.rs
@@ -3,5 +3,7 @@
 
 pub mod audit;
 pub mod link;
+pub mod mesh;
 pub mod run;
 pub mod schedule;
+pub mod view;
--- a/src/rehearsal/fleet/run.rs
+++ b/src/rehearsal/fleet/run.rs
@@ -843,7 +843,7 @@
 const ASKED: usize = 2_000;
 
 /// Hundredths of a second that a process has used.
-fn cpu_ticks(process: u32) -> u64 {
+pub fn cpu_ticks(process: u32) -> u64 {
     let text = std::fs::read_to_string(format!("/proc/{process}/stat")).unwrap_or_default();
     let fields: Vec<&str> = text.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
     let ticks = |place: usize| fields.get(place).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
