A ledger that comes late takes no entries from a restarted voter that it said were saved

Change: where the log has the ledger's last entry, of its term, it stays and counts up to there (voter::heard).

--- a/src/agree/voter.rs
+++ b/src/agree/voter.rs
@@ -439,7 +439,11 @@
                 let (mut yes, mut matched) = (false, 0);
                 if self.follows(now, draw, from, term, out) {
                     (yes, matched, self.caught_up) = (true, ledger.read(), true);
-                    if ledger.read() > self.commit {
+                    if self.saved.term_at(ledger.read()) == Some(last_term) {
+                        // One that comes late: the log has all of it, and what follows in it was said to be saved. In its
+                        // place the ledger would take that away, maybe from a majority that has it.
+                        self.commit_to(ledger.read(), out);
+                    } else if ledger.read() > self.commit {
                         let whole = Some(self.commit);
                         (self.commit, self.ledger) = (ledger.read(), (*ledger).clone());
                         self.save(Save::Snapshot { ledger, term: last_term, whole }, out);
--- a/tests/agree.rs
+++ b/tests/agree.rs
@@ -688,6 +688,9 @@
         still += u64::from(world.still());
         committed += world.proposed.keys().filter(|id| world.truth.result(**id).is_some()).count();
     }
+    // A ledger that came late after a restart took entries away that a leader counted on.
+    let world = play(7083, Break::None);
+    assert_eq!(world.problems, Vec::<String>::new(), "seed 7083");
     println!("acts at bottom, loose, held: {acts:?}; edits committed: {committed}; still runs: {still}");
     assert!(still <= seeds(60) / 100, "{still} runs had no edit or no read");
     // The runs are no still lives: leases ran out, and most acts were under them.
@@ -757,6 +760,36 @@
     }
 }
 
+/// A ledger that was sent in place of entries comes late, after a restart in which nothing counts yet but what the voter's
+/// own ledger stands for: entries behind it that the voter has said to be saved stay.
+#[test]
+fn a_late_ledger_takes_no_entries_away_that_were_said_to_be_saved() {
+    let entry = |term| Entry { term, command: Command::Begin };
+    let log: Vec<Entry> = [1, 1, 1, 2, 2, 2].map(entry).into();
+    let ledger = |to: usize| {
+        let mut ledger = Ledger::default();
+        log[..to].iter().for_each(|entry| ledger.apply(entry));
+        Box::new(ledger)
+    };
+    let leader = (1, next_start(0, 0));
+    // The ledger's last entry, the term that it is told with, and the voter's last entry then.
+    for (to, last_term, last) in [(4, 2, 6), (6, 2, 6), (3, 1, 6), (4, 1, 4)] {
+        let mut disk = Saved::default();
+        let mut voter = Voter::new(0, &voters(&voter_ids()), Times::default(), disk.clone(), 0, 0);
+        let append = Message::Append { term: 2, before: 0, before_term: 0, entries: log.clone(), commit: 2 };
+        let said = voter.hear(1, 0, leader, append);
+        assert!(matches!(said.send[..], [(_, Message::Appended { yes: true, matched: 6, .. })]), "{said:?}");
+        said.save.iter().for_each(|save| disk.keep(save));
+        let mut voter = Voter::new(0, &voters(&voter_ids()), Times::default(), disk.clone(), 2, 0);
+        let late = Message::Snapshot { term: 2, last_term, ledger: ledger(to) };
+        let out = voter.hear(3, 0, leader, late);
+        out.save.iter().for_each(|save| disk.keep(save));
+        let on_disk = disk.first + disk.log.len() as Index;
+        assert_eq!((voter.last(), on_disk, voter.commit()), (last, last, to as Index), "{to} {last_term}");
+        assert_eq!(voter.ledger(), &*ledger(to), "{to} {last_term}");
+    }
+}
+
 // Each by a seed that catches it; with `AGREE_SEEDS` the first one is looked for.
 breaks! {
     a_vote_that_is_not_saved_is_caught VoteUnsaved 620
