--- a/src/fleet/member.rs
+++ b/src/fleet/member.rs
@@ -20,11 +20,27 @@
     }
 }
 
+impl Times {
+    /// The promise: so long after the last fault all views are the same and true, with one datagram in ten lost. Whoever is
+    /// dead is asked within 7 periods, doubted after 2 and dead after those in which it may speak up; all hear of it in one and a
+    /// half for each doubling of the fleet.
+    pub fn settled_within(&self, heads: usize) -> Micros {
+        let doublings = f64::from(usize::BITS - heads.leading_zeros());
+        let periods = 7.0 + PATIENCE as f64 + speak_up(heads) + 1.5 * doublings;
+        (periods * self.period as f64) as Micros
+    }
+}
+
+/// Periods in which a suspect of so many heads may speak up.
+fn speak_up(heads: usize) -> f64 {
+    SPEAK_UP * (1.0 + (heads as f64 / 10.0).log10().max(0.0))
+}
+
 /// A record is passed on so many times by each head, for each doubling of the fleet.
 const TELLS: u32 = 3;
 /// A suspect has so many periods to speak up, and as many again for each tenfold of the fleet beyond ten: word of it has
 /// to reach it, and its own to come back.
-const SPEAK_UP: u64 = 6;
+const SPEAK_UP: f64 = 3.0;
 /// Whoever has heard for so many periods, or heard nobody for as long, takes part like all others.
 const JOINED: u64 = 10;
 /// Who stood still for so many periods knows nothing of what was said meanwhile.
@@ -184,9 +200,8 @@
 
     /// How long a suspect may take to speak up.
     fn speak_up(&self) -> Micros {
-        let tens = (self.view.heads() as f64 / 10.0).log10().max(0.0);
-        let periods = SPEAK_UP as f64 * (1.0 + tens) / 2.0;
-        (periods * self.times.period as f64) as Micros + self.times.period * u64::from(self.health)
+        (speak_up(self.view.heads()) * self.times.period as f64) as Micros
+            + self.times.period * u64::from(self.health)
     }
 
     fn most_tells(&self) -> u32 {
