--- a/src/bin/pathbank-rehearse.rs
+++ b/src/bin/pathbank-rehearse.rs
@@ -5,10 +5,12 @@
 //! between them; its own `--help` tells how.
 
 use clap::Parser;
+use pathbank::command_line;
 use pathbank::rehearsal::cases::{Case, all};
 use pathbank::rehearsal::fleet::schedule::{KINDS, Kind, drawn, shortest};
 use pathbank::rehearsal::fleet::{run, view};
 use pathbank::rehearsal::stage::{Site, play_in};
+use std::iter::once;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -49,14 +51,10 @@
 }
 
 fn fleet(daemon: &Path, args: Vec<String>) -> ExitCode {
-    let line =
-        match FleetLine::try_parse_from(std::iter::once("pathbank-rehearse fleet".to_string()).chain(args)) {
-            Ok(line) => line,
-            Err(problem) => {
-                let _ = problem.print();
-                return ExitCode::from(if problem.use_stderr() { 2 } else { 0 });
-            }
-        };
+    let line: FleetLine = match command_line::read(once("pathbank-rehearse fleet".to_string()).chain(args)) {
+        Ok(line) => line,
+        Err(end) => return end,
+    };
     let kinds = match line.faults.as_deref() {
         None => Ok(KINDS.iter().map(|(kind, _)| *kind).collect::<Vec<Kind>>()),
         Some("none") => Ok(Vec::new()),
@@ -124,18 +122,14 @@
 }
 
 fn view(daemon: &Path, args: Vec<String>) -> ExitCode {
-    let line =
-        match ViewLine::try_parse_from(std::iter::once("pathbank-rehearse view".to_string()).chain(args)) {
-            Ok(line) if line.heads >= 3 => line,
-            Ok(_) => {
-                eprintln!("pathbank-rehearse view: three heads at least are due");
-                return ExitCode::from(2);
-            }
-            Err(problem) => {
-                let _ = problem.print();
-                return ExitCode::from(if problem.use_stderr() { 2 } else { 0 });
-            }
-        };
+    let line: ViewLine = match command_line::read(once("pathbank-rehearse view".to_string()).chain(args)) {
+        Ok(line) => line,
+        Err(end) => return end,
+    };
+    if line.heads < 3 {
+        eprintln!("pathbank-rehearse view: three heads at least are due");
+        return ExitCode::from(2);
+    }
     let promised = view::promised(line.heads);
     let (mut passed, mut failed) = (0, 0);
     for seed in line.seed..line.seed + line.seeds {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod agree;
 pub mod classes;
 pub mod clock;
+pub mod command_line;
 pub mod config;
 pub mod core;
 pub mod ending;
--- a/src/net/agree/command.rs
+++ b/src/net/agree/command.rs
@@ -12,6 +12,7 @@
 use crate::agree::ledger::Ledger;
 use crate::agree::voter::{Save, Voters};
 use crate::agree::{Command as Entered, Entry, Index, VoterId, report};
+use crate::command_line;
 use crate::config::agree::Agreement;
 use clap::{Parser, Subcommand};
 use serde::{Deserialize, Serialize};
@@ -161,12 +162,9 @@
 
 /// `args` begin with the program's name.
 pub fn run(args: impl IntoIterator<Item = String>) -> ExitCode {
-    let line = match Line::try_parse_from(args) {
+    let line: Line = match command_line::read(args) {
         Ok(line) => line,
-        Err(problem) => {
-            let _ = problem.print();
-            return ExitCode::from(if problem.use_stderr() { 2 } else { 0 });
-        }
+        Err(end) => return end,
     };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let done = runtime.map_err(said).and_then(|runtime| runtime.block_on(carry_out(line)));
--- a/src/net/fleet/command.rs
+++ b/src/net/fleet/command.rs
@@ -1,5 +1,6 @@
 //! `pathbank fleet`: what a head thinks of the others, asked on its operators' line.
 
+use crate::command_line;
 use clap::{Parser, Subcommand};
 use serde_json::json;
 use std::collections::BTreeMap;
@@ -40,12 +41,9 @@
 
 /// `args` begin with the program's name.
 pub fn run(args: impl IntoIterator<Item = String>) -> ExitCode {
-    let line = match Line::try_parse_from(args) {
+    let line: Line = match command_line::read(args) {
         Ok(line) => line,
-        Err(problem) => {
-            let _ = problem.print();
-            return ExitCode::from(if problem.use_stderr() { 2 } else { 0 });
-        }
+        Err(end) => return end,
     };
     match carry_out(&line) {
         Ok(()) => ExitCode::SUCCESS,
