A collector that takes one line of many is sent one line at a time from then on

Where over eight lines wait when the first connection stands, all go at once; a collector that takes one and closes resets it. That connection was judged by lines written, not by lines that stood, so the next one sent many again, each time after a rest twice as long (0.2 s to 12.8 s). Change: a connection that ends before any line has stood on it makes the next one careful (delivery::ended). Measured: the new test fails without the change; the case passed 112 of 112 times alone without it, so the cause is inferred.

--- a/src/syslog/delivery.rs
+++ b/src/syslog/delivery.rs
@@ -64,6 +64,8 @@
     active: Option<usize>,
     come_back_at: Micros,
     lines_on_connection: u64,
+    /// Some line has stood long enough on the connection in use.
+    stood: bool,
     careful: bool,
     random: fastrand::Rng,
     allowance: f64,
@@ -78,6 +80,7 @@
             active: None,
             come_back_at: 0,
             lines_on_connection: 0,
+            stood: false,
             careful: false,
             random: fastrand::Rng::with_seed(seed),
             allowance: limits.lines_per_second / 10.0,
@@ -111,7 +114,7 @@
 
     pub fn connected(&mut self, now: Micros, collector: usize) {
         self.active = Some(collector);
-        self.lines_on_connection = 0;
+        (self.lines_on_connection, self.stood) = (0, false);
         self.come_back_at = now + self.limits.come_back;
     }
 
@@ -124,7 +127,8 @@
     /// The connection in use has ended. True: orderly.
     pub fn ended(&mut self, now: Micros, orderly: bool) {
         let Some(active) = self.active.take() else { return };
-        self.careful = self.lines_on_connection <= self.limits.few;
+        // Many lines may have been written at once to one that took a single line of them.
+        self.careful = self.lines_on_connection <= self.limits.few || !self.stood;
         // One that takes lines and then closes is there: it is asked again at once.
         if !orderly || self.lines_on_connection == 0 {
             self.rest(now, active);
@@ -149,6 +153,7 @@
     pub fn settled(&mut self) {
         if let Some(active) = self.active {
             self.collectors[active].failures = 0;
+            self.stood = true;
         }
         self.careful &= self.lines_on_connection <= self.limits.few;
     }
@@ -277,6 +282,23 @@
         assert_eq!((delivery.step(40 * S), delivery.active()), (Step::Send, Some(0)));
     }
 
+    /// As where all of a start's lines wait when the first connection stands, to a collector that takes one and closes.
+    #[test]
+    fn a_connection_that_ends_before_any_line_has_stood_makes_the_next_one_careful() {
+        for (lines, stands, careful) in
+            [(3, false, true), (3, true, true), (40, false, true), (40, true, false)]
+        {
+            let mut delivery = two();
+            delivery.connected(S, 0);
+            (0..lines).for_each(|_| delivery.wrote());
+            if stands {
+                delivery.settled();
+            }
+            delivery.ended(2 * S, false);
+            assert_eq!(delivery.careful(), careful, "{lines} lines, {stands}");
+        }
+    }
+
     #[test]
     fn rests_grow_and_differ_and_end_with_lines_that_were_handed_over() {
         let mut delivery = Delivery::new(1, Limits::default(), 7);
