--- /dev/null
+++ b/src/core/tests.rs
@@ -0,0 +1,370 @@
+
+use super::*;
+
+/// Attempts that end as told, or never, and that note when they are dropped.
+struct Told {
+    end: Option<End>,
+    panics: bool,
+    begins: bool,
+    dropped: mpsc::UnboundedSender<()>,
+}
+
+struct Dropped(mpsc::UnboundedSender<()>);
+
+impl Drop for Dropped {
+    fn drop(&mut self) {
+        let _ = self.0.send(());
+    }
+}
+
+impl Work for Told {
+    fn attempt(&self, a_try: Try) -> Attempt {
+        let (end, panics, dropped) = (self.end, self.panics, Dropped(self.dropped.clone()));
+        if self.begins {
+            a_try.begun.set();
+        }
+        Box::pin(async move {
+            let _dropped = dropped;
+            assert!(!panics, "the attempt was told to panic");
+            match end {
+                Some(end) => end.into(),
+                None => std::future::pending().await,
+            }
+        })
+    }
+}
+
+fn with_core<T>(play: impl AsyncFnOnce(Handle) -> T) -> T {
+    with_core_of(Settings::default(), nodes(ListedState::InService), play)
+}
+
+fn with_core_of<T>(settings: Settings, list: Input, play: impl AsyncFnOnce(Handle) -> T) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let class = Class { aim: 5_000_000, deadline: 10_000_000, worth: 1.0, ..Class::default() };
+    let settings = Settings { hosts: 1, classes: vec![class], max_attempts: 3, ..settings };
+    runtime.block_on(async {
+        let (core, _wanted) = Core::new(settings, 7, 10, Clock::start());
+        let handle = core.handle();
+        tokio::spawn(core.run());
+        handle.send(list);
+        // Only a test that would never end is ended by this.
+        tokio::time::timeout(Duration::from_secs(20), play(handle)).await.expect("stuck")
+    })
+}
+
+#[test]
+fn a_short_wait_is_not_eaten_up_by_what_is_kept_back() {
+    let ms = Duration::from_millis;
+    for (wait, left) in [(3_000, 2_975), (400, 375), (250, 225), (100, 90), (30, 27), (10, 9), (0, 0)] {
+        assert_eq!(less_margin(ms(wait), ms(25)), ms(left), "{wait}");
+    }
+}
+
+fn nodes(state: ListedState) -> Input {
+    let (id, addr) = ("s-1".to_string(), "127.0.0.1:1".to_string());
+    let node = ListedNode { id, addr, zone: "a".into(), cell: 0, state, started_ms: 0 };
+    Input::Nodes { news: News::Changes, nodes: vec![node] }
+}
+
+/// As where a connection to a node is still coming up when the list becomes overdue.
+#[test]
+fn what_has_not_begun_never_does_once_the_list_is_overdue() {
+    let asked =
+        Settings { must_subscribe: true, ask_within: 100_000, stop_within: 50_000, ..Settings::default() };
+    let Input::Nodes { nodes: known, .. } = nodes(ListedState::InService) else { unreachable!() };
+    with_core_of(asked, Input::Nodes { news: News::Cached, nodes: known }, async |handle| {
+        let (tell, mut dropped) = mpsc::unbounded_channel();
+        let (begun_tell, mut begun_dropped) = mpsc::unbounded_channel();
+        let work = |begins, dropped| Box::new(Told { end: None, panics: false, begins, dropped });
+        let _begun = handle.submit(arrival(LONG), work(true, begun_tell)).unwrap();
+        let waits = handle.submit(arrival(Duration::from_secs(1)), work(false, tell)).unwrap();
+        dropped.recv().await.expect("the attempt was dropped");
+        assert!(matches!(waits.await, Answer::Refused(_)));
+        assert!(begun_dropped.try_recv().is_err(), "what has begun goes on");
+        assert!(dropped.try_recv().is_err(), "no other attempt was made");
+    });
+}
+
+/// Tells the address that it was started at.
+struct Addressed(mpsc::UnboundedSender<String>);
+
+impl Work for Addressed {
+    fn attempt(&self, a_try: Try) -> Attempt {
+        let _ = self.0.send(a_try.address);
+        Box::pin(async { End::Answered.into() })
+    }
+}
+
+#[test]
+fn a_node_under_a_new_address_without_a_new_start_is_reached_there_alone() {
+    with_core(async |handle| {
+        let (tell, mut told) = mpsc::unbounded_channel();
+        for (news, address) in
+            [(News::Changes, "127.0.0.1:2"), (News::Full, "127.0.0.1:3"), (News::Cached, "127.0.0.1:4")]
+        {
+            let Input::Nodes { mut nodes, .. } = nodes(ListedState::InService) else { unreachable!() };
+            nodes[0].addr = address.to_string();
+            handle.send(Input::Nodes { news, nodes });
+            let pending = handle.submit(arrival(LONG), Box::new(Addressed(tell.clone()))).unwrap();
+            assert!(matches!(pending.await, Answer::Served(_)), "{news:?}");
+            assert_eq!(told.recv().await.as_deref(), Some(address), "{news:?}");
+        }
+        assert!(told.try_recv().is_err(), "one attempt each");
+    });
+}
+
+fn arrival(wait: Duration) -> Arrival {
+    let answer_by = Instant::now() + wait;
+    let (volume, key, class, plan) = (1, 1, 0, 0);
+    Arrival {
+        volume,
+        key,
+        class,
+        plan,
+        units: 1.0,
+        volume_hosts: 1.0,
+        repeat: false,
+        shard: Some(0),
+        answer_by,
+        coming: None,
+    }
+}
+
+const LONG: Duration = Duration::from_secs(3600);
+
+/// The answer to a request whose attempts end so.
+fn answer_to(end: Option<End>, panics: bool, wait: Duration) -> Answer {
+    with_core(async |handle| {
+        let (dropped, _kept) = mpsc::unbounded_channel();
+        let work = Box::new(Told { end, panics, begins: true, dropped });
+        handle.submit(arrival(wait), work).unwrap().await
+    })
+}
+
+#[test]
+fn every_request_gets_its_one_answer_whatever_becomes_of_its_attempt() {
+    let served = Answer::Served(Bytes::new());
+    assert_eq!(answer_to(Some(End::Answered), false, LONG), served);
+    // The class forbids a repeat: what may have run fails.
+    assert_eq!(answer_to(Some(End::Broke), false, LONG), Answer::Failed);
+    assert_eq!(answer_to(None, true, LONG), Answer::Failed);
+    assert_eq!(answer_to(None, false, Duration::from_millis(50)), Answer::Failed);
+    assert!(matches!(answer_to(Some(End::TurnedAway), false, LONG), Answer::Refused(_)));
+}
+
+#[test]
+fn an_attempt_that_nothing_was_written_of_goes_with_its_client_or_its_node() {
+    for node_leaves in [false, true] {
+        with_core(async |handle| {
+            let (dropped, mut drops) = mpsc::unbounded_channel();
+            let work = Box::new(Told { end: None, panics: false, begins: false, dropped });
+            let pending = handle.submit(arrival(LONG), work).unwrap();
+            tokio::task::yield_now().await;
+            if node_leaves {
+                handle.send(nodes(ListedState::Terminating));
+                assert_eq!(drops.recv().await, Some(()), "dropped while its client still waits");
+            }
+            drop(pending);
+            // Once the request is forgotten nothing holds its work, so that no further attempt can follow.
+            while drops.recv().await.is_some() {}
+            assert_eq!(handle.open(), 0);
+        });
+    }
+}
+
+/// Breaks at once, then answers behind the window for repeats, with so much written by then.
+struct Late {
+    written: Written,
+    tried: AtomicBool,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Written {
+    Nothing,
+    Some,
+    All,
+}
+
+const WINDOW: Duration = Duration::from_secs(1);
+
+impl Work for Late {
+    fn attempt(&self, a_try: Try) -> Attempt {
+        let (written, again) = (self.written, self.tried.swap(true, Ordering::Relaxed));
+        Box::pin(async move {
+            if !again {
+                a_try.begun.set();
+                a_try.begun.set_whole();
+                return End::Broke.into();
+            }
+            if !matches!(written, Written::Nothing) {
+                a_try.begun.set();
+            }
+            if matches!(written, Written::All) {
+                a_try.begun.set_whole();
+            }
+            tokio::time::sleep(WINDOW).await;
+            End::Answered.into()
+        })
+    }
+}
+
+/// As where a repeat's connection comes up so late that its node would carry it out once more.
+#[test]
+fn a_repeat_that_is_not_written_within_its_window_never_is() {
+    for written in [Written::Nothing, Written::Some, Written::All] {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let answer = runtime.block_on(async {
+            let class = Class {
+                aim: 5_000_000,
+                deadline: 10_000_000,
+                worth: 1.0,
+                repeats: Repeats::Keyed,
+                window: micros(WINDOW),
+                ..Class::default()
+            };
+            let settings =
+                Settings { hosts: 1, classes: vec![class], max_attempts: 3, ..Settings::default() };
+            let (core, _wanted) = Core::new(settings, 7, 10, Clock::start());
+            let handle = core.handle();
+            tokio::spawn(core.run());
+            handle.send(nodes(ListedState::InService));
+            let work = Box::new(Late { written, tried: AtomicBool::new(false) });
+            handle.submit(arrival(LONG), work).unwrap().await
+        });
+        let served = answer == Answer::Served(Bytes::new());
+        assert_eq!(served, matches!(written, Written::All), "{written:?}: {answer:?}");
+    }
+}
+
+#[test]
+fn beyond_the_bound_on_open_requests_nothing_is_taken() {
+    with_core(async |handle| {
+        let (dropped, _kept) = mpsc::unbounded_channel();
+        let submit = || {
+            let work = Told { end: None, panics: false, begins: true, dropped: dropped.clone() };
+            handle.submit(arrival(LONG), Box::new(work))
+        };
+        let mut held: Vec<_> = (0..10).map(|_| submit().unwrap()).collect();
+        assert!(submit().is_none());
+        held.pop();
+        assert!(submit().is_some());
+    });
+}
+
+#[test]
+fn a_node_that_is_gone_is_released_with_its_number_once_nothing_is_out_there() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let class = Class { deadline: 10_000_000, worth: 1.0, ..Class::default() };
+        let settings = Settings { hosts: 1, classes: vec![class], max_attempts: 3, ..Settings::default() };
+        let (mut core, _wanted) = Core::new(settings, 7, 10, Clock::start());
+        let node = |i: u32, state| {
+            let (id, addr) = (format!("s-{i}"), "127.0.0.1:1".to_string());
+            ListedNode { id, addr, zone: "a".into(), cell: 0, state, started_ms: 0 }
+        };
+        let (dropped, _kept) = mpsc::unbounded_channel();
+        let work = Box::new(Told { end: None, panics: false, begins: true, dropped });
+        core.take(Input::Nodes { news: News::Full, nodes: vec![node(0, ListedState::InService)] });
+        core.request(1, arrival(LONG), work, oneshot::channel().0);
+        for i in 1..100 {
+            let nodes = vec![node(i - 1, ListedState::Terminated), node(i, ListedState::InService)];
+            core.take(Input::Nodes { news: News::Changes, nodes });
+        }
+        // The first one still has an attempt out, the last one is in service.
+        let held = |core: &Core| (core.nodes.len(), core.ids.texts.len(), core.known.len());
+        assert_eq!(held(&core), (2, 2, 1));
+        core.take(Input::Report { id: 1, attempt: 0, report: End::Broke.into() });
+        assert_eq!(held(&core), (1, 1, 1));
+        core.take(Input::Nodes { news: News::Full, nodes: Vec::new() });
+        assert_eq!(held(&core), (0, 0, 0));
+    });
+}
+
+#[test]
+fn what_the_module_asks_of_nodes_and_says_to_heads_is_carried_out() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        for probing in [true, false] {
+            // Heads of a crowd: each sees too little of a node by itself.
+            let class = Class { aim: 1_000_000, deadline: 10_000_000, worth: 1.0, ..Class::default() };
+            let settings = Settings {
+                hosts: 40,
+                classes: vec![class],
+                max_attempts: 3,
+                peers: true,
+                probing,
+                reports: Reports::Probes,
+                ..Settings::default()
+            };
+            let (mut core, _wanted) = Core::new(settings, 7, 10, Clock::start());
+            let ((mouth, mut said), (tell, mut probed)) = (Mouth::new(), mpsc::unbounded_channel());
+            core.talk_by(mouth);
+            core.probe_by(Box::new(Addressed(tell)));
+            core.take(nodes(ListedState::InService));
+            let (dropped, _kept) = mpsc::unbounded_channel();
+            let work = Box::new(Told { end: None, panics: false, begins: true, dropped });
+            core.request(1, arrival(LONG), work, oneshot::channel().0);
+            if probing {
+                assert_eq!(probed.try_recv().as_deref(), Ok("127.0.0.1:1"));
+                let Some(Input::Probed { node, report, .. }) = core.inputs.recv().await else {
+                    panic!("a probe tells its end")
+                };
+                core.take(Input::Probed { node, took: 1, report });
+                assert!(probed.try_recv().is_err(), "one is enough");
+            } else {
+                assert!(probed.try_recv().is_err(), "the settings forbid it");
+                core.take(Input::Report { id: 1, attempt: 0, report: End::TurnedAway.into() });
+                let Message { to, bytes } = said.try_recv().unwrap();
+                assert_eq!(to, None);
+                // It is heard as it was said; cut, repeated and foreign ones change nothing that shows.
+                for bytes in [&bytes[..], &bytes, &bytes[..2], &[], &[0xff; 256]] {
+                    core.take(Input::Peer { from: 3, bytes: bytes.to_vec() });
+                }
+            }
+        }
+    });
+}
+
+#[test]
+fn a_request_that_is_bound_to_its_attempt_goes_nowhere_else() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let class = Class { deadline: 10_000_000, worth: 1.0, repeats: Repeats::Safe, ..Class::default() };
+        let settings = Settings { hosts: 1, classes: vec![class], max_attempts: 3, ..Settings::default() };
+        let (mut core, _wanted) = Core::new(settings, 7, 10, Clock::start());
+        let (dropped, _kept) = mpsc::unbounded_channel();
+        core.take(nodes(ListedState::InService));
+        for (id, binds) in [(1, false), (2, true)] {
+            let work = Box::new(Told { end: None, panics: false, begins: true, dropped: dropped.clone() });
+            let (answer, mut answered) = oneshot::channel();
+            core.request(id, arrival(LONG), work, answer);
+            let mut bind = |attempt| {
+                let (granted, mut answer) = oneshot::channel();
+                core.take(Input::Bind { id, attempt, granted });
+                answer.try_recv().unwrap()
+            };
+            if binds {
+                assert!(bind(0) && bind(0), "the same one may ask again");
+                assert!(!bind(1), "there is no such attempt");
+            }
+            core.take(Input::Report { id, attempt: 0, report: End::Broke.into() });
+            // Its class allows a repeat, but some of the answer may be out.
+            assert_eq!(answered.try_recv().is_ok(), binds);
+            let (granted, mut answer) = oneshot::channel();
+            core.take(Input::Bind { id, attempt: 0, granted });
+            assert!(!answer.try_recv().unwrap(), "an attempt that has ended binds nothing");
+            core.take(Input::Left { id });
+        }
+    });
+}
+
+#[test]
+fn node_ids_are_stable_and_survive_a_collision() {
+    let mut ids = NodeIds::default();
+    let first = ids.of("s-5be2a07c");
+    assert_eq!(first, NodeIds::default().of("s-5be2a07c"));
+    ids.texts.insert(fnv(b"s-2") as NodeId, "another".to_string());
+    let moved = ids.of("s-2");
+    assert_eq!(moved, (fnv(b"s-2") as NodeId).wrapping_add(1));
+    assert_eq!((ids.of("s-2"), ids.of("s-5be2a07c")), (moved, first));
+}
--- /dev/null
+++ b/src/net/discovery/tests.rs
@@ -0,0 +1,63 @@
+
+use super::*;
+
+fn told(texts: &mut Texts, version: &mut u64, text: &str) -> Vec<(News, u64, usize)> {
+    texts.add(text.as_bytes()).unwrap();
+    let mut all = Vec::new();
+    loop {
+        match texts.next().unwrap() {
+            Next::List(list) => {
+                all.extend(news(version, &list).map(|news| (news, list.version, list.servers.len())));
+            }
+            Next::Beat => all.push(BEAT),
+            Next::Torn => return all,
+        }
+    }
+}
+
+const BEAT: (News, u64, usize) = (News::Beat, 0, 0);
+
+#[test]
+fn changes_are_told_in_version_order_and_torn_lines_are_none() {
+    let entry = r#"{"id":"s-{1}\\","addr":"127.0.0.1:1","cell":3,"state":"terminating"}"#;
+    let line = |version, full| format!("{{\"version\":{version},\"full\":{full},\"servers\":[{entry}]}}\n");
+    let (mut texts, mut version) = (Texts::default(), 41);
+    let mut news = |text: &str| told(&mut texts, &mut version, text);
+    assert_eq!(news(&format!("\n{}\r\n\n", line(42, false).trim())), [BEAT, (News::Changes, 42, 1), BEAT]);
+    assert_eq!(news(&line(42, false)), []);
+    assert_eq!(news(&line(41, false)), []);
+    let (a, b) = (line(44, false), line(45, true));
+    assert_eq!(news(&a[..30]), []);
+    let rest = news(&format!("{}{b}", &a[30..]));
+    assert_eq!(rest, [(News::Changes, 44, 1), (News::Full, 45, 1)]);
+    assert_eq!(news(&line(3, true)), [(News::Full, 3, 1)]);
+}
+
+#[test]
+fn a_list_may_come_indented_and_cut_anywhere() {
+    let servers: Vec<_> = (0..1024)
+            .map(|n| serde_json::json!({"id": format!("s-{n}\"}}]"), "addr": "127.0.0.1:1", "cell": n, "state": "in_service"}))
+            .collect();
+    let list = serde_json::json!({"version": 7, "full": true, "servers": servers});
+    let text = format!("{}\n\n", serde_json::to_string_pretty(&list).unwrap());
+    assert!(text.len() < MOST_LIST / 4);
+    for piece in [1, 7, 4096, text.len()] {
+        let (mut texts, mut version, mut all) = (Texts::default(), 0, Vec::new());
+        for piece in text.as_bytes().chunks(piece) {
+            all.extend(told(&mut texts, &mut version, std::str::from_utf8(piece).unwrap()));
+        }
+        // The end of its own line may come by itself, and looks like a beat then: nothing has changed since.
+        assert_eq!(all[..2], [(News::Full, 7, 1024), BEAT], "{piece}");
+    }
+}
+
+#[test]
+fn lists_that_are_unreadable_or_endless_break_the_watch() {
+    for text in ["{\"version\":}", "nonsense\n", "]\n", "\"version\"\n", "{\"version\":1]"] {
+        let mut texts = Texts::default();
+        texts.add(text.as_bytes()).unwrap();
+        assert!(matches!(texts.next(), Err(Broken::BadList(_))), "{text}");
+    }
+    let mut texts = Texts::default();
+    assert_eq!(texts.add(&vec![b'x'; MOST_LIST + 1]), Err(Broken::LongList));
+}
--- /dev/null
+++ b/src/net/ids/tests.rs
@@ -0,0 +1,50 @@
+
+use super::*;
+
+#[test]
+fn an_id_is_known_for_its_time_and_no_more_than_so_many_are() {
+    let (ids, start) = (Ids::new(3, Duration::from_secs(5)), Instant::now());
+    for (second, id, first) in [
+        (0, "a", true),
+        (1, "a", false),
+        (2, "b", true),
+        (6, "a", true),
+        (6, "b", false),
+        (7, "c", true),
+        (7, "d", true),
+        (7, "b", true),
+    ] {
+        let now = start + Duration::from_secs(second);
+        assert_eq!(ids.first_time(id.as_bytes(), now), first, "{second} {id}");
+    }
+}
+
+#[test]
+fn what_another_process_of_the_head_took_is_known_also_after_it_is_gone() {
+    let folder = std::env::temp_dir().join(format!("pathbank-ids-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let file = |name: &str| {
+        let path = folder.join(name);
+        let options = File::options().create(true).truncate(false).read(true).write(true).clone();
+        Arc::new(options.open(path).unwrap())
+    };
+    std::fs::write(folder.join("0"), b"\xff\0 left by somebody").unwrap();
+    let start = |ours: &str, other: &str, time| {
+        let ids = Ids::new(3, Duration::from_secs(time));
+        ids.share((file(ours), file(other))).unwrap();
+        ids
+    };
+    let (old, now) = (start("0", "1", 60), Instant::now());
+    assert!(old.first_time(b"a", now) && old.first_time(b"b", now));
+    let new = start("1", "0", 60);
+    assert!(!new.first_time(b"a", now) && new.first_time(b"c", now));
+    assert!(!old.first_time(b"c", now), "both ways");
+    drop(old);
+    // The next one takes the old one's place, and the files as they were left.
+    let next = start("0", "1", 60);
+    assert!(!next.first_time(b"b", now) && !next.first_time(b"c", now) && next.first_time(b"d", now));
+    let much_later = start("0", "1", 0);
+    std::thread::sleep(Duration::from_millis(2));
+    assert!(much_later.first_time(b"b", now), "its time is over");
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- /dev/null
+++ b/src/net/places/tests.rs
@@ -0,0 +1,91 @@
+
+use super::*;
+use futures_util::FutureExt;
+
+const REQUEST: Duration = Duration::from_secs(2);
+const IDLE: Duration = Duration::from_secs(10);
+
+fn places(most: usize) -> Places {
+    Places::new(ClientLimits {
+        most,
+        spare: 0,
+        most_idle: 3,
+        request: REQUEST,
+        idle: IDLE,
+        idle_if_many: IDLE / 5,
+    })
+}
+
+fn told(place: &Seat) -> Option<bool> {
+    place.told_to_leave().now_or_never()
+}
+
+#[test]
+fn whoever_is_over_a_limit_is_told_to_go_and_an_open_request_never() {
+    for (others, after, gone) in [
+        (0, REQUEST / 2, [false, false, false]),
+        (0, REQUEST, [true, false, false]),
+        (0, IDLE, [true, false, true]),
+        // More than half of the places taken: idle ones go earlier.
+        (3, IDLE / 5, [true, false, true]),
+    ] {
+        let places = places(10);
+        let held: Vec<Seat> = (0..3 + others).map(|_| places.sit()).collect();
+        held[1].waiting();
+        held[2].answered();
+        held[3..].iter().for_each(Seat::waiting);
+        places.look(Instant::now() + after);
+        assert_eq!([&held[0], &held[1], &held[2]].map(|seat| told(seat).is_some()), gone, "{after:?}");
+    }
+}
+
+#[test]
+fn what_was_told_to_go_and_lingers_is_cut_off() {
+    let places = places(10);
+    let place = places.sit();
+    place.answered();
+    let now = Instant::now();
+    places.look(now + IDLE);
+    assert_eq!(told(&place), Some(true));
+    places.look(now + IDLE + LAST_BYTES);
+    assert_eq!(told(&place), None);
+    places.look(now + IDLE + 2 * LAST_BYTES);
+    assert!(told(&place).is_some());
+}
+
+#[test]
+fn with_many_idle_an_answer_is_the_last_for_who_asked_but_once() {
+    let places = places(10);
+    let held: Vec<Seat> = (0..6).map(|_| places.sit()).collect();
+    assert_eq!([0, 1, 2, 3].map(|i| held[i].answered()), [false, false, false, true]);
+    // The first one asks again, and is kept for longer.
+    held[0].waiting();
+    assert!(!held[0].answered());
+    assert!(held[4].answered());
+    held[0].waiting();
+    assert!(held[0].answered());
+}
+
+#[test]
+fn a_full_house_first_sends_those_away_that_never_had_an_answer() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let places = places(4);
+        let mut open_ones = vec![places.sit()];
+        let idle = places.sit();
+        idle.answered();
+        let (silent, later) = (places.sit(), places.sit());
+        open_ones[0].waiting();
+        for victim in [silent, later, idle] {
+            // The place comes with the victim's end and with nobody else's; an open request takes it.
+            let goes = async {
+                victim.told_to_leave().await;
+                drop(victim);
+            };
+            let (next, ()) = tokio::join!(places.take(), goes);
+            next.waiting();
+            open_ones.push(next);
+        }
+        assert!(open_ones.iter().all(|seat| told(seat).is_none()));
+    });
+}
--- /dev/null
+++ b/src/net/pool/tests.rs
@@ -0,0 +1,77 @@
+
+use super::*;
+use std::cell::Cell;
+use std::rc::Rc;
+
+struct Fake(u32, Rc<Cell<bool>>);
+
+impl Quiet for Fake {
+    fn quiet(&self) -> bool {
+        self.1.get()
+    }
+}
+
+fn pool(most: usize, idle: Duration) -> Pool<Fake> {
+    Pool::new(NodeLimits { most, idle, connect: Duration::from_secs(1) })
+}
+
+fn at(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+#[test]
+fn the_latest_good_connection_is_given_and_no_other() {
+    let (pool, quiet) = (pool(3, Duration::from_secs(3600)), Rc::new(Cell::new(true)));
+    for (port, number) in [(1, 1), (1, 2), (2, 3), (1, 4)] {
+        pool.put(at(port), Fake(number, quiet.clone()));
+    }
+    // Three are kept at most: the oldest went.
+    assert_eq!(pool.take(at(1)).map(|fake| fake.0), Some(4));
+    pool.put(at(1), Fake(5, Rc::new(Cell::new(false))));
+    assert_eq!(pool.take(at(1)).map(|fake| fake.0), Some(2));
+    assert!(pool.take(at(1)).is_none());
+    pool.put(at(1), Fake(6, quiet.clone()));
+    pool.distrust(at(1));
+    assert!(pool.take(at(1)).is_none());
+    assert_eq!(pool.held(), 1);
+    let _in_use = [pool.begin(), pool.begin()];
+    assert_eq!(pool.held(), 1);
+    let third = pool.begin();
+    assert_eq!(pool.held(), 0);
+    drop(third);
+    pool.put(at(1), Fake(7, quiet.clone()));
+    quiet.set(false);
+    pool.look();
+    assert_eq!(pool.held(), 0);
+}
+
+#[test]
+fn what_has_been_idle_for_too_long_is_not_given() {
+    let (pool, quiet) = (pool(3, Duration::ZERO), Rc::new(Cell::new(true)));
+    pool.put(at(1), Fake(1, quiet.clone()));
+    assert!(pool.take(at(1)).is_none());
+    pool.put(at(1), Fake(2, quiet));
+    pool.look();
+    assert_eq!(pool.held(), 0);
+}
+
+#[test]
+fn a_connection_is_quiet_until_something_comes_or_it_ends() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        use tokio::io::AsyncWriteExt;
+        for ends in [false, true] {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let ours = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+            let (mut theirs, _) = listener.accept().await.unwrap();
+            assert!(ours.quiet());
+            if ends {
+                drop(theirs);
+            } else {
+                theirs.write_all(b"x").await.unwrap();
+            }
+            ours.readable().await.unwrap();
+            assert!(!ours.quiet());
+        }
+    });
+}
