A client that has gone is seen behind unread bytes, and asked for before a first byte

Cause, by reading hyper: with pipelined bytes in its buffer, or a body that nobody reads, it does not look for the end of the connection, so an open request outlives its client; and the core hears of a client that left one turn late, in which an attempt could begin. A close with unread bytes in the socket resets it, and takes a written answer along; the backlog of the listener was reset as it closed at SIGTERM. Change: net/inbound holds a client's connection for all three fronts. The core asks it when it starts an attempt and before each step of one that has written nothing. What waits in the backlog when the listener closes is accepted first.

--- a/src/core.rs
+++ b/src/core.rs
@@ -147,15 +147,20 @@
 
 /// What a front wants done: starts attempts at nodes. Dropping the future gives the attempt up; a request of
 /// which no byte was written by then is never written.
-pub trait Work: Send {
+pub trait Work: Send + Sync {
     fn attempt(&self, a_try: Try) -> Attempt;
+
+    /// Whether the client has gone, asked of its connection in this very moment: the word of that may still be on its way.
+    fn left(&self) -> bool {
+        false
+    }
 }
 
 pub enum Input {
     Request {
         id: RequestId,
         arrival: Arrival,
-        work: Box<dyn Work>,
+        work: Arc<dyn Work>,
         answer: oneshot::Sender<Answer>,
     },
     Left {
@@ -242,7 +247,7 @@
     }
 
     /// `None`: too many are open, nothing was taken.
-    pub fn submit(&self, arrival: Arrival, work: Box<dyn Work>) -> Option<Pending> {
+    pub fn submit(&self, arrival: Arrival, work: Arc<dyn Work>) -> Option<Pending> {
         if self.open.load(Ordering::Relaxed) >= self.part.of(self.max_open) {
             self.no_room.fetch_add(1, Ordering::Relaxed);
             self.figures.count(arrival.class, Count::Dropped);
@@ -388,7 +393,7 @@
 }
 
 struct Open {
-    work: Box<dyn Work>,
+    work: Arc<dyn Work>,
     answer: Option<oneshot::Sender<Answer>>,
     answer_by: Micros,
     /// Each attempt by its number; `None` once its outcome is told.
@@ -643,19 +648,7 @@
     fn take(&mut self, input: Input) {
         match input {
             Input::Request { id, arrival, work, answer } => self.request(id, arrival, work, answer),
-            Input::Left { id } => {
-                if let Some(open) = self.requests.get_mut(&id)
-                    && open.answer.take().is_some()
-                {
-                    self.finish(id, Finish::Left);
-                    if self.requests.get(&id).is_some_and(|open| open.passing) {
-                        return self.stop_all(id, End::CalledOff);
-                    }
-                    self.tell(Event::ClientLeft { request: id });
-                    self.drop_unsent(id, |_| true);
-                    self.forget(id);
-                }
-            }
+            Input::Left { id } => self.left(id),
             Input::Report { id, attempt, report } => self.outcome(id, attempt, report),
             Input::Bind { id, attempt, granted } => {
                 // Whoever asked may have been given up meanwhile; then nobody hears of it.
@@ -699,7 +692,7 @@
         &mut self,
         id: RequestId,
         arrival: Arrival,
-        work: Box<dyn Work>,
+        work: Arc<dyn Work>,
         answer: oneshot::Sender<Answer>,
     ) {
         self.look_first();
@@ -750,6 +743,21 @@
         }));
     }
 
+    /// Its client has gone, once.
+    fn left(&mut self, id: RequestId) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        if open.answer.take().is_none() {
+            return;
+        }
+        self.finish(id, Finish::Left);
+        if self.requests.get(&id).is_some_and(|open| open.passing) {
+            return self.stop_all(id, End::CalledOff);
+        }
+        self.tell(Event::ClientLeft { request: id });
+        self.drop_unsent(id, |_| true);
+        self.forget(id);
+    }
+
     /// The module hears of it as the beginning of an answer: after that it sends the request nowhere else.
     fn bind(&mut self, id: RequestId, attempt: u32) -> bool {
         let Some(open) = self.requests.get_mut(&id).filter(|open| !open.over()) else { return false };
@@ -1233,11 +1241,16 @@
 
     fn start(&mut self, now: Micros, id: RequestId, node: NodeId, time_out: Micros, write_by: Micros) {
         let Some(open) = self.requests.get_mut(&id) else { return };
+        if !open.over() && open.work.left() {
+            // The module hears of it when it has heard of the attempt that never starts.
+            open.answer = None;
+            self.finish(id, Finish::Left);
+        }
+        let Some(open) = self.requests.get(&id) else { return };
         let attempt = open.attempts.len() as u32;
         let until = if time_out > 0 { open.answer_by.min(now + time_out) } else { open.answer_by };
         let address = self.nodes.get(&node).map(|node| node.address.clone());
         let able = !open.over() && open.bound.is_none() && until > now && attempt < open.max_attempts;
-        let Some(open) = self.requests.get(&id) else { return };
         let looked = self.may_start(open, attempt, node).filter(|_| able);
         let Some(open) = self.requests.get_mut(&id) else { return };
         let (Some(looked), Some(address)) = (looked, address) else {
@@ -1247,7 +1260,12 @@
             let moot = Outcome { request: id, attempt, node, ending, took: 0, over, used: None, load };
             open.note(now, attempt, String::new(), Some(ending));
             open.attempts.push(None);
-            return self.tell(Event::Outcome(moot));
+            self.tell(Event::Outcome(moot));
+            if over {
+                self.drop_unsent(id, |_| true);
+                self.forget(id);
+            }
+            return;
         };
         let begun = Arc::new(Begun { class: open.class, figures: self.figures.clone(), ..Begun::default() });
         let answer_by = self.clock.instant(until);
@@ -1259,9 +1277,16 @@
         let work = open.work.attempt(Try { address, answer_by, begun: begun.clone(), binder });
         let handle = self.handle.clone();
         let write_by = (write_by < Micros::MAX).then(|| self.clock.instant(write_by));
-        let written = begun.clone();
+        let (written, asked, leaves) = (begun.clone(), open.work.clone(), handle.clone());
+        let left = move || {
+            let left = asked.left();
+            if left {
+                leaves.send(Input::Left { id });
+            }
+            left
+        };
         let task = tokio::spawn(async move {
-            let work = AssertUnwindSafe(written_by(work, written, write_by)).catch_unwind();
+            let work = AssertUnwindSafe(guarded(work, written, write_by, left)).catch_unwind();
             // Without a time of its own it ends with its request's, which may come later than was known here.
             let done = match time_out {
                 0 => Ok(work.await),
@@ -1301,17 +1326,21 @@
     }
 }
 
-/// Gives an attempt up that is not written whole by then. Looked at before each of its steps, so that none of them writes
-/// later, however late its turn comes.
-async fn written_by(work: Attempt, begun: Arc<Begun>, by: Option<Instant>) -> Report {
-    let Some(by) = by else { return work.await };
-    let (mut work, mut over) = (work, std::pin::pin!(tokio::time::sleep_until(by)));
+/// Gives an attempt up that is not written whole by then, and one of which nothing is written when its client has gone.
+/// Looked at before each of its steps, so that none of them writes later, however late its turn comes.
+async fn guarded(work: Attempt, begun: Arc<Begun>, by: Option<Instant>, left: impl Fn() -> bool) -> Report {
+    let (mut work, mut over) = (work, by.map(|by| Box::pin(tokio::time::sleep_until(by))));
     std::future::poll_fn(|cx| {
         let whole = begun.whole.get().is_some();
-        if !whole && (over.as_mut().poll(cx).is_ready() || Instant::now() >= by) {
+        let late = by.is_some_and(|by| Instant::now() >= by)
+            || over.as_mut().is_some_and(|over| over.as_mut().poll(cx).is_ready());
+        if !whole && late {
             let end = if begun.get() { End::CalledOff } else { End::Unsent };
             return Poll::Ready(end.into());
         }
+        if !begun.get() && left() {
+            return Poll::Ready(End::Unsent.into());
+        }
         work.as_mut().poll(cx)
     })
     .await
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 /// Attempts that end as told, or never, and that note when they are dropped.
@@ -75,7 +74,7 @@
     with_core_of(asked, Input::Nodes { news: News::Cached, nodes: known }, async |handle| {
         let (tell, mut dropped) = mpsc::unbounded_channel();
         let (begun_tell, mut begun_dropped) = mpsc::unbounded_channel();
-        let work = |begins, dropped| Box::new(Told { end: None, panics: false, begins, dropped });
+        let work = |begins, dropped| Arc::new(Told { end: None, panics: false, begins, dropped });
         let _begun = handle.submit(arrival(LONG), work(true, begun_tell)).unwrap();
         let waits = handle.submit(arrival(Duration::from_secs(1)), work(false, tell)).unwrap();
         dropped.recv().await.expect("the attempt was dropped");
@@ -105,7 +104,7 @@
             let Input::Nodes { mut nodes, .. } = nodes(ListedState::InService) else { unreachable!() };
             nodes[0].addr = address.to_string();
             handle.send(Input::Nodes { news, nodes });
-            let pending = handle.submit(arrival(LONG), Box::new(Addressed(tell.clone()))).unwrap();
+            let pending = handle.submit(arrival(LONG), Arc::new(Addressed(tell.clone()))).unwrap();
             assert!(matches!(pending.await, Answer::Served(_)), "{news:?}");
             assert_eq!(told.recv().await.as_deref(), Some(address), "{news:?}");
         }
@@ -136,7 +135,7 @@
 fn answer_to(end: Option<End>, panics: bool, wait: Duration) -> Answer {
     with_core(async |handle| {
         let (dropped, _kept) = mpsc::unbounded_channel();
-        let work = Box::new(Told { end, panics, begins: true, dropped });
+        let work = Arc::new(Told { end, panics, begins: true, dropped });
         handle.submit(arrival(wait), work).unwrap().await
     })
 }
@@ -157,7 +156,7 @@
     for node_leaves in [false, true] {
         with_core(async |handle| {
             let (dropped, mut drops) = mpsc::unbounded_channel();
-            let work = Box::new(Told { end: None, panics: false, begins: false, dropped });
+            let work = Arc::new(Told { end: None, panics: false, begins: false, dropped });
             let pending = handle.submit(arrival(LONG), work).unwrap();
             tokio::task::yield_now().await;
             if node_leaves {
@@ -228,7 +227,7 @@
             let handle = core.handle();
             tokio::spawn(core.run());
             handle.send(nodes(ListedState::InService));
-            let work = Box::new(Late { written, tried: AtomicBool::new(false) });
+            let work = Arc::new(Late { written, tried: AtomicBool::new(false) });
             handle.submit(arrival(LONG), work).unwrap().await
         });
         let served = answer == Answer::Served(Bytes::new());
@@ -242,7 +241,7 @@
         let (dropped, _kept) = mpsc::unbounded_channel();
         let submit = || {
             let work = Told { end: None, panics: false, begins: true, dropped: dropped.clone() };
-            handle.submit(arrival(LONG), Box::new(work))
+            handle.submit(arrival(LONG), Arc::new(work))
         };
         let mut held: Vec<_> = (0..10).map(|_| submit().unwrap()).collect();
         assert!(submit().is_none());
@@ -263,7 +262,7 @@
             ListedNode { id, addr, zone: "a".into(), cell: 0, state, started_ms: 0 }
         };
         let (dropped, _kept) = mpsc::unbounded_channel();
-        let work = Box::new(Told { end: None, panics: false, begins: true, dropped });
+        let work = Arc::new(Told { end: None, panics: false, begins: true, dropped });
         core.take(Input::Nodes { news: News::Full, nodes: vec![node(0, ListedState::InService)] });
         core.request(1, arrival(LONG), work, oneshot::channel().0);
         for i in 1..100 {
@@ -302,7 +301,7 @@
             core.probe_by(Box::new(Addressed(tell)));
             core.take(nodes(ListedState::InService));
             let (dropped, _kept) = mpsc::unbounded_channel();
-            let work = Box::new(Told { end: None, panics: false, begins: true, dropped });
+            let work = Arc::new(Told { end: None, panics: false, begins: true, dropped });
             core.request(1, arrival(LONG), work, oneshot::channel().0);
             if probing {
                 assert_eq!(probed.try_recv().as_deref(), Ok("127.0.0.1:1"));
@@ -335,7 +334,7 @@
         let (dropped, _kept) = mpsc::unbounded_channel();
         core.take(nodes(ListedState::InService));
         for (id, binds) in [(1, false), (2, true)] {
-            let work = Box::new(Told { end: None, panics: false, begins: true, dropped: dropped.clone() });
+            let work = Arc::new(Told { end: None, panics: false, begins: true, dropped: dropped.clone() });
             let (answer, mut answered) = oneshot::channel();
             core.request(id, arrival(LONG), work, answer);
             let mut bind = |attempt| {
@@ -368,3 +367,71 @@
     assert_eq!(moved, (fnv(b"s-2") as NodeId).wrapping_add(1));
     assert_eq!((ids.of("s-2"), ids.of("s-5be2a07c")), (moved, first));
 }
+
+/// A client that goes at a stated point of its request, of which no word comes to the core. `tries` says what its
+/// attempts did: how many were made, and how many wrote.
+#[derive(Default)]
+struct Goes {
+    left: Arc<AtomicBool>,
+    /// Its attempts, which wait for their connection until this says go on.
+    up: Arc<tokio::sync::Notify>,
+    made: Arc<AtomicUsize>,
+    wrote: Arc<AtomicUsize>,
+    /// The end of every attempt but the last, which is good.
+    fails: usize,
+}
+
+impl Work for Goes {
+    fn attempt(&self, a_try: Try) -> Attempt {
+        let before = self.made.fetch_add(1, Ordering::Relaxed);
+        let (up, wrote, fails, left) =
+            (self.up.clone(), self.wrote.clone(), before < self.fails, self.left.clone());
+        Box::pin(async move {
+            if fails {
+                // It goes between this attempt and the next.
+                left.store(true, Ordering::Relaxed);
+                return End::NoConnection.into();
+            }
+            up.notified().await;
+            a_try.begun.set();
+            wrote.fetch_add(1, Ordering::Relaxed);
+            End::Answered.into()
+        })
+    }
+
+    fn left(&self) -> bool {
+        self.left.load(Ordering::Relaxed)
+    }
+}
+
+#[test]
+fn a_client_that_has_gone_is_sent_nowhere_though_the_core_has_not_heard_of_it() {
+    for (when, fails, made) in [
+        ("before its request is decided on", 0, 0),
+        ("while an attempt connects", 0, 1),
+        ("between two", 1, 1),
+    ] {
+        with_core(async |handle| {
+            let work = Arc::new(Goes { fails, ..Goes::default() });
+            work.left.store(made == 0, Ordering::Relaxed);
+            let pending = handle.submit(arrival(LONG), work.clone()).unwrap();
+            if made == 1 && fails == 0 {
+                while work.made.load(Ordering::Relaxed) == 0 {
+                    tokio::task::yield_now().await;
+                }
+                // Its connection comes up in the turn in which the client goes.
+                work.left.store(true, Ordering::Relaxed);
+                work.up.notify_one();
+            }
+            assert_eq!(pending.await, Answer::Failed, "{when}: nobody hears the answer");
+            // What follows is decided behind everything that was on its way.
+            let next = Arc::new(Goes::default());
+            let pending = handle.submit(arrival(LONG), next.clone()).unwrap();
+            next.up.notify_one();
+            assert!(matches!(pending.await, Answer::Served(_)), "{when}");
+            let seen = (work.made.load(Ordering::Relaxed), work.wrote.load(Ordering::Relaxed));
+            assert_eq!(seen, (made, 0), "{when}");
+            assert_eq!(handle.open(), 0, "{when}");
+        });
+    }
+}
--- a/src/life.rs
+++ b/src/life.rs
@@ -30,9 +30,12 @@
     pub close: bool,
     /// The program ends.
     pub ends: bool,
+    /// Another process takes what comes from here on.
+    pub handed_over: bool,
 }
 
-pub const SERVING: Phase = Phase { up: true, accept: true, last: false, close: false, ends: false };
+pub const SERVING: Phase =
+    Phase { up: true, accept: true, last: false, close: false, ends: false, handed_over: false };
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Doing {
@@ -108,6 +111,7 @@
                     // Its client comes back to the other process at once.
                     close: shared || closing,
                     ends: true,
+                    handed_over: shared,
                 }
             }
         }
--- a/src/life/tests.rs
+++ b/src/life/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 const MS: Duration = Duration::from_millis(1);
--- a/src/listing/tests.rs
+++ b/src/listing/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 const S: Micros = 1_000_000;
--- a/src/net/back.rs
+++ b/src/net/back.rs
@@ -13,6 +13,7 @@
 use crate::handover::Part;
 use crate::holding::{Next, Over};
 use crate::interface::Load;
+use crate::net::inbound::Presence;
 use crate::net::pool::Pool;
 use crate::net::source::Source;
 use bytes::Bytes;
@@ -482,12 +483,17 @@
 pub struct ForwardWork {
     pub back: Back,
     pub forward: Arc<Forward>,
+    pub client: Presence,
 }
 
 impl Work for ForwardWork {
     fn attempt(&self, a_try: Try) -> Attempt {
         Box::pin(self.back.clone().attempt(self.forward.clone(), a_try))
     }
+
+    fn left(&self) -> bool {
+        self.client.has_left()
+    }
 }
 
 /// Probes of nodes: whether one answers, and where reports come only so, its load.
--- a/src/net/discovery/tests.rs
+++ b/src/net/discovery/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn told(texts: &mut Texts, version: &mut u64, text: &str) -> Vec<(News, u64, usize)> {
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -12,6 +12,7 @@
 use crate::net::body::{Fault, Reading};
 use crate::net::helm::until;
 use crate::net::ids::Ids;
+use crate::net::inbound::{Inbound, Presence};
 use crate::net::places::{Places, Seat};
 use crate::net::source::Source;
 use axum::Extension;
@@ -32,9 +33,9 @@
 use log::debug;
 use std::fmt;
 use std::future::Future;
-use std::io;
+use std::io::{self, ErrorKind};
 use std::panic::AssertUnwindSafe;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, ReadBuf};
@@ -82,7 +83,7 @@
     accept_all(listener, places, phase, connection).await;
 }
 
-/// Accepts for as long as the phase has it; each connection is a task of its own.
+/// Accepts for as long as the phase has it, and then what has come until then; each connection is a task of its own.
 pub async fn accept_all<C: Future<Output = ()> + Send + 'static>(
     listener: TcpListener,
     places: Places,
@@ -91,23 +92,29 @@
 ) {
     loop {
         let accepted = tokio::select! {
-            () = until(&mut phase, |phase| !phase.accept) => return,
-            accepted = accept(&listener, &places) => accepted,
+            () = until(&mut phase, |phase| !phase.accept) => break,
+            accepted = listener.accept() => accepted,
         };
-        if let Some((stream, seat)) = accepted {
-            tokio::spawn(connection(stream, seat, &phase));
+        // What is accepted gets its place whatever the phase becomes meanwhile: dropped, it would be reset.
+        match accepted {
+            Ok((stream, _)) => drop(tokio::spawn(connection(stream, places.take().await, &phase))),
+            Err(problem) => {
+                event!(ACCEPT_FAILED, problem:%);
+                // With no descriptor left it waits a moment rather than spin.
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
         }
     }
-}
-
-/// One accepted connection and its place. With no descriptor left it waits a moment rather than spin.
-async fn accept(listener: &TcpListener, places: &Places) -> Option<(TcpStream, Seat)> {
-    match listener.accept().await {
-        Ok((stream, _)) => Some((stream, places.take().await)),
-        Err(problem) => {
-            event!(ACCEPT_FAILED, problem:%);
-            tokio::time::sleep(Duration::from_millis(10)).await;
-            None
+    if phase.borrow().handed_over {
+        return;
+    }
+    // The system resets what is in its queue when the listener closes. Asked itself, it knows what has come by now.
+    let waiting = listener.into_std();
+    while let Ok((stream, _)) =
+        waiting.as_ref().map_err(|_| ErrorKind::NotConnected.into()).and_then(|l| l.accept())
+    {
+        if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
+            tokio::spawn(connection(stream, places.take().await, &phase));
         }
     }
 }
@@ -122,34 +129,37 @@
 }
 
 async fn connection(stream: TcpStream, seat: Seat, router: Router, mut phase: watch::Receiver<Phase>) {
-    if let Err(problem) = stream.set_nodelay(true) {
-        debug!("nodelay: {problem}");
-    }
-    let io = Watched { io: TokioIo::new(stream), seat: seat.clone() };
-    let of_request = seat.clone();
+    let (inbound, client) = Inbound::new(stream);
+    let io = Watched { io: TokioIo::new(inbound), seat: seat.clone() };
+    let (of_request, of_client) = (seat.clone(), client.clone());
     let service = service_fn(move |mut request: hyper::Request<Incoming>| {
         of_request.asking();
         request.extensions_mut().insert(of_request.clone());
+        request.extensions_mut().insert(of_client.clone());
         let (answer, seat) = (router.clone().call(request), of_request.clone());
         async move {
             let response = answer.await?;
             let still_out = response.extensions().get::<StillOut>().is_some();
-            let last = if still_out { seat.had_better_go() } else { seat.answered() };
+            let last = if still_out { seat.had_better_go() } else { seat.answered() } || seat.is_told();
             Ok::<_, std::convert::Infallible>(if last { last_on_its_connection(response) } else { response })
         }
     });
-    let served = http1::Builder::new().max_buf_size(MOST_HEAD).serve_connection(io, service);
-    tokio::pin!(served);
+    let mut served = Box::pin(http1::Builder::new().max_buf_size(MOST_HEAD).serve_connection(io, service));
+    let mut gone = pin!(client.left());
     let (mut told, mut ends) = (false, false);
     let ended = loop {
         // What has come is read before the connection is told to go.
         tokio::select! {
             biased;
             ended = served.as_mut() => break ended,
+            // hyper does not read on behind a request that is open: its client's end would not be seen.
+            () = &mut gone => {
+                debug!("a client has left");
+                return;
+            }
             () = until(&mut phase, |phase| phase.close), if !ends => {
                 ends = true;
-                // hyper would throw half a request away; that one's answer says by itself that it is the last.
-                if !seat.is_asking() {
+                if !half_way(&seat, &client) {
                     served.as_mut().graceful_shutdown();
                 }
             }
@@ -159,18 +169,28 @@
                     return;
                 }
                 told = true;
-                served.as_mut().graceful_shutdown();
+                if !half_way(&seat, &client) {
+                    served.as_mut().graceful_shutdown();
+                }
             }
         }
     };
     if let Err(problem) = ended {
         debug!("a client's connection ended: {problem}");
     }
+    drop(served);
+    client.linger(&seat).await;
+}
+
+/// In the middle of a request, or with one that has come in this very moment: hyper would throw that away. Its answer says
+/// by itself that it is the last.
+fn half_way(seat: &Seat, client: &Presence) -> bool {
+    seat.is_asking() || client.has_unread()
 }
 
 /// A client's connection that tells its place what comes.
 struct Watched {
-    io: TokioIo<TcpStream>,
+    io: TokioIo<Inbound>,
     seat: Seat,
 }
 
@@ -206,10 +226,15 @@
 }
 
 /// Whatever happens inside, a request gets one answer; a panic is one of the things that may.
-async fn take(State(front): State<Front>, Extension(seat): Extension<Seat>, request: Request) -> Response {
+async fn take(
+    State(front): State<Front>,
+    Extension(seat): Extension<Seat>,
+    Extension(client): Extension<Presence>,
+    request: Request,
+) -> Response {
     let received = Instant::now();
     let leaving = front.phase.clone();
-    let answered = AssertUnwindSafe(answer(&front, &seat, request, received)).catch_unwind().await;
+    let answered = AssertUnwindSafe(answer(&front, &seat, client, request, received)).catch_unwind().await;
     let mut response = answered.unwrap_or_else(|_| {
         event!(HANDLER_PANIC, front = "HTTP/1.1");
         StatusCode::INTERNAL_SERVER_ERROR.into_response()
@@ -225,7 +250,13 @@
     response
 }
 
-async fn answer(front: &Front, seat: &Seat, request: Request, received: Instant) -> Response {
+async fn answer(
+    front: &Front,
+    seat: &Seat,
+    client: Presence,
+    request: Request,
+    received: Instant,
+) -> Response {
     let (head, body) = request.into_parts();
     let names = front.names.borrow().clone();
     let arrival = match read(&head, &names, received, front.answer_margin) {
@@ -261,7 +292,14 @@
             wait,
             begins: Mutex::new(Some(begins)),
         };
-        (Box::new(ForwardWork { back: front.back.clone(), forward: Arc::new(forward) }), begun)
+        (
+            Arc::new(ForwardWork {
+                back: front.back.clone(),
+                forward: Arc::new(forward),
+                client: client.clone(),
+            }),
+            begun,
+        )
     };
     let wait = arrival.answer_by.saturating_duration_since(received);
     let held = length.unwrap_or(0).min(MOST_BODY as u64) as u32;
--- a/src/net/front/tests.rs
+++ b/src/net/front/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use crate::classes::Numbers;
 use crate::clock::Clock;
--- a/src/net/grpc/back.rs
+++ b/src/net/grpc/back.rs
@@ -442,6 +442,10 @@
     fn attempt(&self, a_try: Try) -> Attempt {
         Box::pin(self.nodes.clone().attempt(self.call.clone(), a_try))
     }
+
+    fn left(&self) -> bool {
+        self.call.left.is_cancelled() || self.call.client.has_left()
+    }
 }
 
 fn request(call: &Call, a_try: &Try) -> Option<Request<()>> {
--- a/src/net/grpc/call.rs
+++ b/src/net/grpc/call.rs
@@ -2,6 +2,7 @@
 //! speaks to its node. What passes between them is here.
 
 use crate::config::grpc::Route;
+use crate::net::inbound::Presence;
 use crate::net::source::Source;
 use bytes::Bytes;
 use hyper::Uri;
@@ -26,6 +27,7 @@
     pub route: Route,
     /// Cancelled when nobody waits for the call any more.
     pub left: CancellationToken,
+    pub client: Presence,
     pub down: mpsc::Sender<Down>,
     source: Source,
     /// The last status by which a node said that it failed.
@@ -40,12 +42,14 @@
         hold: usize,
         memory: Arc<Semaphore>,
         down: mpsc::Sender<Down>,
+        client: Presence,
     ) -> Call {
         Call {
             uri,
             metadata,
             route,
             left: CancellationToken::new(),
+            client,
             down,
             source: Source::new(hold, memory),
             status: Mutex::default(),
--- a/src/net/grpc/front.rs
+++ b/src/net/grpc/front.rs
@@ -17,6 +17,7 @@
 use crate::life::Phase;
 use crate::net::front::accept_all;
 use crate::net::helm::until;
+use crate::net::inbound::{Inbound, Presence};
 use crate::net::places::{Places, Seat};
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD_NO_PAD;
@@ -27,6 +28,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use log::debug;
 use std::future::poll_fn;
+use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll, ready};
@@ -189,9 +191,9 @@
 }
 
 async fn client(stream: TcpStream, seat: Seat, front: Front) {
-    let _ = stream.set_nodelay(true); // only a matter of speed
+    let (inbound, client) = Inbound::new(stream);
     let notes = Notes::new(front.config.header_bytes);
-    let (calls, reason) = connection(stream, &seat, &front, &notes).await;
+    let (calls, reason) = connection(inbound, &client, &seat, &front, &notes).await;
     let refused = notes.with(|noted| noted.refused);
     front.counters.count(Offence::Streams, refused);
     if let Some(offence) = notes.with(|noted| noted.offence) {
@@ -199,10 +201,17 @@
         event!(GRPC_CLIENT_CUT, offence = offence.name(), so_far, calls);
     }
     event!(GRPC_CLIENT_GONE, reason, calls, refused);
+    client.linger(&seat).await;
 }
 
 /// Serves until the connection ends; returns the calls that still were open, and why.
-async fn connection(stream: TcpStream, seat: &Seat, front: &Front, notes: &Notes) -> (usize, &'static str) {
+async fn connection(
+    stream: Inbound,
+    client: &Presence,
+    seat: &Seat,
+    front: &Front,
+    notes: &Notes,
+) -> (usize, &'static str) {
     let config = &front.config;
     let tap = ClientTap { notes: notes.clone(), inwards: Scanner::new(PREFACE), outwards: Scanner::new(0) };
     let mut builder = h2::server::Builder::new();
@@ -229,6 +238,7 @@
     let mut phase = front.phase.clone();
     let (mut calls, mut told, mut leaving) = (JoinSet::new(), false, false);
     let mut look = tokio::time::interval(LOOK);
+    let mut gone = pin!(client.left());
     let reason = loop {
         tokio::select! {
             biased;
@@ -237,6 +247,8 @@
                 let _ = within(LAST_FRAMES, poll_fn(|cx| connection.poll_closed(cx))).await;
                 break "it broke a bound";
             }
+            // h2 does not read on while it cannot write.
+            () = &mut gone => break "it closed the connection",
             Some(ended) = calls.join_next(), if !calls.is_empty() => {
                 // Its stream was reset when it went: that is its one end.
                 if ended.is_err() {
@@ -265,7 +277,7 @@
                 Some(Ok((request, respond))) => {
                     front.counters.calls.fetch_add(1, Ordering::Relaxed);
                     seat.waiting();
-                    calls.spawn(serve_call(front.clone(), notes.clone(), request, respond));
+                    calls.spawn(serve_call(front.clone(), client.clone(), notes.clone(), request, respond));
                 }
                 Some(Err(error)) => {
                     if !error.is_io() {
@@ -386,7 +398,13 @@
     }
 }
 
-async fn serve_call(front: Front, notes: Notes, request: Request<RecvStream>, respond: SendResponse<Bytes>) {
+async fn serve_call(
+    front: Front,
+    client: Presence,
+    notes: Notes,
+    request: Request<RecvStream>,
+    respond: SendResponse<Bytes>,
+) {
     let received = Instant::now();
     let (head, mut body) = request.into_parts();
     let mut out = Out::Fresh(respond);
@@ -406,8 +424,8 @@
     };
     let (down, passed) = mpsc::channel(PASSED_ON);
     let (streams, answer_by) = (route.streams, arrival.answer_by);
-    let call =
-        Arc::new(Call::new(head.uri, head.headers, route, front.config.hold, front.bodies.clone(), down));
+    let hold = front.config.hold;
+    let call = Arc::new(Call::new(head.uri, head.headers, route, hold, front.bodies.clone(), down, client));
     let _leaves = Leaves(call.clone());
     let (mut reading, whole_by) =
         (!body.is_end_stream(), answer_by.min(received + front.config.request_time));
@@ -438,7 +456,7 @@
             return;
         }
     }
-    let work = Box::new(CallWork { nodes: front.nodes.clone(), call: call.clone() });
+    let work = Arc::new(CallWork { nodes: front.nodes.clone(), call: call.clone() });
     match front.handle.submit(arrival, work) {
         None => out.finish(&Final::NoRoom(NO_ROOM)),
         Some(pending) => carry(&call, out, body, reading, passed, pending, answer_by).await,
--- a/src/net/grpc/tap.rs
+++ b/src/net/grpc/tap.rs
@@ -4,7 +4,6 @@
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 /// Told of bytes that came from the socket and of those that it took.
 pub trait Tap: Unpin {
@@ -14,18 +13,18 @@
     fn blocked(&mut self) {}
 }
 
-pub struct Tapped<T> {
-    stream: TcpStream,
+pub struct Tapped<S, T> {
+    stream: S,
     tap: T,
 }
 
-impl<T: Tap> Tapped<T> {
-    pub fn new(stream: TcpStream, tap: T) -> Tapped<T> {
+impl<S, T: Tap> Tapped<S, T> {
+    pub fn new(stream: S, tap: T) -> Tapped<S, T> {
         Tapped { stream, tap }
     }
 }
 
-impl<T: Tap> AsyncRead for Tapped<T> {
+impl<S: AsyncRead + Unpin, T: Tap> AsyncRead for Tapped<S, T> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -38,7 +37,7 @@
     }
 }
 
-impl<T: Tap> AsyncWrite for Tapped<T> {
+impl<S: AsyncWrite + Unpin, T: Tap> AsyncWrite for Tapped<S, T> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let written = match Pin::new(&mut self.stream).poll_write(cx, buf) {
             Poll::Ready(written) => written?,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,6 +10,7 @@
 pub mod grpc;
 pub mod helm;
 pub mod ids;
+pub mod inbound;
 pub mod ops;
 pub mod passed;
 pub mod peers;
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -137,7 +137,7 @@
             let list = vec![own, other.local_addr().unwrap()];
             let peers = Peers::new(list, None, 0, Instant::now().into_std());
             let (talk, mouth) = Talk::open(any, peers).await.unwrap();
-            let serves = Phase { up: true, accept: true, last: false, close: false, ends: false };
+            let serves = crate::life::SERVING;
             let phase = watch::channel(serves);
             let here = talk.address().unwrap();
             let (core, _wanted) = Core::new(Settings::default(), 7, 10, Clock::start());
--- a/src/net/places.rs
+++ b/src/net/places.rs
@@ -23,6 +23,8 @@
     /// Its request is open.
     Waiting,
     Idle,
+    /// All is said, and its write end is shut.
+    Lingering,
 }
 
 struct State {
@@ -93,8 +95,8 @@
         self.taken().seats.values().filter(|state| state.doing == Doing::Idle).count()
     }
 
-    /// A place for a connection that has come. Where none is left, one without an open request goes: first of all
-    /// the oldest that never had an answer, so that a flood of such costs nobody else; then the longest idle. What
+    /// A place for a connection that has come. Where none is left, one without an open request goes: first what only
+    /// lingers, then the oldest that never had an answer, so that a flood of such costs nobody else; then the longest idle. What
     /// comes meanwhile takes a spare place: waiting for each to go before the next is accepted would leave others
     /// in the system's queue, whose time runs already.
     pub async fn take(&self) -> Seat {
@@ -115,7 +117,9 @@
         let mut taken = self.taken();
         let others = taken.seats.iter_mut().filter(|(id, _)| **id != but).map(|(_, state)| state);
         let able = others.filter(|s| s.doing != Doing::Waiting && s.told.is_none());
-        if let Some(state) = able.min_by_key(|s| (s.known, s.doing != Doing::Idle, s.since)) {
+        if let Some(state) =
+            able.min_by_key(|s| (s.doing != Doing::Lingering, s.known, s.doing != Doing::Idle, s.since))
+        {
             state.tell(Instant::now());
             taken.counts.for_others += 1;
         }
@@ -154,7 +158,7 @@
         let many = seats.len() > self.part.of(limits.most) / 2;
         for state in seats.values_mut() {
             let limit = match (state.doing, state.told) {
-                (Doing::Waiting | Doing::Reading, _) => continue,
+                (Doing::Waiting | Doing::Reading | Doing::Lingering, _) => continue,
                 (_, Some(told)) if now > told + LAST_BYTES => Duration::ZERO,
                 (_, Some(_)) => continue,
                 (Doing::Asking, None) => limits.request,
@@ -269,6 +273,17 @@
         idle > if known { most + most / 3 } else { most }
     }
 
+    /// All is said: what still comes on it is read for a while and thrown away. It may be told to go once more.
+    pub fn lingers(&self) {
+        self.set(Doing::Lingering);
+        self.with(|seat| seat.told = None);
+    }
+
+    /// It has been told to go: its next answer is its last.
+    pub fn is_told(&self) -> bool {
+        self.with(|seat| seat.told.is_some()).unwrap_or(true)
+    }
+
     pub fn is_asking(&self) -> bool {
         matches!(self.with(|state| state.doing), Some(Doing::Asking | Doing::Reading))
     }
--- a/src/net/places/tests.rs
+++ b/src/net/places/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use futures_util::FutureExt;
 
@@ -89,3 +88,25 @@
         assert!(open_ones.iter().all(|seat| told(seat).is_none()));
     });
 }
+
+#[test]
+fn a_connection_that_only_lingers_is_the_first_to_go_and_no_time_of_its_own_ends_it() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let places = places(2);
+        let (silent, lingers) = (places.sit(), places.sit());
+        lingers.answered();
+        places.look(Instant::now() + IDLE);
+        assert_eq!((told(&lingers), silent.is_told(), lingers.is_told()), (Some(true), true, true));
+        lingers.lingers();
+        assert!(!lingers.is_told());
+        places.look(Instant::now() + 2 * IDLE);
+        assert_eq!(told(&lingers), None);
+        let goes = async {
+            lingers.told_to_leave().await;
+            drop(lingers);
+        };
+        let (_next, ()) = tokio::join!(places.take(), goes);
+        assert!(places.held() == 2 && places.counts().for_others == 1);
+    });
+}
--- a/src/net/sftp/back.rs
+++ b/src/net/sftp/back.rs
@@ -6,6 +6,7 @@
 use crate::config::{Config, NodeLimits};
 use crate::core::{Attempt, Report, Try, Work};
 use crate::ending::End;
+use crate::net::inbound::Presence;
 use crate::net::pool::{Pool, Quiet};
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
@@ -213,10 +214,15 @@
 pub struct FileWork {
     pub stores: Stores,
     pub job: Job,
+    pub client: Presence,
 }
 
 impl Work for FileWork {
     fn attempt(&self, a_try: Try) -> Attempt {
         Box::pin(self.stores.clone().attempt(self.job.clone(), a_try))
     }
+
+    fn left(&self) -> bool {
+        self.client.has_left()
+    }
 }
--- a/src/net/sftp/front.rs
+++ b/src/net/sftp/front.rs
@@ -11,6 +11,7 @@
 use crate::life::Phase;
 use crate::net::front::accept_all;
 use crate::net::helm::until;
+use crate::net::inbound::{Inbound, Presence};
 use crate::net::places::{Places, Seat};
 use bytes::Bytes;
 use futures_util::stream::FuturesUnordered;
@@ -18,7 +19,7 @@
 use log::debug;
 use std::collections::BTreeMap;
 use std::panic::AssertUnwindSafe;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Mutex, watch};
@@ -58,11 +59,12 @@
 }
 
 async fn client(stream: TcpStream, seat: Seat, front: Front) {
-    let _ = stream.set_nodelay(true); // only a matter of speed
+    let (inbound, client) = Inbound::new(stream);
     let mut session = Session {
-        packets: Framed::new(stream, packet::frames()),
+        packets: Framed::new(inbound, packet::frames()),
+        client: client.clone(),
         front,
-        seat,
+        seat: seat.clone(),
         files: BTreeMap::new(),
         last: 0,
         in_flight: FuturesUnordered::new(),
@@ -70,10 +72,13 @@
     let reason = session.run().await;
     let (handles, in_flight) = (session.files.len(), session.in_flight.len());
     event!(FILE_CLIENT_GONE, reason, handles, in_flight);
+    drop(session);
+    client.linger(&seat).await;
 }
 
 struct Session {
-    packets: Framed<TcpStream, tokio_util::codec::LengthDelimitedCodec>,
+    packets: Framed<Inbound, tokio_util::codec::LengthDelimitedCodec>,
+    client: Presence,
     front: Front,
     seat: Seat,
     files: BTreeMap<u64, Arc<File>>,
@@ -101,10 +106,14 @@
         }
         let mut phase = self.front.phase.clone();
         let mut wanted = false;
+        let client = self.client.clone();
+        let mut gone = pin!(client.left());
         loop {
-            if self.in_flight.is_empty() {
+            let idle = self.in_flight.is_empty();
+            if idle {
                 self.seat.answered();
-                if wanted {
+                // A command that has come in this very moment is read before the connection closes.
+                if wanted && !client.has_unread() {
                     return "its place was wanted";
                 }
             } else {
@@ -123,9 +132,10 @@
                         return "it takes no replies";
                     }
                 }
+                // Its end is seen also while it is not read from.
+                () = &mut gone => return "it closed the connection",
                 _ = self.seat.told_to_leave() => wanted = true,
-                () = until(&mut phase, |phase| phase.close), if self.in_flight.is_empty() => return "the head leaves",
-                packet = self.packets.next(), if !full && !wanted => {
+                packet = self.packets.next(), if !full && (idle || !wanted) => {
                     let received = Instant::now();
                     let packet = match packet {
                         Some(Ok(packet)) => packet.freeze(),
@@ -141,6 +151,11 @@
                         Err(Malformed { id: None, what }) => return what,
                     }
                 }
+                () = until(&mut phase, |phase| phase.close), if idle => {
+                    if !client.has_unread() {
+                        return "the head leaves";
+                    }
+                }
             }
         }
     }
@@ -170,9 +185,10 @@
         match self.plan(command) {
             Err(reply) => self.answer(id, reply),
             Ok(Step { path, deed, file, opens }) => {
-                let front = self.front.clone();
+                let (front, client) = (self.front.clone(), self.client.clone());
                 self.in_flight.push(Box::pin(async move {
-                    let done = AssertUnwindSafe(carry_out(&front, path, deed, file, received)).catch_unwind();
+                    let done = AssertUnwindSafe(carry_out(&front, client, path, deed, file, received))
+                        .catch_unwind();
                     let reply = done.await.unwrap_or_else(|_| {
                         event!(HANDLER_PANIC, front = "file commands");
                         Err(Reply::status(Status::Failure, "failed; it may have been done"))
@@ -266,6 +282,7 @@
 
 async fn carry_out(
     front: &Front,
+    client: Presence,
     path: String,
     deed: Deed,
     file: Option<Arc<File>>,
@@ -298,8 +315,8 @@
         shard: Some(place.shard),
         answer_by,
     };
-    let work = FileWork { stores: front.stores.clone(), job: Job { path, deed } };
-    let answer = match front.handle.submit(arrival, Box::new(work)) {
+    let work = FileWork { stores: front.stores.clone(), job: Job { path, deed }, client };
+    let answer = match front.handle.submit(arrival, Arc::new(work)) {
         Some(pending) => pending.await,
         None => Answer::Refused(Duration::from_secs(1)),
     };
--- a/src/net/twins/tests.rs
+++ b/src/net/twins/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use std::cell::Cell;
 
