A change in the list counts as told after 6 s, whatever failed, was refused or given up

A watch that trickles bytes of no whole list was never broken. An older whole list on a standing watch undid a drain that had been told. Change: listing takes the least of the settings' time and 6 s from when the list was last whole, or from the last call that failed while all heads' calls take less than a call may wait (57 heads at 35 ms): of a crowd's head a failed call proves nothing. A list or a beat has to be whole every 6 s. An older whole list is none on a watch that told a newer one; as the first of a new watch it stands, and brings no leaving node back.

--- a/src/listing.rs
+++ b/src/listing.rs
@@ -5,10 +5,14 @@
 
 /// While nothing changes a watch says so this often.
 pub const BEAT: Micros = 2_000_000;
-/// What a watch misses that has fallen silent counts as told so long after that; and what there is to tell, so long
-/// after discovery has moved.
-const TOLD_SILENT: Micros = 6_000_000;
+/// A change counts as told so long after discovery had it and could be reached, whatever fell silent, failed, was refused
+/// or given up; and so long after discovery has moved.
+pub const TOLD: Micros = 6_000_000;
 const TOLD_MOVED: Micros = 4_000_000;
+/// Discovery works through its calls in turn and fails those that wait for `CALL_WAITS`. While what all hosts ask takes
+/// less, a call that fails does so because discovery is down; of one host in a crowd that cannot be said.
+pub const CALL_TURN: Micros = 35_000;
+const CALL_WAITS: Micros = 2_000_000;
 /// The part of the time in which sends have to end that is kept back: for a turn on a busy core, and the way out.
 const KEPT: f64 = 0.2;
 
@@ -32,8 +36,9 @@
     beats: bool,
     /// When the list was last known to be whole: by a line, by a beat, by the host's start.
     heard: Micros,
-    /// The last call that failed.
+    /// The last call that failed; and the last that failed because discovery could not be reached.
     asked: Micros,
+    down: Micros,
     called: Micros,
     moved: Option<Micros>,
 }
@@ -53,16 +58,19 @@
                 *self = Listing { stand: Stand::Ended, heard: now, ..Listing::default() };
             }
             News::Cached => *self = Listing::default(),
-            // A call without an answer may be a watch at the other end, silent since the call at the earliest.
-            News::Silent if self.stand == Stand::Ended => {
-                (self.stand, self.heard) = (Stand::Silent, self.called)
-            }
+            // So is a call without an answer: it may be a watch at the other end. What was missed before it counts too.
             News::Silent => self.stand = Stand::Silent,
-            News::Moved => self.moved = Some(now),
+            // What the first of several places had is not told later for the second.
+            News::Moved => self.moved = self.moved.or(Some(now)),
             // A call that fails tells nothing of what a silent watch missed. Where lists are pushed, an agent that
             // gives no answer at once has none: it learns nothing while discovery is down.
             News::Failed if self.stand == Stand::Silent && settings.must_subscribe => {}
-            News::Failed if settings.must_subscribe => (self.stand, self.asked) = (Stand::Ended, self.called),
+            News::Failed if settings.must_subscribe => {
+                (self.stand, self.asked) = (Stand::Ended, self.called);
+                if CALL_TURN * u64::from(settings.hosts) < CALL_WAITS {
+                    self.down = self.called;
+                }
+            }
             News::Failed => (self.stand, self.asked, self.moved) = (Stand::Ended, now, None),
         }
     }
@@ -78,12 +86,13 @@
         let told = match self.stand {
             Stand::Untold => Micros::MAX,
             Stand::Watched if !self.beats => Micros::MAX,
-            Stand::Watched | Stand::Silent => self.heard.saturating_add(TOLD_SILENT),
+            Stand::Watched | Stand::Silent => self.heard.max(self.down).saturating_add(TOLD),
             Stand::Ended if settings.must_subscribe && settings.ask_within == 0 => Micros::MAX,
-            Stand::Ended => {
-                let within = if settings.must_subscribe { settings.ask_within } else { 0 };
-                self.heard.max(self.asked).saturating_add(within)
+            Stand::Ended if settings.must_subscribe => {
+                let by_settings = self.heard.max(self.asked).saturating_add(settings.ask_within);
+                by_settings.min(self.heard.max(self.down).saturating_add(TOLD))
             }
+            Stand::Ended => self.heard.max(self.asked),
         };
         let moved = self.moved.map_or(Micros::MAX, |at| at.saturating_add(TOLD_MOVED));
         let left = ((1.0 - KEPT) * settings.stop_within as f64) as Micros;
--- a/src/listing/tests.rs
+++ b/src/listing/tests.rs
@@ -6,9 +6,9 @@
 type Row = (&'static str, bool, &'static [(u64, News)], u64);
 
 /// The list's state after so much news, each so many tenths of a second after the start.
-fn after(asked: bool, news: &[(u64, News)]) -> u64 {
-    let (ask_within, stop_within) = (10 * S, S);
-    let settings = Settings { must_subscribe: asked, ask_within, stop_within, ..Settings::default() };
+fn after(asked: bool, hosts: u32, ask_within: u64, news: &[(u64, News)]) -> u64 {
+    let stop_within = S;
+    let settings = Settings { must_subscribe: asked, hosts, ask_within, stop_within, ..Settings::default() };
     let mut list = Listing::default();
     for (at, news) in news {
         let now = 100 * S + at * S / 10;
@@ -24,18 +24,21 @@
     use News::*;
     const EVER: u64 = u64::MAX;
     let rows: &[Row] = &[
-        ("asked, a start", true, &[(0, Cached)], 108),
-        ("asked, a start whose calls fail", true, &[(0, Cached), (50, Failed), (90, Failed)], 188),
+        ("asked, a start", true, &[(0, Cached)], 68),
+        ("asked, a start whose calls fail", true, &[(0, Cached), (50, Failed), (90, Failed)], 148),
         ("asked, it stands", true, &[(0, Cached), (10, Watched), (11, Full)], 79),
         ("asked, beats", true, &[(0, Cached), (10, Watched), (30, Beat), (50, Beat)], 118),
         ("asked, silent", true, &[(10, Watched), (30, Beat), (55, Silent)], 98),
         ("a failed call is no news", true, &[(10, Watched), (30, Beat), (55, Silent), (80, Failed)], 98),
         ("what a silent watch still says", true, &[(30, Watched), (55, Silent), (60, Beat)], 98),
         ("renewed", true, &[(30, Watched), (55, Silent), (80, Watched)], 148),
-        ("asked, ended", true, &[(10, Watched), (30, Beat), (40, Failed)], 138),
-        ("a call without an answer", true, &[(0, Cached), (40, Silent)], 98),
-        ("and another one", true, &[(0, Cached), (40, Silent), (80, Silent)], 98),
+        ("asked, ended", true, &[(10, Watched), (30, Beat), (40, Failed)], 98),
+        ("a call without an answer", true, &[(0, Cached), (40, Silent)], 68),
+        ("and another one", true, &[(0, Cached), (40, Silent), (80, Silent)], 68),
+        ("ended, then no answer", true, &[(30, Watched), (40, Failed), (55, Silent)], 98),
+        ("down, then no answer", true, &[(30, Watched), (40, Failed), (55, Failed), (70, Silent)], 113),
         ("moved", true, &[(10, Watched), (30, Beat), (35, Moved), (50, Beat), (60, Failed)], 83),
+        ("moved twice", true, &[(10, Watched), (35, Moved), (60, Moved), (65, Beat)], 83),
         ("moved and stands there", true, &[(10, Watched), (35, Moved), (60, Watched)], 128),
         ("the module's new start beside a watch", true, &[(10, Watched), (20, Cached), (30, Beat)], 98),
         ("pushed, a start", false, &[(0, Cached)], EVER),
@@ -44,10 +47,10 @@
         ("pushed, the agent is silent", false, &[(1, Watched), (46, Silent), (47, Failed)], 55),
         ("pushed, on and on", false, &[(46, Silent), (47, Failed), (52, Failed), (57, Failed)], 65),
         ("no beats, as on the simulator", true, &[(0, Cached), (10, Full), (30, Changes)], EVER),
-        ("no beats, broken", true, &[(0, Cached), (10, Full), (30, Failed)], 128),
+        ("no beats, broken", true, &[(0, Cached), (10, Full), (30, Failed)], 88),
     ];
     for (what, asked, news, until) in rows {
-        assert_eq!(after(*asked, news), *until, "{what}");
+        assert_eq!(after(*asked, 4, 10 * S, news), *until, "{what}");
     }
 }
 
@@ -59,3 +62,21 @@
     list.note(4 * S, News::Silent, &settings);
     assert_eq!(list.good_until(&settings), Micros::MAX);
 }
+
+/// Whatever failed, a change counts as told 6 s after discovery had it and could be reached. Few heads' failed calls say
+/// that it could not; one of a crowd's may have waited too long.
+#[test]
+fn a_failed_call_puts_off_what_counts_as_told_only_where_discovery_was_down() {
+    use News::*;
+    let fails: &[(u64, News)] = &[(10, Watched), (30, Beat), (40, Failed), (60, Failed), (80, Failed)];
+    for (what, hosts, ask_within, until) in [
+        ("few", 4, 10 * S, 138),
+        ("as many as are served while a call waits", 57, 10 * S, 138),
+        ("a crowd", 58, 10 * S, 98),
+        ("a crowd of a thousand", 1_024, 10 * S, 98),
+        ("held to it for less by the settings", 4, 2 * S, 98),
+        ("for more", 4, 60 * S, 138),
+    ] {
+        assert_eq!(after(true, hosts, ask_within, fails), until, "{what}");
+    }
+}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,10 +1,10 @@
 //! Discovery: the list of nodes as this head last had it, then a watch on its changes.
 
-use crate::config::NodeList;
+use crate::config::{ListedState, NodeList};
 use crate::core::{Handle, Input};
 use crate::event;
 use crate::interface::News;
-use crate::listing::BEAT;
+use crate::listing::{BEAT, TOLD};
 use bytes::{Buf, Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
@@ -12,6 +12,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -23,6 +24,8 @@
 /// From the call to the watch's first list. The service works through its calls in turn and fails those that waited
 /// too long by itself: a call without any answer is taken to be a watch that has fallen silent.
 const CALL: Duration = Duration::from_micros(BEAT * 3 / 2);
+/// One on which something comes, but neither a list nor a beat is whole for so long, tells nothing either.
+const WHOLE: Duration = Duration::from_micros(TOLD);
 const CONNECT: Duration = Duration::from_secs(2);
 /// No list is longer; a head has little memory, and 1,024 nodes take 300 kB, indented.
 const MOST_LIST: usize = 1024 * 1024;
@@ -74,7 +77,7 @@
 impl Discovery {
     pub async fn run(self, mut wanted: mpsc::UnboundedReceiver<()>) {
         let Discovery { address: mut place, known, handle, on_demand, stop_within } = self;
-        let mut version = known.version;
+        let mut held = Held { version: known.version, ..Held::default() };
         handle.send(Input::Nodes { news: News::Cached, nodes: known.servers });
         let tell = |news| handle.send(Input::Nodes { news, nodes: Vec::new() });
         if !on_demand {
@@ -87,7 +90,7 @@
         // The watch that stands stays until the one at the new address does, so that no change is missed between.
         let (mut stands, mut moving): (Option<Watch>, bool) = (None, false);
         let mut told: Option<Broken> = None;
-        let mut opening = (!on_demand).then(|| open(address, version, Duration::ZERO, call));
+        let mut opening = (!on_demand).then(|| open(address, held.version, Duration::ZERO, call));
         loop {
             let stood = stands.is_some();
             let broken = tokio::select! {
@@ -97,7 +100,7 @@
                     }
                     address = *place.borrow_and_update();
                     event!(WATCH_MOVES, address:%);
-                    (moving, opening) = (true, (!on_demand).then(|| open(address, version, Duration::ZERO, call)));
+                    (moving, opening) = (true, (!on_demand).then(|| open(address, held.version, Duration::ZERO, call)));
                     tell(News::Moved);
                     continue;
                 }
@@ -105,7 +108,7 @@
                     None => return,
                     Some(()) => {
                         if (moving || stands.is_none()) && opening.is_none() {
-                            opening = Some(open(address, version, Duration::ZERO, call));
+                            opening = Some(open(address, held.version, Duration::ZERO, call));
                         }
                         continue;
                     }
@@ -113,11 +116,11 @@
                 opened = async { opening.as_mut()?.await.into() }, if opening.is_some() => {
                     opening = None;
                     match opened {
-                        Some(Ok((watch, list))) => {
-                            event!(WATCH, version, address:%);
+                        Some(Ok((watch, mut list))) => {
+                            event!(WATCH, version = held.version, address:%);
                             (stands, moving, told) = (Some(watch), false, None);
                             // What was missed comes first: with the watch the list is whole.
-                            if let Some(news) = news(&mut version, &list) {
+                            if let Some(news) = held.news(&mut list, true) {
                                 handle.send(Input::Nodes { news, nodes: list.servers });
                             }
                             tell(News::Watched);
@@ -128,8 +131,8 @@
                     }
                 }
                 line = async { stands.as_mut()?.next().await.into() }, if stands.is_some() => match line {
-                    Some(Ok(Some(list))) => {
-                        if let Some(news) = news(&mut version, &list) {
+                    Some(Ok(Some(mut list))) => {
+                        if let Some(news) = held.news(&mut list, false) {
                             handle.send(Input::Nodes { news, nodes: list.servers });
                         }
                         continue;
@@ -149,12 +152,12 @@
             let silent = broken == Broken::Silent || on_demand && broken == Broken::Unanswered;
             // Calls that go on to fail in the same way are told once.
             if stood || on_demand || told.as_ref() != Some(&broken) {
-                event!(WATCH_BROKE, version, reason:% = broken);
+                event!(WATCH_BROKE, version = held.version, reason:% = broken);
             }
             told = Some(broken);
             if opening.is_none() && !on_demand {
                 let wait = if silent { Duration::ZERO } else { renew };
-                opening = Some(open(address, version, wait, call));
+                opening = Some(open(address, held.version, wait, call));
             }
             if opening.is_none() {
                 // Whatever was asked while the watch stood is answered by this failure.
@@ -181,6 +184,7 @@
 async fn call(address: SocketAddr, after: u64) -> Result<(Watch, NodeList), Broken> {
     let mut http = HttpConnector::new();
     http.set_connect_timeout(Some(CONNECT));
+    http.set_nodelay(true);
     // A client of its own for each watch: dropped with it, so that no connection outlives a broken one.
     let client: Client<_, Empty<Bytes>> =
         Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build(http);
@@ -191,8 +195,8 @@
     if answer.status() != StatusCode::OK {
         return Err(Broken::Status(answer.status()));
     }
-    let heard = Instant::now();
-    let mut watch = Watch { body: answer.into_body(), texts: Texts::default(), heard };
+    let now = Instant::now();
+    let mut watch = Watch { body: answer.into_body(), texts: Texts::default(), heard: now, whole: now };
     loop {
         if let Some(list) = watch.next().await? {
             return Ok((watch, list));
@@ -203,38 +207,78 @@
 struct Watch {
     body: Incoming,
     texts: Texts,
-    /// When a byte last came.
+    /// When a byte last came, and when a list or a beat was last whole.
     heard: Instant,
+    whole: Instant,
 }
 
 impl Watch {
     /// The next list, or `None` for a beat. May be dropped while it waits, and loses nothing.
     async fn next(&mut self) -> Result<Option<NodeList>, Broken> {
         loop {
-            match self.texts.next()? {
-                Next::List(list) => return Ok(Some(list)),
-                Next::Beat => return Ok(None),
-                Next::Torn => {}
-            }
-            let frame = timeout_at(self.heard + SILENCE, self.body.frame()).await;
-            let Some(Ok(frame)) = frame.map_err(|_| Broken::Silent)? else { return Err(Broken::Ended) };
-            self.heard = Instant::now();
-            if let Ok(data) = frame.into_data() {
-                self.texts.add(&data)?;
-            }
+            let list = match self.texts.next()? {
+                Next::List(list) => Some(list),
+                Next::Beat => None,
+                Next::Torn => {
+                    self.read().await?;
+                    continue;
+                }
+            };
+            self.whole = Instant::now();
+            return Ok(list);
         }
     }
+
+    async fn read(&mut self) -> Result<(), Broken> {
+        let until = (self.heard + SILENCE).min(self.whole + WHOLE);
+        let frame = timeout_at(until, self.body.frame()).await;
+        let Some(Ok(frame)) = frame.map_err(|_| Broken::Silent)? else { return Err(Broken::Ended) };
+        self.heard = Instant::now();
+        if let Ok(data) = frame.into_data() {
+            self.texts.add(&data)?;
+        }
+        Ok(())
+    }
+}
+
+/// What is held of the list: its version, and which nodes leave by it, with their last starts.
+#[derive(Debug, Default)]
+struct Held {
+    version: u64,
+    leaving: BTreeMap<String, u64>,
 }
 
-/// Whether a list is news. Changes that are no newer than what is held are not: a late one would undo a later one.
-fn news(version: &mut u64, list: &NodeList) -> Option<News> {
-    if list.full {
-        *version = list.version;
-        return Some(News::Full);
+impl Held {
+    /// What is news in a list. Changes that are no newer than what is held are none: a late one would undo a later one. A
+    /// whole list that is older is none on a watch that has told a newer one; as the first of another watch it may be all
+    /// that discovery has since it began anew, and stands, but brings back no node that is known to leave.
+    fn news(&mut self, list: &mut NodeList, first: bool) -> Option<News> {
+        let older = list.version < self.version;
+        if list.full && older && !first {
+            return None;
+        }
+        if !list.full && list.version <= self.version && !list.servers.is_empty() {
+            return None;
+        }
+        for node in &mut list.servers {
+            let leaves = self.leaving.get(&node.id) == Some(&node.started_ms);
+            if list.full && older && leaves && node.state == ListedState::InService {
+                node.state = ListedState::Terminating;
+            }
+        }
+        if list.full && !older {
+            self.leaving.clear();
+        }
+        for node in &list.servers {
+            if node.state == ListedState::InService {
+                self.leaving.remove(&node.id);
+            } else {
+                self.leaving.insert(node.id.clone(), node.started_ms);
+            }
+        }
+        self.version = if list.full { list.version } else { list.version.max(self.version) };
+        Some(if list.full { News::Full } else { News::Changes })
     }
-    let newer = list.version > *version || list.servers.is_empty();
-    *version = list.version.max(*version);
-    newer.then_some(News::Changes)
 }
 
 /// Cuts what comes into lists: JSON objects, on one line or over many, with empty lines between them as beats.
--- a/src/net/discovery/tests.rs
+++ b/src/net/discovery/tests.rs
@@ -1,12 +1,12 @@
 use super::*;
 
-fn told(texts: &mut Texts, version: &mut u64, text: &str) -> Vec<(News, u64, usize)> {
+fn told(texts: &mut Texts, held: &mut Held, text: &str) -> Vec<(News, u64, usize)> {
     texts.add(text.as_bytes()).unwrap();
     let mut all = Vec::new();
     loop {
         match texts.next().unwrap() {
-            Next::List(list) => {
-                all.extend(news(version, &list).map(|news| (news, list.version, list.servers.len())));
+            Next::List(mut list) => {
+                all.extend(held.news(&mut list, false).map(|news| (news, list.version, list.servers.len())));
             }
             Next::Beat => all.push(BEAT),
             Next::Torn => return all,
@@ -20,8 +20,8 @@
 fn changes_are_told_in_version_order_and_torn_lines_are_none() {
     let entry = r#"{"id":"s-{1}\\","addr":"127.0.0.1:1","cell":3,"state":"terminating"}"#;
     let line = |version, full| format!("{{\"version\":{version},\"full\":{full},\"servers\":[{entry}]}}\n");
-    let (mut texts, mut version) = (Texts::default(), 41);
-    let mut news = |text: &str| told(&mut texts, &mut version, text);
+    let (mut texts, mut held) = (Texts::default(), Held { version: 41, ..Held::default() });
+    let mut news = |text: &str| told(&mut texts, &mut held, text);
     assert_eq!(news(&format!("\n{}\r\n\n", line(42, false).trim())), [BEAT, (News::Changes, 42, 1), BEAT]);
     assert_eq!(news(&line(42, false)), []);
     assert_eq!(news(&line(41, false)), []);
@@ -29,7 +29,8 @@
     assert_eq!(news(&a[..30]), []);
     let rest = news(&format!("{}{b}", &a[30..]));
     assert_eq!(rest, [(News::Changes, 44, 1), (News::Full, 45, 1)]);
-    assert_eq!(news(&line(3, true)), [(News::Full, 3, 1)]);
+    assert_eq!(news(&line(3, true)), [], "on one watch an older list is none, whole or not");
+    assert_eq!(news(&line(45, true)), [(News::Full, 45, 1)]);
 }
 
 #[test]
@@ -41,9 +42,9 @@
     let text = format!("{}\n\n", serde_json::to_string_pretty(&list).unwrap());
     assert!(text.len() < MOST_LIST / 4);
     for piece in [1, 7, 4096, text.len()] {
-        let (mut texts, mut version, mut all) = (Texts::default(), 0, Vec::new());
+        let (mut texts, mut held, mut all) = (Texts::default(), Held::default(), Vec::new());
         for piece in text.as_bytes().chunks(piece) {
-            all.extend(told(&mut texts, &mut version, std::str::from_utf8(piece).unwrap()));
+            all.extend(told(&mut texts, &mut held, std::str::from_utf8(piece).unwrap()));
         }
         // The end of its own line may come by itself, and looks like a beat then: nothing has changed since.
         assert_eq!(all[..2], [(News::Full, 7, 1024), BEAT], "{piece}");
@@ -60,3 +61,37 @@
     let mut texts = Texts::default();
     assert_eq!(texts.add(&vec![b'x'; MOST_LIST + 1]), Err(Broken::LongList));
 }
+
+/// A node that is known to leave, and what lists say of it then.
+#[test]
+fn no_older_list_brings_a_leaving_node_back() {
+    use ListedState::*;
+    let list = |version, full, nodes: &[(&str, ListedState, u64)]| {
+        let node = |(id, state, started_ms): &(&str, ListedState, u64)| crate::config::ListedNode {
+            id: id.to_string(),
+            addr: "127.0.0.1:1".into(),
+            zone: "a".into(),
+            cell: 0,
+            state: *state,
+            started_ms: *started_ms,
+        };
+        NodeList { version, full, servers: nodes.iter().map(node).collect() }
+    };
+    for (what, version, full, first, started, state) in [
+        ("older, as the first of a new watch", 40, true, true, 1, Some(Terminating)),
+        ("of another start", 40, true, true, 2, Some(InService)),
+        ("older, on the same watch", 40, true, false, 1, None),
+        ("older changes", 40, false, true, 1, None),
+        ("as new", 43, true, true, 1, Some(InService)),
+        ("newer", 44, true, false, 1, Some(InService)),
+        ("newer changes", 44, false, false, 1, Some(InService)),
+    ] {
+        let mut held = Held::default();
+        assert_eq!(held.news(&mut list(42, true, &[("a", InService, 1)]), true), Some(News::Full));
+        assert_eq!(held.news(&mut list(43, false, &[("a", Terminating, 1)]), false), Some(News::Changes));
+        let mut later = list(version, full, &[("a", InService, started), ("b", InService, 0)]);
+        let news = held.news(&mut later, first);
+        assert_eq!(news.map(|_| later.servers[0].state), state, "{what}");
+        assert_eq!(later.servers[1].state, InService, "{what}");
+    }
+}
