--- a/src/bin/pathbank.rs
+++ b/src/bin/pathbank.rs
@@ -19,13 +19,13 @@
 use pathbank::net::fleet::{self, Fleet};
 use pathbank::net::front::{self, Front};
 use pathbank::net::grpc;
-use pathbank::net::helm::Helm;
 use pathbank::net::ids::Ids;
+use pathbank::net::lifecycle::Lifecycle;
 use pathbank::net::ops::{self, Desk};
 use pathbank::net::passed;
 use pathbank::net::peers::Talk;
-use pathbank::net::places::{Counts, Places};
 use pathbank::net::sftp;
+use pathbank::net::slots::{Counts, Slots};
 use pathbank::net::twins::{self, Twins};
 use pathbank::peers::Peers;
 use std::error::Error;
@@ -106,8 +106,8 @@
     }
     let handle = core.handle();
     handle.figures().name_classes(&config.names.classes);
-    let (helm, watched) = Helm::new(config.longest_deadline());
-    tokio::spawn(helm.clone().run());
+    let (lifecycle, watched) = Lifecycle::new(config.longest_deadline());
+    tokio::spawn(lifecycle.clone().run());
     if config.ops.is_some() {
         core.keep_figures();
     }
@@ -153,7 +153,7 @@
         place,
         logging: logging.clone(),
         handle: handle.clone(),
-        helm: helm.clone(),
+        lifecycle: lifecycle.clone(),
     };
     tokio::spawn(reload.run(hangup));
     let discovery = Discovery {
@@ -176,8 +176,8 @@
         uploads: Arc::new(Semaphore::new(config.most_held)),
         ids: Ids::new(config.most_ids, config.longest_deadline() + IDS_KEPT),
     };
-    let places = Places::new(config.clients).shared(handle.part());
-    tokio::spawn(places.clone().watch());
+    let slots = Slots::new(config.clients).shared(handle.part());
+    tokio::spawn(slots.clone().watch());
     let listener = match config.passed_socket {
         Some(descriptor) => {
             let listener = passed::take(descriptor, config.listen)
@@ -190,13 +190,13 @@
     if config.passed_socket.is_some() {
         meet(&config.name, &handle, &front.ids).await;
     }
-    let mut accepting = vec![tokio::spawn(front::serve(listener, front, places.clone()))];
+    let mut accepting = vec![tokio::spawn(front::serve(listener, front, slots.clone()))];
     if let Some(address) = config.ops {
-        let desk = Desk { figures: handle.figures().clone(), helm: helm.clone(), fleet };
+        let desk = Desk { figures: handle.figures().clone(), lifecycle: lifecycle.clone(), fleet };
         let callers = config.ops_callers;
         event!(OPS_UP, listen:% = ops::start(address, callers, desk)?, callers);
     }
-    let mut rooms = vec![places];
+    let mut rooms = vec![slots];
     if let Some(second) = second {
         let listener = TcpListener::bind(second.listen).await?;
         event!(FILES_UP, listen:% = listener.local_addr()?);
@@ -207,10 +207,10 @@
             phase: watched.clone(),
             config: Arc::new(second),
         };
-        let places = Places::new(front.config.clients);
-        tokio::spawn(places.clone().watch());
-        rooms.push(places.clone());
-        accepting.push(tokio::spawn(sftp::front::serve(listener, front, places)));
+        let slots = Slots::new(front.config.clients);
+        tokio::spawn(slots.clone().watch());
+        rooms.push(slots.clone());
+        accepting.push(tokio::spawn(sftp::front::serve(listener, front, slots)));
     }
     let third = match third {
         None => None,
@@ -228,10 +228,10 @@
                 counters: Arc::default(),
             };
             tokio::spawn(front.nodes.clone().watch());
-            let places = Places::new(front.config.clients);
-            tokio::spawn(places.clone().watch());
-            rooms.push(places.clone());
-            accepting.push(tokio::spawn(grpc::front::serve(listener, front.clone(), places)));
+            let slots = Slots::new(front.config.clients);
+            tokio::spawn(slots.clone().watch());
+            rooms.push(slots.clone());
+            accepting.push(tokio::spawn(grpc::front::serve(listener, front.clone(), slots)));
             Some(front)
         }
     };
@@ -243,10 +243,10 @@
             return Err("the core ended".into());
         }
     }
-    leave(&helm, config.passed_socket.is_some(), accepting, &handle, &rooms).await;
+    leave(&lifecycle, config.passed_socket.is_some(), accepting, &handle, &rooms).await;
     let (opened, attempts) = back.counts();
-    for places in &rooms {
-        let Counts { taken, over_limit, for_others } = places.counts();
+    for slots in &rooms {
+        let Counts { taken, over_limit, for_others } = slots.counts();
         event!(CLIENTS, taken, over_limit, for_others);
     }
     if let Some(front) = third {
@@ -292,7 +292,7 @@
     place: watch::Sender<SocketAddr>,
     logging: Arc<Logging>,
     handle: Handle,
-    helm: Helm,
+    lifecycle: Lifecycle,
 }
 
 impl Reload {
@@ -321,24 +321,30 @@
         // The core knows a number before any front can give it one.
         self.handle.send(Input::Settings { settings: Box::new(settings), names });
         self.names.send_replace(Arc::new(directory));
-        self.helm.set_longest(config.longest_deadline());
+        self.lifecycle.set_longest(config.longest_deadline());
         self.place.send_if_modified(|now| std::mem::replace(now, config.discovery) != config.discovery);
     }
 }
 
 /// Serves as `life` has it until nobody is connected any more, or until the last answers are due: then what is open
 /// fails.
-async fn leave(helm: &Helm, shared: bool, accepting: Vec<JoinHandle<()>>, handle: &Handle, rooms: &[Places]) {
+async fn leave(
+    lifecycle: &Lifecycle,
+    shared: bool,
+    accepting: Vec<JoinHandle<()>>,
+    handle: &Handle,
+    rooms: &[Slots],
+) {
     event!(LEAVING, open = handle.open());
-    helm.end(shared);
-    let Some(last) = helm.last() else { return };
+    lifecycle.end(shared);
+    let Some(last) = lifecycle.last() else { return };
     // Each connection holds a place: with none accepted any more and no place held, all answers are out.
     let gone = async {
         for front in accepting {
             let _ = front.await; // one that panicked accepts nothing either
         }
-        for places in rooms {
-            places.empty().await;
+        for slots in rooms {
+            slots.empty().await;
         }
     };
     if timeout_at(last, gone).await.is_err() {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -196,7 +196,7 @@
         return Err(Broken::Status(answer.status()));
     }
     let now = Instant::now();
-    let mut watch = Watch { body: answer.into_body(), texts: Texts::default(), heard: now, whole: now };
+    let mut watch = Watch { body: answer.into_body(), reader: ListReader::default(), heard: now, whole: now };
     loop {
         if let Some(list) = watch.next().await? {
             return Ok((watch, list));
@@ -206,7 +206,7 @@
 
 struct Watch {
     body: Incoming,
-    texts: Texts,
+    reader: ListReader,
     /// When a byte last came, and when a list or a beat was last whole.
     heard: Instant,
     whole: Instant,
@@ -216,10 +216,10 @@
     /// The next list, or `None` for a beat. May be dropped while it waits, and loses nothing.
     async fn next(&mut self) -> Result<Option<NodeList>, Broken> {
         loop {
-            let list = match self.texts.next()? {
+            let list = match self.reader.next()? {
                 Next::List(list) => Some(list),
                 Next::Beat => None,
-                Next::Torn => {
+                Next::Incomplete => {
                     self.read().await?;
                     continue;
                 }
@@ -235,7 +235,7 @@
         let Some(Ok(frame)) = frame.map_err(|_| Broken::Silent)? else { return Err(Broken::Ended) };
         self.heard = Instant::now();
         if let Ok(data) = frame.into_data() {
-            self.texts.add(&data)?;
+            self.reader.add(&data)?;
         }
         Ok(())
     }
@@ -283,9 +283,9 @@
 
 /// Cuts what comes into lists: JSON objects, on one line or over many, with empty lines between them as beats.
 #[derive(Debug, Default)]
-struct Texts {
-    torn: BytesMut,
-    /// How far `torn` has been looked at; braces and brackets that are open there, and whether a string is.
+struct ListReader {
+    pending: BytesMut,
+    /// How far `pending` has been looked at; braces and brackets that are open there, and whether a string is.
     seen: usize,
     open: usize,
     string: bool,
@@ -299,17 +299,17 @@
     List(NodeList),
     Beat,
     /// What has come is not whole yet.
-    Torn,
+    Incomplete,
 }
 
-impl Texts {
+impl ListReader {
     fn add(&mut self, data: &[u8]) -> Result<(), Broken> {
-        self.torn.extend_from_slice(data);
-        if self.torn.len() > MOST_LIST { Err(Broken::LongList) } else { Ok(()) }
+        self.pending.extend_from_slice(data);
+        if self.pending.len() > MOST_LIST { Err(Broken::LongList) } else { Ok(()) }
     }
 
     fn next(&mut self) -> Result<Next, Broken> {
-        while let Some(byte) = self.torn.get(self.seen) {
+        while let Some(byte) = self.pending.get(self.seen) {
             self.seen += 1;
             match byte {
                 _ if self.escaped => self.escaped = false,
@@ -326,7 +326,7 @@
                 // Outside of an object a line's end ends what stands on it.
                 b'\n' if self.open == 0 && self.begun => return self.cut().map(Next::List),
                 b'\n' if self.open == 0 => {
-                    self.torn.advance(self.seen);
+                    self.pending.advance(self.seen);
                     self.seen = 0;
                     return Ok(Next::Beat);
                 }
@@ -334,16 +334,16 @@
             }
             self.begun |= !byte.is_ascii_whitespace();
         }
-        Ok(Next::Torn)
+        Ok(Next::Incomplete)
     }
 
     fn cut(&mut self) -> Result<NodeList, Broken> {
-        let text = self.torn.split_to(self.seen);
+        let text = self.pending.split_to(self.seen);
         // What is left of its line is no beat.
-        let rest = self.torn.iter().take_while(|byte| matches!(byte, b' ' | b'\t' | b'\r')).count();
-        let line = rest + usize::from(self.torn.get(rest) == Some(&b'\n'));
-        self.torn.advance(line);
-        *self = Texts { torn: std::mem::take(&mut self.torn), ..Texts::default() };
+        let rest = self.pending.iter().take_while(|byte| matches!(byte, b' ' | b'\t' | b'\r')).count();
+        let line = rest + usize::from(self.pending.get(rest) == Some(&b'\n'));
+        self.pending.advance(line);
+        *self = ListReader { pending: std::mem::take(&mut self.pending), ..ListReader::default() };
         serde_json::from_slice(&text).map_err(|error| Broken::BadList(error.to_string()))
     }
 }
--- a/src/net/discovery/tests.rs
+++ b/src/net/discovery/tests.rs
@@ -1,15 +1,15 @@
 use super::*;
 
-fn told(texts: &mut Texts, held: &mut Held, text: &str) -> Vec<(News, u64, usize)> {
-    texts.add(text.as_bytes()).unwrap();
+fn told(reader: &mut ListReader, held: &mut Held, text: &str) -> Vec<(News, u64, usize)> {
+    reader.add(text.as_bytes()).unwrap();
     let mut all = Vec::new();
     loop {
-        match texts.next().unwrap() {
+        match reader.next().unwrap() {
             Next::List(mut list) => {
                 all.extend(held.news(&mut list, false).map(|news| (news, list.version, list.servers.len())));
             }
             Next::Beat => all.push(BEAT),
-            Next::Torn => return all,
+            Next::Incomplete => return all,
         }
     }
 }
@@ -20,8 +20,8 @@
 fn changes_are_told_in_version_order_and_torn_lines_are_none() {
     let entry = r#"{"id":"s-{1}\\","addr":"127.0.0.1:1","cell":3,"state":"terminating"}"#;
     let line = |version, full| format!("{{\"version\":{version},\"full\":{full},\"servers\":[{entry}]}}\n");
-    let (mut texts, mut held) = (Texts::default(), Held { version: 41, ..Held::default() });
-    let mut news = |text: &str| told(&mut texts, &mut held, text);
+    let (mut reader, mut held) = (ListReader::default(), Held { version: 41, ..Held::default() });
+    let mut news = |text: &str| told(&mut reader, &mut held, text);
     assert_eq!(news(&format!("\n{}\r\n\n", line(42, false).trim())), [BEAT, (News::Changes, 42, 1), BEAT]);
     assert_eq!(news(&line(42, false)), []);
     assert_eq!(news(&line(41, false)), []);
@@ -42,9 +42,9 @@
     let text = format!("{}\n\n", serde_json::to_string_pretty(&list).unwrap());
     assert!(text.len() < MOST_LIST / 4);
     for piece in [1, 7, 4096, text.len()] {
-        let (mut texts, mut held, mut all) = (Texts::default(), Held::default(), Vec::new());
+        let (mut reader, mut held, mut all) = (ListReader::default(), Held::default(), Vec::new());
         for piece in text.as_bytes().chunks(piece) {
-            all.extend(told(&mut texts, &mut held, std::str::from_utf8(piece).unwrap()));
+            all.extend(told(&mut reader, &mut held, std::str::from_utf8(piece).unwrap()));
         }
         // The end of its own line may come by itself, and looks like a beat then: nothing has changed since.
         assert_eq!(all[..2], [(News::Full, 7, 1024), BEAT], "{piece}");
@@ -54,12 +54,12 @@
 #[test]
 fn lists_that_are_unreadable_or_endless_break_the_watch() {
     for text in ["{\"version\":}", "nonsense\n", "]\n", "\"version\"\n", "{\"version\":1]"] {
-        let mut texts = Texts::default();
-        texts.add(text.as_bytes()).unwrap();
-        assert!(matches!(texts.next(), Err(Broken::BadList(_))), "{text}");
+        let mut reader = ListReader::default();
+        reader.add(text.as_bytes()).unwrap();
+        assert!(matches!(reader.next(), Err(Broken::BadList(_))), "{text}");
     }
-    let mut texts = Texts::default();
-    assert_eq!(texts.add(&vec![b'x'; MOST_LIST + 1]), Err(Broken::LongList));
+    let mut reader = ListReader::default();
+    assert_eq!(reader.add(&vec![b'x'; MOST_LIST + 1]), Err(Broken::LongList));
 }
 
 /// A node that is known to leave, and what lists say of it then.
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -10,10 +10,10 @@
     Back, Forward, ForwardWork, IDEMPOTENCY_KEY, MOST_BODY, MOST_LARGE, Passing, Payload, REQUEST_ID, TIMEOUT,
 };
 use crate::net::body::{Fault, Reading};
-use crate::net::helm::until;
 use crate::net::ids::Ids;
 use crate::net::inbound::{Inbound, Presence};
-use crate::net::places::{Places, Seat};
+use crate::net::lifecycle::until;
+use crate::net::slots::{Slot, Slots};
 use crate::net::source::Source;
 use axum::Extension;
 use axum::Router;
@@ -74,21 +74,21 @@
     pub ids: Ids,
 }
 
-pub async fn serve(listener: TcpListener, front: Front, places: Places) {
+pub async fn serve(listener: TcpListener, front: Front, slots: Slots) {
     let phase = front.phase.clone();
     let router = Router::new().route("/up", get(up)).fallback(take).with_state(front);
-    let connection = |stream, seat, phase: &watch::Receiver<Phase>| {
-        connection(stream, seat, router.clone(), phase.clone())
+    let connection = |stream, slot, phase: &watch::Receiver<Phase>| {
+        connection(stream, slot, router.clone(), phase.clone())
     };
-    accept_all(listener, places, phase, connection).await;
+    accept_all(listener, slots, phase, connection).await;
 }
 
 /// Accepts for as long as the phase has it, and then what has come until then; each connection is a task of its own.
 pub async fn accept_all<C: Future<Output = ()> + Send + 'static>(
     listener: TcpListener,
-    places: Places,
+    slots: Slots,
     mut phase: watch::Receiver<Phase>,
-    connection: impl Fn(TcpStream, Seat, &watch::Receiver<Phase>) -> C,
+    connection: impl Fn(TcpStream, Slot, &watch::Receiver<Phase>) -> C,
 ) {
     loop {
         let accepted = tokio::select! {
@@ -97,7 +97,7 @@
         };
         // What is accepted gets its place whatever the phase becomes meanwhile: dropped, it would be reset.
         match accepted {
-            Ok((stream, _)) => drop(tokio::spawn(connection(stream, places.take().await, &phase))),
+            Ok((stream, _)) => drop(tokio::spawn(connection(stream, slots.take().await, &phase))),
             Err(problem) => {
                 event!(ACCEPT_FAILED, problem:%);
                 // With no descriptor left it waits a moment rather than spin.
@@ -114,7 +114,7 @@
         waiting.as_ref().map_err(|_| ErrorKind::NotConnected.into()).and_then(|l| l.accept())
     {
         if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
-            tokio::spawn(connection(stream, places.take().await, &phase));
+            tokio::spawn(connection(stream, slots.take().await, &phase));
         }
     }
 }
@@ -128,19 +128,19 @@
     if phase.last { last_on_its_connection(response) } else { response }
 }
 
-async fn connection(stream: TcpStream, seat: Seat, router: Router, mut phase: watch::Receiver<Phase>) {
+async fn connection(stream: TcpStream, slot: Slot, router: Router, mut phase: watch::Receiver<Phase>) {
     let (inbound, client) = Inbound::new(stream);
-    let io = Watched { io: TokioIo::new(inbound), seat: seat.clone() };
-    let (of_request, of_client) = (seat.clone(), client.clone());
+    let io = Watched { io: TokioIo::new(inbound), slot: slot.clone() };
+    let (of_request, of_client) = (slot.clone(), client.clone());
     let service = service_fn(move |mut request: hyper::Request<Incoming>| {
         of_request.asking();
         request.extensions_mut().insert(of_request.clone());
         request.extensions_mut().insert(of_client.clone());
-        let (answer, seat) = (router.clone().call(request), of_request.clone());
+        let (answer, slot) = (router.clone().call(request), of_request.clone());
         async move {
             let response = answer.await?;
             let still_out = response.extensions().get::<StillOut>().is_some();
-            let last = if still_out { seat.had_better_go() } else { seat.answered() } || seat.is_told();
+            let last = if still_out { slot.had_better_go() } else { slot.answered() } || slot.is_told();
             Ok::<_, std::convert::Infallible>(if last { last_on_its_connection(response) } else { response })
         }
     });
@@ -159,17 +159,17 @@
             }
             () = until(&mut phase, |phase| phase.close), if !ends => {
                 ends = true;
-                if !half_way(&seat, &client) {
+                if !half_way(&slot, &client) {
                     served.as_mut().graceful_shutdown();
                 }
             }
-            orderly = seat.told_to_leave() => {
+            orderly = slot.told_to_leave() => {
                 if told || !orderly {
                     debug!("a client's connection is cut off");
                     return;
                 }
                 told = true;
-                if !half_way(&seat, &client) {
+                if !half_way(&slot, &client) {
                     served.as_mut().graceful_shutdown();
                 }
             }
@@ -179,19 +179,19 @@
         debug!("a client's connection ended: {problem}");
     }
     drop(served);
-    client.linger(&seat).await;
+    client.linger(&slot).await;
 }
 
 /// In the middle of a request, or with one that has come in this very moment: hyper would throw that away. Its answer says
 /// by itself that it is the last.
-fn half_way(seat: &Seat, client: &Presence) -> bool {
-    seat.is_asking() || client.has_unread()
+fn half_way(slot: &Slot, client: &Presence) -> bool {
+    slot.is_asking() || client.has_unread()
 }
 
 /// A client's connection that tells its place what comes.
 struct Watched {
     io: TokioIo<Inbound>,
-    seat: Seat,
+    slot: Slot,
 }
 
 impl hyper::rt::Read for Watched {
@@ -205,7 +205,7 @@
         let most = part.len().min(buf.remaining());
         let mut own = ReadBuf::new(&mut part[..most]);
         std::task::ready!(Pin::new(self.io.inner_mut()).poll_read(cx, &mut own))?;
-        self.seat.bytes_came(own.filled(), MOST_HEAD);
+        self.slot.bytes_came(own.filled(), MOST_HEAD);
         buf.put_slice(own.filled());
         Poll::Ready(Ok(()))
     }
@@ -228,13 +228,13 @@
 /// Whatever happens inside, a request gets one answer; a panic is one of the things that may.
 async fn take(
     State(front): State<Front>,
-    Extension(seat): Extension<Seat>,
+    Extension(slot): Extension<Slot>,
     Extension(client): Extension<Presence>,
     request: Request,
 ) -> Response {
     let received = Instant::now();
     let leaving = front.phase.clone();
-    let answered = AssertUnwindSafe(answer(&front, &seat, client, request, received)).catch_unwind().await;
+    let answered = AssertUnwindSafe(answer(&front, &slot, client, request, received)).catch_unwind().await;
     let mut response = answered.unwrap_or_else(|_| {
         event!(HANDLER_PANIC, front = "HTTP/1.1");
         StatusCode::INTERNAL_SERVER_ERROR.into_response()
@@ -252,7 +252,7 @@
 
 async fn answer(
     front: &Front,
-    seat: &Seat,
+    slot: &Slot,
     client: Presence,
     request: Request,
     received: Instant,
@@ -269,7 +269,7 @@
     let coded = head.headers.contains_key(header::TRANSFER_ENCODING);
     if coded
         && (head.headers.contains_key(header::CONTENT_LENGTH)
-            || seat.head_has(header::CONTENT_LENGTH.as_str()))
+            || slot.head_has(header::CONTENT_LENGTH.as_str()))
     {
         return denied(StatusCode::BAD_REQUEST, "a body with a length and a coding");
     }
@@ -305,9 +305,9 @@
     let held = length.unwrap_or(0).min(MOST_BODY as u64) as u32;
     let Ok(memory) = front.bodies.clone().try_acquire_many_owned(held) else {
         front.handle.figures().count(arrival.class, Count::Dropped);
-        return behind(reading, seat, refused(NO_ROOM));
+        return behind(reading, slot, refused(NO_ROOM));
     };
-    seat.reading();
+    slot.reading();
     let body = if length.is_some_and(|length| length <= MOST_BODY as u64) {
         match reading.whole().await {
             Ok(body) => Payload::Held { body, _memory: Some(memory) },
@@ -324,7 +324,7 @@
     if !front.ids.first_time(id.as_bytes(), received) {
         return denied(StatusCode::CONFLICT, "this id has been used");
     }
-    seat.waiting();
+    slot.waiting();
     // A request's time counts from its last byte.
     let answer_by = Instant::now() + wait;
     let source = match &body {
@@ -337,12 +337,12 @@
         return match source {
             // The connection goes with it, so that its place is free for the next one.
             None => last_on_its_connection(refused(NO_ROOM)),
-            Some(_) => behind(reading, seat, refused(NO_ROOM)),
+            Some(_) => behind(reading, slot, refused(NO_ROOM)),
         };
     };
     match source {
-        None => result(pending, begun, seat).await,
-        Some(source) => coming(reading, &source, pending, begun, seat).await,
+        None => result(pending, begun, slot).await,
+        Some(source) => coming(reading, &source, pending, begun, slot).await,
     }
 }
 
@@ -363,7 +363,7 @@
     source: &Source,
     pending: Pending,
     begun: oneshot::Receiver<Passing>,
-    seat: &Seat,
+    slot: &Slot,
 ) -> Response {
     let teller = pending.teller();
     let response = {
@@ -380,36 +380,36 @@
         };
         tokio::select! {
             biased;
-            response = result(pending, begun, seat) => response,
+            response = result(pending, begun, slot) => response,
             // Dropped with it, the request is its client's that has gone.
             fault = fault => return faulty(fault),
         }
     };
-    if source.is_over() { response } else { behind(reading, seat, response) }
+    if source.is_over() { response } else { behind(reading, slot, response) }
 }
 
 /// An answer before its request's end. What is still to come is read behind it: closed at once, a reset could overtake
 /// the answer, and a client that goes on writing would hear of none.
-fn behind(mut reading: Reading, seat: &Seat, mut response: Response) -> Response {
-    let seat = seat.clone();
+fn behind(mut reading: Reading, slot: &Slot, mut response: Response) -> Response {
+    let slot = slot.clone();
     response.extensions_mut().insert(StillOut);
     tokio::spawn(async move {
-        seat.reading();
+        slot.reading();
         // Whatever is wrong with it, hyper closes the connection when the body is dropped unread.
         while let Ok(Some(_)) = reading.next().await {}
-        seat.answered();
+        slot.answered();
     });
     response
 }
 
 /// The one answer, whole or as it comes.
-async fn result(mut pending: Pending, mut begun: oneshot::Receiver<Passing>, seat: &Seat) -> Response {
+async fn result(mut pending: Pending, mut begun: oneshot::Receiver<Passing>, slot: &Slot) -> Response {
     let mut may_begin = true;
     loop {
         tokio::select! {
             biased;
             began = &mut begun, if may_begin => match began {
-                Ok(passing) => return passed_on(passing, pending, seat),
+                Ok(passing) => return passed_on(passing, pending, slot),
                 // No attempt will: the request is over.
                 Err(_) => may_begin = false,
             },
@@ -422,9 +422,9 @@
     }
 }
 
-fn passed_on(passing: Passing, pending: Pending, seat: &Seat) -> Response {
+fn passed_on(passing: Passing, pending: Pending, slot: &Slot) -> Response {
     let length = passing.length;
-    let body = PassedOn { passing, pending, given: 0, seat: seat.clone() };
+    let body = PassedOn { passing, pending, given: 0, slot: slot.clone() };
     let mut response = Response::new(Body::new(body));
     if let Some(length) = length {
         response.headers_mut().insert(header::CONTENT_LENGTH, HeaderValue::from(length));
@@ -433,7 +433,7 @@
     response
 }
 
-/// Marks an answer whose body holds its connection's seat until its end.
+/// Marks an answer whose body holds its connection's slot until its end.
 #[derive(Clone)]
 struct StillOut;
 
@@ -443,7 +443,7 @@
     passing: Passing,
     pending: Pending,
     given: u64,
-    seat: Seat,
+    slot: Slot,
 }
 
 impl HttpBody for PassedOn {
@@ -470,7 +470,7 @@
 
 impl Drop for PassedOn {
     fn drop(&mut self) {
-        self.seat.answered();
+        self.slot.answered();
     }
 }
 
--- a/src/net/front/tests.rs
+++ b/src/net/front/tests.rs
@@ -6,7 +6,7 @@
 use crate::interface::Settings;
 use crate::life::SERVING;
 
-fn front(handle: &Handle, phase: watch::Receiver<Phase>) -> (Front, Places) {
+fn front(handle: &Handle, phase: watch::Receiver<Phase>) -> (Front, Slots) {
     let times = Duration::from_secs(1);
     let front = Front {
         handle: handle.clone(),
@@ -18,7 +18,7 @@
         uploads: Arc::new(Semaphore::new(0)),
         ids: Ids::new(4, times),
     };
-    let places = Places::new(ClientLimits {
+    let slots = Slots::new(ClientLimits {
         most: 4,
         spare: 0,
         most_idle: 4,
@@ -26,7 +26,7 @@
         idle: times,
         idle_if_many: times,
     });
-    (front, places)
+    (front, slots)
 }
 
 /// The system has let them in; closed with the listener they would be reset.
@@ -38,7 +38,7 @@
         runtime.block_on(async {
             let (core, _wanted) = Core::new(Settings::default(), 7, 10, Clock::start());
             let (_phase, watched) = watch::channel(Phase { accept: false, handed_over, ..SERVING });
-            let (front, places) = front(&core.handle(), watched);
+            let (front, slots) = front(&core.handle(), watched);
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let address = listener.local_addr().unwrap();
             let clients = [(); 3].map(|()| {
@@ -46,8 +46,8 @@
                 client.write_all(b"GET /up HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").unwrap();
                 client
             });
-            serve(listener, front, places.clone()).await;
-            places.empty().await;
+            serve(listener, front, slots.clone()).await;
+            slots.empty().await;
             let answers = clients.map(|mut client| {
                 let mut answer = String::new();
                 client.read_to_string(&mut answer).map(|_| answer).unwrap_or_default()
@@ -65,10 +65,10 @@
     runtime.block_on(async {
         let (core, _wanted) = Core::new(Settings::default(), 7, 10, Clock::start());
         let (phase, watched) = watch::channel(SERVING);
-        let (front, places) = front(&core.handle(), watched);
+        let (front, slots) = front(&core.handle(), watched);
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let serving = tokio::spawn(serve(listener, front, places.clone()));
+        let serving = tokio::spawn(serve(listener, front, slots.clone()));
         let mut idle = TcpStream::connect(address).await.unwrap();
         idle.write_all(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n").await.unwrap();
         let mut seen = [0; 12];
@@ -88,7 +88,7 @@
         assert!(ok(n, &rest));
         // Half a request crosses the end: it is still read, and its answer is the last.
         busy.write_all(b"GET /x HTTP/1.1\r\n").await.unwrap();
-        while places.idle() > 1 {
+        while slots.idle() > 1 {
             tokio::task::yield_now().await;
         }
         phase.send_replace(Phase { accept: false, last: true, close: true, ..SERVING });
@@ -97,7 +97,7 @@
         let mut answer = String::new();
         busy.read_to_string(&mut answer).await.unwrap();
         assert!(answer.starts_with("HTTP/1.1 400") && answer.contains("connection: close"), "{answer}");
-        places.empty().await;
+        slots.empty().await;
     });
 }
 
--- a/src/net/grpc/front.rs
+++ b/src/net/grpc/front.rs
@@ -16,9 +16,9 @@
 use crate::holding::Over;
 use crate::life::Phase;
 use crate::net::front::accept_all;
-use crate::net::helm::until;
 use crate::net::inbound::{Inbound, Presence};
-use crate::net::places::{Places, Seat};
+use crate::net::lifecycle::until;
+use crate::net::slots::{Slot, Slots};
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD_NO_PAD;
 use bytes::Bytes;
@@ -86,9 +86,9 @@
     }
 }
 
-pub async fn serve(listener: TcpListener, front: Front, places: Places) {
+pub async fn serve(listener: TcpListener, front: Front, slots: Slots) {
     let phase = front.phase.clone();
-    accept_all(listener, places, phase, |stream, seat, _| client(stream, seat, front.clone())).await;
+    accept_all(listener, slots, phase, |stream, slot, _| client(stream, slot, front.clone())).await;
 }
 
 /// What is noted of a client's connection as its frames pass.
@@ -190,10 +190,10 @@
     }
 }
 
-async fn client(stream: TcpStream, seat: Seat, front: Front) {
+async fn client(stream: TcpStream, slot: Slot, front: Front) {
     let (inbound, client) = Inbound::new(stream);
     let notes = Notes::new(front.config.header_bytes);
-    let (calls, reason) = connection(inbound, &client, &seat, &front, &notes).await;
+    let (calls, reason) = connection(inbound, &client, &slot, &front, &notes).await;
     let refused = notes.with(|noted| noted.refused);
     front.counters.count(Offence::Streams, refused);
     if let Some(offence) = notes.with(|noted| noted.offence) {
@@ -201,14 +201,14 @@
         event!(GRPC_CLIENT_CUT, offence = offence.name(), so_far, calls);
     }
     event!(GRPC_CLIENT_GONE, reason, calls, refused);
-    client.linger(&seat).await;
+    client.linger(&slot).await;
 }
 
 /// Serves until the connection ends; returns the calls that still were open, and why.
 async fn connection(
     stream: Inbound,
     client: &Presence,
-    seat: &Seat,
+    slot: &Slot,
     front: &Front,
     notes: &Notes,
 ) -> (usize, &'static str) {
@@ -228,13 +228,13 @@
         biased;
         _ = notes.offended() => return (0, "it broke a bound before its first call"),
         handshake = handshake => handshake,
-        _ = seat.told_to_leave() => return (0, "its preface did not come in time"),
+        _ = slot.told_to_leave() => return (0, "its preface did not come in time"),
     };
     let Ok(mut connection) = handshake else {
         notes.judge(|_| Some(Offence::Protocol));
         return (0, "no preface");
     };
-    seat.answered();
+    slot.answered();
     let mut phase = front.phase.clone();
     let (mut calls, mut told, mut leaving) = (JoinSet::new(), false, false);
     let mut look = tokio::time::interval(LOOK);
@@ -255,7 +255,7 @@
                     event!(HANDLER_PANIC, front = "gRPC");
                 }
                 if calls.is_empty() {
-                    seat.answered();
+                    slot.answered();
                     if told {
                         connection.graceful_shutdown();
                     }
@@ -265,7 +265,7 @@
                 leaving = true;
                 connection.graceful_shutdown();
             }
-            orderly = seat.told_to_leave() => {
+            orderly = slot.told_to_leave() => {
                 if told || !orderly {
                     break "its place was wanted";
                 }
@@ -276,7 +276,7 @@
             accepted = connection.accept() => match accepted {
                 Some(Ok((request, respond))) => {
                     front.counters.calls.fetch_add(1, Ordering::Relaxed);
-                    seat.waiting();
+                    slot.waiting();
                     calls.spawn(serve_call(front.clone(), client.clone(), notes.clone(), request, respond));
                 }
                 Some(Err(error)) => {
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -1,7 +1,7 @@
 //! A client's connection, whichever front speaks on it. Its bytes are read ahead of whoever parses them, so that its end
 //! is seen also while nobody wants any; and it is closed in one way: the write end first, then what still comes is read.
 
-use crate::net::places::Seat;
+use crate::net::slots::Slot;
 use bytes::{Buf, BytesMut};
 use futures_util::FutureExt;
 use socket2::{SockRef, Socket};
@@ -160,8 +160,8 @@
 
     /// Reads what still comes behind the last answer, once the write end is shut, until the client shuts its own; for a
     /// while, and not where the place is wanted.
-    pub async fn linger(&self, seat: &Seat) {
-        seat.lingers();
+    pub async fn linger(&self, slot: &Slot) {
+        slot.lingers();
         let rest = async {
             let mut read = 0;
             while read < MOST_LINGER {
@@ -176,7 +176,7 @@
         };
         tokio::select! {
             _ = timeout(LINGER, rest) => {}
-            _ = seat.told_to_leave() => {}
+            _ = slot.told_to_leave() => {}
         }
     }
 }
--- a/src/net/inbound/tests.rs
+++ b/src/net/inbound/tests.rs
@@ -86,7 +86,7 @@
 #[test]
 fn an_answer_is_read_whole_by_a_client_that_writes_on_behind_it() {
     with_pair(async |mut client, mut inbound, presence| {
-        let places = crate::net::places::Places::new(crate::config::ClientLimits {
+        let slots = crate::net::slots::Slots::new(crate::config::ClientLimits {
             most: 4,
             spare: 0,
             most_idle: 4,
@@ -94,12 +94,12 @@
             idle: STUCK,
             idle_if_many: STUCK,
         });
-        let seat = places.take().await;
+        let slot = slots.take().await;
         client.write_all(&[7; 100]).unwrap();
         inbound.write_all(b"the answer").await.unwrap();
         inbound.shutdown().await.unwrap();
         drop(inbound);
-        let lingers = tokio::spawn(async move { presence.linger(&seat).await });
+        let lingers = tokio::spawn(async move { presence.linger(&slot).await });
         tokio::task::yield_now().await;
         client.write_all(&[7; 100]).unwrap();
         let reader = std::thread::spawn(move || {
@@ -115,6 +115,6 @@
         });
         lingers.await.unwrap();
         assert_eq!(reader.join().unwrap(), b"the answer");
-        assert_eq!(places.held(), 0);
+        assert_eq!(slots.held(), 0);
     });
 }
--- a/src/net/helm.rs
+++ b/src/net/lifecycle.rs
@@ -8,7 +8,7 @@
 
 /// Held by whoever may say what the program does; may be called from any thread, and never waits.
 #[derive(Clone)]
-pub struct Helm(Arc<Inner>);
+pub struct Lifecycle(Arc<Inner>);
 
 struct Inner {
     life: Mutex<Life>,
@@ -16,11 +16,11 @@
     changed: Notify,
 }
 
-impl Helm {
-    pub fn new(longest: Duration) -> (Helm, watch::Receiver<Phase>) {
+impl Lifecycle {
+    pub fn new(longest: Duration) -> (Lifecycle, watch::Receiver<Phase>) {
         let life = Life::new(longest);
         let (phase, watched) = watch::channel(life.phase(now()));
-        (Helm(Arc::new(Inner { life: Mutex::new(life), phase, changed: Notify::new() })), watched)
+        (Lifecycle(Arc::new(Inner { life: Mutex::new(life), phase, changed: Notify::new() })), watched)
     }
 
     fn life(&self) -> MutexGuard<'_, Life> {
--- a/src/net/ops.rs
+++ b/src/net/ops.rs
@@ -4,7 +4,7 @@
 use crate::event;
 use crate::figures::Figures;
 use crate::net::fleet::Fleet;
-use crate::net::helm::Helm;
+use crate::net::lifecycle::Lifecycle;
 use std::collections::VecDeque;
 use std::fmt;
 use std::io;
@@ -88,7 +88,7 @@
 #[derive(Clone)]
 pub struct Desk {
     pub figures: Figures,
-    pub helm: Helm,
+    pub lifecycle: Lifecycle,
     /// `None`: this head keeps no view, and the line knows no such command.
     pub fleet: Option<Fleet>,
 }
@@ -105,8 +105,12 @@
                 None => Err(BadLine::Unknown.to_string()),
             },
             Ok(Command::Ready) => self.ready().map(|()| "ready"),
-            Ok(Command::Drain) => self.helm.drain().map(|()| "draining").map_err(|ends| ends.to_string()),
-            Ok(Command::Undrain) => self.helm.undrain().map(|()| "serving").map_err(|ends| ends.to_string()),
+            Ok(Command::Drain) => {
+                self.lifecycle.drain().map(|()| "draining").map_err(|ends| ends.to_string())
+            }
+            Ok(Command::Undrain) => {
+                self.lifecycle.undrain().map(|()| "serving").map_err(|ends| ends.to_string())
+            }
             Err(bad) => Err(bad.to_string()),
         };
         match said {
@@ -117,7 +121,7 @@
 
     /// Whether a request that came now would be decided on.
     fn ready(&self) -> Result<(), String> {
-        let phase = self.helm.phase();
+        let phase = self.lifecycle.phase();
         let faults = [
             (phase.ends, "the head is ending"),
             (!phase.up, "the head is draining"),
@@ -227,8 +231,8 @@
 
     #[test]
     fn ready_says_what_is_missing_and_a_drain_is_told_at_once() {
-        let (helm, phase) = Helm::new(Duration::from_secs(1));
-        let desk = Desk { figures: Figures::default(), helm, fleet: None };
+        let (lifecycle, phase) = Lifecycle::new(Duration::from_secs(1));
+        let desk = Desk { figures: Figures::default(), lifecycle, fleet: None };
         let ask = |line: &[u8]| desk.answer(Command::read(line, true).unwrap());
         assert_eq!(ask(b"READY\n"), "ERR no brick is known yet\n");
         desk.figures.bricks(2, 0);
@@ -240,7 +244,7 @@
         assert_eq!(ask(b"READY\n"), "ERR the head is draining\n");
         assert_eq!(ask(b"UNDRAIN\n"), "OK serving\n");
         assert!(phase.borrow().up);
-        desk.helm.end(false);
+        desk.lifecycle.end(false);
         for line in [&b"READY\n"[..], b"DRAIN\n", b"UNDRAIN\n"] {
             assert_eq!(ask(line), "ERR the head is ending\n");
         }
@@ -250,8 +254,8 @@
     #[test]
     fn callers_who_never_finish_do_not_keep_out_the_next() {
         use std::io::{Read, Write};
-        let (helm, _phase) = Helm::new(Duration::from_secs(1));
-        let desk = Desk { figures: Figures::default(), helm, fleet: None };
+        let (lifecycle, _phase) = Lifecycle::new(Duration::from_secs(1));
+        let desk = Desk { figures: Figures::default(), lifecycle, fleet: None };
         let address = start(SocketAddr::from(([127, 0, 0, 1], 0)), 2, desk).unwrap();
         let connect = || std::net::TcpStream::connect(address).unwrap();
         let mut slow: Vec<_> = (0..10).map(|_| connect()).collect();
--- a/src/net/sftp/front.rs
+++ b/src/net/sftp/front.rs
@@ -10,9 +10,9 @@
 use crate::event;
 use crate::life::Phase;
 use crate::net::front::accept_all;
-use crate::net::helm::until;
 use crate::net::inbound::{Inbound, Presence};
-use crate::net::places::{Places, Seat};
+use crate::net::lifecycle::until;
+use crate::net::slots::{Slot, Slots};
 use bytes::Bytes;
 use futures_util::stream::FuturesUnordered;
 use futures_util::{FutureExt, SinkExt, StreamExt};
@@ -53,18 +53,18 @@
 type Done = (u32, Result<Bytes, Reply>, Option<File>);
 type InFlight = Pin<Box<dyn Future<Output = Done> + Send>>;
 
-pub async fn serve(listener: TcpListener, front: Front, places: Places) {
+pub async fn serve(listener: TcpListener, front: Front, slots: Slots) {
     let phase = front.phase.clone();
-    accept_all(listener, places, phase, |stream, seat, _| client(stream, seat, front.clone())).await;
+    accept_all(listener, slots, phase, |stream, slot, _| client(stream, slot, front.clone())).await;
 }
 
-async fn client(stream: TcpStream, seat: Seat, front: Front) {
+async fn client(stream: TcpStream, slot: Slot, front: Front) {
     let (inbound, client) = Inbound::new(stream);
     let mut session = Session {
         packets: Framed::new(inbound, packet::frames()),
         client: client.clone(),
         front,
-        seat: seat.clone(),
+        slot: slot.clone(),
         files: BTreeMap::new(),
         last: 0,
         in_flight: FuturesUnordered::new(),
@@ -73,14 +73,14 @@
     let (handles, in_flight) = (session.files.len(), session.in_flight.len());
     event!(FILE_CLIENT_GONE, reason, handles, in_flight);
     drop(session);
-    client.linger(&seat).await;
+    client.linger(&slot).await;
 }
 
 struct Session {
     packets: Framed<Inbound, tokio_util::codec::LengthDelimitedCodec>,
     client: Presence,
     front: Front,
-    seat: Seat,
+    slot: Slot,
     files: BTreeMap<u64, Arc<File>>,
     last: u64,
     in_flight: FuturesUnordered<InFlight>,
@@ -92,7 +92,7 @@
         let first = tokio::select! {
             biased;
             first = self.packets.next() => first,
-            _ = self.seat.told_to_leave() => None,
+            _ = self.slot.told_to_leave() => None,
         };
         match first {
             Some(Ok(first)) => match Request::decode(first.freeze()) {
@@ -111,13 +111,13 @@
         loop {
             let idle = self.in_flight.is_empty();
             if idle {
-                self.seat.answered();
+                self.slot.answered();
                 // A command that has come in this very moment is read before the connection closes.
                 if wanted && !client.has_unread() {
                     return "its place was wanted";
                 }
             } else {
-                self.seat.waiting();
+                self.slot.waiting();
             }
             let full = self.in_flight.len() >= MOST_IN_FLIGHT;
             tokio::select! {
@@ -134,7 +134,7 @@
                 }
                 // Its end is seen also while it is not read from.
                 () = &mut gone => return "it closed the connection",
-                _ = self.seat.told_to_leave() => wanted = true,
+                _ = self.slot.told_to_leave() => wanted = true,
                 packet = self.packets.next(), if !full && (idle || !wanted) => {
                     let received = Instant::now();
                     let packet = match packet {
--- a/src/net/places.rs
+++ b/src/net/slots.rs
@@ -47,7 +47,7 @@
 
 #[derive(Default)]
 struct Taken {
-    seats: BTreeMap<u64, State>,
+    slots: BTreeMap<u64, State>,
     last: u64,
     counts: Counts,
 }
@@ -61,20 +61,20 @@
 }
 
 #[derive(Clone)]
-pub struct Places {
+pub struct Slots {
     limits: ClientLimits,
     taken: Arc<Mutex<Taken>>,
     freed: Arc<Notify>,
     part: Part,
 }
 
-impl Places {
-    pub fn new(limits: ClientLimits) -> Places {
-        Places { limits, taken: Arc::default(), freed: Arc::default(), part: Part::default() }
+impl Slots {
+    pub fn new(limits: ClientLimits) -> Slots {
+        Slots { limits, taken: Arc::default(), freed: Arc::default(), part: Part::default() }
     }
 
     /// While another process of this head lives, half of the places are its own.
-    pub fn shared(mut self, part: Part) -> Places {
+    pub fn shared(mut self, part: Part) -> Slots {
         self.part = part;
         self
     }
@@ -84,7 +84,7 @@
     }
 
     pub fn held(&self) -> usize {
-        self.taken().seats.len()
+        self.taken().slots.len()
     }
 
     pub fn counts(&self) -> Counts {
@@ -92,30 +92,30 @@
     }
 
     pub fn idle(&self) -> usize {
-        self.taken().seats.values().filter(|state| state.doing == Doing::Idle).count()
+        self.taken().slots.values().filter(|state| state.doing == Doing::Idle).count()
     }
 
     /// A place for a connection that has come. Where none is left, one without an open request goes: first what only
     /// lingers, then the oldest that never had an answer, so that a flood of such costs nobody else; then the longest idle. What
     /// comes meanwhile takes a spare place: waiting for each to go before the next is accepted would leave others
     /// in the system's queue, whose time runs already.
-    pub async fn take(&self) -> Seat {
-        let seat = self.sit();
+    pub async fn take(&self) -> Slot {
+        let slot = self.sit();
         if self.held() > self.part.of(self.limits.most) {
-            self.tell_one(seat.0.id);
+            self.tell_one(slot.0.id);
         }
         while self.held() > self.part.of(self.limits.most + self.limits.spare) {
             let freed = self.freed.notified();
             if timeout(NEXT_VICTIM, freed).await.is_err() {
-                self.tell_one(seat.0.id);
+                self.tell_one(slot.0.id);
             }
         }
-        seat
+        slot
     }
 
     fn tell_one(&self, but: u64) {
         let mut taken = self.taken();
-        let others = taken.seats.iter_mut().filter(|(id, _)| **id != but).map(|(_, state)| state);
+        let others = taken.slots.iter_mut().filter(|(id, _)| **id != but).map(|(_, state)| state);
         let able = others.filter(|s| s.doing != Doing::Waiting && s.told.is_none());
         if let Some(state) =
             able.min_by_key(|s| (s.doing != Doing::Lingering, s.known, s.doing != Doing::Idle, s.since))
@@ -125,15 +125,15 @@
         }
     }
 
-    fn sit(&self) -> Seat {
+    fn sit(&self) -> Slot {
         let (mut taken, leave) = (self.taken(), Arc::new(Notify::new()));
         taken.last += 1;
         taken.counts.taken += 1;
         let (id, since) = (taken.last, Instant::now());
         let (head, leave_too) = (Vec::new(), leave.clone());
         let state = State { doing: Doing::Asking, since, known: false, told: None, leave: leave_too, head };
-        taken.seats.insert(id, state);
-        Seat(Arc::new(Held { id, places: self.clone(), leave }))
+        taken.slots.insert(id, state);
+        Slot(Arc::new(Held { id, slots: self.clone(), leave }))
     }
 
     /// Waits until all connections are gone.
@@ -154,9 +154,9 @@
 
     fn look(&self, now: Instant) {
         let (limits, mut taken) = (self.limits, self.taken());
-        let Taken { seats, counts, .. } = &mut *taken;
-        let many = seats.len() > self.part.of(limits.most) / 2;
-        for state in seats.values_mut() {
+        let Taken { slots, counts, .. } = &mut *taken;
+        let many = slots.len() > self.part.of(limits.most) / 2;
+        for state in slots.values_mut() {
             let limit = match (state.doing, state.told) {
                 (Doing::Waiting | Doing::Reading | Doing::Lingering, _) => continue,
                 (_, Some(told)) if now > told + LAST_BYTES => Duration::ZERO,
@@ -180,44 +180,44 @@
 
 /// A connection's place; free again when the last of its clones is dropped.
 #[derive(Clone)]
-pub struct Seat(Arc<Held>);
+pub struct Slot(Arc<Held>);
 
 struct Held {
     id: u64,
-    places: Places,
+    slots: Slots,
     leave: Arc<Notify>,
 }
 
 impl Drop for Held {
     fn drop(&mut self) {
-        self.places.taken().seats.remove(&self.id);
-        self.places.freed.notify_waiters();
+        self.slots.taken().slots.remove(&self.id);
+        self.slots.freed.notify_waiters();
     }
 }
 
-impl Seat {
+impl Slot {
     fn with<T>(&self, f: impl FnOnce(&mut State) -> T) -> Option<T> {
-        self.0.places.taken().seats.get_mut(&self.0.id).map(f)
+        self.0.slots.taken().slots.get_mut(&self.0.id).map(f)
     }
 
     fn set(&self, doing: Doing) {
-        self.with(|seat| {
-            if seat.doing != doing {
-                (seat.doing, seat.since) = (doing, Instant::now());
+        self.with(|slot| {
+            if slot.doing != doing {
+                (slot.doing, slot.since) = (doing, Instant::now());
             }
         });
     }
 
     /// Bytes have come. Inside an open request that changes nothing; a request's head is kept, up to so many bytes.
     pub fn bytes_came(&self, bytes: &[u8], most: usize) {
-        self.with(|seat| {
-            if seat.doing == Doing::Idle {
-                (seat.doing, seat.since) = (Doing::Asking, Instant::now());
-                seat.head.clear();
+        self.with(|slot| {
+            if slot.doing == Doing::Idle {
+                (slot.doing, slot.since) = (Doing::Asking, Instant::now());
+                slot.head.clear();
             }
-            if seat.doing == Doing::Asking {
-                let room = most.saturating_sub(seat.head.len());
-                seat.head.extend_from_slice(&bytes[..room.min(bytes.len())]);
+            if slot.doing == Doing::Asking {
+                let room = most.saturating_sub(slot.head.len());
+                slot.head.extend_from_slice(&bytes[..room.min(bytes.len())]);
             }
         });
     }
@@ -225,8 +225,8 @@
     /// Whether the head of the request has a field of that name, as it was read. Of requests that came in one piece
     /// behind another only the first one's is known.
     pub fn head_has(&self, name: &str) -> bool {
-        let found = self.with(|seat| {
-            let lines = seat.head.split(|byte| *byte == b'\n').map(|line| line.trim_ascii_end()).skip(1);
+        let found = self.with(|slot| {
+            let lines = slot.head.split(|byte| *byte == b'\n').map(|line| line.trim_ascii_end()).skip(1);
             let mut fields = lines.take_while(|line| !line.is_empty());
             fields.any(|line| {
                 line.split(|byte| *byte == b':')
@@ -239,7 +239,7 @@
 
     /// Its head is read, its body is not.
     pub fn reading(&self) {
-        self.with(|seat| seat.head = Vec::new());
+        self.with(|slot| slot.head = Vec::new());
         self.set(Doing::Reading);
     }
 
@@ -268,20 +268,20 @@
     }
 
     fn too_many_idle(&self, known: bool) -> bool {
-        let places = &self.0.places;
-        let (idle, most) = (places.idle(), places.part.of(places.limits.most_idle));
+        let slots = &self.0.slots;
+        let (idle, most) = (slots.idle(), slots.part.of(slots.limits.most_idle));
         idle > if known { most + most / 3 } else { most }
     }
 
     /// All is said: what still comes on it is read for a while and thrown away. It may be told to go once more.
     pub fn lingers(&self) {
         self.set(Doing::Lingering);
-        self.with(|seat| seat.told = None);
+        self.with(|slot| slot.told = None);
     }
 
     /// It has been told to go: its next answer is its last.
     pub fn is_told(&self) -> bool {
-        self.with(|seat| seat.told.is_some()).unwrap_or(true)
+        self.with(|slot| slot.told.is_some()).unwrap_or(true)
     }
 
     pub fn is_asking(&self) -> bool {
@@ -291,7 +291,7 @@
     /// Told to go: true while a request is open or an answer is on its way, which go first.
     pub async fn told_to_leave(&self) -> bool {
         self.0.leave.notified().await;
-        self.with(|seat| !matches!(seat.doing, Doing::Asking | Doing::Reading)).unwrap_or(false)
+        self.with(|slot| !matches!(slot.doing, Doing::Asking | Doing::Reading)).unwrap_or(false)
     }
 }
 
--- a/src/net/places/tests.rs
+++ b/src/net/slots/tests.rs
@@ -4,8 +4,8 @@
 const REQUEST: Duration = Duration::from_secs(2);
 const IDLE: Duration = Duration::from_secs(10);
 
-fn places(most: usize) -> Places {
-    Places::new(ClientLimits {
+fn slots(most: usize) -> Slots {
+    Slots::new(ClientLimits {
         most,
         spare: 0,
         most_idle: 3,
@@ -15,7 +15,7 @@
     })
 }
 
-fn told(place: &Seat) -> Option<bool> {
+fn told(place: &Slot) -> Option<bool> {
     place.told_to_leave().now_or_never()
 }
 
@@ -28,34 +28,34 @@
         // More than half of the places taken: idle ones go earlier.
         (3, IDLE / 5, [true, false, true]),
     ] {
-        let places = places(10);
-        let held: Vec<Seat> = (0..3 + others).map(|_| places.sit()).collect();
+        let slots = slots(10);
+        let held: Vec<Slot> = (0..3 + others).map(|_| slots.sit()).collect();
         held[1].waiting();
         held[2].answered();
-        held[3..].iter().for_each(Seat::waiting);
-        places.look(Instant::now() + after);
-        assert_eq!([&held[0], &held[1], &held[2]].map(|seat| told(seat).is_some()), gone, "{after:?}");
+        held[3..].iter().for_each(Slot::waiting);
+        slots.look(Instant::now() + after);
+        assert_eq!([&held[0], &held[1], &held[2]].map(|slot| told(slot).is_some()), gone, "{after:?}");
     }
 }
 
 #[test]
 fn what_was_told_to_go_and_lingers_is_cut_off() {
-    let places = places(10);
-    let place = places.sit();
+    let slots = slots(10);
+    let place = slots.sit();
     place.answered();
     let now = Instant::now();
-    places.look(now + IDLE);
+    slots.look(now + IDLE);
     assert_eq!(told(&place), Some(true));
-    places.look(now + IDLE + LAST_BYTES);
+    slots.look(now + IDLE + LAST_BYTES);
     assert_eq!(told(&place), None);
-    places.look(now + IDLE + 2 * LAST_BYTES);
+    slots.look(now + IDLE + 2 * LAST_BYTES);
     assert!(told(&place).is_some());
 }
 
 #[test]
 fn with_many_idle_an_answer_is_the_last_for_who_asked_but_once() {
-    let places = places(10);
-    let held: Vec<Seat> = (0..6).map(|_| places.sit()).collect();
+    let slots = slots(10);
+    let held: Vec<Slot> = (0..6).map(|_| slots.sit()).collect();
     assert_eq!([0, 1, 2, 3].map(|i| held[i].answered()), [false, false, false, true]);
     // The first one asks again, and is kept for longer.
     held[0].waiting();
@@ -69,11 +69,11 @@
 fn a_full_house_first_sends_those_away_that_never_had_an_answer() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     runtime.block_on(async {
-        let places = places(4);
-        let mut open_ones = vec![places.sit()];
-        let idle = places.sit();
+        let slots = slots(4);
+        let mut open_ones = vec![slots.sit()];
+        let idle = slots.sit();
         idle.answered();
-        let (silent, later) = (places.sit(), places.sit());
+        let (silent, later) = (slots.sit(), slots.sit());
         open_ones[0].waiting();
         for victim in [silent, later, idle] {
             // The place comes with the victim's end and with nobody else's; an open request takes it.
@@ -81,11 +81,11 @@
                 victim.told_to_leave().await;
                 drop(victim);
             };
-            let (next, ()) = tokio::join!(places.take(), goes);
+            let (next, ()) = tokio::join!(slots.take(), goes);
             next.waiting();
             open_ones.push(next);
         }
-        assert!(open_ones.iter().all(|seat| told(seat).is_none()));
+        assert!(open_ones.iter().all(|slot| told(slot).is_none()));
     });
 }
 
@@ -93,20 +93,20 @@
 fn a_connection_that_only_lingers_is_the_first_to_go_and_no_time_of_its_own_ends_it() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     runtime.block_on(async {
-        let places = places(2);
-        let (silent, lingers) = (places.sit(), places.sit());
+        let slots = slots(2);
+        let (silent, lingers) = (slots.sit(), slots.sit());
         lingers.answered();
-        places.look(Instant::now() + IDLE);
+        slots.look(Instant::now() + IDLE);
         assert_eq!((told(&lingers), silent.is_told(), lingers.is_told()), (Some(true), true, true));
         lingers.lingers();
         assert!(!lingers.is_told());
-        places.look(Instant::now() + 2 * IDLE);
+        slots.look(Instant::now() + 2 * IDLE);
         assert_eq!(told(&lingers), None);
         let goes = async {
             lingers.told_to_leave().await;
             drop(lingers);
         };
-        let (_next, ()) = tokio::join!(places.take(), goes);
-        assert!(places.held() == 2 && places.counts().for_others == 1);
+        let (_next, ()) = tokio::join!(slots.take(), goes);
+        assert!(slots.held() == 2 && slots.counts().for_others == 1);
     });
 }
