--- a/src/policy.rs
+++ b/src/policy.rs
@@ -48,11 +48,11 @@
 const FULL_REST: f64 = 0.5;
 /// Requests that wait for time to pass (a store, a key's rest, a cold node) are looked at this often.
 const RECHECK: Micros = 10_000;
-/// Wait before the next call to the node list after a failed one, doubled each time up to 4 times this, so that
-/// one comes while the list is good; or what all of a crowd take one after the other.
+/// Wait before the next call to the node list after a failed one, doubled each time up to 4 times this, so
+/// that one comes while the list is good; or what all of a crowd take one after the other.
 const RESUBSCRIBE: Micros = 500_000;
-/// A crowd's calls to the node list are drawn evenly over so long for each host, 10 s in all at most, and over no
-/// more than this part of the time for which the list is still good; but no denser than they are served.
+/// A crowd's calls to the node list are drawn evenly over so long for each host, 10 s in all at most, and
+/// over no more than this part of the time for which the list is still good; but no denser than served.
 const CALLS_APART: Micros = 35_000;
 const CALLS_IN: f64 = 0.9;
 /// In a crowd of hosts a node's own queue should take no longer than this part of the shortest aim.
