A node's slowness counts against late work only while it is news

One call by its id through the head's log: its attempt ended with the node's error, and nothing more came of it for 20 s, its client's whole time, though nothing else was open. Lost wake-ups in h2 or in net/inbound and the timing wheel were ruled out by that line.

Change: that exception holds while the node was heard within the shortest aim, and no longer.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -801,12 +801,13 @@
         last.map_or(0.0, |(worth, ..)| *worth)
     }
 
-    /// Exception while this host has work out at the node, or the node has a queue of its own or is slower
-    /// than at its best: what earns less than spare work (late answers) takes no token there.
+    /// Exception while this host has work out at the node, or the node has a queue of its own or by its word
+    /// of late is slower than at its best: what earns less than spare work, as late answers, takes no token.
     fn scraps_bar(&self, now: Micros, node: NodeId) -> f64 {
-        let node = &self.nodes[&node];
+        let (node, aim) = (&self.nodes[&node], self.shortest_aim());
         let queued = self.crowded() && (node.pace(now) < 1.0 || node.wait(now) > 0.0);
-        if !queued && node.out.is_empty() && node.took <= DELAY_RATIO * node.best * node.units {
+        let slow = node.took > DELAY_RATIO * node.best * node.units && ((now - node.heard) as f64) < aim;
+        if !queued && node.out.is_empty() && !slow {
             return 0.0;
         }
         let (classes, plans) = (&self.settings.classes, &self.settings.plans);
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -121,6 +121,31 @@
     assert_eq!(host.sends(), [(1, 10), (2, 11)]);
 }
 
+#[test]
+fn late_work_takes_a_token_of_an_idle_node_once_its_slowness_is_old_news() {
+    let mut host = plain();
+    let served = |host: &mut Host, id, took| {
+        let ending = Ending::Served;
+        let (used, load) = (None, Load::default());
+        let done = Outcome { request: id, attempt: 0, node: 10, ending, took, over: true, used, load };
+        host.event(Event::Outcome(done));
+    };
+    host.arrive(5, |_| {});
+    for (id, took) in [(1, 10 * MS), (2, 200 * MS), (3, 200 * MS)] {
+        host.arrive(id, |_| {});
+        served(&mut host, id, took);
+    }
+    host.now += 6 * S / 5;
+    host.arrive(6, |_| {});
+    served(&mut host, 6, 200 * MS);
+    host.outcome(5, 0, 10, Ending::Error);
+    assert_eq!(host.sent(5), 1, "a late repeat stands back from a node that has just answered slowly");
+    host.wait(S / 2);
+    assert_eq!(host.sent(5), 1, "and for the shortest aim after that");
+    host.wait(S / 2);
+    assert_eq!(host.sent(5), 2, "but not until its client's time is up");
+}
+
 #[test]
 fn late_work_does_not_stand_before_work_in_time() {
     let mut host = plain();
