A gRPC call waits for its channel's socket before its time is told

Cause: a call's headers were handed to h2 while its channel's socket took nothing (its node did not read), with the time left at that moment; they were written later, with a time that had passed, also for a client gone meanwhile.

Change: an attempt waits until the socket takes bytes; then it asks whether its client is there and takes the time.

--- a/src/net/grpc/back.rs
+++ b/src/net/grpc/back.rs
@@ -213,10 +213,13 @@
     hub: Arc<Hub>,
     id: ChannelId,
     up: bool,
+    watch: Watch,
 }
 
 impl Drop for Ends {
     fn drop(&mut self) {
+        // Who waits for room on it finds out now.
+        self.watch.unblock();
         self.hub.with(|hub, state| {
             if self.up {
                 state.channels.broke(self.id);
@@ -231,14 +234,14 @@
 
 /// Opens a channel and drives it to its end.
 async fn channel(hub: Arc<Hub>, id: ChannelId, address: SocketAddr) {
-    let mut ends = Ends { hub: hub.clone(), id, up: false };
+    let watch = Watch::default();
+    let mut ends = Ends { hub: hub.clone(), id, up: false, watch: watch.clone() };
     let stream = match tokio::time::timeout(hub.connect, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         _ => return debug!(address:%; "no channel came up"),
     };
     hub.opened.fetch_add(1, Ordering::Relaxed);
     let _ = stream.set_nodelay(true); // only a matter of speed
-    let watch = Watch::default();
     let tap = ChannelTap {
         hub: hub.clone(),
         id,
@@ -311,14 +314,16 @@
     }
 }
 
-/// What has passed on a channel, by stream.
+/// What has passed on a channel, by stream; and a word whenever it takes bytes again.
 #[derive(Clone, Default)]
-struct Watch(Arc<Mutex<Lines>>);
+struct Watch(Arc<(Mutex<Lines>, Notify)>);
 
 #[derive(Default)]
 struct Lines {
     /// The peer's first SETTINGS have come.
     settled: bool,
+    /// Its socket takes nothing at the moment: the node does not read.
+    blocked: bool,
     /// The last stream that a GOAWAY leaves to the peer.
     last_stream: Option<u32>,
     streams: BTreeMap<u32, Progress>,
@@ -334,9 +339,28 @@
 
 impl Watch {
     fn with<T>(&self, f: impl FnOnce(&mut Lines) -> T) -> T {
-        let mut lines: MutexGuard<'_, Lines> = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut lines: MutexGuard<'_, Lines> = self.0.0.lock().unwrap_or_else(PoisonError::into_inner);
         f(&mut lines)
     }
+
+    fn unblock(&self) {
+        if self.with(|lines| std::mem::take(&mut lines.blocked)) {
+            self.0.1.notify_waiters();
+        }
+    }
+
+    /// Waits until the socket takes bytes. What is handed to h2 before that lies in its buffer: it would be written
+    /// with a time that has passed since, and although its client has gone.
+    async fn takes_bytes(&self) {
+        loop {
+            let mut wrote = std::pin::pin!(self.0.1.notified());
+            wrote.as_mut().enable();
+            if !self.with(|lines| lines.blocked) {
+                return;
+            }
+            wrote.await;
+        }
+    }
 }
 
 /// A stream under watch; off again when it is dropped.
@@ -408,6 +432,7 @@
     }
 
     fn wrote(&mut self, bytes: &[u8]) {
+        self.watch.unblock();
         self.watch.with(|lines| {
             self.outwards.pass(bytes, |seen| match seen {
                 Seen::Begins(frame) => {
@@ -430,6 +455,10 @@
             });
         });
     }
+
+    fn blocked(&mut self) {
+        self.watch.with(|lines| lines.blocked = true);
+    }
 }
 
 /// A call on its way to a node.
@@ -472,6 +501,10 @@
 
 async fn exchange(lease: Lease, call: &Call, a_try: &Try) -> Report {
     let Ok(mut sender) = lease.sender.clone().ready().await else { return End::BrokeUnsent.into() };
+    if lease.watch.with(|lines| lines.blocked) {
+        let _blocked = Blocked::new(&lease);
+        lease.watch.takes_bytes().await;
+    }
     if !a_try.begun.may_begin() {
         return End::Unsent.into();
     }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -2,13 +2,16 @@
 //! of all pairs is `docs/design/crossings.md`.
 
 use bytes::Bytes;
+use pathbank::grpc::timeout;
 use pathbank::net::sftp::packet::{self, Command};
 use pathbank::rehearsal::brick::{Act, Brick, Seen};
 use pathbank::rehearsal::client::Client;
+use pathbank::rehearsal::grpc::{self, routes};
 use pathbank::rehearsal::peer::{Ended, Going, Peer, request};
 use pathbank::rehearsal::stage::{Discovery, Head, HttpClient, Setup, Shared, Site, entry};
 use pathbank::rehearsal::store::{Fault, Files, Seen as Stored, Store, Verb};
 use pathbank::rehearsal::{header, wait_for};
+use socket2::SockRef;
 use std::net::TcpListener;
 use std::path::Path;
 use std::sync::Arc;
@@ -64,19 +67,23 @@
         ids.collect()
     }
 
-    /// Waits until the figures have it so.
     fn comes_to(&self, figure: &str, value: u64) {
-        let wanted = format!("edge_gw_{figure} {value}");
-        let since = Instant::now();
-        loop {
-            let mut operator = Peer::connect(self.head.ops.unwrap()).unwrap();
-            operator.say("STATS\n").unwrap();
-            let text = String::from_utf8(operator.rest().unwrap().0).unwrap();
-            if text.lines().any(|line| line == wanted) {
-                return;
-            }
-            assert!(since.elapsed() < Duration::from_secs(20), "{wanted} never came: {text}");
+        comes_to(&self.head, figure, value);
+    }
+}
+
+/// Waits until the figures have it so.
+fn comes_to(head: &Head, figure: &str, value: u64) {
+    let wanted = format!("edge_gw_{figure} {value}");
+    let since = Instant::now();
+    loop {
+        let mut operator = Peer::connect(head.ops.unwrap()).unwrap();
+        operator.say("STATS\n").unwrap();
+        let text = String::from_utf8(operator.rest().unwrap().0).unwrap();
+        if text.lines().any(|line| line == wanted) {
+            return;
         }
+        assert!(since.elapsed() < Duration::from_secs(20), "{wanted} never came: {text}");
     }
 }
 
@@ -175,6 +182,67 @@
     assert!(second <= 9_600, "{second}");
 }
 
+/// A node that stops reading holds up all streams of its channel. What begins behind that is not handed over to be written
+/// some time: it would tell a time that has passed by then, and might be of a client that has gone.
+#[test]
+fn a_call_behind_a_blocked_channel_tells_the_time_that_is_left_and_goes_with_its_client() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    SockRef::from(&listener).set_recv_buffer_size(4096).unwrap();
+    let nodes = vec![entry("s-1", listener.local_addr().unwrap(), 0, "in_service")];
+    let discovery = Discovery::start(nodes.clone()).unwrap();
+    let grpc = Some(routes("[channels]\nper_node = 1\npatience_ms = 100\nkeepalive_ms = 60000"));
+    let stage = Setup { ops: true, grpc, ..Setup::default() };
+    let head = head(&stage, &discovery, nodes);
+    let (reads, may_read) = channel::<()>();
+    let (tell, told) = channel();
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            let stream = listener.accept().unwrap().0;
+            stream.set_nonblocking(true).unwrap();
+            let stream = tokio::net::TcpStream::from_std(stream).unwrap();
+            let (window, mut builder) = (1 << 30, h2::server::Builder::new());
+            builder.initial_window_size(window).initial_connection_window_size(window);
+            let mut connection = builder.handshake::<_, Bytes>(stream).await.unwrap();
+            let mut open = Vec::new();
+            while let Some(Ok((request, mut respond))) = connection.accept().await {
+                if open.is_empty() {
+                    // Nothing is read while this thread waits here.
+                    may_read.recv().unwrap();
+                } else {
+                    let response = hyper::Response::builder().header("grpc-status", "0");
+                    respond.send_response(response.body(()).unwrap(), true).unwrap();
+                }
+                let _ = tell.send(request.headers().clone()); // the test may be over
+                open.push((request, respond));
+            }
+        });
+    });
+    let [first, other] = [(); 2].map(|()| grpc::client::Client::connect(head.grpc().unwrap()).unwrap());
+    let ask = |path: &str| grpc::client::Ask::new(path).with("grpc-timeout", "10S");
+    let filling = first.start(&ask("/kit.Once/ClientStream").messages(vec![vec![1; 16_000_000]])).unwrap();
+    head.logged(" CHANNEL_STALLED ").unwrap();
+    let goes = other.start(&ask("/kit.Safe/Unary")).unwrap();
+    comes_to(&head, "in_progress", 2);
+    other.vanish();
+    comes_to(&head, "in_progress", 1);
+    let waits = ask("/kit.Safe/Unary");
+    let call = first.start(&waits).unwrap();
+    comes_to(&head, "in_progress", 2);
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_millis(400) {
+        std::thread::sleep(Duration::from_millis(20)); // time has to pass for there to be less of it
+    }
+    reads.send(()).unwrap();
+    told.recv().unwrap();
+    let metadata = told.recv().unwrap();
+    assert_eq!(metadata["x-call"].to_str().unwrap(), waits.id, "the first stream behind the block");
+    let left = timeout::parse(metadata["grpc-timeout"].to_str().unwrap()).unwrap();
+    assert!(left <= Duration::from_millis(9_600), "{left:?}");
+    assert_eq!(grpc::client::ended(call).unwrap().code(), Some(0));
+    drop((filling, goes));
+}
+
 // ---- closing ----
 
 /// A client that writes on behind a request that is turned down reads its answer whole: no reset overtakes it.
