SIGTERM ends a process that still waits for its twin; four crossings forced

Cause: a process of an upgrade that waits for the other one's word (3 s at most) looked at SIGTERM only after that.

Change: it ends at once, having accepted nobody. Taking an id is two steps in the code, so that a test has both processes at any of them. Tests: one id at both processes in every order, an answer and a time-out in one turn of the core, a connection that waits for a place as the phase changes, a request in the system's buffer as its connection is told to close.

--- a/src/bin/pathbank.rs
+++ b/src/bin/pathbank.rs
@@ -188,7 +188,15 @@
     };
     event!(UP, name = config.name, listen:% = listener.local_addr()?);
     if config.passed_socket.is_some() {
-        meet(&config.name, &handle, &front.ids).await;
+        tokio::select! {
+            () = meet(&config.name, &handle, &front.ids) => {}
+            // Nobody was accepted: what waits at the door is the other process's, and there is nothing to finish.
+            _ = terminate.recv() => {
+                event!(LEFT, opened = 0, attempts = 0, no_room = 0);
+                logging.finish(LAST_LINES);
+                return Ok(());
+            }
+        }
     }
     let mut accepting = vec![tokio::spawn(front::serve(listener, front, slots.clone()))];
     if let Some(address) = config.ops {
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -442,3 +442,38 @@
         });
     }
 }
+
+/// Both are there when the core has its turn: its attempt's answer, and its time-out or the end of its client's time.
+#[test]
+fn an_answer_and_a_time_out_in_one_turn_are_one_answer_the_nodes_own() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    for (answers, late) in [(true, false), (true, true), (false, true)] {
+        let got = runtime.block_on(async {
+            let class = Class { aim: 5_000_000, deadline: 10_000_000, worth: 1.0, ..Class::default() };
+            let settings =
+                Settings { hosts: 1, classes: vec![class], max_attempts: 3, ..Settings::default() };
+            let (mut core, _wanted) = Core::new(settings, 7, 10, Clock::start());
+            let (dropped, _kept) = mpsc::unbounded_channel();
+            let work = Arc::new(Told { end: None, panics: false, begins: true, dropped });
+            let (answer, answered) = oneshot::channel();
+            core.take(nodes(ListedState::InService));
+            let wait = Duration::from_millis(if late { 20 } else { 3_600_000 });
+            core.request(1, arrival(wait), work, answer);
+            if late {
+                tokio::time::sleep(wait * 2).await;
+            }
+            if answers {
+                core.handle().send(Input::Report { id: 1, attempt: 0, report: End::Answered.into() });
+            }
+            // A second word on the same attempt changes nothing, nor does one on an attempt that never was.
+            core.handle().send(Input::Report { id: 1, attempt: 0, report: End::TimedOut.into() });
+            core.handle().send(Input::Report { id: 1, attempt: 1, report: End::Answered.into() });
+            let running = tokio::spawn(core.run());
+            let got = tokio::time::timeout(Duration::from_secs(20), answered).await.expect("stuck").unwrap();
+            running.abort();
+            got
+        });
+        let wanted = if answers { Answer::Served(Bytes::new()) } else { Answer::Failed };
+        assert_eq!(got, wanted, "answers {answers}, late {late}");
+    }
+}
--- a/src/net/front/tests.rs
+++ b/src/net/front/tests.rs
@@ -58,6 +58,72 @@
     }
 }
 
+/// It is accepted while every place is held, and the head ceases to accept before it has one.
+#[test]
+fn who_was_accepted_and_waits_for_a_place_as_the_phase_changes_is_served() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let (core, _wanted) = Core::new(Settings::default(), 7, 10, Clock::start());
+        let (phase, watched) = watch::channel(SERVING);
+        let (front, slots) = front(&core.handle(), watched);
+        // Places that nobody can be told to leave.
+        let mut held = Vec::new();
+        for _ in 0..4 {
+            let slot = slots.take().await;
+            slot.waiting();
+            held.push(slot);
+        }
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let serving = tokio::spawn(serve(listener, front, slots.clone()));
+        let mut client = TcpStream::connect(address).await.unwrap();
+        client.write_all(b"GET /up HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").await.unwrap();
+        while slots.held() < 5 {
+            tokio::task::yield_now().await;
+        }
+        phase.send_replace(Phase { accept: false, last: true, close: true, ..SERVING });
+        // Every task has its turn while nothing is free.
+        for _ in 0..100 {
+            tokio::task::yield_now().await;
+        }
+        assert!(!serving.is_finished(), "it has no place yet");
+        held.pop();
+        let mut answer = String::new();
+        client.read_to_string(&mut answer).await.unwrap();
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+        serving.await.unwrap();
+        drop(held);
+        slots.empty().await;
+    });
+}
+
+/// The system has it, and the runtime has not looked: told to go, the connection would throw it away.
+#[test]
+fn a_request_in_the_systems_buffer_is_seen_as_its_connection_is_told_to_close() {
+    use std::io::Write;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let (core, _wanted) = Core::new(Settings::default(), 7, 10, Clock::start());
+        let (_front, slots) = front(&core.handle(), watch::channel(SERVING).1);
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let (stream, _) = listener.accept().unwrap();
+        stream.set_nonblocking(true).unwrap();
+        let (_inbound, presence) = Inbound::new(TcpStream::from_std(stream).unwrap());
+        let slot = slots.take().await;
+        assert!(half_way(&slot, &presence), "its first request has not come yet");
+        slot.answered();
+        assert!(!half_way(&slot, &presence), "it rests");
+        client.write_all(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
+        // No turn of the runtime from here on; loopback has it at once or very soon.
+        let since = std::time::Instant::now();
+        while !half_way(&slot, &presence) {
+            assert!(since.elapsed() < Duration::from_secs(20), "the system never told of it");
+        }
+    });
+}
+
 #[test]
 fn while_it_leaves_the_head_takes_nobody_new_and_serves_who_is_there_until_it_closes() {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/src/net/ids.rs
+++ b/src/net/ids.rs
@@ -72,11 +72,16 @@
         Ok(Shared { file: ours, header, before, next, other: (other, Reader::default()), failing: false })
     }
 
-    /// Writes it down, then looks whether the other one, or one before, took it.
+    /// Writes it down, and only then looks whether the other one, or one before, took it: of two processes that take one
+    /// id at the very same moment, whichever looks last has the other one's word.
     fn first_time(&mut self, id: &[u8], time: Duration) -> bool {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let (at_ms, since_ms) = (now.as_millis() as u64, now.saturating_sub(time).as_millis() as u64);
-        let record = Record { number: self.next, hash: self.header.hash(id), at_ms };
+        self.write(id, now);
+        self.is_new(id, now.saturating_sub(time))
+    }
+
+    fn write(&mut self, id: &[u8], now: Duration) {
+        let record = Record { number: self.next, hash: self.header.hash(id), at_ms: now.as_millis() as u64 };
         match self.file.write_all_at(&record.encode(), self.header.place(self.next)) {
             Ok(()) => {
                 self.next += 1;
@@ -85,6 +90,10 @@
             Err(problem) if !std::mem::replace(&mut self.failing, true) => event!(IDS_UNWRITTEN, problem:%),
             Err(_) => {}
         }
+    }
+
+    fn is_new(&mut self, id: &[u8], since: Duration) -> bool {
+        let since_ms = since.as_millis() as u64;
         let (file, other) = &mut self.other;
         other.look(&**file);
         !other.has(id, since_ms) && !self.before.has(id, since_ms)
--- a/src/net/ids/tests.rs
+++ b/src/net/ids/tests.rs
@@ -47,3 +47,37 @@
     assert!(much_later.first_time(b"b", now), "its time is over");
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+/// Each of two processes writes and looks, in every order of the four steps.
+#[test]
+fn an_id_that_both_processes_take_at_one_moment_is_passed_on_by_one_of_them_at_most() {
+    let folder = std::env::temp_dir().join(format!("pathbank-ids-both-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    for (turns, passed_on) in [
+        ([0, 0, 1, 1], [true, false]),
+        ([0, 1, 0, 1], [false, false]),
+        ([0, 1, 1, 0], [false, false]),
+        ([1, 0, 0, 1], [false, false]),
+        ([1, 0, 1, 0], [false, false]),
+        ([1, 1, 0, 0], [false, true]),
+    ] {
+        let files = ["0", "1"].map(|name| {
+            let options = File::options().create(true).truncate(true).read(true).write(true).clone();
+            Arc::new(options.open(folder.join(name)).unwrap())
+        });
+        let share = |ours: usize| {
+            Shared::new(files[ours].clone(), files[1 - ours].clone(), 4, [ours as u8; 16]).unwrap()
+        };
+        let mut both = [share(0), share(1)];
+        let now = Duration::from_secs(1_000);
+        let (mut written, mut new) = ([false; 2], [false; 2]);
+        for who in turns {
+            match std::mem::replace(&mut written[who], true) {
+                false => both[who].write(b"id", now),
+                true => new[who] = both[who].is_new(b"id", now - Duration::from_secs(60)),
+            }
+        }
+        assert_eq!(new, passed_on, "{turns:?}");
+    }
+    std::fs::remove_dir_all(&folder).unwrap();
+}
