Crossings forced for every row that had no test: hand-overs, floods, bodies, other settings

On real sockets now: a client that goes in the middle of a body that nobody takes; SIGTERM at a process that waits for its twin; an old process that ends or is killed before its word; a request byte by byte and many at once at full descriptors, for HTTP and for file commands; a class by its effect and not its name, alone and in no zone; a window of 0; several plans with limits; deadlines under 100 ms; thousands of volumes. The kit's stage takes other settings, its peer can fill a connection and name a volume.

--- a/src/rehearsal/peer.rs
+++ b/src/rehearsal/peer.rs
@@ -5,6 +5,7 @@
 use socket2::SockRef;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::thread;
 use std::time::{Duration, Instant};
 
 /// How a connection ended.
@@ -54,6 +55,21 @@
         Ok(self.stream.write_all(bytes.as_ref())?)
     }
 
+    /// Says more and more until the other side has taken nothing for a while.
+    pub fn fill(&mut self) -> Outcome {
+        const QUIET: Duration = Duration::from_millis(200);
+        self.stream.set_nonblocking(true)?;
+        let mut last = Instant::now();
+        while last.elapsed() < QUIET {
+            match self.stream.write(&[b'x'; 64 * 1024]) {
+                Ok(_) => last = Instant::now(),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => thread::sleep(QUIET / 20),
+                Err(error) => return Err(error.into()),
+            }
+        }
+        Ok(self.stream.set_nonblocking(false)?)
+    }
+
     /// What comes up to an empty line.
     pub fn head(&mut self) -> Outcome<String> {
         let (mut head, mut byte) = (Vec::new(), [0]);
@@ -89,7 +105,7 @@
                     return self.head();
                 }
                 Err(_) if self.is_readable()? => return self.head(),
-                Err(_) => std::thread::yield_now(),
+                Err(_) => thread::yield_now(),
             }
         }
         Err(Failure::Unmet("no further request came".into()))
@@ -135,9 +151,21 @@
 
 /// A request of the platform's protocol, for shard 0.
 pub fn request(method: &str, class: &str, id: &str, timeout_ms: u64, more: &str) -> String {
+    request_of((0x3_b4d6_0021, "starter"), method, class, id, timeout_ms, more)
+}
+
+/// The same of that volume, and under that plan.
+pub fn request_of(
+    (volume, plan): (u64, &str),
+    method: &str,
+    class: &str,
+    id: &str,
+    timeout_ms: u64,
+    more: &str,
+) -> String {
     format!(
-        "{method} /api/00000003b4d60021/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: {id}\r\n\
-         X-Priority-Class: {class}\r\nX-Storage-Class: starter\r\nX-Timeout-Ms: {timeout_ms}\r\n\
+        "{method} /api/{volume:016x}/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: {id}\r\n\
+         X-Priority-Class: {class}\r\nX-Storage-Class: {plan}\r\nX-Timeout-Ms: {timeout_ms}\r\n\
          X-Extent: units=1,shard=0,hosts=1\r\n{more}\r\n"
     )
 }
--- a/src/rehearsal/stage.rs
+++ b/src/rehearsal/stage.rs
@@ -193,6 +193,8 @@
     pub second: bool,
     /// What its log tells.
     pub level: &'static str,
+    /// Other settings than the site's own.
+    pub settings: Option<Value>,
 }
 
 impl Default for Setup {
@@ -222,6 +224,7 @@
             fleet: None,
             second: false,
             level: "info",
+            settings: None,
         }
     }
 }
@@ -293,7 +296,7 @@
         let listen = setup.shared.as_ref().map_or(LOOPBACK.to_string(), |shared| shared.address.to_string());
         let mut file = json!({"name": setup.name, "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": setup.memory_mb, "sockets": setup.sockets},
-            "known": {"version": 1, "full": true, "servers": known}, "settings": settings(setup)});
+            "known": {"version": 1, "full": true, "servers": known}, "settings": setup.settings.clone().unwrap_or_else(|| settings(setup))});
         if setup.ops {
             file["ops"] = json!(LOOPBACK);
         }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -3,15 +3,17 @@
 
 use bytes::Bytes;
 use pathbank::grpc::timeout;
-use pathbank::net::sftp::packet::{self, Command};
+use pathbank::net::sftp::packet::{self, Command, Status};
 use pathbank::rehearsal::brick::{Act, Brick, Seen};
-use pathbank::rehearsal::client::Client;
+use pathbank::rehearsal::client::{self, Client};
 use pathbank::rehearsal::grpc::{self, routes};
-use pathbank::rehearsal::peer::{Ended, Going, Peer, request};
-use pathbank::rehearsal::stage::{Discovery, Head, HttpClient, Setup, Shared, Site, entry};
+use pathbank::rehearsal::peer::{Ended, Going, Peer, request, request_of};
+use pathbank::rehearsal::stage::{self, Discovery, Head, HttpClient, Setup, Shared, Site, entry};
 use pathbank::rehearsal::store::{Fault, Files, Seen as Stored, Store, Verb};
 use pathbank::rehearsal::{header, wait_for};
+use serde_json::json;
 use socket2::SockRef;
+use std::fs::File;
 use std::net::TcpListener;
 use std::path::Path;
 use std::sync::Arc;
@@ -162,6 +164,33 @@
     assert_eq!(written, 0);
 }
 
+/// Its node takes nothing of a body that is passed on, so that nobody reads on at the client either.
+#[test]
+fn a_client_that_goes_in_the_middle_of_a_body_that_nobody_takes_ends_its_attempt() {
+    for going in Going::ALL {
+        let (node, _discovery, head) = by_hand(Setup { ops: true, ..Setup::default() });
+        SockRef::from(&node).set_recv_buffer_size(4096).unwrap();
+        let mut client = Peer::connect(head.http).unwrap();
+        client.say(request("PUT", "once", "gone", LONG, "Content-Length: 30000000\r\n")).unwrap();
+        let filling = std::thread::spawn(move || {
+            client.fill().unwrap();
+            client
+        });
+        let mut at_node = Peer::accept(&node).unwrap();
+        assert_eq!(header(&at_node.head().unwrap(), "x-request-id"), Some("gone"));
+        let client = filling.join().unwrap();
+        let _stays = client.go(going).unwrap();
+        comes_to(&head, "in_progress", 0);
+        // What was written before is there; then it ends, long before all of the body.
+        let (bytes, _) = at_node.rest().unwrap();
+        assert!(bytes.len() < 30_000_000, "{going:?}");
+        let mut next = Peer::connect(head.http).unwrap();
+        next.say(request("GET", "token-read", "next", LONG, "")).unwrap();
+        let heard = at_node.head_or_next(&node).unwrap();
+        assert_eq!(header(&heard, "x-request-id"), Some("next"), "{going:?}");
+    }
+}
+
 // ---- time ----
 
 #[test]
@@ -332,6 +361,73 @@
     }
 }
 
+// ---- hand-overs ----
+
+/// As long as this lives, another process of the head `n0` seems to, which never says that it keeps to its half.
+fn other_process(shared: &Shared) -> File {
+    let path = shared.folder.join("pathbank.n0.0.lives");
+    let lives = File::options().create(true).truncate(false).write(true).open(path).unwrap();
+    lives.lock().unwrap();
+    lives
+}
+
+#[test]
+fn sigterm_ends_a_process_that_is_not_ready_and_leaves_who_waits_to_the_other_one() {
+    let shared = Arc::new(Shared::new().unwrap());
+    let lives = other_process(&shared);
+    let mut stage = stage(Setup { shared: Some(shared.clone()), ..Setup::default() });
+    let mut client = HttpClient::connect(shared.address).unwrap();
+    client.send("token-read", LONG, "", b"").unwrap();
+    stage.head.terminate().unwrap();
+    assert_eq!(stage.head.ended().unwrap().code(), Some(0));
+    // To its end; it never came so far as to leave.
+    let lines: Vec<String> = stage.head.log.iter().collect();
+    assert!(lines.iter().any(|line| line.contains(" LEFT ")), "{lines:?}");
+    assert!(!lines.iter().any(|line| line.contains(" LEAVING ")), "{lines:?}");
+    // The next one takes over who stood at the door.
+    drop(lives);
+    let nodes = vec![entry("s-1", stage.brick.address, 0, "in_service")];
+    let _next = head(&Setup { shared: Some(shared), ..Setup::default() }, &stage.discovery, nodes);
+    assert_eq!(client.receive().unwrap().0, 200);
+    assert_eq!(stage.seen(), vec![client.id]);
+}
+
+/// The old process stands still as the new one comes, and has its end before it can say that it keeps to its half.
+#[test]
+fn an_old_process_that_ends_before_its_word_leaves_the_new_one_to_serve() {
+    for killed in [false, true] {
+        let shared = Arc::new(Shared::new().unwrap());
+        let setup = Setup { shared: Some(shared.clone()), ..Setup::default() };
+        let mut stage = stage(setup.clone());
+        let mut stays = HttpClient::connect(shared.address).unwrap();
+        assert_eq!(stays.ask("token-read", LONG, b"").unwrap().0, 200);
+        let (release, held) = channel();
+        stage.brick.next(Act::Hold(held));
+        stays.send("token-read", LONG, "", b"").unwrap();
+        wait_for(&stage.brick.seen, "both", |seen| {
+            matches!(seen, Seen::Request { head, .. } if header(head, "x-request-id") == Some(&stays.id))
+        })
+        .unwrap();
+        stage.head.stop(true).unwrap();
+        let nodes = vec![entry("s-1", stage.brick.address, 0, "in_service")];
+        let _new = head(&setup, &stage.discovery, nodes);
+        let mut comes = HttpClient::connect(shared.address).unwrap();
+        comes.send("token-read", LONG, "", b"").unwrap();
+        if killed {
+            stage.head.kill().unwrap();
+        } else {
+            stage.head.terminate().unwrap();
+            stage.head.stop(false).unwrap();
+        }
+        assert_eq!(comes.receive().unwrap().0, 200, "killed {killed}");
+        drop(release);
+        assert_eq!(stays.receive().is_ok_and(|answer| answer.0 == 200), !killed);
+        if !killed {
+            assert_eq!(stage.head.ended().unwrap().code(), Some(0));
+        }
+    }
+}
+
 // ---- lists ----
 
 /// Bytes come all the time, and no list is ever whole.
@@ -381,6 +477,174 @@
     assert_eq!(stage.seen().len(), 1);
 }
 
+/// Nobody else wants its place meanwhile.
+#[test]
+fn at_full_descriptors_a_request_byte_by_byte_and_many_at_once_are_served() {
+    let stage = stage(Setup { sockets: 64, files: true, ..Setup::default() });
+    let _idle: Vec<Peer> = (0..200).filter_map(|_| Peer::connect(stage.head.http).ok()).collect();
+    let mut slow = Peer::connect(stage.head.http).unwrap();
+    for byte in request("GET", "token-read", "slow", LONG, "").bytes() {
+        slow.say([byte]).unwrap();
+    }
+    assert!(slow.head().unwrap().starts_with("HTTP/1.1 200"));
+    // Pipelined: as many answers as the node saw requests, in order, up to the connection's end.
+    let mut many = Peer::connect(stage.head.http).unwrap();
+    let ids: Vec<String> = (0..100).map(|number| format!("many-{number}")).collect();
+    many.say(ids.iter().map(|id| request("GET", "token-read", id, LONG, "")).collect::<String>()).unwrap();
+    let mut answered = 0;
+    while let Ok(head) = many.head() {
+        assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+        many.body(&head).unwrap();
+        answered += 1;
+        if head.contains("connection: close") || answered == ids.len() {
+            break;
+        }
+    }
+    assert!(answered > 0);
+    let seen: Vec<String> = stage.seen().into_iter().filter(|id| id != "slow").collect();
+    assert_eq!(seen, ids[..answered]);
+}
+
+#[test]
+fn a_file_client_that_sends_many_commands_at_once_has_each_answered_at_full_descriptors() {
+    let store = Store::start(Files::default()).unwrap();
+    let nodes = vec![entry("s-1", store.address, 0, "in_service")];
+    let discovery = Discovery::start(nodes.clone()).unwrap();
+    let head = head(&Setup { sockets: 64, files: true, ..Setup::default() }, &discovery, nodes);
+    let _idle: Vec<Peer> = (0..200).filter_map(|_| Peer::connect(head.http).ok()).collect();
+    let mut client = Client::start(head.files().unwrap()).unwrap();
+    let handle = client.open("/bundles/acme/a", packet::WRITE | packet::CREAT).unwrap();
+    let data = Bytes::from_static(b"x");
+    let mut asked: Vec<u32> = (0..200)
+        .map(|offset| {
+            client.send(Command::Write { handle: handle.clone(), offset, data: data.clone() }).unwrap()
+        })
+        .collect();
+    let mut answered: Vec<u32> = asked
+        .iter()
+        .map(|_| {
+            let (id, reply) = client.receive().unwrap();
+            assert!(client::is(&reply, Status::Ok), "{reply:?}");
+            id
+        })
+        .collect();
+    asked.sort_unstable();
+    answered.sort_unstable();
+    assert_eq!(answered, asked);
+}
+
+// ---- other settings ----
+
+/// Names are none of what decides: one class alone, in no zone, whose effect is another than its name suggests.
+#[test]
+fn whether_an_attempt_is_repeated_goes_by_the_effect_that_the_settings_give_its_class() {
+    for site in Site::ALL {
+        for (name, effect, window, repeated) in [
+            ("token-read", "at_most_once", 60_000_000, false),
+            ("once", "idempotent", 0, true),
+            ("lookup", "deduplicated", 60_000_000, true),
+            ("lookup", "deduplicated", 0, false),
+        ] {
+            let setup = Setup { site, ..Setup::default() };
+            let mut settings = stage::settings(&setup);
+            settings["profiles"] = json!([stage::class(&setup, name, effect)]);
+            settings["profiles"][0]["window"] = json!(window);
+            settings["zones"] = json!([]);
+            let brick = Brick::start("b-1").unwrap();
+            let mut node = entry("s-1", brick.address, 0, "in_service");
+            node["zone"] = json!("");
+            let discovery = Discovery::start(vec![node.clone()]).unwrap();
+            let head = head(&Setup { settings: Some(settings), ..setup }, &discovery, vec![node]);
+            // It has come whole, and nobody knows whether it ran.
+            brick.next(Act::Cut(String::new()));
+            let mut client = HttpClient::connect(head.http).unwrap();
+            let (status, ..) = client.ask(name, LONG, b"x").unwrap();
+            let sent = brick.seen.try_iter().filter(|seen| matches!(seen, Seen::Request { .. })).count();
+            let wanted = if repeated { (200, 2) } else { (502, 1) };
+            assert_eq!((status, sent), wanted, "{site:?} {name} {effect} {window}");
+        }
+    }
+}
+
+#[test]
+fn each_of_several_plans_is_held_to_its_own_limit() {
+    let setup = Setup::default();
+    let mut settings = stage::settings(&setup);
+    let plan = |name: &str, limit: f64| {
+        let mut plan = settings["plans"][0].clone();
+        (plan["name"], plan["limit"], plan["burst"]) = (json!(name), json!(limit), json!(16.0));
+        plan
+    };
+    // A unit in 100 s, far beyond what a client waits; and more than anybody asks for.
+    let plans = [("free", 0.0, 200), ("least", 0.01, 503), ("most", 1e6, 200), ("none", 0.01, 503)];
+    settings["plans"] = json!(plans.map(|(name, limit, _)| plan(name, limit)));
+    let stage = stage(Setup { settings: Some(settings), ..setup });
+    for (volume, (name, _, status)) in plans.into_iter().enumerate() {
+        let mut client = Peer::connect(stage.head.http).unwrap();
+        let id = format!("of-{name}");
+        client.say(request_of((volume as u64, name), "GET", "token-read", &id, 10_000, "")).unwrap();
+        let head = client.head().unwrap();
+        assert!(head.starts_with(&format!("HTTP/1.1 {status}")), "{name}: {head}");
+        assert_eq!(header(&head, "retry-after").is_some(), status == 503, "{name}: {head}");
+        assert_eq!(stage.seen().contains(&id), status == 200, "{name}");
+    }
+}
+
+#[test]
+fn a_deadline_under_a_tenth_of_a_second_is_kept_and_told() {
+    let setup = Setup::default();
+    let mut settings = stage::settings(&setup);
+    for profile in settings["profiles"].as_array_mut().unwrap() {
+        (profile["target"], profile["hard_limit"]) = (json!(20_000), json!(60_000));
+    }
+    let stage = stage(Setup { settings: Some(settings), ..setup });
+    let mut client = HttpClient::connect(stage.head.http).unwrap();
+    // Its client would wait for longer, the class does not; the node never answers.
+    let (_release, held) = channel();
+    stage.brick.next(Act::Hold(held));
+    let (status, ..) = client.ask("token-read", LONG, b"").unwrap();
+    assert!(matches!(status, 502 | 503), "{status}");
+    // Others are served, as soon as the machine is quick enough for that.
+    let since = Instant::now();
+    while client.ask("token-read", 60, b"").unwrap().0 != 200 {
+        assert!(since.elapsed() < Duration::from_secs(20), "nothing is served");
+    }
+    let mut told = 0;
+    for seen in stage.brick.seen.try_iter() {
+        if let Seen::Request { head, .. } = seen {
+            let left: u64 = header(&head, "x-timeout-ms").unwrap().parse().unwrap();
+            assert!((1..=60).contains(&left), "{left}");
+            told += 1;
+        }
+    }
+    assert!(told > 0);
+}
+
+#[test]
+fn thousands_of_volumes_are_served() {
+    const CLIENTS: u64 = 8;
+    const EACH: u64 = 400;
+    let stage = stage(Setup::default());
+    let http = stage.head.http;
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|number| {
+            std::thread::spawn(move || {
+                let mut client = Peer::connect(http).unwrap();
+                for volume in number * EACH..(number + 1) * EACH {
+                    let id = format!("of-{volume}");
+                    let plan = (volume << 32 | 7, "starter");
+                    client.say(request_of(plan, "GET", "token-read", &id, LONG, "")).unwrap();
+                    let head = client.head().unwrap();
+                    assert!(head.starts_with("HTTP/1.1 200"), "{id}: {head}");
+                    client.body(&head).unwrap();
+                }
+            })
+        })
+        .collect();
+    clients.into_iter().for_each(|client| client.join().unwrap());
+    assert_eq!(stage.seen().len() as u64, CLIENTS * EACH);
+}
+
 // ---- answers ----
 
 /// An answer without a length is whole with its connection's end, and never with a reset.
