--- /dev/null
+++ b/src/agree/document/tests.rs
@@ -0,0 +1,89 @@
+use super::*;
+
+fn values() -> Vec<Value> {
+    let limit = |rate, least| Value::Limit { rate, least };
+    let mut all = vec![limit(0.0, 0.0), limit(5.0, 1.0), limit(5.0, 5.0), limit(9.0, 2.0)];
+    all.extend([1, 2, 3].map(Value::Attempts));
+    all.extend([Repeats::Never, Repeats::Keyed, Repeats::Always].map(Value::Repeats));
+    all.extend([Value::Node(true), Value::Node(false)]);
+    all
+}
+
+#[test]
+fn a_safe_reading_keeps_to_both_and_less_knowledge_is_never_laxer() {
+    for a in values() {
+        assert!(
+            a.keeps_to(&a)
+                && a.at(Level::Loose).keeps_to(&a)
+                && a.at(Level::Bottom).keeps_to(&a.at(Level::Loose))
+        );
+        for b in values().into_iter().filter(|b| b.kind() == a.kind()) {
+            let safe = a.safe(&b);
+            assert!(safe.keeps_to(&a) && safe.keeps_to(&b), "{a:?} {b:?}: {safe:?}");
+            assert!(a.at(Level::Bottom).keeps_to(&b), "{a:?} {b:?}: bottom contradicts nothing");
+            // Where long leases need not end, whoever runs on one keeps to both.
+            assert!(a.needs_long(&b) || a.at(Level::Loose).keeps_to(&b), "{a:?} {b:?}");
+            for c in values().into_iter().filter(|c| c.kind() == a.kind()) {
+                assert!(!(a.keeps_to(&b) && b.keeps_to(&c)) || a.keeps_to(&c), "{a:?} {b:?} {c:?}");
+            }
+        }
+    }
+}
+
+fn edit(base: u64, changes: &[(&str, Option<Value>)]) -> Part {
+    Part { base, changes: changes.iter().map(|(field, value)| (field.to_string(), value.clone())).collect() }
+}
+
+#[test]
+fn edits_on_one_base_go_together_unless_they_touch_one_field() {
+    let limit = |rate| Some(Value::Limit { rate, least: 1.0 });
+    let one =
+        Document::default().edited(&edit(0, &[("a", limit(5.0)), ("b", Some(Value::Attempts(3)))])).unwrap();
+    let two = one.edited(&edit(1, &[("a", limit(4.0))])).unwrap();
+    let three = two.edited(&edit(1, &[("b", Some(Value::Attempts(2)))])).unwrap();
+    assert_eq!((three.version, three.fields["a"].clone()), (3, limit(4.0).unwrap()));
+    assert_eq!(three.fields["b"], Value::Attempts(2), "neither edit drops the other's field");
+    for (edit, wanted) in [
+        (edit(1, &[("a", limit(9.0))]), Rejected::Conflict(vec!["a".into()])),
+        (edit(4, &[("a", limit(9.0))]), Rejected::Ahead),
+        (edit(3, &[]), Rejected::Empty),
+        (
+            edit(3, &[("a", limit(0.5))]),
+            Rejected::Fault {
+                field: "a".into(),
+                what: "a limit is at least its `least`, which is at least 0".into(),
+            },
+        ),
+        (
+            edit(3, &[("a", limit(f64::NAN))]),
+            Rejected::Fault { field: "a".into(), what: "a limit is a finite number".into() },
+        ),
+        (
+            edit(3, &[("b", Some(Value::Attempts(0)))]),
+            Rejected::Fault { field: "b".into(), what: "there is one attempt at least".into() },
+        ),
+        (edit(3, &[("a", None)]), Rejected::Kind { field: "a".into() }),
+        (edit(3, &[("a", Some(Value::Node(true)))]), Rejected::Kind { field: "a".into() }),
+    ] {
+        assert_eq!(three.edited(&edit), Err(wanted), "{edit:?}");
+    }
+}
+
+#[test]
+fn only_what_long_leases_rely_on_waits_for_them() {
+    let with = |value| Document { fields: BTreeMap::from([("x".to_string(), value)]), ..Document::default() };
+    let limit = |rate, least| Value::Limit { rate, least };
+    for (before, after, long) in [
+        (limit(9.0, 2.0), limit(3.0, 2.0), false),
+        (limit(9.0, 2.0), limit(3.0, 1.0), false),
+        (limit(9.0, 2.0), limit(1.0, 1.0), true),
+        (Value::Attempts(3), Value::Attempts(1), false),
+        (Value::Repeats(Repeats::Always), Value::Repeats(Repeats::Never), false),
+        (Value::Node(true), Value::Node(false), true),
+        (Value::Node(false), Value::Node(true), false),
+        (Value::Plain("a".into()), Value::Plain("b".into()), false),
+    ] {
+        assert_eq!(with(before.clone()).needs_long(&with(after.clone())), long, "{before:?} {after:?}");
+    }
+    assert!(Document::default().needs_long(&with(Value::Attempts(1))), "a new rule is known to nobody else");
+}
--- /dev/null
+++ b/src/agree/rules/tests.rs
@@ -0,0 +1,142 @@
+use super::*;
+use crate::agree::document::{Edit, Part};
+use crate::agree::holder::Holder;
+use crate::agree::{Command, Entry, HolderId, Message, Times};
+use crate::interface::Class;
+
+fn base() -> Settings {
+    let class = |repeats| Class { repeats, ..Class::default() };
+    let repeats = [interface::Repeats::Safe, interface::Repeats::Keyed, interface::Repeats::Unsafe];
+    Settings {
+        classes: repeats.map(class).to_vec(),
+        plans: vec![Plan { limit: 8.0, limit_burst: 16.0, ..Plan::default() }, Plan::default()],
+        max_attempts: 4,
+        ..Settings::default()
+    }
+}
+
+fn names() -> Names {
+    let names = |all: &[&str]| all.iter().map(|name| name.to_string()).collect();
+    Names { classes: names(&["read", "keyed", "once"]), plans: names(&["gold", "free"]) }
+}
+
+/// A head that holds its leases since 0 and was told these edits, in force or only prepared.
+fn holder(edits: &[&[(&str, &str, Value)]], in_force: usize) -> Holder {
+    let voters = BTreeMap::from([(1, String::new())]);
+    let mut holder = Holder::new(HolderId { head: "n0".into(), start: 1 }, &voters, Times::default());
+    let mut entries = Vec::new();
+    let mut versions: BTreeMap<&str, u64> = BTreeMap::new();
+    for (id, edit) in edits.iter().enumerate() {
+        let mut parts: BTreeMap<String, Part> = BTreeMap::new();
+        for (document, field, value) in *edit {
+            let base = versions.get(document).copied().unwrap_or(0);
+            let part = parts.entry(document.to_string()).or_insert(Part { base, changes: BTreeMap::new() });
+            part.changes.insert(field.to_string(), Some(value.clone()));
+        }
+        edit.iter()
+            .map(|(document, ..)| *document)
+            .collect::<std::collections::BTreeSet<_>>()
+            .into_iter()
+            .for_each(|document| *versions.entry(document).or_insert(0) += 1);
+        let edit = Edit { id: id as u64, parts, who: String::new(), why: String::new(), at_ms: 0 };
+        entries.push(Entry { term: 1, command: Command::Edit(edit) });
+    }
+    entries.insert(in_force, Entry { term: 1, command: Command::Activate(in_force as Index) });
+    let granted = Message::Granted { start: 1, asked: 0, yes: true, after: 0, snapshot: None, entries };
+    holder.hear(1, granted);
+    holder
+}
+
+#[test]
+fn every_rule_follows_the_documents_and_less_is_allowed_the_less_is_known() {
+    let limit = |rate| Value::Limit { rate, least: 1.0 };
+    let first: &[(&str, &str, Value)] = &[
+        ("plan/gold", "limit", limit(4.0)),
+        ("plan/gold", "weight", Value::Plain("2.5".into())),
+        ("plan/free", "limit", limit(3.0)),
+        ("plan/free", "price", Value::Plain("much".into())),
+        ("class/read", "attempts", Value::Attempts(3)),
+        ("class/keyed", "repeats", Value::Repeats(Repeats::Keyed)),
+        ("nodes", "s-1", Value::Node(false)),
+        ("volumes", "0a", Value::Plain("free".into())),
+        ("volumes", "0b", Value::Plain("none".into())),
+    ];
+    let second: &[(&str, &str, Value)] =
+        &[("plan/gold", "limit", limit(2.0)), ("class/read", "repeats", Value::Repeats(Repeats::Never))];
+    let holder = holder(&[first, second], 1);
+    let mut rules = Rules::new(base(), names(), holder.view().clone());
+    let told = |rules: &Rules| {
+        let settings = rules.settings();
+        let limits: Vec<(f64, f64)> = settings.plans.iter().map(|p| (p.limit, p.limit_burst)).collect();
+        let repeats: Vec<interface::Repeats> = settings.classes.iter().map(|c| c.repeats).collect();
+        let takes = (rules.takes("s-1"), rules.takes("s-2"));
+        (limits, repeats, (0..3).map(|class| rules.attempts(class)).collect::<Vec<_>>(), takes)
+    };
+    use interface::Repeats::{Keyed, Unsafe};
+    let times = Times::default();
+    for (at, level, wanted) in [
+        (
+            0,
+            Level::Held,
+            (vec![(2.0, 4.0), (3.0, 3.0)], vec![Unsafe, Keyed, Unsafe], vec![3, 4, 4], (false, true)),
+        ),
+        (
+            times.lease,
+            Level::Loose,
+            (vec![(1.0, 2.0), (1.0, 1.0)], vec![Unsafe, Unsafe, Unsafe], vec![1, 4, 4], (false, true)),
+        ),
+        (
+            times.long_lease,
+            Level::Bottom,
+            (
+                vec![(NO_UNITS, 0.0), (NO_UNITS, 0.0)],
+                vec![Unsafe, Unsafe, Unsafe],
+                vec![1, 0, 0],
+                (false, false),
+            ),
+        ),
+    ] {
+        let was = rules.level();
+        let reading = rules.look(at, holder.view()).expect("it has changed");
+        assert_eq!((reading.level, reading.was), (level, was));
+        assert!(rules.look(at, holder.view()).is_none(), "nothing has changed since");
+        assert_eq!(told(&rules), wanted, "{level:?}");
+    }
+    assert_eq!(rules.settings().plans[0].weight, 2.5);
+    assert_eq!((rules.plan(10), rules.plan(11)), (Some(1), None));
+    assert_eq!(rules.ignored(), ["plan/free.price", "volumes.0b"]);
+}
+
+#[test]
+fn an_open_request_is_bound_by_stricter_rules_and_never_loosened() {
+    let strict: &[(&str, &str, Value)] = &[
+        ("class/read", "attempts", Value::Attempts(1)),
+        ("class/keyed", "repeats", Value::Repeats(Repeats::Never)),
+    ];
+    let lax: &[(&str, &str, Value)] = &[
+        ("class/read", "attempts", Value::Attempts(3)),
+        ("class/keyed", "repeats", Value::Repeats(Repeats::Always)),
+    ];
+    let rules = |edits: &[&[(&str, &str, Value)]]| {
+        let holder = holder(edits, edits.len());
+        let mut rules = Rules::new(base(), names(), holder.view().clone());
+        rules.look(0, holder.view());
+        rules
+    };
+    let (none, one, two) = (rules(&[]), rules(&[strict]), rules(&[strict, lax]));
+    for (came_under, now, class, attempt, ran, wanted) in [
+        (&none, &none, 0, 3, true, true),
+        (&none, &none, 0, 4, true, false),
+        (&none, &one, 0, 0, false, true),
+        (&none, &one, 0, 1, false, false),
+        (&one, &two, 0, 1, false, false),
+        (&two, &two, 0, 2, false, true),
+        (&none, &one, 1, 1, true, false),
+        (&none, &one, 1, 1, false, true),
+        (&one, &two, 1, 1, true, false),
+        (&two, &two, 1, 1, true, true),
+    ] {
+        let came = came_under.came(class);
+        assert_eq!(now.allows(class, came, attempt, ran, "s-9"), wanted, "{came:?} {class} {attempt} {ran}");
+    }
+}
--- /dev/null
+++ b/src/events/requests/tests.rs
@@ -0,0 +1,28 @@
+use super::*;
+
+#[test]
+fn all_that_went_wrong_is_told_and_of_the_rest_one_in_so_many() {
+    let kinds = vec![
+        Kind { plan: Some(1), class: None, one_in: 4 },
+        Kind { plan: Some(1), class: Some(0), one_in: 0 },
+    ];
+    let names = |n| vec![String::new(); n];
+    let mut telling = Telling::new(names(2), names(2), Sampling { one_in: 10, kinds });
+    let mut count = |plan, class| {
+        let told = (0..100).filter_map(|_| telling.told(plan, class, Finish::Served, 1, false));
+        told.map(|one_in| one_in as usize).collect::<Vec<_>>()
+    };
+    assert_eq!(count(0, 0), [10; 10]);
+    assert_eq!(count(0, 1), [10; 10]);
+    assert_eq!(count(1, 1), [4; 25]);
+    assert!(count(1, 0).is_empty());
+    for (finish, attempts, late) in [
+        (Finish::Refused, 0, false),
+        (Finish::Failed, 1, false),
+        (Finish::Left, 1, false),
+        (Finish::Served, 2, false),
+        (Finish::Served, 1, true),
+    ] {
+        assert_eq!(telling.told(1, 0, finish, attempts, late), Some(1), "{finish:?}");
+    }
+}
--- /dev/null
+++ b/src/figures/tests.rs
@@ -0,0 +1,61 @@
+use super::*;
+
+fn names(names: &[&str]) -> Vec<String> {
+    names.iter().map(|name| name.to_string()).collect()
+}
+
+#[test]
+fn each_figure_has_its_line_and_counts_what_it_says() {
+    let figures = Figures::default();
+    figures.name_classes(&names(&["read", "write"]));
+    for (class, what) in [
+        (0, Count::Passed),
+        (0, Count::Passed),
+        (1, Count::Dropped),
+        (0, Count::BadGateway),
+        (1, Count::Tries),
+    ] {
+        figures.count(class, what);
+    }
+    figures.count(7, Count::Passed);
+    figures.bricks(9, 2);
+    figures.loaded(true);
+    figures.loaded(false);
+    figures.loaded(false);
+    figures.silence();
+    figures.list(None);
+    figures.list(Some(700));
+    figures.list(None);
+    let open = figures.taken();
+    let wanted = "edge_gw_handled{category=\"read\",outcome=\"passed\"} 2\n\
+        edge_gw_handled{category=\"read\",outcome=\"dropped\"} 0\n\
+        edge_gw_handled{category=\"read\",outcome=\"bad_gateway\"} 1\n\
+        edge_gw_upstream_tries{category=\"read\"} 0\n\
+        edge_gw_handled{category=\"write\",outcome=\"passed\"} 0\n\
+        edge_gw_handled{category=\"write\",outcome=\"dropped\"} 1\n\
+        edge_gw_handled{category=\"write\",outcome=\"bad_gateway\"} 0\n\
+        edge_gw_upstream_tries{category=\"write\"} 1\n\
+        edge_gw_in_progress 1\nedge_gw_known_bricks 9\nedge_gw_skipped_bricks 2\n\
+        edge_gw_loads 1\nedge_gw_load_errors 2\n\
+        edge_gw_list_silences 1\nedge_gw_list_overdue 1\nedge_gw_list_overdue_ms 700\n";
+    assert_eq!(figures.text(), wanted);
+    drop(open);
+    assert_eq!(figures.in_progress(), 0);
+}
+
+#[test]
+fn a_class_that_goes_and_comes_back_keeps_its_count() {
+    let figures = Figures::default();
+    figures.name_classes(&names(&["a", "b"]));
+    figures.count(1, Count::Passed);
+    // `a` has new rules under number 2; `b` has gone, but what is open there still ends; `c` is new.
+    figures.name_classes(&names(&["a", "b", "a", "c"]));
+    for class in [0, 1, 2, 3] {
+        figures.count(class, Count::Passed);
+    }
+    let text = figures.text();
+    for line in ["{category=\"a\",outcome=\"passed\"} 2\n", "{category=\"b\",outcome=\"passed\"} 2\n"] {
+        assert!(text.contains(line), "{text}");
+    }
+    assert_eq!(text.matches("outcome=\"passed\"").count(), 3);
+}
--- /dev/null
+++ b/src/net/agree/disk/tests.rs
@@ -0,0 +1,288 @@
+use super::*;
+use crate::agree::Command;
+use crate::agree::archive::Verified;
+use crate::agree::document::{Edit, Part, Value};
+use crate::rehearsal::disk::Disk as Paper;
+use std::collections::BTreeMap;
+
+fn entry(i: u64) -> Entry {
+    let changes = BTreeMap::from([("x".to_string(), Some(Value::Plain(format!("{i}"))))]);
+    let parts = BTreeMap::from([("d".to_string(), Part { base: 0, changes })]);
+    let edit = Edit { id: i, parts, who: "ops".into(), why: "a test".into(), at_ms: i };
+    Entry { term: 1, command: Command::Edit(edit) }
+}
+
+fn ledger(to: u64) -> Box<Ledger> {
+    let mut ledger = Ledger::default();
+    (1..=to).for_each(|i| ledger.apply(&entry(i)));
+    Box::new(ledger)
+}
+
+fn new_paper() -> Paper {
+    let paper = Paper::default();
+    let database = redb::Builder::new().create_with_backend(paper.clone()).unwrap();
+    Disk::begin(&database, 77).unwrap();
+    drop(database);
+    paper
+}
+
+fn found(disk: &Disk) -> Verified {
+    disk.verify(Chain::default()).unwrap().done()
+}
+
+/// Batches as a voter writes them: votes, entries, cuts, snapshots of its own and of others.
+fn batches() -> Vec<Vec<Save>> {
+    vec![
+        vec![Save::Vote { term: 3, voted: Some(9) }, Save::Known(9, 4)],
+        (1..=4).map(|i| Save::Put(i, entry(i))).collect(),
+        vec![Save::Cut(2), Save::Put(3, entry(3)), Save::Barrier(3)],
+        vec![Save::Snapshot { ledger: ledger(2), term: 1, whole: None }],
+        vec![Save::Put(3, entry(3)), Save::Put(4, entry(4)), Save::Vote { term: 4, voted: None }],
+        vec![Save::Snapshot { ledger: ledger(9), term: 2, whole: Some(3) }, Save::Barrier(9)],
+        vec![Save::Put(10, entry(10))],
+    ]
+}
+
+/// What is loaded is as if it had been kept in memory, but that memory may hold entries from before the ledger.
+fn same(loaded: &Saved, kept: &Saved) -> bool {
+    let cut = (loaded.first - kept.first) as usize;
+    let rest = kept.log.get(cut..).unwrap_or_default();
+    (loaded.term, loaded.voted, loaded.barrier, &loaded.known)
+        == (kept.term, kept.voted, kept.barrier, &kept.known)
+        && loaded.ledger == kept.ledger
+        && loaded.log == rest
+}
+
+#[test]
+fn a_machine_that_dies_at_any_byte_comes_back_with_all_of_a_batch_or_nothing() {
+    let batches = batches();
+    let mut states = vec![Saved::default()];
+    for batch in &batches {
+        let mut next = states[states.len() - 1].clone();
+        batch.iter().for_each(|save| next.keep(save));
+        states.push(next);
+    }
+    let written = |left: usize| -> (Paper, usize, usize) {
+        let paper = new_paper();
+        let (mut disk, _) = Disk::on(paper.clone()).unwrap();
+        paper.image().left = Some(left);
+        let done = batches.iter().take_while(|batch| disk.save(batch).is_ok()).count();
+        let used = left - paper.image().left.unwrap();
+        (paper, done, used)
+    };
+    let (_, done, whole) = written(usize::MAX);
+    assert_eq!(done, batches.len());
+    let (mut before, mut after) = (0, 0);
+    for left in (0..whole).step_by(whole / 100) {
+        let (paper, done, _) = written(left);
+        let images = {
+            let image = paper.image();
+            [image.bytes.clone(), image.synced.clone()]
+        };
+        for bytes in images {
+            let (disk, loaded) =
+                Disk::on(Paper::of(bytes)).unwrap_or_else(|problem| panic!("{left}: {problem}"));
+            // What was said to be on disk is; the batch that it died in is there whole, or not at all.
+            let is = (done..=(done + 1).min(batches.len())).find(|state| same(&loaded, &states[*state]));
+            assert!(is.is_some(), "died after {left} of {whole} bytes, {done} batches done: {loaded:?}");
+            if is == Some(done) {
+                before += 1
+            } else {
+                after += 1
+            }
+            assert_eq!(found(&disk).wrong, None, "{left}");
+        }
+    }
+    assert!(before > 0 && before + after > 190, "{before} {after}");
+}
+
+#[test]
+fn a_full_disk_says_so_and_loses_nothing_that_it_had() {
+    let paper = new_paper();
+    let (mut disk, _) = Disk::on(paper.clone()).unwrap();
+    disk.save(&[Save::Put(1, entry(1)), Save::Vote { term: 2, voted: Some(1) }]).unwrap();
+    paper.image().full = true;
+    let snapshot = Save::Snapshot { ledger: ledger(1), term: 1, whole: None };
+    assert!(disk.save(&[snapshot]).is_err());
+    drop(disk);
+    paper.image().full = false;
+    let (disk, saved) = Disk::on(paper).unwrap();
+    assert_eq!((saved.term, saved.voted, saved.log.len(), saved.starts >> 32), (2, Some(1), 1, 2));
+    assert_eq!(found(&disk), Verified { entries: 1, last: 1, ..Verified::default() });
+}
+
+#[test]
+fn a_changed_past_is_found_and_named_and_gaps_are_told() {
+    let paper = new_paper();
+    let (mut disk, _) = Disk::on(paper.clone()).unwrap();
+    batches().iter().for_each(|batch| disk.save(batch).unwrap());
+    assert_eq!(found(&disk), Verified { entries: 4, last: 10, gaps: vec![(4, 9)], wrong: None });
+    drop(disk);
+    let database = redb::Builder::new().create_with_backend(paper.clone()).unwrap();
+    let write = database.begin_write().unwrap();
+    {
+        let mut log = write.open_table(LOG).unwrap();
+        let value = log.get(2).unwrap().unwrap().value().to_vec();
+        let forged = String::from_utf8_lossy(&value[32..]).replace("a test", "a lie!");
+        let value = [&value[..32], forged.as_bytes()].concat();
+        log.insert(2, value.as_slice()).unwrap();
+    }
+    write.commit().unwrap();
+    drop(database);
+    let (disk, _) = Disk::on(paper).unwrap();
+    assert_eq!(found(&disk).wrong, Some(2));
+}
+
+/// Twenty entries on disk that a ledger stands for, and two more; an archive that is empty.
+fn twenty(name: &str) -> (Paper, Disk, Archive, PathBuf) {
+    let (paper, folder) =
+        (new_paper(), std::env::temp_dir().join(format!("pathbank-{name}-{}", std::process::id())));
+    let _ = std::fs::remove_dir_all(&folder);
+    let (mut disk, _) = Disk::on(paper.clone()).unwrap();
+    let entries: Vec<Save> = (1..=20).map(|i| Save::Put(i, entry(i))).collect();
+    disk.save(&entries).unwrap();
+    disk.save(&[Save::Snapshot { ledger: ledger(20), term: 1, whole: None }]).unwrap();
+    disk.save(&[Save::Put(21, entry(21)), Save::Put(22, entry(22))]).unwrap();
+    (paper, disk, Archive::beside(&folder), folder)
+}
+
+/// What is in the archive and behind it on disk, as a check of both finds it, and by reading one record after another.
+fn both(disk: &Disk, archive: &Archive) -> (Verified, Vec<Index>) {
+    let mut chain = Chain::default();
+    archive.follow(&mut chain).unwrap();
+    let (mut all, mut at) = (Vec::new(), 0);
+    loop {
+        let old = archive.records(at, 3).unwrap();
+        let records = if old.is_empty() { disk.records(at, 3).unwrap() } else { old };
+        let Some(last) = records.last() else { break };
+        at = last.index;
+        for record in records {
+            let Command::Edit(edit) = &record.entry.command else { panic!("{record:?}") };
+            assert_eq!(edit.id, record.index);
+            all.push(record.index);
+        }
+    }
+    (disk.verify(chain).unwrap().done(), all)
+}
+
+const WHOLE: Verified = Verified { entries: 22, last: 22, gaps: Vec::new(), wrong: None };
+
+#[test]
+fn old_entries_leave_for_the_archive_and_none_is_lost_wherever_the_machine_dies() {
+    let span = |from, to| Some(Span { from, to });
+    let (paper, mut disk, archive, folder) = twenty("archive");
+    assert_eq!(disk.archive(&archive, None).unwrap(), None);
+    for due in [span(1, 6), span(7, 12), None] {
+        assert_eq!(disk.archive(&archive, Some(6)).unwrap(), due);
+        assert_eq!(both(&disk, &archive), (WHOLE, (1..=22).collect()), "{due:?}");
+    }
+    drop(disk);
+    let (mut disk, saved) = Disk::on(paper).unwrap();
+    assert_eq!((saved.first, saved.log.len()), (20, 2));
+    disk.save(&[Save::Put(23, entry(23))]).unwrap();
+    assert_eq!(both(&disk, &archive).0, Verified { entries: 23, last: 23, ..WHOLE });
+    std::fs::remove_dir_all(&folder).unwrap();
+    let mut lefts = (0, 0);
+    for left in (0..).step_by(997) {
+        let (paper, mut disk, archive, folder) = twenty(&format!("archive-{left}"));
+        paper.image().left = Some(left);
+        let done = disk.archive(&archive, Some(6)).is_ok();
+        let images = {
+            let image = paper.image();
+            [image.bytes.clone(), image.synced.clone()]
+        };
+        for bytes in images {
+            let (mut disk, _) = Disk::on(Paper::of(bytes)).unwrap_or_else(|e| panic!("{left}: {e}"));
+            assert_eq!(both(&disk, &archive), (WHOLE, (1..=22).collect()), "{left}");
+            // It goes on where it stopped.
+            while disk.archive(&archive, Some(6)).unwrap().is_some() {}
+            assert_eq!(both(&disk, &archive), (WHOLE, (1..=22).collect()), "{left}");
+            assert_eq!(archive.segments().unwrap().len(), 2, "{left}");
+        }
+        std::fs::remove_dir_all(&folder).unwrap();
+        lefts = if done { (lefts.0, lefts.1 + 1) } else { (lefts.0 + 1, 0) };
+        if done {
+            break;
+        }
+    }
+    assert!(lefts.0 > 3 && lefts.1 == 1, "{lefts:?}");
+}
+
+#[test]
+fn an_archive_that_is_changed_cut_or_moved_away_is_found_and_named() {
+    let (_paper, mut disk, archive, folder) = twenty("changed");
+    while disk.archive(&archive, Some(6)).unwrap().is_some() {}
+    let at = |span: Span| folder.join("archive").join(span.name());
+    let spans = archive.segments().unwrap();
+    let texts: Vec<String> = spans.iter().map(|span| std::fs::read_to_string(at(*span)).unwrap()).collect();
+    let gap = |entries, gap| Verified { entries, gaps: vec![gap], ..WHOLE };
+    let wrong = |entries, gaps, wrong| Verified { entries, last: wrong - 1, gaps, wrong: Some(wrong) };
+    let lines = |text: &str, count: usize| {
+        text.lines().take(count).map(|line| format!("{line}\n")).collect::<String>()
+    };
+    let forged = texts[0].replacen("a test", "a lie!", 3).replacen("a lie!", "a test", 2);
+    // Which segment, what is in its place (`None`: it was moved away), and what is found.
+    for (segment, text, due) in [
+        (0, None, gap(16, (1, 6))),
+        (1, None, gap(16, (7, 12))),
+        (0, Some(forged), wrong(2, vec![], 3)),
+        (1, Some(lines(&texts[1], 4)), wrong(9, vec![], 10)),
+        (1, Some(lines(&texts[1], 4) + "{\"index\":"), wrong(9, vec![], 10)),
+        (1, Some(String::new()), wrong(6, vec![], 7)),
+        (1, Some(texts[0].clone()), wrong(6, vec![], 7)),
+    ] {
+        match &text {
+            Some(text) => std::fs::write(at(spans[segment]), text).unwrap(),
+            None => std::fs::remove_file(at(spans[segment])).unwrap(),
+        }
+        let mut chain = Chain::default();
+        archive.follow(&mut chain).unwrap();
+        assert_eq!(disk.verify(chain).unwrap().done(), due, "{text:?}");
+        std::fs::write(at(spans[segment]), &texts[segment]).unwrap();
+    }
+    assert_eq!(both(&disk, &archive).0, WHOLE);
+    // A file in the folder's place: nothing leaves, and what is here stays.
+    std::fs::remove_dir_all(folder.join("archive")).unwrap();
+    std::fs::write(folder.join("archive"), "").unwrap();
+    assert!(matches!(disk.archive(&archive, Some(2)), Err(DiskError::Io(_))));
+    assert_eq!(found(&disk), gap(10, (1, 12)));
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+#[test]
+fn what_is_no_voters_disk_is_named_and_never_voted_on() {
+    let folder = std::env::temp_dir().join(format!("pathbank-disk-{}", std::process::id()));
+    let open = || Disk::open(&folder, 1 << 30);
+    assert!(matches!(open(), Err(DiskError::Absent(_))));
+    Disk::create(&folder, 5).unwrap();
+    assert!(matches!(Disk::create(&folder, 6), Err(DiskError::There(_))));
+    let (disk, saved) = open().unwrap();
+    assert_eq!((disk.id(), saved.starts >> 32), (5, 1));
+    assert!(matches!(open(), Err(DiskError::Foreign { .. })), "two processes have it");
+    drop(disk);
+    assert_eq!(open().unwrap().1.starts >> 32, 2);
+    let whole = std::fs::read(path(&folder)).unwrap();
+    let of = |bytes: &[u8]| {
+        std::fs::write(path(&folder), bytes).unwrap();
+        open().map(|(disk, _)| disk.id())
+    };
+    for (what, bytes) in [
+        ("empty", &b""[..]),
+        ("a text", b"not a database"),
+        ("cut", &whole[..whole.len() / 3]),
+        ("zeroes", &[0; 9000]),
+    ] {
+        assert!(of(bytes).is_err(), "{what}");
+    }
+    // Another database, and one of a later form.
+    for (key, value) in [("other", "1"), ("schema", "9")] {
+        std::fs::remove_file(path(&folder)).unwrap();
+        let database = Database::create(path(&folder)).unwrap();
+        let write = database.begin_write().unwrap();
+        put(&mut write.open_table(META).unwrap(), key, &serde_json::from_str::<u64>(value).unwrap()).unwrap();
+        write.commit().unwrap();
+        drop(database);
+        assert!(matches!(open(), Err(DiskError::Foreign { .. } | DiskError::Schema(9))), "{key}");
+    }
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- /dev/null
+++ b/src/net/sftp/packet/tests.rs
@@ -0,0 +1,77 @@
+use super::*;
+
+fn handle() -> Bytes {
+    Bytes::from_static(b"\0h")
+}
+
+#[test]
+fn every_packet_comes_back_as_it_went() {
+    let attrs = Attrs {
+        size: Some(1 << 40),
+        owner: Some((7, 8)),
+        permissions: Some(0o644),
+        times: Some((5, u32::MAX)),
+    };
+    for command in [
+        Command::Open { path: "/a/b".into(), flags: READ | CREAT, attrs },
+        Command::Close { handle: handle() },
+        Command::Read { handle: handle(), offset: u64::MAX, length: 9 },
+        Command::Write { handle: handle(), offset: 3, data: Bytes::from_static(b"data") },
+        Command::Stat { path: "/a".into(), follow: true },
+        Command::Stat { path: "/a".into(), follow: false },
+        Command::Fstat { handle: handle() },
+        Command::Unsupported(18),
+    ] {
+        let request = Request::Command { id: 0x0102_0304, command };
+        assert_eq!(Request::decode(request.encode()), Ok(request));
+    }
+    for reply in [
+        Reply::status(Status::OpUnsupported, "no"),
+        Reply::Handle(handle()),
+        Reply::Data(Bytes::from_static(b"data")),
+        Reply::Attrs(Attrs { size: None, ..attrs }),
+        Reply::Attrs(Attrs::default()),
+    ] {
+        let response = Response::Reply { id: 7, reply };
+        assert_eq!(Response::decode(response.encode()), Ok(response.clone()));
+        let Response::Reply { id, reply } = &response else { unreachable!("none is a version") };
+        assert_eq!(Encoded::new(reply).with_id(*id), response.encode());
+    }
+}
+
+#[test]
+fn bytes_on_the_wire_are_those_of_the_specification() {
+    let read = Request::Command {
+        id: 2,
+        command: Command::Read { handle: handle(), offset: 0x1_0000_0000, length: 0x8000 },
+    };
+    let bytes = [&[5, 0, 0, 0, 2, 0, 0, 0, 2, 0, b'h'][..], &[0, 0, 0, 1, 0, 0, 0, 0, 0, 0, 0x80, 0]];
+    assert_eq!(read.encode(), bytes.concat());
+    let eof = Response::Reply { id: 2, reply: Reply::status(Status::Eof, "x") };
+    let bytes = [101, 0, 0, 0, 2, 0, 0, 0, 1, 0, 0, 0, 1, b'x', 0, 0, 0, 2, b'e', b'n'];
+    assert_eq!(eof.encode(), &bytes[..]);
+}
+
+#[test]
+fn malformed_packets_are_named_with_the_request_they_are_for() {
+    for (packet, id, what) in [
+        (&[][..], None, "a byte is missing"),
+        (&[OPEN, 0, 0], None, "a number is cut short"),
+        (&[CLOSE, 0, 0, 0, 9, 0, 0, 0, 5, b'x'], Some(9), "a string is cut short"),
+        (&[CLOSE, 0, 0, 0, 9, 0, 0, 0, 1, b'x', 0], Some(9), "something follows the packet's end"),
+        (&[STAT, 0, 0, 0, 9, 0, 0, 0, 1, 0xff], Some(9), "a path is not UTF-8"),
+        (&[STAT, 0, 0, 0, 9, 0xff, 0xff, 0xff, 0xff], Some(9), "a string is cut short"),
+        (
+            &[OPEN, 0, 0, 0, 9, 0, 0, 0, 0, 0, 0, 0, 1, 0x80, 0, 0, 0, 0, 0, 0, 9],
+            Some(9),
+            "a number is cut short",
+        ),
+    ] {
+        let malformed = Malformed { id, what };
+        assert_eq!(Request::decode(Bytes::copy_from_slice(packet)), Err(malformed), "{packet:?}");
+    }
+    let long =
+        Request::Command { id: 1, command: Command::Fstat { handle: Bytes::from(vec![0; MOST_HANDLE + 1]) } };
+    let what = "a string is too long";
+    assert_eq!(Request::decode(long.encode()), Err(Malformed { id: Some(1), what }));
+}
--- /dev/null
+++ b/src/peers/tests.rs
@@ -0,0 +1,45 @@
+use super::*;
+
+fn at(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+#[test]
+fn only_other_heads_are_heard_and_only_so_much() {
+    let now = Instant::now();
+    let mut peers = Peers::new(vec![at(1), at(2), at(3)], None, 1, now);
+    for (from, length, heard) in [
+        (at(1), 1, Ok(0)),
+        (at(3), 256, Ok(2)),
+        (at(2), 8, Err(Turned::Stranger)),
+        (at(9), 8, Err(Turned::Stranger)),
+        (at(1), 0, Err(Turned::Empty)),
+        (at(1), 257, Err(Turned::TooLong)),
+    ] {
+        assert_eq!(peers.hear(now, from, length), heard, "{from} {length}");
+    }
+    let heard = (0..200).filter(|_| peers.hear(now, at(1), 8).is_ok()).count();
+    assert_eq!(heard, AT_ONCE as usize - 1, "a flood is cut");
+    assert_eq!(peers.hear(now, at(3), 8), Ok(2), "and costs nobody else");
+    assert_eq!(peers.hear(now + Duration::from_millis(11), at(1), 8), Ok(0));
+    assert_eq!(peers.counts, Counts { sent: 0, heard: 53, strangers: 2, malformed: 2, too_many: 151 });
+}
+
+#[test]
+fn a_message_goes_to_whom_it_is_for_and_never_to_this_head() {
+    let now = Instant::now();
+    for (to, all, targets) in [
+        (Some(0), None, Ok(vec![at(1)])),
+        (Some(1), None, Err(Turned::Nobody)),
+        (Some(7), None, Err(Turned::Nobody)),
+        (None, None, Ok(vec![at(1), at(3)])),
+        (None, Some(at(8)), Ok(vec![at(8)])),
+    ] {
+        let mut peers = Peers::new(vec![at(1), at(2), at(3)], all, 1, now);
+        assert_eq!(peers.tell(now, to, 8), targets, "{to:?} {all:?}");
+    }
+    let mut peers = Peers::new(vec![at(1), at(2)], None, 0, now);
+    assert_eq!(peers.tell(now, None, 257), Err(Turned::TooLong));
+    assert_eq!((0..200).filter(|_| peers.tell(now, None, 8).is_ok()).count(), AT_ONCE as usize);
+    assert_eq!(Peers::new(vec![at(1)], None, 0, now).tell(now, None, 8), Err(Turned::Nobody), "alone");
+}
