--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -4,7 +4,7 @@
 use crate::core::{Handle, Input};
 use crate::event;
 use crate::interface::News;
-use crate::listing::{BEAT, TOLD};
+use crate::staleness::{BEAT, TOLD};
 use bytes::{Buf, Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -3,8 +3,8 @@
 //! `handle` down: events, then `dispatch` (the ordinary path), then the guards, then what is learned.
 
 use crate::interface::*;
-use crate::listing::{CALL_TAKES, Listing};
 use crate::message::Message;
+use crate::staleness::{CALL_TAKES, Staleness};
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -202,7 +202,7 @@
     tidied: Micros,
     list_failures: u32,
     /// Until when the list may be rested on: beyond that no node gets new work.
-    list: Listing,
+    list: Staleness,
     /// Units a second that this host's clients ask of each shard at first.
     asked: BTreeMap<u16, Rate>,
     /// Running mean of an answer's time over all nodes.
--- a/src/listing.rs
+++ b/src/staleness.rs
@@ -36,7 +36,7 @@
 }
 
 #[derive(Clone, Debug, Default)]
-pub struct Listing {
+pub struct Staleness {
     stand: Stand,
     /// The watch tells its beat, so that its silence is seen.
     beats: bool,
@@ -49,21 +49,21 @@
     moved: Option<Micros>,
 }
 
-impl Listing {
+impl Staleness {
     pub fn note(&mut self, now: Micros, news: News, settings: &Settings) {
         match news {
             News::Beat if self.stand == Stand::Silent => {}
             News::Beat => (self.stand, self.heard, self.beats) = (Stand::Watched, now, true),
             News::Watched => {
-                *self = Listing { stand: Stand::Watched, beats: true, heard: now, ..Listing::default() };
+                *self = Staleness { stand: Stand::Watched, beats: true, heard: now, ..Staleness::default() };
             }
             News::Changes | News::Full => {
                 (self.heard, self.stand) = (now, Stand::Watched);
             }
             News::Cached if settings.must_subscribe => {
-                *self = Listing { stand: Stand::Ended, heard: now, ..Listing::default() };
+                *self = Staleness { stand: Stand::Ended, heard: now, ..Staleness::default() };
             }
-            News::Cached => *self = Listing::default(),
+            News::Cached => *self = Staleness::default(),
             // So is a call without an answer: it may be a watch at the other end. What was missed before it counts too.
             News::Silent => self.stand = Stand::Silent,
             // What the first of several places had is not told later for the second.
--- a/src/listing/tests.rs
+++ b/src/staleness/tests.rs
@@ -9,7 +9,7 @@
 fn after(asked: bool, hosts: u32, ask_within: u64, news: &[(u64, News)]) -> u64 {
     let stop_within = S;
     let settings = Settings { must_subscribe: asked, hosts, ask_within, stop_within, ..Settings::default() };
-    let mut list = Listing::default();
+    let mut list = Staleness::default();
     for (at, news) in news {
         let now = 100 * S + at * S / 10;
         list.call(now.saturating_sub(S));
@@ -56,7 +56,7 @@
 
 #[test]
 fn where_the_settings_have_no_rule_the_list_is_always_good() {
-    let mut list = Listing::default();
+    let mut list = Staleness::default();
     let settings = Settings { must_subscribe: true, ..Settings::default() };
     list.note(S, News::Watched, &settings);
     list.note(4 * S, News::Silent, &settings);
