Standard terms: a hot restart's two processes, and a replay buffer

net/twins becomes net/hot_restart (HotRestart), holding becomes replay_buffer (ReplayBuffer). Event names (TWIN, NO_TWINS) stay, as operators know them.

--- a/src/bin/pathbank.rs
+++ b/src/bin/pathbank.rs
@@ -19,6 +19,7 @@
 use pathbank::net::fleet::{self, Fleet};
 use pathbank::net::front::{self, Front};
 use pathbank::net::grpc;
+use pathbank::net::hot_restart::{self, HotRestart};
 use pathbank::net::ids::Ids;
 use pathbank::net::lifecycle::Lifecycle;
 use pathbank::net::ops::{self, Desk};
@@ -26,7 +27,6 @@
 use pathbank::net::peers::Talk;
 use pathbank::net::sftp;
 use pathbank::net::slots::{Counts, Slots};
-use pathbank::net::twins::{self, Twins};
 use pathbank::peers::Peers;
 use std::error::Error;
 use std::net::SocketAddr;
@@ -270,24 +270,24 @@
 /// Where the platform holds the clients' socket, another process of this head may live: nothing is accepted before it
 /// has been seen to keep to its half, or to be gone.
 async fn meet(head: &str, handle: &Handle, ids: &Ids) {
-    let mut tell = twins::teller(handle.part(), handle.clone());
-    let Some(mut twins) = Twins::join(&std::env::temp_dir(), head).await else {
+    let mut tell = hot_restart::teller(handle.part(), handle.clone());
+    let Some(mut restart) = HotRestart::join(&std::env::temp_dir(), head).await else {
         // Whatever the cause: half is safe beside one other, and says so in the log.
         event!(NO_TWINS, folder = std::env::temp_dir().display().to_string());
         return tell(true);
     };
     let halved = loop {
-        match twins.look(&mut tell) {
+        match restart.look(&mut tell) {
             stand if stand.accept => break stand.halved,
-            _ => sleep(twins::SOON).await,
+            _ => sleep(hot_restart::SOON).await,
         }
     };
-    if let Err(problem) = ids.share(twins.ids()) {
+    if let Err(problem) = ids.share(restart.ids()) {
         event!(IDS_UNWRITTEN, problem:%);
     }
     // Until now the other one may have spent all: what this one has to spend grows from here on.
     handle.send(Input::Part { halved });
-    tokio::spawn(twins::watch(twins, tell));
+    tokio::spawn(hot_restart::watch(restart, tell));
 }
 
 /// Reads the configuration again with each SIGHUP, for as long as the program runs. What a running head can change
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -4,7 +4,6 @@
 use crate::core::{Answer, Arrival, Handle, Pending, less_margin};
 use crate::event;
 use crate::figures::Count;
-use crate::holding::Over;
 use crate::life::Phase;
 use crate::net::back::{
     Back, Forward, ForwardWork, IDEMPOTENCY_KEY, MOST_BODY, MOST_LARGE, Passing, Payload, REQUEST_ID, TIMEOUT,
@@ -15,6 +14,7 @@
 use crate::net::lifecycle::until;
 use crate::net::slots::{Slot, Slots};
 use crate::net::source::Source;
+use crate::replay_buffer::Over;
 use axum::Extension;
 use axum::Router;
 use axum::body::{Body, HttpBody};
--- a/src/net/twins.rs
+++ b/src/net/hot_restart.rs
@@ -44,16 +44,16 @@
 }
 
 /// This process's place, and the other one's.
-pub struct Twins {
+pub struct HotRestart {
     ours: Place,
     other: Place,
     pair: Pair,
     said: bool,
 }
 
-impl Twins {
+impl HotRestart {
     /// `None`: both places are taken, or the folder cannot be used.
-    pub async fn join(folder: &Path, head: &str) -> Option<Twins> {
+    pub async fn join(folder: &Path, head: &str) -> Option<HotRestart> {
         let places = (Place::open(folder, head, 0), Place::open(folder, head, 1));
         let (Ok(first), Ok(second)) = places else { return None };
         let mut places = [Some(first), Some(second)];
@@ -63,7 +63,7 @@
                 match lock {
                     Some(Ok(())) => {
                         let (ours, other) = (places[number].take()?, places[1 - number].take()?);
-                        return Some(Twins { ours, other, pair: Pair::new(now()), said: false });
+                        return Some(HotRestart { ours, other, pair: Pair::new(now()), said: false });
                     }
                     Some(Err(TryLockError::Error(_))) => return None,
                     _ => {}
@@ -104,9 +104,9 @@
 }
 
 /// Looks for the other process for as long as the program runs; tells each change of the half before it is said.
-pub async fn watch(mut twins: Twins, mut tell: impl FnMut(bool)) {
+pub async fn watch(mut restart: HotRestart, mut tell: impl FnMut(bool)) {
     loop {
-        twins.look(&mut tell);
+        restart.look(&mut tell);
         sleep(LOOK).await;
     }
 }
--- a/src/net/twins/tests.rs
+++ b/src/net/hot_restart/tests.rs
@@ -8,7 +8,7 @@
     std::fs::create_dir_all(&folder).unwrap();
     // Rubbish that somebody left means nothing.
     std::fs::write(folder.join("pathbank.n0.0.lives"), b"\xff\0 rubbish").unwrap();
-    let join = || runtime.block_on(Twins::join(&folder, "n0"));
+    let join = || runtime.block_on(HotRestart::join(&folder, "n0"));
     let (mut old, halved) = (join().unwrap(), Cell::new(None));
     let tell = |now| halved.set(Some(now));
     while !old.look(tell).accept {}
--- a/src/net/source.rs
+++ b/src/net/source.rs
@@ -1,7 +1,7 @@
 //! What a client sends and an attempt passes on while it still comes: held until it is all there or as much as may be
 //! held, then let go of as it is sent.
 
-use crate::holding::{Holding, Next, Over};
+use crate::replay_buffer::{Next, Over, ReplayBuffer};
 use bytes::Bytes;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
@@ -17,14 +17,14 @@
 
 #[derive(Debug)]
 struct State {
-    holding: Holding,
+    buffer: ReplayBuffer,
     held: Option<OwnedSemaphorePermit>,
 }
 
 impl Source {
     /// Holds `hold` bytes before it is bound to an attempt.
     pub fn new(hold: usize, memory: Arc<Semaphore>) -> Source {
-        let state = Mutex::new(State { holding: Holding::new(hold), held: None });
+        let state = Mutex::new(State { buffer: ReplayBuffer::new(hold), held: None });
         Source { state, memory, more: Notify::new(), room: Notify::new() }
     }
 
@@ -38,7 +38,7 @@
     pub async fn room(&self) {
         loop {
             let changed = self.room.notified();
-            if self.state().holding.room() {
+            if self.state().buffer.room() {
                 return;
             }
             changed.await;
@@ -53,42 +53,42 @@
             match (self.memory.clone().try_acquire_many_owned(length), &mut state.held) {
                 (Ok(permit), Some(held)) => held.merge(permit),
                 (Ok(permit), none) => *none = Some(permit),
-                (Err(_), _) => state.holding.pinch(),
+                (Err(_), _) => state.buffer.pinch(),
             }
         }
-        state.holding.push(piece);
-        let whole = !state.holding.outgrown();
+        state.buffer.push(piece);
+        let whole = !state.buffer.outgrown();
         drop(state);
         self.more.notify_waiters();
         whole
     }
 
     pub fn end(&self, over: Over) {
-        self.state().holding.end(over);
+        self.state().buffer.end(over);
         self.more.notify_waiters();
     }
 
     /// The client has reset the request, or gone.
     pub fn cut(&self) -> bool {
-        self.state().holding.over() == Some(Over::Cut)
+        self.state().buffer.over() == Some(Over::Cut)
     }
 
     /// Another piece may be read from the client.
     pub fn has_room(&self) -> bool {
-        self.state().holding.room()
+        self.state().buffer.room()
     }
 
     /// All of it has come, or nothing more will.
     pub fn is_over(&self) -> bool {
-        self.state().holding.over().is_some()
+        self.state().buffer.over().is_some()
     }
 
     pub fn bytes(&self) -> usize {
-        self.state().holding.bytes()
+        self.state().buffer.bytes()
     }
 
     pub fn is_bound(&self) -> bool {
-        self.state().holding.is_bound()
+        self.state().buffer.is_bound()
     }
 
     // ---- for attempts ----
@@ -98,7 +98,7 @@
         loop {
             let mut changed = std::pin::pin!(self.more.notified());
             changed.as_mut().enable();
-            match self.state().holding.next(attempt, sent) {
+            match self.state().buffer.next(attempt, sent) {
                 Next::Wait => {}
                 next => return next,
             }
@@ -108,20 +108,20 @@
 
     /// Whether the request is whole with so many pieces.
     pub fn whole_with(&self, attempt: u32, sent: usize) -> bool {
-        self.state().holding.next(attempt, sent) == Next::End(Over::Whole)
+        self.state().buffer.next(attempt, sent) == Next::End(Over::Whole)
     }
 
     /// Must have been granted by the core.
     pub fn bind(&self, attempt: u32, sent: usize) {
         let mut state = self.state();
-        state.holding.bind(attempt, sent);
+        state.buffer.bind(attempt, sent);
         state.held = None;
         drop(state);
         self.room.notify_one();
     }
 
     pub fn sent(&self, attempt: u32, sent: usize) {
-        if self.state().holding.sent(attempt, sent) > 0 {
+        if self.state().buffer.sent(attempt, sent) > 0 {
             self.room.notify_one();
         }
     }
--- a/src/holding.rs
+++ b/src/replay_buffer.rs
@@ -29,7 +29,7 @@
 }
 
 #[derive(Debug)]
-pub struct Holding {
+pub struct ReplayBuffer {
     pieces: VecDeque<Bytes>,
     /// Pieces dropped in front of those.
     dropped: usize,
@@ -41,9 +41,9 @@
     bound: Option<u32>,
 }
 
-impl Holding {
-    pub fn new(most: usize) -> Holding {
-        Holding {
+impl ReplayBuffer {
+    pub fn new(most: usize) -> ReplayBuffer {
+        ReplayBuffer {
             pieces: VecDeque::new(),
             dropped: 0,
             bytes: 0,
