Standard terms: a class's target, and an unresponsive node

aim becomes target, as the settings and the protocol's readers have it; mute becomes unresponsive, its constants SILENT_*. The log's words stay. Names alone; the module's tests pass.

--- a/src/classes.rs
+++ b/src/classes.rs
@@ -1,13 +1,13 @@
 //! Numbers for classes and plans that never change their meaning. A class number stands for a name with its rules
-//! (deadline, aim, worth, repeats) for as long as the program runs, so that whatever is open keeps the rules that it
+//! (deadline, target, worth, repeats) for as long as the program runs, so that whatever is open keeps the rules that it
 //! came under. Decides numbers; knows neither files nor requests.
 
 use crate::config::Names;
 use crate::interface::{Class, Micros, Plan, Settings};
 use std::time::Duration;
 
-/// A class that clients can name no more has no aim that others would be measured by.
-const NO_AIM: Micros = Micros::MAX / 2;
+/// A class that clients can name no more has no target that others would be measured by.
+const NO_TARGET: Micros = Micros::MAX / 2;
 
 /// What a front looks names up in: those that are in force now.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -83,7 +83,7 @@
         }
         let classes = self.rows.iter().map(|row| match row.in_force {
             true => row.class.clone(),
-            false => Class { aim: NO_AIM, ..row.class.clone() },
+            false => Class { target: NO_TARGET, ..row.class.clone() },
         });
         let plans = self.plans.iter().map(|(_, plan)| *plan).collect();
         (Settings { classes: classes.collect(), plans, ..settings.clone() }, directory)
--- a/src/classes/tests.rs
+++ b/src/classes/tests.rs
@@ -2,7 +2,7 @@
 use crate::interface::Repeats;
 
 fn class(deadline: Micros, repeats: Repeats) -> Class {
-    Class { aim: deadline / 2, deadline, worth: 1.0, repeats, ..Class::default() }
+    Class { target: deadline / 2, deadline, worth: 1.0, repeats, ..Class::default() }
 }
 
 fn given(classes: &[(&str, Class)], plans: &[(&str, f64)]) -> (Names, Settings) {
@@ -43,7 +43,7 @@
             assert_eq!(numbers.names()[*number], *name, "{step}");
         }
         for (i, (name, class)) in meanings.iter().enumerate() {
-            let now = Class { aim: class.aim, ..settings.classes[i].clone() };
+            let now = Class { target: class.target, ..settings.classes[i].clone() };
             assert_eq!((&numbers.names()[i], &now), (name, class), "{step}: number {i}");
         }
         meanings = numbers.rows.iter().map(|row| (row.name.clone().unwrap(), row.class.clone())).collect();
@@ -55,13 +55,13 @@
 #[test]
 fn only_what_can_still_be_asked_for_has_an_aim() {
     let (fast, slow) = (class(1_000, Repeats::Safe), class(9_000, Repeats::Safe));
-    for (pinned, aim) in [(false, NO_AIM), (true, 500)] {
+    for (pinned, target) in [(false, NO_TARGET), (true, 500)] {
         let (names, mut settings) = given(&[("fast", fast.clone()), ("slow", slow.clone())], &[]);
         settings.classes.push(slow.clone());
         let mut numbers = Numbers::new(&names, &settings, pinned);
         let (names, settings) = given(&[("slow", slow.clone())], &[]);
         let (settings, directory) = numbers.adopt(&names, &settings);
-        assert_eq!(settings.classes.iter().map(|c| c.aim).collect::<Vec<_>>(), [aim, 4_500, 4_500]);
+        assert_eq!(settings.classes.iter().map(|c| c.target).collect::<Vec<_>>(), [target, 4_500, 4_500]);
         assert_eq!(directory.class("fast"), None);
     }
 }
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -128,7 +128,7 @@
             _ => Scope::All,
         };
         classes.push(Class {
-            aim: span(&key("target"))?,
+            target: span(&key("target"))?,
             deadline: span(&key("hard_limit"))?,
             worth: pairs.need(&key("worth"))?,
             late_worth: pairs.number(&key("late_value"))?,
--- a/src/core.rs
+++ b/src/core.rs
@@ -1120,8 +1120,8 @@
         let noted = self.requests.get_mut(&id).and_then(|open| open.noted.take());
         let (Some(telling), Some(noted)) = (&mut self.telling, noted) else { return };
         let Noted { volume, plan, class, units, arrived, tried } = *noted;
-        let aim = self.settings.classes.get(class).map_or(0, |class| class.aim);
-        let late = finish == Finish::Served && now > arrived + aim;
+        let target = self.settings.classes.get(class).map_or(0, |class| class.target);
+        let late = finish == Finish::Served && now > arrived + target;
         let Some(one_in) = telling.told(plan, class, finish, tried.len(), late) else { return };
         let volume = Volume(volume);
         for (attempt, Tried { node, why, ending, sent, took }) in tried.iter().enumerate() {
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -39,7 +39,7 @@
 
 fn with_core_of<T>(settings: Settings, list: Input, play: impl AsyncFnOnce(Handle) -> T) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    let class = Class { aim: 5_000_000, deadline: 10_000_000, worth: 1.0, ..Class::default() };
+    let class = Class { target: 5_000_000, deadline: 10_000_000, worth: 1.0, ..Class::default() };
     let settings = Settings { hosts: 1, classes: vec![class], max_attempts: 3, ..settings };
     runtime.block_on(async {
         let (core, _wanted) = Core::new(settings, 7, 10, Clock::start());
@@ -214,7 +214,7 @@
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         let answer = runtime.block_on(async {
             let class = Class {
-                aim: 5_000_000,
+                target: 5_000_000,
                 deadline: 10_000_000,
                 worth: 1.0,
                 repeats: Repeats::Keyed,
@@ -285,7 +285,7 @@
     runtime.block_on(async {
         for probing in [true, false] {
             // Heads of a crowd: each sees too little of a node by itself.
-            let class = Class { aim: 1_000_000, deadline: 10_000_000, worth: 1.0, ..Class::default() };
+            let class = Class { target: 1_000_000, deadline: 10_000_000, worth: 1.0, ..Class::default() };
             let settings = Settings {
                 hosts: 40,
                 classes: vec![class],
@@ -449,7 +449,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     for (answers, late) in [(true, false), (true, true), (false, true)] {
         let got = runtime.block_on(async {
-            let class = Class { aim: 5_000_000, deadline: 10_000_000, worth: 1.0, ..Class::default() };
+            let class = Class { target: 5_000_000, deadline: 10_000_000, worth: 1.0, ..Class::default() };
             let settings =
                 Settings { hosts: 1, classes: vec![class], max_attempts: 3, ..Settings::default() };
             let (mut core, _wanted) = Core::new(settings, 7, 10, Clock::start());
--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -192,7 +192,7 @@
         "request": "its number at this head", "volume": "the app store", "plan": "its plan", "class": "its class",
         "units": "its size", "attempts": "attempts made", "held_us": "from its arrival to its first attempt",
         "out_us": "from its first attempt to its end", "outcome": "served, refused, failed or left",
-        "late": "yes: after its class's aim", "one_in": "how many of its kind it stands for"
+        "late": "yes: after its class's target", "one_in": "how many of its kind it stands for"
     }
     NODE "node" Informational false "A node on the list is new or has changed." {
         "node": "its id", "address": "where it listens", "number": "its number in the module",
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -86,8 +86,8 @@
 
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Class {
-    /// An answer within `aim` earns the full worth, one within `deadline` the part `late_worth`.
-    pub aim: Micros,
+    /// An answer within `target` earns the full worth, one within `deadline` the part `late_worth`.
+    pub target: Micros,
     pub deadline: Micros,
     pub worth: f64,
     pub late_worth: f64,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -29,21 +29,21 @@
 /// Weight of one answer in a node's running means; and how fast its best forgets, for each answer.
 const LEARN: f64 = 0.125;
 const BEST_FORGETS: f64 = 0.005;
-/// A node's held work is under pressure when it would take longer than this part of the shortest aim.
+/// A node's held work is under pressure when it would take longer than this part of the shortest target.
 const PRESSURE: f64 = 0.15;
-/// A node is mute when its oldest request is out for this many usual answer times, and for this part of
-/// `fall` at least; so many of the shortest aim are enough: what has waited so long is late whatever comes.
-const MUTE_ANSWERS: f64 = 4.0;
-const MUTE_LEAST: f64 = 0.5;
-const MUTE_AIMS: f64 = 1.5;
+/// A node is unresponsive when its oldest request is out for this many usual answer times, and for this part
+/// of `fall` at least; so many shortest targets are enough: what has waited so long is late in any case.
+const SILENT_ANSWERS: f64 = 4.0;
+const SILENT_LEAST: f64 = 0.5;
+const SILENT_TARGETS: f64 = 1.5;
 /// A request is lost when this many later ones of its node were answered, more than its cores can mix up.
 const OVERTAKEN: u32 = 6;
 /// This host itself stood still when its recheck came this many times too late.
 const STALL_RECHECKS: u64 = 5;
 /// A node where an attempt timed out or found no connection rests for this part of the fall time, but for no
-/// more than that of the shortest aim: what comes then can still be in time.
-const MUTE_REST: f64 = 0.25;
-const REST_AIMS: f64 = 0.5;
+/// more than that of the shortest target: what comes then can still be in time.
+const SILENT_REST: f64 = 0.25;
+const REST_TARGETS: f64 = 0.5;
 /// A node that turned a request away rests for this part of its usual answer time.
 const FULL_REST: f64 = 0.5;
 /// Requests that wait for time to pass (a store, a key's rest, a cold node) are looked at this often.
@@ -55,7 +55,7 @@
 /// over no more than this part of the time for which the list is still good; but no denser than served.
 const CALLS_APART: Micros = 35_000;
 const CALLS_IN: f64 = 0.9;
-/// In a crowd of hosts a node's own queue should take no longer than this part of the shortest aim.
+/// In a crowd of hosts a node's own queue should take no longer than this part of the shortest target.
 const HOLD: f64 = 0.3;
 /// Pace: the part of a crowd's hosts that may send a node work outside the reserve, drawn anew in each slot.
 /// Word of a longer queue cuts it to this part of it at most; it comes back by this much a second.
@@ -67,13 +67,13 @@
 /// How fast a queue of which nothing is heard is taken to shrink, in time worked off for each time passed.
 const QUEUE_FADES: f64 = 0.5;
 /// What a node's queue is told to the other hosts, or asked of the node, again after this part of the
-/// shortest aim.
+/// shortest target.
 const VIEW_AGE: f64 = 0.5;
 /// A crowd's new object goes to the best of this many nodes, drawn for it, or all hosts would run to one; the
 /// others come after these.
 const SAMPLE: f64 = 4.0;
 const UNDRAWN: f64 = 1e12;
-/// A request that no node got is given up after this part of its client's time, about when its aim is past.
+/// A request that no node got is given up after this part of its client's time: its target is past by then.
 const GIVE_UP: f64 = 0.15;
 
 /// What is of no use any more is looked for this often; a volume is forgotten after so long a silence.
@@ -125,20 +125,20 @@
     }
 
     /// News of a queue longer than wanted cuts the pace, once for each time such news takes.
-    fn set_pace(&mut self, now: Micros, aim: f64) {
-        if self.wait > HOLD * aim && (now - self.pace_at) as f64 > VIEW_AGE * aim {
-            self.pace = self.pace(now) * (HOLD * aim / self.wait).max(PACE_CUT);
+    fn set_pace(&mut self, now: Micros, target: f64) {
+        if self.wait > HOLD * target && (now - self.pace_at) as f64 > VIEW_AGE * target {
+            self.pace = self.pace(now) * (HOLD * target / self.wait).max(PACE_CUT);
             self.pace_at = now;
         }
     }
 
     /// Word of the node's queue with an answer that took so long, or only that something waited so long.
-    fn note_word(&mut self, now: Micros, queue: Option<f64>, took: f64, aim: f64, usual: f64) {
+    fn note_word(&mut self, now: Micros, queue: Option<f64>, took: f64, target: f64, usual: f64) {
         match queue {
             Some(queue) => self.note_queue(now, queue, Some(took), usual),
             None => (self.wait, self.wait_at) = (self.wait(now).max(took), now),
         }
-        self.set_pace(now, aim);
+        self.set_pace(now, target);
     }
 
     fn note_queue(&mut self, now: Micros, queue: f64, took: Option<f64>, usual: f64) {
@@ -151,26 +151,26 @@
         (self.wait, self.wait_at) = (queue * each, now);
     }
 
-    /// Free tokens. A mute node gets one request at a time; what is lost holds no token, nor does what has
-    /// been out for too long at a mute node or while a later one was answered: its connection may be silent.
+    /// Free tokens. An unresponsive node gets one request at a time; what is lost holds no token, nor does
+    /// what has been out for too long there or while a later one was answered: its connection may be silent.
     fn free(&self, now: Micros, least: f64) -> usize {
-        let (mute, silence) = (self.mute_since.is_some(), self.silence(least));
-        let depth = if mute { DEPTH_LEAST } else { self.depth };
+        let (unresponsive, silence) = (self.unresponsive_since.is_some(), self.silence(least));
+        let depth = if unresponsive { DEPTH_LEAST } else { self.depth };
         let held = self.out.iter().filter(|((sent, _), mark)| {
-            let silent = (now - *sent) as f64 > silence && (mute || mark.overtaken > 0);
+            let silent = (now - *sent) as f64 > silence && (unresponsive || mark.overtaken > 0);
             !silent && !self.lost(now, *sent, mark)
         });
         (depth as usize).saturating_sub(held.count())
     }
 
-    /// Hearing nothing for longer than this makes a node mute.
+    /// Hearing nothing for longer than this makes a node unresponsive.
     fn silence(&self, least: f64) -> f64 {
-        (MUTE_ANSWERS * self.took).max(least)
+        (SILENT_ANSWERS * self.took).max(least)
     }
 
     /// The node takes requests in turn: one that many later ones overtook and that is long overdue is lost.
     fn lost(&self, now: Micros, sent: Micros, mark: &OutMark) -> bool {
-        mark.overtaken >= OVERTAKEN && (now - sent) as f64 > MUTE_ANSWERS * self.took
+        mark.overtaken >= OVERTAKEN && (now - sent) as f64 > SILENT_ANSWERS * self.took
     }
 }
 
@@ -288,7 +288,7 @@
             (node.ready, node.gone) = (entry.state == NodeState::Ready, entry.state == NodeState::Gone);
             if (fresh || entry.started != node.started) && entry.started > 0 {
                 node.cold_since = Some(entry.started.min(now));
-                node.mute_since = None;
+                node.unresponsive_since = None;
                 // Hosts draw their first turns, or all would come at the same moment: the part of those that
                 // know what is asked that the node bears at once, the others spread evenly.
                 let s = &self.settings;
@@ -307,7 +307,7 @@
         let Some(class) = self.settings.classes.get(request.class) else {
             return actions.push(Action::Fail { request: request.id });
         };
-        let aim_at = now + class.aim.min(request.time_left);
+        let target_at = now + class.target.min(request.time_left);
         let in_line = class.in_order && request.key != 0;
         let units = if request.units.is_finite() { request.units.max(0.0) } else { self.settings.most_units };
         let (margin, flow_ix) = (2 * self.settings.tick, self.flow(now, &request));
@@ -326,7 +326,7 @@
             key: if in_line { request.key } else { 0 },
             units,
             serial: self.serial,
-            aim_at,
+            target_at,
             answer_by: now + request.time_left.saturating_sub(margin),
             give_up_at: now + (GIVE_UP * request.time_left as f64) as Micros,
             reserved,
@@ -371,7 +371,7 @@
         if !self.crowded() || !self.settings.probing || self.settings.reports != Reports::Probes {
             return;
         }
-        let (draw, age) = (self.seed ^ self.serial, VIEW_AGE * self.shortest_aim());
+        let (draw, age) = (self.seed ^ self.serial, VIEW_AGE * self.shortest_target());
         let able = self.nodes.iter_mut().filter(|(_, n)| n.ready && place.is_none_or(|s| s == n.shard));
         let node = able.min_by(|(a, _), (b, _)| {
             share_of_one(draw, (**a).into()).total_cmp(&share_of_one(draw, (**b).into()))
@@ -513,24 +513,24 @@
     }
 
     fn on_probed(&mut self, now: Micros, id: NodeId, took: Micros, load: Load) {
-        let aim = self.shortest_aim();
+        let target = self.shortest_target();
         let Some(node) = self.nodes.get_mut(&id) else { return };
         node.asked = None;
         load.queue.into_iter().for_each(|queue| node.note_queue(now, queue, None, self.usual_drain));
         // A probe that waits in the node's queue tells that by its time.
-        node.note_word(now, None, took as f64, aim, self.usual_drain);
+        node.note_word(now, None, took as f64, target, self.usual_drain);
     }
 
     fn on_peer(&mut self, now: Micros, from: u32, bytes: &[u8]) {
         let heard = Message::read(bytes).filter(|_| from < self.settings.hosts);
         let Some(Message { shard, queue, took }) = heard else { return };
-        let aim = self.shortest_aim();
+        let target = self.shortest_target();
         let Some(node) = self.nodes.values_mut().find(|n| n.ready && n.shard == shard) else { return };
-        node.note_word(now, queue, took as f64, aim, self.usual_drain);
+        node.note_word(now, queue, took as f64, target, self.usual_drain);
         node.view_at = now;
         if queue.is_some() {
             node.heard = now;
-            if node.mute_since.take().is_some() {
+            if node.unresponsive_since.take().is_some() {
                 node.rest_until = now;
             }
         }
@@ -632,14 +632,14 @@
     /// Nodes with equally many free tokens: the one that answers soonest first. In a crowd, where that is
     /// seldom known, the one of a few drawn that should answer soonest by the word there is of its queue.
     fn rank(&self, now: Micros, id: NodeId, node: &Node) -> Micros {
-        let aim = self.shortest_aim();
+        let target = self.shortest_target();
         if !self.crowded() {
             return node.took as Micros;
         }
         // One answer tells little of a node, none nothing: it is taken to be as the usual one.
         let usual = self.usual_took + node.wait(now);
         let known = if node.took > 0.0 { node.took.max(node.wait(now)) } else { usual };
-        let fresh = node.wait_at > 0 && ((now - node.wait_at) as f64) < 2.0 * VIEW_AGE * aim;
+        let fresh = node.wait_at > 0 && ((now - node.wait_at) as f64) < 2.0 * VIEW_AGE * target;
         let expected = if fresh { node.wait(now) + node.best * node.units } else { (known + usual) / 2.0 };
         let draw = self.nodes.len() as f64 * share_of_one(self.seed ^ self.serial, id.into());
         // Ties, as of nodes that nothing is known of, go by the draw too.
@@ -649,7 +649,7 @@
     /// In a crowd of hosts each hears from a node too seldom to know its queue: what an answer tells of a
     /// queue that keeps work waiting, or no longer does, goes to all others.
     fn tell(&mut self, now: Micros, id: NodeId, outcome: &Outcome, actions: &mut Vec<Action>) {
-        let (crowded, aim) = (self.crowded(), self.shortest_aim());
+        let (crowded, target) = (self.crowded(), self.shortest_target());
         let Some(node) = self.nodes.get_mut(&id) else { return };
         let (before, waited) = (node.wait(now), outcome.took as f64);
         let (queue, took) = match (outcome.ending, outcome.load.queue) {
@@ -659,27 +659,27 @@
             }
             (Ending::Served, queue) => (queue, waited),
             // Nothing tells of the queue but that it kept this request for so long, or left it no room.
-            (Ending::TimedOut, _) => (None, waited.min(2.0 * aim)),
-            (Ending::Full, _) => (None, aim),
+            (Ending::TimedOut, _) => (None, waited.min(2.0 * target)),
+            (Ending::Full, _) => (None, target),
             _ => return,
         };
-        node.note_word(now, queue, took, aim, self.usual_drain);
-        let deep = node.wait.max(before) > HOLD / 2.0 * aim;
-        if crowded && self.settings.peers && deep && (now - node.view_at) as f64 > VIEW_AGE * aim {
+        node.note_word(now, queue, took, target, self.usual_drain);
+        let deep = node.wait.max(before) > HOLD / 2.0 * target;
+        if crowded && self.settings.peers && deep && (now - node.view_at) as f64 > VIEW_AGE * target {
             node.view_at = now;
             let bytes = Message { shard: node.shard, queue, took: took as Micros }.bytes();
             actions.push(Action::Tell { peer: None, bytes });
         }
     }
 
-    fn shortest_aim(&self) -> f64 {
-        self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64
+    fn shortest_target(&self) -> f64 {
+        self.settings.classes.iter().map(|c| c.target).min().unwrap_or(0) as f64
     }
 
     /// The lowest virtual time among active flows. A flow whose queued work lies only at nodes that take none
     /// does not hold the others back.
     fn global_vt(&mut self, now: Micros) -> f64 {
-        let open = self.nodes.values().filter(|n| n.ready && n.mute_since.is_none());
+        let open = self.nodes.values().filter(|n| n.ready && n.unresponsive_since.is_none());
         let open: BTreeSet<u16> = open.map(|n| n.shard).collect();
         let waiting = self.queues.iter().filter(|(place, ..)| place.is_none_or(|s| open.contains(&s)));
         let waiting = waiting.map(|(_, flow, _)| self.flows[flow].vt);
@@ -695,11 +695,12 @@
         let throttle = global_vt + OVERRUN_REQUESTS * self.settings.most_units.max(1.0);
         let shard = self.nodes[&node].shard;
         let mut waiting: Vec<(f64, FlowIx, RequestId)> = Vec::new();
-        // New objects stay away from a mute node while any other takes work.
-        let closed = self.nodes[&node].mute_since.is_some()
-            && self.nodes.values().any(|n| n.ready && n.mute_since.is_none());
-        let (slot, aim) = (share_of_one(self.seed ^ (now / PACE_SLOT), node.into()), self.shortest_aim());
-        let unheard = !self.settings.peers && self.nodes[&node].wait(now) > HOLD * aim;
+        // New objects stay away from an unresponsive node while any other takes work.
+        let closed = self.nodes[&node].unresponsive_since.is_some()
+            && self.nodes.values().any(|n| n.ready && n.unresponsive_since.is_none());
+        let (slot, target) =
+            (share_of_one(self.seed ^ (now / PACE_SLOT), node.into()), self.shortest_target());
+        let unheard = !self.settings.peers && self.nodes[&node].wait(now) > HOLD * target;
         let deep = self.crowded() && (unheard || slot > self.nodes[&node].pace(now));
         // New objects wait for word of any node, so that they go where the queue is short.
         let unsure = self.nodes[&node].asked.is_some_and(|asked| now < asked + self.settings.fall);
@@ -765,7 +766,7 @@
     // ---- worth and pressure ----
 
     /// What a unit of the request earns: in full inside the reserve, `share_worth` inside the volume's share
-    /// (the throttle tells), `spare_worth` beyond; `late_worth` of it past the aim; nothing when hopeless.
+    /// (the throttle tells), `spare_worth` beyond; `late_worth` of it past the target; nothing when hopeless.
     fn worth(&self, now: Micros, held: &Held, node: NodeId, throttled: bool) -> f64 {
         let (class, plan) = (&self.settings.classes[held.class], &self.flows[held.flow].plan);
         let grade = match (held.reserved, throttled) {
@@ -777,7 +778,7 @@
         let wait = if self.crowded() { node.wait(now) } else { 0.0 };
         let expected = now + (wait + if node.units > 0.0 { node.best * held.units } else { 0.0 }) as Micros;
         let time = match expected {
-            t if t <= held.aim_at => 1.0,
+            t if t <= held.target_at => 1.0,
             // A late answer takes the worst that is still due.
             t if t <= held.answer_by => class.late_worth * self.settings.spare_worth / grade,
             _ => 0.0,
@@ -785,14 +786,14 @@
         class.worth * plan.price * grade * time
     }
 
-    /// Exception under pressure: when a node's waiting work takes longer than `PRESSURE` of the shortest aim,
+    /// Exception under pressure: when a node's waiting work takes over `PRESSURE` of the shortest target,
     /// only the worthiest that fits that time is eligible; the rest waits on.
     fn bar(&self, node: NodeId, waiting: &mut [(f64, FlowIx, RequestId)]) -> f64 {
         let node = &self.nodes[&node];
         if node.took <= 0.0 {
             return 0.0;
         }
-        let mut room = PRESSURE * self.shortest_aim() * node.depth * node.units / node.took;
+        let mut room = PRESSURE * self.shortest_target() * node.depth * node.units / node.took;
         waiting.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.2.cmp(&b.2)));
         let last = waiting.iter().find(|(.., id)| {
             room -= self.requests[id].units;
@@ -804,9 +805,9 @@
     /// Exception while this host has work out at the node, or the node has a queue of its own or by its word
     /// of late is slower than at its best: what earns less than spare work, as late answers, takes no token.
     fn scraps_bar(&self, now: Micros, node: NodeId) -> f64 {
-        let (node, aim) = (&self.nodes[&node], self.shortest_aim());
+        let (node, target) = (&self.nodes[&node], self.shortest_target());
         let queued = self.crowded() && (node.pace(now) < 1.0 || node.wait(now) > 0.0);
-        let slow = node.took > DELAY_RATIO * node.best * node.units && ((now - node.heard) as f64) < aim;
+        let slow = node.took > DELAY_RATIO * node.best * node.units && ((now - node.heard) as f64) < target;
         if !queued && node.out.is_empty() && !slow {
             return 0.0;
         }
@@ -897,7 +898,7 @@
     }
 
     fn least_silence(&self) -> f64 {
-        (MUTE_LEAST * self.settings.fall as f64).min(MUTE_AIMS * self.shortest_aim())
+        (SILENT_LEAST * self.settings.fall as f64).min(SILENT_TARGETS * self.shortest_target())
     }
 
     fn most_depth(&self) -> f64 {
@@ -905,19 +906,18 @@
         ((DEPTH_ALL_HOSTS / hosts).min(DEPTH_MOST) * self.part).max(DEPTH_LEAST)
     }
 
-    /// A node is mute when it has answered nothing for far longer than usual while a request is out. It then
-    /// gets one request at a time. The silence while this host itself stood still does not count. A request
-    /// that is lost at a node that answers is called off once, so that it may be sent again while it is in
-    /// time.
+    /// A node is unresponsive when it answered nothing for far longer than usual with a request out; it gets
+    /// one at a time then. The silence while this host itself stood still does not count. A request that is
+    /// lost at a node that answers is called off once, so that it may be sent again while it is in time.
     fn watch_silence(&mut self, now: Micros, actions: &mut Vec<Action>) {
         let (least, mut lost) = (self.least_silence(), Vec::new());
         for (id, node) in &mut self.nodes {
             let waits =
                 node.out.iter().find(|((sent, _), mark)| !mark.streaming && !node.lost(now, *sent, mark));
-            if let (Some(((sent, _), _)), None) = (waits, node.mute_since) {
+            if let (Some(((sent, _), _)), None) = (waits, node.unresponsive_since) {
                 let since = (*sent).max(node.heard).max(self.resumed);
                 if (now - since) as f64 > node.silence(least) {
-                    node.mute_since = Some(since);
+                    node.unresponsive_since = Some(since);
                     actions.push(Action::Log(format!("node {id} is mute")));
                 }
             }
@@ -927,7 +927,7 @@
         }
         for (node, key) in lost {
             let Some(held) = self.requests.get(&key.1) else { continue };
-            let once = held.attempts.len() == 1 && !held.over && now < held.aim_at;
+            let once = held.attempts.len() == 1 && !held.over && now < held.target_at;
             if self.settings.cancel && once && self.may_repeat(now, held) && self.budget_allows(now) {
                 actions.push(Action::Cancel { request: key.1, attempt: 0 });
                 if let Some(mark) = self.nodes.get_mut(&node).and_then(|n| n.out.get_mut(&key)) {
@@ -941,9 +941,9 @@
         let (id, at) = out;
         let (fall, cold, most_depth) = (self.settings.fall, self.settings.cold, self.most_depth());
         let crowded = self.crowded();
-        // All hosts together try a mute node no oftener than few hosts would, and not in step.
+        // All hosts together try an unresponsive node no oftener than few hosts would, and not in step.
         let apart = f64::from(self.settings.hosts) / DEPTH_ALL_HOSTS * (0.5 + share_of_one(self.seed, now));
-        let rest = (MUTE_REST * fall as f64).min(REST_AIMS * self.shortest_aim());
+        let rest = (SILENT_REST * fall as f64).min(REST_TARGETS * self.shortest_target());
         let rest = rest * if crowded { apart } else { 1.0 };
         let node = self.nodes.get_mut(&id)?;
         let (sent, mut news) = ((at, done.request), None);
@@ -957,7 +957,7 @@
                 node.heard = now;
                 let broke = std::mem::take(&mut node.breaks) > 0;
                 node.out.range_mut(..sent).for_each(|(_, mark)| mark.overtaken += 1);
-                if let Some(since) = node.mute_since.take() {
+                if let Some(since) = node.unresponsive_since.take() {
                     news = Some(format!("node {id} answers again"));
                     // It may have restarted unannounced where connections failed, unless it still knew a
                     // request from before. In a crowd of hosts the few answers that one gets do not tell that
@@ -967,7 +967,7 @@
                     }
                 }
                 // An answer that its connection held back tells little of the node.
-                let most = if node.took > 0.0 { 2.0 * MUTE_ANSWERS * node.took } else { f64::INFINITY };
+                let most = if node.took > 0.0 { 2.0 * SILENT_ANSWERS * node.took } else { f64::INFINITY };
                 let took = (done.took as f64).min(most);
                 let usual = if self.usual_took > 0.0 { self.usual_took } else { took };
                 self.usual_took = usual + LEARN * (took - usual);
@@ -998,7 +998,7 @@
             }
             Ending::ConnectFailed | Ending::TimedOut => {
                 node.breaks += 1;
-                node.mute_since.get_or_insert(sent.0);
+                node.unresponsive_since.get_or_insert(sent.0);
                 node.rest_until = now + rest as Micros;
             }
             // A broken connection tells of itself: a process that died refuses the next one.
--- a/src/state.rs
+++ b/src/state.rs
@@ -117,7 +117,7 @@
     pub units: f64,
     /// Order of arrival at this host.
     pub serial: u64,
-    pub aim_at: Micros,
+    pub target_at: Micros,
     pub answer_by: Micros,
     /// Without any attempt that may have run by then, it is given up.
     pub give_up_at: Micros,
@@ -167,7 +167,7 @@
     pub units: f64,
     pub best: f64,
     pub rest_until: Micros,
-    pub mute_since: Option<Micros>,
+    pub unresponsive_since: Option<Micros>,
     /// Connections that did not come up, and attempts that timed out, since its last answer.
     pub breaks: u32,
     pub cold_since: Option<Micros>,
@@ -202,7 +202,7 @@
             units: 0.0,
             best: 0.0,
             rest_until: 0,
-            mute_since: None,
+            unresponsive_since: None,
             breaks: 0,
             cold_since: None,
             cold_sends: VecDeque::new(),
@@ -221,7 +221,7 @@
 impl Node {
     /// It gets no work now, or one request at a time.
     pub fn avoided(&self, now: Micros) -> bool {
-        !self.ready || self.mute_since.is_some() || self.rest_until > now
+        !self.ready || self.unresponsive_since.is_some() || self.rest_until > now
     }
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -8,7 +8,15 @@
 pub const S: Micros = 1_000_000;
 
 pub fn class(repeats: Repeats) -> Class {
-    Class { aim: S, deadline: 4 * S, worth: 2.0, late_worth: 0.2, repeats, window: 3 * S, ..Class::default() }
+    Class {
+        target: S,
+        deadline: 4 * S,
+        worth: 2.0,
+        late_worth: 0.2,
+        repeats,
+        window: 3 * S,
+        ..Class::default()
+    }
 }
 
 pub fn settings(classes: Vec<Class>) -> Settings {
--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -279,7 +279,7 @@
         let (attempt, over, used, load) = (0, false, None, Load::default());
         let took = 3 * S;
         host.event(Event::Outcome(Outcome { request: 1, attempt, node: 10, ending, took, over, used, load }));
-        assert_eq!(tells(&host), [&view(1, 255, told)], "{ending:?}: two shortest aims at most, or one");
+        assert_eq!(tells(&host), [&view(1, 255, told)], "{ending:?}: two shortest targets at most, or one");
     }
 }
 
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -143,7 +143,7 @@
             ask_within: ASK_WITHIN,
             stop_within: STOP,
             max_retry_after: Some(S),
-            ..settings(vec![Class { deadline: 400 * MS, aim: 200 * MS, ..class(Repeats::Safe) }])
+            ..settings(vec![Class { deadline: 400 * MS, target: 200 * MS, ..class(Repeats::Safe) }])
         };
         let seed = u64::from(position + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ life;
         Head {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -85,7 +85,7 @@
 
 #[test]
 fn a_flow_that_returns_from_idle_claims_no_lost_time() {
-    let patient = Class { aim: 40 * S, ..class(Repeats::Safe) };
+    let patient = Class { target: 40 * S, ..class(Repeats::Safe) };
     let mut host = Host::new(settings(vec![patient]), vec![node(10, 1)]);
     host.arrive(1, |r| r.volume = 2);
     host.outcome(1, 0, 10, Ending::Served);
@@ -141,7 +141,7 @@
     host.outcome(5, 0, 10, Ending::Error);
     assert_eq!(host.sent(5), 1, "a late repeat stands back from a node that has just answered slowly");
     host.wait(S / 2);
-    assert_eq!(host.sent(5), 1, "and for the shortest aim after that");
+    assert_eq!(host.sent(5), 1, "and for the shortest target after that");
     host.wait(S / 2);
     assert_eq!(host.sent(5), 2, "but not until its client's time is up");
 }
@@ -220,7 +220,7 @@
 
 #[test]
 fn a_silent_connection_does_not_keep_its_node_from_getting_more() {
-    let patient = Class { aim: 30 * S, ..class(Repeats::Safe) };
+    let patient = Class { target: 30 * S, ..class(Repeats::Safe) };
     let mut host = Host::new(settings(vec![patient]), vec![node(10, 1)]);
     // However many it takes to fill the node: none is ever answered.
     fill(&mut host);
@@ -255,10 +255,10 @@
 }
 
 /// A node says nothing to what fills its tokens, or refuses a connection: when it is tried again, in steps of 5 ms.
-fn tried_again_after(aim: Micros, fall: Micros, refuses: bool) -> Micros {
-    let class = Class { aim, deadline: 4 * aim, ..class(Repeats::Safe) };
+fn tried_again_after(target: Micros, fall: Micros, refuses: bool) -> Micros {
+    let class = Class { target, deadline: 4 * target, ..class(Repeats::Safe) };
     let mut host = Host::new(Settings { fall, ..settings(vec![class]) }, vec![node(10, 1)]);
-    let time_left = 4 * aim;
+    let time_left = 4 * target;
     if refuses {
         host.arrive(1, |r| r.time_left = time_left);
         host.outcome(1, 0, 10, Ending::ConnectFailed);
@@ -269,7 +269,7 @@
     }
     let (before, begun) = (host.sends().len(), host.now);
     while host.sends().len() == before {
-        assert!(host.now < begun + 4 * aim, "never in its client's time");
+        assert!(host.now < begun + 4 * target, "never in its client's time");
         host.wait(5 * MS);
         host.arrive(100 + host.now / MS, |r| r.time_left = time_left);
     }
@@ -278,15 +278,15 @@
 
 #[test]
 fn a_silent_or_refusing_node_is_tried_again_while_its_clients_wait_on_every_site() {
-    // By the fall time where aims are long, by the shortest aim where they are short.
-    for (aim, fall, silent, refusing) in [
+    // By the fall time where targets are long, by the shortest target where they are short.
+    for (target, fall, silent, refusing) in [
         (4 * S, S, 500 * MS, 250 * MS),
         (400 * MS, S, 500 * MS, 200 * MS),
         (60 * MS, 2 * S, 90 * MS, 30 * MS),
     ] {
         for (refuses, wanted) in [(false, silent), (true, refusing)] {
-            let after = tried_again_after(aim, fall, refuses);
-            assert!((wanted..=wanted + 15 * MS).contains(&after), "{aim} {fall} {refuses}: {after}");
+            let after = tried_again_after(target, fall, refuses);
+            assert!((wanted..=wanted + 15 * MS).contains(&after), "{target} {fall} {refuses}: {after}");
         }
     }
 }
