What is not written whole goes no further once its client has gone

A node begins with a request's last byte, so that a body that is taken slowly could also be begun behind its client's end.

Change: the core calls off what is not whole as it hears that the client has left. File commands are whole with their own packet, not with the reply. What is whole goes on as before.

--- a/src/core.rs
+++ b/src/core.rs
@@ -786,7 +786,7 @@
             return self.stop_all(id, End::CalledOff);
         }
         self.tell(Event::ClientLeft { request: id });
-        self.drop_unsent(id, |_| true);
+        self.drop_unfinished(id);
         self.forget(id);
     }
 
@@ -1066,6 +1066,19 @@
         }
     }
 
+    /// Nobody waits for it any more: a node begins with a request's last byte, and what has not come so far never does.
+    fn drop_unfinished(&mut self, id: RequestId) {
+        self.drop_unsent(id, |_| true);
+        let Some(open) = self.requests.get(&id) else { return };
+        let unfinished = open
+            .attempts
+            .iter()
+            .zip(0..)
+            .filter(|(out, _)| out.as_ref().is_some_and(|out| out.begun.whole.get().is_none()));
+        let unfinished: Vec<u32> = unfinished.map(|(_, attempt)| attempt).collect();
+        unfinished.into_iter().for_each(|attempt| self.stop(id, attempt, End::CalledOff));
+    }
+
     fn fire(&mut self) {
         while let Some((_, due)) = self.due.pop(self.clock.now()) {
             match due {
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -171,6 +171,46 @@
     }
 }
 
+/// A node begins with a request's last byte: of a client that has gone, what is not whole by then goes no further.
+#[test]
+fn an_attempt_that_is_not_written_whole_goes_with_its_client_and_one_that_is_goes_on() {
+    for whole in [false, true] {
+        with_core(async |handle| {
+            let (dropped, mut drops) = mpsc::unbounded_channel();
+            let work = Arc::new(HalfWritten { whole, dropped });
+            let pending = handle.submit(arrival(LONG), work).unwrap();
+            tokio::task::yield_now().await;
+            drop(pending);
+            // What follows is decided behind the word that its client has gone.
+            let (tell, mut told) = mpsc::unbounded_channel();
+            let next = handle.submit(arrival(LONG), Arc::new(Addressed(tell))).unwrap();
+            assert!(matches!(next.await, Answer::Served(_)));
+            assert!(told.recv().await.is_some());
+            assert_eq!(drops.try_recv().is_ok(), !whole);
+        });
+    }
+}
+
+/// Writes some, or all, and hears nothing.
+struct HalfWritten {
+    whole: bool,
+    dropped: mpsc::UnboundedSender<()>,
+}
+
+impl Work for HalfWritten {
+    fn attempt(&self, a_try: Try) -> Attempt {
+        let dropped = Dropped(self.dropped.clone());
+        a_try.begun.set();
+        if self.whole {
+            a_try.begun.set_whole();
+        }
+        Box::pin(async move {
+            let _dropped = dropped;
+            std::future::pending().await
+        })
+    }
+}
+
 /// Breaks at once, then answers behind the window for repeats, with so much written by then.
 struct Late {
     written: Written,
--- a/src/net/sftp/back.rs
+++ b/src/net/sftp/back.rs
@@ -4,7 +4,7 @@
 
 use super::packet::{self, Attrs, Command, Encoded, Reply, Request, Response, Status, VERSION};
 use crate::config::{Config, NodeLimits};
-use crate::core::{Attempt, Report, Try, Work};
+use crate::core::{Attempt, Begun, Report, Try, Work};
 use crate::ending::End;
 use crate::net::inbound::Presence;
 use crate::net::pool::{Pool, Quiet};
@@ -117,7 +117,7 @@
             return Err(Fault::Before(End::Unsent));
         }
         a_try.begun.set();
-        let reply = connection.carry_out(job).await;
+        let reply = connection.carry_out(job, &a_try.begun).await;
         // What its node may have carried out was written whole.
         if !matches!(reply, Err(Fault::Before(_))) {
             a_try.begun.set_whole();
@@ -157,8 +157,12 @@
         }
     }
 
-    async fn carry_out(&mut self, job: &Job) -> Result<Reply, Fault> {
+    /// What the job does is `begun` as a whole with its own command; the open before it changes nothing yet.
+    async fn carry_out(&mut self, job: &Job, begun: &Begun) -> Result<Reply, Fault> {
         let path = job.path.clone();
+        if matches!(job.deed, Deed::Open { .. } | Deed::Stat { .. }) {
+            begun.set_whole();
+        }
         let (flags, attrs) = match &job.deed {
             Deed::Stat { follow } => return self.ask(Command::Stat { path, follow: *follow }).await,
             Deed::Open { flags, attrs } => (*flags, *attrs),
@@ -185,6 +189,7 @@
             }
             refusal => return Ok(refusal),
         };
+        begun.set_whole();
         let reply = match &job.deed {
             Deed::Read { offset, length } => {
                 let (handle, offset, length) = (handle.clone(), *offset, *length);
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -164,7 +164,8 @@
     assert_eq!(written, 0);
 }
 
-/// Its node takes nothing of a body that is passed on, so that nobody reads on at the client either.
+/// Its node takes nothing of a body that is passed on, so that nobody reads on at the client either. An end in order lies
+/// behind what the client has sent, and can be read once its node reads; a reset is known at once.
 #[test]
 fn a_client_that_goes_in_the_middle_of_a_body_that_nobody_takes_ends_its_attempt() {
     for going in Going::ALL {
@@ -179,11 +180,17 @@
         let mut at_node = Peer::accept(&node).unwrap();
         assert_eq!(header(&at_node.head().unwrap(), "x-request-id"), Some("gone"));
         let client = filling.join().unwrap();
+        let begun = Instant::now();
         let _stays = client.go(going).unwrap();
-        comes_to(&head, "in_progress", 0);
+        if going == Going::Resets {
+            comes_to(&head, "in_progress", 0);
+        }
         // What was written before is there; then it ends, long before all of the body.
         let (bytes, _) = at_node.rest().unwrap();
         assert!(bytes.len() < 30_000_000, "{going:?}");
+        comes_to(&head, "in_progress", 0);
+        // A node that takes nothing is cut off after 10 s in any case.
+        assert!(begun.elapsed() < Duration::from_secs(8), "{going:?}: {:?}", begun.elapsed());
         let mut next = Peer::connect(head.http).unwrap();
         next.say(request("GET", "token-read", "next", LONG, "")).unwrap();
         let heard = at_node.head_or_next(&node).unwrap();
@@ -410,7 +417,7 @@
         .unwrap();
         stage.head.stop(true).unwrap();
         let nodes = vec![entry("s-1", stage.brick.address, 0, "in_service")];
-        let _new = head(&setup, &stage.discovery, nodes);
+        let new = head(&setup, &stage.discovery, nodes);
         let mut comes = HttpClient::connect(shared.address).unwrap();
         comes.send("token-read", LONG, "", b"").unwrap();
         if killed {
@@ -425,6 +432,8 @@
         if !killed {
             assert_eq!(stage.head.ended().unwrap().code(), Some(0));
         }
+        // Alone it has all of what is the head's.
+        new.logged("here=\"no\"").unwrap();
     }
 }
 
