--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -106,14 +106,16 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The connection to that address that was used last, of those that have rested. Whether it is still good is for
-    /// whoever writes on it to see.
+    /// The connection to that address that was used last, of those that have rested; where none has, the one that has
+    /// rested longest, as long as nobody has said more than was asked. Whether it is still good is for whoever writes on
+    /// it to see.
     pub fn latest(&self, address: SocketAddr) -> Option<C> {
         let mut idle = self.idle();
         loop {
             let kept = idle.kept.get_mut(&address)?;
-            let rest = if self.talked.load(Ordering::Relaxed) { self.rest } else { Duration::ZERO };
-            let rested = kept.iter().rposition(|kept| kept.since.elapsed() >= rest)?;
+            let rested = kept.iter().rposition(|kept| kept.since.elapsed() >= self.rest);
+            let longest = (!self.talked.load(Ordering::Relaxed) && !kept.is_empty()).then_some(0);
+            let rested = rested.or(longest)?;
             let kept = kept.remove(rested);
             idle.count -= 1;
             if kept.since.elapsed() < self.limits.idle {
--- a/src/net/pool/tests.rs
+++ b/src/net/pool/tests.rs
@@ -93,6 +93,24 @@
     assert!(resting.take(at(1)).is_none());
 }
 
+/// A second answer that comes late is the first sign of a node that gives such: until then rests cost no connection.
+#[test]
+fn before_any_word_that_was_not_asked_for_what_has_rested_longest_is_given() {
+    let (pool, quiet) = (pool(4, Duration::from_secs(3600)), Rc::new(Cell::new(true)));
+    let pool = pool.resting(Duration::from_secs(60));
+    for number in 1..=4 {
+        pool.put(at(1), Fake(number, quiet.clone()));
+    }
+    let rested = |places: &[usize]| {
+        for place in places {
+            pool.idle().kept.get_mut(&at(1)).unwrap()[*place].since -= Duration::from_secs(60);
+        }
+    };
+    rested(&[0, 1]);
+    let given: Vec<u32> = std::iter::from_fn(|| pool.take(at(1))).map(|fake| fake.0).collect();
+    assert_eq!(given, [2, 1, 3, 4], "the latest of those that have rested, then the one nearest to it");
+}
+
 #[test]
 fn connections_that_come_up_for_nobody_take_no_more_than_half_of_the_room() {
     let pool = pool(4, Duration::from_secs(1));
