--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -259,7 +259,7 @@
         while host.now < start + 12 * S {
             host.wait(5 * MS);
             // Three times what the limit lets through.
-            if (host.now - start) / (5 * MS) % 4 == 0 {
+            if ((host.now - start) / (5 * MS)).is_multiple_of(4) {
                 for _ in 0..(limit * 3.0 * 0.02 / 2.0).ceil() as u64 {
                     id += 1;
                     host.arrive(id, |r| {
