Two processes take the same ids at once: a test that a look before the write fails

A mutant that looked before it wrote passed by the test of the steps' orders, which calls the steps itself.

--- a/src/net/ids/tests.rs
+++ b/src/net/ids/tests.rs
@@ -81,3 +81,35 @@
     }
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+/// The same with both at work at once: each writes an id down before it looks for the other one's word of it.
+#[test]
+fn two_processes_that_take_the_same_ids_at_once_never_both_pass_one_on() {
+    const IDS: u32 = 4_000;
+    let folder = std::env::temp_dir().join(format!("pathbank-ids-race-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let files = ["0", "1"].map(|name| {
+        let options = File::options().create(true).truncate(true).read(true).write(true).clone();
+        Arc::new(options.open(folder.join(name)).unwrap())
+    });
+    let together = Arc::new(std::sync::Barrier::new(2));
+    let start = |ours: usize| {
+        let ids = Ids::new(IDS as usize, Duration::from_secs(3600));
+        ids.share((files[ours].clone(), files[1 - ours].clone())).unwrap();
+        ids
+    };
+    let takes = [start(0), start(1)].map(|ids| {
+        let together = together.clone();
+        std::thread::spawn(move || {
+            let take = |number: u32| {
+                together.wait();
+                ids.first_time(&number.to_be_bytes(), Instant::now())
+            };
+            (0..IDS).map(take).collect::<Vec<bool>>()
+        })
+    });
+    let [first, second] = takes.map(|taken| taken.join().unwrap());
+    let both = first.iter().zip(&second).filter(|(a, b)| **a && **b).count();
+    assert_eq!(both, 0, "passed on twice of {IDS}");
+    std::fs::remove_dir_all(&folder).unwrap();
+}
