--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -39,7 +39,7 @@
 
 fn with_core_of<T>(settings: Settings, list: Input, play: impl AsyncFnOnce(Handle) -> T) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    let class = Class { aim: 5_000_000, deadline: 10_000_000, worth: 1.0, ..Class::default() };
+    let class = Class { target: 5_000_000, deadline: 10_000_000, worth: 1.0, ..Class::default() };
     let settings = Settings { hosts: 1, classes: vec![class], max_attempts: 3, ..settings };
     runtime.block_on(async {
         let (core, _wanted) = Core::new(settings, 7, 10, Clock::start());
@@ -171,6 +171,46 @@
     }
 }
 
+/// A node begins with a request's last byte: of a client that has gone, what is not whole by then goes no further.
+#[test]
+fn an_attempt_that_is_not_written_whole_goes_with_its_client_and_one_that_is_goes_on() {
+    for whole in [false, true] {
+        with_core(async |handle| {
+            let (dropped, mut drops) = mpsc::unbounded_channel();
+            let work = Arc::new(HalfWritten { whole, dropped });
+            let pending = handle.submit(arrival(LONG), work).unwrap();
+            tokio::task::yield_now().await;
+            drop(pending);
+            // What follows is decided behind the word that its client has gone.
+            let (tell, mut told) = mpsc::unbounded_channel();
+            let next = handle.submit(arrival(LONG), Arc::new(Addressed(tell))).unwrap();
+            assert!(matches!(next.await, Answer::Served(_)));
+            assert!(told.recv().await.is_some());
+            assert_eq!(drops.try_recv().is_ok(), !whole);
+        });
+    }
+}
+
+/// Writes some, or all, and hears nothing.
+struct HalfWritten {
+    whole: bool,
+    dropped: mpsc::UnboundedSender<()>,
+}
+
+impl Work for HalfWritten {
+    fn attempt(&self, a_try: Try) -> Attempt {
+        let dropped = Dropped(self.dropped.clone());
+        a_try.begun.set();
+        if self.whole {
+            a_try.begun.set_whole();
+        }
+        Box::pin(async move {
+            let _dropped = dropped;
+            std::future::pending().await
+        })
+    }
+}
+
 /// Breaks at once, then answers behind the window for repeats, with so much written by then.
 struct Late {
     written: Written,
@@ -214,7 +254,7 @@
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         let answer = runtime.block_on(async {
             let class = Class {
-                aim: 5_000_000,
+                target: 5_000_000,
                 deadline: 10_000_000,
                 worth: 1.0,
                 repeats: Repeats::Keyed,
@@ -285,7 +325,7 @@
     runtime.block_on(async {
         for probing in [true, false] {
             // Heads of a crowd: each sees too little of a node by itself.
-            let class = Class { aim: 1_000_000, deadline: 10_000_000, worth: 1.0, ..Class::default() };
+            let class = Class { target: 1_000_000, deadline: 10_000_000, worth: 1.0, ..Class::default() };
             let settings = Settings {
                 hosts: 40,
                 classes: vec![class],
@@ -449,7 +489,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     for (answers, late) in [(true, false), (true, true), (false, true)] {
         let got = runtime.block_on(async {
-            let class = Class { aim: 5_000_000, deadline: 10_000_000, worth: 1.0, ..Class::default() };
+            let class = Class { target: 5_000_000, deadline: 10_000_000, worth: 1.0, ..Class::default() };
             let settings =
                 Settings { hosts: 1, classes: vec![class], max_attempts: 3, ..Settings::default() };
             let (mut core, _wanted) = Core::new(settings, 7, 10, Clock::start());
