A file command is whole with its packet's last byte, not before it

Cause: found on reading the change again. Since a command counted as whole right before its packet was handed to the socket; a repeat whose write blocks there was no longer given up at the end of its window (core::written_by).

Change: it counts as whole once the packet is flushed; the open in front of a read or write never does.

No test forces a blocked write behind the window on this front.

--- a/src/net/sftp/back.rs
+++ b/src/net/sftp/back.rs
@@ -145,11 +145,13 @@
         }
     }
 
-    async fn ask(&mut self, command: Command) -> Result<Reply, Fault> {
+    /// `begun`: the command is what its job does, and whole with the packet's last byte.
+    async fn ask(&mut self, command: Command, begun: Option<&Begun>) -> Result<Reply, Fault> {
         let id = self.next_id;
         self.next_id = self.next_id.wrapping_add(1);
         // A packet of which the last byte was not written is never carried out.
         self.send(Request::Command { id, command }).await.map_err(|()| Fault::Before(End::BrokeUnsent))?;
+        begun.into_iter().for_each(Begun::set_whole);
         match self.receive().await {
             Ok(Response::Reply { id: answered, reply }) if answered == id => Ok(reply),
             Ok(_) => Err(Fault::After(End::BadAnswer)),
@@ -157,21 +159,20 @@
         }
     }
 
-    /// What the job does is `begun` as a whole with its own command; the open before it changes nothing yet.
     async fn carry_out(&mut self, job: &Job, begun: &Begun) -> Result<Reply, Fault> {
         let path = job.path.clone();
-        if matches!(job.deed, Deed::Open { .. } | Deed::Stat { .. }) {
-            begun.set_whole();
-        }
+        let opens = matches!(job.deed, Deed::Open { .. }).then_some(begun);
         let (flags, attrs) = match &job.deed {
-            Deed::Stat { follow } => return self.ask(Command::Stat { path, follow: *follow }).await,
+            Deed::Stat { follow } => {
+                return self.ask(Command::Stat { path, follow: *follow }, Some(begun)).await;
+            }
             Deed::Open { flags, attrs } => (*flags, *attrs),
             Deed::Read { .. } => (packet::READ, Attrs::default()),
             Deed::Write { append, .. } => {
                 (packet::WRITE | if *append { packet::APPEND } else { 0 }, Attrs::default())
             }
         };
-        let opened = self.ask(Command::Open { path, flags, attrs }).await.map_err(|fault| {
+        let opened = self.ask(Command::Open { path, flags, attrs }, opens).await.map_err(|fault| {
             match (&job.deed, fault) {
                 // Opening is what the command does.
                 (Deed::Open { .. }, fault) => fault,
@@ -189,19 +190,18 @@
             }
             refusal => return Ok(refusal),
         };
-        begun.set_whole();
         let reply = match &job.deed {
             Deed::Read { offset, length } => {
                 let (handle, offset, length) = (handle.clone(), *offset, *length);
-                self.ask(Command::Read { handle, offset, length }).await?
+                self.ask(Command::Read { handle, offset, length }, Some(begun)).await?
             }
             Deed::Write { offset, data, .. } => {
                 let (handle, offset, data) = (handle.clone(), *offset, data.clone());
-                self.ask(Command::Write { handle, offset, data }).await?
+                self.ask(Command::Write { handle, offset, data }, Some(begun)).await?
             }
             Deed::Open { .. } | Deed::Stat { .. } => Reply::Handle(handle.clone()),
         };
-        match self.ask(Command::Close { handle }).await {
+        match self.ask(Command::Close { handle }, None).await {
             Ok(Reply::Status { code: Status::Ok, .. }) => Ok(reply),
             // What was written may not have been kept.
             Ok(_) => Err(Fault::After(End::ErrorAnswer)),
