A collector that is slow to close behind each line loses none; a cut length is no frame

The stand-in now tells the two apart; what is no length still fails.

A collector that gets no processor for 40 ms closes behind the first of two lines, and the second was gone without a second try. Also, a line written behind a close that had come unread was taken as read by it (the end is read first, the reset stands in the socket's error).

Change: a line stays in doubt until it has stood for `settle` or its connection has ended in order with nothing turned away; one on its second try has nothing behind it until then.

--- a/src/logging/send.rs
+++ b/src/logging/send.rs
@@ -220,11 +220,13 @@
                 self.settled(settled);
             }
             Ok(Ok(())) if self.delivery.careful() => {
-                if let Ok(orderly) = timeout(MOMENT, connection.ended()).await {
+                // A line that no third try follows has nothing behind it until it counts as handed over. One for which
+                // the moment passes stays in doubt: the collector may only be slow to read and close.
+                let settle = Duration::from_micros(self.setup.delivery.settle);
+                let moment = if self.unsettled.last_is_again() { settle } else { MOMENT };
+                if let Ok(orderly) = timeout(moment, connection.ended()).await {
                     return self.ended(orderly, "it closed the connection");
                 }
-                let settled = self.unsettled.settle_all();
-                self.settled(settled);
             }
             Ok(Ok(())) => {}
             Ok(Err(problem)) => return self.ended(false, &problem.to_string()),
@@ -264,3 +266,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/logging/transport.rs
+++ b/src/logging/transport.rs
@@ -118,13 +118,23 @@
                 Connection::Tls(stream) => stream.read(&mut bytes).await,
             };
             match read {
-                Ok(0) => return true,
+                Ok(0) => return self.broken().is_none(),
                 Ok(_) => {}
                 Err(_) => return false,
             }
         }
     }
 
+    /// What was written behind the collector's end was turned away: the end is still read first.
+    fn broken(&self) -> Option<io::Error> {
+        let stream = match self {
+            Connection::Udp(_) => return None,
+            Connection::Tcp(stream) => stream,
+            Connection::Tls(stream) => stream.get_ref().0,
+        };
+        stream.take_error().unwrap_or_else(Some)
+    }
+
     /// In order: what was written is read by a collector that is there.
     pub async fn close(mut self, most: Duration) -> bool {
         let closing = async {
@@ -146,3 +156,6 @@
         tokio::time::timeout(most, closing).await.unwrap_or(false)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/rehearsal/syslog/tests.rs
+++ b/src/rehearsal/syslog/tests.rs
@@ -13,6 +13,12 @@
     assert_eq!(got(format!("{line}\n{line}\n")), [true, true]);
     assert_eq!(got(format!("{length} {line}{length} {line}")), [true, true]);
     assert_eq!(got(format!("{length} {line}{length} <30>")), [true], "a cut one is none");
+    for cut in ["6", "68"] {
+        assert_eq!(got(format!("{length} {line}{cut}")), [true], "one cut in its length is none either");
+    }
+    for lost in ["0", "68<", "x", "12345678"] {
+        assert_eq!(got(format!("{length} {line}{lost}")), [true, false], "no length begins with {lost}");
+    }
     assert_eq!(got(format!("{length} {line}\n{length} {line}")), [true, false]);
     assert_eq!(got(format!("0{length} {line}")), [false]);
     assert!(!got(format!("{} {line}", length - 1))[0]);
--- a/src/syslog/delivery.rs
+++ b/src/syslog/delivery.rs
@@ -4,7 +4,8 @@
 //! counts as handed over only when it has stood written for a while on a connection that still stands; what is younger
 //! is sent once more on the next connection. A collector may so get a line twice, with the same sequence id, but loses
 //! none of those that one repeat can save. Where connections end after a few lines, lines go one at a time, each with
-//! a moment in which the collector may close: an orderly end after a single line means that it was read.
+//! a moment in which the collector may close: an orderly end means that what was written was read. A line that is sent
+//! for the second time goes alone until it counts as handed over, so that nothing in front of it costs its last try.
 
 use crate::interface::Micros;
 use std::collections::VecDeque;
@@ -195,6 +196,11 @@
         self.bytes.extend(line);
     }
 
+    /// The line written last has no further try.
+    pub fn last_is_again(&self) -> bool {
+        self.written.back().is_some_and(|last| last.again)
+    }
+
     /// The greatest key that has been handed over with this, if any has.
     pub fn settle(&mut self, now: Micros, limits: &Limits) -> Option<u64> {
         let mut greatest = None;
