--- a/src/bin/pathbank.rs
+++ b/src/bin/pathbank.rs
@@ -55,8 +55,7 @@
     if args.nth(1).as_deref() == Some("fleet") {
         return fleet::command::run(std::iter::once("pathbank fleet".to_string()).chain(args));
     }
-    let done = Config::from_environment().map_err(Into::into).and_then(run);
-    match done {
+    match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
             eprintln!("pathbank: {problem}");
@@ -81,13 +80,14 @@
     Ok(fleet)
 }
 
-fn run(config: Config) -> Result<(), Box<dyn Error>> {
-    tokio::runtime::Builder::new_current_thread().enable_all().build()?.block_on(head(config))
+fn run() -> Result<(), Box<dyn Error>> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build()?.block_on(head())
 }
 
-async fn head(mut config: Config) -> Result<(), Box<dyn Error>> {
-    // Before all else: unhandled, either signal would end the program where it stands.
+async fn head() -> Result<(), Box<dyn Error>> {
+    // Before all else, and before the configuration: unhandled, either signal would end the program where it stands.
     let (mut terminate, hangup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
+    let mut config = Config::from_environment()?;
     let mut second = SecondFront::from_environment(&mut config.settings, &config.names)?;
     if let Some(second) = &mut second {
         config.share_places(&mut second.clients);
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -15,8 +15,10 @@
 use socket2::SockRef;
 use std::collections::BTreeSet;
 use std::fs::File;
+use std::io::{BufRead, BufReader, Write};
 use std::net::TcpListener;
 use std::path::Path;
+use std::process::{self, Stdio};
 use std::sync::Arc;
 use std::sync::mpsc::{RecvTimeoutError, channel};
 use std::time::{Duration, Instant};
@@ -400,6 +402,73 @@
     assert_eq!(stage.seen(), vec![client.id]);
 }
 
+/// A signal comes while a head reads its configuration, which comes as slowly as the test wants.
+#[test]
+fn a_signal_before_a_head_is_ready_ends_it_in_order_or_has_it_read_again() {
+    let brick = Brick::start("b-1").unwrap();
+    let nodes = vec![entry("s-1", brick.address, 0, "in_service")];
+    let discovery = Discovery::start(nodes.clone()).unwrap();
+    for signal in ["TERM", "HUP"] {
+        let shared = Shared::new().unwrap();
+        let config = shared.folder.join("config.json");
+        let file = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.address, "seed": "7",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {"version": 1, "full": true, "servers": nodes}, "settings": stage::settings(&Setup::default())});
+        assert!(process::Command::new("mkfifo").arg(&config).status().unwrap().success());
+        let mut command = process::Command::new(env!("CARGO_BIN_EXE_pathbank"));
+        command.env("GW_CONFIG", &config).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+        let mut child = command.spawn().unwrap();
+        // This waits until the head has opened it.
+        let mut slow = File::options().write(true).open(&config).unwrap();
+        let kill = format!("kill -{signal} {}", child.id());
+        assert!(process::Command::new("/bin/sh").args(["-c", &kill]).status().unwrap().success());
+        // Whoever reads it again finds it whole.
+        let whole = shared.folder.join("whole.json");
+        std::fs::write(&whole, file.to_string()).unwrap();
+        std::fs::rename(&whole, &config).unwrap();
+        slow.write_all(file.to_string().as_bytes()).unwrap();
+        drop(slow);
+        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+        let last = if signal == "TERM" { " LEFT " } else { " RELOADED " };
+        assert!(lines.any(|line| line.contains(last)), "{signal}: it never told{last}");
+        if signal == "HUP" {
+            child.kill().unwrap();
+        }
+        lines.for_each(drop);
+        let code = child.wait().unwrap().code();
+        assert_eq!(code, (signal == "TERM").then_some(0), "{signal}");
+    }
+}
+
+/// Nothing of what a killed process accepted and had not read can be saved; its client comes again, to whoever is there.
+#[test]
+fn who_was_accepted_by_a_process_that_is_killed_is_served_once_as_it_comes_again() {
+    let shared = Arc::new(Shared::new().unwrap());
+    let setup = Setup { shared: Some(shared.clone()), ..Setup::default() };
+    let mut stage = stage(setup.clone());
+    let descriptors = format!("/proc/{}/fd", stage.head.process());
+    let held = || std::fs::read_dir(&descriptors).unwrap().count();
+    let (before, since) = (held(), Instant::now());
+    let mut first = Peer::connect(shared.address).unwrap();
+    while held() == before {
+        assert!(since.elapsed() < Duration::from_secs(20), "it is not accepted");
+    }
+    // It stands still with the request in the system's hands, and so it ends.
+    stage.head.stop(true).unwrap();
+    first.say(request("GET", "once", "of-it", LONG, "")).unwrap();
+    stage.head.kill().unwrap();
+    let end = first.rest();
+    assert!(end.as_ref().map_or(true, |(bytes, _)| bytes.is_empty()), "{end:?}");
+    // There is nobody: it waits at the door.
+    let mut again = Peer::connect(shared.address).unwrap();
+    again.say(request("GET", "once", "of-it", LONG, "")).unwrap();
+    let nodes = vec![entry("s-1", stage.brick.address, 0, "in_service")];
+    let _next = head(&setup, &stage.discovery, nodes);
+    let answer = again.head().unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert_eq!(stage.seen(), ["of-it"]);
+}
+
 /// The old process stands still as the new one comes, and has its end before it can say that it keeps to its half.
 #[test]
 fn an_old_process_that_ends_before_its_word_leaves_the_new_one_to_serve() {
