TCP_NODELAY also for operators and collectors; SIGTERM while an attempt connects has its test

A line for a collector behind one that is not acknowledged yet was held back by the system for longer than the moment after which a careful sender writes the next.

Change: set there too; a unit test holds it for collectors, the operators' side is by reading. A test for SIGTERM while a first or a further attempt waits for its connection (a listener whose queue is full): one answer, exit 0, nothing at the node behind it.

--- a/src/logging/transport.rs
+++ b/src/logging/transport.rs
@@ -55,6 +55,8 @@
 
 async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let stream = TcpStream::connect(address).await?;
+    // A line that the system holds back is none that a collector could have taken in its moment.
+    stream.set_nodelay(true)?;
     SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER)?;
     Ok(stream)
 }
--- a/src/logging/transport/tests.rs
+++ b/src/logging/transport/tests.rs
@@ -10,6 +10,8 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let mut connection = Connection::open(&Collector { address, transport: Transport::Tcp }).await.unwrap();
+    let Connection::Tcp(stream) = &connection else { unreachable!() };
+    assert!(stream.nodelay().unwrap(), "lines wait for each other");
     let mut batch = Batch::default();
     batch.push(&connection, b"line");
     let (mut collector, _) = listener.accept().await.unwrap();
--- a/src/net/fleet/command.rs
+++ b/src/net/fleet/command.rs
@@ -86,6 +86,7 @@
 pub fn ask(at: SocketAddr, words: &str) -> Done<Vec<String>> {
     let told = |problem: std::io::Error| format!("{at}: {problem}");
     let mut stream = TcpStream::connect_timeout(&at, CALL_TIME).map_err(told)?;
+    stream.set_nodelay(true).map_err(told)?;
     stream.set_read_timeout(Some(CALL_TIME)).map_err(told)?;
     stream.write_all(format!("{words}\n").as_bytes()).map_err(told)?;
     let mut text = String::new();
--- a/src/net/ops.rs
+++ b/src/net/ops.rs
@@ -157,6 +157,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
+                let _ = stream.set_nodelay(true); // one that cannot be set is broken, and tells so when it is read
                 callers.retain(|caller| !caller.is_finished());
                 // The oldest has had the most time to say its line.
                 while callers.len() >= most {
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -12,11 +12,11 @@
 use pathbank::rehearsal::store::{Fault, Files, Seen as Stored, Store, Verb};
 use pathbank::rehearsal::{header, wait_for};
 use serde_json::json;
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 use std::collections::BTreeSet;
 use std::fs::File;
 use std::io::{BufRead, BufReader, Write};
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 use std::process::{self, Stdio};
 use std::sync::Arc;
@@ -371,6 +371,47 @@
     }
 }
 
+/// As the head is told to end, a first or a further attempt waits for its connection: its client hears once.
+#[test]
+fn an_attempt_that_waits_for_its_connection_through_sigterm_means_one_answer() {
+    for further in [false, true] {
+        // With a queue of one that is taken, the system answers no more connections.
+        let node = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        node.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        node.listen(0).unwrap();
+        let node: TcpListener = node.into();
+        let address = node.local_addr().unwrap();
+        let fill = || Peer::connect(address).unwrap();
+        let mut filler = (!further).then(fill);
+        let nodes = vec![entry("s-1", address, 0, "in_service")];
+        let discovery = Discovery::start(nodes.clone()).unwrap();
+        let deadline = Duration::from_millis(800);
+        let mut head = head(&Setup { deadline, ops: true, ..Setup::default() }, &discovery, nodes);
+        let mut client = Peer::connect(head.http).unwrap();
+        client.say(request("GET", "once", "x", 800, "")).unwrap();
+        if further {
+            let mut first = Peer::accept(&node).unwrap();
+            assert_eq!(header(&first.head().unwrap(), "x-request-id"), Some("x"));
+            filler = Some(fill());
+            first.say(NEVER_RAN.replacen("\r\n", "\r\nConnection: close\r\n", 1)).unwrap();
+        }
+        comes_to(&head, "in_progress", 1);
+        head.terminate().unwrap();
+        let answer = client.head().unwrap();
+        assert!(answer.starts_with("HTTP/1.1 50"), "{answer}");
+        client.body(&answer).unwrap();
+        assert_eq!(client.rest().unwrap(), (Vec::new(), Ended::InOrder), "further: {further}");
+        assert_eq!(head.ended().unwrap().code(), Some(0), "further: {further}");
+        drop(filler);
+        // Nothing of it comes behind its answer, on any connection that came up late.
+        node.set_nonblocking(true).unwrap();
+        while let Ok((stream, _)) = node.accept() {
+            stream.set_nonblocking(false).unwrap();
+            assert!(Peer::new(stream).unwrap().rest().unwrap().0.is_empty(), "further: {further}");
+        }
+    }
+}
+
 // ---- hand-overs ----
 
 /// As long as this lives, another process of the head `n0` seems to, which never says that it keeps to its half.
