Few heads give a cold node what it bears of what their clients ask, as a crowd does

Change: what a crowd has done since landing 2, a part of what its own clients ask of the shard, saved up, is any number of heads'. The even part stays beside it for few, and both are paid by each send.

The new test fails without it ("0 units in fall 0"); rules, mechanism and crowd tests pass as they were.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -78,7 +78,7 @@
 const TIDY: Micros = 1_000_000;
 const FORGET: Micros = 30_000_000;
 
-/// What is asked of a shard is taken to be two thirds of what its node carries when warm: a crowd gives a
+/// What is asked of a shard is taken to be two thirds of what its node carries when warm: hosts give a
 /// cold one so much of what the rule allows one that carries just that. What is outside the reserve waits
 /// until so many mean requests are saved up.
 const COLD_PART: f64 = 1.5;
@@ -857,8 +857,8 @@
         })
     }
 
-    /// Whether this host may send that many units now to a node that may be cold: its part of what such a
-    /// node always bears, growing as the node warms; in a crowd, what it has saved up of its part.
+    /// Whether this host may send that many units now to a node that may be cold: what it has saved up of its
+    /// part; of few hosts also an even part of what such a node always bears, growing as the node warms.
     fn cold_room(&self, now: Micros, node: &Node, held: &Held) -> bool {
         let s = &self.settings;
         if node.cold_since.is_none_or(|since| now >= since + s.cold) {
@@ -866,20 +866,19 @@
         } else if s.cold_units <= 0.0 || s.cold_from <= 0.0 {
             return node.out.is_empty();
         }
-        if self.crowded() {
-            return node.cold_credit.level >= s.mean_units * if held.reserved { 1.0 } else { COLD_SPARE };
-        }
+        let saved = s.mean_units * if held.reserved { 1.0 } else { COLD_SPARE };
         let part = self.part * able(s, now, node) / s.cold_from * s.cold_units / f64::from(s.hosts.max(1));
         let sends = node.cold_sends.iter().filter(|(t, _)| *t + s.fall >= now);
-        part - sends.map(|(_, units)| units).sum::<f64>() >= held.units
+        let even = part - sends.map(|(_, units)| units).sum::<f64>() >= held.units;
+        node.cold_credit.level >= saved || even && !self.crowded()
     }
 
-    /// In a crowd an even part of what a cold node always bears is less than any request, and is due to hosts
-    /// that never use it. A node that is warm carries what all hosts ask of its shard: a host keeps to the
+    /// An even part of what a cold node always bears may be less than any request, and is due to hosts that
+    /// never use it. A node that is warm carries what all hosts ask of its shard: a host keeps to the
     /// part of its own asking that the node bears cold, or to the even part, and saves up for its turns.
     fn save_for_cold(&mut self, now: Micros) {
-        let (crowded, s, of_host) = (self.crowded(), &self.settings, self.part);
-        let cold = |n: &Node| crowded && n.cold_since.is_some_and(|since| now < since + s.cold);
+        let (s, of_host) = (&self.settings, self.part);
+        let cold = |n: &Node| n.cold_since.is_some_and(|since| now < since + s.cold);
         for node in self.nodes.values_mut().filter(|n| cold(n)) {
             let able = able(s, now, node);
             let even = of_host * able / s.cold_from * s.cold_units * SECOND
--- a/src/state.rs
+++ b/src/state.rs
@@ -172,7 +172,7 @@
     pub breaks: u32,
     pub cold_since: Option<Micros>,
     pub cold_sends: VecDeque<(Micros, f64)>,
-    /// Where this host's part of what a cold node bears is less than one request: what it has saved up.
+    /// What this host has saved up of its part of what a cold node bears.
     pub cold_credit: Store,
     /// Time to work off the node's own queue as last told by the node or another host, when that was heard,
     /// when it was last passed on or asked for, and the time that each queued request takes.
--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -25,14 +25,18 @@
 
 /// A crowd of hosts with a node each way the same, and seeds of their own.
 fn hosts(nodes: &[NodeEntry]) -> Vec<Host> {
+    as_many(HOSTS, nodes)
+}
+
+fn as_many(hosts: u32, nodes: &[NodeEntry]) -> Vec<Host> {
     let host = |position: u32| {
-        let settings = Settings { position, ..crowd_settings() };
+        let settings = Settings { hosts, position, ..crowd_settings() };
         let policy = Policy::new(settings, u64::from(position).wrapping_mul(0x9e37_79b9_7f4a_7c15));
         let mut host = Host { policy, now: 100 * S, actions: Vec::new() };
         host.event(Event::Nodes { news: News::Cached, nodes: nodes.to_vec() });
         host
     };
-    (0..HOSTS).map(host).collect()
+    (0..hosts).map(host).collect()
 }
 
 fn view(shard: u8, queue: u8, took_ms: u16) -> Vec<u8> {
@@ -81,14 +85,13 @@
     assert!(sum(&crowd) > first + 16.0, "work still flows");
 }
 
-/// A crowd whose clients ask a warm node for 125 units a second, then its shard's new node, cold. Units sent to that
-/// one by second.
-fn sent_to_the_cold_one_by_second() -> Vec<f64> {
-    let mut crowd = hosts(&[node(10, 1)]);
+/// Hosts whose clients ask a warm node for 125 units a second, each one for 2 units in so many tenths of a second, then
+/// its shard's new node, cold. Units sent to that one by second.
+fn sent_to_the_cold_one_by_second(mut hosts: Vec<Host>, tenths: impl Fn(u64) -> u64) -> Vec<f64> {
     let mut by_second = vec![0.0; 12];
     for tick in 0..300u64 {
         let restarted = 180;
-        for (position, host) in crowd.iter_mut().enumerate() {
+        for (position, host) in (0u64..).zip(&mut hosts) {
             host.now += 100 * MS;
             if tick == restarted {
                 let (gone, cold) = (NodeState::Gone, NodeEntry { started: host.now, ..node(11, 1) });
@@ -96,9 +99,9 @@
                 host.event(Event::Nodes { news: News::Changes, nodes });
             }
             let before = host.sends().len();
-            // Each host's clients ask for 2 units every 4 s.
-            if tick % 40 == position as u64 % 40 {
-                host.arrive(1000 * (tick + 1) + position as u64, |_| {});
+            let tenths = tenths(position);
+            if tick % tenths == position % tenths {
+                host.arrive(1000 * (tick + 1) + position, |_| {});
             }
             host.event(Event::Timer { token: u64::MAX });
             for (request, node) in host.sends().split_off(before) {
@@ -112,11 +115,10 @@
     by_second
 }
 
-#[test]
-fn a_crowd_gives_a_cold_node_what_it_bears_of_what_its_shard_is_asked_and_no_more() {
+/// Whether that is what the node bears in each fall of 2 s, and as much of it as can flow.
+fn is_borne(by_second: &[f64]) {
     let (mut all, mut all_borne) = (0.0, 0.0);
-    // A fall takes 2 s.
-    for (second, sent) in sent_to_the_cold_one_by_second().chunks(2).enumerate() {
+    for (second, sent) in by_second.chunks(2).enumerate() {
         let sent: f64 = sent.iter().sum();
         // The node can carry half as much again as it is asked when warm; cold, a quarter of that, growing evenly over
         // 16 s, and it bears half as much again for a while.
@@ -130,6 +132,18 @@
     assert!(all <= all_borne, "{all} units in 12 s, {all_borne} are borne");
 }
 
+#[test]
+fn a_crowd_gives_a_cold_node_what_it_bears_of_what_its_shard_is_asked_and_no_more() {
+    is_borne(&sent_to_the_cold_one_by_second(hosts(&[node(10, 1)]), |_| 40));
+}
+
+/// One of them is asked for most of it. An even part of what a cold node bears in any case is 0.8 units in each fall.
+#[test]
+fn few_hosts_give_a_cold_node_what_it_bears_of_what_their_clients_ask_and_no_more() {
+    let tenths = |position| if position < 5 { 1 } else { 4 };
+    is_borne(&sent_to_the_cold_one_by_second(as_many(10, &[node(10, 1)]), tenths));
+}
+
 /// When each of a crowd asks for the list next, after such news at the same moment; by its own timers.
 fn asks_after(hosts: u32, failures: usize) -> Vec<Micros> {
     let ask = |position: u32| {
