--- /dev/null
+++ b/crates/control/src/configuration.rs
@@ -0,0 +1,337 @@
+//! The operators' configuration: the document as it was sent, the typed view that the system works with, and changes.
+
+use crate::result_code::ResultCode;
+use facet::Facet;
+use serde_json::{Map, Value};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The typed view of a document. Unknown keys are left alone.
+#[derive(Clone, Debug, Default, Facet)]
+pub struct Configuration {
+    /// Rises with every change.
+    pub version: u64,
+    /// Which requests go to which service.
+    #[facet(default)]
+    pub routes: Vec<Route>,
+    /// The services.
+    #[facet(default)]
+    pub backends: Vec<Backend>,
+    /// What a client may send.
+    #[facet(default)]
+    pub limits: Limits,
+    /// Who may send requests on routes that are not public.
+    #[facet(default)]
+    pub tenants: Vec<Tenant>,
+}
+
+/// What a route's requests are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Facet)]
+#[repr(u8)]
+#[facet(rename_all = "snake_case")]
+pub enum RouteType {
+    /// May run more than once.
+    Idempotent,
+    /// May run at most once per try.
+    NonIdempotent,
+    /// Answered by a series of events.
+    Streaming,
+}
+
+/// Which requests go to which service.
+#[derive(Clone, Debug, Facet)]
+pub struct Route {
+    /// Its name.
+    pub name: String,
+    /// The `Host` that it serves.
+    pub hostname: String,
+    /// The beginning of the paths that it serves, from slash to slash.
+    pub path_prefix: String,
+    /// What its requests are.
+    #[facet(rename = "type")]
+    pub kind: RouteType,
+    /// The longest time that a request is held, milliseconds.
+    pub timeout_ms: f64,
+    /// The time inside which an answer earns its full worth, milliseconds.
+    #[facet(default)]
+    pub target_latency_ms: f64,
+    /// 0 goes first.
+    #[facet(default)]
+    pub priority: i64,
+    /// The one service.
+    #[facet(default)]
+    pub backend: Option<String>,
+    /// Or several, by weight.
+    #[facet(default)]
+    pub traffic_split: Vec<Split>,
+    /// Bricks that one try may be sent to.
+    #[facet(default)]
+    pub max_attempts: Option<u32>,
+    /// Needs no key.
+    #[facet(default)]
+    pub public: bool,
+    /// Prompts share parts.
+    #[facet(default)]
+    pub session_affinity: bool,
+    /// A stream may be taken up at another brick.
+    #[facet(default)]
+    pub resumable: bool,
+    /// The longest pause between events of an answer in time, milliseconds.
+    #[facet(default)]
+    pub gap_aim_ms: Option<f64>,
+}
+
+/// A service and its part of a route's requests.
+#[derive(Clone, Debug, Facet)]
+pub struct Split {
+    /// The service.
+    pub backend: String,
+    /// Its part, relative to the others.
+    pub weight: f64,
+}
+
+/// A service.
+#[derive(Clone, Debug, Facet)]
+pub struct Backend {
+    /// Its name.
+    pub name: String,
+    /// Where its bricks answer health checks.
+    #[facet(default)]
+    pub health_path: Option<String>,
+    /// Connections that one brick accepts from all callers together.
+    #[facet(default)]
+    pub max_connections: Option<u32>,
+    /// The models that its bricks may hold.
+    #[facet(default)]
+    pub runtime: Option<Runtime>,
+    /// How many bricks may run.
+    #[facet(default)]
+    pub autoscaling: Option<Autoscaling>,
+}
+
+/// What a service's bricks can hold and do.
+#[derive(Clone, Debug, Facet)]
+pub struct Runtime {
+    /// Requests that a brick runs at once.
+    #[facet(default)]
+    pub capacity: f64,
+    /// Tokens that a brick keeps.
+    #[facet(default)]
+    pub kv_capacity: f64,
+    /// The models.
+    #[facet(default)]
+    pub models: Vec<Model>,
+    /// Room of a brick for weights and adapters, megabytes.
+    #[facet(default)]
+    pub weights_mb: f64,
+    /// Adapters that a brick holds at most.
+    #[facet(default)]
+    pub max_adapters: u32,
+    /// Loads that the weight store permits over all bricks.
+    #[facet(default)]
+    pub loads_per_s: f64,
+}
+
+/// A model.
+#[derive(Clone, Debug, Facet)]
+pub struct Model {
+    /// Its name.
+    pub name: String,
+    /// Its weights, megabytes.
+    pub weights_mb: f64,
+    /// How long a load takes, seconds.
+    #[facet(default)]
+    pub load_s: f64,
+    /// How many adapters there are; they are named a1, a2 and so on.
+    #[facet(default)]
+    pub adapters: u32,
+    /// The size of each, megabytes.
+    #[facet(default)]
+    pub adapter_mb: f64,
+}
+
+/// How many bricks of a service may run in each zone.
+#[derive(Clone, Debug, Facet)]
+pub struct Autoscaling {
+    /// At least.
+    pub min_instances: u32,
+    /// At most.
+    pub max_instances: u32,
+    /// Until a new one serves, seconds.
+    #[facet(default)]
+    pub boot_s: f64,
+}
+
+/// What a client may send, and how long it may take.
+#[derive(Clone, Debug, Facet)]
+pub struct Limits {
+    /// Bytes of a request's head.
+    #[facet(default)]
+    pub max_header_bytes: Option<u64>,
+    /// Bytes of a request's body.
+    #[facet(default)]
+    pub max_body_bytes: Option<u64>,
+    /// Until a head is whole.
+    #[facet(default)]
+    pub header_timeout_ms: Option<f64>,
+    /// For how long a connection may rest.
+    #[facet(default)]
+    pub idle_timeout_ms: Option<f64>,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            max_header_bytes: None,
+            max_body_bytes: None,
+            header_timeout_ms: None,
+            idle_timeout_ms: None,
+        }
+    }
+}
+
+/// Who may send requests.
+#[derive(Clone, Debug, Facet)]
+pub struct Tenant {
+    /// Its name, which bricks are told.
+    pub name: String,
+    /// Its keys.
+    #[facet(default)]
+    pub api_keys: Vec<String>,
+    /// Goes before the route's priority.
+    #[facet(default)]
+    pub priority: Option<i64>,
+}
+
+/// Why a document or a change was not taken.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{message}")]
+pub struct Rejection {
+    /// The numbered result.
+    pub code: ResultCode,
+    /// What is wrong, with the item's name.
+    pub message: String,
+}
+
+impl Rejection {
+    /// A rejection with its reason.
+    pub fn new(code: ResultCode, message: impl Into<String>) -> Rejection {
+        Rejection { code, message: message.into() }
+    }
+}
+
+/// Reads a document as JSON.
+pub fn parse_document(body: &[u8]) -> Result<Value, Rejection> {
+    let unreadable = |what: String| Rejection::new(ResultCode::UnreadableDocument, what);
+    let value: Value = serde_json::from_slice(body).map_err(|error| unreadable(error.to_string()))?;
+    match value.is_object() {
+        true => Ok(value),
+        false => Err(unreadable("the document is no JSON object".into())),
+    }
+}
+
+/// The typed view of a document.
+pub fn read(document: &Value) -> Result<Configuration, Rejection> {
+    let text = document.to_string();
+    facet_json::from_str::<Configuration>(&text)
+        .map_err(|error| Rejection::new(ResultCode::UnreadableDocument, error.to_string()))
+}
+
+/// Checks what a document has to keep by itself.
+pub fn check(configuration: &Configuration) -> Result<(), Rejection> {
+    let backends: BTreeSet<&str> =
+        configuration.backends.iter().map(|backend| backend.name.as_str()).collect();
+    let mut places = BTreeSet::new();
+    for route in &configuration.routes {
+        check_route(route, &backends)?;
+        if !places.insert((route.hostname.to_ascii_lowercase(), &route.path_prefix)) {
+            let message = format!("route {}: host and prefix are another route's as well", route.name);
+            return Err(Rejection::new(ResultCode::DuplicateRoute, message));
+        }
+    }
+    check_keys(&configuration.tenants)
+}
+
+fn check_route(route: &Route, backends: &BTreeSet<&str>) -> Result<(), Rejection> {
+    let reject = |code, what: &str| Err(Rejection::new(code, format!("route {}: {what}", route.name)));
+    let named = route.traffic_split.iter().map(|split| &split.backend).chain(&route.backend);
+    for backend in named {
+        if !backends.contains(backend.as_str()) {
+            return reject(ResultCode::UnknownBackend, &format!("unknown service {backend}"));
+        }
+    }
+    let weight: f64 = route.traffic_split.iter().map(|split| split.weight).sum();
+    if route.traffic_split.iter().any(|split| split.weight < 0.0) {
+        return reject(ResultCode::NoWeight, "a weight is negative");
+    }
+    if weight <= 0.0 && (route.backend.is_none() || !route.traffic_split.is_empty()) {
+        return reject(ResultCode::NoWeight, "the weights sum to 0");
+    }
+    if route.timeout_ms <= 0.0 {
+        return reject(ResultCode::NoTimeout, "timeout_ms is 0");
+    }
+    let slashes = route.path_prefix.starts_with('/') && route.path_prefix.ends_with('/');
+    match slashes {
+        true => Ok(()),
+        false => reject(ResultCode::UnreadableDocument, "path_prefix does not begin and end with a slash"),
+    }
+}
+
+fn check_keys(tenants: &[Tenant]) -> Result<(), Rejection> {
+    let mut holders: BTreeMap<&str, &str> = BTreeMap::new();
+    for tenant in tenants {
+        for key in &tenant.api_keys {
+            let other = holders.insert(key, &tenant.name);
+            if other.is_some_and(|other| other != tenant.name) {
+                let message = format!("tenant {}: a key is another tenant's as well", tenant.name);
+                return Err(Rejection::new(ResultCode::SharedKey, message));
+            }
+        }
+    }
+    Ok(())
+}
+
+/// The document that an update makes of `current`.
+pub fn apply_update(current: &Value, update: &Value) -> Result<Value, Rejection> {
+    let unreadable = |what: &str| Rejection::new(ResultCode::UnreadableDocument, what);
+    let mut document = current.as_object().cloned().unwrap_or_default();
+    let version = update.get("version").ok_or_else(|| unreadable("version is missing"))?;
+    document.insert("version".into(), version.clone());
+    if let Some(delete) = update.get("delete") {
+        let sections = delete.as_object().ok_or_else(|| unreadable("delete is no object"))?;
+        for (section, names) in sections {
+            let names = names.as_array().ok_or_else(|| unreadable("delete holds no list of names"))?;
+            delete_named(&mut document, section, names);
+        }
+    }
+    if let Some(upsert) = update.get("upsert") {
+        let sections = upsert.as_object().ok_or_else(|| unreadable("upsert is no object"))?;
+        for (section, items) in sections {
+            match items.as_array() {
+                Some(items) => upsert_named(&mut document, section, items),
+                None => drop(document.insert(section.clone(), items.clone())),
+            }
+        }
+    }
+    Ok(Value::Object(document))
+}
+
+fn section_of<'a>(document: &'a mut Map<String, Value>, section: &str) -> Option<&'a mut Vec<Value>> {
+    document.entry(section.to_owned()).or_insert_with(|| Value::Array(Vec::new())).as_array_mut()
+}
+
+fn delete_named(document: &mut Map<String, Value>, section: &str, names: &[Value]) {
+    if let Some(items) = section_of(document, section) {
+        items.retain(|item| item.get("name").is_none_or(|name| !names.contains(name)));
+    }
+}
+
+fn upsert_named(document: &mut Map<String, Value>, section: &str, changed: &[Value]) {
+    let Some(items) = section_of(document, section) else { return };
+    for item in changed {
+        let name = item.get("name");
+        match items.iter_mut().find(|known| name.is_some() && known.get("name") == name) {
+            Some(known) => *known = item.clone(),
+            None => items.push(item.clone()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/demand.rs
@@ -0,0 +1,111 @@
+//! What clients ask of each model, from the edges' reports.
+
+use crate::directory::Millis;
+use pathbank_protocol::message::{EdgeReport, ModelDemand};
+use std::collections::BTreeMap;
+
+/// The memory of the running means, milliseconds.
+const SPAN: f64 = 8_000.0;
+/// Word that requests wait for a model counts for so long.
+const WAITING_COUNTS: Millis = 1_500;
+
+/// A model of a service, or one of its adapters.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ModelKey {
+    /// The service.
+    pub backend: String,
+    /// The model.
+    pub model: String,
+    /// The adapter; empty: none.
+    pub adapter: String,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Demand {
+    tokens: f64,
+    requests: f64,
+    at: Millis,
+    waiting: f64,
+    waiting_at: Millis,
+}
+
+impl Demand {
+    fn fade(&mut self, now: Millis) {
+        let faded = (-(now.saturating_sub(self.at) as f64) / SPAN).exp();
+        (self.tokens, self.requests, self.at) = (self.tokens * faded, self.requests * faded, now);
+    }
+}
+
+/// Running means of demand by model and adapter, and what is out at each brick.
+#[derive(Clone, Debug, Default)]
+pub struct DemandTable {
+    by_key: BTreeMap<ModelKey, Demand>,
+    loads: BTreeMap<String, BTreeMap<String, (u32, Millis)>>,
+}
+
+impl DemandTable {
+    /// Takes an edge's report.
+    pub fn note(&mut self, now: Millis, report: &EdgeReport) {
+        report.demand.iter().for_each(|demand| self.note_demand(now, demand));
+        for load in &report.loads {
+            let edges = self.loads.entry(load.instance.clone()).or_default();
+            edges.insert(report.edge.clone(), (load.in_flight, now));
+        }
+    }
+
+    fn note_demand(&mut self, now: Millis, demand: &ModelDemand) {
+        let key = ModelKey {
+            backend: demand.backend.clone(),
+            model: demand.model.clone(),
+            adapter: demand.adapter.clone(),
+        };
+        let known = self.by_key.entry(key).or_default();
+        known.fade(now);
+        known.tokens += demand.tokens as f64;
+        known.requests += demand.arrived as f64;
+        if demand.waiting > 0 {
+            let still = now < known.waiting_at + WAITING_COUNTS;
+            known.waiting = f64::from(demand.waiting) + if still { known.waiting / 2.0 } else { 0.0 };
+            known.waiting_at = now;
+        }
+    }
+
+    /// Tokens a second asked of a key.
+    pub fn tokens_per_s(&self, now: Millis, key: &ModelKey) -> f64 {
+        self.mean(now, key, |demand| demand.tokens)
+    }
+
+    /// Requests a second asked of a key.
+    pub fn requests_per_s(&self, now: Millis, key: &ModelKey) -> f64 {
+        self.mean(now, key, |demand| demand.requests)
+    }
+
+    fn mean(&self, now: Millis, key: &ModelKey, figure: impl Fn(&Demand) -> f64) -> f64 {
+        let Some(demand) = self.by_key.get(key) else { return 0.0 };
+        let faded = (-(now.saturating_sub(demand.at) as f64) / SPAN).exp();
+        figure(demand) * faded * 1_000.0 / SPAN
+    }
+
+    /// Requests that no brick could take lately.
+    pub fn waiting(&self, now: Millis, key: &ModelKey) -> f64 {
+        let demand = self.by_key.get(key);
+        demand.filter(|demand| now < demand.waiting_at + WAITING_COUNTS).map_or(0.0, |demand| demand.waiting)
+    }
+
+    /// All keys with demand.
+    pub fn keys(&self) -> impl Iterator<Item = &ModelKey> {
+        self.by_key.keys()
+    }
+
+    /// Requests out at a brick, from all edges that said so lately.
+    pub fn in_flight(&self, now: Millis, instance: &str) -> u32 {
+        let edges = self.loads.get(instance).into_iter().flat_map(BTreeMap::values);
+        edges.filter(|(_, at)| now < at + 2_000).map(|(count, _)| count).sum()
+    }
+
+    /// Forgets what has faded.
+    pub fn tidy(&mut self, now: Millis) {
+        self.by_key.retain(|_, demand| now < demand.at + 60_000);
+        self.loads.retain(|_, edges| edges.values().any(|(_, at)| now < at + 10_000));
+    }
+}
--- /dev/null
+++ b/crates/control/src/directory.rs
@@ -0,0 +1,173 @@
+//! The bricks that exist, from their heartbeats, as one core knows them.
+
+use pathbank_protocol::message::{Brick, BrickState, LoadedModel};
+use std::collections::BTreeMap;
+
+/// Milliseconds of a steady clock that the caller supplies.
+pub type Millis = u64;
+
+/// A brick that says nothing for so many of its heartbeats, and never less than the time below, is taken for gone.
+const SILENT_HEARTBEATS: u64 = 5;
+const LEAST_SILENCE: Millis = 4_000;
+/// A brick that has gone is remembered for so long, so that a late heartbeat does not bring it back.
+const GONE_KEPT: Millis = 60_000;
+/// An unchanged brick is told to the other cores this often.
+const RELAY_EVERY: Millis = 2_000;
+
+#[derive(Clone, Debug)]
+struct Known {
+    brick: Brick,
+    heard: Millis,
+    relayed: Millis,
+    /// It said itself that it ended.
+    deregistered: bool,
+    /// Ended by the system's own orders; not to be used until an order's end is known.
+    withheld: Vec<(String, String)>,
+}
+
+/// All bricks of which one core knows.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    known: BTreeMap<String, Known>,
+    heartbeat_ms: Millis,
+}
+
+/// What a heartbeat changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Heard {
+    /// Edges have to know.
+    pub changed: bool,
+    /// The other cores have to know, if this core heard it first.
+    pub relay: bool,
+}
+
+impl Directory {
+    /// `heartbeat_ms`: how often bricks say something.
+    pub fn new(heartbeat_ms: Millis) -> Directory {
+        Directory { known: BTreeMap::new(), heartbeat_ms }
+    }
+
+    /// The bricks that edges should know, those that have gone among them.
+    pub fn bricks(&self) -> impl Iterator<Item = Brick> {
+        self.known.values().map(Known::told)
+    }
+
+    /// Bricks that take requests.
+    pub fn ready(&self) -> impl Iterator<Item = Brick> {
+        self.bricks().filter(|brick| brick.state == BrickState::Ready)
+    }
+
+    /// One brick.
+    pub fn brick(&self, instance: &str) -> Option<Brick> {
+        self.known.get(instance).map(Known::told)
+    }
+
+    /// A heartbeat, heard from the brick or from another core.
+    pub fn heard(&mut self, now: Millis, brick: Brick) -> Heard {
+        let same_place = |known: &Known| {
+            known.brick.address == brick.address
+                && known.brick.instance != brick.instance
+                && known.brick.state != BrickState::Gone
+        };
+        let fresh = !self.known.contains_key(&brick.instance);
+        let displaced = fresh && brick.state != BrickState::Gone;
+        for known in self.known.values_mut().filter(|known| displaced && same_place(known)) {
+            known.brick.state = BrickState::Gone;
+            known.brick.sequence += 1;
+            known.deregistered = true;
+        }
+        let Some(known) = self.known.get_mut(&brick.instance) else {
+            let known = Known { brick, heard: now, relayed: now, deregistered: false, withheld: Vec::new() };
+            self.known.insert(known.brick.instance.clone(), known);
+            return Heard { changed: true, relay: true };
+        };
+        if brick.sequence <= known.brick.sequence || known.deregistered {
+            return Heard { changed: false, relay: false };
+        }
+        known.heard = now;
+        let before = known.told();
+        let draining = known.brick.state == BrickState::Draining && brick.state == BrickState::Ready;
+        known.brick = brick;
+        if draining {
+            known.brick.state = BrickState::Draining;
+        }
+        known.deregistered = known.brick.state == BrickState::Gone;
+        let changed = !same_but_sequence(&before, &known.told());
+        let relay = changed || now >= known.relayed + RELAY_EVERY;
+        if relay {
+            known.relayed = now;
+        }
+        Heard { changed, relay }
+    }
+
+    /// A brick said that it ends.
+    pub fn deregister(&mut self, now: Millis, instance: &str) -> Option<Brick> {
+        let known = self.known.get_mut(instance)?;
+        known.brick.state = BrickState::Gone;
+        known.brick.sequence += 1;
+        (known.deregistered, known.heard) = (true, now);
+        Some(known.told())
+    }
+
+    /// A brick's own report of what it holds, newer than its heartbeats.
+    pub fn reported(&mut self, instance: &str, models: Vec<LoadedModel>, busy: bool) -> Option<Brick> {
+        let known = self.known.get_mut(instance)?;
+        (known.brick.models, known.brick.busy) = (models, busy);
+        Some(known.told())
+    }
+
+    /// An order to unload goes out: nobody is to use the model there any more. An empty adapter means the whole model.
+    pub fn withhold(&mut self, instance: &str, model: &str, adapter: &str) -> Option<Brick> {
+        let known = self.known.get_mut(instance)?;
+        known.withheld.push((model.to_owned(), adapter.to_owned()));
+        Some(known.told())
+    }
+
+    /// The end of a brick's order is known.
+    pub fn release(&mut self, instance: &str) -> Option<Brick> {
+        let known = self.known.get_mut(instance)?;
+        known.withheld.clear();
+        Some(known.told())
+    }
+
+    /// Time has passed: the bricks that are taken for gone now.
+    pub fn expire(&mut self, now: Millis) -> Vec<Brick> {
+        let silence = (SILENT_HEARTBEATS * self.heartbeat_ms).max(LEAST_SILENCE);
+        let mut gone = Vec::new();
+        for known in self.known.values_mut() {
+            let silent = now >= known.heard + silence && known.brick.state != BrickState::Gone;
+            if silent {
+                known.brick.state = BrickState::Gone;
+                gone.push(known.told());
+            }
+        }
+        self.known.retain(|_, known| known.brick.state != BrickState::Gone || now < known.heard + GONE_KEPT);
+        gone
+    }
+}
+
+impl Known {
+    /// The brick as edges should see it.
+    fn told(&self) -> Brick {
+        let mut brick = self.brick.clone();
+        for (model, adapter) in &self.withheld {
+            match adapter.is_empty() {
+                true => brick.models.retain(|loaded| loaded.name != *model),
+                false => brick
+                    .models
+                    .iter_mut()
+                    .filter(|loaded| loaded.name == *model)
+                    .for_each(|loaded| loaded.adapters.retain(|name| name != adapter)),
+            }
+        }
+        brick
+    }
+}
+
+fn same_but_sequence(one: &Brick, other: &Brick) -> bool {
+    let mut one = one.clone();
+    one.sequence = other.sequence;
+    one.cold_remaining_ms = other.cold_remaining_ms;
+    one.remaining_ms = other.remaining_ms;
+    one == *other
+}
--- /dev/null
+++ b/crates/control/src/placement.rs
@@ -0,0 +1,367 @@
+//! Which brick is ordered to load or unload what.
+//!
+//! Demand decides: a model or adapter that clients wait for and no brick holds is loaded first; a model whose bricks are
+//! busy gets one more. Room is made by unloading what is asked for least, and never for something asked for less.
+
+use crate::configuration::{Backend, Configuration, Model, Runtime};
+use crate::demand::{DemandTable, ModelKey};
+use crate::directory::Millis;
+use pathbank_protocol::message::{Brick, LoadedModel};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Of the loads that the weight store permits, so much is used.
+const LOADS_USED: f64 = 0.85;
+/// Loads that may follow each other at once.
+const LOAD_BURST: f64 = 2.0;
+/// A model gets another brick when its bricks' slots are taken to this part.
+const BUSY: f64 = 0.55;
+/// A brick takes a busy model's load when its own slots are taken to less than this part.
+const CALM: f64 = 0.35;
+/// An adapter gets another brick for each so many requests a second.
+const REQUESTS_PER_ADAPTER: f64 = 2.5;
+/// What the only copy of a model counts for beyond its demand, requests a second.
+const ONLY_COPY: f64 = 0.05;
+/// What each request that waits counts for, requests a second.
+const WAITING_WEIGHT: f64 = 0.3;
+
+/// What a brick is ordered to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Operation {
+    /// Load a model or adapter.
+    Load,
+    /// Unload a model or adapter.
+    Unload,
+}
+
+/// An order to a brick.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// The brick's incarnation.
+    pub instance: String,
+    /// Where it takes orders.
+    pub address: String,
+    /// What it is to do.
+    pub operation: Operation,
+    /// The model.
+    pub model: String,
+    /// The adapter; empty: the model itself.
+    pub adapter: String,
+    /// How long it should take, milliseconds.
+    pub expected_ms: Millis,
+}
+
+/// Loads that may still begin.
+#[derive(Clone, Copy, Debug, Default)]
+struct LoadAllowance {
+    level: f64,
+    filled: Option<Millis>,
+}
+
+impl LoadAllowance {
+    fn fill(&mut self, now: Millis, per_s: f64) {
+        let passed = now.saturating_sub(self.filled.unwrap_or(now)) as f64 / 1_000.0;
+        self.level = (self.level + LOADS_USED * per_s * passed).min(LOAD_BURST);
+        self.filled = Some(now);
+    }
+
+    fn take(&mut self) -> bool {
+        let allowed = self.level >= 1.0;
+        if allowed {
+            self.level -= 1.0;
+        }
+        allowed
+    }
+}
+
+/// Orders under way, and what may follow them.
+#[derive(Clone, Debug, Default)]
+pub struct Placer {
+    under_way: BTreeMap<String, Order>,
+    allowance: BTreeMap<String, LoadAllowance>,
+}
+
+/// What is planned for one service.
+struct Plan<'a> {
+    now: Millis,
+    backend: &'a Backend,
+    runtime: &'a Runtime,
+    bricks: Vec<&'a Brick>,
+    demand: &'a DemandTable,
+    orders: Vec<Order>,
+}
+
+impl Placer {
+    /// A leader that has just begun knows of no order, and of no load that may have begun.
+    pub fn new() -> Placer {
+        Placer::default()
+    }
+
+    /// Orders under way.
+    pub fn under_way(&self) -> impl Iterator<Item = &Order> {
+        self.under_way.values()
+    }
+
+    /// The end of a brick's order is known, or nothing more will be heard of it.
+    pub fn finished(&mut self, instance: &str) {
+        self.under_way.remove(instance);
+    }
+
+    /// The orders to give now; each counts as under way from now on.
+    pub fn plan(
+        &mut self,
+        now: Millis,
+        configuration: &Configuration,
+        bricks: &[Brick],
+        demand: &DemandTable,
+    ) -> Vec<Order> {
+        let mut orders = Vec::new();
+        for backend in &configuration.backends {
+            let Some(runtime) = backend.runtime.as_ref().filter(|runtime| !runtime.models.is_empty()) else {
+                continue;
+            };
+            let mut allowance = self.allowance.get(&backend.name).copied().unwrap_or_default();
+            allowance.fill(now, runtime.loads_per_s);
+            let bricks = bricks.iter().filter(|brick| brick.backend == backend.name).collect();
+            let mut plan = Plan { now, backend, runtime, bricks, demand, orders: Vec::new() };
+            plan.adapters(self);
+            plan.missing_models(self, &mut allowance);
+            plan.busy_models(self, &mut allowance);
+            self.allowance.insert(backend.name.clone(), allowance);
+            orders.append(&mut plan.orders);
+        }
+        orders
+    }
+}
+
+impl Plan<'_> {
+    fn key(&self, model: &str, adapter: &str) -> ModelKey {
+        ModelKey { backend: self.backend.name.clone(), model: model.to_owned(), adapter: adapter.to_owned() }
+    }
+
+    fn keys(&self) -> Vec<ModelKey> {
+        self.demand.keys().filter(|key| key.backend == self.backend.name).cloned().collect()
+    }
+
+    fn model(&self, name: &str) -> Option<&Model> {
+        self.runtime.models.iter().find(|model| model.name == name)
+    }
+
+    /// Requests a second asked of a model with all its adapters, and what waits for it.
+    fn model_rate(&self, model: &str) -> f64 {
+        let keys = self.demand.keys().filter(|key| key.backend == self.backend.name && key.model == model);
+        keys.map(|key| self.rate(key)).sum()
+    }
+
+    fn rate(&self, key: &ModelKey) -> f64 {
+        let waiting = WAITING_WEIGHT * self.demand.waiting(self.now, key);
+        self.demand.requests_per_s(self.now, key) + waiting
+    }
+
+    fn holders(&self, model: &str) -> usize {
+        self.bricks.iter().filter(|brick| loaded(brick, model).is_some()).count()
+    }
+
+    fn adapter_holders(&self, model: &str, adapter: &str) -> usize {
+        self.bricks.iter().filter(|brick| holds_adapter(brick, model, adapter)).count()
+    }
+
+    fn is_free(&self, placer: &Placer, brick: &Brick) -> bool {
+        !brick.busy && !placer.under_way.contains_key(&brick.instance)
+    }
+
+    fn is_loading(&self, placer: &Placer, model: &str, adapter: &str) -> bool {
+        let ours = |order: &Order| self.bricks.iter().any(|brick| brick.instance == order.instance);
+        let same = |order: &Order| {
+            order.operation == Operation::Load && order.model == model && order.adapter == adapter
+        };
+        placer.under_way.values().any(|order| same(order) && ours(order))
+    }
+
+    fn occupancy(&self, brick: &Brick) -> f64 {
+        f64::from(self.demand.in_flight(self.now, &brick.instance)) / f64::from(brick.capacity.max(1))
+    }
+
+    /// Megabytes that a brick's models and adapters take.
+    fn used_mb(&self, brick: &Brick) -> f64 {
+        let size = |held: &LoadedModel| {
+            let model = self.model(&held.name);
+            model.map_or(0.0, |model| model.weights_mb + held.adapters.len() as f64 * model.adapter_mb)
+        };
+        brick.models.iter().map(size).sum()
+    }
+
+    fn order(&mut self, placer: &mut Placer, brick: &Brick, operation: Operation, key: &ModelKey) {
+        let load_ms = self.model(&key.model).map_or(0, |model| (model.load_s * 1_000.0) as Millis);
+        let takes_long = operation == Operation::Load && key.adapter.is_empty();
+        let order = Order {
+            instance: brick.instance.clone(),
+            address: brick.address.clone(),
+            operation,
+            model: key.model.clone(),
+            adapter: key.adapter.clone(),
+            expected_ms: if takes_long { load_ms } else { 0 },
+        };
+        placer.under_way.insert(brick.instance.clone(), order.clone());
+        self.orders.push(order);
+    }
+
+    // ---- adapters ----
+
+    fn adapters(&mut self, placer: &mut Placer) {
+        let mut wanted: Vec<ModelKey> = self.keys();
+        wanted.retain(|key| !key.adapter.is_empty() && self.holders(&key.model) > 0);
+        wanted.sort_by(|one, other| self.rate(other).total_cmp(&self.rate(one)));
+        for key in wanted {
+            let rate = self.rate(&key);
+            let known = self.model(&key.model).is_some();
+            let holders = self.adapter_holders(&key.model, &key.adapter);
+            let enough = (1.0 + rate / REQUESTS_PER_ADAPTER) as usize;
+            let asked = rate > 0.01;
+            if known && asked && holders < enough && !self.is_loading(placer, &key.model, &key.adapter) {
+                self.add_adapter(placer, &key, rate, holders == 0);
+            }
+        }
+    }
+
+    fn add_adapter(&mut self, placer: &mut Placer, key: &ModelKey, rate: f64, makes_room: bool) {
+        let size = self.model(&key.model).map_or(0.0, |model| model.adapter_mb);
+        let candidates = self.bricks.iter().copied().filter(|brick| {
+            let holds_model = loaded(brick, &key.model).is_some();
+            holds_model && !holds_adapter(brick, &key.model, &key.adapter) && self.is_free(placer, brick)
+        });
+        let candidates: Vec<&Brick> = candidates.collect();
+        let has_room = |brick: &&&Brick| {
+            adapter_count(brick) < self.runtime.max_adapters as usize
+                && self.used_mb(brick) + size <= self.runtime.weights_mb
+        };
+        let calmest = |one: &&&Brick, other: &&&Brick| {
+            let rank = |brick: &Brick| self.occupancy(brick) + 0.05 * adapter_count(brick) as f64;
+            rank(one).total_cmp(&rank(other))
+        };
+        if let Some(brick) = candidates.iter().filter(has_room).min_by(calmest).copied() {
+            return self.order(placer, brick, Operation::Load, key);
+        }
+        let victims = candidates.iter().filter_map(|brick| Some((self.least_adapter(brick)?, *brick)));
+        let cheapest = victims.min_by(|((_, one), _), ((_, other), _)| one.total_cmp(other));
+        if let Some(((victim, _), brick)) = cheapest.filter(|((_, value), _)| makes_room && *value < rate) {
+            self.order(placer, brick, Operation::Unload, &victim);
+        }
+    }
+
+    /// The adapter of a brick that is asked for least, by copies.
+    fn least_adapter(&self, brick: &Brick) -> Option<(ModelKey, f64)> {
+        let held = brick.models.iter().flat_map(|held| {
+            held.adapters.iter().map(|adapter| self.key(&held.name, adapter)).collect::<Vec<_>>()
+        });
+        let valued = held.map(|key| {
+            let copies = self.adapter_holders(&key.model, &key.adapter).max(1) as f64;
+            let value = self.rate(&key) / copies;
+            (key, value)
+        });
+        valued.min_by(|(_, one), (_, other)| one.total_cmp(other))
+    }
+
+    // ---- models ----
+
+    fn missing_models(&mut self, placer: &mut Placer, allowance: &mut LoadAllowance) {
+        let names: BTreeSet<String> = self.keys().into_iter().map(|key| key.model).collect();
+        let mut wanted: Vec<(f64, String)> = names
+            .into_iter()
+            .filter(|name| self.model(name).is_some() && self.holders(name) == 0)
+            .map(|name| (self.model_rate(&name), name))
+            .filter(|(rate, _)| *rate > 0.05)
+            .collect();
+        wanted.sort_by(|(one, _), (other, _)| other.total_cmp(one));
+        for (rate, name) in wanted {
+            if !self.is_loading(placer, &name, "") {
+                self.load(placer, allowance, &name, rate);
+            }
+        }
+    }
+
+    fn busy_models(&mut self, placer: &mut Placer, allowance: &mut LoadAllowance) {
+        let names: BTreeSet<String> = self.keys().into_iter().map(|key| key.model).collect();
+        for name in names {
+            let holders: Vec<&Brick> =
+                self.bricks.iter().copied().filter(|brick| loaded(brick, &name).is_some()).collect();
+            let busy =
+                holders.iter().map(|brick| self.occupancy(brick)).sum::<f64>() / holders.len().max(1) as f64;
+            if holders.is_empty() || busy < BUSY || self.is_loading(placer, &name, "") {
+                continue;
+            }
+            let rate = self.model_rate(&name) / (holders.len() + 1) as f64;
+            let calm = self
+                .bricks
+                .iter()
+                .any(|brick| self.occupancy(brick) < CALM && loaded(brick, &name).is_none());
+            if calm {
+                self.load(placer, allowance, &name, rate);
+            }
+        }
+    }
+
+    /// Loads a model where the least has to go for it, or makes room there first.
+    fn load(&mut self, placer: &mut Placer, allowance: &mut LoadAllowance, name: &str, rate: f64) {
+        let Some(size) = self.model(name).map(|model| model.weights_mb) else { return };
+        let free = self.bricks.iter().copied().filter(|brick| loaded(brick, name).is_none());
+        let free = free.filter(|brick| self.is_free(placer, brick));
+        let options = free.filter_map(|brick| {
+            let (cost, victim) = self.make_room(brick, size)?;
+            let occupancy = self.occupancy(brick);
+            Some((cost + 0.2 * occupancy, cost, victim, brick))
+        });
+        let best = options.min_by(|(one, ..), (other, ..)| one.total_cmp(other));
+        let Some((_, cost, victim, brick)) = best else { return };
+        if cost >= rate {
+            return;
+        }
+        let key = self.key(name, "");
+        match victim {
+            Some(victim) => self.order(placer, brick, Operation::Unload, &victim),
+            None if allowance.take() => self.order(placer, brick, Operation::Load, &key),
+            None => {}
+        }
+    }
+
+    /// What making room on a brick costs, requests a second, and what has to go first.
+    fn make_room(&self, brick: &Brick, size: f64) -> Option<(f64, Option<ModelKey>)> {
+        let mut left = self.runtime.weights_mb - self.used_mb(brick);
+        if left >= size {
+            return Some((0.0, None));
+        }
+        let mut held: Vec<(f64, &LoadedModel)> =
+            brick.models.iter().map(|held| (self.value(&held.name), held)).collect();
+        held.sort_by(|(one, _), (other, _)| one.total_cmp(other));
+        let mut cost = 0.0;
+        let mut first = None;
+        for (value, victim) in held {
+            let weights = self.model(&victim.name).map_or(0.0, |model| model.weights_mb);
+            left += weights;
+            cost += value;
+            first.get_or_insert_with(|| self.key(&victim.name, ""));
+            if left >= size {
+                return Some((cost, first));
+            }
+        }
+        None
+    }
+
+    /// What one copy of a model serves, requests a second.
+    fn value(&self, name: &str) -> f64 {
+        let copies = self.holders(name).max(1);
+        let only = if copies == 1 { ONLY_COPY } else { 0.0 };
+        self.model_rate(name) / copies as f64 * if copies == 1 { 2.0 } else { 1.0 } + only
+    }
+}
+
+fn loaded<'a>(brick: &'a Brick, model: &str) -> Option<&'a LoadedModel> {
+    brick.models.iter().find(|held| held.name == model)
+}
+
+fn holds_adapter(brick: &Brick, model: &str, adapter: &str) -> bool {
+    loaded(brick, model).is_some_and(|held| held.adapters.iter().any(|name| name == adapter))
+}
+
+fn adapter_count(brick: &Brick) -> usize {
+    brick.models.iter().map(|held| held.adapters.len()).sum()
+}
--- /dev/null
+++ b/crates/control/src/usage.rs
@@ -0,0 +1,57 @@
+//! Requests begun, by tenant and window, from the edges' reports.
+
+use pathbank_protocol::message::UsageWindow;
+use std::collections::BTreeMap;
+
+/// A window is sealed so long after its end, milliseconds of true time: the edges' last reports are in by then.
+pub const SETTLE_MS: u64 = 3_000;
+/// Windows that are followed; older ones are never reported.
+const WINDOWS_KEPT: u64 = 16;
+
+/// One edge's one life.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Source {
+    edge: String,
+    life: u64,
+}
+
+/// Counts of the windows that are not sealed yet.
+#[derive(Clone, Debug, Default)]
+pub struct UsageLedger {
+    windows: BTreeMap<u64, BTreeMap<Source, BTreeMap<String, u64>>>,
+}
+
+impl UsageLedger {
+    /// Takes an edge's whole counts; an older report of the same life never lowers a newer one.
+    pub fn note(&mut self, edge: &str, life: u64, windows: &[UsageWindow], last_sealed: u64) {
+        for window in windows.iter().filter(|window| window.window > last_sealed) {
+            let sources = self.windows.entry(window.window).or_default();
+            let counts = sources.entry(Source { edge: edge.to_owned(), life }).or_default();
+            for (tenant, count) in &window.counts {
+                let known = counts.entry(tenant.clone()).or_default();
+                *known = (*known).max(*count);
+            }
+        }
+        let newest = self.windows.keys().next_back().copied().unwrap_or(0);
+        self.windows.retain(|window, _| *window > last_sealed && window + WINDOWS_KEPT > newest);
+    }
+
+    /// The next window to seal at a time of day, with its counts. Windows without any request are passed over.
+    pub fn due(
+        &self,
+        wall_clock_ms: u64,
+        window_ms: u64,
+        last_sealed: u64,
+    ) -> Option<(u64, BTreeMap<String, u64>)> {
+        let ended = |window: u64| (window + 1) * window_ms + SETTLE_MS <= wall_clock_ms;
+        let (window, sources) = self.windows.iter().find(|(window, _)| **window > last_sealed)?;
+        if !ended(*window) {
+            return None;
+        }
+        let mut counts: BTreeMap<String, u64> = BTreeMap::new();
+        for (tenant, count) in sources.values().flatten() {
+            *counts.entry(tenant.clone()).or_default() += count;
+        }
+        Some((*window, counts))
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/types.rs
@@ -0,0 +1,185 @@
+//! The replicated log's vocabulary: stores, members, entries and messages.
+
+use serde::{Deserialize, Serialize};
+
+/// Milliseconds of a steady clock that the caller supplies.
+pub type Millis = u64;
+/// Position of an entry in the log; the first entry has index 1.
+pub type Index = u64;
+/// A period with at most one leader.
+pub type Term = u64;
+
+/// Names one store: the data directory of one replica. A directory that was lost and made anew is another store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct StoreId(pub u64);
+
+/// A store and where its replica is reached.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Member {
+    /// The store.
+    pub id: StoreId,
+    /// The machine's name, for people and for the platform.
+    pub name: String,
+    /// `ip:port` for messages between replicas.
+    pub address: String,
+    /// `ip:port` of the control plane served there.
+    pub control_address: String,
+}
+
+/// Who votes. While the group changes, both the new and the old group have to agree (joint consensus).
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Membership {
+    /// The voters of the current or, during a change, of the new group.
+    pub voters: Vec<Member>,
+    /// The voters of the old group during a change; empty otherwise.
+    pub outgoing: Vec<Member>,
+}
+
+impl Membership {
+    /// A group that is not changing.
+    pub fn of(voters: Vec<Member>) -> Membership {
+        Membership { voters, outgoing: Vec::new() }
+    }
+
+    /// Whether a change is under way.
+    pub fn is_joint(&self) -> bool {
+        !self.outgoing.is_empty()
+    }
+
+    /// Whether a store votes, in either group.
+    pub fn contains(&self, id: StoreId) -> bool {
+        self.members().any(|member| member.id == id)
+    }
+
+    /// Every voter of both groups, those of the new one first; a store in both groups appears once.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        let repeated = |member: &&Member| !self.voters.iter().any(|voter| voter.id == member.id);
+        self.voters.iter().chain(self.outgoing.iter().filter(repeated))
+    }
+
+    /// Whether the stores for which `agrees` holds are a majority of every group.
+    pub fn has_quorum(&self, agrees: impl Fn(StoreId) -> bool) -> bool {
+        let majority = |group: &[Member]| {
+            let agreeing = group.iter().filter(|member| agrees(member.id)).count();
+            agreeing > group.len() / 2
+        };
+        majority(&self.voters) && (self.outgoing.is_empty() || majority(&self.outgoing))
+    }
+}
+
+/// What an entry carries.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Payload {
+    /// A leader's first entry of its term, with the name of its machine.
+    LeaderStart(String),
+    /// Another group of voters; counts as soon as it is in a replica's log.
+    Membership(Membership),
+    /// A command of the replicated state machine.
+    Command(Vec<u8>),
+}
+
+impl Payload {
+    /// Bytes that the payload takes, roughly.
+    pub fn size(&self) -> usize {
+        match self {
+            Payload::LeaderStart(name) => name.len(),
+            Payload::Membership(membership) => 100 * (membership.voters.len() + membership.outgoing.len()),
+            Payload::Command(bytes) => bytes.len(),
+        }
+    }
+}
+
+/// One entry of the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Its position.
+    pub index: Index,
+    /// The term of the leader that wrote it.
+    pub term: Term,
+    /// What it carries.
+    pub payload: Payload,
+}
+
+/// The state that a first part of the log came to.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The last entry covered.
+    pub index: Index,
+    /// Its term.
+    pub term: Term,
+    /// The voters at that point.
+    pub membership: Membership,
+    /// The machine that led last at that point, and those that led before it.
+    pub leaders: Vec<String>,
+    /// The state machine's own encoding.
+    pub data: Vec<u8>,
+}
+
+/// What replicas say to each other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Message {
+    /// Asks for a vote, or (`pre`) whether one would be given.
+    VoteRequest {
+        /// The candidate's term; of a `pre` request the one that it would begin.
+        term: Term,
+        /// Only asks; changes nothing.
+        pre: bool,
+        /// The leader itself handed over: its lease does not stand in the way.
+        handover: bool,
+        /// The candidate's last entry.
+        last_index: Index,
+        /// Its term.
+        last_term: Term,
+    },
+    /// The answer to a [`Message::VoteRequest`].
+    VoteReply {
+        /// The voter's term; of a granted `pre` request the one asked for.
+        term: Term,
+        /// Answers a `pre` request.
+        pre: bool,
+        /// Whether the vote was given.
+        granted: bool,
+    },
+    /// Entries, or none as the leader's heartbeat.
+    Append {
+        /// The leader's term.
+        term: Term,
+        /// The entry before the first one here.
+        previous_index: Index,
+        /// Its term.
+        previous_term: Term,
+        /// The entries, in order.
+        entries: Vec<Entry>,
+        /// All up to here is committed.
+        commit: Index,
+        /// When the leader sent it, by its own clock.
+        sent_at: Millis,
+    },
+    /// The answer to [`Message::Append`] and [`Message::InstallSnapshot`].
+    AppendReply {
+        /// The follower's term.
+        term: Term,
+        /// Whether the log matched at `previous_index`.
+        accepted: bool,
+        /// Accepted: all up to here is on this follower's disk. Otherwise: where the leader should try next.
+        index: Index,
+        /// `sent_at` of the message that is answered.
+        sent_at: Millis,
+    },
+    /// The state in place of entries that the leader no longer has.
+    InstallSnapshot {
+        /// The leader's term.
+        term: Term,
+        /// The state.
+        snapshot: Snapshot,
+        /// When the leader sent it, by its own clock.
+        sent_at: Millis,
+    },
+    /// The leader hands over: the receiver is to become a candidate at once.
+    CampaignNow {
+        /// The leader's term.
+        term: Term,
+    },
+    /// A store that no leader speaks to asks to take part.
+    Join,
+}
--- /dev/null
+++ b/crates/protocol/schema/internal.capnp
@@ -0,0 +1,174 @@
+@0xd6a1c0f8f1b7e3a5;
+# What the processes of the system say to each other. Compiled with `capnp compile -orust`; the result is committed.
+
+struct Member {
+  id @0 :UInt64;
+  name @1 :Text;
+  address @2 :Text;
+  controlAddress @3 :Text;
+}
+
+struct Membership {
+  voters @0 :List(Member);
+  outgoing @1 :List(Member);
+}
+
+struct Entry {
+  index @0 :UInt64;
+  term @1 :UInt64;
+  payload :union {
+    leaderStart @2 :Text;
+    membership @3 :Membership;
+    command @4 :Data;
+  }
+}
+
+struct Snapshot {
+  index @0 :UInt64;
+  term @1 :UInt64;
+  membership @2 :Membership;
+  leaders @3 :List(Text);
+  data @4 :Data;
+}
+
+struct ReplicaMessage {
+  from @0 :Member;
+  term @1 :UInt64;
+  union {
+    voteRequest :group {
+      pre @2 :Bool;
+      handover @3 :Bool;
+      lastIndex @4 :UInt64;
+      lastTerm @5 :UInt64;
+    }
+    voteReply :group {
+      pre @6 :Bool;
+      granted @7 :Bool;
+    }
+    append :group {
+      previousIndex @8 :UInt64;
+      previousTerm @9 :UInt64;
+      entries @10 :List(Entry);
+      commit @11 :UInt64;
+      sentAt @12 :UInt64;
+    }
+    appendReply :group {
+      accepted @13 :Bool;
+      index @14 :UInt64;
+      sentAt @15 :UInt64;
+    }
+    installSnapshot :group {
+      snapshot @16 :Snapshot;
+      sentAt @17 :UInt64;
+    }
+    campaignNow @18 :Void;
+    join @19 :Void;
+  }
+}
+
+enum Role {
+  edge @0;
+  core @1;
+}
+
+struct Hello {
+  role @0 :Role;
+  name @1 :Text;
+  zone @2 :Text;
+  life @3 :UInt64;
+}
+
+struct LoadedModel {
+  name @0 :Text;
+  version @1 :UInt64;
+  adapters @2 :List(Text);
+}
+
+enum BrickState {
+  ready @0;
+  draining @1;
+  gone @2;
+}
+
+struct Brick {
+  instance @0 :Text;
+  backend @1 :Text;
+  address @2 :Text;
+  zone @3 :Text;
+  version @4 :Text;
+  capacity @5 :UInt32;
+  state @6 :BrickState;
+  coldRemainingMs @7 :UInt64;
+  remainingMs @8 :UInt64;
+  models @9 :List(LoadedModel);
+  sequence @10 :UInt64;
+  busy @11 :Bool;
+}
+
+struct Bricks {
+  complete @0 :Bool;
+  bricks @1 :List(Brick);
+}
+
+struct Configuration {
+  index @0 :UInt64;
+  document @1 :Data;
+}
+
+struct Core {
+  members @0 :List(Member);
+  leader @1 :Text;
+  edges @2 :UInt32;
+  wallClockMs @3 :UInt64;
+}
+
+struct TenantCount {
+  tenant @0 :Text;
+  count @1 :UInt64;
+}
+
+struct UsageWindow {
+  window @0 :UInt64;
+  counts @1 :List(TenantCount);
+}
+
+struct ModelDemand {
+  backend @0 :Text;
+  model @1 :Text;
+  adapter @2 :Text;
+  arrived @3 :UInt64;
+  tokens @4 :UInt64;
+  waiting @5 :UInt32;
+}
+
+struct BrickLoad {
+  instance @0 :Text;
+  inFlight @1 :UInt32;
+  failed @2 :UInt32;
+}
+
+struct EdgeReport {
+  edge @0 :Text;
+  life @1 :UInt64;
+  usage @2 :List(UsageWindow);
+  demand @3 :List(ModelDemand);
+  loads @4 :List(BrickLoad);
+}
+
+struct Heartbeats {
+  bricks @0 :List(Brick);
+}
+
+struct Frame {
+  union {
+    hello @0 :Hello;
+    replica @1 :ReplicaMessage;
+    core @2 :Core;
+    configuration @3 :Configuration;
+    bricks @4 :Bricks;
+    report @5 :EdgeReport;
+    heartbeats @6 :Heartbeats;
+    ping @7 :UInt64;
+    relayedReport @8 :EdgeReport;
+  }
+}
--- /dev/null
+++ b/crates/protocol/src/message.rs
@@ -0,0 +1,182 @@
+//! What the processes say to each other, as plain types.
+
+use pathbank_coordination::types::{Member, Message};
+
+/// One message between two processes.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Frame {
+    /// The first message on a connection.
+    Hello(Hello),
+    /// Between the replicas of the log.
+    Replica(Member, Message),
+    /// A core's word about itself, sent regularly.
+    Core(CoreStatus),
+    /// The configuration in force.
+    Configuration(ConfigurationUpdate),
+    /// Bricks that changed, or all of them.
+    Bricks(BrickUpdate),
+    /// What an edge counted.
+    Report(EdgeReport),
+    /// Bricks' heartbeats as one core heard them, for the other cores.
+    Heartbeats(Vec<Brick>),
+    /// Nothing but a sign of life, with the sender's steady clock in milliseconds.
+    Ping(u64),
+    /// An edge's report as another core heard it.
+    RelayedReport(EdgeReport),
+}
+
+/// What a process is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProcessRole {
+    /// Takes clients' requests.
+    Edge,
+    /// Holds the configuration and serves the control plane.
+    Core,
+}
+
+/// Who opens a connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Hello {
+    /// What it is.
+    pub role: ProcessRole,
+    /// The machine's name.
+    pub name: String,
+    /// The machine's zone.
+    pub zone: String,
+    /// Another number at each start of the process.
+    pub life: u64,
+}
+
+/// What a brick says of itself, or a core of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum BrickState {
+    /// Takes requests.
+    Ready,
+    /// Leaves soon, takes no new ones.
+    Draining,
+    /// Has left.
+    Gone,
+}
+
+/// A model that a brick holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoadedModel {
+    /// The model's name.
+    pub name: String,
+    /// The version of its weights.
+    pub version: u64,
+    /// The adapters held with it.
+    pub adapters: Vec<String>,
+}
+
+/// One incarnation of a brick.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Brick {
+    /// The incarnation's id.
+    pub instance: String,
+    /// The service that it belongs to.
+    pub backend: String,
+    /// `ip:port` for requests and orders.
+    pub address: String,
+    /// Its zone.
+    pub zone: String,
+    /// The version of its software.
+    pub version: String,
+    /// Requests that it works on at once.
+    pub capacity: u32,
+    /// Whether it takes requests.
+    pub state: BrickState,
+    /// For how much longer it stays slow from its start, milliseconds.
+    pub cold_remaining_ms: u64,
+    /// Time until it is gone, whatever it runs, milliseconds; 0: not told.
+    pub remaining_ms: u64,
+    /// What it holds.
+    pub models: Vec<LoadedModel>,
+    /// Rises with every heartbeat.
+    pub sequence: u64,
+    /// An order to it is under way.
+    pub busy: bool,
+}
+
+/// Bricks that changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct BrickUpdate {
+    /// These are all bricks that the sender knows.
+    pub complete: bool,
+    /// The bricks, as they are now.
+    pub bricks: Vec<Brick>,
+}
+
+/// The configuration in force since the entry `index` of the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigurationUpdate {
+    /// Rises with every change.
+    pub index: u64,
+    /// The whole document as JSON.
+    pub document: Vec<u8>,
+}
+
+/// A core's word about the group.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CoreStatus {
+    /// The voters as the sender knows them.
+    pub members: Vec<Member>,
+    /// The leader's internal address; empty: none is known.
+    pub leader: String,
+    /// Edge heads that are connected to the sender.
+    pub edges: u32,
+    /// The sender's time of day, milliseconds since the start of 1970.
+    pub wall_clock_ms: u64,
+}
+
+/// Requests that began to run in one window, by tenant; whole counts of one edge, not differences.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct UsageWindow {
+    /// The window's number.
+    pub window: u64,
+    /// Tenants and their counts.
+    pub counts: Vec<(String, u64)>,
+}
+
+/// What clients asked of one model (or of a service without models, with an empty name) since the last report.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ModelDemand {
+    /// The service.
+    pub backend: String,
+    /// The model.
+    pub model: String,
+    /// The adapter; empty: none.
+    pub adapter: String,
+    /// Requests that came.
+    pub arrived: u64,
+    /// Their told size: tokens in and ten times the tokens out.
+    pub tokens: u64,
+    /// Requests that no brick could take, waiting or refused.
+    pub waiting: u32,
+}
+
+/// What an edge sees of one brick.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct BrickLoad {
+    /// The brick's incarnation.
+    pub instance: String,
+    /// Requests out there from this edge.
+    pub in_flight: u32,
+    /// Requests in a row that the brick failed.
+    pub failed: u32,
+}
+
+/// What an edge tells the cores regularly.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EdgeReport {
+    /// The edge's name.
+    pub edge: String,
+    /// The edge's start.
+    pub life: u64,
+    /// Counts of the windows that may still change or be missing.
+    pub usage: Vec<UsageWindow>,
+    /// Demand since the last report.
+    pub demand: Vec<ModelDemand>,
+    /// What is out at bricks.
+    pub loads: Vec<BrickLoad>,
+}
--- /dev/null
+++ b/crates/protocol/src/read.rs
@@ -0,0 +1,199 @@
+//! From Cap'n Proto to plain types.
+
+use crate::codec::DecodeError;
+use crate::internal_capnp as wire;
+use crate::message::*;
+use pathbank_coordination::types::{Entry, Member, Membership, Message, Payload, Snapshot, StoreId};
+
+type Read<T> = Result<T, DecodeError>;
+
+fn text(reader: capnp::text::Reader<'_>) -> Read<String> {
+    Ok(reader.to_str()?.to_owned())
+}
+
+fn texts(list: capnp::text_list::Reader<'_>) -> Read<Vec<String>> {
+    list.iter().map(|item| text(item?)).collect()
+}
+
+pub fn frame(frame: wire::frame::Reader<'_>) -> Read<Frame> {
+    use wire::frame::Which;
+    Ok(match frame.which()? {
+        Which::Hello(hello) => Frame::Hello(read_hello(hello?)?),
+        Which::Replica(message) => {
+            let (from, message) = read_replica(message?)?;
+            Frame::Replica(from, message)
+        }
+        Which::Core(status) => Frame::Core(read_core(status?)?),
+        Which::Configuration(update) => {
+            let update = update?;
+            let document = update.get_document()?.to_vec();
+            Frame::Configuration(ConfigurationUpdate { index: update.get_index(), document })
+        }
+        Which::Bricks(update) => {
+            let update = update?;
+            let bricks = read_bricks(update.get_bricks()?)?;
+            Frame::Bricks(BrickUpdate { complete: update.get_complete(), bricks })
+        }
+        Which::Report(report) => Frame::Report(read_report(report?)?),
+        Which::Heartbeats(heartbeats) => Frame::Heartbeats(read_bricks(heartbeats?.get_bricks()?)?),
+        Which::Ping(clock) => Frame::Ping(clock),
+        Which::RelayedReport(report) => Frame::RelayedReport(read_report(report?)?),
+    })
+}
+
+fn read_hello(hello: wire::hello::Reader<'_>) -> Read<Hello> {
+    let role = match hello.get_role()? {
+        wire::Role::Edge => ProcessRole::Edge,
+        wire::Role::Core => ProcessRole::Core,
+    };
+    let (name, zone) = (text(hello.get_name()?)?, text(hello.get_zone()?)?);
+    Ok(Hello { role, name, zone, life: hello.get_life() })
+}
+
+fn read_member(member: wire::member::Reader<'_>) -> Read<Member> {
+    Ok(Member {
+        id: StoreId(member.get_id()),
+        name: text(member.get_name()?)?,
+        address: text(member.get_address()?)?,
+        control_address: text(member.get_control_address()?)?,
+    })
+}
+
+fn read_members(list: capnp::struct_list::Reader<'_, wire::member::Owned>) -> Read<Vec<Member>> {
+    list.iter().map(read_member).collect()
+}
+
+fn read_membership(membership: wire::membership::Reader<'_>) -> Read<Membership> {
+    let voters = read_members(membership.get_voters()?)?;
+    Ok(Membership { voters, outgoing: read_members(membership.get_outgoing()?)? })
+}
+
+fn read_entry(entry: wire::entry::Reader<'_>) -> Read<Entry> {
+    use wire::entry::payload::Which;
+    let payload = match entry.get_payload().which()? {
+        Which::LeaderStart(name) => Payload::LeaderStart(text(name?)?),
+        Which::Membership(membership) => Payload::Membership(read_membership(membership?)?),
+        Which::Command(bytes) => Payload::Command(bytes?.to_vec()),
+    };
+    Ok(Entry { index: entry.get_index(), term: entry.get_term(), payload })
+}
+
+fn read_snapshot(snapshot: wire::snapshot::Reader<'_>) -> Read<Snapshot> {
+    Ok(Snapshot {
+        index: snapshot.get_index(),
+        term: snapshot.get_term(),
+        membership: read_membership(snapshot.get_membership()?)?,
+        leaders: texts(snapshot.get_leaders()?)?,
+        data: snapshot.get_data()?.to_vec(),
+    })
+}
+
+fn read_replica(message: wire::replica_message::Reader<'_>) -> Read<(Member, Message)> {
+    use wire::replica_message::Which;
+    let from = read_member(message.get_from()?)?;
+    let term = message.get_term();
+    let message = match message.which()? {
+        Which::VoteRequest(request) => Message::VoteRequest {
+            term,
+            pre: request.get_pre(),
+            handover: request.get_handover(),
+            last_index: request.get_last_index(),
+            last_term: request.get_last_term(),
+        },
+        Which::VoteReply(reply) => {
+            Message::VoteReply { term, pre: reply.get_pre(), granted: reply.get_granted() }
+        }
+        Which::Append(append) => Message::Append {
+            term,
+            previous_index: append.get_previous_index(),
+            previous_term: append.get_previous_term(),
+            entries: append.get_entries()?.iter().map(read_entry).collect::<Read<_>>()?,
+            commit: append.get_commit(),
+            sent_at: append.get_sent_at(),
+        },
+        Which::AppendReply(reply) => Message::AppendReply {
+            term,
+            accepted: reply.get_accepted(),
+            index: reply.get_index(),
+            sent_at: reply.get_sent_at(),
+        },
+        Which::InstallSnapshot(install) => {
+            let snapshot = read_snapshot(install.get_snapshot()?)?;
+            Message::InstallSnapshot { term, snapshot, sent_at: install.get_sent_at() }
+        }
+        Which::CampaignNow(()) => Message::CampaignNow { term },
+        Which::Join(()) => Message::Join,
+    };
+    Ok((from, message))
+}
+
+fn read_core(status: wire::core::Reader<'_>) -> Read<CoreStatus> {
+    Ok(CoreStatus {
+        members: read_members(status.get_members()?)?,
+        leader: text(status.get_leader()?)?,
+        edges: status.get_edges(),
+        wall_clock_ms: status.get_wall_clock_ms(),
+    })
+}
+
+fn read_model(model: wire::loaded_model::Reader<'_>) -> Read<LoadedModel> {
+    let (name, adapters) = (text(model.get_name()?)?, texts(model.get_adapters()?)?);
+    Ok(LoadedModel { name, version: model.get_version(), adapters })
+}
+
+fn read_brick(brick: wire::brick::Reader<'_>) -> Read<Brick> {
+    Ok(Brick {
+        instance: text(brick.get_instance()?)?,
+        backend: text(brick.get_backend()?)?,
+        address: text(brick.get_address()?)?,
+        zone: text(brick.get_zone()?)?,
+        version: text(brick.get_version()?)?,
+        capacity: brick.get_capacity(),
+        state: match brick.get_state()? {
+            wire::BrickState::Ready => BrickState::Ready,
+            wire::BrickState::Draining => BrickState::Draining,
+            wire::BrickState::Gone => BrickState::Gone,
+        },
+        cold_remaining_ms: brick.get_cold_remaining_ms(),
+        remaining_ms: brick.get_remaining_ms(),
+        models: brick.get_models()?.iter().map(read_model).collect::<Read<_>>()?,
+        sequence: brick.get_sequence(),
+        busy: brick.get_busy(),
+    })
+}
+
+fn read_bricks(list: capnp::struct_list::Reader<'_, wire::brick::Owned>) -> Read<Vec<Brick>> {
+    list.iter().map(read_brick).collect()
+}
+
+fn read_window(window: wire::usage_window::Reader<'_>) -> Read<UsageWindow> {
+    let count = |count: wire::tenant_count::Reader<'_>| Ok((text(count.get_tenant()?)?, count.get_count()));
+    let counts = window.get_counts()?.iter().map(count).collect::<Read<_>>()?;
+    Ok(UsageWindow { window: window.get_window(), counts })
+}
+
+fn read_demand(demand: wire::model_demand::Reader<'_>) -> Read<ModelDemand> {
+    Ok(ModelDemand {
+        backend: text(demand.get_backend()?)?,
+        model: text(demand.get_model()?)?,
+        adapter: text(demand.get_adapter()?)?,
+        arrived: demand.get_arrived(),
+        tokens: demand.get_tokens(),
+        waiting: demand.get_waiting(),
+    })
+}
+
+fn read_load(load: wire::brick_load::Reader<'_>) -> Read<BrickLoad> {
+    let instance = text(load.get_instance()?)?;
+    Ok(BrickLoad { instance, in_flight: load.get_in_flight(), failed: load.get_failed() })
+}
+
+fn read_report(report: wire::edge_report::Reader<'_>) -> Read<EdgeReport> {
+    Ok(EdgeReport {
+        edge: text(report.get_edge()?)?,
+        life: report.get_life(),
+        usage: report.get_usage()?.iter().map(read_window).collect::<Read<_>>()?,
+        demand: report.get_demand()?.iter().map(read_demand).collect::<Read<_>>()?,
+        loads: report.get_loads()?.iter().map(read_load).collect::<Read<_>>()?,
+    })
+}
--- /dev/null
+++ b/crates/protocol/src/write.rs
@@ -0,0 +1,201 @@
+//! From plain types to Cap'n Proto.
+
+use crate::internal_capnp as wire;
+use crate::message::*;
+use pathbank_coordination::types::{Entry, Member, Membership, Message, Payload, Snapshot};
+
+/// Writes each item of a slice into a list of the same length.
+macro_rules! write_list {
+    ($items:expr, $list:expr, $write:expr) => {{
+        let mut list = $list;
+        for (position, item) in $items.iter().enumerate() {
+            $write(item, list.reborrow().get(position as u32));
+        }
+    }};
+}
+
+pub fn frame(frame: &Frame, mut out: wire::frame::Builder<'_>) {
+    match frame {
+        Frame::Hello(hello) => write_hello(hello, out.init_hello()),
+        Frame::Replica(from, message) => write_replica(from, message, out.init_replica()),
+        Frame::Core(status) => write_core(status, out.init_core()),
+        Frame::Configuration(update) => {
+            let mut configuration = out.init_configuration();
+            configuration.set_index(update.index);
+            configuration.set_document(&update.document);
+        }
+        Frame::Bricks(update) => {
+            let mut bricks = out.init_bricks();
+            bricks.set_complete(update.complete);
+            write_list!(update.bricks, bricks.init_bricks(update.bricks.len() as u32), write_brick);
+        }
+        Frame::Report(report) => write_report(report, out.init_report()),
+        Frame::Heartbeats(bricks) => {
+            let heartbeats = out.init_heartbeats();
+            write_list!(bricks, heartbeats.init_bricks(bricks.len() as u32), write_brick);
+        }
+        Frame::Ping(clock) => out.set_ping(*clock),
+        Frame::RelayedReport(report) => write_report(report, out.init_relayed_report()),
+    }
+}
+
+fn write_hello(hello: &Hello, mut out: wire::hello::Builder<'_>) {
+    out.set_role(match hello.role {
+        ProcessRole::Edge => wire::Role::Edge,
+        ProcessRole::Core => wire::Role::Core,
+    });
+    out.set_name(&hello.name);
+    out.set_zone(&hello.zone);
+    out.set_life(hello.life);
+}
+
+fn write_member(member: &Member, mut out: wire::member::Builder<'_>) {
+    out.set_id(member.id.0);
+    out.set_name(&member.name);
+    out.set_address(&member.address);
+    out.set_control_address(&member.control_address);
+}
+
+fn write_membership(membership: &Membership, mut out: wire::membership::Builder<'_>) {
+    write_list!(membership.voters, out.reborrow().init_voters(membership.voters.len() as u32), write_member);
+    write_list!(membership.outgoing, out.init_outgoing(membership.outgoing.len() as u32), write_member);
+}
+
+fn write_entry(entry: &Entry, mut out: wire::entry::Builder<'_>) {
+    out.set_index(entry.index);
+    out.set_term(entry.term);
+    let mut payload = out.init_payload();
+    match &entry.payload {
+        Payload::LeaderStart(name) => payload.set_leader_start(name),
+        Payload::Membership(membership) => write_membership(membership, payload.init_membership()),
+        Payload::Command(bytes) => payload.set_command(bytes),
+    }
+}
+
+fn write_snapshot(snapshot: &Snapshot, mut out: wire::snapshot::Builder<'_>) {
+    out.set_index(snapshot.index);
+    out.set_term(snapshot.term);
+    write_membership(&snapshot.membership, out.reborrow().init_membership());
+    let mut leaders = out.reborrow().init_leaders(snapshot.leaders.len() as u32);
+    for (position, leader) in snapshot.leaders.iter().enumerate() {
+        leaders.set(position as u32, leader);
+    }
+    out.set_data(&snapshot.data);
+}
+
+fn write_replica(from: &Member, message: &Message, mut out: wire::replica_message::Builder<'_>) {
+    write_member(from, out.reborrow().init_from());
+    match message {
+        Message::VoteRequest { term, pre, handover, last_index, last_term } => {
+            out.set_term(*term);
+            let mut request = out.init_vote_request();
+            request.set_pre(*pre);
+            request.set_handover(*handover);
+            request.set_last_index(*last_index);
+            request.set_last_term(*last_term);
+        }
+        Message::VoteReply { term, pre, granted } => {
+            out.set_term(*term);
+            let mut reply = out.init_vote_reply();
+            reply.set_pre(*pre);
+            reply.set_granted(*granted);
+        }
+        Message::Append { term, previous_index, previous_term, entries, commit, sent_at } => {
+            out.set_term(*term);
+            let mut append = out.init_append();
+            append.set_previous_index(*previous_index);
+            append.set_previous_term(*previous_term);
+            append.set_commit(*commit);
+            append.set_sent_at(*sent_at);
+            write_list!(entries, append.init_entries(entries.len() as u32), write_entry);
+        }
+        Message::AppendReply { term, accepted, index, sent_at } => {
+            out.set_term(*term);
+            let mut reply = out.init_append_reply();
+            reply.set_accepted(*accepted);
+            reply.set_index(*index);
+            reply.set_sent_at(*sent_at);
+        }
+        Message::InstallSnapshot { term, snapshot, sent_at } => {
+            out.set_term(*term);
+            let mut install = out.init_install_snapshot();
+            install.set_sent_at(*sent_at);
+            write_snapshot(snapshot, install.init_snapshot());
+        }
+        Message::CampaignNow { term } => {
+            out.set_term(*term);
+            out.set_campaign_now(());
+        }
+        Message::Join => out.set_join(()),
+    }
+}
+
+fn write_core(status: &CoreStatus, mut out: wire::core::Builder<'_>) {
+    write_list!(status.members, out.reborrow().init_members(status.members.len() as u32), write_member);
+    out.set_leader(&status.leader);
+    out.set_edges(status.edges);
+    out.set_wall_clock_ms(status.wall_clock_ms);
+}
+
+fn write_model(model: &LoadedModel, mut out: wire::loaded_model::Builder<'_>) {
+    out.set_name(&model.name);
+    out.set_version(model.version);
+    let mut adapters = out.init_adapters(model.adapters.len() as u32);
+    for (position, adapter) in model.adapters.iter().enumerate() {
+        adapters.set(position as u32, adapter);
+    }
+}
+
+fn write_brick(brick: &Brick, mut out: wire::brick::Builder<'_>) {
+    out.set_instance(&brick.instance);
+    out.set_backend(&brick.backend);
+    out.set_address(&brick.address);
+    out.set_zone(&brick.zone);
+    out.set_version(&brick.version);
+    out.set_capacity(brick.capacity);
+    out.set_state(match brick.state {
+        BrickState::Ready => wire::BrickState::Ready,
+        BrickState::Draining => wire::BrickState::Draining,
+        BrickState::Gone => wire::BrickState::Gone,
+    });
+    out.set_cold_remaining_ms(brick.cold_remaining_ms);
+    out.set_remaining_ms(brick.remaining_ms);
+    out.set_sequence(brick.sequence);
+    out.set_busy(brick.busy);
+    write_list!(brick.models, out.init_models(brick.models.len() as u32), write_model);
+}
+
+fn write_window(window: &UsageWindow, mut out: wire::usage_window::Builder<'_>) {
+    out.set_window(window.window);
+    write_list!(
+        window.counts,
+        out.init_counts(window.counts.len() as u32),
+        |(tenant, count): &(String, u64), mut out: wire::tenant_count::Builder<'_>| {
+            out.set_tenant(tenant);
+            out.set_count(*count);
+        }
+    );
+}
+
+fn write_demand(demand: &ModelDemand, mut out: wire::model_demand::Builder<'_>) {
+    out.set_backend(&demand.backend);
+    out.set_model(&demand.model);
+    out.set_adapter(&demand.adapter);
+    out.set_arrived(demand.arrived);
+    out.set_tokens(demand.tokens);
+    out.set_waiting(demand.waiting);
+}
+
+fn write_load(load: &BrickLoad, mut out: wire::brick_load::Builder<'_>) {
+    out.set_instance(&load.instance);
+    out.set_in_flight(load.in_flight);
+    out.set_failed(load.failed);
+}
+
+fn write_report(report: &EdgeReport, mut out: wire::edge_report::Builder<'_>) {
+    out.set_edge(&report.edge);
+    out.set_life(report.life);
+    write_list!(report.usage, out.reborrow().init_usage(report.usage.len() as u32), write_window);
+    write_list!(report.demand, out.reborrow().init_demand(report.demand.len() as u32), write_demand);
+    write_list!(report.loads, out.init_loads(report.loads.len() as u32), write_load);
+}
--- /dev/null
+++ b/crates/router/src/bricks.rs
@@ -0,0 +1,208 @@
+//! The bricks that this head knows, merged from all cores, and what it learned of each by itself.
+
+use crate::Millis;
+use crate::prompt::ModelName;
+use pathbank_protocol::message::{Brick, BrickState, BrickUpdate};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A brick that could not be reached rests for so long, doubled with each failure in a row up to the longest.
+const FIRST_REST: Millis = 250;
+const LONGEST_REST: Millis = 5_000;
+/// A brick that turned a request away because it is full rests for so long.
+const FULL_REST: Millis = 60;
+/// What a brick said of its load counts for so long.
+const LOAD_COUNTS: Millis = 1_000;
+/// A model that a brick said it does not hold is not asked for there for so long.
+const MISSING_COUNTS: Millis = 800;
+/// Requests in a row without an answer that make a brick rest.
+const FAILURES_TO_REST: u32 = 2;
+
+/// A brick by its incarnation.
+pub type Instance = String;
+
+/// What this head knows of one brick.
+#[derive(Clone, Debug)]
+pub struct KnownBrick {
+    /// What the cores told.
+    pub brick: Brick,
+    /// Requests of this head out there.
+    pub in_flight: u32,
+    /// Of other heads, by what the brick said last, and when.
+    others: f64,
+    others_at: Millis,
+    rest_until: Millis,
+    failures: u32,
+    missing: BTreeMap<ModelName, Millis>,
+}
+
+impl KnownBrick {
+    fn new(brick: Brick) -> KnownBrick {
+        KnownBrick {
+            brick,
+            in_flight: 0,
+            others: 0.0,
+            others_at: 0,
+            rest_until: 0,
+            failures: 0,
+            missing: BTreeMap::new(),
+        }
+    }
+
+    /// Requests of other heads out there, as far as is known.
+    pub fn others(&self, now: Millis) -> f64 {
+        let age = now.saturating_sub(self.others_at) as f64 / LOAD_COUNTS as f64;
+        self.others * (1.0 - age).max(0.0)
+    }
+
+    /// Part of its slots that are taken; above 1: requests wait there.
+    pub fn occupancy(&self, now: Millis) -> f64 {
+        (f64::from(self.in_flight) + self.others(now)) / f64::from(self.brick.capacity.max(1))
+    }
+
+    /// The cap on what this head keeps there: the slots that others leave, one at least.
+    pub fn cap(&self, now: Millis) -> u32 {
+        let left = f64::from(self.brick.capacity.max(1)) - self.others(now);
+        left.max(1.0) as u32
+    }
+
+    /// Whether a request of this head may go there now.
+    pub fn has_slot(&self, now: Millis) -> bool {
+        self.takes_work(now) && self.in_flight < self.cap(now)
+    }
+
+    /// Whether it takes requests at all now.
+    pub fn takes_work(&self, now: Millis) -> bool {
+        self.brick.state == BrickState::Ready && now >= self.rest_until
+    }
+
+    /// Whether it holds a model (and its adapter).
+    pub fn holds(&self, now: Millis, name: &ModelName) -> bool {
+        if name.model.is_empty() {
+            return true;
+        }
+        let missing = self.missing.get(name).is_some_and(|until| now < *until);
+        let loaded = self.brick.models.iter().find(|loaded| loaded.name == name.model);
+        let held =
+            loaded.is_some_and(|loaded| name.adapter.is_empty() || loaded.adapters.contains(&name.adapter));
+        held && !missing
+    }
+
+    /// Failures in a row.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+}
+
+/// How a send to a brick ended, as far as the brick is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BrickOutcome {
+    /// It answered.
+    Answered,
+    /// It said that it is full, or that a time was over in its queue.
+    Full,
+    /// It does not hold what was asked for, or is another brick.
+    NotThere,
+    /// No connection, a reset, or no answer.
+    Failed,
+    /// The client left, or the head gave up by itself.
+    Abandoned,
+}
+
+/// All bricks that this head knows.
+#[derive(Clone, Debug, Default)]
+pub struct BrickTable {
+    known: BTreeMap<Instance, KnownBrick>,
+    /// Bricks that have gone; a late word of another core does not bring them back.
+    gone: BTreeMap<Instance, (u64, Millis)>,
+}
+
+impl BrickTable {
+    /// A core told of bricks. Returns the bricks that take no new work from now on.
+    pub fn update(&mut self, now: Millis, update: BrickUpdate) -> BTreeSet<Instance> {
+        let mut closed = BTreeSet::new();
+        for brick in update.bricks {
+            let instance = brick.instance.clone();
+            if self.gone.get(&instance).is_some_and(|(sequence, _)| brick.sequence <= *sequence) {
+                continue;
+            }
+            if brick.state != BrickState::Ready {
+                closed.insert(instance.clone());
+            }
+            match self.known.get_mut(&instance) {
+                _ if brick.state == BrickState::Gone => self.forget(now, brick),
+                Some(known) if brick.sequence < known.brick.sequence => {}
+                Some(known) => known.brick = brick,
+                None => drop(self.known.insert(instance, KnownBrick::new(brick))),
+            }
+        }
+        self.gone.retain(|_, (_, at)| now < *at + 120_000);
+        closed
+    }
+
+    fn forget(&mut self, now: Millis, brick: Brick) {
+        let known = self.known.get(&brick.instance).map_or(0, |known| known.brick.sequence);
+        if brick.sequence >= known {
+            self.gone.insert(brick.instance.clone(), (brick.sequence, now));
+            self.known.remove(&brick.instance);
+        }
+    }
+
+    /// One brick.
+    pub fn get(&self, instance: &str) -> Option<&KnownBrick> {
+        self.known.get(instance)
+    }
+
+    /// All bricks.
+    pub fn iter(&self) -> impl Iterator<Item = (&Instance, &KnownBrick)> {
+        self.known.iter()
+    }
+
+    /// The bricks of a service that hold a model.
+    pub fn holding<'a>(
+        &'a self,
+        now: Millis,
+        backend: &'a str,
+        name: &'a ModelName,
+    ) -> impl Iterator<Item = (&'a Instance, &'a KnownBrick)> {
+        self.known.iter().filter(move |(_, known)| {
+            known.brick.backend == backend && known.brick.state == BrickState::Ready && known.holds(now, name)
+        })
+    }
+
+    /// A request of this head went there.
+    pub fn sent(&mut self, instance: &str) {
+        if let Some(known) = self.known.get_mut(instance) {
+            known.in_flight += 1;
+        }
+    }
+
+    /// A request of this head ended there.
+    pub fn ended(&mut self, now: Millis, instance: &str, name: &ModelName, outcome: BrickOutcome) {
+        let Some(known) = self.known.get_mut(instance) else { return };
+        known.in_flight = known.in_flight.saturating_sub(1);
+        match outcome {
+            BrickOutcome::Answered => known.failures = 0,
+            BrickOutcome::Full => known.rest_until = known.rest_until.max(now + FULL_REST),
+            BrickOutcome::NotThere => {
+                known.missing.retain(|_, until| now < *until);
+                known.missing.insert(name.clone(), now + MISSING_COUNTS);
+            }
+            BrickOutcome::Failed => {
+                known.failures += 1;
+                if known.failures >= FAILURES_TO_REST {
+                    let doubled = FIRST_REST << (known.failures - FAILURES_TO_REST).min(5);
+                    known.rest_until = now + doubled.min(LONGEST_REST);
+                }
+            }
+            BrickOutcome::Abandoned => {}
+        }
+    }
+
+    /// An answer told the brick's load: requests running and waiting, this head's among them.
+    pub fn note_load(&mut self, now: Millis, instance: &str, running: u32, waiting: u32) {
+        if let Some(known) = self.known.get_mut(instance) {
+            known.others = (f64::from(running + waiting) - f64::from(known.in_flight)).max(0.0);
+            known.others_at = now;
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/dispatcher.rs
@@ -0,0 +1,389 @@
+//! Which request goes to which brick next.
+//!
+//! A request is queued at one brick on its arrival: the one where it should be answered first. When that brick has a
+//! free slot, the fair queue decides which of its requests goes there. A request for what no brick holds waits until
+//! one does. Whatever cannot be served in time is refused early, with the time after which to come back.
+
+mod affinity;
+
+use crate::Millis;
+use crate::bricks::{BrickOutcome, BrickTable, Instance, KnownBrick};
+use crate::prompt::{ModelName, PromptPart};
+use affinity::Affinity;
+use pathbank_control::result_code::ResultCode;
+use pathbank_fair_queue::{FairQueue, Settings};
+use pathbank_protocol::message::{BrickLoad, BrickUpdate, ModelDemand};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Names one client request at this head.
+pub type RequestId = u64;
+
+/// Tokens of a prompt that a brick reads in a millisecond, until something better is known.
+const PREFILL_TOKENS_PER_MS: f64 = 18.0;
+/// What a brick with all slots taken costs a request, milliseconds; less in proportion.
+const FULL_BRICK_MS: f64 = 500.0;
+/// What another zone costs, milliseconds.
+const OTHER_ZONE_MS: f64 = 6.0;
+/// Bricks as good as each other are told apart by a draw of so many milliseconds.
+const DRAW_MS: f64 = 3.0;
+/// A request that cannot be sent is refused after this part of its objective, where that lets it come back in time.
+const REFUSE_AFTER: f64 = 0.22;
+/// The part of the remaining time for which clients honour `Retry-After`.
+const RETRY_AFTER_PART: f64 = 0.32;
+/// A request that waits longer is queued anew, milliseconds.
+const REQUEUE_AFTER: Millis = 40;
+/// A request is refused when so much of its time is left, for nothing comes of it any more.
+const HOPELESS_PART: f64 = 0.08;
+/// What a load takes beyond the time that is told, milliseconds.
+const LOAD_OVERHEAD: Millis = 700;
+/// When to come back to bricks that are all busy, milliseconds.
+const BUSY_RETRY: Millis = 900;
+
+/// What the dispatcher has to know of a request.
+#[derive(Clone, Debug)]
+pub struct Offer {
+    /// The request.
+    pub id: RequestId,
+    /// The service that its route chose.
+    pub backend: String,
+    /// The model it asks for.
+    pub name: ModelName,
+    /// Its told size.
+    pub size: u64,
+    /// The tokens of its prompt.
+    pub input_tokens: u64,
+    /// The parts of its prompt.
+    pub parts: Vec<PromptPart>,
+    /// When it came.
+    pub arrived: Millis,
+    /// When the client stops waiting.
+    pub deadline: Millis,
+    /// The time inside which an answer earns its full worth.
+    pub objective: Millis,
+    /// How long a load of its model takes, where that is known.
+    pub load_ms: Option<Millis>,
+    /// Bricks that are not to get it (again).
+    pub excluded: BTreeSet<Instance>,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// The request goes to a brick now.
+    Send {
+        /// The request.
+        id: RequestId,
+        /// The brick's incarnation.
+        instance: Instance,
+        /// Where it is reached.
+        address: String,
+    },
+    /// The request's final answer: it has not run.
+    Refuse {
+        /// The request.
+        id: RequestId,
+        /// Why.
+        code: ResultCode,
+        /// When to come back.
+        retry_after: Millis,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Stage {
+    /// No brick holds what it asks for.
+    Unplaced,
+    /// Waits for a slot of a brick.
+    Queued(Instance),
+    /// Is at a brick.
+    Sent(Instance),
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    offer: Offer,
+    stage: Stage,
+    since: Millis,
+    reported: bool,
+}
+
+/// The flow of a request: its service and model.
+type FlowKey = (String, String);
+
+/// All requests of this head that are not answered yet, and the bricks for them.
+#[derive(Debug)]
+pub struct Dispatcher {
+    zone: String,
+    bricks: BrickTable,
+    fair: FairQueue<FlowKey, Instance, RequestId>,
+    held: BTreeMap<RequestId, Held>,
+    affinity: Affinity,
+    demand: BTreeMap<(String, ModelName), ModelDemand>,
+    urgent: bool,
+}
+
+impl Dispatcher {
+    /// A dispatcher of a head in `zone`, with no brick and no request.
+    pub fn new(zone: String) -> Dispatcher {
+        Dispatcher {
+            zone,
+            bricks: BrickTable::default(),
+            fair: FairQueue::new(Settings::default()),
+            held: BTreeMap::new(),
+            affinity: Affinity::default(),
+            demand: BTreeMap::new(),
+            urgent: false,
+        }
+    }
+
+    /// The bricks as this head knows them.
+    pub fn bricks(&self) -> &BrickTable {
+        &self.bricks
+    }
+
+    /// Requests that are not answered yet.
+    pub fn open(&self) -> usize {
+        self.held.len()
+    }
+
+    /// A request came, or comes again after a brick did not run it.
+    pub fn offer(&mut self, now: Millis, offer: Offer, first: bool) -> Vec<Action> {
+        if first {
+            self.note_demand(&offer);
+        }
+        let id = offer.id;
+        self.held.insert(id, Held { offer, stage: Stage::Unplaced, since: now, reported: false });
+        self.place(now, id);
+        self.dispatch(now)
+    }
+
+    /// A request is over for this head: its client left, or it is answered. Ends its stay at a brick.
+    pub fn finish(&mut self, now: Millis, id: RequestId, outcome: BrickOutcome) -> Vec<Action> {
+        let Some(held) = self.held.remove(&id) else { return Vec::new() };
+        self.leave(now, &held, outcome);
+        self.dispatch(now)
+    }
+
+    /// A brick's answer told its load.
+    pub fn note_load(&mut self, now: Millis, instance: &str, running: u32, waiting: u32) {
+        self.bricks.note_load(now, instance, running, waiting);
+    }
+
+    /// A core told of bricks.
+    pub fn update_bricks(&mut self, now: Millis, update: BrickUpdate) -> Vec<Action> {
+        let closed = self.bricks.update(now, update);
+        let stranded = self.held.iter().filter(|(_, held)| match &held.stage {
+            Stage::Queued(instance) => closed.contains(instance),
+            Stage::Unplaced => true,
+            Stage::Sent(_) => false,
+        });
+        let stranded: Vec<RequestId> = stranded.map(|(id, _)| *id).collect();
+        stranded.into_iter().for_each(|id| self.place(now, id));
+        self.dispatch(now)
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, now: Millis) -> Vec<Action> {
+        let waiting = self.held.iter().filter(|(_, held)| !matches!(held.stage, Stage::Sent(_)));
+        let waiting: Vec<RequestId> =
+            waiting.filter(|(_, held)| now >= held.since + REQUEUE_AFTER).map(|(id, _)| *id).collect();
+        waiting.into_iter().for_each(|id| self.place(now, id));
+        let mut actions = self.dispatch(now);
+        self.refuse_hopeless(now, &mut actions);
+        self.fair.tidy(now);
+        self.affinity.tidy(now);
+        actions
+    }
+
+    /// When [`Dispatcher::tick`] has something to do, if ever.
+    pub fn next_tick(&self, now: Millis) -> Option<Millis> {
+        let waits = self.held.values().any(|held| !matches!(held.stage, Stage::Sent(_)));
+        waits.then_some(now + REQUEUE_AFTER)
+    }
+
+    /// Whether the cores should hear of demand at once: something waits for a model that no brick holds.
+    pub fn take_urgent(&mut self) -> bool {
+        std::mem::take(&mut self.urgent)
+    }
+
+    /// Demand since the last call, and what is out at each brick.
+    pub fn take_report(&mut self) -> (Vec<ModelDemand>, Vec<BrickLoad>) {
+        let demand = std::mem::take(&mut self.demand).into_values().collect();
+        let load = |(instance, known): (&Instance, &KnownBrick)| BrickLoad {
+            instance: instance.clone(),
+            in_flight: known.in_flight,
+            failed: known.failures(),
+        };
+        (demand, self.bricks.iter().filter(|(_, known)| known.in_flight > 0).map(load).collect())
+    }
+
+    // ---- stages: the one function that changes a request's stage ----
+
+    fn enter(&mut self, now: Millis, id: RequestId, stage: Stage) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let before = std::mem::replace(&mut held.stage, stage.clone());
+        let (flow, size) = (flow_of(&held.offer), held.offer.size as f64);
+        match (&before, &stage) {
+            (Stage::Queued(_), Stage::Queued(to)) => self.fair.move_to(id, to.clone()),
+            (Stage::Queued(_), Stage::Unplaced) => drop(self.fair.remove(now, id)),
+            (Stage::Unplaced, Stage::Queued(at)) => self.fair.push(now, flow, at.clone(), id, size),
+            (Stage::Queued(_), Stage::Sent(at)) => self.bricks.sent(at),
+            (Stage::Sent(_), _) | (Stage::Unplaced, _) => {}
+        }
+        if before != stage {
+            held.since = now;
+        }
+    }
+
+    fn leave(&mut self, now: Millis, held: &Held, outcome: BrickOutcome) {
+        let offer = &held.offer;
+        match &held.stage {
+            Stage::Unplaced => {}
+            Stage::Queued(_) => drop(self.fair.remove(now, offer.id)),
+            Stage::Sent(instance) => {
+                self.fair.done(&flow_of(offer));
+                self.bricks.ended(now, instance, &offer.name, outcome);
+            }
+        }
+    }
+
+    // ---- where a request is queued ----
+
+    fn place(&mut self, now: Millis, id: RequestId) {
+        let Some(held) = self.held.get(&id) else { return };
+        let stage = match self.best_brick(now, &held.offer) {
+            Some(instance) => Stage::Queued(instance),
+            None => Stage::Unplaced,
+        };
+        let reports = stage == Stage::Unplaced && !held.reported;
+        if reports {
+            self.note_unplaced(id);
+        }
+        self.enter(now, id, stage);
+    }
+
+    /// The brick at which the request should be answered first.
+    fn best_brick(&self, now: Millis, offer: &Offer) -> Option<Instance> {
+        let holding = self.bricks.holding(now, &offer.backend, &offer.name);
+        let allowed = holding.filter(|(instance, _)| !offer.excluded.contains(*instance));
+        let scored = allowed.map(|(instance, known)| (self.cost(now, offer, instance, known), instance));
+        scored.min_by(|(one, _), (other, _)| one.total_cmp(other)).map(|(_, instance)| instance.clone())
+    }
+
+    /// What an answer from a brick would cost, as milliseconds until it begins.
+    fn cost(&self, now: Millis, offer: &Offer, instance: &Instance, known: &KnownBrick) -> f64 {
+        let kept = self.affinity.kept_tokens(instance, &offer.name, &offer.parts);
+        let prefill = offer.input_tokens.saturating_sub(kept) as f64 / PREFILL_TOKENS_PER_MS;
+        let queued = self.fair.queued_at(instance) as f64 / f64::from(known.brick.capacity.max(1));
+        let occupancy = known.occupancy(now) + queued;
+        let full = if known.has_slot(now) { 0.0 } else { FULL_BRICK_MS };
+        let resting = if known.takes_work(now) { 0.0 } else { 2.0 * FULL_BRICK_MS };
+        let zone = if known.brick.zone == self.zone { 0.0 } else { OTHER_ZONE_MS };
+        let cold = if known.brick.cold_remaining_ms > 0 { FULL_BRICK_MS / 4.0 } else { 0.0 };
+        let draw = DRAW_MS * unit_draw(offer.id, instance);
+        prefill + FULL_BRICK_MS * occupancy + full + resting + zone + cold + draw
+    }
+
+    // ---- the ordinary path: free slots take requests ----
+
+    fn dispatch(&mut self, now: Millis) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.fair.is_empty() {
+            return actions;
+        }
+        let wanted: BTreeSet<Instance> = self.fair.waiting().map(|(_, instance)| instance.clone()).collect();
+        for instance in wanted {
+            while self.bricks.get(&instance).is_some_and(|known| known.has_slot(now)) {
+                let Some(id) = self.fair.take(now, &instance) else { break };
+                self.send(now, id, &instance, &mut actions);
+            }
+        }
+        actions
+    }
+
+    fn send(&mut self, now: Millis, id: RequestId, instance: &Instance, actions: &mut Vec<Action>) {
+        let Some(known) = self.bricks.get(instance) else { return };
+        let address = known.brick.address.clone();
+        self.enter(now, id, Stage::Sent(instance.clone()));
+        if let Some(held) = self.held.get(&id) {
+            self.affinity.note(now, instance, &held.offer.name, &held.offer.parts);
+        }
+        actions.push(Action::Send { id, instance: instance.clone(), address });
+    }
+
+    // ---- refusals ----
+
+    fn refuse_hopeless(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let refusals: Vec<_> =
+            self.held.iter().filter_map(|(id, held)| Some((*id, refusal(now, held)?))).collect();
+        for (id, (code, retry_after)) in refusals {
+            if let Some(held) = self.held.remove(&id) {
+                self.leave(now, &held, BrickOutcome::Abandoned);
+            }
+            actions.push(Action::Refuse { id, code, retry_after });
+        }
+    }
+
+    // ---- what the cores are told ----
+
+    fn demand_of(&mut self, offer: &Offer) -> &mut ModelDemand {
+        let fresh = || ModelDemand {
+            backend: offer.backend.clone(),
+            model: offer.name.model.clone(),
+            adapter: offer.name.adapter.clone(),
+            ..ModelDemand::default()
+        };
+        self.demand.entry((offer.backend.clone(), offer.name.clone())).or_insert_with(fresh)
+    }
+
+    fn note_demand(&mut self, offer: &Offer) {
+        if offer.name.model.is_empty() {
+            return;
+        }
+        let demand = self.demand_of(offer);
+        demand.arrived += 1;
+        demand.tokens += offer.size;
+    }
+
+    fn note_unplaced(&mut self, id: RequestId) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        held.reported = true;
+        let offer = held.offer.clone();
+        if !offer.name.model.is_empty() {
+            self.demand_of(&offer).waiting += 1;
+            self.urgent = true;
+        }
+    }
+}
+
+fn flow_of(offer: &Offer) -> FlowKey {
+    (offer.backend.clone(), offer.name.model.clone())
+}
+
+/// Whether a waiting request is given up now, why, and when its client should come back.
+fn refusal(now: Millis, held: &Held) -> Option<(ResultCode, Millis)> {
+    let (code, ready_in) = match &held.stage {
+        Stage::Sent(_) => return None,
+        Stage::Unplaced => (ResultCode::NoBrick, held.offer.load_ms.unwrap_or(BUSY_RETRY) + LOAD_OVERHEAD),
+        Stage::Queued(_) => (ResultCode::Overloaded, BUSY_RETRY),
+    };
+    let offer = &held.offer;
+    let whole = offer.deadline.saturating_sub(offer.arrived) as f64;
+    let remaining = offer.deadline.saturating_sub(now) as f64;
+    let honoured = (RETRY_AFTER_PART * remaining) as Millis;
+    if remaining < HOPELESS_PART * whole {
+        return Some((code, honoured));
+    }
+    let early = now >= offer.arrived + (REFUSE_AFTER * offer.objective as f64) as Millis;
+    let comes_back_in_time = ready_in <= honoured;
+    (early && comes_back_in_time).then_some((code, ready_in))
+}
+
+/// A number from 0 to 1 that looks random and differs by request and brick.
+fn unit_draw(id: RequestId, instance: &str) -> f64 {
+    let seed = id.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let mixed = instance
+        .bytes()
+        .fold(seed, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3));
+    ((mixed ^ (mixed >> 29)) >> 11) as f64 / (1u64 << 53) as f64
+}
--- /dev/null
+++ b/crates/router/src/dispatcher/affinity.rs
@@ -0,0 +1,58 @@
+//! Which parts of prompts bricks keep, as far as this head sent them there.
+
+use crate::Millis;
+use crate::bricks::Instance;
+use crate::prompt::{ModelName, PromptPart};
+use std::collections::HashMap;
+
+/// A part that was not sent for so long is taken to have given way.
+const KEPT_FOR: Millis = 60_000;
+/// Parts that are remembered at most; beyond, all older than a quarter of the time above go.
+const MOST_PARTS: usize = 20_000;
+/// How often old parts are looked for.
+const TIDY_EVERY: Millis = 5_000;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Key {
+    instance: Instance,
+    model: String,
+    part: u64,
+}
+
+/// The parts sent to each brick, with the time of the last send.
+#[derive(Clone, Debug, Default)]
+pub struct Affinity {
+    sent: HashMap<Key, Millis>,
+    tidied: Millis,
+}
+
+impl Affinity {
+    /// A prompt went to a brick. Its last part is its own or its session's.
+    pub fn note(&mut self, now: Millis, instance: &Instance, name: &ModelName, parts: &[PromptPart]) {
+        for part in parts {
+            self.sent.insert(key(instance, name, part), now);
+        }
+        if self.sent.len() > MOST_PARTS {
+            self.sent.retain(|_, at| now < *at + KEPT_FOR / 4);
+        }
+    }
+
+    /// Tokens at the start of a prompt that a brick should not have to read again.
+    pub fn kept_tokens(&self, instance: &Instance, name: &ModelName, parts: &[PromptPart]) -> u64 {
+        let kept = parts.iter().take_while(|part| self.sent.contains_key(&key(instance, name, part)));
+        kept.map(|part| part.tokens).sum()
+    }
+
+    /// Forgets what is old.
+    pub fn tidy(&mut self, now: Millis) {
+        if now >= self.tidied + TIDY_EVERY {
+            self.tidied = now;
+            self.sent.retain(|_, at| now < *at + KEPT_FOR);
+        }
+    }
+}
+
+fn key(instance: &Instance, name: &ModelName, part: &PromptPart) -> Key {
+    let model = format!("{}/{}", name.model, name.adapter);
+    Key { instance: instance.clone(), model, part: part.id }
+}
--- /dev/null
+++ b/crates/router/src/events.rs
@@ -0,0 +1,57 @@
+//! A stream's events (`text/event-stream`) as they pass, so that a stream that breaks can be taken up at its last whole
+//! event.
+
+/// Follows one stream. Only whole events are handed on.
+#[derive(Clone, Debug, Default)]
+pub struct EventTracker {
+    partial: Vec<u8>,
+    last_id: Option<String>,
+}
+
+/// Bytes of one event that are held at most; a longer one is passed on as it comes.
+const MOST_EVENT_BYTES: usize = 64 * 1024;
+
+impl EventTracker {
+    /// Bytes came from the brick: what may go to the client now.
+    pub fn pass(&mut self, bytes: &[u8]) -> Vec<u8> {
+        self.partial.extend_from_slice(bytes);
+        let whole = match end_of_last_event(&self.partial) {
+            Some(end) => end,
+            None if self.partial.len() > MOST_EVENT_BYTES => self.partial.len(),
+            None => return Vec::new(),
+        };
+        let rest = self.partial.split_off(whole);
+        let passed = std::mem::replace(&mut self.partial, rest);
+        if let Some(id) = last_id(&passed) {
+            self.last_id = Some(id);
+        }
+        passed
+    }
+
+    /// What is held when the stream ends in order.
+    pub fn finish(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.partial)
+    }
+
+    /// The stream broke: the part of an event that is held is dropped, for the next brick sends it whole.
+    pub fn broke(&mut self) {
+        self.partial.clear();
+    }
+
+    /// The id of the last event that was handed on.
+    pub fn last_id(&self) -> Option<&str> {
+        self.last_id.as_deref()
+    }
+}
+
+fn end_of_last_event(bytes: &[u8]) -> Option<usize> {
+    let bare = bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2);
+    let with_returns = bytes.windows(4).rposition(|four| four == b"\r\n\r\n").map(|at| at + 4);
+    bare.max(with_returns)
+}
+
+fn last_id(bytes: &[u8]) -> Option<String> {
+    let lines = bytes.split(|byte| *byte == b'\n').rev();
+    let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
+    Some(String::from_utf8_lossy(id).trim().to_owned())
+}
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,20 @@
+//! What an edge head decides, without I/O or clock.
+//!
+//! * [`bricks`]: the bricks that this head knows, merged from all cores, and what it learned of each.
+//! * [`dispatcher`]: which request goes to which brick next (the design's fair queueing).
+//! * [`prompt`]: what a request says of its model and prompt.
+//! * [`retry_budget`]: how many requests may be sent a second time.
+//! * [`usage`]: requests begun, by tenant and window.
+//! * [`wall_clock`]: the system's time of day from the cores' clocks.
+//! * [`events`]: a stream's events, so that it can be taken up at another brick.
+
+pub mod bricks;
+pub mod dispatcher;
+pub mod events;
+pub mod prompt;
+pub mod retry_budget;
+pub mod usage;
+pub mod wall_clock;
+
+/// Milliseconds of a steady clock that the caller supplies.
+pub type Millis = u64;
--- /dev/null
+++ b/crates/system/src/clock.rs
@@ -0,0 +1,26 @@
+//! The process's clocks.
+
+use std::sync::OnceLock;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Milliseconds of the steady clock since the process asked first, and one second, so that 0 is always past.
+pub fn now() -> u64 {
+    static START: OnceLock<Instant> = OnceLock::new();
+    START.get_or_init(Instant::now).elapsed().as_millis() as u64 + 1_000
+}
+
+/// This machine's time of day, milliseconds since the start of 1970.
+pub fn wall_clock() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
+}
+
+/// What is left until a time of the steady clock.
+pub fn until(time: u64) -> Duration {
+    Duration::from_millis(time.saturating_sub(now()))
+}
+
+/// A number that differs from start to start.
+pub fn entropy() -> u64 {
+    let clock = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_nanos() as u64);
+    fastrand::u64(..) ^ clock.wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
--- /dev/null
+++ b/crates/system/src/command/mod.rs
@@ -0,0 +1,64 @@
+//! The command line: the daemons by role, and what operators ask of a running system or of a file.
+
+use crate::settings::Settings;
+use anyhow::Result;
+use clap::{Parser, Subcommand};
+use std::path::PathBuf;
+
+mod operator;
+
+/// The system: edge heads, control heads, and operators' commands.
+#[derive(Debug, Parser)]
+#[command(name = "pathbank-system", version)]
+pub struct CommandLine {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Runs an edge head: takes clients' requests and passes them to bricks.
+    Edge,
+    /// Runs a control head: holds the configuration, tracks bricks, places models.
+    Core,
+    /// Checks the settings file and prints what is read from it.
+    Settings {
+        /// The file; the one of PATHBANK_CONFIG when left out.
+        path: Option<PathBuf>,
+    },
+    /// Shows who leads, who votes, bricks and edges.
+    Status(operator::Target),
+    /// Lists bricks with what they hold.
+    Bricks(operator::Target),
+    /// Reads, checks and changes the configuration.
+    #[command(subcommand)]
+    Config(operator::ConfigCommand),
+}
+
+/// Carries a command out.
+pub fn run(line: CommandLine) -> Result<()> {
+    match line.command {
+        Command::Edge => daemon(crate::edge::run),
+        Command::Core => daemon(crate::core::run),
+        Command::Settings { path } => {
+            let settings = Settings::load(&path.unwrap_or_else(Settings::path))?;
+            println!("{settings:#?}");
+            Ok(())
+        }
+        Command::Status(target) => operator::status(&target),
+        Command::Bricks(target) => operator::bricks(&target),
+        Command::Config(command) => operator::config(&command),
+    }
+}
+
+fn daemon<F: Future<Output = Result<()>>>(run: impl FnOnce(Settings) -> F) -> Result<()> {
+    let settings = Settings::load(&Settings::path())?;
+    start_log(&settings.log_level);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(run(settings))
+}
+
+fn start_log(level: &str) {
+    let level = level.parse().unwrap_or(tracing::Level::INFO);
+    tracing_subscriber::fmt().with_max_level(level).with_ansi(false).with_writer(std::io::stderr).init();
+}
--- /dev/null
+++ b/crates/system/src/command/operator.rs
@@ -0,0 +1,181 @@
+//! What operators ask of a running system over its control plane.
+
+use anyhow::{Context, Result, bail};
+use clap::{Args, Subcommand};
+use pathbank_control::configuration;
+use serde_json::Value;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_secs(5);
+/// Heads lead on to the leader so often at most.
+const MOST_REDIRECTS: usize = 3;
+
+/// Which system is asked.
+#[derive(Debug, Args)]
+pub struct Target {
+    /// The control plane of any head, `ip:port`.
+    #[arg(long)]
+    control: SocketAddr,
+}
+
+/// What is done with the configuration.
+#[derive(Debug, Subcommand)]
+pub enum ConfigCommand {
+    /// Prints the newest configuration.
+    Get(Target),
+    /// Checks a file as the system would, without a system.
+    Check {
+        /// The file with a whole configuration.
+        file: PathBuf,
+    },
+    /// Makes a file the configuration, in place of the newest one.
+    Apply {
+        #[command(flatten)]
+        target: Target,
+        /// The file with a whole configuration.
+        file: PathBuf,
+    },
+    /// Lists what a file changes, by section and name.
+    Diff {
+        #[command(flatten)]
+        target: Target,
+        /// The file with a whole configuration.
+        file: PathBuf,
+    },
+}
+
+struct Answer {
+    status: u16,
+    location: Option<String>,
+    body: String,
+}
+
+fn call(target: SocketAddr, method: &str, path: &str, base: Option<u64>, body: &str) -> Result<Answer> {
+    let mut address = target;
+    for _ in 0..=MOST_REDIRECTS {
+        let answer = call_one(address, method, path, base, body)?;
+        let Some(location) = answer.location.as_deref().filter(|_| answer.status == 307) else {
+            return Ok(answer);
+        };
+        let host = location.trim_start_matches("http://").split('/').next().unwrap_or_default();
+        address = host.parse().with_context(|| format!("led on to {location}"))?;
+    }
+    bail!("led on more than {MOST_REDIRECTS} times")
+}
+
+fn call_one(address: SocketAddr, method: &str, path: &str, base: Option<u64>, body: &str) -> Result<Answer> {
+    let mut stream = TcpStream::connect_timeout(&address, PATIENCE).with_context(|| address.to_string())?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    let base = base.map(|base| format!("X-Pathbank-Base-Version: {base}\r\n")).unwrap_or_default();
+    write!(
+        stream,
+        "{method} {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n{base}\
+         Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text)?;
+    let (head, body) = text.split_once("\r\n\r\n").context("no answer")?;
+    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok()).context("no status")?;
+    let mut lines = head.lines();
+    let location =
+        lines.find_map(|line| line.to_ascii_lowercase().strip_prefix("location: ").map(str::to_owned));
+    Ok(Answer { status, location, body: body.to_owned() })
+}
+
+fn fetch(target: &Target, path: &str) -> Result<Value> {
+    let answer = call(target.control, "GET", path, None, "")?;
+    if answer.status != 200 {
+        bail!("{path}: status {}: {}", answer.status, answer.body.trim());
+    }
+    serde_json::from_str(&answer.body).with_context(|| format!("{path}: no JSON"))
+}
+
+fn text<'a>(value: &'a Value, key: &str) -> &'a str {
+    value.get(key).and_then(Value::as_str).unwrap_or("-")
+}
+
+/// Prints who leads and votes, and how many bricks and edges there are.
+pub fn status(target: &Target) -> Result<()> {
+    let status = fetch(target, "/api/status")?;
+    println!("{}", serde_json::to_string_pretty(&status)?);
+    Ok(())
+}
+
+/// Prints a line for each brick.
+pub fn bricks(target: &Target) -> Result<()> {
+    let status = fetch(target, "/api/bricks")?;
+    for brick in status.as_array().into_iter().flatten() {
+        let models = brick.get("models").map(Value::to_string).unwrap_or_default();
+        println!(
+            "{}\t{}\t{}\t{}\t{}\t{models}",
+            text(brick, "instance"),
+            text(brick, "backend"),
+            text(brick, "zone"),
+            text(brick, "address"),
+            text(brick, "state"),
+        );
+    }
+    Ok(())
+}
+
+fn read_file(file: &Path) -> Result<Value> {
+    let bytes = std::fs::read(file).with_context(|| file.display().to_string())?;
+    let document = configuration::parse_document(&bytes)?;
+    configuration::check(&configuration::read(&document)?)?;
+    Ok(document)
+}
+
+/// Carries out what is done with the configuration.
+pub fn config(command: &ConfigCommand) -> Result<()> {
+    match command {
+        ConfigCommand::Get(target) => {
+            println!("{}", serde_json::to_string_pretty(&fetch(target, "/api/config/read")?)?);
+        }
+        ConfigCommand::Check { file } => {
+            let document = read_file(file)?;
+            println!("ok: version {}", document.get("version").unwrap_or(&Value::Null));
+        }
+        ConfigCommand::Apply { target, file } => {
+            let document = read_file(file)?;
+            let base =
+                fetch(target, "/api/config/read").ok().and_then(|newest| newest.get("version")?.as_u64());
+            let body = document.to_string();
+            let answer = call(target.control, "POST", "/api/config/replace", Some(base.unwrap_or(0)), &body)?;
+            if answer.status != 200 {
+                bail!("not taken: status {}: {}", answer.status, answer.body.trim());
+            }
+            println!("taken");
+        }
+        ConfigCommand::Diff { target, file } => {
+            diff(&fetch(target, "/api/config/read")?, &read_file(file)?);
+        }
+    }
+    Ok(())
+}
+
+fn diff(newest: &Value, file: &Value) {
+    for section in ["routes", "backends", "tenants"] {
+        let items =
+            |document: &Value| document.get(section).and_then(Value::as_array).cloned().unwrap_or_default();
+        let (before, after) = (items(newest), items(file));
+        let named =
+            |items: &[Value], name: &str| items.iter().find(|item| text(item, "name") == name).cloned();
+        for item in &after {
+            match named(&before, text(item, "name")) {
+                None => println!("+ {section} {}", text(item, "name")),
+                Some(known) if known != *item => println!("~ {section} {}", text(item, "name")),
+                Some(_) => {}
+            }
+        }
+        for item in before.iter().filter(|item| named(&after, text(item, "name")).is_none()) {
+            println!("- {section} {}", text(item, "name"));
+        }
+    }
+    if newest.get("limits") != file.get("limits") {
+        println!("~ limits");
+    }
+}
--- /dev/null
+++ b/crates/system/src/core/brick_json.rs
@@ -0,0 +1,108 @@
+//! What bricks say of themselves, as JSON: heartbeats and reports.
+
+use pathbank_protocol::message::{Brick, BrickState, LoadedModel};
+use serde::{Deserialize, Serialize};
+
+/// A model as bricks name it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ModelJson {
+    name: String,
+    #[serde(default)]
+    version: u64,
+    #[serde(default)]
+    adapters: Vec<String>,
+}
+
+impl From<ModelJson> for LoadedModel {
+    fn from(json: ModelJson) -> LoadedModel {
+        LoadedModel { name: json.name, version: json.version, adapters: json.adapters }
+    }
+}
+
+/// The body of a heartbeat.
+#[derive(Clone, Debug, Deserialize)]
+pub struct HeartbeatJson {
+    backend: String,
+    address: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    version: String,
+    #[serde(default)]
+    capacity: u32,
+    state: String,
+    #[serde(default)]
+    cold_remaining_ms: f64,
+    #[serde(default)]
+    remaining_ms: Option<f64>,
+    #[serde(default)]
+    models: Vec<ModelJson>,
+    #[serde(default)]
+    sequence: u64,
+}
+
+impl HeartbeatJson {
+    /// The brick of that incarnation.
+    pub fn into_brick(self, instance: String) -> Brick {
+        Brick {
+            instance,
+            backend: self.backend,
+            address: self.address,
+            zone: self.zone,
+            version: self.version,
+            capacity: self.capacity,
+            state: if self.state == "ready" { BrickState::Ready } else { BrickState::Draining },
+            cold_remaining_ms: self.cold_remaining_ms.max(0.0) as u64,
+            remaining_ms: self.remaining_ms.unwrap_or(0.0).max(0.0) as u64,
+            models: self.models.into_iter().map(LoadedModel::from).collect(),
+            sequence: self.sequence,
+            busy: false,
+        }
+    }
+}
+
+/// The answer of `GET /api/report`.
+#[derive(Clone, Debug, Deserialize)]
+pub struct ReportJson {
+    /// What the brick holds.
+    #[serde(default)]
+    pub models: Vec<ModelJson>,
+    /// An order is in progress.
+    #[serde(default)]
+    pub busy: bool,
+}
+
+/// A brick as operators see it.
+#[derive(Clone, Debug, Serialize)]
+pub struct BrickView {
+    instance: String,
+    backend: String,
+    address: String,
+    zone: String,
+    state: &'static str,
+    capacity: u32,
+    models: Vec<ModelJson>,
+}
+
+impl From<Brick> for BrickView {
+    fn from(brick: Brick) -> BrickView {
+        let model = |model: LoadedModel| ModelJson {
+            name: model.name,
+            version: model.version,
+            adapters: model.adapters,
+        };
+        BrickView {
+            instance: brick.instance,
+            backend: brick.backend,
+            address: brick.address,
+            zone: brick.zone,
+            state: match brick.state {
+                BrickState::Ready => "ready",
+                BrickState::Draining => "draining",
+                BrickState::Gone => "gone",
+            },
+            capacity: brick.capacity,
+            models: brick.models.into_iter().map(model).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/system/src/core/disk.rs
@@ -0,0 +1,163 @@
+//! The replica's disk, on a thread of its own: the node never waits for a sync.
+
+use super::node::Event;
+use crate::clock;
+use crate::settings::Settings;
+use anyhow::{Context, Result};
+use pathbank_coordination::record::{Durable, Record};
+use pathbank_coordination::store::LogFile;
+use pathbank_coordination::types::{Index, Member, Membership, StoreId};
+use std::net::SocketAddr;
+use std::sync::mpsc;
+use std::time::Duration;
+use tokio::sync::mpsc::UnboundedSender;
+
+/// A write that was refused is tried again after this.
+const RETRY_AFTER: Duration = Duration::from_millis(100);
+
+enum Job {
+    Append { records: Vec<Record>, ticket: u64, last_index: Index },
+    Rewrite { durable: Box<Durable>, ticket: u64 },
+}
+
+/// The replica's disk.
+pub struct Disk {
+    jobs: mpsc::Sender<Job>,
+    next_ticket: u64,
+    /// What the disk held at the start.
+    pub durable: Durable,
+    /// This replica.
+    pub me: Member,
+}
+
+/// What the disk reports.
+#[derive(Clone, Copy, Debug)]
+pub enum DiskEvent {
+    /// All up to a ticket is on disk; the log's last entry of it, if it had any.
+    Saved {
+        /// The ticket.
+        ticket: u64,
+        /// The last entry at the time of the ticket.
+        last_index: Option<Index>,
+    },
+    /// Writes are refused, or work again.
+    Impaired(bool),
+}
+
+impl Disk {
+    /// Opens the log of the data directory, or begins one.
+    pub fn open(settings: &Settings, control: SocketAddr, events: UnboundedSender<Event>) -> Result<Disk> {
+        let folder = settings.data_dir.clone().context("data_dir is missing")?;
+        let (mut log, mut durable) = LogFile::open(&folder).with_context(|| folder.display().to_string())?;
+        if durable.id.is_none() {
+            let identity = first_identity(settings, control);
+            log.append(std::slice::from_ref(&identity)).context("the first record cannot be saved")?;
+            durable.apply(identity);
+        }
+        let me = Member {
+            id: durable.id.unwrap_or(StoreId(0)),
+            name: settings.node_name.clone(),
+            address: settings.own_internal_address().to_string(),
+            control_address: control.to_string(),
+        };
+        let (jobs, queue) = mpsc::channel();
+        std::thread::Builder::new().name("disk".into()).spawn(move || work(log, &queue, &events))?;
+        Ok(Disk { jobs, next_ticket: 1, durable, me })
+    }
+
+    /// Saves records behind all that was handed over before. Returns the ticket under which they will be reported.
+    pub fn append(&mut self, records: Vec<Record>, last_index: Index) -> u64 {
+        let ticket = self.take_ticket();
+        let _ = self.jobs.send(Job::Append { records, ticket, last_index });
+        ticket
+    }
+
+    /// Replaces the file by the whole state, which holds all that was handed over before.
+    pub fn rewrite(&mut self, durable: Durable) -> u64 {
+        let ticket = self.take_ticket();
+        let _ = self.jobs.send(Job::Rewrite { durable: Box::new(durable), ticket });
+        ticket
+    }
+
+    fn take_ticket(&mut self) -> u64 {
+        self.next_ticket += 1;
+        self.next_ticket
+    }
+}
+
+/// Whose store an empty disk becomes. At the very first start of the system the seeds are its voters, and each knows its
+/// number among them; any other store gets a number of its own, and joins.
+fn first_identity(settings: &Settings, control: SocketAddr) -> Record {
+    let is_founder = settings.bootstrap && settings.seeds.contains(&control);
+    if !is_founder {
+        return Record::Identity { id: StoreId(clock::entropy() | 1), initial: Membership::default() };
+    }
+    let founder = |seed: &SocketAddr| Member {
+        id: founder_id(seed),
+        name: seed.to_string(),
+        address: settings.internal_address(*seed).to_string(),
+        control_address: seed.to_string(),
+    };
+    let voters = settings.seeds.iter().map(founder).collect();
+    Record::Identity { id: founder_id(&control), initial: Membership::of(voters) }
+}
+
+/// The same number at every founder: even, where later stores have odd ones.
+fn founder_id(seed: &SocketAddr) -> StoreId {
+    let text = seed.to_string();
+    let hash = text.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    });
+    StoreId(hash & !1)
+}
+
+fn work(mut log: LogFile, queue: &mpsc::Receiver<Job>, events: &UnboundedSender<Event>) {
+    while let Ok(first) = queue.recv() {
+        let mut jobs = vec![first];
+        jobs.extend(queue.try_iter());
+        carry_out_all(&mut log, jobs, events);
+    }
+}
+
+/// Appends in a row share one sync.
+fn carry_out_all(log: &mut LogFile, jobs: Vec<Job>, events: &UnboundedSender<Event>) {
+    let mut batch: Vec<Record> = Vec::new();
+    let mut saved = None;
+    for job in jobs {
+        match job {
+            Job::Append { records, ticket, last_index } => {
+                batch.extend(records);
+                saved = Some(DiskEvent::Saved { ticket, last_index: Some(last_index) });
+            }
+            Job::Rewrite { durable, ticket } => {
+                // The whole state holds the batch as well.
+                batch.clear();
+                until_done(events, || log.rewrite(&durable));
+                let last_index = Some(durable.last_index());
+                saved = Some(DiskEvent::Saved { ticket, last_index });
+            }
+        }
+    }
+    if !batch.is_empty() {
+        until_done(events, || log.append(&batch));
+    }
+    if let Some(saved) = saved {
+        let _ = events.send(Event::Disk(saved));
+    }
+}
+
+fn until_done(events: &UnboundedSender<Event>, mut write: impl FnMut() -> std::io::Result<()>) {
+    let mut failed = false;
+    while let Err(error) = write() {
+        if !failed {
+            tracing::error!(%error, "the disk refuses writes");
+            let _ = events.send(Event::Disk(DiskEvent::Impaired(true)));
+        }
+        failed = true;
+        std::thread::sleep(RETRY_AFTER);
+    }
+    if failed {
+        tracing::info!("the disk takes writes again");
+        let _ = events.send(Event::Disk(DiskEvent::Impaired(false)));
+    }
+}
--- /dev/null
+++ b/crates/system/src/core/mod.rs
@@ -0,0 +1,74 @@
+//! A control head: a replica of the configuration, the list of bricks, and, while it leads, placement and duties.
+
+mod api;
+mod brick_json;
+mod disk;
+mod duties;
+mod node;
+mod orders;
+mod peers;
+
+use crate::clock;
+use crate::net::server::{self, ConnectionCount, Limits};
+use crate::net::socket;
+use crate::settings::Settings;
+use crate::signals::Signals;
+use anyhow::{Context, Result};
+use node::{Event, Node};
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+
+/// How often the node looks at time.
+const TICK: Duration = Duration::from_millis(25);
+const MOST_HEAD_BYTES: usize = 64 * 1024;
+const IDLE_WITHIN: Duration = Duration::from_secs(30);
+/// Part of the descriptors that calls to the control plane may take.
+const CALLER_DESCRIPTORS: f64 = 0.6;
+
+/// Runs a control head until it is told to stop.
+pub async fn run(settings: Settings) -> Result<()> {
+    let mut signals = Signals::new()?;
+    let control = settings.control_plane.context("listeners_map.control_plane is missing")?;
+    let internal = settings.own_internal_address();
+    let listener = socket::listen(control).with_context(|| format!("control plane {control}"))?;
+    let internal_listener = socket::listen(internal).with_context(|| format!("internal {internal}"))?;
+    let (events, mut inbox) = mpsc::unbounded_channel();
+    let disk = disk::Disk::open(&settings, control, events.clone())?;
+    let mut node = Node::new(settings.clone(), disk, events.clone());
+    let (close, closing) = watch::channel(false);
+    let limits = Limits {
+        head_bytes: MOST_HEAD_BYTES,
+        head_within: IDLE_WITHIN,
+        connections: (settings.max_descriptors as f64 * CALLER_DESCRIPTORS) as usize,
+    };
+    let service = api::service(events.clone());
+    let serving = tokio::spawn(server::serve(
+        listener,
+        move |_| service.clone(),
+        limits,
+        closing,
+        ConnectionCount::default(),
+    ));
+    tokio::spawn(peers::accept(internal_listener, events.clone()));
+    tracing::info!(node = settings.node_name, %control, "control head started");
+    let mut next_tick = tokio::time::Instant::now();
+    loop {
+        tokio::select! {
+            Some(event) = inbox.recv() => node.on_event(clock::now(), event),
+            () = tokio::time::sleep_until(next_tick) => {
+                next_tick = tokio::time::Instant::now() + TICK;
+                node.on_event(clock::now(), Event::Tick);
+            }
+            signal = signals.next() => {
+                if node.on_signal(clock::now(), signal) {
+                    break;
+                }
+            }
+        }
+    }
+    let _ = close.send(true);
+    // What the node said last leaves before the process does.
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    serving.abort();
+    Ok(())
+}
--- /dev/null
+++ b/crates/system/src/core/node.rs
@@ -0,0 +1,367 @@
+//! The one owner of a control head's state: every event comes here, one after the other.
+
+mod leadership;
+mod replication;
+
+use super::brick_json::BrickView;
+use super::disk::{Disk, DiskEvent};
+use super::orders::OrderEnd;
+use super::peers::LinkId;
+use crate::clock;
+use crate::net::client::ConnectionPool;
+use crate::net::link::Link;
+use crate::net::mesh::{Mesh, MeshEvent};
+use crate::settings::Settings;
+use crate::signals::Request;
+use leadership::Leadership;
+use pathbank_control::demand::DemandTable;
+use pathbank_control::directory::Directory;
+use pathbank_control::result_code::ResultCode;
+use pathbank_control::state::{Change, ControlState};
+use pathbank_control::usage::UsageLedger;
+use pathbank_coordination::fencing::Fence;
+use pathbank_coordination::replica::{Replica, Timing};
+use pathbank_coordination::types::Member;
+use pathbank_protocol::codec;
+use pathbank_protocol::message::{
+    Brick, BrickUpdate, ConfigurationUpdate, CoreStatus, Frame, Hello, ProcessRole,
+};
+use pathbank_router::wall_clock::WallClock;
+use replication::Replication;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
+
+/// How often a core tells others about itself, milliseconds.
+const STATUS_EVERY: u64 = 500;
+/// How often the settings file is looked at, milliseconds.
+const SETTINGS_EVERY: u64 = 2_000;
+/// How often bricks that fell silent are looked for, milliseconds.
+const EXPIRE_EVERY: u64 = 250;
+
+/// What a call to the control plane gets.
+#[derive(Debug)]
+pub enum Reply {
+    /// A JSON body.
+    Json(Vec<u8>),
+    /// A numbered result and its reason.
+    Result(ResultCode, String),
+    /// Another head leads, with its control plane at this address.
+    LeaderAt(String),
+}
+
+/// Whatever happens to a control head.
+#[derive(Debug)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// A brick's heartbeat.
+    Heartbeat(Brick),
+    /// A brick ends.
+    Deregister(String),
+    /// An operator's change.
+    Change(Change, oneshot::Sender<Reply>),
+    /// An operator asks for the configuration.
+    ReadConfiguration(oneshot::Sender<Reply>),
+    /// An operator asks for the bricks.
+    ReadBricks(oneshot::Sender<Reply>),
+    /// An operator asks how things stand.
+    ReadStatus(oneshot::Sender<Reply>),
+    /// The disk reports.
+    Disk(DiskEvent),
+    /// Another process opened a link to this one.
+    LinkOpened(LinkId, Hello, Link),
+    /// Something came on it.
+    LinkSaid(LinkId, Frame),
+    /// It ended.
+    LinkClosed(LinkId),
+    /// This process's own links to other cores.
+    Mesh(MeshEvent),
+    /// An order to a brick has ended.
+    OrderEnded(Box<OrderEnd>),
+    /// A window's usage was reported, or could not be.
+    UsageReported(u64, bool),
+}
+
+struct Peer {
+    hello: Hello,
+    link: Link,
+}
+
+/// Times at which regular work is due.
+#[derive(Default)]
+struct Due {
+    status: u64,
+    settings: u64,
+    expire: u64,
+}
+
+/// A control head.
+pub struct Node {
+    settings: Settings,
+    life: u64,
+    events: UnboundedSender<Event>,
+    replication: Replication,
+    state: ControlState,
+    directory: Directory,
+    demand: DemandTable,
+    usage: UsageLedger,
+    wall_clock: WallClock,
+    peers: BTreeMap<LinkId, Peer>,
+    mesh: Mesh,
+    pool: ConnectionPool,
+    leadership: Leadership,
+    due: Due,
+}
+
+impl Node {
+    /// A control head on what its disk held.
+    pub fn new(settings: Settings, disk: Disk, events: UnboundedSender<Event>) -> Node {
+        let life = clock::entropy();
+        let hello = Hello {
+            role: ProcessRole::Core,
+            name: settings.node_name.clone(),
+            zone: settings.zone.clone(),
+            life,
+        };
+        let mesh_events = events.clone();
+        let mesh = Mesh::new(hello, move |event| drop(mesh_events.send(Event::Mesh(event))));
+        let now = clock::now();
+        let snapshot = disk.durable.snapshot.clone();
+        let state = ControlState::decode(&snapshot.data).unwrap_or_default();
+        let mut fence = Fence::default();
+        fence.restore(snapshot.leaders);
+        let replica = Replica::new(disk.me.clone(), Timing::default(), disk.durable.clone(), now, life);
+        let mut node = Node {
+            directory: Directory::new(settings.heartbeat_ms),
+            leadership: Leadership::new(fence),
+            replication: Replication::new(replica, disk),
+            settings,
+            life,
+            events,
+            state,
+            demand: DemandTable::default(),
+            usage: UsageLedger::default(),
+            wall_clock: WallClock::default(),
+            peers: BTreeMap::new(),
+            mesh,
+            pool: ConnectionPool::default(),
+            due: Due::default(),
+        };
+        node.open_links();
+        node
+    }
+
+    /// The one function that takes events.
+    pub fn on_event(&mut self, now: u64, event: Event) {
+        match event {
+            Event::Tick => self.on_tick(now),
+            Event::Heartbeat(brick) => self.on_heartbeat(now, brick, true),
+            Event::Deregister(instance) => {
+                if let Some(brick) = self.directory.deregister(now, &instance) {
+                    self.tell_edges_of_bricks(vec![brick.clone()]);
+                    self.mesh.send_to_all(&Frame::Heartbeats(vec![brick]));
+                }
+            }
+            Event::Change(change, reply) => self.on_change(now, change, reply),
+            Event::ReadConfiguration(reply) => self.on_read_configuration(now, reply),
+            Event::ReadBricks(reply) => {
+                let bricks: Vec<BrickView> = self.directory.bricks().map(BrickView::from).collect();
+                let _ = reply.send(Reply::Json(serde_json::to_vec(&bricks).unwrap_or_default()));
+            }
+            Event::ReadStatus(reply) => {
+                let _ = reply.send(Reply::Json(self.status().to_string().into_bytes()));
+            }
+            Event::Disk(event) => self.on_disk(now, event),
+            Event::LinkOpened(id, hello, link) => self.on_link(id, hello, link),
+            Event::LinkSaid(id, frame) => self.on_frame(now, id, frame),
+            Event::LinkClosed(id) => drop(self.peers.remove(&id)),
+            Event::Mesh(MeshEvent::Opened(address)) => self.on_core_reached(address),
+            Event::Mesh(_) => {}
+            Event::OrderEnded(end) => self.on_order_ended(*end),
+            Event::UsageReported(window, taken) => self.leadership.usage_reported(window, taken),
+        }
+    }
+
+    /// A signal came. Returns whether the process is to end.
+    pub fn on_signal(&mut self, now: u64, signal: Request) -> bool {
+        match signal {
+            Request::Reload => self.reload(),
+            Request::Stop => {
+                let effects = self.replication.replica.hand_over(now);
+                self.carry_out(now, effects);
+            }
+        }
+        signal == Request::Stop
+    }
+
+    fn on_tick(&mut self, now: u64) {
+        let effects = self.replication.replica.tick(now);
+        self.carry_out(now, effects);
+        self.watch_disk(now);
+        self.regroup(now);
+        self.lead(now);
+        if now >= self.due.status {
+            self.due.status = now + STATUS_EVERY;
+            self.tell_status();
+            self.ask_to_join(now);
+        }
+        if now >= self.due.expire {
+            self.due.expire = now + EXPIRE_EVERY;
+            let gone = self.directory.expire(now);
+            self.tell_edges_of_bricks(gone);
+            self.demand.tidy(now);
+            self.pool.tidy();
+        }
+        if now >= self.due.settings {
+            self.due.settings = now + SETTINGS_EVERY;
+            self.reload();
+        }
+    }
+
+    fn reload(&mut self) {
+        match Settings::load(&Settings::path()) {
+            Ok(settings) => self.settings.seeds = settings.seeds,
+            Err(error) => tracing::warn!(%error, "settings file not taken over"),
+        }
+        self.open_links();
+    }
+
+    // ---- links ----
+
+    /// Links to all voters, to the seeds, and to stores that take part.
+    fn open_links(&mut self) {
+        let own = self.settings.own_internal_address();
+        let members = self.replication.replica.membership().members().map(|member| &member.address);
+        let learners = self.replication.replica.others().map(|(member, ..)| &member.address);
+        let mut addresses: Vec<SocketAddr> =
+            members.chain(learners).filter_map(|address| address.parse().ok()).collect();
+        addresses
+            .extend(self.replication.callers.iter().filter_map(|address| address.parse::<SocketAddr>().ok()));
+        addresses.extend(self.settings.seeds.iter().map(|seed| self.settings.internal_address(*seed)));
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses.retain(|address| *address != own);
+        self.mesh.want(&addresses);
+    }
+
+    fn on_link(&mut self, id: LinkId, hello: Hello, link: Link) {
+        if hello.role == ProcessRole::Edge {
+            if let Some(update) = self.configuration_update() {
+                link.send(&Frame::Configuration(update));
+            }
+            link.send(&Frame::Core(self.core_status()));
+            let bricks = self.directory.bricks().collect();
+            link.send(&Frame::Bricks(BrickUpdate { complete: true, bricks }));
+        }
+        self.peers.insert(id, Peer { hello, link });
+    }
+
+    /// Another core is reached: it gets all bricks that this one knows.
+    fn on_core_reached(&mut self, address: SocketAddr) {
+        let bricks: Vec<Brick> = self.directory.bricks().collect();
+        if !bricks.is_empty() {
+            self.mesh.send(address, &Frame::Heartbeats(bricks));
+        }
+        self.mesh.send(address, &Frame::Core(self.core_status()));
+    }
+
+    fn on_frame(&mut self, now: u64, id: LinkId, frame: Frame) {
+        match frame {
+            Frame::Replica(from, message) => self.on_replica_message(now, from, message),
+            Frame::Heartbeats(bricks) => {
+                bricks.into_iter().for_each(|brick| self.on_heartbeat(now, brick, false));
+            }
+            Frame::Report(report) => {
+                self.usage.note(&report.edge, report.life, &report.usage, self.state.last_sealed());
+                self.demand.note(now, &report);
+                self.place(now);
+            }
+            Frame::Core(status) => {
+                if let Some(peer) = self.peers.get(&id) {
+                    self.wall_clock.note(now, &peer.hello.name, status.wall_clock_ms);
+                }
+            }
+            Frame::Hello(_)
+            | Frame::Configuration(_)
+            | Frame::Bricks(_)
+            | Frame::Ping(_)
+            | Frame::RelayedReport(_) => {}
+        }
+    }
+
+    fn edges(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(|peer| peer.hello.role == ProcessRole::Edge && !peer.link.is_closed())
+    }
+
+    fn tell_edges(&self, frame: &Frame) {
+        let bytes = codec::encode(frame);
+        for edge in self.edges() {
+            edge.link.send_encoded(bytes.clone());
+        }
+    }
+
+    fn tell_edges_of_bricks(&self, bricks: Vec<Brick>) {
+        if !bricks.is_empty() {
+            self.tell_edges(&Frame::Bricks(BrickUpdate { complete: false, bricks }));
+        }
+    }
+
+    fn core_status(&self) -> CoreStatus {
+        let replica = &self.replication.replica;
+        CoreStatus {
+            members: replica.membership().members().cloned().collect(),
+            leader: replica.leader().map(|leader| leader.address.clone()).unwrap_or_default(),
+            edges: self.edges().count() as u32,
+            wall_clock_ms: clock::wall_clock(),
+        }
+    }
+
+    fn tell_status(&mut self) {
+        self.wall_clock.note(clock::now(), &self.settings.node_name, clock::wall_clock());
+        let frame = Frame::Core(self.core_status());
+        self.tell_edges(&frame);
+        self.mesh.send_to_all(&frame);
+        self.open_links();
+    }
+
+    fn status(&self) -> serde_json::Value {
+        let replica = &self.replication.replica;
+        let voters = replica.membership().members().map(|member: &Member| {
+            serde_json::json!({ "store": format!("{:016x}", member.id.0), "control": member.control_address })
+        });
+        let edges = self.edges().map(|edge| edge.hello.name.clone());
+        serde_json::json!({
+            "node": self.settings.node_name,
+            "life": format!("{:016x}", self.life),
+            "role": format!("{:?}", replica.role()),
+            "term": replica.term(),
+            "leader": replica.leader().map(|leader| leader.control_address.clone()),
+            "commit": replica.commit(),
+            "configuration_version": self.state.version(),
+            "voters": voters.collect::<Vec<_>>(),
+            "edges": edges.collect::<Vec<_>>(),
+            "bricks": self.directory.ready().count(),
+        })
+    }
+
+    // ---- bricks ----
+
+    fn on_heartbeat(&mut self, now: u64, brick: Brick, own: bool) {
+        let instance = brick.instance.clone();
+        let heard = self.directory.heard(now, brick);
+        let Some(brick) = self.directory.brick(&instance) else { return };
+        if heard.relay && own {
+            self.mesh.send_to_all(&Frame::Heartbeats(vec![brick.clone()]));
+        }
+        if heard.changed {
+            self.tell_edges_of_bricks(vec![brick]);
+        }
+    }
+
+    fn configuration_update(&self) -> Option<ConfigurationUpdate> {
+        let (document, index) = self.state.document()?;
+        Some(ConfigurationUpdate { index, document: document.to_string().into_bytes() })
+    }
+}
--- /dev/null
+++ b/crates/system/src/core/node/leadership.rs
@@ -0,0 +1,176 @@
+//! What only the leader does: orders to bricks and calls to the platform, each within its lease.
+
+use super::{Event, Node};
+use crate::core::duties;
+use crate::core::orders::{self, Authority, OrderEnd};
+use pathbank_control::configuration::{self, Configuration};
+use pathbank_control::placement::{Operation, Order, Placer};
+use pathbank_control::state::Command;
+use pathbank_coordination::fencing::{Fence, Permit};
+use pathbank_coordination::types::Term;
+use pathbank_protocol::message::{Brick, LoadedModel};
+use std::collections::BTreeSet;
+
+/// How often placement is looked at without news, milliseconds.
+const PLACE_EVERY: u64 = 500;
+/// How often usage is looked at, milliseconds.
+const USAGE_EVERY: u64 = 200;
+/// Calls are not begun so shortly before the lease ends, milliseconds.
+const LEASE_MARGIN: u64 = 100;
+
+/// The state that one leadership needs.
+pub struct Leadership {
+    pub fence: Fence,
+    placer: Placer,
+    /// The term that `placer` and `reported` belong to.
+    term: Term,
+    /// The configuration as placement needs it, and the entry that brought it.
+    configuration: Option<(u64, Configuration)>,
+    /// Windows that are reported, or being reported.
+    reported: BTreeSet<u64>,
+    /// The window whose sealing was proposed last.
+    sealing: u64,
+    place_at: u64,
+    usage_at: u64,
+}
+
+impl Leadership {
+    pub fn new(fence: Fence) -> Leadership {
+        Leadership {
+            fence,
+            placer: Placer::new(),
+            term: 0,
+            configuration: None,
+            reported: BTreeSet::new(),
+            sealing: 0,
+            place_at: 0,
+            usage_at: 0,
+        }
+    }
+
+    /// A window's usage was taken by the platform, or has to be reported again.
+    pub fn usage_reported(&mut self, window: u64, taken: bool) {
+        if !taken {
+            self.reported.remove(&window);
+        }
+    }
+
+    /// A new term begins without what the one before knew.
+    fn enter_term(&mut self, term: Term) {
+        if self.term != term {
+            (self.term, self.sealing) = (term, 0);
+            self.placer = Placer::new();
+            self.reported.clear();
+        }
+    }
+}
+
+impl Node {
+    /// The right to act now, if this head has it.
+    fn permit(&mut self, now: u64) -> Option<Permit> {
+        let replica = &self.replication.replica;
+        if !replica.is_settled_leader() {
+            return None;
+        }
+        let (term, lease) = (replica.term(), replica.lease_until().saturating_sub(LEASE_MARGIN));
+        let turn_wait = self.settings.bounds.lease_ms;
+        let permit = self.leadership.fence.permit(&self.settings.node_name, term, lease, turn_wait, now)?;
+        self.leadership.enter_term(term);
+        Some(permit)
+    }
+
+    fn authority(&self, permit: Permit) -> Authority {
+        Authority {
+            lease_holder: self.settings.node_name.clone(),
+            fencing_token: permit.fencing_token,
+            until: permit.until,
+        }
+    }
+
+    pub(super) fn lead(&mut self, now: u64) {
+        if now >= self.leadership.place_at {
+            self.leadership.place_at = now + PLACE_EVERY;
+            self.place(now);
+        }
+        if now >= self.leadership.usage_at {
+            self.leadership.usage_at = now + USAGE_EVERY;
+            self.report_usage(now);
+        }
+    }
+
+    // ---- placement ----
+
+    pub(super) fn place(&mut self, now: u64) {
+        let Some(permit) = self.permit(now) else { return };
+        self.read_configuration();
+        let Some((_, configuration)) = &self.leadership.configuration else { return };
+        let bricks: Vec<Brick> = self.directory.ready().collect();
+        let orders = self.leadership.placer.plan(now, configuration, &bricks, &self.demand);
+        let authority = self.authority(permit);
+        for order in orders {
+            self.give(order, authority.clone());
+        }
+    }
+
+    fn read_configuration(&mut self) {
+        let Some((document, index)) = self.state.document() else { return };
+        if self.leadership.configuration.as_ref().is_none_or(|(known, _)| *known != index) {
+            self.leadership.configuration = configuration::read(document).ok().map(|read| (index, read));
+        }
+    }
+
+    fn give(&mut self, order: Order, authority: Authority) {
+        if order.operation == Operation::Unload {
+            let told = self.directory.withhold(&order.instance, &order.model, &order.adapter);
+            self.tell_edges_of_bricks(told.into_iter().collect());
+        }
+        let (pool, events) = (self.pool.clone(), self.events.clone());
+        tokio::spawn(async move {
+            let end = orders::carry_out(pool, order, authority).await;
+            let _ = events.send(Event::OrderEnded(Box::new(end)));
+        });
+    }
+
+    pub(super) fn on_order_ended(&mut self, end: OrderEnd) {
+        let OrderEnd { order, report } = end;
+        self.leadership.placer.finished(&order.instance);
+        self.directory.release(&order.instance);
+        let told = match report {
+            Some(report) => {
+                let models = report.models.into_iter().map(LoadedModel::from).collect();
+                self.directory.reported(&order.instance, models, report.busy)
+            }
+            None => self.directory.brick(&order.instance),
+        };
+        self.tell_edges_of_bricks(told.into_iter().collect());
+        self.leadership.place_at = 0;
+    }
+
+    // ---- usage ----
+
+    fn report_usage(&mut self, now: u64) {
+        let has_duty = self.settings.cloud_api.duties.iter().any(|duty| duty == "usage_reporting");
+        let Some(platform) = self.settings.cloud_api.address.filter(|_| has_duty) else { return };
+        let Some(permit) = self.permit(now) else { return };
+        let wall_clock = self.wall_clock.now(now, crate::clock::wall_clock());
+        let window_ms = self.settings.bounds.report_window_ms;
+        let due =
+            self.usage.due(wall_clock, window_ms, self.state.last_sealed().max(self.leadership.sealing));
+        if let Some((window, counts)) = due {
+            // Sealed before it is told: whoever reports it, now or after a change of leaders, reports the same.
+            self.leadership.sealing = window;
+            self.propose(now, &Command::SealUsage { window, counts });
+        }
+        let newest = self.state.sealed().iter().rev().take(2);
+        let open: Vec<_> = newest.filter(|(window, _)| !self.leadership.reported.contains(*window)).collect();
+        let open: Vec<_> = open.into_iter().map(|(window, counts)| (*window, counts.clone())).collect();
+        for (window, counts) in open {
+            self.leadership.reported.insert(window);
+            let (pool, events, authority) = (self.pool.clone(), self.events.clone(), self.authority(permit));
+            tokio::spawn(async move {
+                let taken = duties::report_usage(pool, platform, window, counts, authority).await;
+                let _ = events.send(Event::UsageReported(window, taken));
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/system/src/core/node/replication.rs
@@ -0,0 +1,304 @@
+//! The replica's part of a control head: effects carried out, operators' changes, the group of voters.
+
+use super::{Node, Reply};
+use crate::core::disk::{Disk, DiskEvent};
+use pathbank_control::configuration::Rejection;
+use pathbank_control::result_code::ResultCode;
+use pathbank_control::state::{Accepted, Change, Command, ControlState};
+use pathbank_coordination::group;
+use pathbank_coordination::replica::{Effects, Outgoing, Replica};
+use pathbank_coordination::types::{Entry, Index, Member, Message, Payload, Term};
+use pathbank_protocol::message::Frame;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use tokio::sync::oneshot;
+
+/// A write that has not ended for so long counts as a disk that takes nothing, milliseconds.
+const DISK_PATIENCE: u64 = 1_500;
+/// The log is rewritten when its entries hold more bytes than this, and than so many snapshots.
+const LEAST_COMPACTED_BYTES: usize = 1024 * 1024;
+const COMPACTED_SNAPSHOTS: usize = 4;
+
+struct WaitingChange {
+    term: Term,
+    reply: oneshot::Sender<Reply>,
+}
+
+struct HeldMessages {
+    ticket: u64,
+    messages: Vec<Outgoing>,
+}
+
+/// The replica with what waits for it.
+pub struct Replication {
+    pub replica: Replica,
+    disk: Disk,
+    /// Messages that may leave only once the disk is that far.
+    held: VecDeque<HeldMessages>,
+    saved_ticket: u64,
+    last_ticket: u64,
+    /// When the oldest write that has not ended began.
+    writing_since: Option<u64>,
+    refused: bool,
+    impaired: bool,
+    waiting: BTreeMap<Index, Vec<WaitingChange>>,
+    /// Addresses of stores that asked to take part.
+    pub callers: BTreeSet<String>,
+    log_bytes: usize,
+    applied: Index,
+}
+
+impl Replication {
+    pub fn new(replica: Replica, disk: Disk) -> Replication {
+        let applied = replica.durable().snapshot.index;
+        Replication {
+            replica,
+            disk,
+            held: VecDeque::new(),
+            saved_ticket: 0,
+            last_ticket: 0,
+            writing_since: None,
+            refused: false,
+            impaired: false,
+            waiting: BTreeMap::new(),
+            callers: BTreeSet::new(),
+            log_bytes: 0,
+            applied,
+        }
+    }
+}
+
+impl Node {
+    /// Carries out what the replica asked for: save, send, apply.
+    pub(super) fn carry_out(&mut self, now: u64, effects: Effects) {
+        let Effects { records, messages, install, committed } = effects;
+        let replication = &mut self.replication;
+        if !records.is_empty() {
+            let last_index = replication.replica.durable().last_index();
+            replication.last_ticket = replication.disk.append(records, last_index);
+            replication.writing_since.get_or_insert(now);
+        }
+        let saved = replication.saved_ticket >= replication.last_ticket;
+        let (wait, go): (Vec<_>, Vec<_>) =
+            messages.into_iter().partition(|message| message.after_save && !saved);
+        if !wait.is_empty() {
+            let ticket = replication.last_ticket;
+            replication.held.push_back(HeldMessages { ticket, messages: wait });
+        }
+        self.send_replica_messages(go);
+        if let Some(snapshot) = install {
+            self.state = ControlState::decode(&snapshot.data).unwrap_or_default();
+            self.leadership.fence.restore(snapshot.leaders);
+            self.replication.applied = snapshot.index;
+            self.tell_configuration();
+        }
+        for entry in committed {
+            self.apply(now, entry);
+        }
+        self.compact();
+    }
+
+    fn send_replica_messages(&self, messages: Vec<Outgoing>) {
+        let me = self.replication.replica.me();
+        for Outgoing { to, message, .. } in messages {
+            if let Ok(address) = to.address.parse() {
+                self.mesh.send(address, &Frame::Replica(me.clone(), message));
+            }
+        }
+    }
+
+    pub(super) fn on_replica_message(&mut self, now: u64, from: Member, message: Message) {
+        if self.replication.callers.len() < 64 && self.replication.callers.insert(from.address.clone()) {
+            self.open_links();
+        }
+        let effects = self.replication.replica.hear(now, from, message);
+        self.carry_out(now, effects);
+    }
+
+    // ---- the disk ----
+
+    pub(super) fn on_disk(&mut self, now: u64, event: DiskEvent) {
+        match event {
+            DiskEvent::Saved { ticket, last_index } => {
+                let replication = &mut self.replication;
+                replication.saved_ticket = ticket;
+                replication.writing_since = (ticket < replication.last_ticket).then_some(now);
+                let mut ready = Vec::new();
+                while replication.held.front().is_some_and(|held| held.ticket <= ticket) {
+                    ready.extend(replication.held.pop_front().map(|held| held.messages).unwrap_or_default());
+                }
+                self.send_replica_messages(ready);
+                if let Some(last_index) = last_index {
+                    let effects = self.replication.replica.saved(now, last_index);
+                    self.carry_out(now, effects);
+                }
+            }
+            DiskEvent::Impaired(refused) => self.replication.refused = refused,
+        }
+        self.watch_disk(now);
+    }
+
+    /// A store that cannot save leads nobody, and says so.
+    pub(super) fn watch_disk(&mut self, now: u64) {
+        let replication = &mut self.replication;
+        let stalled = replication.writing_since.is_some_and(|since| now > since + DISK_PATIENCE);
+        let impaired = replication.refused || stalled;
+        if impaired == replication.impaired {
+            return;
+        }
+        replication.impaired = impaired;
+        tracing::warn!(impaired, "disk");
+        if impaired {
+            let effects = self.replication.replica.hand_over(now);
+            self.carry_out(now, effects);
+        }
+        let effects = self.replication.replica.set_impaired(now, impaired);
+        self.carry_out(now, effects);
+    }
+
+    fn compact(&mut self) {
+        let replication = &mut self.replication;
+        let snapshot = replication.replica.durable().snapshot.data.len();
+        if replication.log_bytes < LEAST_COMPACTED_BYTES.max(COMPACTED_SNAPSHOTS * snapshot) {
+            return;
+        }
+        replication.log_bytes = 0;
+        let data = self.state.encode();
+        let leaders = self.leadership.fence.leaders();
+        let effects = replication.replica.compact(replication.applied, leaders, data);
+        if !effects.records.is_empty() {
+            let durable = replication.replica.durable().clone();
+            replication.last_ticket = replication.disk.rewrite(durable);
+        }
+    }
+
+    // ---- the state machine ----
+
+    fn apply(&mut self, _now: u64, entry: Entry) {
+        self.replication.applied = entry.index;
+        self.replication.log_bytes += entry.payload.size();
+        let waiting = self.replication.waiting.remove(&entry.index).unwrap_or_default();
+        match &entry.payload {
+            Payload::LeaderStart(name) => self.leadership.fence.led(name),
+            Payload::Membership(_) => self.open_links(),
+            Payload::Command(bytes) => {
+                let Some(command) = Command::decode(bytes) else { return };
+                let result = self.state.apply(entry.index, &command);
+                if result == Ok(Accepted::Now) && matches!(command, Command::Change(_)) {
+                    tracing::info!(
+                        version = self.state.version(),
+                        index = entry.index,
+                        "configuration committed"
+                    );
+                    self.tell_configuration();
+                }
+                for change in waiting {
+                    let reply = match change.term == entry.term {
+                        true => reply_of(&result),
+                        false => unclear(),
+                    };
+                    let _ = change.reply.send(reply);
+                }
+                return;
+            }
+        }
+        for change in waiting {
+            let _ = change.reply.send(unclear());
+        }
+    }
+
+    fn tell_configuration(&self) {
+        if let Some(update) = self.configuration_update() {
+            self.tell_edges(&Frame::Configuration(update));
+        }
+    }
+
+    // ---- operators ----
+
+    /// Leads a caller on to the leader, unless this head leads. Returns the sender if it does.
+    fn as_leader(&self, reply: oneshot::Sender<Reply>) -> Option<oneshot::Sender<Reply>> {
+        let replica = &self.replication.replica;
+        if replica.is_settled_leader() {
+            return Some(reply);
+        }
+        let other = replica.leader().filter(|leader| leader.id != replica.me().id);
+        let _ = reply.send(match other {
+            Some(leader) => Reply::LeaderAt(leader.control_address.clone()),
+            None => Reply::Result(ResultCode::NoLeader, "no leader is known".into()),
+        });
+        None
+    }
+
+    pub(super) fn on_change(&mut self, now: u64, change: Change, reply: oneshot::Sender<Reply>) {
+        let Some(reply) = self.as_leader(reply) else { return };
+        match self.state.judge(&change) {
+            Ok(Some(_)) => {}
+            judged => {
+                // What stands may have been changed by a later leader: only within the lease it is the newest.
+                let certain = self.replication.replica.lease_until() > now;
+                let result = judged.map(|_| Accepted::Before);
+                let _ = reply.send(if certain { reply_of(&result) } else { unclear() });
+                return;
+            }
+        }
+        let command = Command::Change(change).encode();
+        match self.replication.replica.propose(now, command) {
+            Ok((index, effects)) => {
+                let term = self.replication.replica.term();
+                self.replication.waiting.entry(index).or_default().push(WaitingChange { term, reply });
+                self.carry_out(now, effects);
+            }
+            Err(error) => {
+                let _ = reply.send(Reply::Result(ResultCode::NoLeader, error.to_string()));
+            }
+        }
+    }
+
+    pub(super) fn on_read_configuration(&mut self, now: u64, reply: oneshot::Sender<Reply>) {
+        let Some(reply) = self.as_leader(reply) else { return };
+        let certain = self.replication.replica.lease_until() > now;
+        let document = self.state.document().filter(|_| certain);
+        let _ = reply.send(match document {
+            Some((document, _)) => Reply::Json(document.to_string().into_bytes()),
+            None => {
+                Reply::Result(ResultCode::NoLeader, "no configuration, or the lease is not certain".into())
+            }
+        });
+    }
+
+    /// Proposes a command of the leader's own.
+    pub(super) fn propose(&mut self, now: u64, command: &Command) {
+        if let Ok((_, effects)) = self.replication.replica.propose(now, command.encode()) {
+            self.carry_out(now, effects);
+        }
+    }
+
+    // ---- the group ----
+
+    /// Takes the next step towards the group that should be.
+    pub(super) fn regroup(&mut self, now: u64) {
+        if let Some(effects) = group::step(&mut self.replication.replica, now) {
+            tracing::info!(voters = ?self.replication.replica.membership().voters, "the group changes");
+            self.carry_out(now, effects);
+            self.open_links();
+        }
+    }
+
+    /// Asks the others to let this store take part, while no leader speaks to it.
+    pub(super) fn ask_to_join(&mut self, now: u64) {
+        if self.replication.replica.wants_to_join(now) {
+            let me = self.replication.replica.me().clone();
+            self.mesh.send_to_all(&Frame::Replica(me, Message::Join));
+        }
+    }
+}
+
+fn reply_of(result: &Result<Accepted, Rejection>) -> Reply {
+    match result {
+        Ok(Accepted::Now | Accepted::Before) => Reply::Result(ResultCode::Done, "taken".into()),
+        Err(rejection) => Reply::Result(rejection.code, rejection.message.clone()),
+    }
+}
+
+fn unclear() -> Reply {
+    Reply::Result(ResultCode::Unclear, "another leader may have decided otherwise".into())
+}
--- /dev/null
+++ b/crates/system/src/core/peers.rs
@@ -0,0 +1,46 @@
+//! Links that other processes open to this control head.
+
+use super::node::Event;
+use crate::net::link;
+use crate::net::socket;
+use pathbank_protocol::message::{Frame, Hello};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::UnboundedSender;
+
+/// Names a link for as long as the process lives.
+pub type LinkId = u64;
+
+static NEXT_LINK: AtomicU64 = AtomicU64::new(1);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts links and reports what comes on them.
+pub async fn accept(listener: TcpListener, events: UnboundedSender<Event>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        socket::prepare(&stream);
+        let events = events.clone();
+        tokio::spawn(async move { serve(stream, events).await });
+    }
+}
+
+async fn serve(stream: tokio::net::TcpStream, events: UnboundedSender<Event>) {
+    let id = NEXT_LINK.fetch_add(1, Ordering::Relaxed);
+    let (link, outbox) = link::channel();
+    let mut hello: Option<Hello> = None;
+    let on_frame = |frame| match (frame, &hello) {
+        (Frame::Hello(said), None) => {
+            hello = Some(said.clone());
+            events.send(Event::LinkOpened(id, said, link.clone())).is_ok()
+        }
+        // Nothing else counts before a process said who it is.
+        (_, None) => false,
+        (frame, Some(_)) => events.send(Event::LinkSaid(id, frame)).is_ok(),
+    };
+    link::run(stream, outbox, on_frame).await;
+    let _ = events.send(Event::LinkClosed(id));
+}
--- /dev/null
+++ b/crates/system/src/edge/answer.rs
@@ -0,0 +1,44 @@
+//! Answers that the head makes itself.
+
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use pathbank_control::result_code::ResultCode;
+
+/// Why a body ends before its end.
+pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
+/// The body of any answer.
+pub type AnswerBody = UnsyncBoxBody<Bytes, BodyError>;
+/// Any answer.
+pub type Answer = Response<AnswerBody>;
+
+/// The header with a numbered result.
+pub const RESULT_CODE: HeaderName = HeaderName::from_static("x-pathbank-result-code");
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+
+/// A body that is there as a whole.
+pub fn whole(bytes: Bytes) -> AnswerBody {
+    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+}
+
+/// The head's own answer with a numbered result.
+pub fn own(code: ResultCode) -> Answer {
+    let text = format!("{{\"result_code\":{},\"result\":\"{code:?}\"}}\n", code.number());
+    let mut response = Response::new(whole(Bytes::from(text)));
+    *response.status_mut() = StatusCode::from_u16(code.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response.headers_mut().insert(RESULT_CODE, HeaderValue::from(code.number()));
+    response
+}
+
+/// A promise that the request has not run, with when to come back.
+pub fn refusal(code: ResultCode, retry_after_ms: u64) -> Answer {
+    let mut response = own(code);
+    let seconds = format!("{:.3}", retry_after_ms as f64 / MILLIS_PER_SECOND);
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        response.headers_mut().insert(RETRY_AFTER, value);
+    }
+    response
+}
--- /dev/null
+++ b/crates/system/src/edge/core_links.rs
@@ -0,0 +1,116 @@
+//! What an edge head hears from the cores and tells them.
+
+use super::shared::Shared;
+use crate::clock;
+use crate::net::mesh::{Mesh, MeshEvent};
+use crate::settings::Settings;
+use pathbank_control::configuration;
+use pathbank_control::routes::RouteTable;
+use pathbank_protocol::message::{ConfigurationUpdate, CoreStatus, Frame, Hello, ProcessRole};
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, PoisonError, Weak};
+
+/// Opens links to the seeds.
+pub fn start(shared: &Arc<Shared>, seeds: &[SocketAddr]) {
+    let settings = &shared.settings;
+    let hello = Hello {
+        role: ProcessRole::Edge,
+        name: settings.node_name.clone(),
+        zone: settings.zone.clone(),
+        life: shared.life,
+    };
+    let weak: Weak<Shared> = Arc::downgrade(shared);
+    let mesh = Mesh::new(hello, move |event| {
+        if let Some(shared) = weak.upgrade() {
+            on_event(&shared, event);
+        }
+    });
+    if shared.mesh.set(mesh).is_ok() {
+        set_seeds(shared, seeds);
+    }
+}
+
+/// Reads the settings file again: the seeds may have changed. An unreadable file changes nothing.
+pub fn reload(shared: &Arc<Shared>) {
+    match Settings::load(&Settings::path()) {
+        Ok(settings) => set_seeds(shared, &settings.seeds),
+        Err(error) => tracing::warn!(%error, "settings file not taken over"),
+    }
+}
+
+/// Tells all cores what was counted.
+pub fn send_report(shared: &Arc<Shared>) {
+    let Some(mesh) = shared.mesh.get() else { return };
+    if mesh.open_links() == 0 {
+        return;
+    }
+    if let Some(report) = shared.report() {
+        mesh.send_to_all(&Frame::Report(report));
+    }
+}
+
+fn set_seeds(shared: &Arc<Shared>, seeds: &[SocketAddr]) {
+    let addresses = seeds.iter().map(|seed| shared.settings.internal_address(*seed)).collect();
+    shared.cores.lock().unwrap_or_else(PoisonError::into_inner).seeds = addresses;
+    open_links(shared);
+}
+
+fn open_links(shared: &Arc<Shared>) {
+    if let Some(mesh) = shared.mesh.get() {
+        mesh.want(&shared.core_addresses());
+    }
+}
+
+fn on_event(shared: &Arc<Shared>, event: MeshEvent) {
+    match event {
+        MeshEvent::Opened(address) => tracing::debug!(%address, "core reached"),
+        MeshEvent::Closed(address) => tracing::debug!(%address, "core lost"),
+        MeshEvent::Said(_, Frame::Configuration(update)) => on_configuration(shared, update),
+        MeshEvent::Said(_, Frame::Bricks(update)) => {
+            if update.complete {
+                shared.has_bricks.store(true, Ordering::Relaxed);
+            }
+            shared.update_bricks(update);
+        }
+        MeshEvent::Said(address, Frame::Core(status)) => on_status(shared, address, &status),
+        MeshEvent::Said(_, _) => {}
+    }
+}
+
+/// Takes a configuration over, unless the one in force is as new.
+fn on_configuration(shared: &Arc<Shared>, update: ConfigurationUpdate) {
+    let known = shared.routes.load().as_ref().map_or(0, |routes| routes.index);
+    if update.index <= known {
+        return;
+    }
+    let document = configuration::parse_document(&update.document);
+    match document.and_then(|document| configuration::read(&document)) {
+        Ok(configuration) => {
+            tracing::info!(version = configuration.version, index = update.index, "configuration in force");
+            shared.routes.store(Some(Arc::new(RouteTable::new(update.index, configuration))));
+        }
+        Err(error) => tracing::error!(%error, "configuration from a core cannot be read"),
+    }
+}
+
+fn on_status(shared: &Arc<Shared>, address: SocketAddr, status: &CoreStatus) {
+    let now = clock::now();
+    {
+        let mut deciding = shared.deciding();
+        deciding.wall_clock.note(now, &address.to_string(), status.wall_clock_ms);
+        deciding.budget.set_heads(status.edges);
+    }
+    let members: Vec<SocketAddr> =
+        status.members.iter().filter_map(|member| member.address.parse().ok()).collect();
+    if members.is_empty() {
+        return;
+    }
+    let mut cores = shared.cores.lock().unwrap_or_else(PoisonError::into_inner);
+    let changed = cores.members != members;
+    cores.members = members;
+    drop(cores);
+    if changed {
+        open_links(shared);
+    }
+}
--- /dev/null
+++ b/crates/system/src/edge/proxy.rs
@@ -0,0 +1,444 @@
+//! One client request from its head to its answer's head: route, key, dispatch, the tries at bricks.
+
+use super::answer::{self, Answer, AnswerBody};
+use super::relay::{self, Stream};
+use super::shared::{Decision, Shared};
+use super::ticket::Ticket;
+use crate::clock;
+use crate::net::client::{Exchange, ExchangeError};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use pathbank_control::configuration::{Route, RouteType};
+use pathbank_control::result_code::ResultCode;
+use pathbank_control::routes::RouteTable;
+use pathbank_router::bricks::{BrickOutcome, Instance};
+use pathbank_router::dispatcher::Offer;
+use pathbank_router::prompt::{ModelName, TokenCount, parse_parts};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+const REQUEST_ID: HeaderName = HeaderName::from_static("x-pathbank-request-id");
+const DEADLINE: HeaderName = HeaderName::from_static("x-pathbank-deadline-ms");
+const CREDENTIAL: HeaderName = HeaderName::from_static("x-pathbank-credential");
+const TENANT: HeaderName = HeaderName::from_static("x-pathbank-tenant");
+const TARGET_INSTANCE: HeaderName = HeaderName::from_static("x-pathbank-target-instance");
+const MODEL: HeaderName = HeaderName::from_static("x-pathbank-model");
+const TOKEN_COUNT: HeaderName = HeaderName::from_static("x-pathbank-token-count");
+const PROMPT_PREFIX: HeaderName = HeaderName::from_static("x-pathbank-prompt-prefix");
+const SIGNATURE: HeaderName = HeaderName::from_static("x-pathbank-response-signature");
+const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-pathbank-not-executed");
+const INSTANCE_LOAD: HeaderName = HeaderName::from_static("x-pathbank-instance-load");
+const PRIORITY: HeaderName = HeaderName::from_static("priority");
+pub(super) const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    HeaderName::from_static("te"),
+    HeaderName::from_static("trailer"),
+    HeaderName::from_static("transfer-encoding"),
+    HeaderName::from_static("upgrade"),
+    HeaderName::from_static("expect"),
+];
+/// A body has to be in within this.
+const BODY_WITHIN: Duration = Duration::from_secs(10);
+const DEFAULT_BODY_BYTES: u64 = 4 * 1024 * 1024;
+/// The answer is out so long before the time is up, milliseconds.
+const ANSWER_MARGIN: u64 = 20;
+/// The lowest `Priority`, and by how much routes' ranks are moved from the highest.
+const LOWEST_PRIORITY: i64 = 9;
+/// When to come back to a head that has no configuration, or stops.
+const SOON_MS: u64 = 300;
+
+/// A request that was read whole and may go to bricks.
+pub(super) struct Job {
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+    /// Its route.
+    pub(super) route: Arc<Route>,
+    /// The service that the route chose.
+    pub(super) backend: String,
+    /// The tenant, as bricks are told and as usage is counted.
+    pub(super) tenant: Option<String>,
+    name: ModelName,
+    tokens: TokenCount,
+    load_ms: Option<u64>,
+    arrived: u64,
+    /// When the client stops waiting.
+    pub(super) deadline: u64,
+    tried: BTreeSet<Instance>,
+    /// Bricks that it was sent to.
+    pub(super) sends: u32,
+    /// Where a stream is taken up; replaces the client's own.
+    pub(super) resume_at: Option<String>,
+}
+
+/// Answers one request.
+pub async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Answer {
+    let mut answer = match accept(&shared, request).await {
+        Ok(job) => serve(shared.clone(), job).await,
+        Err(answer) => answer,
+    };
+    if shared.stopping.load(Ordering::Relaxed) {
+        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    answer
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+// ---- what a request is ----
+
+async fn accept(shared: &Arc<Shared>, request: Request<Incoming>) -> Result<Job, Answer> {
+    let arrived = clock::now();
+    let Some(early) = shared.routes.load_full() else {
+        return Err(answer::refusal(ResultCode::NoConfiguration, SOON_MS));
+    };
+    let limit = early.configuration.limits.max_body_bytes.unwrap_or(DEFAULT_BODY_BYTES);
+    let (head, body) = request.into_parts();
+    let body = read_body(body, limit).await?;
+    // The newest configuration decides, also where the body took long.
+    let routes = shared.routes.load_full().unwrap_or(early);
+    let host = text(&head.headers, &HOST).unwrap_or_default().to_owned();
+    let Some(route) = routes.route(&host, head.uri.path()).cloned() else {
+        return Err(answer::own(ResultCode::NoRoute));
+    };
+    let tenant = tenant_of(&routes, &route, &head.headers)?;
+    let Some(backend) = choose_backend(&route) else { return Err(answer::own(ResultCode::NoRoute)) };
+    let name = text(&head.headers, &MODEL).map(ModelName::parse).unwrap_or_default();
+    let tokens = text(&head.headers, &TOKEN_COUNT).and_then(TokenCount::parse).unwrap_or_default();
+    let waits: u64 = text(&head.headers, &DEADLINE).and_then(|value| value.parse().ok()).unwrap_or(u64::MAX);
+    let held = waits.min(route.timeout_ms as u64);
+    let load_ms = load_time(&routes, &backend, &name);
+    Ok(Job {
+        method: head.method,
+        uri: head.uri,
+        headers: head.headers,
+        body,
+        backend,
+        tenant: tenant.as_ref().map(|(name, _)| name.clone()),
+        name,
+        tokens,
+        load_ms,
+        arrived,
+        deadline: arrived + held.saturating_sub(ANSWER_MARGIN),
+        route,
+        tried: BTreeSet::new(),
+        sends: 0,
+        resume_at: None,
+    })
+}
+
+async fn read_body(body: Incoming, limit: u64) -> Result<Bytes, Answer> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let collected = tokio::time::timeout(BODY_WITHIN, Limited::new(body, limit as usize).collect()).await;
+    match collected {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(answer::own(ResultCode::BodyTooLarge)),
+        Ok(Err(_)) | Err(_) => Err(answer::own(ResultCode::BadRequest)),
+    }
+}
+
+/// The name and rank of the tenant that holds the request's key.
+fn tenant_of(
+    routes: &RouteTable,
+    route: &Route,
+    headers: &HeaderMap,
+) -> Result<Option<(String, Option<i64>)>, Answer> {
+    let key = text(headers, &CREDENTIAL);
+    let tenant = key.and_then(|key| routes.tenant(key));
+    match tenant {
+        Some(tenant) => Ok(Some((tenant.name.clone(), tenant.priority))),
+        None if route.public || !routes.has_tenants() => Ok(None),
+        None => Err(answer::own(ResultCode::UnknownKey)),
+    }
+}
+
+fn choose_backend(route: &Route) -> Option<String> {
+    let total: f64 = route.traffic_split.iter().map(|split| split.weight).sum();
+    if total <= 0.0 {
+        return route.backend.clone();
+    }
+    let mut draw = fastrand::f64() * total;
+    for split in route.traffic_split.iter().filter(|split| split.weight > 0.0) {
+        draw -= split.weight;
+        if draw <= 0.0 {
+            return Some(split.backend.clone());
+        }
+    }
+    route.traffic_split.iter().rev().find(|split| split.weight > 0.0).map(|split| split.backend.clone())
+}
+
+/// How long a load of the model takes, milliseconds.
+fn load_time(routes: &RouteTable, backend: &str, name: &ModelName) -> Option<u64> {
+    let runtime = routes.backend(backend)?.runtime.as_ref()?;
+    let model = runtime.models.iter().find(|model| model.name == name.model)?;
+    Some((model.load_s * 1_000.0) as u64)
+}
+
+impl Job {
+    /// Whether the request may run more than once.
+    pub(super) fn repeatable(&self) -> bool {
+        self.route.kind == RouteType::Idempotent || self.resumable()
+    }
+
+    /// Whether it is a stream that another brick may take up.
+    pub(super) fn resumable(&self) -> bool {
+        self.route.kind == RouteType::Streaming && self.route.resumable
+    }
+
+    /// Whether another brick may still get it.
+    pub(super) fn has_attempts(&self) -> bool {
+        self.sends < self.route.max_attempts.unwrap_or(1).max(1) && clock::now() < self.deadline
+    }
+
+    fn offer(&self, id: u64) -> Offer {
+        let parts = text(&self.headers, &PROMPT_PREFIX).map(parse_parts).unwrap_or_default();
+        Offer {
+            id,
+            backend: self.backend.clone(),
+            name: self.name.clone(),
+            size: self.tokens.size().max(1),
+            input_tokens: self.tokens.input,
+            parts,
+            arrived: self.arrived,
+            deadline: self.deadline,
+            objective: self.route.target_latency_ms as u64,
+            load_ms: self.load_ms,
+            excluded: self.tried.clone(),
+        }
+    }
+
+    fn request(&self, instance: &str) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() =
+            self.uri.path_and_query().map_or_else(|| self.uri.clone(), |path| path.clone().into());
+        let headers = request.headers_mut();
+        *headers = end_to_end(&self.headers);
+        headers.remove(CREDENTIAL);
+        headers.remove(TENANT);
+        headers.remove(hyper::header::CONTENT_LENGTH);
+        let mut set = |name: HeaderName, value: &str| {
+            if let Ok(value) = HeaderValue::from_str(value) {
+                headers.insert(name, value);
+            }
+        };
+        if let Some(tenant) = &self.tenant {
+            set(TENANT, tenant);
+        }
+        if let Some(id) = &self.resume_at {
+            set(LAST_EVENT_ID, id);
+        }
+        set(TARGET_INSTANCE, instance);
+        set(DEADLINE, &self.deadline.saturating_sub(clock::now()).max(1).to_string());
+        if !self.name.model.is_empty() {
+            set(PRIORITY, &self.route.priority.clamp(0, LOWEST_PRIORITY).to_string());
+        }
+        request
+    }
+}
+
+fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let mut passed = headers.clone();
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        passed.remove(name);
+    }
+    passed
+}
+
+// ---- the tries ----
+
+/// How one try at a brick ended.
+pub(super) enum Try {
+    /// The brick answered; the stream's or body's bytes follow.
+    Answered(Box<Exchange>, Ticket),
+    /// The head's own final answer: refused, without any brick.
+    Refused(ResultCode, u64),
+    /// The brick did not run it, and said so or never got it. Its own answer, if there is one.
+    NotRun(Option<Answer>),
+    /// It may have run.
+    Broken,
+    /// The time is up; it may have run.
+    TimedOut,
+}
+
+async fn serve(shared: Arc<Shared>, mut job: Job) -> Answer {
+    {
+        let mut deciding = shared.deciding();
+        deciding.budget.note_request(clock::now(), &job.backend);
+    }
+    loop {
+        let (last_answer, code) = match attempt(&shared, &mut job).await {
+            Try::Answered(exchange, ticket) => match finish(&shared, job, *exchange, ticket).await {
+                Ok(answer) => return answer,
+                Err((returned, code)) => {
+                    job = returned;
+                    if !job.repeatable() {
+                        return answer::own(code);
+                    }
+                    (None, code)
+                }
+            },
+            Try::Refused(code, retry_after) => return answer::refusal(code, retry_after),
+            Try::NotRun(answer) => (answer, ResultCode::Overloaded),
+            Try::Broken if !job.repeatable() => return answer::own(ResultCode::BrokenOff),
+            Try::Broken => (None, ResultCode::BrokenOff),
+            Try::TimedOut => return answer::own(ResultCode::TimedOut),
+        };
+        if !may_send_again(&shared, &job) {
+            return last_answer.unwrap_or_else(|| match code.status() {
+                503 => answer::refusal(code, SOON_MS),
+                _ => answer::own(code),
+            });
+        }
+    }
+}
+
+/// Whether the request may be sent once more; what was never sent draws on no budget.
+pub(super) fn may_send_again(shared: &Shared, job: &Job) -> bool {
+    let now = clock::now();
+    job.has_attempts() && (job.sends == 0 || shared.deciding().budget.take(now, &job.backend))
+}
+
+/// Waits for a brick and tries it.
+pub(super) async fn attempt(shared: &Arc<Shared>, job: &mut Job) -> Try {
+    let mut ticket = Ticket::new(shared.clone());
+    let offer = job.offer(ticket.id());
+    let first = job.sends == 0 && job.tried.is_empty();
+    let decided = tokio::time::timeout(clock::until(job.deadline), ticket.offer(offer, first)).await;
+    let (instance, address) = match decided {
+        Ok(Some(Decision::Send { instance, address })) => (instance, address),
+        Ok(Some(Decision::Refuse { code, retry_after })) => return Try::Refused(code, retry_after),
+        Ok(None) | Err(_) => return Try::Refused(ResultCode::Overloaded, SOON_MS),
+    };
+    let Ok(address) = address.parse() else {
+        ticket.end(BrickOutcome::Failed);
+        job.tried.insert(instance);
+        return Try::NotRun(None);
+    };
+    let request = job.request(&instance);
+    let exchange = shared.pool.exchange(address, request);
+    let exchange = match tokio::time::timeout(clock::until(job.deadline), exchange).await {
+        Ok(exchange) => exchange,
+        Err(_) => {
+            ticket.end(BrickOutcome::Failed);
+            return Try::TimedOut;
+        }
+    };
+    match exchange {
+        Ok(exchange) => judge(shared, job, instance, exchange, ticket).await,
+        Err(ExchangeError::NotSent(_)) => {
+            ticket.end(BrickOutcome::Failed);
+            job.tried.insert(instance);
+            Try::NotRun(None)
+        }
+        Err(ExchangeError::Broken(error)) => {
+            tracing::debug!(%error, instance, "brick broke off");
+            ticket.end(BrickOutcome::Failed);
+            job.tried.insert(instance);
+            job.sends += 1;
+            Try::Broken
+        }
+    }
+}
+
+async fn judge(
+    shared: &Arc<Shared>,
+    job: &mut Job,
+    instance: Instance,
+    exchange: Exchange,
+    mut ticket: Ticket,
+) -> Try {
+    job.sends += 1;
+    let headers = exchange.response.headers();
+    note_load(shared, &instance, headers);
+    let own_id = headers.get(REQUEST_ID) == job.headers.get(REQUEST_ID);
+    let framed = headers.contains_key(hyper::header::CONTENT_LENGTH)
+        || headers.contains_key(hyper::header::TRANSFER_ENCODING);
+    let status = exchange.response.status();
+    let not_run = headers.contains_key(NOT_EXECUTED) || status == StatusCode::MISDIRECTED_REQUEST;
+    if !own_id || !framed || status.is_success() && !headers.contains_key(SIGNATURE) {
+        ticket.end(BrickOutcome::Failed);
+        job.tried.insert(instance);
+        return Try::Broken;
+    }
+    if not_run {
+        let missing = status == StatusCode::MISDIRECTED_REQUEST;
+        ticket.end(if missing { BrickOutcome::NotThere } else { BrickOutcome::Full });
+        job.tried.insert(instance);
+        let answer = relay::whole(shared, exchange).await.ok();
+        // 421 says which brick this is, which is of no use to the client.
+        return Try::NotRun(answer.filter(|_| !missing));
+    }
+    Try::Answered(Box::new(exchange), ticket)
+}
+
+fn note_load(shared: &Arc<Shared>, instance: &str, headers: &HeaderMap) {
+    let Some(load) = text(headers, &INSTANCE_LOAD) else { return };
+    let mut figures = load.split(',').map(|figure| figure.trim().parse::<u32>());
+    if let (Some(Ok(running)), Some(Ok(waiting))) = (figures.next(), figures.next()) {
+        shared.deciding().dispatcher.note_load(clock::now(), instance, running, waiting);
+    }
+}
+
+/// The answer of a brick for the client. `Err`: it broke off before anything went to the client.
+async fn finish(
+    shared: &Arc<Shared>,
+    job: Job,
+    exchange: Exchange,
+    mut ticket: Ticket,
+) -> Result<Answer, (Job, ResultCode)> {
+    if exchange.response.status().is_success()
+        && let Some(tenant) = &job.tenant
+    {
+        shared.began(tenant);
+    }
+    if job.route.kind == RouteType::Streaming && exchange.response.status().is_success() {
+        return Ok(relay::stream(Stream::new(shared.clone(), job, exchange, ticket)));
+    }
+    let whole = tokio::time::timeout(clock::until(job.deadline), relay::whole(shared, exchange)).await;
+    match whole {
+        Ok(Ok(answer)) => {
+            ticket.end(BrickOutcome::Answered);
+            Ok(answer)
+        }
+        Ok(Err(_)) => {
+            ticket.end(BrickOutcome::Failed);
+            Err((job, ResultCode::BrokenOff))
+        }
+        Err(_) => {
+            ticket.end(BrickOutcome::Failed);
+            Err((job, ResultCode::TimedOut))
+        }
+    }
+}
+
+/// An answer's head as the client gets it.
+pub(super) fn head_for_client(response: &Response<Incoming>, body: AnswerBody) -> Answer {
+    let mut answer = Response::new(body);
+    *answer.status_mut() = response.status();
+    *answer.headers_mut() = end_to_end(response.headers());
+    answer.headers_mut().remove(NOT_EXECUTED);
+    answer
+}
--- /dev/null
+++ b/crates/system/src/edge/shared.rs
@@ -0,0 +1,225 @@
+//! What all tasks of an edge head share: the deciding parts, behind one lock that is never held across a wait.
+
+use crate::clock;
+use crate::net::client::ConnectionPool;
+use crate::net::mesh::Mesh;
+use crate::settings::Settings;
+use arc_swap::ArcSwapOption;
+use pathbank_control::result_code::ResultCode;
+use pathbank_control::routes::RouteTable;
+use pathbank_protocol::message::EdgeReport;
+use pathbank_router::bricks::{BrickOutcome, Instance};
+use pathbank_router::dispatcher::{Action, Dispatcher, Offer, RequestId};
+use pathbank_router::retry_budget::{BudgetBounds, RetryBudget};
+use pathbank_router::usage::UsageCounter;
+use pathbank_router::wall_clock::WallClock;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use tokio::sync::{Notify, oneshot};
+
+/// What the dispatcher decided for a request.
+#[derive(Debug)]
+pub enum Decision {
+    /// It goes to this brick now.
+    Send {
+        /// The brick's incarnation.
+        instance: Instance,
+        /// Where it is reached.
+        address: String,
+    },
+    /// Its final answer: it has not run.
+    Refuse {
+        /// Why.
+        code: ResultCode,
+        /// When to come back, milliseconds.
+        retry_after: u64,
+    },
+}
+
+/// The deciding parts.
+pub struct Deciding {
+    /// Which request goes where.
+    pub dispatcher: Dispatcher,
+    /// Second sends.
+    pub budget: RetryBudget,
+    /// Requests begun.
+    pub usage: UsageCounter,
+    /// The system's time of day.
+    pub wall_clock: WallClock,
+    waiting: BTreeMap<RequestId, oneshot::Sender<Decision>>,
+    next_id: RequestId,
+}
+
+/// What all tasks share.
+pub struct Shared {
+    /// The settings at the start.
+    pub settings: Settings,
+    /// Another number at each start.
+    pub life: u64,
+    /// The configuration in force.
+    pub routes: ArcSwapOption<RouteTable>,
+    /// Connections to bricks.
+    pub pool: ConnectionPool,
+    /// Links to the cores.
+    pub mesh: OnceLock<Mesh>,
+    /// Control-plane addresses of the settings and addresses that cores told.
+    pub cores: Mutex<core_addresses::CoreAddresses>,
+    /// A core told all bricks that it knows.
+    pub has_bricks: AtomicBool,
+    /// The process stops.
+    pub stopping: AtomicBool,
+    /// The cores should hear of demand at once.
+    pub urgent: Notify,
+    deciding: Mutex<Deciding>,
+}
+
+/// Where cores may be.
+pub mod core_addresses {
+    use std::net::SocketAddr;
+
+    /// Addresses for messages.
+    #[derive(Debug, Default)]
+    pub struct CoreAddresses {
+        /// From the settings file.
+        pub seeds: Vec<SocketAddr>,
+        /// From the cores themselves.
+        pub members: Vec<SocketAddr>,
+    }
+}
+
+impl Shared {
+    /// The state of a head that has just started.
+    pub fn new(settings: Settings) -> Arc<Shared> {
+        let bounds = BudgetBounds {
+            ratio: settings.bounds.retry_budget_ratio,
+            slack: settings.bounds.retry_budget_slack,
+            window: settings.bounds.budget_window_ms,
+        };
+        let deciding = Deciding {
+            dispatcher: Dispatcher::new(settings.zone.clone()),
+            budget: RetryBudget::new(bounds),
+            usage: UsageCounter::new(settings.bounds.report_window_ms),
+            wall_clock: WallClock::default(),
+            waiting: BTreeMap::new(),
+            next_id: 1,
+        };
+        Arc::new(Shared {
+            settings,
+            life: clock::entropy(),
+            routes: ArcSwapOption::empty(),
+            pool: ConnectionPool::default(),
+            mesh: OnceLock::new(),
+            cores: Mutex::default(),
+            has_bricks: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
+            urgent: Notify::new(),
+            deciding: Mutex::new(deciding),
+        })
+    }
+
+    /// The deciding parts; never held across a wait.
+    pub fn deciding(&self) -> MutexGuard<'_, Deciding> {
+        self.deciding.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether clients should come here.
+    pub fn is_ready(&self) -> bool {
+        let informed = self.routes.load().is_some() && self.has_bricks.load(Ordering::Relaxed);
+        informed && !self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Requests that are not answered yet.
+    pub fn open_requests(&self) -> usize {
+        self.deciding().dispatcher.open()
+    }
+
+    /// A number for a request, unique in this process's life.
+    pub fn next_id(&self) -> RequestId {
+        let mut deciding = self.deciding();
+        deciding.next_id += 1;
+        deciding.next_id
+    }
+
+    /// Offers a request; what is decided comes through the receiver.
+    pub fn offer(&self, offer: Offer, first: bool) -> oneshot::Receiver<Decision> {
+        let (sender, receiver) = oneshot::channel();
+        let mut deciding = self.deciding();
+        deciding.waiting.insert(offer.id, sender);
+        let actions = deciding.dispatcher.offer(clock::now(), offer, first);
+        self.carry_out(deciding, actions);
+        receiver
+    }
+
+    /// A request has ended, at its brick or while it waited.
+    pub fn finish(&self, id: RequestId, outcome: BrickOutcome) {
+        let mut deciding = self.deciding();
+        deciding.waiting.remove(&id);
+        let actions = deciding.dispatcher.finish(clock::now(), id, outcome);
+        self.carry_out(deciding, actions);
+    }
+
+    /// Time has passed.
+    pub fn tick(&self, now: u64) {
+        let mut deciding = self.deciding();
+        let actions = deciding.dispatcher.tick(now);
+        self.carry_out(deciding, actions);
+    }
+
+    /// Bricks changed.
+    pub fn update_bricks(&self, update: pathbank_protocol::message::BrickUpdate) {
+        let mut deciding = self.deciding();
+        let actions = deciding.dispatcher.update_bricks(clock::now(), update);
+        self.carry_out(deciding, actions);
+    }
+
+    fn carry_out(&self, mut deciding: MutexGuard<'_, Deciding>, actions: Vec<Action>) {
+        for action in actions {
+            let (id, decision) = match action {
+                Action::Send { id, instance, address } => (id, Decision::Send { instance, address }),
+                Action::Refuse { id, code, retry_after } => (id, Decision::Refuse { code, retry_after }),
+            };
+            if let Some(waiting) = deciding.waiting.remove(&id) {
+                // Whoever waited may just have left; its guard ends the request.
+                let _ = waiting.send(decision);
+            }
+        }
+        if deciding.dispatcher.take_urgent() {
+            self.urgent.notify_one();
+        }
+    }
+
+    /// A request of a tenant began to run.
+    pub fn began(&self, tenant: &str) {
+        let mut deciding = self.deciding();
+        let wall_clock = deciding.wall_clock.now(clock::now(), clock::wall_clock());
+        deciding.usage.began(wall_clock, tenant);
+    }
+
+    /// What the cores should hear now; `None`: nothing has changed.
+    pub fn report(&self) -> Option<EdgeReport> {
+        let mut deciding = self.deciding();
+        let (demand, loads) = deciding.dispatcher.take_report();
+        let counted = deciding.usage.take_changed();
+        if demand.is_empty() && loads.is_empty() && !counted {
+            return None;
+        }
+        Some(EdgeReport {
+            edge: self.settings.node_name.clone(),
+            life: self.life,
+            usage: deciding.usage.windows(),
+            demand,
+            loads,
+        })
+    }
+
+    /// The addresses at which cores may be.
+    pub fn core_addresses(&self) -> Vec<SocketAddr> {
+        let cores = self.cores.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut addresses: Vec<SocketAddr> = cores.seeds.iter().chain(&cores.members).copied().collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+}
--- /dev/null
+++ b/crates/system/src/edge/ticket.rs
@@ -0,0 +1,49 @@
+//! A request's place in the dispatcher. Dropped, it ends the request there: a client that leaves takes its request with it.
+
+use super::shared::{Decision, Shared};
+use pathbank_router::bricks::BrickOutcome;
+use pathbank_router::dispatcher::{Offer, RequestId};
+use std::sync::Arc;
+
+/// A request that the dispatcher holds.
+pub struct Ticket {
+    shared: Arc<Shared>,
+    id: RequestId,
+    open: bool,
+}
+
+impl Ticket {
+    /// A ticket for a request that is not offered yet.
+    pub fn new(shared: Arc<Shared>) -> Ticket {
+        let id = shared.next_id();
+        Ticket { shared, id, open: false }
+    }
+
+    /// The request's number at this head.
+    pub fn id(&self) -> RequestId {
+        self.id
+    }
+
+    /// Offers the request and waits for what is decided.
+    pub async fn offer(&mut self, offer: Offer, first: bool) -> Option<Decision> {
+        self.open = true;
+        let decision = self.shared.offer(offer, first).await.ok();
+        if matches!(decision, Some(Decision::Refuse { .. })) {
+            self.open = false;
+        }
+        decision
+    }
+
+    /// The request ended at its brick.
+    pub fn end(&mut self, outcome: BrickOutcome) {
+        if std::mem::take(&mut self.open) {
+            self.shared.finish(self.id, outcome);
+        }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.end(BrickOutcome::Abandoned);
+    }
+}
--- /dev/null
+++ b/crates/system/src/lib.rs
@@ -0,0 +1,9 @@
+//! Drivers of the system's deciding parts: sockets, disks, clocks, signals, and the command line.
+
+pub mod clock;
+pub mod command;
+pub mod core;
+pub mod edge;
+pub mod net;
+pub mod settings;
+pub mod signals;
