--- /dev/null
+++ b/crates/system/src/net/client.rs
@@ -0,0 +1,181 @@
+//! Connections to bricks and to the platform, kept and used again.
+
+use crate::clock;
+use crate::net::socket;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{CONNECTION, HeaderName, HeaderValue};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// A connection that does not come up in this time is given up.
+pub const CONNECT_WITHIN: Duration = Duration::from_millis(600);
+/// An idle connection is used again for so long where the server states nothing, milliseconds.
+const DEFAULT_IDLE_MS: u64 = 4_000;
+/// An idle connection is left alone so long before the server's stated end, milliseconds.
+const IDLE_MARGIN_MS: u64 = 700;
+/// Bytes of a small answer that is read whole.
+const MOST_ANSWER_BYTES: usize = 1024 * 1024;
+
+type Sender = SendRequest<Full<Bytes>>;
+
+#[derive(Debug)]
+struct Idle {
+    sender: Sender,
+    until: u64,
+}
+
+/// Why an exchange has no answer.
+#[derive(Debug)]
+pub enum ExchangeError {
+    /// Not a byte of the request was written.
+    NotSent(Request<Full<Bytes>>),
+    /// The request may have been read.
+    Broken(hyper::Error),
+}
+
+/// An answer's head, and the connection that carries its body.
+#[derive(Debug)]
+pub struct Exchange {
+    /// The answer.
+    pub response: Response<Incoming>,
+    /// The connection, to be handed back once the body was read whole.
+    pub lease: ConnectionLease,
+}
+
+/// A connection in use. Dropped, it closes, unless [`ConnectionLease::give_back`] is called.
+#[derive(Debug)]
+pub struct ConnectionLease {
+    address: SocketAddr,
+    sender: Sender,
+    idle_ms: Option<u64>,
+}
+
+/// Idle connections by address.
+#[derive(Clone, Debug, Default)]
+pub struct ConnectionPool {
+    idle: Arc<Mutex<BTreeMap<SocketAddr, Vec<Idle>>>>,
+}
+
+impl ConnectionPool {
+    fn idle(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Vec<Idle>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
+        let now = clock::now();
+        let mut idle = self.idle();
+        let connections = idle.get_mut(&address)?;
+        while let Some(connection) = connections.pop() {
+            if now < connection.until && connection.sender.is_ready() {
+                return Some(connection.sender);
+            }
+        }
+        None
+    }
+
+    /// Closes what has rested too long.
+    pub fn tidy(&self) {
+        let now = clock::now();
+        let mut idle = self.idle();
+        for connections in idle.values_mut() {
+            connections.retain(|connection| now < connection.until && !connection.sender.is_closed());
+        }
+        idle.retain(|_, connections| !connections.is_empty());
+    }
+
+    async fn open(address: SocketAddr) -> std::io::Result<Sender> {
+        let stream = socket::connect(address, CONNECT_WITHIN).await?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(std::io::Error::other)?;
+        tokio::spawn(async move {
+            // Whoever waits for the answer hears of the error; nobody else has to.
+            let _ = connection.await;
+        });
+        Ok(sender)
+    }
+
+    /// Sends a request and reads the answer's head. A kept connection that turns out closed is replaced once.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Exchange, ExchangeError> {
+        let request = match self.take_idle(address) {
+            Some(sender) => match send(address, sender, request).await {
+                Err(ExchangeError::NotSent(request)) => request,
+                other => return other,
+            },
+            None => request,
+        };
+        match Self::open(address).await {
+            Ok(sender) => send(address, sender, request).await,
+            Err(_) => Err(ExchangeError::NotSent(request)),
+        }
+    }
+
+    /// Hands a connection back whose answer was read whole.
+    pub fn give_back(&self, lease: ConnectionLease) {
+        let Some(idle_ms) = lease.idle_ms else { return };
+        let until = clock::now() + idle_ms;
+        self.idle().entry(lease.address).or_default().push(Idle { sender: lease.sender, until });
+    }
+
+    /// A whole small exchange: the answer's status and body.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        within: Duration,
+    ) -> Option<(u16, Bytes)> {
+        let whole = async {
+            let Exchange { response, lease } = self.exchange(address, request).await.ok()?;
+            let status = response.status().as_u16();
+            let body = Limited::new(response.into_body(), MOST_ANSWER_BYTES).collect().await.ok()?.to_bytes();
+            self.give_back(lease);
+            Some((status, body))
+        };
+        tokio::time::timeout(within, whole).await.ok().flatten()
+    }
+}
+
+async fn send(
+    address: SocketAddr,
+    mut sender: Sender,
+    request: Request<Full<Bytes>>,
+) -> Result<Exchange, ExchangeError> {
+    match sender.try_send_request(request).await {
+        Ok(response) => {
+            let idle_ms = idle_time(&response);
+            Ok(Exchange { response, lease: ConnectionLease { address, sender, idle_ms } })
+        }
+        Err(mut error) => match error.take_message() {
+            Some(request) => Err(ExchangeError::NotSent(request)),
+            None => Err(ExchangeError::Broken(error.into_error())),
+        },
+    }
+}
+
+/// For how long the connection may be used again; `None`: not at all.
+fn idle_time(response: &Response<Incoming>) -> Option<u64> {
+    let headers = response.headers();
+    let has = |name: &HeaderName, word: &str| {
+        let values = headers.get_all(name).into_iter().filter_map(|value: &HeaderValue| value.to_str().ok());
+        values.flat_map(|value| value.split(',')).any(|item| item.trim().eq_ignore_ascii_case(word))
+    };
+    if has(&CONNECTION, "close") {
+        return None;
+    }
+    let keep_alive = headers.get("keep-alive").and_then(|value| value.to_str().ok());
+    let Some(keep_alive) = keep_alive else { return Some(DEFAULT_IDLE_MS) };
+    let stated = keep_alive.split(',').find_map(|item| item.trim().strip_prefix("timeout="));
+    let seconds: Option<u64> = stated.and_then(|seconds| seconds.trim().parse().ok());
+    let Some(seconds) = seconds else { return Some(DEFAULT_IDLE_MS) };
+    Some((seconds * 1_000).saturating_sub(IDLE_MARGIN_MS)).filter(|left| *left > 0)
+}
