Loads are ordered on the brick's own report, with its revision

Now a load is given only where the brick's report has room, with if_revision. Ruled out: heartbeats alone (up to 1.2 s old).

--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -50,6 +50,28 @@
     pub expected_ms: Millis,
 }
 
+impl Order {
+    /// Whether a brick that holds `held` has room for what is to be loaded.
+    pub fn fits(&self, runtime: &Runtime, held: &[LoadedModel]) -> bool {
+        let model = |name: &str| runtime.models.iter().find(|model| model.name == name);
+        let Some(wanted) = model(&self.model) else { return false };
+        let mut used = 0.0;
+        let mut adapters = 0;
+        for loaded in held {
+            // What the configuration does not know takes room that nobody can tell.
+            let Some(known) = model(&loaded.name) else { return false };
+            used += known.weights_mb + loaded.adapters.len() as f64 * known.adapter_mb;
+            adapters += loaded.adapters.len();
+        }
+        match self.adapter.is_empty() {
+            true => used + wanted.weights_mb <= runtime.weights_mb,
+            false => {
+                used + wanted.adapter_mb <= runtime.weights_mb && adapters < runtime.max_adapters as usize
+            }
+        }
+    }
+}
+
 /// Loads that may still begin.
 #[derive(Clone, Copy, Debug, Default)]
 struct LoadAllowance {
--- a/crates/system/src/core/brick_json.rs
+++ b/crates/system/src/core/brick_json.rs
@@ -70,6 +70,9 @@
     /// An order is in progress.
     #[serde(default)]
     pub busy: bool,
+    /// Orders taken since the brick's start.
+    #[serde(default)]
+    pub sequence: u64,
 }
 
 /// A brick as operators see it.
--- a/crates/system/src/core/node/leadership.rs
+++ b/crates/system/src/core/node/leadership.rs
@@ -3,13 +3,14 @@
 use super::{Event, Node};
 use crate::core::duties;
 use crate::core::orders::{self, Authority, OrderEnd};
-use pathbank_control::configuration::{self, Configuration};
+use pathbank_control::configuration::{self, Configuration, Runtime};
 use pathbank_control::placement::{Operation, Order, Placer};
 use pathbank_control::state::Command;
 use pathbank_coordination::fencing::{Fence, Permit};
 use pathbank_coordination::types::Term;
 use pathbank_protocol::message::{Brick, LoadedModel};
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 /// How often placement is looked at without news, milliseconds.
 const PLACE_EVERY: u64 = 500;
@@ -124,13 +125,24 @@
             let told = self.directory.withhold(&order.instance, &order.model, &order.adapter);
             self.tell_edges_of_bricks(told.into_iter().collect());
         }
+        let Some(runtime) = self.runtime_of(&order.instance) else {
+            return self.leadership.placer.finished(&order.instance);
+        };
         let (pool, events) = (self.pool.clone(), self.events.clone());
         tokio::spawn(async move {
-            let end = orders::carry_out(pool, order, authority).await;
+            let end = orders::carry_out(pool, order, runtime, authority).await;
             let _ = events.send(Event::OrderEnded(Box::new(end)));
         });
     }
 
+    /// What the service of a brick can hold, by the newest configuration.
+    fn runtime_of(&self, instance: &str) -> Option<Arc<Runtime>> {
+        let backend = self.directory.brick(instance)?.backend;
+        let (_, configuration) = self.leadership.configuration.as_ref()?;
+        let known = configuration.backends.iter().find(|known| known.name == backend)?;
+        known.runtime.clone().map(Arc::new)
+    }
+
     pub(super) fn on_order_ended(&mut self, end: OrderEnd) {
         let OrderEnd { order, report } = end;
         self.leadership.placer.finished(&order.instance);
--- a/crates/system/src/core/orders.rs
+++ b/crates/system/src/core/orders.rs
@@ -6,8 +6,11 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
+use pathbank_control::configuration::Runtime;
 use pathbank_control::placement::{Operation, Order};
+use pathbank_protocol::message::LoadedModel;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 const CALL_WITHIN: Duration = Duration::from_millis(1_500);
@@ -39,13 +42,32 @@
 }
 
 /// Gives an order and follows it to its end.
-pub async fn carry_out(pool: ConnectionPool, order: Order, authority: Authority) -> OrderEnd {
+///
+/// A load is given only on what the brick itself reports, and only if it took no order since: another leader's order,
+/// or one of this leader's whose answer was lost, may have filled it.
+pub async fn carry_out(
+    pool: ConnectionPool,
+    order: Order,
+    runtime: Arc<Runtime>,
+    authority: Authority,
+) -> OrderEnd {
     let Ok(address) = order.address.parse::<SocketAddr>() else { return OrderEnd { order, report: None } };
+    let mut revision = None;
+    if order.operation == Operation::Load {
+        let Some(before) = report(&pool, address, &order.instance).await else {
+            return OrderEnd { order, report: None };
+        };
+        let held: Vec<LoadedModel> = before.models.iter().cloned().map(LoadedModel::from).collect();
+        if before.busy || !order.fits(&runtime, &held) {
+            return OrderEnd { order, report: Some(before) };
+        }
+        revision = Some(before.sequence);
+    }
     if clock::now() >= authority.until {
         return OrderEnd { order, report: None };
     }
     let given = clock::now();
-    let answer = pool.call(address, order_request(&order, &authority), CALL_WITHIN).await;
+    let answer = pool.call(address, order_request(&order, revision, &authority), CALL_WITHIN).await;
     let status = answer.as_ref().map(|(status, _)| *status);
     tracing::debug!(instance = order.instance, operation = ?order.operation, model = order.model, adapter = order.adapter, ?status, "order");
     let turned_away = matches!(status, Some(400 | 412 | 421));
@@ -76,7 +98,7 @@
     (status == 200).then(|| serde_json::from_slice(&body).ok())?
 }
 
-fn order_request(order: &Order, authority: &Authority) -> Request<Full<Bytes>> {
+fn order_request(order: &Order, revision: Option<u64>, authority: &Authority) -> Request<Full<Bytes>> {
     let operation = match order.operation {
         Operation::Load => "model_load",
         Operation::Unload => "model_unload",
@@ -87,6 +109,9 @@
         "lease_holder": authority.lease_holder,
         "fencing_token": authority.fencing_token,
     });
+    if let Some(revision) = revision {
+        body["if_revision"] = revision.into();
+    }
     if !order.adapter.is_empty() {
         body["adapter"] = order.adapter.clone().into();
     }
