Placement by share of demand; unread prompts count in a brick's cost

Now each model is on copies by its share of the demand, prompts that are not read yet count three times, another zone costs 30 ms, and a client that comes back is held. Elections after 0.6 s.

--- a/crates/control/src/demand.rs
+++ b/crates/control/src/demand.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 /// The memory of the running means, milliseconds.
-const SPAN: f64 = 8_000.0;
+const SPAN: f64 = 4_000.0;
 /// Word that requests wait for a model counts for so long.
 const WAITING_COUNTS: Millis = 1_500;
 
--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -13,14 +13,19 @@
 const LOADS_USED: f64 = 0.85;
 /// Loads that may follow each other at once.
 const LOAD_BURST: f64 = 2.0;
-/// A model gets another brick when its bricks' slots are taken to this part.
-const BUSY: f64 = 0.55;
-/// A brick takes a busy model's load when its own slots are taken to less than this part.
-const CALM: f64 = 0.35;
+/// A model should be on so many times as many bricks as its part of the demand alone would fill.
+const SPREAD: f64 = 1.6;
+/// Demand below this, requests a second for each brick of the service, needs no second brick.
+const LITTLE: f64 = 0.15;
 /// An adapter gets another brick for each so many requests a second.
 const REQUESTS_PER_ADAPTER: f64 = 2.5;
 /// What the only copy of a model counts for beyond its demand, requests a second.
 const ONLY_COPY: f64 = 0.05;
+const ONLY_COPY_FACTOR: f64 = 2.0;
+/// What a copy beyond those wanted counts for, as a part of what it serves.
+const SURPLUS_FACTOR: f64 = 0.1;
+/// What the demand that a brick serves already counts for when a load looks for its brick.
+const CROWDED: f64 = 0.3;
 /// What each request that waits counts for, requests a second.
 const WAITING_WEIGHT: f64 = 0.3;
 
@@ -109,6 +114,8 @@
     runtime: &'a Runtime,
     bricks: Vec<&'a Brick>,
     demand: &'a DemandTable,
+    /// Requests a second asked of all models of the service.
+    total_rate: f64,
     orders: Vec<Order>,
 }
 
@@ -144,7 +151,9 @@
             let mut allowance = self.allowance.get(&backend.name).copied().unwrap_or_default();
             allowance.fill(now, runtime.loads_per_s);
             let bricks = bricks.iter().filter(|brick| brick.backend == backend.name).collect();
-            let mut plan = Plan { now, backend, runtime, bricks, demand, orders: Vec::new() };
+            let mut plan =
+                Plan { now, backend, runtime, bricks, demand, total_rate: 0.0, orders: Vec::new() };
+            plan.total_rate = plan.keys().iter().map(|key| plan.rate(key)).sum();
             plan.adapters(self);
             plan.missing_models(self, &mut allowance);
             plan.busy_models(self, &mut allowance);
@@ -203,6 +212,12 @@
         f64::from(self.demand.in_flight(self.now, &brick.instance)) / f64::from(brick.capacity.max(1))
     }
 
+    /// Requests a second that a brick serves, if every model's demand is spread evenly over its copies.
+    fn served_by(&self, brick: &Brick) -> f64 {
+        let part = |held: &LoadedModel| self.model_rate(&held.name) / self.holders(&held.name).max(1) as f64;
+        brick.models.iter().map(part).sum()
+    }
+
     /// Megabytes that a brick's models and adapters take.
     fn used_mb(&self, brick: &Brick) -> f64 {
         let size = |held: &LoadedModel| {
@@ -301,27 +316,39 @@
         }
     }
 
+    /// Bricks that a model should be on by its part of the demand.
+    fn wanted_copies(&self, name: &str) -> usize {
+        let rate = self.model_rate(name);
+        let bricks = self.bricks.len() as f64;
+        if rate < LITTLE * bricks / 4.0 {
+            return 1;
+        }
+        let copies = (SPREAD * bricks * rate / self.total_rate.max(LITTLE * bricks)).ceil();
+        copies.clamp(1.0, bricks) as usize
+    }
+
     fn busy_models(&mut self, placer: &mut Placer, allowance: &mut LoadAllowance) {
         let names: BTreeSet<String> = self.keys().into_iter().map(|key| key.model).collect();
-        for name in names {
-            let holders: Vec<&Brick> =
-                self.bricks.iter().copied().filter(|brick| loaded(brick, &name).is_some()).collect();
-            let busy =
-                holders.iter().map(|brick| self.occupancy(brick)).sum::<f64>() / holders.len().max(1) as f64;
-            if holders.is_empty() || busy < BUSY || self.is_loading(placer, &name, "") {
-                continue;
-            }
-            let rate = self.model_rate(&name) / (holders.len() + 1) as f64;
-            let calm = self
-                .bricks
-                .iter()
-                .any(|brick| self.occupancy(brick) < CALM && loaded(brick, &name).is_none());
-            if calm {
-                self.load(placer, allowance, &name, rate);
-            }
+        let mut lacking: Vec<(f64, String)> = names
+            .into_iter()
+            .filter(|name| self.model(name).is_some() && self.holders(name) > 0)
+            .filter(|name| self.holders(name) + self.loading(placer, name) < self.wanted_copies(name))
+            .map(|name| (self.model_rate(&name) / self.holders(&name) as f64, name))
+            .collect();
+        lacking.sort_by(|(one, _), (other, _)| other.total_cmp(one));
+        for (rate, name) in lacking {
+            self.load(placer, allowance, &name, rate);
         }
     }
 
+    /// Bricks that load a model at the moment.
+    fn loading(&self, placer: &Placer, name: &str) -> usize {
+        let same = |order: &&Order| {
+            order.operation == Operation::Load && order.model == name && order.adapter.is_empty()
+        };
+        placer.under_way.values().filter(same).count()
+    }
+
     /// Loads a model where the least has to go for it, or makes room there first.
     fn load(&mut self, placer: &mut Placer, allowance: &mut LoadAllowance, name: &str, rate: f64) {
         let Some(size) = self.model(name).map(|model| model.weights_mb) else { return };
@@ -329,8 +356,7 @@
         let free = free.filter(|brick| self.is_free(placer, brick));
         let options = free.filter_map(|brick| {
             let (cost, victim) = self.make_room(brick, size)?;
-            let occupancy = self.occupancy(brick);
-            Some((cost + 0.2 * occupancy, cost, victim, brick))
+            Some((cost + CROWDED * self.served_by(brick), cost, victim, brick))
         });
         let best = options.min_by(|(one, ..), (other, ..)| one.total_cmp(other));
         let Some((_, cost, victim, brick)) = best else { return };
@@ -368,11 +394,15 @@
         None
     }
 
-    /// What one copy of a model serves, requests a second.
+    /// What one copy of a model serves, requests a second; a copy beyond those wanted is worth next to nothing.
     fn value(&self, name: &str) -> f64 {
         let copies = self.holders(name).max(1);
-        let only = if copies == 1 { ONLY_COPY } else { 0.0 };
-        self.model_rate(name) / copies as f64 * if copies == 1 { 2.0 } else { 1.0 } + only
+        let rate = self.model_rate(name);
+        match copies {
+            1 => ONLY_COPY_FACTOR * rate + ONLY_COPY,
+            _ if copies > self.wanted_copies(name) => SURPLUS_FACTOR * rate / copies as f64,
+            _ => rate / copies as f64,
+        }
     }
 }
 
--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -25,7 +25,7 @@
 
 impl Default for Timing {
     fn default() -> Timing {
-        Timing { heartbeat: 150, election: 900, lease: 700 }
+        Timing { heartbeat: 100, election: 600, lease: 450 }
     }
 }
 
--- a/crates/router/src/bricks.rs
+++ b/crates/router/src/bricks.rs
@@ -27,6 +27,8 @@
     pub brick: Brick,
     /// Requests of this head out there.
     pub in_flight: u32,
+    /// Tokens of prompts of this head that it has not begun to answer, by request.
+    unread: BTreeMap<u64, u64>,
     /// Of other heads, by what the brick said last, and when.
     others: f64,
     others_at: Millis,
@@ -40,6 +42,7 @@
         KnownBrick {
             brick,
             in_flight: 0,
+            unread: BTreeMap::new(),
             others: 0.0,
             others_at: 0,
             rest_until: 0,
@@ -54,6 +57,11 @@
         self.others * (1.0 - age).max(0.0)
     }
 
+    /// Tokens of prompts of this head that it has still to read.
+    pub fn unread_tokens(&self) -> u64 {
+        self.unread.values().sum()
+    }
+
     /// Part of its slots that are taken; above 1: requests wait there.
     pub fn occupancy(&self, now: Millis) -> f64 {
         (f64::from(self.in_flight) + self.others(now)) / f64::from(self.brick.capacity.max(1))
@@ -170,9 +178,17 @@
     }
 
     /// A request of this head went there.
-    pub fn sent(&mut self, instance: &str) {
+    pub fn sent(&mut self, instance: &str, request: u64, tokens: u64) {
         if let Some(known) = self.known.get_mut(instance) {
             known.in_flight += 1;
+            known.unread.insert(request, tokens);
+        }
+    }
+
+    /// It began to answer a request, or will not.
+    pub fn began(&mut self, instance: &str, request: u64) {
+        if let Some(known) = self.known.get_mut(instance) {
+            known.unread.remove(&request);
         }
     }
 
--- a/crates/router/src/dispatcher.rs
+++ b/crates/router/src/dispatcher.rs
@@ -20,10 +20,12 @@
 
 /// Tokens of a prompt that a brick reads in a millisecond, until something better is known.
 const PREFILL_TOKENS_PER_MS: f64 = 18.0;
+/// Tokens of other prompts that a brick has not begun to answer hold up every stream there, not this request alone.
+const UNREAD_WEIGHT: u64 = 3;
 /// What a brick with all slots taken costs a request, milliseconds; less in proportion.
 const FULL_BRICK_MS: f64 = 500.0;
 /// What another zone costs, milliseconds.
-const OTHER_ZONE_MS: f64 = 6.0;
+const OTHER_ZONE_MS: f64 = 30.0;
 /// Bricks as good as each other are told apart by a draw of so many milliseconds.
 const DRAW_MS: f64 = 3.0;
 /// A request that cannot be sent is refused after this part of its objective, where that lets it come back in time.
@@ -62,6 +64,8 @@
     pub objective: Millis,
     /// How long a load of its model takes, where that is known.
     pub load_ms: Option<Millis>,
+    /// Its client has been refused before: it comes back only a few times more.
+    pub returned: bool,
     /// Bricks that are not to get it (again).
     pub excluded: BTreeSet<Instance>,
 }
@@ -164,6 +168,13 @@
         self.dispatch(now)
     }
 
+    /// A brick began to answer a request: its prompt is read.
+    pub fn began(&mut self, id: RequestId) {
+        if let Some(Stage::Sent(instance)) = self.held.get(&id).map(|held| &held.stage) {
+            self.bricks.began(instance, id);
+        }
+    }
+
     /// A brick's answer told its load.
     pub fn note_load(&mut self, now: Millis, instance: &str, running: u32, waiting: u32) {
         self.bricks.note_load(now, instance, running, waiting);
@@ -222,12 +233,12 @@
     fn enter(&mut self, now: Millis, id: RequestId, stage: Stage) {
         let Some(held) = self.held.get_mut(&id) else { return };
         let before = std::mem::replace(&mut held.stage, stage.clone());
-        let (flow, size) = (flow_of(&held.offer), held.offer.size as f64);
+        let (flow, size, tokens) = (flow_of(&held.offer), held.offer.size as f64, held.offer.input_tokens);
         match (&before, &stage) {
             (Stage::Queued(_), Stage::Queued(to)) => self.fair.move_to(id, to.clone()),
             (Stage::Queued(_), Stage::Unplaced) => drop(self.fair.remove(now, id)),
             (Stage::Unplaced, Stage::Queued(at)) => self.fair.push(now, flow, at.clone(), id, size),
-            (Stage::Queued(_), Stage::Sent(at)) => self.bricks.sent(at),
+            (Stage::Queued(_), Stage::Sent(at)) => self.bricks.sent(at, id, tokens),
             (Stage::Sent(_), _) | (Stage::Unplaced, _) => {}
         }
         if before != stage {
@@ -242,6 +253,7 @@
             Stage::Queued(_) => drop(self.fair.remove(now, offer.id)),
             Stage::Sent(instance) => {
                 self.fair.done(&flow_of(offer));
+                self.bricks.began(instance, offer.id);
                 self.bricks.ended(now, instance, &offer.name, outcome);
             }
         }
@@ -273,7 +285,8 @@
     /// What an answer from a brick would cost, as milliseconds until it begins.
     fn cost(&self, now: Millis, offer: &Offer, instance: &Instance, known: &KnownBrick) -> f64 {
         let kept = self.affinity.kept_tokens(instance, &offer.name, &offer.parts);
-        let prefill = offer.input_tokens.saturating_sub(kept) as f64 / PREFILL_TOKENS_PER_MS;
+        let unread = offer.input_tokens.saturating_sub(kept) + UNREAD_WEIGHT * known.unread_tokens();
+        let prefill = unread as f64 / PREFILL_TOKENS_PER_MS;
         let queued = self.fair.queued_at(instance) as f64 / f64::from(known.brick.capacity.max(1));
         let occupancy = known.occupancy(now) + queued;
         let full = if known.has_slot(now) { 0.0 } else { FULL_BRICK_MS };
@@ -375,7 +388,7 @@
         return Some((code, honoured));
     }
     let early = now >= offer.arrived + (REFUSE_AFTER * offer.objective as f64) as Millis;
-    let comes_back_in_time = ready_in <= honoured;
+    let comes_back_in_time = ready_in <= honoured && !offer.returned;
     (early && comes_back_in_time).then_some((code, ready_in))
 }
 
--- a/crates/system/src/edge/proxy.rs
+++ b/crates/system/src/edge/proxy.rs
@@ -54,6 +54,8 @@
 const ANSWER_MARGIN: u64 = 20;
 /// The lowest `Priority`, and by how much routes' ranks are moved from the highest.
 const LOWEST_PRIORITY: i64 = 9;
+/// A client that waits for less than this part of its route's time has tried before.
+const RETURNED_PART: f64 = 0.9;
 /// When to come back to a head that has no configuration, or stops.
 const SOON_MS: u64 = 300;
 
@@ -72,6 +74,8 @@
     name: ModelName,
     tokens: TokenCount,
     load_ms: Option<u64>,
+    /// Its client has tried before.
+    returned: bool,
     arrived: u64,
     /// When the client stops waiting.
     pub(super) deadline: u64,
@@ -131,6 +135,7 @@
         name,
         tokens,
         load_ms,
+        returned: (waits as f64) < RETURNED_PART * route.timeout_ms,
         arrived,
         deadline: arrived + held.saturating_sub(ANSWER_MARGIN),
         route,
@@ -218,6 +223,7 @@
             deadline: self.deadline,
             objective: self.route.target_latency_ms as u64,
             load_ms: self.load_ms,
+            returned: self.returned,
             excluded: self.tried.clone(),
         }
     }
@@ -371,6 +377,7 @@
     mut ticket: Ticket,
 ) -> Try {
     job.sends += 1;
+    shared.deciding().dispatcher.began(ticket.id());
     let headers = exchange.response.headers();
     note_load(shared, &instance, headers);
     let own_id = headers.get(REQUEST_ID) == job.headers.get(REQUEST_ID);
