--- a/crates/control/src/demand.rs
+++ b/crates/control/src/demand.rs
@@ -41,11 +41,16 @@
 pub struct DemandTable {
     by_key: BTreeMap<ModelKey, Demand>,
     loads: BTreeMap<String, BTreeMap<String, (u32, Millis)>>,
+    /// When the first demand was told.
+    since: Option<Millis>,
 }
 
 impl DemandTable {
     /// Takes an edge's report.
     pub fn note(&mut self, now: Millis, report: &EdgeReport) {
+        if !report.demand.is_empty() {
+            self.since.get_or_insert(now);
+        }
         report.demand.iter().for_each(|demand| self.note_demand(now, demand));
         for load in &report.loads {
             let edges = self.loads.entry(load.instance.clone()).or_default();
@@ -70,6 +75,12 @@
         }
     }
 
+    /// The part of the demand that is not known yet: 1 before the first word, 0 after some time.
+    pub fn unknown_part(&self, now: Millis) -> f64 {
+        let passed = self.since.map_or(0, |since| now.saturating_sub(since));
+        (-(passed as f64) / SPAN).exp()
+    }
+
     /// Tokens a second asked of a key.
     pub fn tokens_per_s(&self, now: Millis, key: &ModelKey) -> f64 {
         self.mean(now, key, |demand| demand.tokens)
--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -16,12 +16,14 @@
 /// A model should be on so many times as many bricks as its part of the demand alone would fill.
 const SPREAD: f64 = 1.6;
 /// Demand below this, requests a second for each brick of the service, needs no second brick.
-const LITTLE: f64 = 0.15;
+const LITTLE: f64 = 0.8;
 /// An adapter gets another brick for each so many requests a second.
 const REQUESTS_PER_ADAPTER: f64 = 2.5;
 /// What the only copy of a model counts for beyond its demand, requests a second.
 const ONLY_COPY: f64 = 0.05;
 const ONLY_COPY_FACTOR: f64 = 2.0;
+/// What a copy of a model with several counts for while demand is not known yet, requests a second.
+const UNKNOWN_COPY: f64 = 3.0;
 /// What a copy beyond those wanted counts for, as a part of what it serves.
 const SURPLUS_FACTOR: f64 = 0.1;
 /// What the demand that a brick serves already counts for when a load looks for its brick.
@@ -320,9 +322,6 @@
     fn wanted_copies(&self, name: &str) -> usize {
         let rate = self.model_rate(name);
         let bricks = self.bricks.len() as f64;
-        if rate < LITTLE * bricks / 4.0 {
-            return 1;
-        }
         let copies = (SPREAD * bricks * rate / self.total_rate.max(LITTLE * bricks)).ceil();
         copies.clamp(1.0, bricks) as usize
     }
@@ -398,10 +397,11 @@
     fn value(&self, name: &str) -> f64 {
         let copies = self.holders(name).max(1);
         let rate = self.model_rate(name);
+        let unknown = UNKNOWN_COPY * self.demand.unknown_part(self.now);
         match copies {
             1 => ONLY_COPY_FACTOR * rate + ONLY_COPY,
-            _ if copies > self.wanted_copies(name) => SURPLUS_FACTOR * rate / copies as f64,
-            _ => rate / copies as f64,
+            _ if copies > self.wanted_copies(name) => SURPLUS_FACTOR * rate / copies as f64 + unknown,
+            _ => rate / copies as f64 + unknown,
         }
     }
 }
