A store at a lost disk's address joins; cleared bricks stay reserved; stories

An answer of an unknown store now counts as asking to join. Cores tell edges only the newest configuration they could know of. Ruled out: votes of empty stores, lost records.

Placement: a brick that was cleared is kept for its model; several copies are ordered at once.

--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -28,6 +28,8 @@
 const SURPLUS_FACTOR: f64 = 0.1;
 /// What the demand that a brick serves already counts for when a load looks for its brick.
 const CROWDED: f64 = 0.3;
+/// For how long a cleared brick is kept for its model, milliseconds.
+const RESERVED_FOR: Millis = 6_000;
 /// What each request that waits counts for, requests a second.
 const WAITING_WEIGHT: f64 = 0.3;
 
@@ -102,10 +104,18 @@
     }
 }
 
+/// A brick that was cleared for a model: nothing else is loaded there until the model is, or the time is over.
+#[derive(Clone, Debug)]
+struct Reservation {
+    model: String,
+    until: Millis,
+}
+
 /// Orders under way, and what may follow them.
 #[derive(Clone, Debug, Default)]
 pub struct Placer {
     under_way: BTreeMap<String, Order>,
+    reserved: BTreeMap<String, Reservation>,
     allowance: BTreeMap<String, LoadAllowance>,
 }
 
@@ -146,6 +156,7 @@
         demand: &DemandTable,
     ) -> Vec<Order> {
         let mut orders = Vec::new();
+        self.reserved.retain(|_, reservation| now < reservation.until);
         for backend in &configuration.backends {
             let Some(runtime) = backend.runtime.as_ref().filter(|runtime| !runtime.models.is_empty()) else {
                 continue;
@@ -156,6 +167,7 @@
             let mut plan =
                 Plan { now, backend, runtime, bricks, demand, total_rate: 0.0, orders: Vec::new() };
             plan.total_rate = plan.keys().iter().map(|key| plan.rate(key)).sum();
+            plan.reserved_models(self, &mut allowance);
             plan.adapters(self);
             plan.missing_models(self, &mut allowance);
             plan.busy_models(self, &mut allowance);
@@ -208,6 +220,7 @@
             order.operation == Operation::Load && order.model == model && order.adapter == adapter
         };
         placer.under_way.values().any(|order| same(order) && ours(order))
+            || adapter.is_empty() && placer.reserved.values().any(|reservation| reservation.model == model)
     }
 
     fn occupancy(&self, brick: &Brick) -> f64 {
@@ -302,6 +315,24 @@
 
     // ---- models ----
 
+    /// Loads what bricks were cleared for.
+    fn reserved_models(&mut self, placer: &mut Placer, allowance: &mut LoadAllowance) {
+        for brick in self.bricks.clone() {
+            let Some(reservation) = placer.reserved.get(&brick.instance) else { continue };
+            let model = reservation.model.clone();
+            let Some(size) = self.model(&model).map(|model| model.weights_mb) else { continue };
+            let done = loaded(brick, &model).is_some();
+            let room = self.runtime.weights_mb - self.used_mb(brick) >= size;
+            if done || self.is_free(placer, brick) && room && allowance.take() {
+                placer.reserved.remove(&brick.instance);
+            }
+            if !done && !placer.reserved.contains_key(&brick.instance) {
+                let key = self.key(&model, "");
+                self.order(placer, brick, Operation::Load, &key);
+            }
+        }
+    }
+
     fn missing_models(&mut self, placer: &mut Placer, allowance: &mut LoadAllowance) {
         let names: BTreeSet<String> = self.keys().into_iter().map(|key| key.model).collect();
         let mut wanted: Vec<(f64, String)> = names
@@ -336,7 +367,9 @@
             .collect();
         lacking.sort_by(|(one, _), (other, _)| other.total_cmp(one));
         for (rate, name) in lacking {
-            self.load(placer, allowance, &name, rate);
+            let lacks =
+                self.wanted_copies(&name).saturating_sub(self.holders(&name) + self.loading(placer, &name));
+            (0..lacks).for_each(|_| self.load(placer, allowance, &name, rate));
         }
     }
 
@@ -345,14 +378,16 @@
         let same = |order: &&Order| {
             order.operation == Operation::Load && order.model == name && order.adapter.is_empty()
         };
-        placer.under_way.values().filter(same).count()
+        let reserved = placer.reserved.values().filter(|reservation| reservation.model == name).count();
+        placer.under_way.values().filter(same).count() + reserved
     }
 
     /// Loads a model where the least has to go for it, or makes room there first.
     fn load(&mut self, placer: &mut Placer, allowance: &mut LoadAllowance, name: &str, rate: f64) {
         let Some(size) = self.model(name).map(|model| model.weights_mb) else { return };
         let free = self.bricks.iter().copied().filter(|brick| loaded(brick, name).is_none());
-        let free = free.filter(|brick| self.is_free(placer, brick));
+        let free = free
+            .filter(|brick| self.is_free(placer, brick) && !placer.reserved.contains_key(&brick.instance));
         let options = free.filter_map(|brick| {
             let (cost, victim) = self.make_room(brick, size)?;
             Some((cost + CROWDED * self.served_by(brick), cost, victim, brick))
@@ -364,7 +399,11 @@
         }
         let key = self.key(name, "");
         match victim {
-            Some(victim) => self.order(placer, brick, Operation::Unload, &victim),
+            Some(victim) => {
+                let reservation = Reservation { model: name.to_owned(), until: self.now + RESERVED_FOR };
+                placer.reserved.insert(brick.instance.clone(), reservation);
+                self.order(placer, brick, Operation::Unload, &victim);
+            }
             None if allowance.take() => self.order(placer, brick, Operation::Load, &key),
             None => {}
         }
--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -105,6 +105,8 @@
     role: Role,
     leader: Option<Member>,
     leader_heard: Option<Millis>,
+    /// What the leader said is committed, whether this replica has it or not.
+    leader_commit: Index,
     /// Before this no vote is given: an earlier life of this process may have heard a leader.
     votes_from: Millis,
     election_at: Millis,
@@ -133,6 +135,7 @@
             role: Role::Follower,
             leader: None,
             leader_heard: None,
+            leader_commit: 0,
             votes_from: now + if last > 0 || durable.term > 0 { timing.election } else { 0 },
             election_at: 0,
             heartbeat_at: 0,
@@ -209,6 +212,12 @@
     pub fn others(&self) -> impl Iterator<Item = (&Member, Index, Millis)> {
         self.progress.values().map(|other| (&other.member, other.matched, other.heard))
     }
+    /// Whether this replica has applied all that it could know to be committed: it leads, or heard a leader within
+    /// `silence` milliseconds and lacks nothing of what that leader told.
+    pub fn is_current(&self, now: Millis, silence: Millis) -> bool {
+        let heard = self.leader_heard.is_some_and(|heard| now < heard + silence);
+        self.is_settled_leader() || heard && self.leader_commit > 0 && self.applied >= self.leader_commit
+    }
     /// When the leader of this group was heard last, if ever in this life.
     pub fn leader_heard(&self) -> Option<Millis> {
         if self.role == Role::Leader { Some(Millis::MAX) } else { self.leader_heard }
@@ -594,8 +603,13 @@
             self.enter_term(now, term, None, effects);
             return;
         }
-        let leads = self.role == Role::Leader && term == self.durable.term;
-        let Some(other) = self.progress.get_mut(&from.id).filter(|_| leads) else { return };
+        if self.role != Role::Leader || term != self.durable.term {
+            return;
+        }
+        let Some(other) = self.progress.get_mut(&from.id) else {
+            // A new store at a voter's address hears what is said to that voter, and so never asks to join.
+            return self.on_join(now, from, effects);
+        };
         other.heard = now;
         other.answered = other.answered.max(sent_at);
         other.member = from.clone();
@@ -694,6 +708,7 @@
         effects: &mut Effects,
     ) {
         let (previous_index, previous_term) = previous;
+        self.leader_commit = self.leader_commit.max(commit);
         let covered = previous_index < self.durable.snapshot.index;
         if !covered && self.durable.term_at(previous_index) != Some(previous_term) {
             let retry_from = previous_index.saturating_sub(1).min(self.durable.last_index()).max(self.commit);
--- /dev/null
+++ b/crates/coordination/tests/common/mod.rs
@@ -0,0 +1,346 @@
+//! Replicas in one process: virtual time, links that delay, lose and cut, disks that sync late and lose what they had not.
+
+#![allow(dead_code)]
+
+use pathbank_coordination::group;
+use pathbank_coordination::record::{Durable, Record};
+use pathbank_coordination::replica::{Effects, Outgoing, Replica, Role, Timing};
+use pathbank_coordination::types::{Entry, Index, Member, Membership, Message, Payload, StoreId};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How long a message takes, and how long a sync takes, milliseconds.
+pub const DELAY: u64 = 2;
+pub const SYNC: u64 = 3;
+
+struct Pending {
+    at: u64,
+    records: Vec<Record>,
+    last_index: Index,
+    held: Vec<Outgoing>,
+}
+
+pub struct Machine {
+    pub replica: Option<Replica>,
+    pub disk: Durable,
+    writes: Vec<Pending>,
+    /// Commands in the order in which they were applied.
+    pub applied: Vec<(Index, Vec<u8>)>,
+    pub stalled: bool,
+}
+
+pub struct Fleet {
+    pub now: u64,
+    pub machines: Vec<Machine>,
+    flying: BTreeMap<(u64, u64), (usize, Member, Message)>,
+    serial: u64,
+    pub cut: BTreeSet<(usize, usize)>,
+    pub loss_in_1000: u64,
+    random: fastrand::Rng,
+    /// What was acknowledged: index and command, on the word of the leader of the time.
+    pub acknowledged: BTreeMap<Index, Vec<u8>>,
+    proposed: BTreeMap<(usize, Index), (u64, Vec<u8>)>,
+    next_store: u64,
+}
+
+pub fn address(machine: usize) -> String {
+    format!("10.0.0.{machine}:7000")
+}
+
+pub fn member(machine: usize, store: u64) -> Member {
+    Member {
+        id: StoreId(store),
+        name: format!("core-{machine}"),
+        address: address(machine),
+        control_address: format!("10.0.0.{machine}:8000"),
+    }
+}
+
+impl Fleet {
+    /// `founders` machines that start as one group, and `others` with empty disks.
+    pub fn new(founders: usize, others: usize, seed: u64) -> Fleet {
+        let voters: Vec<Member> = (0..founders).map(|machine| member(machine, machine as u64 + 1)).collect();
+        let mut fleet = Fleet {
+            now: 1_000,
+            machines: Vec::new(),
+            flying: BTreeMap::new(),
+            serial: 0,
+            cut: BTreeSet::new(),
+            loss_in_1000: 0,
+            random: fastrand::Rng::with_seed(seed),
+            acknowledged: BTreeMap::new(),
+            proposed: BTreeMap::new(),
+            next_store: 100,
+        };
+        for machine in 0..founders + others {
+            let founder = machine < founders;
+            let initial = if founder { Membership::of(voters.clone()) } else { Membership::default() };
+            let id = if founder { StoreId(machine as u64 + 1) } else { StoreId(fleet.draw_store()) };
+            let disk = Durable { id: Some(id), initial, ..Durable::default() };
+            fleet.machines.push(Machine {
+                replica: None,
+                disk,
+                writes: Vec::new(),
+                applied: Vec::new(),
+                stalled: false,
+            });
+            fleet.start(machine);
+        }
+        fleet
+    }
+
+    fn draw_store(&mut self) -> u64 {
+        self.next_store += 1;
+        self.next_store
+    }
+
+    pub fn start(&mut self, machine: usize) {
+        let disk = self.machines[machine].disk.clone();
+        let me = member(machine, disk.id.unwrap().0);
+        let random = self.random.u64(..);
+        let state = &mut self.machines[machine];
+        state.applied = decode(&disk.snapshot.data);
+        state.replica = Some(Replica::new(me, Timing::default(), disk, self.now, random));
+    }
+
+    /// The process dies; what was handed to the disk is there or not, in order.
+    pub fn kill(&mut self, machine: usize) {
+        let kept = self.random.usize(0..=self.machines[machine].writes.len());
+        self.stop(machine, kept);
+    }
+
+    /// The machine loses power: only what was synced is there, or a part of what came behind it.
+    pub fn power_off(&mut self, machine: usize) {
+        self.kill(machine);
+    }
+
+    fn stop(&mut self, machine: usize, kept: usize) {
+        let state = &mut self.machines[machine];
+        state.replica = None;
+        for write in state.writes.drain(..).take(kept) {
+            write.records.into_iter().for_each(|record| state.disk.apply(record));
+        }
+    }
+
+    /// The machine loses power and its disk.
+    pub fn wipe(&mut self, machine: usize) {
+        self.stop(machine, 0);
+        let id = StoreId(self.draw_store());
+        self.machines[machine].disk = Durable { id: Some(id), ..Durable::default() };
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        let leaders = self.machines.iter().enumerate().filter(|(_, machine)| {
+            machine.replica.as_ref().is_some_and(|replica| replica.is_settled_leader())
+        });
+        leaders.max_by_key(|(_, machine)| machine.replica.as_ref().map(Replica::term)).map(|(at, _)| at)
+    }
+
+    /// Proposes at the leader; what is committed of it later counts as acknowledged.
+    pub fn propose(&mut self, command: &[u8]) -> bool {
+        let Some(leader) = self.leader() else { return false };
+        let replica = self.machines[leader].replica.as_mut().unwrap();
+        let term = replica.term();
+        match replica.propose(self.now, command.to_vec()) {
+            Ok((index, effects)) => {
+                self.proposed.insert((leader, index), (term, command.to_vec()));
+                self.carry_out(leader, effects);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Compacts a machine's log.
+    pub fn compact(&mut self, machine: usize) {
+        let state = &mut self.machines[machine];
+        let Some(replica) = state.replica.as_mut() else { return };
+        let Some(index) = state.applied.last().map(|(index, _)| *index) else { return };
+        let effects = replica.compact(index, Vec::new(), encode(&state.applied));
+        self.carry_out(machine, effects);
+    }
+
+    fn carry_out(&mut self, machine: usize, effects: Effects) {
+        let now = self.now;
+        let state = &mut self.machines[machine];
+        let Some(replica) = state.replica.as_ref() else { return };
+        let last_index = replica.durable().last_index();
+        let me = replica.me().clone();
+        let saves = !effects.records.is_empty();
+        if saves {
+            let at = now + SYNC;
+            state.writes.push(Pending { at, records: effects.records, last_index, held: Vec::new() });
+        }
+        let mut go = Vec::new();
+        for message in effects.messages {
+            match state.writes.last_mut().filter(|_| message.after_save) {
+                Some(write) => write.held.push(message),
+                None => go.push(message),
+            }
+        }
+        if let Some(snapshot) = effects.install {
+            state.applied = decode(&snapshot.data);
+        }
+        for entry in effects.committed {
+            self.apply(machine, entry);
+        }
+        self.send(machine, &me, go);
+    }
+
+    fn apply(&mut self, machine: usize, entry: Entry) {
+        let Payload::Command(command) = entry.payload else { return };
+        self.machines[machine].applied.push((entry.index, command.clone()));
+        if let Some((term, proposed)) = self.proposed.remove(&(machine, entry.index))
+            && term == entry.term
+            && proposed == command
+        {
+            self.acknowledged.insert(entry.index, command);
+        }
+    }
+
+    fn send(&mut self, from: usize, me: &Member, messages: Vec<Outgoing>) {
+        for Outgoing { to, message, .. } in messages {
+            let target = (0..self.machines.len()).find(|machine| address(*machine) == to.address);
+            let lost = self.random.u64(0..1_000) < self.loss_in_1000;
+            if let Some(target) = target.filter(|target| !lost && !self.cut.contains(&(from, *target))) {
+                let at = self.now + DELAY + self.random.u64(0..3);
+                self.serial += 1;
+                self.flying.insert((at, self.serial), (target, me.clone(), message));
+            }
+        }
+    }
+
+    /// One millisecond passes.
+    pub fn step(&mut self) {
+        self.now += 1;
+        while let Some((&(at, serial), _)) = self.flying.first_key_value() {
+            if at > self.now {
+                break;
+            }
+            let (target, from, message) = self.flying.remove(&(at, serial)).unwrap();
+            self.with(target, |replica, now| replica.hear(now, from, message));
+        }
+        for machine in 0..self.machines.len() {
+            self.sync(machine);
+            self.with(machine, |replica, now| replica.tick(now));
+            self.with(machine, |replica, now| group::step(replica, now).unwrap_or_default());
+            if self.now.is_multiple_of(100) {
+                self.ask_to_join(machine);
+            }
+        }
+    }
+
+    fn with(&mut self, machine: usize, event: impl FnOnce(&mut Replica, u64) -> Effects) {
+        let now = self.now;
+        if let Some(replica) = self.machines[machine].replica.as_mut() {
+            let effects = event(replica, now);
+            self.carry_out(machine, effects);
+        }
+    }
+
+    fn sync(&mut self, machine: usize) {
+        let now = self.now;
+        while !self.machines[machine].stalled
+            && self.machines[machine].writes.first().is_some_and(|w| w.at <= now)
+        {
+            let write = self.machines[machine].writes.remove(0);
+            write.records.into_iter().for_each(|record| self.machines[machine].disk.apply(record));
+            let me = member(machine, self.machines[machine].disk.id.unwrap().0);
+            self.send(machine, &me, write.held);
+            self.with(machine, |replica, now| replica.saved(now, write.last_index));
+        }
+    }
+
+    fn ask_to_join(&mut self, machine: usize) {
+        let Some(replica) = self.machines[machine].replica.as_ref() else { return };
+        if !replica.wants_to_join(self.now) {
+            return;
+        }
+        let me = replica.me().clone();
+        let join = |to: usize| Outgoing { to: member(to, 0), message: Message::Join, after_save: false };
+        let joins = (0..self.machines.len()).filter(|to| *to != machine).map(join).collect();
+        self.send(machine, &me, joins);
+    }
+
+    pub fn run(&mut self, milliseconds: u64) {
+        (0..milliseconds).for_each(|_| self.step());
+        self.check();
+    }
+
+    /// Runs until a leader has settled; `false`: none within the time.
+    pub fn run_until_led(&mut self, milliseconds: u64) -> bool {
+        for _ in 0..milliseconds {
+            self.step();
+            if self.leader().is_some() {
+                return true;
+            }
+        }
+        false
+    }
+
+    pub fn voters(&self) -> Vec<StoreId> {
+        let leader = self.leader().expect("a leader");
+        let membership = self.machines[leader].replica.as_ref().unwrap().membership();
+        assert!(!membership.is_joint(), "the group has settled");
+        membership.voters.iter().map(|voter| voter.id).collect()
+    }
+
+    pub fn store(&self, machine: usize) -> StoreId {
+        self.machines[machine].disk.id.unwrap()
+    }
+
+    /// What was acknowledged is applied in one order everywhere, and nothing of it differs.
+    pub fn check(&self) {
+        let mut known: BTreeMap<Index, &Vec<u8>> = BTreeMap::new();
+        for (machine, state) in self.machines.iter().enumerate() {
+            for (index, command) in &state.applied {
+                let first = known.entry(*index).or_insert(command);
+                assert_eq!(*first, command, "machine {machine} applied another command at {index}");
+            }
+        }
+        for (index, command) in &self.acknowledged {
+            if let Some(applied) = known.get(index) {
+                assert_eq!(*applied, command, "what was acknowledged at {index} is another command now");
+            }
+        }
+        self.check_leaders();
+    }
+
+    /// No two leaders hold a lease at once.
+    fn check_leaders(&self) {
+        let leased = self.machines.iter().filter(|machine| {
+            machine.replica.as_ref().is_some_and(|r| r.role() == Role::Leader && r.lease_until() > self.now)
+        });
+        assert!(leased.count() <= 1, "two leaders hold a lease");
+    }
+
+    /// The leader holds all that was acknowledged.
+    pub fn check_nothing_is_lost(&self) {
+        let leader = self.leader().expect("a leader");
+        let applied: BTreeMap<Index, &Vec<u8>> =
+            self.machines[leader].applied.iter().map(|(index, command)| (*index, command)).collect();
+        for (index, command) in &self.acknowledged {
+            assert_eq!(applied.get(index), Some(&command), "acknowledged at {index} and lost");
+        }
+    }
+}
+
+fn encode(applied: &[(Index, Vec<u8>)]) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    for (index, command) in applied {
+        bytes.extend_from_slice(&index.to_le_bytes());
+        bytes.extend_from_slice(&(command.len() as u64).to_le_bytes());
+        bytes.extend_from_slice(command);
+    }
+    bytes
+}
+
+fn decode(mut bytes: &[u8]) -> Vec<(Index, Vec<u8>)> {
+    let mut applied = Vec::new();
+    while !bytes.is_empty() {
+        let number = |at: usize| u64::from_le_bytes(bytes[at..at + 8].try_into().unwrap());
+        let (index, length) = (number(0), number(8) as usize);
+        applied.push((index, bytes[16..16 + length].to_vec()));
+        bytes = &bytes[16 + length..];
+    }
+    applied
+}
--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -202,6 +202,7 @@
         self.watch_disk(now);
         self.regroup(now);
         self.lead(now);
+        self.tell_configuration(now);
         if now >= self.due.status {
             self.due.status = now + STATUS_EVERY;
             self.tell_status();
@@ -248,8 +249,9 @@
 
     fn on_link(&mut self, id: LinkId, hello: Hello, link: Link) {
         if hello.role == ProcessRole::Edge {
-            if let Some(update) = self.configuration_update() {
-                link.send(&Frame::Configuration(update));
+            match self.configuration_update().filter(|_| self.is_current(clock::now())) {
+                Some(update) => drop(link.send(&Frame::Configuration(update))),
+                None => self.configuration_is_untold(),
             }
             link.send(&Frame::Core(self.core_status()));
             let bricks = self.directory.bricks().collect();
--- a/crates/system/src/core/node/replication.rs
+++ b/crates/system/src/core/node/replication.rs
@@ -6,7 +6,7 @@
 use pathbank_control::result_code::ResultCode;
 use pathbank_control::state::{Accepted, Change, Command, ControlState};
 use pathbank_coordination::group;
-use pathbank_coordination::replica::{Effects, Outgoing, Replica};
+use pathbank_coordination::replica::{Effects, Outgoing, Replica, Role};
 use pathbank_coordination::types::{Entry, Index, Member, Message, Payload, Term};
 use pathbank_protocol::message::Frame;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -18,6 +18,9 @@
 const LEAST_COMPACTED_BYTES: usize = 1024 * 1024;
 const COMPACTED_SNAPSHOTS: usize = 4;
 
+/// A head that has heard no leader for so long does not know what is newest, milliseconds.
+const LEADER_SILENCE: u64 = 1_500;
+
 struct WaitingChange {
     term: Term,
     reply: oneshot::Sender<Reply>,
@@ -45,6 +48,10 @@
     pub callers: BTreeSet<String>,
     log_bytes: usize,
     applied: Index,
+    /// The role and term that were told to the log last.
+    told_role: Option<(Role, Term)>,
+    /// The entry of the configuration that all edges were told.
+    told_index: Index,
 }
 
 impl Replication {
@@ -63,6 +70,16 @@
             callers: BTreeSet::new(),
             log_bytes: 0,
             applied,
+            told_role: None,
+            told_index: 0,
+        }
+    }
+
+    fn tell_role(&mut self) {
+        let role = (self.replica.role(), self.replica.term());
+        if self.told_role != Some(role) {
+            self.told_role = Some(role);
+            tracing::info!(role = ?role.0, term = role.1, last = self.replica.durable().last_index(), "role");
         }
     }
 }
@@ -72,6 +89,7 @@
     pub(super) fn carry_out(&mut self, now: u64, effects: Effects) {
         let Effects { records, messages, install, committed } = effects;
         let replication = &mut self.replication;
+        replication.tell_role();
         if !records.is_empty() {
             let last_index = replication.replica.durable().last_index();
             replication.last_ticket = replication.disk.append(records, last_index);
@@ -89,11 +107,11 @@
             self.state = ControlState::decode(&snapshot.data).unwrap_or_default();
             self.leadership.fence.restore(snapshot.leaders);
             self.replication.applied = snapshot.index;
-            self.tell_configuration();
         }
         for entry in committed {
             self.apply(now, entry);
         }
+        self.tell_configuration(now);
         self.compact();
     }
 
@@ -189,7 +207,6 @@
                         index = entry.index,
                         "configuration committed"
                     );
-                    self.tell_configuration();
                 }
                 for change in waiting {
                     let reply = match change.term == entry.term {
@@ -206,12 +223,28 @@
         }
     }
 
-    fn tell_configuration(&self) {
+    /// Whether what this head has applied is the newest that it could know of.
+    pub(super) fn is_current(&self, now: u64) -> bool {
+        self.replication.replica.is_current(now, LEADER_SILENCE)
+    }
+
+    /// Tells edges of a configuration that they were not told yet. A head that catches up tells only where it ends.
+    pub(super) fn tell_configuration(&mut self, now: u64) {
+        let index = self.state.document().map_or(0, |(_, index)| index);
+        if index == self.replication.told_index || !self.is_current(now) {
+            return;
+        }
+        self.replication.told_index = index;
         if let Some(update) = self.configuration_update() {
             self.tell_edges(&Frame::Configuration(update));
         }
     }
 
+    /// Edges have to be told as soon as this head knows the newest configuration.
+    pub(super) fn configuration_is_untold(&mut self) {
+        self.replication.told_index = 0;
+    }
+
     // ---- operators ----
 
     /// Leads a caller on to the leader, unless this head leads. Returns the sender if it does.
