--- a/crates/router/src/dispatcher.rs
+++ b/crates/router/src/dispatcher.rs
@@ -228,6 +228,19 @@
         (demand, self.bricks.iter().filter(|(_, known)| known.in_flight > 0).map(load).collect())
     }
 
+    /// The head stops: whatever is not at a brick is refused.
+    pub fn refuse_waiting(&mut self, now: Millis, retry_after: Millis) -> Vec<Action> {
+        let waiting = self.held.iter().filter(|(_, held)| !matches!(held.stage, Stage::Sent(_)));
+        let waiting: Vec<RequestId> = waiting.map(|(id, _)| *id).collect();
+        let refuse = |id: RequestId| {
+            if let Some(held) = self.held.remove(&id) {
+                self.leave(now, &held, BrickOutcome::Abandoned);
+            }
+            Action::Refuse { id, code: ResultCode::Stopping, retry_after }
+        };
+        waiting.into_iter().map(refuse).collect()
+    }
+
     // ---- stages: the one function that changes a request's stage ----
 
     fn enter(&mut self, now: Millis, id: RequestId, stage: Stage) {
--- a/crates/system/src/edge/mod.rs
+++ b/crates/system/src/edge/mod.rs
@@ -24,6 +24,8 @@
 const LEAVE_AFTER: Duration = Duration::from_millis(2_600);
 /// So long before the kill all answers are out.
 const BEFORE_KILL: Duration = Duration::from_millis(500);
+/// When clients of a stopping head should come back, milliseconds; they reach another one.
+const STOPPING_RETRY_MS: u64 = 50;
 /// How often what waits is looked at.
 const TICK: Duration = Duration::from_millis(20);
 /// How often the cores are told what was counted.
@@ -70,15 +72,15 @@
             Request::Stop => break,
         }
     }
-    stop(&shared, &settings, &close, &count).await;
-    serving.abort();
+    stop(&shared, &settings, serving, &close, &count).await;
     Ok(())
 }
 
-/// Leaves in order: no new clients, what is open is answered, then the end.
+/// Leaves in order: no new clients, what is at bricks is answered, what is not is refused, then the end.
 async fn stop(
     shared: &Arc<Shared>,
     settings: &Settings,
+    serving: tokio::task::JoinHandle<()>,
     close: &watch::Sender<bool>,
     count: &ConnectionCount,
 ) {
@@ -86,8 +88,11 @@
     shared.stopping.store(true, Ordering::Relaxed);
     let end = tokio::time::Instant::now() + Duration::from_millis(settings.bounds.grace_ms) - BEFORE_KILL;
     tokio::time::sleep(LEAVE_AFTER).await;
+    // A connection that is refused is tried elsewhere; one that is taken now could not be served to its end.
+    serving.abort();
     let _ = close.send(true);
     while tokio::time::Instant::now() < end && (count.get() > 0 || shared.open_requests() > 0) {
+        shared.refuse_waiting(STOPPING_RETRY_MS);
         tokio::time::sleep(TICK).await;
     }
     core_links::send_report(shared);
--- a/crates/system/src/edge/shared.rs
+++ b/crates/system/src/edge/shared.rs
@@ -167,6 +167,13 @@
         self.carry_out(deciding, actions);
     }
 
+    /// The process stops: whatever is not at a brick is refused.
+    pub fn refuse_waiting(&self, retry_after: u64) {
+        let mut deciding = self.deciding();
+        let actions = deciding.dispatcher.refuse_waiting(clock::now(), retry_after);
+        self.carry_out(deciding, actions);
+    }
+
     /// Bricks changed.
     pub fn update_bricks(&self, update: pathbank_protocol::message::BrickUpdate) {
         let mut deciding = self.deciding();
