Heads that start hold requests for their first configuration; faster elections

Heads hold them now (2.5 s at most); elections after 0.4 s; a service without any known brick is come back to after 1 s, not after a load. Ruled out: slow brick heartbeats.

--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -25,7 +25,7 @@
 
 impl Default for Timing {
     fn default() -> Timing {
-        Timing { heartbeat: 100, election: 600, lease: 450 }
+        Timing { heartbeat: 80, election: 400, lease: 300 }
     }
 }
 
--- a/crates/router/src/bricks.rs
+++ b/crates/router/src/bricks.rs
@@ -177,6 +177,13 @@
         })
     }
 
+    /// Whether any brick of a service is known.
+    pub fn has_backend(&self, backend: &str) -> bool {
+        self.known
+            .values()
+            .any(|known| known.brick.backend == backend && known.brick.state == BrickState::Ready)
+    }
+
     /// A request of this head went there.
     pub fn sent(&mut self, instance: &str, request: u64, tokens: u64) {
         if let Some(known) = self.known.get_mut(instance) {
--- a/crates/router/src/dispatcher.rs
+++ b/crates/router/src/dispatcher.rs
@@ -38,6 +38,8 @@
 const HOPELESS_PART: f64 = 0.08;
 /// What a load takes beyond the time that is told, milliseconds.
 const LOAD_OVERHEAD: Millis = 700;
+/// When to come back while no brick of the service is known: they say something within this, milliseconds.
+const HEARTBEAT_RETRY: Millis = 1_000;
 /// When to come back to bricks that are all busy, milliseconds.
 const BUSY_RETRY: Millis = 900;
 
@@ -341,7 +343,7 @@
 
     fn refuse_hopeless(&mut self, now: Millis, actions: &mut Vec<Action>) {
         let refusals: Vec<_> =
-            self.held.iter().filter_map(|(id, held)| Some((*id, refusal(now, held)?))).collect();
+            self.held.iter().filter_map(|(id, held)| Some((*id, self.refusal(now, held)?))).collect();
         for (id, (code, retry_after)) in refusals {
             if let Some(held) = self.held.remove(&id) {
                 self.leave(now, &held, BrickOutcome::Abandoned);
@@ -350,6 +352,30 @@
         }
     }
 
+    /// Whether a waiting request is given up now, why, and when its client should come back.
+    fn refusal(&self, now: Millis, held: &Held) -> Option<(ResultCode, Millis)> {
+        let (code, ready_in) = match &held.stage {
+            Stage::Sent(_) => return None,
+            Stage::Unplaced if !self.bricks.has_backend(&held.offer.backend) => {
+                (ResultCode::NoBrick, HEARTBEAT_RETRY)
+            }
+            Stage::Unplaced => {
+                (ResultCode::NoBrick, held.offer.load_ms.unwrap_or(BUSY_RETRY) + LOAD_OVERHEAD)
+            }
+            Stage::Queued(_) => (ResultCode::Overloaded, BUSY_RETRY),
+        };
+        let offer = &held.offer;
+        let whole = offer.deadline.saturating_sub(offer.arrived) as f64;
+        let remaining = offer.deadline.saturating_sub(now) as f64;
+        let honoured = (RETRY_AFTER_PART * remaining) as Millis;
+        if remaining < HOPELESS_PART * whole {
+            return Some((code, honoured));
+        }
+        let early = now >= offer.arrived + (REFUSE_AFTER * offer.objective as f64) as Millis;
+        let comes_back_in_time = ready_in <= honoured && !offer.returned;
+        (early && comes_back_in_time).then_some((code, ready_in))
+    }
+
     // ---- what the cores are told ----
 
     fn demand_of(&mut self, offer: &Offer) -> &mut ModelDemand {
@@ -386,25 +412,6 @@
     (offer.backend.clone(), offer.name.model.clone())
 }
 
-/// Whether a waiting request is given up now, why, and when its client should come back.
-fn refusal(now: Millis, held: &Held) -> Option<(ResultCode, Millis)> {
-    let (code, ready_in) = match &held.stage {
-        Stage::Sent(_) => return None,
-        Stage::Unplaced => (ResultCode::NoBrick, held.offer.load_ms.unwrap_or(BUSY_RETRY) + LOAD_OVERHEAD),
-        Stage::Queued(_) => (ResultCode::Overloaded, BUSY_RETRY),
-    };
-    let offer = &held.offer;
-    let whole = offer.deadline.saturating_sub(offer.arrived) as f64;
-    let remaining = offer.deadline.saturating_sub(now) as f64;
-    let honoured = (RETRY_AFTER_PART * remaining) as Millis;
-    if remaining < HOPELESS_PART * whole {
-        return Some((code, honoured));
-    }
-    let early = now >= offer.arrived + (REFUSE_AFTER * offer.objective as f64) as Millis;
-    let comes_back_in_time = ready_in <= honoured && !offer.returned;
-    (early && comes_back_in_time).then_some((code, ready_in))
-}
-
 /// A number from 0 to 1 that looks random and differs by request and brick.
 fn unit_draw(id: RequestId, instance: &str) -> f64 {
     let seed = id.wrapping_mul(0x9e37_79b9_7f4a_7c15);
--- a/crates/system/src/edge/proxy.rs
+++ b/crates/system/src/edge/proxy.rs
@@ -49,6 +49,9 @@
 ];
 /// A body has to be in within this.
 const BODY_WITHIN: Duration = Duration::from_secs(10);
+/// A head without a configuration holds requests for so long, and looks for one this often.
+const CONFIGURATION_WITHIN_MS: u64 = 2_500;
+const CONFIGURATION_LOOK: Duration = Duration::from_millis(20);
 const DEFAULT_BODY_BYTES: u64 = 4 * 1024 * 1024;
 /// The answer is out so long before the time is up, milliseconds.
 const ANSWER_MARGIN: u64 = 20;
@@ -106,7 +109,7 @@
 
 async fn accept(shared: &Arc<Shared>, request: Request<Incoming>) -> Result<Job, Answer> {
     let arrived = clock::now();
-    let Some(early) = shared.routes.load_full() else {
+    let Some(early) = first_configuration(shared).await else {
         return Err(answer::refusal(ResultCode::NoConfiguration, SOON_MS));
     };
     let limit = early.configuration.limits.max_body_bytes.unwrap_or(DEFAULT_BODY_BYTES);
@@ -145,6 +148,19 @@
     })
 }
 
+/// The configuration in force. A head that has just started waits for its first one: its clients may have been cut off
+/// by the same trouble before, and have few tries left.
+async fn first_configuration(shared: &Arc<Shared>) -> Option<Arc<RouteTable>> {
+    let given_up = clock::now() + CONFIGURATION_WITHIN_MS;
+    loop {
+        let routes = shared.routes.load_full();
+        if routes.is_some() || clock::now() >= given_up {
+            return routes;
+        }
+        tokio::time::sleep(CONFIGURATION_LOOK).await;
+    }
+}
+
 async fn read_body(body: Incoming, limit: u64) -> Result<Bytes, Answer> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
--- a/crates/system/src/net/mesh.rs
+++ b/crates/system/src/net/mesh.rs
@@ -11,8 +11,8 @@
 
 const CONNECT_WITHIN: Duration = Duration::from_millis(700);
 /// The pause before a link is opened again, and its longest with failures in a row.
-const RETRY_AFTER: Duration = Duration::from_millis(150);
-const LONGEST_RETRY: Duration = Duration::from_millis(600);
+const RETRY_AFTER: Duration = Duration::from_millis(100);
+const LONGEST_RETRY: Duration = Duration::from_millis(300);
 
 /// What a mesh reports.
 #[derive(Debug)]
