Copies go where they relieve most; bricks' own disks first; debug log of requests

Each load now goes to the model that it relieves most; holders are counted within a look; a model that a brick held is read from its own disk. Ruled out: slow orders, adapters.

--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -1,7 +1,7 @@
 //! The bricks that exist, from their heartbeats, as one core knows them.
 
 use pathbank_protocol::message::{Brick, BrickState, LoadedModel};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Milliseconds of a steady clock that the caller supplies.
 pub type Millis = u64;
@@ -25,9 +25,13 @@
     withheld: Vec<(String, String)>,
 }
 
+/// The models that the brick at an address has held, and so has on its own disk.
+pub type HeldBefore = BTreeMap<String, BTreeSet<String>>;
+
 /// All bricks of which one core knows.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
+    held_before: HeldBefore,
     known: BTreeMap<String, Known>,
     heartbeat_ms: Millis,
 }
@@ -44,7 +48,7 @@
 impl Directory {
     /// `heartbeat_ms`: how often bricks say something.
     pub fn new(heartbeat_ms: Millis) -> Directory {
-        Directory { known: BTreeMap::new(), heartbeat_ms }
+        Directory { heartbeat_ms, ..Directory::default() }
     }
 
     /// The bricks that edges should know, those that have gone among them.
@@ -52,6 +56,19 @@
         self.known.values().map(Known::told)
     }
 
+    /// What bricks have held, by address.
+    pub fn held_before(&self) -> &HeldBefore {
+        &self.held_before
+    }
+
+    fn note_held(&mut self, address: &str, models: &[LoadedModel]) {
+        if models.is_empty() {
+            return;
+        }
+        let held = self.held_before.entry(address.to_owned()).or_default();
+        held.extend(models.iter().map(|model| model.name.clone()));
+    }
+
     /// Bricks that take requests.
     pub fn ready(&self) -> impl Iterator<Item = Brick> {
         self.bricks().filter(|brick| brick.state == BrickState::Ready)
@@ -64,6 +81,7 @@
 
     /// A heartbeat, heard from the brick or from another core.
     pub fn heard(&mut self, now: Millis, brick: Brick) -> Heard {
+        self.note_held(&brick.address, &brick.models);
         let same_place = |known: &Known| {
             known.brick.address == brick.address
                 && known.brick.instance != brick.instance
@@ -111,6 +129,8 @@
 
     /// A brick's own report of what it holds, newer than its heartbeats.
     pub fn reported(&mut self, instance: &str, models: Vec<LoadedModel>, busy: bool) -> Option<Brick> {
+        let address = self.known.get(instance)?.brick.address.clone();
+        self.note_held(&address, &models);
         let known = self.known.get_mut(instance)?;
         (known.brick.models, known.brick.busy) = (models, busy);
         Some(known.told())
--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -5,14 +5,20 @@
 
 use crate::configuration::{Backend, Configuration, Model, Runtime};
 use crate::demand::{DemandTable, ModelKey};
-use crate::directory::Millis;
+use crate::directory::{HeldBefore, Millis};
 use pathbank_protocol::message::{Brick, LoadedModel};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Of the loads that the weight store permits, so much is used.
-const LOADS_USED: f64 = 0.85;
+const LOADS_USED: f64 = 0.95;
 /// Loads that may follow each other at once.
-const LOAD_BURST: f64 = 2.0;
+const LOAD_BURST: f64 = 3.0;
+/// What a load from a brick's own disk takes of that; it should take nothing, but the disk may be another one by now.
+const OWN_DISK_LOAD: f64 = 0.2;
+/// What a load from the weight store counts for beside one from the brick's own disk, requests a second.
+const FETCHED: f64 = 0.4;
+/// A model that no brick holds is loaded for demand above this, requests a second.
+const LEAST_DEMAND: f64 = 0.05;
 /// A model should be on so many times as many bricks as its part of the demand alone would fill.
 const SPREAD: f64 = 1.6;
 /// Demand below this, requests a second for each brick of the service, needs no second brick.
@@ -95,10 +101,10 @@
         self.filled = Some(now);
     }
 
-    fn take(&mut self) -> bool {
-        let allowed = self.level >= 1.0;
+    fn take(&mut self, cost: f64) -> bool {
+        let allowed = self.level >= cost;
         if allowed {
-            self.level -= 1.0;
+            self.level -= cost;
         }
         allowed
     }
@@ -126,6 +132,7 @@
     runtime: &'a Runtime,
     bricks: Vec<&'a Brick>,
     demand: &'a DemandTable,
+    held_before: &'a HeldBefore,
     models: BTreeMap<&'a str, &'a Model>,
     /// Requests a second by model and adapter, what waits among them.
     rates: BTreeMap<ModelKey, f64>,
@@ -147,6 +154,7 @@
         runtime: &'a Runtime,
         bricks: Vec<&'a Brick>,
         demand: &'a DemandTable,
+        held_before: &'a HeldBefore,
     ) -> Plan<'a> {
         let models = runtime.models.iter().map(|model| (model.name.as_str(), model)).collect();
         let mut plan = Plan {
@@ -155,6 +163,7 @@
             runtime,
             bricks,
             demand,
+            held_before,
             models,
             rates: BTreeMap::new(),
             model_rates: BTreeMap::new(),
@@ -212,6 +221,7 @@
         configuration: &Configuration,
         bricks: &[Brick],
         demand: &DemandTable,
+        held_before: &HeldBefore,
     ) -> Vec<Order> {
         let mut orders = Vec::new();
         self.reserved.retain(|_, reservation| now < reservation.until);
@@ -222,11 +232,10 @@
             let mut allowance = self.allowance.get(&backend.name).copied().unwrap_or_default();
             allowance.fill(now, runtime.loads_per_s);
             let bricks = bricks.iter().filter(|brick| brick.backend == backend.name).collect();
-            let mut plan = Plan::new(now, backend, runtime, bricks, demand);
+            let mut plan = Plan::new(now, backend, runtime, bricks, demand, held_before);
             plan.reserved_models(self, &mut allowance);
+            plan.add_copies(self, &mut allowance);
             plan.adapters(self);
-            plan.missing_models(self, &mut allowance);
-            plan.busy_models(self, &mut allowance);
             self.allowance.insert(backend.name.clone(), allowance);
             orders.append(&mut plan.orders);
         }
@@ -298,15 +307,22 @@
 
     fn order(&mut self, placer: &mut Placer, brick: &Brick, operation: Operation, key: &ModelKey) {
         let load_ms = self.model(&key.model).map_or(0, |model| (model.load_s * 1_000.0) as Millis);
-        let takes_long = operation == Operation::Load && key.adapter.is_empty();
+        let fetched =
+            operation == Operation::Load && key.adapter.is_empty() && !self.has_held(brick, &key.model);
         let order = Order {
             instance: brick.instance.clone(),
             address: brick.address.clone(),
             operation,
             model: key.model.clone(),
             adapter: key.adapter.clone(),
-            expected_ms: if takes_long { load_ms } else { 0 },
+            expected_ms: if fetched { load_ms } else { 0 },
         };
+        if operation == Operation::Unload && key.adapter.is_empty() {
+            // The next choice has to count without it.
+            if let Some(holders) = self.holders.get_mut(key.model.as_str()) {
+                *holders = holders.saturating_sub(1);
+            }
+        }
         placer.under_way.insert(brick.instance.clone(), order.clone());
         self.orders.push(order);
     }
@@ -377,7 +393,7 @@
             let Some(size) = self.model(&model).map(|model| model.weights_mb) else { continue };
             let done = loaded(brick, &model).is_some();
             let room = self.runtime.weights_mb - self.used_mb(brick) >= size;
-            if done || self.is_free(placer, brick) && room && allowance.take() {
+            if done || self.is_free(placer, brick) && room && allowance.take(self.load_cost(brick, &model)) {
                 placer.reserved.remove(&brick.instance);
             }
             if !done && !placer.reserved.contains_key(&brick.instance) {
@@ -387,22 +403,6 @@
         }
     }
 
-    fn missing_models(&mut self, placer: &mut Placer, allowance: &mut LoadAllowance) {
-        let names: BTreeSet<String> = self.keys().into_iter().map(|key| key.model).collect();
-        let mut wanted: Vec<(f64, String)> = names
-            .into_iter()
-            .filter(|name| self.model(name).is_some() && self.holders(name) == 0)
-            .map(|name| (self.model_rate(&name), name))
-            .filter(|(rate, _)| *rate > 0.05)
-            .collect();
-        wanted.sort_by(|(one, _), (other, _)| other.total_cmp(one));
-        for (rate, name) in wanted {
-            if !self.is_loading(placer, &name, "") {
-                self.load(placer, allowance, &name, rate);
-            }
-        }
-    }
-
     /// Bricks that a model should be on by its part of the demand.
     fn wanted_copies(&self, name: &str) -> usize {
         let rate = self.model_rate(name);
@@ -411,19 +411,32 @@
         copies.clamp(1.0, bricks) as usize
     }
 
-    fn busy_models(&mut self, placer: &mut Placer, allowance: &mut LoadAllowance) {
-        let names: BTreeSet<String> = self.keys().into_iter().map(|key| key.model).collect();
-        let mut lacking: Vec<(f64, String)> = names
-            .into_iter()
-            .filter(|name| self.model(name).is_some() && self.holders(name) > 0)
-            .filter(|name| self.holders(name) + self.loading(placer, name) < self.wanted_copies(name))
-            .map(|name| (self.model_rate(&name) / self.holders(&name) as f64, name))
-            .collect();
-        lacking.sort_by(|(one, _), (other, _)| other.total_cmp(one));
-        for (rate, name) in lacking {
-            let lacks =
-                self.wanted_copies(&name).saturating_sub(self.holders(&name) + self.loading(placer, &name));
-            (0..lacks).for_each(|_| self.load(placer, allowance, &name, rate));
+    /// Requests a second that one more copy of a model would take off its bricks, or serve at all.
+    fn relief(&self, name: &str, copies: usize) -> f64 {
+        let rate = self.model_rate(name);
+        match copies {
+            0 if rate < LEAST_DEMAND => 0.0,
+            0 => rate,
+            _ if copies >= self.wanted_copies(name) => 0.0,
+            _ => rate / copies as f64 - rate / (copies + 1) as f64,
+        }
+    }
+
+    /// Gives copies to models, each time to the one that it relieves most.
+    fn add_copies(&mut self, placer: &mut Placer, allowance: &mut LoadAllowance) {
+        let names: BTreeSet<String> = self.rates.keys().map(|key| key.model.clone()).collect();
+        let known = names.into_iter().filter(|name| self.models.contains_key(name.as_str()));
+        let mut copies: BTreeMap<String, usize> =
+            known.map(|name| (name.clone(), self.holders(&name) + self.loading(placer, &name))).collect();
+        loop {
+            let reliefs = copies.iter().map(|(name, copies)| (self.relief(name, *copies), name));
+            let best = reliefs.max_by(|(one, _), (other, _)| one.total_cmp(other));
+            let Some((relief, name)) = best.filter(|(relief, _)| *relief > 0.0) else { return };
+            let name = name.clone();
+            match self.load(placer, allowance, &name, relief) {
+                true => *copies.entry(name).or_default() += 1,
+                false => drop(copies.remove(&name)),
+            }
         }
     }
 
@@ -436,33 +449,45 @@
         placer.under_way.values().filter(same).count() + reserved
     }
 
-    /// Loads a model where the least has to go for it, or makes room there first.
-    fn load(&mut self, placer: &mut Placer, allowance: &mut LoadAllowance, name: &str, rate: f64) {
-        let Some(size) = self.model(name).map(|model| model.weights_mb) else { return };
+    /// Loads a model where the least has to go for it, or makes room there first. Returns whether it could.
+    fn load(&mut self, placer: &mut Placer, allowance: &mut LoadAllowance, name: &str, relief: f64) -> bool {
+        let Some(size) = self.model(name).map(|model| model.weights_mb) else { return false };
         let free = self.bricks.iter().copied().filter(|brick| loaded(brick, name).is_none());
         let free = free
             .filter(|brick| self.is_free(placer, brick) && !placer.reserved.contains_key(&brick.instance));
         let options = free.filter_map(|brick| {
             let (cost, victim) = self.make_room(brick, size)?;
-            Some((cost + CROWDED * self.served_by(brick), cost, victim, brick))
+            let fetched = if self.has_held(brick, name) { 0.0 } else { FETCHED };
+            Some((cost + fetched + CROWDED * self.served_by(brick), cost, victim, brick))
         });
         let best = options.min_by(|(one, ..), (other, ..)| one.total_cmp(other));
-        let Some((_, cost, victim, brick)) = best else { return };
-        if cost >= rate {
-            return;
-        }
+        let Some((_, _, victim, brick)) = best.filter(|(_, cost, ..)| *cost < relief) else { return false };
         let key = self.key(name, "");
         match victim {
             Some(victim) => {
                 let reservation = Reservation { model: name.to_owned(), until: self.now + RESERVED_FOR };
                 placer.reserved.insert(brick.instance.clone(), reservation);
                 self.order(placer, brick, Operation::Unload, &victim);
+                true
+            }
+            None if allowance.take(self.load_cost(brick, name)) => {
+                self.order(placer, brick, Operation::Load, &key);
+                true
             }
-            None if allowance.take() => self.order(placer, brick, Operation::Load, &key),
-            None => {}
+            None => false,
         }
     }
 
+    /// Whether a brick can read a model from its own disk.
+    fn has_held(&self, brick: &Brick, name: &str) -> bool {
+        self.held_before.get(&brick.address).is_some_and(|models| models.contains(name))
+    }
+
+    /// What a load takes of the weight store's loads.
+    fn load_cost(&self, brick: &Brick, name: &str) -> f64 {
+        if self.has_held(brick, name) { OWN_DISK_LOAD } else { 1.0 }
+    }
+
     /// What making room on a brick costs, requests a second, and what has to go first.
     fn make_room(&self, brick: &Brick, size: f64) -> Option<(f64, Option<ModelKey>)> {
         let mut left = self.runtime.weights_mb - self.used_mb(brick);
--- a/crates/system/src/core/node/leadership.rs
+++ b/crates/system/src/core/node/leadership.rs
@@ -118,7 +118,13 @@
         self.read_configuration();
         let Some((_, configuration)) = &self.leadership.configuration else { return };
         let bricks: Vec<Brick> = self.directory.ready().collect();
-        let orders = self.leadership.placer.plan(now, configuration, &bricks, &self.demand);
+        let orders = self.leadership.placer.plan(
+            now,
+            configuration,
+            &bricks,
+            &self.demand,
+            self.directory.held_before(),
+        );
         let authority = self.authority(permit);
         for order in orders {
             self.give(order, authority.clone());
--- a/crates/system/src/edge/proxy.rs
+++ b/crates/system/src/edge/proxy.rs
@@ -211,6 +211,16 @@
 }
 
 impl Job {
+    /// When it came.
+    pub(super) fn arrived(&self) -> u64 {
+        self.arrived
+    }
+
+    /// The client's id and the model, for the log.
+    pub(super) fn told(&self) -> (&str, &ModelName) {
+        (text(&self.headers, &REQUEST_ID).unwrap_or("-"), &self.name)
+    }
+
     /// Whether the request may run more than once.
     pub(super) fn repeatable(&self) -> bool {
         self.route.kind == RouteType::Idempotent || self.resumable()
@@ -351,7 +361,11 @@
     let decided = tokio::time::timeout(clock::until(job.deadline), ticket.offer(offer, first)).await;
     let (instance, address) = match decided {
         Ok(Some(Decision::Send { instance, address })) => (instance, address),
-        Ok(Some(Decision::Refuse { code, retry_after })) => return Try::Refused(code, retry_after),
+        Ok(Some(Decision::Refuse { code, retry_after })) => {
+            let (id, name) = job.told();
+            tracing::debug!(id, ?name, ?code, retry_after, returned = job.returned, "refused");
+            return Try::Refused(code, retry_after);
+        }
         Ok(None) | Err(_) => return Try::Refused(ResultCode::Overloaded, SOON_MS),
     };
     let Ok(address) = address.parse() else {
@@ -359,6 +373,8 @@
         job.tried.insert(instance);
         return Try::NotRun(None);
     };
+    let (id, name) = job.told();
+    tracing::debug!(id, ?name, instance, %address, sends = job.sends, "sent to a brick");
     let request = job.request(&instance);
     let exchange = shared.pool.exchange(address, request);
     let exchange = match tokio::time::timeout(clock::until(job.deadline), exchange).await {
--- a/crates/system/src/edge/relay.rs
+++ b/crates/system/src/edge/relay.rs
@@ -36,9 +36,30 @@
     lease: Option<ConnectionLease>,
     ticket: Ticket,
     tracker: EventTracker,
+    pauses: Pauses,
     done: bool,
 }
 
+/// Pauses between a stream's pieces, for the log.
+struct Pauses {
+    began: u64,
+    last: u64,
+    longest: u64,
+}
+
+impl Pauses {
+    fn new() -> Pauses {
+        let now = clock::now();
+        Pauses { began: now, last: now, longest: 0 }
+    }
+
+    fn note(&mut self) {
+        let now = clock::now();
+        self.longest = self.longest.max(now - self.last);
+        self.last = now;
+    }
+}
+
 impl Stream {
     /// A stream whose answer's head has come.
     pub fn new(shared: Arc<Shared>, job: Job, exchange: Exchange, ticket: Ticket) -> Stream {
@@ -55,6 +76,7 @@
             lease: Some(lease),
             ticket,
             tracker: EventTracker::default(),
+            pauses: Pauses::new(),
             done: false,
         }
     }
@@ -66,6 +88,7 @@
             match frame {
                 Ok(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
+                    self.pauses.note();
                     let passed = if self.job.resumable() { self.tracker.pass(&data).into() } else { data };
                     if !passed.is_empty() {
                         return Some(Ok(Frame::data(passed)));
@@ -92,6 +115,11 @@
     fn complete(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
         self.done = true;
         self.ticket.end(BrickOutcome::Answered);
+        let first_ms = self.pauses.began.saturating_sub(self.job.arrived());
+        let (longest_pause_ms, took_ms) =
+            (self.pauses.longest, clock::now().saturating_sub(self.pauses.began));
+        let (id, name) = self.job.told();
+        tracing::debug!(id, ?name, first_ms, longest_pause_ms, took_ms, "stream complete");
         if let Some(lease) = self.lease.take() {
             self.shared.pool.give_back(lease);
         }
