--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -162,7 +162,7 @@
 }
 
 /// What a client may send, and how long it may take.
-#[derive(Clone, Debug, Facet)]
+#[derive(Clone, Debug, Default, Facet)]
 pub struct Limits {
     /// Bytes of a request's head.
     #[facet(default)]
@@ -178,17 +178,6 @@
     pub idle_timeout_ms: Option<f64>,
 }
 
-impl Default for Limits {
-    fn default() -> Limits {
-        Limits {
-            max_header_bytes: None,
-            max_body_bytes: None,
-            header_timeout_ms: None,
-            idle_timeout_ms: None,
-        }
-    }
-}
-
 /// Who may send requests.
 #[derive(Clone, Debug, Facet)]
 pub struct Tenant {
--- /dev/null
+++ b/crates/control/tests/bricks.rs
@@ -0,0 +1,374 @@
+//! The list of bricks, demand, usage and placement.
+
+use pathbank_control::configuration::{Backend, Configuration, Model, Runtime};
+use pathbank_control::demand::{DemandTable, ModelKey};
+use pathbank_control::directory::{Directory, HeldBefore};
+use pathbank_control::placement::{Operation, Order, Placer};
+use pathbank_control::usage::{SETTLE_MS, UsageLedger};
+use pathbank_protocol::message::{Brick, BrickState, EdgeReport, LoadedModel, ModelDemand, UsageWindow};
+
+const HEARTBEAT: u64 = 1_200;
+
+fn brick(number: usize, models: &[&str]) -> Brick {
+    let held = |name: &&str| LoadedModel { name: (*name).into(), version: 1, adapters: Vec::new() };
+    Brick {
+        instance: format!("i-{number}"),
+        backend: "llm".into(),
+        address: format!("10.0.0.{number}:80"),
+        zone: "z".into(),
+        version: "v1".into(),
+        capacity: 64,
+        state: BrickState::Ready,
+        cold_remaining_ms: 0,
+        remaining_ms: 0,
+        models: models.iter().map(held).collect(),
+        sequence: 1,
+        busy: false,
+    }
+}
+
+fn later(mut brick: Brick, sequence: u64, state: BrickState) -> Brick {
+    (brick.sequence, brick.state) = (sequence, state);
+    brick
+}
+
+fn state_of(directory: &Directory, instance: &str) -> BrickState {
+    directory.brick(instance).unwrap().state
+}
+
+// ---- directory ----
+
+#[test]
+fn a_brick_that_drains_never_comes_back_ready() {
+    let mut directory = Directory::new(HEARTBEAT);
+    directory.heard(0, brick(1, &[]));
+    assert!(directory.heard(10, later(brick(1, &[]), 5, BrickState::Draining)).changed);
+    assert!(!directory.heard(20, later(brick(1, &[]), 4, BrickState::Ready)).changed, "an older word");
+    directory.heard(30, later(brick(1, &[]), 6, BrickState::Ready));
+    assert_eq!(state_of(&directory, "i-1"), BrickState::Draining);
+    assert_eq!(directory.ready().count(), 0);
+}
+
+#[test]
+fn a_brick_that_deregistered_is_gone_whatever_comes_late() {
+    let mut directory = Directory::new(HEARTBEAT);
+    directory.heard(0, brick(1, &[]));
+    assert_eq!(directory.deregister(10, "i-1").unwrap().state, BrickState::Gone);
+    directory.heard(20, later(brick(1, &[]), 9, BrickState::Ready));
+    assert_eq!(state_of(&directory, "i-1"), BrickState::Gone);
+}
+
+#[test]
+fn a_silent_brick_is_taken_for_gone_and_comes_back_when_it_speaks() {
+    let mut directory = Directory::new(HEARTBEAT);
+    directory.heard(0, brick(1, &[]));
+    assert!(directory.expire(5 * HEARTBEAT - 1).is_empty());
+    assert_eq!(directory.expire(5 * HEARTBEAT).len(), 1);
+    assert!(directory.heard(9_000, later(brick(1, &[]), 2, BrickState::Ready)).changed);
+    assert_eq!(directory.ready().count(), 1);
+}
+
+#[test]
+fn another_incarnation_at_the_address_ends_the_one_before() {
+    let mut directory = Directory::new(HEARTBEAT);
+    directory.heard(0, brick(1, &["m"]));
+    let mut next = brick(1, &[]);
+    next.instance = "i-next".into();
+    directory.heard(10, next);
+    assert_eq!(state_of(&directory, "i-1"), BrickState::Gone);
+    assert!(directory.held_before()["10.0.0.1:80"].contains("m"), "the machine's disk still has it");
+}
+
+#[test]
+fn unchanged_heartbeats_are_relayed_seldom_and_never_told_to_edges() {
+    let mut directory = Directory::new(HEARTBEAT);
+    directory.heard(0, brick(1, &["m"]));
+    let mut relayed = 0;
+    for round in 1..=10 {
+        let heard = directory.heard(round * HEARTBEAT, later(brick(1, &["m"]), round + 1, BrickState::Ready));
+        assert!(!heard.changed);
+        relayed += u64::from(heard.relay);
+    }
+    assert_eq!(relayed, 5);
+}
+
+#[test]
+fn a_model_that_is_being_unloaded_is_told_to_nobody() {
+    let mut directory = Directory::new(HEARTBEAT);
+    directory.heard(0, brick(1, &["m", "n"]));
+    assert_eq!(directory.withhold("i-1", "m", "").unwrap().models.len(), 1);
+    directory.heard(10, later(brick(1, &["m", "n"]), 2, BrickState::Ready));
+    assert_eq!(directory.brick("i-1").unwrap().models.len(), 1, "nor by a heartbeat on its way");
+    assert_eq!(directory.release("i-1").unwrap().models.len(), 2);
+}
+
+// ---- usage ----
+
+#[test]
+fn a_window_is_due_once_it_has_settled_with_the_counts_of_all_edges() {
+    let mut ledger = UsageLedger::default();
+    let window = |count| [UsageWindow { window: 7, counts: vec![("t".into(), count)] }];
+    ledger.note("edge-1", 1, &window(3), 0);
+    ledger.note("edge-1", 1, &window(2), 0);
+    ledger.note("edge-1", 2, &window(4), 0);
+    ledger.note("edge-2", 1, &window(5), 0);
+    let end = 8 * 5_000;
+    assert_eq!(ledger.due(end + SETTLE_MS - 1, 5_000, 0), None);
+    let (due, counts) = ledger.due(end + SETTLE_MS, 5_000, 0).unwrap();
+    assert_eq!((due, counts["t"]), (7, 12), "an older report lowers nothing; another life adds");
+    assert_eq!(ledger.due(end + SETTLE_MS, 5_000, 7), None, "sealed");
+    ledger.note("edge-1", 1, &window(9), 7);
+    assert_eq!(ledger.due(end + SETTLE_MS, 5_000, 7), None, "and stays so");
+}
+
+// ---- placement ----
+
+const SIZE: f64 = 70_000.0;
+
+fn configuration(models: &[&str]) -> Configuration {
+    let model = |name: &&str| Model {
+        name: (*name).into(),
+        weights_mb: SIZE,
+        load_s: 4.0,
+        adapters: 9,
+        adapter_mb: 66.0,
+    };
+    let runtime = Runtime {
+        capacity: 64.0,
+        kv_capacity: 100_000.0,
+        models: models.iter().map(model).collect(),
+        weights_mb: 220_000.0,
+        max_adapters: 2,
+        loads_per_s: 4.0,
+    };
+    let backend = Backend {
+        name: "llm".into(),
+        health_path: None,
+        max_connections: None,
+        runtime: Some(runtime),
+        autoscaling: None,
+    };
+    Configuration { backends: vec![backend], ..Configuration::default() }
+}
+
+fn runtime(configuration: &Configuration) -> &Runtime {
+    configuration.backends[0].runtime.as_ref().unwrap()
+}
+
+fn ask(demand: &mut DemandTable, now: u64, model: &str, adapter: &str, arrived: u64, waiting: u32) {
+    let demand_of_model = ModelDemand {
+        backend: "llm".into(),
+        model: model.into(),
+        adapter: adapter.into(),
+        arrived,
+        tokens: 1_500 * arrived,
+        waiting,
+    };
+    let report = EdgeReport { edge: "edge".into(), demand: vec![demand_of_model], ..EdgeReport::default() };
+    demand.note(now, &report);
+}
+
+/// Bricks that carry orders out at once.
+struct Story {
+    configuration: Configuration,
+    bricks: Vec<Brick>,
+    demand: DemandTable,
+    placer: Placer,
+    held_before: HeldBefore,
+    now: u64,
+    orders: Vec<(u64, Order)>,
+}
+
+impl Story {
+    fn given(models: &[&str], held: &[&[&str]]) -> Story {
+        let bricks: Vec<Brick> = held.iter().enumerate().map(|(number, held)| brick(number, held)).collect();
+        let mut held_before = HeldBefore::default();
+        for brick in &bricks {
+            let names = brick.models.iter().map(|model| model.name.clone());
+            held_before.insert(brick.address.clone(), names.collect());
+        }
+        Story {
+            configuration: configuration(models),
+            bricks,
+            demand: DemandTable::default(),
+            placer: Placer::new(),
+            held_before,
+            now: 100_000,
+            orders: Vec::new(),
+        }
+    }
+
+    /// One look at placement; orders end before the next.
+    fn look(&mut self) {
+        self.now += 100;
+        let orders =
+            self.placer.plan(self.now, &self.configuration, &self.bricks, &self.demand, &self.held_before);
+        for order in orders {
+            self.carry_out(&order);
+            self.placer.finished(&order.instance);
+            self.orders.push((self.now, order));
+        }
+    }
+
+    fn carry_out(&mut self, order: &Order) {
+        let runtime = runtime(&self.configuration).clone();
+        let brick = self.bricks.iter_mut().find(|brick| brick.instance == order.instance).unwrap();
+        match (order.operation, order.adapter.is_empty()) {
+            (Operation::Load, whole) => {
+                assert!(order.fits(&runtime, &brick.models), "more than the brick has room for: {order:?}");
+                if whole {
+                    let name = order.model.clone();
+                    brick.models.push(LoadedModel { name, version: 1, adapters: Vec::new() });
+                } else {
+                    let held = brick.models.iter_mut().find(|held| held.name == order.model).unwrap();
+                    held.adapters.push(order.adapter.clone());
+                }
+            }
+            (Operation::Unload, true) => brick.models.retain(|held| held.name != order.model),
+            (Operation::Unload, false) => brick
+                .models
+                .iter_mut()
+                .for_each(|held| held.adapters.retain(|adapter| *adapter != order.adapter)),
+        }
+    }
+
+    /// Clients ask steadily for so long: (model, requests in each tenth of a second).
+    fn when_asked(&mut self, milliseconds: u64, rates: &[(&str, u64)]) {
+        for _ in 0..milliseconds / 100 {
+            for (model, arrived) in rates {
+                let missing = u32::from(self.copies(model) == 0) * *arrived as u32;
+                ask(&mut self.demand, self.now, model, "", *arrived, missing);
+            }
+            self.look();
+        }
+    }
+
+    fn copies(&self, model: &str) -> usize {
+        self.bricks.iter().filter(|brick| brick.models.iter().any(|held| held.name == model)).count()
+    }
+
+    fn loads_between(&self, from: u64, to: u64) -> usize {
+        let loads = self.orders.iter().filter(|(at, order)| {
+            *at >= from && *at < to && order.operation == Operation::Load && order.adapter.is_empty()
+        });
+        loads.count()
+    }
+}
+
+#[test]
+fn a_model_that_no_brick_holds_is_loaded_where_it_is_missed_least() {
+    let mut story = Story::given(&["a", "b", "c", "d"], &[&["a", "b", "c"], &["a", "b"]]);
+    story.when_asked(600, &[("d", 1)]);
+    assert_eq!(story.copies("d"), 1);
+    assert_eq!(story.bricks[1].models.len(), 3, "there was room on the second one");
+}
+
+#[test]
+fn room_is_made_by_what_nobody_asks_for_and_kept_for_the_model() {
+    let mut story = Story::given(&["a", "b", "c", "d", "e"], &[&["a", "b", "c"]]);
+    story.when_asked(10_000, &[("a", 2), ("b", 1)]);
+    let before = story.now;
+    story.when_asked(1_500, &[("a", 2), ("b", 1), ("d", 1)]);
+    assert_eq!((story.copies("a"), story.copies("b"), story.copies("c"), story.copies("d")), (1, 1, 0, 1));
+    assert_eq!(story.loads_between(before, u64::MAX), 1, "one load, and nothing turned back");
+}
+
+#[test]
+fn a_rising_model_gets_copies_by_its_share_of_the_demand() {
+    let mut story = Story::given(
+        &["hot", "rising", "x", "y", "z"],
+        &[
+            &["hot", "x", "y"],
+            &["hot", "x", "z"],
+            &["hot", "y", "z"],
+            &["hot", "rising", "x"],
+            &["hot", "y", "z"],
+            &["hot", "x"],
+        ],
+    );
+    story.when_asked(10_000, &[("hot", 3)]);
+    story.when_asked(6_000, &[("rising", 3)]);
+    assert!(story.copies("rising") >= 5, "{} copies", story.copies("rising"));
+}
+
+#[test]
+fn one_look_does_not_take_every_copy_of_a_model_away() {
+    let held: Vec<&[&str]> = vec![&["a", "b", "c"]; 6];
+    let mut story = Story::given(&["a", "b", "c", "d", "e", "f"], &held);
+    story.when_asked(10_000, &[("a", 1), ("b", 1), ("c", 1)]);
+    story.when_asked(200, &[("a", 1), ("b", 1), ("c", 1), ("d", 4), ("e", 4), ("f", 4)]);
+    ["a", "b", "c"].iter().for_each(|model| assert!(story.copies(model) >= 1, "{model}"));
+}
+
+#[test]
+fn what_stands_at_the_start_stays_while_demand_is_not_known() {
+    let mut story = Story::given(
+        &["hot", "x", "y", "new"],
+        &[&["hot", "x", "y"], &["hot", "x", "y"], &["hot", "x", "y"]],
+    );
+    story.when_asked(300, &[("x", 1)]);
+    assert!(story.orders.is_empty(), "{:?}", story.orders);
+    assert_eq!(story.copies("hot"), 3);
+}
+
+#[test]
+fn loads_keep_to_what_the_store_permits_in_any_window() {
+    let names: Vec<String> = (0..60).map(|number| format!("m{number}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let held: Vec<&[&str]> = vec![&[]; 20];
+    let mut story = Story::given(&names, &held);
+    for round in 0..200_usize {
+        let wanted: Vec<(&str, u64)> = (0..10).map(|at| (names[(round * 3 + at) % 60], 1)).collect();
+        story.when_asked(100, &wanted);
+    }
+    let (window, permitted) = (5_000, 4.0 * 5.0 * 1.1 + 3.0);
+    for (at, _) in &story.orders {
+        let loads = story.loads_between(*at, at + window);
+        assert!(loads as f64 <= permitted, "{loads} loads within {window} ms of {at}");
+    }
+    assert!(story.orders.len() > 40);
+}
+
+#[test]
+fn an_adapter_is_loaded_where_its_model_is_and_the_idle_one_makes_room() {
+    let mut story = Story::given(&["a", "b"], &[&["a"]]);
+    for adapter in ["a1", "a2"] {
+        ask(&mut story.demand, story.now, "a", adapter, 1, 1);
+        (0..5).for_each(|_| story.look());
+    }
+    assert_eq!(story.bricks[0].models[0].adapters, ["a1", "a2"]);
+    story.now += 20_000;
+    (0..3).for_each(|_| ask(&mut story.demand, story.now, "a", "a2", 3, 0));
+    ask(&mut story.demand, story.now, "a", "a3", 2, 2);
+    (0..5).for_each(|_| story.look());
+    assert_eq!(story.bricks[0].models[0].adapters, ["a2", "a3"]);
+}
+
+#[test]
+fn a_brick_whose_report_is_fuller_than_the_list_takes_no_load() {
+    let configuration = configuration(&["a", "b", "c", "d"]);
+    let order = Order {
+        instance: "i-1".into(),
+        address: "10.0.0.1:80".into(),
+        operation: Operation::Load,
+        model: "d".into(),
+        adapter: String::new(),
+        expected_ms: 0,
+    };
+    assert!(order.fits(runtime(&configuration), &brick(1, &["a", "b"]).models));
+    assert!(!order.fits(runtime(&configuration), &brick(1, &["a", "b", "c"]).models));
+    assert!(!order.fits(runtime(&configuration), &brick(1, &["unknown"]).models), "its size cannot be told");
+}
+
+#[test]
+fn demand_fades_and_word_of_waiting_counts_for_a_while() {
+    let mut demand = DemandTable::default();
+    let key = ModelKey { backend: "llm".into(), model: "m".into(), adapter: String::new() };
+    (0..40).for_each(|tenth| ask(&mut demand, tenth * 100, "m", "", 1, 0));
+    let rate = demand.requests_per_s(4_000, &key);
+    assert!(rate > 5.0 && rate <= 10.0, "{rate}");
+    assert!(demand.requests_per_s(20_000, &key) < 0.3);
+    ask(&mut demand, 20_000, "m", "", 1, 3);
+    assert!(demand.waiting(20_500, &key) > 0.0);
+    assert_eq!(demand.waiting(25_000, &key), 0.0);
+}
--- /dev/null
+++ b/crates/control/tests/configuration.rs
@@ -0,0 +1,183 @@
+//! Changes of the configuration, as operators send them.
+
+use pathbank_control::configuration::{Rejection, parse_document, read};
+use pathbank_control::result_code::ResultCode;
+use pathbank_control::routes::RouteTable;
+use pathbank_control::state::{Accepted, Change, ChangeKind, Command, ControlState};
+use serde_json::{Value, json};
+use test_case::test_case;
+
+fn route(name: &str, prefix: &str, backend: &str) -> Value {
+    json!({ "name": name, "hostname": "shop.example", "path_prefix": prefix, "type": "idempotent",
+            "timeout_ms": 2500, "priority": 1, "backend": backend, "max_attempts": 2 })
+}
+
+fn document(version: u64) -> Value {
+    json!({ "version": version, "routes": [route("r1", "/a/", "one")],
+            "backends": [{ "name": "one", "kept": { "as": "sent" } }, { "name": "two" }],
+            "limits": { "max_body_bytes": 100 },
+            "tenants": [{ "name": "t1", "api_keys": ["k1", "k2"], "priority": 1 }] })
+}
+
+fn replace(base: u64, body: &Value) -> Change {
+    Change { kind: ChangeKind::Replace, base, body: body.to_string() }
+}
+
+fn update(base: u64, body: &Value) -> Change {
+    Change { kind: ChangeKind::Update, base, body: body.to_string() }
+}
+
+struct Story {
+    state: ControlState,
+    index: u64,
+}
+
+impl Story {
+    fn given_version_5() -> Story {
+        let mut story = Story { state: ControlState::default(), index: 0 };
+        assert_eq!(story.when(replace(0, &document(5))), Ok(Accepted::Now));
+        story
+    }
+
+    fn when(&mut self, change: Change) -> Result<Accepted, Rejection> {
+        self.index += 1;
+        self.state.apply(self.index, &Command::Change(change))
+    }
+
+    fn then_rejected(&mut self, change: Change, code: ResultCode) {
+        let before = self.state.encode();
+        assert_eq!(self.when(change).map_err(|rejection| rejection.code), Err(code));
+        assert_eq!(self.state.encode(), before, "a rejected change changes nothing");
+    }
+}
+
+#[test]
+fn what_is_read_back_is_what_was_sent() {
+    let story = Story::given_version_5();
+    let (read_back, index) = story.state.document().unwrap();
+    assert_eq!((read_back, index), (&document(5), 1));
+}
+
+#[test]
+fn of_two_changes_on_one_base_the_first_wins() {
+    let mut story = Story::given_version_5();
+    assert_eq!(story.when(replace(5, &document(8))), Ok(Accepted::Now));
+    let mut other = document(9);
+    other["limits"]["max_body_bytes"] = json!(7);
+    story.then_rejected(replace(5, &other), ResultCode::BaseMismatch);
+}
+
+#[test]
+fn a_change_that_was_taken_is_taken_again_whatever_came_since() {
+    let mut story = Story::given_version_5();
+    let first = update(5, &json!({ "version": 7, "delete": { "routes": ["r1"] } }));
+    assert_eq!(story.when(first.clone()), Ok(Accepted::Now));
+    assert_eq!(story.when(first.clone()), Ok(Accepted::Before));
+    assert_eq!(story.when(replace(7, &document(9))), Ok(Accepted::Now));
+    assert_eq!(story.when(first), Ok(Accepted::Before));
+    assert_eq!(story.state.version(), 9, "and does not come into force again");
+}
+
+#[test]
+fn it_is_known_after_a_restart_from_a_snapshot() {
+    let mut story = Story::given_version_5();
+    let change = replace(5, &document(6));
+    story.when(change.clone()).unwrap();
+    story.state = ControlState::decode(&story.state.encode()).unwrap();
+    assert_eq!(story.when(change), Ok(Accepted::Before));
+}
+
+#[test]
+fn the_same_number_with_other_content_is_another_change() {
+    let mut story = Story::given_version_5();
+    story.when(replace(5, &document(6))).unwrap();
+    let mut other = document(6);
+    other["routes"] = json!([]);
+    story.then_rejected(replace(5, &other), ResultCode::BaseMismatch);
+}
+
+#[test_case("/backends", json!([{ "name": "two" }]), ResultCode::UnknownBackend; "unknown service")]
+#[test_case("/routes", json!([route("r1", "/a/", "one"), route("r2", "/a/", "two")]), ResultCode::DuplicateRoute; "same place")]
+#[test_case("/routes/0/timeout_ms", json!(0), ResultCode::NoTimeout; "no timeout")]
+#[test_case("/routes/0/traffic_split", json!([{ "backend": "one", "weight": 0 }]), ResultCode::NoWeight; "no weight")]
+#[test_case("/version", json!(5), ResultCode::VersionNotAbove; "same version")]
+#[test_case("/version", json!(4), ResultCode::VersionNotAbove; "old version")]
+#[test_case("/tenants", json!([{ "name": "t1", "api_keys": ["k"] }, { "name": "t2", "api_keys": ["k"] }]), ResultCode::SharedKey; "shared key")]
+#[test_case("/routes/0/type", json!("strange"), ResultCode::UnreadableDocument; "unknown type")]
+#[test_case("/routes", json!("none"), ResultCode::UnreadableDocument; "routes are no list")]
+fn an_invalid_configuration_is_rejected(place: &str, value: Value, code: ResultCode) {
+    let mut story = Story::given_version_5();
+    let mut body = document(6);
+    match body.pointer_mut(place) {
+        Some(found) => *found = value,
+        None => body["routes"][0][place.rsplit('/').next().unwrap()] = value,
+    }
+    story.then_rejected(replace(5, &body), code);
+}
+
+#[test]
+fn a_document_that_is_cut_short_is_rejected_at_any_byte() {
+    let mut story = Story::given_version_5();
+    let whole = document(6).to_string();
+    for length in (0..whole.len()).step_by(7) {
+        let change = Change { kind: ChangeKind::Replace, base: 5, body: whole[..length].to_owned() };
+        story.then_rejected(change, ResultCode::UnreadableDocument);
+    }
+}
+
+#[test]
+fn an_update_alters_named_items_and_keeps_the_rest() {
+    let mut story = Story::given_version_5();
+    let changed = json!({ "version": 6, "upsert": {
+        "routes": [route("r1", "/b/", "two"), route("r2", "/c/", "one")],
+        "tenants": [{ "name": "t2", "api_keys": ["k3"] }],
+        "limits": { "max_body_bytes": 200 } }, "delete": { "tenants": ["t1", "never there"] } });
+    assert_eq!(story.when(update(5, &changed)), Ok(Accepted::Now));
+    let (document, _) = story.state.document().unwrap();
+    assert_eq!(document["version"], 6);
+    assert_eq!(document["routes"][0]["path_prefix"], "/b/");
+    assert_eq!(document["routes"].as_array().unwrap().len(), 2);
+    assert_eq!(document["backends"][0]["kept"]["as"], "sent");
+    assert_eq!(document["tenants"], json!([{ "name": "t2", "api_keys": ["k3"] }]));
+    assert_eq!(document["limits"]["max_body_bytes"], 200);
+}
+
+#[test]
+fn an_update_that_leaves_a_route_without_its_service_is_rejected() {
+    let mut story = Story::given_version_5();
+    let body = json!({ "version": 6, "delete": { "backends": ["one"] } });
+    story.then_rejected(update(5, &body), ResultCode::UnknownBackend);
+}
+
+#[test]
+fn commands_come_back_from_the_log() {
+    let command = Command::Change(update(5, &json!({ "version": 6 })));
+    assert_eq!(Command::decode(&command.encode()), Some(command));
+    assert_eq!(Command::decode(b"{\"Later\":1}"), None, "a newer program's command is passed over");
+}
+
+#[test]
+fn sealed_usage_is_final() {
+    let mut state = ControlState::default();
+    let seal = |window, count| Command::SealUsage { window, counts: [("t".to_owned(), count)].into() };
+    state.apply(1, &seal(10, 3)).unwrap();
+    state.apply(2, &seal(10, 4)).unwrap();
+    state.apply(3, &seal(9, 4)).unwrap();
+    assert_eq!(state.last_sealed(), 10);
+    assert_eq!(state.sealed().len(), 1);
+    assert_eq!(state.sealed()[&10]["t"], 3);
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_takes_a_request() {
+    let mut body = document(6);
+    body["routes"] = json!([route("short", "/a/", "one"), route("long", "/a/b/", "two")]);
+    let table = RouteTable::new(1, read(&parse_document(body.to_string().as_bytes()).unwrap()).unwrap());
+    let name = |host: &str, path: &str| table.route(host, path).map(|route| route.name.clone());
+    assert_eq!(name("shop.example", "/a/b/c").as_deref(), Some("long"));
+    assert_eq!(name("SHOP.example:8080", "/a/c").as_deref(), Some("short"));
+    assert_eq!(name("shop.example", "/ab/"), None);
+    assert_eq!(name("other.example", "/a/b/"), None);
+    assert_eq!(table.tenant("k2").map(|tenant| tenant.name.as_str()), Some("t1"));
+    assert!(table.tenant("k9").is_none());
+}
--- a/crates/coordination/src/group.rs
+++ b/crates/coordination/src/group.rs
@@ -1,6 +1,6 @@
 //! Which store joins, replaces or leaves the group of voters. Decided by the leader alone, one step at a time.
 
-use crate::replica::{ProposeError, Replica};
+use crate::replica::Replica;
 use crate::types::{Index, Member, Millis, StoreId};
 
 /// A voter that says nothing for so long is taken for gone, milliseconds.
@@ -42,8 +42,5 @@
 /// Takes the next step towards the group that should be, if there is one.
 pub fn step(replica: &mut Replica, now: Millis) -> Option<crate::replica::Effects> {
     let voters = next_group(replica, now)?;
-    match replica.change_group(now, voters) {
-        Ok(effects) => Some(effects),
-        Err(ProposeError::NotLeader | ProposeError::Unsettled) => None,
-    }
+    replica.change_group(now, voters).ok()
 }
--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -548,7 +548,7 @@
             other.in_flight = None;
         }
         let lacks = other.next <= self.durable.last_index();
-        if waits && !heartbeat || !lacks && !heartbeat {
+        if !heartbeat && (waits || !lacks) {
             return;
         }
         let term = self.durable.term;
--- /dev/null
+++ b/crates/protocol/tests/round_trip.rs
@@ -0,0 +1,126 @@
+//! Every kind of message comes back as it was sent.
+
+use pathbank_coordination::types::{Entry, Member, Membership, Message, Payload, Snapshot, StoreId};
+use pathbank_protocol::codec::{decode, encode};
+use pathbank_protocol::framing::{FrameTooLong, LENGTH_BYTES, take_body};
+use pathbank_protocol::message::*;
+use test_case::test_case;
+
+fn member() -> Member {
+    Member {
+        id: StoreId(7),
+        name: "core-1".into(),
+        address: "10.0.0.1:7660".into(),
+        control_address: "10.0.0.1:8407".into(),
+    }
+}
+
+fn brick() -> Brick {
+    Brick {
+        instance: "i-1".into(),
+        backend: "llm".into(),
+        address: "10.0.0.9:8080".into(),
+        zone: "z".into(),
+        version: "v1".into(),
+        capacity: 64,
+        state: BrickState::Draining,
+        cold_remaining_ms: 5,
+        remaining_ms: 2_000,
+        models: vec![LoadedModel { name: "m".into(), version: 3, adapters: vec!["a1".into(), "a2".into()] }],
+        sequence: 9,
+        busy: true,
+    }
+}
+
+fn report() -> EdgeReport {
+    EdgeReport {
+        edge: "edge-1".into(),
+        life: 4,
+        usage: vec![UsageWindow { window: 8, counts: vec![("tenant".into(), 3)] }],
+        demand: vec![ModelDemand {
+            backend: "llm".into(),
+            model: "m".into(),
+            adapter: "a1".into(),
+            arrived: 2,
+            tokens: 900,
+            waiting: 1,
+        }],
+        loads: vec![BrickLoad { instance: "i-1".into(), in_flight: 2, failed: 1 }],
+    }
+}
+
+fn replica(message: Message) -> Frame {
+    Frame::Replica(member(), message)
+}
+
+fn append() -> Message {
+    let membership = Membership { voters: vec![member()], outgoing: vec![member()] };
+    let payloads = [
+        Payload::LeaderStart("core-1".into()),
+        Payload::Membership(membership),
+        Payload::Command(vec![1, 2]),
+    ];
+    let entry = |(at, payload): (usize, Payload)| Entry { index: at as u64 + 1, term: 2, payload };
+    let entries = payloads.into_iter().enumerate().map(entry).collect();
+    Message::Append { term: 2, previous_index: 0, previous_term: 0, entries, commit: 1, sent_at: 77 }
+}
+
+fn install() -> Message {
+    let membership = Membership::of(vec![member()]);
+    let snapshot =
+        Snapshot { index: 5, term: 2, membership, leaders: vec!["core-1".into()], data: vec![9; 300] };
+    Message::InstallSnapshot { term: 3, snapshot, sent_at: 5 }
+}
+
+#[test_case(Frame::Hello(Hello { role: ProcessRole::Edge, name: "e".into(), zone: "z".into(), life: 1 }); "hello")]
+#[test_case(replica(append()); "append")]
+#[test_case(replica(install()); "install")]
+#[test_case(replica(Message::VoteRequest { term: 1, pre: true, handover: false, last_index: 2, last_term: 1 }); "vote request")]
+#[test_case(replica(Message::VoteReply { term: 1, pre: false, granted: true }); "vote reply")]
+#[test_case(replica(Message::AppendReply { term: 1, accepted: true, index: 4, sent_at: 3 }); "append reply")]
+#[test_case(replica(Message::CampaignNow { term: 4 }); "campaign now")]
+#[test_case(replica(Message::Join); "join")]
+#[test_case(Frame::Core(CoreStatus { members: vec![member()], leader: "l".into(), edges: 8, wall_clock_ms: 6 }); "core")]
+#[test_case(Frame::Configuration(ConfigurationUpdate { index: 3, document: b"{}".to_vec() }); "configuration")]
+#[test_case(Frame::Bricks(BrickUpdate { complete: true, bricks: vec![brick()] }); "bricks")]
+#[test_case(Frame::Heartbeats(vec![brick(), brick()]); "heartbeats")]
+#[test_case(Frame::Report(report()); "report")]
+#[test_case(Frame::Ping(12); "ping")]
+fn a_message_comes_back_as_it_was_sent(frame: Frame) {
+    let mut bytes = encode(&frame);
+    let body = take_body(&mut bytes).unwrap().unwrap();
+    assert!(bytes.is_empty());
+    assert_eq!(decode(&body).unwrap(), frame);
+}
+
+#[test]
+fn messages_that_come_in_pieces_are_taken_when_whole() {
+    let frame = Frame::Report(report());
+    let bytes = [encode(&frame), encode(&Frame::Ping(1))].concat();
+    let mut buffer = Vec::new();
+    let mut bodies = Vec::new();
+    for piece in bytes.chunks(5) {
+        buffer.extend_from_slice(piece);
+        while let Some(body) = take_body(&mut buffer).unwrap() {
+            bodies.push(decode(&body).unwrap());
+        }
+    }
+    assert_eq!(bodies, [frame, Frame::Ping(1)]);
+}
+
+#[test]
+fn a_length_over_the_limit_is_an_error() {
+    let mut buffer = u32::MAX.to_le_bytes().to_vec();
+    assert_eq!(take_body(&mut buffer), Err(FrameTooLong(u32::MAX as usize)));
+}
+
+#[test]
+fn damaged_bytes_are_an_error_and_no_panic() {
+    let whole = encode(&replica(append()));
+    for at in LENGTH_BYTES..whole.len() {
+        let mut body = whole[LENGTH_BYTES..].to_vec();
+        body[at - LENGTH_BYTES] ^= 0x55;
+        let _ = decode(&body);
+        let _ = decode(&whole[LENGTH_BYTES..at]);
+    }
+}
--- /dev/null
+++ b/crates/router/tests/dispatch.rs
@@ -0,0 +1,255 @@
+//! Stories of one head's dispatcher.
+
+use pathbank_control::result_code::ResultCode;
+use pathbank_protocol::message::{Brick, BrickState, BrickUpdate, LoadedModel};
+use pathbank_router::bricks::BrickOutcome;
+use pathbank_router::dispatcher::{Action, Dispatcher, Offer};
+use pathbank_router::prompt::{ModelName, PromptPart};
+use std::collections::BTreeSet;
+use test_case::test_case;
+
+fn brick(instance: &str, models: &[&str]) -> Brick {
+    let held = |name: &&str| LoadedModel { name: (*name).into(), version: 1, adapters: vec!["a1".into()] };
+    Brick {
+        instance: instance.into(),
+        backend: "llm".into(),
+        address: "10.0.0.1:80".into(),
+        zone: "here".into(),
+        version: "v1".into(),
+        capacity: 2,
+        state: BrickState::Ready,
+        cold_remaining_ms: 0,
+        remaining_ms: 0,
+        models: models.iter().map(held).collect(),
+        sequence: 1,
+        busy: false,
+    }
+}
+
+fn offer(id: u64, model: &str, arrived: u64) -> Offer {
+    Offer {
+        id,
+        backend: "llm".into(),
+        name: ModelName::parse(model),
+        size: 1_500,
+        input_tokens: 1_000,
+        parts: Vec::new(),
+        arrived,
+        deadline: arrived + 10_000,
+        objective: 1_000,
+        load_ms: Some(800),
+        returned: false,
+        excluded: BTreeSet::new(),
+    }
+}
+
+struct Story {
+    dispatcher: Dispatcher,
+    now: u64,
+}
+
+impl Story {
+    fn given(bricks: Vec<Brick>) -> Story {
+        let mut story = Story { dispatcher: Dispatcher::new("here".into()), now: 1_000 };
+        story.told(bricks);
+        story
+    }
+
+    fn told(&mut self, bricks: Vec<Brick>) -> Vec<Action> {
+        self.dispatcher.update_bricks(self.now, BrickUpdate { complete: true, bricks })
+    }
+
+    fn asked(&mut self, id: u64, model: &str) -> Vec<Action> {
+        let offer = offer(id, model, self.now);
+        self.dispatcher.offer(self.now, offer, true)
+    }
+
+    fn after(&mut self, milliseconds: u64) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for _ in 0..milliseconds / 20 {
+            self.now += 20;
+            actions.extend(self.dispatcher.tick(self.now));
+        }
+        actions
+    }
+
+    fn ended(&mut self, id: u64, outcome: BrickOutcome) -> Vec<Action> {
+        self.dispatcher.finish(self.now, id, outcome)
+    }
+}
+
+fn sent(actions: &[Action]) -> Vec<(u64, String)> {
+    let send = |action: &Action| match action {
+        Action::Send { id, instance, .. } => Some((*id, instance.clone())),
+        Action::Refuse { .. } => None,
+    };
+    actions.iter().filter_map(send).collect()
+}
+
+fn refused(actions: &[Action]) -> Vec<(u64, ResultCode, u64)> {
+    let refuse = |action: &Action| match action {
+        Action::Refuse { id, code, retry_after } => Some((*id, *code, *retry_after)),
+        Action::Send { .. } => None,
+    };
+    actions.iter().filter_map(refuse).collect()
+}
+
+#[test]
+fn a_request_goes_at_once_to_a_brick_that_holds_its_model() {
+    let mut story = Story::given(vec![brick("i-1", &["a"]), brick("i-2", &["b"])]);
+    assert_eq!(sent(&story.asked(1, "b")), [(1, "i-2".into())]);
+    assert_eq!(sent(&story.asked(2, "a/a1")), [(2, "i-1".into())]);
+    assert_eq!(story.asked(3, "a/a9"), [], "that adapter is nowhere");
+}
+
+#[test]
+fn a_head_keeps_no_more_at_a_brick_than_its_slots_and_the_end_of_one_frees_a_slot() {
+    let mut story = Story::given(vec![brick("i-1", &["a"])]);
+    let first: Vec<_> = (1..=4).flat_map(|id| sent(&story.asked(id, "a"))).collect();
+    assert_eq!(first.len(), 2);
+    assert_eq!(sent(&story.ended(1, BrickOutcome::Answered)), [(3, "i-1".into())]);
+    assert_eq!(sent(&story.ended(2, BrickOutcome::Answered)), [(4, "i-1".into())]);
+}
+
+#[test]
+fn the_slots_that_other_heads_take_are_left_to_them() {
+    let mut story = Story::given(vec![brick("i-1", &["a"])]);
+    story.asked(1, "a");
+    story.dispatcher.note_load(story.now, "i-1", 2, 0);
+    assert!(sent(&story.asked(2, "a")).is_empty());
+    assert_eq!(sent(&story.after(1_500)).len(), 0, "refused before that word is old");
+}
+
+#[test]
+fn a_freed_slot_takes_the_longest_queue() {
+    let mut story = Story::given(vec![brick("i-1", &["a", "b"])]);
+    [(1, "a"), (2, "a"), (3, "a"), (4, "b"), (5, "b")]
+        .iter()
+        .for_each(|(id, model)| drop(story.asked(*id, model)));
+    assert_eq!(sent(&story.ended(1, BrickOutcome::Answered)), [(4, "i-1".into())]);
+}
+
+#[test]
+fn prompts_that_are_not_read_yet_send_the_next_one_elsewhere() {
+    let mut story = Story::given(vec![brick("i-1", &["a"]), brick("i-2", &["a"])]);
+    let first = sent(&story.asked(1, "a"))[0].1.clone();
+    let second = sent(&story.asked(2, "a"))[0].1.clone();
+    assert_ne!(first, second);
+}
+
+#[test]
+fn a_prompt_goes_where_its_parts_are_kept() {
+    let mut story = Story::given(vec![brick("i-1", &["a"]), brick("i-2", &["a"])]);
+    let mut shared = offer(1, "a", story.now);
+    shared.parts = vec![PromptPart { id: 7, tokens: 900 }];
+    let place = sent(&story.dispatcher.offer(story.now, shared.clone(), true))[0].1.clone();
+    story.ended(1, BrickOutcome::Answered);
+    for id in 2..12 {
+        shared.id = id;
+        assert_eq!(sent(&story.dispatcher.offer(story.now, shared.clone(), true))[0].1, place);
+        story.ended(id, BrickOutcome::Answered);
+    }
+}
+
+#[test_case(BrickState::Draining; "draining")]
+#[test_case(BrickState::Gone; "gone")]
+fn a_brick_that_leaves_gets_nothing_more_not_even_what_waits_for_it(state: BrickState) {
+    let mut story = Story::given(vec![brick("i-1", &["a"])]);
+    (1..=3).for_each(|id| drop(story.asked(id, "a")));
+    let leaving = Brick { state, sequence: 2, ..brick("i-1", &["a"]) };
+    assert!(sent(&story.told(vec![leaving])).is_empty());
+    assert!(sent(&story.ended(1, BrickOutcome::Answered)).is_empty());
+    assert_eq!(sent(&story.told(vec![brick("i-2", &["a"])])), [(3, "i-2".into())]);
+    assert!(sent(&story.told(vec![brick("i-1", &["a"])])).is_empty(), "an older word changes nothing");
+}
+
+#[test]
+fn what_no_brick_holds_is_told_to_the_cores_once_and_sent_when_one_does() {
+    let mut story = Story::given(vec![brick("i-1", &["b"])]);
+    story.asked(1, "a");
+    assert!(story.dispatcher.take_urgent());
+    let (demand, _) = story.dispatcher.take_report();
+    assert_eq!((demand[0].model.as_str(), demand[0].arrived, demand[0].waiting), ("a", 1, 1));
+    story.after(100);
+    assert!(!story.dispatcher.take_urgent());
+    let loaded = Brick { sequence: 2, ..brick("i-1", &["a", "b"]) };
+    assert_eq!(sent(&story.told(vec![loaded])), [(1, "i-1".into())]);
+}
+
+#[test]
+fn what_a_load_can_serve_in_time_is_refused_early_with_when_to_come_back() {
+    let mut story = Story::given(vec![brick("i-1", &["b"])]);
+    story.asked(1, "a");
+    assert!(story.after(200).is_empty());
+    let refusals = refused(&story.after(60));
+    assert_eq!(
+        refusals,
+        [(1, ResultCode::NoBrick, 1_500)],
+        "load and overhead, before a quarter of the objective"
+    );
+}
+
+#[test]
+fn a_client_that_came_back_is_held_until_it_is_hopeless() {
+    let mut story = Story::given(vec![brick("i-1", &["b"])]);
+    let returned = Offer { returned: true, ..offer(1, "a", story.now) };
+    story.dispatcher.offer(story.now, returned, true);
+    assert!(story.after(9_000).is_empty());
+    assert_eq!(refused(&story.after(800)).len(), 1);
+}
+
+#[test]
+fn while_no_brick_of_the_service_is_known_clients_come_back_soon() {
+    let mut story = Story::given(Vec::new());
+    story.asked(1, "a");
+    assert_eq!(refused(&story.after(260)), [(1, ResultCode::NoBrick, 1_000)]);
+}
+
+#[test]
+fn a_head_that_stops_refuses_what_is_at_no_brick() {
+    let mut story = Story::given(vec![brick("i-1", &["a"])]);
+    (1..=3).for_each(|id| drop(story.asked(id, "a")));
+    story.asked(4, "nowhere");
+    let refusals = refused(&story.dispatcher.refuse_waiting(story.now, 50));
+    assert_eq!(refusals, [(3, ResultCode::Stopping, 50), (4, ResultCode::Stopping, 50)]);
+    assert_eq!(story.dispatcher.open(), 2);
+}
+
+#[test]
+fn a_brick_that_cannot_be_reached_rests_and_is_tried_again() {
+    let mut story = Story::given(vec![brick("i-1", &["a"])]);
+    for id in 1..=2 {
+        assert_eq!(sent(&story.asked(id, "a")).len(), 1);
+        story.ended(id, BrickOutcome::Failed);
+    }
+    assert!(sent(&story.asked(3, "a")).is_empty(), "after two failures in a row");
+    story.now += 260;
+    assert_eq!(sent(&story.dispatcher.tick(story.now)).len(), 1, "once the rest is over");
+}
+
+#[test]
+fn a_brick_that_lacks_the_model_is_not_asked_for_it_again_at_once() {
+    let mut story = Story::given(vec![brick("i-1", &["a"]), brick("i-2", &["a"])]);
+    let first = sent(&story.asked(1, "a"))[0].1.clone();
+    story.ended(1, BrickOutcome::NotThere);
+    for id in 2..6 {
+        assert_ne!(sent(&story.asked(id, "a"))[0].1, first);
+        story.ended(id, BrickOutcome::Answered);
+    }
+}
+
+#[test]
+fn a_request_that_was_tried_at_a_brick_goes_to_another_one() {
+    let mut story = Story::given(vec![brick("i-1", &["a"]), brick("i-2", &["a"])]);
+    let again = Offer { excluded: ["i-1".to_owned()].into(), ..offer(1, "a", story.now) };
+    assert_eq!(sent(&story.dispatcher.offer(story.now, again, false)), [(1, "i-2".into())]);
+    assert!(story.dispatcher.take_report().0.is_empty(), "and is no new demand");
+}
+
+#[test]
+fn a_client_that_leaves_takes_its_request_with_it() {
+    let mut story = Story::given(vec![brick("i-1", &["a"])]);
+    (1..=4).for_each(|id| drop(story.asked(id, "a")));
+    story.ended(3, BrickOutcome::Abandoned);
+    assert_eq!(sent(&story.ended(1, BrickOutcome::Answered)), [(4, "i-1".into())]);
+}
--- /dev/null
+++ b/crates/router/tests/parts.rs
@@ -0,0 +1,130 @@
+//! The smaller parts of an edge head: retry budget, usage, clock, prompts, events.
+
+use pathbank_router::events::EventTracker;
+use pathbank_router::prompt::{ModelName, PromptPart, TokenCount, parse_parts};
+use pathbank_router::retry_budget::{BudgetBounds, RetryBudget};
+use pathbank_router::usage::UsageCounter;
+use pathbank_router::wall_clock::WallClock;
+use test_case::test_case;
+
+const BOUNDS: BudgetBounds = BudgetBounds { ratio: 0.2, slack: 56.0, window: 10_000 };
+
+/// All heads send again whatever they may, whenever they may; some of them start anew in between.
+#[test_case(1, 10; "one head")]
+#[test_case(8, 40; "eight heads")]
+#[test_case(82, 400; "eighty-two heads")]
+fn all_heads_together_keep_to_the_budget_in_any_window(heads: u32, requests_per_s: u64) {
+    let fresh = || {
+        let mut budget = RetryBudget::new(BOUNDS);
+        budget.set_heads(heads);
+        budget
+    };
+    let mut budgets: Vec<RetryBudget> = (0..heads).map(|_| fresh()).collect();
+    let mut random = fastrand::Rng::with_seed(u64::from(heads));
+    let mut again: Vec<u64> = Vec::new();
+    for now in (0..60_000).step_by(10) {
+        // Requests stop for a while: what was saved up then must not come on top.
+        let requests = if (20_000..30_000).contains(&now) {
+            0
+        } else {
+            requests_per_s / 100 + u64::from(now % 100 == 0)
+        };
+        for _ in 0..requests {
+            budgets[random.usize(0..heads as usize)].note_request(now, "s");
+        }
+        if now % 7_000 == 0 {
+            budgets[random.usize(0..heads as usize)] = fresh();
+        }
+        for budget in &mut budgets {
+            while budget.take(now, "s") {
+                again.push(now);
+            }
+        }
+    }
+    for start in (0..50_000).step_by(500) {
+        let window = |time: &&u64| **time >= start && **time < start + BOUNDS.window;
+        let busiest = requests_per_s * BOUNDS.window / 1_000;
+        let permitted = BOUNDS.ratio * busiest as f64 + BOUNDS.slack;
+        let count = again.iter().filter(window).count();
+        assert!(count as f64 <= permitted, "{count} of {permitted} from {start}");
+    }
+    assert!(!again.is_empty());
+}
+
+#[test]
+fn a_head_that_does_not_know_how_many_there_are_sends_nothing_again_at_once() {
+    let mut budget = RetryBudget::new(BOUNDS);
+    budget.note_request(0, "s");
+    assert!(!budget.take(0, "s"));
+}
+
+#[test]
+fn requests_are_counted_in_the_window_of_true_time() {
+    let mut usage = UsageCounter::new(5_000);
+    usage.began(9_999, "a");
+    usage.began(10_000, "a");
+    usage.began(10_001, "b");
+    assert!(usage.take_changed());
+    assert!(!usage.take_changed());
+    let windows = usage.windows();
+    assert_eq!((windows[0].window, windows[0].counts.as_slice()), (1, &[("a".to_owned(), 1)][..]));
+    assert_eq!(windows[1].counts, [("a".to_owned(), 1), ("b".to_owned(), 1)]);
+    usage.began(100_000, "a");
+    assert_eq!(usage.windows().len(), 1, "old windows are sealed long ago");
+}
+
+#[test]
+fn one_core_whose_clock_jumps_moves_nobody() {
+    let mut clock = WallClock::default();
+    assert_eq!(clock.now(5, 42), 42, "nothing is told yet");
+    for (core, wall) in [("a", 1_000_000), ("b", 1_000_010), ("c", 9_000_000)] {
+        clock.note(100, core, wall);
+    }
+    assert_eq!(clock.now(150, 0), 1_000_060);
+    assert_eq!(clock.now(60_000, 7), 1_059_910, "without a core the steady clock goes on");
+}
+
+#[test_case("m", "m", ""; "a model")]
+#[test_case("m/a3", "m", "a3"; "an adapter")]
+#[test_case("", "", ""; "none")]
+fn a_model_and_its_adapter_are_told_apart(value: &str, model: &str, adapter: &str) {
+    assert_eq!(ModelName::parse(value), ModelName { model: model.into(), adapter: adapter.into() });
+}
+
+#[test]
+fn prompts_are_read_as_far_as_they_are_well_formed() {
+    assert_eq!(TokenCount::parse("1460,80"), Some(TokenCount { input: 1_460, output: 80 }));
+    assert_eq!(TokenCount::parse("1460,80").unwrap().size(), 2_260);
+    assert_eq!(TokenCount::parse("1460"), None);
+    let parts = parse_parts("5c1e07a2:800,91bd3f06:410,bad,1:1");
+    assert_eq!(
+        parts,
+        [PromptPart { id: 0x5c1e_07a2, tokens: 800 }, PromptPart { id: 0x91bd_3f06, tokens: 410 }]
+    );
+}
+
+fn pass_all(tracker: &mut EventTracker, stream: &[u8], piece: usize) -> Vec<u8> {
+    stream.chunks(piece).flat_map(|bytes| tracker.pass(bytes)).collect()
+}
+
+#[test_case(1; "byte by byte")]
+#[test_case(7; "in sevens")]
+#[test_case(1_000; "at once")]
+fn only_whole_events_pass_and_the_last_id_is_known(piece: usize) {
+    let mut tracker = EventTracker::default();
+    let stream = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c";
+    let passed = pass_all(&mut tracker, stream, piece);
+    assert_eq!(passed, b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    assert_eq!(tracker.last_id(), Some("2"));
+    tracker.broke();
+    assert!(tracker.finish().is_empty(), "the next brick sends the third one whole");
+}
+
+#[test]
+fn what_ends_in_order_is_passed_to_its_last_byte() {
+    let mut tracker = EventTracker::default();
+    let mut passed = tracker.pass(b"id:9\r\ndata: x\r\n\r\ntail");
+    passed.extend(tracker.finish());
+    assert_eq!(passed, b"id:9\r\ndata: x\r\n\r\ntail");
+    assert_eq!(tracker.last_id(), Some("9"));
+}
--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -222,9 +222,10 @@
     }
 
     fn reload(&mut self) {
-        match Settings::load(&Settings::path()) {
-            Ok(settings) => self.settings.seeds = settings.seeds,
-            Err(error) => tracing::warn!(%error, "settings file not taken over"),
+        match self.settings.reload() {
+            Some(Ok(settings)) => self.settings.seeds = settings.seeds,
+            Some(Err(error)) => tracing::warn!(%error, "settings file not taken over"),
+            None => {}
         }
         self.open_links();
     }
--- a/crates/system/src/edge/core_links.rs
+++ b/crates/system/src/edge/core_links.rs
@@ -3,7 +3,6 @@
 use super::shared::Shared;
 use crate::clock;
 use crate::net::mesh::{Mesh, MeshEvent};
-use crate::settings::Settings;
 use pathbank_control::configuration;
 use pathbank_control::routes::RouteTable;
 use pathbank_protocol::message::{ConfigurationUpdate, CoreStatus, Frame, Hello, ProcessRole};
@@ -33,9 +32,10 @@
 
 /// Reads the settings file again: the seeds may have changed. An unreadable file changes nothing.
 pub fn reload(shared: &Arc<Shared>) {
-    match Settings::load(&Settings::path()) {
-        Ok(settings) => set_seeds(shared, &settings.seeds),
-        Err(error) => tracing::warn!(%error, "settings file not taken over"),
+    match shared.settings.reload() {
+        Some(Ok(settings)) => set_seeds(shared, &settings.seeds),
+        Some(Err(error)) => tracing::warn!(%error, "settings file not taken over"),
+        None => {}
     }
 }
 
@@ -66,15 +66,21 @@
     match event {
         MeshEvent::Opened(address) => tracing::debug!(%address, "core reached"),
         MeshEvent::Closed(address) => tracing::debug!(%address, "core lost"),
-        MeshEvent::Said(_, Frame::Configuration(update)) => on_configuration(shared, update),
-        MeshEvent::Said(_, Frame::Bricks(update)) => {
+        MeshEvent::Said(address, frame) => on_frame(shared, address, *frame),
+    }
+}
+
+fn on_frame(shared: &Arc<Shared>, address: SocketAddr, frame: Frame) {
+    match frame {
+        Frame::Configuration(update) => on_configuration(shared, update),
+        Frame::Bricks(update) => {
             if update.complete {
                 shared.has_bricks.store(true, Ordering::Relaxed);
             }
             shared.update_bricks(update);
         }
-        MeshEvent::Said(address, Frame::Core(status)) => on_status(shared, address, &status),
-        MeshEvent::Said(_, _) => {}
+        Frame::Core(status) => on_status(shared, address, &status),
+        _ => {}
     }
 }
 
--- a/crates/system/src/edge/mod.rs
+++ b/crates/system/src/edge/mod.rs
@@ -66,11 +66,8 @@
     tokio::spawn(tick(shared.clone()));
     tokio::spawn(report(shared.clone()));
     tracing::info!(node = settings.node_name, %ingress, "edge head started");
-    loop {
-        match signals.next().await {
-            Request::Reload => core_links::reload(&shared),
-            Request::Stop => break,
-        }
+    while signals.next().await == Request::Reload {
+        core_links::reload(&shared);
     }
     stop(&shared, &settings, serving, &close, &count).await;
     Ok(())
--- a/crates/system/src/edge/proxy.rs
+++ b/crates/system/src/edge/proxy.rs
@@ -121,7 +121,7 @@
     let Some(route) = routes.route(&host, head.uri.path()).cloned() else {
         return Err(answer::own(ResultCode::NoRoute));
     };
-    let tenant = tenant_of(&routes, &route, &head.headers)?;
+    let tenant = tenant_of(&routes, &route, &head.headers).map_err(answer::own)?;
     let Some(backend) = choose_backend(&route) else { return Err(answer::own(ResultCode::NoRoute)) };
     let name = text(&head.headers, &MODEL).map(ModelName::parse).unwrap_or_default();
     let tokens = text(&head.headers, &TOKEN_COUNT).and_then(TokenCount::parse).unwrap_or_default();
@@ -134,7 +134,7 @@
         headers: head.headers,
         body,
         backend,
-        tenant: tenant.as_ref().map(|(name, _)| name.clone()),
+        tenant,
         name,
         tokens,
         load_ms,
@@ -173,18 +173,14 @@
     }
 }
 
-/// The name and rank of the tenant that holds the request's key.
-fn tenant_of(
-    routes: &RouteTable,
-    route: &Route,
-    headers: &HeaderMap,
-) -> Result<Option<(String, Option<i64>)>, Answer> {
+/// The name of the tenant that holds the request's key.
+fn tenant_of(routes: &RouteTable, route: &Route, headers: &HeaderMap) -> Result<Option<String>, ResultCode> {
     let key = text(headers, &CREDENTIAL);
     let tenant = key.and_then(|key| routes.tenant(key));
     match tenant {
-        Some(tenant) => Ok(Some((tenant.name.clone(), tenant.priority))),
+        Some(tenant) => Ok(Some(tenant.name.clone())),
         None if route.public || !routes.has_tenants() => Ok(None),
-        None => Err(answer::own(ResultCode::UnknownKey)),
+        None => Err(ResultCode::UnknownKey),
     }
 }
 
--- a/crates/system/src/lib.rs
+++ b/crates/system/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod net;
 pub mod settings;
 pub mod signals;
+pub mod stand_in;
--- a/crates/system/src/net/client.rs
+++ b/crates/system/src/net/client.rs
@@ -35,7 +35,7 @@
 #[derive(Debug)]
 pub enum ExchangeError {
     /// Not a byte of the request was written.
-    NotSent(Request<Full<Bytes>>),
+    NotSent(Box<Request<Full<Bytes>>>),
     /// The request may have been read.
     Broken(hyper::Error),
 }
@@ -109,14 +109,14 @@
     ) -> Result<Exchange, ExchangeError> {
         let request = match self.take_idle(address) {
             Some(sender) => match send(address, sender, request).await {
-                Err(ExchangeError::NotSent(request)) => request,
+                Err(ExchangeError::NotSent(request)) => *request,
                 other => return other,
             },
             None => request,
         };
         match Self::open(address).await {
             Ok(sender) => send(address, sender, request).await,
-            Err(_) => Err(ExchangeError::NotSent(request)),
+            Err(_) => Err(ExchangeError::NotSent(Box::new(request))),
         }
     }
 
@@ -156,7 +156,7 @@
             Ok(Exchange { response, lease: ConnectionLease { address, sender, idle_ms } })
         }
         Err(mut error) => match error.take_message() {
-            Some(request) => Err(ExchangeError::NotSent(request)),
+            Some(request) => Err(ExchangeError::NotSent(Box::new(request))),
             None => Err(ExchangeError::Broken(error.into_error())),
         },
     }
--- a/crates/system/src/net/mesh.rs
+++ b/crates/system/src/net/mesh.rs
@@ -22,7 +22,7 @@
     /// The link to an address has ended.
     Closed(SocketAddr),
     /// The process at an address said something.
-    Said(SocketAddr, Frame),
+    Said(SocketAddr, Box<Frame>),
 }
 
 type Handler = Arc<dyn Fn(MeshEvent) + Send + Sync>;
@@ -99,7 +99,7 @@
                 self.links().open.insert(address, link);
                 (self.handler)(MeshEvent::Opened(address));
                 let said = |frame| {
-                    (self.handler)(MeshEvent::Said(address, frame));
+                    (self.handler)(MeshEvent::Said(address, Box::new(frame)));
                     true
                 };
                 link::run(stream, outbox, said).await;
--- a/crates/system/src/settings.rs
+++ b/crates/system/src/settings.rs
@@ -75,6 +75,8 @@
     pub cloud_api: CloudApi,
     /// `error`, `warn`, `info` or `debug`.
     pub log_level: String,
+    /// The file that these settings were read from, which may change later.
+    pub source: Option<PathBuf>,
 }
 
 impl Settings {
@@ -87,7 +89,12 @@
     pub fn load(path: &Path) -> Result<Settings> {
         let text =
             std::fs::read_to_string(path).with_context(|| format!("settings file {}", path.display()))?;
-        Settings::parse(&text)
+        Ok(Settings { source: Some(path.to_owned()), ..Settings::parse(&text)? })
+    }
+
+    /// Reads the file again; `None`: these settings came from no file.
+    pub fn reload(&self) -> Option<Result<Settings>> {
+        self.source.as_deref().map(Settings::load)
     }
 
     /// Reads the file's text.
@@ -127,6 +134,7 @@
                 duties: lines.list("cloud_api.duties")?,
             },
             log_level: lines.or("log_level", "info".to_owned())?,
+            source: None,
         })
     }
 
--- /dev/null
+++ b/crates/system/tests/loopback.rs
@@ -0,0 +1,148 @@
+//! The real programs on loopback: first start, kills, restarts, changes, drains, streams, lost disks.
+
+mod common;
+
+use common::{System, call, document, until};
+use std::process::Command;
+use std::sync::atomic::Ordering;
+
+const MODEL: &[(&str, &str)] = &[("X-Pathbank-Model", "m1"), ("X-Pathbank-Token-Count", "10,10")];
+
+#[test]
+fn a_first_start_serves_requests_and_streams() {
+    let system = System::started();
+    let brick = system.brick("i-app", "app", &[]);
+    system.brick("i-llm", "llm", &["m1"]);
+    system.configure(0, &document(3));
+    system.until_ready();
+    let answer = system.ask_until_served("/app/x", "id-1", &[]);
+    assert!(
+        answer.body.contains("tenant-1:hello"),
+        "the tenant's name and the body reach the brick: {}",
+        answer.body
+    );
+    assert!(answer.head.contains("x-pathbank-response-signature: stand-in.i-app"));
+    assert_eq!(brick.runs(), ["id-1"]);
+    let stream = system.ask_until_served("/llm/x", "id-2", MODEL);
+    (1..=5)
+        .for_each(|piece| assert!(stream.body.contains(&format!("data: piece {piece}")), "{}", stream.body));
+    let status = |path: &str, key: &str, body: &str| {
+        system.ask(path, "id-3", key, &[], body).map(|answer| answer.status)
+    };
+    assert_eq!(status("/app/x", "wrong", ""), Some(401));
+    assert_eq!(status("/none/", "key-1", ""), Some(404));
+    assert_eq!(status("/app/x", "key-1", &"x".repeat(1_001)), Some(413));
+    assert_eq!(brick.runs(), ["id-1"], "and none of those ran");
+}
+
+#[test]
+fn a_model_that_no_brick_holds_is_loaded_when_it_is_asked_for() {
+    let system = System::started();
+    let brick = system.brick("i-llm", "llm", &["m1"]);
+    system.configure(0, &document(3));
+    system.until_ready();
+    system.ask_until_served("/llm/x", "id-1", &[("X-Pathbank-Model", "m2")]);
+    system.ask_until_served("/llm/x", "id-2", &[("X-Pathbank-Model", "m1/a2")]);
+    assert_eq!(brick.runs().len(), 2);
+}
+
+#[test]
+fn changes_survive_a_killed_leader_and_kills_of_all() {
+    let mut system = System::started();
+    system.configure(0, &document(3));
+    until("a leader", || system.leader().is_some());
+    let leader = system.leader().unwrap();
+    system.cores[leader].kill();
+    system.configure(3, &document(5));
+    system.cores[leader].start();
+    system.cores.iter_mut().for_each(|core| core.kill());
+    system.cores.iter_mut().for_each(|core| core.start());
+    until("it is read back", || system.read_configuration().is_some_and(|read| read["version"] == 5));
+    assert_eq!(system.change(0, &document(3)), Some(200), "what was taken is taken again");
+    assert_eq!(system.change(3, &document(9)), Some(412));
+    assert_eq!(system.change(5, "{\"version\":7"), Some(400));
+}
+
+#[test]
+fn a_core_whose_disk_is_lost_comes_back_as_another_store() {
+    let mut system = System::started();
+    system.configure(0, &document(3));
+    until("a leader", || system.leader().is_some());
+    let leader = system.leader().unwrap();
+    let stores = |system: &System| {
+        let core = (leader + 1) % 3;
+        system.status(core).map(|status| status["voters"].to_string()).unwrap_or_default()
+    };
+    until("the group is known", || !stores(&system).is_empty());
+    let before = stores(&system);
+    system.cores[leader].kill();
+    std::fs::remove_dir_all(system.data(leader)).unwrap();
+    system.cores[leader].allow_bootstrap(false);
+    system.cores[leader].start();
+    until("another store is in", || {
+        let now = stores(&system);
+        !now.is_empty() && now != before
+    });
+    until("it has the configuration", || {
+        system.status(leader).is_some_and(|status| status["configuration_version"] == 3)
+    });
+    system.configure(3, &document(4));
+}
+
+#[test]
+fn a_brick_that_drains_gets_nothing_more() {
+    let system = System::started();
+    let leaving = system.brick("i-1", "app", &[]);
+    let staying = system.brick("i-2", "app", &[]);
+    system.configure(0, &document(3));
+    system.until_ready();
+    until("both are known", || system.status(0).is_some_and(|status| status["bricks"] == 2));
+    leaving.draining.store(true, Ordering::Relaxed);
+    until("it is known to leave", || system.status(0).is_some_and(|status| status["bricks"] == 1));
+    let before = leaving.runs().len();
+    // One request's time for the news to reach the edge.
+    system.ask_until_served("/app/x", "id-0", &[]);
+    let settled = leaving.runs().len();
+    (1..20).for_each(|number| drop(system.ask_until_served("/app/x", &format!("id-{number}"), &[])));
+    assert!(settled <= before + 1);
+    assert_eq!(leaving.runs().len(), settled);
+    assert!(staying.runs().len() >= 19);
+}
+
+#[test]
+fn an_edge_that_is_asked_to_stop_finishes_its_streams_and_ends() {
+    let mut system = System::started();
+    system.brick("i-llm", "llm", &["m1"]);
+    system.configure(0, &document(3));
+    system.until_ready();
+    system.ask_until_served("/llm/x", "id-0", MODEL);
+    system.edge.ask_to_stop();
+    until("it calls itself not ready", || {
+        call(system.readiness, "GET", "/api/readyz", &[], "").is_none_or(|answer| answer.status == 503)
+    });
+    let late = system.ask("/llm/x", "id-1", "key-1", MODEL, "").expect("it still serves who comes");
+    assert!(late.status == 200 && late.body.contains("piece 5"));
+    until("it has ended", || system.edge.has_ended());
+}
+
+#[test]
+fn operators_ask_by_the_command_line() {
+    let system = System::started();
+    let file = system.folder.join("document.json");
+    std::fs::write(&file, document(3)).unwrap();
+    let run = |arguments: &[&str]| {
+        let output = Command::new(env!("CARGO_BIN_EXE_pathbank-system")).args(arguments).output().unwrap();
+        let text = [output.stdout, output.stderr].concat();
+        (output.status.success(), String::from_utf8_lossy(&text).into_owned())
+    };
+    let (control, file) = (system.control[0].to_string(), file.display().to_string());
+    assert_eq!(run(&["config", "check", &file]), (true, "ok: version 3\n".into()));
+    until("it is applied", || run(&["config", "apply", "--control", &control, &file]).0);
+    assert!(run(&["config", "get", "--control", &control]).1.contains("\"version\": 3"));
+    assert!(run(&["status", "--control", &control]).1.contains("voters"));
+    std::fs::write(&file, document(4).replace("/app/", "/application/")).unwrap();
+    assert_eq!(run(&["config", "diff", "--control", &control, &file]), (true, "~ routes r1\n".into()));
+    std::fs::write(&file, "{").unwrap();
+    let (ok, text) = run(&["config", "check", &file]);
+    assert!(!ok && text.contains("EOF"), "{text}");
+}
