Edges listen to one core and report to the leader; silence counts only in touch

An edge now listens to one core, in its zone; the others announce the configuration's entry and tell of bricks that leave. Totals of requests at bricks are told back. Second tries are known from 0.97 of the route's time.

--- a/crates/control/src/demand.rs
+++ b/crates/control/src/demand.rs
@@ -1,7 +1,7 @@
 //! What clients ask of each model, from the edges' reports.
 
 use crate::directory::Millis;
-use pathbank_protocol::message::{EdgeReport, ModelDemand};
+use pathbank_protocol::message::{BrickLoad, EdgeReport, ModelDemand};
 use std::collections::BTreeMap;
 
 /// The memory of the running means, milliseconds.
@@ -9,6 +9,9 @@
 /// Word that requests wait for a model counts for so long.
 const WAITING_COUNTS: Millis = 1_500;
 
+/// What an edge said of its requests at bricks counts for so long.
+const LOAD_COUNTS: Millis = 1_500;
+
 /// A model of a service, or one of its adapters.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ModelKey {
@@ -40,7 +43,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct DemandTable {
     by_key: BTreeMap<ModelKey, Demand>,
-    loads: BTreeMap<String, BTreeMap<String, (u32, Millis)>>,
+    /// What each edge has out at bricks, and when it said so.
+    loads: BTreeMap<String, (Millis, Vec<BrickLoad>)>,
     /// When the first demand was told.
     since: Option<Millis>,
 }
@@ -52,10 +56,7 @@
             self.since.get_or_insert(now);
         }
         report.demand.iter().for_each(|demand| self.note_demand(now, demand));
-        for load in &report.loads {
-            let edges = self.loads.entry(load.instance.clone()).or_default();
-            edges.insert(report.edge.clone(), (load.in_flight, now));
-        }
+        self.loads.insert(report.edge.clone(), (now, report.loads.clone()));
     }
 
     fn note_demand(&mut self, now: Millis, demand: &ModelDemand) {
@@ -108,15 +109,25 @@
         self.by_key.keys()
     }
 
-    /// Requests out at a brick, from all edges that said so lately.
-    pub fn in_flight(&self, now: Millis, instance: &str) -> u32 {
-        let edges = self.loads.get(instance).into_iter().flat_map(BTreeMap::values);
-        edges.filter(|(_, at)| now < at + 2_000).map(|(count, _)| count).sum()
+    /// Requests out at each brick, from all edges that said so lately.
+    pub fn in_flight(&self, now: Millis) -> BTreeMap<String, u32> {
+        let lately = self.loads.values().filter(|(at, _)| now < at + LOAD_COUNTS);
+        let mut totals: BTreeMap<String, u32> = BTreeMap::new();
+        for load in lately.flat_map(|(_, loads)| loads) {
+            *totals.entry(load.instance.clone()).or_default() += load.in_flight;
+        }
+        totals
+    }
+
+    /// The same, to be told to edges.
+    pub fn loads(&self, now: Millis) -> Vec<BrickLoad> {
+        let load = |(instance, in_flight)| BrickLoad { instance, in_flight, failed: 0 };
+        self.in_flight(now).into_iter().map(load).collect()
     }
 
     /// Forgets what has faded.
     pub fn tidy(&mut self, now: Millis) {
         self.by_key.retain(|_, demand| now < demand.at + 60_000);
-        self.loads.retain(|_, edges| edges.values().any(|(_, at)| now < at + 10_000));
+        self.loads.retain(|_, (at, _)| now < *at + LOAD_COUNTS);
     }
 }
--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -150,7 +150,14 @@
         Some(known.told())
     }
 
-    /// Time has passed: the bricks that are taken for gone now.
+    /// This core was cut off: what it did not hear meanwhile says nothing of any brick.
+    pub fn forgive_silence(&mut self, now: Millis) {
+        for known in self.known.values_mut().filter(|known| known.brick.state != BrickState::Gone) {
+            known.heard = now;
+        }
+    }
+
+    /// Time has passed: the bricks that are taken for gone now. Only a core that is in touch with the others may say so.
     pub fn expire(&mut self, now: Millis) -> Vec<Brick> {
         let silence = (SILENT_HEARTBEATS * self.heartbeat_ms).max(LEAST_SILENCE);
         let mut gone = Vec::new();
--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -142,6 +142,8 @@
     holders: BTreeMap<&'a str, usize>,
     /// Bricks that hold an adapter.
     adapter_holders: BTreeMap<(&'a str, &'a str), usize>,
+    /// Requests out at each brick.
+    in_flight: BTreeMap<String, u32>,
     /// Requests a second asked of all models of the service.
     total_rate: f64,
     orders: Vec<Order>,
@@ -169,6 +171,7 @@
             model_rates: BTreeMap::new(),
             holders: BTreeMap::new(),
             adapter_holders: BTreeMap::new(),
+            in_flight: demand.in_flight(now),
             total_rate: 0.0,
             orders: Vec::new(),
         };
@@ -287,7 +290,8 @@
     }
 
     fn occupancy(&self, brick: &Brick) -> f64 {
-        f64::from(self.demand.in_flight(self.now, &brick.instance)) / f64::from(brick.capacity.max(1))
+        let in_flight = self.in_flight.get(&brick.instance).copied().unwrap_or(0);
+        f64::from(in_flight) / f64::from(brick.capacity.max(1))
     }
 
     /// Requests a second that a brick serves, if every model's demand is spread evenly over its copies.
--- a/crates/control/tests/bricks.rs
+++ b/crates/control/tests/bricks.rs
@@ -68,6 +68,15 @@
     assert_eq!(directory.ready().count(), 1);
 }
 
+#[test]
+fn silence_while_this_core_was_cut_off_says_nothing() {
+    let mut directory = Directory::new(HEARTBEAT);
+    directory.heard(0, brick(1, &[]));
+    directory.forgive_silence(9_000);
+    assert!(directory.expire(9_100).is_empty());
+    assert_eq!(directory.expire(9_000 + 5 * HEARTBEAT).len(), 1);
+}
+
 #[test]
 fn another_incarnation_at_the_address_ends_the_one_before() {
     let mut directory = Directory::new(HEARTBEAT);
--- a/crates/protocol/schema/internal.capnp
+++ b/crates/protocol/schema/internal.capnp
@@ -120,6 +120,9 @@
   leader @1 :Text;
   edges @2 :UInt32;
   wallClockMs @3 :UInt64;
+  zone @4 :Text;
+  configurationIndex @5 :UInt64;
+  current @6 :Bool;
 }
 
 struct TenantCount {
@@ -159,6 +162,15 @@
   bricks @0 :List(Brick);
 }
 
+struct Subscription {
+  wanted @0 :Bool;
+  knownIndex @1 :UInt64;
+}
+
+struct BrickLoads {
+  loads @0 :List(BrickLoad);
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -169,6 +181,8 @@
     report @5 :EdgeReport;
     heartbeats @6 :Heartbeats;
     ping @7 :UInt64;
-    relayedReport @8 :EdgeReport;
+    subscribe @8 :Subscription;
+    fetchConfiguration @9 :Void;
+    loads @10 :BrickLoads;
   }
 }
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -21,8 +21,12 @@
     Heartbeats(Vec<Brick>),
     /// Nothing but a sign of life, with the sender's steady clock in milliseconds.
     Ping(u64),
-    /// An edge's report as another core heard it.
-    RelayedReport(EdgeReport),
+    /// An edge wants a core's news of the configuration and of bricks, or no longer.
+    Subscribe(Subscription),
+    /// An edge asks for the configuration that a core announced.
+    FetchConfiguration,
+    /// Requests out at bricks from all edges together, as the leader knows them.
+    Loads(Vec<BrickLoad>),
 }
 
 /// What a process is.
@@ -127,6 +131,21 @@
     pub edges: u32,
     /// The sender's time of day, milliseconds since the start of 1970.
     pub wall_clock_ms: u64,
+    /// The sender's zone.
+    pub zone: String,
+    /// The entry that brought the newest configuration that the sender may tell; 0: none.
+    pub configuration_index: u64,
+    /// The sender leads, or hears the leader and lacks nothing.
+    pub current: bool,
+}
+
+/// Whether an edge wants a core's news.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Subscription {
+    /// It does.
+    pub wanted: bool,
+    /// The entry of the configuration that it has; 0: none.
+    pub known_index: u64,
 }
 
 /// Requests that began to run in one window, by tenant; whole counts of one edge, not differences.
--- a/crates/protocol/src/read.rs
+++ b/crates/protocol/src/read.rs
@@ -37,7 +37,13 @@
         Which::Report(report) => Frame::Report(read_report(report?)?),
         Which::Heartbeats(heartbeats) => Frame::Heartbeats(read_bricks(heartbeats?.get_bricks()?)?),
         Which::Ping(clock) => Frame::Ping(clock),
-        Which::RelayedReport(report) => Frame::RelayedReport(read_report(report?)?),
+        Which::Subscribe(subscription) => {
+            let subscription = subscription?;
+            let known_index = subscription.get_known_index();
+            Frame::Subscribe(Subscription { wanted: subscription.get_wanted(), known_index })
+        }
+        Which::FetchConfiguration(()) => Frame::FetchConfiguration,
+        Which::Loads(loads) => Frame::Loads(loads?.get_loads()?.iter().map(read_load).collect::<Read<_>>()?),
     })
 }
 
@@ -133,6 +139,9 @@
         leader: text(status.get_leader()?)?,
         edges: status.get_edges(),
         wall_clock_ms: status.get_wall_clock_ms(),
+        zone: text(status.get_zone()?)?,
+        configuration_index: status.get_configuration_index(),
+        current: status.get_current(),
     })
 }
 
--- a/crates/protocol/src/write.rs
+++ b/crates/protocol/src/write.rs
@@ -35,7 +35,15 @@
             write_list!(bricks, heartbeats.init_bricks(bricks.len() as u32), write_brick);
         }
         Frame::Ping(clock) => out.set_ping(*clock),
-        Frame::RelayedReport(report) => write_report(report, out.init_relayed_report()),
+        Frame::Subscribe(subscription) => {
+            let mut subscribe = out.init_subscribe();
+            subscribe.set_wanted(subscription.wanted);
+            subscribe.set_known_index(subscription.known_index);
+        }
+        Frame::FetchConfiguration => out.set_fetch_configuration(()),
+        Frame::Loads(loads) => {
+            write_list!(loads, out.init_loads().init_loads(loads.len() as u32), write_load);
+        }
     }
 }
 
@@ -135,6 +143,9 @@
     out.set_leader(&status.leader);
     out.set_edges(status.edges);
     out.set_wall_clock_ms(status.wall_clock_ms);
+    out.set_zone(&status.zone);
+    out.set_configuration_index(status.configuration_index);
+    out.set_current(status.current);
 }
 
 fn write_model(model: &LoadedModel, mut out: wire::loaded_model::Builder<'_>) {
--- a/crates/protocol/tests/round_trip.rs
+++ b/crates/protocol/tests/round_trip.rs
@@ -49,6 +49,18 @@
     }
 }
 
+fn core_status() -> CoreStatus {
+    CoreStatus {
+        members: vec![member()],
+        leader: "l".into(),
+        edges: 8,
+        wall_clock_ms: 6,
+        zone: "z".into(),
+        configuration_index: 4,
+        current: true,
+    }
+}
+
 fn replica(message: Message) -> Frame {
     Frame::Replica(member(), message)
 }
@@ -80,11 +92,14 @@
 #[test_case(replica(Message::AppendReply { term: 1, accepted: true, index: 4, sent_at: 3 }); "append reply")]
 #[test_case(replica(Message::CampaignNow { term: 4 }); "campaign now")]
 #[test_case(replica(Message::Join); "join")]
-#[test_case(Frame::Core(CoreStatus { members: vec![member()], leader: "l".into(), edges: 8, wall_clock_ms: 6 }); "core")]
+#[test_case(Frame::Core(core_status()); "core")]
 #[test_case(Frame::Configuration(ConfigurationUpdate { index: 3, document: b"{}".to_vec() }); "configuration")]
 #[test_case(Frame::Bricks(BrickUpdate { complete: true, bricks: vec![brick()] }); "bricks")]
 #[test_case(Frame::Heartbeats(vec![brick(), brick()]); "heartbeats")]
 #[test_case(Frame::Report(report()); "report")]
+#[test_case(Frame::Subscribe(Subscription { wanted: true, known_index: 9 }); "subscribe")]
+#[test_case(Frame::FetchConfiguration; "fetch configuration")]
+#[test_case(Frame::Loads(report().loads); "loads")]
 #[test_case(Frame::Ping(12); "ping")]
 fn a_message_comes_back_as_it_was_sent(frame: Frame) {
     let mut bytes = encode(&frame);
--- a/crates/router/src/bricks.rs
+++ b/crates/router/src/bricks.rs
@@ -17,6 +17,11 @@
 /// Requests in a row without an answer that make a brick rest.
 const FAILURES_TO_REST: u32 = 2;
 
+/// A brick that the core does not list any more is kept for so long.
+const UNLISTED_KEPT: Millis = 10_000;
+/// A brick that has gone is remembered for so long.
+const GONE_KEPT: Millis = 120_000;
+
 /// A brick by its incarnation.
 pub type Instance = String;
 
@@ -35,6 +40,8 @@
     rest_until: Millis,
     failures: u32,
     missing: BTreeMap<ModelName, Millis>,
+    /// Since when the core that is listened to does not list it.
+    unlisted_since: Option<Millis>,
 }
 
 impl KnownBrick {
@@ -48,6 +55,7 @@
             rest_until: 0,
             failures: 0,
             missing: BTreeMap::new(),
+            unlisted_since: None,
         }
     }
 
@@ -128,9 +136,13 @@
     /// A core told of bricks. Returns the bricks that take no new work from now on.
     pub fn update(&mut self, now: Millis, update: BrickUpdate) -> BTreeSet<Instance> {
         let mut closed = BTreeSet::new();
+        if update.complete {
+            self.note_unlisted(now, &update);
+        }
         for brick in update.bricks {
             let instance = brick.instance.clone();
-            if self.gone.get(&instance).is_some_and(|(sequence, _)| brick.sequence <= *sequence) {
+            // What fell silent comes back with the same word; what said that it ends does not.
+            if self.gone.get(&instance).is_some_and(|(sequence, _)| brick.sequence < *sequence) {
                 continue;
             }
             if brick.state != BrickState::Ready {
@@ -138,15 +150,32 @@
             }
             match self.known.get_mut(&instance) {
                 _ if brick.state == BrickState::Gone => self.forget(now, brick),
-                Some(known) if brick.sequence < known.brick.sequence => {}
-                Some(known) => known.brick = brick,
+                Some(known) if brick.sequence < known.brick.sequence => known.unlisted_since = None,
+                Some(known) => (known.brick, known.unlisted_since) = (brick, None),
                 None => drop(self.known.insert(instance, KnownBrick::new(brick))),
             }
         }
-        self.gone.retain(|_, (_, at)| now < *at + 120_000);
+        self.gone.retain(|_, (_, at)| now < *at + GONE_KEPT);
         closed
     }
 
+    /// A whole list came: what is not on it goes after a while, unless it is told of again. A core that has just started
+    /// knows few bricks yet.
+    fn note_unlisted(&mut self, now: Millis, update: &BrickUpdate) {
+        let listed: BTreeSet<&str> = update.bricks.iter().map(|brick| brick.instance.as_str()).collect();
+        for (instance, known) in &mut self.known {
+            if !listed.contains(instance.as_str()) {
+                known.unlisted_since.get_or_insert(now);
+            }
+        }
+    }
+
+    /// Forgets bricks that no list names any more.
+    pub fn tidy(&mut self, now: Millis) {
+        let names = |known: &KnownBrick| known.unlisted_since.is_none_or(|since| now < since + UNLISTED_KEPT);
+        self.known.retain(|_, known| known.in_flight > 0 || names(known));
+    }
+
     fn forget(&mut self, now: Millis, brick: Brick) {
         let known = self.known.get(&brick.instance).map_or(0, |known| known.brick.sequence);
         if brick.sequence >= known {
--- a/crates/router/src/dispatcher.rs
+++ b/crates/router/src/dispatcher.rs
@@ -182,6 +182,13 @@
         self.bricks.note_load(now, instance, running, waiting);
     }
 
+    /// The leader told what is out at each brick from all edges together.
+    pub fn note_totals(&mut self, now: Millis, loads: &[BrickLoad]) {
+        for load in loads {
+            self.bricks.note_load(now, &load.instance, load.in_flight, 0);
+        }
+    }
+
     /// A core told of bricks.
     pub fn update_bricks(&mut self, now: Millis, update: BrickUpdate) -> Vec<Action> {
         let closed = self.bricks.update(now, update);
@@ -204,6 +211,7 @@
         let mut actions = self.dispatch(now);
         self.refuse_hopeless(now, &mut actions);
         self.fair.tidy(now);
+        self.bricks.tidy(now);
         self.affinity.tidy(now);
         actions
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,6 +1,7 @@
 //! What an edge head decides, without I/O or clock.
 //!
 //! * [`bricks`]: the bricks that this head knows, merged from all cores, and what it learned of each.
+//! * [`core_choice`]: which core is listened to, and which one leads.
 //! * [`dispatcher`]: which request goes to which brick next (the design's fair queueing).
 //! * [`prompt`]: what a request says of its model and prompt.
 //! * [`retry_budget`]: how many requests may be sent a second time.
@@ -9,6 +10,7 @@
 //! * [`events`]: a stream's events, so that it can be taken up at another brick.
 
 pub mod bricks;
+pub mod core_choice;
 pub mod dispatcher;
 pub mod events;
 pub mod prompt;
--- a/crates/router/src/usage.rs
+++ b/crates/router/src/usage.rs
@@ -1,7 +1,7 @@
 //! Requests begun, by tenant and window of true time.
 
 use pathbank_protocol::message::UsageWindow;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Windows that are told again and again; older ones are sealed long ago.
 const WINDOWS_KEPT: u64 = 6;
@@ -11,13 +11,14 @@
 pub struct UsageCounter {
     window_ms: u64,
     windows: BTreeMap<u64, BTreeMap<String, u64>>,
-    changed: bool,
+    /// Windows that changed since they were told.
+    changed: BTreeSet<u64>,
 }
 
 impl UsageCounter {
     /// `window_ms`: the length of a window.
     pub fn new(window_ms: u64) -> UsageCounter {
-        UsageCounter { window_ms: window_ms.max(1), windows: BTreeMap::new(), changed: false }
+        UsageCounter { window_ms: window_ms.max(1), windows: BTreeMap::new(), changed: BTreeSet::new() }
     }
 
     /// A request of a tenant began to run at a time of day, milliseconds since the start of 1970.
@@ -25,15 +26,16 @@
         let window = wall_clock_ms / self.window_ms;
         *self.windows.entry(window).or_default().entry(tenant.to_owned()).or_default() += 1;
         self.windows.retain(|kept, _| *kept + WINDOWS_KEPT > window);
-        self.changed = true;
+        self.changed.insert(window);
     }
 
-    /// Whether something was counted since the last call.
-    pub fn take_changed(&mut self) -> bool {
-        std::mem::take(&mut self.changed)
+    /// The windows that changed since the last call, whole.
+    pub fn take_changed(&mut self) -> Vec<UsageWindow> {
+        let changed = std::mem::take(&mut self.changed);
+        self.windows().into_iter().filter(|window| changed.contains(&window.window)).collect()
     }
 
-    /// The counts for a report.
+    /// All windows that are kept, for a leader that has heard of none.
     pub fn windows(&self) -> Vec<UsageWindow> {
         let counts =
             |counts: &BTreeMap<String, u64>| counts.iter().map(|(name, n)| (name.clone(), *n)).collect();
--- a/crates/router/tests/dispatch.rs
+++ b/crates/router/tests/dispatch.rs
@@ -253,3 +253,25 @@
     story.ended(3, BrickOutcome::Abandoned);
     assert_eq!(sent(&story.ended(1, BrickOutcome::Answered)), [(4, "i-1".into())]);
 }
+
+#[test]
+fn a_brick_that_only_fell_silent_comes_back_with_the_same_word() {
+    let mut story = Story::given(vec![brick("i-1", &["a"])]);
+    story.told(vec![Brick { state: BrickState::Gone, ..brick("i-1", &["a"]) }]);
+    assert!(sent(&story.asked(1, "a")).is_empty());
+    assert_eq!(sent(&story.told(vec![brick("i-1", &["a"])])), [(1, "i-1".into())]);
+    story.told(vec![Brick { state: BrickState::Gone, sequence: 2, ..brick("i-1", &["a"]) }]);
+    story.told(vec![brick("i-1", &["a"])]);
+    assert!(sent(&story.asked(2, "a")).is_empty(), "what said that it ends does not");
+}
+
+#[test]
+fn a_brick_that_no_list_names_goes_after_a_while() {
+    let mut story = Story::given(vec![brick("i-1", &["a"])]);
+    story.told(Vec::new());
+    story.after(9_000);
+    assert_eq!(sent(&story.asked(1, "a")).len(), 1, "a core that has just started knows few bricks");
+    story.ended(1, BrickOutcome::Answered);
+    story.after(1_100);
+    assert!(sent(&story.asked(2, "a")).is_empty());
+}
--- a/crates/router/tests/parts.rs
+++ b/crates/router/tests/parts.rs
@@ -64,11 +64,13 @@
     usage.began(9_999, "a");
     usage.began(10_000, "a");
     usage.began(10_001, "b");
-    assert!(usage.take_changed());
-    assert!(!usage.take_changed());
+    assert_eq!(usage.take_changed().len(), 2);
+    usage.began(10_002, "b");
+    assert_eq!(usage.take_changed().iter().map(|window| window.window).collect::<Vec<_>>(), [2]);
+    assert!(usage.take_changed().is_empty());
     let windows = usage.windows();
     assert_eq!((windows[0].window, windows[0].counts.as_slice()), (1, &[("a".to_owned(), 1)][..]));
-    assert_eq!(windows[1].counts, [("a".to_owned(), 1), ("b".to_owned(), 1)]);
+    assert_eq!(windows[1].counts, [("a".to_owned(), 1), ("b".to_owned(), 2)]);
     usage.began(100_000, "a");
     assert_eq!(usage.windows().len(), 1, "old windows are sealed long ago");
 }
--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -21,10 +21,10 @@
 use pathbank_control::usage::UsageLedger;
 use pathbank_coordination::fencing::Fence;
 use pathbank_coordination::replica::{Replica, Timing};
-use pathbank_coordination::types::Member;
+use pathbank_coordination::types::{Member, StoreId};
 use pathbank_protocol::codec;
 use pathbank_protocol::message::{
-    Brick, BrickUpdate, ConfigurationUpdate, CoreStatus, Frame, Hello, ProcessRole,
+    Brick, BrickState, BrickUpdate, ConfigurationUpdate, CoreStatus, Frame, Hello, ProcessRole, Subscription,
 };
 use pathbank_router::wall_clock::WallClock;
 use replication::Replication;
@@ -35,6 +35,8 @@
 
 /// How often a core tells others about itself, milliseconds.
 const STATUS_EVERY: u64 = 500;
+/// How often the leader tells how much is out at each brick, milliseconds.
+const LOADS_EVERY: u64 = 400;
 /// How often the settings file is looked at, milliseconds.
 const SETTINGS_EVERY: u64 = 2_000;
 /// How often bricks that fell silent are looked for, milliseconds.
@@ -87,12 +89,15 @@
 struct Peer {
     hello: Hello,
     link: Link,
+    /// It wants all news from this head.
+    subscribed: bool,
 }
 
 /// Times at which regular work is due.
 #[derive(Default)]
 struct Due {
     status: u64,
+    loads: u64,
     settings: u64,
     expire: u64,
 }
@@ -112,6 +117,8 @@
     mesh: Mesh,
     pool: ConnectionPool,
     leadership: Leadership,
+    /// The leader that others were told.
+    told_leader: Option<StoreId>,
     due: Due,
 }
 
@@ -147,6 +154,7 @@
             peers: BTreeMap::new(),
             mesh,
             pool: ConnectionPool::default(),
+            told_leader: None,
             due: Due::default(),
         };
         node.open_links();
@@ -178,7 +186,7 @@
             Event::LinkSaid(id, frame) => self.on_frame(now, id, frame),
             Event::LinkClosed(id) => drop(self.peers.remove(&id)),
             Event::Mesh(MeshEvent::Opened(address)) => self.on_core_reached(address),
-            Event::Mesh(_) => {}
+            Event::Mesh(MeshEvent::Closed(_) | MeshEvent::Said(..)) => {}
             Event::OrderEnded(end) => self.on_order_ended(*end),
             Event::UsageReported(window, taken) => self.leadership.usage_reported(window, taken),
         }
@@ -203,15 +211,20 @@
         self.regroup(now);
         self.lead(now);
         self.tell_configuration(now);
-        if now >= self.due.status {
+        let leader = self.replication.replica.leader().map(|leader| leader.id);
+        if now >= self.due.status || leader != self.told_leader {
+            self.told_leader = leader;
             self.due.status = now + STATUS_EVERY;
             self.tell_status();
             self.ask_to_join(now);
         }
+        if now >= self.due.loads {
+            self.due.loads = now + LOADS_EVERY;
+            self.tell_loads(now);
+        }
         if now >= self.due.expire {
             self.due.expire = now + EXPIRE_EVERY;
-            let gone = self.directory.expire(now);
-            self.tell_edges_of_bricks(gone);
+            self.expire_bricks(now);
             self.demand.tidy(now);
             self.pool.tidy();
         }
@@ -250,15 +263,31 @@
 
     fn on_link(&mut self, id: LinkId, hello: Hello, link: Link) {
         if hello.role == ProcessRole::Edge {
-            match self.configuration_update().filter(|_| self.is_current(clock::now())) {
-                Some(update) => drop(link.send(&Frame::Configuration(update))),
-                None => self.configuration_is_untold(),
-            }
             link.send(&Frame::Core(self.core_status()));
-            let bricks = self.directory.bricks().collect();
-            link.send(&Frame::Bricks(BrickUpdate { complete: true, bricks }));
         }
-        self.peers.insert(id, Peer { hello, link });
+        self.peers.insert(id, Peer { hello, link, subscribed: false });
+    }
+
+    /// An edge wants all news from this head: it gets what stands first.
+    fn on_subscribe(&mut self, id: LinkId, subscription: Subscription) {
+        let bricks = BrickUpdate { complete: true, bricks: self.directory.bricks().collect() };
+        let configuration =
+            self.told_configuration().filter(|update| update.index > subscription.known_index);
+        let Some(peer) = self.peers.get_mut(&id) else { return };
+        peer.subscribed = subscription.wanted;
+        if !subscription.wanted {
+            return;
+        }
+        if let Some(update) = configuration {
+            peer.link.send(&Frame::Configuration(update));
+        }
+        peer.link.send(&Frame::Bricks(bricks));
+    }
+
+    fn send_configuration_to(&self, id: LinkId) {
+        if let (Some(peer), Some(update)) = (self.peers.get(&id), self.told_configuration()) {
+            peer.link.send(&Frame::Configuration(update));
+        }
     }
 
     /// Another core is reached: it gets all bricks that this one knows.
@@ -288,11 +317,11 @@
                     self.wall_clock.note(now, &peer.hello.name, status.wall_clock_ms);
                 }
             }
-            Frame::Hello(_)
-            | Frame::Configuration(_)
-            | Frame::Bricks(_)
-            | Frame::Ping(_)
-            | Frame::RelayedReport(_) => {}
+            Frame::Subscribe(subscription) => self.on_subscribe(id, subscription),
+            Frame::FetchConfiguration => self.send_configuration_to(id),
+            // The leader's word, passed on to the edges that listen here.
+            Frame::Loads(_) => self.tell_subscribers(&frame),
+            Frame::Hello(_) | Frame::Configuration(_) | Frame::Bricks(_) | Frame::Ping(_) => {}
         }
     }
 
@@ -301,15 +330,32 @@
     }
 
     fn tell_edges(&self, frame: &Frame) {
+        self.tell(frame, |_| true);
+    }
+
+    fn tell_subscribers(&self, frame: &Frame) {
+        self.tell(frame, |edge| edge.subscribed);
+    }
+
+    fn tell(&self, frame: &Frame, wanted: impl Fn(&Peer) -> bool) {
         let bytes = codec::encode(frame);
-        for edge in self.edges() {
+        for edge in self.edges().filter(|edge| wanted(edge)) {
             edge.link.send_encoded(bytes.clone());
         }
     }
 
+    /// Edges that listen here hear of every change. That a brick leaves is told to all edges, by every head that hears
+    /// of it: no request may reach it much later.
     fn tell_edges_of_bricks(&self, bricks: Vec<Brick>) {
-        if !bricks.is_empty() {
-            self.tell_edges(&Frame::Bricks(BrickUpdate { complete: false, bricks }));
+        if bricks.is_empty() {
+            return;
+        }
+        let leaving: Vec<Brick> =
+            bricks.iter().filter(|brick| brick.state != BrickState::Ready).cloned().collect();
+        self.tell_subscribers(&Frame::Bricks(BrickUpdate { complete: false, bricks }));
+        if !leaving.is_empty() {
+            let update = Frame::Bricks(BrickUpdate { complete: false, bricks: leaving });
+            self.tell(&update, |edge| !edge.subscribed);
         }
     }
 
@@ -320,6 +366,9 @@
             leader: replica.leader().map(|leader| leader.address.clone()).unwrap_or_default(),
             edges: self.edges().count() as u32,
             wall_clock_ms: clock::wall_clock(),
+            zone: self.settings.zone.clone(),
+            configuration_index: self.told_configuration_index(),
+            current: self.is_current(clock::now()),
         }
     }
 
@@ -331,6 +380,19 @@
         self.open_links();
     }
 
+    /// The leader hears from every edge what is out at bricks, and tells all what it comes to.
+    fn tell_loads(&mut self, now: u64) {
+        if !self.replication.replica.is_settled_leader() {
+            return;
+        }
+        let loads = self.demand.loads(now);
+        if !loads.is_empty() {
+            let frame = Frame::Loads(loads);
+            self.tell_subscribers(&frame);
+            self.mesh.send_to_all(&frame);
+        }
+    }
+
     fn status(&self) -> serde_json::Value {
         let replica = &self.replication.replica;
         let voters = replica.membership().members().map(|member: &Member| {
@@ -353,6 +415,18 @@
 
     // ---- bricks ----
 
+    /// Bricks that fell silent. Only edges that listen here are told: it is no more than a guess.
+    fn expire_bricks(&mut self, now: u64) {
+        if !self.is_current(now) {
+            return self.directory.forgive_silence(now);
+        }
+        let bricks = self.directory.expire(now);
+        if !bricks.is_empty() {
+            tracing::info!(count = bricks.len(), "bricks fell silent");
+            self.tell_subscribers(&Frame::Bricks(BrickUpdate { complete: false, bricks }));
+        }
+    }
+
     fn on_heartbeat(&mut self, now: u64, brick: Brick, own: bool) {
         let instance = brick.instance.clone();
         let heard = self.directory.heard(now, brick);
@@ -365,6 +439,11 @@
         }
     }
 
+    /// The configuration that edges may be told: the newest that this head could know of.
+    fn told_configuration(&self) -> Option<ConfigurationUpdate> {
+        self.configuration_update().filter(|update| update.index == self.told_configuration_index())
+    }
+
     fn configuration_update(&self) -> Option<ConfigurationUpdate> {
         let (document, index) = self.state.document()?;
         Some(ConfigurationUpdate { index, document: document.to_string().into_bytes() })
--- a/crates/system/src/core/node/replication.rs
+++ b/crates/system/src/core/node/replication.rs
@@ -228,7 +228,8 @@
         self.replication.replica.is_current(now, LEADER_SILENCE)
     }
 
-    /// Tells edges of a configuration that they were not told yet. A head that catches up tells only where it ends.
+    /// Tells edges of a configuration that they were not told yet: whole to those that listen here, and to the others
+    /// that there is one. A head that catches up tells only where it ends.
     pub(super) fn tell_configuration(&mut self, now: u64) {
         let index = self.state.document().map_or(0, |(_, index)| index);
         if index == self.replication.told_index || !self.is_current(now) {
@@ -236,13 +237,15 @@
         }
         self.replication.told_index = index;
         if let Some(update) = self.configuration_update() {
-            self.tell_edges(&Frame::Configuration(update));
+            self.tell_subscribers(&Frame::Configuration(update));
+            let status = Frame::Core(self.core_status());
+            self.tell(&status, |edge| !edge.subscribed);
         }
     }
 
-    /// Edges have to be told as soon as this head knows the newest configuration.
-    pub(super) fn configuration_is_untold(&mut self) {
-        self.replication.told_index = 0;
+    /// The entry of the configuration that edges are told; 0: none yet.
+    pub(super) fn told_configuration_index(&self) -> Index {
+        self.replication.told_index
     }
 
     // ---- operators ----
--- a/crates/system/src/edge/core_links.rs
+++ b/crates/system/src/edge/core_links.rs
@@ -5,7 +5,8 @@
 use crate::net::mesh::{Mesh, MeshEvent};
 use pathbank_control::configuration;
 use pathbank_control::routes::RouteTable;
-use pathbank_protocol::message::{ConfigurationUpdate, CoreStatus, Frame, Hello, ProcessRole};
+use pathbank_protocol::message::{ConfigurationUpdate, CoreStatus, Frame, Hello, ProcessRole, Subscription};
+use pathbank_router::core_choice::CoreAction;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, PoisonError, Weak};
@@ -39,14 +40,27 @@
     }
 }
 
-/// Tells all cores what was counted.
+/// Tells the leader what was counted.
 pub fn send_report(shared: &Arc<Shared>) {
     let Some(mesh) = shared.mesh.get() else { return };
-    if mesh.open_links() == 0 {
-        return;
+    if let Some((leader, report)) = shared.report() {
+        mesh.send(leader, &Frame::Report(report));
     }
-    if let Some(report) = shared.report() {
-        mesh.send_to_all(&Frame::Report(report));
+}
+
+/// Says to the cores what is due: which one is listened to, and what is asked for.
+pub fn speak(shared: &Arc<Shared>) {
+    let Some(mesh) = shared.mesh.get() else { return };
+    let known_index = shared.routes.load().as_ref().map_or(0, |routes| routes.index);
+    let actions = shared.deciding().core_choice.actions(clock::now(), known_index);
+    for action in actions {
+        let subscription = |wanted| Frame::Subscribe(Subscription { wanted, known_index });
+        let sent = match action {
+            CoreAction::Subscribe(core) => mesh.send(core, &subscription(true)),
+            CoreAction::Unsubscribe(core) => mesh.send(core, &subscription(false)),
+            CoreAction::Fetch(core) => mesh.send(core, &Frame::FetchConfiguration),
+        };
+        tracing::debug!(?action, sent, "to a core");
     }
 }
 
@@ -65,7 +79,11 @@
 fn on_event(shared: &Arc<Shared>, event: MeshEvent) {
     match event {
         MeshEvent::Opened(address) => tracing::debug!(%address, "core reached"),
-        MeshEvent::Closed(address) => tracing::debug!(%address, "core lost"),
+        MeshEvent::Closed(address) => {
+            tracing::debug!(%address, "core lost");
+            shared.deciding().core_choice.lost(address);
+            speak(shared);
+        }
         MeshEvent::Said(address, frame) => on_frame(shared, address, *frame),
     }
 }
@@ -80,6 +98,7 @@
             shared.update_bricks(update);
         }
         Frame::Core(status) => on_status(shared, address, &status),
+        Frame::Loads(loads) => shared.deciding().dispatcher.note_totals(clock::now(), &loads),
         _ => {}
     }
 }
@@ -105,8 +124,11 @@
     {
         let mut deciding = shared.deciding();
         deciding.wall_clock.note(now, &address.to_string(), status.wall_clock_ms);
-        deciding.budget.set_heads(status.edges);
+        deciding.core_choice.told(now, address, status);
+        let edges = deciding.core_choice.edges();
+        deciding.budget.set_heads(edges);
     }
+    speak(shared);
     let members: Vec<SocketAddr> =
         status.members.iter().filter_map(|member| member.address.parse().ok()).collect();
     if members.is_empty() {
--- a/crates/system/src/edge/mod.rs
+++ b/crates/system/src/edge/mod.rs
@@ -28,7 +28,9 @@
 const STOPPING_RETRY_MS: u64 = 50;
 /// How often what waits is looked at.
 const TICK: Duration = Duration::from_millis(20);
-/// How often the cores are told what was counted.
+/// How often the choice of cores is looked at without news, in ticks.
+const SPEAK_EVERY: u32 = 5;
+/// How often the leader is told what was counted.
 const REPORT_EVERY: Duration = Duration::from_millis(500);
 /// How often the settings file is looked at, in reports.
 const SETTINGS_EVERY: u32 = 4;
@@ -112,9 +114,14 @@
 }
 
 async fn tick(shared: Arc<Shared>) {
+    let mut rounds = 0_u32;
     loop {
         tokio::time::sleep(TICK).await;
         shared.tick(clock::now());
+        rounds += 1;
+        if rounds.is_multiple_of(SPEAK_EVERY) {
+            core_links::speak(&shared);
+        }
     }
 }
 
--- a/crates/system/src/edge/proxy.rs
+++ b/crates/system/src/edge/proxy.rs
@@ -58,7 +58,7 @@
 /// The lowest `Priority`, and by how much routes' ranks are moved from the highest.
 const LOWEST_PRIORITY: i64 = 9;
 /// A client that waits for less than this part of its route's time has tried before.
-const RETURNED_PART: f64 = 0.9;
+const RETURNED_PART: f64 = 0.97;
 /// When to come back to a head that has no configuration, or stops.
 const SOON_MS: u64 = 300;
 
--- a/crates/system/src/edge/shared.rs
+++ b/crates/system/src/edge/shared.rs
@@ -7,13 +7,14 @@
 use arc_swap::ArcSwapOption;
 use pathbank_control::result_code::ResultCode;
 use pathbank_control::routes::RouteTable;
-use pathbank_protocol::message::EdgeReport;
+use pathbank_protocol::message::{EdgeReport, ModelDemand};
 use pathbank_router::bricks::{BrickOutcome, Instance};
+use pathbank_router::core_choice::CoreChoice;
 use pathbank_router::dispatcher::{Action, Dispatcher, Offer, RequestId};
 use pathbank_router::retry_budget::{BudgetBounds, RetryBudget};
 use pathbank_router::usage::UsageCounter;
 use pathbank_router::wall_clock::WallClock;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
@@ -48,10 +49,37 @@
     pub usage: UsageCounter,
     /// The system's time of day.
     pub wall_clock: WallClock,
+    /// Which core is listened to.
+    pub core_choice: CoreChoice,
+    reports: Reports,
     waiting: BTreeMap<RequestId, oneshot::Sender<Decision>>,
     next_id: RequestId,
 }
 
+/// For how long demand is remembered for a new leader, milliseconds.
+const DEMAND_REMEMBERED: u64 = 4_000;
+
+/// What was reported, for a leader that has heard nothing.
+#[derive(Default)]
+struct Reports {
+    told_to: Option<SocketAddr>,
+    had_loads: bool,
+    demand: VecDeque<(u64, ModelDemand)>,
+}
+
+impl Reports {
+    fn remember(&mut self, now: u64, demand: &[ModelDemand]) {
+        self.demand.extend(demand.iter().cloned().map(|demand| (now, demand)));
+        while self.demand.front().is_some_and(|(at, _)| now > at + DEMAND_REMEMBERED) {
+            self.demand.pop_front();
+        }
+    }
+
+    fn recent(&self) -> Vec<ModelDemand> {
+        self.demand.iter().map(|(_, demand)| demand.clone()).collect()
+    }
+}
+
 /// What all tasks share.
 pub struct Shared {
     /// The settings at the start.
@@ -102,6 +130,8 @@
             budget: RetryBudget::new(bounds),
             usage: UsageCounter::new(settings.bounds.report_window_ms),
             wall_clock: WallClock::default(),
+            core_choice: CoreChoice::new(settings.zone.clone()),
+            reports: Reports::default(),
             waiting: BTreeMap::new(),
             next_id: 1,
         };
@@ -204,21 +234,29 @@
         deciding.usage.began(wall_clock, tenant);
     }
 
-    /// What the cores should hear now; `None`: nothing has changed.
-    pub fn report(&self) -> Option<EdgeReport> {
+    /// What the leader should hear now, and where it is; `None`: nothing has changed, or no leader is reached. What is
+    /// not told stays for the next one.
+    pub fn report(&self) -> Option<(SocketAddr, EdgeReport)> {
+        let now = clock::now();
         let mut deciding = self.deciding();
+        let leader = deciding.core_choice.leader()?;
         let (demand, loads) = deciding.dispatcher.take_report();
-        let counted = deciding.usage.take_changed();
-        if demand.is_empty() && loads.is_empty() && !counted {
+        let changed = deciding.usage.take_changed();
+        let is_new = deciding.reports.told_to != Some(leader);
+        let had_loads = std::mem::replace(&mut deciding.reports.had_loads, !loads.is_empty());
+        if demand.is_empty() && loads.is_empty() && changed.is_empty() && !is_new && !had_loads {
             return None;
         }
-        Some(EdgeReport {
+        deciding.reports.told_to = Some(leader);
+        deciding.reports.remember(now, &demand);
+        let report = EdgeReport {
             edge: self.settings.node_name.clone(),
             life: self.life,
-            usage: deciding.usage.windows(),
-            demand,
+            usage: if is_new { deciding.usage.windows() } else { changed },
+            demand: if is_new { deciding.reports.recent() } else { demand },
             loads,
-        })
+        };
+        Some((leader, report))
     }
 
     /// The addresses at which cores may be.
