What waits is told again; a copy is worth what its load is

Heads tell again what waits; an only copy costs 0.15 requests a second; a further copy relieves in proportion to the load of each.

--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -23,10 +23,13 @@
 const SPREAD: f64 = 1.6;
 /// Demand below this, requests a second for each brick of the service, needs no second brick.
 const LITTLE: f64 = 0.8;
+/// Requests a second of one model that a brick answers without harm to its other streams; below, a further copy is worth
+/// less.
+const COMFORTABLE: f64 = 2.0;
 /// An adapter gets another brick for each so many requests a second.
 const REQUESTS_PER_ADAPTER: f64 = 2.5;
 /// What the only copy of a model counts for beyond its demand, requests a second.
-const ONLY_COPY: f64 = 0.05;
+const ONLY_COPY: f64 = 0.15;
 const ONLY_COPY_FACTOR: f64 = 2.0;
 /// What a copy of a model with several counts for while demand is not known yet, requests a second.
 const UNKNOWN_COPY: f64 = 3.0;
@@ -422,7 +425,10 @@
             0 if rate < LEAST_DEMAND => 0.0,
             0 => rate,
             _ if copies >= self.wanted_copies(name) => 0.0,
-            _ => rate / copies as f64 - rate / (copies + 1) as f64,
+            _ => {
+                let each = rate / copies as f64;
+                (each - rate / (copies + 1) as f64) * (each / COMFORTABLE).min(1.0)
+            }
         }
     }
 
--- a/crates/router/src/dispatcher.rs
+++ b/crates/router/src/dispatcher.rs
@@ -229,6 +229,7 @@
 
     /// Demand since the last call, and what is out at each brick.
     pub fn take_report(&mut self) -> (Vec<ModelDemand>, Vec<BrickLoad>) {
+        self.note_still_unplaced();
         let demand = std::mem::take(&mut self.demand).into_values().collect();
         let load = |(instance, known): (&Instance, &KnownBrick)| BrickLoad {
             instance: instance.clone(),
@@ -405,6 +406,16 @@
         demand.tokens += offer.size;
     }
 
+    /// Requests that were told of before and still wait count as waiting in each report.
+    fn note_still_unplaced(&mut self) {
+        let waits = |held: &&Held| held.reported && held.stage == Stage::Unplaced;
+        let offers: Vec<Offer> = self.held.values().filter(waits).map(|held| held.offer.clone()).collect();
+        for offer in offers.iter().filter(|offer| !offer.name.model.is_empty()) {
+            let demand = self.demand_of(offer);
+            demand.waiting = demand.waiting.max(1);
+        }
+    }
+
     fn note_unplaced(&mut self, id: RequestId) {
         let Some(held) = self.held.get_mut(&id) else { return };
         held.reported = true;
--- a/crates/router/tests/dispatch.rs
+++ b/crates/router/tests/dispatch.rs
@@ -164,7 +164,7 @@
 }
 
 #[test]
-fn what_no_brick_holds_is_told_to_the_cores_once_and_sent_when_one_does() {
+fn what_no_brick_holds_is_told_to_the_cores_while_it_waits_and_sent_when_one_does() {
     let mut story = Story::given(vec![brick("i-1", &["b"])]);
     story.asked(1, "a");
     assert!(story.dispatcher.take_urgent());
@@ -172,6 +172,8 @@
     assert_eq!((demand[0].model.as_str(), demand[0].arrived, demand[0].waiting), ("a", 1, 1));
     story.after(100);
     assert!(!story.dispatcher.take_urgent());
+    let (demand, _) = story.dispatcher.take_report();
+    assert_eq!((demand[0].arrived, demand[0].waiting), (0, 1), "no new demand, and it still waits");
     let loaded = Brick { sequence: 2, ..brick("i-1", &["a", "b"]) };
     assert_eq!(sent(&story.told(vec![loaded])), [(1, "i-1".into())]);
 }
