--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -324,3 +324,61 @@
         }
     }
 }
+
+/// What makes `after` of `before`, in the form of an update. Items are told apart by their names; their order is not kept.
+pub fn difference(before: &Value, after: &Value) -> Value {
+    let empty = Map::new();
+    let (before, after) = (before.as_object().unwrap_or(&empty), after.as_object().unwrap_or(&empty));
+    let mut upsert = Map::new();
+    let mut delete = Map::new();
+    let sections: BTreeSet<&String> =
+        before.keys().chain(after.keys()).filter(|key| *key != "version").collect();
+    for section in sections {
+        let (old, new) = (before.get(section), after.get(section));
+        if old == new {
+            continue;
+        }
+        match (named_items(old), named_items(new)) {
+            (Some(old), Some(new)) => {
+                let changed = new.iter().filter(|(name, item)| old.get(*name) != Some(item));
+                let changed: Vec<Value> = changed.map(|(_, item)| (*item).clone()).collect();
+                let gone = old.keys().filter(|name| !new.contains_key(*name));
+                let gone: Vec<Value> = gone.map(|name| Value::from(name.to_string())).collect();
+                upsert.insert(section.clone(), Value::Array(changed));
+                delete.insert(section.clone(), Value::Array(gone));
+            }
+            _ => drop(upsert.insert(section.clone(), new.cloned().unwrap_or(Value::Null))),
+        }
+    }
+    let version = after.get("version").cloned().unwrap_or(Value::Null);
+    serde_json::json!({ "version": version, "upsert": upsert, "delete": delete })
+}
+
+/// The items of a section by name; `None` if it is no list of items with names. A section that is missing has none.
+fn named_items(section: Option<&Value>) -> Option<BTreeMap<&str, &Value>> {
+    let items = match section {
+        None => return Some(BTreeMap::new()),
+        Some(section) => section.as_array()?,
+    };
+    items.iter().map(|item| Some((item.get("name")?.as_str()?, item))).collect()
+}
+
+/// The part of a document that edge heads work with: of services the names, and of models how long a load takes.
+pub fn for_edges(document: &Value) -> Value {
+    let mut reduced = document.clone();
+    let backends = reduced.get_mut("backends").and_then(Value::as_array_mut);
+    for backend in backends.into_iter().flatten() {
+        let name = backend.get("name").cloned().unwrap_or(Value::Null);
+        let models = backend.pointer("/runtime/models").and_then(Value::as_array);
+        let model = |model: &Value| {
+            let part = |key: &str| model.get(key).cloned().unwrap_or(Value::Null);
+            serde_json::json!({ "name": part("name"), "weights_mb": 0, "load_s": part("load_s") })
+        };
+        let models = models.map(|models| models.iter().map(model).collect::<Vec<_>>());
+        *backend = match models {
+            Some(models) => serde_json::json!({ "name": name, "runtime": { "models": models } }),
+            None => serde_json::json!({ "name": name }),
+        };
+    }
+    reduced
+}
--- a/crates/control/tests/configuration.rs
+++ b/crates/control/tests/configuration.rs
@@ -181,3 +181,38 @@
     assert_eq!(table.tenant("k2").map(|tenant| tenant.name.as_str()), Some("t1"));
     assert!(table.tenant("k9").is_none());
 }
+
+#[test_case("/routes/0/timeout_ms", json!(900); "a changed route")]
+#[test_case("/routes", json!([route("r2", "/c/", "two")]); "another route")]
+#[test_case("/tenants", json!([]); "no tenants")]
+#[test_case("/limits", json!({ "max_body_bytes": 7 }); "other limits")]
+#[test_case("/backends", json!([{ "name": "two" }, { "name": "one", "runtime": { "models": [] } }]); "other services")]
+fn a_difference_makes_the_later_configuration_of_the_earlier(place: &str, value: Value) {
+    let before = document(5);
+    let mut after = document(6);
+    *after.pointer_mut(place).unwrap() = value;
+    let update = pathbank_control::configuration::difference(&before, &after);
+    let made = pathbank_control::configuration::apply_update(&before, &update).unwrap();
+    let sorted = |document: &Value| {
+        let mut document = document.clone();
+        for section in ["routes", "backends", "tenants"] {
+            let items = document[section].as_array_mut().unwrap();
+            items.sort_by_key(|item| item["name"].to_string());
+        }
+        document
+    };
+    assert_eq!(sorted(&made), sorted(&after));
+    assert!(update.to_string().len() < after.to_string().len());
+}
+
+#[test]
+fn edges_are_told_no_more_of_models_than_how_long_a_load_takes() {
+    let mut body = document(5);
+    body["backends"][0]["runtime"] = json!({ "capacity": 8, "weights_mb": 9.0, "models": [
+        { "name": "m", "weights_mb": 3.0, "load_s": 4.5, "adapters": 3, "adapter_mb": 1.0 }] });
+    let reduced = pathbank_control::configuration::for_edges(&body);
+    assert_eq!((&reduced["routes"], &reduced["tenants"]), (&body["routes"], &body["tenants"]));
+    assert!(reduced.to_string().len() < body.to_string().len());
+    let read = read(&reduced).unwrap();
+    assert_eq!(read.backends[0].runtime.as_ref().unwrap().models[0].load_s, 4.5);
+}
--- a/crates/protocol/schema/internal.capnp
+++ b/crates/protocol/schema/internal.capnp
@@ -113,6 +113,7 @@
 struct Configuration {
   index @0 :UInt64;
   document @1 :Data;
+  baseIndex @2 :UInt64;
 }
 
 struct Core {
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -116,7 +116,9 @@
 pub struct ConfigurationUpdate {
     /// Rises with every change.
     pub index: u64,
-    /// The whole document as JSON.
+    /// 0: `document` is whole. Otherwise it is an update of the configuration of this entry.
+    pub base_index: u64,
+    /// The document, or the update, as JSON.
     pub document: Vec<u8>,
 }
 
--- a/crates/protocol/src/read.rs
+++ b/crates/protocol/src/read.rs
@@ -27,7 +27,8 @@
         Which::Configuration(update) => {
             let update = update?;
             let document = update.get_document()?.to_vec();
-            Frame::Configuration(ConfigurationUpdate { index: update.get_index(), document })
+            let (index, base_index) = (update.get_index(), update.get_base_index());
+            Frame::Configuration(ConfigurationUpdate { index, base_index, document })
         }
         Which::Bricks(update) => {
             let update = update?;
--- a/crates/protocol/src/write.rs
+++ b/crates/protocol/src/write.rs
@@ -22,6 +22,7 @@
         Frame::Configuration(update) => {
             let mut configuration = out.init_configuration();
             configuration.set_index(update.index);
+            configuration.set_base_index(update.base_index);
             configuration.set_document(&update.document);
         }
         Frame::Bricks(update) => {
--- a/crates/protocol/tests/round_trip.rs
+++ b/crates/protocol/tests/round_trip.rs
@@ -93,7 +93,7 @@
 #[test_case(replica(Message::CampaignNow { term: 4 }); "campaign now")]
 #[test_case(replica(Message::Join); "join")]
 #[test_case(Frame::Core(core_status()); "core")]
-#[test_case(Frame::Configuration(ConfigurationUpdate { index: 3, document: b"{}".to_vec() }); "configuration")]
+#[test_case(Frame::Configuration(ConfigurationUpdate { index: 3, base_index: 2, document: b"{}".to_vec() }); "configuration")]
 #[test_case(Frame::Bricks(BrickUpdate { complete: true, bricks: vec![brick()] }); "bricks")]
 #[test_case(Frame::Heartbeats(vec![brick(), brick()]); "heartbeats")]
 #[test_case(Frame::Report(report()); "report")]
--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -13,6 +13,7 @@
 use crate::net::mesh::{Mesh, MeshEvent};
 use crate::settings::Settings;
 use crate::signals::Request;
+use bytes::Bytes;
 use leadership::Leadership;
 use pathbank_control::demand::DemandTable;
 use pathbank_control::directory::Directory;
@@ -34,7 +35,9 @@
 use tokio::sync::oneshot;
 
 /// How often a core tells others about itself, milliseconds.
-const STATUS_EVERY: u64 = 500;
+const STATUS_EVERY: u64 = 700;
+/// In every so many of these words it names the voters.
+const MEMBERS_EVERY: u64 = 4;
 /// How often the leader tells how much is out at each brick, milliseconds.
 const LOADS_EVERY: u64 = 400;
 /// How often the settings file is looked at, milliseconds.
@@ -117,6 +120,8 @@
     mesh: Mesh,
     pool: ConnectionPool,
     leadership: Leadership,
+    /// How often others were told of this head.
+    status_round: u64,
     /// The leader that others were told.
     told_leader: Option<StoreId>,
     due: Due,
@@ -154,6 +159,7 @@
             peers: BTreeMap::new(),
             mesh,
             pool: ConnectionPool::default(),
+            status_round: 0,
             told_leader: None,
             due: Due::default(),
         };
@@ -263,7 +269,7 @@
 
     fn on_link(&mut self, id: LinkId, hello: Hello, link: Link) {
         if hello.role == ProcessRole::Edge {
-            link.send(&Frame::Core(self.core_status()));
+            link.send(&Frame::Core(self.core_status(true)));
         }
         self.peers.insert(id, Peer { hello, link, subscribed: false });
     }
@@ -296,7 +302,7 @@
         if !bricks.is_empty() {
             self.mesh.send(address, &Frame::Heartbeats(bricks));
         }
-        self.mesh.send(address, &Frame::Core(self.core_status()));
+        self.mesh.send(address, &Frame::Core(self.core_status(true)));
     }
 
     fn on_frame(&mut self, now: u64, id: LinkId, frame: Frame) {
@@ -338,7 +344,7 @@
     }
 
     fn tell(&self, frame: &Frame, wanted: impl Fn(&Peer) -> bool) {
-        let bytes = codec::encode(frame);
+        let bytes: Bytes = codec::encode(frame).into();
         for edge in self.edges().filter(|edge| wanted(edge)) {
             edge.link.send_encoded(bytes.clone());
         }
@@ -359,22 +365,26 @@
         }
     }
 
-    fn core_status(&self) -> CoreStatus {
+    /// A word about this head; the voters are told only now and then.
+    fn core_status(&self, with_members: bool) -> CoreStatus {
         let replica = &self.replication.replica;
+        let members = replica.membership().members().filter(|_| with_members).cloned();
         CoreStatus {
-            members: replica.membership().members().cloned().collect(),
+            members: members.collect(),
             leader: replica.leader().map(|leader| leader.address.clone()).unwrap_or_default(),
             edges: self.edges().count() as u32,
             wall_clock_ms: clock::wall_clock(),
             zone: self.settings.zone.clone(),
-            configuration_index: self.told_configuration_index(),
+            configuration_index: self.replication.told_document().map_or(0, |(index, _)| index),
             current: self.is_current(clock::now()),
         }
     }
 
     fn tell_status(&mut self) {
         self.wall_clock.note(clock::now(), &self.settings.node_name, clock::wall_clock());
-        let frame = Frame::Core(self.core_status());
+        self.status_round += 1;
+        let with_members = self.status_round.is_multiple_of(MEMBERS_EVERY);
+        let frame = Frame::Core(self.core_status(with_members));
         self.tell_edges(&frame);
         self.mesh.send_to_all(&frame);
         self.open_links();
@@ -439,13 +449,9 @@
         }
     }
 
-    /// The configuration that edges may be told: the newest that this head could know of.
+    /// The whole configuration that edges may be told: the newest that this head could know of.
     fn told_configuration(&self) -> Option<ConfigurationUpdate> {
-        self.configuration_update().filter(|update| update.index == self.told_configuration_index())
-    }
-
-    fn configuration_update(&self) -> Option<ConfigurationUpdate> {
-        let (document, index) = self.state.document()?;
-        Some(ConfigurationUpdate { index, document: document.to_string().into_bytes() })
+        let (index, document) = self.replication.told_document()?;
+        Some(ConfigurationUpdate { index, base_index: 0, document: document.to_string().into_bytes() })
     }
 }
--- a/crates/system/src/core/node/replication.rs
+++ b/crates/system/src/core/node/replication.rs
@@ -2,13 +2,14 @@
 
 use super::{Node, Reply};
 use crate::core::disk::{Disk, DiskEvent};
-use pathbank_control::configuration::Rejection;
+use pathbank_control::configuration::{self, Rejection};
 use pathbank_control::result_code::ResultCode;
 use pathbank_control::state::{Accepted, Change, Command, ControlState};
 use pathbank_coordination::group;
 use pathbank_coordination::replica::{Effects, Outgoing, Replica, Role};
 use pathbank_coordination::types::{Entry, Index, Member, Message, Payload, Term};
-use pathbank_protocol::message::Frame;
+use pathbank_protocol::message::{ConfigurationUpdate, Frame};
+use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use tokio::sync::oneshot;
 
@@ -21,6 +22,9 @@
 /// A head that has heard no leader for so long does not know what is newest, milliseconds.
 const LEADER_SILENCE: u64 = 1_500;
 
+/// Edges are told of changes at least so far apart, milliseconds.
+const TELL_APART: u64 = 150;
+
 struct WaitingChange {
     term: Term,
     reply: oneshot::Sender<Reply>,
@@ -50,8 +54,15 @@
     applied: Index,
     /// The role and term that were told to the log last.
     told_role: Option<(Role, Term)>,
-    /// The entry of the configuration that all edges were told.
-    told_index: Index,
+    /// The configuration that edges were told, and when.
+    told: Option<Told>,
+    told_at: u64,
+}
+
+/// A configuration as edges have it.
+struct Told {
+    index: Index,
+    document: Value,
 }
 
 impl Replication {
@@ -71,10 +82,16 @@
             log_bytes: 0,
             applied,
             told_role: None,
-            told_index: 0,
+            told: None,
+            told_at: 0,
         }
     }
 
+    /// The configuration that edges were told, and its entry.
+    pub fn told_document(&self) -> Option<(Index, &Value)> {
+        self.told.as_ref().map(|told| (told.index, &told.document))
+    }
+
     fn tell_role(&mut self) {
         let role = (self.replica.role(), self.replica.term());
         if self.told_role != Some(role) {
@@ -228,24 +245,27 @@
         self.replication.replica.is_current(now, LEADER_SILENCE)
     }
 
-    /// Tells edges of a configuration that they were not told yet: whole to those that listen here, and to the others
-    /// that there is one. A head that catches up tells only where it ends.
+    /// Tells edges of a configuration that they were not told yet: what changed to those that listen here, and to the
+    /// others that there is one. A head that catches up tells only where it ends; changes in quick succession go together.
     pub(super) fn tell_configuration(&mut self, now: u64) {
-        let index = self.state.document().map_or(0, |(_, index)| index);
-        if index == self.replication.told_index || !self.is_current(now) {
+        let Some((document, index)) = self.state.document() else { return };
+        let told_index = self.replication.told.as_ref().map_or(0, |told| told.index);
+        let soon = now < self.replication.told_at + TELL_APART;
+        if index == told_index || soon || !self.is_current(now) {
             return;
         }
-        self.replication.told_index = index;
-        if let Some(update) = self.configuration_update() {
-            self.tell_subscribers(&Frame::Configuration(update));
-            let status = Frame::Core(self.core_status());
-            self.tell(&status, |edge| !edge.subscribed);
-        }
-    }
-
-    /// The entry of the configuration that edges are told; 0: none yet.
-    pub(super) fn told_configuration_index(&self) -> Index {
-        self.replication.told_index
+        let document = configuration::for_edges(document);
+        let update = match &self.replication.told {
+            Some(told) => configuration::difference(&told.document, &document),
+            None => document.clone(),
+        };
+        let document_bytes = update.to_string().into_bytes();
+        let update = ConfigurationUpdate { index, base_index: told_index, document: document_bytes };
+        self.replication.told = Some(Told { index, document });
+        self.replication.told_at = now;
+        self.tell_subscribers(&Frame::Configuration(update));
+        let status = Frame::Core(self.core_status(false));
+        self.tell(&status, |edge| !edge.subscribed);
     }
 
     // ---- operators ----
--- a/crates/system/src/edge/core_links.rs
+++ b/crates/system/src/edge/core_links.rs
@@ -103,17 +103,31 @@
     }
 }
 
-/// Takes a configuration over, unless the one in force is as new.
+/// Takes a configuration over, unless the one in force is as new, or the update is not one of it.
 fn on_configuration(shared: &Arc<Shared>, update: ConfigurationUpdate) {
-    let known = shared.routes.load().as_ref().map_or(0, |routes| routes.index);
-    if update.index <= known {
+    let mut known = shared.document.lock().unwrap_or_else(PoisonError::into_inner);
+    let (known_index, document) =
+        known.as_ref().map_or((0, None), |(index, document)| (*index, Some(document)));
+    let is_whole = update.base_index == 0;
+    if update.index <= known_index || !is_whole && update.base_index != known_index {
         return;
     }
-    let document = configuration::parse_document(&update.document);
-    match document.and_then(|document| configuration::read(&document)) {
-        Ok(configuration) => {
-            tracing::info!(version = configuration.version, index = update.index, "configuration in force");
+    let body = configuration::parse_document(&update.document);
+    let document = body.and_then(|body| match document.filter(|_| !is_whole) {
+        Some(document) => configuration::apply_update(document, &body),
+        None => Ok(body),
+    });
+    let read = document.and_then(|document| Ok((configuration::read(&document)?, document)));
+    match read {
+        Ok((configuration, document)) => {
+            tracing::info!(
+                version = configuration.version,
+                index = update.index,
+                is_whole,
+                "configuration in force"
+            );
             shared.routes.store(Some(Arc::new(RouteTable::new(update.index, configuration))));
+            *known = Some((update.index, document));
         }
         Err(error) => tracing::error!(%error, "configuration from a core cannot be read"),
     }
--- a/crates/system/src/edge/shared.rs
+++ b/crates/system/src/edge/shared.rs
@@ -88,6 +88,8 @@
     pub life: u64,
     /// The configuration in force.
     pub routes: ArcSwapOption<RouteTable>,
+    /// The document that it was made of, and its entry in the log.
+    pub document: Mutex<Option<(u64, serde_json::Value)>>,
     /// Connections to bricks.
     pub pool: ConnectionPool,
     /// Links to the cores.
@@ -139,6 +141,7 @@
             settings,
             life: clock::entropy(),
             routes: ArcSwapOption::empty(),
+            document: Mutex::default(),
             pool: ConnectionPool::default(),
             mesh: OnceLock::new(),
             cores: Mutex::default(),
--- a/crates/system/src/net/mesh.rs
+++ b/crates/system/src/net/mesh.rs
@@ -2,6 +2,7 @@
 
 use crate::net::link::{self, Link};
 use crate::net::socket;
+use bytes::Bytes;
 use pathbank_protocol::codec;
 use pathbank_protocol::message::{Frame, Hello};
 use std::collections::BTreeMap;
@@ -78,7 +79,7 @@
 
     /// Sends to every open link.
     pub fn send_to_all(&self, frame: &Frame) {
-        let bytes = codec::encode(frame);
+        let bytes: Bytes = codec::encode(frame).into();
         for link in self.links().open.values() {
             link.send_encoded(bytes.clone());
         }
