Rehearsals at size with hollow heads and bricks; figures fitted by a command

Cause: the size of two years from now was not measured. pathbank-system rehearse plays 46 to 370 hollow edges and 150 to 1,200 hollow bricks before five real control heads on loopback; capacity fits lines and makes the page's tables.

--- a/crates/system/src/command/mod.rs
+++ b/crates/system/src/command/mod.rs
@@ -1,5 +1,7 @@
 //! The command line: the daemons by role, and what operators ask of a running system or of a file.
 
+use crate::rehearsal::page;
+use crate::rehearsal::scale::{self, ScalePlan};
 use crate::settings::Settings;
 use anyhow::Result;
 use clap::{Parser, Subcommand};
@@ -7,6 +9,8 @@
 
 mod operator;
 
+pub use operator::call;
+
 /// The system: edge heads, control heads, and operators' commands.
 #[derive(Debug, Parser)]
 #[command(name = "pathbank-system", version)]
@@ -33,6 +37,10 @@
     /// Reads, checks and changes the configuration.
     #[command(subcommand)]
     Config(operator::ConfigCommand),
+    /// Rehearses at size: real control heads before hollow edge heads and bricks, on loopback.
+    Rehearse(ScalePlan),
+    /// Writes the tables of the capacity page from recorded rehearsals.
+    Capacity(page::PageCommand),
 }
 
 /// Carries a command out.
@@ -48,6 +56,8 @@
         Command::Status(target) => operator::status(&target),
         Command::Bricks(target) => operator::bricks(&target),
         Command::Config(command) => operator::config(&command),
+        Command::Rehearse(plan) => scale::run(&plan),
+        Command::Capacity(command) => page::run(&command),
     }
 }
 
--- a/crates/system/src/command/operator.rs
+++ b/crates/system/src/command/operator.rs
@@ -47,13 +47,17 @@
     },
 }
 
-struct Answer {
-    status: u16,
+/// An answer of a control plane.
+pub struct Answer {
+    /// The HTTP status.
+    pub status: u16,
     location: Option<String>,
-    body: String,
+    /// The body.
+    pub body: String,
 }
 
-fn call(target: SocketAddr, method: &str, path: &str, base: Option<u64>, body: &str) -> Result<Answer> {
+/// One call to a control plane, led on to the leader where need be.
+pub fn call(target: SocketAddr, method: &str, path: &str, base: Option<u64>, body: &str) -> Result<Answer> {
     let mut address = target;
     for _ in 0..=MOST_REDIRECTS {
         let answer = call_one(address, method, path, base, body)?;
--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -40,6 +40,8 @@
 const MEMBERS_EVERY: u64 = 4;
 /// How often the leader tells how much is out at each brick, milliseconds.
 const LOADS_EVERY: u64 = 400;
+/// And no more than so many bytes a second to each edge.
+const LOADS_BYTES_S: u64 = 6_000;
 /// How often the settings file is looked at, milliseconds.
 const SETTINGS_EVERY: u64 = 2_000;
 /// How often bricks that fell silent are looked for, milliseconds.
@@ -225,8 +227,8 @@
             self.ask_to_join(now);
         }
         if now >= self.due.loads {
-            self.due.loads = now + LOADS_EVERY;
-            self.tell_loads(now);
+            let bytes = self.tell_loads(now);
+            self.due.loads = now + LOADS_EVERY.max(1_000 * bytes / LOADS_BYTES_S);
         }
         if now >= self.due.expire {
             self.due.expire = now + EXPIRE_EVERY;
@@ -391,16 +393,16 @@
     }
 
     /// The leader hears from every edge what is out at bricks, and tells all what it comes to.
-    fn tell_loads(&mut self, now: u64) {
-        if !self.replication.replica.is_settled_leader() {
-            return;
-        }
+    /// Returns the message's bytes.
+    fn tell_loads(&mut self, now: u64) -> u64 {
         let loads = self.demand.loads(now);
-        if !loads.is_empty() {
-            let frame = Frame::Loads(loads);
-            self.tell_subscribers(&frame);
-            self.mesh.send_to_all(&frame);
+        if !self.replication.replica.is_settled_leader() || loads.is_empty() {
+            return 0;
         }
+        let frame = Frame::Loads(loads);
+        self.tell_subscribers(&frame);
+        self.mesh.send_to_all(&frame);
+        codec::encode(&frame).len() as u64
     }
 
     fn status(&self) -> serde_json::Value {
--- /dev/null
+++ b/crates/system/src/edge/hollow.rs
@@ -0,0 +1,52 @@
+//! An edge head without clients, for rehearsals: its links to the cores and its state are the real ones.
+
+use super::core_links;
+use super::shared::Shared;
+use crate::settings::Settings;
+use pathbank_protocol::message::{EdgeReport, Frame};
+use std::sync::Arc;
+
+/// An edge head that takes no clients.
+#[derive(Clone)]
+pub struct HollowEdge {
+    shared: Arc<Shared>,
+}
+
+impl HollowEdge {
+    /// Opens its links.
+    pub fn start(settings: Settings) -> HollowEdge {
+        let seeds = settings.seeds.clone();
+        let shared = Shared::new(settings);
+        core_links::start(&shared, &seeds);
+        HollowEdge { shared }
+    }
+
+    /// Does what is due.
+    pub fn look(&self) {
+        core_links::speak(&self.shared);
+    }
+
+    /// The entry of the configuration in force; 0: none.
+    pub fn configuration_index(&self) -> u64 {
+        self.shared.routes.load().as_ref().map_or(0, |routes| routes.index)
+    }
+
+    /// The version of the configuration in force; 0: none.
+    pub fn configuration_version(&self) -> u64 {
+        self.shared.routes.load().as_ref().map_or(0, |routes| routes.version)
+    }
+
+    /// Bricks that it knows.
+    pub fn bricks(&self) -> usize {
+        self.shared.deciding().dispatcher.bricks().iter().count()
+    }
+
+    /// Sends a report to the leader, if it is reached.
+    pub fn report(&self, report: EdgeReport) {
+        let leader = self.shared.deciding().core_choice.leader();
+        if let (Some(leader), Some(mesh)) = (leader, self.shared.mesh.get()) {
+            let edge = self.shared.settings.node_name.clone();
+            mesh.send(leader, &Frame::Report(EdgeReport { edge, life: self.shared.life, ..report }));
+        }
+    }
+}
--- a/crates/system/src/edge/mod.rs
+++ b/crates/system/src/edge/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod core_links;
+pub mod hollow;
 mod proxy;
 mod relay;
 mod shared;
--- a/crates/system/src/lib.rs
+++ b/crates/system/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod core;
 pub mod edge;
 pub mod net;
+pub mod rehearsal;
 pub mod settings;
 pub mod signals;
 pub mod stand_in;
--- a/crates/system/src/net/link.rs
+++ b/crates/system/src/net/link.rs
@@ -6,7 +6,7 @@
 use pathbank_protocol::framing;
 use pathbank_protocol::message::Frame;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -29,6 +29,23 @@
 /// Bytes that wait for a slow reader; beyond, the link is closed. One message may be longer.
 const QUEUE_BYTES: usize = 2 * 1024 * 1024;
 
+static RECEIVED: AtomicU64 = AtomicU64::new(0);
+static SENT: AtomicU64 = AtomicU64::new(0);
+
+/// Bytes of all links of this process so far.
+#[derive(Clone, Copy, Debug)]
+pub struct Traffic {
+    /// Read.
+    pub received: u64,
+    /// Written.
+    pub sent: u64,
+}
+
+/// What went over this process's links so far.
+pub fn traffic() -> Traffic {
+    Traffic { received: RECEIVED.load(Ordering::Relaxed), sent: SENT.load(Ordering::Relaxed) }
+}
+
 /// The sending end of a link.
 #[derive(Clone, Debug)]
 pub struct Link {
@@ -122,6 +139,7 @@
         if count == 0 {
             return;
         }
+        RECEIVED.fetch_add(count as u64, Ordering::Relaxed);
         buffer.extend_from_slice(&chunk[..count]);
         loop {
             match framing::take_body(&mut buffer) {
@@ -143,6 +161,7 @@
 
 async fn write_frames(mut writer: OwnedWriteHalf, mut outbox: Outbox) {
     while let Some(bytes) = outbox.next().await {
+        SENT.fetch_add(bytes.len() as u64, Ordering::Relaxed);
         if !matches!(timeout(WRITE_PATIENCE, writer.write_all(&bytes)).await, Ok(Ok(()))) {
             return;
         }
--- /dev/null
+++ b/crates/system/tests/capacity.rs
@@ -0,0 +1,40 @@
+//! Fits on known curves, and the capacity page against the recorded runs.
+
+use pathbank_system::rehearsal::fit::Line;
+use pathbank_system::rehearsal::page::{read_runs, tables, with_tables};
+use std::path::Path;
+use test_case::test_case;
+
+fn points(curve: impl Fn(f64) -> f64) -> Vec<(f64, f64)> {
+    [10.0, 20.0, 40.0, 80.0, 160.0].map(|size| (size, curve(size))).to_vec()
+}
+
+#[test_case(0.0, 1.0; "through the origin")]
+#[test_case(5.0, 0.25; "with a base")]
+#[test_case(7.0, 0.0; "flat")]
+#[test_case(9.0, -0.01; "falling")]
+fn a_line_is_found_again(base: f64, slope: f64) {
+    let line = Line::through(&points(|size| base + slope * size)).unwrap();
+    assert!((line.base - base).abs() < 1e-9 && (line.slope - slope).abs() < 1e-9 && line.residual < 1e-9);
+    assert!(line.fits() && (line.at(1_000.0) - base - slope * 1_000.0).abs() < 1e-6);
+}
+
+#[test]
+fn what_is_no_line_is_said_not_to_fit() {
+    let jagged = [(10.0, 1.0), (20.0, 9.0), (40.0, 1.0), (80.0, 9.0), (160.0, 1.0)];
+    assert!(!Line::through(&jagged).unwrap().fits());
+}
+
+#[test]
+fn three_sizes_are_too_few_however_often_they_were_measured() {
+    assert_eq!(Line::through(&[(1.0, 1.0), (1.0, 1.1), (2.0, 2.0), (3.0, 3.0)]), None);
+}
+
+#[test]
+fn the_page_agrees_with_the_recorded_runs() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let runs = read_runs(&root.join("docs/capacity")).unwrap();
+    assert!(runs.len() >= 4, "four sizes at least");
+    let page = std::fs::read_to_string(root.join("docs/CAPACITY.md")).unwrap();
+    assert_eq!(with_tables(&page, &tables(&runs)).as_deref(), Some(page.as_str()));
+}
