--- a/crates/system/src/command/mod.rs
+++ b/crates/system/src/command/mod.rs
@@ -7,6 +7,7 @@
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
 
+mod demo;
 mod operator;
 
 pub use operator::call;
@@ -37,6 +38,8 @@
     /// Reads, checks and changes the configuration.
     #[command(subcommand)]
     Config(operator::ConfigCommand),
+    /// Shows the whole system on this machine: three control heads, an edge head, a stand-in brick, one request.
+    Demo,
     /// Rehearses at size: real control heads before hollow edge heads and bricks, on loopback.
     Rehearse(ScalePlan),
     /// Writes the tables of the capacity page from recorded rehearsals.
@@ -56,6 +59,7 @@
         Command::Status(target) => operator::status(&target),
         Command::Bricks(target) => operator::bricks(&target),
         Command::Config(command) => operator::config(&command),
+        Command::Demo => demo::run(),
         Command::Rehearse(plan) => scale::run(&plan),
         Command::Capacity(command) => page::run(&command),
     }
