An old incarnation at a brick's address is told as gone, and rests until then

They are told now, an edge drops the old one by itself when a new one speaks at its address, and a brick that misdirects three times in a row rests. Ruled out: placement (loads followed), the ledger's bricks.

--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -37,8 +37,10 @@
 }
 
 /// What a heartbeat changed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Heard {
+    /// Other incarnations at its address, which are gone by this.
+    pub displaced: Vec<Brick>,
     /// Edges have to know.
     pub changed: bool,
     /// The other cores have to know, if this core heard it first.
@@ -89,18 +91,20 @@
         };
         let fresh = !self.known.contains_key(&brick.instance);
         let displaced = fresh && brick.state != BrickState::Gone;
+        let mut gone = Vec::new();
         for known in self.known.values_mut().filter(|known| displaced && same_place(known)) {
             known.brick.state = BrickState::Gone;
             known.brick.sequence += 1;
             known.deregistered = true;
+            gone.push(known.told());
         }
         let Some(known) = self.known.get_mut(&brick.instance) else {
             let known = Known { brick, heard: now, relayed: now, deregistered: false, withheld: Vec::new() };
             self.known.insert(known.brick.instance.clone(), known);
-            return Heard { changed: true, relay: true };
+            return Heard { displaced: gone, changed: true, relay: true };
         };
         if brick.sequence <= known.brick.sequence || known.deregistered {
-            return Heard { changed: false, relay: false };
+            return Heard::default();
         }
         known.heard = now;
         let before = known.told();
@@ -115,7 +119,7 @@
         if relay {
             known.relayed = now;
         }
-        Heard { changed, relay }
+        Heard { displaced: gone, changed, relay }
     }
 
     /// A brick said that it ends.
--- a/crates/control/tests/bricks.rs
+++ b/crates/control/tests/bricks.rs
@@ -83,7 +83,9 @@
     directory.heard(0, brick(1, &["m"]));
     let mut next = brick(1, &[]);
     next.instance = "i-next".into();
-    directory.heard(10, next);
+    let heard = directory.heard(10, next);
+    assert_eq!(heard.displaced.len(), 1, "edges have to know of both");
+    assert_eq!(heard.displaced[0].state, BrickState::Gone);
     assert_eq!(state_of(&directory, "i-1"), BrickState::Gone);
     assert!(directory.held_before()["10.0.0.1:80"].contains("m"), "the machine's disk still has it");
 }
--- a/crates/router/src/bricks.rs
+++ b/crates/router/src/bricks.rs
@@ -22,6 +22,9 @@
 /// A brick that has gone is remembered for so long.
 const GONE_KEPT: Millis = 120_000;
 
+/// A brick that says so often in a row that it is not the one rests: it may be another incarnation by now.
+const MISDIRECTED_TO_REST: u32 = 3;
+
 /// A brick by its incarnation.
 pub type Instance = String;
 
@@ -39,6 +42,8 @@
     others_at: Millis,
     rest_until: Millis,
     failures: u32,
+    /// Answers in a row that it is another brick or holds nothing of what was asked.
+    misdirected: u32,
     missing: BTreeMap<ModelName, Millis>,
     /// Since when the core that is listened to does not list it.
     unlisted_since: Option<Millis>,
@@ -54,6 +59,7 @@
             others_at: 0,
             rest_until: 0,
             failures: 0,
+            misdirected: 0,
             missing: BTreeMap::new(),
             unlisted_since: None,
         }
@@ -148,6 +154,9 @@
             if brick.state != BrickState::Ready {
                 closed.insert(instance.clone());
             }
+            if brick.state != BrickState::Gone && !self.known.contains_key(&instance) {
+                closed.extend(self.displace(now, &brick));
+            }
             match self.known.get_mut(&instance) {
                 _ if brick.state == BrickState::Gone => self.forget(now, brick),
                 Some(known) if brick.sequence < known.brick.sequence => known.unlisted_since = None,
@@ -159,6 +168,19 @@
         closed
     }
 
+    /// Another incarnation at a brick's address is gone once a new one speaks there.
+    fn displace(&mut self, now: Millis, brick: &Brick) -> Vec<Instance> {
+        let same_place = |known: &&KnownBrick| known.brick.address == brick.address;
+        let displaced: Vec<Brick> =
+            self.known.values().filter(same_place).map(|known| known.brick.clone()).collect();
+        let instances = displaced.iter().map(|brick| brick.instance.clone()).collect();
+        for brick in displaced {
+            let sequence = brick.sequence + 1;
+            self.forget(now, Brick { sequence, ..brick });
+        }
+        instances
+    }
+
     /// A whole list came: what is not on it goes after a while, unless it is told of again. A core that has just started
     /// knows few bricks yet.
     fn note_unlisted(&mut self, now: Millis, update: &BrickUpdate) {
@@ -233,11 +255,16 @@
         let Some(known) = self.known.get_mut(instance) else { return };
         known.in_flight = known.in_flight.saturating_sub(1);
         match outcome {
-            BrickOutcome::Answered => known.failures = 0,
+            BrickOutcome::Answered => (known.failures, known.misdirected) = (0, 0),
             BrickOutcome::Full => known.rest_until = known.rest_until.max(now + FULL_REST),
             BrickOutcome::NotThere => {
                 known.missing.retain(|_, until| now < *until);
                 known.missing.insert(name.clone(), now + MISSING_COUNTS);
+                known.misdirected += 1;
+                if known.misdirected >= MISDIRECTED_TO_REST {
+                    let doubled = FIRST_REST << (known.misdirected - MISDIRECTED_TO_REST).min(5);
+                    known.rest_until = now + doubled.min(LONGEST_REST);
+                }
             }
             BrickOutcome::Failed => {
                 known.failures += 1;
--- a/crates/router/tests/dispatch.rs
+++ b/crates/router/tests/dispatch.rs
@@ -13,7 +13,7 @@
     Brick {
         instance: instance.into(),
         backend: "llm".into(),
-        address: "10.0.0.1:80".into(),
+        address: format!("{instance}:80"),
         zone: "here".into(),
         version: "v1".into(),
         capacity: 2,
@@ -277,3 +277,24 @@
     story.after(1_100);
     assert!(sent(&story.asked(2, "a")).is_empty());
 }
+
+#[test]
+fn a_new_incarnation_at_an_address_ends_the_one_before() {
+    let mut story = Story::given(vec![brick("i-1", &["a"])]);
+    (1..=3).for_each(|id| drop(story.asked(id, "a")));
+    let address = brick("i-1", &[]).address;
+    story.told(vec![Brick { address, ..brick("i-next", &[]) }]);
+    assert!(sent(&story.ended(1, BrickOutcome::Failed)).is_empty(), "the old one gets nothing more");
+    story.told(vec![brick("i-1", &["a"])]);
+    assert!(sent(&story.asked(4, "a")).is_empty(), "nor by a late word");
+}
+
+#[test]
+fn a_brick_that_keeps_saying_it_is_not_the_one_rests() {
+    let mut story = Story::given(vec![brick("i-1", &["a", "b", "c", "d"])]);
+    for (id, model) in [(1, "a"), (2, "b"), (3, "c")] {
+        assert_eq!(sent(&story.asked(id, model)).len(), 1);
+        story.ended(id, BrickOutcome::NotThere);
+    }
+    assert!(sent(&story.asked(4, "d")).is_empty());
+}
--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -446,6 +446,7 @@
         if heard.relay && own {
             self.mesh.send_to_all(&Frame::Heartbeats(vec![brick.clone()]));
         }
+        self.tell_edges_of_bricks(heard.displaced);
         if heard.changed {
             self.tell_edges_of_bricks(vec![brick]);
         }
