Heads prefer different bricks a little

Cause: prompts that several heads send to a brick at once hold up its streams, and no head sees the others' in time. Each head now prefers its own bricks by up to 40 ms.

--- a/crates/router/src/dispatcher.rs
+++ b/crates/router/src/dispatcher.rs
@@ -28,6 +28,9 @@
 const OTHER_ZONE_MS: f64 = 30.0;
 /// Bricks as good as each other are told apart by a draw of so many milliseconds.
 const DRAW_MS: f64 = 3.0;
+/// Heads prefer different bricks by up to so many milliseconds, so that what one head has just sent to a brick tells most
+/// of what is on its way there.
+const PREFERENCE_MS: f64 = 40.0;
 /// A request that cannot be sent is refused after this part of its objective, where that lets it come back in time.
 const REFUSE_AFTER: f64 = 0.22;
 /// The part of the remaining time for which clients honour `Retry-After`.
@@ -120,6 +123,7 @@
 #[derive(Debug)]
 pub struct Dispatcher {
     zone: String,
+    seed: u64,
     bricks: BrickTable,
     fair: FairQueue<FlowKey, Instance, RequestId>,
     held: BTreeMap<RequestId, Held>,
@@ -129,10 +133,11 @@
 }
 
 impl Dispatcher {
-    /// A dispatcher of a head in `zone`, with no brick and no request.
-    pub fn new(zone: String) -> Dispatcher {
+    /// A dispatcher of a head in `zone`, with no brick and no request. `seed`: any number, another one at each head.
+    pub fn new(zone: String, seed: u64) -> Dispatcher {
         Dispatcher {
             zone,
+            seed,
             bricks: BrickTable::default(),
             fair: FairQueue::new(Settings::default()),
             held: BTreeMap::new(),
@@ -317,7 +322,7 @@
         let resting = if known.takes_work(now) { 0.0 } else { 2.0 * FULL_BRICK_MS };
         let zone = if known.brick.zone == self.zone { 0.0 } else { OTHER_ZONE_MS };
         let cold = if known.brick.cold_remaining_ms > 0 { FULL_BRICK_MS / 4.0 } else { 0.0 };
-        let draw = DRAW_MS * unit_draw(offer.id, instance);
+        let draw = DRAW_MS * unit_draw(offer.id, instance) + PREFERENCE_MS * unit_draw(self.seed, instance);
         prefill + FULL_BRICK_MS * occupancy + full + resting + zone + cold + draw
     }
 
--- a/crates/router/tests/dispatch.rs
+++ b/crates/router/tests/dispatch.rs
@@ -50,7 +50,7 @@
 
 impl Story {
     fn given(bricks: Vec<Brick>) -> Story {
-        let mut story = Story { dispatcher: Dispatcher::new("here".into()), now: 1_000 };
+        let mut story = Story { dispatcher: Dispatcher::new("here".into(), 7), now: 1_000 };
         story.told(bricks);
         story
     }
--- a/crates/system/src/edge/shared.rs
+++ b/crates/system/src/edge/shared.rs
@@ -127,8 +127,9 @@
             slack: settings.bounds.retry_budget_slack,
             window: settings.bounds.budget_window_ms,
         };
+        let life = clock::entropy();
         let deciding = Deciding {
-            dispatcher: Dispatcher::new(settings.zone.clone()),
+            dispatcher: Dispatcher::new(settings.zone.clone(), life),
             budget: RetryBudget::new(bounds),
             usage: UsageCounter::new(settings.bounds.report_window_ms),
             wall_clock: WallClock::default(),
@@ -139,7 +140,7 @@
         };
         Arc::new(Shared {
             settings,
-            life: clock::entropy(),
+            life,
             routes: ArcSwapOption::empty(),
             document: Mutex::default(),
             pool: ConnectionPool::default(),
