Bricks that fail part of their requests are avoided, and tried again as that fades

Cause: on the grown sites bricks fail part of their requests while their health is good; heads sent them as much as any other. The part of requests that went wrong lately costs up to 1.5 s and fades over 8 s; no brick is shut out, so a service whose bricks all fail is still asked. Heads prefer their own bricks by up to 200 ms and count unread prompts four times.

--- a/crates/router/src/bricks.rs
+++ b/crates/router/src/bricks.rs
@@ -10,6 +10,11 @@
 const LONGEST_REST: Millis = 5_000;
 /// A brick that turned a request away because it is full rests for so long.
 const FULL_REST: Millis = 60;
+/// Weight of one answer in a brick's part of errors, how fast that fades (milliseconds), and what a request that was
+/// turned away counts for.
+const ERROR_LEARN: f64 = 0.25;
+const ERRORS_FADE: f64 = 8_000.0;
+const TURNED_AWAY: f64 = 0.3;
 /// What a brick said of its load counts for so long.
 const LOAD_COUNTS: Millis = 1_000;
 /// A model that a brick said it does not hold is not asked for there for so long.
@@ -44,6 +49,9 @@
     failures: u32,
     /// Answers in a row that it is another brick or holds nothing of what was asked.
     misdirected: u32,
+    /// Running part of requests that went wrong there, and when it was worked out.
+    errors: f64,
+    errors_at: Millis,
     missing: BTreeMap<ModelName, Millis>,
     /// Since when the core that is listened to does not list it.
     unlisted_since: Option<Millis>,
@@ -60,6 +68,8 @@
             rest_until: 0,
             failures: 0,
             misdirected: 0,
+            errors: 0.0,
+            errors_at: 0,
             missing: BTreeMap::new(),
             unlisted_since: None,
         }
@@ -109,6 +119,18 @@
         held && !missing
     }
 
+    /// The part of requests that went wrong there lately, 0 to 1; it fades, so that the brick is tried again.
+    pub fn error_part(&self, now: Millis) -> f64 {
+        let age = now.saturating_sub(self.errors_at) as f64 / ERRORS_FADE;
+        self.errors * (-age).exp()
+    }
+
+    fn note_error(&mut self, now: Millis, weight: f64) {
+        let known = self.error_part(now);
+        self.errors = known + ERROR_LEARN * (weight - known);
+        self.errors_at = now;
+    }
+
     /// Failures in a row.
     pub fn failures(&self) -> u32 {
         self.failures
@@ -122,6 +144,8 @@
     Answered,
     /// It said that it is full, or that a time was over in its queue.
     Full,
+    /// It answered with a failure of its own.
+    Erred,
     /// It does not hold what was asked for, or is another brick.
     NotThere,
     /// No connection, a reset, or no answer.
@@ -254,6 +278,12 @@
     pub fn ended(&mut self, now: Millis, instance: &str, name: &ModelName, outcome: BrickOutcome) {
         let Some(known) = self.known.get_mut(instance) else { return };
         known.in_flight = known.in_flight.saturating_sub(1);
+        match outcome {
+            BrickOutcome::Failed | BrickOutcome::Erred => known.note_error(now, 1.0),
+            BrickOutcome::Full => known.note_error(now, TURNED_AWAY),
+            BrickOutcome::Answered => known.note_error(now, 0.0),
+            BrickOutcome::NotThere | BrickOutcome::Abandoned => {}
+        }
         match outcome {
             BrickOutcome::Answered => (known.failures, known.misdirected) = (0, 0),
             BrickOutcome::Full => known.rest_until = known.rest_until.max(now + FULL_REST),
@@ -273,7 +303,7 @@
                     known.rest_until = now + doubled.min(LONGEST_REST);
                 }
             }
-            BrickOutcome::Abandoned => {}
+            BrickOutcome::Erred | BrickOutcome::Abandoned => {}
         }
     }
 
--- a/crates/router/src/dispatcher.rs
+++ b/crates/router/src/dispatcher.rs
@@ -21,16 +21,18 @@
 /// Tokens of a prompt that a brick reads in a millisecond, until something better is known.
 const PREFILL_TOKENS_PER_MS: f64 = 18.0;
 /// Tokens of other prompts that a brick has not begun to answer hold up every stream there, not this request alone.
-const UNREAD_WEIGHT: u64 = 3;
+const UNREAD_WEIGHT: u64 = 4;
 /// What a brick with all slots taken costs a request, milliseconds; less in proportion.
 const FULL_BRICK_MS: f64 = 500.0;
 /// What another zone costs, milliseconds.
 const OTHER_ZONE_MS: f64 = 30.0;
+/// What a brick costs that fails every request, milliseconds; less in proportion. It is avoided, never shut out.
+const ERROR_MS: f64 = 1_500.0;
 /// Bricks as good as each other are told apart by a draw of so many milliseconds.
 const DRAW_MS: f64 = 3.0;
 /// Heads prefer different bricks by up to so many milliseconds, so that what one head has just sent to a brick tells most
 /// of what is on its way there.
-const PREFERENCE_MS: f64 = 40.0;
+const PREFERENCE_MS: f64 = 200.0;
 /// A request that cannot be sent is refused after this part of its objective, where that lets it come back in time.
 const REFUSE_AFTER: f64 = 0.22;
 /// The part of the remaining time for which clients honour `Retry-After`.
@@ -322,8 +324,9 @@
         let resting = if known.takes_work(now) { 0.0 } else { 2.0 * FULL_BRICK_MS };
         let zone = if known.brick.zone == self.zone { 0.0 } else { OTHER_ZONE_MS };
         let cold = if known.brick.cold_remaining_ms > 0 { FULL_BRICK_MS / 4.0 } else { 0.0 };
+        let errors = ERROR_MS * known.error_part(now);
         let draw = DRAW_MS * unit_draw(offer.id, instance) + PREFERENCE_MS * unit_draw(self.seed, instance);
-        prefill + FULL_BRICK_MS * occupancy + full + resting + zone + cold + draw
+        prefill + FULL_BRICK_MS * occupancy + full + resting + zone + cold + errors + draw
     }
 
     // ---- the ordinary path: free slots take requests ----
--- a/crates/router/tests/dispatch.rs
+++ b/crates/router/tests/dispatch.rs
@@ -298,3 +298,37 @@
     }
     assert!(sent(&story.asked(4, "d")).is_empty());
 }
+
+#[test]
+fn a_brick_that_fails_part_of_its_requests_is_avoided_and_tried_again_later() {
+    let mut story = Story::given(vec![brick("i-1", &["a"]), brick("i-2", &["a"])]);
+    let (mut id, mut at_grey) = (0, 0);
+    let mut round = |story: &mut Story, requests: u64| {
+        at_grey = 0;
+        for _ in 0..requests {
+            id += 1;
+            let at = sent(&story.asked(id, "a"))[0].1.clone();
+            let grey = at == "i-1";
+            at_grey += u64::from(grey);
+            story.ended(id, if grey && id % 2 == 0 { BrickOutcome::Erred } else { BrickOutcome::Answered });
+            story.after(20);
+        }
+        at_grey
+    };
+    round(&mut story, 100);
+    assert!(round(&mut story, 100) <= 20, "most go to the other one");
+    story.after(30_000);
+    let other_is_busy = Brick { capacity: 1, sequence: 2, ..brick("i-2", &["a"]) };
+    story.told(vec![other_is_busy]);
+    story.dispatcher.note_load(story.now, "i-2", 1, 0);
+    assert_eq!(sent(&story.asked(900, "a"))[0].1, "i-1", "never shut out");
+}
+
+#[test]
+fn when_all_bricks_of_a_service_fail_requests_still_go_to_them() {
+    let mut story = Story::given(vec![brick("i-1", &["a"]), brick("i-2", &["a"])]);
+    for id in 1..40 {
+        assert_eq!(sent(&story.asked(id, "a")).len(), 1);
+        story.ended(id, BrickOutcome::Erred);
+    }
+}
--- a/crates/system/src/edge/proxy.rs
+++ b/crates/system/src/edge/proxy.rs
@@ -455,7 +455,8 @@
     let whole = tokio::time::timeout(clock::until(job.deadline), relay::whole(shared, exchange)).await;
     match whole {
         Ok(Ok(answer)) => {
-            ticket.end(BrickOutcome::Answered);
+            let erred = answer.status().is_server_error();
+            ticket.end(if erred { BrickOutcome::Erred } else { BrickOutcome::Answered });
             Ok(answer)
         }
         Ok(Err(_)) => {
