Tests for three deliberate breaks that no test caught

Cause: of 24 deliberate breaks three were not caught: a change of the group that needs the new group alone, a leader that counts its own entry before it is saved, an older heartbeat that counts. Each has a test now. No program changed.

--- a/crates/control/tests/bricks.rs
+++ b/crates/control/tests/bricks.rs
@@ -49,6 +49,15 @@
     assert_eq!(directory.ready().count(), 0);
 }
 
+#[test]
+fn an_older_heartbeat_changes_nothing() {
+    let mut directory = Directory::new(HEARTBEAT);
+    directory.heard(0, later(brick(1, &["new"]), 7, BrickState::Ready));
+    let late = directory.heard(10, later(brick(1, &["old"]), 6, BrickState::Ready));
+    assert!(!late.changed && !late.relay);
+    assert_eq!(directory.brick("i-1").unwrap().models[0].name, "new");
+}
+
 #[test]
 fn a_brick_that_deregistered_is_gone_whatever_comes_late() {
     let mut directory = Directory::new(HEARTBEAT);
--- a/crates/coordination/tests/stories.rs
+++ b/crates/coordination/tests/stories.rs
@@ -168,6 +168,21 @@
     then_it_leads_and_lost_nothing(&mut fleet, 4_000);
 }
 
+#[test]
+fn what_the_leader_has_not_saved_counts_for_nothing() {
+    let mut fleet = given_a_led_group(3, 0, 13);
+    let leader = fleet.leader().unwrap();
+    let away = (leader + 1) % 3;
+    fleet.kill(away);
+    fleet.machines[leader].stalled = true;
+    assert!(fleet.propose(b"on one disk of three"));
+    fleet.run(300);
+    assert!(fleet.acknowledged.is_empty());
+    fleet.machines[leader].stalled = false;
+    fleet.run(300);
+    assert_eq!(fleet.acknowledged.len(), 1);
+}
+
 #[test]
 fn a_store_that_lags_behind_a_snapshot_gets_the_snapshot() {
     let mut fleet = given_a_led_group(3, 0, 12);
--- a/crates/coordination/tests/votes.rs
+++ b/crates/coordination/tests/votes.rs
@@ -95,3 +95,15 @@
     replica.tick(12_000);
     assert_eq!(replica.role(), Role::Leader);
 }
+
+#[test]
+fn a_group_that_changes_needs_a_majority_of_both() {
+    let mut after = voters();
+    after[2] = member(2, 9);
+    let joint = Membership { voters: after, outgoing: voters() };
+    let agree = |stores: [u64; 2]| joint.has_quorum(|id| stores.contains(&id.0));
+    assert!(agree([1, 2]));
+    assert!(!agree([1, 9]), "no majority of the old group");
+    assert!(!agree([1, 3]), "nor of the new one");
+    assert_eq!(joint.members().count(), 4);
+}
