--- a/crates/coordination/src/fencing.rs
+++ b/crates/coordination/src/fencing.rs
@@ -16,6 +16,16 @@
 }
 
 /// Follows who led, and says whether this leader may act.
+///
+/// ```
+/// use pathbank_coordination::fencing::Fence;
+///
+/// let mut fence = Fence::default();
+/// fence.led("a");
+/// let permit = fence.permit("a", 4, 1_500, 3_000, 1_000).expect("within its lease");
+/// assert_eq!(permit.fencing_token, 4);
+/// assert!(fence.permit("a", 4, 1_500, 3_000, 1_500).is_none(), "the lease is over");
+/// ```
 #[derive(Clone, Debug, Default)]
 pub struct Fence {
     /// The machines that led, in order, each once in a row.
--- a/crates/coordination/src/record.rs
+++ b/crates/coordination/src/record.rs
@@ -124,6 +124,16 @@
 }
 
 /// The records at the start of `bytes`, and how many bytes they take; what follows is torn or damaged.
+///
+/// ```
+/// use pathbank_coordination::record::{Record, decode, encode};
+///
+/// let mut bytes = Vec::new();
+/// encode(&Record::Vote { term: 3, voted_for: None }, &mut bytes);
+/// let whole = bytes.len();
+/// bytes.extend([1, 2, 3]);
+/// assert_eq!(decode(&bytes), (vec![Record::Vote { term: 3, voted_for: None }], whole));
+/// ```
 pub fn decode(bytes: &[u8]) -> (Vec<Record>, usize) {
     let mut records = Vec::new();
     let mut at = 0;
--- a/crates/coordination/src/store.rs
+++ b/crates/coordination/src/store.rs
@@ -12,6 +12,20 @@
 const NEW_FILE: &str = "replica.log.new";
 
 /// The open file.
+///
+/// ```
+/// use pathbank_coordination::record::Record;
+/// use pathbank_coordination::store::LogFile;
+///
+/// let folder = std::env::temp_dir().join(format!("pathbank-example-{}", std::process::id()));
+/// let (mut log, _) = LogFile::open(&folder)?;
+/// log.append(&[Record::Vote { term: 3, voted_for: None }])?;
+/// drop(log);
+/// let (_, durable) = LogFile::open(&folder)?;
+/// assert_eq!(durable.term, 3);
+/// # std::fs::remove_dir_all(&folder)?;
+/// # Ok::<(), std::io::Error>(())
+/// ```
 #[derive(Debug)]
 pub struct LogFile {
     folder: PathBuf,
--- a/crates/coordination/src/types.rs
+++ b/crates/coordination/src/types.rs
@@ -27,6 +27,16 @@
 }
 
 /// Who votes. While the group changes, both the new and the old group have to agree (joint consensus).
+///
+/// ```
+/// use pathbank_coordination::types::{Member, Membership, StoreId};
+///
+/// let member = |id| Member { id: StoreId(id), name: String::new(), address: String::new(), control_address: String::new() };
+/// let old = vec![member(1), member(2), member(3)];
+/// let joint = Membership { voters: vec![member(1), member(2), member(9)], outgoing: old };
+/// assert!(joint.has_quorum(|id| id.0 < 3));
+/// assert!(!joint.has_quorum(|id| id.0 == 1 || id.0 == 9), "no majority of the old group");
+/// ```
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Membership {
     /// The voters of the current or, during a change, of the new group.
