--- /dev/null
+++ b/crates/system/tests/links.rs
@@ -0,0 +1,59 @@
+//! Links between processes on real sockets: a reader that does not read, and one that does.
+
+use bytes::Bytes;
+use pathbank_protocol::codec;
+use pathbank_protocol::message::{ConfigurationUpdate, Frame};
+use pathbank_system::net::link;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+
+/// What waits for a reader stays well under this, bytes.
+const BOUND: usize = 4 * 1024 * 1024;
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn large_message(index: u64) -> Bytes {
+    let document = vec![b'x'; 256 * 1024];
+    codec::encode(&Frame::Configuration(ConfigurationUpdate { index, base_index: 0, document })).into()
+}
+
+async fn connected() -> (TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (near, far) = tokio::join!(TcpStream::connect(address), listener.accept());
+    (near.unwrap(), far.unwrap().0)
+}
+
+#[tokio::test]
+async fn what_waits_for_a_reader_that_does_not_read_is_bounded_and_the_link_closes() {
+    let (near, _far_that_never_reads) = connected().await;
+    let (sender, outbox) = link::channel();
+    let running = tokio::spawn(link::run(near, outbox, |_| true));
+    let message = large_message(1);
+    let mut queued = 0;
+    while sender.send_encoded(message.clone()) {
+        queued += message.len();
+        assert!(queued <= BOUND, "nothing is written meanwhile: all of it waits");
+    }
+    assert!(!sender.send_encoded(Bytes::from_static(b"short")), "no gap: nothing follows what was lost");
+    timeout(PATIENCE, running).await.expect("the link closes").unwrap();
+    assert!(sender.is_closed());
+}
+
+#[tokio::test]
+async fn one_message_longer_than_the_bound_still_goes() {
+    let (near, far) = connected().await;
+    let (sender, outbox) = link::channel();
+    let (far_sender, far_outbox) = link::channel();
+    let document = vec![b'y'; BOUND];
+    let long = Frame::Configuration(ConfigurationUpdate { index: 7, base_index: 0, document });
+    assert!(sender.send(&long));
+    let (told, mut heard) = tokio::sync::mpsc::unbounded_channel();
+    let running = tokio::spawn(link::run(near, outbox, |_| true));
+    let reading = tokio::spawn(link::run(far, far_outbox, move |frame| told.send(frame).is_ok()));
+    let frame = timeout(PATIENCE, heard.recv()).await.expect("it comes").expect("whole");
+    assert_eq!(frame, long);
+    drop(far_sender);
+    running.abort();
+    reading.abort();
+}
--- a/crates/system/tests/loopback.rs
+++ b/crates/system/tests/loopback.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{System, call, document, until};
+use std::io::{Read, Write};
 use std::process::Command;
 use std::sync::atomic::Ordering;
 
@@ -125,6 +126,59 @@
     until("it has ended", || system.edge.has_ended());
 }
 
+/// A brick that answers its first request only when it is told to.
+fn held_brick(system: &System) -> (std::sync::mpsc::Receiver<()>, std::sync::mpsc::Sender<()>) {
+    let listener = std::net::TcpListener::bind((system.ingress.ip(), 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    let (came, coming) = std::sync::mpsc::channel();
+    let (release, released) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut request = [0; 4_096];
+        let _ = stream.read(&mut request);
+        let _ = came.send(());
+        let _ = released.recv();
+        let answer = "HTTP/1.1 200 OK\r\nX-Pathbank-Request-Id: id-held\r\nX-Pathbank-Response-Signature: held\r\n\
+                      Content-Length: 4\r\n\r\nheld";
+        let _ = stream.write_all(answer.as_bytes());
+    });
+    let body = format!(
+        "{{\"backend\":\"app\",\"address\":\"{address}\",\"zone\":\"z1\",\"capacity\":4,\"state\":\"ready\",\"sequence\":1}}"
+    );
+    until("its heartbeat is acknowledged", || {
+        let path = "/api/instances/i-held/heartbeat";
+        call(system.control[0], "POST", path, &[], &body).is_some_and(|answer| answer.status == 200)
+    });
+    (coming, release)
+}
+
+#[test]
+fn an_edge_that_stops_refuses_late_connections_and_still_answers_what_is_at_a_brick() {
+    let mut system = System::started();
+    system.configure(0, &document(3));
+    system.until_ready();
+    let (came, release) = held_brick(&system);
+    until("the edge knows the brick", || system.status(0).is_some_and(|status| status["bricks"] == 1));
+    let ingress = system.ingress;
+    let asking = std::thread::spawn(move || {
+        let headers = [
+            ("Host", "shop.example"),
+            ("X-Pathbank-Request-Id", "id-held"),
+            ("X-Pathbank-Deadline-Ms", "5000"),
+            ("X-Pathbank-Credential", "key-1"),
+        ];
+        call(ingress, "POST", "/app/x", &headers, "hello")
+    });
+    came.recv().unwrap();
+    system.edge.ask_to_stop();
+    until("late connections are refused", || std::net::TcpStream::connect(ingress).is_err());
+    assert!(!system.edge.has_ended(), "a request is still at its brick");
+    release.send(()).unwrap();
+    let answer = asking.join().unwrap().expect("a whole answer");
+    assert_eq!((answer.status, answer.body.as_str()), (200, "held"));
+    until("it has ended", || system.edge.has_ended());
+}
+
 #[test]
 fn operators_ask_by_the_command_line() {
     let system = System::started();
