Steps: zones keep a worker, shares of workers, deadlines, generations that may linger

Cause: the deciding part of training steps knew one kind of fleet (every worker holds the model, one zone) and took a broken generation for over, though its worker may draw on; wired to real workers that would let a step be sealed while one of its generations runs. Change: workers have zones and a zone with several keeps one that serves; workers without the model may load without leave; a step names its service, its workers (all, a count, a share), a path and a deadline; an end is whole, over or unknown, and an unknown one holds up the seal and not its prompt; generations are limited to the heads that ask; the audit is a module that rigs share; old steps are forgotten.

--- a/crates/rollout/examples/training_steps.rs
+++ b/crates/rollout/examples/training_steps.rs
@@ -5,8 +5,6 @@
 //! cargo run --release -p pathbank-rollout --example training_steps -- --steps 1000 --workers 20 --faults 600
 //! ```
 
-#[path = "../tests/steps/auditor.rs"]
-mod auditor;
 #[path = "../tests/steps/engine.rs"]
 mod engine;
 #[path = "../tests/steps/world.rs"]
--- a/crates/rollout/src/change_over.rs
+++ b/crates/rollout/src/change_over.rs
@@ -1,7 +1,7 @@
 //! Which workers drain and load next, beside serving.
 //!
-//! Workers change in waves: so many may be out of service at once that the rest bear the floor of serving, and loads
-//! begin no faster than the weight store permits. A worker first gets nothing new; what it has ends, or is moved at
+//! Workers change in waves: so many may be out of service at once that the rest bear the floor of serving, a zone with
+//! several keeps one, and loads begin no faster than the weight store permits. A worker first gets nothing new; what it has ends, or is moved at
 //! the end of a bound; then it loads.
 
 use crate::worker::{Worker, WorkerState};
@@ -44,6 +44,46 @@
     }
 }
 
+/// Workers that may still leave service.
+struct Spare {
+    /// Above the floor of all.
+    total: usize,
+    /// Above the last one of each zone that has several.
+    by_zone: BTreeMap<String, usize>,
+}
+
+impl Spare {
+    fn count(bounds: &Bounds, workers: &BTreeMap<WorkerId, Worker>) -> Spare {
+        let mut in_zone: BTreeMap<&str, usize> = BTreeMap::new();
+        let mut serving: BTreeMap<String, usize> = BTreeMap::new();
+        for worker in workers.values() {
+            *in_zone.entry(&worker.report.zone).or_default() += 1;
+            if worker.serves_model() {
+                *serving.entry(worker.report.zone.clone()).or_default() += 1;
+            }
+        }
+        let total = serving.values().sum::<usize>().saturating_sub(bounds.serving_floor);
+        for (zone, count) in &mut serving {
+            *count -= usize::from(in_zone.get(zone.as_str()).is_some_and(|all| *all > 1));
+        }
+        Spare { total, by_zone: serving }
+    }
+
+    /// Whether a worker may leave service; it counts as gone from then on.
+    fn take(&mut self, worker: &Worker) -> bool {
+        if !worker.serves_model() {
+            return true;
+        }
+        let Some(in_zone) = self.by_zone.get_mut(&worker.report.zone) else { return false };
+        let may = self.total > 0 && *in_zone > 0;
+        if may {
+            self.total -= 1;
+            *in_zone -= 1;
+        }
+        may
+    }
+}
+
 /// What is to be done with a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Move {
@@ -62,8 +102,7 @@
     is_due: impl Fn(&Worker) -> bool,
 ) -> Vec<Move> {
     let mut moves = Vec::new();
-    let serving = workers.values().filter(|worker| worker.serves()).count();
-    let mut spare = serving.saturating_sub(bounds.serving_floor);
+    let mut spare = Spare::count(bounds, workers);
     for (id, worker) in workers.iter_mut() {
         match worker.state() {
             WorkerState::Draining { until }
@@ -72,8 +111,7 @@
                 worker.ordered();
                 moves.push(Move::Load(id.clone()));
             }
-            WorkerState::Serving | WorkerState::Verified(_) if spare > 0 && is_due(worker) => {
-                spare -= 1;
+            WorkerState::Serving | WorkerState::Verified(_) if is_due(worker) && spare.take(worker) => {
                 worker.drain(now + bounds.drain_ms);
                 moves.push(Move::Drain(id.clone()));
             }
--- a/crates/rollout/src/conductor.rs
+++ b/crates/rollout/src/conductor.rs
@@ -20,6 +20,8 @@
     pub change_over: Bounds,
     /// A generation that is not complete by then is over; workers are told so with it, milliseconds.
     pub generation_ms: Millis,
+    /// A generation that did not begin within this does not begin any more; heads keep to that, milliseconds.
+    pub begin_ms: Millis,
     /// For how long an earlier leader may have gone on after this one was elected, milliseconds.
     pub lease_ms: Millis,
     /// Slots of a worker that are left to what it serves.
@@ -65,13 +67,24 @@
     pub within: Millis,
 }
 
+/// What is known of a generation's end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DrawOutcome {
+    /// The answer came whole, and said this of versions.
+    Complete(VersionTrail),
+    /// It did not run, or runs no more, and there is no whole answer.
+    Over,
+    /// There is no whole answer, and its worker may draw on until the generation's time is over.
+    Unknown,
+}
+
 /// How a generation ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DrawEnd {
     /// What was to be drawn.
     pub draw: Draw,
-    /// What the answer said of versions; `None`: it did not begin, or broke off.
-    pub versions: Option<VersionTrail>,
+    /// What came of it.
+    pub outcome: DrawOutcome,
     /// Tokens that were put out.
     pub tokens: u64,
 }
@@ -121,12 +134,18 @@
     workers: BTreeMap<WorkerId, Worker>,
     allowance: LoadAllowance,
     under_way: BTreeMap<(PromptId, WorkerId), UnderWay>,
+    /// Generations without an answer that may still be drawn; their prompts are drawn for elsewhere meanwhile.
+    lingering: Vec<UnderWay>,
     /// The step that is being prepared, and since when enough workers hold its version.
     ready_since: Option<(StepNumber, Millis)>,
     /// Workers that load before the step's version is known.
     first_wave: BTreeMap<WorkerId, FirstLoad>,
     /// The step and the state that were proposed last: once is enough.
     proposed: Option<(StepNumber, StepState, Option<Version>)>,
+    /// The step under way, and when this leader saw it first.
+    seen: Option<(StepNumber, Millis)>,
+    /// Prompts of that step, and how often this leader had each drawn for.
+    drawn_again: BTreeMap<PromptId, u32>,
 }
 
 impl Conductor {
@@ -135,16 +154,46 @@
         Conductor {
             model,
             settings,
-            strangers_until: now + settings.lease_ms + settings.generation_ms,
+            strangers_until: now + settings.lease_ms + settings.begin_ms + settings.generation_ms,
             workers: BTreeMap::new(),
             allowance: LoadAllowance::default(),
             under_way: BTreeMap::new(),
+            lingering: Vec::new(),
             ready_since: None,
             first_wave: BTreeMap::new(),
             proposed: None,
+            seen: None,
+            drawn_again: BTreeMap::new(),
         }
     }
 
+    /// The bounds of changes of versions are others from now on.
+    pub fn set_change_over(&mut self, bounds: Bounds) {
+        self.settings.change_over = bounds;
+    }
+
+    /// Prompts of the step under way that this leader had drawn for more than once, and how often beyond the first.
+    pub fn drawn_again(&self) -> impl Iterator<Item = (PromptId, u32)> {
+        let again = self.drawn_again.iter().filter(|(_, begun)| **begun > 1);
+        again.map(|(prompt, begun)| (*prompt, begun - 1))
+    }
+
+    /// Generations that this leader began and that may be under way.
+    pub fn under_way(&self) -> usize {
+        self.under_way.len() + self.lingering.len()
+    }
+
+    /// Whether some prompt of the step under way could be drawn for now.
+    pub fn could_draw(&self, now: Millis, ledger: &Ledger) -> usize {
+        let Some(step) = ledger.current(&self.model).filter(|step| step.state() == StepState::Open) else {
+            return 0;
+        };
+        let Some(version) = step.version.filter(|_| step.holds_floor()) else { return 0 };
+        let slots: u32 = self.free_slots(now, step, version).iter().map(|(slots, _)| slots).sum();
+        let missing = step.missing().count().saturating_sub(self.under_way.len());
+        missing.min(slots as usize)
+    }
+
     /// The workers that it knows.
     pub fn workers(&self) -> &BTreeMap<WorkerId, Worker> {
         &self.workers
@@ -163,6 +212,13 @@
         self.workers.remove(worker);
     }
 
+    /// The store's loads are used up by others: the worker is ordered at a later look.
+    pub fn load_deferred(&mut self, now: Millis, worker: &str) {
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.drain(now);
+        }
+    }
+
     /// An order was turned away, or has no known end.
     pub fn order_failed(&mut self, worker: &str) {
         if let Some(worker) = self.workers.get_mut(worker) {
@@ -173,8 +229,15 @@
     /// A generation ended: what the ledger is to hear of it.
     pub fn ended(&mut self, end: DrawEnd, ledger: &Ledger) -> Vec<Action> {
         let Draw { step, epoch, prompt, worker, version, .. } = end.draw;
-        self.under_way.remove(&(prompt, worker.clone()));
-        let Some(versions) = end.versions else { return Vec::new() };
+        let known = self.under_way.remove(&(prompt, worker.clone()));
+        let versions = match end.outcome {
+            DrawOutcome::Complete(versions) => versions,
+            DrawOutcome::Over => return Vec::new(),
+            DrawOutcome::Unknown => {
+                self.lingering.extend(known);
+                return Vec::new();
+            }
+        };
         let reason = match versions.single() {
             Some(drawn) if drawn == version => None,
             Some(_) => Some(LeaveReason::OtherVersion),
@@ -192,16 +255,39 @@
 
     /// Time has passed, or something came: what is to be done now.
     pub fn tick(&mut self, now: Millis, ledger: &Ledger) -> Vec<Action> {
+        self.tick_within(now, ledger, usize::MAX)
+    }
+
+    /// The same, with no more generations begun than there are heads for.
+    pub fn tick_within(&mut self, now: Millis, ledger: &Ledger, most_draws: usize) -> Vec<Action> {
         self.under_way.retain(|_, draw| now < draw.until);
+        self.lingering.retain(|draw| now < draw.until);
         let Some(step) = ledger.current(&self.model) else { return Vec::new() };
+        if self.is_overdue(now, step) {
+            return self.propose_once(step, StepState::Aborted, None, Command::Abort { step: step.number });
+        }
         match step.state() {
             StepState::Announced | StepState::Preparing => self.prepare(now, step),
-            StepState::Open => self.draw(now, step),
+            StepState::Open => self.draw(now, step, most_draws),
             StepState::Sealing => self.seal(now, step),
             StepState::Sealed | StepState::Aborted => Vec::new(),
         }
     }
 
+    /// Whether the trainer's time for the step is over. What is being sealed is sealed.
+    fn is_overdue(&mut self, now: Millis, step: &Step) -> bool {
+        let since = match self.seen {
+            Some((number, since)) if number == step.number => since,
+            _ => {
+                self.seen = Some((step.number, now));
+                self.drawn_again.clear();
+                now
+            }
+        };
+        let deadline = step.request.deadline_ms.filter(|_| step.state() != StepState::Sealing);
+        deadline.is_some_and(|deadline| now >= since + deadline)
+    }
+
     fn propose_once(
         &mut self,
         step: &Step,
@@ -317,7 +403,7 @@
             return Vec::new();
         }
         // Whoever may still draw for the step before has run out of time.
-        if now < self.strangers_until || !self.under_way.is_empty() {
+        if now < self.strangers_until || self.under_way() > 0 {
             return Vec::new();
         }
         let command = Command::Begin { step: step.number, members: verified };
@@ -326,7 +412,7 @@
 
     // ---- drawing ----
 
-    fn draw(&mut self, now: Millis, step: &Step) -> Vec<Action> {
+    fn draw(&mut self, now: Millis, step: &Step, most: usize) -> Vec<Action> {
         let mut actions = self.leavers(now, step);
         let (Some(epoch), Some(version)) = (step.epoch, step.version) else { return actions };
         if !step.holds_floor() {
@@ -335,13 +421,16 @@
         let drawn_for: BTreeSet<PromptId> = self.under_way.keys().map(|(prompt, _)| *prompt).collect();
         let mut missing = step.missing().filter(|prompt| !drawn_for.contains(prompt));
         let mut free: Vec<(u32, WorkerId)> = self.free_slots(now, step, version);
-        while let Some(place) = free.iter().position(|(slots, _)| *slots > 0) {
+        for _ in 0..most {
+            let Some(place) = free.iter().position(|(slots, _)| *slots > 0) else { break };
             let Some(prompt) = missing.next() else { break };
             free[place].0 -= 1;
             let worker = free[place].1.clone();
             free.rotate_left(1);
             let within = self.settings.generation_ms;
-            self.under_way.insert((prompt, worker.clone()), UnderWay { until: now + within });
+            let until = now + self.settings.begin_ms + within;
+            self.under_way.insert((prompt, worker.clone()), UnderWay { until });
+            *self.drawn_again.entry(prompt).or_default() += 1;
             actions.push(Action::Draw(Draw { step: step.number, epoch, prompt, worker, version, within }));
         }
         actions
@@ -391,7 +480,7 @@
     // ---- sealing ----
 
     fn seal(&mut self, now: Millis, step: &Step) -> Vec<Action> {
-        if !self.under_way.is_empty() || now < self.strangers_until {
+        if self.under_way() > 0 || now < self.strangers_until {
             return Vec::new();
         }
         self.propose_once(step, StepState::Sealed, None, Command::Seal { step: step.number })
@@ -413,7 +502,7 @@
             StepState::Open if !step.holds_floor() => Some(Waits::Floor),
             StepState::Open if step.missing().next().is_some() => Some(Waits::Generations),
             StepState::Open => Some(Waits::Trainer),
-            StepState::Sealing if !self.under_way.is_empty() => Some(Waits::Generations),
+            StepState::Sealing if self.under_way() > 0 => Some(Waits::Generations),
             _ => Some(Waits::Deadlines),
         }
     }
--- a/crates/rollout/src/ledger.rs
+++ b/crates/rollout/src/ledger.rs
@@ -208,6 +208,17 @@
         }
     }
 
+    /// Forgets the oldest steps that are over, but for so many of them. A key that is forgotten may be used again.
+    pub fn forget_old(&mut self, kept: usize) {
+        let over: Vec<StepNumber> =
+            self.steps.values().filter(|step| step.state().is_final()).map(|step| step.number).collect();
+        for number in &over[..over.len().saturating_sub(kept.max(1))] {
+            if let Some(step) = self.steps.remove(number) {
+                self.by_key.remove(&step.request.key);
+            }
+        }
+    }
+
     fn announce(&mut self, request: &StepRequest) -> Result<Applied, Refusal> {
         if let Some(number) = self.by_key.get(&request.key) {
             let same = self.steps.get(number).is_some_and(|step| step.request == *request);
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -9,7 +9,9 @@
 //! * [`evidence`]: which versions an answer says that it was drawn from.
 //! * [`change_over`]: which workers drain and load next, beside serving.
 //! * [`conductor`]: what the leader does about the steps: orders, generations, and commands for the ledger.
+//! * [`audit`]: an independent look at what engines drew and what trainers were told.
 
+pub mod audit;
 pub mod change_over;
 pub mod conductor;
 pub mod evidence;
--- a/crates/rollout/src/step.rs
+++ b/crates/rollout/src/step.rs
@@ -1,6 +1,6 @@
 //! A step and its states.
 
-use crate::{Epoch, PromptId, StepNumber, Version, WorkerId};
+use crate::{Epoch, Millis, PromptId, StepNumber, Version, WorkerId};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -13,17 +13,63 @@
     Exactly(Version),
 }
 
+/// How many of the workers that could take part in a step should.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WorkersWanted {
+    /// All that hold the model.
+    All,
+    /// So many.
+    Count(u32),
+    /// So many in a thousand of those that hold the model, one at least.
+    Permille(u16),
+}
+
+impl WorkersWanted {
+    /// How many these are where so many hold the model.
+    pub fn of(self, holders: usize) -> usize {
+        match self {
+            WorkersWanted::All => holders,
+            WorkersWanted::Count(count) => count as usize,
+            WorkersWanted::Permille(permille) => (holders * usize::from(permille)).div_ceil(1_000).max(1),
+        }
+    }
+}
+
 /// What a trainer asks for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StepRequest {
     /// The trainer's own name for the call: the same call again is the same step.
     pub key: String,
-    /// The model.
+    /// The service whose bricks are the workers.
+    pub backend: String,
+    /// The model. Steps of one model go one after the other.
     pub model: String,
     /// The version.
     pub version: WantedVersion,
+    /// Workers that should take part.
+    pub workers: WorkersWanted,
     /// The step goes on with no fewer workers than these.
     pub floor: u32,
+    /// Where workers take the prompts, as a path.
+    pub path: String,
+    /// The step is given up when it is not sealed so long after its leader saw it first, milliseconds.
+    pub deadline_ms: Option<Millis>,
+}
+
+impl StepRequest {
+    /// A step with the newest version, by all workers that hold the model, without a deadline.
+    pub fn new(key: &str, model: &str, floor: u32) -> StepRequest {
+        StepRequest {
+            key: key.to_owned(),
+            backend: String::new(),
+            model: model.to_owned(),
+            version: WantedVersion::Newest,
+            workers: WorkersWanted::All,
+            floor,
+            path: "/".to_owned(),
+            deadline_ms: None,
+        }
+    }
 }
 
 /// Where a step stands.
--- a/crates/rollout/src/worker.rs
+++ b/crates/rollout/src/worker.rs
@@ -7,7 +7,9 @@
 pub struct WorkerReport {
     /// The incarnation.
     pub worker: WorkerId,
-    /// Versions of the model that it holds; empty: it does not hold it.
+    /// Its zone.
+    pub zone: String,
+    /// The version of the model that it holds; `None`: it does not hold it.
     pub holds: Option<Version>,
     /// An order is under way.
     pub busy: bool,
@@ -116,6 +118,11 @@
         matches!(self.state, WorkerState::Serving | WorkerState::Verified(_))
     }
 
+    /// Whether requests of the model would miss it.
+    pub fn serves_model(&self) -> bool {
+        self.serves() && self.report.holds.is_some()
+    }
+
     /// Whether it can draw from a version now, as far as its own fresh word says.
     pub fn is_verified(&self, now: Millis, version: Version) -> bool {
         self.state == WorkerState::Verified(version) && now < self.heard + FRESH_FOR
--- a/crates/rollout/tests/ledger.rs
+++ b/crates/rollout/tests/ledger.rs
@@ -10,7 +10,7 @@
 const VERSION: u64 = 7;
 
 fn request(key: &str) -> StepRequest {
-    StepRequest { key: key.into(), model: "m".into(), version: WantedVersion::Newest, floor: 2 }
+    StepRequest::new(key, "m", 2)
 }
 
 fn workers(names: &[&str]) -> BTreeSet<String> {
@@ -213,3 +213,17 @@
     let mut ledger = Ledger::default();
     assert_eq!(ledger.apply(1, &Command::Seal { step: 4 }), Err(Refusal::UnknownStep(4)));
 }
+
+#[test]
+fn the_oldest_steps_that_are_over_are_forgotten() {
+    let mut ledger = Ledger::default();
+    for (number, key) in (1..=4).zip(["one", "two", "three", "four"]) {
+        ledger.apply(number, &Command::Announce(request(key))).unwrap();
+        ledger.apply(10 + number, &Command::Abort { step: number }).unwrap();
+    }
+    ledger.apply(20, &Command::Announce(request("five"))).unwrap();
+    ledger.forget_old(2);
+    assert_eq!(ledger.steps().map(|step| step.number).collect::<Vec<_>>(), [3, 4, 5]);
+    assert_eq!(ledger.apply(21, &Command::Announce(request("four"))), Ok(Applied::Step(4)));
+    assert_eq!(ledger.apply(22, &Command::Announce(request("one"))), Ok(Applied::Step(6)), "a new step");
+}
--- a/crates/rollout/tests/search.rs
+++ b/crates/rollout/tests/search.rs
@@ -5,10 +5,10 @@
 //! `SEARCH_DEEPER=N` goes N events deeper.
 
 use pathbank_rollout::change_over::Bounds;
-use pathbank_rollout::conductor::{Action, Conductor, Draw, DrawEnd, Settings};
+use pathbank_rollout::conductor::{Action, Conductor, Draw, DrawEnd, DrawOutcome, Settings};
 use pathbank_rollout::evidence::VersionTrail;
 use pathbank_rollout::ledger::{Command, Ledger};
-use pathbank_rollout::step::{StepRequest, StepState, WantedVersion};
+use pathbank_rollout::step::{StepRequest, StepState};
 use pathbank_rollout::worker::WorkerReport;
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeSet, HashSet};
@@ -23,6 +23,7 @@
     Settings {
         change_over: Bounds { serving_floor: 0, loads_per_s: 1_000.0, drain_ms: 0 },
         generation_ms: WITHIN,
+        begin_ms: 0,
         lease_ms: 0,
         serving_slots: 0,
         straggler_ms: 0,
@@ -55,6 +56,8 @@
     fn report(&self) -> WorkerReport {
         WorkerReport {
             worker: self.id(),
+            // Each in a zone of its own, so that both may change at once.
+            zone: self.number.to_string(),
             holds: Some(self.version),
             busy: self.loading,
             sequence: self.sequence,
@@ -132,12 +135,7 @@
             fault: None,
         };
         for number in 1..=STEPS {
-            let request = StepRequest {
-                key: format!("{number}"),
-                model: MODEL.into(),
-                version: WantedVersion::Newest,
-                floor: 1,
-            };
+            let request = StepRequest::new(&number.to_string(), MODEL, 1);
             world.apply(&Command::Announce(request));
             world.apply(&Command::Submit { step: number, prompts: BTreeSet::from([number]) });
         }
@@ -281,7 +279,7 @@
         let Some(worker) = worker
             .filter(|worker| worker.version == draw.version && !worker.loading && worker.running.is_none())
         else {
-            self.ends.push(DrawEnd { draw, versions: None, tokens: 0 });
+            self.ends.push(DrawEnd { draw, outcome: DrawOutcome::Over, tokens: 0 });
             return;
         };
         let state = self.ledger.step(draw.step).map(|step| step.state());
@@ -301,7 +299,7 @@
         let mut trail = VersionTrail::begin(running.versions.first().copied());
         running.versions.iter().for_each(|version| trail.event(*version));
         trail.finish();
-        self.ends.push(DrawEnd { draw: running.draw, versions: Some(trail), tokens: 1 });
+        self.ends.push(DrawEnd { draw: running.draw, outcome: DrawOutcome::Complete(trail), tokens: 1 });
     }
 
     fn check(&self) -> Option<String> {
--- a/crates/rollout/tests/steps/engine.rs
+++ b/crates/rollout/tests/steps/engine.rs
@@ -75,6 +75,7 @@
     pub fn report(&self) -> WorkerReport {
         WorkerReport {
             worker: self.id(),
+            zone: "z".into(),
             holds: self.version,
             busy: self.loading.is_some(),
             sequence: self.sequence,
--- a/crates/rollout/tests/steps/main.rs
+++ b/crates/rollout/tests/steps/main.rs
@@ -1,7 +1,6 @@
 //! Steps in virtual time: the real deciding parts, engines that load and draw as the published protocol has it, merchants
 //! who are served meanwhile, faults at seeded moments, and an auditor that reads only what engines and trainers saw.
 
-mod auditor;
 mod engine;
 mod world;
 
--- a/crates/rollout/tests/steps/world.rs
+++ b/crates/rollout/tests/steps/world.rs
@@ -3,12 +3,12 @@
 // The tests and the example each use a part.
 #![allow(dead_code)]
 
-use super::auditor::{Audit, Drawn, Told, audit};
 use super::engine::{DRAW_MS, Engine, LOAD_MS, MERCHANT_MS, Running};
+use pathbank_rollout::audit::{Audit, Drawn, Told, audit};
 use pathbank_rollout::change_over::{self, Bounds};
-use pathbank_rollout::conductor::{Action, Conductor, Draw, DrawEnd, Settings, Waits};
+use pathbank_rollout::conductor::{Action, Conductor, Draw, DrawEnd, DrawOutcome, Settings, Waits};
 use pathbank_rollout::ledger::{Applied, Command, Ledger};
-use pathbank_rollout::step::{StepRequest, StepState, WantedVersion};
+use pathbank_rollout::step::{StepRequest, StepState};
 use std::collections::{BTreeMap, BTreeSet};
 
 const STEP_MS: u64 = 10;
@@ -172,6 +172,7 @@
         Settings {
             change_over: self.bounds(),
             generation_ms: GENERATION_MS,
+            begin_ms: 0,
             lease_ms: LEASE_MS,
             serving_slots: 2,
             straggler_ms: 3_000,
@@ -274,7 +275,8 @@
         let lost: Vec<Running> = std::mem::take(&mut self.engines[at].running);
         for running in lost {
             self.note_drawn(&running, &self.engines[at].id(), false);
-            self.ends.push((now + 50, DrawEnd { draw: running.draw, versions: None, tokens: 0 }));
+            let outcome = DrawOutcome::Over;
+            self.ends.push((now + 50, DrawEnd { draw: running.draw, outcome, tokens: 0 }));
         }
         let id = self.engines[at].id();
         if let Some(conductor) = &mut self.conductor {
@@ -358,8 +360,8 @@
                 let (trail, id) = (engine.trail(now, &running), engine.id());
                 self.note_drawn(&running, &id, complete);
                 let delay = if self.late_results { 3_000 } else { 20 };
-                let versions = heard.then_some(trail);
-                self.ends.push((now + delay, DrawEnd { draw: running.draw, versions, tokens: 100 }));
+                let outcome = if heard { DrawOutcome::Complete(trail) } else { DrawOutcome::Over };
+                self.ends.push((now + delay, DrawEnd { draw: running.draw, outcome, tokens: 100 }));
                 self.late_results = false;
             }
         }
@@ -375,8 +377,7 @@
         }
         let key = format!("step-{}-{}", self.told.len() + 1, self.attempt);
         let Some(step) = self.ledger.steps().rev().find(|step| step.request.key == key) else {
-            let request =
-                StepRequest { key, model: MODEL.into(), version: WantedVersion::Newest, floor: self.floor };
+            let request = StepRequest::new(&key, MODEL, self.floor);
             return self.propose(Command::Announce(request));
         };
         let (number, has_prompts, is_drawn) =
@@ -513,7 +514,7 @@
                     hears && engine.begin(now, &draw)
                 });
                 if !begun {
-                    self.ends.push((now + 20, DrawEnd { draw, versions: None, tokens: 0 }));
+                    self.ends.push((now + 20, DrawEnd { draw, outcome: DrawOutcome::Over, tokens: 0 }));
                 }
             }
         }
--- a/crates/rollout/tests/workers.rs
+++ b/crates/rollout/tests/workers.rs
@@ -7,7 +7,8 @@
 const BOUNDS: Bounds = Bounds { serving_floor: 7, loads_per_s: 2.0, drain_ms: 400 };
 
 fn report(number: usize, holds: Option<u64>, sequence: u64) -> WorkerReport {
-    WorkerReport { worker: format!("w{number}"), holds, busy: false, sequence, active: 0, capacity: 8 }
+    let (worker, zone) = (format!("w{number}"), "z".to_owned());
+    WorkerReport { worker, zone, holds, busy: false, sequence, active: 0, capacity: 8 }
 }
 
 fn workers(count: usize) -> BTreeMap<String, Worker> {
@@ -126,3 +127,26 @@
     assert_eq!(time_bound(&quick, 10, 10, 800), 4 * 1_200, "by waves of three");
     assert_eq!(time_bound(&quick, 10, 0, 800), 1_200, "nobody has to load");
 }
+
+#[test]
+fn a_zone_with_several_workers_keeps_one_that_serves() {
+    // Given two workers in one zone and one in another, none of which has to stay for the floor.
+    let bounds = Bounds { serving_floor: 0, loads_per_s: 100.0, drain_ms: 0 };
+    let mut workers = workers(3);
+    let alone = WorkerReport { zone: "other".into(), ..report(2, Some(1), 0) };
+    workers.insert("w2".into(), Worker::new(0, alone));
+    let mut allowance = LoadAllowance::default();
+    let moves = plan(10, &bounds, &mut workers, &mut allowance, |worker| is_behind(worker, Some(2)));
+    assert_eq!(moves, [Move::Drain("w0".into()), Move::Drain("w2".into())]);
+}
+
+#[test]
+fn a_worker_that_does_not_hold_the_model_leaves_nobody_unserved() {
+    // Given a floor that all holders of the model are needed for.
+    let bounds = Bounds { serving_floor: 2, loads_per_s: 100.0, drain_ms: 0 };
+    let mut workers = workers(3);
+    workers.insert("w2".into(), Worker::new(0, report(2, None, 0)));
+    let mut allowance = LoadAllowance::default();
+    let moves = plan(10, &bounds, &mut workers, &mut allowance, |worker| is_behind(worker, Some(2)));
+    assert_eq!(moves, [Move::Drain("w2".into())]);
+}
