--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -129,6 +129,9 @@
     /// Loads that the weight store permits over all bricks.
     #[facet(default)]
     pub loads_per_s: f64,
+    /// Tokens that one event of a stream holds; 0: not told.
+    #[facet(default)]
+    pub stride: f64,
 }
 
 /// A model.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`autoscaling`]: how many bricks of a service run in each zone.
 //! * [`outliers`]: which bricks fail more than others, by what all heads saw.
 //! * [`placement`]: which brick is ordered to load or unload what.
+//! * [`training`]: training steps as part of the replicated state, with their prompts and generations.
 //! * [`usage`]: requests begun, by tenant and window.
 //! * [`result_code`]: the numbered results that callers get.
 
@@ -25,5 +26,6 @@
 pub mod result_code;
 pub mod routes;
 pub mod state;
+pub mod training;
 pub mod urgency;
 pub mod usage;
--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -3,6 +3,7 @@
 //! Demand decides: a model or adapter that clients wait for and no brick holds is loaded first; a model whose bricks are
 //! busy gets one more. Room is made by unloading what is asked for least, and never for something asked for less.
 
+mod training_hold;
 mod zones;
 
 use crate::configuration::{Backend, Configuration, Model, Runtime};
@@ -10,6 +11,7 @@
 use crate::directory::{HeldBefore, Millis};
 use pathbank_protocol::message::{Brick, LoadedModel};
 use std::collections::{BTreeMap, BTreeSet};
+pub use training_hold::TrainingHold;
 use zones::ZoneCopies;
 
 /// Of the loads that the weight store permits, so much is used.
@@ -134,6 +136,7 @@
     under_way: BTreeMap<String, Order>,
     reserved: BTreeMap<String, Reservation>,
     allowance: BTreeMap<String, LoadAllowance>,
+    training: TrainingHold,
 }
 
 /// What is planned for one service, with what is looked up often worked out once.
@@ -144,6 +147,8 @@
     bricks: Vec<&'a Brick>,
     demand: &'a DemandTable,
     held_before: &'a HeldBefore,
+    /// What training steps do with bricks meanwhile.
+    training: &'a TrainingHold,
     models: BTreeMap<&'a str, &'a Model>,
     /// Requests a second by model and adapter, what waits among them.
     rates: BTreeMap<ModelKey, f64>,
@@ -170,6 +175,7 @@
         bricks: Vec<&'a Brick>,
         demand: &'a DemandTable,
         held_before: &'a HeldBefore,
+        training: &'a TrainingHold,
     ) -> Plan<'a> {
         let models = runtime.models.iter().map(|model| (model.name.as_str(), model)).collect();
         let mut plan = Plan {
@@ -179,6 +185,7 @@
             bricks,
             demand,
             held_before,
+            training,
             models,
             rates: BTreeMap::new(),
             model_rates: BTreeMap::new(),
@@ -202,6 +209,14 @@
                 *self.adapter_holders.entry((&held.name, adapter)).or_default() += 1;
             }
         }
+        // A brick that changes versions will hold the model again: no other copy has to take its place.
+        let back_soon = self.bricks.iter().filter_map(|brick| {
+            let model = self.training.changing.get(&brick.instance)?;
+            loaded(brick, model).is_none().then_some(model.as_str())
+        });
+        for model in back_soon.collect::<Vec<_>>() {
+            *self.holders.entry(model).or_default() += 1;
+        }
     }
 
     fn work_out_rates(&mut self) {
@@ -232,6 +247,23 @@
         self.under_way.values()
     }
 
+    /// What training steps do with bricks from now on.
+    pub fn hold_for_training(&mut self, hold: TrainingHold) {
+        self.training = hold;
+    }
+
+    /// Takes a load of a training step out of the service's loads. Returns whether it may begin.
+    pub fn take_training_load(&mut self, now: Millis, backend: &str, loads_per_s: f64) -> bool {
+        let allowance = self.allowance.entry(backend.to_owned()).or_default();
+        allowance.fill(now, loads_per_s);
+        allowance.take(1.0)
+    }
+
+    /// Whether an order of placement is under way at a brick.
+    pub fn is_ordered(&self, instance: &str) -> bool {
+        self.under_way.contains_key(instance)
+    }
+
     /// The end of a brick's order is known, or nothing more will be heard of it.
     pub fn finished(&mut self, instance: &str) {
         self.under_way.remove(instance);
@@ -248,6 +280,7 @@
     ) -> Vec<Order> {
         let mut orders = Vec::new();
         self.reserved.retain(|_, reservation| now < reservation.until);
+        let training = self.training.clone();
         for backend in &configuration.backends {
             let Some(runtime) = backend.runtime.as_ref().filter(|runtime| !runtime.models.is_empty()) else {
                 continue;
@@ -255,7 +288,7 @@
             let mut allowance = self.allowance.get(&backend.name).copied().unwrap_or_default();
             allowance.fill(now, runtime.loads_per_s);
             let bricks = bricks.iter().filter(|brick| brick.backend == backend.name).collect();
-            let mut plan = Plan::new(now, backend, runtime, bricks, demand, held_before);
+            let mut plan = Plan::new(now, backend, runtime, bricks, demand, held_before, &training);
             plan.reserved_models(self, &mut allowance);
             plan.add_copies(self, &mut allowance);
             plan.adapters(self);
@@ -297,7 +330,8 @@
     }
 
     fn is_free(&self, placer: &Placer, brick: &Brick) -> bool {
-        !brick.busy && !placer.under_way.contains_key(&brick.instance)
+        let changes = self.training.changing.contains_key(&brick.instance);
+        !brick.busy && !changes && !placer.under_way.contains_key(&brick.instance)
     }
 
     fn is_loading(&self, placer: &Placer, model: &str, adapter: &str) -> bool {
@@ -523,8 +557,9 @@
         if left >= size {
             return Some((0.0, None));
         }
+        let may_go = brick.models.iter().filter(|held| !self.training.keeps(&brick.instance, &held.name));
         let mut held: Vec<(f64, &LoadedModel)> =
-            brick.models.iter().map(|held| (self.value(&held.name, &brick.zone), held)).collect();
+            may_go.map(|held| (self.value(&held.name, &brick.zone), held)).collect();
         held.sort_by(|(one, _), (other, _)| one.total_cmp(other));
         let mut cost = 0.0;
         let mut first = None;
--- a/crates/control/src/result_code.rs
+++ b/crates/control/src/result_code.rs
@@ -50,6 +50,28 @@
     Stopping = 308,
     /// No configuration is known yet.
     NoConfiguration = 309,
+    /// There is no such training step.
+    UnknownStep = 401,
+    /// The step's state does not allow it.
+    WrongStepState = 402,
+    /// An earlier step of the model is not over.
+    EarlierStep = 403,
+    /// The trainer's key names another request.
+    StepKeyTaken = 404,
+    /// Not the version that the step may draw from.
+    WrongVersion = 405,
+    /// Fewer workers hold the version than the step's floor.
+    BelowFloor = 406,
+    /// Prompts have no generation that counts.
+    MissingGenerations = 407,
+    /// The step's prompts would take more room than a step has.
+    StepTooLarge = 408,
+    /// The prompt's number stands for another prompt.
+    PromptTaken = 409,
+    /// So many steps are not over that no more are taken.
+    TooManySteps = 410,
+    /// What is asked of a step makes no sense.
+    BadStep = 411,
 }
 
 impl ResultCode {
@@ -65,11 +87,20 @@
             | ResultCode::VersionNotAbove
             | ResultCode::SharedKey
             | ResultCode::MissingBase
-            | ResultCode::BadRequest => 400,
+            | ResultCode::BadRequest
+            | ResultCode::BadStep => 400,
             ResultCode::UnknownKey => 401,
-            ResultCode::UnknownCall | ResultCode::NoRoute => 404,
+            ResultCode::UnknownCall | ResultCode::NoRoute | ResultCode::UnknownStep => 404,
+            ResultCode::WrongStepState
+            | ResultCode::EarlierStep
+            | ResultCode::StepKeyTaken
+            | ResultCode::WrongVersion
+            | ResultCode::BelowFloor
+            | ResultCode::MissingGenerations
+            | ResultCode::PromptTaken => 409,
             ResultCode::BaseMismatch => 412,
-            ResultCode::BodyTooLarge => 413,
+            ResultCode::BodyTooLarge | ResultCode::StepTooLarge => 413,
+            ResultCode::TooManySteps => 429,
             ResultCode::BrokenOff => 502,
             ResultCode::TimedOut => 504,
             ResultCode::Unclear => 500,
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -3,6 +3,8 @@
 use crate::configuration::{self, Rejection};
 use crate::document;
 use crate::result_code::ResultCode;
+use crate::training::{TrainingCommand, TrainingState};
+use pathbank_rollout::StepNumber;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -42,6 +44,8 @@
         /// Requests by tenant.
         counts: BTreeMap<String, u64>,
     },
+    /// About a training step.
+    Training(TrainingCommand),
 }
 
 impl Command {
@@ -63,6 +67,8 @@
     Now,
     /// It was taken before.
     Before,
+    /// It is this training step.
+    Step(StepNumber),
 }
 
 /// A change that was taken.
@@ -84,6 +90,9 @@
     sealed: BTreeMap<u64, BTreeMap<String, u64>>,
     /// The highest window that was ever sealed.
     last_sealed: u64,
+    /// Training steps; a snapshot of an earlier program has none.
+    #[serde(default)]
+    training: TrainingState,
 }
 
 impl ControlState {
@@ -117,6 +126,11 @@
         self.last_sealed
     }
 
+    /// Training steps.
+    pub fn training(&self) -> &TrainingState {
+        &self.training
+    }
+
     /// What would come of a change on this state, without making it: the new document, or that it was taken before.
     pub fn judge(&self, change: &Change) -> Result<Option<Value>, Rejection> {
         let body = document::parse_document(change.body.as_bytes())?;
@@ -158,6 +172,7 @@
                 }
                 Ok(Accepted::Now)
             }
+            Command::Training(command) => self.training.apply(index, command),
         }
     }
 
--- a/crates/control/tests/bricks.rs
+++ b/crates/control/tests/bricks.rs
@@ -3,7 +3,7 @@
 use pathbank_control::configuration::{Backend, Configuration, Model, Runtime};
 use pathbank_control::demand::{DemandTable, ModelKey};
 use pathbank_control::directory::{Directory, HeldBefore};
-use pathbank_control::placement::{Operation, Order, Placer};
+use pathbank_control::placement::{Operation, Order, Placer, TrainingHold};
 use pathbank_control::usage::{SETTLE_MS, SealRule, UsageLedger};
 use pathbank_protocol::message::{Brick, BrickState, EdgeReport, LoadedModel, ModelDemand, UsageWindow};
 
@@ -180,6 +180,7 @@
         weights_mb: 220_000.0,
         max_adapters: 2,
         loads_per_s: 4.0,
+        stride: 3.0,
     };
     let backend = Backend {
         name: "llm".into(),
@@ -452,3 +453,34 @@
     assert!(demand.waiting(20_500, &key) > 0.0);
     assert_eq!(demand.waiting(25_000, &key), 0.0);
 }
+
+// ---- placement around training steps ----
+
+#[test]
+fn a_brick_that_changes_versions_gets_no_order_and_counts_as_a_copy() {
+    // Given two bricks with a model of which one is being brought to another version, when the model is asked for,
+    let mut story = Story::given(&["a", "b", "c"], &[&["a"], &["b"], &["c"]]);
+    let changing = [("i-1".to_owned(), "a".to_owned())].into();
+    story.placer.hold_for_training(TrainingHold { changing, ..TrainingHold::default() });
+    story.when_asked(3_000, &[("b", 1)]);
+    // then nothing is ordered at that brick, and the others make up for demand alone.
+    assert!(story.orders.iter().all(|(_, order)| order.instance != "i-1"), "{:?}", story.orders);
+}
+
+#[test]
+fn a_model_that_draws_for_a_step_makes_room_for_nothing() {
+    // Given a brick full of models that nobody asks for, one of which draws for a step,
+    let mut story = Story::given(&["a", "b", "c", "d"], &[&["a", "b", "c"]]);
+    let kept = [("i-0".to_owned(), ["a".to_owned()].into())].into();
+    story.placer.hold_for_training(TrainingHold { kept, ..TrainingHold::default() });
+    // when another model is asked for, then one of the others goes for it.
+    story.when_asked(3_000, &[("d", 4)]);
+    assert_eq!((story.copies("a"), story.copies("d")), (1, 1), "{:?}", story.orders);
+}
+
+#[test]
+fn loads_of_steps_and_of_placement_share_the_services_loads() {
+    let mut placer = Placer::new();
+    let taken = (0..10_000).step_by(50).filter(|now| placer.take_training_load(*now, "llm", 2.0)).count();
+    assert!((18..=22).contains(&taken), "two a second: {taken}");
+}
--- /dev/null
+++ b/crates/control/tests/training.rs
@@ -0,0 +1,190 @@
+//! Training steps as part of the replicated state: content, its bounds, and snapshots.
+
+use pathbank_control::result_code::ResultCode;
+use pathbank_control::state::{Accepted, Command, ControlState};
+use pathbank_control::training::{
+    MOST_OPEN_STEPS, MOST_OUTPUT_BYTES, MOST_PROMPT_BYTES, Output, Prompt, TrainingCommand,
+};
+use pathbank_rollout::evidence::VersionTrail;
+use pathbank_rollout::ledger::{Command as StepCommand, Generation, Refusal};
+use pathbank_rollout::step::{StepRequest, StepState};
+use std::collections::{BTreeMap, BTreeSet};
+use test_case::test_case;
+
+fn prompt(body: &str) -> Prompt {
+    Prompt { body: body.into(), input_tokens: 3, output_tokens: 9, prefix: String::new() }
+}
+
+/// A state, and the entries of its log.
+#[derive(Default)]
+struct World {
+    state: ControlState,
+    index: u64,
+}
+
+impl World {
+    fn take(&mut self, command: TrainingCommand) -> Result<Accepted, ResultCode> {
+        self.index += 1;
+        let command =
+            Command::decode(&Command::Training(command).encode()).expect("it is read as it was written");
+        self.state.apply(self.index, &command).map_err(|rejection| rejection.code)
+    }
+
+    fn ledger(&mut self, command: StepCommand) -> Result<Accepted, ResultCode> {
+        self.take(TrainingCommand::Ledger(command))
+    }
+
+    fn announce(&mut self, key: &str) -> Result<Accepted, ResultCode> {
+        self.ledger(StepCommand::Announce(StepRequest::new(key, "m", 1)))
+    }
+
+    fn submit(&mut self, step: u64, prompts: &[(u64, &str)]) -> Result<Accepted, ResultCode> {
+        let prompts: BTreeMap<u64, Prompt> = prompts.iter().map(|(id, body)| (*id, prompt(body))).collect();
+        self.take(TrainingCommand::Submit { step, prompts })
+    }
+
+    fn open(&mut self, step: u64) {
+        self.ledger(StepCommand::FixVersion { step, version: 7 }).unwrap();
+        self.ledger(StepCommand::Begin { step, members: BTreeSet::from(["w".into()]) }).unwrap();
+    }
+
+    fn record(&mut self, step: u64, prompt: u64, text: String) -> Result<Accepted, ResultCode> {
+        let epoch = self.state.training().ledger().step(step).and_then(|step| step.epoch).unwrap_or(0);
+        let mut versions = VersionTrail::begin(Some(7));
+        versions.finish();
+        let generation = Generation { step, epoch, prompt, worker: "w".into(), versions, tokens: 9 };
+        self.take(TrainingCommand::Record { generation, output: Output { text, truncated: false } })
+    }
+}
+
+#[test]
+fn a_step_keeps_its_prompts_and_what_was_drawn() {
+    let mut world = World::default();
+    assert_eq!(world.announce("one"), Ok(Accepted::Step(1)));
+    assert_eq!(world.submit(1, &[(1, "a"), (2, "b")]), Ok(Accepted::Now));
+    assert_eq!(world.submit(1, &[(2, "b")]), Ok(Accepted::Before), "the same again");
+    world.open(1);
+    assert_eq!(world.record(1, 2, "text".into()), Ok(Accepted::Now));
+    let training = world.state.training();
+    assert_eq!(training.prompt(1, 1), Some(&prompt("a")));
+    assert_eq!(training.output(1, 2).map(|output| output.text.as_str()), Some("text"));
+    assert_eq!(training.changed(1), world.index);
+    let back = ControlState::decode(&world.state.encode()).expect("a snapshot");
+    assert_eq!(back.training(), world.state.training());
+}
+
+#[test]
+fn a_snapshot_of_an_earlier_program_has_no_steps() {
+    let earlier = br#"{"document":null,"index":0,"version":0,"taken":[],"sealed":{},"last_sealed":4}"#;
+    let state = ControlState::decode(earlier).expect("it is read");
+    assert_eq!((state.last_sealed(), state.training().ledger().steps().count()), (4, 0));
+}
+
+#[test]
+fn a_number_that_stands_for_another_prompt_changes_nothing() {
+    let mut world = World::default();
+    world.announce("one").unwrap();
+    world.submit(1, &[(1, "a")]).unwrap();
+    assert_eq!(world.submit(1, &[(1, "other"), (2, "b")]), Err(ResultCode::PromptTaken));
+    assert_eq!(world.state.training().prompt(1, 2), None);
+    assert_eq!(world.state.training().prompt(1, 1), Some(&prompt("a")));
+}
+
+#[test]
+fn prompts_beyond_a_steps_room_are_refused_whole() {
+    let mut world = World::default();
+    world.announce("one").unwrap();
+    let half = "x".repeat(MOST_PROMPT_BYTES / 2 + 1);
+    assert_eq!(world.submit(1, &[(1, &half)]), Ok(Accepted::Now));
+    assert_eq!(world.submit(1, &[(2, &half), (3, "b")]), Err(ResultCode::StepTooLarge));
+    assert_eq!(world.state.training().prompt(1, 3), None);
+    assert_eq!(world.submit(1, &[(3, "b")]), Ok(Accepted::Now));
+}
+
+#[test]
+fn generations_beyond_the_room_count_without_their_text() {
+    let mut world = World::default();
+    world.announce("one").unwrap();
+    world.submit(1, &[(1, "a"), (2, "b")]).unwrap();
+    world.open(1);
+    world.record(1, 1, "x".repeat(MOST_OUTPUT_BYTES)).unwrap();
+    world.record(1, 2, "y".into()).unwrap();
+    let training = world.state.training();
+    assert_eq!(training.output(1, 2), Some(&Output { text: String::new(), truncated: true }));
+    assert_eq!(training.ledger().step(1).map(|step| step.counts.counted), Some(2));
+}
+
+#[test]
+fn no_more_steps_than_that_are_taken_at_once() {
+    let mut world = World::default();
+    for number in 0..MOST_OPEN_STEPS {
+        world.announce(&format!("{number}")).unwrap();
+    }
+    assert_eq!(world.announce("more"), Err(ResultCode::TooManySteps));
+    assert_eq!(world.announce("0"), Ok(Accepted::Step(1)), "one that stands is told again");
+    world.ledger(StepCommand::Abort { step: 1 }).unwrap();
+    assert_eq!(world.announce("more"), Ok(Accepted::Step(MOST_OPEN_STEPS as u64 + 1)));
+}
+
+#[test]
+fn what_old_steps_said_goes_and_their_counts_stay() {
+    let mut world = World::default();
+    for number in 1..=6 {
+        world.announce(&format!("{number}")).unwrap();
+        world.submit(number, &[(1, "a")]).unwrap();
+        world.ledger(StepCommand::Abort { step: number }).unwrap();
+    }
+    let training = world.state.training();
+    let kept: Vec<u64> = (1..=6).filter(|step| training.prompt(*step, 1).is_some()).collect();
+    assert_eq!(kept, [3, 4, 5, 6]);
+    assert!((1..=6).all(|step| training.ledger().step(step).is_some_and(|step| step.counts.submitted == 1)));
+}
+
+#[test]
+fn a_thousand_steps_leave_no_more_than_the_last_ones() {
+    let mut world = World::default();
+    for number in 1..=1_000 {
+        world.announce(&format!("{number}")).unwrap();
+        world.submit(number, &[(1, "a")]).unwrap();
+        world.open(number);
+        world.record(number, 1, "text".into()).unwrap();
+        world.ledger(StepCommand::Close { step: number, allow_missing: false }).unwrap();
+        world.ledger(StepCommand::Seal { step: number }).unwrap();
+    }
+    let bytes = world.state.encode().len();
+    assert!(bytes < 100_000, "{bytes} bytes of a snapshot");
+    let last = world.state.training().ledger().step(1_000).map(|step| step.state());
+    assert_eq!(last, Some(StepState::Sealed));
+}
+
+#[test_case(StepCommand::Seal { step: 9 }, ResultCode::UnknownStep; "no such step")]
+#[test_case(StepCommand::Seal { step: 1 }, ResultCode::WrongStepState; "it is not being sealed")]
+#[test_case(StepCommand::FixVersion { step: 2, version: 1 }, ResultCode::EarlierStep; "an earlier one is not over")]
+#[test_case(StepCommand::Close { step: 1, allow_missing: false }, ResultCode::MissingGenerations; "a prompt has no generation")]
+#[test_case(StepCommand::Announce(StepRequest::new("one", "n", 1)), ResultCode::StepKeyTaken; "the key is another step's")]
+fn a_refusal_has_a_number_and_changes_nothing(command: StepCommand, code: ResultCode) {
+    let mut world = World::default();
+    world.announce("one").unwrap();
+    world.announce("two").unwrap();
+    world.submit(1, &[(1, "a")]).unwrap();
+    let before = world.state.training().clone();
+    assert_eq!(world.ledger(command), Err(code));
+    assert_eq!(*world.state.training(), before);
+    assert!((400..500).contains(&code.status()));
+}
+
+#[test]
+fn every_refusal_has_a_number_of_its_own() {
+    let state = StepState::Open;
+    let refusals = [
+        Refusal::UnknownStep(1),
+        Refusal::WrongState { step: 1, state },
+        Refusal::EarlierStep(1),
+        Refusal::KeyTaken(1),
+        Refusal::WrongVersion(1),
+        Refusal::BelowFloor { present: 1, floor: 2 },
+        Refusal::Missing(1),
+    ];
+    let numbers: BTreeSet<u16> = refusals.iter().map(|refusal| ResultCode::from(refusal).number()).collect();
+    assert_eq!(numbers, (401..=407).collect());
+}
--- a/crates/protocol/schema/internal.capnp
+++ b/crates/protocol/schema/internal.capnp
@@ -202,6 +202,84 @@
   waitMs @2 :UInt32;
 }
 
+# Generations of a training step wait: the edge may ask for so many.
+struct DrawOffer {
+  count @0 :UInt32;
+}
+
+# An edge takes so many. Whatever it is given begins before so long after it asked, by the edge's own clock.
+struct DrawRequest {
+  askedAt @0 :UInt64;
+  count @1 :UInt32;
+}
+
+# What names a generation.
+struct DrawId {
+  step @0 :UInt64;
+  epoch @1 :UInt64;
+  prompt @2 :UInt64;
+  instance @3 :Text;
+  version @4 :UInt64;
+}
+
+struct DrawTask {
+  id @0 :DrawId;
+  address @1 :Text;
+  model @2 :Text;
+  path @3 :Text;
+  body @4 :Text;
+  inputTokens @5 :UInt64;
+  outputTokens @6 :UInt64;
+  prefix @7 :Text;
+  # It is over so long after it began, milliseconds.
+  withinMs @8 :UInt64;
+  # Tokens that one event of the answer holds.
+  eventTokens @9 :UInt32;
+}
+
+struct DrawGrant {
+  # From the request.
+  askedAt @0 :UInt64;
+  # Nothing of it begins later than so long after the edge asked, milliseconds.
+  beginMs @1 :UInt64;
+  tasks @2 :List(DrawTask);
+}
+
+struct DrawResult {
+  id @0 :DrawId;
+  withinMs @1 :UInt64;
+  union {
+    complete :group {
+      # The version that the answer's head told; 0 with hasHead false: none.
+      head @2 :UInt64;
+      hasHead @3 :Bool;
+      # Versions that events told, in order.
+      events @4 :List(UInt64);
+      tokens @5 :UInt64;
+      text @6 :Text;
+      truncated @7 :Bool;
+    }
+    # It did not run, or runs no more.
+    over @8 :Void;
+    # The worker may draw on until its time is over.
+    unknown @9 :Void;
+  }
+}
+
+# Versions of a model in training.
+struct ModelVersions {
+  backend @0 :Text;
+  model @1 :Text;
+  # Of the step that is open; 0: none is.
+  open @2 :UInt64;
+  # Of the last step that was sealed; 0: none was.
+  sealed @3 :UInt64;
+}
+
+struct ModelVersionList {
+  models @0 :List(ModelVersions);
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -217,5 +295,10 @@
     loads @10 :BrickLoads;
     admissionRequest @11 :AdmissionRequest;
     admissionGrant @12 :AdmissionGrant;
+    drawOffer @13 :DrawOffer;
+    drawRequest @14 :DrawRequest;
+    drawGrant @15 :DrawGrant;
+    drawResult @16 :DrawResult;
+    modelVersions @17 :ModelVersionList;
   }
 }
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -1,5 +1,10 @@
 //! What the processes say to each other, as plain types.
 
+mod draw;
+
+pub use draw::{
+    DrawEnding, DrawGrant, DrawId, DrawOffer, DrawRequest, DrawResult, DrawTask, DrawnAnswer, ModelVersions,
+};
 use pathbank_coordination::types::{Member, Message};
 
 /// One message between two processes.
@@ -31,6 +36,16 @@
     AdmissionRequest(AdmissionRequest),
     /// The leader's answer.
     AdmissionGrant(AdmissionGrant),
+    /// The leader has generations of a training step to be drawn.
+    DrawOffer(DrawOffer),
+    /// An edge asks for some.
+    DrawRequest(DrawRequest),
+    /// The leader gives them.
+    DrawGrant(DrawGrant),
+    /// An edge tells how one ended.
+    DrawResult(DrawResult),
+    /// Versions of models in training.
+    ModelVersions(Vec<ModelVersions>),
 }
 
 /// What a process is.
--- a/crates/protocol/src/read.rs
+++ b/crates/protocol/src/read.rs
@@ -1,5 +1,7 @@
 //! From Cap'n Proto to plain types.
 
+mod draw;
+
 use crate::codec::DecodeError;
 use crate::internal_capnp as wire;
 use crate::message::*;
@@ -59,6 +61,18 @@
             let (request, option) = (grant.get_request(), grant.get_option());
             Frame::AdmissionGrant(AdmissionGrant { request, option, wait_ms: grant.get_wait_ms() })
         }
+        Which::DrawOffer(offer) => Frame::DrawOffer(DrawOffer { count: offer?.get_count() }),
+        Which::DrawRequest(request) => {
+            let request = request?;
+            let (asked_at, count) = (request.get_asked_at(), request.get_count());
+            Frame::DrawRequest(DrawRequest { asked_at, count })
+        }
+        Which::DrawGrant(grant) => Frame::DrawGrant(draw::grant(grant?)?),
+        Which::DrawResult(result) => Frame::DrawResult(draw::result(result?)?),
+        Which::ModelVersions(models) => {
+            let models = models?.get_models()?.iter().map(draw::model_versions).collect::<Read<_>>()?;
+            Frame::ModelVersions(models)
+        }
     })
 }
 
--- /dev/null
+++ b/crates/protocol/src/read/draw.rs
@@ -0,0 +1,66 @@
+//! Generations of training steps, from Cap'n Proto.
+
+use super::{Read, text};
+use crate::internal_capnp as wire;
+use crate::message::{DrawEnding, DrawGrant, DrawId, DrawResult, DrawTask, DrawnAnswer, ModelVersions};
+
+fn read_id(id: wire::draw_id::Reader<'_>) -> Read<DrawId> {
+    Ok(DrawId {
+        step: id.get_step(),
+        epoch: id.get_epoch(),
+        prompt: id.get_prompt(),
+        instance: text(id.get_instance()?)?,
+        version: id.get_version(),
+    })
+}
+
+fn read_task(task: wire::draw_task::Reader<'_>) -> Read<DrawTask> {
+    Ok(DrawTask {
+        id: read_id(task.get_id()?)?,
+        address: text(task.get_address()?)?,
+        model: text(task.get_model()?)?,
+        path: text(task.get_path()?)?,
+        body: text(task.get_body()?)?,
+        input_tokens: task.get_input_tokens(),
+        output_tokens: task.get_output_tokens(),
+        prefix: text(task.get_prefix()?)?,
+        within_ms: task.get_within_ms(),
+        event_tokens: task.get_event_tokens(),
+    })
+}
+
+pub fn grant(grant: wire::draw_grant::Reader<'_>) -> Read<DrawGrant> {
+    let tasks = grant.get_tasks()?.iter().map(read_task).collect::<Read<_>>()?;
+    Ok(DrawGrant { asked_at: grant.get_asked_at(), begin_ms: grant.get_begin_ms(), tasks })
+}
+
+fn read_answer(answer: wire::draw_result::complete::Reader<'_>) -> Read<DrawnAnswer> {
+    Ok(DrawnAnswer {
+        head: answer.get_has_head().then_some(answer.get_head()),
+        events: answer.get_events()?.iter().collect(),
+        tokens: answer.get_tokens(),
+        text: text(answer.get_text()?)?,
+        truncated: answer.get_truncated(),
+    })
+}
+
+pub fn result(result: wire::draw_result::Reader<'_>) -> Read<DrawResult> {
+    use wire::draw_result::Which;
+    let ending = match result.which()? {
+        Which::Complete(answer) => DrawEnding::Complete(read_answer(answer)?),
+        Which::Over(()) => DrawEnding::Over,
+        Which::Unknown(()) => DrawEnding::Unknown,
+    };
+    Ok(DrawResult { id: read_id(result.get_id()?)?, within_ms: result.get_within_ms(), ending })
+}
+
+/// No step has version 0: it stands for none.
+pub fn model_versions(versions: wire::model_versions::Reader<'_>) -> Read<ModelVersions> {
+    let known = |version: u64| (version > 0).then_some(version);
+    Ok(ModelVersions {
+        backend: text(versions.get_backend()?)?,
+        model: text(versions.get_model()?)?,
+        open: known(versions.get_open()),
+        sealed: known(versions.get_sealed()),
+    })
+}
--- a/crates/protocol/src/write.rs
+++ b/crates/protocol/src/write.rs
@@ -1,5 +1,7 @@
 //! From plain types to Cap'n Proto.
 
+mod draw;
+
 use crate::internal_capnp as wire;
 use crate::message::*;
 use pathbank_coordination::types::{Entry, Member, Membership, Message, Payload, Snapshot};
@@ -57,6 +59,18 @@
             out.set_option(grant.option);
             out.set_wait_ms(grant.wait_ms);
         }
+        Frame::DrawOffer(offer) => out.init_draw_offer().set_count(offer.count),
+        Frame::DrawRequest(request) => {
+            let mut out = out.init_draw_request();
+            out.set_asked_at(request.asked_at);
+            out.set_count(request.count);
+        }
+        Frame::DrawGrant(grant) => draw::grant(grant, out.init_draw_grant()),
+        Frame::DrawResult(result) => draw::result(result, out.init_draw_result()),
+        Frame::ModelVersions(models) => {
+            let out = out.init_model_versions();
+            write_list!(models, out.init_models(models.len() as u32), draw::model_versions);
+        }
     }
 }
 
--- /dev/null
+++ b/crates/protocol/src/write/draw.rs
@@ -0,0 +1,64 @@
+//! Generations of training steps, to Cap'n Proto.
+
+use crate::internal_capnp as wire;
+use crate::message::{DrawEnding, DrawGrant, DrawId, DrawResult, DrawTask, DrawnAnswer, ModelVersions};
+
+fn write_id(id: &DrawId, mut out: wire::draw_id::Builder<'_>) {
+    out.set_step(id.step);
+    out.set_epoch(id.epoch);
+    out.set_prompt(id.prompt);
+    out.set_instance(&id.instance);
+    out.set_version(id.version);
+}
+
+fn write_task(task: &DrawTask, mut out: wire::draw_task::Builder<'_>) {
+    write_id(&task.id, out.reborrow().init_id());
+    out.set_address(&task.address);
+    out.set_model(&task.model);
+    out.set_path(&task.path);
+    out.set_body(&task.body);
+    out.set_input_tokens(task.input_tokens);
+    out.set_output_tokens(task.output_tokens);
+    out.set_prefix(&task.prefix);
+    out.set_within_ms(task.within_ms);
+    out.set_event_tokens(task.event_tokens);
+}
+
+pub fn grant(grant: &DrawGrant, mut out: wire::draw_grant::Builder<'_>) {
+    out.set_asked_at(grant.asked_at);
+    out.set_begin_ms(grant.begin_ms);
+    let mut tasks = out.init_tasks(grant.tasks.len() as u32);
+    for (position, task) in grant.tasks.iter().enumerate() {
+        write_task(task, tasks.reborrow().get(position as u32));
+    }
+}
+
+fn write_answer(answer: &DrawnAnswer, mut out: wire::draw_result::complete::Builder<'_>) {
+    out.set_has_head(answer.head.is_some());
+    out.set_head(answer.head.unwrap_or_default());
+    out.set_tokens(answer.tokens);
+    out.set_text(&answer.text);
+    out.set_truncated(answer.truncated);
+    let mut events = out.init_events(answer.events.len() as u32);
+    for (position, version) in answer.events.iter().enumerate() {
+        events.set(position as u32, *version);
+    }
+}
+
+pub fn result(result: &DrawResult, mut out: wire::draw_result::Builder<'_>) {
+    write_id(&result.id, out.reborrow().init_id());
+    out.set_within_ms(result.within_ms);
+    match &result.ending {
+        DrawEnding::Complete(answer) => write_answer(answer, out.init_complete()),
+        DrawEnding::Over => out.set_over(()),
+        DrawEnding::Unknown => out.set_unknown(()),
+    }
+}
+
+/// No step has version 0: it stands for none.
+pub fn model_versions(versions: &ModelVersions, mut out: wire::model_versions::Builder<'_>) {
+    out.set_backend(&versions.backend);
+    out.set_model(&versions.model);
+    out.set_open(versions.open.unwrap_or_default());
+    out.set_sealed(versions.sealed.unwrap_or_default());
+}
--- a/crates/protocol/tests/round_trip.rs
+++ b/crates/protocol/tests/round_trip.rs
@@ -62,6 +62,40 @@
     AdmissionRequest { request: 7, options, urgency: 12 }
 }
 
+fn draw_id() -> DrawId {
+    DrawId { step: 3, epoch: 40, prompt: 5, instance: "i-1".into(), version: 7 }
+}
+
+fn draw_grant() -> DrawGrant {
+    let task = DrawTask {
+        id: draw_id(),
+        address: "10.0.0.9:8080".into(),
+        model: "m".into(),
+        path: "/generate".into(),
+        body: "a prompt".into(),
+        input_tokens: 20,
+        output_tokens: 30,
+        prefix: "aa:20".into(),
+        within_ms: 9_000,
+        event_tokens: 3,
+    };
+    DrawGrant { asked_at: 12, begin_ms: 300, tasks: vec![task.clone(), task] }
+}
+
+fn draw_result(ending: DrawEnding) -> Frame {
+    Frame::DrawResult(DrawResult { id: draw_id(), within_ms: 9_000, ending })
+}
+
+fn drawn(head: Option<u64>) -> DrawEnding {
+    let (text, truncated) = ("some text".into(), true);
+    DrawEnding::Complete(DrawnAnswer { head, events: vec![7, 8], tokens: 30, text, truncated })
+}
+
+fn model_versions() -> Frame {
+    let trained = ModelVersions { backend: "llm".into(), model: "m".into(), open: Some(8), sealed: Some(7) };
+    Frame::ModelVersions(vec![ModelVersions { open: None, ..trained.clone() }, trained])
+}
+
 fn core_status() -> CoreStatus {
     CoreStatus {
         members: vec![member()],
@@ -115,6 +149,14 @@
 #[test_case(Frame::Loads(report().loads); "loads")]
 #[test_case(Frame::AdmissionRequest(admission()); "admission request")]
 #[test_case(Frame::AdmissionGrant(AdmissionGrant { request: 7, option: 1, wait_ms: 30 }); "admission grant")]
+#[test_case(Frame::DrawOffer(DrawOffer { count: 4 }); "draw offer")]
+#[test_case(Frame::DrawRequest(DrawRequest { asked_at: 9, count: 3 }); "draw request")]
+#[test_case(Frame::DrawGrant(draw_grant()); "draw grant")]
+#[test_case(draw_result(drawn(Some(7))); "a whole generation")]
+#[test_case(draw_result(drawn(None)); "a whole generation without a version")]
+#[test_case(draw_result(DrawEnding::Over); "a generation that is over")]
+#[test_case(draw_result(DrawEnding::Unknown); "a generation that may go on")]
+#[test_case(model_versions(); "model versions")]
 #[test_case(Frame::Ping(12); "ping")]
 fn a_message_comes_back_as_it_was_sent(frame: Frame) {
     let mut bytes = encode(&frame);
--- a/crates/rollout/src/conductor.rs
+++ b/crates/rollout/src/conductor.rs
@@ -18,7 +18,7 @@
 pub struct Settings {
     /// The change of versions.
     pub change_over: Bounds,
-    /// A generation that is not complete by then is over; workers are told so with it, milliseconds.
+    /// No generation takes longer, whatever its step allows; workers are told so with it, milliseconds.
     pub generation_ms: Millis,
     /// A generation that did not begin within this does not begin any more; heads keep to that, milliseconds.
     pub begin_ms: Millis,
@@ -167,9 +167,9 @@
         }
     }
 
-    /// The bounds of changes of versions are others from now on.
-    pub fn set_change_over(&mut self, bounds: Bounds) {
-        self.settings.change_over = bounds;
+    /// The figures are others from now on.
+    pub fn set_settings(&mut self, settings: Settings) {
+        self.settings = settings;
     }
 
     /// Prompts of the step under way that this leader had drawn for more than once, and how often beyond the first.
@@ -427,7 +427,7 @@
             free[place].0 -= 1;
             let worker = free[place].1.clone();
             free.rotate_left(1);
-            let within = self.settings.generation_ms;
+            let within = step.request.generation_ms.min(self.settings.generation_ms);
             let until = now + self.settings.begin_ms + within;
             self.under_way.insert((prompt, worker.clone()), UnderWay { until });
             *self.drawn_again.entry(prompt).or_default() += 1;
--- a/crates/rollout/src/ledger.rs
+++ b/crates/rollout/src/ledger.rs
@@ -145,21 +145,6 @@
     Missing(usize),
 }
 
-impl Refusal {
-    /// The numbered result that callers see; `docs/operators/result-codes.md` has the table.
-    pub fn number(&self) -> u16 {
-        match self {
-            Refusal::UnknownStep(_) => 401,
-            Refusal::WrongState { .. } => 402,
-            Refusal::EarlierStep(_) => 403,
-            Refusal::KeyTaken(_) => 404,
-            Refusal::WrongVersion(_) => 405,
-            Refusal::BelowFloor { .. } => 406,
-            Refusal::Missing(_) => 407,
-        }
-    }
-}
-
 /// All steps.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ledger {
--- a/crates/rollout/src/step.rs
+++ b/crates/rollout/src/step.rs
@@ -35,6 +35,9 @@
     }
 }
 
+/// The time of a generation whose trainer asks for none, milliseconds.
+pub const DEFAULT_GENERATION_MS: Millis = 30_000;
+
 /// What a trainer asks for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StepRequest {
@@ -52,6 +55,8 @@
     pub floor: u32,
     /// Where workers take the prompts, as a path.
     pub path: String,
+    /// A generation that is not complete by then is over, milliseconds.
+    pub generation_ms: Millis,
     /// The step is given up when it is not sealed so long after its leader saw it first, milliseconds.
     pub deadline_ms: Option<Millis>,
 }
@@ -67,6 +72,7 @@
             workers: WorkersWanted::All,
             floor,
             path: "/".to_owned(),
+            generation_ms: DEFAULT_GENERATION_MS,
             deadline_ms: None,
         }
     }
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -57,6 +57,19 @@
     bare.max(with_returns)
 }
 
+/// The versions of weights that whole events tell, in order: an event at which the version changes has it as its first line.
+///
+/// ```
+/// use pathbank_router::events::versions;
+///
+/// let events = b"id: 1\ndata: a\n\nversions:8\nid: 2\ndata: versions:9\n\n";
+/// assert_eq!(versions(events).collect::<Vec<_>>(), [8]);
+/// ```
+pub fn versions(events: &[u8]) -> impl Iterator<Item = u64> {
+    let lines = events.split(|byte| *byte == b'\n').filter_map(|line| line.strip_prefix(b"versions:"));
+    lines.filter_map(|number| std::str::from_utf8(number).ok()?.trim().parse().ok())
+}
+
 /// The ids of whole events, the last one first.
 fn ids(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
     bytes.split(|byte| *byte == b'\n').rev().filter_map(|line| line.strip_prefix(b"id:"))
--- a/crates/system/src/command/demo.rs
+++ b/crates/system/src/command/demo.rs
@@ -1,6 +1,7 @@
 //! The quick start: the whole system on loopback addresses of this machine, with a stand-in brick, and one request.
 
 use crate::command::operator::call;
+use crate::stand_in::drawn::DrawnLog;
 use crate::stand_in::{self, StandInSettings, StandInState};
 use anyhow::{Context, Result, ensure};
 use std::fs;
@@ -8,7 +9,6 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -93,17 +93,12 @@
 
 /// The brick runs on a thread of its own until the process ends.
 fn start_brick(ip: IpAddr, control: &[SocketAddr]) -> Result<()> {
-    let settings = StandInSettings {
-        instance: "i-demo".into(),
-        backend: "llm".into(),
-        zone: "z".into(),
-        models: vec!["m1".into()],
-        control: control.to_vec(),
-    };
+    let settings = StandInSettings::new("i-demo", "llm", "z", &["m1"], control);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let brick = async move {
         if let Ok(listener) = tokio::net::TcpListener::bind((ip, 0)).await {
-            let _ = stand_in::run(listener, settings, Arc::new(StandInState::default())).await;
+            let state = StandInState::new(&settings, DrawnLog::default());
+            let _ = stand_in::run(listener, settings, state).await;
         }
     };
     std::thread::Builder::new().name("brick".into()).spawn(move || runtime.block_on(brick))?;
--- a/crates/system/src/command/mod.rs
+++ b/crates/system/src/command/mod.rs
@@ -11,7 +11,7 @@
 mod explain;
 mod operator;
 
-pub use operator::call;
+pub use operator::{Answer, call};
 
 /// The system: edge heads, control heads, and operators' commands.
 #[derive(Debug, Parser)]
--- a/crates/system/src/command/operator.rs
+++ b/crates/system/src/command/operator.rs
@@ -48,6 +48,7 @@
 }
 
 /// An answer of a control plane.
+#[derive(Clone, Debug)]
 pub struct Answer {
     /// The HTTP status.
     pub status: u16,
--- a/crates/system/src/core/api.rs
+++ b/crates/system/src/core/api.rs
@@ -1,4 +1,6 @@
-//! The control plane's HTTP interface: bricks' heartbeats, operators' changes, status.
+//! The control plane's HTTP interface: bricks' heartbeats, operators' changes, trainers' steps, status.
+
+mod training;
 
 use super::brick_json::HeartbeatJson;
 use super::node::{Event, Reply};
@@ -59,8 +61,8 @@
     let bricks = events.clone();
     let placement = events.clone();
     let duties = events.clone();
-    let status = events;
-    Router::new()
+    let status = events.clone();
+    training::routes(Router::new(), &events)
         .post("/api/instances/:id/heartbeat", move |request| heartbeat(heartbeats.clone(), request))
         .post("/api/instances/:id/deregister", move |request| deregister(farewells.clone(), request))
         .post("/api/config/replace", move |request| change(replaces.clone(), ChangeKind::Replace, request))
@@ -149,7 +151,7 @@
 /// Asks the node, and turns its reply into an answer.
 async fn ask(
     events: Events,
-    path: &'static str,
+    path: &str,
     event: impl FnOnce(oneshot::Sender<Reply>) -> Event,
 ) -> viz::Result<Response> {
     let (sender, receiver) = oneshot::channel();
--- a/crates/system/src/core/brick_json.rs
+++ b/crates/system/src/core/brick_json.rs
@@ -64,15 +64,27 @@
 /// The answer of `GET /api/report`.
 #[derive(Clone, Debug, Deserialize)]
 pub struct ReportJson {
-    /// What the brick holds.
     #[serde(default)]
-    pub models: Vec<ModelJson>,
+    models: Vec<ModelJson>,
     /// An order is in progress.
     #[serde(default)]
     pub busy: bool,
     /// Orders taken since the brick's start.
     #[serde(default)]
     pub sequence: u64,
+    /// Requests that it runs.
+    #[serde(default)]
+    pub active: u32,
+    /// Requests that wait there.
+    #[serde(default)]
+    pub queued: u32,
+}
+
+impl ReportJson {
+    /// What the brick holds.
+    pub fn models(&self) -> impl Iterator<Item = LoadedModel> {
+        self.models.iter().cloned().map(LoadedModel::from)
+    }
 }
 
 /// A brick as operators see it.
--- a/crates/system/src/core/mod.rs
+++ b/crates/system/src/core/mod.rs
@@ -7,6 +7,7 @@
 mod node;
 mod orders;
 mod peers;
+mod training;
 
 use crate::clock;
 use crate::net::server::{self, ConnectionCount, Limits};
--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -3,11 +3,15 @@
 mod leadership;
 mod overview;
 mod replication;
+mod training;
 
 use super::brick_json::BrickView;
+use super::brick_json::ReportJson;
 use super::disk::{Disk, DiskEvent};
 use super::orders::OrderEnd;
 use super::peers::LinkId;
+use super::training::call::TrainingCall;
+use super::training::lead::model_versions;
 use crate::clock;
 use crate::net::client::ConnectionPool;
 use crate::net::link::Link;
@@ -101,6 +105,19 @@
     UsageReported(u64, bool),
     /// The platform took an order of bricks, or gave no clear answer.
     BricksOrdered(ScaleOrder, bool),
+    /// A trainer's call.
+    Training(TrainingCall, oneshot::Sender<Reply>),
+    /// A worker of a training step told how it stands.
+    WorkerReported {
+        /// The step's model.
+        model: String,
+        /// The worker's incarnation.
+        worker: String,
+        /// Its report.
+        report: ReportJson,
+    },
+    /// An order that brings a worker to another version has ended.
+    VersionOrderEnded(Box<OrderEnd>),
 }
 
 struct Peer {
@@ -215,6 +232,11 @@
             Event::OrderEnded(end) => self.on_order_ended(*end),
             Event::UsageReported(window, taken) => self.leadership.usage_reported(window, taken),
             Event::BricksOrdered(order, taken) => self.leadership.bricks_ordered(now, &order, taken),
+            Event::Training(call, reply) => self.on_training_call(now, call, reply),
+            Event::WorkerReported { model, worker, report } => {
+                self.on_worker_reported(now, &model, &worker, &report);
+            }
+            Event::VersionOrderEnded(end) => self.on_version_order_ended(now, *end),
         }
     }
 
@@ -236,6 +258,7 @@
         self.watch_disk(now);
         self.regroup(now);
         self.lead(now);
+        self.train(now);
         self.tell_configuration(now);
         let leader = self.replication.replica.leader().map(|leader| leader.id);
         if now >= self.due.status || leader != self.told_leader {
@@ -314,6 +337,10 @@
             peer.link.send(&Frame::Configuration(update));
         }
         peer.link.send(&Frame::Bricks(bricks));
+        let versions = model_versions(self.state.training());
+        if !versions.is_empty() {
+            peer.link.send(&Frame::ModelVersions(versions));
+        }
     }
 
     fn send_configuration_to(&self, id: LinkId) {
@@ -356,12 +383,17 @@
             Frame::Subscribe(subscription) => self.on_subscribe(id, subscription),
             Frame::FetchConfiguration => self.send_configuration_to(id),
             Frame::AdmissionRequest(request) => self.on_admission_request(now, id, &request),
+            Frame::DrawRequest(request) => self.on_draw_request(now, id, request),
+            Frame::DrawResult(result) => self.on_draw_result(now, result),
             // The leader's word, passed on to the edges that listen here.
             Frame::Loads(_) => self.tell_subscribers(&frame),
             Frame::Hello(_)
             | Frame::Configuration(_)
             | Frame::Bricks(_)
             | Frame::AdmissionGrant(_)
+            | Frame::DrawOffer(_)
+            | Frame::DrawGrant(_)
+            | Frame::ModelVersions(_)
             | Frame::Ping(_) => {}
         }
     }
--- a/crates/system/src/core/node/leadership.rs
+++ b/crates/system/src/core/node/leadership.rs
@@ -1,8 +1,10 @@
 //! What only the leader does: orders to bricks and calls to the platform, each within its lease.
 
 use super::{Event, Node};
+use crate::core::brick_json::ReportJson;
 use crate::core::duties;
 use crate::core::orders::{self, Authority, OrderEnd};
+use crate::core::training::lead::Training;
 use pathbank_control::admission::AdmissionController;
 use pathbank_control::autoscaling::{Autoscaler, ScaleOrder};
 use pathbank_control::configuration::{self, Configuration, Runtime};
@@ -11,7 +13,7 @@
 use pathbank_control::usage::{HEAR_FIRST_MS, SealRule};
 use pathbank_coordination::fencing::{Fence, Permit};
 use pathbank_coordination::types::Term;
-use pathbank_protocol::message::{Brick, LoadedModel};
+use pathbank_protocol::message::Brick;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -35,13 +37,15 @@
     pub placer: Placer,
     pub autoscaler: Autoscaler,
     pub admission: AdmissionController,
-    /// The term that `placer`, `autoscaler`, `admission`, `reported` and `told_by` belong to, and when it was seen first.
+    pub training: Training,
+    /// The term that `placer`, `autoscaler`, `admission`, `training`, `reported` and `told_by` belong to, and when it was
+    /// seen first.
     term: Term,
     term_seen: u64,
     /// Edges that have told this leader their counts.
     told_by: BTreeSet<String>,
     /// The configuration as placement needs it, and the entry that brought it.
-    configuration: Option<(u64, Configuration)>,
+    pub configuration: Option<(u64, Configuration)>,
     /// Windows that are reported, or being reported.
     pub reported: BTreeSet<u64>,
     /// The window whose sealing was proposed last.
@@ -60,6 +64,7 @@
             placer: Placer::new(),
             autoscaler: Autoscaler::new(),
             admission: AdmissionController::default(),
+            training: Training::default(),
             term: 0,
             term_seen: 0,
             told_by: BTreeSet::new(),
@@ -104,6 +109,7 @@
             self.placer = Placer::new();
             self.autoscaler = Autoscaler::new();
             self.admission = AdmissionController::default();
+            self.training = Training::default();
             self.reported.clear();
         }
     }
@@ -123,7 +129,7 @@
         Some(permit)
     }
 
-    fn authority(&self, permit: Permit) -> Authority {
+    pub(super) fn authority(&self, permit: Permit) -> Authority {
         Authority {
             lease_holder: self.settings.node_name.clone(),
             fencing_token: permit.fencing_token,
@@ -173,7 +179,7 @@
         }
     }
 
-    fn read_configuration(&mut self) {
+    pub(super) fn read_configuration(&mut self) {
         let Some((document, index)) = self.state.document() else { return };
         if self.leadership.configuration.as_ref().is_none_or(|(known, _)| *known != index) {
             self.leadership.configuration = configuration::read(document).ok().map(|read| (index, read));
@@ -196,7 +202,7 @@
     }
 
     /// What the service of a brick can hold, by the newest configuration.
-    fn runtime_of(&self, instance: &str) -> Option<Arc<Runtime>> {
+    pub(super) fn runtime_of(&self, instance: &str) -> Option<Arc<Runtime>> {
         let backend = self.directory.brick(instance)?.backend;
         let (_, configuration) = self.leadership.configuration.as_ref()?;
         let known = configuration.backends.iter().find(|known| known.name == backend)?;
@@ -206,13 +212,15 @@
     pub(super) fn on_order_ended(&mut self, end: OrderEnd) {
         let OrderEnd { order, report } = end;
         self.leadership.placer.finished(&order.instance);
-        self.directory.release(&order.instance);
+        self.order_is_known(&order.instance, report);
+    }
+
+    /// The end of a brick's order is known, and what it holds now, if it told.
+    pub(super) fn order_is_known(&mut self, instance: &str, report: Option<ReportJson>) {
+        self.directory.release(instance);
         let told = match report {
-            Some(report) => {
-                let models = report.models.into_iter().map(LoadedModel::from).collect();
-                self.directory.reported(&order.instance, models, report.busy)
-            }
-            None => self.directory.brick(&order.instance),
+            Some(report) => self.directory.reported(instance, report.models().collect(), report.busy),
+            None => self.directory.brick(instance),
         };
         self.tell_edges_of_bricks(told.into_iter().collect());
         self.place_soon(crate::clock::now());
--- a/crates/system/src/core/node/replication.rs
+++ b/crates/system/src/core/node/replication.rs
@@ -220,7 +220,7 @@
 
     // ---- the state machine ----
 
-    fn apply(&mut self, _now: u64, entry: Entry) {
+    fn apply(&mut self, now: u64, entry: Entry) {
         self.replication.applied = entry.index;
         self.replication.log_bytes += entry.payload.size();
         let waiting = self.replication.waiting.remove(&entry.index).unwrap_or_default();
@@ -237,6 +237,9 @@
                         "configuration committed"
                     );
                 }
+                if let Command::Training(command) = &command {
+                    self.on_training_applied(now, command, result.is_err());
+                }
                 for change in waiting {
                     let reply = match change.term == entry.term {
                         true => reply_of(&result),
@@ -308,8 +311,12 @@
                 return;
             }
         }
-        let command = Command::Change(change).encode();
-        match self.replication.replica.propose(now, command) {
+        self.propose_for(now, &Command::Change(change), reply);
+    }
+
+    /// Proposes a command whose caller waits for what comes of it.
+    pub(super) fn propose_for(&mut self, now: u64, command: &Command, reply: oneshot::Sender<Reply>) {
+        match self.replication.replica.propose(now, command.encode()) {
             Ok((index, effects)) => {
                 let term = self.replication.replica.term();
                 self.replication.waiting.entry(index).or_default().push(WaitingChange { term, reply });
@@ -363,6 +370,10 @@
 fn reply_of(result: &Result<Accepted, Rejection>) -> Reply {
     match result {
         Ok(Accepted::Now | Accepted::Before) => Reply::Result(ResultCode::Done, "taken".into()),
+        Ok(Accepted::Step(step)) => {
+            let body = serde_json::json!({ "result_code": ResultCode::Done.number(), "step": step });
+            Reply::Json(body.to_string().into_bytes())
+        }
         Err(rejection) => Reply::Result(rejection.code, rejection.message.clone()),
     }
 }
--- a/crates/system/src/core/orders.rs
+++ b/crates/system/src/core/orders.rs
@@ -57,7 +57,7 @@
         let Some(before) = report(&pool, address, &order.instance).await else {
             return OrderEnd { order, report: None };
         };
-        let held: Vec<LoadedModel> = before.models.iter().cloned().map(LoadedModel::from).collect();
+        let held: Vec<LoadedModel> = before.models().collect();
         if before.busy || !order.fits(&runtime, &held) {
             return OrderEnd { order, report: Some(before) };
         }
@@ -88,7 +88,8 @@
     OrderEnd { order, report: None }
 }
 
-async fn report(pool: &ConnectionPool, address: SocketAddr, instance: &str) -> Option<ReportJson> {
+/// How a brick stands, by its own word; `None`: it did not answer, or is another incarnation.
+pub async fn report(pool: &ConnectionPool, address: SocketAddr, instance: &str) -> Option<ReportJson> {
     let request = Request::get("/api/report")
         .header("host", address.to_string())
         .header("x-pathbank-target-instance", instance)
--- /dev/null
+++ b/crates/system/src/core/training/call.rs
@@ -0,0 +1,225 @@
+//! What trainers ask of the control plane, as typed calls. Whatever makes no sense is refused with a reason and changes
+//! nothing.
+
+use pathbank_control::configuration::{Configuration, Rejection};
+use pathbank_control::result_code::ResultCode;
+use pathbank_control::training::Prompt;
+use pathbank_rollout::step::{DEFAULT_GENERATION_MS, StepRequest, WantedVersion, WorkersWanted};
+use pathbank_rollout::{Millis, PromptId, StepNumber, Version};
+use serde::Deserialize;
+use std::collections::BTreeMap;
+
+/// A generation may take no longer than this, milliseconds: a new leader waits so long before it seals a step.
+const MOST_GENERATION_MS: Millis = 120_000;
+const MOST_NAME_BYTES: usize = 256;
+const MOST_PATH_BYTES: usize = 2_048;
+const MOST_PREFIX_BYTES: usize = 8 * 1024;
+/// Results that one call brings at most.
+pub const MOST_RESULTS: usize = 256;
+
+/// A trainer's call.
+#[derive(Clone, Debug)]
+pub enum TrainingCall {
+    /// Asks for a step, or for the step that the key names already.
+    Open(OpenBody),
+    /// Adds prompts to a step.
+    Submit(StepNumber, BTreeMap<PromptId, Prompt>),
+    /// Ends the drawing of a step.
+    Seal(StepNumber, SealBody),
+    /// Gives a step up.
+    Abort(StepNumber),
+    /// All steps.
+    List,
+    /// One step; with `seen`, once it has changed since that entry of the log.
+    Read {
+        /// The step.
+        step: StepNumber,
+        /// The entry that the caller has seen.
+        seen: Option<u64>,
+    },
+    /// Generations of a step that count, in the order of their prompts.
+    Results {
+        /// The step.
+        step: StepNumber,
+        /// The last prompt that the caller has; `None`: from the first.
+        after: Option<PromptId>,
+        /// No more than so many.
+        most: usize,
+    },
+    /// Why a step waits, by worker.
+    Explain(StepNumber),
+}
+
+/// The version that a step is to draw from.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(untagged)]
+enum VersionJson {
+    Number(Version),
+    Word(String),
+}
+
+/// Workers that are to take part.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(untagged)]
+enum WorkersJson {
+    Count(u32),
+    Word(String),
+}
+
+/// The body of a call for a step.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OpenBody {
+    key: String,
+    model: String,
+    backend: Option<String>,
+    version: Option<VersionJson>,
+    workers: Option<WorkersJson>,
+    share: Option<f64>,
+    floor: Option<u32>,
+    path: Option<String>,
+    generation_ms: Option<Millis>,
+    deadline_ms: Option<Millis>,
+}
+
+/// The body of a call that seals a step.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SealBody {
+    /// The step is taken with what is missing.
+    #[serde(default)]
+    pub allow_missing: bool,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PromptJson {
+    id: PromptId,
+    body: String,
+    #[serde(default)]
+    input_tokens: u64,
+    #[serde(default)]
+    output_tokens: u64,
+    #[serde(default)]
+    prefix: String,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SubmitBody {
+    prompts: Vec<PromptJson>,
+}
+
+fn bad(message: impl Into<String>) -> Rejection {
+    Rejection::new(ResultCode::BadStep, message)
+}
+
+/// Reads a body; an empty one is an empty object.
+///
+/// # Errors
+///
+/// It is no JSON, lacks a key, or has one that is not known.
+pub fn read<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, Rejection> {
+    let body = if body.is_empty() { b"{}" } else { body };
+    serde_json::from_slice(body)
+        .map_err(|error| Rejection::new(ResultCode::UnreadableDocument, error.to_string()))
+}
+
+/// The prompts of a call's body.
+///
+/// # Errors
+///
+/// It cannot be read, has no prompt, or has one that stands twice or cannot be sent.
+pub fn read_prompts(body: &[u8]) -> Result<BTreeMap<PromptId, Prompt>, Rejection> {
+    let body: SubmitBody = read(body)?;
+    if body.prompts.is_empty() {
+        return Err(bad("there is no prompt"));
+    }
+    let mut prompts = BTreeMap::new();
+    for PromptJson { id, body, input_tokens, output_tokens, prefix } in body.prompts {
+        if prefix.len() > MOST_PREFIX_BYTES || !prefix.bytes().all(|byte| byte.is_ascii_graphic()) {
+            return Err(bad(format!("prompt {id}: its prefix cannot be sent")));
+        }
+        let prompt = Prompt { body, input_tokens, output_tokens, prefix };
+        if prompts.insert(id, prompt).is_some() {
+            return Err(bad(format!("prompt {id} stands twice")));
+        }
+    }
+    Ok(prompts)
+}
+
+impl OpenBody {
+    /// The step that is asked for, where the configuration has its model.
+    ///
+    /// # Errors
+    ///
+    /// A name, a number or a path makes no sense, or no service has the model, or several have and none is named.
+    pub fn request(self, configuration: &Configuration) -> Result<StepRequest, Rejection> {
+        let named = |name: &str| !name.is_empty() && name.len() <= MOST_NAME_BYTES;
+        if !named(&self.key) {
+            return Err(bad(format!("key: 1 to {MOST_NAME_BYTES} bytes")));
+        }
+        let backend = backend_of(configuration, &self.model, self.backend.as_deref())?;
+        let version = wanted_version(self.version)?;
+        let workers = wanted_workers(self.workers, self.share)?;
+        let path = self.path.unwrap_or_else(|| "/".to_owned());
+        let is_path = path.starts_with('/') && path.len() <= MOST_PATH_BYTES;
+        if !is_path || !path.bytes().all(|byte| byte.is_ascii_graphic()) {
+            return Err(bad("path: begins with a slash and has no spaces"));
+        }
+        let generation_ms = self.generation_ms.unwrap_or(DEFAULT_GENERATION_MS);
+        if !(1..=MOST_GENERATION_MS).contains(&generation_ms) {
+            return Err(bad(format!("generation_ms: 1 to {MOST_GENERATION_MS}")));
+        }
+        if self.deadline_ms == Some(0) {
+            return Err(bad("deadline_ms: above 0"));
+        }
+        Ok(StepRequest {
+            key: self.key,
+            backend,
+            model: self.model,
+            version,
+            workers,
+            floor: self.floor.unwrap_or(1).max(1),
+            path,
+            generation_ms,
+            deadline_ms: self.deadline_ms,
+        })
+    }
+}
+
+fn backend_of(configuration: &Configuration, model: &str, named: Option<&str>) -> Result<String, Rejection> {
+    let has_model = |runtime: &pathbank_control::configuration::Runtime| {
+        runtime.models.iter().any(|known| known.name == model)
+    };
+    let with_model = configuration.backends.iter().filter(|backend| {
+        backend.runtime.as_ref().is_some_and(has_model) && named.is_none_or(|name| backend.name == name)
+    });
+    let names: Vec<&str> = with_model.map(|backend| backend.name.as_str()).collect();
+    match names[..] {
+        [] => Err(bad(format!("no such service has model {model}"))),
+        [name] => Ok(name.to_owned()),
+        _ => Err(bad(format!("backend: {} have model {model}", names.join(" and ")))),
+    }
+}
+
+fn wanted_version(version: Option<VersionJson>) -> Result<WantedVersion, Rejection> {
+    match version {
+        None => Ok(WantedVersion::Newest),
+        Some(VersionJson::Word(word)) if word == "newest" => Ok(WantedVersion::Newest),
+        Some(VersionJson::Number(version)) if version > 0 => Ok(WantedVersion::Exactly(version)),
+        Some(_) => Err(bad("version: \"newest\" or a number above 0")),
+    }
+}
+
+fn wanted_workers(workers: Option<WorkersJson>, share: Option<f64>) -> Result<WorkersWanted, Rejection> {
+    match (workers, share) {
+        (None, None) => Ok(WorkersWanted::All),
+        (Some(WorkersJson::Word(word)), None) if word == "all" => Ok(WorkersWanted::All),
+        (Some(WorkersJson::Count(count)), None) if count > 0 => Ok(WorkersWanted::Count(count)),
+        (None, Some(share)) if share > 0.0 && share <= 1.0 => {
+            Ok(WorkersWanted::Permille((share * 1_000.0).ceil() as u16))
+        }
+        _ => Err(bad("workers: \"all\" or a number above 0; or share: above 0, 1 at most")),
+    }
+}
--- /dev/null
+++ b/crates/system/src/core/training/lead.rs
@@ -0,0 +1,130 @@
+//! What the leader of control knows of training steps that are under way; it is lost with the leadership.
+
+use crate::core::node::Reply;
+use pathbank_control::placement::TrainingHold;
+use pathbank_control::training::TrainingState;
+use pathbank_protocol::message::ModelVersions;
+use pathbank_rollout::StepNumber;
+use pathbank_rollout::conductor::Conductor;
+use pathbank_rollout::step::StepState;
+use std::collections::{BTreeMap, BTreeSet};
+use tokio::sync::oneshot;
+
+/// A worker that changes versions is asked for its report this often, milliseconds; one that does not, that often.
+pub const ASK_CHANGING_EVERY: u64 = 250;
+pub const ASK_EVERY: u64 = 1_000;
+/// Steps are looked at this often, milliseconds.
+pub const LOOK_EVERY: u64 = 50;
+/// An edge that was offered generations is offered more after this, milliseconds.
+pub const OFFER_APART: u64 = 100;
+/// Generations that one edge is offered at once.
+pub const MOST_OFFERED: usize = 16;
+/// Who waits for a step to change is answered after this, milliseconds, whether it has or not.
+pub const WATCH_WITHIN: u64 = 2_000;
+
+/// Which of the two orders that bring a worker to another version is under way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChangePhase {
+    /// It drops the version that it holds.
+    Unloading,
+    /// It loads the newest one.
+    Loading,
+}
+
+/// The training of one model.
+#[derive(Debug)]
+pub struct ModelTraining {
+    /// The service.
+    pub backend: String,
+    /// What decides.
+    pub conductor: Conductor,
+    /// Bricks that are workers.
+    pub workers: BTreeSet<String>,
+    /// Workers that get nothing new of the model, or load it.
+    pub changing: BTreeMap<String, Option<ChangePhase>>,
+    /// When each worker's report is asked for next.
+    pub ask_at: BTreeMap<String, u64>,
+}
+
+impl ModelTraining {
+    /// One that knows of no worker.
+    pub fn new(backend: String, conductor: Conductor) -> ModelTraining {
+        ModelTraining {
+            backend,
+            conductor,
+            workers: BTreeSet::new(),
+            changing: BTreeMap::new(),
+            ask_at: BTreeMap::new(),
+        }
+    }
+}
+
+/// Someone who waits for a step to change.
+#[derive(Debug)]
+pub struct Watcher {
+    /// The step.
+    pub step: StepNumber,
+    /// The entry of the log that the caller has seen.
+    pub seen: u64,
+    /// The answer comes by then.
+    pub until: u64,
+    /// Where it goes.
+    pub reply: oneshot::Sender<Reply>,
+}
+
+/// All training steps at this head.
+#[derive(Debug, Default)]
+pub struct Training {
+    /// By model.
+    pub models: BTreeMap<String, ModelTraining>,
+    /// When steps are looked at next.
+    pub look_at: u64,
+    /// When each edge, by its name, may be offered generations again.
+    pub offer_at: BTreeMap<String, u64>,
+    /// Who waits for a step to change.
+    pub watchers: Vec<Watcher>,
+    /// What edges were told of versions.
+    pub told_versions: Vec<ModelVersions>,
+}
+
+impl Training {
+    /// What placement has to leave alone.
+    pub fn hold(&self, state: &TrainingState) -> TrainingHold {
+        let mut hold = TrainingHold::default();
+        for (model, training) in &self.models {
+            hold.changing.extend(training.changing.keys().map(|worker| (worker.clone(), model.clone())));
+            let Some(step) = state.ledger().current(model) else { continue };
+            // From the first order on what workers hold is for the step.
+            let kept = if step.state() < StepState::Preparing { &BTreeSet::new() } else { &training.workers };
+            for worker in kept {
+                hold.kept.entry(worker.clone()).or_default().insert(model.clone());
+            }
+        }
+        hold
+    }
+
+    /// Watchers whose step has changed, or whose time is over.
+    pub fn due_watchers(&mut self, now: u64, state: &TrainingState) -> Vec<Watcher> {
+        let is_due = |watcher: &mut Watcher| {
+            now >= watcher.until
+                || state.changed(watcher.step) > watcher.seen
+                || state.ledger().step(watcher.step).is_none()
+        };
+        self.watchers.extract_if(.., is_due).collect()
+    }
+}
+
+/// The versions of models in training, as edges should know them.
+pub fn model_versions(state: &TrainingState) -> Vec<ModelVersions> {
+    let mut by_model: BTreeMap<&str, ModelVersions> = BTreeMap::new();
+    for step in state.ledger().steps() {
+        let versions = by_model.entry(&step.request.model).or_default();
+        (versions.backend, versions.model) = (step.request.backend.clone(), step.request.model.clone());
+        match step.state() {
+            StepState::Sealed => versions.sealed = step.version,
+            StepState::Open | StepState::Sealing => versions.open = step.version,
+            StepState::Announced | StepState::Preparing | StepState::Aborted => {}
+        }
+    }
+    by_model.into_values().collect()
+}
--- a/crates/system/src/edge/core_links.rs
+++ b/crates/system/src/edge/core_links.rs
@@ -1,5 +1,6 @@
 //! What an edge head hears from the cores and tells them.
 
+use super::generation;
 use super::shared::Shared;
 use crate::clock;
 use crate::net::mesh::{Mesh, MeshEvent};
@@ -104,6 +105,8 @@
         }
         Frame::Core(status) => on_status(shared, address, &status),
         Frame::AdmissionGrant(grant) => shared.admissions.granted(grant),
+        Frame::DrawOffer(offer) => generation::offered(shared, address, offer),
+        Frame::DrawGrant(grant) => generation::granted(shared, grant),
         Frame::Loads(loads) => shared.deciding().dispatcher.note_totals(clock::now(), &loads),
         _ => {}
     }
--- /dev/null
+++ b/crates/system/src/edge/generation.rs
@@ -0,0 +1,197 @@
+//! Generations of training steps, drawn by an edge head on the leader's word.
+//!
+//! The leader offers, the edge asks, and what it is given begins within a bound of its own question, by its own clock:
+//! a head that stood still meanwhile, or whose link was slow, begins nothing late. Whatever comes of a generation is told to
+//! whoever leads then.
+
+use super::proxy::{
+    DEADLINE, EXPECT_VERSION, MODEL, NOT_EXECUTED, PRIORITY, PROMPT_PREFIX, REQUEST_ID, SIGNATURE,
+    TARGET_INSTANCE, TOKEN_COUNT, VERSIONS,
+};
+use super::shared::Shared;
+use crate::clock;
+use crate::net::client::{Exchange, ExchangeError};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::{HOST, HeaderName, HeaderValue};
+use hyper::{Method, Request, StatusCode};
+use pathbank_control::urgency::LOWEST_PRIORITY;
+use pathbank_protocol::message::{
+    DrawEnding, DrawGrant, DrawId, DrawOffer, DrawRequest, DrawResult, DrawTask, DrawnAnswer, Frame,
+};
+use pathbank_router::events::{self, EventTracker};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// Generations that one head draws at once.
+const MOST_AT_ONCE: usize = 32;
+/// Bytes of a generation's text that are told; what comes beyond is left out.
+const MOST_TEXT_BYTES: usize = 64 * 1024;
+
+/// Generations that this head draws.
+#[derive(Debug, Default)]
+pub struct Generations {
+    running: AtomicUsize,
+}
+
+/// One of them; dropped, its place is free.
+struct Running(Arc<Shared>);
+
+impl Running {
+    fn new(shared: &Arc<Shared>) -> Running {
+        shared.generations.running.fetch_add(1, Ordering::Relaxed);
+        Running(shared.clone())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.generations.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Generations wait at the leader: asks for as many as there is room for.
+pub fn offered(shared: &Arc<Shared>, leader: SocketAddr, offer: DrawOffer) {
+    let room = MOST_AT_ONCE.saturating_sub(shared.generations.running.load(Ordering::Relaxed));
+    let count = offer.count.min(room as u32);
+    if count == 0 || shared.stopping.load(Ordering::Relaxed) {
+        return;
+    }
+    let request = Frame::DrawRequest(DrawRequest { asked_at: clock::now(), count });
+    if let Some(mesh) = shared.mesh.get() {
+        mesh.send(leader, &request);
+    }
+}
+
+/// Begins what was given, as far as its time is not over.
+pub fn granted(shared: &Arc<Shared>, grant: DrawGrant) {
+    let begin_by = grant.asked_at + grant.begin_ms;
+    for task in grant.tasks {
+        let running = Running::new(shared);
+        tokio::spawn(async move {
+            let ending = draw(&running.0, &task, begin_by).await;
+            tell(&running.0, DrawResult { id: task.id, within_ms: task.within_ms, ending });
+        });
+    }
+}
+
+/// Tells whoever leads now. Where nobody does, the generation's time runs out, and it is drawn again.
+fn tell(shared: &Arc<Shared>, result: DrawResult) {
+    let leader = shared.deciding().core_choice.leader();
+    if let (Some(leader), Some(mesh)) = (leader, shared.mesh.get()) {
+        mesh.send(leader, &Frame::DrawResult(result));
+    }
+}
+
+async fn draw(shared: &Arc<Shared>, task: &DrawTask, begin_by: u64) -> DrawEnding {
+    let Ok(address) = task.address.parse::<SocketAddr>() else { return DrawEnding::Over };
+    let Some(request) = request(task) else { return DrawEnding::Over };
+    let own_id = request.headers().get(REQUEST_ID).cloned();
+    let exchange = async {
+        match shared.pool.exchange_by(address, request, begin_by).await {
+            Ok(exchange) => read(shared, task, exchange, own_id.as_ref()).await,
+            Err(ExchangeError::NotSent(_)) => DrawEnding::Over,
+            Err(ExchangeError::Broken(_)) => DrawEnding::Unknown,
+        }
+    };
+    let latest = clock::until(begin_by + task.within_ms);
+    tokio::time::timeout(latest, exchange).await.unwrap_or(DrawEnding::Unknown)
+}
+
+/// Names a generation at its worker, the same at every try.
+fn request_id(id: &DrawId) -> String {
+    let DrawId { step, epoch, prompt, .. } = id;
+    format!("step-{step}.{epoch}.{prompt}.{:08x}", fastrand::u32(..))
+}
+
+fn request(task: &DrawTask) -> Option<Request<Full<Bytes>>> {
+    let mut request = Request::new(Full::new(Bytes::from(task.body.clone())));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = task.path.parse().ok()?;
+    let headers = request.headers_mut();
+    let mut set = |name: HeaderName, value: &str| {
+        headers.insert(name, HeaderValue::from_str(value).ok()?);
+        Some(())
+    };
+    set(HOST, &task.address)?;
+    set(REQUEST_ID, &request_id(&task.id))?;
+    set(TARGET_INSTANCE, &task.id.instance)?;
+    set(MODEL, &task.model)?;
+    set(TOKEN_COUNT, &format!("{},{}", task.input_tokens, task.output_tokens))?;
+    set(DEADLINE, &task.within_ms.to_string())?;
+    set(EXPECT_VERSION, &task.id.version.to_string())?;
+    // Shops and riders go first.
+    set(PRIORITY, &LOWEST_PRIORITY.to_string())?;
+    if !task.prefix.is_empty() {
+        set(PROMPT_PREFIX, &task.prefix)?;
+    }
+    Some(request)
+}
+
+/// Reads an answer to its end.
+async fn read(
+    shared: &Arc<Shared>,
+    task: &DrawTask,
+    exchange: Exchange,
+    own_id: Option<&HeaderValue>,
+) -> DrawEnding {
+    let Exchange { response, lease } = exchange;
+    let headers = response.headers();
+    let turned_away =
+        headers.contains_key(NOT_EXECUTED) || response.status() == StatusCode::MISDIRECTED_REQUEST;
+    let is_its_own = headers.get(REQUEST_ID) == own_id && headers.contains_key(SIGNATURE);
+    if turned_away || response.status() != StatusCode::OK {
+        return DrawEnding::Over;
+    }
+    if !is_its_own {
+        return DrawEnding::Unknown;
+    }
+    let told = headers.get(VERSIONS).and_then(|value| value.to_str().ok());
+    let head = told.and_then(|value| value.trim().parse().ok());
+    let mut answer =
+        Reading { answer: DrawnAnswer { head, ..DrawnAnswer::default() }, tracker: EventTracker::default() };
+    if !answer.read_all(response.into_body()).await {
+        return DrawEnding::Unknown;
+    }
+    shared.pool.give_back(lease);
+    DrawEnding::Complete(answer.finish(task))
+}
+
+/// An answer as it comes.
+struct Reading {
+    answer: DrawnAnswer,
+    tracker: EventTracker,
+}
+
+impl Reading {
+    /// Returns whether it came to its end.
+    async fn read_all(&mut self, mut body: Incoming) -> bool {
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else { return false };
+            if let Ok(data) = frame.into_data() {
+                let whole = self.tracker.pass(&data);
+                self.note(&whole);
+            }
+        }
+        let rest = self.tracker.finish();
+        self.note(&rest);
+        true
+    }
+
+    fn note(&mut self, events: &[u8]) {
+        self.answer.events.extend(events::versions(events));
+        let room = MOST_TEXT_BYTES - self.answer.text.len();
+        let text = String::from_utf8_lossy(events);
+        let end = text.floor_char_boundary(room.min(text.len()));
+        self.answer.truncated |= end < text.len();
+        self.answer.text.push_str(&text[..end]);
+    }
+
+    fn finish(mut self, task: &DrawTask) -> DrawnAnswer {
+        let tokens = self.tracker.events() * u64::from(task.event_tokens.max(1));
+        self.answer.tokens = tokens.min(task.output_tokens.max(1));
+        self.answer
+    }
+}
--- a/crates/system/src/edge/mod.rs
+++ b/crates/system/src/edge/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod answer;
 mod core_links;
+mod generation;
 pub mod hollow;
 mod proxy;
 mod relay;
--- a/crates/system/src/edge/proxy.rs
+++ b/crates/system/src/edge/proxy.rs
@@ -25,18 +25,20 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-const REQUEST_ID: HeaderName = HeaderName::from_static("x-pathbank-request-id");
-const DEADLINE: HeaderName = HeaderName::from_static("x-pathbank-deadline-ms");
+pub(super) const REQUEST_ID: HeaderName = HeaderName::from_static("x-pathbank-request-id");
+pub(super) const DEADLINE: HeaderName = HeaderName::from_static("x-pathbank-deadline-ms");
 const CREDENTIAL: HeaderName = HeaderName::from_static("x-pathbank-credential");
 const TENANT: HeaderName = HeaderName::from_static("x-pathbank-tenant");
-const TARGET_INSTANCE: HeaderName = HeaderName::from_static("x-pathbank-target-instance");
-const MODEL: HeaderName = HeaderName::from_static("x-pathbank-model");
-const TOKEN_COUNT: HeaderName = HeaderName::from_static("x-pathbank-token-count");
-const PROMPT_PREFIX: HeaderName = HeaderName::from_static("x-pathbank-prompt-prefix");
-const SIGNATURE: HeaderName = HeaderName::from_static("x-pathbank-response-signature");
-const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-pathbank-not-executed");
+pub(super) const TARGET_INSTANCE: HeaderName = HeaderName::from_static("x-pathbank-target-instance");
+pub(super) const MODEL: HeaderName = HeaderName::from_static("x-pathbank-model");
+pub(super) const TOKEN_COUNT: HeaderName = HeaderName::from_static("x-pathbank-token-count");
+pub(super) const PROMPT_PREFIX: HeaderName = HeaderName::from_static("x-pathbank-prompt-prefix");
+pub(super) const SIGNATURE: HeaderName = HeaderName::from_static("x-pathbank-response-signature");
+pub(super) const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-pathbank-not-executed");
 const INSTANCE_LOAD: HeaderName = HeaderName::from_static("x-pathbank-instance-load");
-const PRIORITY: HeaderName = HeaderName::from_static("priority");
+pub(super) const PRIORITY: HeaderName = HeaderName::from_static("priority");
+pub(super) const EXPECT_VERSION: HeaderName = HeaderName::from_static("expect-version");
+pub(super) const VERSIONS: HeaderName = HeaderName::from_static("versions");
 pub(super) const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 
 /// Headers that concern one connection only.
--- a/crates/system/src/edge/shared.rs
+++ b/crates/system/src/edge/shared.rs
@@ -1,6 +1,7 @@
 //! What all tasks of an edge head share: the deciding parts, behind one lock that is never held across a wait.
 
 use super::admission::Admissions;
+use super::generation::Generations;
 use super::rollout::Rollout;
 use crate::clock;
 use crate::net::client::ConnectionPool;
@@ -125,6 +126,8 @@
     pub routes: ArcSwapOption<RouteTable>,
     /// Questions to the leader where prompts should go.
     pub admissions: Admissions,
+    /// Generations of training steps.
+    pub generations: Generations,
     /// Configurations that cores told and that are not in force yet.
     pub rollout: Rollout,
     /// Connections to bricks.
@@ -183,6 +186,7 @@
             life,
             routes: ArcSwapOption::empty(),
             admissions: Admissions::default(),
+            generations: Generations::default(),
             rollout: Rollout::default(),
             pool: ConnectionPool::default(),
             mesh: OnceLock::new(),
--- a/crates/system/src/lib.rs
+++ b/crates/system/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod settings;
 pub mod signals;
 pub mod stand_in;
+pub mod trainer;
--- a/crates/system/src/net/client.rs
+++ b/crates/system/src/net/client.rs
@@ -107,7 +107,18 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<Exchange, ExchangeError> {
-        let request = match self.take_idle(address) {
+        self.exchange_by(address, request, u64::MAX).await
+    }
+
+    /// The same, where nothing of the request may be written at `latest` or later, by the steady clock.
+    pub async fn exchange_by(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        latest: u64,
+    ) -> Result<Exchange, ExchangeError> {
+        let is_late = || clock::now() >= latest;
+        let request = match self.take_idle(address).filter(|_| !is_late()) {
             Some(sender) => match send(address, sender, request).await {
                 Err(ExchangeError::NotSent(request)) => *request,
                 other => return other,
@@ -115,8 +126,8 @@
             None => request,
         };
         match Self::open(address).await {
-            Ok(sender) => send(address, sender, request).await,
-            Err(_) => Err(ExchangeError::NotSent(Box::new(request))),
+            Ok(sender) if !is_late() => send(address, sender, request).await,
+            Ok(_) | Err(_) => Err(ExchangeError::NotSent(Box::new(request))),
         }
     }
 
--- a/crates/system/tests/fleet/world.rs
+++ b/crates/system/tests/fleet/world.rs
@@ -127,6 +127,7 @@
             weights_mb: ROOM_MB,
             max_adapters: 4,
             loads_per_s: LOADS_PER_S,
+            stride: 3.0,
         };
         let backend = Backend {
             name: "llm".into(),
