Steps on real processes: hard cases as tests, steps command, one local system for all rigs

Cause: the hard cases of training steps were played in virtual time alone, and three places each started processes on loopback in their own way. Change: pathbank_system::local starts a whole system on loopback, for the quick start, tests and rehearsals; 15 stories on real processes (lying and mute workers, a worker back at its address, the leader killed with its disk while all lose power in four states, an edge that stood still, the floor, a load that sticks, merchants during a change-over, two trainers, bad input); steps list, show, watch, explain.

--- a/crates/system/src/command/mod.rs
+++ b/crates/system/src/command/mod.rs
@@ -10,6 +10,7 @@
 mod demo;
 mod explain;
 mod operator;
+mod steps;
 
 pub use operator::{Answer, call};
 
@@ -40,6 +41,9 @@
     Placement(operator::Target),
     /// Shows who holds the lease, its fencing token, reported usage and the bricks ordered.
     Duties(operator::Target),
+    /// Shows training steps: which there are, how one stands, why it waits.
+    #[command(subcommand)]
+    Steps(steps::StepsCommand),
     /// Tells what became of one request.
     Explain(explain::Explain),
     /// Reads, checks and changes the configuration.
@@ -67,6 +71,7 @@
         Command::Bricks(target) => operator::bricks(&target),
         Command::Placement(target) => operator::placement(&target),
         Command::Duties(target) => operator::duties(&target),
+        Command::Steps(command) => steps::run(&command),
         Command::Explain(explain) => explain::run(&explain),
         Command::Config(command) => operator::config(&command),
         Command::Demo => demo::run(),
--- a/crates/system/src/command/operator.rs
+++ b/crates/system/src/command/operator.rs
@@ -91,7 +91,8 @@
     Ok(Answer { status, location, body: body.to_owned() })
 }
 
-fn fetch(target: &Target, path: &str) -> Result<Value> {
+/// What a control plane tells at a path.
+pub(super) fn fetch(target: &Target, path: &str) -> Result<Value> {
     let answer = call(target.control, "GET", path, None, "")?;
     if answer.status != 200 {
         bail!("{path}: status {}: {}", answer.status, answer.body.trim());
@@ -99,7 +100,8 @@
     serde_json::from_str(&answer.body).with_context(|| format!("{path}: no JSON"))
 }
 
-fn text<'a>(value: &'a Value, key: &str) -> &'a str {
+/// A text of an answer; a dash where there is none.
+pub(super) fn text<'a>(value: &'a Value, key: &str) -> &'a str {
     value.get(key).and_then(Value::as_str).unwrap_or("-")
 }
 
--- a/crates/system/src/lib.rs
+++ b/crates/system/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod command;
 pub mod core;
 pub mod edge;
+pub mod local;
 pub mod net;
 pub mod rehearsal;
 pub mod settings;
--- a/crates/system/tests/common/mod.rs
+++ b/crates/system/tests/common/mod.rs
@@ -2,15 +2,13 @@
 
 #![allow(dead_code)]
 
+use pathbank_system::local::{LocalPlan, LocalSystem};
 use pathbank_system::stand_in::drawn::DrawnLog;
 use pathbank_system::stand_in::{self, StandInSettings, StandInState};
-use std::fs;
 use std::io::{Read, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 /// Whatever is waited for comes within this, also on a busy machine.
@@ -18,8 +16,6 @@
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 const READ_WITHIN: Duration = Duration::from_secs(10);
 
-static NEXT_NETWORK: AtomicU8 = AtomicU8::new(1);
-
 /// Waits until something holds.
 pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
     let start = Instant::now();
@@ -59,146 +55,44 @@
     Some(Answer { status, head: head.to_ascii_lowercase(), body: body.to_owned() })
 }
 
-pub struct Process {
-    pub name: String,
-    role: &'static str,
-    settings: PathBuf,
-    child: Option<Child>,
-}
-
-impl Process {
-    pub fn start(&mut self) {
-        let child = Command::new(env!("CARGO_BIN_EXE_pathbank-system"))
-            .arg(self.role)
-            .env("PATHBANK_CONFIG", &self.settings)
-            .stderr(Stdio::null())
-            .spawn()
-            .expect("the program starts");
-        self.child = Some(child);
-    }
-
-    pub fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-
-    fn signal(&self, name: &str) {
-        if let Some(child) = &self.child {
-            let _ = Command::new("kill").args(["-s", name, &child.id().to_string()]).status();
-        }
-    }
-
-    /// SIGTERM; returns at once.
-    pub fn ask_to_stop(&self) {
-        self.signal("TERM");
-    }
-
-    /// Stands still until it is killed.
-    pub fn freeze(&self) {
-        self.signal("STOP");
-    }
-
-    pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_none_or(|child| child.try_wait().is_ok_and(|status| status.is_some()))
-    }
-
-    pub fn allow_bootstrap(&self, bootstrap: bool) {
-        let text = fs::read_to_string(&self.settings).unwrap();
-        let lines = text.lines().map(|line| match line.starts_with("bootstrap=") {
-            true => format!("bootstrap={bootstrap}"),
-            false => line.to_owned(),
-        });
-        fs::write(&self.settings, lines.collect::<Vec<_>>().join("\n")).unwrap();
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
 /// Three cores and one edge.
 pub struct System {
-    pub folder: PathBuf,
-    pub cores: Vec<Process>,
-    pub edge: Process,
+    pub local: LocalSystem,
     pub control: Vec<SocketAddr>,
     pub ingress: SocketAddr,
     pub readiness: SocketAddr,
-    network: u8,
     pub runtime: tokio::runtime::Runtime,
 }
 
 impl System {
     pub fn new() -> System {
-        let network = NEXT_NETWORK.fetch_add(1, Ordering::Relaxed);
-        let process = (std::process::id() % 200) as u8 + 20;
-        let ip = |host: u8| IpAddr::V4(Ipv4Addr::new(127, process, network, host));
-        let folder = std::env::temp_dir().join(format!("pathbank-system-{}-{network}", std::process::id()));
-        let _ = fs::remove_dir_all(&folder);
-        fs::create_dir_all(&folder).unwrap();
-        let port = free_port(ip(1));
-        let (internal, control_port) = (port, free_port(ip(1)));
-        let control: Vec<SocketAddr> = (1..=3).map(|host| SocketAddr::new(ip(host), control_port)).collect();
-        let (ingress, readiness) =
-            (SocketAddr::new(ip(9), free_port(ip(9))), SocketAddr::new(ip(9), free_port(ip(9))));
-        let seeds: Vec<String> = control.iter().map(SocketAddr::to_string).collect();
-        let common = format!(
-            "zone=z1\nregion=r\ninternal_port_range={internal},{internal}\nseed_nodes={}\nbootstrap=true\n\
-             heartbeat_ms=200\nlimits.max_fds=1024\n",
-            seeds.join(",")
-        );
-        let process_of = |name: String, role, own: String| {
-            let settings = folder.join(format!("{name}.conf"));
-            fs::write(&settings, format!("node_name={name}\n{own}{common}")).unwrap();
-            Process { name, role, settings, child: None }
-        };
-        let core = |(number, address): (usize, &SocketAddr)| {
-            let data = folder.join(format!("data-{number}"));
-            let own = format!(
-                "ip={}\nlisteners_map.control_plane={address}\ncounts_for_quorum=true\ndata_dir={}\n",
-                address.ip(),
-                data.display()
-            );
-            process_of(format!("core-{number}"), "core", own)
-        };
-        let cores = control.iter().enumerate().map(core).collect();
-        let own = format!(
-            "ip={}\nlisteners_map.ingress={ingress}\nlisteners_map.readiness={readiness}\n",
-            ingress.ip()
-        );
-        let edge = process_of("edge-1".into(), "edge", own);
+        System::with_edges(1)
+    }
+
+    pub fn with_edges(edges: u8) -> System {
+        let program = PathBuf::from(env!("CARGO_BIN_EXE_pathbank-system"));
+        let plan = LocalPlan { program, cores: 3, edges, zones: 1, quiet: true };
+        let local = LocalSystem::new(&plan).expect("settings are written");
+        let (control, ingress) = (local.control.clone(), local.edges[0].ingress);
+        let readiness = local.edges[0].readiness;
         let runtime =
             tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
-        System { folder, cores, edge, control, ingress, readiness, network, runtime }
+        System { local, control, ingress, readiness, runtime }
     }
 
     pub fn started() -> System {
         let mut system = System::new();
-        system.cores.iter_mut().for_each(Process::start);
-        system.edge.start();
+        system.local.start().expect("the program starts");
         system
     }
 
     pub fn data(&self, core: usize) -> PathBuf {
-        self.folder.join(format!("data-{core}"))
+        self.local.data(core)
     }
 
     pub fn brick(&self, instance: &str, backend: &str, models: &[&str]) -> Arc<StandInState> {
-        self.start_brick(StandInSettings::new(instance, backend, "z1", models, &self.control))
-    }
-
-    pub fn start_brick(&self, settings: StandInSettings) -> Arc<StandInState> {
-        let state = StandInState::new(&settings, DrawnLog::default());
-        let (brick_state, ip) = (state.clone(), self.ingress.ip());
-        self.runtime.spawn(async move {
-            let listener = tokio::net::TcpListener::bind((ip, 0)).await.expect("a port");
-            let _ = stand_in::run(listener, settings, brick_state).await;
-        });
-        state
+        let settings = StandInSettings::new(instance, backend, "z1", models, &self.control);
+        start_brick(&self.runtime, settings, SocketAddr::new(self.ingress.ip(), 0))
     }
 
     /// Sends a change to one head after the other until it is taken.
@@ -260,16 +154,25 @@
     }
 }
 
-impl Drop for System {
-    fn drop(&mut self) {
-        self.edge.kill();
-        self.cores.iter_mut().for_each(Process::kill);
-        let _ = fs::remove_dir_all(&self.folder);
-    }
-}
-
-fn free_port(ip: IpAddr) -> u16 {
-    TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap().port()
+/// A brick that lives as long as the runtime.
+pub fn start_brick(
+    runtime: &tokio::runtime::Runtime,
+    settings: StandInSettings,
+    address: SocketAddr,
+) -> Arc<StandInState> {
+    let state = StandInState::new(&settings, DrawnLog::default());
+    let brick_state = state.clone();
+    runtime.spawn(async move {
+        let listener = loop {
+            // The brick that was here before may still be ending.
+            match tokio::net::TcpListener::bind(address).await {
+                Ok(listener) => break listener,
+                Err(_) => tokio::time::sleep(LOOK_EVERY).await,
+            }
+        };
+        let _ = stand_in::run(listener, settings, brick_state).await;
+    });
+    state
 }
 
 /// A configuration with a plain service `app` under /app/ and models under /llm/.
--- a/crates/system/tests/loopback.rs
+++ b/crates/system/tests/loopback.rs
@@ -2,7 +2,8 @@
 
 mod common;
 
-use common::{Process, System, call, document, until};
+use common::{System, call, document, until};
+use pathbank_system::local::Process;
 use std::io::{Read, Write};
 use std::process::Command;
 use std::sync::atomic::Ordering;
@@ -53,11 +54,11 @@
     system.configure(0, &document(3));
     until("a leader", || system.leader().is_some());
     let leader = system.leader().unwrap();
-    system.cores[leader].kill();
+    system.local.cores[leader].kill();
     system.configure(3, &document(5));
-    system.cores[leader].start();
-    system.cores.iter_mut().for_each(|core| core.kill());
-    system.cores.iter_mut().for_each(|core| core.start());
+    system.local.cores[leader].start().unwrap();
+    system.local.cores.iter_mut().for_each(|core| core.kill());
+    system.local.cores.iter_mut().for_each(|core| core.start().unwrap());
     until("it is read back", || system.read_configuration().is_some_and(|read| read["version"] == 5));
     assert_eq!(system.change(0, &document(3)), Some(200), "what was taken is taken again");
     assert_eq!(system.change(3, &document(9)), Some(412));
@@ -70,7 +71,7 @@
     system.configure(0, &document(3));
     until("a leader", || system.leader().is_some());
     let leader = system.leader().unwrap();
-    let others = system.cores.iter().enumerate().filter(|(core, _)| *core != leader);
+    let others = system.local.cores.iter().enumerate().filter(|(core, _)| *core != leader);
     others.for_each(|(_, core)| core.freeze());
     let base = [("X-Pathbank-Base-Version", "3")];
     let path = "/api/config/replace";
@@ -91,10 +92,10 @@
     };
     until("the group is known", || !stores(&system).is_empty());
     let before = stores(&system);
-    system.cores[leader].kill();
+    system.local.cores[leader].kill();
     std::fs::remove_dir_all(system.data(leader)).unwrap();
-    system.cores[leader].allow_bootstrap(false);
-    system.cores[leader].start();
+    system.local.cores[leader].allow_bootstrap(false).unwrap();
+    system.local.cores[leader].start().unwrap();
     until("another store is in", || {
         let now = stores(&system);
         !now.is_empty() && now != before
@@ -132,13 +133,13 @@
     system.configure(0, &document(3));
     system.until_ready();
     system.ask_until_served("/llm/x", "id-0", MODEL);
-    system.edge.ask_to_stop();
+    system.local.edges[0].process.ask_to_stop();
     until("it calls itself not ready", || {
         call(system.readiness, "GET", "/api/readyz", &[], "").is_none_or(|answer| answer.status == 503)
     });
     let late = system.ask("/llm/x", "id-1", "key-1", MODEL, "").expect("it still serves who comes");
     assert!(late.status == 200 && late.body.contains("piece 5"));
-    until("it has ended", || system.edge.has_ended());
+    until("it has ended", || system.local.edges[0].process.has_ended());
 }
 
 /// A brick that answers its first request only when it is told to.
@@ -185,13 +186,13 @@
         call(ingress, "POST", "/app/x", &headers, "hello")
     });
     came.recv().unwrap();
-    system.edge.ask_to_stop();
+    system.local.edges[0].process.ask_to_stop();
     until("late connections are refused", || std::net::TcpStream::connect(ingress).is_err());
-    assert!(!system.edge.has_ended(), "a request is still at its brick");
+    assert!(!system.local.edges[0].process.has_ended(), "a request is still at its brick");
     release.send(()).unwrap();
     let answer = asking.join().unwrap().expect("a whole answer");
     assert_eq!((answer.status, answer.body.as_str()), (200, "held"));
-    until("it has ended", || system.edge.has_ended());
+    until("it has ended", || system.local.edges[0].process.has_ended());
 }
 
 /// Runs an operator's command. Returns whether it succeeded, and what it printed.
@@ -244,14 +245,14 @@
     (0..3).for_each(|number| drop(system.ask_until_served("/app/x", &format!("id-{number}"), &[])));
     until("the leader counts them", || counted(&system) == Some(3));
     // Whichever core leads next, the same one among them, hears it again from the edge.
-    system.cores.iter_mut().for_each(Process::kill);
-    system.cores.iter_mut().for_each(Process::start);
+    system.local.cores.iter_mut().for_each(Process::kill);
+    system.local.cores.iter_mut().for_each(|core| core.start().unwrap());
     until("the next leader counts them", || counted(&system) == Some(3));
     // An edge that ends tells every core: the next leader has it from nobody else.
-    system.edge.ask_to_stop();
-    until("the edge ends", || system.edge.has_ended());
+    system.local.edges[0].process.ask_to_stop();
+    until("the edge ends", || system.local.edges[0].process.has_ended());
     let leader = system.leader().expect("somebody leads");
-    system.cores[leader].kill();
+    system.local.cores[leader].kill();
     until("another one leads, and has counted them", || {
         system.leader().is_some_and(|next| next != leader) && counted(&system) == Some(3)
     });
@@ -271,7 +272,7 @@
     assert!(text.contains("instance=\"i-app\"") && text.contains("route=\"r1\""), "{text}");
     let (ok, text) = run(&["explain", "id-none", "--edge", &head]);
     assert!(!ok && text.contains("no head asked knows request id-none"), "{text}");
-    let log = system.folder.join("edge.log");
+    let log = system.local.folder.join("edge.log");
     std::fs::write(&log, "DEBUG refused id=\"id-10\" code=1\nDEBUG sent to a brick id=\"id-1\" sends=0\n")
         .unwrap();
     let (ok, text) = run(&["explain", "id-1", "--log", &log.display().to_string()]);
@@ -282,7 +283,7 @@
 #[test]
 fn operators_ask_by_the_command_line() {
     let system = System::started();
-    let file = system.folder.join("document.json");
+    let file = system.local.folder.join("document.json");
     std::fs::write(&file, document(3)).unwrap();
     let (control, file) = (system.control[0].to_string(), file.display().to_string());
     assert_eq!(run(&["config", "check", &file]), (true, "ok: version 3\n".into()));
@@ -347,7 +348,7 @@
     system.configure(0, &document(3));
     system.until_ready();
     system.ask_until_served("/llm/x", "id-0", MODEL);
-    system.cores.iter().for_each(|core| core.freeze());
+    system.local.cores.iter().for_each(|core| core.freeze());
     for number in 1..=6 {
         let answer = system.ask("/llm/x", &format!("id-{number}"), "key-1", MODEL, "").expect("an answer");
         assert!(answer.status == 200 && answer.body.contains("piece 5"), "{number}: {}", answer.status);
--- /dev/null
+++ b/crates/system/tests/training/main.rs
@@ -0,0 +1,227 @@
+//! Training steps on the real programs: control heads, edge heads, stand-in bricks that load and draw.
+
+#[path = "../common/mod.rs"]
+mod common;
+mod world;
+
+use common::{call, until};
+use pathbank_system::stand_in::engine::EngineFault;
+use std::time::Duration;
+use test_case::test_case;
+use world::World;
+
+#[test]
+fn step_after_step_is_drawn_from_the_version_that_was_published_before_it() {
+    let mut world = World::given(3);
+    let first = world.play("one", 20);
+    assert_eq!((first.version, first.results.len()), (1, 20));
+    world.store.publish().unwrap();
+    let second = world.play("two", 20);
+    assert_eq!((second.version, second.results.len()), (2, 20));
+    world.sound(2);
+}
+
+#[test_case(EngineFault::Lies, "other_version"; "draws from another version than it says, which a late event tells")]
+#[test_case(EngineFault::TellsNoVersion, "no_version"; "tells no version")]
+fn a_worker_leaves_a_step_that(fault: EngineFault, reason: &str) {
+    // Given a step that is open, when one of its three workers goes wrong,
+    let mut world = World::given(3);
+    world.store.publish().unwrap();
+    let step = world.trainer.open(&World::plan("one", 60)).unwrap();
+    world.trainer.until(step, &["open"]).unwrap();
+    world.bricks[1].state.engine().set_fault(fault);
+    // then the step goes on without it, and counts nothing that it drew wrongly.
+    let told = world.finish(step);
+    let reasons = world.reasons(step);
+    // A lie shows two versions in one answer, which is no proof of any.
+    let expected = if fault == EngineFault::Lies { "no_version" } else { reason };
+    assert_eq!(reasons, [("w1".to_owned(), expected.to_owned())]);
+    assert!(told["discarded"].as_u64() > Some(0));
+    world.sound(1);
+}
+
+#[test]
+fn a_worker_that_comes_back_in_mid_step_draws_nothing_more_for_it() {
+    // Given an open step of version 1, when the store publishes and a worker is restarted at its address,
+    let mut world = World::given(3);
+    let step = world.trainer.open(&World::plan("one", 100)).unwrap();
+    world.trainer.until(step, &["open"]).unwrap();
+    world.store.publish().unwrap();
+    world.restart_brick(2, "w2-again");
+    let told = world.finish(step);
+    // then the step is drawn from version 1 by the others, and the next one from version 2 by all.
+    assert_eq!(told["version"], 1);
+    assert_eq!(world.drawn_by("w2-again", step), 0);
+    assert_eq!(world.reasons(step), [("w2".to_owned(), "gone".to_owned())]);
+    let next = world.play("two", 30);
+    assert_eq!(next.version, 2);
+    assert!(world.drawn_by("w2-again", next.step) > 0);
+    world.sound(2);
+}
+
+#[test_case("announced")]
+#[test_case("preparing")]
+#[test_case("open")]
+#[test_case("sealing")]
+fn a_step_survives_its_leader_with_the_disk_and_the_power_of_all_others_in_state(state: &str) {
+    // Given a step in a state, when the leader is killed and its disk lost while all other control heads lose power,
+    let mut world = World::given(3);
+    let step = world.trainer.open(&World::plan("one", 80)).unwrap();
+    match state {
+        "announced" => {}
+        "sealing" => {
+            world.trainer.until(step, &["open"]).unwrap();
+            world.trainer.until_drawn(step).unwrap();
+            world.trainer.seal(step, false).unwrap();
+        }
+        _ => drop(world.trainer.until(step, &[state]).unwrap()),
+    }
+    let leader = world.system.leader().expect("a leader");
+    world.system.local.cores.iter_mut().for_each(|core| core.kill());
+    std::fs::remove_dir_all(world.system.data(leader)).unwrap();
+    world.system.local.cores[leader].allow_bootstrap(false).unwrap();
+    world.system.local.cores.iter_mut().for_each(|core| core.start().unwrap());
+    // then it is drawn and sealed under another leader, with all that had been acknowledged.
+    world.finish(step);
+    world.sound(1);
+}
+
+#[test]
+fn an_edge_head_that_stood_still_begins_nothing_late() {
+    // Given two edge heads that draw for a step, when one stands still until the step after it draws,
+    let mut world = World::with_edges(3, 2);
+    world.play("one", 6);
+    let step = world.trainer.open(&World::plan("two", 200)).unwrap();
+    world.trainer.until(step, &["open"]).unwrap();
+    world.system.local.edges[1].process.freeze();
+    world.finish(step);
+    world.store.publish().unwrap();
+    let next = world.trainer.open(&World::plan("three", 100)).unwrap();
+    world.trainer.until(next, &["open"]).unwrap();
+    world.system.local.edges[1].process.thaw();
+    world.finish(next);
+    // then it has begun nothing of the earlier one.
+    world.sound(3);
+}
+
+#[test]
+fn below_its_floor_a_step_waits_and_says_so() {
+    // Given a step that needs two of two workers, when one of them is killed,
+    let mut world = World::given(2);
+    let step = world.trainer.open(&World::plan("one", 200)).unwrap();
+    world.trainer.until(step, &["open"]).unwrap();
+    let gone = world.kill_brick(1);
+    until("it says what it waits for", || {
+        world.explain(step)["waits"] == "for workers: fewer than the floor are left"
+    });
+    // then it counts nothing more, and another attempt goes on once the worker is back.
+    let counted = world.trainer.read(step).unwrap()["counted"].clone();
+    std::thread::sleep(Duration::from_millis(500));
+    assert_eq!(world.trainer.read(step).unwrap()["counted"], counted);
+    world.trainer.abort(step).unwrap();
+    let again = world.start_brick("w1-again", gone);
+    world.bricks.push(again);
+    world.play("another", 20);
+    world.sound(1);
+}
+
+#[test]
+fn a_load_that_does_not_end_holds_up_no_step_for_good() {
+    // Given a worker whose next load does not end,
+    let mut world = World::given(3);
+    world.bricks[0].state.engine().set_fault(EngineFault::LoadSticks);
+    world.store.publish().unwrap();
+    // when a step asks for the newest version, then it begins without that worker.
+    let sealed = world.play("one", 20);
+    assert_eq!(sealed.version, 2);
+    assert_eq!(world.drawn_by("w0", sealed.step), 0);
+    world.sound(1);
+}
+
+#[test]
+fn merchants_are_served_while_workers_change_versions() {
+    let mut world = World::given(3);
+    world.play("one", 6);
+    world.store.publish().unwrap();
+    let step = world.trainer.open(&World::plan("two", 30)).unwrap();
+    let model = [("X-Pathbank-Model", "m1"), ("X-Pathbank-Token-Count", "10,10")];
+    let (mut asked, mut served) = (0, 0);
+    while world.trainer.read(step).unwrap()["state"] != "open" {
+        asked += 1;
+        let answer = world.system.ask("/llm/x", &format!("shop-{asked}"), "key-1", &model, "hello");
+        served += usize::from(
+            answer.is_some_and(|answer| answer.status == 200 && answer.body.contains("data: piece 5")),
+        );
+    }
+    world.finish(step);
+    assert!(asked > 10 && served == asked, "{served} of {asked} were served");
+    world.sound(2);
+}
+
+#[test]
+fn two_trainers_that_ask_for_the_same_step_get_the_same() {
+    let world = World::given(2);
+    let body = r#"{"key":"k","model":"m1","floor":2}"#;
+    let open = |core: usize| {
+        let answer = world.trainer.call("POST", "/api/v1/steps", body).unwrap();
+        assert_eq!(answer.status, 200, "{core}");
+        serde_json::from_str::<serde_json::Value>(&answer.body).unwrap()["step"].clone()
+    };
+    let opened = std::thread::scope(|scope| {
+        let trainers = [0, 1].map(|core| scope.spawn(move || open(core)));
+        trainers.map(|trainer| trainer.join().unwrap())
+    });
+    assert_eq!(opened[0], opened[1]);
+    assert_eq!(world.ask("POST", "/api/v1/steps", r#"{"key":"k","model":"m1","floor":1}"#), (409, 404));
+}
+
+#[test]
+fn a_call_is_answered_when_the_step_has_changed() {
+    let world = World::given(2);
+    let step = world.trainer.open(&World::plan("one", 5)).unwrap();
+    let seen = world.trainer.read(step).unwrap()["revision"].as_u64().unwrap();
+    let leader = world.system.leader().unwrap();
+    let path = format!("/api/v1/steps/{step}?seen={seen}");
+    let answer = call(world.system.control[leader], "GET", &path, &[], "").unwrap();
+    let told: serde_json::Value = serde_json::from_str(&answer.body).unwrap();
+    assert!(answer.status == 200 && told["revision"].as_u64() > Some(seen), "{}", answer.body);
+}
+
+/// Nothing of this changes a step.
+#[test]
+fn bad_input_gets_a_clear_error() {
+    let world = World::given(2);
+    let step = world.trainer.open(&World::plan("one", 5)).unwrap();
+    let before = world.trainer.read(step).unwrap()["submitted"].clone();
+    let open = |body: &str| world.ask("POST", "/api/v1/steps", body);
+    let of_step = |part: &str, body: &str| world.ask("POST", &format!("/api/v1/steps/{step}/{part}"), body);
+    assert_eq!(open("{"), (400, 101));
+    assert_eq!(open(r#"{"key":"x"}"#), (400, 101), "no model");
+    assert_eq!(open(r#"{"key":"x","model":"m1","flor":1}"#), (400, 101), "a word that is not known");
+    for body in [
+        r#"{"key":"","model":"m1"}"#,
+        r#"{"key":"x","model":"nobody's"}"#,
+        r#"{"key":"x","model":"m1","backend":"app"}"#,
+        r#"{"key":"x","model":"m1","version":0}"#,
+        r#"{"key":"x","model":"m1","version":"latest"}"#,
+        r#"{"key":"x","model":"m1","workers":0}"#,
+        r#"{"key":"x","model":"m1","share":1.5}"#,
+        r#"{"key":"x","model":"m1","workers":2,"share":0.5}"#,
+        r#"{"key":"x","model":"m1","path":"no slash"}"#,
+        r#"{"key":"x","model":"m1","generation_ms":0}"#,
+        r#"{"key":"x","model":"m1","deadline_ms":0}"#,
+    ] {
+        assert_eq!(open(body), (400, 411), "{body}");
+    }
+    assert_eq!(of_step("prompts", r#"{"prompts":[]}"#), (400, 411));
+    assert_eq!(of_step("prompts", r#"{"prompts":[{"id":9,"body":"a"},{"id":9,"body":"b"}]}"#), (400, 411));
+    assert_eq!(of_step("prompts", r#"{"prompts":[{"id":9,"body":"a","prefix":"a b"}]}"#), (400, 411));
+    assert_eq!(of_step("prompts", r#"{"prompts":[{"id":1,"body":"another"}]}"#), (409, 409));
+    assert_eq!(of_step("seal", r#"{"allow_missing":"yes"}"#), (400, 101));
+    assert_eq!(of_step("results", ""), (404, 203), "that call is a GET");
+    assert_eq!(world.ask("GET", "/api/v1/steps/77", ""), (404, 401));
+    assert_eq!(world.ask("GET", "/api/v1/steps/first", ""), (404, 401));
+    assert_eq!(world.ask("POST", "/api/v1/steps/77/seal", ""), (404, 401));
+    assert_eq!(world.ask("GET", &format!("/api/v1/steps/{step}/results?most=many"), ""), (400, 411));
+    assert_eq!(world.trainer.read(step).unwrap()["submitted"], before);
+}
--- /dev/null
+++ b/crates/system/tests/training/world.rs
@@ -0,0 +1,159 @@
+//! A system with stand-in bricks that share a weight store, a trainer, and an audit of what engines drew.
+
+use crate::common::{System, call, document, start_brick, until};
+use pathbank_rollout::audit::{Audit, Drawn, Told, audit};
+use pathbank_system::stand_in::store::WeightStore;
+use pathbank_system::stand_in::{StandInSettings, StandInState, drawn};
+use pathbank_system::trainer::{SealedStep, StepPlan, Trainer};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A stand-in brick that can be ended.
+pub struct Brick {
+    pub address: SocketAddr,
+    pub state: Arc<StandInState>,
+    /// All that it does ends with this.
+    runtime: tokio::runtime::Runtime,
+}
+
+pub struct World {
+    pub system: System,
+    pub store: Arc<WeightStore>,
+    pub bricks: Vec<Brick>,
+    pub trainer: Trainer,
+    told: Vec<Told>,
+    /// What bricks drew that are gone.
+    drawn_before: Vec<Drawn>,
+}
+
+impl World {
+    pub fn given(bricks: usize) -> World {
+        World::with_edges(bricks, 1)
+    }
+
+    pub fn with_edges(bricks: usize, edges: u8) -> World {
+        let mut system = System::with_edges(edges);
+        system.local.start().expect("the program starts");
+        let trainer = Trainer::new(system.control.clone(), PATIENCE);
+        let store = Arc::default();
+        let mut world =
+            World { system, store, bricks: Vec::new(), trainer, told: Vec::new(), drawn_before: Vec::new() };
+        for number in 0..bricks {
+            let address = world.system.local.brick_address(number as u8).expect("a port");
+            let brick = world.start_brick(&format!("w{number}"), address);
+            world.bricks.push(brick);
+        }
+        world.system.configure(0, &document(3));
+        world.system.until_ready();
+        until("all bricks are known", || {
+            world.system.status(0).is_some_and(|status| status["bricks"] == bricks)
+        });
+        world
+    }
+
+    pub fn start_brick(&self, instance: &str, address: SocketAddr) -> Brick {
+        let settings = StandInSettings {
+            store: self.store.clone(),
+            load_ms: 50,
+            stream_pause: Duration::from_millis(20),
+            ..StandInSettings::new(instance, "llm", "z1", &["m1"], &self.system.control)
+        };
+        let runtime =
+            tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build().unwrap();
+        let state = start_brick(&runtime, settings, address);
+        Brick { address, state, runtime }
+    }
+
+    /// A brick is killed, and another incarnation of it starts at its address with the newest weights.
+    pub fn restart_brick(&mut self, number: usize, instance: &str) {
+        let address = self.bricks[number].address;
+        self.kill_brick(number);
+        self.bricks.insert(number, self.start_brick(instance, address));
+    }
+
+    /// Returns the address that is free now.
+    pub fn kill_brick(&mut self, number: usize) -> SocketAddr {
+        let Brick { address, state, runtime } = self.bricks.remove(number);
+        runtime.shutdown_background();
+        self.drawn_before.extend(drawn::generations(&state.drawn.lines()));
+        address
+    }
+
+    pub fn plan(key: &str, prompts: u64) -> StepPlan {
+        StepPlan { key: key.into(), model: "m1".into(), floor: 2, prompts, generation_ms: 1_000 }
+    }
+
+    pub fn play(&mut self, key: &str, prompts: u64) -> SealedStep {
+        let sealed = self.trainer.play(&World::plan(key, prompts)).expect("the step is sealed");
+        self.note(&sealed);
+        sealed
+    }
+
+    /// Waits for the end of a step that was opened before, as its trainer would.
+    pub fn finish(&mut self, step: u64) -> Value {
+        self.trainer.until(step, &["open", "sealing", "sealed"]).expect("it is opened");
+        self.trainer.until_drawn(step).expect("it is drawn");
+        self.trainer.seal(step, false).expect("it may be sealed");
+        let told = self.trainer.until(step, &["sealed"]).expect("it is sealed");
+        let version = told["version"].as_u64().expect("a version");
+        let results = self.trainer.results(step).expect("results");
+        self.told.push(Told { step, version, results });
+        told
+    }
+
+    fn note(&mut self, sealed: &SealedStep) {
+        let SealedStep { step, version, results, .. } = sealed;
+        self.told.push(Told { step: *step, version: *version, results: results.clone() });
+    }
+
+    pub fn explain(&self, step: u64) -> Value {
+        let path = format!("/api/v1/steps/{step}/explain");
+        let answer = self.trainer.call("GET", &path, "").expect("an answer");
+        serde_json::from_str(&answer.body).expect("JSON")
+    }
+
+    pub fn reasons(&self, step: u64) -> Vec<(String, String)> {
+        let told = self.trainer.read(step).expect("the step");
+        let text = |value: &Value| value.as_str().unwrap_or_default().to_owned();
+        let left = told["left"].as_array().cloned().unwrap_or_default();
+        left.iter().map(|left| (text(&left["worker"]), text(&left["reason"]))).collect()
+    }
+
+    /// Sends a call to the leader. Returns the status and the numbered result.
+    pub fn ask(&self, method: &str, path: &str, body: &str) -> (u16, u64) {
+        let leader = self.system.leader().expect("a leader");
+        let answer = call(self.system.control[leader], method, path, &[], body).expect("an answer");
+        let told: Value = serde_json::from_str(&answer.body).unwrap_or_default();
+        (answer.status, told["result_code"].as_u64().unwrap_or(0))
+    }
+
+    fn drawn(&self) -> Vec<Drawn> {
+        let now = self.bricks.iter().flat_map(|brick| drawn::generations(&brick.state.drawn.lines()));
+        self.drawn_before.iter().cloned().chain(now).collect()
+    }
+
+    /// Generations that a brick began for a step.
+    pub fn drawn_by(&self, worker: &str, step: u64) -> usize {
+        self.drawn().iter().filter(|drawn| drawn.worker == worker && drawn.step == step).count()
+    }
+
+    /// What engines drew, what the trainer was told, and what is read back now.
+    pub fn audit(&self) -> Audit {
+        let read_back: Vec<Told> = self
+            .told
+            .iter()
+            .map(|told| Told { results: self.trainer.results(told.step).unwrap(), ..told.clone() })
+            .collect();
+        audit(&self.drawn(), &self.told, &read_back)
+    }
+
+    pub fn sound(&self, steps: usize) {
+        let audit = self.audit();
+        assert_eq!(audit.problems, Vec::<String>::new());
+        assert_eq!((audit.sealed, audit.mixed, audit.overlapping), (steps, 0, 0));
+    }
+}
