One version in each answer: streams go on only where the weights are the same

Change: a stream that goes on expects the version that its head told, at dispatch and by Expect-Version; a route may ask for the version of the open step or of the last sealed one (model_version), which edges hear of from the cores; 421 for a version says nothing of a brick. rehearse-steps plays steps on real processes with merchants and faults; stand-in bricks are processes of their own there.

--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -37,6 +37,17 @@
     Streaming,
 }
 
+/// Which version of a model that is in training answers a route's requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Facet)]
+#[repr(u8)]
+#[facet(rename_all = "snake_case")]
+pub enum RouteVersion {
+    /// That of the step that is open, or of the last one that was sealed.
+    Step,
+    /// That of the last step that was sealed.
+    Sealed,
+}
+
 /// Which requests go to which service.
 #[derive(Clone, Debug, Facet)]
 pub struct Route {
@@ -78,6 +89,9 @@
     /// The longest pause between events of an answer in time, milliseconds.
     #[facet(default)]
     pub gap_aim_ms: Option<f64>,
+    /// Which version of a model in training answers; left out: whichever the brick holds.
+    #[facet(default)]
+    pub model_version: Option<RouteVersion>,
 }
 
 /// A service and its part of a route's requests.
--- a/crates/router/src/bricks.rs
+++ b/crates/router/src/bricks.rs
@@ -182,6 +182,12 @@
         held && !missing
     }
 
+    /// Whether what it holds of a model is of a version; `None`: of any.
+    pub fn holds_version(&self, model: &str, version: Option<u64>) -> bool {
+        let held = || self.brick.models.iter().find(|loaded| loaded.name == model);
+        version.is_none_or(|version| held().is_some_and(|held| held.version == version))
+    }
+
     /// The part of requests that went wrong there lately, 0 to 1; it fades, so that the brick is tried again.
     pub fn error_part(&self, now: Millis) -> f64 {
         let age = now.saturating_sub(self.errors_at) as f64 / ERRORS_FADE;
--- a/crates/router/src/dispatcher.rs
+++ b/crates/router/src/dispatcher.rs
@@ -87,6 +87,8 @@
     pub resumable: bool,
     /// How urgent it is among all requests for its service; 0: the most urgent.
     pub urgency: Urgency,
+    /// The version of the model's weights that has to answer; `None`: any.
+    pub version: Option<u64>,
 }
 
 /// What is to be done.
@@ -349,7 +351,11 @@
             Some(instance) => Stage::Queued(instance),
             None => Stage::Unplaced,
         };
-        let reports = stage == Stage::Unplaced && !held.reported;
+        // A load brings in the newest version: of no use to a request that needs another one than bricks hold.
+        let offer = &held.offer;
+        let is_held = || self.bricks.holding(now, &offer.backend, &offer.name).next().is_some();
+        let other_version = offer.version.is_some() && is_held();
+        let reports = stage == Stage::Unplaced && !held.reported && !other_version;
         if reports {
             self.note_unplaced(id);
         }
@@ -363,13 +369,18 @@
         offer: &'a Offer,
     ) -> impl Iterator<Item = (&'a Instance, &'a KnownBrick)> {
         let holding = self.bricks.holding(now, &offer.backend, &offer.name);
-        holding.filter(|(instance, _)| !offer.excluded.contains(*instance))
+        holding.filter(|(instance, known)| {
+            !offer.excluded.contains(*instance) && known.holds_version(&offer.name.model, offer.version)
+        })
     }
 
     /// Whether a request may go to a brick now.
     fn is_open(&self, now: Millis, offer: &Offer, instance: &Instance) -> bool {
         let known = self.bricks.get(instance).filter(|known| known.has_slot(now));
-        known.is_some_and(|known| known.holds(now, &offer.name)) && !offer.excluded.contains(instance)
+        let holds = |known: &KnownBrick| {
+            known.holds(now, &offer.name) && known.holds_version(&offer.name.model, offer.version)
+        };
+        known.is_some_and(holds) && !offer.excluded.contains(instance)
     }
 
     /// The brick at which the request should be answered first.
--- a/crates/router/tests/dispatch.rs
+++ b/crates/router/tests/dispatch.rs
@@ -43,6 +43,7 @@
         excluded: BTreeSet::new(),
         resumable: false,
         urgency: 0,
+        version: None,
     }
 }
 
@@ -441,3 +442,29 @@
     assert_eq!((loads.len(), loads[0].failed, loads[0].answered, loads[0].in_flight), (1, 1, 1, 0));
     assert!(story.dispatcher.take_report().1.is_empty());
 }
+
+/// A brick that holds a model in a version.
+fn brick_of_version(instance: &str, version: u64) -> Brick {
+    let held = LoadedModel { name: "a".into(), version, adapters: Vec::new() };
+    Brick { models: vec![held], ..brick(instance, &[]) }
+}
+
+#[test]
+fn a_request_for_a_version_goes_to_no_brick_with_another_one() {
+    let mut story = Story::given(vec![brick_of_version("i-1", 1), brick_of_version("i-2", 2)]);
+    for id in 1..=2 {
+        let of_two = Offer { version: Some(2), ..offer(id, "a", story.now) };
+        assert_eq!(sent(&story.dispatcher.offer(story.now, of_two, true)), [(id, "i-2".into())]);
+    }
+    let granted = Offer { version: Some(2), granted: Some("i-1".into()), ..offer(3, "a", story.now) };
+    assert_eq!(sent(&story.dispatcher.offer(story.now, granted, true)), [], "also where the leader chose it");
+    assert_eq!(sent(&story.ended(1, BrickOutcome::Answered)), [(3, "i-2".into())]);
+}
+
+#[test]
+fn a_version_that_no_brick_holds_asks_for_no_load() {
+    let mut story = Story::given(vec![brick_of_version("i-1", 2)]);
+    let of_one = Offer { version: Some(1), resumable: true, ..offer(1, "a", story.now) };
+    assert_eq!(story.dispatcher.offer(story.now, of_one, false), []);
+    assert!(!story.dispatcher.take_urgent() && story.dispatcher.take_report().0.is_empty());
+}
--- a/crates/router/tests/evacuation.rs
+++ b/crates/router/tests/evacuation.rs
@@ -57,6 +57,7 @@
                 excluded: BTreeSet::new(),
                 resumable: *resumable,
                 urgency: 0,
+                version: None,
             };
             let actions = story.dispatcher.offer(story.now, offer, true);
             assert!(matches!(actions[..], [Action::Send { .. }]));
--- a/crates/system/src/command/mod.rs
+++ b/crates/system/src/command/mod.rs
@@ -1,7 +1,9 @@
 //! The command line: the daemons by role, and what operators ask of a running system or of a file.
 
+use crate::rehearsal;
 use crate::rehearsal::page;
 use crate::rehearsal::scale::{self, ScalePlan};
+use crate::rehearsal::steps::StepsPlan;
 use crate::settings::Settings;
 use anyhow::Result;
 use clap::{Parser, Subcommand};
@@ -10,6 +12,7 @@
 mod demo;
 mod explain;
 mod operator;
+mod stand_in;
 mod steps;
 
 pub use operator::{Answer, call};
@@ -53,6 +56,10 @@
     Demo,
     /// Rehearses at size: real control heads before hollow edge heads and bricks, on loopback.
     Rehearse(ScalePlan),
+    /// Rehearses training steps on real processes: step after step beside merchants, with faults, and an audit.
+    RehearseSteps(StepsPlan),
+    /// Runs a stand-in brick that keeps the published protocol, for rehearsals.
+    StandIn(stand_in::StandInArguments),
     /// Writes the tables of the capacity page from recorded rehearsals.
     Capacity(page::PageCommand),
 }
@@ -76,6 +83,11 @@
         Command::Config(command) => operator::config(&command),
         Command::Demo => demo::run(),
         Command::Rehearse(plan) => scale::run(&plan),
+        Command::RehearseSteps(plan) => rehearsal::steps::run(&plan),
+        Command::StandIn(arguments) => {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+            runtime.block_on(stand_in::run(arguments))
+        }
         Command::Capacity(command) => page::run(&command),
     }
 }
--- a/crates/system/src/core/node/leadership.rs
+++ b/crates/system/src/core/node/leadership.rs
@@ -102,7 +102,7 @@
     }
 
     /// A new term begins without what the one before knew.
-    fn enter_term(&mut self, now: u64, term: Term) {
+    pub(super) fn enter_term(&mut self, now: u64, term: Term) {
         if self.term != term {
             (self.term, self.term_seen, self.sealing) = (term, now, 0);
             self.told_by.clear();
--- a/crates/system/src/edge/proxy.rs
+++ b/crates/system/src/edge/proxy.rs
@@ -12,7 +12,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use pathbank_control::configuration::{Route, RouteType, Tenant};
+use pathbank_control::configuration::{Route, RouteType, RouteVersion, Tenant};
 use pathbank_control::result_code::ResultCode;
 use pathbank_control::routes::RouteTable;
 use pathbank_control::urgency::{self, LOWEST_PRIORITY, Urgency};
@@ -92,6 +92,9 @@
     pub(super) sends: u32,
     /// Where a stream is taken up; replaces the client's own.
     pub(super) resume_at: Option<String>,
+    /// The version of the model's weights that has to answer: the client's word, the route's, or that of the answer's first
+    /// part.
+    pub(super) version: Option<u64>,
 }
 
 /// Answers one request.
@@ -138,6 +141,7 @@
     let waits: u64 = text(&head.headers, &DEADLINE).and_then(|value| value.parse().ok()).unwrap_or(u64::MAX);
     let held = waits.min(route.timeout_ms as u64);
     let load_ms = load_time(&routes, &backend, &name);
+    let version = expected_version(&head.headers).or_else(|| route_version(shared, &route, &backend, &name));
     Ok(Job {
         method: head.method,
         uri: head.uri,
@@ -156,9 +160,25 @@
         tried: BTreeSet::new(),
         sends: 0,
         resume_at: None,
+        version,
     })
 }
 
+fn expected_version(headers: &HeaderMap) -> Option<u64> {
+    text(headers, &EXPECT_VERSION)?.trim().parse().ok()
+}
+
+/// The version that a route asks for, of a model that is in training.
+fn route_version(shared: &Shared, route: &Route, backend: &str, name: &ModelName) -> Option<u64> {
+    let wanted = route.model_version?;
+    let trained = shared.model_versions.load();
+    let known = trained.iter().find(|known| known.backend == backend && known.model == name.model)?;
+    match wanted {
+        RouteVersion::Step => known.open.or(known.sealed),
+        RouteVersion::Sealed => known.sealed,
+    }
+}
+
 /// The configuration in force. A head that has just started waits for its first one: its clients may have been cut off
 /// by the same trouble before, and have few tries left.
 async fn first_configuration(shared: &Arc<Shared>) -> Option<Arc<RouteTable>> {
@@ -244,6 +264,12 @@
         }
     }
 
+    /// The answer has begun: whatever goes on with it has to be of its version.
+    pub(super) fn answered_by(&mut self, headers: &HeaderMap) {
+        let told = text(headers, &VERSIONS).and_then(|version| version.trim().parse().ok());
+        self.version = self.version.or(told);
+    }
+
     fn accepted(&self) -> Step {
         let ModelName { model, adapter } = &self.name;
         let slash = if adapter.is_empty() { "" } else { "/" };
@@ -292,6 +318,7 @@
             excluded: self.tried.clone(),
             resumable: self.resumable(),
             urgency: self.urgency,
+            version: self.version,
         }
     }
 
@@ -316,6 +343,9 @@
         if let Some(id) = &self.resume_at {
             set(LAST_EVENT_ID, id);
         }
+        if let Some(version) = self.version {
+            set(EXPECT_VERSION, &version.to_string());
+        }
         set(TARGET_INSTANCE, instance);
         set(DEADLINE, &self.deadline.saturating_sub(clock::now()).max(1).to_string());
         if !self.name.model.is_empty() {
@@ -472,7 +502,12 @@
     }
     if not_run {
         let missing = status == StatusCode::MISDIRECTED_REQUEST;
-        ticket.end(if missing { BrickOutcome::NotThere } else { BrickOutcome::Full });
+        ticket.end(match (missing, job.version) {
+            (false, _) => BrickOutcome::Full,
+            (true, None) => BrickOutcome::NotThere,
+            // It may hold the model, in another version.
+            (true, Some(_)) => BrickOutcome::Abandoned,
+        });
         job.note(shared, Step::NotRun);
         job.tried.insert(instance);
         let answer = relay::whole(shared, exchange).await.ok();
--- a/crates/system/src/edge/relay.rs
+++ b/crates/system/src/edge/relay.rs
@@ -82,8 +82,9 @@
 
 impl Stream {
     /// A stream whose answer's head has come.
-    pub fn new(shared: Arc<Shared>, job: Job, exchange: Exchange, ticket: Ticket) -> Stream {
+    pub fn new(shared: Arc<Shared>, mut job: Job, exchange: Exchange, ticket: Ticket) -> Stream {
         let Exchange { response, lease } = exchange;
+        job.answered_by(response.headers());
         let mut head = proxy::head_for_client(&response, answer::whole(Bytes::new()));
         if job.resumable() {
             head.headers_mut().remove(hyper::header::CONTENT_LENGTH);
--- a/crates/system/src/edge/shared.rs
+++ b/crates/system/src/edge/shared.rs
@@ -7,10 +7,10 @@
 use crate::net::client::ConnectionPool;
 use crate::net::mesh::Mesh;
 use crate::settings::Settings;
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use pathbank_control::result_code::ResultCode;
 use pathbank_control::routes::RouteTable;
-use pathbank_protocol::message::{EdgeReport, ModelDemand};
+use pathbank_protocol::message::{EdgeReport, ModelDemand, ModelVersions};
 use pathbank_router::bricks::{BrickOutcome, Instance};
 use pathbank_router::core_choice::CoreChoice;
 use pathbank_router::dispatcher::{Action, Dispatcher, Offer, RequestId};
@@ -124,6 +124,8 @@
     pub life: u64,
     /// The configuration in force.
     pub routes: ArcSwapOption<RouteTable>,
+    /// Versions of models in training.
+    pub model_versions: ArcSwap<Vec<ModelVersions>>,
     /// Questions to the leader where prompts should go.
     pub admissions: Admissions,
     /// Generations of training steps.
@@ -185,6 +187,7 @@
             settings,
             life,
             routes: ArcSwapOption::empty(),
+            model_versions: ArcSwap::default(),
             admissions: Admissions::default(),
             generations: Generations::default(),
             rollout: Rollout::default(),
--- a/crates/system/src/local.rs
+++ b/crates/system/src/local.rs
@@ -186,7 +186,7 @@
         let seeds: Vec<String> = control.iter().take(3).map(SocketAddr::to_string).collect();
         let common = format!(
             "region=r\ninternal_port_range={internal},{internal}\nseed_nodes={}\nbootstrap=true\n\
-             heartbeat_ms=200\nlimits.max_fds=1024\nlog_level=warn\n",
+             heartbeat_ms=200\nlimits.max_fds=1024\nbounds.retry_budget_slack=56\nlog_level=warn\n",
             seeds.join(",")
         );
         let mut system = LocalSystem { folder, cores: Vec::new(), control, edges: Vec::new(), network };
--- a/crates/system/tests/common/mod.rs
+++ b/crates/system/tests/common/mod.rs
@@ -185,6 +185,9 @@
             { "name": "r2", "hostname": "shop.example", "path_prefix": "/llm/", "type": "streaming",
               "timeout_ms": 8000, "target_latency_ms": 4000, "priority": 0, "backend": "llm", "max_attempts": 2,
               "resumable": true, "session_affinity": true },
+            { "name": "r3", "hostname": "shop.example", "path_prefix": "/sealed/", "type": "streaming",
+              "timeout_ms": 8000, "target_latency_ms": 4000, "priority": 0, "backend": "llm", "max_attempts": 2,
+              "resumable": true, "session_affinity": true, "model_version": "sealed" },
         ],
         "backends": [
             { "name": "app" },
--- a/crates/system/tests/fleet/world.rs
+++ b/crates/system/tests/fleet/world.rs
@@ -471,6 +471,7 @@
             excluded: BTreeSet::new(),
             resumable: repeatable,
             urgency,
+            version: None,
         };
         self.try_again(Try { head, client, offer });
     }
