--- a/crates/system/src/command/stand_in.rs
+++ b/crates/system/src/command/stand_in.rs
@@ -59,21 +59,18 @@
 ///
 /// The address cannot be had, or the file of what was drawn cannot be opened.
 pub async fn run(arguments: StandInArguments) -> Result<()> {
-    let StandInArguments { name, backend, zone, listen, models, control, .. } = arguments;
+    let instance = format!("{}.{:08x}", arguments.name, clock::entropy() as u32);
     let settings = StandInSettings {
-        instance: format!("{name}.{:08x}", clock::entropy() as u32),
-        backend,
-        zone,
-        models,
-        control,
+        models: arguments.models,
         store: Arc::new(WeightStore::File(arguments.store)),
         capacity: arguments.capacity,
         load_ms: arguments.load_ms,
         stream_pieces: arguments.pieces,
         stream_pause: Duration::from_millis(arguments.pause_ms),
+        ..StandInSettings::new(&instance, &arguments.backend, &arguments.zone, &[], &arguments.control)
     };
     let drawn = DrawnLog::at(&arguments.drawn).with_context(|| arguments.drawn.display().to_string())?;
-    let listener = socket::listen(listen).with_context(|| listen.to_string())?;
+    let listener = socket::listen(arguments.listen).with_context(|| arguments.listen.to_string())?;
     let state = StandInState::new(&settings, drawn);
     stand_in::run(listener, settings, state).await.map_err(|error| anyhow::anyhow!("{error}"))
 }
--- a/crates/system/src/rehearsal/hollow.rs
+++ b/crates/system/src/rehearsal/hollow.rs
@@ -2,73 +2,50 @@
 
 use crate::clock;
 use crate::edge::hollow::HollowEdge;
-use crate::net::client::ConnectionPool;
-use bytes::Bytes;
-use http_body_util::Full;
+use crate::stand_in::drawn::DrawnLog;
+use crate::stand_in::{self, HeartbeatCounts, StandInSettings, StandInState};
 use pathbank_protocol::message::{BrickLoad, EdgeReport, ModelDemand, UsageWindow};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-const CALL_WITHIN: Duration = Duration::from_secs(1);
 /// Rows of a hollow edge's report: models asked for, bricks in use, tenants counted.
 const DEMAND_ROWS: usize = 4;
 const LOAD_ROWS: usize = 6;
 const USAGE_ROWS: usize = 4;
 const REPORT_EVERY: Duration = Duration::from_millis(500);
 
-/// What hollow bricks have done.
-#[derive(Debug, Default)]
-pub struct BrickCounts {
-    /// Heartbeats that were acknowledged.
-    pub acknowledged: AtomicU64,
-    /// Heartbeats that were not.
-    pub failed: AtomicU64,
-}
+/// Models that a hollow brick holds at first.
+const MODELS_HELD: usize = 3;
+const ZONES: usize = 12;
+const SLOTS: u32 = 64;
+/// What a load takes, as the rehearsal's configuration says, milliseconds.
+const LOAD_MS: u64 = 4_000;
 
-/// Sends heartbeats as one brick until the task is dropped.
+/// Runs one brick without traffic until the task is dropped: its heartbeats, reports and orders are those of the protocol.
 pub async fn brick(
     number: usize,
     models: usize,
     every: Duration,
     control: Vec<SocketAddr>,
-    counts: Arc<BrickCounts>,
+    counts: Arc<HeartbeatCounts>,
 ) {
-    let pool = ConnectionPool::default();
-    let mut head = number % control.len();
+    let held = (0..MODELS_HELD).map(|slot| format!("m{}", (number * MODELS_HELD + slot) % models.max(1)));
+    let settings = StandInSettings {
+        models: held.collect(),
+        capacity: SLOTS,
+        load_ms: LOAD_MS,
+        heartbeat_every: every,
+        counts,
+        ..StandInSettings::new(&format!("i-{number}"), "llm", &format!("z{}", number % ZONES), &[], &control)
+    };
     // Bricks do not all speak at the same moment.
     tokio::time::sleep(every.mul_f64(fastrand::f64())).await;
-    for sequence in 1_u64.. {
-        let next = tokio::time::Instant::now() + every;
-        let held: Vec<_> = (0..3)
-            .map(|slot| {
-                let name = format!("m{}", (number * 3 + slot) % models.max(1));
-                serde_json::json!({ "name": name, "version": 1, "adapters": [] })
-            })
-            .collect();
-        let body = serde_json::json!({
-            "backend": "llm", "address": format!("127.200.{}.{}:80", number / 250, number % 250 + 1),
-            "zone": format!("z{}", number % 12), "version": "v1", "capacity": 64, "state": "ready",
-            "cold_remaining_ms": 0, "phase": "prefill_decode", "models": held, "sequence": sequence,
-        });
-        let request = hyper::Request::post(format!("/api/instances/i-{number}/heartbeat"))
-            .header("host", control[head].to_string())
-            .header("content-type", "application/json")
-            .body(Full::new(Bytes::from(body.to_string())));
-        let answer = match request {
-            Ok(request) => pool.call(control[head], request, CALL_WITHIN).await,
-            Err(_) => None,
-        };
-        match answer {
-            Some((200, _)) => drop(counts.acknowledged.fetch_add(1, Ordering::Relaxed)),
-            _ => {
-                counts.failed.fetch_add(1, Ordering::Relaxed);
-                head = (head + 1) % control.len();
-            }
-        }
-        tokio::time::sleep_until(next).await;
-    }
+    let address = SocketAddr::from(([127, 200, (number / 250) as u8, (number % 250 + 1) as u8], 0));
+    let Ok(listener) = tokio::net::TcpListener::bind(address).await else { return };
+    let state = StandInState::new(&settings, DrawnLog::default());
+    // A brick ends with its task.
+    let _ = stand_in::run(listener, settings, state).await;
 }
 
 /// Reports to the leader as an edge with traffic would, until the task is dropped.
--- a/crates/system/src/rehearsal/stage.rs
+++ b/crates/system/src/rehearsal/stage.rs
@@ -1,11 +1,12 @@
 //! The processes and hollow parts of one rehearsal.
 
-use super::hollow::{self, BrickCounts};
+use super::hollow;
 use super::scale::{ScalePlan, ScaleRun};
 use crate::command::call;
 use crate::edge::hollow::HollowEdge;
 use crate::net::link::traffic;
 use crate::settings::Settings;
+use crate::stand_in::HeartbeatCounts;
 use anyhow::{Context, Result, ensure};
 use std::fs;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
@@ -44,7 +45,7 @@
     edges: Vec<HollowEdge>,
     /// Tasks that report in the edges' names.
     reports: Vec<AbortHandle>,
-    counts: Arc<BrickCounts>,
+    counts: Arc<HeartbeatCounts>,
     version: u64,
     models: usize,
     bricks: usize,
@@ -87,7 +88,7 @@
             .enumerate()
             .map(|(number, address)| start_core(&folder, number, *address, &common));
         let cores = cores.collect::<Result<Vec<Core>>>()?;
-        let counts = Arc::new(BrickCounts::default());
+        let counts = Arc::<HeartbeatCounts>::default();
         for number in 0..plan.bricks {
             tokio::spawn(hollow::brick(number, plan.models, HEARTBEAT, control.clone(), counts.clone()));
         }
--- a/crates/system/src/stand_in/mod.rs
+++ b/crates/system/src/stand_in/mod.rs
@@ -21,6 +21,15 @@
 const HEARTBEAT_EVERY: Duration = Duration::from_millis(200);
 const CALL_WITHIN: Duration = Duration::from_millis(800);
 
+/// Heartbeats of some bricks.
+#[derive(Debug, Default)]
+pub struct HeartbeatCounts {
+    /// Those that were acknowledged.
+    pub acknowledged: AtomicU64,
+    /// Those that were not.
+    pub failed: AtomicU64,
+}
+
 /// What a stand-in brick is told.
 #[derive(Clone, Debug)]
 pub struct StandInSettings {
@@ -44,6 +53,10 @@
     pub stream_pieces: u32,
     /// That pause.
     pub stream_pause: Duration,
+    /// How often it says something.
+    pub heartbeat_every: Duration,
+    /// Where its heartbeats are counted.
+    pub counts: Arc<HeartbeatCounts>,
 }
 
 impl StandInSettings {
@@ -60,6 +73,8 @@
             load_ms: 0,
             stream_pieces: 5,
             stream_pause: Duration::from_millis(10),
+            heartbeat_every: HEARTBEAT_EVERY,
+            counts: Arc::default(),
         }
     }
 }
@@ -130,8 +145,10 @@
 
 async fn heartbeats(address: SocketAddr, settings: &StandInSettings, state: Arc<StandInState>) {
     let pool = ConnectionPool::default();
-    for turn in 0_usize.. {
-        let control = settings.control[turn % settings.control.len().max(1)];
+    let mut head = fastrand::usize(..settings.control.len().max(1));
+    loop {
+        let next = tokio::time::Instant::now() + settings.heartbeat_every;
+        let control = settings.control[head];
         let draining = state.draining.load(Ordering::Relaxed);
         let body = serde_json::json!({
             "backend": settings.backend, "address": address.to_string(), "zone": settings.zone, "version": "v1",
@@ -144,11 +161,18 @@
             .header("host", control.to_string())
             .header("content-type", "application/json")
             .body(Full::new(Bytes::from(body.to_string())));
-        if let Ok(request) = request {
+        let answer = match request {
+            Ok(request) => pool.call(control, request, CALL_WITHIN).await,
+            Err(_) => None,
+        };
+        let taken = matches!(answer, Some((200, _)));
+        let count = if taken { &settings.counts.acknowledged } else { &settings.counts.failed };
+        count.fetch_add(1, Ordering::Relaxed);
+        if !taken {
             // A head that does not answer is left for the next one.
-            let _ = pool.call(control, request, CALL_WITHIN).await;
+            head = (head + 1) % settings.control.len();
         }
-        tokio::time::sleep(HEARTBEAT_EVERY).await;
+        tokio::time::sleep_until(next).await;
     }
 }
 
