--- a/crates/rollout/tests/steps/world.rs
+++ b/crates/rollout/tests/steps/world.rs
@@ -3,7 +3,7 @@
 // The tests and the example each use a part.
 #![allow(dead_code)]
 
-use super::engine::{DRAW_MS, Engine, LOAD_MS, MERCHANT_MS, Running};
+use super::engine::{Engine, LOAD_MS, MERCHANT_MS, Running};
 use pathbank_rollout::audit::{Audit, Drawn, Told, audit};
 use pathbank_rollout::change_over::{self, Bounds};
 use pathbank_rollout::conductor::{Action, Conductor, Draw, DrawEnd, DrawOutcome, Settings, Waits};
@@ -11,6 +11,14 @@
 use pathbank_rollout::step::{StepRequest, StepState};
 use std::collections::{BTreeMap, BTreeSet};
 
+// The example loads this file by its path, so these have to be named by theirs.
+#[path = "world/baselines.rs"]
+mod baselines;
+#[path = "world/faults.rs"]
+mod faults;
+
+pub use faults::Fault;
+
 const STEP_MS: u64 = 10;
 const REPORT_MS: u64 = 100;
 const COMMIT_MS: u64 = 10;
@@ -27,39 +35,6 @@
 /// No run takes longer.
 const MOST_MS: u64 = 6_000_000;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fault {
-    Kill,
-    Freeze,
-    CutFromControl,
-    CutFromHeads,
-    Publish,
-    Lie,
-    NoVersion,
-    StuckLoad,
-    KillLeader,
-    Burst,
-    LateResult,
-    ZoneLost,
-}
-
-impl Fault {
-    pub const ALL: [Fault; 12] = [
-        Fault::Kill,
-        Fault::Freeze,
-        Fault::CutFromControl,
-        Fault::CutFromHeads,
-        Fault::Publish,
-        Fault::Lie,
-        Fault::NoVersion,
-        Fault::StuckLoad,
-        Fault::KillLeader,
-        Fault::Burst,
-        Fault::LateResult,
-        Fault::ZoneLost,
-    ];
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mode {
     /// As it is meant.
@@ -239,53 +214,6 @@
         }
     }
 
-    fn strike(&mut self) {
-        while self.plan.faults.last().is_some_and(|(at, _)| *at <= self.now) {
-            let Some((_, fault)) = self.plan.faults.pop() else { return };
-            let at = self.random.usize(..self.engines.len());
-            let (now, span) = (self.now, self.random.u64(500..4_000));
-            let engine = &mut self.engines[at];
-            match fault {
-                Fault::Kill => self.kill(at, span),
-                Fault::Freeze => engine.frozen_until = now + span,
-                Fault::CutFromControl => engine.deaf_to_control_until = now + span,
-                Fault::CutFromHeads => engine.deaf_to_heads_until = now + span,
-                Fault::Publish => self.newest += 1,
-                Fault::Lie => engine.lies_until = now + span,
-                Fault::NoVersion => engine.mute_until = now + span,
-                Fault::StuckLoad => engine.next_load_sticks = true,
-                Fault::KillLeader => {
-                    self.conductor = None;
-                    self.leads_from = now + self.random.u64(LEASE_MS..1_000);
-                    // What it had proposed is in the log, or is not.
-                    let kept = self.random.usize(..=self.proposed.len());
-                    self.proposed.truncate(kept);
-                }
-                Fault::Burst => self.burst_until = now + BURST_MS,
-                Fault::LateResult => self.late_results = true,
-                Fault::ZoneLost => {
-                    (0..self.engines.len()).filter(|at| at % 4 == 1).for_each(|at| self.kill(at, 3_000));
-                }
-            }
-        }
-    }
-
-    fn kill(&mut self, at: usize, span: u64) {
-        let (now, newest) = (self.now, self.newest);
-        let lost: Vec<Running> = std::mem::take(&mut self.engines[at].running);
-        for running in lost {
-            self.note_drawn(&running, &self.engines[at].id(), false);
-            let outcome = DrawOutcome::Over;
-            self.ends.push((now + 50, DrawEnd { draw: running.draw, outcome, tokens: 0 }));
-        }
-        let id = self.engines[at].id();
-        if let Some(conductor) = &mut self.conductor {
-            conductor.gone(&id);
-        }
-        self.engines[at].dead_until = now + span;
-        self.engines[at].restart(newest);
-    }
-
     fn note_drawn(&mut self, running: &Running, worker: &str, complete: bool) {
         let Draw { step, epoch, prompt, .. } = running.draw;
         let versions = running.drawn_from.clone();
@@ -520,52 +448,6 @@
         }
     }
 
-    // ---- the baselines ----
-
-    fn draws(&mut self, step: u64, version_of: impl Fn(&Engine) -> Option<u64>) {
-        let now = self.now;
-        for at in 0..self.engines.len() {
-            let Some(version) = version_of(&self.engines[at]) else { continue };
-            let id = self.engines[at].id();
-            let prompt = 1_000_000 * step + self.drawn.len() as u64 % self.plan.prompts;
-            let draw = Draw { step, epoch: step, prompt, worker: id, version, within: GENERATION_MS };
-            if self.engines[at].running.is_empty() {
-                self.engines[at].begin(now, &draw);
-            }
-        }
-    }
-
-    /// All workers load at every publication; the step's version is the newest.
-    fn stop_all(&mut self) {
-        if self.now.is_multiple_of(PUBLISH_MS) {
-            self.stop_all_until = self.now + DRAW_MS + LOAD_MS;
-            self.engines.iter_mut().for_each(|engine| engine.loading = Some(self.stop_all_until));
-        }
-        if self.now >= self.stop_all_until + STEP_MS && self.now % PUBLISH_MS < PUBLISH_MS - 2 * DRAW_MS {
-            self.draws(self.newest, |engine| engine.version);
-        }
-    }
-
-    /// One worker after the other loads what is newest; each draws for the step whose version it holds, and what it draws
-    /// counts for the step that is under way.
-    fn rolling(&mut self) {
-        if self.now.is_multiple_of(150) {
-            let at = (self.rolled % self.engines.len() as u64) as usize;
-            self.rolled += 1;
-            let due = self.engines[at].version < Some(self.newest);
-            if due && self.engines[at].loading.is_none() {
-                self.engines[at].loading = Some(self.now + LOAD_MS);
-            }
-        }
-        self.draws(self.newest, |engine| engine.version);
-        if self.now.is_multiple_of(PUBLISH_MS) {
-            let step = self.newest - 1;
-            let of_step = self.drawn.iter().filter(|drawn| drawn.step == step && drawn.complete);
-            let results = of_step.map(|drawn| (drawn.prompt, drawn.worker.clone())).collect();
-            self.told.push(Told { step, version: step, results });
-        }
-    }
-
     // ---- what was seen ----
 
     pub fn now(&self) -> u64 {
--- /dev/null
+++ b/crates/rollout/tests/steps/world/faults.rs
@@ -0,0 +1,87 @@
+//! What goes wrong, at seeded moments.
+
+use super::super::engine::Running;
+use super::{BURST_MS, LEASE_MS, World};
+use pathbank_rollout::conductor::{DrawEnd, DrawOutcome};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    Kill,
+    Freeze,
+    CutFromControl,
+    CutFromHeads,
+    Publish,
+    Lie,
+    NoVersion,
+    StuckLoad,
+    KillLeader,
+    Burst,
+    LateResult,
+    ZoneLost,
+}
+
+impl Fault {
+    pub const ALL: [Fault; 12] = [
+        Fault::Kill,
+        Fault::Freeze,
+        Fault::CutFromControl,
+        Fault::CutFromHeads,
+        Fault::Publish,
+        Fault::Lie,
+        Fault::NoVersion,
+        Fault::StuckLoad,
+        Fault::KillLeader,
+        Fault::Burst,
+        Fault::LateResult,
+        Fault::ZoneLost,
+    ];
+}
+
+impl World {
+    pub(super) fn strike(&mut self) {
+        while self.plan.faults.last().is_some_and(|(at, _)| *at <= self.now) {
+            let Some((_, fault)) = self.plan.faults.pop() else { return };
+            let at = self.random.usize(..self.engines.len());
+            let (now, span) = (self.now, self.random.u64(500..4_000));
+            let engine = &mut self.engines[at];
+            match fault {
+                Fault::Kill => self.kill(at, span),
+                Fault::Freeze => engine.frozen_until = now + span,
+                Fault::CutFromControl => engine.deaf_to_control_until = now + span,
+                Fault::CutFromHeads => engine.deaf_to_heads_until = now + span,
+                Fault::Publish => self.newest += 1,
+                Fault::Lie => engine.lies_until = now + span,
+                Fault::NoVersion => engine.mute_until = now + span,
+                Fault::StuckLoad => engine.next_load_sticks = true,
+                Fault::KillLeader => {
+                    self.conductor = None;
+                    self.leads_from = now + self.random.u64(LEASE_MS..1_000);
+                    // What it had proposed is in the log, or is not.
+                    let kept = self.random.usize(..=self.proposed.len());
+                    self.proposed.truncate(kept);
+                }
+                Fault::Burst => self.burst_until = now + BURST_MS,
+                Fault::LateResult => self.late_results = true,
+                Fault::ZoneLost => {
+                    (0..self.engines.len()).filter(|at| at % 4 == 1).for_each(|at| self.kill(at, 3_000));
+                }
+            }
+        }
+    }
+
+    fn kill(&mut self, at: usize, span: u64) {
+        let (now, newest) = (self.now, self.newest);
+        let lost: Vec<Running> = std::mem::take(&mut self.engines[at].running);
+        for running in lost {
+            self.note_drawn(&running, &self.engines[at].id(), false);
+            let outcome = DrawOutcome::Over;
+            self.ends.push((now + 50, DrawEnd { draw: running.draw, outcome, tokens: 0 }));
+        }
+        let id = self.engines[at].id();
+        if let Some(conductor) = &mut self.conductor {
+            conductor.gone(&id);
+        }
+        self.engines[at].dead_until = now + span;
+        self.engines[at].restart(newest);
+    }
+}
--- a/crates/system/tests/fleet/world.rs
+++ b/crates/system/tests/fleet/world.rs
@@ -1,5 +1,8 @@
 //! The fleet, its faults, and the time that passes for it.
 
+mod faults;
+mod placement;
+
 use super::audit::{Asked, LOADS_PER_S, Ledger, MAX_ATTEMPTS, Report};
 use super::brick::{ANSWER_MS, Arrival, LOAD_MS, MODEL_MB, ROOM_MB, SLOTS, SimBrick, Trouble};
 use pathbank_control::admission::AdmissionController;
@@ -183,80 +186,6 @@
         self.ledger.begin();
     }
 
-    // ---- faults ----
-
-    pub fn draw_fault(&mut self) -> Fault {
-        let faults = [Fault::Grey, Fault::Lying, Fault::Flap, Fault::SpotNotice];
-        faults[(self.draw() * faults.len() as f64) as usize]
-    }
-
-    pub fn strike(&mut self, fault: Fault) {
-        let zone = |number: &usize| number.is_multiple_of(ZONES);
-        let sixth = |number: &usize| number % 6 == 3;
-        let struck: Vec<usize> = match fault {
-            Fault::ZoneLost => (0..self.bricks.len()).filter(zone).collect(),
-            _ => (0..self.bricks.len())
-                .filter(sixth)
-                .filter(|number| !self.bricks[*number].is_down())
-                .collect(),
-        };
-        for number in &struck {
-            match fault {
-                Fault::Grey => self.bricks[*number].trouble = Some(Trouble::Grey),
-                Fault::Lying => self.bricks[*number].trouble = Some(Trouble::Lying),
-                Fault::Flap => {}
-                Fault::SpotNotice => self.give_notice(*number),
-                Fault::ZoneLost => self.end_brick(*number, Trouble::Gone),
-            }
-        }
-        self.flapping = fault == Fault::Flap;
-        self.struck = struck.into_iter().collect();
-    }
-
-    pub fn heal(&mut self) {
-        self.flapping = false;
-        for number in std::mem::take(&mut self.struck) {
-            if self.bricks[number].gone_at.is_none() && self.bricks[number].trouble != Some(Trouble::Gone) {
-                self.bricks[number].trouble = None;
-            }
-            self.struck.insert(number);
-        }
-    }
-
-    pub fn cut_a_head_off_from_bricks(&mut self, head: usize) {
-        self.heads[head].cut_off = true;
-    }
-
-    fn give_notice(&mut self, number: usize) {
-        let brick = &mut self.bricks[number];
-        brick.told.state = BrickState::Draining;
-        brick.told.sequence += 1;
-        brick.told.remaining_ms = NOTICE;
-        brick.gone_at = Some(self.now + NOTICE);
-        brick.closed_since = Some(self.now);
-        self.heartbeat(number);
-    }
-
-    /// Whatever runs at a brick breaks off.
-    fn end_brick(&mut self, number: usize, trouble: Trouble) {
-        self.bricks[number].trouble = Some(trouble);
-        self.bricks[number].loading = None;
-        let lost: Vec<u64> = std::mem::take(&mut self.bricks[number].running).into_keys().collect();
-        let could_move = |id: &&u64| self.tries.get(id).is_some_and(|attempt| attempt.offer.resumable);
-        self.cut_short += lost.iter().filter(could_move).count();
-        lost.into_iter().for_each(|request| self.ended(request, BrickOutcome::Failed, None));
-    }
-
-    fn flap(&mut self) {
-        let down = (self.now / FLAP).is_multiple_of(2);
-        for number in self.struck.clone() {
-            match down {
-                true => self.end_brick(number, Trouble::Down),
-                false => self.bricks[number].trouble = None,
-            }
-        }
-    }
-
     // ---- time ----
 
     pub fn run(&mut self, milliseconds: u64) {
@@ -366,65 +295,6 @@
         self.leader.demand.joint_loads(self.now, outliers)
     }
 
-    // ---- placement ----
-
-    fn place(&mut self) {
-        let bricks: Vec<Brick> = self.leader.directory.ready().collect();
-        let Leader { placer, demand, directory, .. } = &mut self.leader;
-        let orders = placer.plan(self.now, &self.configuration, &bricks, demand, directory.held_before());
-        orders.into_iter().for_each(|order| self.carry_order_out(order));
-    }
-
-    fn carry_order_out(&mut self, order: Order) {
-        let Some(number) = order.instance.strip_prefix("i-").and_then(|number| number.parse::<usize>().ok())
-        else {
-            return;
-        };
-        if self.bricks[number].is_down() {
-            return self.leader.placer.finished(&order.instance);
-        }
-        match order.operation {
-            Operation::Load => {
-                if self.bricks[number].used_mb() + MODEL_MB > ROOM_MB {
-                    self.ledger.broken.insert(format!("{} is ordered to hold too much", order.instance));
-                }
-                if order.expected_ms > 0 {
-                    self.ledger.loads.push(self.now);
-                }
-                self.bricks[number].loading =
-                    Some((order.model.clone(), self.now + order.expected_ms.max(50)));
-            }
-            Operation::Unload => {
-                let told = self.leader.directory.withhold(&order.instance, &order.model, &order.adapter);
-                self.tell(told.into_iter().collect());
-                self.bricks[number].told.models.retain(|held| held.name != order.model);
-                self.order_ended(number);
-            }
-        }
-    }
-
-    fn finish_loads(&mut self) {
-        for number in 0..self.bricks.len() {
-            let Some((model, end)) = self.bricks[number].loading.clone() else { continue };
-            if self.now >= end {
-                self.bricks[number].loading = None;
-                let loaded =
-                    pathbank_protocol::message::LoadedModel { name: model, version: 1, adapters: Vec::new() };
-                self.bricks[number].told.models.push(loaded);
-                self.order_ended(number);
-            }
-        }
-    }
-
-    fn order_ended(&mut self, number: usize) {
-        let instance = format!("i-{number}");
-        let models = self.bricks[number].told.models.clone();
-        self.leader.placer.finished(&instance);
-        self.leader.directory.release(&instance);
-        let told = self.leader.directory.reported(&instance, models, false);
-        self.tell(told.into_iter().collect());
-    }
-
     // ---- requests ----
 
     fn arrivals(&mut self) {
--- /dev/null
+++ b/crates/system/tests/fleet/world/placement.rs
@@ -0,0 +1,62 @@
+//! The leader's orders, and bricks that carry them out.
+
+use super::*;
+
+impl World {
+    pub(super) fn place(&mut self) {
+        let bricks: Vec<Brick> = self.leader.directory.ready().collect();
+        let Leader { placer, demand, directory, .. } = &mut self.leader;
+        let orders = placer.plan(self.now, &self.configuration, &bricks, demand, directory.held_before());
+        orders.into_iter().for_each(|order| self.carry_order_out(order));
+    }
+
+    pub(super) fn carry_order_out(&mut self, order: Order) {
+        let Some(number) = order.instance.strip_prefix("i-").and_then(|number| number.parse::<usize>().ok())
+        else {
+            return;
+        };
+        if self.bricks[number].is_down() {
+            return self.leader.placer.finished(&order.instance);
+        }
+        match order.operation {
+            Operation::Load => {
+                if self.bricks[number].used_mb() + MODEL_MB > ROOM_MB {
+                    self.ledger.broken.insert(format!("{} is ordered to hold too much", order.instance));
+                }
+                if order.expected_ms > 0 {
+                    self.ledger.loads.push(self.now);
+                }
+                self.bricks[number].loading =
+                    Some((order.model.clone(), self.now + order.expected_ms.max(50)));
+            }
+            Operation::Unload => {
+                let told = self.leader.directory.withhold(&order.instance, &order.model, &order.adapter);
+                self.tell(told.into_iter().collect());
+                self.bricks[number].told.models.retain(|held| held.name != order.model);
+                self.order_ended(number);
+            }
+        }
+    }
+
+    pub(super) fn finish_loads(&mut self) {
+        for number in 0..self.bricks.len() {
+            let Some((model, end)) = self.bricks[number].loading.clone() else { continue };
+            if self.now >= end {
+                self.bricks[number].loading = None;
+                let loaded =
+                    pathbank_protocol::message::LoadedModel { name: model, version: 1, adapters: Vec::new() };
+                self.bricks[number].told.models.push(loaded);
+                self.order_ended(number);
+            }
+        }
+    }
+
+    pub(super) fn order_ended(&mut self, number: usize) {
+        let instance = format!("i-{number}");
+        let models = self.bricks[number].told.models.clone();
+        self.leader.placer.finished(&instance);
+        self.leader.directory.release(&instance);
+        let told = self.leader.directory.reported(&instance, models, false);
+        self.tell(told.into_iter().collect());
+    }
+}
