Links between heads: an attempt that hangs is given up after 0.25 s

Cause: after a loss of power everywhere the first election's votes were lost. Ruled out: the wait before a vote, missing entries, the disk. Change: 0.25 s, so that a new attempt comes before an election is due; a test holds the two together.

--- a/crates/system/src/net/mesh.rs
+++ b/crates/system/src/net/mesh.rs
@@ -10,9 +10,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-const CONNECT_WITHIN: Duration = Duration::from_millis(700);
+/// An attempt to connect is given up after this. A machine without power drops it in silence, and the kernel asks again only after a
+/// second: a new attempt, made as soon as an election could be due, reaches one that has just come back.
+pub const CONNECT_WITHIN: Duration = Duration::from_millis(250);
 /// The pause before a link is opened again, and its longest with failures in a row.
-const RETRY_AFTER: Duration = Duration::from_millis(100);
+pub const RETRY_AFTER: Duration = Duration::from_millis(100);
 const LONGEST_RETRY: Duration = Duration::from_millis(300);
 
 /// What a mesh reports.
--- a/crates/system/tests/links.rs
+++ b/crates/system/tests/links.rs
@@ -1,9 +1,10 @@
 //! Links between processes on real sockets: a reader that does not read, and one that does.
 
 use bytes::Bytes;
+use pathbank_coordination::replica::Timing;
 use pathbank_protocol::codec;
 use pathbank_protocol::message::{ConfigurationUpdate, Frame};
-use pathbank_system::net::link;
+use pathbank_system::net::{link, mesh};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
@@ -57,3 +58,11 @@
     running.abort();
     reading.abort();
 }
+
+/// After a loss of power machines come back some hundredths of a second apart: the first one's attempts to reach the others
+/// hang, and what it says in their first election would be lost.
+#[test]
+fn a_link_that_hung_while_the_other_machine_was_down_is_tried_anew_before_an_election_is_due() {
+    let election = Duration::from_millis(Timing::default().election);
+    assert!(mesh::CONNECT_WITHIN + mesh::RETRY_AFTER <= election);
+}
