A story of its own for a close that is asked again after the seal

Cause: that a repeated seal is answered as done before was seen by a story on real processes alone, and there only by chance. Change: the ledger's own story.

--- a/crates/rollout/tests/ledger.rs
+++ b/crates/rollout/tests/ledger.rs
@@ -211,3 +211,11 @@
     assert_eq!(ledger.apply(21, &Command::Announce(request("four"))), Ok(Applied::Step(4)));
     assert_eq!(ledger.apply(22, &Command::Announce(request("one"))), Ok(Applied::Step(6)), "a new step");
 }
+
+#[test]
+fn a_close_that_is_asked_again_after_the_seal_was_carried_out_before() {
+    let mut ledger = sealed();
+    let close = Command::Close { step: 1, allow_missing: false };
+    assert_eq!(ledger.apply(300, &close), Ok(Applied::Before));
+    assert_eq!(ledger.step(1).map(|step| step.state()), Some(StepState::Sealed));
+}
