--- a/crates/control/tests/bricks.rs
+++ b/crates/control/tests/bricks.rs
@@ -538,3 +538,15 @@
     let taken = (0..10_000).step_by(50).filter(|now| placer.take_training_load(*now, "llm", 2.0)).count();
     assert!((18..=22).contains(&taken), "two a second: {taken}");
 }
+
+#[test]
+fn a_step_loads_nothing_while_placement_has_used_the_stores_loads() {
+    // Given a store whose loads placement has just taken for models that clients wait for,
+    let mut story = Story::given(&["a", "b", "c", "d", "e"], &[&["a"], &[], &[], &[], &[]]);
+    let rest = [("b", 3), ("c", 3), ("d", 3), ("e", 3)];
+    story.when_asked(1_000, &rest);
+    assert!(story.loads_between(0, u64::MAX) >= 2, "{:?}", story.orders);
+    // then a step's load waits, and may begin once the store permits one more.
+    assert!(!story.placer.take_training_load(story.now, "llm", 4.0));
+    assert!(story.placer.take_training_load(story.now + 1_000, "llm", 4.0));
+}
