--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,6 +1,7 @@
 //! What the control plane decides, without I/O, clock or randomness.
 //!
 //! * [`configuration`]: the typed view of the operators' document, and its checks.
+//! * [`change_log`]: what is remembered of changes, for those that come again.
 //! * [`document`]: the document itself, changes to it, and what is told of it.
 //! * [`edge_update`]: what an edge head is told of a configuration, read bit by bit.
 //! * [`state`]: the replicated state machine: configuration, accepted changes, sealed usage.
@@ -16,6 +17,7 @@
 
 pub mod admission;
 pub mod autoscaling;
+pub mod change_log;
 pub mod configuration;
 pub mod demand;
 pub mod directory;
--- a/crates/control/src/result_code.rs
+++ b/crates/control/src/result_code.rs
@@ -26,6 +26,8 @@
     MissingBase = 109,
     /// The call's body is larger than what is taken.
     BodyTooLarge = 110,
+    /// The call's body did not come whole in time.
+    BodyLate = 111,
     /// No leader is known.
     NoLeader = 201,
     /// The leader could not make the change durable in time; it may still take effect.
@@ -91,6 +93,7 @@
             | ResultCode::BadStep => 400,
             ResultCode::UnknownKey => 401,
             ResultCode::UnknownCall | ResultCode::NoRoute | ResultCode::UnknownStep => 404,
+            ResultCode::BodyLate => 408,
             ResultCode::WrongStepState
             | ResultCode::EarlierStep
             | ResultCode::StepKeyTaken
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,9 +1,11 @@
 //! The replicated state machine. Every replica applies the same commands in the same order and comes to the same state.
 
+use crate::change_log::{ChangeLog, Recall};
 use crate::configuration::{self, Rejection};
 use crate::document;
 use crate::result_code::ResultCode;
 use crate::training::{TrainingCommand, TrainingState};
+use pathbank_coordination::digest::digest;
 use pathbank_rollout::StepNumber;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -32,7 +34,8 @@
     pub body: String,
 }
 
-/// What the log's commands are.
+/// What the log's commands are. A command whose meaning changes becomes another kind, which is proposed only once all
+/// members of the group know it: a replica that does not know a command stops.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Command {
     /// An operator's change.
@@ -54,9 +57,9 @@
         serde_json::to_vec(self).unwrap_or_default()
     }
 
-    /// From the log; `None` for one that a newer program wrote.
-    pub fn decode(bytes: &[u8]) -> Option<Command> {
-        serde_json::from_slice(bytes).ok()
+    /// From the log.
+    pub fn decode(bytes: &[u8]) -> Result<Command, StateError> {
+        serde_json::from_slice(bytes).map_err(StateError::UnknownCommand)
     }
 }
 
@@ -71,22 +74,51 @@
     Step(StepNumber),
 }
 
-/// A change that was taken.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct Taken {
-    version: u64,
-    digest: u64,
+/// The format of snapshots that this program writes.
+const FORMAT: u32 = 2;
+
+/// Why a replica cannot go on: what it would come to is not what the others come to.
+#[derive(Debug, thiserror::Error)]
+pub enum StateError {
+    /// A snapshot does not decode.
+    #[error("the snapshot cannot be read: {0}")]
+    UnreadableSnapshot(serde_json::Error),
+    /// A snapshot is of a newer program.
+    #[error("the snapshot has format {0}, and this program knows formats up to {FORMAT}")]
+    UnknownFormat(u32),
+    /// A command does not decode: another program wrote it.
+    #[error("a command of the log cannot be read: {0}")]
+    UnknownCommand(serde_json::Error),
+}
+
+/// What comes of a change on a state.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Judgement {
+    /// It is in force once it is committed: the document, and the change's digest.
+    Takes {
+        /// The document that it makes.
+        document: Value,
+        /// What it is known by if it comes again.
+        digest: u128,
+    },
+    /// It was taken before.
+    TakenBefore,
 }
 
 /// The replicated state.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ControlState {
+    /// The format of the snapshot; one without is of the first program.
+    #[serde(default)]
+    format: u32,
     /// The document in force.
     document: Option<Value>,
     /// The log's entry that brought it.
     index: u64,
     version: u64,
-    taken: Vec<Taken>,
+    /// The first format had digests of another kind in its place.
+    #[serde(default)]
+    changes: ChangeLog,
     sealed: BTreeMap<u64, BTreeMap<String, u64>>,
     /// The highest window that was ever sealed.
     last_sealed: u64,
@@ -95,15 +127,42 @@
     training: TrainingState,
 }
 
+impl Default for ControlState {
+    fn default() -> ControlState {
+        ControlState {
+            format: FORMAT,
+            document: None,
+            index: 0,
+            version: 0,
+            changes: ChangeLog::default(),
+            sealed: BTreeMap::new(),
+            last_sealed: 0,
+            training: TrainingState::default(),
+        }
+    }
+}
+
 impl ControlState {
-    /// The state of a snapshot; an unreadable one is an error of the program that wrote it.
-    pub fn decode(bytes: &[u8]) -> Option<ControlState> {
-        serde_json::from_slice(bytes).ok()
+    /// The state of a snapshot; without bytes the one before the first command.
+    pub fn decode(bytes: &[u8]) -> Result<ControlState, StateError> {
+        if bytes.is_empty() {
+            return Ok(ControlState::default());
+        }
+        let mut state: ControlState =
+            serde_json::from_slice(bytes).map_err(StateError::UnreadableSnapshot)?;
+        if state.format > FORMAT {
+            return Err(StateError::UnknownFormat(state.format));
+        }
+        if state.format < FORMAT {
+            state.format = FORMAT;
+            state.changes = ChangeLog::remembering_from(state.version);
+        }
+        Ok(state)
     }
 
     /// For a snapshot.
     pub fn encode(&self) -> Vec<u8> {
-        serde_json::to_vec(self).unwrap_or_default()
+        serde_json::to_vec(self).expect("the state holds nothing that JSON cannot")
     }
 
     /// The document in force, and the entry that brought it.
@@ -131,12 +190,17 @@
         &self.training
     }
 
-    /// What would come of a change on this state, without making it: the new document, or that it was taken before.
-    pub fn judge(&self, change: &Change) -> Result<Option<Value>, Rejection> {
+    /// What would come of a change on this state, without making it.
+    pub fn judge(&self, change: &Change) -> Result<Judgement, Rejection> {
         let body = document::parse_document(change.body.as_bytes())?;
-        let digest = digest(change, &body);
-        if self.taken.iter().any(|taken| taken.digest == digest) {
-            return Ok(None);
+        let digest = digest_of(change, &body);
+        match self.changes.recall(digest, change.base) {
+            Recall::Taken => return Ok(Judgement::TakenBefore),
+            Recall::Forgotten => {
+                let message = format!("what was taken on version {} is forgotten", change.base);
+                return Err(Rejection::new(ResultCode::Unclear, message));
+            }
+            Recall::New => {}
         }
         if change.base != self.version {
             let message = format!("version {} is current, not {}", self.version, change.base);
@@ -155,7 +219,7 @@
             return Err(Rejection::new(ResultCode::VersionNotAbove, message));
         }
         configuration::check(&typed)?;
-        Ok(Some(document))
+        Ok(Judgement::Takes { document, digest })
     }
 
     /// The one function that changes the state: applies the command of the entry `index`.
@@ -177,19 +241,21 @@
     }
 
     fn apply_change(&mut self, index: u64, change: &Change) -> Result<Accepted, Rejection> {
-        let Some(document) = self.judge(change)? else { return Ok(Accepted::Before) };
-        let body = document::parse_document(change.body.as_bytes())?;
+        let Judgement::Takes { document, digest } = self.judge(change)? else {
+            return Ok(Accepted::Before);
+        };
         let version = document.get("version").and_then(Value::as_u64).unwrap_or(0);
-        self.taken.push(Taken { version, digest: digest(change, &body) });
+        self.changes.note(digest, change.base);
         (self.document, self.index, self.version) = (Some(document), index, version);
         Ok(Accepted::Now)
     }
 }
 
-/// FNV-1a over what makes a change the same change: its kind, its base and its content, whatever the spacing.
-fn digest(change: &Change, body: &Value) -> u64 {
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0000_0100_0000_01b3;
-    let text = format!("{:?} {} {body}", change.kind, change.base);
-    text.bytes().fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME))
+/// What makes a change the same change: its kind, its base and its content, whatever the spacing.
+fn digest_of(change: &Change, body: &Value) -> u128 {
+    let kind: &[u8] = match change.kind {
+        ChangeKind::Replace => b"replace",
+        ChangeKind::Update => b"update",
+    };
+    digest(&[kind, &change.base.to_le_bytes(), body.to_string().as_bytes()])
 }
--- a/crates/control/tests/configuration.rs
+++ b/crates/control/tests/configuration.rs
@@ -1,5 +1,6 @@
 //! Changes of the configuration, as operators send them.
 
+use pathbank_control::change_log::CHANGES_REMEMBERED;
 use pathbank_control::configuration::{Rejection, read};
 use pathbank_control::edge_update::{EdgeUpdate, EdgeUpdateReader};
 use pathbank_control::result_code::ResultCode;
@@ -153,8 +154,10 @@
 #[test]
 fn commands_come_back_from_the_log() {
     let command = Command::Change(update(5, &json!({ "version": 6 })));
-    assert_eq!(Command::decode(&command.encode()), Some(command));
-    assert_eq!(Command::decode(b"{\"Later\":1}"), None, "a newer program's command is passed over");
+    assert_eq!(Command::decode(&command.encode()).unwrap(), command);
+    let unknown =
+        Command::decode(b"{\"Later\":1}").expect_err("a newer program's command is never passed over");
+    assert!(unknown.to_string().contains("Later"), "{unknown}");
 }
 
 #[test]
@@ -353,3 +356,40 @@
     assert!(table.tenant("k1").is_none());
     assert!(table.route("shop.example", "/b/").is_some() && table.tenant("k9").is_some());
 }
+
+#[test]
+fn changes_are_remembered_up_to_a_bound_and_one_beyond_it_is_never_refused() {
+    let mut story = Story { state: ControlState::default(), index: 0 };
+    let nth = |version: u64| {
+        let body = json!({ "version": version, "upsert": { "limits": { "max_body_bytes": version } } });
+        update(version - 1, &body)
+    };
+    let count = CHANGES_REMEMBERED as u64 + 10;
+    (1..=count).for_each(|version| assert_eq!(story.when(nth(version)), Ok(Accepted::Now)));
+    let after_a_restart = ControlState::decode(&story.state.encode()).unwrap();
+    assert_eq!(after_a_restart.encode(), story.state.encode());
+    story.state = after_a_restart;
+    (11..=count).for_each(|version| assert_eq!(story.when(nth(version)), Ok(Accepted::Before)));
+    story.then_rejected(nth(10), ResultCode::Unclear);
+    let mut never_sent = nth(11);
+    never_sent.body = json!({ "version": 11, "delete": { "routes": ["r"] } }).to_string();
+    story.then_rejected(never_sent, ResultCode::BaseMismatch);
+    let bytes_a_change = story.state.encode().len() / CHANGES_REMEMBERED;
+    assert!(bytes_a_change < 100, "{bytes_a_change} bytes a change in each snapshot");
+}
+
+#[test]
+fn a_snapshot_of_the_first_program_is_read_and_refuses_no_change_that_it_had_taken() {
+    let first = json!({ "document": document(5), "index": 3, "version": 5,
+        "taken": [{ "version": 5, "digest": 77 }], "sealed": {}, "last_sealed": 0 });
+    let mut story = Story { state: ControlState::decode(first.to_string().as_bytes()).unwrap(), index: 3 };
+    story.then_rejected(replace(0, &document(5)), ResultCode::Unclear);
+    assert_eq!(story.when(replace(5, &document(6))), Ok(Accepted::Now));
+}
+
+#[test_case(b"{\"document\":", "cannot be read"; "cut short")]
+#[test_case(b"{\"format\":9,\"document\":null,\"index\":0,\"version\":0,\"sealed\":{},\"last_sealed\":0}", "format 9"; "a newer program's")]
+fn a_snapshot_that_cannot_be_read_is_an_error_and_never_an_empty_state(bytes: &[u8], message: &str) {
+    let error = ControlState::decode(bytes).expect_err("unreadable").to_string();
+    assert!(error.contains(message), "{error}");
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,8 +5,9 @@
 //!   function each, and what is to be done comes out as [`replica::Effects`].
 //! * [`gossip`]: a view of which machines run, kept by the machines themselves; an opinion, on which no rule rests.
 //! * [`group`]: which store joins, replaces or leaves the group of voters.
-//! * [`record`]: the checksummed records in which a replica's state lies on disk.
+//! * [`record`]: the records of which a replica's durable state is made, and [`batch`] their checksummed form on disk.
 //! * [`store`]: the append-only file of those records (the one part that does I/O).
+//! * [`digest`]: one digest for what has to be told apart by its content.
 //! * [`fencing`]: when a leader may act outside the group, and with which fencing token.
 //!
 //! ```
@@ -21,7 +22,9 @@
 //! assert!(!effects.records.is_empty(), "a group of one elects itself; its vote has to be saved first");
 //! ```
 
+pub mod batch;
 pub mod consensus;
+pub mod digest;
 pub mod fencing;
 pub mod gossip;
 pub mod group;
--- a/crates/coordination/src/record.rs
+++ b/crates/coordination/src/record.rs
@@ -1,16 +1,10 @@
-//! Records on disk: a length, a checksum and a body each. Reading stops at the first record that is not whole, for
-//! everything behind it was never reported as saved.
+//! What a replica must never forget, and the records of which it is made. [`crate::batch`] has their form on disk.
 
 use crate::consensus::election::LogPosition;
 use crate::consensus::log_tail::LogTail;
 use crate::types::{Entry, Index, Membership, Snapshot, StoreId, Term};
 use serde::{Deserialize, Serialize};
 
-/// Bytes of length and checksum in front of each record.
-const HEADER_BYTES: usize = 8;
-/// No record is longer; a length above it is damage.
-const MOST_RECORD_BYTES: usize = 64 * 1024 * 1024;
-
 /// One change of a replica's durable state.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Record {
@@ -109,52 +103,3 @@
         records
     }
 }
-
-/// Appends one record's bytes to `out`.
-pub fn encode(record: &Record, out: &mut Vec<u8>) {
-    let body = postcard::to_allocvec(record).expect("records have no unknown lengths");
-    out.extend_from_slice(&(body.len() as u32).to_le_bytes());
-    out.extend_from_slice(&checksum(&body).to_le_bytes());
-    out.extend_from_slice(&body);
-}
-
-/// The records at the start of `bytes`, and how many bytes they take; what follows is torn or damaged.
-///
-/// ```
-/// use pathbank_coordination::record::{Record, decode, encode};
-///
-/// let mut bytes = Vec::new();
-/// encode(&Record::Vote { term: 3, voted_for: None }, &mut bytes);
-/// let whole = bytes.len();
-/// bytes.extend([1, 2, 3]);
-/// assert_eq!(decode(&bytes), (vec![Record::Vote { term: 3, voted_for: None }], whole));
-/// ```
-pub fn decode(bytes: &[u8]) -> (Vec<Record>, usize) {
-    let mut records = Vec::new();
-    let mut at = 0;
-    while let Some((record, length)) = decode_one(&bytes[at..]) {
-        records.push(record);
-        at += length;
-    }
-    (records, at)
-}
-
-fn decode_one(bytes: &[u8]) -> Option<(Record, usize)> {
-    let header = bytes.get(..HEADER_BYTES)?;
-    let length = u32::from_le_bytes(header[..4].try_into().ok()?) as usize;
-    let expected = u32::from_le_bytes(header[4..].try_into().ok()?);
-    if length > MOST_RECORD_BYTES {
-        return None;
-    }
-    let body = bytes.get(HEADER_BYTES..HEADER_BYTES + length)?;
-    if checksum(body) != expected {
-        return None;
-    }
-    let record = postcard::from_bytes(body).ok()?;
-    Some((record, HEADER_BYTES + length))
-}
-
-/// A checksum under which a run of zeros is not a valid record.
-fn checksum(body: &[u8]) -> u32 {
-    crc32fast::hash(body) ^ 0x5eed_1e55
-}
--- a/crates/coordination/src/replica/following.rs
+++ b/crates/coordination/src/replica/following.rs
@@ -2,7 +2,7 @@
 
 use super::{Effects, Outgoing, Replica, Role};
 use crate::record::Record;
-use crate::types::{Entry, Index, Member, Message, Millis, Snapshot, Term};
+use crate::types::{Entry, Index, Member, Message, Millis, Term};
 
 impl Replica {
     /// Whether `from` leads in a term that counts; then it is the leader from now on.
@@ -54,23 +54,6 @@
         self.reply(from, true, last, sent_at, effects);
     }
 
-    pub(super) fn on_snapshot(
-        &mut self,
-        from: Member,
-        snapshot: Snapshot,
-        sent_at: Millis,
-        effects: &mut Effects,
-    ) {
-        let index = snapshot.index;
-        if index > self.commit {
-            self.commit = index;
-            self.applied = index;
-            effects.install = Some(snapshot.clone());
-            self.save(Record::Snapshot { snapshot, keep_tail: false }, effects);
-        }
-        self.reply(from, true, index, sent_at, effects);
-    }
-
     pub(super) fn reply(
         &mut self,
         to: Member,
--- a/crates/coordination/src/replica/leading.rs
+++ b/crates/coordination/src/replica/leading.rs
@@ -1,5 +1,6 @@
 //! What a leader does: entries to the others, what they have saved, what is committed by that.
 
+use super::transfer::Transfer;
 use super::{Effects, Outgoing, Replica, Role};
 use crate::consensus::cursor::Cursor;
 use crate::consensus::quorum;
@@ -21,11 +22,28 @@
     pub(super) answered: Millis,
     /// When it last joined or answered.
     pub(super) heard: Millis,
-    /// When entries or a snapshot that it has not answered were sent.
+    /// When entries that it has not answered were sent.
     pub(super) in_flight: Option<Millis>,
+    /// A snapshot that is on its way to it.
+    pub(super) transfer: Option<Transfer>,
 }
 
-/// A replica's answer to entries or a snapshot.
+impl Progress {
+    /// Nothing is known of it yet but that it is there.
+    fn new(member: Member, last: Index, now: Millis) -> Progress {
+        let cursor = Cursor::behind(last);
+        Progress { member, cursor, answered: 0, heard: now, in_flight: None, transfer: None }
+    }
+
+    /// It answered a message of `sent_at`.
+    pub(super) fn note_answer(&mut self, now: Millis, member: &Member, sent_at: Millis) {
+        self.heard = now;
+        self.answered = self.answered.max(sent_at);
+        self.member = member.clone();
+    }
+}
+
+/// A replica's answer to entries, or to the end of a snapshot.
 pub(super) struct AppendReply {
     /// The replica's term.
     pub term: Term,
@@ -40,11 +58,9 @@
 impl Replica {
     /// Every voter has its progress; what voters were are kept while they answer.
     pub(super) fn sync_progress(&mut self, now: Millis) {
-        let cursor = Cursor::behind(self.durable.last_index());
+        let last = self.durable.last_index();
         for member in self.membership.members().filter(|member| member.id != self.me.id) {
-            let fresh =
-                || Progress { member: member.clone(), cursor, answered: 0, heard: now, in_flight: None };
-            self.progress.entry(member.id).or_insert_with(fresh);
+            self.progress.entry(member.id).or_insert_with(|| Progress::new(member.clone(), last, now));
         }
     }
 
@@ -81,14 +97,9 @@
         let term = self.durable.term;
         let previous_index = other.cursor.next - 1;
         let Some(previous_term) = self.durable.term_at(previous_index) else {
-            if !waits {
-                other.in_flight = Some(now);
-                let snapshot = self.durable.snapshot.clone();
-                let message = Message::InstallSnapshot { term, snapshot, sent_at: now };
-                effects.messages.push(Outgoing { to: other.member.clone(), message, after_save: false });
-            }
-            return;
+            return self.send_snapshot_part(now, id, effects);
         };
+        other.transfer = None;
         let mut entries = Vec::new();
         let mut bytes = 0;
         while let Some(entry) =
@@ -124,20 +135,14 @@
         effects: &mut Effects,
     ) {
         let AppendReply { term, accepted, index, sent_at } = reply;
-        if term > self.durable.term {
-            self.enter_term(now, term, None, effects);
-            return;
-        }
-        if self.role != Role::Leader || term != self.durable.term {
+        if !self.answers_this_leader(now, term, effects) {
             return;
         }
         let Some(other) = self.progress.get_mut(&from.id) else {
             // A new store at a voter's address hears what is said to that voter, and so never asks to join.
             return self.on_join(now, from, effects);
         };
-        other.heard = now;
-        other.answered = other.answered.max(sent_at);
-        other.member = from.clone();
+        other.note_answer(now, &from, sent_at);
         if accepted {
             other.cursor.accepted(index);
             if other.in_flight.is_some_and(|sent| sent <= sent_at) {
@@ -145,7 +150,11 @@
             }
             self.advance_commit(now, effects);
         } else {
-            other.cursor.rejected(index + 1);
+            match index < other.cursor.matched {
+                // It lacks what it had acknowledged: its disk lost it. It gets that again.
+                true => other.cursor = Cursor::behind(index),
+                false => other.cursor.rejected(index + 1),
+            }
             other.in_flight = None;
         }
         self.send_append(now, from.id, false, effects);
@@ -155,10 +164,9 @@
         if self.role != Role::Leader {
             return;
         }
-        let cursor = Cursor::behind(self.durable.last_index());
+        let last = self.durable.last_index();
         let id = from.id;
-        let fresh = Progress { member: from, cursor, answered: 0, heard: now, in_flight: None };
-        let other = self.progress.entry(id).or_insert(fresh);
+        let other = self.progress.entry(id).or_insert_with(|| Progress::new(from, last, now));
         other.heard = now;
         self.send_append(now, id, true, effects);
     }
@@ -187,6 +195,7 @@
             let voters = self.membership.voters.clone();
             self.append(now, Payload::Membership(Membership::of(voters)), effects);
         } else if !self.membership.contains(self.me.id) {
+            self.hand_over_to_best(now, effects);
             self.step_down(now);
         }
     }
--- a/crates/coordination/src/replica/mod.rs
+++ b/crates/coordination/src/replica/mod.rs
@@ -3,18 +3,23 @@
 //! The caller saves [`Effects::records`] in order. A message with `after_save` leaves once they are on disk; the others
 //! may leave at once. [`Replica::saved`] tells the replica how far the disk is.
 
+mod departing;
 mod following;
 mod leading;
 mod log;
+mod transfer;
 mod voting;
 
 pub use crate::consensus::election::Role;
+pub use departing::Departure;
+pub use transfer::PART_BYTES;
 
 use crate::consensus::election::{Ballot, LogPosition};
 use crate::record::{Durable, Record};
 use crate::types::{Entry, Index, Member, Membership, Message, Millis, Payload, Snapshot, StoreId, Term};
 use leading::{AppendReply, Progress};
 use std::collections::BTreeMap;
+use transfer::{EncodedSnapshot, PartialSnapshot};
 use voting::{VoteQuestion, VoteReply};
 
 /// Waits, in milliseconds.
@@ -90,6 +95,14 @@
     join_at: Millis,
     votes: Ballot<StoreId>,
     progress: BTreeMap<StoreId, Progress>,
+    /// Voters that told this leader that they are about to end, and when.
+    leaving: BTreeMap<StoreId, Millis>,
+    /// What became of this replica's own wish to leave.
+    departure: Departure,
+    /// The newest snapshot as this leader sends it.
+    encoded_snapshot: Option<EncodedSnapshot>,
+    /// The snapshot that this follower is being sent.
+    partial_snapshot: Option<PartialSnapshot>,
     commit: Index,
     applied: Index,
     saved: Index,
@@ -118,6 +131,10 @@
             join_at: now,
             votes: Ballot::default(),
             progress: BTreeMap::new(),
+            leaving: BTreeMap::new(),
+            departure: Departure::default(),
+            encoded_snapshot: None,
+            partial_snapshot: None,
             commit: durable.snapshot.index,
             applied: durable.snapshot.index,
             saved: last,
@@ -188,11 +205,19 @@
     pub fn others(&self) -> impl Iterator<Item = (&Member, Index, Millis)> {
         self.progress.values().map(|other| (&other.member, other.cursor.matched, other.heard))
     }
-    /// Whether this replica has applied all that it could know to be committed: it leads, or heard a leader within
-    /// `silence` milliseconds and lacks nothing of what that leader told.
+    /// Whether this replica has applied all that it could know to be committed: it leads within its lease, or heard a
+    /// leader within `silence` milliseconds and lacks nothing of what that leader told.
     pub fn is_current(&self, now: Millis, silence: Millis) -> bool {
+        if self.role == Role::Leader {
+            return self.lease_until() > now;
+        }
         let heard = self.leader_heard.is_some_and(|heard| now < heard + silence);
-        self.is_settled_leader() || heard && self.leader_commit > 0 && self.applied >= self.leader_commit
+        heard && self.leader_commit > 0 && self.applied >= self.leader_commit
+    }
+    /// Who leads, as far as was heard within `silence` milliseconds: one that fell silent may lead no longer.
+    pub fn live_leader(&self, now: Millis, silence: Millis) -> Option<&Member> {
+        let heard = self.role == Role::Leader || self.leader_heard.is_some_and(|heard| now < heard + silence);
+        self.leader().filter(|_| heard)
     }
     /// When the leader of this group was heard last, if ever in this life.
     pub fn leader_heard(&self) -> Option<Millis> {
@@ -286,17 +311,9 @@
     /// The leader hands over to the voter that has most of the log, and leads no more.
     pub fn hand_over(&mut self, now: Millis) -> Effects {
         let mut effects = Effects::default();
-        if self.role != Role::Leader {
-            return effects;
+        if self.role == Role::Leader {
+            self.hand_over_to_best(now, &mut effects);
         }
-        let voters = self.progress.values().filter(|other| self.membership.contains(other.member.id));
-        let Some(best) = voters.max_by_key(|other| (other.cursor.matched, other.answered)) else {
-            return effects;
-        };
-        let to = best.member.clone();
-        let message = Message::CampaignNow { term: self.durable.term };
-        self.step_down(now);
-        effects.messages.push(Outgoing { to, message, after_save: false });
         effects
     }
 
@@ -326,10 +343,9 @@
                     );
                 }
             }
-            Message::InstallSnapshot { term, snapshot, sent_at } => {
-                if self.follow(now, &from, term, sent_at, &mut effects) {
-                    self.on_snapshot(from, snapshot, sent_at, &mut effects);
-                }
+            Message::SnapshotPart(part) => self.on_snapshot_part(now, from, part, &mut effects),
+            Message::SnapshotReply { term, index, received, sent_at } => {
+                self.on_snapshot_reply(now, &from, (term, index, received, sent_at), &mut effects);
             }
             Message::AppendReply { term, accepted, index, sent_at } => {
                 let reply = AppendReply { term, accepted, index, sent_at };
@@ -342,6 +358,8 @@
                 }
             }
             Message::Join => self.on_join(now, from, &mut effects),
+            Message::Leave => self.on_leave(now, from, &mut effects),
+            Message::LeaveReply { term, waits } => self.on_leave_reply(term, waits),
         }
         self.finish(&mut effects);
         effects
--- a/crates/coordination/src/replica/voting.rs
+++ b/crates/coordination/src/replica/voting.rs
@@ -43,9 +43,22 @@
         self.role = Role::Follower;
         self.leader = None;
         self.progress.clear();
+        self.leaving.clear();
+        self.encoded_snapshot = None;
         self.wait_for_leader(now);
     }
 
+    /// Leads no more, and asks the voter that has most of the log to stand for election at once.
+    pub(super) fn hand_over_to_best(&mut self, now: Millis, effects: &mut Effects) {
+        let voters = self.progress.values().filter(|other| self.membership.contains(other.member.id));
+        let answers = |heard: Millis| now < heard + self.timing.election;
+        let best = voters.max_by_key(|other| (answers(other.heard), other.cursor.matched, other.answered));
+        let Some(to) = best.map(|best| best.member.clone()) else { return };
+        let message = Message::CampaignNow { term: self.durable.term };
+        self.step_down(now);
+        effects.messages.push(Outgoing { to, message, after_save: false });
+    }
+
     pub(super) fn enter_term(
         &mut self,
         now: Millis,
@@ -160,6 +173,7 @@
     pub(super) fn become_leader(&mut self, now: Millis, effects: &mut Effects) {
         self.role = Role::Leader;
         self.leader = None;
+        self.partial_snapshot = None;
         self.progress.clear();
         self.sync_progress(now);
         self.term_start = self.append(now, Payload::LeaderStart(self.me.name.clone()), effects);
--- a/crates/coordination/src/store.rs
+++ b/crates/coordination/src/store.rs
@@ -1,15 +1,23 @@
-//! The append-only file of a replica's records.
+//! The append-only file of a replica's records, in batches of one sync each ([`crate::batch`]).
 //!
-//! `log` holds the records. When it is long, a new file is written beside it, synced, and renamed over it; the folder
-//! is synced behind. What a failed write left is cut off before the next one, so that a record behind it is found.
+//! When the file is long, a new one is written beside it, synced, and renamed over it; the folder is synced behind. The
+//! first batch is written the same way, so a file with a name has a whole first batch. What a failed write left is cut off
+//! before the next one.
+//!
+//! A file in which something that had been saved cannot be read is a lost disk: it is kept aside under
+//! [`DAMAGED_FILE`], and the store begins anew as another one. It must not go on under its number with less than it has
+//! acknowledged.
 
-use crate::record::{Durable, Record, decode, encode};
+use crate::batch::{self, Contents, Ending};
+use crate::record::{Durable, Record};
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 
 const LOG_FILE: &str = "replica.log";
 const NEW_FILE: &str = "replica.log.new";
+/// Where a file is kept of which something saved cannot be read.
+pub const DAMAGED_FILE: &str = "replica.log.damaged";
 
 /// The open file.
 ///
@@ -21,38 +29,96 @@
 /// let (mut log, _) = LogFile::open(&folder)?;
 /// log.append(&[Record::Vote { term: 3, voted_for: None }])?;
 /// drop(log);
-/// let (_, durable) = LogFile::open(&folder)?;
-/// assert_eq!(durable.term, 3);
+/// let (_, opened) = LogFile::open(&folder)?;
+/// assert_eq!(opened.durable.term, 3);
 /// # std::fs::remove_dir_all(&folder)?;
 /// # Ok::<(), std::io::Error>(())
 /// ```
 #[derive(Debug)]
 pub struct LogFile {
     folder: PathBuf,
-    file: File,
+    /// `None`: nothing was saved yet.
+    file: Option<File>,
     /// All before this is whole and synced.
     length: u64,
+    next_number: u64,
     /// The file's name is not yet known to be on disk.
     folder_unsynced: bool,
 }
 
+/// What a folder held.
+#[derive(Debug, Default, PartialEq)]
+pub struct Opened {
+    /// The replica's state.
+    pub durable: Durable,
+    /// A store of this folder was damaged, now or before: whoever begins here is not the store that was here first.
+    pub lost_a_store: bool,
+}
+
 impl LogFile {
-    /// Opens the file of `folder`, which is made if it is missing. Returns what it held.
-    pub fn open(folder: &Path) -> io::Result<(LogFile, Durable)> {
+    /// Opens the file of `folder`. Returns what it held.
+    pub fn open(folder: &Path) -> io::Result<(LogFile, Opened)> {
         fs::create_dir_all(folder)?;
-        let path = folder.join(LOG_FILE);
-        let mut file = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path)?;
+        let mut log = LogFile {
+            folder: folder.to_owned(),
+            file: None,
+            length: 0,
+            next_number: 1,
+            folder_unsynced: true,
+        };
+        let contents = log.read()?;
+        let mut durable = Durable::default();
+        if let Some(contents) = contents {
+            log.take_over(contents, &mut durable)?;
+        }
+        let lost_a_store = folder.join(DAMAGED_FILE).try_exists()?;
+        Ok((log, Opened { durable, lost_a_store }))
+    }
+
+    /// What the file holds; `None`: there is none, or nothing is in it.
+    fn read(&mut self) -> io::Result<Option<Contents>> {
+        let path = self.folder.join(LOG_FILE);
+        if !path.try_exists()? {
+            return Ok(None);
+        }
+        let mut file = OpenOptions::new().read(true).write(true).open(path)?;
         let mut bytes = Vec::new();
         file.read_to_end(&mut bytes)?;
-        let (records, whole) = decode(&bytes);
-        let mut durable = Durable::default();
-        records.into_iter().for_each(|record| durable.apply(record));
-        let log = LogFile { folder: folder.to_owned(), file, length: whole as u64, folder_unsynced: false };
-        if (whole as u64) < bytes.len() as u64 {
-            log.file.set_len(log.length)?;
-            log.file.sync_all()?;
+        if bytes.is_empty() {
+            return Ok(None);
         }
-        Ok((log, durable))
+        self.file = Some(file);
+        let contents =
+            batch::decode(&bytes).map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))?;
+        Ok(Some(contents))
+    }
+
+    fn take_over(&mut self, contents: Contents, durable: &mut Durable) -> io::Result<()> {
+        if contents.ending == Ending::Damaged {
+            return self.keep_aside(contents.whole_bytes);
+        }
+        contents.records.into_iter().for_each(|record| durable.apply(record));
+        (self.length, self.next_number) = (contents.whole_bytes as u64, contents.next_number);
+        if contents.is_first_format {
+            return self.rewrite(durable);
+        }
+        if let Some(file) = self.file.as_ref().filter(|_| contents.ending == Ending::Torn) {
+            file.set_len(self.length)?;
+            file.sync_all()?;
+        }
+        Ok(())
+    }
+
+    /// The folder goes on without the file, which stays for people to look at.
+    fn keep_aside(&mut self, readable: usize) -> io::Result<()> {
+        tracing::error!(
+            folder = %self.folder.display(),
+            readable,
+            "the log is damaged behind what is readable: kept aside as {DAMAGED_FILE}, this store begins anew"
+        );
+        self.file = None;
+        fs::rename(self.folder.join(LOG_FILE), self.folder.join(DAMAGED_FILE))?;
+        self.sync_folder()
     }
 
     /// Bytes of the file.
@@ -62,28 +128,33 @@
 
     /// Appends records and syncs them. After an error nothing of them counts, and the same call may be made again.
     pub fn append(&mut self, records: &[Record]) -> io::Result<()> {
+        let bytes = batch::encode(self.next_number, records);
+        let Some(file) = self.file.as_mut() else { return self.write_anew(&bytes) };
+        file.set_len(self.length)?;
+        file.seek(SeekFrom::Start(self.length))?;
+        file.write_all(&bytes)?;
+        file.sync_all()?;
         self.sync_folder()?;
-        let mut bytes = Vec::new();
-        records.iter().for_each(|record| encode(record, &mut bytes));
-        self.file.set_len(self.length)?;
-        self.file.seek(SeekFrom::Start(self.length))?;
-        self.file.write_all(&bytes)?;
-        self.file.sync_all()?;
         self.length += bytes.len() as u64;
+        self.next_number += 1;
         Ok(())
     }
 
     /// Replaces the file by the records of `durable`. After an error the call may be made again.
     pub fn rewrite(&mut self, durable: &Durable) -> io::Result<()> {
-        let mut bytes = Vec::new();
-        durable.records().iter().for_each(|record| encode(record, &mut bytes));
+        self.write_anew(&batch::encode(1, &durable.records()))
+    }
+
+    /// Makes a file of one batch, and gives it its name once it is synced.
+    fn write_anew(&mut self, bytes: &[u8]) -> io::Result<()> {
         let new_path = self.folder.join(NEW_FILE);
         let mut file =
             OpenOptions::new().read(true).write(true).create(true).truncate(true).open(&new_path)?;
-        file.write_all(&bytes)?;
+        file.write_all(bytes)?;
         file.sync_all()?;
         fs::rename(&new_path, self.folder.join(LOG_FILE))?;
-        (self.file, self.length, self.folder_unsynced) = (file, bytes.len() as u64, true);
+        self.file = Some(file);
+        (self.length, self.next_number, self.folder_unsynced) = (bytes.len() as u64, 2, true);
         self.sync_folder()
     }
 
--- a/crates/coordination/src/types.rs
+++ b/crates/coordination/src/types.rs
@@ -179,7 +179,7 @@
         /// When the leader sent it, by its own clock.
         sent_at: Millis,
     },
-    /// The answer to [`Message::Append`] and [`Message::InstallSnapshot`].
+    /// The answer to [`Message::Append`], and to the last part of a snapshot.
     AppendReply {
         /// The follower's term.
         term: Term,
@@ -190,13 +190,18 @@
         /// `sent_at` of the message that is answered.
         sent_at: Millis,
     },
-    /// The state in place of entries that the leader no longer has.
-    InstallSnapshot {
-        /// The leader's term.
+    /// A part of the state in place of entries that the leader no longer has. Without bytes it is a heartbeat that asks
+    /// how much has come.
+    SnapshotPart(SnapshotPart),
+    /// The answer to [`Message::SnapshotPart`].
+    SnapshotReply {
+        /// The follower's term.
         term: Term,
-        /// The state.
-        snapshot: Snapshot,
-        /// When the leader sent it, by its own clock.
+        /// The last entry that the snapshot covers.
+        index: Index,
+        /// Bytes of the encoded snapshot that have come, from its start without gaps.
+        received: u64,
+        /// `sent_at` of the part that is answered.
         sent_at: Millis,
     },
     /// The leader hands over: the receiver is to become a candidate at once.
@@ -206,4 +211,39 @@
     },
     /// A store that no leader speaks to asks to take part.
     Join,
+    /// A voter that is about to end asks the leader to be taken out of the group first.
+    Leave,
+    /// The leader's answer to [`Message::Leave`].
+    LeaveReply {
+        /// The leader's term.
+        term: Term,
+        /// Another store is about to take the voter's place: it should go on until it is out of the group.
+        waits: bool,
+    },
+}
+
+/// A part of an encoded snapshot on its way to a follower.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SnapshotPart {
+    /// The leader's term.
+    pub term: Term,
+    /// Which snapshot it is a part of.
+    pub id: SnapshotId,
+    /// Where these bytes belong.
+    pub offset: u64,
+    /// The bytes.
+    pub bytes: Vec<u8>,
+    /// When the leader sent it, by its own clock.
+    pub sent_at: Millis,
+}
+
+/// Tells one encoded snapshot from another, whoever sends it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SnapshotId {
+    /// The last entry covered.
+    pub index: Index,
+    /// Bytes of its encoding.
+    pub length: u64,
+    /// CRC-32 of its encoding.
+    pub checksum: u32,
 }
--- a/crates/coordination/tests/common/mod.rs
+++ b/crates/coordination/tests/common/mod.rs
@@ -4,7 +4,7 @@
 
 use pathbank_coordination::group;
 use pathbank_coordination::record::{Durable, Record};
-use pathbank_coordination::replica::{Effects, Outgoing, Replica, Role, Timing};
+use pathbank_coordination::replica::{Departure, Effects, Outgoing, Replica, Role, Timing};
 use pathbank_coordination::types::{Entry, Index, Member, Membership, Message, Payload, StoreId};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -26,8 +26,15 @@
     /// Commands in the order in which they were applied.
     pub applied: Vec<(Index, Vec<u8>)>,
     pub stalled: bool,
+    /// It got SIGTERM then, and ends as soon as it may.
+    terminating: Option<u64>,
 }
 
+/// A process that got SIGTERM ends after this, whether it left the group or not.
+pub const LEAVE_WITHIN: u64 = 3_000;
+/// It does not wait longer than this for a first answer.
+const ANSWER_WITHIN: u64 = 600;
+
 pub struct Fleet {
     pub now: u64,
     pub machines: Vec<Machine>,
@@ -40,6 +47,24 @@
     pub acknowledged: BTreeMap<Index, Vec<u8>>,
     proposed: BTreeMap<(usize, Index), (u64, Vec<u8>)>,
     next_store: u64,
+    /// Bytes that a link carries in a millisecond; 0: any number.
+    pub bandwidth: u64,
+    /// When a link has carried all that was sent on it.
+    link_free_at: BTreeMap<(usize, usize), u64>,
+    /// How often another machine began to lead.
+    pub leader_changes: usize,
+    last_leader: Option<usize>,
+}
+
+/// Bytes of a message, roughly.
+fn size(message: &Message) -> u64 {
+    match message {
+        Message::SnapshotPart(part) => part.bytes.len() as u64 + 100,
+        Message::Append { entries, .. } => {
+            entries.iter().map(|entry| entry.payload.size() as u64 + 20).sum::<u64>() + 100
+        }
+        _ => 100,
+    }
 }
 
 pub fn address(machine: usize) -> String {
@@ -70,6 +95,10 @@
             acknowledged: BTreeMap::new(),
             proposed: BTreeMap::new(),
             next_store: 100,
+            bandwidth: 0,
+            link_free_at: BTreeMap::new(),
+            leader_changes: 0,
+            last_leader: None,
         };
         for machine in 0..founders + others {
             let founder = machine < founders;
@@ -82,6 +111,7 @@
                 writes: Vec::new(),
                 applied: Vec::new(),
                 stalled: false,
+                terminating: None,
             });
             fleet.start(machine);
         }
@@ -116,6 +146,7 @@
     fn stop(&mut self, machine: usize, kept: usize) {
         let state = &mut self.machines[machine];
         state.replica = None;
+        state.terminating = None;
         for write in state.writes.drain(..).take(kept) {
             write.records.into_iter().for_each(|record| state.disk.apply(record));
         }
@@ -202,13 +233,65 @@
             let target = (0..self.machines.len()).find(|machine| address(*machine) == to.address);
             let lost = self.random.u64(0..1_000) < self.loss_in_1000;
             if let Some(target) = target.filter(|target| !lost && !self.cut.contains(&(from, *target))) {
-                let at = self.now + DELAY + self.random.u64(0..3);
+                // A link with a bandwidth keeps the order of what is sent on it.
+                let spread = if self.bandwidth == 0 { self.random.u64(0..3) } else { 0 };
+                let at = self.carried_at((from, target), &message) + DELAY + spread;
                 self.serial += 1;
                 self.flying.insert((at, self.serial), (target, me.clone(), message));
             }
         }
     }
 
+    /// When a link has carried a message.
+    fn carried_at(&mut self, link: (usize, usize), message: &Message) -> u64 {
+        if self.bandwidth == 0 {
+            return self.now;
+        }
+        let free_at = self.link_free_at.entry(link).or_default();
+        *free_at = (*free_at).max(self.now) + size(message) / self.bandwidth;
+        *free_at
+    }
+
+    /// A process gets SIGTERM: it ends once it is out of the group, or nobody can take its place.
+    pub fn terminate(&mut self, machine: usize) {
+        self.machines[machine].terminating = Some(self.now);
+    }
+
+    pub fn is_terminating(&self, machine: usize) -> bool {
+        self.machines[machine].terminating.is_some()
+    }
+
+    fn terminate_on(&mut self, machine: usize) {
+        let Some(since) = self.machines[machine].terminating else { return };
+        if self.now.is_multiple_of(25) {
+            self.with(machine, |replica, now| replica.leave(now));
+        }
+        let Some(replica) = self.machines[machine].replica.as_ref() else { return };
+        let ends = match replica.departure() {
+            Departure::Free => true,
+            Departure::Replacing => self.now >= since + LEAVE_WITHIN,
+            Departure::Unanswered => self.now >= since + ANSWER_WITHIN,
+        };
+        if ends {
+            self.with(machine, |replica, now| replica.hand_over(now));
+            self.kill(machine);
+        }
+    }
+
+    fn count_leaders(&mut self) {
+        let leader = self.leader();
+        if leader.is_some() && leader != self.last_leader {
+            self.leader_changes += 1;
+            self.last_leader = leader;
+        }
+    }
+
+    /// The members of the newest group that a leader has.
+    pub fn group_size(&self) -> Option<usize> {
+        let replica = self.machines[self.leader()?].replica.as_ref()?;
+        Some(replica.membership().voters.len())
+    }
+
     /// One millisecond passes.
     pub fn step(&mut self) {
         self.now += 1;
@@ -226,7 +309,10 @@
             if self.now.is_multiple_of(100) {
                 self.ask_to_join(machine);
             }
+            self.terminate_on(machine);
         }
+        self.count_leaders();
+        assert!(self.group_size().is_none_or(|voters| voters % 2 == 1), "the group stays odd");
     }
 
     fn with(&mut self, machine: usize, event: impl FnOnce(&mut Replica, u64) -> Effects) {
--- a/crates/protocol/schema/internal.capnp
+++ b/crates/protocol/schema/internal.capnp
@@ -57,15 +57,37 @@
       index @14 :UInt64;
       sentAt @15 :UInt64;
     }
-    installSnapshot :group {
+    # A whole snapshot in one message; sent by programs before snapshots went in parts.
+    obsoleteInstallSnapshot :group {
       snapshot @16 :Snapshot;
       sentAt @17 :UInt64;
     }
     campaignNow @18 :Void;
     join @19 :Void;
+    snapshotPart :group {
+      id @20 :SnapshotId;
+      offset @21 :UInt64;
+      bytes @22 :Data;
+      sentAt @23 :UInt64;
+    }
+    snapshotReply :group {
+      index @24 :UInt64;
+      received @25 :UInt64;
+      sentAt @26 :UInt64;
+    }
+    leave @27 :Void;
+    leaveReply :group {
+      waits @28 :Bool;
+    }
   }
 }
 
+struct SnapshotId {
+  index @0 :UInt64;
+  length @1 :UInt64;
+  checksum @2 :UInt32;
+}
+
 enum Role {
   edge @0;
   core @1;
--- a/crates/protocol/src/read.rs
+++ b/crates/protocol/src/read.rs
@@ -5,7 +5,9 @@
 use crate::codec::DecodeError;
 use crate::internal_capnp as wire;
 use crate::message::*;
-use pathbank_coordination::types::{Entry, Member, Membership, Message, Payload, Snapshot, StoreId};
+use pathbank_coordination::types::{
+    Entry, Member, Membership, Message, Payload, SnapshotId, SnapshotPart, StoreId, Term,
+};
 
 type Read<T> = Result<T, DecodeError>;
 
@@ -133,13 +135,17 @@
     Ok(Entry { index: entry.get_index(), term: entry.get_term(), payload })
 }
 
-fn read_snapshot(snapshot: wire::snapshot::Reader<'_>) -> Read<Snapshot> {
-    Ok(Snapshot {
-        index: snapshot.get_index(),
-        term: snapshot.get_term(),
-        membership: read_membership(snapshot.get_membership()?)?,
-        leaders: texts(snapshot.get_leaders()?)?,
-        data: snapshot.get_data()?.to_vec(),
+fn read_snapshot_part(
+    term: Term,
+    part: wire::replica_message::snapshot_part::Reader<'_>,
+) -> Read<SnapshotPart> {
+    let id = part.get_id()?;
+    Ok(SnapshotPart {
+        term,
+        id: SnapshotId { index: id.get_index(), length: id.get_length(), checksum: id.get_checksum() },
+        offset: part.get_offset(),
+        bytes: part.get_bytes()?.to_vec(),
+        sent_at: part.get_sent_at(),
     })
 }
 
@@ -172,12 +178,20 @@
             index: reply.get_index(),
             sent_at: reply.get_sent_at(),
         },
-        Which::InstallSnapshot(install) => {
-            let snapshot = read_snapshot(install.get_snapshot()?)?;
-            Message::InstallSnapshot { term, snapshot, sent_at: install.get_sent_at() }
+        Which::ObsoleteInstallSnapshot(_) => {
+            return Err(capnp::Error::unimplemented("a whole snapshot in one message".into()).into());
         }
+        Which::SnapshotPart(part) => Message::SnapshotPart(read_snapshot_part(term, part)?),
+        Which::SnapshotReply(reply) => Message::SnapshotReply {
+            term,
+            index: reply.get_index(),
+            received: reply.get_received(),
+            sent_at: reply.get_sent_at(),
+        },
         Which::CampaignNow(()) => Message::CampaignNow { term },
         Which::Join(()) => Message::Join,
+        Which::Leave(()) => Message::Leave,
+        Which::LeaveReply(reply) => Message::LeaveReply { term, waits: reply.get_waits() },
     };
     Ok((from, message))
 }
--- a/crates/protocol/src/write.rs
+++ b/crates/protocol/src/write.rs
@@ -4,7 +4,7 @@
 
 use crate::internal_capnp as wire;
 use crate::message::*;
-use pathbank_coordination::types::{Entry, Member, Membership, Message, Payload, Snapshot};
+use pathbank_coordination::types::{Entry, Member, Membership, Message, Payload, SnapshotPart};
 
 /// Writes each item of a slice into a list of the same length.
 macro_rules! write_list {
@@ -128,15 +128,14 @@
     }
 }
 
-fn write_snapshot(snapshot: &Snapshot, mut out: wire::snapshot::Builder<'_>) {
-    out.set_index(snapshot.index);
-    out.set_term(snapshot.term);
-    write_membership(&snapshot.membership, out.reborrow().init_membership());
-    let mut leaders = out.reborrow().init_leaders(snapshot.leaders.len() as u32);
-    for (position, leader) in snapshot.leaders.iter().enumerate() {
-        leaders.set(position as u32, leader);
-    }
-    out.set_data(&snapshot.data);
+fn write_snapshot_part(part: &SnapshotPart, mut out: wire::replica_message::snapshot_part::Builder<'_>) {
+    out.set_offset(part.offset);
+    out.set_bytes(&part.bytes);
+    out.set_sent_at(part.sent_at);
+    let mut id = out.init_id();
+    id.set_index(part.id.index);
+    id.set_length(part.id.length);
+    id.set_checksum(part.id.checksum);
 }
 
 fn write_replica(from: &Member, message: &Message, mut out: wire::replica_message::Builder<'_>) {
@@ -172,17 +171,27 @@
             reply.set_index(*index);
             reply.set_sent_at(*sent_at);
         }
-        Message::InstallSnapshot { term, snapshot, sent_at } => {
+        Message::SnapshotPart(part) => {
+            out.set_term(part.term);
+            write_snapshot_part(part, out.init_snapshot_part());
+        }
+        Message::SnapshotReply { term, index, received, sent_at } => {
             out.set_term(*term);
-            let mut install = out.init_install_snapshot();
-            install.set_sent_at(*sent_at);
-            write_snapshot(snapshot, install.init_snapshot());
+            let mut reply = out.init_snapshot_reply();
+            reply.set_index(*index);
+            reply.set_received(*received);
+            reply.set_sent_at(*sent_at);
         }
         Message::CampaignNow { term } => {
             out.set_term(*term);
             out.set_campaign_now(());
         }
         Message::Join => out.set_join(()),
+        Message::Leave => out.set_leave(()),
+        Message::LeaveReply { term, waits } => {
+            out.set_term(*term);
+            out.init_leave_reply().set_waits(*waits);
+        }
     }
 }
 
--- a/crates/protocol/tests/round_trip.rs
+++ b/crates/protocol/tests/round_trip.rs
@@ -1,6 +1,8 @@
 //! Every kind of message comes back as it was sent.
 
-use pathbank_coordination::types::{Entry, Member, Membership, Message, Payload, Snapshot, StoreId};
+use pathbank_coordination::types::{
+    Entry, Member, Membership, Message, Payload, SnapshotId, SnapshotPart, StoreId,
+};
 use pathbank_protocol::codec::{decode, encode};
 use pathbank_protocol::framing::{FrameTooLong, LENGTH_BYTES, take_body};
 use pathbank_protocol::message::*;
@@ -129,16 +131,17 @@
     Message::Append { term: 2, previous_index: 0, previous_term: 0, entries, commit: 1, sent_at: 77 }
 }
 
-fn install() -> Message {
-    let membership = Membership::of(vec![member()]);
-    let snapshot =
-        Snapshot { index: 5, term: 2, membership, leaders: vec!["core-1".into()], data: vec![9; 300] };
-    Message::InstallSnapshot { term: 3, snapshot, sent_at: 5 }
+fn snapshot_part() -> Message {
+    let id = SnapshotId { index: 5, length: 700, checksum: 0xdead_beef };
+    Message::SnapshotPart(SnapshotPart { term: 3, id, offset: 400, bytes: vec![9; 300], sent_at: 5 })
 }
 
 #[test_case(Frame::Hello(Hello { role: ProcessRole::Edge, name: "e".into(), zone: "z".into(), life: 1 }); "hello")]
 #[test_case(replica(append()); "append")]
-#[test_case(replica(install()); "install")]
+#[test_case(replica(snapshot_part()); "snapshot part")]
+#[test_case(replica(Message::SnapshotReply { term: 3, index: 5, received: 700, sent_at: 5 }); "snapshot reply")]
+#[test_case(replica(Message::Leave); "leave")]
+#[test_case(replica(Message::LeaveReply { term: 3, waits: true }); "leave reply")]
 #[test_case(replica(Message::VoteRequest { term: 1, pre: true, handover: false, last_index: 2, last_term: 1 }); "vote request")]
 #[test_case(replica(Message::VoteReply { term: 1, pre: false, granted: true }); "vote reply")]
 #[test_case(replica(Message::AppendReply { term: 1, accepted: true, index: 4, sent_at: 3 }); "append reply")]
--- a/crates/system/src/core/api.rs
+++ b/crates/system/src/core/api.rs
@@ -19,6 +19,8 @@
 const RESULT_CODE: &str = "x-pathbank-result-code";
 /// A call is answered within this, whatever happens.
 const ANSWER_WITHIN: Duration = Duration::from_millis(3_000);
+/// Where no leader answered, one is elected by then; seconds.
+const RETRY_AFTER_S: &str = "0.5";
 const MOST_BODY_BYTES: usize = 16 * 1024 * 1024;
 
 type Events = UnboundedSender<Event>;
@@ -89,6 +91,9 @@
     let headers = response.headers_mut();
     headers.insert("content-type", viz::header::HeaderValue::from_static("application/json"));
     headers.insert(RESULT_CODE, viz::header::HeaderValue::from(code.number()));
+    if status.is_server_error() {
+        headers.insert("retry-after", viz::header::HeaderValue::from_static(RETRY_AFTER_S));
+    }
     response
 }
 
@@ -106,7 +111,8 @@
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
             Err(own(ResultCode::BodyTooLarge, "the body is too large"))
         }
-        Ok(Err(_)) | Err(_) => Err(own(ResultCode::UnreadableDocument, "the body did not come whole")),
+        // A call whose caller or link was held up is not wrong: its caller tries again.
+        Ok(Err(_)) | Err(_) => Err(own(ResultCode::BodyLate, "the body did not come whole in time")),
     }
 }
 
--- a/crates/system/src/core/disk.rs
+++ b/crates/system/src/core/disk.rs
@@ -4,8 +4,9 @@
 use crate::clock;
 use crate::settings::Settings;
 use anyhow::{Context, Result};
+use pathbank_coordination::digest::digest;
 use pathbank_coordination::record::{Durable, Record};
-use pathbank_coordination::store::LogFile;
+use pathbank_coordination::store::{LogFile, Opened};
 use pathbank_coordination::types::{Index, Member, Membership, StoreId};
 use std::net::SocketAddr;
 use std::sync::mpsc;
@@ -48,9 +49,10 @@
     /// Opens the log of the data directory, or begins one.
     pub fn open(settings: &Settings, control: SocketAddr, events: UnboundedSender<Event>) -> Result<Disk> {
         let folder = settings.data_dir.clone().context("data_dir is missing")?;
-        let (mut log, mut durable) = LogFile::open(&folder).with_context(|| folder.display().to_string())?;
+        let (mut log, opened) = LogFile::open(&folder).with_context(|| folder.display().to_string())?;
+        let Opened { mut durable, lost_a_store } = opened;
         if durable.id.is_none() {
-            let identity = first_identity(settings, control);
+            let identity = first_identity(settings, control, lost_a_store);
             log.append(std::slice::from_ref(&identity)).context("the first record cannot be saved")?;
             durable.apply(identity);
         }
@@ -86,9 +88,10 @@
 }
 
 /// Whose store an empty disk becomes. At the very first start of the system the seeds are its voters, and each knows its
-/// number among them; any other store gets a number of its own, and joins.
-fn first_identity(settings: &Settings, control: SocketAddr) -> Record {
-    let is_founder = settings.bootstrap && settings.seeds.contains(&control);
+/// number among them; any other store gets a number of its own, and joins. So does one that begins where another was lost
+/// (`lost_a_store`): under the founder's number it could vote a second time, with nothing of what it had acknowledged.
+fn first_identity(settings: &Settings, control: SocketAddr, lost_a_store: bool) -> Record {
+    let is_founder = settings.bootstrap && settings.seeds.contains(&control) && !lost_a_store;
     if !is_founder {
         return Record::Identity { id: StoreId(clock::entropy() | 1), initial: Membership::default() };
     }
@@ -104,11 +107,7 @@
 
 /// The same number at every founder: even, where later stores have odd ones.
 fn founder_id(seed: &SocketAddr) -> StoreId {
-    let text = seed.to_string();
-    let hash = text.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
-    });
-    StoreId(hash & !1)
+    StoreId(digest(&[seed.to_string().as_bytes()]) as u64 & !1)
 }
 
 fn work(mut log: LogFile, queue: &mpsc::Receiver<Job>, events: &UnboundedSender<Event>) {
--- a/crates/system/src/core/duties.rs
+++ b/crates/system/src/core/duties.rs
@@ -1,7 +1,6 @@
 //! Calls to the platform that are the duty of one head at a time.
 
 use super::orders::Authority;
-use crate::clock;
 use crate::net::client::ConnectionPool;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -69,14 +68,13 @@
     authority: &Authority,
     body: &str,
 ) -> CallEnd {
-    // Looked at right before each call: the lease may have ended meanwhile.
-    if clock::now() >= authority.until {
+    if !authority.holds() {
         return CallEnd::LeaseOver;
     }
     let Some(request) = request(path, platform, authority, body.to_owned()) else {
         return CallEnd::TurnedAway;
     };
-    match pool.call(platform, request, CALL_WITHIN).await {
+    match pool.call_if(platform, request, CALL_WITHIN, || authority.holds()).await {
         Some((200..=299, _)) => CallEnd::Taken,
         Some((400..=428, _)) => CallEnd::TurnedAway,
         Some(_) | None => CallEnd::Unclear,
--- a/crates/system/src/core/mod.rs
+++ b/crates/system/src/core/mod.rs
@@ -22,6 +22,8 @@
 /// How often the node looks at time.
 const TICK: Duration = Duration::from_millis(25);
 const MOST_HEAD_BYTES: usize = 64 * 1024;
+/// A replica that knows less than the others of what the log means neither votes nor serves.
+const CANNOT_TAKE_PART: &str = "this control head cannot take part; start the program that wrote its state";
 const IDLE_WITHIN: Duration = Duration::from_secs(30);
 /// Part of the descriptors that calls to the control plane may take.
 const CALLER_DESCRIPTORS: f64 = 0.6;
@@ -35,7 +37,7 @@
     let internal_listener = socket::listen(internal).with_context(|| format!("internal {internal}"))?;
     let (events, mut inbox) = mpsc::unbounded_channel();
     let disk = disk::Disk::open(&settings, control, events.clone())?;
-    let mut node = Node::new(settings.clone(), disk, events.clone());
+    let mut node = Node::new(settings.clone(), disk, events.clone()).context(CANNOT_TAKE_PART)?;
     let (close, closing) = watch::channel(false);
     let limits = Limits {
         head_bytes: MOST_HEAD_BYTES,
@@ -60,13 +62,16 @@
                 next_tick = tokio::time::Instant::now() + TICK;
                 node.on_event(clock::now(), Event::Tick);
             }
-            signal = signals.next() => {
-                if node.on_signal(clock::now(), signal) {
-                    break;
-                }
-            }
+            signal = signals.next() => node.on_signal(clock::now(), signal),
+        }
+        if let Some(error) = node.take_fatal() {
+            return Err(error).context(CANNOT_TAKE_PART);
+        }
+        if node.may_end(clock::now()) {
+            break;
         }
     }
+    node.end(clock::now());
     let _ = close.send(true);
     // What the node said last leaves before the process does.
     tokio::time::sleep(Duration::from_millis(150)).await;
--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -18,6 +18,7 @@
 use crate::net::mesh::{Mesh, MeshEvent};
 use crate::settings::Settings;
 use crate::signals::Request;
+use anyhow::{Context, Result};
 use bytes::Bytes;
 use leadership::Leadership;
 use pathbank_control::autoscaling::ScaleOrder;
@@ -25,11 +26,12 @@
 use pathbank_control::directory::Directory;
 use pathbank_control::outliers::OutlierTable;
 use pathbank_control::result_code::ResultCode;
-use pathbank_control::state::{Change, ControlState};
+use pathbank_control::state::{Change, Command, ControlState, StateError};
 use pathbank_control::usage::UsageLedger;
 use pathbank_coordination::fencing::Fence;
-use pathbank_coordination::replica::{Replica, Role, Timing};
-use pathbank_coordination::types::{Member, StoreId};
+use pathbank_coordination::record::Durable;
+use pathbank_coordination::replica::{Departure, Replica, Role, Timing};
+use pathbank_coordination::types::{Index, Member, Payload, StoreId};
 use pathbank_protocol::codec;
 use pathbank_protocol::message::{
     AdmissionRequest, Brick, BrickLoad, BrickState, BrickUpdate, ConfigurationUpdate, CoreStatus, Frame,
@@ -59,6 +61,11 @@
 /// How often bricks that fell silent are looked for, milliseconds.
 const EXPIRE_EVERY: u64 = 250;
 
+/// A head that was told to stop waits no longer than this for another store to take its place, milliseconds.
+const LEAVE_WITHIN: u64 = 3_000;
+/// Nor longer than this for a first word of the leader, milliseconds.
+const LEAVE_ANSWER_WITHIN: u64 = 600;
+
 /// What a call to the control plane gets.
 #[derive(Debug)]
 pub enum Reply {
@@ -160,12 +167,28 @@
     status_round: u64,
     /// The leader that others were told.
     told_leader: Option<StoreId>,
+    /// Whether others were told that this head is current.
+    told_current: bool,
+    /// It was told to stop then.
+    stopping_since: Option<u64>,
+    /// Why it cannot go on.
+    fatal: Option<StateError>,
     due: Due,
 }
 
+/// Every command of the log has to be one that this program knows.
+fn check_commands(durable: &Durable) -> Result<()> {
+    for entry in durable.log.entries() {
+        if let Payload::Command(bytes) = &entry.payload {
+            Command::decode(bytes).with_context(|| format!("entry {} of this disk's log", entry.index))?;
+        }
+    }
+    Ok(())
+}
+
 impl Node {
     /// A control head on what its disk held.
-    pub fn new(settings: Settings, disk: Disk, events: UnboundedSender<Event>) -> Node {
+    pub fn new(settings: Settings, disk: Disk, events: UnboundedSender<Event>) -> Result<Node> {
         let life = clock::entropy();
         let hello = Hello {
             role: ProcessRole::Core,
@@ -177,7 +200,8 @@
         let mesh = Mesh::new(hello, move |event| drop(mesh_events.send(Event::Mesh(event))));
         let now = clock::now();
         let snapshot = disk.durable.snapshot.clone();
-        let state = ControlState::decode(&snapshot.data).unwrap_or_default();
+        let state = ControlState::decode(&snapshot.data).context("state of this disk's snapshot")?;
+        check_commands(&disk.durable)?;
         let mut fence = Fence::default();
         fence.restore(snapshot.leaders);
         let replica = Replica::new(disk.me.clone(), Timing::default(), disk.durable.clone(), now, life);
@@ -198,10 +222,34 @@
             pool: ConnectionPool::default(),
             status_round: 0,
             told_leader: None,
+            told_current: false,
+            stopping_since: None,
+            fatal: None,
             due: Due::default(),
         };
         node.open_links();
-        node
+        Ok(node)
+    }
+
+    /// Why this head cannot go on, if it cannot.
+    pub fn take_fatal(&mut self) -> Option<StateError> {
+        self.fatal.take()
+    }
+
+    /// Whether a head that was told to stop may end: it is out of the group, or nobody can take its place.
+    pub fn may_end(&self, now: u64) -> bool {
+        let Some(since) = self.stopping_since else { return false };
+        match self.replication.replica.departure() {
+            Departure::Free => true,
+            Departure::Replacing => now >= since + (self.settings.bounds.grace_ms / 2).min(LEAVE_WITHIN),
+            Departure::Unanswered => now >= since + LEAVE_ANSWER_WITHIN,
+        }
+    }
+
+    /// The last thing that a head does: whoever leads on stands for election at once.
+    pub fn end(&mut self, now: u64) {
+        let effects = self.replication.replica.hand_over(now);
+        self.carry_out(now, effects);
     }
 
     /// The one function that takes events.
@@ -243,29 +291,38 @@
         }
     }
 
-    /// A signal came. Returns whether the process is to end.
-    pub fn on_signal(&mut self, now: u64, signal: Request) -> bool {
+    /// A signal came.
+    pub fn on_signal(&mut self, now: u64, signal: Request) {
         match signal {
             Request::Reload => self.reload(),
             Request::Stop => {
-                let effects = self.replication.replica.hand_over(now);
-                self.carry_out(now, effects);
+                self.stopping_since.get_or_insert(now);
+                self.leave(now);
             }
         }
-        signal == Request::Stop
+    }
+
+    /// A voter that ends leaves the group first, where another store can take its place.
+    fn leave(&mut self, now: u64) {
+        if self.stopping_since.is_some() {
+            let effects = self.replication.replica.leave(now);
+            self.carry_out(now, effects);
+        }
     }
 
     fn on_tick(&mut self, now: u64) {
         let effects = self.replication.replica.tick(now);
         self.carry_out(now, effects);
+        self.leave(now);
         self.watch_disk(now);
         self.regroup(now);
         self.lead(now);
         self.train(now);
         self.tell_configuration(now);
         let leader = self.replication.replica.leader().map(|leader| leader.id);
-        if now >= self.due.status || leader != self.told_leader {
-            self.told_leader = leader;
+        let current = self.is_current(now);
+        if now >= self.due.status || leader != self.told_leader || current != self.told_current {
+            (self.told_leader, self.told_current) = (leader, current);
             self.due.status = now + STATUS_EVERY;
             self.tell_status();
             self.ask_to_join(now);
@@ -363,6 +420,7 @@
             self.mesh.send(address, &Frame::Heartbeats(bricks));
         }
         self.mesh.send(address, &Frame::Core(self.core_status(true)));
+        self.ask_to_join(clock::now());
     }
 
     fn on_frame(&mut self, now: u64, id: LinkId, frame: Frame) {
@@ -485,7 +543,7 @@
             edges: self.edges().count() as u32,
             wall_clock_ms: clock::wall_clock(),
             zone: self.settings.zone.clone(),
-            configuration_index: self.replication.told_document().map_or(0, |(index, _)| index),
+            configuration_index: self.tellable_document().map_or(0, |(index, _)| index),
             current: self.is_current(clock::now()),
         }
     }
@@ -576,9 +634,14 @@
         }
     }
 
-    /// The whole configuration that edges may be told: the newest that this head could know of.
+    /// The configuration that edges may be given: none while this head is out of contact with a majority.
+    fn tellable_document(&self) -> Option<(Index, &serde_json::Value)> {
+        self.replication.told_document().filter(|_| self.is_current(clock::now()))
+    }
+
+    /// The same as it is sent.
     fn told_configuration(&self) -> Option<ConfigurationUpdate> {
-        let (index, document) = self.replication.told_document()?;
+        let (index, document) = self.tellable_document()?;
         Some(ConfigurationUpdate { index, base_index: 0, document: document.to_string().into_bytes() })
     }
 }
--- a/crates/system/src/core/node/leadership.rs
+++ b/crates/system/src/core/node/leadership.rs
@@ -17,6 +17,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 /// How often placement is looked at without news, milliseconds.
 const PLACE_EVERY: u64 = 500;
@@ -50,6 +51,8 @@
     pub reported: BTreeSet<u64>,
     /// The window whose sealing was proposed last.
     sealing: u64,
+    /// Set for all that act in this leadership's name once it is over.
+    revoked: Arc<AtomicBool>,
     place_at: u64,
     /// When it was looked at last.
     placed: u64,
@@ -71,6 +74,7 @@
             configuration: None,
             reported: BTreeSet::new(),
             sealing: 0,
+            revoked: Arc::default(),
             place_at: 0,
             placed: 0,
             usage_at: 0,
@@ -78,6 +82,11 @@
         }
     }
 
+    /// This machine leads no more: what still acts in its name ends.
+    pub fn revoke(&mut self) {
+        std::mem::take(&mut self.revoked).store(true, Ordering::Release);
+    }
+
     /// A window's usage was taken by the platform, or has to be reported again.
     pub fn usage_reported(&mut self, window: u64, taken: bool) {
         if !taken {
@@ -134,6 +143,7 @@
             lease_holder: self.settings.node_name.clone(),
             fencing_token: permit.fencing_token,
             until: permit.until,
+            revoked: self.leadership.revoked.clone(),
         }
     }
 
--- a/crates/system/src/core/node/replication.rs
+++ b/crates/system/src/core/node/replication.rs
@@ -5,10 +5,10 @@
 use pathbank_control::configuration::Rejection;
 use pathbank_control::document;
 use pathbank_control::result_code::ResultCode;
-use pathbank_control::state::{Accepted, Change, Command, ControlState};
+use pathbank_control::state::{Accepted, Change, Command, ControlState, Judgement, StateError};
 use pathbank_coordination::group;
 use pathbank_coordination::replica::{Effects, Outgoing, Replica, Role};
-use pathbank_coordination::types::{Entry, Index, Member, Message, Payload, Term};
+use pathbank_coordination::types::{Entry, Index, Member, Message, Payload, Snapshot, Term};
 use pathbank_protocol::message::{ConfigurationUpdate, Frame};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -19,6 +19,8 @@
 /// The log is rewritten when its entries hold more bytes than this, and than so many snapshots.
 const LEAST_COMPACTED_BYTES: usize = 1024 * 1024;
 const COMPACTED_SNAPSHOTS: usize = 4;
+/// While a snapshot is on its way to a store, the log may grow to so many times that.
+const AWAITED_TIMES: usize = 4;
 
 /// A head that has heard no leader for so long does not know what is newest, milliseconds.
 const LEADER_SILENCE: u64 = 1_500;
@@ -95,9 +97,6 @@
 
     /// Whoever waits for a change at a head that does not lead any more hears so at once: its end is decided elsewhere.
     fn answer_waiting(&mut self) {
-        if self.replica.role() == Role::Leader {
-            return;
-        }
         for change in std::mem::take(&mut self.waiting).into_values().flatten() {
             let _ = change.reply.send(unclear());
         }
@@ -132,16 +131,17 @@
         }
         self.send_replica_messages(go);
         if let Some(snapshot) = install {
-            self.state = ControlState::decode(&snapshot.data).unwrap_or_default();
-            self.leadership.fence.restore(snapshot.leaders);
-            self.replication.applied = snapshot.index;
+            self.install(snapshot);
         }
         for entry in committed {
             self.apply(now, entry);
         }
-        self.replication.answer_waiting();
+        if self.replication.replica.role() != Role::Leader {
+            self.leadership.revoke();
+            self.replication.answer_waiting();
+        }
         self.tell_configuration(now);
-        self.compact();
+        self.compact(now);
     }
 
     fn send_replica_messages(&self, messages: Vec<Outgoing>) {
@@ -202,10 +202,14 @@
         self.carry_out(now, effects);
     }
 
-    fn compact(&mut self) {
+    fn compact(&mut self, now: u64) {
         let replication = &mut self.replication;
         let snapshot = replication.replica.durable().snapshot.data.len();
-        if replication.log_bytes < LEAST_COMPACTED_BYTES.max(COMPACTED_SNAPSHOTS * snapshot) {
+        let least = LEAST_COMPACTED_BYTES.max(COMPACTED_SNAPSHOTS * snapshot);
+        // A store that is being sent a snapshot needs the entries behind it, or it has to begin again.
+        let is_awaited = replication.replica.is_sending_snapshot(now);
+        let bound = if is_awaited { AWAITED_TIMES * least } else { least };
+        if replication.log_bytes < bound {
             return;
         }
         replication.log_bytes = 0;
@@ -220,7 +224,25 @@
 
     // ---- the state machine ----
 
+    /// Takes over a leader's snapshot.
+    fn install(&mut self, snapshot: Snapshot) {
+        match ControlState::decode(&snapshot.data) {
+            Ok(state) => self.state = state,
+            Err(error) => return self.fail(error),
+        }
+        self.leadership.fence.restore(snapshot.leaders);
+        self.replication.applied = snapshot.index;
+    }
+
+    /// This head cannot come to the state that the others have: it applies nothing more, and ends.
+    fn fail(&mut self, error: StateError) {
+        self.fatal.get_or_insert(error);
+    }
+
     fn apply(&mut self, now: u64, entry: Entry) {
+        if self.fatal.is_some() {
+            return;
+        }
         self.replication.applied = entry.index;
         self.replication.log_bytes += entry.payload.size();
         let waiting = self.replication.waiting.remove(&entry.index).unwrap_or_default();
@@ -228,7 +250,10 @@
             Payload::LeaderStart(name) => self.leadership.fence.led(name),
             Payload::Membership(_) => self.open_links(),
             Payload::Command(bytes) => {
-                let Some(command) = Command::decode(bytes) else { return };
+                let command = match Command::decode(bytes) {
+                    Ok(command) => command,
+                    Err(error) => return self.fail(error),
+                };
                 let result = self.state.apply(entry.index, &command);
                 if result == Ok(Accepted::Now) && matches!(command, Command::Change(_)) {
                     tracing::info!(
@@ -291,10 +316,12 @@
         if replica.is_settled_leader() {
             return Some(reply);
         }
-        let other = replica.leader().filter(|leader| leader.id != replica.me().id);
+        // A leader that fell silent may lead no longer: its callers would be sent back and forth.
+        let leader = replica.live_leader(crate::clock::now(), LEADER_SILENCE);
+        let other = leader.filter(|leader| leader.id != replica.me().id);
         let _ = reply.send(match other {
             Some(leader) => Reply::LeaderAt(leader.control_address.clone()),
-            None => Reply::Result(ResultCode::NoLeader, "no leader is known".into()),
+            None => Reply::Result(ResultCode::NoLeader, "no leader was heard of lately".into()),
         });
         None
     }
@@ -302,7 +329,7 @@
     pub(super) fn on_change(&mut self, now: u64, change: Change, reply: oneshot::Sender<Reply>) {
         let Some(reply) = self.as_leader(reply) else { return };
         match self.state.judge(&change) {
-            Ok(Some(_)) => {}
+            Ok(Judgement::Takes { .. }) => {}
             judged => {
                 // What stands may have been changed by a later leader: only within the lease it is the newest.
                 let certain = self.replication.replica.lease_until() > now;
--- a/crates/system/src/core/orders.rs
+++ b/crates/system/src/core/orders.rs
@@ -11,6 +11,7 @@
 use pathbank_protocol::message::LoadedModel;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 const CALL_WITHIN: Duration = Duration::from_millis(1_500);
@@ -21,7 +22,7 @@
 /// An order whose end is not known after this, beyond its expected time, is given up.
 const GIVE_UP_MS: u64 = 20_000;
 
-/// In whose name orders and calls are given.
+/// In whose name orders and calls are given. It is looked at when a call's bytes are about to be written, not before.
 #[derive(Clone, Debug)]
 pub struct Authority {
     /// The machine that leads.
@@ -30,6 +31,15 @@
     pub fencing_token: u64,
     /// No call leaves after this.
     pub until: u64,
+    /// Set once this machine leads no more: after it handed over, another one acts before this lease is over.
+    pub revoked: Arc<AtomicBool>,
+}
+
+impl Authority {
+    /// Whether a call may leave now.
+    pub fn holds(&self) -> bool {
+        clock::now() < self.until && !self.revoked.load(Ordering::Acquire)
+    }
 }
 
 /// What became of an order.
@@ -63,11 +73,9 @@
         }
         revision = Some(before.sequence);
     }
-    if clock::now() >= authority.until {
-        return OrderEnd { order, report: None };
-    }
     let given = clock::now();
-    let answer = pool.call(address, order_request(&order, revision, &authority), CALL_WITHIN).await;
+    let request = order_request(&order, revision, &authority);
+    let answer = pool.call_once(address, request, CALL_WITHIN, || authority.holds()).await;
     let status = answer.as_ref().map(|(status, _)| *status);
     tracing::debug!(instance = order.instance, operation = ?order.operation, model = order.model, adapter = order.adapter, ?status, "order");
     let turned_away = matches!(status, Some(400 | 412 | 421));
--- a/crates/system/src/edge/generation.rs
+++ b/crates/system/src/edge/generation.rs
@@ -90,7 +90,7 @@
     let Some(request) = request(task) else { return DrawEnding::Over };
     let own_id = request.headers().get(REQUEST_ID).cloned();
     let exchange = async {
-        match shared.pool.exchange_by(address, request, begin_by).await {
+        match shared.pool.exchange_if(address, request, || clock::now() < begin_by).await {
             Ok(exchange) => read(shared, task, exchange, own_id.as_ref()).await,
             Err(ExchangeError::NotSent(_)) => DrawEnding::Over,
             Err(ExchangeError::Broken(_)) => DrawEnding::Unknown,
--- a/crates/system/src/edge/proxy.rs
+++ b/crates/system/src/edge/proxy.rs
@@ -200,7 +200,8 @@
     match collected {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(answer::own(ResultCode::BodyTooLarge)),
-        Ok(Err(_)) | Err(_) => Err(answer::own(ResultCode::BadRequest)),
+        Ok(Err(_)) => Err(answer::own(ResultCode::BadRequest)),
+        Err(_) => Err(answer::own(ResultCode::BodyLate)),
     }
 }
 
--- a/crates/system/src/net/client.rs
+++ b/crates/system/src/net/client.rs
@@ -107,26 +107,34 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<Exchange, ExchangeError> {
-        self.exchange_by(address, request, u64::MAX).await
+        self.exchange_if(address, request, || true).await
     }
 
-    /// The same, where nothing of the request may be written at `latest` or later, by the steady clock.
-    pub async fn exchange_by(
+    /// The same, where nothing of the request may be written unless `may_send` holds at that moment.
+    pub async fn exchange_if(
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
-        latest: u64,
+        may_send: impl Fn() -> bool,
     ) -> Result<Exchange, ExchangeError> {
-        let is_late = || clock::now() >= latest;
-        let request = match self.take_idle(address).filter(|_| !is_late()) {
+        let request = match self.take_idle(address).filter(|_| may_send()) {
             Some(sender) => match send(address, sender, request).await {
                 Err(ExchangeError::NotSent(request)) => *request,
                 other => return other,
             },
             None => request,
         };
+        Self::exchange_anew(address, request, may_send).await
+    }
+
+    /// The same on a connection of its own: no late answer to an earlier request can come on it.
+    async fn exchange_anew(
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        may_send: impl Fn() -> bool,
+    ) -> Result<Exchange, ExchangeError> {
         match Self::open(address).await {
-            Ok(sender) if !is_late() => send(address, sender, request).await,
+            Ok(sender) if may_send() => send(address, sender, request).await,
             Ok(_) | Err(_) => Err(ExchangeError::NotSent(Box::new(request))),
         }
     }
@@ -144,16 +152,48 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         within: Duration,
+    ) -> Option<(u16, Bytes)> {
+        self.call_if(address, request, within, || true).await
+    }
+
+    /// The same, where nothing of the request may be written unless `may_send` holds at that moment.
+    pub async fn call_if(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        within: Duration,
+        may_send: impl Fn() -> bool,
     ) -> Option<(u16, Bytes)> {
         let whole = async {
-            let Exchange { response, lease } = self.exchange(address, request).await.ok()?;
-            let status = response.status().as_u16();
-            let body = Limited::new(response.into_body(), MOST_ANSWER_BYTES).collect().await.ok()?.to_bytes();
-            self.give_back(lease);
-            Some((status, body))
+            let exchange = self.exchange_if(address, request, may_send).await;
+            self.read_whole(exchange).await
         };
         tokio::time::timeout(within, whole).await.ok().flatten()
     }
+
+    /// The same for a call whose answer must be that of no other call, and which must not be made twice: on a connection of
+    /// its own, and written once at most.
+    pub async fn call_once(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        within: Duration,
+        may_send: impl Fn() -> bool,
+    ) -> Option<(u16, Bytes)> {
+        let whole = async {
+            let exchange = Self::exchange_anew(address, request, may_send).await;
+            self.read_whole(exchange).await
+        };
+        tokio::time::timeout(within, whole).await.ok().flatten()
+    }
+
+    async fn read_whole(&self, exchange: Result<Exchange, ExchangeError>) -> Option<(u16, Bytes)> {
+        let Exchange { response, lease } = exchange.ok()?;
+        let status = response.status().as_u16();
+        let body = Limited::new(response.into_body(), MOST_ANSWER_BYTES).collect().await.ok()?.to_bytes();
+        self.give_back(lease);
+        Some((status, body))
+    }
 }
 
 async fn send(
