--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`demand`]: what clients ask of each model, from the edges' reports.
 //! * [`admission`]: at which brick a prompt is read next, and when, over all heads.
 //! * [`autoscaling`]: how many bricks of a service run in each zone.
+//! * [`operator_calls`]: what an operator's call gets, by how the head that was called stands.
 //! * [`outliers`]: which bricks fail more than others, by what all heads saw.
 //! * [`placement`]: which brick is ordered to load or unload what.
 //! * [`training`]: training steps as part of the replicated state, with their prompts and generations.
@@ -23,6 +24,7 @@
 pub mod directory;
 pub mod document;
 pub mod edge_update;
+pub mod operator_calls;
 pub mod outliers;
 pub mod placement;
 pub mod result_code;
--- /dev/null
+++ b/crates/control/tests/safety/faults.rs
@@ -0,0 +1,169 @@
+//! What happens to machines, disks and links, within what a group of three bears.
+
+use crate::common::Fleet;
+use crate::world::{FOUNDERS, MACHINES};
+use proptest::prelude::*;
+
+/// One disturbance.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    /// A process dies.
+    Kill(usize),
+    /// All lose power.
+    PowerOff,
+    /// A disk is lost, if all others are there.
+    Wipe(usize),
+    /// A disk is lost, if all others are there, and all lose power at once.
+    WipeAndPowerOff(usize),
+    /// A machine is cut off from all others.
+    Cut(usize),
+    /// It hears others and is not heard.
+    CutOut(usize),
+    /// It is heard and hears nobody.
+    CutIn(usize),
+    /// Two machines on one side, the others on the other.
+    Halves(usize, usize),
+    /// A process stands still.
+    Freeze(usize),
+    /// A disk answers nothing.
+    Stall(usize),
+    /// A disk is thirty times as slow.
+    SlowDisk(usize),
+    /// Messages get lost.
+    Loss,
+    /// All compact their logs.
+    Compact,
+    /// A new machine comes, and later a member gets SIGTERM.
+    Replace(usize),
+    /// A process gets SIGTERM and starts again.
+    Restart(usize),
+    /// All processes get SIGTERM at once and start again.
+    RestartAll,
+    /// The machine that leads: its process dies, stands still, or is cut off.
+    KillLeader,
+    FreezeLeader,
+    CutLeader,
+}
+
+/// A disturbance, how long it lasts, and the pause behind it, milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Step {
+    pub fault: Fault,
+    pub lasts: u64,
+    pub pause: u64,
+}
+
+/// Schedules of faults, drawn and shrunk.
+pub fn schedules() -> impl Strategy<Value = Vec<Step>> {
+    proptest::collection::vec(step(), 1..7)
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    (fault(), 20_u64..2_500, 0_u64..2_000).prop_map(|(fault, lasts, pause)| Step { fault, lasts, pause })
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    let machine = 0..FOUNDERS;
+    prop_oneof![
+        machine.clone().prop_map(Fault::Kill),
+        Just(Fault::PowerOff),
+        machine.clone().prop_map(Fault::Wipe),
+        machine.clone().prop_map(Fault::WipeAndPowerOff),
+        machine.clone().prop_map(Fault::Cut),
+        machine.clone().prop_map(Fault::CutOut),
+        machine.clone().prop_map(Fault::CutIn),
+        (0..MACHINES, 0..MACHINES).prop_map(|(one, other)| Fault::Halves(one, other)),
+        machine.clone().prop_map(Fault::Freeze),
+        machine.clone().prop_map(Fault::Stall),
+        machine.clone().prop_map(Fault::SlowDisk),
+        Just(Fault::Loss),
+        Just(Fault::Compact),
+        machine.clone().prop_map(Fault::Replace),
+        machine.prop_map(Fault::Restart),
+        Just(Fault::RestartAll),
+        Just(Fault::KillLeader),
+        Just(Fault::FreezeLeader),
+        Just(Fault::CutLeader),
+    ]
+}
+
+fn cut_off(fleet: &mut Fleet, side: &[usize], inwards: bool, outwards: bool) {
+    let others = (0..MACHINES).filter(|machine| !side.contains(machine));
+    for (other, machine) in others.flat_map(|other| side.iter().map(move |machine| (other, *machine))) {
+        if inwards {
+            fleet.cut.insert((other, machine));
+        }
+        if outwards {
+            fleet.cut.insert((machine, other));
+        }
+    }
+}
+
+fn power_off(fleet: &mut Fleet) {
+    let running: Vec<usize> = (0..MACHINES).filter(|machine| runs(fleet, *machine)).collect();
+    running.into_iter().for_each(|machine| fleet.power_off(machine));
+}
+
+fn runs(fleet: &Fleet, machine: usize) -> bool {
+    fleet.machines[machine].replica.is_some()
+}
+
+impl Fault {
+    pub fn begin(self, fleet: &mut Fleet, random: &mut fastrand::Rng) {
+        let leader = fleet.leader().unwrap_or(0);
+        match self {
+            Fault::Kill(machine) => fleet.kill(machine),
+            Fault::KillLeader => fleet.kill(leader),
+            Fault::PowerOff => power_off(fleet),
+            Fault::Wipe(machine) if fleet.is_whole() => fleet.wipe(machine),
+            Fault::WipeAndPowerOff(machine) if fleet.is_whole() => {
+                fleet.wipe(machine);
+                power_off(fleet);
+            }
+            Fault::Wipe(_) | Fault::WipeAndPowerOff(_) => {}
+            Fault::Cut(machine) => cut_off(fleet, &[machine], true, true),
+            Fault::CutLeader => cut_off(fleet, &[leader], true, true),
+            Fault::CutOut(machine) => cut_off(fleet, &[machine], false, true),
+            Fault::CutIn(machine) => cut_off(fleet, &[machine], true, false),
+            Fault::Halves(one, other) => cut_off(fleet, &[one, other], true, true),
+            Fault::Freeze(machine) => fleet.machines[machine].frozen_until = u64::MAX,
+            Fault::FreezeLeader => fleet.machines[leader].frozen_until = u64::MAX,
+            Fault::Stall(machine) => fleet.machines[machine].stalled = true,
+            Fault::SlowDisk(machine) => fleet.machines[machine].sync_takes = 90,
+            Fault::Loss => fleet.loss_in_1000 = random.u64(5..120),
+            Fault::Compact => (0..MACHINES).for_each(|machine| fleet.compact(machine)),
+            Fault::Replace(machine) => {
+                if let Some(spare) = (FOUNDERS..MACHINES).find(|spare| !runs(fleet, *spare)) {
+                    fleet.start(spare);
+                }
+                if fleet.is_whole() && runs(fleet, machine) {
+                    fleet.terminate(machine);
+                }
+            }
+            Fault::Restart(machine) => fleet.terminate(machine),
+            Fault::RestartAll => (0..MACHINES).for_each(|machine| fleet.terminate(machine)),
+        }
+    }
+
+    pub fn end(self, fleet: &mut Fleet) {
+        if !matches!(self, Fault::Compact) {
+            Fault::end_all(fleet);
+        }
+    }
+
+    /// All disturbances end, and whoever is down starts.
+    pub fn end_all(fleet: &mut Fleet) {
+        fleet.cut.clear();
+        fleet.loss_in_1000 = 0;
+        for machine in 0..MACHINES {
+            let state = &mut fleet.machines[machine];
+            state.stalled = false;
+            state.sync_takes = crate::common::SYNC;
+            fleet.thaw(machine);
+            let has_run = machine < FOUNDERS || fleet.machines[machine].disk.last_index() > 0;
+            if has_run && !runs(fleet, machine) {
+                fleet.start(machine);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/tests/safety/operators.rs
@@ -0,0 +1,114 @@
+//! Operators that change and read the configuration at any head, lose answers, and send the same again.
+
+use crate::history::{Call, Got, Wanted};
+use pathbank_control::operator_calls::Reply;
+use pathbank_control::result_code::ResultCode;
+use pathbank_control::state::{Change, ChangeKind};
+use serde_json::json;
+
+/// An operator gives up a call after so many tries.
+const MOST_TRIES: u32 = 12;
+/// A try without an answer is given up after this, milliseconds.
+pub const TRY_WITHIN: u64 = 1_000;
+
+/// One operator.
+pub struct Operator {
+    /// The newest version that it knows.
+    known: u64,
+    current: Option<Open>,
+    /// When it acts next.
+    pub acts_at: u64,
+}
+
+struct Open {
+    wanted: Wanted,
+    change: Option<Change>,
+    /// That of its change.
+    version: u64,
+    began: u64,
+    tries: u32,
+    /// Where it is led on to.
+    next: Option<usize>,
+}
+
+/// A try that is to be made.
+pub struct Try {
+    pub machine: Option<usize>,
+    pub change: Option<Change>,
+}
+
+/// A change whose content no other one has.
+pub fn change(id: u64, base: u64, version: u64) -> Change {
+    let body = json!({ "version": version, "upsert": { "limits": { "max_body_bytes": id } } });
+    Change { kind: ChangeKind::Update, base, body: body.to_string() }
+}
+
+impl Operator {
+    pub fn new(acts_at: u64) -> Operator {
+        Operator { known: 0, current: None, acts_at }
+    }
+
+    /// Goes on with its call, or begins one. `draw`: any number; `id`: that of a change that begins now.
+    pub fn next_try(&mut self, now: u64, draw: u64, id: u64) -> (Try, Option<(u64, u64)>) {
+        let mut began = None;
+        if self.current.is_none() {
+            let wanted = match draw % 3 {
+                0 => Wanted::Read,
+                _ => Wanted::Change { id, base: self.known },
+            };
+            let version = self.known + 1 + draw / 3 % 4;
+            let change = match wanted {
+                Wanted::Read => None,
+                Wanted::Change { id, base } => {
+                    began = Some((id, version));
+                    Some(change(id, base, version))
+                }
+            };
+            self.current = Some(Open { wanted, change, version, began: now, tries: 0, next: None });
+        }
+        let open = self.current.as_mut().expect("a call is open");
+        open.tries += 1;
+        (Try { machine: open.next.take(), change: open.change.clone() }, began)
+    }
+
+    /// What came of a try. Returns the call if it has ended.
+    pub fn hear(
+        &mut self,
+        now: u64,
+        reply: Option<&Reply>,
+        machine_at: impl Fn(&str) -> Option<usize>,
+    ) -> Option<Call> {
+        let open = self.current.as_mut()?;
+        let got = match reply {
+            Some(Reply::Json(body)) => {
+                let document: serde_json::Value = serde_json::from_slice(body).expect("a document");
+                self.known = document["version"].as_u64().unwrap_or(0);
+                Got::Read(document["limits"]["max_body_bytes"].as_u64().unwrap_or(0))
+            }
+            Some(Reply::Result(ResultCode::Done, _)) => {
+                self.known = open.version;
+                Got::Acknowledged
+            }
+            Some(Reply::Result(ResultCode::BaseMismatch | ResultCode::VersionNotAbove, _)) => Got::Refused,
+            Some(Reply::LeaderAt(address)) => {
+                open.next = machine_at(address);
+                self.acts_at = now + 2;
+                return None;
+            }
+            _ if open.tries < MOST_TRIES => {
+                self.acts_at = now + 50 * u64::from(open.tries);
+                return None;
+            }
+            _ => Got::Nothing,
+        };
+        let open = self.current.take()?;
+        self.acts_at = now + 20;
+        Some(Call { wanted: open.wanted, began: open.began, ended: now, got })
+    }
+
+    /// Its call at the end of the history has no answer.
+    pub fn end(&mut self, now: u64) -> Option<Call> {
+        let open = self.current.take()?;
+        Some(Call { wanted: open.wanted, began: open.began, ended: now, got: Got::Nothing })
+    }
+}
--- /dev/null
+++ b/crates/control/tests/safety/world.rs
@@ -0,0 +1,371 @@
+//! The control path in virtual time: replicas with the state machine, operators, and what every head would hand out.
+
+use crate::common::{Fleet, member};
+use crate::faults::{Fault, Step};
+use crate::history::{self, Call};
+use crate::operators::{Operator, TRY_WITHIN};
+use pathbank_control::operator_calls::{self, LEADER_SILENCE, Reply, Standing};
+use pathbank_control::state::{Accepted, Change, Command, ControlState};
+use std::collections::BTreeMap;
+
+/// Founders, and machines that come later.
+pub const FOUNDERS: usize = 3;
+pub const MACHINES: usize = 5;
+/// How long turns of two leaders have to be apart, milliseconds.
+const TURN_WAIT: u64 = 3_000;
+/// A leader without contact leads for no longer than this, milliseconds, and a follower believes it for
+/// [`LEADER_SILENCE`] more.
+const LEADER_STEPS_DOWN: u64 = 900;
+/// Within this after the last fault an operator's change is taken, milliseconds.
+const RECOVERS_WITHIN: u64 = 12_000;
+
+/// What a machine has applied.
+#[derive(Default)]
+struct Applied {
+    entries: usize,
+    last: u64,
+    state: ControlState,
+    results: BTreeMap<u64, (Vec<u8>, Reply)>,
+}
+
+/// A change that waits at the head where it was proposed.
+struct Waiting {
+    operator: usize,
+    machine: usize,
+    index: u64,
+    term: u64,
+    command: Vec<u8>,
+}
+
+/// An answer on its way.
+struct Answer {
+    at: u64,
+    operator: usize,
+    reply: Option<Reply>,
+}
+
+pub struct World {
+    pub fleet: Fleet,
+    random: fastrand::Rng,
+    applied: Vec<Applied>,
+    operators: Vec<Operator>,
+    waiting: Vec<Waiting>,
+    answers: Vec<Answer>,
+    calls: Vec<Call>,
+    versions: BTreeMap<u64, u64>,
+    /// When each version was acknowledged first.
+    acknowledged: Vec<(u64, u64)>,
+    /// Who acted outside the group, with which token, and when.
+    acts: Vec<(usize, u64, u64)>,
+    next_change: u64,
+    answers_lost_in_100: u64,
+}
+
+impl World {
+    pub fn new(seed: u64, operators: usize) -> World {
+        let mut fleet = Fleet::new(FOUNDERS, MACHINES - FOUNDERS, seed);
+        (FOUNDERS..MACHINES).for_each(|machine| fleet.kill(machine));
+        let mut random = fastrand::Rng::with_seed(seed);
+        let operators = (0..operators).map(|_| Operator::new(1_500 + random.u64(0..300))).collect();
+        World {
+            fleet,
+            random,
+            applied: (0..MACHINES).map(|_| Applied::default()).collect(),
+            operators,
+            waiting: Vec::new(),
+            answers: Vec::new(),
+            calls: Vec::new(),
+            versions: BTreeMap::new(),
+            acknowledged: Vec::new(),
+            acts: Vec::new(),
+            next_change: 1,
+            answers_lost_in_100: 15,
+        }
+    }
+
+    /// Plays a schedule of faults, and everything that has to hold meanwhile and afterwards.
+    pub fn play(&mut self, steps: &[Step]) -> Result<(), String> {
+        self.run(2_000)?;
+        for step in steps {
+            step.fault.begin(&mut self.fleet, &mut self.random);
+            self.run(step.lasts)?;
+            step.fault.end(&mut self.fleet);
+            self.run(step.pause)?;
+        }
+        while (0..MACHINES).any(|machine| self.fleet.is_terminating(machine)) {
+            self.run(50)?;
+        }
+        Fault::end_all(&mut self.fleet);
+        self.recover()?;
+        self.check_history()
+    }
+
+    fn recover(&mut self) -> Result<(), String> {
+        let since = self.fleet.now;
+        let acknowledged = self.acknowledged.len();
+        while self.acknowledged.len() < acknowledged + 2 {
+            self.run(50)?;
+            if self.fleet.now > since + RECOVERS_WITHIN {
+                return Err("no change is taken after the last fault".into());
+            }
+        }
+        Ok(())
+    }
+
+    fn run(&mut self, milliseconds: u64) -> Result<(), String> {
+        for _ in 0..milliseconds {
+            self.fleet.step();
+            self.apply();
+            self.answer_waiting();
+            self.deliver_answers();
+            self.operate();
+            if self.fleet.now.is_multiple_of(20) {
+                self.check_heads()?;
+                self.act()?;
+            }
+        }
+        Ok(())
+    }
+
+    // ---- heads ----
+
+    fn apply(&mut self) {
+        for (machine, applied) in self.applied.iter_mut().enumerate() {
+            let log = &self.fleet.machines[machine].applied;
+            let last = log.last().map_or(0, |(index, _)| *index);
+            if last == applied.last && log.len() == applied.entries {
+                continue;
+            }
+            let goes_on = applied.entries > 0
+                && log.get(applied.entries - 1).is_some_and(|(index, _)| *index == applied.last);
+            if !goes_on {
+                *applied = Applied::default();
+            }
+            for (index, bytes) in &log[applied.entries..] {
+                let command = Command::decode(bytes).expect("a command");
+                let result = applied.state.apply(*index, &command);
+                applied.results.insert(*index, (bytes.clone(), Reply::of_result(&result)));
+            }
+            (applied.entries, applied.last) = (log.len(), last);
+        }
+    }
+
+    /// Changes that are committed or whose head leads no more.
+    fn answer_waiting(&mut self) {
+        for waiting in std::mem::take(&mut self.waiting) {
+            let machine = &self.fleet.machines[waiting.machine];
+            let Some(replica) = machine.replica.as_ref() else {
+                self.send_answer(waiting.operator, None);
+                continue;
+            };
+            let result = self.applied[waiting.machine].results.get(&waiting.index);
+            let own_term = replica.term() == waiting.term;
+            match result {
+                Some((command, reply)) if own_term && *command == waiting.command => {
+                    let reply = reply.clone();
+                    self.send_answer(waiting.operator, Some(reply));
+                }
+                Some(_) => self.send_answer(waiting.operator, Some(Reply::unclear())),
+                None if Standing::of(replica, self.fleet.now).turns_away().is_some() => {
+                    self.send_answer(waiting.operator, Some(Reply::unclear()));
+                }
+                None => self.waiting.push(waiting),
+            }
+        }
+    }
+
+    /// What a head does with a call that reaches it.
+    fn receive(&mut self, operator: usize, machine: usize, change: Option<Change>) {
+        let now = self.fleet.now;
+        let Some(replica) =
+            self.fleet.machines[machine].replica.as_ref().filter(|_| !self.fleet.is_frozen(machine))
+        else {
+            return self.send_answer(operator, None);
+        };
+        let (standing, term) = (Standing::of(replica, now), replica.term());
+        let state = &self.applied[machine].state;
+        let Some(change) = change else {
+            let reply = operator_calls::read_configuration(state, &standing);
+            return self.send_answer(operator, Some(reply));
+        };
+        match operator_calls::receive_change(state, &standing, &change) {
+            Err(reply) => self.send_answer(operator, Some(reply)),
+            Ok(()) => {
+                let command = Command::Change(change).encode();
+                match self.fleet.propose_at(machine, &command) {
+                    Some(index) => self.waiting.push(Waiting { operator, machine, index, term, command }),
+                    None => self.send_answer(operator, Some(Reply::unclear())),
+                }
+            }
+        }
+    }
+
+    /// A head in contact hands out nothing older than what contact allows, and a leader within its lease nothing old at all.
+    fn check_heads(&self) -> Result<(), String> {
+        let now = self.fleet.now;
+        for (machine, applied) in self.applied.iter().enumerate() {
+            let Some(replica) = self.fleet.machines[machine].replica.as_ref() else { continue };
+            if self.fleet.is_frozen(machine) || !replica.is_current(now, LEADER_SILENCE) {
+                continue;
+            }
+            let leads = matches!(Standing::of(replica, now), Standing::Leads { lease_holds: true });
+            let grace = if leads { 0 } else { LEADER_STEPS_DOWN + LEADER_SILENCE };
+            let due = self.acknowledged.iter().filter(|(_, at)| at + grace < now);
+            let newest = due.map(|(version, _)| *version).max().unwrap_or(0);
+            if applied.state.version() < newest {
+                return Err(format!(
+                    "{now}: head {machine} is current with {} of {newest}",
+                    applied.state.version()
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    // ---- duties ----
+
+    /// Whoever may act outside the group does: one at a time, with tokens that rise, and turns apart.
+    fn act(&mut self) -> Result<(), String> {
+        let now = self.fleet.now;
+        let mut acting = None;
+        for machine in 0..MACHINES {
+            if self.fleet.is_frozen(machine) {
+                continue;
+            }
+            let state = &mut self.fleet.machines[machine];
+            let Some(replica) = state.replica.as_ref().filter(|replica| replica.is_settled_leader()) else {
+                continue;
+            };
+            let (term, lease) = (replica.term(), replica.lease_until());
+            let name = member(machine, 0).name;
+            if state.fence.permit(&name, term, lease, TURN_WAIT, now).is_some()
+                && let Some(other) = acting.replace(machine)
+            {
+                return Err(format!("{now}: {other} and {machine} may act at once"));
+            }
+            if acting == Some(machine) {
+                self.acts.push((machine, term, now));
+            }
+        }
+        self.check_acts(now)
+    }
+
+    fn check_acts(&mut self, now: u64) -> Result<(), String> {
+        let Some(&(holder, token, at)) = self.acts.last().filter(|(.., at)| *at == now) else {
+            return Ok(());
+        };
+        let earlier = &self.acts[..self.acts.len() - 1];
+        if earlier.last().is_some_and(|(_, other, _)| *other > token) {
+            return Err(format!("{now}: token {token} after a higher one"));
+        }
+        let recent = earlier.iter().rev().take_while(|(_, _, then)| at < then + TURN_WAIT);
+        let mut another = false;
+        for (machine, ..) in recent {
+            if another && *machine == holder {
+                return Err(format!(
+                    "{now}: {holder} acts again within {TURN_WAIT} ms, and another one in between"
+                ));
+            }
+            another |= *machine != holder;
+        }
+        let kept = self.acts.len().saturating_sub(400);
+        self.acts.drain(..kept);
+        Ok(())
+    }
+
+    // ---- operators ----
+
+    fn send_answer(&mut self, operator: usize, reply: Option<Reply>) {
+        let lost = self.random.u64(0..100) < self.answers_lost_in_100;
+        let (reply, takes) = match reply.filter(|_| !lost) {
+            Some(reply) => (Some(reply), self.random.u64(1..6)),
+            None => (None, TRY_WITHIN),
+        };
+        self.answers.push(Answer { at: self.fleet.now + takes, operator, reply });
+    }
+
+    fn deliver_answers(&mut self) {
+        let now = self.fleet.now;
+        let due: Vec<Answer> = self.answers.extract_if(.., |answer| answer.at <= now).collect();
+        for Answer { operator, reply, .. } in due {
+            let machine_at =
+                |address: &str| (0..MACHINES).find(|at| member(*at, 0).control_address == address);
+            let Some(call) = self.operators[operator].hear(now, reply.as_ref(), machine_at) else { continue };
+            if let (history::Wanted::Change { id, .. }, history::Got::Acknowledged) =
+                (&call.wanted, &call.got)
+            {
+                self.acknowledged.push((self.versions[id], now));
+            }
+            self.calls.push(call);
+        }
+    }
+
+    fn operate(&mut self) {
+        let now = self.fleet.now;
+        for operator in 0..self.operators.len() {
+            let is_out = self.waiting.iter().any(|waiting| waiting.operator == operator)
+                || self.answers.iter().any(|answer| answer.operator == operator);
+            if is_out || now < self.operators[operator].acts_at {
+                continue;
+            }
+            let (draw, id) = (self.random.u64(0..1_000), self.next_change);
+            let (next, began) = self.operators[operator].next_try(now, draw, id);
+            if let Some((id, version)) = began {
+                self.versions.insert(id, version);
+                self.next_change += 1;
+            }
+            let machine = next.machine.unwrap_or_else(|| self.any_machine());
+            // The same call may reach two heads: an earlier copy was held up in the network.
+            if self.random.u64(0..100) < 3 {
+                self.receive_stray(next.change.clone());
+            }
+            self.receive(operator, machine, next.change);
+        }
+    }
+
+    /// A machine of the operators' list, which holds few that do not run.
+    fn any_machine(&mut self) -> usize {
+        let drawn = self.random.usize(0..MACHINES);
+        match self.fleet.machines[drawn].replica {
+            Some(_) => drawn,
+            None => self.random.usize(0..FOUNDERS),
+        }
+    }
+
+    /// A copy of a change that nobody waits for.
+    fn receive_stray(&mut self, change: Option<Change>) {
+        let machine = self.random.usize(0..MACHINES);
+        let Some(change) = change else { return };
+        let Some(replica) = self.fleet.machines[machine].replica.as_ref() else { return };
+        let standing = Standing::of(replica, self.fleet.now);
+        if operator_calls::receive_change(&self.applied[machine].state, &standing, &change).is_ok() {
+            self.fleet.propose_at(machine, &Command::Change(change).encode());
+        }
+    }
+
+    // ---- the end ----
+
+    fn check_history(&mut self) -> Result<(), String> {
+        self.answers_lost_in_100 = 0;
+        self.run(1_500)?;
+        self.fleet.check();
+        let now = self.fleet.now;
+        self.calls.extend(self.operators.iter_mut().filter_map(|operator| operator.end(now)));
+        let leader = self.fleet.leader().ok_or("no leader at the end")?;
+        let mut state = ControlState::default();
+        let mut order = Vec::new();
+        for (index, bytes) in &self.fleet.machines[leader].applied {
+            let Command::Change(change) = Command::decode(bytes).expect("a command") else { continue };
+            if state.apply(*index, &Command::Change(change.clone())) == Ok(Accepted::Now) {
+                let body: serde_json::Value = serde_json::from_str(&change.body).expect("JSON");
+                order.push(body["upsert"]["limits"]["max_body_bytes"].as_u64().expect("its number"));
+            }
+        }
+        history::check(&self.calls, &order, &self.versions)
+    }
+
+    /// How many calls had a clear answer.
+    pub fn answered(&self) -> usize {
+        self.calls.iter().filter(|call| call.got != history::Got::Nothing).count()
+    }
+}
--- a/crates/coordination/src/replica/mod.rs
+++ b/crates/coordination/src/replica/mod.rs
@@ -212,7 +212,9 @@
             return self.lease_until() > now;
         }
         let heard = self.leader_heard.is_some_and(|heard| now < heard + silence);
-        heard && self.leader_commit > 0 && self.applied >= self.leader_commit
+        // A leader that has only begun does not know yet how far the log was committed before it.
+        let settled = self.durable.term_at(self.leader_commit) == Some(self.durable.term);
+        heard && settled && self.applied >= self.leader_commit
     }
     /// Who leads, as far as was heard within `silence` milliseconds: one that fell silent may lead no longer.
     pub fn live_leader(&self, now: Millis, silence: Millis) -> Option<&Member> {
--- a/crates/coordination/src/replica/voting.rs
+++ b/crates/coordination/src/replica/voting.rs
@@ -67,6 +67,7 @@
         effects: &mut Effects,
     ) {
         self.step_down(now);
+        self.leader_commit = 0;
         self.save(Record::Vote { term, voted_for }, effects);
     }
 
--- a/crates/coordination/tests/common/mod.rs
+++ b/crates/coordination/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+use pathbank_coordination::fencing::Fence;
 use pathbank_coordination::group;
 use pathbank_coordination::record::{Durable, Record};
 use pathbank_coordination::replica::{Departure, Effects, Outgoing, Replica, Role, Timing};
@@ -26,6 +27,12 @@
     /// Commands in the order in which they were applied.
     pub applied: Vec<(Index, Vec<u8>)>,
     pub stalled: bool,
+    /// How long a sync takes, milliseconds.
+    pub sync_takes: u64,
+    /// It stands still until then: nothing is read, no timer fires.
+    pub frozen_until: u64,
+    /// Who led, as far as this machine has applied.
+    pub fence: Fence,
     /// It got SIGTERM then, and ends as soon as it may.
     terminating: Option<u64>,
 }
@@ -111,6 +118,9 @@
                 writes: Vec::new(),
                 applied: Vec::new(),
                 stalled: false,
+                sync_takes: SYNC,
+                frozen_until: 0,
+                fence: Fence::default(),
                 terminating: None,
             });
             fleet.start(machine);
@@ -129,6 +139,9 @@
         let random = self.random.u64(..);
         let state = &mut self.machines[machine];
         state.applied = decode(&disk.snapshot.data);
+        state.fence = Fence::default();
+        state.fence.restore(disk.snapshot.leaders.clone());
+        state.frozen_until = 0;
         state.replica = Some(Replica::new(me, Timing::default(), disk, self.now, random));
     }
 
@@ -160,25 +173,27 @@
     }
 
     pub fn leader(&self) -> Option<usize> {
-        let leaders = self.machines.iter().enumerate().filter(|(_, machine)| {
-            machine.replica.as_ref().is_some_and(|replica| replica.is_settled_leader())
+        let leaders = self.machines.iter().enumerate().filter(|(at, machine)| {
+            !self.is_frozen(*at)
+                && machine.replica.as_ref().is_some_and(|replica| replica.is_settled_leader())
         });
         leaders.max_by_key(|(_, machine)| machine.replica.as_ref().map(Replica::term)).map(|(at, _)| at)
     }
 
     /// Proposes at the leader; what is committed of it later counts as acknowledged.
     pub fn propose(&mut self, command: &[u8]) -> bool {
-        let Some(leader) = self.leader() else { return false };
-        let replica = self.machines[leader].replica.as_mut().unwrap();
+        let leader = self.leader();
+        leader.is_some_and(|leader| self.propose_at(leader, command).is_some())
+    }
+
+    /// Proposes at a machine, if it leads. Returns where.
+    pub fn propose_at(&mut self, machine: usize, command: &[u8]) -> Option<Index> {
+        let replica = self.machines[machine].replica.as_mut()?;
         let term = replica.term();
-        match replica.propose(self.now, command.to_vec()) {
-            Ok((index, effects)) => {
-                self.proposed.insert((leader, index), (term, command.to_vec()));
-                self.carry_out(leader, effects);
-                true
-            }
-            Err(_) => false,
-        }
+        let (index, effects) = replica.propose(self.now, command.to_vec()).ok()?;
+        self.proposed.insert((machine, index), (term, command.to_vec()));
+        self.carry_out(machine, effects);
+        Some(index)
     }
 
     /// Compacts a machine's log.
@@ -186,7 +201,7 @@
         let state = &mut self.machines[machine];
         let Some(replica) = state.replica.as_mut() else { return };
         let Some(index) = state.applied.last().map(|(index, _)| *index) else { return };
-        let effects = replica.compact(index, Vec::new(), encode(&state.applied));
+        let effects = replica.compact(index, state.fence.leaders(), encode(&state.applied));
         self.carry_out(machine, effects);
     }
 
@@ -198,7 +213,7 @@
         let me = replica.me().clone();
         let saves = !effects.records.is_empty();
         if saves {
-            let at = now + SYNC;
+            let at = now + state.sync_takes;
             state.writes.push(Pending { at, records: effects.records, last_index, held: Vec::new() });
         }
         let mut go = Vec::new();
@@ -210,6 +225,7 @@
         }
         if let Some(snapshot) = effects.install {
             state.applied = decode(&snapshot.data);
+            state.fence.restore(snapshot.leaders);
         }
         for entry in effects.committed {
             self.apply(machine, entry);
@@ -218,6 +234,9 @@
     }
 
     fn apply(&mut self, machine: usize, entry: Entry) {
+        if let Payload::LeaderStart(name) = &entry.payload {
+            self.machines[machine].fence.led(name);
+        }
         let Payload::Command(command) = entry.payload else { return };
         self.machines[machine].applied.push((entry.index, command.clone()));
         if let Some((term, proposed)) = self.proposed.remove(&(machine, entry.index))
@@ -242,6 +261,35 @@
         }
     }
 
+    pub fn is_frozen(&self, machine: usize) -> bool {
+        self.now < self.machines[machine].frozen_until
+    }
+
+    /// A machine that stood still runs again, and finds what came meanwhile.
+    pub fn thaw(&mut self, machine: usize) {
+        self.machines[machine].frozen_until = 0;
+        let came = self.flying.extract_if(.., |(at, _), (target, ..)| *at == u64::MAX && *target == machine);
+        let came: Vec<_> = came.collect();
+        self.flying.extend(came.into_iter().map(|((_, serial), message)| ((self.now + 1, serial), message)));
+    }
+
+    /// Whether all of the group is there and has the leader's whole log, and no change of it is under way: another disk
+    /// may be lost.
+    pub fn is_whole(&self) -> bool {
+        let Some(leader) = self.leader() else { return false };
+        let Some(replica) = self.machines[leader].replica.as_ref() else { return false };
+        let has_all = |machine: &Machine| machine.disk.last_index() >= replica.durable().last_index();
+        let is_there = |id| {
+            let mut stores = self.machines.iter().enumerate();
+            stores.any(|(at, machine)| {
+                let runs = machine.replica.as_ref().is_some_and(|replica| replica.me().id == id);
+                runs && !self.is_frozen(at) && !machine.stalled && has_all(machine)
+            })
+        };
+        let membership = replica.membership();
+        self.cut.is_empty() && !membership.is_joint() && membership.members().all(|voter| is_there(voter.id))
+    }
+
     /// When a link has carried a message.
     fn carried_at(&mut self, link: (usize, usize), message: &Message) -> u64 {
         if self.bandwidth == 0 {
@@ -254,7 +302,9 @@
 
     /// A process gets SIGTERM: it ends once it is out of the group, or nobody can take its place.
     pub fn terminate(&mut self, machine: usize) {
-        self.machines[machine].terminating = Some(self.now);
+        if self.machines[machine].replica.is_some() {
+            self.machines[machine].terminating = Some(self.now);
+        }
     }
 
     pub fn is_terminating(&self, machine: usize) -> bool {
@@ -300,9 +350,17 @@
                 break;
             }
             let (target, from, message) = self.flying.remove(&(at, serial)).unwrap();
+            if self.is_frozen(target) {
+                // It lies in the machine's socket until it runs again.
+                self.flying.insert((self.machines[target].frozen_until, serial), (target, from, message));
+                continue;
+            }
             self.with(target, |replica, now| replica.hear(now, from, message));
         }
         for machine in 0..self.machines.len() {
+            if self.is_frozen(machine) {
+                continue;
+            }
             self.sync(machine);
             self.with(machine, |replica, now| replica.tick(now));
             self.with(machine, |replica, now| group::step(replica, now).unwrap_or_default());
--- a/crates/coordination/tests/votes.rs
+++ b/crates/coordination/tests/votes.rs
@@ -5,7 +5,7 @@
 use common::member;
 use pathbank_coordination::record::{Durable, Record};
 use pathbank_coordination::replica::{Effects, Replica, Role, Timing};
-use pathbank_coordination::types::{Member, Membership, Message, StoreId};
+use pathbank_coordination::types::{Entry, Member, Membership, Message, Payload, StoreId};
 
 fn voters() -> Vec<Member> {
     (0..3).map(|machine| member(machine, machine as u64 + 1)).collect()
@@ -107,3 +107,70 @@
     assert!(!agree([1, 3]), "nor of the new one");
     assert_eq!(joint.members().count(), 4);
 }
+
+fn heartbeat(replica: &mut Replica, now: u64, term: u64, commit: u64) {
+    let message = Message::Append {
+        term,
+        previous_index: 2,
+        previous_term: 4,
+        entries: Vec::new(),
+        commit,
+        sent_at: now,
+    };
+    replica.hear(now, voters()[1].clone(), message);
+}
+
+fn restarted_with_two_entries() -> Replica {
+    let mut log = Durable { term: 4, ..durable() };
+    for index in 1..=2 {
+        log.apply(Record::Entry(Entry { index, term: 4, payload: Payload::Command(vec![1]) }));
+    }
+    replica(log, 0)
+}
+
+/// After a loss of power everywhere a new leader does not know yet how far the log was committed: a follower that has
+/// applied all that such a leader tells may still be behind what was acknowledged.
+#[test]
+fn a_follower_of_a_leader_that_has_only_begun_is_not_current() {
+    let silence = 1_500;
+    let mut follower = restarted_with_two_entries();
+    heartbeat(&mut follower, 1_000, 5, 1);
+    assert!(!follower.is_current(1_010, silence), "entry 1 is of an earlier term");
+    heartbeat(&mut follower, 1_050, 5, 2);
+    assert!(!follower.is_current(1_060, silence));
+    let begun = Entry { index: 3, term: 5, payload: Payload::LeaderStart("core-1".into()) };
+    let message = Message::Append {
+        term: 5,
+        previous_index: 2,
+        previous_term: 4,
+        entries: vec![begun],
+        commit: 3,
+        sent_at: 1_100,
+    };
+    follower.hear(1_100, voters()[1].clone(), message);
+    assert!(follower.is_current(1_110, silence));
+    assert!(!follower.is_current(1_100 + silence, silence), "nor is one that hears nobody any more");
+}
+
+#[test]
+fn a_leader_that_fell_silent_is_no_longer_named() {
+    let mut follower = restarted_with_two_entries();
+    heartbeat(&mut follower, 1_000, 5, 1);
+    assert_eq!(follower.live_leader(2_499, 1_500).map(|leader| leader.id), Some(StoreId(2)));
+    assert_eq!(follower.live_leader(2_500, 1_500), None);
+}
+
+#[test]
+fn a_leader_without_contact_to_a_majority_is_not_current_beyond_its_lease() {
+    let mut leader = replica(durable(), 0);
+    leader.tick(2_000);
+    let grant = |term, pre| Message::VoteReply { term, pre, granted: true };
+    leader.hear(2_010, voters()[1].clone(), grant(1, true));
+    leader.hear(2_020, voters()[1].clone(), grant(1, false));
+    leader.saved(2_025, 1);
+    let reply = Message::AppendReply { term: 1, accepted: true, index: 1, sent_at: 2_020 };
+    leader.hear(2_030, voters()[1].clone(), reply);
+    assert!(leader.is_settled_leader() && leader.is_current(2_319, 1_500));
+    assert!(!leader.is_current(2_320, 1_500), "0.3 s after what a majority answered was sent");
+    assert!(leader.is_settled_leader(), "although it has not stepped down yet");
+}
--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -24,8 +24,8 @@
 use pathbank_control::autoscaling::ScaleOrder;
 use pathbank_control::demand::DemandTable;
 use pathbank_control::directory::Directory;
+pub use pathbank_control::operator_calls::Reply;
 use pathbank_control::outliers::OutlierTable;
-use pathbank_control::result_code::ResultCode;
 use pathbank_control::state::{Change, Command, ControlState, StateError};
 use pathbank_control::usage::UsageLedger;
 use pathbank_coordination::fencing::Fence;
@@ -66,17 +66,6 @@
 /// Nor longer than this for a first word of the leader, milliseconds.
 const LEAVE_ANSWER_WITHIN: u64 = 600;
 
-/// What a call to the control plane gets.
-#[derive(Debug)]
-pub enum Reply {
-    /// A JSON body.
-    Json(Vec<u8>),
-    /// A numbered result and its reason.
-    Result(ResultCode, String),
-    /// Another head leads, with its control plane at this address.
-    LeaderAt(String),
-}
-
 /// Whatever happens to a control head.
 #[derive(Debug)]
 pub enum Event {
--- a/crates/system/src/core/node/overview.rs
+++ b/crates/system/src/core/node/overview.rs
@@ -11,7 +11,7 @@
 impl Node {
     /// Demand and holders of each model and adapter, and the orders under way.
     pub(super) fn on_read_placement(&mut self, now: u64, reply: oneshot::Sender<Reply>) {
-        let Some(reply) = self.as_leader(reply) else { return };
+        let Some(reply) = self.as_leader(now, reply) else { return };
         let placer = &self.leadership.placer;
         let orders = placer.under_way().map(|order| {
             let operation = match order.operation {
@@ -63,7 +63,7 @@
 
     /// Who may act on the outside, until when, and what was told to the platform.
     pub(super) fn on_read_duties(&mut self, now: u64, reply: oneshot::Sender<Reply>) {
-        let Some(reply) = self.as_leader(reply) else { return };
+        let Some(reply) = self.as_leader(now, reply) else { return };
         let permit = self.permit(now);
         let leadership = &self.leadership;
         let scale = leadership.autoscaler.ordered().map(|order| {
--- a/crates/system/src/core/node/replication.rs
+++ b/crates/system/src/core/node/replication.rs
@@ -2,10 +2,10 @@
 
 use super::{Node, Reply};
 use crate::core::disk::{Disk, DiskEvent};
-use pathbank_control::configuration::Rejection;
 use pathbank_control::document;
+use pathbank_control::operator_calls::{self, LEADER_SILENCE, Standing};
 use pathbank_control::result_code::ResultCode;
-use pathbank_control::state::{Accepted, Change, Command, ControlState, Judgement, StateError};
+use pathbank_control::state::{Accepted, Change, Command, ControlState, StateError};
 use pathbank_coordination::group;
 use pathbank_coordination::replica::{Effects, Outgoing, Replica, Role};
 use pathbank_coordination::types::{Entry, Index, Member, Message, Payload, Snapshot, Term};
@@ -22,9 +22,6 @@
 /// While a snapshot is on its way to a store, the log may grow to so many times that.
 const AWAITED_TIMES: usize = 4;
 
-/// A head that has heard no leader for so long does not know what is newest, milliseconds.
-const LEADER_SILENCE: u64 = 1_500;
-
 /// Edges are told of changes at least so far apart, milliseconds.
 const TELL_APART: u64 = 150;
 
@@ -98,7 +95,7 @@
     /// Whoever waits for a change at a head that does not lead any more hears so at once: its end is decided elsewhere.
     fn answer_waiting(&mut self) {
         for change in std::mem::take(&mut self.waiting).into_values().flatten() {
-            let _ = change.reply.send(unclear());
+            let _ = change.reply.send(Reply::unclear());
         }
     }
 
@@ -267,8 +264,8 @@
                 }
                 for change in waiting {
                     let reply = match change.term == entry.term {
-                        true => reply_of(&result),
-                        false => unclear(),
+                        true => Reply::of_result(&result),
+                        false => Reply::unclear(),
                     };
                     let _ = change.reply.send(reply);
                 }
@@ -276,7 +273,7 @@
             }
         }
         for change in waiting {
-            let _ = change.reply.send(unclear());
+            let _ = change.reply.send(Reply::unclear());
         }
     }
 
@@ -311,34 +308,26 @@
     // ---- operators ----
 
     /// Leads a caller on to the leader, unless this head leads. Returns the sender if it does.
-    pub(super) fn as_leader(&self, reply: oneshot::Sender<Reply>) -> Option<oneshot::Sender<Reply>> {
-        let replica = &self.replication.replica;
-        if replica.is_settled_leader() {
-            return Some(reply);
+    pub(super) fn as_leader(
+        &self,
+        now: u64,
+        reply: oneshot::Sender<Reply>,
+    ) -> Option<oneshot::Sender<Reply>> {
+        match Standing::of(&self.replication.replica, now).turns_away() {
+            None => Some(reply),
+            Some(turned_away) => {
+                let _ = reply.send(turned_away);
+                None
+            }
         }
-        // A leader that fell silent may lead no longer: its callers would be sent back and forth.
-        let leader = replica.live_leader(crate::clock::now(), LEADER_SILENCE);
-        let other = leader.filter(|leader| leader.id != replica.me().id);
-        let _ = reply.send(match other {
-            Some(leader) => Reply::LeaderAt(leader.control_address.clone()),
-            None => Reply::Result(ResultCode::NoLeader, "no leader was heard of lately".into()),
-        });
-        None
     }
 
     pub(super) fn on_change(&mut self, now: u64, change: Change, reply: oneshot::Sender<Reply>) {
-        let Some(reply) = self.as_leader(reply) else { return };
-        match self.state.judge(&change) {
-            Ok(Judgement::Takes { .. }) => {}
-            judged => {
-                // What stands may have been changed by a later leader: only within the lease it is the newest.
-                let certain = self.replication.replica.lease_until() > now;
-                let result = judged.map(|_| Accepted::Before);
-                let _ = reply.send(if certain { reply_of(&result) } else { unclear() });
-                return;
-            }
+        let standing = Standing::of(&self.replication.replica, now);
+        match operator_calls::receive_change(&self.state, &standing, &change) {
+            Ok(()) => self.propose_for(now, &Command::Change(change), reply),
+            Err(answer) => drop(reply.send(answer)),
         }
-        self.propose_for(now, &Command::Change(change), reply);
     }
 
     /// Proposes a command whose caller waits for what comes of it.
@@ -356,15 +345,8 @@
     }
 
     pub(super) fn on_read_configuration(&mut self, now: u64, reply: oneshot::Sender<Reply>) {
-        let Some(reply) = self.as_leader(reply) else { return };
-        let certain = self.replication.replica.lease_until() > now;
-        let document = self.state.document().filter(|_| certain);
-        let _ = reply.send(match document {
-            Some((document, _)) => Reply::Json(document.to_string().into_bytes()),
-            None => {
-                Reply::Result(ResultCode::NoLeader, "no configuration, or the lease is not certain".into())
-            }
-        });
+        let standing = Standing::of(&self.replication.replica, now);
+        let _ = reply.send(operator_calls::read_configuration(&self.state, &standing));
     }
 
     /// Proposes a command of the leader's own.
@@ -393,18 +375,3 @@
         }
     }
 }
-
-fn reply_of(result: &Result<Accepted, Rejection>) -> Reply {
-    match result {
-        Ok(Accepted::Now | Accepted::Before) => Reply::Result(ResultCode::Done, "taken".into()),
-        Ok(Accepted::Step(step)) => {
-            let body = serde_json::json!({ "result_code": ResultCode::Done.number(), "step": step });
-            Reply::Json(body.to_string().into_bytes())
-        }
-        Err(rejection) => Reply::Result(rejection.code, rejection.message.clone()),
-    }
-}
-
-fn unclear() -> Reply {
-    Reply::Result(ResultCode::Unclear, "another leader may have decided otherwise".into())
-}
--- a/crates/system/src/core/node/training.rs
+++ b/crates/system/src/core/node/training.rs
@@ -59,7 +59,7 @@
     // ---- trainers' calls ----
 
     pub(super) fn on_training_call(&mut self, now: u64, call: TrainingCall, reply: oneshot::Sender<Reply>) {
-        let Some(reply) = self.as_leader(reply) else { return };
+        let Some(reply) = self.as_leader(now, reply) else { return };
         // Whoever waits for a step waits at the leader of this term.
         self.leadership.enter_term(now, self.replication.replica.term());
         let certain = self.replication.replica.lease_until() > now;
