Crossings forced on real sockets; control heads stopped, ended, damaged

Cause: answers that break off at each byte, come twice, early, late or for another request had no tests on the whole system's own sockets; a brick that tells in its head that it did not run a request and then stalls held the client beyond its time (the body of that refusal was read without a bound).

Change: a scripted brick and 18 tests at the pool and through a real edge head; five tests of real control heads: a leader that stood still through changes, a head out of contact (503 with Retry-After within 2 s), an ordered end with a second disk lost at once, a damaged log at a founder whose settings still name a first start, unreadable state. The refusal's body is read within the request's time.

--- a/crates/system/src/edge/proxy.rs
+++ b/crates/system/src/edge/proxy.rs
@@ -511,7 +511,8 @@
         });
         job.note(shared, Step::NotRun);
         job.tried.insert(instance);
-        let answer = relay::whole(shared, exchange).await.ok();
+        let whole = tokio::time::timeout(clock::until(job.deadline), relay::whole(shared, exchange));
+        let answer = whole.await.ok().and_then(Result::ok);
         // 421 says which brick this is, which is of no use to the client.
         return Try::NotRun(answer.filter(|_| !missing));
     }
--- a/crates/system/tests/common/mod.rs
+++ b/crates/system/tests/common/mod.rs
@@ -55,7 +55,7 @@
     Some(Answer { status, head: head.to_ascii_lowercase(), body: body.to_owned() })
 }
 
-/// Three cores and one edge.
+/// Cores, three where nothing else is said, and edges.
 pub struct System {
     pub local: LocalSystem,
     pub control: Vec<SocketAddr>,
@@ -70,8 +70,12 @@
     }
 
     pub fn with_edges(edges: u8) -> System {
+        System::with(3, edges)
+    }
+
+    pub fn with(cores: u8, edges: u8) -> System {
         let program = PathBuf::from(env!("CARGO_BIN_EXE_pathbank-system"));
-        let plan = LocalPlan { program, cores: 3, edges, zones: 1, quiet: true };
+        let plan = LocalPlan { program, cores, edges, zones: 1, quiet: true };
         let local = LocalSystem::new(&plan).expect("settings are written");
         let (control, ingress) = (local.control.clone(), local.edges[0].ingress);
         let readiness = local.edges[0].readiness;
--- /dev/null
+++ b/crates/system/tests/control_safety.rs
@@ -0,0 +1,188 @@
+//! Control heads as real processes: stopped and thawed, ended in order, with damaged or unreadable disks.
+
+mod common;
+
+use common::{System, call, document, until};
+use pathbank_control::state::ControlState;
+use pathbank_coordination::batch;
+use pathbank_coordination::record::Record;
+use pathbank_coordination::store::{DAMAGED_FILE, LogFile};
+use std::time::{Duration, Instant};
+
+const LOG_FILE: &str = "replica.log";
+/// An operator moves on after a second of silence; a cut off head has to say no before.
+const SAYS_NO_WITHIN: Duration = Duration::from_millis(2_000);
+
+fn given_a_configured_group(cores: u8) -> (System, usize) {
+    let mut system = System::with(cores, 1);
+    system.local.start().expect("the program starts");
+    system.configure(0, &document(3));
+    until("a leader", || system.leader().is_some());
+    let leader = system.leader().unwrap();
+    (system, leader)
+}
+
+fn read(system: &System, core: usize) -> Option<common::Answer> {
+    call(system.control[core], "GET", "/api/config/read", &[], "")
+}
+
+fn voters(system: &System, core: usize) -> Vec<String> {
+    let status = system.status(core).unwrap_or_default();
+    let voters = status["voters"].as_array().cloned().unwrap_or_default();
+    voters.iter().filter_map(|voter| voter["control"].as_str().map(str::to_owned)).collect()
+}
+
+#[test]
+fn a_leader_that_stood_still_hands_out_nothing_old_when_it_runs_again() {
+    let (system, leader) = given_a_configured_group(3);
+    for (base, version) in [(3, 4), (4, 6), (6, 7)] {
+        let frozen = system.leader().unwrap_or(leader);
+        system.local.cores[frozen].freeze();
+        let base = base.to_string();
+        let headers = [("X-Pathbank-Base-Version", base.as_str())];
+        until("the others take a change", || {
+            let mut others = (0..3).filter(|core| *core != frozen).map(|core| system.control[core]);
+            let path = "/api/config/replace";
+            others.any(|head| {
+                call(head, "POST", path, &headers, &document(version))
+                    .is_some_and(|answer| answer.status == 200)
+            })
+        });
+        // Calls that lie in its socket are the first that it sees.
+        let address = system.control[frozen];
+        let asking = std::thread::spawn(move || call(address, "GET", "/api/config/read", &[], ""));
+        let late = std::thread::spawn(move || {
+            let base = [("X-Pathbank-Base-Version", "3")];
+            call(address, "POST", "/api/config/replace", &base, &document(5))
+        });
+        std::thread::sleep(Duration::from_millis(300));
+        system.local.cores[frozen].thaw();
+        let answer = asking.join().unwrap().expect("an answer");
+        let is_new = answer.body.contains(&format!("\"version\":{version}"));
+        assert!(answer.status != 200 || is_new, "it read {}", answer.body);
+        let answer = late.join().unwrap().expect("an answer");
+        assert!([307, 412, 500, 503].contains(&answer.status), "{}: {}", answer.status, answer.body);
+        let new_version = |read: serde_json::Value| read["version"] == version;
+        until("the new one stands", || system.read_configuration().is_some_and(new_version));
+    }
+}
+
+#[test]
+fn a_head_out_of_contact_says_so_at_once_and_confirms_refuses_and_hands_out_nothing() {
+    let (system, leader) = given_a_configured_group(3);
+    let others: Vec<usize> = (0..3).filter(|core| *core != leader).collect();
+    others.iter().for_each(|core| system.local.cores[*core].freeze());
+    until("it leads no more", || system.status(leader).is_some_and(|status| status["role"] != "Leader"));
+    std::thread::sleep(Duration::from_millis(1_600));
+    let asked = Instant::now();
+    let answer = read(&system, leader).expect("an answer");
+    assert_eq!(answer.status, 503, "{}", answer.body);
+    assert!(answer.head.contains("retry-after: 0.5"), "{}", answer.head);
+    for (base, version) in [("3", 4), ("1", 2)] {
+        let base = [("X-Pathbank-Base-Version", base)];
+        let answer = call(system.control[leader], "POST", "/api/config/replace", &base, &document(version));
+        assert_eq!(answer.expect("an answer").status, 503);
+    }
+    assert!(asked.elapsed() < SAYS_NO_WITHIN, "{:?}", asked.elapsed());
+    others.iter().for_each(|core| system.local.cores[*core].thaw());
+    system.configure(3, &document(4));
+}
+
+/// Four machines, three of them voters: whoever ends in order is replaced before it is gone, and one more may be lost.
+#[test]
+fn members_that_end_in_order_are_replaced_and_another_disk_may_be_lost_at_once() {
+    let (mut system, leader) = given_a_configured_group(4);
+    until("three vote", || voters(&system, leader).len() == 3);
+    let spare_address = |system: &System, core: usize| {
+        let voting = voters(system, core);
+        system.control.iter().position(|address| !voting.contains(&address.to_string()))
+    };
+    until("the fourth follows", || {
+        let spare = spare_address(&system, leader);
+        spare
+            .and_then(|spare| system.status(spare))
+            .is_some_and(|status| status["configuration_version"] == 3)
+    });
+    let spare = spare_address(&system, leader).unwrap();
+    system.local.cores[leader].ask_to_stop();
+    until("it has ended", || system.local.cores[leader].has_ended());
+    until("another one leads", || system.leader().is_some());
+    let now = system.leader().unwrap();
+    assert!(voters(&system, now).contains(&system.control[spare].to_string()), "the fourth is in");
+    // Another voter loses its disk at once.
+    let lost = (0..4).find(|core| ![leader, spare, now].contains(core)).unwrap();
+    system.local.cores[lost].kill();
+    std::fs::remove_dir_all(system.data(lost)).unwrap();
+    system.local.cores[lost].allow_bootstrap(false).unwrap();
+    system.local.cores[lost].start().unwrap();
+    system.configure(3, &document(4));
+    until("it has the configuration again", || {
+        system.status(lost).is_some_and(|status| status["configuration_version"] == 4)
+    });
+}
+
+#[test]
+fn a_member_whose_log_is_damaged_comes_back_as_another_store_also_at_a_first_start() {
+    let (mut system, leader) = given_a_configured_group(3);
+    let member = (leader + 1) % 3;
+    (4..9).for_each(|version| system.configure(version - 1, &document(version)));
+    system.local.cores[member].kill();
+    let path = system.data(member).join(LOG_FILE);
+    let mut bytes = std::fs::read(&path).unwrap();
+    let middle = bytes.len() / 2;
+    bytes[middle] ^= 0x10;
+    std::fs::write(&path, bytes).unwrap();
+    // Its settings still name a first start, at which it was a founder.
+    system.local.cores[member].start().unwrap();
+    until("it has the configuration again", || {
+        system.status(member).is_some_and(|status| status["configuration_version"] == 8)
+    });
+    assert!(system.data(member).join(DAMAGED_FILE).exists(), "the file is kept for people to look at");
+    system.configure(8, &document(9));
+    let (_, opened) = LogFile::open(&system.data(member)).unwrap();
+    assert_eq!(opened.durable.id.unwrap().0 % 2, 1, "a number of its own, not the founder's");
+}
+
+/// Ends within the patience of the test, and tells why on standard error.
+fn then_it_refuses_to_start(system: &mut System, core: usize, why: &str) {
+    let settings = system.local.folder.join(format!("core-{core}.conf"));
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_pathbank-system"))
+        .arg("core")
+        .env("PATHBANK_CONFIG", settings)
+        .output()
+        .unwrap();
+    assert!(!output.status.success());
+    let told = String::from_utf8_lossy(&output.stderr);
+    assert!(told.contains("cannot take part") && told.contains(why), "{told}");
+}
+
+#[test]
+fn a_head_whose_state_it_cannot_read_takes_no_part() {
+    let (mut system, leader) = given_a_configured_group(3);
+    let member = (leader + 1) % 3;
+    system.local.cores[member].kill();
+    let folder = system.data(member);
+    let (mut log, opened) = LogFile::open(&folder).unwrap();
+    let mut durable = opened.durable.clone();
+    let unreadable = pathbank_coordination::types::Snapshot {
+        index: durable.last_index(),
+        term: durable.term,
+        data: b"{\"format\":99".to_vec(),
+        ..durable.snapshot.clone()
+    };
+    durable.apply(Record::Snapshot { snapshot: unreadable, keep_tail: true });
+    log.rewrite(&durable).unwrap();
+    drop(log);
+    then_it_refuses_to_start(&mut system, member, "snapshot cannot be read");
+    let entry = pathbank_coordination::types::Entry {
+        index: opened.durable.last_index() + 1,
+        term: opened.durable.term,
+        payload: pathbank_coordination::types::Payload::Command(b"{\"Later\":1}".to_vec()),
+    };
+    let bytes =
+        [batch::encode(1, &opened.durable.records()), batch::encode(2, &[Record::Entry(entry)])].concat();
+    std::fs::write(folder.join(LOG_FILE), bytes).unwrap();
+    then_it_refuses_to_start(&mut system, member, "cannot be read");
+    assert!(ControlState::decode(b"").is_ok(), "a disk without a snapshot is no error");
+    system.configure(3, &document(4));
+}
--- /dev/null
+++ b/crates/system/tests/crossings/main.rs
@@ -0,0 +1,310 @@
+//! Answers that come to the wrong place, too early, twice or in part, and requests that may not run twice: each crossing
+//! is forced on real sockets, at the pool of connections and through a whole edge head.
+
+#[path = "../common/mod.rs"]
+mod common;
+mod scripted;
+
+use bytes::Bytes;
+use common::{Answer, System, call, until};
+use http_body_util::Full;
+use hyper::Request;
+use pathbank_system::net::client::ConnectionPool;
+use scripted::{Scripted, Seen, Step, answer};
+use std::net::{IpAddr, Ipv4Addr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+use test_case::test_case;
+
+const LOCALHOST: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+const CALL_WITHIN: Duration = Duration::from_secs(5);
+
+fn request(id: &str) -> Request<Full<Bytes>> {
+    let request = Request::post("/app/x").header("host", "any").header("x-pathbank-request-id", id);
+    request.body(Full::new(Bytes::from_static(b"body"))).unwrap()
+}
+
+fn runtime() -> tokio::runtime::Runtime {
+    tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap()
+}
+
+fn text(answer: Option<(u16, Bytes)>) -> Option<String> {
+    answer.map(|(_, body)| String::from_utf8_lossy(&body).into_owned())
+}
+
+// ---- the pool ----
+
+/// A call that must not be made twice, and an answer that breaks off at each of its bytes.
+#[test_case(Step::ResetAfter; "by a reset")]
+#[test_case(Step::CloseAfter; "by a close")]
+fn a_call_whose_answer_breaks_off_at_any_byte_is_made_once(step: fn(usize) -> Step) {
+    let server = Scripted::start(LOCALHOST);
+    let pool = ConnectionPool::default();
+    runtime().block_on(async {
+        for count in 0..answer("id-100").len() {
+            let id = format!("id-{}", 100 + count);
+            server.script([step(count)]);
+            assert_eq!(text(pool.call_once(server.address, request(&id), CALL_WITHIN, || true).await), None);
+            assert_eq!(server.times_seen(&id), 1, "broken off after {count} bytes");
+            server.script([Step::Answer, step(count)]);
+            // The same on a kept connection.
+            assert!(pool.call(server.address, request("before"), CALL_WITHIN).await.is_some());
+            let kept = format!("kept-{count}");
+            assert_eq!(text(pool.call(server.address, request(&kept), CALL_WITHIN).await), None);
+            assert_eq!(server.times_seen(&kept), 1, "on a kept connection, after {count} bytes");
+        }
+    });
+}
+
+#[test]
+fn a_kept_connection_that_was_closed_is_replaced_and_the_call_made_once() {
+    let server = Scripted::start(LOCALHOST);
+    let pool = ConnectionPool::default();
+    runtime().block_on(async {
+        for round in 0..20 {
+            server.script([Step::AnswerAndClose]);
+            assert!(pool.call(server.address, request("before"), CALL_WITHIN).await.is_some());
+            // Long enough for the close to have come, or not.
+            tokio::time::sleep(Duration::from_millis(round)).await;
+            let id = format!("id-{round}");
+            let answered = text(pool.call(server.address, request(&id), CALL_WITHIN).await);
+            assert!(answered.is_none_or(|body| body == format!("answer to {id}")));
+            assert!(server.times_seen(&id) <= 1);
+        }
+    });
+}
+
+#[test]
+fn a_call_made_once_never_takes_a_connection_on_which_another_answer_may_come() {
+    let server = Scripted::start(LOCALHOST);
+    let pool = ConnectionPool::default();
+    runtime().block_on(async {
+        server.script([Step::AgainLater(Duration::from_millis(40))]);
+        assert!(pool.call(server.address, request("first"), CALL_WITHIN).await.is_some());
+        let answered = text(pool.call_once(server.address, request("order"), CALL_WITHIN, || true).await);
+        assert_eq!(answered.as_deref(), Some("answer to order"));
+    });
+    let seen = server.seen();
+    assert_ne!(seen[0].connection, seen[1].connection);
+}
+
+#[test]
+fn nothing_is_written_once_the_permission_to_send_is_gone() {
+    let server = Scripted::start(LOCALHOST);
+    let pool = ConnectionPool::default();
+    let asked = AtomicU64::new(0);
+    runtime().block_on(async {
+        assert!(pool.call(server.address, request("before"), CALL_WITHIN).await.is_some());
+        // It holds while the kept connection is looked at, and no longer when another one stands.
+        let holds_once = || asked.fetch_add(1, Ordering::Relaxed) == 0;
+        let never = pool.call_if(server.address, request("never"), CALL_WITHIN, || false).await;
+        assert!(never.is_none());
+        let once = pool.call_once(server.address, request("once"), CALL_WITHIN, holds_once).await;
+        assert!(once.is_some());
+        let late = pool.call_once(server.address, request("late"), CALL_WITHIN, holds_once).await;
+        assert!(late.is_none());
+    });
+    assert_eq!(server.times_seen("never") + server.times_seen("late"), 0);
+}
+
+// ---- an edge head ----
+
+/// A scripted brick that keeps itself registered.
+struct Brick {
+    server: Scripted,
+    stopped: Arc<AtomicBool>,
+}
+
+impl Drop for Brick {
+    fn drop(&mut self) {
+        self.stopped.store(true, Ordering::Relaxed);
+    }
+}
+
+fn brick(system: &System, instance: &str) -> Brick {
+    let server = Scripted::start(system.ingress.ip());
+    let stopped = Arc::new(AtomicBool::new(false));
+    let (control, address, ends) = (system.control.clone(), server.address, stopped.clone());
+    let path = format!("/api/instances/{instance}/heartbeat");
+    let before = system.status(0).map_or(0, |status| status["bricks"].as_u64().unwrap_or(0));
+    std::thread::spawn(move || {
+        let mut sequence = 0;
+        while !ends.load(Ordering::Relaxed) {
+            sequence += 1;
+            let body = format!(
+                "{{\"backend\":\"app\",\"address\":\"{address}\",\"zone\":\"z1\",\"capacity\":4,\
+                 \"state\":\"ready\",\"sequence\":{sequence}}}"
+            );
+            control.iter().any(|head| {
+                call(*head, "POST", &path, &[], &body).is_some_and(|answer| answer.status == 200)
+            });
+            std::thread::sleep(Duration::from_millis(200));
+        }
+    });
+    until("the brick is known", || {
+        system.status(0).is_some_and(|status| status["bricks"].as_u64() > Some(before))
+    });
+    Brick { server, stopped }
+}
+
+/// A plain service under /app/, whose requests may not be repeated, and under /again/, where they may.
+fn configuration() -> String {
+    let route = |name: &str, prefix: &str, kind: &str, attempts: u32| {
+        serde_json::json!({ "name": name, "hostname": "shop.example", "path_prefix": prefix, "type": kind,
+            "timeout_ms": 5000, "target_latency_ms": 500, "priority": 0, "backend": "app",
+            "max_attempts": attempts, "public": true })
+    };
+    let routes = [route("r1", "/app/", "non_idempotent", 3), route("r2", "/again/", "idempotent", 3)];
+    let limits = serde_json::json!({ "max_body_bytes": 4_000_000 });
+    serde_json::json!({ "version": 3, "routes": routes, "backends": [{ "name": "app" }], "limits": limits })
+        .to_string()
+}
+
+fn given_an_edge() -> System {
+    let system = System::started();
+    system.configure(0, &configuration());
+    system.until_ready();
+    system
+}
+
+/// Asks with new ids until a request has reached the brick. Returns its id, and what its client got.
+fn ask_until_it_reaches(system: &System, brick: &Brick, name: &str, body: &str) -> (String, Option<Answer>) {
+    for number in 0..1_000 {
+        let id = format!("{name}-{number}");
+        let answer = system.ask("/app/x", &id, "", &[], body);
+        if answer.as_ref().is_some_and(|answer| answer.status == 200) {
+            // An early answer may be here before all of its request is there.
+            until("the whole request is there", || brick.server.times_seen(&id) > 0);
+        }
+        if brick.server.times_seen(&id) > 0 {
+            return (id, answer);
+        }
+        let answer = answer.expect("an answer, for nothing was sent on");
+        assert!(
+            [429, 503].contains(&answer.status),
+            "it has not run, and its client hears so: {}",
+            answer.status
+        );
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    panic!("no request reached the brick");
+}
+
+fn then_whoever_asks_next_gets_its_own(system: &System, brick: &Brick) {
+    for number in 0..5 {
+        let (id, answer) = ask_until_it_reaches(system, brick, &format!("next-{number}"), "hello");
+        let answer = answer.expect("an answer");
+        if answer.status == 200 {
+            assert_eq!(answer.body, format!("answer to {id}"));
+        }
+    }
+}
+
+#[test_case(Step::ResetAfter(0), 502; "reset before the first byte")]
+#[test_case(Step::ResetAfter(9), 502; "reset within the status line")]
+#[test_case(Step::ResetAfter(140), 502; "reset within the body")]
+#[test_case(Step::CloseAfter(0), 502; "closed before the first byte")]
+#[test_case(Step::CloseAfter(140), 502; "closed within the body")]
+fn what_may_have_run_is_not_sent_again_and_its_client_is_promised_nothing(step: Step, status: u16) {
+    let system = given_an_edge();
+    let first = brick(&system, "i-1");
+    let second = brick(&system, "i-2");
+    first.server.script([step.clone()]);
+    second.server.script([step]);
+    let answer = system.ask("/app/x", "id-1", "", &[], "hello").expect("an answer");
+    assert_eq!(answer.status, status);
+    assert_eq!(first.server.times_seen("id-1") + second.server.times_seen("id-1"), 1);
+}
+
+#[test]
+fn what_may_run_again_is_sent_to_another_brick() {
+    let system = given_an_edge();
+    let bricks = [brick(&system, "i-1"), brick(&system, "i-2")];
+    bricks.iter().for_each(|brick| brick.server.script([Step::ResetAfter(9)]));
+    // One of the two is asked first; the answer of the other one may break off as well.
+    for number in 0..10 {
+        let id = format!("id-{number}");
+        let answer = system.ask("/again/x", &id, "", &[], "hello").expect("an answer");
+        let seen: Vec<usize> = bricks.iter().map(|brick| brick.server.times_seen(&id)).collect();
+        assert!(seen.iter().all(|times| *times <= 1), "no brick twice: {seen:?}");
+        if answer.status == 200 {
+            assert_eq!(answer.body, format!("answer to {id}"));
+        }
+    }
+    assert!(bricks.iter().all(|brick| !brick.server.seen().is_empty()));
+}
+
+#[test_case(Step::Twice; "at once")]
+#[test_case(Step::AgainLater(Duration::from_millis(5)); "a moment later")]
+#[test_case(Step::AgainLater(Duration::from_millis(60)); "when the next request may be out")]
+fn a_second_answer_reaches_no_other_caller(step: Step) {
+    let system = given_an_edge();
+    let brick = brick(&system, "i-1");
+    for round in 0..10 {
+        brick.server.script([step.clone()]);
+        let (id, answer) = ask_until_it_reaches(&system, &brick, &format!("twice-{round}"), "hello");
+        let answer = answer.expect("an answer");
+        assert!(answer.status != 200 || answer.body == format!("answer to {id}"));
+        then_whoever_asks_next_gets_its_own(&system, &brick);
+    }
+}
+
+#[test]
+fn an_answer_to_another_request_is_no_answer() {
+    let system = given_an_edge();
+    let brick = brick(&system, "i-1");
+    brick.server.script([Step::AnotherFirst("of-somebody-else".into())]);
+    let (_, answer) = ask_until_it_reaches(&system, &brick, "mine", "hello");
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.status, 502);
+    assert!(!answer.body.contains("somebody"));
+    then_whoever_asks_next_gets_its_own(&system, &brick);
+}
+
+#[test]
+fn an_early_answer_to_a_long_body_leaves_no_stray_bytes_behind() {
+    let system = given_an_edge();
+    let brick = brick(&system, "i-1");
+    let body = "0123456789abcdef".repeat(200_000);
+    for round in 0..5 {
+        brick.server.script([Step::Early]);
+        let (id, answer) = ask_until_it_reaches(&system, &brick, &format!("early-{round}"), &body);
+        let answer = answer.expect("an answer");
+        assert!(answer.status != 200 || answer.body == format!("answer to {id}"));
+        then_whoever_asks_next_gets_its_own(&system, &brick);
+    }
+    assert_eq!(brick.server.strays(), Vec::<String>::new(), "only requests came where requests were due");
+    let is_whole = |seen: &Seen| seen.body.len() == body.len() || seen.body == b"hello";
+    assert!(brick.server.seen().iter().all(is_whole), "and each body whole");
+}
+
+#[test]
+fn a_client_that_leaves_takes_its_connection_to_the_brick_with_it() {
+    let system = given_an_edge();
+    let brick = brick(&system, "i-1");
+    for round in 0..5 {
+        brick.server.script([Step::AgainLater(Duration::from_millis(30))]);
+        let id = format!("gone-{round}");
+        let mut client = std::net::TcpStream::connect(system.ingress).unwrap();
+        let head = format!(
+            "POST /app/x HTTP/1.1\r\nHost: shop.example\r\nX-Pathbank-Request-Id: {id}\r\nContent-Length: 5\r\n\r\nhello"
+        );
+        std::io::Write::write_all(&mut client, head.as_bytes()).unwrap();
+        std::thread::sleep(Duration::from_millis(2 * round));
+        drop(client);
+        then_whoever_asks_next_gets_its_own(&system, &brick);
+        assert!(brick.server.times_seen(&id) <= 1);
+    }
+}
+
+#[test]
+fn a_redirect_of_a_brick_goes_to_the_client_and_is_not_followed() {
+    let system = given_an_edge();
+    let brick = brick(&system, "i-1");
+    let elsewhere = Scripted::start(LOCALHOST);
+    brick.server.script([Step::Redirect(elsewhere.address)]);
+    let (_, answer) = ask_until_it_reaches(&system, &brick, "led-on", "hello");
+    assert_eq!(answer.expect("an answer").status, 307);
+    assert_eq!(elsewhere.seen(), Vec::<Seen>::new());
+}
