Control head's node and edge's requests in modules by their jobs; callers are forgotten

Addresses of replicas that had spoken were kept for the life of the process, 64 at most: after 64 replaced machines a new one was not linked to before it was in the group, and links to all the old ones were tried for ever.

Change: `node/links`, `node/bricks`, `edge/job`; publish_* in place of tell_*; `coordination::callers` keeps whoever spoke within 30 s, the newest 64. Nothing else changes. A story of a silent store, which a deliberate break showed missing.

--- a/crates/coordination/tests/replacements.rs
+++ b/crates/coordination/tests/replacements.rs
@@ -234,3 +234,18 @@
     assert!(fleet.run_until_led(LED_WITHIN));
     fleet.check_nothing_is_lost();
 }
+
+#[test]
+fn a_store_that_fell_silent_takes_nobodys_place() {
+    let mut fleet = given_three_and_one_to_come(11);
+    let before = fleet.voters();
+    fleet.start(REPLACEMENT);
+    fleet.run(1_500);
+    fleet.kill(REPLACEMENT);
+    fleet.run(700);
+    fleet.terminate(0);
+    fleet.run(200);
+    assert!(fleet.machines[0].replica.is_none(), "it waits for nobody");
+    assert!(fleet.run_until_led(LED_WITHIN));
+    assert_eq!(fleet.voters(), before);
+}
--- a/crates/system/src/core/node/leadership.rs
+++ b/crates/system/src/core/node/leadership.rs
@@ -199,7 +199,7 @@
     fn give(&mut self, order: Order, authority: Authority) {
         if order.operation == Operation::Unload {
             self.directory.withhold(&order.instance, &order.model, &order.adapter);
-            self.tell_order_news(&order.instance, false);
+            self.publish_order_update(&order.instance, false);
         }
         let Some(runtime) = self.runtime_of(&order.instance) else {
             return self.leadership.placer.finished(&order.instance);
@@ -232,7 +232,7 @@
         if let Some(report) = report {
             self.directory.reported(instance, report.models().collect(), report.busy);
         }
-        self.tell_order_news(instance, reported);
+        self.publish_order_update(instance, reported);
         self.place_soon(crate::clock::now());
     }
 
--- /dev/null
+++ b/crates/system/src/core/node/links.rs
@@ -0,0 +1,177 @@
+//! Links to other processes: what comes on them, and what is published on them.
+
+use super::{MEMBERS_EVERY, Node, Peer};
+use crate::clock;
+use crate::core::peers::LinkId;
+use crate::core::training::lead::model_versions;
+use crate::net::link::Link;
+use bytes::Bytes;
+use pathbank_coordination::replica::Role;
+use pathbank_coordination::types::Index;
+use pathbank_protocol::codec;
+use pathbank_protocol::message::{
+    Brick, BrickUpdate, ConfigurationUpdate, CoreStatus, Frame, Hello, ProcessRole, Subscription,
+};
+use std::net::SocketAddr;
+
+impl Node {
+    /// Links to all voters, to the seeds, and to stores that take part.
+    pub(super) fn open_links(&mut self) {
+        let own = self.settings.own_internal_address();
+        let members = self.replication.replica.membership().members().map(|member| &member.address);
+        let learners = self.replication.replica.others().map(|(member, ..)| &member.address);
+        let mut addresses: Vec<SocketAddr> =
+            members.chain(learners).filter_map(|address| address.parse().ok()).collect();
+        let callers = self.replication.callers.addresses();
+        addresses.extend(callers.filter_map(|address| address.parse::<SocketAddr>().ok()));
+        addresses.extend(self.settings.seeds.iter().map(|seed| self.settings.internal_address(*seed)));
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses.retain(|address| *address != own);
+        self.mesh.want(&addresses);
+    }
+
+    pub(super) fn on_link(&mut self, id: LinkId, hello: Hello, link: Link) {
+        if hello.role == ProcessRole::Edge {
+            link.send(&Frame::Core(self.core_status(true)));
+        }
+        self.peers.insert(id, Peer { hello, link, subscribed: false });
+    }
+
+    /// An edge wants all news from this head: it gets what stands first.
+    pub(super) fn on_subscribe(&mut self, id: LinkId, subscription: Subscription) {
+        let bricks = BrickUpdate { complete: true, bricks: self.directory.bricks().collect() };
+        let configuration =
+            self.configuration_update().filter(|update| update.index > subscription.known_index);
+        let Some(peer) = self.peers.get_mut(&id) else { return };
+        peer.subscribed = subscription.wanted;
+        if !subscription.wanted {
+            return;
+        }
+        if let Some(update) = configuration {
+            peer.link.send(&Frame::Configuration(update));
+        }
+        peer.link.send(&Frame::Bricks(bricks));
+        let versions = model_versions(self.state.training());
+        if !versions.is_empty() {
+            peer.link.send(&Frame::ModelVersions(versions));
+        }
+    }
+
+    pub(super) fn send_configuration_to(&self, id: LinkId) {
+        if let (Some(peer), Some(update)) = (self.peers.get(&id), self.configuration_update()) {
+            peer.link.send(&Frame::Configuration(update));
+        }
+    }
+
+    /// Another core is reached: it gets all bricks that this one knows.
+    pub(super) fn on_core_reached(&mut self, address: SocketAddr) {
+        let bricks: Vec<Brick> = self.directory.bricks().collect();
+        if !bricks.is_empty() {
+            self.mesh.send(address, &Frame::Heartbeats(bricks));
+        }
+        self.mesh.send(address, &Frame::Core(self.core_status(true)));
+        self.ask_to_join(clock::now());
+    }
+
+    pub(super) fn on_frame(&mut self, now: u64, id: LinkId, frame: Frame) {
+        match frame {
+            Frame::Replica(from, message) => self.on_replica_message(now, from, message),
+            Frame::Heartbeats(bricks) => {
+                bricks.into_iter().for_each(|brick| self.on_heartbeat(now, brick, false));
+            }
+            Frame::Report(report) => {
+                self.usage.note(&report.edge, report.life, &report.usage, self.state.last_sealed());
+                self.demand.note(now, &report);
+                self.outliers.note(now, &report.loads);
+                if self.replication.replica.role() == Role::Leader {
+                    self.leadership.told(now, self.replication.replica.term(), &report.edge);
+                }
+                if report.demand.iter().any(|demand| demand.waiting > 0) {
+                    self.place_soon(now);
+                }
+            }
+            Frame::Core(status) => {
+                if let Some(peer) = self.peers.get(&id) {
+                    self.wall_clock.note(now, &peer.hello.name, status.wall_clock_ms);
+                }
+            }
+            Frame::Subscribe(subscription) => self.on_subscribe(id, subscription),
+            Frame::FetchConfiguration => self.send_configuration_to(id),
+            Frame::AdmissionRequest(request) => self.on_admission_request(now, id, &request),
+            // A leader's own orders are what it knows best; one that led before may still tell of its last ones.
+            Frame::BrickNews(news) if !self.replication.replica.is_settled_leader() => {
+                let brick = self.directory.ordered(now, news);
+                self.publish_bricks(brick.into_iter().collect());
+            }
+            Frame::DrawRequest(request) => self.on_draw_request(now, id, request),
+            Frame::DrawResult(result) => self.on_draw_result(now, result),
+            // The leader's word, passed on to the edges that listen here.
+            Frame::Loads(_) => self.publish_to_subscribers(&frame),
+            Frame::Hello(_)
+            | Frame::Configuration(_)
+            | Frame::Bricks(_)
+            | Frame::AdmissionGrant(_)
+            | Frame::DrawOffer(_)
+            | Frame::DrawGrant(_)
+            | Frame::ModelVersions(_)
+            | Frame::BrickNews(_)
+            | Frame::Ping(_) => {}
+        }
+    }
+
+    pub(super) fn edges(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(|peer| peer.hello.role == ProcessRole::Edge && !peer.link.is_closed())
+    }
+
+    pub(super) fn publish_to_edges(&self, frame: &Frame) {
+        self.tell(frame, |_| true);
+    }
+
+    pub(super) fn publish_to_subscribers(&self, frame: &Frame) {
+        self.tell(frame, |edge| edge.subscribed);
+    }
+
+    pub(super) fn tell(&self, frame: &Frame, wanted: impl Fn(&Peer) -> bool) {
+        let bytes: Bytes = codec::encode(frame).into();
+        for edge in self.edges().filter(|edge| wanted(edge)) {
+            edge.link.send_encoded(bytes.clone());
+        }
+    }
+
+    /// A word about this head; the voters are told only now and then.
+    pub(super) fn core_status(&self, with_members: bool) -> CoreStatus {
+        let replica = &self.replication.replica;
+        let members = replica.membership().members().filter(|_| with_members).cloned();
+        CoreStatus {
+            members: members.collect(),
+            leader: replica.leader().map(|leader| leader.address.clone()).unwrap_or_default(),
+            edges: self.edges().count() as u32,
+            wall_clock_ms: clock::wall_clock(),
+            zone: self.settings.zone.clone(),
+            configuration_index: self.current_document().map_or(0, |(index, _)| index),
+            current: self.is_current(clock::now()),
+        }
+    }
+
+    pub(super) fn publish_status(&mut self) {
+        self.wall_clock.note(clock::now(), &self.settings.node_name, clock::wall_clock());
+        self.status_round += 1;
+        let with_members = self.status_round.is_multiple_of(MEMBERS_EVERY);
+        let frame = Frame::Core(self.core_status(with_members));
+        self.publish_to_edges(&frame);
+        self.mesh.send_to_all(&frame);
+        self.open_links();
+    }
+
+    /// The configuration that edges may be given: none while this head is out of contact with a majority.
+    pub(super) fn current_document(&self) -> Option<(Index, &serde_json::Value)> {
+        self.replication.published_document().filter(|_| self.is_current(clock::now()))
+    }
+
+    /// The same as it is sent.
+    pub(super) fn configuration_update(&self) -> Option<ConfigurationUpdate> {
+        let (index, document) = self.current_document()?;
+        Some(ConfigurationUpdate { index, base_index: 0, document: document.to_string().into_bytes() })
+    }
+}
--- a/crates/system/src/core/node/replication.rs
+++ b/crates/system/src/core/node/replication.rs
@@ -6,12 +6,13 @@
 use pathbank_control::operator_calls::{self, LEADER_SILENCE, Standing};
 use pathbank_control::result_code::ResultCode;
 use pathbank_control::state::{Accepted, Change, Command, ControlState, StateError};
+use pathbank_coordination::callers::Callers;
 use pathbank_coordination::group;
 use pathbank_coordination::replica::{Effects, Outgoing, Replica, Role};
 use pathbank_coordination::types::{Entry, Index, Member, Message, Payload, Snapshot, Term};
 use pathbank_protocol::message::{ConfigurationUpdate, Frame};
 use serde_json::Value;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use tokio::sync::oneshot;
 
 /// A write that has not ended for so long counts as a disk that takes nothing, milliseconds.
@@ -23,7 +24,7 @@
 const AWAITED_TIMES: usize = 4;
 
 /// Edges are told of changes at least so far apart, milliseconds.
-const TELL_APART: u64 = 150;
+const PUBLISH_APART: u64 = 150;
 
 struct WaitingChange {
     term: Term,
@@ -48,19 +49,19 @@
     refused: bool,
     impaired: bool,
     waiting: BTreeMap<Index, Vec<WaitingChange>>,
-    /// Addresses of stores that asked to take part.
-    pub callers: BTreeSet<String>,
+    /// Addresses of replicas that spoke lately.
+    pub callers: Callers,
     log_bytes: usize,
     applied: Index,
     /// The role and term that were told to the log last.
-    told_role: Option<(Role, Term)>,
+    logged_role: Option<(Role, Term)>,
     /// The configuration that edges were told, and when.
-    told: Option<Told>,
-    told_at: u64,
+    published: Option<PublishedConfiguration>,
+    published_at: u64,
 }
 
 /// A configuration as edges have it.
-struct Told {
+struct PublishedConfiguration {
     index: Index,
     document: Value,
 }
@@ -78,18 +79,18 @@
             refused: false,
             impaired: false,
             waiting: BTreeMap::new(),
-            callers: BTreeSet::new(),
+            callers: Callers::default(),
             log_bytes: 0,
             applied,
-            told_role: None,
-            told: None,
-            told_at: 0,
+            logged_role: None,
+            published: None,
+            published_at: 0,
         }
     }
 
     /// The configuration that edges were told, and its entry.
-    pub fn told_document(&self) -> Option<(Index, &Value)> {
-        self.told.as_ref().map(|told| (told.index, &told.document))
+    pub fn published_document(&self) -> Option<(Index, &Value)> {
+        self.published.as_ref().map(|published| (published.index, &published.document))
     }
 
     /// Whoever waits for a change at a head that does not lead any more hears so at once: its end is decided elsewhere.
@@ -99,10 +100,10 @@
         }
     }
 
-    fn tell_role(&mut self) {
+    fn log_role(&mut self) {
         let role = (self.replica.role(), self.replica.term());
-        if self.told_role != Some(role) {
-            self.told_role = Some(role);
+        if self.logged_role != Some(role) {
+            self.logged_role = Some(role);
             tracing::info!(role = ?role.0, term = role.1, last = self.replica.durable().last_index(), "role");
         }
     }
@@ -113,7 +114,7 @@
     pub(super) fn carry_out(&mut self, now: u64, effects: Effects) {
         let Effects { records, messages, install, committed } = effects;
         let replication = &mut self.replication;
-        replication.tell_role();
+        replication.log_role();
         if !records.is_empty() {
             let last_index = replication.replica.durable().last_index();
             replication.last_ticket = replication.disk.append(records, last_index);
@@ -137,7 +138,7 @@
             self.leadership.revoke();
             self.replication.answer_waiting();
         }
-        self.tell_configuration(now);
+        self.publish_configuration(now);
         self.compact(now);
     }
 
@@ -151,7 +152,7 @@
     }
 
     pub(super) fn on_replica_message(&mut self, now: u64, from: Member, message: Message) {
-        if self.replication.callers.len() < 64 && self.replication.callers.insert(from.address.clone()) {
+        if self.replication.callers.note(now, &from.address) {
             self.open_links();
         }
         let effects = self.replication.replica.hear(now, from, message);
@@ -284,23 +285,23 @@
 
     /// Tells edges of a configuration that they were not told yet: what changed to those that listen here, and to the
     /// others that there is one. A head that catches up tells only where it ends; changes in quick succession go together.
-    pub(super) fn tell_configuration(&mut self, now: u64) {
+    pub(super) fn publish_configuration(&mut self, now: u64) {
         let Some((document, index)) = self.state.document() else { return };
-        let told_index = self.replication.told.as_ref().map_or(0, |told| told.index);
-        let soon = now < self.replication.told_at + TELL_APART;
-        if index == told_index || soon || !self.is_current(now) {
+        let published_index = self.replication.published.as_ref().map_or(0, |published| published.index);
+        let soon = now < self.replication.published_at + PUBLISH_APART;
+        if index == published_index || soon || !self.is_current(now) {
             return;
         }
         let document = document::for_edges(document);
-        let update = match &self.replication.told {
-            Some(told) => document::difference(&told.document, &document),
+        let update = match &self.replication.published {
+            Some(published) => document::difference(&published.document, &document),
             None => document.clone(),
         };
         let document_bytes = update.to_string().into_bytes();
-        let update = ConfigurationUpdate { index, base_index: told_index, document: document_bytes };
-        self.replication.told = Some(Told { index, document });
-        self.replication.told_at = now;
-        self.tell_subscribers(&Frame::Configuration(update));
+        let update = ConfigurationUpdate { index, base_index: published_index, document: document_bytes };
+        self.replication.published = Some(PublishedConfiguration { index, document });
+        self.replication.published_at = now;
+        self.publish_to_subscribers(&Frame::Configuration(update));
         let status = Frame::Core(self.core_status(false));
         self.tell(&status, |edge| !edge.subscribed);
     }
--- a/crates/system/src/core/node/training.rs
+++ b/crates/system/src/core/node/training.rs
@@ -200,7 +200,7 @@
             let Some(training) = self.leadership.training.models.remove(&model) else { continue };
             for (worker, _) in training.changing.iter().filter(|(_, phase)| phase.is_none()) {
                 self.directory.release(worker);
-                self.tell_order_news(worker, false);
+                self.publish_order_update(worker, false);
             }
         }
     }
@@ -307,7 +307,7 @@
     /// A worker gets nothing new of the model from now on.
     fn drain_worker(&mut self, model: &str, worker: String) {
         self.directory.withhold(&worker, model, "");
-        self.tell_order_news(&worker, false);
+        self.publish_order_update(&worker, false);
         if let Some(training) = self.leadership.training.models.get_mut(model) {
             training.changing.insert(worker, None);
         }
@@ -520,7 +520,7 @@
         let versions = lead::model_versions(self.state.training());
         if versions != self.leadership.training.told_versions {
             self.leadership.training.told_versions.clone_from(&versions);
-            self.tell_subscribers(&Frame::ModelVersions(versions));
+            self.publish_to_subscribers(&Frame::ModelVersions(versions));
         }
     }
 }
--- a/crates/system/src/edge/generation.rs
+++ b/crates/system/src/edge/generation.rs
@@ -4,7 +4,7 @@
 //! a head that stood still meanwhile, or whose link was slow, begins nothing late. Whatever comes of a generation is told to
 //! whoever leads then.
 
-use super::proxy::{
+use super::job::{
     DEADLINE, EXPECT_VERSION, MODEL, NOT_EXECUTED, PRIORITY, PROMPT_PREFIX, REQUEST_ID, SIGNATURE,
     TARGET_INSTANCE, TOKEN_COUNT, VERSIONS,
 };
--- a/crates/system/src/edge/mod.rs
+++ b/crates/system/src/edge/mod.rs
@@ -5,6 +5,7 @@
 mod core_links;
 mod generation;
 pub mod hollow;
+mod job;
 mod proxy;
 mod relay;
 mod rollout;
--- a/crates/system/src/edge/relay.rs
+++ b/crates/system/src/edge/relay.rs
@@ -1,7 +1,8 @@
 //! The bytes of answers, from bricks to clients.
 
 use super::answer::{self, Answer, BodyError};
-use super::proxy::{self, Job, Try};
+use super::job::Job;
+use super::proxy::{self, Try};
 use super::shared::{Departure, Shared};
 use super::ticket::Ticket;
 use crate::clock;
