A whole answer without a length is complete once its connection was closed

Cause: a brick's answer may have no length and end with its connection; such answers were taken for broken, so a request that may not be repeated failed although it was answered. Change: read whole before it goes on to the client, it is taken; streams without framing are still taken for broken, for nobody could tell where they end.

--- a/crates/system/src/edge/proxy.rs
+++ b/crates/system/src/edge/proxy.rs
@@ -154,8 +154,11 @@
     let headers = exchange.response.headers();
     note_load(shared, &instance, headers);
     let own_id = headers.get(REQUEST_ID) == job.headers.get(REQUEST_ID);
+    // An answer without a length ends with its connection. Read whole before it goes on, it is complete unless that was
+    // reset; of a stream that broke off the same way nobody could tell.
     let framed = headers.contains_key(hyper::header::CONTENT_LENGTH)
-        || headers.contains_key(hyper::header::TRANSFER_ENCODING);
+        || headers.contains_key(hyper::header::TRANSFER_ENCODING)
+        || job.route.kind != RouteType::Streaming;
     let status = exchange.response.status();
     let not_run = headers.contains_key(NOT_EXECUTED) || status == StatusCode::MISDIRECTED_REQUEST;
     if !own_id || !framed || status.is_success() && !headers.contains_key(SIGNATURE) {
--- a/crates/system/tests/crossings/main.rs
+++ b/crates/system/tests/crossings/main.rs
@@ -308,3 +308,26 @@
     assert_eq!(answer.expect("an answer").status, 307);
     assert_eq!(elsewhere.seen(), Vec::<Seen>::new());
 }
+
+#[test]
+fn an_answer_without_a_length_is_complete_once_its_connection_was_closed() {
+    let system = given_an_edge();
+    let brick = brick(&system, "i-1");
+    brick.server.script([Step::Unframed(None)]);
+    let (id, answer) = ask_until_it_reaches(&system, &brick, "unframed", "hello");
+    let answer = answer.expect("an answer");
+    assert_eq!((answer.status, answer.body), (200, format!("answer to {id}")));
+    assert!(answer.head.contains("content-length"), "its client is told how long it is: {}", answer.head);
+    then_whoever_asks_next_gets_its_own(&system, &brick);
+}
+
+#[test_case(60; "within the head")]
+#[test_case(112; "within the body")]
+#[test_case(usize::MAX; "behind the body")]
+fn an_answer_without_a_length_that_is_reset_is_not_complete(bytes: usize) {
+    let system = given_an_edge();
+    let brick = brick(&system, "i-1");
+    brick.server.script([Step::Unframed(Some(bytes))]);
+    let (_, answer) = ask_until_it_reaches(&system, &brick, "reset", "hello");
+    assert_eq!(answer.expect("an answer").status, 502);
+}
--- a/crates/system/tests/crossings/scripted.rs
+++ b/crates/system/tests/crossings/scripted.rs
@@ -25,6 +25,8 @@
     Early,
     /// It is answered, and the connection is closed.
     AnswerAndClose,
+    /// Its answer has no length: it ends with the connection, by a close, or by a reset after so many bytes.
+    Unframed(Option<usize>),
     /// It is led on to another address.
     Redirect(SocketAddr),
 }
@@ -153,6 +155,18 @@
             stream.write_all(&whole)?;
             return Ok(false);
         }
+        Step::Unframed(reset_after) => {
+            let whole = String::from_utf8_lossy(&whole).into_owned();
+            let (head, body) = whole.split_once("\r\n\r\n").unwrap_or_default();
+            let lines: Vec<&str> = head.lines().filter(|line| !line.starts_with("Content-Length")).collect();
+            let bytes = format!("{}\r\n\r\n{body}", lines.join("\r\n")).into_bytes();
+            stream.write_all(&bytes[..reset_after.unwrap_or(bytes.len()).min(bytes.len())])?;
+            if reset_after.is_some() {
+                std::thread::sleep(Duration::from_millis(20));
+                socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO))?;
+            }
+            return Ok(false);
+        }
         Step::Redirect(address) => {
             let head = format!(
                 "HTTP/1.1 307 Temporary Redirect\r\nX-Pathbank-Request-Id: {id}\r\nLocation: http://{address}/app/x\r\n\
