--- a/crates/coordination/tests/common/mod.rs
+++ b/crates/coordination/tests/common/mod.rs
@@ -61,6 +61,8 @@
     /// How often another machine began to lead.
     pub leader_changes: usize,
     last_leader: Option<usize>,
+    /// Who led each term.
+    leaders: BTreeMap<u64, usize>,
 }
 
 /// Bytes of a message, roughly.
@@ -106,6 +108,7 @@
             link_free_at: BTreeMap::new(),
             leader_changes: 0,
             last_leader: None,
+            leaders: BTreeMap::new(),
         };
         for machine in 0..founders + others {
             let founder = machine < founders;
@@ -328,6 +331,18 @@
         }
     }
 
+    /// No term has two leaders.
+    fn check_terms(&mut self) {
+        for (machine, state) in self.machines.iter().enumerate() {
+            let Some(replica) = state.replica.as_ref().filter(|replica| replica.role() == Role::Leader)
+            else {
+                continue;
+            };
+            let first = *self.leaders.entry(replica.term()).or_insert(machine);
+            assert_eq!(first, machine, "two lead term {}", replica.term());
+        }
+    }
+
     fn count_leaders(&mut self) {
         let leader = self.leader();
         if leader.is_some() && leader != self.last_leader {
@@ -370,6 +385,7 @@
             self.terminate_on(machine);
         }
         self.count_leaders();
+        self.check_terms();
         assert!(self.group_size().is_none_or(|voters| voters % 2 == 1), "the group stays odd");
     }
 
