Control heads tell who has which configuration in force, and since when

Cause: the logs of the incident could not tell a head that replays its log from one that waits for a leader: a line for each replayed change pushed all others out of the kept output, and nothing said which version an edge head has. Change: edges report index, version and age of what is in force (within a second of a change); the leader's status names them under `holders`, and last, commit, applied and published entries; one line for all changes that are applied in a row; a line when a head becomes current. No decision is changed.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod autoscaling;
 pub mod change_log;
 pub mod configuration;
+pub mod configuration_holders;
 pub mod demand;
 pub mod directory;
 pub mod document;
--- /dev/null
+++ b/crates/control/tests/configuration_holders.rs
@@ -0,0 +1,31 @@
+//! Who has which configuration in force, by what edge heads tell.
+
+use pathbank_control::configuration_holders::ConfigurationHolders;
+use pathbank_protocol::message::{ConfigurationInForce, EdgeReport};
+
+fn report(edge: &str, index: u64, for_ms: u64) -> EdgeReport {
+    let configuration = ConfigurationInForce { index, version: 2 * index, for_ms };
+    EdgeReport { edge: edge.into(), configuration, ..EdgeReport::default() }
+}
+
+fn told(holders: &ConfigurationHolders) -> Vec<(String, u64, u64)> {
+    holders.holders().map(|(edge, holder)| (edge.to_owned(), holder.version, holder.since)).collect()
+}
+
+#[test]
+fn each_edge_head_is_named_with_its_version_and_since_when() {
+    let mut holders = ConfigurationHolders::default();
+    holders.note(5_000, &report("e1", 3, 1_200));
+    holders.note(5_100, &report("e2", 4, 100));
+    holders.note(5_600, &report("e1", 4, 500));
+    assert_eq!(told(&holders), [("e1".into(), 8, 5_100), ("e2".into(), 8, 5_000)]);
+}
+
+#[test]
+fn one_that_fell_silent_is_forgotten() {
+    let mut holders = ConfigurationHolders::default();
+    holders.note(1_000, &report("e1", 3, 0));
+    holders.note(25_000, &report("e2", 3, 0));
+    holders.tidy(31_000);
+    assert_eq!(told(&holders), [("e2".into(), 6, 25_000)]);
+}
--- a/crates/protocol/schema/internal.capnp
+++ b/crates/protocol/schema/internal.capnp
@@ -185,6 +185,11 @@
   loads @4 :List(BrickLoad);
   # How far back the demand reaches, milliseconds before the report.
   demandSpanMs @5 :UInt64;
+  # The configuration in force at the edge; index 0: none.
+  configurationIndex @6 :UInt64;
+  configurationVersion @7 :UInt64;
+  # For how long it has been in force there, milliseconds.
+  configurationForMs @8 :UInt64;
 }
 
 struct Heartbeats {
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -249,6 +249,19 @@
     pub loads: Vec<BrickLoad>,
     /// How far back the demand reaches where this is the first report to a leader, milliseconds; otherwise 0.
     pub demand_span_ms: u64,
+    /// The configuration in force at the edge.
+    pub configuration: ConfigurationInForce,
+}
+
+/// Which configuration is in force at an edge. All 0: none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ConfigurationInForce {
+    /// The log's entry that brought it.
+    pub index: u64,
+    /// Its version.
+    pub version: u64,
+    /// For how long it has been in force, milliseconds.
+    pub for_ms: u64,
 }
 
 /// A brick that could answer a request.
--- a/crates/protocol/src/read.rs
+++ b/crates/protocol/src/read.rs
@@ -274,5 +274,10 @@
         demand: report.get_demand()?.iter().map(read_demand).collect::<Read<_>>()?,
         loads: report.get_loads()?.iter().map(read_load).collect::<Read<_>>()?,
         demand_span_ms: report.get_demand_span_ms(),
+        configuration: ConfigurationInForce {
+            index: report.get_configuration_index(),
+            version: report.get_configuration_version(),
+            for_ms: report.get_configuration_for_ms(),
+        },
     })
 }
--- a/crates/protocol/src/write.rs
+++ b/crates/protocol/src/write.rs
@@ -266,6 +266,9 @@
     out.set_edge(&report.edge);
     out.set_life(report.life);
     out.set_demand_span_ms(report.demand_span_ms);
+    out.set_configuration_index(report.configuration.index);
+    out.set_configuration_version(report.configuration.version);
+    out.set_configuration_for_ms(report.configuration.for_ms);
     write_list!(report.usage, out.reborrow().init_usage(report.usage.len() as u32), write_window);
     write_list!(report.demand, out.reborrow().init_demand(report.demand.len() as u32), write_demand);
     write_list!(report.loads, out.init_loads(report.loads.len() as u32), write_load);
--- a/crates/protocol/tests/round_trip.rs
+++ b/crates/protocol/tests/round_trip.rs
@@ -55,6 +55,7 @@
             error_permille: 100,
         }],
         demand_span_ms: 4_000,
+        configuration: ConfigurationInForce { index: 9, version: 14, for_ms: 250 },
     }
 }
 
--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -22,6 +22,7 @@
 use anyhow::{Context, Result};
 use leadership::Leadership;
 use pathbank_control::autoscaling::ScaleOrder;
+use pathbank_control::configuration_holders::ConfigurationHolders;
 use pathbank_control::demand::DemandTable;
 use pathbank_control::directory::Directory;
 pub use pathbank_control::operator_calls::Reply;
@@ -31,7 +32,7 @@
 use pathbank_coordination::fencing::Fence;
 use pathbank_coordination::record::Durable;
 use pathbank_coordination::replica::{Departure, Replica, Timing};
-use pathbank_coordination::types::{Member, Payload, StoreId};
+use pathbank_coordination::types::{Payload, StoreId};
 use pathbank_protocol::message::{Brick, Frame, Hello, ProcessRole};
 use pathbank_router::wall_clock::WallClock;
 use replication::Replication;
@@ -141,6 +142,8 @@
     directory: Directory,
     demand: DemandTable,
     outliers: OutlierTable,
+    /// Which edges have which configuration in force.
+    holders: ConfigurationHolders,
     usage: UsageLedger,
     wall_clock: WallClock,
     peers: BTreeMap<LinkId, Peer>,
@@ -199,6 +202,7 @@
             state,
             demand: DemandTable::default(),
             outliers: OutlierTable::default(),
+            holders: ConfigurationHolders::default(),
             usage: UsageLedger::default(),
             wall_clock: WallClock::default(),
             peers: BTreeMap::new(),
@@ -254,7 +258,7 @@
                 let _ = reply.send(Reply::Json(serde_json::to_vec(&bricks).unwrap_or_default()));
             }
             Event::ReadStatus(reply) => {
-                let _ = reply.send(Reply::Json(self.status().to_string().into_bytes()));
+                let _ = reply.send(Reply::Json(self.status(now).to_string().into_bytes()));
             }
             Event::ReadPlacement(reply) => self.on_read_placement(now, reply),
             Event::ReadDuties(reply) => self.on_read_duties(now, reply),
@@ -305,6 +309,11 @@
         self.publish_configuration(now);
         let leader = self.replication.replica.leader().map(|leader| leader.id);
         let current = self.is_current(now);
+        if current != self.published_current {
+            let replication = &self.replication;
+            let (commit, applied) = (replication.replica.commit(), replication.applied());
+            tracing::info!(current, commit, applied, "contact with a majority");
+        }
         if now >= self.due.status || leader != self.published_leader || current != self.published_current {
             (self.published_leader, self.published_current) = (leader, current);
             self.due.status = now + STATUS_EVERY;
@@ -324,6 +333,7 @@
             self.expire_bricks(now);
             self.demand.tidy(now);
             self.outliers.tidy(now);
+            self.holders.tidy(now);
             self.leadership.admission.tidy(now);
             self.pool.tidy();
             self.replication.callers.forget_silent(now);
@@ -346,24 +356,4 @@
         }
         self.open_links();
     }
-
-    fn status(&self) -> serde_json::Value {
-        let replica = &self.replication.replica;
-        let voters = replica.membership().members().map(|member: &Member| {
-            serde_json::json!({ "store": format!("{:016x}", member.id.0), "control": member.control_address })
-        });
-        let edges = self.edges().map(|edge| edge.hello.name.clone());
-        serde_json::json!({
-            "node": self.settings.node_name,
-            "life": format!("{:016x}", self.life),
-            "role": format!("{:?}", replica.role()),
-            "term": replica.term(),
-            "leader": replica.leader().map(|leader| leader.control_address.clone()),
-            "commit": replica.commit(),
-            "configuration_version": self.state.version(),
-            "voters": voters.collect::<Vec<_>>(),
-            "edges": edges.collect::<Vec<_>>(),
-            "bricks": self.directory.ready().count(),
-        })
-    }
 }
--- a/crates/system/src/core/node/links.rs
+++ b/crates/system/src/core/node/links.rs
@@ -83,6 +83,7 @@
             Frame::Report(report) => {
                 self.usage.note(&report.edge, report.life, &report.usage, self.state.last_sealed());
                 self.demand.note(now, &report);
+                self.holders.note(now, &report);
                 self.outliers.note(now, &report.loads);
                 if self.replication.replica.role() == Role::Leader {
                     self.leadership.told(now, self.replication.replica.term(), &report.edge);
--- a/crates/system/src/core/node/overview.rs
+++ b/crates/system/src/core/node/overview.rs
@@ -1,14 +1,52 @@
-//! What operators are told of placement and duties. Only the leader knows; others lead on to it.
+//! What operators are told of this head, and of placement and duties. Of the latter only the leader knows; others lead
+//! on to it.
 
 use super::{Node, Reply};
+use pathbank_control::configuration_holders::Holder;
 use pathbank_control::demand::ModelKey;
 use pathbank_control::placement::Operation;
+use pathbank_coordination::types::Member;
 use pathbank_protocol::message::Brick;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use tokio::sync::oneshot;
 
 impl Node {
+    /// How this head stands in the group, and who holds which configuration. Edges report to the leader alone.
+    pub(super) fn status(&self, now: u64) -> Value {
+        let replica = &self.replication.replica;
+        let voters = replica.membership().members().map(|member: &Member| {
+            json!({ "store": format!("{:016x}", member.id.0), "control": member.control_address })
+        });
+        let edges = self.edges().map(|edge| edge.hello.name.clone());
+        let holder = |(edge, holder): (&str, &Holder)| {
+            json!({
+                "edge": edge,
+                "version": holder.version,
+                "index": holder.index,
+                "for_ms": now.saturating_sub(holder.since),
+                "told_ms_ago": now.saturating_sub(holder.told),
+            })
+        };
+        json!({
+            "node": self.settings.node_name,
+            "life": format!("{:016x}", self.life),
+            "role": format!("{:?}", replica.role()),
+            "term": replica.term(),
+            "leader": replica.leader().map(|leader| leader.control_address.clone()),
+            "last": replica.durable().last_index(),
+            "commit": replica.commit(),
+            "applied": self.replication.applied(),
+            "current": self.is_current(now),
+            "configuration_version": self.state.version(),
+            "published_index": self.replication.published_document().map(|(index, _)| index),
+            "holders": self.holders.holders().map(holder).collect::<Vec<_>>(),
+            "voters": voters.collect::<Vec<_>>(),
+            "edges": edges.collect::<Vec<_>>(),
+            "bricks": self.directory.ready().count(),
+        })
+    }
+
     /// Demand and holders of each model and adapter, and the orders under way.
     pub(super) fn on_read_placement(&mut self, now: u64, reply: oneshot::Sender<Reply>) {
         let Some(reply) = self.as_leader(now, reply) else { return };
--- a/crates/system/src/core/node/replication.rs
+++ b/crates/system/src/core/node/replication.rs
@@ -5,7 +5,7 @@
 use pathbank_control::document;
 use pathbank_control::operator_calls::{self, LEADER_SILENCE, Standing};
 use pathbank_control::result_code::ResultCode;
-use pathbank_control::state::{Accepted, Change, Command, ControlState, StateError};
+use pathbank_control::state::{Change, Command, ControlState, StateError};
 use pathbank_coordination::callers::Callers;
 use pathbank_coordination::group;
 use pathbank_coordination::replica::{Effects, Outgoing, Replica, Role};
@@ -88,6 +88,11 @@
         }
     }
 
+    /// The last entry that was applied.
+    pub fn applied(&self) -> Index {
+        self.applied
+    }
+
     /// The configuration that edges were told, and its entry.
     pub fn published_document(&self) -> Option<(Index, &Value)> {
         self.published.as_ref().map(|published| (published.index, &published.document))
@@ -131,9 +136,11 @@
         if let Some(snapshot) = install {
             self.install(snapshot);
         }
+        let version = self.state.version();
         for entry in committed {
             self.apply(now, entry);
         }
+        self.log_configuration(version);
         if self.replication.replica.role() != Role::Leader {
             self.leadership.revoke();
             self.replication.answer_waiting();
@@ -253,13 +260,6 @@
                     Err(error) => return self.fail(error),
                 };
                 let result = self.state.apply(entry.index, &command);
-                if result == Ok(Accepted::Now) && matches!(command, Command::Change(_)) {
-                    tracing::info!(
-                        version = self.state.version(),
-                        index = entry.index,
-                        "configuration committed"
-                    );
-                }
                 if let Command::Training(command) = &command {
                     self.on_training_applied(now, command, result.is_err());
                 }
@@ -278,6 +278,15 @@
         }
     }
 
+    /// One line for all changes that were applied in a row: a replayed log must not push other lines out.
+    fn log_configuration(&self, version_before: u64) {
+        let version = self.state.version();
+        if version != version_before {
+            let index = self.replication.applied;
+            tracing::info!(version, version_before, index, "configuration committed");
+        }
+    }
+
     /// Whether what this head has applied is the newest that it could know of.
     pub(super) fn is_current(&self, now: u64) -> bool {
         self.replication.replica.is_current(now, LEADER_SILENCE)
--- a/crates/system/src/edge/rollout.rs
+++ b/crates/system/src/edge/rollout.rs
@@ -2,11 +2,13 @@
 //! streams are passed on meanwhile.
 
 use super::shared::Shared;
+use crate::clock;
 use pathbank_control::configuration::Rejection;
 use pathbank_control::edge_update::{EdgeUpdate, EdgeUpdateReader};
 use pathbank_control::routes::RouteTable;
 use pathbank_protocol::message::ConfigurationUpdate;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::sync::Mutex;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
@@ -18,16 +20,23 @@
     sender: UnboundedSender<ConfigurationUpdate>,
     /// Held by whoever takes updates over, one at a time.
     receiver: Mutex<UnboundedReceiver<ConfigurationUpdate>>,
+    /// When the configuration in force came into force, milliseconds.
+    in_force_since: AtomicU64,
 }
 
 impl Default for Rollout {
     fn default() -> Rollout {
         let (sender, receiver) = unbounded_channel();
-        Rollout { sender, receiver: Mutex::new(receiver) }
+        Rollout { sender, receiver: Mutex::new(receiver), in_force_since: AtomicU64::new(0) }
     }
 }
 
 impl Rollout {
+    /// When the configuration in force came into force, milliseconds.
+    pub fn in_force_since(&self) -> u64 {
+        self.in_force_since.load(Ordering::Relaxed)
+    }
+
     /// A core told of a configuration.
     pub fn take(&self, update: ConfigurationUpdate) {
         // The receiver lives as long as this.
@@ -56,6 +65,7 @@
     let table: RouteTable = known.changed(update.index, items);
     tracing::info!(version = table.version, index = update.index, is_whole, "configuration in force");
     shared.routes.store(Some(Arc::new(table)));
+    shared.rollout.in_force_since.store(clock::now(), Ordering::Relaxed);
     Ok(())
 }
 
--- a/crates/system/src/edge/shared.rs
+++ b/crates/system/src/edge/shared.rs
@@ -10,7 +10,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use pathbank_control::result_code::ResultCode;
 use pathbank_control::routes::RouteTable;
-use pathbank_protocol::message::{EdgeReport, ModelDemand, ModelVersions};
+use pathbank_protocol::message::{ConfigurationInForce, EdgeReport, ModelDemand, ModelVersions};
 use pathbank_router::bricks::{BrickOutcome, Instance};
 use pathbank_router::core_choice::CoreChoice;
 use pathbank_router::dispatcher::{Action, Dispatcher, Offer, RequestId};
@@ -89,6 +89,8 @@
 
 /// For how long demand is remembered for a new leader, milliseconds.
 const DEMAND_REMEMBERED: u64 = 4_000;
+/// A new configuration alone is reason for a report at most this often, milliseconds.
+const CONFIGURATION_TOLD_EVERY: u64 = 1_000;
 
 /// What was reported, for a leader that has heard nothing.
 #[derive(Default)]
@@ -96,6 +98,9 @@
     told_to: Option<SocketAddr>,
     had_loads: bool,
     demand: VecDeque<(u64, ModelDemand)>,
+    /// The configuration that was told last, and when.
+    configuration_index: u64,
+    configuration_told: u64,
 }
 
 impl Reports {
@@ -111,6 +116,12 @@
         self.demand.front().map_or(0, |(at, _)| now.saturating_sub(*at))
     }
 
+    /// Whether the leader should hear of the configuration in force although nothing else is to be told.
+    fn is_configuration_due(&self, now: u64, in_force: ConfigurationInForce) -> bool {
+        in_force.index != self.configuration_index
+            && now >= self.configuration_told + CONFIGURATION_TOLD_EVERY
+    }
+
     fn recent(&self) -> Vec<ModelDemand> {
         self.demand.iter().map(|(_, demand)| demand.clone()).collect()
     }
@@ -313,9 +324,14 @@
         let changed = deciding.usage.take_changed();
         let is_new = deciding.reports.told_to != Some(leader);
         let had_loads = std::mem::replace(&mut deciding.reports.had_loads, !loads.is_empty());
-        if demand.is_empty() && loads.is_empty() && changed.is_empty() && !is_new && !had_loads {
+        let configuration = self.configuration_in_force(now);
+        let has_news = deciding.reports.is_configuration_due(now, configuration);
+        let has_counts = !(demand.is_empty() && loads.is_empty() && changed.is_empty());
+        if !has_counts && !is_new && !had_loads && !has_news {
             return None;
         }
+        deciding.reports.configuration_index = configuration.index;
+        deciding.reports.configuration_told = now;
         deciding.reports.told_to = Some(leader);
         deciding.reports.remember(now, &demand);
         let report = EdgeReport {
@@ -325,10 +341,17 @@
             demand: if is_new { deciding.reports.recent() } else { demand },
             loads,
             demand_span_ms: if is_new { deciding.reports.span(now) } else { 0 },
+            configuration,
         };
         Some((leader, report))
     }
 
+    fn configuration_in_force(&self, now: u64) -> ConfigurationInForce {
+        let Some(routes) = self.routes.load_full() else { return ConfigurationInForce::default() };
+        let for_ms = now.saturating_sub(self.rollout.in_force_since());
+        ConfigurationInForce { index: routes.index, version: routes.version, for_ms }
+    }
+
     /// The link to a core has ended. If it leads again, it may have forgotten what it was told.
     pub fn core_lost(&self, address: SocketAddr) {
         let mut deciding = self.deciding();
@@ -344,6 +367,7 @@
             edge: self.settings.node_name.clone(),
             life: self.life,
             usage: self.deciding().usage.windows(),
+            configuration: self.configuration_in_force(clock::now()),
             ..EdgeReport::default()
         }
     }
--- a/crates/system/tests/loopback.rs
+++ b/crates/system/tests/loopback.rs
@@ -37,6 +37,20 @@
     assert_eq!(brick.runs(), ["id-1"], "and none of those ran");
 }
 
+#[test]
+fn the_leader_tells_which_edge_has_which_version_in_force() {
+    let system = System::started();
+    system.configure(0, &document(3));
+    system.until_ready();
+    system.configure(3, &document(7));
+    let holds = |version: u64| {
+        let status = system.leader().and_then(|leader| system.status(leader)).unwrap_or_default();
+        let holders = status["holders"].as_array().cloned().unwrap_or_default();
+        !holders.is_empty() && holders.iter().all(|holder| holder["version"] == version)
+    };
+    until("every edge that the leader names has version 7", || holds(7));
+}
+
 #[test]
 fn a_model_that_no_brick_holds_is_loaded_when_it_is_asked_for() {
     let system = System::started();
