--- a/crates/control/src/autoscaling.rs
+++ b/crates/control/src/autoscaling.rs
@@ -4,7 +4,7 @@
 //! bricks are ordered at once, for they take a while to start; fewer only after the load has been low for some time. A
 //! zone that does not get what was ordered there is made up for by the others.
 
-use crate::configuration::{Autoscaling, Backend, Configuration};
+use crate::configuration::{Autoscaling, Backend};
 use crate::demand::DemandTable;
 use crate::directory::Millis;
 use pathbank_protocol::message::Brick;
@@ -79,14 +79,14 @@
     pub fn plan(
         &mut self,
         now: Millis,
-        configuration: &Configuration,
+        backends: &[Backend],
         bricks: &[Brick],
         demand: &DemandTable,
     ) -> Vec<ScaleOrder> {
         let began = *self.began.get_or_insert(now);
         let is_known = now >= began + OBSERVE_FIRST && demand.known_part(now) >= LEAST_KNOWN;
         let mut orders = Vec::new();
-        for backend in &configuration.backends {
+        for backend in backends {
             let Some(bounds) = &backend.autoscaling else { continue };
             let service = self.services.entry(backend.name.clone()).or_default();
             let present = service.note_present(backend, bricks);
--- /dev/null
+++ b/crates/control/src/checked_document.rs
@@ -0,0 +1,291 @@
+//! A document that keeps all that a configuration has to keep. Of a change only what it touches is read and checked; what
+//! that has to be checked against (places of routes, services that routes name, keys) is kept beside the document.
+
+use crate::configuration::{Backend, Limits, Rejection, Route, Tenant};
+use crate::document::{Document, Field, Touched};
+use crate::result_code::ResultCode;
+use facet::Facet;
+use rpds::{RedBlackTreeMapSync, RedBlackTreeSetSync};
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+use std::sync::Arc;
+
+const ROUTES: &str = "routes";
+const BACKENDS: &str = "backends";
+const TENANTS: &str = "tenants";
+const LIMITS: &str = "limits";
+const VERSION: &str = "version";
+
+/// A document that was checked, with its typed services.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(into = "Document", try_from = "Map<String, Value>")]
+pub struct CheckedDocument {
+    document: Document,
+    version: u64,
+    backends: Arc<[Backend]>,
+    inventory: Inventory,
+}
+
+impl Default for CheckedDocument {
+    fn default() -> CheckedDocument {
+        CheckedDocument {
+            document: Document::default(),
+            version: 0,
+            backends: Arc::new([]),
+            inventory: Inventory::default(),
+        }
+    }
+}
+
+impl From<CheckedDocument> for Document {
+    fn from(checked: CheckedDocument) -> Document {
+        checked.document
+    }
+}
+
+impl TryFrom<Map<String, Value>> for CheckedDocument {
+    type Error = Rejection;
+
+    fn try_from(object: Map<String, Value>) -> Result<CheckedDocument, Rejection> {
+        CheckedDocument::replaced(object, 0)
+    }
+}
+
+impl CheckedDocument {
+    /// A whole configuration, whose version has to be above another one's.
+    pub fn replaced(object: Map<String, Value>, above: u64) -> Result<CheckedDocument, Rejection> {
+        let document = Document::from(object);
+        let touched = document.all_items();
+        CheckedDocument::default().changed(document, &touched, above)
+    }
+
+    /// What an update makes of this configuration; its version has to be above another one's.
+    pub fn updated(&self, update: &Value, above: u64) -> Result<CheckedDocument, Rejection> {
+        let (document, touched) = self.document.updated(update)?;
+        self.changed(document, &touched, above)
+    }
+
+    /// The document.
+    pub fn document(&self) -> &Document {
+        &self.document
+    }
+
+    /// Its version.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Its services.
+    pub fn backends(&self) -> &Arc<[Backend]> {
+        &self.backends
+    }
+
+    fn changed(&self, after: Document, touched: &Touched, above: u64) -> Result<CheckedDocument, Rejection> {
+        let version = read_version(&after)?;
+        check_fields(&after)?;
+        let routes: Items<Route> = Items::read(&self.document, &after, touched, ROUTES)?;
+        let tenants: Items<Tenant> = Items::read(&self.document, &after, touched, TENANTS)?;
+        let backends: Items<Backend> = Items::read(&self.document, &after, touched, BACKENDS)?;
+        if version <= above {
+            let message = format!("version {version} is not above {above}");
+            return Err(Rejection::new(ResultCode::VersionNotAbove, message));
+        }
+        let mut inventory = self.inventory.clone();
+        routes.removed.iter().for_each(|route| inventory.remove_route(route));
+        tenants.removed.iter().for_each(|tenant| inventory.remove_tenant(tenant));
+        let has_backend = |name: &str| has_item(&after, BACKENDS, name);
+        for route in &routes.added {
+            check_route(route, has_backend)?;
+            inventory.add_route(route)?;
+        }
+        for tenant in &tenants.added {
+            inventory.add_tenant(tenant)?;
+        }
+        for backend in &backends.removed {
+            if !has_backend(&backend.name) && inventory.is_named_by_a_route(&backend.name) {
+                let message = format!("service {}: a route names it still", backend.name);
+                return Err(Rejection::new(ResultCode::UnknownBackend, message));
+            }
+        }
+        let typed_backends = match backends.is_untouched() {
+            true => self.backends.clone(),
+            false => read_list(&after, BACKENDS)?.into(),
+        };
+        Ok(CheckedDocument { document: after, version, backends: typed_backends, inventory })
+    }
+}
+
+fn unreadable(what: impl std::fmt::Display) -> Rejection {
+    Rejection::new(ResultCode::UnreadableDocument, what.to_string())
+}
+
+fn read_item<T: for<'f> Facet<'f>>(item: &Value) -> Result<T, Rejection> {
+    facet_json::from_str(&item.to_string()).map_err(unreadable)
+}
+
+fn read_list<T: for<'f> Facet<'f>>(document: &Document, section: &str) -> Result<Vec<T>, Rejection> {
+    let items = document.list(section).into_iter().flat_map(|list| list.iter());
+    items.map(|item| read_item(item)).collect()
+}
+
+fn has_item(document: &Document, section: &str, name: &str) -> bool {
+    document.list(section).is_some_and(|list| list.first_named(name).is_some())
+}
+
+fn read_version(document: &Document) -> Result<u64, Rejection> {
+    let version = document.plain(VERSION).and_then(Value::as_u64);
+    version.ok_or_else(|| unreadable("version is missing or no whole number"))
+}
+
+/// Fields of which the form is known have it.
+fn check_fields(document: &Document) -> Result<(), Rejection> {
+    for section in [ROUTES, BACKENDS, TENANTS] {
+        if let Some(Field::Plain(_)) = document.field(section) {
+            return Err(unreadable(format!("{section} is no list")));
+        }
+    }
+    match document.field(LIMITS) {
+        None => Ok(()),
+        Some(Field::Plain(limits)) => read_item::<Limits>(limits).map(drop),
+        Some(Field::List(_)) => Err(unreadable("limits is a list")),
+    }
+}
+
+/// What a change does to the items of one section.
+struct Items<T> {
+    /// As they were before.
+    removed: Vec<T>,
+    /// As they are now. One that was replaced is in both.
+    added: Vec<T>,
+}
+
+impl<T: for<'f> Facet<'f>> Items<T> {
+    fn read(
+        before: &Document,
+        after: &Document,
+        touched: &Touched,
+        section: &str,
+    ) -> Result<Items<T>, Rejection> {
+        let mut items = Items { removed: Vec::new(), added: Vec::new() };
+        let first = (section.to_owned(), 0);
+        for (_, position) in touched.range(first..).take_while(|(name, _)| name == section) {
+            let item_of = |document: &Document| document.list(section)?.get(*position).cloned();
+            if let Some(item) = item_of(before) {
+                items.removed.push(read_item(&item)?);
+            }
+            if let Some(item) = item_of(after) {
+                items.added.push(read_item(&item)?);
+            }
+        }
+        Ok(items)
+    }
+
+    fn is_untouched(&self) -> bool {
+        self.removed.is_empty() && self.added.is_empty()
+    }
+}
+
+/// Checks what a route has to keep by itself.
+fn check_route(route: &Route, has_backend: impl Fn(&str) -> bool) -> Result<(), Rejection> {
+    let reject = |code, what: &str| Err(Rejection::new(code, format!("route {}: {what}", route.name)));
+    if let Some(backend) = route.named_backends().find(|backend| !has_backend(backend)) {
+        return reject(ResultCode::UnknownBackend, &format!("unknown service {backend}"));
+    }
+    let weight: f64 = route.traffic_split.iter().map(|split| split.weight).sum();
+    if route.traffic_split.iter().any(|split| split.weight < 0.0) {
+        return reject(ResultCode::NoWeight, "a weight is negative");
+    }
+    if weight <= 0.0 && (route.backend.is_none() || !route.traffic_split.is_empty()) {
+        return reject(ResultCode::NoWeight, "the weights sum to 0");
+    }
+    if route.timeout_ms <= 0.0 {
+        return reject(ResultCode::NoTimeout, "timeout_ms is 0");
+    }
+    let slashes = route.path_prefix.starts_with('/') && route.path_prefix.ends_with('/');
+    match slashes {
+        true => Ok(()),
+        false => reject(ResultCode::UnreadableDocument, "path_prefix does not begin and end with a slash"),
+    }
+}
+
+/// What items of a document are checked against.
+#[derive(Clone, Debug)]
+struct Inventory {
+    /// Host, in lower case, and prefix of each route.
+    places: RedBlackTreeSetSync<(String, String)>,
+    /// How often routes name each service.
+    named_backends: RedBlackTreeMapSync<String, usize>,
+    /// Each key with its tenant, and how often it is listed there.
+    keys: RedBlackTreeMapSync<(String, String), usize>,
+}
+
+impl Default for Inventory {
+    fn default() -> Inventory {
+        Inventory {
+            places: RedBlackTreeSetSync::new_sync(),
+            named_backends: RedBlackTreeMapSync::new_sync(),
+            keys: RedBlackTreeMapSync::new_sync(),
+        }
+    }
+}
+
+fn place_of(route: &Route) -> (String, String) {
+    (route.hostname.to_ascii_lowercase(), route.path_prefix.clone())
+}
+
+fn count<K: Ord + Clone>(counts: &mut RedBlackTreeMapSync<K, usize>, key: K) {
+    let times = counts.get(&key).copied().unwrap_or(0);
+    counts.insert_mut(key, times + 1);
+}
+
+fn discount<K: Ord + Clone>(counts: &mut RedBlackTreeMapSync<K, usize>, key: K) {
+    match counts.get(&key).copied() {
+        Some(times) if times > 1 => counts.insert_mut(key, times - 1),
+        _ => drop(counts.remove_mut(&key)),
+    }
+}
+
+impl Inventory {
+    fn add_route(&mut self, route: &Route) -> Result<(), Rejection> {
+        let place = place_of(route);
+        if self.places.contains(&place) {
+            let message = format!("route {}: host and prefix are another route's as well", route.name);
+            return Err(Rejection::new(ResultCode::DuplicateRoute, message));
+        }
+        self.places.insert_mut(place);
+        for backend in route.named_backends() {
+            count(&mut self.named_backends, backend.to_owned());
+        }
+        Ok(())
+    }
+
+    fn remove_route(&mut self, route: &Route) {
+        self.places.remove_mut(&place_of(route));
+        for backend in route.named_backends() {
+            discount(&mut self.named_backends, backend.to_owned());
+        }
+    }
+
+    fn is_named_by_a_route(&self, backend: &str) -> bool {
+        self.named_backends.contains_key(backend)
+    }
+
+    fn add_tenant(&mut self, tenant: &Tenant) -> Result<(), Rejection> {
+        for key in &tenant.api_keys {
+            let first = (key.clone(), String::new());
+            let mut holders = self.keys.range(first..).take_while(|((held, _), _)| held == key);
+            if holders.any(|((_, holder), _)| *holder != tenant.name) {
+                let message = format!("tenant {}: a key is another tenant's as well", tenant.name);
+                return Err(Rejection::new(ResultCode::SharedKey, message));
+            }
+            count(&mut self.keys, (key.clone(), tenant.name.clone()));
+        }
+        Ok(())
+    }
+
+    fn remove_tenant(&mut self, tenant: &Tenant) {
+        for key in &tenant.api_keys {
+            discount(&mut self.keys, (key.clone(), tenant.name.clone()));
+        }
+    }
+}
--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -1,9 +1,8 @@
-//! The operators' configuration as the system works with it: the typed view of a document, and its checks.
+//! The operators' configuration as the system works with it: the typed view of a document.
 
 use crate::result_code::ResultCode;
 use facet::Facet;
 use serde_json::Value;
-use std::collections::{BTreeMap, BTreeSet};
 
 /// The typed view of a document. Unknown keys are left alone.
 #[derive(Clone, Debug, Default, Facet)]
@@ -94,6 +93,14 @@
     pub model_version: Option<RouteVersion>,
 }
 
+impl Route {
+    /// The services that its requests may go to.
+    pub fn named_backends(&self) -> impl Iterator<Item = &str> {
+        let parts = self.traffic_split.iter().map(|split| split.backend.as_str());
+        parts.chain(self.backend.as_deref())
+    }
+}
+
 /// A service and its part of a route's requests.
 #[derive(Clone, Debug, Facet)]
 pub struct Split {
@@ -231,57 +238,3 @@
     facet_json::from_str::<Configuration>(&text)
         .map_err(|error| Rejection::new(ResultCode::UnreadableDocument, error.to_string()))
 }
-
-/// Checks what a document has to keep by itself.
-pub fn check(configuration: &Configuration) -> Result<(), Rejection> {
-    let backends: BTreeSet<&str> =
-        configuration.backends.iter().map(|backend| backend.name.as_str()).collect();
-    let mut places = BTreeSet::new();
-    for route in &configuration.routes {
-        check_route(route, &backends)?;
-        if !places.insert((route.hostname.to_ascii_lowercase(), &route.path_prefix)) {
-            let message = format!("route {}: host and prefix are another route's as well", route.name);
-            return Err(Rejection::new(ResultCode::DuplicateRoute, message));
-        }
-    }
-    check_keys(&configuration.tenants)
-}
-
-fn check_route(route: &Route, backends: &BTreeSet<&str>) -> Result<(), Rejection> {
-    let reject = |code, what: &str| Err(Rejection::new(code, format!("route {}: {what}", route.name)));
-    let named = route.traffic_split.iter().map(|split| &split.backend).chain(&route.backend);
-    for backend in named {
-        if !backends.contains(backend.as_str()) {
-            return reject(ResultCode::UnknownBackend, &format!("unknown service {backend}"));
-        }
-    }
-    let weight: f64 = route.traffic_split.iter().map(|split| split.weight).sum();
-    if route.traffic_split.iter().any(|split| split.weight < 0.0) {
-        return reject(ResultCode::NoWeight, "a weight is negative");
-    }
-    if weight <= 0.0 && (route.backend.is_none() || !route.traffic_split.is_empty()) {
-        return reject(ResultCode::NoWeight, "the weights sum to 0");
-    }
-    if route.timeout_ms <= 0.0 {
-        return reject(ResultCode::NoTimeout, "timeout_ms is 0");
-    }
-    let slashes = route.path_prefix.starts_with('/') && route.path_prefix.ends_with('/');
-    match slashes {
-        true => Ok(()),
-        false => reject(ResultCode::UnreadableDocument, "path_prefix does not begin and end with a slash"),
-    }
-}
-
-fn check_keys(tenants: &[Tenant]) -> Result<(), Rejection> {
-    let mut holders: BTreeMap<&str, &str> = BTreeMap::new();
-    for tenant in tenants {
-        for key in &tenant.api_keys {
-            let other = holders.insert(key, &tenant.name);
-            if other.is_some_and(|other| other != tenant.name) {
-                let message = format!("tenant {}: a key is another tenant's as well", tenant.name);
-                return Err(Rejection::new(ResultCode::SharedKey, message));
-            }
-        }
-    }
-    Ok(())
-}
--- a/crates/control/src/document.rs
+++ b/crates/control/src/document.rs
@@ -1,133 +1,187 @@
-//! The operators' configuration as the document that they sent: changes to it, and what is told of it.
+//! The operators' configuration as the document that they sent, and changes to it.
+//!
+//! A document of which only some items change shares the others with the one before: a log of thousands of changes is
+//! applied again after a start, and each of them must cost what it changes, not what stands beside it.
 
 use crate::configuration::Rejection;
+use crate::item_list::{ItemList, Position};
 use crate::result_code::ResultCode;
+use rpds::RedBlackTreeMapSync;
+use serde::ser::{Serialize, SerializeMap, Serializer};
 use serde_json::{Map, Value};
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::BTreeSet;
+use std::sync::Arc;
 
-/// Reads a document as JSON.
-pub fn parse_document(body: &[u8]) -> Result<Value, Rejection> {
-    let unreadable = |what: String| Rejection::new(ResultCode::UnreadableDocument, what);
+/// Reads a body as a JSON object.
+pub fn parse_object(body: &[u8]) -> Result<Value, Rejection> {
     let value: Value = serde_json::from_slice(body).map_err(|error| unreadable(error.to_string()))?;
     match value.is_object() {
         true => Ok(value),
-        false => Err(unreadable("the document is no JSON object".into())),
+        false => Err(unreadable("the document is no JSON object")),
     }
 }
 
-/// The document that an update makes of `current`.
-pub fn apply_update(current: &Value, update: &Value) -> Result<Value, Rejection> {
-    let unreadable = |what: &str| Rejection::new(ResultCode::UnreadableDocument, what);
-    let mut document = current.as_object().cloned().unwrap_or_default();
-    let version = update.get("version").ok_or_else(|| unreadable("version is missing"))?;
-    document.insert("version".into(), version.clone());
-    if let Some(delete) = update.get("delete") {
-        let sections = delete.as_object().ok_or_else(|| unreadable("delete is no object"))?;
-        for (section, names) in sections {
-            let names = names.as_array().ok_or_else(|| unreadable("delete holds no list of names"))?;
-            delete_named(&mut document, section, names);
+fn unreadable(what: impl Into<String>) -> Rejection {
+    Rejection::new(ResultCode::UnreadableDocument, what)
+}
+
+/// A field of a document.
+#[derive(Clone, Debug)]
+pub enum Field {
+    /// A list, whose items can be changed by name.
+    List(ItemList),
+    /// Anything else, changed as a whole.
+    Plain(Arc<Value>),
+}
+
+impl Field {
+    fn of(value: Value) -> Field {
+        match value {
+            Value::Array(items) => Field::List(ItemList::of(items)),
+            other => Field::Plain(Arc::new(other)),
         }
     }
-    if let Some(upsert) = update.get("upsert") {
-        let sections = upsert.as_object().ok_or_else(|| unreadable("upsert is no object"))?;
-        for (section, items) in sections {
-            match items.as_array() {
-                Some(items) => upsert_named(&mut document, section, items),
-                None => drop(document.insert(section.clone(), items.clone())),
-            }
+
+    fn to_value(&self) -> Value {
+        match self {
+            Field::List(list) => list.iter().map(|item| Value::clone(item)).collect(),
+            Field::Plain(value) => Value::clone(value),
         }
     }
-    Ok(Value::Object(document))
 }
 
-fn section_of<'a>(document: &'a mut Map<String, Value>, section: &str) -> Option<&'a mut Vec<Value>> {
-    document.entry(section.to_owned()).or_insert_with(|| Value::Array(Vec::new())).as_array_mut()
+impl Serialize for Field {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        match self {
+            Field::List(list) => serializer.collect_seq(list.iter().map(|item| &**item)),
+            Field::Plain(value) => value.serialize(serializer),
+        }
+    }
+}
+
+/// The items that a change touched: those that came, went or were replaced.
+pub type Touched = BTreeSet<(String, Position)>;
+
+/// A document.
+#[derive(Clone, Debug)]
+pub struct Document {
+    fields: RedBlackTreeMapSync<String, Field>,
 }
 
-fn delete_named(document: &mut Map<String, Value>, section: &str, names: &[Value]) {
-    let names: HashSet<&str> = names.iter().filter_map(Value::as_str).collect();
-    if let Some(items) = section_of(document, section) {
-        items
-            .retain(|item| item.get("name").and_then(Value::as_str).is_none_or(|name| !names.contains(name)));
+impl Default for Document {
+    fn default() -> Document {
+        Document { fields: RedBlackTreeMapSync::new_sync() }
     }
 }
 
-fn upsert_named(document: &mut Map<String, Value>, section: &str, changed: &[Value]) {
-    let Some(items) = section_of(document, section) else { return };
-    let name_of = |item: &Value| item.get("name").and_then(Value::as_str).map(str::to_owned);
-    let named = items.iter().enumerate().filter_map(|(place, item)| Some((name_of(item)?, place)));
-    // Of two items with one name the first is the one that is replaced.
-    let mut places: HashMap<String, usize> = HashMap::with_capacity(items.len() + changed.len());
-    named.for_each(|(name, place)| {
-        places.entry(name).or_insert(place);
-    });
-    for item in changed {
-        let name = name_of(item);
-        match name.as_ref().and_then(|name| places.get(name)) {
-            Some(place) => items[*place] = item.clone(),
-            None => {
-                places.extend(name.map(|name| (name, items.len())));
-                items.push(item.clone());
-            }
+impl From<Map<String, Value>> for Document {
+    fn from(object: Map<String, Value>) -> Document {
+        let fields = object.into_iter().map(|(name, value)| (name, Field::of(value)));
+        Document { fields: fields.collect() }
+    }
+}
+
+impl Serialize for Document {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut map = serializer.serialize_map(Some(self.fields.size()))?;
+        for (name, field) in self.fields.iter() {
+            map.serialize_entry(name, field)?;
         }
+        map.end()
     }
 }
 
-/// What makes `after` of `before`, in the form of an update. Items are told apart by their names; their order is not kept.
-pub fn difference(before: &Value, after: &Value) -> Value {
-    let empty = Map::new();
-    let (before, after) = (before.as_object().unwrap_or(&empty), after.as_object().unwrap_or(&empty));
-    let mut upsert = Map::new();
-    let mut delete = Map::new();
-    let sections: BTreeSet<&String> =
-        before.keys().chain(after.keys()).filter(|key| *key != "version").collect();
-    for section in sections {
-        let (old, new) = (before.get(section), after.get(section));
-        if old == new {
-            continue;
+impl Document {
+    /// A field, if it is there.
+    pub fn field(&self, name: &str) -> Option<&Field> {
+        self.fields.get(name)
+    }
+
+    /// A field that is a list.
+    pub fn list(&self, name: &str) -> Option<&ItemList> {
+        match self.field(name)? {
+            Field::List(list) => Some(list),
+            Field::Plain(_) => None,
         }
-        match (named_items(old), named_items(new)) {
-            (Some(old), Some(new)) => {
-                let changed = new.iter().filter(|(name, item)| old.get(*name) != Some(item));
-                let changed: Vec<Value> = changed.map(|(_, item)| (*item).clone()).collect();
-                let gone = old.keys().filter(|name| !new.contains_key(*name));
-                let gone: Vec<Value> = gone.map(|name| Value::from(name.to_string())).collect();
-                upsert.insert(section.clone(), Value::Array(changed));
-                delete.insert(section.clone(), Value::Array(gone));
+    }
+
+    /// A field that is no list.
+    pub fn plain(&self, name: &str) -> Option<&Value> {
+        match self.field(name)? {
+            Field::List(_) => None,
+            Field::Plain(value) => Some(value),
+        }
+    }
+
+    /// The document as one JSON value.
+    pub fn to_value(&self) -> Value {
+        let fields = self.fields.iter().map(|(name, field)| (name.clone(), field.to_value()));
+        Value::Object(fields.collect())
+    }
+
+    /// The document as JSON text.
+    pub fn to_json(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("a document holds nothing that JSON cannot")
+    }
+
+    /// Every item of every list.
+    pub fn all_items(&self) -> Touched {
+        let lists = self.fields.keys().filter_map(|name| Some((name, self.list(name)?)));
+        lists.flat_map(|(name, list)| list.positions().map(|at| (name.clone(), at))).collect()
+    }
+
+    /// The document that an update makes of this one, and the items that it touches.
+    pub fn updated(&self, update: &Value) -> Result<(Document, Touched), Rejection> {
+        let mut document = self.clone();
+        let mut touched = Touched::new();
+        let version = update.get("version").ok_or_else(|| unreadable("version is missing"))?;
+        document.set("version", version.clone());
+        if let Some(delete) = update.get("delete") {
+            let sections = delete.as_object().ok_or_else(|| unreadable("delete is no object"))?;
+            for (section, names) in sections {
+                let names = names.as_array().ok_or_else(|| unreadable("delete holds no list of names"))?;
+                document.delete_named(section, names, &mut touched);
             }
-            // A section without names that is gone is told as an empty one.
-            _ => drop(upsert.insert(section.clone(), new.cloned().unwrap_or_else(|| serde_json::json!({})))),
         }
+        if let Some(upsert) = update.get("upsert") {
+            let sections = upsert.as_object().ok_or_else(|| unreadable("upsert is no object"))?;
+            for (section, value) in sections {
+                match value.as_array() {
+                    Some(items) => document.upsert_items(section, items, &mut touched),
+                    None => document.set(section, value.clone()),
+                }
+            }
+        }
+        Ok((document, touched))
     }
-    let version = after.get("version").cloned().unwrap_or(Value::Null);
-    serde_json::json!({ "version": version, "upsert": upsert, "delete": delete })
-}
 
-/// The items of a section by name; `None` if it is no list of items with names. A section that is missing has none.
-fn named_items(section: Option<&Value>) -> Option<BTreeMap<&str, &Value>> {
-    let items = match section {
-        None => return Some(BTreeMap::new()),
-        Some(section) => section.as_array()?,
-    };
-    items.iter().map(|item| Some((item.get("name")?.as_str()?, item))).collect()
-}
+    fn set(&mut self, name: &str, value: Value) {
+        self.fields.insert_mut(name.to_owned(), Field::of(value));
+    }
+
+    /// The list of that name, to be changed: an empty one where there is none; `None` where the field is no list.
+    fn take_list(&self, name: &str) -> Option<ItemList> {
+        match self.field(name) {
+            None => Some(ItemList::default()),
+            Some(Field::List(list)) => Some(list.clone()),
+            Some(Field::Plain(_)) => None,
+        }
+    }
 
-/// The part of a document that edge heads work with: of services the names, and of models how long a load takes.
-pub fn for_edges(document: &Value) -> Value {
-    let mut reduced = document.clone();
-    let backends = reduced.get_mut("backends").and_then(Value::as_array_mut);
-    for backend in backends.into_iter().flatten() {
-        let name = backend.get("name").cloned().unwrap_or(Value::Null);
-        let models = backend.pointer("/runtime/models").and_then(Value::as_array);
-        let model = |model: &Value| {
-            let part = |key: &str| model.get(key).cloned().unwrap_or(Value::Null);
-            serde_json::json!({ "name": part("name"), "weights_mb": 0, "load_s": part("load_s") })
-        };
-        let models = models.map(|models| models.iter().map(model).collect::<Vec<_>>());
-        *backend = match models {
-            Some(models) => serde_json::json!({ "name": name, "runtime": { "models": models } }),
-            None => serde_json::json!({ "name": name }),
-        };
-    }
-    reduced
+    fn delete_named(&mut self, section: &str, names: &[Value], touched: &mut Touched) {
+        let Some(mut list) = self.take_list(section) else { return };
+        for name in names.iter().filter_map(Value::as_str) {
+            let removed = list.remove_named(name);
+            touched.extend(removed.into_iter().map(|position| (section.to_owned(), position)));
+        }
+        self.fields.insert_mut(section.to_owned(), Field::List(list));
+    }
+
+    fn upsert_items(&mut self, section: &str, items: &[Value], touched: &mut Touched) {
+        let Some(mut list) = self.take_list(section) else { return };
+        for item in items {
+            touched.insert((section.to_owned(), list.upsert(item.clone())));
+        }
+        self.fields.insert_mut(section.to_owned(), Field::List(list));
+    }
 }
--- /dev/null
+++ b/crates/control/src/item_list.rs
@@ -0,0 +1,104 @@
+//! A list of a document's items, told apart by their names. Versions of a list share the items that they have in common, so
+//! that a change costs what it changes, however long the list is.
+
+use rpds::{RedBlackTreeMapSync, RedBlackTreeSetSync};
+use serde_json::Value;
+use std::sync::Arc;
+
+/// Where an item stands in the order of a list. Positions are never used again.
+pub type Position = u64;
+
+/// Items in order.
+#[derive(Clone, Debug)]
+pub struct ItemList {
+    items: RedBlackTreeMapSync<Position, Arc<Value>>,
+    by_name: RedBlackTreeSetSync<(Arc<str>, Position)>,
+    next: Position,
+}
+
+/// An item's name, if it has one.
+pub fn name_of(item: &Value) -> Option<&str> {
+    item.get("name").and_then(Value::as_str)
+}
+
+impl Default for ItemList {
+    fn default() -> ItemList {
+        ItemList { items: RedBlackTreeMapSync::new_sync(), by_name: RedBlackTreeSetSync::new_sync(), next: 0 }
+    }
+}
+
+impl ItemList {
+    /// A list of these items.
+    pub fn of(items: Vec<Value>) -> ItemList {
+        let mut list = ItemList::default();
+        for item in items {
+            list.push(item);
+        }
+        list
+    }
+
+    /// The items in order.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Value>> {
+        self.items.values()
+    }
+
+    /// The positions of all items.
+    pub fn positions(&self) -> impl Iterator<Item = Position> {
+        self.items.keys().copied()
+    }
+
+    /// The item at a position.
+    pub fn get(&self, position: Position) -> Option<&Arc<Value>> {
+        self.items.get(&position)
+    }
+
+    /// The positions of the items with a name, in order.
+    pub fn named(&self, name: &str) -> impl Iterator<Item = Position> {
+        let first: (Arc<str>, Position) = (name.into(), 0);
+        let same_name = first.0.clone();
+        let found = self.by_name.range(first..).take_while(move |(name, _)| *name == same_name);
+        found.map(|(_, position)| *position).collect::<Vec<_>>().into_iter()
+    }
+
+    /// The first item with a name.
+    pub fn first_named(&self, name: &str) -> Option<&Arc<Value>> {
+        self.get(self.named(name).next()?)
+    }
+
+    /// Adds an item at the end. Returns its position.
+    pub fn push(&mut self, item: Value) -> Position {
+        let position = self.next;
+        self.next += 1;
+        self.put(position, item);
+        position
+    }
+
+    /// Puts an item in the place of the first one with its name, or else at the end. Returns its position.
+    pub fn upsert(&mut self, item: Value) -> Position {
+        let place = name_of(&item).and_then(|name| self.named(name).next());
+        match place {
+            Some(position) => {
+                self.put(position, item);
+                position
+            }
+            None => self.push(item),
+        }
+    }
+
+    /// Removes all items with a name. Returns their positions.
+    pub fn remove_named(&mut self, name: &str) -> Vec<Position> {
+        let found: Vec<Position> = self.named(name).collect();
+        for position in &found {
+            self.items.remove_mut(position);
+            self.by_name.remove_mut(&(name.into(), *position));
+        }
+        found
+    }
+
+    fn put(&mut self, position: Position, item: Value) {
+        if let Some(name) = name_of(&item) {
+            self.by_name.insert_mut((name.into(), position));
+        }
+        self.items.insert_mut(position, Arc::new(item));
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,8 +1,12 @@
 //! What the control plane decides, without I/O, clock or randomness.
 //!
-//! * [`configuration`]: the typed view of the operators' document, and its checks.
+//! * [`configuration`]: the typed view of the operators' document.
+//! * [`configuration_holders`]: which edge head has which configuration in force.
 //! * [`change_log`]: what is remembered of changes, for those that come again.
-//! * [`document`]: the document itself, changes to it, and what is told of it.
+//! * [`document`]: the document itself, and changes to it; [`item_list`]: its lists.
+//! * [`checked_document`]: a document with what its changes are checked against.
+//! * [`document_history`]: the latest documents.
+//! * [`edge_document`]: what an edge head is told of a document.
 //! * [`edge_update`]: what an edge head is told of a configuration, read bit by bit.
 //! * [`state`]: the replicated state machine: configuration, accepted changes, sealed usage.
 //! * [`directory`]: the bricks that exist, from their heartbeats.
@@ -19,12 +23,16 @@
 pub mod admission;
 pub mod autoscaling;
 pub mod change_log;
+pub mod checked_document;
 pub mod configuration;
 pub mod configuration_holders;
 pub mod demand;
 pub mod directory;
 pub mod document;
+pub mod document_history;
+pub mod edge_document;
 pub mod edge_update;
+pub mod item_list;
 pub mod operator_calls;
 pub mod outliers;
 pub mod placement;
--- a/crates/control/src/operator_calls.rs
+++ b/crates/control/src/operator_calls.rs
@@ -107,7 +107,7 @@
         return reply;
     }
     match state.document().filter(|_| standing.lease_holds()) {
-        Some((document, _)) => Reply::Json(document.to_string().into_bytes()),
+        Some((document, _)) => Reply::Json(document.to_json()),
         None => Reply::Result(ResultCode::NoLeader, "no configuration, or the lease is not certain".into()),
     }
 }
--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -6,7 +6,7 @@
 mod training_hold;
 mod zones;
 
-use crate::configuration::{Backend, Configuration, Model, Runtime};
+use crate::configuration::{Backend, Model, Runtime};
 use crate::demand::{DemandTable, ModelKey};
 use crate::directory::{HeldBefore, Millis};
 use pathbank_protocol::message::{Brick, LoadedModel};
@@ -273,7 +273,7 @@
     pub fn plan(
         &mut self,
         now: Millis,
-        configuration: &Configuration,
+        backends: &[Backend],
         bricks: &[Brick],
         demand: &DemandTable,
         held_before: &HeldBefore,
@@ -281,7 +281,7 @@
         let mut orders = Vec::new();
         self.reserved.retain(|_, reservation| now < reservation.until);
         let training = self.training.clone();
-        for backend in &configuration.backends {
+        for backend in backends {
             let Some(runtime) = backend.runtime.as_ref().filter(|runtime| !runtime.models.is_empty()) else {
                 continue;
             };
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,8 +1,9 @@
 //! The replicated state machine. Every replica applies the same commands in the same order and comes to the same state.
 
 use crate::change_log::{ChangeLog, Recall};
-use crate::configuration::{self, Rejection};
-use crate::document;
+use crate::checked_document::CheckedDocument;
+use crate::configuration::{Backend, Rejection};
+use crate::document::{self, Document};
 use crate::result_code::ResultCode;
 use crate::training::{TrainingCommand, TrainingState};
 use pathbank_coordination::digest::digest;
@@ -10,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// Sealed windows that are kept, so that a new leader can repeat them exactly.
 const SEALED_KEPT: usize = 8;
@@ -92,12 +94,12 @@
 }
 
 /// What comes of a change on a state.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug)]
 pub enum Judgement {
     /// It is in force once it is committed: the document, and the change's digest.
     Takes {
         /// The document that it makes.
-        document: Value,
+        document: CheckedDocument,
         /// What it is known by if it comes again.
         digest: u128,
     },
@@ -112,7 +114,7 @@
     #[serde(default)]
     format: u32,
     /// The document in force.
-    document: Option<Value>,
+    document: Option<CheckedDocument>,
     /// The log's entry that brought it.
     index: u64,
     version: u64,
@@ -166,8 +168,13 @@
     }
 
     /// The document in force, and the entry that brought it.
-    pub fn document(&self) -> Option<(&Value, u64)> {
-        self.document.as_ref().map(|document| (document, self.index))
+    pub fn document(&self) -> Option<(&Document, u64)> {
+        self.document.as_ref().map(|checked| (checked.document(), self.index))
+    }
+
+    /// The services of the document in force; `None` before the first.
+    pub fn backends(&self) -> Option<&Arc<[Backend]>> {
+        self.document.as_ref().map(CheckedDocument::backends)
     }
 
     /// The version in force; 0 before the first.
@@ -192,7 +199,7 @@
 
     /// What would come of a change on this state, without making it.
     pub fn judge(&self, change: &Change) -> Result<Judgement, Rejection> {
-        let body = document::parse_document(change.body.as_bytes())?;
+        let body = document::parse_object(change.body.as_bytes())?;
         let digest = digest_of(change, &body);
         match self.changes.recall(digest, change.base) {
             Recall::Taken => return Ok(Judgement::TakenBefore),
@@ -206,19 +213,13 @@
             let message = format!("version {} is current, not {}", self.version, change.base);
             return Err(Rejection::new(ResultCode::BaseMismatch, message));
         }
-        let document = match change.kind {
-            ChangeKind::Replace => body,
-            ChangeKind::Update => {
-                let empty = Value::Object(serde_json::Map::new());
-                document::apply_update(self.document.as_ref().unwrap_or(&empty), &body)?
+        let document = match (change.kind, body) {
+            (ChangeKind::Replace, Value::Object(body)) => CheckedDocument::replaced(body, self.version)?,
+            (_, body) => {
+                let empty = CheckedDocument::default();
+                self.document.as_ref().unwrap_or(&empty).updated(&body, self.version)?
             }
         };
-        let typed = configuration::read(&document)?;
-        if typed.version <= self.version {
-            let message = format!("version {} is not above {}", typed.version, self.version);
-            return Err(Rejection::new(ResultCode::VersionNotAbove, message));
-        }
-        configuration::check(&typed)?;
         Ok(Judgement::Takes { document, digest })
     }
 
@@ -244,7 +245,7 @@
         let Judgement::Takes { document, digest } = self.judge(change)? else {
             return Ok(Accepted::Before);
         };
-        let version = document.get("version").and_then(Value::as_u64).unwrap_or(0);
+        let version = document.version();
         self.changes.note(digest, change.base);
         (self.document, self.index, self.version) = (Some(document), index, version);
         Ok(Accepted::Now)
--- a/crates/control/tests/autoscaling.rs
+++ b/crates/control/tests/autoscaling.rs
@@ -89,7 +89,7 @@
 
     fn look(&mut self) {
         let bricks = self.bricks();
-        let orders = self.autoscaler.plan(self.now, &self.configuration, &bricks, &self.demand);
+        let orders = self.autoscaler.plan(self.now, &self.configuration.backends, &bricks, &self.demand);
         for order in orders {
             self.autoscaler.taken(self.now, &order, self.answers);
             self.orders.push(order);
--- a/crates/control/tests/bricks.rs
+++ b/crates/control/tests/bricks.rs
@@ -283,8 +283,13 @@
     /// One look at placement; orders end before the next.
     fn look(&mut self) {
         self.now += 100;
-        let orders =
-            self.placer.plan(self.now, &self.configuration, &self.bricks, &self.demand, &self.held_before);
+        let orders = self.placer.plan(
+            self.now,
+            &self.configuration.backends,
+            &self.bricks,
+            &self.demand,
+            &self.held_before,
+        );
         for order in orders {
             self.carry_out(&order);
             self.placer.finished(&order.instance);
--- a/crates/control/tests/configuration.rs
+++ b/crates/control/tests/configuration.rs
@@ -1,7 +1,9 @@
 //! Changes of the configuration, as operators send them.
 
 use pathbank_control::change_log::CHANGES_REMEMBERED;
-use pathbank_control::configuration::{Rejection, read};
+use pathbank_control::configuration::Rejection;
+use pathbank_control::document::Document;
+use pathbank_control::edge_document;
 use pathbank_control::edge_update::{EdgeUpdate, EdgeUpdateReader};
 use pathbank_control::result_code::ResultCode;
 use pathbank_control::routes::RouteTable;
@@ -29,6 +31,18 @@
     Change { kind: ChangeKind::Update, base, body: body.to_string() }
 }
 
+fn as_document(value: &Value) -> Document {
+    Document::from(value.as_object().expect("an object").clone())
+}
+
+fn updated(before: &Value, update: &Value) -> Value {
+    as_document(before).updated(update).expect("an update").0.to_value()
+}
+
+fn difference(before: &Value, after: &Value) -> Value {
+    edge_document::difference(&as_document(before), &as_document(after))
+}
+
 struct Story {
     state: ControlState,
     index: u64,
@@ -57,7 +71,7 @@
 fn what_is_read_back_is_what_was_sent() {
     let story = Story::given_version_5();
     let (read_back, index) = story.state.document().unwrap();
-    assert_eq!((read_back, index), (&document(5), 1));
+    assert_eq!((read_back.to_value(), index), (document(5), 1));
 }
 
 #[test]
@@ -135,7 +149,7 @@
         "tenants": [{ "name": "t2", "api_keys": ["k3"] }],
         "limits": { "max_body_bytes": 200 } }, "delete": { "tenants": ["t1", "never there"] } });
     assert_eq!(story.when(update(5, &changed)), Ok(Accepted::Now));
-    let (document, _) = story.state.document().unwrap();
+    let document = story.state.document().unwrap().0.to_value();
     assert_eq!(document["version"], 6);
     assert_eq!(document["routes"][0]["path_prefix"], "/b/");
     assert_eq!(document["routes"].as_array().unwrap().len(), 2);
@@ -196,8 +210,8 @@
     let before = document(5);
     let mut after = document(6);
     *after.pointer_mut(place).unwrap() = value;
-    let update = pathbank_control::document::difference(&before, &after);
-    let made = pathbank_control::document::apply_update(&before, &update).unwrap();
+    let update = difference(&before, &after);
+    let made = updated(&before, &update);
     let sorted = |document: &Value| {
         let mut document = document.clone();
         for section in ["routes", "backends", "tenants"] {
@@ -215,11 +229,12 @@
     let mut body = document(5);
     body["backends"][0]["runtime"] = json!({ "capacity": 8, "weights_mb": 9.0, "models": [
         { "name": "m", "weights_mb": 3.0, "load_s": 4.5, "adapters": 3, "adapter_mb": 1.0 }] });
-    let reduced = pathbank_control::document::for_edges(&body);
+    let reduced = edge_document::whole(&as_document(&body));
     assert_eq!((&reduced["routes"], &reduced["tenants"]), (&body["routes"], &body["tenants"]));
     assert!(reduced.to_string().len() < body.to_string().len());
-    let read = read(&reduced).unwrap();
-    assert_eq!(read.backends[0].runtime.as_ref().unwrap().models[0].load_s, 4.5);
+    let read = EdgeUpdate::read(reduced.to_string().as_bytes(), true).unwrap();
+    let runtime = read.backends.upsert.iter().find_map(|backend| backend.runtime.as_ref()).unwrap();
+    assert_eq!(runtime.models[0].load_s, 4.5);
 }
 
 // ---- what edges are told ----
@@ -242,7 +257,7 @@
     routes[2]["hostname"] = json!("Other.example");
     after["routes"] = routes.into();
     after["tenants"] = json!([{ "name": "t1", "api_keys": ["k1"] }, { "name": "t2", "api_keys": ["k2"] }]);
-    let change = pathbank_control::document::difference(&before, &after).to_string();
+    let change = difference(&before, &after).to_string();
     let read = |text: &str, is_whole| EdgeUpdate::read(text.as_bytes(), is_whole).unwrap();
     let whole = RouteTable::default().changed(2, read(&after.to_string(), true));
     let changed =
@@ -270,7 +285,7 @@
     let before = document(5);
     let mut after = document(6);
     after.as_object_mut().unwrap().remove(section);
-    let change = pathbank_control::document::difference(&before, &after).to_string();
+    let change = difference(&before, &after).to_string();
     let table =
         RouteTable::default().changed(1, EdgeUpdate::read(before.to_string().as_bytes(), true).unwrap());
     let table = table.changed(2, EdgeUpdate::read(change.as_bytes(), false).unwrap());
@@ -316,7 +331,7 @@
     before["routes"] = many_routes(0, 4_000).into();
     let update = json!({ "version": 6, "upsert": { "routes": many_routes(2_000, 4_000) },
                          "delete": { "routes": ["r0", "r1"] } });
-    let after = pathbank_control::document::apply_update(&before, &update).unwrap();
+    let after = updated(&before, &update);
     let routes = after["routes"].as_array().unwrap();
     assert_eq!(routes.len(), 5_998);
     assert_eq!((&routes[0]["name"], &routes[5_997]["name"]), (&json!("r2"), &json!("r5999")));
--- /dev/null
+++ b/crates/control/tests/whole_document.rs
@@ -0,0 +1,240 @@
+//! A change that is checked by what it touches is taken exactly when the whole document that it makes is valid, and makes that
+//! document. The check of whole documents stands here, written for this comparison alone.
+
+use facet::Facet;
+use pathbank_control::checked_document::CheckedDocument;
+use pathbank_control::configuration::{Backend, Limits, Route, Tenant};
+use pathbank_control::state::{Change, ChangeKind, Command, ControlState};
+use serde_json::{Map, Value, json};
+use std::collections::{BTreeMap, BTreeSet};
+
+const CHAINS: u64 = 1_500;
+const CHANGES: u64 = 12;
+
+#[derive(Facet)]
+struct Configuration {
+    version: u64,
+    #[facet(default)]
+    routes: Vec<Route>,
+    #[facet(default)]
+    backends: Vec<Backend>,
+    #[facet(default)]
+    limits: Limits,
+    #[facet(default)]
+    tenants: Vec<Tenant>,
+}
+
+// ---- the comparison: whole documents ----
+
+fn named(item: &Value) -> Option<&str> {
+    item.get("name")?.as_str()
+}
+
+fn apply_whole(current: &Value, update: &Value) -> Option<Value> {
+    let mut document = current.as_object().cloned().unwrap_or_default();
+    document.insert("version".into(), update.get("version")?.clone());
+    for (section, names) in update.get("delete").and_then(Value::as_object).into_iter().flatten() {
+        let names = names.as_array()?;
+        let list = document.entry(section.clone()).or_insert_with(|| json!([]));
+        if let Some(items) = list.as_array_mut() {
+            items.retain(|item| !names.iter().any(|name| name.is_string() && name.as_str() == named(item)));
+        }
+    }
+    for (section, value) in update.get("upsert").and_then(Value::as_object).into_iter().flatten() {
+        let Some(changed) = value.as_array() else {
+            document.insert(section.clone(), value.clone());
+            continue;
+        };
+        let list = document.entry(section.clone()).or_insert_with(|| json!([]));
+        let Some(items) = list.as_array_mut() else { continue };
+        for item in changed {
+            let place =
+                named(item).and_then(|name| items.iter().position(|known| named(known) == Some(name)));
+            match place {
+                Some(place) => items[place] = item.clone(),
+                None => items.push(item.clone()),
+            }
+        }
+    }
+    Some(Value::Object(document))
+}
+
+fn is_valid_route(route: &Route, backends: &BTreeSet<&str>) -> bool {
+    let parts = || route.traffic_split.iter();
+    let known =
+        parts().map(|part| &part.backend).chain(&route.backend).all(|name| backends.contains(name.as_str()));
+    let weight: f64 = parts().map(|part| part.weight).sum();
+    let is_split = !route.traffic_split.is_empty();
+    let weighs =
+        (weight > 0.0 || (!is_split && route.backend.is_some())) && parts().all(|part| part.weight >= 0.0);
+    let path = &route.path_prefix;
+    known && weighs && route.timeout_ms > 0.0 && path.starts_with('/') && path.ends_with('/')
+}
+
+fn is_valid(document: &Value, above: u64) -> bool {
+    let Ok(read) = facet_json::from_str::<Configuration>(&document.to_string()) else { return false };
+    let backends: BTreeSet<&str> = read.backends.iter().map(|backend| backend.name.as_str()).collect();
+    let mut places = BTreeSet::new();
+    let mut holders: BTreeMap<&str, &str> = BTreeMap::new();
+    let apart = read
+        .routes
+        .iter()
+        .all(|route| places.insert((route.hostname.to_ascii_lowercase(), &route.path_prefix)));
+    let own_keys = read.tenants.iter().all(|tenant| {
+        tenant.api_keys.iter().all(|key| *holders.entry(key).or_insert(&tenant.name) == tenant.name)
+    });
+    read.version > above
+        && apart
+        && own_keys
+        && read.routes.iter().all(|route| is_valid_route(route, &backends))
+}
+
+// ---- drawn changes ----
+
+struct Draw(fastrand::Rng);
+
+impl Draw {
+    fn one(&mut self, of: &[Value]) -> Value {
+        of[self.0.usize(..of.len())].clone()
+    }
+
+    fn rarely(&mut self) -> bool {
+        self.0.u32(..40) == 0
+    }
+
+    fn name(&mut self) -> Value {
+        if self.rarely() { json!(7) } else { json!(format!("n{}", self.0.u32(..5))) }
+    }
+
+    fn backend_name(&mut self) -> Value {
+        json!(format!("b{}", self.0.u32(..3)))
+    }
+
+    fn route(&mut self) -> Value {
+        let mut route = json!({ "name": self.name(), "hostname": self.one(&[json!("Host"), json!("host"), json!("other")]),
+            "path_prefix": format!("/p{}/", self.0.u32(..6)), "type": "idempotent", "timeout_ms": 900 });
+        match self.0.u32(..3) {
+            0 => route["backend"] = self.backend_name(),
+            1 => {
+                route["traffic_split"] = json!([{ "backend": self.backend_name(), "weight": 3 },
+                                                 { "backend": self.backend_name(), "weight": 1 }])
+            }
+            _ => (route["backend"], route["traffic_split"]) = (self.backend_name(), json!([])),
+        }
+        if self.rarely() {
+            let (key, value) = [
+                ("timeout_ms", json!(0)),
+                ("path_prefix", json!("/x")),
+                ("type", json!("none")),
+                ("traffic_split", json!([{ "backend": "b0", "weight": 0 }])),
+                ("hostname", Value::Null),
+            ][self.0.usize(..5)]
+            .clone();
+            route[key] = value;
+        }
+        route
+    }
+
+    fn item(&mut self, section: &str) -> Value {
+        match section {
+            "routes" => self.route(),
+            "tenants" => {
+                let keys: Vec<String> =
+                    (0..self.0.u32(..3)).map(|_| format!("k{}", self.0.u32(..6))).collect();
+                json!({ "name": self.name(), "api_keys": keys })
+            }
+            "backends" => json!({ "name": self.backend_name(), "kept": self.0.u32(..9) }),
+            _ => self.one(&[json!(1), json!({ "name": "n1", "x": 2 }), json!({ "y": 1 })]),
+        }
+    }
+
+    fn items(&mut self, section: &str, most: usize) -> Value {
+        if self.rarely() {
+            return self.one(&[json!(3), json!({}), Value::Null]);
+        }
+        (0..self.0.usize(..=most)).map(|_| self.item(section)).collect()
+    }
+
+    fn sections(&mut self, most: usize) -> Map<String, Value> {
+        let mut sections = Map::new();
+        for section in ["routes", "tenants", "backends", "labels"] {
+            if self.0.u32(..3) > 0 {
+                sections.insert(section.into(), self.items(section, most));
+            }
+        }
+        if self.0.u32(..4) == 0 {
+            let limits = [json!({ "max_body_bytes": 9 }), json!({}), json!([]), json!(4)];
+            sections.insert("limits".into(), self.one(&limits));
+        }
+        sections
+    }
+
+    fn update(&mut self, version: u64) -> Value {
+        let mut delete = Map::new();
+        for section in ["routes", "tenants", "backends"] {
+            if self.0.u32(..4) == 0 {
+                let names = (0..self.0.u32(..3))
+                    .map(|_| if section == "backends" { self.backend_name() } else { self.name() });
+                delete.insert(section.into(), names.collect());
+            }
+        }
+        json!({ "version": version, "upsert": self.sections(2), "delete": delete })
+    }
+}
+
+/// The document of a state, as it is read back.
+fn read_back(state: &ControlState) -> Value {
+    state.document().map_or(Value::Null, |(document, _)| document.to_value())
+}
+
+#[test]
+fn a_change_is_taken_exactly_when_the_whole_document_is_valid() {
+    let (mut taken, mut refused) = (0, 0);
+    for seed in 0..CHAINS {
+        let mut draw = Draw(fastrand::Rng::with_seed(seed));
+        let mut state = ControlState::default();
+        for number in 1..=CHANGES {
+            let before = read_back(&state);
+            let base = state.version();
+            let version = base + draw.0.u64(..4);
+            let (kind, body) = match draw.0.u32(..6) == 0 || base == 0 {
+                true => {
+                    let mut body = draw.sections(4);
+                    body.insert("version".into(), version.into());
+                    (ChangeKind::Replace, Value::Object(body))
+                }
+                false => (ChangeKind::Update, draw.update(version)),
+            };
+            let whole = match kind {
+                ChangeKind::Replace => Some(body.clone()),
+                ChangeKind::Update => apply_whole(&before, &body),
+            };
+            let change = Change { kind, base, body: body.to_string() };
+            let result = state.apply(number, &Command::Change(change));
+            match whole.filter(|whole| is_valid(whole, base)) {
+                Some(whole) => {
+                    assert!(result.is_ok(), "seed {seed}, change {number}: {result:?}, {body}\non {before}");
+                    assert_eq!(read_back(&state), whole, "seed {seed}, change {number}: {body}\non {before}");
+                    taken += 1;
+                }
+                None => {
+                    assert!(result.is_err(), "seed {seed}, change {number}: taken: {body}\non {before}");
+                    assert_eq!(read_back(&state), before, "seed {seed}, change {number}");
+                    refused += 1;
+                }
+            }
+        }
+        let again = ControlState::decode(&state.encode()).expect("a snapshot");
+        assert_eq!(again.encode(), state.encode());
+    }
+    assert!(taken > 2_000 && refused > 2_000, "{taken} taken, {refused} refused");
+}
+
+#[test]
+fn a_whole_document_and_its_snapshot_are_the_same() {
+    let body = json!({ "version": 4, "routes": [], "labels": [1, { "name": "x" }], "limits": { "max_body_bytes": 3 } });
+    let checked = CheckedDocument::try_from(body.as_object().unwrap().clone()).unwrap();
+    assert_eq!(serde_json::to_value(&checked).unwrap(), body);
+    let read: CheckedDocument = serde_json::from_value(body.clone()).unwrap();
+    assert_eq!(read.document().to_value(), body);
+}
--- a/crates/coordination/src/replica/log.rs
+++ b/crates/coordination/src/replica/log.rs
@@ -4,6 +4,10 @@
 use crate::record::Record;
 use crate::types::{Index, Membership, Payload};
 
+/// Entries that are handed out at once, and their bytes beyond the last one.
+const MOST_APPLIED: usize = 32;
+const MOST_APPLIED_BYTES: usize = 64 * 1024;
+
 impl Replica {
     pub(super) fn save(&mut self, record: Record, effects: &mut Effects) {
         let may_change_group = match &record {
@@ -43,12 +47,29 @@
         self.membership = self.membership_at(Index::MAX);
     }
 
-    /// Hands out what is committed and not yet applied.
+    /// Hands out what is committed and not yet applied, but no more than can be applied at once. A leader that applies all
+    /// of a long log in one turn sends no heartbeats meanwhile, and is deposed.
     pub(super) fn finish(&mut self, effects: &mut Effects) {
-        while self.applied < self.commit {
+        let mut bytes = 0;
+        while self.has_more_to_apply() && effects.committed.len() < MOST_APPLIED && bytes < MOST_APPLIED_BYTES
+        {
             let Some(entry) = self.durable.entry(self.applied + 1) else { return };
+            bytes += entry.payload.size();
             effects.committed.push(entry.clone());
             self.applied += 1;
         }
     }
+
+    /// Whether entries are committed that were not handed out yet.
+    pub fn has_more_to_apply(&self) -> bool {
+        self.applied < self.commit
+    }
+
+    /// Hands out more of what is committed. To be called again, between other events, while
+    /// [`Replica::has_more_to_apply`].
+    pub fn apply_more(&mut self) -> Effects {
+        let mut effects = Effects::default();
+        self.finish(&mut effects);
+        effects
+    }
 }
--- a/crates/coordination/src/replica/mod.rs
+++ b/crates/coordination/src/replica/mod.rs
@@ -59,7 +59,7 @@
     pub messages: Vec<Outgoing>,
     /// A state that replaces the state machine's.
     pub install: Option<Snapshot>,
-    /// Entries that are committed now, for the state machine.
+    /// Entries that are committed, for the state machine: the next ones, not necessarily all.
     pub committed: Vec<Entry>,
 }
 
--- a/crates/coordination/tests/common/mod.rs
+++ b/crates/coordination/tests/common/mod.rs
@@ -409,6 +409,7 @@
             self.sync(machine);
             self.with(machine, |replica, now| replica.tick(now));
             self.with(machine, |replica, now| group::step(replica, now).unwrap_or_default());
+            self.with(machine, |replica, _| replica.apply_more());
             if self.now.is_multiple_of(100) {
                 self.ask_to_join(machine);
             }
--- a/crates/system/src/command/operator.rs
+++ b/crates/system/src/command/operator.rs
@@ -2,7 +2,8 @@
 
 use anyhow::{Context, Result, bail};
 use clap::{Args, Subcommand};
-use pathbank_control::{configuration, document};
+use pathbank_control::checked_document::CheckedDocument;
+use pathbank_control::document;
 use serde_json::Value;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -167,8 +168,8 @@
 
 fn read_file(file: &Path) -> Result<Value> {
     let bytes = std::fs::read(file).with_context(|| file.display().to_string())?;
-    let document = document::parse_document(&bytes)?;
-    configuration::check(&configuration::read(&document)?)?;
+    let document = document::parse_object(&bytes)?;
+    CheckedDocument::try_from(document.as_object().cloned().unwrap_or_default())?;
     Ok(document)
 }
 
--- a/crates/system/src/core/mod.rs
+++ b/crates/system/src/core/mod.rs
@@ -63,6 +63,8 @@
                 node.on_event(clock::now(), Event::Tick);
             }
             signal = signals.next() => node.on_signal(clock::now(), signal),
+            // Links and callers get their turn first.
+            () = tokio::task::yield_now(), if node.has_more_to_apply() => node.apply_more(clock::now()),
         }
         if let Some(error) = node.take_fatal() {
             return Err(error).context(CANNOT_TAKE_PART);
--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -4,6 +4,7 @@
 mod leadership;
 mod links;
 mod overview;
+mod publication;
 mod replication;
 mod training;
 
@@ -32,9 +33,10 @@
 use pathbank_coordination::fencing::Fence;
 use pathbank_coordination::record::Durable;
 use pathbank_coordination::replica::{Departure, Replica, Timing};
-use pathbank_coordination::types::{Payload, StoreId};
+use pathbank_coordination::types::{Index, Payload, StoreId};
 use pathbank_protocol::message::{Brick, Frame, Hello, ProcessRole};
 use pathbank_router::wall_clock::WallClock;
+use publication::Publication;
 use replication::Replication;
 use std::collections::BTreeMap;
 use tokio::sync::mpsc::UnboundedSender;
@@ -119,6 +121,8 @@
     link: Link,
     /// It wants all news from this head.
     subscribed: bool,
+    /// The entry of the configuration that it has, or is being told; 0: none.
+    configuration_index: Index,
 }
 
 /// Times at which regular work is due.
@@ -138,6 +142,7 @@
     life: u64,
     events: UnboundedSender<Event>,
     replication: Replication,
+    publication: Publication,
     state: ControlState,
     directory: Directory,
     demand: DemandTable,
@@ -196,6 +201,7 @@
             directory: Directory::new(settings.heartbeat_ms),
             leadership: Leadership::new(fence),
             replication: Replication::new(replica, disk),
+            publication: Publication::default(),
             settings,
             life,
             events,
@@ -215,6 +221,7 @@
             fatal: None,
             due: Due::default(),
         };
+        node.note_document();
         node.open_links();
         Ok(node)
     }
--- a/crates/system/src/core/node/leadership.rs
+++ b/crates/system/src/core/node/leadership.rs
@@ -7,7 +7,7 @@
 use crate::core::training::lead::Training;
 use pathbank_control::admission::AdmissionController;
 use pathbank_control::autoscaling::{Autoscaler, ScaleOrder};
-use pathbank_control::configuration::{self, Configuration, Runtime};
+use pathbank_control::configuration::Runtime;
 use pathbank_control::placement::{Operation, Order, Placer};
 use pathbank_control::state::Command;
 use pathbank_control::usage::{HEAR_FIRST_MS, SealRule};
@@ -45,8 +45,6 @@
     term_seen: u64,
     /// Edges that have told this leader their counts.
     told_by: BTreeSet<String>,
-    /// The configuration as placement needs it, and the entry that brought it.
-    pub configuration: Option<(u64, Configuration)>,
     /// Windows that are reported, or being reported.
     pub reported: BTreeSet<u64>,
     /// The window whose sealing was proposed last.
@@ -71,7 +69,6 @@
             term: 0,
             term_seen: 0,
             told_by: BTreeSet::new(),
-            configuration: None,
             reported: BTreeSet::new(),
             sealing: 0,
             revoked: Arc::default(),
@@ -173,29 +170,16 @@
 
     fn place(&mut self, now: u64) {
         let Some(permit) = self.permit(now) else { return };
-        self.read_configuration();
-        let Some((_, configuration)) = &self.leadership.configuration else { return };
+        let Some(backends) = self.state.backends() else { return };
         let bricks: Vec<Brick> = self.directory.ready().collect();
-        let orders = self.leadership.placer.plan(
-            now,
-            configuration,
-            &bricks,
-            &self.demand,
-            self.directory.held_before(),
-        );
+        let orders =
+            self.leadership.placer.plan(now, backends, &bricks, &self.demand, self.directory.held_before());
         let authority = self.authority(permit);
         for order in orders {
             self.give(order, authority.clone());
         }
     }
 
-    pub(super) fn read_configuration(&mut self) {
-        let Some((document, index)) = self.state.document() else { return };
-        if self.leadership.configuration.as_ref().is_none_or(|(known, _)| *known != index) {
-            self.leadership.configuration = configuration::read(document).ok().map(|read| (index, read));
-        }
-    }
-
     fn give(&mut self, order: Order, authority: Authority) {
         if order.operation == Operation::Unload {
             self.directory.withhold(&order.instance, &order.model, &order.adapter);
@@ -214,8 +198,7 @@
     /// What the service of a brick can hold, by the newest configuration.
     pub(super) fn runtime_of(&self, instance: &str) -> Option<Arc<Runtime>> {
         let backend = self.directory.brick(instance)?.backend;
-        let (_, configuration) = self.leadership.configuration.as_ref()?;
-        let known = configuration.backends.iter().find(|known| known.name == backend)?;
+        let known = self.state.backends()?.iter().find(|known| known.name == backend)?;
         known.runtime.clone().map(Arc::new)
     }
 
@@ -272,10 +255,9 @@
     fn order_bricks(&mut self, now: u64) {
         let Some(platform) = self.duty_address("autoscale") else { return };
         let Some(permit) = self.permit(now) else { return };
-        self.read_configuration();
-        let Some((_, configuration)) = &self.leadership.configuration else { return };
+        let Some(backends) = self.state.backends() else { return };
         let bricks: Vec<Brick> = self.directory.ready().collect();
-        let orders = self.leadership.autoscaler.plan(now, configuration, &bricks, &self.demand);
+        let orders = self.leadership.autoscaler.plan(now, backends, &bricks, &self.demand);
         for order in orders {
             tracing::info!(
                 backend = order.backend,
--- a/crates/system/src/core/node/links.rs
+++ b/crates/system/src/core/node/links.rs
@@ -7,11 +7,8 @@
 use crate::net::link::Link;
 use bytes::Bytes;
 use pathbank_coordination::replica::Role;
-use pathbank_coordination::types::Index;
 use pathbank_protocol::codec;
-use pathbank_protocol::message::{
-    Brick, BrickUpdate, ConfigurationUpdate, CoreStatus, Frame, Hello, ProcessRole, Subscription,
-};
+use pathbank_protocol::message::{Brick, BrickUpdate, CoreStatus, Frame, Hello, ProcessRole, Subscription};
 use std::net::SocketAddr;
 
 impl Node {
@@ -35,32 +32,23 @@
         if hello.role == ProcessRole::Edge {
             link.send(&Frame::Core(self.core_status(true)));
         }
-        self.peers.insert(id, Peer { hello, link, subscribed: false });
+        self.peers.insert(id, Peer { hello, link, subscribed: false, configuration_index: 0 });
     }
 
     /// An edge wants all news from this head: it gets what stands first.
     pub(super) fn on_subscribe(&mut self, id: LinkId, subscription: Subscription) {
         let bricks = BrickUpdate { complete: true, bricks: self.directory.bricks().collect() };
-        let configuration =
-            self.configuration_update().filter(|update| update.index > subscription.known_index);
         let Some(peer) = self.peers.get_mut(&id) else { return };
         peer.subscribed = subscription.wanted;
         if !subscription.wanted {
             return;
         }
-        if let Some(update) = configuration {
-            peer.link.send(&Frame::Configuration(update));
-        }
-        peer.link.send(&Frame::Bricks(bricks));
+        let link = peer.link.clone();
+        self.update_subscriber(id, subscription.known_index);
+        link.send(&Frame::Bricks(bricks));
         let versions = model_versions(self.state.training());
         if !versions.is_empty() {
-            peer.link.send(&Frame::ModelVersions(versions));
-        }
-    }
-
-    pub(super) fn send_configuration_to(&self, id: LinkId) {
-        if let (Some(peer), Some(update)) = (self.peers.get(&id), self.configuration_update()) {
-            peer.link.send(&Frame::Configuration(update));
+            link.send(&Frame::ModelVersions(versions));
         }
     }
 
@@ -150,7 +138,7 @@
             edges: self.edges().count() as u32,
             wall_clock_ms: clock::wall_clock(),
             zone: self.settings.zone.clone(),
-            configuration_index: self.current_document().map_or(0, |(index, _)| index),
+            configuration_index: self.current_index(),
             current: self.is_current(clock::now()),
         }
     }
@@ -164,15 +152,4 @@
         self.mesh.send_to_all(&frame);
         self.open_links();
     }
-
-    /// The configuration that edges may be given: none while this head is out of contact with a majority.
-    pub(super) fn current_document(&self) -> Option<(Index, &serde_json::Value)> {
-        self.replication.published_document().filter(|_| self.is_current(clock::now()))
-    }
-
-    /// The same as it is sent.
-    pub(super) fn configuration_update(&self) -> Option<ConfigurationUpdate> {
-        let (index, document) = self.current_document()?;
-        Some(ConfigurationUpdate { index, base_index: 0, document: document.to_string().into_bytes() })
-    }
 }
--- a/crates/system/src/core/node/overview.rs
+++ b/crates/system/src/core/node/overview.rs
@@ -39,7 +39,7 @@
             "applied": self.replication.applied(),
             "current": self.is_current(now),
             "configuration_version": self.state.version(),
-            "published_index": self.replication.published_document().map(|(index, _)| index),
+            "published_index": self.publication.index(),
             "holders": self.holders.holders().map(holder).collect::<Vec<_>>(),
             "voters": voters.collect::<Vec<_>>(),
             "edges": edges.collect::<Vec<_>>(),
--- a/crates/system/src/core/node/replication.rs
+++ b/crates/system/src/core/node/replication.rs
@@ -2,7 +2,6 @@
 
 use super::{Node, Reply};
 use crate::core::disk::{Disk, DiskEvent};
-use pathbank_control::document;
 use pathbank_control::operator_calls::{self, LEADER_SILENCE, Standing};
 use pathbank_control::result_code::ResultCode;
 use pathbank_control::state::{Change, Command, ControlState, StateError};
@@ -10,8 +9,7 @@
 use pathbank_coordination::group;
 use pathbank_coordination::replica::{Effects, Outgoing, Replica, Role};
 use pathbank_coordination::types::{Entry, Index, Member, Message, Payload, Snapshot, Term};
-use pathbank_protocol::message::{ConfigurationUpdate, Frame};
-use serde_json::Value;
+use pathbank_protocol::message::Frame;
 use std::collections::{BTreeMap, VecDeque};
 use tokio::sync::oneshot;
 
@@ -23,9 +21,6 @@
 /// While a snapshot is on its way to a store, the log may grow to so many times that.
 const AWAITED_TIMES: usize = 4;
 
-/// Edges are told of changes at least so far apart, milliseconds.
-const PUBLISH_APART: u64 = 150;
-
 struct WaitingChange {
     term: Term,
     reply: oneshot::Sender<Reply>,
@@ -55,15 +50,6 @@
     applied: Index,
     /// The role and term that were told to the log last.
     logged_role: Option<(Role, Term)>,
-    /// The configuration that edges were told, and when.
-    published: Option<PublishedConfiguration>,
-    published_at: u64,
-}
-
-/// A configuration as edges have it.
-struct PublishedConfiguration {
-    index: Index,
-    document: Value,
 }
 
 impl Replication {
@@ -83,8 +69,6 @@
             log_bytes: 0,
             applied,
             logged_role: None,
-            published: None,
-            published_at: 0,
         }
     }
 
@@ -93,11 +77,6 @@
         self.applied
     }
 
-    /// The configuration that edges were told, and its entry.
-    pub fn published_document(&self) -> Option<(Index, &Value)> {
-        self.published.as_ref().map(|published| (published.index, &published.document))
-    }
-
     /// Whoever waits for a change at a head that does not lead any more hears so at once: its end is decided elsewhere.
     fn answer_waiting(&mut self) {
         for change in std::mem::take(&mut self.waiting).into_values().flatten() {
@@ -149,6 +128,17 @@
         self.compact(now);
     }
 
+    /// Whether entries of the log wait to be applied.
+    pub fn has_more_to_apply(&self) -> bool {
+        self.replication.replica.has_more_to_apply()
+    }
+
+    /// Applies some of the entries that wait. Other events come in between.
+    pub fn apply_more(&mut self, now: u64) {
+        let effects = self.replication.replica.apply_more();
+        self.carry_out(now, effects);
+    }
+
     fn send_replica_messages(&self, messages: Vec<Outgoing>) {
         let me = self.replication.replica.me();
         for Outgoing { to, message, .. } in messages {
@@ -237,6 +227,7 @@
         }
         self.leadership.fence.restore(snapshot.leaders);
         self.replication.applied = snapshot.index;
+        self.note_document();
     }
 
     /// This head cannot come to the state that the others have: it applies nothing more, and ends.
@@ -260,6 +251,7 @@
                     Err(error) => return self.fail(error),
                 };
                 let result = self.state.apply(entry.index, &command);
+                self.note_document();
                 if let Command::Training(command) = &command {
                     self.on_training_applied(now, command, result.is_err());
                 }
@@ -287,34 +279,18 @@
         }
     }
 
+    /// The document in force is one that edges may have.
+    pub(super) fn note_document(&mut self) {
+        if let Some((document, index)) = self.state.document() {
+            self.publication.note(index, document);
+        }
+    }
+
     /// Whether what this head has applied is the newest that it could know of.
     pub(super) fn is_current(&self, now: u64) -> bool {
         self.replication.replica.is_current(now, LEADER_SILENCE)
     }
 
-    /// Tells edges of a configuration that they were not told yet: what changed to those that listen here, and to the
-    /// others that there is one. A head that catches up tells only where it ends; changes in quick succession go together.
-    pub(super) fn publish_configuration(&mut self, now: u64) {
-        let Some((document, index)) = self.state.document() else { return };
-        let published_index = self.replication.published.as_ref().map_or(0, |published| published.index);
-        let soon = now < self.replication.published_at + PUBLISH_APART;
-        if index == published_index || soon || !self.is_current(now) {
-            return;
-        }
-        let document = document::for_edges(document);
-        let update = match &self.replication.published {
-            Some(published) => document::difference(&published.document, &document),
-            None => document.clone(),
-        };
-        let document_bytes = update.to_string().into_bytes();
-        let update = ConfigurationUpdate { index, base_index: published_index, document: document_bytes };
-        self.replication.published = Some(PublishedConfiguration { index, document });
-        self.replication.published_at = now;
-        self.publish_to_subscribers(&Frame::Configuration(update));
-        let status = Frame::Core(self.core_status(false));
-        self.tell(&status, |edge| !edge.subscribed);
-    }
-
     // ---- operators ----
 
     /// Leads a caller on to the leader, unless this head leads. Returns the sender if it does.
--- a/crates/system/src/core/node/training.rs
+++ b/crates/system/src/core/node/training.rs
@@ -10,7 +10,7 @@
     WATCH_WITHIN, Watcher,
 };
 use crate::core::training::view;
-use pathbank_control::configuration::{Configuration, Rejection, Runtime};
+use pathbank_control::configuration::{Rejection, Runtime};
 use pathbank_control::placement::{Operation, Order};
 use pathbank_control::result_code::ResultCode;
 use pathbank_control::state::Command;
@@ -80,11 +80,10 @@
         let ledger = |command| Ok(Some(TrainingCommand::Ledger(command)));
         match call {
             TrainingCall::Open(body) => {
-                self.read_configuration();
-                let Some((_, configuration)) = &self.leadership.configuration else {
+                let Some(backends) = self.state.backends() else {
                     return Err(Rejection::new(ResultCode::NoConfiguration, "there is no configuration yet"));
                 };
-                ledger(StepCommand::Announce(body.clone().request(configuration)?))
+                ledger(StepCommand::Announce(body.clone().request(backends)?))
             }
             TrainingCall::Submit(step, prompts) => {
                 Ok(Some(TrainingCommand::Submit { step: *step, prompts: prompts.clone() }))
@@ -181,7 +180,6 @@
         }
         let Some(permit) = self.permit(now) else { return };
         let authority = self.authority(permit);
-        self.read_configuration();
         self.forget_models(&models);
         for model in &models {
             self.look_at_workers(now, model);
@@ -240,8 +238,7 @@
     fn place_of(&self, model: &str) -> Option<Place> {
         let step = self.state.training().ledger().current(model)?;
         let request: &StepRequest = &step.request;
-        let (_, configuration): &(u64, Configuration) = self.leadership.configuration.as_ref()?;
-        let backend = configuration.backends.iter().find(|known| known.name == request.backend)?;
+        let backend = self.state.backends()?.iter().find(|known| known.name == request.backend)?;
         let runtime = backend.runtime.clone()?;
         let bricks: Vec<Brick> = self.directory.ready().collect();
         let known = self.leadership.training.models.get(model);
--- a/crates/system/src/core/training/call.rs
+++ b/crates/system/src/core/training/call.rs
@@ -1,7 +1,7 @@
 //! What trainers ask of the control plane, as typed calls. Whatever makes no sense is refused with a reason and changes
 //! nothing.
 
-use pathbank_control::configuration::{Configuration, Rejection};
+use pathbank_control::configuration::{Backend, Rejection};
 use pathbank_control::result_code::ResultCode;
 use pathbank_control::training::Prompt;
 use pathbank_rollout::step::{DEFAULT_GENERATION_MS, StepRequest, WantedVersion, WorkersWanted};
@@ -154,12 +154,12 @@
     /// # Errors
     ///
     /// A name, a number or a path makes no sense, or no service has the model, or several have and none is named.
-    pub fn request(self, configuration: &Configuration) -> Result<StepRequest, Rejection> {
+    pub fn request(self, backends: &[Backend]) -> Result<StepRequest, Rejection> {
         let named = |name: &str| !name.is_empty() && name.len() <= MOST_NAME_BYTES;
         if !named(&self.key) {
             return Err(bad(format!("key: 1 to {MOST_NAME_BYTES} bytes")));
         }
-        let backend = backend_of(configuration, &self.model, self.backend.as_deref())?;
+        let backend = backend_of(backends, &self.model, self.backend.as_deref())?;
         let version = wanted_version(self.version)?;
         let workers = wanted_workers(self.workers, self.share)?;
         let path = self.path.unwrap_or_else(|| "/".to_owned());
@@ -188,11 +188,11 @@
     }
 }
 
-fn backend_of(configuration: &Configuration, model: &str, named: Option<&str>) -> Result<String, Rejection> {
+fn backend_of(backends: &[Backend], model: &str, named: Option<&str>) -> Result<String, Rejection> {
     let has_model = |runtime: &pathbank_control::configuration::Runtime| {
         runtime.models.iter().any(|known| known.name == model)
     };
-    let with_model = configuration.backends.iter().filter(|backend| {
+    let with_model = backends.iter().filter(|backend| {
         backend.runtime.as_ref().is_some_and(has_model) && named.is_none_or(|name| backend.name == name)
     });
     let names: Vec<&str> = with_model.map(|backend| backend.name.as_str()).collect();
