Soak: real processes under signals, restarts and changes that overlap, from a seed

Clients keep their connections until the process is gone, an operator changes the configuration without a pause and reads at any head. Found wrong would be: a request that ran twice or got another's answer, one that ran and got no answer from a process that was not killed, a confirmed change that is refused, lost, read older or gone from a process that served it.

--- a/crates/system/src/local.rs
+++ b/crates/system/src/local.rs
@@ -85,6 +85,11 @@
         self.signal("TERM");
     }
 
+    /// SIGHUP: its settings may have changed.
+    pub fn reload(&self) {
+        self.signal("HUP");
+    }
+
     /// It stands still until it is thawed or killed.
     pub fn freeze(&self) {
         self.signal("STOP");
--- a/crates/system/tests/common/mod.rs
+++ b/crates/system/tests/common/mod.rs
@@ -74,8 +74,12 @@
     }
 
     pub fn with(cores: u8, edges: u8) -> System {
+        System::with_logs(cores, edges, false)
+    }
+
+    pub fn with_logs(cores: u8, edges: u8, logs: bool) -> System {
         let program = PathBuf::from(env!("CARGO_BIN_EXE_pathbank-system"));
-        let plan = LocalPlan { program, cores, edges, zones: 1, quiet: true };
+        let plan = LocalPlan { program, cores, edges, zones: 1, quiet: !logs };
         let local = LocalSystem::new(&plan).expect("settings are written");
         let (control, ingress) = (local.control.clone(), local.edges[0].ingress);
         let readiness = local.edges[0].readiness;
--- /dev/null
+++ b/crates/system/tests/soak/main.rs
@@ -0,0 +1,80 @@
+//! A system of real processes under signals, restarts and changes that come in series and overlap, drawn from a seed, while
+//! clients keep their connections and operators change the configuration without a pause.
+//!
+//! `PATHBANK_SOAK_SEEDS=1..50 cargo test --release -p pathbank-system --test soak -- --nocapture` plays more seeds;
+//! `PATHBANK_SOAK_EDGES=140` starts so many edge heads, `PATHBANK_SOAK_LOGS=1` shows what the processes log.
+
+mod clients;
+#[path = "../common/mod.rs"]
+mod common;
+mod faults;
+mod findings;
+mod operators;
+
+use clients::Clients;
+use common::{System, document};
+use faults::{FaultPlan, Shape};
+use findings::Findings;
+use operators::Operator;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+/// What is played without another word.
+const SEEDS: std::ops::Range<u64> = 1..4;
+const EDGES: u8 = 3;
+const CORES: u8 = 3;
+const CLIENTS: usize = 6;
+/// How long disturbances come.
+const DISTURBED: Duration = Duration::from_secs(14);
+
+fn asked<T: std::str::FromStr>(variable: &str) -> Option<T> {
+    std::env::var(variable).ok()?.parse().ok()
+}
+
+fn seeds() -> std::ops::Range<u64> {
+    let asked = std::env::var("PATHBANK_SOAK_SEEDS").ok();
+    let range = asked.as_deref().and_then(|text| text.split_once(".."));
+    range.map_or(SEEDS, |(first, end)| first.parse().expect("a seed")..end.parse().expect("a seed"))
+}
+
+/// Plays one seed. Returns what was found wrong, and a line on what happened.
+fn play(seed: u64, edges: u8) -> (Vec<String>, String) {
+    let mut system = System::with_logs(CORES, edges, asked::<u8>("PATHBANK_SOAK_LOGS").is_some());
+    let brick = system.brick("i-app-1", "app", &[]);
+    let other_brick = system.brick("i-app-2", "app", &[]);
+    system.local.start().expect("the program starts");
+    system.configure(0, &document(3));
+    let findings = Arc::new(Findings::new(edges.into()));
+    findings.until_all_serve(&system, &[]);
+
+    let stop = Arc::new(AtomicBool::new(false));
+    let operator = Operator::start(&system, seed, 3, findings.clone(), stop.clone());
+    let clients = Clients::start(&system, seed, CLIENTS.max(edges.into()), findings.clone(), stop.clone());
+    let shape = Shape { cores: CORES.into(), edges: edges.into(), lasts: DISTURBED };
+    FaultPlan::draw(seed, shape).play(&mut system.local, &findings);
+    stop.store(true, Ordering::Relaxed);
+    let acknowledged = operator.join();
+    clients.join();
+
+    findings.until_all_serve(&system, &acknowledged);
+    findings.check_read_back(&system, &acknowledged);
+    findings.check_runs(&[brick.runs(), other_brick.runs()]);
+    let summary = format!("seed {seed}: {} changes, {}", acknowledged.len(), findings.summary());
+    (findings.all(), summary)
+}
+
+#[test]
+fn signals_restarts_and_changes_that_overlap() {
+    let edges = asked("PATHBANK_SOAK_EDGES").unwrap_or(EDGES);
+    let mut failed = Vec::new();
+    for seed in seeds() {
+        let (found, summary) = play(seed, edges);
+        println!("{summary}");
+        found.iter().for_each(|finding| println!("  {finding}"));
+        if !found.is_empty() {
+            failed.push(format!("seed {seed}: {}", found[0]));
+        }
+    }
+    assert!(failed.is_empty(), "PATHBANK_SOAK_SEEDS=N..N+1 plays one again: {failed:#?}");
+}
