Edges are told versions of models only by heads that have applied all that is committed

Cause: each training command told versions as it was applied, also from a log that is applied again after a start, oldest first; and an edge that began to listen was told by heads out of contact. Change: versions are published as configurations are: once the head is current, and anew after it was not (core/node/publication).

--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -314,6 +314,7 @@
         self.lead(now);
         self.train(now);
         self.publish_configuration(now);
+        self.publish_versions(now);
         let leader = self.replication.replica.leader().map(|leader| leader.id);
         let current = self.is_current(now);
         if current != self.published_current {
--- a/crates/system/src/core/node/links.rs
+++ b/crates/system/src/core/node/links.rs
@@ -3,7 +3,6 @@
 use super::{MEMBERS_EVERY, Node, Peer};
 use crate::clock;
 use crate::core::peers::LinkId;
-use crate::core::training::lead::model_versions;
 use crate::net::link::Link;
 use bytes::Bytes;
 use pathbank_coordination::replica::Role;
@@ -46,9 +45,8 @@
         let link = peer.link.clone();
         self.update_subscriber(id, subscription.known_index);
         link.send(&Frame::Bricks(bricks));
-        let versions = model_versions(self.state.training());
-        if !versions.is_empty() {
-            link.send(&Frame::ModelVersions(versions));
+        if let Some(versions) = self.publication.versions().filter(|versions| !versions.is_empty()) {
+            link.send(&Frame::ModelVersions(versions.to_vec()));
         }
     }
 
--- a/crates/system/src/core/node/publication.rs
+++ b/crates/system/src/core/node/publication.rs
@@ -1,15 +1,17 @@
-//! What edge heads are told of configurations: what changed since the one that they have.
+//! What edge heads are told of the replicated state: of configurations what changed since the one that they have, and the versions
+//! of models. Nothing is told before all that is committed was applied: what a log is replayed through is no news.
 
 use super::{Node, Peer};
 use crate::clock;
 use crate::core::peers::LinkId;
+use crate::core::training::lead::model_versions;
 use bytes::Bytes;
 use pathbank_control::document::Document;
 use pathbank_control::document_history::DocumentHistory;
 use pathbank_control::edge_document;
 use pathbank_coordination::types::Index;
 use pathbank_protocol::codec;
-use pathbank_protocol::message::{ConfigurationUpdate, Frame, ProcessRole};
+use pathbank_protocol::message::{ConfigurationUpdate, Frame, ModelVersions, ProcessRole};
 use std::collections::BTreeMap;
 
 /// Edges are told of changes at least so far apart, milliseconds.
@@ -22,6 +24,8 @@
     /// What was told last, and the entry that brought it.
     newest: Option<(Index, Document)>,
     told_at: u64,
+    /// The versions of models that those who listen here have. `None`: unknown.
+    versions: Option<Vec<ModelVersions>>,
 }
 
 impl Publication {
@@ -35,6 +39,11 @@
         self.newest.as_ref().map_or(0, |(index, _)| *index)
     }
 
+    /// The versions of models that those who listen here have, while this head is in contact with a majority.
+    pub fn versions(&self) -> Option<&[ModelVersions]> {
+        self.versions.as_deref()
+    }
+
     /// What an edge is told that has the document of `known`, or none (0). `None`: nothing was published yet.
     fn update_from(&self, known: Index) -> Option<ConfigurationUpdate> {
         let (index, document) = self.newest.as_ref()?;
@@ -68,6 +77,21 @@
         self.tell(&status, |edge| !edge.subscribed);
     }
 
+    /// Tells edges that listen here which versions of models there are, unless they know.
+    pub(super) fn publish_versions(&mut self, now: u64) {
+        if !self.is_current(now) {
+            self.publication.versions = None;
+            return;
+        }
+        let versions = model_versions(self.state.training());
+        let known = self.publication.versions.as_ref();
+        if known.map_or(versions.is_empty(), |known| *known == versions) {
+            return;
+        }
+        self.publish_to_subscribers(&Frame::ModelVersions(versions.clone()));
+        self.publication.versions = Some(versions);
+    }
+
     fn update_subscribers(&mut self) {
         let publication = &self.publication;
         let mut updates: BTreeMap<Index, Option<Bytes>> = BTreeMap::new();
--- a/crates/system/src/core/node/replication.rs
+++ b/crates/system/src/core/node/replication.rs
@@ -125,6 +125,7 @@
             self.replication.answer_waiting();
         }
         self.publish_configuration(now);
+        self.publish_versions(now);
         self.compact(now);
     }
 
--- a/crates/system/src/core/node/training.rs
+++ b/crates/system/src/core/node/training.rs
@@ -6,7 +6,7 @@
 use crate::core::peers::LinkId;
 use crate::core::training::call::{self, TrainingCall};
 use crate::core::training::lead::{
-    self, ASK_CHANGING_EVERY, ASK_EVERY, ChangePhase, LOOK_EVERY, MOST_OFFERED, ModelTraining, OFFER_APART,
+    ASK_CHANGING_EVERY, ASK_EVERY, ChangePhase, LOOK_EVERY, MOST_OFFERED, ModelTraining, OFFER_APART,
     WATCH_WITHIN, Watcher,
 };
 use crate::core::training::view;
@@ -160,7 +160,6 @@
         }
         self.leadership.training.look_at = now;
         self.answer_watchers(now);
-        self.tell_versions();
     }
 
     // ---- regular work ----
@@ -511,15 +510,6 @@
     }
 
     // ---- versions, for edges ----
-
-    /// Edges that listen here are told of models in training when that changes.
-    fn tell_versions(&mut self) {
-        let versions = lead::model_versions(self.state.training());
-        if versions != self.leadership.training.told_versions {
-            self.leadership.training.told_versions.clone_from(&versions);
-            self.publish_to_subscribers(&Frame::ModelVersions(versions));
-        }
-    }
 }
 
 fn settings_of(place: &Place, generation_ms: Millis) -> Settings {
--- a/crates/system/src/core/training/lead.rs
+++ b/crates/system/src/core/training/lead.rs
@@ -83,8 +83,6 @@
     pub offer_at: BTreeMap<String, u64>,
     /// Who waits for a step to change.
     pub watchers: Vec<Watcher>,
-    /// What edges were told of versions.
-    pub told_versions: Vec<ModelVersions>,
 }
 
 impl Training {
