--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`group`]: which store joins, replaces or leaves the group of voters.
 //! * [`record`]: the records of which a replica's durable state is made, and [`batch`] their checksummed form on disk.
 //! * [`store`]: the append-only file of those records (the one part that does I/O).
+//! * [`compaction`]: when a log is replaced by the state that it leads to.
 //! * [`callers`]: addresses of replicas that spoke lately.
 //! * [`digest`]: one digest for what has to be told apart by its content.
 //! * [`fencing`]: when a leader may act outside the group, and with which fencing token.
@@ -25,6 +26,7 @@
 
 pub mod batch;
 pub mod callers;
+pub mod compaction;
 pub mod consensus;
 pub mod digest;
 pub mod fencing;
--- a/crates/system/src/core/node/replication.rs
+++ b/crates/system/src/core/node/replication.rs
@@ -6,6 +6,7 @@
 use pathbank_control::result_code::ResultCode;
 use pathbank_control::state::{Change, Command, ControlState, StateError};
 use pathbank_coordination::callers::Callers;
+use pathbank_coordination::compaction::LogSize;
 use pathbank_coordination::group;
 use pathbank_coordination::replica::{Effects, Outgoing, Replica, Role};
 use pathbank_coordination::types::{Entry, Index, Member, Message, Payload, Snapshot, Term};
@@ -15,11 +16,6 @@
 
 /// A write that has not ended for so long counts as a disk that takes nothing, milliseconds.
 const DISK_PATIENCE: u64 = 1_500;
-/// The log is rewritten when its entries hold more bytes than this, and than so many snapshots.
-const LEAST_COMPACTED_BYTES: usize = 1024 * 1024;
-const COMPACTED_SNAPSHOTS: usize = 4;
-/// While a snapshot is on its way to a store, the log may grow to so many times that.
-const AWAITED_TIMES: usize = 4;
 
 struct WaitingChange {
     term: Term,
@@ -200,12 +196,14 @@
 
     fn compact(&mut self, now: u64) {
         let replication = &mut self.replication;
-        let snapshot = replication.replica.durable().snapshot.data.len();
-        let least = LEAST_COMPACTED_BYTES.max(COMPACTED_SNAPSHOTS * snapshot);
-        // A store that is being sent a snapshot needs the entries behind it, or it has to begin again.
-        let is_awaited = replication.replica.is_sending_snapshot(now);
-        let bound = if is_awaited { AWAITED_TIMES * least } else { least };
-        if replication.log_bytes < bound {
+        let snapshot = &replication.replica.durable().snapshot;
+        let log = LogSize {
+            entries: replication.applied.saturating_sub(snapshot.index),
+            bytes: replication.log_bytes,
+            snapshot_bytes: snapshot.data.len(),
+            is_awaited: replication.replica.is_sending_snapshot(now),
+        };
+        if !log.is_long() {
             return;
         }
         replication.log_bytes = 0;
