--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -1,27 +1,7 @@
-//! The operators' configuration as the system works with it: the typed view of a document.
+//! The items of the operators' configuration as the system works with them. Unknown keys are left alone.
 
 use crate::result_code::ResultCode;
 use facet::Facet;
-use serde_json::Value;
-
-/// The typed view of a document. Unknown keys are left alone.
-#[derive(Clone, Debug, Default, Facet)]
-pub struct Configuration {
-    /// Rises with every change.
-    pub version: u64,
-    /// Which requests go to which service.
-    #[facet(default)]
-    pub routes: Vec<Route>,
-    /// The services.
-    #[facet(default)]
-    pub backends: Vec<Backend>,
-    /// What a client may send.
-    #[facet(default)]
-    pub limits: Limits,
-    /// Who may send requests on routes that are not public.
-    #[facet(default)]
-    pub tenants: Vec<Tenant>,
-}
 
 /// What a route's requests are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Facet)]
@@ -231,10 +211,3 @@
         Rejection { code, message: message.into() }
     }
 }
-
-/// The typed view of a document.
-pub fn read(document: &Value) -> Result<Configuration, Rejection> {
-    let text = document.to_string();
-    facet_json::from_str::<Configuration>(&text)
-        .map_err(|error| Rejection::new(ResultCode::UnreadableDocument, error.to_string()))
-}
--- a/crates/control/tests/autoscaling.rs
+++ b/crates/control/tests/autoscaling.rs
@@ -1,7 +1,7 @@
 //! How many bricks run: stories of demand that comes, goes and finds a zone that gives nothing.
 
 use pathbank_control::autoscaling::{Autoscaler, ScaleOrder};
-use pathbank_control::configuration::{Autoscaling, Backend, Configuration};
+use pathbank_control::configuration::{Autoscaling, Backend};
 use pathbank_control::demand::DemandTable;
 use pathbank_protocol::message::{Brick, BrickState, EdgeReport, ModelDemand};
 use test_case::test_case;
@@ -14,7 +14,7 @@
 
 struct Story {
     now: u64,
-    configuration: Configuration,
+    backends: Vec<Backend>,
     /// Bricks by zone.
     running: Vec<(&'static str, u32)>,
     demand: DemandTable,
@@ -35,7 +35,7 @@
         };
         Story {
             now: 1_000,
-            configuration: Configuration { version: 1, backends: vec![backend], ..Configuration::default() },
+            backends: vec![backend],
             running: running.to_vec(),
             demand: DemandTable::default(),
             autoscaler: Autoscaler::new(),
@@ -89,7 +89,7 @@
 
     fn look(&mut self) {
         let bricks = self.bricks();
-        let orders = self.autoscaler.plan(self.now, &self.configuration.backends, &bricks, &self.demand);
+        let orders = self.autoscaler.plan(self.now, &self.backends, &bricks, &self.demand);
         for order in orders {
             self.autoscaler.taken(self.now, &order, self.answers);
             self.orders.push(order);
--- a/crates/control/tests/bricks.rs
+++ b/crates/control/tests/bricks.rs
@@ -1,6 +1,6 @@
 //! The list of bricks, demand, usage and placement.
 
-use pathbank_control::configuration::{Backend, Configuration, Model, Runtime};
+use pathbank_control::configuration::{Backend, Model, Runtime};
 use pathbank_control::demand::{DemandTable, ModelKey};
 use pathbank_control::directory::{Directory, HeldBefore};
 use pathbank_control::placement::{Operation, Order, Placer, TrainingHold};
@@ -206,7 +206,7 @@
 
 const SIZE: f64 = 70_000.0;
 
-fn configuration(models: &[&str]) -> Configuration {
+fn backends(models: &[&str]) -> Vec<Backend> {
     let model = |name: &&str| Model {
         name: (*name).into(),
         weights_mb: SIZE,
@@ -230,11 +230,11 @@
         runtime: Some(runtime),
         autoscaling: None,
     };
-    Configuration { backends: vec![backend], ..Configuration::default() }
+    vec![backend]
 }
 
-fn runtime(configuration: &Configuration) -> &Runtime {
-    configuration.backends[0].runtime.as_ref().unwrap()
+fn runtime(backends: &[Backend]) -> &Runtime {
+    backends[0].runtime.as_ref().unwrap()
 }
 
 fn ask(demand: &mut DemandTable, now: u64, model: &str, adapter: &str, arrived: u64, waiting: u32) {
@@ -252,7 +252,7 @@
 
 /// Bricks that carry orders out at once.
 struct Story {
-    configuration: Configuration,
+    backends: Vec<Backend>,
     bricks: Vec<Brick>,
     demand: DemandTable,
     placer: Placer,
@@ -270,7 +270,7 @@
             held_before.insert(brick.address.clone(), names.collect());
         }
         Story {
-            configuration: configuration(models),
+            backends: backends(models),
             bricks,
             demand: DemandTable::default(),
             placer: Placer::new(),
@@ -283,13 +283,8 @@
     /// One look at placement; orders end before the next.
     fn look(&mut self) {
         self.now += 100;
-        let orders = self.placer.plan(
-            self.now,
-            &self.configuration.backends,
-            &self.bricks,
-            &self.demand,
-            &self.held_before,
-        );
+        let orders =
+            self.placer.plan(self.now, &self.backends, &self.bricks, &self.demand, &self.held_before);
         for order in orders {
             self.carry_out(&order);
             self.placer.finished(&order.instance);
@@ -298,7 +293,7 @@
     }
 
     fn carry_out(&mut self, order: &Order) {
-        let runtime = runtime(&self.configuration).clone();
+        let runtime = runtime(&self.backends).clone();
         let brick = self.bricks.iter_mut().find(|brick| brick.instance == order.instance).unwrap();
         match (order.operation, order.adapter.is_empty()) {
             (Operation::Load, whole) => {
@@ -473,7 +468,7 @@
 
 #[test]
 fn a_brick_whose_report_is_fuller_than_the_list_takes_no_load() {
-    let configuration = configuration(&["a", "b", "c", "d"]);
+    let backends = backends(&["a", "b", "c", "d"]);
     let order = Order {
         instance: "i-1".into(),
         address: "10.0.0.1:80".into(),
@@ -482,9 +477,9 @@
         adapter: String::new(),
         expected_ms: 0,
     };
-    assert!(order.fits(runtime(&configuration), &brick(1, &["a", "b"]).models));
-    assert!(!order.fits(runtime(&configuration), &brick(1, &["a", "b", "c"]).models));
-    assert!(!order.fits(runtime(&configuration), &brick(1, &["unknown"]).models), "its size cannot be told");
+    assert!(order.fits(runtime(&backends), &brick(1, &["a", "b"]).models));
+    assert!(!order.fits(runtime(&backends), &brick(1, &["a", "b", "c"]).models));
+    assert!(!order.fits(runtime(&backends), &brick(1, &["unknown"]).models), "its size cannot be told");
 }
 
 #[test]
--- a/crates/system/tests/fleet/world.rs
+++ b/crates/system/tests/fleet/world.rs
@@ -6,7 +6,7 @@
 use super::audit::{Asked, LOADS_PER_S, Ledger, MAX_ATTEMPTS, Report};
 use super::brick::{ANSWER_MS, Arrival, LOAD_MS, MODEL_MB, ROOM_MB, SLOTS, SimBrick, Trouble};
 use pathbank_control::admission::AdmissionController;
-use pathbank_control::configuration::{Backend, Configuration, Model, Runtime};
+use pathbank_control::configuration::{Backend, Model, Runtime};
 use pathbank_control::demand::DemandTable;
 use pathbank_control::directory::Directory;
 use pathbank_control::outliers::OutlierTable;
@@ -92,7 +92,7 @@
 pub struct World {
     now: u64,
     random: u64,
-    configuration: Configuration,
+    backends: Vec<Backend>,
     heads: Vec<Head>,
     bricks: Vec<SimBrick>,
     leader: Leader,
@@ -149,7 +149,7 @@
         let mut world = World {
             now: 10_000,
             random: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1,
-            configuration: Configuration { version: 1, backends: vec![backend], ..Configuration::default() },
+            backends: vec![backend],
             heads: (0..heads).map(head).collect(),
             bricks: (0..bricks)
                 .map(|number| SimBrick::new(number, number % ZONES, &held_first(number, &names)))
--- a/crates/system/tests/fleet/world/placement.rs
+++ b/crates/system/tests/fleet/world/placement.rs
@@ -6,8 +6,7 @@
     pub(super) fn place(&mut self) {
         let bricks: Vec<Brick> = self.leader.directory.ready().collect();
         let Leader { placer, demand, directory, .. } = &mut self.leader;
-        let orders =
-            placer.plan(self.now, &self.configuration.backends, &bricks, demand, directory.held_before());
+        let orders = placer.plan(self.now, &self.backends, &bricks, demand, directory.held_before());
         orders.into_iter().for_each(|order| self.carry_order_out(order));
     }
 
