Documents that edges may have are bounded by what their changes brought

256 documents share what they have in common, but whole ones of a megabyte each share nothing: 1 MiB of changes is kept, and always the newest.

--- /dev/null
+++ b/crates/control/tests/document_history.rs
@@ -0,0 +1,34 @@
+//! Which earlier documents a control head still knows.
+
+use pathbank_control::document::Document;
+use pathbank_control::document_history::DocumentHistory;
+
+fn known(history: &DocumentHistory, indices: std::ops::RangeInclusive<u64>) -> Vec<u64> {
+    indices.filter(|index| history.get(*index).is_some()).collect()
+}
+
+#[test]
+fn the_latest_are_known_by_their_entries() {
+    let mut history = DocumentHistory::default();
+    for index in [3, 5, 5, 4, 9] {
+        history.note(index, &Document::default(), 100);
+    }
+    assert_eq!(known(&history, 1..=10), [3, 5, 9]);
+}
+
+#[test]
+fn they_are_bounded_in_number() {
+    let mut history = DocumentHistory::default();
+    (1..=1_000).for_each(|index| history.note(index, &Document::default(), 100));
+    assert_eq!(known(&history, 1..=1_000), (745..=1_000).collect::<Vec<_>>());
+}
+
+/// An operator who always sends whole documents of a megabyte must not fill a small machine's memory.
+#[test]
+fn they_are_bounded_by_what_their_changes_brought() {
+    let mut history = DocumentHistory::default();
+    (1..=20).for_each(|index| history.note(index, &Document::default(), 300 * 1024));
+    assert_eq!(known(&history, 1..=20), [18, 19, 20]);
+    history.note(21, &Document::default(), 4 * 1024 * 1024);
+    assert_eq!(known(&history, 1..=21), [21], "the newest is always known");
+}
--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -221,7 +221,7 @@
             fatal: None,
             due: Due::default(),
         };
-        node.note_document();
+        node.note_document(snapshot.data.len());
         node.open_links();
         Ok(node)
     }
--- a/crates/system/src/core/node/publication.rs
+++ b/crates/system/src/core/node/publication.rs
@@ -29,9 +29,9 @@
 }
 
 impl Publication {
-    /// A document was applied.
-    pub fn note(&mut self, index: Index, document: &Document) {
-        self.history.note(index, document);
+    /// A document was applied, brought by a change of so many bytes.
+    pub fn note(&mut self, index: Index, document: &Document, bytes: usize) {
+        self.history.note(index, document, bytes);
     }
 
     /// The entry of the document that edges were told last; 0: none.
--- a/crates/system/src/core/node/replication.rs
+++ b/crates/system/src/core/node/replication.rs
@@ -226,7 +226,7 @@
         }
         self.leadership.fence.restore(snapshot.leaders);
         self.replication.applied = snapshot.index;
-        self.note_document();
+        self.note_document(snapshot.data.len());
     }
 
     /// This head cannot come to the state that the others have: it applies nothing more, and ends.
@@ -250,7 +250,7 @@
                     Err(error) => return self.fail(error),
                 };
                 let result = self.state.apply(entry.index, &command);
-                self.note_document();
+                self.note_document(bytes.len());
                 if let Command::Training(command) = &command {
                     self.on_training_applied(now, command, result.is_err());
                 }
@@ -278,10 +278,10 @@
         }
     }
 
-    /// The document in force is one that edges may have.
-    pub(super) fn note_document(&mut self) {
+    /// The document in force is one that edges may have. It was brought by so many bytes.
+    pub(super) fn note_document(&mut self, bytes: usize) {
         if let Some((document, index)) = self.state.document() {
-            self.publication.note(index, document);
+            self.publication.note(index, document, bytes);
         }
     }
 
