An edge that missed a difference asks for what leads on from what it has

Cause: differences of two control heads do not lead on from one another; an edge that took a whole configuration from one and listens to the other took none of its differences, and got whole ones, each 0.2 s after it was announced. Change: message fetchDifference (an addition); the head answers from its history of documents, or with the whole, and goes on from there. Result: a test on real processes; the listening end of tests stands once (tests/common/listener).

--- a/crates/protocol/schema/internal.capnp
+++ b/crates/protocol/schema/internal.capnp
@@ -344,5 +344,7 @@
     drawResult @16 :DrawResult;
     modelVersions @17 :ModelVersionList;
     brickNews @18 :BrickNews;
+    # The configuration's entry that the edge has; 0: none.
+    fetchDifference @19 :UInt64;
   }
 }
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -30,6 +30,8 @@
     Subscribe(Subscription),
     /// An edge asks for the configuration that a core announced.
     FetchConfiguration,
+    /// An edge that missed a difference asks the core that it listens to for what is newer than this entry's configuration.
+    FetchDifference(u64),
     /// Requests out at bricks from all edges together, as the leader knows them.
     Loads(Vec<BrickLoad>),
     /// An edge asks the leader at which brick a prompt should be read next, and when.
--- a/crates/protocol/src/read.rs
+++ b/crates/protocol/src/read.rs
@@ -48,6 +48,7 @@
             Frame::Subscribe(Subscription { wanted: subscription.get_wanted(), known_index })
         }
         Which::FetchConfiguration(()) => Frame::FetchConfiguration,
+        Which::FetchDifference(known) => Frame::FetchDifference(known),
         Which::Loads(loads) => Frame::Loads(loads?.get_loads()?.iter().map(read_load).collect::<Read<_>>()?),
         Which::AdmissionRequest(request) => {
             let request = request?;
--- a/crates/protocol/src/write.rs
+++ b/crates/protocol/src/write.rs
@@ -44,6 +44,7 @@
             subscribe.set_known_index(subscription.known_index);
         }
         Frame::FetchConfiguration => out.set_fetch_configuration(()),
+        Frame::FetchDifference(known) => out.set_fetch_difference(*known),
         Frame::Loads(loads) => {
             write_list!(loads, out.init_loads().init_loads(loads.len() as u32), write_load);
         }
--- a/crates/protocol/tests/round_trip.rs
+++ b/crates/protocol/tests/round_trip.rs
@@ -155,6 +155,7 @@
 #[test_case(Frame::Report(report()); "report")]
 #[test_case(Frame::Subscribe(Subscription { wanted: true, known_index: 9 }); "subscribe")]
 #[test_case(Frame::FetchConfiguration; "fetch configuration")]
+#[test_case(Frame::FetchDifference(41); "fetch difference")]
 #[test_case(Frame::Loads(report().loads); "loads")]
 #[test_case(Frame::AdmissionRequest(admission()); "admission request")]
 #[test_case(Frame::AdmissionGrant(AdmissionGrant { request: 7, option: 1, wait_ms: 30 }); "admission grant")]
--- a/crates/system/src/core/node/links.rs
+++ b/crates/system/src/core/node/links.rs
@@ -85,6 +85,7 @@
             }
             Frame::Subscribe(subscription) => self.on_subscribe(id, subscription),
             Frame::FetchConfiguration => self.send_configuration_to(id),
+            Frame::FetchDifference(known) => self.update_subscriber(id, known),
             Frame::AdmissionRequest(request) => self.on_admission_request(now, id, &request),
             // A leader's own orders are what it knows best; one that led before may still tell of its last ones.
             Frame::BrickNews(news) if !self.replication.replica.is_settled_leader() => {
--- a/crates/system/src/core/node/publication.rs
+++ b/crates/system/src/core/node/publication.rs
@@ -109,7 +109,7 @@
         }
     }
 
-    /// An edge that begins to listen here said which configuration it has: it gets what is newer.
+    /// An edge that begins to listen here, or missed something, said which configuration it has: it gets what is newer.
     pub(super) fn update_subscriber(&mut self, id: LinkId, known: Index) {
         let current = self.current_index();
         let Some(edge) = self.peers.get_mut(&id) else { return };
--- a/crates/system/src/edge/core_links.rs
+++ b/crates/system/src/edge/core_links.rs
@@ -70,6 +70,15 @@
     }
 }
 
+/// A difference to another configuration than the one in force came: what leads on from this one is asked for at once.
+pub fn ask_for_difference(shared: &Shared, known_index: u64) {
+    let subscribed = shared.deciding().core_choice.subscribed();
+    if let (Some(mesh), Some(core)) = (shared.mesh.get(), subscribed) {
+        let sent = mesh.send(core, &Frame::FetchDifference(known_index));
+        tracing::debug!(known_index, sent, "a difference was missed");
+    }
+}
+
 fn set_seeds(shared: &Arc<Shared>, seeds: &[SocketAddr]) {
     let addresses = seeds.iter().map(|seed| shared.settings.internal_address(*seed)).collect();
     shared.cores.lock().unwrap_or_else(PoisonError::into_inner).seeds = addresses;
--- a/crates/system/src/edge/rollout.rs
+++ b/crates/system/src/edge/rollout.rs
@@ -1,6 +1,7 @@
 //! Configurations on their way into force at this head: one after the other, each read a few items at a time, so that
 //! streams are passed on meanwhile.
 
+use super::core_links;
 use super::shared::Shared;
 use crate::clock;
 use pathbank_control::configuration::Rejection;
@@ -58,6 +59,10 @@
 async fn take_over(shared: &Shared, update: &ConfigurationUpdate) -> Result<(), Rejection> {
     let known = shared.routes.load_full().unwrap_or_default();
     if !known.leads_to(update.index, update.base_index) {
+        // Differences of two cores do not lead on from one another: which one was missed, no later one makes good.
+        if update.index > known.index {
+            core_links::ask_for_difference(shared, known.index);
+        }
         return Ok(());
     }
     let is_whole = update.base_index == 0;
--- /dev/null
+++ b/crates/system/tests/common/listener.rs
@@ -0,0 +1,57 @@
+//! A link to a control head, as an edge head has it, that keeps all that it hears.
+
+use pathbank_protocol::message::{Frame, Hello, ProcessRole, Subscription};
+use pathbank_system::net::link::{self, Link};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Connects as soon as somebody listens there, and wants all news.
+pub struct EdgeListener {
+    heard: Arc<Mutex<Vec<Frame>>>,
+    link: Arc<Mutex<Option<Link>>>,
+    _runtime: tokio::runtime::Runtime,
+}
+
+impl EdgeListener {
+    pub fn of(control_head: SocketAddr) -> EdgeListener {
+        let runtime =
+            tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build().unwrap();
+        let (heard, link) = (Arc::<Mutex<Vec<Frame>>>::default(), Arc::<Mutex<Option<Link>>>::default());
+        runtime.spawn(listen(control_head, heard.clone(), link.clone()));
+        EdgeListener { heard, link, _runtime: runtime }
+    }
+
+    /// All that was heard so far.
+    pub fn heard(&self) -> Vec<Frame> {
+        self.heard.lock().unwrap().clone()
+    }
+
+    /// Says something, once the link stands.
+    pub fn say(&self, frame: &Frame) -> bool {
+        self.link.lock().unwrap().as_ref().is_some_and(|link| link.send(frame))
+    }
+}
+
+async fn listen(
+    control_head: SocketAddr,
+    heard: Arc<Mutex<Vec<Frame>>>,
+    open_link: Arc<Mutex<Option<Link>>>,
+) {
+    let stream = loop {
+        match tokio::net::TcpStream::connect(control_head).await {
+            Ok(stream) => break stream,
+            Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+        }
+    };
+    let (link, outbox) = link::channel();
+    let hello = Hello { role: ProcessRole::Edge, name: "listener".into(), zone: "z1".into(), life: 1 };
+    link.send(&Frame::Hello(hello));
+    link.send(&Frame::Subscribe(Subscription { wanted: true, known_index: 0 }));
+    *open_link.lock().unwrap() = Some(link);
+    link::run(stream, outbox, |frame| {
+        heard.lock().unwrap().push(frame);
+        true
+    })
+    .await;
+}
--- a/crates/system/tests/common/mod.rs
+++ b/crates/system/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod listener;
+
 use pathbank_system::local::{LocalPlan, LocalSystem};
 use pathbank_system::stand_in::drawn::DrawnLog;
 use pathbank_system::stand_in::{self, StandInSettings, StandInState};
--- a/crates/system/tests/loopback.rs
+++ b/crates/system/tests/loopback.rs
@@ -2,7 +2,9 @@
 
 mod common;
 
+use common::listener::EdgeListener;
 use common::{System, call, document, until};
+use pathbank_protocol::message::Frame;
 use pathbank_system::local::Process;
 use std::io::{Read, Write};
 use std::process::Command;
@@ -51,6 +53,35 @@
     until("every edge that the leader names has version 7", || holds(7));
 }
 
+// Differences of two control heads do not lead on from one another: an edge head that took a whole configuration from one and listens
+// to the other took none of its differences, and lived on whole ones, each asked for 0.2 s after it was announced. It was
+// found by reading, when each stretch of a change's way was given its bound.
+#[test]
+fn an_edge_that_missed_a_difference_is_told_what_leads_on_from_what_it_has() {
+    let system = System::started();
+    system.configure(0, &document(3));
+    system.until_ready();
+    let listener = EdgeListener::of(system.local.internal[0]);
+    let updates = || -> Vec<(u64, u64)> {
+        let heard = listener.heard().into_iter();
+        let updates = heard.filter_map(|frame| match frame {
+            Frame::Configuration(update) => Some((update.base_index, update.index)),
+            _ => None,
+        });
+        updates.collect()
+    };
+    until("the first comes whole", || updates().len() == 1);
+    let (base, first) = updates()[0];
+    assert_eq!(base, 0, "who has none gets the whole");
+    system.configure(3, &document(4));
+    until("the next is a difference", || updates().last().is_some_and(|(base, _)| *base == first));
+    system.configure(4, &document(5));
+    until("and the next one leads on from that", || updates().len() >= 3);
+    let newest = updates().last().unwrap().1;
+    assert!(listener.say(&Frame::FetchDifference(first)));
+    until("what leads on from the first is told again", || updates().last() == Some(&(first, newest)));
+}
+
 #[test]
 fn a_model_that_no_brick_holds_is_loaded_when_it_is_asked_for() {
     let system = System::started();
--- a/crates/system/tests/training/main.rs
+++ b/crates/system/tests/training/main.rs
@@ -4,11 +4,10 @@
 mod common;
 mod world;
 
+use common::listener::EdgeListener;
 use common::{call, until};
-use pathbank_protocol::message::{Frame, Hello, ProcessRole, Subscription};
-use pathbank_system::net::link;
+use pathbank_protocol::message::Frame;
 use pathbank_system::stand_in::engine::EngineFault;
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use test_case::test_case;
 use world::{LONG_STREAMS, World};
@@ -341,30 +340,6 @@
     assert_eq!(world.trainer.read(step).unwrap()["submitted"], before);
 }
 
-/// Everything that a control head tells an edge head which listens to it, from its start on.
-fn listen(address: std::net::SocketAddr, heard: Arc<Mutex<Vec<Frame>>>) -> tokio::runtime::Runtime {
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build().unwrap();
-    runtime.spawn(async move {
-        let stream = loop {
-            match tokio::net::TcpStream::connect(address).await {
-                Ok(stream) => break stream,
-                Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
-            }
-        };
-        let (link, outbox) = link::channel();
-        let hello = Hello { role: ProcessRole::Edge, name: "listener".into(), zone: "z1".into(), life: 1 };
-        link.send(&Frame::Hello(hello));
-        link.send(&Frame::Subscribe(Subscription { wanted: true, known_index: 0 }));
-        link::run(stream, outbox, |frame| {
-            heard.lock().unwrap().push(frame);
-            true
-        })
-        .await;
-        drop(link);
-    });
-    runtime
-}
-
 // Control heads that started again told edge heads each version of a model that their log went through, the oldest first,
 // while it was applied; a request for the newest sealed weights could go to a brick that still held older ones. Only
 // configurations waited until all was applied. It was found by reading, when the log's replay was looked at.
@@ -378,14 +353,13 @@
     }
     let cores = &mut world.system.local.cores;
     cores.iter_mut().for_each(|core| core.kill());
-    let heard = Arc::new(Mutex::new(Vec::new()));
-    let listeners: Vec<_> =
-        world.system.local.internal.iter().map(|address| listen(*address, heard.clone())).collect();
+    let listeners: Vec<EdgeListener> =
+        world.system.local.internal.iter().map(|address| EdgeListener::of(*address)).collect();
     let cores = &mut world.system.local.cores;
     cores.iter_mut().for_each(|core| core.start().expect("the program starts"));
     let told = || -> Vec<u64> {
-        let heard = heard.lock().unwrap();
-        let versions = heard.iter().filter_map(|frame| match frame {
+        let heard = listeners.iter().flat_map(EdgeListener::heard);
+        let versions = heard.filter_map(|frame| match frame {
             Frame::ModelVersions(versions) => versions.iter().map(|model| model.sealed.unwrap_or(0)).max(),
             _ => None,
         });
@@ -393,5 +367,4 @@
     };
     until("edge heads are told by all of them", || told().iter().filter(|sealed| **sealed == 3).count() >= 3);
     assert!(told().iter().all(|sealed| *sealed == 3), "told: {:?}", told());
-    drop(listeners);
 }
