--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -3,6 +3,7 @@
 //! Demand decides: a model or adapter that clients wait for and no brick holds is loaded first; a model whose bricks are
 //! busy gets one more. Room is made by unloading what is asked for least, and never for something asked for less.
 
+mod adapters;
 mod training_hold;
 mod zones;
 
@@ -385,62 +386,6 @@
         self.orders.push(order);
     }
 
-    // ---- adapters ----
-
-    fn adapters(&mut self, placer: &mut Placer) {
-        let mut wanted: Vec<ModelKey> = self.keys();
-        wanted.retain(|key| !key.adapter.is_empty() && self.holders(&key.model) > 0);
-        wanted.sort_by(|one, other| self.rate(other).total_cmp(&self.rate(one)));
-        for key in wanted {
-            let rate = self.rate(&key);
-            let known = self.model(&key.model).is_some();
-            let holders = self.adapter_holders(&key.model, &key.adapter);
-            let enough = (1.0 + rate / REQUESTS_PER_ADAPTER) as usize;
-            let asked = rate > 0.01;
-            if known && asked && holders < enough && !self.is_loading(placer, &key.model, &key.adapter) {
-                self.add_adapter(placer, &key, rate, holders == 0);
-            }
-        }
-    }
-
-    fn add_adapter(&mut self, placer: &mut Placer, key: &ModelKey, rate: f64, makes_room: bool) {
-        let size = self.model(&key.model).map_or(0.0, |model| model.adapter_mb);
-        let candidates = self.bricks.iter().copied().filter(|brick| {
-            let holds_model = loaded(brick, &key.model).is_some();
-            holds_model && !holds_adapter(brick, &key.model, &key.adapter) && self.is_free(placer, brick)
-        });
-        let candidates: Vec<&Brick> = candidates.collect();
-        let has_room = |brick: &&&Brick| {
-            adapter_count(brick) < self.runtime.max_adapters as usize
-                && self.used_mb(brick) + size <= self.runtime.weights_mb
-        };
-        let calmest = |one: &&&Brick, other: &&&Brick| {
-            let rank = |brick: &Brick| self.occupancy(brick) + 0.05 * adapter_count(brick) as f64;
-            rank(one).total_cmp(&rank(other))
-        };
-        if let Some(brick) = candidates.iter().filter(has_room).min_by(calmest).copied() {
-            return self.order(placer, brick, Operation::Load, key);
-        }
-        let victims = candidates.iter().filter_map(|brick| Some((self.least_adapter(brick)?, *brick)));
-        let cheapest = victims.min_by(|((_, one), _), ((_, other), _)| one.total_cmp(other));
-        if let Some(((victim, _), brick)) = cheapest.filter(|((_, value), _)| makes_room && *value < rate) {
-            self.order(placer, brick, Operation::Unload, &victim);
-        }
-    }
-
-    /// The adapter of a brick that is asked for least, by copies.
-    fn least_adapter(&self, brick: &Brick) -> Option<(ModelKey, f64)> {
-        let held = brick.models.iter().flat_map(|held| {
-            held.adapters.iter().map(|adapter| self.key(&held.name, adapter)).collect::<Vec<_>>()
-        });
-        let valued = held.map(|key| {
-            let copies = self.adapter_holders(&key.model, &key.adapter).max(1) as f64;
-            let value = self.rate(&key) / copies;
-            (key, value)
-        });
-        valued.min_by(|(_, one), (_, other)| one.total_cmp(other))
-    }
-
     // ---- models ----
 
     /// Loads what bricks were cleared for.
--- a/crates/system/src/core/node/training.rs
+++ b/crates/system/src/core/node/training.rs
@@ -1,35 +1,25 @@
-//! Training steps at the leader: trainers' calls, workers that change versions, generations that edges draw.
+//! Training steps at the leader: their regular work, and workers that change versions.
 
-use super::{Event, Node, Reply};
+mod calls;
+mod generations;
+
+use super::{Event, Node};
 use crate::core::brick_json::ReportJson;
 use crate::core::orders::{self, Authority, OrderEnd};
-use crate::core::peers::LinkId;
-use crate::core::training::call::{self, TrainingCall};
-use crate::core::training::lead::{
-    ASK_CHANGING_EVERY, ASK_EVERY, ChangePhase, LOOK_EVERY, MOST_OFFERED, ModelTraining, OFFER_APART,
-    WATCH_WITHIN, Watcher,
-};
-use crate::core::training::view;
-use pathbank_control::configuration::{Rejection, Runtime};
+use crate::core::training::lead::{ASK_CHANGING_EVERY, ASK_EVERY, ChangePhase, LOOK_EVERY, ModelTraining};
+use pathbank_control::configuration::Runtime;
 use pathbank_control::placement::{Operation, Order};
-use pathbank_control::result_code::ResultCode;
 use pathbank_control::state::Command;
+use pathbank_control::training::TrainingCommand;
 use pathbank_control::training::workers::{self, Workers};
-use pathbank_control::training::{Output, TrainingCommand};
-use pathbank_protocol::message::{
-    Brick, DrawEnding, DrawGrant, DrawId, DrawOffer, DrawRequest, DrawResult, DrawTask, Frame, LoadedModel,
-    ProcessRole,
-};
+use pathbank_protocol::message::{Brick, LoadedModel};
+use pathbank_rollout::Millis;
 use pathbank_rollout::change_over::Bounds;
-use pathbank_rollout::conductor::{Action, Conductor, Draw, DrawEnd, DrawOutcome, Settings};
-use pathbank_rollout::evidence::VersionTrail;
-use pathbank_rollout::ledger::Command as StepCommand;
-use pathbank_rollout::step::{Step, StepRequest};
+use pathbank_rollout::conductor::{Action, Conductor, Draw, Settings};
+use pathbank_rollout::step::StepRequest;
 use pathbank_rollout::worker::WorkerReport;
-use pathbank_rollout::{Millis, StepNumber};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use tokio::sync::oneshot;
 
 /// What a worker has when it begins to drain may go on for so long, milliseconds; then the order to unload waits for it.
 const DRAIN_MS: Millis = 2_000;
@@ -56,112 +46,6 @@
 }
 
 impl Node {
-    // ---- trainers' calls ----
-
-    pub(super) fn on_training_call(&mut self, now: u64, call: TrainingCall, reply: oneshot::Sender<Reply>) {
-        let Some(reply) = self.as_leader(now, reply) else { return };
-        // Whoever waits for a step waits at the leader of this term.
-        self.leadership.enter_term(now, self.replication.replica.term());
-        let certain = self.replication.replica.lease_until() > now;
-        if !certain {
-            let message = "the lease is not certain".to_owned();
-            let _ = reply.send(Reply::Result(ResultCode::NoLeader, message));
-            return;
-        }
-        match self.training_command(&call) {
-            Ok(Some(command)) => self.propose_for(now, &Command::Training(command), reply),
-            Ok(None) => self.read_training(now, call, reply),
-            Err(rejection) => drop(reply.send(Reply::Result(rejection.code, rejection.message))),
-        }
-    }
-
-    /// The command that a call asks for; `None`: it only reads.
-    fn training_command(&mut self, call: &TrainingCall) -> Result<Option<TrainingCommand>, Rejection> {
-        let ledger = |command| Ok(Some(TrainingCommand::Ledger(command)));
-        match call {
-            TrainingCall::Open(body) => {
-                let Some(backends) = self.state.backends() else {
-                    return Err(Rejection::new(ResultCode::NoConfiguration, "there is no configuration yet"));
-                };
-                ledger(StepCommand::Announce(body.clone().request(backends)?))
-            }
-            TrainingCall::Submit(step, prompts) => {
-                Ok(Some(TrainingCommand::Submit { step: *step, prompts: prompts.clone() }))
-            }
-            TrainingCall::Seal(step, body) => {
-                ledger(StepCommand::Close { step: *step, allow_missing: body.allow_missing })
-            }
-            TrainingCall::Abort(step) => ledger(StepCommand::Abort { step: *step }),
-            TrainingCall::List
-            | TrainingCall::Read { .. }
-            | TrainingCall::Results { .. }
-            | TrainingCall::Explain(_) => Ok(None),
-        }
-    }
-
-    fn read_training(&mut self, now: u64, call: TrainingCall, reply: oneshot::Sender<Reply>) {
-        let state = self.state.training();
-        let number = match call {
-            TrainingCall::Read { step, .. } | TrainingCall::Results { step, .. } => step,
-            TrainingCall::Explain(step) => step,
-            _ => {
-                let steps: Vec<_> = state
-                    .ledger()
-                    .steps()
-                    .map(|step| view::step(state, step, self.waits(now, step)))
-                    .collect();
-                return send_json(reply, &serde_json::json!({ "steps": steps }));
-            }
-        };
-        let Some(step) = state.ledger().step(number) else {
-            let message = format!("there is no step {number}");
-            let _ = reply.send(Reply::Result(ResultCode::UnknownStep, message));
-            return;
-        };
-        match call {
-            TrainingCall::Results { after, most, .. } => {
-                send_json(reply, &view::results(state, step, after, most.min(call::MOST_RESULTS)));
-            }
-            TrainingCall::Explain(_) => {
-                let training = self.leadership.training.models.get(&step.request.model);
-                send_json(reply, &view::explain(state, step, training, now, number));
-            }
-            TrainingCall::Read { seen: Some(seen), .. } if state.changed(number) <= seen => {
-                let until = now + WATCH_WITHIN;
-                self.leadership.training.watchers.push(Watcher { step: number, seen, until, reply });
-            }
-            _ => send_json(reply, &view::step(state, step, self.waits(now, step))),
-        }
-    }
-
-    fn waits(&self, now: u64, step: &Step) -> Option<pathbank_rollout::conductor::Waits> {
-        let training = self.leadership.training.models.get(&step.request.model)?;
-        training.conductor.waits(now, self.state.training().ledger(), step.number)
-    }
-
-    fn answer_watchers(&mut self, now: u64) {
-        let due = self.leadership.training.due_watchers(now, self.state.training());
-        for watcher in due {
-            let call = TrainingCall::Read { step: watcher.step, seen: None };
-            self.read_training(now, call, watcher.reply);
-        }
-    }
-
-    /// A command about steps was applied.
-    pub(super) fn on_training_applied(&mut self, now: u64, command: &TrainingCommand, refused: bool) {
-        if refused {
-            // What was proposed and is refused may be proposed again, on what stands then.
-            for training in self.leadership.training.models.values_mut() {
-                training.conductor.proposal_lost();
-            }
-        }
-        if let TrainingCommand::Ledger(command) = command {
-            log_step(command, refused);
-        }
-        self.leadership.training.look_at = now;
-        self.answer_watchers(now);
-    }
-
     // ---- regular work ----
 
     /// Looks at the steps that are under way. Without the lead, nothing of them is this head's.
@@ -380,136 +264,6 @@
         self.give_version_order(workers::load_order(&brick, &order.model, &runtime), authority);
         true
     }
-
-    // ---- generations ----
-
-    /// Tells edges that generations wait, as many as could begin, spread over all of them.
-    fn offer_generations(&mut self, now: u64, models: &[String]) {
-        let ledger = self.state.training().ledger();
-        let training = &self.leadership.training;
-        let of_model = |model: &String| Some(training.models.get(model)?.conductor.could_draw(now, ledger));
-        let waiting: usize = models.iter().filter_map(of_model).sum();
-        if waiting == 0 {
-            return;
-        }
-        let free = |name: &str| now >= training.offer_at.get(name).copied().unwrap_or(0);
-        let edges: Vec<(String, LinkId)> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.hello.role == ProcessRole::Edge && !peer.link.is_closed())
-            .filter(|(_, peer)| free(&peer.hello.name))
-            .map(|(id, peer)| (peer.hello.name.clone(), *id))
-            .collect();
-        let each = waiting.div_ceil(edges.len().max(1)).clamp(1, MOST_OFFERED);
-        for (name, id) in edges.into_iter().take(waiting.div_ceil(each)) {
-            if let Some(peer) = self.peers.get(&id) {
-                peer.link.send(&Frame::DrawOffer(DrawOffer { count: each as u32 }));
-            }
-            self.leadership.training.offer_at.insert(name, now + OFFER_APART);
-        }
-    }
-
-    /// An edge asks for generations: they begin by its clock, and by this head's lease.
-    pub(super) fn on_draw_request(&mut self, now: u64, id: LinkId, request: DrawRequest) {
-        let Some(permit) = self.permit(now) else { return };
-        let authority = self.authority(permit);
-        let models: Vec<String> = self.leadership.training.models.keys().cloned().collect();
-        let mut draws: Vec<(String, Draw)> = Vec::new();
-        for model in models {
-            let room = (request.count as usize).saturating_sub(draws.len());
-            let begun = self.act(now, &model, room, &authority);
-            draws.extend(begun.into_iter().map(|draw| (model.clone(), draw)));
-        }
-        if draws.is_empty() {
-            return;
-        }
-        let tasks: Vec<DrawTask> = draws.iter().filter_map(|(model, draw)| self.task(model, draw)).collect();
-        let grant = DrawGrant { asked_at: request.asked_at, begin_ms: BEGIN_WITHIN_MS, tasks };
-        let sent = self.peers.get(&id).is_some_and(|peer| peer.link.send(&Frame::DrawGrant(grant)));
-        if !sent {
-            draws.into_iter().for_each(|(model, draw)| {
-                self.draw_ended(now, &model, draw, DrawOutcome::Over, 0, Output::default());
-            });
-        }
-    }
-
-    fn task(&self, model: &str, draw: &Draw) -> Option<DrawTask> {
-        let state = self.state.training();
-        let step = state.ledger().step(draw.step)?;
-        let prompt = state.prompt(draw.step, draw.prompt)?;
-        let address = self.directory.brick(&draw.worker)?.address;
-        let stride = self.runtime_of(&draw.worker).map_or(1.0, |runtime| runtime.stride);
-        Some(DrawTask {
-            id: DrawId {
-                step: draw.step,
-                epoch: draw.epoch,
-                prompt: draw.prompt,
-                instance: draw.worker.clone(),
-                version: draw.version,
-            },
-            address,
-            model: model.to_owned(),
-            path: step.request.path.clone(),
-            body: prompt.body.clone(),
-            input_tokens: prompt.input_tokens,
-            output_tokens: prompt.output_tokens,
-            prefix: prompt.prefix.clone(),
-            within_ms: draw.within,
-            event_tokens: stride.max(1.0) as u32,
-        })
-    }
-
-    /// An edge tells how a generation ended. Only the leader puts it into the log.
-    pub(super) fn on_draw_result(&mut self, now: u64, result: DrawResult) {
-        if !self.replication.replica.is_settled_leader() {
-            return;
-        }
-        let DrawId { step, epoch, prompt, instance, version } = result.id;
-        let Some(model) = self.model_of(step) else { return };
-        let draw = Draw { step, epoch, prompt, worker: instance, version, within: result.within_ms };
-        let (outcome, tokens, output) = match result.ending {
-            DrawEnding::Complete(answer) => {
-                let mut trail = VersionTrail::begin(answer.head);
-                answer.events.iter().for_each(|version| trail.event(*version));
-                trail.finish();
-                let output = Output { text: answer.text, truncated: answer.truncated };
-                (DrawOutcome::Complete(trail), answer.tokens, output)
-            }
-            DrawEnding::Over => (DrawOutcome::Over, 0, Output::default()),
-            DrawEnding::Unknown => (DrawOutcome::Unknown, 0, Output::default()),
-        };
-        self.draw_ended(now, &model, draw, outcome, tokens, output);
-    }
-
-    fn model_of(&self, step: StepNumber) -> Option<String> {
-        Some(self.state.training().ledger().step(step)?.request.model.clone())
-    }
-
-    fn draw_ended(
-        &mut self,
-        now: u64,
-        model: &str,
-        draw: Draw,
-        outcome: DrawOutcome,
-        tokens: u64,
-        output: Output,
-    ) {
-        let Some(training) = self.leadership.training.models.get_mut(model) else { return };
-        let end = DrawEnd { draw, outcome, tokens };
-        let actions = training.conductor.ended(end, self.state.training().ledger());
-        for action in actions {
-            let Action::Propose(command) = action else { continue };
-            let command = match command {
-                StepCommand::Record(generation) => {
-                    TrainingCommand::Record { generation, output: output.clone() }
-                }
-                other => TrainingCommand::Ledger(other),
-            };
-            self.propose_step(now, command);
-        }
-    }
-
-    // ---- versions, for edges ----
 }
 
 fn settings_of(place: &Place, generation_ms: Millis) -> Settings {
@@ -537,27 +291,3 @@
         capacity: brick.capacity,
     }
 }
-
-fn send_json(reply: oneshot::Sender<Reply>, value: &serde_json::Value) {
-    let _ = reply.send(Reply::Json(value.to_string().into_bytes()));
-}
-
-/// Changes of a step's state, for operators.
-fn log_step(command: &StepCommand, refused: bool) {
-    match command {
-        StepCommand::Announce(request) => {
-            tracing::info!(key = request.key, model = request.model, refused, "step announced");
-        }
-        StepCommand::FixVersion { step, version } => tracing::info!(step, version, refused, "step prepared"),
-        StepCommand::Begin { step, members } => {
-            tracing::info!(step, workers = members.len(), refused, "step open");
-        }
-        StepCommand::Leave { step, worker, reason } => {
-            tracing::warn!(step, worker, ?reason, refused, "worker left a step");
-        }
-        StepCommand::Close { step, .. } => tracing::info!(step, refused, "step closed"),
-        StepCommand::Seal { step } => tracing::info!(step, refused, "step sealed"),
-        StepCommand::Abort { step } => tracing::warn!(step, refused, "step given up"),
-        StepCommand::Submit { .. } | StepCommand::Record(_) => {}
-    }
-}
--- /dev/null
+++ b/crates/system/src/core/node/training/generations.rs
@@ -0,0 +1,142 @@
+//! Generations of training steps: offered to edge heads, given to those that ask, recorded as they end.
+
+use super::BEGIN_WITHIN_MS;
+use crate::core::node::Node;
+use crate::core::peers::LinkId;
+use crate::core::training::lead::{MOST_OFFERED, OFFER_APART};
+use pathbank_control::training::{Output, TrainingCommand};
+use pathbank_protocol::message::{
+    DrawEnding, DrawGrant, DrawId, DrawOffer, DrawRequest, DrawResult, DrawTask, Frame, ProcessRole,
+};
+use pathbank_rollout::StepNumber;
+use pathbank_rollout::conductor::{Action, Draw, DrawEnd, DrawOutcome};
+use pathbank_rollout::evidence::VersionTrail;
+use pathbank_rollout::ledger::Command as StepCommand;
+
+impl Node {
+    /// Tells edges that generations wait, as many as could begin, spread over all of them.
+    pub(super) fn offer_generations(&mut self, now: u64, models: &[String]) {
+        let ledger = self.state.training().ledger();
+        let training = &self.leadership.training;
+        let of_model = |model: &String| Some(training.models.get(model)?.conductor.could_draw(now, ledger));
+        let waiting: usize = models.iter().filter_map(of_model).sum();
+        if waiting == 0 {
+            return;
+        }
+        let free = |name: &str| now >= training.offer_at.get(name).copied().unwrap_or(0);
+        let edges: Vec<(String, LinkId)> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.hello.role == ProcessRole::Edge && !peer.link.is_closed())
+            .filter(|(_, peer)| free(&peer.hello.name))
+            .map(|(id, peer)| (peer.hello.name.clone(), *id))
+            .collect();
+        let each = waiting.div_ceil(edges.len().max(1)).clamp(1, MOST_OFFERED);
+        for (name, id) in edges.into_iter().take(waiting.div_ceil(each)) {
+            if let Some(peer) = self.peers.get(&id) {
+                peer.link.send(&Frame::DrawOffer(DrawOffer { count: each as u32 }));
+            }
+            self.leadership.training.offer_at.insert(name, now + OFFER_APART);
+        }
+    }
+
+    /// An edge asks for generations: they begin by its clock, and by this head's lease.
+    pub(in crate::core::node) fn on_draw_request(&mut self, now: u64, id: LinkId, request: DrawRequest) {
+        let Some(permit) = self.permit(now) else { return };
+        let authority = self.authority(permit);
+        let models: Vec<String> = self.leadership.training.models.keys().cloned().collect();
+        let mut draws: Vec<(String, Draw)> = Vec::new();
+        for model in models {
+            let room = (request.count as usize).saturating_sub(draws.len());
+            let begun = self.act(now, &model, room, &authority);
+            draws.extend(begun.into_iter().map(|draw| (model.clone(), draw)));
+        }
+        if draws.is_empty() {
+            return;
+        }
+        let tasks: Vec<DrawTask> = draws.iter().filter_map(|(model, draw)| self.task(model, draw)).collect();
+        let grant = DrawGrant { asked_at: request.asked_at, begin_ms: BEGIN_WITHIN_MS, tasks };
+        let sent = self.peers.get(&id).is_some_and(|peer| peer.link.send(&Frame::DrawGrant(grant)));
+        if !sent {
+            draws.into_iter().for_each(|(model, draw)| {
+                self.draw_ended(now, &model, draw, DrawOutcome::Over, 0, Output::default());
+            });
+        }
+    }
+
+    fn task(&self, model: &str, draw: &Draw) -> Option<DrawTask> {
+        let state = self.state.training();
+        let step = state.ledger().step(draw.step)?;
+        let prompt = state.prompt(draw.step, draw.prompt)?;
+        let address = self.directory.brick(&draw.worker)?.address;
+        let stride = self.runtime_of(&draw.worker).map_or(1.0, |runtime| runtime.stride);
+        Some(DrawTask {
+            id: DrawId {
+                step: draw.step,
+                epoch: draw.epoch,
+                prompt: draw.prompt,
+                instance: draw.worker.clone(),
+                version: draw.version,
+            },
+            address,
+            model: model.to_owned(),
+            path: step.request.path.clone(),
+            body: prompt.body.clone(),
+            input_tokens: prompt.input_tokens,
+            output_tokens: prompt.output_tokens,
+            prefix: prompt.prefix.clone(),
+            within_ms: draw.within,
+            event_tokens: stride.max(1.0) as u32,
+        })
+    }
+
+    /// An edge tells how a generation ended. Only the leader puts it into the log.
+    pub(in crate::core::node) fn on_draw_result(&mut self, now: u64, result: DrawResult) {
+        if !self.replication.replica.is_settled_leader() {
+            return;
+        }
+        let DrawId { step, epoch, prompt, instance, version } = result.id;
+        let Some(model) = self.model_of(step) else { return };
+        let draw = Draw { step, epoch, prompt, worker: instance, version, within: result.within_ms };
+        let (outcome, tokens, output) = match result.ending {
+            DrawEnding::Complete(answer) => {
+                let mut trail = VersionTrail::begin(answer.head);
+                answer.events.iter().for_each(|version| trail.event(*version));
+                trail.finish();
+                let output = Output { text: answer.text, truncated: answer.truncated };
+                (DrawOutcome::Complete(trail), answer.tokens, output)
+            }
+            DrawEnding::Over => (DrawOutcome::Over, 0, Output::default()),
+            DrawEnding::Unknown => (DrawOutcome::Unknown, 0, Output::default()),
+        };
+        self.draw_ended(now, &model, draw, outcome, tokens, output);
+    }
+
+    fn model_of(&self, step: StepNumber) -> Option<String> {
+        Some(self.state.training().ledger().step(step)?.request.model.clone())
+    }
+
+    fn draw_ended(
+        &mut self,
+        now: u64,
+        model: &str,
+        draw: Draw,
+        outcome: DrawOutcome,
+        tokens: u64,
+        output: Output,
+    ) {
+        let Some(training) = self.leadership.training.models.get_mut(model) else { return };
+        let end = DrawEnd { draw, outcome, tokens };
+        let actions = training.conductor.ended(end, self.state.training().ledger());
+        for action in actions {
+            let Action::Propose(command) = action else { continue };
+            let command = match command {
+                StepCommand::Record(generation) => {
+                    TrainingCommand::Record { generation, output: output.clone() }
+                }
+                other => TrainingCommand::Ledger(other),
+            };
+            self.propose_step(now, command);
+        }
+    }
+}
