Tests: a head that applies a long log again beside slow disks, losses, changes and kills

Cause: the incident names restarts of one and of all, slow disks, small processors and lost messages; tests had long logs for a start of all alone, and the drawn histories charged no processor. Change: ten cases of one head, follower or leader, that starts again with 800 entries at 2.5 ms; half of the drawn histories take 0.5 or 4 ms an entry. The model's leader counts while its processor is busy, and not while it stands still.

--- a/crates/control/tests/safety/world.rs
+++ b/crates/control/tests/safety/world.rs
@@ -11,6 +11,8 @@
 /// Founders, and machines that come later.
 pub const FOUNDERS: usize = 3;
 pub const MACHINES: usize = 5;
+/// What one entry of the log takes to be applied, microseconds.
+const ENTRY_TAKES_US: [u64; 4] = [0, 0, 500, 4_000];
 /// How long turns of two leaders have to be apart, milliseconds.
 const TURN_WAIT: u64 = 3_000;
 /// A leader without contact leads for no longer than this, milliseconds, and a follower believes it for
@@ -66,6 +68,9 @@
         let mut fleet = Fleet::new(FOUNDERS, MACHINES - FOUNDERS, seed);
         (FOUNDERS..MACHINES).for_each(|machine| fleet.kill(machine));
         let mut random = fastrand::Rng::with_seed(seed);
+        // Some groups run on processors on which a log takes its time to be applied.
+        let entry_takes_us = ENTRY_TAKES_US[random.usize(..ENTRY_TAKES_US.len())];
+        fleet.machines.iter_mut().for_each(|machine| machine.entry_takes_us = entry_takes_us);
         let operators = (0..operators).map(|_| Operator::new(1_500 + random.u64(0..300))).collect();
         World {
             fleet,
--- a/crates/coordination/tests/common/mod.rs
+++ b/crates/coordination/tests/common/mod.rs
@@ -186,7 +186,7 @@
 
     pub fn leader(&self) -> Option<usize> {
         let leaders = self.machines.iter().enumerate().filter(|(at, machine)| {
-            !self.is_frozen(*at)
+            !self.stands_still(*at)
                 && machine.replica.as_ref().is_some_and(|replica| replica.is_settled_leader())
         });
         leaders.max_by_key(|(_, machine)| machine.replica.as_ref().map(Replica::term)).map(|(at, _)| at)
@@ -288,6 +288,11 @@
         }
     }
 
+    /// It stands still, until it is thawed or killed.
+    fn stands_still(&self, machine: usize) -> bool {
+        self.now < self.machines[machine].frozen_until
+    }
+
     /// It stands still, or its processor is busy.
     pub fn is_frozen(&self, machine: usize) -> bool {
         self.now < self.runs_from(machine)
@@ -316,7 +321,7 @@
             let mut stores = self.machines.iter().enumerate();
             stores.any(|(at, machine)| {
                 let runs = machine.replica.as_ref().is_some_and(|replica| replica.me().id == id);
-                runs && !self.is_frozen(at) && !machine.stalled && has_all(machine)
+                runs && !self.stands_still(at) && !machine.stalled && has_all(machine)
             })
         };
         let membership = replica.membership();
--- a/crates/coordination/tests/recovery.rs
+++ b/crates/coordination/tests/recovery.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::Fleet;
+use test_case::test_case;
 
 const HEADS: usize = 3;
 const ENTRIES: usize = 800;
@@ -62,3 +63,70 @@
         assert!(fleet.leader_changes <= changes + 1, "seed {seed}: one leader is enough");
     }
 }
+
+/// What comes beside the start of one head that has a long log to apply.
+#[derive(Clone, Copy, PartialEq)]
+enum Beside {
+    Nothing,
+    /// A sync takes 90 ms on all disks.
+    SlowDisks,
+    /// One message in ten is lost.
+    Loss,
+    /// Changes go on.
+    Changes,
+    /// It is killed again while it applies its log.
+    Killed,
+}
+
+/// A head that starts again on a small processor applies its log beside the others: they lead on, take changes, and it is
+/// current within the time that its replay takes.
+#[test_case(false, Beside::Nothing; "a follower starts again")]
+#[test_case(false, Beside::SlowDisks; "a follower, with slow disks")]
+#[test_case(false, Beside::Loss; "a follower, with messages that get lost")]
+#[test_case(false, Beside::Changes; "a follower, and changes go on")]
+#[test_case(false, Beside::Killed; "a follower is killed again in the midst of its log")]
+#[test_case(true, Beside::Nothing; "the leader starts again")]
+#[test_case(true, Beside::SlowDisks; "the leader, with slow disks")]
+#[test_case(true, Beside::Loss; "the leader, with messages that get lost")]
+#[test_case(true, Beside::Changes; "the leader, and changes go on")]
+#[test_case(true, Beside::Killed; "the leader is killed again in the midst of its log")]
+fn a_head_that_applies_its_log_again_disturbs_nobody(is_leader: bool, beside: Beside) {
+    for seed in 0..6 {
+        let mut fleet = given_a_log_of(ENTRIES, seed);
+        let leader = fleet.leader().expect("a leader");
+        let head = if is_leader { leader } else { (leader + 1) % HEADS };
+        (0..HEADS).for_each(|other| fleet.machines[other].entry_takes_us = ENTRY_TAKES_US);
+        if beside == Beside::SlowDisks {
+            (0..HEADS).for_each(|other| fleet.machines[other].sync_takes = 90);
+        }
+        fleet.loss_in_1000 = if beside == Beside::Loss { 100 } else { 0 };
+        fleet.kill(head);
+        assert!(fleet.run_until_led(4_000), "seed {seed}: the others have a leader");
+        fleet.start(head);
+        let (started, changes) = (fleet.now, fleet.leader_changes);
+        let replay = ENTRIES as u64 * ENTRY_TAKES_US / 1_000;
+        let again_at = if beside == Beside::Killed { started + replay / 2 } else { u64::MAX };
+        let bound =
+            2 * ELECTION_WITHIN + replay + replay / 2 + if again_at < u64::MAX { replay / 2 } else { 0 };
+        let mut number = 0_u64;
+        while !(0..HEADS).all(|other| is_current(&fleet, other)) || fleet.now <= started + 10 {
+            fleet.step();
+            if fleet.now == again_at {
+                fleet.kill(head);
+                fleet.start(head);
+            }
+            if beside == Beside::Changes && fleet.now.is_multiple_of(50) {
+                number += 1;
+                fleet.propose(&number.to_be_bytes());
+            }
+            let took = fleet.now - started;
+            assert!(took < bound, "seed {seed}: not all are current after {took} ms, {bound} ms at most");
+        }
+        if beside != Beside::Loss {
+            assert_eq!(fleet.leader_changes, changes, "seed {seed}: the others lead on");
+        }
+        fleet.loss_in_1000 = 0;
+        fleet.run(2_000);
+        fleet.check_nothing_is_lost();
+    }
+}
