Test that fails: of two items with one name, one that went stays at the edges

Cause: an edge's table and the difference know one item to a name; a document may hold two. Found by reading the change again: the check of documents counts such items, what edges are told did not. Result: of two routes that a change removes one is served on; a removed tenant's key opens on.

--- a/crates/control/tests/configuration.rs
+++ b/crates/control/tests/configuration.rs
@@ -408,3 +408,37 @@
     let error = ControlState::decode(bytes).expect_err("unreadable").to_string();
     assert!(error.contains(message), "{error}");
 }
+
+// Two items of one name are no invalid configuration, and a change by that name removes both. Edge heads kept one item to a name:
+// of two routes or tenants that went, one went on being served, and a key of it went on opening.
+#[test_case(json!({ "delete": { "routes": ["twin"], "tenants": ["twin"] } }); "both are removed")]
+#[test_case(json!({ "upsert": { "routes": [route("twin", "/c/", "two")], "tenants": [{ "name": "twin", "api_keys": ["k3"] }] } }); "the first is replaced")]
+#[test_case(json!({ "upsert": { "limits": { "max_body_bytes": 5 } } }); "something else is changed")]
+fn items_of_one_name_are_the_same_at_the_edges_as_in_the_document(change: Value) {
+    let mut before = document(5);
+    before["routes"] =
+        json!([route("twin", "/a/", "one"), route("twin", "/b/", "two"), route("r", "/d/", "one")]);
+    before["tenants"] =
+        json!([{ "name": "twin", "api_keys": ["k1"] }, { "name": "twin", "api_keys": ["k2"] }]);
+    let mut update = change;
+    update["version"] = json!(6);
+    let after = updated(&before, &update);
+    let read = |text: Value, is_whole| EdgeUpdate::read(text.to_string().as_bytes(), is_whole).unwrap();
+    let whole = |document: &Value| read(edge_document::whole(&as_document(document)), true);
+    let told = as_document(&before).updated(&update).unwrap().0;
+    let told = edge_document::difference(&as_document(&before), &told);
+    let changed = RouteTable::default().changed(1, whole(&before)).changed(2, read(told, false));
+    let expected = |list: &str, key: &str, wanted: &str| {
+        let items = after[list].as_array().unwrap();
+        items.iter().any(|item| {
+            item[key] == wanted || item[key].as_array().is_some_and(|keys| keys.contains(&json!(wanted)))
+        })
+    };
+    for path in ["/a/", "/b/", "/c/", "/d/"] {
+        let is_served = changed.route("shop.example", path).is_some();
+        assert_eq!(is_served, expected("routes", "path_prefix", path), "{path}");
+    }
+    for key in ["k1", "k2", "k3"] {
+        assert_eq!(changed.tenant(key).is_some(), expected("tenants", "api_keys", key), "{key}");
+    }
+}
