Of items with one name all are told to edges, and all go

Cause: edges' tables and the difference kept one item to a name, and a document may hold two; of two routes or tenants that a change removed one stayed. Change: tables hold lists of items by name; the difference names what differs by position, and tells all items of a touched name.

--- a/crates/control/src/edge_document.rs
+++ b/crates/control/src/edge_document.rs
@@ -1,8 +1,9 @@
 //! What edge heads are told of a document: the whole of what they work with, or what changed of it.
 
 use crate::document::Document;
-use crate::item_list::{ItemList, name_of};
+use crate::item_list::{ItemList, Position, name_of};
 use serde_json::{Map, Value, json};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// Lists that edges work with. Their items have names.
@@ -46,23 +47,35 @@
     json!({ "version": version, "upsert": upsert, "delete": delete })
 }
 
-/// The items of the later list that the earlier one has not, as edges are told, and the names that are gone.
+/// The items that edges have to be told of, and the names that are gone. All items of a name go together: a change by that
+/// name may have touched any of them.
 fn changed_items(section: &str, [before, after]: [&ItemList; 2]) -> (Vec<Value>, Vec<Value>) {
-    let mut changed = Vec::new();
-    for item in after.iter() {
-        let known = name_of(item).and_then(|name| before.first_named(name));
-        // Versions of a document share the items that did not change.
-        if known.is_some_and(|known| Arc::ptr_eq(known, item)) {
-            continue;
-        }
-        let told = for_edges(section, item);
-        if known.is_none_or(|known| for_edges(section, known) != told) {
-            changed.push(told);
+    let (mut changed, mut gone) = (Vec::new(), Vec::new());
+    for name in touched_names(before, after) {
+        let told = |list: &ItemList| -> Vec<Value> {
+            let items = list.named(name).filter_map(|position| list.get(position));
+            items.map(|item| for_edges(section, item)).collect()
+        };
+        let (was, is) = (told(before), told(after));
+        if is.is_empty() {
+            gone.push(Value::from(name));
+        } else if is != was {
+            changed.extend(is);
         }
     }
-    let names = before.iter().filter_map(|item| name_of(item));
-    let gone = names.filter(|name| after.first_named(name).is_none()).map(Value::from);
-    (changed, gone.collect())
+    (changed, gone)
+}
+
+/// Names of items that are not the same in both lists. Versions of a document share those that did not change.
+fn touched_names<'a>(before: &'a ItemList, after: &'a ItemList) -> BTreeSet<&'a str> {
+    let differs = |position: &Position| match (before.get(*position), after.get(*position)) {
+        (Some(was), Some(is)) => !Arc::ptr_eq(was, is),
+        _ => true,
+    };
+    let names_in = |list: &'a ItemList| {
+        list.positions().filter(differs).filter_map(|position| name_of(list.get(position)?))
+    };
+    names_in(before).chain(names_in(after)).collect()
 }
 
 /// Of services edges are told the names, and of models how long a load takes.
--- a/crates/control/src/routes.rs
+++ b/crates/control/src/routes.rs
@@ -14,10 +14,12 @@
     pub version: u64,
     /// What a client may send, and how long it may take.
     pub limits: Limits,
-    routes: HashMap<Arc<str>, Arc<Route>>,
+    /// By name, which several may share.
+    routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
     /// By host, in lower case, and prefix.
     by_host: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>>,
-    tenants: HashMap<Arc<str>, Arc<Tenant>>,
+    /// By name, which several may share.
+    tenants: HashMap<Arc<str>, Vec<Arc<Tenant>>>,
     by_key: HashMap<Arc<str>, Arc<Tenant>>,
     backends: HashMap<Arc<str>, Arc<Backend>>,
 }
@@ -46,41 +48,43 @@
 
     fn change_routes(&mut self, update: SectionUpdate<Route>) {
         let SectionUpdate { upsert, delete } = update;
-        delete.iter().for_each(|name| self.remove_route(name));
+        delete.iter().for_each(|name| self.remove_routes(name));
         // Two routes may have changed places: all go before any comes.
-        upsert.iter().for_each(|route| self.remove_route(&route.name));
+        upsert.iter().for_each(|route| self.remove_routes(&route.name));
         for route in upsert {
             let host: Arc<str> = route.hostname.to_ascii_lowercase().into();
             let (name, prefix) = (Arc::from(route.name.as_str()), Arc::from(route.path_prefix.as_str()));
             let route = Arc::new(route);
-            self.routes.insert(name, route.clone());
+            self.routes.entry(name).or_default().push(route.clone());
             self.by_host.entry(host).or_default().insert(prefix, route);
         }
     }
 
-    fn remove_route(&mut self, name: &str) {
-        let Some(route) = self.routes.remove(name) else { return };
-        if let Some(of_host) = self.by_host.get_mut(route.hostname.to_ascii_lowercase().as_str()) {
-            of_host.remove(route.path_prefix.as_str());
+    fn remove_routes(&mut self, name: &str) {
+        for route in self.routes.remove(name).unwrap_or_default() {
+            if let Some(of_host) = self.by_host.get_mut(route.hostname.to_ascii_lowercase().as_str()) {
+                of_host.remove(route.path_prefix.as_str());
+            }
         }
     }
 
     fn change_tenants(&mut self, update: SectionUpdate<Tenant>) {
         let SectionUpdate { upsert, delete } = update;
-        delete.iter().for_each(|name| self.remove_tenant(name));
+        delete.iter().for_each(|name| self.remove_tenants(name));
         // A key may have gone from one tenant to another.
-        upsert.iter().for_each(|tenant| self.remove_tenant(&tenant.name));
+        upsert.iter().for_each(|tenant| self.remove_tenants(&tenant.name));
         for tenant in upsert {
             let tenant = Arc::new(tenant);
             let keys = tenant.api_keys.iter().map(|key| (Arc::from(key.as_str()), tenant.clone()));
             self.by_key.extend(keys);
-            self.tenants.insert(Arc::from(tenant.name.as_str()), tenant);
+            self.tenants.entry(Arc::from(tenant.name.as_str())).or_default().push(tenant);
         }
     }
 
-    fn remove_tenant(&mut self, name: &str) {
-        let Some(tenant) = self.tenants.remove(name) else { return };
-        tenant.api_keys.iter().for_each(|key| drop(self.by_key.remove(key.as_str())));
+    fn remove_tenants(&mut self, name: &str) {
+        for tenant in self.tenants.remove(name).unwrap_or_default() {
+            tenant.api_keys.iter().for_each(|key| drop(self.by_key.remove(key.as_str())));
+        }
     }
 
     /// The route of a request: the longest prefix among those of the host, without its port.
