An edge's table shares what an update does not change

Cause: each update copied five maps of references, 103 us for a change of one route among 1,000 on a whole core of this machine; an edge head has a tenth of one. Change: the table's maps are persistent, as the document's are; their defaults are derived. Result: 4.9 us among 1,000 routes (103), 2.0 us among 30 (7.1); a look-up of a route 94 to 100 ns (88 to 128). Tests of control and loopback pass.

--- a/crates/control/src/checked_document.rs
+++ b/crates/control/src/checked_document.rs
@@ -17,7 +17,7 @@
 const VERSION: &str = "version";
 
 /// A document that was checked, with its typed services.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(into = "Document", try_from = "Map<String, Value>")]
 pub struct CheckedDocument {
     document: Document,
@@ -26,17 +26,6 @@
     inventory: Inventory,
 }
 
-impl Default for CheckedDocument {
-    fn default() -> CheckedDocument {
-        CheckedDocument {
-            document: Document::default(),
-            version: 0,
-            backends: Arc::new([]),
-            inventory: Inventory::default(),
-        }
-    }
-}
-
 impl From<CheckedDocument> for Document {
     fn from(checked: CheckedDocument) -> Document {
         checked.document
@@ -209,7 +198,7 @@
 }
 
 /// What items of a document are checked against.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Inventory {
     /// Host, in lower case, and prefix of each route.
     places: RedBlackTreeSetSync<(String, String)>,
@@ -219,16 +208,6 @@
     keys: RedBlackTreeMapSync<(String, String), usize>,
 }
 
-impl Default for Inventory {
-    fn default() -> Inventory {
-        Inventory {
-            places: RedBlackTreeSetSync::new_sync(),
-            named_backends: RedBlackTreeMapSync::new_sync(),
-            keys: RedBlackTreeMapSync::new_sync(),
-        }
-    }
-}
-
 fn place_of(route: &Route) -> (String, String) {
     (route.hostname.to_ascii_lowercase(), route.path_prefix.clone())
 }
--- a/crates/control/src/document.rs
+++ b/crates/control/src/document.rs
@@ -63,17 +63,11 @@
 pub type Touched = BTreeSet<(String, Position)>;
 
 /// A document.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Document {
     fields: RedBlackTreeMapSync<String, Field>,
 }
 
-impl Default for Document {
-    fn default() -> Document {
-        Document { fields: RedBlackTreeMapSync::new_sync() }
-    }
-}
-
 impl From<Map<String, Value>> for Document {
     fn from(object: Map<String, Value>) -> Document {
         let fields = object.into_iter().map(|(name, value)| (name, Field::of(value)));
--- a/crates/control/src/item_list.rs
+++ b/crates/control/src/item_list.rs
@@ -9,7 +9,7 @@
 pub type Position = u64;
 
 /// Items in order.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct ItemList {
     items: RedBlackTreeMapSync<Position, Arc<Value>>,
     by_name: RedBlackTreeSetSync<(Arc<str>, Position)>,
@@ -21,12 +21,6 @@
     item.get("name").and_then(Value::as_str)
 }
 
-impl Default for ItemList {
-    fn default() -> ItemList {
-        ItemList { items: RedBlackTreeMapSync::new_sync(), by_name: RedBlackTreeSetSync::new_sync(), next: 0 }
-    }
-}
-
 impl ItemList {
     /// A list of these items.
     pub fn of(items: Vec<Value>) -> ItemList {
--- a/crates/control/src/routes.rs
+++ b/crates/control/src/routes.rs
@@ -2,10 +2,11 @@
 
 use crate::configuration::{Backend, Limits, Route, Tenant};
 use crate::edge_update::{EdgeUpdate, SectionUpdate};
-use std::collections::HashMap;
+use rpds::HashTrieMapSync;
 use std::sync::Arc;
 
-/// Routes by host and prefix, keys by tenant. Items are shared with the tables of earlier configurations.
+/// Routes by host and prefix, keys by tenant. What did not change is shared with the tables of earlier configurations, so that
+/// an update costs what it brings.
 #[derive(Clone, Debug, Default)]
 pub struct RouteTable {
     /// The log's entry that brought this configuration.
@@ -14,14 +15,27 @@
     pub version: u64,
     /// What a client may send, and how long it may take.
     pub limits: Limits,
-    /// By name, which several may share.
-    routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
+    routes: ByName<Route>,
     /// By host, in lower case, and prefix.
-    by_host: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>>,
-    /// By name, which several may share.
-    tenants: HashMap<Arc<str>, Vec<Arc<Tenant>>>,
-    by_key: HashMap<Arc<str>, Arc<Tenant>>,
-    backends: HashMap<Arc<str>, Arc<Backend>>,
+    by_host: HashTrieMapSync<Arc<str>, HashTrieMapSync<Arc<str>, Arc<Route>>>,
+    tenants: ByName<Tenant>,
+    by_key: HashTrieMapSync<Arc<str>, Arc<Tenant>>,
+    backends: HashTrieMapSync<Arc<str>, Arc<Backend>>,
+}
+
+/// Items by name, which several may share.
+type ByName<T> = HashTrieMapSync<Arc<str>, Vec<Arc<T>>>;
+
+fn push<T>(items: &mut ByName<T>, name: Arc<str>, item: Arc<T>) {
+    let mut of_name = items.get(&name).cloned().unwrap_or_default();
+    of_name.push(item);
+    items.insert_mut(name, of_name);
+}
+
+fn take<T>(items: &mut ByName<T>, name: &str) -> Vec<Arc<T>> {
+    let of_name = items.get(name).cloned().unwrap_or_default();
+    items.remove_mut(name);
+    of_name
 }
 
 impl RouteTable {
@@ -40,9 +54,10 @@
         table.change_routes(update.routes);
         table.change_tenants(update.tenants);
         let SectionUpdate { upsert, delete } = update.backends;
-        delete.iter().for_each(|name| drop(table.backends.remove(name.as_str())));
-        let named = upsert.into_iter().map(|backend| (Arc::from(backend.name.as_str()), Arc::new(backend)));
-        table.backends.extend(named);
+        delete.iter().for_each(|name| _ = table.backends.remove_mut(name.as_str()));
+        for backend in upsert {
+            table.backends.insert_mut(Arc::from(backend.name.as_str()), Arc::new(backend));
+        }
         table
     }
 
@@ -55,15 +70,18 @@
             let host: Arc<str> = route.hostname.to_ascii_lowercase().into();
             let (name, prefix) = (Arc::from(route.name.as_str()), Arc::from(route.path_prefix.as_str()));
             let route = Arc::new(route);
-            self.routes.entry(name).or_default().push(route.clone());
-            self.by_host.entry(host).or_default().insert(prefix, route);
+            let of_host = self.by_host.get(&host).cloned().unwrap_or_default();
+            self.by_host.insert_mut(host, of_host.insert(prefix, route.clone()));
+            push(&mut self.routes, name, route);
         }
     }
 
     fn remove_routes(&mut self, name: &str) {
-        for route in self.routes.remove(name).unwrap_or_default() {
-            if let Some(of_host) = self.by_host.get_mut(route.hostname.to_ascii_lowercase().as_str()) {
-                of_host.remove(route.path_prefix.as_str());
+        for route in take(&mut self.routes, name) {
+            let host = route.hostname.to_ascii_lowercase();
+            if let Some(of_host) = self.by_host.get(host.as_str()) {
+                let left = of_host.remove(route.path_prefix.as_str());
+                self.by_host.insert_mut(host.into(), left);
             }
         }
     }
@@ -75,15 +93,16 @@
         upsert.iter().for_each(|tenant| self.remove_tenants(&tenant.name));
         for tenant in upsert {
             let tenant = Arc::new(tenant);
-            let keys = tenant.api_keys.iter().map(|key| (Arc::from(key.as_str()), tenant.clone()));
-            self.by_key.extend(keys);
-            self.tenants.entry(Arc::from(tenant.name.as_str())).or_default().push(tenant);
+            for key in &tenant.api_keys {
+                self.by_key.insert_mut(Arc::from(key.as_str()), tenant.clone());
+            }
+            push(&mut self.tenants, Arc::from(tenant.name.as_str()), tenant);
         }
     }
 
     fn remove_tenants(&mut self, name: &str) {
-        for tenant in self.tenants.remove(name).unwrap_or_default() {
-            tenant.api_keys.iter().for_each(|key| drop(self.by_key.remove(key.as_str())));
+        for key in take(&mut self.tenants, name).iter().flat_map(|tenant| &tenant.api_keys) {
+            self.by_key.remove_mut(key.as_str());
         }
     }
 
