Names that are numbers are found as they are read, and told to edges

Cause: the typed reader takes a name that is a number for its text; services were looked up by names that are text, and the difference for edges left items without a text name out. Change: services are looked up among the typed ones; a document with an item that has no text name is told to edges whole.

--- a/crates/control/src/checked_document.rs
+++ b/crates/control/src/checked_document.rs
@@ -82,7 +82,12 @@
         let mut inventory = self.inventory.clone();
         routes.removed.iter().for_each(|route| inventory.remove_route(route));
         tenants.removed.iter().for_each(|tenant| inventory.remove_tenant(tenant));
-        let has_backend = |name: &str| has_item(&after, BACKENDS, name);
+        let typed_backends: Arc<[Backend]> = match backends.is_untouched() {
+            true => self.backends.clone(),
+            false => read_list(&after, BACKENDS)?.into(),
+        };
+        // As they are read, not as they are written: a name that is a number is read as its text.
+        let has_backend = |name: &str| typed_backends.iter().any(|backend| backend.name == name);
         for route in &routes.added {
             check_route(route, has_backend)?;
             inventory.add_route(route)?;
@@ -96,10 +101,6 @@
                 return Err(Rejection::new(ResultCode::UnknownBackend, message));
             }
         }
-        let typed_backends = match backends.is_untouched() {
-            true => self.backends.clone(),
-            false => read_list(&after, BACKENDS)?.into(),
-        };
         Ok(CheckedDocument { document: after, version, backends: typed_backends, inventory })
     }
 }
@@ -117,10 +118,6 @@
     items.map(|item| read_item(item)).collect()
 }
 
-fn has_item(document: &Document, section: &str, name: &str) -> bool {
-    document.list(section).is_some_and(|list| list.first_named(name).is_some())
-}
-
 fn read_version(document: &Document) -> Result<u64, Rejection> {
     let version = document.plain(VERSION).and_then(Value::as_u64);
     version.ok_or_else(|| unreadable("version is missing or no whole number"))
--- a/crates/control/src/edge_document.rs
+++ b/crates/control/src/edge_document.rs
@@ -25,12 +25,15 @@
     Value::Object(told)
 }
 
-/// What makes `after` of `before` at an edge, in the form of an update.
-pub fn difference(before: &Document, after: &Document) -> Value {
+/// What makes `after` of `before` at an edge, in the form of an update. `None`: an item has no name by which it could be told.
+pub fn difference(before: &Document, after: &Document) -> Option<Value> {
     let (mut upsert, mut delete) = (Map::new(), Map::new());
     let empty = ItemList::default();
     for section in SECTIONS {
         let lists = [before, after].map(|document| document.list(section).unwrap_or(&empty));
+        if !lists.iter().all(|list| list.is_named()) {
+            return None;
+        }
         let (changed, gone) = changed_items(section, lists);
         if !changed.is_empty() {
             upsert.insert(section.to_owned(), changed.into());
@@ -44,7 +47,7 @@
         upsert.insert(LIMITS.to_owned(), after.plain(LIMITS).cloned().unwrap_or_else(|| json!({})));
     }
     let version = after.plain("version").cloned().unwrap_or(Value::Null);
-    json!({ "version": version, "upsert": upsert, "delete": delete })
+    Some(json!({ "version": version, "upsert": upsert, "delete": delete }))
 }
 
 /// The items that edges have to be told of, and the names that are gone. All items of a name go together: a change by that
--- a/crates/control/src/item_list.rs
+++ b/crates/control/src/item_list.rs
@@ -46,6 +46,11 @@
         self.items.get(&position)
     }
 
+    /// Whether each item has a name.
+    pub fn is_named(&self) -> bool {
+        self.items.size() == self.by_name.size()
+    }
+
     /// The positions of the items with a name, in order.
     pub fn named(&self, name: &str) -> impl Iterator<Item = Position> {
         let first: (Arc<str>, Position) = (name.into(), 0);
--- a/crates/control/tests/configuration.rs
+++ b/crates/control/tests/configuration.rs
@@ -40,7 +40,7 @@
 }
 
 fn difference(before: &Value, after: &Value) -> Value {
-    edge_document::difference(&as_document(before), &as_document(after))
+    edge_document::difference(&as_document(before), &as_document(after)).expect("all items have names")
 }
 
 struct Story {
@@ -426,7 +426,7 @@
     let read = |text: Value, is_whole| EdgeUpdate::read(text.to_string().as_bytes(), is_whole).unwrap();
     let whole = |document: &Value| read(edge_document::whole(&as_document(document)), true);
     let told = as_document(&before).updated(&update).unwrap().0;
-    let told = edge_document::difference(&as_document(&before), &told);
+    let told = edge_document::difference(&as_document(&before), &told).expect("all items have names");
     let changed = RouteTable::default().changed(1, whole(&before)).changed(2, read(told, false));
     let expected = |list: &str, key: &str, wanted: &str| {
         let items = after[list].as_array().unwrap();
--- a/crates/system/src/core/node/publication.rs
+++ b/crates/system/src/core/node/publication.rs
@@ -47,9 +47,9 @@
     /// What an edge is told that has the document of `known`, or none (0). `None`: nothing was published yet.
     fn update_from(&self, known: Index) -> Option<ConfigurationUpdate> {
         let (index, document) = self.newest.as_ref()?;
-        let base = self.history.get(known);
-        let (base_index, told) = match base {
-            Some(base) => (known, edge_document::difference(base, document)),
+        let difference = self.history.get(known).and_then(|base| edge_document::difference(base, document));
+        let (base_index, told) = match difference {
+            Some(difference) => (known, difference),
             None => (0, edge_document::whole(document)),
         };
         Some(ConfigurationUpdate { index: *index, base_index, document: told.to_string().into_bytes() })
