A configuration is made ready once, sent one at a time, and asked for from what is known

Cause: each edge head that lacked something asked the one control head that announced the newest for the whole, again each 0.2 s; each answer was made anew on the thread of the heartbeats (10 ms and more at a third of a core), and a long one closed its link after 2.5 s. Work without a bound by edges times documents. Change: edge heads ask for what leads on from what they have, different ones different heads, with waits that double, and not while the head that they listen to is sending; a control head keeps what it made ready for all, and has one answer on its way to each; a link stands while some of a message goes. Lists of all bricks are made ready once, too. The test of answers on their way has a larger document, for the kernel takes in 2.8 MB.

--- a/crates/router/src/core_choice.rs
+++ b/crates/router/src/core_choice.rs
@@ -4,11 +4,16 @@
 //! for all news. Reports go to the leader.
 
 use crate::Millis;
+use crate::draw::unit_draw;
 use pathbank_protocol::message::CoreStatus;
 use std::collections::BTreeMap;
 
-/// A configuration that was announced and has not come for so long is asked for, and again after each such time.
+/// A configuration that was announced and has not come for so long is asked for, and once more after as long again.
 const FETCH_AFTER: Millis = 200;
+/// From then on each wait is twice the one before, this often at most.
+const FETCH_DOUBLINGS: u32 = 3;
+/// A core that is listened to and has the configuration is about to send it. Another one is asked only after this.
+const DELIVERY_PATIENCE: Millis = 1_500;
 /// A core that has not been current for so long is left for one that is.
 const LEAVE_AFTER: Millis = 300;
 
@@ -22,7 +27,7 @@
     Subscribe(CoreAddress),
     /// No longer.
     Unsubscribe(CoreAddress),
-    /// Its configuration is wanted.
+    /// What is newer there than the configuration in force here is wanted.
     Fetch(CoreAddress),
 }
 
@@ -38,19 +43,31 @@
     told: Millis,
 }
 
+/// A newer configuration than the one in force was announced.
+#[derive(Clone, Copy, Debug)]
+struct Lacking {
+    /// The entry of the one in force.
+    known_index: u64,
+    /// Since when nothing newer has come, or when it was asked for last.
+    since: Millis,
+    /// How often it was asked for.
+    asked: u32,
+}
+
 /// The cores that this head reaches.
 #[derive(Clone, Debug, Default)]
 pub struct CoreChoice {
     zone: String,
+    seed: u64,
     cores: BTreeMap<CoreAddress, Core>,
     subscribed: Option<CoreAddress>,
-    announced_at: Option<Millis>,
+    lacking: Option<Lacking>,
 }
 
 impl CoreChoice {
-    /// A head in `zone` that reaches no core yet.
-    pub fn new(zone: String) -> CoreChoice {
-        CoreChoice { zone, ..CoreChoice::default() }
+    /// A head in `zone` that reaches no core yet. `seed`: any number, another one at each head.
+    pub fn new(zone: String, seed: u64) -> CoreChoice {
+        CoreChoice { zone, seed, ..CoreChoice::default() }
     }
 
     /// A core told of itself.
@@ -112,9 +129,11 @@
             return;
         }
         let rank = |core: &Core| (core.current, core.zone == self.zone);
-        // Of equals, heads in different zones take different ones.
-        let spread = |address: &CoreAddress| mix(&self.zone, address);
-        let best = self.cores.iter().max_by_key(|(address, core)| (rank(core), spread(address)));
+        // Of equals, different heads take different ones.
+        let draw = |address: &CoreAddress| unit_draw(self.seed, &address.to_string());
+        let best = self.cores.iter().max_by(|(one, first), (other, second)| {
+            rank(first).cmp(&rank(second)).then_with(|| draw(one).total_cmp(&draw(other)))
+        });
         let Some(best) = best.map(|(address, _)| *address).filter(|best| self.subscribed != Some(*best))
         else {
             return;
@@ -129,22 +148,31 @@
     }
 
     fn fetch(&mut self, now: Millis, known_index: u64, actions: &mut Vec<CoreAction>) {
-        let newest = self.cores.iter().max_by_key(|(_, core)| core.configuration_index);
-        let Some((address, _)) = newest.filter(|(_, core)| core.configuration_index > known_index) else {
-            self.announced_at = None;
+        let is_newer = |core: &Core| core.configuration_index > known_index;
+        if !self.cores.values().any(is_newer) {
+            self.lacking = None;
+            return;
+        }
+        let fresh = Lacking { known_index, since: now, asked: 0 };
+        let lacking = self.lacking.filter(|lacking| lacking.known_index == known_index).unwrap_or(fresh);
+        self.lacking = Some(lacking);
+        if now < lacking.since + self.fetch_wait(&lacking) {
             return;
-        };
-        let since = *self.announced_at.get_or_insert(now);
-        if now >= since + FETCH_AFTER {
-            self.announced_at = Some(now);
-            actions.push(CoreAction::Fetch(*address));
         }
+        // Not all heads that lack it ask the same core.
+        let draw = |address: &CoreAddress| {
+            unit_draw(self.seed.wrapping_add(lacking.asked.into()), &address.to_string())
+        };
+        let newer = self.cores.iter().filter(|(_, core)| is_newer(core)).map(|(address, _)| *address);
+        let chosen = newer.max_by(|one, other| draw(one).total_cmp(&draw(other)));
+        actions.extend(chosen.map(CoreAction::Fetch));
+        self.lacking = Some(Lacking { since: now, asked: lacking.asked + 1, ..lacking });
     }
-}
 
-fn mix(zone: &str, address: &CoreAddress) -> u64 {
-    let text = format!("{zone} {address}");
-    text.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
-    })
+    fn fetch_wait(&self, lacking: &Lacking) -> Millis {
+        let listened_to = self.subscribed.and_then(|address| self.cores.get(&address));
+        let is_on_its_way = listened_to.is_some_and(|core| core.configuration_index > lacking.known_index);
+        let wait = FETCH_AFTER << lacking.asked.saturating_sub(1).min(FETCH_DOUBLINGS);
+        if is_on_its_way { wait.max(DELIVERY_PATIENCE) } else { wait }
+    }
 }
--- a/crates/router/tests/core_choice.rs
+++ b/crates/router/tests/core_choice.rs
@@ -19,7 +19,7 @@
 }
 
 fn three_cores() -> CoreChoice {
-    let mut choice = CoreChoice::new("z2".into());
+    let mut choice = CoreChoice::new("z2".into(), 7);
     for number in 1..=3 {
         choice.told(0, core(number), &status(&format!("z{number}"), 1, 4, true));
     }
@@ -70,7 +70,7 @@
 
 #[test]
 fn while_no_core_is_current_one_is_listened_to_all_the_same() {
-    let mut choice = CoreChoice::new("z1".into());
+    let mut choice = CoreChoice::new("z1".into(), 7);
     choice.told(0, core(1), &status("z1", 1, 0, false));
     assert_eq!(choice.actions(0, 0), [CoreAction::Subscribe(core(1))]);
     choice.told(400, core(2), &status("z2", 2, 0, false));
--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -21,6 +21,7 @@
 use crate::settings::Settings;
 use crate::signals::Request;
 use anyhow::{Context, Result};
+use bytes::Bytes;
 use leadership::Leadership;
 use pathbank_control::autoscaling::ScaleOrder;
 use pathbank_control::configuration_holders::ConfigurationHolders;
@@ -33,10 +34,10 @@
 use pathbank_coordination::fencing::Fence;
 use pathbank_coordination::record::Durable;
 use pathbank_coordination::replica::{Departure, Replica, Timing};
-use pathbank_coordination::types::{Index, Payload, StoreId};
+use pathbank_coordination::types::{Payload, StoreId};
 use pathbank_protocol::message::{Brick, Frame, Hello, ProcessRole};
 use pathbank_router::wall_clock::WallClock;
-use publication::Publication;
+use publication::{Publication, SentConfiguration};
 use replication::Replication;
 use std::collections::BTreeMap;
 use tokio::sync::mpsc::UnboundedSender;
@@ -121,8 +122,8 @@
     link: Link,
     /// It wants all news from this head.
     subscribed: bool,
-    /// The entry of the configuration that it has, or is being told; 0: none.
-    configuration_index: Index,
+    /// What it was sent of the configuration.
+    configuration: SentConfiguration,
 }
 
 /// Times at which regular work is due.
@@ -145,6 +146,8 @@
     publication: Publication,
     state: ControlState,
     directory: Directory,
+    /// All bricks as an edge is told of them that begins to listen here, unless they have changed since.
+    all_bricks: Option<Bytes>,
     demand: DemandTable,
     outliers: OutlierTable,
     /// Which edges have which configuration in force.
@@ -199,6 +202,7 @@
         let replica = Replica::new(disk.me.clone(), Timing::default(), disk.durable.clone(), now, life);
         let mut node = Node {
             directory: Directory::new(settings.heartbeat_ms),
+            all_bricks: None,
             leadership: Leadership::new(fence),
             replication: Replication::new(replica, disk),
             publication: Publication::default(),
@@ -314,6 +318,7 @@
         self.lead(now);
         self.train(now);
         self.publish_configuration(now);
+        self.update_subscribers(now);
         self.publish_versions(now);
         let leader = self.replication.replica.leader().map(|leader| leader.id);
         let current = self.is_current(now);
--- a/crates/system/src/core/node/bricks.rs
+++ b/crates/system/src/core/node/bricks.rs
@@ -2,6 +2,7 @@
 
 use super::Node;
 use crate::core::peers::LinkId;
+use bytes::Bytes;
 use pathbank_protocol::codec;
 use pathbank_protocol::message::{AdmissionRequest, Brick, BrickLoad, BrickState, BrickUpdate, Frame};
 
@@ -17,12 +18,23 @@
         }
     }
 
+    /// All bricks, for an edge that begins to listen here. Many may begin at once: it is made ready anew only after a change.
+    pub(super) fn all_bricks(&mut self) -> Bytes {
+        let directory = &self.directory;
+        let make = || {
+            let bricks = directory.bricks().collect();
+            codec::encode(&Frame::Bricks(BrickUpdate { complete: true, bricks })).into()
+        };
+        self.all_bricks.get_or_insert_with(make).clone()
+    }
+
     /// Edges that listen here hear of every change. That a brick leaves is told to all edges, by every head that hears
     /// of it: no request may reach it much later.
-    pub(super) fn publish_bricks(&self, bricks: Vec<Brick>) {
+    pub(super) fn publish_bricks(&mut self, bricks: Vec<Brick>) {
         if bricks.is_empty() {
             return;
         }
+        self.all_bricks = None;
         let leaving: Vec<Brick> =
             bricks.iter().filter(|brick| brick.state != BrickState::Ready).cloned().collect();
         self.publish_to_subscribers(&Frame::Bricks(BrickUpdate { complete: false, bricks }));
@@ -34,7 +46,7 @@
 
     /// An order that this leader gave changes what a brick may be used for: its edges and the other cores hear of it.
     /// `reported`: the brick just said what it holds.
-    pub(super) fn publish_order_update(&self, instance: &str, reported: bool) {
+    pub(super) fn publish_order_update(&mut self, instance: &str, reported: bool) {
         self.publish_bricks(self.directory.brick(instance).into_iter().collect());
         if let Some(news) = self.directory.news(instance, reported) {
             self.mesh.send_to_all(&Frame::BrickNews(news));
@@ -88,6 +100,7 @@
         let bricks = self.directory.expire(now);
         if !bricks.is_empty() {
             tracing::info!(count = bricks.len(), "bricks fell silent");
+            self.all_bricks = None;
             self.publish_to_subscribers(&Frame::Bricks(BrickUpdate { complete: false, bricks }));
         }
     }
--- a/crates/system/src/core/node/links.rs
+++ b/crates/system/src/core/node/links.rs
@@ -1,5 +1,6 @@
 //! Links to other processes: what comes on them, and what is published on them.
 
+use super::publication::SentConfiguration;
 use super::{MEMBERS_EVERY, Node, Peer};
 use crate::clock;
 use crate::core::peers::LinkId;
@@ -7,7 +8,7 @@
 use bytes::Bytes;
 use pathbank_coordination::replica::Role;
 use pathbank_protocol::codec;
-use pathbank_protocol::message::{Brick, BrickUpdate, CoreStatus, Frame, Hello, ProcessRole, Subscription};
+use pathbank_protocol::message::{Brick, CoreStatus, Frame, Hello, ProcessRole, Subscription};
 use std::net::SocketAddr;
 
 impl Node {
@@ -31,20 +32,20 @@
         if hello.role == ProcessRole::Edge {
             link.send(&Frame::Core(self.core_status(true)));
         }
-        self.peers.insert(id, Peer { hello, link, subscribed: false, configuration_index: 0 });
+        let configuration = SentConfiguration::default();
+        self.peers.insert(id, Peer { hello, link, subscribed: false, configuration });
     }
 
     /// An edge wants all news from this head: it gets what stands first.
-    pub(super) fn on_subscribe(&mut self, id: LinkId, subscription: Subscription) {
-        let bricks = BrickUpdate { complete: true, bricks: self.directory.bricks().collect() };
+    pub(super) fn on_subscribe(&mut self, now: u64, id: LinkId, subscription: Subscription) {
         let Some(peer) = self.peers.get_mut(&id) else { return };
         peer.subscribed = subscription.wanted;
         if !subscription.wanted {
             return;
         }
         let link = peer.link.clone();
-        self.update_subscriber(id, subscription.known_index);
-        link.send(&Frame::Bricks(bricks));
+        self.update_edge_from(now, id, subscription.known_index);
+        link.send_encoded(self.all_bricks());
         if let Some(versions) = self.publication.versions().filter(|versions| !versions.is_empty()) {
             link.send(&Frame::ModelVersions(versions.to_vec()));
         }
@@ -83,9 +84,9 @@
                     self.wall_clock.note(now, &peer.hello.name, status.wall_clock_ms);
                 }
             }
-            Frame::Subscribe(subscription) => self.on_subscribe(id, subscription),
-            Frame::FetchConfiguration => self.send_configuration_to(id),
-            Frame::FetchDifference(known) => self.update_subscriber(id, known),
+            Frame::Subscribe(subscription) => self.on_subscribe(now, id, subscription),
+            Frame::FetchConfiguration => self.update_edge_from(now, id, 0),
+            Frame::FetchDifference(known) => self.update_edge_from(now, id, known),
             Frame::AdmissionRequest(request) => self.on_admission_request(now, id, &request),
             // A leader's own orders are what it knows best; one that led before may still tell of its last ones.
             Frame::BrickNews(news) if !self.replication.replica.is_settled_leader() => {
--- a/crates/system/src/core/node/publication.rs
+++ b/crates/system/src/core/node/publication.rs
@@ -5,6 +5,7 @@
 use crate::clock;
 use crate::core::peers::LinkId;
 use crate::core::training::lead::model_versions;
+use crate::net::link::{Link, Mark};
 use bytes::Bytes;
 use pathbank_control::document::Document;
 use pathbank_control::document_history::DocumentHistory;
@@ -16,6 +17,8 @@
 
 /// Edges are told of changes at least so far apart, milliseconds.
 const PUBLISH_APART: u64 = 150;
+/// A whole configuration that was made ready serves all edges that lack one for so long, with what changed since, milliseconds.
+const WHOLE_KEPT: u64 = 2_000;
 
 /// The configuration that edges are told, and those that they may have.
 #[derive(Default)]
@@ -24,10 +27,48 @@
     /// What was told last, and the entry that brought it.
     newest: Option<(Index, Document)>,
     told_at: u64,
+    /// What leads on from earlier entries to the newest one, as far as it was made ready. `None`: nothing does.
+    differences: BTreeMap<Index, Option<Bytes>>,
+    whole: Option<ReadyWhole>,
     /// The versions of models that those who listen here have. `None`: unknown.
     versions: Option<Vec<ModelVersions>>,
 }
 
+/// A whole configuration as edges get it.
+struct ReadyWhole {
+    index: Index,
+    made_at: u64,
+    message: Bytes,
+}
+
+/// What an edge is to be sent, in order.
+#[derive(Default)]
+struct Update {
+    is_whole: bool,
+    messages: Vec<Bytes>,
+}
+
+/// The configuration that an edge was sent on a link.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SentConfiguration {
+    /// The entry of the configuration that it has, or is being sent; 0: none.
+    index: Index,
+    /// Where that ends on its link.
+    end: Mark,
+}
+
+impl SentConfiguration {
+    /// Whether the edge has been sent all that was meant for it.
+    fn is_written(&self, link: &Link) -> bool {
+        link.has_written(self.end)
+    }
+}
+
+fn encoded(index: Index, base_index: Index, document: &serde_json::Value) -> Bytes {
+    let document = document.to_string().into_bytes();
+    codec::encode(&Frame::Configuration(ConfigurationUpdate { index, base_index, document })).into()
+}
+
 impl Publication {
     /// A document was applied, brought by a change of so many bytes.
     pub fn note(&mut self, index: Index, document: &Document, bytes: usize) {
@@ -44,15 +85,49 @@
         self.versions.as_deref()
     }
 
-    /// What an edge is told that has the document of `known`, or none (0). `None`: nothing was published yet.
-    fn update_from(&self, known: Index) -> Option<ConfigurationUpdate> {
+    /// Edges are told of this document from now on.
+    fn publish(&mut self, now: u64, index: Index, document: &Document) {
+        self.newest = Some((index, document.clone()));
+        self.told_at = now;
+        self.differences.clear();
+    }
+
+    /// What an edge is sent that has the document of `known`, or none (0).
+    fn update_from(&mut self, now: u64, known: Index) -> Update {
+        if known >= self.index() {
+            return Update::default();
+        }
+        match self.difference_from(known) {
+            Some(difference) => Update { is_whole: false, messages: vec![difference] },
+            None => Update { is_whole: true, messages: self.whole(now) },
+        }
+    }
+
+    fn difference_from(&mut self, known: Index) -> Option<Bytes> {
         let (index, document) = self.newest.as_ref()?;
-        let difference = self.history.get(known).and_then(|base| edge_document::difference(base, document));
-        let (base_index, told) = match difference {
-            Some(difference) => (known, difference),
-            None => (0, edge_document::whole(document)),
+        let make = || {
+            let difference = edge_document::difference(self.history.get(known)?, document)?;
+            Some(encoded(*index, known, &difference))
         };
-        Some(ConfigurationUpdate { index: *index, base_index, document: told.to_string().into_bytes() })
+        self.differences.entry(known).or_insert_with(make).clone()
+    }
+
+    /// The whole configuration. Making one ready costs as much as it holds, and all edges may lack it at once: it is kept, and
+    /// what changed since goes behind it.
+    fn whole(&mut self, now: u64) -> Vec<Bytes> {
+        if let Some(whole) = self.whole.as_ref().filter(|whole| now < whole.made_at + WHOLE_KEPT) {
+            let (index, message) = (whole.index, whole.message.clone());
+            if index == self.index() {
+                return vec![message];
+            }
+            if let Some(difference) = self.difference_from(index) {
+                return vec![message, difference];
+            }
+        }
+        let Some((index, document)) = &self.newest else { return Vec::new() };
+        let message = encoded(*index, 0, &edge_document::whole(document));
+        self.whole = Some(ReadyWhole { index: *index, made_at: now, message: message.clone() });
+        vec![message]
     }
 }
 
@@ -70,9 +145,8 @@
         if index == self.publication.index() || soon || !self.is_current(now) {
             return;
         }
-        self.publication.newest = Some((index, document.clone()));
-        self.publication.told_at = now;
-        self.update_subscribers();
+        self.publication.publish(now, index, document);
+        self.update_subscribers(now);
         let status = Frame::Core(self.core_status(false));
         self.tell(&status, |edge| !edge.subscribed);
     }
@@ -92,44 +166,46 @@
         self.publication.versions = Some(versions);
     }
 
-    fn update_subscribers(&mut self) {
-        let publication = &self.publication;
-        let mut updates: BTreeMap<Index, Option<Bytes>> = BTreeMap::new();
-        let subscribed = |peer: &&mut Peer| peer.hello.role == ProcessRole::Edge && peer.subscribed;
-        for edge in self.peers.values_mut().filter(subscribed) {
-            let known = edge.configuration_index;
-            let encoded = updates.entry(known).or_insert_with(|| {
-                let update = publication.update_from(known).filter(|update| update.index > known)?;
-                Some(codec::encode(&Frame::Configuration(update)).into())
-            });
-            if let Some(bytes) = encoded {
-                edge.link.send_encoded(bytes.clone());
-                edge.configuration_index = publication.index();
-            }
-        }
+    /// Sends edges that listen here what they lack of the configuration.
+    pub(super) fn update_subscribers(&mut self, now: u64) {
+        let newest = self.current_index();
+        let lacks = |peer: &Peer| {
+            peer.hello.role == ProcessRole::Edge && peer.subscribed && peer.configuration.index < newest
+        };
+        let lacking: Vec<LinkId> =
+            self.peers.iter().filter(|(_, peer)| lacks(peer)).map(|(id, _)| *id).collect();
+        lacking.into_iter().for_each(|id| self.update_edge(now, id));
     }
 
-    /// An edge that begins to listen here, or missed something, said which configuration it has: it gets what is newer.
-    pub(super) fn update_subscriber(&mut self, id: LinkId, known: Index) {
-        let current = self.current_index();
+    /// An edge said which configuration it has: it gets what is newer, unless that is on its way.
+    pub(super) fn update_edge_from(&mut self, now: u64, id: LinkId, known: Index) {
         let Some(edge) = self.peers.get_mut(&id) else { return };
-        edge.configuration_index = known;
-        if current <= known {
-            return;
-        }
-        if let Some(update) = self.publication.update_from(known) {
-            edge.link.send(&Frame::Configuration(update));
-            edge.configuration_index = current;
+        if edge.configuration.is_written(&edge.link) {
+            edge.configuration.index = known;
         }
+        self.update_edge(now, id);
     }
 
-    /// An edge missed something: it gets the whole configuration.
-    pub(super) fn send_configuration_to(&self, id: LinkId) {
+    /// Sends an edge what it lacks. One answer at a time: on a narrow link a whole configuration takes longer than it takes an
+    /// edge to ask again, or operators to change it.
+    fn update_edge(&mut self, now: u64, id: LinkId) {
         if self.current_index() == 0 {
             return;
         }
-        if let (Some(peer), Some(update)) = (self.peers.get(&id), self.publication.update_from(0)) {
-            peer.link.send(&Frame::Configuration(update));
+        let Some(edge) = self.peers.get(&id).filter(|edge| edge.configuration.is_written(&edge.link)) else {
+            return;
+        };
+        let update = self.publication.update_from(now, edge.configuration.index);
+        // By this the edge knows that it is on its way, and asks nobody else.
+        let announcement = update.is_whole.then(|| Frame::Core(self.core_status(false)));
+        let Some(edge) = self.peers.get_mut(&id) else { return };
+        if let Some(announcement) = announcement {
+            edge.link.send(&announcement);
+        }
+        for message in update.messages {
+            edge.link.send_encoded(message);
         }
+        let index = edge.configuration.index.max(self.publication.index());
+        edge.configuration = SentConfiguration { index, end: edge.link.mark() };
     }
 }
--- a/crates/system/src/edge/core_links.rs
+++ b/crates/system/src/edge/core_links.rs
@@ -64,7 +64,7 @@
         let sent = match action {
             CoreAction::Subscribe(core) => mesh.send(core, &subscription(true)),
             CoreAction::Unsubscribe(core) => mesh.send(core, &subscription(false)),
-            CoreAction::Fetch(core) => mesh.send(core, &Frame::FetchConfiguration),
+            CoreAction::Fetch(core) => mesh.send(core, &Frame::FetchDifference(known_index)),
         };
         tracing::debug!(?action, sent, "to a core");
     }
--- a/crates/system/src/edge/shared.rs
+++ b/crates/system/src/edge/shared.rs
@@ -187,7 +187,7 @@
             usage: UsageCounter::new(settings.bounds.report_window_ms),
             wall_clock: WallClock::default(),
             request_log: RequestLog::default(),
-            core_choice: CoreChoice::new(settings.zone.clone()),
+            core_choice: CoreChoice::new(settings.zone.clone(), life),
             reports: Reports::default(),
             event_rate: EventRate::default(),
             waiting: BTreeMap::new(),
--- a/crates/system/src/net/link.rs
+++ b/crates/system/src/net/link.rs
@@ -6,7 +6,7 @@
 use pathbank_protocol::framing;
 use pathbank_protocol::message::Frame;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -18,7 +18,7 @@
 const PING_EVERY: Duration = Duration::from_millis(700);
 /// A link without a byte for so long is closed.
 const SILENCE: Duration = Duration::from_millis(2_200);
-/// A write that takes longer closes the link: the other side does not read.
+/// A write of which nothing goes for so long closes the link: the other side does not read.
 const WRITE_PATIENCE: Duration = Duration::from_millis(2_500);
 /// Messages that wait for a slow reader; beyond, the link is closed.
 const QUEUE_LENGTH: usize = 512;
@@ -26,8 +26,10 @@
 const JOINED_BYTES: usize = 16 * 1024;
 const READ_BUFFER_BYTES: usize = 16 * 1024;
 
-/// Bytes that wait for a slow reader; beyond, the link is closed. One message may be longer.
-const QUEUE_BYTES: usize = 2 * 1024 * 1024;
+/// Bytes that wait for a slow reader; beyond, the link is closed.
+const QUEUE_BYTES: u64 = 2 * 1024 * 1024;
+/// What one message counts for among them at most: a long one may wait, and others behind it.
+const MOST_COUNTED_BYTES: u64 = QUEUE_BYTES / 2;
 
 static RECEIVED: AtomicU64 = AtomicU64::new(0);
 static SENT: AtomicU64 = AtomicU64::new(0);
@@ -46,11 +48,26 @@
     Traffic { received: RECEIVED.load(Ordering::Relaxed), sent: SENT.load(Ordering::Relaxed) }
 }
 
+/// How far the messages of a link are, bytes.
+#[derive(Debug, Default)]
+struct Progress {
+    /// Of messages that wait for their turn, as counted.
+    waiting: AtomicU64,
+    /// From the link's beginning.
+    queued: AtomicU64,
+    /// From the link's beginning.
+    written: AtomicU64,
+}
+
+/// A place in what a link carries: everything that was queued up to a moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Mark(u64);
+
 /// The sending end of a link.
 #[derive(Clone, Debug)]
 pub struct Link {
     queue: mpsc::Sender<Bytes>,
-    waiting: Arc<AtomicUsize>,
+    progress: Arc<Progress>,
     /// The reader was too slow.
     overrun: Arc<AtomicBool>,
 }
@@ -63,29 +80,43 @@
 
     /// Queues a message that is encoded already.
     pub fn send_encoded(&self, bytes: Bytes) -> bool {
-        let length = bytes.len();
-        let waiting = self.waiting.load(Ordering::Relaxed);
-        let fits = waiting == 0 || waiting + length <= QUEUE_BYTES;
-        if self.overrun.load(Ordering::Relaxed) || !fits || self.queue.try_send(bytes).is_err() {
+        let (length, counted) = (bytes.len() as u64, counted(&bytes));
+        let waiting = self.progress.waiting.fetch_add(counted, Ordering::Relaxed) + counted;
+        self.progress.queued.fetch_add(length, Ordering::Relaxed);
+        let is_lost = self.overrun.load(Ordering::Relaxed) || waiting > QUEUE_BYTES;
+        if is_lost || self.queue.try_send(bytes).is_err() {
             // What is lost here cannot be made good on this link: the next one begins anew.
             self.overrun.store(true, Ordering::Relaxed);
             return false;
         }
-        self.waiting.fetch_add(length, Ordering::Relaxed);
         true
     }
 
+    /// All that was queued until now.
+    pub fn mark(&self) -> Mark {
+        Mark(self.progress.queued.load(Ordering::Relaxed))
+    }
+
+    /// Whether all up to a mark has been written.
+    pub fn has_written(&self, mark: Mark) -> bool {
+        self.progress.written.load(Ordering::Relaxed) >= mark.0
+    }
+
     /// Whether the link has ended.
     pub fn is_closed(&self) -> bool {
         self.queue.is_closed()
     }
 }
 
+fn counted(message: &Bytes) -> u64 {
+    MOST_COUNTED_BYTES.min(message.len() as u64)
+}
+
 /// What waits to be written on a link.
 #[derive(Debug)]
 pub struct Outbox {
     messages: mpsc::Receiver<Bytes>,
-    waiting: Arc<AtomicUsize>,
+    progress: Arc<Progress>,
     overrun: Arc<AtomicBool>,
 }
 
@@ -94,9 +125,9 @@
     async fn next(&mut self) -> Option<Bytes> {
         let first = match timeout(PING_EVERY, self.messages.recv()).await {
             Ok(bytes) => bytes?,
-            Err(_) => return Some(codec::encode(&Frame::Ping(clock::now())).into()),
+            Err(_) => return Some(self.ping()),
         };
-        self.waiting.fetch_sub(first.len(), Ordering::Relaxed);
+        self.progress.waiting.fetch_sub(counted(&first), Ordering::Relaxed);
         if self.overrun.load(Ordering::Relaxed) {
             return None;
         }
@@ -107,19 +138,25 @@
         let mut joined = BytesMut::from(&first[..]);
         while joined.len() < JOINED_BYTES {
             let Ok(more) = self.messages.try_recv() else { break };
-            self.waiting.fetch_sub(more.len(), Ordering::Relaxed);
+            self.progress.waiting.fetch_sub(counted(&more), Ordering::Relaxed);
             joined.extend_from_slice(&more);
         }
         Some(joined.freeze())
     }
+
+    fn ping(&self) -> Bytes {
+        let ping: Bytes = codec::encode(&Frame::Ping(clock::now())).into();
+        self.progress.queued.fetch_add(ping.len() as u64, Ordering::Relaxed);
+        ping
+    }
 }
 
 /// The sending end of a link that is about to open, and what is to be written on it.
 pub fn channel() -> (Link, Outbox) {
     let (queue, messages) = mpsc::channel(QUEUE_LENGTH);
-    let (waiting, overrun) = (Arc::<AtomicUsize>::default(), Arc::<AtomicBool>::default());
-    let outbox = Outbox { messages, waiting: waiting.clone(), overrun: overrun.clone() };
-    (Link { queue, waiting, overrun }, outbox)
+    let (progress, overrun) = (Arc::<Progress>::default(), Arc::<AtomicBool>::default());
+    let outbox = Outbox { messages, progress: progress.clone(), overrun: overrun.clone() };
+    (Link { queue, progress, overrun }, outbox)
 }
 
 /// Runs a connection until it ends. `on_frame` gets each message, and answers whether the link goes on.
@@ -161,9 +198,24 @@
 
 async fn write_frames(mut writer: OwnedWriteHalf, mut outbox: Outbox) {
     while let Some(bytes) = outbox.next().await {
-        SENT.fetch_add(bytes.len() as u64, Ordering::Relaxed);
-        if !matches!(timeout(WRITE_PATIENCE, writer.write_all(&bytes)).await, Ok(Ok(()))) {
+        if !write_all(&mut writer, &bytes, &outbox.progress).await {
             return;
         }
     }
 }
+
+/// Writes a message, however long that takes while some of it goes. `false`: the link has ended, or its reader stands still.
+async fn write_all(writer: &mut OwnedWriteHalf, bytes: &[u8], progress: &Progress) -> bool {
+    let mut rest = bytes;
+    while !rest.is_empty() {
+        // Patience is with each part: many readers that come back at once share a link, and a long message takes its time.
+        let Ok(Ok(count)) = timeout(WRITE_PATIENCE, writer.write(rest)).await else { return false };
+        if count == 0 {
+            return false;
+        }
+        SENT.fetch_add(count as u64, Ordering::Relaxed);
+        progress.written.fetch_add(count as u64, Ordering::Relaxed);
+        rest = &rest[count..];
+    }
+    true
+}
--- a/crates/system/tests/common/mod.rs
+++ b/crates/system/tests/common/mod.rs
@@ -265,8 +265,8 @@
     .to_string()
 }
 
-/// The same configuration with so many routes more, some hundred bytes each.
-pub fn document_with_routes(version: u64, count: usize) -> String {
+/// The same configuration with so many routes more, each with a note of so many bytes for operators.
+pub fn document_with_routes(version: u64, count: usize, note_bytes: usize) -> String {
     let mut document: serde_json::Value = serde_json::from_str(&document(version)).unwrap();
     let routes = document["routes"].as_array_mut().unwrap();
     let template = routes[0].clone();
@@ -274,6 +274,7 @@
         let mut route = template.clone();
         route["name"] = format!("more-{number}").into();
         route["path_prefix"] = format!("/more/{number}/").into();
+        route["note"] = "x".repeat(note_bytes).into();
         routes.push(route);
     }
     document.to_string()
--- a/crates/system/tests/common/slow_edge.rs
+++ b/crates/system/tests/common/slow_edge.rs
@@ -31,7 +31,8 @@
     }
 
     pub fn say(&mut self, frame: &Frame) {
-        self.stream.write_all(&codec::encode(frame)).unwrap();
+        let written = self.stream.write_all(&codec::encode(frame));
+        written.expect("the control head keeps the link of an edge head that is slow to read");
     }
 
     /// All that comes until nothing has come for so long, or the link ends.
--- a/crates/system/tests/whole_configurations.rs
+++ b/crates/system/tests/whole_configurations.rs
@@ -10,6 +10,9 @@
 
 /// Routes of the configuration: some hundred kilobytes.
 const ROUTES: usize = 3_000;
+/// What each route notes for operators where the configuration is to be more than the kernel's buffers between two processes take in:
+/// some megabytes.
+const LONG_NOTE_BYTES: usize = 1_500;
 
 /// Processor time that a process has used so far, in the kernel's ticks of a hundredth of a second.
 fn processor_ticks(process: u32) -> u64 {
@@ -33,7 +36,7 @@
 #[test]
 fn a_configuration_that_is_on_its_way_is_not_sent_again() {
     let system = System::started();
-    system.configure(0, &document_with_routes(3, ROUTES));
+    system.configure(0, &document_with_routes(3, ROUTES, LONG_NOTE_BYTES));
     system.until_ready();
     let mut edge = SlowEdge::subscribed_to(system.local.internal[0], "slow");
     for _ in 0..5 {
@@ -49,7 +52,7 @@
 fn edges_that_have_nothing_cost_a_control_head_about_as_much_as_one_of_them() {
     const EDGES: usize = 40;
     let system = System::started();
-    system.configure(0, &document_with_routes(3, ROUTES));
+    system.configure(0, &document_with_routes(3, ROUTES, 0));
     system.until_ready();
     let head = system.local.cores[0].id().expect("it runs");
     let has_one = |listener: &EdgeListener| whole_configurations(&listener.heard()) == 1;
