Long messages to edge heads go compressed

Cause: 82 edge heads that come back at once were sent 0.4 to 1.5 MB each, which filled the control heads' links; the leader's lease ended again and again.

--- a/crates/protocol/schema/internal.capnp
+++ b/crates/protocol/schema/internal.capnp
@@ -98,6 +98,7 @@
   name @1 :Text;
   zone @2 :Text;
   life @3 :UInt64;
+  readsCompressed @4 :Bool;
 }
 
 struct LoadedModel {
@@ -346,5 +347,7 @@
     brickNews @18 :BrickNews;
     # The configuration's entry that the edge has; 0: none.
     fetchDifference @19 :UInt64;
+    # The body of another frame, by LZ4 with its length in front. Only to processes that said in their hello that they read it.
+    compressed @20 :Data;
   }
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -3,6 +3,7 @@
 //! A frame is a length of four bytes (little endian) and a Cap'n Proto message of [`message::Frame`].
 
 pub mod codec;
+mod compression;
 pub mod framing;
 pub mod message;
 mod read;
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -72,6 +72,8 @@
     pub zone: String,
     /// Another number at each start of the process.
     pub life: u64,
+    /// Long messages may come to it compressed.
+    pub reads_compressed: bool,
 }
 
 /// What a brick says of itself, or a core of it.
--- a/crates/protocol/src/read.rs
+++ b/crates/protocol/src/read.rs
@@ -3,8 +3,11 @@
 mod draw;
 
 use crate::codec::DecodeError;
+use crate::compression;
 use crate::internal_capnp as wire;
 use crate::message::*;
+use capnp::message::ReaderOptions;
+use capnp::serialize;
 use pathbank_coordination::types::{
     Entry, Member, Membership, Message, Payload, SnapshotId, SnapshotPart, StoreId, Term,
 };
@@ -19,6 +22,20 @@
     list.iter().map(|item| text(item?)).collect()
 }
 
+/// A message whose body came compressed. One within another is none that anybody sends.
+fn decompressed(body: &[u8]) -> Read<Frame> {
+    let body = compression::decompress(body)?;
+    let mut rest = &body[..];
+    let reader = serialize::read_message_from_flat_slice(&mut rest, ReaderOptions::new())?;
+    let inner = reader.get_root::<wire::frame::Reader<'_>>()?;
+    match inner.which()? {
+        wire::frame::Which::Compressed(_) => {
+            Err(DecodeError::Compressed("a compressed message within another"))
+        }
+        _ => frame(inner),
+    }
+}
+
 pub fn frame(frame: wire::frame::Reader<'_>) -> Read<Frame> {
     use wire::frame::Which;
     Ok(match frame.which()? {
@@ -48,6 +65,7 @@
             Frame::Subscribe(Subscription { wanted: subscription.get_wanted(), known_index })
         }
         Which::FetchConfiguration(()) => Frame::FetchConfiguration,
+        Which::Compressed(body) => return decompressed(body?),
         Which::FetchDifference(known) => Frame::FetchDifference(known),
         Which::Loads(loads) => Frame::Loads(loads?.get_loads()?.iter().map(read_load).collect::<Read<_>>()?),
         Which::AdmissionRequest(request) => {
@@ -105,7 +123,8 @@
         wire::Role::Core => ProcessRole::Core,
     };
     let (name, zone) = (text(hello.get_name()?)?, text(hello.get_zone()?)?);
-    Ok(Hello { role, name, zone, life: hello.get_life() })
+    let reads_compressed = hello.get_reads_compressed();
+    Ok(Hello { role, name, zone, life: hello.get_life(), reads_compressed })
 }
 
 fn read_member(member: wire::member::Reader<'_>) -> Read<Member> {
--- a/crates/protocol/src/write.rs
+++ b/crates/protocol/src/write.rs
@@ -104,6 +104,7 @@
     out.set_name(&hello.name);
     out.set_zone(&hello.zone);
     out.set_life(hello.life);
+    out.set_reads_compressed(hello.reads_compressed);
 }
 
 fn write_member(member: &Member, mut out: wire::member::Builder<'_>) {
--- a/crates/protocol/tests/round_trip.rs
+++ b/crates/protocol/tests/round_trip.rs
@@ -3,7 +3,7 @@
 use pathbank_coordination::types::{
     Entry, Member, Membership, Message, Payload, SnapshotId, SnapshotPart, StoreId,
 };
-use pathbank_protocol::codec::{decode, encode};
+use pathbank_protocol::codec::{SharedMessage, decode, encode};
 use pathbank_protocol::framing::{FrameTooLong, LENGTH_BYTES, take_body};
 use pathbank_protocol::message::*;
 use test_case::test_case;
@@ -137,7 +137,7 @@
     Message::SnapshotPart(SnapshotPart { term: 3, id, offset: 400, bytes: vec![9; 300], sent_at: 5 })
 }
 
-#[test_case(Frame::Hello(Hello { role: ProcessRole::Edge, name: "e".into(), zone: "z".into(), life: 1 }); "hello")]
+#[test_case(Frame::Hello(Hello { role: ProcessRole::Edge, name: "e".into(), zone: "z".into(), life: 1, reads_compressed: true }); "hello")]
 #[test_case(replica(append()); "append")]
 #[test_case(replica(snapshot_part()); "snapshot part")]
 #[test_case(replica(Message::SnapshotReply { term: 3, index: 5, received: 700, sent_at: 5 }); "snapshot reply")]
@@ -209,3 +209,42 @@
         let _ = decode(&whole[LENGTH_BYTES..at]);
     }
 }
+
+fn hello(reads_compressed: bool) -> Hello {
+    Hello { role: ProcessRole::Edge, name: "e".into(), zone: "z".into(), life: 1, reads_compressed }
+}
+
+fn read_back(bytes: &[u8]) -> Frame {
+    let mut buffer = bytes.to_vec();
+    decode(&take_body(&mut buffer).unwrap().unwrap()).unwrap()
+}
+
+#[test]
+fn a_long_message_goes_compressed_to_those_that_read_it() {
+    let document = br#"{"name":"route-1","path_prefix":"/one/"},"#.repeat(1_000);
+    let frame = Frame::Configuration(ConfigurationUpdate { index: 3, base_index: 0, document });
+    let message = SharedMessage::new(&frame);
+    let (plain, compressed) = (message.to(&hello(false)), message.to(&hello(true)));
+    assert_eq!((read_back(&plain), read_back(&compressed)), (frame.clone(), frame));
+    assert!(compressed.len() < plain.len() / 8, "{} of {} bytes", compressed.len(), plain.len());
+}
+
+#[test]
+fn a_message_that_gains_nothing_goes_as_it_is() {
+    let message = SharedMessage::new(&Frame::Ping(1));
+    assert_eq!(message.to(&hello(true)), message.to(&hello(false)));
+}
+
+#[test]
+fn damaged_compressed_bytes_are_an_error_and_no_panic() {
+    let document = br#"{"name":"route-1"},"#.repeat(300);
+    let frame = Frame::Configuration(ConfigurationUpdate { index: 3, base_index: 0, document });
+    let whole = SharedMessage::new(&frame).to(&hello(true));
+    for at in LENGTH_BYTES..whole.len() {
+        for flipped in [0x01, 0x55, 0x80, 0xff] {
+            let mut body = whole[LENGTH_BYTES..].to_vec();
+            body[at - LENGTH_BYTES] ^= flipped;
+            let _ = decode(&body);
+        }
+    }
+}
--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -21,7 +21,6 @@
 use crate::settings::Settings;
 use crate::signals::Request;
 use anyhow::{Context, Result};
-use bytes::Bytes;
 use leadership::Leadership;
 use pathbank_control::autoscaling::ScaleOrder;
 use pathbank_control::configuration_holders::ConfigurationHolders;
@@ -35,6 +34,7 @@
 use pathbank_coordination::record::Durable;
 use pathbank_coordination::replica::{Departure, Replica, Timing};
 use pathbank_coordination::types::{Payload, StoreId};
+use pathbank_protocol::codec::SharedMessage;
 use pathbank_protocol::message::{Brick, Frame, Hello, ProcessRole};
 use pathbank_router::wall_clock::WallClock;
 use publication::{Publication, SentConfiguration};
@@ -147,7 +147,7 @@
     state: ControlState,
     directory: Directory,
     /// All bricks as an edge is told of them that begins to listen here, unless they have changed since.
-    all_bricks: Option<Bytes>,
+    all_bricks: Option<SharedMessage>,
     demand: DemandTable,
     outliers: OutlierTable,
     /// Which edges have which configuration in force.
@@ -190,6 +190,7 @@
             name: settings.node_name.clone(),
             zone: settings.zone.clone(),
             life,
+            reads_compressed: true,
         };
         let mesh_events = events.clone();
         let mesh = Mesh::new(hello, move |event| drop(mesh_events.send(Event::Mesh(event))));
--- a/crates/system/src/core/node/bricks.rs
+++ b/crates/system/src/core/node/bricks.rs
@@ -2,8 +2,7 @@
 
 use super::Node;
 use crate::core::peers::LinkId;
-use bytes::Bytes;
-use pathbank_protocol::codec;
+use pathbank_protocol::codec::{self, SharedMessage};
 use pathbank_protocol::message::{AdmissionRequest, Brick, BrickLoad, BrickState, BrickUpdate, Frame};
 
 impl Node {
@@ -19,11 +18,11 @@
     }
 
     /// All bricks, for an edge that begins to listen here. Many may begin at once: it is made ready anew only after a change.
-    pub(super) fn all_bricks(&mut self) -> Bytes {
+    pub(super) fn all_bricks(&mut self) -> SharedMessage {
         let directory = &self.directory;
         let make = || {
             let bricks = directory.bricks().collect();
-            codec::encode(&Frame::Bricks(BrickUpdate { complete: true, bricks })).into()
+            SharedMessage::new(&Frame::Bricks(BrickUpdate { complete: true, bricks }))
         };
         self.all_bricks.get_or_insert_with(make).clone()
     }
--- a/crates/system/src/core/node/links.rs
+++ b/crates/system/src/core/node/links.rs
@@ -43,9 +43,9 @@
         if !subscription.wanted {
             return;
         }
-        let link = peer.link.clone();
+        let (link, hello) = (peer.link.clone(), peer.hello.clone());
         self.update_edge_from(now, id, subscription.known_index);
-        link.send_encoded(self.all_bricks());
+        link.send_encoded(self.all_bricks().to(&hello));
         if let Some(versions) = self.publication.versions().filter(|versions| !versions.is_empty()) {
             link.send(&Frame::ModelVersions(versions.to_vec()));
         }
--- a/crates/system/src/core/node/publication.rs
+++ b/crates/system/src/core/node/publication.rs
@@ -6,12 +6,11 @@
 use crate::core::peers::LinkId;
 use crate::core::training::lead::model_versions;
 use crate::net::link::{Link, Mark};
-use bytes::Bytes;
 use pathbank_control::document::Document;
 use pathbank_control::document_history::DocumentHistory;
 use pathbank_control::edge_document;
 use pathbank_coordination::types::Index;
-use pathbank_protocol::codec;
+use pathbank_protocol::codec::SharedMessage;
 use pathbank_protocol::message::{ConfigurationUpdate, Frame, ModelVersions, ProcessRole};
 use std::collections::BTreeMap;
 
@@ -28,7 +27,7 @@
     newest: Option<(Index, Document)>,
     told_at: u64,
     /// What leads on from earlier entries to the newest one, as far as it was made ready. `None`: nothing does.
-    differences: BTreeMap<Index, Option<Bytes>>,
+    differences: BTreeMap<Index, Option<SharedMessage>>,
     whole: Option<ReadyWhole>,
     /// The versions of models that those who listen here have. `None`: unknown.
     versions: Option<Vec<ModelVersions>>,
@@ -38,14 +37,14 @@
 struct ReadyWhole {
     index: Index,
     made_at: u64,
-    message: Bytes,
+    message: SharedMessage,
 }
 
 /// What an edge is to be sent, in order.
 #[derive(Default)]
 struct Update {
     is_whole: bool,
-    messages: Vec<Bytes>,
+    messages: Vec<SharedMessage>,
 }
 
 /// The configuration that an edge was sent on a link.
@@ -64,9 +63,9 @@
     }
 }
 
-fn encoded(index: Index, base_index: Index, document: &serde_json::Value) -> Bytes {
+fn encoded(index: Index, base_index: Index, document: &serde_json::Value) -> SharedMessage {
     let document = document.to_string().into_bytes();
-    codec::encode(&Frame::Configuration(ConfigurationUpdate { index, base_index, document })).into()
+    SharedMessage::new(&Frame::Configuration(ConfigurationUpdate { index, base_index, document }))
 }
 
 impl Publication {
@@ -103,7 +102,7 @@
         }
     }
 
-    fn difference_from(&mut self, known: Index) -> Option<Bytes> {
+    fn difference_from(&mut self, known: Index) -> Option<SharedMessage> {
         let (index, document) = self.newest.as_ref()?;
         let make = || {
             let difference = edge_document::difference(self.history.get(known)?, document)?;
@@ -114,7 +113,7 @@
 
     /// The whole configuration. Making one ready costs as much as it holds, and all edges may lack it at once: it is kept, and
     /// what changed since goes behind it.
-    fn whole(&mut self, now: u64) -> Vec<Bytes> {
+    fn whole(&mut self, now: u64) -> Vec<SharedMessage> {
         if let Some(whole) = self.whole.as_ref().filter(|whole| now < whole.made_at + WHOLE_KEPT) {
             let (index, message) = (whole.index, whole.message.clone());
             if index == self.index() {
@@ -203,7 +202,7 @@
             edge.link.send(&announcement);
         }
         for message in update.messages {
-            edge.link.send_encoded(message);
+            edge.link.send_encoded(message.to(&edge.hello));
         }
         let index = edge.configuration.index.max(self.publication.index());
         edge.configuration = SentConfiguration { index, end: edge.link.mark() };
--- a/crates/system/src/edge/core_links.rs
+++ b/crates/system/src/edge/core_links.rs
@@ -18,6 +18,7 @@
         name: settings.node_name.clone(),
         zone: settings.zone.clone(),
         life: shared.life,
+        reads_compressed: true,
     };
     let weak: Weak<Shared> = Arc::downgrade(shared);
     let mesh = Mesh::new(hello, move |event| {
--- a/crates/system/tests/common/listener.rs
+++ b/crates/system/tests/common/listener.rs
@@ -45,7 +45,13 @@
         }
     };
     let (link, outbox) = link::channel();
-    let hello = Hello { role: ProcessRole::Edge, name: "listener".into(), zone: "z1".into(), life: 1 };
+    let hello = Hello {
+        role: ProcessRole::Edge,
+        name: "listener".into(),
+        zone: "z1".into(),
+        life: 1,
+        reads_compressed: false,
+    };
     link.send(&Frame::Hello(hello));
     link.send(&Frame::Subscribe(Subscription { wanted: true, known_index: 0 }));
     *open_link.lock().unwrap() = Some(link);
--- a/crates/system/tests/common/slow_edge.rs
+++ b/crates/system/tests/common/slow_edge.rs
@@ -24,7 +24,13 @@
         socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
         socket.connect(&control_head.into()).unwrap();
         let mut edge = SlowEdge { stream: socket.into(), buffer: Vec::new() };
-        let hello = Hello { role: ProcessRole::Edge, name: name.into(), zone: "z1".into(), life: 1 };
+        let hello = Hello {
+            role: ProcessRole::Edge,
+            name: name.into(),
+            zone: "z1".into(),
+            life: 1,
+            reads_compressed: false,
+        };
         edge.say(&Frame::Hello(hello));
         edge.say(&Frame::Subscribe(Subscription { wanted: true, known_index: 0 }));
         edge
