Each process tells when it reached what on its way back to service

Cause: nothing said how long the stretches from a start to the first answer took; service came back 4 to 9 s after all machines. Change: milestones (disk read, listening, control reached, leader known, current, configured, brick known, ordered, sent, answered) are logged once each with the time since the start, and told under startup_ms of a control head's status and at /api/startup beside an edge head's readiness.

--- a/crates/system/src/core/mod.rs
+++ b/crates/system/src/core/mod.rs
@@ -14,6 +14,7 @@
 use crate::net::socket;
 use crate::settings::Settings;
 use crate::signals::Signals;
+use crate::startup::{Milestone, Startup};
 use anyhow::{Context, Result};
 use node::{Event, Node};
 use std::time::Duration;
@@ -30,6 +31,7 @@
 
 /// Runs a control head until it is told to stop.
 pub async fn run(settings: Settings) -> Result<()> {
+    let startup = Startup::default();
     let mut signals = Signals::new()?;
     let control = settings.control_plane.context("listeners_map.control_plane is missing")?;
     let internal = settings.own_internal_address();
@@ -37,7 +39,8 @@
     let internal_listener = socket::listen(internal).with_context(|| format!("internal {internal}"))?;
     let (events, mut inbox) = mpsc::unbounded_channel();
     let disk = disk::Disk::open(&settings, control, events.clone())?;
-    let mut node = Node::new(settings.clone(), disk, events.clone()).context(CANNOT_TAKE_PART)?;
+    startup.reach(Milestone::DiskRead);
+    let mut node = Node::new(settings.clone(), disk, events.clone(), startup).context(CANNOT_TAKE_PART)?;
     let (close, closing) = watch::channel(false);
     let limits = Limits {
         head_bytes: MOST_HEAD_BYTES,
@@ -54,6 +57,7 @@
     ));
     tokio::spawn(peers::accept(internal_listener, events.clone()));
     tracing::info!(node = settings.node_name, %control, "control head started");
+    node.listens();
     let mut next_tick = tokio::time::Instant::now();
     loop {
         tokio::select! {
--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -20,6 +20,7 @@
 use crate::net::mesh::{Mesh, MeshEvent};
 use crate::settings::Settings;
 use crate::signals::Request;
+use crate::startup::{Milestone, Startup};
 use anyhow::{Context, Result};
 use leadership::Leadership;
 use pathbank_control::autoscaling::ScaleOrder;
@@ -141,6 +142,8 @@
 pub struct Node {
     settings: Settings,
     life: u64,
+    /// How this head came to serve.
+    startup: Startup,
     events: UnboundedSender<Event>,
     replication: Replication,
     publication: Publication,
@@ -183,7 +186,12 @@
 
 impl Node {
     /// A control head on what its disk held.
-    pub fn new(settings: Settings, disk: Disk, events: UnboundedSender<Event>) -> Result<Node> {
+    pub fn new(
+        settings: Settings,
+        disk: Disk,
+        events: UnboundedSender<Event>,
+        startup: Startup,
+    ) -> Result<Node> {
         let life = clock::entropy();
         let hello = Hello {
             role: ProcessRole::Core,
@@ -209,6 +217,7 @@
             publication: Publication::default(),
             settings,
             life,
+            startup,
             events,
             state,
             demand: DemandTable::default(),
@@ -231,6 +240,11 @@
         Ok(node)
     }
 
+    /// Links and callers are accepted from now on.
+    pub fn listens(&self) {
+        self.startup.reach(Milestone::Listening);
+    }
+
     /// Why this head cannot go on, if it cannot.
     pub fn take_fatal(&mut self) -> Option<StateError> {
         self.fatal.take()
@@ -323,7 +337,11 @@
         self.publish_versions(now);
         let leader = self.replication.replica.leader().map(|leader| leader.id);
         let current = self.is_current(now);
+        if leader.is_some() {
+            self.startup.reach(Milestone::LeaderKnown);
+        }
         if current != self.published_current {
+            self.startup.reach(Milestone::Current);
             let replication = &self.replication;
             let (commit, applied) = (replication.replica.commit(), replication.applied());
             tracing::info!(current, commit, applied, "contact with a majority");
--- a/crates/system/src/core/node/bricks.rs
+++ b/crates/system/src/core/node/bricks.rs
@@ -2,6 +2,7 @@
 
 use super::Node;
 use crate::core::peers::LinkId;
+use crate::startup::Milestone;
 use pathbank_protocol::codec::{self, SharedMessage};
 use pathbank_protocol::message::{AdmissionRequest, Brick, BrickLoad, BrickState, BrickUpdate, Frame};
 
@@ -105,6 +106,7 @@
     }
 
     pub(super) fn on_heartbeat(&mut self, now: u64, brick: Brick, own: bool) {
+        self.startup.reach(Milestone::BrickKnown);
         let instance = brick.instance.clone();
         let heard = self.directory.heard(now, brick);
         let Some(brick) = self.directory.brick(&instance) else { return };
--- a/crates/system/src/core/node/leadership.rs
+++ b/crates/system/src/core/node/leadership.rs
@@ -5,6 +5,7 @@
 use crate::core::duties;
 use crate::core::orders::{self, Authority, OrderEnd};
 use crate::core::training::lead::Training;
+use crate::startup::Milestone;
 use pathbank_control::admission::AdmissionController;
 use pathbank_control::autoscaling::{Autoscaler, ScaleOrder};
 use pathbank_control::configuration::Runtime;
@@ -188,6 +189,7 @@
         let Some(runtime) = self.runtime_of(&order.instance) else {
             return self.leadership.placer.finished(&order.instance);
         };
+        self.startup.reach(Milestone::Ordered);
         let (pool, events) = (self.pool.clone(), self.events.clone());
         tokio::spawn(async move {
             let end = orders::carry_out(pool, order, runtime, authority).await;
--- a/crates/system/src/core/node/overview.rs
+++ b/crates/system/src/core/node/overview.rs
@@ -44,6 +44,7 @@
             "voters": voters.collect::<Vec<_>>(),
             "edges": edges.collect::<Vec<_>>(),
             "bricks": self.directory.ready().count(),
+            "startup_ms": self.startup.to_json(),
         })
     }
 
--- a/crates/system/src/edge/core_links.rs
+++ b/crates/system/src/edge/core_links.rs
@@ -4,6 +4,7 @@
 use super::shared::Shared;
 use crate::clock;
 use crate::net::mesh::{Mesh, MeshEvent};
+use crate::startup::Milestone;
 use pathbank_protocol::message::{CoreStatus, Frame, Hello, ProcessRole, Subscription};
 use pathbank_router::core_choice::CoreAction;
 use std::net::SocketAddr;
@@ -94,7 +95,10 @@
 
 fn on_event(shared: &Arc<Shared>, event: MeshEvent) {
     match event {
-        MeshEvent::Opened(address) => tracing::debug!(%address, "core reached"),
+        MeshEvent::Opened(address) => {
+            tracing::debug!(%address, "core reached");
+            shared.startup.reach(Milestone::ControlReached);
+        }
         MeshEvent::Closed(address) => {
             tracing::debug!(%address, "core lost");
             shared.core_lost(address);
@@ -111,6 +115,9 @@
             if update.complete {
                 shared.has_bricks.store(true, Ordering::Relaxed);
             }
+            if !update.bricks.is_empty() {
+                shared.startup.reach(Milestone::BrickKnown);
+            }
             shared.update_bricks(update);
         }
         Frame::Core(status) => on_status(shared, address, &status),
--- a/crates/system/src/edge/hollow.rs
+++ b/crates/system/src/edge/hollow.rs
@@ -4,6 +4,7 @@
 use super::rollout;
 use super::shared::Shared;
 use crate::settings::Settings;
+use crate::startup::Startup;
 use pathbank_protocol::message::{EdgeReport, Frame};
 use std::sync::Arc;
 use tokio::task::AbortHandle;
@@ -19,7 +20,7 @@
     /// Opens its links.
     pub fn start(settings: Settings) -> HollowEdge {
         let seeds = settings.seeds.clone();
-        let shared = Shared::new(settings);
+        let shared = Shared::new(settings, Startup::default());
         core_links::start(&shared, &seeds);
         let rollout = tokio::spawn(rollout::run(shared.clone())).abort_handle();
         HollowEdge { shared, rollout }
--- a/crates/system/src/edge/mod.rs
+++ b/crates/system/src/edge/mod.rs
@@ -18,6 +18,7 @@
 use crate::net::socket;
 use crate::settings::Settings;
 use crate::signals::{Request, Signals};
+use crate::startup::{Milestone, Startup};
 use anyhow::{Context, Result};
 use shared::Shared;
 use std::convert::Infallible;
@@ -47,12 +48,14 @@
 
 /// Runs an edge head until it is told to stop.
 pub async fn run(settings: Settings) -> Result<()> {
+    let startup = Startup::default();
     let mut signals = Signals::new()?;
     let ingress = settings.ingress.context("listeners_map.ingress is missing")?;
     let readiness = settings.readiness.context("listeners_map.readiness is missing")?;
     let listener = socket::listen(ingress).with_context(|| format!("ingress {ingress}"))?;
     let readiness_listener = socket::listen(readiness).with_context(|| format!("readiness {readiness}"))?;
-    let shared = Shared::new(settings.clone());
+    startup.reach(Milestone::Listening);
+    let shared = Shared::new(settings.clone(), startup);
     core_links::start(&shared, &settings.seeds);
     tokio::spawn(rollout::run(shared.clone()));
     tokio::spawn(status::serve(readiness_listener, shared.clone()));
--- a/crates/system/src/edge/proxy.rs
+++ b/crates/system/src/edge/proxy.rs
@@ -8,6 +8,7 @@
 use super::ticket::Ticket;
 use crate::clock;
 use crate::net::client::{Exchange, ExchangeError};
+use crate::startup::Milestone;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
 use hyper::{Request, Response, StatusCode};
@@ -113,6 +114,7 @@
     let (id, name) = job.told();
     tracing::debug!(id, ?name, instance, %address, sends = job.sends, "sent to a brick");
     job.note(shared, Step::Sent { instance: instance.clone() });
+    shared.startup.reach(Milestone::Sent);
     let request = job.request(&instance);
     let exchange = shared.pool.exchange(address, request);
     let exchange = match tokio::time::timeout(clock::until(job.deadline), exchange).await {
@@ -183,6 +185,9 @@
         return Try::NotRun(answer.filter(|_| !missing));
     }
     job.note(shared, Step::Answered { status: status.as_u16() });
+    if status.is_success() {
+        shared.startup.reach(Milestone::Answered);
+    }
     Try::Answered(Box::new(exchange), ticket)
 }
 
--- a/crates/system/src/edge/rollout.rs
+++ b/crates/system/src/edge/rollout.rs
@@ -4,6 +4,7 @@
 use super::core_links;
 use super::shared::Shared;
 use crate::clock;
+use crate::startup::Milestone;
 use pathbank_control::configuration::Rejection;
 use pathbank_control::edge_update::{EdgeUpdate, EdgeUpdateReader};
 use pathbank_control::routes::RouteTable;
@@ -70,6 +71,7 @@
     let table: RouteTable = known.changed(update.index, items);
     tracing::info!(version = table.version, index = update.index, is_whole, "configuration in force");
     shared.routes.store(Some(Arc::new(table)));
+    shared.startup.reach(Milestone::Configured);
     shared.rollout.in_force_since.store(clock::now(), Ordering::Relaxed);
     Ok(())
 }
--- a/crates/system/src/edge/shared.rs
+++ b/crates/system/src/edge/shared.rs
@@ -7,6 +7,7 @@
 use crate::net::client::ConnectionPool;
 use crate::net::mesh::Mesh;
 use crate::settings::Settings;
+use crate::startup::Startup;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use pathbank_control::result_code::ResultCode;
 use pathbank_control::routes::RouteTable;
@@ -133,6 +134,8 @@
     pub settings: Settings,
     /// Another number at each start.
     pub life: u64,
+    /// How this head came to serve.
+    pub startup: Startup,
     /// The configuration in force.
     pub routes: ArcSwapOption<RouteTable>,
     /// Versions of models in training.
@@ -174,7 +177,7 @@
 
 impl Shared {
     /// The state of a head that has just started.
-    pub fn new(settings: Settings) -> Arc<Shared> {
+    pub fn new(settings: Settings, startup: Startup) -> Arc<Shared> {
         let bounds = BudgetBounds {
             ratio: settings.bounds.retry_budget_ratio,
             slack: settings.bounds.retry_budget_slack,
@@ -197,6 +200,7 @@
         Arc::new(Shared {
             settings,
             life,
+            startup,
             routes: ArcSwapOption::empty(),
             model_versions: ArcSwap::default(),
             admissions: Admissions::default(),
--- a/crates/system/src/edge/status.rs
+++ b/crates/system/src/edge/status.rs
@@ -9,7 +9,7 @@
 
 /// Serves the platform's questions and operators' until the head ends.
 pub async fn serve(listener: TcpListener, shared: Arc<Shared>) {
-    let of_readiness = shared.clone();
+    let (of_readiness, of_startup) = (shared.clone(), shared.clone());
     let router = Router::new()
         .get("/api/readyz", move |_request: viz::Request| {
             let ready = of_readiness.is_ready();
@@ -18,6 +18,10 @@
                 Ok::<_, viz::Error>(status)
             }
         })
+        .get("/api/startup", move |_request: viz::Request| {
+            let milestones = of_startup.startup.to_json();
+            async move { Ok::<_, viz::Error>(Response::json(milestones)?) }
+        })
         .get("/api/requests/:id", move |request: viz::Request| {
             let answer = explain(&shared, &request);
             async move { Ok::<_, viz::Error>(answer) }
--- a/crates/system/src/lib.rs
+++ b/crates/system/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod settings;
 pub mod signals;
 pub mod stand_in;
+pub mod startup;
 pub mod trainer;
