Soak: all processes killed at the end, and when service is back

Cause: the soak bounded no time but the end's; nothing forced that edge heads spread and space out their questions. Change: after each seed all processes are killed and started, and every edge head has to serve all that was confirmed within 15 s; PATHBANK_SOAK_ROUTES makes the configuration longer. Three tests of the choice among control heads.

--- a/crates/router/tests/core_choice.rs
+++ b/crates/router/tests/core_choice.rs
@@ -78,3 +78,49 @@
     choice.told(1_000, core(2), &status("z2", 2, 1, true));
     assert_eq!(choice.actions(1_000, 0).len(), 2);
 }
+
+// 82 edge heads that came back at once were sent 193 whole configurations: each asked another control head again every 0.2 s while the
+// one that it listened to was sending.
+#[test]
+fn what_the_core_that_is_listened_to_is_sending_is_not_asked_for_elsewhere() {
+    let mut choice = three_cores();
+    assert_eq!(choice.actions(0, 0), [CoreAction::Subscribe(core(2))]);
+    for now in (100..1_500).step_by(100) {
+        assert!(choice.actions(now, 0).is_empty(), "at {now}");
+    }
+    assert!(matches!(choice.actions(1_500, 0)[..], [CoreAction::Fetch(_)]), "but not for ever");
+}
+
+#[test]
+fn waits_between_questions_double_until_something_comes() {
+    let mut choice = three_cores();
+    choice.actions(0, 4);
+    choice.told(0, core(3), &status("z3", 1, 5, true));
+    let mut asked = Vec::new();
+    for now in (0..=10_000).step_by(100) {
+        choice.told(now, core(2), &status("z2", 1, 4, true));
+        if !choice.actions(now, 4).is_empty() {
+            asked.push(now);
+        }
+    }
+    assert_eq!(asked, [200, 400, 800, 1_600, 3_200, 4_800, 6_400, 8_000, 9_600]);
+    choice.told(10_000, core(3), &status("z3", 1, 7, true));
+    assert!(choice.actions(10_100, 6).is_empty());
+    assert_eq!(choice.actions(10_300, 6), [CoreAction::Fetch(core(3))], "after news it begins anew");
+}
+
+#[test]
+fn heads_that_lack_the_same_do_not_all_ask_the_same_core() {
+    let mut asked = std::collections::BTreeMap::<CoreAddress, usize>::new();
+    for seed in 0..200 {
+        let mut choice = CoreChoice::new("z1".into(), seed);
+        choice.told(0, core(1), &status("z1", 1, 4, true));
+        choice.actions(0, 4);
+        (2..=4).for_each(|number| choice.told(0, core(number), &status("z2", 1, 5, true)));
+        choice.actions(0, 4);
+        let actions = choice.actions(200, 4);
+        let [CoreAction::Fetch(core)] = actions[..] else { panic!("{actions:?}") };
+        *asked.entry(core).or_default() += 1;
+    }
+    assert!(asked.len() == 3 && asked.values().all(|heads| *heads > 40), "{asked:?}");
+}
--- a/crates/system/tests/soak/findings.rs
+++ b/crates/system/tests/soak/findings.rs
@@ -39,6 +39,8 @@
     unanswered: Mutex<Vec<Unanswered>>,
     counts: Mutex<BTreeMap<String, usize>>,
     confirmed: Confirmed,
+    /// Requests that were sent after the disturbances.
+    asked_at_end: AtomicU64,
 }
 
 impl Findings {
@@ -49,6 +51,7 @@
             unanswered: Mutex::default(),
             counts: Mutex::default(),
             confirmed: Confirmed::default(),
+            asked_at_end: AtomicU64::new(0),
         }
     }
 
@@ -155,11 +158,9 @@
         let newest = acknowledged.iter().rev().take(20);
         let paths: Vec<String> = newest.map(|change| change.path()).chain([operators_first_path()]).collect();
         for (edge, local) in system.local.edges.iter().enumerate() {
-            for (number, path) in paths.iter().enumerate() {
-                let mut tries = 0;
+            for path in &paths {
                 until(&format!("edge {edge} serves {path}"), || {
-                    tries += 1;
-                    let id = format!("end-{}-{edge}-{number}-{tries}", acknowledged.len());
+                    let id = format!("end-{}", self.asked_at_end.fetch_add(1, Ordering::Relaxed));
                     let connection = Connection::open(local.ingress);
                     let outcome = connection.map(|mut connection| connection.ask(path, &id));
                     matches!(outcome, Some(Outcome::Answered { status: 200, .. }))
--- a/crates/system/tests/soak/main.rs
+++ b/crates/system/tests/soak/main.rs
@@ -1,8 +1,10 @@
 //! A system of real processes under signals, restarts and changes that come in series and overlap, drawn from a seed, while
-//! clients keep their connections and operators change the configuration without a pause.
+//! clients keep their connections and operators change the configuration without a pause. At the end all processes are killed at
+//! once, and it is measured when service is back.
 //!
 //! `PATHBANK_SOAK_SEEDS=1..50 cargo test --release -p pathbank-system --test soak -- --nocapture` plays more seeds;
-//! `PATHBANK_SOAK_EDGES=140` starts so many edge heads, `PATHBANK_SOAK_LOGS=1` shows what the processes log.
+//! `PATHBANK_SOAK_EDGES=140` starts so many edge heads, `PATHBANK_SOAK_ROUTES=2000` makes the configuration
+//! so much longer, `PATHBANK_SOAK_LOGS=1` shows what the processes log.
 
 mod clients;
 #[path = "../common/mod.rs"]
@@ -12,19 +14,22 @@
 mod operators;
 
 use clients::Clients;
-use common::{System, document};
+use common::{System, document_with_routes};
 use faults::{FaultPlan, Shape};
 use findings::Findings;
-use operators::Operator;
+use operators::{Acknowledged, Operator};
+use pathbank_system::local::Process;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// What is played without another word.
 const SEEDS: std::ops::Range<u64> = 1..4;
 const EDGES: u8 = 3;
 const CORES: u8 = 3;
 const CLIENTS: usize = 6;
+/// Service is back within this after all processes have started, also on a busy machine.
+const BACK_WITHIN: Duration = Duration::from_secs(15);
 /// How long disturbances come.
 const DISTURBED: Duration = Duration::from_secs(14);
 
@@ -38,13 +43,32 @@
     range.map_or(SEEDS, |(first, end)| first.parse().expect("a seed")..end.parse().expect("a seed"))
 }
 
+/// All processes are killed at once and started again. Returns how long it takes until every edge head serves all that was
+/// confirmed.
+fn all_dark(system: &mut System, findings: &Findings, acknowledged: &[Acknowledged]) -> u128 {
+    let local = &mut system.local;
+    local.cores.iter_mut().for_each(Process::kill);
+    local.edges.iter_mut().for_each(|edge| edge.process.kill());
+    local.start().expect("the program starts");
+    let started = Instant::now();
+    findings.until_all_serve(system, acknowledged);
+    let back = started.elapsed();
+    if back > BACK_WITHIN {
+        findings.find(format!(
+            "service came back {back:?} after all processes had started, not within {BACK_WITHIN:?}"
+        ));
+    }
+    back.as_millis()
+}
+
 /// Plays one seed. Returns what was found wrong, and a line on what happened.
 fn play(seed: u64, edges: u8) -> (Vec<String>, String) {
     let mut system = System::with_logs(CORES, edges, asked::<u8>("PATHBANK_SOAK_LOGS").is_some());
     let brick = system.brick("i-app-1", "app", &[]);
     let other_brick = system.brick("i-app-2", "app", &[]);
     system.local.start().expect("the program starts");
-    system.configure(0, &document(3));
+    let routes = asked("PATHBANK_SOAK_ROUTES").unwrap_or(0);
+    system.configure(0, &document_with_routes(3, routes, 0));
     let findings = Arc::new(Findings::new(edges.into()));
     findings.until_all_serve(&system, &[]);
 
@@ -58,9 +82,11 @@
     clients.join();
 
     findings.until_all_serve(&system, &acknowledged);
+    let back_ms = all_dark(&mut system, &findings, &acknowledged);
     findings.check_read_back(&system, &acknowledged);
     findings.check_runs(&[brick.runs(), other_brick.runs()]);
-    let summary = format!("seed {seed}: {} changes, {}", acknowledged.len(), findings.summary());
+    let (changes, counts) = (acknowledged.len(), findings.summary());
+    let summary = format!("seed {seed}: {changes} changes, {counts}, back after {back_ms} ms");
     (findings.all(), summary)
 }
 
