News of bricks that stay goes to edge heads and control heads together

Cause: each heartbeat that changed something was told alone to each edge head that listens and to each control head: bricks times edge heads after a loss of power. Change: what bricks said since the last tick (25 ms) goes in one message; that a brick leaves is told at once, as before.

--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -22,6 +22,7 @@
 use crate::signals::Request;
 use crate::startup::{Milestone, Startup};
 use anyhow::{Context, Result};
+use bricks::BrickNews;
 use leadership::Leadership;
 use pathbank_control::autoscaling::ScaleOrder;
 use pathbank_control::configuration_holders::ConfigurationHolders;
@@ -151,6 +152,7 @@
     directory: Directory,
     /// All bricks as an edge is told of them that begins to listen here, unless they have changed since.
     all_bricks: Option<SharedMessage>,
+    brick_news: BrickNews,
     demand: DemandTable,
     outliers: OutlierTable,
     /// Which edges have which configuration in force.
@@ -212,6 +214,7 @@
         let mut node = Node {
             directory: Directory::new(settings.heartbeat_ms),
             all_bricks: None,
+            brick_news: BrickNews::default(),
             leadership: Leadership::new(fence),
             replication: Replication::new(replica, disk),
             publication: Publication::default(),
@@ -335,6 +338,7 @@
         self.publish_configuration(now);
         self.update_subscribers(now);
         self.publish_versions(now);
+        self.publish_brick_news();
         let leader = self.replication.replica.leader().map(|leader| leader.id);
         let current = self.is_current(now);
         if leader.is_some() {
--- a/crates/system/src/core/node/bricks.rs
+++ b/crates/system/src/core/node/bricks.rs
@@ -5,6 +5,16 @@
 use crate::startup::Milestone;
 use pathbank_protocol::codec::{self, SharedMessage};
 use pathbank_protocol::message::{AdmissionRequest, Brick, BrickLoad, BrickState, BrickUpdate, Frame};
+use std::collections::BTreeSet;
+
+/// Bricks of which others are about to be told.
+#[derive(Default)]
+pub struct BrickNews {
+    /// Edges that listen here.
+    for_edges: BTreeSet<String>,
+    /// The other control heads.
+    for_cores: BTreeSet<String>,
+}
 
 impl Node {
     /// Only the leader grants, for a line in two places is none.
@@ -110,12 +120,38 @@
         let instance = brick.instance.clone();
         let heard = self.directory.heard(now, brick);
         let Some(brick) = self.directory.brick(&instance) else { return };
+        self.publish_bricks(heard.displaced);
+        // No request may reach a brick that leaves much later; what else there is to tell of bricks goes together.
+        let is_urgent = brick.state != BrickState::Ready;
         if heard.relay && own {
-            self.mesh.send_to_all(&Frame::Heartbeats(vec![brick.clone()]));
+            match is_urgent {
+                true => self.mesh.send_to_all(&Frame::Heartbeats(vec![brick.clone()])),
+                false => drop(self.brick_news.for_cores.insert(instance.clone())),
+            }
         }
-        self.publish_bricks(heard.displaced);
         if heard.changed {
-            self.publish_bricks(vec![brick]);
+            match is_urgent {
+                true => self.publish_bricks(vec![brick]),
+                false => self.note_news(instance),
+            }
+        }
+    }
+
+    fn note_news(&mut self, instance: String) {
+        self.all_bricks = None;
+        self.brick_news.for_edges.insert(instance);
+    }
+
+    /// Tells what bricks have said since the last time, as they are now.
+    pub(super) fn publish_brick_news(&mut self) {
+        let BrickNews { for_edges, for_cores } = std::mem::take(&mut self.brick_news);
+        let known = |instances: BTreeSet<String>| -> Vec<Brick> {
+            instances.iter().filter_map(|instance| self.directory.brick(instance)).collect()
+        };
+        let (for_edges, for_cores) = (known(for_edges), known(for_cores));
+        if !for_cores.is_empty() {
+            self.mesh.send_to_all(&Frame::Heartbeats(for_cores));
         }
+        self.publish_bricks(for_edges);
     }
 }
