--- a/crates/system/src/core/mod.rs
+++ b/crates/system/src/core/mod.rs
@@ -2,6 +2,7 @@
 
 mod api;
 mod brick_json;
+pub mod configuration_updates;
 mod disk;
 mod duties;
 mod node;
--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -10,6 +10,7 @@
 
 use super::brick_json::BrickView;
 use super::brick_json::ReportJson;
+use super::configuration_updates::SentConfiguration;
 use super::disk::{Disk, DiskEvent};
 use super::orders::OrderEnd;
 use super::peers::LinkId;
@@ -39,7 +40,7 @@
 use pathbank_protocol::codec::SharedMessage;
 use pathbank_protocol::message::{Brick, Frame, Hello, ProcessRole};
 use pathbank_router::wall_clock::WallClock;
-use publication::{Publication, SentConfiguration};
+use publication::Publication;
 use replication::Replication;
 use std::collections::BTreeMap;
 use tokio::sync::mpsc::UnboundedSender;
--- a/crates/system/src/core/node/links.rs
+++ b/crates/system/src/core/node/links.rs
@@ -1,8 +1,8 @@
 //! Links to other processes: what comes on them, and what is published on them.
 
-use super::publication::SentConfiguration;
 use super::{MEMBERS_EVERY, Node, Peer};
 use crate::clock;
+use crate::core::configuration_updates::SentConfiguration;
 use crate::core::peers::LinkId;
 use crate::net::link::Link;
 use bytes::Bytes;
--- a/crates/system/src/core/node/publication.rs
+++ b/crates/system/src/core/node/publication.rs
@@ -3,131 +3,41 @@
 
 use super::{Node, Peer};
 use crate::clock;
+use crate::core::configuration_updates::{ConfigurationUpdates, SentConfiguration};
 use crate::core::peers::LinkId;
 use crate::core::training::lead::model_versions;
-use crate::net::link::{Link, Mark};
 use pathbank_control::document::Document;
-use pathbank_control::document_history::DocumentHistory;
-use pathbank_control::edge_document;
 use pathbank_coordination::types::Index;
-use pathbank_protocol::codec::SharedMessage;
-use pathbank_protocol::message::{ConfigurationUpdate, Frame, ModelVersions, ProcessRole};
-use std::collections::BTreeMap;
+use pathbank_protocol::message::{Frame, ModelVersions, ProcessRole};
 
 /// Edges are told of changes at least so far apart, milliseconds.
 const PUBLISH_APART: u64 = 150;
-/// A whole configuration that was made ready serves all edges that lack one for so long, with what changed since, milliseconds.
-const WHOLE_KEPT: u64 = 2_000;
 
-/// The configuration that edges are told, and those that they may have.
+/// What edges were told of the replicated state.
 #[derive(Default)]
 pub struct Publication {
-    history: DocumentHistory,
-    /// What was told last, and the entry that brought it.
-    newest: Option<(Index, Document)>,
+    updates: ConfigurationUpdates,
+    /// When a new configuration was told last.
     told_at: u64,
-    /// What leads on from earlier entries to the newest one, as far as it was made ready. `None`: nothing does.
-    differences: BTreeMap<Index, Option<SharedMessage>>,
-    whole: Option<ReadyWhole>,
     /// The versions of models that those who listen here have. `None`: unknown.
     versions: Option<Vec<ModelVersions>>,
 }
 
-/// A whole configuration as edges get it.
-struct ReadyWhole {
-    index: Index,
-    made_at: u64,
-    message: SharedMessage,
-}
-
-/// What an edge is to be sent, in order.
-#[derive(Default)]
-struct Update {
-    is_whole: bool,
-    messages: Vec<SharedMessage>,
-}
-
-/// The configuration that an edge was sent on a link.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct SentConfiguration {
-    /// The entry of the configuration that it has, or is being sent; 0: none.
-    index: Index,
-    /// Where that ends on its link.
-    end: Mark,
-}
-
-impl SentConfiguration {
-    /// Whether the edge has been sent all that was meant for it.
-    fn is_written(&self, link: &Link) -> bool {
-        link.has_written(self.end)
-    }
-}
-
-fn encoded(index: Index, base_index: Index, document: &serde_json::Value) -> SharedMessage {
-    let document = document.to_string().into_bytes();
-    SharedMessage::new(&Frame::Configuration(ConfigurationUpdate { index, base_index, document }))
-}
-
 impl Publication {
     /// A document was applied, brought by a change of so many bytes.
     pub fn note(&mut self, index: Index, document: &Document, bytes: usize) {
-        self.history.note(index, document, bytes);
+        self.updates.note(index, document, bytes);
     }
 
     /// The entry of the document that edges were told last; 0: none.
     pub fn index(&self) -> Index {
-        self.newest.as_ref().map_or(0, |(index, _)| *index)
+        self.updates.index()
     }
 
     /// The versions of models that those who listen here have, while this head is in contact with a majority.
     pub fn versions(&self) -> Option<&[ModelVersions]> {
         self.versions.as_deref()
     }
-
-    /// Edges are told of this document from now on.
-    fn publish(&mut self, now: u64, index: Index, document: &Document) {
-        self.newest = Some((index, document.clone()));
-        self.told_at = now;
-        self.differences.clear();
-    }
-
-    /// What an edge is sent that has the document of `known`, or none (0).
-    fn update_from(&mut self, now: u64, known: Index) -> Update {
-        if known >= self.index() {
-            return Update::default();
-        }
-        match self.difference_from(known) {
-            Some(difference) => Update { is_whole: false, messages: vec![difference] },
-            None => Update { is_whole: true, messages: self.whole(now) },
-        }
-    }
-
-    fn difference_from(&mut self, known: Index) -> Option<SharedMessage> {
-        let (index, document) = self.newest.as_ref()?;
-        let make = || {
-            let difference = edge_document::difference(self.history.get(known)?, document)?;
-            Some(encoded(*index, known, &difference))
-        };
-        self.differences.entry(known).or_insert_with(make).clone()
-    }
-
-    /// The whole configuration. Making one ready costs as much as it holds, and all edges may lack it at once: it is kept, and
-    /// what changed since goes behind it.
-    fn whole(&mut self, now: u64) -> Vec<SharedMessage> {
-        if let Some(whole) = self.whole.as_ref().filter(|whole| now < whole.made_at + WHOLE_KEPT) {
-            let (index, message) = (whole.index, whole.message.clone());
-            if index == self.index() {
-                return vec![message];
-            }
-            if let Some(difference) = self.difference_from(index) {
-                return vec![message, difference];
-            }
-        }
-        let Some((index, document)) = &self.newest else { return Vec::new() };
-        let message = encoded(*index, 0, &edge_document::whole(document));
-        self.whole = Some(ReadyWhole { index: *index, made_at: now, message: message.clone() });
-        vec![message]
-    }
 }
 
 impl Node {
@@ -144,7 +54,8 @@
         if index == self.publication.index() || soon || !self.is_current(now) {
             return;
         }
-        self.publication.publish(now, index, document);
+        self.publication.updates.publish(index, document);
+        self.publication.told_at = now;
         self.update_subscribers(now);
         let status = Frame::Core(self.core_status(false));
         self.tell(&status, |edge| !edge.subscribed);
@@ -194,7 +105,7 @@
         let Some(edge) = self.peers.get(&id).filter(|edge| edge.configuration.is_written(&edge.link)) else {
             return;
         };
-        let update = self.publication.update_from(now, edge.configuration.index);
+        let update = self.publication.updates.update_from(now, edge.configuration.index);
         // By this the edge knows that it is on its way, and asks nobody else.
         let announcement = update.is_whole.then(|| Frame::Core(self.core_status(false)));
         let Some(edge) = self.peers.get_mut(&id) else { return };
@@ -205,6 +116,6 @@
             edge.link.send_encoded(message.to(&edge.hello));
         }
         let index = edge.configuration.index.max(self.publication.index());
-        edge.configuration = SentConfiguration { index, end: edge.link.mark() };
+        edge.configuration = SentConfiguration::queued(index, &edge.link);
     }
 }
