News for edge heads goes compressed where it is long

Cause: lists of bricks and totals at bricks are the most of what control heads send, by edge heads times bricks. Change: whatever is told to several edge heads is encoded once and compressed for those that read it, from 2 kB on.

--- a/crates/system/src/core/node/links.rs
+++ b/crates/system/src/core/node/links.rs
@@ -5,9 +5,8 @@
 use crate::core::configuration_updates::SentConfiguration;
 use crate::core::peers::LinkId;
 use crate::net::link::Link;
-use bytes::Bytes;
 use pathbank_coordination::replica::Role;
-use pathbank_protocol::codec;
+use pathbank_protocol::codec::SharedMessage;
 use pathbank_protocol::message::{Brick, CoreStatus, Frame, Hello, ProcessRole, Subscription};
 use std::net::SocketAddr;
 
@@ -122,9 +121,9 @@
     }
 
     pub(super) fn tell(&self, frame: &Frame, wanted: impl Fn(&Peer) -> bool) {
-        let bytes: Bytes = codec::encode(frame).into();
+        let message = SharedMessage::new(frame);
         for edge in self.edges().filter(|edge| wanted(edge)) {
-            edge.link.send_encoded(bytes.clone());
+            edge.link.send_encoded(message.to(&edge.hello));
         }
     }
 
