Rehearsal at size: all heads dark at once, and how long they take back

Cause: the way back to service was measured on no system of the size that is planned for. Change: a part of the rehearsal kills all control heads, stops all edge heads, starts all together, and tells when edge heads had the configuration and all bricks.

--- a/crates/system/src/rehearsal/scale.rs
+++ b/crates/system/src/rehearsal/scale.rs
@@ -36,6 +36,9 @@
     /// All edge heads are started again within so long, seconds; 0: not.
     #[arg(long, default_value_t = 60)]
     restart_seconds: u64,
+    /// All control heads and edge heads are dark at once for so long, seconds; 0: not.
+    #[arg(long, default_value_t = 1)]
+    dark_seconds: u64,
     /// Changes of a day, one right after the other; 0: none.
     #[arg(long, default_value_t = 0)]
     day_changes: usize,
@@ -98,6 +101,16 @@
     /// Processor time of the busiest control head meanwhile, cores.
     #[serde(default)]
     pub restart_core_cpu: f64,
+    /// From the last start after all control heads and edge heads were dark until an edge had the configuration: half of them, all;
+    /// milliseconds.
+    #[serde(default)]
+    pub dark_configured_p50_ms: f64,
+    /// All.
+    #[serde(default)]
+    pub dark_configured_most_ms: f64,
+    /// Until every edge knew every brick as well, milliseconds.
+    #[serde(default)]
+    pub dark_back_ms: f64,
     /// A day's changes one right after the other: how many a second were acknowledged.
     #[serde(default)]
     pub day_changes_s: f64,
@@ -119,12 +132,13 @@
 }
 
 /// The parts of a rehearsal, in order.
-const PARTS: [&str; 7] = [
+const PARTS: [&str; 8] = [
     "until all edges know all",
     "steady state",
     "changes",
     "a region cut off",
     "all edges start again",
+    "all heads dark",
     "a day's changes",
     "the leader lost",
 ];
@@ -175,6 +189,10 @@
         stage.restart_all(plan.restart_seconds, &mut run).await?;
     }
     progress.next();
+    if plan.dark_seconds > 0 {
+        stage.all_dark(plan.dark_seconds, &mut run).await?;
+    }
+    progress.next();
     if plan.day_changes > 0 {
         stage.play_a_day(plan.day_changes, &mut run).await?;
     }
--- a/crates/system/src/rehearsal/stage.rs
+++ b/crates/system/src/rehearsal/stage.rs
@@ -271,6 +271,38 @@
         Ok(())
     }
 
+    /// All control heads are killed and all edges stop at once; all start again together after a while.
+    pub async fn all_dark(&mut self, seconds: u64, run: &mut ScaleRun) -> Result<()> {
+        let control: Vec<SocketAddr> = self.cores.iter().map(|core| core.control).collect();
+        self.cores.clear();
+        self.edges.iter().for_each(HollowEdge::stop);
+        tokio::time::sleep(Duration::from_secs(seconds)).await;
+        let start = Instant::now();
+        for (number, address) in control.into_iter().enumerate() {
+            self.cores.push(start_core(&self.folder, number, address, &self.common)?);
+        }
+        for number in 0..self.edges.len() {
+            self.restart_edge(number)?;
+        }
+        let mut configured: Vec<Option<f64>> = vec![None; self.edges.len()];
+        while !self.edges.iter().all(|edge| self.knows_all(edge)) {
+            ensure!(start.elapsed() < PATIENCE, "service does not come back within {PATIENCE:?}");
+            for (edge, at) in self.edges.iter().zip(&mut configured) {
+                edge.look();
+                if at.is_none() && edge.configuration_version() == self.version {
+                    *at = Some(millis(start.elapsed()));
+                }
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        run.dark_back_ms = millis(start.elapsed());
+        let mut configured: Vec<f64> = configured.into_iter().flatten().collect();
+        configured.sort_by(f64::total_cmp);
+        run.dark_configured_p50_ms = quantile(&configured, 0.5);
+        run.dark_configured_most_ms = quantile(&configured, 1.0);
+        Ok(())
+    }
+
     fn restart_edge(&mut self, number: usize) -> Result<()> {
         self.reports[number].abort();
         self.edges[number].stop();
