--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -1,6 +1,7 @@
 //! The one owner of a control head's state: every event comes here, one after the other.
 
 mod bricks;
+mod event;
 mod leadership;
 mod links;
 mod overview;
@@ -9,12 +10,9 @@
 mod training;
 
 use super::brick_json::BrickView;
-use super::brick_json::ReportJson;
 use super::configuration_updates::SentConfiguration;
-use super::disk::{Disk, DiskEvent};
-use super::orders::OrderEnd;
+use super::disk::Disk;
 use super::peers::LinkId;
-use super::training::call::TrainingCall;
 use crate::clock;
 use crate::net::client::ConnectionPool;
 use crate::net::link::Link;
@@ -24,27 +22,26 @@
 use crate::startup::{Milestone, Startup};
 use anyhow::{Context, Result};
 use bricks::BrickNews;
+pub use event::Event;
 use leadership::Leadership;
-use pathbank_control::autoscaling::ScaleOrder;
 use pathbank_control::configuration_holders::ConfigurationHolders;
 use pathbank_control::demand::DemandTable;
 use pathbank_control::directory::Directory;
 pub use pathbank_control::operator_calls::Reply;
 use pathbank_control::outliers::OutlierTable;
-use pathbank_control::state::{Change, Command, ControlState, StateError};
+use pathbank_control::state::{Command, ControlState, StateError};
 use pathbank_control::usage::UsageLedger;
 use pathbank_coordination::fencing::Fence;
 use pathbank_coordination::record::Durable;
 use pathbank_coordination::replica::{Departure, Replica, Timing};
 use pathbank_coordination::types::{Payload, StoreId};
 use pathbank_protocol::codec::SharedMessage;
-use pathbank_protocol::message::{Brick, Frame, Hello, ProcessRole};
+use pathbank_protocol::message::{Frame, Hello, ProcessRole};
 use pathbank_router::wall_clock::WallClock;
 use publication::Publication;
 use replication::Replication;
 use std::collections::BTreeMap;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::oneshot;
 
 /// How often a core tells others about itself, milliseconds.
 const STATUS_EVERY: u64 = 700;
@@ -68,58 +65,6 @@
 /// Nor longer than this for a first word of the leader, milliseconds.
 const LEAVE_ANSWER_WITHIN: u64 = 600;
 
-/// Whatever happens to a control head.
-#[derive(Debug)]
-pub enum Event {
-    /// Time has passed.
-    Tick,
-    /// A brick's heartbeat.
-    Heartbeat(Brick),
-    /// A brick ends.
-    Deregister(String),
-    /// An operator's change.
-    Change(Change, oneshot::Sender<Reply>),
-    /// An operator asks for the configuration.
-    ReadConfiguration(oneshot::Sender<Reply>),
-    /// An operator asks for the bricks.
-    ReadBricks(oneshot::Sender<Reply>),
-    /// An operator asks what is placed where, and why.
-    ReadPlacement(oneshot::Sender<Reply>),
-    /// An operator asks who holds the duties, and how they stand.
-    ReadDuties(oneshot::Sender<Reply>),
-    /// An operator asks how things stand.
-    ReadStatus(oneshot::Sender<Reply>),
-    /// The disk reports.
-    Disk(DiskEvent),
-    /// Another process opened a link to this one.
-    LinkOpened(LinkId, Hello, Link),
-    /// Something came on it.
-    LinkSaid(LinkId, Frame),
-    /// It ended.
-    LinkClosed(LinkId),
-    /// This process's own links to other cores.
-    Mesh(MeshEvent),
-    /// An order to a brick has ended.
-    OrderEnded(Box<OrderEnd>),
-    /// A window's usage was reported, or could not be.
-    UsageReported(u64, bool),
-    /// The platform took an order of bricks, or gave no clear answer.
-    BricksOrdered(ScaleOrder, bool),
-    /// A trainer's call.
-    Training(TrainingCall, oneshot::Sender<Reply>),
-    /// A worker of a training step told how it stands.
-    WorkerReported {
-        /// The step's model.
-        model: String,
-        /// The worker's incarnation.
-        worker: String,
-        /// Its report.
-        report: ReportJson,
-    },
-    /// An order that brings a worker to another version has ended.
-    VersionOrderEnded(Box<OrderEnd>),
-}
-
 struct Peer {
     hello: Hello,
     link: Link,
--- /dev/null
+++ b/crates/system/src/core/node/event.rs
@@ -0,0 +1,66 @@
+//! What happens to a control head: each event is taken by [`super::Node::on_event`], one after the other.
+
+use crate::core::brick_json::ReportJson;
+use crate::core::disk::DiskEvent;
+use crate::core::orders::OrderEnd;
+use crate::core::peers::LinkId;
+use crate::core::training::call::TrainingCall;
+use crate::net::link::Link;
+use crate::net::mesh::MeshEvent;
+use pathbank_control::autoscaling::ScaleOrder;
+use pathbank_control::operator_calls::Reply;
+use pathbank_control::state::Change;
+use pathbank_protocol::message::{Brick, Frame, Hello};
+use tokio::sync::oneshot;
+
+/// Whatever happens to a control head.
+#[derive(Debug)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// A brick's heartbeat.
+    Heartbeat(Brick),
+    /// A brick ends.
+    Deregister(String),
+    /// An operator's change.
+    Change(Change, oneshot::Sender<Reply>),
+    /// An operator asks for the configuration.
+    ReadConfiguration(oneshot::Sender<Reply>),
+    /// An operator asks for the bricks.
+    ReadBricks(oneshot::Sender<Reply>),
+    /// An operator asks what is placed where, and why.
+    ReadPlacement(oneshot::Sender<Reply>),
+    /// An operator asks who holds the duties, and how they stand.
+    ReadDuties(oneshot::Sender<Reply>),
+    /// An operator asks how things stand.
+    ReadStatus(oneshot::Sender<Reply>),
+    /// The disk reports.
+    Disk(DiskEvent),
+    /// Another process opened a link to this one.
+    LinkOpened(LinkId, Hello, Link),
+    /// Something came on it.
+    LinkSaid(LinkId, Frame),
+    /// It ended.
+    LinkClosed(LinkId),
+    /// This process's own links to other cores.
+    Mesh(MeshEvent),
+    /// An order to a brick has ended.
+    OrderEnded(Box<OrderEnd>),
+    /// A window's usage was reported, or could not be.
+    UsageReported(u64, bool),
+    /// The platform took an order of bricks, or gave no clear answer.
+    BricksOrdered(ScaleOrder, bool),
+    /// A trainer's call.
+    Training(TrainingCall, oneshot::Sender<Reply>),
+    /// A worker of a training step told how it stands.
+    WorkerReported {
+        /// The step's model.
+        model: String,
+        /// The worker's incarnation.
+        worker: String,
+        /// Its report.
+        report: ReportJson,
+    },
+    /// An order that brings a worker to another version has ended.
+    VersionOrderEnded(Box<OrderEnd>),
+}
