A link in a doc comment names the function that is there

Cause: the documentation did not build with warnings denied. Change: the comment of a connection in use names ConnectionPool::give_back.

--- a/crates/system/src/net/client.rs
+++ b/crates/system/src/net/client.rs
@@ -49,7 +49,7 @@
     pub lease: ConnectionLease,
 }
 
-/// A connection in use. Dropped, it closes, unless [`ConnectionLease::give_back`] is called.
+/// A connection in use. Dropped, it closes, unless [`ConnectionPool::give_back`] is called.
 #[derive(Debug)]
 pub struct ConnectionLease {
     address: SocketAddr,
