Test that fails: the end of a link that is wanted no more is told to nobody

Cause: found by reading, when a first start on a busy machine did not serve: a control head that leaves the group is hung up on by the edge heads.

--- a/crates/system/tests/links.rs
+++ b/crates/system/tests/links.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use pathbank_coordination::replica::Timing;
 use pathbank_protocol::codec;
-use pathbank_protocol::message::{ConfigurationUpdate, Frame};
+use pathbank_protocol::message::{ConfigurationUpdate, Frame, Hello, ProcessRole};
 use pathbank_system::net::{link, mesh};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -96,3 +96,27 @@
     let election = Duration::from_millis(Timing::default().election);
     assert!(mesh::CONNECT_WITHIN + mesh::RETRY_AFTER <= election);
 }
+
+// A control head that leaves the group is hung up on by the edge heads, which then waited for its news for ever: nobody told them that
+// the link had ended, for they had ended it themselves.
+#[tokio::test]
+async fn a_link_that_is_wanted_no_more_is_told_to_have_ended() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let hello = Hello {
+        role: ProcessRole::Edge,
+        name: "e".into(),
+        zone: "z".into(),
+        life: 1,
+        reads_compressed: true,
+    };
+    let (told, mut events) = tokio::sync::mpsc::unbounded_channel();
+    let mesh = mesh::Mesh::new(hello, move |event| drop(told.send(event)));
+    mesh.want(&[address]);
+    let _accepted = listener.accept().await.unwrap();
+    let opened = timeout(PATIENCE, events.recv()).await.expect("the link opens");
+    assert!(matches!(opened, Some(mesh::MeshEvent::Opened(of)) if of == address));
+    mesh.want(&[]);
+    let closed = timeout(Duration::from_secs(5), events.recv()).await.expect("its end is told");
+    assert!(matches!(closed, Some(mesh::MeshEvent::Closed(of)) if of == address), "{closed:?}");
+}
