The end of a link that is wanted no more is told; local systems keep their ports

Cause: an edge head that hung up on a control head outside the group went on waiting for its news of bricks for ever, and fetched each configuration. A stand-in on the first edge head's address could get a port that was chosen for that head; whether it did is not known. Change: Mesh::want tells the end of links that it closes; local systems take ports below the kernel's own range, different ones for processes that share an address.

--- a/crates/system/src/local.rs
+++ b/crates/system/src/local.rs
@@ -16,6 +16,9 @@
 /// The host of the first stand-in brick.
 const FIRST_BRICK_HOST: u8 = 151;
 
+/// Processes with different numbers have different addresses, until so many are there.
+const PROCESS_ADDRESSES: u32 = 200;
+
 /// Systems of one process each have a network of their own.
 static NEXT_NETWORK: AtomicU8 = AtomicU8::new(1);
 
@@ -192,7 +195,8 @@
         // What an earlier process of the same number left.
         let _ = fs::remove_dir_all(&folder);
         fs::create_dir_all(&folder).with_context(|| folder.display().to_string())?;
-        let (internal, control_port) = (free_port(host(network, 1))?, free_port(host(network, 1))?);
+        let internal = port(host(network, 1), Purpose::Internal)?;
+        let control_port = port(host(network, 1), Purpose::Control)?;
         let control: Vec<SocketAddr> =
             (1..=plan.cores).map(|number| SocketAddr::new(host(network, number), control_port)).collect();
         let seeds: Vec<String> = control.iter().take(3).map(SocketAddr::to_string).collect();
@@ -216,8 +220,8 @@
         }
         for number in 0..plan.edges {
             let ip = host(network, FIRST_EDGE_HOST + number);
-            let ingress = SocketAddr::new(ip, free_port(ip)?);
-            let readiness = SocketAddr::new(ip, free_port(ip)?);
+            let ingress = SocketAddr::new(ip, port(ip, Purpose::Ingress)?);
+            let readiness = SocketAddr::new(ip, port(ip, Purpose::Readiness)?);
             let own = format!(
                 "zone={}\nip={ip}\nlisteners_map.ingress={ingress}\nlisteners_map.readiness={readiness}\n",
                 zone(usize::from(number), plan.zones)
@@ -258,7 +262,7 @@
     /// No port is free.
     pub fn brick_address(&self, number: u8) -> Result<SocketAddr> {
         let ip = host(self.network, FIRST_BRICK_HOST.saturating_add(number));
-        Ok(SocketAddr::new(ip, free_port(ip)?))
+        Ok(SocketAddr::new(ip, port(ip, Purpose::StandIn)?))
     }
 }
 
@@ -272,7 +276,7 @@
 
 /// Loopback addresses that no other test of this machine uses at the moment, as far as process numbers tell.
 fn host(network: u8, number: u8) -> IpAddr {
-    let process = (std::process::id() % 200) as u8 + 20;
+    let process = (std::process::id() % PROCESS_ADDRESSES) as u8 + 20;
     IpAddr::V4(Ipv4Addr::new(127, process, network, number))
 }
 
@@ -280,8 +284,26 @@
     format!("z{}", number % usize::from(zones.max(1)) + 1)
 }
 
-fn free_port(ip: IpAddr) -> Result<u16> {
-    Ok(TcpListener::bind((ip, 0))?.local_addr()?.port())
+/// What a head listens for.
+#[derive(Clone, Copy)]
+enum Purpose {
+    Internal,
+    Control,
+    Ingress,
+    Readiness,
+    StandIn,
+}
+
+/// A port that the kernel gives to nobody who asks for any free one: between its choice and the start of the head that listens there,
+/// a stand-in on the same address could get it. Processes whose numbers share an address have other ports.
+fn port(ip: IpAddr, purpose: Purpose) -> Result<u16> {
+    const FIRST: u32 = 10_000;
+    const GROUPS: u32 = 4_000;
+    const PURPOSES: u32 = 5;
+    let group = std::process::id() / PROCESS_ADDRESSES % GROUPS;
+    let port = (FIRST + group * PURPOSES + purpose as u32) as u16;
+    TcpListener::bind((ip, port)).with_context(|| format!("port {port} of {ip}"))?;
+    Ok(port)
 }
 
 /// Waits until something holds.
--- a/crates/system/src/net/mesh.rs
+++ b/crates/system/src/net/mesh.rs
@@ -56,15 +56,11 @@
 
     /// Opens links to all these addresses, and closes those to others.
     pub fn want(&self, addresses: &[SocketAddr]) {
-        let mut links = self.links();
-        let unwanted: Vec<SocketAddr> =
-            links.wanted.keys().filter(|address| !addresses.contains(address)).copied().collect();
-        for address in unwanted {
-            links.open.remove(&address);
-            if let Some(task) = links.wanted.remove(&address) {
-                task.abort();
-            }
+        // Whoever listened on such a link has to look for another one, so its end is told as any other is.
+        for closed in self.close_others(addresses) {
+            (self.handler)(MeshEvent::Closed(closed));
         }
+        let mut links = self.links();
         for address in addresses {
             if !links.wanted.contains_key(address) {
                 let task = tokio::spawn(self.clone().keep_open(*address));
@@ -73,6 +69,19 @@
         }
     }
 
+    /// Closes all links but those to these addresses. Returns those that stood.
+    fn close_others(&self, addresses: &[SocketAddr]) -> Vec<SocketAddr> {
+        let mut links = self.links();
+        let unwanted: Vec<SocketAddr> =
+            links.wanted.keys().filter(|address| !addresses.contains(address)).copied().collect();
+        for address in &unwanted {
+            if let Some(task) = links.wanted.remove(address) {
+                task.abort();
+            }
+        }
+        unwanted.into_iter().filter(|address| links.open.remove(address).is_some()).collect()
+    }
+
     /// Sends to an address; `false`: no link stands.
     pub fn send(&self, address: SocketAddr, frame: &Frame) -> bool {
         let links = self.links();
