--- a/src/rehearsal/syslog_cases.rs
+++ b/src/rehearsal/syslog_cases.rs
@@ -12,6 +12,7 @@
 use rustls::pki_types::{CertificateDer, PrivateKeyDer, PrivatePkcs8KeyDer};
 use rustls::server::WebPkiClientVerifier;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -402,8 +403,10 @@
 }
 
 fn spooled(program: &Path, directory: &Path) -> Outcome {
-    // The collector's port is nobody's until the head has died.
-    let taken = Syslog::start()?;
+    // The collector's port is nobody's until the head has died: on an address of its own, where no other case listens.
+    let process = std::process::id().to_le_bytes();
+    let own_address = SocketAddr::from(([127, 77, process[0], process[1].max(1)], 0));
+    let taken = Syslog::at(own_address, Manner::Good)?;
     let address = taken.address;
     let keys = collector("tcp", &taken) + &format!("[spool]\ndirectory = \"{}\"\n", directory.display());
     drop(taken);
