--- a/crates/system/tests/brick_news.rs
+++ b/crates/system/tests/brick_news.rs
@@ -26,15 +26,21 @@
     }
 }
 
+/// A system, and a link to its first control head as an edge head has it.
+fn listening() -> (System, EdgeListener) {
+    let system = System::started();
+    system.configure(0, &document(3));
+    system.until_ready();
+    let listener = EdgeListener::of(system.local.internal[0]);
+    (system, listener)
+}
+
 // After a loss of power control heads know no brick, and all bricks report to them again within one heartbeat. Each was told alone to
 // each edge head that listens: with 1,200 bricks and 74 edge heads a control head, 89,000 messages in 1.2 s. The same cause as that of
 // the whole configurations, work by edge heads times what there is to tell, found by looking for it elsewhere.
 #[test]
 fn news_of_many_bricks_goes_to_an_edge_in_few_messages() {
-    let system = System::started();
-    system.configure(0, &document(3));
-    system.until_ready();
-    let listener = EdgeListener::of(system.local.internal[0]);
+    let (_system, listener) = listening();
     let updates = || {
         let heard = listener.heard().into_iter();
         let updates = heard.filter_map(|frame| match frame {
@@ -56,10 +62,7 @@
 // What leaves is told at once, also while other news waits to go together.
 #[test]
 fn a_brick_that_leaves_is_told_with_its_last_word() {
-    let system = System::started();
-    system.configure(0, &document(3));
-    system.until_ready();
-    let listener = EdgeListener::of(system.local.internal[0]);
+    let (_system, listener) = listening();
     let told = |state: BrickState| {
         let is_told = |frame: &Frame| match frame {
             Frame::Bricks(update) => update.bricks.iter().any(|brick| brick.state == state),
