Voters of tests/fleet keep addresses of their own; its cluster has its own file

Cause: voters took ports that the kernel had given out and got back; while a voter is down such a port may go to another socket, and the voter then cannot listen.

--- a/crates/system/src/net/client.rs
+++ b/crates/system/src/net/client.rs
@@ -164,11 +164,7 @@
         within: Duration,
         may_send: impl Fn() -> bool,
     ) -> Option<(u16, Bytes)> {
-        let whole = async {
-            let exchange = self.exchange_if(address, request, may_send).await;
-            self.read_whole(exchange).await
-        };
-        tokio::time::timeout(within, whole).await.ok().flatten()
+        self.read_whole(self.exchange_if(address, request, may_send), within).await
     }
 
     /// The same for a call whose answer must be that of no other call, and which must not be made twice: on a connection of
@@ -179,21 +175,25 @@
         request: Request<Full<Bytes>>,
         within: Duration,
         may_send: impl Fn() -> bool,
+    ) -> Option<(u16, Bytes)> {
+        self.read_whole(Self::exchange_anew(address, request, may_send), within).await
+    }
+
+    /// The whole answer of an exchange; nothing where it did not come in time, or was too long.
+    async fn read_whole(
+        &self,
+        exchange: impl Future<Output = Result<Exchange, ExchangeError>>,
+        within: Duration,
     ) -> Option<(u16, Bytes)> {
         let whole = async {
-            let exchange = Self::exchange_anew(address, request, may_send).await;
-            self.read_whole(exchange).await
+            let Exchange { response, lease } = exchange.await.ok()?;
+            let status = response.status().as_u16();
+            let body = Limited::new(response.into_body(), MOST_ANSWER_BYTES).collect().await.ok()?.to_bytes();
+            self.give_back(lease);
+            Some((status, body))
         };
         tokio::time::timeout(within, whole).await.ok().flatten()
     }
-
-    async fn read_whole(&self, exchange: Result<Exchange, ExchangeError>) -> Option<(u16, Bytes)> {
-        let Exchange { response, lease } = exchange.ok()?;
-        let status = response.status().as_u16();
-        let body = Limited::new(response.into_body(), MOST_ANSWER_BYTES).collect().await.ok()?.to_bytes();
-        self.give_back(lease);
-        Some((status, body))
-    }
 }
 
 async fn send(
--- a/tests/fleet.rs
+++ b/tests/fleet/main.rs
@@ -1,6 +1,9 @@
 //! Real heads with faults between them, and the audit of what they did: fixed seeds, each hard case, and a deliberate
 //! break that the audit has to find. Judged by what the processes tell, never by how long anything took.
 
+mod cluster;
+
+use cluster::{Cluster, LONG, NOWHERE, own_address};
 use futures_util::future::join_all;
 use pathbank::agree::document::{Edit, Part, Rejected, Value};
 use pathbank::agree::report;
@@ -11,41 +14,36 @@
 use pathbank::rehearsal::fleet::run::{Plan, Played, play};
 use pathbank::rehearsal::fleet::schedule::{Fault, KINDS, Kind, drawn};
 use pathbank::rehearsal::stage::{Head, Setup, Shared};
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener};
-use std::path::{Path, PathBuf};
-use std::process::Command;
+use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
-use std::time::{Duration, Instant};
-
-/// Nobody listens there.
-const NOWHERE: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1));
+use std::time::Instant;
 
 /// So many fleets at once: each is five processes and all that is between them.
-static PLACES: (Mutex<u32>, Condvar) = (Mutex::new(2), Condvar::new());
+static FREE_PERMITS: (Mutex<u32>, Condvar) = (Mutex::new(2), Condvar::new());
 
-struct InPlace;
+struct FleetPermit;
 
-impl InPlace {
-    fn take() -> InPlace {
-        let free = PLACES.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut free = PLACES.1.wait_while(free, |free| *free == 0).unwrap_or_else(PoisonError::into_inner);
+impl FleetPermit {
+    fn take() -> FleetPermit {
+        let free = FREE_PERMITS.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut free =
+            FREE_PERMITS.1.wait_while(free, |free| *free == 0).unwrap_or_else(PoisonError::into_inner);
         *free -= 1;
-        InPlace
+        FleetPermit
     }
 }
 
-impl Drop for InPlace {
+impl Drop for FleetPermit {
     fn drop(&mut self) {
-        *PLACES.0.lock().unwrap_or_else(PoisonError::into_inner) += 1;
-        PLACES.1.notify_one();
+        *FREE_PERMITS.0.lock().unwrap_or_else(PoisonError::into_inner) += 1;
+        FREE_PERMITS.1.notify_one();
     }
 }
 
-fn played(plan: &Plan, faults: &[Fault]) -> Played {
-    let _place = InPlace::take();
+fn play_fleet(plan: &Plan, faults: &[Fault]) -> Played {
+    let _permit = FleetPermit::take();
     let daemon = Path::new(env!("CARGO_BIN_EXE_pathbank"));
     play(daemon, plan, faults).unwrap_or_else(|failure| panic!("seed {}: {failure}\n{faults:?}", plan.seed))
 }
@@ -54,8 +52,8 @@
     Plan { seed, heads: 5, long_leases: false, lowers: false, traffic: true }
 }
 
-fn sound(seed: u64, faults: &[Fault]) {
-    let Played { verdict, served, .. } = played(&plan(seed), faults);
+fn assert_sound(seed: u64, faults: &[Fault]) {
+    let Played { verdict, served, .. } = play_fleet(&plan(seed), faults);
     assert_eq!(verdict.problems, Vec::<String>::new(), "seed {seed}: {faults:?}");
     assert!(
         verdict.acts > 0 && verdict.edits > 0 && verdict.revisions > 0 && served > 0,
@@ -63,19 +61,19 @@
     );
 }
 
-fn seeded(seed: u64) {
+fn assert_sound_with_all_faults(seed: u64) {
     let kinds: Vec<Kind> = KINDS.iter().map(|(kind, _)| *kind).collect();
-    sound(seed, &drawn(seed, 5, 3, &kinds, 3_000));
+    assert_sound(seed, &drawn(seed, 5, 3, &kinds, 3_000));
 }
 
 #[test]
 fn one_seed_of_all_faults() {
-    seeded(1);
+    assert_sound_with_all_faults(1);
 }
 
 #[test]
 fn another_seed_of_all_faults() {
-    seeded(2);
+    assert_sound_with_all_faults(2);
 }
 
 fn fault(at_ms: u64, lasts_ms: u64, kind: Kind, head: usize) -> Fault {
@@ -83,20 +81,26 @@
 }
 
 /// Beside each hard case a head that has no voter ends, and joins again in its midst.
-fn hard(seed: u64, faults: &[Fault]) {
+fn assert_sound_beside_a_join(seed: u64, faults: &[Fault]) {
     let joins = Fault { at_ms: 500, lasts_ms: 900, kind: Kind::Kill, head: 4, voter: 0 };
-    sound(seed, &[faults, &[joins]].concat());
+    assert_sound(seed, &[faults, &[joins]].concat());
 }
 
 #[test]
 fn a_leader_that_hears_nobody_while_all_hear_it_is_replaced() {
     // Whichever of the three leads has its turn.
-    hard(11, &[0, 1, 2].map(|voter| fault(400 + 1_800 * voter as u64, 1_600, Kind::DeafLeader, voter)));
+    assert_sound_beside_a_join(
+        11,
+        &[0, 1, 2].map(|voter| fault(400 + 1_800 * voter as u64, 1_600, Kind::DeafLeader, voter)),
+    );
 }
 
 #[test]
 fn a_leader_that_stood_still_wakes_after_its_successors_changes() {
-    hard(12, &[0, 1, 2].map(|voter| fault(400 + 2_400 * voter as u64, 2_200, Kind::Stop, voter)));
+    assert_sound_beside_a_join(
+        12,
+        &[0, 1, 2].map(|voter| fault(400 + 2_400 * voter as u64, 2_200, Kind::Stop, voter)),
+    );
 }
 
 /// Clients ask for far more than the limit gives, and two heads of five hear nothing for longer than both of their leases.
@@ -104,7 +108,7 @@
 fn a_limit_is_lowered_in_a_surge_while_more_than_a_third_of_the_heads_hear_nothing() {
     let plan = Plan { lowers: true, ..plan(13) };
     let faults = [fault(300, 4_200, Kind::Isolate, 3), fault(300, 4_200, Kind::Isolate, 4)];
-    let Played { verdict, served, answered, begun_us, .. } = played(&plan, &faults);
+    let Played { verdict, served, answered, begun_us, .. } = play_fleet(&plan, &faults);
     assert_eq!(verdict.problems, Vec::<String>::new());
     let meanwhile = begun_us + 300_000..begun_us + 4_500_000;
     assert!(verdict.lowered_us.iter().any(|at| meanwhile.contains(at)), "{meanwhile:?}: {verdict:?}");
@@ -113,27 +117,27 @@
 
 #[test]
 fn a_majority_is_lost_for_longer_than_all_leases_and_comes_back() {
-    hard(14, &[fault(400, 4_000, Kind::Kill, 0), fault(600, 4_200, Kind::Kill, 1)]);
+    assert_sound_beside_a_join(14, &[fault(400, 4_000, Kind::Kill, 0), fault(600, 4_200, Kind::Kill, 1)]);
 }
 
 #[test]
 fn more_than_half_of_the_heads_are_killed_while_changes_are_under_way() {
-    hard(15, &[fault(600, 900, Kind::Half, 0), fault(2_400, 700, Kind::Half, 0)]);
+    assert_sound_beside_a_join(15, &[fault(600, 900, Kind::Half, 0), fault(2_400, 700, Kind::Half, 0)]);
 }
 
 #[test]
 fn a_voter_that_lost_its_disk_is_replaced_under_load() {
-    hard(16, &[fault(500, 800, Kind::Empty, 1)]);
+    assert_sound_beside_a_join(16, &[fault(500, 800, Kind::Empty, 1)]);
 }
 
 #[test]
 fn a_voter_with_a_damaged_disk_votes_no_more_and_is_replaced() {
-    hard(17, &[fault(500, 800, Kind::Damaged, 2)]);
+    assert_sound_beside_a_join(17, &[fault(500, 800, Kind::Damaged, 2)]);
 }
 
 #[test]
 fn a_voter_on_an_older_copy_of_its_disk_is_not_heard_and_is_replaced() {
-    let Played { verdict, old_disks, .. } = played(&plan(18), &[fault(500, 800, Kind::Old, 1)]);
+    let Played { verdict, old_disks, .. } = play_fleet(&plan(18), &[fault(500, 800, Kind::Old, 1)]);
     assert_eq!(verdict.problems, Vec::<String>::new());
     assert!(old_disks > 0, "nobody told of it");
 }
@@ -142,134 +146,10 @@
 fn a_head_that_takes_its_leases_for_longer_than_they_are_is_found() {
     let plan = Plan { long_leases: true, ..plan(1) };
     let faults = [fault(400, 2_500, Kind::Isolate, 3), fault(900, 2_500, Kind::Isolate, 4)];
-    let verdict = played(&plan, &faults).verdict;
+    let verdict = play_fleet(&plan, &faults).verdict;
     assert!(!verdict.problems.is_empty() && verdict.longest_us > 0, "{verdict:?}");
 }
 
-/// Longer than anything takes, also where other tests have the machine: what is not there by then never comes.
-const LONG: Duration = Duration::from_secs(60);
-
-/// A few heads of one cluster, each with a voter on a disk of its own, past all links.
-struct Few {
-    folder: PathBuf,
-    runtime: tokio::runtime::Runtime,
-    caller: Caller,
-    voters: Vec<(u64, SocketAddr)>,
-}
-
-impl Few {
-    fn new(name: &str, count: u64) -> Few {
-        let folder = std::env::temp_dir().join(format!("pathbank-{name}-{}", std::process::id()));
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        let mut few = Few { folder, runtime, caller: Caller::new("few"), voters: Vec::new() };
-        for _ in 0..count {
-            few.seat();
-        }
-        few
-    }
-
-    /// A new disk, and a port from the system that is given back for its voter.
-    fn seat(&mut self) -> u64 {
-        let id = self.voters.len() as u64 + 71;
-        Disk::create(&self.folder.join(id.to_string()), id).unwrap();
-        self.voters.push((id, TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()));
-        id
-    }
-
-    fn directory(&self, id: u64) -> PathBuf {
-        self.folder.join(id.to_string())
-    }
-
-    fn address(&self, id: u64) -> SocketAddr {
-        self.voters.iter().find(|(known, _)| *known == id).unwrap().1
-    }
-
-    fn start(&self, id: u64, listed: &[u64], disk_mb: u64) -> Head {
-        self.start_with(id, listed, &format!("disk_mb = {disk_mb}"), "")
-    }
-
-    /// With keys of its own, those of the voter and those at the file's end.
-    fn start_with(&self, id: u64, listed: &[u64], seat: &str, end: &str) -> Head {
-        let voters: String = listed.iter().map(|id| format!("{id} = \"{}\"\n", self.address(*id))).collect();
-        let agree = format!(
-            "enabled = true\ncluster = \"few\"\nlisten = \"{}\"\ndirectory = \"{}\"\n{seat}\n\
-             [voters]\n{voters}[times]\nlong_lease_ms = 1000\n{end}",
-            self.address(id),
-            self.directory(id).display()
-        );
-        let setup = Setup { name: format!("n{id}"), agree: Some(agree), watched: false, ..Setup::default() };
-        Head::start(Path::new(env!("CARGO_BIN_EXE_pathbank")), &setup, NOWHERE, Vec::new()).unwrap()
-    }
-
-    /// Asks each of these until one of them says what is wanted.
-    async fn told<A: DeserializeOwned, T>(
-        &self,
-        ids: &[u64],
-        path: &str,
-        asked: &impl Serialize,
-        wanted: impl Fn(A) -> Option<T>,
-    ) -> T {
-        let until = Instant::now() + LONG;
-        loop {
-            for id in ids {
-                let at = self.address(*id).to_string();
-                let told = self.caller.call(&at, path, asked, LONG).await;
-                if let Some(found) = told.ok().and_then(&wanted) {
-                    return found;
-                }
-            }
-            assert!(Instant::now() < until, "{path} at {ids:?} never said it");
-        }
-    }
-
-    fn until<A: DeserializeOwned, T>(
-        &self,
-        ids: &[u64],
-        path: &str,
-        asked: &impl Serialize,
-        wanted: impl Fn(A) -> Option<T>,
-    ) -> T {
-        self.runtime.block_on(self.told(ids, path, asked, wanted))
-    }
-
-    /// Asked until it is known what became of it.
-    async fn proposed(&self, ids: &[u64], edit: &Edit) -> Result<u64, Rejected> {
-        self.told(ids, PROPOSE, edit, |told| match told {
-            Proposed::Entry(entry) => Some(Ok(entry)),
-            Proposed::Rejected(why) => Some(Err(why)),
-            _ => None,
-        })
-        .await
-    }
-
-    fn propose(&self, ids: &[u64], edit: &Edit) -> Result<u64, Rejected> {
-        self.runtime.block_on(self.proposed(ids, edit))
-    }
-
-    /// Until that voter has the entry in force.
-    fn in_force(&self, id: u64, entry: u64) -> Status {
-        self.until(&[id], STATUS, &(), |status: Status| (status.active >= entry).then_some(status))
-    }
-
-    /// The operators' own program.
-    fn command(&self, ids: &[u64], words: &[&str]) -> Result<String, String> {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_pathbank"));
-        command.args(["agree", "--cluster", "few"]);
-        for id in ids {
-            command.args(["--at", &self.address(*id).to_string()]);
-        }
-        let done = command.args(words).output().unwrap();
-        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
-        if done.status.success() { Ok(text(&done.stdout)) } else { Err(text(&done.stderr)) }
-    }
-}
-
-impl Drop for Few {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
-
 /// An edit of so many documents, all on one version.
 fn all(id: u64, count: usize, base: u64, text: &str) -> Edit {
     let changes = || BTreeMap::from([("weight".to_string(), Some(Value::Plain(text.to_string())))]);
@@ -284,31 +164,31 @@
 
 #[test]
 fn ten_thousand_documents_change_by_one_edit_while_a_disk_fills_and_its_voter_comes_back() {
-    let few = Few::new("documents", 3);
+    let cluster = Cluster::new("documents", 3);
     let ids = [71, 72, 73];
-    let heads = ids.map(|id| few.start(id, &ids, if id == 73 { 2 } else { 64 }));
-    assert_eq!(few.propose(&ids, &all(1, 10_000, 0, "1")).map(drop), Ok(()));
+    let heads = ids.map(|id| cluster.start(id, &ids, if id == 73 { 2 } else { 64 }));
+    assert_eq!(cluster.propose(&ids, &all(1, 10_000, 0, "1")).map(drop), Ok(()));
     // Two at once on one base: one is taken, the other hears which fields it met.
     let edits = [2, 3].map(|id| all(id, 1, 1, &id.to_string()));
-    let told = few.runtime.block_on(join_all(edits.iter().map(|edit| few.proposed(&ids, edit))));
+    let told = cluster.runtime.block_on(join_all(edits.iter().map(|edit| cluster.propose_async(&ids, edit))));
     let conflict = Err(Rejected::Conflict(vec!["plan/p0.weight".into()]));
     let taken = told.iter().filter(|told| told.is_ok()).count();
     assert!(taken == 1 && told.contains(&conflict), "{told:?}");
     let mut more = all(4, 10_000, 1, "4");
     more.parts.get_mut("plan/p0").unwrap().base = 2;
-    let entry = few.propose(&ids, &more).unwrap();
+    let entry = cluster.propose(&ids, &more).unwrap();
     // The others go on, and so does the head of the one that cannot: it holds its leases from them. Which of both its log
     // tells first depends on how soon its voter is sent the entry.
     for id in [71, 72] {
-        few.in_force(id, entry);
+        cluster.in_force(id, entry);
     }
     let is_ill = |line: &str| line.contains(" VOTER_ILL ");
     let has_it = |line: &str| active_in(line).is_some_and(|active| active >= entry);
     heads[2].logged_each("a voter that cannot save, and its head's lease", &[&is_ill, &has_it]).unwrap();
     drop(heads);
-    let _again = ids.map(|id| few.start(id, &ids, 64));
-    let status = few.in_force(73, entry);
-    assert!(status.starts > 1 && few.command(&[73], &["verify"]).unwrap().contains("sound"));
+    let _again = ids.map(|id| cluster.start(id, &ids, 64));
+    let status = cluster.in_force(73, entry);
+    assert!(status.starts > 1 && cluster.command(&[73], &["verify"]).unwrap().contains("sound"));
 }
 
 /// A head without a voter, before one voter at the end of that link.
@@ -323,12 +203,12 @@
 
 #[test]
 fn what_a_head_lacks_reaches_it_though_it_takes_longer_than_a_lease() {
-    let few = Few::new("slow-link", 1);
-    let _voter = few.start(71, &[71], 64);
-    let entry = few.propose(&[71], &all(1, 2_000, 0, "1")).unwrap();
-    few.in_force(71, entry);
+    let cluster = Cluster::new("slow-link", 1);
+    let _voter = cluster.start(71, &[71], 64);
+    let entry = cluster.propose(&[71], &all(1, 2_000, 0, "1")).unwrap();
+    cluster.in_force(71, entry);
     let link = Link::open().unwrap();
-    link.lead_to(Some(few.address(71)));
+    link.lead_to(Some(cluster.address(71)));
     // An answer of some 200 KB takes well over a second.
     link.slow(0, 150_000);
     let head = head_behind(&link);
@@ -338,129 +218,130 @@
 
 #[test]
 fn a_voter_comes_from_nothing_in_a_lost_ones_place_and_a_backup_begins_a_new_cluster() {
-    let mut few = Few::new("recovery", 3);
+    let mut cluster = Cluster::new("recovery", 3);
     let ids = [71, 72, 73];
-    let mut heads: Vec<Head> = ids.map(|id| few.start(id, &ids, 64)).into();
-    let entry = few.propose(&ids, &all(1, 2_000, 0, "1")).unwrap();
-    few.in_force(71, entry);
+    let mut heads: Vec<Head> = ids.map(|id| cluster.start(id, &ids, 64)).into();
+    let entry = cluster.propose(&ids, &all(1, 2_000, 0, "1")).unwrap();
+    cluster.in_force(71, entry);
     // Its disk is lost with its head: its number is gone for good.
     drop(heads.pop());
-    std::fs::remove_dir_all(few.directory(73)).unwrap();
-    let new = few.seat();
+    std::fs::remove_dir_all(cluster.directory(73)).unwrap();
+    let new = cluster.add_voter();
     let change = |words: &[&str]| {
         let until = Instant::now() + LONG;
         // A second change waits until all heads know of the first.
-        while let Err(why) = few.command(&[71, 72], words) {
+        while let Err(why) = cluster.command(&[71, 72], words) {
             assert!(Instant::now() < until, "{words:?}: {why}");
         }
     };
     change(&["voters", "--remove", "73"]);
-    change(&["voters", "--add", &format!("{new}={}", few.address(new))]);
+    change(&["voters", "--add", &format!("{new}={}", cluster.address(new))]);
     let begun = Instant::now();
-    heads.push(few.start(new, &ids, 64));
-    let status = few.in_force(new, entry);
+    heads.push(cluster.start(new, &ids, 64));
+    let status = cluster.in_force(new, entry);
     println!("a voter from nothing has 2,000 documents after {} ms", begun.elapsed().as_millis());
     assert_eq!(status.voters.keys().copied().collect::<Vec<_>>(), [71, 72, new]);
     // It counts: with it and one other there is a majority.
     drop(heads.remove(0));
-    let last = few.propose(&[72, new], &all(2, 1, 1, "2")).unwrap();
-    let file = few.folder.join("backup");
-    few.command(&[72, new], &["backup", "--to", file.to_str().unwrap()]).unwrap();
+    let last = cluster.propose(&[72, new], &all(2, 1, 1, "2")).unwrap();
+    let file = cluster.folder.join("backup");
+    cluster.command(&[72, new], &["backup", "--to", file.to_str().unwrap()]).unwrap();
     drop(heads);
     // All voters are lost but the backup; a changed one is refused by its line.
-    let (restored, at) =
-        (few.folder.join("restored"), TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap());
+    let (restored, at) = (cluster.folder.join("restored"), own_address());
     let restore = |file: &Path| {
         let (file, to, at) = (file.to_str().unwrap(), restored.to_str().unwrap(), at.to_string());
-        few.command(&[72], &["restore", "--from", file, "--directory", to, "--address", &at])
+        cluster.command(&[72], &["restore", "--from", file, "--directory", to, "--address", &at])
     };
-    let lie = few.folder.join("lie");
+    let lie = cluster.folder.join("lie");
     std::fs::write(&lie, std::fs::read_to_string(&file).unwrap().replacen("all of them", "none at all", 1))
         .unwrap();
     assert!(restore(&lie).unwrap_err().contains("is not what was written"));
     let said = restore(&file).unwrap();
     let id: u64 = said.split(' ').nth(1).and_then(|id| id.parse().ok()).unwrap();
-    few.voters.push((id, at));
-    std::fs::rename(&restored, few.directory(id)).unwrap();
-    let _alone = few.start(id, &[id], 64);
-    few.in_force(id, last);
-    let shown = few.command(&[id], &["show", "plan/p0"]).unwrap();
+    cluster.voters.push((id, at));
+    std::fs::rename(&restored, cluster.directory(id)).unwrap();
+    let _alone = cluster.start(id, &[id], 64);
+    cluster.in_force(id, last);
+    let shown = cluster.command(&[id], &["show", "plan/p0"]).unwrap();
     assert!(shown.contains("plan/p0 version 2, in force"), "{shown}");
 }
 
-/// A voter that keeps few entries: the old ones are told from its archive, and where that was moved away, as missing. A
+/// A voter that keeps cluster entries: the old ones are told from its archive, and where that was moved away, as missing. A
 /// backup from then still begins a cluster.
 #[test]
 fn old_entries_are_told_from_the_archive_and_a_backup_does_without_those_that_were_moved_away() {
-    let mut few = Few::new("archive", 1);
-    let (ids, first) = ([71], few.voters[0].1.to_string());
-    let head = few.start_with(71, &ids, "keep_entries = 8", "[rehearsal]\nkept = 4\n");
-    let edits = (1..=40).map(|i| few.propose(&ids, &all(i, 1, i - 1, &format!("w{i}"))).unwrap()).last();
-    few.in_force(71, edits.unwrap());
+    let mut cluster = Cluster::new("archive", 1);
+    let (ids, first) = ([71], cluster.voters[0].1.to_string());
+    let head = cluster.start_with(71, &ids, "keep_entries = 8", "[rehearsal]\nkept = 4\n");
+    let edits = (1..=40).map(|i| cluster.propose(&ids, &all(i, 1, i - 1, &format!("w{i}"))).unwrap()).last();
+    cluster.in_force(71, edits.unwrap());
     head.logged(" ARCHIVED ").unwrap();
-    let folder = few.directory(71).join("archive");
+    let folder = cluster.directory(71).join("archive");
     let segments = || std::fs::read_dir(&folder).map_or(0, Iterator::count);
     assert!(segments() > 1, "{}", segments());
-    let history = few.command(&ids, &["history"]).unwrap();
+    let history = cluster.command(&ids, &["history"]).unwrap();
     for i in 1..=40 {
         assert!(
             history.contains(&format!("w{i}\n")) || history.contains(&format!("w{i} ")),
             "w{i}: {history}"
         );
     }
-    assert!(few.command(&ids, &["diff", "plan/p0", "1", "40"]).unwrap().contains("w40"));
-    let verified = few.command(&ids, &["verify"]).unwrap();
+    assert!(cluster.command(&ids, &["diff", "plan/p0", "1", "40"]).unwrap().contains("w40"));
+    let verified = cluster.command(&ids, &["verify"]).unwrap();
     assert!(verified.contains(": sound") && !verified.contains("without"), "{verified}");
-    let whole = few.folder.join("whole");
-    few.command(&ids, &["backup", "--to", whole.to_str().unwrap()]).unwrap();
+    let whole = cluster.folder.join("whole");
+    cluster.command(&ids, &["backup", "--to", whole.to_str().unwrap()]).unwrap();
     // The operators move the archive away while the voter runs; it goes on, and so does its archive.
-    let moved = few.folder.join("moved");
+    let moved = cluster.folder.join("moved");
     std::fs::rename(&folder, &moved).unwrap();
-    let verified = few.command(&ids, &["verify"]).unwrap();
+    let verified = cluster.command(&ids, &["verify"]).unwrap();
     assert!(verified.contains("without 1 to") && verified.contains(": sound"), "{verified}");
-    assert!(few.command(&ids, &["diff", "plan/p0", "1", "40"]).unwrap_err().contains("moved away"));
-    let last =
-        (41..=60).map(|i| few.propose(&ids, &all(i, 1, i - 1, &format!("w{i}"))).unwrap()).last().unwrap();
-    few.in_force(71, last);
-    let part = few.folder.join("part");
-    few.command(&ids, &["backup", "--to", part.to_str().unwrap()]).unwrap();
+    assert!(cluster.command(&ids, &["diff", "plan/p0", "1", "40"]).unwrap_err().contains("moved away"));
+    let last = (41..=60)
+        .map(|i| cluster.propose(&ids, &all(i, 1, i - 1, &format!("w{i}"))).unwrap())
+        .last()
+        .unwrap();
+    cluster.in_force(71, last);
+    let part = cluster.folder.join("part");
+    cluster.command(&ids, &["backup", "--to", part.to_str().unwrap()]).unwrap();
     drop(head);
     // On the stopped one's disk, with its archive back in place: all of it.
     for segment in std::fs::read_dir(&moved).unwrap() {
         let name = segment.unwrap().file_name();
         std::fs::rename(moved.join(&name), folder.join(&name)).unwrap();
     }
-    let directory = few.directory(71);
-    let verified = few.command(&[], &["verify", "--directory", directory.to_str().unwrap()]);
+    let directory = cluster.directory(71);
+    let verified = cluster.command(&[], &["verify", "--directory", directory.to_str().unwrap()]);
     assert!(
         verified.as_ref().is_ok_and(|told| told.contains(": sound") && !told.contains("without")),
         "{verified:?}"
     );
-    let restore = |few: &Few, file: &Path, to: &Path| {
+    let restore = |cluster: &Cluster, file: &Path, to: &Path| {
         let (file, to) = (file.to_str().unwrap(), to.to_str().unwrap());
-        few.command(&ids, &["restore", "--from", file, "--directory", to, "--address", &first])
+        cluster.command(&ids, &["restore", "--from", file, "--directory", to, "--address", &first])
     };
-    let (lie, nowhere) = (few.folder.join("lie"), few.folder.join("nowhere"));
+    let (lie, nowhere) = (cluster.folder.join("lie"), cluster.folder.join("nowhere"));
     let text = std::fs::read_to_string(&part).unwrap();
     let forged = text.replacen("all of them", "none at all", 9).replacen("none at all", "all of them", 8);
     let cut: String = text.lines().take(text.lines().count() - 1).map(|line| format!("{line}\n")).collect();
     for (changed, why) in [(forged, "is not what was written"), (cut, "are not all there")] {
         std::fs::write(&lie, changed).unwrap();
-        let said = restore(&few, &lie, &nowhere).unwrap_err();
+        let said = restore(&cluster, &lie, &nowhere).unwrap_err();
         assert!(said.contains(why), "{said}");
     }
     for (file, version) in [(&whole, 40), (&part, 60)] {
-        let new = few.folder.join(format!("new-{version}"));
-        let said = restore(&few, file, &new).unwrap();
+        let new = cluster.folder.join(format!("new-{version}"));
+        let said = restore(&cluster, file, &new).unwrap();
         let id: u64 = said.split(' ').nth(1).and_then(|id| id.parse().ok()).unwrap();
-        few.voters.push((id, TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()));
-        std::fs::rename(&new, few.directory(id)).unwrap();
-        let _alone = few.start(id, &[id], 64);
-        let entry = few.propose(&[id], &all(900 + version, 1, version, "after")).unwrap();
-        few.in_force(id, entry);
-        let shown = few.command(&[id], &["show", "plan/p0"]).unwrap();
+        cluster.voters.push((id, own_address()));
+        std::fs::rename(&new, cluster.directory(id)).unwrap();
+        let _alone = cluster.start(id, &[id], 64);
+        let entry = cluster.propose(&[id], &all(900 + version, 1, version, "after")).unwrap();
+        cluster.in_force(id, entry);
+        let shown = cluster.command(&[id], &["show", "plan/p0"]).unwrap();
         assert!(shown.contains(&format!("plan/p0 version {}, in force", version + 1)), "{shown}");
-        assert!(few.command(&[id], &["verify"]).unwrap().contains(": sound"));
+        assert!(cluster.command(&[id], &["verify"]).unwrap().contains(": sound"));
     }
 }
 
@@ -469,8 +350,8 @@
 fn the_two_processes_of_an_upgrade_are_one_voter_and_the_later_one_takes_it_over() {
     let folder = std::env::temp_dir().join(format!("pathbank-upgrade-agree-{}", std::process::id()));
     Disk::create(&folder, 77).unwrap();
-    // A port from the system, given back: both processes are to listen there, one after the other.
-    let listen: SocketAddr = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    // Both processes are to listen there, one after the other.
+    let listen: SocketAddr = own_address();
     let agree = format!(
         "enabled = true\ncluster = \"up\"\nlisten = \"{listen}\"\ndirectory = \"{}\"\n[voters]\n77 = \"{listen}\"\n\
          [times]\nlong_lease_ms = 1000\n",
