A backup, history and differences are whole, whichever voter is asked first

The documents came from the leader, the entries from the first voter that answered: one that lagged left out the last ones, and the backup could not be restored.

--- a/src/net/agree/command.rs
+++ b/src/net/agree/command.rs
@@ -27,6 +27,8 @@
 /// One call to one voter, and how long a leader is looked for.
 const CALL_TIME: Duration = Duration::from_secs(8);
 const LEADER_TIME: Duration = Duration::from_secs(10);
+/// A voter that does not say by then how far it is is not waited for.
+const STATUS_TIME: Duration = Duration::from_secs(2);
 const AGAIN: Duration = Duration::from_millis(100);
 const AT_ONCE: usize = 1_000;
 /// The most that a restored disk may hold.
@@ -268,7 +270,7 @@
             What::Status => self.status(line).await,
             What::Show { document, any } => self.show(line, document.as_deref(), *any).await,
             What::History { document, after } => {
-                let (records, _) = self.records(*after).await?;
+                let records = self.all_records(*after).await?;
                 if let Some(first) = records.first().filter(|first| first.index != after + 1) {
                     eprintln!(
                         "pathbank agree: entries {} to {} are not at this voter",
@@ -279,7 +281,7 @@
                 self.tell_records(line, &records, document.as_deref())
             }
             What::Diff { document, before, after } => {
-                let (records, _) = self.records(0).await?;
+                let records = self.all_records(0).await?;
                 if records.first().is_some_and(|record| record.index != 1) {
                     return Err(said(
                         "this voter has no entries from before it came, or they were moved away; ask another one",
@@ -323,17 +325,18 @@
         told.map_err(|problem| Problem::Call(address.to_string(), problem))
     }
 
-    async fn statuses(&self) -> Vec<(String, Done<Status>)> {
-        let asked = self
-            .addresses
-            .iter()
-            .map(|address| async { (address.clone(), self.call::<Status>(address, STATUS, &()).await) });
+    /// How each voter stands that says so within that time.
+    async fn statuses(&self, within: Duration) -> Vec<(String, Done<Status>)> {
+        let asked = self.addresses.iter().map(|address| async move {
+            let told = self.caller.call(address, STATUS, &(), within).await;
+            (address.clone(), told.map_err(|problem| Problem::Call(address.clone(), problem)))
+        });
         futures_util::future::join_all(asked).await
     }
 
     async fn status(&self, line: &Line) -> Done {
         let mut fault = None;
-        for (address, status) in self.statuses().await {
+        for (address, status) in self.statuses(CALL_TIME).await {
             match status {
                 Ok(status) => {
                     let leader = status.leader.map_or("none".to_string(), |id| id.to_string());
@@ -414,29 +417,63 @@
         Ok(())
     }
 
-    /// All records after one, from the first voter that answers.
-    async fn records(&self, after: Index) -> Done<(Vec<Record>, Index)> {
-        let mut last = said("no voter answers");
-        'voters: for address in &self.addresses {
-            let (mut records, mut at) = (Vec::<Record>::new(), after);
-            loop {
-                match self
-                    .call::<RecordsTold>(address, RECORDS, &RecordsAsked { after: at, most: AT_ONCE })
-                    .await
-                {
-                    Ok(told) if told.records.is_empty() => return Ok((records, told.commit)),
-                    Ok(told) => {
-                        at = told.records.last().map_or(at, |record| record.index);
-                        records.extend(told.records);
-                    }
-                    Err(problem) => {
-                        last = problem;
-                        continue 'voters;
-                    }
+    /// How far the furthest voter that answers is: the others may not have heard yet of the last entries that count.
+    async fn furthest(&self, of: impl Fn(&Status) -> Index) -> Done<Index> {
+        let until = Instant::now() + LEADER_TIME;
+        loop {
+            let (mut furthest, mut last) = (None, said("no voter answers"));
+            for (_, status) in self.statuses(STATUS_TIME).await {
+                match status {
+                    Ok(status) => furthest = furthest.max(Some(of(&status))),
+                    Err(problem) => last = problem,
                 }
             }
+            if let Some(furthest) = furthest {
+                return Ok(furthest);
+            }
+            if Instant::now() >= until {
+                return Err(last);
+            }
+            sleep(AGAIN).await;
+        }
+    }
+
+    /// All records after one that count at any voter that answers.
+    async fn all_records(&self, after: Index) -> Done<Vec<Record>> {
+        let through = self.furthest(|status| status.commit).await?;
+        self.records(after, through).await
+    }
+
+    /// The records after one, at least up to another, from the first voter that has them all.
+    async fn records(&self, after: Index, through: Index) -> Done<Vec<Record>> {
+        let until = Instant::now() + LEADER_TIME;
+        loop {
+            let mut last = said("no voter answers");
+            for address in &self.addresses {
+                match self.records_of(address, after, through).await {
+                    Ok(Some(records)) => return Ok(records),
+                    Ok(None) => last = said(format!("no voter that answers has all entries up to {through}")),
+                    Err(problem) => last = problem,
+                }
+            }
+            if Instant::now() >= until {
+                return Err(last);
+            }
+            sleep(AGAIN).await;
+        }
+    }
+
+    /// `None`: that voter lags, and does not have all of them yet.
+    async fn records_of(&self, address: &str, after: Index, through: Index) -> Done<Option<Vec<Record>>> {
+        let (mut records, mut at) = (Vec::new(), after);
+        while at < through {
+            let asked = RecordsAsked { after: at, most: AT_ONCE };
+            let told = self.call::<RecordsTold>(address, RECORDS, &asked).await?;
+            let Some(last) = told.records.last().filter(|_| told.commit >= through) else { return Ok(None) };
+            at = last.index;
+            records.extend(told.records);
         }
-        Err(last)
+        Ok(Some(records))
     }
 
     fn tell_records(&self, line: &Line, records: &[Record], only: Option<&str>) -> Done {
@@ -454,8 +491,8 @@
             None => self.ledger(false).await?.read(),
         };
         loop {
-            // A voter that is gone for a while is no end of the watch.
-            if let Ok((records, _)) = self.records(at).await {
+            // Voters that are gone for a while are no end of the watch.
+            if let Ok(records) = self.all_records(at).await {
                 at = records.last().map_or(at, |record| record.index);
                 self.tell_records(line, &records, None)?;
             }
@@ -500,7 +537,7 @@
             Err(problem) => return Err(problem),
         };
         if *wait {
-            while self.ledger(false).await?.active() < entry {
+            while self.furthest(|status| status.active).await? < entry {
                 sleep(AGAIN).await;
             }
         }
@@ -509,7 +546,7 @@
     }
 
     async fn voters(&self, line: &Line, add: Option<&str>, remove: Option<VoterId>) -> Done {
-        let known = self.statuses().await.into_iter().find_map(|(_, status)| {
+        let known = self.statuses(CALL_TIME).await.into_iter().find_map(|(_, status)| {
             status.ok().filter(|status| status.leader == Some(status.id)).map(|status| status.voters)
         });
         let Some(mut voters) = known else { return Err(said("no voter leads now")) };
@@ -541,17 +578,20 @@
 
     async fn backup(&self, line: &Line, to: &PathBuf) -> Done {
         let ledger = self.ledger(true).await?;
-        let (records, _) = self.records(0).await?;
+        let read = ledger.read();
+        // The leader has told the documents; a voter that lags behind it does not have their last entries.
+        let mut records = self.records(0, read).await?;
+        records.retain(|record| record.index <= read);
         let term = records.last().map_or(0, |record| record.entry.term);
         let at = |problem: std::io::Error| said(format!("{}: {problem}", to.display()));
         let mut file = std::io::BufWriter::new(std::fs::File::create_new(to).map_err(at)?);
-        let (read, count) = (ledger.read(), records.len());
         let first = Backup { form: BACKUP_FORM, cluster: self.cluster.clone(), ledger, term };
         writeln!(file, "{}", serde_json::to_string(&first).map_err(said)?).map_err(at)?;
-        for record in records.iter().filter(|record| record.index <= read) {
+        for record in &records {
             writeln!(file, "{}", serde_json::to_string(record).map_err(said)?).map_err(at)?;
         }
         file.into_inner().map_err(|problem| at(problem.into_error()))?.sync_all().map_err(at)?;
+        let count = records.len();
         say(line, &format!("up to entry {read}, {count} entries"), &json!({"entry": read, "entries": count}))
     }
 }
