--- a/src/net/agree/command.rs
+++ b/src/net/agree/command.rs
@@ -1,8 +1,9 @@
 //! `pathbank agree`: what operators ask voters, and what they do with a voter's disk while it is stopped.
 
 use super::archive::Archive;
+use super::backup::{self, Backup, MAX_DISK_BYTES};
 use super::call::{CallError, Caller};
-use super::disk::{Disk, DiskError, Record, digest_of};
+use super::disk::{Disk, DiskError, Record};
 use super::wire::{
     LEDGER, LedgerAsked, LedgerTold, PROPOSE, Proposed, RECORDS, RecordsAsked, RecordsTold, STATUS, Status,
     VERIFY, VOTERS,
@@ -10,16 +11,15 @@
 use crate::agree::archive::{Chain, Verified};
 use crate::agree::document::Edit;
 use crate::agree::ledger::Ledger;
-use crate::agree::voter::{Save, Voters};
-use crate::agree::{Command as Entered, Entry, Index, VoterId, report};
+use crate::agree::{Index, VoterId, report};
 use crate::command_line;
 use crate::config::agree::Agreement;
 use clap::{Parser, Subcommand};
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use serde_json::json;
 use std::fmt;
-use std::io::{BufRead, Write};
-use std::path::PathBuf;
+use std::io::Write;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::time::{Duration, Instant, sleep};
@@ -31,9 +31,6 @@
 const STATUS_TIME: Duration = Duration::from_secs(2);
 const AGAIN: Duration = Duration::from_millis(100);
 const AT_ONCE: usize = 1_000;
-/// The most that a restored disk may hold.
-const MOST_DISK: u64 = 1 << 40;
-const BACKUP_FORM: u64 = 1;
 
 /// What the heads agree on. Voters are those of the file that PATHBANK_AGREE names (deploy/agree.toml), or of `--at`.
 #[derive(Parser)]
@@ -182,13 +179,12 @@
 async fn carry_out(line: Line) -> Done {
     match &line.what {
         What::Init { directory } => {
-            // A few digits are easier to read out; two of one number are refused by the file that lists them.
-            let id = fastrand::u64(1..1 << 48);
+            let id = new_voter_id();
             Disk::create(directory, id)?;
             say(&line, &id.to_string(), &json!({"voter": id}))
         }
         What::Verify { directory: Some(directory) } => {
-            let (disk, _) = Disk::open(directory, MOST_DISK)?;
+            let (disk, _) = Disk::open(directory, MAX_DISK_BYTES)?;
             let mut chain = Chain::default();
             Archive::beside(directory).follow(&mut chain)?;
             tell_verified(&line, &directory.display().to_string(), &disk.verify(chain)?.done())
@@ -198,6 +194,11 @@
     }
 }
 
+/// A few digits are easier to read out; two of one number are refused by the file that lists them.
+fn new_voter_id() -> VoterId {
+    fastrand::u64(1..1 << 48)
+}
+
 fn say(line: &Line, text: &str, value: &impl Serialize) -> Done {
     let out =
         if line.json { serde_json::to_string(value).map_err(said)? } else { text.trim_end().to_string() };
@@ -231,15 +232,6 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
 
-/// The first line of a backup; its records follow, one a line.
-#[derive(Serialize, Deserialize)]
-struct Backup {
-    form: u64,
-    cluster: String,
-    ledger: Ledger,
-    term: u64,
-}
-
 struct Desk {
     caller: Caller,
     cluster: String,
@@ -576,88 +568,23 @@
         }
     }
 
-    async fn backup(&self, line: &Line, to: &PathBuf) -> Done {
+    async fn backup(&self, line: &Line, to: &Path) -> Done {
         let ledger = self.ledger(true).await?;
         let read = ledger.read();
         // The leader has told the documents; a voter that lags behind it does not have their last entries.
         let mut records = self.records(0, read).await?;
         records.retain(|record| record.index <= read);
-        let term = records.last().map_or(0, |record| record.entry.term);
-        let at = |problem: std::io::Error| said(format!("{}: {problem}", to.display()));
-        let mut file = std::io::BufWriter::new(std::fs::File::create_new(to).map_err(at)?);
-        let first = Backup { form: BACKUP_FORM, cluster: self.cluster.clone(), ledger, term };
-        writeln!(file, "{}", serde_json::to_string(&first).map_err(said)?).map_err(at)?;
-        for record in &records {
-            writeln!(file, "{}", serde_json::to_string(record).map_err(said)?).map_err(at)?;
-        }
-        file.into_inner().map_err(|problem| at(problem.into_error()))?.sync_all().map_err(at)?;
         let count = records.len();
+        backup::write(to, &self.cluster, ledger, &records)
+            .map_err(|problem| said(format!("{}: {problem}", to.display())))?;
         say(line, &format!("up to entry {read}, {count} entries"), &json!({"entry": read, "entries": count}))
     }
 }
 
-fn restore(line: &Line, from: &PathBuf, directory: &std::path::Path, address: &str) -> Done {
-    let at = |problem: String| said(format!("{}: {problem}", from.display()));
-    let file = std::fs::File::open(from).map_err(|problem| at(problem.to_string()))?;
-    let mut lines = std::io::BufReader::new(file).lines();
-    let first =
-        lines.next().ok_or_else(|| at("it is empty".into()))?.map_err(|problem| at(problem.to_string()))?;
-    let backup: Backup = serde_json::from_str(&first).map_err(|problem| at(format!("line 1: {problem}")))?;
-    if backup.form != BACKUP_FORM {
-        return Err(at(format!("it has form {}, this program knows {BACKUP_FORM}", backup.form)));
-    }
-    let mut entries: Vec<Entry> = Vec::new();
-    let (mut ledger, mut chain, mut first) = (Ledger::default(), Chain::default(), None);
-    for (number, text) in lines.enumerate() {
-        let text = text.map_err(|problem| at(problem.to_string()))?;
-        let record: Record =
-            serde_json::from_str(&text).map_err(|problem| at(format!("line {}: {problem}", number + 2)))?;
-        let digest = digest_of(&record.digest);
-        // Where the oldest ones had been moved away, the first one is what the others follow on.
-        if number == 0 && record.index > 1 {
-            first = digest.map(|digest| (record.index, digest));
-            if first.is_some() {
-                continue;
-            }
-        }
-        let (begins, told) = (first, digest.as_ref().map(|digest| (digest, &record.entry)));
-        let base = || begins.filter(|(index, _)| index + 1 == record.index).map(|(_, digest)| digest);
-        if !chain.follow(record.index, told, base) {
-            return Err(at(format!("line {}: entry {} is not what was written", number + 2, record.index)));
-        }
-        if first.is_none() {
-            ledger.apply(&record.entry);
-        }
-        entries.push(record.entry);
-    }
-    // Documents that no entries here tell of are taken as the file's first line has them.
-    let ledger = if first.is_some() { backup.ledger.clone() } else { ledger };
-    let last = first.filter(|_| entries.is_empty()).unwrap_or((chain.last(), *chain.digest()));
-    if last != (backup.ledger.read(), *backup.ledger.digest()) {
-        return Err(at("its entries are not all there, or not those that its first line is of".into()));
-    }
-    let id = fastrand::u64(1..1 << 48);
-    Disk::create(directory, id)?;
-    let (mut disk, _) = Disk::open(directory, MOST_DISK)?;
-    let term = backup.term + 1;
-    let voters = Voters::from([(id, address.to_string())]);
-    let begins = first.map_or(0, |(index, _)| index);
-    if let Some((index, digest)) = first {
-        disk.begin_behind(index, digest)?;
-    }
-    let of_last = entries.last().map_or(backup.term, |entry| entry.term);
-    let saves: Vec<Save> =
-        (begins + 1..).zip(entries).map(|(index, entry)| Save::Put(index, entry)).collect();
-    disk.save(&saves)?;
-    let last = ledger.read() + 1;
-    let ledger = Box::new(ledger);
-    disk.save(&[
-        Save::Snapshot { ledger, term: of_last, whole: None },
-        Save::Put(last, Entry { term, command: Entered::Voters(voters) }),
-    ])?;
-    // Whoever comes has to have read all of it.
-    disk.save(&[Save::Vote { term, voted: None }, Save::Barrier(last)])?;
-    let text =
-        format!("voter {id} with {last} entries; give the cluster another name than {}", backup.cluster);
+fn restore(line: &Line, from: &Path, directory: &Path, address: &str) -> Done {
+    let backup = Backup::read(from).map_err(|problem| said(format!("{}: {problem}", from.display())))?;
+    let (id, cluster) = (new_voter_id(), backup.cluster.clone());
+    let last = backup.restore(directory, id, address)?;
+    let text = format!("voter {id} with {last} entries; give the cluster another name than {cluster}");
     say(line, &text, &json!({"voter": id, "entries": last}))
 }
--- a/src/net/agree/mod.rs
+++ b/src/net/agree/mod.rs
@@ -1,6 +1,7 @@
 //! Agreement on real sockets and disks.
 
 pub mod archive;
+mod backup;
 pub mod call;
 pub mod command;
 pub mod disk;
