--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -37,6 +37,8 @@
 pub struct Directory {
     held_before: HeldBefore,
     known: BTreeMap<String, Known>,
+    /// The instances known at each address: a first heartbeat must not cost what all known bricks cost.
+    instances_at: BTreeMap<String, BTreeSet<String>>,
     heartbeat_ms: Millis,
 }
 
@@ -88,27 +90,16 @@
     /// A heartbeat, heard from the brick or from another core.
     pub fn heard(&mut self, now: Millis, brick: Brick) -> Heard {
         self.note_held(&brick.address, &brick.models);
-        let same_place = |known: &Known| {
-            known.brick.address == brick.address
-                && known.brick.instance != brick.instance
-                && known.brick.state != BrickState::Gone
-        };
-        let fresh = !self.known.contains_key(&brick.instance);
-        let displaced = fresh && brick.state != BrickState::Gone;
-        let mut gone = Vec::new();
-        for known in self.known.values_mut().filter(|known| displaced && same_place(known)) {
-            known.brick.state = BrickState::Gone;
-            known.brick.sequence += 1;
-            known.deregistered = true;
-            gone.push(known.told());
-        }
-        let Some(known) = self.known.get_mut(&brick.instance) else {
-            self.known.insert(brick.instance.clone(), Known::new(now, brick));
-            return Heard { displaced: gone, changed: true, relay: true };
-        };
+        let Some(known) = self.known.get(&brick.instance) else { return self.heard_first(now, brick) };
         if brick.sequence <= known.brick.sequence || known.deregistered {
             return Heard::default();
         }
+        if known.brick.address != brick.address {
+            let before = known.brick.address.clone();
+            self.forget_place(&before, &brick.instance);
+            self.note_place(&brick);
+        }
+        let Some(known) = self.known.get_mut(&brick.instance) else { return Heard::default() };
         known.heard = now;
         let before = known.told();
         let draining = known.brick.state == BrickState::Draining && brick.state == BrickState::Ready;
@@ -122,7 +113,48 @@
         if relay {
             known.relayed = now;
         }
-        Heard { displaced: gone, changed, relay }
+        Heard { displaced: Vec::new(), changed, relay }
+    }
+
+    /// The first heartbeat of an instance, which ends any other one at its address.
+    fn heard_first(&mut self, now: Millis, brick: Brick) -> Heard {
+        let displaced = match brick.state {
+            BrickState::Gone => Vec::new(),
+            BrickState::Ready | BrickState::Draining => self.displace(&brick.address),
+        };
+        self.note_place(&brick);
+        self.known.insert(brick.instance.clone(), Known::new(now, brick));
+        Heard { displaced, changed: true, relay: true }
+    }
+
+    /// Whatever was at that address has ended.
+    fn displace(&mut self, address: &str) -> Vec<Brick> {
+        let Some(instances) = self.instances_at.get(address) else { return Vec::new() };
+        let mut displaced = Vec::new();
+        for instance in instances {
+            let Some(known) = self.known.get_mut(instance) else { continue };
+            if known.brick.state == BrickState::Gone {
+                continue;
+            }
+            known.brick.state = BrickState::Gone;
+            known.brick.sequence += 1;
+            known.deregistered = true;
+            displaced.push(known.told());
+        }
+        displaced
+    }
+
+    fn note_place(&mut self, brick: &Brick) {
+        let instances = self.instances_at.entry(brick.address.clone()).or_default();
+        instances.insert(brick.instance.clone());
+    }
+
+    fn forget_place(&mut self, address: &str, instance: &str) {
+        let Some(instances) = self.instances_at.get_mut(address) else { return };
+        instances.remove(instance);
+        if instances.is_empty() {
+            self.instances_at.remove(address);
+        }
     }
 
     /// A brick said that it ends.
@@ -215,7 +247,11 @@
                 gone.push(known.told());
             }
         }
-        self.known.retain(|_, known| known.brick.state != BrickState::Gone || now < known.heard + GONE_KEPT);
+        let is_over = |known: &Known| known.brick.state == BrickState::Gone && now >= known.heard + GONE_KEPT;
+        let forgotten: Vec<(String, Known)> = self.known.extract_if(.., |_, known| is_over(known)).collect();
+        for (instance, known) in forgotten {
+            self.forget_place(&known.brick.address, &instance);
+        }
         gone
     }
 }
