--- /dev/null
+++ b/crates/control/src/address_index.rs
@@ -0,0 +1,41 @@
+//! Which instances are known at each address, so that a first word of one does not cost a look at all others.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The instances of bricks at each address.
+#[derive(Clone, Debug, Default)]
+pub struct AddressIndex {
+    instances: BTreeMap<String, BTreeSet<String>>,
+}
+
+impl AddressIndex {
+    /// An instance is at that address.
+    pub fn insert(&mut self, address: &str, instance: &str) {
+        match self.instances.get_mut(address) {
+            Some(instances) => drop(instances.insert(instance.to_owned())),
+            None => drop(self.instances.insert(address.to_owned(), BTreeSet::from([instance.to_owned()]))),
+        }
+    }
+
+    /// An instance is no longer at that address, or forgotten.
+    pub fn remove(&mut self, address: &str, instance: &str) {
+        let Some(instances) = self.instances.get_mut(address) else { return };
+        instances.remove(instance);
+        if instances.is_empty() {
+            self.instances.remove(address);
+        }
+    }
+
+    /// An instance that was at an address may have another one now.
+    pub fn change(&mut self, before: &str, now: &str, instance: &str) {
+        if before != now {
+            self.remove(before, instance);
+            self.insert(now, instance);
+        }
+    }
+
+    /// The instances at an address.
+    pub fn at(&self, address: &str) -> impl Iterator<Item = &String> {
+        self.instances.get(address).into_iter().flatten()
+    }
+}
--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -1,5 +1,6 @@
 //! The bricks that exist, from their heartbeats, as one core knows them.
 
+use crate::address_index::AddressIndex;
 use pathbank_protocol::message::{Brick, BrickNews, BrickState, LoadedModel, WithheldModel};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -37,8 +38,7 @@
 pub struct Directory {
     held_before: HeldBefore,
     known: BTreeMap<String, Known>,
-    /// The instances known at each address: a first heartbeat must not cost what all known bricks cost.
-    instances_at: BTreeMap<String, BTreeSet<String>>,
+    addresses: AddressIndex,
     heartbeat_ms: Millis,
 }
 
@@ -94,11 +94,7 @@
         if brick.sequence <= known.brick.sequence || known.deregistered {
             return Heard::default();
         }
-        if known.brick.address != brick.address {
-            let before = known.brick.address.clone();
-            self.forget_place(&before, &brick.instance);
-            self.note_place(&brick);
-        }
+        self.addresses.change(&known.brick.address, &brick.address, &brick.instance);
         let Some(known) = self.known.get_mut(&brick.instance) else { return Heard::default() };
         known.heard = now;
         let before = known.told();
@@ -122,16 +118,15 @@
             BrickState::Gone => Vec::new(),
             BrickState::Ready | BrickState::Draining => self.displace(&brick.address),
         };
-        self.note_place(&brick);
+        self.addresses.insert(&brick.address, &brick.instance);
         self.known.insert(brick.instance.clone(), Known::new(now, brick));
         Heard { displaced, changed: true, relay: true }
     }
 
     /// Whatever was at that address has ended.
     fn displace(&mut self, address: &str) -> Vec<Brick> {
-        let Some(instances) = self.instances_at.get(address) else { return Vec::new() };
         let mut displaced = Vec::new();
-        for instance in instances {
+        for instance in self.addresses.at(address) {
             let Some(known) = self.known.get_mut(instance) else { continue };
             if known.brick.state == BrickState::Gone {
                 continue;
@@ -144,19 +139,6 @@
         displaced
     }
 
-    fn note_place(&mut self, brick: &Brick) {
-        let instances = self.instances_at.entry(brick.address.clone()).or_default();
-        instances.insert(brick.instance.clone());
-    }
-
-    fn forget_place(&mut self, address: &str, instance: &str) {
-        let Some(instances) = self.instances_at.get_mut(address) else { return };
-        instances.remove(instance);
-        if instances.is_empty() {
-            self.instances_at.remove(address);
-        }
-    }
-
     /// A brick said that it ends.
     pub fn deregister(&mut self, now: Millis, instance: &str) -> Option<Brick> {
         let known = self.known.get_mut(instance)?;
@@ -250,7 +232,7 @@
         let is_over = |known: &Known| known.brick.state == BrickState::Gone && now >= known.heard + GONE_KEPT;
         let forgotten: Vec<(String, Known)> = self.known.extract_if(.., |_, known| is_over(known)).collect();
         for (instance, known) in forgotten {
-            self.forget_place(&known.brick.address, &instance);
+            self.addresses.remove(&known.brick.address, &instance);
         }
         gone
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,5 +1,6 @@
 //! What the control plane decides, without I/O, clock or randomness.
 //!
+//! * [`address_index`]: which instances are at which address.
 //! * [`configuration`]: the typed view of the operators' document.
 //! * [`configuration_holders`]: which edge head has which configuration in force.
 //! * [`change_log`]: what is remembered of changes, for those that come again.
@@ -20,6 +21,7 @@
 //! * [`usage`]: requests begun, by tenant and window.
 //! * [`result_code`]: the numbered results that callers get.
 
+pub mod address_index;
 pub mod admission;
 pub mod autoscaling;
 pub mod change_log;
--- a/crates/router/src/bricks.rs
+++ b/crates/router/src/bricks.rs
@@ -3,6 +3,7 @@
 use crate::Millis;
 use crate::draw::unit_draw;
 use crate::prompt::ModelName;
+use pathbank_control::address_index::AddressIndex;
 use pathbank_control::urgency::{Urgency, open_slots};
 use pathbank_protocol::message::{Brick, BrickLoad, BrickState, BrickUpdate};
 use std::collections::{BTreeMap, BTreeSet};
@@ -238,6 +239,7 @@
     /// Another number at each head.
     seed: u64,
     known: BTreeMap<Instance, KnownBrick>,
+    addresses: AddressIndex,
     /// Bricks that have gone; a late word of another core does not bring them back.
     gone: BTreeMap<Instance, (u64, Millis)>,
 }
@@ -269,8 +271,12 @@
             match self.known.get_mut(&instance) {
                 _ if brick.state == BrickState::Gone => self.forget(now, brick),
                 Some(known) if brick.sequence < known.brick.sequence => known.unlisted_since = None,
-                Some(known) => known.told(now, brick),
+                Some(known) => {
+                    self.addresses.change(&known.brick.address, &brick.address, &instance);
+                    known.told(now, brick);
+                }
                 None => {
+                    self.addresses.insert(&brick.address, &instance);
                     let mut known = KnownBrick::new(brick.clone());
                     known.told(now, brick);
                     self.known.insert(instance, known);
@@ -283,9 +289,8 @@
 
     /// Another incarnation at a brick's address is gone once a new one speaks there.
     fn displace(&mut self, now: Millis, brick: &Brick) -> Vec<Instance> {
-        let same_place = |known: &&KnownBrick| known.brick.address == brick.address;
-        let displaced: Vec<Brick> =
-            self.known.values().filter(same_place).map(|known| known.brick.clone()).collect();
+        let known = |instance| self.known.get(instance).map(|known| known.brick.clone());
+        let displaced: Vec<Brick> = self.addresses.at(&brick.address).filter_map(known).collect();
         let instances = displaced.iter().map(|brick| brick.instance.clone()).collect();
         for brick in displaced {
             let sequence = brick.sequence + 1;
@@ -308,14 +313,19 @@
     /// Forgets bricks that no list names any more.
     pub fn tidy(&mut self, now: Millis) {
         let names = |known: &KnownBrick| known.unlisted_since.is_none_or(|since| now < since + UNLISTED_KEPT);
-        self.known.retain(|_, known| known.in_flight > 0 || names(known));
+        let is_over = |known: &KnownBrick| known.in_flight == 0 && !names(known);
+        for (instance, known) in self.known.extract_if(.., |_, known| is_over(known)) {
+            self.addresses.remove(&known.brick.address, &instance);
+        }
     }
 
     fn forget(&mut self, now: Millis, brick: Brick) {
         let known = self.known.get(&brick.instance).map_or(0, |known| known.brick.sequence);
         if brick.sequence >= known {
             self.gone.insert(brick.instance.clone(), (brick.sequence, now));
-            self.known.remove(&brick.instance);
+            if let Some(known) = self.known.remove(&brick.instance) {
+                self.addresses.remove(&known.brick.address, &brick.instance);
+            }
         }
     }
 
