--- a/crates/system/tests/brick_news.rs
+++ b/crates/system/tests/brick_news.rs
@@ -4,7 +4,7 @@
 
 use common::listener::EdgeListener;
 use common::{System, document, until};
-use pathbank_protocol::message::{Brick, BrickState, Frame};
+use pathbank_protocol::message::{Brick, BrickState, Frame, Subscription};
 use std::collections::BTreeSet;
 
 const BRICKS: usize = 300;
@@ -85,3 +85,28 @@
     };
     assert_eq!(last(), Some(BrickState::Draining), "one that leaves is never told to be ready again");
 }
+
+/// Control heads that had been killed heard of bricks that drain for the first time, and told each of them alone to all edge heads:
+/// 36 MB in 1.8 s from one control head that nobody listened to, on a link of 26 MB/s that its votes needed too.
+#[test]
+fn many_bricks_that_leave_are_told_to_an_edge_in_few_messages() {
+    let (system, listener) = listening();
+    let elsewhere = EdgeListener::of(system.local.internal[0]);
+    let unsubscribe = Frame::Subscribe(Subscription { wanted: false, known_index: 0 });
+    until("it listens no more", || elsewhere.say(&unsubscribe));
+    let leaving = |listener: &EdgeListener| -> Vec<BTreeSet<String>> {
+        let told = listener.heard().into_iter().filter_map(|frame| match frame {
+            Frame::Bricks(update) if !update.complete => Some(update.bricks),
+            _ => None,
+        });
+        told.map(|bricks| bricks.into_iter().map(|brick| brick.instance).collect()).collect()
+    };
+    until("it listens", || listener.heard().iter().any(|frame| matches!(frame, Frame::Bricks(_))));
+    let bricks = (0..BRICKS).map(|number| Brick { state: BrickState::Draining, ..brick(number) }).collect();
+    assert!(listener.say(&Frame::Heartbeats(bricks)));
+    for listener in [&listener, &elsewhere] {
+        let told = || leaving(listener);
+        until("all are told", || told().into_iter().flatten().collect::<BTreeSet<_>>().len() == BRICKS);
+        assert!(told().len() <= 5, "{} messages for {BRICKS} bricks", told().len());
+    }
+}
