Edge heads stay until their own control head can be current; leaving bricks go together

Causes: an edge head left a control head that was not current for any that was, at once: after a start of all, all edge heads ran to the first one. At their own start they listened to whichever they reached first. Each brick that leaves was told alone to all edge heads by each control head. Changes: a control head is left where another one has been current for 300 ms; one in the own zone is waited for 50 ms; that bricks leave is told at once, and what comes within 25 ms after it together.

--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -87,6 +87,11 @@
         self.known.get(instance).map(Known::told)
     }
 
+    /// How one brick stands.
+    pub fn state(&self, instance: &str) -> Option<BrickState> {
+        self.known.get(instance).map(|known| known.brick.state)
+    }
+
     /// A heartbeat, heard from the brick or from another core.
     pub fn heard(&mut self, now: Millis, brick: Brick) -> Heard {
         self.note_held(&brick.address, &brick.models);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`edge_document`]: what an edge head is told of a document.
 //! * [`edge_update`]: what an edge head is told of a configuration, read bit by bit.
 //! * [`state`]: the replicated state machine: configuration, accepted changes, sealed usage.
+//! * [`pending_news`]: what is new of bricks and when it is told.
 //! * [`directory`]: the bricks that exist, from their heartbeats.
 //! * [`demand`]: what clients ask of each model, from the edges' reports.
 //! * [`admission`]: at which brick a prompt is read next, and when, over all heads.
@@ -37,6 +38,7 @@
 pub mod item_list;
 pub mod operator_calls;
 pub mod outliers;
+pub mod pending_news;
 pub mod placement;
 pub mod result_code;
 pub mod routes;
--- a/crates/control/tests/bricks.rs
+++ b/crates/control/tests/bricks.rs
@@ -3,6 +3,7 @@
 use pathbank_control::configuration::{Backend, Model, Runtime};
 use pathbank_control::demand::{DemandTable, ModelKey};
 use pathbank_control::directory::{Directory, HeldBefore};
+use pathbank_control::pending_news::{News, PendingNews};
 use pathbank_control::placement::{Operation, Order, Placer, TrainingHold};
 use pathbank_control::usage::{SETTLE_MS, SealRule, UsageLedger};
 use pathbank_protocol::message::{
@@ -595,3 +596,30 @@
     assert!(!story.placer.take_training_load(story.now, "llm", 4.0));
     assert!(story.placer.take_training_load(story.now + 1_000, "llm", 4.0));
 }
+
+// ---- news of bricks ----
+
+#[test]
+fn of_many_bricks_that_leave_the_first_is_told_at_once_and_the_others_together() {
+    let mut news = PendingNews::default();
+    news.note_changed("stays".into());
+    assert_eq!(news.take_urgent(0), None, "it waits for others");
+    let mut told = Vec::new();
+    for now in 0..100 {
+        news.note_leaving(format!("i-{now}"));
+        told.extend(news.take_urgent(now).map(|news| (now, news.leaving.len())));
+    }
+    assert_eq!(told, [(0, 1), (25, 25), (50, 25), (75, 25)]);
+    assert_eq!(news.take(100).leaving.len(), 24);
+}
+
+#[test]
+fn a_brick_that_leaves_is_told_so_whatever_else_changes() {
+    let mut news = PendingNews::default();
+    news.note_changed("i-1".into());
+    news.note_leaving("i-1".into());
+    news.note_changed("i-1".into());
+    let told = news.take_urgent(0).unwrap();
+    assert_eq!((told.leaving.len(), told.changed.len()), (1, 0));
+    assert_eq!(news.take(1), News::default());
+}
--- a/crates/router/src/core_choice.rs
+++ b/crates/router/src/core_choice.rs
@@ -14,8 +14,10 @@
 const FETCH_DOUBLINGS: u32 = 3;
 /// A core that is listened to and has the configuration is about to send it. Another one is asked only after this.
 const DELIVERY_PATIENCE: Millis = 1_500;
-/// A core that has not been current for so long is left for one that is.
+/// A core that has not been current for so long is left for one that has been meanwhile.
 const LEAVE_AFTER: Millis = 300;
+/// A head that reaches its first core waits this long for one in its own zone: links to all open within a few milliseconds.
+const CHOOSE_WITHIN: Millis = 50;
 
 /// Names a core by its address.
 pub type CoreAddress = std::net::SocketAddr;
@@ -35,8 +37,8 @@
 struct Core {
     zone: String,
     current: bool,
-    /// Since when it is not.
-    behind_since: Millis,
+    /// Since when it is current, or is not.
+    standing_since: Millis,
     configuration_index: u64,
     leader: String,
     edges: u32,
@@ -60,6 +62,8 @@
     zone: String,
     seed: u64,
     cores: BTreeMap<CoreAddress, Core>,
+    /// Since when a core is reached and none was chosen yet.
+    undecided_since: Option<Millis>,
     subscribed: Option<CoreAddress>,
     lacking: Option<Lacking>,
 }
@@ -72,14 +76,15 @@
 
     /// A core told of itself.
     pub fn told(&mut self, now: Millis, address: CoreAddress, status: &CoreStatus) {
-        let behind_since = match self.cores.get(&address) {
-            Some(known) if !known.current && !status.current => known.behind_since,
-            _ => now,
-        };
+        if self.cores.is_empty() {
+            self.undecided_since = Some(now);
+        }
+        let known = self.cores.get(&address).filter(|known| known.current == status.current);
+        let standing_since = known.map_or(now, |known| known.standing_since);
         let core = Core {
             zone: status.zone.clone(),
             current: status.current,
-            behind_since,
+            standing_since,
             configuration_index: status.configuration_index,
             leader: status.leader.clone(),
             edges: status.edges,
@@ -122,29 +127,34 @@
     }
 
     fn choose(&mut self, now: Millis, actions: &mut Vec<CoreAction>) {
-        let lags = |core: &Core| !core.current && now >= core.behind_since + LEAVE_AFTER;
-        let keeps =
-            self.subscribed.and_then(|address| self.cores.get(&address)).is_some_and(|core| !lags(core));
-        if keeps {
+        if self.is_well_served(now) {
             return;
         }
+        let Some(best) = self.best(now).filter(|best| self.subscribed != Some(*best)) else { return };
+        actions.extend(self.subscribed.map(CoreAction::Unsubscribe));
+        (self.subscribed, self.undecided_since) = (Some(best), None);
+        actions.push(CoreAction::Subscribe(best));
+    }
+
+    /// Whether the core that is listened to is as good as any other. After a start of all cores they become current one after
+    /// the other: a head that went to the first one would go there together with all other heads.
+    fn is_well_served(&self, now: Millis) -> bool {
+        let has_stood = |core: &Core| now >= core.standing_since + LEAVE_AFTER;
+        let Some(core) = self.subscribed.and_then(|address| self.cores.get(&address)) else { return false };
+        core.current || !has_stood(core) || !self.cores.values().any(|core| core.current && has_stood(core))
+    }
+
+    /// The core to listen to: one that is current, in the own zone if there is one. `None`: that is not known yet.
+    fn best(&self, now: Millis) -> Option<CoreAddress> {
         let rank = |core: &Core| (core.current, core.zone == self.zone);
         // Of equals, different heads take different ones.
         let draw = |address: &CoreAddress| unit_draw(self.seed, &address.to_string());
         let best = self.cores.iter().max_by(|(one, first), (other, second)| {
             rank(first).cmp(&rank(second)).then_with(|| draw(one).total_cmp(&draw(other)))
         });
-        let Some(best) = best.map(|(address, _)| *address).filter(|best| self.subscribed != Some(*best))
-        else {
-            return;
-        };
-        let is_better = self.cores.get(&best).is_some_and(|core| core.current);
-        if self.subscribed.is_some() && !is_better {
-            return;
-        }
-        actions.extend(self.subscribed.map(CoreAction::Unsubscribe));
-        self.subscribed = Some(best);
-        actions.push(CoreAction::Subscribe(best));
+        let (address, core) = best?;
+        let is_undecided = self.undecided_since.is_some_and(|since| now < since + CHOOSE_WITHIN);
+        (core.zone == self.zone || !is_undecided).then_some(*address)
     }
 
     fn fetch(&mut self, now: Millis, known_index: u64, actions: &mut Vec<CoreAction>) {
--- a/crates/router/tests/core_choice.rs
+++ b/crates/router/tests/core_choice.rs
@@ -98,6 +98,37 @@
     assert!(choice.actions(2_000, 1).is_empty());
 }
 
+// After all were killed, edge heads listened to whichever control head they reached first: 138, 113, 44 and none at the last two.
+#[test]
+fn the_core_of_its_own_zone_is_waited_for_a_moment() {
+    let mut choice = CoreChoice::new("z2".into(), 7);
+    choice.told(0, core(1), &status("z1", 1, 4, true));
+    assert!(choice.actions(0, 4).is_empty());
+    choice.told(20, core(2), &status("z2", 1, 4, true));
+    assert_eq!(choice.actions(20, 4), [CoreAction::Subscribe(core(2))]);
+}
+
+#[test]
+fn where_its_own_zone_has_no_core_another_one_is_listened_to_after_a_moment() {
+    let mut choice = CoreChoice::new("z9".into(), 7);
+    choice.told(1_000, core(1), &status("z1", 1, 4, true));
+    assert!(choice.actions(1_049, 4).is_empty());
+    assert_eq!(choice.actions(1_050, 4), [CoreAction::Subscribe(core(1))]);
+    choice.told(1_060, core(2), &status("z2", 1, 4, true));
+    choice.lost(core(1));
+    assert_eq!(
+        choice.actions(1_061, 4),
+        [CoreAction::Subscribe(core(2))],
+        "one that was lost is replaced at once"
+    );
+    choice.lost(core(2));
+    choice.told(2_000, core(2), &status("z2", 1, 4, true));
+    assert!(
+        choice.actions(2_000, 4).is_empty(),
+        "all were lost: the first to be reached again is not the only one"
+    );
+}
+
 // 82 edge heads that came back at once were sent 193 whole configurations: each asked another control head again every 0.2 s while the
 // one that it listened to was sending.
 #[test]
--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -21,7 +21,6 @@
 use crate::signals::Request;
 use crate::startup::{Milestone, Startup};
 use anyhow::{Context, Result};
-use bricks::BrickNews;
 pub use event::Event;
 use leadership::Leadership;
 use pathbank_control::configuration_holders::ConfigurationHolders;
@@ -29,6 +28,7 @@
 use pathbank_control::directory::Directory;
 pub use pathbank_control::operator_calls::Reply;
 use pathbank_control::outliers::OutlierTable;
+use pathbank_control::pending_news::PendingNews;
 use pathbank_control::state::{Command, ControlState, StateError};
 use pathbank_control::usage::UsageLedger;
 use pathbank_coordination::fencing::Fence;
@@ -36,7 +36,7 @@
 use pathbank_coordination::replica::{Departure, Replica, Timing};
 use pathbank_coordination::types::{Payload, StoreId};
 use pathbank_protocol::codec::SharedMessage;
-use pathbank_protocol::message::{Frame, Hello, ProcessRole};
+use pathbank_protocol::message::{Hello, ProcessRole};
 use pathbank_router::wall_clock::WallClock;
 use publication::Publication;
 use replication::Replication;
@@ -98,7 +98,7 @@
     directory: Directory,
     /// All bricks as an edge is told of them that begins to listen here, unless they have changed since.
     all_bricks: Option<SharedMessage>,
-    brick_news: BrickNews,
+    pending_news: PendingNews,
     demand: DemandTable,
     outliers: OutlierTable,
     /// Which edges have which configuration in force.
@@ -160,7 +160,7 @@
         let mut node = Node {
             directory: Directory::new(settings.heartbeat_ms),
             all_bricks: None,
-            brick_news: BrickNews::default(),
+            pending_news: PendingNews::default(),
             leadership: Leadership::new(fence),
             replication: Replication::new(replica, disk),
             publication: Publication::default(),
@@ -220,12 +220,7 @@
         match event {
             Event::Tick => self.on_tick(now),
             Event::Heartbeat(brick) => self.on_heartbeat(now, brick, true),
-            Event::Deregister(instance) => {
-                if let Some(brick) = self.directory.deregister(now, &instance) {
-                    self.publish_bricks(vec![brick.clone()]);
-                    self.mesh.send_to_all(&Frame::Heartbeats(vec![brick]));
-                }
-            }
+            Event::Deregister(instance) => self.on_deregister(now, &instance),
             Event::Change(change, reply) => self.on_change(now, change, reply),
             Event::ReadConfiguration(reply) => self.on_read_configuration(now, reply),
             Event::ReadBricks(reply) => {
@@ -284,7 +279,7 @@
         self.publish_configuration(now);
         self.update_subscribers(now);
         self.publish_versions(now);
-        self.publish_brick_news();
+        self.publish_brick_news(now);
         let leader = self.replication.replica.leader().map(|leader| leader.id);
         let current = self.is_current(now);
         if leader.is_some() {
--- a/crates/system/src/core/node/bricks.rs
+++ b/crates/system/src/core/node/bricks.rs
@@ -3,19 +3,11 @@
 use super::Node;
 use crate::core::peers::LinkId;
 use crate::startup::Milestone;
+use pathbank_control::pending_news::News;
 use pathbank_protocol::codec::{self, SharedMessage};
 use pathbank_protocol::message::{AdmissionRequest, Brick, BrickLoad, BrickState, BrickUpdate, Frame};
 use std::collections::BTreeSet;
 
-/// Bricks of which others are about to be told.
-#[derive(Default)]
-pub struct BrickNews {
-    /// Edges that listen here.
-    for_edges: BTreeSet<String>,
-    /// The other control heads.
-    for_cores: BTreeSet<String>,
-}
-
 impl Node {
     /// Only the leader grants, for a line in two places is none.
     pub(super) fn on_admission_request(&mut self, now: u64, id: LinkId, request: &AdmissionRequest) {
@@ -119,39 +111,63 @@
         self.startup.reach(Milestone::BrickKnown);
         let instance = brick.instance.clone();
         let heard = self.directory.heard(now, brick);
-        let Some(brick) = self.directory.brick(&instance) else { return };
-        self.publish_bricks(heard.displaced);
-        // No request may reach a brick that leaves much later; what else there is to tell of bricks goes together.
-        let is_urgent = brick.state != BrickState::Ready;
+        let Some(state) = self.directory.state(&instance) else { return };
+        if heard.changed || !heard.displaced.is_empty() {
+            self.all_bricks = None;
+        }
+        heard.displaced.into_iter().for_each(|brick| self.pending_news.note_leaving(brick.instance));
         if heard.relay && own {
-            match is_urgent {
-                true => self.mesh.send_to_all(&Frame::Heartbeats(vec![brick.clone()])),
-                false => drop(self.brick_news.for_cores.insert(instance.clone())),
-            }
+            self.pending_news.note_relayed(instance.clone());
         }
         if heard.changed {
-            match is_urgent {
-                true => self.publish_bricks(vec![brick]),
-                false => self.note_news(instance),
+            match state {
+                BrickState::Ready => self.pending_news.note_changed(instance),
+                BrickState::Draining | BrickState::Gone => self.pending_news.note_leaving(instance),
             }
         }
+        self.publish_urgent_news(now);
     }
 
-    fn note_news(&mut self, instance: String) {
+    /// A brick said that it ends.
+    pub(super) fn on_deregister(&mut self, now: u64, instance: &str) {
+        if self.directory.deregister(now, instance).is_none() {
+            return;
+        }
         self.all_bricks = None;
-        self.brick_news.for_edges.insert(instance);
+        self.pending_news.note_leaving(instance.to_owned());
+        self.pending_news.note_relayed(instance.to_owned());
+        self.publish_urgent_news(now);
     }
 
-    /// Tells what bricks have said since the last time, as they are now.
-    pub(super) fn publish_brick_news(&mut self) {
-        let BrickNews { for_edges, for_cores } = std::mem::take(&mut self.brick_news);
+    /// No request may reach a brick that leaves much later; what else there is to tell of bricks goes together.
+    fn publish_urgent_news(&mut self, now: u64) {
+        if let Some(news) = self.pending_news.take_urgent(now) {
+            self.publish_news(news);
+        }
+    }
+
+    /// Tells what is new of bricks since the last time.
+    pub(super) fn publish_brick_news(&mut self, now: u64) {
+        let news = self.pending_news.take(now);
+        self.publish_news(news);
+    }
+
+    /// Each brick is told as it is now.
+    fn publish_news(&self, news: News) {
         let known = |instances: BTreeSet<String>| -> Vec<Brick> {
             instances.iter().filter_map(|instance| self.directory.brick(instance)).collect()
         };
-        let (for_edges, for_cores) = (known(for_edges), known(for_cores));
-        if !for_cores.is_empty() {
-            self.mesh.send_to_all(&Frame::Heartbeats(for_cores));
+        let update = |bricks| Frame::Bricks(BrickUpdate { complete: false, bricks });
+        let [leaving, changed, relayed] = [news.leaving, news.changed, news.relayed].map(known);
+        if !relayed.is_empty() {
+            self.mesh.send_to_all(&Frame::Heartbeats(relayed));
+        }
+        // Every head that hears of it tells all edges: one of them may be out of touch.
+        if !leaving.is_empty() {
+            self.publish_to_edges(&update(leaving));
+        }
+        if !changed.is_empty() {
+            self.publish_to_subscribers(&update(changed));
         }
-        self.publish_bricks(for_edges);
     }
 }
