A look at placement values each brick once, not once for each model

For each model that should get a copy, the room and the worth of all that bricks hold was worked out anew, and the model relieved most was looked for among all. Rooms are worked out once a look and kept up to date as orders change them; models wait in a heap; adapters look only at bricks that hold their model.

--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -4,6 +4,7 @@
 //! busy gets one more. Room is made by unloading what is asked for least, and never for something asked for less.
 
 mod adapters;
+mod rooms;
 mod training_hold;
 mod zones;
 
@@ -11,7 +12,9 @@
 use crate::demand::{DemandTable, ModelKey};
 use crate::directory::{HeldBefore, Millis};
 use pathbank_protocol::message::{Brick, LoadedModel};
-use std::collections::{BTreeMap, BTreeSet};
+use rooms::Rooms;
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 pub use training_hold::TrainingHold;
 use zones::ZoneCopies;
 
@@ -140,6 +143,35 @@
     training: TrainingHold,
 }
 
+/// A model that should get one more copy.
+struct Wish {
+    /// Requests a second that it would take off the others, or serve at all.
+    relief: f64,
+    name: String,
+    /// That it has, or is about to have.
+    copies: usize,
+}
+
+impl Ord for Wish {
+    fn cmp(&self, other: &Wish) -> Ordering {
+        self.relief.total_cmp(&other.relief).then_with(|| self.name.cmp(&other.name))
+    }
+}
+
+impl PartialOrd for Wish {
+    fn partial_cmp(&self, other: &Wish) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for Wish {
+    fn eq(&self, other: &Wish) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Wish {}
+
 /// What is planned for one service, with what is looked up often worked out once.
 struct Plan<'a> {
     now: Millis,
@@ -155,8 +187,10 @@
     rates: BTreeMap<ModelKey, f64>,
     /// The same by model, all its adapters together.
     model_rates: BTreeMap<String, f64>,
-    /// Bricks that hold a model.
+    /// How many bricks hold a model.
     holders: BTreeMap<&'a str, usize>,
+    /// The places of those bricks among `bricks`.
+    holding: BTreeMap<&'a str, Vec<usize>>,
     /// Zones with bricks of the service, and the copies of each model there.
     zones: ZoneCopies<'a>,
     /// Bricks that hold an adapter.
@@ -191,6 +225,7 @@
             rates: BTreeMap::new(),
             model_rates: BTreeMap::new(),
             holders: BTreeMap::new(),
+            holding: BTreeMap::new(),
             zones: ZoneCopies::default(),
             adapter_holders: BTreeMap::new(),
             in_flight: demand.in_flight(now),
@@ -204,12 +239,15 @@
 
     fn count_holders(&mut self) {
         self.zones = ZoneCopies::count(&self.bricks);
-        for held in self.bricks.iter().flat_map(|brick| &brick.models) {
-            *self.holders.entry(&held.name).or_default() += 1;
-            for adapter in &held.adapters {
-                *self.adapter_holders.entry((&held.name, adapter)).or_default() += 1;
+        for (place, brick) in self.bricks.iter().enumerate() {
+            for held in &brick.models {
+                self.holding.entry(&held.name).or_default().push(place);
+                for adapter in &held.adapters {
+                    *self.adapter_holders.entry((&held.name, adapter)).or_default() += 1;
+                }
             }
         }
+        self.holders = self.holding.iter().map(|(name, places)| (*name, places.len())).collect();
         // A brick that changes versions will hold the model again: no other copy has to take its place.
         let back_soon = self.bricks.iter().filter_map(|brick| {
             let model = self.training.changing.get(&brick.instance)?;
@@ -326,6 +364,11 @@
         self.holders.get(model).copied().unwrap_or(0)
     }
 
+    /// The places of the bricks that hold a model.
+    fn places(&self, model: &str) -> impl Iterator<Item = usize> {
+        self.holding.get(model).into_iter().flatten().copied()
+    }
+
     fn adapter_holders(&self, model: &str, adapter: &str) -> usize {
         self.adapter_holders.get(&(model, adapter)).copied().unwrap_or(0)
     }
@@ -433,16 +476,23 @@
     fn add_copies(&mut self, placer: &mut Placer, allowance: &mut LoadAllowance) {
         let names: BTreeSet<String> = self.rates.keys().map(|key| key.model.clone()).collect();
         let known = names.into_iter().filter(|name| self.models.contains_key(name.as_str()));
-        let mut copies: BTreeMap<String, usize> =
-            known.map(|name| (name.clone(), self.holders(&name) + self.loading(placer, &name))).collect();
-        loop {
-            let reliefs = copies.iter().map(|(name, copies)| (self.relief(name, *copies), name));
-            let best = reliefs.max_by(|(one, _), (other, _)| one.total_cmp(other));
-            let Some((relief, name)) = best.filter(|(relief, _)| *relief > 0.0) else { return };
-            let name = name.clone();
-            match self.load(placer, allowance, &name, relief) {
-                true => *copies.entry(name).or_default() += 1,
-                false => drop(copies.remove(&name)),
+        let wishes = known.map(|name| {
+            let copies = self.holders(&name) + self.loading(placer, &name);
+            Wish { relief: self.relief(&name, copies), name, copies }
+        });
+        let mut wishes: BinaryHeap<Wish> = wishes.filter(|wish| wish.relief > 0.0).collect();
+        if wishes.is_empty() {
+            return;
+        }
+        let mut rooms = Rooms::of(self, placer);
+        while let Some(wish) = wishes.pop() {
+            if !self.load(placer, allowance, &mut rooms, &wish) {
+                continue;
+            }
+            let copies = wish.copies + 1;
+            let relief = self.relief(&wish.name, copies);
+            if relief > 0.0 {
+                wishes.push(Wish { relief, copies, ..wish });
             }
         }
     }
@@ -457,33 +507,30 @@
     }
 
     /// Loads a model where the least has to go for it, or makes room there first. Returns whether it could.
-    fn load(&mut self, placer: &mut Placer, allowance: &mut LoadAllowance, name: &str, relief: f64) -> bool {
-        let Some(size) = self.model(name).map(|model| model.weights_mb) else { return false };
-        let free = self.bricks.iter().copied().filter(|brick| loaded(brick, name).is_none());
-        let free = free
-            .filter(|brick| self.is_free(placer, brick) && !placer.reserved.contains_key(&brick.instance));
-        let options = free.filter_map(|brick| {
-            let (cost, victim) = self.make_room(brick, size).filter(|(cost, _)| *cost < relief)?;
-            let fetched = if self.has_held(brick, name) { 0.0 } else { FETCHED };
-            let beside = SAME_ZONE * self.zones.crowding(name, &brick.zone);
-            Some((cost + fetched + beside + CROWDED * self.served_by(brick), victim, brick))
-        });
-        let best = options.min_by(|(one, ..), (other, ..)| one.total_cmp(other));
-        let Some((_, victim, brick)) = best else { return false };
-        let key = self.key(name, "");
-        match victim {
+    fn load(
+        &mut self,
+        placer: &mut Placer,
+        allowance: &mut LoadAllowance,
+        rooms: &mut Rooms<'a>,
+        wish: &Wish,
+    ) -> bool {
+        let Some(size) = self.model(&wish.name).map(|model| model.weights_mb) else { return false };
+        let Some(best) = rooms.best(self, &wish.name, size, wish.relief) else { return false };
+        match best.victim {
             Some(victim) => {
-                let reservation = Reservation { model: name.to_owned(), until: self.now + RESERVED_FOR };
-                placer.reserved.insert(brick.instance.clone(), reservation);
-                self.order(placer, brick, Operation::Unload, &victim);
-                true
+                let reservation = Reservation { model: wish.name.clone(), until: self.now + RESERVED_FOR };
+                placer.reserved.insert(best.brick.instance.clone(), reservation);
+                let victim = self.key(victim, "");
+                self.order(placer, best.brick, Operation::Unload, &victim);
             }
-            None if allowance.take(self.load_cost(brick, name)) => {
-                self.order(placer, brick, Operation::Load, &key);
-                true
+            None if allowance.take(self.load_cost(best.brick, &wish.name)) => {
+                let key = self.key(&wish.name, "");
+                self.order(placer, best.brick, Operation::Load, &key);
             }
-            None => false,
+            None => return false,
         }
+        rooms.ordered(self, &best);
+        true
     }
 
     /// Whether a brick can read a model from its own disk.
@@ -496,30 +543,6 @@
         if self.has_held(brick, name) { OWN_DISK_LOAD } else { 1.0 }
     }
 
-    /// What making room on a brick costs, requests a second, and what has to go first.
-    fn make_room(&self, brick: &Brick, size: f64) -> Option<(f64, Option<ModelKey>)> {
-        let mut left = self.runtime.weights_mb - self.used_mb(brick);
-        if left >= size {
-            return Some((0.0, None));
-        }
-        let may_go = brick.models.iter().filter(|held| !self.training.keeps(&brick.instance, &held.name));
-        let mut held: Vec<(f64, &LoadedModel)> =
-            may_go.map(|held| (self.value(&held.name, &brick.zone), held)).collect();
-        held.sort_by(|(one, _), (other, _)| one.total_cmp(other));
-        let mut cost = 0.0;
-        let mut first = None;
-        for (value, victim) in held {
-            let weights = self.model(&victim.name).map_or(0.0, |model| model.weights_mb);
-            left += weights;
-            cost += value;
-            first.get_or_insert_with(|| self.key(&victim.name, ""));
-            if left >= size {
-                return Some((cost, first));
-            }
-        }
-        None
-    }
-
     /// What one copy of a model serves, requests a second; a copy beyond those wanted is worth next to nothing.
     fn value(&self, name: &str, zone: &str) -> f64 {
         let copies = self.holders(name).max(1);
--- a/crates/control/src/placement/adapters.rs
+++ b/crates/control/src/placement/adapters.rs
@@ -1,6 +1,6 @@
 //! Which adapters bricks that hold their models are ordered to take, and which make room for them.
 
-use super::{Operation, Placer, Plan, REQUESTS_PER_ADAPTER, adapter_count, holds_adapter, loaded};
+use super::{Operation, Placer, Plan, REQUESTS_PER_ADAPTER, adapter_count, holds_adapter};
 use crate::demand::ModelKey;
 use pathbank_protocol::message::Brick;
 
@@ -23,11 +23,10 @@
 
     fn add_adapter(&mut self, placer: &mut Placer, key: &ModelKey, rate: f64, makes_room: bool) {
         let size = self.model(&key.model).map_or(0.0, |model| model.adapter_mb);
-        let candidates = self.bricks.iter().copied().filter(|brick| {
-            let holds_model = loaded(brick, &key.model).is_some();
-            holds_model && !holds_adapter(brick, &key.model, &key.adapter) && self.is_free(placer, brick)
-        });
-        let candidates: Vec<&Brick> = candidates.collect();
+        let bricks = self.places(&key.model).map(|place| self.bricks[place]);
+        let lacks = |brick: &&Brick| !holds_adapter(brick, &key.model, &key.adapter);
+        let candidates: Vec<&Brick> =
+            bricks.filter(lacks).filter(|brick| self.is_free(placer, brick)).collect();
         let has_room = |brick: &&&Brick| {
             adapter_count(brick) < self.runtime.max_adapters as usize
                 && self.used_mb(brick) + size <= self.runtime.weights_mb
--- a/crates/control/tests/placement_cost.rs
+++ b/crates/control/tests/placement_cost.rs
@@ -93,8 +93,7 @@
     let mut placer = Placer::new();
     for look in 0..3 {
         let region = Region::new(ALLOCATOR);
-        let orders =
-            placer.plan(now + 100 * look, &backends, &bricks, &demand, &HeldBefore::default()).len();
+        let orders = placer.plan(now + 100 * look, &backends, &bricks, &demand, &HeldBefore::default()).len();
         let made = region.change();
         let allocations = made.allocations + made.reallocations;
         println!("look {look}: {allocations} allocations, {orders} orders");
