The next look at placement comes after ten times what the last took

With news the leader looked at placement each 100 ms, whatever a look took: at 3,008 bricks 15 ms of a whole core, half of a third of one. The next look comes after ten times what the last took, between 100 and 500 ms.

--- a/crates/system/src/core/node/leadership.rs
+++ b/crates/system/src/core/node/leadership.rs
@@ -1,6 +1,7 @@
 //! What only the leader does: orders to bricks and calls to the platform, each within its lease.
 
 use super::{Event, Node};
+use crate::clock;
 use crate::core::brick_json::ReportJson;
 use crate::core::duties;
 use crate::core::orders::{self, Authority, OrderEnd};
@@ -24,6 +25,8 @@
 const PLACE_EVERY: u64 = 500;
 /// With news it is looked at again after this, milliseconds.
 const PLACE_APART: u64 = 100;
+/// And after so many times what the last look took: links, votes and callers wait meanwhile.
+const PLACE_PAUSES: u64 = 10;
 /// How often usage is looked at, milliseconds.
 const USAGE_EVERY: u64 = 200;
 /// Usage is sealed so long before it is due, milliseconds: the report has to reach the platform.
@@ -53,8 +56,8 @@
     /// Set for all that act in this leadership's name once it is over.
     revoked: Arc<AtomicBool>,
     place_at: u64,
-    /// When it was looked at last.
-    placed: u64,
+    /// With news it is not looked at before this.
+    place_not_before: u64,
     usage_at: u64,
     scale_at: u64,
 }
@@ -74,7 +77,7 @@
             sealing: 0,
             revoked: Arc::default(),
             place_at: 0,
-            placed: 0,
+            place_not_before: 0,
             usage_at: 0,
             scale_at: 0,
         }
@@ -147,15 +150,17 @@
 
     /// News of demand or of bricks came: placement is looked at soon.
     pub(super) fn place_soon(&mut self, now: u64) {
-        let soon = (self.leadership.placed + PLACE_APART).max(now);
+        let soon = self.leadership.place_not_before.max(now);
         self.leadership.place_at = self.leadership.place_at.min(soon);
     }
 
     pub(super) fn lead(&mut self, now: u64) {
         if now >= self.leadership.place_at {
-            self.leadership.place_at = now + PLACE_EVERY;
-            self.leadership.placed = now;
+            let begun = clock::now();
             self.place(now);
+            let took = clock::now().saturating_sub(begun);
+            self.leadership.place_not_before = now + (PLACE_PAUSES * took).clamp(PLACE_APART, PLACE_EVERY);
+            self.leadership.place_at = now + PLACE_EVERY;
         }
         if now >= self.leadership.usage_at {
             self.leadership.usage_at = now + USAGE_EVERY;
@@ -218,7 +223,7 @@
             self.directory.reported(instance, report.models().collect(), report.busy);
         }
         self.publish_order_update(instance, reported);
-        self.place_soon(crate::clock::now());
+        self.place_soon(clock::now());
     }
 
     // ---- usage ----
