--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -209,8 +209,9 @@
         }
     }
 
-    /// The last thing that a head does: whoever leads on stands for election at once.
+    /// The last thing that a head does: what it has heard of bricks is told, and whoever leads on stands for election at once.
     pub fn end(&mut self, now: u64) {
+        self.publish_brick_news(now);
         let effects = self.replication.replica.hand_over(now);
         self.carry_out(now, effects);
     }
