--- a/crates/control/src/autoscaling.rs
+++ b/crates/control/src/autoscaling.rs
@@ -1,7 +1,7 @@
 //! How many bricks of a service run in each zone.
 //!
-//! Target tracking: the told size of the requests that clients ask for, a second, over what one brick answers well. More
-//! bricks are ordered at once, for they take a while to start; fewer only after the load has been low for some time. A
+//! Target tracking: what bricks take to read the prompts that clients send, and the slots that answers take, over what one
+//! brick bears. More bricks are ordered at once, for they take a while to start; fewer only after the load has been low for some time. A
 //! zone that does not get what was ordered there is made up for by the others.
 
 use crate::configuration::{Autoscaling, Backend};
@@ -10,8 +10,10 @@
 use pathbank_protocol::message::Brick;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Told size (tokens in and ten times the tokens out) a second that a brick answers well.
-const COMFORTABLE_SIZE_PER_S: f64 = 19_000.0;
+/// A brick answers well while it reads prompts for this part of its time,
+const READING_PART: f64 = 0.27;
+/// and while so much of its slots is taken.
+const SLOTS_PART: f64 = 0.45;
 /// Demand counts once so much of it is known.
 const LEAST_KNOWN: f64 = 0.3;
 /// The demand of a leader that has just begun counts after this, milliseconds: edges tell it what they remember.
@@ -91,7 +93,7 @@
             let service = self.services.entry(backend.name.clone()).or_default();
             let present = service.note_present(backend, bricks);
             if is_known {
-                let wanted = bricks_wanted(now, backend, demand);
+                let wanted = bricks_wanted(now, backend, bricks, demand);
                 orders.append(&mut service.plan(now, backend, bounds, &present, wanted));
             }
         }
@@ -119,12 +121,17 @@
     }
 }
 
-/// Bricks that the demand for a service fills, all zones together.
-fn bricks_wanted(now: Millis, backend: &Backend, demand: &DemandTable) -> f64 {
-    let keys = demand.keys().filter(|key| key.backend == backend.name);
-    let size_per_s: f64 = keys.map(|key| demand.tokens_per_s(now, key)).sum();
-    let known = demand.known_part(now).max(LEAST_KNOWN);
-    size_per_s / known / COMFORTABLE_SIZE_PER_S
+/// Bricks that the demand for a service fills, all zones together: by what bricks take to read its prompts, and by the
+/// slots that its answers take.
+fn bricks_wanted(now: Millis, backend: &Backend, bricks: &[Brick], demand: &DemandTable) -> f64 {
+    let keys = || demand.keys().filter(|key| key.backend == backend.name);
+    let read_ms_per_s: f64 = keys().map(|key| demand.read_ms_per_s(now, key)).sum();
+    let held_ms_per_s: f64 = keys().map(|key| demand.held_ms_per_s(now, key)).sum();
+    let own = bricks.iter().filter(|brick| brick.backend == backend.name);
+    let capacity = own.map(|brick| brick.capacity).max().unwrap_or(1).max(1);
+    let reading = read_ms_per_s / 1_000.0 / READING_PART;
+    let slots = held_ms_per_s / 1_000.0 / (f64::from(capacity) * SLOTS_PART);
+    reading.max(slots) / demand.known_part(now).max(LEAST_KNOWN)
 }
 
 /// How a zone stands.
--- a/crates/control/src/demand.rs
+++ b/crates/control/src/demand.rs
@@ -6,6 +6,10 @@
 
 /// The memory of the running means, milliseconds.
 const SPAN: f64 = 4_000.0;
+/// The memory of a mean that follows a rise sooner, milliseconds.
+const SHORT_SPAN: f64 = 1_000.0;
+/// The shortest objective that was told holds for so long, milliseconds.
+const OBJECTIVE_HOLDS: Millis = 30_000;
 /// Word that requests wait for a model counts for so long.
 const WAITING_COUNTS: Millis = 1_500;
 
@@ -27,15 +31,34 @@
 struct Demand {
     tokens: f64,
     requests: f64,
+    /// Requests, remembered for a short while.
+    lately: f64,
+    read_ms: f64,
+    held_ms: f64,
     at: Millis,
     waiting: f64,
     waiting_at: Millis,
+    /// When a request came last.
+    asked_at: Millis,
+    objective: Option<(Millis, u32)>,
 }
 
 impl Demand {
     fn fade(&mut self, now: Millis) {
-        let faded = (-(now.saturating_sub(self.at) as f64) / SPAN).exp();
-        (self.tokens, self.requests, self.at) = (self.tokens * faded, self.requests * faded, now);
+        let passed = now.saturating_sub(self.at) as f64;
+        let faded = (-passed / SPAN).exp();
+        for mean in [&mut self.tokens, &mut self.requests, &mut self.read_ms, &mut self.held_ms] {
+            *mean *= faded;
+        }
+        self.lately *= (-passed / SHORT_SPAN).exp();
+        self.at = now;
+    }
+
+    fn note_objective(&mut self, now: Millis, told: u32) {
+        let holds = self.objective.filter(|(at, known)| now < at + OBJECTIVE_HOLDS && *known < told);
+        if told > 0 && holds.is_none() {
+            self.objective = Some((now, told));
+        }
     }
 }
 
@@ -72,6 +95,13 @@
         known.fade(now);
         known.tokens += demand.tokens as f64;
         known.requests += demand.arrived as f64;
+        known.lately += demand.arrived as f64;
+        if demand.arrived > 0 {
+            known.asked_at = now;
+        }
+        known.read_ms += demand.read_ms as f64;
+        known.held_ms += demand.held_ms as f64;
+        known.note_objective(now, demand.objective_ms);
         if demand.waiting > 0 {
             let still = now < known.waiting_at + WAITING_COUNTS;
             known.waiting = f64::from(demand.waiting) + if still { known.waiting / 2.0 } else { 0.0 };
@@ -97,11 +127,40 @@
         self.mean(now, key, |demand| demand.tokens)
     }
 
-    /// Requests a second asked of a key.
+    /// Requests a second asked of a key. A rise beyond chance counts sooner than the mean has it.
     pub fn requests_per_s(&self, now: Millis, key: &ModelKey) -> f64 {
+        let mean = self.mean_requests_per_s(now, key);
+        let Some(demand) = self.by_key.get(key) else { return mean };
+        let lately = demand.lately * (-(now.saturating_sub(demand.at) as f64) / SHORT_SPAN).exp();
+        let beyond_chance = (lately - lately.sqrt()).max(0.0) * 1_000.0 / SHORT_SPAN;
+        mean.max(beyond_chance)
+    }
+
+    /// The same without what rises beyond the mean.
+    pub fn mean_requests_per_s(&self, now: Millis, key: &ModelKey) -> f64 {
         self.mean(now, key, |demand| demand.requests)
     }
 
+    /// Time that bricks take a second to read prompts for a key, milliseconds.
+    pub fn read_ms_per_s(&self, now: Millis, key: &ModelKey) -> f64 {
+        self.mean(now, key, |demand| demand.read_ms)
+    }
+
+    /// Slots that answers to a key take at a time, in milliseconds a second.
+    pub fn held_ms_per_s(&self, now: Millis, key: &ModelKey) -> f64 {
+        self.mean(now, key, |demand| demand.held_ms)
+    }
+
+    /// Whether a request for a key came within some time, milliseconds.
+    pub fn asked_within(&self, now: Millis, key: &ModelKey, within: Millis) -> bool {
+        self.by_key.get(key).is_some_and(|demand| demand.asked_at > 0 && now < demand.asked_at + within)
+    }
+
+    /// The shortest objective of requests for a key, milliseconds; `None`: none was told lately.
+    pub fn objective_ms(&self, key: &ModelKey) -> Option<u32> {
+        self.by_key.get(key)?.objective.map(|(_, objective)| objective)
+    }
+
     fn mean(&self, now: Millis, key: &ModelKey, figure: impl Fn(&Demand) -> f64) -> f64 {
         let Some(demand) = self.by_key.get(key) else { return 0.0 };
         let faded = (-(now.saturating_sub(demand.at) as f64) / SPAN).exp();
--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -14,6 +14,8 @@
 const GONE_KEPT: Millis = 60_000;
 /// What the leader said of a brick that drops something holds for so long without another word.
 const NEWS_HOLDS: Millis = 8_000;
+/// What a brick says of its models may be as old as this: word of an order's end holds against it for so long.
+const WORD_LAG: Millis = 600;
 /// An unchanged brick is told to the other cores this often.
 const RELAY_EVERY: Millis = 2_000;
 
@@ -26,6 +28,8 @@
     deregistered: bool,
     /// Ended by the system's own orders; not to be used until an order's end is known.
     withheld: Vec<WithheldModel>,
+    /// When the end of an order there was told.
+    order_ended: Option<Millis>,
     /// Until when that holds; the leader knows the end, the other cores hear of it.
     withheld_until: Millis,
 }
@@ -87,6 +91,12 @@
         self.known.get(instance).map(Known::told)
     }
 
+    /// The newest version of a model's weights that a brick holds; 0: none does.
+    pub fn newest_version(&self, model: &str) -> u64 {
+        let held = self.known.values().flat_map(|known| &known.brick.models);
+        held.filter(|held| held.name == model).map(|held| held.version).max().unwrap_or(0)
+    }
+
     /// How one brick stands.
     pub fn state(&self, instance: &str) -> Option<BrickState> {
         self.known.get(instance).map(|known| known.brick.state)
@@ -104,7 +114,12 @@
         known.heard = now;
         let before = known.told();
         let draining = known.brick.state == BrickState::Draining && brick.state == BrickState::Ready;
+        let is_older = known.order_ended.is_some_and(|ended| now < ended + WORD_LAG);
+        let models = std::mem::take(&mut known.brick.models);
         known.brick = brick;
+        if is_older {
+            known.brick.models = models;
+        }
         if draining {
             known.brick.state = BrickState::Draining;
         }
@@ -154,11 +169,17 @@
     }
 
     /// A brick's own report of what it holds, newer than its heartbeats.
-    pub fn reported(&mut self, instance: &str, models: Vec<LoadedModel>, busy: bool) -> Option<Brick> {
+    pub fn reported(
+        &mut self,
+        now: Millis,
+        instance: &str,
+        models: Vec<LoadedModel>,
+        busy: bool,
+    ) -> Option<Brick> {
         let address = self.known.get(instance)?.brick.address.clone();
         self.note_held(&address, &models);
         let known = self.known.get_mut(instance)?;
-        (known.brick.models, known.brick.busy) = (models, busy);
+        (known.brick.models, known.brick.busy, known.order_ended) = (models, busy, Some(now));
         Some(known.told())
     }
 
@@ -193,7 +214,7 @@
         let before = known.told();
         (known.withheld, known.withheld_until) = (news.withheld, now + NEWS_HOLDS);
         if let Some(models) = news.models {
-            (known.brick.models, known.brick.busy) = (models, news.busy);
+            (known.brick.models, known.brick.busy, known.order_ended) = (models, news.busy, Some(now));
         }
         let after = known.told();
         (before != after).then_some(after)
@@ -245,8 +266,15 @@
 
 impl Known {
     fn new(now: Millis, brick: Brick) -> Known {
-        let (withheld, withheld_until) = (Vec::new(), 0);
-        Known { brick, heard: now, relayed: now, deregistered: false, withheld, withheld_until }
+        Known {
+            brick,
+            heard: now,
+            relayed: now,
+            deregistered: false,
+            withheld: Vec::new(),
+            withheld_until: 0,
+            order_ended: None,
+        }
     }
 
     /// The brick as edges should see it.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -15,6 +15,8 @@
 //! * [`demand`]: what clients ask of each model, from the edges' reports.
 //! * [`admission`]: at which brick a prompt is read next, and when, over all heads.
 //! * [`autoscaling`]: how many bricks of a service run in each zone.
+//! * [`estimate`]: running estimates of what is seen of bricks.
+//! * [`order_progress`]: what became of an order, and how long orders take.
 //! * [`operator_calls`]: what an operator's call gets, by how the head that was called stands.
 //! * [`outliers`]: which bricks fail more than others, by what all heads saw.
 //! * [`placement`]: which brick is ordered to load or unload what.
@@ -35,8 +37,10 @@
 pub mod document_history;
 pub mod edge_document;
 pub mod edge_update;
+pub mod estimate;
 pub mod item_list;
 pub mod operator_calls;
+pub mod order_progress;
 pub mod outliers;
 pub mod pending_news;
 pub mod placement;
--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -6,16 +6,19 @@
 mod adapters;
 mod rooms;
 mod training_hold;
+mod worth;
 mod zones;
 
 use crate::configuration::{Backend, Model, Runtime};
 use crate::demand::{DemandTable, ModelKey};
 use crate::directory::{HeldBefore, Millis};
-use pathbank_protocol::message::{Brick, LoadedModel};
+use crate::order_progress::{OrderKind, OrderTimes};
+use pathbank_protocol::message::{Brick, ExpectedModel, LoadedModel};
 use rooms::Rooms;
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 pub use training_hold::TrainingHold;
+use worth::ModelLoad;
 use zones::ZoneCopies;
 
 /// Of the loads that the weight store permits, so much is used.
@@ -26,29 +29,12 @@
 const OWN_DISK_LOAD: f64 = 0.2;
 /// What a load from the weight store counts for beside one from the brick's own disk, requests a second.
 const FETCHED: f64 = 0.4;
-/// A model that no brick holds is loaded for demand above this, requests a second.
-const LEAST_DEMAND: f64 = 0.05;
-/// A model should be on so many times as many bricks as its part of the demand alone would fill.
-const SPREAD: f64 = 1.6;
-/// Demand below this, requests a second for each brick of the service, needs no second brick.
-const LITTLE: f64 = 0.8;
-/// Requests a second of one model that a brick answers without harm to its other streams; below, a further copy is worth
-/// less.
-const COMFORTABLE: f64 = 2.0;
-/// An adapter gets another brick for each so many requests a second.
-const REQUESTS_PER_ADAPTER: f64 = 2.5;
-/// What the only copy of a model counts for beyond its demand, requests a second.
-const ONLY_COPY: f64 = 0.15;
-const ONLY_COPY_FACTOR: f64 = 2.0;
-/// What a copy of a model with several counts for while demand is not known yet, requests a second.
-const UNKNOWN_COPY: f64 = 3.0;
-/// What a copy beyond those wanted counts for, as a part of what it serves.
-const SURPLUS_FACTOR: f64 = 0.1;
+/// What a load has to bring at least beyond what goes for it, requests a second.
+const LOAD_COST: f64 = 0.03;
 /// What the demand that a brick serves already counts for when a load looks for its brick.
 const CROWDED: f64 = 0.3;
-/// A model that is asked for so often, requests a second, is held in two zones: one may be lost. Rarer ones are loaded anew
-/// when that comes; room for second copies of them all costs more than it saves (measured, see the design note).
-const RESERVED_RATE: f64 = 3.0;
+/// What requests for adapters of a brick's models count for when a load looks for its brick: meanwhile no adapter comes.
+const BLOCKED: f64 = 0.5;
 /// What a copy in a zone that has one already counts for when a load looks for its brick, requests a second.
 const SAME_ZONE: f64 = 0.1;
 /// For how long a cleared brick is kept for its model, milliseconds.
@@ -68,6 +54,8 @@
 /// An order to a brick.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Order {
+    /// The service.
+    pub backend: String,
     /// The brick's incarnation.
     pub instance: String,
     /// Where it takes orders.
@@ -78,8 +66,14 @@
     pub model: String,
     /// The adapter; empty: the model itself.
     pub adapter: String,
+    /// What it does, as far as its time goes.
+    pub kind: OrderKind,
+    /// What the configuration says of its time, milliseconds; 0: nothing.
+    pub told_ms: Millis,
     /// How long it should take, milliseconds.
     pub expected_ms: Millis,
+    /// The brick's own report has to tell of its end: more has to be known than that it is done.
+    pub report_only: bool,
 }
 
 impl Order {
@@ -131,6 +125,8 @@
 #[derive(Clone, Debug)]
 struct Reservation {
     model: String,
+    /// What the configuration says of its load, milliseconds.
+    load_ms: Millis,
     until: Millis,
 }
 
@@ -138,9 +134,12 @@
 #[derive(Clone, Debug, Default)]
 pub struct Placer {
     under_way: BTreeMap<String, Order>,
+    /// When each of them was given.
+    given: BTreeMap<String, Millis>,
     reserved: BTreeMap<String, Reservation>,
     allowance: BTreeMap<String, LoadAllowance>,
     training: TrainingHold,
+    times: OrderTimes,
 }
 
 /// A model that should get one more copy.
@@ -195,10 +194,16 @@
     zones: ZoneCopies<'a>,
     /// Bricks that hold an adapter.
     adapter_holders: BTreeMap<(&'a str, &'a str), usize>,
+    /// Requests a second by model that name an adapter.
+    adapter_rates: BTreeMap<String, f64>,
+    /// What the demand for each model, all its adapters together, asks of bricks.
+    model_loads: BTreeMap<String, ModelLoad>,
+    /// The shortest objective of requests for each model, milliseconds.
+    objectives: BTreeMap<String, u32>,
+    /// Slots of a brick.
+    capacity: f64,
     /// Requests out at each brick.
     in_flight: BTreeMap<String, u32>,
-    /// Requests a second asked of all models of the service.
-    total_rate: f64,
     orders: Vec<Order>,
 }
 
@@ -228,10 +233,15 @@
             holding: BTreeMap::new(),
             zones: ZoneCopies::default(),
             adapter_holders: BTreeMap::new(),
+            adapter_rates: BTreeMap::new(),
+            model_loads: BTreeMap::new(),
+            objectives: BTreeMap::new(),
+            capacity: 1.0,
             in_flight: demand.in_flight(now),
-            total_rate: 0.0,
             orders: Vec::new(),
         };
+        let slots: f64 = plan.bricks.iter().map(|brick| f64::from(brick.capacity)).sum();
+        plan.capacity = (slots / plan.bricks.len().max(1) as f64).max(1.0);
         plan.count_holders();
         plan.work_out_rates();
         plan
@@ -262,10 +272,20 @@
         let keys = self.demand.keys().filter(|key| key.backend == self.backend.name);
         for key in keys {
             let waiting = WAITING_WEIGHT * self.demand.waiting(self.now, key);
-            let rate = self.demand.requests_per_s(self.now, key) + waiting;
-            self.total_rate += rate;
+            let asked = self.demand.requests_per_s(self.now, key);
+            let rate = asked + waiting;
             *self.model_rates.entry(key.model.clone()).or_default() += rate;
+            if !key.adapter.is_empty() {
+                *self.adapter_rates.entry(key.model.clone()).or_default() += rate;
+            }
             self.rates.insert(key.clone(), rate);
+            let mut load = self.model_loads.get(&key.model).copied().unwrap_or_default();
+            load.add(self, key, asked);
+            self.model_loads.insert(key.model.clone(), load);
+            if let Some(objective) = self.demand.objective_ms(key) {
+                let shortest = self.objectives.entry(key.model.clone()).or_insert(objective);
+                *shortest = objective.min(*shortest);
+            }
         }
     }
 }
@@ -276,6 +296,23 @@
         Placer::default()
     }
 
+    /// The models that new orders bring to bricks, and when.
+    pub fn expected(&self, now: Millis, orders: &[Order]) -> Vec<ExpectedModel> {
+        let model = |order: &Order| match (order.kind, self.reserved.get(&order.instance)) {
+            (OrderKind::Fetch | OrderKind::Reload, _) => Some((order.model.clone(), order.expected_ms)),
+            (OrderKind::Unload, Some(reserved)) => {
+                let load_ms = self.times.expected(now, OrderKind::Fetch, reserved.load_ms);
+                Some((reserved.model.clone(), order.expected_ms + load_ms))
+            }
+            (OrderKind::Unload | OrderKind::Adapter, _) => None,
+        };
+        let expected = orders.iter().filter_map(|order| {
+            let (model, ready_in) = model(order)?;
+            Some(ExpectedModel { backend: order.backend.clone(), model, ready_in_ms: ready_in as u32 })
+        });
+        expected.collect()
+    }
+
     /// Bricks that are cleared for a model, and the model.
     pub fn reserved(&self) -> impl Iterator<Item = (&str, &str)> {
         self.reserved.iter().map(|(instance, reservation)| (instance.as_str(), reservation.model.as_str()))
@@ -303,9 +340,20 @@
         self.under_way.contains_key(instance)
     }
 
+    /// An order was seen to be done after so many milliseconds.
+    pub fn was_done(&mut self, now: Millis, order: &Order, took_ms: Millis) {
+        self.times.note(now, order.kind, order.told_ms, took_ms);
+    }
+
     /// The end of a brick's order is known, or nothing more will be heard of it.
     pub fn finished(&mut self, instance: &str) {
         self.under_way.remove(instance);
+        self.given.remove(instance);
+    }
+
+    /// How long ago the order under way at a brick was given, milliseconds; 0: there is none.
+    pub fn took(&self, now: Millis, instance: &str) -> Millis {
+        self.given.get(instance).map_or(0, |given| now.saturating_sub(*given))
     }
 
     /// The orders to give now; each counts as under way from now on.
@@ -398,6 +446,15 @@
         brick.models.iter().map(part).sum()
     }
 
+    /// Requests a second for adapters of a brick's models, spread evenly over the copies of each.
+    fn adapters_asked_at(&self, brick: &Brick) -> f64 {
+        let part = |held: &LoadedModel| {
+            let asked = self.adapter_rates.get(&held.name).copied().unwrap_or(0.0);
+            asked / self.holders(&held.name).max(1) as f64
+        };
+        brick.models.iter().map(part).sum()
+    }
+
     /// Megabytes that a brick's models and adapters take.
     fn used_mb(&self, brick: &Brick) -> f64 {
         let size = |held: &LoadedModel| {
@@ -407,17 +464,30 @@
         brick.models.iter().map(size).sum()
     }
 
+    /// What the configuration says of a model's load, milliseconds.
+    fn told_load_ms(&self, model: &str) -> Millis {
+        self.model(model).map_or(0, |model| (model.load_s * 1_000.0) as Millis)
+    }
+
     fn order(&mut self, placer: &mut Placer, brick: &Brick, operation: Operation, key: &ModelKey) {
-        let load_ms = self.model(&key.model).map_or(0, |model| (model.load_s * 1_000.0) as Millis);
-        let fetched =
-            operation == Operation::Load && key.adapter.is_empty() && !self.has_held(brick, &key.model);
+        let load_ms = self.told_load_ms(&key.model);
+        let kind = match (operation, key.adapter.is_empty()) {
+            (Operation::Unload, _) => OrderKind::Unload,
+            (Operation::Load, false) => OrderKind::Adapter,
+            (Operation::Load, true) if self.has_held(brick, &key.model) => OrderKind::Reload,
+            (Operation::Load, true) => OrderKind::Fetch,
+        };
         let order = Order {
+            backend: self.backend.name.clone(),
             instance: brick.instance.clone(),
             address: brick.address.clone(),
             operation,
             model: key.model.clone(),
             adapter: key.adapter.clone(),
-            expected_ms: if fetched { load_ms } else { 0 },
+            kind,
+            told_ms: load_ms,
+            expected_ms: placer.times.expected(self.now, kind, load_ms),
+            report_only: false,
         };
         if operation == Operation::Unload && key.adapter.is_empty() {
             // The next choice has to count without it.
@@ -426,6 +496,7 @@
             }
         }
         placer.under_way.insert(brick.instance.clone(), order.clone());
+        placer.given.insert(brick.instance.clone(), self.now);
         self.orders.push(order);
     }
 
@@ -449,29 +520,6 @@
         }
     }
 
-    /// Bricks that a model should be on by its part of the demand.
-    fn wanted_copies(&self, name: &str) -> usize {
-        let rate = self.model_rate(name);
-        let bricks = self.bricks.len() as f64;
-        let copies = (SPREAD * bricks * rate / self.total_rate.max(LITTLE * bricks)).ceil();
-        let least = if rate >= RESERVED_RATE && self.zones.are_several() { 2.0 } else { 1.0 };
-        copies.clamp(least, bricks.max(least)) as usize
-    }
-
-    /// Requests a second that one more copy of a model would take off its bricks, or serve at all.
-    fn relief(&self, name: &str, copies: usize) -> f64 {
-        let rate = self.model_rate(name);
-        match copies {
-            0 if rate < LEAST_DEMAND => 0.0,
-            0 => rate,
-            _ if copies >= self.wanted_copies(name) => 0.0,
-            _ => {
-                let each = rate / copies as f64;
-                (each - rate / (copies + 1) as f64) * (each / COMFORTABLE).min(1.0)
-            }
-        }
-    }
-
     /// Gives copies to models, each time to the one that it relieves most.
     fn add_copies(&mut self, placer: &mut Placer, allowance: &mut LoadAllowance) {
         let names: BTreeSet<String> = self.rates.keys().map(|key| key.model.clone()).collect();
@@ -518,7 +566,8 @@
         let Some(best) = rooms.best(self, &wish.name, size, wish.relief) else { return false };
         match best.victim {
             Some(victim) => {
-                let reservation = Reservation { model: wish.name.clone(), until: self.now + RESERVED_FOR };
+                let (model, load_ms) = (wish.name.clone(), self.told_load_ms(&wish.name));
+                let reservation = Reservation { model, load_ms, until: self.now + RESERVED_FOR };
                 placer.reserved.insert(best.brick.instance.clone(), reservation);
                 let victim = self.key(victim, "");
                 self.order(placer, best.brick, Operation::Unload, &victim);
@@ -542,22 +591,6 @@
     fn load_cost(&self, brick: &Brick, name: &str) -> f64 {
         if self.has_held(brick, name) { OWN_DISK_LOAD } else { 1.0 }
     }
-
-    /// What one copy of a model serves, requests a second; a copy beyond those wanted is worth next to nothing.
-    fn value(&self, name: &str, zone: &str) -> f64 {
-        let copies = self.holders(name).max(1);
-        let rate = self.model_rate(name);
-        // Without its last copy outside one zone it would be lost with that zone.
-        if rate >= RESERVED_RATE && self.zones.leaves_one_zone(name, zone) {
-            return ONLY_COPY_FACTOR * rate + ONLY_COPY;
-        }
-        let unknown = UNKNOWN_COPY * self.demand.unknown_part(self.now);
-        match copies {
-            1 => ONLY_COPY_FACTOR * rate + ONLY_COPY,
-            _ if copies > self.wanted_copies(name) => SURPLUS_FACTOR * rate / copies as f64 + unknown,
-            _ => rate / copies as f64 + unknown,
-        }
-    }
 }
 
 fn loaded<'a>(brick: &'a Brick, model: &str) -> Option<&'a LoadedModel> {
--- a/crates/control/src/placement/adapters.rs
+++ b/crates/control/src/placement/adapters.rs
@@ -1,9 +1,12 @@
 //! Which adapters bricks that hold their models are ordered to take, and which make room for them.
 
-use super::{Operation, Placer, Plan, REQUESTS_PER_ADAPTER, adapter_count, holds_adapter};
+use super::{Operation, Placer, Plan, adapter_count, holds_adapter};
 use crate::demand::ModelKey;
 use pathbank_protocol::message::Brick;
 
+/// An adapter is on so many times as many bricks as its demand alone would fill.
+const ADAPTER_SPREAD: f64 = 2.0;
+
 impl Plan<'_> {
     pub(super) fn adapters(&mut self, placer: &mut Placer) {
         let mut wanted: Vec<ModelKey> = self.keys();
@@ -13,7 +16,7 @@
             let rate = self.rate(&key);
             let known = self.model(&key.model).is_some();
             let holders = self.adapter_holders(&key.model, &key.adapter);
-            let enough = (1.0 + rate / REQUESTS_PER_ADAPTER) as usize;
+            let enough = self.wanted_adapter_copies(&key);
             let asked = rate > 0.01;
             if known && asked && holders < enough && !self.is_loading(placer, &key.model, &key.adapter) {
                 self.add_adapter(placer, &key, rate, holders == 0);
@@ -21,6 +24,12 @@
         }
     }
 
+    /// Bricks that an adapter should be on, by its part of its model's demand.
+    fn wanted_adapter_copies(&self, key: &ModelKey) -> usize {
+        let part = self.rate(key) / self.model_rate(&key.model).max(f64::MIN_POSITIVE);
+        1 + (ADAPTER_SPREAD * part * self.bricks_filled(&key.model)) as usize
+    }
+
     fn add_adapter(&mut self, placer: &mut Placer, key: &ModelKey, rate: f64, makes_room: bool) {
         let size = self.model(&key.model).map_or(0.0, |model| model.adapter_mb);
         let bricks = self.places(&key.model).map(|place| self.bricks[place]);
--- a/crates/control/src/placement/rooms.rs
+++ b/crates/control/src/placement/rooms.rs
@@ -1,6 +1,6 @@
 //! What room bricks have for one more model, worked out once for all models that look for a brick.
 
-use super::{CROWDED, FETCHED, Placer, Plan, SAME_ZONE, loaded};
+use super::{BLOCKED, CROWDED, FETCHED, LOAD_COST, Placer, Plan, SAME_ZONE, loaded};
 use pathbank_protocol::message::Brick;
 
 /// A model that may go from a brick.
@@ -19,6 +19,8 @@
     left_mb: f64,
     /// Requests a second that it serves by its part of each model's demand.
     served: f64,
+    /// Requests a second whose adapters cannot come while the brick loads a model.
+    blocked: f64,
     /// The least valuable first.
     evictable: Vec<Evictable<'a>>,
 }
@@ -27,7 +29,7 @@
     fn of(plan: &Plan<'a>, placer: &Placer, brick: &'a Brick) -> Room<'a> {
         let is_open = plan.is_free(placer, brick) && !placer.reserved.contains_key(&brick.instance);
         let left_mb = plan.runtime.weights_mb - plan.used_mb(brick);
-        let mut room = Room { brick, is_open, left_mb, served: 0.0, evictable: Vec::new() };
+        let mut room = Room { brick, is_open, left_mb, served: 0.0, blocked: 0.0, evictable: Vec::new() };
         room.value_models(plan);
         room
     }
@@ -44,6 +46,7 @@
         self.evictable = evictable.collect();
         self.evictable.sort_by(|one, other| one.value.total_cmp(&other.value));
         self.served = plan.served_by(brick);
+        self.blocked = BLOCKED * plan.adapters_asked_at(brick);
     }
 
     /// What room for so many megabytes costs, requests a second, and the model that has to go first.
@@ -90,7 +93,8 @@
     pub fn best(&self, plan: &Plan<'a>, name: &str, size_mb: f64, relief: f64) -> Option<Best<'a>> {
         let mut best: Option<(f64, Best)> = None;
         for (place, room) in self.rooms.iter().enumerate().filter(|(_, room)| room.is_open) {
-            let Some((cost, victim)) = room.cost(size_mb).filter(|(cost, _)| *cost < relief) else {
+            let Some((cost, victim)) = room.cost(size_mb).filter(|(cost, _)| cost + LOAD_COST < relief)
+            else {
                 continue;
             };
             let brick = room.brick;
@@ -102,7 +106,8 @@
             }
             let fetched = if plan.has_held(brick, name) { 0.0 } else { FETCHED };
             let beside = SAME_ZONE * plan.zones.crowding(name, &brick.zone);
-            let total = cost + fetched + beside + crowded;
+            let blocked = if plan.has_held(brick, name) { 0.0 } else { room.blocked };
+            let total = cost + fetched + beside + crowded + blocked;
             if best.as_ref().is_none_or(|(least, _)| total < *least) {
                 best = Some((total, Best { place, brick, victim }));
             }
--- a/crates/control/src/training/workers.rs
+++ b/crates/control/src/training/workers.rs
@@ -1,6 +1,7 @@
 //! Which bricks are the workers of a training step, and how many of them have to go on serving.
 
 use crate::configuration::Runtime;
+use crate::order_progress::OrderKind;
 use crate::placement::{Operation, Order};
 use pathbank_protocol::message::Brick;
 use pathbank_rollout::step::StepRequest;
@@ -64,12 +65,20 @@
 }
 
 fn order(brick: &Brick, model: &str, operation: Operation, expected_ms: u64) -> Order {
+    let kind = match operation {
+        Operation::Load => OrderKind::Fetch,
+        Operation::Unload => OrderKind::Unload,
+    };
     Order {
+        backend: brick.backend.clone(),
         instance: brick.instance.clone(),
         address: brick.address.clone(),
         operation,
         model: model.to_owned(),
         adapter: String::new(),
+        kind,
+        told_ms: expected_ms,
         expected_ms,
+        report_only: true,
     }
 }
--- a/crates/control/tests/autoscaling.rs
+++ b/crates/control/tests/autoscaling.rs
@@ -8,7 +8,9 @@
 
 /// Told size of one request.
 const SIZE: u64 = 1_900;
-/// Requests a second that fill one brick.
+/// What a brick takes to read its prompt, milliseconds.
+const READ_MS: u64 = 27;
+/// Requests a second that fill one brick: it reads for a bit more than a quarter of its time.
 const BRICK_FILL: u64 = 10;
 const REPORT_EVERY: u64 = 100;
 
@@ -82,6 +84,8 @@
             arrived,
             tokens: arrived * SIZE,
             waiting: 0,
+            read_ms: arrived * READ_MS,
+            ..ModelDemand::default()
         };
         let report = EdgeReport { demand: vec![row], demand_span_ms, ..EdgeReport::default() };
         self.demand.note(self.now, &report);
--- a/crates/control/tests/placement_cost.rs
+++ b/crates/control/tests/placement_cost.rs
@@ -75,6 +75,7 @@
         arrived: 2 + 400 / (number as u64 + 1),
         tokens: 3_000,
         waiting: 0,
+        ..ModelDemand::default()
     };
     let mut table = DemandTable::default();
     let demand = (0..MODELS).map(of_model).collect();
--- a/crates/protocol/schema/internal.capnp
+++ b/crates/protocol/schema/internal.capnp
@@ -166,6 +166,23 @@
   arrived @3 :UInt64;
   tokens @4 :UInt64;
   waiting @5 :UInt32;
+  # What bricks take to read their prompts, and for how long answers that ended meanwhile took a slot, by the edge's estimates.
+  readMs @6 :UInt64;
+  heldMs @7 :UInt64;
+  # The shortest time inside which an answer to one of them earns its full worth, milliseconds; 0: not told.
+  objectiveMs @8 :UInt32;
+}
+
+# A model that a brick is loading.
+struct ExpectedModel {
+  backend @0 :Text;
+  model @1 :Text;
+  # It should be there after this, milliseconds.
+  readyInMs @2 :UInt32;
+}
+
+struct ExpectedModelList {
+  models @0 :List(ExpectedModel);
 }
 
 struct BrickLoad {
@@ -349,5 +366,6 @@
     fetchDifference @19 :UInt64;
     # The body of another frame, by LZ4 with its length in front. Only to processes that said in their hello that they read it.
     compressed @20 :Data;
+    expectedModels @21 :ExpectedModelList;
   }
 }
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -50,6 +50,8 @@
     ModelVersions(Vec<ModelVersions>),
     /// What the leader's orders have made of a brick, for the other cores.
     BrickNews(BrickNews),
+    /// Models that bricks load by the leader's orders.
+    ExpectedModels(Vec<ExpectedModel>),
 }
 
 /// What a process is.
@@ -221,6 +223,23 @@
     pub tokens: u64,
     /// Requests that no brick could take, waiting or refused.
     pub waiting: u32,
+    /// What bricks take to read the prompts of those that came, by the edge's estimates, milliseconds.
+    pub read_ms: u64,
+    /// For how long answers that ended since the last report took a slot, milliseconds.
+    pub held_ms: u64,
+    /// The shortest objective among them, milliseconds; 0: not told.
+    pub objective_ms: u32,
+}
+
+/// A model that a brick is loading.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ExpectedModel {
+    /// The service.
+    pub backend: String,
+    /// The model.
+    pub model: String,
+    /// It should be there after this, milliseconds.
+    pub ready_in_ms: u32,
 }
 
 /// What an edge, or all edges together, see of one brick.
--- a/crates/protocol/src/read.rs
+++ b/crates/protocol/src/read.rs
@@ -91,6 +91,10 @@
         Which::DrawGrant(grant) => Frame::DrawGrant(draw::grant(grant?)?),
         Which::DrawResult(result) => Frame::DrawResult(draw::result(result?)?),
         Which::BrickNews(news) => Frame::BrickNews(read_news(news?)?),
+        Which::ExpectedModels(models) => {
+            let models = models?.get_models()?.iter().map(read_expected).collect::<Read<_>>()?;
+            Frame::ExpectedModels(models)
+        }
         Which::ModelVersions(models) => {
             let models = models?.get_models()?.iter().map(draw::model_versions).collect::<Read<_>>()?;
             Frame::ModelVersions(models)
@@ -272,9 +276,17 @@
         arrived: demand.get_arrived(),
         tokens: demand.get_tokens(),
         waiting: demand.get_waiting(),
+        read_ms: demand.get_read_ms(),
+        held_ms: demand.get_held_ms(),
+        objective_ms: demand.get_objective_ms(),
     })
 }
 
+fn read_expected(expected: wire::expected_model::Reader<'_>) -> Read<ExpectedModel> {
+    let (backend, model) = (text(expected.get_backend()?)?, text(expected.get_model()?)?);
+    Ok(ExpectedModel { backend, model, ready_in_ms: expected.get_ready_in_ms() })
+}
+
 fn read_load(load: wire::brick_load::Reader<'_>) -> Read<BrickLoad> {
     let instance = text(load.get_instance()?)?;
     Ok(BrickLoad {
--- a/crates/protocol/src/write.rs
+++ b/crates/protocol/src/write.rs
@@ -69,6 +69,10 @@
         Frame::DrawGrant(grant) => draw::grant(grant, out.init_draw_grant()),
         Frame::DrawResult(result) => draw::result(result, out.init_draw_result()),
         Frame::BrickNews(news) => write_news(news, out.init_brick_news()),
+        Frame::ExpectedModels(models) => {
+            let out = out.init_expected_models();
+            write_list!(models, out.init_models(models.len() as u32), write_expected);
+        }
         Frame::ModelVersions(models) => {
             let out = out.init_model_versions();
             write_list!(models, out.init_models(models.len() as u32), draw::model_versions);
@@ -254,6 +258,15 @@
     out.set_arrived(demand.arrived);
     out.set_tokens(demand.tokens);
     out.set_waiting(demand.waiting);
+    out.set_read_ms(demand.read_ms);
+    out.set_held_ms(demand.held_ms);
+    out.set_objective_ms(demand.objective_ms);
+}
+
+fn write_expected(expected: &ExpectedModel, mut out: wire::expected_model::Builder<'_>) {
+    out.set_backend(&expected.backend);
+    out.set_model(&expected.model);
+    out.set_ready_in_ms(expected.ready_in_ms);
 }
 
 fn write_load(load: &BrickLoad, mut out: wire::brick_load::Builder<'_>) {
--- a/crates/protocol/tests/round_trip.rs
+++ b/crates/protocol/tests/round_trip.rs
@@ -46,6 +46,9 @@
             arrived: 2,
             tokens: 900,
             waiting: 1,
+            read_ms: 140,
+            held_ms: 2_600,
+            objective_ms: 500,
         }],
         loads: vec![BrickLoad {
             instance: "i-1".into(),
--- a/crates/router/src/bricks.rs
+++ b/crates/router/src/bricks.rs
@@ -171,6 +171,11 @@
         self.brick.state == BrickState::Ready && now >= self.rest_until
     }
 
+    /// For how much longer it rests, milliseconds.
+    pub fn rests_for(&self, now: Millis) -> Millis {
+        self.rest_until.saturating_sub(now)
+    }
+
     /// Whether it holds a model (and its adapter).
     pub fn holds(&self, now: Millis, name: &ModelName) -> bool {
         if name.model.is_empty() {
--- a/crates/router/src/dispatcher.rs
+++ b/crates/router/src/dispatcher.rs
@@ -5,51 +5,47 @@
 //! one does. Whatever cannot be served in time is refused early, with the time after which to come back.
 
 mod affinity;
+mod arrivals;
+mod refusal;
 
 use crate::Millis;
 use crate::bricks::{BrickOutcome, BrickTable, Instance, KnownBrick};
 use crate::draw::unit_draw;
+use crate::engine_estimates::{EngineEstimates, ReadSample};
 use crate::evacuation;
 use crate::prompt::{ModelName, PromptPart};
 use affinity::Affinity;
+use arrivals::Arrivals;
 use pathbank_control::result_code::ResultCode;
 use pathbank_control::urgency::Urgency;
 use pathbank_fair_queue::{FairQueue, Settings};
-use pathbank_protocol::message::{AdmissionOption, BrickLoad, BrickUpdate, ModelDemand};
+use pathbank_protocol::message::{AdmissionOption, BrickLoad, BrickUpdate, ExpectedModel, ModelDemand};
+use refusal::Outlook;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Names one client request at this head.
 pub type RequestId = u64;
 
-/// Tokens of a prompt that a brick reads in a millisecond, until something better is known.
-const PREFILL_TOKENS_PER_MS: f64 = 18.0;
 /// Tokens of other prompts that a brick has not begun to answer hold up every stream there, not this request alone.
 const UNREAD_WEIGHT: u64 = 4;
-/// What a brick with all slots taken costs a request, milliseconds; less in proportion.
-const FULL_BRICK_MS: f64 = 500.0;
-/// What another zone costs, milliseconds.
-const OTHER_ZONE_MS: f64 = 30.0;
-/// What a brick costs that fails every request, milliseconds; less in proportion. It is avoided, never shut out.
-const ERROR_MS: f64 = 1_500.0;
+/// What a brick with all slots taken costs a request, as a part of the time for which an answer takes a slot; less in
+/// proportion.
+const FULL_PART: f64 = 0.33;
+/// What another zone costs, as a part of the request's objective: its bytes cost more, and a link may fail.
+const OTHER_ZONE_PART: f64 = 0.03;
+/// What a brick costs that fails every request, in objectives; less in proportion. It is avoided, never shut out.
+const ERROR_OBJECTIVES: f64 = 3.0;
 /// Bricks as good as each other are told apart by a draw of so many milliseconds.
 const DRAW_MS: f64 = 3.0;
-/// Heads prefer different bricks by up to so many milliseconds, so that what one head has just sent to a brick tells most
-/// of what is on its way there.
-const PREFERENCE_MS: f64 = 200.0;
-/// A request that cannot be sent is refused after this part of its objective, where that lets it come back in time.
-const REFUSE_AFTER: f64 = 0.22;
-/// The part of the remaining time for which clients honour `Retry-After`.
-const RETRY_AFTER_PART: f64 = 0.32;
+/// Heads prefer different bricks by up to this part of what a full brick costs, so that what one head has just sent to a
+/// brick tells most of what is on its way there.
+const PREFERENCE_PART: f64 = 0.4;
 /// A request that waits longer is queued anew, milliseconds.
 const REQUEUE_AFTER: Millis = 40;
-/// A request is refused when so much of its time is left, for nothing comes of it any more.
-const HOPELESS_PART: f64 = 0.08;
-/// What a load takes beyond the time that is told, milliseconds.
-const LOAD_OVERHEAD: Millis = 700;
 /// When to come back while no brick of the service is known: they say something within this, milliseconds.
 const HEARTBEAT_RETRY: Millis = 1_000;
-/// When to come back to bricks that are all busy, milliseconds.
-const BUSY_RETRY: Millis = 900;
+/// Bricks that are all busy have answered so many of their requests after this part of an answer's time.
+const BUSY_RETRY_PART: f64 = 0.6;
 
 /// Bricks that the leader may choose from at most.
 const MOST_OPTIONS: usize = 8;
@@ -73,6 +69,8 @@
     pub arrived: Millis,
     /// When the client stops waiting.
     pub deadline: Millis,
+    /// When the client leaves if nothing of an answer has come.
+    pub leaves_at: Millis,
     /// The time inside which an answer earns its full worth.
     pub objective: Millis,
     /// How long a load of its model takes, where that is known.
@@ -137,6 +135,10 @@
     stage: Stage,
     since: Millis,
     reported: bool,
+    /// When it was reported that it waits for a brick, one held its model without its adapter.
+    model_held: bool,
+    /// Tokens that its brick had to read, where no other prompt of this head was before it there.
+    reads_alone: Option<u64>,
     leaving: Leaving,
 }
 
@@ -163,6 +165,8 @@
     fair: FairQueue<FlowKey, Instance, RequestId>,
     held: BTreeMap<RequestId, Held>,
     affinity: Affinity,
+    arrivals: Arrivals,
+    engines: EngineEstimates,
     demand: BTreeMap<(String, ModelName), ModelDemand>,
     urgent: bool,
 }
@@ -177,6 +181,8 @@
             fair: FairQueue::new(Settings::default()),
             held: BTreeMap::new(),
             affinity: Affinity::default(),
+            arrivals: Arrivals::default(),
+            engines: EngineEstimates::default(),
             demand: BTreeMap::new(),
             urgent: false,
         }
@@ -192,6 +198,17 @@
         self.held.len()
     }
 
+    /// A request that is at no brick yet, and what it waits for.
+    pub fn waiting(&self, id: RequestId) -> Option<(&Offer, &'static str)> {
+        let held = self.held.get(&id)?;
+        let waits_for = match held.stage {
+            Stage::Unplaced => "a brick that holds its model",
+            Stage::Queued(_) => "a slot",
+            Stage::Sent(_) => return None,
+        };
+        Some((&held.offer, waits_for))
+    }
+
     /// The bricks at which a request with a prompt could be answered soonest, for the leader to choose from.
     pub fn admission_options(&self, now: Millis, offer: &Offer) -> Vec<AdmissionOption> {
         if offer.name.model.is_empty() || offer.input_tokens == 0 {
@@ -201,7 +218,7 @@
         let mut options: Vec<AdmissionOption> = open
             .map(|(instance, known)| AdmissionOption {
                 instance: instance.clone(),
-                read_ms: (self.own_tokens(offer, instance) as f64 / PREFILL_TOKENS_PER_MS) as u32,
+                read_ms: self.read_ms(now, offer, instance, self.own_tokens(offer, instance)) as u32,
                 extra_ms: self.extra_cost(now, offer, instance, known) as u32,
             })
             .collect();
@@ -213,12 +230,20 @@
     /// A request came, or comes again after a brick did not run it.
     pub fn offer(&mut self, now: Millis, offer: Offer, first: bool) -> Vec<Action> {
         if first {
-            self.note_demand(&offer);
+            self.note_demand(now, &offer);
         }
         let id = offer.id;
         self.held.insert(
             id,
-            Held { offer, stage: Stage::Unplaced, since: now, reported: false, leaving: Leaving::Stays },
+            Held {
+                offer,
+                stage: Stage::Unplaced,
+                since: now,
+                reported: false,
+                model_held: false,
+                reads_alone: None,
+                leaving: Leaving::Stays,
+            },
         );
         self.place(now, id);
         self.dispatch(now)
@@ -228,13 +253,19 @@
     pub fn finish(&mut self, now: Millis, id: RequestId, outcome: BrickOutcome) -> Vec<Action> {
         let Some(held) = self.held.remove(&id) else { return Vec::new() };
         self.leave(now, &held, outcome);
+        self.note_held(now, &held, outcome);
         self.dispatch(now)
     }
 
-    /// A brick began to answer a request: its prompt is read.
-    pub fn began(&mut self, id: RequestId) {
-        if let Some(Stage::Sent(instance)) = self.held.get(&id).map(|held| &held.stage) {
-            self.bricks.began(instance, id);
+    /// A brick began to answer a request. `is_read`: the answer is a success, so the prompt was read; a failure may come
+    /// sooner than any prompt is read.
+    pub fn began(&mut self, now: Millis, id: RequestId, is_read: bool) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let Stage::Sent(instance) = &held.stage else { return };
+        self.bricks.began(instance, id);
+        if let Some(tokens) = held.reads_alone.take().filter(|_| is_read) {
+            let (model, took) = (held.offer.name.model.as_str(), now.saturating_sub(held.since));
+            self.engines.note_read(now, ReadSample { instance, model, tokens, took });
         }
     }
 
@@ -248,6 +279,11 @@
         loads.iter().for_each(|load| self.bricks.note_joint(now, load));
     }
 
+    /// The leader told which models bricks are loading.
+    pub fn note_expected(&mut self, now: Millis, models: Vec<ExpectedModel>) {
+        self.arrivals.note_expected(now, models);
+    }
+
     /// A core told of bricks.
     pub fn update_bricks(&mut self, now: Millis, update: BrickUpdate) -> Vec<Action> {
         let closed = self.bricks.update(now, update);
@@ -276,6 +312,8 @@
         self.fair.tidy(now);
         self.bricks.tidy(now);
         self.affinity.tidy(now);
+        self.arrivals.tidy(now);
+        self.engines.tidy(now);
         actions
     }
 
@@ -356,10 +394,16 @@
         let is_held = || self.bricks.holding(now, &offer.backend, &offer.name).next().is_some();
         let other_version = offer.version.is_some() && is_held();
         let reports = stage == Stage::Unplaced && !held.reported && !other_version;
+        let arrived = matches!(stage, Stage::Queued(_)) && held.stage == Stage::Unplaced && held.reported;
+        let missed = arrived.then(|| (offer.clone(), held.model_held));
         if reports {
-            self.note_unplaced(id);
+            self.note_unplaced(now, id);
         }
         self.enter(now, id, stage);
+        if let Some((offer, model_held)) = missed {
+            let waited = now.saturating_sub(offer.arrived);
+            self.arrivals.note_miss(now, &offer.name, model_held, offer.load_ms, waited);
+        }
     }
 
     /// Bricks that hold what a request asks for and may get it.
@@ -394,11 +438,17 @@
     /// What an answer from a brick would cost, as milliseconds until it begins, by what this head alone knows.
     fn cost(&self, now: Millis, offer: &Offer, instance: &Instance, known: &KnownBrick) -> f64 {
         let unread = self.own_tokens(offer, instance) + UNREAD_WEIGHT * known.unread_tokens();
-        let prefill = unread as f64 / PREFILL_TOKENS_PER_MS;
-        let preference = PREFERENCE_MS * unit_draw(self.seed, instance);
+        let prefill = self.read_ms(now, offer, instance, unread);
+        let full_ms = self.full_brick_ms(now, offer);
+        let preference = PREFERENCE_PART * full_ms * unit_draw(self.seed, instance);
         prefill + preference + self.extra_cost(now, offer, instance, known)
     }
 
+    /// How long a brick takes to read so many tokens for a request, milliseconds.
+    fn read_ms(&self, now: Millis, offer: &Offer, instance: &Instance, tokens: u64) -> f64 {
+        self.engines.read_ms(now, instance, &offer.name.model, tokens)
+    }
+
     /// Tokens of a request's prompt that a brick has to read.
     fn own_tokens(&self, offer: &Offer, instance: &Instance) -> u64 {
         let kept = self.affinity.kept_tokens(instance, &offer.name, &offer.parts);
@@ -409,13 +459,20 @@
     fn extra_cost(&self, now: Millis, offer: &Offer, instance: &Instance, known: &KnownBrick) -> f64 {
         let queued = self.fair.queued_at(instance) as f64 / f64::from(known.brick.capacity.max(1));
         let occupancy = known.occupancy(now) + queued;
-        let full = if known.has_slot(now) { 0.0 } else { FULL_BRICK_MS };
-        let resting = if known.takes_work(now) { 0.0 } else { 2.0 * FULL_BRICK_MS };
-        let zone = if known.brick.zone == self.zone { 0.0 } else { OTHER_ZONE_MS };
-        let cold = if known.brick.cold_remaining_ms > 0 { FULL_BRICK_MS / 4.0 } else { 0.0 };
-        let errors = ERROR_MS * known.known_errors(now);
+        let full_ms = self.full_brick_ms(now, offer);
+        let objective = offer.objective as f64;
+        let full = if known.has_slot(now) { 0.0 } else { full_ms };
+        let resting = if known.takes_work(now) { 0.0 } else { 2.0 * full_ms };
+        let zone = if known.brick.zone == self.zone { 0.0 } else { OTHER_ZONE_PART * objective };
+        let cold = if known.brick.cold_remaining_ms > 0 { full_ms / 4.0 } else { 0.0 };
+        let errors = ERROR_OBJECTIVES * objective * known.known_errors(now);
         let draw = DRAW_MS * unit_draw(offer.id, instance);
-        FULL_BRICK_MS * occupancy + full + resting + zone + cold + errors + draw
+        full_ms * occupancy + full + resting + zone + cold + errors + draw
+    }
+
+    /// What a brick with all slots taken costs a request, milliseconds.
+    fn full_brick_ms(&self, now: Millis, offer: &Offer) -> f64 {
+        FULL_PART * self.engines.answer_ms(now, &offer.name.model)
     }
 
     // ---- the ordinary path: free slots take requests ----
@@ -443,8 +500,11 @@
     fn send(&mut self, now: Millis, id: RequestId, instance: &Instance, actions: &mut Vec<Action>) {
         let Some(known) = self.bricks.get(instance) else { return };
         let address = known.brick.address.clone();
+        let is_alone = known.unread_tokens() == 0 && known.occupancy(now) < 1.0;
+        let tokens = self.held.get(&id).map(|held| self.own_tokens(&held.offer, instance));
         self.enter(now, id, Stage::Sent(instance.clone()));
-        if let Some(held) = self.held.get(&id) {
+        if let Some(held) = self.held.get_mut(&id) {
+            held.reads_alone = tokens.filter(|_| is_alone);
             self.affinity.note(now, instance, &held.offer.name, &held.offer.parts);
         }
         actions.push(Action::Send { id, instance: instance.clone(), address });
@@ -496,26 +556,40 @@
 
     /// Whether a waiting request is given up now, why, and when its client should come back.
     fn refusal(&self, now: Millis, held: &Held) -> Option<(ResultCode, Millis)> {
+        let offer = &held.offer;
         let (code, ready_in) = match &held.stage {
             Stage::Sent(_) => return None,
-            Stage::Unplaced if !self.bricks.has_backend(&held.offer.backend) => {
+            Stage::Unplaced if !self.bricks.has_backend(&offer.backend) => {
                 (ResultCode::NoBrick, HEARTBEAT_RETRY)
             }
-            Stage::Unplaced => {
-                (ResultCode::NoBrick, held.offer.load_ms.unwrap_or(BUSY_RETRY) + LOAD_OVERHEAD)
-            }
-            Stage::Queued(_) => (ResultCode::Overloaded, BUSY_RETRY),
+            Stage::Unplaced => (ResultCode::NoBrick, self.ready_in(now, offer)),
+            Stage::Queued(instance) => (ResultCode::Overloaded, self.slot_in(now, instance)),
         };
-        let offer = &held.offer;
-        let whole = offer.deadline.saturating_sub(offer.arrived) as f64;
-        let remaining = offer.deadline.saturating_sub(now) as f64;
-        let honoured = (RETRY_AFTER_PART * remaining) as Millis;
-        if remaining < HOPELESS_PART * whole {
-            return Some((code, honoured));
+        let read_ms = self.engines.typical_read_ms(now, &offer.name.model, offer.input_tokens);
+        let begins_in = read_ms as Millis;
+        refusal::judge(now, held, Outlook { code, ready_in, begins_in })
+    }
+
+    /// How long it takes until a brick takes one more request: until it has rested, or until a good part of its slots is
+    /// free.
+    fn slot_in(&self, now: Millis, instance: &Instance) -> Millis {
+        match self.bricks.get(instance).map_or(0, |known| known.rests_for(now)) {
+            0 => (BUSY_RETRY_PART * self.engines.any_answer_ms(now)) as Millis,
+            rests_for => rests_for,
         }
-        let early = now >= offer.arrived + (REFUSE_AFTER * offer.objective as f64) as Millis;
-        let comes_back_in_time = ready_in <= honoured && !offer.returned;
-        (early && comes_back_in_time).then_some((code, ready_in))
+    }
+
+    /// How long it takes until a brick holds what a request asks for.
+    fn ready_in(&self, now: Millis, offer: &Offer) -> Millis {
+        let waited = now.saturating_sub(offer.arrived);
+        let model_held = self.holds_model(now, offer);
+        self.arrivals.ready_in(now, &offer.backend, &offer.name, model_held, offer.load_ms, waited)
+    }
+
+    /// Whether a brick holds the model of a request, with or without its adapter.
+    fn holds_model(&self, now: Millis, offer: &Offer) -> bool {
+        let model = ModelName { model: offer.name.model.clone(), adapter: String::new() };
+        !offer.name.adapter.is_empty() && self.bricks.holding(now, &offer.backend, &model).next().is_some()
     }
 
     // ---- what the cores are told ----
@@ -530,13 +604,29 @@
         self.demand.entry((offer.backend.clone(), offer.name.clone())).or_insert_with(fresh)
     }
 
-    fn note_demand(&mut self, offer: &Offer) {
+    fn note_demand(&mut self, now: Millis, offer: &Offer) {
         if offer.name.model.is_empty() {
             return;
         }
+        let read_ms = self.engines.typical_read_ms(now, &offer.name.model, offer.input_tokens) as u64;
+        let objective = offer.objective as u32;
         let demand = self.demand_of(offer);
         demand.arrived += 1;
         demand.tokens += offer.size;
+        demand.read_ms += read_ms;
+        demand.objective_ms =
+            if demand.objective_ms == 0 { objective } else { demand.objective_ms.min(objective) };
+    }
+
+    /// A request ended that may have taken a slot of a brick.
+    fn note_held(&mut self, now: Millis, held: &Held, outcome: BrickOutcome) {
+        let is_answered = outcome == BrickOutcome::Answered && matches!(held.stage, Stage::Sent(_));
+        if !is_answered || held.offer.name.model.is_empty() {
+            return;
+        }
+        let held_ms = now.saturating_sub(held.since);
+        self.engines.note_answer(now, &held.offer.name.model, held_ms);
+        self.demand_of(&held.offer).held_ms += held_ms;
     }
 
     /// Requests that were told of before and still wait count as waiting in each report.
@@ -549,9 +639,10 @@
         }
     }
 
-    fn note_unplaced(&mut self, id: RequestId) {
+    fn note_unplaced(&mut self, now: Millis, id: RequestId) {
+        let model_held = self.held.get(&id).is_some_and(|held| self.holds_model(now, &held.offer));
         let Some(held) = self.held.get_mut(&id) else { return };
-        held.reported = true;
+        (held.reported, held.model_held) = (true, model_held);
         let offer = held.offer.clone();
         if !offer.name.model.is_empty() {
             self.demand_of(&offer).waiting += 1;
--- /dev/null
+++ b/crates/router/src/engine_estimates.rs
@@ -0,0 +1,94 @@
+//! What this head has seen of the engines behind bricks: how fast each reads prompts, and for how long answers take a slot.
+
+use crate::Millis;
+use crate::bricks::Instance;
+use pathbank_control::estimate::{EstimateTable, Prior};
+
+/// Tokens of prompts that a brick reads in a millisecond.
+const TOKENS_PER_MS: Prior = Prior { start: 16.0, least: 0.05, most: 2_000.0 };
+/// A brick reads so many times as fast as others do.
+const BRICK_FACTOR: Prior = Prior { start: 1.0, least: 0.05, most: 20.0 };
+/// For how long an answer takes a slot, milliseconds.
+const ANSWER_MS: Prior = Prior { start: 1_500.0, least: 1.0, most: 120_000.0 };
+/// A prompt with fewer tokens tells more of what comes beside reading it.
+const LEAST_TOKENS: u64 = 256;
+
+/// A prompt that was read, and nothing of this head before it at its brick.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadSample<'a> {
+    /// The brick.
+    pub instance: &'a Instance,
+    /// The model.
+    pub model: &'a str,
+    /// Tokens that had to be read there.
+    pub tokens: u64,
+    /// From the send until the answer began, milliseconds.
+    pub took: Millis,
+}
+
+/// Estimates by model and by brick.
+#[derive(Clone, Debug)]
+pub struct EngineEstimates {
+    /// By model: a large one reads more slowly.
+    read: EstimateTable<String>,
+    /// By brick, beside others.
+    brick: EstimateTable<Instance>,
+    /// By model.
+    answer: EstimateTable<String>,
+}
+
+impl Default for EngineEstimates {
+    fn default() -> EngineEstimates {
+        EngineEstimates {
+            read: EstimateTable::new(TOKENS_PER_MS),
+            brick: EstimateTable::new(BRICK_FACTOR),
+            answer: EstimateTable::new(ANSWER_MS),
+        }
+    }
+}
+
+impl EngineEstimates {
+    /// A prompt was read.
+    pub fn note_read(&mut self, now: Millis, sample: ReadSample<'_>) {
+        if sample.tokens < LEAST_TOKENS {
+            return;
+        }
+        let seen = sample.tokens as f64 / sample.took.max(1) as f64;
+        let factor = seen / self.read.value(now, sample.model);
+        let others = seen / self.brick.value(now, sample.instance);
+        self.brick.note(now, sample.instance, factor);
+        self.read.note(now, &sample.model.to_owned(), others);
+    }
+
+    /// An answer ended that took a slot for so long.
+    pub fn note_answer(&mut self, now: Millis, model: &str, held: Millis) {
+        self.answer.note(now, &model.to_owned(), held as f64);
+    }
+
+    /// How long a brick takes to read tokens of a prompt, milliseconds.
+    pub fn read_ms(&self, now: Millis, instance: &Instance, model: &str, tokens: u64) -> f64 {
+        tokens as f64 / (self.read.value(now, model) * self.brick.value(now, instance))
+    }
+
+    /// How long any brick takes to read tokens of a prompt, milliseconds.
+    pub fn typical_read_ms(&self, now: Millis, model: &str, tokens: u64) -> f64 {
+        tokens as f64 / self.read.value(now, model)
+    }
+
+    /// For how long an answer of a model takes a slot, milliseconds.
+    pub fn answer_ms(&self, now: Millis, model: &str) -> f64 {
+        self.answer.value(now, model)
+    }
+
+    /// For how long an answer of any model takes a slot, milliseconds.
+    pub fn any_answer_ms(&self, now: Millis) -> f64 {
+        self.answer.of_all(now)
+    }
+
+    /// Forgets what was not seen for long.
+    pub fn tidy(&mut self, now: Millis) {
+        self.read.tidy(now);
+        self.brick.tidy(now);
+        self.answer.tidy(now);
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -3,6 +3,7 @@
 //! * [`bricks`]: the bricks that this head knows, merged from all cores, and what it learned of each.
 //! * [`core_choice`]: which core is listened to, and which one leads.
 //! * [`dispatcher`]: which request goes to which brick next (the design's fair queueing).
+//! * [`engine_estimates`]: how fast bricks read, and for how long answers take a slot, as this head has seen.
 //! * [`prompt`]: what a request says of its model and prompt.
 //! * [`request_log`]: what became of the latest requests, for operators.
 //! * [`retry_budget`]: how many requests may be sent a second time.
@@ -14,6 +15,7 @@
 pub mod core_choice;
 pub mod dispatcher;
 pub mod draw;
+pub mod engine_estimates;
 pub mod evacuation;
 pub mod events;
 pub mod prompt;
--- a/crates/router/tests/evacuation.rs
+++ b/crates/router/tests/evacuation.rs
@@ -50,6 +50,7 @@
                 parts: Vec::new(),
                 arrived: story.now,
                 deadline: *deadline,
+                leaves_at: *deadline,
                 objective: 1_000,
                 load_ms: None,
                 returned: false,
--- a/crates/system/src/core/brick_json.rs
+++ b/crates/system/src/core/brick_json.rs
@@ -1,5 +1,6 @@
 //! What bricks say of themselves, as JSON: heartbeats and reports.
 
+use pathbank_control::order_progress::BrickContents;
 use pathbank_protocol::message::{Brick, BrickState, LoadedModel};
 use serde::{Deserialize, Serialize};
 
@@ -13,6 +14,12 @@
     adapters: Vec<String>,
 }
 
+impl From<LoadedModel> for ModelJson {
+    fn from(held: LoadedModel) -> ModelJson {
+        ModelJson { name: held.name, version: held.version, adapters: held.adapters }
+    }
+}
+
 impl From<ModelJson> for LoadedModel {
     fn from(json: ModelJson) -> LoadedModel {
         LoadedModel { name: json.name, version: json.version, adapters: json.adapters }
@@ -81,6 +88,18 @@
 }
 
 impl ReportJson {
+    /// What a brick with such contents would report.
+    pub fn of(contents: BrickContents) -> ReportJson {
+        let models = contents.models.into_iter().map(ModelJson::from).collect();
+        let BrickContents { busy, sequence, .. } = contents;
+        ReportJson { models, busy, sequence, active: 0, queued: 0 }
+    }
+
+    /// What it says that the brick holds.
+    pub fn contents(&self) -> BrickContents {
+        BrickContents { models: self.models().collect(), sequence: self.sequence, busy: self.busy }
+    }
+
     /// What the brick holds.
     pub fn models(&self) -> impl Iterator<Item = LoadedModel> {
         self.models.iter().cloned().map(LoadedModel::from)
@@ -101,11 +120,6 @@
 
 impl From<Brick> for BrickView {
     fn from(brick: Brick) -> BrickView {
-        let model = |model: LoadedModel| ModelJson {
-            name: model.name,
-            version: model.version,
-            adapters: model.adapters,
-        };
         BrickView {
             instance: brick.instance,
             backend: brick.backend,
@@ -117,7 +131,7 @@
                 BrickState::Gone => "gone",
             },
             capacity: brick.capacity,
-            models: brick.models.into_iter().map(model).collect(),
+            models: brick.models.into_iter().map(ModelJson::from).collect(),
         }
     }
 }
--- a/crates/system/src/core/node/leadership.rs
+++ b/crates/system/src/core/node/leadership.rs
@@ -4,19 +4,20 @@
 use crate::clock;
 use crate::core::brick_json::ReportJson;
 use crate::core::duties;
-use crate::core::orders::{self, Authority, OrderEnd};
+use crate::core::orders::{self, Assignment, Authority, LeaseEnd, OrderEnd};
 use crate::core::training::lead::Training;
 use crate::startup::Milestone;
 use pathbank_control::admission::AdmissionController;
 use pathbank_control::autoscaling::{Autoscaler, ScaleOrder};
 use pathbank_control::configuration::Runtime;
+use pathbank_control::order_progress::BrickContents;
 use pathbank_control::placement::{Operation, Order, Placer};
 use pathbank_control::state::Command;
 use pathbank_control::usage::{HEAR_FIRST_MS, SealRule};
 use pathbank_coordination::fencing::{Fence, Permit};
 use pathbank_coordination::types::Term;
-use pathbank_protocol::message::Brick;
-use std::collections::BTreeSet;
+use pathbank_protocol::message::{Brick, Frame};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -24,7 +25,7 @@
 /// How often placement is looked at without news, milliseconds.
 const PLACE_EVERY: u64 = 500;
 /// With news it is looked at again after this, milliseconds.
-const PLACE_APART: u64 = 100;
+const PLACE_APART: u64 = 20;
 /// And after so many times what the last look took: links, votes and callers wait meanwhile.
 const PLACE_PAUSES: u64 = 10;
 /// How often usage is looked at, milliseconds.
@@ -43,10 +44,12 @@
     pub autoscaler: Autoscaler,
     pub admission: AdmissionController,
     pub training: Training,
-    /// The term that `placer`, `autoscaler`, `admission`, `training`, `reported` and `told_by` belong to, and when it was
+    /// The term that `placer`, `autoscaler`, `admission`, `training`, `reported`, `contents` and `told_by` belong to, and when it was
     /// seen first.
     term: Term,
     term_seen: u64,
+    /// What bricks hold by the ends of this leader's orders there.
+    pub contents: BTreeMap<String, BrickContents>,
     /// Edges that have told this leader their counts.
     told_by: BTreeSet<String>,
     /// Windows that are reported, or being reported.
@@ -55,6 +58,8 @@
     sealing: u64,
     /// Set for all that act in this leadership's name once it is over.
     revoked: Arc<AtomicBool>,
+    /// Until when they may act, extended with this leadership's lease.
+    lease: Arc<LeaseEnd>,
     place_at: u64,
     /// With news it is not looked at before this.
     place_not_before: u64,
@@ -72,10 +77,12 @@
             training: Training::default(),
             term: 0,
             term_seen: 0,
+            contents: BTreeMap::new(),
             told_by: BTreeSet::new(),
             reported: BTreeSet::new(),
             sealing: 0,
             revoked: Arc::default(),
+            lease: Arc::default(),
             place_at: 0,
             place_not_before: 0,
             usage_at: 0,
@@ -86,6 +93,7 @@
     /// This machine leads no more: what still acts in its name ends.
     pub fn revoke(&mut self) {
         std::mem::take(&mut self.revoked).store(true, Ordering::Release);
+        self.lease = Arc::default();
     }
 
     /// A window's usage was taken by the platform, or has to be reported again.
@@ -114,8 +122,10 @@
     /// A new term begins without what the one before knew.
     pub(super) fn enter_term(&mut self, now: u64, term: Term) {
         if self.term != term {
+            self.revoke();
             (self.term, self.term_seen, self.sealing) = (term, now, 0);
             self.told_by.clear();
+            self.contents.clear();
             self.placer = Placer::new();
             self.autoscaler = Autoscaler::new();
             self.admission = AdmissionController::default();
@@ -136,6 +146,7 @@
         let turn_wait = self.settings.bounds.lease_ms;
         let permit = self.leadership.fence.permit(&self.settings.node_name, term, lease, turn_wait, now)?;
         self.leadership.enter_term(now, term);
+        self.leadership.lease.extend(permit.until);
         Some(permit)
     }
 
@@ -143,7 +154,7 @@
         Authority {
             lease_holder: self.settings.node_name.clone(),
             fencing_token: permit.fencing_token,
-            until: permit.until,
+            lease: self.leadership.lease.clone(),
             revoked: self.leadership.revoked.clone(),
         }
     }
@@ -180,6 +191,12 @@
         let bricks: Vec<Brick> = self.directory.ready().collect();
         let orders =
             self.leadership.placer.plan(now, backends, &bricks, &self.demand, self.directory.held_before());
+        let expected = self.leadership.placer.expected(now, &orders);
+        if !expected.is_empty() {
+            let frame = Frame::ExpectedModels(expected);
+            self.publish_to_subscribers(&frame);
+            self.mesh.send_to_all(&frame);
+        }
         let authority = self.authority(permit);
         for order in orders {
             self.give(order, authority.clone());
@@ -196,8 +213,11 @@
         };
         self.startup.reach(Milestone::Ordered);
         let (pool, events) = (self.pool.clone(), self.events.clone());
+        let known = self.leadership.contents.remove(&order.instance);
+        let version = self.directory.newest_version(&order.model);
+        let assignment = Assignment { order, runtime, authority, known, version };
         tokio::spawn(async move {
-            let end = orders::carry_out(pool, order, runtime, authority).await;
+            let end = orders::carry_out(pool, assignment).await;
             let _ = events.send(Event::OrderEnded(Box::new(end)));
         });
     }
@@ -210,8 +230,29 @@
     }
 
     pub(super) fn on_order_ended(&mut self, end: OrderEnd) {
-        let OrderEnd { order, report } = end;
+        let now = clock::now();
+        let OrderEnd { order, report, took_ms } = end;
+        let ended_after_ms = self.leadership.placer.took(now, &order.instance);
+        let Order { instance, operation, model, adapter, expected_ms, .. } = &order;
+        let reported = report.is_some();
+        tracing::debug!(
+            instance,
+            ?operation,
+            model,
+            adapter,
+            expected_ms,
+            ?took_ms,
+            ended_after_ms,
+            reported,
+            "order ended"
+        );
+        if let Some(took_ms) = took_ms {
+            self.leadership.placer.was_done(now, &order, took_ms);
+        }
         self.leadership.placer.finished(&order.instance);
+        if let Some(report) = &report {
+            self.leadership.contents.insert(order.instance.clone(), report.contents());
+        }
         self.order_is_known(&order.instance, report);
     }
 
@@ -220,7 +261,7 @@
         self.directory.release(instance);
         let reported = report.is_some();
         if let Some(report) = report {
-            self.directory.reported(instance, report.models().collect(), report.busy);
+            self.directory.reported(clock::now(), instance, report.models().collect(), report.busy);
         }
         self.publish_order_update(instance, reported);
         self.place_soon(clock::now());
--- a/crates/system/src/core/node/links.rs
+++ b/crates/system/src/core/node/links.rs
@@ -95,7 +95,7 @@
             Frame::DrawRequest(request) => self.on_draw_request(now, id, request),
             Frame::DrawResult(result) => self.on_draw_result(now, result),
             // The leader's word, passed on to the edges that listen here.
-            Frame::Loads(_) => self.publish_to_subscribers(&frame),
+            Frame::Loads(_) | Frame::ExpectedModels(_) => self.publish_to_subscribers(&frame),
             Frame::Hello(_)
             | Frame::Configuration(_)
             | Frame::Bricks(_)
--- a/crates/system/src/core/node/training.rs
+++ b/crates/system/src/core/node/training.rs
@@ -5,7 +5,7 @@
 
 use super::{Event, Node};
 use crate::core::brick_json::ReportJson;
-use crate::core::orders::{self, Authority, OrderEnd};
+use crate::core::orders::{self, Assignment, Authority, OrderEnd};
 use crate::core::training::lead::{ASK_CHANGING_EVERY, ASK_EVERY, ChangePhase, LOOK_EVERY, ModelTraining};
 use pathbank_control::configuration::Runtime;
 use pathbank_control::placement::{Operation, Order};
@@ -219,14 +219,16 @@
         let Some(runtime) = self.runtime_of(&order.instance) else { return };
         tracing::info!(worker = order.instance, model = order.model, operation = ?order.operation, "version order");
         let (pool, events) = (self.pool.clone(), self.events.clone());
+        self.leadership.contents.remove(&order.instance);
+        let assignment = Assignment { order, runtime, authority, known: None, version: 0 };
         tokio::spawn(async move {
-            let end = orders::carry_out(pool, order, runtime, authority).await;
+            let end = orders::carry_out(pool, assignment).await;
             let _ = events.send(Event::VersionOrderEnded(Box::new(end)));
         });
     }
 
     pub(super) fn on_version_order_ended(&mut self, now: u64, end: OrderEnd) {
-        let OrderEnd { order, report } = end;
+        let OrderEnd { order, report, .. } = end;
         let has_dropped = report
             .as_ref()
             .is_some_and(|report| !report.busy && !report.models().any(|held| held.name == order.model));
--- a/crates/system/src/core/orders.rs
+++ b/crates/system/src/core/orders.rs
@@ -7,18 +7,23 @@
 use http_body_util::Full;
 use hyper::Request;
 use pathbank_control::configuration::Runtime;
+use pathbank_control::order_progress::{self, BrickContents, Progress};
 use pathbank_control::placement::{Operation, Order};
-use pathbank_protocol::message::LoadedModel;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 const CALL_WITHIN: Duration = Duration::from_millis(1_500);
-/// Reports tell how things stood some hundred milliseconds earlier.
-const REPORT_LAG_MS: u64 = 160;
-/// An order that is under way is asked about this often.
+/// Reports tell how things stood some hundred milliseconds earlier: one asked for after this tells of an order's start.
+const REPORT_LAG: Duration = Duration::from_millis(250);
+/// An order that takes longer than expected is asked about this often.
 const ASK_EVERY: Duration = Duration::from_millis(250);
+/// Before that it is given again so often, each time after this part of the time that it has taken, for its answer tells
+/// how things stand now.
+const REPEATS: u32 = 3;
+const REPEAT_AFTER: f64 = 0.1;
+const LEAST_REPEAT: Duration = Duration::from_millis(15);
 /// An order whose end is not known after this, beyond its expected time, is given up.
 const GIVE_UP_MS: u64 = 20_000;
 
@@ -29,71 +34,188 @@
     pub lease_holder: String,
     /// Its fencing token.
     pub fencing_token: u64,
-    /// No call leaves after this.
-    pub until: u64,
+    /// The lease: it is renewed while this machine leads.
+    pub lease: Arc<LeaseEnd>,
     /// Set once this machine leads no more: after it handed over, another one acts before this lease is over.
     pub revoked: Arc<AtomicBool>,
 }
 
+/// Until when calls may leave in the name of one leadership.
+#[derive(Debug, Default)]
+pub struct LeaseEnd(AtomicU64);
+
+impl LeaseEnd {
+    /// The lease was renewed, or began.
+    pub fn extend(&self, until: u64) {
+        self.0.fetch_max(until, Ordering::AcqRel);
+    }
+}
+
 impl Authority {
     /// Whether a call may leave now.
     pub fn holds(&self) -> bool {
-        clock::now() < self.until && !self.revoked.load(Ordering::Acquire)
+        clock::now() < self.lease.0.load(Ordering::Acquire) && !self.revoked.load(Ordering::Acquire)
     }
 }
 
+/// An order, and what has to be known to give it.
+#[derive(Clone, Debug)]
+pub struct Assignment {
+    /// The order.
+    pub order: Order,
+    /// What the brick can hold.
+    pub runtime: Arc<Runtime>,
+    /// In whose name it is given.
+    pub authority: Authority,
+    /// What the brick holds by the end of this leader's last order there; `None`: it is asked.
+    pub known: Option<BrickContents>,
+    /// The version of the weights that a load brings in, as far as is known.
+    pub version: u64,
+}
+
 /// What became of an order.
 #[derive(Debug)]
 pub struct OrderEnd {
     /// The order.
     pub order: Order,
-    /// What the brick holds now, if it told.
+    /// How the brick stands now, if that is known.
     pub report: Option<ReportJson>,
+    /// How long the order took, if it was seen to be done, milliseconds.
+    pub took_ms: Option<u64>,
+}
+
+impl OrderEnd {
+    fn unknown(order: Order) -> OrderEnd {
+        OrderEnd { order, report: None, took_ms: None }
+    }
+
+    fn told(order: Order, report: ReportJson) -> OrderEnd {
+        OrderEnd { order, report: Some(report), took_ms: None }
+    }
 }
 
 /// Gives an order and follows it to its end.
 ///
 /// A load is given only on what the brick itself reports, and only if it took no order since: another leader's order,
 /// or one of this leader's whose answer was lost, may have filled it.
-pub async fn carry_out(
+pub async fn carry_out(pool: ConnectionPool, assignment: Assignment) -> OrderEnd {
+    let Assignment { order, runtime, authority, known, version } = assignment;
+    let Ok(address) = order.address.parse::<SocketAddr>() else { return OrderEnd::unknown(order) };
+    let before = match known {
+        Some(known) => known,
+        None => match report(&pool, address, &order.instance).await {
+            Some(report) => report.contents(),
+            None => return OrderEnd::unknown(order),
+        },
+    };
+    if before.busy || order.operation == Operation::Load && !order.fits(&runtime, &before.models) {
+        let stands = report(&pool, address, &order.instance).await;
+        return OrderEnd { order, report: stands, took_ms: None };
+    }
+    let follower = Follower { pool, address, order, authority, before, version, given: clock::now() };
+    match follower.give(Some(follower.before.sequence)).await {
+        Given::Taken => follower.follow().await,
+        Given::Holds => OrderEnd::told(follower.order.clone(), follower.done()),
+        Given::TurnedAway(status) => {
+            tracing::warn!(instance = follower.order.instance, status, "order turned away");
+            OrderEnd::unknown(follower.order)
+        }
+        // Another order is under way, or was taken since: what the brick holds is not what was thought.
+        Given::Conflict => {
+            tokio::time::sleep(REPORT_LAG).await;
+            let report = follower.report().await;
+            OrderEnd { order: follower.order, report, took_ms: None }
+        }
+        Given::Unclear => follower.follow_by_reports().await,
+    }
+}
+
+/// What the answer to an order says.
+enum Given {
+    /// It is being done.
+    Taken,
+    /// It holds already.
+    Holds,
+    /// Another order is under way, or the brick took one that was not known of.
+    Conflict,
+    /// The same order would be turned away again.
+    TurnedAway(u16),
+    /// It may have been taken.
+    Unclear,
+}
+
+/// Follows one order to its end.
+struct Follower {
     pool: ConnectionPool,
+    address: SocketAddr,
     order: Order,
-    runtime: Arc<Runtime>,
     authority: Authority,
-) -> OrderEnd {
-    let Ok(address) = order.address.parse::<SocketAddr>() else { return OrderEnd { order, report: None } };
-    let mut revision = None;
-    if order.operation == Operation::Load {
-        let Some(before) = report(&pool, address, &order.instance).await else {
-            return OrderEnd { order, report: None };
-        };
-        let held: Vec<LoadedModel> = before.models().collect();
-        if before.busy || !order.fits(&runtime, &held) {
-            return OrderEnd { order, report: Some(before) };
+    /// What the brick held before.
+    before: BrickContents,
+    version: u64,
+    given: u64,
+}
+
+impl Follower {
+    async fn give(&self, revision: Option<u64>) -> Given {
+        let request = order_request(&self.order, revision, &self.authority);
+        let answer = self.pool.call_once(self.address, request, CALL_WITHIN, || self.authority.holds()).await;
+        let status = answer.as_ref().map(|(status, _)| *status);
+        let Order { instance, operation, model, adapter, .. } = &self.order;
+        tracing::debug!(instance, ?operation, model, adapter, ?status, "order");
+        match status {
+            Some(200) => Given::Holds,
+            Some(202) => Given::Taken,
+            Some(409) => Given::Conflict,
+            Some(status @ (400 | 412 | 421)) => Given::TurnedAway(status),
+            Some(_) | None => Given::Unclear,
         }
-        revision = Some(before.sequence);
     }
-    let given = clock::now();
-    let request = order_request(&order, revision, &authority);
-    let answer = pool.call_once(address, request, CALL_WITHIN, || authority.holds()).await;
-    let status = answer.as_ref().map(|(status, _)| *status);
-    tracing::debug!(instance = order.instance, operation = ?order.operation, model = order.model, adapter = order.adapter, ?status, "order");
-    let turned_away = matches!(status, Some(400 | 412 | 421));
-    if turned_away {
-        tracing::warn!(instance = order.instance, ?status, "order turned away");
-        return OrderEnd { order, report: None };
+
+    async fn report(&self) -> Option<ReportJson> {
+        report(&self.pool, self.address, &self.order.instance).await
+    }
+
+    /// The brick as it stands once the order is done.
+    fn done(&self) -> ReportJson {
+        ReportJson::of(order_progress::after(&self.order, self.before.clone(), self.version))
+    }
+
+    /// The order was taken. Given again when it should be done, it is answered by how things stand then.
+    async fn follow(self) -> OrderEnd {
+        tokio::time::sleep(Duration::from_millis(self.order.expected_ms)).await;
+        if self.order.report_only {
+            return self.follow_by_reports().await;
+        }
+        for repeat in 0..REPEATS {
+            let asked_ms = clock::now().saturating_sub(self.given);
+            match self.give(None).await {
+                Given::Holds => {
+                    // Done at the first look: it may have been done for a while.
+                    let took_ms =
+                        Some(if repeat == 0 { order_progress::earlier(asked_ms) } else { asked_ms });
+                    return OrderEnd { report: Some(self.done()), order: self.order, took_ms };
+                }
+                Given::Conflict | Given::Taken => {}
+                Given::TurnedAway(_) | Given::Unclear => break,
+            }
+            let taken = Duration::from_millis(clock::now().saturating_sub(self.given));
+            tokio::time::sleep(taken.mul_f64(REPEAT_AFTER).max(LEAST_REPEAT)).await;
+        }
+        self.follow_by_reports().await
     }
-    let expected = order.expected_ms * 9 / 10;
-    tokio::time::sleep(Duration::from_millis(expected.max(REPORT_LAG_MS))).await;
-    while clock::now() < given + order.expected_ms + GIVE_UP_MS {
-        match report(&pool, address, &order.instance).await {
-            Some(report) if !report.busy => return OrderEnd { order, report: Some(report) },
-            Some(_) => {}
-            None => return OrderEnd { order, report: None },
+
+    /// Asks the brick until it tells of the order's end.
+    async fn follow_by_reports(self) -> OrderEnd {
+        while clock::now() < self.given + self.order.expected_ms + GIVE_UP_MS {
+            let Some(report) = self.report().await else { break };
+            match order_progress::judge(&self.order, self.before.sequence, &report.contents()) {
+                Progress::Done | Progress::Undone => return OrderEnd::told(self.order, report),
+                Progress::TooOld | Progress::UnderWay => tokio::time::sleep(ASK_EVERY).await,
+            }
         }
-        tokio::time::sleep(ASK_EVERY).await;
+        OrderEnd::unknown(self.order)
     }
-    OrderEnd { order, report: None }
 }
 
 /// How a brick stands, by its own word; `None`: it did not answer, or is another incarnation.
--- a/crates/system/src/edge/core_links.rs
+++ b/crates/system/src/edge/core_links.rs
@@ -125,6 +125,7 @@
         Frame::DrawOffer(offer) => generation::offered(shared, address, offer),
         Frame::DrawGrant(grant) => generation::granted(shared, grant),
         Frame::ModelVersions(versions) => shared.model_versions.store(Arc::new(versions)),
+        Frame::ExpectedModels(models) => shared.deciding().dispatcher.note_expected(clock::now(), models),
         Frame::Loads(loads) => shared.deciding().dispatcher.note_totals(clock::now(), &loads),
         _ => {}
     }
--- a/crates/system/src/edge/job.rs
+++ b/crates/system/src/edge/job.rs
@@ -56,6 +56,11 @@
 const DEFAULT_BODY_BYTES: u64 = 4 * 1024 * 1024;
 /// The answer is out so long before the time is up, milliseconds.
 const ANSWER_MARGIN: u64 = 20;
+/// Clients leave a stream that is silent for the longest of this, so many objectives, and so many of the pauses that are in
+/// time.
+const SILENCE_MS: u64 = 2_000;
+const SILENCE_OBJECTIVES: f64 = 4.0;
+const SILENCE_PAUSES: f64 = 8.0;
 /// A client that waits for less than this part of its route's time has tried before.
 const RETURNED_PART: f64 = 0.97;
 
@@ -278,6 +283,17 @@
         self.sends < self.route.max_attempts.unwrap_or(1).max(1) && clock::now() < self.deadline
     }
 
+    /// When the client leaves if nothing of an answer has come.
+    fn leaves_at(&self) -> u64 {
+        if self.route.kind != RouteType::Streaming {
+            return self.deadline;
+        }
+        let objectives = (SILENCE_OBJECTIVES * self.route.target_latency_ms) as u64;
+        let pauses = (SILENCE_PAUSES * self.route.gap_aim_ms.unwrap_or(0.0)) as u64;
+        let silence = SILENCE_MS.max(objectives).max(pauses);
+        self.deadline.min(self.arrived + silence.saturating_sub(ANSWER_MARGIN))
+    }
+
     pub(super) fn offer(&self, id: u64) -> Offer {
         let parts = text(&self.headers, &PROMPT_PREFIX).map(parse_parts).unwrap_or_default();
         Offer {
@@ -289,6 +305,7 @@
             parts,
             arrived: self.arrived,
             deadline: self.deadline,
+            leaves_at: self.leaves_at(),
             objective: self.route.target_latency_ms as u64,
             load_ms: self.load_ms,
             returned: self.returned,
--- a/crates/system/src/edge/proxy.rs
+++ b/crates/system/src/edge/proxy.rs
@@ -112,7 +112,8 @@
         return Try::NotRun(None);
     };
     let (id, name) = job.told();
-    tracing::debug!(id, ?name, instance, %address, sends = job.sends, "sent to a brick");
+    let waited_ms = clock::now().saturating_sub(job.arrived());
+    tracing::debug!(id, ?name, instance, %address, sends = job.sends, waited_ms, "sent to a brick");
     job.note(shared, Step::Sent { instance: instance.clone() });
     shared.startup.reach(Milestone::Sent);
     let request = job.request(&instance);
@@ -152,8 +153,8 @@
     mut ticket: Ticket,
 ) -> Try {
     job.sends += 1;
-    shared.deciding().dispatcher.began(ticket.id());
     let headers = exchange.response.headers();
+    shared.deciding().dispatcher.began(clock::now(), ticket.id(), exchange.response.status().is_success());
     note_load(shared, &instance, headers);
     let own_id = headers.get(REQUEST_ID) == job.headers.get(REQUEST_ID);
     // An answer without a length ends with its connection. Read whole before it goes on, it is complete unless that was
@@ -177,6 +178,8 @@
             // It may hold the model, in another version.
             (true, Some(_)) => BrickOutcome::Abandoned,
         });
+        let (id, name) = job.told();
+        tracing::debug!(id, ?name, instance, status = status.as_u16(), "not run at its brick");
         job.note(shared, Step::NotRun);
         job.tried.insert(instance);
         let whole = tokio::time::timeout(clock::until(job.deadline), relay::whole(shared, exchange));
--- a/crates/system/src/edge/shared.rs
+++ b/crates/system/src/edge/shared.rs
@@ -16,6 +16,7 @@
 use pathbank_router::core_choice::CoreChoice;
 use pathbank_router::dispatcher::{Action, Dispatcher, Offer, RequestId};
 use pathbank_router::evacuation::EventRate;
+use pathbank_router::prompt::ModelName;
 use pathbank_router::request_log::{RequestLog, Step};
 use pathbank_router::retry_budget::{BudgetBounds, RetryBudget};
 use pathbank_router::usage::UsageCounter;
@@ -263,6 +264,13 @@
         self.carry_out(deciding, actions);
     }
 
+    /// What a request that is at no brick waits for, and since when it has been here.
+    pub fn waiting(&self, id: RequestId) -> Option<(ModelName, u64, &'static str)> {
+        let deciding = self.deciding();
+        let (offer, stage) = deciding.dispatcher.waiting(id)?;
+        Some((offer.name.clone(), clock::now().saturating_sub(offer.arrived), stage))
+    }
+
     /// Time has passed.
     pub fn tick(&self, now: u64) {
         let mut deciding = self.deciding();
--- a/crates/system/src/edge/ticket.rs
+++ b/crates/system/src/edge/ticket.rs
@@ -44,6 +44,11 @@
 
 impl Drop for Ticket {
     fn drop(&mut self) {
+        if self.open
+            && let Some((name, waited_ms, stage)) = self.shared.waiting(self.id)
+        {
+            tracing::debug!(request = self.id, ?name, waited_ms, stage, "its client left while it waited");
+        }
         self.end(BrickOutcome::Abandoned);
     }
 }
--- a/crates/system/src/rehearsal/hollow.rs
+++ b/crates/system/src/rehearsal/hollow.rs
@@ -60,6 +60,7 @@
             arrived: 1,
             tokens: 2_000,
             waiting: 0,
+            ..ModelDemand::default()
         };
         let load = |_| BrickLoad {
             instance: format!("i-{}", fastrand::usize(0..bricks.max(1))),
--- a/crates/system/tests/fleet/brick.rs
+++ b/crates/system/tests/fleet/brick.rs
@@ -42,6 +42,8 @@
     pub trouble: Option<Trouble>,
     /// Until when prompts are being read.
     reads_until: u64,
+    /// When each prompt that is being read is read.
+    reading: BTreeMap<u64, u64>,
     /// When each running request ends.
     pub running: BTreeMap<u64, u64>,
     /// A load under way: the model, and its end.
@@ -75,6 +77,7 @@
             told,
             trouble: None,
             reads_until: 0,
+            reading: BTreeMap::new(),
             running: BTreeMap::new(),
             loading: None,
             closed_since: None,
@@ -109,10 +112,19 @@
             return Arrival::Full;
         }
         self.reads_until = self.reads_until.max(now) + READ_MS;
+        self.reading.insert(request, self.reads_until);
         self.running.insert(request, self.reads_until + answer_ms);
         Arrival::Runs
     }
 
+    /// Requests whose answers begin now.
+    pub fn began(&mut self, now: u64) -> Vec<u64> {
+        let read: Vec<u64> =
+            self.reading.iter().filter(|(_, read)| **read <= now).map(|(id, _)| *id).collect();
+        self.reading.retain(|_, read| *read > now);
+        read
+    }
+
     /// Requests whose answers are whole now.
     pub fn finished(&mut self, now: u64) -> Vec<u64> {
         let done: Vec<u64> = self.running.iter().filter(|(_, end)| **end <= now).map(|(id, _)| *id).collect();
