Estimates and order times are told to operators; stories of both

Cause: nobody could see what a head takes a brick's engine for, nor how long the leader takes orders to last. Change: /api/estimates at an edge head, order_times in the leader's placement; stories of drifts, steps, outliers, silence, lies, of reports older than an order, of late heartbeats, and of refusals by what is on its way. Measured: the new tests pass; no decision changed.

--- a/crates/control/src/order_progress.rs
+++ b/crates/control/src/order_progress.rs
@@ -132,6 +132,16 @@
         (MARGIN * expected).ceil() as Millis
     }
 
+    /// How long each kind of order takes: loads as so many times what the configuration tells, others in milliseconds.
+    pub fn learned(&self, now: Millis) -> [(OrderKind, f64); 4] {
+        [
+            (OrderKind::Fetch, self.fetch.value(now, LOAD_FACTOR)),
+            (OrderKind::Reload, self.reload.value(now, RELOAD_FACTOR)),
+            (OrderKind::Adapter, self.adapter.value(now, ADAPTER_MS)),
+            (OrderKind::Unload, self.unload.value(now, UNLOAD_MS)),
+        ]
+    }
+
     /// An order was seen to be done after so many milliseconds.
     pub fn note(&mut self, now: Millis, kind: OrderKind, told_ms: Millis, took_ms: Millis) {
         let (took, told) = (took_ms as f64, told_ms as f64);
--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -318,6 +318,11 @@
         self.reserved.iter().map(|(instance, reservation)| (instance.as_str(), reservation.model.as_str()))
     }
 
+    /// How long orders take, by what was seen of them.
+    pub fn times(&self) -> &OrderTimes {
+        &self.times
+    }
+
     /// Orders under way.
     pub fn under_way(&self) -> impl Iterator<Item = &Order> {
         self.under_way.values()
--- a/crates/control/tests/bricks.rs
+++ b/crates/control/tests/bricks.rs
@@ -200,6 +200,24 @@
     assert_eq!(told.models.iter().map(|held| held.name.as_str()).collect::<Vec<_>>(), ["n", "o"]);
 }
 
+/// A heartbeat that a brick had written before an order was done brought back what it had dropped: for a second heads sent it
+/// requests that it turned away.
+#[test]
+fn a_heartbeat_as_old_as_the_end_of_an_order_does_not_undo_it() {
+    let mut directory = Directory::new(HEARTBEAT);
+    directory.heard(0, brick(1, &["a", "b"]));
+    directory.withhold("i-1", "a", "");
+    directory.reported(1_000, "i-1", brick(1, &["b"]).models, false);
+    directory.release("i-1");
+    let names = |directory: &Directory| -> Vec<String> {
+        directory.brick("i-1").unwrap().models.into_iter().map(|held| held.name).collect()
+    };
+    directory.heard(1_100, later(brick(1, &["a", "b"]), 2, BrickState::Ready));
+    assert_eq!(names(&directory), ["b"]);
+    directory.heard(2_300, later(brick(1, &["a", "b"]), 3, BrickState::Ready));
+    assert_eq!(names(&directory), ["a", "b"], "its later word counts");
+}
+
 #[test]
 fn what_a_leader_withheld_that_is_gone_lapses() {
     let mut leader = Directory::new(HEARTBEAT);
--- /dev/null
+++ b/crates/control/tests/estimate.rs
@@ -0,0 +1,96 @@
+//! Stories of what is seen of bricks, and what is made of it.
+
+use pathbank_control::estimate::{Estimate, EstimateTable, Prior};
+use test_case::test_case;
+
+const PRIOR: Prior = Prior { start: 16.0, least: 1.0, most: 200.0 };
+const EVERY: u64 = 500;
+
+fn when_seen(estimate: &mut Estimate, from: u64, samples: &[f64]) -> u64 {
+    let mut now = from;
+    for sample in samples {
+        now += EVERY;
+        estimate.note(now, PRIOR, *sample);
+    }
+    now
+}
+
+fn is_near(value: f64, expected: f64) -> bool {
+    (value / expected).ln().abs() < 1.15_f64.ln()
+}
+
+#[test]
+fn before_anything_was_seen_it_is_the_start() {
+    let value = Estimate::default().value(1_000, PRIOR);
+    assert!((value - 16.0).abs() < 1e-9, "{value}");
+}
+
+#[test]
+fn it_follows_a_drift() {
+    let mut estimate = Estimate::default();
+    let samples: Vec<f64> = (0..200).map(|number| 20.0 + 0.1 * f64::from(number)).collect();
+    let now = when_seen(&mut estimate, 0, &samples);
+    assert!(is_near(estimate.value(now, PRIOR), 40.0), "{}", estimate.value(now, PRIOR));
+}
+
+#[test_case(10.0, 40.0; "exchanged for a faster one")]
+#[test_case(40.0, 10.0; "exchanged for a slower one")]
+fn a_step_is_followed_within_a_few_samples(before: f64, after: f64) {
+    let mut estimate = Estimate::default();
+    let now = when_seen(&mut estimate, 0, &[before; 30]);
+    let now = when_seen(&mut estimate, now, &[after; 6]);
+    assert!((estimate.value(now, PRIOR) / after).ln().abs() < 1.4_f64.ln(), "{}", estimate.value(now, PRIOR));
+}
+
+#[test]
+fn one_outlier_changes_little() {
+    let mut estimate = Estimate::default();
+    let now = when_seen(&mut estimate, 0, &[20.0; 30]);
+    let before = estimate.value(now, PRIOR);
+    let now = when_seen(&mut estimate, now, &[190.0]);
+    assert!(is_near(estimate.value(now, PRIOR), before));
+}
+
+#[test]
+fn after_a_silence_it_leans_on_its_start_again() {
+    let mut estimate = Estimate::default();
+    let now = when_seen(&mut estimate, 0, &[100.0; 30]);
+    let later = estimate.value(now + 600_000, PRIOR);
+    assert!(is_near(later, 16.0), "{later}");
+}
+
+#[test_case(1e12; "far too much")]
+#[test_case(f64::INFINITY; "no end")]
+#[test_case(f64::NAN; "no number")]
+#[test_case(0.0; "nothing")]
+#[test_case(-5.0; "less than nothing")]
+fn what_a_lying_brick_tells_stays_within_bounds(told: f64) {
+    let mut estimate = Estimate::default();
+    let now = when_seen(&mut estimate, 0, &[told; 50]);
+    let value = estimate.value(now, PRIOR);
+    assert!((PRIOR.least..=PRIOR.most).contains(&value), "{value}");
+}
+
+#[test]
+fn a_brick_of_which_little_was_seen_is_taken_to_be_like_the_others() {
+    let mut table: EstimateTable<String> = EstimateTable::new(PRIOR);
+    for number in 0..20 {
+        table.note(number * EVERY, &format!("i-{number}"), 60.0);
+    }
+    let now = 20 * EVERY;
+    assert!(is_near(table.value(now, "i-new"), 60.0), "{}", table.value(now, "i-new"));
+    (0..10).for_each(|number| table.note(now + number * EVERY, &"i-slow".to_owned(), 20.0));
+    assert!(is_near(table.value(now + 10 * EVERY, "i-slow"), 20.0));
+    let halfway = (20.0_f64 * 60.0).sqrt();
+    assert!(table.value(now + 10 * EVERY, "i-3") > halfway, "the others are as they were");
+}
+
+#[test]
+fn what_was_not_seen_for_long_is_forgotten() {
+    let mut table: EstimateTable<String> = EstimateTable::new(PRIOR);
+    table.note(0, &"i-1".to_owned(), 60.0);
+    table.tidy(1_000);
+    assert_eq!(table.iter(1_000).count(), 1);
+    table.tidy(600_000);
+    assert_eq!(table.iter(600_000).count(), 0);
+}
--- /dev/null
+++ b/crates/control/tests/order_progress.rs
@@ -0,0 +1,85 @@
+//! Stories of orders that bricks take, and of what they report meanwhile.
+
+use pathbank_control::order_progress::{
+    BrickContents, OrderKind, OrderTimes, Progress, after, earlier, holds, judge,
+};
+use pathbank_control::placement::{Operation, Order};
+use pathbank_protocol::message::LoadedModel;
+use test_case::test_case;
+
+fn order(operation: Operation, model: &str, adapter: &str) -> Order {
+    Order {
+        backend: "llm".into(),
+        instance: "i-1".into(),
+        address: "10.0.0.1:80".into(),
+        operation,
+        model: model.into(),
+        adapter: adapter.into(),
+        kind: OrderKind::Unload,
+        told_ms: 0,
+        expected_ms: 10,
+        report_only: false,
+    }
+}
+
+fn contents(sequence: u64, models: &[(&str, &[&str])], busy: bool) -> BrickContents {
+    let held = |(name, adapters): &(&str, &[&str])| LoadedModel {
+        name: (*name).into(),
+        version: 1,
+        adapters: adapters.iter().map(|adapter| (*adapter).into()).collect(),
+    };
+    BrickContents { models: models.iter().map(held).collect(), sequence, busy }
+}
+
+/// Heads offered a model at bricks that had dropped it: a brick's report, a fifth of a second old, showed no order under way
+/// and the model still there, for it was made before the order came. It was taken for the order's end, and the model was
+/// told to all heads again.
+#[test]
+fn a_report_that_is_older_than_the_order_tells_nothing_of_its_end() {
+    let unload = order(Operation::Unload, "a", "");
+    assert_eq!(judge(&unload, 4, &contents(4, &[("a", &[])], false)), Progress::TooOld);
+    assert_eq!(judge(&unload, 4, &contents(5, &[("a", &[])], true)), Progress::UnderWay);
+    assert_eq!(judge(&unload, 4, &contents(5, &[], false)), Progress::Done);
+    assert_eq!(judge(&unload, 4, &contents(6, &[("a", &[])], false)), Progress::Undone);
+}
+
+#[test_case(Operation::Load, "b", "", &[("a", &["a1"]), ("b", &[])]; "a model comes")]
+#[test_case(Operation::Load, "a", "a2", &[("a", &["a1", "a2"])]; "an adapter comes")]
+#[test_case(Operation::Unload, "a", "a1", &[("a", &[])]; "an adapter goes")]
+#[test_case(Operation::Unload, "a", "", &[]; "a model goes with its adapters")]
+#[test_case(Operation::Load, "a", "a1", &[("a", &["a1"])]; "what is there stays")]
+fn what_a_brick_holds_after_an_order(
+    operation: Operation,
+    model: &str,
+    adapter: &str,
+    expected: &[(&str, &[&str])],
+) {
+    let order = order(operation, model, adapter);
+    let done = after(&order, contents(4, &[("a", &["a1"])], true), 1);
+    assert_eq!(done, contents(5, expected, false));
+    assert!(holds(&order, &done.models));
+}
+
+#[test]
+fn the_time_of_orders_is_learned_from_those_that_were_done() {
+    let mut times = OrderTimes::default();
+    let before = times.expected(0, OrderKind::Fetch, 4_000);
+    assert!((4_000..=4_400).contains(&before), "what the configuration tells: {before}");
+    (0..10).for_each(|number| times.note(number * 5_000, OrderKind::Fetch, 4_000, 8_000));
+    let learned = times.expected(50_000, OrderKind::Fetch, 2_000);
+    assert!((3_400..=4_400).contains(&learned), "twice as long as it tells: {learned}");
+    assert!(times.expected(50_000, OrderKind::Adapter, 0) < 100, "others are as before");
+}
+
+#[test]
+fn an_order_that_was_done_at_the_first_look_is_looked_at_a_little_earlier_next_time() {
+    let mut times = OrderTimes::default();
+    for number in 0..60 {
+        let looked = times.expected(number * 100, OrderKind::Adapter, 0);
+        // It takes 12 ms: what is looked at before is looked at again.
+        let took = if looked >= 12 { earlier(looked) } else { looked + 15 };
+        times.note(number * 100, OrderKind::Adapter, 0, took);
+    }
+    let settled = times.expected(6_000, OrderKind::Adapter, 0);
+    assert!((8..=22).contains(&settled), "{settled}");
+}
--- a/crates/router/src/dispatcher.rs
+++ b/crates/router/src/dispatcher.rs
@@ -193,6 +193,11 @@
         &self.bricks
     }
 
+    /// What this head has seen of the engines behind bricks.
+    pub fn engines(&self) -> &EngineEstimates {
+        &self.engines
+    }
+
     /// Requests that are not answered yet.
     pub fn open(&self) -> usize {
         self.held.len()
--- a/crates/router/src/engine_estimates.rs
+++ b/crates/router/src/engine_estimates.rs
@@ -85,6 +85,21 @@
         self.answer.of_all(now)
     }
 
+    /// Tokens of prompts that any brick reads in a millisecond, by model.
+    pub fn reading(&self, now: Millis) -> impl Iterator<Item = (&String, f64)> {
+        self.read.iter(now)
+    }
+
+    /// How many times as fast as others each brick reads.
+    pub fn bricks(&self, now: Millis) -> impl Iterator<Item = (&Instance, f64)> {
+        self.brick.iter(now)
+    }
+
+    /// For how long an answer takes a slot, by model, milliseconds.
+    pub fn answers(&self, now: Millis) -> impl Iterator<Item = (&String, f64)> {
+        self.answer.iter(now)
+    }
+
     /// Forgets what was not seen for long.
     pub fn tidy(&mut self, now: Millis) {
         self.read.tidy(now);
--- a/crates/router/tests/dispatch.rs
+++ b/crates/router/tests/dispatch.rs
@@ -1,7 +1,7 @@
 //! Stories of one head's dispatcher.
 
 use pathbank_control::result_code::ResultCode;
-use pathbank_protocol::message::{Brick, BrickLoad, BrickState, BrickUpdate, LoadedModel};
+use pathbank_protocol::message::{Brick, BrickLoad, BrickState, BrickUpdate, ExpectedModel, LoadedModel};
 use pathbank_router::bricks::BrickOutcome;
 use pathbank_router::dispatcher::{Action, Dispatcher, Offer};
 use pathbank_router::prompt::{ModelName, PromptPart};
@@ -196,6 +196,46 @@
     );
 }
 
+fn expected(model: &str, ready_in_ms: u32) -> Vec<ExpectedModel> {
+    vec![ExpectedModel { backend: "llm".into(), model: model.into(), ready_in_ms }]
+}
+
+/// Requests whose objective is longer than a load were sent away with the time of a whole load, came back after it, and earned
+/// half of what they would have earned by waiting.
+#[test]
+fn what_a_load_serves_within_its_objective_waits_for_it() {
+    let mut story = Story::given(vec![brick("i-1", &["b"])]);
+    let patient = Offer { objective: 4_000, ..offer(1, "a", story.now) };
+    story.dispatcher.offer(story.now, patient, true);
+    story.dispatcher.note_expected(story.now, expected("a", 2_000));
+    assert!(story.after(2_500).is_empty());
+    let loaded = Brick { sequence: 2, ..brick("i-1", &["a", "b"]) };
+    assert_eq!(sent(&story.told(vec![loaded])).len(), 1);
+}
+
+#[test]
+fn a_client_comes_back_when_the_leaders_load_is_done() {
+    let mut story = Story::given(vec![brick("i-1", &["b"])]);
+    story.asked(1, "a");
+    story.dispatcher.note_expected(story.now, expected("a", 2_400));
+    let refusals = refused(&story.after(170));
+    assert_eq!(refusals.len(), 1);
+    let (_, code, retry_after) = refusals[0];
+    assert_eq!(code, ResultCode::NoBrick);
+    assert!((2_200..=2_400).contains(&retry_after), "{retry_after}");
+}
+
+/// Clients leave a stream that is silent for long. Requests for a model on its way were held until their clients had gone, with
+/// nothing gained by either.
+#[test]
+fn a_request_that_its_client_leaves_before_the_load_is_refused_at_once() {
+    let mut story = Story::given(vec![brick("i-1", &["b"])]);
+    let returned = Offer { returned: true, leaves_at: story.now + 2_000, ..offer(1, "a", story.now) };
+    story.dispatcher.offer(story.now, returned, true);
+    story.dispatcher.note_expected(story.now, expected("a", 5_000));
+    assert_eq!(refused(&story.after(170)).len(), 1);
+}
+
 #[test]
 fn a_client_that_came_back_is_held_until_it_is_hopeless() {
     let mut story = Story::given(vec![brick("i-1", &["b"])]);
--- a/crates/system/src/core/node/overview.rs
+++ b/crates/system/src/core/node/overview.rs
@@ -61,7 +61,14 @@
         });
         let reserved =
             placer.reserved().map(|(instance, model)| json!({ "instance": instance, "model": model }));
+        let [fetch, reload, adapter, unload] = placer.times().learned(now).map(|(_, learned)| learned);
         let overview = json!({
+            "order_times": {
+                "fetch_factor": fetch,
+                "reload_factor": reload,
+                "adapter_ms": adapter,
+                "unload_ms": unload,
+            },
             "models": self.models(now),
             "orders": orders.collect::<Vec<_>>(),
             "reserved": reserved.collect::<Vec<_>>(),
--- a/crates/system/src/edge/status.rs
+++ b/crates/system/src/edge/status.rs
@@ -1,15 +1,17 @@
 //! What an edge head says of itself: whether clients should come, and what became of a request.
 
 use super::shared::Shared;
+use crate::clock;
 use pathbank_router::request_log::{Step, TimedStep};
 use serde_json::{Value, json};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use tokio::net::TcpListener;
 use viz::{IntoResponse, RequestExt, Response, ResponseExt, Router, StatusCode};
 
 /// Serves the platform's questions and operators' until the head ends.
 pub async fn serve(listener: TcpListener, shared: Arc<Shared>) {
-    let (of_readiness, of_startup) = (shared.clone(), shared.clone());
+    let (of_readiness, of_startup, of_estimates) = (shared.clone(), shared.clone(), shared.clone());
     let router = Router::new()
         .get("/api/readyz", move |_request: viz::Request| {
             let ready = of_readiness.is_ready();
@@ -22,6 +24,10 @@
             let milestones = of_startup.startup.to_json();
             async move { Ok::<_, viz::Error>(Response::json(milestones)?) }
         })
+        .get("/api/estimates", move |_request: viz::Request| {
+            let estimates = estimates(&of_estimates);
+            async move { Ok::<_, viz::Error>(Response::json(estimates)?) }
+        })
         .get("/api/requests/:id", move |request: viz::Request| {
             let answer = explain(&shared, &request);
             async move { Ok::<_, viz::Error>(answer) }
@@ -31,6 +37,21 @@
     }
 }
 
+/// What this head has seen of bricks, and decides by.
+fn estimates(shared: &Shared) -> Value {
+    let now = clock::now();
+    let deciding = shared.deciding();
+    let engines = deciding.dispatcher.engines();
+    let reading: BTreeMap<&String, f64> = engines.reading(now).collect();
+    let answers: BTreeMap<&String, f64> = engines.answers(now).collect();
+    let bricks: BTreeMap<&String, f64> = engines.bricks(now).collect();
+    json!({
+        "read_tokens_per_ms": reading,
+        "answer_ms": answers,
+        "brick_reading_factor": bricks,
+    })
+}
+
 /// The steps of a request that this head remembers.
 fn explain(shared: &Shared, request: &viz::Request) -> Response {
     let id: String = request.param("id").unwrap_or_default();
