--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -37,6 +37,8 @@
 const BLOCKED: f64 = 0.5;
 /// What a copy in a zone that has one already counts for when a load looks for its brick, requests a second.
 const SAME_ZONE: f64 = 0.1;
+/// A brick that fails this part of its requests serves none of its models.
+const FAILS_MOST: f64 = 0.5;
 /// For how long a cleared brick is kept for its model, milliseconds.
 const RESERVED_FOR: Millis = 6_000;
 /// What each request that waits counts for, requests a second.
@@ -140,6 +142,8 @@
     allowance: BTreeMap<String, LoadAllowance>,
     training: TrainingHold,
     times: OrderTimes,
+    /// Bricks that fail most of their requests.
+    failing: BTreeSet<String>,
 }
 
 /// A model that should get one more copy.
@@ -171,6 +175,13 @@
 
 impl Eq for Wish {}
 
+/// Bricks that are not placed on as others are.
+#[derive(Clone, Debug, Default)]
+struct Exceptions {
+    training: TrainingHold,
+    failing: BTreeSet<String>,
+}
+
 /// What is planned for one service, with what is looked up often worked out once.
 struct Plan<'a> {
     now: Millis,
@@ -181,6 +192,8 @@
     held_before: &'a HeldBefore,
     /// What training steps do with bricks meanwhile.
     training: &'a TrainingHold,
+    /// Bricks that fail most of their requests.
+    failing: &'a BTreeSet<String>,
     models: BTreeMap<&'a str, &'a Model>,
     /// Requests a second by model and adapter, what waits among them.
     rates: BTreeMap<ModelKey, f64>,
@@ -215,7 +228,7 @@
         bricks: Vec<&'a Brick>,
         demand: &'a DemandTable,
         held_before: &'a HeldBefore,
-        training: &'a TrainingHold,
+        exceptions: &'a Exceptions,
     ) -> Plan<'a> {
         let models = runtime.models.iter().map(|model| (model.name.as_str(), model)).collect();
         let mut plan = Plan {
@@ -225,7 +238,8 @@
             bricks,
             demand,
             held_before,
-            training,
+            training: &exceptions.training,
+            failing: &exceptions.failing,
             models,
             rates: BTreeMap::new(),
             model_rates: BTreeMap::new(),
@@ -257,7 +271,9 @@
                 }
             }
         }
-        self.holders = self.holding.iter().map(|(name, places)| (*name, places.len())).collect();
+        let serves = |place: &&usize| !self.failing.contains(&self.bricks[**place].instance);
+        let serving = |places: &Vec<usize>| places.iter().filter(serves).count();
+        self.holders = self.holding.iter().map(|(name, places)| (*name, serving(places))).collect();
         // A brick that changes versions will hold the model again: no other copy has to take its place.
         let back_soon = self.bricks.iter().filter_map(|brick| {
             let model = self.training.changing.get(&brick.instance)?;
@@ -333,6 +349,13 @@
         self.training = hold;
     }
 
+    /// The part of requests that failed at each brick that fails much. One that fails most of them counts as no copy of what
+    /// it holds, and nothing is loaded there.
+    pub fn note_failing(&mut self, outliers: &BTreeMap<String, f64>) {
+        let failing = outliers.iter().filter(|(_, errors)| **errors >= FAILS_MOST);
+        self.failing = failing.map(|(instance, _)| instance.clone()).collect();
+    }
+
     /// Takes a load of a training step out of the service's loads. Returns whether it may begin.
     pub fn take_training_load(&mut self, now: Millis, backend: &str, loads_per_s: f64) -> bool {
         let allowance = self.allowance.entry(backend.to_owned()).or_default();
@@ -372,7 +395,7 @@
     ) -> Vec<Order> {
         let mut orders = Vec::new();
         self.reserved.retain(|_, reservation| now < reservation.until);
-        let training = self.training.clone();
+        let exceptions = Exceptions { training: self.training.clone(), failing: self.failing.clone() };
         for backend in backends {
             let Some(runtime) = backend.runtime.as_ref().filter(|runtime| !runtime.models.is_empty()) else {
                 continue;
@@ -380,7 +403,7 @@
             let mut allowance = self.allowance.get(&backend.name).copied().unwrap_or_default();
             allowance.fill(now, runtime.loads_per_s);
             let bricks = bricks.iter().filter(|brick| brick.backend == backend.name).collect();
-            let mut plan = Plan::new(now, backend, runtime, bricks, demand, held_before, &training);
+            let mut plan = Plan::new(now, backend, runtime, bricks, demand, held_before, &exceptions);
             plan.reserved_models(self, &mut allowance);
             plan.add_copies(self, &mut allowance);
             plan.adapters(self);
--- a/crates/control/src/placement/rooms.rs
+++ b/crates/control/src/placement/rooms.rs
@@ -27,7 +27,8 @@
 
 impl<'a> Room<'a> {
     fn of(plan: &Plan<'a>, placer: &Placer, brick: &'a Brick) -> Room<'a> {
-        let is_open = plan.is_free(placer, brick) && !placer.reserved.contains_key(&brick.instance);
+        let is_reserved = placer.reserved.contains_key(&brick.instance);
+        let is_open = plan.is_free(placer, brick) && !is_reserved && !plan.failing.contains(&brick.instance);
         let left_mb = plan.runtime.weights_mb - plan.used_mb(brick);
         let mut room = Room { brick, is_open, left_mb, served: 0.0, blocked: 0.0, evictable: Vec::new() };
         room.value_models(plan);
--- a/crates/control/tests/bricks.rs
+++ b/crates/control/tests/bricks.rs
@@ -512,6 +512,27 @@
     ["a", "b", "c"].iter().for_each(|model| assert!(story.copies(model) >= 1, "{model}"));
 }
 
+/// Models whose only copy was on a brick that failed every request were lost with it: the leader told heads to avoid the brick,
+/// and counted its copy as one that serves.
+#[test]
+fn a_model_whose_only_copy_is_on_a_failing_brick_is_loaded_elsewhere() {
+    let failing = [("i-0".to_owned(), 0.9)].into();
+    let mut story = Story::given(&["a", "b", "c"], &[&["a"], &["b"], &["b"]]);
+    story.read_ms = SHORT_READ_MS;
+    story.when_asked(3_000, &[("a", 1), ("b", 1)]);
+    assert_eq!(story.copies("a"), 1, "while the brick serves");
+    story.placer.note_failing(&failing);
+    story.when_asked(3_000, &[("a", 1), ("b", 1), ("c", 1)]);
+    assert_eq!(story.copies("a"), 2);
+    assert_eq!(story.bricks[0].models.len(), 1, "nothing is loaded on a brick that fails");
+    // And one that fails now and then serves.
+    let mut story = Story::given(&["a", "b"], &[&["a"], &["b"]]);
+    story.placer.note_failing(&[("i-0".to_owned(), 0.3)].into());
+    story.read_ms = SHORT_READ_MS;
+    story.when_asked(3_000, &[("a", 1), ("b", 1)]);
+    assert_eq!(story.copies("a"), 1);
+}
+
 #[test]
 fn what_stands_at_the_start_stays_while_demand_is_not_known() {
     let mut story = Story::given(
--- a/crates/system/src/core/node/leadership.rs
+++ b/crates/system/src/core/node/leadership.rs
@@ -189,6 +189,7 @@
         let Some(permit) = self.permit(now) else { return };
         let Some(backends) = self.state.backends() else { return };
         let bricks: Vec<Brick> = self.directory.ready().collect();
+        self.leadership.placer.note_failing(&self.outliers.outliers(now, &bricks));
         let orders =
             self.leadership.placer.plan(now, backends, &bricks, &self.demand, self.directory.held_before());
         let expected = self.leadership.placer.expected(now, &orders);
--- a/crates/system/tests/fleet/world/placement.rs
+++ b/crates/system/tests/fleet/world/placement.rs
@@ -6,7 +6,8 @@
 impl World {
     pub(super) fn place(&mut self) {
         let bricks: Vec<Brick> = self.leader.directory.ready().collect();
-        let Leader { placer, demand, directory, .. } = &mut self.leader;
+        let Leader { placer, demand, directory, outliers, .. } = &mut self.leader;
+        placer.note_failing(&outliers.outliers(self.now, &bricks));
         let orders = placer.plan(self.now, &self.backends, &bricks, demand, directory.held_before());
         orders.into_iter().for_each(|order| self.carry_order_out(order));
     }
