An order without an answer that no report shows is given up after 2.5 s; repeats keep to one revision

Cause: since reports older than an order tell nothing of its end, an order that never reached its brick, or was not sent for want of a lease, kept the brick from any other for 20 s. A repeated order named no revision: one that came late could have filled a brick that a later leader had ordered. An order that held already raised the revision that was expected. Change: bounds and revisions as said.

--- a/crates/control/src/order_progress.rs
+++ b/crates/control/src/order_progress.rs
@@ -54,7 +54,7 @@
     is_there == (order.operation == Operation::Load)
 }
 
-/// What a brick holds once an order is done. `version`: of the weights that a load brings in.
+/// What a brick holds once an order is done that it took. `version`: of the weights that a load brings in.
 pub fn after(order: &Order, mut contents: BrickContents, version: u64) -> BrickContents {
     contents.sequence += 1;
     contents.busy = false;
--- a/crates/system/src/core/orders.rs
+++ b/crates/system/src/core/orders.rs
@@ -24,6 +24,8 @@
 const REPEATS: u32 = 3;
 const REPEAT_AFTER: f64 = 0.1;
 const LEAST_REPEAT: Duration = Duration::from_millis(15);
+/// An order without an answer that no report shows so long after it was given was not taken, milliseconds.
+const NOT_TAKEN_MS: u64 = 2_500;
 /// An order whose end is not known after this, beyond its expected time, is given up.
 const GIVE_UP_MS: u64 = 20_000;
 
@@ -115,7 +117,7 @@
     let follower = Follower { pool, address, order, authority, before, version, given: clock::now() };
     match follower.give(Some(follower.before.sequence)).await {
         Given::Taken => follower.follow().await,
-        Given::Holds => OrderEnd::told(follower.order.clone(), follower.done()),
+        Given::Holds => follower.held_before(),
         Given::TurnedAway(status) => {
             tracing::warn!(instance = follower.order.instance, status, "order turned away");
             OrderEnd::unknown(follower.order)
@@ -126,7 +128,7 @@
             let report = follower.report().await;
             OrderEnd { order: follower.order, report, took_ms: None }
         }
-        Given::Unclear => follower.follow_by_reports().await,
+        Given::Unclear => follower.follow_by_reports(Answer::Missing).await,
     }
 }
 
@@ -144,6 +146,15 @@
     Unclear,
 }
 
+/// Whether an order is known to have been taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Answer {
+    /// The brick said so.
+    Taken,
+    /// No answer came: it may have been.
+    Missing,
+}
+
 /// Follows one order to its end.
 struct Follower {
     pool: ConnectionPool,
@@ -176,20 +187,32 @@
         report(&self.pool, self.address, &self.order.instance).await
     }
 
+    /// The brick holds already what was ordered: it took no order.
+    fn held_before(self) -> OrderEnd {
+        let contents = BrickContents { sequence: self.before.sequence, ..self.contents_after() };
+        OrderEnd::told(self.order, ReportJson::of(contents))
+    }
+
+    fn contents_after(&self) -> BrickContents {
+        order_progress::after(&self.order, self.before.clone(), self.version)
+    }
+
     /// The brick as it stands once the order is done.
     fn done(&self) -> ReportJson {
-        ReportJson::of(order_progress::after(&self.order, self.before.clone(), self.version))
+        ReportJson::of(self.contents_after())
     }
 
-    /// The order was taken. Given again when it should be done, it is answered by how things stand then.
+    /// The order was taken. Given again when it should be done, it is answered by how things stand then. It is for the brick
+    /// with this order as its last one: one that comes late must not undo what a later leader ordered.
     async fn follow(self) -> OrderEnd {
         tokio::time::sleep(Duration::from_millis(self.order.expected_ms)).await;
         if self.order.report_only {
-            return self.follow_by_reports().await;
+            return self.follow_by_reports(Answer::Taken).await;
         }
+        let taken_as = Some(self.before.sequence + 1);
         for repeat in 0..REPEATS {
             let asked_ms = clock::now().saturating_sub(self.given);
-            match self.give(None).await {
+            match self.give(taken_as).await {
                 Given::Holds => {
                     // Done at the first look: it may have been done for a while.
                     let took_ms =
@@ -202,15 +225,22 @@
             let taken = Duration::from_millis(clock::now().saturating_sub(self.given));
             tokio::time::sleep(taken.mul_f64(REPEAT_AFTER).max(LEAST_REPEAT)).await;
         }
-        self.follow_by_reports().await
+        self.follow_by_reports(Answer::Taken).await
     }
 
-    /// Asks the brick until it tells of the order's end.
-    async fn follow_by_reports(self) -> OrderEnd {
+    fn is_old(&self) -> bool {
+        clock::now() >= self.given + NOT_TAKEN_MS
+    }
+
+    /// Asks the brick until it tells of the order's end, or that it never got it.
+    async fn follow_by_reports(self, answer: Answer) -> OrderEnd {
         while clock::now() < self.given + self.order.expected_ms + GIVE_UP_MS {
             let Some(report) = self.report().await else { break };
             match order_progress::judge(&self.order, self.before.sequence, &report.contents()) {
                 Progress::Done | Progress::Undone => return OrderEnd::told(self.order, report),
+                Progress::TooOld if answer == Answer::Missing && self.is_old() => {
+                    return OrderEnd::told(self.order, report);
+                }
                 Progress::TooOld | Progress::UnderWay => tokio::time::sleep(ASK_EVERY).await,
             }
         }
