Long prompts keep off bricks where they would hold streams up too long

Change: the pace of streams tells how fast a brick is; a prompt that would stall a brick's streams beyond three quarters of the pause in time counts each of them as a late request.

--- a/crates/control/src/estimate.rs
+++ b/crates/control/src/estimate.rs
@@ -125,6 +125,14 @@
         self.by_key.get(key).map_or(prior.start, |estimate| estimate.value(now, prior))
     }
 
+    /// Whether something was seen of a key.
+    pub fn is_known<Q: Ord + ?Sized>(&self, key: &Q) -> bool
+    where
+        K: Borrow<Q>,
+    {
+        self.by_key.contains_key(key)
+    }
+
     /// What all keys together say.
     pub fn of_all(&self) -> f64 {
         let start = START_WEIGHT * self.prior.start.ln();
--- a/crates/router/src/dispatcher.rs
+++ b/crates/router/src/dispatcher.rs
@@ -35,6 +35,10 @@
 const OTHER_ZONE_PART: f64 = 0.03;
 /// What a brick costs that fails every request, in objectives; less in proportion. It is avoided, never shut out.
 const ERROR_OBJECTIVES: f64 = 3.0;
+/// Streams stand still while a brick reads prompts. Beyond this part of the pause that is in time,
+const STALL_PART: f64 = 0.75;
+/// each stream there, up to so many, counts as one more request that is late.
+const MOST_STALLED: f64 = 4.0;
 /// Bricks as good as each other are told apart by a draw of so many milliseconds.
 const DRAW_MS: f64 = 3.0;
 /// Heads prefer different bricks by up to this part of what a full brick costs, so that what one head has just sent to a
@@ -73,6 +77,8 @@
     pub leaves_at: Millis,
     /// The time inside which an answer earns its full worth.
     pub objective: Millis,
+    /// The longest pause between events of an answer in time; 0: not told.
+    pub gap_aim: Millis,
     /// How long a load of its model takes, where that is known.
     pub load_ms: Option<Millis>,
     /// Its client has been refused before: it comes back only a few times more.
@@ -279,6 +285,14 @@
         self.bricks.note_load(now, instance, running, waiting);
     }
 
+    /// A request's stream is complete, and its events came so many milliseconds apart while nothing held them up.
+    pub fn note_pace(&mut self, now: Millis, id: RequestId, pace_ms: f64) {
+        let Some(held) = self.held.get(&id) else { return };
+        if let Stage::Sent(instance) = &held.stage {
+            self.engines.note_pace(now, instance, &held.offer.name.model, pace_ms);
+        }
+    }
+
     /// The leader told what all edges together see of bricks.
     pub fn note_totals(&mut self, now: Millis, loads: &[BrickLoad]) {
         loads.iter().for_each(|load| self.bricks.note_joint(now, load));
@@ -472,7 +486,19 @@
         let cold = if known.brick.cold_remaining_ms > 0 { full_ms / 4.0 } else { 0.0 };
         let errors = ERROR_OBJECTIVES * objective * known.known_errors(now);
         let draw = DRAW_MS * unit_draw(offer.id, instance);
-        full_ms * occupancy + full + resting + zone + cold + errors + draw
+        let stall = self.stall_cost(now, offer, instance, known);
+        full_ms * occupancy + full + resting + zone + cold + errors + stall + draw
+    }
+
+    /// What it costs that the streams at a brick stand still while it reads a prompt, milliseconds.
+    fn stall_cost(&self, now: Millis, offer: &Offer, instance: &Instance, known: &KnownBrick) -> f64 {
+        let tokens = self.own_tokens(offer, instance) + known.unread_tokens();
+        let stall_ms = self.read_ms(now, offer, instance, tokens);
+        if offer.gap_aim == 0 || stall_ms <= STALL_PART * offer.gap_aim as f64 {
+            return 0.0;
+        }
+        let streams = f64::from(known.in_flight) + known.others(now);
+        offer.objective as f64 * streams.min(MOST_STALLED)
     }
 
     /// What a brick with all slots taken costs a request, milliseconds.
--- a/crates/router/src/engine_estimates.rs
+++ b/crates/router/src/engine_estimates.rs
@@ -8,6 +8,8 @@
 const TOKENS_PER_MS: Prior = Prior { start: 16.0, least: 0.05, most: 2_000.0 };
 /// A brick reads so many times as fast as others do.
 const BRICK_FACTOR: Prior = Prior { start: 1.0, least: 0.05, most: 20.0 };
+/// Between two events of a stream that nothing holds up, milliseconds.
+const PACE_MS: Prior = Prior { start: 40.0, least: 0.5, most: 10_000.0 };
 /// For how long an answer takes a slot, milliseconds.
 const ANSWER_MS: Prior = Prior { start: 1_500.0, least: 1.0, most: 120_000.0 };
 /// A prompt with fewer tokens tells more of what comes beside reading it.
@@ -31,7 +33,9 @@
 pub struct EngineEstimates {
     /// By model: a large one reads more slowly.
     read: EstimateTable<String>,
-    /// By brick, beside others.
+    /// By model.
+    pace: EstimateTable<String>,
+    /// By brick, beside others: the pace of streams tells it, for nothing else moves that.
     brick: EstimateTable<Instance>,
     /// By model.
     answer: EstimateTable<String>,
@@ -41,6 +45,7 @@
     fn default() -> EngineEstimates {
         EngineEstimates {
             read: EstimateTable::new(TOKENS_PER_MS),
+            pace: EstimateTable::new(PACE_MS),
             brick: EstimateTable::new(BRICK_FACTOR),
             answer: EstimateTable::new(ANSWER_MS),
         }
@@ -54,10 +59,17 @@
             return;
         }
         let seen = sample.tokens as f64 / sample.took.max(1) as f64;
-        let factor = seen / self.read.value(now, sample.model);
-        let others = seen / self.brick.value(now, sample.instance);
-        self.brick.note(now, sample.instance, factor);
-        self.read.note(now, &sample.model.to_owned(), others);
+        let elsewhere = seen / self.brick.value(now, sample.instance);
+        self.read.note(now, &sample.model.to_owned(), elsewhere);
+    }
+
+    /// A stream was complete whose events came so many milliseconds apart while nothing held them up.
+    pub fn note_pace(&mut self, now: Millis, instance: &Instance, model: &str, pace_ms: f64) {
+        if self.pace.is_known(model) {
+            self.brick.note(now, instance, self.pace.value(now, model) / pace_ms);
+        }
+        let elsewhere = pace_ms * self.brick.value(now, instance);
+        self.pace.note(now, &model.to_owned(), elsewhere);
     }
 
     /// An answer ended that took a slot for so long.
@@ -103,6 +115,7 @@
     /// Forgets what was not seen for long.
     pub fn tidy(&mut self, now: Millis) {
         self.read.tidy(now);
+        self.pace.tidy(now);
         self.brick.tidy(now);
         self.answer.tidy(now);
     }
--- a/crates/router/tests/dispatch.rs
+++ b/crates/router/tests/dispatch.rs
@@ -38,6 +38,7 @@
         deadline: arrived + 10_000,
         leaves_at: arrived + 10_000,
         objective: 1_000,
+        gap_aim: 0,
         load_ms: Some(800),
         returned: false,
         granted: None,
--- a/crates/router/tests/evacuation.rs
+++ b/crates/router/tests/evacuation.rs
@@ -52,6 +52,7 @@
                 deadline: *deadline,
                 leaves_at: *deadline,
                 objective: 1_000,
+                gap_aim: 0,
                 load_ms: None,
                 returned: false,
                 granted: None,
--- a/crates/system/src/edge/job.rs
+++ b/crates/system/src/edge/job.rs
@@ -307,6 +307,7 @@
             deadline: self.deadline,
             leaves_at: self.leaves_at(),
             objective: self.route.target_latency_ms as u64,
+            gap_aim: self.route.gap_aim_ms.unwrap_or(0.0) as u64,
             load_ms: self.load_ms,
             returned: self.returned,
             granted: None,
--- a/crates/system/src/edge/relay.rs
+++ b/crates/system/src/edge/relay.rs
@@ -15,6 +15,7 @@
 use pathbank_router::evacuation::{LAST_LEAVES, Progress};
 use pathbank_router::events::EventTracker;
 use pathbank_router::request_log::Step;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use tokio::time::error::Elapsed;
 
@@ -61,23 +62,40 @@
     Late(Elapsed),
 }
 
-/// Pauses between a stream's pieces, for the log.
+/// Pieces over which a stream's pace is taken: several may come together.
+const PACE_PIECES: usize = 5;
+
+/// Pauses between a stream's pieces.
 struct Pauses {
     began: u64,
     last: u64,
     longest: u64,
+    /// When the latest pieces came.
+    latest: VecDeque<u64>,
+    /// The shortest time in which so many came.
+    shortest: Option<u64>,
 }
 
 impl Pauses {
     fn new() -> Pauses {
         let now = clock::now();
-        Pauses { began: now, last: now, longest: 0 }
+        Pauses { began: now, last: now, longest: 0, latest: VecDeque::new(), shortest: None }
     }
 
     fn note(&mut self) {
         let now = clock::now();
         self.longest = self.longest.max(now - self.last);
         self.last = now;
+        self.latest.push_back(now);
+        if self.latest.len() > PACE_PIECES {
+            let passed = now - self.latest.pop_front().unwrap_or(now);
+            self.shortest = Some(self.shortest.map_or(passed, |known| known.min(passed)));
+        }
+    }
+
+    /// Milliseconds between two pieces while nothing held them up; `None`: too few came.
+    fn pace(&self) -> Option<f64> {
+        self.shortest.map(|shortest| shortest as f64 / PACE_PIECES as f64).filter(|pace| *pace > 0.0)
     }
 }
 
@@ -159,6 +177,9 @@
 
     fn complete(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
         self.done = true;
+        if let Some(pace) = self.pauses.pace() {
+            self.shared.deciding().dispatcher.note_pace(clock::now(), self.ticket.id(), pace);
+        }
         self.ticket.end(BrickOutcome::Answered);
         self.shared.deciding().event_rate.note(self.job.output_tokens(), self.tracker.events());
         let first_ms = self.pauses.began.saturating_sub(self.job.arrived());
--- a/crates/system/tests/fleet/world.rs
+++ b/crates/system/tests/fleet/world.rs
@@ -340,6 +340,7 @@
             deadline: self.now + DEADLINE,
             leaves_at: self.now + DEADLINE,
             objective: OBJECTIVE,
+            gap_aim: 0,
             load_ms: Some(LOAD_MS),
             returned: false,
             granted: None,
