--- a/crates/system/src/edge/proxy.rs
+++ b/crates/system/src/edge/proxy.rs
@@ -94,6 +94,7 @@
     let mut ticket = Ticket::new(shared.clone());
     let mut offer = job.offer(ticket.id());
     offer.granted = admission::wait_for_grant(shared, &offer).await;
+    let granted = offer.granted.clone();
     let first = job.sends == 0 && job.tried.is_empty();
     let decided = tokio::time::timeout(clock::until(job.deadline), ticket.offer(offer, first)).await;
     let (instance, address) = match decided {
@@ -113,7 +114,8 @@
     };
     let (id, name) = job.told();
     let waited_ms = clock::now().saturating_sub(job.arrived());
-    tracing::debug!(id, ?name, instance, %address, sends = job.sends, waited_ms, "sent to a brick");
+    let by_grant = granted.as_ref() == Some(&instance);
+    tracing::debug!(id, ?name, instance, %address, sends = job.sends, waited_ms, by_grant, "sent to a brick");
     job.note(shared, Step::Sent { instance: instance.clone() });
     shared.startup.reach(Milestone::Sent);
     let request = job.request(&instance);
