--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -4,6 +4,9 @@
 //! busy gets one more. Room is made by unloading what is asked for least, and never for something asked for less.
 
 mod adapters;
+mod allowance;
+mod copies;
+mod order;
 mod rooms;
 mod training_hold;
 mod worth;
@@ -13,20 +16,14 @@
 use crate::demand::{DemandTable, ModelKey};
 use crate::directory::{HeldBefore, Millis};
 use crate::order_progress::{OrderKind, OrderTimes};
+use allowance::LoadAllowance;
+pub use order::{Operation, Order};
 use pathbank_protocol::message::{Brick, ExpectedModel, LoadedModel};
-use rooms::Rooms;
-use std::cmp::Ordering;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet};
 pub use training_hold::TrainingHold;
 use worth::ModelLoad;
 use zones::ZoneCopies;
 
-/// Of the loads that the weight store permits, so much is used.
-const LOADS_USED: f64 = 0.95;
-/// Loads that may follow each other at once.
-const LOAD_BURST: f64 = 3.0;
-/// What a load from a brick's own disk takes of that; it should take nothing, but the disk may be another one by now.
-const OWN_DISK_LOAD: f64 = 0.2;
 /// What a load from the weight store counts for beside one from the brick's own disk, requests a second.
 const FETCHED: f64 = 0.4;
 /// What a load has to bring at least beyond what goes for it, requests a second.
@@ -39,90 +36,9 @@
 const SAME_ZONE: f64 = 0.1;
 /// A brick that fails this part of its requests serves none of its models.
 const FAILS_MOST: f64 = 0.5;
-/// For how long a cleared brick is kept for its model, milliseconds.
-const RESERVED_FOR: Millis = 6_000;
 /// What each request that waits counts for, requests a second.
 const WAITING_WEIGHT: f64 = 0.3;
 
-/// What a brick is ordered to do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Operation {
-    /// Load a model or adapter.
-    Load,
-    /// Unload a model or adapter.
-    Unload,
-}
-
-/// An order to a brick.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Order {
-    /// The service.
-    pub backend: String,
-    /// The brick's incarnation.
-    pub instance: String,
-    /// Where it takes orders.
-    pub address: String,
-    /// What it is to do.
-    pub operation: Operation,
-    /// The model.
-    pub model: String,
-    /// The adapter; empty: the model itself.
-    pub adapter: String,
-    /// What it does, as far as its time goes.
-    pub kind: OrderKind,
-    /// What the configuration says of its time, milliseconds; 0: nothing.
-    pub told_ms: Millis,
-    /// How long it should take, milliseconds.
-    pub expected_ms: Millis,
-    /// The brick's own report has to tell of its end: more has to be known than that it is done.
-    pub report_only: bool,
-}
-
-impl Order {
-    /// Whether a brick that holds `held` has room for what is to be loaded.
-    pub fn fits(&self, runtime: &Runtime, held: &[LoadedModel]) -> bool {
-        let model = |name: &str| runtime.models.iter().find(|model| model.name == name);
-        let Some(wanted) = model(&self.model) else { return false };
-        let mut used = 0.0;
-        let mut adapters = 0;
-        for loaded in held {
-            // What the configuration does not know takes room that nobody can tell.
-            let Some(known) = model(&loaded.name) else { return false };
-            used += known.weights_mb + loaded.adapters.len() as f64 * known.adapter_mb;
-            adapters += loaded.adapters.len();
-        }
-        match self.adapter.is_empty() {
-            true => used + wanted.weights_mb <= runtime.weights_mb,
-            false => {
-                used + wanted.adapter_mb <= runtime.weights_mb && adapters < runtime.max_adapters as usize
-            }
-        }
-    }
-}
-
-/// Loads that may still begin.
-#[derive(Clone, Copy, Debug, Default)]
-struct LoadAllowance {
-    level: f64,
-    filled: Option<Millis>,
-}
-
-impl LoadAllowance {
-    fn fill(&mut self, now: Millis, per_s: f64) {
-        let passed = now.saturating_sub(self.filled.unwrap_or(now)) as f64 / 1_000.0;
-        self.level = (self.level + LOADS_USED * per_s * passed).min(LOAD_BURST);
-        self.filled = Some(now);
-    }
-
-    fn take(&mut self, cost: f64) -> bool {
-        let allowed = self.level >= cost;
-        if allowed {
-            self.level -= cost;
-        }
-        allowed
-    }
-}
-
 /// A brick that was cleared for a model: nothing else is loaded there until the model is, or the time is over.
 #[derive(Clone, Debug)]
 struct Reservation {
@@ -146,35 +62,6 @@
     failing: BTreeSet<String>,
 }
 
-/// A model that should get one more copy.
-struct Wish {
-    /// Requests a second that it would take off the others, or serve at all.
-    relief: f64,
-    name: String,
-    /// That it has, or is about to have.
-    copies: usize,
-}
-
-impl Ord for Wish {
-    fn cmp(&self, other: &Wish) -> Ordering {
-        self.relief.total_cmp(&other.relief).then_with(|| self.name.cmp(&other.name))
-    }
-}
-
-impl PartialOrd for Wish {
-    fn partial_cmp(&self, other: &Wish) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl PartialEq for Wish {
-    fn eq(&self, other: &Wish) -> bool {
-        self.cmp(other) == Ordering::Equal
-    }
-}
-
-impl Eq for Wish {}
-
 /// Bricks that are not placed on as others are.
 #[derive(Clone, Debug, Default)]
 struct Exceptions {
@@ -527,98 +414,6 @@
         placer.given.insert(brick.instance.clone(), self.now);
         self.orders.push(order);
     }
-
-    // ---- models ----
-
-    /// Loads what bricks were cleared for.
-    fn reserved_models(&mut self, placer: &mut Placer, allowance: &mut LoadAllowance) {
-        for brick in self.bricks.clone() {
-            let Some(reservation) = placer.reserved.get(&brick.instance) else { continue };
-            let model = reservation.model.clone();
-            let Some(size) = self.model(&model).map(|model| model.weights_mb) else { continue };
-            let done = loaded(brick, &model).is_some();
-            let room = self.runtime.weights_mb - self.used_mb(brick) >= size;
-            if done || self.is_free(placer, brick) && room && allowance.take(self.load_cost(brick, &model)) {
-                placer.reserved.remove(&brick.instance);
-            }
-            if !done && !placer.reserved.contains_key(&brick.instance) {
-                let key = self.key(&model, "");
-                self.order(placer, brick, Operation::Load, &key);
-            }
-        }
-    }
-
-    /// Gives copies to models, each time to the one that it relieves most.
-    fn add_copies(&mut self, placer: &mut Placer, allowance: &mut LoadAllowance) {
-        let names: BTreeSet<String> = self.rates.keys().map(|key| key.model.clone()).collect();
-        let known = names.into_iter().filter(|name| self.models.contains_key(name.as_str()));
-        let wishes = known.map(|name| {
-            let copies = self.holders(&name) + self.loading(placer, &name);
-            Wish { relief: self.relief(&name, copies), name, copies }
-        });
-        let mut wishes: BinaryHeap<Wish> = wishes.filter(|wish| wish.relief > 0.0).collect();
-        if wishes.is_empty() {
-            return;
-        }
-        let mut rooms = Rooms::of(self, placer);
-        while let Some(wish) = wishes.pop() {
-            if !self.load(placer, allowance, &mut rooms, &wish) {
-                continue;
-            }
-            let copies = wish.copies + 1;
-            let relief = self.relief(&wish.name, copies);
-            if relief > 0.0 {
-                wishes.push(Wish { relief, copies, ..wish });
-            }
-        }
-    }
-
-    /// Bricks that load a model at the moment.
-    fn loading(&self, placer: &Placer, name: &str) -> usize {
-        let same = |order: &&Order| {
-            order.operation == Operation::Load && order.model == name && order.adapter.is_empty()
-        };
-        let reserved = placer.reserved.values().filter(|reservation| reservation.model == name).count();
-        placer.under_way.values().filter(same).count() + reserved
-    }
-
-    /// Loads a model where the least has to go for it, or makes room there first. Returns whether it could.
-    fn load(
-        &mut self,
-        placer: &mut Placer,
-        allowance: &mut LoadAllowance,
-        rooms: &mut Rooms<'a>,
-        wish: &Wish,
-    ) -> bool {
-        let Some(size) = self.model(&wish.name).map(|model| model.weights_mb) else { return false };
-        let Some(best) = rooms.best(self, &wish.name, size, wish.relief) else { return false };
-        match best.victim {
-            Some(victim) => {
-                let (model, load_ms) = (wish.name.clone(), self.told_load_ms(&wish.name));
-                let reservation = Reservation { model, load_ms, until: self.now + RESERVED_FOR };
-                placer.reserved.insert(best.brick.instance.clone(), reservation);
-                let victim = self.key(victim, "");
-                self.order(placer, best.brick, Operation::Unload, &victim);
-            }
-            None if allowance.take(self.load_cost(best.brick, &wish.name)) => {
-                let key = self.key(&wish.name, "");
-                self.order(placer, best.brick, Operation::Load, &key);
-            }
-            None => return false,
-        }
-        rooms.ordered(self, &best);
-        true
-    }
-
-    /// Whether a brick can read a model from its own disk.
-    fn has_held(&self, brick: &Brick, name: &str) -> bool {
-        self.held_before.get(&brick.address).is_some_and(|models| models.contains(name))
-    }
-
-    /// What a load takes of the weight store's loads.
-    fn load_cost(&self, brick: &Brick, name: &str) -> f64 {
-        if self.has_held(brick, name) { OWN_DISK_LOAD } else { 1.0 }
-    }
 }
 
 fn loaded<'a>(brick: &'a Brick, model: &str) -> Option<&'a LoadedModel> {
--- /dev/null
+++ b/crates/control/src/placement/order.rs
@@ -0,0 +1,62 @@
+//! Orders to bricks.
+
+use crate::configuration::Runtime;
+use crate::directory::Millis;
+use crate::order_progress::OrderKind;
+use pathbank_protocol::message::LoadedModel;
+
+/// What a brick is ordered to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Operation {
+    /// Load a model or adapter.
+    Load,
+    /// Unload a model or adapter.
+    Unload,
+}
+
+/// An order to a brick.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// The service.
+    pub backend: String,
+    /// The brick's incarnation.
+    pub instance: String,
+    /// Where it takes orders.
+    pub address: String,
+    /// What it is to do.
+    pub operation: Operation,
+    /// The model.
+    pub model: String,
+    /// The adapter; empty: the model itself.
+    pub adapter: String,
+    /// What it does, as far as its time goes.
+    pub kind: OrderKind,
+    /// What the configuration says of its time, milliseconds; 0: nothing.
+    pub told_ms: Millis,
+    /// How long it should take, milliseconds.
+    pub expected_ms: Millis,
+    /// The brick's own report has to tell of its end: more has to be known than that it is done.
+    pub report_only: bool,
+}
+
+impl Order {
+    /// Whether a brick that holds `held` has room for what is to be loaded.
+    pub fn fits(&self, runtime: &Runtime, held: &[LoadedModel]) -> bool {
+        let model = |name: &str| runtime.models.iter().find(|model| model.name == name);
+        let Some(wanted) = model(&self.model) else { return false };
+        let mut used = 0.0;
+        let mut adapters = 0;
+        for loaded in held {
+            // What the configuration does not know takes room that nobody can tell.
+            let Some(known) = model(&loaded.name) else { return false };
+            used += known.weights_mb + loaded.adapters.len() as f64 * known.adapter_mb;
+            adapters += loaded.adapters.len();
+        }
+        match self.adapter.is_empty() {
+            true => used + wanted.weights_mb <= runtime.weights_mb,
+            false => {
+                used + wanted.adapter_mb <= runtime.weights_mb && adapters < runtime.max_adapters as usize
+            }
+        }
+    }
+}
--- a/crates/router/src/dispatcher.rs
+++ b/crates/router/src/dispatcher.rs
@@ -6,44 +6,28 @@
 
 mod affinity;
 mod arrivals;
+mod cost;
+mod moves;
+mod offer;
 mod refusal;
+mod reports;
 
 use crate::Millis;
 use crate::bricks::{BrickOutcome, BrickTable, Instance, KnownBrick};
-use crate::draw::unit_draw;
 use crate::engine_estimates::{EngineEstimates, ReadSample};
-use crate::evacuation;
-use crate::prompt::{ModelName, PromptPart};
+use crate::prompt::ModelName;
 use affinity::Affinity;
 use arrivals::Arrivals;
+pub use offer::{Action, Offer};
 use pathbank_control::result_code::ResultCode;
-use pathbank_control::urgency::Urgency;
 use pathbank_fair_queue::{FairQueue, Settings};
-use pathbank_protocol::message::{AdmissionOption, BrickLoad, BrickUpdate, ExpectedModel, ModelDemand};
+use pathbank_protocol::message::{BrickLoad, BrickUpdate, ExpectedModel, ModelDemand};
 use refusal::Outlook;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Names one client request at this head.
 pub type RequestId = u64;
 
-/// Tokens of other prompts that a brick has not begun to answer hold up every stream there, not this request alone.
-const UNREAD_WEIGHT: u64 = 4;
-/// What a brick with all slots taken costs a request, as a part of the time for which an answer takes a slot; less in
-/// proportion.
-const FULL_PART: f64 = 0.33;
-/// What another zone costs, as a part of the request's objective: its bytes cost more, and a link may fail.
-const OTHER_ZONE_PART: f64 = 0.03;
-/// What a brick costs that fails every request, in objectives; less in proportion. It is avoided, never shut out.
-const ERROR_OBJECTIVES: f64 = 3.0;
-/// Streams stand still while a brick reads prompts. Beyond this part of the pause that is in time,
-const STALL_PART: f64 = 0.75;
-/// each stream there, up to so many, counts as one more request that is late.
-const MOST_STALLED: f64 = 4.0;
-/// Bricks as good as each other are told apart by a draw of so many milliseconds.
-const DRAW_MS: f64 = 3.0;
-/// Heads prefer different bricks by up to this part of what a full brick costs, so that what one head has just sent to a
-/// brick tells most of what is on its way there.
-const PREFERENCE_PART: f64 = 0.4;
 /// A request that waits longer is queued anew, milliseconds.
 const REQUEUE_AFTER: Millis = 40;
 /// When to come back while no brick of the service is known: they say something within this, milliseconds.
@@ -51,80 +35,6 @@
 /// Bricks that are all busy have answered so many of their requests after this part of an answer's time.
 const BUSY_RETRY_PART: f64 = 0.6;
 
-/// Bricks that the leader may choose from at most.
-const MOST_OPTIONS: usize = 8;
-
-/// What the dispatcher has to know of a request.
-#[derive(Clone, Debug)]
-pub struct Offer {
-    /// The request.
-    pub id: RequestId,
-    /// The service that its route chose.
-    pub backend: String,
-    /// The model it asks for.
-    pub name: ModelName,
-    /// Its told size.
-    pub size: u64,
-    /// The tokens of its prompt.
-    pub input_tokens: u64,
-    /// The parts of its prompt.
-    pub parts: Vec<PromptPart>,
-    /// When it came.
-    pub arrived: Millis,
-    /// When the client stops waiting.
-    pub deadline: Millis,
-    /// When the client leaves if nothing of an answer has come.
-    pub leaves_at: Millis,
-    /// The time inside which an answer earns its full worth.
-    pub objective: Millis,
-    /// The longest pause between events of an answer in time; 0: not told.
-    pub gap_aim: Millis,
-    /// How long a load of its model takes, where that is known.
-    pub load_ms: Option<Millis>,
-    /// Its client has been refused before: it comes back only a few times more.
-    pub returned: bool,
-    /// The brick that the leader granted it, if it was asked and answered in time.
-    pub granted: Option<Instance>,
-    /// Bricks that are not to get it (again).
-    pub excluded: BTreeSet<Instance>,
-    /// It is a stream that another brick may take up.
-    pub resumable: bool,
-    /// How urgent it is among all requests for its service; 0: the most urgent.
-    pub urgency: Urgency,
-    /// The version of the model's weights that has to answer; `None`: any.
-    pub version: Option<u64>,
-}
-
-/// What is to be done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Action {
-    /// The request goes to a brick now.
-    Send {
-        /// The request.
-        id: RequestId,
-        /// The brick's incarnation.
-        instance: Instance,
-        /// Where it is reached.
-        address: String,
-    },
-    /// A stream leaves its brick, which is taken away, for another one.
-    Move {
-        /// The request.
-        id: RequestId,
-        /// When the brick is gone.
-        gone_at: Millis,
-    },
-    /// The request's final answer: it has not run.
-    Refuse {
-        /// The request.
-        id: RequestId,
-        /// Why.
-        code: ResultCode,
-        /// When to come back.
-        retry_after: Millis,
-    },
-}
-
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Stage {
     /// No brick holds what it asks for.
@@ -220,24 +130,6 @@
         Some((&held.offer, waits_for))
     }
 
-    /// The bricks at which a request with a prompt could be answered soonest, for the leader to choose from.
-    pub fn admission_options(&self, now: Millis, offer: &Offer) -> Vec<AdmissionOption> {
-        if offer.name.model.is_empty() || offer.input_tokens == 0 {
-            return Vec::new();
-        }
-        let open = self.candidates(now, offer).filter(|(_, known)| known.has_slot(now));
-        let mut options: Vec<AdmissionOption> = open
-            .map(|(instance, known)| AdmissionOption {
-                instance: instance.clone(),
-                read_ms: self.read_ms(now, offer, instance, self.own_tokens(offer, instance)) as u32,
-                extra_ms: self.extra_cost(now, offer, instance, known) as u32,
-            })
-            .collect();
-        options.sort_by_key(|option| option.read_ms + option.extra_ms);
-        options.truncate(MOST_OPTIONS);
-        options
-    }
-
     /// A request came, or comes again after a brick did not run it.
     pub fn offer(&mut self, now: Millis, offer: Offer, first: bool) -> Vec<Action> {
         if first {
@@ -343,18 +235,6 @@
         self.held.values().any(waits).then_some(now + REQUEUE_AFTER)
     }
 
-    /// Whether the cores should hear of demand at once: something waits for a model that no brick holds.
-    pub fn take_urgent(&mut self) -> bool {
-        std::mem::take(&mut self.urgent)
-    }
-
-    /// Demand since the last call, and what is out and was seen at each brick.
-    pub fn take_report(&mut self) -> (Vec<ModelDemand>, Vec<BrickLoad>) {
-        self.note_still_unplaced();
-        let demand = std::mem::take(&mut self.demand).into_values().collect();
-        (demand, self.bricks.take_loads())
-    }
-
     /// The head stops: whatever is not at a brick is refused.
     pub fn refuse_waiting(&mut self, now: Millis, retry_after: Millis) -> Vec<Action> {
         let waiting = self.held.iter().filter(|(_, held)| !matches!(held.stage, Stage::Sent(_)));
@@ -454,58 +334,6 @@
         scored.min_by(|(one, _), (other, _)| one.total_cmp(other)).map(|(_, instance)| instance.clone())
     }
 
-    /// What an answer from a brick would cost, as milliseconds until it begins, by what this head alone knows.
-    fn cost(&self, now: Millis, offer: &Offer, instance: &Instance, known: &KnownBrick) -> f64 {
-        let unread = self.own_tokens(offer, instance) + UNREAD_WEIGHT * known.unread_tokens();
-        let prefill = self.read_ms(now, offer, instance, unread);
-        let full_ms = self.full_brick_ms(now, offer);
-        let preference = PREFERENCE_PART * full_ms * unit_draw(self.seed, instance);
-        prefill + preference + self.extra_cost(now, offer, instance, known)
-    }
-
-    /// How long a brick takes to read so many tokens for a request, milliseconds.
-    fn read_ms(&self, now: Millis, offer: &Offer, instance: &Instance, tokens: u64) -> f64 {
-        self.engines.read_ms(now, instance, &offer.name.model, tokens)
-    }
-
-    /// Tokens of a request's prompt that a brick has to read.
-    fn own_tokens(&self, offer: &Offer, instance: &Instance) -> u64 {
-        let kept = self.affinity.kept_tokens(instance, &offer.name, &offer.parts);
-        offer.input_tokens.saturating_sub(kept)
-    }
-
-    /// What speaks against a brick beside prompts to read, milliseconds.
-    fn extra_cost(&self, now: Millis, offer: &Offer, instance: &Instance, known: &KnownBrick) -> f64 {
-        let queued = self.fair.queued_at(instance) as f64 / f64::from(known.brick.capacity.max(1));
-        let occupancy = known.occupancy(now) + queued;
-        let full_ms = self.full_brick_ms(now, offer);
-        let objective = offer.objective as f64;
-        let full = if known.has_slot(now) { 0.0 } else { full_ms };
-        let resting = if known.takes_work(now) { 0.0 } else { 2.0 * full_ms };
-        let zone = if known.brick.zone == self.zone { 0.0 } else { OTHER_ZONE_PART * objective };
-        let cold = if known.brick.cold_remaining_ms > 0 { full_ms / 4.0 } else { 0.0 };
-        let errors = ERROR_OBJECTIVES * objective * known.known_errors(now);
-        let draw = DRAW_MS * unit_draw(offer.id, instance);
-        let stall = self.stall_cost(now, offer, instance, known);
-        full_ms * occupancy + full + resting + zone + cold + errors + stall + draw
-    }
-
-    /// What it costs that the streams at a brick stand still while it reads a prompt, milliseconds.
-    fn stall_cost(&self, now: Millis, offer: &Offer, instance: &Instance, known: &KnownBrick) -> f64 {
-        let tokens = self.own_tokens(offer, instance) + known.unread_tokens();
-        let stall_ms = self.read_ms(now, offer, instance, tokens);
-        if offer.gap_aim == 0 || stall_ms <= STALL_PART * offer.gap_aim as f64 {
-            return 0.0;
-        }
-        let streams = f64::from(known.in_flight) + known.others(now);
-        offer.objective as f64 * streams.min(MOST_STALLED)
-    }
-
-    /// What a brick with all slots taken costs a request, milliseconds.
-    fn full_brick_ms(&self, now: Millis, offer: &Offer) -> f64 {
-        FULL_PART * self.engines.answer_ms(now, &offer.name.model)
-    }
-
     // ---- the ordinary path: free slots take requests ----
 
     fn dispatch(&mut self, now: Millis) -> Vec<Action> {
@@ -541,37 +369,6 @@
         actions.push(Action::Send { id, instance: instance.clone(), address });
     }
 
-    // ---- streams that leave a brick before it is gone ----
-
-    /// Plans when the streams at a brick leave, where it told how long it has. A plan that stands is kept.
-    fn plan_moves(&mut self, now: Millis, instance: &Instance) {
-        let Some(gone_at) = self.bricks.get(instance).and_then(KnownBrick::gone_at) else { return };
-        let is_there = |held: &Held| matches!(&held.stage, Stage::Sent(at) if at == instance);
-        let moves = self
-            .held
-            .iter()
-            .filter(|(_, held)| is_there(held) && held.offer.resumable && held.leaving == Leaving::Stays);
-        let streams =
-            moves.map(|(id, held)| evacuation::Stream { id: *id, deadline: held.offer.deadline }).collect();
-        for (id, leaves_at) in evacuation::plan(now, gone_at, streams, unit_draw(self.seed, instance)) {
-            if let Some(held) = self.held.get_mut(&id) {
-                held.leaving = Leaving::At(leaves_at);
-            }
-        }
-    }
-
-    fn move_due(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        for (id, held) in &mut self.held {
-            if !matches!(held.leaving, Leaving::At(leaves_at) if now >= leaves_at) {
-                continue;
-            }
-            held.leaving = Leaving::Told;
-            let Stage::Sent(instance) = &held.stage else { continue };
-            let gone_at = self.bricks.get(instance).and_then(KnownBrick::gone_at);
-            actions.extend(gone_at.map(|gone_at| Action::Move { id: *id, gone_at }));
-        }
-    }
-
     // ---- refusals ----
 
     fn refuse_hopeless(&mut self, now: Millis, actions: &mut Vec<Action>) {
@@ -622,64 +419,6 @@
         let model = ModelName { model: offer.name.model.clone(), adapter: String::new() };
         !offer.name.adapter.is_empty() && self.bricks.holding(now, &offer.backend, &model).next().is_some()
     }
-
-    // ---- what the cores are told ----
-
-    fn demand_of(&mut self, offer: &Offer) -> &mut ModelDemand {
-        let fresh = || ModelDemand {
-            backend: offer.backend.clone(),
-            model: offer.name.model.clone(),
-            adapter: offer.name.adapter.clone(),
-            ..ModelDemand::default()
-        };
-        self.demand.entry((offer.backend.clone(), offer.name.clone())).or_insert_with(fresh)
-    }
-
-    fn note_demand(&mut self, now: Millis, offer: &Offer) {
-        if offer.name.model.is_empty() {
-            return;
-        }
-        let read_ms = self.engines.typical_read_ms(now, &offer.name.model, offer.input_tokens) as u64;
-        let objective = offer.objective as u32;
-        let demand = self.demand_of(offer);
-        demand.arrived += 1;
-        demand.tokens += offer.size;
-        demand.read_ms += read_ms;
-        demand.objective_ms =
-            if demand.objective_ms == 0 { objective } else { demand.objective_ms.min(objective) };
-    }
-
-    /// A request ended that may have taken a slot of a brick.
-    fn note_held(&mut self, now: Millis, held: &Held, outcome: BrickOutcome) {
-        let is_answered = outcome == BrickOutcome::Answered && matches!(held.stage, Stage::Sent(_));
-        if !is_answered || held.offer.name.model.is_empty() {
-            return;
-        }
-        let held_ms = now.saturating_sub(held.since);
-        self.engines.note_answer(now, &held.offer.name.model, held_ms);
-        self.demand_of(&held.offer).held_ms += held_ms;
-    }
-
-    /// Requests that were told of before and still wait count as waiting in each report.
-    fn note_still_unplaced(&mut self) {
-        let waits = |held: &&Held| held.reported && held.stage == Stage::Unplaced;
-        let offers: Vec<Offer> = self.held.values().filter(waits).map(|held| held.offer.clone()).collect();
-        for offer in offers.iter().filter(|offer| !offer.name.model.is_empty()) {
-            let demand = self.demand_of(offer);
-            demand.waiting = demand.waiting.max(1);
-        }
-    }
-
-    fn note_unplaced(&mut self, now: Millis, id: RequestId) {
-        let model_held = self.held.get(&id).is_some_and(|held| self.holds_model(now, &held.offer));
-        let Some(held) = self.held.get_mut(&id) else { return };
-        (held.reported, held.model_held) = (true, model_held);
-        let offer = held.offer.clone();
-        if !offer.name.model.is_empty() {
-            self.demand_of(&offer).waiting += 1;
-            self.urgent = true;
-        }
-    }
 }
 
 fn flow_of(offer: &Offer) -> FlowKey {
--- a/crates/system/src/core/mod.rs
+++ b/crates/system/src/core/mod.rs
@@ -1,12 +1,12 @@
 //! A control head: a replica of the configuration, the list of bricks, and, while it leads, placement and duties.
 
 mod api;
-mod brick_json;
+pub mod brick_json;
 pub mod configuration_updates;
 mod disk;
 mod duties;
 mod node;
-mod orders;
+pub mod orders;
 mod peers;
 mod training;
 
--- /dev/null
+++ b/crates/system/tests/orders.rs
@@ -0,0 +1,238 @@
+//! Stories of one order, from the call to its known end, at a brick whose reports tell how it stood a while ago.
+
+use pathbank_control::configuration::{Model, Runtime};
+use pathbank_control::order_progress::OrderKind;
+use pathbank_control::placement::{Operation, Order};
+use pathbank_system::clock;
+use pathbank_system::core::orders::{Assignment, Authority, LeaseEnd, OrderEnd, carry_out};
+use pathbank_system::net::client::ConnectionPool;
+use pathbank_system::stand_in::engine::{Engine, OrderBody};
+use serde_json::{Value, json};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use viz::{IntoResponse, Request, RequestExt, Response, ResponseExt, Router, StatusCode};
+
+/// Reports are so old, milliseconds.
+const REPORT_AGE: u64 = 200;
+const INSTANCE: &str = "i-1";
+
+/// A brick that keeps the published protocol, with reports of some time ago.
+struct LateBrick {
+    engine: Engine,
+    /// How it stood, and when.
+    stood: VecDeque<(u64, Value)>,
+    /// Bodies of the orders that came.
+    orders: Vec<Value>,
+    /// The next orders get no answer, and are not taken.
+    loses: usize,
+}
+
+impl LateBrick {
+    fn new(load_ms: u64, models: &[&str]) -> Arc<Mutex<LateBrick>> {
+        let models: Vec<String> = models.iter().map(|name| (*name).to_owned()).collect();
+        let engine = Engine::new(8, load_ms, &models, 1);
+        Arc::new(Mutex::new(LateBrick { engine, stood: VecDeque::new(), orders: Vec::new(), loses: 0 }))
+    }
+
+    fn note(&mut self) {
+        let now = clock::now();
+        self.engine.settle(now, 1);
+        let models =
+            self.engine.models().iter().map(
+                |(name, held)| json!({ "name": name, "version": held.version, "adapters": held.adapters }),
+            );
+        let models: Vec<Value> = models.collect();
+        let (busy, sequence) = (self.engine.is_busy(), self.engine.sequence());
+        self.stood.push_back((now, json!({ "models": models, "busy": busy, "sequence": sequence })));
+    }
+
+    fn report(&mut self) -> Value {
+        self.note();
+        let then = clock::now().saturating_sub(REPORT_AGE);
+        let old = self.stood.iter().rev().find(|(at, _)| *at <= then).or(self.stood.front());
+        old.map(|(_, stood)| stood.clone()).unwrap_or_default()
+    }
+
+    fn take(&mut self, body: Value) -> Option<StatusCode> {
+        self.note();
+        self.orders.push(body.clone());
+        if self.loses > 0 {
+            self.loses -= 1;
+            return None;
+        }
+        let order: OrderBody = serde_json::from_value(body).expect("an order");
+        let status = self.engine.take_order(clock::now(), order);
+        self.note();
+        Some(status)
+    }
+
+    fn holds(&mut self, model: &str) -> bool {
+        self.note();
+        self.engine.models().contains_key(model)
+    }
+}
+
+async fn serve(brick: Arc<Mutex<LateBrick>>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("its address");
+    let (of_reports, of_orders, of_time) = (brick.clone(), brick.clone(), brick);
+    let router = Router::new()
+        .get("/api/report", move |_: Request| {
+            let report = of_reports.lock().expect("not poisoned").report();
+            async move { Ok::<_, viz::Error>(Response::json(report)?) }
+        })
+        .post("/api/order", move |mut request: Request| {
+            let brick = of_orders.clone();
+            async move {
+                let body: Value = request.json().await?;
+                let status = brick.lock().expect("not poisoned").take(body);
+                match status {
+                    Some(status) => Ok::<_, viz::Error>(status.into_response()),
+                    None => std::future::pending().await,
+                }
+            }
+        });
+    tokio::spawn(async move {
+        let _ = viz::serve(listener, router).await;
+    });
+    tokio::spawn(async move {
+        loop {
+            of_time.lock().expect("not poisoned").note();
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    });
+    address
+}
+
+fn runtime() -> Runtime {
+    let model = |name: &str| Model {
+        name: name.into(),
+        weights_mb: 70_000.0,
+        load_s: 0.3,
+        adapters: 4,
+        adapter_mb: 66.0,
+    };
+    Runtime {
+        capacity: 8.0,
+        kv_capacity: 100_000.0,
+        models: ["a", "b", "c"].map(model).into(),
+        weights_mb: 150_000.0,
+        max_adapters: 4,
+        loads_per_s: 4.0,
+        stride: 3.0,
+    }
+}
+
+fn order(address: SocketAddr, operation: Operation, model: &str, expected_ms: u64) -> Order {
+    let kind = match operation {
+        Operation::Load => OrderKind::Fetch,
+        Operation::Unload => OrderKind::Unload,
+    };
+    Order {
+        backend: "llm".into(),
+        instance: INSTANCE.into(),
+        address: address.to_string(),
+        operation,
+        model: model.into(),
+        adapter: String::new(),
+        kind,
+        told_ms: 300,
+        expected_ms,
+        report_only: false,
+    }
+}
+
+fn authority(lease_ms: u64) -> Authority {
+    let lease = Arc::new(LeaseEnd::default());
+    lease.extend(clock::now() + lease_ms);
+    Authority { lease_holder: "core-1".into(), fencing_token: 7, lease, revoked: Arc::default() }
+}
+
+fn given(order: Order, authority: Authority) -> Assignment {
+    Assignment { order, runtime: Arc::new(runtime()), authority, known: None, version: 1 }
+}
+
+async fn when_given(order: Order) -> OrderEnd {
+    carry_out(ConnectionPool::default(), given(order, authority(60_000))).await
+}
+
+fn names(end: &OrderEnd) -> Vec<String> {
+    let report = end.report.as_ref().expect("how the brick stands");
+    report.models().map(|held| held.name).collect()
+}
+
+/// A report of before the unload was taken for its end, and heads were told that the model is there.
+#[tokio::test]
+async fn the_end_of_an_unload_is_not_told_by_a_report_from_before_it() {
+    let brick = LateBrick::new(0, &["a", "b"]);
+    let address = serve(brick.clone()).await;
+    tokio::time::sleep(Duration::from_millis(REPORT_AGE + 50)).await;
+    let end = when_given(order(address, Operation::Unload, "a", 10)).await;
+    assert_eq!(names(&end), ["b"]);
+    assert!(!brick.lock().unwrap().holds("a"));
+}
+
+#[tokio::test]
+async fn a_load_is_known_to_be_done_before_reports_tell() {
+    let brick = LateBrick::new(300, &["a"]);
+    let address = serve(brick.clone()).await;
+    tokio::time::sleep(Duration::from_millis(REPORT_AGE + 50)).await;
+    let end = when_given(order(address, Operation::Load, "b", 320)).await;
+    assert_eq!(names(&end), ["a", "b"]);
+    assert!(end.took_ms.is_some(), "by the same order given again");
+    assert_eq!(end.report.map(|report| report.sequence), Some(1), "what the next order is based on");
+}
+
+/// A repeated order named no revision. One that came late, after another leader had ordered, would have filled the brick.
+#[tokio::test]
+async fn a_repeated_order_is_for_a_brick_whose_last_order_it_was() {
+    let brick = LateBrick::new(300, &["a"]);
+    let address = serve(brick.clone()).await;
+    when_given(order(address, Operation::Load, "b", 100)).await;
+    let orders = brick.lock().unwrap().orders.clone();
+    let revisions: Vec<&Value> = orders.iter().map(|order| &order["if_revision"]).collect();
+    assert!(revisions.len() > 1, "it was given again");
+    assert!(revisions[1..].iter().all(|revision| **revision == json!(1)), "{revisions:?}");
+}
+
+#[tokio::test]
+async fn what_holds_already_leaves_the_revision_as_it_is() {
+    let brick = LateBrick::new(0, &["a"]);
+    let address = serve(brick.clone()).await;
+    let end = when_given(order(address, Operation::Load, "a", 10)).await;
+    assert_eq!(end.report.map(|report| report.sequence), Some(0));
+}
+
+/// An order that never reached its brick kept it from all others for twenty seconds.
+#[tokio::test]
+async fn an_order_that_no_report_shows_is_over_after_a_while() {
+    let brick = LateBrick::new(0, &["a"]);
+    let address = serve(brick.clone()).await;
+    brick.lock().unwrap().loses = 1;
+    let begun = clock::now();
+    let end = when_given(order(address, Operation::Load, "b", 100)).await;
+    assert_eq!(names(&end), ["a"]);
+    let took = clock::now() - begun;
+    assert!((1_500..8_000).contains(&took), "{took}");
+}
+
+/// A leader whose lease is over, or that handed over, gives nothing, however often it would have.
+#[tokio::test]
+async fn nothing_is_given_without_a_lease() {
+    let brick = LateBrick::new(300, &["a"]);
+    let address = serve(brick.clone()).await;
+    let over = given(order(address, Operation::Load, "b", 20), authority(0));
+    carry_out(ConnectionPool::default(), over).await;
+    assert_eq!(brick.lock().unwrap().orders.len(), 0);
+    let handed_over = authority(60_000);
+    let revoked = handed_over.revoked.clone();
+    let assignment = given(order(address, Operation::Load, "b", 150), handed_over);
+    let carried_out = tokio::spawn(carry_out(ConnectionPool::default(), assignment));
+    tokio::time::sleep(Duration::from_millis(60)).await;
+    revoked.store(true, std::sync::atomic::Ordering::Release);
+    carried_out.await.expect("it ends");
+    assert_eq!(brick.lock().unwrap().orders.len(), 1, "no repeat after the handover");
+}
