--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -11,7 +11,8 @@
 //! Configuration:
 //! * [`configuration`]: the parsed items of the operators' document.
 //! * [`document`]: the document, and updates to it; [`item_list`]: its lists; [`document_history`]: the latest ones.
-//! * [`checked_document`]: a valid document, and the checks of a change to it.
+//! * [`checked_document`]: a valid document, and the checks of a change to it; [`prepared_change`]: a change that is
+//!   parsed and checked beside the event loop.
 //! * [`edge_document`]: what is sent to edges of a document; [`edge_update`]: how edges parse it.
 //! * [`routes`]: the routing table of an edge.
 //! * [`edge_configurations`]: which edge has which configuration in force.
@@ -59,6 +60,7 @@
 pub mod outliers;
 pub mod pending_changes;
 pub mod placement;
+pub mod prepared_change;
 pub mod result_code;
 pub mod routes;
 pub mod state;
--- a/crates/control/src/operator_calls.rs
+++ b/crates/control/src/operator_calls.rs
@@ -7,6 +7,7 @@
 
 use crate::command_outcome::CommandOutcome;
 use crate::configuration::Rejection;
+use crate::prepared_change::PreparedChange;
 use crate::result_code::ResultCode;
 use crate::state::{Change, ChangeEvaluation, ControlState};
 use pathbank_coordination::replica::Replica;
@@ -97,11 +98,20 @@
 ///
 /// The answer, where the change is not to be proposed: a redirection, a rejection, or the acknowledgement of a change
 /// that was accepted before.
-pub fn check_change(state: &ControlState, status: &LeadershipStatus, change: &Change) -> Result<(), Reply> {
+pub fn check_change(
+    state: &ControlState,
+    status: &LeadershipStatus,
+    change: &Change,
+    prepared: &Result<PreparedChange, Rejection>,
+) -> Result<(), Reply> {
     if let Some(reply) = status.redirect() {
         return Err(reply);
     }
-    match state.evaluate(change) {
+    let evaluation = match prepared {
+        Ok(prepared) => state.evaluate_prepared(change, prepared),
+        Err(rejection) => Err(rejection.clone()),
+    };
+    match evaluation {
         Ok(ChangeEvaluation::Applicable { .. }) => Ok(()),
         // A later leader may have changed the state.
         _ if !status.lease_valid() => Err(Reply::unclear()),
--- /dev/null
+++ b/crates/control/src/prepared_change.rs
@@ -0,0 +1,79 @@
+//! A change that is ready to be evaluated: parsed, and carried out on a copy of the document. Its cost grows with the change,
+//! and it needs nothing but the document, so that a caller can have it done beside its event loop.
+
+use crate::checked_document::CheckedDocument;
+use crate::configuration::Rejection;
+use crate::document;
+use crate::state::{Change, ChangeKind};
+use pathbank_coordination::digest::digest;
+use serde_json::Value;
+
+/// The configuration that a change is prepared against. Copies share their items.
+#[derive(Clone, Debug, Default)]
+pub struct ChangeBasis {
+    document: Option<CheckedDocument>,
+    /// The log entry that brought the document; 0: there is none yet.
+    index: u64,
+    version: u64,
+}
+
+/// A change with what it makes of its basis.
+#[derive(Clone, Debug)]
+pub struct PreparedChange {
+    /// By which the change is recognised if it is sent again.
+    digest: u128,
+    /// The log entry of the document in the basis.
+    basis_index: u64,
+    /// The document that results; `None`: the change names another version than the basis has.
+    document: Option<Result<CheckedDocument, Rejection>>,
+}
+
+impl ChangeBasis {
+    /// The configuration of a log entry.
+    pub(crate) fn new(document: Option<CheckedDocument>, index: u64, version: u64) -> ChangeBasis {
+        ChangeBasis { document, index, version }
+    }
+
+    /// Parses a change, and carries it out where it names the version of this basis.
+    ///
+    /// # Errors
+    ///
+    /// The body is no JSON object.
+    pub fn prepare(&self, change: &Change) -> Result<PreparedChange, Rejection> {
+        let body = document::parse_object(change.body.as_bytes())?;
+        let digest = digest_of(change, &body);
+        let document = (change.base == self.version).then(|| self.document_after(change.kind, body));
+        Ok(PreparedChange { digest, basis_index: self.index, document })
+    }
+
+    fn document_after(&self, kind: ChangeKind, body: Value) -> Result<CheckedDocument, Rejection> {
+        match (kind, body) {
+            (ChangeKind::Replace, Value::Object(body)) => CheckedDocument::replaced(body, self.version),
+            (_, body) => {
+                let empty = CheckedDocument::default();
+                self.document.as_ref().unwrap_or(&empty).updated(&body, self.version)
+            }
+        }
+    }
+}
+
+impl PreparedChange {
+    /// By which the change is recognised if it is sent again.
+    pub(crate) fn digest(&self) -> u128 {
+        self.digest
+    }
+
+    /// The document that results, unless it was made of another one than that of the log entry `index`.
+    pub(crate) fn document_on(&self, index: u64) -> Option<Result<CheckedDocument, Rejection>> {
+        self.document.clone().filter(|_| self.basis_index == index)
+    }
+}
+
+/// The identity of a change: its kind, its base and its content regardless of white space.
+fn digest_of(change: &Change, body: &Value) -> u128 {
+    let kind: &[u8] = match change.kind {
+        ChangeKind::Replace => b"replace",
+        ChangeKind::Update => b"update",
+    };
+    digest(&[kind, &change.base.to_le_bytes(), body.to_string().as_bytes()])
+}
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -5,12 +5,13 @@
 use crate::checked_document::CheckedDocument;
 use crate::command_outcome::CommandOutcome;
 use crate::configuration::{Backend, Rejection};
-use crate::document::{self, Document};
+use crate::document::Document;
+use crate::prepared_change::{ChangeBasis, PreparedChange};
 use crate::result_code::ResultCode;
 use crate::training::{TrainingCommand, TrainingState};
 use pathbank_coordination::digest::digest;
+use pathbank_coordination::state_comparison::StateDigest;
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -101,7 +102,10 @@
     AlreadyApplied,
 }
 
-/// The replicated state.
+/// The form of the encoded state. It changes with every change of that form: digests of different forms are not compared.
+pub const DIGEST_FORMAT: u32 = 1;
+
+/// The replicated state. Copies share what is large.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ControlState {
     /// The format of the snapshot; one without it is of format 1.
@@ -114,13 +118,13 @@
     version: u64,
     /// Format 1 had digests of another kind in its place.
     #[serde(default)]
-    changes: ChangeLog,
+    changes: Arc<ChangeLog>,
     sealed: BTreeMap<u64, BTreeMap<String, u64>>,
     /// The highest window that was ever sealed.
     last_sealed: u64,
     /// A snapshot of an earlier program has none.
     #[serde(default)]
-    training: TrainingState,
+    training: Arc<TrainingState>,
 }
 
 impl Default for ControlState {
@@ -130,10 +134,10 @@
             document: None,
             index: 0,
             version: 0,
-            changes: ChangeLog::default(),
+            changes: Arc::default(),
             sealed: BTreeMap::new(),
             last_sealed: 0,
-            training: TrainingState::default(),
+            training: Arc::default(),
         }
     }
 }
@@ -155,7 +159,7 @@
         }
         if state.format < SNAPSHOT_FORMAT {
             state.format = SNAPSHOT_FORMAT;
-            state.changes = ChangeLog::complete_from(state.version);
+            state.changes = Arc::new(ChangeLog::complete_from(state.version));
         }
         Ok(state)
     }
@@ -166,6 +170,11 @@
         serde_json::to_vec(self).expect("the state holds nothing that JSON cannot")
     }
 
+    /// The digest by which replicas compare their states. It encodes the state, which takes milliseconds for a large one.
+    pub fn digest(&self) -> StateDigest {
+        StateDigest { format: DIGEST_FORMAT, digest: digest(&[&self.encode()]) }
+    }
+
     /// The document in force, and the index of the log entry that brought it.
     pub fn document(&self) -> Option<(&Document, u64)> {
         self.document.as_ref().map(|checked| (checked.document(), self.index))
@@ -196,6 +205,11 @@
         &self.training
     }
 
+    /// The configuration in force, for changes that are prepared beside the event loop.
+    pub fn change_basis(&self) -> ChangeBasis {
+        ChangeBasis::new(self.document.clone(), self.index, self.version)
+    }
+
     /// Checks what a change would do to this state, without applying it.
     ///
     /// # Errors
@@ -203,8 +217,20 @@
     /// The change is invalid, does not build on the current version, or is too old to tell whether it was accepted
     /// before.
     pub fn evaluate(&self, change: &Change) -> Result<ChangeEvaluation, Rejection> {
-        let body = document::parse_object(change.body.as_bytes())?;
-        let digest = digest_of(change, &body);
+        self.evaluate_prepared(change, &self.change_basis().prepare(change)?)
+    }
+
+    /// The same for a change that was prepared, on this state's configuration or an earlier one.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`ControlState::evaluate`].
+    pub fn evaluate_prepared(
+        &self,
+        change: &Change,
+        prepared: &PreparedChange,
+    ) -> Result<ChangeEvaluation, Rejection> {
+        let digest = prepared.digest();
         match self.changes.lookup(digest, change.base) {
             ChangeLookup::Accepted => return Ok(ChangeEvaluation::AlreadyApplied),
             ChangeLookup::Evicted => {
@@ -217,14 +243,11 @@
             let message = format!("version {} is current, not {}", self.version, change.base);
             return Err(Rejection::new(ResultCode::BaseMismatch, message));
         }
-        let document = match (change.kind, body) {
-            (ChangeKind::Replace, Value::Object(body)) => CheckedDocument::replaced(body, self.version)?,
-            (_, body) => {
-                let empty = CheckedDocument::default();
-                self.document.as_ref().unwrap_or(&empty).updated(&body, self.version)?
-            }
-        };
-        Ok(ChangeEvaluation::Applicable { document, digest })
+        match prepared.document_on(self.index) {
+            Some(document) => Ok(ChangeEvaluation::Applicable { document: document?, digest }),
+            // The configuration has changed since.
+            None => self.evaluate(change),
+        }
     }
 
     /// Applies the command of the log entry `index`. Nothing else changes the state.
@@ -234,7 +257,10 @@
     /// The command is rejected, and changes nothing.
     pub fn apply(&mut self, index: u64, command: &Command) -> Result<CommandOutcome, Rejection> {
         match command {
-            Command::Change(change) => self.apply_change(index, change),
+            Command::Change(change) => {
+                let evaluation = self.evaluate(change)?;
+                Ok(self.apply_change(index, change, evaluation))
+            }
             Command::SealUsage { window, counts } => {
                 if *window > self.last_sealed {
                     self.last_sealed = *window;
@@ -245,26 +271,33 @@
                 }
                 Ok(CommandOutcome::Applied)
             }
-            Command::Training(command) => self.training.apply(index, command),
+            Command::Training(command) => Arc::make_mut(&mut self.training).apply(index, command),
         }
     }
 
-    fn apply_change(&mut self, index: u64, change: &Change) -> Result<CommandOutcome, Rejection> {
-        let ChangeEvaluation::Applicable { document, digest } = self.evaluate(change)? else {
-            return Ok(CommandOutcome::AlreadyApplied);
+    /// Applies the change of the log entry `index`, which was prepared before. The result is that of
+    /// [`ControlState::apply`].
+    ///
+    /// # Errors
+    ///
+    /// The change is rejected, and changes nothing.
+    pub fn apply_prepared(
+        &mut self,
+        index: u64,
+        change: &Change,
+        prepared: &PreparedChange,
+    ) -> Result<CommandOutcome, Rejection> {
+        let evaluation = self.evaluate_prepared(change, prepared)?;
+        Ok(self.apply_change(index, change, evaluation))
+    }
+
+    fn apply_change(&mut self, index: u64, change: &Change, evaluation: ChangeEvaluation) -> CommandOutcome {
+        let ChangeEvaluation::Applicable { document, digest } = evaluation else {
+            return CommandOutcome::AlreadyApplied;
         };
         let version = document.version();
-        self.changes.record(digest, change.base);
+        Arc::make_mut(&mut self.changes).record(digest, change.base);
         (self.document, self.index, self.version) = (Some(document), index, version);
-        Ok(CommandOutcome::Applied)
+        CommandOutcome::Applied
     }
 }
-
-/// The identity of a change: its kind, its base and its content regardless of white space.
-fn digest_of(change: &Change, body: &Value) -> u128 {
-    let kind: &[u8] = match change.kind {
-        ChangeKind::Replace => b"replace",
-        ChangeKind::Update => b"update",
-    };
-    digest(&[kind, &change.base.to_le_bytes(), body.to_string().as_bytes()])
-}
--- a/crates/control/tests/safety/world.rs
+++ b/crates/control/tests/safety/world.rs
@@ -15,6 +15,8 @@
 pub const MACHINES: usize = 5;
 /// What one entry of the log takes to be applied, microseconds.
 const ENTRY_US: [u64; 4] = [0, 0, 500, 4_000];
+/// What a command takes to be prepared before it is applied, milliseconds.
+const PREPARATION_MS: [Option<u64>; 4] = [None, None, Some(1), Some(120)];
 /// How long turns of two leaders have to be apart, milliseconds.
 const TURN_WAIT: u64 = 3_000;
 /// A leader without contact leads for no longer than this, milliseconds, and a follower believes it for
@@ -73,6 +75,8 @@
         // Some groups run on processors on which a log takes its time to be applied.
         let apply_us_per_entry = ENTRY_US[random.usize(..ENTRY_US.len())];
         fleet.machines.iter_mut().for_each(|machine| machine.apply_us_per_entry = apply_us_per_entry);
+        // Some groups have commands that are prepared beside the loop.
+        fleet.preparation_ms = PREPARATION_MS[random.usize(..PREPARATION_MS.len())];
         let operators = (0..operators).map(|_| Operator::new(1_500 + random.u64(0..300))).collect();
         World {
             fleet,
@@ -195,7 +199,8 @@
             let reply = operator_calls::read_configuration(state, &standing);
             return self.send_answer(operator, Some(reply));
         };
-        match operator_calls::check_change(state, &standing, &change) {
+        let prepared = state.change_basis().prepare(&change);
+        match operator_calls::check_change(state, &standing, &change, &prepared) {
             Err(reply) => self.send_answer(operator, Some(reply)),
             Ok(()) => {
                 let command = Command::Change(change).encode();
@@ -350,7 +355,9 @@
         let Some(change) = change else { return };
         let Some(replica) = self.fleet.machines[machine].replica.as_ref() else { return };
         let standing = LeadershipStatus::of(replica, self.fleet.now);
-        if operator_calls::check_change(&self.applied[machine].state, &standing, &change).is_ok() {
+        let state = &self.applied[machine].state;
+        let prepared = state.change_basis().prepare(&change);
+        if operator_calls::check_change(state, &standing, &change, &prepared).is_ok() {
             self.fleet.propose_at(machine, &Command::Change(change).encode());
         }
     }
--- a/crates/control/tests/stored_formats.rs
+++ b/crates/control/tests/stored_formats.rs
@@ -17,6 +17,9 @@
 const STATE_FORMAT_1: &str = include_str!("fixtures/state_format_1.json");
 const STATE_FORMAT_1_UPGRADED: &str = include_str!("fixtures/state_format_1_upgraded.json");
 
+/// The digest of the stored state in format 1.
+const STATE_DIGEST: u128 = 13982666986440852518653171877868973807;
+
 fn json(text: &str) -> Value {
     serde_json::from_str(text).expect("valid JSON")
 }
@@ -136,3 +139,11 @@
     assert_eq!((state.version(), state.document().unwrap().1), (5, 3));
     assert_eq!(encoded(&state), json(STATE_FORMAT_1_UPGRADED));
 }
+
+/// Digests of programs whose states have different forms must not be compared: whoever changes the form changes
+/// `DIGEST_FORMAT` too, and this pair.
+#[test]
+fn the_digest_of_a_stored_state_belongs_to_its_format() {
+    let digest = ControlState::decode(STATE.as_bytes()).unwrap().digest();
+    assert_eq!((digest.format, digest.digest), (1, STATE_DIGEST));
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`fencing`]: when a leader may act outside the group, and with which fencing token.
 //! * [`recent_peers`]: addresses of replicas that sent a message lately.
 //! * [`gossip`]: a view of which machines run, after SWIM; an opinion, on which no rule rests.
+//! * [`state_comparison`]: digests of the replicas' state machines, and which replica differs.
 //! * [`digest`]: the digest by which content is compared.
 //! * [`types`]: members, entries, snapshots and messages.
 //!
@@ -38,5 +39,6 @@
 pub mod recent_peers;
 pub mod record;
 pub mod replica;
+pub mod state_comparison;
 pub mod store;
 pub mod types;
--- a/crates/coordination/src/replica/log.rs
+++ b/crates/coordination/src/replica/log.rs
@@ -2,7 +2,7 @@
 
 use super::{Effects, Replica};
 use crate::record::Record;
-use crate::types::{Index, Membership, Payload};
+use crate::types::{Entry, Index, Membership, Payload};
 
 /// Entries that are handed out at once, and their bytes beyond the last one.
 const MAX_COMMITTED_ENTRIES: usize = 32;
@@ -58,16 +58,39 @@
             && effects.committed.len() < MAX_COMMITTED_ENTRIES
             && bytes < MAX_COMMITTED_BYTES
         {
-            let Some(entry) = self.durable.entry(self.applied_index + 1) else { return };
+            let Some(entry) = self.durable.entry(self.applied_index + 1) else { break };
             bytes += entry.payload.size();
             effects.committed.push(entry.clone());
             self.applied_index += 1;
         }
+        self.prepared.retain(|index| *index > self.applied_index);
     }
 
-    /// Whether entries are committed that were not handed out yet.
+    /// Whether entries are committed that can be handed out and were not yet.
     pub fn has_more_to_apply(&self) -> bool {
-        self.applied_index < self.commit_index
+        self.applied_index < self.commit_index && self.awaits_preparation().is_none()
+    }
+
+    /// Hands out commands longer than `bytes` only once [`Replica::set_prepared`] was called for them: a caller whose state
+    /// machine takes long for them prepares them beside its event loop. Without this call there is no such limit.
+    pub fn set_max_unprepared_bytes(&mut self, bytes: usize) {
+        self.max_unprepared_bytes = bytes;
+    }
+
+    /// The next entry to be handed out, if it is committed and has to be prepared first.
+    pub fn awaits_preparation(&self) -> Option<&Entry> {
+        if self.applied_index >= self.commit_index {
+            return None;
+        }
+        let next = self.durable.entry(self.applied_index + 1)?;
+        let is_long =
+            matches!(&next.payload, Payload::Command(bytes) if bytes.len() > self.max_unprepared_bytes);
+        (is_long && !self.prepared.contains(&next.index)).then_some(next)
+    }
+
+    /// The caller has prepared the entry at `index`. [`Replica::apply_more`] hands it out.
+    pub fn set_prepared(&mut self, index: Index) {
+        self.prepared.insert(index);
     }
 
     /// Hands out more of what is committed. To be called again, between other events, while
--- a/crates/coordination/src/replica/mod.rs
+++ b/crates/coordination/src/replica/mod.rs
@@ -27,7 +27,7 @@
 use leader::AppendReply;
 use peer::Peer;
 use snapshot_transfer::{EncodedSnapshot, PartialSnapshot, SnapshotReply};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Intervals and timeouts, in milliseconds.
 #[derive(Clone, Copy, Debug)]
@@ -124,6 +124,10 @@
     partial_snapshot: Option<PartialSnapshot>,
     commit_index: Index,
     applied_index: Index,
+    /// Longer commands are handed out once the caller has prepared them, bytes.
+    max_unprepared_bytes: usize,
+    /// Entries that the caller has prepared.
+    prepared: BTreeSet<Index>,
     persisted_index: Index,
     term_start_index: Index,
     /// Its disk accepts no writes at the moment: it does not stand for election.
@@ -155,6 +159,8 @@
             partial_snapshot: None,
             commit_index: durable.snapshot.index,
             applied_index: durable.snapshot.index,
+            max_unprepared_bytes: usize::MAX,
+            prepared: BTreeSet::new(),
             persisted_index: last,
             term_start_index: 0,
             impaired: false,
--- /dev/null
+++ b/crates/coordination/src/state_comparison.rs
@@ -0,0 +1,152 @@
+//! Comparison of the state machines of a group. Replicas that apply the same log come to the same state; one that does not
+//! (memory that was damaged, a program that applies a command otherwise) is found by the digests that all replicas make at
+//! the same index.
+//!
+//! The leader names an index that it has not applied yet, or has just applied. Each replica makes its digest when it has
+//! applied exactly that entry, and sends it to all others, so that each judges for itself. Digests of different formats are
+//! never compared: programs of two versions may store the same state in different forms.
+
+use crate::types::{Index, Membership, StoreId, Term};
+use std::collections::BTreeMap;
+
+/// Identifies a comparison: a later one replaces an earlier one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ComparisonId {
+    /// The term of the leader that asked for it.
+    pub term: Term,
+    /// Its number in that term, from 1.
+    pub number: u64,
+}
+
+/// A leader asks all replicas for their digests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ComparisonRequest {
+    /// The comparison.
+    pub id: ComparisonId,
+    /// The entry after which the digest is made.
+    pub index: Index,
+}
+
+/// The digest of a replica's state machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StateDigest {
+    /// The form of the state that the digest covers.
+    pub format: u32,
+    /// The first 128 bits of a SHA-256.
+    pub digest: u128,
+}
+
+/// A replica's answer to a [`ComparisonRequest`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ComparisonReport {
+    /// The replica.
+    pub store: StoreId,
+    /// What it answers.
+    pub request: ComparisonRequest,
+    /// Its digest.
+    pub state: StateDigest,
+}
+
+/// What a replica knows of its own state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Not enough replicas of the same format have reported.
+    Undecided,
+    /// A majority has the same state.
+    Agrees,
+    /// A majority has another state, with this digest.
+    Differs(u128),
+    /// The states differ, and none can be that of a majority.
+    NoMajority,
+}
+
+/// The comparison that goes on, as one replica sees it.
+///
+/// ```
+/// use pathbank_coordination::state_comparison::*;
+/// use pathbank_coordination::types::{Member, Membership, StoreId};
+///
+/// let no_text = String::new;
+/// let member =
+///     |id| Member { id: StoreId(id), name: no_text(), address: no_text(), control_address: no_text() };
+/// let group = Membership::of(vec![member(1), member(2), member(3)]);
+/// let request = ComparisonRequest { id: ComparisonId { term: 1, number: 1 }, index: 9 };
+/// let mut comparison = StateComparison::default();
+/// for (store, digest) in [(1, 70), (2, 71), (3, 71)] {
+///     let state = StateDigest { format: 1, digest };
+///     comparison.record(ComparisonReport { store: StoreId(store), request, state });
+/// }
+/// assert_eq!(comparison.verdict(StoreId(1), &group), Verdict::Differs(71));
+/// assert_eq!(comparison.verdict(StoreId(2), &group), Verdict::Agrees);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct StateComparison {
+    request: Option<ComparisonRequest>,
+    reports: BTreeMap<StoreId, StateDigest>,
+    /// The own digest is being made, or is made.
+    own_requested: bool,
+}
+
+impl StateComparison {
+    /// The comparison that goes on; `None`: there was none yet.
+    pub fn request(&self) -> Option<ComparisonRequest> {
+        self.request
+    }
+
+    /// The next comparison that the leader of `term` asks for.
+    pub fn next_id(&self, term: Term) -> ComparisonId {
+        let last = self.request.map(|request| request.id).filter(|id| id.term == term);
+        ComparisonId { term, number: last.map_or(0, |id| id.number) + 1 }
+    }
+
+    /// Takes a request, unless a later comparison goes on.
+    pub fn begin(&mut self, request: ComparisonRequest) {
+        if self.request.is_none_or(|known| known.id < request.id) {
+            *self = StateComparison { request: Some(request), ..StateComparison::default() };
+        }
+    }
+
+    /// Whether the digest of this replica's state is to be made now, as `applied` is the last entry that it applied. It is
+    /// asked for once.
+    pub fn take_due(&mut self, applied: Index) -> Option<ComparisonRequest> {
+        let due = self.request.filter(|request| request.index == applied && !self.own_requested)?;
+        self.own_requested = true;
+        Some(due)
+    }
+
+    /// Takes a report, of this replica or of another one. It may come before the request.
+    pub fn record(&mut self, report: ComparisonReport) {
+        self.begin(report.request);
+        if self.request == Some(report.request) {
+            self.reports.insert(report.store, report.state);
+        }
+    }
+
+    /// What the reports so far say of the replica `me`.
+    pub fn verdict(&self, me: StoreId, membership: &Membership) -> Verdict {
+        let Some(own) = self.reports.get(&me) else { return Verdict::Undecided };
+        let has = |id: StoreId, digest: u128| {
+            self.reports.get(&id).is_some_and(|state| state.format == own.format && state.digest == digest)
+        };
+        let comparable = self.reports.values().filter(|state| state.format == own.format);
+        let digests: Vec<u128> = comparable.map(|state| state.digest).collect();
+        let majority = digests.iter().find(|digest| membership.has_quorum(|id| has(id, **digest)));
+        if let Some(majority) = majority {
+            return if *majority == own.digest { Verdict::Agrees } else { Verdict::Differs(*majority) };
+        }
+        // Digests of other formats and voters that are silent may be those of a majority. A store that has not joined yet
+        // knows no voters.
+        let may_decide = |digest: Option<u128>| {
+            membership.has_quorum(|id| {
+                self.reports.get(&id).is_none_or(|state| {
+                    digest.is_some_and(|digest| has(id, digest)) || state.format != own.format
+                })
+            })
+        };
+        let is_open = may_decide(None) || digests.iter().any(|digest| may_decide(Some(*digest)));
+        match is_open || membership.members().next().is_none() {
+            true => Verdict::Undecided,
+            false => Verdict::NoMajority,
+        }
+    }
+}
--- a/crates/coordination/src/store.rs
+++ b/crates/coordination/src/store.rs
@@ -19,6 +19,11 @@
 /// The name under which a damaged file is set aside.
 pub const DAMAGED_FILE: &str = "replica.log.damaged";
 
+/// The name under which the log of a replica is set aside whose state differed from that of its group.
+pub const DIVERGED_FILE: &str = "replica.log.diverged";
+/// The state itself, as the state machine encodes it.
+pub const DIVERGED_STATE_FILE: &str = "state.diverged";
+
 /// The open log.
 ///
 /// ```
@@ -51,7 +56,8 @@
 pub struct OpenedLog {
     /// The replica's state.
     pub durable: DurableState,
-    /// A store of this directory was damaged, now or before: the store that begins here is another one.
+    /// A store of this directory was damaged or differed from its group, now or before: the store that begins here is
+    /// another one.
     pub previous_store_lost: bool,
 }
 
@@ -86,7 +92,8 @@
         if let Some(contents) = contents {
             log.recover(contents, &mut durable)?;
         }
-        let previous_store_lost = directory.join(DAMAGED_FILE).try_exists()?;
+        let previous_store_lost =
+            directory.join(DAMAGED_FILE).try_exists()? || directory.join(DIVERGED_FILE).try_exists()?;
         Ok((log, OpenedLog { durable, previous_store_lost }))
     }
 
@@ -136,6 +143,25 @@
         self.sync_directory()
     }
 
+    /// Sets the log of a replica that differs from its group aside, with the state that differed. The directory becomes a
+    /// new store when it is opened next.
+    ///
+    /// # Errors
+    ///
+    /// The same call may be made again.
+    pub fn set_diverged_aside(&mut self, state: &[u8]) -> io::Result<()> {
+        let mut file = File::create(self.directory.join(DIVERGED_STATE_FILE))?;
+        file.write_all(state)?;
+        file.sync_all()?;
+        self.file = None;
+        let log = self.directory.join(LOG_FILE);
+        if log.try_exists()? {
+            fs::rename(log, self.directory.join(DIVERGED_FILE))?;
+        }
+        self.directory_unsynced = true;
+        self.sync_directory()
+    }
+
     /// The length of the file, bytes.
     pub fn length(&self) -> u64 {
         self.length
--- a/crates/coordination/tests/common/mod.rs
+++ b/crates/coordination/tests/common/mod.rs
@@ -5,10 +5,14 @@
 
 pub mod data_directory;
 
+use pathbank_coordination::digest::digest;
 use pathbank_coordination::fencing::FencingGuard;
 use pathbank_coordination::membership_changes;
 use pathbank_coordination::record::{DurableState, Record};
 use pathbank_coordination::replica::{Departure, Effects, Outgoing, Replica, Role, Timing};
+use pathbank_coordination::state_comparison::{
+    ComparisonReport, ComparisonRequest, StateComparison, StateDigest, Verdict,
+};
 use pathbank_coordination::types::{Entry, Index, Member, Membership, Message, Payload, StoreId};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -40,6 +44,19 @@
     busy_until: u64,
     /// Processor time that does not add up to a millisecond yet.
     unaccounted_us: u64,
+    /// The last entry that it applied, a command or not.
+    last_applied: Index,
+    /// It applies commands that contain this otherwise than the others do.
+    pub misapplies: Option<&'static [u8]>,
+    /// The form of its digests.
+    pub digest_format: u32,
+    pub comparison: StateComparison,
+    /// How often it became a new store because its state differed.
+    pub set_aside: usize,
+    /// It has found that no state is that of a majority.
+    pub saw_no_majority: bool,
+    /// The command that is being prepared, and when that ends.
+    preparing: Option<(Index, u64)>,
     /// Who led, as far as this machine has applied.
     pub fence: FencingGuard,
     /// When it received SIGTERM; it ends as soon as it may.
@@ -72,6 +89,18 @@
     last_leader: Option<usize>,
     /// Who led each term.
     leaders: BTreeMap<u64, usize>,
+    /// Machines prepare each command for so long before it is applied; `None`: they apply it at once.
+    pub preparation_ms: Option<u64>,
+    /// The leader asks for a comparison of the states this often; `None`: never.
+    pub comparison_interval_ms: Option<u64>,
+    comparisons_in_transit: BTreeMap<(u64, u64), (usize, ComparisonMessage)>,
+}
+
+/// What machines say about their states.
+#[derive(Clone, Copy)]
+enum ComparisonMessage {
+    Request(ComparisonRequest),
+    Report(ComparisonReport),
 }
 
 /// Bytes of a message, roughly.
@@ -118,6 +147,9 @@
             leader_changes: 0,
             last_leader: None,
             leaders: BTreeMap::new(),
+            preparation_ms: None,
+            comparison_interval_ms: None,
+            comparisons_in_transit: BTreeMap::new(),
         };
         for machine in 0..founders + joining {
             let founder = machine < founders;
@@ -135,6 +167,13 @@
                 apply_us_per_entry: 0,
                 busy_until: 0,
                 unaccounted_us: 0,
+                last_applied: 0,
+                misapplies: None,
+                digest_format: 1,
+                comparison: StateComparison::default(),
+                set_aside: 0,
+                saw_no_majority: false,
+                preparing: None,
                 fence: FencingGuard::default(),
                 sigterm_at: None,
             });
@@ -154,6 +193,8 @@
         let random = self.random.u64(..);
         let state = &mut self.machines[machine];
         state.applied = decode(&disk.snapshot.data);
+        state.comparison = StateComparison::default();
+        state.last_applied = disk.snapshot.index;
         state.fence = FencingGuard::default();
         state.fence.restore(disk.snapshot.leaders.clone());
         (state.paused_until, state.busy_until) = (0, 0);
@@ -174,6 +215,7 @@
     fn stop(&mut self, machine: usize, kept: usize) {
         let state = &mut self.machines[machine];
         state.replica = None;
+        state.preparing = None;
         state.sigterm_at = None;
         for write in state.writes.drain(..).take(kept) {
             write.records.into_iter().for_each(|record| state.disk.apply(record));
@@ -248,6 +290,7 @@
         }
         if let Some(snapshot) = effects.install {
             state.applied = decode(&snapshot.data);
+            state.last_applied = snapshot.index;
             state.fence.restore(snapshot.leaders);
         }
         let takes_us = state.apply_us_per_entry * effects.committed.len() as u64;
@@ -274,8 +317,14 @@
         if let Payload::LeaderStart(name) = &entry.payload {
             self.machines[machine].fence.record_leader(name);
         }
-        let Payload::Command(command) = entry.payload else { return };
-        self.machines[machine].applied.push((entry.index, command.clone()));
+        self.machines[machine].last_applied = entry.index;
+        let Payload::Command(command) = entry.payload else { return self.digest_if_due(machine) };
+        let state = &mut self.machines[machine];
+        let is_misapplied =
+            state.misapplies.is_some_and(|text| command.windows(text.len()).any(|part| part == text));
+        let applied = if is_misapplied { b"misapplied".to_vec() } else { command.clone() };
+        state.applied.push((entry.index, applied));
+        self.digest_if_due(machine);
         if let Some((term, proposed)) = self.proposed.remove(&(machine, entry.index))
             && term == entry.term
             && proposed == command
@@ -433,17 +482,123 @@
             self.with(machine, |replica, now| {
                 membership_changes::reconcile(replica, now).unwrap_or_default()
             });
+            self.prepare(machine);
             self.with(machine, |replica, _| replica.apply_more());
             if self.now.is_multiple_of(100) {
                 self.request_join(machine);
             }
             self.continue_shutdown(machine);
+            self.compare(machine);
         }
+        self.deliver_comparisons();
         self.count_leader_changes();
         self.check_one_leader_per_term();
         assert!(self.voter_count().is_none_or(|voters| voters % 2 == 1), "the number of voters stays odd");
     }
 
+    // ---- comparisons of the states ----
+
+    /// Changes one command that a machine has applied: memory that was damaged.
+    pub fn damage_state(&mut self, machine: usize) {
+        let (_, command) = self.machines[machine].applied.first_mut().expect("something is applied");
+        command[0] ^= 1;
+    }
+
+    /// As the leader, asks for a comparison when it is due.
+    fn compare(&mut self, machine: usize) {
+        let is_due = self.comparison_interval_ms.is_some_and(|interval| self.now.is_multiple_of(interval));
+        if !is_due || self.leader() != Some(machine) {
+            return;
+        }
+        let state = &mut self.machines[machine];
+        let Some(replica) = state.replica.as_ref() else { return };
+        let id = state.comparison.next_id(replica.term());
+        let request = ComparisonRequest { id, index: replica.durable().last_index() };
+        self.send_comparison(machine, ComparisonMessage::Request(request));
+        self.machines[machine].comparison.begin(request);
+        self.digest_if_due(machine);
+    }
+
+    /// Makes the digest of a machine's state where it is asked for.
+    fn digest_if_due(&mut self, machine: usize) {
+        let state = &mut self.machines[machine];
+        let Some(replica) = state.replica.as_ref() else { return };
+        let store = replica.me().id;
+        let Some(request) = state.comparison.take_due(state.last_applied) else { return };
+        let digest = StateDigest { format: state.digest_format, digest: digest(&[&encode(&state.applied)]) };
+        let report = ComparisonReport { store, request, state: digest };
+        state.comparison.record(report);
+        self.send_comparison(machine, ComparisonMessage::Report(report));
+    }
+
+    fn send_comparison(&mut self, from: usize, message: ComparisonMessage) {
+        for target in (0..self.machines.len()).filter(|target| *target != from) {
+            let is_lost = self.random.u64(0..1_000) < self.loss_in_1000;
+            if !is_lost && !self.partitions.contains(&(from, target)) {
+                self.sequence += 1;
+                let at = self.now + LINK_DELAY_MS + self.random.u64(0..3);
+                self.comparisons_in_transit.insert((at, self.sequence), (target, message));
+            }
+        }
+    }
+
+    fn deliver_comparisons(&mut self) {
+        while let Some(first) =
+            self.comparisons_in_transit.first_entry().filter(|first| first.key().0 <= self.now)
+        {
+            let (target, message) = first.remove();
+            if self.machines[target].replica.is_none() || self.is_paused(target) {
+                continue;
+            }
+            let comparison = &mut self.machines[target].comparison;
+            match message {
+                ComparisonMessage::Request(request) => comparison.begin(request),
+                ComparisonMessage::Report(report) => comparison.record(report),
+            }
+            self.digest_if_due(target);
+        }
+        (0..self.machines.len()).for_each(|machine| self.judge(machine));
+    }
+
+    /// A machine whose state differs from a majority's goes on as a new store; a leader hands over first.
+    fn judge(&mut self, machine: usize) {
+        let state = &self.machines[machine];
+        let Some(replica) = state.replica.as_ref() else { return };
+        match state.comparison.verdict(replica.me().id, replica.membership()) {
+            Verdict::Differs(_) => {
+                self.with(machine, pathbank_coordination::replica::Replica::transfer_leadership);
+                self.wipe(machine);
+                self.machines[machine].misapplies = None;
+                self.machines[machine].set_aside += 1;
+                self.start(machine);
+            }
+            Verdict::NoMajority => self.machines[machine].saw_no_majority = true,
+            Verdict::Agrees | Verdict::Undecided => {}
+        }
+    }
+
+    /// Whether all running machines have applied the same.
+    pub fn has_one_state(&self) -> bool {
+        let mut running = self.machines.iter().filter(|machine| machine.replica.is_some());
+        let Some(first) = running.next() else { return true };
+        running.all(|machine| machine.applied == first.applied)
+    }
+
+    /// Prepares the command that a machine awaits, beside everything else that it does.
+    fn prepare(&mut self, machine: usize) {
+        let Some(takes_ms) = self.preparation_ms else { return };
+        let now = self.now;
+        let state = &mut self.machines[machine];
+        let Some(replica) = state.replica.as_mut() else { return };
+        replica.set_max_unprepared_bytes(0);
+        let Some(index) = replica.awaits_preparation().map(|entry| entry.index) else { return };
+        match state.preparing.filter(|(preparing, _)| *preparing == index) {
+            None => state.preparing = Some((index, now + takes_ms)),
+            Some((_, ends_at)) if now >= ends_at => replica.set_prepared(index),
+            Some(_) => {}
+        }
+    }
+
     fn with(&mut self, machine: usize, event: impl FnOnce(&mut Replica, u64) -> Effects) {
         let now = self.now;
         if let Some(replica) = self.machines[machine].replica.as_mut() {
@@ -481,6 +636,11 @@
         self.check();
     }
 
+    /// Runs without the check that all machines apply the same: the states of some differ.
+    pub fn run_unchecked(&mut self, milliseconds: u64) {
+        (0..milliseconds).for_each(|_| self.step());
+    }
+
     /// Runs until there is an established leader; `false`: none within the time.
     pub fn run_until_leader(&mut self, milliseconds: u64) -> bool {
         for _ in 0..milliseconds {
--- a/crates/coordination/tests/store.rs
+++ b/crates/coordination/tests/store.rs
@@ -7,7 +7,7 @@
 use common::data_directory::DataDirectory;
 use pathbank_coordination::batch::{TailState, UnreadableLog, decode, encode};
 use pathbank_coordination::record::{DurableState, Record};
-use pathbank_coordination::store::{DAMAGED_FILE, LogFile, OpenedLog};
+use pathbank_coordination::store::{DAMAGED_FILE, DIVERGED_FILE, DIVERGED_STATE_FILE, LogFile, OpenedLog};
 use pathbank_coordination::types::{Entry, Membership, Payload, Snapshot, StoreId};
 use std::fs;
 use test_case::test_case;
@@ -210,3 +210,22 @@
     durable.apply(entry(9, 2));
     assert_eq!(durable.last_index(), 3, "never with a gap");
 }
+
+/// Replicas with another state than their group keep it for engineers, and begin anew.
+#[test]
+fn a_log_with_another_state_is_set_aside_and_the_directory_becomes_a_new_store() {
+    let directory = DataDirectory::new("diverged");
+    let (mut log, _) = LogFile::open(&directory.path).unwrap();
+    log.append(&[Record::Vote { term: 3, voted_for: None }]).unwrap();
+    log.set_diverged_aside(b"the first state").unwrap();
+    log.set_diverged_aside(b"the state").unwrap();
+    drop(log);
+    assert_eq!(std::fs::read(directory.path.join(DIVERGED_STATE_FILE)).unwrap(), b"the state");
+    assert!(directory.path.join(DIVERGED_FILE).exists());
+    let (mut log, opened) = LogFile::open(&directory.path).unwrap();
+    assert_eq!(opened, OpenedLog { durable: DurableState::default(), previous_store_lost: true });
+    log.append(&[Record::Vote { term: 4, voted_for: None }]).unwrap();
+    drop(log);
+    let (_, opened) = LogFile::open(&directory.path).unwrap();
+    assert_eq!((opened.durable.term, opened.previous_store_lost), (4, true));
+}
--- a/crates/protocol/schema/internal.capnp
+++ b/crates/protocol/schema/internal.capnp
@@ -100,6 +100,24 @@
   zone @2 :Text;
   incarnation @3 :UInt64;
   acceptsCompression @4 :Bool;
+  # The sender is a core that takes requests for digests of its state, and reports.
+  comparesStates @5 :Bool;
+}
+
+# A leader asks for the digest of the replicated state after the entry of an index.
+struct ComparisonRequest {
+  term @0 :UInt64;
+  number @1 :UInt64;
+  index @2 :UInt64;
+}
+
+# A replica's digest: its first and second 64 bits.
+struct ComparisonReport {
+  store @0 :UInt64;
+  request @1 :ComparisonRequest;
+  format @2 :UInt32;
+  digestHigh @3 :UInt64;
+  digestLow @4 :UInt64;
 }
 
 struct LoadedModel {
@@ -368,5 +386,8 @@
     # The body of another frame, LZ4 with the length in front. Only to processes whose hello has acceptsCompression.
     compressed @20 :Data;
     expectedModels @21 :ExpectedModelList;
+    # Both only to cores whose hello has comparesStates.
+    comparisonRequest @22 :ComparisonRequest;
+    comparisonReport @23 :ComparisonReport;
   }
 }
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -17,6 +17,7 @@
     ExpectedModel, LoadedModel, ModelServer, ModelServerLoad, ModelServerState, ModelServerUpdate,
     OrderStatus, WithheldModel,
 };
+use pathbank_coordination::state_comparison::{ComparisonReport, ComparisonRequest};
 use pathbank_coordination::types::{Member, Message};
 pub use reports::{EdgeReport, ModelDemand, UsageWindow};
 
@@ -66,4 +67,8 @@
     OrderStatus(OrderStatus),
     /// Models that model servers are loading by the leader's orders.
     ExpectedModels(Vec<ExpectedModel>),
+    /// A leader asks the cores for digests of the replicated state.
+    ComparisonRequest(ComparisonRequest),
+    /// A core's digest of the replicated state.
+    ComparisonReport(ComparisonReport),
 }
--- a/crates/protocol/src/message/connection.rs
+++ b/crates/protocol/src/message/connection.rs
@@ -24,6 +24,8 @@
     pub incarnation: u64,
     /// The sender decodes compressed messages.
     pub accepts_compression: bool,
+    /// The sender is a core that takes part in comparisons of the replicated state.
+    pub compares_states: bool,
 }
 
 /// What a core reports of itself and of its replication group.
--- a/crates/protocol/src/read.rs
+++ b/crates/protocol/src/read.rs
@@ -6,6 +6,7 @@
 mod model_servers;
 mod replica;
 mod reports;
+mod state_comparison;
 
 use crate::compression::CompressionError;
 use crate::decode_error::DecodeError;
@@ -97,5 +98,9 @@
             let models = models?.get_models()?.iter().map(read_model_versions).collect::<Decoded<_>>()?;
             Frame::ModelVersions(models)
         }
+        Which::ComparisonRequest(request) => {
+            Frame::ComparisonRequest(state_comparison::read_request(request?))
+        }
+        Which::ComparisonReport(report) => Frame::ComparisonReport(state_comparison::read_report(report?)?),
     })
 }
--- a/crates/protocol/src/write.rs
+++ b/crates/protocol/src/write.rs
@@ -16,6 +16,7 @@
 mod model_servers;
 mod replica;
 mod reports;
+mod state_comparison;
 
 use crate::internal_capnp as wire;
 use crate::message::Frame;
@@ -88,5 +89,11 @@
             let out = out.init_model_versions();
             write_list!(models, out.init_models(models.len() as u32), write_model_versions);
         }
+        Frame::ComparisonRequest(request) => {
+            state_comparison::write_request(request, out.init_comparison_request());
+        }
+        Frame::ComparisonReport(report) => {
+            state_comparison::write_report(report, out.init_comparison_report());
+        }
     }
 }
--- a/crates/protocol/tests/common/mod.rs
+++ b/crates/protocol/tests/common/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code, reason = "each test file uses some of them")]
 
+use pathbank_coordination::state_comparison::{
+    ComparisonId, ComparisonReport, ComparisonRequest, StateDigest,
+};
 use pathbank_coordination::types::{
     Entry, Member, Membership, Message, Payload, SnapshotChunk, SnapshotId, StoreId,
 };
@@ -146,7 +149,14 @@
 }
 
 pub fn hello(accepts_compression: bool) -> Hello {
-    Hello { role: ProcessRole::Edge, name: "e".into(), zone: "z".into(), incarnation: 1, accepts_compression }
+    Hello {
+        role: ProcessRole::Edge,
+        name: "e".into(),
+        zone: "z".into(),
+        incarnation: 1,
+        accepts_compression,
+        compares_states: false,
+    }
 }
 
 /// A frame of each kind, by a name that says which.
@@ -198,6 +208,20 @@
     ]
 }
 
+/// Frames that came after the program of `samples`.
+pub fn later_samples() -> Vec<(&'static str, Frame)> {
+    let comparing = Hello { role: ProcessRole::Core, compares_states: true, ..hello(true) };
+    let id = ComparisonId { term: 4, number: 7 };
+    let request = ComparisonRequest { id, index: 1_234 };
+    let state = StateDigest { format: 1, digest: 0x0102_0304_0506_0708_090a_0b0c_0d0e_0f10 };
+    let report = ComparisonReport { store: StoreId(9), request, state };
+    vec![
+        ("hello_of_a_comparing_core", Frame::Hello(comparing)),
+        ("comparison_request", Frame::ComparisonRequest(request)),
+        ("comparison_report", Frame::ComparisonReport(report)),
+    ]
+}
+
 /// Frames that are long enough to be compressed, by a name that says which.
 pub fn long_samples() -> Vec<(&'static str, Frame)> {
     let document = br#"{"name":"route-1","path_prefix":"/one/"},"#.repeat(100);
--- a/crates/protocol/tests/round_trip.rs
+++ b/crates/protocol/tests/round_trip.rs
@@ -11,7 +11,7 @@
 use pathbank_protocol::message::*;
 use test_case::test_case;
 
-#[test_case(Frame::Hello(Hello { role: ProcessRole::Edge, name: "e".into(), zone: "z".into(), incarnation: 1, accepts_compression: true }); "hello")]
+#[test_case(Frame::Hello(Hello { role: ProcessRole::Edge, name: "e".into(), zone: "z".into(), incarnation: 1, accepts_compression: true, compares_states: false }); "hello")]
 #[test_case(replica(append()); "append")]
 #[test_case(replica(snapshot_chunk()); "snapshot chunk")]
 #[test_case(replica(Message::SnapshotReply { term: 3, index: 5, received: 700, sent_at: 5 }); "snapshot reply")]
@@ -52,6 +52,13 @@
     assert_eq!(decode(&body).unwrap(), frame);
 }
 
+#[test]
+fn later_kinds_survive_a_round_trip() {
+    for (name, frame) in later_samples() {
+        assert_eq!(read_back(&encode(&frame)), frame, "{name}");
+    }
+}
+
 #[test]
 fn a_body_is_taken_once_it_is_complete() {
     let frame = Frame::Report(report());
--- a/crates/protocol/tests/stored_frames.rs
+++ b/crates/protocol/tests/stored_frames.rs
@@ -1,11 +1,12 @@
 //! Frames as the program of revision 5480d97 wrote them: this program reads them, and writes the same bytes, so that
-//! processes of both programs understand each other.
+//! processes of both programs understand each other. Kinds that came later stand behind them, as the program wrote them that
+//! had them first.
 
 #![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by a panic")]
 
 mod common;
 
-use common::{hello, long_samples, samples};
+use common::{hello, later_samples, long_samples, samples};
 use pathbank_protocol::codec::{SharedMessage, decode, encode};
 use pathbank_protocol::framing::take_body;
 use pathbank_protocol::message::Frame;
@@ -32,16 +33,16 @@
 #[test]
 fn a_stored_frame_of_each_kind_has_the_same_value() {
     let stored = stored();
-    for (name, frame) in samples().into_iter().chain(long_samples()) {
+    for (name, frame) in samples().into_iter().chain(later_samples()).chain(long_samples()) {
         assert_eq!(read(&stored[name]), frame, "{name}");
     }
-    assert_eq!(stored.len(), samples().len() + long_samples().len());
+    assert_eq!(stored.len(), samples().len() + later_samples().len() + long_samples().len());
 }
 
 #[test]
 fn a_frame_of_each_kind_is_written_with_the_stored_bytes() {
     let stored = stored();
-    for (name, frame) in samples() {
+    for (name, frame) in samples().into_iter().chain(later_samples()) {
         assert_eq!(encode(&frame), stored[name], "{name}");
     }
 }
--- a/crates/system/src/core/configuration_updates.rs
+++ b/crates/system/src/core/configuration_updates.rs
@@ -13,6 +13,9 @@
 /// An encoded full configuration is sent for so long, with the difference since; encoding one costs processor time.
 const FULL_MESSAGE_TTL_MS: u64 = 2_000;
 
+/// An edge that asks for a full configuration again is sent it anew only after this.
+const REPEAT_FULL_TIMEOUT_MS: u64 = 2_000;
+
 /// The published configuration, and those that edges may have.
 #[derive(Default)]
 pub struct ConfigurationUpdates {
@@ -47,18 +50,35 @@
     pub index: Index,
     /// The end of that message on its link.
     end: Mark,
+    /// The log entry of the last full configuration on the link; 0: there was none.
+    full_index: Index,
+    /// When the edge was first seen to ask for what that full configuration holds after it was written.
+    asked_again_since: Option<u64>,
 }
 
 impl SentConfiguration {
-    /// The configuration of an entry has just been queued on a link.
-    pub fn queued(index: Index, link: &Link) -> SentConfiguration {
-        SentConfiguration { index, end: link.mark() }
+    /// The configuration of an entry has just been queued on a link, in full or as a difference.
+    pub fn record_queued(&mut self, index: Index, is_full: bool, link: &Link) {
+        (self.index, self.end) = (index, link.mark());
+        if is_full {
+            (self.full_index, self.asked_again_since) = (index, None);
+        }
     }
 
     /// Whether all of it has been written to the link.
     pub fn is_written(&self, link: &Link) -> bool {
         link.has_written(self.end)
     }
+
+    /// Whether an edge that says that it has the configuration of `known` said so before it read the full one on this link,
+    /// which keeps the order of messages. One that still says so after [`REPEAT_FULL_TIMEOUT_MS`] could not use it.
+    pub fn crosses_full_configuration(&mut self, now: u64, known: Index) -> bool {
+        if known >= self.full_index {
+            return false;
+        }
+        let since = *self.asked_again_since.get_or_insert(now);
+        now < since + REPEAT_FULL_TIMEOUT_MS
+    }
 }
 
 fn encoded(index: Index, base_index: Index, document: &serde_json::Value) -> SharedMessage {
--- a/crates/system/src/core/disk.rs
+++ b/crates/system/src/core/disk.rs
@@ -4,6 +4,7 @@
 use super::store_identity::first_identity;
 use crate::settings::Settings;
 use anyhow::{Context, Result};
+use pathbank_control::state::ControlState;
 use pathbank_coordination::record::{DurableState, Record};
 use pathbank_coordination::store::{LogFile, OpenedLog};
 use pathbank_coordination::types::{Index, Member, StoreId};
@@ -18,6 +19,7 @@
 enum Write {
     Append { records: Vec<Record>, ticket: u64, last_index: Index },
     Rewrite { durable: Box<DurableState>, ticket: u64 },
+    SetAside(Box<ControlState>),
 }
 
 /// Hands writes to the disk thread. Each has a ticket; [`DiskEvent::Saved`] reports the tickets that are synced.
@@ -80,6 +82,12 @@
         ticket
     }
 
+    /// Sets the log aside behind all earlier writes, with a state that differs from that of the group, and ends the disk
+    /// thread. [`DiskEvent::StoreSetAside`] is the last that it reports.
+    pub fn set_aside(&mut self, state: ControlState) {
+        let _ = self.writes.send(Write::SetAside(Box::new(state)));
+    }
+
     fn next_ticket(&mut self) -> u64 {
         self.last_ticket += 1;
         self.last_ticket
@@ -91,7 +99,23 @@
     while let Ok(first) = queue.recv() {
         let mut writes = vec![first];
         writes.extend(queue.try_iter());
+        let diverged = take_diverged(&mut writes);
         write_batch(&mut log, writes, events);
+        if let Some(state) = diverged {
+            let state = state.encode();
+            retry(events, || log.set_diverged_aside(&state));
+            let _ = events.send(Event::Disk(DiskEvent::StoreSetAside));
+            return;
+        }
+    }
+}
+
+/// The state with which the log is to be set aside, if that is asked for.
+fn take_diverged(writes: &mut Vec<Write>) -> Option<Box<ControlState>> {
+    let is_last = |write: &mut Write| matches!(write, Write::SetAside(_));
+    match writes.pop_if(is_last)? {
+        Write::SetAside(state) => Some(state),
+        Write::Append { .. } | Write::Rewrite { .. } => None,
     }
 }
 
@@ -112,6 +136,7 @@
                 let last_index = Some(durable.last_index());
                 saved = Some(DiskEvent::Saved { ticket, last_index });
             }
+            Write::SetAside(_) => {}
         }
     }
     if !batch.is_empty() {
--- a/crates/system/src/core/event.rs
+++ b/crates/system/src/core/event.rs
@@ -2,6 +2,7 @@
 
 use super::model_server_json::ReportJson;
 use super::orders::OrderOutcome;
+use super::preparation::{ChangeProposal, DigestedState, PreparedCommand};
 use super::singleton_roles::PlatformOutcome;
 use super::training::call::TrainingCall;
 use crate::net::link::Link;
@@ -28,6 +29,8 @@
     },
     /// Writes fail (`true`), or succeed again (`false`).
     Impaired(bool),
+    /// The log and the state that differed are set aside; nothing more is written.
+    StoreSetAside,
 }
 
 /// An event; [`super::node::Node::on_event`] handles one after the other.
@@ -41,6 +44,12 @@
     Deregister(String),
     /// An operator's change of the configuration.
     Change(Change, oneshot::Sender<Reply>),
+    /// An operator's change was prepared beside the event loop.
+    ChangePrepared(Box<ChangeProposal>, oneshot::Sender<Reply>),
+    /// A command of the log was prepared beside the event loop.
+    CommandPrepared(Box<PreparedCommand>),
+    /// A digest of the replicated state was made beside the event loop.
+    StateDigested(Box<DigestedState>),
     /// An operator reads the configuration.
     ReadConfiguration(oneshot::Sender<Reply>),
     /// An operator reads the model servers.
--- a/crates/system/src/core/links.rs
+++ b/crates/system/src/core/links.rs
@@ -41,6 +41,12 @@
         self.mesh.want(addresses);
     }
 
+    /// Ends all links, those that others opened and those to other cores.
+    pub fn close_all(&self) {
+        self.accepted.values().for_each(|peer| peer.link.close());
+        self.mesh.want(&[]);
+    }
+
     /// Adds a link that another process opened.
     pub fn add(&mut self, id: LinkId, hello: Hello, link: Link) {
         self.accepted.insert(id, Peer { hello, link, subscribed: false });
@@ -123,6 +129,14 @@
         self.mesh.send_to_all(frame);
     }
 
+    /// Sends to the connected cores that take part in comparisons of the state, on the links that they opened.
+    pub fn send_to_comparing_cores(&self, frame: &Frame) {
+        let cores = self.accepted.values().filter(|peer| peer.hello.role == ProcessRole::Core);
+        for core in cores.filter(|core| core.hello.compares_states && !core.link.is_closed()) {
+            core.link.send(frame);
+        }
+    }
+
     /// Sends to the core at an address, if it is connected.
     pub fn send_to_core(&self, address: SocketAddr, frame: &Frame) {
         self.mesh.send(address, frame);
--- a/crates/system/src/core/mod.rs
+++ b/crates/system/src/core/mod.rs
@@ -20,9 +20,11 @@
 mod overview;
 mod peer_listener;
 mod placement;
+mod preparation;
 mod publication;
 mod replication;
 mod singleton_roles;
+mod state_check;
 mod state_machine;
 mod status;
 mod store_identity;
@@ -38,6 +40,8 @@
 use anyhow::{Context, Result};
 use event::Event;
 use node::Node;
+use preparation::Preparation;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -68,16 +72,17 @@
     let listener = socket::listen(control).with_context(|| format!("control plane {control}"))?;
     let internal_listener = socket::listen(internal).with_context(|| format!("internal {internal}"))?;
     let (events, mut inbox) = mpsc::unbounded_channel();
-    let opened = disk::Disk::open(&settings, control, events.clone())?;
-    startup.reach(Milestone::DiskRead);
-    let mut node =
-        Node::new(settings.clone(), opened, events.clone(), startup).context(CANNOT_PARTICIPATE)?;
     let (close, closing) = watch::channel(false);
+    let mut node = start_node(&settings, control, &events, startup)?;
     let serving = spawn_api(listener, &settings, events.clone(), closing);
     tokio::spawn(peer_listener::accept(internal_listener, events.clone()));
     tracing::info!(node = settings.node_name, %control, "core started");
     node.listens();
-    run_loop(&mut node, &mut inbox, &mut signals).await?;
+    while run_loop(&mut node, &mut inbox, &mut signals).await? == LoopEnd::StoreSetAside {
+        node.discard();
+        discard_events(&mut inbox);
+        node = start_node(&settings, control, &events, Startup::default())?;
+    }
     node.end(clock::now());
     let _ = close.send(true);
     // The last messages are written before the process ends.
@@ -86,6 +91,37 @@
     Ok(())
 }
 
+/// Starts a core on what its disk holds.
+fn start_node(
+    settings: &Settings,
+    control: SocketAddr,
+    events: &mpsc::UnboundedSender<Event>,
+    startup: Startup,
+) -> Result<Node> {
+    let opened = disk::Disk::open(settings, control, events.clone())?;
+    startup.reach(Milestone::DiskRead);
+    let preparation = Preparation::start(events.clone())?;
+    Node::new(settings.clone(), opened, preparation, events.clone(), startup).context(CANNOT_PARTICIPATE)
+}
+
+/// Drops what was reported to a store that is set aside. Links open again, and introduce themselves to the new store.
+fn discard_events(inbox: &mut mpsc::UnboundedReceiver<Event>) {
+    while let Ok(event) = inbox.try_recv() {
+        if let Event::LinkOpened(_, _, link) = event {
+            link.close();
+        }
+    }
+}
+
+/// Why the event loop ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LoopEnd {
+    /// The process ends.
+    Shutdown,
+    /// The store was set aside: the core goes on as a new one.
+    StoreSetAside,
+}
+
 /// Serves the HTTP interface until `closing`.
 fn spawn_api(
     listener: TcpListener,
@@ -109,7 +145,7 @@
     node: &mut Node,
     inbox: &mut mpsc::UnboundedReceiver<Event>,
     signals: &mut Signals,
-) -> Result<()> {
+) -> Result<LoopEnd> {
     let mut next_tick = tokio::time::Instant::now();
     loop {
         tokio::select! {
@@ -125,8 +161,11 @@
         if let Some(error) = node.take_failure() {
             return Err(error).context(CANNOT_PARTICIPATE);
         }
+        if node.is_store_set_aside() {
+            return Ok(LoopEnd::StoreSetAside);
+        }
         if node.may_end(clock::now()) {
-            return Ok(());
+            return Ok(LoopEnd::Shutdown);
         }
     }
 }
--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -1,6 +1,8 @@
 //! The event loop of a core. [`Node`] owns the parts of its state and takes one event after the other; a part
 //! gives back effects, which `Node` carries out or hands to the next part.
 
+mod changes;
+mod state_check;
 mod training;
 
 use super::autoscaling::AutoscalingScheduler;
@@ -15,9 +17,11 @@
 use super::orders::{self, OrderOutcome, OrderTask};
 use super::overview::{self, RoleSources, StatusSources};
 use super::placement::PlacementScheduler;
+use super::preparation::Preparation;
 use super::publication::Publication;
 use super::replication::Replication;
 use super::singleton_roles;
+use super::state_check::StateCheck;
 use super::state_machine::{Applied, RestoreError, StateMachine};
 use super::status::StatusSchedule;
 use super::training::scheduler::TrainingScheduler;
@@ -35,7 +39,7 @@
 use pathbank_control::operator_calls::{self, Reply};
 use pathbank_control::order::{Operation, Order};
 use pathbank_control::result_code::ResultCode;
-use pathbank_control::state::{Change, Command, StateError};
+use pathbank_control::state::{Command, StateError};
 use pathbank_coordination::fencing::Permit;
 use pathbank_coordination::replica::{Departure, Effects, Outgoing, Replica, Role, Timing};
 use pathbank_coordination::types::{Entry, Index, Member, Message, Snapshot};
@@ -45,6 +49,7 @@
 };
 use pathbank_router::wall_clock::WallClock;
 use serde_json::Value;
+use state_check::StoreState;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::sync::mpsc::UnboundedSender;
@@ -93,6 +98,7 @@
     pool: ConnectionPool,
     links: PeerLinks,
     replication: Replication,
+    preparation: Preparation,
     machine: StateMachine,
     publication: Publication,
     status: StatusSchedule,
@@ -106,6 +112,8 @@
     admission: AdmissionController,
     training: TrainingScheduler,
     schedule: Schedule,
+    state_check: StateCheck,
+    store: StoreState,
     /// When the process received SIGTERM.
     shutdown_since: Option<u64>,
 }
@@ -119,6 +127,7 @@
     pub fn new(
         settings: Settings,
         opened: OpenedDisk,
+        preparation: Preparation,
         events: UnboundedSender<Event>,
         startup: Startup,
     ) -> Result<Node, RestoreError> {
@@ -129,6 +138,7 @@
             zone: settings.zone.clone(),
             incarnation,
             accepts_compression: true,
+            compares_states: true,
         };
         let OpenedDisk { disk, durable, me } = opened;
         let machine = StateMachine::restore(&durable)?;
@@ -138,6 +148,7 @@
         let mut node = Node {
             links: PeerLinks::new(hello, events.clone()),
             replication: Replication::new(replica, disk),
+            preparation,
             machine,
             publication: Publication::default(),
             status: StatusSchedule::default(),
@@ -151,6 +162,8 @@
             admission: AdmissionController::default(),
             training: TrainingScheduler::default(),
             schedule: Schedule::default(),
+            state_check: StateCheck::default(),
+            store: StoreState::default(),
             shutdown_since: None,
             pool: ConnectionPool::default(),
             settings,
@@ -172,11 +185,17 @@
 
     /// Handles an event.
     pub fn on_event(&mut self, now: u64, event: Event) {
+        if self.store != StoreState::InUse {
+            return self.on_event_without_store(&event);
+        }
         match event {
             Event::Tick => self.on_tick(now),
             Event::Heartbeat(server) => self.on_heartbeat(now, server, HeartbeatSource::ModelServer),
             Event::Deregister(instance) => self.servers.on_deregister(now, &self.links, &instance),
             Event::Change(change, reply) => self.on_change(now, change, reply),
+            Event::ChangePrepared(proposal, reply) => self.on_change_prepared(now, *proposal, reply),
+            Event::StateDigested(digested) => self.on_state_digested(now, *digested),
+            Event::CommandPrepared(command) => self.on_command_prepared(now, *command),
             Event::ReadConfiguration(reply) => self.on_read_configuration(now, reply),
             Event::ReadModelServers(reply) => self.on_read_model_servers(reply),
             Event::ReadStatus(reply) => send_json(reply, &self.status_overview(now)),
@@ -187,7 +206,8 @@
             Event::FrameReceived(id, frame) => self.on_frame(now, id, frame),
             Event::LinkClosed(id) => self.on_link_closed(id),
             Event::Mesh(MeshEvent::Opened(address)) => self.on_core_connected(address),
-            Event::Mesh(MeshEvent::Closed(_) | MeshEvent::Said(..)) => {}
+            Event::Mesh(MeshEvent::Said(_, frame)) => self.on_core_said(now, &frame),
+            Event::Mesh(MeshEvent::Closed(_)) => {}
             Event::OrderFinished(outcome) => self.on_order_finished(&outcome),
             Event::UsageReported { window, outcome } => self.usage.on_reported(window, outcome),
             Event::ServersOrdered { order, outcome } => self.autoscaling.on_ordered(now, &order, outcome),
@@ -206,6 +226,7 @@
         self.watch_disk(now);
         self.change_membership(now);
         self.run_leader_work(now);
+        self.request_comparison(now);
         self.train(now);
         self.publish_configuration(now);
         self.update_subscribers(now);
@@ -235,7 +256,7 @@
 
     /// Whether committed entries wait to be applied.
     pub fn has_more_to_apply(&self) -> bool {
-        self.replication.replica().has_more_to_apply()
+        self.store == StoreState::InUse && self.replication.replica().has_more_to_apply()
     }
 
     /// Applies some of the committed entries that wait. Other events come in between.
@@ -250,7 +271,9 @@
             Request::Reload => self.reload_settings(),
             Request::Stop => {
                 self.shutdown_since.get_or_insert(now);
-                self.leave_if_shutting_down(now);
+                if self.store == StoreState::InUse {
+                    self.leave_if_shutting_down(now);
+                }
             }
         }
     }
@@ -331,6 +354,7 @@
         self.publish_configuration(now);
         self.publish_versions(now);
         self.compact_log(now);
+        self.prepare_next_command();
     }
 
     fn send_replica_messages(&self, messages: Vec<Outgoing>) {
@@ -376,6 +400,7 @@
         if self.machine.install(&snapshot) {
             self.lease.restore(snapshot.leaders);
             self.record_document(snapshot.data.len());
+            self.digest_state_if_due();
         }
     }
 
@@ -385,7 +410,9 @@
         }
         let term = entry.term;
         let proposals = self.replication.take_proposals(entry.index);
-        match self.machine.apply(entry) {
+        let applied = self.machine.apply(entry);
+        self.digest_state_if_due();
+        match applied {
             Some(Applied::LeaderStart(name)) => self.lease.record_leader(&name),
             Some(Applied::Membership) => self.connect_to_cores(),
             Some(Applied::Command { command, result, bytes }) => {
@@ -423,6 +450,7 @@
         if self.replication.needs_compaction(now, applied, self.machine.log_bytes()) {
             let data = self.machine.take_snapshot();
             self.replication.compact(applied, self.lease.leaders(), data);
+            self.state_check.request_soon();
         }
     }
 
@@ -492,6 +520,9 @@
     fn on_link_opened(&mut self, id: LinkId, hello: Hello, link: Link) {
         if hello.role == ProcessRole::Edge {
             link.send(&Frame::Core(self.core_status(true)));
+        } else {
+            // It may have restarted, and come to its state by a way of its own.
+            self.state_check.request_soon();
         }
         self.links.add(id, hello, link);
     }
@@ -541,6 +572,8 @@
             | Frame::DrawGrant(_)
             | Frame::ModelVersions(_)
             | Frame::OrderStatus(_)
+            | Frame::ComparisonRequest(_)
+            | Frame::ComparisonReport(_)
             | Frame::Ping(_) => {}
         }
     }
@@ -629,8 +662,9 @@
 
     /// An edge named the configuration that it has, and gets what is newer.
     fn on_fetch_configuration(&mut self, now: u64, id: LinkId, known: Index) {
-        self.publication.set_known(&self.links, id, known);
-        self.update_edge(now, id);
+        if self.publication.set_known(now, &self.links, id, known) {
+            self.update_edge(now, id);
+        }
     }
 
     fn update_edge(&mut self, now: u64, id: LinkId) {
@@ -867,14 +901,6 @@
         }
     }
 
-    fn on_change(&mut self, now: u64, change: Change, reply: oneshot::Sender<Reply>) {
-        let status = self.replication.leadership_status(now);
-        match operator_calls::check_change(self.machine.state(), &status, &change) {
-            Ok(()) => self.propose_for(now, &Command::Change(change), reply),
-            Err(answer) => drop(reply.send(answer)),
-        }
-    }
-
     fn on_read_configuration(&self, now: u64, reply: oneshot::Sender<Reply>) {
         let status = self.replication.leadership_status(now);
         let _ = reply.send(operator_calls::read_configuration(self.machine.state(), &status));
@@ -897,6 +923,7 @@
             links: &self.links,
             ready_servers: self.servers.directory().ready().count(),
             startup: &self.startup,
+            state_check: &self.state_check,
         };
         overview::status(now, &sources)
     }
--- a/crates/system/src/core/overview.rs
+++ b/crates/system/src/core/overview.rs
@@ -4,6 +4,7 @@
 use super::edge_reports::EdgeReports;
 use super::links::PeerLinks;
 use super::replication::Replication;
+use super::state_check::StateCheck;
 use super::state_machine::StateMachine;
 use super::usage::UsageReporter;
 use crate::settings::Settings;
@@ -38,6 +39,8 @@
     pub ready_servers: usize,
     /// Milestones of the start.
     pub startup: &'a Startup,
+    /// The comparison of the replicated state.
+    pub state_check: &'a StateCheck,
 }
 
 /// The answer of `GET /api/status`.
@@ -68,6 +71,7 @@
         "current": replication.is_current(now),
         "configuration_version": machine.state().version(),
         "published_index": sources.published_index,
+        "state": sources.state_check.to_json(),
         "holders": sources.reports.configurations().iter().map(entry).collect::<Vec<_>>(),
         "voters": voters.collect::<Vec<_>>(),
         "edges": sources.links.edges().map(|(_, name)| name).collect::<Vec<_>>(),
--- a/crates/system/src/core/publication.rs
+++ b/crates/system/src/core/publication.rs
@@ -79,12 +79,16 @@
         self.sent.get(&id).copied().unwrap_or_default()
     }
 
-    /// An edge reported the configuration that it has. While a newer one is on its way that changes nothing.
-    pub fn set_known(&mut self, links: &PeerLinks, id: LinkId, known: Index) {
-        let Some(link) = links.link(id) else { return };
-        if self.sent(id).is_written(link) {
-            self.sent.entry(id).or_default().index = known;
+    /// An edge asked for what is newer than the configuration that it has. Returns whether it is to be answered: not while
+    /// an answer is on its way, nor if the question crossed a full configuration.
+    pub fn set_known(&mut self, now: u64, links: &PeerLinks, id: LinkId, known: Index) -> bool {
+        let Some(link) = links.link(id) else { return false };
+        let sent = self.sent.entry(id).or_default();
+        if !sent.is_written(link) || sent.crosses_full_configuration(now, known) {
+            return false;
         }
+        sent.index = known;
+        true
     }
 
     /// What an edge lacks. `None` while an earlier answer is on its way: on a slow link a full configuration
@@ -105,8 +109,9 @@
         for message in &update.messages {
             links.send_shared(id, message);
         }
-        let index = self.sent(id).index.max(self.index());
-        self.sent.insert(id, SentConfiguration::queued(index, link));
+        let newest = self.index();
+        let sent = self.sent.entry(id).or_default();
+        sent.record_queued(sent.index.max(newest), update.is_full, link);
     }
 
     /// Forgets an edge whose link was closed.
--- a/crates/system/src/core/replication.rs
+++ b/crates/system/src/core/replication.rs
@@ -4,7 +4,9 @@
 
 use super::disk::Disk;
 use super::event::DiskEvent;
+use super::preparation::MAX_INLINE_COMMAND_BYTES;
 use pathbank_control::operator_calls::{LEADER_TIMEOUT_MS, LeadershipStatus, Reply};
+use pathbank_control::state::ControlState;
 use pathbank_coordination::compaction::LogSize;
 use pathbank_coordination::membership_changes;
 use pathbank_coordination::recent_peers::RecentPeers;
@@ -63,8 +65,9 @@
 }
 
 impl Replication {
-    /// A replica on what the disk holds.
-    pub fn new(replica: Replica, disk: Disk) -> Replication {
+    /// A replica on what the disk holds. Its long commands have to be prepared.
+    pub fn new(mut replica: Replica, disk: Disk) -> Replication {
+        replica.set_max_unprepared_bytes(MAX_INLINE_COMMAND_BYTES);
         Replication {
             replica,
             disk,
@@ -129,6 +132,11 @@
         self.replica.apply_more()
     }
 
+    /// A command that had to be prepared can be applied.
+    pub fn set_prepared(&mut self, index: Index) {
+        self.replica.set_prepared(index);
+    }
+
     /// Asks the leader to replace this voter before it shuts down.
     pub fn leave(&mut self, now: u64) -> Effects {
         self.replica.leave(now)
@@ -180,6 +188,7 @@
                 self.writes_fail = writes_fail;
                 (Vec::new(), None)
             }
+            DiskEvent::StoreSetAside => (Vec::new(), None),
         }
     }
 
@@ -212,6 +221,12 @@
         self.replica.set_impaired(now, is_impaired)
     }
 
+    /// Sets the log aside, with a state that differs from that of the group.
+    pub fn set_store_aside(&mut self, state: ControlState) {
+        self.pending_messages.clear();
+        self.disk.set_aside(state);
+    }
+
     // ---- compaction ----
 
     /// Whether the log has to be replaced by a snapshot. `log_bytes`: applied since the last one.
--- a/crates/system/src/core/state_machine.rs
+++ b/crates/system/src/core/state_machine.rs
@@ -1,10 +1,12 @@
 //! The replicated state machine of a core: the control state as of the last applied entry.
 
+use super::preparation::PreparedCommand;
 use pathbank_control::command_outcome::CommandOutcome;
 use pathbank_control::configuration::Rejection;
 use pathbank_control::state::{Command, ControlState, StateError};
 use pathbank_coordination::record::DurableState;
-use pathbank_coordination::types::{Entry, Index, Payload, Snapshot};
+use pathbank_coordination::types::{Entry, Index, Payload, Snapshot, Term};
+use std::collections::BTreeMap;
 
 /// What an applied entry was.
 pub enum Applied {
@@ -29,6 +31,8 @@
     applied: Index,
     /// Applied since the last snapshot.
     log_bytes: usize,
+    /// Commands that were prepared beside the event loop.
+    prepared: BTreeMap<Index, PreparedCommand>,
     /// Why nothing more can be applied.
     failure: Option<StateError>,
 }
@@ -63,7 +67,8 @@
                     .map_err(|source| RestoreError::Entry { index: entry.index, source })?;
             }
         }
-        Ok(StateMachine { state, applied: durable.snapshot.index, log_bytes: 0, failure: None })
+        let applied = durable.snapshot.index;
+        Ok(StateMachine { state, applied, log_bytes: 0, prepared: BTreeMap::new(), failure: None })
     }
 
     /// The control state.
@@ -105,19 +110,49 @@
         match entry.payload {
             Payload::LeaderStart(name) => Some(Applied::LeaderStart(name)),
             Payload::Membership(_) => Some(Applied::Membership),
-            Payload::Command(bytes) => match Command::decode(&bytes) {
-                Ok(command) => {
-                    let result = self.state.apply(entry.index, &command);
-                    Some(Applied::Command { command, result, bytes: bytes.len() })
-                }
-                Err(error) => {
-                    self.fail(error);
-                    None
-                }
-            },
+            Payload::Command(bytes) => {
+                let prepared = self.take_prepared(entry.index, entry.term);
+                self.apply_command(entry.index, &bytes, prepared)
+            }
         }
     }
 
+    fn apply_command(
+        &mut self,
+        index: Index,
+        bytes: &[u8],
+        prepared: Option<PreparedCommand>,
+    ) -> Option<Applied> {
+        let (command, change) = match prepared {
+            Some(prepared) => (prepared.command, prepared.change),
+            None => (Command::decode(bytes), None),
+        };
+        let command = match command {
+            Ok(command) => command,
+            Err(error) => {
+                self.fail(error);
+                return None;
+            }
+        };
+        let result = match (&command, &change) {
+            (Command::Change(change), Some(prepared)) => self.state.apply_prepared(index, change, prepared),
+            _ => self.state.apply(index, &command),
+        };
+        Some(Applied::Command { command, result, bytes: bytes.len() })
+    }
+
+    /// Keeps a prepared command until its entry is applied.
+    pub fn keep_prepared(&mut self, command: PreparedCommand) {
+        self.prepared.insert(command.index, command);
+    }
+
+    /// The prepared command of an entry. One of another term is another command.
+    fn take_prepared(&mut self, index: Index, term: Term) -> Option<PreparedCommand> {
+        let later = self.prepared.split_off(&(index + 1));
+        let prepared = std::mem::replace(&mut self.prepared, later).remove(&index);
+        prepared.filter(|prepared| prepared.term == term)
+    }
+
     /// Replaces the state by a leader's snapshot. Returns whether it could be read.
     pub fn install(&mut self, snapshot: &Snapshot) -> bool {
         match ControlState::decode(&snapshot.data) {
--- a/crates/system/src/edge/core_links.rs
+++ b/crates/system/src/edge/core_links.rs
@@ -20,6 +20,7 @@
         zone: settings.zone.clone(),
         incarnation: shared.incarnation,
         accepts_compression: true,
+        compares_states: false,
     };
     let weak: Weak<Shared> = Arc::downgrade(shared);
     let mesh = Mesh::new(hello, move |event| {
--- a/crates/system/src/net/link.rs
+++ b/crates/system/src/net/link.rs
@@ -69,7 +69,7 @@
 pub struct Link {
     queue: mpsc::Sender<Bytes>,
     progress: Arc<Progress>,
-    /// The reader was too slow.
+    /// The reader was too slow, or this side ends the link.
     overrun: Arc<AtomicBool>,
 }
 
@@ -103,6 +103,13 @@
         self.progress.written.load(Ordering::Relaxed) >= mark.0
     }
 
+    /// Ends the link. What waits on it is not sent.
+    pub fn close(&self) {
+        self.overrun.store(true, Ordering::Relaxed);
+        // Wakes the writer; a full queue does so too.
+        let _ = self.queue.try_send(Bytes::new());
+    }
+
     /// Whether the link has ended.
     pub fn is_closed(&self) -> bool {
         self.queue.is_closed()
--- a/crates/system/tests/common/listener.rs
+++ b/crates/system/tests/common/listener.rs
@@ -51,6 +51,7 @@
         zone: "z1".into(),
         incarnation: 1,
         accepts_compression: false,
+        compares_states: false,
     };
     link.send(&Frame::Hello(hello));
     link.send(&Frame::Subscribe(Subscription { wanted: true, known_index: 0 }));
--- a/crates/system/tests/common/slow_edge.rs
+++ b/crates/system/tests/common/slow_edge.rs
@@ -31,6 +31,7 @@
             zone: "z1".into(),
             incarnation: 1,
             accepts_compression: false,
+            compares_states: false,
         };
         edge.say(&Frame::Hello(hello));
         edge.say(&Frame::Subscribe(Subscription { wanted: true, known_index: 0 }));
--- a/crates/system/tests/configuration_updates.rs
+++ b/crates/system/tests/configuration_updates.rs
@@ -33,6 +33,7 @@
         zone: "z".into(),
         incarnation: 1,
         accepts_compression: true,
+        compares_states: false,
     }
 }
 
--- a/crates/system/tests/full_configurations.rs
+++ b/crates/system/tests/full_configurations.rs
@@ -9,7 +9,7 @@
 use common::slow_edge::SlowEdge;
 use common::{System, document_with_routes, until};
 use pathbank_protocol::message::Frame;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Routes of the configuration: some hundred kilobytes.
 const ROUTES: usize = 3_000;
@@ -17,6 +17,9 @@
 /// between two processes take in: some megabytes.
 const LONG_NOTE_BYTES: usize = 1_500;
 
+/// After this an edge that still asks is sent a full configuration again.
+const REPEAT_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Processor time that a process has used so far, in the kernel's ticks of a hundredth of a second.
 fn processor_ticks(process: u32) -> u64 {
     let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).unwrap();
@@ -52,6 +55,31 @@
     assert_eq!(full_configurations(&received), 1, "one is on its way, and asked for five times more");
 }
 
+// A core that was busy read the five questions above only after the edge had begun to read, when all of the answer was
+// written: it answered once more.
+#[test]
+fn a_question_that_crossed_a_full_configuration_is_not_answered_again() {
+    let system = System::started();
+    system.configure(0, &document_with_routes(3, 1, 0));
+    system.until_ready();
+    let mut edge = SlowEdge::subscribed_to(system.local.internal[0], "crossing");
+    let first = edge.read_until_silent_for(Duration::from_millis(500));
+    assert_eq!(full_configurations(&first), 1, "it had none");
+    for _ in 0..3 {
+        edge.say(&Frame::FetchDifference(0));
+    }
+    let crossed = edge.read_until_silent_for(Duration::from_millis(600));
+    assert_eq!(full_configurations(&crossed), 0, "the link has delivered it");
+    let repeats_from = Instant::now() + REPEAT_TIMEOUT;
+    while Instant::now() < repeats_from {
+        edge.say(&Frame::Ping(0));
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    edge.say(&Frame::FetchDifference(0));
+    let repeated = edge.read_until_silent_for(Duration::from_millis(600));
+    assert_eq!(full_configurations(&repeated), 1, "an edge that goes on asking could not use the first one");
+}
+
 // In the same run: the message for an edge without a configuration is the same for all of them, and was
 // encoded again for each.
 #[test]
--- a/crates/system/tests/links.rs
+++ b/crates/system/tests/links.rs
@@ -112,6 +112,7 @@
         zone: "z".into(),
         incarnation: 1,
         accepts_compression: true,
+        compares_states: false,
     };
     let (told, mut events) = tokio::sync::mpsc::unbounded_channel();
     let mesh = mesh::Mesh::new(hello, move |event| drop(told.send(event)));
