State comparison: no copy of the state is kept; digests cost 0.5 % of a processor at most

Cause: the copy that was kept until the next comparison made each first change copy the change log and the training state. Change: the state is set aside as it is at that time; comparisons are apart by 200 times what a digest took.

--- a/crates/coordination/src/state_comparison.rs
+++ b/crates/coordination/src/state_comparison.rs
@@ -8,6 +8,7 @@
 
 use crate::types::{Index, Membership, StoreId, Term};
 use std::collections::BTreeMap;
+use std::fmt;
 
 /// Identifies a comparison: a later one replaces an earlier one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -28,7 +29,7 @@
 }
 
 /// The digest of a replica's state machine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, PartialEq, Eq)]
 pub struct StateDigest {
     /// The form of the state that the digest covers.
     pub format: u32,
@@ -36,6 +37,12 @@
     pub digest: u128,
 }
 
+impl fmt::Debug for StateDigest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:032x} of format {}", self.digest, self.format)
+    }
+}
+
 /// A replica's answer to a [`ComparisonRequest`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ComparisonReport {
--- a/crates/system/src/core/event.rs
+++ b/crates/system/src/core/event.rs
@@ -49,7 +49,7 @@
     /// A command of the log was prepared beside the event loop.
     CommandPrepared(Box<PreparedCommand>),
     /// A digest of the replicated state was made beside the event loop.
-    StateDigested(Box<DigestedState>),
+    StateDigested(DigestedState),
     /// An operator reads the configuration.
     ReadConfiguration(oneshot::Sender<Reply>),
     /// An operator reads the model servers.
--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -194,7 +194,7 @@
             Event::Deregister(instance) => self.servers.on_deregister(now, &self.links, &instance),
             Event::Change(change, reply) => self.on_change(now, change, reply),
             Event::ChangePrepared(proposal, reply) => self.on_change_prepared(now, *proposal, reply),
-            Event::StateDigested(digested) => self.on_state_digested(now, *digested),
+            Event::StateDigested(digested) => self.on_state_digested(now, digested),
             Event::CommandPrepared(command) => self.on_command_prepared(now, *command),
             Event::ReadConfiguration(reply) => self.on_read_configuration(now, reply),
             Event::ReadModelServers(reply) => self.on_read_model_servers(reply),
--- a/crates/system/src/core/node/state_check.rs
+++ b/crates/system/src/core/node/state_check.rs
@@ -3,7 +3,6 @@
 use super::Node;
 use crate::core::event::{DiskEvent, Event};
 use crate::core::preparation::DigestedState;
-use crate::core::state_check::Divergence;
 use pathbank_coordination::state_comparison::{ComparisonReport, ComparisonRequest, Verdict};
 use pathbank_protocol::message::Frame;
 
@@ -72,16 +71,11 @@
     fn judge_state(&mut self, now: u64) {
         let replica = self.replication.replica();
         match self.state_check.take_new_verdict(replica.me().id, replica.membership()) {
-            Some(Verdict::Differs(majority)) => {
-                if let Some(divergence) = self.state_check.take_divergence(majority) {
-                    self.set_store_aside(now, divergence);
-                }
-            }
+            Some(Verdict::Differs(majority)) => self.set_store_aside(now, majority),
             Some(Verdict::NoMajority) => {
-                let digest = self.state_check.own_digest().map_or(0, |state| state.digest);
                 tracing::error!(
                     index = self.state_check.index(),
-                    digest = %format_args!("{digest:032x}"),
+                    own = ?self.state_check.own_digest(),
                     "replicated states differ, and none is that of a majority"
                 );
             }
@@ -91,13 +85,12 @@
 
     /// Takes no part any more in anything that rests on the state, and sets it aside for engineers. A leader hands over
     /// first.
-    fn set_store_aside(&mut self, now: u64, divergence: Divergence) {
-        let Divergence { state, index, format, digest, majority } = divergence;
+    fn set_store_aside(&mut self, now: u64, majority: u128) {
         tracing::error!(
-            index,
-            format,
-            digest = %format_args!("{digest:032x}"),
+            index = self.state_check.index(),
+            own = ?self.state_check.own_digest(),
             majority = %format_args!("{majority:032x}"),
+            applied = self.machine.applied(),
             "replicated state differs from the majority, starting as a new store"
         );
         let effects = self.replication.transfer_leadership(now);
@@ -105,7 +98,7 @@
         self.lease.revoke();
         self.replication.abandon_proposals();
         self.store = StoreState::BeingSetAside;
-        self.replication.set_store_aside(state);
+        self.replication.set_store_aside(self.machine.state().clone());
     }
 
     /// Handles an event while the store is set aside: links are closed and callers get no answer, as if the process were
--- a/crates/system/src/core/preparation.rs
+++ b/crates/system/src/core/preparation.rs
@@ -2,6 +2,7 @@
 //! large configuration take longer than a leader may be silent, and digests of the state.
 
 use super::event::Event;
+use crate::clock;
 use pathbank_control::configuration::Rejection;
 use pathbank_control::operator_calls::Reply;
 use pathbank_control::prepared_change::{ChangeBasis, PreparedChange};
@@ -64,14 +65,14 @@
 }
 
 /// The digest of the state at the entry that a request names.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct DigestedState {
     /// The request.
     pub request: ComparisonRequest,
     /// The digest.
     pub digest: StateDigest,
-    /// The state, which is set aside if it differs from that of the group.
-    pub state: ControlState,
+    /// How long it took, milliseconds.
+    pub took_ms: u64,
 }
 
 enum Job {
@@ -140,8 +141,10 @@
                 Event::CommandPrepared(Box::new(PreparedCommand::new(&basis, index, term, &bytes)))
             }
             Job::Digest { request, state } => {
+                let began_at = clock::now();
                 let digest = state.digest();
-                Event::StateDigested(Box::new(DigestedState { request, digest, state: *state }))
+                let took_ms = clock::now().saturating_sub(began_at);
+                Event::StateDigested(DigestedState { request, digest, took_ms })
             }
         };
         if events.send(event).is_err() {
--- a/crates/system/src/core/state_check.rs
+++ b/crates/system/src/core/state_check.rs
@@ -1,7 +1,6 @@
 //! The comparison of this core's replicated state with that of the others: when the leader asks for it, and what is known.
 
 use super::preparation::DigestedState;
-use pathbank_control::state::ControlState;
 use pathbank_coordination::state_comparison::{
     ComparisonReport, ComparisonRequest, StateComparison, StateDigest, Verdict,
 };
@@ -13,32 +12,23 @@
 /// At least this lies between them where the log was compacted or a replica has caught up, milliseconds.
 const MIN_COMPARISON_INTERVAL_MS: u64 = 1_000;
 
+/// Digests take at most this fraction of a processor, as its reciprocal.
+const MIN_INTERVAL_PER_DIGEST: u64 = 200;
+
 /// This core's part in the comparison.
 #[derive(Default)]
 pub struct StateCheck {
     comparison: StateComparison,
     verdict: Option<Verdict>,
-    /// The state of the own digest, and the digest.
-    own: Option<(ControlState, StateDigest)>,
+    /// The own digest of the last comparison.
+    own: Option<StateDigest>,
+    /// How long that took, milliseconds.
+    took_ms: u64,
     last_requested_at: u64,
     /// Something happened after which states are worth a comparison soon.
     requested_soon: bool,
 }
 
-/// A state that differs from that of a majority.
-pub struct Divergence {
-    /// The state.
-    pub state: ControlState,
-    /// The entry after which it was compared.
-    pub index: Index,
-    /// The form of both digests.
-    pub format: u32,
-    /// The digest of the state.
-    pub digest: u128,
-    /// The digest of the majority's.
-    pub majority: u128,
-}
-
 impl StateCheck {
     /// The log was compacted, or a replica has caught up: its state came by a way of its own.
     pub fn request_soon(&mut self) {
@@ -49,6 +39,7 @@
     pub fn take_due_request(&mut self, now: u64, term: Term, last_index: Index) -> Option<ComparisonRequest> {
         let interval_ms =
             if self.requested_soon { MIN_COMPARISON_INTERVAL_MS } else { COMPARISON_INTERVAL_MS };
+        let interval_ms = interval_ms.max(self.took_ms * MIN_INTERVAL_PER_DIGEST);
         if now < self.last_requested_at + interval_ms {
             return None;
         }
@@ -68,10 +59,10 @@
 
     /// Takes the digest of this core's own state. Returns what the others are to be sent.
     pub fn record_own(&mut self, me: StoreId, digested: DigestedState) -> ComparisonReport {
-        let DigestedState { request, digest, state } = digested;
+        let DigestedState { request, digest, took_ms } = digested;
         let report = ComparisonReport { store: me, request, state: digest };
         self.comparison.record(report);
-        self.own = Some((state, digest));
+        (self.own, self.took_ms) = (Some(digest), took_ms);
         report
     }
 
@@ -97,14 +88,7 @@
 
     /// The own digest of the last comparison.
     pub fn own_digest(&self) -> Option<StateDigest> {
-        self.own.as_ref().map(|(_, digest)| *digest)
-    }
-
-    /// This core's state, which differs from that of a majority.
-    pub fn take_divergence(&mut self, majority: u128) -> Option<Divergence> {
-        let index = self.index();
-        let (state, StateDigest { format, digest }) = self.own.take()?;
-        Some(Divergence { state, index, format, digest, majority })
+        self.own
     }
 
     /// For the status of this core.
