--- a/crates/system/src/core/configuration_updates.rs
+++ b/crates/system/src/core/configuration_updates.rs
@@ -71,7 +71,7 @@
     }
 
     /// Whether an edge that says that it has the configuration of `known` said so before it read the full one on this link,
-    /// which keeps the order of messages. One that still says so after [`REPEAT_FULL_TIMEOUT_MS`] could not use it.
+    /// which keeps the order of messages. One that still says so after two seconds could not use it.
     pub fn crosses_full_configuration(&mut self, now: u64, known: Index) -> bool {
         if known >= self.full_index {
             return false;
