--- a/review/standin/local.py
+++ b/review/standin/local.py
@@ -14,6 +14,7 @@
 import subprocess
 import tempfile
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 PROGRAM = os.path.join(ROOT, "target", "release", "pathbank-system")
@@ -23,6 +24,7 @@
 CONTACT_MS = 3000
 HEARTBEAT_MS = 1200
 GRACE_S = 8
+THAW_MS = 300
 
 
 # Deployments whose processes have to be ended, whatever ends the case.
@@ -131,7 +133,7 @@
             f"bounds.grace_s={GRACE_S}\nbounds.loss_slack_ms=200\nbounds.config_apply_ms=2000\n"
             "bounds.downgrade_ms=250\nbounds.max_skew_ms=5000\nbounds.retry_budget_ratio=0.2\n"
             "bounds.budget_window_s=10\nbounds.retry_budget_slack=56\nbounds.fencing_enabled=false\n"
-            "bounds.lease_ms=3000\nbounds.thaw_ms=300\nbounds.report_window_s=5\nbounds.usage_delay_s=10\n"
+            f"bounds.lease_ms=3000\nbounds.thaw_ms={THAW_MS}\nbounds.report_window_s=5\nbounds.usage_delay_s=10\n"
             "bounds.recovery_s=12\nbounds.pass_ms=120\nbounds.ceiling_window_s=5\n" + extra
         )
         self.cores, self.edges = [], []
@@ -352,7 +354,13 @@
         self.leaving = True
         heads = list(self.deployment.control)
         random.shuffle(heads)
-        took = await self.tell(f"/api/instances/{self.instance}/deregister", "", heads)
+        took, pause = None, 0.1
+        # Callers move on to another head, with a growing pause, after a failure.
+        while took is None and self.ended_at is None:
+            took = await self.tell(f"/api/instances/{self.instance}/deregister", "", heads)
+            if took is None:
+                await asyncio.sleep(pause)
+                pause = min(2 * pause, 1.0)
         self.acknowledged_at = self.record.now()
         self.record.say(f"brick {self.instance} deregistered, acknowledged by {took and took[0]}")
         await asyncio.sleep(DRAIN_MS / 1000 + linger_s)
@@ -415,6 +423,8 @@
             self.active -= 1
 
     def write(self, writer, status, headers, body):
+        if writer.transport.is_closing():
+            return
         lines = [f"HTTP/1.1 {status} X"] + [f"{name}: {value}" for name, value in headers.items()]
         lines.append(f"Content-Length: {len(body)}")
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
@@ -486,6 +496,8 @@
         code = 1 if loop.run_until_complete(case(record, trouble)) else 0
     except CannotRun as why:
         record.say(f"cannot run: {why}")
+    except Exception:  # whatever else goes wrong is no verdict on the rule
+        record.say("cannot run: " + traceback.format_exc().replace("\n", " | "))
     finally:
         for deployment in list(RUNNING):
             deployment.close()
