A deregistration counts at every core, whatever heartbeats it has missed

Cause: the core that heard the deregistration numbered the removal by the last heartbeat that it had heard. Cores and edges merge by that number; a core that was a heartbeat ahead dropped it and listed the server on.

Evidence: all eight servers with late requests had deregistered at another core than the one that took their heartbeats, at most 0.9 s after one; the late edges were started 0.1 to 1.5 s after the acknowledgement.

Change: a deregistration has the final number, above that of every heartbeat, so no order has to be found out. A relayed time-out is no deregistration any more, and a server displaced by a late heartbeat of an ended incarnation returns with its next one: both were acknowledged and never listed.

--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -24,8 +24,9 @@
     server: ModelServer,
     last_seen_at: Millis,
     last_relayed_at: Millis,
-    /// The server deregistered itself, or another incarnation took its address: no heartbeat brings it back.
-    deregistered: bool,
+    /// Another incarnation was heard of at its address. If the server still runs, its next heartbeat, which has
+    /// the sequence of this removal, brings it back: what displaced it was a late heartbeat of an ended one.
+    displaced: bool,
     /// Models and adapters that orders unload. They are not published until the end of the order is known.
     withheld: Vec<WithheldModel>,
     /// When `withheld` expires: never at the leader, which learns of the order's end.
@@ -104,14 +105,23 @@
         self.records.get(instance).map(|record| record.server.state)
     }
 
-    /// Applies a heartbeat that came from the model server itself or was relayed by another core. A heartbeat
-    /// that is not newer than the last one, or comes after the deregistration, changes nothing.
+    /// Applies a heartbeat that came from the model server itself or was relayed by another core, or a
+    /// deregistration that was relayed. A heartbeat that is not newer than the last one, or comes after the
+    /// deregistration, changes nothing.
     pub fn observe_heartbeat(&mut self, now: Millis, server: ModelServer) -> HeartbeatOutcome {
+        if server.is_deregistered() && self.records.contains_key(&server.instance) {
+            let changed = self.deregister(now, &server.instance).is_some();
+            return HeartbeatOutcome { displaced: Vec::new(), changed, relay: changed };
+        }
         self.record_cached_weights(&server.address, &server.models);
         let Some(record) = self.records.get(&server.instance) else { return self.insert_first(now, server) };
-        if server.sequence <= record.server.sequence || record.deregistered {
+        if record.supersedes(&server) {
             return HeartbeatOutcome::default();
         }
+        let returns =
+            record.server.state == ModelServerState::Removed && server.state != ModelServerState::Removed;
+        let displaced = if returns { self.displace(&server.address) } else { Vec::new() };
+        let Some(record) = self.records.get(&server.instance) else { return HeartbeatOutcome::default() };
         self.addresses.relocate(&record.server.address, &server.address, &server.instance);
         let Some(record) = self.records.get_mut(&server.instance) else { return HeartbeatOutcome::default() };
         record.last_seen_at = now;
@@ -127,13 +137,13 @@
         if was_draining {
             record.server.state = ModelServerState::Draining;
         }
-        record.deregistered = record.server.state == ModelServerState::Removed;
+        record.displaced &= record.server.state == ModelServerState::Removed;
         let changed = !equal_but_for_times(&before, &record.published());
         let relay = changed || now >= record.last_relayed_at + RELAY_INTERVAL_MS;
         if relay {
             record.last_relayed_at = now;
         }
-        HeartbeatOutcome { displaced: Vec::new(), changed, relay }
+        HeartbeatOutcome { displaced, changed, relay }
     }
 
     /// Applies the first heartbeat of an instance, which removes any other instance at its address.
@@ -157,18 +167,21 @@
             }
             record.server.state = ModelServerState::Removed;
             record.server.sequence += 1;
-            record.deregistered = true;
+            record.displaced = true;
             displaced.push(record.published());
         }
         displaced
     }
 
-    /// Applies a model server's own deregistration. `None`: it is not known.
+    /// Applies a model server's own deregistration. `None`: it is not known, or has deregistered before.
     pub fn deregister(&mut self, now: Millis, instance: &str) -> Option<ModelServer> {
         let record = self.records.get_mut(instance)?;
+        if record.server.is_deregistered() {
+            return None;
+        }
         record.server.state = ModelServerState::Removed;
-        record.server.sequence += 1;
-        (record.deregistered, record.last_seen_at) = (true, now);
+        record.server.sequence = ModelServer::FINAL_SEQUENCE;
+        (record.displaced, record.last_seen_at) = (false, now);
         Some(record.published())
     }
 
@@ -288,13 +301,19 @@
             server,
             last_seen_at: now,
             last_relayed_at: now,
-            deregistered: false,
+            displaced: false,
             withheld: Vec::new(),
             withheld_until: 0,
             order_ended_at: None,
         }
     }
 
+    /// Whether what is known is newer than a heartbeat, or final.
+    fn supersedes(&self, heartbeat: &ModelServer) -> bool {
+        let known = self.server.sequence;
+        if self.displaced { heartbeat.sequence < known } else { heartbeat.sequence <= known }
+    }
+
     /// The model server as edges should see it: without withheld models and adapters.
     fn published(&self) -> ModelServer {
         let mut server = self.server.clone();
--- a/crates/control/tests/directory.rs
+++ b/crates/control/tests/directory.rs
@@ -62,6 +62,58 @@
     assert_eq!(state_of(&directory, "i-1"), ModelServerState::Removed);
 }
 
+/// Guards against requests to a server that left: a core that had missed its last heartbeat numbered its removal
+/// too low, and the others dropped that.
+#[test]
+fn a_deregistration_heard_by_a_core_that_is_a_heartbeat_behind_counts_at_every_core() {
+    let mut behind = Directory::new(HEARTBEAT_MS);
+    let mut ahead = Directory::new(HEARTBEAT_MS);
+    behind.observe_heartbeat(0, next_heartbeat(model_server(1, &[]), 4, ModelServerState::Ready));
+    ahead.observe_heartbeat(0, next_heartbeat(model_server(1, &[]), 9, ModelServerState::Ready));
+    let removed = behind.deregister(10, "i-1").expect("it is new");
+    assert!(ahead.observe_heartbeat(20, removed.clone()).changed);
+    assert_eq!(state_of(&ahead, "i-1"), ModelServerState::Removed);
+    assert!(!ahead.observe_heartbeat(30, removed).changed, "it comes twice");
+    ahead.observe_heartbeat(40, next_heartbeat(model_server(1, &[]), 10, ModelServerState::Ready));
+    assert_eq!(state_of(&ahead, "i-1"), ModelServerState::Removed, "a late heartbeat");
+}
+
+/// Guards against a server that is acknowledged and never listed: a core that was behind took a time-out that
+/// another core relayed for a deregistration.
+#[test]
+fn a_relayed_timeout_is_no_deregistration() {
+    let mut timed_out = Directory::new(HEARTBEAT_MS);
+    let mut behind = Directory::new(HEARTBEAT_MS);
+    timed_out.observe_heartbeat(0, next_heartbeat(model_server(1, &[]), 5, ModelServerState::Ready));
+    behind.observe_heartbeat(0, next_heartbeat(model_server(1, &[]), 4, ModelServerState::Ready));
+    let expired = timed_out.expire(5 * HEARTBEAT_MS).remove(0);
+    assert!(behind.observe_heartbeat(10, expired).changed);
+    assert!(
+        behind
+            .observe_heartbeat(20, next_heartbeat(model_server(1, &[]), 6, ModelServerState::Ready))
+            .changed
+    );
+    assert_eq!(state_of(&behind, "i-1"), ModelServerState::Ready);
+}
+
+/// Guards against a server that is acknowledged and never listed: a late heartbeat of an ended incarnation, at a
+/// core that had started since, removed its successor at the address for good.
+#[test]
+fn a_server_displaced_by_a_late_heartbeat_returns_with_its_next_one() {
+    let mut directory = Directory::new(HEARTBEAT_MS);
+    directory.observe_heartbeat(0, next_heartbeat(model_server(1, &[]), 4, ModelServerState::Ready));
+    let mut ended = next_heartbeat(model_server(1, &[]), 30, ModelServerState::Ready);
+    ended.instance = "i-ended".into();
+    assert_eq!(directory.observe_heartbeat(10, ended).displaced.len(), 1);
+    assert_eq!(state_of(&directory, "i-1"), ModelServerState::Removed);
+    let outcome =
+        directory.observe_heartbeat(20, next_heartbeat(model_server(1, &[]), 5, ModelServerState::Ready));
+    assert!(outcome.changed);
+    assert_eq!(outcome.displaced[0].instance, "i-ended");
+    assert_eq!(state_of(&directory, "i-1"), ModelServerState::Ready);
+    assert_eq!(state_of(&directory, "i-ended"), ModelServerState::Removed);
+}
+
 #[test]
 fn a_server_whose_heartbeats_time_out_is_removed_until_the_next_heartbeat() {
     let mut directory = Directory::new(HEARTBEAT_MS);
--- a/crates/protocol/src/message/model_servers.rs
+++ b/crates/protocol/src/message/model_servers.rs
@@ -51,6 +51,36 @@
     pub busy: bool,
 }
 
+impl ModelServer {
+    /// The sequence of a deregistration: above that of every heartbeat, so that a deregistration counts wherever
+    /// it arrives, whatever heartbeats have arrived there. Not the largest number: programs of the version before
+    /// add 1 to it.
+    pub const FINAL_SEQUENCE: u64 = u64::MAX - 1;
+
+    /// A deregistered incarnation of which nothing else is known.
+    pub fn deregistered(instance: String) -> ModelServer {
+        ModelServer {
+            instance,
+            backend: String::new(),
+            address: String::new(),
+            zone: String::new(),
+            version: String::new(),
+            capacity: 0,
+            state: ModelServerState::Removed,
+            cold_remaining_ms: 0,
+            remaining_ms: 0,
+            models: Vec::new(),
+            sequence: ModelServer::FINAL_SEQUENCE,
+            busy: false,
+        }
+    }
+
+    /// Whether it has deregistered: it is never ready again.
+    pub fn is_deregistered(&self) -> bool {
+        self.state == ModelServerState::Removed && self.sequence >= ModelServer::FINAL_SEQUENCE
+    }
+}
+
 /// Model servers that changed, or all of them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ModelServerUpdate {
--- a/crates/router/tests/model_servers.rs
+++ b/crates/router/tests/model_servers.rs
@@ -146,6 +146,28 @@
     assert!(update(server_at("at the new address", 2)).contains("moves"));
 }
 
+/// Guards against requests to a server that left: an edge took a removal for one with the number of the last
+/// heartbeat, and let a list with a later heartbeat bring the server back.
+#[test]
+fn no_list_brings_a_deregistered_server_back() {
+    let mut table = ModelServerTable::new(1);
+    let complete = |server: ModelServer| ModelServerUpdate { complete: true, servers: vec![server] };
+    table.update(0, complete(ModelServer { sequence: 4, ..server() }));
+    let deregistered = ModelServer::deregistered(INSTANCE.into());
+    assert!(table.update(10, complete(deregistered)).contains(INSTANCE));
+    table.update(20, complete(ModelServer { sequence: 9, ..server() }));
+    assert!(table.get(INSTANCE).is_none());
+}
+
+#[test]
+fn a_deregistration_of_an_unknown_server_keeps_it_out() {
+    let mut table = ModelServerTable::new(1);
+    let update = |server: ModelServer| ModelServerUpdate { complete: false, servers: vec![server] };
+    table.update(0, update(ModelServer::deregistered(INSTANCE.into())));
+    table.update(10, update(ModelServer { sequence: 9, ..server() }));
+    assert!(table.get(INSTANCE).is_none());
+}
+
 fn server_at(instance: &str, assigned: usize) -> ModelServer {
     ModelServer { instance: instance.into(), address: format!("10.0.0.{assigned}:80"), ..server() }
 }
--- a/crates/system/src/core/model_server_json.rs
+++ b/crates/system/src/core/model_server_json.rs
@@ -62,7 +62,7 @@
             cold_remaining_ms: self.cold_remaining_ms.max(0.0) as u64,
             remaining_ms: self.remaining_ms.unwrap_or(0.0).max(0.0) as u64,
             models: self.models.into_iter().map(LoadedModel::from).collect(),
-            sequence: self.sequence,
+            sequence: self.sequence.min(ModelServer::FINAL_SEQUENCE - 1),
             busy: false,
         }
     }
