Split the core's event loop by subject; nothing else

Cause: node.rs had grown to over 950 lines with the work of the leader, publication, replication and operators' reads in one impl block.

Change: node/leadership.rs, node/publication.rs, node/replication.rs and node/operators.rs have these parts; node.rs keeps the loop, links and shutdown. Methods were moved, and are pub(super) where another part calls them.

--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -2,31 +2,29 @@
 //! gives back effects, which `Node` carries out or hands to the next part.
 
 mod changes;
+mod leadership;
+mod operators;
+mod publication;
+mod replication;
 mod state_check;
 mod training;
 
 use super::autoscaling::AutoscalingScheduler;
 use super::disk::OpenedDisk;
 use super::edge_reports::EdgeReports;
-use super::event::{DiskEvent, Event, LinkId};
+use super::event::{Event, LinkId};
 use super::leader_lease::LeaderLease;
-use super::lease::LeaseGuard;
 use super::links::PeerLinks;
-use super::model_server_json::ModelServerView;
 use super::model_servers::{HeartbeatSource, ServerRegistry};
-use super::orders::{self, OrderOutcome, OrderTask};
-use super::overview::{self, RoleSources, StatusSources};
 use super::placement::PlacementScheduler;
 use super::preparation::Preparation;
 use super::publication::Publication;
 use super::replication::Replication;
-use super::singleton_roles;
 use super::state_check::StateCheck;
-use super::state_machine::{Applied, RestoreError, StateMachine};
+use super::state_machine::{RestoreError, StateMachine};
 use super::status::StatusSchedule;
 use super::training::scheduler::TrainingScheduler;
-use super::training::versions::model_versions;
-use super::usage::{UsageReporter, WindowUsage};
+use super::usage::UsageReporter;
 use crate::clock;
 use crate::net::client::ConnectionPool;
 use crate::net::link::Link;
@@ -35,23 +33,16 @@
 use crate::signals::Request;
 use crate::startup::{Milestone, Startup};
 use pathbank_control::admission::AdmissionController;
-use pathbank_control::configuration::Runtime;
-use pathbank_control::operator_calls::{self, Reply};
-use pathbank_control::order::{Operation, Order};
-use pathbank_control::result_code::ResultCode;
-use pathbank_control::state::{Command, StateError};
-use pathbank_coordination::fencing::Permit;
-use pathbank_coordination::replica::{Departure, Effects, Outgoing, Replica, Role, Timing};
-use pathbank_coordination::types::{Entry, Index, Member, Message, Snapshot};
-use pathbank_protocol::codec;
+use pathbank_control::operator_calls::Reply;
+use pathbank_control::state::StateError;
+use pathbank_coordination::replica::{Departure, Replica, Role, Timing};
 use pathbank_protocol::message::{
-    AdmissionRequest, CoreStatus, EdgeReport, Frame, Hello, ModelServer, ProcessRole, Subscription,
+    AdmissionRequest, EdgeReport, Frame, Hello, ModelServer, ProcessRole, Subscription,
 };
 use pathbank_router::wall_clock::WallClock;
 use serde_json::Value;
 use state_check::StoreState;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
@@ -332,189 +323,6 @@
         self.carry_out(now, effects);
     }
 
-    // ---- replication ----
-
-    /// Carries out the effects of the replica: save, send, apply.
-    fn carry_out(&mut self, now: u64, effects: Effects) {
-        let Effects { records, messages, install, committed } = effects;
-        let ready = self.replication.persist(now, records, messages);
-        self.send_replica_messages(ready);
-        if let Some(snapshot) = install {
-            self.install(snapshot);
-        }
-        let version = self.machine.state().version();
-        for entry in committed {
-            self.apply(now, entry);
-        }
-        self.log_configuration(version);
-        if self.replication.replica().role() != Role::Leader {
-            self.lease.revoke();
-            self.replication.abandon_proposals();
-        }
-        self.publish_configuration(now);
-        self.publish_versions(now);
-        self.compact_log(now);
-        self.prepare_next_command();
-    }
-
-    fn send_replica_messages(&self, messages: Vec<Outgoing>) {
-        let me = self.replication.replica().me();
-        for Outgoing { to, message, .. } in messages {
-            if let Ok(address) = to.address.parse() {
-                self.links.send_to_core(address, &Frame::Replica(me.clone(), message));
-            }
-        }
-    }
-
-    fn on_replica_message(&mut self, now: u64, from: Member, message: Message) {
-        if self.replication.record_caller(now, &from.address) {
-            self.connect_to_cores();
-        }
-        let effects = self.replication.step(now, from, message);
-        self.carry_out(now, effects);
-    }
-
-    fn on_disk(&mut self, now: u64, event: DiskEvent) {
-        let (ready, last_index) = self.replication.on_disk(now, event);
-        self.send_replica_messages(ready);
-        if let Some(last_index) = last_index {
-            let effects = self.replication.saved(now, last_index);
-            self.carry_out(now, effects);
-        }
-        self.watch_disk(now);
-    }
-
-    /// A replica whose disk is impaired hands over and does not lead.
-    fn watch_disk(&mut self, now: u64) {
-        let Some(impaired) = self.replication.impairment_change(now) else { return };
-        tracing::warn!(impaired, "disk");
-        if impaired {
-            let effects = self.replication.transfer_leadership(now);
-            self.carry_out(now, effects);
-        }
-        let effects = self.replication.set_impaired(now, impaired);
-        self.carry_out(now, effects);
-    }
-
-    fn install(&mut self, snapshot: Snapshot) {
-        if self.machine.install(&snapshot) {
-            self.lease.restore(snapshot.leaders);
-            self.record_document(snapshot.data.len());
-            self.digest_state_if_due();
-        }
-    }
-
-    fn apply(&mut self, now: u64, entry: Entry) {
-        if self.machine.has_failed() {
-            return;
-        }
-        let term = entry.term;
-        let proposals = self.replication.take_proposals(entry.index);
-        let applied = self.machine.apply(entry);
-        self.digest_state_if_due();
-        match applied {
-            Some(Applied::LeaderStart(name)) => self.lease.record_leader(&name),
-            Some(Applied::Membership) => self.connect_to_cores(),
-            Some(Applied::Command { command, result, bytes }) => {
-                self.record_document(bytes);
-                if let Command::Training(command) = &command {
-                    self.on_training_applied(now, command, result.is_err());
-                }
-                for proposal in proposals {
-                    proposal.answer(term, || Reply::from_outcome(&result));
-                }
-                return;
-            }
-            None => return,
-        }
-        for proposal in proposals {
-            proposal.answer_unclear();
-        }
-    }
-
-    /// One line for all changes that were applied in a row: a replayed log must not push other lines out.
-    fn log_configuration(&self, version_before: u64) {
-        let version = self.machine.state().version();
-        if version != version_before {
-            tracing::info!(
-                version,
-                version_before,
-                index = self.machine.applied(),
-                "configuration committed"
-            );
-        }
-    }
-
-    fn compact_log(&mut self, now: u64) {
-        let applied = self.machine.applied();
-        if self.replication.needs_compaction(now, applied, self.machine.log_bytes()) {
-            let data = self.machine.take_snapshot();
-            self.replication.compact(applied, self.lease.leaders(), data);
-            self.state_check.request_soon();
-        }
-    }
-
-    /// Whether what this core has applied is the newest that it could know of.
-    fn is_current(&self, now: u64) -> bool {
-        self.replication.is_current(now)
-    }
-
-    fn is_established_leader(&self) -> bool {
-        self.replication.replica().is_established_leader()
-    }
-
-    /// Proposes a command of the leader's own.
-    fn propose(&mut self, now: u64, command: &Command) {
-        if let Ok((_, effects)) = self.replication.propose(now, command.encode()) {
-            self.carry_out(now, effects);
-        }
-    }
-
-    /// Proposes a command whose caller waits for its result.
-    fn propose_for(&mut self, now: u64, command: &Command, reply: oneshot::Sender<Reply>) {
-        match self.replication.propose(now, command.encode()) {
-            Ok((index, effects)) => {
-                self.replication.await_commit(index, reply);
-                self.carry_out(now, effects);
-            }
-            Err(error) => {
-                let _ = reply.send(Reply::Result(ResultCode::NoLeader, error.to_string()));
-            }
-        }
-    }
-
-    // ---- membership ----
-
-    /// As the leader, begins the next change of the membership.
-    fn change_membership(&mut self, now: u64) {
-        if let Some(effects) = self.replication.change_membership(now) {
-            let voters = &self.replication.replica().membership().voters;
-            tracing::info!(?voters, "membership changes");
-            self.carry_out(now, effects);
-            self.connect_to_cores();
-        }
-    }
-
-    /// Asks the other cores to add this store, while no leader sends it anything.
-    fn ask_to_join(&mut self, now: u64) {
-        if self.replication.replica().wants_to_join(now) {
-            let me = self.replication.replica().me().clone();
-            self.links.send_to_cores(&Frame::Replica(me, Message::Join));
-        }
-    }
-
-    /// Keeps links to all voters, learners and seeds, and to stores that called lately.
-    fn connect_to_cores(&mut self) {
-        let own = self.settings.own_internal_address();
-        let known = self.replication.addresses().filter_map(|address| address.parse().ok());
-        let seeds = self.settings.seeds.iter().map(|seed| self.settings.internal_address(*seed));
-        let mut addresses: Vec<SocketAddr> = known.chain(seeds).collect();
-        addresses.sort_unstable();
-        addresses.dedup();
-        addresses.retain(|address| *address != own);
-        self.links.connect_to(&addresses);
-    }
-
     // ---- links ----
 
     fn on_link_opened(&mut self, id: LinkId, hello: Hello, link: Link) {
@@ -616,336 +424,6 @@
             self.links.send(id, &Frame::AdmissionGrant(grant));
         }
     }
-
-    // ---- publication ----
-
-    fn record_document(&mut self, bytes: usize) {
-        if let Some((document, index)) = self.machine.state().document() {
-            self.publication.record_document(index, document, bytes);
-        }
-    }
-
-    /// The log entry of the configuration that edges may have; 0 (none) while this core is not current.
-    fn published_index(&self) -> Index {
-        if self.is_current(clock::now()) { self.publication.index() } else { 0 }
-    }
-
-    /// Publishes a new configuration: its changes to subscribers, to the other edges that there is one.
-    fn publish_configuration(&mut self, now: u64) {
-        let Some((document, index)) = self.machine.state().document() else { return };
-        if !self.publication.is_due(now, index) || !self.is_current(now) {
-            return;
-        }
-        self.publication.publish(now, index, document);
-        self.update_subscribers(now);
-        self.links.publish_to_others(&Frame::Core(self.core_status(false)));
-    }
-
-    /// Publishes the versions of models to subscribers, unless they know them.
-    fn publish_versions(&mut self, now: u64) {
-        if !self.is_current(now) {
-            return self.publication.forget_versions();
-        }
-        let versions = model_versions(self.machine.state().training());
-        if let Some(changed) = self.publication.changed_versions(versions) {
-            self.links.publish_to_subscribers(&Frame::ModelVersions(changed.to_vec()));
-        }
-    }
-
-    /// Sends subscribers what they lack of the configuration.
-    fn update_subscribers(&mut self, now: u64) {
-        let newest = self.published_index();
-        for id in self.publication.outdated_subscribers(&self.links, newest) {
-            self.update_edge(now, id);
-        }
-    }
-
-    /// An edge named the configuration that it has, and gets what is newer.
-    fn on_fetch_configuration(&mut self, now: u64, id: LinkId, known: Index) {
-        if self.publication.set_known(now, &self.links, id, known) {
-            self.update_edge(now, id);
-        }
-    }
-
-    fn update_edge(&mut self, now: u64, id: LinkId) {
-        if self.published_index() == 0 {
-            return;
-        }
-        let Some(update) = self.publication.next_update(now, &self.links, id) else { return };
-        let announcement = update.is_full.then(|| Frame::Core(self.core_status(false)));
-        self.publication.send(&self.links, id, &update, announcement.as_ref());
-    }
-
-    // ---- status ----
-
-    fn core_status(&self, with_members: bool) -> CoreStatus {
-        let replica = self.replication.replica();
-        let members = replica.membership().members().filter(|_| with_members).cloned();
-        CoreStatus {
-            members: members.collect(),
-            leader: replica.leader().map(|leader| leader.address.clone()).unwrap_or_default(),
-            edges: self.links.edges().count() as u32,
-            wall_clock_ms: clock::wall_clock(),
-            zone: self.settings.zone.clone(),
-            configuration_index: self.published_index(),
-            current: self.is_current(clock::now()),
-        }
-    }
-
-    fn publish_status_if_due(&mut self, now: u64) {
-        let leader = self.replication.replica().leader().map(|leader| leader.id);
-        let current = self.is_current(now);
-        if leader.is_some() {
-            self.startup.reach(Milestone::LeaderKnown);
-        }
-        if current != self.status.is_current() {
-            self.startup.reach(Milestone::Current);
-            let (commit, applied) = (self.replication.replica().commit(), self.machine.applied());
-            tracing::info!(current, commit, applied, "contact with a majority");
-        }
-        if self.status.take_due(now, leader, current) {
-            self.publish_status();
-            self.ask_to_join(now);
-        }
-    }
-
-    fn publish_status(&mut self) {
-        self.wall_clock.observe(clock::now(), &self.settings.node_name, clock::wall_clock());
-        let with_members = self.status.names_members();
-        let frame = Frame::Core(self.core_status(with_members));
-        self.links.publish_to_edges(&frame);
-        self.links.send_to_cores(&frame);
-        self.connect_to_cores();
-    }
-
-    // ---- the leader's loads and slots ----
-
-    fn count_slots(&mut self, now: u64) {
-        if self.is_established_leader() {
-            self.admission.update_slots(&self.servers.ready(), &self.reports.demand().in_flight(now));
-        }
-    }
-
-    /// As the leader, publishes requests in flight by model server, over all edges. Returns the message's
-    /// bytes.
-    fn publish_loads(&mut self, now: u64) -> u64 {
-        if !self.is_established_leader() {
-            return 0;
-        }
-        let loads = self.reports.joint_loads(now, &self.servers.ready());
-        if loads.is_empty() {
-            return 0;
-        }
-        let frame = Frame::Loads(loads);
-        self.links.publish_to_subscribers(&frame);
-        self.links.send_to_cores(&frame);
-        codec::encode(&frame).len() as u64
-    }
-
-    // ---- leadership ----
-
-    /// The right to act on the outside now, if this core has it.
-    fn permit(&mut self, now: u64) -> Option<Permit> {
-        let replica = self.replication.replica();
-        if !replica.is_established_leader() {
-            return None;
-        }
-        let (term, lease_until) = (replica.term(), replica.lease_until());
-        let turn_wait = self.settings.bounds.lease_ms;
-        let permit = self.lease.permit(&self.settings.node_name, term, lease_until, turn_wait, now)?;
-        self.enter_term(now);
-        self.lease.extend(permit.valid_until);
-        Some(permit)
-    }
-
-    fn guard(&self, permit: Permit) -> LeaseGuard {
-        self.lease.guard(&self.settings.node_name, permit)
-    }
-
-    /// Work of a new term begins without the state of an earlier one.
-    fn enter_term(&mut self, now: u64) {
-        if self.lease.enter_term(self.replication.replica().term()) {
-            self.usage.reset(now);
-            self.placement.reset();
-            self.autoscaling.reset();
-            self.admission = AdmissionController::default();
-            self.training = TrainingScheduler::default();
-        }
-    }
-
-    fn run_leader_work(&mut self, now: u64) {
-        if self.placement.is_due(now) {
-            let started_at = clock::now();
-            self.run_placement_pass(now);
-            self.placement.schedule_next(now, clock::now().saturating_sub(started_at));
-        }
-        if self.usage.take_due(now) {
-            self.report_usage(now);
-        }
-        if self.autoscaling.take_due(now) {
-            self.order_servers(now);
-        }
-    }
-
-    // ---- placement ----
-
-    fn run_placement_pass(&mut self, now: u64) {
-        let Some(permit) = self.permit(now) else { return };
-        let Some(backends) = self.machine.state().backends() else { return };
-        let plan = self.placement.plan(now, backends, self.servers.directory(), &self.reports);
-        if !plan.expected.is_empty() {
-            let frame = Frame::ExpectedModels(plan.expected);
-            self.links.publish_to_subscribers(&frame);
-            self.links.send_to_cores(&frame);
-        }
-        let guard = self.guard(permit);
-        for order in plan.orders {
-            self.send_order(order, guard.clone());
-        }
-    }
-
-    fn send_order(&mut self, order: Order, guard: LeaseGuard) {
-        if order.operation == Operation::Unload {
-            self.servers.withhold(&self.links, &order.instance, &order.model, &order.adapter);
-        }
-        let Some(runtime) = self.runtime_of(&order.instance) else {
-            return self.placement.cancel(&order.instance);
-        };
-        self.startup.reach(Milestone::Ordered);
-        let known = self.placement.take_contents(&order.instance);
-        let version = self.servers.directory().newest_version(&order.model);
-        self.spawn_order(OrderTask { order, runtime, guard, known, version }, Event::OrderFinished);
-    }
-
-    /// Executes an order beside the event loop; its outcome comes back as an event.
-    fn spawn_order(&self, task: OrderTask, event: impl FnOnce(Box<OrderOutcome>) -> Event + Send + 'static) {
-        let (pool, events) = (self.pool.clone(), self.events.clone());
-        tokio::spawn(async move {
-            let outcome = orders::execute(pool, task).await;
-            let _ = events.send(event(Box::new(outcome)));
-        });
-    }
-
-    /// The capacity of a model server, by the configuration of its backend.
-    fn runtime_of(&self, instance: &str) -> Option<Arc<Runtime>> {
-        let backend = self.servers.directory().server(instance)?.backend;
-        let known = self.machine.state().backends()?.iter().find(|known| known.name == backend)?;
-        known.runtime.clone().map(Arc::new)
-    }
-
-    fn on_order_finished(&mut self, outcome: &OrderOutcome) {
-        let now = clock::now();
-        self.placement.on_order_finished(now, outcome);
-        self.on_server_released(now, outcome);
-    }
-
-    /// A model server may be used and ordered again.
-    fn on_server_released(&mut self, now: u64, outcome: &OrderOutcome) {
-        let instance = &outcome.order.instance;
-        self.servers.on_order_finished(now, &self.links, instance, outcome.report.as_ref());
-        self.placement.request_pass(now);
-    }
-
-    // ---- singleton roles ----
-
-    /// Where the platform takes the calls of a singleton role, if this deployment has that role.
-    fn role_address(&self, name: &str) -> Option<SocketAddr> {
-        let has_role = self.settings.cloud_api.duties.iter().any(|role| role == name);
-        self.settings.cloud_api.address.filter(|_| has_role)
-    }
-
-    fn report_usage(&mut self, now: u64) {
-        let Some(platform) = self.role_address("usage_reporting") else { return };
-        let Some(permit) = self.permit(now) else { return };
-        let wall_clock_ms = self.wall_clock.now(now, clock::wall_clock());
-        let edges = self.links.edges().map(|(_, name)| name);
-        let last_sealed = self.machine.state().last_sealed();
-        let bounds = &self.settings.bounds;
-        if let Some(seal) = self.usage.next_seal(now, wall_clock_ms, bounds, edges, last_sealed) {
-            // Sealed before it is reported: every leader reports the same counts of a window.
-            let WindowUsage { window, counts } = seal;
-            self.propose(now, &Command::SealUsage { window, counts });
-        }
-        for WindowUsage { window, counts } in self.usage.take_unreported(self.machine.state()) {
-            let (pool, events, guard) = (self.pool.clone(), self.events.clone(), self.guard(permit));
-            tokio::spawn(async move {
-                let outcome = singleton_roles::report_usage(pool, platform, window, counts, guard).await;
-                let _ = events.send(Event::UsageReported { window, outcome });
-            });
-        }
-    }
-
-    fn order_servers(&mut self, now: u64) {
-        let Some(platform) = self.role_address("autoscale") else { return };
-        let Some(permit) = self.permit(now) else { return };
-        let Some(backends) = self.machine.state().backends() else { return };
-        for order in self.autoscaling.plan(now, backends, &self.servers.ready(), &self.reports) {
-            let (pool, events, guard) = (self.pool.clone(), self.events.clone(), self.guard(permit));
-            tokio::spawn(async move {
-                let outcome = singleton_roles::order_servers(pool, platform, &order, guard).await;
-                let _ = events.send(Event::ServersOrdered { order, outcome });
-            });
-        }
-    }
-
-    // ---- operators ----
-
-    /// Redirects a caller to the leader, unless this core leads. Returns the sender if it does.
-    fn as_leader(&self, now: u64, reply: oneshot::Sender<Reply>) -> Option<oneshot::Sender<Reply>> {
-        match self.replication.leadership_status(now).redirect() {
-            None => Some(reply),
-            Some(redirect) => {
-                let _ = reply.send(redirect);
-                None
-            }
-        }
-    }
-
-    fn on_read_configuration(&self, now: u64, reply: oneshot::Sender<Reply>) {
-        let status = self.replication.leadership_status(now);
-        let _ = reply.send(operator_calls::read_configuration(self.machine.state(), &status));
-    }
-
-    fn on_read_model_servers(&self, reply: oneshot::Sender<Reply>) {
-        let servers: Vec<ModelServerView> =
-            self.servers.directory().servers().map(ModelServerView::from).collect();
-        let _ = reply.send(Reply::Json(serde_json::to_vec(&servers).unwrap_or_default()));
-    }
-
-    fn status_overview(&self, now: u64) -> Value {
-        let sources = StatusSources {
-            settings: &self.settings,
-            incarnation: self.incarnation,
-            replication: &self.replication,
-            machine: &self.machine,
-            published_index: self.publication.index(),
-            reports: &self.reports,
-            links: &self.links,
-            ready_servers: self.servers.directory().ready().count(),
-            startup: &self.startup,
-            state_check: &self.state_check,
-        };
-        overview::status(now, &sources)
-    }
-
-    fn on_read_placement(&self, now: u64, reply: oneshot::Sender<Reply>) {
-        let Some(reply) = self.as_leader(now, reply) else { return };
-        let (placer, demand) = (self.placement.placer(), self.reports.demand());
-        send_json(reply, &overview::placement(now, placer, &self.servers.ready(), demand));
-    }
-
-    fn on_read_singleton_roles(&mut self, now: u64, reply: oneshot::Sender<Reply>) {
-        let Some(reply) = self.as_leader(now, reply) else { return };
-        let permit = self.permit(now);
-        let sources = RoleSources {
-            settings: &self.settings,
-            permit,
-            last_sealed: self.machine.state().last_sealed(),
-            usage: &self.usage,
-            autoscaling: &self.autoscaling,
-        };
-        send_json(reply, &overview::singleton_roles(now, &sources));
-    }
 }
 
 fn send_json(reply: oneshot::Sender<Reply>, value: &Value) {
