A deregistration is acknowledged once it is committed, and no core forgets it

Cause: the HTTP handler answered 200 before the event loop had the call, and the directory, in memory only, dropped the deregistration of an instance that it did not know.

Evidence: the three servers with late requests were acknowledged within 0.5 s of the cores' start, before a leader was elected, by a core that had not heard of them; the other 13 by a core that had, without a late request.

Every core publishes it when it applies the entry, after a restart too. Two other designs, in memory alone and in the memory of a majority, do not bear the loss of all cores.

Versions: Hello names the newest format of commands; the leader raises the format once every member has named it, and until then deregistrations are kept in memory.

--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -109,7 +109,7 @@
     /// deregistration that was relayed. A heartbeat that is not newer than the last one, or comes after the
     /// deregistration, changes nothing.
     pub fn observe_heartbeat(&mut self, now: Millis, server: ModelServer) -> HeartbeatOutcome {
-        if server.is_deregistered() && self.records.contains_key(&server.instance) {
+        if server.is_deregistered() {
             let changed = self.deregister(now, &server.instance).is_some();
             return HeartbeatOutcome { displaced: Vec::new(), changed, relay: changed };
         }
@@ -173,9 +173,14 @@
         displaced
     }
 
-    /// Applies a model server's own deregistration. `None`: it is not known, or has deregistered before.
+    /// Applies a model server's own deregistration, also of one that is not known: this core may have just
+    /// started. `None`: it has deregistered before.
     pub fn deregister(&mut self, now: Millis, instance: &str) -> Option<ModelServer> {
-        let record = self.records.get_mut(instance)?;
+        let Some(record) = self.records.get_mut(instance) else {
+            let server = ModelServer::deregistered(instance.to_owned());
+            self.records.insert(instance.to_owned(), ServerRecord::new(now, server.clone()));
+            return Some(server);
+        };
         if record.server.is_deregistered() {
             return None;
         }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,6 +6,7 @@
 //! Replicated state:
 //! * [`state`]: the state machine, its commands and snapshots; [`command_outcome`]: the results of commands.
 //! * [`change_log`]: accepted changes, which are recognised when they are sent again.
+//! * [`deregistrations`]: model servers that have deregistered, committed or on the way there.
 //! * [`training`]: training steps with their prompts and generations.
 //!
 //! Configuration:
@@ -49,6 +50,7 @@
 pub mod configuration;
 pub mod decay;
 pub mod demand;
+pub mod deregistrations;
 pub mod directory;
 pub mod document;
 pub mod document_history;
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,10 +1,11 @@
-//! The replicated state machine: configuration, accepted changes, sealed usage, training steps. All replicas
-//! apply the same commands in the same order and so have the same state.
+//! The replicated state machine: configuration, accepted changes, sealed usage, training steps, deregistered
+//! model servers. All replicas apply the same commands in the same order and so have the same state.
 
 use crate::change_log::{ChangeLog, ChangeLookup};
 use crate::checked_document::CheckedDocument;
 use crate::command_outcome::CommandOutcome;
 use crate::configuration::{Backend, Rejection};
+use crate::deregistrations::DeregisteredInstances;
 use crate::document::Document;
 use crate::prepared_change::{ChangeBasis, PreparedChange};
 use crate::result_code::ResultCode;
@@ -55,8 +56,22 @@
     },
     /// A command of a training step.
     Training(TrainingCommand),
+    /// All members decode commands of this format, and are proposed such commands from now on.
+    RaiseFormat {
+        /// The format of commands.
+        format: u32,
+    },
+    /// Model servers have deregistered. Of command format 1.
+    Deregister {
+        /// Their incarnations.
+        instances: Vec<String>,
+    },
 }
 
+/// The newest format of commands that this program decodes. Format 0 ends with `Command::Training`, and
+/// `Command::RaiseFormat` itself belongs to format 1.
+pub const COMMAND_FORMAT: u32 = 1;
+
 impl Command {
     /// The bytes of its log entry, which are JSON.
     pub fn encode(&self) -> Vec<u8> {
@@ -73,8 +88,13 @@
     }
 }
 
-/// The format of snapshots that this program writes.
-const SNAPSHOT_FORMAT: u32 = 2;
+/// The newest format of snapshots that this program reads.
+const SNAPSHOT_FORMAT: u32 = FORMAT_WITH_COMMAND_FORMAT;
+/// The first format with the log of accepted changes.
+const FORMAT_WITH_CHANGE_LOG: u32 = 2;
+/// The first format with the format of commands. A snapshot has it once commands of format 1 may be in the log:
+/// until then, programs of the version before read it.
+const FORMAT_WITH_COMMAND_FORMAT: u32 = 3;
 
 /// Why a replica stops: its state would differ from that of the others.
 #[derive(Debug, thiserror::Error)]
@@ -105,7 +125,7 @@
 }
 
 /// The format of the encoded state, which changes with every change of the encoding. Digests of different
-/// formats are not compared.
+/// formats are not compared. Fields that are written only once all members know them leave it as it is.
 pub const DIGEST_FORMAT: u32 = 1;
 
 /// The replicated state. Copies share its large parts.
@@ -128,12 +148,26 @@
     /// Training steps. A snapshot of an earlier program has none.
     #[serde(default)]
     training: Arc<TrainingState>,
+    /// The format of commands that all members decode.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    command_format: u32,
+    /// The model servers that deregistered last.
+    #[serde(default, skip_serializing_if = "is_empty")]
+    deregistered: Arc<DeregisteredInstances>,
+}
+
+fn is_zero(format: &u32) -> bool {
+    *format == 0
+}
+
+fn is_empty(instances: &Arc<DeregisteredInstances>) -> bool {
+    instances.is_empty()
 }
 
 impl Default for ControlState {
     fn default() -> ControlState {
         ControlState {
-            format: SNAPSHOT_FORMAT,
+            format: FORMAT_WITH_CHANGE_LOG,
             document: None,
             index: 0,
             version: 0,
@@ -141,6 +175,8 @@
             sealed: BTreeMap::new(),
             last_sealed: 0,
             training: Arc::default(),
+            command_format: 0,
+            deregistered: Arc::default(),
         }
     }
 }
@@ -160,8 +196,8 @@
         if state.format > SNAPSHOT_FORMAT {
             return Err(StateError::UnknownFormat(state.format));
         }
-        if state.format < SNAPSHOT_FORMAT {
-            state.format = SNAPSHOT_FORMAT;
+        if state.format < FORMAT_WITH_CHANGE_LOG {
+            state.format = FORMAT_WITH_CHANGE_LOG;
             state.changes = Arc::new(ChangeLog::complete_from(state.version));
         }
         Ok(state)
@@ -209,6 +245,16 @@
         &self.training
     }
 
+    /// The format of commands that all members decode: newer ones must not be proposed.
+    pub fn command_format(&self) -> u32 {
+        self.command_format
+    }
+
+    /// The model servers that deregistered last.
+    pub fn deregistered(&self) -> &DeregisteredInstances {
+        &self.deregistered
+    }
+
     /// The configuration in force, for changes that are prepared outside the event loop.
     pub fn change_basis(&self) -> ChangeBasis {
         ChangeBasis::new(self.document.clone(), self.index, self.version)
@@ -277,9 +323,25 @@
                 Ok(CommandOutcome::Applied)
             }
             Command::Training(command) => Arc::make_mut(&mut self.training).apply(index, command),
+            Command::RaiseFormat { format } => Ok(self.raise_format(*format)),
+            Command::Deregister { instances } => Ok(self.deregister(instances)),
         }
     }
 
+    fn raise_format(&mut self, format: u32) -> CommandOutcome {
+        if format <= self.command_format {
+            return CommandOutcome::AlreadyApplied;
+        }
+        (self.command_format, self.format) = (format, FORMAT_WITH_COMMAND_FORMAT);
+        CommandOutcome::Applied
+    }
+
+    fn deregister(&mut self, instances: &[String]) -> CommandOutcome {
+        let deregistered = Arc::make_mut(&mut self.deregistered);
+        let new = instances.iter().filter(|instance| deregistered.record(instance)).count();
+        if new > 0 { CommandOutcome::Applied } else { CommandOutcome::AlreadyApplied }
+    }
+
     /// Applies the change of the log entry `index`, which was prepared before. The result is that of
     /// [`ControlState::apply`].
     ///
--- a/crates/control/tests/directory.rs
+++ b/crates/control/tests/directory.rs
@@ -78,6 +78,20 @@
     assert_eq!(state_of(&ahead, "i-1"), ModelServerState::Removed, "a late heartbeat");
 }
 
+/// Guards against requests to a server that left: a core that had just started forgot the deregistration of a
+/// server that it did not know.
+#[test]
+fn a_deregistration_of_an_unknown_server_is_remembered() {
+    let mut directory = Directory::new(HEARTBEAT_MS);
+    let removed = directory.deregister(0, "i-1").expect("it is new");
+    assert_eq!(removed.state, ModelServerState::Removed);
+    assert_eq!(directory.deregister(10, "i-1"), None, "it comes twice");
+    let late =
+        directory.observe_heartbeat(20, next_heartbeat(model_server(1, &[]), 7, ModelServerState::Ready));
+    assert!(!late.changed && !late.relay);
+    assert_eq!(state_of(&directory, "i-1"), ModelServerState::Removed);
+}
+
 /// Guards against a server that is acknowledged and never listed: a core that was behind took a time-out that
 /// another core relayed for a deregistration.
 #[test]
--- a/crates/control/tests/stored_formats.rs
+++ b/crates/control/tests/stored_formats.rs
@@ -3,7 +3,8 @@
 //!
 //! `commands.jsonl` has one log entry on each line, and at least one of each kind. `state.json` is the
 //! snapshot after all of them. `state_format_1.json` is a snapshot of the first format,
-//! `state_format_1_upgraded.json` the same snapshot after its conversion.
+//! `state_format_1_upgraded.json` the same snapshot after its conversion. `commands_format_1.jsonl` has the commands of
+//! format 1 and `state_format_3.json` the snapshot after these alone.
 
 #![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by a panic")]
 
@@ -16,6 +17,8 @@
 
 const COMMANDS: &str = include_str!("fixtures/commands.jsonl");
 const STATE: &str = include_str!("fixtures/state.json");
+const COMMANDS_FORMAT_1: &str = include_str!("fixtures/commands_format_1.jsonl");
+const STATE_FORMAT_3: &str = include_str!("fixtures/state_format_3.json");
 const STATE_FORMAT_1: &str = include_str!("fixtures/state_format_1.json");
 const STATE_FORMAT_1_UPGRADED: &str = include_str!("fixtures/state_format_1_upgraded.json");
 
@@ -30,8 +33,12 @@
     serde_json::from_slice(&state.encode()).expect("valid JSON")
 }
 
+fn decoded(lines: &str) -> Vec<Command> {
+    lines.lines().map(|line| Command::decode(line.as_bytes()).expect("a readable command")).collect()
+}
+
 fn commands() -> Vec<Command> {
-    COMMANDS.lines().map(|line| Command::decode(line.as_bytes()).expect("a readable command")).collect()
+    decoded(COMMANDS)
 }
 
 fn counts(of: &[(&str, u64)]) -> BTreeMap<String, u64> {
@@ -74,7 +81,10 @@
             StepCommand::Seal { .. } => "seal",
             StepCommand::Abort { .. } => "abort",
         }),
-        Command::Change(_) | Command::SealUsage { .. } => None,
+        Command::Change(_)
+        | Command::SealUsage { .. }
+        | Command::RaiseFormat { .. }
+        | Command::Deregister { .. } => None,
     };
     let kinds: BTreeSet<&str> = commands.iter().filter_map(training).collect();
     let expected = [
@@ -101,6 +111,35 @@
     assert_eq!(encoded(&state), json(STATE));
 }
 
+#[test]
+fn stored_commands_of_format_1_come_to_the_stored_state() {
+    let commands = decoded(COMMANDS_FORMAT_1);
+    for (line, command) in COMMANDS_FORMAT_1.lines().zip(&commands) {
+        assert_eq!(String::from_utf8(command.encode()).unwrap(), line);
+    }
+    let mut state = ControlState::default();
+    for (index, command) in (1..).zip(commands) {
+        state.apply(index, &command).expect("it was accepted before");
+    }
+    assert_eq!(encoded(&state), json(STATE_FORMAT_3));
+    let state = ControlState::decode(STATE_FORMAT_3.as_bytes()).unwrap();
+    assert_eq!(state.command_format(), 1);
+    let deregistered: Vec<&str> = state.deregistered().iter().map(String::as_str).collect();
+    assert_eq!(deregistered, ["i-1", "i-2", "i-3"]);
+    assert!(state.deregistered().contains("i-2"));
+    assert_eq!(encoded(&state), json(STATE_FORMAT_3));
+}
+
+/// Programs of the version before read format 2, and no later one.
+#[test]
+fn a_snapshot_has_format_2_until_all_members_decode_newer_commands() {
+    let mut state = ControlState::default();
+    assert_eq!(encoded(&state)["format"], 2);
+    assert!(encoded(&state).get("deregistered").is_none());
+    state.apply(1, &Command::RaiseFormat { format: 1 }).unwrap();
+    assert_eq!(encoded(&state)["format"], 3);
+}
+
 #[test]
 fn a_stored_snapshot_is_decoded_and_encoded_the_same() {
     let state = ControlState::decode(STATE.as_bytes()).unwrap();
--- a/crates/protocol/schema/internal.capnp
+++ b/crates/protocol/schema/internal.capnp
@@ -102,6 +102,8 @@
   acceptsCompression @4 :Bool;
   # The sender is a core that takes requests for digests of its state, and reports.
   comparesStates @5 :Bool;
+  # The newest format of commands of the replicated log that the sender, a core, decodes; 0: one without numbered formats.
+  commandFormat @6 :UInt32;
 }
 
 # A leader asks for the digest of the replicated state after the entry of an index.
--- a/crates/protocol/src/message/connection.rs
+++ b/crates/protocol/src/message/connection.rs
@@ -26,6 +26,9 @@
     pub accepts_compression: bool,
     /// The sender is a core that takes part in comparisons of the replicated state.
     pub compares_states: bool,
+    /// The newest format of commands of the replicated log that the sender, a core, decodes. 0: an edge, or a
+    /// program from before formats were numbered.
+    pub command_format: u32,
 }
 
 /// What a core reports of itself and of its replication group.
--- a/crates/protocol/src/read/connection.rs
+++ b/crates/protocol/src/read/connection.rs
@@ -13,7 +13,15 @@
     let (name, zone) = (text(hello.get_name()?)?, text(hello.get_zone()?)?);
     let accepts_compression = hello.get_accepts_compression();
     let compares_states = hello.get_compares_states();
-    Ok(Hello { role, name, zone, incarnation: hello.get_incarnation(), accepts_compression, compares_states })
+    Ok(Hello {
+        role,
+        name,
+        zone,
+        incarnation: hello.get_incarnation(),
+        accepts_compression,
+        compares_states,
+        command_format: hello.get_command_format(),
+    })
 }
 
 pub(super) fn read_core(status: wire::core::Reader<'_>) -> Decoded<CoreStatus> {
--- a/crates/protocol/src/write/connection.rs
+++ b/crates/protocol/src/write/connection.rs
@@ -14,6 +14,7 @@
     out.set_incarnation(hello.incarnation);
     out.set_accepts_compression(hello.accepts_compression);
     out.set_compares_states(hello.compares_states);
+    out.set_command_format(hello.command_format);
 }
 
 pub(super) fn write_core(status: &CoreStatus, mut out: wire::core::Builder<'_>) {
--- a/crates/protocol/tests/common/mod.rs
+++ b/crates/protocol/tests/common/mod.rs
@@ -156,6 +156,7 @@
         incarnation: 1,
         accepts_compression,
         compares_states: false,
+        command_format: 0,
     }
 }
 
@@ -211,6 +212,7 @@
 /// Frames that came after the program of `samples`.
 pub fn later_samples() -> Vec<(&'static str, Frame)> {
     let comparing = Hello { role: ProcessRole::Core, compares_states: true, ..hello(true) };
+    let numbered = Hello { command_format: 1, ..comparing.clone() };
     let id = ComparisonId { term: 4, number: 7 };
     let request = ComparisonRequest { id, index: 1_234 };
     let state = StateDigest { format: 1, digest: 0x0102_0304_0506_0708_090a_0b0c_0d0e_0f10 };
@@ -219,6 +221,7 @@
         ("hello_of_a_comparing_core", Frame::Hello(comparing)),
         ("comparison_request", Frame::ComparisonRequest(request)),
         ("comparison_report", Frame::ComparisonReport(report)),
+        ("hello_of_a_core_with_a_command_format", Frame::Hello(numbered)),
     ]
 }
 
--- a/crates/protocol/tests/round_trip.rs
+++ b/crates/protocol/tests/round_trip.rs
@@ -11,7 +11,7 @@
 use pathbank_protocol::message::*;
 use test_case::test_case;
 
-#[test_case(Frame::Hello(Hello { role: ProcessRole::Edge, name: "e".into(), zone: "z".into(), incarnation: 1, accepts_compression: true, compares_states: false }); "hello")]
+#[test_case(Frame::Hello(Hello { role: ProcessRole::Edge, name: "e".into(), zone: "z".into(), incarnation: 1, accepts_compression: true, compares_states: false, command_format: 0 }); "hello")]
 #[test_case(replica(append()); "append")]
 #[test_case(replica(snapshot_chunk()); "snapshot chunk")]
 #[test_case(replica(Message::SnapshotReply { term: 3, index: 5, received: 700, sent_at: 5 }); "snapshot reply")]
--- a/crates/system/src/core/api.rs
+++ b/crates/system/src/core/api.rs
@@ -5,7 +5,7 @@
 
 use super::event::Event;
 use super::model_server_json::HeartbeatJson;
-use answer::{Events, ask, body_of, json, result_answer};
+use answer::{Events, ask, body_of, result_answer};
 use hyper::Request;
 use hyper::body::Incoming;
 use pathbank_control::result_code::ResultCode;
@@ -13,6 +13,8 @@
 use std::sync::Arc;
 use viz::{RequestExt, Response, Router};
 
+/// Ids of deregistered instances are part of the replicated state.
+const MAX_INSTANCE_BYTES: usize = 256;
 const BASE_VERSION: &str = "x-pathbank-base-version";
 
 /// The service of one connection to the control plane.
@@ -78,24 +80,34 @@
 }
 
 async fn heartbeat(events: Events, mut request: viz::Request) -> viz::Result<Response> {
-    let instance: String = request.param("id").unwrap_or_default();
+    let Some(instance) = instance_of(&request) else { return Ok(invalid_instance()) };
     let body = match body_of(&mut request).await {
         Ok(body) => body,
         Err(answer) => return Ok(answer),
     };
     match serde_json::from_slice::<HeartbeatJson>(&body) {
         Ok(heartbeat) => {
-            let _ = events.send(Event::Heartbeat(heartbeat.into_server(instance)));
-            Ok(json(b"{}".to_vec()))
+            let server = heartbeat.into_server(instance);
+            ask(events, "", |reply| Event::Heartbeat(server, reply)).await
         }
         Err(error) => Ok(result_answer(ResultCode::UnreadableDocument, &error.to_string())),
     }
 }
 
 async fn deregister(events: Events, request: viz::Request) -> viz::Result<Response> {
+    let Some(instance) = instance_of(&request) else { return Ok(invalid_instance()) };
+    ask(events, "", |reply| Event::Deregister(instance, reply)).await
+}
+
+/// The instance id in a call's path; `None`: it cannot be one.
+fn instance_of(request: &viz::Request) -> Option<String> {
     let instance: String = request.param("id").unwrap_or_default();
-    let _ = events.send(Event::Deregister(instance));
-    Ok(json(b"{}".to_vec()))
+    (1..=MAX_INSTANCE_BYTES).contains(&instance.len()).then_some(instance)
+}
+
+fn invalid_instance() -> Response {
+    let message = format!("an instance id has 1 to {MAX_INSTANCE_BYTES} bytes");
+    result_answer(ResultCode::BadRequest, &message)
 }
 
 async fn change(events: Events, kind: ChangeKind, mut request: viz::Request) -> viz::Result<Response> {
--- a/crates/system/src/core/event.rs
+++ b/crates/system/src/core/event.rs
@@ -39,9 +39,9 @@
     /// Time has passed.
     Tick,
     /// A model server's heartbeat.
-    Heartbeat(ModelServer),
+    Heartbeat(ModelServer, oneshot::Sender<Reply>),
     /// A model server deregisters: its instance id.
-    Deregister(String),
+    Deregister(String, oneshot::Sender<Reply>),
     /// An operator's change of the configuration.
     Change(Change, oneshot::Sender<Reply>),
     /// An operator's change was prepared beside the event loop.
--- a/crates/system/src/core/links.rs
+++ b/crates/system/src/core/links.rs
@@ -62,6 +62,11 @@
         self.accepted.get(&id).map(|peer| peer.hello.name.as_str())
     }
 
+    /// The newest format of commands that the process at the other end decodes.
+    pub fn peer_command_format(&self, id: LinkId) -> Option<u32> {
+        self.accepted.get(&id).map(|peer| peer.hello.command_format)
+    }
+
     /// The sending end of an accepted link.
     pub fn link(&self, id: LinkId) -> Option<&Link> {
         self.accepted.get(&id).map(|peer| &peer.link)
--- a/crates/system/src/core/model_servers.rs
+++ b/crates/system/src/core/model_servers.rs
@@ -33,6 +33,8 @@
     directory: Directory,
     /// All model servers, as sent to an edge that subscribes. Encoded once until something changes.
     complete_update: Option<SharedMessage>,
+    /// Those of them that take no new requests. `None`: to be encoded.
+    unavailable_update: Option<SharedMessage>,
     pending_changes: PendingChanges,
 }
 
@@ -42,6 +44,7 @@
         ServerRegistry {
             directory: Directory::new(heartbeat_ms),
             complete_update: None,
+            unavailable_update: None,
             pending_changes: PendingChanges::default(),
         }
     }
@@ -70,7 +73,7 @@
         let heard = self.directory.observe_heartbeat(now, server);
         let Some(state) = self.directory.state(&instance) else { return };
         if heard.changed || !heard.displaced.is_empty() {
-            self.complete_update = None;
+            self.forget_encoded();
         }
         heard
             .displaced
@@ -90,17 +93,32 @@
         self.flush_urgent_changes(now, links);
     }
 
-    /// A model server deregistered.
-    pub fn on_deregister(&mut self, now: u64, links: &PeerLinks, instance: &str) {
+    /// A model server deregistered: it told this core, or another one.
+    pub fn on_deregister(&mut self, now: u64, links: &PeerLinks, instance: &str, source: HeartbeatSource) {
         if self.directory.deregister(now, instance).is_none() {
             return;
         }
-        self.complete_update = None;
+        self.forget_encoded();
         self.pending_changes.record_unavailable(instance.to_owned());
-        self.pending_changes.record_relayed(instance.to_owned());
+        if source == HeartbeatSource::ModelServer {
+            self.pending_changes.record_relayed(instance.to_owned());
+        }
         self.flush_urgent_changes(now, links);
     }
 
+    /// Tells the other cores again that model servers have deregistered.
+    pub fn relay_deregistrations(&self, links: &PeerLinks, instances: Vec<String>) {
+        if !instances.is_empty() {
+            let servers = instances.into_iter().map(ModelServer::deregistered).collect();
+            links.send_to_cores(&Frame::Heartbeats(servers));
+        }
+    }
+
+    /// The model servers have changed since they were encoded.
+    fn forget_encoded(&mut self) {
+        (self.complete_update, self.unavailable_update) = (None, None);
+    }
+
     /// Publishes the changes since the last flush.
     pub fn flush_changes(&mut self, now: u64, links: &PeerLinks) {
         let changes = self.pending_changes.take(now);
@@ -138,7 +156,7 @@
         if servers.is_empty() {
             return;
         }
-        self.complete_update = None;
+        self.forget_encoded();
         let leaving: Vec<ModelServer> =
             servers.iter().filter(|server| server.state != ModelServerState::Ready).cloned().collect();
         links.publish_to_subscribers(&partial_update(servers));
@@ -157,6 +175,20 @@
         self.complete_update.get_or_insert_with(encode).clone()
     }
 
+    /// The model servers that take no new requests, for an edge that has just connected: it may not subscribe
+    /// here, and was not connected when they were published. `None`: there are none.
+    pub fn unavailable_update(&mut self) -> Option<SharedMessage> {
+        if self.unavailable_update.is_none() {
+            let servers = self.directory.servers();
+            let unavailable: Vec<ModelServer> =
+                servers.filter(|server| server.state != ModelServerState::Ready).collect();
+            if !unavailable.is_empty() {
+                self.unavailable_update = Some(SharedMessage::new(&partial_update(unavailable)));
+            }
+        }
+        self.unavailable_update.clone()
+    }
+
     /// Sends all model servers to a core that has just been connected.
     pub fn send_all(&self, links: &PeerLinks, core: SocketAddr) {
         let servers: Vec<ModelServer> = self.directory.servers().collect();
@@ -176,7 +208,7 @@
         let servers = self.directory.expire(now);
         if !servers.is_empty() {
             tracing::info!(count = servers.len(), "model servers timed out");
-            self.complete_update = None;
+            self.forget_encoded();
             links.publish_to_subscribers(&partial_update(servers));
         }
     }
--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -5,6 +5,7 @@
 mod leadership;
 mod operators;
 mod publication;
+mod registration;
 mod replication;
 mod state_check;
 mod training;
@@ -33,13 +34,13 @@
 use crate::signals::Request;
 use crate::startup::{Milestone, Startup};
 use pathbank_control::admission::AdmissionController;
+use pathbank_control::deregistrations::PendingDeregistrations;
 use pathbank_control::operator_calls::Reply;
-use pathbank_control::state::StateError;
+use pathbank_control::state::{COMMAND_FORMAT, StateError};
 use pathbank_coordination::replica::{Departure, Replica, Role, Timing};
-use pathbank_protocol::message::{
-    AdmissionRequest, EdgeReport, Frame, Hello, ModelServer, ProcessRole, Subscription,
-};
+use pathbank_protocol::message::{AdmissionRequest, EdgeReport, Frame, Hello, ProcessRole, Subscription};
 use pathbank_router::wall_clock::WallClock;
+use registration::CommandFormats;
 use serde_json::Value;
 use state_check::StoreState;
 use std::net::SocketAddr;
@@ -95,6 +96,8 @@
     status: StatusSchedule,
     wall_clock: WallClock,
     servers: ServerRegistry,
+    deregistrations: PendingDeregistrations<oneshot::Sender<Reply>>,
+    command_formats: CommandFormats,
     reports: EdgeReports,
     lease: LeaderLease,
     placement: PlacementScheduler,
@@ -130,6 +133,7 @@
             incarnation,
             accepts_compression: true,
             compares_states: true,
+            command_format: COMMAND_FORMAT,
         };
         let OpenedDisk { disk, durable, me } = opened;
         let machine = StateMachine::restore(&durable)?;
@@ -145,6 +149,8 @@
             status: StatusSchedule::default(),
             wall_clock: WallClock::default(),
             servers: ServerRegistry::new(settings.heartbeat_ms),
+            deregistrations: PendingDeregistrations::default(),
+            command_formats: CommandFormats::default(),
             reports: EdgeReports::default(),
             lease: LeaderLease::new(leaders),
             placement: PlacementScheduler::new(),
@@ -163,6 +169,7 @@
             events,
         };
         node.record_document(snapshot_bytes);
+        node.on_deregistrations_restored(now);
         node.connect_to_cores();
         Ok(node)
     }
@@ -181,8 +188,8 @@
         }
         match event {
             Event::Tick => self.on_tick(now),
-            Event::Heartbeat(server) => self.on_heartbeat(now, server, HeartbeatSource::ModelServer),
-            Event::Deregister(instance) => self.servers.on_deregister(now, &self.links, &instance),
+            Event::Heartbeat(server, reply) => self.on_heartbeat_call(now, server, reply),
+            Event::Deregister(instance, reply) => self.on_deregister_call(now, &instance, reply),
             Event::Change(change, reply) => self.on_change(now, change, reply),
             Event::ChangePrepared(proposal, reply) => self.on_change_prepared(now, *proposal, reply),
             Event::StateDigested(digested) => self.on_state_digested(now, digested),
@@ -215,6 +222,7 @@
         self.carry_out(now, effects);
         self.leave_if_shutting_down(now);
         self.watch_disk(now);
+        self.replicate_deregistrations(now);
         self.change_membership(now);
         self.run_leader_work(now);
         self.request_comparison(now);
@@ -328,6 +336,9 @@
     fn on_link_opened(&mut self, id: LinkId, hello: Hello, link: Link) {
         if hello.role == ProcessRole::Edge {
             link.send(&Frame::Core(self.core_status(true)));
+            if let Some(unavailable) = self.servers.unavailable_update() {
+                link.send_encoded(unavailable.to(&hello));
+            }
         } else {
             // It may have restarted, and come to its state by a way of its own.
             self.state_check.request_soon();
@@ -348,7 +359,12 @@
 
     fn on_frame(&mut self, now: u64, id: LinkId, frame: Frame) {
         match frame {
-            Frame::Replica(from, message) => self.on_replica_message(now, from, message),
+            Frame::Replica(from, message) => {
+                if let Some(format) = self.links.peer_command_format(id) {
+                    self.command_formats.record(from.id, format);
+                }
+                self.on_replica_message(now, from, message);
+            }
             Frame::Heartbeats(servers) => {
                 for server in servers {
                     self.on_heartbeat(now, server, HeartbeatSource::Core);
@@ -386,11 +402,6 @@
         }
     }
 
-    fn on_heartbeat(&mut self, now: u64, server: ModelServer, source: HeartbeatSource) {
-        self.startup.reach(Milestone::ModelServerKnown);
-        self.servers.on_heartbeat(now, &self.links, server, source);
-    }
-
     fn on_edge_report(&mut self, now: u64, report: &EdgeReport) {
         self.usage.observe(report, self.machine.state().last_sealed());
         self.reports.observe(now, report);
--- a/crates/system/src/core/node/operators.rs
+++ b/crates/system/src/core/node/operators.rs
@@ -44,6 +44,7 @@
             reports: &self.reports,
             links: &self.links,
             ready_servers: self.servers.directory().ready().count(),
+            pending_deregistrations: self.deregistrations.len(),
             startup: &self.startup,
             state_check: &self.state_check,
         };
--- a/crates/system/src/core/node/replication.rs
+++ b/crates/system/src/core/node/replication.rs
@@ -19,7 +19,7 @@
         let ready = self.replication.persist(now, records, messages);
         self.send_replica_messages(ready);
         if let Some(snapshot) = install {
-            self.install(snapshot);
+            self.install(now, snapshot);
         }
         let version = self.machine.state().version();
         for entry in committed {
@@ -75,10 +75,11 @@
         self.carry_out(now, effects);
     }
 
-    pub(super) fn install(&mut self, snapshot: Snapshot) {
+    pub(super) fn install(&mut self, now: u64, snapshot: Snapshot) {
         if self.machine.install(&snapshot) {
             self.lease.restore(snapshot.leaders);
             self.record_document(snapshot.data.len());
+            self.on_deregistrations_restored(now);
             self.digest_state_if_due();
         }
     }
@@ -96,8 +97,10 @@
             Some(Applied::Membership) => self.connect_to_cores(),
             Some(Applied::Command { command, result, bytes }) => {
                 self.record_document(bytes);
-                if let Command::Training(command) = &command {
-                    self.on_training_applied(now, command, result.is_err());
+                match &command {
+                    Command::Training(command) => self.on_training_applied(now, command, result.is_err()),
+                    Command::Deregister { instances } => self.on_deregistrations_applied(now, instances),
+                    Command::Change(_) | Command::SealUsage { .. } | Command::RaiseFormat { .. } => {}
                 }
                 for proposal in proposals {
                     proposal.answer(term, || Reply::from_outcome(&result));
--- a/crates/system/src/core/overview.rs
+++ b/crates/system/src/core/overview.rs
@@ -37,6 +37,8 @@
     pub links: &'a PeerLinks,
     /// Model servers that accept requests.
     pub ready_servers: usize,
+    /// Deregistrations of model servers that are not committed yet.
+    pub pending_deregistrations: usize,
     /// Milestones of the start.
     pub startup: &'a Startup,
     /// The comparison of the replicated state.
@@ -70,12 +72,14 @@
         "applied": machine.applied(),
         "current": replication.is_current(now),
         "configuration_version": machine.state().version(),
+        "command_format": machine.state().command_format(),
         "published_index": sources.published_index,
         "state": sources.state_check.to_json(),
         "holders": sources.reports.configurations().iter().map(entry).collect::<Vec<_>>(),
         "voters": voters.collect::<Vec<_>>(),
         "edges": sources.links.edges().map(|(_, name)| name).collect::<Vec<_>>(),
         "bricks": sources.ready_servers,
+        "deregistrations_pending": sources.pending_deregistrations,
         "startup_ms": sources.startup.to_json(),
     })
 }
--- a/crates/system/src/edge/core_links.rs
+++ b/crates/system/src/edge/core_links.rs
@@ -21,6 +21,7 @@
         incarnation: shared.incarnation,
         accepts_compression: true,
         compares_states: false,
+        command_format: 0,
     };
     let weak: Weak<Shared> = Arc::downgrade(shared);
     let mesh = Mesh::new(hello, move |event| {
--- a/crates/system/tests/common/listener.rs
+++ b/crates/system/tests/common/listener.rs
@@ -48,6 +48,7 @@
         incarnation: 1,
         accepts_compression: false,
         compares_states: false,
+        command_format: 0,
     };
     link.send(&Frame::Hello(hello));
     link.send(&Frame::Subscribe(Subscription { wanted: true, known_index: 0 }));
--- a/crates/system/tests/common/slow_edge.rs
+++ b/crates/system/tests/common/slow_edge.rs
@@ -33,6 +33,7 @@
             incarnation: 1,
             accepts_compression: false,
             compares_states: false,
+            command_format: 0,
         };
         edge.say(&Frame::Hello(hello));
         edge.say(&Frame::Subscribe(Subscription { wanted: true, known_index: 0 }));
--- a/crates/system/tests/configuration_updates.rs
+++ b/crates/system/tests/configuration_updates.rs
@@ -34,6 +34,7 @@
         incarnation: 1,
         accepts_compression: true,
         compares_states: false,
+        command_format: 0,
     }
 }
 
--- a/crates/system/tests/links.rs
+++ b/crates/system/tests/links.rs
@@ -117,6 +117,7 @@
         incarnation: 1,
         accepts_compression: true,
         compares_states: false,
+        command_format: 0,
     };
     let (reported, mut events) = tokio::sync::mpsc::unbounded_channel();
     let mesh = mesh::Mesh::new(hello, move |event| drop(reported.send(event)));
