Soak: model servers come and go, and processes in touch send them nothing late

Cause: no server ever left in the soak, so neither of the two faults of deregistrations could show there.

Change: servers of the plain service start, serve and deregister at any core without announcing their end, drawn from the seed, beside the signals, restarts and changes; calm times of 4.5 to 7 s are drawn between disturbances, and 7 s are added at the end, for processes are in touch only 3 s after the last disturbance. A request that reaches a server over drain_ms after its acknowledged deregistration is a finding if its edge and the cores were in touch from contact_ms before it was sent until it arrived; so is a deregistration that nobody acknowledges within 60 s.

--- a/crates/system/src/stand_in/mod.rs
+++ b/crates/system/src/stand_in/mod.rs
@@ -14,7 +14,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use store::WeightStore;
 use viz::{Body, Request, RequestExt, Response, Result, Router, StatusCode};
 
@@ -85,11 +85,22 @@
     engine: Mutex<Engine>,
     store: Arc<WeightStore>,
     heartbeats: AtomicU64,
-    runs: Mutex<Vec<String>>,
+    runs: Mutex<Vec<TimedRun>>,
     /// What it drew for training steps.
     pub drawn: DrawnLog,
     /// Says `draining` from now on.
     pub draining: AtomicBool,
+    /// Sends no heartbeats from now on, and serves on.
+    pub silent: AtomicBool,
+}
+
+/// A request that a stand-in ran.
+#[derive(Clone, Debug)]
+pub struct TimedRun {
+    /// The request's id.
+    pub id: String,
+    /// When it had arrived whole.
+    pub at: Instant,
 }
 
 impl StandInState {
@@ -102,6 +113,11 @@
 
     /// The ids of the requests that it ran, in order.
     pub fn runs(&self) -> Vec<String> {
+        self.timed_runs().into_iter().map(|run| run.id).collect()
+    }
+
+    /// The requests that it ran, in order.
+    pub fn timed_runs(&self) -> Vec<TimedRun> {
         self.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
@@ -148,6 +164,10 @@
     let mut head = fastrand::usize(..settings.control.len().max(1));
     loop {
         let next = tokio::time::Instant::now() + settings.heartbeat_every;
+        if state.silent.load(Ordering::Relaxed) {
+            tokio::time::sleep_until(next).await;
+            continue;
+        }
         let control = settings.control[head];
         let draining = state.draining.load(Ordering::Relaxed);
         let body = serde_json::json!({
@@ -240,7 +260,11 @@
     };
     let running = Running { state: state.clone(), run };
     let body = request.bytes().await?;
-    state.runs.lock().unwrap_or_else(PoisonError::into_inner).push(id.clone());
+    state
+        .runs
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .push(TimedRun { id: id.clone(), at: Instant::now() });
     set(&mut response, "x-pathbank-response-signature", &format!("stand-in.{}", settings.instance));
     set(&mut response, "x-pathbank-instance-load", "1,0,8");
     if let Some(version) = running.run.told {
--- a/crates/system/tests/common/mod.rs
+++ b/crates/system/tests/common/mod.rs
@@ -155,7 +155,16 @@
 
     pub fn server(&self, instance: &str, backend: &str, models: &[&str]) -> Arc<StandInState> {
         let settings = StandInSettings::new(instance, backend, "z1", models, &self.control);
-        start_server(&self.runtime, settings, SocketAddr::new(self.ingress.ip(), 0))
+        start_server(self.runtime.handle(), settings, SocketAddr::new(self.ingress.ip(), 0))
+    }
+
+    /// Starts plain model servers of the backend `app` from another thread.
+    pub fn server_starter(&self) -> impl Fn(&str) -> Arc<StandInState> + Send + use<> {
+        let (runtime, control) = (self.runtime.handle().clone(), self.control.clone());
+        let address = SocketAddr::new(self.ingress.ip(), 0);
+        move |instance| {
+            start_server(&runtime, StandInSettings::new(instance, "app", "z1", &[], &control), address)
+        }
     }
 
     /// Sends a change to one head after the other until it is taken.
@@ -219,7 +228,7 @@
 
 /// A model server that lives as long as the runtime.
 pub fn start_server(
-    runtime: &tokio::runtime::Runtime,
+    runtime: &tokio::runtime::Handle,
     settings: StandInSettings,
     address: SocketAddr,
 ) -> Arc<StandInState> {
--- a/crates/system/tests/late_generation.rs
+++ b/crates/system/tests/late_generation.rs
@@ -65,7 +65,7 @@
 fn server(system: &System) -> (SocketAddr, Arc<StandInState>) {
     let address = system.local.server_address(0).unwrap();
     let settings = StandInSettings::new("w0", "llm", "z1", &["m1"], &system.control);
-    (address, common::start_server(&system.runtime, settings, address))
+    (address, common::start_server(system.runtime.handle(), settings, address))
 }
 
 fn grant(requested_at: u64, address: SocketAddr, version: u64) -> DrawGrant {
--- a/crates/system/tests/soak/clients.rs
+++ b/crates/system/tests/soak/clients.rs
@@ -137,6 +137,7 @@
             let id = format!("c{}-{}", self.number, self.asked);
             let (version, path) = self.any_route();
             let mark = self.findings.mark(edge);
+            self.findings.contact().sent(&id, edge);
             let outcome = connection.ask(&path, &id);
             self.findings.note(edge, mark, &id, version, &outcome);
             if !matches!(outcome, Outcome::Answered { .. }) {
--- a/crates/system/tests/soak/faults.rs
+++ b/crates/system/tests/soak/faults.rs
@@ -10,6 +10,9 @@
 /// A signal comes no sooner than this after a start: before, the program may not be loaded.
 const LOADED_AFTER: Duration = Duration::from_millis(600);
 const LOOK_EVERY: Duration = Duration::from_millis(10);
+/// After one in so many disturbances comes a calm time, long enough for all processes to be in touch.
+const CALM_ONE_IN: u8 = 6;
+const CALM_MS: std::ops::Range<u64> = 4_500..7_000;
 
 /// What the disturbances may meet.
 #[derive(Clone, Copy)]
@@ -45,6 +48,7 @@
     /// Draws series of disturbances. Cores keep their disks, so any number of them may go.
     pub fn draw(seed: u64, shape: Shape) -> FaultPlan {
         let mut random = fastrand::Rng::with_seed(seed);
+        let mut calm = fastrand::Rng::with_seed(seed ^ 0xca1);
         let lasts_ms = shape.lasts.as_millis() as u64;
         let mut actions = Vec::new();
         let mut at = 300;
@@ -52,6 +56,9 @@
             let for_ms = random.u64(150..1_800);
             draw_one(&mut random, shape, at, for_ms, &mut actions);
             at += random.u64(100..1_200);
+            if calm.u8(..CALM_ONE_IN) == 0 {
+                at += calm.u64(CALM_MS);
+            }
         }
         let ends = lasts_ms + 2_000;
         for target in all(shape) {
@@ -165,6 +172,7 @@
         match action {
             Action::Kill(_) => {
                 findings.count("kills");
+                self.disturbs(findings);
                 self.breaks(findings);
                 self.process.kill();
                 (self.terminated, self.frozen) = (None, false);
@@ -172,6 +180,7 @@
             Action::Start(_) => self.start(findings),
             Action::Terminate(_) if is_loaded && self.terminated.is_none() && !self.process.has_ended() => {
                 findings.count("terms");
+                self.disturbs(findings);
                 self.process.ask_to_stop();
                 self.terminated = Some(Instant::now());
             }
@@ -181,6 +190,7 @@
             }
             Action::Freeze(_) if is_loaded && self.terminated.is_none() => {
                 findings.count("freezes");
+                self.disturbs(findings);
                 self.breaks(findings);
                 self.process.freeze();
                 self.frozen = true;
@@ -189,11 +199,20 @@
                 self.process.thaw();
                 self.frozen = false;
                 self.breaks(findings);
+                self.disturbs(findings);
             }
             _ => {}
         }
     }
 
+    /// The process is not in touch for a while.
+    fn disturbs(&self, findings: &Findings) {
+        match self.target {
+            Target::Core(_) => findings.contact().core_disturbed(),
+            Target::Edge(edge) => findings.contact().edge_disturbed(edge),
+        }
+    }
+
     /// An answer may be cut, or late, by what is done to the process.
     fn breaks(&self, findings: &Findings) {
         if let Target::Edge(edge) = self.target {
@@ -211,6 +230,7 @@
         self.process.kill();
         self.process.start().expect("the program starts");
         self.started = Instant::now();
+        self.disturbs(findings);
     }
 
     fn start_if_ended(&mut self, findings: &Findings) {
--- a/crates/system/tests/soak/findings.rs
+++ b/crates/system/tests/soak/findings.rs
@@ -2,6 +2,7 @@
 
 use crate::clients::{Connection, Outcome};
 use crate::common::{System, until};
+use crate::contact::ContactLog;
 use crate::operators::{Acknowledged, Confirmed};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Mutex;
@@ -39,6 +40,7 @@
     unanswered: Mutex<Vec<Unanswered>>,
     counts: Mutex<BTreeMap<String, usize>>,
     confirmed: Confirmed,
+    contact: ContactLog,
     /// Requests that were sent after the disturbances.
     asked_at_end: AtomicU64,
 }
@@ -51,6 +53,7 @@
             unanswered: Mutex::default(),
             counts: Mutex::default(),
             confirmed: Confirmed::default(),
+            contact: ContactLog::new(edges),
             asked_at_end: AtomicU64::new(0),
         }
     }
@@ -60,6 +63,11 @@
         self.confirmed.clone()
     }
 
+    /// Who was in touch when.
+    pub fn contact(&self) -> &ContactLog {
+        &self.contact
+    }
+
     pub fn find(&self, what: String) {
         self.found.lock().unwrap().push(what);
     }
--- a/crates/system/tests/soak/main.rs
+++ b/crates/system/tests/soak/main.rs
@@ -1,6 +1,6 @@
 //! A system of real processes under signals, restarts and changes that come in series and overlap, drawn from
-//! a seed, while clients keep their connections and operators change the configuration without a pause. At
-//! the end all processes are killed at once, and it is measured when service is back.
+//! a seed, while clients keep their connections, operators change the configuration without a pause, and model
+//! servers come and go. At the end all processes are killed at once, and it is measured when service is back.
 //!
 //! `PATHBANK_SOAK_SEEDS=1..50 cargo test --release -p pathbank-system --test soak -- --nocapture` plays more
 //! seeds; `PATHBANK_SOAK_EDGES=140` starts so many edges, `PATHBANK_SOAK_ROUTES=2000` makes the configuration
@@ -11,12 +11,15 @@
 mod clients;
 #[path = "../common/mod.rs"]
 mod common;
+mod contact;
+mod departures;
 mod faults;
 mod findings;
 mod operators;
 
 use clients::Clients;
 use common::{System, document_with_routes};
+use departures::Departures;
 use faults::{FaultPlan, Shape};
 use findings::Findings;
 use operators::{Acknowledged, Operator};
@@ -33,7 +36,9 @@
 /// Service is back within this after all processes have started, also on a busy machine.
 const BACK_WITHIN: Duration = Duration::from_secs(15);
 /// How long disturbances come.
-const DISTURBED: Duration = Duration::from_secs(14);
+const DISTURBED: Duration = Duration::from_secs(18);
+/// Clients and model servers go on for so long after the last disturbance, with all processes in touch at last.
+const CALM_AT_END: Duration = Duration::from_secs(7);
 
 fn asked<T: std::str::FromStr>(variable: &str) -> Option<T> {
     std::env::var(variable).ok()?.parse().ok()
@@ -77,16 +82,21 @@
     let stop = Arc::new(AtomicBool::new(false));
     let operator = Operator::start(&system, seed, 3, findings.clone(), stop.clone());
     let clients = Clients::start(&system, seed, CLIENTS.max(edges.into()), findings.clone(), stop.clone());
+    let departures = Departures::start(&system, seed, findings.clone(), stop.clone());
     let shape = Shape { cores: CORES.into(), edges: edges.into(), lasts: DISTURBED };
     FaultPlan::draw(seed, shape).play(&mut system.local, &findings);
+    std::thread::sleep(CALM_AT_END);
     stop.store(true, Ordering::Relaxed);
     let acknowledged = operator.join();
     clients.join();
+    let departed = departures.join();
 
     findings.until_all_serve(&system, &acknowledged);
     let back_ms = all_dark(&mut system, &findings, &acknowledged);
     findings.check_read_back(&system, &acknowledged);
-    findings.check_runs(&[server.runs(), other_server.runs()]);
+    departures::check(&departed, &findings);
+    let stayed = [server.runs(), other_server.runs()];
+    findings.check_runs(&stayed.into_iter().chain(departures::runs(&departed)).collect::<Vec<_>>());
     let (changes, counts) = (acknowledged.len(), findings.summary());
     let summary = format!("seed {seed}: {changes} changes, {counts}, back after {back_ms} ms");
     (findings.all(), summary)
--- a/crates/system/tests/training/world.rs
+++ b/crates/system/tests/training/world.rs
@@ -99,7 +99,7 @@
         };
         let runtime =
             tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build().unwrap();
-        let state = start_server(&runtime, settings, address);
+        let state = start_server(runtime.handle(), settings, address);
         ModelServer { address, state, runtime: Mutex::new(Some(runtime)) }
     }
 
