An edge that connects hears of drains and deregistrations, not of time-outs

Cause: what a connecting edge was sent included servers whose heartbeats had timed out at that core. A time-out may be wrong there while other cores have later heartbeats, which they do not publish again: an edge that subscribes to one of them would have lost the server until its next change.

Change: the list has what servers said themselves, that they drain or have deregistered.

Result: an_edge_that_connects_later_hears_of_a_timeout_only_in_the_complete_list; deregistration.rs passes, 11 tests.

--- a/crates/system/src/core/model_servers.rs
+++ b/crates/system/src/core/model_servers.rs
@@ -33,7 +33,7 @@
     directory: Directory,
     /// All model servers, as sent to an edge that subscribes. Encoded once until something changes.
     complete_update: Option<SharedMessage>,
-    /// Those of them that take no new requests. `None`: to be encoded.
+    /// Those of them that said that they leave. `None`: to be encoded.
     unavailable_update: Option<SharedMessage>,
     pending_changes: PendingChanges,
 }
@@ -175,13 +175,14 @@
         self.complete_update.get_or_insert_with(encode).clone()
     }
 
-    /// The model servers that take no new requests, for an edge that has just connected: it may not subscribe
-    /// here, and was not connected when they were published. `None`: there are none.
+    /// The model servers that said that they leave, for an edge that has just connected: it may not subscribe
+    /// here, and was not connected when they were published. Not those that timed out here: other cores may have
+    /// later heartbeats. `None`: there are none.
     pub fn unavailable_update(&mut self) -> Option<SharedMessage> {
         if self.unavailable_update.is_none() {
-            let servers = self.directory.servers();
-            let unavailable: Vec<ModelServer> =
-                servers.filter(|server| server.state != ModelServerState::Ready).collect();
+            let leaves =
+                |server: &ModelServer| server.state == ModelServerState::Draining || server.is_deregistered();
+            let unavailable: Vec<ModelServer> = self.directory.servers().filter(leaves).collect();
             if !unavailable.is_empty() {
                 self.unavailable_update = Some(SharedMessage::new(&partial_update(unavailable)));
             }
--- a/crates/system/tests/deregistration.rs
+++ b/crates/system/tests/deregistration.rs
@@ -159,6 +159,20 @@
     }
 }
 
+/// A core that has not heard a server for long may be wrong, and tells only the edges that subscribe to it.
+#[test]
+fn an_edge_that_connects_later_hears_of_a_timeout_only_in_the_complete_list() {
+    let system = started();
+    let first = EdgeListener::of(system.local.internal[0]);
+    relay(&first, heartbeat(1));
+    until("the core knows the server", || state_at(&system, 0).as_deref() == Some("ready"));
+    until("its heartbeats time out", || state_at(&system, 0).as_deref() == Some("gone"));
+    let listener = EdgeListener::of(system.local.internal[0]);
+    until("the edge is subscribed", || !updates_of(&listener).is_empty());
+    let is_partial = |frame: &Frame| matches!(frame, Frame::ModelServers(update) if !update.complete);
+    assert!(!listener.heard().iter().any(is_partial));
+}
+
 /// Guards against acknowledgements by a core that cannot tell the others: the model server then calls the next
 /// core.
 #[test]
