--- a/crates/system/tests/common/mod.rs
+++ b/crates/system/tests/common/mod.rs
@@ -5,6 +5,7 @@
 pub mod listener;
 pub mod slow_edge;
 
+use pathbank_protocol::message::{ModelServer, ModelServerState};
 use pathbank_system::local::{LocalPlan, LocalSystem};
 use pathbank_system::stand_in::drawn::DrawnLog;
 use pathbank_system::stand_in::{self, StandInSettings, StandInState};
@@ -247,6 +248,24 @@
     state
 }
 
+/// The heartbeat of a ready model server of the backend `app`.
+pub fn heartbeat(instance: &str, address: &str, sequence: u64) -> ModelServer {
+    ModelServer {
+        instance: instance.to_owned(),
+        backend: "app".into(),
+        address: address.to_owned(),
+        zone: "z1".into(),
+        version: "1".into(),
+        capacity: 4,
+        state: ModelServerState::Ready,
+        cold_remaining_ms: 0,
+        remaining_ms: 0,
+        models: Vec::new(),
+        sequence,
+        busy: false,
+    }
+}
+
 /// A configuration with a plain service `app` under /app/ and models under /llm/.
 pub fn document(version: u64) -> String {
     serde_json::json!({
--- a/crates/system/tests/deregistration.rs
+++ b/crates/system/tests/deregistration.rs
@@ -27,20 +27,7 @@
 }
 
 fn heartbeat(sequence: u64) -> ModelServer {
-    ModelServer {
-        instance: INSTANCE.into(),
-        backend: "app".into(),
-        address: "127.9.0.1:80".into(),
-        zone: "z1".into(),
-        version: "1".into(),
-        capacity: 4,
-        state: ModelServerState::Ready,
-        cold_remaining_ms: 0,
-        remaining_ms: 0,
-        models: Vec::new(),
-        sequence,
-        busy: false,
-    }
+    common::heartbeat(INSTANCE, "127.9.0.1:80", sequence)
 }
 
 /// Tells one core alone of a heartbeat, as another core relays it.
--- a/crates/system/tests/model_server_updates.rs
+++ b/crates/system/tests/model_server_updates.rs
@@ -12,20 +12,8 @@
 const SERVERS: usize = 300;
 
 fn server(number: usize) -> ModelServer {
-    ModelServer {
-        instance: format!("i-{number}"),
-        backend: "app".into(),
-        address: format!("127.9.{}.{}:80", number / 200, number % 200 + 1),
-        zone: "z1".into(),
-        version: "1".into(),
-        capacity: 4,
-        state: ModelServerState::Ready,
-        cold_remaining_ms: 0,
-        remaining_ms: 0,
-        models: Vec::new(),
-        sequence: 1,
-        busy: false,
-    }
+    let address = format!("127.9.{}.{}:80", number / 200, number % 200 + 1);
+    common::heartbeat(&format!("i-{number}"), &address, 1)
 }
 
 /// Starts a system, and opens a link to its first core as an edge does.
