--- /dev/null
+++ b/review/standin-2/main.rs
@@ -0,0 +1,33 @@
+//! The cases of this review that are scripts: `standin CASE RECORD`.
+
+#[allow(dead_code)]
+mod rig;
+
+mod burst_of_bodies;
+mod capacity_one;
+mod last_tenant;
+mod retired_model;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let (Some(case), Some(path)) = (arguments.get(1), arguments.get(2)) else {
+        eprintln!("standin CASE RECORD");
+        std::process::exit(2);
+    };
+    if !rig::exists(rig::PROGRAM) {
+        eprintln!("{} is not built", rig::PROGRAM);
+        std::process::exit(2);
+    }
+    let record = rig::Record::new(path);
+    let broken = match case.as_str() {
+        "burst-of-bodies" => burst_of_bodies::run(&record),
+        "capacity-one" => capacity_one::run(&record),
+        "last-tenant" => last_tenant::run(&record),
+        "retired-model" => retired_model::run(&record),
+        other => {
+            eprintln!("no case {other}");
+            std::process::exit(2);
+        }
+    };
+    std::process::exit(i32::from(broken));
+}
