--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,6 +6,7 @@
 mod burst_of_bodies;
 mod capacity_one;
 mod last_tenant;
+mod no_brick_left;
 mod retired_model;
 
 fn main() {
@@ -23,6 +24,7 @@
         "burst-of-bodies" => burst_of_bodies::run(&record),
         "capacity-one" => capacity_one::run(&record),
         "last-tenant" => last_tenant::run(&record),
+        "no-brick-left" => no_brick_left::run(&record),
         "retired-model" => retired_model::run(&record),
         other => {
             eprintln!("no case {other}");
--- a/review/standin-2/rig.rs
+++ b/review/standin-2/rig.rs
@@ -534,8 +534,8 @@
                     return;
                 }
                 let (runs, own, said, handler) = (runs.clone(), own.clone(), said.clone(), handler.clone());
-                let held = held.clone();
-                thread::spawn(move || serve(stream, &runs, &own, &said, held.as_ref(), &handler));
+                let (held, ended) = (held.clone(), ended.clone());
+                thread::spawn(move || serve(stream, &runs, &own, &said, held.as_ref(), &ended, &handler));
             }
         });
         let (stop, draining, silent) = (brick.stop.clone(), brick.draining.clone(), brick.silent.clone());
@@ -569,6 +569,13 @@
         brick
     }
 
+    /// Ends for good, and says nothing.
+    pub fn crash(&self) {
+        self.stop.store(true, Ordering::Relaxed);
+        // The listener's thread notices the end with the next connection.
+        let _ = TcpStream::connect_timeout(&self.address, Duration::from_millis(200));
+    }
+
     pub fn runs(&self) -> Vec<Run> {
         self.runs.lock().unwrap().clone()
     }
@@ -580,6 +587,7 @@
     own: &str,
     record: &Record,
     engine: Option<&Arc<Mutex<Engine>>>,
+    ended: &AtomicBool,
     handler: &Handler,
 ) {
     let _ = stream.set_nodelay(true);
@@ -587,6 +595,9 @@
     let mut reader = BufReader::new(stream);
     while let Ok((first, headers)) = read_head(&mut reader) {
         let Ok(body) = read_body(&mut reader, &headers, false) else { return };
+        if ended.load(Ordering::Relaxed) {
+            return;
+        }
         let mut words = first.split(' ');
         let (method, path) = (words.next().unwrap_or_default().to_owned(), words.next().unwrap_or_default().to_owned());
         let run = Run { at_ms: record.ms(), method, path, headers, body };
