--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,6 +8,7 @@
 mod last_tenant;
 mod no_brick_left;
 mod retired_model;
+mod slow_reader;
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
@@ -26,6 +27,7 @@
         "last-tenant" => last_tenant::run(&record),
         "no-brick-left" => no_brick_left::run(&record),
         "retired-model" => retired_model::run(&record),
+        "slow-reader" => slow_reader::run(&record),
         other => {
             eprintln!("no case {other}");
             std::process::exit(2);
