A request waits as long as it can be served in the time its client has left

Callers saw: a request was refused between 16 and 24 in 100 of its latency objective although a slot was due long before the caller's deadline; the same request, sent again, was held until 8 in 100 of its time were left and then refused.

Change: `latest_start` is the last moment at which a model server can take a request and still serve it: the answer begins before the client abandons it and is complete by its deadline. `forecast` is when a model server takes it: slot time, slots and the queue before it; the end of an ejection; the end of a load. What is in time waits, or moves to a server where it is; what is not is refused on arrival, or as soon as the forecast says so, with the forecast as `Retry-After`, a third of the client's time at most (PROTOCOL.md, Answers). `previously_rejected`, `is_retry` and the five fractions are gone. A backend without servers is waited for as long as a running server may be silent, then refused at once. Slot times are estimated by backend too, so that the forecast holds for services without models.

--- a/crates/router/src/dispatcher.rs
+++ b/crates/router/src/dispatcher.rs
@@ -2,8 +2,8 @@
 //!
 //! On its arrival a request is queued for one model server, the one that should answer it first. When that
 //! server has a free slot, the fair queue decides which of its requests is sent. A request for a model that
-//! is resident nowhere waits until the model is resident. A request that cannot be served in time is rejected
-//! early, with a time to retry.
+//! is resident nowhere waits until the model is resident. A request that cannot be served in the time that its
+//! client has left is rejected at once, with a time to retry.
 //!
 //! `load_shedding` decides rejections, `assignment` and `cost` the model server, `evacuations` which streams
 //! move before their server ends, `demand` what is reported to the leader.
@@ -50,6 +50,8 @@
     engines: EngineEstimates,
     demand: BTreeMap<(String, ModelName), ModelDemand>,
     urgent: bool,
+    /// Backends without any model server, and since when requests find none.
+    without_servers_since: BTreeMap<String, Millis>,
 }
 
 impl Dispatcher {
@@ -66,6 +68,7 @@
             engines: EngineEstimates::default(),
             demand: BTreeMap::new(),
             urgent: false,
+            without_servers_since: BTreeMap::new(),
         }
     }
 
@@ -102,9 +105,22 @@
             self.record_demand(now, &offer);
         }
         let id = offer.id;
+        self.note_missing_backend(now, &offer.backend);
         self.pending.insert(id, PendingRequest::new(now, offer));
         self.assign(now, id);
-        self.dispatch(now)
+        let mut actions = self.dispatch(now);
+        self.shed_arrival(now, id, &mut actions);
+        actions
+    }
+
+    /// Rejects a request that has just arrived if it cannot be served in time.
+    fn shed_arrival(&mut self, now: Millis, id: RequestId, actions: &mut Vec<Action>) {
+        let ahead = match self.pending.get(&id).map(|pending| &pending.stage) {
+            Some(Stage::Queued(instance)) => self.queue.queued_at(instance).saturating_sub(1),
+            _ => 0,
+        };
+        self.shed_or_keep(now, id, ahead, actions);
+        actions.append(&mut self.dispatch(now));
     }
 
     /// Removes a request that was answered or cancelled; its slot at a model server is free again.
@@ -154,6 +170,7 @@
     /// Takes a core's report of model servers.
     pub fn update_servers(&mut self, now: Millis, update: ModelServerUpdate) -> Vec<Action> {
         let closed = self.servers.update(now, update);
+        self.forget_present_backends();
         let stranded = self.pending.iter().filter(|(_, pending)| match &pending.stage {
             Stage::Queued(instance) => closed.contains(instance),
             Stage::Unassigned => true,
@@ -176,7 +193,7 @@
             .collect();
         waiting.into_iter().for_each(|id| self.assign(now, id));
         let mut actions = self.dispatch(now);
-        self.reject_hopeless(now, &mut actions);
+        self.shed_load(now, &mut actions);
         self.evacuate_due(now, &mut actions);
         self.queue.remove_idle_flows(now);
         self.servers.tidy(now);
--- a/crates/router/src/dispatcher/cost.rs
+++ b/crates/router/src/dispatcher/cost.rs
@@ -108,6 +108,6 @@
 
     /// The cost of a model server with all slots taken, milliseconds.
     fn full_server_ms(&self, now: Millis, offer: &Offer) -> f64 {
-        FULL_COST_FRACTION * self.engines.slot_time_ms(now, &offer.name.model)
+        FULL_COST_FRACTION * self.engines.slot_time_ms(now, &offer.backend, &offer.name.model)
     }
 }
--- a/crates/router/src/dispatcher/demand.rs
+++ b/crates/router/src/dispatcher/demand.rs
@@ -55,12 +55,15 @@
         outcome: AttemptOutcome,
     ) {
         let is_answered = outcome == AttemptOutcome::Answered && matches!(pending.stage, Stage::Sent(_));
-        if !is_answered || pending.offer.name.model.is_empty() {
+        if !is_answered {
             return;
         }
         let slot_time_ms = now.saturating_sub(pending.since);
-        self.engines.observe_slot_time(now, &pending.offer.name.model, slot_time_ms);
-        self.demand_of(&pending.offer).slot_time_ms += slot_time_ms;
+        let (backend, model) = (&pending.offer.backend, &pending.offer.name.model);
+        self.engines.observe_slot_time(now, backend, model, slot_time_ms);
+        if !model.is_empty() {
+            self.demand_of(&pending.offer).slot_time_ms += slot_time_ms;
+        }
     }
 
     /// Counts requests that were reported before and still wait as waiting in this report, too.
--- a/crates/router/src/dispatcher/load_shedding.rs
+++ b/crates/router/src/dispatcher/load_shedding.rs
@@ -1,57 +1,37 @@
 //! Load shedding: when a waiting request is rejected, and when its client should retry.
 //!
-//! A request whose answer can begin within its latency target waits. A request whose answer cannot is
-//! rejected early, with the time at which it could be served: the latency target then starts again at the
-//! retry. A later rejection does not restart the target, so the request goes on waiting, unless its client
-//! would disconnect before the answer begins.
+//! A request waits as long as it can be served in the time that its client has left: its answer has to begin
+//! before the client abandons it and to be complete by the client's deadline. A request that cannot be served
+//! in that time is rejected as soon as this is known, with the time at which a model server could take it.
+//! Nothing else counts: neither whether the client tried before, nor its latency target.
 
-use super::pending::{PendingRequest, Stage};
+use super::pending::Stage;
 use super::{Action, Dispatcher, Offer, RequestId};
 use crate::Millis;
-use crate::model_servers::{AttemptOutcome, Instance};
+use crate::model_servers::{AttemptOutcome, Instance, KnownModelServer};
 use crate::prompt::ModelName;
 use pathbank_control::result_code::ResultCode;
+use std::collections::BTreeMap;
 
-/// A request is rejected no earlier than after this fraction of its latency target: a slot may become free
-/// until then.
-const MIN_WAIT_FRACTION: f64 = 0.16;
-/// A rejection within this fraction of the latency target restarts the target at the retry.
-const EARLY_REJECTION_FRACTION: f64 = 0.24;
-/// The fraction of the remaining time up to which clients honour `Retry-After`.
-const MAX_RETRY_AFTER_FRACTION: f64 = 0.32;
-/// A request is rejected when less than this fraction of its time remains: it can no longer be answered.
-const HOPELESS_FRACTION: f64 = 0.08;
-
-/// Time to retry while a backend has no model server: a model server sends a heartbeat within this time.
-const NO_BACKEND_RETRY_MS: Millis = 1_000;
-/// Time to retry while all model servers are full, as a fraction of the mean slot time.
-const BUSY_RETRY_FRACTION: f64 = 0.6;
-
-/// The prospects of a waiting request.
+/// Clients wait as `Retry-After` says up to this fraction of their remaining time (PROTOCOL.md, "Answers").
+const MAX_RETRY_AFTER_FRACTION: f64 = 1.0 / 3.0;
+/// A model server that runs sends a heartbeat within this time.
+const HEARTBEAT_INTERVAL_MS: Millis = 1_000;
+
+/// When a model server should take a waiting request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Forecast {
     /// The reason of a rejection.
     code: ResultCode,
-    /// Time until it can be sent to a model server, milliseconds.
-    ready_in: Millis,
-    /// Time from then until its answer begins, milliseconds.
-    begins_in: Millis,
-}
-
-/// A rejection: its reason, and when the client should retry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Rejection {
-    code: ResultCode,
-    /// Milliseconds from now.
-    retry_after: Millis,
+    /// Time until a model server takes the request, milliseconds; `None`: none is expected to.
+    ready_in: Option<Millis>,
 }
 
 impl Dispatcher {
     /// Rejects all requests that were not sent to a model server, because the edge shuts down. `retry_after`:
     /// milliseconds.
     pub fn reject_queued(&mut self, now: Millis, retry_after: Millis) -> Vec<Action> {
-        let waiting = self.pending.iter().filter(|(_, pending)| pending.is_waiting());
-        let waiting: Vec<RequestId> = waiting.map(|(id, _)| *id).collect();
+        let waiting = self.waiting_requests();
         let reject = |id: RequestId| {
             if let Some(pending) = self.pending.remove(&id) {
                 self.end_stage(now, &pending, AttemptOutcome::Abandoned);
@@ -61,48 +41,125 @@
         waiting.into_iter().map(reject).collect()
     }
 
-    /// Rejects waiting requests that cannot be served in time.
-    pub(super) fn reject_hopeless(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        let rejections: Vec<_> = self
-            .pending
-            .iter()
-            .filter_map(|(id, pending)| Some((*id, self.rejection(now, pending)?)))
-            .collect();
-        for (id, Rejection { code, retry_after }) in rejections {
-            if let Some(pending) = self.pending.remove(&id) {
-                self.end_stage(now, &pending, AttemptOutcome::Abandoned);
+    /// The latest time at which a model server can take a request and still serve it in the time that its
+    /// client has left.
+    pub fn latest_start(&self, now: Millis, offer: &Offer) -> Millis {
+        let begins_ms = self.engines.typical_prefill_ms(now, &offer.name.model, offer.input_tokens) as Millis;
+        let complete_ms = self.engines.slot_time_ms(now, &offer.backend, &offer.name.model) as Millis;
+        let begins_in_time = offer.abandon_at.saturating_sub(begins_ms);
+        let completes_in_time = offer.deadline.saturating_sub(complete_ms);
+        begins_in_time.min(completes_in_time)
+    }
+
+    /// Rejects waiting requests that cannot be served in time. Requests that can be served in time at another
+    /// model server only move there.
+    pub(super) fn shed_load(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let mut ahead: BTreeMap<Instance, usize> = BTreeMap::new();
+        for id in self.waiting_requests() {
+            let queue = match self.pending.get(&id).map(|pending| &pending.stage) {
+                Some(Stage::Queued(instance)) => Some(instance.clone()),
+                _ => None,
+            };
+            let ahead_here = queue.as_ref().and_then(|instance| ahead.get(instance)).copied().unwrap_or(0);
+            let is_kept = self.shed_or_keep(now, id, ahead_here, actions);
+            if let Some(instance) = queue.filter(|_| is_kept) {
+                *ahead.entry(instance).or_default() += 1;
+            }
+        }
+        actions.append(&mut self.dispatch(now));
+    }
+
+    /// Rejects or moves one waiting request if it cannot be served in time where it is. `ahead`: requests
+    /// before it in its queue. Returns whether it stays where it is.
+    pub(super) fn shed_or_keep(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        ahead: usize,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let Some(pending) = self.pending.get(&id).filter(|pending| pending.is_waiting()) else {
+            return false;
+        };
+        let latest_start = self.latest_start(now, &pending.offer);
+        let is_in_time = |ready_in: Option<Millis>| ready_in.is_some_and(|wait| now + wait <= latest_start);
+        let here = self.forecast(now, &pending.offer, &pending.stage, ahead);
+        if is_in_time(here.ready_in) {
+            return true;
+        }
+        let elsewhere = self.soonest_server(now, &pending.offer);
+        let soonest =
+            elsewhere.as_ref().map(|(ready_in, _)| *ready_in).into_iter().chain(here.ready_in).min();
+        match elsewhere {
+            Some((ready_in, instance)) if is_in_time(Some(ready_in)) => {
+                self.set_stage(now, id, Stage::Queued(instance));
             }
-            actions.push(Action::Reject { id, code, retry_after });
+            _ => self.reject(now, id, Forecast { ready_in: soonest, ..here }, actions),
         }
+        false
     }
 
-    /// The rejection of a waiting request; `None`: the request goes on waiting.
-    fn rejection(&self, now: Millis, pending: &PendingRequest) -> Option<Rejection> {
-        let offer = &pending.offer;
-        let (code, ready_in) = match &pending.stage {
-            Stage::Sent(_) => return None,
+    fn reject(&mut self, now: Millis, id: RequestId, forecast: Forecast, actions: &mut Vec<Action>) {
+        let Some(pending) = self.pending.remove(&id) else { return };
+        self.end_stage(now, &pending, AttemptOutcome::Abandoned);
+        let remaining = pending.offer.deadline.saturating_sub(now) as f64;
+        let longest = (MAX_RETRY_AFTER_FRACTION * remaining) as Millis;
+        let retry_after = forecast.ready_in.unwrap_or(HEARTBEAT_INTERVAL_MS).min(longest);
+        actions.push(Action::Reject { id, code: forecast.code, retry_after });
+    }
+
+    /// The requests that were not sent to a model server, in the order of their arrival.
+    fn waiting_requests(&self) -> Vec<RequestId> {
+        let waiting = self.pending.iter().filter(|(_, pending)| pending.is_waiting());
+        waiting.map(|(id, _)| *id).collect()
+    }
+
+    /// When a model server should take a request that is in this stage. `ahead`: requests before it in its
+    /// queue.
+    fn forecast(&self, now: Millis, offer: &Offer, stage: &Stage, ahead: usize) -> Forecast {
+        let (code, ready_in) = match stage {
+            Stage::Sent(_) => (ResultCode::Overloaded, Some(0)),
             Stage::Unassigned if !self.servers.has_backend(&offer.backend) => {
-                (ResultCode::NoModelServer, NO_BACKEND_RETRY_MS)
+                (ResultCode::NoModelServer, self.heartbeat_in(now, &offer.backend))
+            }
+            Stage::Unassigned => (ResultCode::NoModelServer, Some(self.resident_in(now, offer))),
+            Stage::Queued(instance) => {
+                let known = self.servers.get(instance);
+                (ResultCode::Overloaded, known.map(|known| self.slot_in(now, offer, known, ahead)))
             }
-            Stage::Unassigned => (ResultCode::NoModelServer, self.ready_in(now, offer)),
-            Stage::Queued(instance) => (ResultCode::Overloaded, self.slot_in(now, instance)),
         };
-        let prefill_ms = self.engines.typical_prefill_ms(now, &offer.name.model, offer.input_tokens);
-        let begins_in = prefill_ms as Millis;
-        decide_rejection(now, pending, Forecast { code, ready_in, begins_in })
+        Forecast { code, ready_in }
     }
 
-    /// Time until a model server takes one more request, milliseconds: until its ejection ends, or else until
-    /// many of its slots should be free.
-    fn slot_in(&self, now: Millis, instance: &Instance) -> Millis {
-        match self.servers.get(instance).map_or(0, |known| known.ejected_for_ms(now)) {
-            0 => (BUSY_RETRY_FRACTION * self.engines.mean_slot_time_ms()) as Millis,
-            ejected_for_ms => ejected_for_ms,
-        }
+    /// The model server that should take a request first if it joins the end of a queue, and the time until
+    /// then, milliseconds.
+    fn soonest_server(&self, now: Millis, offer: &Offer) -> Option<(Millis, Instance)> {
+        let waits = self.candidates(now, offer).map(|(instance, known)| {
+            let ahead = self.queue.queued_at(instance);
+            (self.slot_in(now, offer, known, ahead), instance)
+        });
+        waits.min().map(|(wait, instance)| (wait, instance.clone()))
+    }
+
+    /// Time until a model server takes a request behind `ahead` others, milliseconds: its ejection has to
+    /// end, and slots become free one by one as answers end.
+    fn slot_in(&self, now: Millis, offer: &Offer, known: &KnownModelServer, ahead: usize) -> Millis {
+        let slots = known.slots_for(now, offer.urgency);
+        let free = (slots - f64::from(known.in_flight)).max(0.0).floor();
+        let lacking = (ahead as f64 + 1.0 - free).max(0.0);
+        let slot_time_ms = self.engines.backend_slot_time_ms(now, &offer.backend);
+        known.ejected_for_ms(now) + (lacking * slot_time_ms / slots) as Millis
+    }
+
+    /// Time until a model server of a backend without any could be known, milliseconds. `None`: the backend
+    /// has had none for longer than a model server that runs is silent.
+    fn heartbeat_in(&self, now: Millis, backend: &str) -> Option<Millis> {
+        let since = self.without_servers_since.get(backend).copied().unwrap_or(now);
+        (since + HEARTBEAT_INTERVAL_MS).checked_sub(now).filter(|wait| *wait > 0)
     }
 
     /// Time until the model of a request is resident somewhere, milliseconds.
-    fn ready_in(&self, now: Millis, offer: &Offer) -> Millis {
+    fn resident_in(&self, now: Millis, offer: &Offer) -> Millis {
         let waited = now.saturating_sub(offer.arrived);
         let lacks_adapter_only = self.lacks_adapter_only(now, offer);
         self.model_eta.ready_in(now, &offer.backend, &offer.name, lacks_adapter_only, offer.load_ms, waited)
@@ -114,32 +171,17 @@
         !offer.name.adapter.is_empty()
             && self.servers.with_model(now, &offer.backend, &model).next().is_some()
     }
-}
 
-/// Decides whether a waiting request is rejected. `None`: the request goes on waiting.
-fn decide_rejection(now: Millis, pending: &PendingRequest, forecast: Forecast) -> Option<Rejection> {
-    let offer = &pending.offer;
-    let remaining = offer.deadline.saturating_sub(now) as f64;
-    let honoured = (MAX_RETRY_AFTER_FRACTION * remaining) as Millis;
-    let rejection = Rejection { code: forecast.code, retry_after: forecast.ready_in.min(honoured) };
-    if is_hopeless(now, offer) {
-        return Some(rejection);
-    }
-    let after = |part: f64| offer.arrived + (part * offer.target_latency_ms as f64) as Millis;
-    let is_too_early = now < after(MIN_WAIT_FRACTION);
-    let begins = now + forecast.ready_in + forecast.begins_in;
-    if is_too_early || begins <= offer.arrived + offer.target_latency_ms {
-        return None;
+    /// Records since when a backend has had no model server, at a request for it.
+    pub(super) fn note_missing_backend(&mut self, now: Millis, backend: &str) {
+        if !self.servers.has_backend(backend) {
+            self.without_servers_since.entry(backend.to_owned()).or_insert(now);
+        }
     }
-    let can_retry_in_time =
-        !offer.previously_rejected && now < after(EARLY_REJECTION_FRACTION) && forecast.ready_in <= honoured;
-    let is_abandoned_first = begins >= offer.abandon_at;
-    (can_retry_in_time || is_abandoned_first).then_some(rejection)
-}
 
-/// Whether too little time remains to answer the request.
-fn is_hopeless(now: Millis, offer: &Offer) -> bool {
-    let ends = offer.deadline.min(offer.abandon_at);
-    let total = ends.saturating_sub(offer.arrived) as f64;
-    (ends.saturating_sub(now) as f64) < HOPELESS_FRACTION * total
+    /// Forgets backends that have a model server again.
+    pub(super) fn forget_present_backends(&mut self) {
+        let servers = &self.servers;
+        self.without_servers_since.retain(|backend, _| !servers.has_backend(backend));
+    }
 }
--- a/crates/router/src/dispatcher/offer.rs
+++ b/crates/router/src/dispatcher/offer.rs
@@ -34,8 +34,6 @@
     pub target_gap_ms: Millis,
     /// Load time of its model, milliseconds; `None`: not known.
     pub load_ms: Option<Millis>,
-    /// Whether the request was rejected before; its client retries only a few times more.
-    pub previously_rejected: bool,
     /// The model server that the leader chose, if its answer came in time.
     pub granted: Option<Instance>,
     /// Model servers that must not get the request (again).
--- a/crates/router/src/engine_estimates.rs
+++ b/crates/router/src/engine_estimates.rs
@@ -39,6 +39,8 @@
     server_factor: EstimateTable<Instance>,
     /// Slot time by model.
     slot_time: EstimateTable<String>,
+    /// Slot time by backend, over all its models.
+    backend_slot_time: EstimateTable<String>,
 }
 
 impl Default for EngineEstimates {
@@ -48,6 +50,7 @@
             decode_pace: EstimateTable::new(DECODE_PACE_MS),
             server_factor: EstimateTable::new(SERVER_FACTOR),
             slot_time: EstimateTable::new(SLOT_TIME_MS),
+            backend_slot_time: EstimateTable::new(SLOT_TIME_MS),
         }
     }
 }
@@ -73,9 +76,12 @@
         self.decode_pace.record(now, &model.to_owned(), normalized);
     }
 
-    /// Records the slot time of an answer.
-    pub fn observe_slot_time(&mut self, now: Millis, model: &str, slot_time: Millis) {
-        self.slot_time.record(now, &model.to_owned(), slot_time as f64);
+    /// Records the slot time of an answer. `model`: empty if the request named none.
+    pub fn observe_slot_time(&mut self, now: Millis, backend: &str, model: &str, slot_time: Millis) {
+        self.backend_slot_time.record(now, &backend.to_owned(), slot_time as f64);
+        if !model.is_empty() {
+            self.slot_time.record(now, &model.to_owned(), slot_time as f64);
+        }
     }
 
     /// Prefill time of a number of tokens at a model server, milliseconds.
@@ -88,14 +94,18 @@
         tokens as f64 / self.prefill_rate.value(now, model)
     }
 
-    /// Slot time of an answer of a model, milliseconds.
-    pub fn slot_time_ms(&self, now: Millis, model: &str) -> f64 {
-        self.slot_time.value(now, model)
+    /// Slot time of an answer of a backend's model, milliseconds. `model`: empty if the request names none.
+    pub fn slot_time_ms(&self, now: Millis, backend: &str, model: &str) -> f64 {
+        if model.is_empty() {
+            self.backend_slot_time_ms(now, backend)
+        } else {
+            self.slot_time.value(now, model)
+        }
     }
 
-    /// Mean slot time over all models, milliseconds.
-    pub fn mean_slot_time_ms(&self) -> f64 {
-        self.slot_time.pooled()
+    /// Slot time of a backend's answers over all its models, milliseconds.
+    pub fn backend_slot_time_ms(&self, now: Millis, backend: &str) -> f64 {
+        self.backend_slot_time.value(now, backend)
     }
 
     /// Prefill rates by model, tokens per millisecond.
@@ -119,5 +129,6 @@
         self.decode_pace.expire(now);
         self.server_factor.expire(now);
         self.slot_time.expire(now);
+        self.backend_slot_time.expire(now);
     }
 }
--- a/crates/router/src/model_servers/known.rs
+++ b/crates/router/src/model_servers/known.rs
@@ -103,6 +103,12 @@
         if self.breaker.is_half_open() { 1 } else { left.max(1.0) as u32 }
     }
 
+    /// The slots that other edges leave to requests of an urgency class, one at least.
+    pub fn slots_for(&self, now: Millis, urgency: Urgency) -> f64 {
+        let open = open_slots(f64::from(self.server.capacity.max(1)), urgency);
+        (open - self.others_in_flight(now)).max(1.0)
+    }
+
     /// Whether it has a free slot for a request of this edge.
     pub fn has_slot(&self, now: Millis) -> bool {
         self.accepts_requests(now) && self.in_flight < self.limit(now)
--- a/crates/system/src/edge/attempt.rs
+++ b/crates/system/src/edge/attempt.rs
@@ -54,7 +54,7 @@
         Ok(Some(Decision::Send { instance, address })) => (instance, address),
         Ok(Some(Decision::Reject { code, retry_after })) => {
             let (id, name) = client_request.log_fields();
-            tracing::debug!(id, ?name, ?code, retry_after, is_retry = client_request.is_retry, "refused");
+            tracing::debug!(id, ?name, ?code, retry_after, "refused");
             client_request.record_step(shared, Step::Refused { code });
             return AttemptEnd::Refused(code, retry_after);
         }
--- a/crates/system/src/edge/client_request.rs
+++ b/crates/system/src/edge/client_request.rs
@@ -36,15 +36,13 @@
 /// The edge's deadline is this much earlier than the client's, so that the answer arrives in time,
 /// milliseconds.
 const ANSWER_MARGIN_MS: u64 = 20;
-/// A client abandons a stream that stays silent for the longest of three times: this one, ...
+/// A client abandons a stream that stays silent for the longest of three times (PROTOCOL.md, "Requests"): this
+/// one, ...
 const MIN_SILENCE_TIMEOUT_MS: u64 = 2_000;
 /// ... this many of the route's latency targets, ...
 const SILENCE_TIMEOUT_TARGETS: f64 = 4.0;
 /// ... and this many of the route's gap targets.
 const SILENCE_TIMEOUT_GAPS: f64 = 8.0;
-/// A request whose deadline is shorter than this fraction of its route's timeout is taken for a client's
-/// retry.
-const RETRY_TIME_FRACTION: f64 = 0.97;
 
 /// A client's request whose body is complete, and how the configuration routes it.
 pub(super) struct ClientRequest {
@@ -65,8 +63,6 @@
     pub(super) load_ms: Option<u64>,
     /// How urgent the request is among all requests for its backend; 0: the most urgent.
     pub(super) urgency: Urgency,
-    /// Whether the client is retrying.
-    pub(super) is_retry: bool,
     /// When the request arrived, milliseconds of the steady clock.
     pub(super) arrived: u64,
     /// When the edge stops working on the request, milliseconds of the steady clock.
@@ -122,7 +118,6 @@
         tokens,
         load_ms,
         urgency,
-        is_retry: (waits as f64) < RETRY_TIME_FRACTION * route.timeout_ms,
         arrived,
         deadline: arrived + time_limit.saturating_sub(ANSWER_MARGIN_MS),
         route,
@@ -300,7 +295,6 @@
             target_latency_ms: self.route.target_latency_ms as u64,
             target_gap_ms: self.route.target_gap_ms.unwrap_or(0.0) as u64,
             load_ms: self.load_ms,
-            previously_rejected: self.is_retry,
             granted: None,
             excluded: self.attempted.clone(),
             resumable: self.is_resumable(),
