A resumed stream's silence counts from its last event, not from its arrival

Callers saw: a stream that broke later than its longest silence after its arrival was resumed only where a slot was free that instant; otherwise it was refused as if its client had left.

Cause: when the client abandons a request was taken from its arrival at every attempt; PROTOCOL.md counts the silence.

Change: `silent_since` is the arrival, and the last event once a stream is resumed.

--- a/crates/system/src/edge/client_request.rs
+++ b/crates/system/src/edge/client_request.rs
@@ -67,6 +67,8 @@
     pub(super) arrived: u64,
     /// When the edge stops working on the request, milliseconds of the steady clock.
     pub(super) deadline: u64,
+    /// Since when the client has got nothing: its request's arrival, or the last event of its stream.
+    pub(super) silent_since: u64,
     /// Instances that further attempts avoid.
     pub(super) attempted: BTreeSet<Instance>,
     /// Attempts that a model server may have received.
@@ -120,6 +122,7 @@
         urgency,
         arrived,
         deadline: arrived + time_limit.saturating_sub(ANSWER_MARGIN_MS),
+        silent_since: arrived,
         route,
         attempted: BTreeSet::new(),
         attempts: 0,
@@ -267,7 +270,7 @@
         self.attempts < self.route.max_attempts.unwrap_or(1).max(1) && clock::now() < self.deadline
     }
 
-    /// When the client abandons the request if no part of an answer has come, milliseconds of the steady
+    /// When the client abandons the request if no further part of an answer comes, milliseconds of the steady
     /// clock.
     fn abandoned_at(&self) -> u64 {
         if self.route.kind != RouteType::Streaming {
@@ -276,7 +279,7 @@
         let objectives = (SILENCE_TIMEOUT_TARGETS * self.route.target_latency_ms) as u64;
         let pacing = (SILENCE_TIMEOUT_GAPS * self.route.target_gap_ms.unwrap_or(0.0)) as u64;
         let silence = MIN_SILENCE_TIMEOUT_MS.max(objectives).max(pacing);
-        self.deadline.min(self.arrived + silence.saturating_sub(ANSWER_MARGIN_MS))
+        self.deadline.min(self.silent_since + silence.saturating_sub(ANSWER_MARGIN_MS))
     }
 
     /// The offer of this request to the dispatcher, under the number `id`.
--- a/crates/system/src/edge/relay.rs
+++ b/crates/system/src/edge/relay.rs
@@ -236,6 +236,7 @@
     async fn resume_elsewhere(&mut self, mut allowed: bool) -> bool {
         self.client_request.record_step(&self.shared, Step::Resuming);
         self.tracker.broke();
+        self.client_request.silent_since = self.pacing.last;
         if let Some(id) = self.tracker.last_id() {
             self.client_request.resume_after = Some(id.to_owned());
         }
