A granted wait is bounded by the time that the client has left

Callers saw: a prompt waited for its turn at a model server half its latency objective at most, then pushed in front.

Cause: the longest accepted wait was a share of the objective.

Change: the wait ends at the request's `latest_start`: the prompt keeps its turn as long as it can still be served.

--- a/crates/system/src/edge/admission.rs
+++ b/crates/system/src/edge/admission.rs
@@ -11,11 +11,10 @@
 
 /// How long an edge waits for a grant.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(30);
-/// The longest wait that the edge accepts from a grant, as a fraction of the request's latency target.
-const MAX_WAIT_OF_TARGET: f64 = 0.5;
 
-/// Asks the leader which model server should get the request and when, and waits until then. `None`: no grant
-/// came, and the edge decides alone.
+/// Asks the leader which model server should get the request and when, and waits until then, as long as the
+/// request can still be served in the time that its client has left. `None`: no grant came, and the edge
+/// decides alone.
 pub async fn wait_for_grant(shared: &Arc<Shared>, offer: &Offer) -> Option<Instance> {
     let (leader, options) = leader_and_options(shared, offer)?;
     let receiver = shared.admissions.add(clock::now(), offer.id)?;
@@ -29,10 +28,11 @@
         shared.admissions.timed_out(clock::now(), offer.id);
         return None;
     };
-    let longest = (MAX_WAIT_OF_TARGET * offer.target_latency_ms as f64) as u64;
-    let wait = u64::from(grant.wait_ms).min(longest);
-    if wait > 0 {
-        tokio::time::sleep(Duration::from_millis(wait)).await;
+    let now = clock::now();
+    let latest_start = shared.decisions().dispatcher.latest_start(now, offer);
+    let start = latest_start.min(now + u64::from(grant.wait_ms));
+    if start > now {
+        tokio::time::sleep(clock::until(start)).await;
     }
     options.into_iter().nth(grant.option as usize).map(|option| option.instance)
 }
