A load that does not come is given up before its clients' time has passed

Callers saw: requests for a model whose load was overdue were held until their deadlines, whatever the delay.

Cause: an overdue load was expected within 400 ms at any time.

Change: a load is expected to take as long again as it is overdue, 400 ms at least.

--- a/crates/router/src/dispatcher/model_eta.rs
+++ b/crates/router/src/dispatcher/model_eta.rs
@@ -17,7 +17,7 @@
 const DEFAULT_LOAD_MS: Millis = 900;
 /// Delay between the end of a load and its report.
 const REPORT_DELAY_MS: Millis = 60;
-/// An overdue load is expected to end within this time.
+/// A load that has just become overdue is expected to end within this time.
 const OVERDUE_ETA_MS: Millis = 400;
 /// An overdue load is forgotten after this time.
 const OVERDUE_RETENTION_MS: Millis = 3_000;
@@ -62,7 +62,8 @@
     }
 
     /// Time until the model of a request is resident, milliseconds. `waited`: how long the request has
-    /// waited. `lacks_adapter_only`: the model is resident somewhere, without the adapter.
+    /// waited. `lacks_adapter_only`: the model is resident somewhere, without the adapter. A load is expected to
+    /// take as long again as it is overdue, so that nobody waits to the end for one that does not come.
     pub fn ready_in(
         &self,
         now: Millis,
@@ -74,14 +75,14 @@
     ) -> Millis {
         if lacks_adapter_only {
             let expected = self.adapter.value(now, ADAPTER_LOAD_MS) as Millis;
-            return expected.saturating_sub(waited).max(expected / 4);
+            return remaining(expected, waited, expected / 4);
         }
         if let Some(ready_at) = self.expected.get(&(backend.to_owned(), name.model.clone())) {
-            return if *ready_at > now { ready_at - now } else { OVERDUE_ETA_MS };
+            return remaining(*ready_at, now, OVERDUE_ETA_MS);
         }
         let overhead = self.model_overhead.value(now, LOAD_OVERHEAD_MS) as Millis;
         let total = load_ms.unwrap_or(DEFAULT_LOAD_MS) + overhead;
-        total.saturating_sub(waited).max(OVERDUE_ETA_MS)
+        remaining(total, waited, OVERDUE_ETA_MS)
     }
 
     /// Removes loads that are long overdue.
@@ -89,3 +90,8 @@
         self.expected.retain(|_, ready_at| now < *ready_at + OVERDUE_RETENTION_MS);
     }
 }
+
+/// The time from `passed` until `expected`, or, where that has passed, as long as it is overdue; `least` at least.
+fn remaining(expected: Millis, passed: Millis, least: Millis) -> Millis {
+    expected.abs_diff(passed).max(least)
+}
