The cost of a model server counts callers' time, not shares of the objective

Callers saw: with a long objective a request waited longer for a server of its own zone, and a stall counted fully from three quarters of the longest gap on and not at all below.

Cause: zone, errors and stalls were charged in latency targets, the zone for the price of traffic.

Change: another zone costs its round trip; a failed attempt the time that the client has left, by the error rate; a stall what exceeds the longest gap that clients accept, for each stream there.

--- a/crates/router/src/dispatcher/cost.rs
+++ b/crates/router/src/dispatcher/cost.rs
@@ -11,17 +11,8 @@
 /// Cost of a model server with all slots taken, as a fraction of the slot time. With fewer slots taken the
 /// cost is proportionally lower.
 const FULL_COST_FRACTION: f64 = 0.33;
-/// Cost of another zone, as a fraction of the latency target: traffic between zones costs more, and a link
-/// may fail.
-const CROSS_ZONE_COST_FRACTION: f64 = 0.03;
-/// Cost of a model server that fails every request, in latency targets. With a lower error rate the cost is
-/// proportionally lower. The server is avoided, never excluded.
-const ERROR_COST_TARGETS: f64 = 3.0;
-/// Streams stall while a model server prefills a prompt. A stall costs something only if it is longer than
-/// this fraction of the target gap.
-const STALL_GAP_FRACTION: f64 = 0.75;
-/// Each stalled stream at the model server, up to this many, costs as much as one more late request.
-const MAX_STALLED_STREAMS: f64 = 4.0;
+/// An answer from another zone begins later by about this time, milliseconds: a round trip between zones.
+const CROSS_ZONE_ROUND_TRIP_MS: f64 = 2.0;
 /// Random tie-break between equal model servers, milliseconds.
 const TIE_BREAK_MS: f64 = 3.0;
 /// Edges prefer different model servers by up to this fraction of the cost of a full one, so that an edge
@@ -83,27 +74,28 @@
         let queued = self.queue.queued_at(instance) as f64 / f64::from(known.server.capacity.max(1));
         let occupancy = known.occupancy(now) + queued;
         let full_ms = self.full_server_ms(now, offer);
-        let target_latency_ms = offer.target_latency_ms as f64;
         let full = if known.has_slot(now) { 0.0 } else { full_ms };
         let ejected = if known.accepts_requests(now) { 0.0 } else { 2.0 * full_ms };
-        let zone =
-            if known.server.zone == self.zone { 0.0 } else { CROSS_ZONE_COST_FRACTION * target_latency_ms };
+        let zone = if known.server.zone == self.zone { 0.0 } else { CROSS_ZONE_ROUND_TRIP_MS };
         let cold = if known.server.cold_remaining_ms > 0 { full_ms / 4.0 } else { 0.0 };
-        let errors = ERROR_COST_TARGETS * target_latency_ms * known.error_rate(now);
+        // A failed attempt may cost the client all the time that it has left. The server is avoided, never
+        // excluded.
+        let errors = offer.deadline.saturating_sub(now) as f64 * known.error_rate(now);
         let draw = TIE_BREAK_MS * unit_draw(offer.id, instance);
         let stall = self.stall_cost(now, offer, instance, known);
         full_ms * occupancy + full + ejected + zone + cold + errors + stall + draw
     }
 
-    /// The cost of stalled streams at a model server while it prefills a prompt, milliseconds.
+    /// The cost of stalled streams at a model server, milliseconds: all its streams pause while it prefills a
+    /// prompt, and what exceeds the longest gap that clients accept is lost to each of them.
     fn stall_cost(&self, now: Millis, offer: &Offer, instance: &Instance, known: &KnownModelServer) -> f64 {
-        let tokens = self.tokens_to_prefill(offer, instance) + known.prefill_backlog_tokens();
-        let stall_ms = self.prefill_ms(now, offer, instance, tokens);
-        if offer.target_gap_ms == 0 || stall_ms <= STALL_GAP_FRACTION * offer.target_gap_ms as f64 {
+        if offer.target_gap_ms == 0 {
             return 0.0;
         }
+        let tokens = self.tokens_to_prefill(offer, instance) + known.prefill_backlog_tokens();
+        let stall_ms = self.prefill_ms(now, offer, instance, tokens);
         let streams = f64::from(known.in_flight) + known.others_in_flight(now);
-        offer.target_latency_ms as f64 * streams.min(MAX_STALLED_STREAMS)
+        streams * (stall_ms - offer.target_gap_ms as f64).max(0.0)
     }
 
     /// The cost of a model server with all slots taken, milliseconds.
