The value of a model's only replica follows the wait for a load, without a step

Callers saw: where a load took less than 85 in 100 of the objective, their model was unloaded for one with as many requests, and they waited for loads again and again; at 86 in 100 it stayed for one with nearly twice as many.

Cause: `is_deferrable` cut at a share of the objective, and weighed requests that a load can still serve "in time" at 0.3.

Test: the_value_of_an_only_replica_follows_the_wait_for_a_load_without_a_step.

--- a/crates/control/src/placement/value.rs
+++ b/crates/control/src/placement/value.rs
@@ -10,18 +10,11 @@
 const SLOTS_WEIGHT: f64 = 0.55;
 /// The utilization at which the demand for a model fills a model server.
 const FILLED_UTILIZATION: f64 = 0.3;
-/// A request is in time after a load that takes up to this fraction of its latency objective.
-const IN_TIME_FRACTION: f64 = 0.85;
-/// The value of a request that a load can serve in time: the load costs, and so does the replica that makes room for it.
-const DEFERRABLE_WEIGHT: f64 = 0.3;
 /// A model without replicas is loaded from this rate on, requests a second.
 const MIN_RATE: f64 = 0.05;
-/// The value of a model's only replica beyond its rate, requests a second: requests would have to wait for a load.
+/// The value of a model's only replica for requests yet to come, requests a second, if they would wait for a load as long
+/// as their latency objective.
 const ONLY_REPLICA_VALUE: f64 = 0.15;
-/// The same where loads can serve the requests in time.
-const DEFERRABLE_ONLY_REPLICA_VALUE: f64 = 0.02;
-/// The weight of the rate of a model's only replica.
-const ONLY_REPLICA_WEIGHT: f64 = 2.0;
 /// The value of a replica beside others while demand is unknown, requests a second.
 const UNKNOWN_DEMAND_VALUE: f64 = 3.0;
 /// A fraction of unknown demand that does not count.
@@ -56,11 +49,12 @@
         self.rates.of_model(model) * odds / (1.0 + odds)
     }
 
-    /// Whether a load can serve a request for a model in time.
-    fn is_deferrable(&self, model: &str) -> bool {
+    /// The wait of a request that finds its model unloaded, as a fraction of its latency objective; 1 if the objective is
+    /// shorter than a load, or not known.
+    fn load_wait(&self, model: &str) -> f64 {
         let load_ms = self.configured_load_ms(model) as f64;
         let objective_ms = self.rates.objective_ms(model);
-        objective_ms.is_some_and(|objective_ms| load_ms <= IN_TIME_FRACTION * f64::from(objective_ms))
+        objective_ms.map_or(1.0, |objective_ms| (load_ms / f64::from(objective_ms)).min(1.0))
     }
 
     /// Requests a second that one more replica of a model would serve in time.
@@ -68,7 +62,7 @@
         let rate = self.rates.of_model(model);
         match replicas {
             0 if rate < MIN_RATE => 0.0,
-            0 if self.is_deferrable(model) => DEFERRABLE_WEIGHT * rate,
+            // Without a replica none of the requests is served.
             0 => rate,
             1 if rate >= MIN_TWO_ZONE_RATE && self.replicas.zones().are_several() => rate,
             _ => self.late_rate(model, replicas) - self.late_rate(model, replicas + 1),
@@ -81,17 +75,18 @@
         let rate = self.rates.of_model(model);
         // Without its last replica outside one zone the model would be lost with that zone.
         if rate >= MIN_TWO_ZONE_RATE && self.replicas.zones().leaves_one_zone(model, zone) {
-            return ONLY_REPLICA_WEIGHT * rate + ONLY_REPLICA_VALUE;
+            return 2.0 * rate + ONLY_REPLICA_VALUE;
         }
         let (now, demand) = (self.inputs.now, self.inputs.demand);
         let unknown = (demand.unknown_fraction(now) - TOLERATED_UNKNOWN_FRACTION).max(0.0);
         match replicas {
-            1 if self.is_deferrable(model) => {
+            1 => {
                 let generates = demand.requested_within(now, &self.key(model, ""), GENERATION_MS);
                 let wait = if generates { UNLOAD_WAIT_COST } else { 0.0 };
-                DEFERRABLE_WEIGHT * rate + DEFERRABLE_ONLY_REPLICA_VALUE + wait
+                // The requests need a load, and wait for it.
+                let load_wait = self.load_wait(model);
+                rate + load_wait * (rate + ONLY_REPLICA_VALUE) + wait
             }
-            1 => ONLY_REPLICA_WEIGHT * rate + ONLY_REPLICA_VALUE,
             _ => {
                 let served = self.late_rate(model, replicas - 1) - self.late_rate(model, replicas);
                 served.max(MIN_VALUE_FRACTION * rate) + UNKNOWN_DEMAND_VALUE * unknown
--- a/crates/control/tests/placement.rs
+++ b/crates/control/tests/placement.rs
@@ -54,16 +54,25 @@
 }
 
 fn report_demand(demand: &mut DemandTable, now: u64, model: &str, adapter: &str, arrived: u64, waiting: u32) {
-    report_demand_with_prefill(demand, now, (model, adapter), (arrived, waiting), PREFILL_MS);
+    let kind = RequestKind { prefill_ms: PREFILL_MS, objective_ms: OBJECTIVE_MS };
+    report_demand_of_kind(demand, now, (model, adapter), (arrived, waiting), kind);
 }
 
-/// Reports requests whose prompts take `prefill_ms` each to prefill.
-fn report_demand_with_prefill(
+/// What requests are like.
+#[derive(Clone, Copy)]
+struct RequestKind {
+    /// The prefill time of a request, milliseconds.
+    prefill_ms: u64,
+    objective_ms: u32,
+}
+
+/// Reports requests of a kind.
+fn report_demand_of_kind(
     demand: &mut DemandTable,
     now: u64,
     (model, adapter): (&str, &str),
     (arrived, waiting): (u64, u32),
-    prefill_ms: u64,
+    RequestKind { prefill_ms, objective_ms }: RequestKind,
 ) {
     let demand_of_model = ModelDemand {
         backend: "llm".into(),
@@ -74,7 +83,7 @@
         waiting,
         prefill_ms: prefill_ms * arrived,
         slot_time_ms: SLOT_TIME_MS * arrived,
-        objective_ms: OBJECTIVE_MS,
+        objective_ms,
     };
     let report = EdgeReport { edge: "edge".into(), demand: vec![demand_of_model], ..EdgeReport::default() };
     demand.record(now, &report);
@@ -89,8 +98,7 @@
     cached_weights: CachedWeights,
     now: u64,
     orders: Vec<(u64, Order)>,
-    /// The prefill time of a request, milliseconds.
-    prefill_ms: u64,
+    kind: RequestKind,
 }
 
 impl Scenario {
@@ -110,7 +118,7 @@
             cached_weights,
             now: 100_000,
             orders: Vec::new(),
-            prefill_ms: PREFILL_MS,
+            kind: RequestKind { prefill_ms: PREFILL_MS, objective_ms: OBJECTIVE_MS },
         }
     }
 
@@ -156,14 +164,8 @@
         for _ in 0..milliseconds / 100 {
             for (model, arrived) in rates {
                 let missing = u32::from(self.replicas(model) == 0) * *arrived as u32;
-                let (now, prefill_ms) = (self.now, self.prefill_ms);
-                report_demand_with_prefill(
-                    &mut self.demand,
-                    now,
-                    (model, ""),
-                    (*arrived, missing),
-                    prefill_ms,
-                );
+                let (now, kind) = (self.now, self.kind);
+                report_demand_of_kind(&mut self.demand, now, (model, ""), (*arrived, missing), kind);
             }
             self.run_pass();
         }
@@ -206,6 +208,40 @@
     );
 }
 
+/// The least demand for a missing model that evicts the only replica of another one, requests in 4 s, where
+/// that one gets 24 in 4 s and a load takes 4 s.
+fn least_demand_that_evicts(objective_ms: u32) -> u64 {
+    let evicts = |requests: &u64| {
+        let mut scenario = Scenario::new(&["asked", "new"], &[&["asked"]]);
+        let runtime = scenario.backends[0].runtime.as_mut().unwrap();
+        runtime.weights_mb = WEIGHTS_MB;
+        let now = scenario.now;
+        // Long after the start, when the demand is known.
+        report_demand(&mut scenario.demand, now - 60_000, "asked", "", 1, 0);
+        let kind = RequestKind { prefill_ms: SHORT_PREFILL_MS, objective_ms };
+        report_demand_of_kind(&mut scenario.demand, now, ("asked", ""), (24, 0), kind);
+        report_demand_of_kind(&mut scenario.demand, now, ("new", ""), (*requests, 0), kind);
+        scenario.run_pass();
+        scenario.replicas("asked") == 0
+    };
+    (1..200).find(evicts).unwrap()
+}
+
+/// A replica was worth a third as much, and its model was unloaded for one with as many requests, as soon as a
+/// load took less than 85 in 100 of the latency objective.
+#[test]
+fn the_value_of_an_only_replica_follows_the_wait_for_a_load_without_a_step() {
+    let objectives_ms: Vec<u32> = (0..40).map(|step| 4_000 + 200 * step).collect();
+    let least: Vec<u64> =
+        objectives_ms.iter().map(|objective_ms| least_demand_that_evicts(*objective_ms)).collect();
+    assert!(
+        least.windows(2).all(|pair| pair[1] <= pair[0]),
+        "a longer objective bears a load better: {least:?}"
+    );
+    assert!(least.windows(2).all(|pair| pair[0] - pair[1] <= 2), "{least:?}");
+    assert!(least[39] > 24, "nothing is unloaded for a model with as many requests: {least:?}");
+}
+
 /// Assigns the model servers to two zones in turn.
 fn with_two_zones(mut scenario: Scenario) -> Scenario {
     for (number, server) in scenario.servers.iter_mut().enumerate() {
@@ -226,7 +262,7 @@
     let loaded: &[&[&str]] =
         &[&["hot", "asked", "x"], &["hot", "y", "z"], &["hot", "x", "y"], &["hot", "z", "x"]];
     let mut scenario = with_two_zones(Scenario::new(&["hot", "asked", "x", "y", "z"], loaded));
-    scenario.prefill_ms = SHORT_PREFILL_MS;
+    scenario.kind.prefill_ms = SHORT_PREFILL_MS;
     scenario.run_demand(8_000, &[("hot", 20), ("asked", 1)]);
     assert_eq!(
         (scenario.replicas("asked"), zones_of(&scenario, "asked")),
@@ -286,7 +322,7 @@
 fn a_model_whose_only_replica_is_on_a_failing_server_is_loaded_elsewhere() {
     let failing = [("i-0".to_owned(), 0.9)].into();
     let mut scenario = Scenario::new(&["a", "b", "c"], &[&["a"], &["b"], &["b"]]);
-    scenario.prefill_ms = SHORT_PREFILL_MS;
+    scenario.kind.prefill_ms = SHORT_PREFILL_MS;
     scenario.run_demand(3_000, &[("a", 1), ("b", 1)]);
     assert_eq!(scenario.replicas("a"), 1, "no second replica while the model server serves");
     scenario.placer.set_failing(&failing);
@@ -296,7 +332,7 @@
     // A model server that fails some of its requests counts as serving.
     let mut scenario = Scenario::new(&["a", "b"], &[&["a"], &["b"]]);
     scenario.placer.set_failing(&[("i-0".to_owned(), 0.3)].into());
-    scenario.prefill_ms = SHORT_PREFILL_MS;
+    scenario.kind.prefill_ms = SHORT_PREFILL_MS;
     scenario.run_demand(3_000, &[("a", 1), ("b", 1)]);
     assert_eq!(scenario.replicas("a"), 1);
 }
@@ -407,7 +443,7 @@
             changing_version,
             ..TrainingReservations::default()
         });
-        scenario.prefill_ms = SHORT_PREFILL_MS;
+        scenario.kind.prefill_ms = SHORT_PREFILL_MS;
         scenario.run_demand(1_000, &[("a", 1), ("b", 20)]);
         scenario.replicas("a")
     };
