Slots are reserved in whole, and only while more urgent requests come

Callers saw: a model server with few slots took no request but the most urgent ones, however idle it was (of 1 slot 0.994 were open), and the last slots stayed free where no urgent request ever came.

Cause: fractions of a slot were reserved, and for urgencies that nobody used. `priority` is a rank (PROTOCOL.md): it says who goes first, not that a place stays free for nobody.

Change: whole slots, none where 12 in 100 are less than one; a slot is reserved only if a more urgent request for the backend came within the last slot time, for as long would it be occupied.

--- a/crates/control/src/urgency.rs
+++ b/crates/control/src/urgency.rs
@@ -20,16 +20,20 @@
     ((LOWEST_PRIORITY + 1) * tenant + route) as Urgency
 }
 
-/// Slots of a model server with `capacity` slots that are open to requests of an urgency.
+/// Slots of a model server with `capacity` slots that are open to requests of an urgency. Whole slots are reserved, and
+/// none where there are few.
 ///
 /// ```
 /// use pathbank_control::urgency::open_slots;
 ///
 /// assert_eq!(open_slots(20.0, 0), 20.0);
+/// assert_eq!(open_slots(25.0, 1), 24.0);
 /// assert_eq!(open_slots(25.0, 20), 22.0);
 /// assert_eq!(open_slots(25.0, 255), 22.0);
+/// assert_eq!(open_slots(1.0, 255), 1.0);
 /// ```
 pub fn open_slots(capacity: f64, urgency: Urgency) -> f64 {
     let fraction = f64::from(urgency.min(MAX_RESERVING_URGENCY)) / f64::from(MAX_RESERVING_URGENCY);
-    capacity * (1.0 - MAX_RESERVED_FRACTION * fraction)
+    let most = (MAX_RESERVED_FRACTION * capacity).floor();
+    capacity - (MAX_RESERVED_FRACTION * capacity * fraction).ceil().min(most)
 }
--- a/crates/router/src/dispatcher.rs
+++ b/crates/router/src/dispatcher.rs
@@ -17,6 +17,7 @@
 mod offer;
 mod pending;
 mod prefix_cache;
+mod recent_urgencies;
 
 use crate::Millis;
 pub use crate::RequestId;
@@ -25,10 +26,12 @@
 use crate::prompt::ModelName;
 use model_eta::ModelEta;
 pub use offer::{Action, Offer};
+use pathbank_control::urgency::Urgency;
 use pathbank_fair_queue::{FairQueue, Settings};
 use pathbank_protocol::message::{ExpectedModel, ModelDemand, ModelServerLoad, ModelServerUpdate};
 use pending::{Evacuation, PendingRequest, Stage};
 use prefix_cache::PrefixCache;
+use recent_urgencies::RecentUrgencies;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The interval at which a waiting request is assigned to a model server again.
@@ -52,6 +55,7 @@
     urgent: bool,
     /// Backends without any model server, and since when requests find none.
     without_servers_since: BTreeMap<String, Millis>,
+    urgencies: RecentUrgencies,
 }
 
 impl Dispatcher {
@@ -69,6 +73,7 @@
             demand: BTreeMap::new(),
             urgent: false,
             without_servers_since: BTreeMap::new(),
+            urgencies: RecentUrgencies::default(),
         }
     }
 
@@ -106,6 +111,7 @@
         }
         let id = offer.id;
         self.note_missing_backend(now, &offer.backend);
+        self.urgencies.record(now, &offer.backend, offer.urgency);
         self.pending.insert(id, PendingRequest::new(now, offer));
         self.assign(now, id);
         let mut actions = self.dispatch(now);
@@ -200,6 +206,7 @@
         self.prefix_cache.tidy(now);
         self.model_eta.tidy(now);
         self.engines.tidy(now);
+        self.urgencies.tidy(now);
         actions
     }
 
@@ -253,18 +260,37 @@
         let wanted: BTreeSet<Instance> = self.queue.waiting().map(|(_, instance)| instance.clone()).collect();
         for instance in wanted {
             while self.servers.get(&instance).is_some_and(|known| known.has_slot(now)) {
-                let (pending, servers) = (&self.pending, &self.servers);
-                let may_send_to = |id| match (pending.get(&id), servers.get(&instance)) {
-                    (Some(pending), Some(known)) => known.has_slot_for(now, pending.offer.urgency),
-                    _ => false,
-                };
-                let Some(id) = self.queue.take_where(now, &instance, may_send_to) else { break };
+                let waiting = self.queue.waiting().filter(|(_, at)| **at == instance);
+                let eligible: BTreeSet<RequestId> =
+                    waiting.map(|(id, _)| id).filter(|id| self.has_slot_for(now, *id, &instance)).collect();
+                let taken = self.queue.take_where(now, &instance, |id| eligible.contains(&id));
+                let Some(id) = taken else { break };
                 self.send(now, id, &instance, &mut actions);
             }
         }
         actions
     }
 
+    /// Whether a model server has a free slot for a waiting request.
+    fn has_slot_for(&self, now: Millis, id: RequestId, instance: &Instance) -> bool {
+        match (self.pending.get(&id), self.servers.get(instance)) {
+            (Some(pending), Some(known)) => {
+                known.has_slot_for(now, self.reserving_urgency(now, &pending.offer))
+            }
+            _ => false,
+        }
+    }
+
+    /// The urgency by which slots are reserved before a request. A slot that it takes is occupied for a slot
+    /// time: while no more urgent request has come for as long, all slots are open to it.
+    pub fn reserving_urgency(&self, now: Millis, offer: &Offer) -> Urgency {
+        let slot_time = self.engines.backend_slot_time_ms(now, &offer.backend) as Millis;
+        match self.urgencies.has_more_urgent(now, &offer.backend, offer.urgency, slot_time) {
+            true => offer.urgency,
+            false => 0,
+        }
+    }
+
     fn send(&mut self, now: Millis, id: RequestId, instance: &Instance, actions: &mut Vec<Action>) {
         let Some(known) = self.servers.get(instance) else { return };
         let address = known.server.address.clone();
--- a/crates/router/src/dispatcher/load_shedding.rs
+++ b/crates/router/src/dispatcher/load_shedding.rs
@@ -144,7 +144,7 @@
     /// Time until a model server takes a request behind `ahead` others, milliseconds: its ejection has to
     /// end, and slots become free one by one as answers end.
     fn slot_in(&self, now: Millis, offer: &Offer, known: &KnownModelServer, ahead: usize) -> Millis {
-        let slots = known.slots_for(now, offer.urgency);
+        let slots = known.slots_for(now, self.reserving_urgency(now, offer));
         let free = (slots - f64::from(known.in_flight)).max(0.0).floor();
         let lacking = (ahead as f64 + 1.0 - free).max(0.0);
         let slot_time_ms = self.engines.backend_slot_time_ms(now, &offer.backend);
--- a/crates/router/tests/load_shedding.rs
+++ b/crates/router/tests/load_shedding.rs
@@ -186,3 +186,59 @@
     scenario.update_servers(vec![server("i-1", &["a"])]);
     assert_eq!(sent(&scenario.request(3, "a")).len(), 1);
 }
+
+/// A load that never ended was expected within 400 ms at any time, so that requests were held to the end.
+#[test]
+fn a_load_that_does_not_end_is_given_up_when_it_is_as_late_as_time_remains() {
+    let mut scenario = absent_model();
+    scenario.request(1, "a");
+    scenario.dispatcher.set_expected_models(scenario.now, expected("a", 1_000));
+    assert_eq!(scenario.advance(3_000), []);
+    // The client waits for 10 s: 5.5 s after its request the load is late by nearly as much as it has left.
+    assert_eq!(rejected(&scenario.advance(3_500)).len(), 1);
+}
+
+// ---- reserved slots ----
+
+fn offer_of(id: u64, now: u64, urgency: u8) -> Offer {
+    Offer { urgency, ..offer(id, "a", now) }
+}
+
+fn with_capacity(capacity: u32) -> Scenario {
+    Scenario::new(vec![ModelServer { capacity, ..server("i-1", &["a"]) }])
+}
+
+/// A model server with one slot got no requests but the most urgent ones.
+#[test_case(1)]
+#[test_case(4)]
+fn a_server_with_few_slots_takes_requests_of_any_urgency(capacity: u32) {
+    let mut scenario = with_capacity(capacity);
+    let now = scenario.now;
+    take(&mut scenario, offer_of(90, now, 0));
+    scenario.finish(90, AttemptOutcome::Answered);
+    for id in 0..u64::from(capacity) {
+        assert_eq!(sent(&take(&mut scenario, offer_of(id, now, 99))).len(), 1);
+    }
+}
+
+#[test]
+fn all_slots_are_open_while_nothing_more_urgent_comes() {
+    let mut scenario = with_capacity(25);
+    let now = scenario.now;
+    let sent_at_once = |scenario: &mut Scenario, ids: std::ops::Range<u64>| {
+        ids.map(|id| sent(&take(scenario, offer_of(id, now, 20))).len()).sum::<usize>()
+    };
+    assert_eq!(sent_at_once(&mut scenario, 0..25), 25);
+}
+
+#[test]
+fn the_last_slots_are_kept_while_more_urgent_requests_come() {
+    let mut scenario = with_capacity(25);
+    let now = scenario.now;
+    take(&mut scenario, offer_of(90, now, 0));
+    let sent_at_once: usize = (0..25).map(|id| sent(&take(&mut scenario, offer_of(id, now, 20))).len()).sum();
+    assert_eq!(sent_at_once, 21, "three of the 24 free slots are kept");
+    assert_eq!(sent(&take(&mut scenario, offer_of(91, now, 0))).len(), 1);
+    // An answer takes 1.5 s, as far as is known; after that no other urgent request is expected.
+    assert_eq!(sent(&scenario.advance(1_600)).len(), 2);
+}
--- a/crates/system/src/edge/admission.rs
+++ b/crates/system/src/edge/admission.rs
@@ -3,9 +3,10 @@
 
 use super::shared::Shared;
 use crate::clock;
-use pathbank_protocol::message::{AdmissionOption, AdmissionRequest, Frame};
+use pathbank_protocol::message::{AdmissionRequest, Frame};
 use pathbank_router::dispatcher::Offer;
 use pathbank_router::model_servers::Instance;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,9 +17,9 @@
 /// request can still be served in the time that its client has left. `None`: no grant came, and the edge
 /// decides alone.
 pub async fn wait_for_grant(shared: &Arc<Shared>, offer: &Offer) -> Option<Instance> {
-    let (leader, options) = leader_and_options(shared, offer)?;
+    let (leader, request) = admission_request(shared, offer)?;
+    let options = request.options.clone();
     let receiver = shared.admissions.add(clock::now(), offer.id)?;
-    let request = AdmissionRequest { request: offer.id, options: options.clone(), urgency: offer.urgency };
     let sent = shared.mesh.get().is_some_and(|mesh| mesh.send(leader, &Frame::AdmissionRequest(request)));
     let grant = match sent {
         true => tokio::time::timeout(GRANT_TIMEOUT, receiver).await.ok().and_then(Result::ok),
@@ -37,14 +38,12 @@
     options.into_iter().nth(grant.option as usize).map(|option| option.instance)
 }
 
-/// The leader's address, and the model servers among which it may choose. `None`: there is no leader or no
-/// choice.
-fn leader_and_options(
-    shared: &Shared,
-    offer: &Offer,
-) -> Option<(std::net::SocketAddr, Vec<AdmissionOption>)> {
+/// The leader's address, and the request for a grant. `None`: there is no leader or no choice.
+fn admission_request(shared: &Shared, offer: &Offer) -> Option<(SocketAddr, AdmissionRequest)> {
+    let now = clock::now();
     let decisions = shared.decisions();
     let leader = decisions.core_choice.leader()?;
-    let options = decisions.dispatcher.admission_options(clock::now(), offer);
-    (!options.is_empty()).then_some((leader, options))
+    let options = decisions.dispatcher.admission_options(now, offer);
+    let urgency = decisions.dispatcher.reserving_urgency(now, offer);
+    (!options.is_empty()).then_some((leader, AdmissionRequest { request: offer.id, options, urgency }))
 }
--- a/crates/system/tests/fleet/world.rs
+++ b/crates/system/tests/fleet/world.rs
@@ -367,7 +367,7 @@
     fn try_again(&mut self, mut attempt: Try) {
         attempt.offer.id = self.next_id();
         let options = self.heads[attempt.head].dispatcher.admission_options(self.now, &attempt.offer);
-        let urgency = attempt.offer.urgency;
+        let urgency = self.heads[attempt.head].dispatcher.reserving_urgency(self.now, &attempt.offer);
         let request = AdmissionRequest { request: attempt.offer.id, options, urgency };
         let grant = self.leader.admission.admit(self.now, &request);
         attempt.offer.granted = grant.map(|grant| request.options[grant.option as usize].instance.clone());
