A retry may return to the servers that were tried, if there is no other

Callers saw: a request that the only server with its model had refused for a moment's lack of a slot was held until its end, for a model that was "resident nowhere", though the slot was free again.

Cause: servers that were tried were excluded for good, even where nothing else could serve the request.

Change: they are candidates again if no untried server has the model in the expected version; attempts and the retry budget bound repeats as before.

--- a/crates/router/src/dispatcher/assignment.rs
+++ b/crates/router/src/dispatcher/assignment.rs
@@ -31,26 +31,31 @@
         }
     }
 
-    /// Model servers where the model of a request is resident, in the expected version, and that are not
-    /// excluded.
+    /// Model servers where the model of a request is resident, in the expected version. Those that were tried
+    /// before are candidates only if there are no others: a server that was full may have a slot by now.
     pub(super) fn candidates<'a>(
         &'a self,
         now: Millis,
         offer: &'a Offer,
+    ) -> impl Iterator<Item = (&'a Instance, &'a KnownModelServer)> {
+        let has_others = self.servers_for(now, offer).any(|(instance, _)| !offer.excluded.contains(instance));
+        self.servers_for(now, offer)
+            .filter(move |(instance, _)| !has_others || !offer.excluded.contains(*instance))
+    }
+
+    /// Model servers where the model of a request is resident, in the expected version.
+    fn servers_for<'a>(
+        &'a self,
+        now: Millis,
+        offer: &'a Offer,
     ) -> impl Iterator<Item = (&'a Instance, &'a KnownModelServer)> {
         let with_model = self.servers.with_model(now, &offer.backend, &offer.name);
-        with_model.filter(|(instance, known)| {
-            !offer.excluded.contains(*instance) && known.has_version(&offer.name.model, offer.version)
-        })
+        with_model.filter(|(_, known)| known.has_version(&offer.name.model, offer.version))
     }
 
     /// Whether a request may be sent to a model server now.
     fn may_send_to(&self, now: Millis, offer: &Offer, instance: &Instance) -> bool {
-        let known = self.servers.get(instance).filter(|known| known.has_slot(now));
-        let has_model = |known: &KnownModelServer| {
-            known.has_model(now, &offer.name) && known.has_version(&offer.name.model, offer.version)
-        };
-        known.is_some_and(has_model) && !offer.excluded.contains(instance)
+        self.candidates(now, offer).any(|(candidate, known)| candidate == instance && known.has_slot(now))
     }
 
     /// The model server with the lowest cost for a request.
