An edge without a configuration holds a request no longer than its client waits

Callers saw: an edge that had just started held a request 2.5 s even if its client left after half a second.

Cause: the wait did not look at X-Pathbank-Deadline-Ms.

Change: it ends at the client's deadline, 2.5 s at most.

--- a/crates/system/src/edge/client_request.rs
+++ b/crates/system/src/edge/client_request.rs
@@ -27,7 +27,7 @@
 
 /// How long a body may take to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// How long a request waits at an edge that has no configuration yet, milliseconds.
+/// A core that can be reached sends an edge its first configuration within this time, milliseconds.
 const CONFIGURATION_TIMEOUT_MS: u64 = 2_500;
 /// How often a waiting request checks whether the configuration has come.
 const CONFIGURATION_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -87,7 +87,8 @@
     request: Request<Incoming>,
 ) -> Result<ClientRequest, Answer> {
     let arrived = clock::now();
-    let Some(early) = first_configuration(shared).await else {
+    let client_waits_ms = client_waits_ms(request.headers());
+    let Some(early) = first_configuration(shared, arrived.saturating_add(client_waits_ms)).await else {
         return Err(answer::refusal(ResultCode::NoConfiguration, RETRY_SOON_MS));
     };
     let limit = early.limits.max_body_bytes.unwrap_or(DEFAULT_MAX_BODY_BYTES);
@@ -105,8 +106,7 @@
     let Some(backend) = choose_backend(&route) else { return Err(answer::error(ResultCode::NoRoute)) };
     let name = text(&head.headers, &MODEL).map(ModelName::parse).unwrap_or_default();
     let tokens = text(&head.headers, &TOKEN_COUNT).and_then(TokenCount::parse).unwrap_or_default();
-    let waits: u64 = text(&head.headers, &DEADLINE).and_then(|value| value.parse().ok()).unwrap_or(u64::MAX);
-    let time_limit = waits.min(route.timeout_ms as u64);
+    let time_limit = client_waits_ms.min(route.timeout_ms as u64);
     let load_ms = load_time(&routes, &backend, &name);
     let version = expected_version(&head.headers).or_else(|| route_version(shared, &route, &backend, &name));
     Ok(ClientRequest {
@@ -131,6 +131,11 @@
     })
 }
 
+/// How long the client waits, milliseconds; the longest time if it does not say.
+fn client_waits_ms(headers: &HeaderMap) -> u64 {
+    text(headers, &DEADLINE).and_then(|value| value.parse().ok()).unwrap_or(u64::MAX)
+}
+
 fn expected_version(headers: &HeaderMap) -> Option<u64> {
     text(headers, &EXPECT_VERSION)?.trim().parse().ok()
 }
@@ -146,10 +151,11 @@
     }
 }
 
-/// The configuration in force. An edge that has just started waits for its first one: the failure that
-/// restarted it may have cut its clients off before, so that they have few retries left.
-async fn first_configuration(shared: &Arc<Shared>) -> Option<Arc<RouteTable>> {
-    let given_up = clock::now() + CONFIGURATION_TIMEOUT_MS;
+/// The configuration in force. An edge that has just started gets its first one from a core before long, so a
+/// request waits for it, as long as its client has time until `client_leaves_at`.
+async fn first_configuration(shared: &Arc<Shared>, client_leaves_at: u64) -> Option<Arc<RouteTable>> {
+    let latest_answer = client_leaves_at.saturating_sub(ANSWER_MARGIN_MS);
+    let given_up = latest_answer.min(clock::now() + CONFIGURATION_TIMEOUT_MS);
     loop {
         let routes = shared.routes.load_full();
         if routes.is_some() || clock::now() >= given_up {
