--- a/crates/system/tests/loopback.rs
+++ b/crates/system/tests/loopback.rs
@@ -12,6 +12,7 @@
 use std::io::{Read, Write};
 use std::process::Command;
 use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
 
 const MODEL: &[(&str, &str)] = &[("X-Pathbank-Model", "m1"), ("X-Pathbank-Token-Count", "10,10")];
 
@@ -42,6 +43,23 @@
     assert_eq!(server.runs(), ["id-1"], "no refused request runs");
 }
 
+/// An edge that had just started held a request for 2.5 s, whether or not its client still waited.
+#[test]
+fn an_edge_without_a_configuration_holds_a_request_no_longer_than_its_client_waits() {
+    let system = System::started();
+    let ask = |id: &str| {
+        let sent_at = Instant::now();
+        let headers =
+            [("Host", "shop.example"), ("X-Pathbank-Request-Id", id), ("X-Pathbank-Deadline-Ms", "400")];
+        let answer = call(system.ingress, "POST", "/app/x", &headers, "");
+        answer.map(|answer| (answer.status, sent_at.elapsed()))
+    };
+    until("the edge takes requests", || ask("id-1").is_some());
+    let (status, took) = ask("id-2").unwrap();
+    assert_eq!(status, 503);
+    assert!(took < Duration::from_millis(2_000), "{took:?}");
+}
+
 #[test]
 fn the_leader_reports_the_version_in_force_at_each_edge() {
     let system = System::started();
