Every rank reserves whole slots where a server has enough of them

Change: reservations are rounded up to whole slots, and only where 12 in 100 of the slots are less than one is nothing reserved.

--- a/crates/control/src/urgency.rs
+++ b/crates/control/src/urgency.rs
@@ -21,7 +21,7 @@
 }
 
 /// Slots of a model server with `capacity` slots that are open to requests of an urgency. Whole slots are reserved, and
-/// none where there are few.
+/// none where there are so few that one would be more than the greatest fraction.
 ///
 /// ```
 /// use pathbank_control::urgency::open_slots;
@@ -34,6 +34,6 @@
 /// ```
 pub fn open_slots(capacity: f64, urgency: Urgency) -> f64 {
     let fraction = f64::from(urgency.min(MAX_RESERVING_URGENCY)) / f64::from(MAX_RESERVING_URGENCY);
-    let most = (MAX_RESERVED_FRACTION * capacity).floor();
-    capacity - (MAX_RESERVED_FRACTION * capacity * fraction).ceil().min(most)
+    let reservable = MAX_RESERVED_FRACTION * capacity;
+    if reservable < 1.0 { capacity } else { capacity - (reservable * fraction).ceil() }
 }
