A request that every server had is refused at once, with the time at which one has a slot

Callers saw: a request that every model server with its model had refused was held to its end, as if the model were resident nowhere.

Cause: tried servers are no candidates, and the forecast of an unassigned request was that of a load.

Change: where all servers with the model were tried nothing is expected to take the request; it is refused at once, and `Retry-After` is when one of them has a slot for the client's next request.

--- a/crates/router/src/dispatcher/assignment.rs
+++ b/crates/router/src/dispatcher/assignment.rs
@@ -31,20 +31,18 @@
         }
     }
 
-    /// Model servers where the model of a request is resident, in the expected version. Those that were tried
-    /// before are candidates only if there are no others: a server that was full may have a slot by now.
+    /// Model servers where the model of a request is resident, in the expected version, and that were not tried
+    /// before.
     pub(super) fn candidates<'a>(
         &'a self,
         now: Millis,
         offer: &'a Offer,
     ) -> impl Iterator<Item = (&'a Instance, &'a KnownModelServer)> {
-        let has_others = self.servers_for(now, offer).any(|(instance, _)| !offer.excluded.contains(instance));
-        self.servers_for(now, offer)
-            .filter(move |(instance, _)| !has_others || !offer.excluded.contains(*instance))
+        self.servers_for(now, offer).filter(|(instance, _)| !offer.excluded.contains(*instance))
     }
 
     /// Model servers where the model of a request is resident, in the expected version.
-    fn servers_for<'a>(
+    pub(super) fn servers_for<'a>(
         &'a self,
         now: Millis,
         offer: &'a Offer,
--- a/crates/router/src/dispatcher/load_shedding.rs
+++ b/crates/router/src/dispatcher/load_shedding.rs
@@ -25,6 +25,15 @@
     code: ResultCode,
     /// Time until a model server takes the request, milliseconds; `None`: none is expected to.
     ready_in: Option<Millis>,
+    /// Time until a model server takes a further request of the client, milliseconds.
+    retry_in: Millis,
+}
+
+impl Forecast {
+    /// A model server takes the request in this time, and would take a further one.
+    fn ready(code: ResultCode, ready_in: Millis) -> Forecast {
+        Forecast { code, ready_in: Some(ready_in), retry_in: ready_in }
+    }
 }
 
 impl Dispatcher {
@@ -88,13 +97,12 @@
             return true;
         }
         let elsewhere = self.soonest_server(now, &pending.offer);
-        let soonest =
-            elsewhere.as_ref().map(|(ready_in, _)| *ready_in).into_iter().chain(here.ready_in).min();
+        let retry_in = elsewhere.as_ref().map_or(here.retry_in, |(ready_in, _)| here.retry_in.min(*ready_in));
         match elsewhere {
             Some((ready_in, instance)) if is_in_time(Some(ready_in)) => {
                 self.set_stage(now, id, Stage::Queued(instance));
             }
-            _ => self.reject(now, id, Forecast { ready_in: soonest, ..here }, actions),
+            _ => self.reject(now, id, Forecast { retry_in, ..here }, actions),
         }
         false
     }
@@ -104,7 +112,7 @@
         self.end_stage(now, &pending, AttemptOutcome::Abandoned);
         let remaining = pending.offer.deadline.saturating_sub(now) as f64;
         let longest = (MAX_RETRY_AFTER_FRACTION * remaining) as Millis;
-        let retry_after = forecast.ready_in.unwrap_or(HEARTBEAT_INTERVAL_MS).min(longest);
+        let retry_after = forecast.retry_in.min(longest);
         actions.push(Action::Reject { id, code: forecast.code, retry_after });
     }
 
@@ -117,18 +125,31 @@
     /// When a model server should take a request that is in this stage. `ahead`: requests before it in its
     /// queue.
     fn forecast(&self, now: Millis, offer: &Offer, stage: &Stage, ahead: usize) -> Forecast {
-        let (code, ready_in) = match stage {
-            Stage::Sent(_) => (ResultCode::Overloaded, Some(0)),
-            Stage::Unassigned if !self.servers.has_backend(&offer.backend) => {
-                (ResultCode::NoModelServer, self.heartbeat_in(now, &offer.backend))
-            }
-            Stage::Unassigned => (ResultCode::NoModelServer, Some(self.resident_in(now, offer))),
+        match stage {
             Stage::Queued(instance) => {
                 let known = self.servers.get(instance);
-                (ResultCode::Overloaded, known.map(|known| self.slot_in(now, offer, known, ahead)))
+                let slot_in = known.map_or(0, |known| self.slot_in(now, offer, known, ahead));
+                Forecast::ready(ResultCode::Overloaded, slot_in)
             }
-        };
-        Forecast { code, ready_in }
+            Stage::Unassigned if !self.servers.has_backend(&offer.backend) => Forecast {
+                code: ResultCode::NoModelServer,
+                ready_in: self.heartbeat_in(now, &offer.backend),
+                retry_in: HEARTBEAT_INTERVAL_MS,
+            },
+            Stage::Unassigned => self.forecast_unassigned(now, offer),
+            Stage::Sent(_) => Forecast::ready(ResultCode::Overloaded, 0),
+        }
+    }
+
+    /// The forecast of a request that no model server may get at present: its model is resident nowhere, or
+    /// every model server that has it was tried. Those are open to the client's next request.
+    fn forecast_unassigned(&self, now: Millis, offer: &Offer) -> Forecast {
+        let tried = self.servers_for(now, offer);
+        let slot_in = |known| self.slot_in(now, offer, known, self.queue.queued_at(&known.server.instance));
+        match tried.map(|(_, known)| slot_in(known)).min() {
+            Some(retry_in) => Forecast { code: ResultCode::Overloaded, ready_in: None, retry_in },
+            None => Forecast::ready(ResultCode::NoModelServer, self.resident_in(now, offer)),
+        }
     }
 
     /// The model server that should take a request first if it joins the end of a queue, and the time until
--- a/crates/router/src/dispatcher/offer.rs
+++ b/crates/router/src/dispatcher/offer.rs
@@ -36,7 +36,7 @@
     pub load_ms: Option<Millis>,
     /// The model server that the leader chose, if its answer came in time.
     pub granted: Option<Instance>,
-    /// Model servers that were tried before; they get the request again only if no other one can.
+    /// Model servers that must not get the request (again).
     pub excluded: BTreeSet<Instance>,
     /// Whether the answer is a stream that another model server may resume.
     pub resumable: bool,
