A request's work is the slot time of its announced tokens, not a weighed token count

Cause: `OUTPUT_WEIGHT` ("the users value a generation by the same weights").

Change: `work_ms` is prefill and decode of the announced tokens at the pace that answers of the model had at this edge. The fair queue charges it, and `latest_start` keeps it free before the deadline. `Offer::size` is gone; `tokens` of demand reports counts announced tokens.

Test: the_work_left_grows_evenly_with_the_announced_answer.

--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -41,7 +41,7 @@
     pub kind: RouteType,
     /// The time-out of a request, milliseconds.
     pub timeout_ms: f64,
-    /// The latency target: an answer within this time has its full value, milliseconds.
+    /// The latency target: an answer that begins within this time is timely, milliseconds.
     #[facet(default)]
     pub target_latency_ms: f64,
     /// The priority; 0 is the highest.
--- a/crates/router/src/dispatcher.rs
+++ b/crates/router/src/dispatcher.rs
@@ -223,8 +223,8 @@
     fn set_stage(&mut self, now: Millis, id: RequestId, stage: Stage) {
         let Some(pending) = self.pending.get_mut(&id) else { return };
         let before = std::mem::replace(&mut pending.stage, stage.clone());
-        let (flow, size, tokens) =
-            (flow_of(&pending.offer), pending.offer.size as f64, pending.offer.input_tokens);
+        let (flow, tokens) = (flow_of(&pending.offer), pending.offer.input_tokens);
+        let size = self.engines.work_ms(now, &pending.offer).max(1.0);
         match (&before, &stage) {
             (Stage::Queued(_), Stage::Queued(to)) => self.queue.reassign(id, to.clone()),
             (Stage::Queued(_), Stage::Unassigned) => drop(self.queue.remove(now, id)),
--- a/crates/router/src/dispatcher/demand.rs
+++ b/crates/router/src/dispatcher/demand.rs
@@ -38,7 +38,7 @@
         let target_latency_ms = offer.target_latency_ms as u32;
         let demand = self.demand_of(offer);
         demand.arrived += 1;
-        demand.tokens += offer.size;
+        demand.tokens += offer.input_tokens + offer.output_tokens;
         demand.prefill_ms += prefill_ms;
         demand.objective_ms = if demand.objective_ms == 0 {
             target_latency_ms
@@ -60,7 +60,9 @@
         }
         let slot_time_ms = now.saturating_sub(pending.since);
         let (backend, model) = (&pending.offer.backend, &pending.offer.name.model);
+        let tokens = (pending.offer.input_tokens, pending.offer.output_tokens);
         self.engines.observe_slot_time(now, backend, model, slot_time_ms);
+        self.engines.observe_decode(now, model, tokens, slot_time_ms);
         if !model.is_empty() {
             self.demand_of(&pending.offer).slot_time_ms += slot_time_ms;
         }
--- a/crates/router/src/dispatcher/load_shedding.rs
+++ b/crates/router/src/dispatcher/load_shedding.rs
@@ -54,7 +54,7 @@
     /// client has left.
     pub fn latest_start(&self, now: Millis, offer: &Offer) -> Millis {
         let begins_ms = self.engines.typical_prefill_ms(now, &offer.name.model, offer.input_tokens) as Millis;
-        let complete_ms = self.engines.slot_time_ms(now, &offer.backend, &offer.name.model) as Millis;
+        let complete_ms = self.engines.work_ms(now, offer) as Millis;
         let begins_in_time = offer.abandon_at.saturating_sub(begins_ms);
         let completes_in_time = offer.deadline.saturating_sub(complete_ms);
         begins_in_time.min(completes_in_time)
--- a/crates/router/src/dispatcher/offer.rs
+++ b/crates/router/src/dispatcher/offer.rs
@@ -16,10 +16,10 @@
     pub backend: String,
     /// The model that the request names.
     pub name: ModelName,
-    /// Its size: prompt tokens and ten times the output tokens, as announced by the client.
-    pub size: u64,
-    /// The tokens of its prompt.
+    /// The tokens of its prompt, as announced by the client.
     pub input_tokens: u64,
+    /// The most tokens of its answer, as announced by the client.
+    pub output_tokens: u64,
     /// The parts of its prompt, for the prefix cache.
     pub parts: Vec<PromptPart>,
     /// When it arrived.
@@ -28,7 +28,7 @@
     pub deadline: Millis,
     /// When the client disconnects if no answer has begun.
     pub abandon_at: Millis,
-    /// The latency target: an answer within this time has its full value.
+    /// The latency target: an answer that begins within this time is timely.
     pub target_latency_ms: Millis,
     /// The longest gap between events of a timely stream, milliseconds; 0: none given.
     pub target_gap_ms: Millis,
--- a/crates/router/src/engine_estimates.rs
+++ b/crates/router/src/engine_estimates.rs
@@ -1,6 +1,7 @@
 //! This edge's estimates of the engines behind model servers: prefill rate, decode pace and slot time.
 
 use crate::Millis;
+use crate::dispatcher::Offer;
 use crate::model_servers::Instance;
 use pathbank_control::estimate::{EstimateTable, Prior};
 
@@ -10,6 +11,8 @@
 const SERVER_FACTOR: Prior = Prior { initial: 1.0, min: 0.05, max: 20.0 };
 /// Time between two events of an undisturbed stream, milliseconds.
 const DECODE_PACE_MS: Prior = Prior { initial: 40.0, min: 0.5, max: 10_000.0 };
+/// Slot time after prefill for each token that the client announced, milliseconds.
+const DECODE_MS_PER_TOKEN: Prior = Prior { initial: 10.0, min: 0.01, max: 10_000.0 };
 /// For how long an answer occupies a slot, milliseconds.
 const SLOT_TIME_MS: Prior = Prior { initial: 1_500.0, min: 1.0, max: 120_000.0 };
 /// Shorter prompts are not measured: their time to the first token is mostly overhead, not prefill.
@@ -37,6 +40,8 @@
     decode_pace: EstimateTable<String>,
     /// Speed by model server, relative to others. Derived from the decode pace, which depends on little else.
     server_factor: EstimateTable<Instance>,
+    /// Slot time after prefill for each announced token, by model.
+    decode_per_token: EstimateTable<String>,
     /// Slot time by model.
     slot_time: EstimateTable<String>,
     /// Slot time by backend, over all its models.
@@ -49,6 +54,7 @@
             prefill_rate: EstimateTable::new(PREFILL_TOKENS_PER_MS),
             decode_pace: EstimateTable::new(DECODE_PACE_MS),
             server_factor: EstimateTable::new(SERVER_FACTOR),
+            decode_per_token: EstimateTable::new(DECODE_MS_PER_TOKEN),
             slot_time: EstimateTable::new(SLOT_TIME_MS),
             backend_slot_time: EstimateTable::new(SLOT_TIME_MS),
         }
@@ -84,6 +90,32 @@
         }
     }
 
+    /// Records what a request with announced tokens (of its prompt, and at most of its answer) took.
+    pub fn observe_decode(
+        &mut self,
+        now: Millis,
+        model: &str,
+        (input, output): (u64, u64),
+        slot_time: Millis,
+    ) {
+        let decode_ms = slot_time as f64 - self.typical_prefill_ms(now, model, input);
+        if output > 0 && !model.is_empty() {
+            let per_token = decode_ms.max(0.0) / output as f64;
+            self.decode_per_token.record(now, &model.to_owned(), per_token);
+        }
+    }
+
+    /// The work of a request: for how long it occupies a slot by the tokens that its client announced,
+    /// milliseconds. Without an announcement, as long as others do.
+    pub fn work_ms(&self, now: Millis, offer: &Offer) -> f64 {
+        let model = offer.name.model.as_str();
+        if model.is_empty() || offer.output_tokens == 0 {
+            return self.slot_time_ms(now, &offer.backend, model);
+        }
+        let decode_ms = self.decode_per_token.value(now, model) * offer.output_tokens as f64;
+        self.typical_prefill_ms(now, model, offer.input_tokens) + decode_ms
+    }
+
     /// Prefill time of a number of tokens at a model server, milliseconds.
     pub fn prefill_ms(&self, now: Millis, instance: &Instance, model: &str, tokens: u64) -> f64 {
         tokens as f64 / (self.prefill_rate.value(now, model) * self.server_factor.value(now, instance))
@@ -128,6 +160,7 @@
         self.prefill_rate.expire(now);
         self.decode_pace.expire(now);
         self.server_factor.expire(now);
+        self.decode_per_token.expire(now);
         self.slot_time.expire(now);
         self.backend_slot_time.expire(now);
     }
--- a/crates/router/src/prompt.rs
+++ b/crates/router/src/prompt.rs
@@ -26,20 +26,12 @@
     pub output: u64,
 }
 
-/// Weight of an output token in prompt tokens. The users value a generation by the same weights.
-const OUTPUT_WEIGHT: u64 = 10;
-
 impl TokenCount {
     /// Parses the header's value; `None`: it is malformed.
     pub fn parse(value: &str) -> Option<TokenCount> {
         let (input, output) = value.split_once(',')?;
         Some(TokenCount { input: input.trim().parse().ok()?, output: output.trim().parse().ok()? })
     }
-
-    /// The size of a request: its prompt tokens plus its weighted output tokens.
-    pub fn size(self) -> u64 {
-        self.input + OUTPUT_WEIGHT * self.output
-    }
 }
 
 /// One part of a prompt.
--- a/crates/router/tests/load_shedding.rs
+++ b/crates/router/tests/load_shedding.rs
@@ -256,3 +256,22 @@
     // An answer takes 1.5 s, as far as is known; after that no other urgent request is expected.
     assert_eq!(sent(&scenario.advance(1_600)).len(), 2);
 }
+
+// ---- the work left, by the tokens that clients announce ----
+
+#[test]
+fn the_work_left_grows_evenly_with_the_announced_answer() {
+    let scenario = full_server(1_000);
+    let now = scenario.now;
+    let latest_start = |output_tokens: u64| {
+        let offer = Offer { output_tokens, ..offer_with(30, now, 60_000) };
+        scenario.dispatcher.latest_start(now, &offer) as i64
+    };
+    // Answers of 50 tokens took a second.
+    let each = latest_start(100) - latest_start(200);
+    assert!((1_500..=2_000).contains(&each), "{each}");
+    for output_tokens in (100..1_000).step_by(100) {
+        let difference = latest_start(output_tokens) - latest_start(output_tokens + 100);
+        assert!((difference - each).abs() <= 2, "{difference} beside {each} at {output_tokens} tokens");
+    }
+}
