A failed attempt costs the work that has to be done again

Change: it is charged with the request's work. Another attempt or the client's next request does it again.

--- a/crates/router/src/dispatcher/cost.rs
+++ b/crates/router/src/dispatcher/cost.rs
@@ -78,9 +78,8 @@
         let ejected = if known.accepts_requests(now) { 0.0 } else { 2.0 * full_ms };
         let zone = if known.server.zone == self.zone { 0.0 } else { CROSS_ZONE_ROUND_TRIP_MS };
         let cold = if known.server.cold_remaining_ms > 0 { full_ms / 4.0 } else { 0.0 };
-        // A failed attempt may cost the client all the time that it has left. The server is avoided, never
-        // excluded.
-        let errors = offer.deadline.saturating_sub(now) as f64 * known.error_rate(now);
+        // The work of a failed attempt has to be done again. The server is avoided, never excluded.
+        let errors = self.engines.work_ms(now, offer) * known.error_rate(now);
         let draw = TIE_BREAK_MS * unit_draw(offer.id, instance);
         let stall = self.stall_cost(now, offer, instance, known);
         full_ms * occupancy + full + ejected + zone + cold + errors + stall + draw
