A reserved slot is not expected by a request that may not take it

Cause: one slot at least is reckoned to every edge, and the forecast took it for free, though the slot was reserved.

Change: free slots count only if the server would take the request; otherwise one has to become free first.

Test: a_reserved_slot_is_not_expected_by_a_less_urgent_request, failed on the commit before.

--- a/crates/router/src/dispatcher/load_shedding.rs
+++ b/crates/router/src/dispatcher/load_shedding.rs
@@ -165,8 +165,10 @@
     /// Time until a model server takes a request behind `ahead` others, milliseconds: its ejection has to
     /// end, and slots become free one by one as answers end.
     fn slot_in(&self, now: Millis, offer: &Offer, known: &KnownModelServer, ahead: usize) -> Millis {
-        let slots = known.slots_for(now, self.reserving_urgency(now, offer));
-        let free = (slots - f64::from(known.in_flight)).max(0.0).floor();
+        let urgency = self.reserving_urgency(now, offer);
+        let slots = known.slots_for(now, urgency);
+        let takes_one = known.ejected_for_ms(now) > 0 || known.has_slot_for(now, urgency);
+        let free = if takes_one { (slots - f64::from(known.in_flight)).max(0.0).floor() } else { 0.0 };
         let lacking = (ahead as f64 + 1.0 - free).max(0.0);
         let slot_time_ms = self.engines.backend_slot_time_ms(now, &offer.backend);
         known.ejected_for_ms(now) + (lacking * slot_time_ms / slots) as Millis
--- a/crates/router/tests/load_shedding.rs
+++ b/crates/router/tests/load_shedding.rs
@@ -257,6 +257,21 @@
     assert_eq!(sent(&scenario.advance(1_600)).len(), 2);
 }
 
+/// A request that only reserved slots could have served counted one of them as free, and was held to its end.
+#[test]
+fn a_reserved_slot_is_not_expected_by_a_less_urgent_request() {
+    let mut scenario = with_capacity(25);
+    let now = scenario.now;
+    take(&mut scenario, offer_of(90, now, 0));
+    scenario.finish(90, AttemptOutcome::Answered);
+    scenario.dispatcher.observe_load(now, "i-1", 24, 0);
+    // An answer takes 0.56 s and a slot is due in 1.5 s, as far as is known.
+    let with_time = |id: u64, time_left_ms: u64| Offer { urgency: 20, ..offer_with(id, now, time_left_ms) };
+    assert_eq!(rejected(&take(&mut scenario, with_time(1, 1_900))).len(), 1, "told on arrival");
+    assert_eq!(take(&mut scenario, with_time(2, 2_300)), [], "this client has time for a slot that is due");
+    assert_eq!(sent(&take(&mut scenario, offer_of(91, now, 0))).len(), 1, "the most urgent one gets it");
+}
+
 // ---- the work left, by the tokens that clients announce ----
 
 #[test]
