The load of a missing model counts from the first request for it

Cause: the forecast of a load began anew with each request that found the model missing.

Change: the time at which a model, or only its adapter, was first missed is kept until it is resident or nobody asks for 15 s.

Test: a_client_that_comes_back_as_told_waits_for_the_rest_of_the_load.

--- a/crates/router/src/dispatcher.rs
+++ b/crates/router/src/dispatcher.rs
@@ -119,16 +119,6 @@
         actions
     }
 
-    /// Rejects a request that has just arrived if it cannot be served in time.
-    fn shed_arrival(&mut self, now: Millis, id: RequestId, actions: &mut Vec<Action>) {
-        let ahead = match self.pending.get(&id).map(|pending| &pending.stage) {
-            Some(Stage::Queued(instance)) => self.queue.queued_at(instance).saturating_sub(1),
-            _ => 0,
-        };
-        self.shed_or_keep(now, id, ahead, actions);
-        actions.append(&mut self.dispatch(now));
-    }
-
     /// Removes a request that was answered or cancelled; its slot at a model server is free again.
     pub fn finish(&mut self, now: Millis, id: RequestId, outcome: AttemptOutcome) -> Vec<Action> {
         let Some(pending) = self.pending.remove(&id) else { return Vec::new() };
@@ -223,8 +213,9 @@
     fn set_stage(&mut self, now: Millis, id: RequestId, stage: Stage) {
         let Some(pending) = self.pending.get_mut(&id) else { return };
         let before = std::mem::replace(&mut pending.stage, stage.clone());
-        let (flow, tokens) = (flow_of(&pending.offer), pending.offer.input_tokens);
-        let size = self.engines.work_ms(now, &pending.offer).max(1.0);
+        let (flow, tokens) = (flow_of(&pending.offer), pending.offer.tokens.input);
+        let (backend, model) = (&pending.offer.backend, &pending.offer.name.model);
+        let size = self.engines.work_ms(now, backend, model, pending.offer.tokens).max(1.0);
         match (&before, &stage) {
             (Stage::Queued(_), Stage::Queued(to)) => self.queue.reassign(id, to.clone()),
             (Stage::Queued(_), Stage::Unassigned) => drop(self.queue.remove(now, id)),
@@ -260,10 +251,14 @@
         let wanted: BTreeSet<Instance> = self.queue.waiting().map(|(_, instance)| instance.clone()).collect();
         for instance in wanted {
             while self.servers.get(&instance).is_some_and(|known| known.has_slot(now)) {
-                let waiting = self.queue.waiting().filter(|(_, at)| **at == instance);
-                let eligible: BTreeSet<RequestId> =
-                    waiting.map(|(id, _)| id).filter(|id| self.has_slot_for(now, *id, &instance)).collect();
-                let taken = self.queue.take_where(now, &instance, |id| eligible.contains(&id));
+                let Dispatcher { queue, pending, servers, urgencies, engines, .. } = self;
+                let may_send_to = |id| match (pending.get(&id), servers.get(&instance)) {
+                    (Some(PendingRequest { offer, .. }), Some(known)) => {
+                        known.has_slot_for(now, urgencies.reserving(now, offer, engines))
+                    }
+                    _ => false,
+                };
+                let taken = queue.take_where(now, &instance, may_send_to);
                 let Some(id) = taken else { break };
                 self.send(now, id, &instance, &mut actions);
             }
@@ -271,24 +266,9 @@
         actions
     }
 
-    /// Whether a model server has a free slot for a waiting request.
-    fn has_slot_for(&self, now: Millis, id: RequestId, instance: &Instance) -> bool {
-        match (self.pending.get(&id), self.servers.get(instance)) {
-            (Some(pending), Some(known)) => {
-                known.has_slot_for(now, self.reserving_urgency(now, &pending.offer))
-            }
-            _ => false,
-        }
-    }
-
-    /// The urgency by which slots are reserved before a request. A slot that it takes is occupied for a slot
-    /// time: while no more urgent request has come for as long, all slots are open to it.
+    /// The urgency by which slots are reserved before a request.
     pub fn reserving_urgency(&self, now: Millis, offer: &Offer) -> Urgency {
-        let slot_time = self.engines.backend_slot_time_ms(now, &offer.backend) as Millis;
-        match self.urgencies.has_more_urgent(now, &offer.backend, offer.urgency, slot_time) {
-            true => offer.urgency,
-            false => 0,
-        }
+        self.urgencies.reserving(now, offer, &self.engines)
     }
 
     fn send(&mut self, now: Millis, id: RequestId, instance: &Instance, actions: &mut Vec<Action>) {
--- a/crates/router/src/dispatcher/assignment.rs
+++ b/crates/router/src/dispatcher/assignment.rs
@@ -1,6 +1,6 @@
 //! Chooses the model server for which a request is queued.
 
-use super::{Dispatcher, Offer, RequestId, Stage};
+use super::{Dispatcher, Offer, PendingRequest, RequestId, Stage};
 use crate::Millis;
 use crate::model_servers::{Instance, KnownModelServer};
 
@@ -25,12 +25,24 @@
             self.record_unassigned(now, id);
         }
         self.set_stage(now, id, stage);
-        if let Some((offer, lacks_adapter_only)) = missed {
-            let waited = now.saturating_sub(offer.arrived);
-            self.model_eta.observe_miss(now, &offer.name, lacks_adapter_only, offer.load_ms, waited);
+        match missed {
+            Some((offer, lacked_adapter_only)) => {
+                self.model_eta.observe_resident(now, &offer, lacked_adapter_only);
+            }
+            None => self.note_residency(now, id),
         }
     }
 
+    /// Records whether the model of a request is resident nowhere.
+    fn note_residency(&mut self, now: Millis, id: RequestId) {
+        let Some(PendingRequest { offer, .. }) = self.pending.get(&id) else { return };
+        if self.servers_for(now, offer).next().is_some() {
+            return self.model_eta.forget_missing(offer);
+        }
+        let lacks_adapter_only = self.lacks_adapter_only(now, offer);
+        self.model_eta.note_missing(now, offer, lacks_adapter_only);
+    }
+
     /// Model servers where the model of a request is resident, in the expected version, and that were not tried
     /// before.
     pub(super) fn candidates<'a>(
--- a/crates/router/src/dispatcher/cost.rs
+++ b/crates/router/src/dispatcher/cost.rs
@@ -24,7 +24,7 @@
 impl Dispatcher {
     /// The candidates with the lowest cost for a request with a prompt, for the leader to choose from.
     pub fn admission_options(&self, now: Millis, offer: &Offer) -> Vec<AdmissionOption> {
-        if offer.name.model.is_empty() || offer.input_tokens == 0 {
+        if offer.name.model.is_empty() || offer.tokens.input == 0 {
             return Vec::new();
         }
         let open = self.candidates(now, offer).filter(|(_, known)| known.has_slot(now));
@@ -66,7 +66,7 @@
     /// Tokens of a request's prompt that are not in a model server's prefix cache.
     pub(super) fn tokens_to_prefill(&self, offer: &Offer, instance: &Instance) -> u64 {
         let cached = self.prefix_cache.cached_tokens(instance, &offer.name, &offer.parts);
-        offer.input_tokens.saturating_sub(cached)
+        offer.tokens.input.saturating_sub(cached)
     }
 
     /// The cost of a model server in addition to prefill, milliseconds.
@@ -79,7 +79,7 @@
         let zone = if known.server.zone == self.zone { 0.0 } else { CROSS_ZONE_ROUND_TRIP_MS };
         let cold = if known.server.cold_remaining_ms > 0 { full_ms / 4.0 } else { 0.0 };
         // The work of a failed attempt has to be done again. The server is avoided, never excluded.
-        let errors = self.engines.work_ms(now, offer) * known.error_rate(now);
+        let errors = self.work_ms(now, offer) * known.error_rate(now);
         let draw = TIE_BREAK_MS * unit_draw(offer.id, instance);
         let stall = self.stall_cost(now, offer, instance, known);
         full_ms * occupancy + full + ejected + zone + cold + errors + stall + draw
--- a/crates/router/src/dispatcher/demand.rs
+++ b/crates/router/src/dispatcher/demand.rs
@@ -34,11 +34,11 @@
         if offer.name.model.is_empty() {
             return;
         }
-        let prefill_ms = self.engines.typical_prefill_ms(now, &offer.name.model, offer.input_tokens) as u64;
+        let prefill_ms = self.engines.typical_prefill_ms(now, &offer.name.model, offer.tokens.input) as u64;
         let target_latency_ms = offer.target_latency_ms as u32;
         let demand = self.demand_of(offer);
         demand.arrived += 1;
-        demand.tokens += offer.input_tokens + offer.output_tokens;
+        demand.tokens += offer.tokens.input + offer.tokens.output;
         demand.prefill_ms += prefill_ms;
         demand.objective_ms = if demand.objective_ms == 0 {
             target_latency_ms
@@ -60,9 +60,8 @@
         }
         let slot_time_ms = now.saturating_sub(pending.since);
         let (backend, model) = (&pending.offer.backend, &pending.offer.name.model);
-        let tokens = (pending.offer.input_tokens, pending.offer.output_tokens);
         self.engines.observe_slot_time(now, backend, model, slot_time_ms);
-        self.engines.observe_decode(now, model, tokens, slot_time_ms);
+        self.engines.observe_decode(now, model, pending.offer.tokens, slot_time_ms);
         if !model.is_empty() {
             self.demand_of(&pending.offer).slot_time_ms += slot_time_ms;
         }
--- a/crates/router/src/dispatcher/load_shedding.rs
+++ b/crates/router/src/dispatcher/load_shedding.rs
@@ -50,16 +50,31 @@
         waiting.into_iter().map(reject).collect()
     }
 
+    /// For how long a request should occupy a slot, milliseconds.
+    pub(super) fn work_ms(&self, now: Millis, offer: &Offer) -> f64 {
+        self.engines.work_ms(now, &offer.backend, &offer.name.model, offer.tokens)
+    }
+
     /// The latest time at which a model server can take a request and still serve it in the time that its
     /// client has left.
     pub fn latest_start(&self, now: Millis, offer: &Offer) -> Millis {
-        let begins_ms = self.engines.typical_prefill_ms(now, &offer.name.model, offer.input_tokens) as Millis;
-        let complete_ms = self.engines.work_ms(now, offer) as Millis;
+        let begins_ms = self.engines.typical_prefill_ms(now, &offer.name.model, offer.tokens.input) as Millis;
+        let complete_ms = self.work_ms(now, offer) as Millis;
         let begins_in_time = offer.abandon_at.saturating_sub(begins_ms);
         let completes_in_time = offer.deadline.saturating_sub(complete_ms);
         begins_in_time.min(completes_in_time)
     }
 
+    /// Rejects a request that has just arrived if it cannot be served in time.
+    pub(super) fn shed_arrival(&mut self, now: Millis, id: RequestId, actions: &mut Vec<Action>) {
+        let ahead = match self.pending.get(&id).map(|pending| &pending.stage) {
+            Some(Stage::Queued(instance)) => self.queue.queued_at(instance).saturating_sub(1),
+            _ => 0,
+        };
+        self.shed_or_keep(now, id, ahead, actions);
+        actions.append(&mut self.dispatch(now));
+    }
+
     /// Rejects waiting requests that cannot be served in time. Requests that can be served in time at another
     /// model server only move there.
     pub(super) fn shed_load(&mut self, now: Millis, actions: &mut Vec<Action>) {
@@ -80,7 +95,7 @@
 
     /// Rejects or moves one waiting request if it cannot be served in time where it is. `ahead`: requests
     /// before it in its queue. Returns whether it stays where it is.
-    pub(super) fn shed_or_keep(
+    fn shed_or_keep(
         &mut self,
         now: Millis,
         id: RequestId,
@@ -183,9 +198,8 @@
 
     /// Time until the model of a request is resident somewhere, milliseconds.
     fn resident_in(&self, now: Millis, offer: &Offer) -> Millis {
-        let waited = now.saturating_sub(offer.arrived);
         let lacks_adapter_only = self.lacks_adapter_only(now, offer);
-        self.model_eta.ready_in(now, &offer.backend, &offer.name, lacks_adapter_only, offer.load_ms, waited)
+        self.model_eta.ready_in(now, offer, lacks_adapter_only)
     }
 
     /// Whether a request lacks only its adapter, because its model is resident at some model server.
--- a/crates/router/src/dispatcher/model_eta.rs
+++ b/crates/router/src/dispatcher/model_eta.rs
@@ -1,6 +1,7 @@
 //! Estimates when a model that is resident nowhere will be resident: from the leader's report of loads in
 //! progress, or from the time that earlier loads took.
 
+use super::Offer;
 use crate::Millis;
 use crate::prompt::ModelName;
 use pathbank_control::estimate::{Estimate, Prior};
@@ -21,10 +22,24 @@
 const OVERDUE_ETA_MS: Millis = 400;
 /// An overdue load is forgotten after this time.
 const OVERDUE_RETENTION_MS: Millis = 3_000;
+/// For how long a missing model is remembered without requests for it: clients come back as late as they were
+/// told.
+const MISSING_RETENTION_MS: Millis = 15_000;
+
+/// A model or an adapter that requests found resident nowhere.
+#[derive(Clone, Copy, Debug)]
+struct MissingModel {
+    /// When a request first found it missing.
+    since: Millis,
+    /// When the last request was told how long it has to wait.
+    asked_at: Millis,
+}
 
 /// The loads in progress, and how long requests waited for earlier loads.
 #[derive(Clone, Debug, Default)]
 pub struct ModelEta {
+    /// By backend, and by model or adapter.
+    missing: BTreeMap<(String, ModelName), MissingModel>,
     /// When each model should be resident, by backend and model.
     expected: BTreeMap<(String, String), Millis>,
     model_overhead: Estimate,
@@ -42,51 +57,55 @@
         }
     }
 
-    /// Records that a request for a model that was not resident can be sent, `waited` milliseconds after it
-    /// arrived.
-    pub fn observe_miss(
-        &mut self,
-        now: Millis,
-        name: &ModelName,
-        lacks_adapter_only: bool,
-        load_ms: Option<Millis>,
-        waited: Millis,
-    ) {
-        if lacks_adapter_only {
+    /// Records that a request finds its model resident nowhere, or only without the adapter. The load counts from
+    /// the first such request on, also for clients that come back later.
+    pub fn note_missing(&mut self, now: Millis, offer: &Offer, lacks_adapter_only: bool) {
+        let fresh = MissingModel { since: now, asked_at: now };
+        let missing = self.missing.entry(key(offer, lacks_adapter_only)).or_insert(fresh);
+        missing.asked_at = now;
+    }
+
+    /// Forgets that the model of a request was missing: it is resident.
+    pub fn forget_missing(&mut self, offer: &Offer) {
+        self.missing.remove(&key(offer, false));
+        self.missing.remove(&key(offer, true));
+    }
+
+    /// Records that the model that a request waited for is resident now.
+    pub fn observe_resident(&mut self, now: Millis, offer: &Offer, lacked_adapter_only: bool) {
+        let missing = self.missing.get(&key(offer, lacked_adapter_only)).copied();
+        self.forget_missing(offer);
+        let waited = now.saturating_sub(missing.map_or(offer.arrived, |missing| missing.since));
+        if lacked_adapter_only {
             return self.adapter.record(now, ADAPTER_LOAD_MS, waited as f64);
         }
-        if !self.expected.keys().any(|(_, model)| *model == name.model) {
-            let overhead = waited.saturating_sub(load_ms.unwrap_or(DEFAULT_LOAD_MS));
+        if !self.expected.keys().any(|(_, model)| *model == offer.name.model) {
+            let overhead = waited.saturating_sub(offer.load_ms.unwrap_or(DEFAULT_LOAD_MS));
             self.model_overhead.record(now, LOAD_OVERHEAD_MS, (overhead as f64).max(LOAD_OVERHEAD_MS.min));
         }
     }
 
-    /// Time until the model of a request is resident, milliseconds. `waited`: how long the request has
-    /// waited. `lacks_adapter_only`: the model is resident somewhere, without the adapter. A load is expected to
-    /// take as long again as it is overdue, so that nobody waits to the end for one that does not come.
-    pub fn ready_in(
-        &self,
-        now: Millis,
-        backend: &str,
-        name: &ModelName,
-        lacks_adapter_only: bool,
-        load_ms: Option<Millis>,
-        waited: Millis,
-    ) -> Millis {
+    /// Time until the model of a request is resident, milliseconds. `lacks_adapter_only`: the model is resident
+    /// somewhere, without the adapter. A load is expected to take as long again as it is overdue, so that nobody
+    /// waits to the end for one that does not come.
+    pub fn ready_in(&self, now: Millis, offer: &Offer, lacks_adapter_only: bool) -> Millis {
+        let missing = self.missing.get(&key(offer, lacks_adapter_only));
+        let waited = missing.map_or(0, |missing| now.saturating_sub(missing.since));
         if lacks_adapter_only {
             let expected = self.adapter.value(now, ADAPTER_LOAD_MS) as Millis;
             return remaining(expected, waited, expected / 4);
         }
-        if let Some(ready_at) = self.expected.get(&(backend.to_owned(), name.model.clone())) {
+        if let Some(ready_at) = self.expected.get(&(offer.backend.clone(), offer.name.model.clone())) {
             return remaining(*ready_at, now, OVERDUE_ETA_MS);
         }
         let overhead = self.model_overhead.value(now, LOAD_OVERHEAD_MS) as Millis;
-        let total = load_ms.unwrap_or(DEFAULT_LOAD_MS) + overhead;
+        let total = offer.load_ms.unwrap_or(DEFAULT_LOAD_MS) + overhead;
         remaining(total, waited, OVERDUE_ETA_MS)
     }
 
-    /// Removes loads that are long overdue.
+    /// Removes loads that are long overdue, and missing models for which nobody asks any more.
     pub fn tidy(&mut self, now: Millis) {
+        self.missing.retain(|_, missing| now < missing.asked_at + MISSING_RETENTION_MS);
         self.expected.retain(|_, ready_at| now < *ready_at + OVERDUE_RETENTION_MS);
     }
 }
@@ -95,3 +114,10 @@
 fn remaining(expected: Millis, passed: Millis, least: Millis) -> Millis {
     expected.abs_diff(passed).max(least)
 }
+
+/// Names what a request lacks: the adapter alone, or its model, whatever the adapter.
+fn key(offer: &Offer, lacks_adapter_only: bool) -> (String, ModelName) {
+    let model = offer.name.model.clone();
+    let adapter = if lacks_adapter_only { offer.name.adapter.clone() } else { String::new() };
+    (offer.backend.clone(), ModelName { model, adapter })
+}
--- a/crates/router/src/dispatcher/offer.rs
+++ b/crates/router/src/dispatcher/offer.rs
@@ -1,7 +1,7 @@
 //! A request as the dispatcher sees it, and the dispatcher's decisions.
 
 use crate::model_servers::Instance;
-use crate::prompt::{ModelName, PromptPart};
+use crate::prompt::{ModelName, PromptPart, TokenCount};
 use crate::{Millis, RequestId};
 use pathbank_control::result_code::ResultCode;
 use pathbank_control::urgency::Urgency;
@@ -16,10 +16,8 @@
     pub backend: String,
     /// The model that the request names.
     pub name: ModelName,
-    /// The tokens of its prompt, as announced by the client.
-    pub input_tokens: u64,
-    /// The most tokens of its answer, as announced by the client.
-    pub output_tokens: u64,
+    /// The tokens of its prompt, and the most tokens of its answer, as announced by the client.
+    pub tokens: TokenCount,
     /// The parts of its prompt, for the prefix cache.
     pub parts: Vec<PromptPart>,
     /// When it arrived.
--- a/crates/router/src/dispatcher/recent_urgencies.rs
+++ b/crates/router/src/dispatcher/recent_urgencies.rs
@@ -1,6 +1,8 @@
 //! Which urgencies have come lately: slots are reserved for urgent requests only while such requests come.
 
+use super::Offer;
 use crate::Millis;
+use crate::engine_estimates::EngineEstimates;
 use pathbank_control::urgency::Urgency;
 use std::collections::BTreeMap;
 
@@ -19,11 +21,16 @@
         self.last_at.entry(backend.to_owned()).or_default().insert(urgency, now);
     }
 
-    /// Whether a request for a backend that is more urgent than `urgency` came within the last `within`
-    /// milliseconds.
-    pub fn has_more_urgent(&self, now: Millis, backend: &str, urgency: Urgency, within: Millis) -> bool {
-        let Some(by_urgency) = self.last_at.get(backend) else { return false };
-        by_urgency.range(..urgency).any(|(_, last_at)| now <= *last_at + within)
+    /// The urgency by which slots are reserved before a request. A slot that it takes is occupied for a slot
+    /// time: while no more urgent request has come for as long, all slots are open to it.
+    pub fn reserving(&self, now: Millis, offer: &Offer, engines: &EngineEstimates) -> Urgency {
+        let slot_time = engines.backend_slot_time_ms(now, &offer.backend) as Millis;
+        let is_recent = |(_, last_at): (&Urgency, &Millis)| now <= *last_at + slot_time;
+        let by_urgency = self.last_at.get(&offer.backend);
+        match by_urgency.is_some_and(|by_urgency| by_urgency.range(..offer.urgency).any(is_recent)) {
+            true => offer.urgency,
+            false => 0,
+        }
     }
 
     /// Forgets urgencies without requests.
--- a/crates/router/src/engine_estimates.rs
+++ b/crates/router/src/engine_estimates.rs
@@ -1,8 +1,8 @@
 //! This edge's estimates of the engines behind model servers: prefill rate, decode pace and slot time.
 
 use crate::Millis;
-use crate::dispatcher::Offer;
 use crate::model_servers::Instance;
+use crate::prompt::TokenCount;
 use pathbank_control::estimate::{EstimateTable, Prior};
 
 /// Prefill rate, tokens per millisecond.
@@ -90,30 +90,23 @@
         }
     }
 
-    /// Records what a request with announced tokens (of its prompt, and at most of its answer) took.
-    pub fn observe_decode(
-        &mut self,
-        now: Millis,
-        model: &str,
-        (input, output): (u64, u64),
-        slot_time: Millis,
-    ) {
-        let decode_ms = slot_time as f64 - self.typical_prefill_ms(now, model, input);
-        if output > 0 && !model.is_empty() {
-            let per_token = decode_ms.max(0.0) / output as f64;
-            self.decode_per_token.record(now, &model.to_owned(), per_token);
+    /// Records for how long a request with announced tokens occupied a slot.
+    pub fn observe_decode(&mut self, now: Millis, model: &str, tokens: TokenCount, slot_time: Millis) {
+        if tokens.output == 0 || model.is_empty() {
+            return;
         }
+        let decode_ms = slot_time as f64 - self.typical_prefill_ms(now, model, tokens.input);
+        self.decode_per_token.record(now, &model.to_owned(), decode_ms / tokens.output as f64);
     }
 
     /// The work of a request: for how long it occupies a slot by the tokens that its client announced,
     /// milliseconds. Without an announcement, as long as others do.
-    pub fn work_ms(&self, now: Millis, offer: &Offer) -> f64 {
-        let model = offer.name.model.as_str();
-        if model.is_empty() || offer.output_tokens == 0 {
-            return self.slot_time_ms(now, &offer.backend, model);
+    pub fn work_ms(&self, now: Millis, backend: &str, model: &str, tokens: TokenCount) -> f64 {
+        if model.is_empty() || tokens.output == 0 {
+            return self.slot_time_ms(now, backend, model);
         }
-        let decode_ms = self.decode_per_token.value(now, model) * offer.output_tokens as f64;
-        self.typical_prefill_ms(now, model, offer.input_tokens) + decode_ms
+        let decode_ms = self.decode_per_token.value(now, model) * tokens.output as f64;
+        self.typical_prefill_ms(now, model, tokens.input) + decode_ms
     }
 
     /// Prefill time of a number of tokens at a model server, milliseconds.
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -8,7 +8,7 @@
 };
 use pathbank_router::dispatcher::{Action, Dispatcher, Offer};
 use pathbank_router::model_servers::AttemptOutcome;
-use pathbank_router::prompt::ModelName;
+use pathbank_router::prompt::{ModelName, TokenCount};
 use std::collections::BTreeSet;
 
 pub fn server(instance: &str, models: &[&str]) -> ModelServer {
@@ -34,8 +34,7 @@
         id,
         backend: "llm".into(),
         name: ModelName::parse(model),
-        input_tokens: 1_000,
-        output_tokens: 50,
+        tokens: TokenCount { input: 1_000, output: 50 },
         parts: Vec::new(),
         arrived,
         deadline: arrived + 10_000,
--- a/crates/router/tests/cost.rs
+++ b/crates/router/tests/cost.rs
@@ -7,6 +7,7 @@
 use common::{Scenario, offer, server};
 use pathbank_protocol::message::{ModelServer, ModelServerLoad};
 use pathbank_router::dispatcher::Offer;
+use pathbank_router::prompt::TokenCount;
 
 /// The cost of each server beside its prefill, milliseconds, in the order of their names.
 fn other_costs_ms(scenario: &Scenario, offer: &Offer) -> Vec<u32> {
@@ -32,7 +33,11 @@
     let scenario = server_with_streams();
     // The prefill of 16 tokens takes a millisecond, as far as is known.
     let cost = |stall_ms: u64| {
-        let prompt = Offer { input_tokens: 16 * stall_ms, target_gap_ms: 300, ..offer(1, "a", scenario.now) };
+        let prompt = Offer {
+            tokens: TokenCount { input: 16 * stall_ms, output: 50 },
+            target_gap_ms: 300,
+            ..offer(1, "a", scenario.now)
+        };
         other_costs_ms(&scenario, &prompt)[0]
     };
     let costs: Vec<u32> = (10..60).map(|step| cost(10 * step)).collect();
@@ -60,8 +65,11 @@
     let mut scenario = Scenario::new(vec![server("i-1", &["a"]), server("i-2", &["a"])]);
     let failing = ModelServerLoad { error_permille: 100, ..streams_at("i-1", 0) };
     scenario.dispatcher.observe_total_loads(scenario.now, &[failing]);
-    let difference = |output_tokens: u64| {
-        let costs = other_costs_ms(&scenario, &Offer { output_tokens, ..offer(1, "a", scenario.now) });
+    let difference = |output: u64| {
+        let costs = other_costs_ms(
+            &scenario,
+            &Offer { tokens: TokenCount { input: 1_000, output }, ..offer(1, "a", scenario.now) },
+        );
         i64::from(costs[0]) - i64::from(costs[1])
     };
     // An output token takes 10 ms, as far as is known, and the prompt 62 ms. Ties are broken by 3 ms at most.
--- a/crates/router/tests/dispatch.rs
+++ b/crates/router/tests/dispatch.rs
@@ -9,7 +9,7 @@
 use pathbank_protocol::message::{LoadedModel, ModelServer, ModelServerLoad, ModelServerState};
 use pathbank_router::dispatcher::Offer;
 use pathbank_router::model_servers::AttemptOutcome;
-use pathbank_router::prompt::PromptPart;
+use pathbank_router::prompt::{PromptPart, TokenCount};
 use std::collections::BTreeSet;
 use test_case::test_case;
 
@@ -296,7 +296,7 @@
     let names: Vec<&str> = options.iter().map(|option| option.instance.as_str()).collect();
     assert_eq!(names, ["i-1", "i-3"], "the server in the same zone comes first");
     assert!(options[0].prefill_ms > 0 && options[1].other_cost_ms > options[0].other_cost_ms);
-    let without_prompt = Offer { input_tokens: 0, ..request.clone() };
+    let without_prompt = Offer { tokens: TokenCount::default(), ..request.clone() };
     assert!(scenario.dispatcher.admission_options(scenario.now, &without_prompt).is_empty());
     (1..=2)
         .for_each(|id| drop(scenario.dispatcher.offer(scenario.now, granted(id, "i-1", scenario.now), true)));
--- a/crates/router/tests/evacuation.rs
+++ b/crates/router/tests/evacuation.rs
@@ -2,32 +2,20 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by a panic")]
 
-use pathbank_protocol::message::{LoadedModel, ModelServer, ModelServerState, ModelServerUpdate};
+mod common;
+
+use pathbank_protocol::message::{ModelServer, ModelServerState, ModelServerUpdate};
 use pathbank_router::dispatcher::{Action, Dispatcher, Offer};
 use pathbank_router::evacuation::{EVACUATION_MARGIN_MS, EventRate, Progress, Stream, plan};
 use pathbank_router::model_servers::AttemptOutcome;
-use pathbank_router::prompt::ModelName;
-use std::collections::BTreeSet;
 use test_case::test_case;
 
 const NOTICE_MS: u64 = 2_000;
 const TICK_MS: u64 = 20;
 
+/// A model server with 12 slots and its announced end.
 fn server(instance: &str, state: ModelServerState, remaining_ms: u64, sequence: u64) -> ModelServer {
-    ModelServer {
-        instance: instance.into(),
-        backend: "llm".into(),
-        address: format!("{instance}:80"),
-        zone: "here".into(),
-        version: "v1".into(),
-        capacity: 12,
-        state,
-        cold_remaining_ms: 0,
-        remaining_ms,
-        models: vec![LoadedModel { name: "a".into(), version: 1, adapters: Vec::new() }],
-        sequence,
-        busy: false,
-    }
+    ModelServer { capacity: 12, state, remaining_ms, sequence, ..common::server(instance, &["a"]) }
 }
 
 struct Scenario {
@@ -45,23 +33,10 @@
         scenario.update_servers(server("i-1", ModelServerState::Ready, 0, 1));
         for (id, deadline, resumable) in streams {
             let offer = Offer {
-                id: *id,
-                backend: "llm".into(),
-                name: ModelName::parse("a"),
-                input_tokens: 1_000,
-                output_tokens: 50,
-                parts: Vec::new(),
-                arrived: scenario.now,
                 deadline: *deadline,
                 abandon_at: *deadline,
-                target_latency_ms: 1_000,
-                target_gap_ms: 0,
-                load_ms: None,
-                granted: None,
-                excluded: BTreeSet::new(),
                 resumable: *resumable,
-                urgency: 0,
-                version: None,
+                ..common::offer(*id, "a", scenario.now)
             };
             let actions = scenario.dispatcher.offer(scenario.now, offer, true);
             assert!(matches!(actions[..], [Action::Send { .. }]));
--- a/crates/router/tests/load_shedding.rs
+++ b/crates/router/tests/load_shedding.rs
@@ -10,6 +10,7 @@
 use pathbank_protocol::message::ModelServer;
 use pathbank_router::dispatcher::{Action, Offer};
 use pathbank_router::model_servers::AttemptOutcome;
+use pathbank_router::prompt::TokenCount;
 use test_case::test_case;
 
 /// A model server with 2 slots whose answers take `slot_time_ms` each, both slots taken.
@@ -182,6 +183,24 @@
     assert!(scenario.dispatcher.take_urgent_demand(), "the model is loaded all the same");
 }
 
+/// A client that came back as it had been told was told the whole load once more, and had no further try.
+#[test]
+fn a_client_that_comes_back_as_told_waits_for_the_rest_of_the_load() {
+    let mut scenario = absent_model();
+    let stream = |id: u64, now: u64| Offer { abandon_at: now + 1_000, ..offer(id, "a", now) };
+    let first = stream(1, scenario.now);
+    let rejections = rejected(&take(&mut scenario, first));
+    let (_, code, retry_after) = rejections[0];
+    assert_eq!(code, ResultCode::NoModelServer);
+    assert!((1_199..=1_200).contains(&retry_after), "the load and what comes before it: {retry_after}");
+    scenario.now += 1_200;
+    let second = stream(2, scenario.now);
+    assert_eq!(take(&mut scenario, second), []);
+    scenario.advance(200);
+    let loaded = ModelServer { sequence: 2, ..server("i-1", &["a", "b"]) };
+    assert_eq!(sent(&scenario.update_servers(vec![loaded])).len(), 1);
+}
+
 #[test]
 fn a_load_that_is_reported_too_long_rejects_who_waits_for_it() {
     let mut scenario = absent_model();
@@ -278,8 +297,8 @@
 fn the_work_left_grows_evenly_with_the_announced_answer() {
     let scenario = full_server(1_000);
     let now = scenario.now;
-    let latest_start = |output_tokens: u64| {
-        let offer = Offer { output_tokens, ..offer_with(30, now, 60_000) };
+    let latest_start = |output: u64| {
+        let offer = Offer { tokens: TokenCount { input: 1_000, output }, ..offer_with(30, now, 60_000) };
         scenario.dispatcher.latest_start(now, &offer) as i64
     };
     // Answers of 50 tokens took a second.
--- a/crates/system/tests/fleet/audit.rs
+++ b/crates/system/tests/fleet/audit.rs
@@ -32,6 +32,8 @@
     pub ends: Vec<bool>,
     /// The head said that it never ran.
     pub refused: bool,
+    /// How long it was held before each refusal, milliseconds.
+    pub held_ms: Vec<u64>,
 }
 
 #[derive(Debug, Default)]
@@ -73,6 +75,12 @@
         over.iter().filter(|served| **served).count() as f64 / over.len().max(1) as f64
     }
 
+    /// Of the refusals, the part that was told within this time.
+    pub fn refused_within(&self, limit_ms: u64) -> f64 {
+        let held: Vec<u64> = self.asked.values().flat_map(|asked| asked.held_ms.iter().copied()).collect();
+        held.iter().filter(|held_ms| **held_ms <= limit_ms).count() as f64 / held.len().max(1) as f64
+    }
+
     /// Of the requests of that urgency that are over, the part that was served.
     pub fn served_of(&self, urgency: u8) -> f64 {
         let over = self.asked.values().filter(|asked| asked.urgency == urgency && !asked.ends.is_empty());
--- a/crates/system/tests/fleet/world.rs
+++ b/crates/system/tests/fleet/world.rs
@@ -17,7 +17,7 @@
 };
 use pathbank_router::dispatcher::{Action, Dispatcher, Offer};
 use pathbank_router::model_servers::AttemptOutcome;
-use pathbank_router::prompt::ModelName;
+use pathbank_router::prompt::{ModelName, TokenCount};
 use pathbank_router::retry_budget::{RetryBudget, RetryBudgetLimits};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -81,6 +81,8 @@
     head: usize,
     client: u64,
     offer: Offer,
+    /// When the head took it.
+    offered_at: u64,
     /// Whether the client was refused before; it comes back once.
     came_back: bool,
 }
@@ -333,6 +335,7 @@
             runs: 0,
             ends: Vec::new(),
             refused: false,
+            held_ms: Vec::new(),
         };
         self.ledger.asked.insert(client, asked);
         self.heads[head].budget.record_request(self.now, "llm");
@@ -340,8 +343,7 @@
             id: 0,
             backend: "llm".into(),
             name: ModelName { model: format!("m{model}"), adapter: String::new() },
-            input_tokens: 1_300,
-            output_tokens: 170,
+            tokens: TokenCount { input: 1_300, output: 170 },
             parts: Vec::new(),
             arrived: self.now,
             deadline: self.now + DEADLINE,
@@ -355,7 +357,7 @@
             urgency,
             version: None,
         };
-        self.try_again(Try { head, client, offer, came_back: false });
+        self.try_again(Try { head, client, offer, offered_at: self.now, came_back: false });
     }
 
     fn next_id(&mut self) -> u64 {
@@ -400,6 +402,10 @@
     /// A client that is refused comes back once, as it was told, to another head.
     fn refused(&mut self, id: u64, retry_after: u64) {
         let Some(mut attempt) = self.tries.remove(&id) else { return };
+        let held_ms = self.now - attempt.offered_at;
+        if let Some(asked) = self.ledger.asked.get_mut(&attempt.client) {
+            asked.held_ms.push(held_ms);
+        }
         let ran = self.ledger.asked[&attempt.client].runs > 0;
         if attempt.came_back || ran {
             return self.end_client(attempt.client, false, true);
@@ -408,7 +414,8 @@
         attempt.offer.granted = None;
         attempt.offer.id = self.next_id();
         attempt.head = (attempt.head + 1) % self.heads.len();
-        self.granted.insert((self.now + retry_after, attempt.offer.id), attempt);
+        attempt.offered_at = self.now + retry_after;
+        self.granted.insert((attempt.offered_at, attempt.offer.id), attempt);
     }
 
     /// A stream leaves its model server for another one, if it may be sent again; otherwise it stays.
@@ -498,6 +505,10 @@
 
     // ---- what was seen ----
 
+    pub fn refused_within(&self, limit_ms: u64) -> f64 {
+        self.ledger.refused_within(limit_ms)
+    }
+
     pub fn served_of(&self, urgency: u8) -> f64 {
         self.ledger.served_of(urgency)
     }
