A slot is due when the request in it should end, not an answer's time from now

Cause: the forecast knew the slot time and not how long the requests in the slots had run, so it stayed an answer's time away while the client's time passed.

Change: this edge's running requests give the times at which slots become free, each by its work; one that is overdue is expected to take as long again.

--- a/crates/router/src/dispatcher/load_shedding.rs
+++ b/crates/router/src/dispatcher/load_shedding.rs
@@ -5,7 +5,7 @@
 //! in that time is rejected as soon as this is known, with the time at which a model server could take it.
 //! Nothing else counts: neither whether the client tried before, nor its latency target.
 
-use super::pending::Stage;
+use super::pending::{PendingRequest, Stage};
 use super::{Action, Dispatcher, Offer, RequestId};
 use crate::Millis;
 use crate::model_servers::{AttemptOutcome, Instance, KnownModelServer};
@@ -29,6 +29,9 @@
     retry_in: Millis,
 }
 
+/// When slots should become free, milliseconds from now in ascending order, by model server. No list is empty.
+type SlotEnds = BTreeMap<Instance, Vec<Millis>>;
+
 impl Forecast {
     /// A model server takes the request in this time, and would take a further one.
     fn ready(code: ResultCode, ready_in: Millis) -> Forecast {
@@ -69,23 +72,30 @@
     pub(super) fn shed_arrival(&mut self, now: Millis, id: RequestId, actions: &mut Vec<Action>) {
         let ahead = match self.pending.get(&id).map(|pending| &pending.stage) {
             Some(Stage::Queued(instance)) => self.queue.queued_at(instance).saturating_sub(1),
-            _ => 0,
+            Some(Stage::Unassigned) => 0,
+            Some(Stage::Sent(_)) | None => return,
         };
-        self.shed_or_keep(now, id, ahead, actions);
+        let slot_ends = self.slot_ends(now);
+        self.shed_or_keep(now, id, &slot_ends, ahead, actions);
         actions.append(&mut self.dispatch(now));
     }
 
     /// Rejects waiting requests that cannot be served in time. Requests that can be served in time at another
     /// model server only move there.
     pub(super) fn shed_load(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let waiting = self.waiting_requests();
+        if waiting.is_empty() {
+            return;
+        }
+        let slot_ends = self.slot_ends(now);
         let mut ahead: BTreeMap<Instance, usize> = BTreeMap::new();
-        for id in self.waiting_requests() {
+        for id in waiting {
             let queue = match self.pending.get(&id).map(|pending| &pending.stage) {
                 Some(Stage::Queued(instance)) => Some(instance.clone()),
                 _ => None,
             };
             let ahead_here = queue.as_ref().and_then(|instance| ahead.get(instance)).copied().unwrap_or(0);
-            let is_kept = self.shed_or_keep(now, id, ahead_here, actions);
+            let is_kept = self.shed_or_keep(now, id, &slot_ends, ahead_here, actions);
             if let Some(instance) = queue.filter(|_| is_kept) {
                 *ahead.entry(instance).or_default() += 1;
             }
@@ -93,12 +103,26 @@
         actions.append(&mut self.dispatch(now));
     }
 
+    /// When the slots of this edge's requests should become free: milliseconds from now in ascending order, by
+    /// model server. A request is expected to take as long again as it is overdue.
+    fn slot_ends(&self, now: Millis) -> SlotEnds {
+        let mut ends = SlotEnds::new();
+        for pending in self.pending.values() {
+            let Stage::Sent(instance) = &pending.stage else { continue };
+            let expected = pending.since + self.work_ms(now, &pending.offer) as Millis;
+            ends.entry(instance.clone()).or_default().push(expected.abs_diff(now));
+        }
+        ends.values_mut().for_each(|ends| ends.sort_unstable());
+        ends
+    }
+
     /// Rejects or moves one waiting request if it cannot be served in time where it is. `ahead`: requests
     /// before it in its queue. Returns whether it stays where it is.
     fn shed_or_keep(
         &mut self,
         now: Millis,
         id: RequestId,
+        slot_ends: &SlotEnds,
         ahead: usize,
         actions: &mut Vec<Action>,
     ) -> bool {
@@ -107,11 +131,11 @@
         };
         let latest_start = self.latest_start(now, &pending.offer);
         let is_in_time = |ready_in: Option<Millis>| ready_in.is_some_and(|wait| now + wait <= latest_start);
-        let here = self.forecast(now, &pending.offer, &pending.stage, ahead);
+        let here = self.forecast(now, pending, slot_ends, ahead);
         if is_in_time(here.ready_in) {
             return true;
         }
-        let elsewhere = self.soonest_server(now, &pending.offer);
+        let elsewhere = self.soonest_server(now, &pending.offer, slot_ends);
         let retry_in = elsewhere.as_ref().map_or(here.retry_in, |(ready_in, _)| here.retry_in.min(*ready_in));
         match elsewhere {
             Some((ready_in, instance)) if is_in_time(Some(ready_in)) => {
@@ -137,13 +161,19 @@
         waiting.map(|(id, _)| *id).collect()
     }
 
-    /// When a model server should take a request that is in this stage. `ahead`: requests before it in its
-    /// queue.
-    fn forecast(&self, now: Millis, offer: &Offer, stage: &Stage, ahead: usize) -> Forecast {
-        match stage {
+    /// When a model server should take a waiting request. `ahead`: requests before it in its queue.
+    fn forecast(
+        &self,
+        now: Millis,
+        pending: &PendingRequest,
+        slot_ends: &SlotEnds,
+        ahead: usize,
+    ) -> Forecast {
+        let offer = &pending.offer;
+        match &pending.stage {
             Stage::Queued(instance) => {
                 let known = self.servers.get(instance);
-                let slot_in = known.map_or(0, |known| self.slot_in(now, offer, known, ahead));
+                let slot_in = known.map_or(0, |known| self.slot_in(now, offer, known, slot_ends, ahead));
                 Forecast::ready(ResultCode::Overloaded, slot_in)
             }
             Stage::Unassigned if !self.servers.has_backend(&offer.backend) => Forecast {
@@ -151,17 +181,16 @@
                 ready_in: self.heartbeat_in(now, &offer.backend),
                 retry_in: HEARTBEAT_INTERVAL_MS,
             },
-            Stage::Unassigned => self.forecast_unassigned(now, offer),
+            Stage::Unassigned => self.forecast_unassigned(now, offer, slot_ends),
             Stage::Sent(_) => Forecast::ready(ResultCode::Overloaded, 0),
         }
     }
 
     /// The forecast of a request that no model server may get at present: its model is resident nowhere, or
     /// every model server that has it was tried. Those are open to the client's next request.
-    fn forecast_unassigned(&self, now: Millis, offer: &Offer) -> Forecast {
+    fn forecast_unassigned(&self, now: Millis, offer: &Offer, slot_ends: &SlotEnds) -> Forecast {
         let tried = self.servers_for(now, offer);
-        let slot_in = |known| self.slot_in(now, offer, known, self.queue.queued_at(&known.server.instance));
-        match tried.map(|(_, known)| slot_in(known)).min() {
+        match tried.map(|(_, known)| self.slot_at_end_in(now, offer, known, slot_ends)).min() {
             Some(retry_in) => Forecast { code: ResultCode::Overloaded, ready_in: None, retry_in },
             None => Forecast::ready(ResultCode::NoModelServer, self.resident_in(now, offer)),
         }
@@ -169,24 +198,46 @@
 
     /// The model server that should take a request first if it joins the end of a queue, and the time until
     /// then, milliseconds.
-    fn soonest_server(&self, now: Millis, offer: &Offer) -> Option<(Millis, Instance)> {
-        let waits = self.candidates(now, offer).map(|(instance, known)| {
-            let ahead = self.queue.queued_at(instance);
-            (self.slot_in(now, offer, known, ahead), instance)
-        });
+    fn soonest_server(&self, now: Millis, offer: &Offer, slot_ends: &SlotEnds) -> Option<(Millis, Instance)> {
+        let candidates = self.candidates(now, offer);
+        let waits =
+            candidates.map(|(instance, known)| (self.slot_at_end_in(now, offer, known, slot_ends), instance));
         waits.min().map(|(wait, instance)| (wait, instance.clone()))
     }
 
-    /// Time until a model server takes a request behind `ahead` others, milliseconds: its ejection has to
-    /// end, and slots become free one by one as answers end.
-    fn slot_in(&self, now: Millis, offer: &Offer, known: &KnownModelServer, ahead: usize) -> Millis {
+    /// Time until a model server takes a request that joins the end of its queue, milliseconds.
+    fn slot_at_end_in(
+        &self,
+        now: Millis,
+        offer: &Offer,
+        known: &KnownModelServer,
+        slot_ends: &SlotEnds,
+    ) -> Millis {
+        self.slot_in(now, offer, known, slot_ends, self.queue.queued_at(&known.server.instance))
+    }
+
+    /// Time until a model server takes a request behind `ahead` others, milliseconds. Its ejection has to end,
+    /// and its free slots are taken first. Then each request waits for the end of one that runs, and after
+    /// these for one of those that wait. Without requests of this edge there, slots become free evenly.
+    fn slot_in(
+        &self,
+        now: Millis,
+        offer: &Offer,
+        known: &KnownModelServer,
+        slot_ends: &SlotEnds,
+        ahead: usize,
+    ) -> Millis {
         let urgency = self.reserving_urgency(now, offer);
         let slots = known.slots_for(now, urgency);
         let takes_one = known.ejected_for_ms(now) > 0 || known.has_slot_for(now, urgency);
-        let free = if takes_one { (slots - f64::from(known.in_flight)).max(0.0).floor() } else { 0.0 };
-        let lacking = (ahead as f64 + 1.0 - free).max(0.0);
+        let free = if takes_one { (slots - f64::from(known.in_flight)).max(0.0) as usize } else { 0 };
+        let Some(turn) = ahead.checked_sub(free) else { return known.ejected_for_ms(now) };
         let slot_time_ms = self.engines.backend_slot_time_ms(now, &offer.backend);
-        known.ejected_for_ms(now) + (lacking * slot_time_ms / slots) as Millis
+        let wait_ms = match slot_ends.get(&known.server.instance) {
+            Some(ends) => ends[turn % ends.len()] + ((turn / ends.len()) as f64 * slot_time_ms) as Millis,
+            None => ((turn + 1) as f64 * slot_time_ms / slots) as Millis,
+        };
+        known.ejected_for_ms(now).max(wait_ms)
     }
 
     /// Time until a model server of a backend without any could be known, milliseconds. `None`: the backend
--- a/crates/system/tests/fleet/main.rs
+++ b/crates/system/tests/fleet/main.rs
@@ -105,6 +105,20 @@
     assert!(served[2] > 0.25 * served[0], "{served:?}");
 }
 
+#[test]
+fn under_overload_refusals_are_told_long_before_the_deadline() {
+    // Given twice what the model servers bear.
+    let load = Load { answer_ms: 4_000, per_server_s: 12.0, urgencies: false };
+    let mut world = World::under(load, 8, 20, 40);
+    world.run(8_000);
+    world.begin_audit();
+    world.run(12_000);
+    assert_eq!(world.audit().broken, Vec::<String>::new());
+    // Then most refusals come at once, and nearly all with more than half of the client's 8 s left.
+    let (at_once, early) = (world.refused_within(500), world.refused_within(4_000));
+    assert!(at_once > 0.5 && early > 0.95, "{at_once} within 0.5 s, {early} within 4 s");
+}
+
 /// Short histories by seed, with troubles drawn one after the other.
 #[test_case(100)]
 #[test_case(200)]
--- a/crates/system/tests/loopback.rs
+++ b/crates/system/tests/loopback.rs
@@ -6,9 +6,10 @@
 mod common;
 
 use common::listener::EdgeListener;
-use common::{System, call, document, until};
+use common::{System, call, document, start_server, until};
 use pathbank_protocol::message::Frame;
 use pathbank_system::local::Process;
+use pathbank_system::stand_in::StandInSettings;
 use std::io::{Read, Write};
 use std::process::Command;
 use std::sync::atomic::Ordering;
@@ -60,6 +61,48 @@
     assert!(took < Duration::from_millis(2_000), "{took:?}");
 }
 
+/// A request that was late for its latency target was refused early; the same request with a shorter deadline was
+/// taken for a repeat and held.
+#[test]
+fn requests_wait_for_a_slot_whatever_their_latency_target_and_however_often_they_were_tried() {
+    let system = System::started();
+    // One slot, and streams of a second.
+    let address = system.local.server_address(9).unwrap();
+    let settings = StandInSettings {
+        capacity: 1,
+        stream_pieces: 50,
+        stream_pause: Duration::from_millis(20),
+        ..StandInSettings::new("i-llm", "llm", "z1", &["m1"], &system.control)
+    };
+    start_server(system.runtime.handle(), settings, address);
+    let mut configuration: serde_json::Value = serde_json::from_str(&document(3)).unwrap();
+    configuration["routes"][1]["target_latency_ms"] = 100.into();
+    system.configure(0, &configuration.to_string());
+    system.until_ready();
+    system.ask_until_served("/llm/x", "id-first", MODEL);
+    let ask = |id: &str, deadline_ms: &str| {
+        let mut headers = vec![
+            ("Host", "shop.example"),
+            ("X-Pathbank-Request-Id", id),
+            ("X-Pathbank-Deadline-Ms", deadline_ms),
+            ("X-Pathbank-Credential", "key-1"),
+        ];
+        headers.extend_from_slice(MODEL);
+        call(system.ingress, "POST", "/llm/x", &headers, "").map(|answer| answer.status)
+    };
+    // The route's timeout is 8 s: a first try has all of it, a repeat less. A client leaves after 2 s of silence.
+    for (id, deadline_ms) in [("id-1", "8000"), ("id-2", "7000")] {
+        let status = std::thread::scope(|scope| {
+            let running = scope.spawn(|| ask(&format!("{id}-running"), "8000"));
+            std::thread::sleep(Duration::from_millis(200));
+            let waiting = ask(id, deadline_ms);
+            assert_eq!(running.join().unwrap(), Some(200));
+            waiting
+        });
+        assert_eq!(status, Some(200), "{id} with {deadline_ms} ms");
+    }
+}
+
 #[test]
 fn the_leader_reports_the_version_in_force_at_each_edge() {
     let system = System::started();
