An edge tells and counts what model servers send that is no piece of a stream

An edge logged a stream's end at debug and counted nothing. Change: router::answer::event_stream defines a piece and the end of a stream with typed errors; for now the relay reads along and passes on what it did before. Each error is a warning with request and last event, a step of explain, and a count in GET /api/answer-errors; a resumption is logged with the id after which it begins. Midway, at the end and after a resumption now differ.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,6 +1,7 @@
 //! The decisions of an edge, without I/O, clock or randomness: the caller passes the time and carries the
 //! decisions out.
 //!
+//! * [`answer`]: what a model server's answer is, told from whatever else it sends.
 //! * [`model_servers`]: the model servers that this edge knows, with ejection of those that fail.
 //! * [`core_choice`]: to which core the edge is subscribed, and which core leads.
 //! * [`dispatcher`]: which request goes to which model server next; load shedding.
@@ -13,6 +14,7 @@
 //! * [`wall_clock`]: the system's wall clock, derived from the cores' clocks.
 //! * [`events`]: the events of a stream, so that another model server can resume it.
 
+pub mod answer;
 pub mod core_choice;
 pub mod dispatcher;
 pub mod draw;
--- a/crates/router/src/request_log.rs
+++ b/crates/router/src/request_log.rs
@@ -43,6 +43,11 @@
         /// The answer's status.
         status: u16,
     },
+    /// The model server sent bytes that are no part of an answer.
+    Malformed {
+        /// The error's name.
+        error: &'static str,
+    },
     /// The stream is resumed at another model server.
     Resuming,
     /// The answer is complete.
--- a/crates/system/src/edge/mod.rs
+++ b/crates/system/src/edge/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod answer;
+mod answer_errors;
 mod attempt;
 mod client_request;
 mod configuration_queue;
--- a/crates/system/src/edge/relay.rs
+++ b/crates/system/src/edge/relay.rs
@@ -13,6 +13,7 @@
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
+use pathbank_router::answer::event_stream::{EventReader, StreamError};
 use pathbank_router::evacuation::{EVACUATION_MARGIN_MS, Progress};
 use pathbank_router::events::EventTracker;
 use pathbank_router::model_servers::AttemptOutcome;
@@ -31,6 +32,8 @@
     lease: Option<ConnectionLease>,
     ticket: Ticket,
     tracker: EventTracker,
+    /// Tells the stream's pieces from other bytes, for logs and metrics.
+    reader: EventReader,
     pacing: Pacing,
     /// The notice that the model server will stop, if the stream can be resumed at another one.
     notice: Option<Arc<EvacuationNotice>>,
@@ -112,6 +115,7 @@
             lease: Some(lease),
             ticket,
             tracker: EventTracker::default(),
+            reader: EventReader::default(),
             pacing: Pacing::new(),
             notice,
             evacuate_at: None,
@@ -138,6 +142,9 @@
                 Event::Frame(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
                     self.pacing.record();
+                    if let Some(error) = self.reader.read(&data).error {
+                        self.record_malformed(error);
+                    }
                     let passed = if self.client_request.is_resumable() {
                         self.tracker.pass(&data).into()
                     } else {
@@ -178,9 +185,21 @@
         error
     }
 
+    /// Records that the model server sent something else than a piece of its stream.
+    fn record_malformed(&self, error: StreamError) {
+        let (id, name) = self.client_request.log_fields();
+        let after = self.reader.last_id();
+        tracing::warn!(id, ?name, %error, after, "a model server sent no piece of its stream");
+        self.shared.answer_errors.record(error.name());
+        self.client_request.record_step(&self.shared, Step::Malformed { error: error.name() });
+    }
+
     /// Ends a stream that is complete. Returns the bytes that the tracker still holds.
     fn complete(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
         self.done = true;
+        if let Err(error) = self.reader.finish() {
+            self.record_malformed(error);
+        }
         if let Some(pace) = self.pacing.pace() {
             self.shared.decisions().dispatcher.observe_decode_pace(clock::now(), self.ticket.id(), pace);
         }
@@ -236,10 +255,13 @@
     async fn resume_elsewhere(&mut self, mut allowed: bool) -> bool {
         self.client_request.record_step(&self.shared, Step::Resuming);
         self.tracker.broke();
+        self.reader.restart();
         self.client_request.silent_since = self.pacing.last;
         if let Some(id) = self.tracker.last_id() {
             self.client_request.resume_after = Some(id.to_owned());
         }
+        let (id, name) = self.client_request.log_fields();
+        tracing::debug!(id, ?name, after = self.tracker.last_id(), "stream is resumed");
         while std::mem::take(&mut allowed) || attempt::may_send_again(&self.shared, &self.client_request) {
             match attempt::attempt(&self.shared, &mut self.client_request).await {
                 AttemptEnd::Answered(exchange, ticket) if exchange.response.status().is_success() => {
--- a/crates/system/src/edge/shared.rs
+++ b/crates/system/src/edge/shared.rs
@@ -1,6 +1,7 @@
 //! The state that all tasks of an edge share. One lock guards the decision logic; no task holds it across an
 //! `await`.
 
+use super::answer_errors::AnswerErrorCounts;
 use super::configuration_queue::ConfigurationQueue;
 use super::core_addresses::CoreAddresses;
 use super::evacuation::EvacuationNotice;
@@ -92,6 +93,8 @@
     pub generations: GenerationCount,
     /// Configuration updates that are not in force yet.
     pub configurations: ConfigurationQueue,
+    /// What model servers sent instead of answers.
+    pub answer_errors: AnswerErrorCounts,
     /// Connections to model servers.
     pub pool: ConnectionPool,
     /// Links to the cores.
@@ -138,6 +141,7 @@
             admissions: PendingAdmissions::default(),
             generations: GenerationCount::default(),
             configurations: ConfigurationQueue::default(),
+            answer_errors: AnswerErrorCounts::default(),
             pool: ConnectionPool::default(),
             mesh: OnceLock::new(),
             cores: Mutex::default(),
--- a/crates/system/src/edge/status.rs
+++ b/crates/system/src/edge/status.rs
@@ -13,6 +13,7 @@
 /// Serves the readiness listener until the edge ends.
 pub async fn serve(listener: TcpListener, shared: Arc<Shared>) {
     let (for_readiness, for_startup, for_estimates) = (shared.clone(), shared.clone(), shared.clone());
+    let for_answer_errors = shared.clone();
     let router = Router::new()
         .get("/api/readyz", move |_request: viz::Request| {
             let ready = for_readiness.is_ready();
@@ -29,6 +30,10 @@
             let estimates = estimates(&for_estimates);
             async move { Ok::<_, viz::Error>(Response::json(estimates)?) }
         })
+        .get("/api/answer-errors", move |_request: viz::Request| {
+            let counts = for_answer_errors.answer_errors.counts();
+            async move { Ok::<_, viz::Error>(Response::json(counts)?) }
+        })
         .get("/api/requests/:id", move |request: viz::Request| {
             let answer = explain(&shared, &request);
             async move { Ok::<_, viz::Error>(answer) }
@@ -76,6 +81,7 @@
         Step::Broken => ("broken", json!({})),
         Step::TimedOut => ("timed_out", json!({})),
         Step::Answered { status } => ("answered", json!({ "status": status })),
+        Step::Malformed { error } => ("malformed", json!({ "error": error })),
         Step::Resuming => ("resuming", json!({})),
         Step::Complete => ("complete", json!({})),
         Step::Abandoned => ("abandoned", json!({})),
