--- /dev/null
+++ b/crates/system/tests/garbage/main.rs
@@ -0,0 +1,173 @@
+//! Model servers that send bytes which belong to no answer, on real sockets before a whole edge: a client gets
+//! pieces that a run made, or an answer that does not look complete.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by a panic")]
+
+#[path = "../common/mod.rs"]
+mod common;
+mod stream_server;
+
+use common::{System, document, until};
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+use stream_server::{Garbage, PIECES, StreamServers, Then, event};
+
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// A route whose streams may be resumed, and one whose streams may not.
+const RESUMABLE: &str = "/llm/x";
+const NOT_RESUMABLE: &str = "/once/x";
+
+/// What a client got of a stream.
+#[derive(Debug, PartialEq, Eq)]
+struct Streamed {
+    status: u16,
+    body: String,
+    /// Whether the answer looked complete.
+    complete: bool,
+}
+
+/// Cores, an edge, two model servers whose streams may go wrong, and a client.
+struct Case {
+    system: System,
+    servers: StreamServers,
+}
+
+impl Case {
+    fn started() -> Case {
+        let system = System::started();
+        let servers = StreamServers::start(&system, &["i-1", "i-2"]);
+        let mut configuration: serde_json::Value = serde_json::from_str(&document(3)).unwrap();
+        let routes = configuration["routes"].as_array_mut().unwrap();
+        let mut once = routes[1].clone();
+        once["name"] = "r4".into();
+        once["path_prefix"] = "/once/".into();
+        once["resumable"] = false.into();
+        routes.push(once);
+        system.configure(0, &configuration.to_string());
+        system.until_ready();
+        let case = Case { system, servers };
+        until("streams are served", || case.stream(RESUMABLE, "id-first", None).status == 200);
+        case
+    }
+
+    /// Asks for a stream on a connection of its own.
+    fn stream(&self, path: &str, id: &str, last_event_id: Option<u64>) -> Streamed {
+        let mut connection = TcpStream::connect(self.system.ingress).unwrap();
+        connection.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+        let last = last_event_id.map(|last| format!("Last-Event-Id: {last}\r\n")).unwrap_or_default();
+        write!(
+            connection,
+            "POST {path} HTTP/1.1\r\nHost: shop.example\r\nX-Pathbank-Request-Id: {id}\r\n{last}\
+             X-Pathbank-Deadline-Ms: 6000\r\nX-Pathbank-Credential: key-1\r\nX-Pathbank-Model: m1\r\n\
+             X-Pathbank-Token-Count: 10,10\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+        )
+        .unwrap();
+        let mut bytes = Vec::new();
+        // A reset ends what arrived as a close does.
+        let _ = connection.read_to_end(&mut bytes);
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+        let status = head.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
+        let (body, complete) = without_chunks(body);
+        Streamed { status, body, complete }
+    }
+
+    /// Asks for a stream that goes wrong.
+    fn stream_with(&self, path: &str, id: &str, garbage: Garbage) -> Streamed {
+        self.servers.plan.set(id, garbage);
+        self.stream(path, id, None)
+    }
+}
+
+/// The bytes of a body in chunks, and whether its last chunk came.
+fn without_chunks(mut body: &str) -> (String, bool) {
+    let mut bytes = String::new();
+    while let Some((length, rest)) = body.split_once("\r\n") {
+        let Ok(length) = usize::from_str_radix(length, 16) else { break };
+        if length == 0 {
+            return (bytes, true);
+        }
+        let Some(chunk) = rest.get(..length) else {
+            bytes.push_str(rest);
+            break;
+        };
+        bytes.push_str(chunk);
+        body = rest.get(length + 2..).unwrap_or_default();
+    }
+    (bytes, false)
+}
+
+fn pieces(id: &str, pieces: std::ops::RangeInclusive<u64>) -> String {
+    pieces.map(|piece| event(id, piece)).collect()
+}
+
+/// Bytes that are no piece of a stream, after piece 3 of 5.
+const GARBAGE: [(&str, &[u8]); 10] = [
+    ("words", b"something went wrong\n\n"),
+    ("binary", b"\x16\x03\x01\xff\xfe\n\n"),
+    ("no-id", b"data: nobody made this\n\n"),
+    ("empty-id", b"id:\ndata: nobody made this\n\n"),
+    ("id-that-is-a-word", b"id: last\ndata: nobody made this\n\n"),
+    ("same-id", b"id: 3\ndata: nobody made this\n\n"),
+    ("earlier-id", b"id: 1\ndata: nobody made this\n\n"),
+    ("half-an-event", b"id: 4\nda"),
+    ("half-an-event-and-a-blank-line", b"id: 4\n\n"),
+    ("another-answer", b"HTTP/1.1 200 OK\r\nX-Pathbank-Request-Id: other\r\nContent-Length: 0\r\n\r\n"),
+];
+
+/// The pieces before garbage.
+const AFTER: u64 = 3;
+
+/// Plays all garbage in streams of this route. Each client has to get pieces up to this one.
+fn play(path: &str, then: Then, up_to: u64) {
+    let case = Case::started();
+    let mut wrong = Vec::new();
+    for (name, bytes) in GARBAGE {
+        let garbage = Garbage { after: AFTER, bytes: bytes.to_vec(), in_chunk: true, then };
+        let streamed = case.stream_with(path, name, garbage);
+        let whole = Streamed { status: 200, body: pieces(name, 1..=up_to), complete: up_to == PIECES };
+        if streamed != whole {
+            wrong.push(format!("{name}: {streamed:?}"));
+        }
+        let runs = case.servers.runs(name);
+        let resumed = runs.iter().skip(1).map(|run| run.last_event_id.as_deref());
+        wrong.extend(
+            resumed
+                .filter(|id| *id != Some("3"))
+                .map(|id| format!("{name}: resumed after {id:?}, not after 3")),
+        );
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
+
+// Issue 79: clients got a piece without an id, which no run had made.
+#[test]
+fn garbage_in_a_resumable_stream_does_not_reach_its_client() {
+    play(RESUMABLE, Then::GoOn, PIECES);
+}
+
+#[test]
+fn garbage_at_the_end_of_a_resumable_stream_does_not_reach_its_client() {
+    play(RESUMABLE, Then::End, PIECES);
+}
+
+#[test]
+fn garbage_before_a_reset_of_a_resumable_stream_does_not_reach_its_client() {
+    play(RESUMABLE, Then::Reset, PIECES);
+}
+
+#[test]
+fn garbage_in_a_stream_that_may_not_be_resumed_ends_it_as_not_complete() {
+    play(NOT_RESUMABLE, Then::GoOn, AFTER);
+}
+
+#[test]
+fn garbage_at_the_end_of_a_stream_that_may_not_be_resumed_does_not_look_complete() {
+    play(NOT_RESUMABLE, Then::End, AFTER);
+}
+
+#[test]
+fn garbage_before_a_close_of_a_stream_that_may_not_be_resumed_does_not_reach_its_client() {
+    play(NOT_RESUMABLE, Then::Close, AFTER);
+}
