The stand-in model server goes on after Last-Event-Id

Cause: its stream began with the first piece whatever Last-Event-Id said, so a resumed stream carried pieces twice, which no check saw until the edge demanded rising ids. Change: it begins after the event that the request names (PROTOCOL.md, "Requests").

--- a/crates/system/src/stand_in/mod.rs
+++ b/crates/system/src/stand_in/mod.rs
@@ -241,6 +241,7 @@
     let model = header(&request, "x-pathbank-model");
     let expected = header(&request, "expect-version").and_then(|version| version.parse().ok());
     let tenant = header(&request, "x-pathbank-tenant").unwrap_or_default();
+    let last_event_id = header(&request, "last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
     let mut response = Response::new(Body::Empty);
     set(&mut response, "x-pathbank-request-id", &id);
     let begun = match target.is_some_and(|target| target != settings.instance) {
@@ -271,7 +272,7 @@
         set(&mut response, "versions", &version.to_string());
     }
     *response.body_mut() = match model {
-        Some(_) => stream(settings, running, id),
+        Some(_) => stream(settings, running, id, last_event_id),
         None => Body::Full(Full::new(Bytes::from(format!("{tenant}:{}", String::from_utf8_lossy(&body))))),
     };
     Ok(response)
@@ -295,9 +296,11 @@
     }
 }
 
-/// A series of events with rising ids. A model server that lies says so in its last one.
-fn stream(settings: Arc<StandInSettings>, running: Running, id: String) -> Body {
-    let events = futures_util::stream::unfold((1_u32, running), move |(number, running)| {
+/// A series of events with rising ids, from the one after `last_event_id`. A model server that lies says so in
+/// its last one.
+fn stream(settings: Arc<StandInSettings>, running: Running, id: String, last_event_id: u32) -> Body {
+    let first = last_event_id.saturating_add(1);
+    let events = futures_util::stream::unfold((first, running), move |(number, running)| {
         let (settings, id) = (settings.clone(), id.clone());
         async move {
             if number > settings.stream_pieces {
