Only pieces of a stream reach its client, and only a whole last piece completes it

Cause: an edge had no definition of a piece. It looked for an empty line in streams that may be resumed and at nothing in others; took what was left at a regular end as the end; and believed any line that began with id: as Last-Event-Id. Change: every stream, and every generation of a training step, passes router::answer::event_stream. What is no piece ends the attempt as a failed one: the connection is closed, the server counts as failed, and the stream goes on elsewhere after its last piece, or ends without its last chunk. Ids have to rise across model servers, beginning with the client's Last-Event-Id. Versions and counts come from pieces alone. router::events is gone; its test that trailing bytes pass at a regular end stated the fault and is replaced by the stricter ones of the reader. They now send sound streams first, since an edge without requests has no budget for a resumption.

--- a/crates/router/src/answer/event_stream.rs
+++ b/crates/router/src/answer/event_stream.rs
@@ -248,7 +248,7 @@
     /// The next complete line, without its end.
     fn next_line(&mut self, buffer: &[u8]) -> Option<Range<usize>> {
         let rest = &buffer[self.scanned..];
-        let Some(length) = rest.iter().position(|byte| matches!(byte, b'\n' | b'\r')) else {
+        let Some(length) = memchr::memchr2(b'\n', b'\r', rest) else {
             self.scanned = buffer.len();
             return None;
         };
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,7 +12,6 @@
 //! * [`retry_budget`]: how many requests may be sent again.
 //! * [`usage`]: requests by tenant and window.
 //! * [`wall_clock`]: the system's wall clock, derived from the cores' clocks.
-//! * [`events`]: the events of a stream, so that another model server can resume it.
 
 pub mod answer;
 pub mod core_choice;
@@ -20,7 +19,6 @@
 pub mod draw;
 pub mod engine_estimates;
 pub mod evacuation;
-pub mod events;
 pub mod model_servers;
 pub mod prompt;
 pub mod request_log;
--- a/crates/system/src/edge/client_request.rs
+++ b/crates/system/src/edge/client_request.rs
@@ -74,7 +74,7 @@
     /// Attempts that a model server may have received.
     pub(super) attempts: u32,
     /// The id of the last event that the client got; replaces the client's own `Last-Event-ID`.
-    pub(super) resume_after: Option<String>,
+    pub(super) resume_after: Option<u64>,
     /// The version of the model's weights that has to answer: the one that the client or the route asks for,
     /// or else the one that sent the first part of the answer.
     pub(super) version: Option<u64>,
@@ -271,6 +271,12 @@
         self.route.kind == RouteType::Streaming && self.route.resumable
     }
 
+    /// The id of the event after which the client asks a stream to go on, on a route that allows it.
+    pub(super) fn last_event_id(&self) -> Option<u64> {
+        let id = text(&self.headers, &LAST_EVENT_ID).filter(|_| self.is_resumable())?;
+        id.trim().parse().ok()
+    }
+
     /// Whether the route's number of attempts and the deadline allow another attempt.
     pub(super) fn has_attempts(&self) -> bool {
         self.attempts < self.route.max_attempts.unwrap_or(1).max(1) && clock::now() < self.deadline
@@ -330,8 +336,8 @@
         if let Some(tenant) = &self.tenant {
             set(TENANT, tenant);
         }
-        if let Some(id) = &self.resume_after {
-            set(LAST_EVENT_ID, id);
+        if let Some(id) = self.resume_after {
+            set(LAST_EVENT_ID, &id.to_string());
         }
         if let Some(version) = self.version {
             set(EXPECT_VERSION, &version.to_string());
--- a/crates/system/src/edge/generation.rs
+++ b/crates/system/src/edge/generation.rs
@@ -20,7 +20,7 @@
 use pathbank_protocol::message::{
     DrawEnding, DrawGrant, DrawId, DrawOffer, DrawRequest, DrawResult, DrawTask, DrawnAnswer, Frame,
 };
-use pathbank_router::events::{self, EventTracker};
+use pathbank_router::answer::event_stream::{EventReader, StreamError};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -147,9 +147,10 @@
     let header_version = version.and_then(|value| value.trim().parse().ok());
     let mut answer = Reading {
         answer: DrawnAnswer { header_version, ..DrawnAnswer::default() },
-        tracker: EventTracker::default(),
+        reader: EventReader::default(),
     };
-    if !answer.read_all(response.into_body()).await {
+    if let Err(error) = answer.read_all(response.into_body()).await {
+        answer.record_error(shared, task, error);
         return DrawEnding::Unknown;
     }
     shared.pool.give_back(lease);
@@ -159,26 +160,46 @@
 /// An answer that is being read.
 struct Reading {
     answer: DrawnAnswer,
-    tracker: EventTracker,
+    reader: EventReader,
+}
+
+/// Why a generation's answer is not complete.
+enum ReadError {
+    /// The connection broke.
+    Broken,
+    /// The model server sent something else than events.
+    Malformed(StreamError),
+}
+
+impl From<StreamError> for ReadError {
+    fn from(error: StreamError) -> ReadError {
+        ReadError::Malformed(error)
+    }
 }
 
 impl Reading {
-    /// Reads the body. Returns whether it is complete.
-    async fn read_all(&mut self, mut body: Incoming) -> bool {
+    /// Reads the body to its end.
+    async fn read_all(&mut self, mut body: Incoming) -> Result<(), ReadError> {
         while let Some(frame) = body.frame().await {
-            let Ok(frame) = frame else { return false };
-            if let Ok(data) = frame.into_data() {
-                let complete = self.tracker.pass(&data);
-                self.append(&complete);
+            let Ok(data) = frame.map_err(|_| ReadError::Broken)?.into_data() else { continue };
+            let pieces = self.reader.read(&data);
+            if let Some(error) = pieces.error {
+                return Err(error.into());
             }
+            self.answer.event_versions.extend(pieces.versions);
+            self.append(&pieces.bytes);
         }
-        let rest = self.tracker.finish();
-        self.append(&rest);
-        true
+        Ok(self.reader.finish()?)
+    }
+
+    fn record_error(&self, shared: &Shared, task: &DrawTask, error: ReadError) {
+        let ReadError::Malformed(error) = error else { return };
+        let (instance, after) = (&task.id.instance, self.reader.last_id());
+        tracing::warn!(instance, %error, after, "a model server sent no piece of a generation");
+        shared.answer_errors.record(error.name());
     }
 
     fn append(&mut self, events: &[u8]) {
-        self.answer.event_versions.extend(events::versions(events));
         let free = MAX_TEXT_BYTES - self.answer.text.len();
         let text = String::from_utf8_lossy(events);
         let end = text.floor_char_boundary(free.min(text.len()));
@@ -187,7 +208,7 @@
     }
 
     fn finish(mut self, task: &DrawTask) -> DrawnAnswer {
-        let tokens = self.tracker.events() * u64::from(task.event_tokens.max(1));
+        let tokens = self.reader.events() * u64::from(task.event_tokens.max(1));
         self.answer.tokens = tokens.min(task.output_tokens.max(1));
         self.answer
     }
--- a/crates/system/src/edge/relay.rs
+++ b/crates/system/src/edge/relay.rs
@@ -15,7 +15,6 @@
 use hyper::body::{Frame, Incoming};
 use pathbank_router::answer::event_stream::{EventReader, StreamError};
 use pathbank_router::evacuation::{EVACUATION_MARGIN_MS, Progress};
-use pathbank_router::events::EventTracker;
 use pathbank_router::model_servers::AttemptOutcome;
 use pathbank_router::request_log::Step;
 use std::collections::VecDeque;
@@ -31,9 +30,10 @@
     head: Option<Answer>,
     lease: Option<ConnectionLease>,
     ticket: Ticket,
-    tracker: EventTracker,
-    /// Tells the stream's pieces from other bytes, for logs and metrics.
+    /// Tells the stream's pieces from other bytes.
     reader: EventReader,
+    /// What followed the last pieces is none.
+    malformed: Option<StreamError>,
     pacing: Pacing,
     /// The notice that the model server will stop, if the stream can be resumed at another one.
     notice: Option<Arc<EvacuationNotice>>,
@@ -46,6 +46,8 @@
 enum Event {
     /// The model server's next bytes; `None`: the body is complete.
     Frame(Option<Result<Frame<Bytes>, hyper::Error>>),
+    /// The model server sent something else than a piece.
+    Malformed(StreamError),
     /// The model server stops at this time, milliseconds of the steady clock.
     Notice(u64),
     /// The stream has to move to another model server now.
@@ -106,6 +108,7 @@
         if client_request.is_resumable() {
             head.headers_mut().remove(hyper::header::CONTENT_LENGTH);
         }
+        let reader = EventReader::after(client_request.last_event_id());
         let notice = client_request.is_resumable().then(|| shared.evacuation_notice(ticket.id()));
         Stream {
             shared,
@@ -114,8 +117,8 @@
             head: Some(head),
             lease: Some(lease),
             ticket,
-            tracker: EventTracker::default(),
-            reader: EventReader::default(),
+            reader,
+            malformed: None,
             pacing: Pacing::new(),
             notice,
             evacuate_at: None,
@@ -125,6 +128,9 @@
 
     /// Waits for the stream's next event.
     async fn event(&mut self) -> Event {
+        if let Some(error) = self.malformed.take() {
+            return Event::Malformed(error);
+        }
         let Some(body) = &mut self.body else { return Event::Evacuate };
         let frame = tokio::time::timeout(clock::until(self.client_request.deadline), body.frame());
         let evacuation = next_evacuation_event(self.notice.as_deref(), self.evacuate_at);
@@ -142,21 +148,23 @@
                 Event::Frame(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
                     self.pacing.record();
-                    if let Some(error) = self.reader.read(&data).error {
-                        self.record_malformed(error);
-                    }
-                    let passed = if self.client_request.is_resumable() {
-                        self.tracker.pass(&data).into()
-                    } else {
-                        data
-                    };
-                    if !passed.is_empty() {
-                        return Some(Ok(Frame::data(passed)));
+                    let pieces = self.reader.read(&data);
+                    self.malformed = pieces.error;
+                    if !pieces.bytes.is_empty() {
+                        return Some(Ok(Frame::data(pieces.bytes)));
                     }
                 }
-                Event::Frame(None) => return self.complete(),
+                Event::Frame(None) => match self.reader.finish() {
+                    Ok(()) => self.complete(),
+                    Err(error) => self.malformed = Some(error),
+                },
                 Event::Frame(Some(Err(error))) => {
-                    self.ticket.end(AttemptOutcome::Failed);
+                    if !self.resume().await {
+                        return Some(Err(self.broken(Step::Broken, error.into())));
+                    }
+                }
+                Event::Malformed(error) => {
+                    self.record_malformed(error);
                     if !self.resume().await {
                         return Some(Err(self.broken(Step::Broken, error.into())));
                     }
@@ -194,20 +202,14 @@
         self.client_request.record_step(&self.shared, Step::Malformed { error: error.name() });
     }
 
-    /// Ends a stream that is complete. Returns the bytes that the tracker still holds.
-    fn complete(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
+    /// Ends a stream that is complete.
+    fn complete(&mut self) {
         self.done = true;
-        if let Err(error) = self.reader.finish() {
-            self.record_malformed(error);
-        }
         if let Some(pace) = self.pacing.pace() {
             self.shared.decisions().dispatcher.observe_decode_pace(clock::now(), self.ticket.id(), pace);
         }
         self.ticket.end(AttemptOutcome::Answered);
-        self.shared
-            .decisions()
-            .event_rate
-            .observe(self.client_request.output_tokens(), self.tracker.events());
+        self.shared.decisions().event_rate.observe(self.client_request.output_tokens(), self.reader.events());
         let first_ms = self.pacing.began.saturating_sub(self.client_request.arrived());
         let (longest_pause_ms, took_ms) =
             (self.pacing.longest, clock::now().saturating_sub(self.pacing.began));
@@ -217,8 +219,6 @@
         if let Some(lease) = self.lease.take() {
             self.shared.pool.give_back(lease);
         }
-        let rest = self.tracker.finish();
-        (!rest.is_empty()).then(|| Ok(Frame::data(rest.into())))
     }
 
     /// Sets when the stream leaves a model server that will stop: now, or, if the stream should be complete
@@ -226,7 +226,7 @@
     fn plan_evacuation(&mut self, ends_at: u64) {
         let now = clock::now();
         let expected = self.shared.decisions().event_rate.expected(self.client_request.output_tokens());
-        let progress = Progress { started_at: self.pacing.began, events: self.tracker.events(), expected };
+        let progress = Progress { started_at: self.pacing.began, events: self.reader.events(), expected };
         let stays = progress.completes_before(now, ends_at);
         self.notice = None;
         self.evacuate_at = Some(if stays { ends_at.saturating_sub(EVACUATION_MARGIN_MS) } else { now });
@@ -244,9 +244,11 @@
         self.resume_elsewhere(true).await
     }
 
-    /// Resumes a stream that its model server broke off, if that is allowed. Returns whether the stream goes
-    /// on.
+    /// Resumes a stream that its model server broke off or spoiled, if that is allowed. Returns whether the
+    /// stream goes on.
     async fn resume(&mut self) -> bool {
+        self.ticket.end(AttemptOutcome::Failed);
+        (self.body, self.lease) = (None, None);
         self.client_request.is_resumable() && self.resume_elsewhere(false).await
     }
 
@@ -254,14 +256,11 @@
     /// caller has already spent the retry budget for the first attempt. Returns whether the stream goes on.
     async fn resume_elsewhere(&mut self, mut allowed: bool) -> bool {
         self.client_request.record_step(&self.shared, Step::Resuming);
-        self.tracker.broke();
         self.reader.restart();
         self.client_request.silent_since = self.pacing.last;
-        if let Some(id) = self.tracker.last_id() {
-            self.client_request.resume_after = Some(id.to_owned());
-        }
+        self.client_request.resume_after = self.reader.last_id();
         let (id, name) = self.client_request.log_fields();
-        tracing::debug!(id, ?name, after = self.tracker.last_id(), "stream is resumed");
+        tracing::debug!(id, ?name, after = self.reader.last_id(), "stream is resumed");
         while std::mem::take(&mut allowed) || attempt::may_send_again(&self.shared, &self.client_request) {
             match attempt::attempt(&self.shared, &mut self.client_request).await {
                 AttemptEnd::Answered(exchange, ticket) if exchange.response.status().is_success() => {
--- a/crates/system/tests/garbage/main.rs
+++ b/crates/system/tests/garbage/main.rs
@@ -7,12 +7,14 @@
 mod common;
 mod stream_server;
 
-use common::{System, document, until};
+use common::{System, call, document, until};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::Duration;
 use stream_server::{Garbage, PIECES, StreamServers, Then, event};
 
+/// Each request earns a part of a retry (`retry_budget_ratio`).
+const SOUND_STREAMS_FOR_A_RETRY: usize = 10;
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// A route whose streams may be resumed, and one whose streams may not.
 const RESUMABLE: &str = "/llm/x";
@@ -73,8 +75,18 @@
         Streamed { status, body, complete }
     }
 
-    /// Asks for a stream that goes wrong.
+    /// What the edge says of a request.
+    fn steps(&self, id: &str) -> String {
+        let answer = call(self.system.readiness, "GET", &format!("/api/requests/{id}"), &[], "");
+        answer.map(|answer| answer.body).unwrap_or_default()
+    }
+
+    /// Asks for a stream that goes wrong, after as many sound ones as earn the retry that it needs.
     fn stream_with(&self, path: &str, id: &str, garbage: Garbage) -> Streamed {
+        for number in 0..SOUND_STREAMS_FOR_A_RETRY {
+            let sound = self.stream(path, &format!("{id}-before-{number}"), None);
+            assert!(sound.complete, "{sound:?}");
+        }
         self.servers.plan.set(id, garbage);
         self.stream(path, id, None)
     }
@@ -128,7 +140,7 @@
         let streamed = case.stream_with(path, name, garbage);
         let whole = Streamed { status: 200, body: pieces(name, 1..=up_to), complete: up_to == PIECES };
         if streamed != whole {
-            wrong.push(format!("{name}: {streamed:?}"));
+            wrong.push(format!("{name}: {streamed:?}\n{}", case.steps(name)));
         }
         let runs = case.servers.runs(name);
         let resumed = runs.iter().skip(1).map(|run| run.last_event_id.as_deref());
--- a/crates/system/tests/garbage/stream_server.rs
+++ b/crates/system/tests/garbage/stream_server.rs
@@ -98,6 +98,7 @@
     }
 
     fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
+        stream.set_nodelay(true)?;
         let mut buffer = Vec::new();
         while let Some(head) = read_request(&mut stream, &mut buffer)? {
             let value = |name: &str| {
