Nothing of an answer is believed before its head is checked, in one place with typed errors

An edge passed a model server's load and the start of its answer to the dispatcher before it compared the id of the answer; a generation of a training step took 'not run' from an answer to another request, and would have been drawn twice. Load was read from the first two numbers of any list. Change: router::answer::head decides what an answer is (stream, whole body, not run, misdirected) or why it is none; attempts and generations use it. A document on a streaming route, told by its media type, goes to the client when it is complete; a coded stream is no answer. router::answer::load takes three numbers with no more running than slots. Errors are warnings, steps of explain, and counts.

--- a/crates/system/src/edge/attempt.rs
+++ b/crates/system/src/edge/attempt.rs
@@ -3,24 +3,26 @@
 use super::admission;
 use super::answer::{Answer, RETRY_SOON_MS};
 use super::client_request::ClientRequest;
-use super::headers::{INSTANCE_LOAD, NOT_EXECUTED, REQUEST_ID, SIGNATURE, text};
+use super::headers::{INSTANCE_LOAD, text};
 use super::shared::{Decision, Shared};
 use super::ticket::Ticket;
-use super::upstream_answer;
+use super::upstream_answer::{self, answer_head};
 use crate::clock;
 use crate::net::client::{Exchange, ExchangeError};
 use crate::startup::Milestone;
-use hyper::StatusCode;
 use hyper::header::HeaderMap;
-use pathbank_control::configuration::RouteType;
 use pathbank_control::result_code::ResultCode;
+use pathbank_router::answer::head::{AnswerKind, HeadError};
+use pathbank_router::answer::load::InstanceLoad;
 use pathbank_router::model_servers::{AttemptOutcome, Instance};
 use pathbank_router::request_log::Step;
 use std::sync::Arc;
 
 /// How an attempt ended.
 pub(super) enum AttemptEnd {
-    /// The model server sent the head of its answer. The body has not been read.
+    /// The model server sent the head of an answer whose body is a stream.
+    Streams(Box<Exchange>, Ticket),
+    /// The model server sent the head of another answer. The body has not been read.
     Answered(Box<Exchange>, Ticket),
     /// The edge refuses the request: the reason, and after how many milliseconds the client may retry.
     Refused(ResultCode, u64),
@@ -107,59 +109,72 @@
     mut ticket: Ticket,
 ) -> AttemptEnd {
     client_request.attempts += 1;
-    let headers = exchange.response.headers();
-    shared.decisions().dispatcher.response_started(
-        clock::now(),
-        ticket.id(),
-        exchange.response.status().is_success(),
-    );
-    observe_load(shared, &instance, headers);
-    let echoes_id = headers.get(REQUEST_ID) == client_request.headers.get(REQUEST_ID);
-    // An answer without a length ends when its connection closes. In a buffered answer a reset shows that it
-    // is incomplete; in a stream nothing would tell an early end from the proper one.
-    let framed = headers.contains_key(hyper::header::CONTENT_LENGTH)
-        || headers.contains_key(hyper::header::TRANSFER_ENCODING)
-        || client_request.route.kind != RouteType::Streaming;
-    let status = exchange.response.status();
-    let not_run = headers.contains_key(NOT_EXECUTED) || status == StatusCode::MISDIRECTED_REQUEST;
-    if !echoes_id || !framed || status.is_success() && !headers.contains_key(SIGNATURE) {
-        ticket.end(AttemptOutcome::Failed);
-        client_request.record_step(shared, Step::Broken);
-        client_request.attempted.insert(instance);
-        return AttemptEnd::Broken;
-    }
-    if not_run {
-        let missing = status == StatusCode::MISDIRECTED_REQUEST;
-        ticket.end(match (missing, client_request.version) {
-            (false, _) => AttemptOutcome::Full,
-            (true, None) => AttemptOutcome::Misdirected,
-            // The model server may hold the model in another version.
-            (true, Some(_)) => AttemptOutcome::Abandoned,
-        });
-        let (id, name) = client_request.log_fields();
-        tracing::debug!(id, ?name, instance, status = status.as_u16(), "attempt not run");
-        client_request.record_step(shared, Step::NotRun);
-        client_request.attempted.insert(instance);
-        let whole = tokio::time::timeout(
-            clock::until(client_request.deadline),
-            upstream_answer::read_complete(shared, exchange),
-        );
-        let answer = whole.await.ok().and_then(Result::ok);
-        // A 421 only tells which instance answered, which is of no use to the client.
-        return AttemptEnd::NotRun(answer.filter(|_| !missing));
+    let head = answer_head(&exchange.response);
+    let kind = match head.check(client_request.sent_request()) {
+        Ok(kind) => kind,
+        Err(error) => {
+            record_head_error(shared, client_request, &instance, error);
+            ticket.end(AttemptOutcome::Failed);
+            client_request.attempted.insert(instance);
+            return AttemptEnd::Broken;
+        }
+    };
+    let (status, is_success) = (head.status, head.is_success());
+    shared.decisions().dispatcher.response_started(clock::now(), ticket.id(), is_success);
+    observe_load(shared, &instance, exchange.response.headers());
+    if matches!(kind, AnswerKind::Misdirected | AnswerKind::NotRun) {
+        return not_run(shared, client_request, instance, exchange, ticket, kind).await;
     }
-    client_request.record_step(shared, Step::Answered { status: status.as_u16() });
-    if status.is_success() {
+    client_request.record_step(shared, Step::Answered { status });
+    if is_success {
         shared.startup.reach(Milestone::Answered);
     }
-    AttemptEnd::Answered(Box::new(exchange), ticket)
+    match kind {
+        AnswerKind::Stream => AttemptEnd::Streams(Box::new(exchange), ticket),
+        _ => AttemptEnd::Answered(Box::new(exchange), ticket),
+    }
+}
+
+/// Ends an attempt whose model server says that the request did not run.
+async fn not_run(
+    shared: &Arc<Shared>,
+    client_request: &mut ClientRequest,
+    instance: Instance,
+    exchange: Exchange,
+    mut ticket: Ticket,
+    kind: AnswerKind,
+) -> AttemptEnd {
+    let misdirected = kind == AnswerKind::Misdirected;
+    ticket.end(match (misdirected, client_request.version) {
+        (false, _) => AttemptOutcome::Full,
+        (true, None) => AttemptOutcome::Misdirected,
+        // The model server may hold the model in another version.
+        (true, Some(_)) => AttemptOutcome::Abandoned,
+    });
+    let (id, name) = client_request.log_fields();
+    tracing::debug!(id, ?name, instance, ?kind, "attempt not run");
+    client_request.record_step(shared, Step::NotRun);
+    client_request.attempted.insert(instance);
+    let whole = tokio::time::timeout(
+        clock::until(client_request.deadline),
+        upstream_answer::read_complete(shared, exchange),
+    );
+    let answer = whole.await.ok().and_then(Result::ok);
+    // A 421 only tells which instance answered, which is of no use to the client.
+    AttemptEnd::NotRun(answer.filter(|_| !misdirected))
+}
+
+/// Records that a model server sent something else than an answer to the request.
+fn record_head_error(shared: &Shared, client_request: &ClientRequest, instance: &str, error: HeadError) {
+    let (id, name) = client_request.log_fields();
+    tracing::warn!(id, ?name, instance, %error, "a model server sent no answer to the request");
+    shared.answer_errors.record(error.name());
+    client_request.record_step(shared, Step::Malformed { error: error.name() });
 }
 
 /// Passes the load that a model server states in its answer to the dispatcher.
 fn observe_load(shared: &Arc<Shared>, instance: &str, headers: &HeaderMap) {
-    let Some(load) = text(headers, &INSTANCE_LOAD) else { return };
-    let mut numbers = load.split(',').map(|number| number.trim().parse::<u32>());
-    if let (Some(Ok(running)), Some(Ok(waiting))) = (numbers.next(), numbers.next()) {
-        shared.decisions().dispatcher.observe_load(clock::now(), instance, running, waiting);
-    }
+    let Some(load) = text(headers, &INSTANCE_LOAD).and_then(InstanceLoad::parse) else { return };
+    let InstanceLoad { running, waiting, .. } = load;
+    shared.decisions().dispatcher.observe_load(clock::now(), instance, running, waiting);
 }
--- a/crates/system/src/edge/client_request.rs
+++ b/crates/system/src/edge/client_request.rs
@@ -11,12 +11,13 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{ACCEPT_ENCODING, HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Uri};
 use pathbank_control::configuration::{Route, RouteType, RouteVersion, Tenant};
 use pathbank_control::result_code::ResultCode;
 use pathbank_control::routes::RouteTable;
 use pathbank_control::urgency::{self, LOWEST_PRIORITY, Urgency};
+use pathbank_router::answer::head::SentRequest;
 use pathbank_router::dispatcher::Offer;
 use pathbank_router::model_servers::Instance;
 use pathbank_router::prompt::{ModelName, TokenCount, parse_parts};
@@ -271,6 +272,15 @@
         self.route.kind == RouteType::Streaming && self.route.resumable
     }
 
+    /// What the head of an answer is compared with.
+    pub(super) fn sent_request(&self) -> SentRequest<'_> {
+        SentRequest {
+            id: self.headers.get(REQUEST_ID).map(HeaderValue::as_bytes),
+            streaming: self.route.kind == RouteType::Streaming,
+            accepts_encoding: self.headers.contains_key(ACCEPT_ENCODING),
+        }
+    }
+
     /// The id of the event after which the client asks a stream to go on, on a route that allows it.
     pub(super) fn last_event_id(&self) -> Option<u64> {
         let id = text(&self.headers, &LAST_EVENT_ID).filter(|_| self.is_resumable())?;
--- a/crates/system/src/edge/generation.rs
+++ b/crates/system/src/edge/generation.rs
@@ -5,10 +5,11 @@
 //! link. The edge reports each result to the core that leads at that time.
 
 use super::headers::{
-    DEADLINE, EXPECT_VERSION, MODEL, NOT_EXECUTED, PRIORITY, PROMPT_PREFIX, REQUEST_ID, SIGNATURE,
-    TARGET_INSTANCE, TOKEN_COUNT, VERSIONS,
+    DEADLINE, EXPECT_VERSION, MODEL, PRIORITY, PROMPT_PREFIX, REQUEST_ID, TARGET_INSTANCE, TOKEN_COUNT,
+    VERSIONS,
 };
 use super::shared::Shared;
+use super::upstream_answer::answer_head;
 use crate::clock;
 use crate::net::client::{Exchange, ExchangeError};
 use bytes::Bytes;
@@ -21,6 +22,7 @@
     DrawEnding, DrawGrant, DrawId, DrawOffer, DrawRequest, DrawResult, DrawTask, DrawnAnswer, Frame,
 };
 use pathbank_router::answer::event_stream::{EventReader, StreamError};
+use pathbank_router::answer::head::{AnswerKind, SentRequest};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -133,17 +135,18 @@
     request_id: Option<&HeaderValue>,
 ) -> DrawEnding {
     let Exchange { response, lease } = exchange;
-    let headers = response.headers();
-    let did_not_run =
-        headers.contains_key(NOT_EXECUTED) || response.status() == StatusCode::MISDIRECTED_REQUEST;
-    let is_authentic = headers.get(REQUEST_ID) == request_id && headers.contains_key(SIGNATURE);
-    if did_not_run || response.status() != StatusCode::OK {
-        return DrawEnding::Over;
-    }
-    if !is_authentic {
-        return DrawEnding::Unknown;
+    let sent =
+        SentRequest { id: request_id.map(HeaderValue::as_bytes), streaming: true, accepts_encoding: false };
+    match answer_head(&response).check(sent) {
+        Ok(AnswerKind::Stream) if response.status() == StatusCode::OK => {}
+        Ok(_) => return DrawEnding::Over,
+        Err(error) => {
+            tracing::warn!(instance = task.id.instance, %error, "a model server sent no answer to a generation");
+            shared.answer_errors.record(error.name());
+            return DrawEnding::Unknown;
+        }
     }
-    let version = headers.get(VERSIONS).and_then(|value| value.to_str().ok());
+    let version = response.headers().get(VERSIONS).and_then(|value| value.to_str().ok());
     let header_version = version.and_then(|value| value.trim().parse().ok());
     let mut answer = Reading {
         answer: DrawnAnswer { header_version, ..DrawnAnswer::default() },
--- a/crates/system/src/edge/proxy.rs
+++ b/crates/system/src/edge/proxy.rs
@@ -13,7 +13,6 @@
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
-use pathbank_control::configuration::RouteType;
 use pathbank_control::result_code::ResultCode;
 use pathbank_router::model_servers::AttemptOutcome;
 use pathbank_router::request_log::Step;
@@ -42,7 +41,14 @@
     }
     loop {
         let (last_answer, code) = match attempt(&shared, &mut client_request).await {
+            AttemptEnd::Streams(exchange, ticket) => {
+                record_usage(&shared, &client_request);
+                return relay::stream(Stream::new(shared, client_request, *exchange, ticket));
+            }
             AttemptEnd::Answered(exchange, ticket) => {
+                if exchange.response.status().is_success() {
+                    record_usage(&shared, &client_request);
+                }
                 match finish(&shared, client_request, *exchange, ticket).await {
                     Ok(answer) => return answer,
                     Err((returned_request, code)) => {
@@ -71,6 +77,13 @@
     }
 }
 
+/// Counts a request that began to run for its tenant.
+fn record_usage(shared: &Shared, client_request: &ClientRequest) {
+    if let Some(tenant) = &client_request.tenant {
+        shared.record_start(tenant);
+    }
+}
+
 /// Turns a model server's answer into the client's. `Err`: the answer broke off or was late before anything
 /// was sent to the client; returns the request for a further attempt.
 async fn finish(
@@ -79,14 +92,6 @@
     exchange: Exchange,
     mut ticket: Ticket,
 ) -> Result<Answer, (ClientRequest, ResultCode)> {
-    if exchange.response.status().is_success()
-        && let Some(tenant) = &client_request.tenant
-    {
-        shared.record_start(tenant);
-    }
-    if client_request.route.kind == RouteType::Streaming && exchange.response.status().is_success() {
-        return Ok(relay::stream(Stream::new(shared.clone(), client_request, exchange, ticket)));
-    }
     let whole = tokio::time::timeout(
         clock::until(client_request.deadline),
         upstream_answer::read_complete(shared, exchange),
--- a/crates/system/src/edge/relay.rs
+++ b/crates/system/src/edge/relay.rs
@@ -263,7 +263,7 @@
         tracing::debug!(id, ?name, after = self.reader.last_id(), "stream is resumed");
         while std::mem::take(&mut allowed) || attempt::may_send_again(&self.shared, &self.client_request) {
             match attempt::attempt(&self.shared, &mut self.client_request).await {
-                AttemptEnd::Answered(exchange, ticket) if exchange.response.status().is_success() => {
+                AttemptEnd::Streams(exchange, ticket) => {
                     self.continue_with(*exchange, ticket);
                     return true;
                 }
--- a/crates/system/tests/garbage/main.rs
+++ b/crates/system/tests/garbage/main.rs
@@ -114,7 +114,7 @@
     pieces.map(|piece| event(id, piece)).collect()
 }
 
-/// Bytes that are no piece of a stream, after piece 3 of 5.
+/// Bytes that are no piece of a stream.
 const GARBAGE: [(&str, &[u8]); 10] = [
     ("words", b"something went wrong\n\n"),
     ("binary", b"\x16\x03\x01\xff\xfe\n\n"),
@@ -153,6 +153,17 @@
     assert!(wrong.is_empty(), "{}", wrong.join("\n"));
 }
 
+/// Plays garbage that lies where a chunk is due, so that the framing of the body is broken too.
+fn play_between_chunks(path: &str, up_to: u64) {
+    let case = Case::started();
+    for (name, bytes) in GARBAGE {
+        let garbage = Garbage { after: AFTER, bytes: bytes.to_vec(), in_chunk: false, then: Then::GoOn };
+        let streamed = case.stream_with(path, name, garbage);
+        let whole = Streamed { status: 200, body: pieces(name, 1..=up_to), complete: up_to == PIECES };
+        assert_eq!(streamed, whole, "{name}: {}", case.steps(name));
+    }
+}
+
 // Issue 79: clients got a piece without an id, which no run had made.
 #[test]
 fn garbage_in_a_resumable_stream_does_not_reach_its_client() {
@@ -183,3 +194,78 @@
 fn garbage_before_a_close_of_a_stream_that_may_not_be_resumed_does_not_reach_its_client() {
     play(NOT_RESUMABLE, Then::Close, AFTER);
 }
+
+#[test]
+fn garbage_between_the_chunks_of_a_resumable_stream_does_not_reach_its_client() {
+    play_between_chunks(RESUMABLE, PIECES);
+}
+
+#[test]
+fn garbage_between_the_chunks_of_a_stream_that_may_not_be_resumed_ends_it_as_not_complete() {
+    play_between_chunks(NOT_RESUMABLE, AFTER);
+}
+
+#[test]
+fn a_second_answer_behind_a_whole_stream_reaches_nobody() {
+    let case = Case::started();
+    for number in 0..20 {
+        let id = format!("twice-{number}");
+        let second = format!(
+            "0\r\n\r\nHTTP/1.1 200 OK\r\nX-Pathbank-Request-Id: {id}\r\nX-Pathbank-Response-Signature: garbage\r\n\
+             X-Pathbank-Instance-Load: 8,900,8\r\nContent-Length: 4\r\n\r\nnone"
+        );
+        let garbage =
+            Garbage { after: PIECES, bytes: second.into_bytes(), in_chunk: false, then: Then::Close };
+        for id in [id.as_str(), &format!("{id}-next")] {
+            let streamed = case.stream_with(NOT_RESUMABLE, id, garbage.clone());
+            let whole = Streamed { status: 200, body: pieces(id, 1..=PIECES), complete: true };
+            assert_eq!(streamed, whole, "{}", case.steps(id));
+        }
+    }
+}
+
+// A server that broke off before its first piece left the next one to begin anew.
+#[test]
+fn a_stream_that_its_client_resumes_goes_on_after_the_last_event_at_each_server() {
+    let case = Case::started();
+    let garbage = Garbage { after: 2, bytes: b"id: 1\n".to_vec(), in_chunk: true, then: Then::End };
+    let sound = case.stream_with(RESUMABLE, "earns-a-retry", garbage.clone());
+    assert!(sound.complete, "{sound:?}");
+    for garbage in [None, Some(garbage)] {
+        let id = format!("resumed-{}", garbage.is_some());
+        if let Some(garbage) = garbage {
+            // Earns the retry first.
+            case.stream_with(RESUMABLE, "earns-another", garbage.clone());
+            (0..SOUND_STREAMS_FOR_A_RETRY).for_each(|_| drop(case.stream(RESUMABLE, "sound", None)));
+            case.servers.plan.set(&id, garbage);
+        }
+        let streamed = case.stream(RESUMABLE, &id, Some(2));
+        let whole = Streamed { status: 200, body: pieces(&id, 3..=PIECES), complete: true };
+        assert_eq!(streamed, whole, "{}", case.steps(&id));
+        let after = case.servers.runs(&id);
+        assert!(after.iter().all(|run| run.last_event_id.as_deref() == Some("2")), "{after:?}");
+    }
+}
+
+/// The seeds of garbage that is drawn at random.
+const SEEDS: std::ops::Range<u64> = 0..60;
+
+#[test]
+fn no_bytes_of_a_server_reach_a_client_but_pieces() {
+    let case = Case::started();
+    for seed in SEEDS {
+        let mut draw = fastrand::Rng::with_seed(seed);
+        let bytes: Vec<u8> = (0..draw.usize(1..200)).map(|_| draw.u8(..)).collect();
+        let then = [Then::GoOn, Then::End, Then::Close, Then::Reset][draw.usize(..4)];
+        let garbage = Garbage { after: draw.u64(0..=PIECES), bytes, in_chunk: draw.bool(), then };
+        let (id, once) = (format!("seed-{seed}"), format!("seed-{seed}-once"));
+        let streamed = case.stream_with(RESUMABLE, &id, garbage.clone());
+        let whole = Streamed { status: 200, body: pieces(&id, 1..=PIECES), complete: true };
+        assert_eq!(streamed, whole, "{garbage:?} {}", case.steps(&id));
+        let streamed = case.stream_with(NOT_RESUMABLE, &once, garbage.clone());
+        let whole = pieces(&once, 1..=PIECES);
+        assert!(whole.starts_with(&streamed.body), "{streamed:?} {garbage:?}");
+        let is_whole = streamed.body == whole;
+        assert!(is_whole || !streamed.complete, "{streamed:?} {garbage:?} {}", case.steps(&once));
+    }
+}
