A call to the platform takes no late answer of the call before

Calls to the platform used kept connections, and nothing in an answer names its call: a second answer to one usage report would have confirmed the next one, which may not have arrived. Change: each call has a connection of its own, as orders have.

--- a/crates/system/src/core/mod.rs
+++ b/crates/system/src/core/mod.rs
@@ -23,7 +23,7 @@
 mod preparation;
 mod publication;
 mod replication;
-mod singleton_roles;
+pub mod singleton_roles;
 mod state_check;
 mod state_machine;
 mod status;
--- a/crates/system/src/core/singleton_roles.rs
+++ b/crates/system/src/core/singleton_roles.rs
@@ -93,7 +93,8 @@
     let Some(request) = request(path, platform, guard, body.to_owned()) else {
         return CallReply::Rejected;
     };
-    match pool.call_if(platform, request, CALL_TIMEOUT, || guard.is_valid()).await {
+    // A late answer to an earlier call must not be taken for this one's, which nothing in it would show.
+    match pool.call_once(platform, request, CALL_TIMEOUT, || guard.is_valid()).await {
         Some((200..=299, _)) => CallReply::Accepted,
         Some((400..=428, _)) => CallReply::Rejected,
         Some(_) | None => CallReply::Unknown,
