What is no report or no heartbeat of a model server is not believed by a core

Each field of a report had a default, so that any JSON object said that the server held nothing and had taken no order, and the connection was kept after an answer that was none. A heartbeat's state other than 'ready' counted as draining. Change: a report needs models, busy and sequence (PROTOCOL.md, "Requests"); ConnectionPool::call_for parses before it keeps a connection; a heartbeat's state is 'ready' or 'draining', or the answer is 400.

--- a/crates/system/src/core/model_server_json.rs
+++ b/crates/system/src/core/model_server_json.rs
@@ -26,6 +26,25 @@
     }
 }
 
+/// What a model server says of itself in a heartbeat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum HeartbeatState {
+    /// It takes requests.
+    Ready,
+    /// It will end.
+    Draining,
+}
+
+impl From<HeartbeatState> for ModelServerState {
+    fn from(state: HeartbeatState) -> ModelServerState {
+        match state {
+            HeartbeatState::Ready => ModelServerState::Ready,
+            HeartbeatState::Draining => ModelServerState::Draining,
+        }
+    }
+}
+
 /// The body of a heartbeat.
 #[derive(Clone, Debug, Deserialize)]
 pub struct HeartbeatJson {
@@ -37,7 +56,7 @@
     version: String,
     #[serde(default)]
     capacity: u32,
-    state: String,
+    state: HeartbeatState,
     #[serde(default)]
     cold_remaining_ms: f64,
     #[serde(default)]
@@ -58,7 +77,7 @@
             zone: self.zone,
             version: self.version,
             capacity: self.capacity,
-            state: if self.state == "ready" { ModelServerState::Ready } else { ModelServerState::Draining },
+            state: self.state.into(),
             cold_remaining_ms: self.cold_remaining_ms.max(0.0) as u64,
             remaining_ms: self.remaining_ms.unwrap_or(0.0).max(0.0) as u64,
             models: self.models.into_iter().map(LoadedModel::from).collect(),
@@ -68,16 +87,13 @@
     }
 }
 
-/// The answer of `GET /api/report`.
+/// The answer of `GET /api/report`. What an order is judged by must not be missing.
 #[derive(Clone, Debug, Deserialize)]
 pub struct ReportJson {
-    #[serde(default)]
     models: Vec<ModelJson>,
     /// Whether an order is in progress.
-    #[serde(default)]
     pub busy: bool,
     /// Orders accepted since the model server's start.
-    #[serde(default)]
     pub sequence: u64,
     /// Requests in progress.
     #[serde(default)]
@@ -88,6 +104,15 @@
 }
 
 impl ReportJson {
+    /// Parses a report.
+    ///
+    /// # Errors
+    ///
+    /// The body is no JSON, or lacks the models, whether an order is in progress, or the number of orders.
+    pub fn parse(body: &[u8]) -> serde_json::Result<ReportJson> {
+        serde_json::from_slice(body)
+    }
+
     /// The report of a model server with these contents.
     pub fn of(contents: ModelServerContents) -> ReportJson {
         let models = contents.models.into_iter().map(ModelJson::from).collect();
--- a/crates/system/src/core/orders/call.rs
+++ b/crates/system/src/core/orders/call.rs
@@ -50,15 +50,22 @@
     }
 }
 
-/// Asks a model server for its contents. `None`: it did not answer, or is another incarnation.
+/// Asks a model server for its contents. `None`: it sent no report, or is another incarnation.
 pub async fn fetch_report(pool: &ConnectionPool, address: SocketAddr, instance: &str) -> Option<ReportJson> {
     let request = Request::get("/api/report")
         .header("host", address.to_string())
         .header("x-pathbank-target-instance", instance)
         .body(Full::new(Bytes::new()))
         .ok()?;
-    let (status, body) = pool.call(address, request, CALL_TIMEOUT).await?;
-    (status == 200).then(|| serde_json::from_slice(&body).ok())?
+    let parse = |status, body: &[u8]| match (status, ReportJson::parse(body)) {
+        (200, Ok(report)) => Some(report),
+        (200, Err(error)) => {
+            tracing::warn!(instance, %error, "a model server sent no report");
+            None
+        }
+        _ => None,
+    };
+    pool.call_for(address, request, CALL_TIMEOUT, parse).await
 }
 
 fn order_request(order: &Order, revision: Option<u64>, guard: &LeaseGuard) -> Request<Full<Bytes>> {
--- a/crates/system/src/net/client.rs
+++ b/crates/system/src/net/client.rs
@@ -177,7 +177,22 @@
         within: Duration,
         may_send: impl Fn() -> bool,
     ) -> Option<(u16, Bytes)> {
-        self.read_whole(self.exchange_if(address, request, may_send), within).await
+        let whole = |status, body| Some((status, body));
+        self.read_whole(self.exchange_if(address, request, may_send), within, whole).await
+    }
+
+    /// Like [`ConnectionPool::call`], for an answer that has to be of a certain kind: `parse` returns `None` for
+    /// any other one, after which the connection is not reused, as what follows there may belong to another
+    /// call.
+    pub async fn call_for<T>(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        within: Duration,
+        parse: impl FnOnce(u16, &[u8]) -> Option<T>,
+    ) -> Option<T> {
+        let parse = |status, body: Bytes| parse(status, &body);
+        self.read_whole(self.exchange(address, request), within, parse).await
     }
 
     /// Like [`ConnectionPool::call_if`], for a call that must not be made twice and whose answer must not be
@@ -189,21 +204,25 @@
         within: Duration,
         may_send: impl Fn() -> bool,
     ) -> Option<(u16, Bytes)> {
-        self.read_whole(Self::exchange_anew(address, request, may_send), within).await
+        let whole = |status, body| Some((status, body));
+        self.read_whole(Self::exchange_anew(address, request, may_send), within, whole).await
     }
 
-    /// Reads the whole answer of an exchange. `None`: it did not come in time, or was too long.
-    async fn read_whole(
+    /// Reads and parses the whole answer of an exchange. `None`: it did not come in time, was too long, or does
+    /// not parse.
+    async fn read_whole<T>(
         &self,
         exchange: impl Future<Output = Result<Exchange, ExchangeError>>,
         within: Duration,
-    ) -> Option<(u16, Bytes)> {
+        parse: impl FnOnce(u16, Bytes) -> Option<T>,
+    ) -> Option<T> {
         let whole = async {
             let Exchange { response, lease } = exchange.await.ok()?;
             let status = response.status().as_u16();
             let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await.ok()?.to_bytes();
+            let parsed = parse(status, body)?;
             self.give_back(lease);
-            Some((status, body))
+            Some(parsed)
         };
         tokio::time::timeout(within, whole).await.ok().flatten()
     }
--- a/crates/system/tests/crossings/main.rs
+++ b/crates/system/tests/crossings/main.rs
@@ -5,14 +5,21 @@
 
 #[path = "../common/mod.rs"]
 mod common;
+mod report_server;
 mod scripted;
 
 use bytes::Bytes;
 use common::{Answer, System, call, until};
 use http_body_util::Full;
 use hyper::Request;
+use pathbank_system::clock;
+use pathbank_system::core::lease::{LeaseExpiry, LeaseGuard};
+use pathbank_system::core::orders::fetch_report;
+use pathbank_system::core::singleton_roles::report_usage;
 use pathbank_system::net::client::ConnectionPool;
+use report_server::ReportServer;
 use scripted::{Scripted, Seen, Step, answer};
+use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -91,6 +98,49 @@
     assert_ne!(seen[0].connection, seen[1].connection);
 }
 
+// Usage counted as accepted when the platform had answered the call before twice.
+#[test]
+fn a_second_answer_of_the_platform_does_not_confirm_the_next_call() {
+    let platform = Scripted::start(LOCALHOST);
+    let pool = ConnectionPool::default();
+    let lease = Arc::new(LeaseExpiry::default());
+    lease.extend(clock::now() + 60_000);
+    let guard =
+        LeaseGuard { lease_holder: "core-1".into(), fencing_token: 7, lease, revoked: Arc::default() };
+    platform.script([Step::AgainLater(Duration::from_millis(40))]);
+    runtime().block_on(async {
+        for window in [1, 2] {
+            let counts = BTreeMap::from([("tenant-1".to_owned(), window)]);
+            let outcome = report_usage(pool.clone(), platform.address, window, counts, guard.clone()).await;
+            assert!(outcome.is_accepted());
+        }
+    });
+    let connections: Vec<usize> = platform.seen().iter().map(|seen| seen.connection).collect();
+    assert_eq!(connections, [0, 1], "each call is seen, on a connection of its own");
+}
+
+/// Bodies that are no report: what they lack would have counted as none.
+#[test]
+fn an_answer_that_is_no_report_is_not_believed_and_its_connection_not_reused() {
+    let report = r#"{"phase":"decode","models":[],"busy":false,"sequence":3,"queued":0,"active":0}"#;
+    let garbage =
+        ["", "{}", "[]", "garbage", r#"{"models":[],"busy":false}"#, r#"{"models":[],"sequence":1}"#];
+    for body in garbage {
+        let server = ReportServer::start([body, report]);
+        let pool = ConnectionPool::default();
+        let sequences = runtime().block_on(async {
+            let mut sequences = Vec::new();
+            for _ in 0..3 {
+                let report = fetch_report(&pool, server.address, "i-1").await;
+                sequences.push(report.map(|report| report.sequence));
+            }
+            sequences
+        });
+        assert_eq!(sequences, [None, Some(3), Some(3)], "{body}");
+        assert_eq!(server.connections(), 2, "{body}");
+    }
+}
+
 #[test]
 fn no_request_is_written_once_may_send_returns_false() {
     let server = Scripted::start(LOCALHOST);
--- a/crates/system/tests/garbage/main.rs
+++ b/crates/system/tests/garbage/main.rs
@@ -269,3 +269,22 @@
         assert!(is_whole || !streamed.complete, "{streamed:?} {garbage:?} {}", case.steps(&once));
     }
 }
+
+// A state that is none counted as draining, and took the server out of rotation.
+#[test]
+fn a_heartbeat_with_a_state_that_is_none_changes_nothing() {
+    let case = Case::started();
+    let body = |state: &str| {
+        format!(
+            "{{\"backend\":\"llm\",\"address\":\"127.0.0.1:9\",\"zone\":\"z1\",\"state\":{state},\"sequence\":900}}"
+        )
+    };
+    for state in ["\"unwell\"", "\"\"", "null", "7"] {
+        let control = case.system.control[0];
+        let answer = call(control, "POST", "/api/instances/i-1/heartbeat", &[], &body(state)).unwrap();
+        assert_eq!(answer.status, 400, "{state}: {}", answer.body);
+        assert!(answer.body.contains("UnreadableDocument"), "{}", answer.body);
+    }
+    let list = call(case.system.control[0], "GET", "/api/bricks", &[], "").unwrap().body;
+    assert!(!list.contains("draining"), "{list}");
+}
