A reply of another kind is no answer to a file command

A node's handle, data or attributes in reply to a write counted as its success, and more bytes than were read for went to the client. Cause: replies were matched with their command by id alone. Change: Command::expected_reply says what a reply may be; another one is a bad answer, and the connection is not reused.

--- a/src/net/sftp/back.rs
+++ b/src/net/sftp/back.rs
@@ -167,13 +167,16 @@
     ) -> Result<Reply, AttemptError> {
         let id = self.next_id;
         self.next_id = self.next_id.wrapping_add(1);
+        let expected = command.expected_reply();
         // A node never runs a command whose last byte was not written.
         self.send(Request::Command { id, command })
             .await
             .map_err(|()| AttemptError::NotRun(AttemptEnd::BrokeUnsent))?;
         write_state.into_iter().for_each(WriteState::mark_complete);
         match self.receive().await {
-            Ok(Response::Reply { id: answered, reply }) if answered == id => Ok(reply),
+            Ok(Response::Reply { id: answered, reply }) if answered == id && expected.is_met_by(&reply) => {
+                Ok(reply)
+            }
             Ok(_) => Err(AttemptError::MayHaveRun(AttemptEnd::BadAnswer)),
             Err(end) => Err(AttemptError::MayHaveRun(end)),
         }
@@ -206,9 +209,6 @@
         })?;
         let handle = match opened {
             Reply::Handle(handle) => handle,
-            Reply::Status { code: Status::Ok, .. } | Reply::Data(_) | Reply::Attrs(_) => {
-                return Err(AttemptError::NotRun(AttemptEnd::BadAnswer));
-            }
             refusal => return Ok(refusal),
         };
         let reply = match &job.operation {
@@ -262,3 +262,6 @@
         self.client.has_left()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/net/sftp/packet.rs
+++ b/src/net/sftp/packet.rs
@@ -111,6 +111,46 @@
     Unsupported(u8),
 }
 
+/// What a reply to a command may be, beside a status that says why the command failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExpectedReply {
+    /// The status OK.
+    Done,
+    /// A handle.
+    Handle,
+    /// Bytes, at most this many, or the status EOF.
+    Data { at_most: usize },
+    /// Attributes.
+    Attrs,
+}
+
+impl Command {
+    /// What the command's reply may be.
+    pub fn expected_reply(&self) -> ExpectedReply {
+        match self {
+            Command::Open { .. } => ExpectedReply::Handle,
+            Command::Read { length, .. } => ExpectedReply::Data { at_most: *length as usize },
+            Command::Stat { .. } | Command::Fstat { .. } => ExpectedReply::Attrs,
+            Command::Close { .. } | Command::Write { .. } | Command::Unsupported(_) => ExpectedReply::Done,
+        }
+    }
+}
+
+impl ExpectedReply {
+    /// Whether a reply is one to the command.
+    pub fn is_met_by(self, reply: &Reply) -> bool {
+        match (self, reply) {
+            (_, Reply::Status { code: Status::Ok, .. }) => self == ExpectedReply::Done,
+            (_, Reply::Status { code: Status::Eof, .. }) => matches!(self, ExpectedReply::Data { .. }),
+            (_, Reply::Status { .. }) => true,
+            (_, Reply::Handle(_)) => self == ExpectedReply::Handle,
+            (ExpectedReply::Data { at_most }, Reply::Data(data)) => data.len() <= at_most,
+            (_, Reply::Data(_)) => false,
+            (_, Reply::Attrs(_)) => self == ExpectedReply::Attrs,
+        }
+    }
+}
+
 /// A packet from a client.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Request {
--- a/src/net/sftp/packet/tests.rs
+++ b/src/net/sftp/packet/tests.rs
@@ -77,3 +77,29 @@
     let problem = "a string is too long";
     assert_eq!(Request::decode(long.encode()), Err(Malformed { id: Some(1), problem }));
 }
+
+#[test]
+fn a_reply_has_to_be_one_to_its_command() {
+    let open = Command::Open { path: "/a".into(), flags: READ, attrs: Attrs::default() };
+    let read = Command::Read { handle: handle(), offset: 0, length: 4 };
+    let write = Command::Write { handle: handle(), offset: 0, data: Bytes::from_static(b"data") };
+    let stat = Command::Stat { path: "/a".into(), follow: true };
+    let close = Command::Close { handle: handle() };
+    let replies = [
+        Reply::status(Status::Ok, ""),
+        Reply::status(Status::Eof, ""),
+        Reply::Handle(handle()),
+        Reply::Data(Bytes::from_static(b"data")),
+        Reply::Data(Bytes::from_static(b"longer")),
+        Reply::Attrs(Attrs::default()),
+        Reply::status(Status::Failure, ""),
+        Reply::status(Status::NoSuchFile, ""),
+    ];
+    let met = |command: &Command| replies.each_ref().map(|reply| command.expected_reply().is_met_by(reply));
+    assert_eq!(met(&open), [false, false, true, false, false, false, true, true]);
+    assert_eq!(met(&read), [false, true, false, true, false, false, true, true]);
+    assert_eq!(met(&write), [true, false, false, false, false, false, true, true]);
+    assert_eq!(met(&close), met(&write));
+    assert_eq!(met(&stat), [false, false, false, false, false, true, true, true]);
+    assert_eq!(met(&Command::Fstat { handle: handle() }), met(&stat));
+}
