A gRPC response that ends within a message does not look complete

A node's half message with a success in its trailers reached the client as a success. Cause: the front passed DATA frames on without looking at the messages in them. Change: grpc::messages follows flags and lengths; an unknown flag ends the attempt, and a success needs a whole last message.

--- a/src/grpc/mod.rs
+++ b/src/grpc/mod.rs
@@ -5,6 +5,7 @@
 pub mod channels;
 pub mod frames;
 pub mod guard;
+pub mod messages;
 pub mod routes;
 pub mod status;
 pub mod timeout;
--- a/src/net/grpc/back.rs
+++ b/src/net/grpc/back.rs
@@ -12,6 +12,7 @@
 use crate::event;
 use crate::grpc::channels::{ChannelAction, ChannelId, Channels, Grant};
 use crate::grpc::frames::{FrameEvent, FrameKind, PREFACE_BYTES, Scanner};
+use crate::grpc::messages::{MessageBoundaries, MessageError};
 use crate::grpc::{status, timeout};
 use crate::interface::{Load, Micros};
 use crate::net::back::{NOT_PROCESSED, load, used};
@@ -677,6 +678,13 @@
     }
 }
 
+impl From<MessageError> for ReadError {
+    fn from(error: MessageError) -> ReadError {
+        debug!("a node's response is no sequence of messages: {error}");
+        ReadError::Ended(AttemptEnd::BadAnswer)
+    }
+}
+
 impl From<h2::Error> for ReadError {
     fn from(error: h2::Error) -> ReadError {
         ReadError::Broken(error)
@@ -713,15 +721,17 @@
         }
         // A Trailers-Only response: the headers hold the trailers.
         if body.is_end_stream() {
-            return self.finish(None, head.headers).await;
+            return self.finish(None, head.headers, Ok(())).await;
         }
         let mut headers = Some(head.headers);
         if self.call.route.early_headers {
             self.send_headers(&mut headers).await?;
         }
+        let mut messages = MessageBoundaries::default();
         while let Some(piece) = body.data().await {
             let piece = piece?;
             let length = piece.len();
+            messages.scan(&piece)?;
             if length > 0 {
                 self.send_headers(&mut headers).await?;
                 self.send(ResponsePart::Data(piece)).await?;
@@ -732,7 +742,7 @@
         }
         let trailers = body.trailers().await?.ok_or(AttemptEnd::BadAnswer)?;
         read_metadata(&trailers);
-        self.finish(headers, trailers).await
+        self.finish(headers, trailers, messages.finish()).await
     }
 
     /// Binds the call to this attempt, so that it is not retried elsewhere, and forwards the headers, each
@@ -757,10 +767,12 @@
     }
 
     /// Ends the response: forwards its trailers, or records the status of a failure that may be retried.
+    /// `messages`: whether the response ends after a whole message, without which it must not look complete.
     async fn finish(
         &mut self,
         headers: Option<HeaderMap>,
         trailers: HeaderMap,
+        messages: Result<(), MessageError>,
     ) -> Result<AttemptEnd, ReadError> {
         let mut statuses = trailers.get_all(STATUS).iter();
         let code = match (statuses.next(), statuses.next()) {
@@ -769,6 +781,7 @@
         };
         let end = status::attempt_end(code, not_processed(&trailers));
         if end == AttemptEnd::Answered {
+            messages?;
             let mut headers = headers;
             self.send_headers(&mut headers).await?;
             self.send(ResponsePart::Trailers(forwarded(&trailers, &NODE_TO_PROXY))).await?;
--- a/src/rehearsal/grpc/cases.rs
+++ b/src/rehearsal/grpc/cases.rs
@@ -177,6 +177,7 @@
     for (fault, code) in [
         (Fault::CutAfter(2), status::UNKNOWN),
         (Fault::ResetAfter(2), status::UNKNOWN),
+        (Fault::HalfMessageAfter(2), status::UNKNOWN),
         // The node's own word on how it ended is better than any of the head's.
         (Fault::StatusAfter(2, "13"), status::INTERNAL),
         (Fault::StatusAfter(2, "99"), status::UNKNOWN),
--- a/src/rehearsal/grpc/node.rs
+++ b/src/rehearsal/grpc/node.rs
@@ -39,6 +39,8 @@
     },
     /// Some messages, then this status.
     StatusAfter(usize, &'static str),
+    /// Some messages and a part of the next one, then the status of a success.
+    HalfMessageAfter(usize),
     /// All messages, and the stream's end with no trailers.
     NoTrailers,
     ResetAfterHeaders,
@@ -333,7 +335,9 @@
         return given_up;
     }
     let most = match &fault {
-        Some(Fault::StatusAfter(n, _) | Fault::ResetAfter(n) | Fault::CutAfter(n)) => *n,
+        Some(
+            Fault::StatusAfter(n, _) | Fault::HalfMessageAfter(n) | Fault::ResetAfter(n) | Fault::CutAfter(n),
+        ) => *n,
         _ => usize::MAX,
     };
     for answer in answers(method, received).into_iter().take(most) {
@@ -464,6 +468,13 @@
 async fn finish(says: &mut Says, fault: Option<Fault>, connection: u64, shared: &Shared) {
     match fault {
         Some(Fault::StatusAfter(_, code)) => says.trailers(code),
+        Some(Fault::HalfMessageAfter(_)) => {
+            says.headers();
+            if let Some(stream) = &mut says.stream {
+                let _ = stream.send_data(Bytes::from_static(b"\0\0\0\0\x09half"), false);
+            }
+            says.trailers("0");
+        }
         Some(Fault::NoTrailers) => {
             says.headers();
             if let Some(stream) = &mut says.stream {
