--- a/src/net/grpc/back.rs
+++ b/src/net/grpc/back.rs
@@ -3,31 +3,35 @@
 //! whether the last frame of its request was written. Dropping an attempt drops its stream, which makes h2
 //! reset the stream at the node.
 
-use super::call::{Call, ResponsePart};
+mod progress;
+mod request_body;
+mod response;
+
+use super::call::Call;
 use super::observed_io::{IoObserver, ObservedIo};
-use super::{NODE_TO_PROXY, PREVIOUS_ATTEMPTS, PUSHBACK, STATUS, TIMEOUT, forwarded};
+use super::{PREVIOUS_ATTEMPTS, TIMEOUT, forwarded};
 use crate::attempt_end::AttemptEnd;
 use crate::config::grpc::GrpcFront;
-use crate::core::{AnswerBinder, Attempt, AttemptContext, AttemptSource, Report, WriteState};
+use crate::core::{Attempt, AttemptContext, AttemptSource, Report};
 use crate::event;
 use crate::grpc::channels::{ChannelAction, ChannelId, Channels, Grant};
 use crate::grpc::frames::{FrameEvent, FrameKind, PREFACE_BYTES, Scanner};
-use crate::grpc::messages::{MessageBoundaries, MessageError};
-use crate::grpc::{status, timeout};
-use crate::interface::{Load, Micros};
-use crate::net::back::{NOT_PROCESSED, load, used};
-use crate::replay_buffer::{BodyEnd, Next};
+use crate::grpc::timeout;
+use crate::interface::Micros;
 use bytes::Bytes;
-use h2::client::{ResponseFuture, SendRequest};
-use h2::{Ping, PingPong, Reason, SendStream};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, Request, StatusCode, Uri};
+use h2::client::SendRequest;
+use h2::{Ping, PingPong};
+use hyper::header::HeaderValue;
+use hyper::{Method, Request, Uri};
 use log::debug;
+use progress::{ChannelProgress, TrackedStream};
+use request_body::{BlockedStream, send_body};
+use response::ResponseReader;
 use std::collections::BTreeMap;
-use std::future::{pending, poll_fn};
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::task::Poll;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
@@ -334,90 +338,6 @@
     }
 }
 
-/// What a channel has sent and received, by stream. The `Notify` wakes tasks when the socket is writable
-/// again.
-#[derive(Clone, Default)]
-struct ChannelProgress(Arc<(Mutex<Progress>, Notify)>);
-
-#[derive(Default)]
-struct Progress {
-    /// The node's first SETTINGS frame has arrived.
-    has_settings: bool,
-    /// The socket accepts no bytes at the moment: the node does not read.
-    write_blocked: bool,
-    /// The last stream that the node may still process, from its GOAWAY frame.
-    last_stream: Option<u32>,
-    streams: BTreeMap<u32, StreamProgress>,
-}
-
-/// What has been written of the request on one stream.
-#[derive(Default)]
-struct StreamProgress {
-    write_state: Arc<WriteState>,
-    /// A DATA frame was written.
-    data: bool,
-    /// A frame with END_STREAM was written.
-    end_stream: bool,
-    /// The request's last frame was written.
-    complete: bool,
-}
-
-impl ChannelProgress {
-    fn with<T>(&self, f: impl FnOnce(&mut Progress) -> T) -> T {
-        let mut progress: MutexGuard<'_, Progress> = self.0.0.lock().unwrap_or_else(PoisonError::into_inner);
-        f(&mut progress)
-    }
-
-    fn mark_writable(&self) {
-        if self.with(|progress| std::mem::take(&mut progress.write_blocked)) {
-            self.0.1.notify_waiters();
-        }
-    }
-
-    /// Waits until the socket accepts bytes. A request that h2 gets earlier stays in its buffer, and is
-    /// written later with a `grpc-timeout` that is out of date, even if its client has left.
-    async fn writable(&self) {
-        loop {
-            let mut writable = std::pin::pin!(self.0.1.notified());
-            writable.as_mut().enable();
-            if !self.with(|progress| progress.write_blocked) {
-                return;
-            }
-            writable.await;
-        }
-    }
-}
-
-/// Tracks what is written on one stream until it is dropped.
-struct TrackedStream {
-    channel: ChannelProgress,
-    stream: u32,
-}
-
-impl TrackedStream {
-    fn new(channel: &ChannelProgress, stream: u32, write_state: Arc<WriteState>) -> TrackedStream {
-        let tracked = StreamProgress { write_state, ..StreamProgress::default() };
-        channel.with(|progress| progress.streams.insert(stream, tracked));
-        TrackedStream { channel: channel.clone(), stream }
-    }
-
-    fn progress<T>(&self, f: impl FnOnce(&StreamProgress) -> T) -> Option<T> {
-        self.channel.with(|progress| progress.streams.get(&self.stream).map(f))
-    }
-
-    /// Returns whether the node's GOAWAY frame says that the node has not processed and will not process this
-    /// stream.
-    fn above_goaway(&self) -> bool {
-        self.channel.with(|progress| progress.last_stream.is_some_and(|last| self.stream > last))
-    }
-}
-
-impl Drop for TrackedStream {
-    fn drop(&mut self) {
-        self.channel.with(|progress| progress.streams.remove(&self.stream));
-    }
-}
-
 /// Follows the frames on a channel, in both directions.
 struct ChannelObserver {
     pool: Arc<ChannelPool>,
@@ -565,262 +485,3 @@
         _ => report,
     }
 }
-
-/// Sends the request's body as it arrives from the client. Returns only if the attempt cannot go on; in all
-/// other cases the node's response tells how the attempt ended.
-async fn send_body(
-    call: &Call,
-    binder: &AnswerBinder,
-    permit: &StreamPermit,
-    mut request_body: SendStream<Bytes>,
-) -> AttemptEnd {
-    let (attempt, mut sent) = (binder.attempt(), 0);
-    loop {
-        match call.next(attempt, sent).await {
-            Next::Piece(piece) => {
-                let last = call.complete_with(attempt, sent + 1);
-                if !send_piece(permit, &mut request_body, piece, last).await {
-                    return pending().await;
-                }
-                sent += 1;
-                call.sent(attempt, sent);
-                if last {
-                    return hold_open(request_body).await;
-                }
-            }
-            Next::End(BodyEnd::Complete) => {
-                let _ = request_body.send_data(Bytes::new(), true); // the response tells of a broken stream
-                return hold_open(request_body).await;
-            }
-            Next::Bind => {
-                if !binder.bind().await {
-                    return AttemptEnd::CalledOff;
-                }
-                call.bind(attempt, sent);
-            }
-            Next::End(BodyEnd::Reset) => return AttemptEnd::CalledOff,
-            // The call is bound to another attempt, and the pieces that this attempt would send first were
-            // dropped.
-            Next::Lost => return AttemptEnd::NotStarted,
-            Next::Wait => {}
-        }
-    }
-}
-
-/// Keeps the stream until the attempt ends: h2 resets a stream that is dropped.
-async fn hold_open(_request_body: SendStream<Bytes>) -> AttemptEnd {
-    pending().await
-}
-
-/// Counts a stream as blocked until it is dropped: the stream waits for the node to read.
-struct BlockedStream<'a>(&'a StreamPermit);
-
-impl<'a> BlockedStream<'a> {
-    fn new(permit: &'a StreamPermit) -> BlockedStream<'a> {
-        permit.pool.with(|pool, state| state.channels.stream_blocked(pool.now(), permit.id));
-        BlockedStream(permit)
-    }
-}
-
-impl Drop for BlockedStream<'_> {
-    fn drop(&mut self) {
-        self.0.pool.with(|_, state| state.channels.stream_unblocked(self.0.id));
-    }
-}
-
-/// Sends one piece of the body; `last` ends the stream with it. Returns false if the stream is closed.
-async fn send_piece(
-    permit: &StreamPermit,
-    request_body: &mut SendStream<Bytes>,
-    mut piece: Bytes,
-    last: bool,
-) -> bool {
-    while !piece.is_empty() {
-        request_body.reserve_capacity(piece.len());
-        let mut capacity = request_body.capacity();
-        if capacity == 0 {
-            let _blocked = BlockedStream::new(permit);
-            capacity = match poll_fn(|cx| request_body.poll_capacity(cx)).await {
-                Some(Ok(capacity)) => capacity,
-                _ => return false,
-            };
-        }
-        let part = piece.split_to(capacity.min(piece.len()));
-        if request_body.send_data(part, last && piece.is_empty()).is_err() {
-            return false;
-        }
-    }
-    true
-}
-
-/// Reads a node's response and forwards it to the call's task.
-struct ResponseReader<'a> {
-    call: &'a Call,
-    binder: &'a AnswerBinder,
-    tracked: &'a TrackedStream,
-    /// The call is bound to this attempt: no other may answer it.
-    bound: bool,
-    /// A part of the response was forwarded to the client.
-    forwarded: bool,
-}
-
-/// Why reading a response stopped.
-enum ReadError {
-    /// The attempt has ended in this way.
-    Ended(AttemptEnd),
-    /// The stream or its channel failed.
-    Broken(h2::Error),
-}
-
-impl From<AttemptEnd> for ReadError {
-    fn from(end: AttemptEnd) -> ReadError {
-        ReadError::Ended(end)
-    }
-}
-
-impl From<MessageError> for ReadError {
-    fn from(error: MessageError) -> ReadError {
-        debug!("a node's response is no sequence of messages: {error}");
-        ReadError::Ended(AttemptEnd::BadAnswer)
-    }
-}
-
-impl From<h2::Error> for ReadError {
-    fn from(error: h2::Error) -> ReadError {
-        ReadError::Broken(error)
-    }
-}
-
-impl ResponseReader<'_> {
-    /// Reads the response to its end and reports how the attempt ended.
-    async fn read(&mut self, response: ResponseFuture) -> Report {
-        let (mut node_load, mut usage) = (Load::default(), None);
-        let mut read_metadata = |metadata: &HeaderMap| {
-            if let Some(queue) = load(metadata).queue {
-                node_load.queue = Some(queue);
-            }
-            usage = used(metadata).or(usage);
-        };
-        let end = match self.forward(response, &mut read_metadata).await {
-            Ok(end) | Err(ReadError::Ended(end)) => end,
-            Err(ReadError::Broken(error)) => self.end_of_broken_stream(&error),
-        };
-        Report { end, body: Bytes::new(), load: node_load, used: usage }
-    }
-
-    async fn forward(
-        &mut self,
-        response: ResponseFuture,
-        read_metadata: &mut impl FnMut(&HeaderMap),
-    ) -> Result<AttemptEnd, ReadError> {
-        let (head, mut body) = response.await?.into_parts();
-        read_metadata(&head.headers);
-        if head.status != StatusCode::OK {
-            let turned_away = head.status == StatusCode::SERVICE_UNAVAILABLE && not_processed(&head.headers);
-            return Ok(if turned_away { AttemptEnd::TurnedAway } else { AttemptEnd::ErrorAnswer });
-        }
-        // A Trailers-Only response: the headers hold the trailers.
-        if body.is_end_stream() {
-            return self.finish(None, head.headers, Ok(())).await;
-        }
-        let mut headers = Some(head.headers);
-        if self.call.route.early_headers {
-            self.send_headers(&mut headers).await?;
-        }
-        let mut messages = MessageBoundaries::default();
-        while let Some(piece) = body.data().await {
-            let piece = piece?;
-            let length = piece.len();
-            messages.scan(&piece)?;
-            if length > 0 {
-                self.send_headers(&mut headers).await?;
-                self.send(ResponsePart::Data(piece)).await?;
-            }
-            // Only now may the node send as many bytes again, so that it sends no faster than the client
-            // reads.
-            let _ = body.flow_control().release_capacity(length);
-        }
-        let trailers = body.trailers().await?.ok_or(AttemptEnd::BadAnswer)?;
-        read_metadata(&trailers);
-        self.finish(headers, trailers, messages.finish()).await
-    }
-
-    /// Binds the call to this attempt, so that it is not retried elsewhere, and forwards the headers, each
-    /// once.
-    async fn send_headers(&mut self, headers: &mut Option<HeaderMap>) -> Result<(), ReadError> {
-        if !self.bound {
-            if !self.binder.bind().await {
-                return Err(AttemptEnd::CalledOff.into());
-            }
-            self.bound = true;
-        }
-        if let Some(headers) = headers.take() {
-            self.forwarded = true;
-            self.send(ResponsePart::Headers(forwarded(&headers, &NODE_TO_PROXY))).await?;
-        }
-        Ok(())
-    }
-
-    /// Waits until the call's task has room for the part.
-    async fn send(&self, part: ResponsePart) -> Result<(), ReadError> {
-        self.call.response.send(part).await.map_err(|_| AttemptEnd::CalledOff.into())
-    }
-
-    /// Ends the response: forwards its trailers, or records the status of a failure that may be retried.
-    /// `messages`: whether the response ends after a whole message, without which it must not look complete.
-    async fn finish(
-        &mut self,
-        headers: Option<HeaderMap>,
-        trailers: HeaderMap,
-        messages: Result<(), MessageError>,
-    ) -> Result<AttemptEnd, ReadError> {
-        let mut statuses = trailers.get_all(STATUS).iter();
-        let code = match (statuses.next(), statuses.next()) {
-            (Some(code), None) => status::parse_code(Some(code.as_bytes())),
-            _ => None,
-        };
-        let end = status::attempt_end(code, not_processed(&trailers));
-        if end == AttemptEnd::Answered {
-            messages?;
-            let mut headers = headers;
-            self.send_headers(&mut headers).await?;
-            self.send(ResponsePart::Trailers(forwarded(&trailers, &NODE_TO_PROXY))).await?;
-        } else if self.forwarded && code.is_some() {
-            // The client has a part of the response, and the node's own status describes its end best.
-            let mut last = forwarded(&trailers, &NODE_TO_PROXY);
-            last.insert(PUSHBACK, HeaderValue::from_static("-1"));
-            self.send(ResponsePart::Trailers(last)).await?;
-        } else {
-            self.call.record_failure_status(code);
-        }
-        Ok(end)
-    }
-
-    /// Returns how an attempt ended whose stream failed with `error`.
-    fn end_of_broken_stream(&self, error: &h2::Error) -> AttemptEnd {
-        let complete = self.tracked.progress(|progress| progress.complete).unwrap_or(true);
-        let data = self.tracked.progress(|progress| progress.data).unwrap_or(true);
-        debug!(stream = self.tracked.stream, whole = complete; "a stream to a node failed: {error}");
-        if error.is_reset() && error.is_remote() {
-            return match error.reason() {
-                Some(Reason::REFUSED_STREAM) => AttemptEnd::TurnedAway,
-                _ => AttemptEnd::ErrorAnswer,
-            };
-        }
-        if self.tracked.above_goaway() {
-            return AttemptEnd::TurnedAway;
-        }
-        // A node may start a streaming call with the first piece of the request; it starts others with the
-        // last.
-        let may_have_begun = complete || self.call.route.streams_request && data;
-        if !may_have_begun {
-            return AttemptEnd::BrokeUnsent;
-        }
-        if error.is_io() || error.is_go_away() { AttemptEnd::Broke } else { AttemptEnd::BadAnswer }
-    }
-}
-
-/// Returns whether the node says that it has not processed the call.
-fn not_processed(metadata: &HeaderMap) -> bool {
-    metadata.get(HeaderName::from_static(NOT_PROCESSED)).is_some_and(|value| value == "1")
-}
