--- a/src/grpc/messages.rs
+++ b/src/grpc/messages.rs
@@ -1,7 +1,7 @@
 //! Follows the length-prefixed messages in the DATA frames of a gRPC response, however the bytes are split, so
 //! that a response that ends within a message does not look complete.
 
-use std::fmt;
+use thiserror::Error;
 
 /// The flag and the length before each message.
 const PREFIX_BYTES: usize = 5;
@@ -9,23 +9,16 @@
 const COMPRESSED: u8 = 1;
 
 /// Why bytes are no messages.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum MessageError {
     /// A message's flag is neither 0 nor 1.
+    #[error("a message has the unknown flag {0}")]
     UnknownFlag(u8),
     /// The response ended within a message.
+    #[error("the response ends within a message")]
     EndsWithinMessage,
 }
 
-impl fmt::Display for MessageError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            MessageError::UnknownFlag(flag) => write!(f, "a message has the unknown flag {flag}"),
-            MessageError::EndsWithinMessage => write!(f, "the response ends within a message"),
-        }
-    }
-}
-
 /// Where a response is among its messages.
 #[derive(Clone, Debug, Default)]
 pub struct MessageBoundaries {
