An event has the same longest length however it arrives

Cause: an event of over 1 MiB passed if it arrived at once, and was refused if it came in parts, by reading. Change: the length is compared at the empty line too. Measured: an_event_has_a_longest_length with the event at once, which passed whole before.

--- a/crates/router/src/answer/event_stream.rs
+++ b/crates/router/src/answer/event_stream.rs
@@ -199,6 +199,9 @@
                 self.event.add(&buffer[line])?;
                 continue;
             }
+            if self.line_start - parsed.complete > MAX_EVENT_BYTES {
+                return Err(StreamError::TooLong);
+            }
             let event = std::mem::take(&mut self.event).complete()?;
             self.after_left_out = event.is_none();
             if let Some(event) = event {
--- a/crates/router/tests/event_stream.rs
+++ b/crates/router/tests/event_stream.rs
@@ -157,6 +157,8 @@
     let endless = event(MAX_EVENT_BYTES);
     let passed = read(EventReader::default(), endless[..endless.len() - 2].chunks(16_384));
     assert_eq!((passed.bytes.len(), passed.end), (0, Err(StreamError::TooLong)));
+    let at_once = read_whole(&endless);
+    assert_eq!((at_once.bytes.len(), at_once.end), (0, Err(StreamError::TooLong)));
 }
 
 /// Whether a body consists of pieces with rising ids: the definition, read slowly.
