A stream does not go on with pieces of another version; one type for all answer errors

What callers saw: nothing yet; found when the change was read as a whole. A model server that goes on with a stream from other weights than asked for was believed: Expect-Version was sent, and Versions of the answer was not compared. Change: AnswerHead::check compares the version, for first answers and resumptions; generations leave it to the leader, which judges versions. AnswerError holds the errors of heads and streams: one function warns, counts and records the step, where three did, and names the model server in streams too. A stream's pace and silence count pieces; bytes that completed none counted as a sign that the stream goes on, by reading.

--- a/crates/router/src/answer/fields.rs
+++ b/crates/router/src/answer/fields.rs
@@ -75,7 +75,7 @@
 }
 
 /// Parses decimal digits, without a sign.
-pub(super) fn whole_number(text: &str) -> Option<u64> {
+pub fn whole_number(text: &str) -> Option<u64> {
     let all_digits = text.bytes().all(|byte| byte.is_ascii_digit());
     text.parse().ok().filter(|_| all_digits)
 }
--- a/crates/router/src/answer/head.rs
+++ b/crates/router/src/answer/head.rs
@@ -22,6 +22,8 @@
     pub encoded: bool,
     /// The media type of the body.
     pub content_type: Option<&'a str>,
+    /// The version of the model's weights that answers.
+    pub version: Option<u64>,
 }
 
 /// What the request was.
@@ -33,6 +35,8 @@
     pub streaming: bool,
     /// Whether it accepts content codings.
     pub accepts_encoding: bool,
+    /// The version of the model's weights that has to answer; `None`: any.
+    pub version: Option<u64>,
 }
 
 /// What an answer is.
@@ -57,6 +61,9 @@
     /// A success without the model server's signature.
     #[error("the answer has no signature")]
     Unsigned,
+    /// A success of another version of the model's weights than was asked for.
+    #[error("the answer is of another version")]
+    OtherVersion,
     /// A stream that the end of its connection ends: nothing tells an early end from the proper one.
     #[error("nothing says where the stream ends")]
     Unframed,
@@ -71,6 +78,7 @@
         match self {
             HeadError::OtherRequest => "other_request",
             HeadError::Unsigned => "unsigned",
+            HeadError::OtherVersion => "other_version",
             HeadError::Unframed => "unframed",
             HeadError::Encoded => "encoded",
         }
@@ -96,6 +104,9 @@
         if self.is_success() && !self.signed {
             return Err(HeadError::Unsigned);
         }
+        if self.is_success() && self.is_of_other_version(request.version) {
+            return Err(HeadError::OtherVersion);
+        }
         if self.status == MISDIRECTED_REQUEST {
             return Ok(AnswerKind::Misdirected);
         }
@@ -114,6 +125,11 @@
         (200..300).contains(&self.status)
     }
 
+    /// Whether the answer names another version than the one that was asked for.
+    fn is_of_other_version(&self, expected: Option<u64>) -> bool {
+        matches!((expected, self.version), (Some(expected), Some(told)) if expected != told)
+    }
+
     /// Whether the body is a stream by its media type, which a model server may leave out.
     fn may_be_event_stream(&self) -> bool {
         let media_type = self.content_type.and_then(|text| text.split(';').next());
--- a/crates/router/src/answer/mod.rs
+++ b/crates/router/src/answer/mod.rs
@@ -12,3 +12,29 @@
 mod fields;
 pub mod head;
 pub mod load;
+
+use event_stream::StreamError;
+pub use fields::whole_number;
+use head::HeadError;
+use thiserror::Error;
+
+/// Why what a model server sent is no answer, or no part of one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum AnswerError {
+    /// The head is none of an answer to the request.
+    #[error(transparent)]
+    Head(#[from] HeadError),
+    /// The bytes are no piece of its stream.
+    #[error(transparent)]
+    Stream(#[from] StreamError),
+}
+
+impl AnswerError {
+    /// The error's name in metrics and for operators.
+    pub fn name(self) -> &'static str {
+        match self {
+            AnswerError::Head(error) => error.name(),
+            AnswerError::Stream(error) => error.name(),
+        }
+    }
+}
--- a/crates/router/src/request_log.rs
+++ b/crates/router/src/request_log.rs
@@ -2,6 +2,7 @@
 //! drops the oldest one first.
 
 use crate::Millis;
+use crate::answer::AnswerError;
 use pathbank_control::result_code::ResultCode;
 use std::collections::{HashMap, VecDeque};
 
@@ -45,8 +46,8 @@
     },
     /// The model server sent bytes that are no part of an answer.
     Malformed {
-        /// The error's name.
-        error: &'static str,
+        /// What is wrong with them.
+        error: AnswerError,
     },
     /// The stream is resumed at another model server.
     Resuming,
--- a/crates/router/tests/answer_head.rs
+++ b/crates/router/tests/answer_head.rs
@@ -19,11 +19,12 @@
         framed: true,
         encoded: false,
         content_type: Some("text/event-stream"),
+        version: Some(3),
     }
 }
 
 fn streaming() -> SentRequest<'static> {
-    SentRequest { id: Some(ID), streaming: true, accepts_encoding: false }
+    SentRequest { id: Some(ID), streaming: true, accepts_encoding: false, version: None }
 }
 
 fn plain() -> SentRequest<'static> {
@@ -38,6 +39,10 @@
 #[test_case(streaming(), AnswerHead { framed: false, ..head() }, Err(HeadError::Unframed); "a stream without a length")]
 #[test_case(streaming(), AnswerHead { encoded: true, ..head() }, Err(HeadError::Encoded); "a compressed stream")]
 #[test_case(SentRequest { accepts_encoding: true, ..streaming() }, AnswerHead { encoded: true, ..head() }, Err(HeadError::Encoded); "a compressed stream that the client accepts")]
+#[test_case(SentRequest { version: Some(3), ..streaming() }, head(), Ok(AnswerKind::Stream); "the version that was asked for")]
+#[test_case(SentRequest { version: Some(2), ..streaming() }, head(), Err(HeadError::OtherVersion); "another version")]
+#[test_case(SentRequest { version: Some(2), ..streaming() }, AnswerHead { version: None, ..head() }, Ok(AnswerKind::Stream); "no version")]
+#[test_case(SentRequest { version: Some(2), ..streaming() }, AnswerHead { status: 421, ..head() }, Ok(AnswerKind::Misdirected); "misdirected for its version")]
 #[test_case(plain(), AnswerHead { framed: false, ..head() }, Ok(AnswerKind::Whole); "a document without a length")]
 #[test_case(plain(), AnswerHead { encoded: true, ..head() }, Err(HeadError::Encoded); "a compressed document")]
 #[test_case(SentRequest { accepts_encoding: true, ..plain() }, AnswerHead { encoded: true, ..head() }, Ok(AnswerKind::Whole); "a compressed document that the client accepts")]
--- a/crates/system/src/edge/answer_errors.rs
+++ b/crates/system/src/edge/answer_errors.rs
@@ -1,5 +1,6 @@
 //! Counts what model servers sent instead of answers, for operators.
 
+use pathbank_router::answer::AnswerError;
 use std::collections::BTreeMap;
 use std::sync::{Mutex, PoisonError};
 
@@ -9,8 +10,8 @@
 
 impl AnswerErrorCounts {
     /// Counts one error.
-    pub fn record(&self, name: &'static str) {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner).entry(name).or_default() += 1;
+    pub fn record(&self, error: AnswerError) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner).entry(error.name()).or_default() += 1;
     }
 
     /// All counts since the start of the process.
--- a/crates/system/src/edge/attempt.rs
+++ b/crates/system/src/edge/attempt.rs
@@ -12,7 +12,7 @@
 use crate::startup::Milestone;
 use hyper::header::HeaderMap;
 use pathbank_control::result_code::ResultCode;
-use pathbank_router::answer::head::{AnswerKind, HeadError};
+use pathbank_router::answer::head::AnswerKind;
 use pathbank_router::answer::load::InstanceLoad;
 use pathbank_router::model_servers::{AttemptOutcome, Instance};
 use pathbank_router::request_log::Step;
@@ -113,7 +113,7 @@
     let kind = match head.check(client_request.sent_request()) {
         Ok(kind) => kind,
         Err(error) => {
-            record_head_error(shared, client_request, &instance, error);
+            client_request.record_answer_error(shared, &instance, error.into());
             ticket.end(AttemptOutcome::Failed);
             client_request.attempted.insert(instance);
             return AttemptEnd::Broken;
@@ -164,14 +164,6 @@
     AttemptEnd::NotRun(answer.filter(|_| !misdirected))
 }
 
-/// Records that a model server sent something else than an answer to the request.
-fn record_head_error(shared: &Shared, client_request: &ClientRequest, instance: &str, error: HeadError) {
-    let (id, name) = client_request.log_fields();
-    tracing::warn!(id, ?name, instance, %error, "a model server sent no answer to the request");
-    shared.answer_errors.record(error.name());
-    client_request.record_step(shared, Step::Malformed { error: error.name() });
-}
-
 /// Passes the load that a model server states in its answer to the dispatcher.
 fn observe_load(shared: &Arc<Shared>, instance: &str, headers: &HeaderMap) {
     let Some(load) = text(headers, &INSTANCE_LOAD).and_then(InstanceLoad::parse) else { return };
--- a/crates/system/src/edge/client_request.rs
+++ b/crates/system/src/edge/client_request.rs
@@ -18,6 +18,7 @@
 use pathbank_control::routes::RouteTable;
 use pathbank_control::urgency::{self, LOWEST_PRIORITY, Urgency};
 use pathbank_router::answer::head::SentRequest;
+use pathbank_router::answer::{AnswerError, whole_number};
 use pathbank_router::dispatcher::Offer;
 use pathbank_router::model_servers::Instance;
 use pathbank_router::prompt::{ModelName, TokenCount, parse_parts};
@@ -222,6 +223,11 @@
     Some((model.load_s * 1_000.0) as u64)
 }
 
+/// The version of the model's weights that an answer names.
+pub(super) fn told_version(headers: &HeaderMap) -> Option<u64> {
+    whole_number(text(headers, &VERSIONS)?.trim())
+}
+
 impl ClientRequest {
     /// When the request arrived, milliseconds of the steady clock.
     pub(super) fn arrived(&self) -> u64 {
@@ -240,10 +246,17 @@
         }
     }
 
+    /// Records that a model server sent something else than an answer or a part of one.
+    pub(super) fn record_answer_error(&self, shared: &Shared, instance: &str, error: AnswerError) {
+        let (id, name) = self.log_fields();
+        tracing::warn!(id, ?name, instance, %error, "a model server sent no answer");
+        shared.answer_errors.record(error);
+        self.record_step(shared, Step::Malformed { error });
+    }
+
     /// Records the version that began the answer: a model server that continues it has to hold the same one.
     pub(super) fn record_version(&mut self, headers: &HeaderMap) {
-        let answered_by = text(headers, &VERSIONS).and_then(|version| version.trim().parse().ok());
-        self.version = self.version.or(answered_by);
+        self.version = self.version.or(told_version(headers));
     }
 
     /// The step that records how the request was routed.
@@ -278,13 +291,14 @@
             id: self.headers.get(REQUEST_ID).map(HeaderValue::as_bytes),
             streaming: self.route.kind == RouteType::Streaming,
             accepts_encoding: self.headers.contains_key(ACCEPT_ENCODING),
+            version: self.version,
         }
     }
 
     /// The id of the event after which the client asks a stream to go on, on a route that allows it.
     pub(super) fn last_event_id(&self) -> Option<u64> {
         let id = text(&self.headers, &LAST_EVENT_ID).filter(|_| self.is_resumable())?;
-        id.trim().parse().ok()
+        whole_number(id.trim())
     }
 
     /// Whether the route's number of attempts and the deadline allow another attempt.
--- a/crates/system/src/edge/generation.rs
+++ b/crates/system/src/edge/generation.rs
@@ -4,9 +4,9 @@
 //! begins with that request, by the edge's own clock, so that none starts late after a stall or over a slow
 //! link. The edge reports each result to the core that leads at that time.
 
+use super::client_request::told_version;
 use super::headers::{
     DEADLINE, EXPECT_VERSION, MODEL, PRIORITY, PROMPT_PREFIX, REQUEST_ID, TARGET_INSTANCE, TOKEN_COUNT,
-    VERSIONS,
 };
 use super::shared::Shared;
 use super::upstream_answer::answer_head;
@@ -21,6 +21,7 @@
 use pathbank_protocol::message::{
     DrawEnding, DrawGrant, DrawId, DrawOffer, DrawRequest, DrawResult, DrawTask, DrawnAnswer, Frame,
 };
+use pathbank_router::answer::AnswerError;
 use pathbank_router::answer::event_stream::{EventReader, StreamError};
 use pathbank_router::answer::head::{AnswerKind, SentRequest};
 use std::net::SocketAddr;
@@ -135,31 +136,44 @@
     request_id: Option<&HeaderValue>,
 ) -> DrawEnding {
     let Exchange { response, lease } = exchange;
-    let sent =
-        SentRequest { id: request_id.map(HeaderValue::as_bytes), streaming: true, accepts_encoding: false };
+    let sent = SentRequest {
+        id: request_id.map(HeaderValue::as_bytes),
+        streaming: true,
+        accepts_encoding: false,
+        // The leader judges the versions of a generation.
+        version: None,
+    };
     match answer_head(&response).check(sent) {
         Ok(AnswerKind::Stream) if response.status() == StatusCode::OK => {}
         Ok(_) => return DrawEnding::Over,
         Err(error) => {
-            tracing::warn!(instance = task.id.instance, %error, "a model server sent no answer to a generation");
-            shared.answer_errors.record(error.name());
+            record_error(shared, task, error.into());
             return DrawEnding::Unknown;
         }
     }
-    let version = response.headers().get(VERSIONS).and_then(|value| value.to_str().ok());
-    let header_version = version.and_then(|value| value.trim().parse().ok());
+    let header_version = told_version(response.headers());
     let mut answer = Reading {
         answer: DrawnAnswer { header_version, ..DrawnAnswer::default() },
         reader: EventReader::default(),
     };
-    if let Err(error) = answer.read_all(response.into_body()).await {
-        answer.record_error(shared, task, error);
-        return DrawEnding::Unknown;
+    match answer.read_all(response.into_body()).await {
+        Ok(()) => {}
+        Err(ReadError::Broken) => return DrawEnding::Unknown,
+        Err(ReadError::Malformed(error)) => {
+            record_error(shared, task, error.into());
+            return DrawEnding::Unknown;
+        }
     }
     shared.pool.give_back(lease);
     DrawEnding::Complete(answer.finish(task))
 }
 
+/// Records that a model server sent something else than a generation or a part of one.
+fn record_error(shared: &Shared, task: &DrawTask, error: AnswerError) {
+    tracing::warn!(instance = task.id.instance, %error, "a model server sent no generation");
+    shared.answer_errors.record(error);
+}
+
 /// An answer that is being read.
 struct Reading {
     answer: DrawnAnswer,
@@ -195,13 +209,6 @@
         Ok(self.reader.finish()?)
     }
 
-    fn record_error(&self, shared: &Shared, task: &DrawTask, error: ReadError) {
-        let ReadError::Malformed(error) = error else { return };
-        let (instance, after) = (&task.id.instance, self.reader.last_id());
-        tracing::warn!(instance, %error, after, "a model server sent no piece of a generation");
-        shared.answer_errors.record(error.name());
-    }
-
     fn append(&mut self, events: &[u8]) {
         let free = MAX_TEXT_BYTES - self.answer.text.len();
         let text = String::from_utf8_lossy(events);
--- a/crates/system/src/edge/relay.rs
+++ b/crates/system/src/edge/relay.rs
@@ -146,10 +146,10 @@
             match self.event().await {
                 Event::Frame(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
-                    self.pacing.record();
                     let pieces = self.reader.read(&data);
                     self.malformed = pieces.error;
                     if !pieces.bytes.is_empty() {
+                        self.pacing.record();
                         return Some(Ok(Frame::data(pieces.bytes)));
                     }
                 }
@@ -163,7 +163,11 @@
                     }
                 }
                 Event::Malformed(error) => {
-                    self.record_malformed(error);
+                    self.client_request.record_answer_error(
+                        &self.shared,
+                        self.ticket.instance(),
+                        error.into(),
+                    );
                     if !self.resume().await {
                         return Some(Err(self.broken(Step::Broken, error.into())));
                     }
@@ -192,15 +196,6 @@
         error
     }
 
-    /// Records that the model server sent something else than a piece of its stream.
-    fn record_malformed(&self, error: StreamError) {
-        let (id, name) = self.client_request.log_fields();
-        let after = self.reader.last_id();
-        tracing::warn!(id, ?name, %error, after, "a model server sent no piece of its stream");
-        self.shared.answer_errors.record(error.name());
-        self.client_request.record_step(&self.shared, Step::Malformed { error: error.name() });
-    }
-
     /// Ends a stream that is complete.
     fn complete(&mut self) {
         self.done = true;
--- a/crates/system/src/edge/status.rs
+++ b/crates/system/src/edge/status.rs
@@ -81,7 +81,7 @@
         Step::Broken => ("broken", json!({})),
         Step::TimedOut => ("timed_out", json!({})),
         Step::Answered { status } => ("answered", json!({ "status": status })),
-        Step::Malformed { error } => ("malformed", json!({ "error": error })),
+        Step::Malformed { error } => ("malformed", json!({ "error": error.name() })),
         Step::Resuming => ("resuming", json!({})),
         Step::Complete => ("complete", json!({})),
         Step::Abandoned => ("abandoned", json!({})),
--- a/crates/system/src/edge/ticket.rs
+++ b/crates/system/src/edge/ticket.rs
@@ -3,7 +3,7 @@
 
 use super::shared::{Decision, Shared};
 use pathbank_router::dispatcher::{Offer, RequestId};
-use pathbank_router::model_servers::AttemptOutcome;
+use pathbank_router::model_servers::{AttemptOutcome, Instance};
 use std::sync::Arc;
 
 /// A request that the dispatcher holds.
@@ -11,13 +11,15 @@
     shared: Arc<Shared>,
     id: RequestId,
     open: bool,
+    /// The model server that the dispatcher chose; empty before that.
+    instance: Instance,
 }
 
 impl Ticket {
     /// Creates a ticket for a request that is not offered yet.
     pub fn new(shared: Arc<Shared>) -> Ticket {
         let id = shared.next_id();
-        Ticket { shared, id, open: false }
+        Ticket { shared, id, open: false, instance: Instance::new() }
     }
 
     /// The request's number at this edge.
@@ -25,12 +27,19 @@
         self.id
     }
 
+    /// The model server that the dispatcher chose; empty before that.
+    pub fn instance(&self) -> &str {
+        &self.instance
+    }
+
     /// Offers the request to the dispatcher and waits for its decision.
     pub async fn offer(&mut self, offer: Offer, first: bool) -> Option<Decision> {
         self.open = true;
         let decision = self.shared.offer(offer, first).await.ok();
-        if matches!(decision, Some(Decision::Reject { .. })) {
-            self.open = false;
+        match &decision {
+            Some(Decision::Send { instance, .. }) => self.instance.clone_from(instance),
+            Some(Decision::Reject { .. }) => self.open = false,
+            None => {}
         }
         decision
     }
--- a/crates/system/src/edge/upstream_answer.rs
+++ b/crates/system/src/edge/upstream_answer.rs
@@ -1,6 +1,7 @@
 //! Turns a model server's answer into the one that the client gets.
 
 use super::answer::{self, Answer, AnswerBody, BodyError};
+use super::client_request::told_version;
 use super::headers::{NOT_EXECUTED, REQUEST_ID, SIGNATURE, end_to_end, text};
 use super::shared::Shared;
 use crate::net::client::Exchange;
@@ -39,6 +40,7 @@
         framed: headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING),
         encoded: headers.get(CONTENT_ENCODING).is_some_and(|coding| coding != IDENTITY),
         content_type: text(headers, &CONTENT_TYPE),
+        version: told_version(headers),
     }
 }
 
--- a/crates/system/tests/garbage/main.rs
+++ b/crates/system/tests/garbage/main.rs
@@ -319,3 +319,20 @@
     let list = call(case.system.control[0], "GET", "/api/bricks", &[], "").unwrap().body;
     assert!(!list.contains("draining"), "{list}");
 }
+
+#[test]
+fn a_stream_does_not_go_on_with_the_pieces_of_another_version() {
+    let case = Case::started();
+    let garbage = Garbage {
+        after: AFTER,
+        bytes: b"id:\n\n".to_vec(),
+        in_chunk: true,
+        by_length: false,
+        then: Then::GoOn,
+    };
+    case.servers.change_version.lock().unwrap().insert("changed".to_owned());
+    let streamed = case.stream_with(RESUMABLE, "changed", garbage);
+    let before = Streamed { status: 200, body: pieces("changed", 1..=AFTER), complete: false };
+    assert_eq!(streamed, before, "{}", case.steps("changed"));
+    assert_eq!(case.servers.runs("changed").len(), 2, "another server was asked");
+}
--- a/crates/system/tests/garbage/stream_server.rs
+++ b/crates/system/tests/garbage/stream_server.rs
@@ -2,7 +2,7 @@
 //! are no piece, and then goes on, ends, closes or resets.
 
 use crate::common::{System, call};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -66,6 +66,8 @@
 #[derive(Clone)]
 pub struct StreamServers {
     pub plan: Plan,
+    /// Requests that go on from weights of another version than they began with, whatever was asked for.
+    pub change_version: Arc<Mutex<BTreeSet<String>>>,
     runs: Arc<Mutex<Vec<Run>>>,
 }
 
@@ -77,7 +79,8 @@
 impl StreamServers {
     /// Starts model servers of the backend `llm` that hold `m1`.
     pub fn start(system: &System, instances: &[&str]) -> StreamServers {
-        let servers = StreamServers { plan: Plan::default(), runs: Arc::default() };
+        let servers =
+            StreamServers { plan: Plan::default(), change_version: Arc::default(), runs: Arc::default() };
         for instance in instances {
             let listener = TcpListener::bind((system.ingress.ip(), 0)).unwrap();
             let address = listener.local_addr().unwrap();
@@ -119,7 +122,8 @@
             // A server that is asked to go on after something that is no event begins at the start.
             let after = last_event_id.as_deref().and_then(|id| id.parse().ok()).unwrap_or(0);
             self.runs.lock().unwrap().push(Run { id: id.clone(), last_event_id });
-            if !send_stream(&mut stream, &id, after, self.plan.take(&id))? {
+            let version = if after > 0 && self.change_version.lock().unwrap().contains(&id) { 2 } else { 1 };
+            if !send_stream(&mut stream, &id, after, version, self.plan.take(&id))? {
                 return Ok(());
             }
         }
@@ -157,6 +161,7 @@
     stream: &mut TcpStream,
     id: &str,
     after: u64,
+    version: u64,
     garbage: Option<Garbage>,
 ) -> std::io::Result<bool> {
     let length = garbage.as_ref().filter(|garbage| garbage.by_length).map(|garbage| {
@@ -170,7 +175,7 @@
     write!(
         stream,
         "HTTP/1.1 200 OK\r\nX-Pathbank-Request-Id: {id}\r\nX-Pathbank-Response-Signature: garbage\r\n\
-         Content-Type: text/event-stream\r\nVersions: 1\r\n{framing}\r\n\r\n"
+         Content-Type: text/event-stream\r\nVersions: {version}\r\n{framing}\r\n\r\n"
     )?;
     let write_chunk = |stream: &mut TcpStream, bytes: &[u8]| match length {
         Some(_) => stream.write_all(bytes),
