--- /dev/null
+++ b/crates/system/tests/misbehaving/case.rs
@@ -0,0 +1,148 @@
+//! One edge and one core with a small memory limit, and what has to hold of them beside a crowd.
+
+use crate::common::{System, call, document, start_server, until};
+use crate::crowd::{Crowd, Reads, Script};
+use crate::meter::{MIB, Meter, Peak};
+use pathbank_system::stand_in::StandInSettings;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// `limits.memory_mb` of each process, which is the bound of its memory, where a case has no other.
+pub const MEMORY_MB: u64 = 96;
+/// `limits.max_fds` of each process, which is the bound of its descriptors.
+pub const MAX_DESCRIPTORS: u64 = 4_096;
+/// `limits.max_body_bytes` of the configuration.
+pub const MAX_BODY_BYTES: usize = 4 * 1_024 * 1_024;
+
+/// Slots of the model server that streams.
+const STREAMS: u32 = 1_000;
+const KV_CAPACITY: u32 = 1_000_000;
+const STREAM_PAUSE: Duration = Duration::from_secs(4);
+
+/// How long a crowd that has sent what it can keeps its connections.
+const CROWD_STAYS: Duration = Duration::from_secs(4);
+
+/// One case runs at a time.
+pub static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+pub struct Case {
+    pub system: System,
+    memory_mb: u64,
+    _alone: MutexGuard<'static, ()>,
+}
+
+impl Case {
+    pub fn started() -> Case {
+        Case::with_memory(MEMORY_MB)
+    }
+
+    pub fn with_memory(memory_mb: u64) -> Case {
+        let alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+        let logs = std::env::var_os("PATHBANK_TEST_LOGS").is_some();
+        let mut system = System::with_logs(1, 1, logs);
+        for name in ["core-0", "edge-0"] {
+            set_limits(&system, name, memory_mb);
+        }
+        system.local.start().expect("the program starts");
+        system.server("i-app-1", "app", &[]);
+        start_slow_streams(&system);
+        system.configure(0, &configuration(3));
+        system.until_ready();
+        let case = Case { system, memory_mb, _alone: alone };
+        case.serves("first");
+        case
+    }
+
+    pub fn edge(&self) -> u32 {
+        self.system.local.edges[0].process.id().expect("the edge runs")
+    }
+
+    pub fn core(&self) -> u32 {
+        self.system.local.cores[0].id().expect("the core runs")
+    }
+
+    /// An ordinary request is answered.
+    pub fn serves(&self, id: &str) {
+        self.system.ask_until_served("/app/x", id, &[]);
+    }
+
+    /// An operator's call is answered.
+    pub fn answers_operators(&self) {
+        until("the configuration is read", || self.system.read_configuration().is_some());
+    }
+
+    /// The crowd sends what it can to `address`; the process with this id is measured meanwhile. An ordinary
+    /// request and an operator's call are answered beside the crowd and after it.
+    pub fn bear(&mut self, process: u32, address: SocketAddr, scripts: Vec<Script>, reads: Reads) -> Peak {
+        let meter = Meter::start(process);
+        let crowd = Crowd::start(address, scripts, reads);
+        crowd.until_sent();
+        // What it sent is read meanwhile.
+        std::thread::sleep(CROWD_STAYS);
+        self.serves("beside");
+        self.answers_operators();
+        crowd.leave();
+        let peak = meter.finish();
+        assert!(!self.system.local.edges[0].process.has_ended(), "the edge ended: {peak:?}");
+        assert!(!self.system.local.cores[0].has_ended(), "the core ended: {peak:?}");
+        self.serves("after");
+        self.answers_operators();
+        peak
+    }
+
+    /// [`Case::bear`] with the bounds that the settings give.
+    pub fn bears(&mut self, process: u32, address: SocketAddr, scripts: Vec<Script>, reads: Reads) {
+        let peak = self.bear(process, address, scripts, reads);
+        let memory_mib = peak.memory_bytes / MIB;
+        let most = self.memory_mb;
+        println!("peak: {memory_mib} MiB of {most}, {} descriptors", peak.descriptors);
+        assert!(memory_mib < most, "{memory_mib} MiB are over limits.memory_mb={most}");
+        assert!(peak.descriptors < MAX_DESCRIPTORS, "{peak:?}");
+    }
+}
+
+/// Sets the limits of a process that is not started yet.
+pub fn set_limits(system: &System, name: &str, memory_mb: u64) {
+    let path = system.local.folder.join(format!("{name}.conf"));
+    let mut file = std::fs::OpenOptions::new().append(true).open(path).expect("the settings are there");
+    let limits = format!("limits.memory_mb={memory_mb}\nlimits.max_fds={MAX_DESCRIPTORS}\n");
+    file.write_all(limits.as_bytes()).expect("the settings are written");
+}
+
+/// A model server with many slots whose streams outlast every crowd.
+fn start_slow_streams(system: &System) {
+    let settings = StandInSettings::new("i-llm-1", "llm", "z1", &["m1"], &system.control);
+    let slow = StandInSettings { stream_pause: STREAM_PAUSE, capacity: STREAMS, ..settings };
+    start_server(system.runtime.handle(), slow, SocketAddr::new(system.ingress.ip(), 0));
+}
+
+/// The common configuration with a longer body, an idempotent route, and model servers with many slots.
+pub fn configuration(version: u64) -> String {
+    let mut document: serde_json::Value = serde_json::from_str(&document(version)).unwrap();
+    document["limits"]["max_body_bytes"] = MAX_BODY_BYTES.into();
+    document["backends"][1]["runtime"]["capacity"] = STREAMS.into();
+    document["backends"][1]["runtime"]["kv_capacity"] = KV_CAPACITY.into();
+    let routes = document["routes"].as_array_mut().unwrap();
+    let mut again = routes[0].clone();
+    again["name"] = "r4".into();
+    again["path_prefix"] = "/again/".into();
+    again["type"] = "idempotent".into();
+    again["max_attempts"] = 2.into();
+    routes.push(again);
+    document.to_string()
+}
+
+/// A whole body of this many bytes, on a connection of its own. Returns the answer's status and length.
+pub fn send_body(case: &Case, id: &str, bytes: usize) -> Option<(u16, usize)> {
+    let body = "x".repeat(bytes);
+    let headers = [
+        ("Host", "shop.example"),
+        ("X-Pathbank-Request-Id", id),
+        ("X-Pathbank-Deadline-Ms", "5000"),
+        ("X-Pathbank-Credential", "key-1"),
+    ];
+    let answer = call(case.system.ingress, "POST", "/app/x", &headers, &body)?;
+    Some((answer.status, answer.body.len()))
+}
--- /dev/null
+++ b/crates/system/tests/misbehaving/crowd.rs
@@ -0,0 +1,173 @@
+//! A crowd of clients that send what a well-behaved client does not, and keep their connections open.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+const CONNECT_WITHIN: Duration = Duration::from_secs(5);
+/// A client that can send nothing for so long has sent what it can.
+const SENDS_NOTHING_FOR: Duration = Duration::from_secs(2);
+/// Everybody has sent what it can within this.
+const PATIENCE: Duration = Duration::from_secs(60);
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+const PIECE_BYTES: usize = 64 * 1024;
+const CLIENT_STACK_BYTES: usize = 128 * 1024;
+
+/// What one client of a crowd sends.
+#[derive(Clone, Debug)]
+pub struct Script {
+    /// Sent first, whole.
+    pub head: Vec<u8>,
+    /// Sent again and again behind the head.
+    pub part: Vec<u8>,
+    /// How often.
+    pub parts: usize,
+    /// Sent at the end.
+    pub end: Vec<u8>,
+}
+
+impl Script {
+    /// A body with a length, of which this many bytes are sent.
+    pub fn with_length(path: &str, announced: usize, sent: usize) -> Script {
+        let head = format!("{}Content-Length: {announced}\r\n\r\n", head(path));
+        let whole = sent / PIECE_BYTES;
+        Script {
+            head: head.into_bytes(),
+            part: vec![b'x'; PIECE_BYTES],
+            parts: whole,
+            end: vec![b'x'; sent - whole * PIECE_BYTES],
+        }
+    }
+
+    /// A body in chunks of `chunk` bytes, without the last chunk.
+    pub fn chunked(path: &str, chunk: usize, bytes: usize) -> Script {
+        let head = format!("{}Transfer-Encoding: chunked\r\n\r\n", head(path));
+        let one = [format!("{chunk:x}\r\n").into_bytes(), vec![b'x'; chunk], b"\r\n".to_vec()].concat();
+        let together = (PIECE_BYTES / one.len()).max(1);
+        let chunks = bytes / chunk;
+        Script {
+            head: head.into_bytes(),
+            part: one.repeat(together),
+            parts: chunks / together,
+            end: one.repeat(chunks % together),
+        }
+    }
+
+    /// A head that does not end, of this many bytes.
+    pub fn endless_head(bytes: usize) -> Script {
+        let mut head = b"POST /app/x HTTP/1.1\r\nHost: shop.example\r\nX-Long: ".to_vec();
+        head.resize(bytes, b'x');
+        Script { head, part: Vec::new(), parts: 0, end: Vec::new() }
+    }
+
+    /// A whole request with this body, and more bytes behind it.
+    pub fn with_surplus(path: &str, more: &str, body: &[u8], surplus: usize) -> Script {
+        let head = format!("{}{more}Content-Length: {}\r\n\r\n", head(path), body.len());
+        Script {
+            head: [head.as_bytes(), body].concat(),
+            part: vec![b'x'; PIECE_BYTES],
+            parts: surplus / PIECE_BYTES,
+            end: Vec::new(),
+        }
+    }
+}
+
+/// A head without its last headers.
+fn head(path: &str) -> String {
+    static NEXT: AtomicUsize = AtomicUsize::new(1);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: shop.example\r\nX-Pathbank-Request-Id: crowd-{number}\r\n\
+         X-Pathbank-Deadline-Ms: 30000\r\nX-Pathbank-Credential: key-1\r\nX-Pathbank-Base-Version: 0\r\n"
+    )
+}
+
+/// Whether a client takes what the process sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reads {
+    Everything,
+    Nothing,
+}
+
+/// Clients that run at once.
+pub struct Crowd {
+    leave: Arc<AtomicBool>,
+    /// Clients that have sent what they can.
+    done: Arc<AtomicUsize>,
+    clients: Vec<JoinHandle<()>>,
+}
+
+impl Crowd {
+    /// Starts a client for each script.
+    pub fn start(address: SocketAddr, scripts: Vec<Script>, reads: Reads) -> Crowd {
+        let (leave, done) = (Arc::<AtomicBool>::default(), Arc::<AtomicUsize>::default());
+        let clients = scripts.into_iter().map(|script| {
+            let (leave, done) = (leave.clone(), done.clone());
+            let client = std::thread::Builder::new().stack_size(CLIENT_STACK_BYTES);
+            let started = client.spawn(move || {
+                let connection = play(address, &script, reads, &leave);
+                done.fetch_add(1, Ordering::Relaxed);
+                while !leave.load(Ordering::Relaxed) {
+                    std::thread::sleep(LOOK_EVERY);
+                }
+                if let Some(connection) = connection {
+                    let _ = connection.shutdown(Shutdown::Both);
+                }
+            });
+            started.expect("a thread starts")
+        });
+        Crowd { leave: leave.clone(), done: done.clone(), clients: clients.collect() }
+    }
+
+    /// Waits until each client has sent all, was answered, or can send no more.
+    pub fn until_sent(&self) {
+        let start = Instant::now();
+        while self.done.load(Ordering::Relaxed) < self.clients.len() {
+            assert!(start.elapsed() < PATIENCE, "the crowd sends for longer than {PATIENCE:?}");
+            std::thread::sleep(LOOK_EVERY);
+        }
+    }
+
+    /// All clients go.
+    pub fn leave(self) {
+        self.leave.store(true, Ordering::Relaxed);
+        for client in self.clients {
+            client.join().expect("a client runs to its end");
+        }
+    }
+}
+
+/// Sends what the script says, as far as the process takes it. Returns the open connection.
+fn play(address: SocketAddr, script: &Script, reads: Reads, leave: &AtomicBool) -> Option<TcpStream> {
+    let mut stream = TcpStream::connect_timeout(&address, CONNECT_WITHIN).ok()?;
+    stream.set_write_timeout(Some(SENDS_NOTHING_FOR)).ok()?;
+    if reads == Reads::Everything {
+        spawn_reader(stream.try_clone().ok()?);
+    }
+    // An error: the process closed its side, or takes nothing more. The connection stays as it is.
+    let _ = send(&mut stream, script, leave);
+    Some(stream)
+}
+
+fn send(stream: &mut TcpStream, script: &Script, leave: &AtomicBool) -> std::io::Result<()> {
+    stream.write_all(&script.head)?;
+    for _ in 0..script.parts {
+        if leave.load(Ordering::Relaxed) {
+            return Err(ErrorKind::Interrupted.into());
+        }
+        stream.write_all(&script.part)?;
+    }
+    stream.write_all(&script.end)
+}
+
+/// Reads until the process closes, on a thread of its own.
+fn spawn_reader(mut stream: TcpStream) {
+    std::thread::spawn(move || {
+        let mut bytes = [0; 4_096];
+        while stream.read(&mut bytes).is_ok_and(|count| count > 0) {}
+        let _ = stream.shutdown(Shutdown::Both);
+    });
+}
--- /dev/null
+++ b/crates/system/tests/misbehaving/main.rs
@@ -0,0 +1,172 @@
+//! Clients that don't behave, before the real programs on loopback addresses: no process ends, memory and
+//! descriptors stay under what the settings allow, and ordinary requests and operators' calls are answered
+//! beside the crowd and after it.
+//!
+//! The crowd and the bounds follow from the settings in `case`; one case runs at a time.
+//! `PATHBANK_TEST_LOGS=1` shows what the processes log.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by a panic")]
+
+mod case;
+#[path = "../common/mod.rs"]
+mod common;
+mod crowd;
+mod meter;
+
+use case::{Case, MAX_BODY_BYTES, MEMORY_MB, send_body};
+use common::until;
+use crowd::{Reads, Script};
+use meter::MIB;
+
+/// So many bodies at the limit are three times what the process may hold.
+const BODIES: usize = 3 * MEMORY_MB as usize * MIB as usize / MAX_BODY_BYTES;
+/// A body in chunks of one byte; each chunk costs its holder some forty bytes.
+const TINY_CHUNK_BODY_BYTES: usize = 96 * 1_024;
+/// So many of these bodies, held chunk by chunk, are more than the process may hold.
+const TINY_CHUNK_BODIES: usize = 32;
+const TINY_CHUNK_MEMORY_MB: u64 = 32;
+/// Far over the limit.
+const FAR_OVER_LIMIT_BYTES: usize = 64 * MAX_BODY_BYTES;
+/// Under the longest head that is read.
+const LONG_HEAD_BYTES: usize = 60 * 1_024;
+/// Fewer than an edge takes by `limits.max_fds`; with heads of that length, more than the process may hold.
+const CONNECTIONS: usize = 2_000;
+/// Streams that run at once; with what is sent behind their requests, more than the process may hold.
+const STREAMS: usize = 700;
+/// What a client sends behind its request.
+const SURPLUS_BYTES: usize = 1_024 * 1_024;
+/// The longest body of an operator's call.
+const OPERATOR_BODY_BYTES: usize = 16 * 1_024 * 1_024;
+/// So many operators' bodies are four times what a core may hold.
+const OPERATOR_BODIES: usize = 4 * MEMORY_MB as usize * MIB as usize / OPERATOR_BODY_BYTES;
+/// The longest message between processes.
+const FRAME_BYTES: usize = 32 * 1_024 * 1_024;
+const STOPS_SHORT_BY: usize = 16;
+
+fn crowd_of(count: usize, script: impl Fn() -> Script) -> Vec<Script> {
+    (0..count).map(|_| script()).collect()
+}
+
+#[test]
+fn a_body_at_the_limit_is_served_in_calm() {
+    let case = Case::started();
+    until("a body at the limit is served", || {
+        send_body(&case, "at-limit", MAX_BODY_BYTES).is_some_and(|(status, _)| status == 200)
+    });
+    let (status, _) = send_body(&case, "over-limit", MAX_BODY_BYTES + 1).expect("an answer");
+    assert_eq!(status, 413, "a body over the limit");
+}
+
+#[test]
+fn large_bodies_that_stop_short_of_their_end() {
+    let mut case = Case::started();
+    let script = || Script::with_length("/app/x", MAX_BODY_BYTES, MAX_BODY_BYTES - STOPS_SHORT_BY);
+    let (edge, ingress) = (case.edge(), case.system.ingress);
+    case.bears(edge, ingress, crowd_of(BODIES, script), Reads::Everything);
+}
+
+#[test]
+fn large_bodies_that_are_whole() {
+    let mut case = Case::started();
+    let script = || Script::with_length("/app/x", MAX_BODY_BYTES, MAX_BODY_BYTES);
+    let (edge, ingress) = (case.edge(), case.system.ingress);
+    case.bears(edge, ingress, crowd_of(BODIES, script), Reads::Everything);
+}
+
+#[test]
+fn large_chunks_that_stop_short_of_their_end() {
+    let mut case = Case::started();
+    let script = || Script::chunked("/app/x", 32 * 1_024, MAX_BODY_BYTES);
+    let (edge, ingress) = (case.edge(), case.system.ingress);
+    case.bears(edge, ingress, crowd_of(BODIES, script), Reads::Everything);
+}
+
+#[test]
+fn tiny_chunks_that_stop_short_of_their_end() {
+    let mut case = Case::with_memory(TINY_CHUNK_MEMORY_MB);
+    let script = || Script::chunked("/app/x", 1, TINY_CHUNK_BODY_BYTES);
+    let (edge, ingress) = (case.edge(), case.system.ingress);
+    case.bears(edge, ingress, crowd_of(TINY_CHUNK_BODIES, script), Reads::Everything);
+}
+
+#[test]
+fn bodies_far_over_the_limit() {
+    let mut case = Case::started();
+    let announced = || Script::with_length("/app/x", FAR_OVER_LIMIT_BYTES, FAR_OVER_LIMIT_BYTES);
+    let chunked = || Script::chunked("/app/x", 32 * 1_024, FAR_OVER_LIMIT_BYTES);
+    let scripts = [crowd_of(BODIES / 2, announced), crowd_of(BODIES / 2, chunked)].concat();
+    let (edge, ingress) = (case.edge(), case.system.ingress);
+    case.bears(edge, ingress, scripts, Reads::Everything);
+}
+
+#[test]
+fn heads_that_do_not_end() {
+    let mut case = Case::started();
+    let (edge, ingress) = (case.edge(), case.system.ingress);
+    let scripts = crowd_of(CONNECTIONS, || Script::endless_head(LONG_HEAD_BYTES));
+    case.bears(edge, ingress, scripts, Reads::Nothing);
+}
+
+#[test]
+fn bytes_behind_a_request_whose_answer_is_a_stream() {
+    let mut case = Case::started();
+    let (edge, ingress) = (case.edge(), case.system.ingress);
+    let more = "X-Pathbank-Model: m1\r\nX-Pathbank-Token-Count: 10,10\r\n";
+    let script = || Script::with_surplus("/llm/x", more, b"hello", SURPLUS_BYTES);
+    case.bears(edge, ingress, crowd_of(STREAMS, script), Reads::Nothing);
+}
+
+#[test]
+fn answers_that_are_not_read() {
+    let mut case = Case::started();
+    // The stand-in's answer holds the request's body.
+    let script = || Script::with_length("/again/x", MAX_BODY_BYTES, MAX_BODY_BYTES);
+    let (edge, ingress) = (case.edge(), case.system.ingress);
+    case.bears(edge, ingress, crowd_of(BODIES, script), Reads::Nothing);
+}
+
+#[test]
+fn heads_that_do_not_end_at_the_readiness_address() {
+    let mut case = Case::started();
+    let (edge, readiness) = (case.edge(), case.system.readiness);
+    let scripts = crowd_of(CONNECTIONS, || Script::endless_head(LONG_HEAD_BYTES));
+    case.bears(edge, readiness, scripts, Reads::Nothing);
+}
+
+#[test]
+fn operators_bodies_that_stop_short_of_their_end() {
+    let mut case = Case::started();
+    let path = "/api/config/replace";
+    let script = || Script::with_length(path, OPERATOR_BODY_BYTES, OPERATOR_BODY_BYTES - STOPS_SHORT_BY);
+    let (core, control) = (case.core(), case.system.control[0]);
+    case.bears(core, control, crowd_of(OPERATOR_BODIES, script), Reads::Everything);
+}
+
+#[test]
+fn operators_bodies_that_are_whole() {
+    let mut case = Case::started();
+    let script = || Script::with_length("/api/config/replace", OPERATOR_BODY_BYTES, OPERATOR_BODY_BYTES);
+    let (core, control) = (case.core(), case.system.control[0]);
+    case.bears(core, control, crowd_of(OPERATOR_BODIES, script), Reads::Everything);
+}
+
+#[test]
+fn operators_bodies_in_tiny_chunks() {
+    let mut case = Case::with_memory(TINY_CHUNK_MEMORY_MB);
+    let script = || Script::chunked("/api/config/replace", 1, TINY_CHUNK_BODY_BYTES);
+    let (core, control) = (case.core(), case.system.control[0]);
+    case.bears(core, control, crowd_of(TINY_CHUNK_BODIES, script), Reads::Everything);
+}
+
+#[test]
+fn messages_of_strangers_that_stop_short_of_their_end() {
+    let mut case = Case::started();
+    let (core, internal) = (case.core(), case.system.local.internal[0]);
+    let script = || Script {
+        head: (FRAME_BYTES as u32).to_le_bytes().to_vec(),
+        part: vec![0; 64 * 1_024],
+        parts: FRAME_BYTES / (64 * 1_024) - 1,
+        end: Vec::new(),
+    };
+    case.bears(core, internal, crowd_of(OPERATOR_BODIES, script), Reads::Nothing);
+}
