--- a/crates/control/src/result_code.rs
+++ b/crates/control/src/result_code.rs
@@ -52,6 +52,8 @@
     Stopping = 308,
     /// No configuration is known yet.
     NoConfiguration = 309,
+    /// The process holds as many bytes of requests as its memory limit allows.
+    OutOfMemory = 310,
     /// There is no such training step.
     UnknownStep = 401,
     /// The step's state does not allow the command.
@@ -111,7 +113,8 @@
             | ResultCode::NoModelServer
             | ResultCode::Overloaded
             | ResultCode::Stopping
-            | ResultCode::NoConfiguration => 503,
+            | ResultCode::NoConfiguration
+            | ResultCode::OutOfMemory => 503,
         }
     }
 
@@ -143,6 +146,7 @@
             ResultCode::TimedOut => "TimedOut",
             ResultCode::Stopping => "Stopping",
             ResultCode::NoConfiguration => "NoConfiguration",
+            ResultCode::OutOfMemory => "OutOfMemory",
             ResultCode::UnknownStep => "UnknownStep",
             ResultCode::WrongStepState => "WrongStepState",
             ResultCode::EarlierStep => "EarlierStep",
--- a/crates/control/tests/result_code.rs
+++ b/crates/control/tests/result_code.rs
@@ -30,6 +30,7 @@
     ResultCode::TimedOut,
     ResultCode::Stopping,
     ResultCode::NoConfiguration,
+    ResultCode::OutOfMemory,
     ResultCode::UnknownStep,
     ResultCode::WrongStepState,
     ResultCode::EarlierStep,
--- a/crates/system/src/lib.rs
+++ b/crates/system/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod core;
 pub mod edge;
 pub mod local;
+pub mod memory;
 pub mod net;
 pub mod rehearsal;
 pub mod settings;
--- a/crates/system/src/settings.rs
+++ b/crates/system/src/settings.rs
@@ -11,6 +11,8 @@
 pub const SETTINGS_VARIABLE: &str = "PATHBANK_CONFIG";
 /// The path of the settings file if the variable is not set.
 const DEFAULT_PATH: &str = "/etc/pathbank/boot.conf";
+/// The memory of a process whose settings state no limit, MB.
+const DEFAULT_MEMORY_MB: u64 = 256;
 
 /// Limits that the platform sets for the system, from the file's keys `bounds.*`. Times are in milliseconds.
 #[derive(Clone, Debug)]
@@ -69,6 +71,8 @@
     pub data_dir: Option<PathBuf>,
     /// The most file descriptors that the process may open.
     pub max_descriptors: u64,
+    /// The memory that the process may hold, MB of 2^20 bytes.
+    pub memory_mb: u64,
     /// The interval of model servers' heartbeats, milliseconds.
     pub heartbeat_ms: u64,
     /// The limits that the platform sets.
@@ -128,6 +132,7 @@
             bootstrap: lines.or("bootstrap", false)?,
             data_dir: lines.optional::<String>("data_dir")?.map(PathBuf::from),
             max_descriptors: lines.or("limits.max_fds", 1_024)?,
+            memory_mb: lines.or("limits.memory_mb", DEFAULT_MEMORY_MB)?,
             heartbeat_ms: lines.or("heartbeat_ms", 1_000)?,
             bounds: Bounds {
                 grace_ms: seconds("bounds.grace_s", 8.0)?,
