A connection pays for its head, and one that does not move gives way to a new one

Clients that open connections and send heads without end made an edge hold 161 MiB of 96, and 170 MiB at the readiness address, which had no limits at all (2,000 heads of 60 KiB). Each connection kept its read buffer for 20 s.

A connection takes 56 KiB of its server's share when it is accepted, and twice what its head has beyond 8 KiB before that is read. Where the share or the descriptors are exhausted, the connection on which no byte came or went for longest ends, unless it serves a request. The readiness address has the same server, with heads up to 8 KiB. Reads take 8 KiB at most, which keeps hyper's buffers short. /api/memory tells operators of the shares and of what was refused.

--- a/crates/system/src/core/mod.rs
+++ b/crates/system/src/core/mod.rs
@@ -32,7 +32,8 @@
 mod usage;
 
 use crate::clock;
-use crate::net::server::{self, ConnectionCount, Limits};
+use crate::memory::plan::CoreMemory;
+use crate::net::server::{self, ConnectionTable, Limits};
 use crate::net::socket;
 use crate::settings::Settings;
 use crate::signals::Signals;
@@ -133,10 +134,11 @@
         head_bytes: MAX_HEAD_BYTES,
         head_timeout: HEAD_TIMEOUT,
         connections: (settings.max_descriptors as f64 * CALLER_DESCRIPTOR_FRACTION) as usize,
+        memory: CoreMemory::new(settings.memory_mb).connections,
     };
     let service = api::service(events);
     let serving =
-        server::serve(listener, move |_| service.clone(), limits, closing, ConnectionCount::default());
+        server::serve(listener, move |_| service.clone(), limits, closing, ConnectionTable::default());
     tokio::spawn(serving)
 }
 
--- a/crates/system/src/edge/mod.rs
+++ b/crates/system/src/edge/mod.rs
@@ -24,7 +24,7 @@
 mod upstream_answer;
 
 use crate::clock;
-use crate::net::server::{self, ConnectionCount, Limits};
+use crate::net::server::{self, ConnectionTable, Limits};
 use crate::net::socket;
 use crate::settings::Settings;
 use crate::signals::{Request, Signals};
@@ -69,19 +69,23 @@
     let ingress = settings.ingress.context("listeners_map.ingress is missing")?;
     let readiness = settings.readiness.context("listeners_map.readiness is missing")?;
     let listener = socket::listen(ingress).with_context(|| format!("ingress {ingress}"))?;
-    let readiness_listener = socket::listen(readiness).with_context(|| format!("readiness {readiness}"))?;
+    let readiness_listener =
+        socket::listen(readiness).with_context(|| format!("readiness {readiness}"))?;
     startup.reach(Milestone::Listening);
     let shared = Shared::new(settings.clone(), startup);
     core_links::start(&shared, &settings.seeds);
     tokio::spawn(rollout::run(shared.clone()));
-    tokio::spawn(status::serve(readiness_listener, shared.clone()));
     let (close, closing) = watch::channel(false);
+    // Operators read the status of an edge that shuts down, too.
+    let (status_close, status_closing) = watch::channel(false);
+    tokio::spawn(status::serve(readiness_listener, shared.clone(), status_closing));
     let limits = Limits {
         head_bytes: MAX_HEAD_BYTES,
         head_timeout: IDLE_TIMEOUT,
         connections: (settings.max_descriptors as f64 * CLIENT_DESCRIPTOR_FRACTION) as usize,
+        memory: shared.memory.connections.clone(),
     };
-    let count = ConnectionCount::default();
+    let connections = ConnectionTable::default();
     let service_shared = shared.clone();
     let service = move |_peer| {
         let shared = service_shared.clone();
@@ -90,14 +94,16 @@
             async move { Ok::<_, Infallible>(proxy::answer(shared, request).await) }
         })
     };
-    let serving = tokio::spawn(server::serve(listener, service, limits, closing, count.clone()));
+    let serving =
+        tokio::spawn(server::serve(listener, service, limits, closing.clone(), connections.clone()));
     tokio::spawn(tick(shared.clone()));
     tokio::spawn(report(shared.clone()));
     tracing::info!(node = settings.node_name, %ingress, "edge started");
     while signals.next().await == Request::Reload {
         core_links::reload(&shared);
     }
-    stop(&shared, &settings, serving, &close, &count).await;
+    stop(&shared, &settings, serving, &close, &connections).await;
+    drop(status_close);
     Ok(())
 }
 
@@ -108,7 +114,7 @@
     settings: &Settings,
     serving: tokio::task::JoinHandle<()>,
     close: &watch::Sender<bool>,
-    count: &ConnectionCount,
+    connections: &ConnectionTable,
 ) {
     tracing::info!("shutting down");
     shared.stopping.store(true, Ordering::Relaxed);
@@ -118,7 +124,7 @@
     // to its end.
     serving.abort();
     let _ = close.send(true);
-    while tokio::time::Instant::now() < end && (count.get() > 0 || shared.open_requests() > 0) {
+    while tokio::time::Instant::now() < end && (connections.count() > 0 || shared.open_requests() > 0) {
         shared.refuse_waiting(STOPPING_RETRY_MS);
         tokio::time::sleep(TICK_INTERVAL).await;
     }
--- a/crates/system/src/edge/shared.rs
+++ b/crates/system/src/edge/shared.rs
@@ -9,6 +9,7 @@
 use super::pending_admissions::PendingAdmissions;
 use super::report_history::ReportHistory;
 use crate::clock;
+use crate::memory::plan::EdgeMemory;
 use crate::net::client::ConnectionPool;
 use crate::net::mesh::Mesh;
 use crate::settings::Settings;
@@ -95,6 +96,8 @@
     pub configurations: ConfigurationQueue,
     /// What model servers sent instead of answers.
     pub answer_errors: AnswerErrorCounts,
+    /// The shares of the memory that others may make this edge hold.
+    pub memory: EdgeMemory,
     /// Connections to model servers.
     pub pool: ConnectionPool,
     /// Links to the cores.
@@ -133,6 +136,7 @@
             next_id: 1,
         };
         Arc::new(Shared {
+            memory: EdgeMemory::new(settings.memory_mb),
             settings,
             incarnation,
             startup,
--- a/crates/system/src/edge/status.rs
+++ b/crates/system/src/edge/status.rs
@@ -3,15 +3,31 @@
 
 use super::shared::Shared;
 use crate::clock;
+use crate::net::server::{self, CloseSignal, ConnectionTable, Limits, RouterService};
 use pathbank_router::request_log::{Step, TimedStep};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::TcpListener;
 use viz::{IntoResponse, RequestExt, Response, ResponseExt, Router, StatusCode};
 
+/// The longest request head.
+const MAX_HEAD_BYTES: usize = 8 * 1024;
+/// A caller sends the head of its next request within this.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// The fraction of file descriptors that callers may use.
+const DESCRIPTOR_FRACTION: f64 = 0.05;
+
 /// Serves the readiness listener until the edge ends.
-pub async fn serve(listener: TcpListener, shared: Arc<Shared>) {
+pub async fn serve(listener: TcpListener, shared: Arc<Shared>, closing: CloseSignal) {
+    let limits = Limits {
+        head_bytes: MAX_HEAD_BYTES,
+        head_timeout: HEAD_TIMEOUT,
+        connections: (shared.settings.max_descriptors as f64 * DESCRIPTOR_FRACTION) as usize,
+        memory: shared.memory.status_connections.clone(),
+    };
+    let memory = shared.memory.clone();
     let (for_readiness, for_startup, for_estimates) = (shared.clone(), shared.clone(), shared.clone());
     let for_answer_errors = shared.clone();
     let router = Router::new()
@@ -34,13 +50,16 @@
             let counts = for_answer_errors.answer_errors.counts();
             async move { Ok::<_, viz::Error>(Response::json(counts)?) }
         })
+        .get("/api/memory", move |_request: viz::Request| {
+            let usage = memory.usage();
+            async move { Ok::<_, viz::Error>(Response::json(usage)?) }
+        })
         .get("/api/requests/:id", move |request: viz::Request| {
             let answer = explain(&shared, &request);
             async move { Ok::<_, viz::Error>(answer) }
         });
-    if let Err(error) = viz::serve(listener, router).await {
-        tracing::error!(%error, "readiness server failed");
-    }
+    let service = RouterService::from(router);
+    server::serve(listener, move |_| service.clone(), limits, closing, ConnectionTable::default()).await;
 }
 
 /// The estimates by which this edge chooses a model server.
