An edge holds clients' bodies and requests in leased memory

Clients that send many bodies of legal size at once, whole or short of their end, in large or tiny chunks, or far over the limit, ended edges: 571 MiB of 96 were held under 72 whole bodies of 4 MiB, 315 short of their end, 316 in chunks, 67 of 32 in tiny chunks, 228 over the limit. Collected bodies were bounded one by one only, each chunk kept its read buffer, and a waiting request kept the buffer of its head.

A body is read into blocks of the edge's shares, and goes to model servers as these blocks, however often it is sent. An accepted request pays for a copy of its head, and for an exchange before it is sent. What finds no memory is refused by 503 OutOfMemory, a body that stalls while others need its memory by 408, both before anything has gone to a model server. Of a refused body 8 MiB or 2 s are read on and thrown away, so that its client gets the answer; then the connection closes. 413 is for bodies over the limit alone.

--- a/crates/system/src/core/orders/call.rs
+++ b/crates/system/src/core/orders/call.rs
@@ -2,9 +2,9 @@
 
 use crate::core::lease::LeaseGuard;
 use crate::core::model_server_json::ReportJson;
+use crate::memory::held_body::HeldBody;
 use crate::net::client::ConnectionPool;
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::Request;
 use hyper::header::HeaderValue;
 use pathbank_control::order::{Operation, Order};
@@ -55,7 +55,7 @@
     let request = Request::get("/api/report")
         .header("host", address.to_string())
         .header("x-pathbank-target-instance", instance)
-        .body(Full::new(Bytes::new()))
+        .body(HeldBody::default())
         .ok()?;
     let parse = |status, body: &[u8]| match (status, ReportJson::parse(body)) {
         (200, Ok(report)) => Some(report),
@@ -68,9 +68,9 @@
     pool.call_for(address, request, CALL_TIMEOUT, parse).await
 }
 
-fn order_request(order: &Order, revision: Option<u64>, guard: &LeaseGuard) -> Request<Full<Bytes>> {
+fn order_request(order: &Order, revision: Option<u64>, guard: &LeaseGuard) -> Request<HeldBody> {
     let body = order_body(order, revision, guard);
-    let mut request = Request::new(Full::new(Bytes::from(body.to_string())));
+    let mut request = Request::new(HeldBody::from(Bytes::from(body.to_string())));
     *request.method_mut() = hyper::Method::POST;
     *request.uri_mut() = hyper::Uri::from_static("/api/order");
     let headers = request.headers_mut();
--- a/crates/system/src/core/singleton_roles.rs
+++ b/crates/system/src/core/singleton_roles.rs
@@ -1,9 +1,9 @@
 //! Calls to the platform that exactly one core makes at a time: usage reports and the number of model servers.
 
 use super::lease::LeaseGuard;
+use crate::memory::held_body::HeldBody;
 use crate::net::client::ConnectionPool;
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::Request;
 use pathbank_control::autoscaling::ScaleOrder;
 use std::collections::BTreeMap;
@@ -101,17 +101,12 @@
     }
 }
 
-fn request(
-    path: &str,
-    platform: SocketAddr,
-    guard: &LeaseGuard,
-    body: String,
-) -> Option<Request<Full<Bytes>>> {
+fn request(path: &str, platform: SocketAddr, guard: &LeaseGuard, body: String) -> Option<Request<HeldBody>> {
     Request::post(path)
         .header("host", platform.to_string())
         .header("content-type", "application/json")
         .header("x-pathbank-lease-holder", &guard.lease_holder)
         .header("x-pathbank-fencing-token", guard.fencing_token.to_string())
-        .body(Full::new(Bytes::from(body)))
+        .body(HeldBody::from(Bytes::from(body)))
         .ok()
 }
--- a/crates/system/src/edge/answer.rs
+++ b/crates/system/src/edge/answer.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
-use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use pathbank_control::result_code::ResultCode;
 
@@ -35,6 +35,12 @@
     response
 }
 
+/// Adds that the connection closes after this answer.
+pub fn closing(mut answer: Answer) -> Answer {
+    answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    answer
+}
+
 /// Returns a refusal: the request has not run, and the client may retry it after `retry_after_ms`.
 pub fn refusal(code: ResultCode, retry_after_ms: u64) -> Answer {
     let mut response = error(code);
--- a/crates/system/src/edge/attempt.rs
+++ b/crates/system/src/edge/attempt.rs
@@ -67,6 +67,12 @@
         client_request.attempted.insert(instance);
         return AttemptEnd::NotRun(None);
     };
+    if client_request.cover_exchange().is_err() {
+        shared.memory.requests.count_refusal();
+        ticket.end(AttemptOutcome::Abandoned);
+        client_request.record_step(shared, Step::Refused { code: ResultCode::OutOfMemory });
+        return AttemptEnd::Refused(ResultCode::OutOfMemory, RETRY_SOON_MS);
+    }
     let (id, name) = client_request.log_fields();
     let waited_ms = clock::now().saturating_sub(client_request.arrived());
     let by_grant = granted.as_ref() == Some(&instance);
@@ -155,10 +161,8 @@
     tracing::debug!(id, ?name, instance, ?kind, "attempt not run");
     client_request.record_step(shared, Step::NotRun);
     client_request.attempted.insert(instance);
-    let whole = tokio::time::timeout(
-        clock::until(client_request.deadline),
-        upstream_answer::read_complete(shared, exchange),
-    );
+    let whole =
+        tokio::time::timeout(clock::until(client_request.deadline), upstream_answer::read_complete(shared, exchange));
     let answer = whole.await.ok().and_then(Result::ok);
     // A 421 only tells which instance answered, which is of no use to the client.
     AttemptEnd::NotRun(answer.filter(|_| !misdirected))
--- a/crates/system/src/edge/client_request.rs
+++ b/crates/system/src/edge/client_request.rs
@@ -4,13 +4,15 @@
 use super::answer::{self, Answer};
 use super::headers::{
     CREDENTIAL, DEADLINE, EXPECT_VERSION, LAST_EVENT_ID, MODEL, PRIORITY, PROMPT_PREFIX, REQUEST_ID,
-    TARGET_INSTANCE, TENANT, TOKEN_COUNT, VERSIONS, end_to_end, text,
+    TARGET_INSTANCE, TENANT, TOKEN_COUNT, VERSIONS, copied, end_to_end, length, text,
 };
 use super::shared::Shared;
 use crate::clock;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use crate::memory::body_reader::{BodyFault, BodyLimits};
+use crate::memory::held_body::HeldBody;
+use crate::memory::share::{MemoryLease, ShareExhausted};
+use crate::net::server::Connection;
+use hyper::body::Incoming;
 use hyper::header::{ACCEPT_ENCODING, HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Uri};
 use pathbank_control::configuration::{Route, RouteType, RouteVersion, Tenant};
@@ -35,6 +37,14 @@
 const CONFIGURATION_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// The longest request body if the configuration states no limit.
 const DEFAULT_MAX_BODY_BYTES: u64 = 4 * 1024 * 1024;
+/// What a request holds while it waits: its task, its place in the queue and its entry in the log.
+const REQUEST_BYTES: usize = 8 * 1_024;
+/// What a header costs beside its bytes.
+const HEADER_BYTES: usize = 128;
+/// A head is held as it came and as it goes to a model server.
+const HEAD_COPIES: usize = 2;
+/// The buffers of an exchange with a model server, and what the kernel holds of its answer.
+const EXCHANGE_BYTES: usize = 64 * 1_024;
 /// The edge's deadline is this much earlier than the client's, so that the answer arrives in time,
 /// milliseconds.
 const ANSWER_MARGIN_MS: u64 = 20;
@@ -51,7 +61,7 @@
     pub(super) method: Method,
     pub(super) uri: Uri,
     pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
+    pub(super) body: HeldBody,
     /// The route that the request matched.
     pub(super) route: Arc<Route>,
     /// The backend that the route chose.
@@ -80,6 +90,10 @@
     /// The version of the model's weights that has to answer: the one that the client or the route asks for,
     /// or else the one that sent the first part of the answer.
     pub(super) version: Option<u64>,
+    /// The memory for this request, beside its body.
+    memory: MemoryLease,
+    /// Whether `memory` covers an exchange with a model server.
+    covers_exchange: bool,
 }
 
 /// Reads a request's body and routes the request by the configuration in force. `Err`: the edge's answer to a
@@ -93,28 +107,35 @@
     let Some(early) = first_configuration(shared, arrived.saturating_add(client_waits_ms)).await else {
         return Err(answer::refusal(ResultCode::NoConfiguration, RETRY_SOON_MS));
     };
-    let limit = early.limits.max_body_bytes.unwrap_or(DEFAULT_MAX_BODY_BYTES);
     let (head, body) = request.into_parts();
-    let body = read_body(body, limit).await?;
+    let memory = request_memory(shared, &head.headers).map_err(|ShareExhausted| out_of_memory())?;
+    let connection = head.extensions.get::<Arc<Connection>>().cloned();
+    // The read buffer from which the head came is free while the request waits.
+    let headers = copied(&head.headers);
+    let limit = early.limits.max_body_bytes.unwrap_or(DEFAULT_MAX_BODY_BYTES);
+    let body = read_body(shared, body, limit).await?;
+    if let Some(connection) = connection {
+        connection.body_complete();
+    }
     // A newer configuration may have come while the body arrived.
     let routes = shared.routes.load_full().unwrap_or(early);
-    let host = text(&head.headers, &HOST).unwrap_or_default().to_owned();
+    let host = text(&headers, &HOST).unwrap_or_default().to_owned();
     let Some(route) = routes.route(&host, head.uri.path()).cloned() else {
         return Err(answer::error(ResultCode::NoRoute));
     };
-    let tenant = tenant_of(&routes, &route, &head.headers).map_err(answer::error)?;
+    let tenant = tenant_of(&routes, &route, &headers).map_err(answer::error)?;
     let urgency = urgency_of(tenant.as_deref(), &route);
     let tenant = tenant.map(|tenant| tenant.name.clone());
     let Some(backend) = choose_backend(&route) else { return Err(answer::error(ResultCode::NoRoute)) };
-    let name = text(&head.headers, &MODEL).map(ModelName::parse).unwrap_or_default();
-    let tokens = text(&head.headers, &TOKEN_COUNT).and_then(TokenCount::parse).unwrap_or_default();
+    let name = text(&headers, &MODEL).map(ModelName::parse).unwrap_or_default();
+    let tokens = text(&headers, &TOKEN_COUNT).and_then(TokenCount::parse).unwrap_or_default();
     let time_limit = client_waits_ms.min(route.timeout_ms as u64);
     let load_ms = load_time(&routes, &backend, &name);
-    let version = expected_version(&head.headers).or_else(|| route_version(shared, &route, &backend, &name));
+    let version = expected_version(&headers).or_else(|| route_version(shared, &route, &backend, &name));
     Ok(ClientRequest {
         method: head.method,
         uri: head.uri,
-        headers: head.headers,
+        headers,
         body,
         backend,
         tenant,
@@ -130,6 +151,8 @@
         attempts: 0,
         resume_after: None,
         version,
+        memory,
+        covers_exchange: false,
     })
 }
 
@@ -167,17 +190,27 @@
     }
 }
 
-async fn read_body(body: Incoming, limit: u64) -> Result<Bytes, Answer> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let collected = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit as usize).collect()).await;
-    match collected {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(answer::error(ResultCode::BodyTooLarge)),
-        Ok(Err(_)) => Err(answer::error(ResultCode::BadRequest)),
-        Err(_) => Err(answer::error(ResultCode::BodyLate)),
-    }
+/// Takes the memory that a request holds while it waits, beside its body.
+fn request_memory(shared: &Shared, headers: &HeaderMap) -> Result<MemoryLease, ShareExhausted> {
+    let share = &shared.memory.requests;
+    let bytes = REQUEST_BYTES + HEADER_BYTES * headers.len() + HEAD_COPIES * length(headers);
+    share.lease(bytes).inspect_err(|_| share.count_refusal())
+}
+
+/// The refusal of a request for which there is no memory.
+pub(super) fn out_of_memory() -> Answer {
+    answer::closing(answer::refusal(ResultCode::OutOfMemory, RETRY_SOON_MS))
+}
+
+/// Reads a request's body. `Err`: the refusal, after which the connection closes, as not all of the body was read.
+async fn read_body(shared: &Shared, body: Incoming, limit: u64) -> Result<HeldBody, Answer> {
+    let limits = BodyLimits { bytes: limit as usize, timeout: BODY_TIMEOUT };
+    shared.memory.bodies.read(body, limits).await.map_err(|fault| match fault {
+        BodyFault::NoMemory => out_of_memory(),
+        BodyFault::TooLong => answer::closing(answer::error(ResultCode::BodyTooLarge)),
+        BodyFault::Broken => answer::closing(answer::error(ResultCode::BadRequest)),
+        BodyFault::Late | BodyFault::Stalled => answer::closing(answer::error(ResultCode::BodyLate)),
+    })
 }
 
 /// How urgent a request is: the tenant's priority counts first, then the route's.
@@ -301,6 +334,15 @@
         whole_number(id.trim())
     }
 
+    /// Takes the memory for an exchange with a model server.
+    pub(super) fn cover_exchange(&mut self) -> Result<(), ShareExhausted> {
+        if !self.covers_exchange {
+            self.memory.grow(EXCHANGE_BYTES)?;
+            self.covers_exchange = true;
+        }
+        Ok(())
+    }
+
     /// Whether the route's number of attempts and the deadline allow another attempt.
     pub(super) fn has_attempts(&self) -> bool {
         self.attempts < self.route.max_attempts.unwrap_or(1).max(1) && clock::now() < self.deadline
@@ -342,8 +384,8 @@
     }
 
     /// The request that goes to this instance of a model server.
-    pub(super) fn request(&self, instance: &str) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    pub(super) fn request(&self, instance: &str) -> Request<HeldBody> {
+        let mut request = Request::new(self.body.clone());
         *request.method_mut() = self.method.clone();
         *request.uri_mut() =
             self.uri.path_and_query().map_or_else(|| self.uri.clone(), |path| path.clone().into());
--- a/crates/system/src/edge/generation.rs
+++ b/crates/system/src/edge/generation.rs
@@ -11,9 +11,10 @@
 use super::shared::Shared;
 use super::upstream_answer::answer_head;
 use crate::clock;
+use crate::memory::held_body::HeldBody;
 use crate::net::client::{Exchange, ExchangeError};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderName, HeaderValue};
 use hyper::{Method, Request, StatusCode};
@@ -104,8 +105,8 @@
     format!("step-{step}.{epoch}.{prompt}.{:08x}", fastrand::u32(..))
 }
 
-fn request(task: &DrawTask) -> Option<Request<Full<Bytes>>> {
-    let mut request = Request::new(Full::new(Bytes::from(task.body.clone())));
+fn request(task: &DrawTask) -> Option<Request<HeldBody>> {
+    let mut request = Request::new(HeldBody::from(Bytes::from(task.body.clone())));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = task.path.parse().ok()?;
     let headers = request.headers_mut();
--- a/crates/system/src/edge/headers.rs
+++ b/crates/system/src/edge/headers.rs
@@ -1,6 +1,6 @@
 //! Names of HTTP headers, and which headers a proxy may forward.
 
-use hyper::header::{CONNECTION, HeaderMap, HeaderName};
+use hyper::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue};
 
 /// The client's id of the request.
 pub(super) const REQUEST_ID: HeaderName = HeaderName::from_static("x-pathbank-request-id");
@@ -50,6 +50,24 @@
     headers.get(name).and_then(|value| value.to_str().ok())
 }
 
+/// Copies headers, so that they do not keep the read buffer from which they came.
+pub(super) fn copied(headers: &HeaderMap) -> HeaderMap {
+    let mut copies = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let name = HeaderName::from_bytes(name.as_str().as_bytes());
+        let value = HeaderValue::from_bytes(value.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, value) {
+            copies.append(name, value);
+        }
+    }
+    copies
+}
+
+/// The bytes of all names and values.
+pub(super) fn length(headers: &HeaderMap) -> usize {
+    headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum()
+}
+
 /// The headers without the hop-by-hop ones, which concern one connection only (RFC 9110, section 7.6.1).
 pub(super) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     let mut passed = headers.clone();
--- a/crates/system/src/net/client.rs
+++ b/crates/system/src/net/client.rs
@@ -1,9 +1,11 @@
 //! An HTTP/1.1 client with a pool of connections to model servers and to the platform.
 
 use crate::clock;
+use crate::memory::held_body::{BodyBuffer, HeldBody};
+use crate::memory::share::MemoryShare;
 use crate::net::socket;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONNECTION, HeaderName, HeaderValue};
@@ -22,8 +24,10 @@
 const IDLE_MARGIN_MS: u64 = 700;
 /// The longest body that [`ConnectionPool::call`] and its variants read.
 const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+/// The longest head of an answer, and the longest read buffer.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
-type Sender = SendRequest<Full<Bytes>>;
+type Sender = SendRequest<HeldBody>;
 
 #[derive(Debug)]
 struct Idle {
@@ -35,7 +39,7 @@
 #[derive(Debug)]
 pub enum ExchangeError {
     /// No byte of the request was written.
-    NotSent(Box<Request<Full<Bytes>>>),
+    NotSent(Box<Request<HeldBody>>),
     /// The connection broke, and the server may have read the request.
     Broken(hyper::Error),
 }
@@ -58,12 +62,25 @@
 }
 
 /// A pool of idle connections by address.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ConnectionPool {
     idle: Arc<Mutex<BTreeMap<SocketAddr, Vec<Idle>>>>,
+    /// The memory for answers that [`ConnectionPool::call`] and its variants read.
+    answers: MemoryShare,
+}
+
+impl Default for ConnectionPool {
+    fn default() -> ConnectionPool {
+        ConnectionPool::new(MemoryShare::new("answers", usize::MAX))
+    }
 }
 
 impl ConnectionPool {
+    /// Creates a pool. The memory for answers to calls comes from `answers`.
+    pub fn new(answers: MemoryShare) -> ConnectionPool {
+        ConnectionPool { idle: Arc::default(), answers }
+    }
+
     fn idle(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Vec<Idle>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -92,7 +109,8 @@
 
     async fn open(address: SocketAddr) -> std::io::Result<Sender> {
         let stream = socket::connect(address, CONNECT_TIMEOUT).await?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let handshake =
+            http1::Builder::new().max_buf_size(MAX_BUFFER_BYTES).handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(std::io::Error::other)?;
         tokio::spawn(async move {
             // The task that waits for the answer gets the error as well, so it may be ignored here.
@@ -110,7 +128,7 @@
     pub async fn exchange(
         &self,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
+        request: Request<HeldBody>,
     ) -> Result<Exchange, ExchangeError> {
         self.exchange_if(address, request, || true).await
     }
@@ -124,7 +142,7 @@
     pub async fn exchange_if(
         &self,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
+        request: Request<HeldBody>,
         may_send: impl Fn() -> bool,
     ) -> Result<Exchange, ExchangeError> {
         let request = match self.take_idle(address).filter(|_| may_send()) {
@@ -141,7 +159,7 @@
     /// request can arrive.
     async fn exchange_anew(
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
+        request: Request<HeldBody>,
         may_send: impl Fn() -> bool,
     ) -> Result<Exchange, ExchangeError> {
         match Self::open(address).await {
@@ -162,7 +180,7 @@
     pub async fn call(
         &self,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
+        request: Request<HeldBody>,
         within: Duration,
     ) -> Option<(u16, Bytes)> {
         self.call_if(address, request, within, || true).await
@@ -173,7 +191,7 @@
     pub async fn call_if(
         &self,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
+        request: Request<HeldBody>,
         within: Duration,
         may_send: impl Fn() -> bool,
     ) -> Option<(u16, Bytes)> {
@@ -187,7 +205,7 @@
     pub async fn call_for<T>(
         &self,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
+        request: Request<HeldBody>,
         within: Duration,
         parse: impl FnOnce(u16, &[u8]) -> Option<T>,
     ) -> Option<T> {
@@ -200,7 +218,7 @@
     pub async fn call_once(
         &self,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
+        request: Request<HeldBody>,
         within: Duration,
         may_send: impl Fn() -> bool,
     ) -> Option<(u16, Bytes)> {
@@ -219,7 +237,7 @@
         let whole = async {
             let Exchange { response, lease } = exchange.await.ok()?;
             let status = response.status().as_u16();
-            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await.ok()?.to_bytes();
+            let body = read_body(response.into_body(), &self.answers).await?;
             let parsed = parse(status, body)?;
             self.give_back(lease);
             Some(parsed)
@@ -228,10 +246,26 @@
     }
 }
 
+/// Reads a body until its end. `None`: it is too long or breaks off, or memory is short.
+async fn read_body(mut body: Incoming, share: &MemoryShare) -> Option<Bytes> {
+    let mut buffer = BodyBuffer::new(None);
+    while let Some(frame) = body.frame().await {
+        let Ok(mut data) = frame.ok()?.into_data() else { continue };
+        if buffer.length() + data.len() > MAX_ANSWER_BYTES {
+            return None;
+        }
+        if buffer.push(&mut data, share).is_err() {
+            share.count_refusal();
+            return None;
+        }
+    }
+    Some(buffer.finish().into_vec().into())
+}
+
 async fn send(
     address: SocketAddr,
     mut sender: Sender,
-    request: Request<Full<Bytes>>,
+    request: Request<HeldBody>,
 ) -> Result<Exchange, ExchangeError> {
     match sender.try_send_request(request).await {
         Ok(response) => {
--- a/crates/system/src/stand_in/mod.rs
+++ b/crates/system/src/stand_in/mod.rs
@@ -6,6 +6,7 @@
 pub mod store;
 
 use crate::clock;
+use crate::memory::held_body::HeldBody;
 use crate::net::client::ConnectionPool;
 use bytes::Bytes;
 use drawn::DrawnLog;
@@ -180,7 +181,7 @@
         let request = hyper::Request::post(path)
             .header("host", control.to_string())
             .header("content-type", "application/json")
-            .body(Full::new(Bytes::from(body.to_string())));
+            .body(HeldBody::from(Bytes::from(body.to_string())));
         let answer = match request {
             Ok(request) => pool.call(control, request, CALL_TIMEOUT).await,
             Err(_) => None,
--- a/crates/system/tests/crossings/main.rs
+++ b/crates/system/tests/crossings/main.rs
@@ -10,12 +10,12 @@
 
 use bytes::Bytes;
 use common::{Answer, System, call, until};
-use http_body_util::Full;
 use hyper::Request;
 use pathbank_system::clock;
 use pathbank_system::core::lease::{LeaseExpiry, LeaseGuard};
 use pathbank_system::core::orders::fetch_report;
 use pathbank_system::core::singleton_roles::report_usage;
+use pathbank_system::memory::held_body::HeldBody;
 use pathbank_system::net::client::ConnectionPool;
 use report_server::ReportServer;
 use scripted::{Scripted, Seen, Step, answer};
@@ -29,9 +29,9 @@
 const LOCALHOST: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 const CALL_WITHIN: Duration = Duration::from_secs(5);
 
-fn request(id: &str) -> Request<Full<Bytes>> {
+fn request(id: &str) -> Request<HeldBody> {
     let request = Request::post("/app/x").header("host", "any").header("x-pathbank-request-id", id);
-    request.body(Full::new(Bytes::from_static(b"body"))).unwrap()
+    request.body(HeldBody::from(Bytes::from_static(b"body"))).unwrap()
 }
 
 fn runtime() -> tokio::runtime::Runtime {
