An edge holds 256 KiB of an answer at most, and passes on what is longer

Clients that do not read made an edge hold 545 MiB of 96 (72 answers of 4 MiB): an answer was collected whole, up to 32 MiB, and kept until its client took it; so was the body of its request.

Answers are held in a share of their own, 256 KiB each. One that is longer, or finds no memory, is passed on while it arrives, no faster than the client reads; broken off, it does not look complete. It can no longer be asked for again at another model server, which a held one still can. The request's body is given back once a long answer, or a stream that cannot be resumed, has begun.

--- a/crates/system/src/edge/answer.rs
+++ b/crates/system/src/edge/answer.rs
@@ -1,5 +1,6 @@
 //! Answers that the edge itself gives: errors and refusals with a result code.
 
+use crate::memory::held_body::HeldBody;
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
@@ -25,6 +26,11 @@
     Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
 }
 
+/// Returns a body that is held in leased memory.
+pub fn held_body(body: HeldBody) -> AnswerBody {
+    body.map_err(|never| match never {}).boxed_unsync()
+}
+
 /// Returns an answer with a result code, in a header and in a JSON body.
 pub fn error(code: ResultCode) -> Answer {
     let text = format!("{{\"result_code\":{},\"result\":\"{}\"}}\n", code.number(), code.name());
--- a/crates/system/src/edge/attempt.rs
+++ b/crates/system/src/edge/attempt.rs
@@ -6,7 +6,7 @@
 use super::headers::{INSTANCE_LOAD, text};
 use super::shared::{Decision, Shared};
 use super::ticket::Ticket;
-use super::upstream_answer::{self, answer_head};
+use super::upstream_answer::{self, ReadAnswer, answer_head};
 use crate::clock;
 use crate::net::client::{Exchange, ExchangeError};
 use crate::startup::Milestone;
@@ -162,8 +162,8 @@
     client_request.record_step(shared, Step::NotRun);
     client_request.attempted.insert(instance);
     let whole =
-        tokio::time::timeout(clock::until(client_request.deadline), upstream_answer::read_complete(shared, exchange));
-    let answer = whole.await.ok().and_then(Result::ok);
+        tokio::time::timeout(clock::until(client_request.deadline), upstream_answer::read(shared, exchange));
+    let answer = whole.await.ok().and_then(Result::ok).and_then(ReadAnswer::complete);
     // A 421 only tells which instance answered, which is of no use to the client.
     AttemptEnd::NotRun(answer.filter(|_| !misdirected))
 }
--- a/crates/system/src/edge/client_request.rs
+++ b/crates/system/src/edge/client_request.rs
@@ -343,6 +343,11 @@
         Ok(())
     }
 
+    /// Gives back the memory of a body that will not be sent again.
+    pub(super) fn release_body(&mut self) {
+        self.body = HeldBody::default();
+    }
+
     /// Whether the route's number of attempts and the deadline allow another attempt.
     pub(super) fn has_attempts(&self) -> bool {
         self.attempts < self.route.max_attempts.unwrap_or(1).max(1) && clock::now() < self.deadline
--- a/crates/system/src/edge/mod.rs
+++ b/crates/system/src/edge/mod.rs
@@ -13,6 +13,7 @@
 mod generation_count;
 mod headers;
 pub mod hollow;
+mod long_answer;
 mod pending_admissions;
 mod proxy;
 mod relay;
--- a/crates/system/src/edge/proxy.rs
+++ b/crates/system/src/edge/proxy.rs
@@ -4,15 +4,15 @@
 use super::answer::{self, Answer, RETRY_SOON_MS};
 use super::attempt::{AttemptEnd, attempt, may_send_again};
 use super::client_request::{ClientRequest, accept};
+use super::long_answer::LongAnswer;
 use super::relay::{self, Stream};
 use super::shared::Shared;
 use super::ticket::Ticket;
-use super::upstream_answer;
+use super::upstream_answer::{self, ReadAnswer};
 use crate::clock;
 use crate::net::client::Exchange;
 use hyper::Request;
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderValue};
 use pathbank_control::result_code::ResultCode;
 use pathbank_router::model_servers::AttemptOutcome;
 use pathbank_router::request_log::Step;
@@ -21,17 +21,17 @@
 
 /// Answers one client request. While the process is stopping, the answer closes the client's connection.
 pub async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Answer {
-    let mut answer = match accept(&shared, request).await {
+    let answer = match accept(&shared, request).await {
         Ok(client_request) => {
             client_request.record_step(&shared, client_request.accepted());
             serve(shared.clone(), client_request).await
         }
         Err(answer) => answer,
     };
-    if shared.stopping.load(Ordering::Relaxed) {
-        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    match shared.stopping.load(Ordering::Relaxed) {
+        true => answer::closing(answer),
+        false => answer,
     }
-    answer
 }
 
 async fn serve(shared: Arc<Shared>, mut client_request: ClientRequest) -> Answer {
@@ -88,17 +88,19 @@
 /// was sent to the client; returns the request for a further attempt.
 async fn finish(
     shared: &Arc<Shared>,
-    client_request: ClientRequest,
+    mut client_request: ClientRequest,
     exchange: Exchange,
     mut ticket: Ticket,
 ) -> Result<Answer, (ClientRequest, ResultCode)> {
-    let whole = tokio::time::timeout(
-        clock::until(client_request.deadline),
-        upstream_answer::read_complete(shared, exchange),
-    )
-    .await;
-    match whole {
-        Ok(Ok(answer)) => {
+    let read =
+        tokio::time::timeout(clock::until(client_request.deadline), upstream_answer::read(shared, exchange))
+            .await;
+    match read {
+        Ok(Ok(ReadAnswer::Long(start))) => {
+            client_request.release_body();
+            Ok(LongAnswer::new(shared.clone(), client_request, start, ticket).into_answer())
+        }
+        Ok(Ok(ReadAnswer::Complete(answer))) => {
             let is_server_error = answer.status().is_server_error();
             ticket.end(if is_server_error { AttemptOutcome::ServerError } else { AttemptOutcome::Answered });
             client_request.record_step(shared, Step::Complete);
--- a/crates/system/src/edge/relay.rs
+++ b/crates/system/src/edge/relay.rs
@@ -108,6 +108,9 @@
         // Several model servers may send the stream, and what is no piece of it is left out.
         head.headers_mut().remove(hyper::header::CONTENT_LENGTH);
         let reader = EventReader::after(client_request.last_event_id());
+        if !client_request.is_resumable() {
+            client_request.release_body();
+        }
         let notice = client_request.is_resumable().then(|| shared.evacuation_notice(ticket.id()));
         Stream {
             shared,
--- a/crates/system/src/edge/upstream_answer.rs
+++ b/crates/system/src/edge/upstream_answer.rs
@@ -4,26 +4,69 @@
 use super::client_request::told_version;
 use super::headers::{NOT_EXECUTED, REQUEST_ID, SIGNATURE, end_to_end, text};
 use super::shared::Shared;
-use crate::net::client::Exchange;
+use crate::memory::held_body::{BodyBuffer, HeldBody};
+use crate::net::client::{ConnectionLease, Exchange};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, TRANSFER_ENCODING};
 use pathbank_router::answer::head::AnswerHead;
 use std::sync::Arc;
 
-/// The largest answer that is buffered before it goes to the client.
-const MAX_BUFFERED_BYTES: usize = 32 * 1024 * 1024;
+/// A longer answer is passed on while it arrives: its first byte reaches the client before its last one is there.
+const MAX_HELD_BYTES: usize = 256 * 1024;
 
-/// Reads an answer to its end and returns its connection to the pool.
-pub async fn read_complete(shared: &Arc<Shared>, exchange: Exchange) -> Result<Answer, BodyError> {
+/// An answer of which all, or the beginning, has been read.
+pub enum ReadAnswer {
+    /// It is complete.
+    Complete(Answer),
+    /// It is longer than what is held of an answer.
+    Long(LongAnswerStart),
+}
+
+impl ReadAnswer {
+    /// The answer if it is complete.
+    pub fn complete(self) -> Option<Answer> {
+        match self {
+            ReadAnswer::Complete(answer) => Some(answer),
+            ReadAnswer::Long(_) => None,
+        }
+    }
+}
+
+/// The beginning of a long answer.
+pub struct LongAnswerStart {
+    /// Its head, with an empty body.
+    pub head: Answer,
+    /// What has been read.
+    pub beginning: HeldBody,
+    /// What has been read and found no memory to be held in.
+    pub unheld: Bytes,
+    /// The rest.
+    pub rest: Incoming,
+    /// The connection that carries the rest.
+    pub lease: ConnectionLease,
+}
+
+/// Reads an answer. At its end, returns its connection to the pool.
+pub async fn read(shared: &Arc<Shared>, exchange: Exchange) -> Result<ReadAnswer, BodyError> {
     let Exchange { response, lease } = exchange;
-    let mut answer = head_for_client(&response, answer::full_body(Bytes::new()));
-    let body = Limited::new(response.into_body(), MAX_BUFFERED_BYTES).collect().await?.to_bytes();
+    let mut head = head_for_client(&response, answer::full_body(Bytes::new()));
+    let mut rest = response.into_body();
+    let announced = rest.size_hint().exact().map(|length| length as usize);
+    let mut buffer = BodyBuffer::new(announced);
+    while let Some(frame) = rest.frame().await {
+        let Ok(mut unheld) = frame?.into_data() else { continue };
+        let share = &shared.memory.answers;
+        if buffer.push(&mut unheld, share).is_err() || buffer.length() > MAX_HELD_BYTES {
+            let beginning = buffer.finish();
+            return Ok(ReadAnswer::Long(LongAnswerStart { head, beginning, unheld, rest, lease }));
+        }
+    }
     shared.pool.give_back(lease);
-    *answer.body_mut() = answer::full_body(body);
-    Ok(answer)
+    *head.body_mut() = answer::held_body(buffer.finish());
+    Ok(ReadAnswer::Complete(head))
 }
 
 /// The content coding that changes nothing.
