The kernel holds 24 KiB unread at most for a client, a caller or a model server

Clients that send on behind a request made the kernel hold what the edge does not read: an edge and its sockets held 131 MiB of 96 under 700 streams with 1 MiB behind each request. Such bytes count as the process's (DEPLOY.md). A receive buffer grows to megabytes by itself.

SO_RCVBUF is 16 KiB for connections of clients, of callers of cores and to model servers; Linux then holds 24 KiB (measured), which connections and exchanges pay for in advance.

--- a/crates/system/src/core/mod.rs
+++ b/crates/system/src/core/mod.rs
@@ -70,7 +70,7 @@
     let mut signals = Signals::new()?;
     let control = settings.control_plane.context("listeners_map.control_plane is missing")?;
     let internal = settings.own_internal_address();
-    let listener = socket::listen(control).with_context(|| format!("control plane {control}"))?;
+    let listener = socket::listen_limited(control).with_context(|| format!("control plane {control}"))?;
     let internal_listener = socket::listen(internal).with_context(|| format!("internal {internal}"))?;
     let (events, mut inbox) = mpsc::unbounded_channel();
     let (close, closing) = watch::channel(false);
--- a/crates/system/src/edge/mod.rs
+++ b/crates/system/src/edge/mod.rs
@@ -69,9 +69,9 @@
     let mut signals = Signals::new()?;
     let ingress = settings.ingress.context("listeners_map.ingress is missing")?;
     let readiness = settings.readiness.context("listeners_map.readiness is missing")?;
-    let listener = socket::listen(ingress).with_context(|| format!("ingress {ingress}"))?;
+    let listener = socket::listen_limited(ingress).with_context(|| format!("ingress {ingress}"))?;
     let readiness_listener =
-        socket::listen(readiness).with_context(|| format!("readiness {readiness}"))?;
+        socket::listen_limited(readiness).with_context(|| format!("readiness {readiness}"))?;
     startup.reach(Milestone::Listening);
     let shared = Shared::new(settings.clone(), startup);
     core_links::start(&shared, &settings.seeds);
--- a/crates/system/src/net/client.rs
+++ b/crates/system/src/net/client.rs
@@ -108,7 +108,7 @@
     }
 
     async fn open(address: SocketAddr) -> std::io::Result<Sender> {
-        let stream = socket::connect(address, CONNECT_TIMEOUT).await?;
+        let stream = socket::connect_limited(address, CONNECT_TIMEOUT).await?;
         let handshake =
             http1::Builder::new().max_buf_size(MAX_BUFFER_BYTES).handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(std::io::Error::other)?;
--- a/crates/system/src/net/socket.rs
+++ b/crates/system/src/net/socket.rs
@@ -14,6 +14,9 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// The most new connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
+/// `SO_RCVBUF` of connections whose other side is not trusted. Linux doubles it, for its own bookkeeping, and holds up to
+/// one and a half times as many bytes unread.
+pub const RECEIVE_BUFFER_BYTES: u32 = 16 * 1_024;
 
 /// Sets the options of every connection: no delay of small writes, and timeouts that end a connection whose
 /// other side is gone silently.
@@ -37,6 +40,32 @@
     Ok(stream)
 }
 
+/// Connects to a server that is not trusted with more than [`RECEIVE_BUFFER_BYTES`] of this process's memory.
+///
+/// # Errors
+///
+/// The connection failed, or was not established `within` this time.
+pub async fn connect_limited(address: SocketAddr, within: Duration) -> io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    // Failures are ignored, as in `prepare`.
+    let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+    let stream = tokio::time::timeout(within, socket.connect(address)).await??;
+    prepare(&stream);
+    Ok(stream)
+}
+
+/// Listens like [`listen`] for callers that are not trusted with more than [`RECEIVE_BUFFER_BYTES`] each.
+///
+/// # Errors
+///
+/// As for [`listen`].
+pub fn listen_limited(address: SocketAddr) -> io::Result<TcpListener> {
+    let listener = listen(address)?;
+    // Accepted connections inherit it. Failures are ignored, as in `prepare`.
+    let _ = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES as usize);
+    Ok(listener)
+}
+
 /// Listens on an address, even if connections of an earlier process there are still in `TIME_WAIT`.
 ///
 /// # Errors
