A core holds callers' bodies in leased memory, and carries out as many as fit

Callers of the control plane made a core hold 795 MiB of 96 with 24 whole bodies of 16 MiB, 415 with bodies short of their end, and 50 of 32 with bodies in chunks of one byte. Each body was collected and then copied, and a change that is invalid was still encoded for the log.

Bodies are read into the core's shares. A call with a body waits until four times its length fit into the share of calls, up to 3 s, then it gets 503 OutOfMemory; its memory is held until the node is done with it, also after an answer without a clear result. A change that is rejected is not encoded.

--- a/crates/system/src/core/api/answer.rs
+++ b/crates/system/src/core/api/answer.rs
@@ -1,12 +1,20 @@
 //! Answers of the HTTP interface, and what all of its calls share.
 
 use crate::core::event::Event;
+use crate::memory::body_reader::{BodyFault, BodyLimits};
+use crate::memory::call_queue::CallLease;
+use crate::memory::held_body::HeldBody;
+use crate::memory::plan::CoreMemory;
+use crate::net::server::Connection;
 use http_body_util::Full;
 use pathbank_control::operator_calls::Reply;
 use pathbank_control::result_code::ResultCode;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::oneshot;
+use tokio::sync::oneshot::{self, error::RecvError};
+use tokio::time::{error::Elapsed, timeout};
+use viz::header::{CONNECTION, HeaderValue};
 use viz::{Body, IntoResponse, Response, StatusCode};
 
 const RESULT_CODE: &str = "x-pathbank-result-code";
@@ -14,10 +22,23 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Seconds; by then a leader is elected.
 const RETRY_AFTER_S: &str = "0.5";
-const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
-/// Where calls become events.
-pub type Events = UnboundedSender<Event>;
+/// What calls need.
+#[derive(Clone)]
+pub struct CallContext {
+    /// Where calls become events.
+    pub events: UnboundedSender<Event>,
+    /// The memory for what callers send.
+    pub memory: CoreMemory,
+}
+
+impl CallContext {
+    /// Waits until there is memory to carry out a call with this body. The error is the answer to send.
+    pub async fn admit(&self, body: &HeldBody) -> Result<CallLease, Response> {
+        let lease = self.memory.changes.admit(body.length(), ANSWER_TIMEOUT).await;
+        lease.ok_or_else(|| result_answer(ResultCode::OutOfMemory, "other calls take the memory"))
+    }
+}
 
 /// The answer of a call with a numbered result.
 pub fn result_answer(code: ResultCode, message: &str) -> Response {
@@ -42,31 +63,66 @@
 }
 
 /// Reads a body, within a time-out and a limit of its size. The error is the answer to send.
-pub async fn body_of(request: &mut viz::Request) -> Result<Vec<u8>, Response> {
-    use http_body_util::{BodyExt, Limited};
+pub async fn body_of(
+    context: &CallContext,
+    request: &mut viz::Request,
+    most: usize,
+) -> Result<HeldBody, Response> {
     let body = std::mem::replace(request.body_mut(), Body::Empty);
-    match tokio::time::timeout(ANSWER_TIMEOUT, Limited::new(body, MAX_BODY_BYTES).collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes().to_vec()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(result_answer(ResultCode::BodyTooLarge, "the body is too large"))
-        }
-        // A call that was late is not invalid: its caller may retry.
-        Ok(Err(_)) | Err(_) => {
-            Err(result_answer(ResultCode::BodyLate, "the body did not come whole in time"))
-        }
+    let connection = request.extensions().get::<Arc<Connection>>().cloned();
+    let limits = BodyLimits { bytes: most, timeout: ANSWER_TIMEOUT };
+    let read = context.memory.bodies.read(body, limits).await;
+    if let Some(connection) = connection {
+        connection.body_complete();
     }
+    read.map_err(|fault| {
+        let code = match fault {
+            BodyFault::TooLong => ResultCode::BodyTooLarge,
+            // A call that was late is not invalid: its caller may retry.
+            BodyFault::Late | BodyFault::Stalled | BodyFault::Broken => ResultCode::BodyLate,
+            BodyFault::NoMemory => ResultCode::OutOfMemory,
+        };
+        let mut answer = result_answer(code, &fault.to_string());
+        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        answer
+    })
+}
+
+/// Like [`ask`], for a call whose memory is held until the node is done with it, also where the caller gets no clear
+/// answer before.
+pub async fn ask_holding(
+    context: CallContext,
+    path: &str,
+    lease: CallLease,
+    event: impl FnOnce(oneshot::Sender<Reply>) -> Event,
+) -> viz::Result<Response> {
+    let (sender, receiver) = oneshot::channel();
+    let (relayed, relay) = oneshot::channel();
+    let _ = context.events.send(event(sender));
+    tokio::spawn(async move {
+        let reply = receiver.await;
+        drop(lease);
+        if let Ok(reply) = reply {
+            let _ = relayed.send(reply);
+        }
+    });
+    Ok(answer_of(timeout(ANSWER_TIMEOUT, relay).await, path))
 }
 
 /// Sends an event to the node, and turns its reply into an answer.
 pub async fn ask(
-    events: Events,
+    context: CallContext,
     path: &str,
     event: impl FnOnce(oneshot::Sender<Reply>) -> Event,
 ) -> viz::Result<Response> {
     let (sender, receiver) = oneshot::channel();
-    let _ = events.send(event(sender));
-    let reply = tokio::time::timeout(ANSWER_TIMEOUT, receiver).await;
-    Ok(match reply {
+    let _ = context.events.send(event(sender));
+    Ok(answer_of(timeout(ANSWER_TIMEOUT, receiver).await, path))
+}
+
+/// The answer for the node's reply.
+fn answer_of(reply: Result<Result<Reply, RecvError>, Elapsed>, path: &str) -> Response {
+    match reply {
         Ok(Ok(Reply::Json(body))) => json(body),
         Ok(Ok(Reply::Result(code, message))) => result_answer(code, &message),
         Ok(Ok(Reply::LeaderAt(control_address))) => {
@@ -78,5 +134,5 @@
             response
         }
         Ok(Err(_)) | Err(_) => result_answer(ResultCode::Unclear, "no clear result in time"),
-    })
+    }
 }
--- a/crates/system/src/core/api/training.rs
+++ b/crates/system/src/core/api/training.rs
@@ -1,8 +1,9 @@
 //! The trainers' calls, `/api/v1/steps`: JSON bodies, and answers with numbered results.
 
-use super::answer::{Events, ask, body_of, result_answer};
+use super::answer::{CallContext, ask_holding, body_of, result_answer};
 use crate::core::event::Event;
 use crate::core::training::call::{self, MAX_RESULTS, OpenBody, SealBody, TrainingCall};
+use crate::memory::plan::MAX_CALL_BYTES;
 use pathbank_control::configuration::Rejection;
 use pathbank_control::result_code::ResultCode;
 use pathbank_rollout::StepNumber;
@@ -12,8 +13,8 @@
 const STEPS: &str = "/api/v1/steps";
 
 /// Adds the calls of trainers to a router.
-pub fn routes(router: Router, events: &Events) -> Router {
-    let [open, list, read, submit, results, seal, abort, explain] = std::array::from_fn(|_| events.clone());
+pub fn routes(router: Router, context: &CallContext) -> Router {
+    let [open, list, read, submit, results, seal, abort, explain] = std::array::from_fn(|_| context.clone());
     router
         .post(STEPS, move |request| answer(open.clone(), request, Kind::Open))
         .get(STEPS, move |request| answer(list.clone(), request, Kind::List))
@@ -38,14 +39,19 @@
     Explain,
 }
 
-async fn answer(events: Events, mut request: Request, kind: Kind) -> viz::Result<Response> {
-    let body = match body_of(&mut request).await {
+async fn answer(context: CallContext, mut request: Request, kind: Kind) -> viz::Result<Response> {
+    let body = match body_of(&context, &mut request, MAX_CALL_BYTES).await {
         Ok(body) => body,
         Err(answer) => return Ok(answer),
     };
+    let lease = match context.admit(&body).await {
+        Ok(lease) => lease,
+        Err(answer) => return Ok(answer),
+    };
+    let body = body.into_vec();
     let path = request.uri().path_and_query().map_or(STEPS, |path| path.as_str()).to_owned();
     match read_call(&request, kind, &body) {
-        Ok(call) => ask(events, &path, |reply| Event::Training(call, reply)).await,
+        Ok(call) => ask_holding(context, &path, lease, |reply| Event::Training(call, reply)).await,
         Err(rejection) => Ok(result_answer(rejection.code, &rejection.message)),
     }
 }
--- a/crates/system/src/core/mod.rs
+++ b/crates/system/src/core/mod.rs
@@ -39,6 +39,7 @@
 use crate::signals::Signals;
 use crate::startup::{Milestone, Startup};
 use anyhow::{Context, Result};
+use api::answer::CallContext;
 use event::Event;
 use node::Node;
 use preparation::Preparation;
@@ -70,12 +71,14 @@
     let mut signals = Signals::new()?;
     let control = settings.control_plane.context("listeners_map.control_plane is missing")?;
     let internal = settings.own_internal_address();
+    let memory = CoreMemory::new(settings.memory_mb);
     let listener = socket::listen_limited(control).with_context(|| format!("control plane {control}"))?;
     let internal_listener = socket::listen(internal).with_context(|| format!("internal {internal}"))?;
     let (events, mut inbox) = mpsc::unbounded_channel();
     let (close, closing) = watch::channel(false);
     let mut node = start_node(&settings, control, &events, startup)?;
-    let serving = spawn_api(listener, &settings, events.clone(), closing);
+    let context = CallContext { events: events.clone(), memory };
+    let serving = spawn_api(listener, &settings, context, closing);
     tokio::spawn(peer_listener::accept(internal_listener, events.clone()));
     tracing::info!(node = settings.node_name, %control, "core started");
     node.listens();
@@ -102,7 +105,8 @@
     let opened = disk::Disk::open(settings, control, events.clone())?;
     startup.reach(Milestone::DiskRead);
     let preparation = Preparation::start(events.clone())?;
-    Node::new(settings.clone(), opened, preparation, events.clone(), startup).context(CANNOT_PARTICIPATE)
+    Node::new(settings.clone(), opened, preparation, events.clone(), startup)
+        .context(CANNOT_PARTICIPATE)
 }
 
 /// Drops what was reported to a store that is set aside. Links open again, and introduce themselves to the new store.
@@ -127,16 +131,16 @@
 fn spawn_api(
     listener: TcpListener,
     settings: &Settings,
-    events: mpsc::UnboundedSender<Event>,
+    context: CallContext,
     closing: watch::Receiver<bool>,
 ) -> JoinHandle<()> {
     let limits = Limits {
         head_bytes: MAX_HEAD_BYTES,
         head_timeout: HEAD_TIMEOUT,
         connections: (settings.max_descriptors as f64 * CALLER_DESCRIPTOR_FRACTION) as usize,
-        memory: CoreMemory::new(settings.memory_mb).connections,
+        memory: context.memory.connections.clone(),
     };
-    let service = api::service(events);
+    let service = api::service(context);
     let serving =
         server::serve(listener, move |_| service.clone(), limits, closing, ConnectionTable::default());
     tokio::spawn(serving)
--- a/crates/system/src/core/preparation.rs
+++ b/crates/system/src/core/preparation.rs
@@ -23,7 +23,7 @@
 pub struct ChangeProposal {
     /// The change.
     pub change: Change,
-    /// Its command as it is stored in the log.
+    /// Its command as it is stored in the log; empty for a change that is rejected.
     pub encoded: Vec<u8>,
     /// What it makes of the configuration.
     pub prepared: Result<PreparedChange, Rejection>,
@@ -33,6 +33,10 @@
     /// Prepares a change.
     pub fn new(basis: &ChangeBasis, change: Change) -> ChangeProposal {
         let prepared = basis.prepare(&change);
+        if prepared.is_err() {
+            // It will be rejected, so nothing of it is proposed.
+            return ChangeProposal { change, encoded: Vec::new(), prepared };
+        }
         let command = Command::Change(change);
         let encoded = command.encode();
         let Command::Change(change) = command else { unreachable!("made of a change") };
