--- a/crates/system/src/core/mod.rs
+++ b/crates/system/src/core/mod.rs
@@ -76,16 +76,16 @@
     let internal_listener = socket::listen(internal).with_context(|| format!("internal {internal}"))?;
     let (events, mut inbox) = mpsc::unbounded_channel();
     let (close, closing) = watch::channel(false);
-    let mut node = start_node(&settings, control, &events, startup)?;
-    let context = CallContext { events: events.clone(), memory };
+    let mut node = start_node(&settings, &memory, control, &events, startup)?;
+    let context = CallContext { events: events.clone(), memory: memory.clone() };
     let serving = spawn_api(listener, &settings, context, closing);
-    tokio::spawn(peer_listener::accept(internal_listener, events.clone()));
+    tokio::spawn(peer_listener::accept(internal_listener, memory.links.clone(), events.clone()));
     tracing::info!(node = settings.node_name, %control, "core started");
     node.listens();
     while run_loop(&mut node, &mut inbox, &mut signals).await? == LoopEnd::StoreSetAside {
         node.discard();
         discard_events(&mut inbox);
-        node = start_node(&settings, control, &events, Startup::default())?;
+        node = start_node(&settings, &memory, control, &events, Startup::default())?;
     }
     node.end(clock::now());
     let _ = close.send(true);
@@ -98,6 +98,7 @@
 /// Starts a core on what its disk holds.
 fn start_node(
     settings: &Settings,
+    memory: &CoreMemory,
     control: SocketAddr,
     events: &mpsc::UnboundedSender<Event>,
     startup: Startup,
@@ -105,7 +106,7 @@
     let opened = disk::Disk::open(settings, control, events.clone())?;
     startup.reach(Milestone::DiskRead);
     let preparation = Preparation::start(events.clone())?;
-    Node::new(settings.clone(), opened, preparation, events.clone(), startup)
+    Node::new(settings.clone(), memory, opened, preparation, events.clone(), startup)
         .context(CANNOT_PARTICIPATE)
 }
 
--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -27,6 +27,7 @@
 use super::training::scheduler::TrainingScheduler;
 use super::usage::UsageReporter;
 use crate::clock;
+use crate::memory::plan::CoreMemory;
 use crate::net::client::ConnectionPool;
 use crate::net::link::Link;
 use crate::net::mesh::MeshEvent;
@@ -120,6 +121,7 @@
     /// The disk's state is of a newer program.
     pub fn new(
         settings: Settings,
+        memory: &CoreMemory,
         opened: OpenedDisk,
         preparation: Preparation,
         events: UnboundedSender<Event>,
@@ -162,7 +164,7 @@
             state_check: StateCheck::default(),
             store: StoreState::default(),
             shutdown_since: None,
-            pool: ConnectionPool::default(),
+            pool: ConnectionPool::new(memory.answers.clone()),
             settings,
             incarnation,
             startup,
--- a/crates/system/src/core/peer_listener.rs
+++ b/crates/system/src/core/peer_listener.rs
@@ -1,7 +1,8 @@
 //! Accepts the links that other processes open to this core.
 
 use super::event::{Event, LinkId};
-use crate::net::link;
+use crate::memory::share::MemoryShare;
+use crate::net::link::{self, Inbox};
 use crate::net::socket;
 use pathbank_protocol::message::{Frame, Hello};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -14,19 +15,23 @@
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
 /// Accepts links and reports what comes on them, without end.
-pub async fn accept(listener: TcpListener, events: UnboundedSender<Event>) {
+pub async fn accept(listener: TcpListener, memory: MemoryShare, events: UnboundedSender<Event>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_BACKOFF).await;
             continue;
         };
+        let Ok(inbox) = Inbox::accepted(&memory) else {
+            memory.count_refusal();
+            continue;
+        };
         socket::prepare(&stream);
         let events = events.clone();
-        tokio::spawn(async move { serve(stream, events).await });
+        tokio::spawn(async move { serve(stream, inbox, events).await });
     }
 }
 
-async fn serve(stream: tokio::net::TcpStream, events: UnboundedSender<Event>) {
+async fn serve(stream: tokio::net::TcpStream, inbox: Inbox, events: UnboundedSender<Event>) {
     let id: LinkId = NEXT_LINK.fetch_add(1, Ordering::Relaxed);
     let (link, outbox) = link::channel();
     let mut introduced: Option<Hello> = None;
@@ -39,6 +44,6 @@
         (_, None) => false,
         (frame, Some(_)) => events.send(Event::FrameReceived(id, frame)).is_ok(),
     };
-    link::run(stream, outbox, on_frame).await;
+    link::run_metered(stream, outbox, inbox, on_frame).await;
     let _ = events.send(Event::LinkClosed(id));
 }
--- a/crates/system/src/net/link.rs
+++ b/crates/system/src/net/link.rs
@@ -2,6 +2,7 @@
 //! closes the connection if it receives nothing for a while.
 
 use crate::clock;
+use crate::memory::share::{MemoryLease, MemoryShare, ShareExhausted};
 use bytes::{Bytes, BytesMut};
 use pathbank_protocol::codec;
 use pathbank_protocol::framing;
@@ -34,6 +35,13 @@
 /// limit, and others behind it, may still wait.
 const MAX_COUNTED_BYTES: u64 = MAX_QUEUED_BYTES / 2;
 
+/// What an idle link holds: buffers and tasks.
+const LINK_BYTES: usize = 40 * 1024;
+/// The longest introduction of a process.
+const MAX_HELLO_BYTES: usize = 16 * 1024;
+/// How often a link that waits for memory looks again.
+const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 static RECEIVED: AtomicU64 = AtomicU64::new(0);
 static SENT: AtomicU64 = AtomicU64::new(0);
 
@@ -173,31 +181,104 @@
     (Link { queue, progress, closing }, outbox)
 }
 
-/// Runs a connection until it ends. `on_frame` gets each message except pings, and returns whether the link
-/// goes on.
-pub async fn run(stream: TcpStream, outbox: Outbox, mut on_frame: impl FnMut(Frame) -> bool) {
+/// Runs a connection to a process that this one trusts until it ends. `on_frame` gets each message except pings, and
+/// returns whether the link goes on.
+pub async fn run(stream: TcpStream, outbox: Outbox, on_frame: impl FnMut(Frame) -> bool) {
+    run_metered(stream, outbox, Inbox::trusted(), on_frame).await;
+}
+
+/// Like [`run`], for a connection that another process opened, with the memory for its messages.
+pub async fn run_metered(
+    stream: TcpStream,
+    outbox: Outbox,
+    inbox: Inbox,
+    mut on_frame: impl FnMut(Frame) -> bool,
+) {
     let (reader, writer) = stream.into_split();
     tokio::select! {
-        () = read_frames(reader, &mut on_frame) => {}
+        () = read_frames(reader, inbox, &mut on_frame) => {}
         () = write_frames(writer, outbox) => {}
     }
 }
 
-async fn read_frames(mut reader: OwnedReadHalf, on_frame: &mut impl FnMut(Frame) -> bool) {
+/// The memory for messages that arrive on a link.
+#[derive(Debug)]
+pub struct Inbox {
+    /// Grows with the message that is arriving.
+    lease: MemoryLease,
+    /// The longest first message, bytes.
+    first_bytes: usize,
+}
+
+impl Inbox {
+    /// The memory for a link that another process opened, whose first message introduces it.
+    ///
+    /// # Errors
+    ///
+    /// The share is exhausted.
+    pub fn accepted(share: &MemoryShare) -> Result<Inbox, ShareExhausted> {
+        Ok(Inbox { lease: share.lease(LINK_BYTES)?, first_bytes: MAX_HELLO_BYTES })
+    }
+
+    /// The memory for a link to a process that this one trusts.
+    fn trusted() -> Inbox {
+        let share = MemoryShare::new("trusted_links", usize::MAX);
+        Inbox { lease: share.empty_lease(), first_bytes: framing::MAX_FRAME_BYTES }
+    }
+
+    /// Takes the memory for so many bytes that arrived and are not decoded. Waits for it as long as the other side may
+    /// be silent.
+    async fn cover(&mut self, bytes: usize) -> Result<(), ShareExhausted> {
+        let end = tokio::time::Instant::now() + READ_TIMEOUT;
+        let missing = bytes.saturating_sub(self.lease.bytes());
+        while missing > 0 && self.lease.grow(missing).is_err() {
+            if tokio::time::Instant::now() >= end {
+                return Err(ShareExhausted);
+            }
+            tokio::time::sleep(MEMORY_POLL_INTERVAL).await;
+        }
+        Ok(())
+    }
+
+    /// Gives back what is more than these bytes.
+    fn shrink(&mut self, bytes: usize) {
+        self.lease.shrink(bytes.max(LINK_BYTES));
+    }
+}
+
+/// The length that the next message announces, once its first bytes are there.
+fn announced(buffer: &[u8]) -> Option<usize> {
+    let length = buffer.get(..framing::LENGTH_BYTES)?;
+    Some(u32::from_le_bytes(length.try_into().ok()?) as usize)
+}
+
+async fn read_frames(mut reader: OwnedReadHalf, mut inbox: Inbox, on_frame: &mut impl FnMut(Frame) -> bool) {
     let mut buffer = Vec::new();
     let mut chunk = vec![0; READ_BUFFER_BYTES];
+    let opened = tokio::time::Instant::now();
+    let mut is_first = true;
     loop {
+        if inbox.cover(buffer.len() + READ_BUFFER_BYTES).await.is_err() {
+            return tracing::warn!("link closed: the memory for messages is exhausted");
+        }
         let Ok(Ok(count)) = timeout(READ_TIMEOUT, reader.read(&mut chunk)).await else { return };
         if count == 0 {
             return;
         }
         RECEIVED.fetch_add(count as u64, Ordering::Relaxed);
         buffer.extend_from_slice(&chunk[..count]);
+        if is_first {
+            let is_long = announced(&buffer).is_some_and(|length| length > inbox.first_bytes);
+            if is_long || opened.elapsed() > READ_TIMEOUT {
+                return tracing::debug!("link closed: the other side does not introduce itself");
+            }
+        }
         loop {
             match framing::take_body(&mut buffer) {
                 Ok(Some(body)) => match codec::decode(&body) {
                     Ok(Frame::Ping(_)) => {}
                     Ok(frame) => {
+                        is_first = false;
                         if !on_frame(frame) {
                             return;
                         }
@@ -208,6 +289,10 @@
                 Err(error) => return tracing::warn!(%error, "link closed: invalid framing"),
             }
         }
+        if buffer.is_empty() && buffer.capacity() > LINK_BYTES {
+            buffer = Vec::new();
+            inbox.shrink(0);
+        }
     }
 }
 
