Storage proxy: short pieces of a body are joined

Clients that upload in chunks of one byte made the storage proxy hold 46 MiB of 32 (8 uploads of 256 KiB): its memory counts the bytes of bodies, while each piece costs an entry of 32 bytes, and the framing that it keeps in the read buffer.

From the 65th piece on, pieces under 512 bytes are joined, as long as no attempt has got the last one.

--- a/src/net/body.rs
+++ b/src/net/body.rs
@@ -2,7 +2,7 @@
 //! from a stalled one by its rate of bytes, not by the total time.
 
 use axum::body::{Body, HttpBody};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use tokio::time::{Duration, Instant, timeout};
 
@@ -80,19 +80,17 @@
 
     /// Reads the whole body.
     pub async fn whole(&mut self) -> Result<Bytes, Fault> {
-        let mut pieces = Vec::new();
+        let Some(first) = self.next().await? else { return Ok(Bytes::new()) };
+        let Some(second) = self.next().await? else { return Ok(first) };
+        let rest = self.length().unwrap_or_default() as usize;
+        // Pieces are copied: many short ones would cost more than their bytes.
+        let mut whole = BytesMut::with_capacity(first.len() + second.len() + rest);
+        whole.extend_from_slice(&first);
+        whole.extend_from_slice(&second);
         while let Some(piece) = self.next().await? {
-            pieces.push(piece);
+            whole.extend_from_slice(&piece);
         }
-        Ok(concat_pieces(pieces))
-    }
-}
-
-fn concat_pieces(mut pieces: Vec<Bytes>) -> Bytes {
-    match pieces.len() {
-        0 => Bytes::new(),
-        1 => pieces.swap_remove(0),
-        _ => pieces.concat().into(),
+        Ok(whole.freeze())
     }
 }
 
--- a/src/replay_buffer.rs
+++ b/src/replay_buffer.rs
@@ -3,11 +3,17 @@
 //! attempt, to which the call must be bound first: what that attempt has sent is dropped, and no other
 //! attempt can follow.
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use std::collections::VecDeque;
 
 /// Maximum number of bytes that wait for a bound attempt to send them.
 pub const WINDOW: usize = 16 * 1024;
+/// Shorter pieces are joined where there are many: by itself, each costs some forty bytes beside its own.
+const SHORT_PIECE_BYTES: usize = 512;
+/// So many pieces are not too many.
+const MAX_SEPARATE_PIECES: usize = 64;
+/// Short pieces are joined up to this length.
+const JOINED_PIECE_BYTES: usize = 16 * 1024;
 
 /// How a request's stream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,9 +43,11 @@
 #[derive(Debug)]
 pub struct ReplayBuffer {
     pieces: VecDeque<Bytes>,
+    /// The last piece while short ones may still be joined to it: no attempt has got it.
+    joined: BytesMut,
     /// Number of pieces dropped before the first one in `pieces`.
     dropped: usize,
-    /// Bytes in `pieces`.
+    /// Bytes in `pieces` and `joined`.
     bytes: usize,
     /// Limit on `bytes` while the call is not bound.
     max_bytes: usize,
@@ -56,6 +64,7 @@
     pub fn new(max_bytes: usize) -> ReplayBuffer {
         ReplayBuffer {
             pieces: VecDeque::new(),
+            joined: BytesMut::new(),
             dropped: 0,
             bytes: 0,
             max_bytes,
@@ -76,9 +85,24 @@
 
     /// Adds a piece. At most one piece exceeds the limit, since none is read after that.
     pub fn push(&mut self, piece: Bytes) {
-        if !piece.is_empty() {
-            self.bytes += piece.len();
-            self.pieces.push_back(piece);
+        self.bytes += piece.len();
+        if piece.is_empty() {
+            return;
+        }
+        let is_short = piece.len() < SHORT_PIECE_BYTES && self.pieces.len() >= MAX_SEPARATE_PIECES;
+        if !is_short || self.joined.len() + piece.len() > JOINED_PIECE_BYTES {
+            self.close_joined();
+        }
+        match is_short {
+            true => self.joined.extend_from_slice(&piece),
+            false => self.pieces.push_back(piece),
+        }
+    }
+
+    /// Nothing is joined to the last piece any more.
+    fn close_joined(&mut self) {
+        if !self.joined.is_empty() {
+            self.pieces.push_back(std::mem::take(&mut self.joined).freeze());
         }
     }
 
@@ -114,10 +138,13 @@
     }
 
     /// Returns what an attempt that has sent `sent` pieces sends next.
-    pub fn next(&self, attempt: u32, sent: usize) -> Next {
+    pub fn next(&mut self, attempt: u32, sent: usize) -> Next {
         if sent < self.dropped || self.bound.is_some_and(|bound| bound != attempt) {
             return Next::Lost;
         }
+        if sent - self.dropped >= self.pieces.len() {
+            self.close_joined();
+        }
         match self.pieces.get(sent - self.dropped) {
             Some(piece) => Next::Piece(piece.clone()),
             None => match self.over {
