Records of model servers have a share of a core's memory

Strangers that send heartbeats of model servers which were never there made a core hold 183 MiB of 96 (1,600 of them with 800 models each): anything that a heartbeat said was kept until it expired, and the names of models on the machines' disks for ever.

Without memory the heartbeat is answered by 503 OutOfMemory and changes nothing, so that its sender calls the next core. At most 8 MiB of the weights on disks are remembered; those at addresses of no known model server go first.

--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -18,6 +18,11 @@
 const HEARTBEAT_STALENESS_MS: Millis = 600;
 /// The interval at which an unchanged model server is relayed to the other cores.
 const RELAY_INTERVAL_MS: Millis = 2_000;
+/// Beyond so many bytes, weights on the disks of machines are not remembered: one that is loaded again counts as fetched
+/// from the weight store.
+const MAX_CACHED_WEIGHTS_BYTES: usize = 8 * 1024 * 1024;
+/// What an address or a name costs beside its bytes.
+const CACHED_ITEM_BYTES: usize = 64;
 
 #[derive(Clone, Debug)]
 struct ServerRecord {
@@ -43,6 +48,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     cached_weights: CachedWeights,
+    /// What `cached_weights` holds, with [`CACHED_ITEM_BYTES`] for each address and name.
+    cached_weights_bytes: usize,
     records: BTreeMap<String, ServerRecord>,
     addresses: AddressIndex,
     heartbeat_ms: Millis,
@@ -80,8 +87,32 @@
         if models.is_empty() {
             return;
         }
+        if self.cached_weights_bytes > MAX_CACHED_WEIGHTS_BYTES {
+            self.forget_weights_of_unknown_addresses();
+        }
+        if self.cached_weights_bytes > MAX_CACHED_WEIGHTS_BYTES {
+            return;
+        }
+        if !self.cached_weights.contains_key(address) {
+            self.cached_weights_bytes += CACHED_ITEM_BYTES + address.len();
+        }
         let cached = self.cached_weights.entry(address.to_owned()).or_default();
-        cached.extend(models.iter().map(|model| model.name.clone()));
+        for model in models {
+            if cached.insert(model.name.clone()) {
+                self.cached_weights_bytes += CACHED_ITEM_BYTES + model.name.len();
+            }
+        }
+    }
+
+    /// Forgets which weights machines have at whose addresses no model server is known.
+    fn forget_weights_of_unknown_addresses(&mut self) {
+        let known: BTreeSet<&String> = self.records.values().map(|record| &record.server.address).collect();
+        self.cached_weights.retain(|address, _| known.contains(address));
+        let bytes = |(address, names): (&String, &BTreeSet<String>)| {
+            let names: usize = names.iter().map(|name| CACHED_ITEM_BYTES + name.len()).sum();
+            CACHED_ITEM_BYTES + address.len() + names
+        };
+        self.cached_weights_bytes = self.cached_weights.iter().map(bytes).sum();
     }
 
     /// Model servers that take requests.
--- a/crates/system/src/core/mod.rs
+++ b/crates/system/src/core/mod.rs
@@ -23,6 +23,7 @@
 mod preparation;
 mod publication;
 mod replication;
+mod server_memory;
 pub mod singleton_roles;
 mod state_check;
 mod state_machine;
--- a/crates/system/src/core/model_servers.rs
+++ b/crates/system/src/core/model_servers.rs
@@ -3,6 +3,8 @@
 
 use super::links::PeerLinks;
 use super::model_server_json::ReportJson;
+use super::server_memory::ServerMemory;
+use crate::memory::share::{MemoryShare, ShareExhausted};
 use pathbank_control::directory::Directory;
 use pathbank_control::pending_changes::{PendingChanges, ServerChanges};
 use pathbank_protocol::codec::SharedMessage;
@@ -31,6 +33,7 @@
 /// Model servers as this core knows them.
 pub struct ServerRegistry {
     directory: Directory,
+    memory: ServerMemory,
     /// All model servers, as sent to an edge that subscribes. Encoded once until something changes.
     complete_update: Option<SharedMessage>,
     /// Those of them that said that they leave. `None`: to be encoded.
@@ -39,10 +42,11 @@
 }
 
 impl ServerRegistry {
-    /// An empty registry. `heartbeat_ms`: the interval of heartbeats.
-    pub fn new(heartbeat_ms: u64) -> ServerRegistry {
+    /// An empty registry. `heartbeat_ms`: the interval of heartbeats; `memory`: the share for records.
+    pub fn new(heartbeat_ms: u64, memory: MemoryShare) -> ServerRegistry {
         ServerRegistry {
             directory: Directory::new(heartbeat_ms),
+            memory: ServerMemory::new(memory),
             complete_update: None,
             unavailable_update: None,
             pending_changes: PendingChanges::default(),
@@ -62,16 +66,21 @@
     // ---- heartbeats ----
 
     /// Records a heartbeat. What changes is published with the next flush, a server that leaves at once.
+    ///
+    /// # Errors
+    ///
+    /// There is no memory for it, and nothing was changed.
     pub fn on_heartbeat(
         &mut self,
         now: u64,
         links: &PeerLinks,
         server: ModelServer,
         source: HeartbeatSource,
-    ) {
+    ) -> Result<(), ShareExhausted> {
+        self.memory.cover(&server)?;
         let instance = server.instance.clone();
         let heard = self.directory.observe_heartbeat(now, server);
-        let Some(state) = self.directory.state(&instance) else { return };
+        let Some(state) = self.directory.state(&instance) else { return Ok(()) };
         if heard.changed || !heard.displaced.is_empty() {
             self.forget_encoded();
         }
@@ -91,6 +100,7 @@
             }
         }
         self.flush_urgent_changes(now, links);
+        Ok(())
     }
 
     /// A model server deregistered: it told this core, or another one.
@@ -207,6 +217,7 @@
             return self.directory.reset_timeouts(now);
         }
         let servers = self.directory.expire(now);
+        self.memory.retain(|instance| self.directory.state(instance).is_some());
         if !servers.is_empty() {
             tracing::info!(count = servers.len(), "model servers timed out");
             self.forget_encoded();
--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -150,7 +150,7 @@
             publication: Publication::default(),
             status: StatusSchedule::default(),
             wall_clock: WallClock::default(),
-            servers: ServerRegistry::new(settings.heartbeat_ms),
+            servers: ServerRegistry::new(settings.heartbeat_ms, memory.model_servers.clone()),
             deregistrations: PendingDeregistrations::default(),
             command_formats: CommandFormats::default(),
             reports: EdgeReports::default(),
@@ -369,7 +369,8 @@
             }
             Frame::Heartbeats(servers) => {
                 for server in servers {
-                    self.on_heartbeat(now, server, HeartbeatSource::Core);
+                    // The registry counts what it has no memory for.
+                    let _ = self.on_heartbeat(now, server, HeartbeatSource::Core);
                 }
             }
             Frame::Report(report) => self.on_edge_report(now, &report),
--- a/crates/system/src/core/node/registration.rs
+++ b/crates/system/src/core/node/registration.rs
@@ -2,6 +2,7 @@
 
 use super::Node;
 use crate::core::model_servers::HeartbeatSource;
+use crate::memory::share::ShareExhausted;
 use crate::startup::Milestone;
 use pathbank_control::operator_calls::Reply;
 use pathbank_control::result_code::ResultCode;
@@ -35,20 +36,34 @@
     /// contact with the others: they have to hear of it too.
     pub(super) fn on_heartbeat_call(&mut self, now: u64, server: ModelServer, reply: oneshot::Sender<Reply>) {
         let is_leaving = server.state != ModelServerState::Ready;
-        self.on_heartbeat(now, server, HeartbeatSource::ModelServer);
-        let _ = reply.send(if is_leaving { self.acknowledge_in_contact(now) } else { acknowledged() });
+        let answer = match self.on_heartbeat(now, server, HeartbeatSource::ModelServer) {
+            Err(exhausted) => Reply::Result(ResultCode::OutOfMemory, exhausted.to_string()),
+            Ok(()) if is_leaving => self.acknowledge_in_contact(now),
+            Ok(()) => acknowledged(),
+        };
+        let _ = reply.send(answer);
     }
 
     /// A heartbeat, or a deregistration that another core relays.
-    pub(super) fn on_heartbeat(&mut self, now: u64, server: ModelServer, source: HeartbeatSource) {
+    ///
+    /// # Errors
+    ///
+    /// There is no memory for it, and nothing was changed.
+    pub(super) fn on_heartbeat(
+        &mut self,
+        now: u64,
+        server: ModelServer,
+        source: HeartbeatSource,
+    ) -> Result<(), ShareExhausted> {
         self.startup.reach(Milestone::ModelServerKnown);
         let is_committed = self.machine.state().deregistered().contains(&server.instance);
         if server.is_deregistered() && !is_committed {
             self.deregistrations.record(now, &server.instance);
         }
-        if !is_committed {
-            self.servers.on_heartbeat(now, &self.links, server, source);
+        if is_committed {
+            return Ok(());
         }
+        self.servers.on_heartbeat(now, &self.links, server, source)
     }
 
     /// A model server deregisters. It takes no requests from now on, and is answered once no core can forget
--- a/crates/system/src/memory/plan.rs
+++ b/crates/system/src/memory/plan.rs
@@ -55,6 +55,8 @@
     pub const LINKS: Percent = Percent(12);
     /// Answers of model servers and of the platform.
     pub const ANSWERS: Percent = Percent(3);
+    /// What model servers report of themselves.
+    pub const MODEL_SERVERS: Percent = Percent(10);
 }
 
 /// The shares of an edge.
@@ -112,6 +114,8 @@
     pub links: MemoryShare,
     /// Answers of model servers and of the platform.
     pub answers: MemoryShare,
+    /// Records of model servers.
+    pub model_servers: MemoryShare,
 }
 
 impl CoreMemory {
@@ -125,6 +129,7 @@
             changes: CallQueue::new(core::CALLS.of(memory_mb)),
             links: MemoryShare::new("links", core::LINKS.of(memory_mb).max(MAX_FRAME_BYTES + ROOM_BYTES)),
             answers: MemoryShare::new("answers", core::ANSWERS.of(memory_mb)),
+            model_servers: MemoryShare::new("model_servers", core::MODEL_SERVERS.of(memory_mb)),
         }
     }
 
@@ -137,6 +142,7 @@
             &self.changes.share,
             &self.links,
             &self.answers,
+            &self.model_servers,
         ])
     }
 }
--- a/crates/system/tests/misbehaving/main.rs
+++ b/crates/system/tests/misbehaving/main.rs
@@ -41,6 +41,10 @@
 const OPERATOR_BODIES: usize = 4 * MEMORY_MB as usize * MIB as usize / OPERATOR_BODY_BYTES;
 /// The longest message between processes.
 const FRAME_BYTES: usize = 32 * 1_024 * 1_024;
+/// Model servers that were never there, with so many models each; together, more than a core may hold.
+const HEARTBEATS: usize = 400;
+const HEARTBEAT_MODELS: usize = 800;
+const HEARTBEAT_CLIENTS: usize = 4;
 const STOPS_SHORT_BY: usize = 16;
 
 fn crowd_of(count: usize, script: impl Fn() -> Script) -> Vec<Script> {
@@ -158,6 +162,14 @@
     case.bears(core, control, crowd_of(TINY_CHUNK_BODIES, script), Reads::Everything);
 }
 
+#[test]
+fn heartbeats_of_many_model_servers() {
+    let mut case = Case::started();
+    let script = || Script::heartbeats(HEARTBEATS, HEARTBEAT_MODELS);
+    let (core, control) = (case.core(), case.system.control[0]);
+    case.bears(core, control, crowd_of(HEARTBEAT_CLIENTS, script), Reads::Everything);
+}
+
 #[test]
 fn messages_of_strangers_that_stop_short_of_their_end() {
     let mut case = Case::started();
