A soak of clients that don't behave, beside signals, restarts and changes

Crowds of ten kinds, drawn from a seed, come to two edges and three cores while processes get SIGHUP, SIGTERM and SIGKILL, start again, and the configuration changes; ordinary clients keep their connections until the process is gone. No process may end by itself or hold more than its limits.memory_mb, nothing may run that a 408, 429 or 503 promised not to run, nothing runs twice, and at the end each edge answers.

PATHBANK_SOAK_SEEDS=1..50 plays more.

--- a/crates/system/tests/misbehaving/main.rs
+++ b/crates/system/tests/misbehaving/main.rs
@@ -3,7 +3,8 @@
 //! beside the crowd and after it.
 //!
 //! The crowd and the bounds follow from the settings in `case`; one case runs at a time.
-//! `PATHBANK_TEST_LOGS=1` shows what the processes log.
+//! `PATHBANK_TEST_LOGS=1` shows what the processes log. `PATHBANK_SOAK_SEEDS=1..50` plays more seeds of the soak,
+//! `PATHBANK_SOAK_EDGES=20` starts so many edges.
 
 #![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by a panic")]
 
@@ -12,11 +13,13 @@
 mod common;
 mod crowd;
 mod meter;
+mod soak;
 
-use case::{Case, MAX_BODY_BYTES, MEMORY_MB, send_body};
+use case::{Case, MAX_BODY_BYTES, MEMORY_MB, ONE_AT_A_TIME, send_body};
 use common::until;
 use crowd::{Reads, Script};
 use meter::MIB;
+use std::sync::PoisonError;
 
 /// So many bodies at the limit are three times what the process may hold.
 const BODIES: usize = 3 * MEMORY_MB as usize * MIB as usize / MAX_BODY_BYTES;
@@ -182,3 +185,30 @@
     };
     case.bears(core, internal, crowd_of(OPERATOR_BODIES, script), Reads::Nothing);
 }
+
+/// What the soak plays without another word.
+const SOAK_SEEDS: std::ops::Range<u64> = 1..4;
+const SOAK_EDGES: u8 = 2;
+
+fn soak_seeds() -> std::ops::Range<u64> {
+    let asked = std::env::var("PATHBANK_SOAK_SEEDS").ok();
+    let range = asked.as_deref().and_then(|text| text.split_once(".."));
+    range.map_or(SOAK_SEEDS, |(first, end)| first.parse().expect("a seed")..end.parse().expect("a seed"))
+}
+
+#[test]
+fn crowds_beside_signals_restarts_and_changes() {
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let edges =
+        std::env::var("PATHBANK_SOAK_EDGES").map_or(SOAK_EDGES, |text| text.parse().expect("a number"));
+    let mut failed = Vec::new();
+    for seed in soak_seeds() {
+        let (found, summary) = soak::play(seed, edges);
+        println!("{summary}");
+        found.iter().for_each(|finding| println!("  {finding}"));
+        if !found.is_empty() {
+            failed.push(format!("seed {seed}: {}", found[0]));
+        }
+    }
+    assert!(failed.is_empty(), "PATHBANK_SOAK_SEEDS=N..N+1 plays one again: {failed:#?}");
+}
