An event of a stream that does not end takes its memory of the edge's share

Model servers that begin an event and do not end it made an edge hold 211 MiB of 96 (180 streams with 960 KiB of an event each): an event is buffered until it is complete, up to 1 MiB, and nothing counted that.

A stream takes twice what it holds of an event from the share of requests, and so does a generation of a training step. Without memory the stream breaks off, and does not look complete.

The stand-in model server pads events (event_padding); such an event ends when the next one begins.

--- a/crates/router/src/answer/event_stream.rs
+++ b/crates/router/src/answer/event_stream.rs
@@ -140,6 +140,11 @@
         self.parser = Parser { last_id, events, ..Parser::default() };
     }
 
+    /// What is held of an event that is not complete, bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// The number of pieces so far.
     pub fn events(&self) -> u64 {
         self.parser.events
--- a/crates/system/src/edge/client_request.rs
+++ b/crates/system/src/edge/client_request.rs
@@ -45,6 +45,8 @@
 const HEAD_COPIES: usize = 2;
 /// The buffers of an exchange with a model server, and what the kernel holds of its answer.
 const EXCHANGE_BYTES: usize = 64 * 1_024;
+/// The buffer of an event that is not complete is up to so many times as long.
+const EVENT_BUFFER_FACTOR: usize = 2;
 /// The edge's deadline is this much earlier than the client's, so that the answer arrives in time,
 /// milliseconds.
 const ANSWER_MARGIN_MS: u64 = 20;
@@ -94,6 +96,8 @@
     memory: MemoryLease,
     /// Whether `memory` covers an exchange with a model server.
     covers_exchange: bool,
+    /// The memory for an event that is not complete.
+    event_memory: MemoryLease,
 }
 
 /// Reads a request's body and routes the request by the configuration in force. `Err`: the edge's answer to a
@@ -153,6 +157,7 @@
         version,
         memory,
         covers_exchange: false,
+        event_memory: shared.memory.requests.empty_lease(),
     })
 }
 
@@ -197,6 +202,18 @@
     share.lease(bytes).inspect_err(|_| share.count_refusal())
 }
 
+/// Fits a lease to so many bytes that are held of an event, whose buffer grows by doubling.
+pub(super) fn cover_event(lease: &mut MemoryLease, bytes: usize) -> Result<(), ShareExhausted> {
+    let needed = EVENT_BUFFER_FACTOR * bytes;
+    match needed.checked_sub(lease.bytes()) {
+        Some(missing) => lease.grow(missing),
+        None => {
+            lease.shrink(needed);
+            Ok(())
+        }
+    }
+}
+
 /// The refusal of a request for which there is no memory.
 pub(super) fn out_of_memory() -> Answer {
     answer::closing(answer::refusal(ResultCode::OutOfMemory, RETRY_SOON_MS))
@@ -343,6 +360,11 @@
         Ok(())
     }
 
+    /// Takes the memory for so many bytes that are held of an event, and gives back what is more.
+    pub(super) fn cover_event(&mut self, bytes: usize) -> Result<(), ShareExhausted> {
+        cover_event(&mut self.event_memory, bytes)
+    }
+
     /// Gives back the memory of a body that will not be sent again.
     pub(super) fn release_body(&mut self) {
         self.body = HeldBody::default();
--- a/crates/system/src/edge/generation.rs
+++ b/crates/system/src/edge/generation.rs
@@ -4,7 +4,7 @@
 //! begins with that request, by the edge's own clock, so that none starts late after a stall or over a slow
 //! link. The edge reports each result to the core that leads at that time.
 
-use super::client_request::told_version;
+use super::client_request::{cover_event, told_version};
 use super::headers::{
     DEADLINE, EXPECT_VERSION, MODEL, PRIORITY, PROMPT_PREFIX, REQUEST_ID, TARGET_INSTANCE, TOKEN_COUNT,
 };
@@ -12,6 +12,7 @@
 use super::upstream_answer::answer_head;
 use crate::clock;
 use crate::memory::held_body::HeldBody;
+use crate::memory::share::MemoryLease;
 use crate::net::client::{Exchange, ExchangeError};
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -156,6 +157,7 @@
     let mut answer = Reading {
         answer: DrawnAnswer { header_version, ..DrawnAnswer::default() },
         reader: EventReader::default(),
+        memory: shared.memory.requests.empty_lease(),
     };
     match answer.read_all(response.into_body()).await {
         Ok(()) => {}
@@ -179,6 +181,8 @@
 struct Reading {
     answer: DrawnAnswer,
     reader: EventReader,
+    /// The memory for an event that is not complete.
+    memory: MemoryLease,
 }
 
 /// Why a generation's answer is not complete.
@@ -204,6 +208,7 @@
             if let Some(error) = pieces.error {
                 return Err(error.into());
             }
+            cover_event(&mut self.memory, self.reader.held_bytes()).map_err(|_| ReadError::Broken)?;
             self.answer.event_versions.extend(pieces.versions);
             self.append(&pieces.bytes);
         }
--- a/crates/system/src/edge/relay.rs
+++ b/crates/system/src/edge/relay.rs
@@ -151,6 +151,11 @@
                     let Ok(data) = frame.into_data() else { continue };
                     let pieces = self.reader.read(&data);
                     self.malformed = pieces.error;
+                    if let Err(exhausted) = self.client_request.cover_event(self.reader.held_bytes()) {
+                        self.shared.memory.requests.count_refusal();
+                        self.ticket.end(AttemptOutcome::Abandoned);
+                        return Some(Err(self.broken(Step::Broken, exhausted.into())));
+                    }
                     if !pieces.bytes.is_empty() {
                         self.pacing.record();
                         return Some(Ok(Frame::data(pieces.bytes)));
--- a/crates/system/src/stand_in/mod.rs
+++ b/crates/system/src/stand_in/mod.rs
@@ -54,6 +54,9 @@
     pub stream_pieces: u32,
     /// That pause.
     pub stream_pause: Duration,
+    /// Bytes that each event of a stream has beside its piece's number. Where there are any, an event ends only when the
+    /// next one begins.
+    pub event_padding: usize,
     /// How often it says something.
     pub heartbeat_every: Duration,
     /// Where its heartbeats are counted.
@@ -74,6 +77,7 @@
             load_ms: 0,
             stream_pieces: 5,
             stream_pause: Duration::from_millis(10),
+            event_padding: 0,
             heartbeat_every: HEARTBEAT_INTERVAL,
             counts: Arc::default(),
         }
@@ -313,7 +317,13 @@
             running.state.drawn.note(&id, &settings.instance, run.drawn_from, clock::wall_clock(), is_last);
             let admits = is_last && run.told.is_some_and(|told| told != run.drawn_from);
             let version = if admits { format!("versions:{}\n", run.drawn_from) } else { String::new() };
-            let event = Bytes::from(format!("{version}id: {number}\ndata: piece {number}\n\n"));
+            let (before, after) = match settings.event_padding {
+                0 => ("", "\n\n"),
+                _ => (if number == first { "" } else { "\n\n" }, if is_last { "\n\n" } else { "" }),
+            };
+            let padding = "x".repeat(settings.event_padding);
+            let event =
+                Bytes::from(format!("{before}{version}id: {number}\ndata: piece {number}{padding}{after}"));
             Some((Ok::<_, std::io::Error>(event), (number + 1, running)))
         }
     });
--- a/crates/system/tests/misbehaving/case.rs
+++ b/crates/system/tests/misbehaving/case.rs
@@ -19,6 +19,11 @@
 /// Slots of the model server that streams.
 const STREAMS: u32 = 1_000;
 const KV_CAPACITY: u32 = 1_000_000;
+/// The backend of long events.
+const ENDLESS: &str = "endless";
+/// Long enough for all streams to be in their first event at once.
+const EVENT_PAUSE: Duration = Duration::from_secs(2);
+const EVENTS: u32 = 100;
 const STREAM_PAUSE: Duration = Duration::from_secs(4);
 
 /// How long a crowd that has sent what it can keeps its connections.
@@ -118,6 +123,19 @@
     start_server(system.runtime.handle(), slow, SocketAddr::new(system.ingress.ip(), 0));
 }
 
+/// A model server whose events begin with this many bytes and end only when the next one begins.
+pub fn start_endless_events(system: &System, event_bytes: usize) {
+    let settings = StandInSettings::new("i-endless-1", ENDLESS, "z1", &["m1"], &system.control);
+    let endless = StandInSettings {
+        stream_pause: EVENT_PAUSE,
+        stream_pieces: EVENTS,
+        event_padding: event_bytes,
+        capacity: STREAMS,
+        ..settings
+    };
+    start_server(system.runtime.handle(), endless, SocketAddr::new(system.ingress.ip(), 0));
+}
+
 /// The common configuration with a longer body, an idempotent route, and model servers with many slots.
 pub fn configuration(version: u64) -> String {
     let mut document: serde_json::Value = serde_json::from_str(&document(version)).unwrap();
@@ -131,6 +149,16 @@
     again["type"] = "idempotent".into();
     again["max_attempts"] = 2.into();
     routes.push(again);
+    let mut endless = routes[1].clone();
+    endless["name"] = "r5".into();
+    endless["path_prefix"] = "/endless/".into();
+    endless["backend"] = ENDLESS.into();
+    endless["resumable"] = false.into();
+    routes.push(endless);
+    let backends = document["backends"].as_array_mut().unwrap();
+    let mut endless = backends[1].clone();
+    endless["name"] = ENDLESS.into();
+    backends.push(endless);
     document.to_string()
 }
 
--- a/crates/system/tests/misbehaving/crowd.rs
+++ b/crates/system/tests/misbehaving/crowd.rs
@@ -16,6 +16,16 @@
 const PIECE_BYTES: usize = 64 * 1024;
 const CLIENT_STACK_BYTES: usize = 128 * 1024;
 
+/// Whether the answer to a script begins as a success.
+pub fn begins_answer(address: SocketAddr, script: &Script) -> bool {
+    const SUCCESS: &[u8] = b"HTTP/1.1 200";
+    let Ok(mut stream) = TcpStream::connect_timeout(&address, CONNECT_WITHIN) else { return false };
+    let mut begin = [0; SUCCESS.len()];
+    send(&mut stream, script, &AtomicBool::new(false)).is_ok()
+        && stream.read_exact(&mut begin).is_ok()
+        && begin == SUCCESS
+}
+
 /// What one client of a crowd sends.
 #[derive(Clone, Debug)]
 pub struct Script {
--- a/crates/system/tests/misbehaving/main.rs
+++ b/crates/system/tests/misbehaving/main.rs
@@ -15,9 +15,9 @@
 mod meter;
 mod soak;
 
-use case::{Case, MAX_BODY_BYTES, MEMORY_MB, ONE_AT_A_TIME, send_body};
+use case::{Case, MAX_BODY_BYTES, MEMORY_MB, ONE_AT_A_TIME, send_body, start_endless_events};
 use common::until;
-use crowd::{Reads, Script};
+use crowd::{Reads, Script, begins_answer};
 use meter::MIB;
 use std::sync::PoisonError;
 
@@ -48,6 +48,11 @@
 const HEARTBEATS: usize = 400;
 const HEARTBEAT_MODELS: usize = 800;
 const HEARTBEAT_CLIENTS: usize = 4;
+/// Under the longest event that a stream may have.
+const LONG_EVENT_BYTES: usize = 960 * 1_024;
+/// Together, more than an edge may hold.
+const LONG_EVENTS: usize = 180;
+const MODEL_HEADERS: &str = "X-Pathbank-Model: m1\r\nX-Pathbank-Token-Count: 10,10\r\n";
 const STOPS_SHORT_BY: usize = 16;
 
 fn crowd_of(count: usize, script: impl Fn() -> Script) -> Vec<Script> {
@@ -118,8 +123,7 @@
 fn bytes_behind_a_request_whose_answer_is_a_stream() {
     let mut case = Case::started();
     let (edge, ingress) = (case.edge(), case.system.ingress);
-    let more = "X-Pathbank-Model: m1\r\nX-Pathbank-Token-Count: 10,10\r\n";
-    let script = || Script::with_surplus("/llm/x", more, b"hello", SURPLUS_BYTES);
+    let script = || Script::with_surplus("/llm/x", MODEL_HEADERS, b"hello", SURPLUS_BYTES);
     case.bears(edge, ingress, crowd_of(STREAMS, script), Reads::Nothing);
 }
 
@@ -165,6 +169,16 @@
     case.bears(core, control, crowd_of(TINY_CHUNK_BODIES, script), Reads::Everything);
 }
 
+#[test]
+fn events_of_a_model_server_that_do_not_end() {
+    let mut case = Case::started();
+    let endless = || Script::with_surplus("/endless/x", MODEL_HEADERS, b"hello", 0);
+    start_endless_events(&case.system, LONG_EVENT_BYTES);
+    until("a stream begins", || begins_answer(case.system.ingress, &endless()));
+    let (edge, ingress) = (case.edge(), case.system.ingress);
+    case.bears(edge, ingress, crowd_of(LONG_EVENTS, endless), Reads::Everything);
+}
+
 #[test]
 fn heartbeats_of_many_model_servers() {
     let mut case = Case::started();
