A client whose request finds no memory gets its refusal before the connection closes

A connection that closes with unread bytes is reset, and the reset may overtake the 503 OutOfMemory of a request whose body still comes. The body is read on and thrown away as after other refusals, 8 MiB or 2 s at most. Found by reading; no test shows it.

--- a/crates/system/src/edge/client_request.rs
+++ b/crates/system/src/edge/client_request.rs
@@ -8,7 +8,7 @@
 };
 use super::shared::Shared;
 use crate::clock;
-use crate::memory::body_reader::{BodyFault, BodyLimits};
+use crate::memory::body_reader::{BodyFault, BodyLimits, discard};
 use crate::memory::held_body::HeldBody;
 use crate::memory::share::{MemoryLease, ShareExhausted};
 use crate::net::server::Connection;
@@ -112,7 +112,10 @@
         return Err(answer::refusal(ResultCode::NoConfiguration, RETRY_SOON_MS));
     };
     let (head, body) = request.into_parts();
-    let memory = request_memory(shared, &head.headers).map_err(|ShareExhausted| out_of_memory())?;
+    let Ok(memory) = request_memory(shared, &head.headers) else {
+        tokio::spawn(discard(body));
+        return Err(out_of_memory());
+    };
     let connection = head.extensions.get::<Arc<Connection>>().cloned();
     // The read buffer from which the head came is free while the request waits.
     let headers = copied(&head.headers);
--- a/crates/system/src/memory/body_reader.rs
+++ b/crates/system/src/memory/body_reader.rs
@@ -168,7 +168,7 @@
 }
 
 /// Reads what comes of a refused body, and throws it away.
-async fn discard<B: Body<Data = Bytes> + Unpin>(mut body: B) {
+pub async fn discard<B: Body<Data = Bytes> + Unpin>(mut body: B) {
     let end = Instant::now() + DISCARD_TIMEOUT;
     let mut discarded = 0;
     while discarded < MAX_DISCARDED_BYTES {
