--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -11,7 +11,7 @@
 };
 use crate::net::body::{BodyReader, Fault};
 use crate::net::ids::Ids;
-use crate::net::inbound::{self, Inbound, Presence};
+use crate::net::inbound::{Inbound, Presence};
 use crate::net::incoming_body::IncomingBody;
 use crate::net::lifecycle::until;
 use crate::net::slots::{Slot, Slots};
@@ -101,7 +101,6 @@
     mut phase: watch::Receiver<Phase>,
     connection: impl Fn(TcpStream, Slot, &watch::Receiver<Phase>) -> C,
 ) {
-    inbound::limit_unread(&listener);
     loop {
         let accepted = tokio::select! {
             () = until(&mut phase, |phase| !phase.accept) => break,
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -12,15 +12,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, Waker};
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf, Ready};
+use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Duration, sleep, timeout};
 
 /// The most bytes read ahead of the parser. With more unread, the end is known only from the kernel's
 /// readiness.
-const MAX_READ_AHEAD: usize = 8 * 1024;
-/// `SO_RCVBUF` of a client's connection. Linux doubles it, and holds up to one and a half times as many bytes unread.
-const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
+const MAX_READ_AHEAD: usize = 32 * 1024;
 /// The most bytes per read.
 const READ_SIZE: usize = 4 * 1024;
 /// How often the kernel is asked for the end of the connection while the read-ahead buffer is full.
@@ -125,12 +123,6 @@
 #[derive(Clone, Debug)]
 pub struct Presence(Arc<Mutex<State>>);
 
-/// Bounds what the kernel holds unread of the connections that a listener accepts: it counts as this process's memory.
-pub fn limit_unread(listener: &TcpListener) {
-    // Connections without the bound still work.
-    let _ = SockRef::from(listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
-}
-
 fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
