Only a link that another process opened awaits an introduction

A link to a trusted process closed 2.2 s after it opened if its other side had sent nothing but pings: the check for a stranger's introduction was made there too. The length of the introduction is now there for accepted links alone.

links, memory, loopback, orders, settings and model_server_updates pass.

--- a/crates/system/src/net/link.rs
+++ b/crates/system/src/net/link.rs
@@ -206,8 +206,8 @@
 pub struct Inbox {
     /// Grows with the message that is arriving.
     lease: MemoryLease,
-    /// The longest first message, bytes.
-    first_bytes: usize,
+    /// The longest first message, bytes, of a link whose other side has to introduce itself.
+    introduction_bytes: Option<usize>,
 }
 
 impl Inbox {
@@ -217,13 +217,13 @@
     ///
     /// The share is exhausted.
     pub fn accepted(share: &MemoryShare) -> Result<Inbox, ShareExhausted> {
-        Ok(Inbox { lease: share.lease(LINK_BYTES)?, first_bytes: MAX_HELLO_BYTES })
+        Ok(Inbox { lease: share.lease(LINK_BYTES)?, introduction_bytes: Some(MAX_HELLO_BYTES) })
     }
 
     /// The memory for a link to a process that this one trusts.
     fn trusted() -> Inbox {
         let share = MemoryShare::new("trusted_links", usize::MAX);
-        Inbox { lease: share.empty_lease(), first_bytes: framing::MAX_FRAME_BYTES }
+        Inbox { lease: share.empty_lease(), introduction_bytes: None }
     }
 
     /// Takes the memory for so many bytes that arrived and are not decoded. Waits for it as long as the other side may
@@ -256,7 +256,7 @@
     let mut buffer = Vec::new();
     let mut chunk = vec![0; READ_BUFFER_BYTES];
     let opened = tokio::time::Instant::now();
-    let mut is_first = true;
+    let mut introduction_bytes = inbox.introduction_bytes;
     loop {
         if inbox.cover(buffer.len() + READ_BUFFER_BYTES).await.is_err() {
             return tracing::warn!("link closed: the memory for messages is exhausted");
@@ -267,8 +267,8 @@
         }
         RECEIVED.fetch_add(count as u64, Ordering::Relaxed);
         buffer.extend_from_slice(&chunk[..count]);
-        if is_first {
-            let is_long = announced(&buffer).is_some_and(|length| length > inbox.first_bytes);
+        if let Some(most) = introduction_bytes {
+            let is_long = announced(&buffer).is_some_and(|length| length > most);
             if is_long || opened.elapsed() > READ_TIMEOUT {
                 return tracing::debug!("link closed: the other side does not introduce itself");
             }
@@ -278,7 +278,7 @@
                 Ok(Some(body)) => match codec::decode(&body) {
                     Ok(Frame::Ping(_)) => {}
                     Ok(frame) => {
-                        is_first = false;
+                        introduction_bytes = None;
                         if !on_frame(frame) {
                             return;
                         }
