--- a/crates/system/src/stand_in/mod.rs
+++ b/crates/system/src/stand_in/mod.rs
@@ -57,6 +57,8 @@
     /// Bytes that each event of a stream has beside its piece's number. Where there are any, an event ends only when the
     /// next one begins.
     pub event_padding: usize,
+    /// Bytes that each answer has behind its request's body.
+    pub answer_padding: usize,
     /// How often it says something.
     pub heartbeat_every: Duration,
     /// Where its heartbeats are counted.
@@ -78,6 +80,7 @@
             stream_pieces: 5,
             stream_pause: Duration::from_millis(10),
             event_padding: 0,
+            answer_padding: 0,
             heartbeat_every: HEARTBEAT_INTERVAL,
             counts: Arc::default(),
         }
@@ -278,7 +281,11 @@
     }
     *response.body_mut() = match model {
         Some(_) => stream(settings, running, id, last_event_id),
-        None => Body::Full(Full::new(Bytes::from(format!("{tenant}:{}", String::from_utf8_lossy(&body))))),
+        None => {
+            let mut text = format!("{tenant}:{}", String::from_utf8_lossy(&body)).into_bytes();
+            text.resize(text.len() + settings.answer_padding, b'x');
+            Body::Full(Full::new(Bytes::from(text)))
+        }
     };
     Ok(response)
 }
--- a/crates/system/tests/misbehaving/case.rs
+++ b/crates/system/tests/misbehaving/case.rs
@@ -21,6 +21,8 @@
 const KV_CAPACITY: u32 = 1_000_000;
 /// The backend of long events.
 const ENDLESS: &str = "endless";
+/// The backend of long answers.
+const LONG: &str = "long";
 /// Long enough for all streams to be in their first event at once.
 const EVENT_PAUSE: Duration = Duration::from_secs(2);
 const EVENTS: u32 = 100;
@@ -44,11 +46,16 @@
     }
 
     pub fn with_memory(memory_mb: u64) -> Case {
+        Case::with_cores(1, memory_mb)
+    }
+
+    pub fn with_cores(cores: u8, memory_mb: u64) -> Case {
         let alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
         let logs = std::env::var_os("PATHBANK_TEST_LOGS").is_some();
-        let mut system = System::with_logs(1, 1, logs);
-        for name in ["core-0", "edge-0"] {
-            set_limits(&system, name, memory_mb);
+        let mut system = System::with_logs(cores, 1, logs);
+        set_limits(&system, "edge-0", memory_mb);
+        for core in 0..cores {
+            set_limits(&system, &format!("core-{core}"), memory_mb);
         }
         system.local.start().expect("the program starts");
         system.server("i-app-1", "app", &[]);
@@ -78,12 +85,24 @@
         until("the configuration is read", || self.system.read_configuration().is_some());
     }
 
+    /// Bytes that requests at the edge hold beside their bodies, as operators see it.
+    pub fn held_by_requests(&self) -> Option<u64> {
+        let answer = call(self.system.readiness, "GET", "/api/memory", &[], "")?;
+        let shares: serde_json::Value = serde_json::from_str(&answer.body).ok()?;
+        shares["requests"]["used"].as_u64()
+    }
+
     /// The crowd sends what it can to `address`; the process with this id is measured meanwhile. An ordinary
     /// request and an operator's call are answered beside the crowd and after it.
     pub fn bear(&mut self, process: u32, address: SocketAddr, scripts: Vec<Script>, reads: Reads) -> Peak {
         let meter = Meter::start(process);
         let crowd = Crowd::start(address, scripts, reads);
         crowd.until_sent();
+        self.bear_crowd(meter, crowd)
+    }
+
+    /// The same beside a crowd that may still be sending.
+    fn bear_crowd(&mut self, meter: Meter, crowd: Crowd) -> Peak {
         // What it sent is read meanwhile.
         std::thread::sleep(CROWD_STAYS);
         self.serves("beside");
@@ -100,6 +119,18 @@
     /// [`Case::bear`] with the bounds that the settings give.
     pub fn bears(&mut self, process: u32, address: SocketAddr, scripts: Vec<Script>, reads: Reads) {
         let peak = self.bear(process, address, scripts, reads);
+        self.is_within_bounds(peak);
+    }
+
+    /// The same for a crowd that sends on meanwhile, no faster than the process reads.
+    pub fn bears_while_sending(&mut self, process: u32, address: SocketAddr, scripts: Vec<Script>) {
+        let meter = Meter::start(process);
+        let crowd = Crowd::start(address, scripts, Reads::Everything);
+        let peak = self.bear_crowd(meter, crowd);
+        self.is_within_bounds(peak);
+    }
+
+    fn is_within_bounds(&self, peak: Peak) {
         let memory_mib = peak.memory_bytes / MIB;
         let most = self.memory_mb;
         println!("peak: {memory_mib} MiB of {most}, {} descriptors", peak.descriptors);
@@ -136,6 +167,13 @@
     start_server(system.runtime.handle(), endless, SocketAddr::new(system.ingress.ip(), 0));
 }
 
+/// A model server that answers by this many bytes.
+pub fn start_long_answers(system: &System, answer_bytes: usize) {
+    let settings = StandInSettings::new("i-long-1", LONG, "z1", &[], &system.control);
+    let long = StandInSettings { answer_padding: answer_bytes, capacity: STREAMS, ..settings };
+    start_server(system.runtime.handle(), long, SocketAddr::new(system.ingress.ip(), 0));
+}
+
 /// The common configuration with a longer body, an idempotent route, and model servers with many slots.
 pub fn configuration(version: u64) -> String {
     let mut document: serde_json::Value = serde_json::from_str(&document(version)).unwrap();
@@ -155,10 +193,30 @@
     endless["backend"] = ENDLESS.into();
     endless["resumable"] = false.into();
     routes.push(endless);
+    let mut long = routes[0].clone();
+    long["name"] = "r6".into();
+    long["path_prefix"] = "/long/".into();
+    long["backend"] = LONG.into();
+    routes.push(long);
     let backends = document["backends"].as_array_mut().unwrap();
     let mut endless = backends[1].clone();
     endless["name"] = ENDLESS.into();
     backends.push(endless);
+    let mut long = backends[0].clone();
+    long["name"] = LONG.into();
+    backends.push(long);
+    document.to_string()
+}
+
+/// The same with a document that is longer by this many bytes.
+pub fn long_configuration(version: u64, padding: usize) -> String {
+    let mut document: serde_json::Value = serde_json::from_str(&configuration(version)).unwrap();
+    let routes = document["routes"].as_array_mut().unwrap();
+    let mut route = routes[0].clone();
+    route["name"] = "padding".into();
+    route["path_prefix"] = "/padding/".into();
+    route["note"] = "x".repeat(padding).into();
+    routes.push(route);
     document.to_string()
 }
 
--- a/crates/system/tests/misbehaving/crowd.rs
+++ b/crates/system/tests/misbehaving/crowd.rs
@@ -14,6 +14,10 @@
 const PATIENCE: Duration = Duration::from_secs(60);
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 const PIECE_BYTES: usize = 64 * 1024;
+const READ_BYTES: usize = 4 * 1024;
+/// What a slow reader takes at a time.
+const SLOW_READ_BYTES: usize = 4 * 1024;
+const SLOW_READ_EVERY: Duration = Duration::from_millis(500);
 const CLIENT_STACK_BYTES: usize = 128 * 1024;
 
 /// Whether the answer to a script begins as a success.
@@ -52,6 +56,17 @@
         }
     }
 
+    /// A request with a short deadline and no body.
+    pub fn in_a_hurry(path: &str, deadline_ms: u64) -> Script {
+        let head = head(path).replace("-Deadline-Ms: 30000", &format!("-Deadline-Ms: {deadline_ms}"));
+        Script {
+            head: format!("{head}Content-Length: 0\r\n\r\n").into_bytes(),
+            part: Vec::new(),
+            parts: 0,
+            end: Vec::new(),
+        }
+    }
+
     /// A body in chunks of `chunk` bytes, without the last chunk.
     pub fn chunked(path: &str, chunk: usize, bytes: usize) -> Script {
         let head = format!("{}Transfer-Encoding: chunked\r\n\r\n", head(path));
@@ -73,6 +88,12 @@
         Script { head, part: Vec::new(), parts: 0, end: Vec::new() }
     }
 
+    /// A call without a body.
+    pub fn get(path: &str) -> Script {
+        let head = format!("GET {path} HTTP/1.1\r\nHost: core\r\n\r\n").into_bytes();
+        Script { head, part: Vec::new(), parts: 0, end: Vec::new() }
+    }
+
     /// Heartbeats of so many model servers, one after the other, each with so many models.
     pub fn heartbeats(servers: usize, models: usize) -> Script {
         let heartbeat = |_| {
@@ -123,6 +144,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reads {
     Everything,
+    /// A few bytes now and then.
+    Slowly,
     Nothing,
 }
 
@@ -176,10 +199,12 @@
 
 /// Sends what the script says, as far as the process takes it. Returns the open connection.
 fn play(address: SocketAddr, script: &Script, reads: Reads, leave: &AtomicBool) -> Option<TcpStream> {
-    let mut stream = TcpStream::connect_timeout(&address, CONNECT_WITHIN).ok()?;
+    let mut stream = connect(address, reads)?;
     stream.set_write_timeout(Some(SENDS_NOTHING_FOR)).ok()?;
-    if reads == Reads::Everything {
-        spawn_reader(stream.try_clone().ok()?);
+    match reads {
+        Reads::Everything => spawn_reader(stream.try_clone().ok()?, READ_BYTES, Duration::ZERO),
+        Reads::Slowly => spawn_reader(stream.try_clone().ok()?, SLOW_READ_BYTES, SLOW_READ_EVERY),
+        Reads::Nothing => {}
     }
     // An error: the process closed its side, or takes nothing more. The connection stays as it is.
     let _ = send(&mut stream, script, leave);
@@ -197,11 +222,26 @@
     stream.write_all(&script.end)
 }
 
-/// Reads until the process closes, on a thread of its own.
-fn spawn_reader(mut stream: TcpStream) {
-    std::thread::spawn(move || {
-        let mut bytes = [0; 4_096];
-        while stream.read(&mut bytes).is_ok_and(|count| count > 0) {}
+/// Connects. A slow reader's kernel takes little, so that the process notices it.
+fn connect(address: SocketAddr, reads: Reads) -> Option<TcpStream> {
+    if reads != Reads::Slowly {
+        return TcpStream::connect_timeout(&address, CONNECT_WITHIN).ok();
+    }
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).ok()?;
+    socket.set_recv_buffer_size(SLOW_READ_BYTES).ok()?;
+    socket.connect_timeout(&address.into(), CONNECT_WITHIN).ok()?;
+    Some(socket.into())
+}
+
+/// Reads until the process closes, so many bytes at a time with a pause behind each, on a thread of its own.
+fn spawn_reader(mut stream: TcpStream, bytes: usize, pause: Duration) {
+    let thread = std::thread::Builder::new().stack_size(CLIENT_STACK_BYTES);
+    let started = thread.spawn(move || {
+        let mut bytes = vec![0; bytes];
+        while stream.read(&mut bytes).is_ok_and(|count| count > 0) {
+            std::thread::sleep(pause);
+        }
         let _ = stream.shutdown(Shutdown::Both);
     });
+    started.expect("a thread starts");
 }
--- a/crates/system/tests/misbehaving/main.rs
+++ b/crates/system/tests/misbehaving/main.rs
@@ -14,12 +14,17 @@
 mod crowd;
 mod meter;
 mod soak;
+mod strangers;
 
-use case::{Case, MAX_BODY_BYTES, MEMORY_MB, ONE_AT_A_TIME, send_body, start_endless_events};
+use case::{
+    Case, MAX_BODY_BYTES, MEMORY_MB, ONE_AT_A_TIME, configuration, long_configuration, send_body,
+    start_endless_events, start_long_answers,
+};
 use common::until;
-use crowd::{Reads, Script, begins_answer};
+use crowd::{Crowd, Reads, Script, begins_answer};
 use meter::MIB;
 use std::sync::PoisonError;
+use strangers::Strangers;
 
 /// So many bodies at the limit are three times what the process may hold.
 const BODIES: usize = 3 * MEMORY_MB as usize * MIB as usize / MAX_BODY_BYTES;
@@ -52,6 +57,23 @@
 const LONG_EVENT_BYTES: usize = 960 * 1_024;
 /// Together, more than an edge may hold.
 const LONG_EVENTS: usize = 180;
+/// More than the kernel takes of an answer whose client does not read.
+const LONG_ANSWER_BYTES: usize = 6 * 1_024 * 1_024;
+/// Twice as many exchanges with model servers as an edge with this memory carries at once.
+const LONG_ANSWERS: usize = 400;
+/// The deadline of requests whose answers are read slowly, milliseconds.
+const SHORT_DEADLINE_MS: u64 = 4_000;
+const SLOW_READERS: usize = 20;
+/// A configuration that is more than the kernel takes of an answer, ...
+const LONG_CONFIGURATION_BYTES: usize = 3 * 1_024 * 1_024;
+/// ... and so many of them are three times what a core may hold.
+const CONFIGURATION_READS: usize = 3 * MEMORY_MB as usize * MIB as usize / LONG_CONFIGURATION_BYTES;
+/// A change that does not fit into what every link holds in advance.
+const CHANGE_BYTES: usize = 512 * 1_024;
+/// Strangers on the internal port of each core.
+const STRANGERS: usize = 12;
+/// What a stranger sends in short messages.
+const FLOOD_BYTES: usize = 64 * 1_024 * 1_024;
 const MODEL_HEADERS: &str = "X-Pathbank-Model: m1\r\nX-Pathbank-Token-Count: 10,10\r\n";
 const STOPS_SHORT_BY: usize = 16;
 
@@ -200,6 +222,60 @@
     case.bears(core, internal, crowd_of(OPERATOR_BODIES, script), Reads::Nothing);
 }
 
+#[test]
+fn long_answers_that_are_not_read_leave_room_for_ordinary_requests() {
+    let mut case = Case::started();
+    start_long_answers(&case.system, LONG_ANSWER_BYTES);
+    let script = || Script::with_length("/long/x", 1, 1);
+    until("a long answer begins", || begins_answer(case.system.ingress, &script()));
+    let (edge, ingress) = (case.edge(), case.system.ingress);
+    case.bears(edge, ingress, crowd_of(LONG_ANSWERS, script), Reads::Nothing);
+}
+
+#[test]
+fn a_long_answer_that_is_read_slowly_ends_after_its_deadline() {
+    let case = Case::started();
+    start_long_answers(&case.system, LONG_ANSWER_BYTES);
+    let script = || Script::in_a_hurry("/long/x", SHORT_DEADLINE_MS);
+    until("a long answer begins", || begins_answer(case.system.ingress, &script()));
+    until("the exchange of that client ends", || case.held_by_requests() == Some(0));
+    let crowd = Crowd::start(case.system.ingress, crowd_of(SLOW_READERS, script), Reads::Slowly);
+    until("exchanges begin", || case.held_by_requests() > Some(0));
+    // Reading on, the crowd would hold them for minutes.
+    until("the exchanges end", || case.held_by_requests() == Some(0));
+    case.serves("beside");
+    crowd.leave();
+}
+
+#[test]
+fn answers_to_operators_that_are_not_read() {
+    let mut case = Case::started();
+    case.system.configure(3, &long_configuration(4, LONG_CONFIGURATION_BYTES));
+    let (core, control) = (case.core(), case.system.control[0]);
+    let scripts = crowd_of(CONFIGURATION_READS, || Script::get("/api/config/read"));
+    case.bears(core, control, scripts, Reads::Nothing);
+}
+
+#[test]
+fn introduced_strangers_that_stop_short_of_a_message_do_not_hold_up_changes() {
+    let case = Case::with_cores(3, MEMORY_MB);
+    let strangers = case.system.local.internal.iter().map(|internal| Strangers::slow(*internal, STRANGERS));
+    let strangers: Vec<Strangers> = strangers.collect();
+    strangers.iter().for_each(Strangers::until_sent);
+    case.system.configure(3, &long_configuration(4, CHANGE_BYTES));
+    case.serves("beside");
+    strangers.into_iter().for_each(Strangers::leave);
+    case.system.configure(4, &configuration(5));
+}
+
+#[test]
+fn introduced_strangers_that_send_many_short_messages() {
+    let mut case = Case::started();
+    let (core, internal) = (case.core(), case.system.local.internal[0]);
+    let script = || strangers::flood(FLOOD_BYTES);
+    case.bears_while_sending(core, internal, crowd_of(STRANGERS, script));
+}
+
 /// What the soak plays without another word.
 const SOAK_SEEDS: std::ops::Range<u64> = 1..4;
 const SOAK_EDGES: u8 = 2;
--- a/src/rehearsal/client.rs
+++ b/src/rehearsal/client.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::time::Duration;
 
 pub struct Client {
     stream: TcpStream,
@@ -27,6 +28,11 @@
         Ok(Client { stream, last: 0 })
     }
 
+    /// A write that makes no progress for this time fails.
+    pub fn set_write_timeout(&self, timeout: Duration) -> Outcome {
+        Ok(self.stream.set_write_timeout(Some(timeout))?)
+    }
+
     pub fn send_raw(&mut self, bytes: &[u8]) -> Outcome {
         Ok(self.stream.write_all(bytes)?)
     }
--- a/src/rehearsal/stage.rs
+++ b/src/rehearsal/stage.rs
@@ -164,6 +164,8 @@
     pub deadline: Duration,
     pub sockets: usize,
     pub files: bool,
+    /// Clients of the second front at once.
+    pub file_clients: usize,
     /// The gRPC front's file, where it is on.
     pub grpc: Option<String>,
     pub memory_mb: usize,
@@ -208,6 +210,7 @@
             deadline: STUCK,
             sockets: 1024,
             files: false,
+            file_clients: 1,
             grpc: None,
             memory_mb: 192,
             log: String::new(),
@@ -307,7 +310,7 @@
             file["peers"] = json!(setup.peers);
         }
         std::fs::write(&config, file.to_string())?;
-        std::fs::write(&paths, PATHS.replace("OFF", if setup.files { "true" } else { "false" }))?;
+        std::fs::write(&paths, paths_file(setup))?;
         std::fs::write(&calls, setup.grpc.as_deref().unwrap_or("enabled = false\n"))?;
         let logs = std::env::temp_dir().join(format!("{name}.log.toml"));
         std::fs::write(&logs, &setup.log)?;
@@ -498,7 +501,12 @@
     }
 }
 
-const PATHS: &str = "enabled = OFF\nlisten = \"127.0.0.1:0\"\nclients = 1\n[[paths]]\nprefix = \"/bundles/\"\n\
+/// The second front's file.
+fn paths_file(setup: &Setup) -> String {
+    format!("enabled = {}\nclients = {}\n{PATHS}", setup.files, setup.file_clients)
+}
+
+const PATHS: &str = "listen = \"127.0.0.1:0\"\n[[paths]]\nprefix = \"/bundles/\"\n\
     plan = \"starter\"\nshards = [0]\nread_class = \"token-read\"\nwrite_class = \"receipt-write\"\n";
 
 pub fn class(setup: &Setup, name: &str, effect: &str) -> Value {
