Shares of the memory and leases of them are a package of their own

The storage proxy needs what edges and cores have: shares, leases, and bodies in leased blocks. They move to crates/memory unchanged but for what is told of a refusal, which each program gives. A lease can be split and merged, and a body joined into one block.

--- a/crates/system/src/memory/held_body.rs
+++ b/crates/memory/src/held_body.rs
@@ -141,6 +141,22 @@
         bytes
     }
 
+    /// The body in one block.
+    ///
+    /// # Errors
+    ///
+    /// The share is exhausted; the body is as it was.
+    pub fn into_bytes(mut self, share: &MemoryShare) -> Result<Bytes, HeldBody> {
+        if self.blocks.len() <= 1 {
+            return Ok(self.blocks.pop_front().unwrap_or_default());
+        }
+        let Ok(mut joined) = Block::new(share, self.length) else { return Err(self) };
+        while let Some(block) = self.blocks.pop_front() {
+            joined.bytes.extend_from_slice(&block);
+        }
+        Ok(Bytes::from_owner(joined))
+    }
+
     /// The blocks in order.
     pub fn into_blocks(self) -> VecDeque<Bytes> {
         self.blocks
--- a/crates/system/src/memory/share.rs
+++ b/crates/memory/src/share.rs
@@ -9,6 +9,17 @@
 #[error("the share of the memory budget is exhausted")]
 pub struct ShareExhausted;
 
+/// What is told of a refusal because a share was exhausted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// The share's name.
+    pub share: &'static str,
+    /// The most bytes that may be held.
+    pub limit: usize,
+    /// Refusals so far.
+    pub refused: u64,
+}
+
 #[derive(Debug)]
 struct State {
     name: &'static str,
@@ -16,6 +27,7 @@
     used: AtomicUsize,
     peak: AtomicUsize,
     refused: AtomicU64,
+    report: fn(Refusal),
 }
 
 /// A number of bytes that one kind of owner may hold. Clones are the same share.
@@ -38,12 +50,18 @@
 impl MemoryShare {
     /// Creates a share of so many bytes.
     pub fn new(name: &'static str, limit: usize) -> MemoryShare {
+        MemoryShare::reporting(name, limit, |_| {})
+    }
+
+    /// Creates a share of so many bytes whose refusals are reported, seldom enough to be logged however many come.
+    pub fn reporting(name: &'static str, limit: usize, report: fn(Refusal)) -> MemoryShare {
         MemoryShare(Arc::new(State {
             name,
             limit,
             used: AtomicUsize::new(0),
             peak: AtomicUsize::new(0),
             refused: AtomicU64::new(0),
+            report,
         }))
     }
 
@@ -76,9 +94,8 @@
     /// Counts a request or a connection that was refused because the share was exhausted.
     pub fn count_refusal(&self) {
         let refused = self.0.refused.fetch_add(1, Ordering::Relaxed) + 1;
-        // Seldom enough to be logged however many come.
         if refused.is_power_of_two() {
-            tracing::warn!(share = self.0.name, limit = self.0.limit, refused, "memory share exhausted");
+            (self.0.report)(Refusal { share: self.0.name, limit: self.0.limit, refused });
         }
     }
 
@@ -132,6 +149,19 @@
         self.bytes -= surplus;
     }
 
+    /// Takes another lease of the same share into this one.
+    pub fn merge(&mut self, mut other: MemoryLease) {
+        debug_assert!(Arc::ptr_eq(&self.share.0, &other.share.0), "two leases of one share");
+        self.bytes += std::mem::take(&mut other.bytes);
+    }
+
+    /// Takes bytes out of this lease into one of their own; fewer if it has fewer.
+    pub fn split(&mut self, bytes: usize) -> MemoryLease {
+        let bytes = bytes.min(self.bytes);
+        self.bytes -= bytes;
+        MemoryLease { share: self.share.clone(), bytes }
+    }
+
     /// The bytes of the lease.
     pub fn bytes(&self) -> usize {
         self.bytes
--- a/crates/system/src/memory/body_reader.rs
+++ b/crates/system/src/memory/body_reader.rs
@@ -2,6 +2,7 @@
 
 use super::arrivals::{ArrivalGuard, Arrivals, BodySize};
 use super::held_body::{BodyBuffer, HeldBody};
+use super::plan;
 use super::share::{MemoryShare, ShareExhausted};
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -60,8 +61,8 @@
     /// Creates the memory for bodies with these limits of its shares, in bytes.
     pub fn new(small: usize, large: usize) -> BodyMemory {
         BodyMemory {
-            small: MemoryShare::new("small_bodies", small),
-            large: MemoryShare::new("large_bodies", large),
+            small: plan::share("small_bodies", small),
+            large: plan::share("large_bodies", large),
             arrivals: Arrivals::default(),
         }
     }
--- a/crates/system/src/memory/call_queue.rs
+++ b/crates/system/src/memory/call_queue.rs
@@ -1,5 +1,6 @@
 //! Calls with long bodies: as many are carried out at once as fit into their share, the others wait.
 
+use super::plan;
 use super::share::{MemoryLease, MemoryShare};
 use std::sync::Arc;
 use std::time::Duration;
@@ -27,7 +28,7 @@
 impl CallQueue {
     /// Creates a queue before a share of so many bytes.
     pub fn new(limit: usize) -> CallQueue {
-        CallQueue { share: MemoryShare::new("calls", limit), released: Arc::default() }
+        CallQueue { share: plan::share("calls", limit), released: Arc::default() }
     }
 
     /// Waits until a call with a body of this length may be carried out. `None`: not within this time. A call that needs
--- a/crates/system/src/memory/mod.rs
+++ b/crates/system/src/memory/mod.rs
@@ -6,6 +6,6 @@
 pub mod arrivals;
 pub mod body_reader;
 pub mod call_queue;
-pub mod held_body;
 pub mod plan;
-pub mod share;
+
+pub use pathbank_memory::{held_body, share};
--- a/crates/system/src/memory/plan.rs
+++ b/crates/system/src/memory/plan.rs
@@ -3,7 +3,7 @@
 
 use super::body_reader::BodyMemory;
 use super::call_queue::CallQueue;
-use super::share::{MemoryShare, ShareUsage};
+use super::share::{MemoryShare, Refusal, ShareUsage};
 use pathbank_protocol::framing::MAX_FRAME_BYTES;
 use std::collections::BTreeMap;
 
@@ -80,11 +80,11 @@
         let connections = edge::CONNECTIONS.of(memory_mb);
         let status = connections / edge::STATUS_DIVISOR;
         EdgeMemory {
-            connections: MemoryShare::new("connections", connections - status),
-            status_connections: MemoryShare::new("status_connections", status),
-            requests: MemoryShare::new("requests", edge::REQUESTS.of(memory_mb)),
+            connections: share("connections", connections - status),
+            status_connections: share("status_connections", status),
+            requests: share("requests", edge::REQUESTS.of(memory_mb)),
             bodies: BodyMemory::new(edge::SMALL_BODIES.of(memory_mb), edge::LARGE_BODIES.of(memory_mb)),
-            answers: MemoryShare::new("answers", edge::ANSWERS.of(memory_mb)),
+            answers: share("answers", edge::ANSWERS.of(memory_mb)),
         }
     }
 
@@ -124,12 +124,12 @@
         // The longest body and the longest message always fit.
         let large_bodies = core::LARGE_BODIES.of(memory_mb).max(MAX_CALL_BYTES + ROOM_BYTES);
         CoreMemory {
-            connections: MemoryShare::new("connections", core::CONNECTIONS.of(memory_mb)),
+            connections: share("connections", core::CONNECTIONS.of(memory_mb)),
             bodies: BodyMemory::new(core::SMALL_BODIES.of(memory_mb), large_bodies),
             changes: CallQueue::new(core::CALLS.of(memory_mb)),
-            links: MemoryShare::new("links", core::LINKS.of(memory_mb).max(MAX_FRAME_BYTES + ROOM_BYTES)),
-            answers: MemoryShare::new("answers", core::ANSWERS.of(memory_mb)),
-            model_servers: MemoryShare::new("model_servers", core::MODEL_SERVERS.of(memory_mb)),
+            links: share("links", core::LINKS.of(memory_mb).max(MAX_FRAME_BYTES + ROOM_BYTES)),
+            answers: share("answers", core::ANSWERS.of(memory_mb)),
+            model_servers: share("model_servers", core::MODEL_SERVERS.of(memory_mb)),
         }
     }
 
@@ -147,6 +147,14 @@
     }
 }
 
+/// A share whose refusals are logged.
+pub(super) fn share(name: &'static str, limit: usize) -> MemoryShare {
+    MemoryShare::reporting(name, limit, |refusal| {
+        let Refusal { share, limit, refused } = refusal;
+        tracing::warn!(share, limit, refused, "memory share exhausted");
+    })
+}
+
 /// The usage of the shares of a process, by their names.
 pub type MemoryUsage = BTreeMap<&'static str, ShareUsage>;
 
