Long answers to operators are made one after the other, and held in leased memory

Callers that read a core's configuration and do not take the answer made it hold 234 MiB of 96 (96 of them, 3 MiB each): every answer was made at once, and kept until its caller took it or its connection ended.

Such an answer takes its length of a share (4% of the memory; long bodies and calls have 12% each instead of 14) until its last byte is written. The next one is made when the one before has its memory. A call waits up to 3 s, then it gets 503 OutOfMemory. One that needs the whole share is held alone.

--- a/crates/system/src/core/api.rs
+++ b/crates/system/src/core/api.rs
@@ -7,7 +7,7 @@
 use super::model_server_json::HeartbeatJson;
 use crate::memory::plan::MAX_CALL_BYTES;
 use crate::net::server::RouterService;
-use answer::{CallContext, ask, ask_holding, body_of, result_answer};
+use answer::{CallContext, ask, ask_holding, body_of, read, result_answer};
 use pathbank_control::result_code::ResultCode;
 use pathbank_control::state::{Change, ChangeKind};
 use viz::{RequestExt, Response, ResponseExt, Router};
@@ -40,13 +40,13 @@
         .post("/api/config/replace", move |request| change(replaces.clone(), ChangeKind::Replace, request))
         .post("/api/config/update", move |request| change(updates.clone(), ChangeKind::Update, request))
         .get("/api/config/read", move |_: viz::Request| {
-            ask(reads.clone(), "/api/config/read", Event::ReadConfiguration)
+            read(reads.clone(), "/api/config/read", Event::ReadConfiguration)
         })
         .get("/api/bricks", move |_: viz::Request| {
-            ask(servers.clone(), "/api/bricks", Event::ReadModelServers)
+            read(servers.clone(), "/api/bricks", Event::ReadModelServers)
         })
         .get("/api/placement", move |_: viz::Request| {
-            ask(placement.clone(), "/api/placement", Event::ReadPlacement)
+            read(placement.clone(), "/api/placement", Event::ReadPlacement)
         })
         .get("/api/duties", move |_: viz::Request| {
             ask(roles.clone(), "/api/duties", Event::ReadSingletonRoles)
--- a/crates/system/src/core/api/answer.rs
+++ b/crates/system/src/core/api/answer.rs
@@ -6,11 +6,13 @@
 use crate::memory::held_body::HeldBody;
 use crate::memory::plan::CoreMemory;
 use crate::net::server::Connection;
+use bytes::Bytes;
 use http_body_util::Full;
 use pathbank_control::operator_calls::Reply;
 use pathbank_control::result_code::ResultCode;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::Mutex;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot::{self, error::RecvError};
 use tokio::time::{error::Elapsed, timeout};
@@ -30,6 +32,8 @@
     pub events: UnboundedSender<Event>,
     /// The memory for what callers send.
     pub memory: CoreMemory,
+    /// Held while a long answer is made.
+    pub reading: Arc<Mutex<()>>,
 }
 
 impl CallContext {
@@ -57,7 +61,11 @@
 
 /// A JSON answer with status 200.
 pub fn json(body: Vec<u8>) -> Response {
-    let mut response = Response::new(Body::Full(Full::new(body.into())));
+    json_bytes(body.into())
+}
+
+fn json_bytes(body: Bytes) -> Response {
+    let mut response = Response::new(Body::Full(Full::new(body)));
     response.headers_mut().insert("content-type", viz::header::HeaderValue::from_static("application/json"));
     response
 }
@@ -120,6 +128,39 @@
     Ok(answer_of(timeout(ANSWER_TIMEOUT, receiver).await, path))
 }
 
+/// Like [`ask`], for a call whose answer may be long: one is made after the other, and each is held in leased memory
+/// until its caller has taken it.
+pub async fn read(
+    context: CallContext,
+    path: &str,
+    event: impl FnOnce(oneshot::Sender<Reply>) -> Event,
+) -> viz::Result<Response> {
+    let busy = || result_answer(ResultCode::OutOfMemory, "other calls take the memory");
+    let Ok(_turn) = timeout(ANSWER_TIMEOUT, context.reading.lock()).await else { return Ok(busy()) };
+    let (sender, receiver) = oneshot::channel();
+    let _ = context.events.send(event(sender));
+    match timeout(ANSWER_TIMEOUT, receiver).await {
+        Ok(Ok(Reply::Json(body))) => match context.memory.reads.admit_bytes(body.len(), ANSWER_TIMEOUT).await
+        {
+            Some(lease) => Ok(json_bytes(Bytes::from_owner(LeasedAnswer { body, _lease: lease }))),
+            None => Ok(busy()),
+        },
+        reply => Ok(answer_of(reply, path)),
+    }
+}
+
+/// An answer with the lease for it.
+struct LeasedAnswer {
+    body: Vec<u8>,
+    _lease: CallLease,
+}
+
+impl AsRef<[u8]> for LeasedAnswer {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
+}
+
 /// The answer for the node's reply.
 fn answer_of(reply: Result<Result<Reply, RecvError>, Elapsed>, path: &str) -> Response {
     match reply {
--- a/crates/system/src/core/mod.rs
+++ b/crates/system/src/core/mod.rs
@@ -45,6 +45,7 @@
 use node::Node;
 use preparation::Preparation;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -78,7 +79,7 @@
     let (events, mut inbox) = mpsc::unbounded_channel();
     let (close, closing) = watch::channel(false);
     let mut node = start_node(&settings, &memory, control, &events, startup)?;
-    let context = CallContext { events: events.clone(), memory: memory.clone() };
+    let context = CallContext { events: events.clone(), memory: memory.clone(), reading: Arc::default() };
     let serving = spawn_api(listener, &settings, context, closing);
     tokio::spawn(peer_listener::accept(internal_listener, memory.links.clone(), events.clone()));
     tracing::info!(node = settings.node_name, %control, "core started");
--- a/crates/system/src/memory/call_queue.rs
+++ b/crates/system/src/memory/call_queue.rs
@@ -27,14 +27,19 @@
 
 impl CallQueue {
     /// Creates a queue before a share of so many bytes.
-    pub fn new(limit: usize) -> CallQueue {
-        CallQueue { share: plan::share("calls", limit), released: Arc::default() }
+    pub fn new(name: &'static str, limit: usize) -> CallQueue {
+        CallQueue { share: plan::share(name, limit), released: Arc::default() }
     }
 
     /// Waits until a call with a body of this length may be carried out. `None`: not within this time. A call that needs
     /// more than the whole share is carried out alone.
     pub async fn admit(&self, body_bytes: usize, within: Duration) -> Option<CallLease> {
-        let bytes = body_bytes.saturating_mul(COPIES).min(self.share.limit());
+        self.admit_bytes(body_bytes.saturating_mul(COPIES), within).await
+    }
+
+    /// Waits until so many bytes may be held, like [`CallQueue::admit`].
+    pub async fn admit_bytes(&self, bytes: usize, within: Duration) -> Option<CallLease> {
+        let bytes = bytes.min(self.share.limit());
         let lease = timeout(within, self.lease(bytes)).await;
         let lease = lease.inspect_err(|_| self.share.count_refusal()).ok()?;
         Some(CallLease { lease: Some(lease), released: self.released.clone() })
--- a/crates/system/src/memory/plan.rs
+++ b/crates/system/src/memory/plan.rs
@@ -48,11 +48,13 @@
     /// Short bodies, as of heartbeats.
     pub const SMALL_BODIES: Percent = Percent(4);
     /// Long bodies, as of configurations.
-    pub const LARGE_BODIES: Percent = Percent(14);
+    pub const LARGE_BODIES: Percent = Percent(12);
     /// Calls that are parsed and carried out.
-    pub const CALLS: Percent = Percent(14);
+    pub const CALLS: Percent = Percent(12);
     /// Messages that arrive on links.
     pub const LINKS: Percent = Percent(12);
+    /// Long answers to operators, such as the configuration.
+    pub const READS: Percent = Percent(4);
     /// Answers of model servers and of the platform.
     pub const ANSWERS: Percent = Percent(3);
     /// What model servers report of themselves.
@@ -112,6 +114,8 @@
     pub changes: CallQueue,
     /// Messages that arrive on links from other processes.
     pub links: MemoryShare,
+    /// Long answers to operators.
+    pub reads: CallQueue,
     /// Answers of model servers and of the platform.
     pub answers: MemoryShare,
     /// Records of model servers.
@@ -126,7 +130,8 @@
         CoreMemory {
             connections: share("connections", core::CONNECTIONS.of(memory_mb)),
             bodies: BodyMemory::new(core::SMALL_BODIES.of(memory_mb), large_bodies),
-            changes: CallQueue::new(core::CALLS.of(memory_mb)),
+            changes: CallQueue::new("calls", core::CALLS.of(memory_mb)),
+            reads: CallQueue::new("reads", core::READS.of(memory_mb)),
             links: share("links", core::LINKS.of(memory_mb).max(MAX_FRAME_BYTES + ROOM_BYTES)),
             answers: share("answers", core::ANSWERS.of(memory_mb)),
             model_servers: share("model_servers", core::MODEL_SERVERS.of(memory_mb)),
@@ -140,6 +145,7 @@
             &self.bodies.small,
             &self.bodies.large,
             &self.changes.share,
+            &self.reads.share,
             &self.links,
             &self.answers,
             &self.model_servers,
--- a/crates/system/tests/memory.rs
+++ b/crates/system/tests/memory.rs
@@ -113,7 +113,7 @@
 
 #[test]
 fn a_call_waits_until_another_one_is_carried_out() {
-    let queue = CallQueue::new(1_000);
+    let queue = CallQueue::new("test", 1_000);
     runtime().block_on(async {
         let first = queue.admit(10_000, Duration::ZERO).await.expect("alone, it may take the whole share");
         assert!(queue.admit(1, Duration::from_millis(1)).await.is_none());
