A core reads no more messages of a link than it has handled

Strangers that introduced themselves and sent short messages without a pause kept a core from answering operators for 30 s: what links read went on an unbounded queue, faster than the core handled it, and every call waited behind it.

A message takes memory of the links' share until it has been handled: 1 KiB and twice its body, of which each link has 8 KiB of its own; a long one keeps what it took while it arrived. Without memory nothing more is read from the link. A message that took no 16 KiB for 0.5 s gives way to others, so that strangers who stop short of a message's end do not hold up the cores.

--- a/crates/system/src/core/event.rs
+++ b/crates/system/src/core/event.rs
@@ -5,6 +5,7 @@
 use super::preparation::{ChangeProposal, DigestedState, PreparedCommand};
 use super::singleton_roles::PlatformOutcome;
 use super::training::call::TrainingCall;
+use crate::memory::share::MemoryLease;
 use crate::net::link::Link;
 use crate::net::mesh::MeshEvent;
 use pathbank_control::autoscaling::ScaleOrder;
@@ -64,8 +65,8 @@
     Disk(DiskEvent),
     /// Another process opened a link to this one.
     LinkOpened(LinkId, Hello, Link),
-    /// A message came on an accepted link.
-    FrameReceived(LinkId, Frame),
+    /// A message came on an accepted link; the lease is for its memory until it has been handled.
+    FrameReceived(LinkId, Frame, MemoryLease),
     /// An accepted link was closed.
     LinkClosed(LinkId),
     /// One of this core's own links to other cores changed.
--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -203,7 +203,7 @@
             Event::ReadSingletonRoles(reply) => self.on_read_singleton_roles(now, reply),
             Event::Disk(event) => self.on_disk(now, event),
             Event::LinkOpened(id, hello, link) => self.on_link_opened(id, hello, link),
-            Event::FrameReceived(id, frame) => self.on_frame(now, id, frame),
+            Event::FrameReceived(id, frame, _memory) => self.on_frame(now, id, frame),
             Event::LinkClosed(id) => self.on_link_closed(id),
             Event::Mesh(MeshEvent::Opened(address)) => self.on_core_connected(address),
             Event::Mesh(MeshEvent::Said(_, frame)) => self.on_core_said(now, &frame),
--- a/crates/system/src/core/peer_listener.rs
+++ b/crates/system/src/core/peer_listener.rs
@@ -1,7 +1,7 @@
 //! Accepts the links that other processes open to this core.
 
 use super::event::{Event, LinkId};
-use crate::memory::share::MemoryShare;
+use crate::memory::plan::LinkMemory;
 use crate::net::link::{self, Inbox};
 use crate::net::socket;
 use pathbank_protocol::message::{Frame, Hello};
@@ -15,14 +15,14 @@
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
 /// Accepts links and reports what comes on them, without end.
-pub async fn accept(listener: TcpListener, memory: MemoryShare, events: UnboundedSender<Event>) {
+pub async fn accept(listener: TcpListener, memory: LinkMemory, events: UnboundedSender<Event>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_BACKOFF).await;
             continue;
         };
         let Ok(inbox) = Inbox::accepted(&memory) else {
-            memory.count_refusal();
+            memory.share.count_refusal();
             continue;
         };
         socket::prepare(&stream);
@@ -35,14 +35,14 @@
     let id: LinkId = NEXT_LINK.fetch_add(1, Ordering::Relaxed);
     let (link, outbox) = link::channel();
     let mut introduced: Option<Hello> = None;
-    let on_frame = |frame| match (frame, &introduced) {
+    let on_frame = |frame, memory| match (frame, &introduced) {
         (Frame::Hello(hello), None) => {
             introduced = Some(hello.clone());
             events.send(Event::LinkOpened(id, hello, link.clone())).is_ok()
         }
         // A process introduces itself first.
         (_, None) => false,
-        (frame, Some(_)) => events.send(Event::FrameReceived(id, frame)).is_ok(),
+        (frame, Some(_)) => events.send(Event::FrameReceived(id, frame, memory)).is_ok(),
     };
     link::run_metered(stream, outbox, inbox, on_frame).await;
     let _ = events.send(Event::LinkClosed(id));
--- a/crates/system/src/memory/arrivals.rs
+++ b/crates/system/src/memory/arrivals.rs
@@ -106,6 +106,11 @@
         self.arrival.holds(size).store(true, Ordering::Relaxed);
     }
 
+    /// Records that the body holds nothing of a share any more.
+    pub fn gave_back(&self, size: BodySize) {
+        self.arrival.holds(size).store(false, Ordering::Relaxed);
+    }
+
     /// Waits until this body has to give way.
     pub async fn evicted(&self) {
         self.arrival.evict.notified().await;
--- a/crates/system/src/memory/plan.rs
+++ b/crates/system/src/memory/plan.rs
@@ -1,6 +1,7 @@
 //! How `limits.memory_mb` is shared out. What the shares leave is for the process itself: its program, the
 //! configuration, the registry of model servers, and what the allocator keeps.
 
+use super::arrivals::Arrivals;
 use super::body_reader::BodyMemory;
 use super::call_queue::CallQueue;
 use super::share::{MemoryShare, Refusal, ShareUsage};
@@ -103,6 +104,22 @@
     }
 }
 
+/// The memory for messages that arrive on links which other processes opened.
+#[derive(Clone, Debug)]
+pub struct LinkMemory {
+    /// The share.
+    pub share: MemoryShare,
+    /// The messages that are arriving.
+    pub arrivals: Arrivals,
+}
+
+impl LinkMemory {
+    /// Creates the memory for messages of so many bytes.
+    pub fn new(limit: usize) -> LinkMemory {
+        LinkMemory { share: share("links", limit), arrivals: Arrivals::default() }
+    }
+}
+
 /// The shares of a core.
 #[derive(Clone, Debug)]
 pub struct CoreMemory {
@@ -113,7 +130,7 @@
     /// Calls with long bodies that are parsed and carried out.
     pub changes: CallQueue,
     /// Messages that arrive on links from other processes.
-    pub links: MemoryShare,
+    pub links: LinkMemory,
     /// Long answers to operators.
     pub reads: CallQueue,
     /// Answers of model servers and of the platform.
@@ -131,8 +148,8 @@
             connections: share("connections", core::CONNECTIONS.of(memory_mb)),
             bodies: BodyMemory::new(core::SMALL_BODIES.of(memory_mb), large_bodies),
             changes: CallQueue::new("calls", core::CALLS.of(memory_mb)),
+            links: LinkMemory::new(core::LINKS.of(memory_mb).max(MAX_FRAME_BYTES + ROOM_BYTES)),
             reads: CallQueue::new("reads", core::READS.of(memory_mb)),
-            links: share("links", core::LINKS.of(memory_mb).max(MAX_FRAME_BYTES + ROOM_BYTES)),
             answers: share("answers", core::ANSWERS.of(memory_mb)),
             model_servers: share("model_servers", core::MODEL_SERVERS.of(memory_mb)),
         }
@@ -146,7 +163,7 @@
             &self.bodies.large,
             &self.changes.share,
             &self.reads.share,
-            &self.links,
+            &self.links.share,
             &self.answers,
             &self.model_servers,
         ])
--- a/crates/system/src/net/link.rs
+++ b/crates/system/src/net/link.rs
@@ -2,6 +2,8 @@
 //! closes the connection if it receives nothing for a while.
 
 use crate::clock;
+use crate::memory::arrivals::{ArrivalGuard, BodySize};
+use crate::memory::plan::LinkMemory;
 use crate::memory::share::{MemoryLease, MemoryShare, ShareExhausted};
 use bytes::{Bytes, BytesMut};
 use pathbank_protocol::codec;
@@ -35,10 +37,16 @@
 /// limit, and others behind it, may still wait.
 const MAX_COUNTED_BYTES: u64 = MAX_QUEUED_BYTES / 2;
 
-/// What an idle link holds: buffers and tasks.
-const LINK_BYTES: usize = 40 * 1024;
+/// What an idle link holds: buffers and tasks, and short messages that wait to be handled.
+const LINK_BYTES: usize = 40 * 1024 + OWN_MESSAGE_BYTES;
+/// Short messages of a link that may wait to be handled whatever other links hold.
+const OWN_MESSAGE_BYTES: usize = 8 * 1024;
 /// The longest introduction of a process.
 const MAX_HELLO_BYTES: usize = 16 * 1024;
+/// What a message holds until it is handled, beside its body: its event in the queue.
+const MESSAGE_BYTES: usize = 1024;
+/// A decoded message takes so many times its body.
+const DECODED_FACTOR: usize = 2;
 /// How often a link that waits for memory looks again.
 const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -183,16 +191,17 @@
 
 /// Runs a connection to a process that this one trusts until it ends. `on_frame` gets each message except pings, and
 /// returns whether the link goes on.
-pub async fn run(stream: TcpStream, outbox: Outbox, on_frame: impl FnMut(Frame) -> bool) {
-    run_metered(stream, outbox, Inbox::trusted(), on_frame).await;
+pub async fn run(stream: TcpStream, outbox: Outbox, mut on_frame: impl FnMut(Frame) -> bool) {
+    run_metered(stream, outbox, Inbox::trusted(), |frame, _| on_frame(frame)).await;
 }
 
-/// Like [`run`], for a connection that another process opened, with the memory for its messages.
+/// Like [`run`], for a connection that another process opened, with the memory for its messages. `on_frame` also gets
+/// the memory of each message, which lasts until it has been handled.
 pub async fn run_metered(
     stream: TcpStream,
     outbox: Outbox,
     inbox: Inbox,
-    mut on_frame: impl FnMut(Frame) -> bool,
+    mut on_frame: impl FnMut(Frame, MemoryLease) -> bool,
 ) {
     let (reader, writer) = stream.into_split();
     tokio::select! {
@@ -206,6 +215,14 @@
 pub struct Inbox {
     /// Grows with the message that is arriving.
     lease: MemoryLease,
+    /// For messages that wait to be handled.
+    share: MemoryShare,
+    /// The part of `lease` that is for them.
+    own_messages: MemoryShare,
+    /// Whether the message that is arriving gives way; `None`: the other side is trusted.
+    arrival: Option<ArrivalGuard>,
+    /// Bytes of the arriving message when it last moved.
+    moved_bytes: usize,
     /// The longest first message, bytes, of a link whose other side has to introduce itself.
     introduction_bytes: Option<usize>,
 }
@@ -216,33 +233,97 @@
     /// # Errors
     ///
     /// The share is exhausted.
-    pub fn accepted(share: &MemoryShare) -> Result<Inbox, ShareExhausted> {
-        Ok(Inbox { lease: share.lease(LINK_BYTES)?, introduction_bytes: Some(MAX_HELLO_BYTES) })
+    pub fn accepted(memory: &LinkMemory) -> Result<Inbox, ShareExhausted> {
+        Ok(Inbox {
+            lease: memory.share.lease(LINK_BYTES)?,
+            share: memory.share.clone(),
+            own_messages: MemoryShare::new("link", OWN_MESSAGE_BYTES),
+            arrival: Some(memory.arrivals.begin()),
+            moved_bytes: 0,
+            introduction_bytes: Some(MAX_HELLO_BYTES),
+        })
     }
 
     /// The memory for a link to a process that this one trusts.
     fn trusted() -> Inbox {
         let share = MemoryShare::new("trusted_links", usize::MAX);
-        Inbox { lease: share.empty_lease(), introduction_bytes: None }
+        Inbox {
+            lease: share.empty_lease(),
+            own_messages: share.clone(),
+            share,
+            arrival: None,
+            moved_bytes: 0,
+            introduction_bytes: None,
+        }
+    }
+
+    /// Takes the memory to read on behind so many bytes that arrived and are not decoded.
+    async fn cover(&mut self, arrived: usize) -> Result<(), ShareExhausted> {
+        let missing = (arrived + READ_BUFFER_BYTES).saturating_sub(self.lease.bytes());
+        if missing > 0 {
+            let more = self.take(missing).await?;
+            self.lease.merge(more);
+        }
+        // A byte now and then is no movement.
+        if arrived >= self.moved_bytes + READ_BUFFER_BYTES
+            && let Some(arrival) = &self.arrival
+        {
+            arrival.moved(BodySize::Large);
+            self.moved_bytes = arrived;
+        }
+        Ok(())
     }
 
-    /// Takes the memory for so many bytes that arrived and are not decoded. Waits for it as long as the other side may
-    /// be silent.
-    async fn cover(&mut self, bytes: usize) -> Result<(), ShareExhausted> {
+    /// Takes memory. Messages of other links that do not move give way; waits for the rest as long as the other side
+    /// may be silent.
+    async fn take(&self, bytes: usize) -> Result<MemoryLease, ShareExhausted> {
         let end = tokio::time::Instant::now() + READ_TIMEOUT;
-        let missing = bytes.saturating_sub(self.lease.bytes());
-        while missing > 0 && self.lease.grow(missing).is_err() {
-            if tokio::time::Instant::now() >= end {
-                return Err(ShareExhausted);
+        loop {
+            if let Ok(lease) = self.share.lease(bytes) {
+                return Ok(lease);
+            }
+            let has_room = match &self.arrival {
+                Some(arrival) => arrival.make_room(BodySize::Large, &self.share, bytes).await,
+                None => false,
+            };
+            if !has_room {
+                if tokio::time::Instant::now() >= end {
+                    self.share.count_refusal();
+                    return Err(ShareExhausted);
+                }
+                tokio::time::sleep(MEMORY_POLL_INTERVAL).await;
             }
-            tokio::time::sleep(MEMORY_POLL_INTERVAL).await;
         }
-        Ok(())
     }
 
-    /// Gives back what is more than these bytes.
-    fn shrink(&mut self, bytes: usize) {
-        self.lease.shrink(bytes.max(LINK_BYTES));
+    /// Takes the memory for a message that has arrived, until it has been handled.
+    async fn take_message(&mut self, body_bytes: usize) -> Result<MemoryLease, ShareExhausted> {
+        if body_bytes > READ_BUFFER_BYTES {
+            // What it took while it arrived is not needed for another one before that one arrives.
+            return Ok(self.lease.split(body_bytes));
+        }
+        let bytes = MESSAGE_BYTES + DECODED_FACTOR * body_bytes;
+        match self.own_messages.lease(bytes) {
+            Ok(lease) => Ok(lease),
+            Err(ShareExhausted) => self.take(bytes).await,
+        }
+    }
+
+    /// No part of a message is held any more.
+    fn is_empty(&mut self) {
+        self.lease.shrink(LINK_BYTES);
+        self.moved_bytes = 0;
+        if let Some(arrival) = &self.arrival {
+            arrival.gave_back(BodySize::Large);
+        }
+    }
+
+    /// Waits until the message that is arriving has to give way.
+    async fn evicted(&self) {
+        match &self.arrival {
+            Some(arrival) => arrival.evicted().await,
+            None => std::future::pending().await,
+        }
     }
 }
 
@@ -252,16 +333,24 @@
     Some(u32::from_le_bytes(length.try_into().ok()?) as usize)
 }
 
-async fn read_frames(mut reader: OwnedReadHalf, mut inbox: Inbox, on_frame: &mut impl FnMut(Frame) -> bool) {
+async fn read_frames(
+    mut reader: OwnedReadHalf,
+    mut inbox: Inbox,
+    on_frame: &mut impl FnMut(Frame, MemoryLease) -> bool,
+) {
     let mut buffer = Vec::new();
     let mut chunk = vec![0; READ_BUFFER_BYTES];
     let opened = tokio::time::Instant::now();
     let mut introduction_bytes = inbox.introduction_bytes;
     loop {
-        if inbox.cover(buffer.len() + READ_BUFFER_BYTES).await.is_err() {
+        if inbox.cover(buffer.len()).await.is_err() {
             return tracing::warn!("link closed: the memory for messages is exhausted");
         }
-        let Ok(Ok(count)) = timeout(READ_TIMEOUT, reader.read(&mut chunk)).await else { return };
+        let read = tokio::select! {
+            read = timeout(READ_TIMEOUT, reader.read(&mut chunk)) => read,
+            () = inbox.evicted() => return tracing::warn!("link closed: its message stalled while memory was short"),
+        };
+        let Ok(Ok(count)) = read else { return };
         if count == 0 {
             return;
         }
@@ -275,23 +364,30 @@
         }
         loop {
             match framing::take_body(&mut buffer) {
-                Ok(Some(body)) => match codec::decode(&body) {
-                    Ok(Frame::Ping(_)) => {}
-                    Ok(frame) => {
-                        introduction_bytes = None;
-                        if !on_frame(frame) {
-                            return;
+                Ok(Some(body)) => {
+                    let Ok(lease) = inbox.take_message(body.len()).await else {
+                        return tracing::warn!("link closed: the memory for messages is exhausted");
+                    };
+                    match codec::decode(&body) {
+                        Ok(Frame::Ping(_)) => {}
+                        Ok(frame) => {
+                            introduction_bytes = None;
+                            if !on_frame(frame, lease) {
+                                return;
+                            }
+                        }
+                        Err(error) => {
+                            tracing::warn!(%error, "message from another process cannot be decoded")
                         }
                     }
-                    Err(error) => tracing::warn!(%error, "message from another process cannot be decoded"),
-                },
+                }
                 Ok(None) => break,
                 Err(error) => return tracing::warn!(%error, "link closed: invalid framing"),
             }
         }
         if buffer.is_empty() && buffer.capacity() > LINK_BYTES {
             buffer = Vec::new();
-            inbox.shrink(0);
+            inbox.is_empty();
         }
     }
 }
