Storage proxy: clients' connections, heads and bodies come out of shares of its memory

Clients made the storage proxy hold more than its memory in five ways, none of which was counted: bytes behind requests that wait (49 MiB of 32 under 250 of them, 77 with long heads), heads without an end (39), bodies and uploads that stop short of their end (48 and 86). Places followed from descriptors alone; a connection kept a head twice, 32 KiB ahead of the parser, and what the kernel's buffer grows to; what waited kept the read buffers from which it came.

A plan draws shares from limits.memory_mb, smaller ones where more fronts are on. Places for connections follow from it too. Long heads, bodies, uploads and what is passed on take leases; without memory the refusal is 503 with Retry-After before anything has gone to a node. Only which headers a head has is kept of it. 4 KiB are read ahead; what comes behind a complete request beyond them is read and thrown away, and its answer is the connection's last, so that a client's end is seen behind it. The kernel holds 6 KiB unread of a connection, more only while a body arrives that has paid for it.

--- a/src/bin/pathbank/fronts.rs
+++ b/src/bin/pathbank/fronts.rs
@@ -75,7 +75,7 @@
             config: Arc::new(config),
             answer_margin: proxy.config.answer_margin,
             phase: proxy.phase.clone(),
-            bodies: proxy.http.bodies.clone(),
+            bodies: proxy.memory.bodies.clone(),
             counters: Arc::default(),
         };
         tokio::spawn(front.nodes.clone().maintain_channels());
--- a/src/bin/pathbank/startup.rs
+++ b/src/bin/pathbank/startup.rs
@@ -15,6 +15,7 @@
 use pathbank::interface::Reports;
 use pathbank::lifecycle_state::Phase;
 use pathbank::logging::{self, Logging};
+use pathbank::memory::{Options, ProxyMemory};
 use pathbank::net::agree::runtime;
 use pathbank::net::back::{NodeClient, ProbeWork};
 use pathbank::net::discovery::Discovery;
@@ -30,7 +31,7 @@
 use std::sync::Arc;
 use tokio::net::TcpListener;
 use tokio::signal::unix::Signal;
-use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::Duration;
 
@@ -51,11 +52,17 @@
     pub fn from_environment() -> Result<Files, Box<dyn Error>> {
         let mut config = Config::from_environment()?;
         let mut sftp = SftpFront::from_environment(&mut config.settings, &config.names)?;
+        let mut agreement = Agreement::from_environment()?;
+        config.fit_into_memory(Options {
+            files: sftp.is_some(),
+            calls: GrpcFront::is_switched_on(),
+            voter: agreement.as_ref().is_some_and(|agreement| agreement.voter.is_some()),
+        });
         if let Some(sftp) = &mut sftp {
+            sftp.clients.most = sftp.clients.most.min(config.memory_plan.file_connections());
             config.share_places(&mut sftp.clients);
         }
         let grpc = GrpcFront::from_environment(&mut config)?;
-        let mut agreement = Agreement::from_environment()?;
         if let Some(agreement) = &mut agreement {
             config.share_with_agreement(agreement);
         }
@@ -78,6 +85,8 @@
     pub logging: Arc<Logging>,
     /// Connections to storage nodes.
     pub back: NodeClient,
+    /// The memory for what others make the program hold.
+    pub memory: ProxyMemory,
     /// The HTTP front.
     pub http: HttpFront,
     /// The file of the SFTP front, where it is switched on.
@@ -108,6 +117,7 @@
         if config.ops.is_some() {
             core.enable_metrics();
         }
+        let memory = config.memory_plan.shares();
         let back = NodeClient::new(config.node_connections, handle.capacity_share());
         if config.settings.probing {
             let load = config.settings.reports == Reports::Probes;
@@ -120,7 +130,8 @@
         let (settings, directory) = numbers.adopt(&config.names, &config.settings);
         if let Some(agreement) = agreement {
             let lease_clock = LeaseClock::new(agreement.clock_ahead, agreement.clock_ppm);
-            let view = runtime::start(agreement, &config.name, handle.clone(), lease_clock)?;
+            let view =
+                runtime::start(agreement, &config.name, handle.clone(), lease_clock)?;
             let known = view.lock().map(|view| view.clone()).map_err(|_| "the agreement's thread failed")?;
             core.set_agreement(Agreed {
                 rules: Rules::new(settings, numbers.rule_names(), known),
@@ -143,8 +154,8 @@
         tokio::spawn(reload.run(hangup));
         start_discovery(&config, &handle, address, subscriptions);
         tokio::spawn(back.watch());
-        let http = http_front(&config, &handle, &back, names_in_force, &phase);
-        Ok(Proxy { config, handle, lifecycle, phase, logging, back, http, sftp, grpc, fleet, core })
+        let http = http_front(&config, &handle, &back, names_in_force, &phase, &memory);
+        Ok(Proxy { config, handle, lifecycle, phase, logging, back, memory, http, sftp, grpc, fleet, core })
     }
 
     /// Binds the clients' address, or takes over the socket that was passed.
@@ -169,6 +180,7 @@
     back: &NodeClient,
     names: watch::Receiver<Arc<Directory>>,
     phase: &watch::Receiver<Phase>,
+    memory: &ProxyMemory,
 ) -> HttpFront {
     HttpFront {
         handle: handle.clone(),
@@ -176,8 +188,7 @@
         names,
         answer_margin: config.answer_margin,
         phase: phase.clone(),
-        bodies: Arc::new(Semaphore::new(config.most_held)),
-        uploads: Arc::new(Semaphore::new(config.most_held)),
+        memory: memory.clone(),
         ids: Ids::new(config.most_ids, config.longest_deadline() + ID_RETENTION_MARGIN),
     }
 }
--- a/src/config/grpc.rs
+++ b/src/config/grpc.rs
@@ -21,8 +21,6 @@
 const IDLE_IF_MANY: Duration = Duration::from_secs(60);
 /// Calls that may be open for each MB of memory: each costs some KB in the head.
 const CALLS_PER_MB: usize = 32;
-/// The part of the memory that windows may fill: towards clients and from nodes, each.
-const WINDOWS_PART: usize = 8;
 const STREAM_WINDOW: usize = 16 * 1024;
 const MOST_STREAM_WINDOW: usize = 64 * 1024;
 const MOST_CLIENT_WINDOW: usize = 1024 * 1024;
@@ -173,6 +171,13 @@
         }
     }
 
+    /// Whether that file switches the front on; a file that cannot be read does not.
+    pub fn is_switched_on() -> bool {
+        let text = operators_file("PATHBANK_GRPC", PATH).ok().flatten().unwrap_or_default();
+        let file: Option<toml::Table> = text.parse().ok();
+        file.is_some_and(|file| file.get("enabled").and_then(toml::Value::as_bool) == Some(true))
+    }
+
     /// Takes its clients' places and its connections to nodes from the first front's.
     pub fn read(text: &str, config: &mut Config) -> Result<Option<GrpcFront>, ConfigError> {
         let reader = toml::Deserializer::parse(text).map_err(|e| {
@@ -199,7 +204,7 @@
         config.share_places(&mut clients);
         let mut channels = faults.channels(&file.channels)?;
         channels.max_channels = config.share_node_connections(channels.max_channels);
-        let windows = config.memory / WINDOWS_PART;
+        let windows = config.memory_plan.windows();
         let client_window =
             (windows / (clients.most + clients.spare)).clamp(STREAM_WINDOW, MOST_CLIENT_WINDOW);
         // What windows allow on all channels together must fit: with little memory, streams are fewer.
--- a/src/config/grpc/tests.rs
+++ b/src/config/grpc/tests.rs
@@ -24,8 +24,8 @@
     assert_eq!((front.channels.max_channels, config.node_connections.most), (5, connections - 5));
     assert_eq!((front.channels.idle_timeout, front.calls, front.hold), (700_000, 1024, 64 * 1024));
     let most = front.channels.max_channels * front.channels.max_streams * front.node_window as usize;
-    assert!(most <= config.memory / WINDOWS_PART, "{most}");
-    assert!(front.clients.most * front.client_window as usize <= config.memory / WINDOWS_PART);
+    assert!(most <= config.memory_plan.windows(), "{most}");
+    assert!(front.clients.most * front.client_window as usize <= config.memory_plan.windows());
     let put = front.routes.find("/a.B/Put").unwrap();
     assert_eq!((put.class, put.units, put.streams_request, put.wait), (1, 3.0, true, Duration::from_secs(5)));
     let other = front.routes.find("/a.B/Get").unwrap();
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -13,6 +13,7 @@
 pub mod syslog;
 
 use crate::interface::{Micros, Settings};
+use crate::memory::{MemoryPlan, Options};
 use serde::Deserialize;
 use settings::{Pairs, SettingsError};
 use std::collections::BTreeSet;
@@ -45,8 +46,7 @@
 /// The part of the descriptors that may hold open requests. Beyond it a request is turned away at once: were the
 /// clients' places all taken, the kernel would go on taking requests that nobody reads.
 const OPEN_PART: f64 = 0.45;
-/// One part in so many of the memory may hold bodies of requests; and for each MB some ids are remembered.
-const BODIES_PART: usize = 8;
+/// For each MB of the memory some ids are remembered.
 const IDS_PER_MB: usize = 512;
 /// A client has so long from connecting, or from a later request's first byte, until the request's head has come: it
 /// may take 2 s over that.
@@ -135,6 +135,8 @@
     pub node_connections: NodeLimits,
     /// All that the program may use, in bytes.
     pub memory: usize,
+    /// How it is shared out.
+    pub memory_plan: MemoryPlan,
     /// Bytes of requests' bodies that may be held at once.
     pub most_held: usize,
     /// Ids of requests that are remembered at once.
@@ -350,7 +352,8 @@
         let callers = part(OPS_PART).max(LEAST_CALLERS);
         let files = passed_socket.map_or(0, |_| ID_FILES) + talk.as_ref().map_or(0, |_| TALK_SOCKET);
         let others = part(CLIENT_PART) + part(NODE_PART) + callers + FIXED + files;
-        Ok(Config {
+        let memory = file.limits.memory_mb * 1024 * 1024;
+        let mut config = Config {
             keys,
             talk,
             passed_socket,
@@ -373,8 +376,9 @@
                 idle: time("policy_limits.keepalive", 30_000_000)?.mul_f64(IDLE_PART),
                 connect: time("policy_limits.connect_timeout", 250_000)?,
             },
-            memory: file.limits.memory_mb * 1024 * 1024,
-            most_held: file.limits.memory_mb * (1024 * 1024 / BODIES_PART),
+            memory,
+            memory_plan: MemoryPlan::new(memory, Options::default()),
+            most_held: memory,
             most_ids: file.limits.memory_mb * IDS_PER_MB,
             known: file.known,
             names,
@@ -387,7 +391,25 @@
             log_level,
             syslog,
             settings,
-        })
+        };
+        config.fit_into_memory(Options::default());
+        Ok(config)
+    }
+
+    /// Bounds connections and bodies by the memory, part of which other fronts and a voter take.
+    pub fn fit_into_memory(&mut self, options: Options) {
+        self.memory_plan = MemoryPlan::new(self.memory, options);
+        self.most_held = self.memory_plan.bodies();
+        let places = self.memory_plan.client_connections();
+        let clients = &mut self.clients;
+        if clients.most + clients.spare > places {
+            clients.spare = clients.spare.min((places as f64 * SPARE_PART) as usize).max(1);
+            clients.most = clients.most.min(places.saturating_sub(clients.spare)).max(1);
+            let of_clients = |part: f64| (clients.most as f64 * part / CLIENT_PART) as usize;
+            clients.most_idle = clients.most_idle.min(of_clients(IDLE_CLIENTS_PART)).max(1);
+            self.max_open = self.max_open.min(of_clients(OPEN_PART)).max(1);
+        }
+        self.node_connections.most = self.node_connections.most.min(self.memory_plan.node_connections());
     }
 
     /// Another front's clients take their places from the first one's: the descriptors are the same.
--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -176,6 +176,9 @@
     HANDLER_PANIC "head" Error false "The handler of a request panicked; the client received an error." {
         "front": "the front's name"
     }
+    MEMORY_SHORT "head" Warning false "A share of the memory was exhausted; what would have taken more was refused, or its connection ended. Told at the first refusal of a share, and each time their number has doubled." {
+        "share": "the share's name", "limit": "its bytes", "refused": "the number of refusals so far"
+    }
     ACCEPT_FAILED "head" Warning false "A connection could not be accepted." {
         "problem": "the operating system's error"
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 #[expect(missing_docs, reason = "not documented item by item yet")]
 pub mod logbook;
 pub mod logging;
+pub mod memory;
 mod message;
 pub mod metrics;
 pub mod net;
--- a/src/net/back.rs
+++ b/src/net/back.rs
@@ -27,6 +27,7 @@
 use hyper::rt::ReadBufCursor;
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 use hyper_util::rt::TokioIo;
+use pathbank_memory::share::MemoryLease;
 use std::collections::VecDeque;
 use std::error::Error;
 use std::future::{Future, poll_fn};
@@ -37,7 +38,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Duration, Instant, sleep_until, timeout, timeout_at};
 
 /// The most bytes of a body, of a request or an answer, that is held whole. A longer answer is streamed; of a
@@ -484,12 +485,12 @@
 /// A request's body.
 #[derive(Debug)]
 pub enum Payload {
-    /// The whole body, with its permit for the memory of bodies.
+    /// The whole body, with its memory.
     Held {
         /// The bytes of the body.
         body: Bytes,
-        /// The permit, released with the body.
-        _memory: Option<OwnedSemaphorePermit>,
+        /// The memory for it; `None`: there is no body.
+        _memory: Option<MemoryLease>,
     },
     /// A body that is still arriving from the client.
     Coming {
--- a/src/net/body.rs
+++ b/src/net/body.rs
@@ -81,9 +81,10 @@
     /// Reads the whole body.
     pub async fn whole(&mut self) -> Result<Bytes, Fault> {
         let Some(first) = self.next().await? else { return Ok(Bytes::new()) };
-        let Some(second) = self.next().await? else { return Ok(first) };
+        // Pieces are copied: many short ones would cost more than their bytes, and one keeps the read buffer from which it
+        // came.
+        let Some(second) = self.next().await? else { return Ok(Bytes::copy_from_slice(&first)) };
         let rest = self.length().unwrap_or_default() as usize;
-        // Pieces are copied: many short ones would cost more than their bytes.
         let mut whole = BytesMut::with_capacity(first.len() + second.len() + rest);
         whole.extend_from_slice(&first);
         whole.extend_from_slice(&second);
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,20 +1,23 @@
 //! The HTTP/1.1 front: submits clients' requests to the core and sends the core's answers to the clients.
 
+mod request_body;
+
 use crate::classes::Directory;
 use crate::core::{Answer, Arrival, Handle, Pending, wait_less_margin};
 use crate::event;
 use crate::lifecycle_state::Phase;
+use crate::memory::ProxyMemory;
 use crate::metrics::Count;
 use crate::net::back::{
-    Forward, ForwardWork, IDEMPOTENCY_KEY, MAX_BODY_BYTES, MAX_HELD_BODY_BYTES, NodeClient, Passing, Payload,
-    REQUEST_ID, TIMEOUT,
+    Forward, ForwardWork, IDEMPOTENCY_KEY, MAX_BODY_BYTES, NodeClient, Passing, REQUEST_ID, TIMEOUT,
 };
 use crate::net::body::{BodyReader, Fault};
 use crate::net::ids::Ids;
 use crate::net::inbound::{Inbound, Presence};
 use crate::net::incoming_body::IncomingBody;
 use crate::net::lifecycle::until;
-use crate::net::slots::{Slot, Slots};
+use crate::net::slots::{HeadMemory, Slot, Slots};
+use crate::net::socket;
 use crate::replay_buffer::BodyEnd;
 use axum::Extension;
 use axum::Router;
@@ -32,16 +35,18 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use log::debug;
+use pathbank_memory::share::MemoryShare;
+use request_body::{BodyRefusal, ReceivedBody, read_while_room};
 use std::fmt;
 use std::future::Future;
-use std::io::{self, ErrorKind};
+use std::io::{self, ErrorKind, IoSlice};
 use std::panic::AssertUnwindSafe;
 use std::pin::{Pin, pin};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, oneshot, watch};
+use tokio::sync::{oneshot, watch};
 use tokio::time::{Duration, Instant};
 use tower_service::Service;
 
@@ -51,14 +56,16 @@
 const PLAN_HEADER: &str = "x-storage-class";
 const EXTENT_HEADER: &str = "x-extent";
 const RETRIED_HEADER: &str = "x-retried";
+/// The most bytes of one read.
+const READ_BYTES: usize = 4 * 1024;
+/// What of a head, and of the read behind it, every connection's memory covers.
+const COVERED_HEAD_BYTES: usize = 8 * 1024;
 /// The most bytes that a connection buffers of a request's head.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// The most bytes of an id or a key.
 const MAX_TOKEN_BYTES: usize = 128;
 /// The most bytes of a path with its query.
 const MAX_TARGET_BYTES: usize = 1024;
-/// The most bytes held before forwarding of a body that exceeds 64 KiB or has no declared length.
-const MAX_BUFFERED_UPLOAD_BYTES: usize = 1024 * 1024;
 /// The `Retry-After` time of a request that is refused because memory or the queue is full.
 const NO_ROOM_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -75,10 +82,8 @@
     pub answer_margin: Duration,
     /// The process's phase.
     pub phase: watch::Receiver<Phase>,
-    /// The memory for bodies of a declared length, in bytes. Each takes its length, but 64 KiB at most.
-    pub bodies: Arc<Semaphore>,
-    /// The memory for bodies beyond 64 KiB and bodies of no declared length, in bytes.
-    pub uploads: Arc<Semaphore>,
+    /// The memory for what clients send.
+    pub memory: ProxyMemory,
     /// The ids of recent requests.
     pub ids: Ids,
 }
@@ -86,9 +91,10 @@
 /// Accepts and serves connections until the phase no longer accepts.
 pub async fn serve(listener: TcpListener, front: HttpFront, slots: Slots) {
     let phase = front.phase.clone();
+    let heads = front.memory.heads.clone();
     let router = Router::new().route("/up", get(readiness)).fallback(handle_request).with_state(front);
     let connection = |stream, slot, phase: &watch::Receiver<Phase>| {
-        connection(stream, slot, router.clone(), phase.clone())
+        connection(stream, slot, heads.clone(), router.clone(), phase.clone())
     };
     accept_all(listener, slots, phase, connection).await;
 }
@@ -101,6 +107,7 @@
     mut phase: watch::Receiver<Phase>,
     connection: impl Fn(TcpStream, Slot, &watch::Receiver<Phase>) -> C,
 ) {
+    socket::limit_unread(&listener);
     loop {
         let accepted = tokio::select! {
             () = until(&mut phase, |phase| !phase.accept) => break,
@@ -143,27 +150,37 @@
 }
 
 /// Serves one client connection until it ends, is told to close, or its client leaves.
-async fn connection(stream: TcpStream, slot: Slot, router: Router, mut phase: watch::Receiver<Phase>) {
+async fn connection(
+    stream: TcpStream,
+    slot: Slot,
+    heads: MemoryShare,
+    router: Router,
+    mut phase: watch::Receiver<Phase>,
+) {
     let (inbound, client) = Inbound::new(stream);
-    let io = ObservedConnection { io: TokioIo::new(inbound), slot: slot.clone() };
+    let io = ObservedConnection { io: TokioIo::new(inbound), slot: slot.clone(), heads };
     let (of_request, of_client) = (slot.clone(), client.clone());
     let service = service_fn(move |mut request: hyper::Request<Incoming>| {
         of_request.mark_awaiting_request();
         request.extensions_mut().insert(of_request.clone());
         request.extensions_mut().insert(of_client.clone());
-        let (answer, slot) = (router.clone().call(request), of_request.clone());
+        let (answer, slot, client) = (router.clone().call(request), of_request.clone(), of_client.clone());
         async move {
             let response = answer.await?;
             let still_out = response.extensions().get::<ResponseUnfinished>().is_some();
+            if !still_out {
+                client.answer_given();
+            }
             let last = if still_out { slot.should_close() } else { slot.mark_answered() }
-                || slot.was_asked_to_leave();
+                || slot.was_asked_to_leave()
+                || client.has_discarded();
             Ok::<_, std::convert::Infallible>(if last { with_connection_close(response) } else { response })
         }
     });
     let mut served =
         Box::pin(http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).serve_connection(io, service));
     let mut client_left = pin!(client.left());
-    let (mut asked_to_leave, mut closing) = (false, false);
+    let (mut asked_to_leave, mut closing, mut discarding) = (false, false, false);
     let ended = loop {
         // Bytes that have arrived are read before the connection is told to close.
         tokio::select! {
@@ -175,6 +192,11 @@
                 debug!("client closed its connection");
                 return;
             }
+            // What follows the request is lost, so that its answer is the last.
+            () = client.discarded(), if !discarding => {
+                discarding = true;
+                served.as_mut().graceful_shutdown();
+            }
             () = until(&mut phase, |phase| phase.close), if !closing => {
                 closing = true;
                 if !has_request_under_way(&slot, &client) {
@@ -212,6 +234,8 @@
 struct ObservedConnection {
     io: TokioIo<Inbound>,
     slot: Slot,
+    /// The memory for long heads.
+    heads: MemoryShare,
 }
 
 impl hyper::rt::Read for ObservedConnection {
@@ -220,12 +244,21 @@
         cx: &mut Context<'_>,
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
+        match self.slot.cover_head(READ_BYTES, COVERED_HEAD_BYTES, &self.heads) {
+            HeadMemory::Taken => {}
+            HeadMemory::Refused => return Poll::Ready(Err(ErrorKind::OutOfMemory.into())),
+            HeadMemory::Awaited => {
+                // The memory comes back once the task of the other connection has run.
+                cx.waker().wake_by_ref();
+                return Poll::Pending;
+            }
+        }
         // Reads into a local buffer first: bytes written to the cursor can't be inspected afterwards.
-        let mut part = [0; 8192];
+        let mut part = [0; READ_BYTES];
         let most = part.len().min(buf.remaining());
         let mut own = ReadBuf::new(&mut part[..most]);
         std::task::ready!(Pin::new(self.io.inner_mut()).poll_read(cx, &mut own))?;
-        self.slot.bytes_came(own.filled(), MAX_HEAD_BYTES);
+        self.slot.bytes_came(own.filled());
         buf.put_slice(own.filled());
         Poll::Ready(Ok(()))
     }
@@ -236,6 +269,19 @@
         Pin::new(&mut self.io).poll_write(cx, buf)
     }
 
+    /// Without this hyper would copy an answer into its write buffer, and drop its lease.
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.io).poll_flush(cx)
     }
@@ -290,10 +336,7 @@
     // hyper ignores a Content-Length that follows a Transfer-Encoding, so the bytes read for the head are
     // searched too.
     let coded = head.headers.contains_key(header::TRANSFER_ENCODING);
-    if coded
-        && (head.headers.contains_key(header::CONTENT_LENGTH)
-            || slot.head_has(header::CONTENT_LENGTH.as_str()))
-    {
+    if coded && (head.headers.contains_key(header::CONTENT_LENGTH) || slot.head_has_length()) {
         return denied(StatusCode::BAD_REQUEST, "a body with a length and a coding");
     }
     let mut reading = BodyReader::new(body, MAX_BODY_BYTES);
@@ -304,13 +347,17 @@
     let Some(id) = head.headers.get(REQUEST_ID).cloned() else {
         return denied(StatusCode::BAD_REQUEST, &Malformed(REQUEST_ID).to_string());
     };
+    // Copied: the head's parts would keep its whole read buffer.
+    let (id, key) = (copied(&id), head.headers.get(IDEMPOTENCY_KEY).map(copied));
+    let (method, target) = (head.method.clone(), copied_target(&head.uri));
+    drop(head);
     let forward = |payload, wait| {
         let (begins, response_start) = oneshot::channel();
         let forward = Forward {
-            method: head.method.clone(),
-            target: head.uri.path_and_query().map_or_else(Uri::default, |target| target.clone().into()),
+            method: method.clone(),
+            target: target.clone(),
             id: Some(id.clone()),
-            key: head.headers.get(IDEMPOTENCY_KEY).cloned(),
+            key: key.clone(),
             payload,
             wait,
             begins: Mutex::new(Some(begins)),
@@ -325,60 +372,44 @@
         )
     };
     let wait = arrival.answer_by.saturating_duration_since(received);
-    let held = length.unwrap_or(0).min(MAX_HELD_BODY_BYTES as u64) as u32;
-    let Ok(memory) = front.bodies.clone().try_acquire_many_owned(held) else {
-        front.handle.metrics().count(arrival.class, Count::Dropped);
-        return drain_body_after(reading, slot, refused(NO_ROOM_RETRY_AFTER));
-    };
     slot.mark_reading();
-    let body = if length.is_some_and(|length| length <= MAX_HELD_BODY_BYTES as u64) {
-        match reading.whole().await {
-            Ok(body) => Payload::Held { body, _memory: Some(memory) },
-            Err(fault) => return fault_response(fault),
-        }
-    } else {
-        // The body is forwarded only once it is complete or can no longer be held, so that a slow client
-        // occupies neither a token nor a connection to a node.
-        let source = Arc::new(IncomingBody::new(MAX_BUFFERED_UPLOAD_BYTES, front.uploads.clone()));
-        if let Err(fault) = read_while_room(&mut reading, &source).await {
-            return fault_response(fault);
-        }
-        Payload::Coming { source, length }
-    };
+    let ReceivedBody { payload, rest } =
+        match request_body::receive(&front.memory, &client, &mut reading).await {
+            Ok(body) => body,
+            Err(BodyRefusal::Fault(fault)) => return fault_response(fault),
+            Err(BodyRefusal::NoMemory) => {
+                front.handle.metrics().count(arrival.class, Count::Dropped);
+                return drain_body_after(reading, slot, refused(NO_ROOM_RETRY_AFTER));
+            }
+        };
     if !front.ids.first_time(id.as_bytes(), received) {
         return denied(StatusCode::CONFLICT, "this id has been used");
     }
     slot.mark_waiting();
     // A request's timeout counts from its last held byte.
     let answer_by = Instant::now() + wait;
-    let source = match &body {
-        Payload::Coming { source, .. } if !source.is_over() => Some(source.clone()),
-        _ => None,
-    };
-    let arrival = Arrival { answer_by, body_time: source.as_ref().map(|_| wait), ..arrival };
-    let (work, response_start) = forward(body, wait);
+    let arrival = Arrival { answer_by, body_time: rest.as_ref().map(|_| wait), ..arrival };
+    let (work, response_start) = forward(payload, wait);
+    if rest.is_none() {
+        client.request_complete();
+    }
     let Some(pending) = front.handle.submit(arrival, work) else {
-        return match source {
+        return match rest {
             // The connection closes after this answer, so that its slot is free for another client.
             None => with_connection_close(refused(NO_ROOM_RETRY_AFTER)),
             Some(_) => drain_body_after(reading, slot, refused(NO_ROOM_RETRY_AFTER)),
         };
     };
-    match source {
-        None => await_answer(pending, response_start, slot).await,
-        Some(source) => answer_while_receiving(reading, &source, pending, response_start, slot).await,
-    }
-}
-
-/// Reads pieces of the body into `source` while `source` has room.
-async fn read_while_room(reading: &mut BodyReader, source: &IncomingBody) -> Result<(), Fault> {
-    while source.has_room() {
-        match reading.next().await? {
-            Some(piece) => drop(source.push(piece, source.is_bound())),
-            None => source.end(BodyEnd::Complete),
+    match rest {
+        None => await_answer(pending, response_start, slot, &client).await,
+        Some(upload) => {
+            let source = &upload.source;
+            let response =
+                answer_while_receiving(reading, source, pending, response_start, slot, &client).await;
+            client.widen(false);
+            response
         }
     }
-    Ok(())
 }
 
 /// Reads the rest of a request's body while the core queues and forwards the request. The answer may come
@@ -389,6 +420,7 @@
     pending: Pending,
     response_start: oneshot::Receiver<Passing>,
     slot: &Slot,
+    client: &Presence,
 ) -> Response {
     let body_completion = pending.body_completion();
     let response = {
@@ -401,11 +433,12 @@
                 }
             }
             body_completion.complete();
+            client.request_complete();
             std::future::pending().await
         };
         tokio::select! {
             biased;
-            response = await_answer(pending, response_start, slot) => response,
+            response = await_answer(pending, response_start, slot, client) => response,
             // Returning drops `pending`, which cancels the request like one whose client has left.
             fault = fault => return fault_response(fault),
         }
@@ -433,13 +466,14 @@
     mut pending: Pending,
     mut response_start: oneshot::Receiver<Passing>,
     slot: &Slot,
+    client: &Presence,
 ) -> Response {
     let mut may_begin = true;
     loop {
         tokio::select! {
             biased;
             began = &mut response_start, if may_begin => match began {
-                Ok(passing) => return streamed_response(passing, pending, slot),
+                Ok(passing) => return streamed_response(passing, pending, slot, client),
                 // No attempt will stream an answer: the request has ended.
                 Err(_) => may_begin = false,
             },
@@ -453,9 +487,9 @@
 }
 
 /// Builds the response to a long answer, whose body is streamed.
-fn streamed_response(passing: Passing, pending: Pending, slot: &Slot) -> Response {
+fn streamed_response(passing: Passing, pending: Pending, slot: &Slot, client: &Presence) -> Response {
     let length = passing.length;
-    let body = StreamedBody { passing, pending, given: 0, slot: slot.clone() };
+    let body = StreamedBody { passing, pending, given: 0, slot: slot.clone(), client: client.clone() };
     let mut response = Response::new(Body::new(body));
     if let Some(length) = length {
         response.headers_mut().insert(header::CONTENT_LENGTH, HeaderValue::from(length));
@@ -476,6 +510,7 @@
     pending: Pending,
     given: u64,
     slot: Slot,
+    client: Presence,
 }
 
 impl HttpBody for StreamedBody {
@@ -502,6 +537,7 @@
 
 impl Drop for StreamedBody {
     fn drop(&mut self) {
+        self.client.answer_given();
         self.slot.mark_answered();
     }
 }
@@ -554,6 +590,17 @@
     value.to_str().map_err(|_| Malformed(name))
 }
 
+/// Returns a value of its own memory.
+fn copied(value: &HeaderValue) -> HeaderValue {
+    HeaderValue::from_bytes(value.as_bytes()).unwrap_or_else(|_| value.clone())
+}
+
+/// Returns the path and query, of their own memory.
+fn copied_target(uri: &Uri) -> Uri {
+    let Some(target) = uri.path_and_query() else { return Uri::default() };
+    Uri::try_from(target.as_str()).unwrap_or_else(|_| target.clone().into())
+}
+
 /// Returns a header value of 1 to [`MAX_TOKEN_BYTES`] visible ASCII characters, which every reader parses
 /// alike.
 fn token<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<&'a str, Malformed> {
--- a/src/net/front/tests.rs
+++ b/src/net/front/tests.rs
@@ -5,17 +5,19 @@
 use crate::core::Core;
 use crate::interface::Settings;
 use crate::lifecycle_state::SERVING;
+use crate::memory::{MemoryPlan, Options};
 
 fn front(handle: &Handle, phase: watch::Receiver<Phase>) -> (HttpFront, Slots) {
     let times = Duration::from_secs(1);
+    let memory = MemoryPlan::new(0, Options::default()).shares();
+    let limits = NodeLimits { most: 4, idle: times, connect: times };
     let front = HttpFront {
         handle: handle.clone(),
-        back: NodeClient::new(NodeLimits { most: 4, idle: times, connect: times }, handle.capacity_share()),
+        back: NodeClient::new(limits, handle.capacity_share()),
         names: watch::channel(Arc::default()).1,
         answer_margin: times,
         phase,
-        bodies: Arc::new(Semaphore::new(0)),
-        uploads: Arc::new(Semaphore::new(0)),
+        memory,
         ids: Ids::new(4, times),
     };
     let slots = Slots::new(ClientLimits {
--- a/src/net/grpc/call.rs
+++ b/src/net/grpc/call.rs
@@ -7,9 +7,10 @@
 use bytes::Bytes;
 use hyper::Uri;
 use hyper::header::HeaderMap;
+use pathbank_memory::share::MemoryShare;
 use std::ops::Deref;
-use std::sync::{Arc, Mutex, PoisonError};
-use tokio::sync::{Semaphore, mpsc};
+use std::sync::{Mutex, PoisonError};
+use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
 /// A part of the response. Only the attempt that is bound to the call sends these to the call's task.
@@ -50,7 +51,7 @@
         metadata: HeaderMap,
         route: Route,
         hold: usize,
-        memory: Arc<Semaphore>,
+        memory: MemoryShare,
         response: mpsc::Sender<ResponsePart>,
         client: Presence,
     ) -> Call {
--- a/src/net/grpc/front.rs
+++ b/src/net/grpc/front.rs
@@ -28,13 +28,14 @@
 use hyper::header::{CONTENT_TYPE as TYPE, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use log::debug;
+use pathbank_memory::share::MemoryShare;
 use std::future::poll_fn;
 use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll, ready};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, Semaphore, mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::{Duration, Instant, timeout as within, timeout_at};
 
@@ -67,8 +68,8 @@
     pub answer_margin: Duration,
     /// The phase of the process's life, which tells when to stop accepting.
     pub phase: watch::Receiver<Phase>,
-    /// The memory for request bodies, in bytes, shared with the HTTP front.
-    pub bodies: Arc<Semaphore>,
+    /// The memory for request bodies, shared with the HTTP front.
+    pub bodies: MemoryShare,
     /// What the front has counted.
     pub counters: Arc<Counters>,
 }
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -3,6 +3,7 @@
 //! remaining bytes are read.
 
 use crate::net::slots::Slot;
+use crate::net::socket;
 use bytes::{Buf, BytesMut};
 use futures_util::FutureExt;
 use socket2::{SockRef, Socket};
@@ -18,7 +19,7 @@
 
 /// The most bytes read ahead of the parser. With more unread, the end is known only from the kernel's
 /// readiness.
-const MAX_READ_AHEAD: usize = 32 * 1024;
+const MAX_READ_AHEAD: usize = 4 * 1024;
 /// The most bytes per read.
 const READ_SIZE: usize = 4 * 1024;
 /// How often the kernel is asked for the end of the connection while the read-ahead buffer is full.
@@ -27,6 +28,8 @@
 /// resets the connection, and a reset can overtake an answer that was written.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 const MAX_LINGER_BYTES: usize = 1024 * 1024;
+/// The most bytes that are read behind a request while its answer is awaited.
+const MAX_DISCARDED_BYTES: usize = 1024 * 1024;
 
 /// How the client's side of the connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,12 +40,28 @@
     Broken(ErrorKind),
 }
 
+/// What becomes of bytes that come ahead of the parser when [`MAX_READ_AHEAD`] of them are held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Surplus {
+    /// They stay in the kernel: they may belong to the request that is being read.
+    Unread,
+    /// They come behind a request that is complete. They are read and thrown away, so that neither the kernel nor this
+    /// process holds them, and the connection ends with the answer.
+    Refused,
+    /// So many have been thrown away.
+    Discarded(usize),
+}
+
 #[derive(Debug)]
 struct State {
     read: OwnedReadHalf,
     /// Bytes that were read and not yet parsed.
     ahead: BytesMut,
     ended: Option<ReadEnd>,
+    /// What becomes of bytes for which there is no room in `ahead`.
+    surplus: Surplus,
+    /// The answer is given, and not written whole yet.
+    answer_given: bool,
     /// The waker of the parser while it waits for bytes: any other reader has to wake it.
     parser: Option<Waker>,
 }
@@ -58,8 +77,27 @@
         }
     }
 
+    /// Whether no more is read ahead.
     fn full(&self) -> bool {
-        self.ahead.len() >= MAX_READ_AHEAD
+        self.ahead.len() >= MAX_READ_AHEAD && !self.discards()
+    }
+
+    /// The bytes of the next read ahead: no more than are held, unless what comes is thrown away.
+    fn room(&self) -> usize {
+        match self.discards() {
+            true => READ_SIZE,
+            false => READ_SIZE.min(MAX_READ_AHEAD - self.ahead.len()),
+        }
+    }
+
+    /// Whether bytes beyond those that are held are thrown away.
+    fn discards(&self) -> bool {
+        self.surplus != Surplus::Unread
+    }
+
+    /// Whether bytes have been thrown away: what follows cannot be parsed.
+    fn has_discarded(&self) -> bool {
+        matches!(self.surplus, Surplus::Discarded(_))
     }
 
     /// Reads ahead until no more bytes are available; ready once the connection has ended or the buffer is
@@ -67,7 +105,8 @@
     fn poll_ahead(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         while self.ended.is_none() && !self.full() {
             let mut piece = [0; READ_SIZE];
-            let mut piece = ReadBuf::new(&mut piece);
+            let room = self.room();
+            let mut piece = ReadBuf::new(&mut piece[..room]);
             match Pin::new(&mut self.read).poll_read(cx, &mut piece) {
                 Poll::Pending => {
                     self.wait(cx);
@@ -86,7 +125,7 @@
             let read = {
                 let socket = SockRef::from(self.read.as_ref());
                 let mut socket: &Socket = &socket;
-                socket.read(&mut piece)
+                socket.read(&mut piece[..self.room()])
             };
             match read {
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return,
@@ -99,12 +138,39 @@
     fn note(&mut self, read: io::Result<&[u8]>) {
         match read {
             Ok([]) => self.ended = Some(ReadEnd::InOrder),
+            Ok(bytes) if self.has_discarded() || self.is_surplus(bytes) => self.discard(bytes.len()),
             Ok(bytes) => self.ahead.extend_from_slice(bytes),
             Err(error) => self.ended = Some(ReadEnd::Broken(error.kind())),
         }
         self.wake();
     }
 
+    /// Whether there is no room for bytes that came.
+    fn is_surplus(&self, bytes: &[u8]) -> bool {
+        self.discards() && self.ahead.len() + bytes.len() > MAX_READ_AHEAD
+    }
+
+    /// All that was given to the connection is written.
+    fn written(&mut self) {
+        if std::mem::take(&mut self.answer_given) && self.surplus == Surplus::Refused {
+            self.surplus = Surplus::Unread;
+        }
+    }
+
+    /// Throws bytes away, and with them what is held of the requests that they belong to. A client that goes on
+    /// sending for too long counts as one that has left.
+    fn discard(&mut self, bytes: usize) {
+        let before = match self.surplus {
+            Surplus::Discarded(before) => before,
+            Surplus::Unread | Surplus::Refused => 0,
+        };
+        self.ahead = BytesMut::new();
+        self.surplus = Surplus::Discarded(before + bytes);
+        if before + bytes > MAX_DISCARDED_BYTES {
+            self.ended = Some(ReadEnd::Broken(ErrorKind::InvalidData));
+        }
+    }
+
     /// Returns whether the connection ended after bytes that are still unread.
     fn ended_behind(&self) -> bool {
         let readiness = self.read.as_ref().ready(Interest::READABLE).now_or_never();
@@ -134,7 +200,14 @@
         // is broken, and reads from it fail.
         let _ = stream.set_nodelay(true);
         let (read, write) = stream.into_split();
-        let state = State { read, ahead: BytesMut::new(), ended: None, parser: None };
+        let state = State {
+            read,
+            ahead: BytesMut::new(),
+            ended: None,
+            surplus: Surplus::Unread,
+            answer_given: false,
+            parser: None,
+        };
         let state = Arc::new(Mutex::new(state));
         (Inbound { state: state.clone(), write }, Presence(state))
     }
@@ -155,6 +228,41 @@
         !state.ahead.is_empty()
     }
 
+    /// A body arrives for which there is memory, so that more of it may be under way; or no longer.
+    pub fn widen(&self, wide: bool) {
+        socket::widen(&SockRef::from(lock(&self.0).read.as_ref()), wide);
+    }
+
+    /// The request is complete and awaits its answer. What comes behind it is held up to [`MAX_READ_AHEAD`] bytes; with
+    /// more, the connection ends with the answer.
+    pub fn request_complete(&self) {
+        let mut state = lock(&self.0);
+        state.answer_given = false;
+        if state.surplus == Surplus::Unread {
+            state.surplus = Surplus::Refused;
+        }
+    }
+
+    /// The answer is given to the connection: what comes once it is written is the next request.
+    pub fn answer_given(&self) {
+        lock(&self.0).answer_given = true;
+    }
+
+    /// Returns whether bytes were thrown away that came behind a request: its answer is the connection's last.
+    pub fn has_discarded(&self) -> bool {
+        lock(&self.0).has_discarded()
+    }
+
+    /// Waits until [`Presence::has_discarded`]. Only the task of the parser may call this.
+    pub async fn discarded(&self) {
+        poll_fn(|_| match self.has_discarded() {
+            true => Poll::Ready(()),
+            // Whoever reads wakes the parser's task.
+            false => Poll::Pending,
+        })
+        .await;
+    }
+
     /// Waits until the client has left. Only the task of the parser may call this: the socket wakes only one
     /// task.
     pub async fn left(&self) {
@@ -177,7 +285,7 @@
                 poll_fn(|cx| lock(&self.0).poll_ahead(cx)).await;
                 let mut state = lock(&self.0);
                 read += state.ahead.len();
-                state.ahead.clear();
+                state.ahead = BytesMut::new();
                 if state.ended.is_some() {
                     return;
                 }
@@ -197,8 +305,15 @@
             let part = state.ahead.len().min(buf.remaining());
             buf.put_slice(&state.ahead[..part]);
             state.ahead.advance(part);
+            if state.ahead.is_empty() {
+                state.ahead = BytesMut::new();
+            }
             return Poll::Ready(Ok(()));
         }
+        if state.has_discarded() && state.ended.is_none() {
+            state.wait(cx);
+            return Poll::Pending;
+        }
         match state.ended {
             Some(ReadEnd::InOrder) => return Poll::Ready(Ok(())),
             Some(ReadEnd::Broken(kind)) => return Poll::Ready(Err(kind.into())),
@@ -241,7 +356,11 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.write).poll_flush(cx)
+        let flushed = Pin::new(&mut self.write).poll_flush(cx);
+        if flushed.is_ready() {
+            lock(&self.state).written();
+        }
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/net/incoming_body.rs
+++ b/src/net/incoming_body.rs
@@ -3,15 +3,16 @@
 
 use crate::replay_buffer::{BodyEnd, Next, ReplayBuffer};
 use bytes::Bytes;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
+use pathbank_memory::share::{MemoryLease, MemoryShare};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use tokio::sync::Notify;
 
 /// A body that is forwarded while it arrives.
 #[derive(Debug)]
 pub struct IncomingBody {
     state: Mutex<State>,
-    /// The memory for the bodies of all requests, in bytes.
-    memory: Arc<Semaphore>,
+    /// The memory for the bodies of all requests.
+    memory: MemoryShare,
     /// Notified when the body has grown or ended.
     more: Notify,
     /// Notified when another piece may be read.
@@ -21,13 +22,13 @@
 #[derive(Debug)]
 struct State {
     buffer: ReplayBuffer,
-    /// The permits for the bytes held.
-    held: Option<OwnedSemaphorePermit>,
+    /// The memory for the bytes held.
+    held: Option<MemoryLease>,
 }
 
 impl IncomingBody {
     /// Creates a body of which up to `hold` bytes are held before it is bound to an attempt.
-    pub fn new(hold: usize, memory: Arc<Semaphore>) -> IncomingBody {
+    pub fn new(hold: usize, memory: MemoryShare) -> IncomingBody {
         let state = Mutex::new(State { buffer: ReplayBuffer::new(hold), held: None });
         IncomingBody { state, memory, more: Notify::new(), readable: Notify::new() }
     }
@@ -53,14 +54,14 @@
     pub fn push(&self, piece: Bytes, bound: bool) -> bool {
         let mut state = self.state();
         if !bound {
-            let length = u32::try_from(piece.len()).unwrap_or(u32::MAX);
-            match (self.memory.clone().try_acquire_many_owned(length), &mut state.held) {
-                (Ok(permit), Some(held)) => held.merge(permit),
-                (Ok(permit), none) => *none = Some(permit),
-                (Err(_), _) => state.buffer.mark_memory_exhausted(),
+            let held = state.held.get_or_insert_with(|| self.memory.empty_lease());
+            if held.grow(piece.len()).is_err() {
+                self.memory.count_refusal();
+                state.buffer.mark_memory_exhausted();
             }
         }
-        state.buffer.push(piece);
+        // A piece would keep the read buffer from which it came.
+        state.buffer.push(Bytes::copy_from_slice(&piece));
         let within_limit = !state.buffer.exceeds_limit();
         drop(state);
         self.more.notify_waiters();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -20,3 +20,4 @@
 #[expect(missing_docs, reason = "not documented item by item yet")]
 pub mod sftp;
 pub mod slots;
+pub mod socket;
--- a/src/net/slots.rs
+++ b/src/net/slots.rs
@@ -1,8 +1,12 @@
 //! The slots for the client connections of a front: how many there are, the activity of each connection, and
 //! which connection is asked to leave when no slot is free or a time limit has passed. Shared by the fronts.
 
+mod head_scanner;
+
 use crate::config::ClientLimits;
 use crate::handover::CapacityShare;
+use head_scanner::HeadScanner;
+use pathbank_memory::share::{MemoryLease, MemoryShare};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::Notify;
@@ -16,6 +20,22 @@
 /// after this.
 const CLOSE_LIMIT: Duration = Duration::from_millis(2_500);
 
+/// A head's buffer is at times twice as long as what it holds.
+const HEAD_GROWTH_FACTOR: usize = 2;
+/// A long head that has been arriving for this time gives way to another one.
+const HEAD_STALLED_AFTER: Duration = Duration::from_millis(500);
+
+/// Whether there is memory for the next bytes of a head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeadMemory {
+    /// There is.
+    Taken,
+    /// Not yet: another connection leaves.
+    Awaited,
+    /// There is none.
+    Refused,
+}
+
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Activity {
@@ -40,8 +60,10 @@
     answered_before: bool,
     asked_at: Option<Instant>,
     leave: Arc<Notify>,
-    /// The bytes read of the request's head, and those read together with its end.
-    head: Vec<u8>,
+    /// Which headers the request's head has, as far as it is read.
+    head: HeadScanner,
+    /// The memory for a head that is longer than what every connection holds, whose buffer the connection keeps.
+    head_memory: Option<MemoryLease>,
 }
 
 impl State {
@@ -147,6 +169,29 @@
         }
     }
 
+    /// Asks the connection to leave that has had memory for a long head for the longest time and is idle, or whose
+    /// head has been arriving for too long; other than `but`. Returns whether one leaves.
+    fn ask_head_to_leave(&self, but: u64) -> bool {
+        let mut taken = self.taken();
+        let others = taken.slots.iter_mut().filter(|(id, _)| **id != but).map(|(_, state)| state);
+        let holds = |state: &&mut State| {
+            let is_stalled = match state.activity {
+                Activity::Asking => state.since.elapsed() >= HEAD_STALLED_AFTER,
+                Activity::Idle => true,
+                Activity::Reading | Activity::Waiting | Activity::Lingering => false,
+            };
+            is_stalled && state.head_memory.as_ref().is_some_and(|lease| lease.bytes() > 0)
+        };
+        let Some(state) = others.filter(holds).min_by_key(|state| (state.asked_at.is_none(), state.since))
+        else {
+            return false;
+        };
+        let asked_before = state.asked_at.is_some();
+        state.ask_to_leave(Instant::now());
+        taken.counts.for_others += u64::from(!asked_before);
+        true
+    }
+
     fn insert(&self) -> Slot {
         let (mut taken, leave) = (self.taken(), Arc::new(Notify::new()));
         taken.last += 1;
@@ -158,7 +203,8 @@
             answered_before: false,
             asked_at: None,
             leave: leave.clone(),
-            head: Vec::new(),
+            head: HeadScanner::default(),
+            head_memory: None,
         };
         taken.slots.insert(id, state);
         Slot(Arc::new(SlotGuard { id, slots: self.clone(), leave }))
@@ -236,39 +282,51 @@
         });
     }
 
-    /// Records bytes read. An idle connection becomes one that sends a request. The request's head is kept,
-    /// up to `most` bytes.
-    pub fn bytes_came(&self, bytes: &[u8], most: usize) {
+    /// Records bytes read. An idle connection becomes one that sends a request.
+    pub fn bytes_came(&self, bytes: &[u8]) {
         self.with(|slot| {
             if slot.activity == Activity::Idle {
                 (slot.activity, slot.since) = (Activity::Asking, Instant::now());
-                slot.head.clear();
+                slot.head = HeadScanner::default();
             }
             if slot.activity == Activity::Asking {
-                let room = most.saturating_sub(slot.head.len());
-                slot.head.extend_from_slice(&bytes[..room.min(bytes.len())]);
+                slot.head.scan(bytes);
             }
         });
     }
 
-    /// Reports whether the request's head, as it was read, has a header `name`. Of pipelined requests that
-    /// were read together, only the first one's head is kept.
-    pub fn head_has(&self, name: &str) -> bool {
-        let found = self.with(|slot| {
-            let lines = slot.head.split(|byte| *byte == b'\n').map(<[u8]>::trim_ascii_end).skip(1);
-            let mut fields = lines.take_while(|line| !line.is_empty());
-            fields.any(|line| {
-                line.split(|byte| *byte == b':')
-                    .next()
-                    .is_some_and(|field| field.trim_ascii().eq_ignore_ascii_case(name.as_bytes()))
-            })
+    /// Reports whether the request's head, as it was read, has a `Content-Length`. Of pipelined requests that
+    /// were read together, only the first one's head is looked at.
+    pub fn head_has_length(&self) -> bool {
+        self.with(|slot| slot.head.has_length()).unwrap_or(false)
+    }
+
+    /// Takes the memory for the next read of at most `next` bytes: a head beyond `covered` bytes, which every
+    /// connection holds anyway, takes its bytes of `share`. Where that is exhausted another connection is asked to
+    /// leave, and [`HeadMemory::Awaited`] is returned.
+    pub fn cover_head(&self, next: usize, covered: usize, share: &MemoryShare) -> HeadMemory {
+        let grown = self.with(|slot| {
+            if !matches!(slot.activity, Activity::Asking | Activity::Idle) {
+                return Ok(());
+            }
+            let wanted = HEAD_GROWTH_FACTOR * (slot.head.length() + next).saturating_sub(covered);
+            let lease = slot.head_memory.get_or_insert_with(|| share.empty_lease());
+            lease.grow(wanted.saturating_sub(lease.bytes()))
         });
-        found.unwrap_or(false)
+        match grown {
+            Some(Ok(())) | None => HeadMemory::Taken,
+            Some(Err(_)) => {
+                share.count_refusal();
+                match self.0.slots.ask_head_to_leave(self.0.id) {
+                    true => HeadMemory::Awaited,
+                    false => HeadMemory::Refused,
+                }
+            }
+        }
     }
 
     /// Marks that the request's head is read and its body is not.
     pub fn mark_reading(&self) {
-        self.with(|slot| slot.head = Vec::new());
         self.set(Activity::Reading);
     }
 
