Storage proxy: nodes' answers are held in leased blocks, or passed on while they arrive

Answers made the storage proxy hold 93 MiB of 32 where nodes sent them in chunks of one byte (each chunk cost an entry of a list, and all of the framing was kept), 41 where clients did not read answers of 60 KiB, and 89 with answers of 4 MiB. hyper copied answers into its write buffer, as the connection did not take vectors.

An answer of 2 KiB to 64 KiB is copied into blocks of a share, which last until they are written; one that finds no memory is passed on while it arrives, as longer ones are. The body of an answer that is no success is not held at all.

--- a/src/bin/pathbank/startup.rs
+++ b/src/bin/pathbank/startup.rs
@@ -118,7 +118,7 @@
             core.enable_metrics();
         }
         let memory = config.memory_plan.shares();
-        let back = NodeClient::new(config.node_connections, handle.capacity_share());
+        let back = NodeClient::new(config.node_connections, handle.capacity_share(), &memory);
         if config.settings.probing {
             let load = config.settings.reports == Reports::Probes;
             core.set_probes(Box::new(ProbeWork { back: back.clone(), load }));
--- a/src/net/back.rs
+++ b/src/net/back.rs
@@ -12,11 +12,13 @@
 use crate::core::{Attempt, AttemptContext, AttemptSource, Report, WriteState};
 use crate::handover::CapacityShare;
 use crate::interface::Load;
+use crate::memory::ProxyMemory;
 use crate::net::inbound::Presence;
 use crate::net::incoming_body::IncomingBody;
 use crate::net::pool::{Pool, Quiet};
+use crate::net::socket;
 use crate::replay_buffer::{BodyEnd, Next};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::stream::{BoxStream, unfold};
 use http_body_util::{BodyExt, Either, Full, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
@@ -27,7 +29,8 @@
 use hyper::rt::ReadBufCursor;
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 use hyper_util::rt::TokioIo;
-use pathbank_memory::share::MemoryLease;
+use pathbank_memory::held_body::{BodyBuffer, HeldBody};
+use pathbank_memory::share::{MemoryLease, MemoryShare};
 use std::collections::VecDeque;
 use std::error::Error;
 use std::future::{Future, poll_fn};
@@ -39,11 +42,17 @@
 use std::task::{Context, Poll};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Duration, Instant, sleep_until, timeout, timeout_at};
+use tokio::time::{Duration, Instant, sleep, sleep_until, timeout, timeout_at};
 
 /// The most bytes of a body, of a request or an answer, that is held whole. A longer answer is streamed; of a
 /// longer request body, the HTTP front holds up to 1 MiB before it forwards the request.
 pub const MAX_HELD_BODY_BYTES: usize = 64 * 1024;
+/// An answer of at most so many bytes is held without a lease: every client's connection has paid for it.
+const SHORT_ANSWER_BYTES: usize = 2 * 1024;
+/// What an answer holds that is passed on while it arrives: what the kernel holds unread, and its pieces.
+const STREAMED_ANSWER_BYTES: usize = 48 * 1024;
+/// How often an answer that waits for memory looks again.
+const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// The most bytes of any body.
 pub const MAX_BODY_BYTES: u64 = 32 * 1024 * 1024;
 /// The header with the id of a request.
@@ -89,13 +98,24 @@
     opened: Arc<AtomicU64>,
     /// Attempts begun so far.
     attempts: Arc<AtomicU64>,
+    memory: AnswerMemory,
+}
+
+/// The memory for nodes' answers.
+#[derive(Clone)]
+struct AnswerMemory {
+    /// For those that are held.
+    held: MemoryShare,
+    /// For those that are passed on while they arrive.
+    streams: MemoryShare,
 }
 
 impl NodeClient {
     /// Creates an empty pool with these limits, of which `capacity_share` is this process's share.
-    pub fn new(limits: NodeLimits, capacity_share: CapacityShare) -> NodeClient {
+    pub fn new(limits: NodeLimits, capacity_share: CapacityShare, memory: &ProxyMemory) -> NodeClient {
         let pool = Pool::with_capacity_share(limits, capacity_share).resting(CONNECTION_REST);
-        NodeClient { pool, opened: Arc::default(), attempts: Arc::default() }
+        let memory = AnswerMemory { held: memory.answers.clone(), streams: memory.streams.clone() };
+        NodeClient { pool, opened: Arc::default(), attempts: Arc::default(), memory }
     }
 
     /// Drops expired and closed idle connections, for as long as the program runs.
@@ -133,7 +153,7 @@
     /// Opens a connection, or takes a pooled one that becomes usable while the connect is pending. A
     /// connection established too late for this attempt is kept for the next.
     async fn connect(&self, address: SocketAddr) -> Option<TcpStream> {
-        let mut opens = Box::pin(TcpStream::connect(address));
+        let mut opens = Box::pin(socket::connect(address));
         let until = Instant::now() + self.pool.limits.connect;
         loop {
             match timeout_at(until.min(Instant::now() + CONNECTION_REST), &mut opens).await {
@@ -190,7 +210,7 @@
         let got = {
             let mut answer = pin!(async move {
                 match sender.send_request(request).await {
-                    Ok(response) => read_answer(response, forward, context, &read).await,
+                    Ok(response) => read_answer(response, forward, context, &read, &self.memory).await,
                     Err(error) => Err(AnswerError::Broken(error)),
                 }
             });
@@ -298,6 +318,7 @@
     forward: &Forward,
     context: &AttemptContext,
     progress: &SharedProgress,
+    memory: &AnswerMemory,
 ) -> Result<(Report, bool), AnswerError> {
     let (head, mut body) = response.into_parts();
     progress.with(|p| p.head_end = Some(p.read));
@@ -321,8 +342,10 @@
         Some(length) if length > MAX_HELD_BODY_BYTES as u64 => {
             ReceivedBody::More(first_piece(&mut body).await?)
         }
-        _ => buffer_body(&mut body).await?,
+        _ if end != AttemptEnd::Answered => discard_body(&mut body).await?,
+        _ => buffer_body(&mut body, length, &memory.held).await?,
     };
+    let mut stream_memory = memory.streams.empty_lease();
     let body = match held {
         ReceivedBody::Whole(body) => body,
         // A long body that is not to be streamed is of no use.
@@ -332,10 +355,15 @@
             return Err(AnswerError::Framing);
         }
         ReceivedBody::More(pieces) => {
+            progress.with(|p| p.streaming = true);
+            let wait = timeout(STREAM_STALL_LIMIT, cover_stream(&mut stream_memory)).await;
+            if wait.is_err() {
+                memory.streams.count_refusal();
+                return Err(AnswerError::Stopped(AttemptEnd::Broke));
+            }
             if !context.binder.begin_answer(load, used).await {
                 return Err(AnswerError::Stopped(AttemptEnd::CalledOff));
             }
-            progress.with(|p| p.streaming = true);
             stream_to_client(pieces, body, length, forward).await?;
             Bytes::new()
         }
@@ -365,17 +393,61 @@
     Ok(None)
 }
 
-/// Reads a body up to [`MAX_HELD_BODY_BYTES`] bytes; returns the pieces so far of a longer one.
-async fn buffer_body(body: &mut Incoming) -> Result<ReceivedBody, AnswerError> {
-    let (mut pieces, mut bytes) = (Vec::new(), 0);
+/// Reads a body up to [`MAX_HELD_BODY_BYTES`] bytes, or as far as there is memory to hold it; returns the pieces so far
+/// of a longer one.
+async fn buffer_body(
+    body: &mut Incoming,
+    length: Option<u64>,
+    memory: &MemoryShare,
+) -> Result<ReceivedBody, AnswerError> {
+    let length = length.map(|length| length as usize);
+    if let Some(length) = length.filter(|length| *length <= SHORT_ANSWER_BYTES) {
+        return short_body(body, length).await;
+    }
+    let mut buffer = BodyBuffer::new(length);
+    while let Some(mut piece) = next_piece(body).await? {
+        if buffer.push(&mut piece, memory).is_err() || buffer.length() > MAX_HELD_BODY_BYTES {
+            return Ok(received_so_far(buffer.finish(), piece));
+        }
+    }
+    match buffer.finish().into_bytes(memory) {
+        Ok(whole) => Ok(ReceivedBody::Whole(whole)),
+        Err(blocks) => Ok(received_so_far(blocks, Bytes::new())),
+    }
+}
+
+/// The beginning of a body that is not held, and the piece behind it.
+fn received_so_far(held: HeldBody, unheld: Bytes) -> ReceivedBody {
+    let pieces = held.into_blocks().into_iter().chain([unheld]);
+    ReceivedBody::More(pieces.filter(|piece| !piece.is_empty()).collect())
+}
+
+/// Reads a body of a declared length for which every client's connection has paid.
+async fn short_body(body: &mut Incoming, length: usize) -> Result<ReceivedBody, AnswerError> {
+    let mut whole = BytesMut::with_capacity(length);
+    while let Some(piece) = next_piece(body).await? {
+        whole.extend_from_slice(&piece);
+    }
+    Ok(ReceivedBody::Whole(whole.freeze()))
+}
+
+/// Reads a body that nobody needs; returns a piece of one that is longer than those that are held.
+async fn discard_body(body: &mut Incoming) -> Result<ReceivedBody, AnswerError> {
+    let mut bytes = 0;
     while let Some(piece) = next_piece(body).await? {
         bytes += piece.len();
-        pieces.push(piece);
         if bytes > MAX_HELD_BODY_BYTES {
-            return Ok(ReceivedBody::More(pieces));
+            return Ok(ReceivedBody::More(vec![piece]));
         }
     }
-    Ok(ReceivedBody::Whole(if pieces.len() == 1 { pieces.swap_remove(0) } else { pieces.concat().into() }))
+    Ok(ReceivedBody::Whole(Bytes::new()))
+}
+
+/// Waits for the memory of an answer that is passed on while it arrives.
+async fn cover_stream(lease: &mut MemoryLease) {
+    while lease.grow(STREAMED_ANSWER_BYTES).is_err() {
+        sleep(MEMORY_POLL_INTERVAL).await;
+    }
 }
 
 /// Streams a long answer to the client, at the pace of the slower of node and client.
--- a/src/net/back/tests.rs
+++ b/src/net/back/tests.rs
@@ -1,4 +1,7 @@
 use super::*;
+use crate::memory::{MemoryPlan, Options};
+
+const MEMORY_BYTES: usize = 32 * 1024 * 1024;
 
 #[test]
 fn a_request_is_written_once_its_last_byte_is() {
@@ -82,7 +85,9 @@
         let (core, _wanted) = crate::core::Core::new(settings, 7, 10, crate::clock::Clock::start());
         let limits = NodeLimits { most: 8, idle: STUCK, connect };
         let handle = core.handle();
-        timeout(STUCK, play(NodeClient::new(limits, handle.capacity_share()), handle)).await.expect("stuck")
+        let memory = MemoryPlan::new(MEMORY_BYTES, Options::default()).shares();
+        let client = NodeClient::new(limits, handle.capacity_share(), &memory);
+        timeout(STUCK, play(client, handle)).await.expect("stuck")
     })
 }
 
--- a/src/net/front/tests.rs
+++ b/src/net/front/tests.rs
@@ -13,7 +13,7 @@
     let limits = NodeLimits { most: 4, idle: times, connect: times };
     let front = HttpFront {
         handle: handle.clone(),
-        back: NodeClient::new(limits, handle.capacity_share()),
+        back: NodeClient::new(limits, handle.capacity_share(), &memory),
         names: watch::channel(Arc::default()).1,
         answer_margin: times,
         phase,
