Storage proxy: file commands that wait take their memory of a share

Clients of the SFTP front that wrote 64 KiB sixteen times each made the storage proxy hold 85 MiB of 32 (64 clients before a node that does not answer): commands in flight were counted by client only.

A command takes its data, either way, and 12 KiB of a share until its reply is sent. Without memory it waits, and nothing more is read from its client.

--- a/src/bin/pathbank/fronts.rs
+++ b/src/bin/pathbank/fronts.rs
@@ -56,6 +56,7 @@
         let front = sftp::front::Front {
             handle: proxy.handle.clone(),
             stores: sftp::back::Stores::new(&proxy.config, config.node_port),
+            memory: proxy.memory.file_commands.clone(),
             answer_margin: proxy.config.answer_margin,
             phase: proxy.phase.clone(),
             config: Arc::new(config),
--- a/src/net/sftp/back.rs
+++ b/src/net/sftp/back.rs
@@ -8,6 +8,7 @@
 use crate::core::{Attempt, AttemptContext, AttemptSource, Report, WriteState};
 use crate::net::inbound::Presence;
 use crate::net::pool::{Pool, Quiet};
+use crate::net::socket;
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use std::net::SocketAddr;
@@ -85,7 +86,7 @@
 
     async fn connect(&self, address: SocketAddr) -> Result<Connection, AttemptEnd> {
         let until = Instant::now() + self.pool.limits.connect;
-        let stream = timeout_at(until, TcpStream::connect(address)).await;
+        let stream = timeout_at(until, socket::connect(address)).await;
         let Ok(Ok(stream)) = stream else { return Err(AttemptEnd::NoConnection) };
         let _ = stream.set_nodelay(true); // affects latency only
         let mut connection = Connection { packets: Framed::new(stream, packet::packet_codec()), next_id: 0 };
--- a/src/net/sftp/front.rs
+++ b/src/net/sftp/front.rs
@@ -17,19 +17,24 @@
 use futures_util::stream::FuturesUnordered;
 use futures_util::{FutureExt, SinkExt, StreamExt};
 use log::debug;
+use pathbank_memory::share::{MemoryLease, MemoryShare};
 use std::collections::BTreeMap;
 use std::panic::AssertUnwindSafe;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Mutex, watch};
-use tokio::time::{Duration, Instant, timeout, timeout_at};
+use tokio::time::{Duration, Instant, sleep, timeout, timeout_at};
 use tokio_util::codec::Framed;
 
 /// The most files that a client may have open.
 const MAX_HANDLES: usize = 64;
 /// The most commands of a client in flight. The front reads no further command until one has a reply.
 const MAX_IN_FLIGHT: usize = 16;
+/// What a command holds beside its data: its task, its path, and its turn at the node.
+const COMMAND_BYTES: usize = 12 * 1024;
+/// How often a command that waits for memory looks again.
+const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// How long a client may take to receive a reply before the front closes the connection.
 const SEND_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -40,6 +45,8 @@
     pub handle: Handle,
     /// The connections to storage nodes.
     pub stores: Stores,
+    /// The memory for commands that are carried out.
+    pub memory: MemoryShare,
     /// The front's configuration.
     pub config: Arc<SftpFront>,
     /// How long before a command's deadline the front answers.
@@ -56,9 +63,24 @@
     lock: Mutex<()>,
 }
 
-/// The result of a command: its id; the node's encoded reply, or a reply of the proxy's own; and the file to
-/// register if the reply is a handle.
-type CommandResult = (u32, Result<Bytes, Reply>, Option<File>);
+/// The result of a command.
+struct CommandResult {
+    id: u32,
+    /// The node's encoded reply, or a reply of the proxy's own.
+    reply: Result<Bytes, Reply>,
+    /// The file to register if the reply is a handle.
+    opened: Option<File>,
+    /// The memory for the command and its reply, until the reply is sent.
+    _memory: MemoryLease,
+}
+
+/// A command for which there is no memory yet. Nothing more is read from its client.
+struct WaitingCommand {
+    id: u32,
+    command: Command,
+    received: Instant,
+}
+
 type InFlight = Pin<Box<dyn Future<Output = CommandResult> + Send>>;
 
 /// Accepts and serves clients until the phase no longer accepts connections, which happens only while the
@@ -78,6 +100,7 @@
         files: BTreeMap::new(),
         last_handle: 0,
         in_flight: FuturesUnordered::new(),
+        waiting: None,
     };
     let reason = session.run().await;
     let (handles, in_flight) = (session.files.len(), session.in_flight.len());
@@ -95,6 +118,7 @@
     files: BTreeMap<u64, Arc<File>>,
     last_handle: u64,
     in_flight: FuturesUnordered<InFlight>,
+    waiting: Option<WaitingCommand>,
 }
 
 impl Session {
@@ -121,7 +145,7 @@
         let client = self.client.clone();
         let mut client_left = pin!(client.left());
         loop {
-            let idle = self.in_flight.is_empty();
+            let idle = self.in_flight.is_empty() && self.waiting.is_none();
             if idle {
                 self.slot.mark_answered();
                 // A command that has already arrived is served before the connection closes.
@@ -131,11 +155,11 @@
             } else {
                 self.slot.mark_waiting();
             }
-            let full = self.in_flight.len() >= MAX_IN_FLIGHT;
+            let full = self.in_flight.len() >= MAX_IN_FLIGHT || self.waiting.is_some();
             tokio::select! {
                 biased;
-                Some((id, reply, file)) = self.in_flight.next() => {
-                    let packet = match (reply, file) {
+                Some(CommandResult { id, reply, opened, _memory }) = self.in_flight.next() => {
+                    let packet = match (reply, opened) {
                         (Ok(_), Some(file)) => Response::Reply { id, reply: self.register(file) }.encode(),
                         (Ok(packet), None) => packet,
                         (Err(reply), _) => Response::Reply { id, reply }.encode(),
@@ -144,6 +168,11 @@
                         return "it takes no replies";
                     }
                 }
+                () = sleep(MEMORY_POLL_INTERVAL), if self.waiting.is_some() => {
+                    if let Some(waiting) = self.waiting.take() {
+                        self.start(waiting);
+                    }
+                }
                 // Notices a closed connection also while no command is read from it.
                 () = &mut client_left => return "it closed the connection",
                 _ = self.slot.asked_to_leave() => asked_to_leave = true,
@@ -155,7 +184,9 @@
                         None => return "it closed the connection",
                     };
                     match Request::decode(packet) {
-                        Ok(Request::Command { id, command }) => self.dispatch(id, command, received),
+                        Ok(Request::Command { id, command }) => {
+                            self.start(WaitingCommand { id, command, received });
+                        }
                         Ok(Request::Init { .. }) => return "a second INIT",
                         Err(Malformed { id: Some(id), problem }) => {
                             self.queue_reply(id, Reply::status(Status::BadMessage, problem));
@@ -178,7 +209,10 @@
 
     /// Queues a reply that needs no node. It counts as a command in flight, like all others.
     fn queue_reply(&mut self, id: u32, reply: Reply) {
-        self.in_flight.push(Box::pin(async move { (id, Err(reply), None) }));
+        let memory = self.front.memory.empty_lease();
+        self.in_flight.push(Box::pin(async move {
+            CommandResult { id, reply: Err(reply), opened: None, _memory: memory }
+        }));
     }
 
     /// Registers an opened file and returns the reply with its handle.
@@ -194,8 +228,16 @@
         file.cloned().ok_or_else(|| Reply::status(Status::Failure, "no such handle"))
     }
 
-    /// Starts a command.
-    fn dispatch(&mut self, id: u32, command: Command, received: Instant) {
+    /// Starts a command, or has it wait for memory.
+    fn start(&mut self, waiting: WaitingCommand) {
+        match self.front.memory.lease(command_bytes(&waiting.command)) {
+            Ok(memory) => self.dispatch(waiting.id, waiting.command, waiting.received, memory),
+            Err(_) => self.waiting = Some(waiting),
+        }
+    }
+
+    /// Carries a command out.
+    fn dispatch(&mut self, id: u32, command: Command, received: Instant, memory: MemoryLease) {
         match self.plan(command) {
             Err(reply) => self.queue_reply(id, reply),
             Ok(PlannedOperation { path, operation, file, opens }) => {
@@ -208,13 +250,9 @@
                         event!(HANDLER_PANIC, front = "file commands");
                         Err(Reply::status(Status::Failure, "failed; it may have been done"))
                     });
-                    match reply {
-                        Ok(reply) => {
-                            let opened = opens.filter(|_| reply.is_handle());
-                            (id, Ok(reply.with_id(id)), opened)
-                        }
-                        Err(reply) => (id, Err(reply), None),
-                    }
+                    let opened = opens.filter(|_| reply.as_ref().is_ok_and(EncodedReply::is_handle));
+                    let reply = reply.map(|reply| reply.with_id(id));
+                    CommandResult { id, reply, opened, _memory: memory }
                 }));
             }
         }
@@ -270,6 +308,20 @@
     }
 }
 
+/// What a command holds until its reply is sent: its bytes, and those of the reply.
+fn command_bytes(command: &Command) -> usize {
+    let data = match command {
+        Command::Read { length, .. } => (*length as usize).min(MAX_DATA_BYTES),
+        Command::Write { data, .. } => data.len(),
+        Command::Open { .. }
+        | Command::Close { .. }
+        | Command::Stat { .. }
+        | Command::Fstat { .. }
+        | Command::Unsupported(_) => 0,
+    };
+    COMMAND_BYTES + data
+}
+
 /// The operation that a command needs.
 struct PlannedOperation {
     path: String,
