Storage proxy: a gRPC call takes the memory of its metadata before it is served

Clients that began calls with long metadata made the storage proxy hold 263 MiB of 32 (60 clients with 100 calls of 13 KiB): calls were counted once their request was complete only, and metadata kept the read buffers from which it came.

A call takes 3 KiB and its metadata of a share when it is accepted, or gets the status for no room. Its metadata is copied.

--- a/src/bin/pathbank/fronts.rs
+++ b/src/bin/pathbank/fronts.rs
@@ -77,6 +77,7 @@
             answer_margin: proxy.config.answer_margin,
             phase: proxy.phase.clone(),
             bodies: proxy.memory.bodies.clone(),
+            memory: proxy.memory.calls.clone(),
             counters: Arc::default(),
         };
         tokio::spawn(front.nodes.clone().maintain_channels());
--- a/src/net/grpc/back.rs
+++ b/src/net/grpc/back.rs
@@ -18,6 +18,7 @@
 use crate::grpc::frames::{FrameEvent, FrameKind, PREFACE_BYTES, Scanner};
 use crate::grpc::timeout;
 use crate::interface::Micros;
+use crate::net::socket;
 use bytes::Bytes;
 use h2::client::SendRequest;
 use h2::{Ping, PingPong};
@@ -33,7 +34,6 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::Poll;
-use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{Duration, Instant};
 
@@ -257,7 +257,7 @@
     let progress = ChannelProgress::default();
     let mut cleanup =
         ChannelCleanup { pool: pool.clone(), id, established: false, progress: progress.clone() };
-    let Ok(Ok(stream)) = tokio::time::timeout(pool.connect_timeout, TcpStream::connect(address)).await else {
+    let Ok(Ok(stream)) = tokio::time::timeout(pool.connect_timeout, socket::connect(address)).await else {
         return debug!(address:%; "connecting to a node failed or timed out");
     };
     pool.opened.fetch_add(1, Ordering::Relaxed);
--- a/src/net/grpc/front.rs
+++ b/src/net/grpc/front.rs
@@ -26,9 +26,9 @@
 use h2::server::SendResponse;
 use h2::{Reason, RecvStream, SendStream};
 use hyper::header::{CONTENT_TYPE as TYPE, HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use log::debug;
-use pathbank_memory::share::MemoryShare;
+use pathbank_memory::share::{MemoryLease, MemoryShare};
 use std::future::poll_fn;
 use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -43,6 +43,10 @@
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// How long the last frames of a connection that the front cuts off may take.
 const LAST_FRAMES_TIMEOUT: Duration = Duration::from_millis(200);
+/// What a call holds beside its metadata: its task, its stream, and channels.
+const CALL_BYTES: usize = 3 * 1024;
+/// What a field of metadata costs beside its bytes.
+const METADATA_FIELD_BYTES: usize = 128;
 /// The retry delay for a client whose call found no room.
 const NO_ROOM_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// How long after the call's deadline a client may take to receive the rest of a response that is complete.
@@ -70,6 +74,8 @@
     pub phase: watch::Receiver<Phase>,
     /// The memory for request bodies, shared with the HTTP front.
     pub bodies: MemoryShare,
+    /// The memory for calls: their metadata and tasks.
+    pub memory: MemoryShare,
     /// What the front has counted.
     pub counters: Arc<Counters>,
 }
@@ -306,7 +312,12 @@
                 Some(Ok((request, respond))) => {
                     front.counters.calls.fetch_add(1, Ordering::Relaxed);
                     slot.mark_waiting();
-                    calls.spawn(serve_call(front.clone(), client.clone(), monitor.clone(), request, respond));
+                    let Ok(memory) = front.memory.lease(call_bytes(&request)) else {
+                        front.memory.count_refusal();
+                        ResponseSender::Unsent(respond).finish(&Final::NoRoom(NO_ROOM_RETRY_AFTER));
+                        continue;
+                    };
+                    calls.spawn(serve_call(front.clone(), client.clone(), monitor.clone(), request, respond, memory));
                 }
                 Some(Err(error)) => {
                     if !error.is_io() {
@@ -424,6 +435,31 @@
     trailers
 }
 
+/// What a call holds: its task, and its metadata.
+fn call_bytes(request: &Request<RecvStream>) -> usize {
+    let fields = request.headers().iter();
+    let metadata = fields.map(|(name, value)| name.as_str().len() + value.len() + METADATA_FIELD_BYTES);
+    CALL_BYTES + metadata.sum::<usize>()
+}
+
+/// Returns metadata of its own memory.
+fn copied_metadata(metadata: &HeaderMap) -> HeaderMap {
+    let copied = |(name, value): (&HeaderName, &HeaderValue)| {
+        let name = HeaderName::from_bytes(name.as_str().as_bytes()).ok()?;
+        Some((name, HeaderValue::from_bytes(value.as_bytes()).ok()?))
+    };
+    let mut copy = HeaderMap::with_capacity(metadata.len());
+    for (name, value) in metadata.iter().filter_map(copied) {
+        copy.append(name, value);
+    }
+    copy
+}
+
+/// Returns a URI of its own memory.
+fn copied_uri(uri: &Uri) -> Uri {
+    Uri::try_from(uri.to_string()).unwrap_or_else(|_| uri.clone())
+}
+
 /// Cancels a call's attempts when the call's task ends, also by a panic.
 struct CancelOnDrop(Arc<Call>);
 
@@ -440,6 +476,7 @@
     monitor: ConnectionMonitor,
     request: Request<RecvStream>,
     respond: SendResponse<Bytes>,
+    _memory: MemoryLease,
 ) {
     let received = Instant::now();
     let (head, mut body) = request.into_parts();
@@ -463,7 +500,10 @@
     let (streams, answer_by) = (route.streams_request, arrival.answer_by);
     let hold = front.config.hold;
     let memory = front.bodies.clone();
-    let call = Arc::new(Call::new(head.uri, head.headers, route, hold, memory, parts_sender, client));
+    // Copied: the metadata would keep the whole read buffer from which it came.
+    let (uri, metadata) = (copied_uri(&head.uri), copied_metadata(&head.headers));
+    drop((head.uri, head.headers));
+    let call = Arc::new(Call::new(uri, metadata, route, hold, memory, parts_sender, client));
     let _cancel = CancelOnDrop(call.clone());
     let (mut reading, complete_by) =
         (!body.is_end_stream(), answer_by.min(received + front.config.request_time));
