Storage proxy: calls to its voter come out of a share of its memory

Strangers at a voter's address made the storage proxy hold 145 MiB of 32 with 8 bodies of 16 MiB short of their end, and 72 with 145 heads of 380 KiB: a body was collected whole however long it took, and heads had hyper's own limit.

A call's body is read into leased blocks, as fast as clients' bodies have to come, and its answer is leased until it is written; without memory the answer is 503. Heads have 16 KiB at most. A connection that takes nothing of its answer for 10 s breaks.

--- a/src/bin/pathbank/startup.rs
+++ b/src/bin/pathbank/startup.rs
@@ -131,7 +131,7 @@
         if let Some(agreement) = agreement {
             let lease_clock = LeaseClock::new(agreement.clock_ahead, agreement.clock_ppm);
             let view =
-                runtime::start(agreement, &config.name, handle.clone(), lease_clock)?;
+                runtime::start(agreement, &config.name, handle.clone(), lease_clock, memory.voter.clone())?;
             let known = view.lock().map(|view| view.clone()).map_err(|_| "the agreement's thread failed")?;
             core.set_agreement(Agreed {
                 rules: Rules::new(settings, numbers.rule_names(), known),
--- a/src/net/agree/mod.rs
+++ b/src/net/agree/mod.rs
@@ -7,6 +7,7 @@
 pub mod call;
 pub mod command;
 pub mod database;
+mod held_calls;
 mod lease_renewal;
 pub mod runtime;
 mod serve;
--- a/src/net/agree/runtime.rs
+++ b/src/net/agree/runtime.rs
@@ -10,6 +10,7 @@
 use crate::config::agree::Agreement;
 use crate::core::Handle;
 use crate::event;
+use pathbank_memory::share::MemoryShare;
 use std::io;
 use std::net::TcpListener;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -22,7 +23,7 @@
 const PROCESS_ID_SHIFT: u32 = 44;
 
 /// Starts the thread. Returns the view on which this process acts, which the thread keeps current; `handle` gets
-/// `Input::AgreementChanged` when the view changes.
+/// `Input::AgreementChanged` when the view changes. Calls to the voter take their memory of `voter_memory`.
 ///
 /// # Errors
 ///
@@ -33,11 +34,12 @@
     process: &str,
     handle: Handle,
     pace: LeaseClock,
+    voter_memory: MemoryShare,
 ) -> io::Result<Arc<Mutex<LeaseView>>> {
     let caller = Caller::new(&config.cluster);
     let renewal = LeaseRenewal::new(holder_id(process), config.clone(), caller.clone(), pace, handle);
     let view = renewal.view();
-    let voter = VoterService::new(config.clone(), caller, pace).map(Arc::new);
+    let voter = VoterService::new(config.clone(), caller, pace, voter_memory).map(Arc::new);
     let listener = voter.as_ref().and_then(|voter| voter.bind());
     if voter.is_none() {
         log_started(&config.cluster, None, None);
--- a/src/net/agree/serve.rs
+++ b/src/net/agree/serve.rs
@@ -1,11 +1,13 @@
 //! A voter's HTTP server: routes of axum, with limits on the number of connections, header time and body size.
 
+use super::held_calls;
 use super::voter_service::{VoterError, VoterService};
 use super::wire::{self, CLUSTER_HEADER, MAX_MESSAGE_BYTES, MessageEnvelope, RecordsRequest, StateRequest};
 use crate::agree::Message;
 use crate::agree::document::Edit;
 use crate::agree::voter::Voters;
 use crate::event;
+use crate::net::socket;
 use axum::Router;
 use axum::body::Bytes;
 use axum::extract::{DefaultBodyLimit, Request, State};
@@ -17,6 +19,7 @@
 use hyper_util::service::TowerToHyperService;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use socket2::SockRef;
 use std::sync::Arc;
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
@@ -26,12 +29,17 @@
 const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// The interval between retries after a failed accept.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+/// The most bytes of a request's head.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// A connection on which nothing of an answer is taken for so long breaks.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(10);
 const MAX_RECORDS_PER_ANSWER: usize = 1_000;
 
 type Voter = State<Arc<VoterService>>;
 
 /// Accepts connections until the listener is dropped with the runtime.
 pub(super) async fn serve(listener: TcpListener, voter: Arc<VoterService>) {
+    socket::limit_unread(&listener);
     let slots = Arc::new(Semaphore::new(voter.max_connections()));
     let router = router(voter);
     loop {
@@ -40,11 +48,14 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true); // a failure only delays answers
+                // An answer that nobody takes ends with its connection.
+                let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNREAD_TIMEOUT));
                 let service = TowerToHyperService::new(router.clone());
                 tokio::spawn(async move {
                     let _slot = slot;
                     let mut http = hyper::server::conn::http1::Builder::new();
-                    http.timer(TokioTimer::new()).header_read_timeout(REQUEST_HEAD_TIMEOUT);
+                    http.timer(TokioTimer::new());
+                    http.header_read_timeout(REQUEST_HEAD_TIMEOUT).max_buf_size(MAX_HEAD_BYTES);
                     // Errors of a client's connection are ignored.
                     let _ = http.serve_connection(TokioIo::new(stream), service).await;
                 });
@@ -67,6 +78,7 @@
         .route(wire::STATE_PATH, post(state))
         .route(wire::RECORDS_PATH, post(records))
         .route(wire::VERIFY_PATH, post(verify))
+        .layer(from_fn_with_state(voter.memory().clone(), held_calls::hold))
         .layer(from_fn_with_state(voter.clone(), reject_other_clusters))
         .layer(DefaultBodyLimit::max(MAX_MESSAGE_BYTES))
         .with_state(voter)
--- a/src/net/agree/voter_service/mod.rs
+++ b/src/net/agree/voter_service/mod.rs
@@ -19,6 +19,7 @@
 use crate::event;
 use host::VoterHost;
 use links::PeerLinks;
+use pathbank_memory::share::MemoryShare;
 use std::net::TcpListener;
 use std::sync::{Arc, Mutex};
 use thiserror::Error;
@@ -57,22 +58,33 @@
     host: Mutex<Option<VoterHost>>,
     links: PeerLinks,
     caller: Caller,
+    /// The memory for calls.
+    memory: MemoryShare,
     /// The last committed entry, for requests that wait for a commit.
     commits: watch::Sender<Index>,
 }
 
 impl VoterService {
     /// Creates the service. `None`: the configuration has no voter for this process.
-    pub(super) fn new(config: Agreement, caller: Caller, pace: LeaseClock) -> Option<VoterService> {
+    pub(super) fn new(
+        config: Agreement,
+        caller: Caller,
+        pace: LeaseClock,
+        memory: MemoryShare,
+    ) -> Option<VoterService> {
         let settings = config.voter.clone()?;
         let (host, links, commits) = (Mutex::default(), PeerLinks::default(), watch::Sender::new(0));
-        Some(VoterService { config, settings, pace, host, links, caller, commits })
+        Some(VoterService { config, settings, pace, host, links, caller, commits, memory })
     }
 
     pub(super) fn cluster(&self) -> &str {
         &self.config.cluster
     }
 
+    pub(super) fn memory(&self) -> &MemoryShare {
+        &self.memory
+    }
+
     pub(super) fn max_connections(&self) -> usize {
         self.settings.max_connections
     }
