--- a/crates/system/src/net/link.rs
+++ b/crates/system/src/net/link.rs
@@ -310,7 +310,7 @@
     }
 
     /// No part of a message is held any more.
-    fn is_empty(&mut self) {
+    fn message_taken(&mut self) {
         self.lease.shrink(LINK_BYTES);
         self.moved_bytes = 0;
         if let Some(arrival) = &self.arrival {
@@ -387,7 +387,7 @@
         }
         if buffer.is_empty() && buffer.capacity() > LINK_BYTES {
             buffer = Vec::new();
-            inbox.is_empty();
+            inbox.message_taken();
         }
     }
 }
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -25,7 +25,7 @@
     /// Bodies of up to 64 KiB.
     pub const BODIES: usize = 125;
     /// Longer bodies, and those of no declared length.
-    pub const UPLOADS: usize = 125;
+    pub const UPLOADS: usize = 100;
     /// Heads beyond what every connection holds.
     pub const HEADS: usize = 40;
     /// Answers that are held.
@@ -105,7 +105,7 @@
         (self.part(part::FILES) / 2 / FILE_CONNECTION_BYTES).max(1)
     }
 
-    /// Bytes of requests' bodies of either kind.
+    /// Bytes of requests' bodies of up to 64 KiB.
     pub fn bodies(&self) -> usize {
         self.part(part::BODIES)
     }
