A link, an upload and a refused call give back what they hold when they hold it no more

A long message gave its link's own memory away with it, and a link that got one message behind the other did not count as moving. A gRPC client whose only call was refused for memory counted as one that awaits an answer, so that its connection could not be asked to leave.

--- a/crates/system/src/net/link.rs
+++ b/crates/system/src/net/link.rs
@@ -264,10 +264,9 @@
             let more = self.take(missing).await?;
             self.lease.merge(more);
         }
-        // A byte now and then is no movement.
-        if arrived >= self.moved_bytes + READ_BUFFER_BYTES
-            && let Some(arrival) = &self.arrival
-        {
+        // A byte now and then is no movement; fewer bytes are left where a message was taken.
+        let has_moved = arrived < self.moved_bytes || arrived >= self.moved_bytes + READ_BUFFER_BYTES;
+        if has_moved && let Some(arrival) = &self.arrival {
             arrival.moved(BodySize::Large);
             self.moved_bytes = arrived;
         }
@@ -299,7 +298,10 @@
     /// Takes the memory for a message that has arrived, until it has been handled.
     async fn take_message(&mut self, body_bytes: usize) -> Result<MemoryLease, ShareExhausted> {
         if body_bytes > READ_BUFFER_BYTES {
-            // What it took while it arrived is not needed for another one before that one arrives.
+            // It keeps what it took while it arrived; another message takes its own.
+            let missing = (LINK_BYTES + body_bytes).saturating_sub(self.lease.bytes());
+            let more = self.take(missing).await?;
+            self.lease.merge(more);
             return Ok(self.lease.split(body_bytes));
         }
         let bytes = MESSAGE_BYTES + DECODED_FACTOR * body_bytes;
--- a/src/net/grpc/front.rs
+++ b/src/net/grpc/front.rs
@@ -311,12 +311,12 @@
             accepted = connection.accept() => match accepted {
                 Some(Ok((request, respond))) => {
                     front.counters.calls.fetch_add(1, Ordering::Relaxed);
-                    slot.mark_waiting();
                     let Ok(memory) = front.memory.lease(call_bytes(&request)) else {
                         front.memory.count_refusal();
                         ResponseSender::Unsent(respond).finish(&Final::NoRoom(NO_ROOM_RETRY_AFTER));
                         continue;
                     };
+                    slot.mark_waiting();
                     calls.spawn(serve_call(front.clone(), client.clone(), monitor.clone(), request, respond, memory));
                 }
                 Some(Err(error)) => {
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -233,7 +233,7 @@
         socket::widen(&SockRef::from(lock(&self.0).read.as_ref()), wide);
     }
 
-    /// The request is complete and awaits its answer. What comes behind it is held up to [`MAX_READ_AHEAD`] bytes; with
+    /// The request is complete and awaits its answer. What comes behind it is held up to a bound; with
     /// more, the connection ends with the answer.
     pub fn request_complete(&self) {
         let mut state = lock(&self.0);
--- a/src/net/incoming_body.rs
+++ b/src/net/incoming_body.rs
@@ -26,6 +26,16 @@
     held: Option<MemoryLease>,
 }
 
+impl State {
+    /// Gives back the memory for bytes that are not held any more.
+    fn give_back_sent(&mut self) {
+        let bytes = self.buffer.bytes();
+        if let Some(held) = &mut self.held {
+            held.shrink(bytes);
+        }
+    }
+}
+
 impl IncomingBody {
     /// Creates a body of which up to `hold` bytes are held before it is bound to an attempt.
     pub fn new(hold: usize, memory: MemoryShare) -> IncomingBody {
@@ -124,14 +134,17 @@
     pub fn bind(&self, attempt: u32, sent: usize) {
         let mut state = self.state();
         state.buffer.bind(attempt, sent);
-        state.held = None;
+        state.give_back_sent();
         drop(state);
         self.readable.notify_one();
     }
 
     /// Records that an attempt has sent `sent` pieces, and releases them if the body is bound to it.
     pub fn sent(&self, attempt: u32, sent: usize) {
-        if self.state().buffer.sent(attempt, sent) > 0 {
+        let mut state = self.state();
+        if state.buffer.sent(attempt, sent) > 0 {
+            state.give_back_sent();
+            drop(state);
             self.readable.notify_one();
         }
     }
