--- a/src/net/inbound/tests.rs
+++ b/src/net/inbound/tests.rs
@@ -118,3 +118,47 @@
         assert_eq!(slots.held(), 0);
     });
 }
+
+#[test]
+fn what_comes_behind_a_complete_request_is_thrown_away_and_the_end_is_seen_behind_it() {
+    with_pair(async |mut client, _inbound, presence| {
+        presence.request_complete();
+        client.write_all(&vec![7; 20 * MAX_READ_AHEAD]).unwrap();
+        drop(client);
+        presence.left().await;
+        assert!(presence.has_discarded() && !presence.has_unread());
+    });
+}
+
+#[test]
+fn a_client_that_sends_on_behind_a_complete_request_counts_as_one_that_left() {
+    with_pair(async |mut client, inbound, presence| {
+        presence.request_complete();
+        let sender = std::thread::spawn(move || {
+            // An error once the connection is dropped.
+            let _ = client.write_all(&vec![7; 2 * MAX_DISCARDED_BYTES]);
+            client
+        });
+        presence.left().await;
+        assert!(presence.has_left());
+        drop((inbound, presence));
+        sender.join().unwrap();
+    });
+}
+
+#[test]
+fn a_few_bytes_behind_a_request_reach_the_parser_once_it_is_answered() {
+    with_pair(async |mut client, mut inbound, presence| {
+        presence.request_complete();
+        client.write_all(&[7; 100]).unwrap();
+        while !presence.has_unread() {
+            tokio::task::yield_now().await;
+        }
+        presence.answer_given();
+        inbound.flush().await.unwrap();
+        client.write_all(&vec![7; 2 * MAX_READ_AHEAD]).unwrap();
+        let mut came = vec![0; 100 + 2 * MAX_READ_AHEAD];
+        inbound.read_exact(&mut came).await.unwrap();
+        assert!(!presence.has_discarded() && came.iter().all(|byte| *byte == 7));
+    });
+}
