A list of tenants that is empty lets no key pass, as one that is absent lets all

The stored document tells an empty list from an absent one, but edges asked whether there is a tenant, and differences sent a removed list and a list of removed items alike.

Change: an edge's update says which sections it has, the routing table holds whether there is a list of tenants. A new list is announced also if empty; a list that disappears is sent by a whole configuration. An update that names no item leaves an absent list absent: ChangeKind::UpdateItems, of command format 2, since older members would come to another state. Limits of null are no limits at edges.

The test of deregistration that waited for command format 1 waits for format 2, the newest. a_removed_section_is_removed_at_the_edges takes the whole configuration where there is no difference, as edges do, and checks the keys themselves as well.

--- a/crates/control/src/checked_document.rs
+++ b/crates/control/src/checked_document.rs
@@ -3,7 +3,7 @@
 //! that routes name, keys.
 
 use crate::configuration::{Backend, Limits, Rejection, Route, Tenant};
-use crate::document::{Document, Field, Touched};
+use crate::document::{AbsentLists, Document, Field, Touched};
 use crate::document_index::DocumentIndex;
 use crate::result_code::ResultCode;
 use facet::Facet;
@@ -58,8 +58,13 @@
     /// # Errors
     ///
     /// The result is invalid, or its version is not greater than `above`.
-    pub fn updated(&self, update: &Value, above: u64) -> Result<CheckedDocument, Rejection> {
-        let (document, touched) = self.document.updated(update)?;
+    pub fn updated(
+        &self,
+        update: &Value,
+        absent_lists: AbsentLists,
+        above: u64,
+    ) -> Result<CheckedDocument, Rejection> {
+        let (document, touched) = self.document.updated(update, absent_lists)?;
         self.changed(document, &touched, above)
     }
 
--- a/crates/control/src/document.rs
+++ b/crates/control/src/document.rs
@@ -62,6 +62,15 @@
 /// The items that a change added, removed or replaced, by section and position.
 pub type Touched = BTreeSet<(String, Position)>;
 
+/// What an update makes of a list that the document does not have, if it adds no item to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AbsentLists {
+    /// The list stays absent.
+    StayAbsent,
+    /// The list appears, and is empty.
+    Appear,
+}
+
 /// A document.
 #[derive(Clone, Debug, Default)]
 pub struct Document {
@@ -130,7 +139,11 @@
     /// # Errors
     ///
     /// The update has no version, or its `delete` or `upsert` section is malformed.
-    pub fn updated(&self, update: &Value) -> Result<(Document, Touched), Rejection> {
+    pub fn updated(
+        &self,
+        update: &Value,
+        absent_lists: AbsentLists,
+    ) -> Result<(Document, Touched), Rejection> {
         let mut document = self.clone();
         let mut touched = Touched::new();
         let version = update.get("version").ok_or_else(|| unreadable("version is missing"))?;
@@ -139,13 +152,16 @@
             let sections = delete.as_object().ok_or_else(|| unreadable("delete is no object"))?;
             for (section, names) in sections {
                 let names = names.as_array().ok_or_else(|| unreadable("delete holds no list of names"))?;
-                document.delete_named(section, names, &mut touched);
+                if document.may_hold(section, absent_lists) {
+                    document.delete_named(section, names, &mut touched);
+                }
             }
         }
         if let Some(upsert) = update.get("upsert") {
             let sections = upsert.as_object().ok_or_else(|| unreadable("upsert is no object"))?;
             for (section, value) in sections {
                 match value.as_array() {
+                    Some(items) if items.is_empty() && !document.may_hold(section, absent_lists) => {}
                     Some(items) => document.upsert_items(section, items, &mut touched),
                     None => document.set(section, value.clone()),
                 }
@@ -154,6 +170,11 @@
         Ok((document, touched))
     }
 
+    /// Whether a list is there, or comes into being by an update that adds nothing to it.
+    fn may_hold(&self, section: &str, absent_lists: AbsentLists) -> bool {
+        self.field(section).is_some() || absent_lists == AbsentLists::Appear
+    }
+
     fn set(&mut self, name: &str, value: Value) {
         self.fields.insert_mut(name.to_owned(), Field::of(value));
     }
--- a/crates/control/src/edge_document.rs
+++ b/crates/control/src/edge_document.rs
@@ -10,6 +10,7 @@
 const SECTIONS: [&str; 3] = ["routes", "backends", "tenants"];
 const BACKENDS: &str = "backends";
 const LIMITS: &str = "limits";
+const VERSION: &str = "version";
 
 /// All parts of a document that edges use.
 pub fn full(document: &Document) -> Value {
@@ -19,36 +20,46 @@
             fields.insert(section.to_owned(), list.iter().map(|item| for_edges(section, item)).collect());
         }
     }
-    for field in [LIMITS, "version"] {
-        fields.extend(document.plain(field).map(|value| (field.to_owned(), value.clone())));
-    }
+    fields.extend(document.plain(LIMITS).map(|_| (LIMITS.to_owned(), limits_for_edges(document))));
+    fields.extend(document.plain(VERSION).map(|version| (VERSION.to_owned(), version.clone())));
     Value::Object(fields)
 }
 
-/// The update that turns `before` into `after` at an edge. `None`: an item has no name, so no update can
-/// address it.
+/// The update that turns `before` into `after` at an edge. `None`: no update can do that, because an item has no
+/// name by which to address it, or because a whole list is absent from `after`, which an update cannot tell from
+/// a list whose items were removed.
 pub fn difference(before: &Document, after: &Document) -> Option<Value> {
     let (mut upsert, mut delete) = (Map::new(), Map::new());
     let empty = ItemList::default();
     for section in SECTIONS {
+        let (had_list, has_list) = (before.list(section).is_some(), after.list(section).is_some());
+        if had_list && !has_list {
+            return None;
+        }
         let lists = [before, after].map(|document| document.list(section).unwrap_or(&empty));
         if !lists.iter().all(|list| list.is_named()) {
             return None;
         }
         let (changed, removed) = changed_items(section, lists);
-        if !changed.is_empty() {
+        let is_new = has_list && !had_list;
+        if is_new || !changed.is_empty() {
             upsert.insert(section.to_owned(), changed.into());
         }
         if !removed.is_empty() {
             delete.insert(section.to_owned(), removed.into());
         }
     }
-    if before.plain(LIMITS) != after.plain(LIMITS) {
-        // Removed limits are sent as empty ones.
-        upsert.insert(LIMITS.to_owned(), after.plain(LIMITS).cloned().unwrap_or_else(|| json!({})));
+    if limits_for_edges(before) != limits_for_edges(after) {
+        upsert.insert(LIMITS.to_owned(), limits_for_edges(after));
     }
-    let version = after.plain("version").cloned().unwrap_or(Value::Null);
-    Some(json!({ "version": version, "upsert": upsert, "delete": delete }))
+    let version = after.plain(VERSION).cloned().unwrap_or(Value::Null);
+    Some(json!({ VERSION: version, "upsert": upsert, "delete": delete }))
+}
+
+/// The limits of a document. Absent limits and `null` are sent as empty ones: an edge takes an update without
+/// limits as one that leaves them as they are.
+fn limits_for_edges(document: &Document) -> Value {
+    document.plain(LIMITS).filter(|limits| !limits.is_null()).cloned().unwrap_or_else(|| json!({}))
 }
 
 /// The items that changed, and the names that were removed. All items of a name are sent together: a change
--- a/crates/control/src/edge_update.rs
+++ b/crates/control/src/edge_update.rs
@@ -13,6 +13,9 @@
 /// Items of one section that were added or changed, and the names of those that were removed.
 #[derive(Debug)]
 pub struct SectionUpdate<T> {
+    /// Whether the update has this section, be it empty. A full configuration without a section differs from one
+    /// whose section is empty.
+    pub is_listed: bool,
     /// Items to add, or to replace the items of the same name with.
     pub upsert: Vec<T>,
     /// Names of items to remove, before anything is added.
@@ -21,7 +24,7 @@
 
 impl<T> Default for SectionUpdate<T> {
     fn default() -> Self {
-        SectionUpdate { upsert: Vec::new(), delete: Vec::new() }
+        SectionUpdate { is_listed: false, upsert: Vec::new(), delete: Vec::new() }
     }
 }
 
@@ -42,28 +45,28 @@
     pub limits: Option<Limits>,
 }
 
-/// Items of the sections that edges use, not parsed yet.
+/// Items of the sections that edges use, not parsed yet. `None`: the section is absent.
 #[derive(Default, Deserialize)]
 struct RawSections<'a> {
     #[serde(borrow, default)]
-    routes: Vec<&'a RawValue>,
+    routes: Option<Vec<&'a RawValue>>,
     #[serde(borrow, default)]
-    backends: Vec<&'a RawValue>,
+    backends: Option<Vec<&'a RawValue>>,
     #[serde(borrow, default)]
-    tenants: Vec<&'a RawValue>,
+    tenants: Option<Vec<&'a RawValue>>,
     #[serde(borrow, default)]
     limits: Option<&'a RawValue>,
 }
 
-/// Names by section.
+/// Names by section. `None`: the section is absent.
 #[derive(Default, Deserialize)]
 struct RawNames {
     #[serde(default)]
-    routes: Vec<String>,
+    routes: Option<Vec<String>>,
     #[serde(default)]
-    backends: Vec<String>,
+    backends: Option<Vec<String>>,
     #[serde(default)]
-    tenants: Vec<String>,
+    tenants: Option<Vec<String>>,
 }
 
 #[derive(Deserialize)]
@@ -82,7 +85,9 @@
 
 /// An update that is being parsed. It borrows the received bytes.
 pub struct EdgeUpdateReader<'a> {
-    sections: RawSections<'a>,
+    routes: Vec<&'a RawValue>,
+    backends: Vec<&'a RawValue>,
+    tenants: Vec<&'a RawValue>,
     update: EdgeUpdate,
 }
 
@@ -106,10 +111,12 @@
         };
         let mut update = EdgeUpdate { is_full, version, ..EdgeUpdate::default() };
         update.limits = sections.limits.map(read_item).transpose()?;
-        update.routes.delete = delete.routes;
-        update.backends.delete = delete.backends;
-        update.tenants.delete = delete.tenants;
-        Ok(EdgeUpdateReader { sections, update })
+        Ok(EdgeUpdateReader {
+            routes: begin_section(&mut update.routes, sections.routes, delete.routes),
+            backends: begin_section(&mut update.backends, sections.backends, delete.backends),
+            tenants: begin_section(&mut update.tenants, sections.tenants, delete.tenants),
+            update,
+        })
     }
 
     /// Parses up to `max` items. Returns whether all items are parsed.
@@ -118,11 +125,10 @@
     ///
     /// An item does not have the form that its section needs.
     pub fn read_some(&mut self, max: usize) -> Result<bool, Rejection> {
-        let left = read_section(&mut self.sections.routes, &mut self.update.routes, max)?;
-        let left = read_section(&mut self.sections.backends, &mut self.update.backends, left)?;
-        read_section(&mut self.sections.tenants, &mut self.update.tenants, left)?;
-        let sections = &self.sections;
-        Ok(sections.routes.is_empty() && sections.backends.is_empty() && sections.tenants.is_empty())
+        let left = read_section(&mut self.routes, &mut self.update.routes, max)?;
+        let left = read_section(&mut self.backends, &mut self.update.backends, left)?;
+        read_section(&mut self.tenants, &mut self.update.tenants, left)?;
+        Ok(self.routes.is_empty() && self.backends.is_empty() && self.tenants.is_empty())
     }
 
     /// The update, once all its items are parsed.
@@ -144,6 +150,17 @@
     }
 }
 
+/// Records which parts of a section the update has. Returns the items, to be parsed.
+fn begin_section<'a, T>(
+    section: &mut SectionUpdate<T>,
+    items: Option<Vec<&'a RawValue>>,
+    deleted: Option<Vec<String>>,
+) -> Vec<&'a RawValue> {
+    section.is_listed = items.is_some() || deleted.is_some();
+    section.delete = deleted.unwrap_or_default();
+    items.unwrap_or_default()
+}
+
 /// Parses items from the end of the section's list, which saves moving the others. Returns how many more may
 /// be parsed.
 fn read_section<T: for<'f> Facet<'f>>(
--- a/crates/control/src/prepared_change.rs
+++ b/crates/control/src/prepared_change.rs
@@ -4,7 +4,7 @@
 
 use crate::checked_document::CheckedDocument;
 use crate::configuration::Rejection;
-use crate::document;
+use crate::document::{self, AbsentLists};
 use crate::state::{Change, ChangeKind};
 use pathbank_coordination::digest::digest;
 use serde_json::Value;
@@ -50,12 +50,15 @@
     fn document_after(&self, kind: ChangeKind, body: Value) -> Result<CheckedDocument, Rejection> {
         match (kind, body) {
             (ChangeKind::Replace, Value::Object(body)) => CheckedDocument::replaced(body, self.version),
-            (_, body) => {
-                let empty = CheckedDocument::default();
-                self.document.as_ref().unwrap_or(&empty).updated(&body, self.version)
-            }
+            (ChangeKind::UpdateItems, body) => self.updated(&body, AbsentLists::StayAbsent),
+            (ChangeKind::Replace | ChangeKind::Update, body) => self.updated(&body, AbsentLists::Appear),
         }
     }
+
+    fn updated(&self, body: &Value, absent_lists: AbsentLists) -> Result<CheckedDocument, Rejection> {
+        let empty = CheckedDocument::default();
+        self.document.as_ref().unwrap_or(&empty).updated(body, absent_lists, self.version)
+    }
 }
 
 impl PreparedChange {
@@ -70,11 +73,11 @@
     }
 }
 
-/// The identity of a change: its kind, its base and its content regardless of white space.
+/// The identity of a change: its kind as the operator sent it, its base and its content regardless of white space.
 fn digest_of(change: &Change, body: &Value) -> u128 {
     let kind: &[u8] = match change.kind {
         ChangeKind::Replace => b"replace",
-        ChangeKind::Update => b"update",
+        ChangeKind::Update | ChangeKind::UpdateItems => b"update",
     };
     digest(&[kind, &change.base.to_le_bytes(), body.to_string().as_bytes()])
 }
--- a/crates/control/src/routes.rs
+++ b/crates/control/src/routes.rs
@@ -15,6 +15,8 @@
     pub version: u64,
     /// The limits of clients' requests and connections.
     pub limits: Limits,
+    /// Whether the configuration has a list of tenants, be it empty.
+    requires_keys: bool,
     routes: ByName<Route>,
     /// By host, in lower case, and prefix.
     by_host: HashTrieMapSync<Arc<str>, HashTrieMapSync<Arc<str>, Arc<Route>>>,
@@ -54,7 +56,7 @@
         }
         table.change_routes(update.routes);
         table.change_tenants(update.tenants);
-        let SectionUpdate { upsert, delete } = update.backends;
+        let SectionUpdate { upsert, delete, .. } = update.backends;
         delete.iter().for_each(|name| _ = table.backends.remove_mut(name.as_str()));
         for backend in upsert {
             table.backends.insert_mut(Arc::from(backend.name.as_str()), Arc::new(backend));
@@ -63,7 +65,7 @@
     }
 
     fn change_routes(&mut self, update: SectionUpdate<Route>) {
-        let SectionUpdate { upsert, delete } = update;
+        let SectionUpdate { upsert, delete, .. } = update;
         delete.iter().for_each(|name| self.remove_routes(name));
         // Two routes may have swapped prefixes: all are removed before any is added.
         upsert.iter().for_each(|route| self.remove_routes(&route.name));
@@ -87,8 +89,11 @@
         }
     }
 
+    /// A list of tenants whose last one is taken away stays a list, by which no key is known. A difference cannot
+    /// take the list itself away.
     fn change_tenants(&mut self, update: SectionUpdate<Tenant>) {
-        let SectionUpdate { upsert, delete } = update;
+        let SectionUpdate { is_listed, upsert, delete } = update;
+        self.requires_keys |= is_listed;
         delete.iter().for_each(|name| self.remove_tenants(name));
         // A key may have moved from one tenant to another.
         upsert.iter().for_each(|tenant| self.remove_tenants(&tenant.name));
@@ -121,9 +126,10 @@
         self.by_key.get(key)
     }
 
-    /// Whether requests need a key at all.
-    pub fn has_tenants(&self) -> bool {
-        !self.tenants.is_empty()
+    /// Whether requests need a key, except on public routes: the configuration has a list of tenants. With an empty
+    /// list no key is known, and none passes.
+    pub fn requires_keys(&self) -> bool {
+        self.requires_keys
     }
 
     /// A service by its name.
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -24,8 +24,12 @@
 pub enum ChangeKind {
     /// The body is a complete configuration.
     Replace,
-    /// The body names items to add, replace or remove.
+    /// The body names items to add, replace or remove. A list that the document does not have comes into being, also
+    /// where the body names no item of it.
     Update,
+    /// Like `Update`, but only an item that is added brings a list into being: a list that is absent stays absent
+    /// where the body adds nothing to it. Of command format 2.
+    UpdateItems,
 }
 
 /// A change as an operator sent it.
@@ -70,7 +74,11 @@
 
 /// The newest format of commands that this program decodes. Format 0 ends with `Command::Training`, and
 /// `Command::RaiseFormat` itself belongs to format 1.
-pub const COMMAND_FORMAT: u32 = 1;
+pub const COMMAND_FORMAT: u32 = FORMAT_WITH_UPDATED_ITEMS;
+/// The first format of commands with `Command::Deregister`.
+pub const FORMAT_WITH_DEREGISTRATIONS: u32 = 1;
+/// The first format of commands with `ChangeKind::UpdateItems`.
+pub const FORMAT_WITH_UPDATED_ITEMS: u32 = 2;
 
 impl Command {
     /// The bytes of its log entry, which are JSON.
@@ -250,6 +258,14 @@
         self.command_format
     }
 
+    /// The kind of an update that is proposed now: the newest that all members decode.
+    pub fn update_kind(&self) -> ChangeKind {
+        match self.command_format >= FORMAT_WITH_UPDATED_ITEMS {
+            true => ChangeKind::UpdateItems,
+            false => ChangeKind::Update,
+        }
+    }
+
     /// The model servers that deregistered last.
     pub fn deregistered(&self) -> &DeregisteredInstances {
         &self.deregistered
--- a/crates/control/tests/configuration.rs
+++ b/crates/control/tests/configuration.rs
@@ -5,7 +5,7 @@
 use pathbank_control::change_log::MAX_RECORDED_CHANGES;
 use pathbank_control::command_outcome::CommandOutcome;
 use pathbank_control::configuration::Rejection;
-use pathbank_control::document::Document;
+use pathbank_control::document::{AbsentLists, Document};
 use pathbank_control::edge_document;
 use pathbank_control::edge_update::{EdgeUpdate, EdgeUpdateReader};
 use pathbank_control::result_code::ResultCode;
@@ -39,7 +39,7 @@
 }
 
 fn updated(before: &Value, update: &Value) -> Value {
-    as_document(before).updated(update).expect("an update").0.to_value()
+    as_document(before).updated(update, AbsentLists::StayAbsent).expect("an update").0.to_value()
 }
 
 fn difference(before: &Value, after: &Value) -> Value {
@@ -281,21 +281,115 @@
     assert!(changed.route("shop.example", "/p0/").is_none(), "the route was removed");
 }
 
+/// The table of an edge that receives a full configuration.
+fn table_of(document: &Value) -> RouteTable {
+    let sent = edge_document::full(&as_document(document)).to_string();
+    RouteTable::default().with_update(1, EdgeUpdate::read(sent.as_bytes(), true).unwrap())
+}
+
+/// The table of an edge that has `before` and is sent what it lacks of `after`.
+fn changed_table(table: &RouteTable, before: &Value, after: &Value) -> RouteTable {
+    let [before, after] = [before, after].map(as_document);
+    let (sent, is_full) = match edge_document::difference(&before, &after) {
+        Some(difference) => (difference, false),
+        None => (edge_document::full(&after), true),
+    };
+    table.with_update(table.index + 1, EdgeUpdate::read(sent.to_string().as_bytes(), is_full).unwrap())
+}
+
+fn without(section: &str, mut document: Value) -> Value {
+    document.as_object_mut().unwrap().remove(section);
+    document
+}
+
+fn with(section: &str, value: Value, mut document: Value) -> Value {
+    document[section] = value;
+    document
+}
+
+/// Guards against routes that are open to every key once the last tenant is taken away: an empty list of tenants has
+/// no keys, while without a list no key is needed.
+#[test]
+fn an_empty_list_of_tenants_lets_no_key_pass() {
+    let (listed, emptied) = (document(5), with("tenants", json!([]), document(6)));
+    let absent = without("tenants", document(6));
+    for before in [&listed, &with("tenants", json!([]), document(5)), &without("tenants", document(5))] {
+        let table = table_of(before);
+        let to_empty = changed_table(&table, before, &emptied);
+        assert!(to_empty.requires_keys() && to_empty.tenant("k1").is_none(), "from {before}");
+        assert!(!changed_table(&table, before, &absent).requires_keys(), "from {before}");
+        assert!(changed_table(&table, before, &document(6)).tenant("k1").is_some(), "from {before}");
+    }
+    assert!(table_of(&emptied).requires_keys() && !table_of(&absent).requires_keys());
+}
+
+#[test]
+fn the_last_tenant_that_an_update_takes_away_leaves_an_empty_list_also_after_a_restart() {
+    let mut scenario = Scenario::at_version_5();
+    let known = scenario.state.document().unwrap().0.to_value();
+    let change = update(5, &json!({ "version": 6, "delete": { "tenants": ["t1"] } }));
+    assert_eq!(scenario.apply(change), Ok(CommandOutcome::Applied));
+    for state in [scenario.state.clone(), ControlState::decode(&scenario.state.encode()).unwrap()] {
+        let document = state.document().unwrap().0.to_value();
+        assert_eq!(document["tenants"], json!([]));
+        assert!(changed_table(&table_of(&known), &known, &document).requires_keys());
+        assert!(table_of(&document).requires_keys(), "an edge that fetches the whole configuration");
+    }
+}
+
+/// Guards against a list of tenants, and with it the need for a key, that comes into being by an update that adds no
+/// tenant.
+#[test_case(json!({ "upsert": { "tenants": [] } }); "nothing to add")]
+#[test_case(json!({ "delete": { "tenants": [] } }); "nothing to remove")]
+#[test_case(json!({ "delete": { "tenants": ["t1"], "routes": ["none"] }, "upsert": { "labels": [] } }); "unknown names")]
+fn a_list_that_is_absent_stays_absent_unless_an_item_is_added(change: Value) {
+    let before = without("tenants", document(5));
+    let change = with("version", json!(6), change);
+    let after = updated(&before, &change);
+    assert_eq!(after, with("version", json!(6), before.clone()));
+    assert!(!changed_table(&table_of(&before), &before, &after).requires_keys());
+    // Members of the version before make an empty list of it, so the same change is then another kind.
+    let before = as_document(&before);
+    let (with_empty_lists, _) = before.updated(&change, AbsentLists::Appear).unwrap();
+    assert_ne!(with_empty_lists.to_value(), after);
+}
+
+#[test]
+fn an_update_is_of_the_kind_that_all_members_decode() {
+    let mut scenario = Scenario::at_version_5();
+    assert_eq!(scenario.state.update_kind(), ChangeKind::Update);
+    for (format, kind) in [(1, ChangeKind::Update), (2, ChangeKind::UpdateItems)] {
+        scenario.state.apply(scenario.index, &Command::RaiseFormat { format }).unwrap();
+        assert_eq!(scenario.state.update_kind(), kind);
+    }
+    // The same call, sent again after the format has risen, is the same change.
+    let first = update(5, &json!({ "version": 7, "delete": { "routes": ["r1"] } }));
+    assert_eq!(scenario.apply(first.clone()), Ok(CommandOutcome::Applied));
+    let again = Change { kind: ChangeKind::UpdateItems, ..first };
+    assert_eq!(scenario.apply(again), Ok(CommandOutcome::AlreadyApplied));
+}
+
+/// Guards against edges that keep former limits when an update sets them to `null`.
+#[test]
+fn limits_of_null_are_no_limits_at_the_edges() {
+    let before = document(5);
+    let after = with("limits", Value::Null, document(6));
+    assert_eq!(changed_table(&table_of(&before), &before, &after).limits.max_body_bytes, None);
+    assert_eq!(table_of(&after).limits.max_body_bytes, None);
+}
+
 #[test_case("routes")]
 #[test_case("tenants")]
 #[test_case("backends")]
 #[test_case("limits")]
 fn a_removed_section_is_removed_at_the_edges(section: &str) {
     let before = document(5);
-    let mut after = document(6);
-    after.as_object_mut().unwrap().remove(section);
-    let change = difference(&before, &after).to_string();
-    let table =
-        RouteTable::default().with_update(1, EdgeUpdate::read(before.to_string().as_bytes(), true).unwrap());
-    let table = table.with_update(2, EdgeUpdate::read(change.as_bytes(), false).unwrap());
+    let after = without(section, document(6));
+    let table = changed_table(&table_of(&before), &before, &after);
     let left = [
         ("routes", table.route("shop.example", "/a/").is_some()),
-        ("tenants", table.has_tenants()),
+        ("tenants", table.tenant("k1").is_some()),
+        ("tenants", table.requires_keys()),
         ("backends", table.backend("one").is_some()),
         ("limits", table.limits.max_body_bytes.is_some()),
     ];
@@ -432,7 +526,7 @@
     let after = updated(&before, &update);
     let read = |text: Value, is_whole| EdgeUpdate::read(text.to_string().as_bytes(), is_whole).unwrap();
     let full = |document: &Value| read(edge_document::full(&as_document(document)), true);
-    let sent = as_document(&before).updated(&update).unwrap().0;
+    let sent = as_document(&before).updated(&update, AbsentLists::StayAbsent).unwrap().0;
     let sent = edge_document::difference(&as_document(&before), &sent).expect("all items have names");
     let changed = RouteTable::default().with_update(1, full(&before)).with_update(2, read(sent, false));
     let expected = |list: &str, key: &str, wanted: &str| {
--- a/crates/control/tests/full_document.rs
+++ b/crates/control/tests/full_document.rs
@@ -38,11 +38,14 @@
     item.get("name")?.as_str()
 }
 
-fn apply_to_full_document(current: &Value, update: &Value) -> Option<Value> {
+fn apply_to_full_document(current: &Value, update: &Value, kind: ChangeKind) -> Option<Value> {
     let mut document = current.as_object().cloned().unwrap_or_default();
     document.insert("version".into(), update.get("version")?.clone());
     for (section, names) in update.get("delete").and_then(Value::as_object).into_iter().flatten() {
         let names = names.as_array()?;
+        if kind == ChangeKind::UpdateItems && !document.contains_key(section) {
+            continue;
+        }
         let list = document.entry(section.clone()).or_insert_with(|| json!([]));
         if let Some(items) = list.as_array_mut() {
             items.retain(|item| {
@@ -55,6 +58,9 @@
             document.insert(section.clone(), value.clone());
             continue;
         };
+        if kind == ChangeKind::UpdateItems && changed.is_empty() && !document.contains_key(section) {
+            continue;
+        }
         let list = document.entry(section.clone()).or_insert_with(|| json!([]));
         let Some(items) = list.as_array_mut() else { continue };
         for item in changed {
@@ -176,12 +182,16 @@
             }
         }
         if self.0.u32(..4) == 0 {
-            let limits = [json!({ "max_body_bytes": 9 }), json!({}), json!([]), json!(4)];
+            let limits = [json!({ "max_body_bytes": 9 }), json!({}), Value::Null, json!([]), json!(4)];
             sections.insert("limits".into(), self.one(&limits));
         }
         sections
     }
 
+    fn update_kind(&mut self) -> ChangeKind {
+        if self.0.bool() { ChangeKind::Update } else { ChangeKind::UpdateItems }
+    }
+
     fn update(&mut self, version: u64) -> Value {
         let mut delete = Map::new();
         for section in ["routes", "tenants", "backends"] {
@@ -218,7 +228,8 @@
         let owner = |table: &RouteTable| table.tenant(&format!("k{key}")).map(|tenant| tenant.name.clone());
         assert_eq!(owner(&changed), owner(&full), "key {key}: {}", after.to_value());
     }
-    assert_eq!(changed.has_tenants(), full.has_tenants());
+    assert_eq!(changed.requires_keys(), full.requires_keys(), "{}", after.to_value());
+    assert_eq!(full.requires_keys(), after.list("tenants").is_some(), "{}", after.to_value());
     assert_eq!(changed.limits.max_body_bytes, full.limits.max_body_bytes);
     changed
 }
@@ -246,11 +257,11 @@
                     body.insert("version".into(), version.into());
                     (ChangeKind::Replace, Value::Object(body))
                 }
-                false => (ChangeKind::Update, draw.update(version)),
+                false => (draw.update_kind(), draw.update(version)),
             };
             let full = match kind {
                 ChangeKind::Replace => Some(body.clone()),
-                ChangeKind::Update => apply_to_full_document(&before, &body),
+                ChangeKind::Update | ChangeKind::UpdateItems => apply_to_full_document(&before, &body, kind),
             };
             let change = Change { kind, base, body: body.to_string() };
             let result = state.apply(number, &Command::Change(change));
--- a/crates/control/tests/prepared_changes.rs
+++ b/crates/control/tests/prepared_changes.rs
@@ -19,7 +19,7 @@
 
 /// Changes that build on one of a few versions: valid, invalid, repeated, or without a JSON object.
 fn changes() -> impl Strategy<Value = Change> {
-    (0..5_u64, 0..5_u64, 0..4_u64, 0..5_u8).prop_map(|(base, version, number, form)| match form {
+    (0..5_u64, 0..5_u64, 0..4_u64, 0..6_u8).prop_map(|(base, version, number, form)| match form {
         0 => {
             let body = json!({ "version": version, "routes": [route(number, 100 + version)],
                                "backends": [{ "name": "one" }] });
@@ -31,7 +31,12 @@
             &json!({ "version": version, "upsert": { "routes": [route(number, 100)], "backends": [{ "name": "one" }] } }),
         ),
         2 => change(ChangeKind::Update, base, &json!({ "version": version, "delete": { "routes": [format!("r{number}")] } })),
-        3 => change(ChangeKind::Replace, base, &json!({ "version": version, "routes": [route(number, 0)] })),
+        3 => change(
+            ChangeKind::UpdateItems,
+            base,
+            &json!({ "version": version, "upsert": { "tenants": [] }, "delete": { "routes": [format!("r{number}")] } }),
+        ),
+        4 => change(ChangeKind::Replace, base, &json!({ "version": version, "routes": [route(number, 0)] })),
         _ => change(ChangeKind::Update, base, &json!([version])),
     })
 }
--- a/crates/control/tests/stored_formats.rs
+++ b/crates/control/tests/stored_formats.rs
@@ -4,7 +4,8 @@
 //! `commands.jsonl` has one log entry on each line, and at least one of each kind. `state.json` is the
 //! snapshot after all of them. `state_format_1.json` is a snapshot of the first format,
 //! `state_format_1_upgraded.json` the same snapshot after its conversion. `commands_format_1.jsonl` has the commands of
-//! format 1 and `state_format_3.json` the snapshot after these alone.
+//! format 1 and `state_format_3.json` the snapshot after these alone; `commands_format_2.jsonl` has changes of the kind of
+//! format 2 beside one of the kind before, and `state_after_format_2.json` the snapshot after them.
 
 #![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by a panic")]
 
@@ -19,6 +20,8 @@
 const STATE: &str = include_str!("fixtures/state.json");
 const COMMANDS_FORMAT_1: &str = include_str!("fixtures/commands_format_1.jsonl");
 const STATE_FORMAT_3: &str = include_str!("fixtures/state_format_3.json");
+const COMMANDS_FORMAT_2: &str = include_str!("fixtures/commands_format_2.jsonl");
+const STATE_AFTER_FORMAT_2: &str = include_str!("fixtures/state_after_format_2.json");
 const STATE_FORMAT_1: &str = include_str!("fixtures/state_format_1.json");
 const STATE_FORMAT_1_UPGRADED: &str = include_str!("fixtures/state_format_1_upgraded.json");
 
@@ -130,6 +133,27 @@
     assert_eq!(encoded(&state), json(STATE_FORMAT_3));
 }
 
+#[test]
+fn stored_commands_of_format_2_come_to_the_stored_state() {
+    let commands = decoded(COMMANDS_FORMAT_2);
+    for (line, command) in COMMANDS_FORMAT_2.lines().zip(&commands) {
+        assert_eq!(String::from_utf8(command.encode()).unwrap(), line);
+    }
+    let mut state = ControlState::default();
+    let mut tenants = Vec::new();
+    for (index, command) in (1..).zip(commands) {
+        state.apply(index, &command).expect("it was accepted before");
+        tenants.push(state.document().and_then(|(document, _)| document.to_value().get("tenants").cloned()));
+    }
+    let empty = Some(Value::Array(Vec::new()));
+    assert_eq!(tenants, [None, None, None, empty.clone(), empty]);
+    assert_eq!(encoded(&state), json(STATE_AFTER_FORMAT_2));
+    assert_eq!(
+        encoded(&ControlState::decode(STATE_AFTER_FORMAT_2.as_bytes()).unwrap()),
+        json(STATE_AFTER_FORMAT_2)
+    );
+}
+
 /// Programs of the version before read format 2, and no later one.
 #[test]
 fn a_snapshot_has_format_2_until_all_members_decode_newer_commands() {
--- a/crates/system/src/core/node/changes.rs
+++ b/crates/system/src/core/node/changes.rs
@@ -4,13 +4,16 @@
 use crate::core::preparation::{ChangeProposal, MAX_INLINE_COMMAND_BYTES, PreparedCommand};
 use pathbank_control::operator_calls::{self, Reply};
 use pathbank_control::result_code::ResultCode;
-use pathbank_control::state::{Change, Command};
+use pathbank_control::state::{Change, ChangeKind, Command};
 use tokio::sync::oneshot;
 
 impl Node {
     /// An operator sent a change.
-    pub(super) fn on_change(&mut self, now: u64, change: Change, reply: oneshot::Sender<Reply>) {
+    pub(super) fn on_change(&mut self, now: u64, mut change: Change, reply: oneshot::Sender<Reply>) {
         let Some(reply) = self.as_leader(now, reply) else { return };
+        if change.kind == ChangeKind::Update {
+            change.kind = self.machine.state().update_kind();
+        }
         let basis = self.machine.state().change_basis();
         if change.body.len() > MAX_INLINE_COMMAND_BYTES {
             return self.preparation.prepare_change(basis, change, reply);
--- a/crates/system/src/core/node/registration.rs
+++ b/crates/system/src/core/node/registration.rs
@@ -6,7 +6,7 @@
 use crate::startup::Milestone;
 use pathbank_control::operator_calls::Reply;
 use pathbank_control::result_code::ResultCode;
-use pathbank_control::state::{COMMAND_FORMAT, Command};
+use pathbank_control::state::{COMMAND_FORMAT, Command, FORMAT_WITH_DEREGISTRATIONS};
 use pathbank_coordination::types::{Member, StoreId, Term};
 use pathbank_protocol::message::{ModelServer, ModelServerState};
 use std::collections::BTreeMap;
@@ -77,7 +77,7 @@
             let _ = reply.send(acknowledged());
             return;
         }
-        let is_replicated = state.command_format() >= COMMAND_FORMAT;
+        let is_replicated = state.command_format() >= FORMAT_WITH_DEREGISTRATIONS;
         self.servers.on_deregister(now, &self.links, instance, HeartbeatSource::ModelServer);
         if is_replicated {
             self.deregistrations.await_commit(now, instance, reply);
@@ -118,7 +118,7 @@
             return self.servers.relay_deregistrations(&self.links, instances);
         }
         self.raise_command_format(now);
-        if self.machine.state().command_format() < COMMAND_FORMAT {
+        if self.machine.state().command_format() < FORMAT_WITH_DEREGISTRATIONS {
             return;
         }
         let instances = self.deregistrations.take_unproposed(self.replication.replica().term());
--- a/crates/system/src/edge/client_request.rs
+++ b/crates/system/src/edge/client_request.rs
@@ -238,7 +238,7 @@
     urgency::of(tenant.and_then(|tenant| tenant.priority).unwrap_or(0), route.priority)
 }
 
-/// The tenant whose key the request has. `None`: the route is public, or no tenant is configured.
+/// The tenant whose key the request has. `None`: the route is public, or the configuration has no list of tenants.
 fn tenant_of(
     routes: &RouteTable,
     route: &Route,
@@ -248,7 +248,7 @@
     let tenant = key.and_then(|key| routes.tenant(key));
     match tenant {
         Some(tenant) => Ok(Some(tenant.clone())),
-        None if route.public || !routes.has_tenants() => Ok(None),
+        None if route.public || !routes.requires_keys() => Ok(None),
         None => Err(ResultCode::UnknownKey),
     }
 }
--- a/crates/system/tests/deregistration.rs
+++ b/crates/system/tests/deregistration.rs
@@ -200,7 +200,7 @@
         (0..3).all(|core| {
             system
                 .status(core)
-                .is_some_and(|status| status["command_format"] == 1 && status["deregistrations_pending"] == 0)
+                .is_some_and(|status| status["command_format"] == 2 && status["deregistrations_pending"] == 0)
                 && state_at(&system, core).as_deref() == Some("gone")
         })
     });
