A heartbeat without a list of models leaves what the server holds as it was

Change: the heartbeat keeps whether it lists models; without a list the models known before stay.

Evidence: a_heartbeat_without_models_leaves_what_the_server_holds_as_it_was failed on the code before (0 models, 1 expected) and passes now.

--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -125,6 +125,11 @@
         self.records.get(instance).map(ServerRecord::published)
     }
 
+    /// The models that a model server holds, withheld ones included; none if the server is not known.
+    pub fn loaded_models(&self, instance: &str) -> &[LoadedModel] {
+        self.records.get(instance).map_or(&[], |record| &record.server.models)
+    }
+
     /// The newest version of a model's weights that is loaded anywhere; 0 where the model is loaded nowhere.
     pub fn newest_version(&self, model: &str) -> u64 {
         let loaded = self.records.values().flat_map(|record| &record.server.models);
--- a/crates/system/src/core/api.rs
+++ b/crates/system/src/core/api.rs
@@ -69,8 +69,8 @@
     };
     match serde_json::from_slice::<HeartbeatJson>(&body.into_vec()) {
         Ok(heartbeat) => {
-            let server = heartbeat.into_server(instance);
-            ask(context, "", |reply| Event::Heartbeat(server, reply)).await
+            let heartbeat = heartbeat.into_heartbeat(instance);
+            ask(context, "", |reply| Event::Heartbeat(heartbeat, reply)).await
         }
         Err(error) => Ok(result_answer(ResultCode::UnreadableDocument, &error.to_string())),
     }
--- a/crates/system/src/core/event.rs
+++ b/crates/system/src/core/event.rs
@@ -1,6 +1,6 @@
 //! Events of a core's event loop. Whatever runs beside the loop (disk, links, calls) reports by one of these.
 
-use super::model_server_json::ReportJson;
+use super::model_server_json::{Heartbeat, ReportJson};
 use super::orders::OrderOutcome;
 use super::preparation::{ChangeProposal, DigestedState, PreparedCommand};
 use super::singleton_roles::PlatformOutcome;
@@ -12,7 +12,7 @@
 use pathbank_control::operator_calls::Reply;
 use pathbank_control::state::Change;
 use pathbank_coordination::types::Index;
-use pathbank_protocol::message::{Frame, Hello, ModelServer};
+use pathbank_protocol::message::{Frame, Hello};
 use tokio::sync::oneshot;
 
 /// Identifies an accepted link for as long as the process runs.
@@ -40,7 +40,7 @@
     /// Time has passed.
     Tick,
     /// A model server's heartbeat.
-    Heartbeat(ModelServer, oneshot::Sender<Reply>),
+    Heartbeat(Heartbeat, oneshot::Sender<Reply>),
     /// A model server deregisters: its instance id.
     Deregister(String, oneshot::Sender<Reply>),
     /// An operator's change of the configuration.
--- a/crates/system/src/core/model_server_json.rs
+++ b/crates/system/src/core/model_server_json.rs
@@ -62,15 +62,25 @@
     #[serde(default)]
     remaining_ms: Option<f64>,
     #[serde(default)]
-    models: Vec<ModelJson>,
+    models: Option<Vec<ModelJson>>,
     #[serde(default)]
     sequence: u64,
 }
 
+/// A heartbeat as it was received.
+#[derive(Clone, Debug)]
+pub struct Heartbeat {
+    /// The model server, without models if the heartbeat does not list any.
+    pub server: ModelServer,
+    /// Whether the heartbeat has a list of models, be it empty.
+    pub lists_models: bool,
+}
+
 impl HeartbeatJson {
-    /// The model server of that incarnation.
-    pub fn into_server(self, instance: String) -> ModelServer {
-        ModelServer {
+    /// The heartbeat of that incarnation.
+    pub fn into_heartbeat(self, instance: String) -> Heartbeat {
+        let lists_models = self.models.is_some();
+        let server = ModelServer {
             instance,
             backend: self.backend,
             address: self.address,
@@ -80,10 +90,11 @@
             state: self.state.into(),
             cold_remaining_ms: self.cold_remaining_ms.max(0.0) as u64,
             remaining_ms: self.remaining_ms.unwrap_or(0.0).max(0.0) as u64,
-            models: self.models.into_iter().map(LoadedModel::from).collect(),
+            models: self.models.into_iter().flatten().map(LoadedModel::from).collect(),
             sequence: self.sequence.min(ModelServer::FINAL_SEQUENCE - 1),
             busy: false,
-        }
+        };
+        Heartbeat { server, lists_models }
     }
 }
 
--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -190,7 +190,7 @@
         }
         match event {
             Event::Tick => self.on_tick(now),
-            Event::Heartbeat(server, reply) => self.on_heartbeat_call(now, server, reply),
+            Event::Heartbeat(heartbeat, reply) => self.on_heartbeat_call(now, heartbeat, reply),
             Event::Deregister(instance, reply) => self.on_deregister_call(now, &instance, reply),
             Event::Change(change, reply) => self.on_change(now, change, reply),
             Event::ChangePrepared(proposal, reply) => self.on_change_prepared(now, *proposal, reply),
--- a/crates/system/src/core/node/registration.rs
+++ b/crates/system/src/core/node/registration.rs
@@ -1,6 +1,7 @@
 //! Model servers' calls: heartbeats, and deregistrations, which are acknowledged once they are committed.
 
 use super::Node;
+use crate::core::model_server_json::Heartbeat;
 use crate::core::model_servers::HeartbeatSource;
 use crate::memory::share::ShareExhausted;
 use crate::startup::Milestone;
@@ -33,8 +34,18 @@
 
 impl Node {
     /// A model server's heartbeat. One that announces the server's end is acknowledged only by a core that is in
-    /// contact with the others: they have to hear of it too.
-    pub(super) fn on_heartbeat_call(&mut self, now: u64, server: ModelServer, reply: oneshot::Sender<Reply>) {
+    /// contact with the others: they have to hear of it too. One without a list of models leaves what the server holds
+    /// as it was.
+    pub(super) fn on_heartbeat_call(
+        &mut self,
+        now: u64,
+        heartbeat: Heartbeat,
+        reply: oneshot::Sender<Reply>,
+    ) {
+        let Heartbeat { mut server, lists_models } = heartbeat;
+        if !lists_models {
+            server.models = self.servers.directory().loaded_models(&server.instance).to_vec();
+        }
         let is_leaving = server.state != ModelServerState::Ready;
         let answer = match self.on_heartbeat(now, server, HeartbeatSource::ModelServer) {
             Err(exhausted) => Reply::Result(ResultCode::OutOfMemory, exhausted.to_string()),
--- a/crates/system/tests/empty_lists.rs
+++ b/crates/system/tests/empty_lists.rs
@@ -83,3 +83,34 @@
     assert_eq!(status(&system, UNKNOWN_KEY), Some(200));
     assert!(system.read_configuration().unwrap().get("tenants").is_none());
 }
+
+/// Guards against a model server that counts as holding nothing because a heartbeat says nothing of its models.
+#[test]
+fn a_heartbeat_without_models_leaves_what_the_server_holds_as_it_was() {
+    let system = System::started();
+    until("a leader", || system.leader().is_some());
+    let mut sequence = 0;
+    let mut beat = |models: Option<Value>| {
+        sequence += 1;
+        let mut body = json!({ "backend": "llm", "address": "127.0.0.1:9", "zone": "z1", "capacity": 4,
+                               "state": "ready", "sequence": sequence });
+        if let Some(models) = models {
+            body["models"] = models;
+        }
+        let answer =
+            call(system.control[0], "POST", "/api/instances/i-1/heartbeat", &[], &body.to_string()).unwrap();
+        assert_eq!(answer.status, 200);
+    };
+    let models_at = |core: usize| {
+        let answer = call(system.control[core], "GET", "/api/bricks", &[], "").unwrap();
+        let servers: Value = serde_json::from_str(&answer.body).unwrap();
+        servers[0]["models"].as_array().map(Vec::len)
+    };
+    beat(Some(json!([{ "name": "m1", "version": 1, "adapters": ["a1"] }])));
+    assert_eq!(models_at(0), Some(1));
+    beat(None);
+    assert_eq!(models_at(0), Some(1));
+    until("the other cores hear the same", || (0..3).all(|core| models_at(core) == Some(1)));
+    beat(Some(json!([])));
+    assert_eq!(models_at(0), Some(0));
+}
