A leader acts once nothing that earlier leaders have sent may still arrive

Cause: the lease bounds when an order is written. What is written the kernel delivers for up to 2.9 s (measured: TCP_USER_TIMEOUT counts from the first retransmission), whether the process hands over, is killed or stands still; a first-time leader acted at once.

Change: calls in the leader's name, orders and platform calls, are known from their writing to their answer or until 3.0 s have passed. A hand-over makes no further calls and transfers once they are settled, and says so (callsSettled); any other new leader waits 3.0 s.

--- a/crates/control/tests/safety/world.rs
+++ b/crates/control/tests/safety/world.rs
@@ -1,13 +1,16 @@
 //! The control path in virtual time: replicas with the state machine, operators, and the configuration that
 //! each core would publish.
 
-use crate::common::{Cluster, member};
+use crate::common::{Cluster, MAX_DELIVERY_MS, Machine, member};
 use crate::faults::{Fault, Step};
 use crate::history::{self, Call};
 use crate::operators::{ATTEMPT_TIMEOUT_MS, Operator};
 use pathbank_control::command_outcome::CommandOutcome;
 use pathbank_control::operator_calls::{self, LEADER_TIMEOUT_MS, LeadershipStatus, Reply};
 use pathbank_control::state::{Change, Command, ControlState};
+use pathbank_coordination::calls_in_flight::CallId;
+use pathbank_coordination::fencing::{Leadership, Waits};
+use pathbank_coordination::replica::Replica;
 use std::collections::BTreeMap;
 
 /// The founding members, and machines that join later.
@@ -19,6 +22,13 @@
 const PREPARATION_MS: [Option<u64>; 4] = [None, None, Some(1), Some(120)];
 /// The least time between actions of two leaders outside the group, milliseconds.
 const TURN_WAIT: u64 = 3_000;
+/// How long leaders wait before they act outside the group.
+const WAITS: Waits = Waits { returning_leader_ms: TURN_WAIT, max_delivery_ms: MAX_DELIVERY_MS };
+/// How long a call outside the group is on its way after as many losses in a row, milliseconds.
+const CALL_DELAYS_MS: [u64; 5] = [0, 200, 600, 1_400, 2_900];
+/// Of a hundred calls, so many are delayed by losses, and so many never arrive.
+const DELAYED_CALLS_IN_100: u64 = 10;
+const LOST_CALLS_IN_100: u64 = 3;
 /// A leader without contact to the group steps down within this time, milliseconds. Followers consider it the
 /// leader for another [`LEADER_TIMEOUT_MS`].
 const LEADER_STEP_DOWN_MS: u64 = 900;
@@ -50,6 +60,25 @@
     reply: Option<Reply>,
 }
 
+/// A call that a leader has made outside the group. Its machine delivers it, whether or not its process still runs.
+#[derive(Clone, Copy)]
+struct OutsideCall {
+    arrives_at: u64,
+    machine: usize,
+    token: u64,
+    /// The run of the process that made it, and its number there.
+    start: u64,
+    id: CallId,
+}
+
+/// The leadership of a machine, if it has one.
+fn leadership<'a>(machine: &Machine, name: &'a str) -> Option<Leadership<'a>> {
+    let replica = machine.replica.as_ref().filter(|replica| replica.is_established_leader())?;
+    let (term, lease_until) = (replica.term(), replica.lease_until());
+    let follows_settled_leader = replica.follows_settled_leader();
+    Some(Leadership { name, term, lease_until, follows_settled_leader })
+}
+
 pub struct World {
     pub fleet: Cluster,
     random: fastrand::Rng,
@@ -61,7 +90,9 @@
     versions: BTreeMap<u64, u64>,
     /// When each version was first acknowledged.
     acknowledged: Vec<(u64, u64)>,
-    /// Actions outside the group: the machine, its fencing token, and the time.
+    /// Calls outside the group that have not arrived yet.
+    outside_calls: Vec<OutsideCall>,
+    /// Calls outside the group that have arrived: the machine, its fencing token, and the time.
     acts: Vec<(usize, u64, u64)>,
     next_change: u64,
     answers_lost_in_100: u64,
@@ -88,6 +119,7 @@
             calls: Vec::new(),
             versions: BTreeMap::new(),
             acknowledged: Vec::new(),
+            outside_calls: Vec::new(),
             acts: Vec::new(),
             next_change: 1,
             answers_lost_in_100: 15,
@@ -114,18 +146,26 @@
     fn recover(&mut self) -> Result<(), String> {
         let since = self.fleet.now;
         let acknowledged = self.acknowledged.len();
-        while self.acknowledged.len() < acknowledged + 2 {
+        while self.acknowledged.len() < acknowledged + 2 || !self.leader_acts_since(since) {
             self.run(50)?;
             if self.fleet.now > since + RECOVERY_TIMEOUT_MS {
-                return Err("no change is taken after the last fault".into());
+                return Err("no change is taken, or no leader acts, after the last fault".into());
             }
         }
         Ok(())
     }
 
+    /// Whether a call of the present leader has arrived since a time.
+    fn leader_acts_since(&self, since: u64) -> bool {
+        let last = self.acts.last().filter(|(.., at)| *at >= since);
+        last.is_some_and(|(machine, ..)| self.fleet.leader() == Some(*machine))
+    }
+
     fn run(&mut self, milliseconds: u64) -> Result<(), String> {
         for _ in 0..milliseconds {
+            self.settle_calls();
             self.fleet.step();
+            self.deliver_outside_calls()?;
             self.apply();
             self.answer_waiting();
             self.deliver_answers();
@@ -238,8 +278,19 @@
 
     // ---- actions outside the group ----
 
-    /// Lets each core act that may act outside the group. Only one may at a time, with increasing tokens, and
-    /// with a pause between two leaders.
+    /// Lets each core know whether calls outside the group may still arrive.
+    fn settle_calls(&mut self) {
+        let now = self.fleet.now;
+        for (machine, state) in self.fleet.machines.iter_mut().enumerate() {
+            let name = member(machine, 0).name;
+            state.calls_settled = leadership(state, &name).is_some_and(|leadership| {
+                state.calls.are_settled(now)
+                    && state.fence.are_earlier_calls_settled(&leadership, &WAITS, now)
+            });
+        }
+    }
+
+    /// Lets each core act that may act outside the group. Only one may at a time.
     fn act(&mut self) -> Result<(), String> {
         let now = self.fleet.now;
         let mut acting = None;
@@ -248,22 +299,56 @@
                 continue;
             }
             let state = &mut self.fleet.machines[machine];
-            let Some(replica) = state.replica.as_ref().filter(|replica| replica.is_established_leader())
-            else {
-                continue;
-            };
-            let (term, lease) = (replica.term(), replica.lease_until());
             let name = member(machine, 0).name;
-            if state.fence.permit(&name, term, lease, TURN_WAIT, now).is_some()
-                && let Some(other) = acting.replace(machine)
-            {
+            let Some(leadership) = leadership(state, &name) else { continue };
+            let is_permitted = state.fence.permit(&leadership, &WAITS, now).is_some();
+            let hands_over = state.replica.as_ref().is_some_and(Replica::is_handing_over);
+            if !is_permitted || hands_over {
+                continue;
+            }
+            if let Some(other) = acting.replace(machine) {
                 return Err(format!("{now}: {other} and {machine} may act at once"));
             }
-            if acting == Some(machine) {
-                self.acts.push((machine, term, now));
+            let call = OutsideCall {
+                arrives_at: now,
+                machine,
+                token: leadership.term,
+                start: state.starts,
+                id: state.calls.begin(now),
+            };
+            self.send_outside(call);
+        }
+        Ok(())
+    }
+
+    /// Sends a call on its way, which losses may delay or end.
+    fn send_outside(&mut self, call: OutsideCall) {
+        let draw = self.random.u64(0..100);
+        if draw < LOST_CALLS_IN_100 {
+            return;
+        }
+        let losses =
+            if draw < LOST_CALLS_IN_100 + DELAYED_CALLS_IN_100 { 1 + self.random.usize(..4) } else { 0 };
+        let arrives_at = call.arrives_at + CALL_DELAYS_MS[losses] + self.random.u64(1..5);
+        self.outside_calls.push(OutsideCall { arrives_at, ..call });
+    }
+
+    /// Calls outside the group arrive with increasing tokens, with a pause between two turns of one leader, and are
+    /// answered.
+    fn deliver_outside_calls(&mut self) -> Result<(), String> {
+        let now = self.fleet.now;
+        let due: Vec<OutsideCall> =
+            self.outside_calls.extract_if(.., |call| call.arrives_at <= now).collect();
+        for call in due {
+            self.acts.push((call.machine, call.token, now));
+            self.check_acts(now)?;
+            let is_paused = self.fleet.is_paused(call.machine);
+            let state = &mut self.fleet.machines[call.machine];
+            if state.starts == call.start && !is_paused {
+                state.calls.settle(call.id);
             }
         }
-        self.check_acts(now)
+        Ok(())
     }
 
     fn check_acts(&mut self, now: u64) -> Result<(), String> {
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`store`]: the append-only file of those records (the one module that does I/O).
 //! * [`compaction`]: decides when a snapshot replaces a log.
 //! * [`fencing`]: decides when a leader may act outside the group, and with which fencing token.
+//! * [`calls_in_flight`]: calls that a leader has made outside the group and that may still arrive.
 //! * [`recent_peers`]: addresses of replicas that sent a message recently.
 //! * [`gossip`]: each machine's view of which machines run, after SWIM. The view may be wrong, so no rule of
 //!   the other modules depends on it.
@@ -33,6 +34,7 @@
 //! ```
 
 pub mod batch;
+pub mod calls_in_flight;
 pub mod compaction;
 pub mod consensus;
 pub mod digest;
--- a/crates/coordination/src/replica/election.rs
+++ b/crates/coordination/src/replica/election.rs
@@ -50,6 +50,7 @@
     pub(super) fn step_down(&mut self, now: Millis) {
         self.role = Role::Follower;
         self.leader = None;
+        self.handing_over = false;
         self.peers.clear();
         self.leave_requests.clear();
         self.encoded_snapshot = None;
@@ -58,14 +59,14 @@
 
     /// Steps down, and asks the voter with the most up-to-date log to start an election at once (section
     /// 3.10).
-    pub(super) fn transfer_to_best_voter(&mut self, now: Millis, effects: &mut Effects) {
+    pub(super) fn transfer_to_best_voter(&mut self, now: Millis, calls_settled: bool, effects: &mut Effects) {
         let voters = self.peers.values().filter(|peer| self.membership.contains(peer.member.id));
         let answers = |last_heard_at: Millis| now < last_heard_at + self.timing.election_timeout_ms;
         let best = voters.max_by_key(|peer| {
             (answers(peer.last_heard_at), peer.progress.match_index, peer.last_answered_sent_at)
         });
         let Some(to) = best.map(|best| best.member.clone()) else { return };
-        let message = Message::CampaignNow { term: self.durable.term };
+        let message = Message::CampaignNow { term: self.durable.term, calls_settled };
         self.step_down(now);
         effects.messages.push(Outgoing { to, message, after_save: false });
     }
--- a/crates/coordination/src/replica/leader.rs
+++ b/crates/coordination/src/replica/leader.rs
@@ -168,7 +168,7 @@
     }
 
     /// Once a joint membership is committed, proposes the new membership alone (section 4.3). Once that is
-    /// committed, a leader that is not part of it steps down.
+    /// committed, a leader that is not part of it hands over.
     fn finish_membership_change(&mut self, now: Millis, effects: &mut Effects) {
         if self.commit_index < self.membership_index {
             return;
@@ -177,8 +177,7 @@
             let voters = self.membership.voters.clone();
             self.append(now, Payload::Membership(Membership::of(voters)), effects);
         } else if !self.membership.contains(self.me.id) {
-            self.transfer_to_best_voter(now, effects);
-            self.step_down(now);
+            self.hand_over();
         }
     }
 }
--- a/crates/coordination/src/replica/mod.rs
+++ b/crates/coordination/src/replica/mod.rs
@@ -116,6 +116,10 @@
     votes: VoteTally<StoreId>,
     /// What this leader knows of each other replica.
     peers: BTreeMap<StoreId, Peer>,
+    /// Whether this leader hands over as soon as its calls outside the group are settled.
+    handing_over: bool,
+    /// The term that follows a leader all of whose calls outside the group were settled.
+    settled_start: Option<Term>,
     /// The voters that asked this leader to remove them from the membership, and when they asked.
     leave_requests: BTreeMap<StoreId, Millis>,
     /// The outcome of this replica's own request to leave.
@@ -156,6 +160,8 @@
             next_heartbeat_at: 0,
             votes: VoteTally::default(),
             peers: BTreeMap::new(),
+            handing_over: false,
+            settled_start: None,
             leave_requests: BTreeMap::new(),
             departure: Departure::default(),
             encoded_snapshot: None,
@@ -354,15 +360,44 @@
     }
 
     /// Asks the voter with the most up-to-date log to start an election, and steps down (section 3.10). Does
-    /// nothing if this replica does not lead.
-    pub fn transfer_leadership(&mut self, now: Millis) -> Effects {
+    /// nothing if this replica does not lead. `calls_settled`: see [`Replica::report_calls`].
+    pub fn transfer_leadership(&mut self, now: Millis, calls_settled: bool) -> Effects {
         let mut effects = Effects::default();
         if self.role == Role::Leader {
-            self.transfer_to_best_voter(now, &mut effects);
+            self.transfer_to_best_voter(now, calls_settled, &mut effects);
         }
         effects
     }
 
+    /// Begins to hand the leadership over. The caller makes no further calls outside the group, and
+    /// [`Replica::report_calls`] completes the transfer once those that it has made are settled.
+    pub fn hand_over(&mut self) {
+        self.handing_over = self.role == Role::Leader;
+    }
+
+    /// Whether this replica leads and hands over. It does so of its own accord once it is out of the membership.
+    pub fn is_handing_over(&self) -> bool {
+        self.handing_over
+    }
+
+    /// Reports whether all calls that this leader, or an earlier one, has made outside the group are settled: each was
+    /// answered, or cannot arrive any more. Transfers the leadership then, if it is to be handed over.
+    pub fn report_calls(&mut self, now: Millis, settled: bool) -> Effects {
+        let mut effects = Effects::default();
+        if self.handing_over && settled {
+            self.transfer_to_best_voter(now, settled, &mut effects);
+            if !self.membership.contains(self.me.id) {
+                self.step_down(now);
+            }
+        }
+        effects
+    }
+
+    /// Whether this replica leads the term after that of a leader that handed over with all calls settled.
+    pub fn follows_settled_leader(&self) -> bool {
+        self.role == Role::Leader && self.settled_start == Some(self.durable.term)
+    }
+
     /// Handles a message from another replica.
     pub fn step(&mut self, now: Millis, from: Member, message: Message) -> Effects {
         let mut effects = Effects::default();
@@ -397,9 +432,10 @@
                 let reply = AppendReply { term, accepted, index, sent_at };
                 self.on_append_reply(now, from, reply, &mut effects);
             }
-            Message::CampaignNow { term } => {
+            Message::CampaignNow { term, calls_settled } => {
                 let is_for_this_voter = term == self.durable.term && self.membership.contains(self.me.id);
                 if is_for_this_voter && !self.impaired && self.role == Role::Follower {
+                    self.settled_start = calls_settled.then_some(term + 1);
                     self.campaign(now, Campaign::LeadershipTransfer, &mut effects);
                 }
             }
--- a/crates/coordination/src/types.rs
+++ b/crates/coordination/src/types.rs
@@ -219,6 +219,9 @@
     CampaignNow {
         /// The leader's term.
         term: Term,
+        /// Whether nothing that this leader, or an earlier one, has sent outside the group may still arrive: the
+        /// receiver need not wait for it once it leads.
+        calls_settled: bool,
     },
     /// A store that hears no leader asks to join the group.
     Join,
--- a/crates/coordination/tests/common/mod.rs
+++ b/crates/coordination/tests/common/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod data_directory;
 
+use pathbank_coordination::calls_in_flight::CallsInFlight;
 use pathbank_coordination::digest::digest;
 use pathbank_coordination::fencing::FencingGuard;
 use pathbank_coordination::membership_changes;
@@ -60,12 +61,22 @@
     preparing: Option<(Index, u64)>,
     /// The past leaders, as of the last entry that the machine has applied.
     pub fence: FencingGuard,
+    /// Calls that the process has made outside the group.
+    pub calls: CallsInFlight,
+    /// Whether nothing that a leader has sent outside the group may still arrive, as the process knows it.
+    pub calls_settled: bool,
+    /// How often the process was started.
+    pub starts: u64,
     /// When the process received SIGTERM. It ends as soon as it is permitted to.
     sigterm_at: Option<u64>,
 }
 
 /// A process ends this long after SIGTERM even if it is still in the membership.
 pub const SHUTDOWN_TIMEOUT_MS: u64 = 3_000;
+/// A leader ends this long after SIGTERM even if its calls may still arrive.
+const HAND_OVER_TIMEOUT_MS: u64 = 6_000;
+/// A call outside the group arrives within this time, or never.
+pub const MAX_DELIVERY_MS: u64 = 3_000;
 /// A process without any reply to its request to leave ends this long after SIGTERM.
 const LEAVE_REPLY_TIMEOUT_MS: u64 = 600;
 
@@ -176,6 +187,9 @@
                 saw_no_majority: false,
                 preparing: None,
                 fence: FencingGuard::default(),
+                calls: CallsInFlight::new(MAX_DELIVERY_MS),
+                calls_settled: true,
+                starts: 0,
                 sigterm_at: None,
             });
             cluster.start(machine);
@@ -198,6 +212,8 @@
         state.last_applied = disk.snapshot.index;
         state.fence = FencingGuard::default();
         state.fence.restore(disk.snapshot.leaders.clone());
+        state.calls = CallsInFlight::new(MAX_DELIVERY_MS);
+        (state.starts, state.calls_settled) = (state.starts + 1, true);
         (state.paused_until, state.busy_until) = (0, 0);
         state.replica = Some(Replica::new(me, Timing::default(), disk, self.now, random));
     }
@@ -428,12 +444,24 @@
             Departure::AwaitingReplacement => self.now >= since + SHUTDOWN_TIMEOUT_MS,
             Departure::AwaitingReply => self.now >= since + LEAVE_REPLY_TIMEOUT_MS,
         };
-        if ends {
-            self.with_replica(machine, pathbank_coordination::replica::Replica::transfer_leadership);
+        if !ends {
+            return;
+        }
+        let state = &mut self.machines[machine];
+        let replica = state.replica.as_mut().expect("it runs");
+        replica.hand_over();
+        let may_still_arrive = replica.role() == Role::Leader && !state.calls_settled;
+        if !may_still_arrive || self.now >= since + HAND_OVER_TIMEOUT_MS {
+            self.transfer_leadership(machine);
             self.kill(machine);
         }
     }
 
+    fn transfer_leadership(&mut self, machine: usize) {
+        let settled = self.machines[machine].calls_settled;
+        self.with_replica(machine, |replica, now| replica.transfer_leadership(now, settled));
+    }
+
     /// Checks that no term has two leaders.
     fn check_one_leader_per_term(&mut self) {
         for (machine, state) in self.machines.iter().enumerate() {
@@ -490,6 +518,8 @@
                 self.request_join(machine);
             }
             self.continue_shutdown(machine);
+            let settled = self.machines[machine].calls_settled;
+            self.with_replica(machine, |replica, now| replica.report_calls(now, settled));
             self.compare(machine);
         }
         self.deliver_comparisons();
@@ -569,7 +599,7 @@
         let Some(replica) = state.replica.as_ref() else { return };
         match state.comparison.verdict(replica.me().id, replica.membership()) {
             Verdict::Differs(_) => {
-                self.with_replica(machine, pathbank_coordination::replica::Replica::transfer_leadership);
+                self.transfer_leadership(machine);
                 self.wipe(machine);
                 self.machines[machine].misapplies = None;
                 self.machines[machine].set_aside += 1;
--- a/crates/protocol/schema/internal.capnp
+++ b/crates/protocol/schema/internal.capnp
@@ -81,6 +81,9 @@
       waits @28 :Bool;
     }
   }
+  # With campaignNow: nothing that the sender, or a leader before it, sent to model servers or the platform is still on
+  # its way.
+  callsSettled @29 :Bool;
 }
 
 struct SnapshotId {
--- a/crates/protocol/src/read/replica.rs
+++ b/crates/protocol/src/read/replica.rs
@@ -53,7 +53,7 @@
 pub(super) fn read_replica(message: wire::replica_message::Reader<'_>) -> Decoded<(Member, Message)> {
     use wire::replica_message::Which;
     let from = read_member(message.get_from()?)?;
-    let term = message.get_term();
+    let (term, calls_settled) = (message.get_term(), message.get_calls_settled());
     let message = match message.which()? {
         Which::VoteRequest(request) => Message::VoteRequest {
             term,
@@ -89,7 +89,7 @@
             received: reply.get_received(),
             sent_at: reply.get_sent_at(),
         },
-        Which::CampaignNow(()) => Message::CampaignNow { term },
+        Which::CampaignNow(()) => Message::CampaignNow { term, calls_settled },
         Which::Join(()) => Message::Join,
         Which::Leave(()) => Message::Leave,
         Which::LeaveReply(reply) => Message::LeaveReply { term, replacing: reply.get_waits() },
--- a/crates/protocol/src/write/replica.rs
+++ b/crates/protocol/src/write/replica.rs
@@ -80,8 +80,9 @@
             reply.set_received(*received);
             reply.set_sent_at(*sent_at);
         }
-        Message::CampaignNow { term } => {
+        Message::CampaignNow { term, calls_settled } => {
             out.set_term(*term);
+            out.set_calls_settled(*calls_settled);
             out.set_campaign_now(());
         }
         Message::Join => out.set_join(()),
--- a/crates/protocol/tests/common/mod.rs
+++ b/crates/protocol/tests/common/mod.rs
@@ -179,7 +179,7 @@
         ("append_reply", replica(Message::AppendReply { term: 1, accepted: true, index: 4, sent_at: 3 })),
         ("snapshot_chunk", replica(snapshot_chunk())),
         ("snapshot_reply", replica(Message::SnapshotReply { term: 3, index: 5, received: 700, sent_at: 5 })),
-        ("campaign_now", replica(Message::CampaignNow { term: 4 })),
+        ("campaign_now", replica(Message::CampaignNow { term: 4, calls_settled: false })),
         ("join", replica(Message::Join)),
         ("leave", replica(Message::Leave)),
         ("leave_reply", replica(Message::LeaveReply { term: 3, replacing: true })),
@@ -222,6 +222,7 @@
         ("comparison_request", Frame::ComparisonRequest(request)),
         ("comparison_report", Frame::ComparisonReport(report)),
         ("hello_of_a_core_with_a_command_format", Frame::Hello(numbered)),
+        ("campaign_now_with_settled_calls", replica(Message::CampaignNow { term: 4, calls_settled: true })),
     ]
 }
 
--- a/crates/system/src/core/leader_lease.rs
+++ b/crates/system/src/core/leader_lease.rs
@@ -1,8 +1,8 @@
 //! The leader's right to act on the outside (orders, calls to the platform): within its lease, with its term
 //! as the fencing token.
 
-use super::lease::{LeaseExpiry, LeaseGuard};
-use pathbank_coordination::fencing::{FencingGuard, Permit};
+use super::lease::{LeaderCalls, LeaseExpiry, LeaseGuard};
+use pathbank_coordination::fencing::{FencingGuard, Leadership, Permit, Waits};
 use pathbank_coordination::types::Term;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -18,6 +18,10 @@
     revoked: Arc<AtomicBool>,
     /// Shared with all guards of this leadership; extended with the lease.
     expiry: Arc<LeaseExpiry>,
+    /// Calls of this core's leaderships.
+    calls: LeaderCalls,
+    /// The last term in which this core was permitted to act.
+    acted_in: Term,
 }
 
 impl LeaderLease {
@@ -25,7 +29,14 @@
     pub fn new(leaders: Vec<String>) -> LeaderLease {
         let mut fencing = FencingGuard::default();
         fencing.restore(leaders);
-        LeaderLease { fencing, term: 0, revoked: Arc::default(), expiry: Arc::default() }
+        LeaderLease {
+            fencing,
+            term: 0,
+            revoked: Arc::default(),
+            expiry: Arc::default(),
+            calls: LeaderCalls::default(),
+            acted_in: 0,
+        }
     }
 
     /// Goes on from another snapshot's leaders.
@@ -43,17 +54,25 @@
         self.fencing.record_leader(name);
     }
 
-    /// The permit to act in `term` with a lease until `lease_until`, if there is one. `turn_wait`: the
-    /// minimal time between turns of two leaders, milliseconds.
-    pub fn permit(
-        &mut self,
-        name: &str,
-        term: Term,
-        lease_until: u64,
-        turn_wait: u64,
-        now: u64,
-    ) -> Option<Permit> {
-        self.fencing.permit(name, term, lease_until.saturating_sub(LEASE_MARGIN_MS), turn_wait, now)
+    /// The permit of the present leader to act, if it has one.
+    pub fn permit(&mut self, leadership: &Leadership, waits: &Waits, now: u64) -> Option<Permit> {
+        let lease_until = leadership.lease_until.saturating_sub(LEASE_MARGIN_MS);
+        let permit = self.fencing.permit(&Leadership { lease_until, ..*leadership }, waits, now)?;
+        if self.acted_in != permit.fencing_token {
+            self.acted_in = permit.fencing_token;
+            let follows_settled_leader = leadership.follows_settled_leader;
+            tracing::info!(
+                term = permit.fencing_token,
+                follows_settled_leader,
+                "orders and calls to the platform from now on"
+            );
+        }
+        Some(permit)
+    }
+
+    /// Whether nothing that this leader, or an earlier one, has sent may still arrive.
+    pub fn are_calls_settled(&self, leadership: &Leadership, waits: &Waits, now: u64) -> bool {
+        self.calls.are_settled(now) && self.fencing.are_earlier_calls_settled(leadership, waits, now)
     }
 
     /// Revokes the lease of an earlier term. Returns whether `term` is a new one.
@@ -71,7 +90,7 @@
         self.expiry.extend(until);
     }
 
-    /// This core no longer leads: whatever still acts in its name ends.
+    /// This core no longer leads, or hands over: whatever still acts in its name ends.
     pub fn revoke(&mut self) {
         std::mem::take(&mut self.revoked).store(true, Ordering::Release);
         self.expiry = Arc::default();
@@ -84,6 +103,7 @@
             fencing_token: permit.fencing_token,
             lease: self.expiry.clone(),
             revoked: self.revoked.clone(),
+            calls: self.calls.clone(),
         }
     }
 }
--- a/crates/system/src/core/node.rs
+++ b/crates/system/src/core/node.rs
@@ -61,6 +61,8 @@
 const REPLACEMENT_TIMEOUT_MS: u64 = 3_000;
 /// Nor for the leader's first answer.
 const DEPARTURE_ACK_TIMEOUT_MS: u64 = 600;
+/// A leader that shuts down ends after this fraction of the grace period, even if what it has sent may still arrive.
+const HAND_OVER_GRACE_FRACTION: f64 = 0.75;
 
 /// When periodic work is due next, milliseconds of the steady clock.
 #[derive(Default)]
@@ -223,6 +225,7 @@
         let effects = self.replication.tick(now);
         self.carry_out(now, effects);
         self.leave_if_shutting_down(now);
+        self.settle_calls(now);
         self.watch_disk(now);
         self.replicate_deregistrations(now);
         self.change_membership(now);
@@ -307,15 +310,26 @@
 
     /// After SIGTERM a voter asks the leader to be replaced, again with each tick until it is.
     fn leave_if_shutting_down(&mut self, now: u64) {
-        if self.shutdown_since.is_some() {
-            let effects = self.replication.leave(now);
-            self.carry_out(now, effects);
+        let Some(since) = self.shutdown_since else { return };
+        let effects = self.replication.leave(now);
+        self.carry_out(now, effects);
+        if self.may_depart(now, since) {
+            self.replication.hand_over();
         }
     }
 
-    /// Whether the process may end after SIGTERM: it is no voter any more, or nobody can take its place.
+    /// Whether the process may end after SIGTERM: its place in the group is taken care of, and, if it leads, nothing
+    /// that it has sent in this role is on its way any more.
     pub fn may_end(&self, now: u64) -> bool {
         let Some(since) = self.shutdown_since else { return false };
+        let leads = self.replication.replica().role() == Role::Leader;
+        let hand_over_timeout_ms = (HAND_OVER_GRACE_FRACTION * self.settings.bounds.grace_ms as f64) as u64;
+        let has_handed_over = !leads || self.are_calls_settled(now) || now >= since + hand_over_timeout_ms;
+        self.may_depart(now, since) && has_handed_over
+    }
+
+    /// Whether this core is no voter any more, or nobody can take its place. `since`: when it received SIGTERM.
+    fn may_depart(&self, now: u64, since: u64) -> bool {
         match self.replication.replica().departure() {
             Departure::Permitted => true,
             Departure::AwaitingReplacement => {
@@ -329,8 +343,7 @@
     /// election at once.
     pub fn end(&mut self, now: u64) {
         self.servers.flush_changes(now, &self.links);
-        let effects = self.replication.transfer_leadership(now);
-        self.carry_out(now, effects);
+        self.transfer_leadership(now);
     }
 
     // ---- links ----
--- a/crates/system/src/core/node/leadership.rs
+++ b/crates/system/src/core/node/leadership.rs
@@ -5,20 +5,39 @@
 use crate::core::event::Event;
 use crate::core::lease::LeaseGuard;
 use crate::core::orders::{self, OrderOutcome, OrderTask};
+use crate::core::replication::Replication;
 use crate::core::singleton_roles;
 use crate::core::training::scheduler::TrainingScheduler;
 use crate::core::usage::WindowUsage;
+use crate::net::socket::MAX_DELIVERY;
+use crate::settings::{Bounds, Settings};
 use crate::startup::Milestone;
 use pathbank_control::admission::AdmissionController;
 use pathbank_control::configuration::Runtime;
 use pathbank_control::order::{Operation, Order};
 use pathbank_control::state::Command;
-use pathbank_coordination::fencing::Permit;
+use pathbank_coordination::fencing::{Leadership, Permit, Waits};
 use pathbank_protocol::codec;
 use pathbank_protocol::message::Frame;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// The leadership of this core, once it has applied all that earlier leaders committed.
+fn leadership<'a>(replication: &Replication, settings: &'a Settings) -> Option<Leadership<'a>> {
+    let replica = replication.replica();
+    replica.is_established_leader().then(|| Leadership {
+        name: &settings.node_name,
+        term: replica.term(),
+        lease_until: replica.lease_until(),
+        follows_settled_leader: replica.follows_settled_leader(),
+    })
+}
+
+/// How long a new leader waits before it acts on the outside.
+fn waits(bounds: &Bounds) -> Waits {
+    Waits { returning_leader_ms: bounds.lease_ms, max_delivery_ms: MAX_DELIVERY.as_millis() as u64 }
+}
+
 impl Node {
     pub(super) fn count_slots(&mut self, now: u64) {
         if self.is_established_leader() {
@@ -46,18 +65,40 @@
 
     /// The right to act on the outside now, if this core has it.
     pub(super) fn permit(&mut self, now: u64) -> Option<Permit> {
-        let replica = self.replication.replica();
-        if !replica.is_established_leader() {
+        let leadership = leadership(&self.replication, &self.settings)?;
+        let permit = self.lease.permit(&leadership, &waits(&self.settings.bounds), now)?;
+        if self.replication.replica().is_handing_over() {
             return None;
         }
-        let (term, lease_until) = (replica.term(), replica.lease_until());
-        let turn_wait = self.settings.bounds.lease_ms;
-        let permit = self.lease.permit(&self.settings.node_name, term, lease_until, turn_wait, now)?;
         self.enter_term(now);
         self.lease.extend(permit.valid_until);
         Some(permit)
     }
 
+    /// Whether this core leads, and nothing that it or an earlier leader has sent outside the group may still arrive.
+    pub(super) fn are_calls_settled(&self, now: u64) -> bool {
+        let leadership = leadership(&self.replication, &self.settings);
+        let waits = waits(&self.settings.bounds);
+        leadership.is_some_and(|leadership| self.lease.are_calls_settled(&leadership, &waits, now))
+    }
+
+    /// Begins the wait of a new leader, and completes a hand-over once no call may arrive any more.
+    pub(super) fn settle_calls(&mut self, now: u64) {
+        if self.replication.replica().is_handing_over() {
+            self.lease.revoke();
+        } else {
+            let _ = self.permit(now);
+        }
+        let effects = self.replication.report_calls(now, self.are_calls_settled(now));
+        self.carry_out(now, effects);
+    }
+
+    /// Lets another voter lead at once, if this core leads.
+    pub(super) fn transfer_leadership(&mut self, now: u64) {
+        let effects = self.replication.transfer_leadership(now, self.are_calls_settled(now));
+        self.carry_out(now, effects);
+    }
+
     pub(super) fn guard(&self, permit: Permit) -> LeaseGuard {
         self.lease.guard(&self.settings.node_name, permit)
     }
--- a/crates/system/src/core/node/replication.rs
+++ b/crates/system/src/core/node/replication.rs
@@ -68,8 +68,7 @@
         let Some(impaired) = self.replication.impairment_change(now) else { return };
         tracing::warn!(impaired, "disk");
         if impaired {
-            let effects = self.replication.transfer_leadership(now);
-            self.carry_out(now, effects);
+            self.transfer_leadership(now);
         }
         let effects = self.replication.set_impaired(now, impaired);
         self.carry_out(now, effects);
--- a/crates/system/src/core/node/state_check.rs
+++ b/crates/system/src/core/node/state_check.rs
@@ -93,8 +93,7 @@
             applied = self.machine.applied(),
             "replicated state differs from the majority, starting as a new store"
         );
-        let effects = self.replication.transfer_leadership(now);
-        self.carry_out(now, effects);
+        self.transfer_leadership(now);
         self.lease.revoke();
         self.replication.abandon_proposals();
         self.store = StoreState::BeingSetAside;
--- a/crates/system/src/core/orders/call.rs
+++ b/crates/system/src/core/orders/call.rs
@@ -37,7 +37,7 @@
     guard: &LeaseGuard,
 ) -> OrderReply {
     let request = order_request(order, revision, guard);
-    let answer = pool.call_once(address, request, CALL_TIMEOUT, || guard.is_valid()).await;
+    let answer = guard.call(pool, address, request, CALL_TIMEOUT).await;
     let status = answer.map(|(status, _)| status);
     let Order { instance, operation, model, adapter, .. } = order;
     tracing::debug!(instance, ?operation, model, adapter, ?status, "order");
--- a/crates/system/src/core/replication.rs
+++ b/crates/system/src/core/replication.rs
@@ -142,9 +142,19 @@
         self.replica.leave(now)
     }
 
-    /// Lets another voter stand for election at once.
-    pub fn transfer_leadership(&mut self, now: u64) -> Effects {
-        self.replica.transfer_leadership(now)
+    /// Lets another voter stand for election at once. `calls_settled`: see [`Replica::report_calls`].
+    pub fn transfer_leadership(&mut self, now: u64, calls_settled: bool) -> Effects {
+        self.replica.transfer_leadership(now, calls_settled)
+    }
+
+    /// Hands over, if this core leads, once its calls are settled.
+    pub fn hand_over(&mut self) {
+        self.replica.hand_over();
+    }
+
+    /// Whether nothing that leaders have sent outside the group may still arrive; completes a hand-over.
+    pub fn report_calls(&mut self, now: u64, settled: bool) -> Effects {
+        self.replica.report_calls(now, settled)
     }
 
     /// The leader's next change of the membership, if one is due.
--- a/crates/system/src/core/singleton_roles.rs
+++ b/crates/system/src/core/singleton_roles.rs
@@ -94,7 +94,7 @@
         return CallReply::Rejected;
     };
     // A late answer to an earlier call must not be taken for this one's, which nothing in it would show.
-    match pool.call_once(platform, request, CALL_TIMEOUT, || guard.is_valid()).await {
+    match guard.call(pool, platform, request, CALL_TIMEOUT).await {
         Some((200..=299, _)) => CallReply::Accepted,
         Some((400..=428, _)) => CallReply::Rejected,
         Some(_) | None => CallReply::Unknown,
--- a/crates/system/src/net/socket.rs
+++ b/crates/system/src/net/socket.rs
@@ -8,6 +8,11 @@
 
 /// `TCP_USER_TIMEOUT`: a connection breaks when sent bytes stay unacknowledged for this time.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// The kernel counts [`USER_TIMEOUT`] from the first retransmission, which follows the first transmission by no more than
+/// this.
+const MAX_FIRST_RETRANSMISSION: Duration = Duration::from_millis(500);
+/// What was written to a connection arrives within this time, or never, whether or not its process still runs.
+pub const MAX_DELIVERY: Duration = USER_TIMEOUT.saturating_add(MAX_FIRST_RETRANSMISSION);
 /// An idle connection sends its first keepalive probe after this time.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
 /// The time between keepalive probes.
--- a/crates/system/tests/crossings/main.rs
+++ b/crates/system/tests/crossings/main.rs
@@ -11,10 +11,11 @@
 use bytes::Bytes;
 use common::{Answer, System, call, until};
 use hyper::Request;
+use pathbank_control::autoscaling::ScaleOrder;
 use pathbank_system::clock;
-use pathbank_system::core::lease::{LeaseExpiry, LeaseGuard};
+use pathbank_system::core::lease::{LeaderCalls, LeaseExpiry, LeaseGuard};
 use pathbank_system::core::orders::fetch_report;
-use pathbank_system::core::singleton_roles::report_usage;
+use pathbank_system::core::singleton_roles::{order_servers, report_usage};
 use pathbank_system::memory::held_body::HeldBody;
 use pathbank_system::net::client::ConnectionPool;
 use report_server::ReportServer;
@@ -34,6 +35,18 @@
     request.body(HeldBody::from(Bytes::from_static(b"body"))).unwrap()
 }
 
+fn lease_guard() -> LeaseGuard {
+    let lease = Arc::new(LeaseExpiry::default());
+    lease.extend(clock::now() + 60_000);
+    LeaseGuard {
+        lease_holder: "core-1".into(),
+        fencing_token: 7,
+        lease,
+        revoked: Arc::default(),
+        calls: LeaderCalls::default(),
+    }
+}
+
 fn runtime() -> tokio::runtime::Runtime {
     tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap()
 }
@@ -103,10 +116,7 @@
 fn a_second_answer_of_the_platform_does_not_confirm_the_next_call() {
     let platform = Scripted::start(LOCALHOST);
     let pool = ConnectionPool::default();
-    let lease = Arc::new(LeaseExpiry::default());
-    lease.extend(clock::now() + 60_000);
-    let guard =
-        LeaseGuard { lease_holder: "core-1".into(), fencing_token: 7, lease, revoked: Arc::default() };
+    let guard = lease_guard();
     platform.script([Step::AgainLater(Duration::from_millis(40))]);
     runtime().block_on(async {
         for window in [1, 2] {
@@ -119,6 +129,22 @@
     assert_eq!(connections, [0, 1], "each call is seen, on a connection of its own");
 }
 
+/// Guards against a leader that hands over while a call to the platform may still arrive.
+#[test]
+fn a_call_to_the_platform_is_settled_by_its_answer_also_by_one_that_comes_late() {
+    let (guard, begun) = (lease_guard(), clock::now());
+    let calls = guard.calls.clone();
+    let platform = Scripted::start(LOCALHOST);
+    platform.script([Step::Late(Duration::from_millis(2_700))]);
+    let order = ScaleOrder { backend: "llm".into(), zone: "z1".into(), desired_count: 2 };
+    runtime().block_on(async {
+        let outcome = order_servers(ConnectionPool::default(), platform.address, &order, guard).await;
+        assert!(!outcome.is_accepted(), "given up before the answer");
+        assert!(!calls.are_settled(begun), "not answered yet");
+        until("the late answer settles it", || calls.are_settled(begun));
+    });
+}
+
 /// Bodies that are no report: what they lack would have counted as none.
 #[test]
 fn an_answer_that_is_no_report_is_not_believed_and_its_connection_not_reused() {
--- a/crates/system/tests/crossings/scripted.rs
+++ b/crates/system/tests/crossings/scripted.rs
@@ -14,6 +14,8 @@
 pub enum Step {
     /// Answers the request.
     Answer,
+    /// Answers the request after this time.
+    Late(Duration),
     /// Sends this many bytes of the answer, then resets the connection.
     ResetAfter(usize),
     /// Sends this many bytes of the answer, then closes the connection.
@@ -137,6 +139,10 @@
     match step {
         Step::Answer => stream.write_all(&whole)?,
         Step::Early => {}
+        Step::Late(pause) => {
+            std::thread::sleep(pause);
+            stream.write_all(&whole)?;
+        }
         Step::ResetAfter(count) => {
             stream.write_all(&whole[..count])?;
             // The client has to read these bytes before the reset, which discards unread ones.
--- a/crates/system/tests/orders.rs
+++ b/crates/system/tests/orders.rs
@@ -7,9 +7,10 @@
 use pathbank_control::order::OrderKind;
 use pathbank_control::order::{Operation, Order};
 use pathbank_system::clock;
-use pathbank_system::core::lease::{LeaseExpiry, LeaseGuard};
+use pathbank_system::core::lease::{LeaderCalls, LeaseExpiry, LeaseGuard};
 use pathbank_system::core::orders::{OrderOutcome, OrderTask, execute};
 use pathbank_system::net::client::ConnectionPool;
+use pathbank_system::net::socket::MAX_DELIVERY;
 use pathbank_system::stand_in::engine::{Engine, OrderBody};
 use serde_json::{Value, json};
 use std::collections::VecDeque;
@@ -157,7 +158,13 @@
 fn lease_guard(lease_ms: u64) -> LeaseGuard {
     let lease = Arc::new(LeaseExpiry::default());
     lease.extend(clock::now() + lease_ms);
-    LeaseGuard { lease_holder: "core-1".into(), fencing_token: 7, lease, revoked: Arc::default() }
+    LeaseGuard {
+        lease_holder: "core-1".into(),
+        fencing_token: 7,
+        lease,
+        revoked: Arc::default(),
+        calls: LeaderCalls::default(),
+    }
 }
 
 fn task(order: Order, guard: LeaseGuard) -> OrderTask {
@@ -229,6 +236,23 @@
     assert!((1_500..8_000).contains(&took), "{took}");
 }
 
+/// Guards against a leader that hands over while an order of its own may still arrive.
+#[tokio::test]
+async fn an_order_without_an_answer_may_arrive_until_the_kernel_gives_up() {
+    let server = DelayedReportServer::new(0, &["a"]);
+    let address = serve(server.clone()).await;
+    let (answered, unanswered) = (lease_guard(60_000), lease_guard(60_000));
+    let load = |guard: &LeaseGuard| task(order(address, Operation::Load, "b", 100), guard.clone());
+    server.lock().unwrap().lost_orders = 1;
+    let begun = clock::now();
+    execute(ConnectionPool::default(), load(&unanswered)).await;
+    let max_delivery_ms = MAX_DELIVERY.as_millis() as u64;
+    assert!(!unanswered.calls.are_settled(begun + max_delivery_ms - 1));
+    assert!(unanswered.calls.are_settled(clock::now() + max_delivery_ms));
+    execute(ConnectionPool::default(), load(&answered)).await;
+    assert!(answered.calls.are_settled(begun));
+}
+
 /// A leader whose lease has expired, or that handed over, sends no order and no repeat.
 #[tokio::test]
 async fn no_order_is_sent_without_a_valid_lease() {
