One definition of what a model server holds, for planning and for sending orders

Cause: placement counted a model that the configuration does not name as 0 MB and planned a load beside it; the check before sending said that nothing fits beside a model of unknown size, and dropped the order in silence, in each pass.

Change: control::model_catalog says what a server holds and why a load does not fit; placement, sending and training use it. A model that the configuration does not name is unloaded as soon as something it names needs the server, for models, adapters and training's versions. An order that is not sent is logged with its cause and counted in /api/placement.

--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -153,6 +153,14 @@
     pub adapter_mb: f64,
 }
 
+impl Model {
+    /// Whether it has an adapter of this name: they are named a1, a2 and so on.
+    pub fn has_adapter(&self, name: &str) -> bool {
+        let number = name.strip_prefix('a').and_then(|number| number.parse::<u32>().ok());
+        number.is_some_and(|number| (1..=self.adapters).contains(&number))
+    }
+}
+
 /// How many model servers of a service may run in each zone.
 #[derive(Clone, Debug, Facet)]
 pub struct Autoscaling {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -29,6 +29,7 @@
 //! Decisions of the leader:
 //! * [`demand`]: demand by model and adapter, from the edges' reports.
 //! * [`placement`]: which models each model server is ordered to load or unload.
+//! * [`model_catalog`]: the models of a service, and what fits a model server.
 //! * [`order`]: orders; [`order_progress`]: the state of an order by a report; [`order_durations`]: how long
 //!   orders
 //!   take.
@@ -60,6 +61,7 @@
 pub mod edge_update;
 pub mod estimate;
 pub mod item_list;
+pub mod model_catalog;
 pub mod operator_calls;
 pub mod order;
 pub mod order_durations;
--- a/crates/control/src/order.rs
+++ b/crates/control/src/order.rs
@@ -1,6 +1,7 @@
 //! Orders to model servers: loads and unloads of models and adapters.
 
 use crate::configuration::Runtime;
+use crate::model_catalog::{LoadObstacle, ModelCatalog};
 use pathbank_coordination::types::Millis;
 use pathbank_protocol::message::LoadedModel;
 
@@ -53,23 +54,15 @@
 }
 
 impl Order {
-    /// Whether a model server with the loaded models `models` has the memory for this load.
-    pub fn fits(&self, runtime: &Runtime, models: &[LoadedModel]) -> bool {
-        let model = |name: &str| runtime.models.iter().find(|model| model.name == name);
-        let Some(wanted) = model(&self.model) else { return false };
-        let mut used_mb = 0.0;
-        let mut adapters = 0;
-        for loaded in models {
-            // The size of a model that is not in the configuration is unknown.
-            let Some(known) = model(&loaded.name) else { return false };
-            used_mb += known.weights_mb + loaded.adapters.len() as f64 * known.adapter_mb;
-            adapters += loaded.adapters.len();
-        }
-        match self.adapter.is_empty() {
-            true => used_mb + wanted.weights_mb <= runtime.weights_mb,
-            false => {
-                used_mb + wanted.adapter_mb <= runtime.weights_mb && adapters < runtime.max_adapters as usize
-            }
+    /// Checks that the order may be sent to a model server with these resident models. Only a load may not.
+    ///
+    /// # Errors
+    ///
+    /// The obstacle to the load.
+    pub fn check(&self, runtime: &Runtime, models: &[LoadedModel]) -> Result<(), LoadObstacle> {
+        match self.operation {
+            Operation::Load => ModelCatalog::of(runtime).check_load(models, &self.model, &self.adapter),
+            Operation::Unload => Ok(()),
         }
     }
 }
--- a/crates/control/src/placement/memory_capacity.rs
+++ b/crates/control/src/placement/memory_capacity.rs
@@ -17,15 +17,20 @@
 /// The weight of requests for adapters of the model server's models, since no adapter is loaded during the
 /// load.
 const ADAPTER_RATE_WEIGHT: f64 = 0.5;
+/// The cost of a model of unknown size on the server, which has to be unloaded before the load begins.
+const UNCONFIGURED_MODEL_COST: f64 = 0.05;
 /// The cost of a replica in the zone that has all other replicas.
 const SAME_ZONE_COST: f64 = 0.1;
 
 /// A model that may be unloaded from a model server.
 struct EvictionCandidate<'a> {
     model: &'a str,
-    weights_mb: f64,
+    /// The memory that is free without it, as far as is known.
+    size_mb: f64,
     /// The value of the replica, requests a second.
     value: f64,
+    /// Whether it has to be unloaded before any load, as the configuration does not name it: nobody knows its size.
+    must_go: bool,
 }
 
 /// The memory of one model server.
@@ -33,7 +38,10 @@
     server: &'a ModelServer,
     /// Whether the server has no pending order and no reservation, and does not fail.
     is_available: bool,
+    /// The memory that is free beside the models that the configuration names.
     free_mb: f64,
+    /// Whether it holds a model of unknown size.
+    holds_unconfigured: bool,
     /// The rate that it serves by its share of each model's demand.
     served_rate: f64,
     /// The cost of delaying its adapters while it loads a model, requests a second.
@@ -47,10 +55,12 @@
         let is_reserved = pending.reserved_model(&server.instance).is_some();
         let is_available =
             plan.is_free(pending, server) && !is_reserved && !plan.inputs.failing.contains(&server.instance);
+        let contents = plan.catalog.contents(&server.models);
         let mut capacity = ServerCapacity {
             server,
             is_available,
-            free_mb: plan.runtime.weights_mb - plan.used_mb(server),
+            free_mb: plan.catalog.free_mb(&contents),
+            holds_unconfigured: !contents.unconfigured.is_empty(),
             served_rate: 0.0,
             adapter_delay_cost: 0.0,
             candidates: Vec::new(),
@@ -64,13 +74,17 @@
         let server = self.server;
         let training = plan.inputs.training;
         let evictable = server.models.iter().filter(|loaded| !training.pins(&server.instance, &loaded.name));
-        let candidates = evictable.map(|loaded| EvictionCandidate {
-            model: &loaded.name,
-            weights_mb: plan.model(&loaded.name).map_or(0.0, |model| model.weights_mb),
-            value: plan.replica_value(&loaded.name, &server.zone),
+        let candidates = evictable.map(|loaded| match plan.catalog.resident_mb(loaded) {
+            Some(size_mb) => {
+                let value = plan.replica_value(&loaded.name, &server.zone);
+                EvictionCandidate { model: &loaded.name, size_mb, value, must_go: false }
+            }
+            // The operator took it away: no demand for it counts.
+            None => EvictionCandidate { model: &loaded.name, size_mb: 0.0, value: 0.0, must_go: true },
         });
         self.candidates = candidates.collect();
-        self.candidates.sort_by(|one, other| one.value.total_cmp(&other.value));
+        self.candidates
+            .sort_by(|one, other| other.must_go.cmp(&one.must_go).then(one.value.total_cmp(&other.value)));
         self.served_rate = plan.served_rate(server);
         self.adapter_delay_cost = ADAPTER_RATE_WEIGHT * plan.adapter_rate(server);
     }
@@ -79,15 +93,19 @@
     /// to unload first. `None`: that would not free enough memory.
     fn eviction_cost(&self, size_mb: f64) -> Option<(f64, Option<&'a str>)> {
         let (mut free_mb, mut cost) = (self.free_mb, 0.0);
-        if free_mb >= size_mb {
+        if free_mb >= size_mb && !self.holds_unconfigured {
             return Some((0.0, None));
         }
-        let first = self.candidates.first()?.model;
+        let first = self.candidates.first()?;
+        if self.holds_unconfigured && !first.must_go {
+            // What has to go is pinned.
+            return None;
+        }
         for candidate in &self.candidates {
-            free_mb += candidate.weights_mb;
+            free_mb += candidate.size_mb;
             cost += candidate.value;
             if free_mb >= size_mb {
-                return Some((cost, Some(first)));
+                return Some((cost, Some(first.model)));
             }
         }
         None
@@ -145,7 +163,8 @@
             let fetch = if is_cached { 0.0 } else { FETCH_COST };
             let same_zone = SAME_ZONE_COST * plan.replicas.zones().fraction_in(name, &server.zone);
             let adapter_delay = if is_cached { 0.0 } else { capacity.adapter_delay_cost };
-            let total = cost + fetch + same_zone + served + adapter_delay;
+            let unknown_size = if capacity.holds_unconfigured { UNCONFIGURED_MODEL_COST } else { 0.0 };
+            let total = cost + fetch + same_zone + served + adapter_delay + unknown_size;
             if best.as_ref().is_none_or(|(least, _)| total < *least) {
                 best = Some((total, LoadTarget { position, server, evicted }));
             }
--- a/crates/control/src/placement/plan.rs
+++ b/crates/control/src/placement/plan.rs
@@ -7,6 +7,7 @@
 use crate::configuration::{Backend, Model, Runtime};
 use crate::demand::{DemandTable, ModelKey};
 use crate::directory::CachedWeights;
+use crate::model_catalog::ModelCatalog;
 use crate::order::{Operation, Order, OrderKind};
 use pathbank_coordination::types::Millis;
 use pathbank_protocol::message::{LoadedModel, ModelServer};
@@ -27,14 +28,13 @@
 pub(super) struct Plan<'a> {
     pub(super) inputs: Inputs<'a>,
     pub(super) backend: &'a Backend,
-    pub(super) runtime: &'a Runtime,
     /// The service's model servers that take requests.
     pub(super) servers: Vec<&'a ModelServer>,
     pub(super) rates: DemandRates,
     pub(super) replicas: ModelReplicas<'a>,
     /// Slots of a model server, the mean of all.
     pub(super) slots: f64,
-    models: BTreeMap<&'a str, &'a Model>,
+    pub(super) catalog: ModelCatalog<'a>,
     /// Requests in flight by instance.
     in_flight: BTreeMap<String, u32>,
     /// The orders to give.
@@ -52,11 +52,10 @@
         Plan {
             inputs,
             backend,
-            runtime,
             rates: DemandRates::of(inputs.now, inputs.demand, &backend.name),
             replicas: ModelReplicas::count(&servers, inputs.failing, inputs.training),
             slots: (slots / servers.len().max(1) as f64).max(1.0),
-            models: runtime.models.iter().map(|model| (model.name.as_str(), model)).collect(),
+            catalog: ModelCatalog::of(runtime),
             in_flight: inputs.demand.in_flight(inputs.now),
             servers,
             orders: Vec::new(),
@@ -69,7 +68,7 @@
 
     /// A model of the configuration.
     pub(super) fn model(&self, name: &str) -> Option<&'a Model> {
-        self.models.get(name).copied()
+        self.catalog.model(name)
     }
 
     /// The duration of a model's load by the configuration, milliseconds.
@@ -120,13 +119,11 @@
         server.models.iter().map(share).sum()
     }
 
-    /// The memory that a model server's models and adapters take, megabytes.
-    pub(super) fn used_mb(&self, server: &ModelServer) -> f64 {
-        let size_mb = |loaded: &LoadedModel| {
-            let model = self.model(&loaded.name);
-            model.map_or(0.0, |model| model.weights_mb + loaded.adapters.len() as f64 * model.adapter_mb)
-        };
-        server.models.iter().map(size_mb).sum()
+    /// A resident model that the configuration does not name and that may be unloaded. Until it is, nothing is
+    /// loaded on the server.
+    pub(super) fn unconfigured_model<'m>(&self, server: &'m ModelServer) -> Option<&'m str> {
+        let unconfigured = self.catalog.contents(&server.models).unconfigured;
+        unconfigured.into_iter().find(|model| !self.inputs.training.pins(&server.instance, model))
     }
 
     /// Gives an order to a model server.
--- a/crates/control/src/placement/replicas.rs
+++ b/crates/control/src/placement/replicas.rs
@@ -5,6 +5,7 @@
 use super::model_replicas::loaded;
 use super::pending_orders::PendingOrders;
 use super::plan::Plan;
+use crate::model_catalog::LoadObstacle;
 use crate::order::Operation;
 use pathbank_protocol::message::ModelServer;
 use std::cmp::Ordering;
@@ -54,21 +55,33 @@
     pub(super) fn load_reserved(&mut self, pending: &mut PendingOrders, rate_limit: &mut LoadRateLimit) {
         for server in self.servers.clone() {
             let Some(model) = pending.reserved_model(&server.instance).map(str::to_owned) else { continue };
-            let Some(size_mb) = self.model(&model).map(|model| model.weights_mb) else { continue };
-            if loaded(server, &model).is_some() {
+            if self.model(&model).is_none() || loaded(server, &model).is_some() {
                 pending.release(&server.instance);
                 continue;
             }
-            let fits = self.runtime.weights_mb - self.used_mb(server) >= size_mb;
-            if self.is_free(pending, server) && fits && rate_limit.try_take(self.load_tokens(server, &model))
-            {
-                pending.release(&server.instance);
-                let key = self.key(&model, "");
-                self.give_order(pending, server, Operation::Load, &key);
+            if !self.is_free(pending, server) {
+                continue;
+            }
+            match self.catalog.check_load(&server.models, &model, "") {
+                Ok(()) if rate_limit.try_take(self.load_tokens(server, &model)) => {
+                    pending.release(&server.instance);
+                    let key = self.key(&model, "");
+                    self.give_order(pending, server, Operation::Load, &key);
+                }
+                Err(LoadObstacle::UnconfiguredModel(_)) => self.unload_unconfigured(pending, server),
+                Ok(()) | Err(_) => {}
             }
         }
     }
 
+    /// Unloads a model that the configuration does not name, if one may be unloaded.
+    pub(super) fn unload_unconfigured(&mut self, pending: &mut PendingOrders, server: &ModelServer) {
+        if let Some(model) = self.unconfigured_model(server) {
+            let key = self.key(model, "");
+            self.give_order(pending, server, Operation::Unload, &key);
+        }
+    }
+
     /// Adds replicas, each time of the model that gains most.
     pub(super) fn add_replicas(&mut self, pending: &mut PendingOrders, rate_limit: &mut LoadRateLimit) {
         let names: BTreeSet<String> = self.rates.keys().map(|key| key.model.clone()).collect();
--- a/crates/control/src/training/workers.rs
+++ b/crates/control/src/training/workers.rs
@@ -54,7 +54,7 @@
 
 /// Whether a model server has the memory for the model.
 fn has_memory(server: &ModelServer, request: &StepRequest, runtime: &Runtime) -> bool {
-    load_order(server, &request.model, runtime).fits(runtime, &server.models)
+    load_order(server, &request.model, runtime).check(runtime, &server.models).is_ok()
 }
 
 /// The order to load a model on a worker.
--- a/crates/system/src/core/node/leadership.rs
+++ b/crates/system/src/core/node/leadership.rs
@@ -4,7 +4,7 @@
 use crate::clock;
 use crate::core::event::Event;
 use crate::core::lease::LeaseGuard;
-use crate::core::orders::{self, OrderOutcome, OrderTask};
+use crate::core::orders::{self, OrderDrop, OrderOutcome, OrderTask};
 use crate::core::replication::Replication;
 use crate::core::singleton_roles;
 use crate::core::training::scheduler::TrainingScheduler;
@@ -146,12 +146,12 @@
     }
 
     pub(super) fn send_order(&mut self, order: Order, guard: LeaseGuard) {
+        let Some(runtime) = self.runtime_of(&order.instance) else {
+            return self.placement.cancel(&order, &OrderDrop::NoService);
+        };
         if order.operation == Operation::Unload {
             self.servers.withhold(&self.links, &order.instance, &order.model, &order.adapter);
         }
-        let Some(runtime) = self.runtime_of(&order.instance) else {
-            return self.placement.cancel(&order.instance);
-        };
         self.startup.reach(Milestone::Ordered);
         let known = self.placement.take_contents(&order.instance);
         let version = self.servers.directory().newest_version(&order.model);
--- a/crates/system/src/core/node/operators.rs
+++ b/crates/system/src/core/node/operators.rs
@@ -53,8 +53,8 @@
 
     pub(super) fn on_read_placement(&self, now: u64, reply: oneshot::Sender<Reply>) {
         let Some(reply) = self.as_leader(now, reply) else { return };
-        let (placer, demand) = (self.placement.placer(), self.reports.demand());
-        send_json(reply, &overview::placement(now, placer, &self.servers.ready(), demand));
+        let demand = self.reports.demand();
+        send_json(reply, &overview::placement(now, &self.placement, &self.servers.ready(), demand));
     }
 
     pub(super) fn on_read_singleton_roles(&mut self, now: u64, reply: oneshot::Sender<Reply>) {
--- a/crates/system/src/core/node/training.rs
+++ b/crates/system/src/core/node/training.rs
@@ -7,17 +7,18 @@
 use crate::core::event::{Event, LinkId};
 use crate::core::lease::LeaseGuard;
 use crate::core::model_server_json::ReportJson;
-use crate::core::orders::{self, OrderOutcome, OrderTask};
+use crate::core::orders::{self, OrderDrop, OrderOutcome, OrderTask};
 use crate::core::training::answer::{self, ReadOutcome};
 use crate::core::training::call::TrainingCall;
 use crate::core::training::generations::{self, FinishedDraw};
 use crate::core::training::step_log::log_step;
 use crate::core::training::workers::START_TIMEOUT_MS;
+use pathbank_control::model_catalog::LoadObstacle;
 use pathbank_control::operator_calls::Reply;
 use pathbank_control::order::{Operation, Order};
 use pathbank_control::result_code::ResultCode;
 use pathbank_control::state::Command;
-use pathbank_control::training::{TrainingCommand, TrainingState};
+use pathbank_control::training::{TrainingCommand, TrainingState, workers};
 use pathbank_protocol::message::{DrawGrant, DrawRequest, DrawResult, DrawTask, Frame};
 use pathbank_rollout::controller::{Action, Draw};
 use std::net::SocketAddr;
@@ -132,28 +133,41 @@
     }
 
     pub(super) fn on_version_order_finished(&mut self, now: u64, outcome: &OrderOutcome) {
-        let OrderOutcome { order, report, .. } = outcome;
-        let has_dropped = report
-            .as_ref()
-            .is_some_and(|report| !report.busy && !report.models().any(|loaded| loaded.name == order.model));
-        if order.operation == Operation::Unload
-            && has_dropped
-            && let Some((load, guard)) = self.next_load(now, order)
-        {
-            return self.send_version_order(load, guard);
+        if let Some(cause) = &outcome.dropped {
+            self.placement.record_dropped(&outcome.order, cause);
         }
-        let server = self.servers.directory().server(&order.instance);
-        self.training.on_order_finished(now, server.as_ref(), outcome);
+        let instance = &outcome.order.instance;
+        let model = self.training.changing_model(instance).unwrap_or(&outcome.order.model).to_owned();
+        if let Some((next, guard)) = self.next_version_order(now, &model, outcome) {
+            return self.send_version_order(next, guard);
+        }
+        let server = self.servers.directory().server(instance);
+        self.training.on_order_finished(now, &model, server.as_ref(), outcome);
         self.on_server_released(clock::now(), outcome);
     }
 
-    /// The order to load the newest version at a worker that has dropped the present one, if this core still leads.
-    fn next_load(&mut self, now: u64, unload: &Order) -> Option<(Order, LeaseGuard)> {
+    /// The order that follows at a worker which changes its version, if this core still leads: it unloads what kept the
+    /// last order from being sent, or loads the newest version once the present one is dropped.
+    fn next_version_order(
+        &mut self,
+        now: u64,
+        model: &str,
+        outcome: &OrderOutcome,
+    ) -> Option<(Order, LeaseGuard)> {
+        let OrderOutcome { order, report, dropped, .. } = outcome;
         let permit = self.permit(now)?;
         let guard = self.guard(permit);
-        let server = self.servers.directory().server(&unload.instance)?;
-        let runtime = self.runtime_of(&unload.instance)?;
-        Some((self.training.begin_load(&unload.model, &server, &runtime), guard))
+        let server = self.servers.directory().server(&order.instance)?;
+        if let Some(OrderDrop::Obstacle(LoadObstacle::UnconfiguredModel(unconfigured))) = dropped {
+            return Some((workers::unload_order(&server, unconfigured), guard));
+        }
+        let report = report.as_ref().filter(|report| !report.busy)?;
+        let has_dropped = !report.models().any(|loaded| loaded.name == order.model);
+        if order.operation != Operation::Unload || !has_dropped {
+            return None;
+        }
+        let runtime = self.runtime_of(&order.instance)?;
+        Some((self.training.begin_load(model, &server, &runtime), guard))
     }
 
     // ---- generations ----
--- a/crates/system/src/core/orders/task.rs
+++ b/crates/system/src/core/orders/task.rs
@@ -1,5 +1,6 @@
 //! An order to execute, and how it ended.
 
+use super::drop::OrderDrop;
 use crate::core::lease::LeaseGuard;
 use crate::core::model_server_json::ReportJson;
 use pathbank_control::configuration::Runtime;
@@ -31,16 +32,23 @@
     pub report: Option<ReportJson>,
     /// The duration of the order, milliseconds; `None`: its completion was not observed.
     pub took_ms: Option<u64>,
+    /// Why the order was not sent; `None`: it was.
+    pub dropped: Option<OrderDrop>,
 }
 
 impl OrderOutcome {
     /// The end of the order is unknown.
     pub fn unknown(order: Order) -> OrderOutcome {
-        OrderOutcome { order, report: None, took_ms: None }
+        OrderOutcome { order, report: None, took_ms: None, dropped: None }
+    }
+
+    /// The order was not sent. `report`: the contents of the model server, if it told them.
+    pub fn dropped(order: Order, cause: OrderDrop, report: Option<ReportJson>) -> OrderOutcome {
+        OrderOutcome { order, report, took_ms: None, dropped: Some(cause) }
     }
 
     /// The order has ended with these contents.
     pub fn reported(order: Order, report: ReportJson) -> OrderOutcome {
-        OrderOutcome { order, report: Some(report), took_ms: None }
+        OrderOutcome { order, report: Some(report), took_ms: None, dropped: None }
     }
 }
--- a/crates/system/src/core/orders/tracker.rs
+++ b/crates/system/src/core/orders/tracker.rs
@@ -63,7 +63,7 @@
             OrderReply::Conflict => {
                 tokio::time::sleep(REPORT_DELAY).await;
                 let report = self.fetch_report().await;
-                OrderOutcome { order: self.order, report, took_ms: None }
+                OrderOutcome { order: self.order, report, took_ms: None, dropped: None }
             }
             OrderReply::Unknown => self.poll_reports(Acceptance::Unknown).await,
         }
@@ -112,7 +112,7 @@
         let took_ms =
             if repeat == 0 { order_durations::duration_at_first_check(elapsed_ms) } else { elapsed_ms };
         let report = ReportJson::of(self.contents_after());
-        OrderOutcome { report: Some(report), order: self.order, took_ms: Some(took_ms) }
+        OrderOutcome { report: Some(report), order: self.order, took_ms: Some(took_ms), dropped: None }
     }
 
     fn elapsed_ms(&self) -> u64 {
--- a/crates/system/src/core/overview.rs
+++ b/crates/system/src/core/overview.rs
@@ -3,6 +3,7 @@
 use super::autoscaling::AutoscalingScheduler;
 use super::edge_reports::EdgeReports;
 use super::links::PeerLinks;
+use super::placement::PlacementScheduler;
 use super::replication::Replication;
 use super::state_check::StateCheck;
 use super::state_machine::StateMachine;
@@ -12,7 +13,6 @@
 use pathbank_control::demand::{DemandTable, ModelKey};
 use pathbank_control::edge_configurations::EdgeConfiguration;
 use pathbank_control::order::Operation;
-use pathbank_control::placement::Placer;
 use pathbank_coordination::fencing::Permit;
 use pathbank_coordination::types::{Index, Member};
 use pathbank_protocol::message::ModelServer;
@@ -84,8 +84,15 @@
     })
 }
 
-/// The answer of `GET /api/placement`: demand and replicas of each model and adapter, and orders in progress.
-pub fn placement(now: u64, placer: &Placer, servers: &[ModelServer], demand: &DemandTable) -> Value {
+/// The answer of `GET /api/placement`: demand and replicas of each model and adapter, orders in progress, and orders that
+/// were not sent.
+pub fn placement(
+    now: u64,
+    placement: &PlacementScheduler,
+    servers: &[ModelServer],
+    demand: &DemandTable,
+) -> Value {
+    let placer = placement.placer();
     let orders = placer.pending_orders().map(|order| {
         let operation = match order.operation {
             Operation::Load => "load",
@@ -110,6 +117,7 @@
         "models": models(now, servers, demand),
         "orders": orders.collect::<Vec<_>>(),
         "reserved": reserved.collect::<Vec<_>>(),
+        "orders_dropped": placement.dropped().to_json(),
     })
 }
 
--- a/crates/system/src/core/placement.rs
+++ b/crates/system/src/core/placement.rs
@@ -1,7 +1,7 @@
 //! When the leader runs a placement pass, and what its orders have made of model servers.
 
 use super::edge_reports::EdgeReports;
-use super::orders::OrderOutcome;
+use super::orders::{DroppedOrders, OrderDrop, OrderOutcome};
 use pathbank_control::configuration::Backend;
 use pathbank_control::directory::Directory;
 use pathbank_control::order::Order;
@@ -29,6 +29,8 @@
     placer: Placer,
     /// Contents of model servers after the last order there.
     contents: BTreeMap<String, ModelServerContents>,
+    /// Orders that were not sent, in all terms.
+    dropped: DroppedOrders,
     next_pass_at: u64,
     /// No pass before this, whoever requests one.
     not_before: u64,
@@ -40,6 +42,7 @@
         PlacementScheduler {
             placer: Placer::new(),
             contents: BTreeMap::new(),
+            dropped: DroppedOrders::default(),
             next_pass_at: 0,
             not_before: 0,
         }
@@ -95,8 +98,21 @@
     // ---- orders ----
 
     /// An order of a plan was not sent.
-    pub fn cancel(&mut self, instance: &str) {
-        self.placer.clear_order(instance);
+    pub fn cancel(&mut self, order: &Order, cause: &OrderDrop) {
+        self.record_dropped(order, cause);
+        self.placer.clear_order(&order.instance);
+    }
+
+    /// Counts an order that was not sent, and tells its cause.
+    pub fn record_dropped(&mut self, order: &Order, cause: &OrderDrop) {
+        let Order { instance, operation, model, adapter, .. } = order;
+        tracing::warn!(instance, ?operation, model, adapter, %cause, "order not sent");
+        self.dropped.record(cause);
+    }
+
+    /// Orders that were not sent, by cause.
+    pub fn dropped(&self) -> &DroppedOrders {
+        &self.dropped
     }
 
     /// The known contents of a model server that gets an order; unknown until the order has ended.
@@ -106,8 +122,11 @@
 
     /// An order has ended.
     pub fn on_order_finished(&mut self, now: u64, outcome: &OrderOutcome) {
-        let OrderOutcome { order, report, took_ms } = outcome;
-        self.log_order(now, outcome);
+        let OrderOutcome { order, report, took_ms, dropped } = outcome;
+        match dropped {
+            Some(cause) => self.record_dropped(order, cause),
+            None => self.log_order(now, outcome),
+        }
         if let Some(took_ms) = took_ms {
             self.placer.record_duration(now, order, *took_ms);
         }
--- a/crates/system/src/core/training/model_training.rs
+++ b/crates/system/src/core/training/model_training.rs
@@ -108,13 +108,20 @@
         self.changing.insert(worker.to_owned(), phase);
     }
 
-    /// The order that changed a worker's version has ended. `server`: the worker, if it is still registered.
-    pub fn on_order_finished(&mut self, now: u64, server: Option<&ModelServer>, outcome: &OrderOutcome) {
+    /// The last order of a worker's change to another version of the model has ended. `server`: the worker, if it is still
+    /// registered.
+    pub fn on_order_finished(
+        &mut self,
+        now: u64,
+        model: &str,
+        server: Option<&ModelServer>,
+        outcome: &OrderOutcome,
+    ) {
         let OrderOutcome { order, report, .. } = outcome;
         self.changing.remove(&order.instance);
         match (server, report) {
             (Some(server), Some(report)) => {
-                self.controller.observe_report(now, worker_report(server, &order.model, report));
+                self.controller.observe_report(now, worker_report(server, model, report));
             }
             _ => self.controller.order_failed(&order.instance),
         }
--- a/crates/system/src/core/training/scheduler.rs
+++ b/crates/system/src/core/training/scheduler.rs
@@ -182,10 +182,24 @@
         workers::load_order(server, model, runtime)
     }
 
-    /// The order that changed a worker's version has ended. `server`: the worker, if it is still registered.
-    pub fn on_order_finished(&mut self, now: u64, server: Option<&ModelServer>, outcome: &OrderOutcome) {
-        if let Some(training) = self.models.get_mut(&outcome.order.model) {
-            training.on_order_finished(now, server, outcome);
+    /// The model whose version a worker changes.
+    pub fn changing_model(&self, worker: &str) -> Option<&str> {
+        let mut changing =
+            self.models.iter().filter(|(_, training)| training.changing().contains_key(worker));
+        changing.next().map(|(model, _)| model.as_str())
+    }
+
+    /// The last order of a worker's change to another version of the model has ended. `server`: the worker, if it is still
+    /// registered.
+    pub fn on_order_finished(
+        &mut self,
+        now: u64,
+        model: &str,
+        server: Option<&ModelServer>,
+        outcome: &OrderOutcome,
+    ) {
+        if let Some(training) = self.models.get_mut(model) {
+            training.on_order_finished(now, model, server, outcome);
         }
     }
 
--- a/crates/system/tests/orders.rs
+++ b/crates/system/tests/orders.rs
@@ -4,11 +4,12 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by a panic")]
 
 use pathbank_control::configuration::{Model, Runtime};
+use pathbank_control::model_catalog::LoadObstacle;
 use pathbank_control::order::OrderKind;
 use pathbank_control::order::{Operation, Order};
 use pathbank_system::clock;
 use pathbank_system::core::lease::{LeaderCalls, LeaseExpiry, LeaseGuard};
-use pathbank_system::core::orders::{OrderOutcome, OrderTask, execute};
+use pathbank_system::core::orders::{OrderDrop, OrderOutcome, OrderTask, execute};
 use pathbank_system::net::client::ConnectionPool;
 use pathbank_system::net::socket::MAX_DELIVERY;
 use pathbank_system::stand_in::engine::{Engine, OrderBody};
@@ -236,6 +237,28 @@
     assert!((1_500..8_000).contains(&took), "{took}");
 }
 
+/// Guards against orders that are dropped in silence.
+#[tokio::test]
+async fn an_order_that_is_not_sent_names_its_cause() {
+    let dropped = async |models: &[&str], operation: Operation, wanted: &str| {
+        let server = DelayedReportServer::new(0, models);
+        let address = serve(server.clone()).await;
+        let end = execute_order(order(address, operation, wanted, 10)).await;
+        assert_eq!(server.lock().unwrap().orders.is_empty(), end.dropped.is_some());
+        end.dropped
+    };
+    let unknown_size = LoadObstacle::UnconfiguredModel("retired".into());
+    assert_eq!(dropped(&["a", "retired"], Operation::Load, "b").await, Some(unknown_size.into()));
+    let full = LoadObstacle::OutOfMemory { needed_mb: 70_000.0, free_mb: 10_000.0 };
+    assert_eq!(dropped(&["a", "b"], Operation::Load, "c").await, Some(full.into()));
+    assert_eq!(dropped(&["a"], Operation::Load, "d").await, Some(LoadObstacle::NotConfigured.into()));
+    assert_eq!(dropped(&["a", "retired"], Operation::Unload, "retired").await, None);
+    let nobody = execute_order(order("127.0.0.1:9".parse().unwrap(), Operation::Load, "a", 10)).await;
+    assert_eq!(nobody.dropped, Some(OrderDrop::NoReport));
+    let invalid = Order { address: "nowhere".into(), ..nobody.order };
+    assert_eq!(execute_order(invalid).await.dropped, Some(OrderDrop::InvalidAddress));
+}
+
 /// Guards against a leader that hands over while an order of its own may still arrive.
 #[tokio::test]
 async fn an_order_without_an_answer_may_arrive_until_the_kernel_gives_up() {
--- a/crates/system/tests/training/main.rs
+++ b/crates/system/tests/training/main.rs
@@ -7,7 +7,7 @@
 mod world;
 
 use common::listener::EdgeListener;
-use common::{call, until};
+use common::{call, document, until};
 use pathbank_protocol::message::Frame;
 use pathbank_system::stand_in::engine::EngineFault;
 use std::time::Duration;
@@ -25,6 +25,20 @@
     world.sound(2);
 }
 
+/// Guards against workers that never get the next version because they hold a model that the configuration does not name
+/// any more.
+#[test]
+fn workers_change_versions_beside_a_model_that_the_configuration_does_not_name() {
+    let mut world = World::with_models(3, &["m1", "m2"]);
+    let mut configuration: serde_json::Value = serde_json::from_str(&document(7)).unwrap();
+    configuration["backends"][1]["runtime"]["models"].as_array_mut().unwrap().pop();
+    world.system.configure(3, &configuration.to_string());
+    world.play("one", 20);
+    world.store.publish().unwrap();
+    assert_eq!(world.play("two", 20).version, 2);
+    world.sound(2);
+}
+
 #[test_case(EngineFault::Lies, "other_version"; "draws from another version than it says, which a late event tells")]
 #[test_case(EngineFault::TellsNoVersion, "no_version"; "tells no version")]
 fn a_worker_is_removed_from_a_step_when_it(fault: EngineFault, reason: &str) {
@@ -184,7 +198,7 @@
 #[test]
 fn a_worker_that_changes_versions_gets_no_new_requests_of_the_model() {
     // Given workers with streams under way, when one of them drains for a step,
-    let world = World::new(3, 4, LONG_STREAMS);
+    let world = World::new(3, 4, LONG_STREAMS, &["m1"]);
     let _earlier: Vec<_> =
         (0..2).flat_map(|round| world.ask_every_edge(&format!("earlier-{round}"))).collect();
     let step = world.trainer.open(&World::plan("one", 6)).unwrap();
--- a/crates/system/tests/training/world.rs
+++ b/crates/system/tests/training/world.rs
@@ -51,6 +51,8 @@
     pub servers: Vec<ModelServer>,
     pub trainer: Trainer,
     pace: Pace,
+    /// Models that model servers hold when they start.
+    models: &'static [&'static str],
     told: Vec<TrainerRecord>,
     /// What model servers drew that are gone.
     drawn_before: Vec<EngineRecord>,
@@ -58,24 +60,29 @@
 
 impl World {
     pub fn given(servers: usize) -> World {
-        World::new(servers, 1, BRISK)
+        World::new(servers, 1, BRISK, &["m1"])
     }
 
     pub fn with_pace(servers: usize, pace: Pace) -> World {
-        World::new(servers, 1, pace)
+        World::new(servers, 1, pace, &["m1"])
     }
 
     pub fn with_edges(servers: usize, edges: u8) -> World {
-        World::new(servers, edges, BRISK)
+        World::new(servers, edges, BRISK, &["m1"])
     }
 
-    pub fn new(servers: usize, edges: u8, pace: Pace) -> World {
+    pub fn with_models(servers: usize, models: &'static [&'static str]) -> World {
+        World::new(servers, 1, BRISK, models)
+    }
+
+    pub fn new(servers: usize, edges: u8, pace: Pace, models: &'static [&'static str]) -> World {
         let mut system = System::with_edges(edges);
         system.local.start().expect("the program starts");
         let trainer = Trainer::new(system.control.clone(), PATIENCE);
         let store = Arc::default();
         let (told, drawn_before) = (Vec::new(), Vec::new());
-        let mut world = World { system, store, servers: Vec::new(), trainer, pace, told, drawn_before };
+        let mut world =
+            World { system, store, servers: Vec::new(), trainer, pace, models, told, drawn_before };
         for number in 0..servers {
             let address = world.system.local.server_address(number as u8).expect("a port");
             let server = world.start_server(&format!("w{number}"), address);
@@ -95,7 +102,7 @@
             load_ms: self.pace.load_ms,
             stream_pieces: self.pace.stream_pieces,
             stream_pause: Duration::from_millis(self.pace.stream_pause_ms),
-            ..StandInSettings::new(instance, "llm", "z1", &["m1"], &self.system.control)
+            ..StandInSettings::new(instance, "llm", "z1", self.models, &self.system.control)
         };
         let runtime =
             tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build().unwrap();
