Soak: models that are retired, a tenant that is taken away, and links to model servers that lose data

Checked are the tokens of orders as they arrive, turns of holders, the memory of model servers, keys at edges in touch, and that every configured model is served at the end.

--- a/crates/system/tests/common/mod.rs
+++ b/crates/system/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod listener;
+pub mod lossy_socket;
 pub mod slow_edge;
 
 use pathbank_protocol::message::{ModelServer, ModelServerState};
--- a/crates/system/tests/late_orders/lossy_server.rs
+++ b/crates/system/tests/late_orders/lossy_server.rs
@@ -1,9 +1,10 @@
 //! A model server whose machine loses what the leader sends with its first order: the kernel of the sender goes on
 //! sending it, whatever becomes of the process.
 
+use crate::common::call;
+use crate::common::lossy_socket::{lose_data, lose_nothing, read_request, write_answer};
 use serde_json::{Value, json};
-use socket2::{SockFilter, SockRef, Socket};
-use std::io::{Read, Write};
+use socket2::{SockRef, Socket};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -39,22 +40,6 @@
     heartbeats: AtomicU64,
 }
 
-/// Drops segments that carry data; connections still come up.
-fn lose_data(socket: &SockRef) {
-    // The length of the TCP header, and whether the segment is longer.
-    let filter = [
-        SockFilter::new(0x30, 0, 0, 12),
-        SockFilter::new(0x74, 0, 0, 4),
-        SockFilter::new(0x64, 0, 0, 2),
-        SockFilter::new(0x07, 0, 0, 0),
-        SockFilter::new(0x80, 0, 0, 0),
-        SockFilter::new(0x1d, 0, 1, 0),
-        SockFilter::new(0x06, 0, 0, u32::MAX),
-        SockFilter::new(0x06, 0, 0, 0),
-    ];
-    socket.attach_filter(&filter).expect("a filter");
-}
-
 impl LossyServer {
     /// Starts it, and its heartbeats to these cores.
     pub fn start(address: SocketAddr, control: Vec<SocketAddr>, losses_last: Duration) -> Arc<LossyServer> {
@@ -93,8 +78,8 @@
     fn accept(self: &Arc<Self>, listener: &Socket) {
         loop {
             let (connection, _) = listener.accept().expect("a connection");
-            let is_lossy = self.state.lock().unwrap().lossy_since.is_none()
-                && SockRef::from(listener).detach_filter().is_ok();
+            let is_lossy =
+                self.state.lock().unwrap().lossy_since.is_none() && lose_nothing(&SockRef::from(listener));
             if is_lossy {
                 self.state.lock().unwrap().lossy_since = Some(Instant::now());
             }
@@ -106,20 +91,18 @@
     fn serve(&self, mut stream: TcpStream, listener: &Socket, is_lossy: bool) {
         if is_lossy {
             std::thread::sleep(self.losses_last);
-            SockRef::from(&stream).detach_filter().expect("its filter");
+            assert!(lose_nothing(&SockRef::from(&stream)), "it lost data");
         }
-        while let Some((path, body)) = read_request(&mut stream) {
-            let (status, answer) = match path.as_str() {
+        while let Some(request) = read_request(&mut stream) {
+            let (status, answer) = match request.path.as_str() {
                 "/api/report" => (200, self.report()),
-                "/api/order" => (self.take_order(&body), Value::Null),
+                "/api/order" => (self.take_order(&request.body), Value::Null),
                 _ => (421, Value::Null),
             };
-            if path == "/api/report" && self.armed.swap(false, Ordering::AcqRel) {
+            if request.path == "/api/report" && self.armed.swap(false, Ordering::AcqRel) {
                 lose_data(&SockRef::from(listener));
             }
-            let answer = answer.to_string();
-            let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n", answer.len());
-            if stream.write_all((head + &answer).as_bytes()).is_err() {
+            if !write_answer(&mut stream, status, &[], &answer.to_string()) {
                 return;
             }
         }
@@ -147,27 +130,8 @@
             let body = json!({ "backend": "llm", "address": self.address.to_string(), "zone": "z1", "version": "1",
                                "capacity": 8, "state": "ready", "models": [], "sequence": sequence });
             let path = format!("/api/instances/{INSTANCE}/heartbeat");
-            super::common::call(core, "POST", &path, &[], &body.to_string());
+            call(core, "POST", &path, &[], &body.to_string());
             std::thread::sleep(HEARTBEAT_INTERVAL);
         }
     }
 }
-
-/// The path and the body of a request. `None`: the connection has ended.
-fn read_request(stream: &mut TcpStream) -> Option<(String, Vec<u8>)> {
-    let mut bytes = Vec::new();
-    let mut chunk = [0; 4_096];
-    loop {
-        if let Some(end) = bytes.windows(4).position(|part| part == b"\r\n\r\n") {
-            let head = String::from_utf8_lossy(&bytes[..end]).to_ascii_lowercase();
-            let length = head.lines().find_map(|line| line.strip_prefix("content-length:"));
-            let length: usize = length.map_or(0, |length| length.trim().parse().unwrap());
-            if bytes.len() >= end + 4 + length {
-                let path = head.split(' ').nth(1)?.to_owned();
-                return Some((path, bytes[end + 4..end + 4 + length].to_vec()));
-            }
-        }
-        let count = stream.read(&mut chunk).ok().filter(|count| *count > 0)?;
-        bytes.extend_from_slice(&chunk[..count]);
-    }
-}
--- a/crates/system/tests/soak/clients.rs
+++ b/crates/system/tests/soak/clients.rs
@@ -26,6 +26,22 @@
     Unanswered,
 }
 
+/// A request as a client sends it; its id is its body as well.
+#[derive(Clone, Copy)]
+pub struct Ask<'a> {
+    pub path: &'a str,
+    pub key: &'a str,
+    pub model: Option<&'a str>,
+    pub id: &'a str,
+}
+
+impl<'a> Ask<'a> {
+    /// A request with the tenant's key, for no model.
+    pub fn of(path: &'a str, id: &'a str) -> Ask<'a> {
+        Ask { path, key: "key-1", model: None, id }
+    }
+}
+
 /// A kept connection to an edge.
 pub struct Connection {
     stream: TcpStream,
@@ -43,10 +59,12 @@
         Some(Connection { stream, reader, closing: false })
     }
 
-    pub fn ask(&mut self, path: &str, id: &str) -> Outcome {
+    pub fn ask(&mut self, ask: &Ask) -> Outcome {
+        let Ask { path, key, model, id } = ask;
+        let model = model.map(|model| format!("X-Pathbank-Model: {model}\r\n")).unwrap_or_default();
         let request = format!(
-            "POST {path} HTTP/1.1\r\nHost: shop.example\r\nX-Pathbank-Request-Id: {id}\r\n\
-             X-Pathbank-Deadline-Ms: 5000\r\nX-Pathbank-Credential: key-1\r\nContent-Length: {}\r\n\r\n{id}",
+            "POST {path} HTTP/1.1\r\nHost: shop.example\r\nX-Pathbank-Request-Id: {id}\r\n{model}\
+             X-Pathbank-Deadline-Ms: 5000\r\nX-Pathbank-Credential: {key}\r\nContent-Length: {}\r\n\r\n{id}",
             id.len()
         );
         if self.stream.write_all(request.as_bytes()).is_err() {
@@ -138,7 +156,7 @@
             let (version, path) = self.any_route();
             let mark = self.findings.mark(edge);
             self.findings.contact().sent(&id, edge);
-            let outcome = connection.ask(&path, &id);
+            let outcome = connection.ask(&Ask::of(&path, &id));
             self.findings.note(edge, mark, &id, version, &outcome);
             if !matches!(outcome, Outcome::Answered { .. }) {
                 return;
--- a/crates/system/tests/soak/findings.rs
+++ b/crates/system/tests/soak/findings.rs
@@ -1,6 +1,6 @@
 //! What was seen, and what of it must not be.
 
-use crate::clients::{Connection, Outcome};
+use crate::clients::{Ask, Connection, Outcome};
 use crate::common::{System, until};
 use crate::contact::ContactLog;
 use crate::operators::{Acknowledged, Confirmed};
@@ -172,7 +172,7 @@
                 until(&format!("edge {edge} serves {path}"), || {
                     let id = format!("end-{}", self.asked_at_end.fetch_add(1, Ordering::Relaxed));
                     let connection = Connection::open(local.ingress);
-                    let outcome = connection.map(|mut connection| connection.ask(path, &id));
+                    let outcome = connection.map(|mut connection| connection.ask(&Ask::of(path, &id)));
                     matches!(outcome, Some(Outcome::Answered { status: 200, .. }))
                 });
             }
--- a/crates/system/tests/soak/main.rs
+++ b/crates/system/tests/soak/main.rs
@@ -1,6 +1,7 @@
 //! A system of real processes under signals, restarts and changes that come in series and overlap, drawn from
 //! a seed, while clients keep their connections, operators change the configuration without a pause, and model
-//! servers come and go. At the end all processes are killed at once, and it is measured when service is back.
+//! servers come and go. Beside the same signals, models are retired and added, the last tenant is taken away and given
+//! back, and links to model servers lose what is sent. At the end all processes are killed at once, and it is measured when service is back.
 //!
 //! `PATHBANK_SOAK_SEEDS=1..50 cargo test --release -p pathbank-system --test soak -- --nocapture` plays more
 //! seeds; `PATHBANK_SOAK_EDGES=140` starts so many edges, `PATHBANK_SOAK_ROUTES=2000` makes the configuration
@@ -15,13 +16,21 @@
 mod departures;
 mod faults;
 mod findings;
+mod key_log;
+mod model_clients;
+mod model_operator;
+mod model_servers;
 mod operators;
 
-use clients::Clients;
+use clients::{Clients, Connection, Outcome};
 use common::{System, document_with_routes};
 use departures::Departures;
 use faults::{FaultPlan, Shape};
 use findings::Findings;
+use key_log::KeyLog;
+use model_clients::{ModelClients, ask_for};
+use model_operator::{ModelOperator, first_document};
+use model_servers::ModelServers;
 use operators::{Acknowledged, Operator};
 use pathbank_system::local::Process;
 use std::sync::Arc;
@@ -33,6 +42,8 @@
 const EDGES: u8 = 3;
 const CORES: u8 = 3;
 const CLIENTS: usize = 6;
+/// Clients that ask for models, which wait longer for an answer.
+const MODEL_CLIENTS: usize = 24;
 /// Service is back within this after all processes have started, also on a busy machine.
 const BACK_WITHIN: Duration = Duration::from_secs(15);
 /// How long disturbances come.
@@ -102,8 +113,55 @@
     (findings.all(), summary)
 }
 
-#[test]
-fn signals_restarts_and_changes_that_overlap() {
+/// Every edge serves every model that the configuration names.
+fn until_models_are_served(system: &System, models: &[&str], findings: &Findings) {
+    for (edge, local) in system.local.edges.iter().enumerate() {
+        for model in models {
+            let began = Instant::now();
+            let mut asked = 0;
+            let mut is_served = || {
+                asked += 1;
+                let id = format!("end-{edge}-{model}-{asked}");
+                let outcome = Connection::open(local.ingress)
+                    .map(|mut connection| connection.ask(&ask_for(model, "key-1", &id)));
+                matches!(outcome, Some(Outcome::Answered { status: 200, .. }))
+            };
+            while !is_served() {
+                if began.elapsed() > BACK_WITHIN {
+                    return findings
+                        .find(format!("edge {edge}: {model} is not served within {BACK_WITHIN:?}"));
+                }
+                std::thread::sleep(Duration::from_millis(20));
+            }
+        }
+    }
+}
+
+/// Plays one seed of models, keys and lossy links. Returns what was found wrong, and a line on what happened.
+fn play_models(seed: u64, edges: u8) -> (Vec<String>, String) {
+    let mut system = System::with_logs(CORES, edges, asked::<u8>("PATHBANK_SOAK_LOGS").is_some());
+    system.local.start().expect("the program starts");
+    system.configure(0, &first_document(3));
+    let findings = Arc::new(Findings::new(edges.into()));
+    let (stop, keys) = (Arc::new(AtomicBool::new(false)), Arc::<KeyLog>::default());
+    let servers = ModelServers::start(&system, seed, &findings, &stop);
+    until_models_are_served(&system, &model_operator::MODELS[..1], &findings);
+    let operator = ModelOperator::start(&system, seed, 3, &findings, &keys, &stop);
+    let clients =
+        ModelClients::start(&system, seed, MODEL_CLIENTS.max(edges.into()), &findings, &keys, &stop);
+    let shape = Shape { cores: CORES.into(), edges: edges.into(), lasts: DISTURBED };
+    FaultPlan::draw(seed, shape).play(&mut system.local, &findings);
+    std::thread::sleep(CALM_AT_END);
+    stop.store(true, Ordering::Relaxed);
+    let models = operator.join();
+    clients.join();
+    until_models_are_served(&system, &models, &findings);
+    servers.check(&findings);
+    (findings.all(), format!("seed {seed}: {}", findings.summary()))
+}
+
+/// Plays the seeds that were asked for, and fails with what was found.
+fn play_seeds(play: impl Fn(u64, u8) -> (Vec<String>, String)) {
     let edges = asked("PATHBANK_SOAK_EDGES").unwrap_or(EDGES);
     let mut failed = Vec::new();
     for seed in seeds() {
@@ -116,3 +174,13 @@
     }
     assert!(failed.is_empty(), "PATHBANK_SOAK_SEEDS=N..N+1 plays one again: {failed:#?}");
 }
+
+#[test]
+fn models_keys_and_lossy_links_beside_signals_and_restarts() {
+    play_seeds(play_models);
+}
+
+#[test]
+fn signals_restarts_and_changes_that_overlap() {
+    play_seeds(play);
+}
