--- a/crates/system/tests/soak/clients.rs
+++ b/crates/system/tests/soak/clients.rs
@@ -113,13 +113,12 @@
         let client = |number: usize| {
             let client = Client {
                 number,
-                edges: edges.clone(),
                 random: fastrand::Rng::with_seed(seed * 1_000 + number as u64),
                 findings: findings.clone(),
                 asked: 0,
             };
-            let stop = stop.clone();
-            std::thread::spawn(move || client.run(&stop))
+            let (edges, stop) = (edges.clone(), stop.clone());
+            std::thread::spawn(move || client.run(&edges, &stop))
         };
         Clients { threads: (0..count).map(client).collect() }
     }
@@ -131,38 +130,47 @@
 
 struct Client {
     number: usize,
-    edges: Vec<SocketAddr>,
     random: fastrand::Rng,
     findings: Arc<Findings>,
     asked: u64,
 }
 
-impl Client {
-    fn run(mut self, stop: &AtomicBool) {
-        while !stop.load(Ordering::Relaxed) {
-            let edge = self.random.usize(..self.edges.len());
-            match Connection::open(self.edges[edge]) {
-                Some(connection) => self.use_up(edge, connection, stop),
-                None => std::thread::sleep(PAUSE),
-            }
+/// Asks on connections to drawn edges, each of which is kept until it ends, whatever its edge goes through. `ask` returns
+/// whether the connection still stands.
+pub fn ask_on_kept_connections(
+    edges: &[SocketAddr],
+    mut random: fastrand::Rng,
+    stop: &AtomicBool,
+    mut ask: impl FnMut(usize, &mut Connection) -> bool,
+) {
+    while !stop.load(Ordering::Relaxed) {
+        let edge = random.usize(..edges.len());
+        let Some(mut connection) = Connection::open(edges[edge]) else {
+            std::thread::sleep(PAUSE);
+            continue;
+        };
+        while !stop.load(Ordering::Relaxed) && !connection.closing && ask(edge, &mut connection) {
+            std::thread::sleep(PAUSE);
         }
     }
+}
+
+impl Client {
+    fn run(mut self, edges: &[SocketAddr], stop: &AtomicBool) {
+        let random = self.random.fork();
+        ask_on_kept_connections(edges, random, stop, |edge, connection| self.ask(edge, connection));
+    }
 
-    /// Asks on a connection until it ends, whatever its edge goes through.
-    fn use_up(&mut self, edge: usize, mut connection: Connection, stop: &AtomicBool) {
-        while !stop.load(Ordering::Relaxed) && !connection.closing {
-            self.asked += 1;
-            let id = format!("c{}-{}", self.number, self.asked);
-            let (version, path) = self.any_route();
-            let mark = self.findings.mark(edge);
-            self.findings.contact().sent(&id, edge);
-            let outcome = connection.ask(&Ask::of(&path, &id));
-            self.findings.note(edge, mark, &id, version, &outcome);
-            if !matches!(outcome, Outcome::Answered { .. }) {
-                return;
-            }
-            std::thread::sleep(PAUSE);
-        }
+    /// Asks for a route. Returns whether the connection still stands.
+    fn ask(&mut self, edge: usize, connection: &mut Connection) -> bool {
+        self.asked += 1;
+        let id = format!("c{}-{}", self.number, self.asked);
+        let (version, path) = self.any_route();
+        let mark = self.findings.mark(edge);
+        self.findings.contact().sent(&id, edge);
+        let outcome = connection.ask(&Ask::of(&path, &id));
+        self.findings.note(edge, mark, &id, version, &outcome);
+        matches!(outcome, Outcome::Answered { .. })
     }
 
     fn any_route(&mut self) -> (u64, String) {
--- a/crates/system/tests/soak/model_clients.rs
+++ b/crates/system/tests/soak/model_clients.rs
@@ -1,17 +1,16 @@
 //! Clients that ask for models on kept connections, with the tenant's key and with one that nobody holds.
 
-use crate::clients::{Ask, Connection, Outcome};
+use crate::clients::{Ask, Connection, Outcome, ask_on_kept_connections};
 use crate::common::System;
 use crate::findings::Findings;
 use crate::key_log::{KeyLog, KeyState};
 use crate::model_operator::{ADAPTERS, MODELS};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::thread::JoinHandle;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-const PAUSE: Duration = Duration::from_millis(20);
 const HELD_KEY: &str = "key-1";
 const UNKNOWN_KEY: &str = "key-that-nobody-holds";
 /// One in so many requests has a key that nobody holds.
@@ -39,14 +38,13 @@
         let client = |number: usize| {
             let client = ModelClient {
                 number,
-                edges: edges.clone(),
                 random: fastrand::Rng::with_seed(seed * 1_000 + 500 + number as u64),
                 findings: findings.clone(),
                 keys: keys.clone(),
                 asked: 0,
             };
-            let stop = stop.clone();
-            std::thread::spawn(move || client.run(&stop))
+            let (edges, stop) = (edges.clone(), stop.clone());
+            std::thread::spawn(move || client.run(&edges, &stop))
         };
         ModelClients { threads: (0..count).map(client).collect() }
     }
@@ -58,7 +56,6 @@
 
 struct ModelClient {
     number: usize,
-    edges: Vec<SocketAddr>,
     random: fastrand::Rng,
     findings: Arc<Findings>,
     keys: Arc<KeyLog>,
@@ -66,31 +63,25 @@
 }
 
 impl ModelClient {
-    fn run(mut self, stop: &AtomicBool) {
-        while !stop.load(Ordering::Relaxed) {
-            let edge = self.random.usize(..self.edges.len());
-            match Connection::open(self.edges[edge]) {
-                Some(connection) => self.use_up(edge, connection, stop),
-                None => std::thread::sleep(PAUSE),
-            }
-        }
+    fn run(mut self, edges: &[SocketAddr], stop: &AtomicBool) {
+        let random = self.random.fork();
+        ask_on_kept_connections(edges, random, stop, |edge, connection| self.ask(edge, connection));
     }
 
-    /// Asks on a connection until it ends, whatever its edge goes through.
-    fn use_up(&mut self, edge: usize, mut connection: Connection, stop: &AtomicBool) {
-        while !stop.load(Ordering::Relaxed) && !connection.closing {
-            self.asked += 1;
-            let id = format!("m{}-{}", self.number, self.asked);
-            let model = self.any_model();
-            let key = if self.random.u8(..UNKNOWN_ONE_IN) == 0 { UNKNOWN_KEY } else { HELD_KEY };
-            let sent_at = Instant::now();
-            self.findings.contact().sent(&id, edge);
-            let outcome = connection.ask(&ask_for(&model, key, &id));
-            let Outcome::Answered { status, .. } = outcome else { return };
-            self.findings.count(&format!("{status} for models"));
-            self.check(edge, &id, key, status, sent_at);
-            std::thread::sleep(PAUSE);
-        }
+    /// Asks for a model. Returns whether the connection still stands.
+    fn ask(&mut self, edge: usize, connection: &mut Connection) -> bool {
+        self.asked += 1;
+        let id = format!("m{}-{}", self.number, self.asked);
+        let model = self.any_model();
+        let key = if self.random.u8(..UNKNOWN_ONE_IN) == 0 { UNKNOWN_KEY } else { HELD_KEY };
+        let sent_at = Instant::now();
+        self.findings.contact().sent(&id, edge);
+        let Outcome::Answered { status, .. } = connection.ask(&ask_for(&model, key, &id)) else {
+            return false;
+        };
+        self.findings.count(&format!("{status} for models"));
+        self.check(edge, &id, key, status, sent_at);
+        true
     }
 
     /// A model, or an adapter of it.
